--- /dev/null
+++ b/src/main/java/pearladder/Policy.java
@@ -0,0 +1,861 @@
+package pearladder;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.zip.CRC32;
+import pearladder.api.Action;
+import pearladder.api.Dispatcher;
+import pearladder.api.Event;
+import pearladder.api.Event.Copy;
+import pearladder.api.Event.ListKind;
+import pearladder.api.Event.Standing;
+import pearladder.api.Facts;
+import pearladder.api.Facts.ColdStart;
+import pearladder.api.Facts.Effect;
+import pearladder.api.Facts.Group;
+import pearladder.api.Facts.Ration;
+import pearladder.api.Facts.Terms;
+import pearladder.api.Moment;
+import pearladder.api.Outcome;
+import pearladder.api.Span;
+import pearladder.state.Account;
+import pearladder.state.Call;
+import pearladder.state.Decaying;
+import pearladder.state.Function;
+import pearladder.state.Leg;
+import pearladder.state.Place;
+import pearladder.state.Worker;
+
+/*
+ * All decisions of one router. It is called through pearladder.api.Dispatcher: on(now, event) takes one thing that
+ * happened and returns what is to be done, in order. Events, actions and the facts handed over at the start are in
+ * pearladder.api; the plain records kept here are in pearladder.state. It reads no clock and shares nothing.
+ *
+ * Ordinary path, sticky first-fit (docs/design.md): each function has a short list of workers; a call takes the
+ * first listed worker with room, else the first with room in an order of workers rotated by a hash of the function,
+ * which joins the list; with no room anywhere the call is dismissed at once.
+ *
+ * Beside it stand six mechanisms, each a part of its own below:
+ *   1 SetAside       a worker that fails or is slow against the fleet leaves the lists for a while
+ *   2 ColdAllowance  a worker that has just started gets no more than our part of what it can bear
+ *   3 FurtherLegs    what may be sent again, when, and how much of that in all
+ *   4 LoadOrders     copies that are in use are held, and one is added where calls crowd, within the ration
+ *   5 StoreGuard     while loads are slow or fail, calls join a load under way rather than begin another
+ *   6 Shedding       when room is short, calls over their account's share and hopeless ones go first
+ */
+public final class Policy implements Dispatcher {
+    private static final Span BEAT = Span.millis(100);
+    private static final Span HEALTH = Span.seconds(3);      // fade of what is known of a worker's health
+    private static final Span PACE = Span.seconds(5);        // fade of rates and usual times
+    private static final Span DEMAND = Span.seconds(30);     // fade of a function's demand
+    private static final int LIST = 4;                       // workers listed for a function
+    private static final int MARKS = 64;                     // marks of each worker on the ring
+    private static final double SNUG = 1.5;                  // room margins, in mean holdings of a worker
+    private static final double WIDE = 2.5;
+    private static final double SPARE = 1.5;                 // and in calls beside that
+    private static final Span FULL_FOR = Span.millis(300);   // a worker that refused as full is passed over
+    private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
+
+    private final long seed;
+    private long drawn;
+    private final Facts facts;
+    private final Map<String, Terms> terms = new HashMap<>();
+    private final Map<String, Account> accounts = new HashMap<>();
+    private final Map<String, Call> calls = new HashMap<>();
+    private final Map<String, Worker> workers = new TreeMap<>();
+    private final Map<String, Function> functions = new LinkedHashMap<>();
+    private final Decaying warmAnswers = new Decaying(PACE);
+    private final Decaying warmSeconds = new Decaying(PACE);
+    private final Decaying taken = new Decaying(PACE);
+    private List<Worker> inService = List.of();
+    private long[] ring = {};
+    private Worker[] ringWorkers = {};
+    private long edition;
+    private int legsOut;
+    private boolean begun;
+
+    private final SetAside setAside = new SetAside(Span.seconds(3), Span.seconds(2), 0.4, 3, 2.5);
+    private final ColdAllowance coldAllowance;
+    private final FurtherLegs furtherLegs;
+    private final LoadOrders loadOrders;
+    private final StoreGuard storeGuard = new StoreGuard(2.5);
+    private final Shedding shedding;
+
+    private Moment now;
+    private List<Action> todo;
+
+    public Policy(long seed, Facts facts) {
+        this.seed = seed;
+        this.facts = facts;
+        for (Terms category : facts.categories()) {
+            terms.put(category.name(), category);
+        }
+        for (Facts.Account account : facts.accounts()) {
+            accounts.put(account.name(), new Account(account, PACE));
+        }
+        coldAllowance = new ColdAllowance(facts.coldStart(), 0.6);
+        furtherLegs = new FurtherLegs(facts.allowances().legs(), facts.allowances().cancel(), 0.2, 3);
+        loadOrders = new LoadOrders(facts.ration(), facts.copies().kept(), facts.copies().orders(), 0.55);
+        shedding = new Shedding(facts.peers());
+    }
+
+    @Override
+    public List<Action> on(Moment at, Event event) {
+        now = at;
+        todo = new ArrayList<>();
+        if (!begun) {
+            begun = true;
+            todo.add(new Action.Wake(now.plus(BEAT), "beat"));
+            if (facts.roll().asked()) {
+                todo.add(new Action.Subscribe(true));
+            }
+        }
+        if (event instanceof Event.CallCame came) {
+            take(came);
+        } else if (event instanceof Event.LegEnded ended) {
+            Call call = calls.get(ended.call());
+            if (call != null && ended.leg() >= 0 && ended.leg() < call.legs.size()) {
+                end(call, call.legs.get(ended.leg()), ended);
+            }
+        } else if (event instanceof Event.Due due) {
+            if (due.tag().equals("beat")) {
+                beat();
+            } else if (due.tag().equals("list")) {
+                todo.add(new Action.Subscribe(true));
+            }
+        } else if (event instanceof Event.Listed listed) {
+            follow(listed);
+        } else if (event instanceof Event.ClientLeft left) {
+            Call call = calls.get(left.call());
+            if (call != null) {
+                close(call);
+            }
+        } else if (event instanceof Event.StreamBegan began) {
+            Call call = calls.get(began.call());
+            if (call != null) {
+                call.streaming = true;
+            }
+        } else if (event instanceof Event.LoadAnswered answered) {
+            Worker worker = workers.get(answered.worker());
+            Function function = functions.get(answered.function());
+            if (worker != null && function != null) {
+                loadOrders.answered(place(function, worker), answered);
+            }
+        } else if (event instanceof Event.Probed probed) {
+            Worker worker = workers.get(probed.worker());
+            if (worker != null) {
+                hear(worker, probed.report());
+            }
+        }
+        return todo;
+    }
+
+    // ---- a call comes, is placed, and ends
+
+    private void take(Event.CallCame came) {
+        Terms category = terms.get(came.category());
+        if (category == null) {
+            throw new IllegalArgumentException("a call of an unknown category: " + came.category());
+        }
+        Function function = functions.computeIfAbsent(came.function(), id -> new Function(id, DEMAND, PACE));
+        function.lanes = Math.max(1, came.lanes());
+        function.memoryMb = came.memoryMb();
+        function.usualLoad = came.usualLoad();
+        function.calls.add(now, 1);
+        function.taken++;
+        function.lastCall = now;
+        taken.add(now, 1);
+        loadOrders.taken();
+        Account account = came.account() == null ? null : accounts.get(came.account());
+        if (account != null) {
+            account.calls.add(now, 1);
+        }
+        Call call = new Call(came.call(), function, category, account, now, now.plus(came.timeLeft()));
+        calls.put(call.id, call);
+        place(call, null);
+    }
+
+    /** Sends the call to the first worker with room, or gives the final answer at once. */
+    private void place(Call call, Worker avoided) {
+        boolean favoured = !shedding.overShare(call.account);
+        if (!shedding.hopeless(call)) {
+            Place place = choose(call, avoided, favoured);
+            if (place != null) {
+                send(call, place);
+                return;
+            }
+        }
+        answer(call);
+    }
+
+    private Place choose(Call call, Worker avoided, boolean favoured) {
+        Function function = call.function;
+        boolean join = storeGuard.joining(function);
+        for (double margin : favoured ? new double[] {SNUG, WIDE} : new double[] {SNUG}) {
+            for (Place listed : function.list) {
+                if (listed.worker != avoided && hasRoom(call, listed, join ? 2 * WIDE : margin)) {
+                    return listed;
+                }
+            }
+        }
+        if (join && !function.list.isEmpty()) {
+            return null;
+        }
+        for (double margin : favoured ? new double[] {SNUG, WIDE} : new double[] {SNUG}) {
+            for (Worker worker : scan(function)) {
+                if (worker != avoided && hasRoom(call, place(function, worker), margin)) {
+                    Place picked = place(function, worker);
+                    if (!function.list.contains(picked)) {
+                        if (function.list.size() >= LIST) {
+                            function.list.remove(function.list.size() - 1);
+                        }
+                        function.list.add(picked);
+                    }
+                    return picked;
+                }
+            }
+        }
+        return null;
+    }
+
+    /** The design's room for the function, and the worker's own holding against the fleet's mean. */
+    private boolean hasRoom(Call call, Place place, double margin) {
+        Worker worker = place.worker;
+        if (!usable(worker) || later(place.refusedUntil) || later(worker.refusedUntil)) {
+            return false;
+        }
+        if (place.inFlight >= place.function.lanes * (instances(place) + 1)) {
+            return false;
+        }
+        double mean = meanHeld();
+        boolean heard = worker.heard != null && !now.since(worker.heard).longerThan(PACE);
+        double held = heard ? worker.out.size() : Math.max(worker.out.size(), mean);
+        if (held > margin * mean + SPARE) {
+            return false;
+        }
+        return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker);
+    }
+
+    private boolean usable(Worker worker) {
+        return worker.standing == Standing.IN_SERVICE && !later(worker.asideUntil);
+    }
+
+    private boolean later(Moment moment) {
+        return moment != null && now.before(moment);
+    }
+
+    private double meanHeld() {
+        return (double) legsOut / Math.max(1, inService.size());
+    }
+
+    /** Instances believed to stand; the belief ends when nothing renewed it for as long as idle copies are kept. */
+    private int instances(Place place) {
+        if (place.touched == null || now.since(place.touched).longerThan(facts.copies().kept())) {
+            place.instances = place.inFlight > 0 ? Math.min(1, place.instances) : 0;
+        }
+        return place.instances;
+    }
+
+    private void send(Call call, Place place) {
+        Worker worker = place.worker;
+        Leg leg = new Leg(call, call.legs.size(), place, now, instances(place) > 0);
+        call.legs.add(leg);
+        call.legsOut++;
+        legsOut++;
+        place.inFlight++;
+        place.touched = now;
+        worker.out.add(leg);
+        coldAllowance.sent(worker);
+        Span left = call.givenUpAt.since(now).minus(facts.quantum().times(2));
+        todo.add(new Action.Send(call.id, worker.id, left.atLeast(new Span(1))));
+    }
+
+    private void end(Call call, Leg leg, Event.LegEnded ended) {
+        if (leg.outcome != null) {
+            return;
+        }
+        leg.outcome = ended.outcome();
+        Place place = leg.place;
+        Worker worker = place.worker;
+        call.legsOut--;
+        legsOut--;
+        place.inFlight--;
+        worker.out.remove(leg);
+        learn(leg, ended);
+        if (ended.over() || call.over) {
+            close(call);
+        } else if (call.legsOut == 0) {
+            if (furtherLegs.may(call)) {
+                furtherLegs.spend();
+                place(call, ended.outcome() == Outcome.ABSENT ? null : worker);
+            } else {
+                answer(call);
+            }
+        }
+    }
+
+    /** What an ended leg tells of the copy, of the worker and of the store. */
+    private void learn(Leg leg, Event.LegEnded ended) {
+        Place place = leg.place;
+        Worker worker = place.worker;
+        Function function = place.function;
+        hear(worker, ended.report());
+        double seconds = ended.took().inSeconds();
+        switch (ended.outcome()) {
+            case SUCCESS -> {
+                worker.heard = now;
+                worker.settled.add(now, 1);
+                place.touched = now;
+                if (ended.copy() == Copy.LOAD_BEGUN || ended.copy() == Copy.LOAD_JOINED) {
+                    if (ended.copy() == Copy.LOAD_BEGUN) {
+                        place.instances = leg.copyBelieved ? place.instances + 1 : 1;
+                        storeGuard.loaded(function, Math.max(0, seconds - expected(function).inSeconds()));
+                    }
+                    place.instances = Math.max(1, place.instances);
+                } else {
+                    place.instances = Math.max(1, place.instances);
+                    worker.answers.add(now, 1);
+                    worker.slowness.add(now, seconds / expected(function).inSeconds());
+                    warmAnswers.add(now, 1);
+                    warmSeconds.add(now, seconds);
+                    function.warmAnswers.add(now, 1);
+                    function.warmSeconds.add(now, seconds);
+                }
+                if (facts.copies().tellsCrowd()) {
+                    place.others = Math.max(0, ended.alike() - place.inFlight);
+                    place.othersAt = now;
+                }
+            }
+            case FULL -> {
+                worker.heard = now;
+                place.refusedUntil = now.plus(FULL_FOR);
+                worker.refusedUntil = now.plus(FULL_FOR);
+            }
+            case ABSENT -> {
+                place.instances = 0;
+                if (ended.copy() == Copy.LOAD_FAILED) {
+                    storeGuard.failed(function);
+                }
+            }
+            case ERROR, BROKEN, UNREACHABLE -> {
+                if (ended.copy() == Copy.LOAD_FAILED) {
+                    storeGuard.failed(function);
+                } else {
+                    worker.answers.add(now, 1);
+                    worker.failures.add(now, 1);
+                }
+            }
+            case TIMED_OUT, WITHDRAWN -> {
+                worker.answers.add(now, 1);
+                worker.slowness.add(now, overdue(leg));
+            }
+            case VOID -> { }
+        }
+    }
+
+    private void hear(Worker worker, Event.Report report) {
+        if (report != null) {
+            worker.waiting = Double.isNaN(report.waiting()) ? 0 : report.waiting();
+            worker.loading = Double.isNaN(report.loads()) ? 0 : report.loads();
+        }
+    }
+
+    /** The final answer where nothing was settled: a dismissal where trying again is harmless. */
+    private void answer(Call call) {
+        if (call.over || call.streaming) {
+            return;
+        }
+        if (furtherLegs.mayDismiss(call)) {
+            Span pause = expected(call.function).times(2).atMost(facts.allowances().longestRetryAfter());
+            todo.add(new Action.Dismiss(call.id, facts.allowances().retryAfter() ? pause : Span.NONE));
+        } else {
+            todo.add(new Action.Terminate(call.id));
+        }
+        close(call);
+    }
+
+    private void close(Call call) {
+        call.over = true;
+        if (call.legsOut == 0) {
+            calls.remove(call.id);
+        }
+    }
+
+    // ---- what a function's calls usually take
+
+    private Span expected(Function function) {
+        double mean = (warmSeconds.read(now) + MEAN_SECONDS) / (warmAnswers.read(now) + 1);
+        return Span.seconds((function.warmSeconds.read(now) + 2 * mean) / (function.warmAnswers.read(now) + 2));
+    }
+
+    private Span expected(Leg leg) {
+        Span work = expected(leg.call.function);
+        return leg.copyBelieved ? work : work.plus(storeGuard.usual(leg.call.function).times(2));
+    }
+
+    private double overdue(Leg leg) {
+        return now.since(leg.sent).over(expected(leg));
+    }
+
+    // ---- the order of workers
+
+    private Place place(Function function, Worker worker) {
+        Place place = function.places.get(worker);
+        if (place == null) {
+            place = new Place(function, worker);
+            function.places.put(worker, place);
+            worker.places.add(place);
+        }
+        return place;
+    }
+
+    /** Worker ids, several marks each, in hash order, beginning at the hash of the function: each worker once. */
+    private List<Worker> scan(Function function) {
+        if (function.scanEdition != edition) {
+            function.scanEdition = edition;
+            LinkedHashSet<Worker> order = new LinkedHashSet<>();
+            int from = Arrays.binarySearch(ring, mark(function.id));
+            from = from < 0 ? -from - 1 : from;
+            for (int i = 0; i < ring.length && order.size() < inService.size(); i++) {
+                order.add(ringWorkers[(from + i) % ring.length]);
+            }
+            function.scan = List.copyOf(order);
+        }
+        return function.scan;
+    }
+
+    private static long mark(String text) {
+        CRC32 crc = new CRC32();
+        crc.update(text.getBytes(StandardCharsets.UTF_8));
+        long mixed = crc.getValue() * 0x9E3779B97F4A7C15L;
+        mixed = (mixed ^ (mixed >>> 32)) * 0xD6E8FEB86659FD93L;
+        return mixed ^ (mixed >>> 32);
+    }
+
+    private double chance() {
+        CRC32 crc = new CRC32();
+        crc.update((seed + ":" + drawn++).getBytes(StandardCharsets.UTF_8));
+        return crc.getValue() / 4294967296.0;
+    }
+
+    private void follow(Event.Listed listed) {
+        if (listed.kind() == ListKind.FAILED) {
+            todo.add(new Action.Wake(now.plus(Span.millis(200).times(1 + chance())), "list"));
+            return;
+        }
+        LinkedHashSet<String> named = new LinkedHashSet<>();
+        for (Event.Listing listing : listed.listings()) {
+            named.add(listing.worker());
+            Worker worker = workers.computeIfAbsent(listing.worker(), id -> new Worker(id, HEALTH, PACE, PACE));
+            boolean restarted = listing.since() != null && !listing.since().equals(worker.since);
+            worker.zone = listing.zone();
+            worker.cell = listing.cell();
+            worker.standing = listing.standing();
+            worker.since = listing.since();
+            if (worker.standing != Standing.IN_SERVICE || restarted) {
+                forget(worker);
+            }
+        }
+        if (listed.kind() != ListKind.CHANGES) {
+            for (Worker worker : workers.values()) {
+                if (!named.contains(worker.id)) {
+                    worker.standing = Standing.GONE;
+                    forget(worker);
+                }
+            }
+        }
+        inService = workers.values().stream().filter(w -> w.standing == Standing.IN_SERVICE).toList();
+        edition++;
+        TreeMap<Long, Worker> marks = new TreeMap<>();
+        for (Worker worker : inService) {
+            for (int i = 0; i < MARKS; i++) {
+                marks.putIfAbsent(mark(worker.id + "#" + i), worker);
+            }
+        }
+        ring = marks.keySet().stream().mapToLong(Long::longValue).toArray();
+        ringWorkers = marks.values().toArray(new Worker[0]);
+    }
+
+    /** A worker that left or began anew holds nothing that we knew of. */
+    private void forget(Worker worker) {
+        for (Place place : worker.places) {
+            place.instances = 0;
+            place.function.list.remove(place);
+        }
+        worker.answers.clear();
+        worker.slowness.clear();
+        worker.failures.clear();
+        worker.settled.clear();
+        worker.asideUntil = null;
+        worker.heard = null;
+        worker.coldCreditAt = null;
+    }
+
+    private void beat() {
+        todo.add(new Action.Wake(now.plus(BEAT), "beat"));
+        setAside.look();
+        storeGuard.look();
+        loadOrders.keep(functions.values());
+        for (Function function : functions.values()) {
+            function.list.removeIf(place -> place.inFlight == 0 && instances(place) == 0);
+        }
+    }
+
+    // ---- 1: a worker that fails or is slow against the fleet leaves the lists for a while
+
+    /*
+     * Guards against workers that crawl, fail fast, hang or vanish before the list says so. Judged only against the
+     * fleet's median, so that a slow store or a flood sets nobody aside. Could harm when one worker serves the only
+     * heavy functions; times are therefore taken relative to each function's own.
+     */
+    private final class SetAside {
+        private final Span fixed;
+        private final Span random;
+        private final double most;
+        private final double least;
+        private final double factor;
+
+        SetAside(Span fixed, Span random, double most, double least, double factor) {
+            this.fixed = fixed;
+            this.random = random;
+            this.most = most;
+            this.least = least;
+            this.factor = factor;
+        }
+
+        void look() {
+            List<double[]> seen = new ArrayList<>();
+            int aside = 0;
+            double failures = 0;
+            double answers = 0;
+            for (Worker worker : inService) {
+                double count = worker.answers.read(now);
+                double slow = worker.slowness.read(now);
+                for (Leg leg : worker.out) {
+                    double overdue = overdue(leg);
+                    if (overdue > factor) {
+                        count++;
+                        slow += overdue;
+                    }
+                }
+                failures += worker.failures.read(now);
+                answers += count;
+                seen.add(new double[] {count, slow / Math.max(1, count)});
+                aside += later(worker.asideUntil) ? 1 : 0;
+            }
+            double[] levels = seen.stream().filter(s -> s[0] >= 1).mapToDouble(s -> s[1]).sorted().toArray();
+            double median = levels.length == 0 ? 1 : Math.max(1, levels[levels.length / 2]);
+            for (int i = 0; i < seen.size(); i++) {
+                Worker worker = inService.get(i);
+                double count = seen.get(i)[0];
+                double failing = worker.failures.read(now);
+                double othersShare = (failures - failing) / Math.max(1, answers - count);
+                boolean fails = failing >= 2 && failing / count > Math.max(0.3, 3 * othersShare);
+                boolean slow = count >= least && seen.get(i)[1] > factor * median;
+                if (later(worker.asideUntil)) {
+                    move(worker);
+                } else if ((fails || slow) && aside + 1 <= most * inService.size()) {
+                    aside++;
+                    worker.asideUntil = now.plus(fixed).plus(random.times(chance()));
+                    for (Place place : worker.places) {
+                        place.function.list.remove(place);
+                    }
+                    todo.add(new Action.Log(String.format(
+                            "set aside %s: slowness %.1f of %.1f, failures %.1f of %.1f, %d out", worker.id,
+                            seen.get(i)[1], median, failing, count, worker.out.size())));
+                    worker.answers.clear();
+                    worker.slowness.clear();
+                    worker.failures.clear();
+                    move(worker);
+                }
+            }
+        }
+
+        /** Calls stuck on a worker set aside are called back where they may be sent again. */
+        private void move(Worker worker) {
+            for (Leg leg : worker.out) {
+                if (!leg.withdrawn && overdue(leg) > 1.5 && furtherLegs.mayMove(leg.call)) {
+                    leg.withdrawn = true;
+                    todo.add(new Action.Cancel(leg.call.id, leg.number));
+                }
+            }
+        }
+    }
+
+    // ---- 2: a worker that has just started gets no more than our part of what it can bear
+
+    /*
+     * Our own rate of settled calls on a warm worker is our part of what a warm worker bears at the least; a cold
+     * one gets the multiple of its present share of that which the rule allows, with a margin. Harm: while we
+     * have settled little, a cold worker warms slowly.
+     */
+    private final class ColdAllowance {
+        private final ColdStart rule;
+        private final double margin;
+
+        ColdAllowance(ColdStart rule, double margin) {
+            this.rule = rule;
+            this.margin = margin;
+        }
+
+        boolean cold(Worker worker) {
+            return worker.since != null && rule.warmAfter().longerThan(now.since(worker.since));
+        }
+
+        boolean bears(Worker worker) {
+            if (!cold(worker)) {
+                return true;
+            }
+            double age = now.since(worker.since).over(rule.warmAfter());
+            double present = rule.startShare() + (1 - rule.startShare()) * Math.max(0, age);
+            double warmRate = 0;
+            int warm = 0;
+            for (Worker other : inService) {
+                if (!cold(other)) {
+                    warmRate += other.settled.perSecond(now);
+                    warm++;
+                }
+            }
+            double rate = margin * rule.fallMultiple() * present * warmRate / Math.max(1, warm);
+            if (worker.coldCreditAt == null) {
+                worker.coldCredit = 0.5;
+            } else {
+                double most = Math.max(1, rate * rule.fallAfter().inSeconds() * 0.5);
+                double gained = rate * now.since(worker.coldCreditAt).inSeconds();
+                worker.coldCredit = Math.min(most, worker.coldCredit + gained);
+            }
+            worker.coldCreditAt = now;
+            return worker.coldCredit >= 1;
+        }
+
+        void sent(Worker worker) {
+            worker.coldCredit -= cold(worker) ? 1 : 0;
+        }
+    }
+
+    // ---- 3: what may be sent again, when, and how much of that in all
+
+    private final class FurtherLegs {
+        private final int most;
+        private final boolean cancel;
+        private final double share;
+        private final double few;
+        private final Decaying spent = new Decaying(PACE);
+
+        FurtherLegs(int most, boolean cancel, double share, double few) {
+            this.most = most;
+            this.cancel = cancel;
+            this.share = share;
+            this.few = few;
+        }
+
+        private Leg firstThatMayHaveRun(Call call) {
+            for (Leg leg : call.legs) {
+                if (leg.outcome == null || !leg.outcome.neverRan) {
+                    return leg;
+                }
+            }
+            return null;
+        }
+
+        boolean mayDismiss(Call call) {
+            return call.terms.effect() == Effect.RETRIABLE || firstThatMayHaveRun(call) == null
+                    || call.terms.effect() == Effect.FINGERPRINTED && call.terms.group() == Group.ALL;
+        }
+
+        /** A fingerprinted call that may have run stays within the group that drops its repeats, and its time. */
+        boolean mayGoTo(Call call, Worker worker) {
+            Leg ran = firstThatMayHaveRun(call);
+            if (ran == null || call.terms.effect() == Effect.RETRIABLE) {
+                return true;
+            }
+            Worker first = ran.place.worker;
+            return call.terms.effect() == Effect.FINGERPRINTED
+                    && now.since(ran.sent).plus(facts.quantum()).compareTo(call.terms.remembered()) < 0
+                    && switch (call.terms.group()) {
+                        case ALL -> true;
+                        case ZONE -> worker.zone.equals(first.zone);
+                        case CELL -> worker.cell == first.cell;
+                    };
+        }
+
+        boolean may(Call call) {
+            boolean harmless = call.terms.effect() != Effect.BINDING || firstThatMayHaveRun(call) == null;
+            return harmless && !call.streaming && call.legs.size() < most && withinBudget()
+                    && call.givenUpAt.since(now).longerThan(expected(call.function));
+        }
+
+        boolean mayMove(Call call) {
+            return cancel && !call.over && call.terms.effect() != Effect.BINDING && may(call);
+        }
+
+        private boolean withinBudget() {
+            return spent.read(now) < few + share * taken.read(now);
+        }
+
+        void spend() {
+            spent.add(now, 1);
+        }
+    }
+
+    // ---- 4: copies in use are held, and one is added where calls crowd
+
+    private final class LoadOrders {
+        private final Ration ration;
+        private final Span kept;
+        private final boolean allowed;
+        private final double renewAt;
+        private final ArrayDeque<Moment> orders = new ArrayDeque<>();
+        private final ArrayDeque<Moment> takenLately = new ArrayDeque<>();
+
+        LoadOrders(Ration ration, Span kept, boolean allowed, double renewAt) {
+            this.ration = ration;
+            this.kept = kept;
+            this.allowed = allowed;
+            this.renewAt = renewAt;
+        }
+
+        void taken() {
+            if (ration.window().nanos() > 0) {
+                takenLately.add(now);
+            }
+        }
+
+        private boolean withinRation() {
+            if (ration.window().nanos() <= 0) {
+                return true;
+            }
+            for (ArrayDeque<Moment> times : List.of(orders, takenLately)) {
+                while (!times.isEmpty() && now.since(times.peek()).compareTo(ration.window()) >= 0
+                        && (times == takenLately || now.since(times.peek()).longerThan(ration.window()))) {
+                    times.poll();
+                }
+            }
+            return orders.size() + 1 <= ration.free() + ration.share() * takenLately.size();
+        }
+
+        private boolean order(Place place, int copies) {
+            if (!allowed || !usable(place.worker) || !withinRation()) {
+                return false;
+            }
+            orders.add(now);
+            place.orderedAt = now;
+            place.touched = now;
+            todo.add(new Action.Hold(place.worker.id, place.function.id, Math.min(16, copies)));
+            return true;
+        }
+
+        void keep(Collection<Function> all) {
+            if (!allowed) {
+                return;
+            }
+            for (Function function : all) {
+                if (function.taken < 2 || function.list.isEmpty() || function.calls.read(now) < 0.5) {
+                    continue;
+                }
+                Place head = function.list.get(0);
+                int stand = instances(head);
+                if (stand > 0 && now.since(head.touched).longerThan(kept.times(renewAt))) {
+                    order(head, 1);
+                }
+                for (Place place : function.list) {
+                    boolean waiting = place.orderedAt != null
+                            && !now.since(place.orderedAt).longerThan(storeGuard.usual(function).times(2));
+                    int known = instances(place);
+                    if (known > 0 && known < 4 && !waiting && place.inFlight > function.lanes * known) {
+                        order(place, known + 1);
+                    }
+                }
+            }
+        }
+
+        void answered(Place place, Event.LoadAnswered answer) {
+            if (answer.outcome() == Outcome.SUCCESS || answer.copies() > 0) {
+                place.instances = answer.copies();
+                place.touched = now;
+            } else if (answer.outcome() == Outcome.ERROR) {
+                place.instances = 0;
+                storeGuard.failed(place.function);
+            }
+        }
+    }
+
+    // ---- 5: while loads are slow or fail, calls join a load under way rather than begin another
+
+    private final class StoreGuard {
+        private final double factor;
+        private final Decaying loads = new Decaying(PACE);
+        private final Decaying excess = new Decaying(PACE);
+        private final Decaying failures = new Decaying(PACE);
+        private final Decaying loadSeconds = new Decaying(DEMAND);
+        private final Decaying loadCount = new Decaying(DEMAND);
+        private boolean slow;
+
+        StoreGuard(double factor) {
+            this.factor = factor;
+        }
+
+        Span usual(Function function) {
+            if (function.usualLoad != null) {
+                return function.usualLoad;
+            }
+            return Span.seconds((loadSeconds.read(now) + 1) / (loadCount.read(now) + 1));
+        }
+
+        void loaded(Function function, double seconds) {
+            loads.add(now, 1);
+            excess.add(now, seconds / usual(function).inSeconds());
+            loadSeconds.add(now, seconds);
+            loadCount.add(now, 1);
+        }
+
+        void failed(Function function) {
+            loads.add(now, 1);
+            failures.add(now, 1);
+        }
+
+        void look() {
+            double count = loads.read(now);
+            double level = excess.read(now) / Math.max(1, count);
+            double failing = failures.read(now) / Math.max(1, count);
+            boolean wasSlow = slow;
+            slow = count >= 2 && (level > factor || failing > 0.3);
+            if (slow != wasSlow) {
+                todo.add(new Action.Log(String.format("store %s: loads at %.1f of usual, %.2f failing, of %.1f",
+                        slow ? "slow" : "well", level, failing, count)));
+            }
+        }
+
+        boolean joining(Function function) {
+            return slow && function.list.stream().anyMatch(place -> usable(place.worker));
+        }
+    }
+
+    // ---- 6: when room is short, calls over their account's share and hopeless ones go first
+
+    private final class Shedding {
+        private final int peers;
+
+        Shedding(int peers) {
+            this.peers = peers;
+        }
+
+        boolean overShare(Account account) {
+            return account != null && account.calls.perSecond(now) * peers > account.terms.perSecond();
+        }
+
+        boolean hopeless(Call call) {
+            return !call.givenUpAt.since(now).longerThan(expected(call.function).times(0.5));
+        }
+    }
+
+}
--- /dev/null
+++ b/src/main/java/pearladder/state/Function.java
@@ -0,0 +1,36 @@
+package pearladder.state;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pearladder.api.Moment;
+import pearladder.api.Span;
+
+/** A function: what its calls told, where it is placed, and the short cached list of its workers. */
+public final class Function {
+    public final String id;
+    public int lanes;
+    public double memoryMb;
+    public Span usualLoad;
+    public final List<Place> list = new ArrayList<>();
+    public final Map<Worker, Place> places = new LinkedHashMap<>();
+    public final Decaying calls;
+    public final Decaying warmAnswers;
+    public final Decaying warmSeconds;
+    public final Decaying loads;
+    public final Decaying loadSeconds;
+    public List<Worker> scan = List.of();
+    public long scanEdition = -1;
+    public long taken;
+    public Moment lastCall;
+
+    public Function(String id, Span demand, Span pace) {
+        this.id = id;
+        this.calls = new Decaying(demand);
+        this.warmAnswers = new Decaying(pace);
+        this.warmSeconds = new Decaying(pace);
+        this.loads = new Decaying(pace);
+        this.loadSeconds = new Decaying(pace);
+    }
+}
--- /dev/null
+++ b/src/main/java/pearladder/state/Place.java
@@ -0,0 +1,22 @@
+package pearladder.state;
+
+import pearladder.api.Moment;
+
+/** The ledger's entry for one function on one worker. */
+public final class Place {
+    public final Function function;
+    public final Worker worker;
+    public int inFlight;
+    public int instances;
+    public double others;
+    public Moment othersAt;
+    public Moment touched;
+    public Moment needed;
+    public Moment refusedUntil;
+    public Moment orderedAt;
+
+    public Place(Function function, Worker worker) {
+        this.function = function;
+        this.worker = worker;
+    }
+}
--- /dev/null
+++ b/src/main/java/pearladder/state/Worker.java
@@ -0,0 +1,41 @@
+package pearladder.state;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import pearladder.api.Event.Standing;
+import pearladder.api.Moment;
+import pearladder.api.Span;
+
+/** A worker as this router knows it: what the list said, and the ledger of what was sent and heard. */
+public final class Worker {
+    public final String id;
+    public String zone;
+    public long cell;
+    public Standing standing = Standing.IN_SERVICE;
+    public Moment since;
+    public final Set<Leg> out = new LinkedHashSet<>();
+    public final List<Place> places = new ArrayList<>();
+    public final Decaying answers;
+    public final Decaying slowness;
+    public final Decaying failures;
+    public final Decaying settled;
+    public final Decaying load;
+    public Moment heard;
+    public Moment refusedUntil;
+    public Moment asideUntil;
+    public double coldCredit;
+    public Moment coldCreditAt;
+    public double waiting;
+    public double loading;
+
+    public Worker(String id, Span health, Span pace, Span loadFade) {
+        this.id = id;
+        this.answers = new Decaying(health);
+        this.slowness = new Decaying(health);
+        this.failures = new Decaying(health);
+        this.settled = new Decaying(pace);
+        this.load = new Decaying(loadFade);
+    }
+}
--- /dev/null
+++ b/src/main/java/pearladder/wire/Node.java
@@ -0,0 +1,73 @@
+package pearladder.wire;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import pearladder.api.Span;
+
+/** A value inside a JSON object, read by type; a wrong type names the path. Unknown keys are passed over. */
+record Node(Row row, String path, Object value) {
+    Node at(String key) {
+        Object inner = value == null ? null : object().get(key);
+        return new Node(row, path + "." + key, inner);
+    }
+
+    private Map<?, ?> object() {
+        if (value instanceof Map<?, ?> map) {
+            return map;
+        }
+        throw row.bad(path, "an object was expected");
+    }
+
+    private <T> T as(Class<T> type, String what, T otherwise) {
+        if (value == null) {
+            return otherwise;
+        }
+        if (type.isInstance(value)) {
+            return type.cast(value);
+        }
+        throw row.bad(path, what + " was expected");
+    }
+
+    String text() {
+        return row.present(path, textOr(null));
+    }
+
+    String textOr(String otherwise) {
+        return as(String.class, "a text", otherwise);
+    }
+
+    boolean flag(boolean otherwise) {
+        return as(Boolean.class, "true or false", otherwise);
+    }
+
+    double number(double otherwise) {
+        return as(Number.class, "a number", otherwise).doubleValue();
+    }
+
+    int whole(int otherwise) {
+        double number = number(otherwise);
+        if (number != Math.rint(number)) {
+            throw row.bad(path, "a whole number was expected");
+        }
+        return (int) number;
+    }
+
+    Span span() {
+        return new Span(Math.round(number(0)));
+    }
+
+    <T> List<T> each(Function<Node, T> reading) {
+        List<?> list = as(List.class, "a list", List.of());
+        return java.util.stream.IntStream.range(0, list.size())
+                .mapToObj(i -> reading.apply(new Node(row, path + "[" + i + "]", list.get(i)))).toList();
+    }
+
+    <T> T oneOf(Map<String, T> words) {
+        T meaning = words.get(text());
+        if (meaning == null) {
+            throw row.bad(path, "unknown word " + value);
+        }
+        return meaning;
+    }
+}
