--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -49,7 +49,7 @@
  *   2 ColdAllowance  a worker that has just started gets no more than our part of what it can bear
  *   3 FurtherLegs    what may be sent again, when, and how much of that in all
  *   4 LoadOrders     copies that are in use are held, and one is added where calls crowd, within the ration
- *   5 StoreGuard     while loads are slow or fail, calls join a load under way rather than begin another
+ *   5 StoreGuard     loads are begun only as fast as they come up; beyond that, calls join a load under way
  *   6 Shedding       when room is short, calls over their account's share and hopeless ones go first
  */
 public final class Policy implements Dispatcher {
@@ -87,7 +87,7 @@
     private final ColdAllowance coldAllowance;
     private final FurtherLegs furtherLegs;
     private final LoadOrders loadOrders;
-    private final StoreGuard storeGuard = new StoreGuard(2.5);
+    private final StoreGuard storeGuard = new StoreGuard(3);
     private final Shedding shedding;
 
     private Moment now;
@@ -199,17 +199,13 @@
 
     private Place choose(Call call, Worker avoided, boolean favoured) {
         Function function = call.function;
-        boolean join = storeGuard.joining(function);
         for (double margin : favoured ? new double[] {SNUG, WIDE} : new double[] {SNUG}) {
             for (Place listed : function.list) {
-                if (listed.worker != avoided && hasRoom(call, listed, join ? 2 * WIDE : margin)) {
+                if (listed.worker != avoided && hasRoom(call, listed, margin)) {
                     return listed;
                 }
             }
         }
-        if (join && !function.list.isEmpty()) {
-            return null;
-        }
         for (double margin : favoured ? new double[] {SNUG, WIDE} : new double[] {SNUG}) {
             for (Worker worker : scan(function)) {
                 if (worker != avoided && hasRoom(call, place(function, worker), margin)) {
@@ -242,7 +238,7 @@
         if (held > margin * mean + SPARE) {
             return false;
         }
-        return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker);
+        return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
     }
 
     private boolean usable(Worker worker) {
@@ -271,6 +267,7 @@
         call.legs.add(leg);
         call.legsOut++;
         legsOut++;
+        storeGuard.begun(place);
         place.inFlight++;
         place.touched = now;
         worker.out.add(leg);
@@ -309,6 +306,9 @@
         Worker worker = place.worker;
         Function function = place.function;
         hear(worker, ended.report());
+        if (!leg.copyBelieved) {
+            storeGuard.ended(place);
+        }
         double seconds = ended.took().inSeconds();
         switch (ended.outcome()) {
             case SUCCESS -> {
@@ -343,12 +343,12 @@
             case ABSENT -> {
                 place.instances = 0;
                 if (ended.copy() == Copy.LOAD_FAILED) {
-                    storeGuard.failed(function);
+                    storeGuard.failed();
                 }
             }
             case ERROR, BROKEN, UNREACHABLE -> {
                 if (ended.copy() == Copy.LOAD_FAILED) {
-                    storeGuard.failed(function);
+                    storeGuard.failed();
                 } else {
                     worker.answers.add(now, 1);
                     worker.failures.add(now, 1);
@@ -503,7 +503,6 @@
     private void beat() {
         todo.add(new Action.Wake(now.plus(BEAT), "beat"));
         setAside.look();
-        storeGuard.look();
         loadOrders.keep(functions.values());
         for (Function function : functions.values()) {
             function.list.removeIf(place -> place.inFlight == 0 && instances(place) == 0);
@@ -784,24 +783,30 @@
                 place.touched = now;
             } else if (answer.outcome() == Outcome.ERROR) {
                 place.instances = 0;
-                storeGuard.failed(place.function);
+                storeGuard.failed();
             }
         }
     }
 
-    // ---- 5: while loads are slow or fail, calls join a load under way rather than begin another
+    // ---- 5: loads are begun only as fast as they come up; beyond that, calls join a load under way
 
+    /*
+     * Guards against load storms, whatever sets them off: a slow, crowded, refusing or stopped store, workers whose
+     * waiting rooms fill with calls that wait for loads, refusals that would push every call to a worker where it
+     * starts one more load. A window of loads that this router may have under way widens with each load that comes
+     * up in its usual time and halves when loads fail or come late. Could harm by turning calls away while a flush
+     * is being made good; the loads under way then are those of the most wanted functions.
+     */
     private final class StoreGuard {
-        private final double factor;
-        private final Decaying loads = new Decaying(PACE);
-        private final Decaying excess = new Decaying(PACE);
-        private final Decaying failures = new Decaying(PACE);
+        private final double late;
         private final Decaying loadSeconds = new Decaying(DEMAND);
         private final Decaying loadCount = new Decaying(DEMAND);
-        private boolean slow;
+        private double window;
+        private int under;
+        private Moment cut;
 
-        StoreGuard(double factor) {
-            this.factor = factor;
+        StoreGuard(double late) {
+            this.late = late;
         }
 
         Span usual(Function function) {
@@ -811,33 +816,63 @@
             return Span.seconds((loadSeconds.read(now) + 1) / (loadCount.read(now) + 1));
         }
 
+        /** Whether a call may go to a place where it would begin a load. */
+        boolean mayBegin(Place place) {
+            if (instances(place) > 0 || place.loading) {
+                return true;
+            }
+            for (Place other : place.function.list) {
+                if (other.loading && usable(other.worker)) {
+                    return false;
+                }
+            }
+            double mean = 0;
+            for (Worker worker : inService) {
+                mean += worker.loading;
+            }
+            mean /= Math.max(1, inService.size());
+            window = Math.max(window, (double) inService.size() / facts.peers() / 2);
+            return under < Math.max(2, window) && place.worker.loading <= mean + 2;
+        }
+
+        void begun(Place place) {
+            if (!place.loading && instances(place) == 0) {
+                place.loading = true;
+                under++;
+            }
+        }
+
+        /** A leg or an order at the place has ended, so the load there has come up or will not. */
+        void ended(Place place) {
+            if (place.loading) {
+                place.loading = false;
+                under--;
+            }
+        }
+
         void loaded(Function function, double seconds) {
-            loads.add(now, 1);
-            excess.add(now, seconds / usual(function).inSeconds());
+            double level = seconds / usual(function).inSeconds();
             loadSeconds.add(now, seconds);
             loadCount.add(now, 1);
+            if (level > late) {
+                narrow("late", level);
+            } else {
+                window = Math.min(inService.size(), window + 0.5);
+            }
         }
 
-        void failed(Function function) {
-            loads.add(now, 1);
-            failures.add(now, 1);
+        void failed() {
+            narrow("failed", 1);
         }
 
-        void look() {
-            double count = loads.read(now);
-            double level = excess.read(now) / Math.max(1, count);
-            double failing = failures.read(now) / Math.max(1, count);
-            boolean wasSlow = slow;
-            slow = count >= 2 && (level > factor || failing > 0.3);
-            if (slow != wasSlow) {
-                todo.add(new Action.Log(String.format("store %s: loads at %.1f of usual, %.2f failing, of %.1f",
-                        slow ? "slow" : "well", level, failing, count)));
+        private void narrow(String why, double level) {
+            if (cut == null || now.since(cut).longerThan(Span.seconds(1))) {
+                cut = now;
+                window /= 2;
+                todo.add(new Action.Log(String.format("a load %s at %.1f of usual: %.1f may be under way, %d are", why,
+                        level, window, under)));
             }
         }
-
-        boolean joining(Function function) {
-            return slow && function.list.stream().anyMatch(place -> usable(place.worker));
-        }
     }
 
     // ---- 6: when room is short, calls over their account's share and hopeless ones go first
--- a/src/main/java/pearladder/state/Place.java
+++ b/src/main/java/pearladder/state/Place.java
@@ -8,6 +8,7 @@
     public final Worker worker;
     public int inFlight;
     public int instances;
+    public boolean loading;
     public double others;
     public Moment othersAt;
     public Moment touched;
