--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -59,10 +59,11 @@
     private static final Span DEMAND = Span.seconds(30);     // fade of a function's demand
     private static final int LIST = 4;                       // workers listed for a function
     private static final int MARKS = 64;                     // marks of each worker on the ring
-    private static final double SNUG = 1.5;                  // room margins, in mean holdings of a worker
-    private static final double WIDE = 2.5;
+    private static final double[] MARGINS = {1.5, 2.5};      // of room, in mean holdings of a worker, tried in turn
     private static final double SPARE = 1.5;                 // and in calls beside that
     private static final Span FULL_FOR = Span.millis(300);   // a worker that refused as full is passed over
+    private static final double STRAIN = 0.4;                // of the expected time: what a warm call may take on mean
+    private static final double BEARING = 4;                 // calls out that a worker bears, before any was seen
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
 
     private final long seed;
@@ -100,12 +101,12 @@
             terms.put(category.name(), category);
         }
         for (Facts.Account account : facts.accounts()) {
-            accounts.put(account.name(), new Account(account, PACE));
+            accounts.put(account.name(), new Account(account));
         }
         coldAllowance = new ColdAllowance(facts.coldStart(), 0.6);
         furtherLegs = new FurtherLegs(facts.allowances().legs(), facts.allowances().cancel(), 0.2, 3);
         loadOrders = new LoadOrders(facts.ration(), facts.copies().kept(), facts.copies().orders(), 0.55);
-        shedding = new Shedding(facts.peers());
+        shedding = new Shedding(facts.peers(), 0.7);
     }
 
     @Override
@@ -176,19 +177,16 @@
         taken.add(now, 1);
         loadOrders.taken();
         Account account = came.account() == null ? null : accounts.get(came.account());
-        if (account != null) {
-            account.calls.add(now, 1);
-        }
         Call call = new Call(came.call(), function, category, account, now, now.plus(came.timeLeft()));
+        call.overShare = shedding.overShare(account);
         calls.put(call.id, call);
         place(call, null);
     }
 
     /** Sends the call to the first worker with room, or gives the final answer at once. */
     private void place(Call call, Worker avoided) {
-        boolean favoured = !shedding.overShare(call.account);
         if (!shedding.hopeless(call)) {
-            Place place = choose(call, avoided, favoured);
+            Place place = choose(call, avoided, shedding.part(call));
             if (place != null) {
                 send(call, place);
                 return;
@@ -197,18 +195,18 @@
         answer(call);
     }
 
-    private Place choose(Call call, Worker avoided, boolean favoured) {
+    private Place choose(Call call, Worker avoided, double part) {
         Function function = call.function;
-        for (double margin : favoured ? new double[] {SNUG, WIDE} : new double[] {SNUG}) {
+        for (double margin : MARGINS) {
             for (Place listed : function.list) {
-                if (listed.worker != avoided && hasRoom(call, listed, margin)) {
+                if (listed.worker != avoided && hasRoom(call, listed, margin, part)) {
                     return listed;
                 }
             }
         }
-        for (double margin : favoured ? new double[] {SNUG, WIDE} : new double[] {SNUG}) {
+        for (double margin : MARGINS) {
             for (Worker worker : scan(function)) {
-                if (worker != avoided && hasRoom(call, place(function, worker), margin)) {
+                if (worker != avoided && hasRoom(call, place(function, worker), margin, part)) {
                     Place picked = place(function, worker);
                     if (!function.list.contains(picked)) {
                         if (function.list.size() >= LIST) {
@@ -224,7 +222,7 @@
     }
 
     /** The design's room for the function, and the worker's own holding against the fleet's mean. */
-    private boolean hasRoom(Call call, Place place, double margin) {
+    private boolean hasRoom(Call call, Place place, double margin, double part) {
         Worker worker = place.worker;
         if (!usable(worker) || later(place.refusedUntil) || later(worker.refusedUntil)) {
             return false;
@@ -235,7 +233,7 @@
         double mean = meanHeld();
         boolean heard = worker.heard != null && !now.since(worker.heard).longerThan(PACE);
         double held = heard ? worker.out.size() : Math.max(worker.out.size(), mean);
-        if (held > margin * mean + SPARE) {
+        if (held > margin * mean + SPARE || held + 1 > bearing(worker) * part) {
             return false;
         }
         return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
@@ -261,6 +259,22 @@
         return place.instances;
     }
 
+    /*
+     * The part of A_k that the ledger can't count: how many of our calls a worker bears at once. It widens while
+     * calls that found their copy are quick and shrinks when they near their expected time or the worker is full,
+     * whoever crowds it. Workers that hold less work, not more, come out of a jam: calls that only wait pin memory.
+     */
+    private double bearing(Worker worker) {
+        return worker.bearing > 0 ? worker.bearing : BEARING;
+    }
+
+    private void strained(Worker worker, double factor) {
+        if (!later(worker.easedUntil)) {
+            worker.bearing = Math.max(1, Math.min(bearing(worker), worker.out.size() + 1) * factor);
+            worker.easedUntil = now.plus(FULL_FOR);
+        }
+    }
+
     private void send(Call call, Place place) {
         Worker worker = place.worker;
         Leg leg = new Leg(call, call.legs.size(), place, now, instances(place) > 0);
@@ -323,6 +337,13 @@
                     place.instances = Math.max(1, place.instances);
                 } else {
                     place.instances = Math.max(1, place.instances);
+                    worker.strainSum.add(now, seconds / (STRAIN * leg.call.terms.expected().inSeconds()));
+                    worker.strainCount.add(now, 1);
+                    if (worker.strainSum.read(now) > worker.strainCount.read(now)) {
+                        strained(worker, 0.85);
+                    } else if (worker.out.size() + 2 > bearing(worker)) {
+                        worker.bearing = bearing(worker) + 1 / bearing(worker);
+                    }
                     worker.answers.add(now, 1);
                     worker.slowness.add(now, seconds / expected(function).inSeconds());
                     warmAnswers.add(now, 1);
@@ -339,6 +360,7 @@
                 worker.heard = now;
                 place.refusedUntil = now.plus(FULL_FOR);
                 worker.refusedUntil = now.plus(FULL_FOR);
+                strained(worker, 0.7);
             }
             case ABSENT -> {
                 place.instances = 0;
@@ -455,7 +477,7 @@
         LinkedHashSet<String> named = new LinkedHashSet<>();
         for (Event.Listing listing : listed.listings()) {
             named.add(listing.worker());
-            Worker worker = workers.computeIfAbsent(listing.worker(), id -> new Worker(id, HEALTH, PACE, PACE));
+            Worker worker = workers.computeIfAbsent(listing.worker(), id -> new Worker(id, HEALTH, PACE, Span.seconds(1)));
             boolean restarted = listing.since() != null && !listing.since().equals(worker.since);
             worker.zone = listing.zone();
             worker.cell = listing.cell();
@@ -879,13 +901,29 @@
 
     private final class Shedding {
         private final int peers;
+        private final double least;
 
-        Shedding(int peers) {
+        Shedding(int peers, double least) {
             this.peers = peers;
+            this.least = least;
+        }
+
+        /** The part of a worker's room that the call may use: the whole only within its account's share. */
+        double part(Call call) {
+            return call.overShare ? least : 1;
         }
 
         boolean overShare(Account account) {
-            return account != null && account.calls.perSecond(now) * peers > account.terms.perSecond();
+            if (account == null) {
+                return false;
+            }
+            double rate = account.terms.perSecond() / peers;
+            double gained = account.creditAt == null ? rate : rate * now.since(account.creditAt).inSeconds();
+            account.credit = Math.min(Math.max(1, rate), account.credit + gained);
+            account.creditAt = now;
+            boolean over = account.credit < 1;
+            account.credit -= over ? 0 : 1;
+            return over;
         }
 
         boolean hopeless(Call call) {
--- a/src/main/java/pearladder/state/Account.java
+++ b/src/main/java/pearladder/state/Account.java
@@ -1,14 +1,15 @@
 package pearladder.state;
 
-import pearladder.api.Span;
+import pearladder.api.Facts;
+import pearladder.api.Moment;
 
-/** Who shares the fleet, and what they have sent here of late. */
+/** Who shares the fleet, and how much of its share is unused here. */
 public final class Account {
-    public final pearladder.api.Facts.Account terms;
-    public final Decaying calls;
+    public final Facts.Account terms;
+    public double credit;
+    public Moment creditAt;
 
-    public Account(pearladder.api.Facts.Account terms, Span fade) {
+    public Account(Facts.Account terms) {
         this.terms = terms;
-        this.calls = new Decaying(fade);
     }
 }
--- a/src/main/java/pearladder/state/Call.java
+++ b/src/main/java/pearladder/state/Call.java
@@ -16,6 +16,7 @@
     public final List<Leg> legs = new ArrayList<>(2);
     public boolean over;
     public boolean streaming;
+    public boolean overShare;
     public int legsOut;
 
     public Call(String id, Function function, Terms terms, Account account, Moment taken, Moment givenUpAt) {
--- a/src/main/java/pearladder/state/Worker.java
+++ b/src/main/java/pearladder/state/Worker.java
@@ -21,7 +21,10 @@
     public final Decaying slowness;
     public final Decaying failures;
     public final Decaying settled;
-    public final Decaying load;
+    public final Decaying strainSum;
+    public final Decaying strainCount;
+    public double bearing;
+    public Moment easedUntil;
     public Moment heard;
     public Moment refusedUntil;
     public Moment asideUntil;
@@ -30,12 +33,13 @@
     public double waiting;
     public double loading;
 
-    public Worker(String id, Span health, Span pace, Span loadFade) {
+    public Worker(String id, Span health, Span pace, Span strain) {
         this.id = id;
         this.answers = new Decaying(health);
         this.slowness = new Decaying(health);
         this.failures = new Decaying(health);
         this.settled = new Decaying(pace);
-        this.load = new Decaying(loadFade);
+        this.strainSum = new Decaying(strain);
+        this.strainCount = new Decaying(strain);
     }
 }
