--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -62,7 +62,7 @@
     private static final double[] MARGINS = {1.5, 2.5};      // of room, in mean holdings of a worker, tried in turn
     private static final double SPARE = 1.5;                 // and in calls beside that
     private static final Span FULL_FOR = Span.millis(300);   // a worker that refused as full is passed over
-    private static final double STRAIN = 0.4;                // of the expected time: what a warm call may take on mean
+    private static final double STRAIN = 0.6;                // of the expected time: what a warm call may take on mean
     private static final double BEARING = 4;                 // calls out that a worker bears, before any was seen
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
 
@@ -233,7 +233,7 @@
         double mean = meanHeld();
         boolean heard = worker.heard != null && !now.since(worker.heard).longerThan(PACE);
         double held = heard ? worker.out.size() : Math.max(worker.out.size(), mean);
-        if (held > margin * mean + SPARE || held + 1 > bearing(worker) * part) {
+        if (held > margin * mean + SPARE || worker.out.size() - worker.coldOut + 1 > bearing(worker) * part) {
             return false;
         }
         return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
@@ -270,7 +270,7 @@
 
     private void strained(Worker worker, double factor) {
         if (!later(worker.easedUntil)) {
-            worker.bearing = Math.max(1, Math.min(bearing(worker), worker.out.size() + 1) * factor);
+            worker.bearing = Math.max(1, Math.min(bearing(worker), worker.out.size() - worker.coldOut + 1) * factor);
             worker.easedUntil = now.plus(FULL_FOR);
         }
     }
@@ -285,6 +285,7 @@
         place.inFlight++;
         place.touched = now;
         worker.out.add(leg);
+        worker.coldOut += leg.copyBelieved ? 0 : 1;
         coldAllowance.sent(worker);
         Span left = call.givenUpAt.since(now).minus(facts.quantum().times(2));
         todo.add(new Action.Send(call.id, worker.id, left.atLeast(new Span(1))));
@@ -301,6 +302,7 @@
         legsOut--;
         place.inFlight--;
         worker.out.remove(leg);
+        worker.coldOut -= leg.copyBelieved ? 0 : 1;
         learn(leg, ended);
         if (ended.over() || call.over) {
             close(call);
@@ -341,7 +343,7 @@
                     worker.strainCount.add(now, 1);
                     if (worker.strainSum.read(now) > worker.strainCount.read(now)) {
                         strained(worker, 0.85);
-                    } else if (worker.out.size() + 2 > bearing(worker)) {
+                    } else if (worker.out.size() - worker.coldOut + 2 > bearing(worker)) {
                         worker.bearing = bearing(worker) + 1 / bearing(worker);
                     }
                     worker.answers.add(now, 1);
--- a/src/main/java/pearladder/state/Worker.java
+++ b/src/main/java/pearladder/state/Worker.java
@@ -23,6 +23,7 @@
     public final Decaying settled;
     public final Decaying strainSum;
     public final Decaying strainCount;
+    public int coldOut;
     public double bearing;
     public Moment easedUntil;
     public Moment heard;
