--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -64,6 +64,7 @@
     private static final Span FULL_FOR = Span.millis(300);   // a worker that refused as full is passed over
     private static final double STRAIN = 0.6;                // of the expected time: what a warm call may take on mean
     private static final double BEARING = 4;                 // calls out that a worker bears, before any was seen
+    private static final double FIRST_LOADS = 4;             // loads of functions that stand nowhere, in windows
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
 
     private final long seed;
@@ -84,7 +85,7 @@
     private int legsOut;
     private boolean begun;
 
-    private final SetAside setAside = new SetAside(Span.seconds(3), Span.seconds(2), 0.4, 3, 2.5);
+    private final SetAside setAside = new SetAside(Span.seconds(3), Span.seconds(2), 0.4, 5, 3);
     private final ColdAllowance coldAllowance;
     private final FurtherLegs furtherLegs;
     private final LoadOrders loadOrders;
@@ -825,6 +826,8 @@
         private final double late;
         private final Decaying loadSeconds = new Decaying(DEMAND);
         private final Decaying loadCount = new Decaying(DEMAND);
+        private final Decaying loads = new Decaying(PACE);
+        private final Decaying failures = new Decaying(PACE);
         private double window;
         private int under;
         private Moment cut;
@@ -845,10 +848,12 @@
             if (instances(place) > 0 || place.loading) {
                 return true;
             }
+            boolean first = true;
             for (Place other : place.function.list) {
                 if (other.loading && usable(other.worker)) {
                     return false;
                 }
+                first &= instances(other) == 0;
             }
             double mean = 0;
             for (Worker worker : inService) {
@@ -856,7 +861,7 @@
             }
             mean /= Math.max(1, inService.size());
             window = Math.max(window, (double) inService.size() / facts.peers() / 2);
-            return under < Math.max(2, window) && place.worker.loading <= mean + 2;
+            return under < Math.max(2, window) * (first ? FIRST_LOADS : 1) && place.worker.loading <= mean + 2;
         }
 
         void begun(Place place) {
@@ -878,6 +883,7 @@
             double level = seconds / usual(function).inSeconds();
             loadSeconds.add(now, seconds);
             loadCount.add(now, 1);
+            loads.add(now, 1);
             if (level > late) {
                 narrow("late", level);
             } else {
@@ -886,7 +892,10 @@
         }
 
         void failed() {
-            narrow("failed", 1);
+            failures.add(now, 1);
+            if (failures.read(now) > Math.max(1.5, 0.2 * loads.read(now))) {
+                narrow("failed", 1);
+            }
         }
 
         private void narrow(String why, double level) {
