--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -59,12 +59,13 @@
     private static final Span DEMAND = Span.seconds(30);     // fade of a function's demand
     private static final int LIST = 4;                       // workers listed for a function
     private static final int MARKS = 64;                     // marks of each worker on the ring
-    private static final double[] MARGINS = {1.5, 2.5};      // of room, in mean holdings of a worker, tried in turn
-    private static final double SPARE = 1.5;                 // and in calls beside that
+    private static final double SNUG = 1.5;                  // margins of room, in mean holdings of a worker
+    private static final double WIDE = 3;
+    private static final double SPARE = 1;                 // and in calls beside that
     private static final Span FULL_FOR = Span.millis(300);   // a worker that refused as full is passed over
     private static final double STRAIN = 0.6;                // of the expected time: what a warm call may take on mean
     private static final double BEARING = 4;                 // calls out that a worker bears, before any was seen
-    private static final double FIRST_LOADS = 4;             // loads of functions that stand nowhere, in windows
+    private static final double FIRST_LOADS = 50;             // loads of functions that stand nowhere, in windows
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
 
     private final long seed;
@@ -196,32 +197,53 @@
         answer(call);
     }
 
+    /** First-fit: the list, then the scan. Where copies come by order, a call rather waits than begins a load. */
     private Place choose(Call call, Worker avoided, double part) {
         Function function = call.function;
-        for (double margin : MARGINS) {
-            for (Place listed : function.list) {
-                if (listed.worker != avoided && hasRoom(call, listed, margin, part)) {
-                    return listed;
-                }
+        boolean ordered = facts.copies().orders();
+        Place place = listed(call, avoided, SNUG, part);
+        if (place == null && !ordered) {
+            place = scanned(call, avoided, SNUG, part);
+        }
+        if (place == null) {
+            place = listed(call, avoided, WIDE, part);
+        }
+        if (place == null && ordered) {
+            place = scanned(call, avoided, SNUG, part);
+        }
+        return place != null ? place : scanned(call, avoided, WIDE, part);
+    }
+
+    private Place listed(Call call, Worker avoided, double margin, double part) {
+        for (Place place : call.function.list) {
+            if (place.worker != avoided && hasRoom(call, place, margin, part)) {
+                return place;
             }
         }
-        for (double margin : MARGINS) {
-            for (Worker worker : scan(function)) {
-                if (worker != avoided && hasRoom(call, place(function, worker), margin, part)) {
-                    Place picked = place(function, worker);
-                    if (!function.list.contains(picked)) {
-                        if (function.list.size() >= LIST) {
-                            function.list.remove(function.list.size() - 1);
-                        }
-                        function.list.add(picked);
-                    }
-                    return picked;
-                }
+        return null;
+    }
+
+    private Place scanned(Call call, Worker avoided, double margin, double part) {
+        for (Worker worker : scan(call.function)) {
+            Place place = place(call.function, worker);
+            if (worker != avoided && hasRoom(call, place, margin, part)) {
+                list(place);
+                return place;
             }
         }
         return null;
     }
 
+    private void list(Place place) {
+        List<Place> list = place.function.list;
+        if (!list.contains(place)) {
+            if (list.size() >= LIST) {
+                list.remove(list.size() - 1);
+            }
+            list.add(place);
+        }
+    }
+
     /** The design's room for the function, and the worker's own holding against the fleet's mean. */
     private boolean hasRoom(Call call, Place place, double margin, double part) {
         Worker worker = place.worker;
@@ -234,7 +256,7 @@
         double mean = meanHeld();
         boolean heard = worker.heard != null && !now.since(worker.heard).longerThan(PACE);
         double held = heard ? worker.out.size() : Math.max(worker.out.size(), mean);
-        if (held > margin * mean + SPARE || worker.out.size() - worker.coldOut + 1 > bearing(worker) * part) {
+        if (held > margin * (mean + SPARE) || worker.out.size() - worker.coldOut + 1 > bearing(worker) * part) {
             return false;
         }
         return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
@@ -806,6 +828,9 @@
             if (answer.outcome() == Outcome.SUCCESS || answer.copies() > 0) {
                 place.instances = answer.copies();
                 place.touched = now;
+                if (answer.copies() > 0 && usable(place.worker)) {
+                    list(place);
+                }
             } else if (answer.outcome() == Outcome.ERROR) {
                 place.instances = 0;
                 storeGuard.failed();
--- a/src/main/java/pearladder/state/Function.java
+++ b/src/main/java/pearladder/state/Function.java
@@ -24,6 +24,7 @@
     public long scanEdition = -1;
     public long taken;
     public Moment lastCall;
+    public Moment spreadAt;
 
     public Function(String id, Span demand, Span pace) {
         this.id = id;
