Routers come back to the same workers: first loads go home, stray picks are given up

A function that stands nowhere now goes to its first worker even when that is crowded; lists are in scan order and a pick out of turn expires.

--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -66,6 +66,8 @@
     private static final double STRAIN = 0.6;                // of the expected time: what a warm call may take on mean
     private static final double BEARING = 4;                 // calls out that a worker bears, before any was seen
     private static final double FIRST_LOADS = 50;             // loads of functions that stand nowhere, in windows
+    private static final double FIRST = 3;                   // widens the room of a function that stands nowhere
+    private static final double STRAY = 0.4;                 // of the time that idle copies are kept
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
 
     private final long seed;
@@ -234,6 +236,25 @@
         return null;
     }
 
+    /**
+     * A pick made while the workers before it had no room is given up after a while, so that routers come back to
+     * the same workers and one copy serves them all.
+     */
+    private boolean strayed(Place place) {
+        if (place.listed == null || !now.since(place.listed).longerThan(facts.copies().kept().times(STRAY))) {
+            return false;
+        }
+        Worker home = null;
+        for (Worker worker : scan(place.function)) {
+            if (usable(worker) && !coldAllowance.cold(worker)) {
+                home = worker;
+                break;
+            }
+        }
+        Place first = home == null ? place : place(place.function, home);
+        return first != place && !place.function.list.contains(first);
+    }
+
     private void list(Place place) {
         List<Place> list = place.function.list;
         if (!list.contains(place)) {
@@ -241,6 +262,9 @@
                 list.remove(list.size() - 1);
             }
             list.add(place);
+            place.listed = now;
+            List<Worker> order = scan(place.function);
+            list.sort((a, b) -> Integer.compare(order.indexOf(a.worker), order.indexOf(b.worker)));
         }
     }
 
@@ -256,6 +280,14 @@
         double mean = meanHeld();
         boolean heard = worker.heard != null && !now.since(worker.heard).longerThan(PACE);
         double held = heard ? worker.out.size() : Math.max(worker.out.size(), mean);
+        boolean stands = false;
+        for (Place listed : place.function.list) {
+            stands |= instances(listed) > 0;
+        }
+        if (!stands) {
+            margin = Math.max(margin, FIRST);
+            part = Math.max(part, FIRST);
+        }
         if (held > margin * (mean + SPARE) || worker.out.size() - worker.coldOut + 1 > bearing(worker) * part) {
             return false;
         }
@@ -552,7 +584,7 @@
         setAside.look();
         loadOrders.keep(functions.values());
         for (Function function : functions.values()) {
-            function.list.removeIf(place -> place.inFlight == 0 && instances(place) == 0);
+            function.list.removeIf(place -> place.inFlight == 0 && instances(place) == 0 || strayed(place));
         }
     }
 
@@ -886,7 +918,8 @@
             }
             mean /= Math.max(1, inService.size());
             window = Math.max(window, (double) inService.size() / facts.peers() / 2);
-            return under < Math.max(2, window) * (first ? FIRST_LOADS : 1) && place.worker.loading <= mean + 2;
+            return under < Math.max(2, window) * (first ? FIRST_LOADS : 1)
+                    && (first || place.worker.loading <= mean + 2);
         }
 
         void begun(Place place) {
--- a/src/main/java/pearladder/state/Place.java
+++ b/src/main/java/pearladder/state/Place.java
@@ -12,7 +12,7 @@
     public double others;
     public Moment othersAt;
     public Moment touched;
-    public Moment needed;
+    public Moment listed;
     public Moment refusedUntil;
     public Moment orderedAt;
 
