--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -65,7 +65,6 @@
     private static final Span FULL_FOR = Span.millis(300);   // a worker that refused as full is passed over
     private static final double STRAIN = 0.6;                // of the expected time: what a warm call may take on mean
     private static final double BEARING = 4;                 // calls out that a worker bears, before any was seen
-    private static final double FIRST_LOADS = 50;             // loads of functions that stand nowhere, in windows
     private static final double FIRST = 3;                   // widens the room of a function that stands nowhere
     private static final double STRAY = 0.4;                 // of the time that idle copies are kept
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
@@ -244,15 +243,19 @@
         if (place.listed == null || !now.since(place.listed).longerThan(facts.copies().kept().times(STRAY))) {
             return false;
         }
-        Worker home = null;
-        for (Worker worker : scan(place.function)) {
+        Worker home = home(place.function);
+        Place first = home == null ? place : place(place.function, home);
+        return first != place && !place.function.list.contains(first);
+    }
+
+    /** The worker that all routers would pick first, if each had room everywhere. */
+    private Worker home(Function function) {
+        for (Worker worker : scan(function)) {
             if (usable(worker) && !coldAllowance.cold(worker)) {
-                home = worker;
-                break;
+                return worker;
             }
         }
-        Place first = home == null ? place : place(place.function, home);
-        return first != place && !place.function.list.contains(first);
+        return null;
     }
 
     private void list(Place place) {
@@ -418,6 +421,7 @@
                 place.refusedUntil = now.plus(FULL_FOR);
                 worker.refusedUntil = now.plus(FULL_FOR);
                 strained(worker, 0.7);
+                storeGuard.refused();
             }
             case ABSENT -> {
                 place.instances = 0;
@@ -885,7 +889,7 @@
         private final Decaying loadCount = new Decaying(DEMAND);
         private final Decaying loads = new Decaying(PACE);
         private final Decaying failures = new Decaying(PACE);
-        private double window;
+        private double window = Double.NaN;
         private int under;
         private Moment cut;
 
@@ -905,21 +909,23 @@
             if (instances(place) > 0 || place.loading) {
                 return true;
             }
-            boolean first = true;
+            if (Double.isNaN(window)) {
+                window = Math.max(2, (double) inService.size() / facts.peers());
+            }
+            if (place.worker == home(place.function)) {
+                return true;
+            }
             for (Place other : place.function.list) {
                 if (other.loading && usable(other.worker)) {
                     return false;
                 }
-                first &= instances(other) == 0;
             }
             double mean = 0;
             for (Worker worker : inService) {
                 mean += worker.loading;
             }
             mean /= Math.max(1, inService.size());
-            window = Math.max(window, (double) inService.size() / facts.peers() / 2);
-            return under < Math.max(2, window) * (first ? FIRST_LOADS : 1)
-                    && (first || place.worker.loading <= mean + 2);
+            return under < window && place.worker.loading <= mean + 2;
         }
 
         void begun(Place place) {
@@ -956,6 +962,11 @@
             }
         }
 
+        /** A worker refused as full: loads begun now would fill the waiting rooms of others too. */
+        void refused() {
+            narrow("refused", 1);
+        }
+
         private void narrow(String why, double level) {
             if (cut == null || now.since(cut).longerThan(Span.seconds(1))) {
                 cut = now;
