--- /dev/null
+++ b/src/test/java/pearladder/PolicyTest.java
@@ -0,0 +1,254 @@
+package pearladder;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import pearladder.api.Action;
+import pearladder.api.Event;
+import pearladder.api.Event.Copy;
+import pearladder.api.Event.Standing;
+import pearladder.api.Facts;
+import pearladder.api.Outcome;
+import pearladder.api.Span;
+
+/** Plain cases: the ordinary path, each rule, and each failure that was found. */
+class PolicyTest {
+    private static final Span QUICK = Span.millis(100);
+
+    private static String home(Rig rig, String function) {
+        Rig.Taken call = rig.call(function, Rig.RETRIABLE);
+        rig.pass(QUICK);
+        rig.settle(call, QUICK);
+        return call.workers.get(0);
+    }
+
+    @Test
+    void callsStickToTheirWorkerAndRoutersAgreeOnIt() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 8);
+        Rig other = Rig.withWorkers(Rig.plain(), 8);
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            String home = home(rig, "f" + i);
+            used.add(home);
+            assertEquals(home, home(rig, "f" + i));
+            assertEquals(home, home(other, "f" + i));
+        }
+        assertTrue(used.size() >= 6, "functions spread over the fleet, not over " + used);
+    }
+
+    @Test
+    void aHotFunctionReachesMoreWorkersAndIsThenDismissedAtOnce() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 3);
+        home(rig, "f");
+        Set<String> used = new HashSet<>();
+        Rig.Taken last = null;
+        for (int i = 0; i < 200 && (last == null || last.end == null); i++) {
+            last = rig.call("f", Rig.RETRIABLE);
+            used.addAll(last.workers);
+        }
+        assertTrue(used.size() > 1);
+        Action.Dismiss dismissed = assertInstanceOf(Action.Dismiss.class, last.end);
+        assertTrue(dismissed.retryAfter().nanos() > 0);
+        assertTrue(last.workers.isEmpty());
+    }
+
+    @Test
+    void aWorkerThatRefusesAsFullIsPassedOverForAWhile() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 4);
+        String home = home(rig, "f");
+        Rig.Taken call = rig.call("f", Rig.RETRIABLE);
+        rig.end(call, 0, Outcome.FULL, Copy.UNTOLD, Span.millis(2));
+        Rig.Taken next = rig.call("f", Rig.RETRIABLE);
+        assertTrue(!call.workers.subList(1, call.workers.size()).contains(home) && !next.workers.contains(home));
+        rig.pass(Span.seconds(1));
+        assertEquals(home, rig.call("f", Rig.RETRIABLE).workers.get(0));
+    }
+
+    @Test
+    void aBindingCallThatMayHaveRunIsTerminated() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 4);
+        Rig.Taken failed = rig.call("f", Rig.BINDING);
+        rig.end(failed, 0, Outcome.ERROR, Copy.UNTOLD, QUICK);
+        assertInstanceOf(Action.Terminate.class, failed.end);
+        Rig.Taken refused = rig.call("g", Rig.BINDING);
+        rig.end(refused, 0, Outcome.UNREACHABLE, Copy.UNTOLD, QUICK);
+        assertEquals(2, refused.workers.size());
+        assertNotEquals(refused.workers.get(0), refused.workers.get(1));
+    }
+
+    @Test
+    void aFingerprintedCallStaysInTheGroupThatDropsItsRepeats() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 6);
+        Rig.Taken call = rig.call("f", Rig.MARKED_IN_ZONE);
+        rig.end(call, 0, Outcome.BROKEN, Copy.UNTOLD, QUICK);
+        assertEquals(2, call.workers.size());
+        rig.end(call, 1, Outcome.BROKEN, Copy.UNTOLD, QUICK);
+        rig.end(call, 2, Outcome.BROKEN, Copy.UNTOLD, QUICK);
+        assertInstanceOf(Action.Terminate.class, call.end);
+    }
+
+    @Test
+    void aDrainingWorkerGetsNothingNew() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 3);
+        String home = home(rig, "f");
+        rig.stand(home, Standing.DRAINING, null);
+        assertNotEquals(home, rig.call("f", Rig.RETRIABLE).workers.get(0));
+        rig.stand(home, Standing.IN_SERVICE, null);
+        assertEquals(home, home(rig, "g" + functionFor(rig, home)));
+    }
+
+    private static int functionFor(Rig rig, String worker) {
+        for (int i = 0; i < 200; i++) {
+            if (home(rig, "g" + i).equals(worker)) {
+                return i;
+            }
+        }
+        throw new AssertionError("no function has its home at " + worker);
+    }
+
+    @Test
+    void aColdWorkerGetsNoMoreThanOurPartOfWhatItBears() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 4);
+        for (int i = 0; i < 400; i++) {
+            home(rig, "f" + i % 40);
+        }
+        rig.stand("w1", Standing.IN_SERVICE, rig.now);
+        int toCold = 0;
+        int warm = 0;
+        for (int i = 0; i < 15; i++) {
+            if (home(rig, "f" + i % 40).equals("w1")) {
+                toCold++;
+            } else {
+                warm++;
+            }
+        }
+        assertTrue(toCold <= 1 + 0.5 * 1.1 * warm / 3, toCold + " to the cold worker, " + warm + " to three");
+    }
+
+    @Test
+    void aSlowingWorkerLeavesTheListsAndItsCallsAreMoved() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 6);
+        String slow = home(rig, "f0");
+        for (int i = 0; i < 300; i++) {
+            home(rig, "f" + i % 30);
+        }
+        List<Rig.Taken> stuck = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            Rig.Taken call = rig.call("f" + i, Rig.RETRIABLE);
+            rig.pass(Span.millis(50));
+            if (call.workers.get(0).equals(slow)) {
+                stuck.add(call);
+            } else {
+                rig.settle(call, Span.millis(50));
+            }
+        }
+        rig.pass(Span.seconds(1));
+        assertTrue(rig.all.stream().anyMatch(a -> a instanceof Action.Log log && log.text().contains(slow)));
+        assertTrue(stuck.stream().anyMatch(call -> rig.all.contains(new Action.Cancel(call.id, 0))));
+        assertNotEquals(slow, home(rig, "f0"));
+        rig.pass(Span.seconds(6));
+        assertEquals(slow, home(rig, "f0"), "it returns after the fixed time and its random part");
+    }
+
+    /* Found on wire-campus-main: refusals as full sent a function on to begin a load at every other worker. */
+    @Test
+    void refusalsAsFullDoNotBeginALoadOnEveryWorker() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 10);
+        String home = home(rig, "f");
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            Rig.Taken call = rig.call("f", Rig.RETRIABLE);
+            if (!call.over && call.workers.get(0).equals(home)) {
+                rig.end(call, 0, Outcome.FULL, Copy.UNTOLD, Span.millis(1));
+            }
+            used.addAll(call.workers);
+            rig.pass(Span.millis(20));
+        }
+        assertTrue(used.size() <= 2, "loads begun at " + used);
+    }
+
+    /* Found on wire-campus-main: picks made while the first worker was full were kept for ever. */
+    @Test
+    void routersComeBackToTheFirstWorker() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 6);
+        String home = home(rig, "f");
+        rig.stand(home, Standing.DRAINING, null);
+        assertNotEquals(home, home(rig, "f"));
+        rig.stand(home, Standing.IN_SERVICE, null);
+        for (int i = 0; i < 10; i++) {
+            home(rig, "f");
+            rig.pass(Span.seconds(1));
+        }
+        assertEquals(home, home(rig, "f"));
+    }
+
+    /* Found on slope-maps: with every worker holding too much, all answers came late. */
+    @Test
+    void aStrainedWorkerBearsFewerCalls() {
+        assertTrue(borne(Span.millis(900)) < borne(Span.millis(100)));
+    }
+
+    private static int borne(Span took) {
+        Rig rig = Rig.withWorkers(Rig.plain(), 2);
+        for (int round = 0; round < 20; round++) {
+            List<Rig.Taken> calls = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                calls.add(rig.call("f" + i, Rig.RETRIABLE));
+            }
+            rig.pass(took);
+            for (Rig.Taken call : calls) {
+                if (!call.over) {
+                    rig.settle(call, took);
+                }
+            }
+        }
+        int taken = 0;
+        for (int i = 0; i < 100; i++) {
+            taken += rig.call("f" + i % 8, Rig.RETRIABLE).over ? 0 : 1;
+        }
+        return taken;
+    }
+
+    @Test
+    void aCopyInUseIsHeldWithinTheRation() {
+        Facts facts = Rig.facts(true, true, new Facts.Ration(2, 0.1, Span.seconds(5)), List.of());
+        Rig rig = Rig.withWorkers(facts, 4);
+        String home = home(rig, "f");
+        home(rig, "f");
+        rig.pass(Span.seconds(7));
+        assertTrue(rig.all.contains(new Action.Hold(home, "f", 1)));
+    }
+
+    @Test
+    void callsOverTheirAccountsShareUseLessOfAWorkersRoom() {
+        List<Facts.Account> accounts = List.of(new Facts.Account("x", 0.5, 3), new Facts.Account("y", 0.5, 300));
+        Rig rig = Rig.withWorkers(Rig.facts(false, true, new Facts.Ration(0, 0, Span.NONE), accounts), 2);
+        for (int i = 0; i < 9; i++) {
+            home(rig, "f" + i);
+        }
+        int[] ended = new int[2];
+        for (int i = 0; i < 60; i++) {
+            ended[0] += rig.call("f" + i % 9, Rig.RETRIABLE, "x", 2, Span.seconds(2)).over ? 1 : 0;
+            ended[1] += rig.call("f" + i % 9, Rig.RETRIABLE, "y", 2, Span.seconds(2)).over ? 1 : 0;
+        }
+        assertTrue(ended[0] > ended[1], ended[0] + " over share, " + ended[1] + " within");
+    }
+
+    @Test
+    void anUnsettledLegAtTheAbandonTimeIsAnsweredAtOnce() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 3);
+        Rig.Taken call = rig.call("f", Rig.BINDING);
+        rig.pass(Span.millis(3992));
+        rig.on(new Event.LegEnded("nobody", 0, "w0", Outcome.ERROR, QUICK, false, Copy.UNTOLD, 0, null));
+        rig.end(call, 0, Outcome.TIMED_OUT, Copy.UNTOLD, Span.millis(3992));
+        assertInstanceOf(Action.Terminate.class, call.end);
+        rig.on(new Event.ClientLeft(call.id));
+    }
+}
