--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -91,7 +91,7 @@
     private final ColdAllowance coldAllowance;
     private final FurtherLegs furtherLegs;
     private final LoadOrders loadOrders;
-    private final StoreGuard storeGuard = new StoreGuard(3);
+    private final StoreGuard storeGuard = new StoreGuard(3, 0.06);
     private final Shedding shedding;
 
     private Moment now;
@@ -885,6 +885,7 @@
      */
     private final class StoreGuard {
         private final double late;
+        private final double jam;
         private final Decaying loadSeconds = new Decaying(DEMAND);
         private final Decaying loadCount = new Decaying(DEMAND);
         private final Decaying loads = new Decaying(PACE);
@@ -893,8 +894,9 @@
         private int under;
         private Moment cut;
 
-        StoreGuard(double late) {
+        StoreGuard(double late, double jam) {
             this.late = late;
+            this.jam = jam;
         }
 
         Span usual(Function function) {
@@ -962,9 +964,12 @@
             }
         }
 
-        /** A worker refused as full: loads begun now would fill the waiting rooms of others too. */
+        /** Where more than a lone hot worker refuses, loads begun now would fill the waiting rooms of others too. */
         void refused() {
-            narrow("refused", 1);
+            long refusing = inService.stream().filter(worker -> later(worker.refusedUntil)).count();
+            if (refusing >= jam * inService.size()) {
+                narrow("refused", 1);
+            }
         }
 
         private void narrow(String why, double level) {
