--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -79,6 +79,7 @@
     private final Map<String, Function> functions = new LinkedHashMap<>();
     private final Decaying warmAnswers = new Decaying(PACE);
     private final Decaying warmSeconds = new Decaying(PACE);
+    private final Decaying hintSeconds = new Decaying(PACE);
     private final Decaying taken = new Decaying(PACE);
     private List<Worker> inService = List.of();
     private long[] ring = {};
@@ -180,7 +181,7 @@
         taken.add(now, 1);
         loadOrders.taken();
         Account account = came.account() == null ? null : accounts.get(came.account());
-        Call call = new Call(came.call(), function, category, account, now, now.plus(came.timeLeft()));
+        Call call = new Call(came.call(), function, category, account, now, now.plus(came.timeLeft()), came.hint());
         call.overShare = shedding.overShare(account);
         calls.put(call.id, call);
         place(call, null);
@@ -397,15 +398,22 @@
                     place.instances = Math.max(1, place.instances);
                 } else {
                     place.instances = Math.max(1, place.instances);
-                    worker.strainSum.add(now, seconds / (STRAIN * leg.call.terms.expected().inSeconds()));
-                    worker.strainCount.add(now, 1);
+                    double weight = leg.call.terms.credit();
+                    if (facts.allowances().creditByWork() && leg.call.hint != null) {
+                        weight *= leg.call.hint.inSeconds();
+                    }
+                    worker.strainSum.add(now, weight * seconds / leg.call.terms.expected().inSeconds());
+                    worker.strainCount.add(now, weight * STRAIN);
                     if (worker.strainSum.read(now) > worker.strainCount.read(now)) {
                         strained(worker, 0.85);
                     } else if (worker.out.size() - worker.coldOut + 2 > bearing(worker)) {
                         worker.bearing = bearing(worker) + 1 / bearing(worker);
                     }
                     worker.answers.add(now, 1);
-                    worker.slowness.add(now, seconds / expected(function).inSeconds());
+                    worker.slowness.add(now, seconds / expected(leg.call).inSeconds());
+                    if (leg.call.hint != null) {
+                        hintSeconds.add(now, leg.call.hint.inSeconds());
+                    }
                     warmAnswers.add(now, 1);
                     warmSeconds.add(now, seconds);
                     function.warmAnswers.add(now, 1);
@@ -480,8 +488,16 @@
         return Span.seconds((function.warmSeconds.read(now) + 2 * mean) / (function.warmAnswers.read(now) + 2));
     }
 
+    private Span expected(Call call) {
+        Span usual = expected(call.function);
+        if (call.hint == null || hintSeconds.read(now) <= 0) {
+            return usual;
+        }
+        return usual.plus(call.hint.times(warmSeconds.read(now) / hintSeconds.read(now))).times(0.5);
+    }
+
     private Span expected(Leg leg) {
-        Span work = expected(leg.call.function);
+        Span work = expected(leg.call);
         return leg.copyBelieved ? work : work.plus(storeGuard.usual(leg.call.function).times(2));
     }
 
--- a/src/main/java/pearladder/state/Call.java
+++ b/src/main/java/pearladder/state/Call.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import pearladder.api.Facts.Terms;
 import pearladder.api.Moment;
+import pearladder.api.Span;
 
 /** A call this router has taken and, until over, owes one final answer. */
 public final class Call {
@@ -13,18 +14,21 @@
     public final Account account;
     public final Moment taken;
     public final Moment givenUpAt;
+    public final Span hint;
     public final List<Leg> legs = new ArrayList<>(2);
     public boolean over;
     public boolean streaming;
     public boolean overShare;
     public int legsOut;
 
-    public Call(String id, Function function, Terms terms, Account account, Moment taken, Moment givenUpAt) {
+    public Call(String id, Function function, Terms terms, Account account, Moment taken, Moment givenUpAt,
+            Span hint) {
         this.id = id;
         this.function = function;
         this.terms = terms;
         this.account = account;
         this.taken = taken;
         this.givenUpAt = givenUpAt;
+        this.hint = hint;
     }
 }
