--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -67,6 +67,7 @@
     private static final double BEARING = 4;                 // calls out that a worker bears, before any was seen
     private static final double FIRST = 3;                   // widens the room of a function that stands nowhere
     private static final double STRAY = 0.4;                 // of the time that idle copies are kept
+    private static final double OVERDRAFT = 1.5;             // of what a worker bears, where none has snug room
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
 
     private final long seed;
@@ -208,12 +209,12 @@
             place = scanned(call, avoided, SNUG, part);
         }
         if (place == null) {
-            place = listed(call, avoided, WIDE, part);
+            place = listed(call, avoided, WIDE, part * OVERDRAFT);
         }
         if (place == null && ordered) {
             place = scanned(call, avoided, SNUG, part);
         }
-        return place != null ? place : scanned(call, avoided, WIDE, part);
+        return place != null ? place : scanned(call, avoided, WIDE, part * OVERDRAFT);
     }
 
     private Place listed(Call call, Worker avoided, double margin, double part) {
