--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -63,11 +63,11 @@
     private static final double WIDE = 3;
     private static final double SPARE = 1;                 // and in calls beside that
     private static final Span FULL_FOR = Span.millis(300);   // a worker that refused as full is passed over
-    private static final double STRAIN = 0.6;                // of the expected time: what a warm call may take on mean
+    private static final double STRAIN = 0.4;                // of the expected time: what a warm call may take on mean
     private static final double BEARING = 4;                 // calls out that a worker bears, before any was seen
     private static final double FIRST = 3;                   // widens the room of a function that stands nowhere
     private static final double STRAY = 0.4;                 // of the time that idle copies are kept
-    private static final double OVERDRAFT = 1.5;             // of what a worker bears, where none has snug room
+    private static final double OVERDRAFT = 2.5;             // of what a worker bears, where none has snug room
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
 
     private final long seed;
