--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -132,12 +132,10 @@
             if (call != null && ended.leg() >= 0 && ended.leg() < call.legs.size()) {
                 end(call, call.legs.get(ended.leg()), ended);
             }
-        } else if (event instanceof Event.Due due) {
-            if (due.tag().equals("beat")) {
-                beat();
-            } else if (due.tag().equals("list")) {
-                todo.add(new Action.Subscribe(true));
-            }
+        } else if (event instanceof Event.Due due && due.tag().equals("beat")) {
+            beat();
+        } else if (event instanceof Event.Due due && due.tag().equals("list")) {
+            todo.add(new Action.Subscribe(true));
         } else if (event instanceof Event.Listed listed) {
             follow(listed);
         } else if (event instanceof Event.ClientLeft left) {
@@ -145,22 +143,14 @@
             if (call != null) {
                 close(call);
             }
-        } else if (event instanceof Event.StreamBegan began) {
-            Call call = calls.get(began.call());
-            if (call != null) {
-                call.streaming = true;
-            }
+        } else if (event instanceof Event.StreamBegan began && calls.containsKey(began.call())) {
+            calls.get(began.call()).streaming = true;
         } else if (event instanceof Event.LoadAnswered answered) {
             Worker worker = workers.get(answered.worker());
             Function function = functions.get(answered.function());
             if (worker != null && function != null) {
                 loadOrders.answered(place(function, worker), answered);
             }
-        } else if (event instanceof Event.Probed probed) {
-            Worker worker = workers.get(probed.worker());
-            if (worker != null) {
-                hear(worker, probed.report());
-            }
         }
         return todo;
     }
@@ -246,8 +236,7 @@
             return false;
         }
         Worker home = home(place.function);
-        Place first = home == null ? place : place(place.function, home);
-        return first != place && !place.function.list.contains(first);
+        return home != null && home != place.worker && !place.function.list.contains(place(place.function, home));
     }
 
     /** The worker that all routers would pick first, if each had room everywhere. */
@@ -381,7 +370,9 @@
         Place place = leg.place;
         Worker worker = place.worker;
         Function function = place.function;
-        hear(worker, ended.report());
+        if (ended.report() != null && !Double.isNaN(ended.report().loads())) {
+            worker.loading = ended.report().loads();
+        }
         if (!leg.copyBelieved) {
             storeGuard.ended(place);
         }
@@ -391,14 +382,11 @@
                 worker.heard = now;
                 worker.settled.add(now, 1);
                 place.touched = now;
-                if (ended.copy() == Copy.LOAD_BEGUN || ended.copy() == Copy.LOAD_JOINED) {
-                    if (ended.copy() == Copy.LOAD_BEGUN) {
-                        place.instances = leg.copyBelieved ? place.instances + 1 : 1;
-                        storeGuard.loaded(function, Math.max(0, seconds - expected(function).inSeconds()));
-                    }
-                    place.instances = Math.max(1, place.instances);
-                } else {
-                    place.instances = Math.max(1, place.instances);
+                place.instances = Math.max(1, place.instances);
+                if (ended.copy() == Copy.LOAD_BEGUN) {
+                    place.instances += leg.copyBelieved ? 1 : 0;
+                    storeGuard.loaded(function, Math.max(0, seconds - expected(function).inSeconds()));
+                } else if (ended.copy() != Copy.LOAD_JOINED) {
                     double weight = leg.call.terms.credit();
                     if (facts.allowances().creditByWork() && leg.call.hint != null) {
                         weight *= leg.call.hint.inSeconds();
@@ -420,10 +408,6 @@
                     function.warmAnswers.add(now, 1);
                     function.warmSeconds.add(now, seconds);
                 }
-                if (facts.copies().tellsCrowd()) {
-                    place.others = Math.max(0, ended.alike() - place.inFlight);
-                    place.othersAt = now;
-                }
             }
             case FULL -> {
                 worker.heard = now;
@@ -454,13 +438,6 @@
         }
     }
 
-    private void hear(Worker worker, Event.Report report) {
-        if (report != null) {
-            worker.waiting = Double.isNaN(report.waiting()) ? 0 : report.waiting();
-            worker.loading = Double.isNaN(report.loads()) ? 0 : report.loads();
-        }
-    }
-
     /** The final answer where nothing was settled: a dismissal where trying again is harmless. */
     private void answer(Call call) {
         if (call.over || call.streaming) {
@@ -497,13 +474,13 @@
         return usual.plus(call.hint.times(warmSeconds.read(now) / hintSeconds.read(now))).times(0.5);
     }
 
-    private Span expected(Leg leg) {
-        Span work = expected(leg.call);
-        return leg.copyBelieved ? work : work.plus(storeGuard.usual(leg.call.function).times(2));
-    }
-
+    /** How a leg's age compares with what it should take; a copy may have gone, so a load is allowed for where
+     *  the worker has answered anything since. */
     private double overdue(Leg leg) {
-        return now.since(leg.sent).over(expected(leg));
+        Worker worker = leg.place.worker;
+        boolean silent = leg.copyBelieved && (worker.heard == null || worker.heard.before(leg.sent));
+        Span load = storeGuard.usual(leg.call.function).times(silent ? 0 : leg.copyBelieved ? 1 : 2);
+        return now.since(leg.sent).over(expected(leg.call).plus(load));
     }
 
     // ---- the order of workers
--- a/src/main/java/pearladder/state/Function.java
+++ b/src/main/java/pearladder/state/Function.java
@@ -18,8 +18,6 @@
     public final Decaying calls;
     public final Decaying warmAnswers;
     public final Decaying warmSeconds;
-    public final Decaying loads;
-    public final Decaying loadSeconds;
     public List<Worker> scan = List.of();
     public long scanEdition = -1;
     public long taken;
@@ -31,7 +29,5 @@
         this.calls = new Decaying(demand);
         this.warmAnswers = new Decaying(pace);
         this.warmSeconds = new Decaying(pace);
-        this.loads = new Decaying(pace);
-        this.loadSeconds = new Decaying(pace);
     }
 }
--- a/src/main/java/pearladder/state/Place.java
+++ b/src/main/java/pearladder/state/Place.java
@@ -9,8 +9,6 @@
     public int inFlight;
     public int instances;
     public boolean loading;
-    public double others;
-    public Moment othersAt;
     public Moment touched;
     public Moment listed;
     public Moment refusedUntil;
--- a/src/main/java/pearladder/state/Worker.java
+++ b/src/main/java/pearladder/state/Worker.java
@@ -31,7 +31,6 @@
     public Moment asideUntil;
     public double coldCredit;
     public Moment coldCreditAt;
-    public double waiting;
     public double loading;
 
     public Worker(String id, Span health, Span pace, Span strain) {
