--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -93,7 +93,7 @@
     private final ColdAllowance coldAllowance;
     private final FurtherLegs furtherLegs;
     private final LoadOrders loadOrders;
-    private final StoreGuard storeGuard = new StoreGuard(3, 0.06);
+    private final StoreGuard storeGuard = new StoreGuard(3, 0.06, 0.4);
     private final Shedding shedding;
 
     private Moment now;
@@ -880,6 +880,7 @@
     private final class StoreGuard {
         private final double late;
         private final double jam;
+        private final double part;
         private final Decaying loadSeconds = new Decaying(DEMAND);
         private final Decaying loadCount = new Decaying(DEMAND);
         private final Decaying loads = new Decaying(PACE);
@@ -888,7 +889,8 @@
         private int under;
         private Moment cut;
 
-        StoreGuard(double late, double jam) {
+        StoreGuard(double late, double jam, double part) {
+            this.part = part;
             this.late = late;
             this.jam = jam;
         }
@@ -921,7 +923,17 @@
                 mean += worker.loading;
             }
             mean /= Math.max(1, inService.size());
-            return under < window && place.worker.loading <= mean + 2;
+            return under < window && place.worker.loading <= mean + 2 && fits(place);
+        }
+
+        /** The memory that we believe in use there; what other routers load is unknown, hence only a part counts. */
+        private boolean fits(Place place) {
+            double machine = facts.copies().memoryOfKinds().stream().mapToDouble(mb -> mb).min().orElse(0);
+            double used = place.function.memoryMb;
+            for (Place held : place.worker.places) {
+                used += instances(held) * held.function.memoryMb;
+            }
+            return machine <= 0 || used <= part * machine;
         }
 
         void begun(Place place) {
