--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -68,6 +68,7 @@
     private static final double FIRST = 3;                   // widens the room of a function that stands nowhere
     private static final double STRAY = 0.4;                 // of the time that idle copies are kept
     private static final double OVERDRAFT = 2.5;             // of what a worker bears, where none has snug room
+    private static final double LOADING = 2;                 // reported loads by which a full worker is full of loads
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
 
     private final long seed;
@@ -93,7 +94,7 @@
     private final ColdAllowance coldAllowance;
     private final FurtherLegs furtherLegs;
     private final LoadOrders loadOrders;
-    private final StoreGuard storeGuard = new StoreGuard(3, 0.06, 0.4);
+    private final StoreGuard storeGuard = new StoreGuard(3, 0.33, 0.4);
     private final Shedding shedding;
 
     private Moment now;
@@ -414,7 +415,7 @@
                 place.refusedUntil = now.plus(FULL_FOR);
                 worker.refusedUntil = now.plus(FULL_FOR);
                 strained(worker, 0.7);
-                storeGuard.refused();
+                storeGuard.refused(worker);
             }
             case ABSENT -> {
                 place.instances = 0;
@@ -970,11 +971,14 @@
             }
         }
 
-        /** Where more than a lone hot worker refuses, loads begun now would fill the waiting rooms of others too. */
-        void refused() {
+        /**
+         * A worker refused as full: where its room is taken up by loads, or much of the fleet refuses, further loads
+         * would only fill more rooms. A lone hot worker without loads is no reason: its functions should spread.
+         */
+        void refused(Worker by) {
             long refusing = inService.stream().filter(worker -> later(worker.refusedUntil)).count();
-            if (refusing >= jam * inService.size()) {
-                narrow("refused", 1);
+            if (by.loading >= LOADING || refusing >= jam * inService.size()) {
+                narrow("refused", by.loading);
             }
         }
 
