Failures are judged against the fleet's median share, so a lost hall does not hide itself

Reading the module: with a third of the workers failing together the mean of the others' failures kept any of them from being set aside.

--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -61,11 +61,10 @@
     private static final int MARKS = 64;                     // marks of each worker on the ring
     private static final double SNUG = 1.5;                  // margins of room, in mean holdings of a worker
     private static final double WIDE = 3;
-    private static final double SPARE = 1;                 // and in calls beside that
+    private static final double SPARE = 1;                   // and in calls beside that
     private static final Span FULL_FOR = Span.millis(300);   // a worker that refused as full is passed over
     private static final double STRAIN = 0.4;                // of the expected time: what a warm call may take on mean
     private static final double BEARING = 4;                 // calls out that a worker bears, before any was seen
-    private static final double FIRST = 3;                   // widens the room of a function that stands nowhere
     private static final double STRAY = 0.4;                 // of the time that idle copies are kept
     private static final double OVERDRAFT = 2.5;             // of what a worker bears, where none has snug room
     private static final double LOADING = 2;                 // reported loads by which a full worker is full of loads
@@ -272,16 +271,12 @@
         if (place.inFlight >= place.function.lanes * (instances(place) + 1)) {
             return false;
         }
-        double mean = meanHeld();
+        double mean = (double) legsOut / Math.max(1, inService.size());
         boolean heard = worker.heard != null && !now.since(worker.heard).longerThan(PACE);
         double held = heard ? worker.out.size() : Math.max(worker.out.size(), mean);
-        boolean stands = false;
-        for (Place listed : place.function.list) {
-            stands |= instances(listed) > 0;
-        }
-        if (!stands) {
-            margin = Math.max(margin, FIRST);
-            part = Math.max(part, FIRST);
+        if (place.function.list.stream().noneMatch(listed -> instances(listed) > 0)) {
+            margin = WIDE;
+            part = OVERDRAFT;
         }
         if (held > margin * (mean + SPARE) || worker.out.size() - worker.coldOut + 1 > bearing(worker) * part) {
             return false;
@@ -297,10 +292,6 @@
         return moment != null && now.before(moment);
     }
 
-    private double meanHeld() {
-        return (double) legsOut / Math.max(1, inService.size());
-    }
-
     /** Instances believed to stand; the belief ends when nothing renewed it for as long as idle copies are kept. */
     private int instances(Place place) {
         if (place.touched == null || now.since(place.touched).longerThan(facts.copies().kept())) {
@@ -612,8 +603,6 @@
         void look() {
             List<double[]> seen = new ArrayList<>();
             int aside = 0;
-            double failures = 0;
-            double answers = 0;
             for (Worker worker : inService) {
                 double count = worker.answers.read(now);
                 double slow = worker.slowness.read(now);
@@ -624,19 +613,16 @@
                         slow += overdue;
                     }
                 }
-                failures += worker.failures.read(now);
-                answers += count;
-                seen.add(new double[] {count, slow / Math.max(1, count)});
+                seen.add(new double[] {count, slow / Math.max(1, count), worker.failures.read(now) / Math.max(1, count)});
                 aside += later(worker.asideUntil) ? 1 : 0;
             }
-            double[] levels = seen.stream().filter(s -> s[0] >= 1).mapToDouble(s -> s[1]).sorted().toArray();
-            double median = levels.length == 0 ? 1 : Math.max(1, levels[levels.length / 2]);
+            double median = Math.max(1, median(seen, 1));
+            double failingMedian = median(seen, 2);
             for (int i = 0; i < seen.size(); i++) {
                 Worker worker = inService.get(i);
                 double count = seen.get(i)[0];
                 double failing = worker.failures.read(now);
-                double othersShare = (failures - failing) / Math.max(1, answers - count);
-                boolean fails = failing >= 2 && failing / count > Math.max(0.3, 3 * othersShare);
+                boolean fails = failing >= 2 && seen.get(i)[2] > Math.max(0.3, factor * failingMedian);
                 boolean slow = count >= least && seen.get(i)[1] > factor * median;
                 if (later(worker.asideUntil)) {
                     move(worker);
@@ -657,6 +643,11 @@
             }
         }
 
+        private static double median(List<double[]> seen, int column) {
+            double[] levels = seen.stream().filter(s -> s[0] >= 1).mapToDouble(s -> s[column]).sorted().toArray();
+            return levels.length == 0 ? 0 : levels[levels.length / 2];
+        }
+
         /** Calls stuck on a worker set aside are called back where they may be sent again. */
         private void move(Worker worker) {
             for (Leg leg : worker.out) {
@@ -767,7 +758,8 @@
 
         boolean may(Call call) {
             boolean harmless = call.terms.effect() != Effect.BINDING || firstThatMayHaveRun(call) == null;
-            return harmless && !call.streaming && call.legs.size() < most && withinBudget()
+            return harmless && !call.streaming && call.legs.size() < most
+                    && spent.read(now) < few + share * taken.read(now)
                     && call.givenUpAt.since(now).longerThan(expected(call.function));
         }
 
@@ -775,10 +767,6 @@
             return cancel && !call.over && call.terms.effect() != Effect.BINDING && may(call);
         }
 
-        private boolean withinBudget() {
-            return spent.read(now) < few + share * taken.read(now);
-        }
-
         void spend() {
             spent.add(now, 1);
         }
@@ -811,11 +799,11 @@
             if (ration.window().nanos() <= 0) {
                 return true;
             }
-            for (ArrayDeque<Moment> times : List.of(orders, takenLately)) {
-                while (!times.isEmpty() && now.since(times.peek()).compareTo(ration.window()) >= 0
-                        && (times == takenLately || now.since(times.peek()).longerThan(ration.window()))) {
-                    times.poll();
-                }
+            while (!orders.isEmpty() && now.since(orders.peek()).longerThan(ration.window())) {
+                orders.poll();
+            }
+            while (!takenLately.isEmpty() && now.since(takenLately.peek()).compareTo(ration.window()) >= 0) {
+                takenLately.poll();
             }
             return orders.size() + 1 <= ration.free() + ration.share() * takenLately.size();
         }
@@ -919,11 +907,7 @@
                     return false;
                 }
             }
-            double mean = 0;
-            for (Worker worker : inService) {
-                mean += worker.loading;
-            }
-            mean /= Math.max(1, inService.size());
+            double mean = inService.stream().mapToDouble(worker -> worker.loading).average().orElse(0);
             return under < window && place.worker.loading <= mean + 2 && fits(place);
         }
 
