A worker that hangs is judged by its overdue legs alone

Three overdue legs with no answer since now suffice. Harm: a quiet worker whose copies fell out may be passed over for a few seconds.

--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -36,13 +36,13 @@
 import pearladder.state.Worker;
 
 /*
- * All decisions of one router. It is called through pearladder.api.Dispatcher: on(now, event) takes one thing that
- * happened and returns what is to be done, in order. Events, actions and the facts handed over at the start are in
- * pearladder.api; the plain records kept here are in pearladder.state. It reads no clock and shares nothing.
+ * All decisions of one router. It is called through pearladder.api.Dispatcher: on(now, event) takes what
+ * happened and returns what is to be done, in order. Events, actions and the facts handed over at the start are
+ * in pearladder.api; the plain records kept here are in pearladder.state. It reads no clock and shares nothing.
  *
  * Ordinary path, sticky first-fit (docs/design.md): each function has a short list of workers; a call takes the
- * first listed worker with room, else the first with room in an order of workers rotated by a hash of the function,
- * which joins the list; with no room anywhere the call is dismissed at once.
+ * first listed worker with room, else the first with room in an order of workers rotated by a hash of the
+ * function, which joins the list; with no room anywhere the call is dismissed at once.
  *
  * Beside it stand six mechanisms, each a part of its own below:
  *   1 SetAside       a worker that fails or is slow against the fleet leaves the lists for a while
@@ -68,6 +68,7 @@
     private static final double STRAY = 0.4;                 // of the time that idle copies are kept
     private static final double OVERDRAFT = 2.5;             // of what a worker bears, where none has snug room
     private static final double LOADING = 2;                 // reported loads by which a full worker is full of loads
+    private static final int SILENT = 3;                     // overdue legs without any answer since: it hangs
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
 
     private final long seed;
@@ -606,13 +607,24 @@
             for (Worker worker : inService) {
                 double count = worker.answers.read(now);
                 double slow = worker.slowness.read(now);
+                double late = 0;
+                double lateness = 0;
+                boolean silent = true;
                 for (Leg leg : worker.out) {
                     double overdue = overdue(leg);
                     if (overdue > factor) {
-                        count++;
-                        slow += overdue;
+                        late++;
+                        lateness += overdue;
+                        silent &= worker.heard == null || worker.heard.before(leg.sent);
                     }
                 }
+                if (silent && late >= SILENT) {
+                    count = least;
+                    slow = lateness / late * count;
+                } else {
+                    count += late;
+                    slow += lateness;
+                }
                 seen.add(new double[] {count, slow / Math.max(1, count), worker.failures.read(now) / Math.max(1, count)});
                 aside += later(worker.asideUntil) ? 1 : 0;
             }
