--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -4,13 +4,13 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import java.util.zip.CRC32;
 import pearladder.api.Action;
 import pearladder.api.Dispatcher;
@@ -19,10 +19,6 @@
 import pearladder.api.Event.ListKind;
 import pearladder.api.Event.Standing;
 import pearladder.api.Facts;
-import pearladder.api.Facts.ColdStart;
-import pearladder.api.Facts.Effect;
-import pearladder.api.Facts.Group;
-import pearladder.api.Facts.Ration;
 import pearladder.api.Facts.Terms;
 import pearladder.api.Moment;
 import pearladder.api.Outcome;
@@ -37,12 +33,12 @@
 
 /*
  * All decisions of one router. It is called through pearladder.api.Dispatcher: on(now, event) takes what
- * happened and returns what is to be done, in order. Events, actions and the facts handed over at the start are
- * in pearladder.api; the plain records kept here are in pearladder.state. It reads no clock and shares nothing.
+ * happened and returns what is to be done, in order. Events, actions and the facts told at the start are in
+ * pearladder.api; the plain records kept here are in pearladder.state. It reads no clock, shares nothing.
  *
- * Ordinary path, sticky first-fit (docs/design.md): each function has a short list of workers; a call takes the
- * first listed worker with room, else the first with room in an order of workers rotated by a hash of the
- * function, which joins the list; with no room anywhere the call is dismissed at once.
+ * Ordinary path, sticky first-fit (docs/design.md): each function has a short list of workers; a call takes
+ * the first listed worker with room, else the first with room in an order of workers rotated by a hash of
+ * the function, which joins the list; with no room anywhere the call is dismissed at once.
  *
  * Beside it stand six mechanisms, each a part of its own below:
  *   1 SetAside       a worker that fails or is slow against the fleet leaves the lists for a while
@@ -56,6 +52,7 @@
     private static final Span BEAT = Span.millis(100);
     private static final Span HEALTH = Span.seconds(3);      // fade of what is known of a worker's health
     private static final Span PACE = Span.seconds(5);        // fade of rates and usual times
+    private static final Span STRAINS = Span.seconds(1);     // fade of a worker's strain
     private static final Span DEMAND = Span.seconds(30);     // fade of a function's demand
     private static final int LIST = 4;                       // workers listed for a function
     private static final int MARKS = 64;                     // marks of each worker on the ring
@@ -63,12 +60,12 @@
     private static final double WIDE = 3;
     private static final double SPARE = 1;                   // and in calls beside that
     private static final Span FULL_FOR = Span.millis(300);   // a worker that refused as full is passed over
-    private static final double STRAIN = 0.4;                // of the expected time: what a warm call may take on mean
-    private static final double BEARING = 4;                 // calls out that a worker bears, before any was seen
+    private static final double STRAIN = 0.4;                // of the expected time that warm calls may take
+    private static final double BEARING = 4;                 // calls out that a worker bears, at first
     private static final double STRAY = 0.4;                 // of the time that idle copies are kept
-    private static final double OVERDRAFT = 2.5;             // of what a worker bears, where none has snug room
-    private static final double LOADING = 2;                 // reported loads by which a full worker is full of loads
-    private static final int SILENT = 3;                     // overdue legs without any answer since: it hangs
+    private static final double OVERDRAFT = 2.5;             // of what it bears, where none has snug room
+    private static final double LOADING = 2;                 // reported loads that fill a worker's rooms
+    private static final int SILENT = 3;                     // overdue legs and no answer since: it hangs
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
 
     private final long seed;
@@ -173,7 +170,8 @@
         taken.add(now, 1);
         loadOrders.taken();
         Account account = came.account() == null ? null : accounts.get(came.account());
-        Call call = new Call(came.call(), function, category, account, now, now.plus(came.timeLeft()), came.hint());
+        Call call = new Call(came.call(), function, category, account, now, now.plus(came.timeLeft()),
+                came.hint());
         call.overShare = shedding.overShare(account);
         calls.put(call.id, call);
         place(call, null);
@@ -184,6 +182,7 @@
         if (!shedding.hopeless(call)) {
             Place place = choose(call, avoided, shedding.part(call));
             if (place != null) {
+                list(place);
                 send(call, place);
                 return;
             }
@@ -191,53 +190,41 @@
         answer(call);
     }
 
-    /** First-fit: the list, then the scan. Where copies come by order, a call rather waits than begins a load. */
+    /** The list, then the scan. Where copies come by order, a call rather waits than begins a load. */
     private Place choose(Call call, Worker avoided, double part) {
-        Function function = call.function;
         boolean ordered = facts.copies().orders();
-        Place place = listed(call, avoided, SNUG, part);
+        Place place = first(call, avoided, true, SNUG, part);
         if (place == null && !ordered) {
-            place = scanned(call, avoided, SNUG, part);
+            place = first(call, avoided, false, SNUG, part);
         }
         if (place == null) {
-            place = listed(call, avoided, WIDE, part * OVERDRAFT);
+            place = first(call, avoided, true, WIDE, part * OVERDRAFT);
         }
         if (place == null && ordered) {
-            place = scanned(call, avoided, SNUG, part);
+            place = first(call, avoided, false, SNUG, part);
         }
-        return place != null ? place : scanned(call, avoided, WIDE, part * OVERDRAFT);
-    }
-
-    private Place listed(Call call, Worker avoided, double margin, double part) {
-        for (Place place : call.function.list) {
-            if (place.worker != avoided && hasRoom(call, place, margin, part)) {
-                return place;
-            }
-        }
-        return null;
+        return place != null ? place : first(call, avoided, false, WIDE, part * OVERDRAFT);
     }
 
-    private Place scanned(Call call, Worker avoided, double margin, double part) {
-        for (Worker worker : scan(call.function)) {
-            Place place = place(call.function, worker);
-            if (worker != avoided && hasRoom(call, place, margin, part)) {
-                list(place);
-                return place;
-            }
-        }
-        return null;
+    private Place first(Call call, Worker avoided, boolean listed, double margin, double part) {
+        Function function = call.function;
+        Stream<Place> places = listed ? function.list.stream()
+                : scan(function).stream().map(worker -> place(function, worker));
+        return places.filter(place -> place.worker != avoided && hasRoom(call, place, margin, part))
+                .findFirst().orElse(null);
     }
 
     /**
-     * A pick made while the workers before it had no room is given up after a while, so that routers come back to
-     * the same workers and one copy serves them all.
+     * A pick made while the workers before it had no room is given up after a while, so that routers come
+     * back to the same workers and one copy serves them all.
      */
     private boolean strayed(Place place) {
         if (place.listed == null || !now.since(place.listed).longerThan(facts.copies().kept().times(STRAY))) {
             return false;
         }
         Worker home = home(place.function);
-        return home != null && home != place.worker && !place.function.list.contains(place(place.function, home));
+        return home != null && home != place.worker
+                && !place.function.list.contains(place(place.function, home));
     }
 
     /** The worker that all routers would pick first, if each had room everywhere. */
@@ -279,7 +266,7 @@
             margin = WIDE;
             part = OVERDRAFT;
         }
-        if (held > margin * (mean + SPARE) || worker.out.size() - worker.coldOut + 1 > bearing(worker) * part) {
+        if (held > margin * (mean + SPARE) || warmOut(worker) + 1 > bearing(worker) * part) {
             return false;
         }
         return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
@@ -293,7 +280,7 @@
         return moment != null && now.before(moment);
     }
 
-    /** Instances believed to stand; the belief ends when nothing renewed it for as long as idle copies are kept. */
+    /** Instances believed to stand; the belief ends when nothing renewed it while idle copies are kept. */
     private int instances(Place place) {
         if (place.touched == null || now.since(place.touched).longerThan(facts.copies().kept())) {
             place.instances = place.inFlight > 0 ? Math.min(1, place.instances) : 0;
@@ -302,17 +289,22 @@
     }
 
     /*
-     * The part of A_k that the ledger can't count: how many of our calls a worker bears at once. It widens while
-     * calls that found their copy are quick and shrinks when they near their expected time or the worker is full,
-     * whoever crowds it. Workers that hold less work, not more, come out of a jam: calls that only wait pin memory.
+     * The part of A_k that the ledger can't count: how many of our calls a worker bears at once. It widens
+     * while calls that found their copy are quick and shrinks when they near their expected time or the
+     * worker is full, whoever crowds it. Workers that hold less work, not more, come out of a jam: calls that
+     * only wait pin memory.
      */
     private double bearing(Worker worker) {
         return worker.bearing > 0 ? worker.bearing : BEARING;
     }
 
+    private int warmOut(Worker worker) {
+        return worker.out.size() - worker.coldOut;
+    }
+
     private void strained(Worker worker, double factor) {
         if (!later(worker.easedUntil)) {
-            worker.bearing = Math.max(1, Math.min(bearing(worker), worker.out.size() - worker.coldOut + 1) * factor);
+            worker.bearing = Math.max(1, Math.min(bearing(worker), warmOut(worker) + 1) * factor);
             worker.easedUntil = now.plus(FULL_FOR);
         }
     }
@@ -388,7 +380,7 @@
                     worker.strainCount.add(now, weight * STRAIN);
                     if (worker.strainSum.read(now) > worker.strainCount.read(now)) {
                         strained(worker, 0.85);
-                    } else if (worker.out.size() - worker.coldOut + 2 > bearing(worker)) {
+                    } else if (warmOut(worker) + 2 > bearing(worker)) {
                         worker.bearing = bearing(worker) + 1 / bearing(worker);
                     }
                     worker.answers.add(now, 1);
@@ -456,7 +448,8 @@
 
     private Span expected(Function function) {
         double mean = (warmSeconds.read(now) + MEAN_SECONDS) / (warmAnswers.read(now) + 1);
-        return Span.seconds((function.warmSeconds.read(now) + 2 * mean) / (function.warmAnswers.read(now) + 2));
+        double answers = function.warmAnswers.read(now) + 2;
+        return Span.seconds((function.warmSeconds.read(now) + 2 * mean) / answers);
     }
 
     private Span expected(Call call) {
@@ -467,8 +460,7 @@
         return usual.plus(call.hint.times(warmSeconds.read(now) / hintSeconds.read(now))).times(0.5);
     }
 
-    /** How a leg's age compares with what it should take; a copy may have gone, so a load is allowed for where
-     *  the worker has answered anything since. */
+    /** A leg's age against what it should take, a load included where the worker has answered since. */
     private double overdue(Leg leg) {
         Worker worker = leg.place.worker;
         boolean silent = leg.copyBelieved && (worker.heard == null || worker.heard.before(leg.sent));
@@ -488,7 +480,7 @@
         return place;
     }
 
-    /** Worker ids, several marks each, in hash order, beginning at the hash of the function: each worker once. */
+    /** Worker ids, several marks each, in hash order from the hash of the function on: each worker once. */
     private List<Worker> scan(Function function) {
         if (function.scanEdition != edition) {
             function.scanEdition = edition;
@@ -525,7 +517,8 @@
         LinkedHashSet<String> named = new LinkedHashSet<>();
         for (Event.Listing listing : listed.listings()) {
             named.add(listing.worker());
-            Worker worker = workers.computeIfAbsent(listing.worker(), id -> new Worker(id, HEALTH, PACE, Span.seconds(1)));
+            Worker worker = workers.computeIfAbsent(listing.worker(),
+                    id -> new Worker(id, HEALTH, PACE, STRAINS));
             boolean restarted = listing.since() != null && !listing.since().equals(worker.since);
             worker.zone = listing.zone();
             worker.cell = listing.cell();
@@ -582,9 +575,9 @@
     // ---- 1: a worker that fails or is slow against the fleet leaves the lists for a while
 
     /*
-     * Guards against workers that crawl, fail fast, hang or vanish before the list says so. Judged only against the
-     * fleet's median, so that a slow store or a flood sets nobody aside. Could harm when one worker serves the only
-     * heavy functions; times are therefore taken relative to each function's own.
+     * Guards against workers that crawl, fail fast, hang or vanish before the list says so. Judged only
+     * against the fleet's median, so that a slow store or a flood sets nobody aside. Could harm when one
+     * worker serves the only heavy functions; times are therefore taken relative to each function's own.
      */
     private final class SetAside {
         private final Span fixed;
@@ -625,7 +618,8 @@
                     count += late;
                     slow += lateness;
                 }
-                seen.add(new double[] {count, slow / Math.max(1, count), worker.failures.read(now) / Math.max(1, count)});
+                double of = Math.max(1, count);
+                seen.add(new double[] {count, slow / of, worker.failures.read(now) / of});
                 aside += later(worker.asideUntil) ? 1 : 0;
             }
             double median = Math.max(1, median(seen, 1));
@@ -656,7 +650,8 @@
         }
 
         private static double median(List<double[]> seen, int column) {
-            double[] levels = seen.stream().filter(s -> s[0] >= 1).mapToDouble(s -> s[column]).sorted().toArray();
+            double[] levels = seen.stream().filter(s -> s[0] >= 1).mapToDouble(s -> s[column]).sorted()
+                    .toArray();
             return levels.length == 0 ? 0 : levels[levels.length / 2];
         }
 
@@ -674,15 +669,15 @@
     // ---- 2: a worker that has just started gets no more than our part of what it can bear
 
     /*
-     * Our own rate of settled calls on a warm worker is our part of what a warm worker bears at the least; a cold
-     * one gets the multiple of its present share of that which the rule allows, with a margin. Harm: while we
-     * have settled little, a cold worker warms slowly.
+     * Our own rate of settled calls on a warm worker is our part of what a warm worker bears at the least; a
+     * cold one gets the multiple of its present share of that which the rule allows, with a margin. Harm:
+     * while we have settled little, a cold worker warms slowly.
      */
     private final class ColdAllowance {
-        private final ColdStart rule;
+        private final Facts.ColdStart rule;
         private final double margin;
 
-        ColdAllowance(ColdStart rule, double margin) {
+        ColdAllowance(Facts.ColdStart rule, double margin) {
             this.rule = rule;
             this.margin = margin;
         }
@@ -748,18 +743,19 @@
         }
 
         boolean mayDismiss(Call call) {
-            return call.terms.effect() == Effect.RETRIABLE || firstThatMayHaveRun(call) == null
-                    || call.terms.effect() == Effect.FINGERPRINTED && call.terms.group() == Group.ALL;
+            return call.terms.effect() == Facts.Effect.RETRIABLE || firstThatMayHaveRun(call) == null
+                    || call.terms.effect() == Facts.Effect.FINGERPRINTED
+                    && call.terms.group() == Facts.Group.ALL;
         }
 
-        /** A fingerprinted call that may have run stays within the group that drops its repeats, and its time. */
+        /** A fingerprinted call that may have run stays where and while its repeats are dropped. */
         boolean mayGoTo(Call call, Worker worker) {
             Leg ran = firstThatMayHaveRun(call);
-            if (ran == null || call.terms.effect() == Effect.RETRIABLE) {
+            if (ran == null || call.terms.effect() == Facts.Effect.RETRIABLE) {
                 return true;
             }
             Worker first = ran.place.worker;
-            return call.terms.effect() == Effect.FINGERPRINTED
+            return call.terms.effect() == Facts.Effect.FINGERPRINTED
                     && now.since(ran.sent).plus(facts.quantum()).compareTo(call.terms.remembered()) < 0
                     && switch (call.terms.group()) {
                         case ALL -> true;
@@ -769,14 +765,14 @@
         }
 
         boolean may(Call call) {
-            boolean harmless = call.terms.effect() != Effect.BINDING || firstThatMayHaveRun(call) == null;
-            return harmless && !call.streaming && call.legs.size() < most
-                    && spent.read(now) < few + share * taken.read(now)
+            boolean binding = call.terms.effect() == Facts.Effect.BINDING;
+            return (!binding || firstThatMayHaveRun(call) == null) && !call.streaming
+                    && call.legs.size() < most && spent.read(now) < few + share * taken.read(now)
                     && call.givenUpAt.since(now).longerThan(expected(call.function));
         }
 
         boolean mayMove(Call call) {
-            return cancel && !call.over && call.terms.effect() != Effect.BINDING && may(call);
+            return cancel && !call.over && call.terms.effect() != Facts.Effect.BINDING && may(call);
         }
 
         void spend() {
@@ -787,14 +783,14 @@
     // ---- 4: copies in use are held, and one is added where calls crowd
 
     private final class LoadOrders {
-        private final Ration ration;
+        private final Facts.Ration ration;
         private final Span kept;
         private final boolean allowed;
         private final double renewAt;
         private final ArrayDeque<Moment> orders = new ArrayDeque<>();
         private final ArrayDeque<Moment> takenLately = new ArrayDeque<>();
 
-        LoadOrders(Ration ration, Span kept, boolean allowed, double renewAt) {
+        LoadOrders(Facts.Ration ration, Span kept, boolean allowed, double renewAt) {
             this.ration = ration;
             this.kept = kept;
             this.allowed = allowed;
@@ -831,7 +827,7 @@
             return true;
         }
 
-        void keep(Collection<Function> all) {
+        void keep(Iterable<Function> all) {
             if (!allowed) {
                 return;
             }
@@ -872,11 +868,12 @@
     // ---- 5: loads are begun only as fast as they come up; beyond that, calls join a load under way
 
     /*
-     * Guards against load storms, whatever sets them off: a slow, crowded, refusing or stopped store, workers whose
-     * waiting rooms fill with calls that wait for loads, refusals that would push every call to a worker where it
-     * starts one more load. A window of loads that this router may have under way widens with each load that comes
-     * up in its usual time and halves when loads fail or come late. Could harm by turning calls away while a flush
-     * is being made good; the loads under way then are those of the most wanted functions.
+     * Guards against load storms, whatever sets them off: a slow, crowded, refusing or stopped store, workers
+     * whose waiting rooms fill with calls that wait for loads, refusals that would push every call to a
+     * worker where it starts one more load. A window of loads that this router may have under way widens with
+     * each load that comes up in its usual time and halves when loads fail or come late. Could harm by
+     * turning calls away while a flush is being made good; the loads under way then are those of the most
+     * wanted functions.
      */
     private final class StoreGuard {
         private final double late;
@@ -923,7 +920,7 @@
             return under < window && place.worker.loading <= mean + 2 && fits(place);
         }
 
-        /** The memory that we believe in use there; what other routers load is unknown, hence only a part counts. */
+        /** The memory believed in use there; what other routers load is unknown, so only a part may be. */
         private boolean fits(Place place) {
             double machine = facts.copies().memoryOfKinds().stream().mapToDouble(mb -> mb).min().orElse(0);
             double used = place.function.memoryMb;
@@ -968,8 +965,9 @@
         }
 
         /**
-         * A worker refused as full: where its room is taken up by loads, or much of the fleet refuses, further loads
-         * would only fill more rooms. A lone hot worker without loads is no reason: its functions should spread.
+         * A worker refused as full: where its room is taken up by loads, or much of the fleet refuses,
+         * further loads would only fill more rooms. A lone hot worker without loads is no reason: its
+         * functions should spread.
          */
         void refused(Worker by) {
             long refusing = inService.stream().filter(worker -> later(worker.refusedUntil)).count();
@@ -982,8 +980,8 @@
             if (cut == null || now.since(cut).longerThan(Span.seconds(1))) {
                 cut = now;
                 window /= 2;
-                todo.add(new Action.Log(String.format("a load %s at %.1f of usual: %.1f may be under way, %d are", why,
-                        level, window, under)));
+                todo.add(new Action.Log(String.format("a load %s at %.1f: %.1f may be under way, %d are",
+                        why, level, window, under)));
             }
         }
     }
--- a/src/test/java/pearladder/PolicyTest.java
+++ b/src/test/java/pearladder/PolicyTest.java
@@ -152,6 +152,11 @@
         rig.pass(Span.seconds(1));
         assertTrue(rig.all.stream().anyMatch(a -> a instanceof Action.Log log && log.text().contains(slow)));
         assertTrue(stuck.stream().anyMatch(call -> rig.all.contains(new Action.Cancel(call.id, 0))));
+        for (Rig.Taken call : stuck) {
+            if (call.outcomes.get(0) == null) {
+                rig.end(call, 0, Outcome.WITHDRAWN, Copy.UNTOLD, Span.seconds(1));
+            }
+        }
         assertNotEquals(slow, home(rig, "f0"));
         rig.pass(Span.seconds(6));
         assertEquals(slow, home(rig, "f0"), "it returns after the fixed time and its random part");
