--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -87,7 +87,7 @@
     private int legsOut;
     private boolean begun;
 
-    private final SetAside setAside = new SetAside(Span.seconds(3), Span.seconds(2), 0.4, 5, 3);
+    private final SetAside setAside = new SetAside(Span.seconds(3), Span.seconds(2), 0.4, 8, 4);
     private final ColdAllowance coldAllowance;
     private final FurtherLegs furtherLegs;
     private final LoadOrders loadOrders;
@@ -844,7 +844,8 @@
                     boolean waiting = place.orderedAt != null
                             && !now.since(place.orderedAt).longerThan(storeGuard.usual(function).times(2));
                     int known = instances(place);
-                    if (known > 0 && known < 4 && !waiting && place.inFlight > function.lanes * known) {
+                    boolean crowded = known > 0 && known < 4 && place.inFlight > function.lanes * known;
+                    if (crowded && !waiting && place.worker.loading < 1 && storeGuard.fits(place)) {
                         order(place, known + 1);
                     }
                 }
