--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -64,6 +64,7 @@
     private static final double BEARING = 4;                 // calls out that a worker bears, at first
     private static final double STRAY = 0.4;                 // of the time that idle copies are kept
     private static final double OVERDRAFT = 2.5;             // of what it bears, where none has snug room
+    private static final double MOST_STRAIN = 1.8;           // in strains: no overdraft beyond it
     private static final double LOADING = 2;                 // reported loads that fill a worker's rooms
     private static final int SILENT = 3;                     // overdue legs and no answer since: it hangs
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
@@ -266,7 +267,9 @@
             margin = WIDE;
             part = OVERDRAFT;
         }
-        if (held > margin * (mean + SPARE) || warmOut(worker) + 1 > bearing(worker) * part) {
+        boolean strained = worker.strainSum.read(now) > MOST_STRAIN * worker.strainCount.read(now);
+        double borne = bearing(worker) * (strained ? Math.min(1, part) : part);
+        if (held > margin * (mean + SPARE) || warmOut(worker) + 1 > borne) {
             return false;
         }
         return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
--- a/src/test/java/pearladder/PolicyTest.java
+++ b/src/test/java/pearladder/PolicyTest.java
@@ -194,7 +194,7 @@
         assertEquals(home, home(rig, "f"));
     }
 
-    /* Found on slope-maps: with every worker holding too much, all answers came late. */
+    /* Found on slope-maps (i12d551, i63f7e7): with every worker holding too much, all answers came late. */
     @Test
     void aStrainedWorkerBearsFewerCalls() {
         assertTrue(borne(Span.millis(900)) < borne(Span.millis(100)));
@@ -221,6 +221,29 @@
         return taken;
     }
 
+    /* Found on slope-maps (i5d4f4a): functions spread to all workers and pushed each other out of memory. */
+    @Test
+    void functionsSpreadOnlyWhereMemoryIsLeft() {
+        assertTrue(spread(500) > 1);
+        assertEquals(1, spread(30000));
+    }
+
+    private static int spread(double memoryMb) {
+        Rig rig = Rig.withWorkers(Rig.plain(), 4);
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 60; i++) {
+            String id = "m" + i;
+            Rig.Taken call = new Rig.Taken(id, Rig.RETRIABLE, rig.now.plus(Span.seconds(4)));
+            rig.calls.put(id, call);
+            rig.on(new Event.CallCame(id, "f", "draw", null, Span.seconds(4), 2, memoryMb, QUICK, null, false, false));
+            used.addAll(call.workers);
+            if (i == 0) {
+                rig.settle(call, QUICK);
+            }
+        }
+        return used.size();
+    }
+
     @Test
     void aCopyInUseIsHeldWithinTheRation() {
         Facts facts = Rig.facts(true, true, new Facts.Ration(2, 0.1, Span.seconds(5)), List.of());
