Functions without calls, copies or legs are dropped

Guards against a router that grows without end where many functions are wanted once; harm: after two quiet minutes a function's usual times are learned anew.

--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -67,6 +67,7 @@
     private static final double MOST_STRAIN = 1.8;           // in strains: no overdraft beyond it
     private static final double LOADING = 2;                 // reported loads that fill a worker's rooms
     private static final int SILENT = 3;                     // overdue legs and no answer since: it hangs
+    private static final double FORGOTTEN = 0.01;            // faded calls under which a function is dropped
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
 
     private final long seed;
@@ -137,11 +138,8 @@
             todo.add(new Action.Subscribe(true));
         } else if (event instanceof Event.Listed listed) {
             follow(listed);
-        } else if (event instanceof Event.ClientLeft left) {
-            Call call = calls.get(left.call());
-            if (call != null) {
-                close(call);
-            }
+        } else if (event instanceof Event.ClientLeft left && calls.containsKey(left.call())) {
+            close(calls.get(left.call()));
         } else if (event instanceof Event.StreamBegan began && calls.containsKey(began.call())) {
             calls.get(began.call()).streaming = true;
         } else if (event instanceof Event.LoadAnswered answered) {
@@ -193,15 +191,14 @@
 
     /** The list, then the scan. Where copies come by order, a call rather waits than begins a load. */
     private Place choose(Call call, Worker avoided, double part) {
-        boolean ordered = facts.copies().orders();
         Place place = first(call, avoided, true, SNUG, part);
-        if (place == null && !ordered) {
+        if (place == null && !facts.copies().orders()) {
             place = first(call, avoided, false, SNUG, part);
         }
         if (place == null) {
             place = first(call, avoided, true, WIDE, part * OVERDRAFT);
         }
-        if (place == null && ordered) {
+        if (place == null && facts.copies().orders()) {
             place = first(call, avoided, false, SNUG, part);
         }
         return place != null ? place : first(call, avoided, false, WIDE, part * OVERDRAFT);
@@ -269,7 +266,7 @@
         }
         boolean strained = worker.strainSum.read(now) > MOST_STRAIN * worker.strainCount.read(now);
         double borne = bearing(worker) * (strained ? Math.min(1, part) : part);
-        if (held > margin * (mean + SPARE) || warmOut(worker) + 1 > borne) {
+        if (held > margin * (mean + SPARE) || worker.warmOut() + 1 > borne) {
             return false;
         }
         return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
@@ -301,13 +298,9 @@
         return worker.bearing > 0 ? worker.bearing : BEARING;
     }
 
-    private int warmOut(Worker worker) {
-        return worker.out.size() - worker.coldOut;
-    }
-
     private void strained(Worker worker, double factor) {
         if (!later(worker.easedUntil)) {
-            worker.bearing = Math.max(1, Math.min(bearing(worker), warmOut(worker) + 1) * factor);
+            worker.bearing = Math.max(1, Math.min(bearing(worker), worker.warmOut() + 1) * factor);
             worker.easedUntil = now.plus(FULL_FOR);
         }
     }
@@ -345,7 +338,7 @@
             close(call);
         } else if (call.legsOut == 0) {
             if (furtherLegs.may(call)) {
-                furtherLegs.spend();
+                furtherLegs.spent.add(now, 1);
                 place(call, ended.outcome() == Outcome.ABSENT ? null : worker);
             } else {
                 answer(call);
@@ -383,7 +376,7 @@
                     worker.strainCount.add(now, weight * STRAIN);
                     if (worker.strainSum.read(now) > worker.strainCount.read(now)) {
                         strained(worker, 0.85);
-                    } else if (warmOut(worker) + 2 > bearing(worker)) {
+                    } else if (worker.warmOut() + 2 > bearing(worker)) {
                         worker.bearing = bearing(worker) + 1 / bearing(worker);
                     }
                     worker.answers.add(now, 1);
@@ -573,6 +566,17 @@
         for (Function function : functions.values()) {
             function.list.removeIf(place -> place.inFlight == 0 && instances(place) == 0 || strayed(place));
         }
+        functions.values().removeIf(this::forgotten);
+    }
+
+    /** A function without calls of late, copies or legs is dropped, or one-off functions would pile up. */
+    private boolean forgotten(Function function) {
+        boolean used = function.calls.read(now) > FORGOTTEN || !function.list.isEmpty()
+                || function.places.values().stream().anyMatch(place -> place.inFlight + instances(place) > 0);
+        if (!used) {
+            function.places.values().forEach(place -> place.worker.places.remove(place));
+        }
+        return !used;
     }
 
     // ---- 1: a worker that fails or is slow against the fleet leaves the lists for a while
@@ -778,9 +782,6 @@
             return cancel && !call.over && call.terms.effect() != Facts.Effect.BINDING && may(call);
         }
 
-        void spend() {
-            spent.add(now, 1);
-        }
     }
 
     // ---- 4: copies in use are held, and one is added where calls crowd
@@ -839,8 +840,7 @@
                     continue;
                 }
                 Place head = function.list.get(0);
-                int stand = instances(head);
-                if (stand > 0 && now.since(head.touched).longerThan(kept.times(renewAt))) {
+                if (instances(head) > 0 && now.since(head.touched).longerThan(kept.times(renewAt))) {
                     order(head, 1);
                 }
                 for (Place place : function.list) {
--- a/src/main/java/pearladder/state/Worker.java
+++ b/src/main/java/pearladder/state/Worker.java
@@ -42,4 +42,9 @@
         this.strainSum = new Decaying(strain);
         this.strainCount = new Decaying(strain);
     }
+
+    /** Legs out that were believed to find their copy. */
+    public int warmOut() {
+        return out.size() - coldOut;
+    }
 }
--- a/src/test/java/pearladder/PolicyTest.java
+++ b/src/test/java/pearladder/PolicyTest.java
@@ -269,6 +269,17 @@
         assertTrue(ended[0] > ended[1], ended[0] + " over share, " + ended[1] + " within");
     }
 
+    /* Found reading the module: one-off functions were kept for ever. The routers agree again after forgetting. */
+    @Test
+    void aForgottenFunctionFindsItsFirstWorkerAgain() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 8);
+        String home = home(rig, "f");
+        rig.pass(Span.seconds(200));
+        assertEquals(home, home(rig, "f"));
+        rig.on(new Event.LoadAnswered(home, "f", Outcome.SUCCESS, 1, QUICK));
+        rig.assertAllAnswered();
+    }
+
     @Test
     void anUnsettledLegAtTheAbandonTimeIsAnsweredAtOnce() {
         Rig rig = Rig.withWorkers(Rig.plain(), 3);
