What a worker bears may fall under one call where routers are many

Cause: each of 50 routers held one call out at a hot function's home, and a refusal there shut the load window of routers that each see little, so hot functions never spread (0.84 of the hottest function's calls on one worker). Change: start, step and floor of the bearing are our part of three routers'; under one call it is a pace; loads under way count by the share of unbelieved places where one really began.

--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -61,7 +61,8 @@
     private static final double SPARE = 1;                   // and in calls beside that
     private static final Span FULL_FOR = Span.millis(300);   // a worker that refused as full is passed over
     private static final double STRAIN = 0.4;                // of the expected time that warm calls may take
-    private static final double BEARING = 4;                 // calls out that a worker bears, at first
+    private static final double BEARING = 4;                 // calls out that a worker bears, at first,
+    private static final double FEW = 3;                     // from each of so many routers; more share them
     private static final double STRAY = 0.4;                 // of the time that idle copies are kept
     private static final double OVERDRAFT = 2.5;             // of what it bears, where none has snug room
     private static final double MOST_STRAIN = 1.8;           // in strains: no overdraft beyond it
@@ -266,7 +267,7 @@
         }
         boolean strained = worker.strainSum.read(now) > MOST_STRAIN * worker.strainCount.read(now);
         double borne = bearing(worker) * (strained ? Math.min(1, part) : part);
-        if (held > margin * (mean + SPARE) || worker.warmOut() + 1 > borne) {
+        if (held > margin * (mean + SPARE) || !bears(worker, place.function, borne)) {
             return false;
         }
         return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
@@ -295,16 +296,30 @@
      * only wait pin memory.
      */
     private double bearing(Worker worker) {
-        return worker.bearing > 0 ? worker.bearing : BEARING;
+        return worker.bearing > 0 ? worker.bearing : BEARING * ours();
+    }
+
+    /** Our part of what may be sent where routers are many and none sees the others' calls. */
+    private double ours() {
+        return Math.min(1, FEW / facts.peers());
     }
 
     private void strained(Worker worker, double factor) {
         if (!later(worker.easedUntil)) {
-            worker.bearing = Math.max(1, Math.min(bearing(worker), worker.warmOut() + 1) * factor);
+            worker.bearing = Math.max(ours(), Math.min(bearing(worker), worker.warmOut() + 1) * factor);
             worker.easedUntil = now.plus(FULL_FOR);
         }
     }
 
+    /** A worker that bears less than one of our calls gets one at a time, at the pace that makes up the part. */
+    private boolean bears(Worker worker, Function function, double borne) {
+        if (borne >= 1 || worker.sentAt == null) {
+            return worker.warmOut() + 1 <= Math.max(1, borne);
+        }
+        return worker.warmOut() == 0
+                && now.since(worker.sentAt).times(borne).longerThan(expected(function));
+    }
+
     private void send(Call call, Place place) {
         Worker worker = place.worker;
         Leg leg = new Leg(call, call.legs.size(), place, now, instances(place) > 0);
@@ -316,6 +331,7 @@
         place.touched = now;
         worker.out.add(leg);
         worker.coldOut += leg.copyBelieved ? 0 : 1;
+        worker.sentAt = now;
         coldAllowance.sent(worker);
         Span left = call.givenUpAt.since(now).minus(facts.quantum().times(2));
         todo.add(new Action.Send(call.id, worker.id, left.atLeast(new Span(1))));
@@ -364,6 +380,9 @@
                 worker.settled.add(now, 1);
                 place.touched = now;
                 place.instances = Math.max(1, place.instances);
+                if (!leg.copyBelieved) {
+                    storeGuard.met(ended.copy() == Copy.LOAD_BEGUN || ended.copy() == Copy.LOAD_JOINED);
+                }
                 if (ended.copy() == Copy.LOAD_BEGUN) {
                     place.instances += leg.copyBelieved ? 1 : 0;
                     storeGuard.loaded(function, Math.max(0, seconds - expected(function).inSeconds()));
@@ -377,7 +396,7 @@
                     if (worker.strainSum.read(now) > worker.strainCount.read(now)) {
                         strained(worker, 0.85);
                     } else if (worker.warmOut() + 2 > bearing(worker)) {
-                        worker.bearing = bearing(worker) + 1 / bearing(worker);
+                        worker.bearing = bearing(worker) + ours() / Math.max(1, bearing(worker));
                     }
                     worker.answers.add(now, 1);
                     worker.slowness.add(now, seconds / expected(leg.call).inSeconds());
@@ -887,6 +906,8 @@
         private final Decaying loadCount = new Decaying(DEMAND);
         private final Decaying loads = new Decaying(PACE);
         private final Decaying failures = new Decaying(PACE);
+        private final Decaying unbelieved = new Decaying(DEMAND);
+        private final Decaying begun = new Decaying(DEMAND);
         private double window = Double.NaN;
         private int under;
         private Moment cut;
@@ -915,13 +936,14 @@
             if (place.worker == home(place.function)) {
                 return true;
             }
+            double begins = (begun.read(now) + 1) / (unbelieved.read(now) + 1);
             for (Place other : place.function.list) {
-                if (other.loading && usable(other.worker)) {
+                if (other.loading && usable(other.worker) && begins > 0.5) {
                     return false;
                 }
             }
             double mean = inService.stream().mapToDouble(worker -> worker.loading).average().orElse(0);
-            return under < window && place.worker.loading <= mean + 2 && fits(place);
+            return under * begins < Math.max(1, window) && place.worker.loading <= mean + 2 && fits(place);
         }
 
         /** The memory believed in use there; what other routers load is unknown, so only a part may be. */
@@ -949,6 +971,12 @@
             }
         }
 
+        /** Where no copy was believed there may stand one: other routers' calls bring copies that nobody tells. */
+        void met(boolean load) {
+            unbelieved.add(now, 1);
+            begun.add(now, load ? 1 : 0);
+        }
+
         void loaded(Function function, double seconds) {
             double level = seconds / usual(function).inSeconds();
             loadSeconds.add(now, seconds);
