--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -267,7 +267,7 @@
         }
         boolean strained = worker.strainSum.read(now) > MOST_STRAIN * worker.strainCount.read(now);
         double borne = bearing(worker) * (strained ? Math.min(1, part) : part);
-        if (held > margin * (mean + SPARE) || !bears(worker, place.function, borne)) {
+        if (held > margin * (mean + SPARE) || !bears(place, borne)) {
             return false;
         }
         return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
@@ -311,13 +311,13 @@
         }
     }
 
-    /** A worker that bears less than one of our calls gets one at a time, at the pace that makes up the part. */
-    private boolean bears(Worker worker, Function function, double borne) {
-        if (borne >= 1 || worker.sentAt == null) {
-            return worker.warmOut() + 1 <= Math.max(1, borne);
+    /** Under one call the bearing is a pace for each function there: heavy users go on, light ones stay. */
+    private boolean bears(Place place, double borne) {
+        if (borne >= 1 || place.sentAt == null) {
+            return place.worker.warmOut() + 1 <= Math.max(1, borne);
         }
-        return worker.warmOut() == 0
-                && now.since(worker.sentAt).times(borne).longerThan(expected(function));
+        return place.inFlight == 0
+                && now.since(place.sentAt).times(borne).longerThan(expected(place.function));
     }
 
     private void send(Call call, Place place) {
@@ -331,7 +331,7 @@
         place.touched = now;
         worker.out.add(leg);
         worker.coldOut += leg.copyBelieved ? 0 : 1;
-        worker.sentAt = now;
+        place.sentAt = now;
         coldAllowance.sent(worker);
         Span left = call.givenUpAt.since(now).minus(facts.quantum().times(2));
         todo.add(new Action.Send(call.id, worker.id, left.atLeast(new Span(1))));
--- a/src/main/java/pearladder/state/Place.java
+++ b/src/main/java/pearladder/state/Place.java
@@ -10,6 +10,7 @@
     public int instances;
     public boolean loading;
     public Moment touched;
+    public Moment sentAt;
     public Moment listed;
     public Moment refusedUntil;
     public Moment orderedAt;
--- a/src/main/java/pearladder/state/Worker.java
+++ b/src/main/java/pearladder/state/Worker.java
@@ -27,7 +27,6 @@
     public double bearing;
     public Moment easedUntil;
     public Moment heard;
-    public Moment sentAt;
     public Moment refusedUntil;
     public Moment asideUntil;
     public double coldCredit;
