Under one call the bearing grows by 15 percent a good answer, as it shrinks

A fixed step was a doubling at a bearing of 0.06 against 15 percent down, so only workers strained in 6 of 7 answers were relieved.

--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -306,7 +306,7 @@
 
     private void strained(Worker worker, double factor) {
         if (!later(worker.easedUntil)) {
-            worker.bearing = Math.max(ours(), Math.min(bearing(worker), worker.warmOut() + 1) * factor);
+            worker.bearing = Math.max(ours() * ours(), Math.min(bearing(worker), worker.warmOut() + 1) * factor);
             worker.easedUntil = now.plus(FULL_FOR);
         }
     }
@@ -396,7 +396,8 @@
                     if (worker.strainSum.read(now) > worker.strainCount.read(now)) {
                         strained(worker, 0.85);
                     } else if (worker.warmOut() + 2 > bearing(worker)) {
-                        worker.bearing = bearing(worker) + ours() / Math.max(1, bearing(worker));
+                        double bearing = bearing(worker);
+                        worker.bearing = bearing + (bearing < 1 ? 0.15 * bearing : ours() / bearing);
                     }
                     worker.answers.add(now, 1);
                     worker.slowness.add(now, seconds / expected(leg.call).inSeconds());
