--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -193,6 +193,9 @@
     /** The list, then the scan. Where copies come by order, a call rather waits than begins a load. */
     private Place choose(Call call, Worker avoided, double part) {
         Place place = first(call, avoided, true, SNUG, part);
+        if (place == null) {
+            place = first(call, avoided, true, SNUG + 0.001, part);
+        }
         if (place == null && !facts.copies().orders()) {
             place = first(call, avoided, false, SNUG, part);
         }
@@ -267,7 +270,7 @@
         }
         boolean strained = worker.strainSum.read(now) > MOST_STRAIN * worker.strainCount.read(now);
         double borne = bearing(worker) * (strained ? Math.min(1, part) : part);
-        if (held > margin * (mean + SPARE) || !bears(place, borne)) {
+        if (held > margin * (mean + SPARE) || !bears(place, margin > SNUG ? place.sentAt : worker.sentAt, borne)) {
             return false;
         }
         return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
@@ -312,12 +315,12 @@
     }
 
     /** Under one call the bearing is a pace for each function there: heavy users go on, light ones stay. */
-    private boolean bears(Place place, double borne) {
-        if (borne >= 1 || place.sentAt == null) {
+    private boolean bears(Place place, Moment last, double borne) {
+        if (borne >= 1 || last == null) {
             return place.worker.warmOut() + 1 <= Math.max(1, borne);
         }
         return place.inFlight == 0
-                && now.since(place.sentAt).times(borne).longerThan(expected(place.function));
+                && now.since(last).times(borne).longerThan(expected(place.function));
     }
 
     private void send(Call call, Place place) {
@@ -332,6 +335,7 @@
         worker.out.add(leg);
         worker.coldOut += leg.copyBelieved ? 0 : 1;
         place.sentAt = now;
+        worker.sentAt = now;
         coldAllowance.sent(worker);
         Span left = call.givenUpAt.since(now).minus(facts.quantum().times(2));
         todo.add(new Action.Send(call.id, worker.id, left.atLeast(new Span(1))));
--- a/src/main/java/pearladder/state/Worker.java
+++ b/src/main/java/pearladder/state/Worker.java
@@ -27,6 +27,7 @@
     public double bearing;
     public Moment easedUntil;
     public Moment heard;
+    public Moment sentAt;
     public Moment refusedUntil;
     public Moment asideUntil;
     public double coldCredit;
