--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -60,7 +60,7 @@
     private static final double WIDE = 3;
     private static final double SPARE = 1;                   // and in calls beside that
     private static final Span FULL_FOR = Span.millis(300);   // a worker that refused as full is passed over
-    private static final double STRAIN = 0.4;                // of the expected time that warm calls may take
+    private static final double STRAIN = 0.3;                // of the expected time that warm calls may take
     private static final double BEARING = 4;                 // calls out that a worker bears, at first,
     private static final double FEW = 3;                     // from each of so many routers; more share them
     private static final double STRAY = 0.4;                 // of the time that idle copies are kept
