--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -273,7 +273,7 @@
         if (held > margin * (mean + SPARE) || !bears(place, margin > SNUG ? place.sentAt : worker.sentAt, borne)) {
             return false;
         }
-        return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place, margin > SNUG);
+        return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
     }
 
     private boolean usable(Worker worker) {
@@ -872,7 +872,7 @@
                             && !now.since(place.orderedAt).longerThan(storeGuard.usual(function).times(2));
                     int known = instances(place);
                     boolean crowded = known > 0 && known < 4 && place.inFlight > function.lanes * known;
-                    if (crowded && !waiting && place.worker.loading < 1 && storeGuard.fits(place, storeGuard.part)) {
+                    if (crowded && !waiting && place.worker.loading < 1 && storeGuard.fits(place)) {
                         order(place, known + 1);
                     }
                 }
@@ -931,7 +931,7 @@
         }
 
         /** Whether a call may go to a place where it would begin a load. */
-        boolean mayBegin(Place place, boolean last) {
+        boolean mayBegin(Place place) {
             if (instances(place) > 0 || place.loading) {
                 return true;
             }
@@ -948,12 +948,11 @@
                 }
             }
             double mean = inService.stream().mapToDouble(worker -> worker.loading).average().orElse(0);
-            return under * begins < Math.max(1, window) && place.worker.loading <= mean + 2
-                    && fits(place, last ? 2 * part : part);
+            return under * begins < Math.max(1, window) && place.worker.loading <= mean + 2 && fits(place);
         }
 
         /** The memory believed in use there; what other routers load is unknown, so only a part may be. */
-        private boolean fits(Place place, double part) {
+        private boolean fits(Place place) {
             double machine = facts.copies().memoryOfKinds().stream().mapToDouble(mb -> mb).min().orElse(0);
             double used = place.function.memoryMb;
             for (Place held : place.worker.places) {
