A call waits at a warm worker while that is shorter than a likely load; loads by our part

Changes: past its pace a warm worker still takes a call while its warm answers are quicker than begins x usual load time; the bearing shrinks by how far strain is over (0.6 at once at most); the load window is capped at our part of the fleet and grows by our part; a load is late at twice its usual time.

--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -94,7 +94,7 @@
     private final ColdAllowance coldAllowance;
     private final FurtherLegs furtherLegs;
     private final LoadOrders loadOrders;
-    private final StoreGuard storeGuard = new StoreGuard(3, 0.33, 0.4);
+    private final StoreGuard storeGuard = new StoreGuard(2, 0.33, 0.4);
     private final Shedding shedding;
 
     private Moment now;
@@ -268,9 +268,11 @@
             margin = WIDE;
             part = OVERDRAFT;
         }
-        boolean strained = worker.strainSum.read(now) > MOST_STRAIN * worker.strainCount.read(now);
+        boolean strained = strain(worker) > MOST_STRAIN;
         double borne = bearing(worker) * (strained ? Math.min(1, part) : part);
-        if (held > margin * (mean + SPARE) || !bears(place, margin > SNUG ? place.sentAt : worker.sentAt, borne)) {
+        if (held > margin * (mean + SPARE)
+                || !bears(place, margin > SNUG ? place.sentAt : worker.sentAt, borne)
+                && !(margin > SNUG && bearing(worker) < 1 && instances(place) > 0 && cheaper(call, place))) {
             return false;
         }
         return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
@@ -307,6 +309,17 @@
         return Math.min(1, FEW / facts.peers());
     }
 
+    /** Whether the wait at a warm worker is shorter than what a load elsewhere is likely to take. */
+    private boolean cheaper(Call call, Place place) {
+        double wait = strain(place.worker) * STRAIN * call.terms.expected().inSeconds();
+        return wait < storeGuard.begins() * storeGuard.usual(place.function).inSeconds();
+    }
+
+    private double strain(Worker worker) {
+        double count = worker.strainCount.read(now);
+        return count <= 0 ? 0 : worker.strainSum.read(now) / count;
+    }
+
     private void strained(Worker worker, double factor) {
         if (!later(worker.easedUntil)) {
             worker.bearing = Math.max(ours() * ours(), Math.min(bearing(worker), worker.warmOut() + 1) * factor);
@@ -397,8 +410,8 @@
                     }
                     worker.strainSum.add(now, weight * seconds / leg.call.terms.expected().inSeconds());
                     worker.strainCount.add(now, weight * STRAIN);
-                    if (worker.strainSum.read(now) > worker.strainCount.read(now)) {
-                        strained(worker, 0.85);
+                    if (strain(worker) > 1) {
+                        strained(worker, Math.max(0.6, Math.min(0.85, 1 / strain(worker))));
                     } else if (worker.warmOut() + 2 > bearing(worker)) {
                         double bearing = bearing(worker);
                         worker.bearing = bearing + (bearing < 1 ? 0.15 * bearing : ours() / bearing);
@@ -930,6 +943,11 @@
             return Span.seconds((loadSeconds.read(now) + 1) / (loadCount.read(now) + 1));
         }
 
+        /** The share of legs sent where no copy was believed that met a load all the same. */
+        double begins() {
+            return (begun.read(now) + 1) / (unbelieved.read(now) + 1);
+        }
+
         /** Whether a call may go to a place where it would begin a load. */
         boolean mayBegin(Place place) {
             if (instances(place) > 0 || place.loading) {
@@ -941,14 +959,13 @@
             if (place.worker == home(place.function)) {
                 return true;
             }
-            double begins = (begun.read(now) + 1) / (unbelieved.read(now) + 1);
             for (Place other : place.function.list) {
-                if (other.loading && usable(other.worker) && begins > 0.5) {
+                if (other.loading && usable(other.worker) && begins() > 0.5) {
                     return false;
                 }
             }
             double mean = inService.stream().mapToDouble(worker -> worker.loading).average().orElse(0);
-            return under * begins < Math.max(1, window) && place.worker.loading <= mean + 2 && fits(place);
+            return under * begins() < Math.max(1, window) && place.worker.loading <= mean + 2 && fits(place);
         }
 
         /** The memory believed in use there; what other routers load is unknown, so only a part may be. */
@@ -990,7 +1007,7 @@
             if (level > late) {
                 narrow("late", level);
             } else {
-                window = Math.min(inService.size(), window + 0.5);
+                window = Math.min(Math.max(1, inService.size() * ours()), window + 0.5 * ours());
             }
         }
 
