--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.stream.Stream;
+import java.util.stream.IntStream;
 import java.util.zip.CRC32;
 import pearladder.api.Action;
 import pearladder.api.Dispatcher;
@@ -23,7 +23,6 @@
 import pearladder.api.Moment;
 import pearladder.api.Outcome;
 import pearladder.api.Span;
-import pearladder.state.Account;
 import pearladder.state.Call;
 import pearladder.state.Decaying;
 import pearladder.state.Function;
@@ -40,13 +39,12 @@
  * the first listed worker with room, else the first with room in an order of workers rotated by a hash of
  * the function, which joins the list; with no room anywhere the call is dismissed at once.
  *
- * Beside it stand six mechanisms, each a part of its own below:
+ * Beside it stand five mechanisms, each a part of its own below:
  *   1 SetAside       a worker that fails or is slow against the fleet leaves the lists for a while
  *   2 ColdAllowance  a worker that has just started gets no more than our part of what it can bear
  *   3 FurtherLegs    what may be sent again, when, and how much of that in all
  *   4 LoadOrders     copies that are in use are held, and one is added where calls crowd, within the ration
  *   5 StoreGuard     loads are begun only as fast as they come up; beyond that, calls join a load under way
- *   6 Shedding       when room is short, calls over their account's share and hopeless ones go first
  */
 public final class Policy implements Dispatcher {
     private static final Span BEAT = Span.millis(100);
@@ -56,26 +54,35 @@
     private static final Span DEMAND = Span.seconds(30);     // fade of a function's demand
     private static final int LIST = 4;                       // workers listed for a function
     private static final int MARKS = 64;                     // marks of each worker on the ring
-    private static final double SNUG = 1.5;                  // margins of room, in mean holdings of a worker
-    private static final double WIDE = 3;
-    private static final double SPARE = 1;                   // and in calls beside that
+    private static final double SPARE = 1;                   // room for calls beside the mean holding
     private static final Span FULL_FOR = Span.millis(300);   // a worker that refused as full is passed over
     private static final double STRAIN = 0.3;                // of the expected time that warm calls may take
     private static final double BEARING = 4;                 // calls out that a worker bears, at first,
     private static final double FEW = 3;                     // from each of so many routers; more share them
     private static final double STRAY = 0.4;                 // of the time that idle copies are kept
-    private static final double OVERDRAFT = 2.5;             // of what it bears, where none has snug room
     private static final double MOST_STRAIN = 1.8;           // in strains: no overdraft beyond it
     private static final double LOADING = 2;                 // reported loads that fill a worker's rooms
     private static final int SILENT = 3;                     // overdue legs and no answer since: it hangs
     private static final double FORGOTTEN = 0.01;            // faded calls under which a function is dropped
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
 
+    /** How tightly room is judged: in mean holdings of a worker, and in what it bears. */
+    private enum Room {
+        SNUG(1.5, 1), PACED(1.5, 1), WIDE(3, 2.5);
+
+        final double margin;
+        final double overdraft;
+
+        Room(double margin, double overdraft) {
+            this.margin = margin;
+            this.overdraft = overdraft;
+        }
+    }
+
     private final long seed;
     private long drawn;
     private final Facts facts;
     private final Map<String, Terms> terms = new HashMap<>();
-    private final Map<String, Account> accounts = new HashMap<>();
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<String, Worker> workers = new TreeMap<>();
     private final Map<String, Function> functions = new LinkedHashMap<>();
@@ -95,7 +102,6 @@
     private final FurtherLegs furtherLegs;
     private final LoadOrders loadOrders;
     private final StoreGuard storeGuard = new StoreGuard(2, 0.33, 0.4);
-    private final Shedding shedding;
 
     private Moment now;
     private List<Action> todo;
@@ -106,13 +112,9 @@
         for (Terms category : facts.categories()) {
             terms.put(category.name(), category);
         }
-        for (Facts.Account account : facts.accounts()) {
-            accounts.put(account.name(), new Account(account));
-        }
         coldAllowance = new ColdAllowance(facts.coldStart(), 0.6);
         furtherLegs = new FurtherLegs(facts.allowances().legs(), facts.allowances().cancel(), 0.2, 3);
         loadOrders = new LoadOrders(facts.ration(), facts.copies().kept(), facts.copies().orders(), 0.55);
-        shedding = new Shedding(facts.peers(), 0.7);
     }
 
     @Override
@@ -166,54 +168,55 @@
         function.usualLoad = came.usualLoad();
         function.calls.add(now, 1);
         function.taken++;
-        function.lastCall = now;
         taken.add(now, 1);
         loadOrders.taken();
-        Account account = came.account() == null ? null : accounts.get(came.account());
-        Call call = new Call(came.call(), function, category, account, now, now.plus(came.timeLeft()),
-                came.hint());
-        call.overShare = shedding.overShare(account);
+        Call call = new Call(came.call(), function, category, now, now.plus(came.timeLeft()), came.hint());
         calls.put(call.id, call);
         place(call, null);
     }
 
     /** Sends the call to the first worker with room, or gives the final answer at once. */
     private void place(Call call, Worker avoided) {
-        if (!shedding.hopeless(call)) {
-            Place place = choose(call, avoided, shedding.part(call));
-            if (place != null) {
-                list(place);
-                send(call, place);
-                return;
-            }
+        Place place = choose(call, avoided);
+        if (place != null) {
+            list(place);
+            send(call, place);
+        } else {
+            answer(call);
         }
-        answer(call);
     }
 
     /** The list, then the scan. Where copies come by order, a call rather waits than begins a load. */
-    private Place choose(Call call, Worker avoided, double part) {
-        Place place = first(call, avoided, true, SNUG, part);
-        if (place == null) {
-            place = first(call, avoided, true, SNUG + 0.001, part);
-        }
-        if (place == null && !facts.copies().orders()) {
-            place = first(call, avoided, false, SNUG, part);
-        }
-        if (place == null) {
-            place = first(call, avoided, true, WIDE, part * OVERDRAFT);
-        }
-        if (place == null && facts.copies().orders()) {
-            place = first(call, avoided, false, SNUG, part);
+    private Place choose(Call call, Worker avoided) {
+        boolean orders = facts.copies().orders();
+        Place place = listed(call, avoided, Room.SNUG);
+        place = place != null ? place : listed(call, avoided, Room.PACED);
+        place = place != null || orders ? place : scanned(call, avoided, Room.SNUG);
+        place = place != null ? place : listed(call, avoided, Room.WIDE);
+        place = place != null || !orders ? place : scanned(call, avoided, Room.SNUG);
+        return place != null ? place : scanned(call, avoided, Room.WIDE);
+    }
+
+    private Place listed(Call call, Worker avoided, Room room) {
+        for (Place place : call.function.list) {
+            if (place.worker != avoided && hasRoom(call, place, room)) {
+                return place;
+            }
         }
-        return place != null ? place : first(call, avoided, false, WIDE, part * OVERDRAFT);
+        return null;
     }
 
-    private Place first(Call call, Worker avoided, boolean listed, double margin, double part) {
+    private Place scanned(Call call, Worker avoided, Room room) {
         Function function = call.function;
-        Stream<Place> places = listed ? function.list.stream()
-                : scan(function).stream().map(worker -> place(function, worker));
-        return places.filter(place -> place.worker != avoided && hasRoom(call, place, margin, part))
-                .findFirst().orElse(null);
+        for (int i = 0; i < inService.size(); i++) {
+            Worker worker = scan(function, i);
+            Place known = function.places.get(worker);
+            Place place = known != null ? known : new Place(function, worker);
+            if (worker != avoided && hasRoom(call, place, room)) {
+                return place(function, worker);
+            }
+        }
+        return null;
     }
 
     /**
@@ -226,12 +229,13 @@
         }
         Worker home = home(place.function);
         return home != null && home != place.worker
-                && !place.function.list.contains(place(place.function, home));
+                && place.function.list.stream().noneMatch(listed -> listed.worker == home);
     }
 
     /** The worker that all routers would pick first, if each had room everywhere. */
     private Worker home(Function function) {
-        for (Worker worker : scan(function)) {
+        for (int i = 0; i < inService.size(); i++) {
+            Worker worker = scan(function, i);
             if (usable(worker) && !coldAllowance.cold(worker)) {
                 return worker;
             }
@@ -247,13 +251,13 @@
             }
             list.add(place);
             place.listed = now;
-            List<Worker> order = scan(place.function);
+            List<Worker> order = place.function.scan;
             list.sort((a, b) -> Integer.compare(order.indexOf(a.worker), order.indexOf(b.worker)));
         }
     }
 
     /** The design's room for the function, and the worker's own holding against the fleet's mean. */
-    private boolean hasRoom(Call call, Place place, double margin, double part) {
+    private boolean hasRoom(Call call, Place place, Room room) {
         Worker worker = place.worker;
         if (!usable(worker) || later(place.refusedUntil) || later(worker.refusedUntil)) {
             return false;
@@ -265,14 +269,10 @@
         boolean heard = worker.heard != null && !now.since(worker.heard).longerThan(PACE);
         double held = heard ? worker.out.size() : Math.max(worker.out.size(), mean);
         if (place.function.list.stream().noneMatch(listed -> instances(listed) > 0)) {
-            margin = WIDE;
-            part = OVERDRAFT;
-        }
-        boolean strained = strain(worker) > MOST_STRAIN;
-        double borne = bearing(worker) * (strained ? Math.min(1, part) : part);
-        if (held > margin * (mean + SPARE)
-                || !bears(place, margin > SNUG ? place.sentAt : worker.sentAt, borne)
-                && !(margin > SNUG && bearing(worker) < 1 && instances(place) > 0 && cheaper(call, place))) {
+            room = Room.WIDE;
+        }
+        double borne = bearing(worker) * (strain(worker) > MOST_STRAIN ? 1 : room.overdraft);
+        if (held > room.margin * (mean + SPARE) || !bears(call, place, borne, room)) {
             return false;
         }
         return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
@@ -309,12 +309,6 @@
         return Math.min(1, FEW / facts.peers());
     }
 
-    /** Whether the wait at a warm worker is shorter than what a load elsewhere is likely to take. */
-    private boolean cheaper(Call call, Place place) {
-        double wait = strain(place.worker) * STRAIN * call.terms.expected().inSeconds();
-        return wait < storeGuard.begins() * storeGuard.usual(place.function).inSeconds();
-    }
-
     private double strain(Worker worker) {
         double count = worker.strainCount.read(now);
         return count <= 0 ? 0 : worker.strainSum.read(now) / count;
@@ -327,13 +321,22 @@
         }
     }
 
-    /** Under one call the bearing is a pace for each function there: heavy users go on, light ones stay. */
-    private boolean bears(Place place, Moment last, double borne) {
+    /**
+     * Under one call the bearing is a pace: first the worker's, then the function's there, so that heavy users
+     * go on and light ones stay. Past it a warm worker still takes the call while its warm answers are quicker
+     * than what a load elsewhere is likely to take.
+     */
+    private boolean bears(Call call, Place place, double borne, Room room) {
+        Moment last = room == Room.SNUG ? place.worker.sentAt : place.sentAt;
         if (borne >= 1 || last == null) {
             return place.worker.warmOut() + 1 <= Math.max(1, borne);
         }
-        return place.inFlight == 0
-                && now.since(last).times(borne).longerThan(expected(place.function));
+        if (place.inFlight == 0 && now.since(last).times(borne).longerThan(expected(place.function))) {
+            return true;
+        }
+        double wait = strain(place.worker) * STRAIN * call.terms.expected().inSeconds();
+        return room != Room.SNUG && instances(place) > 0
+                && wait < storeGuard.begins() * storeGuard.usual(place.function).inSeconds();
     }
 
     private void send(Call call, Place place) {
@@ -513,19 +516,25 @@
         return place;
     }
 
-    /** Worker ids, several marks each, in hash order from the hash of the function on: each worker once. */
-    private List<Worker> scan(Function function) {
+    /** Worker ids, several marks each, in hash order from the hash of the function on: the i-th worker. */
+    private Worker scan(Function function, int i) {
         if (function.scanEdition != edition) {
             function.scanEdition = edition;
-            LinkedHashSet<Worker> order = new LinkedHashSet<>();
+            function.scan.clear();
             int from = Arrays.binarySearch(ring, mark(function.id));
-            from = from < 0 ? -from - 1 : from;
-            for (int i = 0; i < ring.length && order.size() < inService.size(); i++) {
-                order.add(ringWorkers[(from + i) % ring.length]);
+            function.scanAt = from < 0 ? -from - 1 : from;
+        }
+        while (function.scan.size() <= i) {
+            Worker worker = ringWorkers[function.scanAt++ % ring.length];
+            if (!function.scan.contains(worker)) {
+                function.scan.add(worker);
             }
-            function.scan = List.copyOf(order);
         }
-        return function.scan;
+        return function.scan.get(i);
+    }
+
+    private static long[] marks(String id) {
+        return IntStream.range(0, MARKS).mapToLong(i -> mark(id + "#" + i)).toArray();
     }
 
     private static long mark(String text) {
@@ -551,7 +560,7 @@
         for (Event.Listing listing : listed.listings()) {
             named.add(listing.worker());
             Worker worker = workers.computeIfAbsent(listing.worker(),
-                    id -> new Worker(id, HEALTH, PACE, STRAINS));
+                    id -> new Worker(id, marks(id), HEALTH, PACE, STRAINS));
             boolean restarted = listing.since() != null && !listing.since().equals(worker.since);
             worker.zone = listing.zone();
             worker.cell = listing.cell();
@@ -573,8 +582,8 @@
         edition++;
         TreeMap<Long, Worker> marks = new TreeMap<>();
         for (Worker worker : inService) {
-            for (int i = 0; i < MARKS; i++) {
-                marks.putIfAbsent(mark(worker.id + "#" + i), worker);
+            for (long mark : worker.marks) {
+                marks.putIfAbsent(mark, worker);
             }
         }
         ring = marks.keySet().stream().mapToLong(Long::longValue).toArray();
@@ -599,6 +608,8 @@
     private void beat() {
         todo.add(new Action.Wake(now.plus(BEAT), "beat"));
         setAside.look();
+        coldAllowance.look();
+        storeGuard.look();
         loadOrders.keep(functions.values());
         for (Function function : functions.values()) {
             function.list.removeIf(place -> place.inFlight == 0 && instances(place) == 0 || strayed(place));
@@ -720,12 +731,19 @@
     private final class ColdAllowance {
         private final Facts.ColdStart rule;
         private final double margin;
+        private double warmRate;
 
         ColdAllowance(Facts.ColdStart rule, double margin) {
             this.rule = rule;
             this.margin = margin;
         }
 
+        /** Our mean rate at warm workers, summed up once a beat. */
+        void look() {
+            warmRate = inService.stream().filter(worker -> !cold(worker))
+                    .mapToDouble(worker -> worker.settled.perSecond(now)).average().orElse(0);
+        }
+
         boolean cold(Worker worker) {
             return worker.since != null && rule.warmAfter().longerThan(now.since(worker.since));
         }
@@ -736,15 +754,7 @@
             }
             double age = now.since(worker.since).over(rule.warmAfter());
             double present = rule.startShare() + (1 - rule.startShare()) * Math.max(0, age);
-            double warmRate = 0;
-            int warm = 0;
-            for (Worker other : inService) {
-                if (!cold(other)) {
-                    warmRate += other.settled.perSecond(now);
-                    warm++;
-                }
-            }
-            double rate = margin * rule.fallMultiple() * present * warmRate / Math.max(1, warm);
+            double rate = margin * rule.fallMultiple() * present * warmRate;
             if (worker.coldCreditAt == null) {
                 worker.coldCredit = 0.5;
             } else {
@@ -928,6 +938,7 @@
         private final Decaying begun = new Decaying(DEMAND);
         private double window = Double.NaN;
         private int under;
+        private double meanLoads;
         private Moment cut;
 
         StoreGuard(double late, double jam, double part) {
@@ -936,6 +947,10 @@
             this.jam = jam;
         }
 
+        void look() {
+            meanLoads = inService.stream().mapToDouble(worker -> worker.loading).average().orElse(0);
+        }
+
         Span usual(Function function) {
             if (function.usualLoad != null) {
                 return function.usualLoad;
@@ -964,8 +979,7 @@
                     return false;
                 }
             }
-            double mean = inService.stream().mapToDouble(worker -> worker.loading).average().orElse(0);
-            return under * begins() < Math.max(1, window) && place.worker.loading <= mean + 2 && fits(place);
+            return under * begins() < Math.max(1, window) && place.worker.loading <= meanLoads + 2 && fits(place);
         }
 
         /** The memory believed in use there; what other routers load is unknown, so only a part may be. */
@@ -1039,39 +1053,4 @@
             }
         }
     }
-
-    // ---- 6: when room is short, calls over their account's share and hopeless ones go first
-
-    private final class Shedding {
-        private final int peers;
-        private final double least;
-
-        Shedding(int peers, double least) {
-            this.peers = peers;
-            this.least = least;
-        }
-
-        /** The part of a worker's room that the call may use: the whole only within its account's share. */
-        double part(Call call) {
-            return call.overShare ? least : 1;
-        }
-
-        boolean overShare(Account account) {
-            if (account == null) {
-                return false;
-            }
-            double rate = account.terms.perSecond() / peers;
-            double gained = account.creditAt == null ? rate : rate * now.since(account.creditAt).inSeconds();
-            account.credit = Math.min(Math.max(1, rate), account.credit + gained);
-            account.creditAt = now;
-            boolean over = account.credit < 1;
-            account.credit -= over ? 0 : 1;
-            return over;
-        }
-
-        boolean hopeless(Call call) {
-            return !call.givenUpAt.since(now).longerThan(expected(call.function).times(0.5));
-        }
-    }
-
 }
--- a/src/main/java/pearladder/state/Call.java
+++ b/src/main/java/pearladder/state/Call.java
@@ -11,22 +11,18 @@
     public final String id;
     public final Function function;
     public final Terms terms;
-    public final Account account;
     public final Moment taken;
     public final Moment givenUpAt;
     public final Span hint;
     public final List<Leg> legs = new ArrayList<>(2);
     public boolean over;
     public boolean streaming;
-    public boolean overShare;
     public int legsOut;
 
-    public Call(String id, Function function, Terms terms, Account account, Moment taken, Moment givenUpAt,
-            Span hint) {
+    public Call(String id, Function function, Terms terms, Moment taken, Moment givenUpAt, Span hint) {
         this.id = id;
         this.function = function;
         this.terms = terms;
-        this.account = account;
         this.taken = taken;
         this.givenUpAt = givenUpAt;
         this.hint = hint;
--- a/src/main/java/pearladder/state/Function.java
+++ b/src/main/java/pearladder/state/Function.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import pearladder.api.Moment;
 import pearladder.api.Span;
 
 /** A function: what its calls told, where it is placed, and the short cached list of its workers. */
@@ -18,11 +17,10 @@
     public final Decaying calls;
     public final Decaying warmAnswers;
     public final Decaying warmSeconds;
-    public List<Worker> scan = List.of();
+    public final List<Worker> scan = new ArrayList<>();
+    public int scanAt;
     public long scanEdition = -1;
     public long taken;
-    public Moment lastCall;
-    public Moment spreadAt;
 
     public Function(String id, Span demand, Span pace) {
         this.id = id;
--- a/src/main/java/pearladder/state/Worker.java
+++ b/src/main/java/pearladder/state/Worker.java
@@ -11,6 +11,7 @@
 /** A worker as this router knows it: what the list said, and the ledger of what was sent and heard. */
 public final class Worker {
     public final String id;
+    public final long[] marks;
     public String zone;
     public long cell;
     public Standing standing = Standing.IN_SERVICE;
@@ -34,8 +35,9 @@
     public Moment coldCreditAt;
     public double loading;
 
-    public Worker(String id, Span health, Span pace, Span strain) {
+    public Worker(String id, long[] marks, Span health, Span pace, Span strain) {
         this.id = id;
+        this.marks = marks;
         this.answers = new Decaying(health);
         this.slowness = new Decaying(health);
         this.failures = new Decaying(health);
