--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -59,7 +59,6 @@
     private static final double STRAIN = 0.3;                // of the expected time that warm calls may take
     private static final double BEARING = 4;                 // calls out that a worker bears, at first,
     private static final double FEW = 3;                     // from each of so many routers; more share them
-    private static final double STRAY = 0.4;                 // of the time that idle copies are kept
     private static final double MOST_STRAIN = 1.8;           // in strains: no overdraft beyond it
     private static final double LOADING = 2;                 // reported loads that fill a worker's rooms
     private static final int SILENT = 3;                     // overdue legs and no answer since: it hangs
@@ -219,19 +218,6 @@
         return null;
     }
 
-    /**
-     * A pick made while the workers before it had no room is given up after a while, so that routers come
-     * back to the same workers and one copy serves them all.
-     */
-    private boolean strayed(Place place) {
-        if (place.listed == null || !now.since(place.listed).longerThan(facts.copies().kept().times(STRAY))) {
-            return false;
-        }
-        Worker home = home(place.function);
-        return home != null && home != place.worker
-                && place.function.list.stream().noneMatch(listed -> listed.worker == home);
-    }
-
     /** The worker that all routers would pick first, if each had room everywhere. */
     private Worker home(Function function) {
         for (int i = 0; i < inService.size(); i++) {
@@ -444,6 +430,9 @@
                 }
             }
             case ERROR, BROKEN, UNREACHABLE -> {
+                if (ended.outcome() != Outcome.ERROR) {
+                    worker.refusedUntil = now.plus(FULL_FOR);
+                }
                 if (ended.copy() == Copy.LOAD_FAILED) {
                     storeGuard.failed();
                 } else {
@@ -612,7 +601,7 @@
         storeGuard.look();
         loadOrders.keep(functions.values());
         for (Function function : functions.values()) {
-            function.list.removeIf(place -> place.inFlight == 0 && instances(place) == 0 || strayed(place));
+            function.list.removeIf(place -> place.inFlight == 0 && instances(place) == 0 );
         }
         functions.values().removeIf(this::forgotten);
     }
