Under one load the window is a pace, and it narrows only where workers report loads

Also guards against any crowded store; could harm after a flush, as calls are dismissed while the window recovers.

--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -61,6 +61,7 @@
     private static final double FEW = 3;                     // from each of so many routers; more share them
     private static final double MOST_STRAIN = 1.8;           // in strains: no overdraft beyond it
     private static final double LOADING = 2;                 // reported loads that fill a worker's rooms
+    private static final double BUSY = 0.5;                  // mean reported loads under which no load waits
     private static final int SILENT = 3;                     // overdue legs and no answer since: it hangs
     private static final double FORGOTTEN = 0.01;            // faded calls under which a function is dropped
     private static final double MEAN_SECONDS = 0.1;          // a call's time before any was seen
@@ -222,7 +223,7 @@
     private Worker home(Function function) {
         for (int i = 0; i < inService.size(); i++) {
             Worker worker = scan(function, i);
-            if (usable(worker) && !coldAllowance.cold(worker)) {
+            if (usable(worker) && coldAllowance.bears(worker)) {
                 return worker;
             }
         }
@@ -929,6 +930,7 @@
         private int under;
         private double meanLoads;
         private Moment cut;
+        private Moment begunAt;
 
         StoreGuard(double late, double jam, double part) {
             this.part = part;
@@ -937,7 +939,8 @@
         }
 
         void look() {
-            meanLoads = inService.stream().mapToDouble(worker -> worker.loading).average().orElse(0);
+            meanLoads = inService.stream().filter(worker -> worker.heard != null)
+                    .mapToDouble(worker -> worker.loading).average().orElse(0);
         }
 
         Span usual(Function function) {
@@ -958,7 +961,7 @@
                 return true;
             }
             if (Double.isNaN(window)) {
-                window = Math.max(2, (double) inService.size() / facts.peers());
+                window = Math.max(2 * ours(), (double) inService.size() / facts.peers());
             }
             if (place.worker == home(place.function)) {
                 return true;
@@ -968,7 +971,9 @@
                     return false;
                 }
             }
-            return under * begins() < Math.max(1, window) && place.worker.loading <= meanLoads + 2 && fits(place);
+            boolean open = window >= 1 || begunAt == null
+                    || now.since(begunAt).times(window).longerThan(usual(place.function).times(begins()));
+            return open && under * begins() < Math.max(1, window) && place.worker.loading <= meanLoads + 2 && fits(place);
         }
 
         /** The memory believed in use there; what other routers load is unknown, so only a part may be. */
@@ -984,6 +989,7 @@
         void begun(Place place) {
             if (!place.loading && instances(place) == 0) {
                 place.loading = true;
+                begunAt = now;
                 under++;
             }
         }
@@ -1010,7 +1016,8 @@
             if (level > late) {
                 narrow("late", level);
             } else {
-                window = Math.min(Math.max(1, inService.size() * ours()), window + 0.5 * ours());
+                window = Math.min(Math.max(1, inService.size() * ours()),
+                        window + 0.5 * (window < 1 ? window : ours()));
             }
         }
 
@@ -1034,11 +1041,11 @@
         }
 
         private void narrow(String why, double level) {
-            if (cut == null || now.since(cut).longerThan(Span.seconds(1))) {
+            if (meanLoads >= BUSY && (cut == null || now.since(cut).longerThan(Span.seconds(1)))) {
                 cut = now;
                 window /= 2;
-                todo.add(new Action.Log(String.format("a load %s at %.1f: %.1f may be under way, %d are",
-                        why, level, window, under)));
+                todo.add(new Action.Log(String.format("a load %s at %.1f (mean %.2f): %.1f may be under way, %d are",
+                        why, level, meanLoads, window, under)));
             }
         }
     }
