--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -16,10 +16,8 @@
 import pearladder.api.Dispatcher;
 import pearladder.api.Event;
 import pearladder.api.Event.Copy;
-import pearladder.api.Event.ListKind;
 import pearladder.api.Event.Standing;
 import pearladder.api.Facts;
-import pearladder.api.Facts.Terms;
 import pearladder.api.Moment;
 import pearladder.api.Outcome;
 import pearladder.api.Span;
@@ -82,7 +80,7 @@
     private final long seed;
     private long drawn;
     private final Facts facts;
-    private final Map<String, Terms> terms = new HashMap<>();
+    private final Map<String, Facts.Terms> terms = new HashMap<>();
     private final Map<String, Call> calls = new HashMap<>();
     private final Map<String, Worker> workers = new TreeMap<>();
     private final Map<String, Function> functions = new LinkedHashMap<>();
@@ -109,7 +107,7 @@
     public Policy(long seed, Facts facts) {
         this.seed = seed;
         this.facts = facts;
-        for (Terms category : facts.categories()) {
+        for (Facts.Terms category : facts.categories()) {
             terms.put(category.name(), category);
         }
         coldAllowance = new ColdAllowance(facts.coldStart(), 0.6);
@@ -158,7 +156,7 @@
     // ---- a call comes, is placed, and ends
 
     private void take(Event.CallCame came) {
-        Terms category = terms.get(came.category());
+        Facts.Terms category = terms.get(came.category());
         if (category == null) {
             throw new IllegalArgumentException("a call of an unknown category: " + came.category());
         }
@@ -245,10 +243,8 @@
     /** The design's room for the function, and the worker's own holding against the fleet's mean. */
     private boolean hasRoom(Call call, Place place, Room room) {
         Worker worker = place.worker;
-        if (!usable(worker) || later(place.refusedUntil) || later(worker.refusedUntil)) {
-            return false;
-        }
-        if (place.inFlight >= place.function.lanes * (instances(place) + 1)) {
+        if (!usable(worker) || later(place.refusedUntil) || later(worker.refusedUntil)
+                || place.inFlight >= place.function.lanes * (instances(place) + 1)) {
             return false;
         }
         double mean = (double) legsOut / Math.max(1, inService.size());
@@ -283,8 +279,7 @@
     /*
      * The part of A_k that the ledger can't count: how many of our calls a worker bears at once. It widens
      * while calls that found their copy are quick and shrinks when they near their expected time or the
-     * worker is full, whoever crowds it. Workers that hold less work, not more, come out of a jam: calls that
-     * only wait pin memory.
+     * worker is full, whoever crowds it: calls that only wait pin memory.
      */
     private double bearing(Worker worker) {
         return worker.bearing > 0 ? worker.bearing : BEARING * ours();
@@ -302,15 +297,16 @@
 
     private void strained(Worker worker, double factor) {
         if (!later(worker.easedUntil)) {
-            worker.bearing = Math.max(ours() * ours(), Math.min(bearing(worker), worker.warmOut() + 1) * factor);
+            double held = Math.min(bearing(worker), worker.warmOut() + 1);
+            worker.bearing = Math.max(ours() * ours(), held * factor);
             worker.easedUntil = now.plus(FULL_FOR);
         }
     }
 
     /**
-     * Under one call the bearing is a pace: first the worker's, then the function's there, so that heavy users
-     * go on and light ones stay. Past it a warm worker still takes the call while its warm answers are quicker
-     * than what a load elsewhere is likely to take.
+     * Under one call the bearing is a pace: first the worker's, then the function's there, so that heavy
+     * users go on and light ones stay. Past it a warm worker still takes the call while its warm answers are
+     * quicker than what a load elsewhere is likely to take.
      */
     private boolean bears(Call call, Place place, double borne, Room room) {
         Moment last = room == Room.SNUG ? place.worker.sentAt : place.sentAt;
@@ -430,9 +426,6 @@
                 }
             }
             case ERROR, BROKEN, UNREACHABLE -> {
-                if (ended.outcome() != Outcome.ERROR) {
-                    worker.refusedUntil = now.plus(FULL_FOR);
-                }
                 if (ended.copy() == Copy.LOAD_FAILED) {
                     storeGuard.failed();
                 } else {
@@ -541,7 +534,7 @@
     }
 
     private void follow(Event.Listed listed) {
-        if (listed.kind() == ListKind.FAILED) {
+        if (listed.kind() == Event.ListKind.FAILED) {
             todo.add(new Action.Wake(now.plus(Span.millis(200).times(1 + chance())), "list"));
             return;
         }
@@ -559,7 +552,7 @@
                 forget(worker);
             }
         }
-        if (listed.kind() != ListKind.CHANGES) {
+        if (listed.kind() != Event.ListKind.CHANGES) {
             for (Worker worker : workers.values()) {
                 if (!named.contains(worker.id)) {
                     worker.standing = Standing.GONE;
@@ -585,13 +578,7 @@
             place.instances = 0;
             place.function.list.remove(place);
         }
-        worker.answers.clear();
-        worker.slowness.clear();
-        worker.failures.clear();
-        worker.settled.clear();
-        worker.asideUntil = null;
-        worker.heard = null;
-        worker.coldCreditAt = null;
+        worker.begunAnew();
     }
 
     private void beat() {
@@ -601,7 +588,7 @@
         storeGuard.look();
         loadOrders.keep(functions.values());
         for (Function function : functions.values()) {
-            function.list.removeIf(place -> place.inFlight == 0 && instances(place) == 0 );
+            function.list.removeIf(place -> place.inFlight == 0 && instances(place) == 0);
         }
         functions.values().removeIf(this::forgotten);
     }
@@ -685,9 +672,7 @@
                     todo.add(new Action.Log(String.format(
                             "set aside %s: slowness %.1f of %.1f, failures %.1f of %.1f, %d out", worker.id,
                             seen.get(i)[1], median, failing, count, worker.out.size())));
-                    worker.answers.clear();
-                    worker.slowness.clear();
-                    worker.failures.clear();
+                    worker.clearHealth();
                     move(worker);
                 }
             }
@@ -970,7 +955,8 @@
             }
             boolean open = window >= 1 || begunAt == null
                     || now.since(begunAt).times(window).longerThan(usual(place.function).times(begins()));
-            return open && under * begins() < Math.max(1, window) && place.worker.loading <= meanLoads + 2 && fits(place);
+            return open && under * begins() < Math.max(1, window) && place.worker.loading <= meanLoads + 2
+                    && fits(place);
         }
 
         /** The memory believed in use there; what other routers load is unknown, so only a part may be. */
@@ -999,7 +985,7 @@
             }
         }
 
-        /** Where no copy was believed there may stand one: other routers' calls bring copies that nobody tells. */
+        /** Where no copy was believed there may stand one that other routers' calls brought. */
         void met(boolean load) {
             unbelieved.add(now, 1);
             begun.add(now, load ? 1 : 0);
@@ -1036,7 +1022,8 @@
             if (meanLoads >= BUSY && (cut == null || now.since(cut).longerThan(Span.seconds(1)))) {
                 cut = now;
                 window /= 2;
-                todo.add(new Action.Log(String.format("a load %s at %.1f (mean %.2f): %.1f may be under way, %d are",
+                todo.add(new Action.Log(String.format(
+                        "a load %s at %.1f (%.1f a worker): %.1f may be under way, %d are",
                         why, level, meanLoads, window, under)));
             }
         }
--- a/src/main/java/pearladder/state/Worker.java
+++ b/src/main/java/pearladder/state/Worker.java
@@ -46,6 +46,21 @@
         this.strainCount = new Decaying(strain);
     }
 
+    public void clearHealth() {
+        answers.clear();
+        slowness.clear();
+        failures.clear();
+    }
+
+    /** The process is another one: nothing that was heard of it holds. */
+    public void begunAnew() {
+        clearHealth();
+        settled.clear();
+        asideUntil = null;
+        heard = null;
+        coldCreditAt = null;
+    }
+
     /** Legs out that were believed to find their copy. */
     public int warmOut() {
         return out.size() - coldOut;
