--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -99,7 +99,7 @@
     private final ColdAllowance coldAllowance;
     private final FurtherLegs furtherLegs;
     private final LoadOrders loadOrders;
-    private final StoreGuard storeGuard = new StoreGuard(2, 0.4);
+    private final StoreGuard storeGuard = new StoreGuard(1.5, 0.4);
 
     private Moment now;
     private List<Action> todo;
@@ -955,8 +955,8 @@
             }
             boolean open = window >= 1 || begunAt == null
                     || now.since(begunAt).times(window).longerThan(usual(place.function).times(begins()));
-            return open && under * begins() < Math.max(1, window) && place.worker.loading <= meanLoads + 2
-                    && fits(place);
+            double loads = under * Math.max(ours(), begins());
+            return open && loads < Math.max(1, window) && place.worker.loading <= meanLoads + 2 && fits(place);
         }
 
         /** The memory believed in use there; what other routers load is unknown, so only a part may be. */
