--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -897,7 +897,7 @@
      * whose waiting rooms fill with calls that wait for loads, refusals that would push every call to a
      * worker where it starts one more load. A window of loads that this router may have under way starts as
      * our part of the fleet, widens with each load that comes up in time and halves when loads fail or come
-     * late while workers report loads; a hot worker's own extra copies are no storm. Under one load it is a
+     * late (by a quarter at refusals) while workers report loads; a hot worker's own extra copies are no storm. Under one load it is a
      * pace. Could harm by turning calls away while a flush is being made good.
      */
     private final class StoreGuard {
@@ -997,7 +997,7 @@
             loadCount.add(now, 1);
             loads.add(now, 1);
             if (level > late) {
-                narrow("late", level);
+                narrow("late", level, 0.5);
             } else {
                 window = Math.min(Math.max(1, inService.size() * ours()),
                         window + 0.5 * (window < 1 ? window : ours()));
@@ -1007,21 +1007,21 @@
         void failed() {
             failures.add(now, 1);
             if (failures.read(now) > Math.max(1.5, 0.2 * loads.read(now))) {
-                narrow("failed", 1);
+                narrow("failed", 1, 0.5);
             }
         }
 
         /** A refusal where loads fill the room: further loads would only fill more rooms. */
         void refused(Worker by) {
             if (by.loading >= LOADING) {
-                narrow("refused", by.loading);
+                narrow("refused", by.loading, 0.75);
             }
         }
 
-        private void narrow(String why, double level) {
+        private void narrow(String why, double level, double part) {
             if (meanLoads >= BUSY && (cut == null || now.since(cut).longerThan(Span.seconds(1)))) {
                 cut = now;
-                window /= 2;
+                window *= part;
                 todo.add(new Action.Log(String.format(
                         "a load %s at %.1f (%.1f a worker): %.1f may be under way, %d are",
                         why, level, meanLoads, window, under)));
