--- a/src/main/java/pearladder/Policy.java
+++ b/src/main/java/pearladder/Policy.java
@@ -896,9 +896,9 @@
      * Guards against load storms, whatever sets them off: a slow, crowded, refusing or stopped store, workers
      * whose waiting rooms fill with calls that wait for loads, refusals that would push every call to a
      * worker where it starts one more load. A window of loads that this router may have under way starts as
-     * our part of the fleet, widens with each load that comes up in time and halves when loads fail or come
-     * late (by a quarter at refusals) while workers report loads; a hot worker's own extra copies are no storm. Under one load it is a
-     * pace. Could harm by turning calls away while a flush is being made good.
+     * our part of the fleet, widens with each load in time, halves when loads fail or come late and loses a
+     * quarter at refusals while workers report loads; a hot worker's own extra copies are no storm. Under one
+     * load it is a pace. Could harm by turning calls away while a flush is being made good.
      */
     private final class StoreGuard {
         private final double late;
@@ -955,8 +955,8 @@
             }
             boolean open = window >= 1 || begunAt == null
                     || now.since(begunAt).times(window).longerThan(usual(place.function).times(begins()));
-            double loads = under * Math.max(ours(), begins());
-            return open && loads < Math.max(1, window) && place.worker.loading <= meanLoads + 2 && fits(place);
+            double real = under * Math.max(ours(), begins());
+            return open && real < Math.max(1, window) && place.worker.loading <= meanLoads + 2 && fits(place);
         }
 
         /** The memory believed in use there; what other routers load is unknown, so only a part may be. */
--- a/src/test/java/pearladder/PolicyTest.java
+++ b/src/test/java/pearladder/PolicyTest.java
@@ -220,7 +220,7 @@
     private static int begun(int peers, double loads) {
         Rig rig = Rig.withWorkers(Rig.among(peers), 10);
         int begun = 0;
-        for (int i = 0; i < 200; i++) {
+        for (int i = 0; i < 800; i++) {
             Rig.Taken call = rig.call("f" + i % 40, Rig.RETRIABLE);
             for (int leg = 0; leg < call.workers.size(); leg++) {
                 rig.end(call, leg, Outcome.FULL, Copy.UNTOLD, Span.millis(1), loads);
