A first call goes through real sockets: router, stand-in engines, shelf and list

Change: kserve (paths, headers, small bodies), yaml (values with lines and mends), router (door, legs, list, timers; the module decides), emulator (engine, shelf and list on a timeline; HTTP in its net package), commands router, engines, check. Result: a call loads its model and settles; the next finds its copy; 200 calls at once get one final answer each.

--- /dev/null
+++ b/cli/src/main/java/pearladder/cli/CheckCommand.java
@@ -0,0 +1,37 @@
+package pearladder.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import pearladder.emulator.FleetPlan;
+import pearladder.router.ArticlesReader;
+import pearladder.yaml.Value;
+import pearladder.yaml.Yaml;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+@Command(name = "check", mixinStandardHelpOptions = true,
+        description = "Check a router's or a fleet's file; each mistake is named with line, key and mend.")
+final class CheckCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "what is checked")
+    private Path file;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() {
+        String what = "a router";
+        Value value = Yaml.read(file);
+        if (value.keys().contains("fleet")) {
+            FleetPlan.read(value.at("fleet"));
+            value.done();
+            what = "a fleet";
+        } else {
+            ArticlesReader.read(file);
+        }
+        spec.commandLine().getOut().println(file + ": " + what + ", no mistake found");
+        return 0;
+    }
+}
--- a/cli/src/main/java/pearladder/cli/Main.java
+++ b/cli/src/main/java/pearladder/cli/Main.java
@@ -5,21 +5,19 @@
 import pearladder.wire.BadInput;
 import pearladder.wire.WireHost;
 
-/** The command line. */
+/** The command line's door. The bench's adapter starts here and loads nothing of the rest. */
 public final class Main {
-    private static final String USAGE = "usage: pearladder wirehost";
-
     private Main() { }
 
     public static void main(String[] arguments) {
-        System.exit(run(arguments));
+        boolean wire = arguments.length > 0 && arguments[0].equals("wirehost");
+        int status = wire && arguments.length == 1 ? wirehost() : Commands.run(arguments);
+        if (status >= 0) {
+            System.exit(status);
+        }
     }
 
-    static int run(String... arguments) {
-        if (arguments.length != 1 || !arguments[0].equals("wirehost")) {
-            System.err.println(USAGE);
-            return 2;
-        }
+    private static int wirehost() {
         try {
             new WireHost(Policy::new).serve(System.in, System.out);
             return 0;
--- /dev/null
+++ b/emulator/src/main/java/pearladder/emulator/EngineKind.java
@@ -0,0 +1,22 @@
+package pearladder.emulator;
+
+/**
+ * What kind of machine an engine is, and its habits.
+ *
+ * @param speed of a core, 1 for a standard one
+ * @param loaders loads that run at a time
+ * @param queue calls that may wait, for lanes and for loads; past it the engine refuses as full
+ * @param keptNanos an idle copy is unloaded after so long
+ * @param ownCopies whether the engine starts another copy by itself where all lanes are taken
+ * @param images whether fetched images stay on its disk and spare the next fetch
+ * @param cancelStops whether running work stops when its caller is gone
+ * @param rememberedNanos for how long a repeat with the same mark is dropped
+ * @param startShare of its capacity right after a start
+ * @param warmNanos after a start it bears all of it
+ * @param fallMultiple sent more than so many times its present capacity
+ * @param fallNanos over so long, a cold engine falls over and stays down
+ * @param reportNanos its load report is renewed so seldom
+ */
+public record EngineKind(String name, int cores, double speed, double memoryMb, int loaders, int queue, long keptNanos,
+        boolean ownCopies, boolean images, boolean cancelStops, long rememberedNanos, double startShare,
+        long warmNanos, double fallMultiple, long fallNanos, long reportNanos) { }
--- /dev/null
+++ b/emulator/src/main/java/pearladder/emulator/ModelKind.java
@@ -0,0 +1,19 @@
+package pearladder.emulator;
+
+/**
+ * What the stand-ins know of a family of models.
+ *
+ * @param pattern a model's name, or its beginning with "*" behind it
+ * @param memoryMb of one loaded copy
+ * @param lanes calls that a copy runs at once
+ * @param fetchNanos the fetch from a shelf that nobody else uses
+ * @param startNanos from the image to a standing copy
+ * @param workNanos of a call that names no work of its own, on a core of speed 1
+ */
+public record ModelKind(String pattern, double memoryMb, int lanes, long fetchNanos, long startNanos, long workNanos) {
+    /** Whether the name belongs to it. */
+    public boolean matches(String name) {
+        return pattern.endsWith("*") ? name.startsWith(pattern.substring(0, pattern.length() - 1))
+                : name.equals(pattern);
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/pearladder/emulator/Roll.java
@@ -0,0 +1,113 @@
+package pearladder.emulator;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import pearladder.kserve.ListLine;
+import pearladder.kserve.ListLine.Entry;
+import pearladder.kserve.ListLine.Standing;
+
+/** The list service's own state: it knows only whether a process runs, and tells what changed late. */
+public final class Roll {
+    /** One router's connection; gets lines until it closes. */
+    public static final class Watcher {
+        private final String router;
+        private final Consumer<ListLine> out;
+
+        private Watcher(String router, Consumer<ListLine> out) {
+            this.router = router;
+            this.out = out;
+        }
+    }
+
+    private static final int REMEMBERED = 200;
+
+    private final Timeline time;
+    private final Consumer<Seen> seen;
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final TreeMap<Long, Entry> history = new TreeMap<>();
+    private final List<Watcher> watchers = new ArrayList<>();
+    private long version;
+    private long lag;
+    private boolean silent;
+
+    public Roll(Timeline time, long lag, Consumer<Seen> seen) {
+        this.time = time;
+        this.lag = lag;
+        this.seen = seen;
+    }
+
+    /** How late changes are told, in nanoseconds. */
+    public void lag(long nanos) {
+        lag = nanos;
+    }
+
+    /** A silent list keeps its connections and says nothing, not even a beat. */
+    public void silent(boolean on) {
+        silent = on;
+        if (!on) {
+            watchers.forEach(watcher -> tell(watcher, whole()));
+        }
+    }
+
+    /** An engine changed; the list knows it after its lag. */
+    public void change(Entry entry) {
+        time.after(lag, () -> {
+            version++;
+            if (entry.standing() == Standing.GONE) {
+                entries.remove(entry.engine());
+            } else {
+                entries.put(entry.engine(), entry);
+            }
+            history.put(version, entry);
+            while (history.size() > REMEMBERED) {
+                history.pollFirstEntry();
+            }
+            if (!silent) {
+                ListLine line = new ListLine(ListLine.Kind.CHANGES, version, List.of(entry));
+                List.copyOf(watchers).forEach(watcher -> tell(watcher, line));
+            }
+        });
+    }
+
+    /** The whole list as it is known now. */
+    public ListLine whole() {
+        return new ListLine(ListLine.Kind.WHOLE, version, List.copyOf(entries.values()));
+    }
+
+    /** A router watches from the version it has on; after a long gap it gets the whole list. */
+    public Watcher watch(String router, long from, Consumer<ListLine> out) {
+        Watcher watcher = new Watcher(router, out);
+        watchers.add(watcher);
+        if (!silent) {
+            boolean known = from > 0 && from <= version && (from == version || !history.isEmpty()
+                    && history.firstKey() <= from + 1);
+            tell(watcher, known ? new ListLine(ListLine.Kind.CHANGES, version,
+                    List.copyOf(history.tailMap(from, false).values())) : whole());
+        }
+        return watcher;
+    }
+
+    public void leave(Watcher watcher) {
+        watchers.remove(watcher);
+    }
+
+    /** A sign of life to every router. */
+    public void beat() {
+        if (!silent) {
+            ListLine line = new ListLine(ListLine.Kind.BEAT, version, List.of());
+            watchers.forEach(watcher -> watcher.out.accept(line));
+        }
+    }
+
+    private void tell(Watcher watcher, ListLine line) {
+        for (Entry entry : line.entries()) {
+            seen.accept(new Seen(time.now(), Seen.TOLD, watcher.router, "", 0, entry.engine(), "",
+                    entry.standing().name(), entry.startedMillis()));
+        }
+        watcher.out.accept(line);
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/pearladder/emulator/net/EngineServer.java
@@ -0,0 +1,193 @@
+package pearladder.emulator.net;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.io.IOException;
+import java.util.Locale;
+import pearladder.emulator.Engine;
+import pearladder.kserve.Bodies;
+import pearladder.kserve.Headers;
+import pearladder.kserve.Route;
+
+/** One stand-in engine on a loopback port, speaking KServe v2 with the model repository extension. */
+public final class EngineServer {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private final Vertx vertx;
+    private final Engine engine;
+    private HttpServer server;
+    private int port;
+    private boolean hung;
+    private boolean garbling;
+
+    EngineServer(Vertx vertx, Engine engine) {
+        this.vertx = vertx;
+        this.engine = engine;
+    }
+
+    public Engine engine() {
+        return engine;
+    }
+
+    public int port() {
+        return port;
+    }
+
+    /** Accepts and reads, and never answers. */
+    public void hang(boolean on) {
+        hung = on;
+    }
+
+    /** Answers with half an answer and then breaks the connection. */
+    public void garble(boolean on) {
+        garbling = on;
+    }
+
+    Future<Void> listen() {
+        HttpServerOptions options = new HttpServerOptions().setHost("127.0.0.1").setPort(port)
+                .setReuseAddress(true).setIdleTimeout(120);
+        server = vertx.createHttpServer(options).requestHandler(this::take);
+        return server.listen().map(listening -> {
+            port = listening.actualPort();
+            return null;
+        });
+    }
+
+    /** The process dies: every connection breaks. */
+    Future<Void> die() {
+        engine.die();
+        hung = false;
+        return server == null ? Future.succeededFuture() : server.close();
+    }
+
+    private void take(HttpServerRequest request) {
+        if (hung || !engine.up()) {
+            return;
+        }
+        Route route = Route.of(request.path());
+        switch (route.kind()) {
+            case INFER -> request.body().onSuccess(body -> infer(request, route, body));
+            case LOAD -> request.body().onSuccess(body -> load(request, route, body));
+            case UNLOAD -> {
+                engine.unload(route.model());
+                request.response().end("{}");
+            }
+            case INDEX -> request.response().putHeader("content-type", "application/json")
+                    .end(Bodies.index(engine.index().stream()
+                            .map(copy -> new Bodies.Indexed(copy.getKey(), copy.getValue() ? "READY" : "LOADING"))
+                            .toList()));
+            case LIVE, READY -> request.response().putHeader(Headers.REPORT, engine.report().text()).end();
+            default -> request.response().setStatusCode(404).end(Bodies.error("not served by this stand-in"));
+        }
+    }
+
+    private void infer(HttpServerRequest request, Route route, Buffer body) {
+        if (hung || !engine.up()) {
+            return;
+        }
+        Engine.Asked asked = new Engine.Asked(header(request, Headers.ROUTER), header(request, Headers.CALL),
+                number(header(request, Headers.LEG)), function(route), header(request, Headers.MARK), work(body));
+        HttpServerResponse response = request.response();
+        Engine.Held held = engine.ask(asked, answer -> answer(response, route, answer, body.length()));
+        if (held != null) {
+            response.closeHandler(closed -> {
+                if (!response.ended()) {
+                    held.cancel();
+                }
+            });
+        } else if (!engine.up()) {
+            die();
+        }
+    }
+
+    private static String function(Route route) {
+        return route.version() == null ? route.model() : route.model() + "@" + route.version();
+    }
+
+    private void answer(HttpServerResponse response, Route route, Engine.Answer answer, int size) {
+        if (response.ended() || response.closed() || hung) {
+            return;
+        }
+        if (garbling) {
+            response.putHeader("content-length", "1000").write("{\"model_name\":").onComplete(half -> response.reset());
+            return;
+        }
+        response.putHeader("content-type", "application/json");
+        response.putHeader(Headers.REPORT, answer.report().text());
+        response.putHeader(Headers.CROWD, Integer.toString(answer.crowd()));
+        if (answer.met() != null) {
+            response.putHeader(Headers.COPY, answer.met().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+        }
+        switch (answer.end()) {
+            case OK -> response.end("{\"model_name\":\"" + route.model() + "\",\"outputs\":[{\"name\":\"size\","
+                    + "\"datatype\":\"INT64\",\"shape\":[1],\"data\":[" + size + "]}]}");
+            case ERROR -> response.setStatusCode(500).end(Bodies.error("the model failed"));
+            case FULL -> response.setStatusCode(503).putHeader(Headers.NEVER_RAN, "full")
+                    .end(Bodies.error("full"));
+            case ABSENT -> response.setStatusCode(404).putHeader(Headers.NEVER_RAN, "absent")
+                    .end(Bodies.error("the model is not loaded here"));
+        }
+    }
+
+    private void load(HttpServerRequest request, Route route, Buffer body) {
+        int copies;
+        try {
+            copies = Bodies.copies(body.toString());
+        } catch (IOException malformed) {
+            request.response().setStatusCode(400).end(Bodies.error("the body is not JSON"));
+            return;
+        }
+        engine.hold(header(request, Headers.ROUTER), route.model(), copies, answer -> {
+            HttpServerResponse response = request.response();
+            if (response.ended() || response.closed() || hung) {
+                return;
+            }
+            response.putHeader(Headers.COPIES, Integer.toString(answer.copies()));
+            switch (answer.end()) {
+                case OK -> response.end("{}");
+                case FULL -> response.setStatusCode(503).end(Bodies.error("no room for all"));
+                default -> response.setStatusCode(500).end(Bodies.error("the load failed"));
+            }
+        });
+    }
+
+    private static String header(HttpServerRequest request, String name) {
+        String value = request.getHeader(name);
+        return value == null ? "" : value;
+    }
+
+    private static int number(String text) {
+        try {
+            return Integer.parseInt(text);
+        } catch (NumberFormatException none) {
+            return 0;
+        }
+    }
+
+    /** The work that a stand-in's client asks for, in parameters.work_ms; 0 where it asks for none. */
+    private static long work(Buffer body) {
+        try (JsonParser json = JSON.createParser(body.getBytes())) {
+            JsonToken token;
+            while ((token = json.nextToken()) != null) {
+                if (token == JsonToken.FIELD_NAME && json.currentName().equals("inputs")) {
+                    return 0;
+                }
+                if (token == JsonToken.FIELD_NAME && json.currentName().equals("work_ms")) {
+                    json.nextToken();
+                    return Math.round(json.getDoubleValue() * 1e6);
+                }
+            }
+        } catch (IOException malformed) {
+            return 0;
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/pearladder/router/Articles.java
@@ -0,0 +1,63 @@
+package pearladder.router;
+
+import java.nio.file.Path;
+import java.util.List;
+import pearladder.api.Facts;
+import pearladder.api.Span;
+
+/**
+ * What a router is told in its file, once, at its start.
+ *
+ * @param name of this router, unique among them
+ * @param host address to listen on
+ * @param port to listen on; 0 lets the system give one
+ * @param data folder for the last list
+ * @param facts what the module is told
+ */
+public record Articles(String name, String host, int port, Path data, ListService list, Facts facts,
+        List<ModelTerms> models, Limits limits, Connections connections, Span stopWithin) {
+    /** Where the list of engines comes from; silence for longer than the span means that it is broken. */
+    public record ListService(String host, int port, Span silence) { }
+
+    /**
+     * A family of models: a name, or its beginning with "*" behind it.
+     *
+     * @param lanes calls that a loaded copy runs at once
+     * @param usualLoad null where it is not known
+     * @param category of calls that name none, or null
+     */
+    public record ModelTerms(String pattern, int lanes, double memoryMb, Span usualLoad, String category) {
+        boolean matches(String model) {
+            return pattern.endsWith("*") ? model.startsWith(pattern.substring(0, pattern.length() - 1))
+                    : model.equals(pattern);
+        }
+    }
+
+    /**
+     * What the router holds at the most.
+     *
+     * @param payload bytes of a call's body
+     * @param answer bytes of an engine's answer
+     * @param openCalls calls held at once
+     * @param bodyWithin a call's body is in after so long, or the call is not taken
+     * @param idle a client's connection without a byte for so long is closed
+     */
+    public record Limits(long payload, long answer, int openCalls, Span bodyWithin, Span idle) { }
+
+    /** Connections to one engine: how many, how long to wait for one, and how long an idle one is kept. */
+    public record Connections(int perEngine, Span dial, Span idle) { }
+
+    /** The terms of a model, or null where it is not known; the first that matches counts. */
+    ModelTerms modelOf(String name) {
+        for (ModelTerms model : models) {
+            if (model.matches(name)) {
+                return model;
+            }
+        }
+        return null;
+    }
+
+    Facts.Terms category(String name) {
+        return facts.categories().stream().filter(c -> c.name().equals(name)).findFirst().orElse(null);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/pearladder/router/LastList.java
@@ -0,0 +1,52 @@
+package pearladder.router;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import pearladder.kserve.ListLine;
+
+/** The last list on disk. It is written beside and moved over, so that a crash leaves the old one or the new one. */
+final class LastList {
+    private static final Logger LOG = LoggerFactory.getLogger(LastList.class);
+
+    private final Path file;
+
+    LastList(Path folder) {
+        this.file = folder.resolve("last-list.json");
+    }
+
+    /** The list as it was last written, or null where there is none that can be read. */
+    ListLine read() {
+        try {
+            return ListLine.parse(Files.readString(file));
+        } catch (NoSuchFileException none) {
+            return null;
+        } catch (IOException unreadable) {
+            LOG.atWarn().addKeyValue("file", file).addKeyValue("cause", unreadable.getMessage())
+                    .log("the last list can't be read; starting without one");
+            return null;
+        }
+    }
+
+    void write(ListLine whole) throws IOException {
+        Files.createDirectories(file.getParent());
+        Path beside = file.resolveSibling("last-list.new");
+        try (FileChannel channel = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING)) {
+            ByteBuffer bytes = ByteBuffer.wrap(whole.text().getBytes(StandardCharsets.UTF_8));
+            while (bytes.hasRemaining()) {
+                channel.write(bytes);
+            }
+            channel.force(true);
+        }
+        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/pearladder/router/Meters.java
@@ -0,0 +1,70 @@
+package pearladder.router;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import pearladder.api.Outcome;
+import pearladder.kserve.FinalState;
+
+/** The router's counts, told on /metrics in the text form of Prometheus. */
+final class Meters {
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<FinalState, Counter> answers = new EnumMap<>(FinalState.class);
+    private final Map<Outcome, Counter> legs = new EnumMap<>(Outcome.class);
+    private final Timer settled = Timer.builder("pearladder.call.seconds").publishPercentiles(0.5, 0.99)
+            .register(registry);
+    private final Timer decisions = Timer.builder("pearladder.decision.seconds").publishPercentiles(0.5, 0.99)
+            .register(registry);
+    private final Counter left = registry.counter("pearladder.clients.left");
+    private final Counter turnedAway = registry.counter("pearladder.calls.not.taken");
+    private final Counter orders = registry.counter("pearladder.load.orders");
+
+    Meters(Supplier<Number> openCalls, Supplier<Number> engines) {
+        for (FinalState state : FinalState.values()) {
+            answers.put(state, registry.counter("pearladder.calls", "state", state.word()));
+        }
+        for (Outcome outcome : Outcome.values()) {
+            legs.put(outcome, registry.counter("pearladder.legs", "outcome",
+                    outcome.name().toLowerCase(Locale.ROOT)));
+        }
+        registry.gauge("pearladder.calls.open", openCalls, s -> s.get().doubleValue());
+        registry.gauge("pearladder.engines.listed", engines, s -> s.get().doubleValue());
+    }
+
+    void answered(FinalState state, long nanos) {
+        answers.get(state).increment();
+        if (state == FinalState.SETTLED) {
+            settled.record(nanos, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    void legEnded(Outcome outcome) {
+        legs.get(outcome).increment();
+    }
+
+    void decided(long nanos) {
+        decisions.record(nanos, TimeUnit.NANOSECONDS);
+    }
+
+    void clientLeft() {
+        left.increment();
+    }
+
+    void notTaken() {
+        turnedAway.increment();
+    }
+
+    void ordered() {
+        orders.increment();
+    }
+
+    String text() {
+        return registry.scrape();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/pearladder/router/OpenCall.java
@@ -0,0 +1,37 @@
+package pearladder.router;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.ArrayList;
+import java.util.List;
+import pearladder.api.Moment;
+
+/** A call that this router has taken: what the client sent, where the answer goes, and the legs so far. */
+final class OpenCall {
+    final String id;
+    /** The client's own name for the call, handed on to engines; the router's id where it named none. */
+    final String named;
+    final String function;
+    final String path;
+    final String contentType;
+    final String mark;
+    final Buffer body;
+    final HttpServerResponse response;
+    final Moment taken;
+    final List<OpenLeg> legs = new ArrayList<>(2);
+    int legsOut;
+    boolean over;
+
+    OpenCall(String id, String named, String function, String path, String contentType, String mark, Buffer body,
+            HttpServerResponse response, Moment taken) {
+        this.id = id;
+        this.named = named;
+        this.function = function;
+        this.path = path;
+        this.contentType = contentType;
+        this.mark = mark;
+        this.body = body;
+        this.response = response;
+        this.taken = taken;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -0,0 +1,418 @@
+package pearladder.router;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.http.HttpServerResponse;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import pearladder.api.Action;
+import pearladder.api.Dispatcher;
+import pearladder.api.Event;
+import pearladder.api.Facts;
+import pearladder.api.Moment;
+import pearladder.api.Outcome;
+import pearladder.api.Span;
+import pearladder.kserve.Bodies;
+import pearladder.kserve.FinalState;
+import pearladder.kserve.Headers;
+import pearladder.kserve.ListLine;
+
+/**
+ * One router: its door, its engines, its list and one instance of the module, all on one event loop. It is made, started,
+ * stopped once.
+ */
+public final class Router implements Door.House, Conductor.Hands, ListWatch.Listener, Legs.Ended {
+    /** Makes the module's instance. */
+    public interface Maker {
+        Dispatcher make(long seed, Facts facts);
+    }
+
+    private static final Logger LOG = LoggerFactory.getLogger(Router.class);
+
+    private final Articles articles;
+    private final Vertx vertx;
+    private final Context loop;
+    private final Meters meters;
+    private final Conductor conductor;
+    private final Legs legs;
+    private final Door door;
+    private final ListWatch watch;
+    private final LastList lastList;
+    private final Map<String, OpenCall> calls = new HashMap<>();
+    private final Map<String, EngineLink> links = new HashMap<>();
+    private final Map<String, ListLine.Entry> listed = new LinkedHashMap<>();
+    /** Wall clock less monotonic clock at the start: fixed, so that a start told twice is the same moment. */
+    private final long wallAhead = System.currentTimeMillis() * 1_000_000L - System.nanoTime();
+    private long version;
+    private long numbered;
+    private boolean writing;
+    private boolean unwritten;
+    private boolean known;
+    private boolean stopping;
+    private Promise<Void> emptied;
+    private int port;
+
+    private Router(Articles articles, Maker maker, long seed) {
+        this.articles = articles;
+        this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
+                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+        this.loop = vertx.getOrCreateContext();
+        this.meters = new Meters(calls::size, listed::size);
+        this.conductor = new Conductor(vertx, maker.make(seed, articles.facts()), meters, this);
+        this.legs = new Legs(vertx, articles.name(), articles.limits().answer(), this);
+        this.door = new Door(vertx, articles, this, meters);
+        this.watch = new ListWatch(vertx, articles.list(), articles.name(), this);
+        this.lastList = new LastList(articles.data());
+    }
+
+    /**
+     * Starts a router; the future brings it once it listens, or fails with the cause in words.
+     *
+     * @param seed of the module's chance; a fresh one at every start
+     */
+    public static Future<Router> start(Articles articles, Maker maker, long seed) {
+        Router router = new Router(articles, maker, seed);
+        Promise<Router> started = Promise.promise();
+        router.loop.runOnContext(run -> {
+            router.begin();
+            router.door.listen().onComplete(port -> {
+                router.port = port;
+                LOG.atInfo().addKeyValue("router", articles.name()).addKeyValue("port", port)
+                        .addKeyValue("engines", router.listed.size()).log("listening");
+                started.complete(router);
+            }, failed -> {
+                router.vertx.close();
+                started.fail(new IOException(articles.host() + ":" + articles.port() + " can't be listened on: "
+                        + failed.getMessage() + "; is another router running there?", failed));
+            });
+        });
+        return started.future();
+    }
+
+    public int port() {
+        return port;
+    }
+
+    private void begin() {
+        ListLine remembered = lastList.read();
+        if (remembered != null) {
+            remembered.entries().forEach(this::learn);
+            known = !listed.isEmpty();
+        }
+        conductor.tell(new Event.Listed(Event.ListKind.REMEMBERED,
+                listed.values().stream().map(this::listing).toList()));
+        watch.watch();
+    }
+
+    /** Takes nothing new, finishes what it holds within its bound, and ends. */
+    public Future<Void> stop() {
+        Promise<Void> done = Promise.promise();
+        loop.runOnContext(run -> {
+            if (stopping) {
+                done.complete();
+                return;
+            }
+            stopping = true;
+            emptied = Promise.promise();
+            LOG.atInfo().addKeyValue("calls", calls.size()).log("stopping");
+            long bound = vertx.setTimer(Math.max(1, articles.stopWithin().inMillis()), late -> {
+                LOG.atWarn().addKeyValue("calls", calls.size()).log("the bound is reached; terminating what is held");
+                for (OpenCall call : List.copyOf(calls.values())) {
+                    terminate(new Action.Terminate(call.id));
+                }
+                emptied.tryComplete();
+            });
+            if (calls.isEmpty()) {
+                emptied.tryComplete();
+            }
+            emptied.future().onComplete(empty -> {
+                vertx.cancelTimer(bound);
+                conductor.end();
+                watch.close();
+                // A last answer may still be on its way out of the socket.
+                vertx.setTimer(50, sent -> door.close().onComplete(closed -> vertx.close().onComplete(done)));
+            });
+        });
+        return done.future();
+    }
+
+    // ---- the door
+
+    @Override
+    public boolean ready() {
+        return known && !stopping;
+    }
+
+    @Override
+    public String closedBecause() {
+        return stopping ? "this router is stopping"
+                : calls.size() >= articles.limits().openCalls() ? "this router holds as many calls as it may" : null;
+    }
+
+    @Override
+    public void take(Door.Asked asked) {
+        String id = Long.toString(++numbered);
+        OpenCall call = new OpenCall(id, asked.named() != null ? asked.named() : articles.name() + "-" + id,
+                asked.function(), asked.path(), asked.contentType(), asked.mark(), asked.body(), asked.response(),
+                asked.came());
+        calls.put(id, call);
+        call.response.putHeader(Headers.CALL, call.named);
+        call.response.closeHandler(closed -> left(call));
+        conductor.tell(new Event.CallCame(id, call.function, asked.category().name(), asked.account(),
+                asked.timeLeft(), asked.model().lanes(), asked.model().memoryMb(), asked.model().usualLoad(),
+                asked.hint(), asked.repeat(), false));
+    }
+
+    /** The client is gone: nothing is owed any more, and what still runs for it is called off. */
+    private void left(OpenCall call) {
+        if (call.over) {
+            return;
+        }
+        call.over = true;
+        meters.clientLeft();
+        conductor.tell(new Event.ClientLeft(call.id));
+        if (articles.facts().allowances().cancel()) {
+            for (OpenLeg leg : List.copyOf(call.legs)) {
+                if (!leg.ended) {
+                    legs.cancel(leg);
+                }
+            }
+        }
+        forget(call);
+    }
+
+    private void forget(OpenCall call) {
+        if (call.over && call.legsOut == 0) {
+            calls.remove(call.id);
+            if (emptied != null && calls.isEmpty()) {
+                emptied.tryComplete();
+            }
+        }
+    }
+
+    /** Gives a call its one final answer; false where it had one before. */
+    private boolean answer(OpenCall call, FinalState state) {
+        if (call == null || call.over) {
+            return false;
+        }
+        call.over = true;
+        meters.answered(state, Conductor.now().since(call.taken).nanos());
+        return !call.response.ended() && !call.response.closed();
+    }
+
+    // ---- what the module asks for
+
+    @Override
+    public void send(Action.Send send) {
+        OpenCall call = calls.get(send.call());
+        if (call == null) {
+            LOG.error("a leg for a call that is not held: {}", send.call());
+            return;
+        }
+        OpenLeg leg = new OpenLeg(call, call.legs.size(), send.worker(), Conductor.now());
+        call.legs.add(leg);
+        call.legsOut++;
+        legs.send(leg, call.over ? null : links.get(send.worker()), send.limit());
+    }
+
+    @Override
+    public void leg(OpenLeg leg, Outcome outcome, EngineAnswer answer) {
+        OpenCall call = leg.call;
+        call.legsOut--;
+        meters.legEnded(outcome);
+        if (outcome == Outcome.SUCCESS && answer(call, FinalState.SETTLED)) {
+            HttpServerResponse response = call.response;
+            for (String name : List.of("content-type", Headers.COPY, Headers.CROWD, Headers.REPORT)) {
+                String value = answer.headers().get(name);
+                if (value != null) {
+                    response.putHeader(name, value);
+                }
+            }
+            response.setStatusCode(answer.status()).putHeader(Headers.STATE, FinalState.SETTLED.word())
+                    .end(answer.body());
+        }
+        conductor.tell(new Event.LegEnded(call.id, leg.number, leg.engine, outcome,
+                Conductor.now().since(leg.sent), call.over, answer == null ? Event.Copy.UNTOLD : answer.copy(),
+                answer == null ? -1 : answer.crowd(), answer == null ? null : answer.report()));
+        forget(call);
+    }
+
+    @Override
+    public void cancel(Action.Cancel cancel) {
+        OpenCall call = calls.get(cancel.call());
+        if (call != null && cancel.leg() < call.legs.size()) {
+            legs.cancel(call.legs.get(cancel.leg()));
+        }
+    }
+
+    @Override
+    public void dismiss(Action.Dismiss dismiss) {
+        OpenCall call = calls.get(dismiss.call());
+        if (answer(call, FinalState.DISMISSED)) {
+            Door.dismiss(call.response, "not done; trying again is harmless", dismiss.retryAfter());
+        }
+        if (call != null) {
+            forget(call);
+        }
+    }
+
+    @Override
+    public void terminate(Action.Terminate terminate) {
+        OpenCall call = calls.get(terminate.call());
+        if (answer(call, FinalState.TERMINATED)) {
+            call.response.setStatusCode(FinalState.TERMINATED.status)
+                    .putHeader(Headers.STATE, FinalState.TERMINATED.word())
+                    .putHeader("content-type", "application/json")
+                    .end(Bodies.error("no answer; it may or may not have taken effect"));
+        }
+        if (call != null) {
+            forget(call);
+        }
+    }
+
+    @Override
+    public void hold(Action.Hold hold) {
+        Moment sent = Conductor.now();
+        EngineLink link = links.get(hold.worker());
+        meters.ordered();
+        if (link == null) {
+            conductor.tell(new Event.LoadAnswered(hold.worker(), hold.function(), Outcome.UNREACHABLE, 0, Span.NONE));
+            return;
+        }
+        legs.order(link, hold, articles.facts().copies().orderTimeout(), (outcome, copies) ->
+                conductor.tell(new Event.LoadAnswered(hold.worker(), hold.function(), outcome, copies,
+                        Conductor.now().since(sent))));
+    }
+
+    @Override
+    public void unload(Action.Unload unload) {
+        EngineLink link = links.get(unload.worker());
+        if (link != null) {
+            legs.unload(link, unload.function(), articles.facts().copies().orderTimeout());
+        }
+    }
+
+    @Override
+    public void probe(Action.Probe probe) {
+        EngineLink link = links.get(probe.worker());
+        if (link == null) {
+            conductor.tell(new Event.Probed(probe.worker(), Outcome.UNREACHABLE, Span.NONE, null));
+            return;
+        }
+        legs.probe(link, articles.facts().copies().orderTimeout(), (outcome, answer, took) ->
+                conductor.tell(new Event.Probed(probe.worker(), outcome, took,
+                        answer == null ? null : answer.report())));
+    }
+
+    @Override
+    public void closeIdle(Action.CloseIdle close) {
+        EngineLink link = links.get(close.worker());
+        if (link != null) {
+            link.closeIdle();
+        }
+    }
+
+    @Override
+    public void subscribe(Action.Subscribe subscribe) {
+        if (subscribe.on()) {
+            watch.watch();
+        }
+    }
+
+    @Override
+    public void fetchList() {
+        watch.watch();
+    }
+
+    // ---- the list
+
+    @Override
+    public void failed() {
+        conductor.tell(new Event.Listed(Event.ListKind.FAILED, List.of()));
+    }
+
+    @Override
+    public void line(ListLine line) {
+        boolean whole = line.kind() == ListLine.Kind.WHOLE;
+        List<ListLine.Entry> before = List.copyOf(listed.values());
+        if (whole) {
+            listed.clear();
+        }
+        line.entries().forEach(this::learn);
+        List<Event.Listing> listings = new ArrayList<>(line.entries().stream().map(this::listing).toList());
+        if (whole) {
+            for (ListLine.Entry old : before) {
+                if (!listed.containsKey(old.engine())) {
+                    retire(old.engine());
+                }
+            }
+        }
+        version = line.version();
+        known = true;
+        conductor.tell(new Event.Listed(whole ? Event.ListKind.WHOLE : Event.ListKind.CHANGES, listings));
+        write();
+    }
+
+    private void learn(ListLine.Entry entry) {
+        if (entry.standing() == ListLine.Standing.GONE) {
+            listed.remove(entry.engine());
+            retire(entry.engine());
+            return;
+        }
+        listed.put(entry.engine(), entry);
+        EngineLink link = links.get(entry.engine());
+        if (link == null || link.port != entry.port() || !link.host.equals(entry.host())) {
+            retire(entry.engine());
+            links.put(entry.engine(), new EngineLink(vertx, entry.host(), entry.port(), articles.connections()));
+        }
+    }
+
+    private void retire(String engine) {
+        EngineLink link = links.remove(engine);
+        if (link != null) {
+            link.retire();
+        }
+    }
+
+    private Event.Listing listing(ListLine.Entry entry) {
+        Moment since = entry.startedMillis() == 0 ? null
+                : new Moment(entry.startedMillis() * 1_000_000L - wallAhead);
+        return new Event.Listing(entry.engine(), entry.hall(), entry.kind(), entry.cell(),
+                Event.Standing.valueOf(entry.standing().name()), 1, since);
+    }
+
+    /** Writes the list off the event loop, one writing at a time; what changed meanwhile is written after it. */
+    private void write() {
+        if (writing) {
+            unwritten = true;
+            return;
+        }
+        writing = true;
+        ListLine whole = new ListLine(ListLine.Kind.WHOLE, version, List.copyOf(listed.values()));
+        vertx.executeBlocking(() -> {
+            lastList.write(whole);
+            return null;
+        }).onComplete(end -> {
+            writing = false;
+            if (end.failed()) {
+                LOG.atWarn().addKeyValue("cause", end.cause().getMessage())
+                        .log("the last list can't be written; a restart may know an older one");
+            }
+            if (unwritten) {
+                unwritten = false;
+                write();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/yaml/src/main/java/pearladder/yaml/Yaml.java
@@ -0,0 +1,82 @@
+package pearladder.yaml;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads a YAML file into values that know their line. Anchors and several documents are not taken. */
+public final class Yaml {
+    private final JsonParser parser;
+    private final Mistakes mistakes;
+
+    private Yaml(JsonParser parser, Mistakes mistakes) {
+        this.parser = parser;
+        this.mistakes = mistakes;
+    }
+
+    /** Reads a file; throws {@link Mistakes.Found} where it can't be read or is not YAML. */
+    public static Value read(Path file) {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException unreadable) {
+            throw new Mistakes.Found(List.of(new Mistakes.Mistake(file.toString(), 1, "", "the file can't be read",
+                    "check that it is there, is UTF-8 and may be read")));
+        }
+        return read(file.toString(), text);
+    }
+
+    /** Reads a text under a file's name. */
+    public static Value read(String file, String text) {
+        Mistakes mistakes = new Mistakes(file);
+        try (JsonParser parser = new YAMLFactory().createParser(text)) {
+            Yaml yaml = new Yaml(parser, mistakes);
+            JsonToken first = parser.nextToken();
+            Value value = first == null ? new Value(mistakes, "", 1, new LinkedHashMap<String, Value>())
+                    : yaml.value("", first);
+            mistakes.raise();
+            return value;
+        } catch (JsonProcessingException malformed) {
+            int line = malformed.getLocation() == null ? 1 : Math.max(1, malformed.getLocation().getLineNr());
+            String what = malformed.getOriginalMessage().lines().findFirst().orElse("").trim();
+            throw new Mistakes.Found(List.of(new Mistakes.Mistake(file, line, "", "not YAML: " + what,
+                    "check indents, colons and quotes at this line and the one before")));
+        } catch (IOException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    private Value value(String path, JsonToken token) throws IOException {
+        int line = parser.currentTokenLocation().getLineNr();
+        if (token == JsonToken.START_OBJECT) {
+            Map<String, Value> map = new LinkedHashMap<>();
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                String key = parser.currentName();
+                int at = parser.currentTokenLocation().getLineNr();
+                String inner = path.isEmpty() ? key : path + "." + key;
+                Value value = value(inner, parser.nextToken());
+                if (map.putIfAbsent(key, new Value(mistakes, inner, at, value.raw())) != null) {
+                    mistakes.add(at, inner, "the key stands twice", "keep one of them");
+                }
+            }
+            return new Value(mistakes, path, line, map);
+        }
+        if (token == JsonToken.START_ARRAY) {
+            List<Value> list = new ArrayList<>();
+            JsonToken inner;
+            while ((inner = parser.nextToken()) != JsonToken.END_ARRAY) {
+                list.add(value(path + "[" + list.size() + "]", inner));
+            }
+            return new Value(mistakes, path, line, list);
+        }
+        return new Value(mistakes, path, line, token == JsonToken.VALUE_NULL ? null : parser.getText());
+    }
+}
