--- a/cli/src/main/java/pearladder/cli/CheckCommand.java
+++ b/cli/src/main/java/pearladder/cli/CheckCommand.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import pearladder.emulator.FleetPlan;
+import pearladder.lab.Day;
 import pearladder.router.ArticlesReader;
 import pearladder.yaml.Value;
 import pearladder.yaml.Yaml;
@@ -12,7 +13,7 @@
 import picocli.CommandLine.Spec;
 
 @Command(name = "check", mixinStandardHelpOptions = true,
-        description = "Check a router's or a fleet's file; each mistake is named with line, key and mend.")
+        description = "Check a router's, a fleet's or a day's file; each mistake is named with line, key and mend.")
 final class CheckCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "what is checked")
     private Path file;
@@ -24,7 +25,10 @@
     public Integer call() {
         String what = "a router";
         Value value = Yaml.read(file);
-        if (value.keys().contains("fleet")) {
+        if (value.keys().contains("day")) {
+            Day.check(file);
+            what = "a day";
+        } else if (value.keys().contains("fleet")) {
             FleetPlan.read(value.at("fleet"));
             value.done();
             what = "a fleet";
--- a/cli/src/main/java/pearladder/cli/Commands.java
+++ b/cli/src/main/java/pearladder/cli/Commands.java
@@ -10,8 +10,8 @@
 /** All commands. Exit codes: 0 done, 1 failed or a rule broken, 2 a mistake in the command line or in a file. */
 @Command(name = "pearladder", mixinStandardHelpOptions = true, version = "pearladder 0.2.0",
         description = "Runs calls on workers that load functions or models on demand.",
-        subcommands = {RouterCommand.class, EnginesCommand.class, CheckCommand.class, WirehostCommand.class,
-            CommandLine.HelpCommand.class})
+        subcommands = {TryCommand.class, RouterCommand.class, EnginesCommand.class, CheckCommand.class, DayCommand.class,
+            WirehostCommand.class, CommandLine.HelpCommand.class})
 final class Commands implements Runnable {
     /** The command runs on in other threads and ends the process itself. */
     static final int RUNNING = -1;
--- /dev/null
+++ b/cli/src/main/java/pearladder/cli/DayCommand.java
@@ -0,0 +1,40 @@
+package pearladder.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import pearladder.lab.Day;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+@Command(name = "day", mixinStandardHelpOptions = true, description = {
+    "Play a scripted day: routers and engines as processes on loopback, traffic and troubles.",
+    "Prints the table and the verdict on the five rules; ends with 1 where a rule was broken."})
+final class DayCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "the script")
+    private Path script;
+
+    @Option(names = "--out", defaultValue = "day-out", paramLabel = "DIR",
+            description = "where tapes, logs and the table go (default: ${DEFAULT-VALUE})")
+    private Path out;
+
+    @Option(names = "--policy", defaultValue = "MODULE",
+            description = "who decides: ${COMPLETION-CANDIDATES}; RANDOM is a baseline")
+    private Decider policy;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        return play(script, out, policy);
+    }
+
+    static int play(Path script, Path out, Decider policy) throws IOException, InterruptedException {
+        Logs.setUp(Logs.Form.TEXT);
+        Day.Outcome outcome = Day.play(script, out, Program.command(), List.of("--policy", policy.name()), System.out);
+        System.out.println();
+        outcome.table().forEach(System.out::println);
+        System.out.println("kept in " + out);
+        return outcome.kept() ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/pearladder/cli/Decider.java
@@ -0,0 +1,17 @@
+package pearladder.cli;
+
+import pearladder.Policy;
+import pearladder.baseline.RandomChoice;
+import pearladder.router.Router;
+
+/** Who decides in a router: the module, or a baseline that it is compared with. */
+enum Decider {
+    MODULE(Policy::new),
+    RANDOM(RandomChoice::new);
+
+    final Router.Maker maker;
+
+    Decider(Router.Maker maker) {
+        this.maker = maker;
+    }
+}
--- a/cli/src/main/java/pearladder/cli/RouterCommand.java
+++ b/cli/src/main/java/pearladder/cli/RouterCommand.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import pearladder.Policy;
 import pearladder.router.Articles;
 import pearladder.router.ArticlesReader;
 import pearladder.router.Router;
@@ -24,6 +23,9 @@
     @Option(names = "--log", defaultValue = "AUTO", description = "${COMPLETION-CANDIDATES}")
     private Logs.Form log;
 
+    @Option(names = "--policy", defaultValue = "MODULE", hidden = true, description = "RANDOM is a baseline for days")
+    private Decider policy;
+
     @Option(names = "--seed", description = "the module's chance, for a run that is to be repeated")
     private Long seed;
 
@@ -33,7 +35,7 @@
         Articles articles = ArticlesReader.read(file);
         Router router;
         try {
-            router = Router.start(articles, Policy::new, seed != null ? seed : new SecureRandom().nextLong())
+            router = Router.start(articles, policy.maker, seed != null ? seed : new SecureRandom().nextLong())
                     .toCompletionStage().toCompletableFuture().get(30, TimeUnit.SECONDS);
         } catch (ExecutionException failed) {
             throw new IOException(failed.getCause().getMessage());
--- /dev/null
+++ b/cli/src/main/java/pearladder/cli/TryCommand.java
@@ -0,0 +1,27 @@
+package pearladder.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "try", mixinStandardHelpOptions = true,
+        description = "Half a minute of everything on loopback: engines, shelf, list, two routers, one trouble.")
+final class TryCommand implements Callable<Integer> {
+    @Option(names = "--out", defaultValue = "try-out", paramLabel = "DIR", description = "where it is kept")
+    private Path out;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Files.createDirectories(out);
+        Path script = out.resolve("try.yaml");
+        try (InputStream day = TryCommand.class.getResourceAsStream("try.yaml")) {
+            Files.copy(day, script, StandardCopyOption.REPLACE_EXISTING);
+        }
+        return DayCommand.play(script, out, Decider.MODULE);
+    }
+}
--- a/emulator/src/main/java/pearladder/emulator/Engine.java
+++ b/emulator/src/main/java/pearladder/emulator/Engine.java
@@ -88,7 +88,7 @@
     private final List<Held> running = new ArrayList<>();
     private final ArrayDeque<Copy> toLoad = new ArrayDeque<>();
     private final Map<String, Long> images = new LinkedHashMap<>();
-    private final Map<String, Long> marks = new LinkedHashMap<>();
+    private final Marks marks;
     private final ArrayDeque<double[]> pressure = new ArrayDeque<>();
     private Timeline.Planned next;
     private long at;
@@ -105,9 +105,10 @@
     private long reportDelay;
     private final ArrayDeque<Object[]> late = new ArrayDeque<>();
 
-    /** @param cold whether it has just started */
+    /** @param marks those of its group; @param cold whether it has just started */
     public Engine(Timeline time, String id, EngineKind kind, Function<String, ModelKind> models, Shelf shelf,
-            long seed, boolean cold, Consumer<Seen> seen) {
+            Marks marks, long seed, boolean cold, Consumer<Seen> seen) {
+        this.marks = marks;
         this.time = time;
         this.id = id;
         this.kind = kind;
@@ -168,7 +169,6 @@
         running.clear();
         copies.clear();
         toLoad.clear();
-        marks.clear();
         images.clear();
         pressure.clear();
         loading = 0;
@@ -252,11 +252,8 @@
             reply.accept(new Answer(End.ERROR, null, crowd, 0, report()));
             return null;
         }
-        marks.values().removeIf(until -> until < time.now());
-        if (!asked.mark().isEmpty() && marks.containsKey(asked.mark())) {
-            seen.accept(Seen.leg(time.now(), Seen.DROPPED, asked, id, asked.mark()));
-            reply.accept(new Answer(End.OK, Met.STOOD, crowd, 0, report()));
-            return null;
+        if (marks.has(asked.mark())) {
+            return drop(asked, crowd, reply);
         }
         Held held = new Held(asked, crowd, reply);
         held.left = work;
@@ -289,6 +286,13 @@
         return null;
     }
 
+    /** A repeat of what has run is answered and not run again. */
+    private Held drop(Asked asked, int crowd, Consumer<Answer> reply) {
+        seen.accept(Seen.leg(time.now(), Seen.DROPPED, asked, id, asked.mark()));
+        reply.accept(new Answer(End.OK, Met.STOOD, crowd, 0, report()));
+        return null;
+    }
+
     private Copy free(String model) {
         Copy best = null;
         for (Copy copy : copies) {
@@ -382,13 +386,17 @@
     }
 
     private void run(Held held, Copy copy) {
+        if (marks.has(held.asked.mark())) {
+            // it waited here while a repeat of it ran elsewhere in the group
+            held.ended = true;
+            drop(held.asked, held.crowd, held.reply);
+            return;
+        }
         advance();
         held.on = copy;
         copy.busy++;
         running.add(held);
-        if (!held.asked.mark().isEmpty()) {
-            marks.put(held.asked.mark(), time.now() + kind.rememberedNanos());
-        }
+        marks.add(held.asked.mark());
         seen.accept(Seen.leg(time.now(), Seen.RAN, held.asked, id, ""));
         plan();
     }
--- a/emulator/src/main/java/pearladder/emulator/EngineKind.java
+++ b/emulator/src/main/java/pearladder/emulator/EngineKind.java
@@ -11,6 +11,7 @@
  * @param images whether fetched images stay on its disk and spare the next fetch
  * @param cancelStops whether running work stops when its caller is gone
  * @param rememberedNanos for how long a repeat with the same mark is dropped
+ * @param rememberedBy the engines that drop each other's repeats
  * @param startShare of its capacity right after a start
  * @param warmNanos after a start it bears all of it
  * @param fallMultiple sent more than so many times its present capacity
@@ -18,5 +19,8 @@
  * @param reportNanos its load report is renewed so seldom
  */
 public record EngineKind(String name, int cores, double speed, double memoryMb, int loaders, int queue, long keptNanos,
-        boolean ownCopies, boolean images, boolean cancelStops, long rememberedNanos, double startShare,
-        long warmNanos, double fallMultiple, long fallNanos, long reportNanos) { }
+        boolean ownCopies, boolean images, boolean cancelStops, long rememberedNanos, Group rememberedBy,
+        double startShare, long warmNanos, double fallMultiple, long fallNanos, long reportNanos) {
+    /** Engines that share their marks. */
+    public enum Group { ALL, HALL, CELL }
+}
--- a/emulator/src/main/java/pearladder/emulator/FleetPlan.java
+++ b/emulator/src/main/java/pearladder/emulator/FleetPlan.java
@@ -10,9 +10,10 @@
  *
  * @param shelfCapacity fetches that the shelf serves at full speed together
  * @param lagNanos how late the list tells a change
+ * @param cables whether each router reaches each engine over a cable of its own, that can be cut
  */
-public record FleetPlan(long seed, double shelfCapacity, int shelfLimit, long lagNanos, List<ModelKind> models,
-        List<Planned> engines) {
+public record FleetPlan(long seed, double shelfCapacity, int shelfLimit, long lagNanos, boolean cables,
+        List<ModelKind> models, List<Planned> engines) {
     /** One engine to stand up. */
     public record Planned(String id, EngineKind kind, String hall, long cell) { }
 
@@ -47,17 +48,19 @@
         }
         return new FleetPlan(fleet.at("seed").whole(1, 0, Integer.MAX_VALUE),
                 shelf.at("capacity").number(8, 0.1, 1e6), shelf.at("limit").whole(64, 1, 1_000_000),
-                fleet.at("list").at("lag").span("500 ms"), fleet.at("models").each(FleetPlan::model), engines);
+                fleet.at("list").at("lag").span("500 ms"), fleet.at("cables").flag(false),
+                fleet.at("models").each(FleetPlan::model), engines);
     }
 
-    private static EngineKind kind(Value kind) {
+    private static EngineKind kind(String name, Value kind) {
         Value cold = kind.at("cold");
-        return new EngineKind(kind.path().substring(kind.path().lastIndexOf('.') + 1),
+        return new EngineKind(name,
                 kind.at("cores").whole(1, 1024), kind.at("speed").number(1, 0.01, 100),
                 kind.at("memory").bytes() / 1e6, kind.at("loaders").whole(4, 1, 1000),
                 kind.at("queue").whole(64, 0, 100_000), kind.at("kept").span("10 s"),
                 kind.at("own_copies").flag(true), kind.at("images").flag(false),
                 kind.at("cancel_stops").flag(true), kind.at("remembered").span("8 s"),
+                kind.at("remembered_by").word(EngineKind.Group.class, EngineKind.Group.ALL),
                 cold.at("start_share").number(0.3, 0.01, 1), cold.at("warm_after").span("15 s"),
                 cold.at("fall_multiple").number(2.5, 1, 100), cold.at("fall_after").span("1500 ms"),
                 kind.at("reports_every").span("300 ms"));
--- a/emulator/src/main/java/pearladder/emulator/net/Control.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Control.java
@@ -46,7 +46,10 @@
         double figure = request.getParam("figure") == null ? 0 : Double.parseDouble(request.getParam("figure"));
         List<String> named = engines == null || engines.isEmpty() ? fleet.ids()
                 : Arrays.stream(engines.split(",")).filter(fleet.ids()::contains).toList();
-        Future<Void> done = what == null ? null : act(what, named, model == null ? "*" : model, figure);
+        String router = request.getParam("router") == null ? "" : request.getParam("router");
+        Future<Void> done = what == null ? null
+                : what.startsWith("cable-") ? cable(what, router, named, figure)
+                : act(what, named, model == null ? "*" : model, figure);
         if (done == null) {
             request.response().setStatusCode(400).end(Bodies.error("unknown deed " + what));
         } else {
@@ -64,7 +67,8 @@
             case "hang" -> each(engines, server -> server.hang(figure > 0));
             case "garble" -> each(engines, server -> server.garble(figure > 0));
             case "late-reports" -> each(engines, server -> server.engine().reportLate(nanos));
-            case "release" -> each(engines, server -> server.engine().release(model));
+            case "release" -> each(engines, server -> Arrays.stream(model.split(","))
+                    .forEach(server.engine()::release));
             case "drain" -> engines.forEach(fleet::drain);
             case "kill" -> {
                 return all(engines, fleet::kill);
@@ -87,6 +91,23 @@
         return Future.succeededFuture();
     }
 
+    /** Null where there is no such deed, or no cables. */
+    private Future<Void> cable(String what, String router, List<String> engines, double figure) {
+        Cables cables = fleet.cables();
+        if (cables == null) {
+            return null;
+        }
+        switch (what) {
+            case "cable-cut" -> engines.forEach(id -> cables.cut(router, id, figure > 0));
+            case "cable-deaf" -> engines.forEach(id -> cables.deaf(id, figure > 0));
+            case "cable-reset" -> engines.forEach(id -> cables.reset(router, id));
+            default -> {
+                return null;
+            }
+        }
+        return Future.succeededFuture();
+    }
+
     private void each(List<String> engines, Consumer<EngineServer> what) {
         engines.forEach(id -> what.accept(fleet.engine(id)));
     }
--- a/emulator/src/main/java/pearladder/emulator/net/EngineServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/EngineServer.java
@@ -23,13 +23,16 @@
 
     private final Vertx vertx;
     private final Engine engine;
+    private final Runnable fell;
     private HttpServer server;
     private int port;
     private boolean hung;
     private boolean garbling;
 
-    EngineServer(Vertx vertx, Engine engine) {
+    /** @param fell what else happens when the engine falls over */
+    EngineServer(Vertx vertx, Engine engine, Runnable fell) {
         this.vertx = vertx;
+        this.fell = fell;
         this.engine = engine;
     }
 
@@ -104,7 +107,7 @@
                 }
             });
         } else if (!engine.up()) {
-            die();
+            fell.run();
         }
     }
 
--- a/emulator/src/main/java/pearladder/emulator/net/Fleet.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Fleet.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 import pearladder.emulator.Engine;
 import pearladder.emulator.FleetPlan;
+import pearladder.emulator.Marks;
 import pearladder.emulator.Roll;
 import pearladder.emulator.Seen;
 import pearladder.emulator.Shelf;
@@ -29,6 +30,8 @@
     private final Shelf shelf;
     private final Roll roll;
     private final ListServer list;
+    private final Cables cables;
+    private final Map<String, Marks> marks = new LinkedHashMap<>();
     private final Map<String, EngineServer> engines = new LinkedHashMap<>();
     private final Map<String, FleetPlan.Planned> planned = new LinkedHashMap<>();
     private int made;
@@ -41,7 +44,8 @@
         this.time = new VertxTimeline(vertx);
         this.shelf = new Shelf(time, plan.shelfCapacity(), plan.shelfLimit());
         this.roll = new Roll(time, plan.lagNanos(), seen);
-        this.list = new ListServer(vertx, roll);
+        this.cables = plan.cables() ? new Cables() : null;
+        this.list = new ListServer(vertx, roll, this::reachedBy);
     }
 
     /** Stands everything up, warm and listed, and waits until it listens. */
@@ -132,9 +136,15 @@
 
     /** Stands up one more engine; on the stand-ins' loop. */
     public Future<Void> add(FleetPlan.Planned engine, boolean cold) {
-        Engine model = new Engine(time, engine.id(), engine.kind(), plan::modelOf, shelf, plan.seed() * 1000 + made++,
-                cold, seen);
-        EngineServer server = new EngineServer(vertx, model);
+        String group = switch (engine.kind().rememberedBy()) {
+            case ALL -> "";
+            case HALL -> engine.hall();
+            case CELL -> Long.toString(engine.cell());
+        };
+        Marks shared = marks.computeIfAbsent(group, name -> new Marks(time, engine.kind().rememberedNanos()));
+        Engine model = new Engine(time, engine.id(), engine.kind(), plan::modelOf, shelf, shared,
+                plan.seed() * 1000 + made++, cold, seen);
+        EngineServer server = new EngineServer(vertx, model, () -> kill(engine.id()));
         engines.put(engine.id(), server);
         planned.put(engine.id(), engine);
         return server.listen().onSuccess(done -> tell(engine.id(), Standing.IN_SERVICE,
@@ -156,10 +166,25 @@
     /** An engine's process dies; the list learns of it late. */
     public Future<Void> kill(String id) {
         Future<Void> dead = engines.get(id).die();
+        if (cables != null) {
+            cables.down(id, true);
+        }
         tell(id, Standing.GONE, 0);
         return dead;
     }
 
+    /** An engine's entry as a router reaches it. */
+    private Entry reachedBy(String router, Entry entry) {
+        return cables == null || entry.standing() == Standing.GONE ? entry
+                : new Entry(entry.engine(), entry.host(), cables.port(router, entry.engine(), entry.port()),
+                        entry.hall(), entry.kind(), entry.cell(), entry.standing(), entry.startedMillis());
+    }
+
+    /** The network between routers and engines; null where the plan has no cables. */
+    public Cables cables() {
+        return cables;
+    }
+
     /** A dead engine comes back on its port, empty and cold. */
     public Future<Void> restart(String id) {
         EngineServer server = engines.get(id);
@@ -167,7 +192,12 @@
             return Future.succeededFuture();
         }
         server.engine().start();
-        return server.listen().onSuccess(done -> tell(id, Standing.IN_SERVICE, System.currentTimeMillis()));
+        return server.listen().onSuccess(done -> {
+            if (cables != null) {
+                cables.down(id, false);
+            }
+            tell(id, Standing.IN_SERVICE, System.currentTimeMillis());
+        });
     }
 
     /** A rolling deploy's step: the engine drains, goes, and a successor with a new name starts cold. */
@@ -188,6 +218,9 @@
             List<Future<Void>> all = new ArrayList<>();
             engines.values().forEach(engine -> all.add(engine.die()));
             list.cut();
+            if (cables != null) {
+                cables.close();
+            }
             return Future.all(all).mapEmpty();
         });
     }
--- a/emulator/src/main/java/pearladder/emulator/net/ListServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/ListServer.java
@@ -8,18 +8,23 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.function.BiFunction;
 import pearladder.emulator.Roll;
 import pearladder.kserve.Headers;
+import pearladder.kserve.ListLine;
 
 /** The stand-in list service: GET /v1/list/watch?from=VERSION stays open and brings a line for each change. */
 public final class ListServer {
     private final Vertx vertx;
     private final Roll roll;
+    private final BiFunction<String, ListLine.Entry, ListLine.Entry> reached;
     private final Set<HttpServerResponse> open = new HashSet<>();
     private HttpServer server;
     private int port;
 
-    ListServer(Vertx vertx, Roll roll) {
+    /** @param reached an entry as a router of that name reaches the engine */
+    ListServer(Vertx vertx, Roll roll, BiFunction<String, ListLine.Entry, ListLine.Entry> reached) {
+        this.reached = reached;
         this.vertx = vertx;
         this.roll = roll;
     }
@@ -60,7 +65,8 @@
         open.add(response);
         Roll.Watcher watcher = roll.watch(router == null ? "" : router,
                 from == null || !from.matches("[0-9]{1,18}") ? 0 : Long.parseLong(from),
-                line -> response.write(line.text() + "\n"));
+                line -> response.write(new ListLine(line.kind(), line.version(), line.entries().stream()
+                        .map(entry -> reached.apply(router == null ? "" : router, entry)).toList()).text() + "\n"));
         response.closeHandler(closed -> {
             roll.leave(watcher);
             open.remove(response);
--- /dev/null
+++ b/lab/src/main/java/pearladder/lab/Day.java
@@ -0,0 +1,330 @@
+package pearladder.lab;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import io.vertx.core.Vertx;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.net.URLEncoder;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import pearladder.emulator.Seen;
+import pearladder.emulator.Tape;
+
+/** Plays one day: starts the processes, sends the traffic, brings the troubles, judges the rules and writes the table. */
+public final class Day {
+    /** What a day came to. */
+    public record Outcome(double credit, double worstWindow, long calls, List<String> table,
+            RulesChecker.Verdict verdict, List<String> faults) {
+        /** Whether every rule was kept and nothing else went wrong. */
+        public boolean kept() {
+            return verdict.breaches().isEmpty() && faults.isEmpty();
+        }
+    }
+
+    /** How late an answer may be, and how long after its grace a send may be seen, before it counts: sockets and pauses. */
+    private static final long SLACK = 150_000_000L;
+
+    private final DayPlan plan;
+    private final Path script;
+    private final Path out;
+    private final Processes processes;
+    private final List<String> routerWords;
+    private final PrintStream progress;
+    private final HttpClient control = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(5)).build();
+    private final ExecutorService helper = Executors.newSingleThreadExecutor(run -> {
+        Thread thread = new Thread(run, "troubles");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private final Map<String, Integer> ports = new LinkedHashMap<>();
+    private final Map<String, String> halls = new LinkedHashMap<>();
+    private final List<String> faults = java.util.Collections.synchronizedList(new ArrayList<>());
+    private final Front front;
+    private final Books books = new Books();
+    private Tape tape;
+    private int controlPort;
+    private int listPort;
+    private long begun;
+
+    private Day(Path script, Path out, List<String> program, List<String> routerWords, PrintStream progress) {
+        this.plan = DayPlan.read(script);
+        this.script = script;
+        this.out = out;
+        this.processes = new Processes(program, out);
+        this.routerWords = routerWords;
+        this.progress = progress;
+        this.front = new Front(plan.clients().frontLag());
+    }
+
+    /** Only reads a script; throws {@link pearladder.yaml.Mistakes.Found} with every mistake in it. */
+    public static void check(Path script) {
+        DayPlan.read(script);
+    }
+
+    /**
+     * Plays a day.
+     *
+     * @param out folder for the tapes, the processes' files and logs, and the table
+     * @param program the command that runs this program
+     * @param routerWords further words of the routers' command line
+     * @param progress where lines of progress go
+     */
+    public static Outcome play(Path script, Path out, List<String> program, List<String> routerWords,
+            PrintStream progress) throws IOException, InterruptedException {
+        Files.createDirectories(out);
+        Day day = new Day(script, out, program, routerWords, progress);
+        try {
+            return day.play();
+        } finally {
+            day.helper.shutdownNow();
+            day.processes.close();
+        }
+    }
+
+    private Outcome play() throws IOException, InterruptedException {
+        JsonNode whole = new YAMLMapper().readTree(script.toFile());
+        startEngines(whole);
+        tape = new Tape(out.resolve("clients.tape"));
+        for (int i = 0; i < plan.routers(); i++) {
+            String name = "r" + (i + 1);
+            halls.put(name, plan.halls().get(i % plan.halls().size()));
+            ports.put(name, 0);
+            writeRouter(whole, name, i);
+            startRouter(name);
+            front.add(name, halls.get(name), ports.get(name));
+        }
+        String address = "http://127.0.0.1:" + ports.get("r1");
+        progress.println("running: " + plan.fleet().engines().size() + " engines, " + plan.routers()
+                + " routers; while it runs, try");
+        DayPlan.Flow flow = plan.flows().get(0);
+        progress.println("  curl -i " + address + "/v2/models/" + flow.prefix() + "0/infer -H 'pearladder-category: "
+                + flow.category() + "'" + (flow.account().isEmpty() ? "" : " -H 'pearladder-account: " + flow.account()
+                + "'") + " -d '{\"inputs\":[]}'");
+        traffic();
+        for (String router : ports.keySet()) {
+            boolean alive = processes.alive(router);
+            int code = processes.stop(router);
+            if (alive && code != 0) {
+                faults.add(router + " ended with " + code + " after SIGTERM, not 0");
+            }
+        }
+        processes.stop("engines");
+        tape.close();
+        return judge();
+    }
+
+    private void startEngines(JsonNode whole) throws IOException {
+        Path file = out.resolve("fleet.yaml");
+        ObjectNode fleet = new YAMLMapper().createObjectNode();
+        fleet.set("fleet", whole.get("fleet"));
+        new YAMLMapper().writeValue(file.toFile(), fleet);
+        String line = processes.start("engines", "engines", "-c", file.toString(), "--tape",
+                out.resolve("engines.tape").toString());
+        listPort = Processes.number(line, "list");
+        controlPort = Processes.number(line, "control");
+    }
+
+    private void writeRouter(JsonNode whole, String name, int number) throws IOException {
+        ObjectNode file = whole.get("router").deepCopy();
+        ObjectNode head = file.withObject("/router");
+        head.put("name", name).put("listen", "127.0.0.1:" + ports.get(name)).put("hall", halls.get(name))
+                .put("number", number).put("data", out.resolve("data-" + name).toString());
+        if (!head.has("peers")) {
+            head.put("peers", plan.routers());
+        }
+        file.withObject("/list").put("address", "127.0.0.1:" + listPort);
+        new YAMLMapper().writeValue(out.resolve(name + ".yaml").toFile(), file);
+    }
+
+    /** Starts a router and waits until it is ready; after the first start it keeps its port. */
+    private void startRouter(String name) throws IOException {
+        List<String> words = new ArrayList<>(List.of("router", "-c", out.resolve(name + ".yaml").toString(), "--log",
+                "JSON"));
+        words.addAll(routerWords);
+        int port = Processes.number(processes.start(name, words.toArray(String[]::new)), "port");
+        if (ports.put(name, port) == 0) {
+            Path file = out.resolve(name + ".yaml");
+            ObjectNode kept = (ObjectNode) new YAMLMapper().readTree(file.toFile());
+            kept.withObject("/router").put("listen", "127.0.0.1:" + port);
+            new YAMLMapper().writeValue(file.toFile(), kept);
+        }
+        for (int i = 0; i < 500; i++) {
+            if (status(port) == 200) {
+                tape.accept(seen(Seen.STARTED, name, ""));
+                return;
+            }
+            pause(20);
+        }
+        throw new IOException(name + " was not ready within 10 s");
+    }
+
+    private static void pause(long millis) throws IOException {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted");
+        }
+    }
+
+    private int status(int port) {
+        try {
+            return control.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/v2/health/ready"))
+                    .timeout(Duration.ofSeconds(2)).build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+        } catch (IOException notYet) {
+            return 0;
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+            return 0;
+        }
+    }
+
+    private static Seen seen(String what, String router, String note) {
+        return new Seen(System.nanoTime(), what, router, "", 0, "", "", note, 0);
+    }
+
+    private void traffic() throws InterruptedException {
+        Vertx vertx = Vertx.vertx();
+        CountDownLatch done = new CountDownLatch(1);
+        Troubles troubles = new Troubles(plan, new World());
+        begun = System.nanoTime() + 200_000_000L;
+        vertx.runOnContext(run -> {
+            new Clients(vertx, plan, front, books, tape).play(begun, done::countDown);
+            vertx.setPeriodic(200, tick -> tape.flush());
+        });
+        // troubles are slow to bring (processes start): they keep a thread of their own, and so stay in order
+        helper.execute(() -> {
+            long next;
+            while ((next = troubles.due(System.nanoTime() - begun)) >= 0 && !Thread.currentThread().isInterrupted()) {
+                java.util.concurrent.locks.LockSupport.parkNanos(Math.max(1_000_000,
+                        Math.min(50_000_000, next - (System.nanoTime() - begun))));
+            }
+        });
+        long bound = plan.lasting() / 1_000_000 + 60_000;
+        while (!done.await(5, TimeUnit.SECONDS)) {
+            progress.println(String.format(Locale.ROOT, "  %4.0f s: %d calls ended, credit %.3f",
+                    (System.nanoTime() - begun) / 1e9, books.calls(), books.credit()));
+            bound -= 5_000;
+            if (bound < 0) {
+                faults.add("the clients did not end in time");
+                break;
+            }
+        }
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    private final class World implements Troubles.World {
+        @Override
+        public List<String> engines(String hall) {
+            List<String> up = new ArrayList<>();
+            for (String line : get("/engines").split("\n")) {
+                String[] words = line.split(" ");
+                if (words.length == 4 && words[2].equals("up") && (hall.isEmpty() || words[1].equals(hall))) {
+                    up.add(words[0]);
+                }
+            }
+            return up;
+        }
+
+        @Override
+        public List<String> routers(String hall) {
+            return halls.keySet().stream().filter(name -> hall.isEmpty() || halls.get(name).equals(hall)).toList();
+        }
+
+        @Override
+        public void toEngines(String what, List<String> engines, String model, double figure) {
+            get("/do?what=" + what + "&engines=" + String.join(",", engines) + "&figure=" + figure
+                    + (model.isEmpty() ? "" : "&model=" + URLEncoder.encode(model, StandardCharsets.UTF_8)));
+        }
+
+        private String get(String path) {
+            try {
+                HttpResponse<String> answer = control.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                        + controlPort + path.replace("~", "%7E"))).timeout(Duration.ofSeconds(60)).build(),
+                        HttpResponse.BodyHandlers.ofString());
+                if (answer.statusCode() != 200) {
+                    faults.add("a trouble could not be brought: " + path + ": " + answer.body());
+                }
+                return answer.body();
+            } catch (IOException failed) {
+                faults.add("a trouble could not be brought: " + path + ": " + failed);
+                return "";
+            } catch (InterruptedException ended) {
+                Thread.currentThread().interrupt();
+                return "";
+            }
+        }
+
+        @Override
+        public void killRouter(String router) {
+            tape.accept(seen(Seen.KILLED, router, ""));
+            processes.kill(router);
+            front.died(router, System.nanoTime());
+        }
+
+        @Override
+        public void startRouter(String router) {
+            try {
+                Day.this.startRouter(router);
+                front.back(router);
+            } catch (IOException failed) {
+                faults.add(failed.getMessage());
+            }
+        }
+
+        @Override
+        public void say(String what) {
+            tape.accept(seen(Seen.TROUBLE, "", what));
+            progress.println(String.format(Locale.ROOT, "  %4.0f s: %s", (System.nanoTime() - begun) / 1e9, what));
+        }
+    }
+
+    private Outcome judge() throws IOException {
+        List<Seen> all = new ArrayList<>();
+        for (String name : List.of("engines.tape", "clients.tape")) {
+            int torn = Tape.read(out.resolve(name), all::add);
+            if (torn > 1) {
+                faults.add(name + " has " + torn + " lines that can't be read");
+            }
+        }
+        Map<String, String> places = plan.places();
+        RulesChecker.Verdict verdict = new RulesChecker(plan.rules(), SLACK, places).check(all);
+        List<String> lines = new ArrayList<>(books.table());
+        lines.add("");
+        lines.add(String.format(Locale.ROOT, "%d calls in %d tries over %d s; the generator was late by %.1f ms at p99, "
+                + "%.1f ms at most", books.calls(), books.tries(), plan.lasting() / 1_000_000_000L,
+                books.lagMillis(99), books.lagMillis(100)));
+        lines.add("");
+        for (RulesChecker.Rule rule : RulesChecker.Rule.values()) {
+            long broken = verdict.breaches().stream().filter(breach -> breach.rule() == rule).count();
+            boolean unset = rule == RulesChecker.Rule.ORDERS_RATIONED && plan.rules().rationWindow() == 0;
+            lines.add(String.format(Locale.ROOT, "%-46s %s", rule.words(), unset ? "no ration is set"
+                    : (broken == 0 ? "kept" : "BROKEN " + broken + " times") + ", " + verdict.looked().get(rule)
+                    + " looked at"));
+        }
+        for (RulesChecker.Breach breach : verdict.breaches().subList(0, Math.min(20, verdict.breaches().size()))) {
+            lines.add(String.format(Locale.ROOT, "  at %.3f s: %s", (breach.at() - begun) / 1e9, breach.what()));
+        }
+        faults.forEach(fault -> lines.add("fault: " + fault));
+        Files.write(out.resolve("table.txt"), lines);
+        return new Outcome(books.credit(), books.worstWindow(), books.calls(), lines, verdict, List.copyOf(faults));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/pearladder/lab/DayPlan.java
@@ -0,0 +1,126 @@
+package pearladder.lab;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pearladder.emulator.FleetPlan;
+import pearladder.yaml.Value;
+import pearladder.yaml.Yaml;
+
+/**
+ * One day as its script states it; spans in nanoseconds.
+ *
+ * @param halls in the order of the routers: router i stands in hall i modulo their number
+ * @param peers how many routers each of them is told there are
+ * @param restartRouters a killed router is started again by the day after the trouble
+ */
+record DayPlan(String name, long lasting, long seed, List<String> halls, int routers, double rate, Clients clients,
+        List<Flow> flows, List<Trouble> troubles, Rulebook rules, FleetPlan fleet) {
+    /**
+     * How clients behave.
+     *
+     * @param tries of a call at the most
+     * @param pause before a try again, where no time to come back was told
+     * @param patience the least share of the abandon time that a try is given; each draws one from there to 1
+     * @param frontLag the front layer goes on feeding a dead router for so long
+     * @param leaving share of tries whose client leaves early, somewhere in its patience
+     */
+    record Clients(int tries, long pause, double patience, long frontLag, double leaving) { }
+
+    /**
+     * One flow of calls.
+     *
+     * @param share of all calls
+     * @param models names are prefix plus a number from 0 on
+     * @param skew of the models' popularity, 0 for none (Zipf's exponent)
+     * @param work mean work of a call
+     */
+    record Flow(String category, String account, double share, String prefix, int models, double skew, long work) { }
+
+    /** What kinds of trouble a day may bring. docs/days.md says what each does. */
+    enum Kind {
+        BURST, ONE_OFFS, HEAVY, ROLLING_DEPLOY, RELEASE, HALL_LOST, ROUTERS_KILLED, ENGINES_KILLED, FAILING, SLOW, AGEING,
+        HANG, GARBLE, MASS_RESTART, LATE_REPORTS, SLOW_SHELF, REFUSING_SHELF, SLOW_HANDSHAKES, CUT, RESET, LIST_SILENT,
+        LIST_CUT, LIST_LAG
+    }
+
+    /**
+     * One trouble.
+     *
+     * @param share of the engines (or routers, models, calls) that it meets
+     * @param times how many times slower, heavier or more
+     * @param part chance with which a call meets it there
+     * @param hall only there; empty for all
+     */
+    record Trouble(long at, long lasting, Kind what, double share, double times, double part, String hall) { }
+
+    static DayPlan read(Path file) {
+        return read(Yaml.read(file));
+    }
+
+    static DayPlan read(Value file) {
+        Value day = file.at("day");
+        Value clients = file.at("clients");
+        Rulebook rules = Rulebook.read(file.at("router"));
+        long lasting = day.at("lasting").span();
+        List<String> halls = day.at("halls").each(Value::text);
+        if (halls.isEmpty()) {
+            day.at("halls").wrong("no hall is named", "write \"halls: [east, west]\"");
+        }
+        List<Flow> flows = file.at("traffic").each(flow -> flow(flow, rules));
+        if (flows.isEmpty()) {
+            file.at("traffic").wrong("no traffic", "write \"- {category: ..., models: pair-, count: 20, work: 20 ms}\"");
+        }
+        List<Trouble> troubles = new ArrayList<>(file.at("troubles").each(value -> trouble(value, lasting, halls)));
+        troubles.sort((a, b) -> Long.compare(a.at(), b.at()));
+        FleetPlan fleet = FleetPlan.read(file.at("fleet"));
+        boolean needsCables = troubles.stream().anyMatch(t -> t.what() == Kind.CUT || t.what() == Kind.RESET
+                || t.what() == Kind.SLOW_HANDSHAKES);
+        if (needsCables && !fleet.cables()) {
+            file.at("fleet").wrong("cuts, resets and slow handshakes need cables", "write \"cables: true\" in the fleet");
+        }
+        DayPlan plan = new DayPlan(day.at("name").text("day"), lasting, day.at("seed").whole(1, 0, Integer.MAX_VALUE),
+                halls, day.at("routers").whole(2, 1, 64), day.at("rate").number(0.1, 1e6),
+                new Clients(clients.at("tries").whole(3, 1, 20), clients.at("pause").span("200 ms"),
+                        clients.at("patience").number(0.5, 0.05, 1), clients.at("front_lag").span("2 s"),
+                        clients.at("leaving").number(0, 0, 1)),
+                flows, troubles, rules, fleet);
+        // what the routers' part says beside the rules is checked by the routers themselves
+        file.done(java.util.Set.of("day", "clients", "traffic", "troubles", "fleet"));
+        return plan;
+    }
+
+    private static Flow flow(Value flow, Rulebook rules) {
+        String category = flow.at("category").text();
+        if (!rules.categories().containsKey(category)) {
+            flow.at("category").wrong("unknown category \"" + category + "\"",
+                    "write one of " + String.join(", ", rules.categories().keySet()));
+        }
+        return new Flow(category, flow.at("account").text(""), flow.at("share").number(1, 0, 1),
+                flow.at("models").text(), flow.at("count").whole(1, 1, 1_000_000), flow.at("skew").number(1, 0, 5),
+                flow.at("work").span("20 ms"));
+    }
+
+    private static Trouble trouble(Value trouble, long lasting, List<String> halls) {
+        long at = trouble.at("at").span();
+        long length = trouble.at("lasting").span("0 s");
+        if (at + length > lasting) {
+            trouble.at("at").wrong("the trouble ends after the day", "begin it earlier, or make the day longer");
+        }
+        String hall = trouble.at("hall").text("");
+        if (!hall.isEmpty() && !halls.contains(hall)) {
+            trouble.at("hall").wrong("unknown hall \"" + hall + "\"", "write one of " + String.join(", ", halls));
+        }
+        return new Trouble(at, length, trouble.at("what").word(Kind.class, null), trouble.at("share").number(0.2, 0, 1),
+                trouble.at("times").number(5, 1, 1000), trouble.at("part").number(0.7, 0, 1), hall);
+    }
+
+    /** Hall and cell of each engine, as the checker wants them. */
+    Map<String, String> places() {
+        Map<String, String> places = new LinkedHashMap<>();
+        fleet.engines().forEach(engine -> places.put(engine.id(), engine.hall() + "/" + engine.cell()));
+        return places;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/pearladder/lab/Traffic.java
@@ -0,0 +1,90 @@
+package pearladder.lab;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** Draws the day's calls from its seed: the same script draws the same calls at the same moments. */
+final class Traffic {
+    /** One call: due so many nanoseconds after the day's start. */
+    record Drawn(long due, long number, DayPlan.Flow flow, String model, String hall, long work, double patience) { }
+
+    private final DayPlan plan;
+    private final SplittableRandom arrivals;
+    private final SplittableRandom contents;
+    private final List<double[]> popularity = new ArrayList<>();
+    private long due;
+    private long number;
+
+    Traffic(DayPlan plan) {
+        this.plan = plan;
+        SplittableRandom random = new SplittableRandom(plan.seed());
+        this.arrivals = random.split();
+        this.contents = random.split();
+        for (DayPlan.Flow flow : plan.flows()) {
+            double[] upTo = new double[flow.models()];
+            double sum = 0;
+            for (int i = 0; i < upTo.length; i++) {
+                sum += Math.pow(i + 1, -flow.skew());
+                upTo[i] = sum;
+            }
+            popularity.add(upTo);
+        }
+    }
+
+    /** The next call, or null once the day is over. */
+    Drawn next() {
+        double rate = plan.rate() * times(DayPlan.Kind.BURST, due);
+        due += Math.round(-Math.log(1 - arrivals.nextDouble()) / rate * 1e9);
+        if (due >= plan.lasting()) {
+            return null;
+        }
+        int at = pick();
+        DayPlan.Flow flow = plan.flows().get(at);
+        String hall = plan.halls().get(contents.nextInt(plan.halls().size()));
+        double work = flow.work() * (0.5 + contents.nextDouble());
+        double heavy = contents.nextDouble();
+        double once = contents.nextDouble();
+        double patience = plan.clients().patience() + (1 - plan.clients().patience()) * contents.nextDouble();
+        String model = flow.prefix() + model(popularity.get(at), contents.nextDouble());
+        for (DayPlan.Trouble trouble : plan.troubles()) {
+            if (due < trouble.at() || due >= trouble.at() + trouble.lasting()) {
+                continue;
+            }
+            if (trouble.what() == DayPlan.Kind.HEAVY && heavy < trouble.share()) {
+                work *= trouble.times();
+            } else if (trouble.what() == DayPlan.Kind.ONE_OFFS && once < trouble.share()) {
+                model = flow.prefix() + "once-" + number;
+            }
+        }
+        return new Drawn(due, number++, flow, model, hall, Math.round(work), patience);
+    }
+
+    private double times(DayPlan.Kind kind, long at) {
+        double times = 1;
+        for (DayPlan.Trouble trouble : plan.troubles()) {
+            if (trouble.what() == kind && at >= trouble.at() && at < trouble.at() + trouble.lasting()) {
+                times *= trouble.times();
+            }
+        }
+        return times;
+    }
+
+    private int pick() {
+        double sum = plan.flows().stream().mapToDouble(DayPlan.Flow::share).sum();
+        double drawn = contents.nextDouble() * sum;
+        for (int i = 0; i < plan.flows().size(); i++) {
+            drawn -= plan.flows().get(i).share();
+            if (drawn < 0) {
+                return i;
+            }
+        }
+        return plan.flows().size() - 1;
+    }
+
+    private static int model(double[] upTo, double drawn) {
+        double wanted = drawn * upTo[upTo.length - 1];
+        int at = java.util.Arrays.binarySearch(upTo, wanted);
+        return Math.min(upTo.length - 1, at < 0 ? -at - 1 : at);
+    }
+}
--- a/router/src/main/java/pearladder/router/ArticlesReader.java
+++ b/router/src/main/java/pearladder/router/ArticlesReader.java
@@ -93,7 +93,7 @@
             file.at("categories").wrong("no category is named",
                     "write one with its expected and abandon time and its effect");
         }
-        List<Account> accounts = new ArrayList<>(file.at("accounts").eachKey(account -> new Account(key(account),
+        List<Account> accounts = new ArrayList<>(file.at("accounts").eachKey((key, account) -> new Account(key,
                 account.at("share").number(0, 1), account.at("per_second").number(0, 0, 1e9))).values());
         double shares = accounts.stream().mapToDouble(Account::share).sum();
         if (shares > 1.0001) {
@@ -122,23 +122,19 @@
                         prices.at("late_failure").number(0, 0, 1), prices.at("idle_memory").number(0, 0, 1)));
     }
 
-    private static String key(Value value) {
-        return value.path().substring(value.path().indexOf('.') + 1);
-    }
-
-    private static Terms terms(Value terms) {
+    private static Terms terms(String name, Value terms) {
         Span expected = span(terms.at("expected"), null);
         Span abandon = span(terms.at("abandon"), null);
         Effect effect = terms.at("effect").word(Effect.class, null);
         Span remembered = span(terms.at("remembered"), "0 s");
-        if (expected.longerThan(abandon)) {
+        if (abandon.nanos() > 0 && expected.longerThan(abandon)) {
             terms.at("expected").wrong("the expected time is longer than the abandon time", "make it shorter");
         }
         if (effect == Effect.FINGERPRINTED && remembered.nanos() == 0) {
             terms.at("remembered").wrong("a fingerprinted category says for how long repeats are dropped",
                     "write for example \"remembered: 8 s\"");
         }
-        return new Terms(key(terms), expected, abandon, terms.at("credit").number(1, 0, 1e9),
+        return new Terms(name, expected, abandon, terms.at("credit").number(1, 0, 1e9),
                 terms.at("late_credit").number(0, 0, 1), effect, terms.at("group").word(Group.class, Group.ALL),
                 remembered, false, terms.at("expected_stretch").number(0, 0, 1000));
     }
--- a/yaml/src/main/java/pearladder/yaml/Value.java
+++ b/yaml/src/main/java/pearladder/yaml/Value.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.function.Function;
 
 /**
@@ -84,11 +85,11 @@
         return map().keySet().stream().map(Object::toString).toList();
     }
 
-    /** Reads each value of a map, by its key. */
-    public <T> Map<String, T> eachKey(Function<Value, T> reading) {
+    /** Reads each value of a map with its key, in the order they stand. */
+    public <T> Map<String, T> eachKey(BiFunction<String, Value, T> reading) {
         Map<String, T> values = new LinkedHashMap<>();
         for (String key : keys()) {
-            values.put(key, reading.apply(at(key)));
+            values.put(key, reading.apply(key, at(key)));
         }
         return values;
     }
