--- a/emulator/src/main/java/pearladder/emulator/net/Cables.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Cables.java
@@ -112,10 +112,39 @@
     void cut(String router, String engine, boolean on) {
         each(router, engine, cable -> {
             cable.cut = on;
+            if (!on) {
+                List.copyOf(cable.wires).forEach(this::mend);
+            }
             interest(cable);
         });
     }
 
+    /**
+     * Guards against delivering what no network would: a sender that gave up during the cut no longer sends its bytes
+     * again, so a connection with an end that has closed is gone with all that it held.
+     */
+    private void mend(Wire wire) {
+        try {
+            boolean over = ended(wire.near, wire.out) || ended(wire.far, wire.back);
+            if (over) {
+                reset(wire);
+            }
+        } catch (IOException broken) {
+            reset(wire);
+        }
+    }
+
+    /** Reads what waits at one end behind what the buffer holds; whether that end has closed. */
+    private static boolean ended(SocketChannel end, ByteBuffer buffer) throws IOException {
+        buffer.compact();
+        int read;
+        do {
+            read = buffer.hasRemaining() ? end.read(buffer) : 0;
+        } while (read > 0);
+        buffer.flip();
+        return read < 0;
+    }
+
     /** Nobody accepts connections, while those that stand go on: handshakes that take too long. */
     void deaf(String engine, boolean on) {
         each("", engine, cable -> {
--- a/emulator/src/main/java/pearladder/emulator/net/Control.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Control.java
@@ -76,9 +76,7 @@
             case "restart" -> {
                 return all(engines, fleet::restart);
             }
-            case "replace" -> {
-                return all(engines, id -> fleet.replace(id, nanos));
-            }
+            case "replace" -> engines.forEach(id -> fleet.replace(id, nanos));
             case "shelf-slow" -> fleet.shelf().slow(figure);
             case "shelf-refuse" -> fleet.shelf().refuse(figure > 0);
             case "list-silent" -> fleet.roll().silent(figure > 0);
--- a/lab/src/main/java/pearladder/lab/Day.java
+++ b/lab/src/main/java/pearladder/lab/Day.java
@@ -49,12 +49,9 @@
     private final PrintStream progress;
     private final HttpClient control = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(5)).build();
-    private final ExecutorService helper = Executors.newSingleThreadExecutor(run -> {
-        Thread thread = new Thread(run, "troubles");
-        thread.setDaemon(true);
-        return thread;
-    });
-    private final Map<String, Integer> ports = new LinkedHashMap<>();
+    private final ExecutorService helper = Executors.newSingleThreadExecutor(Day::daemon);
+    private final ExecutorService starters = Executors.newCachedThreadPool(Day::daemon);
+    private final Map<String, Integer> ports = java.util.Collections.synchronizedMap(new LinkedHashMap<>());
     private final Map<String, String> halls = new LinkedHashMap<>();
     private final List<String> faults = java.util.Collections.synchronizedList(new ArrayList<>());
     private final Front front;
@@ -74,6 +71,12 @@
         this.front = new Front(plan.clients().frontLag());
     }
 
+    private static Thread daemon(Runnable run) {
+        Thread thread = new Thread(run, "troubles");
+        thread.setDaemon(true);
+        return thread;
+    }
+
     /** Only reads a script; throws {@link pearladder.yaml.Mistakes.Found} with every mistake in it. */
     public static void check(Path script) {
         DayPlan.read(script);
@@ -95,6 +98,7 @@
             return day.play();
         } finally {
             day.helper.shutdownNow();
+            day.starters.shutdownNow();
             day.processes.close();
         }
     }
@@ -280,14 +284,17 @@
             front.died(router, System.nanoTime());
         }
 
+        /** A process takes a second to start; the troubles after it don't wait for it. */
         @Override
         public void startRouter(String router) {
-            try {
-                Day.this.startRouter(router);
-                front.back(router);
-            } catch (IOException failed) {
-                faults.add(failed.getMessage());
-            }
+            starters.execute(() -> {
+                try {
+                    Day.this.startRouter(router);
+                    front.back(router);
+                } catch (IOException failed) {
+                    faults.add(failed.getMessage());
+                }
+            });
         }
 
         @Override
--- a/lab/src/main/java/pearladder/lab/Front.java
+++ b/lab/src/main/java/pearladder/lab/Front.java
@@ -13,7 +13,7 @@
     private static final class Seat {
         final Target target;
         final String hall;
-        long deadSince = -1;
+        volatile long deadSince = -1;
 
         Seat(Target target, String hall) {
             this.target = target;
--- a/lab/src/main/java/pearladder/lab/Processes.java
+++ b/lab/src/main/java/pearladder/lab/Processes.java
@@ -16,7 +16,7 @@
 final class Processes implements AutoCloseable {
     private final List<String> program;
     private final Path folder;
-    private final Map<String, Process> running = new LinkedHashMap<>();
+    private final Map<String, Process> running = java.util.Collections.synchronizedMap(new LinkedHashMap<>());
 
     /** @param program the command that runs this program, to which a command's own words are added */
     Processes(List<String> program, Path folder) {
--- a/router/src/main/java/pearladder/router/Meters.java
+++ b/router/src/main/java/pearladder/router/Meters.java
@@ -1,6 +1,7 @@
 package pearladder.router;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -33,8 +34,9 @@
             legs.put(outcome, registry.counter("pearladder.legs", "outcome",
                     outcome.name().toLowerCase(Locale.ROOT)));
         }
-        registry.gauge("pearladder.calls.open", openCalls, s -> s.get().doubleValue());
-        registry.gauge("pearladder.engines.listed", engines, s -> s.get().doubleValue());
+        // a builder keeps its supplier; registry.gauge would hold it weakly and read NaN after a collection
+        Gauge.builder("pearladder.calls.open", openCalls).register(registry);
+        Gauge.builder("pearladder.engines.listed", engines).register(registry);
     }
 
     void answered(FinalState state, long nanos) {
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -60,6 +60,8 @@
     private boolean known;
     private boolean stopping;
     private Promise<Void> emptied;
+    private Promise<Void> stopped;
+    private Future<Void> written = Future.succeededFuture();
     private int port;
 
     private Router(Articles articles, Maker maker, long seed) {
@@ -116,13 +118,12 @@
     }
 
     /** Takes nothing new, finishes what it holds within its bound, and ends. */
-    public Future<Void> stop() {
-        Promise<Void> done = Promise.promise();
+    public synchronized Future<Void> stop() {
+        if (stopped != null) {
+            return stopped.future();
+        }
+        stopped = Promise.promise();
         loop.runOnContext(run -> {
-            if (stopping) {
-                done.complete();
-                return;
-            }
             stopping = true;
             emptied = Promise.promise();
             LOG.atInfo().addKeyValue("calls", calls.size()).log("stopping");
@@ -141,10 +142,12 @@
                 conductor.end();
                 watch.close();
                 // A last answer may still be on its way out of the socket.
-                vertx.setTimer(50, sent -> door.close().onComplete(closed -> vertx.close().onComplete(done)));
+                // (and a future of this loop says nothing once the loop is gone, so the last step is not chained)
+                vertx.setTimer(50, sent -> door.close().compose(closed -> written)
+                        .onComplete(end -> vertx.close().onComplete(stopped)));
             });
         });
-        return done.future();
+        return stopped.future();
     }
 
     // ---- the door
@@ -400,10 +403,12 @@
         }
         writing = true;
         ListLine whole = new ListLine(ListLine.Kind.WHOLE, version, List.copyOf(listed.values()));
-        vertx.executeBlocking(() -> {
+        Future<Void> writes = vertx.executeBlocking(() -> {
             lastList.write(whole);
             return null;
-        }).onComplete(end -> {
+        });
+        written = writes.otherwiseEmpty();
+        writes.onComplete(end -> {
             writing = false;
             if (end.failed()) {
                 LOG.atWarn().addKeyValue("cause", end.cause().getMessage())
