--- /dev/null
+++ b/cli/src/main/java/pearladder/cli/MeasureCommand.java
@@ -0,0 +1,31 @@
+package pearladder.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import pearladder.lab.DecisionCost;
+import pearladder.lab.Measure;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "measure", mixinStandardHelpOptions = true,
+        description = "Measure what the router adds to a call, and what one decision costs; on loopback, some minutes.")
+final class MeasureCommand implements Callable<Integer> {
+    @Option(names = "--out", defaultValue = "measure-out", paramLabel = "DIR", description = "for logs")
+    private Path out;
+
+    @Option(names = "--rounds", defaultValue = "5", description = "rounds for each way (default: ${DEFAULT-VALUE})")
+    private int rounds;
+
+    @Option(names = "--seconds", defaultValue = "4", description = "seconds a round (default: ${DEFAULT-VALUE})")
+    private int seconds;
+
+    @Override
+    public Integer call() throws IOException {
+        Logs.setUp(Logs.Form.TEXT);
+        System.out.println("decisions alone");
+        DecisionCost.run(Decider.MODULE.maker::make, rounds, 12, 92, 500).forEach(System.out::println);
+        Measure.run(Program.command(), out, rounds, seconds, System.out);
+        return 0;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/pearladder/cli/PassThroughCommand.java
@@ -0,0 +1,19 @@
+package pearladder.cli;
+
+import java.util.List;
+import java.util.concurrent.Callable;
+import pearladder.lab.PassThrough;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "pass-through", hidden = true, description = "A baseline for measure.")
+final class PassThroughCommand implements Callable<Integer> {
+    @Option(names = "--targets", required = true, split = ",", description = "ports on loopback")
+    private List<Integer> targets;
+
+    @Override
+    public Integer call() {
+        System.out.println("{\"port\":" + PassThrough.start(targets) + "}");
+        return Commands.RUNNING;
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/pearladder/cli/DayTest.java
@@ -0,0 +1,110 @@
+package pearladder.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pearladder.emulator.Seen;
+import pearladder.emulator.Tape;
+import pearladder.lab.Day;
+import pearladder.lab.RulesChecker;
+
+/** The whole path as processes, with faults injected; the slack is wide, so that a slow machine gives the same verdict. */
+class DayTest {
+    private static final String SCRIPT = """
+            day: {name: small, lasting: 12 s, seed: 9, halls: [east, west], routers: 2, rate: 50, slack: 2 s}
+            clients: {tries: 3, pause: 150 ms, front_lag: 500 ms, leaving: 0.03}
+            traffic:
+              - {category: draft, share: 0.6, models: pair-, count: 24, work: 15 ms}
+              - {category: commit, share: 0.2, models: pair-, count: 24, work: 15 ms}
+              - {category: post, share: 0.2, models: pair-, count: 24, work: 15 ms}
+            troubles:
+              - {at: 2 s, lasting: 2 s, what: cut, share: 0.3}
+              - {at: 3 s, lasting: 1 s, what: routers-killed, share: 0.5}
+              - {at: 5 s, lasting: 3 s, what: rolling-deploy, share: 0.5}
+              - {at: 6 s, lasting: 2 s, what: failing, share: 0.3, part: 0.8}
+              - {at: 8 s, lasting: 2 s, what: hang, share: 0.2}
+              - {at: 8 s, lasting: 0 s, what: reset, share: 1}
+              - {at: 9 s, lasting: 1 s, what: refusing-shelf}
+            router:
+              categories:
+                draft: {expected: 1 s, abandon: 2 s, effect: retriable}
+                commit: {expected: 1 s, abandon: 2 s, effect: fingerprinted, remembered: 8 s}
+                post: {expected: 1 s, abandon: 2 s, effect: binding}
+              models:
+                - {name: "pair-*", memory: 300 MB, lanes: 4, usual_load: 100 ms}
+              rules:
+                ration: {free: 4, share: 0.2, window: 5 s}
+              copies: {kept: 2 s, orders: true, engine_memory: [4 GB]}
+            fleet:
+              cables: true
+              list: {lag: 200 ms}
+              kinds: {std: {cores: 4, memory: 4 GB, kept: 2 s}}
+              models: [{name: "pair-*", memory: 300 MB, lanes: 4, fetch: 60 ms, start: 30 ms}]
+              engines: [{name: engine, count: 6, kind: std, halls: [east, west]}]
+            """;
+
+    @Test
+    void aSmallBadDayKeepsTheRulesOverTheSockets(@TempDir Path folder) throws IOException, InterruptedException {
+        Path script = folder.resolve("day.yaml");
+        Files.writeString(script, SCRIPT);
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        Day.Outcome outcome = Day.play(script, folder, Program.command(), List.of(), new PrintStream(said, true,
+                StandardCharsets.UTF_8));
+        assertEquals(List.of(), outcome.verdict().breaches());
+        assertEquals(List.of(), outcome.faults());
+        for (RulesChecker.Rule rule : RulesChecker.Rule.values()) {
+            assertTrue(outcome.verdict().looked().get(rule) > 0, rule + " was never looked at");
+        }
+        assertTrue(outcome.calls() > 450, "calls: " + outcome.calls());
+        assertTrue(outcome.credit() > 0.3, "credit: " + outcome.credit());
+        List<Seen> tape = new ArrayList<>();
+        Tape.read(folder.resolve("clients.tape"), tape::add);
+        assertEquals(1, tape.stream().filter(seen -> seen.what().equals(Seen.KILLED)).count());
+        assertEquals(3, tape.stream().filter(seen -> seen.what().equals(Seen.STARTED)).count());
+        assertEquals(7, tape.stream().filter(seen -> seen.what().equals(Seen.TROUBLE)).count());
+        assertTrue(said.toString(StandardCharsets.UTF_8).contains("curl -i http://127.0.0.1:"));
+    }
+
+    @Test
+    void aFileWithMistakesStartsNothing(@TempDir Path folder) throws IOException, InterruptedException {
+        Path file = folder.resolve("router.yaml");
+        Files.writeString(file, "router: {name: r 1, listen: here}\nlist: {address: \"127.0.0.1:0\"}\nmodels: 3\n");
+        Process process = new ProcessBuilder(command("router", "-c", file.toString())).redirectErrorStream(true).start();
+        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(2, process.waitFor(), said);
+        List<String> lines = said.lines().toList();
+        assertTrue(lines.stream().allMatch(line -> line.matches(".*router\\.yaml:[0-9]+: [a-z_.]+: .+; .+")), said);
+        for (String key : List.of("router.name", "router.listen", "list.address", "categories", "models")) {
+            assertTrue(lines.stream().anyMatch(line -> line.contains(": " + key + ": ")), key + " in " + said);
+        }
+    }
+
+    @Test
+    void theWireOfTheBenchLoadsNothingOfTheRouter() throws IOException, InterruptedException {
+        List<String> command = command("wirehost");
+        command.add(1, "-Xlog:class+load:stdout");
+        Process process = new ProcessBuilder(command).start();
+        process.getOutputStream().write("[\"Frame\",1]\n[\"Commit\"]\n".getBytes(StandardCharsets.US_ASCII));
+        process.getOutputStream().close();
+        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(0, process.waitFor());
+        assertTrue(said.contains("[\"Finished\"]") && said.contains("pearladder.wire.WireHost"));
+        assertTrue(said.lines().noneMatch(line -> line.matches(".* (io\\.vertx|picocli|ch\\.qos|io\\.netty)\\..*")));
+    }
+
+    private static List<String> command(String... words) {
+        List<String> command = new ArrayList<>(Program.command());
+        command.addAll(List.of(words));
+        return command;
+    }
+}
--- a/lab/src/main/java/pearladder/lab/Day.java
+++ b/lab/src/main/java/pearladder/lab/Day.java
@@ -38,9 +38,6 @@
         }
     }
 
-    /** How late an answer may be, and how long after its grace a send may be seen, before it counts: sockets and pauses. */
-    private static final long SLACK = 150_000_000L;
-
     private final DayPlan plan;
     private final Path script;
     private final Path out;
@@ -56,6 +53,7 @@
     private final List<String> faults = java.util.Collections.synchronizedList(new ArrayList<>());
     private final Front front;
     private final Books books = new Books();
+    private final HeapWatch heap = new HeapWatch(this::metrics);
     private Tape tape;
     private int controlPort;
     private int listPort;
@@ -189,6 +187,22 @@
         }
     }
 
+    /** The metrics of each router that answers. */
+    private Map<String, String> metrics() {
+        Map<String, String> all = new LinkedHashMap<>();
+        for (String router : List.copyOf(ports.keySet())) {
+            try {
+                all.put(router, control.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + ports.get(router)
+                        + "/metrics")).timeout(Duration.ofSeconds(2)).build(), HttpResponse.BodyHandlers.ofString()).body());
+            } catch (IOException away) {
+                continue;
+            } catch (InterruptedException stopped) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        return all;
+    }
+
     private int status(int port) {
         try {
             return control.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/v2/health/ready"))
@@ -224,6 +238,7 @@
         });
         long bound = plan.lasting() / 1_000_000 + 60_000;
         while (!done.await(5, TimeUnit.SECONDS)) {
+            heap.sample();
             progress.println(String.format(Locale.ROOT, "  %4.0f s: %d calls ended, credit %.3f",
                     (System.nanoTime() - begun) / 1e9, books.calls(), books.credit()));
             bound -= 5_000;
@@ -313,12 +328,13 @@
             }
         }
         Map<String, String> places = plan.places();
-        RulesChecker.Verdict verdict = new RulesChecker(plan.rules(), SLACK, places).check(all);
+        RulesChecker.Verdict verdict = new RulesChecker(plan.rules(), plan.slack(), places).check(all);
         List<String> lines = new ArrayList<>(books.table());
         lines.add("");
         lines.add(String.format(Locale.ROOT, "%d calls in %d tries over %d s; the generator was late by %.1f ms at p99, "
                 + "%.1f ms at most", books.calls(), books.tries(), plan.lasting() / 1_000_000_000L,
                 books.lagMillis(99), books.lagMillis(100)));
+        heap.lines().forEach(lines::add);
         lines.add("");
         for (RulesChecker.Rule rule : RulesChecker.Rule.values()) {
             long broken = verdict.breaches().stream().filter(breach -> breach.rule() == rule).count();
--- a/lab/src/main/java/pearladder/lab/DayPlan.java
+++ b/lab/src/main/java/pearladder/lab/DayPlan.java
@@ -13,10 +13,9 @@
  * One day as its script states it; spans in nanoseconds.
  *
  * @param halls in the order of the routers: router i stands in hall i modulo their number
- * @param peers how many routers each of them is told there are
- * @param restartRouters a killed router is started again by the day after the trouble
+ * @param slack how late an answer or a send may be seen before it counts: for sockets and pauses of the machine
  */
-record DayPlan(String name, long lasting, long seed, List<String> halls, int routers, double rate, Clients clients,
+record DayPlan(String name, long lasting, long seed, long slack, List<String> halls, int routers, double rate, Clients clients,
         List<Flow> flows, List<Trouble> troubles, Rulebook rules, FleetPlan fleet) {
     /**
      * How clients behave.
@@ -82,7 +81,7 @@
             file.at("fleet").wrong("cuts, resets and slow handshakes need cables", "write \"cables: true\" in the fleet");
         }
         DayPlan plan = new DayPlan(day.at("name").text("day"), lasting, day.at("seed").whole(1, 0, Integer.MAX_VALUE),
-                halls, day.at("routers").whole(2, 1, 64), day.at("rate").number(0.1, 1e6),
+                day.at("slack").span("150 ms"), halls, day.at("routers").whole(2, 1, 64), day.at("rate").number(0.1, 1e6),
                 new Clients(clients.at("tries").whole(3, 1, 20), clients.at("pause").span("200 ms"),
                         clients.at("patience").number(0.5, 0.05, 1), clients.at("front_lag").span("2 s"),
                         clients.at("leaving").number(0, 0, 1)),
--- a/router/src/main/java/pearladder/router/Meters.java
+++ b/router/src/main/java/pearladder/router/Meters.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.EnumMap;
@@ -27,6 +28,7 @@
     private final Counter orders = registry.counter("pearladder.load.orders");
 
     Meters(Supplier<Number> openCalls, Supplier<Number> engines) {
+        new JvmMemoryMetrics().bindTo(registry);
         for (FinalState state : FinalState.values()) {
             answers.put(state, registry.counter("pearladder.calls", "state", state.word()));
         }
