Cluster traces: readers for six layouts, info, convert, cut, and replay over sockets

Need: fleet growth is to be rehearsed on public traces, at more than their own speed, with every row accounted for.

--- /dev/null
+++ b/cli/src/main/java/pearladder/cli/ReplayCommand.java
@@ -0,0 +1,55 @@
+package pearladder.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import pearladder.lab.Day;
+import pearladder.lab.TraceSource;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "replay", mixinStandardHelpOptions = true, description = {
+    "Replay a trace over sockets against real routers and stand-in engines.",
+    "The fleet's file is a day's script; its flows say whose calls the models' are."})
+final class ReplayCommand implements Callable<Integer> {
+    @CommandLine.Mixin
+    private TraceCommand.Input input;
+
+    @Option(names = "--fleet", required = true, paramLabel = "FILE", description = "a day's script")
+    private Path script;
+
+    @Option(names = "--out", defaultValue = "replay-out", paramLabel = "DIR", description = "tapes, logs and the table")
+    private Path out;
+
+    @Option(names = "--speed", defaultValue = "1", description = "times faster than it was (default: ${DEFAULT-VALUE})")
+    private double speed;
+
+    @Option(names = "--most", defaultValue = "0", paramLabel = "CALLS", description = "end after so many calls; 0 for all")
+    private long most;
+
+    @Option(names = "--work-scale", defaultValue = "1", description = "of the work that the trace tells")
+    private double workScale;
+
+    @Option(names = "--longest-work", defaultValue = "500", paramLabel = "MS", description = "cut longer work to it")
+    private double longest;
+
+    @Option(names = "--usual-work", defaultValue = "20", paramLabel = "MS", description = "where the trace tells none")
+    private double usual;
+
+    @Option(names = "--policy", defaultValue = "MODULE", description = "who decides: ${COMPLETION-CANDIDATES}")
+    private Decider policy;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Logs.setUp(Logs.Form.TEXT);
+        TraceSource.Terms terms = new TraceSource.Terms(input.file, input.layout, input.durations, input.memory, speed,
+                Math.round(input.window * 1e9), most, workScale, Math.round(longest * 1e6), Math.round(usual * 1e6), input.strict);
+        Day.Outcome outcome = Day.play(script, terms, out, Program.command(), List.of("--policy", policy.name()), System.out);
+        System.out.println();
+        outcome.table().forEach(System.out::println);
+        System.out.println("kept in " + out);
+        return outcome.kept() ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/pearladder/cli/TraceCommand.java
@@ -0,0 +1,128 @@
+package pearladder.cli;
+
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+import pearladder.traces.Companions;
+import pearladder.traces.Layout;
+import pearladder.traces.Skipped;
+import pearladder.traces.TraceCall;
+import pearladder.traces.TraceCut;
+import pearladder.traces.TraceFile;
+import pearladder.traces.TraceInfo;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+@Command(name = "trace", mixinStandardHelpOptions = true, description = "Look at public cluster traces in CSV.")
+final class TraceCommand implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    /** What all of them take. */
+    static final class Input {
+        @Parameters(paramLabel = "FILE", description = "the trace, plain or gzip")
+        Path file;
+
+        @Option(names = "--layout", converter = LayoutWord.class, paramLabel = "LAYOUT",
+                description = "plain, azure-functions-2019, azure-functions-2021, azure-llm, google-2011, alibaba-2018;"
+                        + " told from the first line where it is missing")
+        Layout layout;
+
+        @Option(names = "--durations", paramLabel = "FILE", description = "azure-functions-2019: durations by function")
+        Path durations;
+
+        @Option(names = "--memory", paramLabel = "FILE", description = "azure-functions-2019: memory by app")
+        Path memory;
+
+        @Option(names = "--window", defaultValue = "60", paramLabel = "SECONDS",
+                description = "put rows back in order within it (default: ${DEFAULT-VALUE})")
+        double window;
+
+        @Option(names = "--strict", description = "stop at the first row that can't be read")
+        boolean strict;
+
+        @Option(names = "--skipped", paramLabel = "FILE", description = "name every row that is left out here")
+        Path named;
+
+        /** Reads all; rows left out are named in a file, or the first of them on standard error. */
+        TraceFile.Read read(Consumer<TraceCall> out, Skipped[] kept, PrintWriter err) throws IOException {
+            try (PrintWriter rows = named == null ? null : new PrintWriter(Files.newBufferedWriter(named))) {
+                Skipped skipped = new Skipped(strict, row -> {
+                    if (rows != null) {
+                        rows.println(row);
+                    } else if (kept[0].count() <= 10) {
+                        err.println(file + ": " + row + (kept[0].count() == 10 ? " (further ones: --skipped FILE)" : ""));
+                    }
+                });
+                kept[0] = skipped;
+                return TraceFile.read(file, layout, Companions.read(durations, memory, skipped),
+                        Math.round(window * 1e9), skipped, out);
+            } catch (Skipped.Strict strictly) {
+                throw new IOException(file + ": " + strictly.getMessage() + " (--strict)", strictly);
+            }
+        }
+    }
+
+    /** A layout by its word. */
+    static final class LayoutWord implements CommandLine.ITypeConverter<Layout> {
+        @Override
+        public Layout convert(String word) {
+            Layout layout = Layout.of(word);
+            if (layout == null) {
+                throw new CommandLine.TypeConversionException("unknown layout " + word);
+            }
+            return layout;
+        }
+    }
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "info, convert or cut is missing");
+    }
+
+    @Command(name = "info", mixinStandardHelpOptions = true,
+            description = "Span, rows, rate over time, skew of models, rows left out by reason, digest.")
+    int info(@CommandLine.Mixin Input input) throws IOException {
+        TraceInfo info = new TraceInfo();
+        Skipped[] skipped = {null};
+        TraceFile.Read read = input.read(info, skipped, spec.commandLine().getErr());
+        info.lines(read, skipped[0]).forEach(spec.commandLine().getOut()::println);
+        return 0;
+    }
+
+    @Command(name = "convert", mixinStandardHelpOptions = true, description = "Write a trace in the plain layout.")
+    int convert(@CommandLine.Mixin Input input, @Parameters(paramLabel = "TO", description = "the new file") Path to)
+            throws IOException {
+        return write(input, to, 0, Long.MAX_VALUE, 1, 0);
+    }
+
+    @Command(name = "cut", mixinStandardHelpOptions = true, description = "Write a part of a trace in the plain layout.")
+    int cut(@CommandLine.Mixin Input input, @Parameters(paramLabel = "TO", description = "the new file") Path to,
+            @Option(names = "--from", defaultValue = "0", paramLabel = "SECONDS", description = "after the first call") double from,
+            @Option(names = "--until", paramLabel = "SECONDS", description = "after the first call") Double until,
+            @Option(names = "--share", defaultValue = "1", description = "of the models, from 0 to 1") double share,
+            @Option(names = "--seed", defaultValue = "0", description = "of the choice of models") int seed)
+            throws IOException {
+        return write(input, to, Math.round(from * 1e9), until == null ? Long.MAX_VALUE : Math.round(until * 1e9), share, seed);
+    }
+
+    private int write(Input input, Path to, long from, long until, double share, int seed) throws IOException {
+        Skipped[] skipped = {null};
+        if (Files.exists(to) && Files.isSameFile(to, input.file)) {
+            throw new IOException(to + ": it would be written over itself; name another file");
+        }
+        try (BufferedWriter writer = Files.newBufferedWriter(to); TraceCut cut = new TraceCut(writer, from, until, share, seed)) {
+            TraceFile.Read read = input.read(cut, skipped, spec.commandLine().getErr());
+            spec.commandLine().getOut().println(cut.written() + " of " + read.calls() + " calls written to " + to + ", "
+                    + skipped[0].count() + " rows left out");
+        }
+        return 0;
+    }
+}
--- a/lab/src/main/java/pearladder/lab/Clients.java
+++ b/lab/src/main/java/pearladder/lab/Clients.java
@@ -25,15 +25,15 @@
     private static final long LEAST = 20_000_000L;
 
     private final class Call {
-        final Traffic.Drawn drawn;
+        final Source.Drawn drawn;
         final CategoryTerms terms;
         final long due;
         final String mark;
         int tries;
 
-        Call(Traffic.Drawn drawn) {
+        Call(Source.Drawn drawn) {
             this.drawn = drawn;
-            this.terms = plan.rules().categories().get(drawn.flow().category());
+            this.terms = plan.rules().categories().get(drawn.category());
             this.due = begun + drawn.due();
             this.mark = terms.effect() == CategoryTerms.Effect.FINGERPRINTED ? "m" + drawn.number() : "";
         }
@@ -45,23 +45,21 @@
     private final Books books;
     private final Consumer<Seen> seen;
     private final HttpClient client;
-    private final Traffic traffic;
+    private final Source traffic;
     private final SplittableRandom chance;
-    private final String salt;
     private long begun;
-    private Traffic.Drawn next;
+    private Source.Drawn next;
     private int open;
     private Runnable ended;
 
-    Clients(Vertx vertx, DayPlan plan, Front front, Books books, Consumer<Seen> seen) {
+    Clients(Vertx vertx, DayPlan plan, Source source, Front front, Books books, Consumer<Seen> seen) {
         this.vertx = vertx;
         this.plan = plan;
         this.front = front;
         this.books = books;
         this.seen = seen;
-        this.traffic = new Traffic(plan);
+        this.traffic = source;
         this.chance = new SplittableRandom(plan.seed() * 31 + 7);
-        this.salt = "c";
         this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(1000).setTcpNoDelay(true)
                 .setKeepAliveTimeout(20), new PoolOptions().setHttp1MaxSize(20_000).setMaxWaitQueueSize(-1));
     }
@@ -98,7 +96,7 @@
         }
         long patience = Math.min(left, Math.round(call.terms.abandon() * call.drawn.patience()));
         Front.Target target = front.next(call.drawn.hall(), now);
-        String id = salt + call.drawn.number() + "." + call.tries++;
+        String id = "c" + call.drawn.number() + "." + call.tries++;
         books.tried();
         new Try(call, id, target, now, patience).go();
     }
@@ -145,8 +143,8 @@
             request.putHeader("content-type", "application/json").putHeader(Headers.CALL, id)
                     .putHeader(Headers.CATEGORY, call.terms.name())
                     .putHeader(Headers.PATIENCE, Long.toString(Math.max(1, patience / 1_000_000)));
-            if (!call.drawn.flow().account().isEmpty()) {
-                request.putHeader(Headers.ACCOUNT, call.drawn.flow().account());
+            if (!call.drawn.account().isEmpty()) {
+                request.putHeader(Headers.ACCOUNT, call.drawn.account());
             }
             if (!call.mark.isEmpty()) {
                 request.putHeader(Headers.MARK, call.mark);
@@ -224,7 +222,7 @@
     }
 
     private void end(Call call, Books.End how) {
-        books.ended(call.terms, call.drawn.flow().account(), call.drawn.due(), System.nanoTime() - call.due, how);
+        books.ended(call.terms, call.drawn.account(), call.drawn.due(), System.nanoTime() - call.due, how);
         open--;
         if (next == null && open == 0) {
             ended.run();
--- a/lab/src/main/java/pearladder/lab/Day.java
+++ b/lab/src/main/java/pearladder/lab/Day.java
@@ -38,6 +38,9 @@
         }
     }
 
+    /** A run whose generator lagged more than this at p99 measured the generator. */
+    private static final long LAG_MILLIS = 50;
+
     private final DayPlan plan;
     private final Path script;
     private final Path out;
@@ -55,9 +58,11 @@
     private final Books books = new Books();
     private final HeapWatch heap = new HeapWatch(this::metrics);
     private Tape tape;
+    private TraceSource trace;
     private int controlPort;
     private int listPort;
     private long begun;
+    private double took;
 
     private Day(Path script, Path out, List<String> program, List<String> routerWords, PrintStream progress) {
         this.plan = DayPlan.read(script);
@@ -90,14 +95,24 @@
      */
     public static Outcome play(Path script, Path out, List<String> program, List<String> routerWords,
             PrintStream progress) throws IOException, InterruptedException {
+        return play(script, null, out, program, routerWords, progress);
+    }
+
+    /** The same with a trace's calls in place of the script's traffic, whose flows then only name whose calls they are. */
+    public static Outcome play(Path script, TraceSource.Terms trace, Path out, List<String> program,
+            List<String> routerWords, PrintStream progress) throws IOException, InterruptedException {
         Files.createDirectories(out);
         Day day = new Day(script, out, program, routerWords, progress);
+        day.trace = trace == null ? null : new TraceSource(trace, day.plan, out);
         try {
             return day.play();
         } finally {
             day.helper.shutdownNow();
             day.starters.shutdownNow();
             day.processes.close();
+            if (day.trace != null) {
+                day.trace.close();
+            }
         }
     }
 
@@ -225,7 +240,8 @@
         Troubles troubles = new Troubles(plan, new World());
         begun = System.nanoTime() + 200_000_000L;
         vertx.runOnContext(run -> {
-            new Clients(vertx, plan, front, books, tape).play(begun, done::countDown);
+            Source source = trace != null ? trace : new Traffic(plan);
+            new Clients(vertx, plan, source, front, books, tape).play(begun, done::countDown);
             vertx.setPeriodic(200, tick -> tape.flush());
         });
         // troubles are slow to bring (processes start): they keep a thread of their own, and so stay in order
@@ -236,7 +252,7 @@
                         Math.min(50_000_000, next - (System.nanoTime() - begun))));
             }
         });
-        long bound = plan.lasting() / 1_000_000 + 60_000;
+        long bound = trace != null ? Long.MAX_VALUE : plan.lasting() / 1_000_000 + 60_000;
         while (!done.await(5, TimeUnit.SECONDS)) {
             heap.sample();
             progress.println(String.format(Locale.ROOT, "  %4.0f s: %d calls ended, credit %.3f",
@@ -247,6 +263,7 @@
                 break;
             }
         }
+        took = (System.nanoTime() - begun) / 1e9;
         vertx.close().toCompletionStage().toCompletableFuture().join();
     }
 
@@ -331,10 +348,20 @@
         RulesChecker.Verdict verdict = new RulesChecker(plan.rules(), plan.slack(), places).check(all);
         List<String> lines = new ArrayList<>(books.table());
         lines.add("");
-        lines.add(String.format(Locale.ROOT, "%d calls in %d tries over %d s; the generator was late by %.1f ms at p99, "
-                + "%.1f ms at most", books.calls(), books.tries(), plan.lasting() / 1_000_000_000L,
+        lines.add(String.format(Locale.ROOT, "%d calls in %d tries over %.0f s; the generator was late by %.1f ms at p99, "
+                + "%.1f ms at most", books.calls(), books.tries(), took,
                 books.lagMillis(99), books.lagMillis(100)));
         heap.lines().forEach(lines::add);
+        if (trace != null) {
+            lines.addAll(trace.lines());
+            if (trace.failure() != null) {
+                faults.add(trace.failure().getMessage());
+            }
+        }
+        if (books.lagMillis(99) > LAG_MILLIS) {
+            faults.add(String.format(Locale.ROOT, "the generator was late by %.0f ms at p99, over %d ms: not to be quoted",
+                    books.lagMillis(99), LAG_MILLIS));
+        }
         lines.add("");
         for (RulesChecker.Rule rule : RulesChecker.Rule.values()) {
             long broken = verdict.breaches().stream().filter(breach -> breach.rule() == rule).count();
--- a/lab/src/main/java/pearladder/lab/Traffic.java
+++ b/lab/src/main/java/pearladder/lab/Traffic.java
@@ -5,10 +5,7 @@
 import java.util.SplittableRandom;
 
 /** Draws the day's calls from its seed: the same script draws the same calls at the same moments. */
-final class Traffic {
-    /** One call: due so many nanoseconds after the day's start. */
-    record Drawn(long due, long number, DayPlan.Flow flow, String model, String hall, long work, double patience) { }
-
+final class Traffic implements Source {
     private final DayPlan plan;
     private final SplittableRandom arrivals;
     private final SplittableRandom contents;
@@ -32,8 +29,8 @@
         }
     }
 
-    /** The next call, or null once the day is over. */
-    Drawn next() {
+    @Override
+    public Drawn next() {
         double rate = plan.rate() * times(DayPlan.Kind.BURST, due);
         due += Math.round(-Math.log(1 - arrivals.nextDouble()) / rate * 1e9);
         if (due >= plan.lasting()) {
@@ -57,7 +54,7 @@
                 model = flow.prefix() + "once-" + number;
             }
         }
-        return new Drawn(due, number++, flow, model, hall, Math.round(work), patience);
+        return new Drawn(due, number++, flow.category(), flow.account(), model, hall, Math.round(work), patience);
     }
 
     private double times(DayPlan.Kind kind, long at) {
--- /dev/null
+++ b/lab/src/main/java/pearladder/traces/Layout.java
@@ -0,0 +1,66 @@
+package pearladder.traces;
+
+import java.util.List;
+import java.util.Locale;
+
+/** The published layouts that are read, and the plain one of this project. */
+public enum Layout {
+    /** Ours: arrival_s,model,work_ms,memory_mb,category,account; the last four may be empty. */
+    PLAIN(List.of("arrival_s", "model", "work_ms", "memory_mb", "category", "account"), true),
+    /** Azure Functions 2019, invocations per function and minute: four columns, then the minutes 1 to 1440. */
+    AZURE_FUNCTIONS_2019(List.of("HashOwner", "HashApp", "HashFunction", "Trigger", "1", "2", "3"), true),
+    /** Azure Functions 2021, a row an invocation, in the order of their ends; seconds. */
+    AZURE_FUNCTIONS_2021(List.of("app", "func", "end_timestamp", "duration"), true),
+    /** Azure LLM inference 2023 and 2024. */
+    AZURE_LLM(List.of("TIMESTAMP", "ContextTokens", "GeneratedTokens"), true),
+    /** Google cluster data 2011, task events; no header, 13 columns, microseconds. */
+    GOOGLE_2011(List.of(), false),
+    /** Alibaba cluster trace 2018, batch_task; no header, 9 columns, seconds. */
+    ALIBABA_2018(List.of(), false);
+
+    private final List<String> header;
+    private final boolean headed;
+
+    Layout(List<String> header, boolean headed) {
+        this.header = header;
+        this.headed = headed;
+    }
+
+    /** Whether the published files begin with a line of column names. */
+    public boolean headed() {
+        return headed;
+    }
+
+    /** The columns that a header must begin with. */
+    public List<String> header() {
+        return header;
+    }
+
+    public String word() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** The layout of that word, or null. */
+    public static Layout of(String word) {
+        for (Layout layout : values()) {
+            if (layout.word().equals(word)) {
+                return layout;
+            }
+        }
+        return null;
+    }
+
+    /** The layout that a first line tells, or null: by its header, else by its number of columns and their kind. */
+    static Layout guess(List<String> first) {
+        for (Layout layout : values()) {
+            if (layout.headed && first.size() >= layout.header.size()
+                    && first.subList(0, layout.header.size()).equals(layout.header)) {
+                return layout;
+            }
+        }
+        if (first.size() == 13 && first.get(0).matches("[0-9]+")) {
+            return GOOGLE_2011;
+        }
+        return first.size() == 9 && first.get(1).matches("[0-9.]*") && first.get(5).matches("[0-9]*") ? ALIBABA_2018 : null;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/pearladder/traces/Skipped.java
@@ -0,0 +1,56 @@
+package pearladder.traces;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/** Rows that became no call: each is named to a listener, and counted by reason. */
+public final class Skipped {
+    /** One row that was left out. */
+    public record Row(long line, String column, String reason) {
+        @Override
+        public String toString() {
+            return "line " + line + (column.isEmpty() ? "" : ", " + column) + ": " + reason;
+        }
+    }
+
+    /** Thrown at the first such row where the caller asked to be strict. */
+    public static final class Strict extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Strict(Row row) {
+            super(row.toString());
+        }
+    }
+
+    private final boolean strict;
+    private final Consumer<Row> named;
+    private final Map<String, Long> reasons = new TreeMap<>();
+    private long count;
+
+    /** @param named gets every row as it is met */
+    public Skipped(boolean strict, Consumer<Row> named) {
+        this.strict = strict;
+        this.named = named;
+    }
+
+    /** @param kind the reason without the row's own words, under which it is counted */
+    void add(long line, String column, String kind, String detail) {
+        Row row = new Row(line, column, detail.isEmpty() ? kind : kind + " " + detail);
+        if (strict) {
+            throw new Strict(row);
+        }
+        count++;
+        reasons.merge((column.isEmpty() ? "" : column + ": ") + kind, 1L, Long::sum);
+        named.accept(row);
+    }
+
+    public long count() {
+        return count;
+    }
+
+    /** How many rows for each column and reason. */
+    public Map<String, Long> reasons() {
+        return Map.copyOf(reasons);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/pearladder/traces/TraceCut.java
@@ -0,0 +1,66 @@
+package pearladder.traces;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Locale;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.apache.commons.csv.CSVFormat;
+import org.apache.commons.csv.CSVPrinter;
+
+/** Writes calls in the plain layout, all or a part: a window of time, a share of models by a seeded hash. */
+public final class TraceCut implements Consumer<TraceCall>, AutoCloseable {
+    private final CSVPrinter printer;
+    private final Predicate<TraceCall> wanted;
+    private final long from;
+    private long first;
+    private boolean begun;
+    private long written;
+
+    /**
+     * @param fromNanos since the first call
+     * @param toNanos since the first call; what is at it or later is left out
+     * @param share of the models, from 0 to 1; a model's calls come all or none
+     */
+    public TraceCut(Appendable out, long fromNanos, long toNanos, double share, int seed) throws IOException {
+        this.printer = CSVFormat.DEFAULT.builder().setRecordSeparator('\n').setHeader(Layout.PLAIN.header()
+                .toArray(String[]::new)).get().print(out);
+        this.from = fromNanos;
+        this.wanted = call -> call.at() - first >= fromNanos && call.at() - first < toNanos
+                && (share >= 1 || Hashes.share(call.model(), seed) < share);
+    }
+
+    @Override
+    public void accept(TraceCall call) {
+        if (!begun) {
+            begun = true;
+            first = call.at();
+        }
+        if (!wanted.test(call)) {
+            return;
+        }
+        long at = call.at() - first - from;
+        try {
+            printer.printRecord(decimals(at, 9), call.model(), call.work() == 0 ? "" : decimals(call.work(), 6),
+                    Double.isNaN(call.memoryMb()) ? "" : String.format(Locale.ROOT, "%.1f", call.memoryMb()),
+                    call.category(), call.account());
+            written++;
+        } catch (IOException broken) {
+            throw new UncheckedIOException(broken);
+        }
+    }
+
+    /** A whole number moved right by so many places, without a detour through floating point. */
+    private static String decimals(long value, int places) {
+        return java.math.BigDecimal.valueOf(value, places).stripTrailingZeros().toPlainString();
+    }
+
+    public long written() {
+        return written;
+    }
+
+    @Override
+    public void close() throws IOException {
+        printer.close(true);
+    }
+}
--- a/lab/src/test/java/pearladder/lab/DayPlanTest.java
+++ b/lab/src/test/java/pearladder/lab/DayPlanTest.java
@@ -41,10 +41,10 @@
         return DayPlan.read(Yaml.read("d.yaml", DAY.formatted(seed)));
     }
 
-    private static List<Traffic.Drawn> all(DayPlan plan) {
+    private static List<Source.Drawn> all(DayPlan plan) {
         Traffic traffic = new Traffic(plan);
-        List<Traffic.Drawn> drawn = new ArrayList<>();
-        Traffic.Drawn next;
+        List<Source.Drawn> drawn = new ArrayList<>();
+        Source.Drawn next;
         while ((next = traffic.next()) != null) {
             drawn.add(next);
         }
@@ -59,14 +59,14 @@
 
     @Test
     void trafficFollowsTheScript() {
-        List<Traffic.Drawn> drawn = all(plan(1));
+        List<Source.Drawn> drawn = all(plan(1));
         long before = drawn.stream().filter(c -> c.due() < 2_000_000_000L).count();
         long burst = drawn.stream().filter(c -> c.due() >= 2_000_000_000L && c.due() < 6_000_000_000L).count();
         assertTrue(before > 60 && before < 140, "100 in 2 s: " + before);
         assertTrue(burst > 480 && burst < 720, "600 in 4 s of three times the rate: " + burst);
         long once = drawn.stream().filter(c -> c.model().contains("once-")).count();
         assertTrue(once > 60 && once < 140, "half of 200: " + once);
-        assertEquals(once, drawn.stream().map(Traffic.Drawn::model).filter(m -> m.contains("once-")).distinct().count());
+        assertEquals(once, drawn.stream().map(Source.Drawn::model).filter(m -> m.contains("once-")).distinct().count());
         double sends = drawn.stream().filter(c -> c.model().startsWith("send-")).count() / (double) drawn.size();
         assertTrue(sends > 0.25 && sends < 0.35, "share of the second flow: " + sends);
     }
