--- a/emulator/src/main/java/pearladder/emulator/Seen.java
+++ b/emulator/src/main/java/pearladder/emulator/Seen.java
@@ -31,6 +31,8 @@
     public static final String UNANSWERED = "unanswered";
     /** At a client: something came after the final answer. */
     public static final String AGAIN = "again";
+    /** At a client: its own process paused, so that it saw what came meanwhile late; figure is for how long. */
+    public static final String PAUSED = "paused";
     /** By the day: a router was killed, or started. */
     public static final String KILLED = "killed";
     public static final String STARTED = "started";
--- a/emulator/src/main/java/pearladder/emulator/net/Cables.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Cables.java
@@ -266,6 +266,13 @@
         if (near == null) {
             return;
         }
+        near.configureBlocking(false);
+        ByteBuffer said = ByteBuffer.allocate(BUFFER);
+        if (near.read(said) < 0 || said.position() > 0 && said.hasRemaining() && near.read(said) < 0) {
+            // it waited to be accepted through a cut and has given up: no network would deliver its bytes now
+            near.close();
+            return;
+        }
         SocketChannel far;
         try {
             far = SocketChannel.open(new InetSocketAddress("127.0.0.1", cable.target));
@@ -275,12 +282,16 @@
             return;
         }
         Wire wire = new Wire(cable, near, far);
+        wire.out.clear();
+        wire.out.put(said.flip());
+        wire.out.flip();
         for (SocketChannel end : List.of(near, far)) {
             end.setOption(StandardSocketOptions.TCP_NODELAY, true);
             end.configureBlocking(false);
             end.register(selector, SelectionKey.OP_READ, wire);
         }
         cable.wires.add(wire);
+        interest(wire);
     }
 
     private void pass(Wire wire) throws IOException {
--- a/lab/src/main/java/pearladder/lab/Books.java
+++ b/lab/src/main/java/pearladder/lab/Books.java
@@ -76,6 +76,20 @@
         return credit;
     }
 
+    /** How many calls ended in each way. */
+    Map<String, Long> ends() {
+        Map<String, Long> ends = new LinkedHashMap<>();
+        for (End end : End.values()) {
+            ends.put(end.name().toLowerCase(Locale.ROOT), all.ends[end.ordinal()]);
+        }
+        return ends;
+    }
+
+    /** Time from a call's due moment to its answer, of calls that got one. */
+    double latencyMillis(double percentile) {
+        return all.times.getValueAtPercentile(percentile) / 1e6;
+    }
+
     double lagMillis(double percentile) {
         return lag.getValueAtPercentile(percentile) / 1e6;
     }
--- a/lab/src/main/java/pearladder/lab/Clients.java
+++ b/lab/src/main/java/pearladder/lab/Clients.java
@@ -1,5 +1,6 @@
 package pearladder.lab;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -9,6 +10,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import pearladder.emulator.Seen;
@@ -23,6 +25,9 @@
     /** How much longer than its patience a client listens, only to see what comes too late. */
     private static final long LISTENS = 400_000_000L;
     private static final long LEAST = 20_000_000L;
+    private static final long WATCH = 10_000_000L;
+    private static final long PAUSE = 40_000_000L;
+    private static final int WARM_UPS = 100;
 
     private final class Call {
         final Source.Drawn drawn;
@@ -64,11 +69,35 @@
                 .setKeepAliveTimeout(20), new PoolOptions().setHttp1MaxSize(20_000).setMaxWaitQueueSize(-1));
     }
 
+    /** Notes every pause of this process: what came meanwhile was seen late, whoever was on time. */
+    private void watch(long last) {
+        vertx.setTimer(WATCH / 1_000_000, fired -> {
+            long now = System.nanoTime();
+            if (now - last > PAUSE) {
+                seen.accept(new Seen(now, Seen.PAUSED, "", "", 0, "", "", "", now - last - WATCH));
+            }
+            watch(now);
+        });
+    }
+
+    /** Asks each router a few hundred things of no weight, so that the first calls don't measure class loading here. */
+    Future<Void> warmUp(List<Integer> ports) {
+        Future<Void> all = Future.succeededFuture();
+        for (int i = 0; i < WARM_UPS; i++) {
+            List<Future<Void>> round = ports.stream().map(port -> client.request(HttpMethod.GET, port, "127.0.0.1",
+                    "/v2/health/live").compose(HttpClientRequest::send).compose(HttpClientResponse::body)
+                    .<Void>mapEmpty()).toList();
+            all = all.compose(done -> Future.join(round).mapEmpty());
+        }
+        return all;
+    }
+
     /** Sends the day's calls from a moment on; tells when the last one has ended. */
     void play(long start, Runnable done) {
         begun = start;
         ended = done;
         next = traffic.next();
+        watch(System.nanoTime());
         turn();
     }
 
--- a/lab/src/main/java/pearladder/lab/Day.java
+++ b/lab/src/main/java/pearladder/lab/Day.java
@@ -61,7 +61,7 @@
     private TraceSource trace;
     private int controlPort;
     private int listPort;
-    private long begun;
+    private volatile long begun;
     private double took;
 
     private Day(Path script, Path out, List<String> program, List<String> routerWords, PrintStream progress) {
@@ -238,12 +238,18 @@
         Vertx vertx = Vertx.vertx();
         CountDownLatch done = new CountDownLatch(1);
         Troubles troubles = new Troubles(plan, new World());
-        begun = System.nanoTime() + 200_000_000L;
+        Source source = trace != null ? trace : new Traffic(plan);
+        CountDownLatch warm = new CountDownLatch(1);
         vertx.runOnContext(run -> {
-            Source source = trace != null ? trace : new Traffic(plan);
-            new Clients(vertx, plan, source, front, books, tape).play(begun, done::countDown);
+            Clients clients = new Clients(vertx, plan, source, front, books, tape);
+            clients.warmUp(List.copyOf(ports.values())).onComplete(end -> {
+                begun = System.nanoTime() + 200_000_000L;
+                warm.countDown();
+                clients.play(begun, done::countDown);
+            });
             vertx.setPeriodic(200, tick -> tape.flush());
         });
+        warm.await();
         // troubles are slow to bring (processes start): they keep a thread of their own, and so stay in order
         helper.execute(() -> {
             long next;
@@ -375,6 +381,7 @@
         }
         faults.forEach(fault -> lines.add("fault: " + fault));
         Files.write(out.resolve("table.txt"), lines);
+        Results.write(out, Results.of(plan, books, verdict, faults, all, begun, lines));
         return new Outcome(books.credit(), books.worstWindow(), books.calls(), lines, verdict, List.copyOf(faults));
     }
 }
--- /dev/null
+++ b/lab/src/main/java/pearladder/lab/Results.java
@@ -0,0 +1,107 @@
+package pearladder.lab;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import pearladder.emulator.Seen;
+
+/** A day's results as a file that reports and comparisons are made from: results.json in the day's folder. */
+final class Results {
+    static final String FILE = "results.json";
+    private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+    private static final long WINDOW = 10_000_000_000L;
+
+    private Results() { }
+
+    static ObjectNode of(DayPlan plan, Books books, RulesChecker.Verdict verdict, List<String> faults, List<Seen> tape,
+            long begun, List<String> table) {
+        ObjectNode all = JSON.createObjectNode();
+        all.put("name", plan.name()).put("seed", plan.seed()).put("engines", plan.fleet().engines().size())
+                .put("routers", plan.routers()).put("calls", books.calls()).put("tries", books.tries())
+                .put("credit", books.credit()).put("worst10s", books.worstWindow()).put("lag_p99_ms", books.lagMillis(99))
+                .put("breaches", verdict.breaches().size()).put("faults", faults.size());
+        books.ends().forEach((name, count) -> all.put(name, count));
+        ObjectNode latency = all.putObject("latency_ms");
+        for (double percentile : new double[] {10, 25, 50, 75, 90, 95, 99, 99.9, 100}) {
+            latency.put(Double.toString(percentile), books.latencyMillis(percentile));
+        }
+        ArrayNode windows = all.putArray("windows");
+        TreeMap<Long, long[]> seen = byWindow(tape, begun);
+        books.byWindow().forEach((from, credit) -> {
+            long[] counts = seen.getOrDefault(from / 10, new long[3]);
+            windows.addObject().put("from_s", from).put("credit", credit).put("legs", counts[0]).put("orders", counts[1])
+                    .put("refused", counts[2]);
+        });
+        ArrayNode troubles = all.putArray("troubles");
+        for (Seen one : tape) {
+            if (one.what().equals(Seen.TROUBLE)) {
+                troubles.addObject().put("at_s", (one.at() - begun) / 1e9).put("what", one.note());
+            }
+        }
+        ArrayNode rules = all.putArray("rules");
+        verdict.looked().forEach((rule, looked) -> rules.addObject().put("rule", rule.words()).put("looked", looked)
+                .put("broken", verdict.breaches().stream().filter(breach -> breach.rule() == rule).count()));
+        ArrayNode lines = all.putArray("table");
+        table.forEach(lines::add);
+        return all;
+    }
+
+    /** Legs, orders and refusals at the engines, by ten seconds of the day. */
+    private static TreeMap<Long, long[]> byWindow(List<Seen> tape, long begun) {
+        TreeMap<Long, long[]> windows = new TreeMap<>();
+        for (Seen seen : tape) {
+            int at = switch (seen.what()) {
+                case Seen.ARRIVED -> 0;
+                case Seen.ORDERED -> 1;
+                case Seen.REFUSED -> 2;
+                default -> -1;
+            };
+            if (at >= 0 && seen.at() >= begun) {
+                windows.computeIfAbsent((seen.at() - begun) / WINDOW, w -> new long[3])[at]++;
+            }
+        }
+        return windows;
+    }
+
+    /** Writes beside and moves over, so that a results file is whole or not there. */
+    static void write(Path folder, JsonNode results) throws IOException {
+        Path beside = folder.resolve("results.new");
+        JSON.writeValue(beside.toFile(), results);
+        Files.move(beside, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** The results in a folder, or null where there are none that can be read. */
+    static JsonNode read(Path folder) {
+        try {
+            return JSON.readTree(folder.resolve(FILE).toFile());
+        } catch (IOException none) {
+            return null;
+        }
+    }
+
+    /** Every results file in a folder and in the folders right below it, by the folder's name. */
+    static Map<String, JsonNode> below(Path folder) throws IOException {
+        Map<String, JsonNode> all = new TreeMap<>();
+        List<Path> folders = new ArrayList<>(List.of(folder));
+        try (var inside = Files.list(folder)) {
+            inside.filter(Files::isDirectory).forEach(folders::add);
+        }
+        for (Path one : folders) {
+            JsonNode results = read(one);
+            if (results != null) {
+                all.put(one.getFileName().toString(), results);
+            }
+        }
+        return all;
+    }
+}
--- a/lab/src/main/java/pearladder/lab/RulesChecker.java
+++ b/lab/src/main/java/pearladder/lab/RulesChecker.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import pearladder.emulator.Seen;
 
 /**
@@ -66,6 +67,7 @@
     private final Rulebook rules;
     private final long slack;
     private final Map<String, Place> places;
+    private final TreeMap<Long, Seen> pauses = new TreeMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private final Map<Rule, Long> looked = new LinkedHashMap<>();
 
@@ -96,6 +98,8 @@
                 deaths.computeIfAbsent(seen.router(), r -> new ArrayList<>()).add(seen);
             }
         }
+        inTime.stream().filter(seen -> seen.what().equals(Seen.PAUSED))
+                .forEach(pause -> pauses.put(pause.at(), pause));
         Map<String, Try> tries = tries(inTime);
         tries.values().forEach(one -> oneAnswer(one, deaths.getOrDefault(one.sent.router(), List.of())));
         tries.values().forEach(this::noEffectTwice);
@@ -163,7 +167,7 @@
         String call = "call " + sent.call() + " (" + sent.note() + ") at " + sent.router();
         if (one.end.what().equals(Seen.UNANSWERED)) {
             breach(Rule.ONE_ANSWER, due, call + " got no final answer: " + one.end.note());
-        } else if (one.end.at() > due + rules.answerGrace() + slack) {
+        } else if (one.end.at() - paused(due, one.end.at()) > due + rules.answerGrace() + slack) {
             breach(Rule.ONE_ANSWER, one.end.at(), call + " was " + one.end.note() + " "
                     + (one.end.at() - due) / 1_000_000 + " ms after the client's time was up");
         }
@@ -172,6 +176,19 @@
         }
     }
 
+    /** How long the client itself was paused between a call's due time and the moment at which it saw the answer. */
+    private long paused(long due, long seen) {
+        long sum = 0;
+        for (Seen pause : pauses.tailMap(due, true).values()) {
+            long began = Math.max(due, pause.at() - (long) pause.figure());
+            sum += Math.max(0, Math.min(seen, pause.at()) - began);
+            if (pause.at() >= seen) {
+                break;
+            }
+        }
+        return sum;
+    }
+
     private void noEffectTwice(Try one) {
         CategoryTerms terms = rules.categories().get(one.sent.note());
         if (terms == null || terms.effect() == CategoryTerms.Effect.RETRIABLE) {
--- a/lab/src/test/java/pearladder/lab/RulesCheckerTest.java
+++ b/lab/src/test/java/pearladder/lab/RulesCheckerTest.java
@@ -96,6 +96,18 @@
         broken(Rule.ONE_ANSWER, "200 ms after");
     }
 
+    @Test
+    void aPauseOfTheClientItselfIsNoLatenessOfTheRouter() {
+        sent(0, "c1", "draft", 3000);
+        add(3290, Seen.PAUSED, "", 0, "", "", 400 * MS);
+        answered(3292, "c1", "terminated");
+        assertEquals(List.of(), check().breaches());
+        sent(5000, "c2", "draft", 3000);
+        add(8100, Seen.PAUSED, "", 0, "", "", 50 * MS);
+        answered(8400, "c2", "terminated");
+        broken(Rule.ONE_ANSWER, "400 ms after");
+    }
+
     @Test
     void aSecondAnswerIsFound() {
         sent(0, "c1", "draft", 3000);
