--- a/cli/src/main/java/pearladder/cli/CheckCommand.java
+++ b/cli/src/main/java/pearladder/cli/CheckCommand.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.Callable;
 import pearladder.emulator.FleetPlan;
 import pearladder.lab.Day;
+import pearladder.lab.Experiment;
 import pearladder.router.ArticlesReader;
 import pearladder.yaml.Value;
 import pearladder.yaml.Yaml;
@@ -13,7 +14,7 @@
 import picocli.CommandLine.Spec;
 
 @Command(name = "check", mixinStandardHelpOptions = true,
-        description = "Check a router's, a fleet's or a day's file; each mistake is named with line, key and mend.")
+        description = "Check a router's, a fleet's, a day's or an experiment's file; each mistake is named with line, key and mend.")
 final class CheckCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "what is checked")
     private Path file;
@@ -25,7 +26,10 @@
     public Integer call() {
         String what = "a router";
         Value value = Yaml.read(file);
-        if (value.keys().contains("day")) {
+        if (value.keys().contains("experiment")) {
+            Experiment.check(file);
+            what = "an experiment";
+        } else if (value.keys().contains("day")) {
             Day.check(file);
             what = "a day";
         } else if (value.keys().contains("fleet")) {
--- a/cli/src/main/java/pearladder/cli/PassThroughCommand.java
+++ b/cli/src/main/java/pearladder/cli/PassThroughCommand.java
@@ -13,6 +13,7 @@
 
     @Override
     public Integer call() {
+        Logs.setUp(Logs.Form.TEXT);
         System.out.println("{\"port\":" + PassThrough.start(targets) + "}");
         return Commands.RUNNING;
     }
--- a/cli/src/main/java/pearladder/cli/Program.java
+++ b/cli/src/main/java/pearladder/cli/Program.java
@@ -1,12 +1,26 @@
 package pearladder.cli;
 
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.zip.CRC32;
 
 /** The command that runs this very program, for children of a day. */
 final class Program {
     private Program() { }
 
+    /** Which build this is: a check sum of the jar, or "classes" where it runs from a build's folders. */
+    static String build() throws IOException {
+        Path jar = Path.of(System.getProperty("java.class.path"));
+        if (!Files.isRegularFile(jar)) {
+            return "classes";
+        }
+        CRC32 crc = new CRC32();
+        crc.update(Files.readAllBytes(jar));
+        return Long.toHexString(crc.getValue());
+    }
+
     static List<String> command() {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         return List.of(java, "-Xmx512m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
--- /dev/null
+++ b/lab/src/main/java/pearladder/lab/ExperimentPlan.java
@@ -0,0 +1,88 @@
+package pearladder.lab;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import pearladder.yaml.Value;
+import pearladder.yaml.Yaml;
+
+/**
+ * A grid of runs as its file states it.
+ *
+ * @param base the day's script that is varied
+ * @param trace replayed in place of its traffic, or null
+ */
+record ExperimentPlan(String name, Path base, TraceSource.Terms trace, List<Run> runs) {
+    enum Troubles { AS_WRITTEN, NONE }
+
+    /** One run; 0 or a NaN keeps what the script says. */
+    record Run(String policy, int engines, int routers, double rate, double speed, Troubles troubles, int seed) {
+        /** A folder's name; runs that differ only in their seed differ only behind the last dot. */
+        String label() {
+            return policy + (engines > 0 ? "-e" + engines : "") + (routers > 0 ? "-r" + routers : "")
+                    + (Double.isNaN(rate) ? "" : "-q" + plain(rate)) + (Double.isNaN(speed) ? "" : "-x" + plain(speed))
+                    + (troubles == Troubles.NONE ? "-calm" : "") + ".s" + seed;
+        }
+
+        private static String plain(double number) {
+            return number == Math.rint(number) ? Long.toString((long) number) : Double.toString(number);
+        }
+    }
+
+    static ExperimentPlan read(Path file) {
+        return read(Yaml.read(file), file.toAbsolutePath().getParent());
+    }
+
+    static ExperimentPlan read(Value whole, Path folder) {
+        Value experiment = whole.at("experiment");
+        Value vary = experiment.at("vary");
+        List<String> policies = orElse(vary.at("policy").each(ExperimentPlan::policy), "module");
+        List<Integer> engines = orElse(vary.at("engines").each(v -> v.whole(1, 10_000)), 0);
+        List<Integer> routers = orElse(vary.at("routers").each(v -> v.whole(1, 64)), 0);
+        List<Double> rates = orElse(vary.at("rate").each(v -> v.number(0.1, 1e6)), Double.NaN);
+        List<Double> speeds = orElse(vary.at("speed").each(v -> v.number(0.001, 1e6)), Double.NaN);
+        List<Troubles> troubles = orElse(vary.at("troubles").each(v -> v.word(Troubles.class, null)), Troubles.AS_WRITTEN);
+        List<Integer> seeds = orElse(vary.at("seed").each(v -> v.whole(0, Integer.MAX_VALUE)), 1);
+        TraceSource.Terms trace = experiment.at("trace").given() ? trace(experiment.at("trace"), folder) : null;
+        if (trace == null && !speeds.get(0).isNaN()) {
+            vary.at("speed").wrong("only a trace has a speed", "name a trace, or vary the rate");
+        }
+        List<Run> runs = new ArrayList<>();
+        for (String policy : policies) {
+            for (int count : engines) {
+                for (int number : routers) {
+                    for (double rate : rates) {
+                        for (double speed : speeds) {
+                            for (Troubles trouble : troubles) {
+                                seeds.forEach(seed -> runs.add(new Run(policy, count, number, rate, speed, trouble, seed)));
+                            }
+                        }
+                    }
+                }
+            }
+        }
+        String name = experiment.at("name").text("experiment");
+        Path base = folder.resolve(experiment.at("base").text());
+        whole.done();
+        return new ExperimentPlan(name, base, trace, runs);
+    }
+
+    private static String policy(Value value) {
+        String word = value.text();
+        if (!word.equals("module") && !word.equals("random")) {
+            value.wrong("unknown policy \"" + word + "\"", "write module or random");
+        }
+        return word;
+    }
+
+    private static TraceSource.Terms trace(Value trace, Path folder) {
+        return new TraceSource.Terms(folder.resolve(trace.at("file").text()), null, null, null, 1,
+                trace.at("window").span("60 s"), trace.at("most").whole(0, 0, Integer.MAX_VALUE),
+                trace.at("work_scale").number(1, 0, 1e6), trace.at("longest_work").span("500 ms"),
+                trace.at("usual_work").span("20 ms"), false);
+    }
+
+    private static <T> List<T> orElse(List<T> values, T otherwise) {
+        return values.isEmpty() ? List.of(otherwise) : values;
+    }
+}
--- a/lab/src/main/java/pearladder/lab/TraceSource.java
+++ b/lab/src/main/java/pearladder/lab/TraceSource.java
@@ -33,7 +33,12 @@
      * @param usualWork nanoseconds, where the trace tells none
      */
     public record Terms(Path file, Layout layout, Path durations, Path memory, double speed, long window, long most,
-            double workScale, long longestWork, long usualWork, boolean strict) { }
+            double workScale, long longestWork, long usualWork, boolean strict) {
+        /** The same at another speed. */
+        Terms at(double times) {
+            return new Terms(file, layout, durations, memory, times, window, most, workScale, longestWork, usualWork, strict);
+        }
+    }
 
     /** Size classes of models, in MB: a model is named "m400-..." for the class that its memory falls under. */
     private static final int[] CLASSES = {100, 200, 400, 800, 1600, 3200};
