trace make; a trace is never written over a file that is there

Need: scale tests want traces of ten million rows and of fifty thousand models, and none may be fetched. Change: a maker by Zipf's law with bursts and timers; the place of a command's files is fixed (two parameters without an index had been swapped, so that a cut read its target and would have written over its source); such a target is refused.

--- a/cli/src/main/java/pearladder/cli/Commands.java
+++ b/cli/src/main/java/pearladder/cli/Commands.java
@@ -22,7 +22,11 @@
     private CommandSpec spec;
 
     static int run(String... arguments) {
-        return new CommandLine(new Commands()).setExecutionExceptionHandler(Commands::failed).execute(arguments);
+        return line().execute(arguments);
+    }
+
+    static CommandLine line() {
+        return new CommandLine(new Commands()).setExecutionExceptionHandler(Commands::failed);
     }
 
     /** A user's mistake is told in lines, never as a stack trace; a defect of ours keeps its trace in the log. */
@@ -33,6 +37,12 @@
             err.flush();
             return 2;
         }
+        if (failure instanceof java.nio.file.FileSystemException file) {
+            // its message is often the bare path
+            err.println("pearladder: " + file.getFile() + ": it can't be read or written"
+                    + (file.getReason() == null ? "; check that it and its folder are there" : ": " + file.getReason()));
+            return 1;
+        }
         if (failure instanceof java.io.IOException || failure instanceof java.io.UncheckedIOException) {
             err.println("pearladder: " + failure.getMessage());
             return 1;
--- a/cli/src/main/java/pearladder/cli/TraceCommand.java
+++ b/cli/src/main/java/pearladder/cli/TraceCommand.java
@@ -13,6 +13,7 @@
 import pearladder.traces.TraceCut;
 import pearladder.traces.TraceFile;
 import pearladder.traces.TraceInfo;
+import pearladder.traces.TraceMaker;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -27,7 +28,7 @@
 
     /** What all of them take. */
     static final class Input {
-        @Parameters(paramLabel = "FILE", description = "the trace, plain or gzip")
+        @Parameters(index = "0", paramLabel = "FILE", description = "the trace, plain or gzip")
         Path file;
 
         @Option(names = "--layout", converter = LayoutWord.class, paramLabel = "LAYOUT",
@@ -84,7 +85,7 @@
 
     @Override
     public void run() {
-        throw new CommandLine.ParameterException(spec.commandLine(), "info, convert or cut is missing");
+        throw new CommandLine.ParameterException(spec.commandLine(), "info, convert, cut or make is missing");
     }
 
     @Command(name = "info", mixinStandardHelpOptions = true,
@@ -98,13 +99,13 @@
     }
 
     @Command(name = "convert", mixinStandardHelpOptions = true, description = "Write a trace in the plain layout.")
-    int convert(@CommandLine.Mixin Input input, @Parameters(paramLabel = "TO", description = "the new file") Path to)
+    int convert(@CommandLine.Mixin Input input, @Parameters(index = "1", paramLabel = "TO", description = "the new file") Path to)
             throws IOException {
         return write(input, to, 0, Long.MAX_VALUE, 1, 0);
     }
 
     @Command(name = "cut", mixinStandardHelpOptions = true, description = "Write a part of a trace in the plain layout.")
-    int cut(@CommandLine.Mixin Input input, @Parameters(paramLabel = "TO", description = "the new file") Path to,
+    int cut(@CommandLine.Mixin Input input, @Parameters(index = "1", paramLabel = "TO", description = "the new file") Path to,
             @Option(names = "--from", defaultValue = "0", paramLabel = "SECONDS", description = "after the first call") double from,
             @Option(names = "--until", paramLabel = "SECONDS", description = "after the first call") Double until,
             @Option(names = "--share", defaultValue = "1", description = "of the models, from 0 to 1") double share,
@@ -113,11 +114,36 @@
         return write(input, to, Math.round(from * 1e9), until == null ? Long.MAX_VALUE : Math.round(until * 1e9), share, seed);
     }
 
+    @Command(name = "make", mixinStandardHelpOptions = true, description = {
+        "Make a trace where none is at hand, in the plain layout: Zipf's law down to models called once,",
+        "minutes of more and less, timers that pulse. The same seed makes the same trace."})
+    int make(@Parameters(index = "0", paramLabel = "TO", description = "the new file") Path to,
+            @Option(names = "--models", defaultValue = "200", description = "(default: ${DEFAULT-VALUE})") int models,
+            @Option(names = "--skew", defaultValue = "1", description = "Zipf's exponent (default: ${DEFAULT-VALUE})") double skew,
+            @Option(names = "--rate", defaultValue = "100", description = "calls a second (default: ${DEFAULT-VALUE})") double rate,
+            @Option(names = "--lasting", defaultValue = "60", paramLabel = "SECONDS") double seconds,
+            @Option(names = "--timers", defaultValue = "0.05", description = "share from timers (default: ${DEFAULT-VALUE})") double timers,
+            @Option(names = "--bursts", defaultValue = "0.5", description = "how minutes differ, 0 to 1") double bursts,
+            @Option(names = "--work", defaultValue = "20", paramLabel = "MS", description = "mean work") double work,
+            @Option(names = "--seed", defaultValue = "1") long seed) throws IOException {
+        refuseOld(to);
+        TraceMaker.Terms terms = new TraceMaker.Terms(models, skew, rate, seconds, timers, bursts, work, seed);
+        try (BufferedWriter writer = Files.newBufferedWriter(to); TraceCut cut = new TraceCut(writer, 0, Long.MAX_VALUE, 1, 0)) {
+            TraceMaker.make(terms, cut);
+            spec.commandLine().getOut().println(cut.written() + " calls written to " + to);
+        }
+        return 0;
+    }
+
+    private static void refuseOld(Path to) throws IOException {
+        if (Files.exists(to)) {
+            throw new IOException(to + ": it is there already; name another file, or take it away first");
+        }
+    }
+
     private int write(Input input, Path to, long from, long until, double share, int seed) throws IOException {
         Skipped[] skipped = {null};
-        if (Files.exists(to) && Files.isSameFile(to, input.file)) {
-            throw new IOException(to + ": it would be written over itself; name another file");
-        }
+        refuseOld(to);
         try (BufferedWriter writer = Files.newBufferedWriter(to); TraceCut cut = new TraceCut(writer, from, until, share, seed)) {
             TraceFile.Read read = input.read(cut, skipped, spec.commandLine().getErr());
             spec.commandLine().getOut().println(cut.written() + " of " + read.calls() + " calls written to " + to + ", "
--- a/lab/src/test/java/pearladder/traces/TracesTest.java
+++ b/lab/src/test/java/pearladder/traces/TracesTest.java
@@ -216,6 +216,25 @@
         }
     }
 
+    @Test
+    void aMadeTraceIsInOrderFollowsItsTermsAndIsTheSameAgain() {
+        TraceMaker.Terms terms = new TraceMaker.Terms(1000, 1, 50, 120, 0.2, 0.5, 20, 7);
+        TraceInfo first = new TraceInfo();
+        TraceMaker.make(terms, first);
+        TraceInfo again = new TraceInfo();
+        TraceMaker.make(terms, call -> {
+            calls.add(call);
+            again.accept(call);
+        });
+        assertEquals(first.digest(), again.digest());
+        assertEquals(times().stream().sorted().toList(), times());
+        assertTrue(calls.size() > 4000 && calls.size() < 8000, "6000 calls: " + calls.size());
+        Map<String, Long> pulses = calls.stream().filter(call -> call.model().startsWith("timer-"))
+                .collect(Collectors.groupingBy(TraceCall::model, Collectors.counting()));
+        assertEquals(300, pulses.size());
+        assertTrue(pulses.values().stream().allMatch(count -> count == 4), "each timer pulses every 30 s");
+    }
+
     private String cut(List<TraceCall> made, long from, long to, double share) throws IOException {
         StringBuilder out = new StringBuilder();
         try (TraceCut cut = new TraceCut(out, from, to, share, 3)) {
