Copies are ordered ahead of calls within half the ration, and told when they stand

Need: a step to a new version may be taken only when its copies stand for the share; loads ahead must go through the module's own ration and store guard, below calls that are here.

--- a/decisions/src/main/java/pearladder/Policy.java
+++ b/decisions/src/main/java/pearladder/Policy.java
@@ -143,6 +143,14 @@
             close(calls.get(left.call()));
         } else if (event instanceof Event.StreamBegan began && calls.containsKey(began.call())) {
             calls.get(began.call()).streaming = true;
+        } else if (event instanceof Event.Wanted wanted) {
+            Function function = functions.computeIfAbsent(wanted.function(),
+                    id -> new Function(id, DEMAND, PACE));
+            function.lanes = Math.max(1, wanted.lanes());
+            function.memoryMb = wanted.memoryMb();
+            function.usualLoad = wanted.usualLoad();
+            function.wantedShare = wanted.share();
+            function.wantedLike = functions.get(wanted.like());
         } else if (event instanceof Event.LoadAnswered answered) {
             Worker worker = workers.get(answered.worker());
             Function function = functions.get(answered.function());
@@ -587,6 +595,7 @@
         coldAllowance.look();
         storeGuard.look();
         loadOrders.keep(functions.values());
+        functions.values().stream().filter(function -> function.wantedShare > 0).forEach(loadOrders::ahead);
         for (Function function : functions.values()) {
             function.list.removeIf(place -> place.inFlight == 0 && instances(place) == 0);
         }
@@ -595,7 +604,8 @@
 
     /** A function without calls of late, copies or legs is dropped, or one-off functions would pile up. */
     private boolean forgotten(Function function) {
-        boolean used = function.calls.read(now) > FORGOTTEN || !function.list.isEmpty()
+        boolean used = function.calls.read(now) > FORGOTTEN || function.wantedShare > 0
+                || !function.list.isEmpty()
                 || function.places.values().stream().anyMatch(place -> place.inFlight + instances(place) > 0);
         if (!used) {
             function.places.values().forEach(place -> place.worker.places.remove(place));
@@ -828,7 +838,8 @@
             }
         }
 
-        private boolean withinRation() {
+        /** Whether a part of the ration is not used up with one more order. */
+        private boolean withinRation(double part) {
             if (ration.window().nanos() <= 0) {
                 return true;
             }
@@ -838,11 +849,11 @@
             while (!takenLately.isEmpty() && now.since(takenLately.peek()).compareTo(ration.window()) >= 0) {
                 takenLately.poll();
             }
-            return orders.size() + 1 <= ration.free() + ration.share() * takenLately.size();
+            return orders.size() + 1 <= part * (ration.free() + ration.share() * takenLately.size());
         }
 
         private boolean order(Place place, int copies) {
-            if (!allowed || !usable(place.worker) || !withinRation()) {
+            if (!allowed || !usable(place.worker) || !withinRation(1)) {
                 return false;
             }
             orders.add(now);
@@ -876,6 +887,42 @@
             }
         }
 
+        /*
+         * Copies wanted ahead of calls: one order at a time for each function, through the same ration and
+         * store guard as any other, and only while half of the ration is left for calls that are here. Those
+         * that stand are kept.
+         */
+        void ahead(Function function) {
+            int stands = copies(function);
+            Function like = function.wantedLike;
+            double need = like == function ? stands
+                    : Math.max(1, like == null ? 1 : Math.ceil(function.wantedShare * copies(like)));
+            boolean enough = !allowed || stands >= need;
+            todo.add(new Action.Standing(function.id, function.wantedShare * (enough ? 1 : stands / need)));
+            if (!allowed || !withinRation(0.5)) {
+                return;
+            }
+            boolean coming = false;
+            for (Place place : function.places.values()) {
+                coming |= place.loading || place.orderedAt != null && instances(place) == 0
+                        && !now.since(place.orderedAt).longerThan(storeGuard.usual(function).times(2));
+                if (instances(place) > 0 && now.since(place.touched).longerThan(kept.times(renewAt))) {
+                    order(place, 1);
+                }
+            }
+            for (int i = 0; !enough && !coming && i < inService.size(); i++) {
+                Place place = place(function, scan(function, i));
+                if (instances(place) == 0 && coldAllowance.bears(place.worker)
+                        && storeGuard.mayBegin(place)) {
+                    coming = order(place, 1);
+                }
+            }
+        }
+
+        private int copies(Function function) {
+            return function.places.values().stream().mapToInt(Policy.this::instances).sum();
+        }
+
         void answered(Place place, Event.LoadAnswered answer) {
             if (answer.outcome() == Outcome.SUCCESS || answer.copies() > 0) {
                 place.instances = answer.copies();
--- a/decisions/src/main/java/pearladder/api/Action.java
+++ b/decisions/src/main/java/pearladder/api/Action.java
@@ -18,6 +18,9 @@
 
     record Hold(String worker, String function, int copies) implements Action { }
 
+    /** For what share of the load that was wanted ahead copies stand; told at each beat while it is wanted. */
+    record Standing(String function, double share) implements Action { }
+
     record Unload(String worker, String function) implements Action { }
 
     record Subscribe(boolean on) implements Action { }
--- a/decisions/src/main/java/pearladder/api/Event.java
+++ b/decisions/src/main/java/pearladder/api/Event.java
@@ -34,6 +34,13 @@
     record LoadAnswered(String worker, String function, Outcome outcome, int copies, Span took)
             implements Event { }
 
+    /**
+     * Copies of a function are to stand ahead of its calls, for a share of what another function's copies bear now; like
+     * itself, those that stand are only kept. A share of 0 takes the wish back.
+     */
+    record Wanted(String function, String like, double share, int lanes, double memoryMb, Span usualLoad)
+            implements Event { }
+
     record Due(String tag) implements Event { }
 
     record PeerSaid(int peer, String text) implements Event { }
--- a/decisions/src/main/java/pearladder/release/ReleaseAction.java
+++ b/decisions/src/main/java/pearladder/release/ReleaseAction.java
@@ -13,7 +13,7 @@
     /** Loads of the version that are not begun are no longer wanted. */
     record Withdraw(String model, String version) implements ReleaseAction { }
 
-    /** The order is taken: it goes into the journal before anyone is told so. */
+    /** The order can be followed: it goes into the journal, then back as kept, and only then is the operator told so. */
     record Keep(Target target) implements ReleaseAction { }
 
     /** The order is refused: another one came first, or its plan can't be followed. */
--- a/decisions/src/main/java/pearladder/release/ReleaseEvent.java
+++ b/decisions/src/main/java/pearladder/release/ReleaseEvent.java
@@ -4,9 +4,12 @@
 
 /** What happened that a release must know of. */
 public sealed interface ReleaseEvent {
-    /** An operator's order came in. */
+    /** An operator's order came in; it is only judged, and followed once it is kept. */
     record Ordered(Target target) implements ReleaseEvent { }
 
+    /** An order that was to be kept stands in the journal, safe from a crash. */
+    record Kept(Target target) implements ReleaseEvent { }
+
     /** What the journal held, at the start and before the first call. */
     record Restored(List<Target> targets) implements ReleaseEvent { }
 
--- a/decisions/src/main/java/pearladder/release/Releases.java
+++ b/decisions/src/main/java/pearladder/release/Releases.java
@@ -75,6 +75,8 @@
             ended(ended);
         } else if (event instanceof ReleaseEvent.Ordered ordered) {
             ordered(ordered.target());
+        } else if (event instanceof ReleaseEvent.Kept kept) {
+            kept(kept.target());
         } else if (event instanceof ReleaseEvent.Restored restored) {
             restored.targets().forEach(this::restore);
         } else if (event instanceof ReleaseEvent.Standing standing) {
@@ -179,8 +181,7 @@
             return;
         }
         if (release != null && target.epoch() <= release.target.epoch()) {
-            todo.add(new ReleaseAction.Refuse(target, "epoch " + target.epoch() + " is not after " + release.target.epoch()
-                    + ", ordered by " + release.target.by() + "; look at the status and order again"));
+            refuse(target, release);
             return;
         }
         List<Plan.Fault> faults = target.plan().faults();
@@ -190,7 +191,21 @@
             return;
         }
         todo.add(new ReleaseAction.Keep(target));
-        follow(target);
+    }
+
+    private void refuse(Target target, Release release) {
+        todo.add(new ReleaseAction.Refuse(target, "epoch " + target.epoch() + " is not after " + release.target.epoch()
+                + ", ordered by " + release.target.by() + "; look at the status and order again"));
+    }
+
+    /** Two operators' orders may be on their way to the journal at once: the one that was kept first holds. */
+    private void kept(Target target) {
+        Release release = releases.get(target.plan().model());
+        if (release == null || target.epoch() > release.target.epoch()) {
+            follow(target);
+        } else if (!release.target.equals(target)) {
+            refuse(target, release);
+        }
     }
 
     /** What the journal tells holds without being kept again; of two of a model the higher epoch. */
--- a/decisions/src/main/java/pearladder/state/Function.java
+++ b/decisions/src/main/java/pearladder/state/Function.java
@@ -21,6 +21,9 @@
     public int scanAt;
     public long scanEdition = -1;
     public long taken;
+    /** The share of the like function's load for which copies are to stand ahead; 0 where none is wanted. */
+    public double wantedShare;
+    public Function wantedLike;
 
     public Function(String id, Span demand, Span pace) {
         this.id = id;
--- a/decisions/src/test/java/pearladder/PolicyTest.java
+++ b/decisions/src/test/java/pearladder/PolicyTest.java
@@ -311,4 +311,28 @@
         assertInstanceOf(Action.Terminate.class, call.end);
         rig.on(new Event.ClientLeft(call.id));
     }
+
+    private static List<Action> beat(Rig rig) {
+        int from = rig.all.size();
+        rig.pass(Span.millis(100));
+        return List.copyOf(rig.all.subList(from, rig.all.size()));
+    }
+
+    /** A new version's copies come up ahead of its calls, one at a time, and are told once they bear the share. */
+    @Test
+    void copiesWantedAheadAreOrderedOneByOneAndToldWhenTheyStand() {
+        Rig rig = Rig.withWorkers(Rig.facts(true, true, new Facts.Ration(4, 0, Span.seconds(10)), List.of()), 4);
+        rig.now = rig.now.plus(Span.millis(100));
+        rig.on(new Event.Wanted("f@2", "f", 1, 2, 100, Span.millis(500)));
+        List<Action> first = beat(rig);
+        List<Action.Hold> holds = first.stream().filter(Action.Hold.class::isInstance).map(Action.Hold.class::cast).toList();
+        assertEquals(1, holds.size());
+        assertTrue(first.contains(new Action.Standing("f@2", 0)), first.toString());
+        assertTrue(beat(rig).stream().noneMatch(Action.Hold.class::isInstance), "one at a time");
+        rig.on(new Event.LoadAnswered(holds.get(0).worker(), "f@2", Outcome.SUCCESS, 1, Span.millis(500)));
+        assertTrue(beat(rig).contains(new Action.Standing("f@2", 1)));
+        rig.on(new Event.Wanted("f@2", "f", 0, 2, 100, Span.millis(500)));
+        assertTrue(beat(rig).stream().noneMatch(action -> action instanceof Action.Standing
+                || action instanceof Action.Hold));
+    }
 }
--- a/decisions/src/test/java/pearladder/release/ReleasesTest.java
+++ b/decisions/src/test/java/pearladder/release/ReleasesTest.java
@@ -39,7 +39,16 @@
     }
 
     private List<ReleaseAction> order(long epoch, Mode mode, int step) {
-        return on(new ReleaseEvent.Ordered(target(epoch, PLAN, mode, step)));
+        return order(releases, now, target(epoch, PLAN, mode, step));
+    }
+
+    /** Orders, keeps what is to be kept, and hands it back as kept. */
+    private static List<ReleaseAction> order(Releases releases, Moment now, Target target) {
+        List<ReleaseAction> actions = new ArrayList<>(releases.on(now, new ReleaseEvent.Ordered(target)));
+        for (ReleaseAction.Keep keep : only(actions, ReleaseAction.Keep.class)) {
+            actions.addAll(releases.on(now, new ReleaseEvent.Kept(keep.target())));
+        }
+        return actions;
     }
 
     private static <T extends ReleaseAction> List<T> only(List<ReleaseAction> actions, Class<T> kind) {
@@ -190,6 +199,18 @@
         assertEquals(1, only(order(9, Mode.RUNNING, 7), ReleaseAction.Refuse.class).size());
     }
 
+    @Test
+    void anOrderThatWasNotKeptIsNotFollowedAndOfTwoOnTheirWayTheFirstKeptHolds() {
+        Target one = target(1, PLAN, Mode.RUNNING, 0);
+        Target two = new Target(1, PLAN, Mode.PAUSED, 0, "other", 0);
+        assertEquals(1, only(on(new ReleaseEvent.Ordered(one)), ReleaseAction.Keep.class).size());
+        assertEquals(List.of(), releases.targets(), "the journal could not be written, say");
+        assertEquals(1, only(on(new ReleaseEvent.Ordered(two)), ReleaseAction.Keep.class).size());
+        on(new ReleaseEvent.Kept(two));
+        assertEquals(1, only(on(new ReleaseEvent.Kept(one)), ReleaseAction.Refuse.class).size());
+        assertEquals(List.of(two), releases.targets());
+    }
+
     @Test
     void aPausedReleaseStaysWhereItIsAndGoesOn() {
         SplittableRandom random = new SplittableRandom(4);
@@ -250,7 +271,7 @@
                 Collections.shuffle(coming, new Random(seed * 31L + router));
                 coming.removeIf(target -> target != newest && random.nextInt(3) == 0);
                 for (Target target : coming) {
-                    one.on(now, new ReleaseEvent.Ordered(target)).stream().filter(ReleaseAction.Keep.class::isInstance)
+                    order(one, now, target).stream().filter(ReleaseAction.Keep.class::isInstance)
                             .forEach(keep -> journal.add(((ReleaseAction.Keep) keep).target()));
                     if (random.nextInt(6) == 0) {
                         one = new Releases(Span.seconds(8));
@@ -281,7 +302,7 @@
                     case 0 -> {
                         Mode mode = Mode.values()[random.nextInt(3)];
                         back = mode == Mode.ROLLED_BACK;
-                        actions.addAll(one.on(at, new ReleaseEvent.Ordered(target(++epoch, PLAN, mode, random.nextInt(3)))));
+                        actions.addAll(order(one, at, target(++epoch, PLAN, mode, random.nextInt(3))));
                     }
                     case 1 -> actions.addAll(one.on(at, new ReleaseEvent.Standing("pair", random.nextDouble())));
                     case 2, 3 -> actions.addAll(one.on(at, new ReleaseEvent.Due()));
