--- a/cli/src/main/java/pearladder/cli/RouterCommand.java
+++ b/cli/src/main/java/pearladder/cli/RouterCommand.java
@@ -42,7 +42,8 @@
         } catch (TimeoutException late) {
             throw new IOException("the router did not start within 30 s");
         }
-        System.out.println("{\"router\":\"" + articles.name() + "\",\"port\":" + router.port() + "}");
+        System.out.println("{\"router\":\"" + articles.name() + "\",\"port\":" + router.port()
+                + (router.adminPort() > 0 ? ",\"admin\":" + router.adminPort() : "") + "}");
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(router), "stop"));
         return Commands.RUNNING;
     }
--- a/decisions/src/main/java/pearladder/release/ReleaseAction.java
+++ b/decisions/src/main/java/pearladder/release/ReleaseAction.java
@@ -7,10 +7,10 @@
     /** The call goes to that version; empty for the model without one. */
     record Use(String call, String version) implements ReleaseAction { }
 
-    /** Copies of the version are to stand for that share of the model's calls; low in priority. */
-    record Prepare(String model, String version, double share) implements ReleaseAction { }
+    /** Copies of the version are to stand for that share of what the like version's copies bear; low in priority. */
+    record Prepare(String model, String version, String like, double share) implements ReleaseAction { }
 
-    /** Loads of the version that are not begun are no longer wanted. */
+    /** Copies of the version are no longer wanted: loads that are not begun, and those that stand idle. */
     record Withdraw(String model, String version) implements ReleaseAction { }
 
     /** The order can be followed: it goes into the journal, then back as kept, and only then is the operator told so. */
--- a/decisions/src/main/java/pearladder/release/ReleaseEvent.java
+++ b/decisions/src/main/java/pearladder/release/ReleaseEvent.java
@@ -24,12 +24,15 @@
     /** A call ended: well, that is settled within its expected time without an engine's error, or badly. */
     record CallEnded(String call, boolean well) implements ReleaseEvent { }
 
+    /** A call's client left before it ended: it says nothing of its version. */
+    record CallLeft(String call) implements ReleaseEvent { }
+
     /**
      * Where copies stand, as the router believes.
      *
-     * @param share of the model's load that the standing copies of the new version can bear, 0 to 1
+     * @param share of the model's load that the standing copies of the version can bear, 0 to 1
      */
-    record Standing(String model, double share) implements ReleaseEvent { }
+    record Standing(String model, String version, double share) implements ReleaseEvent { }
 
     /** Some time has gone by. */
     record Due() implements ReleaseEvent { }
--- a/decisions/src/main/java/pearladder/release/Releases.java
+++ b/decisions/src/main/java/pearladder/release/Releases.java
@@ -31,6 +31,7 @@
         double standing;
         Doubt doubt;
         boolean prepared;
+        boolean warm;
 
         /** The share of keys that get the new version now. */
         double share() {
@@ -43,6 +44,12 @@
             return target.mode() == Mode.RUNNING && !broken && step < target.plan().steps().size() - 1;
         }
 
+        /** All have the new version and the hold is over: the old copies may go. */
+        boolean over(Moment at) {
+            return warm && target.mode() == Mode.RUNNING && step == target.plan().steps().size() - 1
+                    && !target.plan().hold().longerThan(at.since(since));
+        }
+
         double nextShare() {
             return target.plan().steps().get(step + 1);
         }
@@ -81,9 +88,11 @@
             restored.targets().forEach(this::restore);
         } else if (event instanceof ReleaseEvent.Standing standing) {
             Release release = releases.get(standing.model());
-            if (release != null) {
+            if (release != null && release.target.plan().to().equals(standing.version())) {
                 release.standing = standing.share();
             }
+        } else if (event instanceof ReleaseEvent.CallLeft left) {
+            calls.remove(left.call());
         } else if (event instanceof ReleaseEvent.Due) {
             awake = false;
             beat();
@@ -255,13 +264,21 @@
 
     /** Asks for the copies of the next share, and steps up once all that a step asks for is there. */
     private void advance(Release release) {
+        Plan plan = release.target.plan();
+        if (release.over(now)) {
+            release.warm = false;
+            todo.add(new ReleaseAction.Withdraw(plan.model(), plan.from()));
+            todo.add(new ReleaseAction.Withdraw(plan.model(), plan.to()));
+        }
         if (!release.moves()) {
             return;
         }
-        Plan plan = release.target.plan();
         if (!release.prepared) {
             release.prepared = true;
-            todo.add(new ReleaseAction.Prepare(plan.model(), plan.to(), release.nextShare()));
+            release.warm = true;
+            todo.add(new ReleaseAction.Prepare(plan.model(), plan.to(), plan.from(), release.nextShare()));
+            // what serves now is kept as it stands until the release is over, so that a way back is warm
+            todo.add(new ReleaseAction.Prepare(plan.model(), plan.from(), plan.from(), 1));
         }
         boolean ordered = release.step < release.target.step();
         boolean held = release.step < 0 || ordered || !plan.hold().longerThan(now.since(release.since))
@@ -278,7 +295,7 @@
     }
 
     private void wake() {
-        if (!awake && (!marks.isEmpty() || releases.values().stream().anyMatch(Release::moves))) {
+        if (!awake && (!marks.isEmpty() || releases.values().stream().anyMatch(r -> r.moves() || r.warm))) {
             awake = true;
             todo.add(new ReleaseAction.Wake(BEAT));
         }
--- a/decisions/src/test/java/pearladder/release/ReleasesTest.java
+++ b/decisions/src/test/java/pearladder/release/ReleasesTest.java
@@ -73,7 +73,7 @@
     }
 
     private void stand(double share) {
-        on(new ReleaseEvent.Standing("pair", share));
+        on(new ReleaseEvent.Standing("pair", "2", share));
         on(new ReleaseEvent.Due());
     }
 
@@ -93,7 +93,8 @@
     @Test
     void aStepIsTakenOnlyWhereCopiesStandAndAddsKeysOnly() {
         List<ReleaseAction> actions = order(1, Mode.RUNNING, 0);
-        assertEquals(List.of(new ReleaseAction.Prepare("pair", "2", 0.05)), only(actions, ReleaseAction.Prepare.class));
+        assertEquals(List.of(new ReleaseAction.Prepare("pair", "2", "1", 0.05), new ReleaseAction.Prepare("pair", "1", "1", 1)),
+                only(actions, ReleaseAction.Prepare.class));
         assertEquals(Set.of(), onNew(), "before its copies stand nobody gets it");
         stand(0.05);
         Set<String> few = onNew();
@@ -124,6 +125,9 @@
         now = now.plus(Span.seconds(11));
         on(new ReleaseEvent.Due());
         assertTrue(releases.status().get(0).contains("share 1.00"), releases.status().toString());
+        assertEquals(List.of(), only(on(new ReleaseEvent.Due()), ReleaseAction.Withdraw.class), "the old copies are kept");
+        now = now.plus(Span.seconds(11));
+        assertTrue(on(new ReleaseEvent.Due()).contains(new ReleaseAction.Withdraw("pair", "1")), "until the hold is over");
     }
 
     @Test
@@ -304,7 +308,7 @@
                         back = mode == Mode.ROLLED_BACK;
                         actions.addAll(order(one, at, target(++epoch, PLAN, mode, random.nextInt(3))));
                     }
-                    case 1 -> actions.addAll(one.on(at, new ReleaseEvent.Standing("pair", random.nextDouble())));
+                    case 1 -> actions.addAll(one.on(at, new ReleaseEvent.Standing("pair", "2", random.nextDouble())));
                     case 2, 3 -> actions.addAll(one.on(at, new ReleaseEvent.Due()));
                     default -> {
                         String key = "k" + random.nextInt(60);
--- a/kserve/src/main/java/pearladder/kserve/Headers.java
+++ b/kserve/src/main/java/pearladder/kserve/Headers.java
@@ -8,6 +8,8 @@
     /** How long the client waits for this try, in milliseconds. */
     public static final String PATIENCE = "pearladder-patience-ms";
     public static final String MARK = "idempotency-key";
+    /** What keeps together when versions shift: a document, a contract. */
+    public static final String KEY = "pearladder-key";
     /** "1" where the client repeats a call it has sent before. */
     public static final String REPEAT = "pearladder-repeat";
     /** The work expected, in milliseconds on a standard core. */
@@ -19,6 +21,9 @@
     /** When to come back, in milliseconds; beside the published Retry-After in whole seconds. */
     public static final String RETRY_AFTER_MS = "pearladder-retry-after-ms";
 
+    /** The model's version that the call got; absent where the model has none. */
+    public static final String VERSION = "pearladder-version";
+
     // from a router to an engine
     public static final String ROUTER = "pearladder-router";
     public static final String CALL = "pearladder-call";
--- a/router/src/main/java/pearladder/router/Articles.java
+++ b/router/src/main/java/pearladder/router/Articles.java
@@ -11,11 +11,15 @@
  * @param name of this router, unique among them
  * @param host address to listen on
  * @param port to listen on; 0 lets the system give one
- * @param data folder for the last list
+ * @param data folder for the last list and the orders on releases
+ * @param admin where operators' orders come in, or null for nowhere
  * @param facts what the module is told
  */
-public record Articles(String name, String host, int port, Path data, ListService list, Facts facts,
+public record Articles(String name, String host, int port, Path data, Address admin, ListService list, Facts facts,
         List<ModelTerms> models, Limits limits, Connections connections, Span stopWithin) {
+    /** An address of this router's own; port 0 lets the system give one. */
+    public record Address(String host, int port) { }
+
     /** Where the list of engines comes from; silence for longer than the span means that it is broken. */
     public record ListService(String host, int port, Span silence) { }
 
--- a/router/src/main/java/pearladder/router/Conductor.java
+++ b/router/src/main/java/pearladder/router/Conductor.java
@@ -40,6 +40,8 @@
         void subscribe(Action.Subscribe subscribe);
 
         void fetchList();
+
+        void standing(Action.Standing standing);
     }
 
     private final Vertx vertx;
@@ -126,6 +128,8 @@
             hands.closeIdle(close);
         } else if (action instanceof Action.Subscribe subscribe) {
             hands.subscribe(subscribe);
+        } else if (action instanceof Action.Standing standing) {
+            hands.standing(standing);
         } else if (action instanceof Action.FetchList) {
             hands.fetchList();
         } else if (action instanceof Action.Log log) {
--- a/router/src/main/java/pearladder/router/Door.java
+++ b/router/src/main/java/pearladder/router/Door.java
@@ -22,7 +22,7 @@
 /** The router's own side of KServe v2: reads calls, refuses what is no call, and answers what is asked of the router. */
 final class Door {
     /** A call as it came in whole. */
-    record Asked(String named, String function, String path, String contentType, String mark, Buffer body,
+    record Asked(String named, Route route, String key, String contentType, String mark, Buffer body,
             HttpServerResponse response, Moment came, Span timeLeft, Facts.Terms category, String account,
             Articles.ModelTerms model, Span hint, boolean repeat) { }
 
@@ -159,8 +159,7 @@
             String named = request.getHeader(Headers.CALL);
             String type = request.getHeader("content-type");
             house.take(new Asked(named != null && named.matches(NAME) ? named : null,
-                    route.version() == null ? route.model() : route.model() + "@" + route.version(), request.path(),
-                    type == null ? "application/json" : type, mark, body, request.response(), came, left, terms,
+                    route, request.getHeader(Headers.KEY), type == null ? "application/json" : type, mark, body, request.response(), came, left, terms,
                     articles.facts().accounts().isEmpty() ? null : account, model,
                     hint.nanos() == 0 ? null : hint, "1".equals(request.getHeader(Headers.REPEAT))));
         });
--- a/router/src/main/java/pearladder/router/OpenCall.java
+++ b/router/src/main/java/pearladder/router/OpenCall.java
@@ -18,12 +18,18 @@
     final Buffer body;
     final HttpServerResponse response;
     final Moment taken;
+    /** When an answer is still within the expected time. */
+    final Moment expectedBy;
+    /** Whether a leg ended with an engine's error. */
+    boolean erred;
+    /** Whether a release chose its version, and so wants to know how it ended. */
+    boolean chosen;
     final List<OpenLeg> legs = new ArrayList<>(2);
     int legsOut;
     boolean over;
 
     OpenCall(String id, String named, String function, String path, String contentType, String mark, Buffer body,
-            HttpServerResponse response, Moment taken) {
+            HttpServerResponse response, Moment taken, Moment expectedBy) {
         this.id = id;
         this.named = named;
         this.function = function;
@@ -33,5 +39,6 @@
         this.body = body;
         this.response = response;
         this.taken = taken;
+        this.expectedBy = expectedBy;
     }
 }
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -48,6 +48,7 @@
     private final Door door;
     private final ListWatch watch;
     private final LastList lastList;
+    private final ReleaseDesk releases;
     private final Map<String, OpenCall> calls = new HashMap<>();
     private final Map<String, EngineLink> links = new HashMap<>();
     private final Map<String, ListLine.Entry> listed = new LinkedHashMap<>();
@@ -63,8 +64,9 @@
     private Promise<Void> stopped;
     private Future<Void> written = Future.succeededFuture();
     private int port;
+    private int adminPort;
 
-    private Router(Articles articles, Maker maker, long seed) {
+    private Router(Articles articles, Maker maker, long seed) throws IOException {
         this.articles = articles;
         this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
@@ -76,6 +78,12 @@
         this.door = new Door(vertx, articles, this, meters);
         this.watch = new ListWatch(vertx, articles.list(), articles.name(), this);
         this.lastList = new LastList(articles.data());
+        try {
+            this.releases = new ReleaseDesk(vertx, articles, conductor::tell);
+        } catch (IOException unopened) {
+            vertx.close();
+            throw unopened;
+        }
     }
 
     /**
@@ -84,18 +92,30 @@
      * @param seed of the module's chance; a fresh one at every start
      */
     public static Future<Router> start(Articles articles, Maker maker, long seed) {
-        Router router = new Router(articles, maker, seed);
+        Router router;
+        try {
+            router = new Router(articles, maker, seed);
+        } catch (IOException unopened) {
+            return Future.failedFuture(unopened);
+        }
         Promise<Router> started = Promise.promise();
         router.loop.runOnContext(run -> {
             router.begin();
-            router.door.listen().onComplete(port -> {
+            Future<Integer> admin = articles.admin() == null ? Future.succeededFuture(0)
+                    : new AdminDoor(router.vertx, articles, router.releases).listen();
+            admin.compose(port -> {
+                router.adminPort = port;
+                return router.door.listen();
+            }).onComplete(port -> {
                 router.port = port;
                 LOG.atInfo().addKeyValue("router", articles.name()).addKeyValue("port", port)
                         .addKeyValue("engines", router.listed.size()).log("listening");
                 started.complete(router);
             }, failed -> {
+                router.releases.end();
                 router.vertx.close();
-                started.fail(new IOException(articles.host() + ":" + articles.port() + " can't be listened on: "
+                started.fail(new IOException(articles.host() + ":" + articles.port() + (articles.admin() == null ? ""
+                        : " or " + articles.admin().host() + ":" + articles.admin().port()) + " can't be listened on: "
                         + failed.getMessage() + "; is another router running there?", failed));
             });
         });
@@ -106,6 +126,11 @@
         return port;
     }
 
+    /** The port of the operators' door; 0 where there is none. */
+    public int adminPort() {
+        return adminPort;
+    }
+
     private void begin() {
         ListLine remembered = lastList.read();
         if (remembered != null) {
@@ -114,6 +139,7 @@
         }
         conductor.tell(new Event.Listed(Event.ListKind.REMEMBERED,
                 listed.values().stream().map(this::listing).toList()));
+        releases.begin();
         watch.watch();
     }
 
@@ -140,6 +166,7 @@
             emptied.future().onComplete(empty -> {
                 vertx.cancelTimer(bound);
                 conductor.end();
+                releases.end();
                 watch.close();
                 // A last answer may still be on its way out of the socket.
                 // (and a future of this loop says nothing once the loop is gone, so the last step is not chained)
@@ -166,17 +193,30 @@
     @Override
     public void take(Door.Asked asked) {
         String id = Long.toString(++numbered);
-        OpenCall call = new OpenCall(id, asked.named() != null ? asked.named() : articles.name() + "-" + id,
-                asked.function(), asked.path(), asked.contentType(), asked.mark(), asked.body(), asked.response(),
-                asked.came());
+        String named = asked.named() != null ? asked.named() : articles.name() + "-" + id;
+        String model = asked.route().model();
+        String version = asked.route().version() != null ? asked.route().version()
+                : releases.version(id, model, key(asked, named), asked.mark() == null ? "" : asked.mark());
+        String path = "/v2/models/" + model + (version.isEmpty() ? "" : "/versions/" + version) + "/infer";
+        OpenCall call = new OpenCall(id, named, ReleaseDesk.function(model, version), path, asked.contentType(),
+                asked.mark(), asked.body(), asked.response(), asked.came(), asked.came().plus(asked.category().expected()));
+        call.chosen = asked.route().version() == null;
         calls.put(id, call);
         call.response.putHeader(Headers.CALL, call.named);
+        if (!version.isEmpty()) {
+            call.response.putHeader(Headers.VERSION, version);
+        }
         call.response.closeHandler(closed -> left(call));
         conductor.tell(new Event.CallCame(id, call.function, asked.category().name(), asked.account(),
                 asked.timeLeft(), asked.model().lanes(), asked.model().memoryMb(), asked.model().usualLoad(),
                 asked.hint(), asked.repeat(), false));
     }
 
+    /** What keeps together when versions shift: account and document, or the call alone. */
+    private static String key(Door.Asked asked, String named) {
+        return asked.key() == null ? named : (asked.account() == null ? "" : asked.account()) + "\n" + asked.key();
+    }
+
     /** The client is gone: nothing is owed any more, and what still runs for it is called off. */
     private void left(OpenCall call) {
         if (call.over) {
@@ -184,6 +224,9 @@
         }
         call.over = true;
         meters.clientLeft();
+        if (call.chosen) {
+            releases.left(call.id);
+        }
         conductor.tell(new Event.ClientLeft(call.id));
         if (articles.facts().allowances().cancel()) {
             for (OpenLeg leg : List.copyOf(call.legs)) {
@@ -210,7 +253,11 @@
             return false;
         }
         call.over = true;
-        meters.answered(state, Conductor.now().since(call.taken).nanos());
+        Moment now = Conductor.now();
+        meters.answered(state, now.since(call.taken).nanos());
+        if (call.chosen) {
+            releases.ended(call.id, state == FinalState.SETTLED && !call.erred && now.before(call.expectedBy));
+        }
         return !call.response.ended() && !call.response.closed();
     }
 
@@ -234,6 +281,7 @@
         OpenCall call = leg.call;
         call.legsOut--;
         meters.legEnded(outcome);
+        call.erred |= outcome == Outcome.ERROR || answer != null && answer.copy() == Event.Copy.LOAD_FAILED;
         if (outcome == Outcome.SUCCESS && answer(call, FinalState.SETTLED)) {
             HttpServerResponse response = call.response;
             for (String name : List.of("content-type", Headers.COPY, Headers.CROWD, Headers.REPORT)) {
@@ -333,6 +381,11 @@
         }
     }
 
+    @Override
+    public void standing(Action.Standing standing) {
+        releases.standing(standing.function(), standing.share());
+    }
+
     @Override
     public void fetchList() {
         watch.watch();
--- /dev/null
+++ b/router/src/test/java/pearladder/router/ReleaseTest.java
@@ -0,0 +1,195 @@
+package pearladder.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pearladder.api.Span;
+import pearladder.emulator.Seen;
+import pearladder.release.Plan;
+import pearladder.release.Target;
+import pearladder.release.Target.Mode;
+
+/** Gradual versions over sockets, and the journal of orders. */
+class ReleaseTest {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String RULES = Stand.RULES + "copies: {orders: true, engine_memory: [4 GB]}\n";
+
+    private static Target target(long epoch, String model, Mode mode, int step) {
+        Plan plan = new Plan(model, "1", "2", List.of(0.25, 1.0), Span.seconds(60), 50, new Plan.Gate(0.1, 0.01, 0.05),
+                Plan.Breach.ROLL_BACK);
+        return new Target(epoch, plan, mode, step, "ops", 0);
+    }
+
+    private static HttpResponse<String> order(Stand stand, Target target) throws IOException {
+        return Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(admin(stand, "/releases"))
+                .POST(HttpRequest.BodyPublishers.ofString(JSON.writeValueAsString(target))).build(),
+                HttpResponse.BodyHandlers.ofString()));
+    }
+
+    private static URI admin(Stand stand, String path) {
+        return URI.create("http://127.0.0.1:" + stand.router.adminPort() + path);
+    }
+
+    private static String status(Stand stand) {
+        return Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(admin(stand, "/releases")).build(),
+                HttpResponse.BodyHandlers.ofString())).body();
+    }
+
+    private static String version(HttpResponse<String> answer) {
+        return answer.headers().firstValue("pearladder-version").orElse("");
+    }
+
+    private static Set<String> onNew(Stand stand, int keys) {
+        Set<String> news = new HashSet<>();
+        for (int i = 0; i < keys; i++) {
+            HttpResponse<String> answer = Stand.await(stand.send("pair-a", 1, "pearladder-key", "doc-" + i));
+            if (version(answer).equals("2")) {
+                news.add("doc-" + i);
+            }
+        }
+        return news;
+    }
+
+    @Test
+    void aShareOfTheKeysGetsTheNewVersionOnceItStandsAndOneOrderTakesItBack() throws IOException {
+        try (Stand stand = new Stand(Stand.FLEET.formatted(3), RULES)) {
+            assertEquals("", version(Stand.await(stand.send("pair-a", 1))));
+            assertEquals(200, order(stand, target(1, "pair-a", Mode.RUNNING, 0)).statusCode());
+            Stand.until("its copy stands and the step is taken", () -> status(stand).contains("share 0.25"));
+            assertTrue(stand.seen(Seen.ORDERED).stream().anyMatch(one -> one.model().equals("pair-a@2")), "loaded ahead");
+            Set<String> few = onNew(stand, 120);
+            assertTrue(few.size() > 12 && few.size() < 50, "a quarter of 120: " + few.size());
+            assertEquals(few, onNew(stand, 120), "a key keeps its version");
+            long begun = System.nanoTime();
+            assertEquals(200, order(stand, target(2, "pair-a", Mode.ROLLED_BACK, 0)).statusCode());
+            assertEquals(Set.of(), onNew(stand, 40));
+            assertTrue(System.nanoTime() - begun < 2_000_000_000L, "old traffic is restored within 2 s");
+            HttpResponse<String> named = Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(
+                    stand.uri("/v2/models/pair-a/versions/7/infer")).POST(HttpRequest.BodyPublishers.ofString("{}")).build(),
+                    HttpResponse.BodyHandlers.ofString()));
+            assertEquals("7", version(named), "a call that names its version gets it");
+        }
+    }
+
+    @Test
+    void aRollbackWhileTheNewVersionStillLoadsLeavesNobodyOnIt() throws IOException {
+        try (Stand stand = new Stand(Stand.FLEET.formatted(2), RULES)) {
+            Stand.await(stand.send("pair-slow", 1));
+            order(stand, target(1, "pair-slow", Mode.RUNNING, 1));
+            Stand.until("the load is ordered", () -> stand.seen(Seen.ORDERED).stream()
+                    .anyMatch(one -> one.model().equals("pair-slow@2")));
+            assertEquals(200, order(stand, target(2, "pair-slow", Mode.ROLLED_BACK, 0)).statusCode());
+            assertEquals(200, order(stand, target(3, "pair-slow", Mode.ROLLED_BACK, 0)).statusCode(), "again is harmless");
+            for (int i = 0; i < 20; i++) {
+                HttpResponse<String> answer = Stand.await(stand.send("pair-slow", 1, "pearladder-key", "k" + i));
+                assertEquals("1", version(answer));
+            }
+            assertTrue(stand.seen(Seen.ARRIVED).stream().noneMatch(one -> one.model().equals("pair-slow@2")));
+        }
+    }
+
+    @Test
+    void aVersionThatFailsEachCallIsTakenBackByTheRouterItself() throws IOException {
+        RawEngine.Script script = (number, head, out, socket) -> RawEngine.plain(out, head.contains("/versions/2/") ? 500 : 200,
+                "pearladder-copy: stood\r\n", "{}");
+        try (RawEngine one = new RawEngine(script); RawEngine two = new RawEngine(script);
+                Stand stand = Stand.of(Stand.RULES, one, two)) {
+            order(stand, target(1, "pair-a", Mode.RUNNING, 0));
+            Stand.until("the step is taken", () -> status(stand).contains("share 0.25"));
+            for (int i = 0; i < 400 && !status(stand).contains("broken"); i++) {
+                Stand.await(stand.send("pair-a", 1, "pearladder-key", "doc-" + i));
+            }
+            assertTrue(status(stand).contains("broken, share 0.00"), status(stand));
+            assertEquals("1", version(Stand.await(stand.send("pair-a", 1, "pearladder-key", "doc-1"))));
+        }
+    }
+
+    @Test
+    void anOrderIsInForceAgainAfterARestartBeforeTheRouterIsReady() throws IOException {
+        try (Stand stand = new Stand(Stand.FLEET.formatted(2), RULES)) {
+            order(stand, target(1, "pair-a", Mode.RUNNING, 1));
+            order(stand, target(2, "pair-a", Mode.ROLLED_BACK, 0));
+            Stand.await(stand.router.stop().toCompletionStage().toCompletableFuture());
+            stand.router = stand.startRouter("r1", "127.0.0.1:" + stand.fleet.listPort(), RULES);
+            assertTrue(status(stand).contains("epoch 2, rolled_back"), status(stand));
+            HttpResponse<String> late = order(stand, target(1, "pair-a", Mode.RUNNING, 1));
+            assertEquals(409, late.statusCode(), "an order from before, come late");
+            Stand.until("it is ready", () -> stand.get("/v2/health/ready").statusCode() == 200);
+            assertEquals("1", version(Stand.await(stand.send("pair-a", 1))));
+        }
+    }
+
+    @Test
+    void whatIsNoOrderIsRefusedInWords() throws IOException {
+        try (Stand stand = new Stand(Stand.FLEET.formatted(1), RULES)) {
+            assertTrue(order(stand, target(1, "other", Mode.RUNNING, 0)).body().contains("unknown model other"));
+            assertEquals(409, order(stand, target(1, "pair-a", Mode.RUNNING, 5)).statusCode());
+            for (String body : List.of("", "{", "[]", "{\"epoch\":1}", "{\"epoch\":\"x\"}")) {
+                HttpResponse<String> answer = Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(admin(stand, "/releases"))
+                        .POST(HttpRequest.BodyPublishers.ofString(body)).build(), HttpResponse.BodyHandlers.ofString()));
+                assertEquals(400, answer.statusCode(), body + " -> " + answer.body());
+            }
+        }
+    }
+
+    @Test
+    void aTornTailIsCutOffAndDamageBeforeItIsAnError(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("releases.journal");
+        try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
+            for (int epoch = 1; epoch <= 3; epoch++) {
+                journal.append(target(epoch, "pair-a", Mode.RUNNING, 0));
+            }
+            assertTrue(assertThrows(IOException.class, () -> ReleaseJournal.open(folder)).getMessage()
+                    .contains("held by another router"));
+        }
+        byte[] whole = Files.readAllBytes(file);
+        int last = whole.length - new String(whole, StandardCharsets.UTF_8).lines().reduce((a, b) -> b).orElseThrow().length() - 1;
+        for (int cut = last + 1; cut < whole.length; cut += 7) {
+            Files.write(file, java.util.Arrays.copyOf(whole, cut));
+            try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
+                assertEquals(List.of(1L, 2L), journal.orders().stream().map(Target::epoch).toList(), "cut at " + cut);
+                journal.append(target(9, "pair-a", Mode.PAUSED, 0));
+            }
+            try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
+                assertEquals(List.of(1L, 2L, 9L), journal.orders().stream().map(Target::epoch).toList());
+            }
+        }
+        byte[] damaged = whole.clone();
+        damaged[20] ^= 1;
+        Files.write(file, damaged);
+        assertTrue(assertThrows(IOException.class, () -> ReleaseJournal.open(folder)).getMessage().contains("line 1 is damaged"));
+    }
+
+    @Test
+    void aLongJournalIsMadeShortAndKeepsTheNewestOfEachModel(@TempDir Path folder) throws IOException {
+        try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
+            journal.append(target(5, "pair-old", Mode.ROLLED_BACK, 0));
+            for (int epoch = 1; epoch <= 1005; epoch++) {
+                journal.append(target(epoch, "pair-a", Mode.RUNNING, 0));
+            }
+        }
+        Files.writeString(folder.resolve("releases.journal"), "torn", StandardOpenOption.APPEND);
+        try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
+            List<Target> orders = new ArrayList<>(journal.orders());
+            assertEquals(201, orders.size());
+            assertEquals(target(5, "pair-old", Mode.ROLLED_BACK, 0), orders.get(0));
+            assertEquals(1005, orders.get(200).epoch());
+        }
+    }
+}
--- a/router/src/test/java/pearladder/router/Stand.java
+++ b/router/src/test/java/pearladder/router/Stand.java
@@ -104,7 +104,7 @@
     }
 
     Router startRouter(String name, String list, String rules) {
-        String head = "router: {name: " + name + ", listen: \"127.0.0.1:0\", hall: east, data: \"" + folder.resolve(name)
+        String head = "router: {name: " + name + ", listen: \"127.0.0.1:0\", admin: \"127.0.0.1:0\", hall: east, data: \"" + folder.resolve(name)
                 + "\", stop_within: 2 s}\nlist: {address: \"" + list + "\", silence: 1500 ms}\n";
         return await(Router.start(ArticlesReader.read(Yaml.read("router", head + rules)), Policy::new, 5)
                 .toCompletionStage().toCompletableFuture());
