--- a/cli/src/main/java/pearladder/cli/CheckCommand.java
+++ b/cli/src/main/java/pearladder/cli/CheckCommand.java
@@ -6,6 +6,7 @@
 import pearladder.lab.Day;
 import pearladder.lab.Experiment;
 import pearladder.router.ArticlesReader;
+import pearladder.router.PlanReader;
 import pearladder.yaml.Value;
 import pearladder.yaml.Yaml;
 import picocli.CommandLine.Command;
@@ -14,7 +15,7 @@
 import picocli.CommandLine.Spec;
 
 @Command(name = "check", mixinStandardHelpOptions = true,
-        description = "Check a router's, a fleet's, a day's or an experiment's file; each mistake is named with line, key and mend.")
+        description = "Check a router's, a fleet's, a day's, an experiment's or a release's file; each mistake is named with line, key and mend.")
 final class CheckCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "what is checked")
     private Path file;
@@ -26,7 +27,10 @@
     public Integer call() {
         String what = "a router";
         Value value = Yaml.read(file);
-        if (value.keys().contains("experiment")) {
+        if (value.keys().contains("release")) {
+            PlanReader.read(file);
+            what = "a release's plan";
+        } else if (value.keys().contains("experiment")) {
             Experiment.check(file);
             what = "an experiment";
         } else if (value.keys().contains("day")) {
--- a/cli/src/main/java/pearladder/cli/Commands.java
+++ b/cli/src/main/java/pearladder/cli/Commands.java
@@ -12,7 +12,7 @@
         description = "Runs calls on workers that load functions or models on demand.",
         subcommands = {TryCommand.class, RouterCommand.class, EnginesCommand.class, CheckCommand.class, DayCommand.class,
             MeasureCommand.class, PassThroughCommand.class, TraceCommand.class, ReplayCommand.class,
-            ExperimentCommand.class, ReportCommand.class,
+            ExperimentCommand.class, ReportCommand.class, ReleaseCommand.class,
             WirehostCommand.class, CommandLine.HelpCommand.class})
 final class Commands implements Runnable {
     /** The command runs on in other threads and ends the process itself. */
--- /dev/null
+++ b/router/src/main/java/pearladder/router/Operator.java
@@ -0,0 +1,163 @@
+package pearladder.router;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+import pearladder.release.Plan;
+import pearladder.release.Target;
+
+/**
+ * An operator's side of releases: looks at every router's doors, makes the order that follows the newest one seen, and
+ * gives it to all of them. A router that is away is named; it may be given the same order again.
+ */
+public final class Operator {
+    /** What came of an order: how many routers took it, and a line for each. */
+    public record Told(int took, int asked, List<String> lines) { }
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final List<String> doors;
+    private final String by;
+    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(2)).build();
+
+    /** @param doors addresses of the routers' admin doors; @param by who orders */
+    public Operator(List<String> doors, String by) {
+        this.doors = doors;
+        this.by = by;
+    }
+
+    /** How every release stands at each router. */
+    public List<String> status() {
+        return each("/releases", (door, body) -> {
+            List<String> lines = new ArrayList<>();
+            body.path("status").forEach(line -> lines.add(door + " (" + body.path("router").asText() + "): " + line.asText()));
+            return lines.isEmpty() ? List.of(door + " (" + body.path("router").asText() + "): no release") : lines;
+        });
+    }
+
+    /** Every order that the routers keep, oldest first. */
+    public List<String> history() {
+        return each("/releases/history", (door, body) -> {
+            List<String> lines = new ArrayList<>();
+            for (JsonNode order : body) {
+                lines.add(door + ": " + java.time.Instant.ofEpochMilli(order.path("wallMillis").asLong()) + " "
+                        + order.path("by").asText() + " " + order.path("mode").asText().toLowerCase(java.util.Locale.ROOT) + " "
+                        + order.path("plan").path("model").asText() + " to " + order.path("plan").path("to").asText()
+                        + ", epoch " + order.path("epoch").asLong() + ", step " + order.path("step").asInt());
+            }
+            return lines;
+        });
+    }
+
+    private interface Reading {
+        List<String> lines(String door, JsonNode body);
+    }
+
+    private List<String> each(String path, Reading reading) {
+        List<String> lines = new ArrayList<>();
+        for (String door : doors) {
+            try {
+                lines.addAll(reading.lines(door, get(door, path)));
+            } catch (IOException away) {
+                lines.add(door + ": no answer: " + away.getMessage());
+            }
+        }
+        return lines;
+    }
+
+    /** Begins a release of each model at its first step. */
+    public Told start(List<Plan> plans) {
+        Map<String, Target> newest = newest();
+        List<Target> orders = plans.stream().map(plan -> new Target(after(newest.get(plan.model())), plan, Target.Mode.RUNNING, 0,
+                by, System.currentTimeMillis())).toList();
+        return give(orders);
+    }
+
+    /**
+     * Changes the releases of some models.
+     *
+     * @param models names, or none for every release there is
+     * @param change from the newest target to the next; its epoch, who and when are set here
+     */
+    public Told change(List<String> models, UnaryOperator<Target> change) {
+        Map<String, Target> newest = newest();
+        List<Target> orders = new ArrayList<>();
+        List<String> unknown = new ArrayList<>();
+        for (String model : models.isEmpty() ? newest.keySet() : models) {
+            Target before = newest.get(model);
+            if (before == null) {
+                unknown.add(model + ": no release there; start one");
+                continue;
+            }
+            Target wanted = change.apply(before);
+            orders.add(new Target(after(before), wanted.plan(), wanted.mode(), wanted.step(), by, System.currentTimeMillis()));
+        }
+        Told told = give(orders);
+        unknown.addAll(told.lines());
+        return new Told(told.took(), told.asked() + (models.isEmpty() ? 0 : models.size() - orders.size()), unknown);
+    }
+
+    private static long after(Target before) {
+        return before == null ? 1 : before.epoch() + 1;
+    }
+
+    /** The newest target of each model that any router knows; one that was away may know an older one. */
+    private Map<String, Target> newest() {
+        Map<String, Target> newest = new LinkedHashMap<>();
+        for (String door : doors) {
+            try {
+                List<Target> targets = JSON.convertValue(get(door, "/releases").path("targets"), new TypeReference<>() { });
+                targets.forEach(target -> newest.merge(target.plan().model(), target, (a, b) -> b.epoch() > a.epoch() ? b : a));
+            } catch (IOException away) {
+                continue;
+            }
+        }
+        return newest;
+    }
+
+    private Told give(List<Target> orders) {
+        List<String> lines = new ArrayList<>();
+        int took = 0;
+        for (Target order : orders) {
+            for (String door : doors) {
+                String what = door + ": " + order.plan().model() + " epoch " + order.epoch() + ": ";
+                try {
+                    HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://" + door + "/releases"))
+                            .timeout(Duration.ofSeconds(10)).POST(HttpRequest.BodyPublishers.ofString(
+                                    JSON.writeValueAsString(order))).build(), HttpResponse.BodyHandlers.ofString());
+                    took += answer.statusCode() == 200 ? 1 : 0;
+                    lines.add(what + (answer.statusCode() == 200 ? order.mode().name().toLowerCase(java.util.Locale.ROOT)
+                            : "refused: " + JSON.readTree(answer.body()).path("error").asText()));
+                } catch (IOException away) {
+                    lines.add(what + "no answer; give it the order again when it is back");
+                } catch (InterruptedException stopped) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        }
+        return new Told(took, orders.size() * doors.size(), lines);
+    }
+
+    private JsonNode get(String door, String path) throws IOException {
+        try {
+            HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://" + door + path))
+                    .timeout(Duration.ofSeconds(5)).build(), HttpResponse.BodyHandlers.ofString());
+            return JSON.readTree(answer.body());
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted");
+        }
+    }
+}
