--- a/emulator/src/main/java/pearladder/emulator/Engine.java
+++ b/emulator/src/main/java/pearladder/emulator/Engine.java
@@ -190,7 +190,7 @@
 
     /** The models whose names match are released anew: their copies and images go void. */
     public void release(String pattern) {
-        ModelKind matching = new ModelKind(pattern, 0, 1, 0, 0, 0);
+        ModelKind matching = new ModelKind(pattern, 0, 1, 0, 0, 0, 0, 1);
         images.keySet().removeIf(matching::matches);
         for (Copy copy : List.copyOf(copies)) {
             if (matching.matches(copy.model)) {
@@ -238,7 +238,8 @@
         }
         ModelKind model = models.apply(asked.model());
         seen.accept(Seen.leg(time.now(), Seen.ARRIVED, asked, id, asked.mark()));
-        double work = asked.workNanos() > 0 ? asked.workNanos() : model == null ? 0 : model.workNanos();
+        double work = model == null ? 0
+                : (asked.workNanos() > 0 ? asked.workNanos() : model.workNanos()) * model.times();
         if (pushed(work)) {
             return null;
         }
@@ -456,7 +457,9 @@
         advance();
         for (Held held : running.stream().filter(h -> h.left < 1).toList()) {
             release(held);
-            held.reply.accept(new Answer(End.OK, held.met, held.crowd, 0, report()));
+            double failing = held.on.kind.failing();
+            boolean fails = failing > 0 && random.nextDouble() < failing;
+            held.reply.accept(new Answer(fails ? End.ERROR : End.OK, held.met, held.crowd, 0, report()));
         }
         serve();
         plan();
--- a/emulator/src/main/java/pearladder/emulator/FleetPlan.java
+++ b/emulator/src/main/java/pearladder/emulator/FleetPlan.java
@@ -69,7 +69,7 @@
     private static ModelKind model(Value model) {
         return new ModelKind(model.at("name").text(), model.at("memory").bytes() / 1e6,
                 model.at("lanes").whole(1, 1, 1000), model.at("fetch").span("0 s"), model.at("start").span("0 s"),
-                model.at("work").span("20 ms"));
+                model.at("work").span("20 ms"), model.at("failing").number(0, 0, 1), model.at("times").number(1, 0.01, 1000));
     }
 
     /** The kind of a model's name, or null where none matches; the first that matches counts. */
--- a/emulator/src/main/java/pearladder/emulator/ModelKind.java
+++ b/emulator/src/main/java/pearladder/emulator/ModelKind.java
@@ -9,8 +9,11 @@
  * @param fetchNanos the fetch from a shelf that nobody else uses
  * @param startNanos from the image to a standing copy
  * @param workNanos of a call that names no work of its own, on a core of speed 1
+ * @param failing share of its calls that fail, whatever engine runs them
+ * @param times of the work that a call names, for a version that is slower than it should be
  */
-public record ModelKind(String pattern, double memoryMb, int lanes, long fetchNanos, long startNanos, long workNanos) {
+public record ModelKind(String pattern, double memoryMb, int lanes, long fetchNanos, long startNanos, long workNanos,
+        double failing, double times) {
     /** Whether the name belongs to it. */
     public boolean matches(String name) {
         return pattern.endsWith("*") ? name.startsWith(pattern.substring(0, pattern.length() - 1))
--- a/emulator/src/test/java/pearladder/emulator/EngineTest.java
+++ b/emulator/src/test/java/pearladder/emulator/EngineTest.java
@@ -15,7 +15,7 @@
 
 class EngineTest {
     private static final long MS = 1_000_000;
-    private static final ModelKind MODEL = new ModelKind("m*", 400, 2, 600 * MS, 200 * MS, 20 * MS);
+    private static final ModelKind MODEL = new ModelKind("m*", 400, 2, 600 * MS, 200 * MS, 20 * MS, 0, 1);
 
     private final VirtualTimeline time = new VirtualTimeline();
     private final List<Seen> seen = new ArrayList<>();
--- a/lab/src/main/java/pearladder/lab/Clients.java
+++ b/lab/src/main/java/pearladder/lab/Clients.java
@@ -194,7 +194,10 @@
                 over = true;
                 vertx.cancelTimer(timer);
                 FinalState state = FinalState.of(response.getHeader(Headers.STATE));
-                note(Seen.ANSWERED, state == null ? "status " + response.statusCode() : state.word(), 0);
+                String version = response.getHeader(Headers.VERSION);
+                seen.accept(new Seen(System.nanoTime(), Seen.ANSWERED, target.router(), id, 0, "", call.drawn.model()
+                        + (version == null ? "" : "@" + version), state == null ? "status " + response.statusCode()
+                        : state.word(), 0));
                 String wait = response.getHeader(Headers.RETRY_AFTER_MS);
                 ended(state, wait != null && wait.matches("[0-9]{1,9}") ? Long.parseLong(wait) * 1_000_000L : 0);
             }, half -> unanswered("cut"));
--- a/lab/src/main/java/pearladder/lab/Day.java
+++ b/lab/src/main/java/pearladder/lab/Day.java
@@ -56,7 +56,9 @@
     private final List<String> faults = java.util.Collections.synchronizedList(new ArrayList<>());
     private final Front front;
     private final Books books = new Books();
-    private final HeapWatch heap = new HeapWatch(this::metrics);
+    private final RouterWatch watch = new RouterWatch(this::metrics);
+    private final ReleaseScript releases = new ReleaseScript(control);
+    private final Map<String, Integer> doors = java.util.Collections.synchronizedMap(new LinkedHashMap<>());
     private Tape tape;
     private TraceSource trace;
     private int controlPort;
@@ -162,7 +164,7 @@
     private void writeRouter(JsonNode whole, String name, int number) throws IOException {
         ObjectNode file = whole.get("router").deepCopy();
         ObjectNode head = file.withObject("/router");
-        head.put("name", name).put("listen", "127.0.0.1:" + ports.get(name)).put("hall", halls.get(name))
+        head.put("name", name).put("admin", "127.0.0.1:0").put("listen", "127.0.0.1:" + ports.get(name)).put("hall", halls.get(name))
                 .put("number", number).put("data", out.resolve("data-" + name).toString());
         if (!head.has("peers")) {
             head.put("peers", plan.routers());
@@ -176,7 +178,9 @@
         List<String> words = new ArrayList<>(List.of("router", "-c", out.resolve(name + ".yaml").toString(), "--log",
                 "JSON"));
         words.addAll(routerWords);
-        int port = Processes.number(processes.start(name, words.toArray(String[]::new)), "port");
+        String line = processes.start(name, words.toArray(String[]::new));
+        int port = Processes.number(line, "port");
+        doors.put(name, Processes.number(line, "admin"));
         if (ports.put(name, port) == 0) {
             Path file = out.resolve(name + ".yaml");
             ObjectNode kept = (ObjectNode) new YAMLMapper().readTree(file.toFile());
@@ -260,7 +264,7 @@
         });
         long bound = trace != null ? Long.MAX_VALUE : plan.lasting() / 1_000_000 + 60_000;
         while (!done.await(5, TimeUnit.SECONDS)) {
-            heap.sample();
+            watch.sample();
             progress.println(String.format(Locale.ROOT, "  %4.0f s: %d calls ended, credit %.3f",
                     (System.nanoTime() - begun) / 1e9, books.calls(), books.credit()));
             bound -= 5_000;
@@ -319,6 +323,7 @@
         public void killRouter(String router) {
             tape.accept(seen(Seen.KILLED, router, ""));
             processes.kill(router);
+            doors.remove(router);
             front.died(router, System.nanoTime());
         }
 
@@ -328,6 +333,7 @@
             starters.execute(() -> {
                 try {
                     Day.this.startRouter(router);
+                    faults.addAll(releases.again(router, doors.get(router)));
                     front.back(router);
                 } catch (IOException failed) {
                     faults.add(failed.getMessage());
@@ -335,6 +341,13 @@
             });
         }
 
+        @Override
+        public void order(ReleaseScript.Order order) {
+            // a router that dies under the order is no fault; it gets the order again when it is back
+            releases.give(order, new LinkedHashMap<>(doors)).stream().filter(line -> !line.endsWith("no answer"))
+                    .forEach(faults::add);
+        }
+
         @Override
         public void say(String what) {
             tape.accept(seen(Seen.TROUBLE, "", what));
@@ -353,11 +366,12 @@
         Map<String, String> places = plan.places();
         RulesChecker.Verdict verdict = new RulesChecker(plan.rules(), plan.slack(), places).check(all);
         List<String> lines = new ArrayList<>(books.table());
+        lines.addAll(VersionShares.lines(all, begun, plan.releases()));
         lines.add("");
         lines.add(String.format(Locale.ROOT, "%d calls in %d tries over %.0f s; the generator was late by %.1f ms at p99, "
                 + "%.1f ms at most", books.calls(), books.tries(), took,
                 books.lagMillis(99), books.lagMillis(100)));
-        heap.lines().forEach(lines::add);
+        watch.lines().forEach(lines::add);
         if (trace != null) {
             lines.addAll(trace.lines());
             if (trace.failure() != null) {
--- a/lab/src/main/java/pearladder/lab/DayPlan.java
+++ b/lab/src/main/java/pearladder/lab/DayPlan.java
@@ -16,7 +16,8 @@
  * @param slack how late an answer or a send may be seen before it counts: for sockets and pauses of the machine
  */
 record DayPlan(String name, long lasting, long seed, long slack, List<String> halls, int routers, double rate, Clients clients,
-        List<Flow> flows, List<Trouble> troubles, Rulebook rules, FleetPlan fleet) {
+        List<Flow> flows, List<Trouble> troubles, List<ReleaseScript.Order> releases, Rulebook rules,
+        FleetPlan fleet) {
     /**
      * How clients behave.
      *
@@ -85,9 +86,9 @@
                 new Clients(clients.at("tries").whole(3, 1, 20), clients.at("pause").span("200 ms"),
                         clients.at("patience").number(0.5, 0.05, 1), clients.at("front_lag").span("2 s"),
                         clients.at("leaving").number(0, 0, 1)),
-                flows, troubles, rules, fleet);
+                flows, troubles, file.at("releases").each(ReleaseScript::read), rules, fleet);
         // what the routers' part says beside the rules is checked by the routers themselves
-        file.done(java.util.Set.of("day", "clients", "traffic", "troubles", "fleet"));
+        file.done(java.util.Set.of("day", "clients", "traffic", "troubles", "releases", "fleet"));
         return plan;
     }
 
--- /dev/null
+++ b/lab/src/main/java/pearladder/lab/ReleaseScript.java
@@ -0,0 +1,108 @@
+package pearladder.lab;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pearladder.yaml.Value;
+
+/** The operators of a day: orders on releases, given at their moments to every router over its admin door. */
+final class ReleaseScript {
+    enum What { START, STEP, PAUSE, RESUME, ROLLBACK }
+
+    /**
+     * One order.
+     *
+     * @param prefix of the models it is for; with a count names are prefix plus a number from 0 on
+     * @param plan of a start, as the routers' door takes it but for the model; null for the other orders
+     */
+    record Order(long at, What what, String prefix, int count, ObjectNode plan) {
+        List<String> models() {
+            List<String> models = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                models.add(prefix + i);
+            }
+            return models;
+        }
+    }
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Map<String, ObjectNode> newest = new LinkedHashMap<>();
+    private final HttpClient client;
+
+    ReleaseScript(HttpClient client) {
+        this.client = client;
+    }
+
+    static Order read(Value order) {
+        What what = order.at("order").word(What.class, null);
+        ObjectNode plan = null;
+        if (what == What.START) {
+            plan = JSON.createObjectNode().put("from", order.at("from").text("")).put("to", order.at("to").text());
+            plan.putPOJO("steps", order.at("steps").each(step -> step.number(0, 1)));
+            plan.putObject("hold").put("nanos", order.at("hold").span("10 s"));
+            plan.put("leastCalls", order.at("least_calls").whole(50, 0, 1_000_000));
+            plan.putObject("gate").put("excess", order.at("excess").number(0.05, 0, 1))
+                    .put("wrongly", order.at("wrongly").number(0.01, 0, 0.5)).put("missed", order.at("missed").number(0.05, 0, 0.5));
+            plan.put("onBreach", "ROLL_BACK");
+        }
+        return new Order(order.at("at").span(), what, order.at("models").text(), order.at("count").whole(1, 1, 10_000), plan);
+    }
+
+    /** Gives an order to every router; a line for each that did not take it. */
+    List<String> give(Order order, Map<String, Integer> doors) {
+        List<String> refused = new ArrayList<>();
+        for (String model : order.models()) {
+            ObjectNode before = newest.get(model);
+            ObjectNode target = before == null ? JSON.createObjectNode() : before.deepCopy();
+            target.put("epoch", before == null ? 1 : before.path("epoch").asLong() + 1).put("by", "day")
+                    .put("wallMillis", System.currentTimeMillis());
+            switch (order.what()) {
+                case START -> {
+                    target.put("mode", "RUNNING").put("step", 0);
+                    ((ObjectNode) target.putObject("plan").setAll(order.plan())).put("model", model);
+                }
+                case STEP -> target.put("mode", "RUNNING").put("step", Math.min(target.path("step").asInt() + 1,
+                        target.path("plan").path("steps").size() - 1));
+                case PAUSE -> target.put("mode", "PAUSED");
+                case RESUME -> target.put("mode", "RUNNING");
+                case ROLLBACK -> target.put("mode", "ROLLED_BACK").put("step", 0);
+            }
+            newest.put(model, target);
+            doors.forEach((router, door) -> post(router, door, target, refused));
+        }
+        return refused;
+    }
+
+    /** A router that was away gets the newest order on each model when it is back. */
+    List<String> again(String router, int door) {
+        List<String> refused = new ArrayList<>();
+        newest.values().forEach(target -> post(router, door, target, refused));
+        return refused;
+    }
+
+    private void post(String router, int door, JsonNode target, List<String> refused) {
+        try {
+            HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + door + "/releases"))
+                    .timeout(Duration.ofSeconds(5)).POST(HttpRequest.BodyPublishers.ofString(target.toString())).build(),
+                    HttpResponse.BodyHandlers.ofString());
+            if (answer.statusCode() != 200) {
+                refused.add(router + ": " + answer.body());
+            }
+        } catch (IOException away) {
+            refused.add(router + ": no answer");
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/lab/src/main/java/pearladder/lab/Troubles.java
+++ b/lab/src/main/java/pearladder/lab/Troubles.java
@@ -23,6 +23,9 @@
 
         void startRouter(String router);
 
+        /** An operator gives an order on releases. */
+        void order(ReleaseScript.Order order);
+
         void say(String what);
     }
 
@@ -38,6 +41,13 @@
         for (DayPlan.Trouble trouble : plan.troubles()) {
             at(trouble.at(), () -> begin(trouble));
         }
+        for (ReleaseScript.Order order : plan.releases()) {
+            at(order.at(), () -> {
+                world.say("order " + order.what().name().toLowerCase(java.util.Locale.ROOT) + " " + order.prefix() + " x "
+                        + order.count());
+                world.order(order);
+            });
+        }
     }
 
     private void at(long when, Runnable deed) {
--- a/lab/src/test/java/pearladder/lab/DayPlanTest.java
+++ b/lab/src/test/java/pearladder/lab/DayPlanTest.java
@@ -100,6 +100,11 @@
                 done.add("start " + router);
             }
 
+            @Override
+            public void order(ReleaseScript.Order order) {
+                done.add("order " + order.what());
+            }
+
             @Override
             public void say(String what) {
                 done.add(what.split(" ")[0]);
--- a/router/src/main/java/pearladder/router/Meters.java
+++ b/router/src/main/java/pearladder/router/Meters.java
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.EnumMap;
@@ -29,6 +30,7 @@
 
     Meters(Supplier<Number> openCalls, Supplier<Number> engines) {
         new JvmMemoryMetrics().bindTo(registry);
+        new ProcessorMetrics().bindTo(registry);
         for (FinalState state : FinalState.values()) {
             answers.put(state, registry.counter("pearladder.calls", "state", state.word()));
         }
--- a/router/src/main/java/pearladder/router/Operator.java
+++ b/router/src/main/java/pearladder/router/Operator.java
@@ -80,9 +80,23 @@
     /** Begins a release of each model at its first step. */
     public Told start(List<Plan> plans) {
         Map<String, Target> newest = newest();
-        List<Target> orders = plans.stream().map(plan -> new Target(after(newest.get(plan.model())), plan, Target.Mode.RUNNING, 0,
-                by, System.currentTimeMillis())).toList();
-        return give(orders);
+        List<String> wrong = new ArrayList<>();
+        List<Target> orders = new ArrayList<>();
+        for (Plan plan : plans) {
+            Target before = newest.get(plan.model());
+            String serves = before == null ? null : before.mode() == Target.Mode.ROLLED_BACK ? before.plan().from()
+                    : before.plan().to();
+            if (serves != null && !serves.equals(plan.from()) && !before.plan().equals(plan)) {
+                // all calls would go at once to a version that stands nowhere
+                wrong.add(plan.model() + ": its calls get version \"" + serves + "\", not \"" + plan.from()
+                        + "\"; mend \"from\", or roll the release before it back");
+                continue;
+            }
+            orders.add(new Target(after(before), plan, Target.Mode.RUNNING, 0, by, System.currentTimeMillis()));
+        }
+        Told told = give(orders);
+        wrong.addAll(told.lines());
+        return new Told(told.took(), told.asked() + plans.size() - orders.size(), wrong);
     }
 
     /**
