--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -8,9 +8,7 @@
 import io.vertx.core.file.FileSystemOptions;
 import io.vertx.core.http.HttpServerResponse;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -47,22 +45,13 @@
     private final Legs legs;
     private final Door door;
     private final ListWatch watch;
-    private final LastList lastList;
+    private final Roster roster;
     private final ReleaseDesk releases;
     private final Map<String, OpenCall> calls = new HashMap<>();
-    private final Map<String, EngineLink> links = new HashMap<>();
-    private final Map<String, ListLine.Entry> listed = new LinkedHashMap<>();
-    /** Wall clock less monotonic clock at the start: fixed, so that a start told twice is the same moment. */
-    private final long wallAhead = System.currentTimeMillis() * 1_000_000L - System.nanoTime();
-    private long version;
     private long numbered;
-    private boolean writing;
-    private boolean unwritten;
-    private boolean known;
     private boolean stopping;
     private Promise<Void> emptied;
     private Promise<Void> stopped;
-    private Future<Void> written = Future.succeededFuture();
     private int port;
     private int adminPort;
 
@@ -72,12 +61,12 @@
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
         this.loop = vertx.getOrCreateContext();
-        this.meters = new Meters(calls::size, listed::size);
+        this.roster = new Roster(vertx, articles);
+        this.meters = new Meters(calls::size, roster::size);
         this.conductor = new Conductor(vertx, maker.make(seed, articles.facts()), meters, this);
         this.legs = new Legs(vertx, articles.name(), articles.limits().answer(), this);
         this.door = new Door(vertx, articles, this, meters);
         this.watch = new ListWatch(vertx, articles.list(), articles.name(), this);
-        this.lastList = new LastList(articles.data());
         try {
             this.releases = new ReleaseDesk(vertx, articles, conductor::tell);
         } catch (IOException unopened) {
@@ -109,7 +98,7 @@
             }).onComplete(port -> {
                 router.port = port;
                 LOG.atInfo().addKeyValue("router", articles.name()).addKeyValue("port", port)
-                        .addKeyValue("engines", router.listed.size()).log("listening");
+                        .addKeyValue("engines", router.roster.size()).log("listening");
                 started.complete(router);
             }, failed -> {
                 router.releases.end();
@@ -132,13 +121,7 @@
     }
 
     private void begin() {
-        ListLine remembered = lastList.read();
-        if (remembered != null) {
-            remembered.entries().forEach(this::learn);
-            known = !listed.isEmpty();
-        }
-        conductor.tell(new Event.Listed(Event.ListKind.REMEMBERED,
-                listed.values().stream().map(this::listing).toList()));
+        conductor.tell(roster.remembered());
         releases.begin();
         watch.watch();
     }
@@ -170,7 +153,7 @@
                 watch.close();
                 // A last answer may still be on its way out of the socket.
                 // (and a future of this loop says nothing once the loop is gone, so the last step is not chained)
-                vertx.setTimer(50, sent -> door.close().compose(closed -> written)
+                vertx.setTimer(50, sent -> door.close().compose(closed -> roster.written())
                         .onComplete(end -> vertx.close().onComplete(stopped)));
             });
         });
@@ -181,7 +164,7 @@
 
     @Override
     public boolean ready() {
-        return known && !stopping;
+        return roster.known() && !stopping;
     }
 
     @Override
@@ -273,7 +256,7 @@
         OpenLeg leg = new OpenLeg(call, call.legs.size(), send.worker(), Conductor.now());
         call.legs.add(leg);
         call.legsOut++;
-        legs.send(leg, call.over ? null : links.get(send.worker()), send.limit());
+        legs.send(leg, call.over ? null : roster.link(send.worker()), send.limit());
     }
 
     @Override
@@ -335,7 +318,7 @@
     @Override
     public void hold(Action.Hold hold) {
         Moment sent = Conductor.now();
-        EngineLink link = links.get(hold.worker());
+        EngineLink link = roster.link(hold.worker());
         meters.ordered();
         if (link == null) {
             conductor.tell(new Event.LoadAnswered(hold.worker(), hold.function(), Outcome.UNREACHABLE, 0, Span.NONE));
@@ -348,7 +331,7 @@
 
     @Override
     public void unload(Action.Unload unload) {
-        EngineLink link = links.get(unload.worker());
+        EngineLink link = roster.link(unload.worker());
         if (link != null) {
             legs.unload(link, unload.function(), articles.facts().copies().orderTimeout());
         }
@@ -356,7 +339,7 @@
 
     @Override
     public void probe(Action.Probe probe) {
-        EngineLink link = links.get(probe.worker());
+        EngineLink link = roster.link(probe.worker());
         if (link == null) {
             conductor.tell(new Event.Probed(probe.worker(), Outcome.UNREACHABLE, Span.NONE, null));
             return;
@@ -368,7 +351,7 @@
 
     @Override
     public void closeIdle(Action.CloseIdle close) {
-        EngineLink link = links.get(close.worker());
+        EngineLink link = roster.link(close.worker());
         if (link != null) {
             link.closeIdle();
         }
@@ -400,77 +383,6 @@
 
     @Override
     public void line(ListLine line) {
-        boolean whole = line.kind() == ListLine.Kind.WHOLE;
-        List<ListLine.Entry> before = List.copyOf(listed.values());
-        if (whole) {
-            listed.clear();
-        }
-        line.entries().forEach(this::learn);
-        List<Event.Listing> listings = new ArrayList<>(line.entries().stream().map(this::listing).toList());
-        if (whole) {
-            for (ListLine.Entry old : before) {
-                if (!listed.containsKey(old.engine())) {
-                    retire(old.engine());
-                }
-            }
-        }
-        version = line.version();
-        known = true;
-        conductor.tell(new Event.Listed(whole ? Event.ListKind.WHOLE : Event.ListKind.CHANGES, listings));
-        write();
-    }
-
-    private void learn(ListLine.Entry entry) {
-        if (entry.standing() == ListLine.Standing.GONE) {
-            listed.remove(entry.engine());
-            retire(entry.engine());
-            return;
-        }
-        listed.put(entry.engine(), entry);
-        EngineLink link = links.get(entry.engine());
-        if (link == null || link.port != entry.port() || !link.host.equals(entry.host())) {
-            retire(entry.engine());
-            links.put(entry.engine(), new EngineLink(vertx, entry.host(), entry.port(), articles.connections()));
-        }
-    }
-
-    private void retire(String engine) {
-        EngineLink link = links.remove(engine);
-        if (link != null) {
-            link.retire();
-        }
-    }
-
-    private Event.Listing listing(ListLine.Entry entry) {
-        Moment since = entry.startedMillis() == 0 ? null
-                : new Moment(entry.startedMillis() * 1_000_000L - wallAhead);
-        return new Event.Listing(entry.engine(), entry.hall(), entry.kind(), entry.cell(),
-                Event.Standing.valueOf(entry.standing().name()), 1, since);
-    }
-
-    /** Writes the list off the event loop, one writing at a time; what changed meanwhile is written after it. */
-    private void write() {
-        if (writing) {
-            unwritten = true;
-            return;
-        }
-        writing = true;
-        ListLine whole = new ListLine(ListLine.Kind.WHOLE, version, List.copyOf(listed.values()));
-        Future<Void> writes = vertx.executeBlocking(() -> {
-            lastList.write(whole);
-            return null;
-        });
-        written = writes.otherwiseEmpty();
-        writes.onComplete(end -> {
-            writing = false;
-            if (end.failed()) {
-                LOG.atWarn().addKeyValue("cause", end.cause().getMessage())
-                        .log("the last list can't be written; a restart may know an older one");
-            }
-            if (unwritten) {
-                unwritten = false;
-                write();
-            }
-        });
+        conductor.tell(roster.follow(line));
     }
 }
