No version is taken back on the word of one engine

Change: the gate gives no verdict while over 0.8 of the new version's bad results come from one engine.

--- a/decisions/src/main/java/pearladder/release/Doubt.java
+++ b/decisions/src/main/java/pearladder/release/Doubt.java
@@ -1,5 +1,9 @@
 package pearladder.release;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
 /**
  * Whether a new version is worse than the old one that runs beside it, judged call by call; few calls judge nothing. Two
  * sequential probability ratio tests (Wald, Ann. Math. Stat. 16, 1945) look at it from both sides.
@@ -9,6 +13,9 @@
  * versions makes more bad results and changes neither chance, so it speaks against nobody. Where no call goes to the old
  * version there is nothing to compare with, and this test says nothing.
  *
+ * A new version stands on few engines at first, and one of them may be sick. So no verdict is given while nearly all of
+ * its bad results come from one engine: it takes another to find a version worse.
+ *
  * No worse: looks at the new version's calls against the old one's share of bad results, and is only asked before a step.
  * That share is learnt from the old version's latest calls, starts from one in fifty, and is never taken for less than one
  * in two hundred: a share of zero would make one bad call a proof.
@@ -20,7 +27,11 @@
     /** Calls fade after so many of them. */
     private static final double LATEST = 400;
 
+    /** The most of the bad results that may come from one engine. */
+    private static final double ONE_ENGINE = 0.8;
+
     private final Plan.Gate gate;
+    private final Map<String, Double> byEngine = new HashMap<>();
     private double oldCalls;
     private double oldBad;
     private double newOfLatest;
@@ -54,7 +65,8 @@
         }
     }
 
-    void newEnded(boolean well) {
+    /** @param engines to which the call's legs went */
+    void newEnded(boolean well, List<String> engines) {
         calls++;
         bad += well ? 0 : 1;
         count(true);
@@ -63,7 +75,9 @@
         noWorse += well ? Math.log((1 - more) / (1 - usual)) : Math.log(more / usual);
         noWorse = Math.min(noWorse, Math.log((1 - gate.missed()) / gate.wrongly()));
         foundNoWorse |= noWorse <= Math.log(gate.missed() / (1 - gate.wrongly()));
+        byEngine.replaceAll((engine, sum) -> sum * (1 - 1 / LATEST));
         if (!well) {
+            engines.forEach(engine -> byEngine.merge(engine, 1.0 / engines.size(), Double::sum));
             weigh(true);
         }
     }
@@ -85,7 +99,12 @@
         double ifWorse = badNew / (badNew + (1 - share) * usual);
         worse += byNew ? Math.log(ifWorse / share) : Math.log((1 - ifWorse) / (1 - share));
         worse = Math.max(worse, Math.log(gate.missed() / (1 - gate.wrongly())));
-        foundWorse |= worse >= Math.log((1 - gate.missed()) / gate.wrongly());
+        foundWorse |= worse >= Math.log((1 - gate.missed()) / gate.wrongly()) && !oneEngine();
+    }
+
+    private boolean oneEngine() {
+        double most = byEngine.values().stream().mapToDouble(sum -> sum).max().orElse(0);
+        return most > ONE_ENGINE * byEngine.values().stream().mapToDouble(sum -> sum).sum();
     }
 
     /** The old version's share of bad results. */
@@ -93,11 +112,11 @@
         return Math.max(LEAST, (oldBad + PRIOR_BAD) / (oldCalls + PRIOR_CALLS));
     }
 
-    boolean worse() {
+    boolean foundWorse() {
         return foundWorse;
     }
 
-    boolean noWorse() {
+    boolean foundNoWorse() {
         return foundNoWorse && !foundWorse;
     }
 
--- a/decisions/src/main/java/pearladder/release/ReleaseEvent.java
+++ b/decisions/src/main/java/pearladder/release/ReleaseEvent.java
@@ -21,8 +21,12 @@
      */
     record CallCame(String call, String model, String key, String mark) implements ReleaseEvent { }
 
-    /** A call ended: well, that is settled within its expected time without an engine's error, or badly. */
-    record CallEnded(String call, boolean well) implements ReleaseEvent { }
+    /**
+     * A call ended: well, that is settled within its expected time without an engine's error, or badly.
+     *
+     * @param engines to which its legs went, each once
+     */
+    record CallEnded(String call, boolean well, List<String> engines) implements ReleaseEvent { }
 
     /** A call's client left before it ended: it says nothing of its version. */
     record CallLeft(String call) implements ReleaseEvent { }
--- a/decisions/src/main/java/pearladder/release/Releases.java
+++ b/decisions/src/main/java/pearladder/release/Releases.java
@@ -160,11 +160,11 @@
         }
         Release release = given.release();
         if (given.toNew()) {
-            release.doubt.newEnded(ended.well());
+            release.doubt.newEnded(ended.well(), ended.engines());
         } else {
             release.doubt.oldEnded(ended.well());
         }
-        if (release.doubt.worse() && !release.broken && release.target.mode() != Mode.ROLLED_BACK) {
+        if (release.doubt.foundWorse() && !release.broken && release.target.mode() != Mode.ROLLED_BACK) {
             breach(release);
         }
     }
@@ -282,7 +282,7 @@
         }
         boolean ordered = release.step < release.target.step();
         boolean held = release.step < 0 || ordered || !plan.hold().longerThan(now.since(release.since))
-                && release.doubt.calls() >= plan.leastCalls() && release.doubt.noWorse();
+                && release.doubt.calls() >= plan.leastCalls() && release.doubt.foundNoWorse();
         if (held && release.standing >= release.nextShare()) {
             release.step++;
             release.since = now;
--- a/lab/src/main/java/pearladder/lab/VersionShares.java
+++ b/lab/src/main/java/pearladder/lab/VersionShares.java
@@ -20,10 +20,12 @@
         Map<String, Set<String>> byVersion = new TreeMap<>();
         for (ReleaseScript.Order order : orders) {
             if (order.plan() != null) {
-                byVersion.computeIfAbsent(order.plan().path("to").asText(), to -> new HashSet<>()).addAll(order.models());
+                byVersion.computeIfAbsent(order.prefix() + "@" + order.plan().path("to").asText(), to -> new HashSet<>())
+                        .addAll(order.models());
             }
         }
-        byVersion.forEach((version, models) -> {
+        byVersion.forEach((name, models) -> {
+            String version = name.substring(name.lastIndexOf('@') + 1);
             TreeMap<Long, long[]> windows = new TreeMap<>();
             for (Seen seen : tape) {
                 int at = seen.model().lastIndexOf('@');
@@ -35,7 +37,7 @@
                     counts[1] += at >= 0 && seen.model().substring(at + 1).equals(version) ? 1 : 0;
                 }
             }
-            lines.add("share of version " + version + " in each 10 s, of " + models.size() + " models: " + String.join(" ",
+            lines.add("share of " + name + " in each 10 s, of " + models.size() + " models: " + String.join(" ",
                     windows.values().stream().map(c -> String.format(Locale.ROOT, "%.2f", (double) c[1] / c[0])).toList()));
         });
         return lines;
--- a/router/src/main/java/pearladder/router/ReleaseDesk.java
+++ b/router/src/main/java/pearladder/router/ReleaseDesk.java
@@ -60,8 +60,8 @@
         return chosen;
     }
 
-    void ended(String call, boolean well) {
-        tell(new ReleaseEvent.CallEnded(call, well));
+    void ended(String call, boolean well, List<String> engines) {
+        tell(new ReleaseEvent.CallEnded(call, well, engines));
     }
 
     void left(String call) {
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -239,7 +239,8 @@
         Moment now = Conductor.now();
         meters.answered(state, now.since(call.taken).nanos());
         if (call.chosen) {
-            releases.ended(call.id, state == FinalState.SETTLED && !call.erred && now.before(call.expectedBy));
+            releases.ended(call.id, state == FinalState.SETTLED && !call.erred && now.before(call.expectedBy),
+                    call.legs.stream().map(leg -> leg.engine).distinct().toList());
         }
         return !call.response.ended() && !call.response.closed();
     }
