--- a/router/src/main/java/pearladder/router/Door.java
+++ b/router/src/main/java/pearladder/router/Door.java
@@ -34,6 +34,9 @@
         void take(Asked asked);
 
         boolean ready();
+
+        /** How late the event loop is. */
+        Span behind();
     }
 
     private static final String NAME = "[A-Za-z0-9._:-]{1,128}";
@@ -150,8 +153,9 @@
             return;
         }
         read(request, body -> {
-            Span left = patience.atMost(terms.abandon()).minus(Conductor.now().since(came));
-            String closed = left.nanos() <= 0 ? "the body took longer than the client waits" : house.closedBecause();
+            // what the loop is late counts twice: the call waited unseen on its way in, and so will its answer
+            Span left = patience.atMost(terms.abandon()).minus(Conductor.now().since(came)).minus(house.behind().times(2));
+            String closed = left.nanos() <= 0 ? "the client's time is up before the call could be taken" : house.closedBecause();
             if (closed != null) {
                 notTaken(request.response(), closed);
                 return;
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -46,10 +46,12 @@
     private final Door door;
     private final ListWatch watch;
     private final Roster roster;
+    private final Pulse pulse;
     private final ReleaseDesk releases;
     private final Map<String, OpenCall> calls = new HashMap<>();
     private long numbered;
     private boolean stopping;
+    private boolean warm;
     private Promise<Void> emptied;
     private Promise<Void> stopped;
     private int port;
@@ -62,6 +64,7 @@
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
         this.loop = vertx.getOrCreateContext();
         this.roster = new Roster(vertx, articles);
+        this.pulse = new Pulse(vertx);
         this.meters = new Meters(calls::size, roster::size);
         this.conductor = new Conductor(vertx, maker.make(seed, articles.facts()), meters, this);
         this.legs = new Legs(vertx, articles.name(), articles.limits().answer(), this);
@@ -97,6 +100,12 @@
                 return router.door.listen();
             }).onComplete(port -> {
                 router.port = port;
+                router.pulse.begin();
+                long begun = System.nanoTime();
+                WarmUp.run(router.vertx, articles, maker, port).onComplete(warm -> {
+                    router.warm = true;
+                    LOG.atInfo().addKeyValue("ms", (System.nanoTime() - begun) / 1_000_000).log("warmed up");
+                });
                 LOG.atInfo().addKeyValue("router", articles.name()).addKeyValue("port", port)
                         .addKeyValue("engines", router.roster.size()).log("listening");
                 started.complete(router);
@@ -164,7 +173,7 @@
 
     @Override
     public boolean ready() {
-        return roster.known() && !stopping;
+        return roster.known() && warm && !stopping;
     }
 
     @Override
@@ -173,6 +182,11 @@
                 : calls.size() >= articles.limits().openCalls() ? "this router holds as many calls as it may" : null;
     }
 
+    @Override
+    public Span behind() {
+        return new Span(pulse.behind());
+    }
+
     @Override
     public void take(Door.Asked asked) {
         String id = Long.toString(++numbered);
