One rule for names by pattern, for a version's function, and for what a client may repeat

Need: read again, the change had written three things twice: a model's pattern (router and stand-ins), model@version (router and stand-ins) and the clients' rule on repeats; the stand-in engine kept a field that nobody read. Change: Route.matches, Route.function, Clients.mayRepeat; behaviour as before.

--- a/emulator/src/main/java/pearladder/emulator/Engine.java
+++ b/emulator/src/main/java/pearladder/emulator/Engine.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import pearladder.kserve.LoadReport;
+import pearladder.kserve.Route;
 
 /**
  * A stand-in engine. Running calls share its cores (processor sharing, each at most one core); a call whose model has no
@@ -65,7 +65,6 @@
         final ModelKind kind;
         boolean standing;
         boolean stale;
-        boolean queued = true;
         int busy;
         long idleSince;
         final List<Consumer<Boolean>> awaited = new ArrayList<>();
@@ -190,10 +189,9 @@
 
     /** The models whose names match are released anew: their copies and images go void. */
     public void release(String pattern) {
-        ModelKind matching = new ModelKind(pattern, 0, 1, 0, 0, 0, 0, 1);
-        images.keySet().removeIf(matching::matches);
+        images.keySet().removeIf(model -> Route.matches(pattern, model));
         for (Copy copy : List.copyOf(copies)) {
-            if (matching.matches(copy.model)) {
+            if (Route.matches(pattern, copy.model)) {
                 copy.stale = true;
                 if (copy.standing && copy.busy == 0) {
                     copies.remove(copy);
@@ -330,7 +328,6 @@
     private void startLoads() {
         while (loading < kind.loaders() && !toLoad.isEmpty()) {
             Copy copy = toLoad.poll();
-            copy.queued = false;
             loading++;
             int then = life;
             if (kind.images() && images.containsKey(copy.model)) {
@@ -418,9 +415,7 @@
 
     /** Gives free lanes to waiting calls, oldest first, and begins the loads that they still need. */
     private void serve() {
-        Iterator<Held> all = List.copyOf(waiting).iterator();
-        while (all.hasNext()) {
-            Held held = all.next();
+        for (Held held : List.copyOf(waiting)) {
             Copy copy = free(held.asked.model());
             if (copy != null) {
                 waiting.remove(held);
--- a/emulator/src/main/java/pearladder/emulator/ModelKind.java
+++ b/emulator/src/main/java/pearladder/emulator/ModelKind.java
@@ -1,5 +1,7 @@
 package pearladder.emulator;
 
+import pearladder.kserve.Route;
+
 /**
  * What the stand-ins know of a family of models.
  *
@@ -16,7 +18,6 @@
         double failing, double times) {
     /** Whether the name belongs to it. */
     public boolean matches(String name) {
-        return pattern.endsWith("*") ? name.startsWith(pattern.substring(0, pattern.length() - 1))
-                : name.equals(pattern);
+        return Route.matches(pattern, name);
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/net/EngineServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/EngineServer.java
@@ -97,7 +97,7 @@
             return;
         }
         Engine.Asked asked = new Engine.Asked(header(request, Headers.ROUTER), header(request, Headers.CALL),
-                number(header(request, Headers.LEG)), function(route), header(request, Headers.MARK), work(body));
+                number(header(request, Headers.LEG)), Route.function(route.model(), route.version()), header(request, Headers.MARK), work(body));
         HttpServerResponse response = request.response();
         Engine.Held held = engine.ask(asked, answer -> answer(response, route, answer, body.length()));
         if (held != null) {
@@ -111,10 +111,6 @@
         }
     }
 
-    private static String function(Route route) {
-        return route.version() == null ? route.model() : route.model() + "@" + route.version();
-    }
-
     private void answer(HttpServerResponse response, Route route, Engine.Answer answer, int size) {
         if (response.ended() || response.closed() || hung) {
             return;
--- a/kserve/src/main/java/pearladder/kserve/Route.java
+++ b/kserve/src/main/java/pearladder/kserve/Route.java
@@ -35,6 +35,17 @@
         };
     }
 
+    /** Whether a model's name is that of a pattern: the name itself, or its beginning with "*" behind it. */
+    public static boolean matches(String pattern, String name) {
+        return pattern.endsWith("*") ? name.startsWith(pattern.substring(0, pattern.length() - 1))
+                : name.equals(pattern);
+    }
+
+    /** A version of a model is a function of its own; a version that is null or empty is the model itself. */
+    public static String function(String model, String version) {
+        return version == null || version.isEmpty() ? model : model + "@" + version;
+    }
+
     private static Route model(List<String> parts) {
         if (parts.size() < 3) {
             return NONE;
--- a/lab/src/main/java/pearladder/lab/Clients.java
+++ b/lab/src/main/java/pearladder/lab/Clients.java
@@ -213,13 +213,7 @@
                 request.reset();
             }
             note(Seen.UNANSWERED, how, 0);
-            boolean again = switch (call.terms.effect()) {
-                case RETRIABLE -> true;
-                case FINGERPRINTED -> how.equals("unreachable") || call.terms.group() == CategoryTerms.Group.ALL
-                        && System.nanoTime() - call.due < call.terms.remembered() / 2;
-                case BINDING -> how.equals("unreachable");
-            };
-            if (how.equals("left") || !again || !retry(call, 0)) {
+            if (how.equals("left") || !how.equals("unreachable") && !mayRepeat(call) || !retry(call, 0)) {
                 end(call, Books.End.UNANSWERED);
             }
         }
@@ -232,16 +226,22 @@
                 return;
             }
             boolean dismissed = state == FinalState.DISMISSED;
-            boolean again = dismissed || call.terms.effect() == CategoryTerms.Effect.RETRIABLE
-                    || call.terms.effect() == CategoryTerms.Effect.FINGERPRINTED
-                    && call.terms.group() == CategoryTerms.Group.ALL
-                    && System.nanoTime() - call.due < call.terms.remembered() / 2;
-            if (!again || !retry(call, wait)) {
+            if (!dismissed && !mayRepeat(call) || !retry(call, wait)) {
                 end(call, dismissed ? Books.End.DISMISSED : Books.End.TERMINATED);
             }
         }
     }
 
+    /** What a category lets a client repeat after a try that may have taken effect. */
+    private static boolean mayRepeat(Call call) {
+        return switch (call.terms.effect()) {
+            case RETRIABLE -> true;
+            case FINGERPRINTED -> call.terms.group() == CategoryTerms.Group.ALL
+                    && System.nanoTime() - call.due < call.terms.remembered() / 2;
+            case BINDING -> false;
+        };
+    }
+
     /** Comes back when told to, or after its pause, each with a random part; false where no try is left. */
     private boolean retry(Call call, long wait) {
         long pause = Math.round(Math.max(wait, plan.clients().pause()) * (0.75 + 0.5 * chance.nextDouble()));
--- a/router/src/main/java/pearladder/router/Articles.java
+++ b/router/src/main/java/pearladder/router/Articles.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import pearladder.api.Facts;
 import pearladder.api.Span;
+import pearladder.kserve.Route;
 
 /**
  * What a router is told in its file, once, at its start.
@@ -32,8 +33,7 @@
      */
     public record ModelTerms(String pattern, int lanes, double memoryMb, Span usualLoad, String category) {
         boolean matches(String model) {
-            return pattern.endsWith("*") ? model.startsWith(pattern.substring(0, pattern.length() - 1))
-                    : model.equals(pattern);
+            return Route.matches(pattern, model);
         }
     }
 
--- a/router/src/main/java/pearladder/router/Door.java
+++ b/router/src/main/java/pearladder/router/Door.java
@@ -163,7 +163,8 @@
             String named = request.getHeader(Headers.CALL);
             String type = request.getHeader("content-type");
             house.take(new Asked(named != null && named.matches(NAME) ? named : null,
-                    route, request.getHeader(Headers.KEY), type == null ? "application/json" : type, mark, body, request.response(), came, left, terms,
+                    route, request.getHeader(Headers.KEY), type == null ? "application/json" : type, mark, body,
+                    request.response(), came, left, terms,
                     articles.facts().accounts().isEmpty() ? null : account, model,
                     hint.nanos() == 0 ? null : hint, "1".equals(request.getHeader(Headers.REPEAT))));
         });
--- a/router/src/main/java/pearladder/router/ReleaseDesk.java
+++ b/router/src/main/java/pearladder/router/ReleaseDesk.java
@@ -12,6 +12,7 @@
 import org.slf4j.LoggerFactory;
 import pearladder.api.Event;
 import pearladder.api.Span;
+import pearladder.kserve.Route;
 import pearladder.release.ReleaseAction;
 import pearladder.release.ReleaseEvent;
 import pearladder.release.Releases;
@@ -127,15 +128,11 @@
     private void want(String model, String version, String like, double share) {
         Articles.ModelTerms terms = articles.modelOf(model);
         if (terms != null) {
-            toPolicy.accept(new Event.Wanted(function(model, version), function(model, like), share, terms.lanes(),
+            toPolicy.accept(new Event.Wanted(Route.function(model, version), Route.function(model, like), share, terms.lanes(),
                     terms.memoryMb(), terms.usualLoad()));
         }
     }
 
-    static String function(String model, String version) {
-        return version == null || version.isEmpty() ? model : model + "@" + version;
-    }
-
     /** One after the other, off the event loop; a disk that can't take it leaves everything as it was. */
     private void keep(Target target) {
         vertx.<Void>executeBlocking(() -> {
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -24,6 +24,7 @@
 import pearladder.kserve.FinalState;
 import pearladder.kserve.Headers;
 import pearladder.kserve.ListLine;
+import pearladder.kserve.Route;
 
 /**
  * One router: its door, its engines, its list and one instance of the module, all on one event loop. It is made, started,
@@ -160,8 +161,8 @@
                 conductor.end();
                 releases.end();
                 watch.close();
-                // A last answer may still be on its way out of the socket.
-                // (and a future of this loop says nothing once the loop is gone, so the last step is not chained)
+                // A last answer may still be on its way out of the socket; and a future of this loop says nothing
+                // once the loop is gone, so the last step is not chained.
                 vertx.setTimer(50, sent -> door.close().compose(closed -> roster.written())
                         .onComplete(end -> vertx.close().onComplete(stopped)));
             });
@@ -195,7 +196,7 @@
         String version = asked.route().version() != null ? asked.route().version()
                 : releases.version(id, model, key(asked, named), asked.mark() == null ? "" : asked.mark());
         String path = "/v2/models/" + model + (version.isEmpty() ? "" : "/versions/" + version) + "/infer";
-        OpenCall call = new OpenCall(id, named, ReleaseDesk.function(model, version), path, asked.contentType(),
+        OpenCall call = new OpenCall(id, named, Route.function(model, version), path, asked.contentType(),
                 asked.mark(), asked.body(), asked.response(), asked.came(), asked.came().plus(asked.category().expected()));
         call.chosen = asked.route().version() == null;
         calls.put(id, call);
