Clients on several event loops; copies, loads and dismissals by cause in the report

Replays above some 1000 calls a second measured the load generator: all clients ran on one event loop. An experiment may list sizes that grow together, a replay may be cut by its own time, and the report shows loads, standing copies and why tries were dismissed.

--- a/cli/src/main/java/pearladder/cli/ReplayCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReplayCommand.java
@@ -29,6 +29,9 @@
     @Option(names = "--most", defaultValue = "0", paramLabel = "CALLS", description = "end after so many calls; 0 for all")
     private long most;
 
+    @Option(names = "--lasting", defaultValue = "0", paramLabel = "SECONDS", description = "end after so long; 0 for all")
+    private double lasting;
+
     @Option(names = "--work-scale", defaultValue = "1", description = "of the work that the trace tells")
     private double workScale;
 
@@ -45,7 +48,8 @@
     public Integer call() throws IOException, InterruptedException {
         Logs.setUp(Logs.Form.TEXT);
         TraceSource.Terms terms = new TraceSource.Terms(input.file, input.layout, input.durations, input.memory, speed,
-                Math.round(input.window * 1e9), most, workScale, Math.round(longest * 1e6), Math.round(usual * 1e6), input.strict);
+                Math.round(input.window * 1e9), most, Math.round(lasting * 1e9), workScale, Math.round(longest * 1e6),
+                Math.round(usual * 1e6), input.strict);
         Day.Outcome outcome = Day.play(script, terms, out, Program.command(), List.of("--policy", policy.name()), System.out);
         System.out.println();
         outcome.table().forEach(System.out::println);
--- a/emulator/src/main/java/pearladder/emulator/Engine.java
+++ b/emulator/src/main/java/pearladder/emulator/Engine.java
@@ -166,6 +166,7 @@
         running.forEach(held -> held.ended = true);
         waiting.clear();
         running.clear();
+        gone(copies.stream().filter(copy -> copy.standing).count());
         copies.clear();
         toLoad.clear();
         images.clear();
@@ -194,7 +195,7 @@
             if (Route.matches(pattern, copy.model)) {
                 copy.stale = true;
                 if (copy.standing && copy.busy == 0) {
-                    copies.remove(copy);
+                    drop(copy);
                 }
             }
         }
@@ -316,7 +317,7 @@
         }
         while (kind.memoryMb() - used() < of.memoryMb()) {
             copies.stream().filter(c -> c.standing && c.busy == 0)
-                    .min((a, b) -> Long.compare(a.idleSince, b.idleSince)).ifPresent(copies::remove);
+                    .min((a, b) -> Long.compare(a.idleSince, b.idleSince)).ifPresent(this::drop);
         }
         Copy copy = new Copy(model, of);
         copies.add(copy);
@@ -351,6 +352,8 @@
         }
         loading--;
         boolean stands = ok && !copy.stale;
+        seen.accept(new Seen(time.now(), Seen.LOADED, "", "", 0, id, copy.model,
+                stands ? "" : ok ? "released anew" : "no image", 0));
         if (stands) {
             copy.standing = true;
             idle(copy);
@@ -373,12 +376,24 @@
         serve();
     }
 
+    private void drop(Copy copy) {
+        if (copies.remove(copy)) {
+            gone(1);
+        }
+    }
+
+    private void gone(long count) {
+        if (count > 0) {
+            seen.accept(new Seen(time.now(), Seen.UNLOADED, "", "", 0, id, "", "", count));
+        }
+    }
+
     private void idle(Copy copy) {
         copy.idleSince = time.now();
         long since = copy.idleSince;
         time.after(kind.keptNanos(), () -> {
             if (copy.busy == 0 && copy.idleSince == since) {
-                copies.remove(copy);
+                drop(copy);
             }
         });
     }
@@ -405,7 +420,7 @@
         held.on.busy--;
         if (held.on.busy == 0) {
             if (held.on.stale) {
-                copies.remove(held.on);
+                drop(held.on);
             } else {
                 idle(held.on);
             }
@@ -500,7 +515,8 @@
 
     /** Unloads the idle copies of a model. */
     public void unload(String model) {
-        copies.removeIf(copy -> copy.model.equals(model) && copy.standing && copy.busy == 0);
+        copies.stream().filter(copy -> copy.model.equals(model) && copy.standing && copy.busy == 0).toList()
+                .forEach(this::drop);
     }
 
     /** How many copies of a model stand. */
--- a/emulator/src/main/java/pearladder/emulator/Seen.java
+++ b/emulator/src/main/java/pearladder/emulator/Seen.java
@@ -19,6 +19,10 @@
     public static final String DROPPED = "dropped";
     /** At an engine: an order to load; figure is the copies wanted. */
     public static final String ORDERED = "ordered";
+    /** At an engine: a load ended; note is empty where the copy stands, else why it does not. */
+    public static final String LOADED = "loaded";
+    /** At an engine: copies went, by themselves or for room; figure is how many. */
+    public static final String UNLOADED = "unloaded";
     /** At an engine: it fell over for being pushed while cold; figure is the multiple of what it bears. */
     public static final String FELL = "fell";
     /** At the list: a router was told an engine's standing, which is the note; figure is its start, in nanoseconds. */
--- a/lab/src/main/java/pearladder/lab/Books.java
+++ b/lab/src/main/java/pearladder/lab/Books.java
@@ -8,7 +8,10 @@
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
-/** What a day's calls came to: credit asked for and earned, by category, account and ten seconds; times from the due time. */
+/**
+ * What a day's calls came to: credit asked for and earned, by category, account and ten seconds; times from the due time.
+ * Every lane of clients writes into the same books.
+ */
 final class Books {
     /** How a call ended for its client, all its tries together. */
     enum End { SETTLED, LATE, DISMISSED, TERMINATED, UNANSWERED }
@@ -30,16 +33,16 @@
     private long tries;
 
     /** The generator sent a call so late. */
-    void sent(long lateNanos) {
+    synchronized void sent(long lateNanos) {
         lag.recordValue(Math.max(0, Math.min(60_000_000_000L, lateNanos)));
     }
 
-    void tried() {
+    synchronized void tried() {
         tries++;
     }
 
     /** A call ended for good; due from the day's start, took from its due time. */
-    void ended(CategoryTerms terms, String account, long due, long took, End end) {
+    synchronized void ended(CategoryTerms terms, String account, long due, long took, End end) {
         double earned = end == End.SETTLED ? terms.credit() : end == End.LATE ? terms.credit() * terms.lateCredit() : 0;
         List<Line> lines = new ArrayList<>(List.of(all, categories.computeIfAbsent(terms.name(), n -> new Line()),
                 windows.computeIfAbsent(due / WINDOW, n -> new Line())));
@@ -56,28 +59,28 @@
         }
     }
 
-    long calls() {
+    synchronized long calls() {
         return all.times.getTotalCount() + all.ends[2] + all.ends[3] + all.ends[4];
     }
 
     /** The share of the credit asked for that was earned. */
-    double credit() {
+    synchronized double credit() {
         return all.asked == 0 ? 1 : all.earned / all.asked;
     }
 
-    double worstWindow() {
+    synchronized double worstWindow() {
         return windows.values().stream().filter(line -> line.asked > 0).mapToDouble(line -> line.earned / line.asked)
                 .min().orElse(1);
     }
 
-    Map<Long, Double> byWindow() {
+    synchronized Map<Long, Double> byWindow() {
         Map<Long, Double> credit = new LinkedHashMap<>();
         windows.forEach((at, line) -> credit.put(at * 10, line.asked == 0 ? 1 : line.earned / line.asked));
         return credit;
     }
 
     /** How many calls ended in each way. */
-    Map<String, Long> ends() {
+    synchronized Map<String, Long> ends() {
         Map<String, Long> ends = new LinkedHashMap<>();
         for (End end : End.values()) {
             ends.put(end.name().toLowerCase(Locale.ROOT), all.ends[end.ordinal()]);
@@ -86,20 +89,20 @@
     }
 
     /** Time from a call's due moment to its answer, of calls that got one. */
-    double latencyMillis(double percentile) {
+    synchronized double latencyMillis(double percentile) {
         return all.times.getValueAtPercentile(percentile) / 1e6;
     }
 
-    double lagMillis(double percentile) {
+    synchronized double lagMillis(double percentile) {
         return lag.getValueAtPercentile(percentile) / 1e6;
     }
 
-    long tries() {
+    synchronized long tries() {
         return tries;
     }
 
     /** The table as people read it. */
-    List<String> table() {
+    synchronized List<String> table() {
         List<String> rows = new ArrayList<>();
         rows.add(String.format(Locale.ROOT, "%-22s %8s %7s %8s %6s %9s %10s %10s %8s %8s %8s", "", "calls", "credit",
                 "settled", "late", "dismissed", "terminated", "unanswered", "p50 ms", "p99 ms", "max ms"));
--- a/lab/src/main/java/pearladder/lab/Clients.java
+++ b/lab/src/main/java/pearladder/lab/Clients.java
@@ -19,7 +19,8 @@
 
 /**
  * The day's clients: each call goes out at its time whether or not earlier ones came back; a client gives up, comes back
- * when told to, and repeats only what its category lets it repeat. All of it runs on one event loop.
+ * when told to, and repeats only what its category lets it repeat. One of these runs on one event loop; a day that sends
+ * more than a loop can has several.
  */
 final class Clients {
     /** How much longer than its patience a client listens, only to see what comes too late. */
@@ -57,14 +58,15 @@
     private int open;
     private Runnable ended;
 
-    Clients(Vertx vertx, DayPlan plan, Source source, Front front, Books books, Consumer<Seen> seen) {
+    /** @param lane its number among those of the day, for its own chance */
+    Clients(Vertx vertx, DayPlan plan, int lane, Source source, Front front, Books books, Consumer<Seen> seen) {
         this.vertx = vertx;
         this.plan = plan;
         this.front = front;
         this.books = books;
         this.seen = seen;
         this.traffic = source;
-        this.chance = new SplittableRandom(plan.seed() * 31 + 7);
+        this.chance = new SplittableRandom(plan.seed() * 31 + 7 + lane * 1_000_003L);
         this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(1000).setTcpNoDelay(true)
                 .setKeepAliveTimeout(20), new PoolOptions().setHttp1MaxSize(20_000).setMaxWaitQueueSize(-1));
     }
--- a/lab/src/main/java/pearladder/lab/Day.java
+++ b/lab/src/main/java/pearladder/lab/Day.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.URI;
@@ -239,21 +240,26 @@
     }
 
     private void traffic() throws InterruptedException {
-        Vertx vertx = Vertx.vertx();
-        CountDownLatch done = new CountDownLatch(1);
         Troubles troubles = new Troubles(plan, new World());
-        Source source = trace != null ? trace : new Traffic(plan);
-        CountDownLatch warm = new CountDownLatch(1);
-        vertx.runOnContext(run -> {
-            Clients clients = new Clients(vertx, plan, source, front, books, tape);
-            clients.warmUp(List.copyOf(ports.values())).onComplete(end -> {
-                begun = System.nanoTime() + 200_000_000L;
-                warm.countDown();
-                clients.play(begun, done::countDown);
-            });
-            vertx.setPeriodic(200, tick -> tape.flush());
-        });
+        Feed feed = new Feed(trace != null ? trace : new Traffic(plan), plan.clients().lanes());
+        List<Vertx> loops = new ArrayList<>();
+        List<Clients> clients = new ArrayList<>();
+        CountDownLatch warm = new CountDownLatch(plan.clients().lanes());
+        CountDownLatch done = new CountDownLatch(plan.clients().lanes());
+        for (Feed.Lane lane : feed.lanes()) {
+            Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+            Clients some = new Clients(vertx, plan, loops.size(), lane, front, books, tape);
+            loops.add(vertx);
+            clients.add(some);
+            vertx.runOnContext(run -> some.warmUp(List.copyOf(ports.values())).onComplete(end -> warm.countDown()));
+        }
         warm.await();
+        begun = System.nanoTime() + 200_000_000L;
+        for (int i = 0; i < loops.size(); i++) {
+            Clients some = clients.get(i);
+            loops.get(i).runOnContext(run -> some.play(begun, done::countDown));
+        }
+        loops.get(0).setPeriodic(200, tick -> tape.flush());
         // troubles are slow to bring (processes start): they keep a thread of their own, and so stay in order
         helper.execute(() -> {
             long next;
@@ -274,7 +280,7 @@
             }
         }
         took = (System.nanoTime() - begun) / 1e9;
-        vertx.close().toCompletionStage().toCompletableFuture().join();
+        loops.forEach(vertx -> vertx.close().toCompletionStage().toCompletableFuture().join());
     }
 
     private final class World implements Troubles.World {
--- a/lab/src/main/java/pearladder/lab/DayPlan.java
+++ b/lab/src/main/java/pearladder/lab/DayPlan.java
@@ -26,8 +26,9 @@
      * @param patience the least share of the abandon time that a try is given; each draws one from there to 1
      * @param frontLag the front layer goes on feeding a dead router for so long
      * @param leaving share of tries whose client leaves early, somewhere in its patience
+     * @param lanes event loops that send them; one bears about a thousand calls a second
      */
-    record Clients(int tries, long pause, double patience, long frontLag, double leaving) { }
+    record Clients(int tries, long pause, double patience, long frontLag, double leaving, int lanes) { }
 
     /**
      * One flow of calls.
@@ -85,7 +86,8 @@
                 day.at("slack").span("150 ms"), halls, day.at("routers").whole(2, 1, 64), day.at("rate").number(0.1, 1e6),
                 new Clients(clients.at("tries").whole(3, 1, 20), clients.at("pause").span("200 ms"),
                         clients.at("patience").number(0.5, 0.05, 1), clients.at("front_lag").span("2 s"),
-                        clients.at("leaving").number(0, 0, 1)),
+                        clients.at("leaving").number(0, 0, 1),
+                        clients.at("lanes").whole(1, 1, 16)),
                 flows, troubles, file.at("releases").each(ReleaseScript::read), rules, fleet);
         // what the routers' part says beside the rules is checked by the routers themselves
         file.done(java.util.Set.of("day", "clients", "traffic", "troubles", "releases", "fleet"));
--- a/lab/src/main/java/pearladder/lab/ExperimentPlan.java
+++ b/lab/src/main/java/pearladder/lab/ExperimentPlan.java
@@ -15,6 +15,9 @@
 record ExperimentPlan(String name, Path base, TraceSource.Terms trace, List<Run> runs) {
     enum Troubles { AS_WRITTEN, NONE }
 
+    /** Engines and routers that are varied together. */
+    private record Size(int engines, int routers) { }
+
     /** One run; 0 or a NaN keeps what the script says. */
     record Run(String policy, int engines, int routers, double rate, double speed, Troubles troubles, int seed) {
         /** A folder's name; runs that differ only in their seed differ only behind the last dot. */
@@ -37,8 +40,7 @@
         Value experiment = whole.at("experiment");
         Value vary = experiment.at("vary");
         List<String> policies = orElse(vary.at("policy").each(ExperimentPlan::policy), "module");
-        List<Integer> engines = orElse(vary.at("engines").each(v -> v.whole(1, 10_000)), 0);
-        List<Integer> routers = orElse(vary.at("routers").each(v -> v.whole(1, 64)), 0);
+        List<Size> sizes = sizes(vary);
         List<Double> rates = orElse(vary.at("rate").each(v -> v.number(0.1, 1e6)), Double.NaN);
         List<Double> speeds = orElse(vary.at("speed").each(v -> v.number(0.001, 1e6)), Double.NaN);
         List<Troubles> troubles = orElse(vary.at("troubles").each(v -> v.word(Troubles.class, null)), Troubles.AS_WRITTEN);
@@ -49,13 +51,12 @@
         }
         List<Run> runs = new ArrayList<>();
         for (String policy : policies) {
-            for (int count : engines) {
-                for (int number : routers) {
-                    for (double rate : rates) {
-                        for (double speed : speeds) {
-                            for (Troubles trouble : troubles) {
-                                seeds.forEach(seed -> runs.add(new Run(policy, count, number, rate, speed, trouble, seed)));
-                            }
+            for (Size size : sizes) {
+                for (double rate : rates) {
+                    for (double speed : speeds) {
+                        for (Troubles trouble : troubles) {
+                            seeds.forEach(seed -> runs.add(new Run(policy, size.engines(), size.routers(), rate, speed,
+                                    trouble, seed)));
                         }
                     }
                 }
@@ -67,6 +68,20 @@
         return new ExperimentPlan(name, base, trace, runs);
     }
 
+    /** Sizes that grow together are listed as such; else every number of engines meets every number of routers. */
+    private static List<Size> sizes(Value vary) {
+        List<Size> sizes = new ArrayList<>(vary.at("sizes").each(size ->
+                new Size(size.at("engines").whole(1, 1, 10_000), size.at("routers").whole(1, 1, 64))));
+        List<Integer> engines = orElse(vary.at("engines").each(v -> v.whole(1, 10_000)), 0);
+        List<Integer> routers = orElse(vary.at("routers").each(v -> v.whole(1, 64)), 0);
+        if (sizes.isEmpty()) {
+            engines.forEach(count -> routers.forEach(number -> sizes.add(new Size(count, number))));
+        } else if (engines.get(0) > 0 || routers.get(0) > 0) {
+            vary.at("sizes").wrong("sizes are listed, and engines or routers beside them", "keep one of the two ways");
+        }
+        return sizes;
+    }
+
     private static String policy(Value value) {
         String word = value.text();
         if (!word.equals("module") && !word.equals("random")) {
@@ -78,6 +93,7 @@
     private static TraceSource.Terms trace(Value trace, Path folder) {
         return new TraceSource.Terms(folder.resolve(trace.at("file").text()), null, null, null, 1,
                 trace.at("window").span("60 s"), trace.at("most").whole(0, 0, Integer.MAX_VALUE),
+                trace.at("lasting").span("0 s"),
                 trace.at("work_scale").number(1, 0, 1e6), trace.at("longest_work").span("500 ms"),
                 trace.at("usual_work").span("20 ms"), false);
     }
--- a/lab/src/main/java/pearladder/lab/Front.java
+++ b/lab/src/main/java/pearladder/lab/Front.java
@@ -42,7 +42,7 @@
     }
 
     /** The next router for a client of a hall: one of its hall, else any, else one that is known to be dead. */
-    Target next(String hall, long now) {
+    synchronized Target next(String hall, long now) {
         List<Seat> fed = new ArrayList<>();
         for (Seat seat : seats.values()) {
             if (seat.deadSince < 0 || now - seat.deadSince < lag) {
--- a/lab/src/main/java/pearladder/lab/Report.java
+++ b/lab/src/main/java/pearladder/lab/Report.java
@@ -160,11 +160,40 @@
         work.addSeries("refused", from, refused).setMarker(SeriesMarkers.NONE);
         work.addSeries("orders", from, orders).setMarker(SeriesMarkers.NONE);
         chart(work);
+        copies(run, from);
+        causes(run);
         page.append("<pre>");
         run.path("table").forEach(line -> page.append(escaped(line.asText())).append('\n'));
         page.append("</pre>");
     }
 
+    private void copies(JsonNode run, List<Double> from) throws IOException {
+        List<Double> copies = new ArrayList<>();
+        List<Double> loads = new ArrayList<>();
+        List<Double> failed = new ArrayList<>();
+        for (JsonNode window : run.path("windows")) {
+            copies.add(window.path("copies").asDouble());
+            loads.add(window.path("loads").asDouble());
+            failed.add(window.path("loads_failed").asDouble());
+        }
+        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title("Loads, and the copies that stood")
+                .xAxisTitle("seconds of the day").yAxisTitle("in ten seconds; copies at their end").build();
+        chart.getStyler().setYAxisMin(0.0).setLegendPosition(Styler.LegendPosition.OutsideE);
+        chart.addSeries("copies", from, copies).setMarker(SeriesMarkers.NONE);
+        chart.addSeries("loads", from, loads).setMarker(SeriesMarkers.NONE);
+        chart.addSeries("loads failed", from, failed).setMarker(SeriesMarkers.NONE);
+        chart(chart);
+    }
+
+    private void causes(JsonNode run) {
+        if (!run.path("dismissed_because").isEmpty()) {
+            page.append("<table><tr><th>tries dismissed because<th>count</tr>");
+            run.path("dismissed_because").properties().forEach(cause -> page.append("<tr><td>").append(escaped(cause.getKey()))
+                    .append("<td>").append(cause.getValue().asLong()).append("</tr>"));
+            page.append("</table>");
+        }
+    }
+
     private void troubles(JsonNode run) {
         if (!run.path("troubles").isEmpty()) {
             page.append("<table><tr><th>at<th>trouble</tr>");
--- a/lab/src/main/java/pearladder/lab/Results.java
+++ b/lab/src/main/java/pearladder/lab/Results.java
@@ -10,10 +10,13 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import pearladder.emulator.Seen;
+import pearladder.kserve.FinalState;
 
 /** A day's results as a file that reports and comparisons are made from: results.json in the day's folder. */
 final class Results {
@@ -38,10 +41,12 @@
         ArrayNode windows = all.putArray("windows");
         TreeMap<Long, long[]> seen = byWindow(tape, begun);
         books.byWindow().forEach((from, credit) -> {
-            long[] counts = seen.getOrDefault(from / 10, new long[3]);
+            long[] counts = seen.getOrDefault(from / 10, new long[6]);
             windows.addObject().put("from_s", from).put("credit", credit).put("legs", counts[0]).put("orders", counts[1])
-                    .put("refused", counts[2]);
+                    .put("refused", counts[2]).put("loads", counts[3]).put("loads_failed", counts[4]).put("copies", counts[5]);
         });
+        ObjectNode causes = all.putObject("dismissed_because");
+        dismissals(tape).forEach(causes::put);
         ArrayNode troubles = all.putArray("troubles");
         for (Seen one : tape) {
             if (one.what().equals(Seen.TROUBLE)) {
@@ -56,23 +61,44 @@
         return all;
     }
 
-    /** Legs, orders and refusals at the engines, by ten seconds of the day. */
+    /** Legs, orders, refusals and loads at the engines, by ten seconds of the day; and the copies that stood at its end. */
     private static TreeMap<Long, long[]> byWindow(List<Seen> tape, long begun) {
         TreeMap<Long, long[]> windows = new TreeMap<>();
+        long copies = 0;
         for (Seen seen : tape) {
             int at = switch (seen.what()) {
                 case Seen.ARRIVED -> 0;
                 case Seen.ORDERED -> 1;
                 case Seen.REFUSED -> 2;
+                case Seen.LOADED -> seen.note().isEmpty() ? 3 : 4;
+                case Seen.UNLOADED -> 5;
                 default -> -1;
             };
+            copies += at == 3 ? 1 : at == 5 ? -Math.round(seen.figure()) : 0;
             if (at >= 0 && seen.at() >= begun) {
-                windows.computeIfAbsent((seen.at() - begun) / WINDOW, w -> new long[3])[at]++;
+                long[] counts = windows.computeIfAbsent((seen.at() - begun) / WINDOW, w -> new long[6]);
+                counts[at]++;
+                counts[5] = copies;
             }
         }
         return windows;
     }
 
+    /** Dismissed tries by what the engines had said to them; a try of which no leg left was refused by its router. */
+    private static Map<String, Long> dismissals(List<Seen> tape) {
+        Map<String, String> last = new HashMap<>();
+        Map<String, Long> causes = new TreeMap<>();
+        for (Seen seen : tape) {
+            if (seen.what().equals(Seen.REFUSED) || seen.what().equals(Seen.ARRIVED)) {
+                last.put(seen.call(), seen.what().equals(Seen.REFUSED) ? "engines refused: "
+                        + seen.note().toLowerCase(Locale.ROOT) : "a leg without an answer");
+            } else if (seen.what().equals(Seen.ANSWERED) && seen.note().equals(FinalState.DISMISSED.word())) {
+                causes.merge(last.getOrDefault(seen.call(), "no leg was sent"), 1L, Long::sum);
+            }
+        }
+        return causes;
+    }
+
     /** Writes beside and moves over, so that a results file is whole or not there. */
     static void write(Path folder, JsonNode results) throws IOException {
         Path beside = folder.resolve("results.new");
--- a/lab/src/main/java/pearladder/lab/TraceSource.java
+++ b/lab/src/main/java/pearladder/lab/TraceSource.java
@@ -28,15 +28,17 @@
      * @param speed so many times faster than it was
      * @param window nanoseconds within which rows are put back in order
      * @param most calls at the most, 0 for all
+     * @param lasting nanoseconds of the replay at the most, as it is played; 0 for all
      * @param workScale of the work that the trace tells
      * @param longestWork nanoseconds; longer work is cut to it and counted
      * @param usualWork nanoseconds, where the trace tells none
      */
     public record Terms(Path file, Layout layout, Path durations, Path memory, double speed, long window, long most,
-            double workScale, long longestWork, long usualWork, boolean strict) {
+            long lasting, double workScale, long longestWork, long usualWork, boolean strict) {
         /** The same at another speed. */
         Terms at(double times) {
-            return new Terms(file, layout, durations, memory, times, window, most, workScale, longestWork, usualWork, strict);
+            return new Terms(file, layout, durations, memory, times, window, most, lasting, workScale,
+                    longestWork, usualWork, strict);
         }
     }
 
@@ -108,9 +110,12 @@
         if (call == END) {
             return null;
         }
-        info.accept(call);
         first = number == 0 ? call.at() : first;
         long due = Math.round((call.at() - first) / terms.speed());
+        if (terms.lasting() > 0 && due > terms.lasting()) {
+            return null;
+        }
+        info.accept(call);
         long work = call.work() == 0 ? terms.usualWork() : Math.round(call.work() * terms.workScale());
         cut += work > terms.longestWork() ? 1 : 0;
         DayPlan.Flow flow = flow(call);
--- a/lab/src/test/java/pearladder/lab/ReportTest.java
+++ b/lab/src/test/java/pearladder/lab/ReportTest.java
@@ -63,7 +63,7 @@
         String page = Files.readString(Report.write(folder));
         assertTrue(page.contains("<td>module<td>2<td>0.625<td>0.625<td>0.625"), "the mean over seeds");
         assertTrue(page.contains("a &lt;row&gt;") && !page.contains("<row>"));
-        assertEquals(6, page.split("data:image/png;base64,iVBOR").length - 1, "two comparing, two for each run");
+        assertEquals(8, page.split("data:image/png;base64,iVBOR").length - 1, "two comparing, three for each run");
         assertTrue(!page.contains("http://") && !page.contains("https://"), "nothing is fetched from elsewhere");
     }
 
@@ -84,6 +84,13 @@
         assertEquals("module-e8-q50.s1", plan.runs().get(0).label());
         assertEquals("random-e12-q0.5.s3", plan.runs().get(23).label());
         assertEquals(folder.resolve("days/plain.yaml"), plan.base());
+        ExperimentPlan pairs = ExperimentPlan.read(Yaml.read("e.yaml", """
+                experiment:
+                  base: x
+                  vary: {sizes: [{engines: 12, routers: 2}, {engines: 72, routers: 16}], seed: [1, 2]}
+                """), folder);
+        assertEquals(List.of("module-e12-r2.s1", "module-e12-r2.s2", "module-e72-r16.s1", "module-e72-r16.s2"),
+                pairs.runs().stream().map(ExperimentPlan.Run::label).toList());
         List<String> lines = assertThrows(Mistakes.Found.class, () -> ExperimentPlan.read(Yaml.read("e.yaml", """
                 experiment:
                   base: x
