--- a/cli/src/main/java/pearladder/cli/MeasureCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeasureCommand.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Callable;
 import pearladder.lab.DecisionCost;
 import pearladder.lab.Measure;
+import pearladder.lab.ReleaseTrials;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -20,9 +21,16 @@
     @Option(names = "--seconds", defaultValue = "4", description = "seconds a round (default: ${DEFAULT-VALUE})")
     private int seconds;
 
+    @Option(names = "--releases", description = "instead, trials of the release module alone: shares, and wrong and missed verdicts")
+    private boolean releases;
+
     @Override
     public Integer call() throws IOException {
         Logs.setUp(Logs.Form.TEXT);
+        if (releases) {
+            ReleaseTrials.run().forEach(System.out::println);
+            return 0;
+        }
         System.out.println("decisions alone");
         DecisionCost.run(Decider.MODULE.maker::make, rounds, 12, 92, 500).forEach(System.out::println);
         Measure.run(Program.command(), out, rounds, seconds, System.out);
--- a/cli/src/main/java/pearladder/cli/ReleaseCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReleaseCommand.java
@@ -28,8 +28,12 @@
         @Option(names = "--by", defaultValue = "${sys:user.name}", description = "who orders (default: ${DEFAULT-VALUE})")
         String by;
 
+        @Option(names = "--all", description = "also all routers that these learn orders from")
+        boolean all;
+
         Operator operator() {
-            return new Operator(doors, by);
+            Operator operator = new Operator(doors, by);
+            return all ? operator.andOthers() : operator;
         }
     }
 
--- a/cli/src/test/java/pearladder/cli/DayTest.java
+++ b/cli/src/test/java/pearladder/cli/DayTest.java
@@ -3,9 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.io.PrintStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -53,6 +59,10 @@
               engines: [{name: engine, count: 6, kind: std, halls: [east, west]}]
             """;
 
+    private static final String ORDER = "{\"epoch\":%d,\"mode\":\"PAUSED\",\"step\":0,\"by\":\"ops\",\"wallMillis\":1,\"plan\":"
+            + "{\"model\":\"a\",\"from\":\"\",\"to\":\"2\",\"steps\":[1.0],\"hold\":{\"nanos\":1},\"leastCalls\":1,"
+            + "\"gate\":{\"excess\":0.1,\"wrongly\":0.01,\"missed\":0.05},\"onBreach\":\"PAUSE\"}}";
+
     @Test
     void aSmallBadDayKeepsTheRulesOverTheSockets(@TempDir Path folder) throws IOException, InterruptedException {
         Path script = folder.resolve("day.yaml");
@@ -102,6 +112,40 @@
         assertTrue(said.lines().noneMatch(line -> line.matches(".* (io\\.vertx|picocli|ch\\.qos|io\\.netty)\\..*")));
     }
 
+    /** The disk is full for the journal: files of the router's process may not grow past some kilobytes. */
+    @Test
+    void anOrderThatAFullDiskCantTakeIsRefusedAndTheRouterServesOn(@TempDir Path folder)
+            throws IOException, InterruptedException {
+        Path file = folder.resolve("router.yaml");
+        Files.writeString(file, "router: {name: r1, listen: \"127.0.0.1:0\", admin: \"127.0.0.1:0\", data: \"" + folder
+                + "/data\", stop_within: 1 s}\nlist: {address: \"127.0.0.1:1\"}\ncategories:\n  draft: {expected: 1 s, abandon: "
+                + "2 s, effect: retriable}\nmodels: [{name: \"*\", memory: 1 MB, lanes: 1}]\n");
+        List<String> words = command("router", "-c", file.toString());
+        words.add(1, "-XX:-UsePerfData");
+        List<String> limited = new ArrayList<>(List.of("sh", "-c", "ulimit -f 4; exec \"$@\"", "sh"));
+        limited.addAll(words);
+        Process process = new ProcessBuilder(limited).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+        try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            String line = out.readLine();
+            String door = "http://127.0.0.1:" + line.replaceAll(".*\"admin\":([0-9]+).*", "$1") + "/releases";
+            HttpClient client = HttpClient.newHttpClient();
+            int taken = 0;
+            HttpResponse<String> answer;
+            do {
+                answer = client.send(HttpRequest.newBuilder(URI.create(door)).POST(HttpRequest.BodyPublishers.ofString(
+                        ORDER.formatted(taken + 1))).build(), HttpResponse.BodyHandlers.ofString());
+            } while (answer.statusCode() == 200 && ++taken < 100);
+            assertEquals(409, answer.statusCode(), answer.body());
+            assertTrue(taken > 2 && answer.body().contains("the journal can't be written"), taken + " " + answer.body());
+            String status = client.send(HttpRequest.newBuilder(URI.create(door)).build(), HttpResponse.BodyHandlers.ofString())
+                    .body();
+            assertTrue(status.contains("epoch " + taken + ", paused"), status);
+        } finally {
+            process.destroy();
+            assertEquals(0, process.waitFor());
+        }
+    }
+
     private static List<String> command(String... words) {
         List<String> command = new ArrayList<>(Program.command());
         command.addAll(List.of(words));
--- a/decisions/src/main/java/pearladder/release/ReleaseAction.java
+++ b/decisions/src/main/java/pearladder/release/ReleaseAction.java
@@ -16,6 +16,9 @@
     /** The order can be followed: it goes into the journal, then back as kept, and only then is the operator told so. */
     record Keep(Target target) implements ReleaseAction { }
 
+    /** This router has come so far: it goes into the journal as well, and nobody waits for that. */
+    record Note(Reached reached) implements ReleaseAction { }
+
     /** The order is refused: another one came first, or its plan can't be followed. */
     record Refuse(Target target, String why) implements ReleaseAction { }
 
--- a/decisions/src/main/java/pearladder/release/ReleaseEvent.java
+++ b/decisions/src/main/java/pearladder/release/ReleaseEvent.java
@@ -10,8 +10,11 @@
     /** An order that was to be kept stands in the journal, safe from a crash. */
     record Kept(Target target) implements ReleaseEvent { }
 
+    /** Another router told of a target. It is followed where it is newer, and passed over where it is not. */
+    record Heard(Target target) implements ReleaseEvent { }
+
     /** What the journal held, at the start and before the first call. */
-    record Restored(List<Target> targets) implements ReleaseEvent { }
+    record Restored(List<Target> targets, List<Reached> reached) implements ReleaseEvent { }
 
     /**
      * A call came that names no version.
--- a/decisions/src/main/java/pearladder/release/Releases.java
+++ b/decisions/src/main/java/pearladder/release/Releases.java
@@ -84,8 +84,10 @@
             ordered(ordered.target());
         } else if (event instanceof ReleaseEvent.Kept kept) {
             kept(kept.target());
+        } else if (event instanceof ReleaseEvent.Heard heard) {
+            heard(heard.target());
         } else if (event instanceof ReleaseEvent.Restored restored) {
-            restored.targets().forEach(this::restore);
+            restore(restored);
         } else if (event instanceof ReleaseEvent.Standing standing) {
             Release release = releases.get(standing.model());
             if (release != null && release.target.plan().to().equals(standing.version())) {
@@ -171,6 +173,7 @@
 
     private void breach(Release release) {
         release.broken = true;
+        note(release);
         Plan plan = release.target.plan();
         boolean back = plan.onBreach() == Plan.Breach.ROLL_BACK;
         todo.add(new ReleaseAction.Log(String.format("%s %s at %s: %s", back ? "rolled back" : "paused", plan.model(),
@@ -193,13 +196,22 @@
             refuse(target, release);
             return;
         }
+        String fault = fault(target);
+        todo.add(fault == null ? new ReleaseAction.Keep(target) : new ReleaseAction.Refuse(target, fault));
+    }
+
+    private static String fault(Target target) {
         List<Plan.Fault> faults = target.plan().faults();
-        if (!faults.isEmpty() || target.step() < 0 || target.step() >= target.plan().steps().size()) {
-            todo.add(new ReleaseAction.Refuse(target, faults.isEmpty() ? "there is no step " + target.step()
-                    : faults.get(0).key() + ": " + faults.get(0).what() + "; " + faults.get(0).mend()));
-            return;
+        return !faults.isEmpty() ? faults.get(0).key() + ": " + faults.get(0).what() + "; " + faults.get(0).mend()
+                : target.step() < 0 || target.step() >= target.plan().steps().size() ? "there is no step " + target.step()
+                : null;
+    }
+
+    private void heard(Target target) {
+        Release release = releases.get(target.plan().model());
+        if ((release == null || target.epoch() > release.target.epoch()) && fault(target) == null) {
+            todo.add(new ReleaseAction.Keep(target));
         }
-        todo.add(new ReleaseAction.Keep(target));
     }
 
     private void refuse(Target target, Release release) {
@@ -217,26 +229,50 @@
         }
     }
 
-    /** What the journal tells holds without being kept again; of two of a model the higher epoch. */
-    private void restore(Target target) {
-        Release release = releases.get(target.plan().model());
-        if (release == null || target.epoch() > release.target.epoch()) {
-            follow(target);
+    /**
+     * What the journal tells holds without being kept again; of two of a model the higher epoch. A step that was reached
+     * is stood at again at once, since keys never move back, and a version that was found worse stays taken back.
+     */
+    private void restore(ReleaseEvent.Restored restored) {
+        Map<String, Target> newest = new LinkedHashMap<>();
+        restored.targets().forEach(target -> newest.merge(target.plan().model(), target,
+                (a, b) -> b.epoch() > a.epoch() ? b : a));
+        Map<String, Reached> furthest = new LinkedHashMap<>();
+        restored.reached().forEach(reached -> furthest.merge(reached.model(), reached, Releases::further));
+        for (Target target : newest.values()) {
+            Release release = releases.get(target.plan().model());
+            if (release != null && target.epoch() <= release.target.epoch()) {
+                continue;
+            }
+            Reached reached = furthest.get(target.plan().model());
+            boolean known = reached != null && reached.epoch() == target.epoch() && target.mode() != Mode.ROLLED_BACK;
+            follow(target, known ? Math.max(-1, Math.min(reached.step(), target.plan().steps().size() - 1)) : -1,
+                    known && reached.broken());
         }
     }
 
+    private static Reached further(Reached a, Reached b) {
+        return a.epoch() != b.epoch() ? a.epoch() > b.epoch() ? a : b
+                : new Reached(a.model(), a.epoch(), Math.max(a.step(), b.step()), a.broken() || b.broken());
+    }
+
     private void follow(Target target) {
+        follow(target, -1, false);
+    }
+
+    private void follow(Target target, int reached, boolean broken) {
         Plan plan = target.plan();
         Release before = releases.get(plan.model());
         Release release = before != null && before.target.plan().equals(plan) ? before : new Release();
         boolean fresh = release != before;
         release.target = target;
-        release.broken = false;
+        release.broken = broken;
         release.doubt = fresh ? new Doubt(plan.gate()) : release.doubt.anew();
         // the first step too waits until copies stand; a step that was reached is never gone back on but by a rollback
-        release.step = fresh ? -1 : Math.max(release.step, -1);
+        release.step = fresh ? reached : Math.max(release.step, reached);
         release.since = now;
         release.prepared = false;
+        release.warm |= release.step >= 0;
         releases.put(plan.model(), release);
         if (target.mode() == Mode.ROLLED_BACK) {
             release.step = -1;
@@ -244,11 +280,19 @@
         }
         todo.add(new ReleaseAction.Log(String.format("release of %s at %s: epoch %d, %s, by %s", plan.model(), name(plan.to()),
                 target.epoch(), target.mode().name().toLowerCase(java.util.Locale.ROOT), target.by())));
+        if (target.mode() != Mode.ROLLED_BACK && release.step >= 0 && reached < 0) {
+            note(release);
+        }
         if (target.mode() == Mode.RUNNING) {
             advance(release);
         }
     }
 
+    private void note(Release release) {
+        todo.add(new ReleaseAction.Note(new Reached(release.target.plan().model(), release.target.epoch(), release.step,
+                release.broken)));
+    }
+
     // ---- steps
 
     private void beat() {
@@ -287,6 +331,7 @@
             release.step++;
             release.since = now;
             release.prepared = false;
+            note(release);
             todo.add(new ReleaseAction.Log(String.format("%s at %s: share %.2f, copies for %.2f, %s", plan.model(),
                     name(plan.to()), release.share(), release.standing, release.doubt.figures())));
             release.doubt = release.doubt.anew();
--- a/decisions/src/test/java/pearladder/release/ReleasesTest.java
+++ b/decisions/src/test/java/pearladder/release/ReleasesTest.java
@@ -273,6 +273,48 @@
         return doubt.foundWorse();
     }
 
+    /** Found when routers were killed amid a release: one that came back gave every key back to the old version. */
+    @Test
+    void aRestartGoesOnAtTheStepThatWasReachedAndABreachOutlivesIt() {
+        Releases before = new Releases(Span.seconds(8));
+        List<Reached> notes = new ArrayList<>();
+        collect(order(before, now, target(1, PLAN, Mode.RUNNING, 1)), notes);
+        collect(before.on(now, new ReleaseEvent.Standing("pair", "2", 0.3)), notes);
+        collect(before.on(now, new ReleaseEvent.Due()), notes);
+        assertEquals(new Reached("pair", 1, 1, false), notes.get(notes.size() - 1));
+        Collections.shuffle(notes, new Random(2));
+        releases.on(now, new ReleaseEvent.Restored(List.of(target(1, PLAN, Mode.RUNNING, 1)), notes));
+        Set<String> keys = onNew();
+        assertTrue(keys.size() > 430 && keys.size() < 570, "a quarter of 2000 at once: " + keys.size());
+        collect(order(2, Mode.PAUSED, 1), notes);
+        assertEquals(new Reached("pair", 2, 1, false), notes.get(notes.size() - 1), "the new epoch stands where the old one did");
+
+        Releases broken = new Releases(Span.seconds(8));
+        broken.on(now, new ReleaseEvent.Restored(List.of(target(1, PLAN, Mode.RUNNING, 0)),
+                List.of(new Reached("pair", 1, 1, true), new Reached("pair", 1, 0, false))));
+        assertTrue(broken.status().get(0).contains("broken, share 0.00"), broken.status().toString());
+        Releases ordered = new Releases(Span.seconds(8));
+        ordered.on(now, new ReleaseEvent.Restored(List.of(target(2, PLAN, Mode.ROLLED_BACK, 0), target(1, PLAN, Mode.RUNNING, 0)),
+                List.of(new Reached("pair", 1, 2, false))));
+        assertTrue(ordered.status().get(0).contains("rolled_back, share 0.00"), "what an older epoch reached says nothing");
+    }
+
+    private static void collect(List<ReleaseAction> actions, List<Reached> notes) {
+        only(actions, ReleaseAction.Note.class).forEach(note -> notes.add(note.reached()));
+    }
+
+    @Test
+    void whatAnotherRouterTellsIsFollowedOnlyWhereItIsNewerAndWhole() {
+        order(2, Mode.PAUSED, 0);
+        assertEquals(List.of(), on(new ReleaseEvent.Heard(target(1, PLAN, Mode.RUNNING, 0))));
+        assertEquals(List.of(), on(new ReleaseEvent.Heard(target(2, PLAN, Mode.RUNNING, 0))));
+        assertEquals(List.of(), on(new ReleaseEvent.Heard(target(9, PLAN, Mode.RUNNING, 7))), "no such step");
+        Target newer = target(3, PLAN, Mode.ROLLED_BACK, 0);
+        assertEquals(List.of(new ReleaseAction.Keep(newer)), on(new ReleaseEvent.Heard(newer)));
+        on(new ReleaseEvent.Kept(newer));
+        assertEquals(List.of(newer), releases.targets());
+    }
+
     /** Whatever is lost, doubled, out of order or restarted: the newest order holds at every router in the end. */
     @Test
     void everyRouterEndsInTheNewestState() {
@@ -299,7 +341,7 @@
                         one = new Releases(Span.seconds(8));
                         List<Target> read = new ArrayList<>(journal);
                         Collections.shuffle(read, new Random(seed));
-                        one.on(now, new ReleaseEvent.Restored(read));
+                        one.on(now, new ReleaseEvent.Restored(read, List.of()));
                     }
                 }
                 assertEquals(List.of(newest), one.targets(), "seed " + seed);
--- a/lab/src/main/java/pearladder/lab/Day.java
+++ b/lab/src/main/java/pearladder/lab/Day.java
@@ -1,6 +1,7 @@
 package pearladder.lab;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import io.vertx.core.Vertx;
@@ -25,6 +26,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import pearladder.emulator.ModelKind;
 import pearladder.emulator.Seen;
 import pearladder.emulator.Tape;
 
@@ -131,6 +133,18 @@
             startRouter(name);
             front.add(name, halls.get(name), ports.get(name));
         }
+        for (String name : ports.keySet()) {
+            // a router that is started again learns from all the others what was ordered meanwhile
+            Path file = out.resolve(name + ".yaml");
+            ObjectNode kept = (ObjectNode) new YAMLMapper().readTree(file.toFile());
+            ArrayNode from = kept.withObject("/releases").putArray("learn_from");
+            doors.forEach((other, door) -> {
+                if (!other.equals(name)) {
+                    from.add("127.0.0.1:" + door);
+                }
+            });
+            new YAMLMapper().writeValue(file.toFile(), kept);
+        }
         String address = "http://127.0.0.1:" + ports.get("r1");
         progress.println("running: " + plan.fleet().engines().size() + " engines, " + plan.routers()
                 + " routers; while it runs, try");
@@ -182,10 +196,11 @@
         String line = processes.start(name, words.toArray(String[]::new));
         int port = Processes.number(line, "port");
         doors.put(name, Processes.number(line, "admin"));
-        if (ports.put(name, port) == 0) {
+        boolean first = ports.put(name, port) == 0;
+        if (first) {
             Path file = out.resolve(name + ".yaml");
             ObjectNode kept = (ObjectNode) new YAMLMapper().readTree(file.toFile());
-            kept.withObject("/router").put("listen", "127.0.0.1:" + port);
+            kept.withObject("/router").put("listen", "127.0.0.1:" + port).put("admin", "127.0.0.1:" + doors.get(name));
             new YAMLMapper().writeValue(file.toFile(), kept);
         }
         for (int i = 0; i < 500; i++) {
@@ -339,7 +354,6 @@
             starters.execute(() -> {
                 try {
                     Day.this.startRouter(router);
-                    faults.addAll(releases.again(router, doors.get(router)));
                     front.back(router);
                 } catch (IOException failed) {
                     faults.add(failed.getMessage());
@@ -361,6 +375,22 @@
         }
     }
 
+    /** Loads that ended and what they fetched from the shelf; images that stay on an engine's disk are counted as fetched. */
+    private String fetched(List<Seen> all) {
+        long loads = 0;
+        long failed = 0;
+        double gigabytes = 0;
+        for (Seen seen : all) {
+            if (seen.what().equals(Seen.LOADED) && seen.at() >= begun) {
+                ModelKind kind = plan.fleet().modelOf(seen.model());
+                loads++;
+                failed += seen.note().isEmpty() ? 0 : 1;
+                gigabytes += kind == null || seen.note().equals("no image") ? 0 : kind.memoryMb() / 1e3;
+            }
+        }
+        return String.format(Locale.ROOT, "%d loads, %d of them failed; %.1f GB fetched from the shelf", loads, failed, gigabytes);
+    }
+
     private Outcome judge() throws IOException {
         List<Seen> all = new ArrayList<>();
         for (String name : List.of("engines.tape", "clients.tape")) {
@@ -373,6 +403,7 @@
         RulesChecker.Verdict verdict = new RulesChecker(plan.rules(), plan.slack(), places).check(all);
         List<String> lines = new ArrayList<>(books.table());
         lines.addAll(VersionShares.lines(all, begun, plan.releases()));
+        lines.add(fetched(all));
         lines.add("");
         lines.add(String.format(Locale.ROOT, "%d calls in %d tries over %.0f s; the generator was late by %.1f ms at p99, "
                 + "%.1f ms at most", books.calls(), books.tries(), took,
--- a/lab/src/main/java/pearladder/lab/DayPlan.java
+++ b/lab/src/main/java/pearladder/lab/DayPlan.java
@@ -88,7 +88,8 @@
                         clients.at("patience").number(0.5, 0.05, 1), clients.at("front_lag").span("2 s"),
                         clients.at("leaving").number(0, 0, 1),
                         clients.at("lanes").whole(1, 1, 16)),
-                flows, troubles, file.at("releases").each(ReleaseScript::read), rules, fleet);
+                flows, troubles, file.at("releases").each(ReleaseScript::read).stream()
+                .flatMap(List::stream).toList(), rules, fleet);
         // what the routers' part says beside the rules is checked by the routers themselves
         file.done(java.util.Set.of("day", "clients", "traffic", "troubles", "releases", "fleet"));
         return plan;
--- a/lab/src/main/java/pearladder/lab/ReleaseScript.java
+++ b/lab/src/main/java/pearladder/lab/ReleaseScript.java
@@ -1,9 +1,8 @@
 package pearladder.lab;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -13,6 +12,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import pearladder.yaml.Value;
 
 /** The operators of a day: orders on releases, given at their moments to every router over its admin door. */
@@ -44,7 +45,18 @@
         this.client = client;
     }
 
-    static Order read(Value order) {
+    /** The orders of one line: one, or as many as it says, each so long after the one before. */
+    static List<Order> read(Value line) {
+        Order first = one(line);
+        List<Order> orders = new ArrayList<>();
+        long every = line.at("every").span("0 s");
+        for (int i = 0; i < line.at("times").whole(1, 1, 1000); i++) {
+            orders.add(new Order(first.at() + i * every, first.what(), first.prefix(), first.count(), first.plan()));
+        }
+        return orders;
+    }
+
+    private static Order one(Value order) {
         What what = order.at("order").word(What.class, null);
         ObjectNode plan = null;
         if (what == What.START) {
@@ -59,50 +71,46 @@
         return new Order(order.at("at").span(), what, order.at("models").text(), order.at("count").whole(1, 1, 10_000), plan);
     }
 
-    /** Gives an order to every router; a line for each that did not take it. */
+    /** Gives an order to every router, all at once; a line for each that did not take it. */
     List<String> give(Order order, Map<String, Integer> doors) {
+        ArrayNode targets = JSON.createArrayNode();
+        order.models().forEach(model -> targets.add(next(order, model)));
+        Map<String, CompletableFuture<HttpResponse<String>>> answers = new LinkedHashMap<>();
+        doors.forEach((router, door) -> answers.put(router, client.sendAsync(HttpRequest.newBuilder(
+                URI.create("http://127.0.0.1:" + door + "/releases")).timeout(Duration.ofSeconds(5))
+                .POST(HttpRequest.BodyPublishers.ofString(targets.toString())).build(), HttpResponse.BodyHandlers.ofString())));
         List<String> refused = new ArrayList<>();
-        for (String model : order.models()) {
-            ObjectNode before = newest.get(model);
-            ObjectNode target = before == null ? JSON.createObjectNode() : before.deepCopy();
-            target.put("epoch", before == null ? 1 : before.path("epoch").asLong() + 1).put("by", "day")
-                    .put("wallMillis", System.currentTimeMillis());
-            switch (order.what()) {
-                case START -> {
-                    target.put("mode", "RUNNING").put("step", 0);
-                    ((ObjectNode) target.putObject("plan").setAll(order.plan())).put("model", model);
+        answers.forEach((router, answer) -> {
+            try {
+                if (answer.get().statusCode() != 200) {
+                    refused.add(router + ": " + answer.get().body());
                 }
-                case STEP -> target.put("mode", "RUNNING").put("step", Math.min(target.path("step").asInt() + 1,
-                        target.path("plan").path("steps").size() - 1));
-                case PAUSE -> target.put("mode", "PAUSED");
-                case RESUME -> target.put("mode", "RUNNING");
-                case ROLLBACK -> target.put("mode", "ROLLED_BACK").put("step", 0);
+            } catch (ExecutionException away) {
+                refused.add(router + ": no answer");
+            } catch (InterruptedException stopped) {
+                Thread.currentThread().interrupt();
             }
-            newest.put(model, target);
-            doors.forEach((router, door) -> post(router, door, target, refused));
-        }
-        return refused;
-    }
-
-    /** A router that was away gets the newest order on each model when it is back. */
-    List<String> again(String router, int door) {
-        List<String> refused = new ArrayList<>();
-        newest.values().forEach(target -> post(router, door, target, refused));
+        });
         return refused;
     }
 
-    private void post(String router, int door, JsonNode target, List<String> refused) {
-        try {
-            HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + door + "/releases"))
-                    .timeout(Duration.ofSeconds(5)).POST(HttpRequest.BodyPublishers.ofString(target.toString())).build(),
-                    HttpResponse.BodyHandlers.ofString());
-            if (answer.statusCode() != 200) {
-                refused.add(router + ": " + answer.body());
+    private ObjectNode next(Order order, String model) {
+        ObjectNode before = newest.get(model);
+        ObjectNode target = before == null ? JSON.createObjectNode() : before.deepCopy();
+        target.put("epoch", before == null ? 1 : before.path("epoch").asLong() + 1).put("by", "day")
+                .put("wallMillis", System.currentTimeMillis());
+        switch (order.what()) {
+            case START -> {
+                target.put("mode", "RUNNING").put("step", 0);
+                ((ObjectNode) target.putObject("plan").setAll(order.plan())).put("model", model);
             }
-        } catch (IOException away) {
-            refused.add(router + ": no answer");
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
+            case STEP -> target.put("mode", "RUNNING").put("step", Math.min(target.path("step").asInt() + 1,
+                    target.path("plan").path("steps").size() - 1));
+            case PAUSE -> target.put("mode", "PAUSED");
+            case RESUME -> target.put("mode", "RUNNING");
+            case ROLLBACK -> target.put("mode", "ROLLED_BACK").put("step", 0);
         }
+        newest.put(model, target);
+        return target;
     }
 }
--- a/router/src/main/java/pearladder/router/AdminDoor.java
+++ b/router/src/main/java/pearladder/router/AdminDoor.java
@@ -1,6 +1,7 @@
 package pearladder.router;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -11,21 +12,27 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
 import pearladder.kserve.Bodies;
 import pearladder.release.Target;
 
-/** The operators' own door, on an address of its own: GET and POST /releases, GET /releases/history. */
+/**
+ * The operators' own door, on an address of its own: GET and POST /releases, GET /releases/history, and for other routers
+ * GET /releases/newest.
+ */
 final class AdminDoor {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final int LARGEST = 64 << 10;
+    private static final int LARGEST = 4 << 20;
+
+    private static final List<String> PATHS = List.of("/releases", "/releases/history", "/releases/newest");
 
     private final ReleaseDesk desk;
-    private final String router;
+    private final Articles articles;
     private final HttpServer server;
 
     AdminDoor(Vertx vertx, Articles articles, ReleaseDesk desk) {
         this.desk = desk;
-        this.router = articles.name();
+        this.articles = articles;
         this.server = vertx.createHttpServer(new HttpServerOptions().setHost(articles.admin().host())
                 .setPort(articles.admin().port())).requestHandler(this::take);
     }
@@ -35,20 +42,35 @@
     }
 
     private void take(HttpServerRequest request) {
-        boolean known = request.path().equals("/releases") || request.path().equals("/releases/history");
-        if (!known) {
-            end(request, 404, Bodies.error("no such path; there are /releases and /releases/history"));
+        if (!PATHS.contains(request.path())) {
+            end(request, 404, Bodies.error("no such path; there are " + String.join(", ", PATHS)));
         } else if (request.method().equals(HttpMethod.GET)) {
-            end(request, 200, request.path().endsWith("history") ? history() : status());
-        } else if (request.method().equals(HttpMethod.POST) && !request.path().endsWith("history")) {
+            end(request, 200, switch (request.path()) {
+                case "/releases/history" -> history();
+                case "/releases/newest" -> newest(request.getParam("sum"));
+                default -> status();
+            });
+        } else if (request.method().equals(HttpMethod.POST) && request.path().equals("/releases")) {
             request.body().onSuccess(body -> order(request, body));
         } else {
-            end(request, 405, Bodies.error("this path takes GET" + (request.path().endsWith("history") ? "" : " or POST")));
+            end(request, 405, Bodies.error("this path takes GET" + (request.path().equals("/releases") ? " or POST" : "")));
+        }
+    }
+
+    /** The newest target of each model, or none where the asker has the same. */
+    private String newest(String sum) {
+        ObjectNode all = JSON.createObjectNode().put("router", articles.name()).put("sum", desk.sum());
+        ArrayNode targets = all.putArray("targets");
+        if (!desk.sum().equals(sum)) {
+            desk.targets().forEach(target -> targets.add(JSON.valueToTree(target)));
         }
+        return all.toString();
     }
 
     private String status() {
-        ObjectNode all = JSON.createObjectNode().put("router", router);
+        ObjectNode all = JSON.createObjectNode().put("router", articles.name());
+        ArrayNode others = all.putArray("others");
+        articles.others().forEach(other -> others.add(other.host() + ":" + other.port()));
         ArrayNode targets = all.putArray("targets");
         desk.targets().forEach(target -> targets.add(JSON.valueToTree(target)));
         ArrayNode lines = all.putArray("status");
@@ -63,24 +85,35 @@
     }
 
     private void order(HttpServerRequest request, Buffer body) {
-        Target target;
+        List<Target> targets;
         try {
-            target = body.length() > LARGEST ? null : JSON.readValue(body.getBytes(), Target.class);
+            targets = body.length() > LARGEST ? List.of() : JSON.readerForListOf(Target.class)
+                    .with(DeserializationFeature.ACCEPT_SINGLE_VALUE_AS_ARRAY).readValue(body.getBytes());
         } catch (JsonProcessingException malformed) {
             end(request, 400, Bodies.error("not an order: " + malformed.getOriginalMessage()));
             return;
         } catch (java.io.IOException impossible) {
             throw new IllegalStateException(impossible);
         }
-        if (target == null || target.plan() == null || target.mode() == null || target.plan().model() == null
-                || target.plan().steps() == null || target.plan().gate() == null || target.plan().hold() == null
-                || target.plan().from() == null || target.plan().to() == null || target.plan().onBreach() == null) {
-            end(request, 400, Bodies.error("not an order: a plan with model, from, to, steps, hold, gate and onBreach, a mode, "
+        if (targets.isEmpty() || !targets.stream().allMatch(AdminDoor::whole)) {
+            end(request, 400, Bodies.error("neither an order nor a list of them (" + (LARGEST >> 20) + " MB at the most): a plan with model, from, to, steps, hold, gate and onBreach, a mode, "
                     + "a step, an epoch and who orders it were expected"));
             return;
         }
-        desk.order(target).onSuccess(refusal -> end(request, refusal == null ? 200 : 409,
-                refusal == null ? status() : Bodies.error(refusal)));
+        desk.order(targets).onSuccess(refusals -> {
+            ObjectNode told = JSON.createObjectNode();
+            ArrayNode all = told.putArray("refused");
+            refusals.forEach(all::add);
+            refusals.stream().filter(refusal -> !refusal.isEmpty()).findFirst().ifPresent(first -> told.put("error", first));
+            end(request, told.has("error") ? 409 : 200, told.toString());
+        });
+    }
+
+    /** Whether an order that came from outside has all its parts. */
+    static boolean whole(Target target) {
+        return target != null && target.plan() != null && target.mode() != null && target.plan().model() != null
+                && target.plan().steps() != null && target.plan().gate() != null && target.plan().hold() != null
+                && target.plan().from() != null && target.plan().to() != null && target.plan().onBreach() != null;
     }
 
     private static void end(HttpServerRequest request, int status, String body) {
--- a/router/src/main/java/pearladder/router/Articles.java
+++ b/router/src/main/java/pearladder/router/Articles.java
@@ -14,11 +14,13 @@
  * @param port to listen on; 0 lets the system give one
  * @param data folder for the last list and the orders on releases
  * @param admin where operators' orders come in, or null for nowhere
+ * @param others the admin doors of the other routers, from which the newest orders are learnt; none for an operator alone
  * @param facts what the module is told
  */
-public record Articles(String name, String host, int port, Path data, Address admin, ListService list, Facts facts,
-        List<ModelTerms> models, Limits limits, Connections connections, Span stopWithin) {
-    /** An address of this router's own; port 0 lets the system give one. */
+public record Articles(String name, String host, int port, Path data, Address admin,
+        List<Address> others, ListService list, Facts facts, List<ModelTerms> models, Limits limits,
+        Connections connections, Span stopWithin) {
+    /** An address; port 0, for one of this router's own, lets the system give one. */
     public record Address(String host, int port) { }
 
     /** Where the list of engines comes from; silence for longer than the span means that it is broken. */
--- a/router/src/main/java/pearladder/router/ArticlesReader.java
+++ b/router/src/main/java/pearladder/router/ArticlesReader.java
@@ -49,6 +49,10 @@
         Articles articles = new Articles(name, listen[0], Integer.parseInt(listen[1]),
                 Path.of(router.at("data").text("data/" + name)),
                 admin == null ? null : new Articles.Address(admin[0], Integer.parseInt(admin[1])),
+                file.at("releases").at("learn_from").each(other -> {
+                    String[] door = address(other, false);
+                    return new Articles.Address(door[0], Integer.parseInt(door[1]));
+                }),
                 new Articles.ListService(at[0], Integer.parseInt(at[1]), span(list.at("silence"), "3 s")), facts,
                 models, new Articles.Limits(limits.at("payload").bytes("16 MB"), limits.at("answer").bytes("64 MB"),
                         limits.at("open_calls").whole(20_000, 1, 10_000_000), span(limits.at("body_within"), "10 s"),
--- /dev/null
+++ b/router/src/main/java/pearladder/router/Learning.java
@@ -0,0 +1,127 @@
+package pearladder.router;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import pearladder.release.Target;
+
+/**
+ * Learns the newest orders on releases from the other routers: from all of them before this one is ready, then from one
+ * after the other. Guards against a router that was away, or cut off, while an order was given. Which order holds is the
+ * release module's to say; the answer to a question whose sum is the same is empty, so that asking costs little.
+ */
+final class Learning {
+    private static final Logger LOG = LoggerFactory.getLogger("pearladder.releases");
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long EVERY_MILLIS = 1000;
+    private static final long WITHIN_MILLIS = 1000;
+    private static final int LARGEST = 16 << 20;
+
+    private final Vertx vertx;
+    private final ReleaseDesk desk;
+    private final List<Articles.Address> others;
+    private final HttpClient client;
+    private final Map<Articles.Address, Boolean> answering = new HashMap<>();
+    private int turn;
+    private boolean learnt;
+    private boolean closed;
+
+    Learning(Vertx vertx, ReleaseDesk desk, List<Articles.Address> others) {
+        this.vertx = vertx;
+        this.desk = desk;
+        this.others = others;
+        this.client = others.isEmpty() ? null : vertx.createHttpClient(new HttpClientOptions()
+                .setConnectTimeout((int) WITHIN_MILLIS), new PoolOptions().setHttp1MaxSize(1));
+    }
+
+    /** Asks everybody; then one a second, in turn. */
+    void begin() {
+        List<Future<Void>> all = new ArrayList<>();
+        others.forEach(other -> all.add(ask(other)));
+        Future.join(all).onComplete(asked -> desk.settled().onComplete(kept -> {
+            learnt = true;
+            next();
+        }));
+    }
+
+    /** Whether everybody was asked once, and what they told is in force. */
+    boolean learnt() {
+        return learnt;
+    }
+
+    private void next() {
+        if (!closed && !others.isEmpty()) {
+            vertx.setTimer(EVERY_MILLIS, fired -> ask(others.get(turn++ % others.size())).onComplete(asked -> next()));
+        }
+    }
+
+    private Future<Void> ask(Articles.Address other) {
+        return client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(other.host()).setPort(other.port())
+                .setURI("/releases/newest?sum=" + desk.sum()))
+                .compose(request -> request.send().compose(HttpClientResponse::body)
+                        .onFailure(broken -> request.reset()))
+                .timeout(WITHIN_MILLIS, TimeUnit.MILLISECONDS)
+                .<Void>map(body -> {
+                    heard(other, body);
+                    return null;
+                })
+                .otherwise(away -> {
+                    stands(other, false, away.getMessage());
+                    return null;
+                });
+    }
+
+    private void heard(Articles.Address other, Buffer body) {
+        if (closed) {
+            return;
+        }
+        try {
+            JsonNode said = body.length() > LARGEST ? null : JSON.readTree(body.getBytes());
+            if (said == null || !said.has("targets")) {
+                stands(other, false, "its answer is none of a router");
+                return;
+            }
+            stands(other, true, "");
+            for (JsonNode target : said.path("targets")) {
+                Target told = JSON.treeToValue(target, Target.class);
+                if (AdminDoor.whole(told)) {
+                    desk.heard(told);
+                }
+            }
+        } catch (IOException foreign) {
+            stands(other, false, "its answer can't be read");
+        }
+    }
+
+    /** One line when a router goes, and one when it is back. */
+    private void stands(Articles.Address other, boolean answers, String why) {
+        Boolean before = answering.put(other, answers);
+        if (before == null ? !answers : before != answers) {
+            LOG.atInfo().addKeyValue("router", other.host() + ":" + other.port()).addKeyValue("cause", why)
+                    .log(answers ? "orders are learnt from it again" : "no orders can be learnt from it");
+        }
+    }
+
+    void close() {
+        closed = true;
+        if (client != null) {
+            client.close();
+        }
+    }
+}
--- a/router/src/main/java/pearladder/router/Operator.java
+++ b/router/src/main/java/pearladder/router/Operator.java
@@ -13,6 +13,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.function.UnaryOperator;
 import pearladder.release.Plan;
 import pearladder.release.Target;
@@ -38,6 +40,23 @@
         this.by = by;
     }
 
+    /** The same for these routers and all whom they learn from. */
+    public Operator andOthers() {
+        List<String> all = new ArrayList<>(doors);
+        for (String door : doors) {
+            try {
+                get(door, "/releases").path("others").forEach(other -> {
+                    if (!all.contains(other.asText())) {
+                        all.add(other.asText());
+                    }
+                });
+            } catch (IOException away) {
+                continue;
+            }
+        }
+        return new Operator(all, by);
+    }
+
     /** How every release stands at each router. */
     public List<String> status() {
         return each("/releases", (door, body) -> {
@@ -141,29 +160,48 @@
         return newest;
     }
 
+    /** All orders to all routers at once: a router that is away holds nobody up. */
     private Told give(List<Target> orders) {
+        if (orders.isEmpty()) {
+            return new Told(0, 0, List.of());
+        }
+        Map<String, CompletableFuture<HttpResponse<String>>> answers = new LinkedHashMap<>();
+        for (String door : doors) {
+            answers.put(door, client.sendAsync(HttpRequest.newBuilder(URI.create("http://" + door + "/releases"))
+                    .timeout(Duration.ofSeconds(10)).POST(HttpRequest.BodyPublishers.ofString(
+                            JSON.valueToTree(orders).toString())).build(), HttpResponse.BodyHandlers.ofString()));
+        }
         List<String> lines = new ArrayList<>();
         int took = 0;
-        for (Target order : orders) {
-            for (String door : doors) {
-                String what = door + ": " + order.plan().model() + " epoch " + order.epoch() + ": ";
-                try {
-                    HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://" + door + "/releases"))
-                            .timeout(Duration.ofSeconds(10)).POST(HttpRequest.BodyPublishers.ofString(
-                                    JSON.writeValueAsString(order))).build(), HttpResponse.BodyHandlers.ofString());
-                    took += answer.statusCode() == 200 ? 1 : 0;
-                    lines.add(what + (answer.statusCode() == 200 ? order.mode().name().toLowerCase(java.util.Locale.ROOT)
-                            : "refused: " + JSON.readTree(answer.body()).path("error").asText()));
-                } catch (IOException away) {
-                    lines.add(what + "no answer; give it the order again when it is back");
-                } catch (InterruptedException stopped) {
-                    Thread.currentThread().interrupt();
-                }
+        for (Map.Entry<String, CompletableFuture<HttpResponse<String>>> answer : answers.entrySet()) {
+            List<String> refused = refused(answer.getValue());
+            for (int i = 0; i < orders.size(); i++) {
+                Target order = orders.get(i);
+                String refusal = refused == null ? null : i < refused.size() ? refused.get(i) : refused.get(0);
+                took += refusal != null && refusal.isEmpty() ? 1 : 0;
+                lines.add(answer.getKey() + ": " + order.plan().model() + " epoch " + order.epoch() + ": "
+                        + (refusal == null ? "no answer; it learns the order when it is back, or give it again"
+                        : refusal.isEmpty() ? order.mode().name().toLowerCase(java.util.Locale.ROOT) : "refused: " + refusal));
             }
         }
         return new Told(took, orders.size() * doors.size(), lines);
     }
 
+    /** Why each order was refused, empty for one that was taken; null where there was no answer. */
+    private static List<String> refused(CompletableFuture<HttpResponse<String>> answer) {
+        try {
+            JsonNode told = JSON.readTree(answer.get().body());
+            List<String> refused = new ArrayList<>();
+            told.path("refused").forEach(refusal -> refused.add(refusal.asText()));
+            return refused.isEmpty() ? List.of(told.path("error").asText("not an answer of a router")) : refused;
+        } catch (IOException | ExecutionException away) {
+            return null;
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+            return null;
+        }
+    }
+
     private JsonNode get(String door, String path) throws IOException {
         try {
             HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://" + door + path))
--- a/router/src/main/java/pearladder/router/ReleaseDesk.java
+++ b/router/src/main/java/pearladder/router/ReleaseDesk.java
@@ -4,10 +4,13 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.zip.CRC32;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pearladder.api.Event;
@@ -15,6 +18,7 @@
 import pearladder.kserve.Route;
 import pearladder.release.ReleaseAction;
 import pearladder.release.ReleaseEvent;
+import pearladder.release.Reached;
 import pearladder.release.Releases;
 import pearladder.release.Target;
 
@@ -26,9 +30,10 @@
     private final Articles articles;
     private final Releases module;
     private final Consumer<Event> toPolicy;
-    private final Map<Target, Promise<String>> waiting = new HashMap<>();
+    private final Map<Target, List<Promise<String>>> waiting = new HashMap<>();
     private final ReleaseJournal journal;
     private String chosen;
+    private List<Target> together;
     private boolean ended;
 
     /** Opens the journal and follows what it holds; before the router is ready. */
@@ -42,7 +47,19 @@
     }
 
     void begin() {
-        tell(new ReleaseEvent.Restored(journal.orders()));
+        tell(new ReleaseEvent.Restored(journal.orders(), journal.reached()));
+    }
+
+    /** Another router's newest target of a model. */
+    void heard(Target target) {
+        if (articles.modelOf(target.plan().model()) != null) {
+            tell(new ReleaseEvent.Heard(target));
+        }
+    }
+
+    /** Done once every order that was handed to the journal up to now is on disk and followed. */
+    Future<Void> settled() {
+        return vertx.executeBlocking(() -> null);
     }
 
     void end() {
@@ -77,16 +94,30 @@
         }
     }
 
-    /** An operator's order: the future brings null once it is kept and followed, or why it is not. */
-    Future<String> order(Target target) {
-        if (articles.modelOf(target.plan().model()) == null) {
-            return Future.succeededFuture("plan.model: unknown model " + target.plan().model()
-                    + "; name one that this router's file knows");
+    /**
+     * An operator's orders, kept together in one go: the future brings, for each in turn, an empty text once it is kept and
+     * followed, or why it is not.
+     */
+    Future<List<String>> order(List<Target> targets) {
+        List<Future<String>> answers = new ArrayList<>();
+        together = new ArrayList<>();
+        for (Target target : targets) {
+            if (articles.modelOf(target.plan().model()) == null) {
+                answers.add(Future.succeededFuture("plan.model: unknown model " + target.plan().model()
+                        + "; name one that this router's file knows"));
+                continue;
+            }
+            Promise<String> done = Promise.promise();
+            waiting.computeIfAbsent(target, same -> new ArrayList<>()).add(done);
+            answers.add(done.future());
+            tell(new ReleaseEvent.Ordered(target));
         }
-        Promise<String> done = Promise.promise();
-        waiting.put(target, done);
-        tell(new ReleaseEvent.Ordered(target));
-        return done.future();
+        List<Target> kept = together;
+        together = null;
+        if (!kept.isEmpty()) {
+            keep(kept);
+        }
+        return Future.all(answers).map(all -> all.list());
     }
 
     List<String> status() {
@@ -97,6 +128,14 @@
         return module.targets();
     }
 
+    /** A sum over the newest targets: two routers with the same one know the same. */
+    String sum() {
+        CRC32 crc = new CRC32();
+        module.targets().stream().map(target -> target.plan().model() + " " + target.epoch() + " " + target.by() + "\n").sorted()
+                .forEach(line -> crc.update(line.getBytes(StandardCharsets.UTF_8)));
+        return Long.toHexString(crc.getValue());
+    }
+
     List<Target> history() {
         return journal.orders();
     }
@@ -115,7 +154,13 @@
         } else if (action instanceof ReleaseAction.Withdraw withdraw) {
             want(withdraw.model(), withdraw.version(), withdraw.version(), 0);
         } else if (action instanceof ReleaseAction.Keep keep) {
-            keep(keep.target());
+            if (together != null) {
+                together.add(keep.target());
+            } else {
+                keep(List.of(keep.target()));
+            }
+        } else if (action instanceof ReleaseAction.Note note) {
+            note(note.reached());
         } else if (action instanceof ReleaseAction.Refuse refuse) {
             answer(refuse.target(), refuse.why());
         } else if (action instanceof ReleaseAction.Wake wake) {
@@ -133,27 +178,35 @@
         }
     }
 
-    /** One after the other, off the event loop; a disk that can't take it leaves everything as it was. */
-    private void keep(Target target) {
+    /** One after the other, off the event loop; a disk that can't take them leaves everything as it was. */
+    private void keep(List<Target> targets) {
         vertx.<Void>executeBlocking(() -> {
-            if (!journal.orders().contains(target)) {
-                journal.append(target);
-            }
+            List<Target> there = journal.orders();
+            journal.append(targets.stream().filter(target -> !there.contains(target)).toList());
             return null;
-        }).onComplete(kept -> {
+        }).onComplete(kept -> targets.forEach(target -> {
             tell(new ReleaseEvent.Kept(target));
-            answer(target, null);
-        }, failed -> {
-            LOG.atError().addKeyValue("cause", failed.getMessage()).log("an order can't be kept and is refused");
-            answer(target, "the journal can't be written: " + failed.getMessage()
-                    + "; nothing was changed, make room or mend the disk and order again");
+            answer(target, "");
+        }), failed -> {
+            LOG.atError().addKeyValue("cause", failed.getMessage()).log("orders can't be kept and are refused");
+            targets.forEach(target -> answer(target, "the journal can't be written: " + failed.getMessage()
+                    + "; nothing was changed, make room or mend the disk and order again"));
         });
     }
 
+    /** Where the disk can't take it, the release goes on; only a restart would then begin again at a lower step. */
+    private void note(Reached reached) {
+        vertx.<Void>executeBlocking(() -> {
+            journal.append(reached);
+            return null;
+        }).onFailure(failed -> LOG.atWarn().addKeyValue("cause", failed.getMessage())
+                .log("the step that was reached can't be kept"));
+    }
+
     private void answer(Target target, String refusal) {
-        Promise<String> done = waiting.remove(target);
+        List<Promise<String>> done = waiting.remove(target);
         if (done != null) {
-            done.complete(refusal);
+            done.forEach(one -> one.complete(refusal));
         }
     }
 }
--- a/router/src/main/java/pearladder/router/ReleaseJournal.java
+++ b/router/src/main/java/pearladder/router/ReleaseJournal.java
@@ -1,5 +1,6 @@
 package pearladder.router;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
@@ -19,12 +20,14 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.zip.CRC32;
+import pearladder.release.Reached;
 import pearladder.release.Target;
 
 /**
- * Orders on releases, as they were taken: a line each, with its check sum before it, on disk before anyone is told. A tail
+ * Orders on releases, as they were taken, and how far this router came with them: a line each, with its check sum before it, on disk before anyone is told. A tail
  * that a crash left torn is cut off when it is opened; anything wrong before the tail is an error, since an order that
- * was promised would be lost with it. A long journal is made short when opened: the newest of each model, and the latest.
+ * was promised would be lost with it. A long journal is made short when opened: the newest order of each model with how far
+ * it came, and the latest orders.
  */
 final class ReleaseJournal implements Closeable {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -33,6 +36,8 @@
 
     private final Path file;
     private final List<Target> orders = new CopyOnWriteArrayList<>();
+    private final List<Reached> reached = new ArrayList<>();
+    private int lines;
     private FileChannel channel;
 
     private ReleaseJournal(Path file) {
@@ -45,7 +50,7 @@
         ReleaseJournal journal = new ReleaseJournal(folder.resolve("releases.journal"));
         journal.lock();
         journal.read();
-        if (journal.orders.size() > LONG) {
+        if (journal.lines > LONG) {
             journal.shorten();
         }
         return journal;
@@ -75,8 +80,7 @@
             while (end < all.length && all[end] != '\n') {
                 end++;
             }
-            Target order = end < all.length ? parse(new String(all, at, end - at, StandardCharsets.UTF_8)) : null;
-            if (order == null) {
+            if (end == all.length || !take(new String(all, at, end - at, StandardCharsets.UTF_8))) {
                 for (int i = end + 1; i < all.length; i++) {
                     if (all[i] == '\n') {
                         throw new IOException(file + ": line " + line + " is damaged and others stand behind it; look at it, "
@@ -87,24 +91,31 @@
                 channel.force(true);
                 break;
             }
-            orders.add(order);
+            lines++;
             at = end + 1;
         }
         channel.position(channel.size());
     }
 
-    private static Target parse(String line) {
+    /** An order has a plan, what was reached has none; false where the line is neither. */
+    private boolean take(String line) {
         if (line.length() < 10 || line.charAt(8) != ' ') {
-            return null;
+            return false;
         }
         String json = line.substring(9);
         if (!line.substring(0, 8).equals(sum(json.getBytes(StandardCharsets.UTF_8)))) {
-            return null;
+            return false;
         }
         try {
-            return JSON.readValue(json, Target.class);
+            JsonNode node = JSON.readTree(json);
+            if (node.has("plan")) {
+                orders.add(JSON.treeToValue(node, Target.class));
+            } else {
+                reached.add(JSON.treeToValue(node, Reached.class));
+            }
+            return true;
         } catch (IOException foreign) {
-            return null;
+            return false;
         }
     }
 
@@ -114,8 +125,8 @@
         return String.format("%08x", crc.getValue());
     }
 
-    private static byte[] line(Target order) throws IOException {
-        byte[] json = JSON.writeValueAsBytes(order);
+    private static byte[] line(Object orderOrReached) throws IOException {
+        byte[] json = JSON.writeValueAsBytes(orderOrReached);
         ByteArrayOutputStream line = new ByteArrayOutputStream();
         line.write((sum(json) + " ").getBytes(StandardCharsets.US_ASCII));
         line.write(json);
@@ -123,11 +134,25 @@
         return line.toByteArray();
     }
 
-    /** Puts an order on disk; where that fails the journal is as it was before. */
-    void append(Target order) throws IOException {
+    /** Puts orders on disk in one go; where that fails the journal is as it was before, without any of them. */
+    void append(List<Target> fresh) throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (Target order : fresh) {
+            all.write(line(order));
+        }
+        put(all.toByteArray());
+        orders.addAll(fresh);
+    }
+
+    /** The same for how far this router came. */
+    void append(Reached far) throws IOException {
+        put(line(far));
+    }
+
+    private void put(byte[] line) throws IOException {
         long before = channel.size();
         try {
-            write(channel, line(order));
+            write(channel, line);
             channel.force(true);
         } catch (IOException failed) {
             // half a line must not stand before the next one
@@ -135,7 +160,6 @@
             channel.position(before);
             throw failed;
         }
-        orders.add(order);
     }
 
     private static void write(FileChannel to, byte[] bytes) throws IOException {
@@ -150,7 +174,9 @@
         for (Target order : orders) {
             newest.merge(order.plan().model(), order, (a, b) -> b.epoch() > a.epoch() ? b : a);
         }
-        List<Target> kept = new ArrayList<>(orders.subList(orders.size() - LATEST, orders.size()));
+        List<Target> kept = new ArrayList<>(orders.subList(Math.max(0, orders.size() - LATEST), orders.size()));
+        List<Reached> far = reached.stream().filter(one -> newest.containsKey(one.model())
+                && newest.get(one.model()).epoch() == one.epoch()).distinct().toList();
         newest.values().stream().filter(order -> !kept.contains(order)).forEach(order -> kept.add(0, order));
         Path beside = file.resolveSibling("releases.new");
         try (FileChannel fresh = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
@@ -158,6 +184,9 @@
             for (Target order : kept) {
                 write(fresh, line(order));
             }
+            for (Reached one : far) {
+                write(fresh, line(one));
+            }
             fresh.force(true);
         }
         channel.close();
@@ -166,6 +195,13 @@
         channel.position(channel.size());
         orders.clear();
         orders.addAll(kept);
+        reached.clear();
+        reached.addAll(far);
+    }
+
+    /** How far this router had come when the journal was opened. */
+    List<Reached> reached() {
+        return List.copyOf(reached);
     }
 
     /** Every order that stands here, oldest first. */
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -49,6 +49,7 @@
     private final Roster roster;
     private final Pulse pulse;
     private final ReleaseDesk releases;
+    private final Learning learning;
     private final Map<String, OpenCall> calls = new HashMap<>();
     private long numbered;
     private boolean stopping;
@@ -73,6 +74,7 @@
         this.watch = new ListWatch(vertx, articles.list(), articles.name(), this);
         try {
             this.releases = new ReleaseDesk(vertx, articles, conductor::tell);
+            this.learning = new Learning(vertx, releases, articles.others());
         } catch (IOException unopened) {
             vertx.close();
             throw unopened;
@@ -133,6 +135,7 @@
     private void begin() {
         conductor.tell(roster.remembered());
         releases.begin();
+        learning.begin();
         watch.watch();
     }
 
@@ -159,6 +162,7 @@
             emptied.future().onComplete(empty -> {
                 vertx.cancelTimer(bound);
                 conductor.end();
+                learning.close();
                 releases.end();
                 watch.close();
                 // A last answer may still be on its way out of the socket; and a future of this loop says nothing
@@ -174,7 +178,7 @@
 
     @Override
     public boolean ready() {
-        return roster.known() && warm && !stopping;
+        return roster.known() && warm && learning.learnt() && !stopping;
     }
 
     @Override
--- a/router/src/test/java/pearladder/router/OperatorTest.java
+++ b/router/src/test/java/pearladder/router/OperatorTest.java
@@ -28,7 +28,7 @@
             Stand.await(second.stop().toCompletionStage().toCompletableFuture());
             Operator.Told told = both.change(List.of(), before -> new Target(0, before.plan(), Target.Mode.PAUSED, 0, "", 0));
             assertEquals(1, told.took());
-            assertTrue(told.lines().stream().anyMatch(line -> line.contains("give it the order again")), told.lines().toString());
+            assertTrue(told.lines().stream().anyMatch(line -> line.contains("no answer")), told.lines().toString());
             second = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.listPort(), Stand.RULES);
             both = new Operator(List.of(first, "127.0.0.1:" + second.adminPort()), "ben");
             assertEquals(2, both.status().stream().filter(line -> line.contains("epoch 2, paused")
--- a/router/src/test/java/pearladder/router/ReleaseTest.java
+++ b/router/src/test/java/pearladder/router/ReleaseTest.java
@@ -22,6 +22,7 @@
 import pearladder.api.Span;
 import pearladder.emulator.Seen;
 import pearladder.release.Plan;
+import pearladder.release.Reached;
 import pearladder.release.Target;
 import pearladder.release.Target.Mode;
 
@@ -135,6 +136,115 @@
         }
     }
 
+    /** A router that was away while orders were given, by operators whose clocks are an hour apart. */
+    @Test
+    void aRouterThatWasAwayLearnsTheNewestOrderFromAnotherBeforeItIsReady() throws IOException {
+        try (Stand stand = new Stand(Stand.FLEET.formatted(2), RULES)) {
+            long hour = 3_600_000;
+            Target first = target(1, "pair-a", Mode.RUNNING, 1);
+            Target second = target(2, "pair-a", Mode.ROLLED_BACK, 0);
+            order(stand, new Target(1, first.plan(), first.mode(), 1, "ann", 5 * hour));
+            String rules = RULES + "releases: {learn_from: [\"127.0.0.1:" + stand.router.adminPort() + "\"]}\n";
+            String list = "127.0.0.1:" + stand.fleet.listPort();
+            Router away = stand.startRouter("r2", list, rules);
+            Stand.until("it learns", () -> newest(stand, away).contains("\"epoch\":1"));
+            Stand.await(away.stop().toCompletionStage().toCompletableFuture());
+            assertEquals(200, order(stand, new Target(2, second.plan(), second.mode(), 0, "ben", 4 * hour)).statusCode(),
+                    "the epoch counts, whatever the clocks say");
+            Router back = stand.startRouter("r2", list, rules);
+            try {
+                while (Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + back.port()
+                        + "/v2/health/ready")).build(), HttpResponse.BodyHandlers.discarding())).statusCode() != 200) {
+                    Thread.onSpinWait();
+                }
+                assertTrue(newest(stand, back).contains("\"epoch\":2"), "it was ready with an old order");
+                order(stand, target(3, "pair-a", Mode.PAUSED, 0));
+                Stand.until("it learns later ones too", () -> newest(stand, back).contains("\"epoch\":3"));
+            } finally {
+                Stand.await(back.stop().toCompletionStage().toCompletableFuture());
+            }
+            String sum = newest(stand, stand.router).replaceAll(".*\"sum\":\"([0-9a-f]+)\".*", "$1");
+            assertTrue(Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(admin(stand, "/releases/newest?sum=" + sum))
+                    .build(), HttpResponse.BodyHandlers.ofString())).body().endsWith("\"targets\":[]}"), "the same is not told twice");
+        }
+    }
+
+    private static String newest(Stand stand, Router router) {
+        return Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + router.adminPort()
+                + "/releases/newest")).build(), HttpResponse.BodyHandlers.ofString())).body();
+    }
+
+    /** Killed after the journal had the order and before the operator had the answer: ordered again, it is no other order. */
+    @Test
+    void anOrderWhoseAnswerWasLostIsInForceAndMayBeGivenAgain() throws IOException {
+        try (Stand stand = new Stand(Stand.FLEET.formatted(1), RULES)) {
+            Stand.await(stand.router.stop().toCompletionStage().toCompletableFuture());
+            try (ReleaseJournal journal = ReleaseJournal.open(stand.folder.resolve("r1"))) {
+                journal.append(List.of(target(1, "pair-a", Mode.PAUSED, 0)));
+            }
+            stand.router = stand.startRouter("r1", "127.0.0.1:" + stand.fleet.listPort(), RULES);
+            assertTrue(status(stand).contains("epoch 1, paused"), status(stand));
+            assertEquals(200, order(stand, target(1, "pair-a", Mode.PAUSED, 0)).statusCode());
+            assertEquals(409, order(stand, target(1, "pair-a", Mode.RUNNING, 0)).statusCode());
+        }
+    }
+
+    @Test
+    void aStepThatWasReachedIsStoodAtAgainAfterARestart() throws IOException {
+        try (Stand stand = new Stand(Stand.FLEET.formatted(3), RULES)) {
+            order(stand, target(1, "pair-a", Mode.RUNNING, 0));
+            Stand.until("the step is taken", () -> status(stand).contains("share 0.25"));
+            Set<String> few = onNew(stand, 80);
+            Stand.await(stand.router.stop().toCompletionStage().toCompletableFuture());
+            stand.router = stand.startRouter("r1", "127.0.0.1:" + stand.fleet.listPort(), RULES);
+            Stand.until("it is ready", () -> stand.get("/v2/health/ready").statusCode() == 200);
+            assertEquals(few, onNew(stand, 80), "no key moves back for a restart");
+        }
+    }
+
+    @Test
+    void aVersionThatNeverFinishesLoadingGetsNoCallAndOneThatNobodyOrderedNeither() throws IOException {
+        RawEngine.Script script = (number, head, out, socket) -> {
+            if (head.contains("/load ")) {
+                return;
+            }
+            String index = "[{\"name\":\"pair-a\",\"version\":\"9\",\"state\":\"READY\"},"
+                    + "{\"name\":\"pair-a@9\",\"state\":\"READY\"}]";
+            RawEngine.plain(out, 200, "pearladder-copy: stood\r\n", head.contains("index") ? index
+                    : "{\"model_name\":\"pair-a\",\"model_version\":\"9\",\"outputs\":[]}");
+        };
+        try (RawEngine one = new RawEngine(script); RawEngine two = new RawEngine(script);
+                Stand stand = Stand.of(RULES, one, two)) {
+            order(stand, target(1, "pair-a", Mode.RUNNING, 1));
+            Stand.until("the load is ordered", () -> one.heads.stream().anyMatch(head -> head.contains("/load "))
+                    || two.heads.stream().anyMatch(head -> head.contains("/load ")));
+            for (int i = 0; i < 60; i++) {
+                HttpResponse<String> answer = Stand.await(stand.send("pair-a", 1, "pearladder-key", "doc-" + i));
+                assertEquals("settled", Stand.state(answer), "the old version goes on");
+                assertEquals("1", version(answer));
+            }
+            assertTrue(status(stand).contains("share 0.00"), status(stand));
+            assertTrue(one.heads.stream().noneMatch(head -> head.contains("versions/2/infer") || head.contains("versions/9/infer")));
+        }
+    }
+
+    @Test
+    void ordersOnManyModelsAreKeptInOneGoAndEachIsAnswered() throws IOException {
+        try (Stand stand = new Stand(Stand.FLEET.formatted(1), RULES)) {
+            List<Target> many = new ArrayList<>();
+            for (int i = 0; i < 200; i++) {
+                many.add(target(1, i == 70 ? "other" : "pair-" + i, Mode.PAUSED, 0));
+            }
+            HttpResponse<String> answer = Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(admin(stand, "/releases"))
+                    .POST(HttpRequest.BodyPublishers.ofString(JSON.writeValueAsString(many))).build(),
+                    HttpResponse.BodyHandlers.ofString()));
+            assertEquals(409, answer.statusCode());
+            assertEquals(200, JSON.readTree(answer.body()).path("refused").size());
+            assertTrue(JSON.readTree(answer.body()).path("refused").path(70).asText().contains("unknown model other"));
+            assertEquals(199, JSON.readTree(status(stand)).path("targets").size());
+        }
+    }
+
     @Test
     void whatIsNoOrderIsRefusedInWords() throws IOException {
         try (Stand stand = new Stand(Stand.FLEET.formatted(1), RULES)) {
@@ -153,7 +263,7 @@
         Path file = folder.resolve("releases.journal");
         try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
             for (int epoch = 1; epoch <= 3; epoch++) {
-                journal.append(target(epoch, "pair-a", Mode.RUNNING, 0));
+                journal.append(List.of(target(epoch, "pair-a", Mode.RUNNING, 0)));
             }
             assertTrue(assertThrows(IOException.class, () -> ReleaseJournal.open(folder)).getMessage()
                     .contains("held by another router"));
@@ -164,7 +274,7 @@
             Files.write(file, java.util.Arrays.copyOf(whole, cut));
             try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
                 assertEquals(List.of(1L, 2L), journal.orders().stream().map(Target::epoch).toList(), "cut at " + cut);
-                journal.append(target(9, "pair-a", Mode.PAUSED, 0));
+                journal.append(List.of(target(9, "pair-a", Mode.PAUSED, 0)));
             }
             try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
                 assertEquals(List.of(1L, 2L, 9L), journal.orders().stream().map(Target::epoch).toList());
@@ -179,15 +289,19 @@
     @Test
     void aLongJournalIsMadeShortAndKeepsTheNewestOfEachModel(@TempDir Path folder) throws IOException {
         try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
-            journal.append(target(5, "pair-old", Mode.ROLLED_BACK, 0));
+            journal.append(List.of(target(5, "pair-old", Mode.ROLLED_BACK, 0)));
             for (int epoch = 1; epoch <= 1005; epoch++) {
-                journal.append(target(epoch, "pair-a", Mode.RUNNING, 0));
+                journal.append(List.of(target(epoch, "pair-a", Mode.RUNNING, 0)));
             }
+            journal.append(new Reached("pair-a", 1004, 0, true));
+            journal.append(new Reached("pair-a", 1005, 1, false));
+            journal.append(new Reached("pair-gone", 1, 1, false));
         }
         Files.writeString(folder.resolve("releases.journal"), "torn", StandardOpenOption.APPEND);
         try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
             List<Target> orders = new ArrayList<>(journal.orders());
             assertEquals(201, orders.size());
+            assertEquals(List.of(new Reached("pair-a", 1005, 1, false)), journal.reached(), "older ones say nothing");
             assertEquals(target(5, "pair-old", Mode.ROLLED_BACK, 0), orders.get(0));
             assertEquals(1005, orders.get(200).epoch());
         }
