The ring of workers is laid when it is next walked, not at each change of the list

A rehearsal of 1,000 engines and 100 routers stood still when a hall was lost: each of 333 changes in one moment had every router lay its ring of 64 marks a worker anew. It is now laid once, when the next call walks it; what a call finds there is the same.

--- a/decisions/src/main/java/pearladder/Policy.java
+++ b/decisions/src/main/java/pearladder/Policy.java
@@ -92,6 +92,7 @@
     private long[] ring = {};
     private Worker[] ringWorkers = {};
     private long edition;
+    private long ringEdition;
     private int legsOut;
     private boolean begun;
 
@@ -511,6 +512,9 @@
         if (function.scanEdition != edition) {
             function.scanEdition = edition;
             function.scan.clear();
+            if (ringEdition != edition) {
+                layRing();
+            }
             int from = Arrays.binarySearch(ring, mark(function.id));
             function.scanAt = from < 0 ? -from - 1 : from;
         }
@@ -570,6 +574,11 @@
         }
         inService = workers.values().stream().filter(w -> w.standing == Standing.IN_SERVICE).toList();
         edition++;
+    }
+
+    /** Only when it is next walked: a hall that is lost changes the list a hundred times in one moment. */
+    private void layRing() {
+        ringEdition = edition;
         TreeMap<Long, Worker> marks = new TreeMap<>();
         for (Worker worker : inService) {
             for (long mark : worker.marks) {
--- a/lab/src/main/java/pearladder/lab/DayPlan.java
+++ b/lab/src/main/java/pearladder/lab/DayPlan.java
@@ -121,7 +121,7 @@
             file.at("fleet").wrong("cuts, resets and slow handshakes need cables", "write \"cables: true\" in the fleet");
         }
         DayPlan plan = new DayPlan(day.at("name").text("day"), lasting, day.at("seed").whole(1, 0, Integer.MAX_VALUE),
-                day.at("slack").span("150 ms"), halls, day.at("routers").whole(2, 1, 64), day.at("rate").number(0.1, 1e6),
+                day.at("slack").span("150 ms"), halls, day.at("routers").whole(2, 1, 1000), day.at("rate").number(0.1, 1e6),
                 new Clients(clients.at("tries").whole(3, 1, 20), clients.at("pause").span("200 ms"),
                         clients.at("patience").number(0.5, 0.05, 1), clients.at("front_lag").span("2 s"),
                         clients.at("leaving").number(0, 0, 1),
--- a/lab/src/main/java/pearladder/lab/Troubles.java
+++ b/lab/src/main/java/pearladder/lab/Troubles.java
@@ -35,6 +35,9 @@
         void say(String what);
     }
 
+    /** More engines than so many are told by their number. */
+    private static final int NAMED = 12;
+
     private final DayPlan plan;
     private final World world;
     private final SplittableRandom chance;
@@ -84,10 +87,11 @@
         String word = trouble.what().name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
         world.say(word + switch (trouble.what()) {
             case BURST -> " times " + trouble.times();
+            case HALL_LOST -> " " + trouble.hall() + ": " + world.engines(trouble.hall()).size() + " engines and its routers";
             case ONE_OFFS, HEAVY -> " for " + trouble.share() + " of the calls";
             case SLOW_SHELF, REFUSING_SHELF, LIST_SILENT, LIST_CUT, LIST_LAG, ROUTERS_KILLED, RELEASE, DAMAGED_IMAGES, HEEDLESS,
                     ROUTERS_PAUSED, CLOCK_JUMP -> "";
-            default -> " " + String.join(" ", engines);
+            default -> engines.size() > NAMED ? ": " + engines.size() + " engines" : " " + String.join(" ", engines);
         });
         switch (trouble.what()) {
             case BURST, ONE_OFFS, HEAVY -> { }
