--- a/emulator/src/main/java/pearladder/emulator/Seen.java
+++ b/emulator/src/main/java/pearladder/emulator/Seen.java
@@ -40,6 +40,8 @@
     /** By the day: a router was killed, or started. */
     public static final String KILLED = "killed";
     public static final String STARTED = "started";
+    /** By the day: a router, or an engine, stood still from here on; figure is for how long, in nanoseconds. */
+    public static final String STILL = "still";
     /** By the day: a trouble began; figure is its span in nanoseconds. */
     public static final String TROUBLE = "trouble";
 
--- a/lab/src/main/java/pearladder/lab/Processes.java
+++ b/lab/src/main/java/pearladder/lab/Processes.java
@@ -20,8 +20,19 @@
 
     /** @param program the command that runs this program, to which a command's own words are added */
     Processes(List<String> program, Path folder) {
-        this.program = program;
+        this(program, folder, false);
+    }
+
+    /**
+     * @param crowded many processes for few cores: guards against a dozen machines that optimize the same code at once and
+     *     starve what they measure; they then stop at the first compiler
+     */
+    Processes(List<String> program, Path folder, boolean crowded) {
+        this.program = new ArrayList<>(program);
         this.folder = folder;
+        if (crowded) {
+            this.program.add(1, "-XX:TieredStopAtLevel=1");
+        }
     }
 
     /** Starts one and returns the first line that it prints, which tells its ports. */
--- a/rehearsal/src/main/java/pearladder/rehearsal/Rehearsal.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Rehearsal.java
@@ -11,6 +11,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -78,6 +79,7 @@
     private final ReleaseScript releases = new ReleaseScript(null);
     private final Clients clients;
     private final PrintStream progress;
+    private final Map<String, Long> still = new HashMap<>();
     private long begun;
     private boolean done;
     private long loads;
@@ -240,6 +242,12 @@
             for (String router : routers) {
                 Life life = stations.get(router).life();
                 if (life != null && what == DayPlan.Kind.ROUTERS_PAUSED) {
+                    if (figure > 0) {
+                        still.putIfAbsent(router, time.now());
+                    } else if (still.containsKey(router)) {
+                        long since = still.remove(router);
+                        seen(new Seen(since, Seen.STILL, router, "", 0, "", "", "", time.now() - since));
+                    }
                     life.pause(figure > 0);
                 } else if (life != null && figure > 0) {
                     life.jump(Math.round(figure * 1e9));
--- a/rehearsal/src/main/java/pearladder/rehearsal/VirtualFleet.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/VirtualFleet.java
@@ -28,6 +28,7 @@
     private final Map<String, Marks> marks = new LinkedHashMap<>();
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<String, FleetPlan.Planned> planned = new LinkedHashMap<>();
+    private final Map<Host, Long> still = new LinkedHashMap<>();
     private Runnable listCut = () -> { };
     private int made;
 
@@ -122,6 +123,16 @@
         });
     }
 
+    private void pause(Host host, boolean on) {
+        if (on) {
+            still.putIfAbsent(host, time.now());
+        } else if (still.containsKey(host)) {
+            long since = still.remove(host);
+            seen.accept(new Seen(since, Seen.STILL, "", "", 0, host.engine.id(), "", "", time.now() - since));
+        }
+        host.pause(on);
+    }
+
     /** Brings a trouble, in the same words as the stand-ins' control port takes them. */
     void act(String what, List<String> engines, String model, double figure) {
         List<Host> named = (engines.isEmpty() ? List.copyOf(hosts.keySet()) : engines).stream().map(hosts::get)
@@ -136,7 +147,7 @@
             case "late-reports" -> named.forEach(host -> host.engine.reportLate(nanos));
             case "losing" -> named.forEach(host -> host.engine.losing(figure));
             case "leak" -> named.forEach(host -> host.engine.leak(figure));
-            case "pause" -> named.forEach(host -> host.pause(on));
+            case "pause" -> named.forEach(host -> pause(host, on));
             case "cut-back" -> named.forEach(host -> host.cut(false, on));
             case "cable-cut" -> named.forEach(host -> host.cut(on, on));
             case "cable-deaf" -> named.forEach(host -> host.deaf(on));
