--- a/lab/src/main/java/pearladder/lab/Report.java
+++ b/lab/src/main/java/pearladder/lab/Report.java
@@ -161,6 +161,7 @@
         work.addSeries("orders", from, orders).setMarker(SeriesMarkers.NONE);
         chart(work);
         copies(run, from);
+        versions(run, from);
         causes(run);
         page.append("<pre>");
         run.path("table").forEach(line -> page.append(escaped(line.asText())).append('\n'));
@@ -185,6 +186,24 @@
         chart(chart);
     }
 
+    /** Only where some answers came from a version. */
+    private void versions(JsonNode run, List<Double> from) throws IOException {
+        List<Double> shares = new ArrayList<>();
+        double any = 0;
+        for (JsonNode window : run.path("windows")) {
+            double byVersion = window.path("settled_by_version").asDouble();
+            shares.add(byVersion / Math.max(1, window.path("settled").asDouble()));
+            any += byVersion;
+        }
+        if (any > 0) {
+            XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title("Answers that came from a new version")
+                    .xAxisTitle("seconds of the day").yAxisTitle("share of settled answers").build();
+            chart.getStyler().setYAxisMin(0.0).setYAxisMax(1.05).setLegendVisible(false);
+            chart.addSeries("share", from, shares).setMarker(SeriesMarkers.NONE);
+            chart(chart);
+        }
+    }
+
     private void causes(JsonNode run) {
         if (!run.path("dismissed_because").isEmpty()) {
             page.append("<table><tr><th>tries dismissed because<th>count</tr>");
--- a/lab/src/main/java/pearladder/lab/Results.java
+++ b/lab/src/main/java/pearladder/lab/Results.java
@@ -42,9 +42,10 @@
         ArrayNode windows = all.putArray("windows");
         TreeMap<Long, long[]> seen = byWindow(tape, begun);
         books.byWindow().forEach((from, credit) -> {
-            long[] counts = seen.getOrDefault(from / 10, new long[6]);
+            long[] counts = seen.getOrDefault(from / 10, new long[8]);
             windows.addObject().put("from_s", from).put("credit", credit).put("legs", counts[0]).put("orders", counts[1])
-                    .put("refused", counts[2]).put("loads", counts[3]).put("loads_failed", counts[4]).put("copies", counts[5]);
+                    .put("refused", counts[2]).put("loads", counts[3]).put("loads_failed", counts[4]).put("copies", counts[5])
+                    .put("settled", counts[6]).put("settled_by_version", counts[7]);
         });
         ObjectNode causes = all.putObject("dismissed_because");
         dismissals(tape).forEach(causes::put);
@@ -62,7 +63,10 @@
         return all;
     }
 
-    /** Legs, orders, refusals and loads at the engines, by ten seconds of the day; and the copies that stood at its end. */
+    /**
+     * By ten seconds of the day: legs, orders, refusals, loads and failed loads at the engines, the copies that stood at its
+     * end, settled answers, and those of them that came from a version.
+     */
     private static TreeMap<Long, long[]> byWindow(List<Seen> tape, long begun) {
         TreeMap<Long, long[]> windows = new TreeMap<>();
         long copies = 0;
@@ -73,12 +77,14 @@
                 case Seen.REFUSED -> 2;
                 case Seen.LOADED -> seen.note().isEmpty() ? 3 : 4;
                 case Seen.UNLOADED -> 5;
+                case Seen.ANSWERED -> seen.note().equals(FinalState.SETTLED.word()) ? 6 : -1;
                 default -> -1;
             };
             copies += at == 3 ? 1 : at == 5 ? -Math.round(seen.figure()) : 0;
             if (at >= 0 && seen.at() >= begun) {
-                long[] counts = windows.computeIfAbsent((seen.at() - begun) / WINDOW, w -> new long[6]);
+                long[] counts = windows.computeIfAbsent((seen.at() - begun) / WINDOW, w -> new long[8]);
                 counts[at]++;
+                counts[7] += at == 6 && seen.model().contains("@") ? 1 : 0;
                 counts[5] = copies;
             }
         }
