Rehearsed traffic with tides, shifting popularity and traces; answers for another model settle nothing

An engine that answered for another model had its answer passed on as settled. The head of each settled answer is read now; one that names another model is an engine's error. Test over sockets and in rehearsal.

--- a/cli/src/main/java/pearladder/cli/MeasureCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeasureCommand.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.Callable;
 import pearladder.lab.DecisionCost;
 import pearladder.lab.Measure;
+import pearladder.lab.QueueCost;
 import pearladder.lab.ReleaseTrials;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -24,9 +25,16 @@
     @Option(names = "--releases", description = "instead, trials of the release module alone: shares, and wrong and missed verdicts")
     private boolean releases;
 
+    @Option(names = "--queue", description = "instead, what an event costs in the rehearsals' queue")
+    private boolean queue;
+
     @Override
     public Integer call() throws IOException {
         Logs.setUp(Logs.Form.TEXT);
+        if (queue) {
+            QueueCost.run(rounds).forEach(System.out::println);
+            return 0;
+        }
         if (releases) {
             ReleaseTrials.run().forEach(System.out::println);
             return 0;
--- a/cli/src/main/java/pearladder/cli/RehearseCommand.java
+++ b/cli/src/main/java/pearladder/cli/RehearseCommand.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Future;
 import pearladder.lab.Report;
 import pearladder.lab.Scripts;
+import pearladder.lab.TraceSource;
 import pearladder.rehearsal.Rehearsal;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -39,6 +40,15 @@
     @Option(names = "--seed", defaultValue = "-1", description = "in place of the script's")
     private int seed;
 
+    @Option(names = "--trace", paramLabel = "FILE", description = "a trace's calls in place of the script's traffic")
+    private Path trace;
+
+    @Option(names = "--speed", defaultValue = "1", description = "of the trace (default: ${DEFAULT-VALUE})")
+    private double speed;
+
+    @Option(names = "--lasting", defaultValue = "0", paramLabel = "SECONDS", description = "of the trace; 0 for all of it")
+    private double lasting;
+
     @Option(names = "--runs", defaultValue = "1", description = "one after the other seed (default: ${DEFAULT-VALUE})")
     private int runs;
 
@@ -69,13 +79,15 @@
             new YAMLMapper().writeValue(written.toFile(), script);
             return DayCommand.play(written, out, policy);
         }
+        TraceSource.Terms terms = trace == null ? null : new TraceSource.Terms(trace, null, null, null, speed, 60_000_000_000L, 0,
+                Math.round(lasting * 1e9), 1, 500_000_000L, 20_000_000L, false);
         ExecutorService pool = Executors.newFixedThreadPool(Math.max(1, jobs));
         List<Future<Rehearsal.Outcome>> all = new ArrayList<>();
         for (int i = 0; i < runs; i++) {
             ObjectNode one = script.deepCopy();
             one.withObject("/day").put("seed", first + i);
             Path folder = runs == 1 ? out : out.resolve("run.s" + (first + i));
-            all.add(pool.submit(() -> Rehearsal.play(one, file.toString(), policy.maker::make, folder,
+            all.add(pool.submit(() -> Rehearsal.play(one, file.toString(), terms, policy.maker::make, folder,
                     runs == 1 ? System.out : null)));
         }
         pool.shutdown();
--- a/emulator/src/main/java/pearladder/emulator/Engine.java
+++ b/emulator/src/main/java/pearladder/emulator/Engine.java
@@ -65,6 +65,8 @@
         final ModelKind kind;
         boolean standing;
         boolean stale;
+        long begunAt;
+        long fetchedAt;
         int busy;
         long idleSince;
         final List<Consumer<Boolean>> awaited = new ArrayList<>();
@@ -363,11 +365,14 @@
         while (loading < kind.loaders() && !toLoad.isEmpty()) {
             Copy copy = toLoad.poll();
             loading++;
+            copy.begunAt = time.now();
+            copy.fetchedAt = time.now();
             int then = life;
             if (kind.images() && images.containsKey(copy.model)) {
                 time.after(copy.kind.startNanos(), () -> loaded(copy, true, then));
             } else {
                 shelf.fetch(copy.kind.fetchNanos(), ok -> {
+                    copy.fetchedAt = time.now();
                     if (life == then && ok) {
                         images.put(copy.model, time.now());
                         time.after(copy.kind.startNanos(), () -> loaded(copy, true, then));
@@ -386,7 +391,7 @@
         loading--;
         boolean stands = ok && !copy.stale;
         seen.accept(new Seen(time.now(), Seen.LOADED, "", "", 0, id, copy.model,
-                stands ? "" : ok ? "released anew" : "no image", 0));
+                stands ? "" : ok ? "released anew" : "no image", fetchShare(copy)));
         if (stands) {
             copy.standing = true;
             idle(copy);
@@ -409,6 +414,10 @@
         serve();
     }
 
+    private double fetchShare(Copy copy) {
+        return (double) (copy.fetchedAt - copy.begunAt) / Math.max(1, time.now() - copy.begunAt);
+    }
+
     private void drop(Copy copy) {
         if (copies.remove(copy)) {
             gone(1);
--- a/emulator/src/main/java/pearladder/emulator/FleetPlan.java
+++ b/emulator/src/main/java/pearladder/emulator/FleetPlan.java
@@ -66,9 +66,21 @@
                 kind.at("reports_every").span("300 ms"));
     }
 
+    /** Fetch and start as they are told, or as shares of the whole load. */
+    private static long fetch(Value model, boolean fetch) {
+        if (!model.at("load").given()) {
+            return model.at(fetch ? "fetch" : "start").span("0 s");
+        }
+        if (model.at("fetch").given() || model.at("start").given()) {
+            model.at("load").wrong("a load is told, and its fetch or start beside it", "keep load and fetch_share, or fetch and start");
+        }
+        double share = model.at("fetch_share").number(0.75, 0, 1);
+        return Math.round(model.at("load").span() * (fetch ? share : 1 - share));
+    }
+
     private static ModelKind model(Value model) {
         return new ModelKind(model.at("name").text(), model.at("memory").bytes() / 1e6,
-                model.at("lanes").whole(1, 1, 1000), model.at("fetch").span("0 s"), model.at("start").span("0 s"),
+                model.at("lanes").whole(1, 1, 1000), fetch(model, true), fetch(model, false),
                 model.at("work").span("20 ms"), model.at("failing").number(0, 0, 1), model.at("times").number(1, 0.01, 1000));
     }
 
--- a/emulator/src/main/java/pearladder/emulator/Seen.java
+++ b/emulator/src/main/java/pearladder/emulator/Seen.java
@@ -19,7 +19,10 @@
     public static final String DROPPED = "dropped";
     /** At an engine: an order to load; figure is the copies wanted. */
     public static final String ORDERED = "ordered";
-    /** At an engine: a load ended; note is empty where the copy stands, else why it does not. */
+    /**
+     * At an engine: a load ended; note is empty where the copy stands, else why it does not; figure is the share
+     * of its time that was the fetch's.
+     */
     public static final String LOADED = "loaded";
     /** At an engine: copies went, by themselves or for room; figure is how many. */
     public static final String UNLOADED = "unloaded";
--- a/emulator/src/main/java/pearladder/emulator/net/Control.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Control.java
@@ -66,6 +66,7 @@
             case "slow" -> each(engines, server -> server.engine().slow(figure));
             case "failing" -> each(engines, server -> server.engine().failing(figure));
             case "hang" -> each(engines, server -> server.hang(figure > 0));
+            case "misname" -> each(engines, server -> server.misname(figure > 0));
             case "garble" -> each(engines, server -> server.garble(figure > 0));
             case "late-reports" -> each(engines, server -> server.engine().reportLate(nanos));
             case "release" -> each(engines, server -> Arrays.stream(model.split(","))
--- a/emulator/src/main/java/pearladder/emulator/net/EngineServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/EngineServer.java
@@ -28,6 +28,7 @@
     private int port;
     private boolean hung;
     private boolean garbling;
+    private boolean misnaming;
 
     /** @param fell what else happens when the engine falls over */
     EngineServer(Vertx vertx, Engine engine, Runnable fell) {
@@ -54,6 +55,11 @@
         garbling = on;
     }
 
+    /** Answers for another model than it was asked for. */
+    public void misname(boolean on) {
+        misnaming = on;
+    }
+
     Future<Void> listen() {
         HttpServerOptions options = new HttpServerOptions().setHost("127.0.0.1").setPort(port)
                 .setReuseAddress(true).setIdleTimeout(120);
@@ -126,7 +132,7 @@
             response.putHeader(Headers.COPY, answer.met().name().toLowerCase(Locale.ROOT).replace('_', '-'));
         }
         switch (answer.end()) {
-            case OK -> response.end("{\"model_name\":\"" + route.model() + "\",\"outputs\":[{\"name\":\"size\","
+            case OK -> response.end("{\"model_name\":\"" + route.model() + (misnaming ? "-other" : "") + "\",\"outputs\":[{\"name\":\"size\","
                     + "\"datatype\":\"INT64\",\"shape\":[1],\"data\":[" + size + "]}]}");
             case ERROR -> response.setStatusCode(500).end(Bodies.error("the model failed"));
             case FULL -> response.setStatusCode(503).putHeader(Headers.NEVER_RAN, "full")
--- a/kserve/src/main/java/pearladder/kserve/Bodies.java
+++ b/kserve/src/main/java/pearladder/kserve/Bodies.java
@@ -11,6 +11,32 @@
 
 /** The small bodies that are written or read outside the tensors. */
 public final class Bodies {
+    /**
+     * The model that an engine's answer names, or null where it names none before its outputs, or is no JSON. Only the head
+     * of the answer is read.
+     */
+    public static String answeredBy(byte[] body) {
+        try (JsonParser json = JSON.createParser(body)) {
+            if (json.nextToken() != JsonToken.START_OBJECT) {
+                return null;
+            }
+            while (json.nextToken() == JsonToken.FIELD_NAME) {
+                String name = json.currentName();
+                JsonToken value = json.nextToken();
+                if (name.equals("model_name")) {
+                    return value == JsonToken.VALUE_STRING ? json.getText() : null;
+                }
+                if (name.equals("outputs")) {
+                    return null;
+                }
+                json.skipChildren();
+            }
+            return null;
+        } catch (IOException unreadable) {
+            return null;
+        }
+    }
+
     /** One line of a model repository's index; state is READY, LOADING or UNAVAILABLE as published. */
     public record Indexed(String name, String state) { }
 
--- a/kserve/src/test/java/pearladder/kserve/KserveTest.java
+++ b/kserve/src/test/java/pearladder/kserve/KserveTest.java
@@ -15,6 +15,15 @@
 import pearladder.kserve.Route.Kind;
 
 class KserveTest {
+    @Test
+    void theModelThatAnsweredIsReadFromTheHeadOfItsAnswerOnly() {
+        assertEquals("a", Bodies.answeredBy("{\"id\":\"1\",\"parameters\":{\"model_name\":\"x\"},\"model_name\":\"a\"}".getBytes()));
+        for (String body : List.of("", "[]", "{}", "{\"outputs\":[],\"model_name\":\"a\"}", "{\"model_name\":3}", "{\"model_name\":",
+                "no JSON")) {
+            assertEquals(null, Bodies.answeredBy(body.getBytes()), body);
+        }
+    }
+
     @Test
     void publishedPathsAreKnownAndNothingElse() {
         assertEquals(new Route(Kind.SERVER, null, null), Route.of("/v2"));
--- a/lab/src/main/java/pearladder/lab/Day.java
+++ b/lab/src/main/java/pearladder/lab/Day.java
@@ -29,7 +29,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import pearladder.emulator.ModelKind;
 import pearladder.emulator.Seen;
 import pearladder.emulator.Tape;
 import pearladder.emulator.net.VertxTimeline;
@@ -422,22 +421,6 @@
         }
     }
 
-    /** Loads that ended and what they fetched from the shelf; images that stay on an engine's disk are counted as fetched. */
-    private String fetched(List<Seen> all) {
-        long loads = 0;
-        long failed = 0;
-        double gigabytes = 0;
-        for (Seen seen : all) {
-            if (seen.what().equals(Seen.LOADED) && seen.at() >= begun) {
-                ModelKind kind = plan.fleet().modelOf(seen.model());
-                loads++;
-                failed += seen.note().isEmpty() ? 0 : 1;
-                gigabytes += kind == null || seen.note().equals("no image") ? 0 : kind.memoryMb() / 1e3;
-            }
-        }
-        return String.format(Locale.ROOT, "%d loads, %d of them failed; %.1f GB fetched from the shelf", loads, failed, gigabytes);
-    }
-
     private Outcome judge() throws IOException {
         List<Seen> all = new ArrayList<>();
         for (String name : List.of("engines.tape", "clients.tape")) {
@@ -450,7 +433,7 @@
         RulesChecker.Verdict verdict = new RulesChecker(plan.rules(), plan.slack(), places).check(all);
         List<String> lines = new ArrayList<>(books.table());
         lines.addAll(VersionShares.lines(all, begun, plan.releases()));
-        lines.add(fetched(all));
+        lines.add(Results.fetched(plan, all, begun));
         lines.add("");
         lines.add(String.format(Locale.ROOT, "%d calls in %d tries over %.0f s; the generator was late by %.1f ms at p99, "
                 + "%.1f ms at most", books.calls(), books.tries(), took,
--- a/lab/src/main/java/pearladder/lab/DayPlan.java
+++ b/lab/src/main/java/pearladder/lab/DayPlan.java
@@ -17,7 +17,7 @@
  */
 public record DayPlan(String name, long lasting, long seed, long slack, List<String> halls, int routers, double rate, Clients clients,
         List<Flow> flows, List<Trouble> troubles, List<ReleaseScript.Order> releases, Rulebook rules,
-        FleetPlan fleet, Network network, Expected expected) {
+        FleetPlan fleet, Network network, Expected expected, Tide tide) {
     /**
      * How clients behave.
      *
@@ -36,15 +36,17 @@
      * @param share of all calls
      * @param models names are prefix plus a number from 0 on
      * @param skew of the models' popularity, 0 for none (Zipf's exponent)
+     * @param shift so often the popularity moves on by one model; 0 for never
      * @param work mean work of a call
      */
-    public record Flow(String category, String account, double share, String prefix, int models, double skew, long work) { }
+    public record Flow(String category, String account, double share, String prefix, int models, double skew, long shift,
+            long work) { }
 
     /** What kinds of trouble a day may bring. docs/days.md says what each does. */
     public enum Kind {
         BURST, ONE_OFFS, HEAVY, ROLLING_DEPLOY, RELEASE, HALL_LOST, ROUTERS_KILLED, ENGINES_KILLED, FAILING, SLOW, AGEING,
         HANG, GARBLE, MASS_RESTART, LATE_REPORTS, SLOW_SHELF, REFUSING_SHELF, SLOW_HANDSHAKES, CUT, RESET, LIST_SILENT,
-        LIST_CUT, LIST_LAG, LOST_LOADS, LEAK, DAMAGED_IMAGES, SPLIT_LIST, HEEDLESS, ENGINES_PAUSED, ONE_WAY_CUT,
+        LIST_CUT, LIST_LAG, LOST_LOADS, LEAK, DAMAGED_IMAGES, SPLIT_LIST, HEEDLESS, WRONG_MODEL, ENGINES_PAUSED, ONE_WAY_CUT,
         ROUTERS_PAUSED, CLOCK_JUMP;
 
         /** Whether only a rehearsal can bring it: processes and sockets of one machine have no means for it. */
@@ -61,6 +63,18 @@
      */
     public record Network(long delay, long routerStart) { }
 
+    /**
+     * How the rate goes up and down as over a day and a night.
+     *
+     * @param period from one peak to the next, 0 for a rate that stays
+     * @param swing how far it goes from the mean, 0 to 1
+     */
+    public record Tide(long period, double swing) {
+        double at(long nanos) {
+            return period == 0 ? 1 : 1 + swing * Math.sin(2 * Math.PI * nanos / period);
+        }
+    }
+
     /**
      * What must hold at the day's end; NaN where nothing is asked.
      *
@@ -130,7 +144,8 @@
                 .flatMap(List::stream).toList(), rules, fleet,
                 new Network(file.at("network").at("delay").span("600 us"), file.at("network").at("router_start").span("2 s")),
                 new Expected(file.at("expect").at("credit").number(Double.NaN, 0, 1),
-                        file.at("expect").at("worst_10_s").number(Double.NaN, 0, 1)));
+                        file.at("expect").at("worst_10_s").number(Double.NaN, 0, 1)),
+                new Tide(day.at("tide").at("period").span("0 s"), day.at("tide").at("swing").number(0.5, 0, 1)));
         // what the routers' part says beside the rules is checked by the routers themselves
         file.done(java.util.Set.of("day", "clients", "traffic", "troubles", "releases", "fleet", "network", "expect"));
         return plan;
@@ -144,7 +159,7 @@
         }
         return new Flow(category, flow.at("account").text(""), flow.at("share").number(1, 0, 1),
                 flow.at("models").text(), flow.at("count").whole(1, 1, 1_000_000), flow.at("skew").number(1, 0, 5),
-                flow.at("work").span("20 ms"));
+                flow.at("shift").span("0 s"), flow.at("work").span("20 ms"));
     }
 
     private static Trouble trouble(Value trouble, long lasting, List<String> halls) {
--- a/lab/src/main/java/pearladder/lab/Report.java
+++ b/lab/src/main/java/pearladder/lab/Report.java
@@ -163,6 +163,7 @@
         copies(run, from);
         versions(run, from);
         causes(run);
+        staff(run);
         page.append("<pre>");
         run.path("table").forEach(line -> page.append(escaped(line.asText())).append('\n'));
         page.append("</pre>");
@@ -204,6 +205,16 @@
         }
     }
 
+    /** Only of a rehearsal: what the routers would have logged. */
+    private void staff(JsonNode run) {
+        if (!run.path("staff").isEmpty()) {
+            page.append("<details><summary>What staff would see in the routers' logs: ").append(run.path("staff").size())
+                    .append(" lines</summary><pre>");
+            run.path("staff").forEach(line -> page.append(escaped(line.asText())).append('\n'));
+            page.append("</pre></details>");
+        }
+    }
+
     private void causes(JsonNode run) {
         if (!run.path("dismissed_because").isEmpty()) {
             page.append("<table><tr><th>tries dismissed because<th>count</tr>");
--- a/lab/src/main/java/pearladder/lab/Results.java
+++ b/lab/src/main/java/pearladder/lab/Results.java
@@ -15,6 +15,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import pearladder.emulator.ModelKind;
 import pearladder.emulator.Seen;
 import pearladder.kserve.FinalState;
 
@@ -91,6 +92,25 @@
         return windows;
     }
 
+    /** Loads that ended, what they fetched from the shelf, and the share of their time that the fetch was. */
+    public static String fetched(DayPlan plan, List<Seen> all, long begun) {
+        long loads = 0;
+        long failed = 0;
+        double gigabytes = 0;
+        double share = 0;
+        for (Seen seen : all) {
+            if (seen.what().equals(Seen.LOADED) && seen.at() >= begun) {
+                ModelKind kind = plan.fleet().modelOf(seen.model());
+                loads++;
+                failed += seen.note().isEmpty() ? 0 : 1;
+                share += seen.note().isEmpty() ? seen.figure() : 0;
+                gigabytes += kind == null || seen.note().equals("no image") ? 0 : kind.memoryMb() / 1e3;
+            }
+        }
+        return String.format(Locale.ROOT, "%d loads, %d of them failed; %.1f GB fetched from the shelf; a load was %.0f%% fetch on "
+                + "the mean", loads, failed, gigabytes, 100 * share / Math.max(1, loads - failed));
+    }
+
     /** Dismissed tries by what the engines had said to them; a try of which no leg left was refused by its router. */
     private static Map<String, Long> dismissals(List<Seen> tape) {
         Map<String, String> last = new HashMap<>();
--- a/lab/src/main/java/pearladder/lab/TraceSource.java
+++ b/lab/src/main/java/pearladder/lab/TraceSource.java
@@ -62,7 +62,8 @@
     private long number;
     private long cut;
 
-    TraceSource(Terms terms, DayPlan plan, Path out) {
+    /** @param out folder for the rows that were left out */
+    public TraceSource(Terms terms, DayPlan plan, Path out) {
         this.terms = terms;
         this.plan = plan;
         this.out = out;
@@ -156,7 +157,7 @@
     }
 
     /** What the report says of the trace: what was replayed, what was left out, and the digest of the sequence. */
-    List<String> lines() {
+    public List<String> lines() {
         List<String> lines = new ArrayList<>();
         lines.add("replayed " + number + " calls of " + terms.file().getFileName() + " at " + terms.speed()
                 + " times its speed; digest " + info.digest());
@@ -172,7 +173,7 @@
     }
 
     /** Why the file could not be read, or null. */
-    IOException failure() {
+    public IOException failure() {
         return failure;
     }
 
--- a/lab/src/main/java/pearladder/lab/Traffic.java
+++ b/lab/src/main/java/pearladder/lab/Traffic.java
@@ -31,7 +31,7 @@
 
     @Override
     public Drawn next() {
-        double rate = plan.rate() * times(DayPlan.Kind.BURST, due);
+        double rate = plan.rate() * Math.max(0.01, plan.tide().at(due)) * times(DayPlan.Kind.BURST, due);
         due += Math.round(-Math.log(1 - arrivals.nextDouble()) / rate * 1e9);
         if (due >= plan.lasting()) {
             return null;
@@ -43,7 +43,8 @@
         double heavy = contents.nextDouble();
         double once = contents.nextDouble();
         double patience = plan.clients().patience() + (1 - plan.clients().patience()) * contents.nextDouble();
-        String model = flow.prefix() + model(popularity.get(at), contents.nextDouble());
+        int rank = model(popularity.get(at), contents.nextDouble());
+        String model = flow.prefix() + (flow.shift() == 0 ? rank : (int) ((rank + due / flow.shift()) % flow.models()));
         for (DayPlan.Trouble trouble : plan.troubles()) {
             if (due < trouble.at() || due >= trouble.at() + trouble.lasting()) {
                 continue;
--- a/lab/src/main/java/pearladder/lab/Troubles.java
+++ b/lab/src/main/java/pearladder/lab/Troubles.java
@@ -132,6 +132,7 @@
             case LOST_LOADS -> during(engines, "losing", trouble.part(), 0, end);
             case LEAK -> during(engines, "leak", trouble.times(), 0, end);
             case DAMAGED_IMAGES -> during(List.of(), "shelf-damage", 1, 0, end);
+            case WRONG_MODEL -> during(engines, "misname", 1, 0, end);
             case SPLIT_LIST -> split(engines, end);
             case HEEDLESS -> {
                 world.heedless(true);
--- a/lab/src/test/java/pearladder/lab/DayPlanTest.java
+++ b/lab/src/test/java/pearladder/lab/DayPlanTest.java
@@ -128,6 +128,30 @@
         assertEquals(List.of("slow2 1.0", "restart2 0.0", "start r2"), done);
     }
 
+    @Test
+    void theRateGoesUpAndDownAndThePopularityMovesOn() {
+        DayPlan plan = DayPlan.read(Yaml.read("d.yaml", """
+                day: {lasting: 40 s, halls: [east], rate: 100, tide: {period: 40 s, swing: 0.8}}
+                traffic: [{category: draft, models: m-, count: 10, skew: 4, shift: 10 s}]
+                router: {categories: {draft: {expected: 1 s, abandon: 2 s, effect: retriable}}}
+                fleet:
+                  kinds: {std: {cores: 1, memory: 1 GB}}
+                  models: [{name: "m-*", memory: 1 MB, load: 1 s, fetch_share: 0.7}]
+                  engines: [{name: e, count: 1, kind: std}]
+                """));
+        List<Source.Drawn> drawn = all(plan);
+        long high = drawn.stream().filter(call -> call.due() < 20_000_000_000L).count();
+        assertTrue(high > 2.2 * (drawn.size() - high), high + " of " + drawn.size() + " in the first half");
+        for (int i = 0; i < 4; i++) {
+            String hot = "m-" + i;
+            long from = i * 10_000_000_000L;
+            List<Source.Drawn> now = drawn.stream().filter(call -> call.due() >= from && call.due() < from + 10_000_000_000L).toList();
+            assertTrue(now.stream().filter(call -> call.model().equals(hot)).count() > 0.8 * now.size(), hot);
+        }
+        assertEquals(700_000_000L, plan.fleet().modelOf("m-1").fetchNanos());
+        assertEquals(300_000_000L, plan.fleet().modelOf("m-1").startNanos(), 1);
+    }
+
     @Test
     void aScriptsMistakesAreNamed() {
         String wrong = DAY.formatted(1).replace("what: burst", "what: bursts").replace("hall: west", "hall: north")
--- a/rehearsal/src/main/java/pearladder/rehearsal/Host.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Host.java
@@ -31,6 +31,7 @@
     private boolean deaf;
     private boolean hung;
     private boolean garbling;
+    private boolean misnaming;
 
     Host(Timeline time, long delay, Engine engine, String hall) {
         this.time = time;
@@ -68,6 +69,14 @@
         return hung;
     }
 
+    boolean misnaming() {
+        return misnaming;
+    }
+
+    void misname(boolean on) {
+        misnaming = on;
+    }
+
     boolean garbling() {
         return garbling;
     }
@@ -137,6 +146,7 @@
         engine.die();
         hung = false;
         garbling = false;
+        misnaming = false;
         paused = false;
         heldIn.clear();
         reset();
--- a/rehearsal/src/main/java/pearladder/rehearsal/Life.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Life.java
@@ -97,6 +97,7 @@
     }
 
     private final Station station;
+    private final Consumer<String> logged;
     private final Timeline time;
     private final Articles articles;
     private final VirtualFleet fleet;
@@ -118,8 +119,9 @@
     private long ahead;
     private boolean dead;
 
-    Life(Station station, Timeline time, Articles articles, VirtualFleet fleet, long delay, Dispatcher module,
-            Consumer<String> fell) {
+    Life(Station station, Timeline time, Articles articles, VirtualFleet fleet, long delay, Consumer<String> logged,
+            Dispatcher module, Consumer<String> fell) {
+        this.logged = logged;
         this.station = station;
         this.time = time;
         this.articles = articles;
@@ -356,6 +358,11 @@
         station.decided(nanos);
     }
 
+    @Override
+    public void modeChanged(String text) {
+        logged.accept(text);
+    }
+
     @Override
     public void clientLeft() {
         // the tape has it
--- a/rehearsal/src/main/java/pearladder/rehearsal/Rehearsal.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Rehearsal.java
@@ -1,6 +1,7 @@
 package pearladder.rehearsal;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.io.IOException;
@@ -29,6 +30,7 @@
 import pearladder.lab.ReleaseScript;
 import pearladder.lab.Results;
 import pearladder.lab.RulesChecker;
+import pearladder.lab.TraceSource;
 import pearladder.lab.Traffic;
 import pearladder.lab.Troubles;
 import pearladder.lab.VersionShares;
@@ -62,6 +64,8 @@
 
     /** Virtual time begins here, so that moments before the day's start exist. */
     private static final long EPOCH = 1_000_000_000_000L;
+    /** Lines of the routers' logs that a page keeps at the most. */
+    private static final int STAFF = 400;
     private static final long SETTLES = 1_000_000_000L;
     private static final YAMLMapper YAML = new YAMLMapper();
 
@@ -78,13 +82,16 @@
     private final List<String> faults = new ArrayList<>();
     private final ReleaseScript releases = new ReleaseScript(null);
     private final Clients clients;
+    private final TraceSource trace;
+    private final List<String> staff = new ArrayList<>();
     private final PrintStream progress;
     private final Map<String, Long> still = new HashMap<>();
     private long begun;
     private boolean done;
     private long loads;
 
-    private Rehearsal(JsonNode script, DayPlan plan, Maker maker, PrintStream progress) {
+    private Rehearsal(JsonNode script, DayPlan plan, TraceSource trace, Maker maker, PrintStream progress) {
+        this.trace = trace;
         this.script = script;
         this.plan = plan;
         this.maker = maker;
@@ -98,7 +105,7 @@
         time.runTo(EPOCH);
         Consumer<Seen> seen = this::seen;
         this.fleet = new VirtualFleet(time, plan.fleet(), plan.network().delay(), seen);
-        this.clients = new Clients(time, this::carry, plan, 0, new Traffic(plan), front, books, seen);
+        this.clients = new Clients(time, this::carry, plan, 0, trace != null ? trace : new Traffic(plan), front, books, seen);
         fleet.onListCut(() -> stations.values().forEach(station -> {
             if (station.life() != null) {
                 station.life().listBroke();
@@ -115,8 +122,19 @@
      * @param progress lines of progress, or null for none
      */
     public static Outcome play(JsonNode script, String name, Maker maker, Path out, PrintStream progress) throws IOException {
+        return play(script, name, null, maker, out, progress);
+    }
+
+    /** The same with a trace's calls in place of the script's traffic; null for none. */
+    public static Outcome play(JsonNode script, String name, TraceSource.Terms trace, Maker maker, Path out,
+            PrintStream progress) throws IOException {
         DayPlan plan = DayPlan.read(Yaml.read(name, YAML.writeValueAsString(script)));
-        return new Rehearsal(script, plan, maker, progress).play(out);
+        if (trace == null) {
+            return new Rehearsal(script, plan, null, maker, progress).play(out);
+        }
+        try (TraceSource source = new TraceSource(trace, plan, out)) {
+            return new Rehearsal(script, plan, source, maker, progress).play(out);
+        }
     }
 
     private void seen(Seen one) {
@@ -134,7 +152,7 @@
             Articles articles = articles(name, hall, i);
             int number = i;
             stations.put(name, new Station(name, hall, () -> newest(name), (station, life) -> new Life(station, time, articles,
-                    fleet, plan.network().delay(), maker.make(plan.seed() * 1_000_003 + number * 1009L + life,
+                    fleet, plan.network().delay(), text -> logged(name, text), maker.make(plan.seed() * 1_000_003 + number * 1009L + life,
                             articles.facts()), fleet::kill)));
             front.add(name, hall, i);
         }
@@ -143,7 +161,7 @@
         time.at(begun, () -> clients.play(begun, () -> done = true));
         Troubles troubles = new Troubles(plan, new World());
         time.at(begun, () -> bring(troubles));
-        long end = begun + plan.lasting() + 60_000_000_000L;
+        long end = trace != null ? Long.MAX_VALUE : begun + plan.lasting() + 60_000_000_000L;
         for (long at = begun; !done && at < end; at += 1_000_000_000L) {
             time.runTo(at);
             if (progress != null && (at - begun) % 10_000_000_000L == 0 && at > begun) {
@@ -160,6 +178,13 @@
         return judge(out, (System.nanoTime() - wall) / 1e9);
     }
 
+    /** What a router would log, kept for the page: what staff would see, and when. */
+    void logged(String router, String text) {
+        if (staff.size() < STAFF) {
+            staff.add(String.format(Locale.ROOT, "%.1f s, %s: %s", (time.now() - begun) / 1e9, router, text));
+        }
+    }
+
     private void bring(Troubles troubles) {
         long next = troubles.due(time.now() - begun);
         if (next >= 0) {
@@ -288,6 +313,13 @@
         long decided = stations.values().stream().mapToLong(Station::decidedNanos).sum();
         List<String> lines = new ArrayList<>(books.table());
         lines.addAll(VersionShares.lines(tape, begun, plan.releases()));
+        lines.add(Results.fetched(plan, tape, begun));
+        if (trace != null) {
+            lines.addAll(trace.lines());
+            if (trace.failure() != null) {
+                faults.add(trace.failure().getMessage());
+            }
+        }
         lines.add("");
         lines.add(String.format(Locale.ROOT, "rehearsed with %d engines and %d routers: %d calls in %d tries, %d loads, digest %s",
                 plan.fleet().engines().size(), plan.routers(), books.calls(), books.tries(), loads, sum));
@@ -297,7 +329,10 @@
         if (out != null) {
             Files.createDirectories(out);
             Files.write(out.resolve("table.txt"), lines);
-            Results.write(out, Results.of(plan, books, verdict, faults, tape, begun, lines));
+            ObjectNode results = Results.of(plan, books, verdict, faults, tape, begun, lines);
+            ArrayNode seen = results.putArray("staff");
+            staff.forEach(seen::add);
+            Results.write(out, results);
         }
         return new Outcome(sum, books.credit(), books.worstWindow(), books.calls(), loads, books.latencyMillis(50),
                 books.latencyMillis(99), time.ran(), decisions, decided, wall, lines, verdict, List.copyOf(faults));
--- a/rehearsal/src/main/java/pearladder/rehearsal/VirtualEngines.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/VirtualEngines.java
@@ -214,7 +214,12 @@
         Engine.Asked asked = new Engine.Asked(router, leg.call.named, leg.number, leg.call.function,
                 leg.call.mark == null ? "" : leg.call.mark, carried.work());
         return new Flight(link, limit, reply -> link.host.engine.ask(asked, reply),
-                (outcome, answer) -> ended.end(outcome, answer == null ? null : Said.of(answer)));
+                (outcome, answer) -> {
+                    Said said = answer == null ? null : Said.of(answer);
+                    boolean wrong = outcome == Outcome.SUCCESS && link.host.misnaming();
+                    ended.end(wrong ? Outcome.ERROR : outcome,
+                            wrong ? new Said(Outcome.ERROR, said.copy(), said.crowd(), said.report()) : said);
+                });
     }
 
     @Override
--- a/rehearsal/src/main/java/pearladder/rehearsal/VirtualFleet.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/VirtualFleet.java
@@ -143,6 +143,7 @@
             case "slow" -> named.forEach(host -> host.engine.slow(figure));
             case "failing" -> named.forEach(host -> host.engine.failing(figure));
             case "hang" -> named.forEach(host -> host.hang(on));
+            case "misname" -> named.forEach(host -> host.misname(on));
             case "garble" -> named.forEach(host -> host.garble(on));
             case "late-reports" -> named.forEach(host -> host.engine.reportLate(nanos));
             case "losing" -> named.forEach(host -> host.engine.losing(figure));
--- a/router/src/main/java/pearladder/router/HttpReply.java
+++ b/router/src/main/java/pearladder/router/HttpReply.java
@@ -32,6 +32,15 @@
         return path;
     }
 
+    /** Whether an answer is this call's: a settled one that names another model is not. */
+    boolean isOf(EngineAnswer answer) {
+        if (answer.status() / 100 != 2) {
+            return true;
+        }
+        String named = Bodies.answeredBy(answer.body().getBytes());
+        return named == null || named.equals(model);
+    }
+
     @Override
     public void taken(String named, String version) {
         path = "/v2/models/" + model + (version.isEmpty() ? "" : "/versions/" + version) + "/infer";
--- a/router/src/main/java/pearladder/router/Legs.java
+++ b/router/src/main/java/pearladder/router/Legs.java
@@ -104,7 +104,16 @@
             return () -> { };
         }
         HttpReply call = (HttpReply) leg.call.reply;
-        Flight flight = new Flight(link, limit, ended);
+        Flight flight = new Flight(link, limit, (outcome, said) -> {
+            EngineAnswer answer = (EngineAnswer) said;
+            if (answer != null && !call.isOf(answer)) {
+                // guards against an engine that answers for another model: its answer is nobody's
+                EngineAnswer wrong = new EngineAnswer(Outcome.ERROR, answer.status(), answer.headers(), answer.body());
+                ended.end(Outcome.ERROR, wrong);
+            } else {
+                ended.end(outcome, answer);
+            }
+        });
         return flight.go(HttpMethod.POST, call.path(), request -> {
             request.putHeader("content-type", call.contentType).putHeader(Headers.CALL, leg.call.named)
                     .putHeader(Headers.LEG, Integer.toString(leg.number));
--- a/router/src/main/java/pearladder/router/Meters.java
+++ b/router/src/main/java/pearladder/router/Meters.java
@@ -27,6 +27,7 @@
             .register(registry);
     private final Counter left = registry.counter("pearladder.clients.left");
     private final Counter turnedAway = registry.counter("pearladder.calls.not.taken");
+    private final Counter modes = registry.counter("pearladder.mode.changes");
     private final Counter orders = registry.counter("pearladder.load.orders");
 
     Meters(Supplier<Number> openCalls, Supplier<Number> engines) {
@@ -62,6 +63,11 @@
         decisions.record(nanos, TimeUnit.NANOSECONDS);
     }
 
+    @Override
+    public void modeChanged(String text) {
+        modes.increment();
+    }
+
     @Override
     public void clientLeft() {
         left.increment();
--- a/router/src/main/java/pearladder/router/core/Conductor.java
+++ b/router/src/main/java/pearladder/router/core/Conductor.java
@@ -129,6 +129,7 @@
             hands.fetchList();
         } else if (action instanceof Action.Log log) {
             LOG.info(log.text());
+            tally.modeChanged(log.text());
         } else {
             LOG.warn("not done, no way to: {}", action);
         }
--- a/router/src/main/java/pearladder/router/core/Tally.java
+++ b/router/src/main/java/pearladder/router/core/Tally.java
@@ -13,6 +13,9 @@
     /** One decision of the module took so long. */
     void decided(long nanos);
 
+    /** A module told of a change of mode, with its figures. */
+    void modeChanged(String text);
+
     void clientLeft();
 
     void ordered();
--- a/router/src/test/java/pearladder/router/HardCasesTest.java
+++ b/router/src/test/java/pearladder/router/HardCasesTest.java
@@ -22,6 +22,24 @@
     private static final RawEngine.Script CUT = (number, head, out, socket) -> socket.close();
     private static final RawEngine.Script OK = (number, head, out, socket) -> RawEngine.plain(out, 200, "", "{}");
 
+    /** An engine answers for another model: its answer reaches nobody, and a call that may run again runs elsewhere. */
+    @Test
+    void anAnswerForAnotherModelSettlesNoCall() {
+        RawEngine.Script wrong = (number, head, out, socket) -> RawEngine.plain(out, 200, "pearladder-copy: stood\r\n",
+                "{\"model_name\":\"pair-b\",\"outputs\":[]}");
+        RawEngine.Script right = (number, head, out, socket) -> RawEngine.plain(out, 200, "pearladder-copy: stood\r\n",
+                "{\"id\":\"1\",\"model_name\":\"pair-a\",\"outputs\":[]}");
+        try (RawEngine one = new RawEngine(wrong); RawEngine two = new RawEngine(right); Stand stand = Stand.of(one, two)) {
+            for (int i = 0; i < 10; i++) {
+                HttpResponse<String> answer = Stand.await(stand.send("pair-a", 1));
+                assertTrue(!answer.body().contains("pair-b"), answer.body());
+                HttpResponse<String> binding = Stand.await(stand.send("pair-a", 1, "pearladder-category", "post"));
+                assertTrue(!binding.body().contains("pair-b") && !Stand.state(binding).equals("dismissed"), binding.body());
+            }
+            assertTrue(one.heads.stream().anyMatch(head -> head.contains("/infer")), "the wrong one was asked as well");
+        }
+    }
+
     @Test
     void anEngineThatDrainsWhileItLoadsFinishesItsCallAndGetsNothingNew() {
         try (Stand stand = new Stand(2)) {
