A scheduler for a router's background work: ranks, budgets, fair shares, back-off, strain

Background work (the last list, questions to other routers, later records and metering) had no common limit. pearladder.work decides what is begun when: ranks, a budget of cpu, bytes and orders for each class, start-time fair queueing between accounts, doubled back-off with seeded chance, dates that are given up at once where they can't be met, and the highest rank standing still first when the event loop is late. The router's executor runs it off the loop; writing the last list and learning orders use it.

Found over sockets: with two classes a microsecond's lateness stopped the second; each rank now bears its equal part of the strain.

Tests: budgets, debts, fairness, back-off, dates, stops, and random runs that check the laws after every step.

--- /dev/null
+++ b/router/src/main/java/pearladder/router/BackgroundWork.java
@@ -0,0 +1,107 @@
+package pearladder.router;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import pearladder.api.Moment;
+import pearladder.router.core.Timers;
+import pearladder.work.Load;
+import pearladder.work.Scheduler;
+import pearladder.work.WorkAction;
+import pearladder.work.WorkEvent;
+
+/** Does the router's background work when the scheduler says so. The event loop calls it; the jobs themselves leave it. */
+final class BackgroundWork {
+    private static final Logger LOG = LoggerFactory.getLogger("pearladder.background");
+
+    /** One piece: what is done, and what becomes of it. */
+    private record Job(Supplier<Future<Load>> run, Promise<Void> done) { }
+
+    private final Timers timers;
+    private final Scheduler scheduler;
+    private final Map<String, Job> jobs = new HashMap<>();
+    private Promise<Void> stopped;
+    private long numbered;
+    private boolean ended;
+
+    BackgroundWork(Timers timers, Scheduler scheduler) {
+        this.timers = timers;
+        this.scheduler = scheduler;
+    }
+
+    /**
+     * Asks for a piece of work.
+     *
+     * @param by when it must have begun, or null
+     * @param run does it off the event loop and brings what it cost
+     * @return done once it is; it fails in words where it was given up
+     */
+    Future<Void> ask(String duty, String account, Load cost, Moment by, Supplier<Future<Load>> run) {
+        String id = duty + "-" + ++numbered;
+        Promise<Void> done = Promise.promise();
+        jobs.put(id, new Job(run, done));
+        tell(new WorkEvent.Asked(id, duty, account, cost, by));
+        return done.future();
+    }
+
+    /** How late the event loop is. */
+    void strained(pearladder.api.Span behind) {
+        tell(new WorkEvent.Strained(behind));
+    }
+
+    /** Begins nothing new but what is to be done at a stop; done once nothing is left. */
+    Future<Void> stop() {
+        if (stopped == null) {
+            stopped = Promise.promise();
+            tell(new WorkEvent.Stopping());
+            emptied();
+        }
+        return stopped.future();
+    }
+
+    private void emptied() {
+        if (stopped != null && scheduler.size() == 0) {
+            ended = true;
+            stopped.tryComplete();
+        }
+    }
+
+    private void tell(WorkEvent event) {
+        if (!ended) {
+            scheduler.on(timers.now(), event).forEach(this::act);
+            emptied();
+        }
+    }
+
+    private void act(WorkAction action) {
+        if (action instanceof WorkAction.Begin begin) {
+            begin(begin.id());
+        } else if (action instanceof WorkAction.GiveUp up) {
+            Job job = jobs.remove(up.id());
+            if (job != null) {
+                LOG.atInfo().addKeyValue("work", up.id()).addKeyValue("cause", up.why()).log("given up");
+                job.done().fail(up.why());
+            }
+        } else if (action instanceof WorkAction.Wake wake) {
+            timers.after(wake.after(), () -> tell(new WorkEvent.Due()));
+        } else if (action instanceof WorkAction.Log log) {
+            LOG.info(log.text());
+        }
+    }
+
+    private void begin(String id) {
+        Job job = jobs.get(id);
+        job.run().get().onComplete(cost -> {
+            jobs.remove(id);
+            tell(new WorkEvent.Ended(id, true, cost));
+            job.done().complete();
+        }, failed -> {
+            LOG.atWarn().addKeyValue("work", id).addKeyValue("cause", String.valueOf(failed.getMessage())).log("failed");
+            tell(new WorkEvent.Ended(id, false, Load.NONE));
+        });
+    }
+}
--- a/router/src/main/java/pearladder/router/Learning.java
+++ b/router/src/main/java/pearladder/router/Learning.java
@@ -22,6 +22,8 @@
 import pearladder.release.Target;
 import pearladder.router.core.Articles;
 import pearladder.router.core.ReleaseDesk;
+import pearladder.work.Duties;
+import pearladder.work.Load;
 
 /**
  * Learns the newest orders on releases from the other routers: from all of them before this one is ready, then from one
@@ -33,11 +35,14 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long EVERY_MILLIS = 1000;
     private static final long WITHIN_MILLIS = 1000;
+    /** An answer that tells nothing new. */
+    private static final Load USUAL = new Load(0, 500, 0);
     private static final int LARGEST = 16 << 20;
 
     private final Vertx vertx;
     private final ReleaseDesk desk;
     private final JournalOffLoop journal;
+    private final BackgroundWork work;
     private final List<Articles.Address> others;
     private final HttpClient client;
     private final Map<Articles.Address, Boolean> answering = new HashMap<>();
@@ -45,7 +50,9 @@
     private boolean learnt;
     private boolean closed;
 
-    Learning(Vertx vertx, ReleaseDesk desk, JournalOffLoop journal, List<Articles.Address> others) {
+    Learning(Vertx vertx, ReleaseDesk desk, JournalOffLoop journal, BackgroundWork work,
+            List<Articles.Address> others) {
+        this.work = work;
         this.vertx = vertx;
         this.desk = desk;
         this.journal = journal;
@@ -71,7 +78,9 @@
 
     private void next() {
         if (!closed && !others.isEmpty()) {
-            vertx.setTimer(EVERY_MILLIS, fired -> ask(others.get(turn++ % others.size())).onComplete(asked -> next()));
+            Articles.Address other = others.get(turn++ % others.size());
+            vertx.setTimer(EVERY_MILLIS, fired -> work.ask(Duties.LEARN, "", USUAL, null, () -> ask(other).map(USUAL))
+                    .onComplete(asked -> next()));
         }
     }
 
--- a/router/src/main/java/pearladder/router/Roster.java
+++ b/router/src/main/java/pearladder/router/Roster.java
@@ -10,12 +10,18 @@
 import pearladder.kserve.ListLine;
 import pearladder.router.core.Articles;
 import pearladder.router.core.EngineList;
+import pearladder.work.Duties;
+import pearladder.work.Load;
 
 /** A link to each engine that the list has, and the last list on disk. */
 final class Roster {
     private static final Logger LOG = LoggerFactory.getLogger(Roster.class);
 
+    /** Bytes of an entry, about. */
+    private static final double ENTRY = 150;
+
     private final Vertx vertx;
+    private final BackgroundWork work;
     private final Articles.Connections connections;
     private final LastList lastList;
     private final Map<String, EngineLink> links = new HashMap<>();
@@ -24,8 +30,9 @@
     private boolean unwritten;
     private Future<Void> writing;
 
-    Roster(Vertx vertx, Articles articles) {
+    Roster(Vertx vertx, Articles articles, BackgroundWork work) {
         this.vertx = vertx;
+        this.work = work;
         this.connections = articles.connections();
         this.lastList = new LastList(articles.data());
     }
@@ -71,17 +78,18 @@
         }
     }
 
-    /** Writes the list off the event loop, one writing at a time; what changed meanwhile is written after it. */
+    /** Has the list written, one writing at a time; what changed meanwhile is written after it. */
     private void write() {
         if (writing != null) {
             unwritten = true;
             return;
         }
         ListLine whole = list.whole();
-        writing = vertx.executeBlocking(() -> {
+        Load cost = new Load(0, whole.entries().size() * ENTRY, 0);
+        writing = work.ask(Duties.FLUSH, "", cost, null, () -> vertx.executeBlocking(() -> {
             lastList.write(whole);
-            return null;
-        });
+            return cost;
+        }));
         writing.onComplete(end -> {
             writing = null;
             if (end.failed()) {
@@ -94,9 +102,4 @@
             }
         });
     }
-
-    /** Done once nothing is being written. */
-    Future<Void> written() {
-        return writing == null ? Future.succeededFuture() : writing.otherwiseEmpty();
-    }
 }
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -19,6 +19,7 @@
 import pearladder.router.core.Calls;
 import pearladder.router.core.OpenCall;
 import pearladder.router.core.ReleaseDesk;
+import pearladder.work.Duties;
 
 /**
  * One router behind real sockets: its door, its engines, its list, its releases and one instance of the module, all on one
@@ -40,6 +41,7 @@
     private final Door door;
     private final ListWatch watch;
     private final Roster roster;
+    private final BackgroundWork work;
     private final Pulse pulse;
     private final JournalOffLoop journal;
     private final ReleaseDesk releases;
@@ -57,18 +59,19 @@
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
         this.loop = vertx.getOrCreateContext();
-        this.roster = new Roster(vertx, articles);
+        VertxTimers timers = new VertxTimers(vertx);
+        this.work = new BackgroundWork(timers, Duties.scheduler(seed, timers.now()));
+        this.roster = new Roster(vertx, articles, work);
         this.pulse = new Pulse(vertx);
         this.meters = new Meters(this::held, roster::size);
         this.watch = new ListWatch(vertx, articles.list(), articles.name(), this);
-        VertxTimers timers = new VertxTimers(vertx);
         this.calls = new Calls(articles, timers, maker.make(seed, articles.facts()),
                 new Legs(vertx, articles.name(), articles.limits().answer(), roster, watch::watch), meters);
         this.door = new Door(vertx, articles, this, meters);
         this.journal = new JournalOffLoop(vertx, orders);
         this.releases = new ReleaseDesk(timers, articles, journal, calls::tell);
         this.calls.versions(releases);
-        this.learning = new Learning(vertx, releases, journal, articles.others());
+        this.learning = new Learning(vertx, releases, journal, work, articles.others());
     }
 
     private Number held() {
@@ -98,6 +101,7 @@
             }).onComplete(port -> {
                 router.port = port;
                 router.pulse.begin();
+                router.vertx.setPeriodic(100, beat -> router.work.strained(router.behind()));
                 long begun = System.nanoTime();
                 WarmUp.run(router.vertx, articles, maker, port).onComplete(warm -> {
                     router.warm = true;
@@ -157,8 +161,8 @@
                 watch.close();
                 // A last answer may still be on its way out of the socket; and a future of this loop says nothing
                 // once the loop is gone, so the last step is not chained.
-                vertx.setTimer(50, sent -> door.close().compose(closed -> roster.written())
-                        .compose(written -> journal.written()).onComplete(end -> {
+                vertx.setTimer(50, sent -> door.close().compose(closed -> work.stop())
+                        .compose(done -> journal.written()).onComplete(end -> {
                             journal.close();
                             vertx.close().onComplete(stopped);
                         }));
