--- a/cli/src/main/java/pearladder/cli/DayCommand.java
+++ b/cli/src/main/java/pearladder/cli/DayCommand.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import pearladder.lab.Day;
+import pearladder.lab.TraceSource;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -30,8 +31,13 @@
     }
 
     static int play(Path script, Path out, Decider policy) throws IOException, InterruptedException {
+        return play(script, null, out, policy);
+    }
+
+    /** The same with a trace's calls in place of the script's traffic; null for none. */
+    static int play(Path script, TraceSource.Terms trace, Path out, Decider policy) throws IOException, InterruptedException {
         Logs.setUp(Logs.Form.TEXT);
-        Day.Outcome outcome = Day.play(script, out, Program.command(), List.of("--policy", policy.name()), System.out);
+        Day.Outcome outcome = Day.play(script, trace, out, Program.command(), List.of("--policy", policy.name()), System.out);
         System.out.println();
         outcome.table().forEach(System.out::println);
         System.out.println("kept in " + out);
--- a/cli/src/main/java/pearladder/cli/RehearseCommand.java
+++ b/cli/src/main/java/pearladder/cli/RehearseCommand.java
@@ -72,15 +72,15 @@
         Scripts.check(file);
         Scripts.resize(script, engines, routers, rate);
         int first = seed >= 0 ? seed : script.at("/day/seed").asInt(1);
+        TraceSource.Terms terms = trace == null ? null : new TraceSource.Terms(trace, null, null, null, speed, 60_000_000_000L, 0,
+                Math.round(lasting * 1e9), 1, 500_000_000L, 20_000_000L, false);
         if (sockets) {
             Files.createDirectories(out);
             Path written = out.resolve("day.yaml");
             script.withObject("/day").put("seed", first);
             new YAMLMapper().writeValue(written.toFile(), script);
-            return DayCommand.play(written, out, policy);
+            return DayCommand.play(written, terms, out, policy);
         }
-        TraceSource.Terms terms = trace == null ? null : new TraceSource.Terms(trace, null, null, null, speed, 60_000_000_000L, 0,
-                Math.round(lasting * 1e9), 1, 500_000_000L, 20_000_000L, false);
         ExecutorService pool = Executors.newFixedThreadPool(Math.max(1, jobs));
         List<Future<Rehearsal.Outcome>> all = new ArrayList<>();
         for (int i = 0; i < runs; i++) {
--- a/cli/src/main/java/pearladder/cli/ReplayCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReplayCommand.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.Callable;
-import pearladder.lab.Day;
 import pearladder.lab.TraceSource;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -46,14 +44,9 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        Logs.setUp(Logs.Form.TEXT);
         TraceSource.Terms terms = new TraceSource.Terms(input.file, input.layout, input.durations, input.memory, speed,
                 Math.round(input.window * 1e9), most, Math.round(lasting * 1e9), workScale, Math.round(longest * 1e6),
                 Math.round(usual * 1e6), input.strict);
-        Day.Outcome outcome = Day.play(script, terms, out, Program.command(), List.of("--policy", policy.name()), System.out);
-        System.out.println();
-        outcome.table().forEach(System.out::println);
-        System.out.println("kept in " + out);
-        return outcome.kept() ? 0 : 1;
+        return DayCommand.play(script, terms, out, policy);
     }
 }
--- a/decisions/src/main/java/pearladder/release/Releases.java
+++ b/decisions/src/main/java/pearladder/release/Releases.java
@@ -236,7 +236,7 @@
     private void restore(ReleaseEvent.Restored restored) {
         Map<String, Target> newest = new LinkedHashMap<>();
         restored.targets().forEach(target -> newest.merge(target.plan().model(), target,
-                (a, b) -> b.epoch() > a.epoch() ? b : a));
+                Target::newer));
         Map<String, Reached> furthest = new LinkedHashMap<>();
         restored.reached().forEach(reached -> furthest.merge(reached.model(), reached, Releases::further));
         for (Target target : newest.values()) {
--- a/decisions/src/main/java/pearladder/release/Target.java
+++ b/decisions/src/main/java/pearladder/release/Target.java
@@ -12,4 +12,9 @@
 public record Target(long epoch, Plan plan, Mode mode, int step, String by, long wallMillis) {
     /** How the release stands by the operators' order. */
     public enum Mode { RUNNING, PAUSED, ROLLED_BACK }
+
+    /** Of two targets of one model the one that holds. */
+    public static Target newer(Target a, Target b) {
+        return b.epoch() > a.epoch() ? b : a;
+    }
 }
--- a/rehearsal/src/main/java/pearladder/rehearsal/Life.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Life.java
@@ -1,10 +1,8 @@
 package pearladder.rehearsal;
 
 import java.util.ArrayDeque;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import pearladder.api.Dispatcher;
@@ -23,9 +21,7 @@
 import pearladder.router.core.Calls;
 import pearladder.router.core.EngineList;
 import pearladder.router.core.EngineSaid;
-import pearladder.router.core.Engines;
 import pearladder.router.core.OpenCall;
-import pearladder.router.core.OpenLeg;
 import pearladder.router.core.ReleaseDesk;
 import pearladder.router.core.Reply;
 import pearladder.router.core.Tally;
@@ -107,9 +103,7 @@
     private final Calls calls;
     private final ReleaseDesk desk;
     private final Set<Carried> open = new LinkedHashSet<>();
-    private final Set<Engines.Sending> out = new LinkedHashSet<>();
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
-    private final Map<Outcome, Long> legs = new HashMap<>();
     private Roll.Watcher watcher;
     private Timeline.Planned silence;
     private long version;
@@ -129,56 +123,11 @@
         this.delay = delay;
         this.engines = new VirtualEngines(this, articles.name(), delay, articles.connections().dial().nanos(), fell);
         this.list = new EngineList(0, entry -> engines.came(entry.engine(), fleet.host(entry.engine())), engines::went);
-        this.calls = new Calls(articles, this, module, remembering(), this);
+        this.calls = new Calls(articles, this, module, engines, this);
         this.desk = new ReleaseDesk(this, articles, station.journal(), calls::tell);
         this.calls.versions(desk);
     }
 
-    /** The same engines, with what is out kept for the router's death. */
-    private Engines remembering() {
-        return new Engines() {
-            @Override
-            public Sending send(OpenLeg leg, Span limit, LegEnded ended) {
-                Sending[] sending = {null};
-                boolean[] over = {false};
-                sending[0] = engines.send(leg, limit, (outcome, said) -> {
-                    over[0] = true;
-                    out.remove(sending[0]);
-                    ended.end(outcome, said);
-                });
-                if (!over[0]) {
-                    out.add(sending[0]);
-                }
-                return sending[0];
-            }
-
-            @Override
-            public void order(String engine, String function, int copies, Span limit, Ordered ended) {
-                engines.order(engine, function, copies, limit, ended);
-            }
-
-            @Override
-            public void unload(String engine, String function, Span limit) {
-                engines.unload(engine, function, limit);
-            }
-
-            @Override
-            public void probe(String engine, Span limit, LegEnded ended) {
-                engines.probe(engine, limit, ended);
-            }
-
-            @Override
-            public void closeIdle(String engine) {
-                engines.closeIdle(engine);
-            }
-
-            @Override
-            public void watchList() {
-                Life.this.watchList();
-            }
-        };
-    }
-
     /** Begins as a router does: the last list, the journal, what others know, then the list service. */
     void begin() {
         calls.tell(list.remembered(station.lastList()));
@@ -247,7 +196,7 @@
     /** Killed: clients and engines see their connections break, and nothing of it happens any more. */
     void die() {
         dead = true;
-        engines.die(List.copyOf(out));
+        engines.die();
         List.copyOf(open).forEach(Carried::cut);
         open.clear();
         if (watcher != null) {
@@ -350,7 +299,7 @@
 
     @Override
     public void legEnded(Outcome outcome) {
-        legs.merge(outcome, 1L, Long::sum);
+        // the tape has it
     }
 
     @Override
--- a/rehearsal/src/main/java/pearladder/rehearsal/VirtualEngines.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/VirtualEngines.java
@@ -1,7 +1,10 @@
 package pearladder.rehearsal;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import pearladder.api.Event;
 import pearladder.api.Outcome;
@@ -78,6 +81,7 @@
             this.ended = ended;
             this.limit = life.after(Math.max(1_000_000, limit.nanos()),
                     () -> end(written ? Outcome.TIMED_OUT : Outcome.UNREACHABLE, null));
+            out.add(this);
             connect();
         }
 
@@ -142,6 +146,7 @@
                 return;
             }
             over = true;
+            out.remove(this);
             limit.callOff();
             link.host.detach(this);
             if (answer == null && written) {
@@ -171,6 +176,7 @@
     private final long dial;
     private final Consumer<String> fell;
     private final Map<String, Link> links = new HashMap<>();
+    private final Set<Flight> out = new LinkedHashSet<>();
 
     /** @param fell told of an engine that fell over */
     VirtualEngines(Life life, String router, long delay, long dial, Consumer<String> fell) {
@@ -193,14 +199,14 @@
     }
 
     /** The router dies: every connection of it goes. */
-    void die(Iterable<Sending> out) {
-        out.forEach(sending -> {
-            if (sending instanceof Flight flight && flight.written && !flight.over) {
+    void die() {
+        for (Flight flight : List.copyOf(out)) {
+            if (flight.written) {
                 flight.over = true;
                 flight.link.host.detach(flight);
                 flight.hangUp();
             }
-        });
+        }
     }
 
     @Override
--- a/router/src/main/java/pearladder/router/BackgroundWork.java
+++ b/router/src/main/java/pearladder/router/BackgroundWork.java
@@ -97,8 +97,9 @@
         Job job = jobs.get(id);
         job.run().get().onComplete(cost -> {
             jobs.remove(id);
-            tell(new WorkEvent.Ended(id, true, cost));
+            // who waited may ask for the next piece at once, and a stop must wait for that one too
             job.done().complete();
+            tell(new WorkEvent.Ended(id, true, cost));
         }, failed -> {
             LOG.atWarn().addKeyValue("work", id).addKeyValue("cause", String.valueOf(failed.getMessage())).log("failed");
             tell(new WorkEvent.Ended(id, false, Load.NONE));
--- a/router/src/main/java/pearladder/router/Operator.java
+++ b/router/src/main/java/pearladder/router/Operator.java
@@ -152,7 +152,7 @@
         for (String door : doors) {
             try {
                 List<Target> targets = JSON.convertValue(get(door, "/releases").path("targets"), new TypeReference<>() { });
-                targets.forEach(target -> newest.merge(target.plan().model(), target, (a, b) -> b.epoch() > a.epoch() ? b : a));
+                targets.forEach(target -> newest.merge(target.plan().model(), target, Target::newer));
             } catch (IOException away) {
                 continue;
             }
--- a/router/src/main/java/pearladder/router/ReleaseJournal.java
+++ b/router/src/main/java/pearladder/router/ReleaseJournal.java
@@ -172,7 +172,7 @@
     private void shorten() throws IOException {
         Map<String, Target> newest = new LinkedHashMap<>();
         for (Target order : orders) {
-            newest.merge(order.plan().model(), order, (a, b) -> b.epoch() > a.epoch() ? b : a);
+            newest.merge(order.plan().model(), order, Target::newer);
         }
         List<Target> kept = new ArrayList<>(orders.subList(Math.max(0, orders.size() - LATEST), orders.size()));
         List<Reached> far = reached.stream().filter(one -> newest.containsKey(one.model())
