A stop waits for no job that threw; the beat looks only at workers that were sent to

Cause: a router asked to stop in the moment before it would ask another one for orders called a client that was closed already. Change: a job that throws has failed; Learning asks nothing once closed; the last writes at a stop have a bound of 5 s. A call that is answered before its connection is looked after no longer throws behind the answer. A rehearsed router makes its last list only when it starts again.

--- a/cli/src/main/java/pearladder/cli/RehearseCommand.java
+++ b/cli/src/main/java/pearladder/cli/RehearseCommand.java
@@ -55,6 +55,11 @@
     @Option(names = "--jobs", defaultValue = "1", description = "runs at once; the results are the same (default: ${DEFAULT-VALUE})")
     private int jobs;
 
+    @Option(names = "--grow", split = ",", paramLabel = "ENGINESxROUTERS", description = {
+        "the same day at these sizes, one after the other: calls, models and the shelf go with the engines;",
+        "the page charts what grows. 100x10,1000x100"})
+    private List<String> sizes = List.of();
+
     @Option(names = "--sockets", description = "the same script with processes over sockets")
     private boolean sockets;
 
@@ -81,6 +86,9 @@
             new YAMLMapper().writeValue(written.toFile(), script);
             return DayCommand.play(written, terms, out, policy);
         }
+        if (!sizes.isEmpty()) {
+            return grow(script, first);
+        }
         ExecutorService pool = Executors.newFixedThreadPool(Math.max(1, jobs));
         List<Future<Rehearsal.Outcome>> all = new ArrayList<>();
         for (int i = 0; i < runs; i++) {
@@ -100,11 +108,7 @@
                     System.out.println();
                     outcome.table().forEach(System.out::println);
                 }
-                System.out.println(String.format(Locale.ROOT, "seed %d: credit %.3f, worst 10 s %.3f, %d calls, %d loads, digest %s, %s;"
-                        + " %d events at %.0f a second, decisions %.2f us each, %.1f s of this machine", first + i, outcome.credit(),
-                        outcome.worst(), outcome.calls(), outcome.loads(), outcome.digest(), outcome.kept() ? "kept" : "NOT KEPT",
-                        outcome.events(), outcome.events() / outcome.wallSeconds(),
-                        outcome.decidedNanos() / 1e3 / Math.max(1, outcome.decisions()), outcome.wallSeconds()));
+                System.out.println("seed " + (first + i) + ": " + line(outcome));
             } catch (ExecutionException failed) {
                 if (failed.getCause() instanceof RuntimeException cause) {
                     throw cause;
@@ -116,4 +120,31 @@
         System.out.println("report: " + Report.write(out.toAbsolutePath().normalize()));
         return kept ? 0 : 1;
     }
+
+    private int grow(ObjectNode script, int seed) throws IOException {
+        boolean kept = true;
+        for (String size : sizes) {
+            if (!size.matches("[1-9][0-9]{0,5}x[1-9][0-9]{0,4}")) {
+                throw new IOException("--grow " + size + ": a size is ENGINESxROUTERS, such as 1000x100");
+            }
+            ObjectNode grown = script.deepCopy();
+            grown.withObject("/day").put("seed", seed);
+            String[] parts = size.split("x");
+            Scripts.grow(grown, Integer.parseInt(parts[0]), Integer.parseInt(parts[1]));
+            Rehearsal.Outcome outcome = Rehearsal.play(grown, file.toString(), policy.maker::make, out.resolve(size), System.out);
+            kept &= outcome.kept();
+            System.out.println(size + ": " + line(outcome));
+        }
+        System.setProperty("java.awt.headless", "true");
+        System.out.println("report: " + Report.write(out.toAbsolutePath().normalize()));
+        return kept ? 0 : 1;
+    }
+
+    private static String line(Rehearsal.Outcome outcome) {
+        return String.format(Locale.ROOT, "credit %.3f, worst 10 s %.3f, %d calls, %d loads, digest %s, %s; %d events at %.0f a second,"
+                + " decisions %.2f us each, %d list entries told, %.1f s of this machine", outcome.credit(), outcome.worst(),
+                outcome.calls(), outcome.loads(), outcome.digest(), outcome.kept() ? "kept" : "NOT KEPT", outcome.events(),
+                outcome.events() / outcome.wallSeconds(), outcome.decidedNanos() / 1e3 / Math.max(1, outcome.decisions()),
+                outcome.told(), outcome.wallSeconds());
+    }
 }
--- a/decisions/src/main/java/pearladder/Policy.java
+++ b/decisions/src/main/java/pearladder/Policy.java
@@ -90,6 +90,8 @@
     private final Decaying hintSeconds = new Decaying(PACE);
     private final Decaying taken = new Decaying(PACE);
     private final List<Worker> inService = new ArrayList<>();        // by id
+    private final List<Worker> met = new ArrayList<>();              // those of them ever sent to, by id
+    private final List<Worker> newcomers = new ArrayList<>();        // those of them that may still be cold
     private final TreeMap<Long, Worker> ring = new TreeMap<>();
     private long edition;
     private int legsOut;
@@ -341,6 +343,9 @@
         worker.out.add(leg);
         worker.coldOut += leg.copyBelieved ? 0 : 1;
         place.sentAt = now;
+        if (worker.sentAt == null) {
+            keep(met, worker, worker.onRing);
+        }
         worker.sentAt = now;
         coldAllowance.sent(worker);
         Span left = call.givenUpAt.since(now).minus(facts.quantum().times(2));
@@ -562,6 +567,7 @@
                 forget(worker);
             }
             stands(worker);
+            keep(newcomers, worker, worker.onRing && coldAllowance.cold(worker));
         }
         if (listed.kind() != Event.ListKind.CHANGES) {
             for (Worker worker : workers.values()) {
@@ -569,6 +575,7 @@
                     worker.standing = Standing.GONE;
                     forget(worker);
                     stands(worker);
+                    keep(newcomers, worker, false);
                 }
             }
         }
@@ -582,12 +589,8 @@
             return;
         }
         worker.onRing = serves;
-        int at = Collections.binarySearch(inService, worker, Comparator.comparing(one -> one.id));
-        if (serves) {
-            inService.add(-at - 1, worker);
-        } else {
-            inService.remove(at);
-        }
+        keep(inService, worker, serves);
+        keep(met, worker, serves && worker.sentAt != null);
         for (long mark : worker.marks) {
             if (serves) {
                 ring.putIfAbsent(mark, worker);
@@ -597,6 +600,15 @@
         }
     }
 
+    private static void keep(List<Worker> sorted, Worker worker, boolean in) {
+        int at = Collections.binarySearch(sorted, worker, Comparator.comparing(one -> one.id));
+        if (in && at < 0) {
+            sorted.add(-at - 1, worker);
+        } else if (!in && at >= 0) {
+            sorted.remove(at);
+        }
+    }
+
     /** A worker that left or began anew holds nothing that we knew of. */
     private void forget(Worker worker) {
         for (Place place : worker.places) {
@@ -655,7 +667,7 @@
         void look() {
             List<double[]> seen = new ArrayList<>();
             int aside = 0;
-            for (Worker worker : inService) {
+            for (Worker worker : met) {
                 double count = worker.answers.read(now);
                 double slow = worker.slowness.read(now);
                 double late = 0;
@@ -683,7 +695,7 @@
             double median = Math.max(1, median(seen, 1));
             double failingMedian = median(seen, 2);
             for (int i = 0; i < seen.size(); i++) {
-                Worker worker = inService.get(i);
+                Worker worker = met.get(i);
                 double count = seen.get(i)[0];
                 double failing = worker.failures.read(now);
                 boolean fails = failing >= 2 && seen.get(i)[2] > Math.max(0.3, factor * failingMedian);
@@ -741,8 +753,10 @@
 
         /** Our mean rate at warm workers, summed up once a beat. */
         void look() {
-            warmRate = inService.stream().filter(worker -> !cold(worker))
-                    .mapToDouble(worker -> worker.settled.perSecond(now)).average().orElse(0);
+            newcomers.removeIf(worker -> !cold(worker));
+            double settled = met.stream().filter(worker -> !cold(worker))
+                    .mapToDouble(worker -> worker.settled.perSecond(now)).sum();
+            warmRate = settled / Math.max(1, inService.size() - newcomers.size());
         }
 
         boolean cold(Worker worker) {
@@ -985,7 +999,7 @@
         }
 
         void look() {
-            meanLoads = inService.stream().filter(worker -> worker.heard != null)
+            meanLoads = met.stream().filter(worker -> worker.heard != null)
                     .mapToDouble(worker -> worker.loading).average().orElse(0);
         }
 
--- a/lab/src/main/java/pearladder/lab/Report.java
+++ b/lab/src/main/java/pearladder/lab/Report.java
@@ -55,6 +55,7 @@
         if (runs.size() > 1) {
             groups(runs);
             chart(latency(runs));
+            growth(runs);
         }
         for (Map.Entry<String, JsonNode> run : runs.entrySet()) {
             one(run.getKey(), run.getValue());
@@ -100,6 +101,40 @@
         chart(chart);
     }
 
+    /** Only of rehearsals of one day at several sizes: what grows with the fleet. */
+    private void growth(Map<String, JsonNode> runs) throws IOException {
+        TreeMap<Integer, JsonNode> bySize = new TreeMap<>();
+        runs.values().stream().filter(run -> run.has("growth")).forEach(run -> bySize.put(run.path("engines").asInt(), run));
+        if (bySize.size() < 2) {
+            return;
+        }
+        page.append("<h2>What grows with the fleet</h2><table><tr><th>engines<th>routers<th>credit<th>loads for 1000 calls"
+                + "<th>a decision, us<th>decisions, share of a router's core<th>list entries a second and router"
+                + "<th>events a second<th>wall, s, for a minute</tr>");
+        bySize.forEach((engines, run) -> {
+            JsonNode grown = run.path("growth");
+            page.append(String.format(Locale.ROOT, "<tr><td>%d<td>%d<td>%.3f<td>%.1f<td>%.1f<td>%.4f<td>%.1f<td>%.0f<td>%.1f</tr>",
+                    engines, run.path("routers").asInt(), run.path("credit").asDouble(), grown.path("loads_per_1000").asDouble(),
+                    grown.path("decision_us").asDouble(), grown.path("decided_share").asDouble(),
+                    grown.path("told_per_second").asDouble(), grown.path("events").asDouble() / grown.path("wall_s").asDouble(),
+                    60 * grown.path("wall_s").asDouble() / grown.path("lasting_s").asDouble()));
+        });
+        page.append("</table>");
+        curve(bySize, "/credit", "Credit", "credit earned of credit asked for");
+        curve(bySize, "/growth/loads_per_1000", "Loads for each 1000 calls", "loads");
+        curve(bySize, "/growth/decided_share", "What decisions take of a router's core", "share");
+        curve(bySize, "/growth/told_per_second", "List traffic to each router", "entries a second");
+    }
+
+    private void curve(TreeMap<Integer, JsonNode> bySize, String figure, String title, String unit) throws IOException {
+        XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).title(title).xAxisTitle("engines, logarithmic")
+                .yAxisTitle(unit).build();
+        chart.getStyler().setXAxisLogarithmic(true).setYAxisMin(0.0).setLegendVisible(false);
+        chart.addSeries("by size", bySize.keySet().stream().map(Integer::doubleValue).toList(),
+                bySize.values().stream().map(run -> run.at(figure).asDouble()).toList());
+        chart(chart);
+    }
+
     private static double mean(List<Double> values) {
         return values.stream().mapToDouble(v -> v).average().orElse(0);
     }
--- a/lab/src/main/java/pearladder/lab/Scripts.java
+++ b/lab/src/main/java/pearladder/lab/Scripts.java
@@ -14,6 +14,32 @@
         DayPlan.read(file);
     }
 
+    /**
+     * The same day for a larger or smaller fleet: calls, models and the shelf go with the number of engines, so that what
+     * changes is the size alone.
+     */
+    public static void grow(ObjectNode script, int engines, int routers) {
+        int had = 0;
+        for (JsonNode group : script.at("/fleet/engines")) {
+            had += group.path("count").asInt(1);
+        }
+        double times = (double) engines / had;
+        resize(script, engines, routers, script.at("/day/rate").asDouble() * times);
+        for (JsonNode flow : script.at("/traffic")) {
+            scale((ObjectNode) flow, "count", times);
+        }
+        if (script.at("/fleet/shelf") instanceof ObjectNode shelf) {
+            scale(shelf, "capacity", times);
+            scale(shelf, "limit", times);
+        }
+    }
+
+    private static void scale(ObjectNode node, String key, double times) {
+        if (node.has(key)) {
+            node.put(key, Math.max(1, (int) Math.round(node.path(key).asInt() * times)));
+        }
+    }
+
     /** Puts other sizes in place of a script's own; 0, or a rate that is none, keeps what it says. */
     public static void resize(ObjectNode script, int engines, int routers, double rate) {
         ObjectNode day = script.withObject("/day");
--- a/rehearsal/src/main/java/pearladder/rehearsal/Life.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Life.java
@@ -261,7 +261,7 @@
         if (line.kind() != ListLine.Kind.BEAT) {
             version = line.version();
             calls.tell(list.follow(line));
-            station.remember(list.whole());
+            station.remember(list::whole);
         }
     }
 
--- a/rehearsal/src/main/java/pearladder/rehearsal/Rehearsal.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Rehearsal.java
@@ -52,9 +52,10 @@
      * @param digest of every event that was seen, in order
      * @param events that the clock went through
      * @param decisions of all routers, and the nanoseconds of this machine that they took
+     * @param told entries of lists that routers were sent
      */
     public record Outcome(String digest, double credit, double worst, long calls, long loads, double p50, double p99, long events,
-            long decisions, long decidedNanos, double wallSeconds, List<String> table, RulesChecker.Verdict verdict,
+            long decisions, long decidedNanos, long told, double wallSeconds, List<String> table, RulesChecker.Verdict verdict,
             List<String> faults) {
         /** Whether every rule and every expectation was kept. */
         public boolean kept() {
@@ -89,6 +90,7 @@
     private long begun;
     private boolean done;
     private long loads;
+    private long told;
 
     private Rehearsal(JsonNode script, DayPlan plan, TraceSource trace, Maker maker, PrintStream progress) {
         this.trace = trace;
@@ -140,6 +142,7 @@
     private void seen(Seen one) {
         tape.add(one);
         loads += one.what().equals(Seen.LOADED) ? 1 : 0;
+        told += one.what().equals(Seen.TOLD) ? 1 : 0;
         digest.update((one.at() + " " + one.what() + " " + one.router() + " " + one.call() + " " + one.leg() + " " + one.engine()
                 + " " + one.model() + " " + one.note() + " " + one.figure() + "\n").getBytes(StandardCharsets.UTF_8));
     }
@@ -305,6 +308,10 @@
         }
     }
 
+    private double seconds() {
+        return (time.now() - begun) / 1e9;
+    }
+
     private Outcome judge(Path out, double wall) throws IOException {
         RulesChecker.Verdict verdict = new RulesChecker(plan.rules(), plan.slack(), plan.places()).check(tape);
         faults.addAll(plan.expected().missed(books));
@@ -332,9 +339,14 @@
             ObjectNode results = Results.of(plan, books, verdict, faults, tape, begun, lines);
             ArrayNode seen = results.putArray("staff");
             staff.forEach(seen::add);
+            results.putObject("growth").put("loads_per_1000", 1000.0 * loads / Math.max(1, books.calls()))
+                    .put("decision_us", decided / 1e3 / Math.max(1, decisions))
+                    .put("decided_share", decided / 1e9 / plan.routers() / seconds())
+                    .put("told_per_second", told / (double) plan.routers() / seconds())
+                    .put("events", time.ran()).put("wall_s", wall).put("lasting_s", seconds());
             Results.write(out, results);
         }
         return new Outcome(sum, books.credit(), books.worstWindow(), books.calls(), loads, books.latencyMillis(50),
-                books.latencyMillis(99), time.ran(), decisions, decided, wall, lines, verdict, List.copyOf(faults));
+                books.latencyMillis(99), time.ran(), decisions, decided, told, wall, lines, verdict, List.copyOf(faults));
     }
 }
--- a/rehearsal/src/main/java/pearladder/rehearsal/Station.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Station.java
@@ -18,7 +18,7 @@
     private final LongFunction<Life> maker;
     private final List<Target> orders = new ArrayList<>();
     private final List<Reached> reached = new ArrayList<>();
-    private ListLine lastList;
+    private Supplier<ListLine> lastList = () -> null;
     private Life life;
     private long lives;
     private long decisions;
@@ -55,10 +55,11 @@
     }
 
     ListLine lastList() {
-        return lastList;
+        return lastList.get();
     }
 
-    void remember(ListLine whole) {
+    /** What was on disk when the life ended: it is asked for by the next life only. */
+    void remember(Supplier<ListLine> whole) {
         lastList = whole;
     }
 
--- a/router/src/main/java/pearladder/router/BackgroundWork.java
+++ b/router/src/main/java/pearladder/router/BackgroundWork.java
@@ -95,7 +95,7 @@
 
     private void begin(String id) {
         Job job = jobs.get(id);
-        job.run().get().onComplete(cost -> {
+        run(job).onComplete(cost -> {
             jobs.remove(id);
             // who waited may ask for the next piece at once, and a stop must wait for that one too
             job.done().complete();
@@ -105,4 +105,13 @@
             tell(new WorkEvent.Ended(id, false, Load.NONE));
         });
     }
+
+    /** Guards against a job that throws where it should have failed: it would count as running, and hold up a stop, for ever. */
+    private static Future<Load> run(Job job) {
+        try {
+            return job.run().get();
+        } catch (RuntimeException thrown) {
+            return Future.failedFuture(thrown);
+        }
+    }
 }
--- a/router/src/main/java/pearladder/router/Learning.java
+++ b/router/src/main/java/pearladder/router/Learning.java
@@ -85,6 +85,10 @@
     }
 
     private Future<Void> ask(Articles.Address other) {
+        if (closed) {
+            // the turn came between this end and that of the background work
+            return Future.succeededFuture();
+        }
         return client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(other.host()).setPort(other.port())
                 .setURI("/releases/newest?sum=" + desk.sum()))
                 .compose(request -> request.send().compose(HttpClientResponse::body)
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -8,6 +8,7 @@
 import io.vertx.core.file.FileSystemOptions;
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pearladder.api.Dispatcher;
@@ -32,6 +33,7 @@
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(Router.class);
+    private static final int WRITING_AT_STOP_SECONDS = 5;
 
     private final Articles articles;
     private final Vertx vertx;
@@ -162,7 +164,9 @@
                 // A last answer may still be on its way out of the socket; and a future of this loop says nothing
                 // once the loop is gone, so the last step is not chained.
                 vertx.setTimer(50, sent -> door.close().compose(closed -> work.stop())
-                        .compose(done -> journal.written()).onComplete(end -> {
+                        .compose(done -> journal.written())
+                        // a disk that hangs holds up the last writes, but not the end
+                        .timeout(WRITING_AT_STOP_SECONDS, TimeUnit.SECONDS).onComplete(end -> {
                             journal.close();
                             vertx.close().onComplete(stopped);
                         }));
@@ -192,7 +196,9 @@
     @Override
     public void take(Calls.Asked asked, HttpReply reply) {
         OpenCall call = calls.take(asked, reply);
-        reply.response.closeHandler(closed -> calls.left(call));
+        if (!reply.response.ended()) {
+            reply.response.closeHandler(closed -> calls.left(call));
+        }
     }
 
     // ---- the list
--- a/router/src/main/java/pearladder/router/core/EngineList.java
+++ b/router/src/main/java/pearladder/router/core/EngineList.java
@@ -43,14 +43,12 @@
     /** Follows a line of the list service; what it says, for the module. */
     public Event.Listed follow(ListLine line) {
         boolean whole = line.kind() == ListLine.Kind.WHOLE;
-        List<String> before = List.copyOf(listed.keySet());
+        List<String> before = whole ? List.copyOf(listed.keySet()) : List.of();
         if (whole) {
             listed.clear();
         }
         line.entries().forEach(this::learn);
-        if (whole) {
-            before.stream().filter(engine -> !listed.containsKey(engine)).forEach(went);
-        }
+        before.stream().filter(engine -> !listed.containsKey(engine)).forEach(went);
         version = line.version();
         known = true;
         return new Event.Listed(whole ? Event.ListKind.WHOLE : Event.ListKind.CHANGES,
--- /dev/null
+++ b/router/src/test/java/pearladder/router/BackgroundWorkTest.java
@@ -0,0 +1,84 @@
+package pearladder.router;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.junit.jupiter.api.Test;
+import pearladder.api.Moment;
+import pearladder.api.Span;
+import pearladder.router.core.Timers;
+import pearladder.work.Duties;
+import pearladder.work.Duty;
+import pearladder.work.Load;
+import pearladder.work.Scheduler;
+
+class BackgroundWorkTest {
+    /** A clock that goes on when it is told to. */
+    private static final class Steps implements Timers {
+        private record Waiting(long at, long number, Runnable what) { }
+
+        private final PriorityQueue<Waiting> waiting = new PriorityQueue<>(
+                java.util.Comparator.comparingLong(Waiting::at).thenComparingLong(Waiting::number));
+        private long now;
+        private long number;
+
+        @Override
+        public Moment now() {
+            return new Moment(now);
+        }
+
+        @Override
+        public Timer after(Span span, Runnable what) {
+            Waiting one = new Waiting(now + Timers.millis(span) * 1_000_000, number++, what);
+            waiting.add(one);
+            return () -> waiting.remove(one);
+        }
+
+        void on(long millis) {
+            long until = now + millis * 1_000_000;
+            while (!waiting.isEmpty() && waiting.peek().at() <= until) {
+                Waiting next = waiting.poll();
+                now = next.at();
+                next.what().run();
+            }
+            now = until;
+        }
+    }
+
+    private final Steps steps = new Steps();
+    private final BackgroundWork work = new BackgroundWork(steps, new Scheduler(1, List.of(
+            new Duty(Duties.FLUSH, 0, new Load(0, 50e6, 0), 2, 1, 100, 3, Span.millis(200), true),
+            new Duty(Duties.LEARN, 1, new Load(0, 2e6, 0), 10, 4, 1000, 0, Span.millis(500), false)),
+            Span.millis(50), steps.now()));
+
+    @Test
+    void aJobThatThrowsHoldsUpNoStop() {
+        Future<Void> thrown = work.ask(Duties.LEARN, "", Load.NONE, null, () -> {
+            throw new IllegalStateException("the client is closed");
+        });
+        assertTrue(thrown.failed());
+        assertTrue(work.stop().succeeded());
+    }
+
+    @Test
+    void aStopWaitsForWhatMustBeWrittenAndItsRetries() {
+        Promise<Load> first = Promise.promise();
+        Promise<Load> second = Promise.promise();
+        List<Promise<Load>> tries = new java.util.ArrayList<>(List.of(first, second));
+        Future<Void> flushed = work.ask(Duties.FLUSH, "", Load.NONE, null, () -> tries.remove(0).future());
+        Future<Void> stopped = work.stop();
+        first.fail("no space");
+        assertFalse(stopped.isComplete());
+        steps.on(1000);
+        assertEquals(List.of(), tries);
+        assertFalse(stopped.isComplete());
+        second.complete(Load.NONE);
+        assertTrue(flushed.succeeded());
+        assertTrue(stopped.succeeded());
+    }
+}
