Deep scans ask a set which workers they hold; no stream for each worker looked at

Need: rehearsals of 1,000 engines with 100 routers spent their decisions in cold starts, where each function's scan of 1,000 workers asked its own list for each. Change: the scan keeps a set beside its list; whether a copy is listed is a loop.

--- a/decisions/src/main/java/pearladder/Policy.java
+++ b/decisions/src/main/java/pearladder/Policy.java
@@ -260,7 +260,7 @@
         double mean = (double) legsOut / Math.max(1, inService.size());
         boolean heard = worker.heard != null && !now.since(worker.heard).longerThan(PACE);
         double held = heard ? worker.out.size() : Math.max(worker.out.size(), mean);
-        if (place.function.list.stream().noneMatch(listed -> instances(listed) > 0)) {
+        if (!listsACopy(place.function)) {
             room = Room.WIDE;
         }
         double borne = bearing(worker) * (strain(worker) > MOST_STRAIN ? 1 : room.overdraft);
@@ -270,6 +270,15 @@
         return furtherLegs.mayGoTo(call, worker) && coldAllowance.bears(worker) && storeGuard.mayBegin(place);
     }
 
+    private boolean listsACopy(Function function) {
+        for (Place place : function.list) {
+            if (instances(place) > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private boolean usable(Worker worker) {
         return worker.standing == Standing.IN_SERVICE && !later(worker.asideUntil);
     }
@@ -516,6 +525,7 @@
         if (function.scanEdition != edition) {
             function.scanEdition = edition;
             function.scan.clear();
+            function.scanned.clear();
             function.scanAt = mark(function.id);
         }
         while (function.scan.size() <= i) {
@@ -523,7 +533,7 @@
             next = next == null ? ring.firstEntry() : next;
             function.scanAt = next.getKey() + 1;
             Worker worker = next.getValue();
-            if (!function.scan.contains(worker)) {
+            if (function.scanned.add(worker)) {
                 function.scan.add(worker);
             }
         }
--- a/decisions/src/main/java/pearladder/state/Function.java
+++ b/decisions/src/main/java/pearladder/state/Function.java
@@ -1,9 +1,11 @@
 package pearladder.state;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import pearladder.api.Span;
 
 /** A function: what its calls told, where it is placed, and the short cached list of its workers. */
@@ -18,6 +20,8 @@
     public final Decaying warmAnswers;
     public final Decaying warmSeconds;
     public final List<Worker> scan = new ArrayList<>();
+    /** The same workers, to be asked for only. */
+    public final Set<Worker> scanned = new HashSet<>();
     public long scanAt;
     public long scanEdition = -1;
     public long taken;
