Records: batches in SQLite segments that outlive kills, torn tails, damage and compactions

Need: a router that is killed comes back with nothing but its last list, and invoices can't be explained (issue: state that survives). Change: module records. A batch of entries is one row, CBOR deflated, with its own CRC32C; a commit is on disk when it returns. Rotation by size and age, retention, compaction of old details beside the file and moved over, one writer for a folder, newer formats refused, unreadable files set aside.

--- /dev/null
+++ b/records/src/main/java/pearladder/records/Entry.java
@@ -0,0 +1,16 @@
+package pearladder.records;
+
+/**
+ * One thing that a router did or learnt. Texts are empty and numbers 0 where they don't apply.
+ *
+ * @param at wall clock, milliseconds since 1970; it may step back, the order is that of writing
+ * @param amount by the kind
+ * @param took microseconds
+ */
+public record Entry(long at, Kind kind, String call, String model, String account, String engine, String note, long amount,
+        long took) {
+    /** Without a call. */
+    public static Entry of(long at, Kind kind, String model, String account, String engine, String note, long amount, long took) {
+        return new Entry(at, kind, "", model, account, engine, note, amount, took);
+    }
+}
--- /dev/null
+++ b/records/src/main/java/pearladder/records/Kind.java
@@ -0,0 +1,53 @@
+package pearladder.records;
+
+/** What an entry tells. The code stands in files and never changes; a detail may be left out where the disk is slow. */
+public enum Kind {
+    /** A router's life began; the note is its build. */
+    STARTED(1, false),
+    /** It ended in order. */
+    STOPPED(2, false),
+    /** A call ended; note: settled, dismissed, terminated or left; took: microseconds. */
+    ENDED(3, false),
+    /** A leg ended; note: its outcome; took: microseconds; amount: 1 where it began a load, 2 where it joined one. */
+    LEG(4, true),
+    /** What an account's calls worked on an engine since the last such cut; amount: microseconds; took: the cut's span. */
+    WORK(5, false),
+    /** A load was begun; the account is whose call began it, empty for an order. */
+    LOADING(6, false),
+    /** It ended; note: empty, or why it failed. */
+    LOADED(7, false),
+    /** So many copies stand, as the engine said; amount: copies. */
+    COPIES(8, true),
+    /** An order to hold copies goes out; amount: copies. */
+    ORDERED(9, false),
+    /** The list tells of an engine; note: its standing; amount: its start, milliseconds of the wall clock, or 0. */
+    ENGINE(10, false),
+    /** What is done about a release; the note says it. */
+    RELEASE(11, false),
+    /** A repeat's mark, as a hash in the note, kept with its call's version in the amount's place: model. */
+    MARK(12, false),
+    /** So many details were left out up to here; amount. */
+    DROPPED(13, false);
+
+    final int code;
+    private final boolean detail;
+
+    Kind(int code, boolean detail) {
+        this.code = code;
+        this.detail = detail;
+    }
+
+    /** Whether a router may leave it out when its disk can't follow. */
+    public boolean detail() {
+        return detail;
+    }
+
+    static Kind of(int code) {
+        for (Kind kind : values()) {
+            if (kind.code == code) {
+                return kind;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/records/src/main/java/pearladder/records/Records.java
@@ -0,0 +1,226 @@
+package pearladder.records;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * The one writer of a folder of records. What {@link #append} returned from is on disk. It is used by one thread at a time.
+ */
+public final class Records implements AutoCloseable {
+    /** What a compaction did. */
+    public record Compacted(int files, long before, long after, long details) { }
+
+    private final Path folder;
+    private final Keeping keeping;
+    private final FileChannel lock;
+    private Segment newest;
+    private long begunAt;
+    private long next;
+
+    private Records(Path folder, Keeping keeping, FileChannel lock) {
+        this.folder = folder;
+        this.keeping = keeping;
+        this.lock = lock;
+    }
+
+    /**
+     * Opens a folder, makes it where there is none.
+     *
+     * @param told gets a line for each file that can't be read any more and is set aside
+     * @throws IOException where another process has it open, it was written by a newer build, or the disk fails
+     */
+    public static Records open(Path folder, Keeping keeping, Consumer<String> told) throws IOException {
+        Files.createDirectories(folder);
+        FileChannel channel = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        FileLock held = null;
+        try {
+            held = channel.tryLock();
+        } catch (OverlappingFileLockException here) {
+            // another part of this process has it
+            held = null;
+        } finally {
+            if (held == null) {
+                channel.close();
+            }
+        }
+        if (held == null) {
+            throw new IOException(folder + " is held by another process; give each router its own data folder");
+        }
+        Records records = new Records(folder, keeping, channel);
+        try {
+            records.begin(told);
+            return records;
+        } catch (IOException failed) {
+            records.close();
+            throw failed;
+        }
+    }
+
+    private void begin(Consumer<String> told) throws IOException {
+        for (Path left : Archive.files(folder, "records-[0-9]{16}\\.(new|new-wal|new-shm|new-journal)")) {
+            // a compaction that did not come to its end; the file it was made from still stands
+            Files.deleteIfExists(left);
+        }
+        List<Path> segments = Archive.segments(folder);
+        next = 1;
+        while (newest == null && !segments.isEmpty()) {
+            Path last = segments.remove(segments.size() - 1);
+            next = Math.max(next, Segment.first(last));
+            try {
+                newest = Segment.write(last);
+                next = Math.max(next, newest.next());
+                begunAt = newest.until();
+            } catch (IOException broken) {
+                if (broken.getMessage().contains("records of format")) {
+                    throw broken;
+                }
+                // Guards against a router that can't start because of what it only keeps: the file is kept for a look.
+                Path aside = last.resolveSibling(last.getFileName() + ".damaged");
+                Files.move(last, aside, StandardCopyOption.REPLACE_EXISTING);
+                Segment.delete(last);
+                next++;
+                told.accept(last + " can't be read (" + broken.getMessage() + "); it is set aside as " + aside.getFileName());
+            }
+        }
+        if (newest == null) {
+            newest = Segment.write(Segment.file(folder, next));
+        }
+    }
+
+    /** The number that the next entry gets. */
+    public long next() {
+        return next;
+    }
+
+    /** Keeps entries, all or none; they are on disk when it returns. */
+    public void append(List<Entry> entries) throws IOException {
+        if (entries.isEmpty()) {
+            return;
+        }
+        long now = entries.get(0).at();
+        if (begunAt == 0) {
+            begunAt = now;
+        }
+        if (Segment.bytes(newest.file) > keeping.segmentBytes() || now - begunAt > keeping.segmentMillis()) {
+            Segment full = newest;
+            newest = Segment.write(Segment.file(folder, next));
+            begunAt = now;
+            full.close();
+        }
+        newest.append(next, entries);
+        next += entries.size();
+    }
+
+    /** Lets the oldest files go that are too old or too much; never the one that is written, nor the one before it. */
+    public int retain() throws IOException {
+        List<Path> segments = Archive.segments(folder);
+        long all = segments.stream().mapToLong(Segment::bytes).sum();
+        long until = newest.until();
+        int gone = 0;
+        for (Path segment : segments.subList(0, Math.max(0, segments.size() - 2))) {
+            long itsUntil;
+            try (Segment read = Segment.read(segment)) {
+                itsUntil = read.until();
+            } catch (IOException broken) {
+                // it is judged by its size alone
+                itsUntil = until;
+            }
+            if (all <= keeping.allBytes() && until - itsUntil <= keeping.allMillis()) {
+                break;
+            }
+            all -= Segment.bytes(segment);
+            Segment.delete(segment);
+            gone++;
+        }
+        return gone;
+    }
+
+    /**
+     * Writes the files that are full anew without old details. Each is written beside and moved over, so that a crash
+     * leaves the old one or the new one.
+     *
+     * @param most files at once
+     */
+    public Compacted compact(int most) throws IOException {
+        long until = newest.until();
+        int files = 0;
+        long before = 0;
+        long after = 0;
+        long details = 0;
+        for (Path segment : Archive.segments(folder)) {
+            if (files >= most || segment.equals(newest.file)) {
+                break;
+            }
+            long left = detailsOlderThan(segment, until - keeping.detailMillis());
+            if (left > 0) {
+                files++;
+                before += Segment.bytes(segment);
+                rewrite(segment, until - keeping.detailMillis());
+                after += Segment.bytes(segment);
+                details += left;
+            }
+        }
+        return new Compacted(files, before, after, details);
+    }
+
+    private static long detailsOlderThan(Path file, long moment) throws IOException {
+        long[] details = {0};
+        try (Segment segment = Segment.read(file)) {
+            if (segment.until() < moment) {
+                segment.batches(batch -> {
+                    if (batch.damage().isEmpty()) {
+                        details[0] += Batch.decode(batch.bytes()).stream().filter(entry -> entry.kind().detail()).count();
+                    }
+                });
+            }
+        }
+        return details[0];
+    }
+
+    private static void rewrite(Path file, long moment) throws IOException {
+        Path beside = file.resolveSibling(file.getFileName().toString().replace(".db", ".new"));
+        Segment.delete(beside);
+        try (Segment from = Segment.read(file); Segment to = Segment.write(beside)) {
+            to.together(true);
+            from.batches(batch -> {
+                if (!batch.damage().isEmpty()) {
+                    // what can't be read is kept as it is: a later look may make something of it
+                    to.put(batch, moment);
+                    return;
+                }
+                List<Entry> kept = new ArrayList<>(Batch.decode(batch.bytes()));
+                long until = kept.isEmpty() ? moment : kept.get(kept.size() - 1).at();
+                kept.removeIf(entry -> entry.kind().detail() && entry.at() < moment);
+                byte[] bytes = Batch.encode(kept);
+                to.put(new Segment.Stored(batch.first(), batch.count(), Batch.sum(bytes), bytes), until);
+            });
+            to.together(false);
+        }
+        // closing folded the log into the file, and synced it
+        Files.deleteIfExists(Path.of(file + "-wal"));
+        Files.deleteIfExists(Path.of(file + "-shm"));
+        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    @Override
+    public void close() {
+        if (newest != null) {
+            newest.close();
+        }
+        try {
+            lock.close();
+        } catch (IOException gone) {
+            // the system lets go of it with the process
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/records/src/test/java/pearladder/records/RecordsTest.java
@@ -0,0 +1,205 @@
+package pearladder.records;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.RandomAccessFile;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.sql.Connection;
+import java.sql.Statement;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Properties;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.sqlite.JDBC;
+
+class RecordsTest {
+    private static final Keeping SMALL = new Keeping(20_000, 1_000_000, 1L << 30, 1L << 40, 1000);
+
+    @TempDir
+    private Path folder;
+
+    private static Entry ended(long at, int number) {
+        return new Entry(at, Kind.ENDED, "r1-" + number, "pair-" + number % 7, "tender", "engine-" + number % 5, "settled", number,
+                number * 10L);
+    }
+
+    private static Entry leg(long at, int number) {
+        return new Entry(at, Kind.LEG, "r1-" + number, "pair-" + number % 7, "", "engine-" + number % 5, "SUCCESS", 0, 5);
+    }
+
+    private Records open(Keeping keeping) throws IOException {
+        return Records.open(folder, keeping, text -> { });
+    }
+
+    private static List<Entry> all(Path folder) throws IOException {
+        List<Entry> entries = new ArrayList<>();
+        new Archive(folder).read(0, (number, entry) -> entries.add(entry));
+        return entries;
+    }
+
+    /** What stands on disk now, as a kill would leave it: the files are copied while they are open. */
+    private static void copy(Path from, Path to) throws IOException {
+        Files.createDirectories(to);
+        for (Path file : Archive.files(from, "records-.*")) {
+            if (!file.toString().endsWith("-shm")) {
+                Files.copy(file, to.resolve(file.getFileName()), StandardCopyOption.REPLACE_EXISTING);
+            }
+        }
+    }
+
+    @Test
+    void whatWasAcknowledgedOutlivesAKillAtAnyMomentWithTheTailCutAnywhereBeyondIt() throws IOException {
+        Random random = new Random(7);
+        Path source = folder.resolve("source");
+        List<Entry> kept = new ArrayList<>();
+        try (Records records = Records.open(source, SMALL, text -> { })) {
+            for (int round = 0; round < 40; round++) {
+                List<Entry> batch = new ArrayList<>();
+                for (int i = random.nextInt(8); i >= 0; i--) {
+                    batch.add(random.nextBoolean() ? ended(1000 + round, kept.size() + i) : leg(1000 + round, kept.size() + i));
+                }
+                Path before = folder.resolve("before" + round);
+                Path after = folder.resolve("after" + round);
+                copy(source, before);
+                records.append(batch);
+                copy(source, after);
+                // killed while the batch was being written: any part of what this batch added may be there
+                List<Path> logs = Archive.files(after, "records-.*-wal");
+                Path log = logs.get(logs.size() - 1);
+                Path old = before.resolve(log.getFileName());
+                long had = Files.exists(old) ? Files.size(old) : 0;
+                long has = Files.size(log);
+                boolean folded = has <= had;
+                if (!folded) {
+                    try (RandomAccessFile cut = new RandomAccessFile(log.toFile(), "rw")) {
+                        cut.setLength(had + (long) (random.nextDouble() * (has - had)));
+                    }
+                }
+                List<Entry> both = new ArrayList<>(kept);
+                both.addAll(batch);
+                try (Records again = Records.open(after, SMALL, text -> { })) {
+                    List<Entry> found = all(after);
+                    assertTrue(found.equals(kept) || found.equals(both), "round " + round + ": " + found.size() + " entries of "
+                            + kept.size() + " acknowledged");
+                    assertEquals(found.size() + 1, again.next());
+                    again.append(List.of(ended(5000, 1)));
+                    assertEquals(found.size() + 1, all(after).size());
+                }
+                assertEquals(List.of(), new Archive(after).verify().damage());
+                kept = both;
+            }
+        }
+        assertEquals(kept, all(source));
+    }
+
+    @Test
+    void filesFollowOneAnotherAndTheOldestGo() throws IOException {
+        Keeping keeping = new Keeping(20_000, 1000, 60_000, 100_000, 1000);
+        try (Records records = open(keeping)) {
+            for (int i = 0; i < 40; i++) {
+                records.append(List.of(ended(i * 600L, i)));
+            }
+            int files = Archive.segments(folder).size();
+            assertTrue(files > 10, files + " files");
+            assertEquals(40, all(folder).size());
+            assertTrue(records.retain() > 0);
+            List<Entry> left = all(folder);
+            assertTrue(left.size() < 40 && !left.isEmpty());
+            assertEquals(39, left.get(left.size() - 1).amount());
+            assertEquals(List.of(), new Archive(folder).verify().damage());
+        }
+    }
+
+    @Test
+    void aCompactionTakesOnlyOldDetailsAndOneThatWasKilledChangesNothing() throws IOException {
+        Keeping keeping = new Keeping(1L << 30, 1000, 1L << 30, 1L << 40, 2000);
+        try (Records records = open(keeping)) {
+            for (int i = 0; i < 10; i++) {
+                records.append(List.of(ended(i * 600L, i), leg(i * 600L, i)));
+            }
+            List<Entry> before = all(folder);
+            Files.write(folder.resolve("records-0000000000000001.new"), new byte[100]);
+            Records.Compacted done = records.compact(100);
+            assertTrue(done.details() > 0);
+            List<Entry> after = all(folder);
+            assertEquals(before.stream().filter(entry -> !entry.kind().detail()).toList(),
+                    after.stream().filter(entry -> !entry.kind().detail()).toList());
+            assertTrue(after.stream().anyMatch(entry -> entry.kind().detail()), "young details stay");
+            assertEquals(20 - done.details(), after.size());
+            assertEquals(0, records.compact(100).files());
+        }
+        Files.write(folder.resolve("records-0000000000000001.new"), new byte[100]);
+        try (Records records = open(keeping)) {
+            assertEquals(21, records.next());
+        }
+        assertEquals(List.of(), Archive.files(folder, ".*\\.new"));
+        assertEquals(List.of(), new Archive(folder).verify().damage());
+    }
+
+    @Test
+    void aSecondWriterIsRefused() throws IOException {
+        try (Records records = open(SMALL)) {
+            records.append(List.of(ended(1, 1)));
+            assertTrue(assertThrows(IOException.class, () -> open(SMALL)).getMessage().contains("held by another process"));
+        }
+        open(SMALL).close();
+    }
+
+    @Test
+    void aNewerFormatIsRefusedAndNothingIsTouched() throws Exception {
+        try (Records records = open(SMALL)) {
+            records.append(List.of(ended(1, 1)));
+        }
+        Path file = Archive.segments(folder).get(0);
+        try (Connection other = JDBC.createConnection("jdbc:sqlite:" + file, new Properties());
+                Statement newer = other.createStatement()) {
+            newer.execute("update meta set value = 2");
+        }
+        byte[] bytes = Files.readAllBytes(file);
+        assertTrue(assertThrows(IOException.class, () -> open(SMALL)).getMessage().contains("format 2"));
+        assertTrue(assertThrows(IOException.class, () -> all(folder)).getMessage().contains("format 2"));
+        assertEquals(bytes.length, Files.readAllBytes(file).length);
+    }
+
+    @Test
+    void aDamagedBatchIsNamedAndTheOthersAreRead() throws Exception {
+        try (Records records = open(Keeping.USUAL)) {
+            for (int i = 0; i < 5; i++) {
+                records.append(List.of(ended(i, i), ended(i, i)));
+            }
+        }
+        try (Connection other = JDBC.createConnection("jdbc:sqlite:" + Archive.segments(folder).get(0), new Properties());
+                Statement flip = other.createStatement()) {
+            flip.execute("update batch set bytes = zeroblob(length(bytes)) where first = 5");
+            flip.execute("delete from batch where first = 7");
+        }
+        assertEquals(6, all(folder).size());
+        List<String> damage = new Archive(folder).verify().damage();
+        assertEquals(2, damage.size());
+        assertTrue(damage.get(0).contains("entries 5 to 6: its checksum is another one"), damage.get(0));
+        assertTrue(damage.get(1).contains("entries 7 to 8 are missing"), damage.get(1));
+    }
+
+    @Test
+    void aFileThatCantBeReadIsSetAsideAndTheRouterWritesOn() throws IOException {
+        try (Records records = open(SMALL)) {
+            records.append(List.of(ended(1, 1), ended(2, 2)));
+        }
+        Path file = Archive.segments(folder).get(0);
+        Files.write(file, new byte[8192]);
+        List<String> told = new ArrayList<>();
+        try (Records records = Records.open(folder, SMALL, told::add)) {
+            records.append(List.of(ended(3, 3)));
+        }
+        assertEquals(1, told.size());
+        assertEquals(List.of(ended(3, 3)), all(folder));
+        assertTrue(new Archive(folder).verify().damage().get(0).contains("set aside"));
+    }
+}
