--- a/decisions/src/main/java/pearladder/Policy.java
+++ b/decisions/src/main/java/pearladder/Policy.java
@@ -25,6 +25,7 @@
 import pearladder.state.Call;
 import pearladder.state.Decaying;
 import pearladder.state.Function;
+import pearladder.state.Known;
 import pearladder.state.Leg;
 import pearladder.state.Place;
 import pearladder.state.Worker;
@@ -153,6 +154,8 @@
             function.usualLoad = wanted.usualLoad();
             function.wantedShare = wanted.share();
             function.wantedLike = functions.get(wanted.like());
+        } else if (event instanceof Event.Recalled recalled) {
+            recall(recalled.known());
         } else if (event instanceof Event.LoadAnswered answered) {
             Worker worker = workers.get(answered.worker());
             Function function = functions.get(answered.function());
@@ -163,6 +166,68 @@
         return todo;
     }
 
+    // ---- what outlives the process
+
+    @Override
+    public Known known(Moment at) {
+        now = at;
+        List<Known.OfWorker> ofWorkers = new ArrayList<>();
+        for (Worker worker : inService) {
+            Span aside = later(worker.asideUntil) ? worker.asideUntil.since(now) : Span.NONE;
+            ofWorkers.add(new Known.OfWorker(worker.id,
+                    worker.since == null ? null : now.since(worker.since), aside, worker.bearing));
+        }
+        List<Known.OfFunction> ofFunctions = new ArrayList<>();
+        for (Function function : functions.values()) {
+            List<Known.Copy> copies = function.places.values().stream().filter(place -> instances(place) > 0)
+                    .map(place -> new Known.Copy(place.worker.id, place.instances, now.since(place.touched),
+                            function.list.contains(place))).toList();
+            ofFunctions.add(new Known.OfFunction(function.id, Math.max(1, function.lanes), function.memoryMb,
+                    function.usualLoad, function.calls.read(now), function.warmAnswers.read(now),
+                    function.warmSeconds.read(now), copies));
+        }
+        return new Known(Span.NONE, ofWorkers, ofFunctions, loadOrders.orders.stream().map(now::since).toList(),
+                storeGuard.window, storeGuard.loadSeconds.read(now), storeGuard.loadCount.read(now));
+    }
+
+    /** Taken as it is told: what of it may be believed was decided before. */
+    private void recall(Known known) {
+        Moment then = now.minus(known.age());
+        for (Known.OfWorker of : known.workers()) {
+            Worker worker = workers.get(of.worker());
+            if (worker != null && worker.onRing) {
+                worker.bearing = of.bearing();
+                worker.asideUntil = now.plus(of.aside());
+                keep(met, worker, true);
+            }
+        }
+        for (Known.OfFunction of : known.functions()) {
+            Function function = functions.computeIfAbsent(of.function(), id -> new Function(id, DEMAND, PACE));
+            function.lanes = of.lanes();
+            function.memoryMb = of.memoryMb();
+            function.usualLoad = of.usualLoad();
+            function.taken += Math.round(of.calls());
+            function.calls.add(then, of.calls());
+            function.warmAnswers.add(then, of.warmAnswers());
+            function.warmSeconds.add(then, of.warmSeconds());
+            for (Known.Copy copy : of.copies()) {
+                Worker worker = workers.get(copy.worker());
+                if (worker != null && worker.onRing) {
+                    Place place = place(function, worker);
+                    place.instances = copy.instances();
+                    place.touched = now.minus(copy.untouched());
+                    if (copy.listed()) {
+                        list(place);
+                    }
+                }
+            }
+        }
+        known.orders().forEach(age -> loadOrders.orders.add(now.minus(age)));
+        storeGuard.window = known.window();
+        storeGuard.loadSeconds.add(then, known.loadSeconds());
+        storeGuard.loadCount.add(then, known.loadCount());
+    }
+
     // ---- a call comes, is placed, and ends
 
     private void take(Event.CallCame came) {
--- a/decisions/src/main/java/pearladder/api/Event.java
+++ b/decisions/src/main/java/pearladder/api/Event.java
@@ -1,6 +1,7 @@
 package pearladder.api;
 
 import java.util.List;
+import pearladder.state.Known;
 
 /** What happened. Ids are the caller's; the module looks them up at its door. */
 public sealed interface Event {
@@ -41,6 +42,9 @@
     record Wanted(String function, String like, double share, int lanes, double memoryMb, Span usualLoad)
             implements Event { }
 
+    /** What of an earlier life may be believed; told after the remembered list, before the first call. */
+    record Recalled(Known known) implements Event { }
+
     record Due(String tag) implements Event { }
 
     record PeerSaid(int peer, String text) implements Event { }
--- a/decisions/src/main/java/pearladder/api/Moment.java
+++ b/decisions/src/main/java/pearladder/api/Moment.java
@@ -6,6 +6,10 @@
         return new Moment(nanos + span.nanos());
     }
 
+    public Moment minus(Span span) {
+        return new Moment(nanos - span.nanos());
+    }
+
     public Span since(Moment earlier) {
         return new Span(nanos - earlier.nanos);
     }
