--- a/records/src/main/java/pearladder/records/Archive.java
+++ b/records/src/main/java/pearladder/records/Archive.java
@@ -59,7 +59,7 @@
                 continue;
             }
             try (segment) {
-                segment.batches(batch -> {
+                segment.batches(from, batch -> {
                     if (batch.first() + batch.count() > from && batch.damage().isEmpty()) {
                         long number = batch.first();
                         for (Entry entry : Batch.decode(batch.bytes())) {
--- a/records/src/main/java/pearladder/records/Kind.java
+++ b/records/src/main/java/pearladder/records/Kind.java
@@ -24,10 +24,10 @@
     ENGINE(10, false),
     /** What is done about a release; the note says it. */
     RELEASE(11, false),
-    /** A repeat's mark, as a hash in the note, kept with its call's version in the amount's place: model. */
-    MARK(12, false),
     /** So many details were left out up to here; amount. */
-    DROPPED(13, false);
+    DROPPED(13, false),
+    /** A model's copies hold so many megabytes each; amount. */
+    MODEL(14, false);
 
     final int code;
     private final boolean detail;
--- a/records/src/main/java/pearladder/records/Records.java
+++ b/records/src/main/java/pearladder/records/Records.java
@@ -25,6 +25,7 @@
     private Segment newest;
     private long begunAt;
     private long next;
+    private boolean whole = true;
 
     private Records(Path folder, Keeping keeping, FileChannel lock) {
         this.folder = folder;
@@ -88,6 +89,7 @@
                 Files.move(last, aside, StandardCopyOption.REPLACE_EXISTING);
                 Segment.delete(last);
                 next++;
+                whole = false;
                 told.accept(last + " can't be read (" + broken.getMessage() + "); it is set aside as " + aside.getFileName());
             }
         }
@@ -101,6 +103,11 @@
         return next;
     }
 
+    /** Whether the newest file could be read at the start: else what was written last is lost. */
+    public boolean whole() {
+        return whole;
+    }
+
     /** Keeps entries, all or none; they are on disk when it returns. */
     public void append(List<Entry> entries) throws IOException {
         if (entries.isEmpty()) {
--- a/records/src/main/java/pearladder/records/Segment.java
+++ b/records/src/main/java/pearladder/records/Segment.java
@@ -173,10 +173,18 @@
 
     /** Every batch in its order. */
     void batches(Taker taker) throws IOException {
-        try (Statement asked = connection.createStatement();
-                ResultSet found = asked.executeQuery("select first, count, sum, bytes from batch order by first")) {
-            while (found.next()) {
-                taker.take(new Stored(found.getLong(1), found.getInt(2), found.getLong(3), found.getBytes(4)));
+        batches(0, taker);
+    }
+
+    /** Every batch in its order, from the one that holds a number on. */
+    void batches(long from, Taker taker) throws IOException {
+        try (PreparedStatement asked = connection.prepareStatement("select first, count, sum, bytes from batch where first >="
+                + " ifnull((select max(first) from batch where first <= ?), 0) order by first")) {
+            asked.setLong(1, from);
+            try (ResultSet found = asked.executeQuery()) {
+                while (found.next()) {
+                    taker.take(new Stored(found.getLong(1), found.getInt(2), found.getLong(3), found.getBytes(4)));
+                }
             }
         } catch (SQLException broken) {
             throw new IOException(file + ": " + broken.getMessage(), broken);
--- a/rehearsal/src/main/java/pearladder/rehearsal/Life.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Life.java
@@ -19,6 +19,7 @@
 import pearladder.release.Target;
 import pearladder.router.core.Articles;
 import pearladder.router.core.Calls;
+import pearladder.router.core.Chronicle;
 import pearladder.router.core.EngineList;
 import pearladder.router.core.EngineSaid;
 import pearladder.router.core.OpenCall;
@@ -123,7 +124,7 @@
         this.delay = delay;
         this.engines = new VirtualEngines(this, articles.name(), delay, articles.connections().dial().nanos(), fell);
         this.list = new EngineList(0, entry -> engines.came(entry.engine(), fleet.host(entry.engine())), engines::went);
-        this.calls = new Calls(articles, this, module, engines, this);
+        this.calls = new Calls(articles, this, module, engines, this, Chronicle.NONE);
         this.desk = new ReleaseDesk(this, articles, station.journal(), calls::tell);
         this.calls.versions(desk);
     }
--- a/router/src/main/java/pearladder/router/Meters.java
+++ b/router/src/main/java/pearladder/router/Meters.java
@@ -45,6 +45,12 @@
         Gauge.builder("pearladder.engines.listed", engines).register(registry);
     }
 
+    /** Records on their way to the disk. */
+    void records(Supplier<Number> held, Supplier<Number> failing) {
+        Gauge.builder("pearladder.records.held", held).register(registry);
+        Gauge.builder("pearladder.records.failing", failing).register(registry);
+    }
+
     @Override
     public void answered(FinalState state, long nanos) {
         answers.get(state).increment();
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -18,9 +18,13 @@
 import pearladder.kserve.ListLine;
 import pearladder.router.core.Articles;
 import pearladder.router.core.Calls;
+import pearladder.router.core.Chronicle;
 import pearladder.router.core.OpenCall;
+import pearladder.router.core.Recall;
 import pearladder.router.core.ReleaseDesk;
+import pearladder.state.Known;
 import pearladder.work.Duties;
+import pearladder.work.Load;
 
 /**
  * One router behind real sockets: its door, its engines, its list, its releases and one instance of the module, all on one
@@ -34,6 +38,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Router.class);
     private static final int WRITING_AT_STOP_SECONDS = 5;
+    private static final long SNAPSHOT_MILLIS = 1000;
 
     private final Articles articles;
     private final Vertx vertx;
@@ -48,6 +53,9 @@
     private final JournalOffLoop journal;
     private final ReleaseDesk releases;
     private final Learning learning;
+    private final Dispatcher module;
+    private final Snapshot snapshot;
+    private final Recorder recorder;
     private boolean stopping;
     private boolean warm;
     private Promise<Void> stopped;
@@ -67,8 +75,12 @@
         this.pulse = new Pulse(vertx);
         this.meters = new Meters(this::held, roster::size);
         this.watch = new ListWatch(vertx, articles.list(), articles.name(), this);
-        this.calls = new Calls(articles, timers, maker.make(seed, articles.facts()),
-                new Legs(vertx, articles.name(), articles.limits().answer(), roster, watch::watch), meters);
+        this.module = maker.make(seed, articles.facts());
+        this.snapshot = new Snapshot(articles.data());
+        this.recorder = articles.records() == null ? null : recorder(timers, orders);
+        this.calls = new Calls(articles, timers, module,
+                new Legs(vertx, articles.name(), articles.limits().answer(), roster, watch::watch), meters,
+                recorder == null ? Chronicle.NONE : recorder);
         this.door = new Door(vertx, articles, this, meters);
         this.journal = new JournalOffLoop(vertx, orders);
         this.releases = new ReleaseDesk(timers, articles, journal, calls::tell);
@@ -76,6 +88,16 @@
         this.learning = new Learning(vertx, releases, journal, work, articles.others());
     }
 
+    private Recorder recorder(VertxTimers timers, ReleaseJournal orders) throws IOException {
+        try {
+            return new Recorder(vertx, timers, work, articles, System::currentTimeMillis);
+        } catch (IOException unopened) {
+            orders.close();
+            vertx.close();
+            throw unopened;
+        }
+    }
+
     private Number held() {
         return calls.size();
     }
@@ -133,12 +155,38 @@
     }
 
     private void begin() {
-        calls.tell(roster.remembered());
+        Event.Listed list = roster.remembered();
+        calls.tell(list);
+        if (recorder != null) {
+            recall(list);
+        }
         releases.begin();
         learning.begin();
         watch.watch();
     }
 
+    /** What the last life knew, as far as it may be believed; then what this one knows is written once a second. */
+    private void recall(Event.Listed list) {
+        Recorder.Orders orders = recorder.orders(articles.facts().ration().window());
+        Snapshot.Taken taken = snapshot.take();
+        Span gap = taken == null ? Span.NONE : Span.millis(System.currentTimeMillis() - taken.wall());
+        calls.tell(Recall.event(articles.facts(), taken == null ? null : taken.known(), gap, orders.ages(), orders.whole(), list,
+                VertxTimers.present(), why -> LOG.info("begins with what is believed {}", why)));
+        recorder.begin();
+        meters.records(recorder::held, () -> recorder.failing() ? 1 : 0);
+        vertx.setPeriodic(SNAPSHOT_MILLIS, due -> {
+            if (!stopping) {
+                work.ask(Duties.SNAPSHOT, "", Load.NONE, null, this::takeSnapshot);
+            }
+        });
+    }
+
+    private Future<Load> takeSnapshot() {
+        Known known = module.known(VertxTimers.present());
+        long wall = System.currentTimeMillis();
+        return vertx.executeBlocking(() -> new Load(0, snapshot.write(wall, known), 0));
+    }
+
     /** Takes nothing new, finishes what it holds within its bound, and ends. */
     public synchronized Future<Void> stop() {
         if (stopped != null) {
@@ -163,11 +211,15 @@
                 watch.close();
                 // A last answer may still be on its way out of the socket; and a future of this loop says nothing
                 // once the loop is gone, so the last step is not chained.
-                vertx.setTimer(50, sent -> door.close().compose(closed -> work.stop())
+                vertx.setTimer(50, sent -> door.close().compose(closed -> recorder == null ? Future.<Void>succeededFuture()
+                        : recorder.flush().compose(flushed -> takeSnapshot()).<Void>mapEmpty()).compose(kept -> work.stop())
                         .compose(done -> journal.written())
                         // a disk that hangs holds up the last writes, but not the end
                         .timeout(WRITING_AT_STOP_SECONDS, TimeUnit.SECONDS).onComplete(end -> {
                             journal.close();
+                            if (recorder != null) {
+                                recorder.close();
+                            }
                             vertx.close().onComplete(stopped);
                         }));
             });
@@ -210,6 +262,10 @@
 
     @Override
     public void line(ListLine line) {
-        calls.tell(roster.follow(line));
+        Event.Listed listed = roster.follow(line);
+        if (recorder != null) {
+            recorder.listed(listed, roster.started());
+        }
+        calls.tell(listed);
     }
 }
--- a/router/src/main/java/pearladder/router/core/Articles.java
+++ b/router/src/main/java/pearladder/router/core/Articles.java
@@ -5,6 +5,7 @@
 import pearladder.api.Facts;
 import pearladder.api.Span;
 import pearladder.kserve.Route;
+import pearladder.records.Keeping;
 
 /**
  * What a router is told in its file, once, at its start.
@@ -16,10 +17,11 @@
  * @param admin where operators' orders come in, or null for nowhere
  * @param others the admin doors of the other routers, from which the newest orders are learnt; none for an operator alone
  * @param facts what the module is told
+ * @param records how they are kept, or null for none
  */
 public record Articles(String name, String host, int port, Path data, Address admin,
         List<Address> others, ListService list, Facts facts, List<ModelTerms> models, Limits limits,
-        Connections connections, Span stopWithin) {
+        Connections connections, Span stopWithin, Keeping records) {
     /** An address; port 0, for one of this router's own, lets the system give one. */
     public record Address(String host, int port) { }
 
--- a/router/src/main/java/pearladder/router/core/ArticlesReader.java
+++ b/router/src/main/java/pearladder/router/core/ArticlesReader.java
@@ -17,6 +17,7 @@
 import pearladder.api.Facts.Roll;
 import pearladder.api.Facts.Terms;
 import pearladder.api.Span;
+import pearladder.records.Keeping;
 import pearladder.yaml.Value;
 import pearladder.yaml.Yaml;
 
@@ -60,7 +61,7 @@
                         span(limits.at("idle"), "120 s")),
                 new Articles.Connections(connections.at("per_engine").whole(256, 1, 65_535),
                         span(connections.at("dial"), "250 ms"), span(connections.at("idle"), "30 s")),
-                span(router.at("stop_within"), "10 s"));
+                span(router.at("stop_within"), "10 s"), keeping(file.at("records")));
         for (Terms category : facts.categories()) {
             if (!articles.limits().idle().longerThan(category.abandon())) {
                 limits.at("idle").wrong("a client's idle time is no longer than the abandon time of "
@@ -71,6 +72,20 @@
         return articles;
     }
 
+    /** Kept where the section stands there. */
+    private static Keeping keeping(Value records) {
+        if (!records.given()) {
+            return null;
+        }
+        Keeping keeping = new Keeping(records.at("file").bytes("64 MB"), span(records.at("file_age"), "86400 s").inMillis(),
+                records.at("all").bytes("2 GB"), span(records.at("kept"), "8640000 s").inMillis(),
+                span(records.at("details"), "604800 s").inMillis());
+        if (keeping.allBytes() < 2 * keeping.segmentBytes()) {
+            records.at("all").wrong("all records are less than two files of them", "make it larger, or \"file\" smaller");
+        }
+        return keeping;
+    }
+
     private static String[] address(Value value, boolean anyPort) {
         String text = value.text();
         int colon = text.lastIndexOf(':');
--- a/router/src/main/java/pearladder/router/core/Calls.java
+++ b/router/src/main/java/pearladder/router/core/Calls.java
@@ -39,13 +39,16 @@
     private final Timers timers;
     private final Engines engines;
     private final Tally tally;
+    private final Chronicle chronicle;
     private final Conductor conductor;
     private final Map<String, OpenCall> open = new HashMap<>();
     private ReleaseDesk releases;
     private long numbered;
     private Runnable emptied;
 
-    public Calls(Articles articles, Timers timers, Dispatcher module, Engines engines, Tally tally) {
+    /** @param chronicle hears what happens */
+    public Calls(Articles articles, Timers timers, Dispatcher module, Engines engines, Tally tally, Chronicle chronicle) {
+        this.chronicle = chronicle;
         this.articles = articles;
         this.timers = timers;
         this.engines = engines;
@@ -94,7 +97,7 @@
         String version = asked.version() != null ? asked.version()
                 : releases.version(id, asked.model(), key(asked, named), asked.mark() == null ? "" : asked.mark());
         OpenCall call = new OpenCall(id, named, Route.function(asked.model(), version), asked.version() == null, asked.mark(),
-                reply, asked.came(), asked.came().plus(asked.category().expected()));
+                asked.account() == null ? "" : asked.account(), reply, asked.came(), asked.came().plus(asked.category().expected()));
         open.put(id, call);
         reply.taken(named, version);
         conductor.tell(new Event.CallCame(id, call.function, asked.category().name(), asked.account(), asked.timeLeft(),
@@ -115,6 +118,7 @@
         }
         call.over = true;
         tally.clientLeft();
+        chronicle.ended(call, "left", timers.now().since(call.taken));
         if (call.chosen) {
             releases.left(call.id);
         }
@@ -144,6 +148,7 @@
         call.over = true;
         Moment now = timers.now();
         tally.answered(state, now.since(call.taken).nanos());
+        chronicle.ended(call, state.word(), now.since(call.taken));
         if (call.chosen) {
             releases.ended(call.id, state == FinalState.SETTLED && !call.erred && now.before(call.expectedBy),
                     call.legs.stream().map(leg -> leg.engine).distinct().toList());
@@ -175,6 +180,7 @@
         leg.ended = true;
         call.legsOut--;
         tally.legEnded(outcome);
+        chronicle.legEnded(leg, outcome, said, timers.now().since(leg.sent));
         call.erred |= outcome == Outcome.ERROR || said != null && said.copy() == Event.Copy.LOAD_FAILED;
         if (outcome == Outcome.SUCCESS && answers(call, FinalState.SETTLED)) {
             call.reply.settled(said);
@@ -223,11 +229,24 @@
 
     @Override
     public void hold(Action.Hold hold) {
+        chronicle.ordering(hold.worker(), hold.function(), hold.copies(), refusal -> {
+            if (refusal.isEmpty()) {
+                order(hold);
+            } else {
+                conductor.tell(new Event.LoadAnswered(hold.worker(), hold.function(), Outcome.VOID, 0, Span.NONE));
+            }
+        });
+    }
+
+    private void order(Action.Hold hold) {
         Moment sent = timers.now();
         tally.ordered();
         engines.order(hold.worker(), hold.function(), hold.copies(), articles.facts().copies().orderTimeout(),
-                (outcome, copies) -> conductor.tell(new Event.LoadAnswered(hold.worker(), hold.function(), outcome, copies,
-                        timers.now().since(sent))));
+                (outcome, copies) -> {
+                    Span took = timers.now().since(sent);
+                    chronicle.ordered(hold.worker(), hold.function(), outcome, copies, took);
+                    conductor.tell(new Event.LoadAnswered(hold.worker(), hold.function(), outcome, copies, took));
+                });
     }
 
     @Override
--- a/router/src/main/java/pearladder/router/core/OpenCall.java
+++ b/router/src/main/java/pearladder/router/core/OpenCall.java
@@ -11,6 +11,8 @@
     public final String named;
     public final String function;
     public final String mark;
+    /** Empty where there are none. */
+    public final String account;
     public final Reply reply;
     final Moment taken;
     /** When an answer is still within the expected time. */
@@ -23,13 +25,14 @@
     int legsOut;
     boolean over;
 
-    OpenCall(String id, String named, String function, boolean chosen, String mark, Reply reply, Moment taken,
+    OpenCall(String id, String named, String function, boolean chosen, String mark, String account, Reply reply, Moment taken,
             Moment expectedBy) {
         this.id = id;
         this.named = named;
         this.function = function;
         this.chosen = chosen;
         this.mark = mark;
+        this.account = account;
         this.reply = reply;
         this.taken = taken;
         this.expectedBy = expectedBy;
