--- /dev/null
+++ b/cli/src/main/java/pearladder/cli/RecordsCommand.java
@@ -0,0 +1,153 @@
+package pearladder.cli;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.Locale;
+import pearladder.records.Archive;
+import pearladder.records.Entry;
+import pearladder.records.Keeping;
+import pearladder.records.Kind;
+import pearladder.records.Records;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+@Command(name = "records", mixinStandardHelpOptions = true, description = {
+    "What a router kept of what it did: its data folder's \"records\".",
+    "All but compact may be used while the router runs."})
+final class RecordsCommand implements Runnable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "verify, dump, query or compact is missing");
+    }
+
+    private PrintWriter out() {
+        return spec.commandLine().getOut();
+    }
+
+    @Command(name = "verify", mixinStandardHelpOptions = true,
+            description = "Look at every file, checksum and number; ends with 1 where something is lost.")
+    int verify(@Parameters(index = "0", paramLabel = "DIR") Path folder) throws IOException {
+        Archive.Verified found = new Archive(folder).verify();
+        found.damage().forEach(out()::println);
+        out().println(String.format(Locale.ROOT, "%d files, %d batches, %d entries, %.1f MB; %s", found.files(), found.batches(),
+                found.entries(), found.bytes() / 1e6, found.damage().isEmpty() ? "all whole" : found.damage().size()
+                + " damaged places"));
+        return found.damage().isEmpty() ? 0 : 1;
+    }
+
+    @Command(name = "dump", mixinStandardHelpOptions = true, description = "Every entry as a line of JSON.")
+    int dump(@Parameters(index = "0", paramLabel = "DIR") Path folder,
+            @Option(names = "--from", defaultValue = "1", paramLabel = "NUMBER", description = "first entry") long from)
+            throws IOException {
+        new Archive(folder).read(from, (number, entry) -> {
+            if (number >= from) {
+                out().println(JSON.createObjectNode().put("number", number).put("at", Instant.ofEpochMilli(entry.at()).toString())
+                        .put("kind", word(entry.kind())).put("call", entry.call()).put("model", entry.model())
+                        .put("account", entry.account()).put("engine", entry.engine()).put("note", entry.note())
+                        .put("amount", entry.amount()).put("took_us", entry.took()));
+            }
+        });
+        out().flush();
+        return 0;
+    }
+
+    /** What is looked for. */
+    static final class Wanted {
+        @Option(names = "--from", paramLabel = "TIME", converter = Times.class, description = "such as 2026-12-01T15:00:00Z")
+        Instant from = Instant.EPOCH;
+
+        @Option(names = "--to", paramLabel = "TIME", converter = Times.class, description = "up to, without it")
+        Instant to = Instant.ofEpochMilli(Long.MAX_VALUE);
+
+        @Option(names = "--kind", description = "one of ${COMPLETION-CANDIDATES}")
+        Kind kind;
+
+        @Option(names = "--call", description = "the call's name")
+        String call;
+
+        @Option(names = "--model", description = "with its version, if any")
+        String model;
+
+        @Option(names = "--account")
+        String account;
+
+        @Option(names = "--engine")
+        String engine;
+
+        boolean is(Entry entry) {
+            return (kind == null || entry.kind() == kind) && same(call, entry.call()) && same(model, entry.model())
+                    && same(account, entry.account()) && same(engine, entry.engine());
+        }
+
+        private static boolean same(String wanted, String found) {
+            return wanted == null || wanted.equals(found);
+        }
+    }
+
+    @Command(name = "query", mixinStandardHelpOptions = true, description = "Entries of a time, a kind, a call, a model, an engine.")
+    int query(@Parameters(index = "0", paramLabel = "DIR") Path folder, @CommandLine.Mixin Wanted wanted) throws IOException {
+        long[] found = {0};
+        new Archive(folder).find(wanted.from.toEpochMilli(), wanted.to.toEpochMilli(), wanted::is, (number, entry) -> {
+            found[0]++;
+            out().println(String.format(Locale.ROOT, "%8d  %s  %-9s %s", number, Instant.ofEpochMilli(entry.at()),
+                    word(entry.kind()), words(entry)));
+        });
+        out().println(found[0] + " entries");
+        out().flush();
+        return 0;
+    }
+
+    private static String words(Entry entry) {
+        StringBuilder words = new StringBuilder();
+        for (String word : new String[] {entry.call(), entry.model(), entry.account(), entry.engine(), entry.note()}) {
+            words.append(word.isEmpty() ? "" : word + "  ");
+        }
+        return words + (entry.amount() == 0 ? "" : entry.amount() + "  ")
+                + (entry.took() == 0 ? "" : String.format(Locale.ROOT, "%.1f ms", entry.took() / 1e3));
+    }
+
+    private static String word(Kind kind) {
+        return kind.name().toLowerCase(Locale.ROOT);
+    }
+
+    @Command(name = "compact", mixinStandardHelpOptions = true, description = {
+        "Take old details out of all files that are full; a running router does it by itself."})
+    int compact(@Parameters(index = "0", paramLabel = "DIR") Path folder,
+            @Option(names = "--days", defaultValue = "7", description = "details older than that go (default: ${DEFAULT-VALUE})")
+            int days) throws IOException {
+        Keeping usual = Keeping.USUAL;
+        new Archive(folder);
+        try (Records records = Records.open(folder, new Keeping(usual.segmentBytes(), usual.segmentMillis(), usual.allBytes(),
+                usual.allMillis(), days * 86_400_000L), out()::println)) {
+            Records.Compacted done = records.compact(Integer.MAX_VALUE);
+            out().println(String.format(Locale.ROOT, "%d files written anew: %d details gone, %.1f MB to %.1f MB", done.files(),
+                    done.details(), done.before() / 1e6, done.after() / 1e6));
+        }
+        return 0;
+    }
+
+    /** A moment as ISO 8601 has it, or a day. */
+    static final class Times implements CommandLine.ITypeConverter<Instant> {
+        @Override
+        public Instant convert(String text) {
+            try {
+                return text.length() == 10 ? Instant.parse(text + "T00:00:00Z") : Instant.parse(text);
+            } catch (java.time.DateTimeException unreadable) {
+                throw new CommandLine.TypeConversionException("\"" + text
+                        + "\" is no time; write 2026-12-01 or 2026-12-01T15:00:00Z");
+            }
+        }
+    }
+}
--- a/lab/src/main/java/pearladder/lab/Report.java
+++ b/lab/src/main/java/pearladder/lab/Report.java
@@ -43,6 +43,22 @@
         return file;
     }
 
+    /** A page with one chart of stacked bars: by series, by what stands below the bar. */
+    public static void bars(Path file, String title, String unit, Map<String, Map<String, Double>> series) throws IOException {
+        List<String> below = series.values().stream().flatMap(one -> one.keySet().stream()).distinct().sorted().toList();
+        CategoryChart chart = new CategoryChartBuilder().width(WIDTH).height(HEIGHT).title(title).yAxisTitle(unit).build();
+        chart.getStyler().setStacked(true).setLegendPosition(Styler.LegendPosition.OutsideE);
+        series.forEach((name, values) -> chart.addSeries(name, below, below.stream().map(one -> values.getOrDefault(one, 0.0))
+                .toList()));
+        Report report = new Report();
+        report.page.append("<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>").append(escaped(title))
+                .append("</title><h1>").append(escaped(title)).append("</h1>");
+        if (!below.isEmpty()) {
+            report.chart(chart);
+        }
+        Files.writeString(file, report.page.append("</html>\n"));
+    }
+
     private String page(String name, Map<String, JsonNode> runs) throws IOException {
         page.append("<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>").append(escaped(name))
                 .append("</title><style>body{font:15px/1.45 sans-serif;max-width:1140px;margin:2em auto;padding:0 1em}"
--- /dev/null
+++ b/records/src/main/java/pearladder/records/Cursor.java
@@ -0,0 +1,65 @@
+package pearladder.records;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+/** Reads a folder's entries one by one, in the order written, a batch at a time; damaged batches are passed over. */
+public final class Cursor implements AutoCloseable {
+    private final Deque<Path> files;
+    private final Deque<Entry> entries = new ArrayDeque<>();
+    private Segment segment;
+    private long after;
+
+    /** @throws IOException where there is no such folder */
+    public Cursor(Path folder) throws IOException {
+        new Archive(folder);
+        this.files = new ArrayDeque<>(Archive.segments(folder));
+    }
+
+    /** The next entry, or null once there is none. */
+    public Entry next() throws IOException {
+        while (entries.isEmpty()) {
+            if (segment == null) {
+                Path file = files.poll();
+                if (file == null) {
+                    return null;
+                }
+                open(file);
+                continue;
+            }
+            Segment.Stored batch = segment.after(after);
+            if (batch == null) {
+                segment.close();
+                segment = null;
+                continue;
+            }
+            after = batch.first();
+            if (batch.damage().isEmpty()) {
+                List<Entry> read = Batch.decode(batch.bytes());
+                entries.addAll(read);
+            }
+        }
+        return entries.poll();
+    }
+
+    private void open(Path file) throws IOException {
+        try {
+            segment = Segment.read(file);
+            after = Segment.first(file) - 1;
+        } catch (IOException damaged) {
+            if (damaged.getMessage().contains("records of format")) {
+                throw damaged;
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        if (segment != null) {
+            segment.close();
+        }
+    }
+}
--- a/records/src/main/java/pearladder/records/Kind.java
+++ b/records/src/main/java/pearladder/records/Kind.java
@@ -2,7 +2,7 @@
 
 /** What an entry tells. The code stands in files and never changes; a detail may be left out where the disk is slow. */
 public enum Kind {
-    /** A router's life began; the note is its build. */
+    /** A router's life began; note: its name; amount: for how many milliseconds idle copies are kept. */
     STARTED(1, false),
     /** It ended in order. */
     STOPPED(2, false),
@@ -17,7 +17,7 @@
     /** It ended; note: empty, or why it failed. */
     LOADED(7, false),
     /** So many copies stand, as the engine said; amount: copies. */
-    COPIES(8, true),
+    COPIES(8, false),
     /** An order to hold copies goes out; amount: copies. */
     ORDERED(9, false),
     /** The list tells of an engine; note: its standing; amount: its start, milliseconds of the wall clock, or 0. */
--- a/records/src/main/java/pearladder/records/Segment.java
+++ b/records/src/main/java/pearladder/records/Segment.java
@@ -191,6 +191,19 @@
         }
     }
 
+    /** The batch behind a number, or null. */
+    Stored after(long number) throws IOException {
+        try (PreparedStatement asked = connection.prepareStatement("select first, count, sum, bytes from batch where first > ?"
+                + " order by first limit 1")) {
+            asked.setLong(1, number);
+            try (ResultSet found = asked.executeQuery()) {
+                return found.next() ? new Stored(found.getLong(1), found.getInt(2), found.getLong(3), found.getBytes(4)) : null;
+            }
+        } catch (SQLException broken) {
+            throw new IOException(file + ": " + broken.getMessage(), broken);
+        }
+    }
+
     /** Damage that the store itself finds in the file's structure. */
     void structure(Consumer<String> found) throws IOException {
         try (Statement asked = connection.createStatement(); ResultSet said = asked.executeQuery("pragma quick_check")) {
--- a/router/src/main/java/pearladder/router/Recorder.java
+++ b/router/src/main/java/pearladder/router/Recorder.java
@@ -114,7 +114,8 @@
     }
 
     void begin() {
-        add(Entry.of(wall.getAsLong(), Kind.STARTED, "", "", "", articles.name(), 0, 0), "");
+        add(Entry.of(wall.getAsLong(), Kind.STARTED, "", "", "", articles.name(),
+                articles.facts().copies().kept().inMillis(), 0), "");
         every(CUT, () -> work.ask(Duties.METER, "", Load.NONE, null, () -> {
             cut();
             return Future.succeededFuture(Load.NONE);
