--- a/decisions/src/main/java/pearladder/Policy.java
+++ b/decisions/src/main/java/pearladder/Policy.java
@@ -175,7 +175,7 @@
         for (Worker worker : inService) {
             Span aside = later(worker.asideUntil) ? worker.asideUntil.since(now) : Span.NONE;
             ofWorkers.add(new Known.OfWorker(worker.id,
-                    worker.since == null ? null : now.since(worker.since), aside, worker.bearing));
+                    worker.since == null ? null : now.since(worker.since), aside));
         }
         List<Known.OfFunction> ofFunctions = new ArrayList<>();
         for (Function function : functions.values()) {
@@ -187,7 +187,7 @@
                     function.warmSeconds.read(now), copies));
         }
         return new Known(Span.NONE, ofWorkers, ofFunctions, loadOrders.orders.stream().map(now::since).toList(),
-                storeGuard.window, storeGuard.loadSeconds.read(now), storeGuard.loadCount.read(now));
+                storeGuard.loadSeconds.read(now), storeGuard.loadCount.read(now));
     }
 
     /** Taken as it is told: what of it may be believed was decided before. */
@@ -196,7 +196,6 @@
         for (Known.OfWorker of : known.workers()) {
             Worker worker = workers.get(of.worker());
             if (worker != null && worker.onRing) {
-                worker.bearing = of.bearing();
                 worker.asideUntil = now.plus(of.aside());
                 keep(met, worker, true);
             }
@@ -223,7 +222,6 @@
             }
         }
         known.orders().forEach(age -> loadOrders.orders.add(now.minus(age)));
-        storeGuard.window = known.window();
         storeGuard.loadSeconds.add(then, known.loadSeconds());
         storeGuard.loadCount.add(then, known.loadCount());
     }
--- a/decisions/src/main/java/pearladder/backlog/Backlog.java
+++ b/decisions/src/main/java/pearladder/backlog/Backlog.java
@@ -21,6 +21,8 @@
 
     private static final Span FIRST_PAUSE = Span.millis(100);
     private static final Span LONGEST_PAUSE = Span.seconds(2);
+    private static final int SLOW = 3;
+    private static final Span IN_TIME = Span.seconds(5);
 
     private final Span gather;
     private final Span window;
@@ -38,6 +40,8 @@
     private Span pause = FIRST_PAUSE;
     private boolean failing;
     private boolean late;
+    private int slowInARow;
+    private Moment slowAt = new Moment(0);
     private boolean stopping;
 
     /**
@@ -150,10 +154,15 @@
         }
     }
 
+    /** One slow write is no mode; several in a row are, until none was slow for a while. */
     private void lateOrNot(Span took) {
         boolean slow = took.plus(gather).longerThan(window);
-        if (slow != late) {
-            late = slow;
+        slowInARow = slow ? slowInARow + 1 : 0;
+        slowAt = slow ? now : slowAt;
+        boolean mode = late ? slowAt.plus(IN_TIME).compareTo(now) > 0
+                : slowInARow >= SLOW || took.longerThan(window.times(SLOW));
+        if (mode != late) {
+            late = mode;
             todo.add(new BacklogAction.Log(String.format(Locale.ROOT, "records are written %s: %d ms a batch, %d entries wait",
                     late ? "late" : "in time again", took.inMillis(), held())));
         }
--- a/decisions/src/main/java/pearladder/recovery/Beliefs.java
+++ b/decisions/src/main/java/pearladder/recovery/Beliefs.java
@@ -16,6 +16,9 @@
  * What was learnt of a process holds for that process only, so a worker counts whose process is as old as it would have
  * become. What fades, fades by real time. A copy holds for as long as idle ones are kept. Orders count for the ration
  * whatever else is believed; where the records can't tell them, all that the ration allows counts as sent just now.
+ *
+ * What a worker bears and what loads may be under way are left to be learnt anew: they were another load's, and believing them
+ * cost credit in rehearsals (docs/records.md).
  */
 public final class Beliefs {
     /**
@@ -36,8 +39,6 @@
     private static final Span SAME = Span.millis(500);
     /** Where no list tells a process's age, only a gap that is too short for a restart is passed over. */
     private static final Span TOO_SHORT = Span.seconds(3);
-    /** Past it what a worker bears, and what loads are under way, are another day's. */
-    private static final Span LOAD_HOLDS = Span.seconds(10);
     private static final int MOST_COPIES = 64;
 
     private final Span kept;
@@ -80,7 +81,7 @@
             if (found.up().containsKey(worker.worker()) && same(worker.up(), found.up().get(worker.worker()), gap)) {
                 same.add(worker.worker());
                 workers.add(new Known.OfWorker(worker.worker(), found.up().get(worker.worker()),
-                        worker.aside().minus(gap).atLeast(Span.NONE), gap.longerThan(LOAD_HOLDS) ? 0 : worker.bearing()));
+                        worker.aside().minus(gap).atLeast(Span.NONE)));
             }
         }
         int copies = 0;
@@ -99,15 +100,14 @@
             functions.add(new Known.OfFunction(function.function(), function.lanes(), function.memoryMb(), function.usualLoad(),
                     function.calls(), function.warmAnswers(), function.warmSeconds(), held));
         }
-        Known now = new Known(gap, workers, functions, orders, gap.longerThan(LOAD_HOLDS) ? Double.NaN : found.known().window(),
-                found.known().loadSeconds(), found.known().loadCount());
+        Known now = new Known(gap, workers, functions, orders, found.known().loadSeconds(), found.known().loadCount());
         return new Believed(now, String.format(Locale.ROOT, "after %s: %d of %d workers, %d of %d copies, %d functions, %d orders"
                 + " count", seconds(gap), workers.size(), found.known().workers().size(), copies, had, functions.size(),
                 orders.size()));
     }
 
     private static Believed nothing(List<Span> orders, String why) {
-        return new Believed(new Known(Span.NONE, List.of(), List.of(), orders, Double.NaN, 0, 0),
+        return new Believed(new Known(Span.NONE, List.of(), List.of(), orders, 0, 0),
                 why + "; " + orders.size() + " orders count");
     }
 
@@ -143,13 +143,12 @@
 
     /** What no module ever held: such a snapshot was written by something else, or by a fault, and none of it is believed. */
     private static String poison(Known known) {
-        if (negative(known.age()) || !Double.isNaN(known.window()) && !plain(known.window()) || !plain(known.loadSeconds())
-                || !plain(known.loadCount())) {
+        if (negative(known.age()) || !plain(known.loadSeconds()) || !plain(known.loadCount())) {
             return "figures that can't be";
         }
         Set<String> named = new HashSet<>();
         for (Known.OfWorker worker : known.workers()) {
-            if (!plain(worker.bearing()) || negative(worker.aside()) || worker.up() != null && negative(worker.up())
+            if (negative(worker.aside()) || worker.up() != null && negative(worker.up())
                     || worker.aside().longerThan(Span.seconds(3600)) || !named.add(worker.worker())) {
                 return "worker " + worker.worker();
             }
--- a/decisions/src/main/java/pearladder/state/Known.java
+++ b/decisions/src/main/java/pearladder/state/Known.java
@@ -9,19 +9,17 @@
  *
  * @param age how old all of it is
  * @param orders the ages of the load orders that its ration still counts
- * @param window of loads that may be under way; NaN before there is one
  * @param loadSeconds what loads took of late, a fading sum, with its count
  */
-public record Known(Span age, List<OfWorker> workers, List<OfFunction> functions, List<Span> orders, double window,
-        double loadSeconds, double loadCount) {
+public record Known(Span age, List<OfWorker> workers, List<OfFunction> functions, List<Span> orders, double loadSeconds,
+        double loadCount) {
     /**
      * A worker.
      *
      * @param up the age of its process, or null where no list told it
      * @param aside it is set aside for so much longer; none where it isn't
-     * @param bearing the calls it bears, 0 where nothing was learnt
      */
-    public record OfWorker(String worker, Span up, Span aside, double bearing) { }
+    public record OfWorker(String worker, Span up, Span aside) { }
 
     /** A function with its fading sums. */
     public record OfFunction(String function, int lanes, double memoryMb, Span usualLoad, double calls, double warmAnswers,
@@ -31,5 +29,5 @@
     public record Copy(String worker, int instances, Span untouched, boolean listed) { }
 
     /** Nothing at all. */
-    public static final Known NOTHING = new Known(Span.NONE, List.of(), List.of(), List.of(), Double.NaN, 0, 0);
+    public static final Known NOTHING = new Known(Span.NONE, List.of(), List.of(), List.of(), 0, 0);
 }
--- a/decisions/src/test/java/pearladder/PolicyTest.java
+++ b/decisions/src/test/java/pearladder/PolicyTest.java
@@ -17,6 +17,7 @@
 import pearladder.api.Facts;
 import pearladder.api.Outcome;
 import pearladder.api.Span;
+import pearladder.state.Known;
 
 /** Plain cases: the ordinary path, each rule, and each failure that was found. */
 class PolicyTest {
@@ -335,4 +336,38 @@
         assertTrue(beat(rig).stream().noneMatch(action -> action instanceof Action.Standing
                 || action instanceof Action.Hold));
     }
+
+    @Test
+    void whatIsToldAsKnownIsKnownToTheNextLife() {
+        Rig one = Rig.withWorkers(Rig.facts(true, true, new Facts.Ration(3, 0, Span.seconds(30)), List.of()), 4);
+        for (int i = 0; i < 12; i++) {
+            one.settle(one.call("f" + i % 3, Rig.RETRIABLE), QUICK);
+        }
+        one.pass(Span.seconds(7));
+        Known known = one.policy.known(one.now);
+        assertEquals(3, known.functions().size());
+        assertTrue(known.functions().stream().allMatch(function -> function.copies().size() == 1));
+        assertEquals(3, known.orders().size(), "copies in use were renewed, up to the ration");
+        Rig two = Rig.withWorkers(one.facts, 4);
+        two.now = one.now;
+        two.on(new Event.Recalled(known));
+        assertEquals(known, two.policy.known(two.now));
+        for (int i = 0; i < 12; i++) {
+            two.settle(two.call("f" + i % 3, Rig.RETRIABLE), QUICK);
+        }
+        two.pass(Span.seconds(7));
+        assertTrue(two.all.stream().noneMatch(Action.Hold.class::isInstance), "the ration counts across lives");
+    }
+
+    @Test
+    void aWorkerThatWasSetAsideStaysSoInTheNextLife() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 4);
+        String home = home(rig, "f");
+        Rig next = Rig.withWorkers(Rig.plain(), 4);
+        next.on(new Event.Recalled(new Known(Span.NONE, List.of(new Known.OfWorker(home, null, Span.seconds(2))), List.of(),
+                List.of(), 0, 0)));
+        assertNotEquals(home, home(next, "f"));
+        next.pass(Span.seconds(12));
+        assertEquals(home, home(next, "f"));
+    }
 }
--- a/rehearsal/src/main/java/pearladder/rehearsal/Life.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Life.java
@@ -23,6 +23,8 @@
 import pearladder.router.core.EngineList;
 import pearladder.router.core.EngineSaid;
 import pearladder.router.core.OpenCall;
+import pearladder.router.core.OpenLeg;
+import pearladder.router.core.Recall;
 import pearladder.router.core.ReleaseDesk;
 import pearladder.router.core.Reply;
 import pearladder.router.core.Tally;
@@ -93,6 +95,37 @@
         }
     }
 
+    /** What a router's records keep that its next life asks for: here only the orders, each safe after the gathering time. */
+    private final class Kept implements Chronicle {
+        @Override
+        public void ended(OpenCall ended, String how, Span took) {
+            // the tape has it
+        }
+
+        @Override
+        public void legEnded(OpenLeg leg, Outcome outcome, EngineSaid said, Span took) {
+            // the tape has it
+        }
+
+        @Override
+        public void ordering(String engine, String function, int copies, Consumer<String> answer) {
+            after(KEPT_AFTER, () -> {
+                station.ordered(time.now());
+                answer.accept("");
+            });
+        }
+
+        @Override
+        public void ordered(String engine, String function, Outcome outcome, int copies, Span took) {
+            // the tape has it
+        }
+    }
+
+    /** A record is safe after so long, as over sockets. */
+    private static final long KEPT_AFTER = 25_000_000L;
+    private static final long SNAPSHOT = 1_000_000_000L;
+
+    private final Dispatcher module;
     private final Station station;
     private final Consumer<String> logged;
     private final Timeline time;
@@ -124,23 +157,37 @@
         this.delay = delay;
         this.engines = new VirtualEngines(this, articles.name(), delay, articles.connections().dial().nanos(), fell);
         this.list = new EngineList(0, entry -> engines.came(entry.engine(), fleet.host(entry.engine())), engines::went);
-        this.calls = new Calls(articles, this, module, engines, this, Chronicle.NONE);
+        this.module = module;
+        this.calls = new Calls(articles, this, module, engines, this, articles.records() == null ? Chronicle.NONE : new Kept());
         this.desk = new ReleaseDesk(this, articles, station.journal(), calls::tell);
         this.calls.versions(desk);
     }
 
     /** Begins as a router does: the last list, the journal, what others know, then the list service. */
     void begin() {
-        calls.tell(list.remembered(station.lastList()));
+        Event.Listed last = list.remembered(station.lastList());
+        calls.tell(last);
+        if (articles.records() != null) {
+            calls.tell(Recall.event(articles.facts(), station.known(), station.knownFor(time.now()), station.orders(time.now()), true,
+                    last, now(), why -> logged.accept("begins with what is believed " + why)));
+            snapshot();
+        }
         desk.begin();
-        station.known().forEach(desk::heard);
+        station.others().forEach(desk::heard);
         watchList();
         learn();
     }
 
+    private void snapshot() {
+        after(SNAPSHOT, () -> {
+            station.remember(module.known(now()), time.now());
+            snapshot();
+        });
+    }
+
     private void learn() {
         after(1_000_000_000L, () -> {
-            station.known().forEach(desk::heard);
+            station.others().forEach(desk::heard);
             learn();
         });
     }
--- a/rehearsal/src/main/java/pearladder/rehearsal/Station.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Station.java
@@ -5,10 +5,12 @@
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
+import pearladder.api.Span;
 import pearladder.kserve.ListLine;
 import pearladder.release.Reached;
 import pearladder.release.Target;
 import pearladder.router.core.ReleaseDesk;
+import pearladder.state.Known;
 
 /** A router's machine: what outlives the router's death, and the life that runs on it now, if any. */
 final class Station {
@@ -19,6 +21,9 @@
     private final List<Target> orders = new ArrayList<>();
     private final List<Reached> reached = new ArrayList<>();
     private Supplier<ListLine> lastList = () -> null;
+    private final List<Long> ordered = new ArrayList<>();
+    private Known known;
+    private long knownAt;
     private Life life;
     private long lives;
     private long decisions;
@@ -49,11 +54,34 @@
         }
     }
 
-
-    List<Target> known() {
+    /** What the other routers know of releases. */
+    List<Target> others() {
         return others.get();
     }
 
+    /** What the last life's module knew when it was last kept, or null. */
+    Known known() {
+        return known;
+    }
+
+    Span knownFor(long now) {
+        return new Span(now - knownAt);
+    }
+
+    void remember(Known fresh, long now) {
+        known = fresh;
+        knownAt = now;
+    }
+
+    void ordered(long now) {
+        ordered.add(now);
+    }
+
+    /** The ages of all orders that any life gave. */
+    List<Span> orders(long now) {
+        return ordered.stream().map(at -> new Span(now - at)).toList();
+    }
+
     ListLine lastList() {
         return lastList.get();
     }
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -171,7 +171,7 @@
         Snapshot.Taken taken = snapshot.take();
         Span gap = taken == null ? Span.NONE : Span.millis(System.currentTimeMillis() - taken.wall());
         calls.tell(Recall.event(articles.facts(), taken == null ? null : taken.known(), gap, orders.ages(), orders.whole(), list,
-                VertxTimers.present(), why -> LOG.info("begins with what is believed {}", why)));
+                VertxTimers.present(), why -> LOG.info("begins with what is believed " + why)));
         recorder.begin();
         meters.records(recorder::held, () -> recorder.failing() ? 1 : 0);
         vertx.setPeriodic(SNAPSHOT_MILLIS, due -> {
