--- a/cli/src/main/java/pearladder/cli/MeasureCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeasureCommand.java
@@ -28,6 +28,9 @@
     @Option(names = "--queue", description = "instead, what an event costs in the rehearsals' queue")
     private boolean queue;
 
+    @Option(names = "--records", description = "instead, what records cost a call: without, with, and with a store that stalls")
+    private boolean records;
+
     @Override
     public Integer call() throws IOException {
         Logs.setUp(Logs.Form.TEXT);
@@ -39,9 +42,11 @@
             ReleaseTrials.run().forEach(System.out::println);
             return 0;
         }
-        System.out.println("decisions alone");
-        DecisionCost.run(Decider.MODULE.maker::make, rounds, 12, 92, 500).forEach(System.out::println);
-        Measure.run(Program.command(), out, rounds, seconds, System.out);
+        if (!records) {
+            System.out.println("decisions alone");
+            DecisionCost.run(Decider.MODULE.maker::make, rounds, 12, 92, 500).forEach(System.out::println);
+        }
+        Measure.run(Program.command(), out, rounds, seconds, records, System.out);
         return 0;
     }
 }
--- a/cli/src/main/java/pearladder/cli/RecordsCommand.java
+++ b/cli/src/main/java/pearladder/cli/RecordsCommand.java
@@ -1,11 +1,16 @@
 package pearladder.cli;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
+import java.util.Random;
 import pearladder.records.Archive;
 import pearladder.records.Entry;
 import pearladder.records.Keeping;
@@ -138,6 +143,80 @@
         return 0;
     }
 
+    @Command(name = "prove", mixinStandardHelpOptions = true, description = {
+        "Kill a writer at random moments, and look whether all that it had acknowledged is there; in an empty folder,",
+        "on the disk that is to be proved. Ends with 1 where something was lost."})
+    int prove(@Parameters(index = "0", paramLabel = "DIR") Path folder,
+            @Option(names = "--kills", defaultValue = "200", description = "default: ${DEFAULT-VALUE}") int kills,
+            @Option(names = "--seed", defaultValue = "1", description = "of the moments") long seed) throws IOException {
+        if (Files.exists(folder) && !Archive.empty(folder)) {
+            throw new IOException(folder + ": there are records; name an empty folder");
+        }
+        Files.createDirectories(folder);
+        Random random = new Random(seed);
+        long acknowledged = 0;
+        long lost = 0;
+        for (int i = 0; i < kills; i++) {
+            acknowledged = Math.max(acknowledged, writeAndKill(folder, 20 + random.nextInt(400)));
+            // a compaction takes old details out, never their numbers: verify finds a number that is missing
+            Archive.Verified found = new Archive(folder).verify();
+            long[] last = {0};
+            new Archive(folder).read(acknowledged, (number, entry) -> last[0] = Math.max(last[0], number));
+            if (last[0] < acknowledged || !found.damage().isEmpty()) {
+                lost++;
+                out().println("kill " + (i + 1) + ": " + acknowledged + " entries were acknowledged, " + last[0] + " are there; "
+                        + found.damage());
+            }
+        }
+        out().println(kills + " kills, " + acknowledged + " entries acknowledged, " + lost + " times something was lost");
+        return lost == 0 ? 0 : 1;
+    }
+
+    private static long writeAndKill(Path folder, int millis) throws IOException {
+        List<String> command = new ArrayList<>(Program.command());
+        command.addAll(List.of("records", "write", folder.toString()));
+        Process writer = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        long[] last = {0};
+        try (BufferedReader said = writer.inputReader()) {
+            String line = said.readLine();
+            Thread killer = new Thread(() -> {
+                try {
+                    Thread.sleep(millis);
+                } catch (InterruptedException early) {
+                    Thread.currentThread().interrupt();
+                }
+                writer.destroyForcibly();
+            });
+            killer.start();
+            for (; line != null; line = said.readLine()) {
+                last[0] = line.matches("[0-9]+;") ? Long.parseLong(line.substring(0, line.length() - 1)) : last[0];
+            }
+        }
+        return last[0];
+    }
+
+    /** Writes batches and acknowledges each by its last number, until it is killed. */
+    @Command(name = "write", hidden = true)
+    int write(@Parameters(index = "0") Path folder) throws IOException {
+        Random random = new Random();
+        try (Records records = Records.open(folder, new Keeping(1 << 20, 60_000, 1L << 40, 1L << 40, 1000), out()::println)) {
+            for (long batch = 0; batch < 1_000_000; batch++) {
+                List<Entry> entries = new ArrayList<>();
+                for (int i = random.nextInt(40); i >= 0; i--) {
+                    entries.add(new Entry(System.currentTimeMillis(), i % 3 == 0 ? Kind.ENDED : Kind.LEG, "c" + batch + "-" + i,
+                            "pair-" + i, "tender", "engine-" + i % 7, "settled", batch, i));
+                }
+                records.append(entries);
+                if (batch % 50 == 49) {
+                    records.compact(1);
+                }
+                out().println(records.next() - 1 + ";");
+                out().flush();
+            }
+        }
+        return 0;
+    }
+
     /** A moment as ISO 8601 has it, or a day. */
     static final class Times implements CommandLine.ITypeConverter<Instant> {
         @Override
--- a/cli/src/main/java/pearladder/cli/UsageCommand.java
+++ b/cli/src/main/java/pearladder/cli/UsageCommand.java
@@ -50,8 +50,8 @@
 
     /** A span of time and the records that are read. */
     static final class Span {
-        @Parameters(arity = "1..*", paramLabel = "DIR", description = "folders of records, one for each router")
-        List<Path> folders;
+        @Parameters(arity = "0..*", paramLabel = "DIR", description = "folders of records, one for each router")
+        List<Path> folders = List.of();
 
         @Option(names = "--from", paramLabel = "TIME", converter = RecordsCommand.Times.class,
                 description = "such as 2026-12-01 or 2026-12-01T15:00:00Z")
@@ -93,6 +93,9 @@
 
     @Override
     public Integer call() throws IOException {
+        if (span.folders.isEmpty()) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "name the folders of records, one for each router");
+        }
         PrintWriter out = spec.commandLine().getOut();
         List<Share> shares = span.shares(out);
         TreeMap<String, Sums> rows = new TreeMap<>();
--- a/lab/src/main/java/pearladder/lab/Measure.java
+++ b/lab/src/main/java/pearladder/lab/Measure.java
@@ -54,21 +54,26 @@
         this.out = out;
     }
 
-    /** Runs rounds of so many seconds for each way and each number of callers, and prints the table. */
-    public static void run(List<String> program, Path folder, int rounds, int seconds, PrintStream out)
+    /**
+     * Runs rounds of so many seconds for each way and each number of callers, and prints the table.
+     *
+     * @param records instead of the ways to an engine: a router without records, with them, and with a store that stands
+     *         still for half a second out of two
+     */
+    public static void run(List<String> program, Path folder, int rounds, int seconds, boolean records, PrintStream out)
             throws IOException {
         Files.createDirectories(folder);
         Measure measure = new Measure(folder, out);
         Processes processes = new Processes(program, folder);
         try {
-            measure.run(processes, rounds, seconds);
+            measure.run(processes, rounds, seconds, records);
         } finally {
             processes.close();
             measure.vertx.close().toCompletionStage().toCompletableFuture().join();
         }
     }
 
-    private void run(Processes processes, int rounds, int seconds) throws IOException {
+    private void run(Processes processes, int rounds, int seconds, boolean records) throws IOException {
         List<Integer> engines = new ArrayList<>();
         for (int i = 0; i < ENGINES; i++) {
             engines.add(instantEngine());
@@ -80,16 +85,20 @@
             list.run(() -> list.roll().change(new Entry(id, "127.0.0.1", port, "east", "instant", 0,
                     Standing.IN_SERVICE, 0)));
         }
-        Path file = folder.resolve("router.yaml");
-        Files.writeString(file, "router: {name: measured, listen: \"127.0.0.1:0\", hall: east, data: \""
-                + folder.resolve("data") + "\"}\nlist: {address: \"127.0.0.1:" + list.listPort() + "\"}\n"
-                + "categories:\n  draft: {expected: 1 s, abandon: 3 s, effect: retriable}\n"
-                + "models:\n  - {name: \"m-*\", memory: 100 MB, lanes: 64}\n");
-        int router = Processes.number(processes.start("router", "router", "-c", file.toString(), "--log", "JSON"), "port");
-        String targets = String.join(",", engines.stream().map(Object::toString).toList());
-        int through = Processes.number(processes.start("pass-through", "pass-through", "--targets", targets), "port");
-        List<Way> ways = List.of(new Way("direct", engines), new Way("pass-through", List.of(through)),
-                new Way("router", List.of(router)));
+        List<Way> ways = new ArrayList<>();
+        Stalls stalls = null;
+        if (records) {
+            ways.add(router(processes, "off", list.listPort(), ""));
+            ways.add(router(processes, "records", list.listPort(), "records: {}\n"));
+            ways.add(router(processes, "stalling", list.listPort(), "records: {}\n"));
+            stalls = Stalls.begin(folder.resolve("data-stalling/records"));
+        } else {
+            String targets = String.join(",", engines.stream().map(Object::toString).toList());
+            int through = Processes.number(processes.start("pass-through", "pass-through", "--targets", targets), "port");
+            ways.add(new Way("direct", engines));
+            ways.add(new Way("pass-through", List.of(through)));
+            ways.add(router(processes, "router", list.listPort(), ""));
+        }
         for (int callers : new int[] {1, 32}) {
             Map<String, List<Round>> all = new LinkedHashMap<>();
             for (Way way : ways) {
@@ -102,9 +111,22 @@
             }
             print(callers, rounds, seconds, all);
         }
+        if (stalls != null) {
+            stalls.close();
+        }
         list.close();
     }
 
+    private Way router(Processes processes, String name, int list, String more) throws IOException {
+        Path file = folder.resolve(name + ".yaml");
+        Files.writeString(file, "router: {name: " + name + ", listen: \"127.0.0.1:0\", hall: east, data: \""
+                + folder.resolve("data-" + name) + "\"}\nlist: {address: \"127.0.0.1:" + list + "\"}\n"
+                + "categories:\n  draft: {expected: 1 s, abandon: 3 s, effect: retriable}\n"
+                + "models:\n  - {name: \"m-*\", memory: 100 MB, lanes: 64}\n" + more);
+        return new Way(name, List.of(Processes.number(processes.start(name, "router", "-c", file.toString(), "--log", "JSON"),
+                "port")));
+    }
+
     private int instantEngine() {
         return vertx.createHttpServer(new HttpServerOptions().setHost("127.0.0.1").setPort(0).setTcpNoDelay(true))
                 .requestHandler(request -> request.body().onSuccess(body -> request.response()
@@ -176,10 +198,14 @@
             out.printf(Locale.ROOT, "%-14s %22s %22s %26s %10d%n", name, range(p50), range(p99), range(rate),
                     list.stream().mapToLong(r -> r.other).sum());
         });
-        double[] through = medians.get("pass-through");
-        double[] router = medians.get("router");
-        out.printf(Locale.ROOT, "router against pass-through: p50 %.2f times, p99 %.2f times, throughput %.2f times%n",
-                router[0] / through[0], router[1] / through[1], router[2] / through[2]);
+        List<String> names = List.copyOf(all.keySet());
+        String base = names.contains("pass-through") ? "pass-through" : names.get(0);
+        for (String name : names.subList(names.indexOf(base) + 1, names.size())) {
+            double[] than = medians.get(base);
+            double[] one = medians.get(name);
+            out.printf(Locale.ROOT, "%s against %s: p50 %.2f times, p99 %.2f times, throughput %.2f times%n", name, base,
+                    one[0] / than[0], one[1] / than[1], one[2] / than[2]);
+        }
     }
 
     private static double[] sorted(List<Round> rounds, java.util.function.ToDoubleFunction<Round> figure) {
--- a/records/src/main/java/pearladder/records/Archive.java
+++ b/records/src/main/java/pearladder/records/Archive.java
@@ -32,6 +32,11 @@
         this.folder = folder;
     }
 
+    /** Whether a folder holds no records. */
+    public static boolean empty(Path folder) throws IOException {
+        return segments(folder).isEmpty();
+    }
+
     static List<Path> segments(Path folder) throws IOException {
         return files(folder, "records-[0-9]{16}\\.db");
     }
@@ -61,9 +66,8 @@
             try (segment) {
                 segment.batches(from, batch -> {
                     if (batch.first() + batch.count() > from && batch.damage().isEmpty()) {
-                        long number = batch.first();
-                        for (Entry entry : Batch.decode(batch.bytes())) {
-                            taker.take(number++, entry);
+                        for (Batch.Row row : Batch.decode(batch.bytes())) {
+                            taker.take(batch.first() + row.place(), row.entry());
                         }
                     }
                 });
--- a/records/src/main/java/pearladder/records/Batch.java
+++ b/records/src/main/java/pearladder/records/Batch.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import java.util.zip.CRC32C;
 import java.util.zip.Deflater;
 import java.util.zip.DeflaterOutputStream;
@@ -16,19 +17,28 @@
 
 /** Entries as bytes: CBOR rows, deflated. The engine's, model's and account's names repeat, so that little is left of them. */
 final class Batch {
+    /** An entry with its place in its batch, which outlives a compaction. */
+    record Row(int place, Entry entry) { }
+
     private static final CBORFactory CBOR = new CBORFactory();
     private static final int LARGEST = 64 << 20;
 
     private Batch() { }
 
-    static byte[] encode(List<Entry> entries) throws IOException {
+    static List<Row> rows(List<Entry> entries) {
+        return IntStream.range(0, entries.size()).mapToObj(i -> new Row(i, entries.get(i))).toList();
+    }
+
+    static byte[] encode(List<Row> batch) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         Deflater deflater = new Deflater(Deflater.BEST_SPEED);
         try (DeflaterOutputStream packed = new DeflaterOutputStream(bytes, deflater);
                 JsonGenerator rows = CBOR.createGenerator(packed)) {
             rows.writeStartArray();
-            for (Entry entry : entries) {
+            for (Row row : batch) {
+                Entry entry = row.entry();
                 rows.writeStartArray();
+                rows.writeNumber(row.place());
                 rows.writeNumber(entry.at());
                 rows.writeNumber(entry.kind().code);
                 rows.writeString(entry.call());
@@ -48,12 +58,13 @@
     }
 
     /** Entries of a kind that this build doesn't know are passed over: a later one may write them in the same format. */
-    static List<Entry> decode(byte[] bytes) throws IOException {
-        List<Entry> entries = new ArrayList<>();
+    static List<Row> decode(byte[] bytes) throws IOException {
+        List<Row> entries = new ArrayList<>();
         try (JsonParser rows = CBOR.createParser(new InflaterInputStream(new ByteArrayInputStream(bytes)))) {
             expect(rows.nextToken() == JsonToken.START_ARRAY);
             long read = 0;
             while (rows.nextToken() == JsonToken.START_ARRAY) {
+                int place = rows.nextIntValue(0);
                 long at = rows.nextLongValue(0);
                 Kind kind = Kind.of(rows.nextIntValue(0));
                 Entry entry = new Entry(at, kind == null ? Kind.DROPPED : kind, text(rows), text(rows), text(rows), text(rows),
@@ -62,7 +73,7 @@
                 read += entry.call().length() + entry.note().length() + 64;
                 expect(read < LARGEST);
                 if (kind != null) {
-                    entries.add(entry);
+                    entries.add(new Row(place, entry));
                 }
             }
             expect(rows.currentToken() == JsonToken.END_ARRAY);
--- a/records/src/main/java/pearladder/records/Cursor.java
+++ b/records/src/main/java/pearladder/records/Cursor.java
@@ -4,7 +4,6 @@
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
 
 /** Reads a folder's entries one by one, in the order written, a batch at a time; damaged batches are passed over. */
 public final class Cursor implements AutoCloseable {
@@ -38,8 +37,7 @@
             }
             after = batch.first();
             if (batch.damage().isEmpty()) {
-                List<Entry> read = Batch.decode(batch.bytes());
-                entries.addAll(read);
+                Batch.decode(batch.bytes()).forEach(row -> entries.add(row.entry()));
             }
         }
         return entries.poll();
--- a/records/src/main/java/pearladder/records/Records.java
+++ b/records/src/main/java/pearladder/records/Records.java
@@ -185,7 +185,7 @@
             if (segment.until() < moment) {
                 segment.batches(batch -> {
                     if (batch.damage().isEmpty()) {
-                        details[0] += Batch.decode(batch.bytes()).stream().filter(entry -> entry.kind().detail()).count();
+                        details[0] += Batch.decode(batch.bytes()).stream().filter(row -> row.entry().kind().detail()).count();
                     }
                 });
             }
@@ -204,9 +204,9 @@
                     to.put(batch, moment);
                     return;
                 }
-                List<Entry> kept = new ArrayList<>(Batch.decode(batch.bytes()));
-                long until = kept.isEmpty() ? moment : kept.get(kept.size() - 1).at();
-                kept.removeIf(entry -> entry.kind().detail() && entry.at() < moment);
+                List<Batch.Row> kept = new ArrayList<>(Batch.decode(batch.bytes()));
+                long until = kept.isEmpty() ? moment : kept.get(kept.size() - 1).entry().at();
+                kept.removeIf(row -> row.entry().kind().detail() && row.entry().at() < moment);
                 byte[] bytes = Batch.encode(kept);
                 to.put(new Segment.Stored(batch.first(), batch.count(), Batch.sum(bytes), bytes), until);
             });
--- a/records/src/main/java/pearladder/records/Segment.java
+++ b/records/src/main/java/pearladder/records/Segment.java
@@ -122,7 +122,7 @@
 
     /** Adds a batch; it is on disk when this returns. */
     void append(long first, List<Entry> entries) throws IOException {
-        byte[] bytes = Batch.encode(entries);
+        byte[] bytes = Batch.encode(Batch.rows(entries));
         put(new Stored(first, entries.size(), Batch.sum(bytes), bytes), entries.get(entries.size() - 1).at());
     }
 
--- a/records/src/test/java/pearladder/records/RecordsTest.java
+++ b/records/src/test/java/pearladder/records/RecordsTest.java
@@ -133,6 +133,12 @@
                     after.stream().filter(entry -> !entry.kind().detail()).toList());
             assertTrue(after.stream().anyMatch(entry -> entry.kind().detail()), "young details stay");
             assertEquals(20 - done.details(), after.size());
+            List<Long> numbers = new ArrayList<>();
+            new Archive(folder).read(0, (number, entry) -> {
+                numbers.add(number);
+                assertEquals(number % 2 == 1 ? Kind.ENDED : Kind.LEG, entry.kind(), "a number outlives the compaction");
+            });
+            assertEquals(20, numbers.get(numbers.size() - 1));
             assertEquals(0, records.compact(100).files());
         }
         Files.write(folder.resolve("records-0000000000000001.new"), new byte[100]);
