--- a/decisions/src/main/java/pearladder/recovery/Beliefs.java
+++ b/decisions/src/main/java/pearladder/recovery/Beliefs.java
@@ -38,7 +38,7 @@
     /** Two ages of one process, told by two clocks, differ by no more. */
     private static final Span SAME = Span.millis(500);
     /** Where no list tells a process's age, only a gap that is too short for a restart is passed over. */
-    private static final Span TOO_SHORT = Span.seconds(3);
+    private static final Span TOO_SHORT = Span.seconds(10);
     private static final int MOST_COPIES = 64;
 
     private final Span kept;
--- a/decisions/src/main/java/pearladder/usage/Evidence.java
+++ b/decisions/src/main/java/pearladder/usage/Evidence.java
@@ -7,8 +7,8 @@
     /** Which router saw it; the same thing seen by two counts once. */
     String router();
 
-    /** A load was begun, by an account's call or, where that is empty, by an order. */
-    record Loading(long at, String router, String engine, String model, String account) implements Evidence { }
+    /** A load was begun, by an account's call or, where that is empty, by an order; it lasted for so many milliseconds. */
+    record Loading(long at, String router, String engine, String model, String account, long lasting) implements Evidence { }
 
     /** A load failed: nothing stands. */
     record LoadFailed(long at, String router, String engine, String model) implements Evidence { }
--- a/decisions/src/main/java/pearladder/usage/Usage.java
+++ b/decisions/src/main/java/pearladder/usage/Usage.java
@@ -132,6 +132,8 @@
                 holding.loader = loading.account();
             }
             set(holding, at, Math.max(1, holding.copies));
+            // a load may last for longer than an idle copy is kept
+            holding.touched = Math.max(holding.touched, at + loading.lasting());
         } else if (evidence instanceof Evidence.Copies said) {
             Holding holding = holding(said.engine(), said.model(), at);
             set(holding, at, said.copies());
@@ -154,8 +156,8 @@
     /** From here on so many copies stand. */
     private void set(Holding holding, long at, int copies) {
         to(holding, at);
+        holding.touched = holding.copies > 0 ? Math.max(holding.touched, at) : at;
         holding.copies = copies;
-        holding.touched = at;
     }
 
     /** Counts up to a moment, or to the one at which nothing had renewed the copies for too long. */
--- a/records/src/main/java/pearladder/metering/Metering.java
+++ b/records/src/main/java/pearladder/metering/Metering.java
@@ -92,7 +92,8 @@
     private static Evidence evidence(Source source, Entry entry) {
         return switch (entry.kind()) {
             case MODEL -> new Evidence.Memory(entry.at(), source.router, entry.model(), entry.amount());
-            case LOADING -> new Evidence.Loading(entry.at(), source.router, entry.engine(), entry.model(), entry.account());
+            case LOADING -> new Evidence.Loading(entry.at(), source.router, entry.engine(), entry.model(), entry.account(),
+                    entry.took() / 1000);
             case LOADED -> entry.note().isEmpty() ? null
                     : new Evidence.LoadFailed(entry.at(), source.router, entry.engine(), entry.model());
             case COPIES -> new Evidence.Copies(entry.at(), source.router, entry.engine(), entry.model(), (int) entry.amount());
--- a/records/src/main/java/pearladder/records/Kind.java
+++ b/records/src/main/java/pearladder/records/Kind.java
@@ -12,7 +12,7 @@
     LEG(4, true),
     /** What an account's calls worked on an engine since the last such cut; amount: microseconds; took: the cut's span. */
     WORK(5, false),
-    /** A load was begun; the account is whose call began it, empty for an order. */
+    /** A load was begun; the account is whose call began it, empty for an order; took: the load, microseconds. */
     LOADING(6, false),
     /** It ended; note: empty, or why it failed. */
     LOADED(7, false),
--- a/router/src/main/java/pearladder/router/Recorder.java
+++ b/router/src/main/java/pearladder/router/Recorder.java
@@ -154,7 +154,8 @@
         Event.Copy copy = said == null ? Event.Copy.UNTOLD : said.copy();
         model(now, call.function);
         if (copy == Event.Copy.LOAD_BEGUN || copy == Event.Copy.LOAD_FAILED) {
-            add(Entry.of(now - took.inMillis(), Kind.LOADING, call.function, call.account, leg.engine, "", 1, 0), "");
+            add(Entry.of(now - took.inMillis(), Kind.LOADING, call.function, call.account, leg.engine, "", 1, took.nanos() / 1000),
+                    "");
         }
         if (copy == Event.Copy.LOAD_FAILED) {
             add(Entry.of(now, Kind.LOADED, call.function, "", leg.engine, "failed", 0, took.nanos() / 1000), "");
@@ -184,7 +185,8 @@
     public void ordered(String engine, String function, Outcome outcome, int copies, Span took) {
         long now = wall.getAsLong();
         if (outcome == Outcome.SUCCESS || copies > 0) {
-            add(Entry.of(now - took.inMillis(), Kind.LOADING, function, "", engine, "ordered", copies, 0), "");
+            add(Entry.of(now - took.inMillis(), Kind.LOADING, function, "", engine, "ordered", copies,
+                    took.nanos() / 1000), "");
             add(Entry.of(now, Kind.COPIES, function, "", engine, outcome.name(), copies, took.nanos() / 1000), "");
         }
     }
