A clock that jumps ahead lets no records go; usage sums as it reads

Cause: retention by age would have let all but two files go after one entry of a clock that was a year ahead; usage held every share of a month in memory; a router that could not listen kept its records locked. Change: a file's age is the sum of bounded steps from file to file; usage and explain sum while they read; the records are let go where a start fails.

--- a/cli/src/main/java/pearladder/cli/UsageCommand.java
+++ b/cli/src/main/java/pearladder/cli/UsageCommand.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import java.util.function.Consumer;
 import org.apache.commons.csv.CSVFormat;
 import org.apache.commons.csv.CSVPrinter;
 import pearladder.lab.Report;
@@ -60,19 +61,17 @@
         @Option(names = "--to", paramLabel = "TIME", converter = RecordsCommand.Times.class, description = "up to, without it")
         Instant to = Instant.ofEpochMilli(Long.MAX_VALUE);
 
-        /** Whole minutes count by their beginning. */
-        List<Share> shares(PrintWriter out) throws IOException {
-            List<Share> shares = new ArrayList<>();
+        /** Gives every share of the time, one by one: a month has many millions. Whole minutes count by their beginning. */
+        void shares(PrintWriter out, Consumer<Share> taker) throws IOException {
             Metering.Read read = Metering.read(folders, share -> {
                 if (share.from() >= from.toEpochMilli() && share.from() < to.toEpochMilli()) {
-                    shares.add(share);
+                    taker.accept(share);
                 }
             });
             if (read.tooLate() > 0) {
                 out.println(read.tooLate() + " entries came too late for their minute and count in a later one"
                         + " (a clock that stepped back, or routers whose clocks are minutes apart)");
             }
-            return shares;
         }
     }
 
@@ -97,13 +96,15 @@
             throw new CommandLine.ParameterException(spec.commandLine(), "name the folders of records, one for each router");
         }
         PrintWriter out = spec.commandLine().getOut();
-        List<Share> shares = span.shares(out);
         TreeMap<String, Sums> rows = new TreeMap<>();
+        Map<String, Map<String, Double>> byDay = new TreeMap<>();
         Sums all = new Sums();
-        for (Share share : shares) {
+        span.shares(out, share -> {
             rows.computeIfAbsent(key(share), key -> new Sums()).add(share);
+            byDay.computeIfAbsent(share.account().isEmpty() ? "(nobody)" : share.account(), account -> new TreeMap<>())
+                    .merge(day(share), share.amount() / 1e6, Double::sum);
             all.add(share);
-        }
+        });
         out.println(String.format(Locale.ROOT, "%-48s %14s %8s %12s %7s", by.stream().map(one -> one.name().toLowerCase(Locale.ROOT))
                 .reduce((a, b) -> a + ", " + b).orElse(""), "GB seconds", "loads", "work, s", "share"));
         rows.forEach((key, sums) -> out.println(String.format(Locale.ROOT, "%-48s %14.3f %8d %12.3f %6.1f%%", key.replace("\t", ", "),
@@ -114,7 +115,7 @@
         }
         if (chart != null) {
             System.setProperty("java.awt.headless", "true");
-            Report.bars(chart, "Memory by day and account", "GB seconds", byDay(shares));
+            Report.bars(chart, "Memory by day and account", "GB seconds", byDay);
         }
         out.flush();
         return 0;
@@ -148,15 +149,6 @@
         }
     }
 
-    private static Map<String, Map<String, Double>> byDay(List<Share> shares) {
-        Map<String, Map<String, Double>> series = new TreeMap<>();
-        for (Share share : shares) {
-            series.computeIfAbsent(share.account().isEmpty() ? "(nobody)" : share.account(), account -> new TreeMap<>())
-                    .merge(day(share), share.amount() / 1e6, Double::sum);
-        }
-        return series;
-    }
-
     @Command(name = "explain", mixinStandardHelpOptions = true, description = {
         "Why an account's memory grew: the second half of the time against the first, by model and by day."})
     int explain(@Parameters(index = "0", paramLabel = "ACCOUNT") String account,
@@ -168,24 +160,32 @@
         asked.from = from == null ? asked.from : from;
         asked.to = to == null ? asked.to : to;
         PrintWriter out = spec.commandLine().getOut();
-        List<Share> own = asked.shares(out).stream().filter(share -> share.account().equals(account)).toList();
-        if (own.isEmpty()) {
-            out.println(account + ": nothing in that time; pearladder usage --by account names all accounts");
+        long[] span = {Long.MAX_VALUE, Long.MIN_VALUE};
+        asked.shares(out, share -> {
+            if (share.account().equals(account)) {
+                span[0] = Math.min(span[0], share.from());
+                span[1] = Math.max(span[1], share.from() + Metering.INTERVAL);
+            }
+        });
+        if (span[1] == Long.MIN_VALUE) {
+            out.println(account + ": nothing in that time; pearladder usage --by ACCOUNT names all accounts");
             out.flush();
             return 1;
         }
-        long begins = from == null ? own.get(0).from() : from.toEpochMilli();
-        long ends = to == null ? own.get(own.size() - 1).from() + Metering.INTERVAL : to.toEpochMilli();
+        long begins = from == null ? span[0] : from.toEpochMilli();
+        long ends = to == null ? span[1] : to.toEpochMilli();
         long half = begins + (ends - begins) / 2;
         TreeMap<String, Sums[]> models = new TreeMap<>();
         TreeMap<String, Sums> days = new TreeMap<>();
         Sums[] all = {new Sums(), new Sums()};
-        for (Share share : own) {
-            int which = share.from() < half ? 0 : 1;
-            models.computeIfAbsent(share.model(), model -> new Sums[] {new Sums(), new Sums()})[which].add(share);
-            days.computeIfAbsent(day(share), day -> new Sums()).add(share);
-            all[which].add(share);
-        }
+        asked.shares(out, share -> {
+            if (share.account().equals(account)) {
+                int which = share.from() < half ? 0 : 1;
+                models.computeIfAbsent(share.model(), model -> new Sums[] {new Sums(), new Sums()})[which].add(share);
+                days.computeIfAbsent(day(share), day -> new Sums()).add(share);
+                all[which].add(share);
+            }
+        });
         out.println(account + ": " + Instant.ofEpochMilli(begins) + " to " + Instant.ofEpochMilli(half) + ", then to "
                 + Instant.ofEpochMilli(ends));
         out.println(String.format(Locale.ROOT, "%-32s %12s %12s %12s %8s %8s %10s %10s", "model", "GB s, first", "GB s, then",
--- a/records/src/main/java/pearladder/records/Records.java
+++ b/records/src/main/java/pearladder/records/Records.java
@@ -127,30 +127,39 @@
         next += entries.size();
     }
 
-    /** Lets the oldest files go that are too old or too much; never the one that is written, nor the one before it. */
+    /**
+     * Lets the oldest files go that are too old or too much; never the one that is written, nor the one before it.
+     *
+     * A file's age is the sum of the steps from file to file after it, each of at most twice the time after which one follows
+     * another: a clock that jumps ahead by a year must not let all go.
+     */
     public int retain() throws IOException {
         List<Path> segments = Archive.segments(folder);
         long all = segments.stream().mapToLong(Segment::bytes).sum();
-        long until = newest.until();
+        long[] ages = new long[segments.size()];
+        long after = newest.until();
+        for (int i = segments.size() - 2; i >= 0; i--) {
+            long until = until(segments.get(i), after);
+            ages[i] = ages[i + 1] + Math.max(0, Math.min(after - until, 2 * keeping.segmentMillis()));
+            after = until;
+        }
         int gone = 0;
-        for (Path segment : segments.subList(0, Math.max(0, segments.size() - 2))) {
-            long itsUntil;
-            try (Segment read = Segment.read(segment)) {
-                itsUntil = read.until();
-            } catch (IOException broken) {
-                // it is judged by its size alone
-                itsUntil = until;
-            }
-            if (all <= keeping.allBytes() && until - itsUntil <= keeping.allMillis()) {
-                break;
-            }
-            all -= Segment.bytes(segment);
-            Segment.delete(segment);
-            gone++;
+        while (gone < segments.size() - 2 && (all > keeping.allBytes() || ages[gone] > keeping.allMillis())) {
+            all -= Segment.bytes(segments.get(gone));
+            Segment.delete(segments.get(gone++));
         }
         return gone;
     }
 
+    /** A file that can't be read is judged by its neighbour. */
+    private static long until(Path segment, long otherwise) {
+        try (Segment read = Segment.read(segment)) {
+            return read.until();
+        } catch (IOException broken) {
+            return otherwise;
+        }
+    }
+
     /**
      * Writes the files that are full anew without old details. Each is written beside and moved over, so that a crash
      * leaves the old one or the new one.
--- a/records/src/test/java/pearladder/records/RecordsTest.java
+++ b/records/src/test/java/pearladder/records/RecordsTest.java
@@ -117,6 +117,19 @@
         }
     }
 
+    @Test
+    void aClockThatJumpsAheadAYearLetsNothingGo() throws IOException {
+        try (Records records = open(new Keeping(1L << 30, 1000, 1L << 30, 60_000, 1000))) {
+            for (int i = 0; i < 8; i++) {
+                records.append(List.of(ended(i * 1100L, i)));
+            }
+            records.append(List.of(ended(365L * 86_400_000, 8)));
+            records.append(List.of(ended(365L * 86_400_000 + 1, 9)));
+            assertEquals(0, records.retain());
+            assertEquals(10, all(folder).size());
+        }
+    }
+
     @Test
     void aCompactionTakesOnlyOldDetailsAndOneThatWasKilledChangesNothing() throws IOException {
         Keeping keeping = new Keeping(1L << 30, 1000, 1L << 30, 1L << 40, 2000);
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -136,6 +136,9 @@
                 started.complete(router);
             }, failed -> {
                 router.journal.close();
+                if (router.recorder != null) {
+                    router.recorder.close();
+                }
                 router.vertx.close();
                 started.fail(new IOException(articles.host() + ":" + articles.port() + (articles.admin() == null ? ""
                         : " or " + articles.admin().host() + ":" + articles.admin().port()) + " can't be listened on: "
