--- a/records/src/main/java/pearladder/records/Archive.java
+++ b/records/src/main/java/pearladder/records/Archive.java
@@ -57,10 +57,9 @@
             Segment segment;
             try {
                 segment = Segment.read(segments.get(i));
+            } catch (NewerFormat unread) {
+                throw unread;
             } catch (IOException damaged) {
-                if (damaged.getMessage().contains("records of format")) {
-                    throw damaged;
-                }
                 continue;
             }
             try (segment) {
--- a/records/src/main/java/pearladder/records/Cursor.java
+++ b/records/src/main/java/pearladder/records/Cursor.java
@@ -47,10 +47,11 @@
         try {
             segment = Segment.read(file);
             after = Segment.first(file) - 1;
+        } catch (NewerFormat unread) {
+            throw unread;
         } catch (IOException damaged) {
-            if (damaged.getMessage().contains("records of format")) {
-                throw damaged;
-            }
+            // its entries are lost; verify tells of it
+            segment = null;
         }
     }
 
--- a/records/src/main/java/pearladder/records/Records.java
+++ b/records/src/main/java/pearladder/records/Records.java
@@ -80,10 +80,9 @@
                 newest = Segment.write(last);
                 next = Math.max(next, newest.next());
                 begunAt = newest.until();
+            } catch (NewerFormat unread) {
+                throw unread;
             } catch (IOException broken) {
-                if (broken.getMessage().contains("records of format")) {
-                    throw broken;
-                }
                 // Guards against a router that can't start because of what it only keeps: the file is kept for a look.
                 Path aside = last.resolveSibling(last.getFileName() + ".damaged");
                 Files.move(last, aside, StandardCopyOption.REPLACE_EXISTING);
--- a/records/src/main/java/pearladder/records/Segment.java
+++ b/records/src/main/java/pearladder/records/Segment.java
@@ -114,8 +114,7 @@
             int format = found.next() ? found.getInt(1) : 0;
             if (format > FORMAT || format < 1) {
                 close();
-                throw new IOException(file + ": records of format " + format + "; this build reads up to " + FORMAT
-                        + "; use a newer pearladder, or another folder");
+                throw new NewerFormat(file, format);
             }
         }
     }
--- a/router/src/main/java/pearladder/router/LastList.java
+++ b/router/src/main/java/pearladder/router/LastList.java
@@ -1,14 +1,10 @@
 package pearladder.router;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pearladder.kserve.ListLine;
@@ -37,16 +33,6 @@
     }
 
     void write(ListLine whole) throws IOException {
-        Files.createDirectories(file.getParent());
-        Path beside = file.resolveSibling("last-list.new");
-        try (FileChannel channel = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
-            ByteBuffer bytes = ByteBuffer.wrap(whole.text().getBytes(StandardCharsets.UTF_8));
-            while (bytes.hasRemaining()) {
-                channel.write(bytes);
-            }
-            channel.force(true);
-        }
-        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        WholeFile.write(file, whole.text().getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/router/src/main/java/pearladder/router/Recorder.java
+++ b/router/src/main/java/pearladder/router/Recorder.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
@@ -23,6 +24,7 @@
 import pearladder.backlog.Backlog;
 import pearladder.backlog.BacklogAction;
 import pearladder.backlog.BacklogEvent;
+import pearladder.kserve.ListLine;
 import pearladder.records.Archive;
 import pearladder.records.Entry;
 import pearladder.records.Keeping;
@@ -201,24 +203,20 @@
     }
 
     /** What the list tells of engines. */
-    void listed(Event.Listed listed, Map<String, Long> started) {
+    void listed(ListLine line) {
         long now = wall.getAsLong();
-        Set<String> named = new HashSet<>();
-        for (Event.Listing one : listed.listings()) {
-            named.add(one.worker());
-            long start = started.getOrDefault(one.worker(), 0L);
-            Long before = one.standing() == Event.Standing.GONE ? starts.remove(one.worker()) : starts.put(one.worker(), start);
-            if (before == null ? one.standing() != Event.Standing.GONE : one.standing() == Event.Standing.GONE || before != start) {
-                add(Entry.of(now, Kind.ENGINE, "", "", one.worker(), one.standing().name(), start, 0), "");
+        Set<String> gone = line.kind() == ListLine.Kind.WHOLE ? new TreeSet<>(starts.keySet()) : new TreeSet<>();
+        for (ListLine.Entry one : line.entries()) {
+            gone.remove(one.engine());
+            boolean leaves = one.standing() == ListLine.Standing.GONE;
+            Long before = leaves ? starts.remove(one.engine()) : starts.put(one.engine(), one.startedMillis());
+            if (before == null ? !leaves : leaves || before != one.startedMillis()) {
+                add(Entry.of(now, Kind.ENGINE, "", "", one.engine(), one.standing().name(), one.startedMillis(), 0), "");
             }
         }
-        if (listed.kind() != Event.ListKind.CHANGES) {
-            for (String gone : List.copyOf(starts.keySet())) {
-                if (!named.contains(gone)) {
-                    starts.remove(gone);
-                    add(Entry.of(now, Kind.ENGINE, "", "", gone, Event.Standing.GONE.name(), 0, 0), "");
-                }
-            }
+        for (String engine : gone) {
+            starts.remove(engine);
+            add(Entry.of(now, Kind.ENGINE, "", "", engine, ListLine.Standing.GONE.name(), 0, 0), "");
         }
     }
 
--- a/router/src/main/java/pearladder/router/Roster.java
+++ b/router/src/main/java/pearladder/router/Roster.java
@@ -58,11 +58,6 @@
         return list.size();
     }
 
-    /** When each engine's process started, wall clock in milliseconds; 0 where the list doesn't tell. */
-    Map<String, Long> started() {
-        return list.started();
-    }
-
     /** The link to an engine, or null where none is listed under that name. */
     EngineLink link(String engine) {
         return links.get(engine);
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -267,7 +267,7 @@
     public void line(ListLine line) {
         Event.Listed listed = roster.follow(line);
         if (recorder != null) {
-            recorder.listed(listed, roster.started());
+            recorder.listed(line);
         }
         calls.tell(listed);
     }
--- a/router/src/main/java/pearladder/router/Snapshot.java
+++ b/router/src/main/java/pearladder/router/Snapshot.java
@@ -5,12 +5,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.zip.CRC32C;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -66,17 +64,7 @@
         byte[] text = JSON.writeValueAsBytes(new Taken(FORMAT, wall, known));
         byte[] bytes = ByteBuffer.allocate(Long.BYTES + text.length).putLong(0).put(text).array();
         ByteBuffer.wrap(bytes).putLong(sum(bytes));
-        Files.createDirectories(file.getParent());
-        Path beside = file.resolveSibling("snapshot.new");
-        try (FileChannel channel = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
-            ByteBuffer left = ByteBuffer.wrap(bytes);
-            while (left.hasRemaining()) {
-                channel.write(left);
-            }
-            channel.force(false);
-        }
-        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        WholeFile.write(file, bytes);
         return bytes.length;
     }
 
--- a/router/src/main/java/pearladder/router/core/EngineList.java
+++ b/router/src/main/java/pearladder/router/core/EngineList.java
@@ -80,13 +80,6 @@
         return listed.size();
     }
 
-    /** When each engine's process started, wall clock in milliseconds; 0 where the list doesn't tell. */
-    public Map<String, Long> started() {
-        Map<String, Long> started = new LinkedHashMap<>();
-        listed.forEach((engine, entry) -> started.put(engine, entry.startedMillis()));
-        return started;
-    }
-
     /** The list as a line, to be remembered. */
     public ListLine whole() {
         return new ListLine(ListLine.Kind.WHOLE, version, List.copyOf(listed.values()));
