The recorder looks back in one loop, and keeps accounts' work in one map

Found on reading the change again: work was kept by engine and then by engine, model and account; a disk that could not be read was asked four times, with a line each. Change: one map; one loop that ends at the first failure. How far it looks back, and that orders that could not be read count as a ration used up, stays.

--- a/router/src/main/java/pearladder/router/Recorder.java
+++ b/router/src/main/java/pearladder/router/Recorder.java
@@ -5,14 +5,15 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.WorkerExecutor;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -55,6 +56,7 @@
     private static final double ENTRY = 30;
     /** Entries looked through for orders at a start, at first. */
     private static final long FIRST_TAIL = 2_000;
+    private static final long LAST_TAIL = 250_000;
 
     /** Whose calls worked where. */
     private record Worker(String engine, String model, String account) { }
@@ -74,7 +76,7 @@
     private final Backlog backlog = new Backlog(GATHER, WINDOW, MOST, AT_ONCE);
     private final ArrayDeque<Entry> queue = new ArrayDeque<>();
     private final Map<String, Consumer<String>> orders = new HashMap<>();
-    private final TreeMap<String, Map<Worker, Work>> cut = new TreeMap<>();
+    private final Map<Worker, Work> cut = new LinkedHashMap<>();
     private final Set<String> models = new HashSet<>();
     private final Map<String, Long> starts = new HashMap<>();
     private Promise<Void> emptied;
@@ -88,7 +90,7 @@
         this.work = work;
         this.wall = wall;
         this.articles = articles;
-        this.records = Records.open(articles.data().resolve("records"), articles.records(), LOG::warn);
+        this.records = Records.open(folder(articles), articles.records(), LOG::warn);
         this.writer = vertx.createSharedWorkerExecutor("records", 1);
     }
 
@@ -98,30 +100,33 @@
     /** Orders of the last window, read before anything is written: from the end, as far back as the window reaches. */
     Orders orders(Span window) {
         long now = wall.getAsLong();
-        for (long tail = FIRST_TAIL; ; tail *= 5) {
-            long from = Math.max(1, records.next() - tail);
-            Orders found = orders(window, now, from);
-            if (found.whole() || from == 1 || tail > MOST) {
-                return new Orders(found.ages(), found.whole() && records.whole());
-            }
-        }
-    }
-
-    private Orders orders(Span window, long now, long from) {
         List<Span> ages = new ArrayList<>();
-        boolean[] whole = {from == 1};
+        boolean whole = false;
         try {
-            new Archive(articles.data().resolve("records")).read(from, (number, entry) -> {
-                if (entry.kind() == Kind.ORDERED) {
-                    ages.add(Span.millis(now - entry.at()));
-                }
-                whole[0] |= entry.at() <= now - window.inMillis();
-            });
-            return new Orders(ages, whole[0]);
+            for (long tail = FIRST_TAIL; !whole && tail <= LAST_TAIL; tail *= 5) {
+                ages.clear();
+                whole = read(Math.max(1, records.next() - tail), window, now, ages);
+            }
         } catch (IOException unreadable) {
             LOG.atWarn().addKeyValue("cause", unreadable.getMessage()).log("the orders of the last life can't be read");
-            return new Orders(ages, false);
         }
+        return new Orders(ages, whole && records.whole());
+    }
+
+    /** Whether the window is covered from an entry on. */
+    private boolean read(long from, Span window, long now, List<Span> ages) throws IOException {
+        boolean[] whole = {from == 1};
+        new Archive(folder(articles)).read(from, (number, entry) -> {
+            if (entry.kind() == Kind.ORDERED) {
+                ages.add(Span.millis(now - entry.at()));
+            }
+            whole[0] |= entry.at() <= now - window.inMillis();
+        });
+        return whole[0];
+    }
+
+    private static Path folder(Articles articles) {
+        return articles.data().resolve("records");
     }
 
     void begin() {
@@ -174,8 +179,7 @@
         if (outcome == Outcome.SUCCESS) {
             // a call that waited for a load worked for an unknown part of its time; it renews the copy and weighs nothing
             boolean warm = copy != Event.Copy.LOAD_BEGUN && copy != Event.Copy.LOAD_JOINED;
-            Work one = cut.computeIfAbsent(leg.engine, name -> new HashMap<>())
-                    .computeIfAbsent(new Worker(leg.engine, call.function, call.account), key -> new Work());
+            Work one = cut.computeIfAbsent(new Worker(leg.engine, call.function, call.account), key -> new Work());
             one.micros += warm ? took.nanos() / 1000 : 0;
             one.last = now;
         }
@@ -230,10 +234,8 @@
 
     /** What accounts' calls worked since the last cut. */
     private void cut() {
-        for (Map<Worker, Work> engine : cut.values()) {
-            engine.forEach((who, what) -> add(Entry.of(what.last, Kind.WORK, who.model(), who.account(), who.engine(), "",
-                    what.micros, CUT.nanos() / 1000), ""));
-        }
+        cut.forEach((who, what) -> add(Entry.of(what.last, Kind.WORK, who.model(), who.account(), who.engine(), "", what.micros,
+                CUT.nanos() / 1000), ""));
         cut.clear();
     }
 
