--- a/cli/src/main/java/pearladder/cli/Commands.java
+++ b/cli/src/main/java/pearladder/cli/Commands.java
@@ -15,7 +15,7 @@
             MeasureCommand.class, PassThroughCommand.class, TraceCommand.class, ReplayCommand.class,
             ExperimentCommand.class, ReportCommand.class, ReleaseCommand.class,
             RecordsCommand.class, UsageCommand.class,
-            WirehostCommand.class, CommandLine.HelpCommand.class})
+            WirehostCommand.class, PlatformCommand.class, CommandLine.HelpCommand.class})
 final class Commands implements Runnable {
     /** The command runs on in other threads and ends the process itself. */
     static final int RUNNING = -1;
--- a/cli/src/main/java/pearladder/cli/Main.java
+++ b/cli/src/main/java/pearladder/cli/Main.java
@@ -1,17 +1,21 @@
 package pearladder.cli;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import pearladder.Policy;
-import pearladder.wire.BadInput;
+import pearladder.platform.PlatformRouter;
+import pearladder.platform.Signals;
+import pearladder.terms.BadInput;
 import pearladder.wire.WireHost;
 
-/** The command line's door. The bench's adapter starts here and loads nothing of the rest. */
+/** The command line's door. The bench's adapter and the platform's router start
+ * here and load nothing of the rest. */
 public final class Main {
     private Main() { }
 
     public static void main(String[] arguments) {
-        boolean wire = arguments.length > 0 && arguments[0].equals("wirehost");
-        int status = wire && arguments.length == 1 ? wirehost() : Commands.run(arguments);
+        String only = arguments.length == 1 ? arguments[0] : "";
+        int status = only.equals("wirehost") ? wirehost() : only.equals("platform") || only.equals("practice") ? platform(only.equals("practice")) : Commands.run(arguments);
         if (status >= 0) {
             System.exit(status);
         }
@@ -28,4 +32,32 @@
         }
         return 1;
     }
+
+    /**
+     * A router on the operators' platform.
+     *
+     * @param practice it ends once it is warm: the build lays its archive of classes so
+     */
+    private static int platform(boolean practice) {
+        Signals signals = Signals.heard();
+        Logs.setUp(Logs.Form.TEXT);
+        String file = System.getenv("ROUTER_CONFIG");
+        if (file == null) {
+            System.err.println("pearladder: ROUTER_CONFIG is not set; it names the router's configuration");
+            return 2;
+        }
+        try {
+            PlatformRouter router = new PlatformRouter(Path.of(file), System.getenv(), Policy::new,
+                    status -> Runtime.getRuntime().halt(status));
+            signals.on(router::reload, router::stop);
+            router.start(practice ? router::stop : () -> { });
+            return Commands.RUNNING;
+        } catch (BadInput bad) {
+            System.err.println("pearladder: " + bad.getMessage());
+            return 2;
+        } catch (IOException unread) {
+            System.err.println("pearladder: " + file + " can't be read: " + unread.getMessage());
+            return 2;
+        }
+    }
 }
--- /dev/null
+++ b/decisions/src/main/java/pearladder/sockets/Sockets.java
@@ -0,0 +1,138 @@
+package pearladder.sockets;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import pearladder.api.Moment;
+import pearladder.api.Span;
+
+/**
+ * Shares out the sockets of a router. Clients and workers have a part each, so that neither starves the other. Calls share
+ * a connection to a worker only where no further one may be opened: a spoilt answer ends all that is out on its connection.
+ */
+public final class Sockets {
+    /**
+     * How many sockets there are, and how long connections are borne with.
+     *
+     * @param seats clients' connections at the most
+     * @param links connections to workers at the most, all of them together
+     * @param streams calls out on one connection at the most
+     * @param silent a client without a whole message for so long after connecting, inside a message or without reading
+     * @param idle a link that was unused for so long is closed before its worker does it, in the middle of a send
+     */
+    public record Holding(int seats, int links, int streams, Span silent, Span idle) { }
+
+    private static final int UNUSABLE = 16;     // messages that can't be used before their client is closed
+
+    private final Holding holding;
+    private final Set<Seat> seats = new LinkedHashSet<>();
+    private final Set<Link> links = new LinkedHashSet<>();
+
+    public Sockets(Holding holding) {
+        this.holding = holding;
+    }
+
+    public List<SocketAction> on(Moment now, SocketEvent event) {
+        List<SocketAction> todo = new ArrayList<>();
+        if (event instanceof SocketEvent.SeatTaken taken) {
+            seats.add(taken.seat());
+            if (seats.size() > holding.seats()) {
+                closeSeat(leastMissed(taken.seat()), "too many connections", todo);
+            }
+        } else if (event instanceof SocketEvent.SeatLeft left) {
+            seats.remove(left.seat());
+        } else if (event instanceof SocketEvent.LinkGone gone) {
+            links.remove(gone.link());
+        } else if (event instanceof SocketEvent.LinkWanted wanted) {
+            choose(now, wanted, todo);
+        } else if (event instanceof SocketEvent.Beat) {
+            List.copyOf(seats).forEach(seat -> judge(now, seat, todo));
+            List.copyOf(links).stream().filter(link -> link.out == 0 && now.since(link.used).longerThan(holding.idle()))
+                    .forEach(link -> closeLink(link, todo));
+        }
+        return todo;
+    }
+
+    // ---- clients
+
+    private void judge(Moment now, Seat seat, List<SocketAction> todo) {
+        if (seat.spoke == null && now.since(seat.came).longerThan(holding.silent())) {
+            closeSeat(seat, "nothing whole was said", todo);
+        } else if (seat.partSince != null && now.since(seat.partSince).longerThan(holding.silent())) {
+            closeSeat(seat, "a message stays unfinished", todo);
+        } else if (seat.stuckSince != null && now.since(seat.stuckSince).longerThan(holding.silent())) {
+            closeSeat(seat, "answers are not read", todo);
+        } else if (seat.unusable >= UNUSABLE) {
+            closeSeat(seat, "too much that can't be used", todo);
+        }
+    }
+
+    /** One that never said anything, the oldest first; else one without calls, the longest unused; else the newcomer. */
+    private Seat leastMissed(Seat newcomer) {
+        Seat idle = null;
+        for (Seat seat : seats) {
+            if (seat.spoke == null && seat != newcomer) {
+                return seat;
+            }
+            if (seat.callsOpen == 0 && seat.spoke != null && (idle == null || seat.spoke.before(idle.spoke))) {
+                idle = seat;
+            }
+        }
+        return idle != null ? idle : newcomer;
+    }
+
+    private void closeSeat(Seat seat, String why, List<SocketAction> todo) {
+        seats.remove(seat);
+        todo.add(new SocketAction.CloseSeat(seat, why));
+    }
+
+    // ---- workers
+
+    private void choose(Moment now, SocketEvent.LinkWanted wanted, List<SocketAction> todo) {
+        Link free = null;
+        Link shared = null;
+        for (Link link : wanted.links()) {
+            if (link.doubted || wanted.avoided().contains(link) || !links.contains(link)) {
+                continue;
+            }
+            if (link.up && link.out == 0 && (free == null || free.used.before(link.used))) {
+                free = link;
+            } else if (link.out < holding.streams() && (shared == null || link.out < shared.out)) {
+                shared = link;
+            }
+        }
+        if (free != null) {
+            todo.add(new SocketAction.UseLink(free));
+            return;
+        }
+        Link spare = links.size() < holding.links() ? null : spare(wanted.links(), shared != null);
+        if (links.size() < holding.links() || spare != null) {
+            if (spare != null) {
+                closeLink(spare, todo);
+            }
+            Link link = new Link(wanted.worker(), now);
+            links.add(link);
+            todo.add(new SocketAction.OpenLink(link));
+        } else if (shared != null) {
+            todo.add(new SocketAction.UseLink(shared));
+        }
+    }
+
+    /** A link that nothing is out on; not one of another worker's where there is one to share. */
+    private Link spare(Collection<Link> own, boolean ownOnly) {
+        Link spare = null;
+        for (Link link : links) {
+            if (link.out == 0 && (!ownOnly || own.contains(link)) && (spare == null || link.used.before(spare.used))) {
+                spare = link;
+            }
+        }
+        return spare;
+    }
+
+    private void closeLink(Link link, List<SocketAction> todo) {
+        links.remove(link);
+        todo.add(new SocketAction.CloseLink(link));
+    }
+}
--- a/rehearsal/src/main/java/pearladder/rehearsal/Life.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Life.java
@@ -50,11 +50,6 @@
             return request.drawn().work();
         }
 
-        @Override
-        public void taken(String named, String given) {
-            version = given;
-        }
-
         @Override
         public void settled(EngineSaid said) {
             answer(FinalState.SETTLED, FinalState.SETTLED.status, 0);
@@ -158,9 +153,9 @@
         this.engines = new VirtualEngines(this, articles.name(), delay, articles.connections().dial().nanos(), fell);
         this.list = new EngineList(0, entry -> engines.came(entry.engine(), fleet.host(entry.engine())), engines::went);
         this.module = module;
-        this.calls = new Calls(articles, this, module, engines, this, articles.records() == null ? Chronicle.NONE : new Kept());
+        this.calls = new Calls(articles.facts(), this, module, engines, this, articles.records() == null ? Chronicle.NONE : new Kept());
         this.desk = new ReleaseDesk(this, articles, station.journal(), calls::tell);
-        this.calls.versions(desk);
+        this.calls.standings(desk::standing);
     }
 
     /** Begins as a router does: the last list, the journal, what others know, then the list service. */
@@ -278,10 +273,13 @@
             carried.dismissed(articles.facts().allowances().longestRetryAfter());
         } else {
             Span left = new Span(request.patience()).atMost(category.abandon());
-            carried.call = calls.take(new Calls.Asked(request.id(), request.drawn().model(), null, null,
-                    request.mark().isEmpty() ? null : request.mark(), now(), left, category,
-                    articles.facts().accounts().isEmpty() ? null : request.drawn().account(), terms, null, request.repeat()),
-                    carried);
+            String mark = request.mark().isEmpty() ? null : request.mark();
+            String account = articles.facts().accounts().isEmpty() ? null : request.drawn().account();
+            ReleaseDesk.Chosen chosen = desk.choose(new ReleaseDesk.Wish(request.id(), request.drawn().model(), null, null,
+                    account, mark));
+            carried.version = chosen.version();
+            carried.call = calls.take(new Calls.Asked(request.id(), chosen.function(), mark, now(), left, category, account,
+                    terms.lanes(), terms.memoryMb(), terms.usualLoad(), null, request.repeat(), chosen.ending()), carried);
         }
     }
 
--- a/router/src/main/java/pearladder/router/Door.java
+++ b/router/src/main/java/pearladder/router/Door.java
@@ -19,15 +19,35 @@
 import pearladder.kserve.Route;
 import pearladder.router.core.Articles;
 import pearladder.router.core.Calls;
+import pearladder.router.core.ReleaseDesk;
 
 /** The router's own side of KServe v2: reads calls, refuses what is no call, and answers what is asked of the router. */
 final class Door {
+    /**
+     * A call as the door read it.
+     *
+     * @param wish what it is of; its name is null where the client gave none
+     * @param hint of its work, or null
+     */
+    record Understood(ReleaseDesk.Wish wish, Moment came, Span timeLeft, Facts.Terms category, Articles.ModelTerms terms,
+            Span hint, boolean repeat) {
+        /** The call as the router holds it: under its own name or the router's for it, of the version chosen. */
+        Calls.Asked asked(String name, ReleaseDesk releases, HttpReply reply) {
+            ReleaseDesk.Wish named = wish.named() != null ? wish
+                    : new ReleaseDesk.Wish(name, wish.model(), wish.version(), wish.key(), wish.account(), wish.mark());
+            ReleaseDesk.Chosen chosen = releases.choose(named);
+            reply.taken(named.named(), chosen.version());
+            return new Calls.Asked(named.named(), chosen.function(), wish.mark(), came, timeLeft, category, wish.account(),
+                    terms.lanes(), terms.memoryMb(), terms.usualLoad(), hint, repeat, chosen.ending());
+        }
+    }
+
     /** What the door needs of the router. */
     interface House {
         /** Why no call is taken now, or null. */
         String closedBecause();
 
-        void take(Calls.Asked asked, HttpReply reply);
+        void take(Understood understood, HttpReply reply);
 
         boolean ready();
 
@@ -158,10 +178,9 @@
             }
             String named = request.getHeader(Headers.CALL);
             String type = request.getHeader("content-type");
-            house.take(new Calls.Asked(named != null && named.matches(NAME) ? named : null, route.model(), route.version(),
-                    request.getHeader(Headers.KEY), mark, came, left, terms,
-                    articles.facts().accounts().isEmpty() ? null : account, model,
-                    hint.nanos() == 0 ? null : hint, "1".equals(request.getHeader(Headers.REPEAT))),
+            house.take(new Understood(new ReleaseDesk.Wish(named != null && named.matches(NAME) ? named : null, route.model(),
+                    route.version(), request.getHeader(Headers.KEY), articles.facts().accounts().isEmpty() ? null : account, mark),
+                    came, left, terms, model, hint.nanos() == 0 ? null : hint, "1".equals(request.getHeader(Headers.REPEAT))),
                     new HttpReply(route.model(), type == null ? "application/json" : type, body, request.response()));
         });
     }
--- a/router/src/main/java/pearladder/router/HttpReply.java
+++ b/router/src/main/java/pearladder/router/HttpReply.java
@@ -41,8 +41,8 @@
         return named == null || named.equals(model);
     }
 
-    @Override
-    public void taken(String named, String version) {
+    /** The call was taken: the name that engines see, and the version chosen for it (empty for none). */
+    void taken(String named, String version) {
         path = "/v2/models/" + model + (version.isEmpty() ? "" : "/versions/" + version) + "/infer";
         response.putHeader(Headers.CALL, named);
         if (!version.isEmpty()) {
--- a/router/src/main/java/pearladder/router/Pulse.java
+++ b/router/src/main/java/pearladder/router/Pulse.java
@@ -6,7 +6,7 @@
  * How late the event loop is: a call that it reads now may have waited so long in its socket, unseen, and an answer that
  * falls due may go out so much later. Guards against a router that is late itself and starts each client's time anew.
  */
-final class Pulse {
+public final class Pulse {
     private static final long EVERY_MILLIS = 5;
     private static final double FADE = 0.9;
 
@@ -14,11 +14,11 @@
     private long due;
     private double behind;
 
-    Pulse(Vertx vertx) {
+    public Pulse(Vertx vertx) {
         this.vertx = vertx;
     }
 
-    void begin() {
+    public void begin() {
         due = System.nanoTime() + EVERY_MILLIS * 1_000_000;
         vertx.setTimer(EVERY_MILLIS, fired -> {
             // timers run in whole milliseconds, so one of them is no lateness
@@ -29,7 +29,7 @@
     }
 
     /** Nanoseconds: the lateness of late, or of the beat that is overdue right now. */
-    long behind() {
+    public long behind() {
         return Math.round(Math.max(behind, System.nanoTime() - due - 1_000_000));
     }
 }
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -61,6 +61,7 @@
     private Promise<Void> stopped;
     private int port;
     private int adminPort;
+    private long numbered;
 
     private Router(Articles articles, Maker maker, long seed) throws IOException {
         this.articles = articles;
@@ -78,13 +79,13 @@
         this.module = maker.make(seed, articles.facts());
         this.snapshot = new Snapshot(articles.data());
         this.recorder = articles.records() == null ? null : recorder(timers, orders);
-        this.calls = new Calls(articles, timers, module,
+        this.calls = new Calls(articles.facts(), timers, module,
                 new Legs(vertx, articles.name(), articles.limits().answer(), roster, watch::watch), meters,
                 recorder == null ? Chronicle.NONE : recorder);
         this.door = new Door(vertx, articles, this, meters);
         this.journal = new JournalOffLoop(vertx, orders);
         this.releases = new ReleaseDesk(timers, articles, journal, calls::tell);
-        this.calls.versions(releases);
+        this.calls.standings(releases::standing);
         this.learning = new Learning(vertx, releases, journal, work, articles.others());
     }
 
@@ -249,8 +250,8 @@
     }
 
     @Override
-    public void take(Calls.Asked asked, HttpReply reply) {
-        OpenCall call = calls.take(asked, reply);
+    public void take(Door.Understood understood, HttpReply reply) {
+        OpenCall call = calls.take(understood.asked(articles.name() + "-" + ++numbered, releases, reply), reply);
         if (!reply.response.ended()) {
             reply.response.closeHandler(closed -> calls.left(call));
         }
--- a/router/src/main/java/pearladder/router/VertxTimers.java
+++ b/router/src/main/java/pearladder/router/VertxTimers.java
@@ -6,14 +6,14 @@
 import pearladder.router.core.Timers;
 
 /** Timers of the event loop, and the machine's monotonic clock. */
-final class VertxTimers implements Timers {
+public final class VertxTimers implements Timers {
     private final Vertx vertx;
 
-    VertxTimers(Vertx vertx) {
+    public VertxTimers(Vertx vertx) {
         this.vertx = vertx;
     }
 
-    static Moment present() {
+    public static Moment present() {
         return new Moment(System.nanoTime());
     }
 
--- a/router/src/main/java/pearladder/router/core/Calls.java
+++ b/router/src/main/java/pearladder/router/core/Calls.java
@@ -13,7 +13,6 @@
 import pearladder.api.Outcome;
 import pearladder.api.Span;
 import pearladder.kserve.FinalState;
-import pearladder.kserve.Route;
 
 /**
  * The calls that a router holds: each is told to the module, its legs go out as the module says, and it gets its one final
@@ -23,42 +22,70 @@
     /**
      * A call as it was understood at the door.
      *
-     * @param named the client's name for it, or null
-     * @param version null where the client names none
-     * @param key what keeps together when versions shift, or null
+     * @param named the name that workers see
      * @param mark against repeats, or null
      * @param account null where there are none
+     * @param lanes calls that a loaded copy runs at once
+     * @param usualLoad null where it is not known
      * @param hint of its work, or null
+     * @param ending hears how it ended
      */
-    public record Asked(String named, String model, String version, String key, String mark, Moment came, Span timeLeft,
-            Facts.Terms category, String account, Articles.ModelTerms terms, Span hint, boolean repeat) { }
+    public record Asked(String named, String function, String mark, Moment came, Span timeLeft, Facts.Terms category,
+            String account, int lanes, double memoryMb, Span usualLoad, Span hint, boolean repeat, Ending ending) { }
+
+    /** Hears how a call ended: whoever chose its function wants to know. */
+    public interface Ending {
+        /** Hears nothing. */
+        Ending NONE = new Ending() {
+            @Override
+            public void ended(boolean well, List<String> engines) {
+                // nobody asked
+            }
+
+            @Override
+            public void left() {
+                // nobody asked
+            }
+        };
+
+        /** @param well settled, without a worker's error, within its expected time */
+        void ended(boolean well, List<String> engines);
+
+        /** Its client left before its answer. */
+        void left();
+    }
+
+    /** Hears for what share of the load wanted ahead copies of a function stand. */
+    public interface Standings {
+        void standing(String function, double share);
+    }
 
     private static final Logger LOG = LoggerFactory.getLogger(Calls.class);
 
-    private final Articles articles;
+    private final Facts facts;
     private final Timers timers;
     private final Engines engines;
     private final Tally tally;
     private final Chronicle chronicle;
     private final Conductor conductor;
     private final Map<String, OpenCall> open = new HashMap<>();
-    private ReleaseDesk releases;
+    private Standings standings = (function, share) -> { };
     private long numbered;
     private Runnable emptied;
 
     /** @param chronicle hears what happens */
-    public Calls(Articles articles, Timers timers, Dispatcher module, Engines engines, Tally tally, Chronicle chronicle) {
+    public Calls(Facts facts, Timers timers, Dispatcher module, Engines engines, Tally tally, Chronicle chronicle) {
         this.chronicle = chronicle;
-        this.articles = articles;
+        this.facts = facts;
         this.timers = timers;
         this.engines = engines;
         this.tally = tally;
         this.conductor = new Conductor(timers, module, tally, this);
     }
 
-    /** Who chooses versions; told once, before the first call. */
-    public void versions(ReleaseDesk desk) {
-        releases = desk;
+    /** Who wants copies ahead; told once, before the first call. */
+    public void standings(Standings wanted) {
+        standings = wanted;
     }
 
     /** Tells the module of something that happened. */
@@ -93,24 +120,14 @@
     /** Takes a call; from here on it gets one final answer. */
     public OpenCall take(Asked asked, Reply reply) {
         String id = Long.toString(++numbered);
-        String named = asked.named() != null ? asked.named() : articles.name() + "-" + id;
-        String version = asked.version() != null ? asked.version()
-                : releases.version(id, asked.model(), key(asked, named), asked.mark() == null ? "" : asked.mark());
-        OpenCall call = new OpenCall(id, named, Route.function(asked.model(), version), asked.version() == null, asked.mark(),
+        OpenCall call = new OpenCall(id, asked.named(), asked.function(), asked.ending(), asked.mark(),
                 asked.account() == null ? "" : asked.account(), reply, asked.came(), asked.came().plus(asked.category().expected()));
         open.put(id, call);
-        reply.taken(named, version);
         conductor.tell(new Event.CallCame(id, call.function, asked.category().name(), asked.account(), asked.timeLeft(),
-                asked.terms().lanes(), asked.terms().memoryMb(), asked.terms().usualLoad(), asked.hint(), asked.repeat(),
-                false));
+                asked.lanes(), asked.memoryMb(), asked.usualLoad(), asked.hint(), asked.repeat(), false));
         return call;
     }
 
-    /** What keeps together when versions shift: account and document, or the call alone. */
-    private static String key(Asked asked, String named) {
-        return asked.key() == null ? named : (asked.account() == null ? "" : asked.account()) + "\n" + asked.key();
-    }
-
     /** The client is gone: nothing is owed any more, and what still runs for it is called off. */
     public void left(OpenCall call) {
         if (call.over) {
@@ -119,19 +136,17 @@
         call.over = true;
         tally.clientLeft();
         chronicle.ended(call, "left", timers.now().since(call.taken));
-        if (call.chosen) {
-            releases.left(call.id);
-        }
+        call.ending.left();
         conductor.tell(new Event.ClientLeft(call.id));
-        if (articles.facts().allowances().cancel()) {
+        if (facts.allowances().cancel()) {
             List.copyOf(call.legs).forEach(this::cancel);
         }
         forget(call);
     }
 
     private void forget(OpenCall call) {
-        if (call.over && call.legsOut == 0) {
-            open.remove(call.id);
+        if (call.over && call.legsOut == 0 && open.remove(call.id) != null) {
+            call.reply.forgotten();
             if (emptied != null && open.isEmpty()) {
                 Runnable then = emptied;
                 emptied = null;
@@ -149,10 +164,8 @@
         Moment now = timers.now();
         tally.answered(state, now.since(call.taken).nanos());
         chronicle.ended(call, state.word(), now.since(call.taken));
-        if (call.chosen) {
-            releases.ended(call.id, state == FinalState.SETTLED && !call.erred && now.before(call.expectedBy),
-                    call.legs.stream().map(leg -> leg.engine).distinct().toList());
-        }
+        call.ending.ended(state == FinalState.SETTLED && !call.erred && now.before(call.expectedBy),
+                call.legs.stream().map(leg -> leg.engine).distinct().toList());
         return true;
     }
 
@@ -241,7 +254,7 @@
     private void order(Action.Hold hold) {
         Moment sent = timers.now();
         tally.ordered();
-        engines.order(hold.worker(), hold.function(), hold.copies(), articles.facts().copies().orderTimeout(),
+        engines.order(hold.worker(), hold.function(), hold.copies(), facts.copies().orderTimeout(),
                 (outcome, copies) -> {
                     Span took = timers.now().since(sent);
                     chronicle.ordered(hold.worker(), hold.function(), outcome, copies, took);
@@ -251,13 +264,13 @@
 
     @Override
     public void unload(Action.Unload unload) {
-        engines.unload(unload.worker(), unload.function(), articles.facts().copies().orderTimeout());
+        engines.unload(unload.worker(), unload.function(), facts.copies().orderTimeout());
     }
 
     @Override
     public void probe(Action.Probe probe) {
         Moment sent = timers.now();
-        engines.probe(probe.worker(), articles.facts().copies().orderTimeout(), (outcome, said) ->
+        engines.probe(probe.worker(), facts.copies().orderTimeout(), (outcome, said) ->
                 conductor.tell(new Event.Probed(probe.worker(), outcome, timers.now().since(sent),
                         said == null ? null : said.report())));
     }
@@ -276,7 +289,7 @@
 
     @Override
     public void standing(Action.Standing standing) {
-        releases.standing(standing.function(), standing.share());
+        standings.standing(standing.function(), standing.share());
     }
 
     @Override
--- a/router/src/main/java/pearladder/router/core/OpenCall.java
+++ b/router/src/main/java/pearladder/router/core/OpenCall.java
@@ -17,20 +17,19 @@
     final Moment taken;
     /** When an answer is still within the expected time. */
     final Moment expectedBy;
-    /** Whether a release chose its version, and so wants to know how it ended. */
-    final boolean chosen;
+    final Calls.Ending ending;
     /** Whether a leg ended with an engine's error. */
     boolean erred;
     final List<OpenLeg> legs = new ArrayList<>(2);
     int legsOut;
     boolean over;
 
-    OpenCall(String id, String named, String function, boolean chosen, String mark, String account, Reply reply, Moment taken,
+    OpenCall(String id, String named, String function, Calls.Ending ending, String mark, String account, Reply reply, Moment taken,
             Moment expectedBy) {
         this.id = id;
         this.named = named;
         this.function = function;
-        this.chosen = chosen;
+        this.ending = ending;
         this.mark = mark;
         this.account = account;
         this.reply = reply;
--- a/router/src/main/java/pearladder/router/core/ReleaseDesk.java
+++ b/router/src/main/java/pearladder/router/core/ReleaseDesk.java
@@ -43,6 +43,7 @@
     private final Journal journal;
     private final Map<Target, List<Consumer<String>>> waiting = new HashMap<>();
     private String chosen;
+    private long numbered;
     private List<Target> together;
     private boolean ended;
 
@@ -73,19 +74,43 @@
         ended = true;
     }
 
-    /** The version that a call gets which names none; empty for the model without one. */
-    public String version(String call, String model, String key, String mark) {
-        chosen = "";
-        tell(new ReleaseEvent.CallCame(call, model, key, mark));
-        return chosen;
+    /**
+     * What a call is of.
+     *
+     * @param named the name that engines see
+     * @param version null where the client names none
+     * @param key what keeps together when versions shift, or null
+     * @param account null where there are none
+     * @param mark against repeats, or null
+     */
+    public record Wish(String named, String model, String version, String key, String account, String mark) {
+        /** Account and document keep together, or the call stands alone. */
+        private String together() {
+            return key == null ? named : (account == null ? "" : account) + "\n" + key;
+        }
     }
 
-    public void ended(String call, boolean well, List<String> engines) {
-        tell(new ReleaseEvent.CallEnded(call, well, engines));
-    }
+    /** The version that a call gets, empty for the model without one; who chose it hears how the call ends. */
+    public record Chosen(String version, String function, Calls.Ending ending) { }
 
-    public void left(String call) {
-        tell(new ReleaseEvent.CallLeft(call));
+    public Chosen choose(Wish wish) {
+        if (wish.version() != null) {
+            return new Chosen(wish.version(), Route.function(wish.model(), wish.version()), Calls.Ending.NONE);
+        }
+        String call = Long.toString(++numbered);
+        chosen = "";
+        tell(new ReleaseEvent.CallCame(call, wish.model(), wish.together(), wish.mark() == null ? "" : wish.mark()));
+        return new Chosen(chosen, Route.function(wish.model(), chosen), new Calls.Ending() {
+            @Override
+            public void ended(boolean well, List<String> engines) {
+                tell(new ReleaseEvent.CallEnded(call, well, engines));
+            }
+
+            @Override
+            public void left() {
+                tell(new ReleaseEvent.CallLeft(call));
+            }
+        });
     }
 
     /** The policy tells for what share copies of a function stand; functions without a version are none of ours. */
--- a/wirehost/src/main/java/pearladder/wire/BadInput.java
+++ b/terms/src/main/java/pearladder/terms/BadInput.java
@@ -1,4 +1,4 @@
-package pearladder.wire;
+package pearladder.terms;
 
 /** A line that is not what the wire allows; the message names the line and the field. */
 public final class BadInput extends RuntimeException {
--- a/wirehost/src/main/java/pearladder/wire/FactsReader.java
+++ b/terms/src/main/java/pearladder/terms/FactsReader.java
@@ -1,4 +1,4 @@
-package pearladder.wire;
+package pearladder.terms;
 
 import java.util.Map;
 import pearladder.api.Facts;
@@ -15,8 +15,8 @@
 import pearladder.api.Facts.Roll;
 import pearladder.api.Facts.Terms;
 
-/** Turns the facts object of the wire into the module's. */
-final class FactsReader {
+/** Turns the facts object, on the simulator's wire or in a platform's configuration, into the module's. */
+public final class FactsReader {
     private static final Map<String, Effect> EFFECTS = Map.of("free", Effect.RETRIABLE, "guarded",
             Effect.FINGERPRINTED, "single_shot", Effect.BINDING);
     private static final Map<String, Group> GROUPS = Map.of("all", Group.ALL, "zone", Group.ZONE, "cell",
@@ -24,7 +24,7 @@
 
     private FactsReader() { }
 
-    static Facts read(Node facts) {
+    public static Facts read(Node facts) {
         Node caps = facts.at("Caps");
         Node rules = facts.at("Rules");
         Node family = facts.at("FamilyInfo");
--- a/wirehost/src/main/java/pearladder/wire/Node.java
+++ b/terms/src/main/java/pearladder/terms/Node.java
@@ -1,4 +1,4 @@
-package pearladder.wire;
+package pearladder.terms;
 
 import java.util.List;
 import java.util.Map;
@@ -6,8 +6,8 @@
 import pearladder.api.Span;
 
 /** A value inside a JSON object, read by type; a wrong type names the path. Unknown keys are passed over. */
-record Node(Row row, String path, Object value) {
-    Node at(String key) {
+public record Node(Row row, String path, Object value) {
+    public Node at(String key) {
         Object inner = value == null ? null : object().get(key);
         return new Node(row, path + "." + key, inner);
     }
@@ -29,23 +29,23 @@
         throw row.bad(path, what + " was expected");
     }
 
-    String text() {
+    public String text() {
         return row.present(path, textOr(null));
     }
 
-    String textOr(String otherwise) {
+    public String textOr(String otherwise) {
         return as(String.class, "a text", otherwise);
     }
 
-    boolean flag(boolean otherwise) {
+    public boolean flag(boolean otherwise) {
         return as(Boolean.class, "true or false", otherwise);
     }
 
-    double number(double otherwise) {
+    public double number(double otherwise) {
         return as(Number.class, "a number", otherwise).doubleValue();
     }
 
-    int whole(int otherwise) {
+    public int whole(int otherwise) {
         double number = number(otherwise);
         if (number != Math.rint(number)) {
             throw row.bad(path, "a whole number was expected");
@@ -53,17 +53,17 @@
         return (int) number;
     }
 
-    Span span() {
+    public Span span() {
         return new Span(Math.round(number(0)));
     }
 
-    <T> List<T> each(Function<Node, T> reading) {
+    public <T> List<T> each(Function<Node, T> reading) {
         List<?> list = as(List.class, "a list", List.of());
         return java.util.stream.IntStream.range(0, list.size())
                 .mapToObj(i -> reading.apply(new Node(row, path + "[" + i + "]", list.get(i)))).toList();
     }
 
-    <T> T oneOf(Map<String, T> words) {
+    public <T> T oneOf(Map<String, T> words) {
         T meaning = words.get(text());
         if (meaning == null) {
             throw row.bad(path, "unknown word " + value);
--- a/wirehost/src/main/java/pearladder/wire/Row.java
+++ b/terms/src/main/java/pearladder/terms/Row.java
@@ -1,4 +1,4 @@
-package pearladder.wire;
+package pearladder.terms;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -9,15 +9,25 @@
 import java.util.List;
 import java.util.Map;
 
-/** Reads one line, a JSON array, value by value; a value left out at the end reads as null. */
-final class Row {
+/** Reads one line, a JSON array, value by value; a value left out at the end reads as null. Or a whole document. */
+public final class Row {
     private final JsonParser parser;
-    private final long line;
+    private final String place;
     private boolean ended;
 
-    Row(JsonParser parser, long line) {
+    private Row(JsonParser parser, String place) {
         this.parser = parser;
-        this.line = line;
+        this.place = place;
+    }
+
+    /** A document of one value; mistakes are told with its name. */
+    public static Node document(JsonParser parser, String name) {
+        Row row = new Row(parser, name);
+        return new Node(row, "", row.tree("value"));
+    }
+
+    public Row(JsonParser parser, long line) {
+        this(parser, "line " + line);
         if (read(parser::nextToken) != JsonToken.START_ARRAY) {
             throw bad("message", "an array was expected");
         }
@@ -31,14 +41,14 @@
         try {
             return reading.get();
         } catch (JsonProcessingException malformed) {
-            throw new BadInput("line " + line + ": not valid JSON: " + malformed.getOriginalMessage());
+            throw new BadInput(place + ": not valid JSON: " + malformed.getOriginalMessage());
         } catch (IOException broken) {
-            throw new BadInput("line " + line + ": " + broken.getMessage());
+            throw new BadInput(place + ": " + broken.getMessage());
         }
     }
 
-    BadInput bad(String field, String what) {
-        return new BadInput("line " + line + ", " + field + ": " + what);
+    public BadInput bad(String field, String what) {
+        return new BadInput(place + ", " + field + ": " + what);
     }
 
     private JsonToken next(String field) {
@@ -56,7 +66,7 @@
         return token;
     }
 
-    String textOrNull(String field) {
+    public String textOrNull(String field) {
         JsonToken token = next(field);
         if (token == JsonToken.VALUE_NULL) {
             return null;
@@ -67,11 +77,11 @@
         return read(parser::getText);
     }
 
-    String text(String field) {
+    public String text(String field) {
         return present(field, textOrNull(field));
     }
 
-    Long wholeOrNull(String field) {
+    public Long wholeOrNull(String field) {
         JsonToken token = next(field);
         if (token == JsonToken.VALUE_NULL) {
             return null;
@@ -88,11 +98,11 @@
         throw bad(field, "a whole number was expected");
     }
 
-    long whole(String field) {
+    public long whole(String field) {
         return present(field, wholeOrNull(field));
     }
 
-    Double numberOrNull(String field) {
+    public Double numberOrNull(String field) {
         JsonToken token = next(field);
         if (token == JsonToken.VALUE_NULL) {
             return null;
@@ -103,7 +113,7 @@
         return read(parser::getDoubleValue);
     }
 
-    boolean flag(String field) {
+    public boolean flag(String field) {
         JsonToken token = next(field);
         if (token != JsonToken.VALUE_TRUE && token != JsonToken.VALUE_FALSE && token != JsonToken.VALUE_NULL) {
             throw bad(field, "true or false was expected");
@@ -112,7 +122,7 @@
     }
 
     /** Any JSON value as maps, lists, texts, numbers and flags. */
-    Object tree(String field) {
+    public Object tree(String field) {
         return tree(field, next(field));
     }
 
@@ -155,7 +165,7 @@
         }
     }
 
-    <T> T present(String field, T value) {
+    public <T> T present(String field, T value) {
         if (value == null) {
             throw bad(field, "a value is missing");
         }
@@ -163,7 +173,7 @@
     }
 
     /** Reads to the end of the line; further values are passed over, a second message on the line is not. */
-    void close() {
+    public void close() {
         while (!ended) {
             JsonToken token = read(parser::nextToken);
             if (token == null) {
--- a/wirehost/src/main/java/pearladder/wire/WireHost.java
+++ b/wirehost/src/main/java/pearladder/wire/WireHost.java
@@ -26,6 +26,11 @@
 import pearladder.api.Moment;
 import pearladder.api.Outcome;
 import pearladder.api.Span;
+import pearladder.terms.BadInput;
+import pearladder.terms.FactsReader;
+import pearladder.terms.LoadReport;
+import pearladder.terms.Node;
+import pearladder.terms.Row;
 
 /** Hosts many instances of the module on the simulator's wire: batches of lines in, one reply a batch out. */
 public final class WireHost {
@@ -241,9 +246,7 @@
         if (load.value() == null) {
             return null;
         }
-        return new Report(load.at("outstanding").number(Double.NaN), load.at("backlog").number(Double.NaN),
-                load.at("utilization").number(Double.NaN), load.at("x1").number(Double.NaN),
-                load.at("x0").number(Double.NaN));
+        return LoadReport.of(value -> load.at(value).number(Double.NaN));
     }
 
     private static List<Listing> listings(Node entries) {
--- a/wirehost/src/test/java/pearladder/wire/WireHostTest.java
+++ b/wirehost/src/test/java/pearladder/wire/WireHostTest.java
@@ -19,6 +19,7 @@
 import pearladder.api.Moment;
 import pearladder.api.Outcome;
 import pearladder.api.Span;
+import pearladder.terms.BadInput;
 
 class WireHostTest {
     private static final String BEGIN = "[\"Begin\",3,99,{\"PeersTotal\":2,\"Unknown\":[1,{\"a\":null}],\"Services\":"
