--- a/cli/src/main/java/pearladder/cli/Logs.java
+++ b/cli/src/main/java/pearladder/cli/Logs.java
@@ -30,6 +30,10 @@
         root.setLevel(Level.WARN);
         root.addAppender(appender);
         context.getLogger("pearladder").setLevel(Level.INFO);
+        String traced = System.getProperty("pearladder.trace");
+        if (traced != null) {
+            context.getLogger("pearladder.trace." + traced).setLevel(Level.TRACE);
+        }
     }
 
     /** Only what fails: a rehearsal's hundred routers would each tell their modes. */
--- a/decisions/src/main/java/pearladder/Policy.java
+++ b/decisions/src/main/java/pearladder/Policy.java
@@ -499,10 +499,14 @@
             }
             case FULL -> {
                 worker.heard = now;
-                place.refusedUntil = now.plus(FULL_FOR);
-                worker.refusedUntil = now.plus(FULL_FOR);
-                strained(worker, 0.7);
-                storeGuard.refused(worker);
+                if (idle(ended.report())) {
+                    failed(worker);
+                } else {
+                    place.refusedUntil = now.plus(FULL_FOR);
+                    worker.refusedUntil = now.plus(FULL_FOR);
+                    strained(worker, 0.7);
+                    storeGuard.refused(worker);
+                }
             }
             case ABSENT -> {
                 place.instances = 0;
@@ -514,8 +518,7 @@
                 if (ended.copy() == Copy.LOAD_FAILED) {
                     storeGuard.failed();
                 } else {
-                    worker.answers.add(now, 1);
-                    worker.failures.add(now, 1);
+                    failed(worker);
                 }
             }
             case TIMED_OUT, WITHDRAWN -> {
@@ -526,6 +529,16 @@
         }
     }
 
+    private void failed(Worker worker) {
+        worker.answers.add(now, 1);
+        worker.failures.add(now, 1);
+    }
+
+    /** Guards against workers that turn calls away with room to spare: no fullness, but a fault of theirs. */
+    private static boolean idle(Event.Report report) {
+        return report != null && report.waiting() < BEARING && report.loads() < BEARING;
+    }
+
     /** The final answer where nothing was settled: a dismissal where trying again is harmless. */
     private void answer(Call call) {
         if (call.over || call.streaming) {
