--- a/decisions/src/main/java/pearladder/Policy.java
+++ b/decisions/src/main/java/pearladder/Policy.java
@@ -334,12 +334,7 @@
     }
 
     private boolean listsACopy(Function function) {
-        for (Place place : function.list) {
-            if (instances(place) > 0) {
-                return true;
-            }
-        }
-        return false;
+        return function.list.stream().anyMatch(place -> instances(place) > 0);
     }
 
     private boolean usable(Worker worker) {
@@ -440,8 +435,9 @@
         if (ended.over() || call.over) {
             close(call);
         } else if (call.legsOut == 0) {
-            if (furtherLegs.may(call)) {
-                furtherLegs.spent.add(now, 1);
+            boolean free = ended.outcome() == Outcome.FULL && idle(ended.report());
+            if (furtherLegs.may(call, free)) {
+                furtherLegs.spent.add(now, free ? 0 : 1);
                 place(call, ended.outcome() == Outcome.ABSENT ? null : worker);
             } else {
                 answer(call);
@@ -894,12 +890,7 @@
         }
 
         private Leg firstThatMayHaveRun(Call call) {
-            for (Leg leg : call.legs) {
-                if (leg.outcome == null || !leg.outcome.neverRan) {
-                    return leg;
-                }
-            }
-            return null;
+            return call.legs.stream().filter(Leg::mayHaveRun).findFirst().orElse(null);
         }
 
         boolean mayDismiss(Call call) {
@@ -924,15 +915,15 @@
                     };
         }
 
-        boolean may(Call call) {
+        boolean may(Call call, boolean free) {
             boolean binding = call.terms.effect() == Facts.Effect.BINDING;
             return (!binding || firstThatMayHaveRun(call) == null) && !call.streaming
-                    && call.legs.size() < most && spent.read(now) < few + share * taken.read(now)
+                    && call.legs.size() < most && (free || spent.read(now) < few + share * taken.read(now))
                     && call.givenUpAt.since(now).longerThan(expected(call.function));
         }
 
         boolean mayMove(Call call) {
-            return cancel && !call.over && call.terms.effect() != Facts.Effect.BINDING && may(call);
+            return cancel && !call.over && call.terms.effect() != Facts.Effect.BINDING && may(call, false);
         }
 
     }
--- a/decisions/src/main/java/pearladder/state/Leg.java
+++ b/decisions/src/main/java/pearladder/state/Leg.java
@@ -20,4 +20,9 @@
         this.sent = sent;
         this.copyBelieved = copyBelieved;
     }
+
+    /** Whether nothing proves that it never ran. */
+    public boolean mayHaveRun() {
+        return outcome == null || !outcome.neverRan;
+    }
 }
