--- a/decisions/src/test/java/pearladder/PolicyTest.java
+++ b/decisions/src/test/java/pearladder/PolicyTest.java
@@ -1,6 +1,7 @@
 package pearladder;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -72,6 +73,29 @@
         assertEquals(home, rig.call("f", Rig.RETRIABLE).workers.get(0));
     }
 
+    /* Found on the platform's churn day: half of the fleet refused two calls in five and reported room. */
+    @Test
+    void aRefusalByAWorkerThatReportsRoomIsItsFailureAndNoFullness() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 4);
+        String home = home(rig, "f");
+        Rig.Taken call = rig.call("f", Rig.RETRIABLE);
+        rig.end(call, 0, Outcome.FULL, Copy.UNTOLD, Span.millis(120), 0, 0);
+        assertFalse(call.workers.subList(1, call.workers.size()).contains(home));
+        rig.end(call, 1, Outcome.SUCCESS, Copy.STOOD, Span.millis(120));
+        for (int i = 0; i < 12; i++) {
+            Rig.Taken next = rig.call("f", Rig.RETRIABLE);
+            assertTrue(i > 2 || next.workers.get(0).equals(home), "it is not passed over");
+            for (int leg = 0; leg < next.workers.size(); leg++) {
+                boolean there = next.workers.get(leg).equals(home);
+                rig.end(next, leg, there ? Outcome.FULL : Outcome.SUCCESS, Copy.STOOD, Span.millis(120), 0, 0);
+            }
+            Rig.Taken other = rig.call("g" + i, Rig.RETRIABLE);
+            rig.end(other, 0, Outcome.SUCCESS, Copy.STOOD, Span.millis(120), 0, 0);
+            rig.pass(Span.millis(100));
+        }
+        assertFalse(rig.call("f", Rig.RETRIABLE).workers.contains(home), "it is set aside");
+    }
+
     @Test
     void aBindingCallThatMayHaveRunIsTerminated() {
         Rig rig = Rig.withWorkers(Rig.plain(), 4);
--- a/decisions/src/test/java/pearladder/Rig.java
+++ b/decisions/src/test/java/pearladder/Rig.java
@@ -175,10 +175,14 @@
     }
 
     void end(Taken call, int leg, Outcome outcome, Copy copy, Span took, double loads) {
+        end(call, leg, outcome, copy, took, loads, Double.NaN);
+    }
+
+    void end(Taken call, int leg, Outcome outcome, Copy copy, Span took, double loads, double waiting) {
         call.outcomes.set(leg, outcome);
         call.over |= outcome == Outcome.SUCCESS;
         on(new Event.LegEnded(call.id, leg, call.workers.get(leg), outcome, took, call.over, copy, 0,
-                new Event.Report(Double.NaN, Double.NaN, Double.NaN, loads, Double.NaN)));
+                new Event.Report(Double.NaN, waiting, Double.NaN, loads, Double.NaN)));
     }
 
     List<Action> on(Event event) {
