A refusal with room told counts as half a failure; an eighth of the descriptors is kept back

Ruled out: the share for further legs (3 to 9 calls in a probe's second ran out of legs). At fault: Policy.learn counted a refusal that ran nothing as much as a failure, so that a worker that still served three calls in five left the lists.

--- a/decisions/src/main/java/pearladder/Policy.java
+++ b/decisions/src/main/java/pearladder/Policy.java
@@ -496,7 +496,7 @@
             case FULL -> {
                 worker.heard = now;
                 if (idle(ended.report())) {
-                    failed(worker);
+                    failed(worker, 0.5);
                 } else {
                     place.refusedUntil = now.plus(FULL_FOR);
                     worker.refusedUntil = now.plus(FULL_FOR);
@@ -514,7 +514,7 @@
                 if (ended.copy() == Copy.LOAD_FAILED) {
                     storeGuard.failed();
                 } else {
-                    failed(worker);
+                    failed(worker, 1);
                 }
             }
             case TIMED_OUT, WITHDRAWN -> {
@@ -525,12 +525,12 @@
         }
     }
 
-    private void failed(Worker worker) {
+    private void failed(Worker worker, double weight) {
         worker.answers.add(now, 1);
-        worker.failures.add(now, 1);
+        worker.failures.add(now, weight);
     }
 
-    /** Guards against workers that turn calls away with room to spare: no fullness, but a fault of theirs. */
+    /** Guards against workers that turn calls away with room to spare: a fault, half as bad as one that ran. */
     private static boolean idle(Event.Report report) {
         return report != null && report.waiting() < BEARING && report.loads() < BEARING;
     }
--- a/decisions/src/main/java/pearladder/sockets/Sockets.java
+++ b/decisions/src/main/java/pearladder/sockets/Sockets.java
@@ -22,7 +22,24 @@
      * @param silent a client without a whole message for so long after connecting, inside a message or without reading
      * @param idle a link that was unused for so long is closed before its worker does it, in the middle of a send
      */
-    public record Holding(int seats, int links, int streams, Span silent, Span idle) { }
+    public record Holding(int seats, int links, int streams, Span silent, Span idle) {
+        private static final int RESERVED = 8;      // a part of so many for sockets just accepted or closing
+        private static final int LEAST = 16;
+        private static final Span SILENT = Span.millis(2000);
+        private static final double IDLE = 0.5;     // of what workers bear with
+
+        /**
+         * Clients and workers get half each of what is left.
+         *
+         * @param descriptors that the process may hold
+         * @param own those that it holds for itself
+         * @param idle workers close a connection that was unused for so long
+         */
+        public static Holding of(int descriptors, int own, int streams, Span idle) {
+            int free = Math.max(2 * LEAST, descriptors - own - descriptors / RESERVED);
+            return new Holding(free / 2, free - free / 2, streams, SILENT, idle.times(IDLE));
+        }
+    }
 
     private static final int UNUSABLE = 16;     // messages that can't be used before their client is closed
 
