--- a/wirehost/src/main/java/pearladder/wire/WireHost.java
+++ b/wirehost/src/main/java/pearladder/wire/WireHost.java
@@ -31,6 +31,7 @@
 import pearladder.terms.LoadReport;
 import pearladder.terms.Node;
 import pearladder.terms.Row;
+import pearladder.terms.Standings;
 
 /** Hosts many instances of the module on the simulator's wire: batches of lines in, one reply a batch out. */
 public final class WireHost {
@@ -43,8 +44,6 @@
             Outcome.ERROR, "overloaded", Outcome.FULL, "timed_out", Outcome.TIMED_OUT, "unreachable",
             Outcome.UNREACHABLE, "broken", Outcome.BROKEN, "withdrawn", Outcome.WITHDRAWN, "void", Outcome.VOID,
             "absent", Outcome.ABSENT);
-    private static final Map<String, Event.Standing> STANDINGS = Map.of("in_service", Event.Standing.IN_SERVICE,
-            "terminating", Event.Standing.DRAINING, "terminated", Event.Standing.GONE);
     private static final Map<String, Event.ListKind> LIST_KINDS = Map.of("patch", Event.ListKind.CHANGES,
             "whole", Event.ListKind.WHOLE, "stale_copy", Event.ListKind.REMEMBERED, "broken",
             Event.ListKind.FAILED);
@@ -257,7 +256,7 @@
             }
             Span since = values.size() > 6 ? values.get(6).span() : Span.NONE;
             return new Listing(values.get(0).text(), values.get(1).textOr(""), values.get(2).textOr(""),
-                    values.get(3).whole(0), values.get(4).oneOf(STANDINGS), values.get(5).number(1),
+                    values.get(3).whole(0), values.get(4).oneOf(Standings.WORDS), values.get(5).number(1),
                     since.nanos() == 0 ? null : new Moment(since.nanos()));
         });
     }
