--- a/cli/src/test/java/pearladder/cli/PlatformTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.net.httpserver.HttpServer;
@@ -9,6 +10,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -28,6 +30,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessageUnpacker;
@@ -134,6 +138,11 @@
 
     /** A feed that tells one event after the first, and the number that it is next asked for. */
     private HttpServer feed(String event, BlockingQueue<String> asked) throws IOException {
+        return feed(event, asked, new CountDownLatch(0));
+    }
+
+    /** @param held no answer is given before it is let go */
+    private HttpServer feed(String event, BlockingQueue<String> asked, CountDownLatch held) throws IOException {
         HttpServer feed = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
         feed.setExecutor(Executors.newCachedThreadPool(work -> {
             Thread thread = new Thread(work);
@@ -143,6 +152,7 @@
         feed.createContext("/v1/events", exchange -> {
             String query = exchange.getRequestURI().getQuery();
             asked.add(query);
+            await(held);
             boolean first = query.startsWith("SUB=1&") && event != null;
             byte[] answer = (first ? "{\"n\":2,\"events\":[{\"n\":2,\"members\":{\"version\":2,\"full\":false,\"servers\":[" + event
                     + "]}}]}" : "{\"n\":" + query.replaceAll("SUB=([0-9]+).*", "$1") + ",\"events\":[]}").getBytes(StandardCharsets.UTF_8);
@@ -162,6 +172,14 @@
         return feed;
     }
 
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private Path configuration(int port, HttpServer feed, String member) throws IOException {
         Path practice = Path.of("..", "deploy", "practice.json");
         String text = Files.readString(practice).replace("\"127.0.0.1:0\"", "\"127.0.0.1:" + port + "\"")
@@ -213,17 +231,24 @@
         return new String(answer.get(3).asArrayValue().get(0).asBinaryValue().asByteArray(), StandardCharsets.ISO_8859_1);
     }
 
-    /** Asks until the router says that it is ready: it listens before. */
-    private void ready(int port) throws Exception {
+    /** Connects as soon as the router listens. */
+    private void connect(int port) throws Exception {
         while (true) {
             assertTrue(process.isAlive(), () -> log());
             try {
                 client = new Socket(InetAddress.getLoopbackAddress(), port);
+                answers = MessagePack.newDefaultUnpacker(client.getInputStream());
+                return;
             } catch (IOException notYet) {
                 Thread.onSpinWait();
-                continue;
             }
-            answers = MessagePack.newDefaultUnpacker(client.getInputStream());
+        }
+    }
+
+    /** Asks until the router says that it is ready: it listens before. */
+    private void ready(int port) throws Exception {
+        while (true) {
+            connect(port);
             send("check", Map.of(), null);
             if (heard().get(3).asArrayValue().get(0).asBooleanValue().getBoolean()) {
                 return;
@@ -283,6 +308,50 @@
         }
     }
 
+    /**
+     * Guards against the drain rule broken at restarts: the address was open before the feed had been asked, and clients that
+     * still held a killed router's address were sent to workers that drained since the configuration was written.
+     */
+    @Test
+    void noClientIsHeardBeforeTheFeedWasAskedWhatHasChanged() throws Exception {
+        try (Worker one = new Worker("one"); Worker two = new Worker("two")) {
+            BlockingQueue<String> asked = new LinkedBlockingQueue<>();
+            CountDownLatch held = new CountDownLatch(1);
+            HttpServer feed = feed(one.member().replace("in_service", "terminating") + "," + two.member(), asked, held);
+            int port = freePort();
+            process = start(configuration(port, feed, one.member()), Map.of());
+            assertEquals("SUB=1&wait=0", asked.take());
+            assertThrows(ConnectException.class, () -> new Socket(InetAddress.getLoopbackAddress(), port).close());
+            held.countDown();
+            connect(port);
+            call("00000000000000a1");
+            assertEquals("two!", served(heard()), "the first call of all, warm or not, knows of the drain");
+            assertTrue(one.called.isEmpty());
+        }
+    }
+
+    /** What the configuration tells is enough where the feed is down: refusing, or silent while open. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aRouterIsReadyWhileItsFeedIsDown(boolean silent) throws Exception {
+        try (Worker one = new Worker("one")) {
+            CountDownLatch held = new CountDownLatch(1);
+            HttpServer feed = feed(null, new LinkedBlockingQueue<>(), held);
+            int port = freePort();
+            Path configuration = configuration(port, feed, one.member());
+            if (!silent) {
+                feed.stop(0);
+            }
+            long begun = System.nanoTime();
+            process = start(configuration, Map.of());
+            ready(port);
+            assertTrue(System.nanoTime() - begun < TimeUnit.SECONDS.toNanos(10), this::log);
+            call("00000000000000a1");
+            assertEquals("one!", served(heard()));
+            held.countDown();
+        }
+    }
+
     @Test
     void aConfigurationThatDisagreesOrCantBeReadIsToldInWords() throws Exception {
         HttpServer feed = feed(null, new LinkedBlockingQueue<>());
