--- a/decisions/src/main/java/pearladder/Policy.java
+++ b/decisions/src/main/java/pearladder/Policy.java
@@ -907,7 +907,7 @@
             }
             Worker first = ran.place.worker;
             return call.terms.effect() == Facts.Effect.FINGERPRINTED
-                    && now.since(ran.sent).plus(facts.quantum()).compareTo(call.terms.remembered()) < 0
+                    && now.since(ran.sent).plus(facts.sending()).compareTo(call.terms.remembered()) < 0
                     && switch (call.terms.group()) {
                         case ALL -> true;
                         case ZONE -> worker.zone.equals(first.zone);
--- a/decisions/src/main/java/pearladder/api/Facts.java
+++ b/decisions/src/main/java/pearladder/api/Facts.java
@@ -18,8 +18,14 @@
 
     public record Account(String name, double share, double perSecond) { }
 
+    /** @param connecting how long a connection to a worker may take to come up before a call leaves on it */
     public record Allowances(int legs, boolean secondLegs, boolean cancel, boolean probes, boolean peers,
-            boolean retryAfter, Span longestRetryAfter, double overShareCredit, boolean creditByWork) { }
+            boolean retryAfter, Span longestRetryAfter, double overShareCredit, boolean creditByWork, Span connecting) { }
+
+    /** How long after its decision a call may leave at the latest. */
+    public Span sending() {
+        return quantum.plus(allowances.connecting());
+    }
 
     /** How late a final answer and the last send to a draining worker may come. */
     public record Answering(Span grace, Span drainGrace) { }
--- a/decisions/src/test/java/pearladder/PolicyTest.java
+++ b/decisions/src/test/java/pearladder/PolicyTest.java
@@ -119,6 +119,21 @@
         assertInstanceOf(Action.Terminate.class, call.end);
     }
 
+    /** Guards against a repeat that leaves late, on a connection that comes up late, when it is no longer remembered. */
+    @Test
+    void aFingerprintedCallIsSentAgainOnlyIfItsRepeatArrivesWhileItIsRemembered() {
+        Rig rig = Rig.withWorkers(Rig.plain(), 6);
+        Rig.Taken early = rig.call("f", Rig.MARKED_BRIEFLY);
+        rig.pass(Span.millis(1200));
+        rig.end(early, 0, Outcome.BROKEN, Copy.UNTOLD, Span.millis(1200));
+        assertEquals(2, early.workers.size());
+        Rig.Taken late = rig.call("g", Rig.MARKED_BRIEFLY);
+        rig.pass(Span.millis(1300));
+        rig.end(late, 0, Outcome.BROKEN, Copy.UNTOLD, Span.millis(1300));
+        assertEquals(1, late.workers.size());
+        assertInstanceOf(Action.Dismiss.class, late.end);
+    }
+
     @Test
     void aDrainingWorkerGetsNothingNew() {
         Rig rig = Rig.withWorkers(Rig.plain(), 3);
--- a/rehearsal/src/main/java/pearladder/rehearsal/VirtualEngines.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/VirtualEngines.java
@@ -168,6 +168,13 @@
         public void cancel() {
             end(written ? Outcome.WITHDRAWN : Outcome.VOID, null);
         }
+
+        @Override
+        public void takeBack() {
+            if (!written) {
+                end(Outcome.VOID, null);
+            }
+        }
     }
 
     private final Life life;
@@ -214,7 +221,7 @@
         Link link = links.get(leg.engine);
         if (link == null) {
             ended.end(Outcome.VOID, null);
-            return () -> { };
+            return Sending.NONE;
         }
         Life.Carried carried = (Life.Carried) leg.call.reply;
         Engine.Asked asked = new Engine.Asked(router, leg.call.named, leg.number, leg.call.function,
--- a/router/src/main/java/pearladder/router/Legs.java
+++ b/router/src/main/java/pearladder/router/Legs.java
@@ -79,6 +79,13 @@
         public void cancel() {
             end(written() ? Outcome.WITHDRAWN : Outcome.VOID, null);
         }
+
+        @Override
+        public void takeBack() {
+            if (!written()) {
+                end(Outcome.VOID, null);
+            }
+        }
     }
 
     private final Vertx vertx;
@@ -101,7 +108,7 @@
         EngineLink link = roster.link(leg.engine);
         if (link == null) {
             ended.end(Outcome.VOID, null);
-            return () -> { };
+            return Sending.NONE;
         }
         HttpReply call = (HttpReply) leg.call.reply;
         Flight flight = new Flight(link, limit, (outcome, said) -> {
--- a/router/src/main/java/pearladder/router/core/ArticlesReader.java
+++ b/router/src/main/java/pearladder/router/core/ArticlesReader.java
@@ -43,7 +43,8 @@
         String[] listen = address(router.at("listen"), true);
         String[] at = address(list.at("address"), false);
         String[] admin = router.at("admin").given() ? address(router.at("admin"), true) : null;
-        Facts facts = facts(file, router);
+        Span dial = span(connections.at("dial"), "250 ms");
+        Facts facts = facts(file, router, dial);
         List<Articles.ModelTerms> models = file.at("models").each(model -> model(model, facts));
         if (models.isEmpty()) {
             file.at("models").wrong("no model is named", "write \"- {name: \\\"*\\\", memory: 400 MB, lanes: 2}\"");
@@ -60,7 +61,7 @@
                         limits.at("open_calls").whole(20_000, 1, 10_000_000), span(limits.at("body_within"), "10 s"),
                         span(limits.at("idle"), "120 s")),
                 new Articles.Connections(connections.at("per_engine").whole(256, 1, 65_535),
-                        span(connections.at("dial"), "250 ms"), span(connections.at("idle"), "30 s")),
+                        dial, span(connections.at("idle"), "30 s")),
                 span(router.at("stop_within"), "10 s"), keeping(file.at("records")));
         for (Terms category : facts.categories()) {
             if (!articles.limits().idle().longerThan(category.abandon())) {
@@ -103,7 +104,7 @@
         return new Span(value.span(otherwise));
     }
 
-    private static Facts facts(Value file, Value router) {
+    private static Facts facts(Value file, Value router, Span dial) {
         Value rules = file.at("rules");
         Value cold = rules.at("cold");
         Value ration = rules.at("ration");
@@ -128,7 +129,7 @@
                         allowances.at("cancel").flag(true), allowances.at("probes").flag(false), false,
                         allowances.at("retry_after").flag(true), span(allowances.at("longest_retry_after"), "2 s"),
                         allowances.at("over_share_credit").number(1, 0, 1),
-                        allowances.at("credit_by_work").flag(false)),
+                        allowances.at("credit_by_work").flag(false), dial),
                 new Answering(span(rules.at("answer_grace"), "15 ms"), span(rules.at("drain_grace"), "1 s")),
                 new ColdStart(cold.at("start_share").number(0.25, 0.001, 1), span(cold.at("warm_after"), "15 s"),
                         cold.at("fall_multiple").number(2, 0.1, 1000), span(cold.at("fall_after"), "1500 ms")),
--- a/router/src/main/java/pearladder/router/core/Calls.java
+++ b/router/src/main/java/pearladder/router/core/Calls.java
@@ -138,9 +138,7 @@
         chronicle.ended(call, "left", timers.now().since(call.taken));
         call.ending.left();
         conductor.tell(new Event.ClientLeft(call.id));
-        if (facts.allowances().cancel()) {
-            List.copyOf(call.legs).forEach(this::cancel);
-        }
+        List.copyOf(call.legs).forEach(facts.allowances().cancel() ? this::cancel : this::takeBack);
         forget(call);
     }
 
@@ -197,6 +195,7 @@
         call.erred |= outcome == Outcome.ERROR || said != null && said.copy() == Event.Copy.LOAD_FAILED;
         if (outcome == Outcome.SUCCESS && answers(call, FinalState.SETTLED)) {
             call.reply.settled(said);
+            List.copyOf(call.legs).forEach(this::takeBack);
         }
         conductor.tell(new Event.LegEnded(call.id, leg.number, leg.engine, outcome, timers.now().since(leg.sent), call.over,
                 said == null ? Event.Copy.UNTOLD : said.copy(), said == null ? -1 : said.crowd(),
@@ -204,6 +203,16 @@
         forget(call);
     }
 
+    /**
+     * Guards against a leg that leaves after its call has ended, because its connection came up late: no allowance is needed
+     * for what no engine has heard of.
+     */
+    private void takeBack(OpenLeg leg) {
+        if (!leg.ended && leg.sending != null) {
+            leg.sending.takeBack();
+        }
+    }
+
     private void cancel(OpenLeg leg) {
         if (!leg.ended && leg.sending != null) {
             leg.sending.cancel();
@@ -234,6 +243,7 @@
         OpenCall call = open.get(terminate.call());
         if (answers(call, FinalState.TERMINATED)) {
             call.reply.terminated();
+            List.copyOf(call.legs).forEach(this::takeBack);
         }
         if (call != null) {
             forget(call);
--- a/router/src/main/java/pearladder/router/core/Engines.java
+++ b/router/src/main/java/pearladder/router/core/Engines.java
@@ -10,8 +10,24 @@
 public interface Engines {
     /** A leg on its way. */
     interface Sending {
+        /** Nothing is on its way: it ended at once. */
+        Sending NONE = new Sending() {
+            @Override
+            public void cancel() {
+                // it has ended
+            }
+
+            @Override
+            public void takeBack() {
+                // it has ended
+            }
+        };
+
         /** Ceases to wait for it. */
         void cancel();
+
+        /** Ends it unsent where nothing of it has left yet; what has left goes on. */
+        void takeBack();
     }
 
     /** How a leg ended; said is null where no whole answer came. */
--- a/terms/src/main/java/pearladder/terms/FactsReader.java
+++ b/terms/src/main/java/pearladder/terms/FactsReader.java
@@ -39,7 +39,7 @@
                         caps.at("MayCancel").flag(false), caps.at("Probes").flag(false),
                         caps.at("Peers").flag(false), caps.at("RetryAfter").flag(false),
                         caps.at("MaxRetryAfterNs").span(), facts.at("OverShareWorth").number(1),
-                        facts.at("WorthBy").textOr("request").equals("work")),
+                        facts.at("WorthBy").textOr("request").equals("work"), caps.at("DialTimeoutNs").span()),
                 new Answering(rules.at("GraceToAnswerNs").span(), rules.at("StopSendingWithinNs").span()),
                 new ColdStart(rules.at("StartCapacity").number(1), rules.at("ColdNs").span(),
                         rules.at("OverloadFactor").number(1), rules.at("OverloadForNs").span()),
