--- /dev/null
+++ b/cli/src/test/java/pearladder/cli/PlatformProgram.java
@@ -0,0 +1,292 @@
+package pearladder.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.value.ArrayValue;
+
+/** The real program on the platform's protocol: a child process, its signals, a worker and feeds on loopback. */
+@Timeout(120)
+abstract class PlatformProgram {
+    private static final String CALL = "commit";
+
+    /** A worker that answers each call with its own name and the call's body, at once or when it is let. */
+    static final class Worker implements AutoCloseable {
+        final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        final BlockingQueue<String> called = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> halted = new LinkedBlockingQueue<>();
+        /** Calls that are not answered. */
+        final Set<String> held = ConcurrentHashMap.newKeySet();
+        final String name;
+        volatile CountDownLatch let = new CountDownLatch(0);
+
+        Worker(String name) throws IOException {
+            this.name = name;
+            thread(() -> {
+                while (true) {
+                    Socket socket = server.accept();
+                    thread(() -> serve(socket));
+                }
+            });
+        }
+
+        private void serve(Socket socket) throws Exception {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            while (true) {
+                List<String> words = new ArrayList<>();
+                for (int left = Integer.parseInt(line(in).substring(1)); left > 0; left--) {
+                    int length = Integer.parseInt(line(in).substring(1));
+                    words.add(new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
+                    line(in);
+                }
+                if (words.get(0).equals("go")) {
+                    called.add(words.get(1));
+                    thread(() -> answer(socket, words.get(1), name + words.get(3)));
+                } else if (words.get(0).equals("halt")) {
+                    halted.add(words.get(1));
+                }
+            }
+        }
+
+        private void answer(Socket socket, String id, String body) throws Exception {
+            let.await();
+            if (!held.contains(id)) {
+                byte[] answer = ("*4\r\n$16\r\n" + id + "\r\n$3\r\nACK\r\n$7\r\ntell=up\r\n$" + body.length() + "\r\n" + body + "\r\n")
+                        .getBytes(StandardCharsets.ISO_8859_1);
+                synchronized (socket) {
+                    socket.getOutputStream().write(answer);
+                }
+            }
+        }
+
+        private static String line(InputStream in) throws IOException {
+            StringBuilder line = new StringBuilder();
+            int next;
+            while ((next = in.read()) != '\n') {
+                if (next < 0) {
+                    throw new IOException("closed");
+                }
+                line.append(next == '\r' ? "" : Character.toString(next));
+            }
+            return line.toString();
+        }
+
+        String member() {
+            return "{\"id\":\"" + name + "\",\"addr\":\"127.0.0.1:" + server.getLocalPort()
+                    + "\",\"zone\":\"hall\",\"kind\":\"kind\",\"cell\":1,\"state\":\"in_service\",\"weight\":1,\"started_ms\":0}";
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    interface Work {
+        void run() throws Exception;
+    }
+
+    static void thread(Work work) {
+        Thread thread = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception ended) {
+                // a closed socket ends it
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @TempDir
+    Path folder;
+    final List<HttpServer> feeds = new ArrayList<>();
+    Process process;
+    Socket client;
+    MessageUnpacker answers;
+    int number;
+
+    @AfterEach
+    void end() throws IOException {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+        feeds.forEach(feed -> feed.stop(0));
+        if (client != null) {
+            client.close();
+        }
+    }
+
+    /** A feed that tells one event after the first, and the number that it is next asked for. */
+    HttpServer feed(String event, BlockingQueue<String> asked) throws IOException {
+        return feed(event, asked, new CountDownLatch(0));
+    }
+
+    /** @param held no answer is given before it is let go */
+    HttpServer feed(String event, BlockingQueue<String> asked, CountDownLatch held) throws IOException {
+        HttpServer feed = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+        feed.setExecutor(Executors.newCachedThreadPool(work -> {
+            Thread thread = new Thread(work);
+            thread.setDaemon(true);
+            return thread;
+        }));
+        feed.createContext("/v1/events", exchange -> {
+            String query = exchange.getRequestURI().getQuery();
+            asked.add(query);
+            await(held);
+            boolean first = query.startsWith("SUB=1&") && event != null;
+            byte[] answer = (first ? "{\"n\":2,\"events\":[{\"n\":2,\"members\":{\"version\":2,\"full\":false,\"servers\":[" + event
+                    + "]}}]}" : "{\"n\":" + query.replaceAll("SUB=([0-9]+).*", "$1") + ",\"events\":[]}").getBytes(StandardCharsets.UTF_8);
+            if (!first && !query.endsWith("wait=0")) {
+                try {
+                    Thread.sleep(200);
+                } catch (InterruptedException stopped) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+            exchange.sendResponseHeaders(200, answer.length);
+            exchange.getResponseBody().write(answer);
+            exchange.close();
+        });
+        feed.start();
+        feeds.add(feed);
+        return feed;
+    }
+
+    static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    Path configuration(int port, HttpServer feed, String member) throws IOException {
+        Path practice = Path.of("..", "deploy", "practice.json");
+        String text = Files.readString(practice).replace("\"127.0.0.1:0\"", "\"127.0.0.1:" + port + "\"")
+                .replace("\"127.0.0.1:1\",", "\"127.0.0.1:" + feed.getAddress().getPort() + "\",")
+                .replaceAll("\\{\"id\": \"worker-1\"[^}]*\\}", member);
+        return Files.writeString(folder.resolve("config.json"), text);
+    }
+
+    Process start(Path configuration, Map<String, String> more) throws IOException {
+        return start(configuration, more, "");
+    }
+
+    /** @param before what the shell does before it becomes the program */
+    Process start(Path configuration, Map<String, String> more, String before) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", before + "exec \"$@\"", "sh",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m", "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "pearladder.cli.Main", "platform");
+        builder.environment().put("ROUTER_CONFIG", configuration.toString());
+        builder.environment().putAll(more);
+        return builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+    }
+
+    int freePort() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return any.getLocalPort();
+        }
+    }
+
+    void send(String method, Map<String, String> fields, byte[] body) throws IOException {
+        client.getOutputStream().write(message(method, fields, body));
+    }
+
+    byte[] message(String method, Map<String, String> fields, byte[] body) throws IOException {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            out.packArrayHeader(4).packInt(0).packInt(++number).packString(method).packArrayHeader(body == null ? 1 : 2)
+                    .packMapHeader(fields.size());
+            for (Map.Entry<String, String> field : fields.entrySet()) {
+                out.packString(field.getKey()).packString(field.getValue());
+            }
+            if (body != null) {
+                out.packBinaryHeader(body.length).writePayload(body);
+            }
+            return out.toByteArray();
+        }
+    }
+
+    ArrayValue heard() throws IOException {
+        return answers.unpackValue().asArrayValue();
+    }
+
+    void call(String id) throws IOException {
+        client.getOutputStream().write(request(id, new byte[] {'!'}));
+    }
+
+    byte[] request(String id, byte[] body) throws IOException {
+        return message(CALL, Map.of("rid", id, "budget", "3000", "acct", "tender", "token", "t" + id, "obj", "00000000000000aa", "extras",
+                "memory_mb:100;lanes:2;load_ms:50"), body);
+    }
+
+    String served(ArrayValue answer) {
+        assertTrue(answer.get(2).isNilValue(), answer.toString());
+        return new String(answer.get(3).asArrayValue().get(0).asBinaryValue().asByteArray(), StandardCharsets.ISO_8859_1);
+    }
+
+    /** Connects as soon as the router listens. */
+    void connect(int port) throws Exception {
+        while (true) {
+            assertTrue(process.isAlive(), () -> log());
+            try {
+                client = new Socket(InetAddress.getLoopbackAddress(), port);
+                answers = MessagePack.newDefaultUnpacker(client.getInputStream());
+                return;
+            } catch (IOException notYet) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    /** Asks until the router says that it is ready: it listens before. */
+    void ready(int port) throws Exception {
+        while (true) {
+            connect(port);
+            send("check", Map.of(), null);
+            if (heard().get(3).asArrayValue().get(0).asBooleanValue().getBoolean()) {
+                return;
+            }
+            client.close();
+        }
+    }
+
+    String log() {
+        try {
+            return Files.readString(folder.resolve("log"));
+        } catch (IOException unread) {
+            throw new UncheckedIOException(unread);
+        }
+    }
+
+    void signal(String signal) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor());
+    }
+}
