--- a/cli/src/test/java/pearladder/cli/PlatformTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformTest.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -105,6 +106,31 @@
         }
     }
 
+    /** Names come from the settings alone: nothing of the practice's stands in a log or an answer. */
+    @Test
+    void neitherLogNorAnswerHasAWordOfThePractice() throws Exception {
+        try (Worker one = new Worker("barge")) {
+            HttpServer feed = feed(null, new LinkedBlockingQueue<>());
+            int port = freePort();
+            Path file = configuration(port, feed, one.member());
+            Files.writeString(file, Files.readString(file).replace("practice", "lock-gate").replace("tender", "hopper")
+                    .replace("shipping", "silo").replace("draft", "weigh").replace("commit", "mill").replace("hall", "quay"));
+            process = start(file, Map.of());
+            ready(port);
+            call("00000000000000a1");
+            String answer = heard().toString();
+            assertTrue(answer.contains("unknown method"), answer);
+            send("mill", Map.of("rid", "00000000000000a2", "budget", "3000", "acct", "silo", "token", "t1", "obj", "00000000000000aa"),
+                    new byte[] {'!'});
+            assertEquals("barge!", served(heard()));
+            signal("TERM");
+            assertTrue(process.waitFor(20, TimeUnit.SECONDS), this::log);
+            for (String word : List.of("practice", "tender", "shipping", "draft", "commit", "hall", "worker-")) {
+                assertFalse((log() + answer).contains(word), () -> word + " in " + log());
+            }
+        }
+    }
+
     @Test
     void aConfigurationThatDisagreesOrCantBeReadIsToldInWords() throws Exception {
         HttpServer feed = feed(null, new LinkedBlockingQueue<>());
--- /dev/null
+++ b/deploy/Variants.java
@@ -0,0 +1,96 @@
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Lays two variants of the operators' deployments beside this file, so that the bench shows whether the program fits one
+ * customer only: other class names, shares, tenants, limits, deadlines, worth and costs, one with another kind of effect and
+ * an allowance less. The operators' files are read where they lie and stay there; what is written is not for the repository.
+ *
+ * Usage: java deploy/Variants.java FIRST_SITE SECOND_SITE
+ */
+final class Variants {
+    /** What a table says instead; null takes the key away. Tables are named as in the file, with their place among equals. */
+    private record Change(String table, int place, Map<String, String> keys) { }
+
+    private Variants() { }
+
+    public static void main(String[] arguments) throws IOException {
+        if (arguments.length != 2) {
+            System.err.println("usage: java deploy/Variants.java FIRST_SITE SECOND_SITE, two site files of the operators");
+            System.exit(2);
+        }
+        lay(Path.of(arguments[0]), "ferry-desk", List.of(
+                change("", 0, "name", "\"ferry-desk\""),
+                change("allow", 0, "cancel", "false", "max_attempts", "2"),
+                change("rules", 0, "drain_grace_ms", "700", "fall_multiple", "3"),
+                change("goal", 0, "whole", "0.5", "worst_window", "0.2", "worst_class", "0.2", "worst_tenant", "0.1"),
+                change("prices", 0, "cross_zone", "0.01", "waste", "0.08", "probe", "0.012", "late_fail", "0.06", "origin", "0.06"),
+                change("class", 0, "name", "\"berth-quote\"", "share", "[0.55, 0.7]", "aim_ms", "800", "deadline_ms", "2400", "worth",
+                        "2", "late_worth", "0.3"),
+                change("class", 1, "name", "\"manifest-seal\"", "share", "[0.3, 0.45]", "aim_ms", "1500", "deadline_ms", "4500", "worth",
+                        "5", "late_worth", "0.2", "effect", "\"unsafe\"", "group", null, "window_ms", null),
+                change("tenant", 0, "name", "\"north-pier\"", "share", "0.4"),
+                change("tenant", 1, "name", "\"car-deck\"", "share", "0.35"),
+                change("tenant", 2, "name", "\"night-mail\"", "share", "0.15")),
+                List.of("", "[[tenant]]", "name = \"fish-quay\"", "share = 0.1", "usage = [0.5, 1.4]"));
+        lay(Path.of(arguments[1]), "grain-ledger", List.of(
+                change("", 0, "name", "\"grain-ledger\""),
+                change("allow", 0, "max_attempts", "4"),
+                change("rules", 0, "drain_grace_ms", "1500", "fall_multiple", "3", "fall_ms", "2000"),
+                change("prices", 0, "waste", "0.05", "probe", "0.005", "late_fail", "0.08", "origin", "0.06"),
+                change("class", 0, "name", "\"weigh-in\"", "share", "[0.45, 0.6]", "aim_ms", "700", "deadline_ms", "2600", "worth", "4",
+                        "late_worth", "0.25"),
+                change("class", 1, "name", "\"settle-lot\"", "share", "[0.4, 0.5]", "aim_ms", "1100", "deadline_ms", "3500", "worth", "3",
+                        "window_ms", "4000")), List.of());
+    }
+
+    private static Change change(String table, int place, String... keys) {
+        Map<String, String> all = new LinkedHashMap<>();
+        for (int i = 0; i < keys.length; i += 2) {
+            all.put(keys[i], keys[i + 1]);
+        }
+        return new Change(table, place, all);
+    }
+
+    private static void lay(Path site, String name, List<Change> changes, List<String> more) throws IOException {
+        List<String> lines = new ArrayList<>();
+        Map<String, Integer> met = new LinkedHashMap<>();
+        String table = "";
+        int made = 0;
+        for (String line : Files.readAllLines(site)) {
+            if (line.startsWith("[")) {
+                table = line.replaceAll("[\\[\\] ]", "");
+                met.merge(table, 1, Integer::sum);
+            }
+            int place = met.getOrDefault(table, 1) - 1;
+            String key = line.replaceAll(" *=.*", "");
+            String now = line;
+            for (Change change : changes) {
+                if (line.contains("=") && change.table().equals(table) && change.place() == place && change.keys().containsKey(key)) {
+                    now = change.keys().get(key) == null ? null : key + " = " + change.keys().get(key);
+                    made++;
+                }
+            }
+            if (now != null) {
+                lines.add(now);
+            }
+        }
+        lines.addAll(more);
+        int wanted = changes.stream().mapToInt(change -> change.keys().size()).sum();
+        if (made != wanted) {
+            throw new IOException(site + " has " + made + " of the " + wanted + " keys that " + name + " changes");
+        }
+        Path folder = Files.createDirectories(Path.of("deploy", "sites", name));
+        Files.write(folder.resolve(name + ".toml"), lines);
+        for (String beside : List.of("real.json", "wire.json", "unlock.txt")) {
+            Files.copy(site.resolveSibling(beside), folder.resolve(beside), StandardCopyOption.REPLACE_EXISTING);
+        }
+        System.out.println(folder.resolve(name + ".toml"));
+    }
+}
