A signal ignored by whoever started the router is told in words

A JVM does not handle a SIGHUP that is ignored at its start. Told on standard error now. Test: a child process with SIGHUP ignored, and one without.

--- a/cli/src/main/java/pearladder/cli/Main.java
+++ b/cli/src/main/java/pearladder/cli/Main.java
@@ -41,6 +41,10 @@
     private static int platform(boolean practice) {
         Signals signals = Signals.heard();
         Logs.setUp(Logs.Form.TEXT);
+        if (signals.deaf()) {
+            System.err.println("pearladder: whoever started this ignores SIGHUP or SIGTERM (as nohup does), and so it never hears them;"
+                    + " start it without");
+        }
         String file = System.getenv("ROUTER_CONFIG");
         if (file == null) {
             System.err.println("pearladder: ROUTER_CONFIG is not set; it names the router's configuration");
--- a/cli/src/test/java/pearladder/cli/PlatformTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformTest.java
@@ -131,6 +131,16 @@
         }
     }
 
+    /** Guards against a router that hears of no new configuration, and nobody knows why: a JVM obeys an ignored SIGHUP. */
+    @ParameterizedTest
+    @ValueSource(strings = {"trap '' HUP; ", ""})
+    void aSignalIgnoredByWhoStartedItIsToldInWords(String before) throws Exception {
+        HttpServer feed = feed(null, new LinkedBlockingQueue<>());
+        process = start(configuration(1, feed, ""), Map.of("ROUTER_NAME", "another"), before);
+        assertEquals(2, process.waitFor());
+        assertEquals(!before.isEmpty(), log().contains("ignores SIGHUP or SIGTERM"), this::log);
+    }
+
     @Test
     void aConfigurationThatDisagreesOrCantBeReadIsToldInWords() throws Exception {
         HttpServer feed = feed(null, new LinkedBlockingQueue<>());
