--- a/cli/src/test/java/pearladder/cli/PlatformCrossingsTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformCrossingsTest.java
@@ -286,6 +286,32 @@
         }
     }
 
+    /** Hundreds connect while the process stands still; it meets them all in its next turns. */
+    @Test
+    void aBurstWhileTheLoopIsLateDoesNotReachTheDescriptorsLimit() throws Exception {
+        try (Worker worker = new Worker("one")) {
+            port = freePort();
+            Path file = configuration(port, feed(null, new LinkedBlockingQueue<>()), worker.member());
+            Files.writeString(file, Files.readString(file).replace("\"sockets\": 512", "\"sockets\": 300"));
+            process = start(file, Map.of(), "ulimit -n 300; ");
+            ready(port);
+            List<Socket> burst = new ArrayList<>();
+            signal("STOP");
+            for (int i = 0; i < 900; i++) {
+                burst.add(new Socket(InetAddress.getLoopbackAddress(), port));
+            }
+            signal("CONT");
+            Socket last = new Socket(InetAddress.getLoopbackAddress(), port);
+            last.getOutputStream().write(request(id(1), new byte[] {'!'}));
+            assertNotNull(MessagePack.newDefaultUnpacker(last.getInputStream()).unpackValue());
+            assertFalse(log().contains("Too many open files"), this::log);
+            last.close();
+            for (Socket socket : burst) {
+                socket.close();
+            }
+        }
+    }
+
     // ---- a start
 
     @Test
