--- a/cli/src/test/java/pearladder/cli/PlatformTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** How the program starts, serves, follows its feed and ends. */
@@ -131,6 +132,21 @@
         }
     }
 
+    /** Guards against a heap that fits one deployment's memory only: a third of what the configuration states. */
+    @ParameterizedTest
+    @CsvSource({"'{\"limits\": {\"cores\": 0.5, \"memory_mb\" : 152, \"sockets\": 9}}', 50", "'{\"limits\":{\"memory_mb\":96}}', 32",
+        "'{\"limits\":{}}', 48"})
+    void theHeapIsAThirdOfTheMemoryThatTheConfigurationStates(String configuration, int heap) throws Exception {
+        Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
+        assertTrue(java.toFile().setExecutable(true));
+        ProcessBuilder router = new ProcessBuilder("/bin/sh", Path.of("..", "deploy", "router").toString(), "platform");
+        router.environment().put("PATH", folder + ":" + System.getenv("PATH"));
+        router.environment().put("ROUTER_CONFIG", Files.writeString(folder.resolve("c.json"), configuration).toString());
+        Process started = router.start();
+        assertEquals("-Xms" + heap + "m -Xmx" + heap + "m platform\n", new String(started.getInputStream().readAllBytes()));
+        assertEquals(0, started.waitFor());
+    }
+
     /** Guards against a router that hears of no new configuration, and nobody knows why: a JVM obeys an ignored SIGHUP. */
     @ParameterizedTest
     @ValueSource(strings = {"trap '' HUP; ", ""})
