A connection given up while it is being opened counts until its socket is released

Cause: WorkerLine.close told its owner at once that the connection was gone, also where the connect was still pending (WorkerLine.java:118-135); the socket stays until the connect succeeds or fails, so Sockets opened another in its place and more sockets were held than the limit allows. Sockets.spare and the idle check chose such connections first (Sockets.java:71, 142), since nothing is out on them.

Sockets evicts and closes as idle only connections that are up.

--- a/decisions/src/main/java/pearladder/sockets/Sockets.java
+++ b/decisions/src/main/java/pearladder/sockets/Sockets.java
@@ -66,7 +66,7 @@
             choose(now, wanted, todo);
         } else if (event instanceof SocketEvent.Beat) {
             List.copyOf(seats).forEach(seat -> judge(now, seat, todo));
-            List.copyOf(links).stream().filter(link -> link.out == 0 && now.since(link.used).longerThan(holding.idle()))
+            List.copyOf(links).stream().filter(link -> unused(link) && now.since(link.used).longerThan(holding.idle()))
                     .forEach(link -> closeLink(link, todo));
         }
         return todo;
@@ -137,11 +137,16 @@
         }
     }
 
+    /** Whether its socket can be had back by closing it: one that is still being opened stays until it is up or has failed. */
+    private static boolean unused(Link link) {
+        return link.up && link.out == 0;
+    }
+
     /** A link that nothing is out on; not one of another worker's where there is one to share. */
     private Link spare(Collection<Link> own, boolean ownOnly) {
         Link spare = null;
         for (Link link : links) {
-            if (link.out == 0 && (!ownOnly || own.contains(link)) && (spare == null || link.used.before(spare.used))) {
+            if (unused(link) && (!ownOnly || own.contains(link)) && (spare == null || link.used.before(spare.used))) {
                 spare = link;
             }
         }
--- a/decisions/src/test/java/pearladder/sockets/SocketsTest.java
+++ b/decisions/src/test/java/pearladder/sockets/SocketsTest.java
@@ -118,6 +118,18 @@
         assertEquals(List.of(new CloseLink(link)), on(new SocketEvent.Beat()));
     }
 
+    @Test
+    void anUnusedConnectionThatStillComesUpMakesNoRoomAndIsNotClosedAsIdle() {
+        for (String worker : List.of("a", "b", "c", "d")) {
+            Link connecting = open(worker, List.of());
+            connecting.up = false;
+            connecting.out = 0;
+        }
+        assertEquals(List.of(), on(new SocketEvent.LinkWanted("e", List.of(), List.of())));
+        now = now.plus(Span.seconds(11));
+        assertEquals(List.of(), on(new SocketEvent.Beat()));
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void whateverHappensNoMoreIsHeldThanMayBe(long seed) {
