--- a/cli/src/main/java/pearladder/cli/CheckCommand.java
+++ b/cli/src/main/java/pearladder/cli/CheckCommand.java
@@ -5,8 +5,8 @@
 import pearladder.emulator.FleetPlan;
 import pearladder.lab.Day;
 import pearladder.lab.Experiment;
-import pearladder.router.core.ArticlesReader;
 import pearladder.router.PlanReader;
+import pearladder.router.core.ArticlesReader;
 import pearladder.yaml.Value;
 import pearladder.yaml.Yaml;
 import picocli.CommandLine.Command;
@@ -14,8 +14,11 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-@Command(name = "check", mixinStandardHelpOptions = true,
-        description = "Check a router's, a fleet's, a day's, an experiment's or a release's file; each mistake is named with line, key and mend.")
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
+        description =
+                "Check a router's, a fleet's, a day's, an experiment's or a release's file; each mistake is named with line, key and mend.")
 final class CheckCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "what is checked")
     private Path file;
--- a/cli/src/main/java/pearladder/cli/Commands.java
+++ b/cli/src/main/java/pearladder/cli/Commands.java
@@ -8,14 +8,32 @@
 import picocli.CommandLine.Spec;
 
 /** All commands. Exit codes: 0 done, 1 failed or a rule broken, 2 a mistake in the command line or in a file. */
-@Command(name = "pearladder", mixinStandardHelpOptions = true, version = "pearladder 0.2.0",
+@Command(
+        name = "pearladder",
+        mixinStandardHelpOptions = true,
+        version = "pearladder 0.2.0",
         description = "Runs calls on workers that load functions or models on demand.",
-        subcommands = {TryCommand.class, RouterCommand.class, EnginesCommand.class, CheckCommand.class, DayCommand.class,
-            RehearseCommand.class, SearchCommand.class,
-            MeasureCommand.class, PassThroughCommand.class, TraceCommand.class, ReplayCommand.class,
-            ExperimentCommand.class, ReportCommand.class, ReleaseCommand.class,
-            RecordsCommand.class, UsageCommand.class,
-            WirehostCommand.class, PlatformCommand.class, CommandLine.HelpCommand.class})
+        subcommands = {
+            TryCommand.class,
+            RouterCommand.class,
+            EnginesCommand.class,
+            CheckCommand.class,
+            DayCommand.class,
+            RehearseCommand.class,
+            SearchCommand.class,
+            MeasureCommand.class,
+            PassThroughCommand.class,
+            TraceCommand.class,
+            ReplayCommand.class,
+            ExperimentCommand.class,
+            ReportCommand.class,
+            ReleaseCommand.class,
+            RecordsCommand.class,
+            UsageCommand.class,
+            WirehostCommand.class,
+            PlatformCommand.class,
+            CommandLine.HelpCommand.class
+        })
 final class Commands implements Runnable {
     /** The command runs on in other threads and ends the process itself. */
     static final int RUNNING = -1;
@@ -42,7 +60,9 @@
         if (failure instanceof java.nio.file.FileSystemException file) {
             // its message is often the bare path
             err.println("pearladder: " + file.getFile() + ": it can't be read or written"
-                    + (file.getReason() == null ? "; check that it and its folder are there" : ": " + file.getReason()));
+                    + (file.getReason() == null
+                            ? "; check that it and its folder are there"
+                            : ": " + file.getReason()));
             return 1;
         }
         if (failure instanceof java.io.IOException || failure instanceof java.io.UncheckedIOException) {
--- a/cli/src/main/java/pearladder/cli/DayCommand.java
+++ b/cli/src/main/java/pearladder/cli/DayCommand.java
@@ -10,18 +10,27 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
-@Command(name = "day", mixinStandardHelpOptions = true, description = {
-    "Play a scripted day: routers and engines as processes on loopback, traffic and troubles.",
-    "Prints the table and the verdict on the five rules; ends with 1 where a rule was broken."})
+@Command(
+        name = "day",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Play a scripted day: routers and engines as processes on loopback, traffic and troubles.",
+            "Prints the table and the verdict on the five rules; ends with 1 where a rule was broken."
+        })
 final class DayCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "the script")
     private Path script;
 
-    @Option(names = "--out", defaultValue = "day-out", paramLabel = "DIR",
+    @Option(
+            names = "--out",
+            defaultValue = "day-out",
+            paramLabel = "DIR",
             description = "where tapes, logs and the table go (default: ${DEFAULT-VALUE})")
     private Path out;
 
-    @Option(names = "--policy", defaultValue = "MODULE",
+    @Option(
+            names = "--policy",
+            defaultValue = "MODULE",
             description = "who decides: ${COMPLETION-CANDIDATES}; RANDOM is a baseline")
     private Decider policy;
 
@@ -35,9 +44,11 @@
     }
 
     /** The same with a trace's calls in place of the script's traffic; null for none. */
-    static int play(Path script, TraceSource.Terms trace, Path out, Decider policy) throws IOException, InterruptedException {
+    static int play(Path script, TraceSource.Terms trace, Path out, Decider policy)
+            throws IOException, InterruptedException {
         Logs.setUp(Logs.Form.TEXT);
-        Day.Outcome outcome = Day.play(script, trace, out, Program.command(), List.of("--policy", policy.name()), System.out);
+        Day.Outcome outcome =
+                Day.play(script, trace, out, Program.command(), List.of("--policy", policy.name()), System.out);
         System.out.println();
         outcome.table().forEach(System.out::println);
         System.out.println("kept in " + out);
--- a/cli/src/main/java/pearladder/cli/EnginesCommand.java
+++ b/cli/src/main/java/pearladder/cli/EnginesCommand.java
@@ -15,10 +15,16 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "engines", mixinStandardHelpOptions = true,
+@Command(
+        name = "engines",
+        mixinStandardHelpOptions = true,
         description = "Run stand-in engines, their shelf and their list on loopback until told to end.")
 final class EnginesCommand implements Callable<Integer> {
-    @Option(names = {"-c", "--config"}, required = true, paramLabel = "FILE", description = "a file with a fleet")
+    @Option(
+            names = {"-c", "--config"},
+            required = true,
+            paramLabel = "FILE",
+            description = "a file with a fleet")
     private Path file;
 
     @Option(names = "--tape", paramLabel = "FILE", description = "keep what the engines see")
@@ -34,7 +40,7 @@
         FleetPlan plan = FleetPlan.read(value.at("fleet"));
         value.done(java.util.Set.of("fleet"));
         Vertx vertx = Vertx.vertx();
-        Consumer<Seen> out = one -> { };
+        Consumer<Seen> out = one -> {};
         if (tape != null) {
             Tape writer = new Tape(tape);
             vertx.setPeriodic(200, tick -> writer.flush());
--- a/cli/src/main/java/pearladder/cli/ExperimentCommand.java
+++ b/cli/src/main/java/pearladder/cli/ExperimentCommand.java
@@ -8,9 +8,13 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
-@Command(name = "experiment", mixinStandardHelpOptions = true, description = {
-    "Run a grid of days one by one (policy, engines, routers, rate, speed, troubles, seeds).",
-    "Goes on where it was cut off; keeps results.csv, a results.json for each run, and report.html."})
+@Command(
+        name = "experiment",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Run a grid of days one by one (policy, engines, routers, rate, speed, troubles, seeds).",
+            "Goes on where it was cut off; keeps results.csv, a results.json for each run, and report.html."
+        })
 final class ExperimentCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "the experiment")
     private Path file;
--- a/cli/src/main/java/pearladder/cli/Logs.java
+++ b/cli/src/main/java/pearladder/cli/Logs.java
@@ -12,9 +12,13 @@
 
 /** Logs on standard error: JSON, a line an event with a field for each figure, or text where a person reads. */
 final class Logs {
-    enum Form { AUTO, JSON, TEXT }
+    enum Form {
+        AUTO,
+        JSON,
+        TEXT
+    }
 
-    private Logs() { }
+    private Logs() {}
 
     static void setUp(Form form) {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
@@ -38,7 +42,9 @@
 
     /** Only what fails: a rehearsal's hundred routers would each tell their modes. */
     static void quiet() {
-        ((LoggerContext) LoggerFactory.getILoggerFactory()).getLogger("pearladder").setLevel(Level.ERROR);
+        ((LoggerContext) LoggerFactory.getILoggerFactory())
+                .getLogger("pearladder")
+                .setLevel(Level.ERROR);
     }
 
     private static Encoder<ILoggingEvent> json(LoggerContext context) {
--- a/cli/src/main/java/pearladder/cli/Main.java
+++ b/cli/src/main/java/pearladder/cli/Main.java
@@ -11,11 +11,15 @@
 /** The command line's door. The bench's adapter and the platform's router start
  * here and load nothing of the rest. */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] arguments) {
         String only = arguments.length == 1 ? arguments[0] : "";
-        int status = only.equals("wirehost") ? wirehost() : only.equals("platform") || only.equals("practice") ? platform(only.equals("practice")) : Commands.run(arguments);
+        int status = only.equals("wirehost")
+                ? wirehost()
+                : only.equals("platform") || only.equals("practice")
+                        ? platform(only.equals("practice"))
+                        : Commands.run(arguments);
         if (status >= 0) {
             System.exit(status);
         }
@@ -42,8 +46,9 @@
         Signals signals = Signals.heard();
         Logs.setUp(Logs.Form.TEXT);
         if (signals.deaf()) {
-            System.err.println("pearladder: whoever started this ignores SIGHUP or SIGTERM (as nohup does), and so it never hears them;"
-                    + " start it without");
+            System.err.println(
+                    "pearladder: whoever started this ignores SIGHUP or SIGTERM (as nohup does), and so it never hears them;"
+                            + " start it without");
         }
         String file = System.getenv("ROUTER_CONFIG");
         if (file == null) {
@@ -51,10 +56,11 @@
             return 2;
         }
         try {
-            PlatformRouter router = new PlatformRouter(Path.of(file), System.getenv(), Policy::new,
-                    status -> Runtime.getRuntime().halt(status));
+            PlatformRouter router =
+                    new PlatformRouter(Path.of(file), System.getenv(), Policy::new, status -> Runtime.getRuntime()
+                            .halt(status));
             signals.on(router::reload, router::stop);
-            router.start(practice ? router::stop : () -> { });
+            router.start(practice ? router::stop : () -> {});
             return Commands.RUNNING;
         } catch (BadInput bad) {
             System.err.println("pearladder: " + bad.getMessage());
--- a/cli/src/main/java/pearladder/cli/MeasureCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeasureCommand.java
@@ -10,7 +10,9 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "measure", mixinStandardHelpOptions = true,
+@Command(
+        name = "measure",
+        mixinStandardHelpOptions = true,
         description = "Measure what the router adds to a call, and what one decision costs; on loopback, some minutes.")
 final class MeasureCommand implements Callable<Integer> {
     @Option(names = "--out", defaultValue = "measure-out", paramLabel = "DIR", description = "for logs")
@@ -22,13 +24,17 @@
     @Option(names = "--seconds", defaultValue = "4", description = "seconds a round (default: ${DEFAULT-VALUE})")
     private int seconds;
 
-    @Option(names = "--releases", description = "instead, trials of the release module alone: shares, and wrong and missed verdicts")
+    @Option(
+            names = "--releases",
+            description = "instead, trials of the release module alone: shares, and wrong and missed verdicts")
     private boolean releases;
 
     @Option(names = "--queue", description = "instead, what an event costs in the rehearsals' queue")
     private boolean queue;
 
-    @Option(names = "--records", description = "instead, what records cost a call: without, with, and with a store that stalls")
+    @Option(
+            names = "--records",
+            description = "instead, what records cost a call: without, with, and with a store that stalls")
     private boolean records;
 
     @Override
--- a/cli/src/main/java/pearladder/cli/Program.java
+++ b/cli/src/main/java/pearladder/cli/Program.java
@@ -8,7 +8,7 @@
 
 /** The command that runs this very program, for children of a day. */
 final class Program {
-    private Program() { }
+    private Program() {}
 
     /** Which build this is: a check sum of the jar, or "classes" where it runs from a build's folders. */
     static String build() throws IOException {
@@ -23,7 +23,12 @@
 
     static List<String> command() {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        return List.of(java, "-Xmx512m", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
+        return List.of(
+                java,
+                "-Xmx512m",
+                "-XX:+UseSerialGC",
+                "-cp",
+                System.getProperty("java.class.path"),
                 "pearladder.cli.Main");
     }
 }
--- a/cli/src/main/java/pearladder/cli/RehearseCommand.java
+++ b/cli/src/main/java/pearladder/cli/RehearseCommand.java
@@ -21,14 +21,21 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
-@Command(name = "rehearse", mixinStandardHelpOptions = true, description = {
-    "Play a day's script in virtual time: the routers' own code, emulated engines and network, in one process.",
-    "The same script and seed give the same digest. Ends with 1 where a rule or an expectation was not kept."})
+@Command(
+        name = "rehearse",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Play a day's script in virtual time: the routers' own code, emulated engines and network, in one process.",
+            "The same script and seed give the same digest. Ends with 1 where a rule or an expectation was not kept."
+        })
 final class RehearseCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "the script")
     private Path file;
 
-    @Option(names = "--engines", defaultValue = "0", description = "as many engines in place of the script's, in its shares")
+    @Option(
+            names = "--engines",
+            defaultValue = "0",
+            description = "as many engines in place of the script's, in its shares")
     private int engines;
 
     @Option(names = "--routers", defaultValue = "0", description = "as many routers in place of the script's")
@@ -46,24 +53,40 @@
     @Option(names = "--speed", defaultValue = "1", description = "of the trace (default: ${DEFAULT-VALUE})")
     private double speed;
 
-    @Option(names = "--lasting", defaultValue = "0", paramLabel = "SECONDS", description = "of the trace; 0 for all of it")
+    @Option(
+            names = "--lasting",
+            defaultValue = "0",
+            paramLabel = "SECONDS",
+            description = "of the trace; 0 for all of it")
     private double lasting;
 
     @Option(names = "--runs", defaultValue = "1", description = "one after the other seed (default: ${DEFAULT-VALUE})")
     private int runs;
 
-    @Option(names = "--jobs", defaultValue = "1", description = "runs at once; the results are the same (default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--jobs",
+            defaultValue = "1",
+            description = "runs at once; the results are the same (default: ${DEFAULT-VALUE})")
     private int jobs;
 
-    @Option(names = "--grow", split = ",", paramLabel = "ENGINESxROUTERS", description = {
-        "the same day at these sizes, one after the other: calls, models and the shelf go with the engines;",
-        "the page charts what grows. 100x10,1000x100"})
+    @Option(
+            names = "--grow",
+            split = ",",
+            paramLabel = "ENGINESxROUTERS",
+            description = {
+                "the same day at these sizes, one after the other: calls, models and the shelf go with the engines;",
+                "the page charts what grows. 100x10,1000x100"
+            })
     private List<String> sizes = List.of();
 
     @Option(names = "--sockets", description = "the same script with processes over sockets")
     private boolean sockets;
 
-    @Option(names = "--out", defaultValue = "rehearse-out", paramLabel = "DIR", description = "results and the report's page")
+    @Option(
+            names = "--out",
+            defaultValue = "rehearse-out",
+            paramLabel = "DIR",
+            description = "results and the report's page")
     private Path out;
 
     @Option(names = "--policy", defaultValue = "MODULE", description = "who decides: ${COMPLETION-CANDIDATES}")
@@ -77,8 +100,21 @@
         Scripts.check(file);
         Scripts.resize(script, engines, routers, rate);
         int first = seed >= 0 ? seed : script.at("/day/seed").asInt(1);
-        TraceSource.Terms terms = trace == null ? null : new TraceSource.Terms(trace, null, null, null, speed, 60_000_000_000L, 0,
-                Math.round(lasting * 1e9), 1, 500_000_000L, 20_000_000L, false);
+        TraceSource.Terms terms = trace == null
+                ? null
+                : new TraceSource.Terms(
+                        trace,
+                        null,
+                        null,
+                        null,
+                        speed,
+                        60_000_000_000L,
+                        0,
+                        Math.round(lasting * 1e9),
+                        1,
+                        500_000_000L,
+                        20_000_000L,
+                        false);
         if (sockets) {
             Files.createDirectories(out);
             Path written = out.resolve("day.yaml");
@@ -95,8 +131,8 @@
             ObjectNode one = script.deepCopy();
             one.withObject("/day").put("seed", first + i);
             Path folder = runs == 1 ? out : out.resolve("run.s" + (first + i));
-            all.add(pool.submit(() -> Rehearsal.play(one, file.toString(), terms, policy.maker::make, folder,
-                    runs == 1 ? System.out : null)));
+            all.add(pool.submit(() -> Rehearsal.play(
+                    one, file.toString(), terms, policy.maker::make, folder, runs == 1 ? System.out : null)));
         }
         pool.shutdown();
         boolean kept = true;
@@ -131,7 +167,8 @@
             grown.withObject("/day").put("seed", seed);
             String[] parts = size.split("x");
             Scripts.grow(grown, Integer.parseInt(parts[0]), Integer.parseInt(parts[1]));
-            Rehearsal.Outcome outcome = Rehearsal.play(grown, file.toString(), policy.maker::make, out.resolve(size), System.out);
+            Rehearsal.Outcome outcome =
+                    Rehearsal.play(grown, file.toString(), policy.maker::make, out.resolve(size), System.out);
             kept &= outcome.kept();
             System.out.println(size + ": " + line(outcome));
         }
@@ -141,10 +178,20 @@
     }
 
     private static String line(Rehearsal.Outcome outcome) {
-        return String.format(Locale.ROOT, "credit %.3f, worst 10 s %.3f, %d calls, %d loads, digest %s, %s; %d events at %.0f a second,"
-                + " decisions %.2f us each, %d list entries told, %.1f s of this machine", outcome.credit(), outcome.worst(),
-                outcome.calls(), outcome.loads(), outcome.digest(), outcome.kept() ? "kept" : "NOT KEPT", outcome.events(),
-                outcome.events() / outcome.wallSeconds(), outcome.decidedNanos() / 1e3 / Math.max(1, outcome.decisions()),
-                outcome.told(), outcome.wallSeconds());
+        return String.format(
+                Locale.ROOT,
+                "credit %.3f, worst 10 s %.3f, %d calls, %d loads, digest %s, %s; %d events at %.0f a second,"
+                        + " decisions %.2f us each, %d list entries told, %.1f s of this machine",
+                outcome.credit(),
+                outcome.worst(),
+                outcome.calls(),
+                outcome.loads(),
+                outcome.digest(),
+                outcome.kept() ? "kept" : "NOT KEPT",
+                outcome.events(),
+                outcome.events() / outcome.wallSeconds(),
+                outcome.decidedNanos() / 1e3 / Math.max(1, outcome.decisions()),
+                outcome.told(),
+                outcome.wallSeconds());
     }
 }
--- a/cli/src/main/java/pearladder/cli/ReplayCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReplayCommand.java
@@ -8,9 +8,13 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "replay", mixinStandardHelpOptions = true, description = {
-    "Replay a trace over sockets against real routers and stand-in engines.",
-    "The fleet's file is a day's script; its flows say whose calls the models' are."})
+@Command(
+        name = "replay",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Replay a trace over sockets against real routers and stand-in engines.",
+            "The fleet's file is a day's script; its flows say whose calls the models' are."
+        })
 final class ReplayCommand implements Callable<Integer> {
     @CommandLine.Mixin
     private TraceCommand.Input input;
@@ -24,10 +28,18 @@
     @Option(names = "--speed", defaultValue = "1", description = "times faster than it was (default: ${DEFAULT-VALUE})")
     private double speed;
 
-    @Option(names = "--most", defaultValue = "0", paramLabel = "CALLS", description = "end after so many calls; 0 for all")
+    @Option(
+            names = "--most",
+            defaultValue = "0",
+            paramLabel = "CALLS",
+            description = "end after so many calls; 0 for all")
     private long most;
 
-    @Option(names = "--lasting", defaultValue = "0", paramLabel = "SECONDS", description = "end after so long; 0 for all")
+    @Option(
+            names = "--lasting",
+            defaultValue = "0",
+            paramLabel = "SECONDS",
+            description = "end after so long; 0 for all")
     private double lasting;
 
     @Option(names = "--work-scale", defaultValue = "1", description = "of the work that the trace tells")
@@ -44,9 +56,19 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        TraceSource.Terms terms = new TraceSource.Terms(input.file, input.layout, input.durations, input.memory, speed,
-                Math.round(input.window * 1e9), most, Math.round(lasting * 1e9), workScale, Math.round(longest * 1e6),
-                Math.round(usual * 1e6), input.strict);
+        TraceSource.Terms terms = new TraceSource.Terms(
+                input.file,
+                input.layout,
+                input.durations,
+                input.memory,
+                speed,
+                Math.round(input.window * 1e9),
+                most,
+                Math.round(lasting * 1e9),
+                workScale,
+                Math.round(longest * 1e6),
+                Math.round(usual * 1e6),
+                input.strict);
         return DayCommand.play(script, terms, out, policy);
     }
 }
--- a/cli/src/main/java/pearladder/cli/ReportCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReportCommand.java
@@ -7,8 +7,11 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
-@Command(name = "report", mixinStandardHelpOptions = true,
-        description = "Make one page with tables and charts from the results in a folder and the folders right below it.")
+@Command(
+        name = "report",
+        mixinStandardHelpOptions = true,
+        description =
+                "Make one page with tables and charts from the results in a folder and the folders right below it.")
 final class ReportCommand implements Callable<Integer> {
     @Parameters(paramLabel = "DIR", description = "of a day, a replay or an experiment")
     private Path folder;
--- a/cli/src/main/java/pearladder/cli/RouterCommand.java
+++ b/cli/src/main/java/pearladder/cli/RouterCommand.java
@@ -8,16 +8,22 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import pearladder.router.Router;
 import pearladder.router.core.Articles;
 import pearladder.router.core.ArticlesReader;
-import pearladder.router.Router;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "router", mixinStandardHelpOptions = true,
+@Command(
+        name = "router",
+        mixinStandardHelpOptions = true,
         description = "Run a router until it is told to end (SIGTERM: finish what is held, then exit with 0).")
 final class RouterCommand implements Callable<Integer> {
-    @Option(names = {"-c", "--config"}, required = true, paramLabel = "FILE", description = "the router's file")
+    @Option(
+            names = {"-c", "--config"},
+            required = true,
+            paramLabel = "FILE",
+            description = "the router's file")
     private Path file;
 
     @Option(names = "--log", defaultValue = "AUTO", description = "${COMPLETION-CANDIDATES}")
@@ -36,7 +42,9 @@
         Router router;
         try {
             router = Router.start(articles, policy.maker, seed != null ? seed : new SecureRandom().nextLong())
-                    .toCompletionStage().toCompletableFuture().get(30, TimeUnit.SECONDS);
+                    .toCompletionStage()
+                    .toCompletableFuture()
+                    .get(30, TimeUnit.SECONDS);
         } catch (ExecutionException failed) {
             throw new IOException(failed.getCause().getMessage());
         } catch (TimeoutException late) {
--- a/cli/src/main/java/pearladder/cli/SearchCommand.java
+++ b/cli/src/main/java/pearladder/cli/SearchCommand.java
@@ -12,9 +12,13 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
-@Command(name = "search", mixinStandardHelpOptions = true, description = {
-    "Look for troubles, times and a seed under which the routers do worst or break a rule, by rehearsal.",
-    "The script's own troubles are replaced; what is found is made small and written as a script."})
+@Command(
+        name = "search",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Look for troubles, times and a seed under which the routers do worst or break a rule, by rehearsal.",
+            "The script's own troubles are replaced; what is found is made small and written as a script."
+        })
 final class SearchCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "the script whose fleet, traffic and rules are kept")
     private Path file;
--- a/cli/src/main/java/pearladder/cli/TraceCommand.java
+++ b/cli/src/main/java/pearladder/cli/TraceCommand.java
@@ -31,7 +31,10 @@
         @Parameters(index = "0", paramLabel = "FILE", description = "the trace, plain or gzip")
         Path file;
 
-        @Option(names = "--layout", converter = LayoutWord.class, paramLabel = "LAYOUT",
+        @Option(
+                names = "--layout",
+                converter = LayoutWord.class,
+                paramLabel = "LAYOUT",
                 description = "plain, azure-functions-2019, azure-functions-2021, azure-llm, google-2011, alibaba-2018;"
                         + " told from the first line where it is missing")
         Layout layout;
@@ -42,7 +45,10 @@
         @Option(names = "--memory", paramLabel = "FILE", description = "azure-functions-2019: memory by app")
         Path memory;
 
-        @Option(names = "--window", defaultValue = "60", paramLabel = "SECONDS",
+        @Option(
+                names = "--window",
+                defaultValue = "60",
+                paramLabel = "SECONDS",
                 description = "put rows back in order within it (default: ${DEFAULT-VALUE})")
         double window;
 
@@ -59,12 +65,18 @@
                     if (rows != null) {
                         rows.println(row);
                     } else if (kept[0].count() <= 10) {
-                        err.println(file + ": " + row + (kept[0].count() == 10 ? " (further ones: --skipped FILE)" : ""));
+                        err.println(
+                                file + ": " + row + (kept[0].count() == 10 ? " (further ones: --skipped FILE)" : ""));
                     }
                 });
                 kept[0] = skipped;
-                return TraceFile.read(file, layout, Companions.read(durations, memory, skipped),
-                        Math.round(window * 1e9), skipped, out);
+                return TraceFile.read(
+                        file,
+                        layout,
+                        Companions.read(durations, memory, skipped),
+                        Math.round(window * 1e9),
+                        skipped,
+                        out);
             } catch (Skipped.Strict strictly) {
                 throw new IOException(file + ": " + strictly.getMessage() + " (--strict)", strictly);
             }
@@ -88,7 +100,9 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "info, convert, cut or make is missing");
     }
 
-    @Command(name = "info", mixinStandardHelpOptions = true,
+    @Command(
+            name = "info",
+            mixinStandardHelpOptions = true,
             description = "Span, rows, rate over time, skew of models, rows left out by reason, digest.")
     int info(@CommandLine.Mixin Input input) throws IOException {
         TraceInfo info = new TraceInfo();
@@ -99,36 +113,63 @@
     }
 
     @Command(name = "convert", mixinStandardHelpOptions = true, description = "Write a trace in the plain layout.")
-    int convert(@CommandLine.Mixin Input input, @Parameters(index = "1", paramLabel = "TO", description = "the new file") Path to)
+    int convert(
+            @CommandLine.Mixin Input input,
+            @Parameters(index = "1", paramLabel = "TO", description = "the new file") Path to)
             throws IOException {
         return write(input, to, 0, Long.MAX_VALUE, 1, 0);
     }
 
-    @Command(name = "cut", mixinStandardHelpOptions = true, description = "Write a part of a trace in the plain layout.")
-    int cut(@CommandLine.Mixin Input input, @Parameters(index = "1", paramLabel = "TO", description = "the new file") Path to,
-            @Option(names = "--from", defaultValue = "0", paramLabel = "SECONDS", description = "after the first call") double from,
+    @Command(
+            name = "cut",
+            mixinStandardHelpOptions = true,
+            description = "Write a part of a trace in the plain layout.")
+    int cut(
+            @CommandLine.Mixin Input input,
+            @Parameters(index = "1", paramLabel = "TO", description = "the new file") Path to,
+            @Option(names = "--from", defaultValue = "0", paramLabel = "SECONDS", description = "after the first call")
+                    double from,
             @Option(names = "--until", paramLabel = "SECONDS", description = "after the first call") Double until,
             @Option(names = "--share", defaultValue = "1", description = "of the models, from 0 to 1") double share,
             @Option(names = "--seed", defaultValue = "0", description = "of the choice of models") int seed)
             throws IOException {
-        return write(input, to, Math.round(from * 1e9), until == null ? Long.MAX_VALUE : Math.round(until * 1e9), share, seed);
+        return write(
+                input,
+                to,
+                Math.round(from * 1e9),
+                until == null ? Long.MAX_VALUE : Math.round(until * 1e9),
+                share,
+                seed);
     }
 
-    @Command(name = "make", mixinStandardHelpOptions = true, description = {
-        "Make a trace where none is at hand, in the plain layout: Zipf's law down to models called once,",
-        "minutes of more and less, timers that pulse. The same seed makes the same trace."})
-    int make(@Parameters(index = "0", paramLabel = "TO", description = "the new file") Path to,
+    @Command(
+            name = "make",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Make a trace where none is at hand, in the plain layout: Zipf's law down to models called once,",
+                "minutes of more and less, timers that pulse. The same seed makes the same trace."
+            })
+    int make(
+            @Parameters(index = "0", paramLabel = "TO", description = "the new file") Path to,
             @Option(names = "--models", defaultValue = "200", description = "(default: ${DEFAULT-VALUE})") int models,
-            @Option(names = "--skew", defaultValue = "1", description = "Zipf's exponent (default: ${DEFAULT-VALUE})") double skew,
-            @Option(names = "--rate", defaultValue = "100", description = "calls a second (default: ${DEFAULT-VALUE})") double rate,
+            @Option(names = "--skew", defaultValue = "1", description = "Zipf's exponent (default: ${DEFAULT-VALUE})")
+                    double skew,
+            @Option(names = "--rate", defaultValue = "100", description = "calls a second (default: ${DEFAULT-VALUE})")
+                    double rate,
             @Option(names = "--lasting", defaultValue = "60", paramLabel = "SECONDS") double seconds,
-            @Option(names = "--timers", defaultValue = "0.05", description = "share from timers (default: ${DEFAULT-VALUE})") double timers,
+            @Option(
+                            names = "--timers",
+                            defaultValue = "0.05",
+                            description = "share from timers (default: ${DEFAULT-VALUE})")
+                    double timers,
             @Option(names = "--bursts", defaultValue = "0.5", description = "how minutes differ, 0 to 1") double bursts,
             @Option(names = "--work", defaultValue = "20", paramLabel = "MS", description = "mean work") double work,
-            @Option(names = "--seed", defaultValue = "1") long seed) throws IOException {
+            @Option(names = "--seed", defaultValue = "1") long seed)
+            throws IOException {
         refuseOld(to);
         TraceMaker.Terms terms = new TraceMaker.Terms(models, skew, rate, seconds, timers, bursts, work, seed);
-        try (BufferedWriter writer = Files.newBufferedWriter(to); TraceCut cut = new TraceCut(writer, 0, Long.MAX_VALUE, 1, 0)) {
+        try (BufferedWriter writer = Files.newBufferedWriter(to);
+                TraceCut cut = new TraceCut(writer, 0, Long.MAX_VALUE, 1, 0)) {
             TraceMaker.make(terms, cut);
             spec.commandLine().getOut().println(cut.written() + " calls written to " + to);
         }
@@ -144,10 +185,13 @@
     private int write(Input input, Path to, long from, long until, double share, int seed) throws IOException {
         Skipped[] skipped = {null};
         refuseOld(to);
-        try (BufferedWriter writer = Files.newBufferedWriter(to); TraceCut cut = new TraceCut(writer, from, until, share, seed)) {
+        try (BufferedWriter writer = Files.newBufferedWriter(to);
+                TraceCut cut = new TraceCut(writer, from, until, share, seed)) {
             TraceFile.Read read = input.read(cut, skipped, spec.commandLine().getErr());
-            spec.commandLine().getOut().println(cut.written() + " of " + read.calls() + " calls written to " + to + ", "
-                    + skipped[0].count() + " rows left out");
+            spec.commandLine()
+                    .getOut()
+                    .println(cut.written() + " of " + read.calls() + " calls written to " + to + ", "
+                            + skipped[0].count() + " rows left out");
         }
         return 0;
     }
--- a/cli/src/main/java/pearladder/cli/TryCommand.java
+++ b/cli/src/main/java/pearladder/cli/TryCommand.java
@@ -9,7 +9,9 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-@Command(name = "try", mixinStandardHelpOptions = true,
+@Command(
+        name = "try",
+        mixinStandardHelpOptions = true,
         description = "Half a minute of everything on loopback: engines, shelf, list, two routers, one trouble.")
 final class TryCommand implements Callable<Integer> {
     @Option(names = "--out", defaultValue = "try-out", paramLabel = "DIR", description = "where it is kept")
--- a/cli/src/test/java/pearladder/cli/CommandsTest.java
+++ b/cli/src/test/java/pearladder/cli/CommandsTest.java
@@ -18,7 +18,10 @@
     private int run(String... words) {
         out.getBuffer().setLength(0);
         err.getBuffer().setLength(0);
-        return Commands.line().setOut(new PrintWriter(out, true)).setErr(new PrintWriter(err, true)).execute(words);
+        return Commands.line()
+                .setOut(new PrintWriter(out, true))
+                .setErr(new PrintWriter(err, true))
+                .execute(words);
     }
 
     @Test
@@ -27,7 +30,8 @@
         String text = "arrival_s,model,work_ms,memory_mb,category,account\n0,a,,,,\n5,b,,,,\n9,c,,,,\n";
         Files.writeString(from, text);
         Path to = folder.resolve("to.csv");
-        assertEquals(0, run("trace", "cut", from.toString(), to.toString(), "--from", "4", "--until", "9"), err.toString());
+        assertEquals(
+                0, run("trace", "cut", from.toString(), to.toString(), "--from", "4", "--until", "9"), err.toString());
         assertTrue(out.toString().startsWith("1 of 3 calls written"), out.toString());
         assertTrue(Files.readString(to).endsWith("\n1,b,,,,\n"), Files.readString(to));
         assertEquals(text, Files.readString(from));
@@ -40,13 +44,16 @@
     void mistakesOfAUserAreToldInWordsWithTheirExitCode(@TempDir Path folder) throws IOException {
         Path odd = Files.writeString(folder.resolve("odd.yaml"), "day: {lasting: 5}\n");
         assertEquals(2, run("check", odd.toString()));
-        assertTrue(err.toString().contains("odd.yaml:1: day.lasting: a span of time with its unit was expected"), err.toString());
+        assertTrue(
+                err.toString().contains("odd.yaml:1: day.lasting: a span of time with its unit was expected"),
+                err.toString());
         assertEquals(2, run("nothing"));
         assertEquals(2, run());
         assertEquals(1, run("trace", "info", folder.resolve("none").toString()));
         assertEquals(1, run("report", folder.resolve("none").toString()));
         assertTrue(err.toString().contains("can't be read"), err.toString());
-        Path trace = Files.writeString(folder.resolve("t.csv"), "arrival_s,model,work_ms,memory_mb,category,account\nx,a\n1,b\n");
+        Path trace = Files.writeString(
+                folder.resolve("t.csv"), "arrival_s,model,work_ms,memory_mb,category,account\nx,a\n1,b\n");
         assertEquals(0, run("trace", "info", trace.toString()));
         assertTrue(err.toString().contains("line 2, arrival_s: not a number \"x\""), err.toString());
         assertTrue(out.toString().contains("left out, arrival_s: not a number: 1"), out.toString());
--- a/cli/src/test/java/pearladder/cli/DayTest.java
+++ b/cli/src/test/java/pearladder/cli/DayTest.java
@@ -26,7 +26,8 @@
 
 /** The whole path as processes, with faults injected; the slack is wide, so that a slow machine gives the same verdict. */
 class DayTest {
-    private static final String SCRIPT = """
+    private static final String SCRIPT =
+            """
             day: {name: small, lasting: 12 s, seed: 9, halls: [east, west], routers: 2, rate: 50, slack: 2 s}
             clients: {tries: 3, pause: 150 ms, front_lag: 500 ms, leaving: 0.03}
             traffic:
@@ -59,17 +60,18 @@
               engines: [{name: engine, count: 6, kind: std, halls: [east, west]}]
             """;
 
-    private static final String ORDER = "{\"epoch\":%d,\"mode\":\"PAUSED\",\"step\":0,\"by\":\"ops\",\"wallMillis\":1,\"plan\":"
-            + "{\"model\":\"a\",\"from\":\"\",\"to\":\"2\",\"steps\":[1.0],\"hold\":{\"nanos\":1},\"leastCalls\":1,"
-            + "\"gate\":{\"excess\":0.1,\"wrongly\":0.01,\"missed\":0.05},\"onBreach\":\"PAUSE\"}}";
+    private static final String ORDER =
+            "{\"epoch\":%d,\"mode\":\"PAUSED\",\"step\":0,\"by\":\"ops\",\"wallMillis\":1,\"plan\":"
+                    + "{\"model\":\"a\",\"from\":\"\",\"to\":\"2\",\"steps\":[1.0],\"hold\":{\"nanos\":1},\"leastCalls\":1,"
+                    + "\"gate\":{\"excess\":0.1,\"wrongly\":0.01,\"missed\":0.05},\"onBreach\":\"PAUSE\"}}";
 
     @Test
     void aSmallBadDayKeepsTheRulesOverTheSockets(@TempDir Path folder) throws IOException, InterruptedException {
         Path script = folder.resolve("day.yaml");
         Files.writeString(script, SCRIPT);
         ByteArrayOutputStream said = new ByteArrayOutputStream();
-        Day.Outcome outcome = Day.play(script, folder, Program.command(), List.of(), new PrintStream(said, true,
-                StandardCharsets.UTF_8));
+        Day.Outcome outcome = Day.play(
+                script, folder, Program.command(), List.of(), new PrintStream(said, true, StandardCharsets.UTF_8));
         assertEquals(List.of(), outcome.verdict().breaches());
         assertEquals(List.of(), outcome.faults());
         for (RulesChecker.Rule rule : RulesChecker.Rule.values()) {
@@ -79,9 +81,14 @@
         assertTrue(outcome.credit() > 0.3, "credit: " + outcome.credit());
         List<Seen> tape = new ArrayList<>();
         Tape.read(folder.resolve("clients.tape"), tape::add);
-        assertEquals(1, tape.stream().filter(seen -> seen.what().equals(Seen.KILLED)).count());
-        assertEquals(3, tape.stream().filter(seen -> seen.what().equals(Seen.STARTED)).count());
-        assertEquals(7, tape.stream().filter(seen -> seen.what().equals(Seen.TROUBLE)).count());
+        assertEquals(
+                1, tape.stream().filter(seen -> seen.what().equals(Seen.KILLED)).count());
+        assertEquals(
+                3,
+                tape.stream().filter(seen -> seen.what().equals(Seen.STARTED)).count());
+        assertEquals(
+                7,
+                tape.stream().filter(seen -> seen.what().equals(Seen.TROUBLE)).count());
         assertTrue(said.toString(StandardCharsets.UTF_8).contains("curl -i http://127.0.0.1:"));
     }
 
@@ -89,7 +96,9 @@
     void aFileWithMistakesStartsNothing(@TempDir Path folder) throws IOException, InterruptedException {
         Path file = folder.resolve("router.yaml");
         Files.writeString(file, "router: {name: r 1, listen: here}\nlist: {address: \"127.0.0.1:0\"}\nmodels: 3\n");
-        Process process = new ProcessBuilder(command("router", "-c", file.toString())).redirectErrorStream(true).start();
+        Process process = new ProcessBuilder(command("router", "-c", file.toString()))
+                .redirectErrorStream(true)
+                .start();
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(2, process.waitFor(), said);
         List<String> lines = said.lines().toList();
@@ -117,27 +126,37 @@
     void anOrderThatAFullDiskCantTakeIsRefusedAndTheRouterServesOn(@TempDir Path folder)
             throws IOException, InterruptedException {
         Path file = folder.resolve("router.yaml");
-        Files.writeString(file, "router: {name: r1, listen: \"127.0.0.1:0\", admin: \"127.0.0.1:0\", data: \"" + folder
-                + "/data\", stop_within: 1 s}\nlist: {address: \"127.0.0.1:1\"}\ncategories:\n  draft: {expected: 1 s, abandon: "
-                + "2 s, effect: retriable}\nmodels: [{name: \"*\", memory: 1 MB, lanes: 1}]\n");
+        Files.writeString(
+                file,
+                "router: {name: r1, listen: \"127.0.0.1:0\", admin: \"127.0.0.1:0\", data: \"" + folder
+                        + "/data\", stop_within: 1 s}\nlist: {address: \"127.0.0.1:1\"}\ncategories:\n  draft: {expected: 1 s, abandon: "
+                        + "2 s, effect: retriable}\nmodels: [{name: \"*\", memory: 1 MB, lanes: 1}]\n");
         List<String> words = command("router", "-c", file.toString());
         words.add(1, "-XX:-UsePerfData");
         List<String> limited = new ArrayList<>(List.of("sh", "-c", "ulimit -f 4; exec \"$@\"", "sh"));
         limited.addAll(words);
-        Process process = new ProcessBuilder(limited).redirectError(ProcessBuilder.Redirect.DISCARD).start();
-        try (BufferedReader out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+        Process process = new ProcessBuilder(limited)
+                .redirectError(ProcessBuilder.Redirect.DISCARD)
+                .start();
+        try (BufferedReader out =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
             String line = out.readLine();
             String door = "http://127.0.0.1:" + line.replaceAll(".*\"admin\":([0-9]+).*", "$1") + "/releases";
             HttpClient client = HttpClient.newHttpClient();
             int taken = 0;
             HttpResponse<String> answer;
             do {
-                answer = client.send(HttpRequest.newBuilder(URI.create(door)).POST(HttpRequest.BodyPublishers.ofString(
-                        ORDER.formatted(taken + 1))).build(), HttpResponse.BodyHandlers.ofString());
+                answer = client.send(
+                        HttpRequest.newBuilder(URI.create(door))
+                                .POST(HttpRequest.BodyPublishers.ofString(ORDER.formatted(taken + 1)))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString());
             } while (answer.statusCode() == 200 && ++taken < 100);
             assertEquals(409, answer.statusCode(), answer.body());
-            assertTrue(taken > 2 && answer.body().contains("the journal can't be written"), taken + " " + answer.body());
-            String status = client.send(HttpRequest.newBuilder(URI.create(door)).build(), HttpResponse.BodyHandlers.ofString())
+            assertTrue(
+                    taken > 2 && answer.body().contains("the journal can't be written"), taken + " " + answer.body());
+            String status = client.send(
+                            HttpRequest.newBuilder(URI.create(door)).build(), HttpResponse.BodyHandlers.ofString())
                     .body();
             assertTrue(status.contains("epoch " + taken + ", paused"), status);
         } finally {
--- a/cli/src/test/java/pearladder/cli/PlatformCrossingsTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformCrossingsTest.java
@@ -33,7 +33,11 @@
     private static final int SMALL = 4096;
     private static final byte[] LARGE = new byte[15_000];
 
-    enum Leaving { CLOSE, HALF_CLOSE, RESET }
+    enum Leaving {
+        CLOSE,
+        HALF_CLOSE,
+        RESET
+    }
 
     private int port;
 
@@ -57,7 +61,9 @@
         while (true) {
             try (Socket other = new Socket(InetAddress.getLoopbackAddress(), port)) {
                 other.getOutputStream().write(message("check", Map.of(), null));
-                ArrayValue answer = MessagePack.newDefaultUnpacker(other.getInputStream()).unpackValue().asArrayValue();
+                ArrayValue answer = MessagePack.newDefaultUnpacker(other.getInputStream())
+                        .unpackValue()
+                        .asArrayValue();
                 if (!answer.get(3).asArrayValue().get(0).asBooleanValue().getBoolean()) {
                     return;
                 }
@@ -119,7 +125,9 @@
             signal("TERM");
             refuses();
             client.getOutputStream().write(whole, whole.length / 2, whole.length - whole.length / 2);
-            assertEquals("Overloaded", heard().get(2).asArrayValue().get(0).asStringValue().asString());
+            assertEquals(
+                    "Overloaded",
+                    heard().get(2).asArrayValue().get(0).asStringValue().asString());
             exits();
         }
     }
@@ -134,7 +142,9 @@
                 early.getOutputStream().write(request(id(1), new byte[] {'!'}));
                 signal("TERM");
                 signal("CONT");
-                ArrayValue answer = MessagePack.newDefaultUnpacker(early.getInputStream()).unpackValue().asArrayValue();
+                ArrayValue answer = MessagePack.newDefaultUnpacker(early.getInputStream())
+                        .unpackValue()
+                        .asArrayValue();
                 assertEquals("one!", served(answer));
             }
             exits();
@@ -175,16 +185,23 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aNewConfigurationTogetherWithAStopIsFollowedAndNothingHeldIsLost(boolean stop) throws Exception {
-        try (Worker worker = new Worker("one"); Worker two = new Worker("two")) {
+        try (Worker worker = new Worker("one");
+                Worker two = new Worker("two")) {
             HttpServer feed = feed(null, new LinkedBlockingQueue<>());
             begin(worker, feed);
             worker.let = new CountDownLatch(1);
             call(id(1));
             worker.called.take();
             Path file = configuration(port, feed, worker.member());
-            Files.writeString(file, Files.readString(file).replace("\"known\": {\"n\": 1, \"events\": [", "\"known\": {\"n\": 2, \"events\": [")
-                    .replace("]}}]}", "]}}, {\"n\": 2, \"members\": {\"version\": 8, \"full\": false, \"servers\": ["
-                            + worker.member().replace("in_service", "terminating") + ", " + two.member() + "]}}]}"));
+            Files.writeString(
+                    file,
+                    Files.readString(file)
+                            .replace("\"known\": {\"n\": 1, \"events\": [", "\"known\": {\"n\": 2, \"events\": [")
+                            .replace(
+                                    "]}}]}",
+                                    "]}}, {\"n\": 2, \"members\": {\"version\": 8, \"full\": false, \"servers\": ["
+                                            + worker.member().replace("in_service", "terminating") + ", " + two.member()
+                                            + "]}}]}"));
             assertTrue(Files.readString(file).contains("terminating"), "the file tells of the drain");
             signal("STOP");
             signal("HUP");
@@ -209,7 +226,8 @@
     /** The first new address never comes up: its listener's queue is full. The second is told meanwhile. */
     @Test
     void twoNewConfigurationsWhileTheFirstNewFeedIsBeingConnected() throws Exception {
-        try (Worker worker = new Worker("one"); Worker two = new Worker("two");
+        try (Worker worker = new Worker("one");
+                Worker two = new Worker("two");
                 ServerSocket never = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             List<Socket> fillers = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
@@ -226,11 +244,15 @@
             BlockingQueue<String> asked = new LinkedBlockingQueue<>();
             HttpServer last = feed(worker.member().replace("in_service", "terminating") + "," + two.member(), asked);
             Path file = configuration(port, first, worker.member());
-            Files.writeString(file, Files.readString(file).replace(Integer.toString(first.getAddress().getPort()),
-                    Integer.toString(never.getLocalPort())));
+            Files.writeString(
+                    file,
+                    Files.readString(file)
+                            .replace(
+                                    Integer.toString(first.getAddress().getPort()),
+                                    Integer.toString(never.getLocalPort())));
             signal("HUP");
-            while (!log().contains("the feed moves from 127.0.0.1:" + first.getAddress().getPort() + " to 127.0.0.1:"
-                    + never.getLocalPort())) {
+            while (!log().contains("the feed moves from 127.0.0.1:"
+                    + first.getAddress().getPort() + " to 127.0.0.1:" + never.getLocalPort())) {
                 assertTrue(process.isAlive(), this::log);
             }
             configuration(port, last, worker.member());
@@ -281,7 +303,8 @@
             long begun = System.nanoTime();
             try (Socket other = new Socket(InetAddress.getLoopbackAddress(), port)) {
                 other.getOutputStream().write(request(id(1), new byte[] {'!'}));
-                assertNotNull(MessagePack.newDefaultUnpacker(other.getInputStream()).unpackValue());
+                assertNotNull(
+                        MessagePack.newDefaultUnpacker(other.getInputStream()).unpackValue());
             }
             assertTrue(System.nanoTime() - begun < TimeUnit.SECONDS.toNanos(1), "accepting did not stop");
             assertFalse(log().contains("Too many open files"), this::log);
@@ -324,7 +347,8 @@
         HttpServer feed = feed(null, new LinkedBlockingQueue<>());
         port = freePort();
         Path file = configuration(port, feed, "");
-        Files.writeString(file, Files.readString(file).replaceAll("\"known\": .*", "\"known\": {\"n\": 0, \"events\": []},"));
+        Files.writeString(
+                file, Files.readString(file).replaceAll("\"known\": .*", "\"known\": {\"n\": 0, \"events\": []},"));
         process = start(file, Map.of());
         connect(port);
         while (!log().contains("INFO  platform: ready")) {
@@ -335,7 +359,11 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"\"known\": 7,", "\"known\": {\"n\": 1, \"events\": [{\"n\": 1, \"members\": {\"servers\": [{\"id\": 3}]}}]},"})
+    @ValueSource(
+            strings = {
+                "\"known\": 7,",
+                "\"known\": {\"n\": 1, \"events\": [{\"n\": 1, \"members\": {\"servers\": [{\"id\": 3}]}}]},"
+            })
     void aKnownListThatCantBeReadIsToldInWords(String known) throws Exception {
         HttpServer feed = feed(null, new LinkedBlockingQueue<>());
         Path file = configuration(freePort(), feed, "");
--- a/cli/src/test/java/pearladder/cli/PlatformProgram.java
+++ b/cli/src/test/java/pearladder/cli/PlatformProgram.java
@@ -44,6 +44,7 @@
         final BlockingQueue<String> halted = new LinkedBlockingQueue<>();
         /** Calls that are not answered. */
         final Set<String> held = ConcurrentHashMap.newKeySet();
+
         final String name;
         volatile CountDownLatch let = new CountDownLatch(0);
 
@@ -78,7 +79,8 @@
         private void answer(Socket socket, String id, String body) throws Exception {
             let.await();
             if (!held.contains(id)) {
-                byte[] answer = ("*4\r\n$16\r\n" + id + "\r\n$3\r\nACK\r\n$7\r\ntell=up\r\n$" + body.length() + "\r\n" + body + "\r\n")
+                byte[] answer = ("*4\r\n$16\r\n" + id + "\r\n$3\r\nACK\r\n$7\r\ntell=up\r\n$" + body.length() + "\r\n"
+                                + body + "\r\n")
                         .getBytes(StandardCharsets.ISO_8859_1);
                 synchronized (socket) {
                     socket.getOutputStream().write(answer);
@@ -127,6 +129,7 @@
 
     @TempDir
     Path folder;
+
     final List<HttpServer> feeds = new ArrayList<>();
     Process process;
     Socket client;
@@ -162,8 +165,11 @@
             asked.add(query);
             await(held);
             boolean first = query.startsWith("SUB=1&") && event != null;
-            byte[] answer = (first ? "{\"n\":2,\"events\":[{\"n\":2,\"members\":{\"version\":2,\"full\":false,\"servers\":[" + event
-                    + "]}}]}" : "{\"n\":" + query.replaceAll("SUB=([0-9]+).*", "$1") + ",\"events\":[]}").getBytes(StandardCharsets.UTF_8);
+            byte[] answer = (first
+                            ? "{\"n\":2,\"events\":[{\"n\":2,\"members\":{\"version\":2,\"full\":false,\"servers\":["
+                                    + event + "]}}]}"
+                            : "{\"n\":" + query.replaceAll("SUB=([0-9]+).*", "$1") + ",\"events\":[]}")
+                    .getBytes(StandardCharsets.UTF_8);
             if (!first && !query.endsWith("wait=0")) {
                 try {
                     Thread.sleep(200);
@@ -190,7 +196,8 @@
 
     Path configuration(int port, HttpServer feed, String member) throws IOException {
         Path practice = Path.of("..", "deploy", "practice.json");
-        String text = Files.readString(practice).replace("\"127.0.0.1:0\"", "\"127.0.0.1:" + port + "\"")
+        String text = Files.readString(practice)
+                .replace("\"127.0.0.1:0\"", "\"127.0.0.1:" + port + "\"")
                 .replace("\"127.0.0.1:1\",", "\"127.0.0.1:" + feed.getAddress().getPort() + "\",")
                 .replaceAll("\\{\"id\": \"worker-1\"[^}]*\\}", member);
         return Files.writeString(folder.resolve("config.json"), text);
@@ -202,12 +209,24 @@
 
     /** @param before what the shell does before it becomes the program */
     Process start(Path configuration, Map<String, String> more, String before) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", before + "exec \"$@\"", "sh",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m", "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), "pearladder.cli.Main", "platform");
+        ProcessBuilder builder = new ProcessBuilder(
+                "/bin/sh",
+                "-c",
+                before + "exec \"$@\"",
+                "sh",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx64m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "pearladder.cli.Main",
+                "platform");
         builder.environment().put("ROUTER_CONFIG", configuration.toString());
         builder.environment().putAll(more);
-        return builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+        return builder.redirectErrorStream(true)
+                .redirectOutput(folder.resolve("log").toFile())
+                .start();
     }
 
     int freePort() throws IOException {
@@ -222,7 +241,11 @@
 
     byte[] message(String method, Map<String, String> fields, byte[] body) throws IOException {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-            out.packArrayHeader(4).packInt(0).packInt(++number).packString(method).packArrayHeader(body == null ? 1 : 2)
+            out.packArrayHeader(4)
+                    .packInt(0)
+                    .packInt(++number)
+                    .packString(method)
+                    .packArrayHeader(body == null ? 1 : 2)
                     .packMapHeader(fields.size());
             for (Map.Entry<String, String> field : fields.entrySet()) {
                 out.packString(field.getKey()).packString(field.getValue());
@@ -243,13 +266,28 @@
     }
 
     byte[] request(String id, byte[] body) throws IOException {
-        return message(CALL, Map.of("rid", id, "budget", "3000", "acct", "tender", "token", "t" + id, "obj", "00000000000000aa", "extras",
-                "memory_mb:100;lanes:2;load_ms:50"), body);
+        return message(
+                CALL,
+                Map.of(
+                        "rid",
+                        id,
+                        "budget",
+                        "3000",
+                        "acct",
+                        "tender",
+                        "token",
+                        "t" + id,
+                        "obj",
+                        "00000000000000aa",
+                        "extras",
+                        "memory_mb:100;lanes:2;load_ms:50"),
+                body);
     }
 
     String served(ArrayValue answer) {
         assertTrue(answer.get(2).isNilValue(), answer.toString());
-        return new String(answer.get(3).asArrayValue().get(0).asBinaryValue().asByteArray(), StandardCharsets.ISO_8859_1);
+        return new String(
+                answer.get(3).asArrayValue().get(0).asBinaryValue().asByteArray(), StandardCharsets.ISO_8859_1);
     }
 
     /** Connects as soon as the router listens. */
@@ -287,6 +325,10 @@
     }
 
     void signal(String signal) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                        .start()
+                        .waitFor());
     }
 }
--- a/cli/src/test/java/pearladder/cli/PlatformTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformTest.java
@@ -26,13 +26,15 @@
 class PlatformTest extends PlatformProgram {
     @Test
     void itServesFollowsItsFeedToAnotherAddressAndEndsWithNothingLost() throws Exception {
-        try (Worker one = new Worker("one"); Worker two = new Worker("two")) {
+        try (Worker one = new Worker("one");
+                Worker two = new Worker("two")) {
             BlockingQueue<String> askedFirst = new LinkedBlockingQueue<>();
             BlockingQueue<String> askedNext = new LinkedBlockingQueue<>();
             HttpServer first = feed(null, askedFirst);
             int port = freePort();
-            process = start(configuration(port, first, one.member()), Map.of("ROUTER_NAME", "practice", "ROUTER_LISTEN",
-                    "127.0.0.1:" + port));
+            process = start(
+                    configuration(port, first, one.member()),
+                    Map.of("ROUTER_NAME", "practice", "ROUTER_LISTEN", "127.0.0.1:" + port));
             ready(port);
             call("00000000000000a1");
             assertEquals("one!", served(heard()));
@@ -69,7 +71,8 @@
      */
     @Test
     void noClientIsHeardBeforeTheFeedWasAskedWhatHasChanged() throws Exception {
-        try (Worker one = new Worker("one"); Worker two = new Worker("two")) {
+        try (Worker one = new Worker("one");
+                Worker two = new Worker("two")) {
             BlockingQueue<String> asked = new LinkedBlockingQueue<>();
             CountDownLatch held = new CountDownLatch(1);
             HttpServer feed = feed(one.member().replace("in_service", "terminating") + "," + two.member(), asked, held);
@@ -114,14 +117,33 @@
             HttpServer feed = feed(null, new LinkedBlockingQueue<>());
             int port = freePort();
             Path file = configuration(port, feed, one.member());
-            Files.writeString(file, Files.readString(file).replace("practice", "lock-gate").replace("tender", "hopper")
-                    .replace("shipping", "silo").replace("draft", "weigh").replace("commit", "mill").replace("hall", "quay"));
+            Files.writeString(
+                    file,
+                    Files.readString(file)
+                            .replace("practice", "lock-gate")
+                            .replace("tender", "hopper")
+                            .replace("shipping", "silo")
+                            .replace("draft", "weigh")
+                            .replace("commit", "mill")
+                            .replace("hall", "quay"));
             process = start(file, Map.of());
             ready(port);
             call("00000000000000a1");
             String answer = heard().toString();
             assertTrue(answer.contains("unknown method"), answer);
-            send("mill", Map.of("rid", "00000000000000a2", "budget", "3000", "acct", "silo", "token", "t1", "obj", "00000000000000aa"),
+            send(
+                    "mill",
+                    Map.of(
+                            "rid",
+                            "00000000000000a2",
+                            "budget",
+                            "3000",
+                            "acct",
+                            "silo",
+                            "token",
+                            "t1",
+                            "obj",
+                            "00000000000000aa"),
                     new byte[] {'!'});
             assertEquals("barge!", served(heard()));
             signal("TERM");
@@ -134,16 +156,26 @@
 
     /** Guards against a heap that fits one deployment's memory only: a third of what the configuration states. */
     @ParameterizedTest
-    @CsvSource({"'{\"limits\": {\"cores\": 0.5, \"memory_mb\" : 152, \"sockets\": 9}}', 50", "'{\"limits\":{\"memory_mb\":96}}', 32",
-        "'{\"limits\":{}}', 48"})
+    @CsvSource({
+        "'{\"limits\": {\"cores\": 0.5, \"memory_mb\" : 152, \"sockets\": 9}}', 50",
+        "'{\"limits\":{\"memory_mb\":96}}', 32",
+        "'{\"limits\":{}}', 48"
+    })
     void theHeapIsAThirdOfTheMemoryThatTheConfigurationStates(String configuration, int heap) throws Exception {
         Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
         assertTrue(java.toFile().setExecutable(true));
-        ProcessBuilder router = new ProcessBuilder("/bin/sh", Path.of("..", "deploy", "router").toString(), "platform");
+        ProcessBuilder router =
+                new ProcessBuilder("/bin/sh", Path.of("..", "deploy", "router").toString(), "platform");
         router.environment().put("PATH", folder + ":" + System.getenv("PATH"));
-        router.environment().put("ROUTER_CONFIG", Files.writeString(folder.resolve("c.json"), configuration).toString());
+        router.environment()
+                .put(
+                        "ROUTER_CONFIG",
+                        Files.writeString(folder.resolve("c.json"), configuration)
+                                .toString());
         Process started = router.start();
-        assertEquals("-Xms" + heap + "m -Xmx" + heap + "m platform\n", new String(started.getInputStream().readAllBytes()));
+        assertEquals(
+                "-Xms" + heap + "m -Xmx" + heap + "m platform\n",
+                new String(started.getInputStream().readAllBytes()));
         assertEquals(0, started.waitFor());
     }
 
--- a/decisions/src/main/java/pearladder/backlog/Backlog.java
+++ b/decisions/src/main/java/pearladder/backlog/Backlog.java
@@ -17,7 +17,7 @@
  * loss window is withheld, since orders put off would come in one heap that no ration allows.
  */
 public final class Backlog {
-    private record Awaited(String order, long after, Moment until) { }
+    private record Awaited(String order, long after, Moment until) {}
 
     private static final Span FIRST_PAUSE = Span.millis(100);
     private static final Span LONGEST_PAUSE = Span.seconds(2);
@@ -131,8 +131,11 @@
         pause = FIRST_PAUSE;
         if (failing) {
             failing = false;
-            todo.add(new BacklogAction.Log(String.format(Locale.ROOT, "records are kept again: %d entries were left out, %d of them"
-                    + " no details", leftOut, facts)));
+            todo.add(new BacklogAction.Log(String.format(
+                    Locale.ROOT,
+                    "records are kept again: %d entries were left out, %d of them" + " no details",
+                    leftOut,
+                    facts)));
         }
         lateOrNot(written.took());
         withholdLate();
@@ -159,12 +162,17 @@
         boolean slow = took.plus(gather).longerThan(window);
         slowInARow = slow ? slowInARow + 1 : 0;
         slowAt = slow ? now : slowAt;
-        boolean mode = late ? slowAt.plus(IN_TIME).compareTo(now) > 0
+        boolean mode = late
+                ? slowAt.plus(IN_TIME).compareTo(now) > 0
                 : slowInARow >= SLOW || took.longerThan(window.times(SLOW));
         if (mode != late) {
             late = mode;
-            todo.add(new BacklogAction.Log(String.format(Locale.ROOT, "records are written %s: %d ms a batch, %d entries wait",
-                    late ? "late" : "in time again", took.inMillis(), held())));
+            todo.add(new BacklogAction.Log(String.format(
+                    Locale.ROOT,
+                    "records are written %s: %d ms a batch, %d entries wait",
+                    late ? "late" : "in time again",
+                    took.inMillis(),
+                    held())));
         }
     }
 
@@ -172,8 +180,11 @@
         writing = 0;
         if (!failing) {
             failing = true;
-            todo.add(new BacklogAction.Log(String.format(Locale.ROOT, "records can't be kept (%s): %d entries wait, details are"
-                    + " left out, orders are withheld", failed.why(), held())));
+            todo.add(new BacklogAction.Log(String.format(
+                    Locale.ROOT,
+                    "records can't be kept (%s): %d entries wait, details are" + " left out, orders are withheld",
+                    failed.why(),
+                    held())));
         }
         while (!awaited.isEmpty()) {
             todo.add(new BacklogAction.Withhold(awaited.poll().order(), "its record can't be kept"));
--- a/decisions/src/main/java/pearladder/baseline/RandomChoice.java
+++ b/decisions/src/main/java/pearladder/baseline/RandomChoice.java
@@ -47,8 +47,11 @@
     public List<Action> on(Moment now, Event event) {
         List<Action> todo = new ArrayList<>();
         if (event instanceof Event.CallCame came) {
-            Facts.Effect effect = facts.categories().stream().filter(c -> c.name().equals(came.category()))
-                    .findFirst().orElseThrow().effect();
+            Facts.Effect effect = facts.categories().stream()
+                    .filter(c -> c.name().equals(came.category()))
+                    .findFirst()
+                    .orElseThrow()
+                    .effect();
             Call call = new Call(now.plus(came.timeLeft()), effect);
             calls.put(came.call(), call);
             send(now, came.call(), call, todo);
@@ -67,12 +70,15 @@
     private void ended(Moment now, Event.LegEnded ended, Call call, List<Action> todo) {
         if (ended.over() || ended.outcome() == Outcome.SUCCESS) {
             calls.remove(ended.call());
-        } else if (ended.outcome().neverRan && call.legs < Math.min(2, facts.allowances().legs())) {
+        } else if (ended.outcome().neverRan
+                && call.legs < Math.min(2, facts.allowances().legs())) {
             send(now, ended.call(), call, todo);
         } else {
             calls.remove(ended.call());
-            todo.add(ended.outcome().neverRan || call.effect == Facts.Effect.RETRIABLE
-                    ? new Action.Dismiss(ended.call(), Span.NONE) : new Action.Terminate(ended.call()));
+            todo.add(
+                    ended.outcome().neverRan || call.effect == Facts.Effect.RETRIABLE
+                            ? new Action.Dismiss(ended.call(), Span.NONE)
+                            : new Action.Terminate(ended.call()));
         }
     }
 
@@ -96,8 +102,10 @@
             workers.clear();
         }
         listed.listings().forEach(listing -> workers.put(listing.worker(), listing));
-        inService = workers.values().stream().filter(w -> w.standing() == Event.Standing.IN_SERVICE)
-                .map(Event.Listing::worker).toList();
+        inService = workers.values().stream()
+                .filter(w -> w.standing() == Event.Standing.IN_SERVICE)
+                .map(Event.Listing::worker)
+                .toList();
     }
 
     private double chance() {
--- a/decisions/src/main/java/pearladder/recovery/Beliefs.java
+++ b/decisions/src/main/java/pearladder/recovery/Beliefs.java
@@ -30,15 +30,16 @@
      * @param whole whether the records are: what they tell is all there was
      * @param up of each worker on the last list the age of its process now, null where the list doesn't tell
      */
-    public record Found(Known known, Span gap, List<Span> orders, boolean whole, Map<String, Span> up) { }
+    public record Found(Known known, Span gap, List<Span> orders, boolean whole, Map<String, Span> up) {}
 
     /** What may be believed, and a line with figures. */
-    public record Believed(Known known, String why) { }
+    public record Believed(Known known, String why) {}
 
     /** Two ages of one process, told by two clocks, differ by no more. */
     private static final Span SAME = Span.millis(500);
     /** Where no list tells a process's age, only a gap that is too short for a restart is passed over. */
     private static final Span TOO_SHORT = Span.seconds(10);
+
     private static final int MOST_COPIES = 64;
 
     private final Span kept;
@@ -65,7 +66,8 @@
             return nothing(orders, "no snapshot");
         }
         if (found.gap().nanos() < 0) {
-            return nothing(orders, "the clock stepped back by " + seconds(found.gap().times(-1)));
+            return nothing(
+                    orders, "the clock stepped back by " + seconds(found.gap().times(-1)));
         }
         if (found.gap().longerThan(old)) {
             return nothing(orders, "the snapshot is " + seconds(found.gap()) + " old");
@@ -78,9 +80,12 @@
         Set<String> same = new HashSet<>();
         List<Known.OfWorker> workers = new ArrayList<>();
         for (Known.OfWorker worker : found.known().workers()) {
-            if (found.up().containsKey(worker.worker()) && same(worker.up(), found.up().get(worker.worker()), gap)) {
+            if (found.up().containsKey(worker.worker())
+                    && same(worker.up(), found.up().get(worker.worker()), gap)) {
                 same.add(worker.worker());
-                workers.add(new Known.OfWorker(worker.worker(), found.up().get(worker.worker()),
+                workers.add(new Known.OfWorker(
+                        worker.worker(),
+                        found.up().get(worker.worker()),
                         worker.aside().minus(gap).atLeast(Span.NONE)));
             }
         }
@@ -97,18 +102,40 @@
             }
             copies += held.size();
             had += function.copies().size();
-            functions.add(new Known.OfFunction(function.function(), function.lanes(), function.memoryMb(), function.usualLoad(),
-                    function.calls(), function.warmAnswers(), function.warmSeconds(), held));
+            functions.add(new Known.OfFunction(
+                    function.function(),
+                    function.lanes(),
+                    function.memoryMb(),
+                    function.usualLoad(),
+                    function.calls(),
+                    function.warmAnswers(),
+                    function.warmSeconds(),
+                    held));
         }
-        Known now = new Known(gap, workers, functions, orders, found.known().loadSeconds(), found.known().loadCount());
-        return new Believed(now, String.format(Locale.ROOT, "after %s: %d of %d workers, %d of %d copies, %d functions, %d orders"
-                + " count", seconds(gap), workers.size(), found.known().workers().size(), copies, had, functions.size(),
-                orders.size()));
+        Known now = new Known(
+                gap,
+                workers,
+                functions,
+                orders,
+                found.known().loadSeconds(),
+                found.known().loadCount());
+        return new Believed(
+                now,
+                String.format(
+                        Locale.ROOT,
+                        "after %s: %d of %d workers, %d of %d copies, %d functions, %d orders" + " count",
+                        seconds(gap),
+                        workers.size(),
+                        found.known().workers().size(),
+                        copies,
+                        had,
+                        functions.size(),
+                        orders.size()));
     }
 
     private static Believed nothing(List<Span> orders, String why) {
-        return new Believed(new Known(Span.NONE, List.of(), List.of(), orders, 0, 0),
-                why + "; " + orders.size() + " orders count");
+        return new Believed(
+                new Known(Span.NONE, List.of(), List.of(), orders, 0, 0), why + "; " + orders.size() + " orders count");
     }
 
     private static String seconds(Span span) {
@@ -148,21 +175,29 @@
         }
         Set<String> named = new HashSet<>();
         for (Known.OfWorker worker : known.workers()) {
-            if (negative(worker.aside()) || worker.up() != null && negative(worker.up())
-                    || worker.aside().longerThan(Span.seconds(3600)) || !named.add(worker.worker())) {
+            if (negative(worker.aside())
+                    || worker.up() != null && negative(worker.up())
+                    || worker.aside().longerThan(Span.seconds(3600))
+                    || !named.add(worker.worker())) {
                 return "worker " + worker.worker();
             }
         }
         Set<String> functions = new HashSet<>();
         for (Known.OfFunction function : known.functions()) {
-            if (!functions.add(function.function()) || function.lanes() < 1 || !plain(function.memoryMb())
-                    || !plain(function.calls()) || !plain(function.warmAnswers()) || !plain(function.warmSeconds())
+            if (!functions.add(function.function())
+                    || function.lanes() < 1
+                    || !plain(function.memoryMb())
+                    || !plain(function.calls())
+                    || !plain(function.warmAnswers())
+                    || !plain(function.warmSeconds())
                     || function.usualLoad() != null && negative(function.usualLoad())) {
                 return "function " + function.function();
             }
             Set<String> places = new HashSet<>();
             for (Known.Copy copy : function.copies()) {
-                if (copy.instances() < 1 || copy.instances() > MOST_COPIES || negative(copy.untouched())
+                if (copy.instances() < 1
+                        || copy.instances() > MOST_COPIES
+                        || negative(copy.untouched())
                         || !places.add(copy.worker())) {
                     return "the copies of " + function.function();
                 }
--- a/decisions/src/main/java/pearladder/release/Doubt.java
+++ b/decisions/src/main/java/pearladder/release/Doubt.java
@@ -104,7 +104,9 @@
 
     private boolean oneEngine() {
         double most = byEngine.values().stream().mapToDouble(sum -> sum).max().orElse(0);
-        return most > ONE_ENGINE * byEngine.values().stream().mapToDouble(sum -> sum).sum();
+        return most
+                > ONE_ENGINE
+                        * byEngine.values().stream().mapToDouble(sum -> sum).sum();
     }
 
     /** The old version's share of bad results. */
--- a/decisions/src/main/java/pearladder/release/Plan.java
+++ b/decisions/src/main/java/pearladder/release/Plan.java
@@ -14,7 +14,14 @@
  * @param hold how long a step lasts at the least
  * @param leastCalls calls of the new version that a step must have seen
  */
-public record Plan(String model, String from, String to, List<Double> steps, Span hold, long leastCalls, Gate gate,
+public record Plan(
+        String model,
+        String from,
+        String to,
+        List<Double> steps,
+        Span hold,
+        long leastCalls,
+        Gate gate,
         Breach onBreach) {
     /**
      * When the new version counts as worse.
@@ -23,13 +30,16 @@
      * @param wrongly the chance of taking back a version that is no worse, 0 to 1
      * @param missed the chance of letting a step pass for one that is worse by the excess, 0 to 1
      */
-    public record Gate(double excess, double wrongly, double missed) { }
+    public record Gate(double excess, double wrongly, double missed) {}
 
     /** What is done on a breach. */
-    public enum Breach { PAUSE, ROLL_BACK }
+    public enum Breach {
+        PAUSE,
+        ROLL_BACK
+    }
 
     /** What is wrong with a plan, and how it is mended. */
-    public record Fault(String key, String what, String mend) { }
+    public record Fault(String key, String what, String mend) {}
 
     /** Every fault of the plan; none where it can be followed. */
     public List<Fault> faults() {
@@ -45,7 +55,9 @@
             if (step > 1) {
                 faults.add(new Fault("steps", "a share of " + step + " is more than all", "write shares from 0 to 1"));
             } else if (step <= before) {
-                faults.add(new Fault("steps", "a share of " + step + " after " + before + " does not rise",
+                faults.add(new Fault(
+                        "steps",
+                        "a share of " + step + " after " + before + " does not rise",
                         "write rising shares; to go back, roll back"));
             }
             before = step;
--- a/decisions/src/main/java/pearladder/release/Releases.java
+++ b/decisions/src/main/java/pearladder/release/Releases.java
@@ -35,18 +35,22 @@
 
         /** The share of keys that get the new version now. */
         double share() {
-            boolean off = target.mode() == Mode.ROLLED_BACK
-                    || broken && target.plan().onBreach() == Plan.Breach.ROLL_BACK;
+            boolean off =
+                    target.mode() == Mode.ROLLED_BACK || broken && target.plan().onBreach() == Plan.Breach.ROLL_BACK;
             return off ? 0 : step < 0 ? 0 : target.plan().steps().get(step);
         }
 
         boolean moves() {
-            return target.mode() == Mode.RUNNING && !broken && step < target.plan().steps().size() - 1;
+            return target.mode() == Mode.RUNNING
+                    && !broken
+                    && step < target.plan().steps().size() - 1;
         }
 
         /** All have the new version and the hold is over: the old copies may go. */
         boolean over(Moment at) {
-            return warm && target.mode() == Mode.RUNNING && step == target.plan().steps().size() - 1
+            return warm
+                    && target.mode() == Mode.RUNNING
+                    && step == target.plan().steps().size() - 1
                     && !target.plan().hold().longerThan(at.since(since));
         }
 
@@ -55,9 +59,9 @@
         }
     }
 
-    private record Given(Release release, Target of, boolean toNew) { }
+    private record Given(Release release, Target of, boolean toNew) {}
 
-    private record Marked(String version, Moment until) { }
+    private record Marked(String version, Moment until) {}
 
     private final Span remembered;
     private final Map<String, Release> releases = new LinkedHashMap<>();
@@ -105,11 +109,18 @@
 
     /** How each release stands, a line a model. */
     public List<String> status() {
-        return releases.values().stream().map(release -> String.format(
-                "%s %s -> %s: epoch %d, %s, share %.2f, copies for %.2f, %s", release.target.plan().model(),
-                name(release.target.plan().from()), name(release.target.plan().to()), release.target.epoch(),
-                release.broken ? "broken" : release.target.mode().name().toLowerCase(java.util.Locale.ROOT), release.share(),
-                release.standing, release.doubt.figures())).toList();
+        return releases.values().stream()
+                .map(release -> String.format(
+                        "%s %s -> %s: epoch %d, %s, share %.2f, copies for %.2f, %s",
+                        release.target.plan().model(),
+                        name(release.target.plan().from()),
+                        name(release.target.plan().to()),
+                        release.target.epoch(),
+                        release.broken ? "broken" : release.target.mode().name().toLowerCase(java.util.Locale.ROOT),
+                        release.share(),
+                        release.standing,
+                        release.doubt.figures()))
+                .toList();
     }
 
     /** The newest target of each model, for a journal to be made short. */
@@ -130,7 +141,9 @@
             return;
         }
         String to = release.target.plan().to();
-        String version = place(came.model(), came.key()) < release.share() ? to : release.target.plan().from();
+        String version = place(came.model(), came.key()) < release.share()
+                ? to
+                : release.target.plan().from();
         if (!came.mark().isEmpty()) {
             // a repeat of a marked call meets the version that it met first, or its effect could happen in both
             String mark = came.model() + "\n" + came.mark();
@@ -176,8 +189,9 @@
         note(release);
         Plan plan = release.target.plan();
         boolean back = plan.onBreach() == Plan.Breach.ROLL_BACK;
-        todo.add(new ReleaseAction.Log(String.format("%s %s at %s: %s", back ? "rolled back" : "paused", plan.model(),
-                name(plan.to()), release.doubt.figures())));
+        todo.add(new ReleaseAction.Log(String.format(
+                "%s %s at %s: %s",
+                back ? "rolled back" : "paused", plan.model(), name(plan.to()), release.doubt.figures())));
         if (back) {
             todo.add(new ReleaseAction.Withdraw(plan.model(), plan.to()));
         }
@@ -202,9 +216,12 @@
 
     private static String fault(Target target) {
         List<Plan.Fault> faults = target.plan().faults();
-        return !faults.isEmpty() ? faults.get(0).key() + ": " + faults.get(0).what() + "; " + faults.get(0).mend()
-                : target.step() < 0 || target.step() >= target.plan().steps().size() ? "there is no step " + target.step()
-                : null;
+        return !faults.isEmpty()
+                ? faults.get(0).key() + ": " + faults.get(0).what() + "; "
+                        + faults.get(0).mend()
+                : target.step() < 0 || target.step() >= target.plan().steps().size()
+                        ? "there is no step " + target.step()
+                        : null;
     }
 
     private void heard(Target target) {
@@ -215,8 +232,10 @@
     }
 
     private void refuse(Target target, Release release) {
-        todo.add(new ReleaseAction.Refuse(target, "epoch " + target.epoch() + " is not after " + release.target.epoch()
-                + ", ordered by " + release.target.by() + "; look at the status and order again"));
+        todo.add(new ReleaseAction.Refuse(
+                target,
+                "epoch " + target.epoch() + " is not after " + release.target.epoch() + ", ordered by "
+                        + release.target.by() + "; look at the status and order again"));
     }
 
     /** Two operators' orders may be on their way to the journal at once: the one that was kept first holds. */
@@ -235,8 +254,7 @@
      */
     private void restore(ReleaseEvent.Restored restored) {
         Map<String, Target> newest = new LinkedHashMap<>();
-        restored.targets().forEach(target -> newest.merge(target.plan().model(), target,
-                Target::newer));
+        restored.targets().forEach(target -> newest.merge(target.plan().model(), target, Target::newer));
         Map<String, Reached> furthest = new LinkedHashMap<>();
         restored.reached().forEach(reached -> furthest.merge(reached.model(), reached, Releases::further));
         for (Target target : newest.values()) {
@@ -246,13 +264,22 @@
             }
             Reached reached = furthest.get(target.plan().model());
             boolean known = reached != null && reached.epoch() == target.epoch() && target.mode() != Mode.ROLLED_BACK;
-            follow(target, known ? Math.max(-1, Math.min(reached.step(), target.plan().steps().size() - 1)) : -1,
+            follow(
+                    target,
+                    known
+                            ? Math.max(
+                                    -1,
+                                    Math.min(
+                                            reached.step(),
+                                            target.plan().steps().size() - 1))
+                            : -1,
                     known && reached.broken());
         }
     }
 
     private static Reached further(Reached a, Reached b) {
-        return a.epoch() != b.epoch() ? a.epoch() > b.epoch() ? a : b
+        return a.epoch() != b.epoch()
+                ? a.epoch() > b.epoch() ? a : b
                 : new Reached(a.model(), a.epoch(), Math.max(a.step(), b.step()), a.broken() || b.broken());
     }
 
@@ -278,8 +305,13 @@
             release.step = -1;
             todo.add(new ReleaseAction.Withdraw(plan.model(), plan.to()));
         }
-        todo.add(new ReleaseAction.Log(String.format("release of %s at %s: epoch %d, %s, by %s", plan.model(), name(plan.to()),
-                target.epoch(), target.mode().name().toLowerCase(java.util.Locale.ROOT), target.by())));
+        todo.add(new ReleaseAction.Log(String.format(
+                "release of %s at %s: epoch %d, %s, by %s",
+                plan.model(),
+                name(plan.to()),
+                target.epoch(),
+                target.mode().name().toLowerCase(java.util.Locale.ROOT),
+                target.by())));
         if (target.mode() != Mode.ROLLED_BACK && release.step >= 0 && reached < 0) {
             note(release);
         }
@@ -289,8 +321,8 @@
     }
 
     private void note(Release release) {
-        todo.add(new ReleaseAction.Note(new Reached(release.target.plan().model(), release.target.epoch(), release.step,
-                release.broken)));
+        todo.add(new ReleaseAction.Note(
+                new Reached(release.target.plan().model(), release.target.epoch(), release.step, release.broken)));
     }
 
     // ---- steps
@@ -325,15 +357,19 @@
             todo.add(new ReleaseAction.Prepare(plan.model(), plan.from(), plan.from(), 1));
         }
         boolean ordered = release.step < release.target.step();
-        boolean held = release.step < 0 || ordered || !plan.hold().longerThan(now.since(release.since))
-                && release.doubt.calls() >= plan.leastCalls() && release.doubt.foundNoWorse();
+        boolean held = release.step < 0
+                || ordered
+                || !plan.hold().longerThan(now.since(release.since))
+                        && release.doubt.calls() >= plan.leastCalls()
+                        && release.doubt.foundNoWorse();
         if (held && release.standing >= release.nextShare()) {
             release.step++;
             release.since = now;
             release.prepared = false;
             note(release);
-            todo.add(new ReleaseAction.Log(String.format("%s at %s: share %.2f, copies for %.2f, %s", plan.model(),
-                    name(plan.to()), release.share(), release.standing, release.doubt.figures())));
+            todo.add(new ReleaseAction.Log(String.format(
+                    "%s at %s: share %.2f, copies for %.2f, %s",
+                    plan.model(), name(plan.to()), release.share(), release.standing, release.doubt.figures())));
             release.doubt = release.doubt.anew();
             advance(release);
         }
--- a/decisions/src/main/java/pearladder/release/Target.java
+++ b/decisions/src/main/java/pearladder/release/Target.java
@@ -11,7 +11,11 @@
  */
 public record Target(long epoch, Plan plan, Mode mode, int step, String by, long wallMillis) {
     /** How the release stands by the operators' order. */
-    public enum Mode { RUNNING, PAUSED, ROLLED_BACK }
+    public enum Mode {
+        RUNNING,
+        PAUSED,
+        ROLLED_BACK
+    }
 
     /** Of two targets of one model the one that holds. */
     public static Target newer(Target a, Target b) {
--- a/decisions/src/main/java/pearladder/sockets/Seat.java
+++ b/decisions/src/main/java/pearladder/sockets/Seat.java
@@ -13,6 +13,7 @@
     public Moment stuckSince;
     /** Messages that could not be used. */
     public int unusable;
+
     public int callsOpen;
 
     public Seat(Moment came) {
--- a/decisions/src/main/java/pearladder/sockets/Shutdown.java
+++ b/decisions/src/main/java/pearladder/sockets/Shutdown.java
@@ -9,7 +9,12 @@
  */
 public final class Shutdown {
     /** What is to be done now. */
-    public enum Step { SERVE, REFUSE, GIVE_UP, EXIT }
+    public enum Step {
+        SERVE,
+        REFUSE,
+        GIVE_UP,
+        EXIT
+    }
 
     /**
      * What would be lost if the process ended now.
@@ -26,6 +31,7 @@
 
     /** Requests come for 0.6 s after the signal, as the platform states it, and its limits have 0.05 s of slack. */
     private static final Span SLACK = Span.millis(50);
+
     private static final Span SERVES = Span.millis(600).plus(SLACK.times(2));
     /** It kills after the longest deadline, counted as so long at the least, and the span in which it still serves. */
     private static final Span SHORTEST = Span.millis(3000);
--- a/decisions/src/main/java/pearladder/sockets/Sockets.java
+++ b/decisions/src/main/java/pearladder/sockets/Sockets.java
@@ -23,10 +23,10 @@
      * @param idle a link that was unused for so long is closed before its worker does it, in the middle of a send
      */
     public record Holding(int seats, int links, int streams, Span silent, Span idle) {
-        private static final int RESERVED = 8;      // a part of so many for sockets just accepted or closing
+        private static final int RESERVED = 8; // a part of so many for sockets just accepted or closing
         private static final int LEAST = 16;
         private static final Span SILENT = Span.millis(2000);
-        private static final double IDLE = 0.5;     // of what workers bear with
+        private static final double IDLE = 0.5; // of what workers bear with
 
         /**
          * Clients and workers get half each of what is left.
@@ -41,7 +41,7 @@
         }
     }
 
-    private static final int UNUSABLE = 16;     // messages that can't be used before their client is closed
+    private static final int UNUSABLE = 16; // messages that can't be used before their client is closed
 
     private final Holding holding;
     private final Set<Seat> seats = new LinkedHashSet<>();
@@ -66,7 +66,8 @@
             choose(now, wanted, todo);
         } else if (event instanceof SocketEvent.Beat) {
             List.copyOf(seats).forEach(seat -> judge(now, seat, todo));
-            List.copyOf(links).stream().filter(link -> unused(link) && now.since(link.used).longerThan(holding.idle()))
+            List.copyOf(links).stream()
+                    .filter(link -> unused(link) && now.since(link.used).longerThan(holding.idle()))
                     .forEach(link -> closeLink(link, todo));
         }
         return todo;
--- a/decisions/src/main/java/pearladder/state/Function.java
+++ b/decisions/src/main/java/pearladder/state/Function.java
@@ -22,11 +22,13 @@
     public final List<Worker> scan = new ArrayList<>();
     /** The same workers, to be asked for only. */
     public final Set<Worker> scanned = new HashSet<>();
+
     public long scanAt;
     public long scanEdition = -1;
     public long taken;
     /** The share of the like function's load for which copies are to stand ahead; 0 where none is wanted. */
     public double wantedShare;
+
     public Function wantedLike;
 
     public Function(String id, Span demand, Span pace) {
--- a/decisions/src/main/java/pearladder/usage/Evidence.java
+++ b/decisions/src/main/java/pearladder/usage/Evidence.java
@@ -8,20 +8,22 @@
     String router();
 
     /** A load was begun, by an account's call or, where that is empty, by an order; it lasted for so many milliseconds. */
-    record Loading(long at, String router, String engine, String model, String account, long lasting) implements Evidence { }
+    record Loading(long at, String router, String engine, String model, String account, long lasting)
+            implements Evidence {}
 
     /** A load failed: nothing stands. */
-    record LoadFailed(long at, String router, String engine, String model) implements Evidence { }
+    record LoadFailed(long at, String router, String engine, String model) implements Evidence {}
 
     /** The engine said how many copies stand. */
-    record Copies(long at, String router, String engine, String model, int copies) implements Evidence { }
+    record Copies(long at, String router, String engine, String model, int copies) implements Evidence {}
 
     /** An account's calls worked there, microseconds in all, the last of them at the moment. */
-    record Worked(long at, String router, String engine, String model, String account, long micros) implements Evidence { }
+    record Worked(long at, String router, String engine, String model, String account, long micros)
+            implements Evidence {}
 
     /** The engine's process ended or began anew: what it held is gone. */
-    record Gone(long at, String router, String engine) implements Evidence { }
+    record Gone(long at, String router, String engine) implements Evidence {}
 
     /** A model's copies hold so many megabytes each, from the moment on. */
-    record Memory(long at, String router, String model, long megabytes) implements Evidence { }
+    record Memory(long at, String router, String model, long megabytes) implements Evidence {}
 }
--- a/decisions/src/main/java/pearladder/usage/Usage.java
+++ b/decisions/src/main/java/pearladder/usage/Usage.java
@@ -47,7 +47,9 @@
     private final long kept;
     private final long late;
     private final PriorityQueue<Evidence> waiting = new PriorityQueue<>(Comparator.comparingLong(Evidence::at)
-            .thenComparing(Usage::rank).thenComparing(Evidence::router).thenComparing(Evidence::toString));
+            .thenComparing(Usage::rank)
+            .thenComparing(Evidence::router)
+            .thenComparing(Evidence::toString));
     private final TreeMap<String, Holding> holdings = new TreeMap<>();
     private final Map<String, Long> memory = new HashMap<>();
     private List<Share> shares = new ArrayList<>();
@@ -83,7 +85,8 @@
         while (!waiting.isEmpty()) {
             follow(waiting.poll());
         }
-        while (begins != Long.MIN_VALUE && begins + interval <= until
+        while (begins != Long.MIN_VALUE
+                && begins + interval <= until
                 && holdings.values().stream().anyMatch(holding -> holding.copies > 0 || holding.amount > 0)) {
             close();
         }
@@ -101,9 +104,15 @@
 
     /** At one moment, what ends goes before what begins, and what is said before what is done. */
     private static int rank(Evidence evidence) {
-        return evidence instanceof Evidence.Memory ? 0 : evidence instanceof Evidence.Gone ? 1
-                : evidence instanceof Evidence.LoadFailed ? 2 : evidence instanceof Evidence.Loading ? 3
-                : evidence instanceof Evidence.Copies ? 4 : 5;
+        return evidence instanceof Evidence.Memory
+                ? 0
+                : evidence instanceof Evidence.Gone
+                        ? 1
+                        : evidence instanceof Evidence.LoadFailed
+                                ? 2
+                                : evidence instanceof Evidence.Loading
+                                        ? 3
+                                        : evidence instanceof Evidence.Copies ? 4 : 5;
     }
 
     private void follow(Evidence evidence) {
@@ -118,10 +127,14 @@
             close();
         }
         if (evidence instanceof Evidence.Memory said) {
-            holdings.values().stream().filter(holding -> holding.model.equals(said.model())).forEach(holding -> to(holding, at));
+            holdings.values().stream()
+                    .filter(holding -> holding.model.equals(said.model()))
+                    .forEach(holding -> to(holding, at));
             memory.put(said.model(), said.megabytes());
         } else if (evidence instanceof Evidence.Gone gone) {
-            holdings.values().stream().filter(holding -> holding.engine.equals(gone.engine())).forEach(holding -> set(holding, at, 0));
+            holdings.values().stream()
+                    .filter(holding -> holding.engine.equals(gone.engine()))
+                    .forEach(holding -> set(holding, at, 0));
         } else if (evidence instanceof Evidence.LoadFailed failed) {
             Holding holding = holding(failed.engine(), failed.model(), at);
             set(holding, at, Math.max(0, holding.copies - 1));
@@ -164,7 +177,8 @@
     private void to(Holding holding, long at) {
         long end = Math.min(at, holding.touched + kept);
         if (holding.copies > 0 && end > holding.at) {
-            holding.amount = Math.addExact(holding.amount,
+            holding.amount = Math.addExact(
+                    holding.amount,
                     Math.multiplyExact(holding.copies * (end - holding.at), memory.getOrDefault(holding.model, 0L)));
         }
         if (at >= holding.touched + kept) {
@@ -184,7 +198,9 @@
                 holding.work.poll();
             }
         }
-        holdings.values().removeIf(holding -> holding.copies == 0 && holding.work.stream().allMatch(Map::isEmpty));
+        holdings.values()
+                .removeIf(
+                        holding -> holding.copies == 0 && holding.work.stream().allMatch(Map::isEmpty));
         begins = ends;
     }
 
@@ -211,7 +227,7 @@
 
     /** Whole parts that sum to the whole: rounded down, and what is left goes by the largest remainder, then by name. */
     static TreeMap<String, Long> parts(long whole, TreeMap<String, Long> weights) {
-        record Rest(String account, BigInteger remainder) { }
+        record Rest(String account, BigInteger remainder) {}
 
         BigInteger sum = BigInteger.valueOf(0);
         for (long weight : weights.values()) {
@@ -221,7 +237,9 @@
         List<Rest> rests = new ArrayList<>();
         long given = 0;
         for (Map.Entry<String, Long> one : weights.entrySet()) {
-            BigInteger[] part = BigInteger.valueOf(whole).multiply(BigInteger.valueOf(one.getValue())).divideAndRemainder(sum);
+            BigInteger[] part = BigInteger.valueOf(whole)
+                    .multiply(BigInteger.valueOf(one.getValue()))
+                    .divideAndRemainder(sum);
             parts.put(one.getKey(), part[0].longValueExact());
             rests.add(new Rest(one.getKey(), part[1]));
             given += part[0].longValueExact();
--- a/decisions/src/main/java/pearladder/work/Duties.java
+++ b/decisions/src/main/java/pearladder/work/Duties.java
@@ -21,16 +21,20 @@
 
     private static final Span STRAINED_AT = Span.millis(50);
 
-    private Duties() { }
+    private Duties() {}
 
     /** A scheduler of a router's own work. */
     public static Scheduler scheduler(long seed, pearladder.api.Moment begun) {
-        return new Scheduler(seed, List.of(
-                new Duty(FLUSH, 0, new Load(0, 50e6, 0), 2, 1, 100, 3, Span.millis(200), true),
-                new Duty(RECORD, 0, new Load(0, 50e6, 0), 2, 1, 2, 0, Span.millis(100), true),
-                new Duty(METER, 1, Load.NONE, 1, 1, 2, 0, Span.millis(500), false),
-                new Duty(SNAPSHOT, 2, new Load(0, 10e6, 0), 10, 1, 1, 0, Span.millis(500), false),
-                new Duty(COMPACT, 3, new Load(0, 2e6, 0), 100, 1, 1, 0, Span.millis(500), false),
-                new Duty(LEARN, 1, new Load(0, 2e6, 0), 10, 4, 1000, 0, Span.millis(500), false)), STRAINED_AT, begun);
+        return new Scheduler(
+                seed,
+                List.of(
+                        new Duty(FLUSH, 0, new Load(0, 50e6, 0), 2, 1, 100, 3, Span.millis(200), true),
+                        new Duty(RECORD, 0, new Load(0, 50e6, 0), 2, 1, 2, 0, Span.millis(100), true),
+                        new Duty(METER, 1, Load.NONE, 1, 1, 2, 0, Span.millis(500), false),
+                        new Duty(SNAPSHOT, 2, new Load(0, 10e6, 0), 10, 1, 1, 0, Span.millis(500), false),
+                        new Duty(COMPACT, 3, new Load(0, 2e6, 0), 100, 1, 1, 0, Span.millis(500), false),
+                        new Duty(LEARN, 1, new Load(0, 2e6, 0), 10, 4, 1000, 0, Span.millis(500), false)),
+                STRAINED_AT,
+                begun);
     }
 }
--- a/decisions/src/main/java/pearladder/work/Duty.java
+++ b/decisions/src/main/java/pearladder/work/Duty.java
@@ -14,5 +14,13 @@
  * @param backOff before the first of them; it doubles with each, up to a hundred times
  * @param atStop whether it is still done when the router stops
  */
-public record Duty(String name, int rank, Load budget, double saved, int atOnce, int waiting, int retries, Span backOff,
-        boolean atStop) { }
+public record Duty(
+        String name,
+        int rank,
+        Load budget,
+        double saved,
+        int atOnce,
+        int waiting,
+        int retries,
+        Span backOff,
+        boolean atStop) {}
--- a/decisions/src/main/java/pearladder/work/Scheduler.java
+++ b/decisions/src/main/java/pearladder/work/Scheduler.java
@@ -65,7 +65,8 @@
         }
 
         void fill() {
-            left = left.plus(duty.budget(), now.since(filledAt).inSeconds()).atMost(duty.budget().times(duty.saved()));
+            left = left.plus(duty.budget(), now.since(filledAt).inSeconds())
+                    .atMost(duty.budget().times(duty.saved()));
             filledAt = now;
         }
 
@@ -121,7 +122,8 @@
             strain = Math.max(0, Math.min(1, strained.behind().over(strainedAt)));
         } else if (event instanceof WorkEvent.Stopping) {
             stopping = true;
-            List.copyOf(pieces.values()).stream().filter(piece -> !piece.running && !piece.group.duty.atStop())
+            List.copyOf(pieces.values()).stream()
+                    .filter(piece -> !piece.running && !piece.group.duty.atStop())
                     .forEach(piece -> giveUp(piece, "the router stops"));
         } else if (event instanceof WorkEvent.Due) {
             awake = false;
@@ -138,7 +140,8 @@
     private void asked(WorkEvent.Asked asked) {
         Group group = groups.get(asked.duty());
         if (group == null || pieces.containsKey(asked.id())) {
-            todo.add(new WorkAction.GiveUp(asked.id(), group == null ? "no such class: " + asked.duty() : "asked for already"));
+            todo.add(new WorkAction.GiveUp(
+                    asked.id(), group == null ? "no such class: " + asked.duty() : "asked for already"));
             return;
         }
         if (stopping && !group.duty.atStop()) {
@@ -149,8 +152,10 @@
         pieces.put(asked.id(), piece);
         queue(piece);
         if (group.held > group.duty.waiting()) {
-            Piece last = group.waiting.values().stream().flatMap(List::stream)
-                    .max(Comparator.comparingLong(Piece::due).thenComparingLong(one -> one.number)).orElseThrow();
+            Piece last = group.waiting.values().stream()
+                    .flatMap(List::stream)
+                    .max(Comparator.comparingLong(Piece::due).thenComparingLong(one -> one.number))
+                    .orElseThrow();
             giveUp(last, group.duty.name() + " holds " + group.duty.waiting() + " pieces already");
         }
     }
@@ -238,15 +243,17 @@
     private void starve(Group group, boolean on) {
         if (group.starved != on) {
             group.starved = on;
-            todo.add(new WorkAction.Log(String.format("background work %s %s: strain %.2f, %d pieces wait", group.duty.name(),
-                    on ? "stands still" : "goes on", strain, group.held)));
+            todo.add(new WorkAction.Log(String.format(
+                    "background work %s %s: strain %.2f, %d pieces wait",
+                    group.duty.name(), on ? "stands still" : "goes on", strain, group.held)));
         }
     }
 
     private void begin(Group group) {
         group.fill();
         Piece next;
-        while (group.running < group.duty.atOnce() && (next = first(group)) != null
+        while (group.running < group.duty.atOnce()
+                && (next = first(group)) != null
                 && group.secondsUntil(next.asked.cost()) <= 0) {
             unqueue(next);
             next.running = true;
@@ -274,7 +281,8 @@
             for (Piece piece : own.getValue()) {
                 if (piece.notBefore.compareTo(now) <= 0) {
                     piece.start = Math.max(group.virtual, group.finished.getOrDefault(own.getKey(), 0.0));
-                    boolean sooner = best == null || piece.start < best.start
+                    boolean sooner = best == null
+                            || piece.start < best.start
                             || piece.start == best.start && piece.due() < best.due();
                     best = sooner ? piece : best;
                     break;
--- a/decisions/src/test/java/pearladder/FleetTest.java
+++ b/decisions/src/test/java/pearladder/FleetTest.java
@@ -27,14 +27,14 @@
 /** Many routers against one fleet, each knowing its own traffic only: what they do together. */
 class FleetTest {
     private static final int WORKERS = 40;
-    private static final double PER_WORKER = 8;              // calls a second at a warm worker
+    private static final double PER_WORKER = 8; // calls a second at a warm worker
     private static final int FUNCTIONS = 120;
     private static final Span TAKES = Span.millis(120);
     private static final Span LOADS = Span.millis(800);
     private static final Moment BEGUN = new Moment(1_000_000_000_000L);
     private static final String COLD = "w0";
 
-    private record Due(Moment at, long number, Runnable what) { }
+    private record Due(Moment at, long number, Runnable what) {}
 
     private final class Router {
         final double share;
@@ -66,13 +66,21 @@
                     if (send.worker().equals(COLD) && cold != null) {
                         reached.add(now);
                     }
-                    boolean stood = !standing.computeIfAbsent(send.worker(), id -> new HashSet<>()).add(functions.get(send.call()));
+                    boolean stood = !standing.computeIfAbsent(send.worker(), id -> new HashSet<>())
+                            .add(functions.get(send.call()));
                     Span took = stood ? TAKES : TAKES.plus(LOADS);
                     after(took, () -> {
                         if (policy == mine) {
                             boolean down = lost.contains(send.worker());
-                            on(new Event.LegEnded(send.call(), leg, send.worker(), down ? Outcome.UNREACHABLE : Outcome.SUCCESS, took,
-                                    !down, stood ? Copy.STOOD : Copy.LOAD_BEGUN, 0,
+                            on(new Event.LegEnded(
+                                    send.call(),
+                                    leg,
+                                    send.worker(),
+                                    down ? Outcome.UNREACHABLE : Outcome.SUCCESS,
+                                    took,
+                                    !down,
+                                    stood ? Copy.STOOD : Copy.LOAD_BEGUN,
+                                    0,
                                     new Event.Report(Double.NaN, 1, Double.NaN, 0.2, Double.NaN)));
                         }
                     });
@@ -81,8 +89,8 @@
         }
     }
 
-    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at().equals(b.at()) ? Long.compare(a.number(), b.number())
-            : a.at().compareTo(b.at()));
+    private final PriorityQueue<Due> due = new PriorityQueue<>(
+            (a, b) -> a.at().equals(b.at()) ? Long.compare(a.number(), b.number()) : a.at().compareTo(b.at()));
     private final Map<String, Integer> legs = new HashMap<>();
     private final Map<String, String> functions = new HashMap<>();
     private final Map<String, Set<String>> standing = new HashMap<>();
@@ -110,14 +118,16 @@
         List<Listing> listings = new ArrayList<>();
         for (int i = 0; i < WORKERS; i++) {
             String id = "w" + i;
-            listings.add(Rig.listing(id, "a", lost.contains(id) ? Standing.GONE : Standing.IN_SERVICE, id.equals(COLD) ? cold : null));
+            listings.add(Rig.listing(
+                    id, "a", lost.contains(id) ? Standing.GONE : Standing.IN_SERVICE, id.equals(COLD) ? cold : null));
         }
         return new Event.Listed(kind, listings);
     }
 
     private void traffic(List<Router> routers, Random chance, double perSecond) {
         after(Span.seconds(-Math.log(1 - chance.nextDouble()) / perSecond), () -> {
-            double at = chance.nextDouble() * routers.stream().mapToDouble(router -> router.share).sum();
+            double at = chance.nextDouble()
+                    * routers.stream().mapToDouble(router -> router.share).sum();
             int i = 0;
             while (i < routers.size() - 1 && (at -= routers.get(i).share) > 0) {
                 i++;
@@ -125,8 +135,19 @@
             String id = "call" + numbered;
             // few functions have most of the calls
             functions.put(id, "f" + (int) (FUNCTIONS * Math.pow(chance.nextDouble(), 3)));
-            routers.get(i).on(new Event.CallCame(id, functions.get(id), Rig.RETRIABLE.name(), null, Span.seconds(4), 2, 100,
-                    LOADS, null, false, false));
+            routers.get(i)
+                    .on(new Event.CallCame(
+                            id,
+                            functions.get(id),
+                            Rig.RETRIABLE.name(),
+                            null,
+                            Span.seconds(4),
+                            2,
+                            100,
+                            LOADS,
+                            null,
+                            false,
+                            false));
             traffic(routers, chance, perSecond);
         });
     }
@@ -174,12 +195,17 @@
             while (at.since(window.peek()).longerThan(rule.fallAfter())) {
                 window.poll();
             }
-            double present = rule.startShare() + (1 - rule.startShare()) * at.since(cold).over(rule.warmAfter());
-            double allowed = rule.fallMultiple() * present * PER_WORKER * rule.fallAfter().inSeconds();
+            double present =
+                    rule.startShare() + (1 - rule.startShare()) * at.since(cold).over(rule.warmAfter());
+            double allowed = rule.fallMultiple()
+                    * present
+                    * PER_WORKER
+                    * rule.fallAfter().inSeconds();
             double bound = allowed + 2 * Math.sqrt(allowed) + 2;
             if (window.size() / bound > worst) {
                 worst = window.size() / bound;
-                story = String.format("%.1f s after its start: %d calls, %.1f are allowed, %.1f with chance; %d in all",
+                story = String.format(
+                        "%.1f s after its start: %d calls, %.1f are allowed, %.1f with chance; %d in all",
                         at.since(cold).inSeconds(), window.size(), allowed, bound, reached.size());
             }
         }
--- a/decisions/src/test/java/pearladder/PolicyTest.java
+++ b/decisions/src/test/java/pearladder/PolicyTest.java
@@ -190,7 +190,8 @@
             }
         }
         rig.pass(Span.seconds(1));
-        assertTrue(rig.all.stream().anyMatch(a -> a instanceof Action.Log log && log.text().contains(slow)));
+        assertTrue(rig.all.stream()
+                .anyMatch(a -> a instanceof Action.Log log && log.text().contains(slow)));
         assertTrue(stuck.stream().anyMatch(call -> rig.all.contains(new Action.Cancel(call.id, 0))));
         for (Rig.Taken call : stuck) {
             if (call.outcomes.get(0) == null) {
@@ -365,15 +366,18 @@
         rig.now = rig.now.plus(Span.millis(100));
         rig.on(new Event.Wanted("f@2", "f", 1, 2, 100, Span.millis(500)));
         List<Action> first = beat(rig);
-        List<Action.Hold> holds = first.stream().filter(Action.Hold.class::isInstance).map(Action.Hold.class::cast).toList();
+        List<Action.Hold> holds = first.stream()
+                .filter(Action.Hold.class::isInstance)
+                .map(Action.Hold.class::cast)
+                .toList();
         assertEquals(1, holds.size());
         assertTrue(first.contains(new Action.Standing("f@2", 0)), first.toString());
         assertTrue(beat(rig).stream().noneMatch(Action.Hold.class::isInstance), "one at a time");
         rig.on(new Event.LoadAnswered(holds.get(0).worker(), "f@2", Outcome.SUCCESS, 1, Span.millis(500)));
         assertTrue(beat(rig).contains(new Action.Standing("f@2", 1)));
         rig.on(new Event.Wanted("f@2", "f", 0, 2, 100, Span.millis(500)));
-        assertTrue(beat(rig).stream().noneMatch(action -> action instanceof Action.Standing
-                || action instanceof Action.Hold));
+        assertTrue(beat(rig).stream()
+                .noneMatch(action -> action instanceof Action.Standing || action instanceof Action.Hold));
     }
 
     @Test
@@ -385,7 +389,8 @@
         one.pass(Span.seconds(7));
         Known known = one.policy.known(one.now);
         assertEquals(3, known.functions().size());
-        assertTrue(known.functions().stream().allMatch(function -> function.copies().size() == 1));
+        assertTrue(known.functions().stream()
+                .allMatch(function -> function.copies().size() == 1));
         assertEquals(3, known.orders().size(), "copies in use were renewed, up to the ration");
         Rig two = Rig.withWorkers(one.facts, 4);
         two.now = one.now;
@@ -403,8 +408,8 @@
         Rig rig = Rig.withWorkers(Rig.plain(), 4);
         String home = home(rig, "f");
         Rig next = Rig.withWorkers(Rig.plain(), 4);
-        next.on(new Event.Recalled(new Known(Span.NONE, List.of(new Known.OfWorker(home, null, Span.seconds(2))), List.of(),
-                List.of(), 0, 0)));
+        next.on(new Event.Recalled(new Known(
+                Span.NONE, List.of(new Known.OfWorker(home, null, Span.seconds(2))), List.of(), List.of(), 0, 0)));
         assertNotEquals(home, home(next, "f"));
         next.pass(Span.seconds(12));
         assertEquals(home, home(next, "f"));
--- a/decisions/src/test/java/pearladder/Rig.java
+++ b/decisions/src/test/java/pearladder/Rig.java
@@ -32,8 +32,17 @@
     static final Terms BINDING = terms("post", Effect.BINDING, Group.ALL);
     static final Terms MARKED = terms("commit", Effect.FINGERPRINTED, Group.ALL);
     static final Terms MARKED_IN_ZONE = terms("note", Effect.FINGERPRINTED, Group.ZONE);
-    static final Terms MARKED_BRIEFLY = new Terms("brief", Span.seconds(1), Span.seconds(4), 1, 0.2, Effect.FINGERPRINTED,
-            Group.ALL, Span.millis(1500), false, 0);
+    static final Terms MARKED_BRIEFLY = new Terms(
+            "brief",
+            Span.seconds(1),
+            Span.seconds(4),
+            1,
+            0.2,
+            Effect.FINGERPRINTED,
+            Group.ALL,
+            Span.millis(1500),
+            false,
+            0);
 
     /** What the rig knows of a call. */
     static final class Taken {
@@ -91,14 +100,23 @@
         return facts(peers, false, true, new Facts.Ration(0, 0, Span.NONE), List.of());
     }
 
-    private static Facts facts(int peers, boolean orders, boolean secondLegs, Facts.Ration ration,
-            List<Facts.Account> accounts) {
-        return new Facts(0, peers, "a", Span.millis(4), List.of(RETRIABLE, BINDING, MARKED, MARKED_IN_ZONE, MARKED_BRIEFLY), accounts,
-                new Facts.Allowances(3, secondLegs, true, true, false, true, Span.seconds(2), 0.1, false, Span.millis(250)),
+    private static Facts facts(
+            int peers, boolean orders, boolean secondLegs, Facts.Ration ration, List<Facts.Account> accounts) {
+        return new Facts(
+                0,
+                peers,
+                "a",
+                Span.millis(4),
+                List.of(RETRIABLE, BINDING, MARKED, MARKED_IN_ZONE, MARKED_BRIEFLY),
+                accounts,
+                new Facts.Allowances(
+                        3, secondLegs, true, true, false, true, Span.seconds(2), 0.1, false, Span.millis(250)),
                 new Facts.Answering(Span.millis(16), Span.millis(500)),
-                new Facts.ColdStart(0.25, Span.seconds(15), 2, Span.millis(1500)), ration,
+                new Facts.ColdStart(0.25, Span.seconds(15), 2, Span.millis(1500)),
+                ration,
                 new Facts.Copies(Span.seconds(8), orders, true, Span.seconds(10), true, true, List.of(50000.0)),
-                new Facts.Reports(List.of("x1"), true), new Facts.Roll(false, Span.NONE),
+                new Facts.Reports(List.of("x1"), true),
+                new Facts.Roll(false, Span.NONE),
                 new Facts.Prices(0.01, 0.05, 0.01, 0.03, 0.1, 0.05));
     }
 
@@ -161,8 +179,8 @@
         Taken call = new Taken("call" + named++, terms, now.plus(left));
         calls.put(call.id, call);
         takenAt.add(now);
-        on(new Event.CallCame(call.id, function, terms.name(), account, left, lanes, 500, Span.millis(800), null,
-                false, false));
+        on(new Event.CallCame(
+                call.id, function, terms.name(), account, left, lanes, 500, Span.millis(800), null, false, false));
         return call;
     }
 
@@ -183,7 +201,15 @@
     void end(Taken call, int leg, Outcome outcome, Copy copy, Span took, double loads, double waiting) {
         call.outcomes.set(leg, outcome);
         call.over |= outcome == Outcome.SUCCESS;
-        on(new Event.LegEnded(call.id, leg, call.workers.get(leg), outcome, took, call.over, copy, 0,
+        on(new Event.LegEnded(
+                call.id,
+                leg,
+                call.workers.get(leg),
+                outcome,
+                took,
+                call.over,
+                copy,
+                0,
                 new Event.Report(Double.NaN, waiting, Double.NaN, loads, Double.NaN)));
     }
 
@@ -211,18 +237,26 @@
                 while (call.outcomes.get(first) != null && call.outcomes.get(first).neverRan) {
                     first++;
                 }
-                assertTrue(now.since(call.sent.get(first)).plus(facts.sending()).compareTo(call.terms.remembered()) <= 0,
+                assertTrue(
+                        now.since(call.sent.get(first)).plus(facts.sending()).compareTo(call.terms.remembered()) <= 0,
                         "past memory, if its connection comes up as late as it may");
-                assertTrue(call.terms.group() == Group.ALL || workers.get(send.worker()).zone()
-                        .equals(workers.get(call.workers.get(first)).zone()), "outside the group");
+                assertTrue(
+                        call.terms.group() == Group.ALL
+                                || workers.get(send.worker())
+                                        .zone()
+                                        .equals(workers.get(call.workers.get(first))
+                                                .zone()),
+                        "outside the group");
             }
             call.workers.add(send.worker());
             call.sent.add(now);
             call.outcomes.add(null);
         } else if (action instanceof Action.Dismiss dismiss) {
             Taken call = calls.get(dismiss.call());
-            assertTrue(call.terms.effect() == Effect.RETRIABLE || !call.mayHaveRun()
-                    || call.terms.effect() == Effect.FINGERPRINTED && call.terms.group() == Group.ALL,
+            assertTrue(
+                    call.terms.effect() == Effect.RETRIABLE
+                            || !call.mayHaveRun()
+                            || call.terms.effect() == Effect.FINGERPRINTED && call.terms.group() == Group.ALL,
                     "a dismissal of what may have run");
             finish(call, action);
         } else if (action instanceof Action.Terminate terminate) {
@@ -233,8 +267,12 @@
             orders.add(now);
             Facts.Ration ration = facts.ration();
             if (ration.window().nanos() > 0) {
-                long ordered = orders.stream().filter(at -> now.since(at).compareTo(ration.window()) <= 0).count();
-                long took = takenAt.stream().filter(at -> now.since(at).compareTo(ration.window()) < 0).count();
+                long ordered = orders.stream()
+                        .filter(at -> now.since(at).compareTo(ration.window()) <= 0)
+                        .count();
+                long took = takenAt.stream()
+                        .filter(at -> now.since(at).compareTo(ration.window()) < 0)
+                        .count();
                 assertTrue(ordered <= ration.free() + ration.share() * took, "more orders than the ration");
             }
         } else if (action instanceof Action.Cancel cancel) {
--- a/decisions/src/test/java/pearladder/RulesTest.java
+++ b/decisions/src/test/java/pearladder/RulesTest.java
@@ -17,14 +17,15 @@
 
 /** Seeded random runs: calls, outcomes, lists and orders as they come; the rig checks the rules at each action. */
 class RulesTest {
-    private static final List<Terms> CATEGORIES = List.of(Rig.RETRIABLE, Rig.BINDING, Rig.MARKED,
-            Rig.MARKED_IN_ZONE, Rig.MARKED_BRIEFLY);
+    private static final List<Terms> CATEGORIES =
+            List.of(Rig.RETRIABLE, Rig.BINDING, Rig.MARKED, Rig.MARKED_IN_ZONE, Rig.MARKED_BRIEFLY);
 
     private static Facts shape(SplittableRandom random) {
         boolean orders = random.nextBoolean();
-        Facts.Ration ration = random.nextBoolean() ? new Facts.Ration(2, 0.1, Span.seconds(5))
-                : new Facts.Ration(0, 0, Span.NONE);
-        List<Facts.Account> accounts = random.nextBoolean() ? List.of()
+        Facts.Ration ration =
+                random.nextBoolean() ? new Facts.Ration(2, 0.1, Span.seconds(5)) : new Facts.Ration(0, 0, Span.NONE);
+        List<Facts.Account> accounts = random.nextBoolean()
+                ? List.of()
                 : List.of(new Facts.Account("x", 0.7, 60), new Facts.Account("y", 0.3, 20));
         return Rig.facts(orders, random.nextBoolean(), ration, accounts);
     }
@@ -51,8 +52,7 @@
                 Terms terms = CATEGORIES.get(random.nextInt(CATEGORIES.size()));
                 String account = facts.accounts().isEmpty() ? null : random.nextBoolean() ? "x" : "y";
                 int function = (int) (12 * Math.pow(random.nextDouble(), 2));
-                rig.call("f" + function, terms, account, 1 << function % 3,
-                        Span.millis(random.nextInt(200, 4000)));
+                rig.call("f" + function, terms, account, 1 << function % 3, Span.millis(random.nextInt(200, 4000)));
             }
             endSome(rig, random, failing);
             if (random.nextInt(60) == 0) {
@@ -68,8 +68,12 @@
             if (!held.isEmpty() && random.nextInt(10) == 0) {
                 Action.Hold hold = held.remove(random.nextInt(held.size()));
                 Outcome outcome = Outcome.values()[random.nextInt(6)];
-                rig.on(new Event.LoadAnswered(hold.worker(), hold.function(), outcome,
-                        outcome == Outcome.SUCCESS ? hold.copies() : 0, Span.millis(900)));
+                rig.on(new Event.LoadAnswered(
+                        hold.worker(),
+                        hold.function(),
+                        outcome,
+                        outcome == Outcome.SUCCESS ? hold.copies() : 0,
+                        Span.millis(900)));
             }
             if (random.nextInt(40) == 0) {
                 strays(rig, random);
@@ -103,7 +107,8 @@
                 if (call.outcomes.get(leg) == null && random.nextInt(12) == 0) {
                     boolean bad = random.nextDouble() < failing;
                     Outcome outcome = bad ? Outcome.values()[random.nextInt(1, 9)] : Outcome.SUCCESS;
-                    Copy copy = outcome == Outcome.SUCCESS ? Copy.values()[random.nextInt(1, 4)]
+                    Copy copy = outcome == Outcome.SUCCESS
+                            ? Copy.values()[random.nextInt(1, 4)]
                             : outcome == Outcome.ABSENT ? Copy.LOAD_FAILED : Copy.UNTOLD;
                     rig.end(call, leg, outcome, copy, rig.now.since(call.sent.get(leg)));
                 }
--- a/decisions/src/test/java/pearladder/backlog/BacklogTest.java
+++ b/decisions/src/test/java/pearladder/backlog/BacklogTest.java
@@ -49,7 +49,8 @@
 
     @Test
     void anOrderGoesOutOnlyOnceItsRecordIsSafe() {
-        assertEquals(List.of(new BacklogAction.Take(), new BacklogAction.Wake(WINDOW), new BacklogAction.Wake(GATHER)),
+        assertEquals(
+                List.of(new BacklogAction.Take(), new BacklogAction.Wake(WINDOW), new BacklogAction.Wake(GATHER)),
                 on(new BacklogEvent.Came(false, "o1")));
         after(20, new BacklogEvent.Due());
         assertEquals(List.of(new BacklogAction.Go("o1")), after(3, new BacklogEvent.Written(Span.millis(3))));
@@ -59,7 +60,9 @@
     void anOrderDoesNotWaitForADiskThatStandsStill() {
         on(new BacklogEvent.Came(false, "o1"));
         after(20, new BacklogEvent.Due());
-        assertEquals(List.of(new BacklogAction.Withhold("o1", "its record came too late")), after(30, new BacklogEvent.Due()));
+        assertEquals(
+                List.of(new BacklogAction.Withhold("o1", "its record came too late")),
+                after(30, new BacklogEvent.Due()));
         List<BacklogAction> late = after(450, new BacklogEvent.Written(Span.millis(480)));
         assertEquals(1, late.size());
         assertTrue(((BacklogAction.Log) late.get(0)).text().contains("late: 480 ms"));
@@ -72,12 +75,14 @@
         List<BacklogAction> failed = on(new BacklogEvent.Failed("no space"));
         assertTrue(failed.stream().anyMatch(BacklogAction.Log.class::isInstance));
         assertEquals(List.of(new BacklogAction.LeaveOut()), on(detail()));
-        assertTrue(on(new BacklogEvent.Came(false, "o1")).contains(new BacklogAction.Withhold("o1", "its record can't be kept")));
+        assertTrue(on(new BacklogEvent.Came(false, "o1"))
+                .contains(new BacklogAction.Withhold("o1", "its record can't be kept")));
         assertEquals(List.of(new BacklogAction.Write(2)), after(100, new BacklogEvent.Due()));
         assertFalse(on(new BacklogEvent.Failed("no space")).stream().anyMatch(BacklogAction.Log.class::isInstance));
         assertEquals(List.of(new BacklogAction.Write(2)), after(200, new BacklogEvent.Due()));
         List<BacklogAction> again = on(new BacklogEvent.Written(Span.millis(1)));
-        assertTrue(again.get(0) instanceof BacklogAction.Log log && log.text().contains("kept again: 1 entries were left out, 0"));
+        assertTrue(again.get(0) instanceof BacklogAction.Log log
+                && log.text().contains("kept again: 1 entries were left out, 0"));
         assertTrue(again.contains(new BacklogAction.TellLeftOut(1)));
     }
 
@@ -109,7 +114,9 @@
                 BacklogEvent event;
                 if (writing > 0 && random.nextInt(6) == 0) {
                     boolean well = random.nextInt(4) > 0;
-                    event = well ? new BacklogEvent.Written(Span.millis(random.nextInt(80))) : new BacklogEvent.Failed("drawn");
+                    event = well
+                            ? new BacklogEvent.Written(Span.millis(random.nextInt(80)))
+                            : new BacklogEvent.Failed("drawn");
                     for (int i = 0; well && i < writing; i++) {
                         safe.add(queue.remove(0));
                     }
@@ -139,7 +146,10 @@
                         assertTrue(open.remove(go.order()), go.order() + " ended twice");
                         assertTrue(safe.contains(go.order()), "before its record was safe");
                     } else if (action instanceof BacklogAction.Withhold withhold) {
-                        assertTrue(open.remove(withhold.order()) || withhold.order().equals(id), "ended twice");
+                        assertTrue(
+                                open.remove(withhold.order())
+                                        || withhold.order().equals(id),
+                                "ended twice");
                     } else if (action instanceof BacklogAction.TellLeftOut tell) {
                         told += tell.entries();
                     }
--- a/decisions/src/test/java/pearladder/release/ReleasesTest.java
+++ b/decisions/src/test/java/pearladder/release/ReleasesTest.java
@@ -56,8 +56,8 @@
     }
 
     private String version(String key, String mark) {
-        List<ReleaseAction.Use> uses = only(on(new ReleaseEvent.CallCame("c" + numbered++, "pair", key, mark)),
-                ReleaseAction.Use.class);
+        List<ReleaseAction.Use> uses =
+                only(on(new ReleaseEvent.CallCame("c" + numbered++, "pair", key, mark)), ReleaseAction.Use.class);
         assertEquals(1, uses.size());
         return uses.get(0).version();
     }
@@ -80,8 +80,12 @@
     private void calls(int count, double badOld, double badNew, SplittableRandom random) {
         for (int i = 0; i < count; i++) {
             String call = "j" + numbered++;
-            String version = only(on(new ReleaseEvent.CallCame(call, "pair", call, "")), ReleaseAction.Use.class).get(0).version();
-            on(new ReleaseEvent.CallEnded(call, random.nextDouble() >= (version.equals("2") ? badNew : badOld),
+            String version = only(on(new ReleaseEvent.CallCame(call, "pair", call, "")), ReleaseAction.Use.class)
+                    .get(0)
+                    .version();
+            on(new ReleaseEvent.CallEnded(
+                    call,
+                    random.nextDouble() >= (version.equals("2") ? badNew : badOld),
                     List.of("e" + random.nextInt(4))));
         }
     }
@@ -94,7 +98,10 @@
     @Test
     void aStepIsTakenOnlyWhereCopiesStandAndAddsKeysOnly() {
         List<ReleaseAction> actions = order(1, Mode.RUNNING, 0);
-        assertEquals(List.of(new ReleaseAction.Prepare("pair", "2", "1", 0.05), new ReleaseAction.Prepare("pair", "1", "1", 1)),
+        assertEquals(
+                List.of(
+                        new ReleaseAction.Prepare("pair", "2", "1", 0.05),
+                        new ReleaseAction.Prepare("pair", "1", "1", 1)),
                 only(actions, ReleaseAction.Prepare.class));
         assertEquals(Set.of(), onNew(), "before its copies stand nobody gets it");
         stand(0.05);
@@ -104,7 +111,8 @@
         assertEquals(few, onNew());
         stand(0.3);
         Set<String> more = onNew();
-        assertTrue(more.containsAll(few) && more.size() > 430 && more.size() < 570, "a quarter of 2000: " + more.size());
+        assertTrue(
+                more.containsAll(few) && more.size() > 430 && more.size() < 570, "a quarter of 2000: " + more.size());
         order(3, Mode.ROLLED_BACK, 0);
         assertEquals(Set.of(), onNew());
     }
@@ -119,16 +127,22 @@
         assertTrue(releases.status().get(0).contains("share 0.05"), "no call has judged it: " + releases.status());
         calls(6000, 0.01, 0.01, random);
         on(new ReleaseEvent.Due());
-        assertTrue(releases.status().get(0).contains("share 0.25"), releases.status().toString());
+        assertTrue(
+                releases.status().get(0).contains("share 0.25"),
+                releases.status().toString());
         calls(2000, 0.01, 0.01, random);
         on(new ReleaseEvent.Due());
         assertTrue(releases.status().get(0).contains("share 0.25"), "it was not held long enough");
         now = now.plus(Span.seconds(11));
         on(new ReleaseEvent.Due());
-        assertTrue(releases.status().get(0).contains("share 1.00"), releases.status().toString());
-        assertEquals(List.of(), only(on(new ReleaseEvent.Due()), ReleaseAction.Withdraw.class), "the old copies are kept");
+        assertTrue(
+                releases.status().get(0).contains("share 1.00"),
+                releases.status().toString());
+        assertEquals(
+                List.of(), only(on(new ReleaseEvent.Due()), ReleaseAction.Withdraw.class), "the old copies are kept");
         now = now.plus(Span.seconds(11));
-        assertTrue(on(new ReleaseEvent.Due()).contains(new ReleaseAction.Withdraw("pair", "1")), "until the hold is over");
+        assertTrue(
+                on(new ReleaseEvent.Due()).contains(new ReleaseAction.Withdraw("pair", "1")), "until the hold is over");
     }
 
     @Test
@@ -138,7 +152,10 @@
         int given = 0;
         while (releases.status().get(0).contains("share 0.05") && given < 50) {
             String call = "b" + numbered++;
-            if (only(on(new ReleaseEvent.CallCame(call, "pair", call, "")), ReleaseAction.Use.class).get(0).version().equals("2")) {
+            if (only(on(new ReleaseEvent.CallCame(call, "pair", call, "")), ReleaseAction.Use.class)
+                    .get(0)
+                    .version()
+                    .equals("2")) {
                 given++;
                 List<ReleaseAction> actions = on(new ReleaseEvent.CallEnded(call, false, List.of("e" + given % 2)));
                 if (!only(actions, ReleaseAction.Withdraw.class).isEmpty()) {
@@ -167,7 +184,8 @@
         for (double bad : new double[] {0.1, 0.2, 0.3, 0.2, 0.05}) {
             calls(800, bad, bad, random);
         }
-        assertFalse(releases.status().get(0).contains("broken"), releases.status().toString());
+        assertFalse(
+                releases.status().get(0).contains("broken"), releases.status().toString());
     }
 
     @Test
@@ -186,33 +204,52 @@
         now = now.plus(Span.seconds(2));
         on(new ReleaseEvent.Due());
         assertEquals("1", version("key-1", "m1"));
-        assertTrue(first.keySet().stream().allMatch(mark -> version("key-" + mark.substring(1), mark).equals("1")));
+        assertTrue(first.keySet().stream()
+                .allMatch(mark -> version("key-" + mark.substring(1), mark).equals("1")));
     }
 
     @Test
     void twoOperatorsAtOnceAndPlansThatBreakAreRefusedInWords() {
         order(1, Mode.RUNNING, 0);
-        List<ReleaseAction.Refuse> second = only(on(new ReleaseEvent.Ordered(new Target(1, PLAN, Mode.PAUSED, 0, "other", 0))),
+        List<ReleaseAction.Refuse> second = only(
+                on(new ReleaseEvent.Ordered(new Target(1, PLAN, Mode.PAUSED, 0, "other", 0))),
                 ReleaseAction.Refuse.class);
         assertEquals(1, second.size());
         assertTrue(second.get(0).why().contains("ordered by ops"), second.get(0).why());
-        assertEquals(1, only(order(1, Mode.RUNNING, 0), ReleaseAction.Keep.class).size(), "the same order again is no other");
-        Plan down = new Plan("pair", "1", "1", List.of(0.5, 0.2, 1.5), Span.NONE, 0, new Plan.Gate(0, 0.7, 0.1),
-                Plan.Breach.PAUSE);
-        assertEquals(List.of("to", "steps", "steps", "gate.excess", "gate"), down.faults().stream().map(Plan.Fault::key).toList());
-        assertEquals(1, only(on(new ReleaseEvent.Ordered(target(9, down, Mode.RUNNING, 0))), ReleaseAction.Refuse.class).size());
-        assertEquals(1, only(order(9, Mode.RUNNING, 7), ReleaseAction.Refuse.class).size());
+        assertEquals(
+                1,
+                only(order(1, Mode.RUNNING, 0), ReleaseAction.Keep.class).size(),
+                "the same order again is no other");
+        Plan down = new Plan(
+                "pair", "1", "1", List.of(0.5, 0.2, 1.5), Span.NONE, 0, new Plan.Gate(0, 0.7, 0.1), Plan.Breach.PAUSE);
+        assertEquals(
+                List.of("to", "steps", "steps", "gate.excess", "gate"),
+                down.faults().stream().map(Plan.Fault::key).toList());
+        assertEquals(
+                1,
+                only(on(new ReleaseEvent.Ordered(target(9, down, Mode.RUNNING, 0))), ReleaseAction.Refuse.class)
+                        .size());
+        assertEquals(
+                1, only(order(9, Mode.RUNNING, 7), ReleaseAction.Refuse.class).size());
     }
 
     @Test
     void anOrderThatWasNotKeptIsNotFollowedAndOfTwoOnTheirWayTheFirstKeptHolds() {
         Target one = target(1, PLAN, Mode.RUNNING, 0);
         Target two = new Target(1, PLAN, Mode.PAUSED, 0, "other", 0);
-        assertEquals(1, only(on(new ReleaseEvent.Ordered(one)), ReleaseAction.Keep.class).size());
+        assertEquals(
+                1,
+                only(on(new ReleaseEvent.Ordered(one)), ReleaseAction.Keep.class)
+                        .size());
         assertEquals(List.of(), releases.targets(), "the journal could not be written, say");
-        assertEquals(1, only(on(new ReleaseEvent.Ordered(two)), ReleaseAction.Keep.class).size());
+        assertEquals(
+                1,
+                only(on(new ReleaseEvent.Ordered(two)), ReleaseAction.Keep.class)
+                        .size());
         on(new ReleaseEvent.Kept(two));
-        assertEquals(1, only(on(new ReleaseEvent.Kept(one)), ReleaseAction.Refuse.class).size());
+        assertEquals(
+                1,
+                only(on(new ReleaseEvent.Kept(one)), ReleaseAction.Refuse.class).size());
         assertEquals(List.of(two), releases.targets());
     }
 
@@ -225,9 +262,13 @@
         calls(6000, 0.01, 0.01, random);
         now = now.plus(Span.seconds(60));
         on(new ReleaseEvent.Due());
-        assertTrue(releases.status().get(0).contains("paused, share 0.05"), releases.status().toString());
+        assertTrue(
+                releases.status().get(0).contains("paused, share 0.05"),
+                releases.status().toString());
         order(3, Mode.RUNNING, 1);
-        assertTrue(releases.status().get(0).contains("share 0.25"), releases.status().toString());
+        assertTrue(
+                releases.status().get(0).contains("share 0.25"),
+                releases.status().toString());
     }
 
     /** Found on a day with failing engines: a good version whose one copy stood on one of them was taken back. */
@@ -287,16 +328,29 @@
         Set<String> keys = onNew();
         assertTrue(keys.size() > 430 && keys.size() < 570, "a quarter of 2000 at once: " + keys.size());
         collect(order(2, Mode.PAUSED, 1), notes);
-        assertEquals(new Reached("pair", 2, 1, false), notes.get(notes.size() - 1), "the new epoch stands where the old one did");
+        assertEquals(
+                new Reached("pair", 2, 1, false),
+                notes.get(notes.size() - 1),
+                "the new epoch stands where the old one did");
 
         Releases broken = new Releases(Span.seconds(8));
-        broken.on(now, new ReleaseEvent.Restored(List.of(target(1, PLAN, Mode.RUNNING, 0)),
-                List.of(new Reached("pair", 1, 1, true), new Reached("pair", 1, 0, false))));
-        assertTrue(broken.status().get(0).contains("broken, share 0.00"), broken.status().toString());
+        broken.on(
+                now,
+                new ReleaseEvent.Restored(
+                        List.of(target(1, PLAN, Mode.RUNNING, 0)),
+                        List.of(new Reached("pair", 1, 1, true), new Reached("pair", 1, 0, false))));
+        assertTrue(
+                broken.status().get(0).contains("broken, share 0.00"),
+                broken.status().toString());
         Releases ordered = new Releases(Span.seconds(8));
-        ordered.on(now, new ReleaseEvent.Restored(List.of(target(2, PLAN, Mode.ROLLED_BACK, 0), target(1, PLAN, Mode.RUNNING, 0)),
-                List.of(new Reached("pair", 1, 2, false))));
-        assertTrue(ordered.status().get(0).contains("rolled_back, share 0.00"), "what an older epoch reached says nothing");
+        ordered.on(
+                now,
+                new ReleaseEvent.Restored(
+                        List.of(target(2, PLAN, Mode.ROLLED_BACK, 0), target(1, PLAN, Mode.RUNNING, 0)),
+                        List.of(new Reached("pair", 1, 2, false))));
+        assertTrue(
+                ordered.status().get(0).contains("rolled_back, share 0.00"),
+                "what an older epoch reached says nothing");
     }
 
     private static void collect(List<ReleaseAction> actions, List<Reached> notes) {
@@ -322,8 +376,9 @@
             SplittableRandom random = new SplittableRandom(seed);
             List<Target> orders = new ArrayList<>();
             for (int epoch = 1; epoch <= 12; epoch++) {
-                Plan plan = random.nextInt(4) == 0 ? new Plan("pair", "2", "3", PLAN.steps(), PLAN.hold(), 5, GATE,
-                        Plan.Breach.PAUSE) : PLAN;
+                Plan plan = random.nextInt(4) == 0
+                        ? new Plan("pair", "2", "3", PLAN.steps(), PLAN.hold(), 5, GATE, Plan.Breach.PAUSE)
+                        : PLAN;
                 orders.add(target(epoch, plan, Mode.values()[random.nextInt(3)], random.nextInt(3)));
             }
             Target newest = orders.get(11);
@@ -335,7 +390,8 @@
                 Collections.shuffle(coming, new Random(seed * 31L + router));
                 coming.removeIf(target -> target != newest && random.nextInt(3) == 0);
                 for (Target target : coming) {
-                    order(one, now, target).stream().filter(ReleaseAction.Keep.class::isInstance)
+                    order(one, now, target).stream()
+                            .filter(ReleaseAction.Keep.class::isInstance)
                             .forEach(keep -> journal.add(((ReleaseAction.Keep) keep).target()));
                     if (random.nextInt(6) == 0) {
                         one = new Releases(Span.seconds(8));
@@ -373,15 +429,16 @@
                     default -> {
                         String key = "k" + random.nextInt(60);
                         String call = "c" + step;
-                        List<ReleaseAction.Use> uses = only(one.on(at, new ReleaseEvent.CallCame(call, "pair", key, "")),
-                                ReleaseAction.Use.class);
+                        List<ReleaseAction.Use> uses = only(
+                                one.on(at, new ReleaseEvent.CallCame(call, "pair", key, "")), ReleaseAction.Use.class);
                         assertEquals(1, uses.size());
                         boolean isNew = uses.get(0).version().equals("2");
                         assertTrue(isNew || !news.contains(key), "a key moved back at seed " + seed + " step " + step);
                         if (isNew) {
                             news.add(key);
                         }
-                        actions.addAll(one.on(at, new ReleaseEvent.CallEnded(call, random.nextInt(50) > 0, List.of("e"))));
+                        actions.addAll(
+                                one.on(at, new ReleaseEvent.CallEnded(call, random.nextInt(50) > 0, List.of("e"))));
                     }
                 }
                 boolean withdrawn = !only(actions, ReleaseAction.Withdraw.class).isEmpty();
--- a/decisions/src/test/java/pearladder/sockets/ShutdownTest.java
+++ b/decisions/src/test/java/pearladder/sockets/ShutdownTest.java
@@ -29,7 +29,8 @@
         assertEquals(Step.REFUSE, at(Span.seconds(4), 4000, null, new Owed(1, 0, 0)), "a call without its answer");
         assertEquals(Step.REFUSE, at(Span.seconds(4), 4000, null, new Owed(0, 1, 0)), "an answer that has not left");
         assertEquals(Step.REFUSE, at(Span.seconds(4), 4000, null, new Owed(0, 0, 1)), "a request that is half here");
-        assertEquals(Step.REFUSE, at(Span.seconds(4), 740, TOLD.plus(Span.millis(691)), NOTHING), "a client just heard");
+        assertEquals(
+                Step.REFUSE, at(Span.seconds(4), 740, TOLD.plus(Span.millis(691)), NOTHING), "a client just heard");
     }
 
     @Test
--- a/decisions/src/test/java/pearladder/sockets/SocketsTest.java
+++ b/decisions/src/test/java/pearladder/sockets/SocketsTest.java
@@ -51,7 +51,8 @@
         now = now.plus(Span.millis(10));
         Seat working = come(true, 2);
         Seat silent = come(false, 0);
-        assertEquals(List.of(new CloseSeat(silent, "too many connections")), on(new SocketEvent.SeatTaken(new Seat(now))));
+        assertEquals(
+                List.of(new CloseSeat(silent, "too many connections")), on(new SocketEvent.SeatTaken(new Seat(now))));
         Seat newcomer = new Seat(now);
         newcomer.spoke = now;
         CloseSeat next = (CloseSeat) on(new SocketEvent.SeatTaken(newcomer)).get(0);
@@ -69,7 +70,11 @@
         now = now.plus(Span.millis(1900));
         assertEquals(List.of(), on(new SocketEvent.Beat()));
         now = now.plus(Span.millis(200));
-        assertEquals(List.of(silent, half, stuck), on(new SocketEvent.Beat()).stream().map(a -> ((CloseSeat) a).seat()).toList());
+        assertEquals(
+                List.of(silent, half, stuck),
+                on(new SocketEvent.Beat()).stream()
+                        .map(a -> ((CloseSeat) a).seat())
+                        .toList());
         assertEquals(List.of(), on(new SocketEvent.Beat()), "each is closed once");
     }
 
@@ -85,15 +90,22 @@
         Link first = open("a", List.of());
         Link second = open("a", List.of(first));
         first.out = 0;
-        assertEquals(List.of(new UseLink(first)), on(new SocketEvent.LinkWanted("a", List.of(first, second), List.of())));
+        assertEquals(
+                List.of(new UseLink(first)), on(new SocketEvent.LinkWanted("a", List.of(first, second), List.of())));
         first.out = 1;
         open("b", List.of());
         open("b", List.of());
-        assertEquals(List.of(new UseLink(first)), on(new SocketEvent.LinkWanted("a", List.of(first, second), List.of())));
-        assertEquals(List.of(new UseLink(second)), on(new SocketEvent.LinkWanted("a", List.of(first, second), List.of(first))));
+        assertEquals(
+                List.of(new UseLink(first)), on(new SocketEvent.LinkWanted("a", List.of(first, second), List.of())));
+        assertEquals(
+                List.of(new UseLink(second)),
+                on(new SocketEvent.LinkWanted("a", List.of(first, second), List.of(first))));
         first.out = 2;
         second.out = 2;
-        assertEquals(List.of(), on(new SocketEvent.LinkWanted("a", List.of(first, second), List.of())), "all streams are taken");
+        assertEquals(
+                List.of(),
+                on(new SocketEvent.LinkWanted("a", List.of(first, second), List.of())),
+                "all streams are taken");
     }
 
     @Test
@@ -162,10 +174,13 @@
                     String worker = "w" + chance.nextInt(3);
                     List<Link> own = links.computeIfAbsent(worker, w -> new ArrayList<>());
                     own.forEach(link -> link.doubted = chance.nextInt(8) == 0);
-                    List<Link> avoided = own.stream().filter(link -> chance.nextInt(4) == 0).toList();
+                    List<Link> avoided =
+                            own.stream().filter(link -> chance.nextInt(4) == 0).toList();
                     actions = on(new SocketEvent.LinkWanted(worker, List.copyOf(own), avoided));
                     for (SocketAction action : actions) {
-                        Link link = action instanceof UseLink use ? use.link() : action instanceof OpenLink open ? open.link() : null;
+                        Link link = action instanceof UseLink use
+                                ? use.link()
+                                : action instanceof OpenLink open ? open.link() : null;
                         if (link != null) {
                             assertEquals(worker, link.worker);
                             assertFalse(link.doubted || avoided.contains(link));
--- a/decisions/src/test/java/pearladder/usage/UsageTest.java
+++ b/decisions/src/test/java/pearladder/usage/UsageTest.java
@@ -42,29 +42,54 @@
 
     @Test
     void aCopyCountsFromTheBeginningOfItsLoadUntilItIsNotKeptAnyMore() {
-        assertEquals(Map.of("tender", 100L * (5_000 + KEPT)), byAccount(shares(List.of(memory("m", 100),
-                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0), worked(6_000, "r1", "tender", 500)), 10 * MINUTE)));
+        assertEquals(
+                Map.of("tender", 100L * (5_000 + KEPT)),
+                byAccount(shares(
+                        List.of(
+                                memory("m", 100),
+                                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                worked(6_000, "r1", "tender", 500)),
+                        10 * MINUTE)));
     }
 
     @Test
     void aLoadThatLastsForLongerThanCopiesAreKeptCountsWhole() {
-        assertEquals(Map.of("tender", 100L * (30_000 + 500 + KEPT)), byAccount(shares(List.of(memory("m", 100),
-                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 30_000), worked(31_500, "r1", "tender", 500)), 10 * MINUTE)));
+        assertEquals(
+                Map.of("tender", 100L * (30_000 + 500 + KEPT)),
+                byAccount(shares(
+                        List.of(
+                                memory("m", 100),
+                                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 30_000),
+                                worked(31_500, "r1", "tender", 500)),
+                        10 * MINUTE)));
     }
 
     @Test
     void aFailedLoadAndADeadEngineStopCountingAtOnce() {
-        assertEquals(Map.of("tender", 100L * 2_000), byAccount(shares(List.of(memory("m", 100),
-                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0), new Evidence.LoadFailed(3_000, "r1", "e1", "m")),
-                10 * MINUTE)));
-        assertEquals(Map.of("tender", 100L * 6_000), byAccount(shares(List.of(memory("m", 100),
-                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0), worked(5_000, "r1", "tender", 9),
-                new Evidence.Gone(7_000, "r2", "e1")), 10 * MINUTE)));
+        assertEquals(
+                Map.of("tender", 100L * 2_000),
+                byAccount(shares(
+                        List.of(
+                                memory("m", 100),
+                                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                new Evidence.LoadFailed(3_000, "r1", "e1", "m")),
+                        10 * MINUTE)));
+        assertEquals(
+                Map.of("tender", 100L * 6_000),
+                byAccount(shares(
+                        List.of(
+                                memory("m", 100),
+                                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                worked(5_000, "r1", "tender", 9),
+                                new Evidence.Gone(7_000, "r2", "e1")),
+                        10 * MINUTE)));
     }
 
     @Test
     void anEngineThatWasCutOffCountsAsLongAsItsCopiesAreKeptAndALaterWordCorrectsIt() {
-        List<Evidence> seen = new ArrayList<>(List.of(memory("m", 100), new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0),
+        List<Evidence> seen = new ArrayList<>(List.of(
+                memory("m", 100),
+                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0),
                 worked(2_000, "r1", "tender", 9)));
         assertEquals(100L * 11_000, byAccount(shares(seen, MINUTE)).get("tender"));
         // another router reached it all the time
@@ -93,15 +118,24 @@
 
     @Test
     void copiesThatAnOrderBroughtAndNobodyUsedAreNobodys() {
-        assertEquals(Map.of("", 100L * KEPT), byAccount(shares(List.of(memory("m", 100),
-                new Evidence.Loading(1_000, "r1", "e1", "m", "", 0)), 10 * MINUTE)));
+        assertEquals(
+                Map.of("", 100L * KEPT),
+                byAccount(shares(
+                        List.of(memory("m", 100), new Evidence.Loading(1_000, "r1", "e1", "m", "", 0)), 10 * MINUTE)));
     }
 
     @Test
     void extraCopiesCountEachAndWhatTheEngineSaysHolds() {
-        assertEquals(Map.of("tender", 100L * (4_000 + 3 * 2_000)), byAccount(shares(List.of(memory("m", 100),
-                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0), worked(4_000, "r1", "tender", 5),
-                new Evidence.Copies(5_000, "r1", "e1", "m", 3), new Evidence.Copies(7_000, "r1", "e1", "m", 0)), MINUTE)));
+        assertEquals(
+                Map.of("tender", 100L * (4_000 + 3 * 2_000)),
+                byAccount(shares(
+                        List.of(
+                                memory("m", 100),
+                                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                worked(4_000, "r1", "tender", 5),
+                                new Evidence.Copies(5_000, "r1", "e1", "m", 3),
+                                new Evidence.Copies(7_000, "r1", "e1", "m", 0)),
+                        MINUTE)));
     }
 
     @Test
@@ -115,7 +149,11 @@
                 drawn.put("a" + j, 1 + random.nextLong(1L << (1 + random.nextInt(45))));
             }
             long whole = random.nextLong(1L << 50);
-            assertEquals(whole, Usage.parts(whole, drawn).values().stream().mapToLong(part -> part).sum());
+            assertEquals(
+                    whole,
+                    Usage.parts(whole, drawn).values().stream()
+                            .mapToLong(part -> part)
+                            .sum());
         }
     }
 
@@ -131,13 +169,15 @@
                 String engine = "e" + random.nextInt(3);
                 String model = "m" + random.nextInt(3);
                 String account = "a" + random.nextInt(3);
-                all.add(switch (random.nextInt(9)) {
-                    case 0 -> new Evidence.Loading(at, router, engine, model, account, 0);
-                    case 1 -> new Evidence.LoadFailed(at, router, engine, model);
-                    case 2 -> new Evidence.Copies(at, router, engine, model, random.nextInt(4));
-                    case 3 -> new Evidence.Gone(at, router, engine);
-                    default -> new Evidence.Worked(at, router, engine, model, account, 1 + random.nextInt(100_000));
-                });
+                all.add(
+                        switch (random.nextInt(9)) {
+                            case 0 -> new Evidence.Loading(at, router, engine, model, account, 0);
+                            case 1 -> new Evidence.LoadFailed(at, router, engine, model);
+                            case 2 -> new Evidence.Copies(at, router, engine, model, random.nextInt(4));
+                            case 3 -> new Evidence.Gone(at, router, engine);
+                            default -> new Evidence.Worked(
+                                    at, router, engine, model, account, 1 + random.nextInt(100_000));
+                        });
             }
             Usage usage = new Usage(MINUTE, KEPT, 100 * MINUTE);
             all.forEach(usage::on);
@@ -148,14 +188,24 @@
             shuffled.forEach(other::on);
             assertEquals(one, other.end(20 * MINUTE), "seed " + seed);
 
-            assertEquals(wholeByMilliseconds(all), one.stream().mapToLong(Share::amount).sum(), "seed " + seed);
-            Evidence.Worked some = (Evidence.Worked) all.stream().filter(Evidence.Worked.class::isInstance)
-                    .skip(random.nextInt(20)).findFirst().orElseThrow();
+            assertEquals(
+                    wholeByMilliseconds(all),
+                    one.stream().mapToLong(Share::amount).sum(),
+                    "seed " + seed);
+            Evidence.Worked some = (Evidence.Worked) all.stream()
+                    .filter(Evidence.Worked.class::isInstance)
+                    .skip(random.nextInt(20))
+                    .findFirst()
+                    .orElseThrow();
             List<Evidence> more = new ArrayList<>(all);
-            more.add(new Evidence.Worked(some.at(), some.router(), some.engine(), some.model(), some.account(), 50_000));
+            more.add(
+                    new Evidence.Worked(some.at(), some.router(), some.engine(), some.model(), some.account(), 50_000));
             Usage third = new Usage(MINUTE, KEPT, 100 * MINUTE);
             more.forEach(third::on);
-            assertTrue(byAccount(third.end(20 * MINUTE)).get(some.account()) >= byAccount(one).get(some.account()), "seed " + seed);
+            assertTrue(
+                    byAccount(third.end(20 * MINUTE)).get(some.account())
+                            >= byAccount(one).get(some.account()),
+                    "seed " + seed);
         }
     }
 
@@ -180,15 +230,28 @@
                         Evidence one = sorted.get(next);
                         boolean alive = copies > 0 && now < touched + KEPT;
                         int had = alive ? copies : 0;
-                        int has = one instanceof Evidence.Gone gone && gone.engine().equals(engine) ? 0
-                                : one instanceof Evidence.LoadFailed f && f.engine().equals(engine) && f.model().equals(model)
-                                ? Math.max(0, had - 1)
-                                : one instanceof Evidence.Loading l && l.engine().equals(engine) && l.model().equals(model)
-                                ? Math.max(1, had)
-                                : one instanceof Evidence.Worked w && w.engine().equals(engine) && w.model().equals(model)
-                                ? Math.max(1, had)
-                                : one instanceof Evidence.Copies c && c.engine().equals(engine) && c.model().equals(model)
-                                ? c.copies() : -1;
+                        int has = one instanceof Evidence.Gone gone
+                                        && gone.engine().equals(engine)
+                                ? 0
+                                : one instanceof Evidence.LoadFailed f
+                                                && f.engine().equals(engine)
+                                                && f.model().equals(model)
+                                        ? Math.max(0, had - 1)
+                                        : one instanceof Evidence.Loading l
+                                                        && l.engine().equals(engine)
+                                                        && l.model().equals(model)
+                                                ? Math.max(1, had)
+                                                : one instanceof Evidence.Worked w
+                                                                && w.engine().equals(engine)
+                                                                && w.model().equals(model)
+                                                        ? Math.max(1, had)
+                                                        : one instanceof Evidence.Copies c
+                                                                        && c.engine()
+                                                                                .equals(engine)
+                                                                        && c.model()
+                                                                                .equals(model)
+                                                                ? c.copies()
+                                                                : -1;
                         if (has >= 0) {
                             copies = has;
                             touched = now;
@@ -202,8 +265,14 @@
     }
 
     private static int rank(Evidence evidence) {
-        return evidence instanceof Evidence.Memory ? 0 : evidence instanceof Evidence.Gone ? 1
-                : evidence instanceof Evidence.LoadFailed ? 2 : evidence instanceof Evidence.Loading ? 3
-                : evidence instanceof Evidence.Copies ? 4 : 5;
+        return evidence instanceof Evidence.Memory
+                ? 0
+                : evidence instanceof Evidence.Gone
+                        ? 1
+                        : evidence instanceof Evidence.LoadFailed
+                                ? 2
+                                : evidence instanceof Evidence.Loading
+                                        ? 3
+                                        : evidence instanceof Evidence.Copies ? 4 : 5;
     }
 }
--- a/decisions/src/test/java/pearladder/work/SchedulerTest.java
+++ b/decisions/src/test/java/pearladder/work/SchedulerTest.java
@@ -34,12 +34,17 @@
     }
 
     private List<String> begun(WorkEvent event) {
-        return scheduler.on(now, event).stream().filter(WorkAction.Begin.class::isInstance)
-                .map(action -> ((WorkAction.Begin) action).id()).toList();
+        return scheduler.on(now, event).stream()
+                .filter(WorkAction.Begin.class::isInstance)
+                .map(action -> ((WorkAction.Begin) action).id())
+                .toList();
     }
 
     private static List<String> givenUp(List<WorkAction> actions) {
-        return actions.stream().filter(WorkAction.GiveUp.class::isInstance).map(action -> ((WorkAction.GiveUp) action).id()).toList();
+        return actions.stream()
+                .filter(WorkAction.GiveUp.class::isInstance)
+                .map(action -> ((WorkAction.GiveUp) action).id())
+                .toList();
     }
 
     private void end(String id) {
@@ -80,7 +85,9 @@
     void underStrainTheLowestRankStandsStillFirstAndSaysSo() {
         scheduler.on(now, new WorkEvent.Strained(Span.millis(400)));
         List<WorkAction> actions = scheduler.on(now, ask("r", "report", ""));
-        assertTrue(actions.stream().anyMatch(action -> action instanceof WorkAction.Log log && log.text().contains("report stands still")));
+        assertTrue(actions.stream()
+                .anyMatch(action ->
+                        action instanceof WorkAction.Log log && log.text().contains("report stands still")));
         assertEquals(List.of("p"), begun(ask("p", "probe", "")));
         scheduler.on(now, new WorkEvent.Strained(Span.seconds(3)));
         assertEquals(List.of(), begun(ask("p2", "probe", "")));
@@ -122,9 +129,12 @@
     void whatCantBeginByItsTimeIsGivenUpAtOnce() {
         begun(ask("a", "report", ""));
         scheduler.on(now, new WorkEvent.Ended("a", true, new Load(0.2, 0, 0)));
-        List<WorkAction> actions = scheduler.on(now, new WorkEvent.Asked("b", "report", "", ONE, now.plus(Span.seconds(1))));
+        List<WorkAction> actions =
+                scheduler.on(now, new WorkEvent.Asked("b", "report", "", ONE, now.plus(Span.seconds(1))));
         assertEquals(List.of("b"), givenUp(actions), "three seconds of debt, and one second to begin");
-        assertEquals(List.of(), givenUp(scheduler.on(now, new WorkEvent.Asked("c", "report", "", ONE, now.plus(Span.seconds(9))))));
+        assertEquals(
+                List.of(),
+                givenUp(scheduler.on(now, new WorkEvent.Asked("c", "report", "", ONE, now.plus(Span.seconds(9))))));
     }
 
     @Test
@@ -149,7 +159,8 @@
 
     @Test
     void accountsShareAClassWhoeverAsksMore() {
-        scheduler = new Scheduler(1, List.of(new Duty("cut", 0, new Load(0.1, 0, 0), 0.1, 1, 1000, 0, Span.NONE, false)), SECOND, now);
+        scheduler = new Scheduler(
+                1, List.of(new Duty("cut", 0, new Load(0.1, 0, 0), 0.1, 1, 1000, 0, Span.NONE, false)), SECOND, now);
         for (int i = 0; i < 200; i++) {
             begun(ask("big" + i, "cut", "tender"));
         }
@@ -193,7 +204,11 @@
                     Duty duty = duties.get(random.nextInt(3));
                     String id = duty.name() + ":" + step;
                     asked.add(id);
-                    event = new WorkEvent.Asked(id, duty.name(), "a" + random.nextInt(4), new Load(0.02 * random.nextDouble(), 0, 0),
+                    event = new WorkEvent.Asked(
+                            id,
+                            duty.name(),
+                            "a" + random.nextInt(4),
+                            new Load(0.02 * random.nextDouble(), 0, 0),
                             random.nextInt(3) == 0 ? at.plus(Span.millis(random.nextInt(2000))) : null);
                 } else if (what < 8 && !running.isEmpty()) {
                     String id = running.keySet().stream().sorted().toList().get(random.nextInt(running.size()));
@@ -215,7 +230,10 @@
                         String name = begin.id().substring(0, begin.id().indexOf(':'));
                         assertFalse(over.contains(begin.id()), "begun after its end");
                         assertEquals(null, running.put(begin.id(), name), "begun twice at once");
-                        Duty duty = duties.stream().filter(d -> d.name().equals(name)).findFirst().orElseThrow();
+                        Duty duty = duties.stream()
+                                .filter(d -> d.name().equals(name))
+                                .findFirst()
+                                .orElseThrow();
                         assertTrue(duty.rank() <= (1 - strain) * 2 + 1e-9, "a rank that stands still");
                     } else if (action instanceof WorkAction.GiveUp up) {
                         assertTrue(over.add(up.id()), "ended twice: " + up.id());
@@ -223,9 +241,13 @@
                     }
                 }
                 for (Duty duty : duties) {
-                    assertTrue(running.values().stream().filter(duty.name()::equals).count() <= duty.atOnce());
+                    assertTrue(running.values().stream()
+                                    .filter(duty.name()::equals)
+                                    .count()
+                            <= duty.atOnce());
                     double most = duty.budget().cpu() * (at.nanos() / 1e9 + duty.saved()) + 0.01 * duty.atOnce();
-                    assertTrue(spent.getOrDefault(duty.name(), 0.0) <= most + 1e-9, "seed " + seed + ": " + duty.name());
+                    assertTrue(
+                            spent.getOrDefault(duty.name(), 0.0) <= most + 1e-9, "seed " + seed + ": " + duty.name());
                 }
                 assertEquals(asked.size() - over.size(), one.size(), "each piece waits, runs or has ended");
             }
--- a/deploy/Variants.java
+++ b/deploy/Variants.java
@@ -16,38 +16,126 @@
  */
 final class Variants {
     /** What a table says instead; null takes the key away. Tables are named as in the file, with their place among equals. */
-    private record Change(String table, int place, Map<String, String> keys) { }
+    private record Change(String table, int place, Map<String, String> keys) {}
 
-    private Variants() { }
+    private Variants() {}
 
     public static void main(String[] arguments) throws IOException {
         if (arguments.length != 2) {
-            System.err.println("usage: java deploy/Variants.java FIRST_SITE SECOND_SITE, two site files of the operators");
+            System.err.println(
+                    "usage: java deploy/Variants.java FIRST_SITE SECOND_SITE, two site files of the operators");
             System.exit(2);
         }
-        lay(Path.of(arguments[0]), "ferry-desk", List.of(
-                change("", 0, "name", "\"ferry-desk\""),
-                change("allow", 0, "cancel", "false", "max_attempts", "2"),
-                change("rules", 0, "drain_grace_ms", "700", "fall_multiple", "3"),
-                change("goal", 0, "whole", "0.5", "worst_window", "0.2", "worst_class", "0.2", "worst_tenant", "0.1"),
-                change("prices", 0, "cross_zone", "0.01", "waste", "0.08", "probe", "0.012", "late_fail", "0.06", "origin", "0.06"),
-                change("class", 0, "name", "\"berth-quote\"", "share", "[0.55, 0.7]", "aim_ms", "800", "deadline_ms", "2400", "worth",
-                        "2", "late_worth", "0.3"),
-                change("class", 1, "name", "\"manifest-seal\"", "share", "[0.3, 0.45]", "aim_ms", "1500", "deadline_ms", "4500", "worth",
-                        "5", "late_worth", "0.2", "effect", "\"unsafe\"", "group", null, "window_ms", null),
-                change("tenant", 0, "name", "\"north-pier\"", "share", "0.4"),
-                change("tenant", 1, "name", "\"car-deck\"", "share", "0.35"),
-                change("tenant", 2, "name", "\"night-mail\"", "share", "0.15")),
+        lay(
+                Path.of(arguments[0]),
+                "ferry-desk",
+                List.of(
+                        change("", 0, "name", "\"ferry-desk\""),
+                        change("allow", 0, "cancel", "false", "max_attempts", "2"),
+                        change("rules", 0, "drain_grace_ms", "700", "fall_multiple", "3"),
+                        change(
+                                "goal",
+                                0,
+                                "whole",
+                                "0.5",
+                                "worst_window",
+                                "0.2",
+                                "worst_class",
+                                "0.2",
+                                "worst_tenant",
+                                "0.1"),
+                        change(
+                                "prices",
+                                0,
+                                "cross_zone",
+                                "0.01",
+                                "waste",
+                                "0.08",
+                                "probe",
+                                "0.012",
+                                "late_fail",
+                                "0.06",
+                                "origin",
+                                "0.06"),
+                        change(
+                                "class",
+                                0,
+                                "name",
+                                "\"berth-quote\"",
+                                "share",
+                                "[0.55, 0.7]",
+                                "aim_ms",
+                                "800",
+                                "deadline_ms",
+                                "2400",
+                                "worth",
+                                "2",
+                                "late_worth",
+                                "0.3"),
+                        change(
+                                "class",
+                                1,
+                                "name",
+                                "\"manifest-seal\"",
+                                "share",
+                                "[0.3, 0.45]",
+                                "aim_ms",
+                                "1500",
+                                "deadline_ms",
+                                "4500",
+                                "worth",
+                                "5",
+                                "late_worth",
+                                "0.2",
+                                "effect",
+                                "\"unsafe\"",
+                                "group",
+                                null,
+                                "window_ms",
+                                null),
+                        change("tenant", 0, "name", "\"north-pier\"", "share", "0.4"),
+                        change("tenant", 1, "name", "\"car-deck\"", "share", "0.35"),
+                        change("tenant", 2, "name", "\"night-mail\"", "share", "0.15")),
                 List.of("", "[[tenant]]", "name = \"fish-quay\"", "share = 0.1", "usage = [0.5, 1.4]"));
-        lay(Path.of(arguments[1]), "grain-ledger", List.of(
-                change("", 0, "name", "\"grain-ledger\""),
-                change("allow", 0, "max_attempts", "4"),
-                change("rules", 0, "drain_grace_ms", "1500", "fall_multiple", "3", "fall_ms", "2000"),
-                change("prices", 0, "waste", "0.05", "probe", "0.005", "late_fail", "0.08", "origin", "0.06"),
-                change("class", 0, "name", "\"weigh-in\"", "share", "[0.45, 0.6]", "aim_ms", "700", "deadline_ms", "2600", "worth", "4",
-                        "late_worth", "0.25"),
-                change("class", 1, "name", "\"settle-lot\"", "share", "[0.4, 0.5]", "aim_ms", "1100", "deadline_ms", "3500", "worth", "3",
-                        "window_ms", "4000")), List.of());
+        lay(
+                Path.of(arguments[1]),
+                "grain-ledger",
+                List.of(
+                        change("", 0, "name", "\"grain-ledger\""),
+                        change("allow", 0, "max_attempts", "4"),
+                        change("rules", 0, "drain_grace_ms", "1500", "fall_multiple", "3", "fall_ms", "2000"),
+                        change("prices", 0, "waste", "0.05", "probe", "0.005", "late_fail", "0.08", "origin", "0.06"),
+                        change(
+                                "class",
+                                0,
+                                "name",
+                                "\"weigh-in\"",
+                                "share",
+                                "[0.45, 0.6]",
+                                "aim_ms",
+                                "700",
+                                "deadline_ms",
+                                "2600",
+                                "worth",
+                                "4",
+                                "late_worth",
+                                "0.25"),
+                        change(
+                                "class",
+                                1,
+                                "name",
+                                "\"settle-lot\"",
+                                "share",
+                                "[0.4, 0.5]",
+                                "aim_ms",
+                                "1100",
+                                "deadline_ms",
+                                "3500",
+                                "worth",
+                                "3",
+                                "window_ms",
+                                "4000")),
+                List.of());
     }
 
     private static Change change(String table, int place, String... keys) {
@@ -72,8 +160,13 @@
             String key = line.replaceAll(" *=.*", "");
             String now = line;
             for (Change change : changes) {
-                if (line.contains("=") && change.table().equals(table) && change.place() == place && change.keys().containsKey(key)) {
-                    now = change.keys().get(key) == null ? null : key + " = " + change.keys().get(key);
+                if (line.contains("=")
+                        && change.table().equals(table)
+                        && change.place() == place
+                        && change.keys().containsKey(key)) {
+                    now = change.keys().get(key) == null
+                            ? null
+                            : key + " = " + change.keys().get(key);
                     made++;
                 }
             }
--- a/emulator/src/main/java/pearladder/emulator/Engine.java
+++ b/emulator/src/main/java/pearladder/emulator/Engine.java
@@ -17,16 +17,26 @@
  */
 public final class Engine {
     /** How a call met its copy. */
-    public enum Met { STOOD, LOAD_BEGUN, LOAD_JOINED, LOAD_FAILED }
+    public enum Met {
+        STOOD,
+        LOAD_BEGUN,
+        LOAD_JOINED,
+        LOAD_FAILED
+    }
 
     /** How an engine ends a call or an order. */
-    public enum End { OK, ERROR, FULL, ABSENT }
+    public enum End {
+        OK,
+        ERROR,
+        FULL,
+        ABSENT
+    }
 
     /** A call as it reaches an engine; mark is empty where there is none, workNanos 0 for the model's usual. */
-    public record Asked(String router, String call, int leg, String model, String mark, long workNanos) { }
+    public record Asked(String router, String call, int leg, String model, String mark, long workNanos) {}
 
     /** An answer; copies is for orders: how many stand. */
-    public record Answer(End end, Met met, int crowd, int copies, LoadReport report) { }
+    public record Answer(End end, Met met, int crowd, int copies, LoadReport report) {}
 
     /** A handle on a call that is held here. */
     public final class Held {
@@ -112,8 +122,16 @@
     private final ArrayDeque<Object[]> late = new ArrayDeque<>();
 
     /** @param marks those of its group; @param cold whether it has just started */
-    public Engine(Timeline time, String id, EngineKind kind, Function<String, ModelKind> models, Shelf shelf,
-            Marks marks, long seed, boolean cold, Consumer<Seen> seen) {
+    public Engine(
+            Timeline time,
+            String id,
+            EngineKind kind,
+            Function<String, ModelKind> models,
+            Shelf shelf,
+            Marks marks,
+            long seed,
+            boolean cold,
+            Consumer<Seen> seen) {
         this.marks = marks;
         this.time = time;
         this.id = id;
@@ -272,16 +290,20 @@
         }
         ModelKind model = models.apply(asked.model());
         seen.accept(Seen.leg(time.now(), Seen.ARRIVED, asked, id, asked.mark()));
-        double work = model == null ? 0
-                : (asked.workNanos() > 0 ? asked.workNanos() : model.workNanos()) * model.times();
+        double work =
+                model == null ? 0 : (asked.workNanos() > 0 ? asked.workNanos() : model.workNanos()) * model.times();
         if (pushed(work)) {
             return null;
         }
         if (model == null) {
             return refuse(asked, End.ABSENT, reply);
         }
-        int crowd = (int) (running.stream().filter(h -> h.asked.model().equals(asked.model())).count()
-                + waiting.stream().filter(h -> h.asked.model().equals(asked.model())).count());
+        int crowd = (int) (running.stream()
+                        .filter(h -> h.asked.model().equals(asked.model()))
+                        .count()
+                + waiting.stream()
+                        .filter(h -> h.asked.model().equals(asked.model()))
+                        .count());
         if (failing > 0 && random.nextDouble() < failing) {
             seen.accept(Seen.leg(time.now(), Seen.RAN, asked, id, "failed"));
             reply.accept(new Answer(End.ERROR, null, crowd, 0, report()));
@@ -331,7 +353,10 @@
     private Copy free(String model) {
         Copy best = null;
         for (Copy copy : copies) {
-            if (copy.standing && !copy.stale && copy.model.equals(model) && copy.busy < copy.kind.lanes()
+            if (copy.standing
+                    && !copy.stale
+                    && copy.model.equals(model)
+                    && copy.busy < copy.kind.lanes()
                     && (best == null || copy.busy < best.busy)) {
                 best = copy;
             }
@@ -340,19 +365,25 @@
     }
 
     private double used() {
-        return leaked() + copies.stream().mapToDouble(copy -> copy.kind.memoryMb()).sum();
+        return leaked()
+                + copies.stream().mapToDouble(copy -> copy.kind.memoryMb()).sum();
     }
 
     /** Begins a load, making room by unloading idle copies; null where there is no room. */
     private Copy load(String model, ModelKind of) {
         double free = kind.memoryMb() - used();
-        double idle = copies.stream().filter(c -> c.standing && c.busy == 0).mapToDouble(c -> c.kind.memoryMb()).sum();
+        double idle = copies.stream()
+                .filter(c -> c.standing && c.busy == 0)
+                .mapToDouble(c -> c.kind.memoryMb())
+                .sum();
         if (free + idle < of.memoryMb()) {
             return null;
         }
         while (kind.memoryMb() - used() < of.memoryMb() && copies.stream().anyMatch(c -> c.standing && c.busy == 0)) {
-            copies.stream().filter(c -> c.standing && c.busy == 0)
-                    .min((a, b) -> Long.compare(a.idleSince, b.idleSince)).ifPresent(this::drop);
+            copies.stream()
+                    .filter(c -> c.standing && c.busy == 0)
+                    .min((a, b) -> Long.compare(a.idleSince, b.idleSince))
+                    .ifPresent(this::drop);
         }
         Copy copy = new Copy(model, of);
         copies.add(copy);
@@ -390,8 +421,16 @@
         }
         loading--;
         boolean stands = ok && !copy.stale;
-        seen.accept(new Seen(time.now(), Seen.LOADED, "", "", 0, id, copy.model,
-                stands ? "" : ok ? "released anew" : "no image", fetchShare(copy)));
+        seen.accept(new Seen(
+                time.now(),
+                Seen.LOADED,
+                "",
+                "",
+                0,
+                id,
+                copy.model,
+                stands ? "" : ok ? "released anew" : "no image",
+                fetchShare(copy)));
         if (stands) {
             copy.standing = true;
             idle(copy);
@@ -523,16 +562,18 @@
             return;
         }
         boolean lost = losing > 0 && random.nextDouble() < losing;
-        Consumer<Answer> reply = lost ? answer -> { } : told;
+        Consumer<Answer> reply = lost ? answer -> {} : told;
         seen.accept(new Seen(time.now(), Seen.ORDERED, router, "", 0, id, model, "", wanted));
         ModelKind of = models.apply(model);
         if (of == null || draining) {
             reply.accept(new Answer(of == null ? End.ERROR : End.FULL, null, 0, standing(model), report()));
             return;
         }
-        List<Copy> there = copies.stream().filter(c -> c.model.equals(model) && !c.stale).toList();
+        List<Copy> there =
+                copies.stream().filter(c -> c.model.equals(model) && !c.stale).toList();
         there.stream().filter(c -> c.standing && c.busy == 0).forEach(this::idle);
-        List<Copy> awaited = new ArrayList<>(there.stream().filter(c -> !c.standing).toList());
+        List<Copy> awaited =
+                new ArrayList<>(there.stream().filter(c -> !c.standing).toList());
         for (int i = there.size(); i < wanted; i++) {
             Copy begun = load(model, of);
             if (begun == null) {
@@ -559,13 +600,17 @@
 
     /** Unloads the idle copies of a model. */
     public void unload(String model) {
-        copies.stream().filter(copy -> copy.model.equals(model) && copy.standing && copy.busy == 0).toList()
+        copies.stream()
+                .filter(copy -> copy.model.equals(model) && copy.standing && copy.busy == 0)
+                .toList()
                 .forEach(this::drop);
     }
 
     /** How many copies of a model stand. */
     public int standing(String model) {
-        return (int) copies.stream().filter(c -> c.model.equals(model) && c.standing && !c.stale).count();
+        return (int) copies.stream()
+                .filter(c -> c.model.equals(model) && c.standing && !c.stale)
+                .count();
     }
 
     /** The models that stand or load, a copy a line; true where it stands. */
@@ -588,10 +633,17 @@
         if (report == null || time.now() - reportedAt >= kind.reportNanos()) {
             reportedAt = time.now();
             double noise = 0.95 + 0.1 * random.nextDouble();
-            double pinned = copies.stream().filter(c -> !c.standing || c.busy > 0)
-                    .mapToDouble(c -> c.kind.memoryMb()).sum() / kind.memoryMb();
-            report = new LoadReport(held() * noise, waiting.size() * noise,
-                    Math.min(1, (double) running.size() / kind.cores()), loading + toLoad.size(), pinned);
+            double pinned = copies.stream()
+                            .filter(c -> !c.standing || c.busy > 0)
+                            .mapToDouble(c -> c.kind.memoryMb())
+                            .sum()
+                    / kind.memoryMb();
+            report = new LoadReport(
+                    held() * noise,
+                    waiting.size() * noise,
+                    Math.min(1, (double) running.size() / kind.cores()),
+                    loading + toLoad.size(),
+                    pinned);
             late.add(new Object[] {time.now(), report});
         }
         LoadReport told = report;
--- a/emulator/src/main/java/pearladder/emulator/EngineKind.java
+++ b/emulator/src/main/java/pearladder/emulator/EngineKind.java
@@ -18,9 +18,28 @@
  * @param fallNanos over so long, a cold engine falls over and stays down
  * @param reportNanos its load report is renewed so seldom
  */
-public record EngineKind(String name, int cores, double speed, double memoryMb, int loaders, int queue, long keptNanos,
-        boolean ownCopies, boolean images, boolean cancelStops, long rememberedNanos, Group rememberedBy,
-        double startShare, long warmNanos, double fallMultiple, long fallNanos, long reportNanos) {
+public record EngineKind(
+        String name,
+        int cores,
+        double speed,
+        double memoryMb,
+        int loaders,
+        int queue,
+        long keptNanos,
+        boolean ownCopies,
+        boolean images,
+        boolean cancelStops,
+        long rememberedNanos,
+        Group rememberedBy,
+        double startShare,
+        long warmNanos,
+        double fallMultiple,
+        long fallNanos,
+        long reportNanos) {
     /** Engines that share their marks. */
-    public enum Group { ALL, HALL, CELL }
+    public enum Group {
+        ALL,
+        HALL,
+        CELL
+    }
 }
--- a/emulator/src/main/java/pearladder/emulator/FleetPlan.java
+++ b/emulator/src/main/java/pearladder/emulator/FleetPlan.java
@@ -12,10 +12,16 @@
  * @param lagNanos how late the list tells a change
  * @param cables whether each router reaches each engine over a cable of its own, that can be cut
  */
-public record FleetPlan(long seed, double shelfCapacity, int shelfLimit, long lagNanos, boolean cables,
-        List<ModelKind> models, List<Planned> engines) {
+public record FleetPlan(
+        long seed,
+        double shelfCapacity,
+        int shelfLimit,
+        long lagNanos,
+        boolean cables,
+        List<ModelKind> models,
+        List<Planned> engines) {
     /** One engine to stand up. */
-    public record Planned(String id, EngineKind kind, String hall, long cell) { }
+    public record Planned(String id, EngineKind kind, String hall, long cell) {}
 
     /** Reads the "fleet" part of a file; mistakes are noted at their lines. */
     public static FleetPlan read(Value fleet) {
@@ -32,8 +38,8 @@
             int perCell = group.at("per_cell").whole(4, 1, 10_000);
             int count = group.at("count").whole(1, 1, 10_000);
             if (!kinds.containsKey(kind)) {
-                group.at("kind").wrong("unknown kind \"" + kind + "\"",
-                        "write one of " + String.join(", ", kinds.keySet()));
+                group.at("kind")
+                        .wrong("unknown kind \"" + kind + "\"", "write one of " + String.join(", ", kinds.keySet()));
                 continue;
             }
             for (int i = 0; i < count; i++) {
@@ -46,23 +52,35 @@
         if (engines.isEmpty()) {
             fleet.at("engines").wrong("no engine is listed", "write \"- {name: engine, count: 3, kind: ...}\"");
         }
-        return new FleetPlan(fleet.at("seed").whole(1, 0, Integer.MAX_VALUE),
-                shelf.at("capacity").number(8, 0.1, 1e6), shelf.at("limit").whole(64, 1, 1_000_000),
-                fleet.at("list").at("lag").span("500 ms"), fleet.at("cables").flag(false),
-                fleet.at("models").each(FleetPlan::model), engines);
+        return new FleetPlan(
+                fleet.at("seed").whole(1, 0, Integer.MAX_VALUE),
+                shelf.at("capacity").number(8, 0.1, 1e6),
+                shelf.at("limit").whole(64, 1, 1_000_000),
+                fleet.at("list").at("lag").span("500 ms"),
+                fleet.at("cables").flag(false),
+                fleet.at("models").each(FleetPlan::model),
+                engines);
     }
 
     private static EngineKind kind(String name, Value kind) {
         Value cold = kind.at("cold");
-        return new EngineKind(name,
-                kind.at("cores").whole(1, 1024), kind.at("speed").number(1, 0.01, 100),
-                kind.at("memory").bytes() / 1e6, kind.at("loaders").whole(4, 1, 1000),
-                kind.at("queue").whole(64, 0, 100_000), kind.at("kept").span("10 s"),
-                kind.at("own_copies").flag(true), kind.at("images").flag(false),
-                kind.at("cancel_stops").flag(true), kind.at("remembered").span("8 s"),
+        return new EngineKind(
+                name,
+                kind.at("cores").whole(1, 1024),
+                kind.at("speed").number(1, 0.01, 100),
+                kind.at("memory").bytes() / 1e6,
+                kind.at("loaders").whole(4, 1, 1000),
+                kind.at("queue").whole(64, 0, 100_000),
+                kind.at("kept").span("10 s"),
+                kind.at("own_copies").flag(true),
+                kind.at("images").flag(false),
+                kind.at("cancel_stops").flag(true),
+                kind.at("remembered").span("8 s"),
                 kind.at("remembered_by").word(EngineKind.Group.class, EngineKind.Group.ALL),
-                cold.at("start_share").number(0.3, 0.01, 1), cold.at("warm_after").span("15 s"),
-                cold.at("fall_multiple").number(2.5, 1, 100), cold.at("fall_after").span("1500 ms"),
+                cold.at("start_share").number(0.3, 0.01, 1),
+                cold.at("warm_after").span("15 s"),
+                cold.at("fall_multiple").number(2.5, 1, 100),
+                cold.at("fall_after").span("1500 ms"),
                 kind.at("reports_every").span("300 ms"));
     }
 
@@ -72,16 +90,25 @@
             return model.at(fetch ? "fetch" : "start").span("0 s");
         }
         if (model.at("fetch").given() || model.at("start").given()) {
-            model.at("load").wrong("a load is told, and its fetch or start beside it", "keep load and fetch_share, or fetch and start");
+            model.at("load")
+                    .wrong(
+                            "a load is told, and its fetch or start beside it",
+                            "keep load and fetch_share, or fetch and start");
         }
         double share = model.at("fetch_share").number(0.75, 0, 1);
         return Math.round(model.at("load").span() * (fetch ? share : 1 - share));
     }
 
     private static ModelKind model(Value model) {
-        return new ModelKind(model.at("name").text(), model.at("memory").bytes() / 1e6,
-                model.at("lanes").whole(1, 1, 1000), fetch(model, true), fetch(model, false),
-                model.at("work").span("20 ms"), model.at("failing").number(0, 0, 1), model.at("times").number(1, 0.01, 1000));
+        return new ModelKind(
+                model.at("name").text(),
+                model.at("memory").bytes() / 1e6,
+                model.at("lanes").whole(1, 1, 1000),
+                fetch(model, true),
+                fetch(model, false),
+                model.at("work").span("20 ms"),
+                model.at("failing").number(0, 0, 1),
+                model.at("times").number(1, 0.01, 1000));
     }
 
     /** The kind of a model's name, or null where none matches; the first that matches counts. */
--- a/emulator/src/main/java/pearladder/emulator/ModelKind.java
+++ b/emulator/src/main/java/pearladder/emulator/ModelKind.java
@@ -14,8 +14,15 @@
  * @param failing share of its calls that fail, whatever engine runs them
  * @param times of the work that a call names, for a version that is slower than it should be
  */
-public record ModelKind(String pattern, double memoryMb, int lanes, long fetchNanos, long startNanos, long workNanos,
-        double failing, double times) {
+public record ModelKind(
+        String pattern,
+        double memoryMb,
+        int lanes,
+        long fetchNanos,
+        long startNanos,
+        long workNanos,
+        double failing,
+        double times) {
     /** Whether the name belongs to it. */
     public boolean matches(String name) {
         return Route.matches(pattern, name);
--- a/emulator/src/main/java/pearladder/emulator/Roll.java
+++ b/emulator/src/main/java/pearladder/emulator/Roll.java
@@ -66,8 +66,14 @@
     }
 
     private ListLine seenBy(String router, ListLine line) {
-        return hidden.isEmpty() || !misled.contains(router) ? line : new ListLine(line.kind(), line.version(),
-                line.entries().stream().filter(entry -> !hidden.contains(entry.engine())).toList());
+        return hidden.isEmpty() || !misled.contains(router)
+                ? line
+                : new ListLine(
+                        line.kind(),
+                        line.version(),
+                        line.entries().stream()
+                                .filter(entry -> !hidden.contains(entry.engine()))
+                                .toList());
     }
 
     /** An engine changed; the list knows it after its lag. */
@@ -100,10 +106,17 @@
         Watcher watcher = new Watcher(router, out);
         watchers.add(watcher);
         if (!silent) {
-            boolean known = from > 0 && from <= version && (from == version || !history.isEmpty()
-                    && history.firstKey() <= from + 1);
-            tell(watcher, known ? new ListLine(ListLine.Kind.CHANGES, version,
-                    List.copyOf(history.tailMap(from, false).values())) : whole());
+            boolean known = from > 0
+                    && from <= version
+                    && (from == version || !history.isEmpty() && history.firstKey() <= from + 1);
+            tell(
+                    watcher,
+                    known
+                            ? new ListLine(
+                                    ListLine.Kind.CHANGES,
+                                    version,
+                                    List.copyOf(history.tailMap(from, false).values()))
+                            : whole());
         }
         return watcher;
     }
@@ -123,8 +136,16 @@
     private void tell(Watcher watcher, ListLine all) {
         ListLine line = seenBy(watcher.router, all);
         for (Entry entry : line.entries()) {
-            seen.accept(new Seen(time.now(), Seen.TOLD, watcher.router, "", 0, entry.engine(), "",
-                    entry.standing().name(), entry.startedMillis()));
+            seen.accept(new Seen(
+                    time.now(),
+                    Seen.TOLD,
+                    watcher.router,
+                    "",
+                    0,
+                    entry.engine(),
+                    "",
+                    entry.standing().name(),
+                    entry.startedMillis()));
         }
         watcher.out.accept(line);
     }
