--- a/emulator/src/main/java/pearladder/emulator/Seen.java
+++ b/emulator/src/main/java/pearladder/emulator/Seen.java
@@ -7,7 +7,15 @@
  * @param what see the constants
  * @param figure what the kind of line says: copies ordered, a status, a span in nanoseconds
  */
-public record Seen(long at, String what, String router, String call, int leg, String engine, String model, String note,
+public record Seen(
+        long at,
+        String what,
+        String router,
+        String call,
+        int leg,
+        String engine,
+        String model,
+        String note,
         double figure) {
     /** At an engine: a leg reached it; note is the mark against repeats. */
     public static final String ARRIVED = "arrived";
@@ -42,6 +50,7 @@
     public static final String PAUSED = "paused";
     /** By the day: a router was killed, or started. */
     public static final String KILLED = "killed";
+
     public static final String STARTED = "started";
     /** By the day: a router, or an engine, stood still from here on; figure is for how long, in nanoseconds. */
     public static final String STILL = "still";
--- a/emulator/src/main/java/pearladder/emulator/Tape.java
+++ b/emulator/src/main/java/pearladder/emulator/Tape.java
@@ -122,7 +122,8 @@
                     default -> parser.skipChildren();
                 }
             }
-            return parser.currentToken() != JsonToken.END_OBJECT ? null
+            return parser.currentToken() != JsonToken.END_OBJECT
+                    ? null
                     : new Seen(at, texts[0], texts[1], texts[2], leg, texts[3], texts[4], texts[5], figure);
         } catch (IOException torn) {
             return null;
--- a/emulator/src/main/java/pearladder/emulator/net/Cables.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Cables.java
@@ -214,10 +214,16 @@
             return;
         }
         boolean passes = !wire.cable.cut;
-        near.interestOps(!passes ? 0 : (wire.out.hasRemaining() || wire.nearEnded ? 0 : SelectionKey.OP_READ)
-                | (wire.back.hasRemaining() ? SelectionKey.OP_WRITE : 0));
-        far.interestOps(!passes ? 0 : (wire.back.hasRemaining() || wire.farEnded ? 0 : SelectionKey.OP_READ)
-                | (wire.out.hasRemaining() ? SelectionKey.OP_WRITE : 0));
+        near.interestOps(
+                !passes
+                        ? 0
+                        : (wire.out.hasRemaining() || wire.nearEnded ? 0 : SelectionKey.OP_READ)
+                                | (wire.back.hasRemaining() ? SelectionKey.OP_WRITE : 0));
+        far.interestOps(
+                !passes
+                        ? 0
+                        : (wire.back.hasRemaining() || wire.farEnded ? 0 : SelectionKey.OP_READ)
+                                | (wire.out.hasRemaining() ? SelectionKey.OP_WRITE : 0));
     }
 
     private void relay() {
--- a/emulator/src/main/java/pearladder/emulator/net/Control.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Control.java
@@ -26,17 +26,29 @@
     /** Listens on a port given by the system, which it returns. */
     public static int start(Vertx vertx, Fleet fleet) {
         Control control = new Control(fleet);
-        return fleet.call(() -> vertx.createHttpServer(new HttpServerOptions().setHost("127.0.0.1").setPort(0))
-                .requestHandler(control::take).listen().map(HttpServer::actualPort));
+        return fleet.call(() -> vertx.createHttpServer(
+                        new HttpServerOptions().setHost("127.0.0.1").setPort(0))
+                .requestHandler(control::take)
+                .listen()
+                .map(HttpServer::actualPort));
     }
 
     private void take(HttpServerRequest request) {
         if (request.path().equals("/engines")) {
             StringBuilder lines = new StringBuilder();
             for (String id : fleet.ids()) {
-                lines.append(id).append(' ').append(fleet.hall(id)).append(' ')
-                        .append(fleet.engine(id).engine().up() && !fleet.engine(id).engine().draining() ? "up" : "down")
-                        .append(' ').append(fleet.engine(id).engine().held()).append('\n');
+                lines.append(id)
+                        .append(' ')
+                        .append(fleet.hall(id))
+                        .append(' ')
+                        .append(
+                                fleet.engine(id).engine().up()
+                                                && !fleet.engine(id).engine().draining()
+                                        ? "up"
+                                        : "down")
+                        .append(' ')
+                        .append(fleet.engine(id).engine().held())
+                        .append('\n');
             }
             request.response().end(lines.toString());
             return;
@@ -45,17 +57,26 @@
         String engines = request.getParam("engines");
         String model = request.getParam("model");
         double figure = request.getParam("figure") == null ? 0 : Double.parseDouble(request.getParam("figure"));
-        List<String> named = engines == null || engines.isEmpty() ? fleet.ids()
-                : Arrays.stream(engines.split(",")).filter(fleet.ids()::contains).toList();
+        List<String> named = engines == null || engines.isEmpty()
+                ? fleet.ids()
+                : Arrays.stream(engines.split(","))
+                        .filter(fleet.ids()::contains)
+                        .toList();
         String router = request.getParam("router") == null ? "" : request.getParam("router");
-        Future<Void> done = what == null ? null
-                : what.startsWith("cable-") ? cable(what, router, named, figure)
-                : act(what, named, model == null ? "*" : model, figure);
+        Future<Void> done = what == null
+                ? null
+                : what.startsWith("cable-")
+                        ? cable(what, router, named, figure)
+                        : act(what, named, model == null ? "*" : model, figure);
         if (done == null) {
             request.response().setStatusCode(400).end(Bodies.error("unknown deed " + what));
         } else {
-            done.onComplete(end -> request.response().setStatusCode(end.succeeded() ? 200 : 500)
-                    .end(end.succeeded() ? "{}" : Bodies.error(String.valueOf(end.cause().getMessage()))));
+            done.onComplete(end -> request.response()
+                    .setStatusCode(end.succeeded() ? 200 : 500)
+                    .end(
+                            end.succeeded()
+                                    ? "{}"
+                                    : Bodies.error(String.valueOf(end.cause().getMessage()))));
         }
     }
 
@@ -69,8 +90,8 @@
             case "misname" -> each(engines, server -> server.misname(figure > 0));
             case "garble" -> each(engines, server -> server.garble(figure > 0));
             case "late-reports" -> each(engines, server -> server.engine().reportLate(nanos));
-            case "release" -> each(engines, server -> Arrays.stream(model.split(","))
-                    .forEach(server.engine()::release));
+            case "release" -> each(
+                    engines, server -> Arrays.stream(model.split(",")).forEach(server.engine()::release));
             case "drain" -> engines.forEach(fleet::drain);
             case "kill" -> {
                 return all(engines, fleet::kill);
@@ -82,8 +103,10 @@
             case "losing" -> each(engines, server -> server.engine().losing(figure));
             case "leak" -> each(engines, server -> server.engine().leak(figure));
             case "shelf-damage" -> fleet.shelf().damage(figure > 0);
-            case "list-split" -> fleet.roll().split(figure > 0 ? Set.of(model.split(",")) : Set.of(),
-                    figure > 0 ? Set.copyOf(engines) : Set.of());
+            case "list-split" -> fleet.roll()
+                    .split(
+                            figure > 0 ? Set.of(model.split(",")) : Set.of(),
+                            figure > 0 ? Set.copyOf(engines) : Set.of());
             case "shelf-slow" -> fleet.shelf().slow(figure);
             case "shelf-refuse" -> fleet.shelf().refuse(figure > 0);
             case "list-silent" -> fleet.roll().silent(figure > 0);
--- a/emulator/src/main/java/pearladder/emulator/net/EngineServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/EngineServer.java
@@ -61,8 +61,11 @@
     }
 
     Future<Void> listen() {
-        HttpServerOptions options = new HttpServerOptions().setHost("127.0.0.1").setPort(port)
-                .setReuseAddress(true).setIdleTimeout(120);
+        HttpServerOptions options = new HttpServerOptions()
+                .setHost("127.0.0.1")
+                .setPort(port)
+                .setReuseAddress(true)
+                .setIdleTimeout(120);
         server = vertx.createHttpServer(options).requestHandler(this::take);
         return server.listen().map(listening -> {
             port = listening.actualPort();
@@ -89,11 +92,14 @@
                 engine.unload(route.model());
                 request.response().end("{}");
             }
-            case INDEX -> request.response().putHeader("content-type", "application/json")
+            case INDEX -> request.response()
+                    .putHeader("content-type", "application/json")
                     .end(Bodies.index(engine.index().stream()
                             .map(copy -> new Bodies.Indexed(copy.getKey(), copy.getValue() ? "READY" : "LOADING"))
                             .toList()));
-            case LIVE, READY -> request.response().putHeader(Headers.REPORT, engine.report().text()).end();
+            case LIVE, READY -> request.response()
+                    .putHeader(Headers.REPORT, engine.report().text())
+                    .end();
             default -> request.response().setStatusCode(404).end(Bodies.error("not served by this stand-in"));
         }
     }
@@ -102,8 +108,13 @@
         if (hung || !engine.up()) {
             return;
         }
-        Engine.Asked asked = new Engine.Asked(header(request, Headers.ROUTER), header(request, Headers.CALL),
-                number(header(request, Headers.LEG)), Route.function(route.model(), route.version()), header(request, Headers.MARK), work(body));
+        Engine.Asked asked = new Engine.Asked(
+                header(request, Headers.ROUTER),
+                header(request, Headers.CALL),
+                number(header(request, Headers.LEG)),
+                Route.function(route.model(), route.version()),
+                header(request, Headers.MARK),
+                work(body));
         HttpServerResponse response = request.response();
         Engine.Held held = engine.ask(asked, answer -> answer(response, route, answer, body.length()));
         if (held != null) {
@@ -122,22 +133,28 @@
             return;
         }
         if (garbling) {
-            response.putHeader("content-length", "1000").write("{\"model_name\":").onComplete(half -> response.reset());
+            response.putHeader("content-length", "1000")
+                    .write("{\"model_name\":")
+                    .onComplete(half -> response.reset());
             return;
         }
         response.putHeader("content-type", "application/json");
         response.putHeader(Headers.REPORT, answer.report().text());
         response.putHeader(Headers.CROWD, Integer.toString(answer.crowd()));
         if (answer.met() != null) {
-            response.putHeader(Headers.COPY, answer.met().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+            response.putHeader(
+                    Headers.COPY, answer.met().name().toLowerCase(Locale.ROOT).replace('_', '-'));
         }
         switch (answer.end()) {
-            case OK -> response.end("{\"model_name\":\"" + route.model() + (misnaming ? "-other" : "") + "\",\"outputs\":[{\"name\":\"size\","
-                    + "\"datatype\":\"INT64\",\"shape\":[1],\"data\":[" + size + "]}]}");
+            case OK -> response.end("{\"model_name\":\"" + route.model() + (misnaming ? "-other" : "")
+                    + "\",\"outputs\":[{\"name\":\"size\"," + "\"datatype\":\"INT64\",\"shape\":[1],\"data\":[" + size
+                    + "]}]}");
             case ERROR -> response.setStatusCode(500).end(Bodies.error("the model failed"));
-            case FULL -> response.setStatusCode(503).putHeader(Headers.NEVER_RAN, "full")
+            case FULL -> response.setStatusCode(503)
+                    .putHeader(Headers.NEVER_RAN, "full")
                     .end(Bodies.error("full"));
-            case ABSENT -> response.setStatusCode(404).putHeader(Headers.NEVER_RAN, "absent")
+            case ABSENT -> response.setStatusCode(404)
+                    .putHeader(Headers.NEVER_RAN, "absent")
                     .end(Bodies.error("the model is not loaded here"));
         }
     }
--- a/emulator/src/main/java/pearladder/emulator/net/Fleet.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Fleet.java
@@ -131,30 +131,49 @@
 
     /** Engines of a hall, or all where the hall is empty. */
     public List<String> in(String hall) {
-        return engines.keySet().stream().filter(id -> hall.isEmpty() || planned.get(id).hall().equals(hall)).toList();
+        return engines.keySet().stream()
+                .filter(id -> hall.isEmpty() || planned.get(id).hall().equals(hall))
+                .toList();
     }
 
     /** Stands up one more engine; on the stand-ins' loop. */
     public Future<Void> add(FleetPlan.Planned engine, boolean cold) {
-        String group = switch (engine.kind().rememberedBy()) {
-            case ALL -> "";
-            case HALL -> engine.hall();
-            case CELL -> Long.toString(engine.cell());
-        };
-        Marks shared = marks.computeIfAbsent(group, name -> new Marks(time, engine.kind().rememberedNanos()));
-        Engine model = new Engine(time, engine.id(), engine.kind(), plan::modelOf, shelf, shared,
-                plan.seed() * 1000 + made++, cold, seen);
+        String group =
+                switch (engine.kind().rememberedBy()) {
+                    case ALL -> "";
+                    case HALL -> engine.hall();
+                    case CELL -> Long.toString(engine.cell());
+                };
+        Marks shared = marks.computeIfAbsent(
+                group, name -> new Marks(time, engine.kind().rememberedNanos()));
+        Engine model = new Engine(
+                time,
+                engine.id(),
+                engine.kind(),
+                plan::modelOf,
+                shelf,
+                shared,
+                plan.seed() * 1000 + made++,
+                cold,
+                seen);
         EngineServer server = new EngineServer(vertx, model, () -> kill(engine.id()));
         engines.put(engine.id(), server);
         planned.put(engine.id(), engine);
-        return server.listen().onSuccess(done -> tell(engine.id(), Standing.IN_SERVICE,
-                cold ? System.currentTimeMillis() : 0));
+        return server.listen()
+                .onSuccess(done -> tell(engine.id(), Standing.IN_SERVICE, cold ? System.currentTimeMillis() : 0));
     }
 
     private void tell(String id, Standing standing, long started) {
         FleetPlan.Planned engine = planned.get(id);
-        roll.change(new Entry(id, "127.0.0.1", engines.get(id).port(), engine.hall(), engine.kind().name(),
-                engine.cell(), standing, started));
+        roll.change(new Entry(
+                id,
+                "127.0.0.1",
+                engines.get(id).port(),
+                engine.hall(),
+                engine.kind().name(),
+                engine.cell(),
+                standing,
+                started));
     }
 
     /** An engine announces that it drains: it takes nothing new and finishes what it holds. */
@@ -175,9 +194,17 @@
 
     /** An engine's entry as a router reaches it. */
     private Entry reachedBy(String router, Entry entry) {
-        return cables == null || entry.standing() == Standing.GONE ? entry
-                : new Entry(entry.engine(), entry.host(), cables.port(router, entry.engine(), entry.port()),
-                        entry.hall(), entry.kind(), entry.cell(), entry.standing(), entry.startedMillis());
+        return cables == null || entry.standing() == Standing.GONE
+                ? entry
+                : new Entry(
+                        entry.engine(),
+                        entry.host(),
+                        cables.port(router, entry.engine(), entry.port()),
+                        entry.hall(),
+                        entry.kind(),
+                        entry.cell(),
+                        entry.standing(),
+                        entry.startedMillis());
     }
 
     /** The network between routers and engines; null where the plan has no cables. */
@@ -207,7 +234,8 @@
         FleetPlan.Planned old = planned.get(id);
         time.after(drainNanos, () -> kill(id).onComplete(dead -> {
             String name = id.replaceFirst("(~[0-9]+)?$", "~" + made);
-            add(new FleetPlan.Planned(name, old.kind(), old.hall(), old.cell()), true).onComplete(done);
+            add(new FleetPlan.Planned(name, old.kind(), old.hall(), old.cell()), true)
+                    .onComplete(done);
         }));
         return done.future();
     }
--- a/emulator/src/main/java/pearladder/emulator/net/ListServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/ListServer.java
@@ -35,7 +35,8 @@
 
     Future<Void> listen(int wanted) {
         port = wanted;
-        server = vertx.createHttpServer(new HttpServerOptions().setHost("127.0.0.1").setPort(port))
+        server = vertx.createHttpServer(
+                        new HttpServerOptions().setHost("127.0.0.1").setPort(port))
                 .requestHandler(this::take);
         vertx.setPeriodic(500, tick -> roll.beat());
         return server.listen().map(listening -> {
@@ -63,10 +64,17 @@
         String from = request.getParam("from");
         response.setChunked(true);
         open.add(response);
-        Roll.Watcher watcher = roll.watch(router == null ? "" : router,
+        Roll.Watcher watcher = roll.watch(
+                router == null ? "" : router,
                 from == null || !from.matches("[0-9]{1,18}") ? 0 : Long.parseLong(from),
-                line -> response.write(new ListLine(line.kind(), line.version(), line.entries().stream()
-                        .map(entry -> reached.apply(router == null ? "" : router, entry)).toList()).text() + "\n"));
+                line -> response.write(new ListLine(
+                                        line.kind(),
+                                        line.version(),
+                                        line.entries().stream()
+                                                .map(entry -> reached.apply(router == null ? "" : router, entry))
+                                                .toList())
+                                .text()
+                        + "\n"));
         response.closeHandler(closed -> {
             roll.leave(watcher);
             open.remove(response);
--- a/emulator/src/test/java/pearladder/emulator/EngineTest.java
+++ b/emulator/src/test/java/pearladder/emulator/EngineTest.java
@@ -23,12 +23,29 @@
     private final Shelf shelf = new Shelf(time, 2, 4);
 
     private static EngineKind kind(int queue, boolean cancelStops, boolean images) {
-        return new EngineKind("std", 2, 1, 1000, 2, queue, 5000 * MS, true, images, cancelStops, 8000 * MS,
-                EngineKind.Group.ALL, 0.25, 10_000 * MS, 2, 1000 * MS, 100 * MS);
+        return new EngineKind(
+                "std",
+                2,
+                1,
+                1000,
+                2,
+                queue,
+                5000 * MS,
+                true,
+                images,
+                cancelStops,
+                8000 * MS,
+                EngineKind.Group.ALL,
+                0.25,
+                10_000 * MS,
+                2,
+                1000 * MS,
+                100 * MS);
     }
 
     private Engine engine(EngineKind kind, boolean cold) {
-        return new Engine(time, "e", kind, name -> MODEL.matches(name) ? MODEL : null, shelf, marks, 1, cold, seen::add);
+        return new Engine(
+                time, "e", kind, name -> MODEL.matches(name) ? MODEL : null, shelf, marks, 1, cold, seen::add);
     }
 
     private static Asked asked(String call, String model, String mark) {
@@ -44,7 +61,9 @@
         time.runTo(799 * MS);
         assertEquals(0, answers.size());
         time.runTo(830 * MS);
-        assertEquals(List.of(Met.LOAD_BEGUN, Met.LOAD_JOINED), answers.stream().map(Answer::met).toList());
+        assertEquals(
+                List.of(Met.LOAD_BEGUN, Met.LOAD_JOINED),
+                answers.stream().map(Answer::met).toList());
         engine.ask(asked("c3", "m1", ""), answers::add);
         time.runTo(851 * MS);
         assertEquals(Met.STOOD, answers.get(2).met());
@@ -53,7 +72,7 @@
     @Test
     void runningCallsShareTheCores() {
         Engine engine = engine(kind(10, true, false), false);
-        engine.hold("r", "m1", 2, answer -> { });
+        engine.hold("r", "m1", 2, answer -> {});
         time.runTo(2000 * MS);
         List<Long> ended = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
@@ -122,7 +141,8 @@
         time.runTo(2000 * MS);
         one.ask(asked("c1", "m1", "k"), answers::add);
         time.runTo(3000 * MS);
-        assertEquals(3, answers.stream().filter(answer -> answer.end() == End.OK).count());
+        assertEquals(
+                3, answers.stream().filter(answer -> answer.end() == End.OK).count());
         assertEquals(1, seen.stream().filter(s -> s.what().equals(Seen.RAN)).count());
         time.runTo(12_000 * MS);
         one.ask(asked("c1", "m1", "k"), answers::add);
@@ -136,12 +156,13 @@
         Engine cold = engine(kind(500, true, false), true);
         for (int i = 0; i < 80; i++) {
             time.runTo(time.now() + 10 * MS);
-            warm.ask(asked("w" + i, "m1", ""), answer -> { });
-            cold.ask(asked("c" + i, "m1", ""), answer -> { });
+            warm.ask(asked("w" + i, "m1", ""), answer -> {});
+            cold.ask(asked("c" + i, "m1", ""), answer -> {});
         }
         assertTrue(warm.up());
         assertFalse(cold.up(), "1.6 s of work within a second at a quarter of two cores");
-        assertEquals(1, seen.stream().filter(one -> one.what().equals(Seen.FELL)).count());
+        assertEquals(
+                1, seen.stream().filter(one -> one.what().equals(Seen.FELL)).count());
     }
 
     @Test
@@ -162,9 +183,9 @@
     @Test
     void anIdleCopyGoesAfterItsTimeAndAnOrderRenewsIt() {
         Engine engine = engine(kind(10, true, false), false);
-        engine.hold("r", "m1", 1, answer -> { });
+        engine.hold("r", "m1", 1, answer -> {});
         time.runTo(5000 * MS);
-        engine.hold("r", "m1", 1, answer -> { });
+        engine.hold("r", "m1", 1, answer -> {});
         time.runTo(9000 * MS);
         assertEquals(1, engine.standing("m1"));
         time.runTo(10_100 * MS);
@@ -191,7 +212,7 @@
                             held.remove(random.nextInt(held.size())).cancel();
                         }
                     }
-                    case 4 -> engine.hold("r", "m" + random.nextInt(4), 1 + random.nextInt(2), answer -> { });
+                    case 4 -> engine.hold("r", "m" + random.nextInt(4), 1 + random.nextInt(2), answer -> {});
                     case 5 -> {
                         if (random.nextInt(8) == 0) {
                             engine.die();
@@ -200,7 +221,8 @@
                         }
                     }
                     default -> {
-                        Engine.Held one = engine.ask(asked("s" + seed + "." + step, "m" + random.nextInt(4), ""),
+                        Engine.Held one = engine.ask(
+                                asked("s" + seed + "." + step, "m" + random.nextInt(4), ""),
                                 answer -> answers[number]++);
                         if (one != null) {
                             held.add(one);
--- a/emulator/src/test/java/pearladder/emulator/LawsTest.java
+++ b/emulator/src/test/java/pearladder/emulator/LawsTest.java
@@ -33,12 +33,28 @@
 
     /** Poisson arrivals, exponential work, one lane a core: M/M/c. */
     private double run(double load, int calls) {
-        EngineKind kind = new EngineKind("k", CORES, 1, 1000, 1, 1_000_000, 1_000_000_000_000L, false, false, true, 0,
-                EngineKind.Group.ALL, 1, 0, 100, 1_000_000_000L, 100_000_000L);
+        EngineKind kind = new EngineKind(
+                "k",
+                CORES,
+                1,
+                1000,
+                1,
+                1_000_000,
+                1_000_000_000_000L,
+                false,
+                false,
+                true,
+                0,
+                EngineKind.Group.ALL,
+                1,
+                0,
+                100,
+                1_000_000_000L,
+                100_000_000L);
         ModelKind model = new ModelKind("m", 100, CORES, 0, 0, 1, 0, 1);
-        Engine engine = new Engine(time, "e", kind, name -> model, new Shelf(time, 1, 10), new Marks(time, 0), 1, false,
-                seen -> { });
-        engine.hold("r", "m", 1, answer -> { });
+        Engine engine = new Engine(
+                time, "e", kind, name -> model, new Shelf(time, 1, 10), new Marks(time, 0), 1, false, seen -> {});
+        engine.hold("r", "m", 1, answer -> {});
         time.runTo(10_000_000_000L);
         since = time.now();
         double rate = load * CORES / SERVICE;
@@ -107,22 +123,47 @@
         for (int seed = 0; seed < 20; seed++) {
             SplittableRandom chance = new SplittableRandom(seed);
             VirtualTimeline clock = new VirtualTimeline();
-            EngineKind kind = new EngineKind("k", CORES, 1, 1000, 2, 20, 500_000_000L, true, chance.nextBoolean(), true, 0,
-                    EngineKind.Group.ALL, 1, 0, 100, 1_000_000_000L, 10_000_000L);
+            EngineKind kind = new EngineKind(
+                    "k",
+                    CORES,
+                    1,
+                    1000,
+                    2,
+                    20,
+                    500_000_000L,
+                    true,
+                    chance.nextBoolean(),
+                    true,
+                    0,
+                    EngineKind.Group.ALL,
+                    1,
+                    0,
+                    100,
+                    1_000_000_000L,
+                    10_000_000L);
             int[] ended = {0};
-            Engine engine = new Engine(clock, "e", kind, name -> new ModelKind(name, 50 + 37 * (name.hashCode() % 9), 2, 30_000_000,
-                    10_000_000, 1, 0, 1), new Shelf(clock, 2, 6), new Marks(clock, 0), seed, false, seen -> { });
+            Engine engine = new Engine(
+                    clock,
+                    "e",
+                    kind,
+                    name -> new ModelKind(name, 50 + 37 * (name.hashCode() % 9), 2, 30_000_000, 10_000_000, 1, 0, 1),
+                    new Shelf(clock, 2, 6),
+                    new Marks(clock, 0),
+                    seed,
+                    false,
+                    seen -> {});
             int came = 0;
             for (int i = 0; i < 2000; i++) {
                 clock.runTo(clock.now() + chance.nextInt(8_000_000));
                 String model = "m" + chance.nextInt(14);
                 switch (chance.nextInt(12)) {
-                    case 0 -> engine.hold("r", model, 1 + chance.nextInt(2), answer -> { });
+                    case 0 -> engine.hold("r", model, 1 + chance.nextInt(2), answer -> {});
                     case 1 -> engine.unload(model);
                     case 2 -> engine.release(model);
                     default -> {
                         came++;
-                        engine.ask(new Engine.Asked("r", "c" + i, 0, model, "", 1 + chance.nextInt(20_000_000)),
+                        engine.ask(
+                                new Engine.Asked("r", "c" + i, 0, model, "", 1 + chance.nextInt(20_000_000)),
                                 answer -> ended[0]++);
                     }
                 }
--- a/kserve/src/main/java/pearladder/kserve/Bodies.java
+++ b/kserve/src/main/java/pearladder/kserve/Bodies.java
@@ -38,7 +38,7 @@
     }
 
     /** One line of a model repository's index; state is READY, LOADING or UNAVAILABLE as published. */
-    public record Indexed(String name, String state) { }
+    public record Indexed(String name, String state) {}
 
     private interface Writing {
         void to(JsonGenerator json) throws IOException;
@@ -46,7 +46,7 @@
 
     private static final JsonFactory JSON = new JsonFactory();
 
-    private Bodies() { }
+    private Bodies() {}
 
     private static String written(Writing writing) {
         StringWriter out = new StringWriter();
--- a/kserve/src/main/java/pearladder/kserve/Headers.java
+++ b/kserve/src/main/java/pearladder/kserve/Headers.java
@@ -7,6 +7,7 @@
     public static final String CATEGORY = "pearladder-category";
     /** How long the client waits for this try, in milliseconds. */
     public static final String PATIENCE = "pearladder-patience-ms";
+
     public static final String MARK = "idempotency-key";
     /** What keeps together when versions shift: a document, a contract. */
     public static final String KEY = "pearladder-key";
@@ -41,5 +42,5 @@
     /** On the answer to a load order: copies that stand now. */
     public static final String COPIES = "pearladder-copies";
 
-    private Headers() { }
+    private Headers() {}
 }
--- a/kserve/src/main/java/pearladder/kserve/ListLine.java
+++ b/kserve/src/main/java/pearladder/kserve/ListLine.java
@@ -18,10 +18,18 @@
  */
 public record ListLine(Kind kind, long version, List<Entry> entries) {
     /** What a line brings. */
-    public enum Kind { WHOLE, CHANGES, BEAT }
+    public enum Kind {
+        WHOLE,
+        CHANGES,
+        BEAT
+    }
 
     /** An engine's standing. */
-    public enum Standing { IN_SERVICE, DRAINING, GONE }
+    public enum Standing {
+        IN_SERVICE,
+        DRAINING,
+        GONE
+    }
 
     /**
      * One engine.
@@ -29,8 +37,15 @@
      * @param startedMillis wall-clock time of its last start in milliseconds since 1970; 0 where it has run for long
      * @param cell a group of engines that drop each other's repeats
      */
-    public record Entry(String engine, String host, int port, String hall, String kind, long cell, Standing standing,
-            long startedMillis) { }
+    public record Entry(
+            String engine,
+            String host,
+            int port,
+            String hall,
+            String kind,
+            long cell,
+            Standing standing,
+            long startedMillis) {}
 
     private static final JsonFactory JSON = new JsonFactory();
 
--- a/kserve/src/main/java/pearladder/kserve/LoadReport.java
+++ b/kserve/src/main/java/pearladder/kserve/LoadReport.java
@@ -24,14 +24,15 @@
             if (equals < 0) {
                 continue;
             }
-            int at = switch (part.substring(0, equals).trim()) {
-                case "held" -> 0;
-                case "waiting" -> 1;
-                case "busy" -> 2;
-                case "loads" -> 3;
-                case "pinned" -> 4;
-                default -> -1;
-            };
+            int at =
+                    switch (part.substring(0, equals).trim()) {
+                        case "held" -> 0;
+                        case "waiting" -> 1;
+                        case "busy" -> 2;
+                        case "loads" -> 3;
+                        case "pinned" -> 4;
+                        default -> -1;
+                    };
             if (at >= 0) {
                 values[at] = number(part.substring(equals + 1).trim());
             }
@@ -61,7 +62,9 @@
 
     private static void part(StringBuilder text, String name, double value) {
         if (!Double.isNaN(value)) {
-            text.append(text.isEmpty() ? "" : ";").append(name).append('=')
+            text.append(text.isEmpty() ? "" : ";")
+                    .append(name)
+                    .append('=')
                     .append(String.format(Locale.ROOT, "%.3f", value));
         }
     }
--- a/kserve/src/main/java/pearladder/kserve/Route.java
+++ b/kserve/src/main/java/pearladder/kserve/Route.java
@@ -7,7 +7,18 @@
 /** What a request path of KServe v2 asks for; model and version are null where the path names none. */
 public record Route(Kind kind, String model, String version) {
     /** The published requests, and one kind for all that is none of them. */
-    public enum Kind { SERVER, LIVE, READY, MODEL, MODEL_READY, INFER, INDEX, LOAD, UNLOAD, UNKNOWN }
+    public enum Kind {
+        SERVER,
+        LIVE,
+        READY,
+        MODEL,
+        MODEL_READY,
+        INFER,
+        INDEX,
+        LOAD,
+        UNLOAD,
+        UNKNOWN
+    }
 
     private static final Route NONE = new Route(Kind.UNKNOWN, null, null);
 
@@ -24,11 +35,13 @@
             return new Route(Kind.SERVER, null, null);
         }
         return switch (parts.get(1)) {
-            case "health" -> parts.size() != 3 ? NONE : switch (parts.get(2)) {
-                case "live" -> new Route(Kind.LIVE, null, null);
-                case "ready" -> new Route(Kind.READY, null, null);
-                default -> NONE;
-            };
+            case "health" -> parts.size() != 3
+                    ? NONE
+                    : switch (parts.get(2)) {
+                        case "live" -> new Route(Kind.LIVE, null, null);
+                        case "ready" -> new Route(Kind.READY, null, null);
+                        default -> NONE;
+                    };
             case "models" -> model(parts);
             case "repository" -> repository(parts);
             default -> NONE;
@@ -37,7 +50,8 @@
 
     /** Whether a model's name is that of a pattern: the name itself, or its beginning with "*" behind it. */
     public static boolean matches(String pattern, String name) {
-        return pattern.endsWith("*") ? name.startsWith(pattern.substring(0, pattern.length() - 1))
+        return pattern.endsWith("*")
+                ? name.startsWith(pattern.substring(0, pattern.length() - 1))
                 : name.equals(pattern);
     }
 
--- a/kserve/src/test/java/pearladder/kserve/KserveTest.java
+++ b/kserve/src/test/java/pearladder/kserve/KserveTest.java
@@ -17,8 +17,17 @@
 class KserveTest {
     @Test
     void theModelThatAnsweredIsReadFromTheHeadOfItsAnswerOnly() {
-        assertEquals("a", Bodies.answeredBy("{\"id\":\"1\",\"parameters\":{\"model_name\":\"x\"},\"model_name\":\"a\"}".getBytes()));
-        for (String body : List.of("", "[]", "{}", "{\"outputs\":[],\"model_name\":\"a\"}", "{\"model_name\":3}", "{\"model_name\":",
+        assertEquals(
+                "a",
+                Bodies.answeredBy(
+                        "{\"id\":\"1\",\"parameters\":{\"model_name\":\"x\"},\"model_name\":\"a\"}".getBytes()));
+        for (String body : List.of(
+                "",
+                "[]",
+                "{}",
+                "{\"outputs\":[],\"model_name\":\"a\"}",
+                "{\"model_name\":3}",
+                "{\"model_name\":",
                 "no JSON")) {
             assertEquals(null, Bodies.answeredBy(body.getBytes()), body);
         }
@@ -37,8 +46,18 @@
         assertEquals(new Route(Kind.INDEX, null, null), Route.of("/v2/repository/index"));
         assertEquals(new Route(Kind.LOAD, "m", null), Route.of("/v2/repository/models/m/load"));
         assertEquals(new Route(Kind.UNLOAD, "m", null), Route.of("/v2/repository/models/m/unload"));
-        for (String none : List.of("/", "", "/v1", "/v22", "/v2//health", "/v2/models", "/v2/models/m/infer/x",
-                "/v2/models/m/versions", "/v2/models/%zz/infer", "/v2/health", "/v2/repository/models/m/drop")) {
+        for (String none : List.of(
+                "/",
+                "",
+                "/v1",
+                "/v22",
+                "/v2//health",
+                "/v2/models",
+                "/v2/models/m/infer/x",
+                "/v2/models/m/versions",
+                "/v2/models/%zz/infer",
+                "/v2/health",
+                "/v2/repository/models/m/drop")) {
             assertEquals(Kind.UNKNOWN, Route.of(none).kind(), none);
         }
     }
@@ -59,9 +78,15 @@
         for (int round = 0; round < 300; round++) {
             List<Entry> entries = new ArrayList<>();
             for (int i = random.nextInt(5); i > 0; i--) {
-                entries.add(new Entry("e\"\\\n" + random.nextInt(), "127.0.0.1", 1 + random.nextInt(65535),
-                        "h" + random.nextInt(3), "é", random.nextLong(1000),
-                        Standing.values()[random.nextInt(3)], random.nextLong(1L << 42)));
+                entries.add(new Entry(
+                        "e\"\\\n" + random.nextInt(),
+                        "127.0.0.1",
+                        1 + random.nextInt(65535),
+                        "h" + random.nextInt(3),
+                        "é",
+                        random.nextLong(1000),
+                        Standing.values()[random.nextInt(3)],
+                        random.nextLong(1L << 42)));
             }
             ListLine line = new ListLine(ListLine.Kind.values()[random.nextInt(3)], random.nextLong(1L << 60), entries);
             assertEquals(line, ListLine.parse(line.text()));
@@ -74,12 +99,22 @@
     @Test
     void aWrongListLineSaysWhatIsWrong() {
         for (String[] wrong : new String[][] {
-            {"[]", "a list line is a JSON object"}, {"{\"kind\":\"half\"}", "unknown word half"},
+            {"[]", "a list line is a JSON object"},
+            {"{\"kind\":\"half\"}", "unknown word half"},
             {"{\"kind\":\"whole\"}", "a list line has a kind and a version"},
-            {"{\"kind\":\"whole\",\"version\":1,\"engines\":[{\"engine\":\"a\"}]}", "an entry has an engine and a standing"},
-            {"{\"kind\":\"whole\",\"version\":1,\"engines\":[{\"engine\":\"a\",\"standing\":\"gone\"}]}",
-                "an entry has a port from 1 to 65535"}}) {
-            assertEquals(wrong[1], assertThrows(IOException.class, () -> ListLine.parse(wrong[0])).getMessage());
+            {
+                "{\"kind\":\"whole\",\"version\":1,\"engines\":[{\"engine\":\"a\"}]}",
+                "an entry has an engine and a standing"
+            },
+            {
+                "{\"kind\":\"whole\",\"version\":1,\"engines\":[{\"engine\":\"a\",\"standing\":\"gone\"}]}",
+                "an entry has a port from 1 to 65535"
+            }
+        }) {
+            assertEquals(
+                    wrong[1],
+                    assertThrows(IOException.class, () -> ListLine.parse(wrong[0]))
+                            .getMessage());
         }
     }
 
--- a/lab/src/main/java/pearladder/lab/Books.java
+++ b/lab/src/main/java/pearladder/lab/Books.java
@@ -14,7 +14,13 @@
  */
 public final class Books {
     /** How a call ended for its client, all its tries together. */
-    public enum End { SETTLED, LATE, DISMISSED, TERMINATED, UNANSWERED }
+    public enum End {
+        SETTLED,
+        LATE,
+        DISMISSED,
+        TERMINATED,
+        UNANSWERED
+    }
 
     private static final class Line {
         double asked;
@@ -44,7 +50,9 @@
     /** A call ended for good; due from the day's start, took from its due time. */
     synchronized void ended(CategoryTerms terms, String account, long due, long took, End end) {
         double earned = end == End.SETTLED ? terms.credit() : end == End.LATE ? terms.credit() * terms.lateCredit() : 0;
-        List<Line> lines = new ArrayList<>(List.of(all, categories.computeIfAbsent(terms.name(), n -> new Line()),
+        List<Line> lines = new ArrayList<>(List.of(
+                all,
+                categories.computeIfAbsent(terms.name(), n -> new Line()),
                 windows.computeIfAbsent(due / WINDOW, n -> new Line())));
         if (!account.isEmpty()) {
             lines.add(accounts.computeIfAbsent(account, n -> new Line()));
@@ -69,8 +77,11 @@
     }
 
     public synchronized double worstWindow() {
-        return windows.values().stream().filter(line -> line.asked > 0).mapToDouble(line -> line.earned / line.asked)
-                .min().orElse(1);
+        return windows.values().stream()
+                .filter(line -> line.asked > 0)
+                .mapToDouble(line -> line.earned / line.asked)
+                .min()
+                .orElse(1);
     }
 
     synchronized Map<Long, Double> byWindow() {
@@ -104,14 +115,27 @@
     /** The table as people read it. */
     public synchronized List<String> table() {
         List<String> rows = new ArrayList<>();
-        rows.add(String.format(Locale.ROOT, "%-22s %8s %7s %8s %6s %9s %10s %10s %8s %8s %8s", "", "calls", "credit",
-                "settled", "late", "dismissed", "terminated", "unanswered", "p50 ms", "p99 ms", "max ms"));
+        rows.add(String.format(
+                Locale.ROOT,
+                "%-22s %8s %7s %8s %6s %9s %10s %10s %8s %8s %8s",
+                "",
+                "calls",
+                "credit",
+                "settled",
+                "late",
+                "dismissed",
+                "terminated",
+                "unanswered",
+                "p50 ms",
+                "p99 ms",
+                "max ms"));
         rows.add(row("all", all));
         categories.forEach((name, line) -> rows.add(row("category " + name, line)));
         accounts.forEach((name, line) -> rows.add(row("account " + name, line)));
-        windows.entrySet().stream().min((a, b) -> Double.compare(a.getValue().earned / a.getValue().asked,
-                b.getValue().earned / b.getValue().asked)).ifPresent(worst -> rows.add(row("worst 10 s, from "
-                + worst.getKey() * 10 + " s", worst.getValue())));
+        windows.entrySet().stream()
+                .min((a, b) -> Double.compare(
+                        a.getValue().earned / a.getValue().asked, b.getValue().earned / b.getValue().asked))
+                .ifPresent(worst -> rows.add(row("worst 10 s, from " + worst.getKey() * 10 + " s", worst.getValue())));
         return rows;
     }
 
@@ -120,9 +144,19 @@
         for (long end : line.ends) {
             calls += end;
         }
-        return String.format(Locale.ROOT, "%-22s %8d %7.3f %8d %6d %9d %10d %10d %8.1f %8.1f %8.1f", name, calls,
-                line.asked == 0 ? 1 : line.earned / line.asked, line.ends[0], line.ends[1], line.ends[2], line.ends[3],
-                line.ends[4], line.times.getValueAtPercentile(50) / 1e6, line.times.getValueAtPercentile(99) / 1e6,
+        return String.format(
+                Locale.ROOT,
+                "%-22s %8d %7.3f %8d %6d %9d %10d %10d %8.1f %8.1f %8.1f",
+                name,
+                calls,
+                line.asked == 0 ? 1 : line.earned / line.asked,
+                line.ends[0],
+                line.ends[1],
+                line.ends[2],
+                line.ends[3],
+                line.ends[4],
+                line.times.getValueAtPercentile(50) / 1e6,
+                line.times.getValueAtPercentile(99) / 1e6,
                 line.times.getMaxValue() / 1e6);
     }
 }
--- a/lab/src/main/java/pearladder/lab/CategoryTerms.java
+++ b/lab/src/main/java/pearladder/lab/CategoryTerms.java
@@ -1,9 +1,24 @@
 package pearladder.lab;
 
 /** What the checker and the clients must know of a category; spans in nanoseconds. */
-public record CategoryTerms(String name, Effect effect, Group group, long expected, long abandon, long remembered,
-        double credit, double lateCredit) {
-    public enum Effect { RETRIABLE, FINGERPRINTED, BINDING }
+public record CategoryTerms(
+        String name,
+        Effect effect,
+        Group group,
+        long expected,
+        long abandon,
+        long remembered,
+        double credit,
+        double lateCredit) {
+    public enum Effect {
+        RETRIABLE,
+        FINGERPRINTED,
+        BINDING
+    }
 
-    public enum Group { ALL, ZONE, CELL }
+    public enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 }
--- a/lab/src/main/java/pearladder/lab/Clients.java
+++ b/lab/src/main/java/pearladder/lab/Clients.java
@@ -28,8 +28,14 @@
      * @param patience nanoseconds
      * @param mark empty where there is none
      */
-    public record Request(Front.Target target, String id, Source.Drawn drawn, CategoryTerms terms, String mark, boolean repeat,
-            long patience) { }
+    public record Request(
+            Front.Target target,
+            String id,
+            Source.Drawn drawn,
+            CategoryTerms terms,
+            String mark,
+            boolean repeat,
+            long patience) {}
 
     /** What a client hears of its try: one of the two, once. */
     public interface Heard {
@@ -42,6 +48,7 @@
 
     /** How much longer than its patience a client listens, only to see what comes too late. */
     private static final long LISTENS = 400_000_000L;
+
     private static final long LEAST = 20_000_000L;
 
     private final class Call {
@@ -74,7 +81,14 @@
     private Runnable ended;
 
     /** @param lane its number among those of the day, for its own chance */
-    public Clients(Timeline time, Wire wire, DayPlan plan, int lane, Source source, Front front, Books books,
+    public Clients(
+            Timeline time,
+            Wire wire,
+            DayPlan plan,
+            int lane,
+            Source source,
+            Front front,
+            Books books,
             Consumer<Seen> seen) {
         this.time = time;
         this.wire = wire;
@@ -147,8 +161,16 @@
         void go(long now) {
             boolean leaves = chance.nextDouble() < plan.clients().leaving();
             long stays = leaves ? Math.round(request.patience() * chance.nextDouble()) : request.patience() + LISTENS;
-            seen.accept(new Seen(now, Seen.SENT, request.target().router(), request.id(), 0, "", call.drawn.model(),
-                    call.terms.name(), request.patience()));
+            seen.accept(new Seen(
+                    now,
+                    Seen.SENT,
+                    request.target().router(),
+                    request.id(),
+                    0,
+                    "",
+                    call.drawn.model(),
+                    call.terms.name(),
+                    request.patience()));
             patience = time.after(stays, () -> unanswered(leaves ? "left" : "gave up"));
             Wire.Out sent = wire.send(request, this);
             if (over) {
@@ -164,7 +186,9 @@
             }
             over = true;
             patience.callOff();
-            note(Seen.ANSWERED, call.drawn.model() + (version.isEmpty() ? "" : "@" + version),
+            note(
+                    Seen.ANSWERED,
+                    call.drawn.model() + (version.isEmpty() ? "" : "@" + version),
                     state == null ? "status " + status : state.word());
             ended(state, heedless ? 0 : wait);
         }
@@ -188,8 +212,11 @@
         private void ended(FinalState state, long wait) {
             long took = time.now() - call.due;
             if (state == FinalState.SETTLED) {
-                end(call, took <= call.terms.expected() ? Books.End.SETTLED
-                        : took <= call.terms.abandon() ? Books.End.LATE : Books.End.UNANSWERED);
+                end(
+                        call,
+                        took <= call.terms.expected()
+                                ? Books.End.SETTLED
+                                : took <= call.terms.abandon() ? Books.End.LATE : Books.End.UNANSWERED);
                 return;
             }
             boolean dismissed = state == FinalState.DISMISSED;
@@ -211,7 +238,9 @@
 
     /** Comes back when told to, or after its pause, each with a random part; false where no try is left. */
     private boolean retry(Call call, long wait) {
-        long pause = heedless ? LEAST : Math.round(Math.max(wait, plan.clients().pause()) * (0.75 + 0.5 * chance.nextDouble()));
+        long pause = heedless
+                ? LEAST
+                : Math.round(Math.max(wait, plan.clients().pause()) * (0.75 + 0.5 * chance.nextDouble()));
         long left = call.due + call.terms.abandon() - time.now() - pause;
         if (call.tries >= plan.clients().tries() || left < LEAST) {
             return false;
--- a/lab/src/main/java/pearladder/lab/Day.java
+++ b/lab/src/main/java/pearladder/lab/Day.java
@@ -36,8 +36,13 @@
 /** Plays one day: starts the processes, sends the traffic, brings the troubles, judges the rules and writes the table. */
 public final class Day {
     /** What a day came to. */
-    public record Outcome(double credit, double worstWindow, long calls, List<String> table,
-            RulesChecker.Verdict verdict, List<String> faults) {
+    public record Outcome(
+            double credit,
+            double worstWindow,
+            long calls,
+            List<String> table,
+            RulesChecker.Verdict verdict,
+            List<String> faults) {
         /** Whether every rule was kept and nothing else went wrong. */
         public boolean kept() {
             return verdict.breaches().isEmpty() && faults.isEmpty();
@@ -53,8 +58,10 @@
     private final Processes processes;
     private final List<String> routerWords;
     private final PrintStream progress;
-    private final HttpClient control = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(Duration.ofSeconds(5)).build();
+    private final HttpClient control = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(5))
+            .build();
     private final ExecutorService helper = Executors.newSingleThreadExecutor(Day::daemon);
     private final ExecutorService starters = Executors.newCachedThreadPool(Day::daemon);
     private final Map<String, Integer> ports = java.util.Collections.synchronizedMap(new LinkedHashMap<>());
@@ -78,7 +85,8 @@
         this.plan = DayPlan.read(script);
         this.script = script;
         this.out = out;
-        this.processes = new Processes(program, out, plan.routers() * 2 > Runtime.getRuntime().availableProcessors());
+        this.processes = new Processes(
+                program, out, plan.routers() * 2 > Runtime.getRuntime().availableProcessors());
         this.routerWords = routerWords;
         this.progress = progress;
         this.front = new Front(plan.clients().frontLag());
@@ -103,14 +111,21 @@
      * @param routerWords further words of the routers' command line
      * @param progress where lines of progress go
      */
-    public static Outcome play(Path script, Path out, List<String> program, List<String> routerWords,
-            PrintStream progress) throws IOException, InterruptedException {
+    public static Outcome play(
+            Path script, Path out, List<String> program, List<String> routerWords, PrintStream progress)
+            throws IOException, InterruptedException {
         return play(script, null, out, program, routerWords, progress);
     }
 
     /** The same with a trace's calls in place of the script's traffic, whose flows then only name whose calls they are. */
-    public static Outcome play(Path script, TraceSource.Terms trace, Path out, List<String> program,
-            List<String> routerWords, PrintStream progress) throws IOException, InterruptedException {
+    public static Outcome play(
+            Path script,
+            TraceSource.Terms trace,
+            Path out,
+            List<String> program,
+            List<String> routerWords,
+            PrintStream progress)
+            throws IOException, InterruptedException {
         Files.createDirectories(out);
         Day day = new Day(script, out, program, routerWords, progress);
         day.trace = trace == null ? null : new TraceSource(trace, day.plan, out);
@@ -129,7 +144,8 @@
     private Outcome play() throws IOException, InterruptedException {
         for (DayPlan.Trouble trouble : plan.troubles()) {
             if (trouble.what().rehearsedOnly()) {
-                throw new IOException(script + ": the trouble " + trouble.what().name().toLowerCase(Locale.ROOT).replace('_', '-')
+                throw new IOException(script + ": the trouble "
+                        + trouble.what().name().toLowerCase(Locale.ROOT).replace('_', '-')
                         + " is only rehearsed; use pearladder rehearse, or take it out");
             }
         }
@@ -163,8 +179,9 @@
                 + " routers; while it runs, try");
         DayPlan.Flow flow = plan.flows().get(0);
         progress.println("  curl -i " + address + "/v2/models/" + flow.prefix() + "0/infer -H 'pearladder-category: "
-                + flow.category() + "'" + (flow.account().isEmpty() ? "" : " -H 'pearladder-account: " + flow.account()
-                + "'") + " -d '{\"inputs\":[]}'");
+                + flow.category() + "'"
+                + (flow.account().isEmpty() ? "" : " -H 'pearladder-account: " + flow.account() + "'")
+                + " -d '{\"inputs\":[]}'");
         traffic();
         for (String router : ports.keySet()) {
             boolean alive = processes.alive(router);
@@ -182,18 +199,22 @@
     private void startAll() throws IOException {
         List<CompletableFuture<Void>> all = new ArrayList<>();
         for (String name : List.copyOf(ports.keySet())) {
-            all.add(CompletableFuture.runAsync(() -> {
-                try {
-                    startRouter(name);
-                } catch (IOException failed) {
-                    throw new UncheckedIOException(failed);
-                }
-            }, starters));
+            all.add(CompletableFuture.runAsync(
+                    () -> {
+                        try {
+                            startRouter(name);
+                        } catch (IOException failed) {
+                            throw new UncheckedIOException(failed);
+                        }
+                    },
+                    starters));
         }
         try {
             CompletableFuture.allOf(all.toArray(CompletableFuture[]::new)).join();
         } catch (CompletionException failed) {
-            throw failed.getCause() instanceof UncheckedIOException io ? io.getCause() : new IOException(failed.getCause());
+            throw failed.getCause() instanceof UncheckedIOException io
+                    ? io.getCause()
+                    : new IOException(failed.getCause());
         }
     }
 
@@ -202,7 +223,12 @@
         ObjectNode fleet = new YAMLMapper().createObjectNode();
         fleet.set("fleet", whole.get("fleet"));
         new YAMLMapper().writeValue(file.toFile(), fleet);
-        String line = processes.start("engines", "engines", "-c", file.toString(), "--tape",
+        String line = processes.start(
+                "engines",
+                "engines",
+                "-c",
+                file.toString(),
+                "--tape",
                 out.resolve("engines.tape").toString());
         listPort = Processes.number(line, "list");
         controlPort = Processes.number(line, "control");
@@ -211,8 +237,12 @@
     private void writeRouter(JsonNode whole, String name, int number) throws IOException {
         ObjectNode file = whole.get("router").deepCopy();
         ObjectNode head = file.withObject("/router");
-        head.put("name", name).put("admin", "127.0.0.1:0").put("listen", "127.0.0.1:" + ports.get(name)).put("hall", halls.get(name))
-                .put("number", number).put("data", out.resolve("data-" + name).toString());
+        head.put("name", name)
+                .put("admin", "127.0.0.1:0")
+                .put("listen", "127.0.0.1:" + ports.get(name))
+                .put("hall", halls.get(name))
+                .put("number", number)
+                .put("data", out.resolve("data-" + name).toString());
         if (!head.has("peers")) {
             head.put("peers", plan.routers());
         }
@@ -222,8 +252,8 @@
 
     /** Starts a router and waits until it is ready; after the first start it keeps its port. */
     private void startRouter(String name) throws IOException {
-        List<String> words = new ArrayList<>(List.of("router", "-c", out.resolve(name + ".yaml").toString(), "--log",
-                "JSON"));
+        List<String> words = new ArrayList<>(
+                List.of("router", "-c", out.resolve(name + ".yaml").toString(), "--log", "JSON"));
         words.addAll(routerWords);
         String line = processes.start(name, words.toArray(String[]::new));
         int port = Processes.number(line, "port");
@@ -259,8 +289,15 @@
         Map<String, String> all = new LinkedHashMap<>();
         for (String router : List.copyOf(ports.keySet())) {
             try {
-                all.put(router, control.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + ports.get(router)
-                        + "/metrics")).timeout(Duration.ofSeconds(2)).build(), HttpResponse.BodyHandlers.ofString()).body());
+                all.put(
+                        router,
+                        control.send(
+                                        HttpRequest.newBuilder(URI.create(
+                                                        "http://127.0.0.1:" + ports.get(router) + "/metrics"))
+                                                .timeout(Duration.ofSeconds(2))
+                                                .build(),
+                                        HttpResponse.BodyHandlers.ofString())
+                                .body());
             } catch (IOException away) {
                 continue;
             } catch (InterruptedException stopped) {
@@ -272,8 +309,12 @@
 
     private int status(int port) {
         try {
-            return control.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/v2/health/ready"))
-                    .timeout(Duration.ofSeconds(2)).build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+            return control.send(
+                            HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/v2/health/ready"))
+                                    .timeout(Duration.ofSeconds(2))
+                                    .build(),
+                            HttpResponse.BodyHandlers.discarding())
+                    .statusCode();
         } catch (IOException notYet) {
             return 0;
         } catch (InterruptedException stopped) {
@@ -288,7 +329,8 @@
 
     private void traffic() throws InterruptedException {
         Troubles troubles = new Troubles(plan, new World());
-        Feed feed = new Feed(trace != null ? trace : new Traffic(plan), plan.clients().lanes());
+        Feed feed = new Feed(
+                trace != null ? trace : new Traffic(plan), plan.clients().lanes());
         CountDownLatch warm = new CountDownLatch(plan.clients().lanes());
         CountDownLatch done = new CountDownLatch(plan.clients().lanes());
         for (Feed.Lane lane : feed.lanes()) {
@@ -311,16 +353,21 @@
         // troubles are slow to bring (processes start): they keep a thread of their own, and so stay in order
         helper.execute(() -> {
             long next;
-            while ((next = troubles.due(System.nanoTime() - begun)) >= 0 && !Thread.currentThread().isInterrupted()) {
-                java.util.concurrent.locks.LockSupport.parkNanos(Math.max(1_000_000,
-                        Math.min(50_000_000, next - (System.nanoTime() - begun))));
+            while ((next = troubles.due(System.nanoTime() - begun)) >= 0
+                    && !Thread.currentThread().isInterrupted()) {
+                java.util.concurrent.locks.LockSupport.parkNanos(
+                        Math.max(1_000_000, Math.min(50_000_000, next - (System.nanoTime() - begun))));
             }
         });
         long bound = trace != null ? Long.MAX_VALUE : plan.lasting() / 1_000_000 + 60_000;
         while (!done.await(5, TimeUnit.SECONDS)) {
             watch.sample();
-            progress.println(String.format(Locale.ROOT, "  %4.0f s: %d calls ended, credit %.3f",
-                    (System.nanoTime() - begun) / 1e9, books.calls(), books.credit()));
+            progress.println(String.format(
+                    Locale.ROOT,
+                    "  %4.0f s: %d calls ended, credit %.3f",
+                    (System.nanoTime() - begun) / 1e9,
+                    books.calls(),
+                    books.credit()));
             bound -= 5_000;
             if (bound < 0) {
                 faults.add("the clients did not end in time");
@@ -328,7 +375,8 @@
             }
         }
         took = (System.nanoTime() - begun) / 1e9;
-        loops.forEach(vertx -> vertx.close().toCompletionStage().toCompletableFuture().join());
+        loops.forEach(
+                vertx -> vertx.close().toCompletionStage().toCompletableFuture().join());
     }
 
     private final class World implements Troubles.World {
@@ -346,7 +394,9 @@
 
         @Override
         public List<String> routers(String hall) {
-            return halls.keySet().stream().filter(name -> hall.isEmpty() || halls.get(name).equals(hall)).toList();
+            return halls.keySet().stream()
+                    .filter(name -> hall.isEmpty() || halls.get(name).equals(hall))
+                    .toList();
         }
 
         @Override
@@ -357,8 +407,10 @@
 
         private String get(String path) {
             try {
-                HttpResponse<String> answer = control.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
-                        + controlPort + path.replace("~", "%7E"))).timeout(Duration.ofSeconds(60)).build(),
+                HttpResponse<String> answer = control.send(
+                        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + controlPort + path.replace("~", "%7E")))
+                                .timeout(Duration.ofSeconds(60))
+                                .build(),
                         HttpResponse.BodyHandlers.ofString());
                 if (answer.statusCode() != 200) {
                     faults.add("a trouble could not be brought: " + path + ": " + answer.body());
@@ -410,7 +462,8 @@
         @Override
         public void order(ReleaseScript.Order order) {
             // a router that dies under the order is no fault; it gets the order again when it is back
-            releases.give(order, new LinkedHashMap<>(doors)).stream().filter(line -> !line.endsWith("no answer"))
+            releases.give(order, new LinkedHashMap<>(doors)).stream()
+                    .filter(line -> !line.endsWith("no answer"))
                     .forEach(faults::add);
         }
 
@@ -435,9 +488,14 @@
         lines.addAll(VersionShares.lines(all, begun, plan.releases()));
         lines.add(Results.fetched(plan, all, begun));
         lines.add("");
-        lines.add(String.format(Locale.ROOT, "%d calls in %d tries over %.0f s; the generator was late by %.1f ms at p99, "
-                + "%.1f ms at most", books.calls(), books.tries(), took,
-                books.lagMillis(99), books.lagMillis(100)));
+        lines.add(String.format(
+                Locale.ROOT,
+                "%d calls in %d tries over %.0f s; the generator was late by %.1f ms at p99, " + "%.1f ms at most",
+                books.calls(),
+                books.tries(),
+                took,
+                books.lagMillis(99),
+                books.lagMillis(100)));
         watch.lines().forEach(lines::add);
         if (trace != null) {
             lines.addAll(trace.lines());
@@ -447,8 +505,11 @@
         }
         faults.addAll(plan.expected().missed(books));
         if (books.lagMillis(99) > LAG_MILLIS) {
-            faults.add(String.format(Locale.ROOT, "the generator was late by %.0f ms at p99, over %d ms: not to be quoted",
-                    books.lagMillis(99), LAG_MILLIS));
+            faults.add(String.format(
+                    Locale.ROOT,
+                    "the generator was late by %.0f ms at p99, over %d ms: not to be quoted",
+                    books.lagMillis(99),
+                    LAG_MILLIS));
         }
         lines.add("");
         lines.addAll(verdict.lines(begun, plan.rules()));
--- a/lab/src/main/java/pearladder/lab/DecisionCost.java
+++ b/lab/src/main/java/pearladder/lab/DecisionCost.java
@@ -27,15 +27,21 @@
 
     private static final int MODELS = 400;
 
-    private record Out(Moment due, Event.LegEnded end) { }
+    private record Out(Moment due, Event.LegEnded end) {}
 
-    private DecisionCost() { }
+    private DecisionCost() {}
 
     /** Lines of a table: a row for each size, medians over the rounds. */
     public static List<String> run(Maker maker, int rounds, int... sizes) {
         List<String> rows = new ArrayList<>();
-        rows.add(String.format(Locale.ROOT, "%-10s %26s %12s %12s %14s", "engines", "us a call", "bytes a call",
-                "dismissed", "calls a round"));
+        rows.add(String.format(
+                Locale.ROOT,
+                "%-10s %26s %12s %12s %14s",
+                "engines",
+                "us a call",
+                "bytes a call",
+                "dismissed",
+                "calls a round"));
         for (int size : sizes) {
             double[] micros = new double[rounds];
             double[] bytes = new double[rounds];
@@ -50,21 +56,44 @@
             }
             Arrays.sort(micros);
             Arrays.sort(bytes);
-            rows.add(String.format(Locale.ROOT, "%-10d %26s %12.0f %11.1f%% %14d", size, String.format(Locale.ROOT,
-                    "%.1f (%.1f to %.1f)", micros[rounds / 2], micros[0], micros[rounds - 1]), bytes[rounds / 2],
-                    100 * dismissed, calls));
+            rows.add(String.format(
+                    Locale.ROOT,
+                    "%-10d %26s %12.0f %11.1f%% %14d",
+                    size,
+                    String.format(
+                            Locale.ROOT, "%.1f (%.1f to %.1f)", micros[rounds / 2], micros[0], micros[rounds - 1]),
+                    bytes[rounds / 2],
+                    100 * dismissed,
+                    calls));
         }
         return rows;
     }
 
     private static Facts facts() {
-        return new Facts(0, 3, "east", Span.millis(5), List.of(new Facts.Terms("draft", Span.seconds(1), Span.seconds(3),
-                1, 0, Facts.Effect.RETRIABLE, Facts.Group.ALL, Span.NONE, false, 0)), List.of(),
+        return new Facts(
+                0,
+                3,
+                "east",
+                Span.millis(5),
+                List.of(new Facts.Terms(
+                        "draft",
+                        Span.seconds(1),
+                        Span.seconds(3),
+                        1,
+                        0,
+                        Facts.Effect.RETRIABLE,
+                        Facts.Group.ALL,
+                        Span.NONE,
+                        false,
+                        0)),
+                List.of(),
                 new Facts.Allowances(3, false, true, false, false, true, Span.seconds(2), 1, false, Span.millis(250)),
                 new Facts.Answering(Span.millis(15), Span.seconds(1)),
-                new Facts.ColdStart(0.25, Span.seconds(15), 2, Span.millis(1500)), new Facts.Ration(0, 0, Span.NONE),
+                new Facts.ColdStart(0.25, Span.seconds(15), 2, Span.millis(1500)),
+                new Facts.Ration(0, 0, Span.NONE),
                 new Facts.Copies(Span.seconds(10), true, true, Span.seconds(10), true, true, List.of(6000.0)),
-                new Facts.Reports(List.of("waiting", "loads"), true), new Facts.Roll(false, Span.NONE),
+                new Facts.Reports(List.of("waiting", "loads"), true),
+                new Facts.Roll(false, Span.NONE),
                 new Facts.Prices(0, 0, 0, 0, 0, 0));
     }
 
@@ -97,8 +126,18 @@
                 events.add(new Event.Due("beat"));
             }
             int model = (int) (MODELS * Math.pow(random.nextDouble(), 3));
-            events.add(new Event.CallCame("c" + call, "model-" + model, "draft", null, Span.seconds(3), 2, 400,
-                    Span.millis(600), null, false, false));
+            events.add(new Event.CallCame(
+                    "c" + call,
+                    "model-" + model,
+                    "draft",
+                    null,
+                    Span.seconds(3),
+                    2,
+                    400,
+                    Span.millis(600),
+                    null,
+                    false,
+                    false));
             for (Event event : events) {
                 long bytes = memory.getThreadAllocatedBytes(thread);
                 long begun = System.nanoTime();
@@ -107,9 +146,18 @@
                 allocated += memory.getThreadAllocatedBytes(thread) - bytes;
                 for (Action action : actions) {
                     if (action instanceof Action.Send send) {
-                        out.add(new Out(now.plus(Span.millis(20)), new Event.LegEnded(send.call(), 0, send.worker(),
-                                Outcome.SUCCESS, Span.millis(20), true, Event.Copy.STOOD, 0,
-                                new Event.Report(1, 0, 0.3, 0, 0.2))));
+                        out.add(new Out(
+                                now.plus(Span.millis(20)),
+                                new Event.LegEnded(
+                                        send.call(),
+                                        0,
+                                        send.worker(),
+                                        Outcome.SUCCESS,
+                                        Span.millis(20),
+                                        true,
+                                        Event.Copy.STOOD,
+                                        0,
+                                        new Event.Report(1, 0, 0.3, 0, 0.2))));
                     } else if (action instanceof Action.Dismiss) {
                         dismissed++;
                     } else if (action instanceof Action.Wake wake && wake.tag().equals("beat")) {
--- a/lab/src/main/java/pearladder/lab/Experiment.java
+++ b/lab/src/main/java/pearladder/lab/Experiment.java
@@ -62,17 +62,24 @@
             Path folder = out.resolve(run.label());
             String script = YAML.writeValueAsString(script(run));
             JsonNode results = Results.read(folder);
-            if (results == null || !results.path("build").asText().equals(build)
+            if (results == null
+                    || !results.path("build").asText().equals(build)
                     || !results.path("script").asText().equals(digest(script))) {
-                String left = done == 0 ? "" : ", about " + spent / done * (plan.runs().size() - i) / 60_000 + " min left";
+                String left = done == 0
+                        ? ""
+                        : ", about " + spent / done * (plan.runs().size() - i) / 60_000 + " min left";
                 progress.println("run " + (i + 1) + " of " + plan.runs().size() + ": " + run.label() + left);
                 long begun = System.nanoTime();
                 results = play(run, folder, script);
                 spent += (System.nanoTime() - begun) / 1_000_000;
                 done++;
             }
-            progress.println(String.format(Locale.ROOT, "  %s: credit %.3f, worst 10 s %.3f, p99 %.0f ms", run.label(),
-                    results.path("credit").asDouble(), results.path("worst10s").asDouble(),
+            progress.println(String.format(
+                    Locale.ROOT,
+                    "  %s: credit %.3f, worst 10 s %.3f, p99 %.0f ms",
+                    run.label(),
+                    results.path("credit").asDouble(),
+                    results.path("worst10s").asDouble(),
                     results.path("latency_ms").path("99.0").asDouble()));
             broken += results.path("breaches").asInt() + results.path("faults").asInt() > 0 ? 1 : 0;
         }
@@ -85,9 +92,15 @@
         Files.createDirectories(folder);
         Path file = folder.resolve("day.yaml");
         Files.writeString(file, script);
-        TraceSource.Terms trace = plan.trace() == null || Double.isNaN(run.speed()) ? plan.trace()
+        TraceSource.Terms trace = plan.trace() == null || Double.isNaN(run.speed())
+                ? plan.trace()
                 : plan.trace().at(run.speed());
-        Day.play(file, trace, folder, program, List.of("--policy", run.policy().toUpperCase(Locale.ROOT)),
+        Day.play(
+                file,
+                trace,
+                folder,
+                program,
+                List.of("--policy", run.policy().toUpperCase(Locale.ROOT)),
                 new PrintStream(Files.newOutputStream(folder.resolve("progress.txt")), true));
         ObjectNode results = (ObjectNode) Results.read(folder);
         results.put("build", build).put("script", digest(script)).put("policy", run.policy());
@@ -113,19 +126,50 @@
     }
 
     private void table() throws IOException {
-        try (Writer writer = Files.newBufferedWriter(out.resolve("results.csv")); CSVPrinter csv = CSVFormat.DEFAULT.builder()
-                .setRecordSeparator('\n').setHeader("run", "build", "policy", "engines", "routers", "seed", "calls", "credit",
-                        "worst_10s", "p50_ms", "p99_ms", "dismissed", "terminated", "unanswered", "lag_p99_ms", "breaches",
-                        "faults").get().print(writer)) {
+        try (Writer writer = Files.newBufferedWriter(out.resolve("results.csv"));
+                CSVPrinter csv = CSVFormat.DEFAULT
+                        .builder()
+                        .setRecordSeparator('\n')
+                        .setHeader(
+                                "run",
+                                "build",
+                                "policy",
+                                "engines",
+                                "routers",
+                                "seed",
+                                "calls",
+                                "credit",
+                                "worst_10s",
+                                "p50_ms",
+                                "p99_ms",
+                                "dismissed",
+                                "terminated",
+                                "unanswered",
+                                "lag_p99_ms",
+                                "breaches",
+                                "faults")
+                        .get()
+                        .print(writer)) {
             for (ExperimentPlan.Run run : plan.runs()) {
                 JsonNode results = Results.read(out.resolve(run.label()));
-                csv.printRecord(run.label(), build, run.policy(), results.path("engines").asInt(),
-                        results.path("routers").asInt(), run.seed(), results.path("calls").asLong(),
-                        results.path("credit").asDouble(), results.path("worst10s").asDouble(),
-                        results.path("latency_ms").path("50.0").asDouble(), results.path("latency_ms").path("99.0").asDouble(),
-                        results.path("dismissed").asLong(), results.path("terminated").asLong(),
-                        results.path("unanswered").asLong(), results.path("lag_p99_ms").asDouble(),
-                        results.path("breaches").asInt(), results.path("faults").asInt());
+                csv.printRecord(
+                        run.label(),
+                        build,
+                        run.policy(),
+                        results.path("engines").asInt(),
+                        results.path("routers").asInt(),
+                        run.seed(),
+                        results.path("calls").asLong(),
+                        results.path("credit").asDouble(),
+                        results.path("worst10s").asDouble(),
+                        results.path("latency_ms").path("50.0").asDouble(),
+                        results.path("latency_ms").path("99.0").asDouble(),
+                        results.path("dismissed").asLong(),
+                        results.path("terminated").asLong(),
+                        results.path("unanswered").asLong(),
+                        results.path("lag_p99_ms").asDouble(),
+                        results.path("breaches").asInt(),
+                        results.path("faults").asInt());
             }
         }
     }
--- a/lab/src/main/java/pearladder/lab/ExperimentPlan.java
+++ b/lab/src/main/java/pearladder/lab/ExperimentPlan.java
@@ -13,10 +13,13 @@
  * @param trace replayed in place of its traffic, or null
  */
 record ExperimentPlan(String name, Path base, TraceSource.Terms trace, List<Run> runs) {
-    enum Troubles { AS_WRITTEN, NONE }
+    enum Troubles {
+        AS_WRITTEN,
+        NONE
+    }
 
     /** Engines and routers that are varied together. */
-    private record Size(int engines, int routers) { }
+    private record Size(int engines, int routers) {}
 
     /** One run; 0 or a NaN keeps what the script says. */
     record Run(String policy, int engines, int routers, double rate, double speed, Troubles troubles, int seed) {
@@ -43,7 +46,8 @@
         List<Size> sizes = sizes(vary);
         List<Double> rates = orElse(vary.at("rate").each(v -> v.number(0.1, 1e6)), Double.NaN);
         List<Double> speeds = orElse(vary.at("speed").each(v -> v.number(0.001, 1e6)), Double.NaN);
-        List<Troubles> troubles = orElse(vary.at("troubles").each(v -> v.word(Troubles.class, null)), Troubles.AS_WRITTEN);
+        List<Troubles> troubles =
+                orElse(vary.at("troubles").each(v -> v.word(Troubles.class, null)), Troubles.AS_WRITTEN);
         List<Integer> seeds = orElse(vary.at("seed").each(v -> v.whole(0, Integer.MAX_VALUE)), 1);
         TraceSource.Terms trace = experiment.at("trace").given() ? trace(experiment.at("trace"), folder) : null;
         if (trace == null && !speeds.get(0).isNaN()) {
@@ -55,8 +59,8 @@
                 for (double rate : rates) {
                     for (double speed : speeds) {
                         for (Troubles trouble : troubles) {
-                            seeds.forEach(seed -> runs.add(new Run(policy, size.engines(), size.routers(), rate, speed,
-                                    trouble, seed)));
+                            seeds.forEach(seed -> runs.add(
+                                    new Run(policy, size.engines(), size.routers(), rate, speed, trouble, seed)));
                         }
                     }
                 }
@@ -70,8 +74,10 @@
 
     /** Sizes that grow together are listed as such; else every number of engines meets every number of routers. */
     private static List<Size> sizes(Value vary) {
-        List<Size> sizes = new ArrayList<>(vary.at("sizes").each(size ->
-                new Size(size.at("engines").whole(1, 1, 10_000), size.at("routers").whole(1, 1, 64))));
+        List<Size> sizes = new ArrayList<>(vary.at("sizes")
+                .each(size -> new Size(
+                        size.at("engines").whole(1, 1, 10_000),
+                        size.at("routers").whole(1, 1, 64))));
         List<Integer> engines = orElse(vary.at("engines").each(v -> v.whole(1, 10_000)), 0);
         List<Integer> routers = orElse(vary.at("routers").each(v -> v.whole(1, 64)), 0);
         if (sizes.isEmpty()) {
@@ -91,11 +97,19 @@
     }
 
     private static TraceSource.Terms trace(Value trace, Path folder) {
-        return new TraceSource.Terms(folder.resolve(trace.at("file").text()), null, null, null, 1,
-                trace.at("window").span("60 s"), trace.at("most").whole(0, 0, Integer.MAX_VALUE),
+        return new TraceSource.Terms(
+                folder.resolve(trace.at("file").text()),
+                null,
+                null,
+                null,
+                1,
+                trace.at("window").span("60 s"),
+                trace.at("most").whole(0, 0, Integer.MAX_VALUE),
                 trace.at("lasting").span("0 s"),
-                trace.at("work_scale").number(1, 0, 1e6), trace.at("longest_work").span("500 ms"),
-                trace.at("usual_work").span("20 ms"), false);
+                trace.at("work_scale").number(1, 0, 1e6),
+                trace.at("longest_work").span("500 ms"),
+                trace.at("usual_work").span("20 ms"),
+                false);
     }
 
     private static <T> List<T> orElse(List<T> values, T otherwise) {
--- a/lab/src/main/java/pearladder/lab/Feed.java
+++ b/lab/src/main/java/pearladder/lab/Feed.java
@@ -13,7 +13,7 @@
     final class Lane implements Source {
         private final ArrayDeque<Drawn> dealt = new ArrayDeque<>();
 
-        private Lane() { }
+        private Lane() {}
 
         @Override
         public Drawn next() {
--- a/lab/src/main/java/pearladder/lab/Front.java
+++ b/lab/src/main/java/pearladder/lab/Front.java
@@ -8,7 +8,7 @@
 /** The plain front layer: spreads clients over the routers of their hall, and goes on feeding a dead one for a while. */
 public final class Front {
     /** A router as the front layer sees it. */
-    public record Target(String router, int port) { }
+    public record Target(String router, int port) {}
 
     private static final class Seat {
         final Target target;
--- a/lab/src/main/java/pearladder/lab/HttpWire.java
+++ b/lab/src/main/java/pearladder/lab/HttpWire.java
@@ -27,8 +27,12 @@
 
     HttpWire(Vertx vertx) {
         this.vertx = vertx;
-        this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(1000).setTcpNoDelay(true)
-                .setKeepAliveTimeout(20), new PoolOptions().setHttp1MaxSize(20_000).setMaxWaitQueueSize(-1));
+        this.client = vertx.createHttpClient(
+                new HttpClientOptions()
+                        .setConnectTimeout(1000)
+                        .setTcpNoDelay(true)
+                        .setKeepAliveTimeout(20),
+                new PoolOptions().setHttp1MaxSize(20_000).setMaxWaitQueueSize(-1));
     }
 
     /** Notes every pause of this process: what came meanwhile was seen late, whoever was on time. */
@@ -50,9 +54,12 @@
     Future<Void> warmUp(List<Integer> ports) {
         Future<Void> all = Future.succeededFuture();
         for (int i = 0; i < WARM_UPS; i++) {
-            List<Future<Void>> round = ports.stream().map(port -> client.request(HttpMethod.GET, port, "127.0.0.1",
-                    "/v2/health/live").compose(HttpClientRequest::send).compose(HttpClientResponse::body)
-                    .<Void>mapEmpty()).toList();
+            List<Future<Void>> round = ports.stream()
+                    .map(port -> client.request(HttpMethod.GET, port, "127.0.0.1", "/v2/health/live")
+                            .compose(HttpClientRequest::send)
+                            .compose(HttpClientResponse::body)
+                            .<Void>mapEmpty())
+                    .toList();
             all = all.compose(done -> Future.join(round).mapEmpty());
         }
         return all;
@@ -61,9 +68,12 @@
     @Override
     public Out send(Clients.Request request, Clients.Heard heard) {
         Sent sent = new Sent(request, heard);
-        client.request(new RequestOptions().setMethod(HttpMethod.POST).setHost("127.0.0.1").setPort(request.target().port())
-                .setURI("/v2/models/" + request.drawn().model() + "/infer")).onComplete(sent::write,
-                        unreached -> heard.unanswered("unreachable"));
+        client.request(new RequestOptions()
+                        .setMethod(HttpMethod.POST)
+                        .setHost("127.0.0.1")
+                        .setPort(request.target().port())
+                        .setURI("/v2/models/" + request.drawn().model() + "/infer"))
+                .onComplete(sent::write, unreached -> heard.unanswered("unreachable"));
         return sent;
     }
 
@@ -84,7 +94,8 @@
                 request.reset();
                 return;
             }
-            request.putHeader("content-type", "application/json").putHeader(Headers.CALL, asked.id())
+            request.putHeader("content-type", "application/json")
+                    .putHeader(Headers.CALL, asked.id())
                     .putHeader(Headers.CATEGORY, asked.terms().name())
                     .putHeader(Headers.PATIENCE, Long.toString(Math.max(1, asked.patience() / 1_000_000)));
             if (!asked.drawn().account().isEmpty()) {
@@ -96,19 +107,29 @@
             if (asked.repeat()) {
                 request.putHeader(Headers.REPEAT, "1");
             }
-            request.send(Buffer.buffer("{\"parameters\":{\"work_ms\":" + asked.drawn().work() / 1e6
-                    + "},\"inputs\":[{\"name\":\"in\",\"datatype\":\"BYTES\",\"shape\":[1],\"data\":[\"text\"]}]}"))
+            request.send(
+                            Buffer.buffer(
+                                    "{\"parameters\":{\"work_ms\":"
+                                            + asked.drawn().work() / 1e6
+                                            + "},\"inputs\":[{\"name\":\"in\",\"datatype\":\"BYTES\",\"shape\":[1],\"data\":[\"text\"]}]}"))
                     .onComplete(this::answered, cut -> heard.unanswered("cut"));
         }
 
         private void answered(HttpClientResponse response) {
-            response.body().onComplete(body -> {
-                String version = response.getHeader(Headers.VERSION);
-                String wait = response.getHeader(Headers.RETRY_AFTER_MS);
-                heard.answered(FinalState.of(response.getHeader(Headers.STATE)), response.statusCode(),
-                        version == null ? "" : version,
-                        wait != null && wait.matches("[0-9]{1,9}") ? Long.parseLong(wait) * 1_000_000L : 0);
-            }, half -> heard.unanswered("cut"));
+            response.body()
+                    .onComplete(
+                            body -> {
+                                String version = response.getHeader(Headers.VERSION);
+                                String wait = response.getHeader(Headers.RETRY_AFTER_MS);
+                                heard.answered(
+                                        FinalState.of(response.getHeader(Headers.STATE)),
+                                        response.statusCode(),
+                                        version == null ? "" : version,
+                                        wait != null && wait.matches("[0-9]{1,9}")
+                                                ? Long.parseLong(wait) * 1_000_000L
+                                                : 0);
+                            },
+                            half -> heard.unanswered("cut"));
         }
 
         @Override
--- a/lab/src/main/java/pearladder/lab/Measure.java
+++ b/lab/src/main/java/pearladder/lab/Measure.java
@@ -36,7 +36,7 @@
 public final class Measure {
     private static final int ENGINES = 8;
 
-    private record Way(String name, List<Integer> ports) { }
+    private record Way(String name, List<Integer> ports) {}
 
     private static final class Round {
         final Histogram times = new Histogram(10_000_000_000L, 3);
@@ -78,12 +78,12 @@
         for (int i = 0; i < ENGINES; i++) {
             engines.add(instantEngine());
         }
-        Fleet list = Fleet.start(vertx, new FleetPlan(1, 1, 1, 0, false, List.of(), List.of()), seen -> { });
+        Fleet list = Fleet.start(vertx, new FleetPlan(1, 1, 1, 0, false, List.of(), List.of()), seen -> {});
         for (int i = 0; i < ENGINES; i++) {
             int port = engines.get(i);
             String id = "instant-" + i;
-            list.run(() -> list.roll().change(new Entry(id, "127.0.0.1", port, "east", "instant", 0,
-                    Standing.IN_SERVICE, 0)));
+            list.run(() ->
+                    list.roll().change(new Entry(id, "127.0.0.1", port, "east", "instant", 0, Standing.IN_SERVICE, 0)));
         }
         List<Way> ways = new ArrayList<>();
         Stalls stalls = null;
@@ -93,8 +93,10 @@
             ways.add(router(processes, "stalling", list.listPort(), "records: {}\n"));
             stalls = Stalls.begin(folder.resolve("data-stalling/records"));
         } else {
-            String targets = String.join(",", engines.stream().map(Object::toString).toList());
-            int through = Processes.number(processes.start("pass-through", "pass-through", "--targets", targets), "port");
+            String targets =
+                    String.join(",", engines.stream().map(Object::toString).toList());
+            int through =
+                    Processes.number(processes.start("pass-through", "pass-through", "--targets", targets), "port");
             ways.add(new Way("direct", engines));
             ways.add(new Way("pass-through", List.of(through)));
             ways.add(router(processes, "router", list.listPort(), ""));
@@ -119,25 +121,35 @@
 
     private Way router(Processes processes, String name, int list, String more) throws IOException {
         Path file = folder.resolve(name + ".yaml");
-        Files.writeString(file, "router: {name: " + name + ", listen: \"127.0.0.1:0\", hall: east, data: \""
-                + folder.resolve("data-" + name) + "\"}\nlist: {address: \"127.0.0.1:" + list + "\"}\n"
-                + "categories:\n  draft: {expected: 1 s, abandon: 3 s, effect: retriable}\n"
-                + "models:\n  - {name: \"m-*\", memory: 100 MB, lanes: 64}\n" + more);
-        return new Way(name, List.of(Processes.number(processes.start(name, "router", "-c", file.toString(), "--log", "JSON"),
-                "port")));
+        Files.writeString(
+                file,
+                "router: {name: " + name + ", listen: \"127.0.0.1:0\", hall: east, data: \""
+                        + folder.resolve("data-" + name) + "\"}\nlist: {address: \"127.0.0.1:" + list + "\"}\n"
+                        + "categories:\n  draft: {expected: 1 s, abandon: 3 s, effect: retriable}\n"
+                        + "models:\n  - {name: \"m-*\", memory: 100 MB, lanes: 64}\n" + more);
+        return new Way(
+                name,
+                List.of(Processes.number(
+                        processes.start(name, "router", "-c", file.toString(), "--log", "JSON"), "port")));
     }
 
     private int instantEngine() {
-        return vertx.createHttpServer(new HttpServerOptions().setHost("127.0.0.1").setPort(0).setTcpNoDelay(true))
+        return vertx.createHttpServer(
+                        new HttpServerOptions().setHost("127.0.0.1").setPort(0).setTcpNoDelay(true))
                 .requestHandler(request -> request.body().onSuccess(body -> request.response()
-                        .putHeader("content-type", "application/json").putHeader(Headers.COPY, "stood")
+                        .putHeader("content-type", "application/json")
+                        .putHeader(Headers.COPY, "stood")
                         .end("{\"model_name\":\"" + request.path().split("/")[3] + "\",\"outputs\":[]}")))
-                .listen().map(HttpServer::actualPort).toCompletionStage().toCompletableFuture().join();
+                .listen()
+                .map(HttpServer::actualPort)
+                .toCompletionStage()
+                .toCompletableFuture()
+                .join();
     }
 
     private Round round(Way way, int callers, int seconds) {
-        HttpClient client = vertx.createHttpClient(new HttpClientOptions().setTcpNoDelay(true),
-                new PoolOptions().setHttp1MaxSize(callers + 8));
+        HttpClient client = vertx.createHttpClient(
+                new HttpClientOptions().setTcpNoDelay(true), new PoolOptions().setHttp1MaxSize(callers + 8));
         Round round = new Round();
         long begun = System.nanoTime();
         long end = begun + seconds * 1_000_000_000L;
@@ -165,43 +177,62 @@
             return;
         }
         int port = way.ports().get((caller + number) % way.ports().size());
-        client.request(new RequestOptions().setMethod(HttpMethod.POST).setHost("127.0.0.1").setPort(port)
-                .setURI("/v2/models/m-" + (caller + number) % 20 + "/infer"))
+        client.request(new RequestOptions()
+                        .setMethod(HttpMethod.POST)
+                        .setHost("127.0.0.1")
+                        .setPort(port)
+                        .setURI("/v2/models/m-" + (caller + number) % 20 + "/infer"))
                 .compose(request -> request.send(Buffer.buffer("{\"inputs\":[{\"name\":\"in\",\"datatype\":\"BYTES\","
                         + "\"shape\":[1],\"data\":[\"some text of a usual length to be translated\"]}]}")))
                 .compose(response -> response.body().compose(body -> Future.succeededFuture(response)))
-                .onComplete(response -> {
-                    String state = response.getHeader(Headers.STATE);
-                    if (response.statusCode() == 200 && (state == null || state.equals(FinalState.SETTLED.word()))) {
-                        round.settled++;
-                        round.times.recordValue(Math.min(9_000_000_000L, System.nanoTime() - sent));
-                    } else {
-                        round.other++;
-                    }
-                    caller(client, way, caller, number + 1, end, round, done);
-                }, failed -> {
-                    round.other++;
-                    caller(client, way, caller, number + 1, end, round, done);
-                });
+                .onComplete(
+                        response -> {
+                            String state = response.getHeader(Headers.STATE);
+                            if (response.statusCode() == 200
+                                    && (state == null || state.equals(FinalState.SETTLED.word()))) {
+                                round.settled++;
+                                round.times.recordValue(Math.min(9_000_000_000L, System.nanoTime() - sent));
+                            } else {
+                                round.other++;
+                            }
+                            caller(client, way, caller, number + 1, end, round, done);
+                        },
+                        failed -> {
+                            round.other++;
+                            caller(client, way, caller, number + 1, end, round, done);
+                        });
     }
 
     private void print(int callers, int rounds, int seconds, Map<String, List<Round>> all) {
-        out.printf(Locale.ROOT, "%n%d caller%s, %d rounds of %d s each, medians (lowest to highest)%n", callers,
-                callers == 1 ? "" : "s", rounds, seconds);
-        out.printf(Locale.ROOT, "%-14s %22s %22s %26s %10s%n", "", "p50 us", "p99 us", "settled a second", "not settled");
+        out.printf(
+                Locale.ROOT,
+                "%n%d caller%s, %d rounds of %d s each, medians (lowest to highest)%n",
+                callers,
+                callers == 1 ? "" : "s",
+                rounds,
+                seconds);
+        out.printf(
+                Locale.ROOT, "%-14s %22s %22s %26s %10s%n", "", "p50 us", "p99 us", "settled a second", "not settled");
         Map<String, double[]> medians = new LinkedHashMap<>();
         all.forEach((name, list) -> {
             double[] p50 = sorted(list, r -> r.times.getValueAtPercentile(50) / 1e3);
             double[] p99 = sorted(list, r -> r.times.getValueAtPercentile(99) / 1e3);
             double[] rate = sorted(list, r -> r.settled / r.seconds);
             medians.put(name, new double[] {median(p50), median(p99), median(rate)});
-            out.printf(Locale.ROOT, "%-14s %22s %22s %26s %10d%n", name, range(p50), range(p99), range(rate),
+            out.printf(
+                    Locale.ROOT,
+                    "%-14s %22s %22s %26s %10d%n",
+                    name,
+                    range(p50),
+                    range(p99),
+                    range(rate),
                     list.stream().mapToLong(r -> r.other).sum());
         });
         List<String> names = List.copyOf(all.keySet());
         // a table of refusals is no measurement
         all.forEach((name, list) -> {
-            if (list.stream().mapToLong(r -> r.other).sum() > 0.01 * list.stream().mapToLong(r -> r.settled).sum()) {
+            if (list.stream().mapToLong(r -> r.other).sum()
+                    > 0.01 * list.stream().mapToLong(r -> r.settled).sum()) {
                 throw new IllegalStateException(name + ": more than one call in a hundred was not settled");
             }
         });
@@ -209,8 +240,14 @@
         for (String name : names.subList(names.indexOf(base) + 1, names.size())) {
             double[] than = medians.get(base);
             double[] one = medians.get(name);
-            out.printf(Locale.ROOT, "%s against %s: p50 %.2f times, p99 %.2f times, throughput %.2f times%n", name, base,
-                    one[0] / than[0], one[1] / than[1], one[2] / than[2]);
+            out.printf(
+                    Locale.ROOT,
+                    "%s against %s: p50 %.2f times, p99 %.2f times, throughput %.2f times%n",
+                    name,
+                    base,
+                    one[0] / than[0],
+                    one[1] / than[1],
+                    one[2] / than[2]);
         }
     }
 
--- a/lab/src/main/java/pearladder/lab/Processes.java
+++ b/lab/src/main/java/pearladder/lab/Processes.java
@@ -41,15 +41,18 @@
         command.addAll(List.of(words));
         Path log = folder.resolve(name + ".log");
         Process process = new ProcessBuilder(command)
-                .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
+                .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
         running.put(name, process);
         process.getOutputStream().close();
-        String line = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))
-                .readLine();
+        String line =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8)).readLine();
         if (line == null) {
             List<String> said = Files.readAllLines(log);
-            throw new IOException(name + " did not start: " + (said.isEmpty() ? "it said nothing"
-                    : String.join(" / ", said.subList(Math.max(0, said.size() - 3), said.size()))));
+            throw new IOException(name + " did not start: "
+                    + (said.isEmpty()
+                            ? "it said nothing"
+                            : String.join(" / ", said.subList(Math.max(0, said.size() - 3), said.size()))));
         }
         return line;
     }
@@ -92,7 +95,8 @@
 
     /** A number in the line that a process printed, by its name. */
     static int number(String line, String name) throws IOException {
-        java.util.regex.Matcher found = java.util.regex.Pattern.compile("\"" + name + "\":([0-9]+)").matcher(line);
+        java.util.regex.Matcher found =
+                java.util.regex.Pattern.compile("\"" + name + "\":([0-9]+)").matcher(line);
         if (!found.find()) {
             throw new IOException("no " + name + " in " + line);
         }
--- a/lab/src/main/java/pearladder/lab/QueueCost.java
+++ b/lab/src/main/java/pearladder/lab/QueueCost.java
@@ -51,7 +51,7 @@
         }
     }
 
-    private QueueCost() { }
+    private QueueCost() {}
 
     /** A line a size: nanoseconds an event, medians of some rounds in turns. */
     public static List<String> run(int rounds) {
@@ -65,8 +65,15 @@
             }
             Arrays.sort(heap);
             Arrays.sort(calendar);
-            lines.add(String.format(Locale.ROOT, "%d events planned: heap %.0f ns an event (%.0f to %.0f), calendar queue %.0f (%.0f to"
-                    + " %.0f)", size, heap[rounds / 2], heap[0], heap[rounds - 1], calendar[rounds / 2], calendar[0],
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "%d events planned: heap %.0f ns an event (%.0f to %.0f), calendar queue %.0f (%.0f to" + " %.0f)",
+                    size,
+                    heap[rounds / 2],
+                    heap[0],
+                    heap[rounds - 1],
+                    calendar[rounds / 2],
+                    calendar[0],
                     calendar[rounds - 1]));
         }
         return lines;
--- a/lab/src/main/java/pearladder/lab/ReleaseScript.java
+++ b/lab/src/main/java/pearladder/lab/ReleaseScript.java
@@ -19,7 +19,13 @@
 
 /** The operators of a day: orders on releases, given at their moments to every router over its admin door. */
 public final class ReleaseScript {
-    public enum What { START, STEP, PAUSE, RESUME, ROLLBACK }
+    public enum What {
+        START,
+        STEP,
+        PAUSE,
+        RESUME,
+        ROLLBACK
+    }
 
     /**
      * One order.
@@ -63,15 +69,24 @@
         What what = order.at("order").word(What.class, null);
         ObjectNode plan = null;
         if (what == What.START) {
-            plan = JSON.createObjectNode().put("from", order.at("from").text("")).put("to", order.at("to").text());
+            plan = JSON.createObjectNode()
+                    .put("from", order.at("from").text(""))
+                    .put("to", order.at("to").text());
             plan.putPOJO("steps", order.at("steps").each(step -> step.number(0, 1)));
             plan.putObject("hold").put("nanos", order.at("hold").span("10 s"));
             plan.put("leastCalls", order.at("least_calls").whole(50, 0, 1_000_000));
-            plan.putObject("gate").put("excess", order.at("excess").number(0.05, 0, 1))
-                    .put("wrongly", order.at("wrongly").number(0.01, 0, 0.5)).put("missed", order.at("missed").number(0.05, 0, 0.5));
+            plan.putObject("gate")
+                    .put("excess", order.at("excess").number(0.05, 0, 1))
+                    .put("wrongly", order.at("wrongly").number(0.01, 0, 0.5))
+                    .put("missed", order.at("missed").number(0.05, 0, 0.5));
             plan.put("onBreach", "ROLL_BACK");
         }
-        return new Order(order.at("at").span(), what, order.at("models").text(), order.at("count").whole(1, 1, 10_000), plan);
+        return new Order(
+                order.at("at").span(),
+                what,
+                order.at("models").text(),
+                order.at("count").whole(1, 1, 10_000),
+                plan);
     }
 
     /** Gives an order to every router, all at once; a line for each that did not take it. */
@@ -79,9 +94,14 @@
         ArrayNode targets = JSON.createArrayNode();
         order.models().forEach(model -> targets.add(next(order, model)));
         Map<String, CompletableFuture<HttpResponse<String>>> answers = new LinkedHashMap<>();
-        doors.forEach((router, door) -> answers.put(router, client.sendAsync(HttpRequest.newBuilder(
-                URI.create("http://127.0.0.1:" + door + "/releases")).timeout(Duration.ofSeconds(5))
-                .POST(HttpRequest.BodyPublishers.ofString(targets.toString())).build(), HttpResponse.BodyHandlers.ofString())));
+        doors.forEach((router, door) -> answers.put(
+                router,
+                client.sendAsync(
+                        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + door + "/releases"))
+                                .timeout(Duration.ofSeconds(5))
+                                .POST(HttpRequest.BodyPublishers.ofString(targets.toString()))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString())));
         List<String> refused = new ArrayList<>();
         answers.forEach((router, answer) -> {
             try {
@@ -99,21 +119,28 @@
 
     /** The targets of an order, for routers that are told them without a socket. */
     public List<Target> targets(Order order) {
-        return order.models().stream().map(model -> JSON.convertValue(next(order, model), Target.class)).toList();
+        return order.models().stream()
+                .map(model -> JSON.convertValue(next(order, model), Target.class))
+                .toList();
     }
 
     private ObjectNode next(Order order, String model) {
         ObjectNode before = newest.get(model);
         ObjectNode target = before == null ? JSON.createObjectNode() : before.deepCopy();
-        target.put("epoch", before == null ? 1 : before.path("epoch").asLong() + 1).put("by", "day")
+        target.put("epoch", before == null ? 1 : before.path("epoch").asLong() + 1)
+                .put("by", "day")
                 .put("wallMillis", client == null ? 0 : System.currentTimeMillis());
         switch (order.what()) {
             case START -> {
                 target.put("mode", "RUNNING").put("step", 0);
                 ((ObjectNode) target.putObject("plan").setAll(order.plan())).put("model", model);
             }
-            case STEP -> target.put("mode", "RUNNING").put("step", Math.min(target.path("step").asInt() + 1,
-                    target.path("plan").path("steps").size() - 1));
+            case STEP -> target.put("mode", "RUNNING")
+                    .put(
+                            "step",
+                            Math.min(
+                                    target.path("step").asInt() + 1,
+                                    target.path("plan").path("steps").size() - 1));
             case PAUSE -> target.put("mode", "PAUSED");
             case RESUME -> target.put("mode", "RUNNING");
             case ROLLBACK -> target.put("mode", "ROLLED_BACK").put("step", 0);
--- a/lab/src/main/java/pearladder/lab/ReleaseTrials.java
+++ b/lab/src/main/java/pearladder/lab/ReleaseTrials.java
@@ -24,7 +24,7 @@
     private static final double USUAL = 0.02;
     private static final int ENGINES = 6;
 
-    private ReleaseTrials() { }
+    private ReleaseTrials() {}
 
     /** Runs all trials; a line a result. The same each time. */
     public static List<String> run() {
@@ -40,7 +40,8 @@
 
     private static Releases started(String model, List<Double> steps, int step) {
         Releases releases = new Releases(Span.seconds(8));
-        Plan plan = new Plan(model, "1", "2", steps, Span.NONE, 200, new Plan.Gate(0.05, 0.01, 0.05), Plan.Breach.ROLL_BACK);
+        Plan plan = new Plan(
+                model, "1", "2", steps, Span.NONE, 200, new Plan.Gate(0.05, 0.01, 0.05), Plan.Breach.ROLL_BACK);
         Moment now = new Moment(0);
         releases.on(now, new ReleaseEvent.Kept(new Target(1, plan, Target.Mode.RUNNING, step, "trial", 0)));
         releases.on(now, new ReleaseEvent.Standing(model, "2", 1));
@@ -56,7 +57,10 @@
             releases.on(new Moment(1), new ReleaseEvent.Due());
             int given = 0;
             for (int call = 0; call < CALLS; call++) {
-                given += use(releases, new Moment(2), name, "c" + call, "doc-" + call).equals("2") ? 1 : 0;
+                given += use(releases, new Moment(2), name, "c" + call, "doc-" + call)
+                                .equals("2")
+                        ? 1
+                        : 0;
                 releases.on(new Moment(2), new ReleaseEvent.CallLeft("c" + call));
             }
             double off = Math.abs((double) given / CALLS - asked);
@@ -64,8 +68,16 @@
             within += off <= 0.01 ? 1 : 0;
         }
         double error = Math.sqrt(asked * (1 - asked) / CALLS);
-        return String.format(Locale.ROOT, "share %.2f asked, %d calls of a key each: within 1 point at %d of %d models, furthest "
-                + "%.2f points (a fair draw's standard error is %.2f)", asked, CALLS, within, MODELS, furthest * 100, error * 100);
+        return String.format(
+                Locale.ROOT,
+                "share %.2f asked, %d calls of a key each: within 1 point at %d of %d models, furthest "
+                        + "%.2f points (a fair draw's standard error is %.2f)",
+                asked,
+                CALLS,
+                within,
+                MODELS,
+                furthest * 100,
+                error * 100);
     }
 
     private static String use(Releases releases, Moment now, String model, String call, String key) {
@@ -92,8 +104,8 @@
                 boolean toNew = version.equals("2");
                 given += toNew ? 1 : 0;
                 boolean well = random.nextDouble() >= (toNew ? Math.min(1, USUAL + excess) : USUAL);
-                for (ReleaseAction action : releases.on(now, new ReleaseEvent.CallEnded("c" + call, well,
-                        List.of("e" + random.nextInt(ENGINES))))) {
+                for (ReleaseAction action : releases.on(
+                        now, new ReleaseEvent.CallEnded("c" + call, well, List.of("e" + random.nextInt(ENGINES))))) {
                     ended |= action instanceof ReleaseAction.Withdraw;
                 }
                 releases.on(now, new ReleaseEvent.Due());
@@ -108,8 +120,17 @@
             }
         }
         spent.sort(null);
-        return String.format(Locale.ROOT, "worse by %.2f over a usual share of %.2f, %d releases of at most %d calls: %d taken back"
-                + "%s, %d went all the way, %d were still held", excess, USUAL, RELEASES, LONGEST, back, spent.isEmpty() ? ""
-                : " after " + spent.get(spent.size() / 2) + " calls to it (median)", through, RELEASES - back - through);
+        return String.format(
+                Locale.ROOT,
+                "worse by %.2f over a usual share of %.2f, %d releases of at most %d calls: %d taken back"
+                        + "%s, %d went all the way, %d were still held",
+                excess,
+                USUAL,
+                RELEASES,
+                LONGEST,
+                back,
+                spent.isEmpty() ? "" : " after " + spent.get(spent.size() / 2) + " calls to it (median)",
+                through,
+                RELEASES - back - through);
     }
 }
--- a/lab/src/main/java/pearladder/lab/Results.java
+++ b/lab/src/main/java/pearladder/lab/Results.java
@@ -25,16 +25,29 @@
     private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
     private static final long WINDOW = 10_000_000_000L;
 
-    private Results() { }
+    private Results() {}
 
     /** The results of a day. */
-    public static ObjectNode of(DayPlan plan, Books books, RulesChecker.Verdict verdict, List<String> faults, List<Seen> tape,
-            long begun, List<String> table) {
+    public static ObjectNode of(
+            DayPlan plan,
+            Books books,
+            RulesChecker.Verdict verdict,
+            List<String> faults,
+            List<Seen> tape,
+            long begun,
+            List<String> table) {
         ObjectNode all = JSON.createObjectNode();
-        all.put("name", plan.name()).put("seed", plan.seed()).put("engines", plan.fleet().engines().size())
-                .put("routers", plan.routers()).put("calls", books.calls()).put("tries", books.tries())
-                .put("credit", books.credit()).put("worst10s", books.worstWindow()).put("lag_p99_ms", books.lagMillis(99))
-                .put("breaches", verdict.breaches().size()).put("faults", faults.size());
+        all.put("name", plan.name())
+                .put("seed", plan.seed())
+                .put("engines", plan.fleet().engines().size())
+                .put("routers", plan.routers())
+                .put("calls", books.calls())
+                .put("tries", books.tries())
+                .put("credit", books.credit())
+                .put("worst10s", books.worstWindow())
+                .put("lag_p99_ms", books.lagMillis(99))
+                .put("breaches", verdict.breaches().size())
+                .put("faults", faults.size());
         books.ends().forEach((name, count) -> all.put(name, count));
         ObjectNode latency = all.putObject("latency_ms");
         for (double percentile : new double[] {10, 25, 50, 75, 90, 95, 99, 99.9, 100}) {
@@ -44,9 +57,17 @@
         TreeMap<Long, long[]> seen = byWindow(tape, begun);
         books.byWindow().forEach((from, credit) -> {
             long[] counts = seen.getOrDefault(from / 10, new long[8]);
-            windows.addObject().put("from_s", from).put("credit", credit).put("legs", counts[0]).put("orders", counts[1])
-                    .put("refused", counts[2]).put("loads", counts[3]).put("loads_failed", counts[4]).put("copies", counts[5])
-                    .put("settled", counts[6]).put("settled_by_version", counts[7]);
+            windows.addObject()
+                    .put("from_s", from)
+                    .put("credit", credit)
+                    .put("legs", counts[0])
+                    .put("orders", counts[1])
+                    .put("refused", counts[2])
+                    .put("loads", counts[3])
+                    .put("loads_failed", counts[4])
+                    .put("copies", counts[5])
+                    .put("settled", counts[6])
+                    .put("settled_by_version", counts[7]);
         });
         ObjectNode causes = all.putObject("dismissed_because");
         dismissals(tape).forEach(causes::put);
@@ -57,8 +78,14 @@
             }
         }
         ArrayNode rules = all.putArray("rules");
-        verdict.looked().forEach((rule, looked) -> rules.addObject().put("rule", rule.words()).put("looked", looked)
-                .put("broken", verdict.breaches().stream().filter(breach -> breach.rule() == rule).count()));
+        verdict.looked().forEach((rule, looked) -> rules.addObject()
+                .put("rule", rule.words())
+                .put("looked", looked)
+                .put(
+                        "broken",
+                        verdict.breaches().stream()
+                                .filter(breach -> breach.rule() == rule)
+                                .count()));
         ArrayNode lines = all.putArray("table");
         table.forEach(lines::add);
         return all;
@@ -72,15 +99,16 @@
         TreeMap<Long, long[]> windows = new TreeMap<>();
         long copies = 0;
         for (Seen seen : tape) {
-            int at = switch (seen.what()) {
-                case Seen.ARRIVED -> 0;
-                case Seen.ORDERED -> 1;
-                case Seen.REFUSED -> 2;
-                case Seen.LOADED -> seen.note().isEmpty() ? 3 : 4;
-                case Seen.UNLOADED -> 5;
-                case Seen.ANSWERED -> seen.note().equals(FinalState.SETTLED.word()) ? 6 : -1;
-                default -> -1;
-            };
+            int at =
+                    switch (seen.what()) {
+                        case Seen.ARRIVED -> 0;
+                        case Seen.ORDERED -> 1;
+                        case Seen.REFUSED -> 2;
+                        case Seen.LOADED -> seen.note().isEmpty() ? 3 : 4;
+                        case Seen.UNLOADED -> 5;
+                        case Seen.ANSWERED -> seen.note().equals(FinalState.SETTLED.word()) ? 6 : -1;
+                        default -> -1;
+                    };
             copies += at == 3 ? 1 : at == 5 ? -Math.round(seen.figure()) : 0;
             if (at >= 0 && seen.at() >= begun) {
                 long[] counts = windows.computeIfAbsent((seen.at() - begun) / WINDOW, w -> new long[8]);
@@ -107,8 +135,13 @@
                 gigabytes += kind == null || seen.note().equals("no image") ? 0 : kind.memoryMb() / 1e3;
             }
         }
-        return String.format(Locale.ROOT, "%d loads, %d of them failed; %.1f GB fetched from the shelf; a load was %.0f%% fetch on "
-                + "the mean", loads, failed, gigabytes, 100 * share / Math.max(1, loads - failed));
+        return String.format(
+                Locale.ROOT,
+                "%d loads, %d of them failed; %.1f GB fetched from the shelf; a load was %.0f%% fetch on " + "the mean",
+                loads,
+                failed,
+                gigabytes,
+                100 * share / Math.max(1, loads - failed));
     }
 
     /** Dismissed tries by what the engines had said to them; a try of which no leg left was refused by its router. */
@@ -117,8 +150,11 @@
         Map<String, Long> causes = new TreeMap<>();
         for (Seen seen : tape) {
             if (seen.what().equals(Seen.REFUSED) || seen.what().equals(Seen.ARRIVED)) {
-                last.put(seen.call(), seen.what().equals(Seen.REFUSED) ? "engines refused: "
-                        + seen.note().toLowerCase(Locale.ROOT) : "a leg without an answer");
+                last.put(
+                        seen.call(),
+                        seen.what().equals(Seen.REFUSED)
+                                ? "engines refused: " + seen.note().toLowerCase(Locale.ROOT)
+                                : "a leg without an answer");
             } else if (seen.what().equals(Seen.ANSWERED) && seen.note().equals(FinalState.DISMISSED.word())) {
                 causes.merge(last.getOrDefault(seen.call(), "no leg was sent"), 1L, Long::sum);
             }
--- a/lab/src/main/java/pearladder/lab/RouterWatch.java
+++ b/lab/src/main/java/pearladder/lab/RouterWatch.java
@@ -26,29 +26,48 @@
     void sample() {
         long minute = (System.nanoTime() - begun) / 60_000_000_000L;
         metrics.get().forEach((router, text) -> {
-            double used = text.lines().filter(line -> line.startsWith("jvm_memory_used_bytes{area=\"heap\""))
-                    .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1))).sum();
+            double used = text.lines()
+                    .filter(line -> line.startsWith("jvm_memory_used_bytes{area=\"heap\""))
+                    .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+                    .sum();
             least.computeIfAbsent(router, r -> new LinkedHashMap<>()).merge(minute, used, Math::min);
             double cores = figure(text, "process_cpu_usage") * figure(text, "system_cpu_count");
             if (cores >= 0) {
-                processor.computeIfAbsent(router, r -> new DoubleSummaryStatistics()).accept(cores);
+                processor
+                        .computeIfAbsent(router, r -> new DoubleSummaryStatistics())
+                        .accept(cores);
             }
         });
     }
 
     private static double figure(String text, String name) {
-        return text.lines().filter(line -> line.startsWith(name + " "))
-                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1))).findFirst().orElse(-1);
+        return text.lines()
+                .filter(line -> line.startsWith(name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+                .findFirst()
+                .orElse(-1);
     }
 
     List<String> lines() {
         List<String> lines = new ArrayList<>();
         least.forEach((router, minutes) -> lines.add("least heap of " + router + " in each minute, MB: "
-                + String.join(" ", minutes.values().stream().map(b -> String.format(Locale.ROOT, "%.0f", b / 1e6)).toList())));
+                + String.join(
+                        " ",
+                        minutes.values().stream()
+                                .map(b -> String.format(Locale.ROOT, "%.0f", b / 1e6))
+                                .toList())));
         if (!processor.isEmpty()) {
-            lines.add(String.format(Locale.ROOT, "cores used by a router: %.2f on the mean, %.2f at most",
-                    processor.values().stream().mapToDouble(DoubleSummaryStatistics::getAverage).average().orElse(0),
-                    processor.values().stream().mapToDouble(DoubleSummaryStatistics::getMax).max().orElse(0)));
+            lines.add(String.format(
+                    Locale.ROOT,
+                    "cores used by a router: %.2f on the mean, %.2f at most",
+                    processor.values().stream()
+                            .mapToDouble(DoubleSummaryStatistics::getAverage)
+                            .average()
+                            .orElse(0),
+                    processor.values().stream()
+                            .mapToDouble(DoubleSummaryStatistics::getMax)
+                            .max()
+                            .orElse(0)));
         }
         return lines;
     }
--- a/lab/src/main/java/pearladder/lab/RulesChecker.java
+++ b/lab/src/main/java/pearladder/lab/RulesChecker.java
@@ -39,7 +39,7 @@
     }
 
     /** One breach: which rule, when (nanoseconds of the tape's clock), and what happened. */
-    public record Breach(Rule rule, long at, String what) { }
+    public record Breach(Rule rule, long at, String what) {}
 
     /** What was looked at, so that a check that saw nothing can't pass for one that found nothing. */
     public record Verdict(List<Breach> breaches, Map<Rule, Long> looked) {
@@ -47,10 +47,18 @@
         public List<String> lines(long begun, Rulebook rules) {
             List<String> lines = new ArrayList<>();
             for (Rule rule : Rule.values()) {
-                long broken = breaches.stream().filter(breach -> breach.rule() == rule).count();
+                long broken = breaches.stream()
+                        .filter(breach -> breach.rule() == rule)
+                        .count();
                 boolean unset = rule == Rule.ORDERS_RATIONED && rules.rationWindow() == 0;
-                lines.add(String.format(Locale.ROOT, "%-46s %s", rule.words(), unset ? "no ration is set"
-                        : (broken == 0 ? "kept" : "BROKEN " + broken + " times") + ", " + looked.get(rule) + " looked at"));
+                lines.add(String.format(
+                        Locale.ROOT,
+                        "%-46s %s",
+                        rule.words(),
+                        unset
+                                ? "no ration is set"
+                                : (broken == 0 ? "kept" : "BROKEN " + broken + " times") + ", " + looked.get(rule)
+                                        + " looked at"));
             }
             for (Breach breach : breaches.subList(0, Math.min(20, breaches.size()))) {
                 lines.add(String.format(Locale.ROOT, "  at %.3f s: %s", (breach.at() - begun) / 1e9, breach.what()));
@@ -81,7 +89,7 @@
         }
     }
 
-    private record Place(String hall, long cell) { }
+    private record Place(String hall, long cell) {}
 
     private final Rulebook rules;
     private final long slack;
@@ -118,8 +126,7 @@
                 deaths.computeIfAbsent(seen.router(), r -> new ArrayList<>()).add(seen);
             }
         }
-        inTime.stream().filter(seen -> seen.what().equals(Seen.PAUSED))
-                .forEach(pause -> pauses.put(pause.at(), pause));
+        inTime.stream().filter(seen -> seen.what().equals(Seen.PAUSED)).forEach(pause -> pauses.put(pause.at(), pause));
         Map<String, Try> tries = tries(inTime);
         tries.values().forEach(one -> oneAnswer(one, deaths.getOrDefault(one.sent.router(), List.of())));
         tries.values().forEach(this::noEffectTwice);
@@ -137,15 +144,17 @@
      */
     private void readLate(List<Seen> inTime) {
         Map<String, TreeMap<Long, Long>> still = new HashMap<>();
-        inTime.stream().filter(seen -> seen.what().equals(Seen.STILL) && !seen.engine().isEmpty()).forEach(seen ->
-                still.computeIfAbsent(seen.engine(), engine -> new TreeMap<>())
+        inTime.stream()
+                .filter(seen -> seen.what().equals(Seen.STILL) && !seen.engine().isEmpty())
+                .forEach(seen -> still.computeIfAbsent(seen.engine(), engine -> new TreeMap<>())
                         .put(seen.at() + (long) seen.figure(), seen.at()));
         if (still.isEmpty()) {
             return;
         }
         Set<String> late = new HashSet<>();
         for (Seen seen : inTime) {
-            Map.Entry<Long, Long> woke = still.getOrDefault(seen.engine(), new TreeMap<>()).floorEntry(seen.at());
+            Map.Entry<Long, Long> woke =
+                    still.getOrDefault(seen.engine(), new TreeMap<>()).floorEntry(seen.at());
             boolean read = seen.what().equals(Seen.ARRIVED) || seen.what().equals(Seen.RAN);
             if (read && woke != null && seen.at() - woke.getKey() <= slack) {
                 late.add(legOf(seen));
@@ -187,13 +196,15 @@
                 case Seen.ARRIVED -> one.legs.add(new Leg(seen));
                 case Seen.REFUSED, Seen.RAN, Seen.DROPPED -> {
                     for (Leg leg : one.legs) {
-                        if (leg.arrived.leg() == seen.leg() && leg.arrived.engine().equals(seen.engine())) {
-                            leg.refused |= seen.what().equals(Seen.REFUSED) || seen.what().equals(Seen.DROPPED);
+                        if (leg.arrived.leg() == seen.leg()
+                                && leg.arrived.engine().equals(seen.engine())) {
+                            leg.refused |= seen.what().equals(Seen.REFUSED)
+                                    || seen.what().equals(Seen.DROPPED);
                             leg.ran |= seen.what().equals(Seen.RAN);
                         }
                     }
                 }
-                default -> { }
+                default -> {}
             }
         }
         return tries;
@@ -202,12 +213,14 @@
     private void oneAnswer(Try one, List<Seen> deaths) {
         Seen sent = one.sent;
         long due = sent.at() + (long) sent.figure();
-        if (one.end == null || deaths.stream().anyMatch(death -> death.at() + (long) death.figure() >= sent.at() - slack
-                && death.at() <= Math.min(due, one.end.at()) + slack)) {
+        if (one.end == null
+                || deaths.stream()
+                        .anyMatch(death -> death.at() + (long) death.figure() >= sent.at() - slack
+                                && death.at() <= Math.min(due, one.end.at()) + slack)) {
             return;
         }
-        if (one.end.what().equals(Seen.UNANSWERED) && (one.end.note().equals("unreachable")
-                || one.end.note().equals("left"))) {
+        if (one.end.what().equals(Seen.UNANSWERED)
+                && (one.end.note().equals("unreachable") || one.end.note().equals("left"))) {
             return;
         }
         looked(Rule.ONE_ANSWER);
@@ -215,8 +228,11 @@
         if (one.end.what().equals(Seen.UNANSWERED)) {
             breach(Rule.ONE_ANSWER, due, call + " got no final answer: " + one.end.note());
         } else if (one.end.at() - paused(due, one.end.at()) > due + rules.answerGrace() + slack) {
-            breach(Rule.ONE_ANSWER, one.end.at(), call + " was " + one.end.note() + " "
-                    + (one.end.at() - due) / 1_000_000 + " ms after the client's time was up");
+            breach(
+                    Rule.ONE_ANSWER,
+                    one.end.at(),
+                    call + " was " + one.end.note() + " " + (one.end.at() - due) / 1_000_000
+                            + " ms after the client's time was up");
         }
         if (one.ends > 1 || one.again) {
             breach(Rule.ONE_ANSWER, one.end.at(), call + " got more than one final answer");
@@ -247,8 +263,11 @@
         for (Leg leg : one.legs) {
             if (first != null) {
                 if (terms.effect() == CategoryTerms.Effect.BINDING) {
-                    breach(Rule.NO_EFFECT_TWICE, leg.arrived.at(), call + " reached " + leg.arrived.engine()
-                            + " after it may have run at " + first.arrived.engine());
+                    breach(
+                            Rule.NO_EFFECT_TWICE,
+                            leg.arrived.at(),
+                            call + " reached " + leg.arrived.engine() + " after it may have run at "
+                                    + first.arrived.engine());
                 } else {
                     again(terms, call, first, leg);
                 }
@@ -256,26 +275,36 @@
             first = first == null && leg.mayHaveRun() ? leg : first;
         }
         boolean dismissed = one.end != null && one.end.note().equals("dismissed");
-        if (dismissed && first != null && (terms.effect() == CategoryTerms.Effect.BINDING
-                || terms.group() != CategoryTerms.Group.ALL)) {
-            breach(Rule.NO_EFFECT_TWICE, one.end.at(), call + " was dismissed and may have run at "
-                    + first.arrived.engine());
+        if (dismissed
+                && first != null
+                && (terms.effect() == CategoryTerms.Effect.BINDING || terms.group() != CategoryTerms.Group.ALL)) {
+            breach(
+                    Rule.NO_EFFECT_TWICE,
+                    one.end.at(),
+                    call + " was dismissed and may have run at " + first.arrived.engine());
         }
     }
 
     private void again(CategoryTerms terms, String call, Leg first, Leg leg) {
         if (leg.arrived.at() - first.arrived.at() > terms.remembered() + slack) {
-            breach(Rule.NO_EFFECT_TWICE, leg.arrived.at(), call + " was repeated after the time for which "
-                    + first.arrived.engine() + " remembers it");
+            breach(
+                    Rule.NO_EFFECT_TWICE,
+                    leg.arrived.at(),
+                    call + " was repeated after the time for which " + first.arrived.engine() + " remembers it");
         }
         Place there = place(first.arrived.engine());
         Place here = place(leg.arrived.engine());
-        boolean together = terms.group() == CategoryTerms.Group.ALL || there != null && here != null
-                && (terms.group() == CategoryTerms.Group.ZONE ? there.hall().equals(here.hall())
-                : there.cell() == here.cell());
+        boolean together = terms.group() == CategoryTerms.Group.ALL
+                || there != null
+                        && here != null
+                        && (terms.group() == CategoryTerms.Group.ZONE
+                                ? there.hall().equals(here.hall())
+                                : there.cell() == here.cell());
         if (!together) {
-            breach(Rule.NO_EFFECT_TWICE, leg.arrived.at(), call + " left the group of " + first.arrived.engine()
-                    + " for " + leg.arrived.engine());
+            breach(
+                    Rule.NO_EFFECT_TWICE,
+                    leg.arrived.at(),
+                    call + " left the group of " + first.arrived.engine() + " for " + leg.arrived.engine());
         }
     }
 
@@ -302,8 +331,10 @@
             String key = binding ? "call " + seen.call() : "mark " + markOf.get(seen.call());
             Seen before = ran.putIfAbsent(key, seen);
             if (before != null && (binding || !before.note().equals("failed"))) {
-                breach(Rule.NO_EFFECT_TWICE, seen.at(), key + " ran at " + before.engine() + " and again at "
-                        + seen.engine());
+                breach(
+                        Rule.NO_EFFECT_TWICE,
+                        seen.at(),
+                        key + " ran at " + before.engine() + " and again at " + seen.engine());
             }
         }
     }
@@ -320,16 +351,20 @@
                 }
             } else if (seen.what().equals(Seen.KILLED)) {
                 told.keySet().removeIf(pair -> pair.startsWith(seen.router() + ">"));
-            } else if (seen.what().equals(Seen.ARRIVED)
-                    || seen.what().equals(Seen.ORDERED) && seen.figure() > 0) {
+            } else if (seen.what().equals(Seen.ARRIVED) || seen.what().equals(Seen.ORDERED) && seen.figure() > 0) {
                 looked(Rule.DRAINS_KEPT);
                 Seen last = told.get(key);
-                if (last != null && !last.note().equals("IN_SERVICE")
+                if (last != null
+                        && !last.note().equals("IN_SERVICE")
                         && seen.at() > last.at() + rules.drainGrace() + slack) {
-                    breach(Rule.DRAINS_KEPT, seen.at(), seen.router() + " sent "
-                            + (seen.what().equals(Seen.ARRIVED) ? "call " + seen.call() : "an order") + " to "
-                            + seen.engine() + " " + (seen.at() - last.at()) / 1_000_000 + " ms after it was told "
-                            + last.note());
+                    breach(
+                            Rule.DRAINS_KEPT,
+                            seen.at(),
+                            seen.router() + " sent "
+                                    + (seen.what().equals(Seen.ARRIVED) ? "call " + seen.call() : "an order") + " to "
+                                    + seen.engine() + " " + (seen.at() - last.at()) / 1_000_000
+                                    + " ms after it was told "
+                                    + last.note());
                 }
             }
         }
@@ -351,14 +386,19 @@
                 }
             } else if (seen.what().equals(Seen.FELL)) {
                 ArrayDeque<Seen> window = lately.getOrDefault(seen.engine(), new ArrayDeque<>());
-                long informed = window.stream().filter(one -> {
-                    Long at = toldStart.get(one.router() + ">" + one.engine());
-                    return at != null && at + slack <= one.at() && one.at() - at <= rules.warmAfter();
-                }).count();
+                long informed = window.stream()
+                        .filter(one -> {
+                            Long at = toldStart.get(one.router() + ">" + one.engine());
+                            return at != null && at + slack <= one.at() && one.at() - at <= rules.warmAfter();
+                        })
+                        .count();
                 if (informed * 3 >= window.size() * 2L) {
-                    breach(Rule.COLD_NOT_PUSHED, seen.at(), seen.engine() + " fell over at " + String.format(
-                            "%.1f", seen.figure()) + " times what it bears; " + informed + " of " + window.size()
-                            + " calls came from routers that knew it was cold");
+                    breach(
+                            Rule.COLD_NOT_PUSHED,
+                            seen.at(),
+                            seen.engine() + " fell over at " + String.format("%.1f", seen.figure())
+                                    + " times what it bears; " + informed + " of " + window.size()
+                                    + " calls came from routers that knew it was cold");
                 }
             }
         }
@@ -377,7 +417,8 @@
             } else if (seen.what().equals(Seen.SENT)) {
                 Try one = tries.get(seen.call());
                 if (one.end == null || !one.end.note().equals("unreachable")) {
-                    taken.computeIfAbsent(seen.router(), r -> new ArrayDeque<>()).add(seen.at());
+                    taken.computeIfAbsent(seen.router(), r -> new ArrayDeque<>())
+                            .add(seen.at());
                 }
             } else if (seen.what().equals(Seen.ORDERED) && seen.figure() > 0) {
                 looked(Rule.ORDERS_RATIONED);
@@ -392,9 +433,12 @@
                 }
                 double most = rules.rationFree() + rules.rationShare() * calls.size();
                 if (given.size() > most) {
-                    breach(Rule.ORDERS_RATIONED, seen.at(), seen.router() + " gave " + given.size()
-                            + " orders to load within the window; its calls allow "
-                            + String.format("%.1f", most));
+                    breach(
+                            Rule.ORDERS_RATIONED,
+                            seen.at(),
+                            seen.router() + " gave " + given.size()
+                                    + " orders to load within the window; its calls allow "
+                                    + String.format("%.1f", most));
                 }
             }
         }
--- a/lab/src/main/java/pearladder/lab/Scripts.java
+++ b/lab/src/main/java/pearladder/lab/Scripts.java
@@ -7,7 +7,7 @@
 
 /** Changes to a day's script that keep its meaning: other sizes, another rate. */
 public final class Scripts {
-    private Scripts() { }
+    private Scripts() {}
 
     /** Only reads a script; throws {@link pearladder.yaml.Mistakes.Found} with every mistake in it. */
     public static void check(Path file) {
@@ -57,7 +57,8 @@
             }
             int left = engines;
             for (int i = 0; i < groups.size(); i++) {
-                int count = i == groups.size() - 1 ? left
+                int count = i == groups.size() - 1
+                        ? left
                         : Math.round((float) groups.get(i).path("count").asInt(1) * engines / all);
                 ((ObjectNode) groups.get(i)).put("count", Math.max(1, count));
                 left -= count;
--- a/lab/src/main/java/pearladder/lab/Stalls.java
+++ b/lab/src/main/java/pearladder/lab/Stalls.java
@@ -39,7 +39,8 @@
     private void run(Path file) {
         Properties terms = new Properties();
         terms.setProperty("busy_timeout", "1000");
-        try (Connection connection = JDBC.createConnection("jdbc:sqlite:" + file, terms); Statement lock = connection.createStatement()) {
+        try (Connection connection = JDBC.createConnection("jdbc:sqlite:" + file, terms);
+                Statement lock = connection.createStatement()) {
             while (!ended.await(EVERY - STILL, TimeUnit.MILLISECONDS)) {
                 lock.execute("begin immediate");
                 boolean over = ended.await(STILL, TimeUnit.MILLISECONDS);
--- a/lab/src/main/java/pearladder/lab/TraceSource.java
+++ b/lab/src/main/java/pearladder/lab/TraceSource.java
@@ -33,17 +33,40 @@
      * @param longestWork nanoseconds; longer work is cut to it and counted
      * @param usualWork nanoseconds, where the trace tells none
      */
-    public record Terms(Path file, Layout layout, Path durations, Path memory, double speed, long window, long most,
-            long lasting, double workScale, long longestWork, long usualWork, boolean strict) {
+    public record Terms(
+            Path file,
+            Layout layout,
+            Path durations,
+            Path memory,
+            double speed,
+            long window,
+            long most,
+            long lasting,
+            double workScale,
+            long longestWork,
+            long usualWork,
+            boolean strict) {
         /** The same at another speed. */
         Terms at(double times) {
-            return new Terms(file, layout, durations, memory, times, window, most, lasting, workScale,
-                    longestWork, usualWork, strict);
+            return new Terms(
+                    file,
+                    layout,
+                    durations,
+                    memory,
+                    times,
+                    window,
+                    most,
+                    lasting,
+                    workScale,
+                    longestWork,
+                    usualWork,
+                    strict);
         }
     }
 
     /** Size classes of models, in MB: a model is named "m400-..." for the class that its memory falls under. */
     private static final int[] CLASSES = {100, 200, 400, 800, 1600, 3200};
+
     private static final int USUAL_CLASS = 400;
     private static final int QUEUE = 20_000;
     private static final TraceCall END = new TraceCall(0, "", 0, 0, "", "", -1);
@@ -78,8 +101,13 @@
             Files.createDirectories(out);
             try (PrintWriter rows = new PrintWriter(Files.newBufferedWriter(out.resolve("skipped.txt")))) {
                 skipped = new Skipped(terms.strict(), rows::println);
-                read = TraceFile.read(terms.file(), terms.layout(), Companions.read(terms.durations(), terms.memory(), skipped),
-                        terms.window(), skipped, this::offer);
+                read = TraceFile.read(
+                        terms.file(),
+                        terms.layout(),
+                        Companions.read(terms.durations(), terms.memory(), skipped),
+                        terms.window(),
+                        skipped,
+                        this::offer);
             }
         } catch (IOException broken) {
             failure = broken;
@@ -122,14 +150,23 @@
         DayPlan.Flow flow = flow(call);
         double patience = plan.clients().patience() + (1 - plan.clients().patience()) * chance.nextDouble();
         String hall = plan.halls().get(chance.nextInt(plan.halls().size()));
-        return new Drawn(due, number++, flow.category(), flow.account(), model(call), hall,
-                Math.max(1000, Math.min(work, terms.longestWork())), patience);
+        return new Drawn(
+                due,
+                number++,
+                flow.category(),
+                flow.account(),
+                model(call),
+                hall,
+                Math.max(1000, Math.min(work, terms.longestWork())),
+                patience);
     }
 
     /** A model's calls belong to the flow that the row names, or to one drawn by the model's name by the flows' shares. */
     private DayPlan.Flow flow(TraceCall call) {
-        List<DayPlan.Flow> flows = plan.flows().stream().filter(flow -> flow.category().equals(call.category())
-                && (call.account().isEmpty() || flow.account().equals(call.account()))).toList();
+        List<DayPlan.Flow> flows = plan.flows().stream()
+                .filter(flow -> flow.category().equals(call.category())
+                        && (call.account().isEmpty() || flow.account().equals(call.account())))
+                .toList();
         List<DayPlan.Flow> from = flows.isEmpty() ? plan.flows() : flows;
         double sum = from.stream().mapToDouble(DayPlan.Flow::share).sum();
         java.util.zip.CRC32 crc = new java.util.zip.CRC32();
@@ -162,9 +199,10 @@
         lines.add("replayed " + number + " calls of " + terms.file().getFileName() + " at " + terms.speed()
                 + " times its speed; digest " + info.digest());
         if (read != null) {
-            lines.add(read.rows() + " rows of " + read.layout().word() + "; " + read.reordered() + " put back in time order, "
-                    + skipped.count() + " left out (skipped.txt)");
-            new java.util.TreeMap<>(skipped.reasons()).forEach((reason, count) -> lines.add("  left out, " + reason + ": " + count));
+            lines.add(read.rows() + " rows of " + read.layout().word() + "; " + read.reordered()
+                    + " put back in time order, " + skipped.count() + " left out (skipped.txt)");
+            new java.util.TreeMap<>(skipped.reasons())
+                    .forEach((reason, count) -> lines.add("  left out, " + reason + ": " + count));
         } else if (failure == null) {
             lines.add("the file was not read to its end");
         }
--- a/lab/src/main/java/pearladder/lab/Troubles.java
+++ b/lab/src/main/java/pearladder/lab/Troubles.java
@@ -52,8 +52,8 @@
         }
         for (ReleaseScript.Order order : plan.releases()) {
             at(order.at(), () -> {
-                world.say("order " + order.what().name().toLowerCase(java.util.Locale.ROOT) + " " + order.prefix() + " x "
-                        + order.count());
+                world.say("order " + order.what().name().toLowerCase(java.util.Locale.ROOT) + " " + order.prefix()
+                        + " x " + order.count());
                 world.order(order);
             });
         }
@@ -85,16 +85,29 @@
         List<String> engines = some(world.engines(trouble.hall()), trouble.share());
         long end = trouble.at() + trouble.lasting();
         String word = trouble.what().name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
-        world.say(word + switch (trouble.what()) {
-            case BURST -> " times " + trouble.times();
-            case HALL_LOST -> " " + trouble.hall() + ": " + world.engines(trouble.hall()).size() + " engines and its routers";
-            case ONE_OFFS, HEAVY -> " for " + trouble.share() + " of the calls";
-            case SLOW_SHELF, REFUSING_SHELF, LIST_SILENT, LIST_CUT, LIST_LAG, ROUTERS_KILLED, RELEASE, DAMAGED_IMAGES, HEEDLESS,
-                    ROUTERS_PAUSED, CLOCK_JUMP -> "";
-            default -> engines.size() > NAMED ? ": " + engines.size() + " engines" : " " + String.join(" ", engines);
-        });
+        world.say(word
+                + switch (trouble.what()) {
+                    case BURST -> " times " + trouble.times();
+                    case HALL_LOST -> " " + trouble.hall() + ": "
+                            + world.engines(trouble.hall()).size() + " engines and its routers";
+                    case ONE_OFFS, HEAVY -> " for " + trouble.share() + " of the calls";
+                    case SLOW_SHELF,
+                            REFUSING_SHELF,
+                            LIST_SILENT,
+                            LIST_CUT,
+                            LIST_LAG,
+                            ROUTERS_KILLED,
+                            RELEASE,
+                            DAMAGED_IMAGES,
+                            HEEDLESS,
+                            ROUTERS_PAUSED,
+                            CLOCK_JUMP -> "";
+                    default -> engines.size() > NAMED
+                            ? ": " + engines.size() + " engines"
+                            : " " + String.join(" ", engines);
+                });
         switch (trouble.what()) {
-            case BURST, ONE_OFFS, HEAVY -> { }
+            case BURST, ONE_OFFS, HEAVY -> {}
             case ROLLING_DEPLOY -> deploy(trouble, engines);
             case RELEASE -> release(trouble);
             case HALL_LOST -> {
@@ -145,7 +158,8 @@
                 world.toRouters(trouble.what(), routers, trouble.times());
                 at(end, () -> world.toRouters(trouble.what(), routers, 0));
             }
-            case LIST_LAG -> during(List.of(), "list-lag", trouble.times() * 1000, plan.fleet().lagNanos() / 1e6, end);
+            case LIST_LAG -> during(
+                    List.of(), "list-lag", trouble.times() * 1000, plan.fleet().lagNanos() / 1e6, end);
         }
     }
 
--- a/lab/src/main/java/pearladder/lab/VersionShares.java
+++ b/lab/src/main/java/pearladder/lab/VersionShares.java
@@ -17,7 +17,7 @@
 public final class VersionShares {
     private static final long WINDOW = 10_000_000_000L;
 
-    private VersionShares() { }
+    private VersionShares() {}
 
     /** The lines of a day's table. */
     public static List<String> lines(List<Seen> tape, long begun, List<ReleaseScript.Order> orders) {
@@ -25,7 +25,9 @@
         Map<String, Set<String>> byVersion = new TreeMap<>();
         for (ReleaseScript.Order order : orders) {
             if (order.plan() != null) {
-                byVersion.computeIfAbsent(order.prefix() + "@" + order.plan().path("to").asText(), to -> new HashSet<>())
+                byVersion
+                        .computeIfAbsent(
+                                order.prefix() + "@" + order.plan().path("to").asText(), to -> new HashSet<>())
                         .addAll(order.models());
             }
         }
@@ -35,28 +37,34 @@
             for (Seen seen : tape) {
                 int at = seen.model().lastIndexOf('@');
                 String model = at < 0 ? seen.model() : seen.model().substring(0, at);
-                if (seen.what().equals(Seen.ANSWERED) && seen.note().equals("settled") && models.contains(model)
+                if (seen.what().equals(Seen.ANSWERED)
+                        && seen.note().equals("settled")
+                        && models.contains(model)
                         && seen.at() >= begun) {
                     long[] counts = windows.computeIfAbsent((seen.at() - begun) / WINDOW, w -> new long[2]);
                     counts[0]++;
                     counts[1] += at >= 0 && seen.model().substring(at + 1).equals(version) ? 1 : 0;
                 }
             }
-            lines.add("share of " + name + " in each 10 s, of " + models.size() + " models: " + String.join(" ",
-                    windows.values().stream().map(c -> String.format(Locale.ROOT, "%.2f", (double) c[1] / c[0])).toList()));
+            lines.add("share of " + name + " in each 10 s, of " + models.size() + " models: "
+                    + String.join(
+                            " ",
+                            windows.values().stream()
+                                    .map(c -> String.format(Locale.ROOT, "%.2f", (double) c[1] / c[0]))
+                                    .toList()));
         });
         lines.addAll(restored(tape, orders));
         return lines;
     }
 
-    private record Sent(long at, String router) { }
+    private record Sent(long at, String router) {}
 
     /** For each rollback and router, the span from the order to the last new call that went to the version taken back. */
     private static List<String> restored(List<Seen> tape, List<ReleaseScript.Order> orders) {
         Map<String, Sent> sent = new HashMap<>();
         Map<String, String> to = new HashMap<>();
-        orders.stream().filter(order -> order.plan() != null).forEach(order -> order.models().forEach(model ->
-                to.put(model, order.plan().path("to").asText())));
+        orders.stream().filter(order -> order.plan() != null).forEach(order -> order.models()
+                .forEach(model -> to.put(model, order.plan().path("to").asText())));
         // for each model, moments of its orders: true for a rollback
         Map<String, TreeMap<Long, Boolean>> ordered = new HashMap<>();
         Set<String> routers = new HashSet<>();
@@ -67,7 +75,8 @@
             } else if (seen.what().equals(Seen.TROUBLE) && seen.note().startsWith("order ")) {
                 String[] words = seen.note().split(" ");
                 for (int i = 0; i < Integer.parseInt(words[4]); i++) {
-                    ordered.computeIfAbsent(words[2] + i, model -> new TreeMap<>()).put(seen.at(), words[1].equals("rollback"));
+                    ordered.computeIfAbsent(words[2] + i, model -> new TreeMap<>())
+                            .put(seen.at(), words[1].equals("rollback"));
                 }
             }
         }
@@ -84,18 +93,28 @@
                 continue;
             }
             String model = seen.model().substring(0, mark);
-            Map.Entry<Long, Boolean> before = ordered.getOrDefault(model, new TreeMap<>()).floorEntry(from.at());
-            if (before != null && before.getValue() && seen.model().substring(mark + 1).equals(to.get(model))) {
+            Map.Entry<Long, Boolean> before =
+                    ordered.getOrDefault(model, new TreeMap<>()).floorEntry(from.at());
+            if (before != null
+                    && before.getValue()
+                    && seen.model().substring(mark + 1).equals(to.get(model))) {
                 last.merge(model + "\n" + before.getKey() + "\n" + from.router(), from.at(), Math::max);
             }
         }
         if (last.isEmpty()) {
             return List.of();
         }
-        List<Double> millis = last.entrySet().stream().map(one -> (one.getValue()
-                - Long.parseLong(one.getKey().split("\n")[1])) / 1e6).sorted().toList();
-        return List.of(String.format(Locale.ROOT, "old traffic restored after a rollback, %d of models at routers: p50 %.0f ms, "
-                + "p99 %.0f ms, longest %.0f ms", millis.size(), millis.get(millis.size() / 2),
-                millis.get((int) Math.ceil(millis.size() * 0.99) - 1), millis.get(millis.size() - 1)));
+        List<Double> millis = last.entrySet().stream()
+                .map(one -> (one.getValue() - Long.parseLong(one.getKey().split("\n")[1])) / 1e6)
+                .sorted()
+                .toList();
+        return List.of(String.format(
+                Locale.ROOT,
+                "old traffic restored after a rollback, %d of models at routers: p50 %.0f ms, "
+                        + "p99 %.0f ms, longest %.0f ms",
+                millis.size(),
+                millis.get(millis.size() / 2),
+                millis.get((int) Math.ceil(millis.size() * 0.99) - 1),
+                millis.get(millis.size() - 1)));
     }
 }
--- a/lab/src/main/java/pearladder/traces/Companions.java
+++ b/lab/src/main/java/pearladder/traces/Companions.java
@@ -19,18 +19,24 @@
 
     /** Reads the files that are given; either may be null. */
     public static Companions read(Path durations, Path memory, Skipped skipped) throws IOException {
-        return new Companions(durations == null ? Map.of() : column(durations, "HashFunction", "Average", skipped),
+        return new Companions(
+                durations == null ? Map.of() : column(durations, "HashFunction", "Average", skipped),
                 memory == null ? Map.of() : column(memory, "HashApp", "AverageAllocatedMb", skipped));
     }
 
     private static Map<String, Double> column(Path file, String key, String value, Skipped skipped) throws IOException {
         Map<String, Double> figures = new HashMap<>();
-        CSVFormat format = CSVFormat.DEFAULT.builder().setHeader().setSkipHeaderRecord(true).setIgnoreEmptyLines(true).get();
+        CSVFormat format = CSVFormat.DEFAULT
+                .builder()
+                .setHeader()
+                .setSkipHeaderRecord(true)
+                .setIgnoreEmptyLines(true)
+                .get();
         try (CSVParser parser = format.parse(Files.newBufferedReader(file, StandardCharsets.UTF_8))) {
             for (String column : new String[] {key, value}) {
                 if (!parser.getHeaderNames().contains(column)) {
-                    throw new TraceFile.NoTrace(file, "line 1: no column " + column
-                            + "; give the file published beside the invocations");
+                    throw new TraceFile.NoTrace(
+                            file, "line 1: no column " + column + "; give the file published beside the invocations");
                 }
             }
             for (CSVRecord row : parser) {
--- a/lab/src/main/java/pearladder/traces/Hashes.java
+++ b/lab/src/main/java/pearladder/traces/Hashes.java
@@ -5,7 +5,7 @@
 
 /** Stable hashes of names: the same on every machine and in every run. */
 final class Hashes {
-    private Hashes() { }
+    private Hashes() {}
 
     /** From 0 up to, not including, 1. */
     static double share(String name) {
--- a/lab/src/main/java/pearladder/traces/InOrder.java
+++ b/lab/src/main/java/pearladder/traces/InOrder.java
@@ -37,15 +37,20 @@
     @Override
     public void accept(TraceCall call) {
         if (call.at() < given) {
-            skipped.add(call.line(), "", "out of time order beyond the window",
+            skipped.add(
+                    call.line(),
+                    "",
+                    "out of time order beyond the window",
                     "by " + (given - call.at()) / 1_000_000 + " ms");
             return;
         }
         moved += call.at() < newest ? 1 : 0;
         newest = Math.max(newest, call.at());
         held.add(new Held(call, numbered++));
-        while (held.size() > most || !held.isEmpty() && window != Long.MAX_VALUE
-                && newest - held.peek().call().at() > window) {
+        while (held.size() > most
+                || !held.isEmpty()
+                        && window != Long.MAX_VALUE
+                        && newest - held.peek().call().at() > window) {
             give();
         }
     }
--- a/lab/src/main/java/pearladder/traces/Layout.java
+++ b/lab/src/main/java/pearladder/traces/Layout.java
@@ -53,7 +53,8 @@
     /** The layout that a first line tells, or null: by its header, else by its number of columns and their kind. */
     static Layout guess(List<String> first) {
         for (Layout layout : values()) {
-            if (layout.headed && first.size() >= layout.header.size()
+            if (layout.headed
+                    && first.size() >= layout.header.size()
                     && first.subList(0, layout.header.size()).equals(layout.header)) {
                 return layout;
             }
@@ -61,6 +62,10 @@
         if (first.size() == 13 && first.get(0).matches("[0-9]+")) {
             return GOOGLE_2011;
         }
-        return first.size() == 9 && first.get(1).matches("[0-9.]*") && first.get(5).matches("[0-9]*") ? ALIBABA_2018 : null;
+        return first.size() == 9
+                        && first.get(1).matches("[0-9.]*")
+                        && first.get(5).matches("[0-9]*")
+                ? ALIBABA_2018
+                : null;
     }
 }
--- a/lab/src/main/java/pearladder/traces/MinuteBook.java
+++ b/lab/src/main/java/pearladder/traces/MinuteBook.java
@@ -14,8 +14,15 @@
 final class MinuteBook {
     private static final long MINUTE = 60_000_000_000L;
 
-    private record Line(String model, String account, int[] minutes, int[] counts, double phase, long work,
-            double memoryMb, long line) { }
+    private record Line(
+            String model,
+            String account,
+            int[] minutes,
+            int[] counts,
+            double phase,
+            long work,
+            double memoryMb,
+            long line) {}
 
     private final Map<String, Double> durations;
     private final Map<String, Double> memory;
@@ -43,8 +50,15 @@
                 last = Math.max(last, minute);
             }
         }
-        lines.add(new Line(function, owner, minutes, some, Hashes.share(function),
-                Math.round(durations.getOrDefault(function, 0.0) * 1e6), memory.getOrDefault(app, Double.NaN), line));
+        lines.add(new Line(
+                function,
+                owner,
+                minutes,
+                some,
+                Hashes.share(function),
+                Math.round(durations.getOrDefault(function, 0.0) * 1e6),
+                memory.getOrDefault(app, Double.NaN),
+                line));
     }
 
     void give(Consumer<TraceCall> out) {
@@ -57,8 +71,14 @@
                 if (next[i] < line.minutes.length && line.minutes[next[i]] == minute) {
                     int count = line.counts[next[i]++];
                     for (int k = 0; k < count; k++) {
-                        calls.add(new TraceCall(minute * MINUTE + (long) (MINUTE * ((k + line.phase) / count)),
-                                line.model, line.work, line.memoryMb, "", line.account, line.line));
+                        calls.add(new TraceCall(
+                                minute * MINUTE + (long) (MINUTE * ((k + line.phase) / count)),
+                                line.model,
+                                line.work,
+                                line.memoryMb,
+                                "",
+                                line.account,
+                                line.line));
                     }
                 }
             }
--- a/lab/src/main/java/pearladder/traces/RowReader.java
+++ b/lab/src/main/java/pearladder/traces/RowReader.java
@@ -14,6 +14,7 @@
     private static final int MINUTES = 1440;
     /** Work of a token that is read, and of one that is written, where a trace tells only tokens. */
     private static final long READ_TOKEN = 50_000;
+
     private static final long WRITTEN_TOKEN = 2_000_000;
 
     /** A field that is not what its column holds. */
@@ -60,10 +61,14 @@
     private void plain(CSVRecord row, long line) {
         columns(row, 2, 6);
         long at = nanos(row, 0, "arrival_s", SECOND);
-        out.accept(new TraceCall(at, text(row, 1, "model"), row.size() > 2 && !row.get(2).isBlank()
-                ? nanos(row, 2, "work_ms", 1_000_000) : 0, row.size() > 3 && !row.get(3).isBlank()
-                ? number(row, 3, "memory_mb") : Double.NaN, row.size() > 4 ? row.get(4) : "",
-                row.size() > 5 ? row.get(5) : "", line));
+        out.accept(new TraceCall(
+                at,
+                text(row, 1, "model"),
+                row.size() > 2 && !row.get(2).isBlank() ? nanos(row, 2, "work_ms", 1_000_000) : 0,
+                row.size() > 3 && !row.get(3).isBlank() ? number(row, 3, "memory_mb") : Double.NaN,
+                row.size() > 4 ? row.get(4) : "",
+                row.size() > 5 ? row.get(5) : "",
+                line));
     }
 
     private void minutes(CSVRecord row, long line) {
@@ -72,7 +77,9 @@
         for (int i = 0; i < counts.length; i++) {
             String field = row.get(i + 4).trim();
             if (!field.matches("[0-9]{1,9}")) {
-                throw new Bad("minute " + (i + 1), field.isEmpty() ? "missing" : "not a count",
+                throw new Bad(
+                        "minute " + (i + 1),
+                        field.isEmpty() ? "missing" : "not a count",
                         field.isEmpty() ? "" : "\"" + field + "\"");
             }
             counts[i] = Integer.parseInt(field);
@@ -93,8 +100,14 @@
         long written = count(row, 2, "GeneratedTokens");
         // one model serves all of it; calls of like length are kept apart so that they can be placed apart
         long bucket = 64 - Long.numberOfLeadingZeros(Math.max(1, context));
-        out.accept(new TraceCall(instant(row, 0, "TIMESTAMP"), "llm-" + bucket, context * READ_TOKEN
-                + written * WRITTEN_TOKEN, Double.NaN, "", "", line));
+        out.accept(new TraceCall(
+                instant(row, 0, "TIMESTAMP"),
+                "llm-" + bucket,
+                context * READ_TOKEN + written * WRITTEN_TOKEN,
+                Double.NaN,
+                "",
+                "",
+                line));
     }
 
     /** Only submissions are calls; other events of a task are no rows of ours and are not counted as left out. */
@@ -106,8 +119,8 @@
         long at = nanos(row, 0, "timestamp", 1000);
         double cpu = row.get(9).isBlank() ? 0.05 : number(row, 9, "CPU request");
         double memory = row.get(10).isBlank() ? Double.NaN : number(row, 10, "memory request") * 64_000;
-        out.accept(new TraceCall(at, "job-" + text(row, 2, "job ID"), (long) (cpu * SECOND), memory, "",
-                row.get(6), line));
+        out.accept(new TraceCall(
+                at, "job-" + text(row, 2, "job ID"), (long) (cpu * SECOND), memory, "", row.get(6), line));
     }
 
     private void batch(CSVRecord row, long line) {
@@ -121,14 +134,22 @@
             throw new Bad("end_time", "before its start", "\"" + row.get(6) + "\"");
         }
         double memory = row.get(8).isBlank() ? Double.NaN : number(row, 8, "plan_mem") * 1000;
-        out.accept(new TraceCall(start, text(row, 2, "job_name") + "-" + text(row, 0, "task_name"), end - start, memory, "",
-                row.get(3), line));
+        out.accept(new TraceCall(
+                start,
+                text(row, 2, "job_name") + "-" + text(row, 0, "task_name"),
+                end - start,
+                memory,
+                "",
+                row.get(3),
+                line));
     }
 
     private static void columns(CSVRecord row, int least, int most) {
         if (row.size() < least || row.size() > most) {
-            throw new Bad("", "wrong number of columns", row.size() + " where " + (least == most ? least : least + " to "
-                    + most) + " belong");
+            throw new Bad(
+                    "",
+                    "wrong number of columns",
+                    row.size() + " where " + (least == most ? least : least + " to " + most) + " belong");
         }
     }
 
@@ -174,7 +195,8 @@
     private static long instant(CSVRecord row, int at, String column) {
         String field = text(row, at, column).replace(' ', 'T');
         try {
-            OffsetDateTime time = field.matches(".*(Z|[+-][0-9]{2}:?[0-9]{2})$") ? OffsetDateTime.parse(field)
+            OffsetDateTime time = field.matches(".*(Z|[+-][0-9]{2}:?[0-9]{2})$")
+                    ? OffsetDateTime.parse(field)
                     : LocalDateTime.parse(field).atOffset(ZoneOffset.UTC);
             return Math.addExact(Math.multiplyExact(time.toEpochSecond(), SECOND), time.getNano());
         } catch (DateTimeParseException | ArithmeticException none) {
--- a/lab/src/main/java/pearladder/traces/TraceCall.java
+++ b/lab/src/main/java/pearladder/traces/TraceCall.java
@@ -9,4 +9,5 @@
  * @param memoryMb of the model; NaN where the layout tells none
  * @param line of the file that it came from
  */
-public record TraceCall(long at, String model, long work, double memoryMb, String category, String account, long line) { }
+public record TraceCall(
+        long at, String model, long work, double memoryMb, String category, String account, long line) {}
--- a/lab/src/main/java/pearladder/traces/TraceCut.java
+++ b/lab/src/main/java/pearladder/traces/TraceCut.java
@@ -23,10 +23,15 @@
      * @param share of the models, from 0 to 1; a model's calls come all or none
      */
     public TraceCut(Appendable out, long fromNanos, long toNanos, double share, int seed) throws IOException {
-        this.printer = CSVFormat.DEFAULT.builder().setRecordSeparator('\n').setHeader(Layout.PLAIN.header()
-                .toArray(String[]::new)).get().print(out);
+        this.printer = CSVFormat.DEFAULT
+                .builder()
+                .setRecordSeparator('\n')
+                .setHeader(Layout.PLAIN.header().toArray(String[]::new))
+                .get()
+                .print(out);
         this.from = fromNanos;
-        this.wanted = call -> call.at() - first >= fromNanos && call.at() - first < toNanos
+        this.wanted = call -> call.at() - first >= fromNanos
+                && call.at() - first < toNanos
                 && (share >= 1 || Hashes.share(call.model(), seed) < share);
     }
 
@@ -41,9 +46,13 @@
         }
         long at = call.at() - first - from;
         try {
-            printer.printRecord(decimals(at, 9), call.model(), call.work() == 0 ? "" : decimals(call.work(), 6),
+            printer.printRecord(
+                    decimals(at, 9),
+                    call.model(),
+                    call.work() == 0 ? "" : decimals(call.work(), 6),
                     Double.isNaN(call.memoryMb()) ? "" : String.format(Locale.ROOT, "%.1f", call.memoryMb()),
-                    call.category(), call.account());
+                    call.category(),
+                    call.account());
             written++;
         } catch (IOException broken) {
             throw new UncheckedIOException(broken);
--- a/lab/src/main/java/pearladder/traces/TraceFile.java
+++ b/lab/src/main/java/pearladder/traces/TraceFile.java
@@ -26,7 +26,7 @@
  */
 public final class TraceFile {
     /** What the whole file came to. */
-    public record Read(Layout layout, long rows, long calls, long reordered) { }
+    public record Read(Layout layout, long rows, long calls, long reordered) {}
 
     /** A file that is no trace: the message names the file and says what to do. */
     public static final class NoTrace extends IOException {
@@ -39,7 +39,7 @@
 
     private static final int HELD = 2_000_000;
 
-    private TraceFile() { }
+    private TraceFile() {}
 
     /**
      * Reads a file from its beginning to its end.
@@ -48,10 +48,15 @@
      * @param companions beside counts by minute; {@link Companions#NONE} for other layouts
      * @param windowNanos how far out of order a row may be and still be put right
      */
-    public static Read read(Path file, Layout layout, Companions companions, long windowNanos, Skipped skipped,
-            Consumer<TraceCall> out) throws IOException {
+    public static Read read(
+            Path file, Layout layout, Companions companions, long windowNanos, Skipped skipped, Consumer<TraceCall> out)
+            throws IOException {
         try (BufferedReader reader = open(file);
-                CSVParser parser = CSVFormat.DEFAULT.builder().setIgnoreEmptyLines(true).get().parse(reader)) {
+                CSVParser parser = CSVFormat.DEFAULT
+                        .builder()
+                        .setIgnoreEmptyLines(true)
+                        .get()
+                        .parse(reader)) {
             Iterator<CSVRecord> rows = parser.iterator();
             if (!rows.hasNext()) {
                 throw new NoTrace(file, "the file is empty; a trace has a row at least");
@@ -60,26 +65,42 @@
             List<String> names = first.toList().stream().map(String::trim).toList();
             Layout known = layout != null ? layout : Layout.guess(names);
             if (known == null) {
-                throw new NoTrace(file, "line 1: the columns \"" + shown(names) + "\" are of no known layout; name one with "
-                        + "--layout: " + String.join(", ", RowReader.words()));
+                throw new NoTrace(
+                        file,
+                        "line 1: the columns \"" + shown(names) + "\" are of no known layout; name one with "
+                                + "--layout: " + String.join(", ", RowReader.words()));
             }
             boolean headed = known.headed();
-            if (headed && !names.subList(0, Math.min(names.size(), known.header().size())).equals(known.header())) {
-                throw new NoTrace(file, "line 1: the header \"" + shown(names) + "\" is not that of " + known.word()
-                        + ", which begins with \"" + String.join(",", known.header()) + "\"");
+            if (headed
+                    && !names.subList(0, Math.min(names.size(), known.header().size()))
+                            .equals(known.header())) {
+                throw new NoTrace(
+                        file,
+                        "line 1: the header \"" + shown(names) + "\" is not that of " + known.word()
+                                + ", which begins with \"" + String.join(",", known.header()) + "\"");
             }
             return read(parser, rows, headed ? null : first, known, companions, windowNanos, skipped, out);
         } catch (UncheckedIOException | IllegalStateException broken) {
             Throwable cause = broken.getCause() == null ? broken : broken.getCause();
-            throw new NoTrace(file, cause instanceof CharacterCodingException ? "it is not UTF-8; convert it first"
-                    : "it can't be read to its end: " + cause.getMessage());
+            throw new NoTrace(
+                    file,
+                    cause instanceof CharacterCodingException
+                            ? "it is not UTF-8; convert it first"
+                            : "it can't be read to its end: " + cause.getMessage());
         } catch (CharacterCodingException foreign) {
             throw new NoTrace(file, "it is not UTF-8; convert it first");
         }
     }
 
-    private static Read read(CSVParser parser, Iterator<CSVRecord> rows, CSVRecord first, Layout layout,
-            Companions companions, long window, Skipped skipped, Consumer<TraceCall> out) {
+    private static Read read(
+            CSVParser parser,
+            Iterator<CSVRecord> rows,
+            CSVRecord first,
+            Layout layout,
+            Companions companions,
+            long window,
+            Skipped skipped,
+            Consumer<TraceCall> out) {
         long[] counts = new long[2];
         Consumer<TraceCall> counted = call -> {
             counts[1]++;
@@ -115,15 +136,22 @@
         in.mark(2);
         int magic = in.read() | in.read() << 8;
         in.reset();
-        PushbackInputStream plain = new PushbackInputStream(magic == GZIPInputStream.GZIP_MAGIC
-                ? new GZIPInputStream(in, 1 << 16) : in, 3);
+        PushbackInputStream plain =
+                new PushbackInputStream(magic == GZIPInputStream.GZIP_MAGIC ? new GZIPInputStream(in, 1 << 16) : in, 3);
         byte[] mark = plain.readNBytes(3);
-        boolean marked = mark.length == 3 && (mark[0] & 0xFF) == 0xEF && (mark[1] & 0xFF) == 0xBB && (mark[2] & 0xFF) == 0xBF;
+        boolean marked =
+                mark.length == 3 && (mark[0] & 0xFF) == 0xEF && (mark[1] & 0xFF) == 0xBB && (mark[2] & 0xFF) == 0xBF;
         if (!marked) {
             plain.unread(mark);
         }
-        return new BufferedReader(new InputStreamReader(plain, StandardCharsets.UTF_8.newDecoder()
-                .onMalformedInput(CodingErrorAction.REPORT).onUnmappableCharacter(CodingErrorAction.REPORT)), 1 << 16);
+        return new BufferedReader(
+                new InputStreamReader(
+                        plain,
+                        StandardCharsets.UTF_8
+                                .newDecoder()
+                                .onMalformedInput(CodingErrorAction.REPORT)
+                                .onUnmappableCharacter(CodingErrorAction.REPORT)),
+                1 << 16);
     }
 
     private static String shown(List<String> names) {
--- a/lab/src/main/java/pearladder/traces/TraceInfo.java
+++ b/lab/src/main/java/pearladder/traces/TraceInfo.java
@@ -41,13 +41,16 @@
         models.computeIfAbsent(call.model(), m -> new long[1])[0]++;
         seconds.merge((call.at() - first) / 1_000_000_000L, 1L, Long::sum);
         digest.update((call.at() - first + "," + call.model() + "," + call.work() + "," + call.memoryMb() + ","
-                + call.category() + "," + call.account() + "\n").getBytes(StandardCharsets.UTF_8));
+                        + call.category() + "," + call.account() + "\n")
+                .getBytes(StandardCharsets.UTF_8));
     }
 
     /** The digest of the sequence up to now; two readings of a file give the same. */
     public String digest() {
         try {
-            return HexFormat.of().formatHex(((MessageDigest) digest.clone()).digest()).substring(0, 16);
+            return HexFormat.of()
+                    .formatHex(((MessageDigest) digest.clone()).digest())
+                    .substring(0, 16);
         } catch (CloneNotSupportedException impossible) {
             throw new IllegalStateException(impossible);
         }
@@ -61,14 +64,29 @@
     public List<String> lines(TraceFile.Read read, Skipped skipped) {
         List<String> lines = new ArrayList<>();
         double span = (last - first) / 1e9;
-        lines.add(String.format(Locale.ROOT, "layout %s: %d rows, %d calls over %.1f s (%.2f a second), digest %s",
-                read.layout().word(), read.rows(), calls, span, span == 0 ? calls : calls / span, digest()));
-        lines.add(String.format(Locale.ROOT, "%d put back in time order, %d left out", read.reordered(), skipped.count()));
+        lines.add(String.format(
+                Locale.ROOT,
+                "layout %s: %d rows, %d calls over %.1f s (%.2f a second), digest %s",
+                read.layout().word(),
+                read.rows(),
+                calls,
+                span,
+                span == 0 ? calls : calls / span,
+                digest()));
+        lines.add(String.format(
+                Locale.ROOT, "%d put back in time order, %d left out", read.reordered(), skipped.count()));
         new TreeMap<>(skipped.reasons()).forEach((reason, count) -> lines.add("  left out, " + reason + ": " + count));
         long[] counts = models.values().stream().mapToLong(c -> c[0]).sorted().toArray();
         long once = java.util.Arrays.stream(counts).filter(count -> count == 1).count();
-        lines.add(String.format(Locale.ROOT, "%d models; called once: %d; share of calls of the first 1, 10, 100: %.3f %.3f %.3f;"
-                + " mean work %.1f ms", counts.length, once, top(counts, 1), top(counts, 10), top(counts, 100),
+        lines.add(String.format(
+                Locale.ROOT,
+                "%d models; called once: %d; share of calls of the first 1, 10, 100: %.3f %.3f %.3f;"
+                        + " mean work %.1f ms",
+                counts.length,
+                once,
+                top(counts, 1),
+                top(counts, 10),
+                top(counts, 100),
                 calls == 0 ? 0 : work / calls));
         bars(lines, Math.max(1, (long) Math.ceil((span + 1) / BARS)));
         return lines;
@@ -86,7 +104,8 @@
         TreeMap<Long, Long> bars = new TreeMap<>();
         seconds.forEach((second, count) -> bars.merge(second / width, count, Long::sum));
         long most = bars.values().stream().mapToLong(Long::longValue).max().orElse(1);
-        bars.forEach((bar, count) -> lines.add(String.format(Locale.ROOT, "%8d s %9.2f a second %s", bar * width,
-                (double) count / width, "#".repeat((int) Math.max(1, 40 * count / most)))));
+        bars.forEach((bar, count) -> lines.add(String.format(
+                Locale.ROOT, "%8d s %9.2f a second %s", bar * width, (double) count / width, "#".repeat((int)
+                                Math.max(1, 40 * count / most)))));
     }
 }
--- a/lab/src/main/java/pearladder/traces/TraceMaker.java
+++ b/lab/src/main/java/pearladder/traces/TraceMaker.java
@@ -19,8 +19,15 @@
      * @param bursts how much a minute's rate may differ: 0 for none, 1 for from nothing to twice the mean
      * @param workMillis mean work of a call
      */
-    public record Terms(int models, double skew, double rate, double seconds, double timers, double bursts, double workMillis,
-            long seed) { }
+    public record Terms(
+            int models,
+            double skew,
+            double rate,
+            double seconds,
+            double timers,
+            double bursts,
+            double workMillis,
+            long seed) {}
 
     private static final double PERIOD = 30;
     private static final double[] MEMORY = {100, 200, 400, 400, 400, 800};
@@ -80,7 +87,13 @@
 
     private TraceCall call(double at, String model, int number) {
         double work = terms.workMillis() * (0.5 + random.nextDouble());
-        return new TraceCall(Math.round(at * 1e9), model, Math.round(work * 1e6), MEMORY[Math.floorMod(number * 31, MEMORY.length)],
-                "", "", 0);
+        return new TraceCall(
+                Math.round(at * 1e9),
+                model,
+                Math.round(work * 1e6),
+                MEMORY[Math.floorMod(number * 31, MEMORY.length)],
+                "",
+                "",
+                0);
     }
 }
--- a/lab/src/test/java/pearladder/lab/DayPlanTest.java
+++ b/lab/src/test/java/pearladder/lab/DayPlanTest.java
@@ -18,7 +18,8 @@
 import pearladder.yaml.Yaml;
 
 class DayPlanTest {
-    private static final String DAY = """
+    private static final String DAY =
+            """
             day: {name: d, lasting: 20 s, seed: %d, halls: [east, west], rate: 50}
             traffic:
               - {category: draft, share: 0.7, models: pair-, count: 10, work: 20 ms}
@@ -61,12 +62,20 @@
     void trafficFollowsTheScript() {
         List<Source.Drawn> drawn = all(plan(1));
         long before = drawn.stream().filter(c -> c.due() < 2_000_000_000L).count();
-        long burst = drawn.stream().filter(c -> c.due() >= 2_000_000_000L && c.due() < 6_000_000_000L).count();
+        long burst = drawn.stream()
+                .filter(c -> c.due() >= 2_000_000_000L && c.due() < 6_000_000_000L)
+                .count();
         assertTrue(before > 60 && before < 140, "100 in 2 s: " + before);
         assertTrue(burst > 480 && burst < 720, "600 in 4 s of three times the rate: " + burst);
         long once = drawn.stream().filter(c -> c.model().contains("once-")).count();
         assertTrue(once > 60 && once < 140, "half of 200: " + once);
-        assertEquals(once, drawn.stream().map(Source.Drawn::model).filter(m -> m.contains("once-")).distinct().count());
+        assertEquals(
+                once,
+                drawn.stream()
+                        .map(Source.Drawn::model)
+                        .filter(m -> m.contains("once-"))
+                        .distinct()
+                        .count());
         double sends = drawn.stream().filter(c -> c.model().startsWith("send-")).count() / (double) drawn.size();
         assertTrue(sends > 0.25 && sends < 0.35, "share of the second flow: " + sends);
     }
@@ -130,7 +139,10 @@
 
     @Test
     void theRateGoesUpAndDownAndThePopularityMovesOn() {
-        DayPlan plan = DayPlan.read(Yaml.read("d.yaml", """
+        DayPlan plan = DayPlan.read(
+                Yaml.read(
+                        "d.yaml",
+                        """
                 day: {lasting: 40 s, halls: [east], rate: 100, tide: {period: 40 s, swing: 0.8}}
                 traffic: [{category: draft, models: m-, count: 10, skew: 4, shift: 10 s}]
                 router: {categories: {draft: {expected: 1 s, abandon: 2 s, effect: retriable}}}
@@ -145,7 +157,9 @@
         for (int i = 0; i < 4; i++) {
             String hot = "m-" + i;
             long from = i * 10_000_000_000L;
-            List<Source.Drawn> now = drawn.stream().filter(call -> call.due() >= from && call.due() < from + 10_000_000_000L).toList();
+            List<Source.Drawn> now = drawn.stream()
+                    .filter(call -> call.due() >= from && call.due() < from + 10_000_000_000L)
+                    .toList();
             assertTrue(now.stream().filter(call -> call.model().equals(hot)).count() > 0.8 * now.size(), hot);
         }
         assertEquals(700_000_000L, plan.fleet().modelOf("m-1").fetchNanos());
@@ -154,10 +168,15 @@
 
     @Test
     void aScriptsMistakesAreNamed() {
-        String wrong = DAY.formatted(1).replace("what: burst", "what: bursts").replace("hall: west", "hall: north")
-                .replace("at: 14 s", "at: 19 s").replace("category: draft, share: 0.3", "category: post, share: 0.3");
+        String wrong = DAY.formatted(1)
+                .replace("what: burst", "what: bursts")
+                .replace("hall: west", "hall: north")
+                .replace("at: 14 s", "at: 19 s")
+                .replace("category: draft, share: 0.3", "category: post, share: 0.3");
         List<String> lines = assertThrows(Mistakes.Found.class, () -> DayPlan.read(Yaml.read("d.yaml", wrong)))
-                .getMessage().lines().toList();
+                .getMessage()
+                .lines()
+                .toList();
         assertEquals(4, lines.size(), lines.toString());
         assertTrue(lines.get(0).startsWith("d.yaml:4: traffic[1].category: unknown category \"post\""), lines.get(0));
         assertTrue(lines.get(1).startsWith("d.yaml:6: troubles[0].what: unknown word \"bursts\""), lines.get(1));
@@ -178,14 +197,19 @@
         assertEquals("r1", front.next("east", 1200).router());
         front.died("r1", 0);
         front.died("r2", 0);
-        assertEquals(2, java.util.stream.Stream.of(front.next("west", 5000), front.next("west", 5000)).distinct().count(),
+        assertEquals(
+                2,
+                java.util.stream.Stream.of(front.next("west", 5000), front.next("west", 5000))
+                        .distinct()
+                        .count(),
                 "where all are dead it goes on feeding all");
     }
 
     @Test
     void aTapeIsReadAsItWasWrittenAndATornLastLineIsCounted(@TempDir Path folder) throws IOException {
         Path file = folder.resolve("t.tape");
-        List<Seen> lines = List.of(new Seen(5, Seen.SENT, "r", "c\"1", 0, "", "m", "draft", 2.5),
+        List<Seen> lines = List.of(
+                new Seen(5, Seen.SENT, "r", "c\"1", 0, "", "m", "draft", 2.5),
                 new Seen(7, Seen.ARRIVED, "r", "c", 2, "e", "m", "", 0));
         try (Tape tape = new Tape(file)) {
             lines.forEach(tape);
--- a/lab/src/test/java/pearladder/lab/FeedTest.java
+++ b/lab/src/test/java/pearladder/lab/FeedTest.java
@@ -33,7 +33,11 @@
             for (int lane = 0; lane < lanes; lane++) {
                 int at = lane;
                 assertEquals(got.get(lane).stream().sorted().toList(), got.get(lane));
-                assertEquals(0, got.get(lane).stream().filter(number -> number % lanes != at).count());
+                assertEquals(
+                        0,
+                        got.get(lane).stream()
+                                .filter(number -> number % lanes != at)
+                                .count());
                 assertNull(feed.lanes().get(lane).next());
             }
         }
--- a/lab/src/test/java/pearladder/lab/ReportTest.java
+++ b/lab/src/test/java/pearladder/lab/ReportTest.java
@@ -22,12 +22,15 @@
     private static final long S = 1_000_000_000L;
 
     private static ObjectNode results(long seed) {
-        DayPlan plan = DayPlan.read(Yaml.read("d.yaml", """
+        DayPlan plan = DayPlan.read(Yaml.read(
+                "d.yaml",
+                """
                 day: {name: "a <day>", lasting: 30 s, seed: %d, halls: [east], rate: 5}
                 traffic: [{category: draft, models: pair-}]
                 router: {categories: {draft: {expected: 1 s, abandon: 3 s, late_credit: 0.5, effect: retriable}}}
                 fleet: {kinds: {std: {cores: 1, memory: 1 GB}}, models: [], engines: [{name: e, kind: std}]}
-                """.formatted(seed)));
+                """
+                        .formatted(seed)));
         CategoryTerms draft = plan.rules().categories().get("draft");
         Books books = new Books();
         books.ended(draft, "", 1 * S, S / 10, Books.End.SETTLED);
@@ -36,10 +39,12 @@
         books.ended(draft, "", 13 * S, S / 5, Books.End.SETTLED);
         Map<RulesChecker.Rule, Long> looked = new EnumMap<>(RulesChecker.Rule.class);
         looked.put(RulesChecker.Rule.ONE_ANSWER, 4L);
-        List<Seen> tape = List.of(new Seen(7 * S, Seen.TROUBLE, "", "", 0, "", "", "slow e-0", 0),
+        List<Seen> tape = List.of(
+                new Seen(7 * S, Seen.TROUBLE, "", "", 0, "", "", "slow e-0", 0),
                 new Seen(8 * S, Seen.ARRIVED, "r", "c", 0, "e-0", "m", "", 0),
                 new Seen(17 * S, Seen.ORDERED, "r", "", 0, "e-0", "m", "", 1));
-        return Results.of(plan, books, new RulesChecker.Verdict(List.of(), looked), List.of(), tape, 5 * S, List.of("a <row>"));
+        return Results.of(
+                plan, books, new RulesChecker.Verdict(List.of(), looked), List.of(), tape, 5 * S, List.of("a <row>"));
     }
 
     @Test
@@ -70,32 +75,54 @@
     @Test
     void aFolderWithoutResultsSaysSo(@TempDir Path folder) throws IOException {
         Files.writeString(folder.resolve(Results.FILE), "{\"torn\":");
-        assertTrue(assertThrows(IOException.class, () -> Report.write(folder)).getMessage().contains("no results.json"));
+        assertTrue(assertThrows(IOException.class, () -> Report.write(folder))
+                .getMessage()
+                .contains("no results.json"));
     }
 
     @Test
     void aGridIsEveryCombinationAndItsMistakesAreNamed(@TempDir Path folder) {
-        ExperimentPlan plan = ExperimentPlan.read(Yaml.read("e.yaml", """
+        ExperimentPlan plan = ExperimentPlan.read(
+                Yaml.read(
+                        "e.yaml",
+                        """
                 experiment:
                   base: days/plain.yaml
                   vary: {policy: [module, random], engines: [8, 12], rate: [50, 0.5], seed: [1, 2, 3]}
-                """), folder);
-        assertEquals(24, plan.runs().stream().map(ExperimentPlan.Run::label).distinct().count());
+                """),
+                folder);
+        assertEquals(
+                24,
+                plan.runs().stream().map(ExperimentPlan.Run::label).distinct().count());
         assertEquals("module-e8-q50.s1", plan.runs().get(0).label());
         assertEquals("random-e12-q0.5.s3", plan.runs().get(23).label());
         assertEquals(folder.resolve("days/plain.yaml"), plan.base());
-        ExperimentPlan pairs = ExperimentPlan.read(Yaml.read("e.yaml", """
+        ExperimentPlan pairs = ExperimentPlan.read(
+                Yaml.read(
+                        "e.yaml",
+                        """
                 experiment:
                   base: x
                   vary: {sizes: [{engines: 12, routers: 2}, {engines: 72, routers: 16}], seed: [1, 2]}
-                """), folder);
-        assertEquals(List.of("module-e12-r2.s1", "module-e12-r2.s2", "module-e72-r16.s1", "module-e72-r16.s2"),
+                """),
+                folder);
+        assertEquals(
+                List.of("module-e12-r2.s1", "module-e12-r2.s2", "module-e72-r16.s1", "module-e72-r16.s2"),
                 pairs.runs().stream().map(ExperimentPlan.Run::label).toList());
-        List<String> lines = assertThrows(Mistakes.Found.class, () -> ExperimentPlan.read(Yaml.read("e.yaml", """
+        List<String> lines = assertThrows(
+                        Mistakes.Found.class,
+                        () -> ExperimentPlan.read(
+                                Yaml.read(
+                                        "e.yaml",
+                                        """
                 experiment:
                   base: x
                   vary: {policy: [best], speed: [2], colour: [red]}
-                """), folder)).getMessage().lines().toList();
+                """),
+                                folder))
+                .getMessage()
+                .lines()
+                .toList();
         assertEquals(3, lines.size(), lines.toString());
         assertTrue(lines.get(0).contains("unknown policy \"best\"; write module or random"), lines.get(0));
         assertTrue(lines.get(1).contains("only a trace has a speed"), lines.get(1));
--- a/lab/src/test/java/pearladder/lab/RulesCheckerTest.java
+++ b/lab/src/test/java/pearladder/lab/RulesCheckerTest.java
@@ -24,11 +24,23 @@
     }
 
     private static Rulebook rules(double free, double share) {
-        return new Rulebook(Map.of("draft", terms("draft", Effect.RETRIABLE, Group.ALL),
-                "post", terms("post", Effect.BINDING, Group.ALL),
-                "commit", terms("commit", Effect.FINGERPRINTED, Group.ALL),
-                "note", terms("note", Effect.FINGERPRINTED, Group.ZONE)),
-                15 * MS, 1000 * MS, 15_000 * MS, 1500 * MS, free, share, free + share > 0 ? 10_000 * MS : 0);
+        return new Rulebook(
+                Map.of(
+                        "draft",
+                        terms("draft", Effect.RETRIABLE, Group.ALL),
+                        "post",
+                        terms("post", Effect.BINDING, Group.ALL),
+                        "commit",
+                        terms("commit", Effect.FINGERPRINTED, Group.ALL),
+                        "note",
+                        terms("note", Effect.FINGERPRINTED, Group.ZONE)),
+                15 * MS,
+                1000 * MS,
+                15_000 * MS,
+                1500 * MS,
+                free,
+                share,
+                free + share > 0 ? 10_000 * MS : 0);
     }
 
     private void add(long ms, String what, String call, int leg, String engine, String note, double figure) {
@@ -209,12 +221,22 @@
         for (int i = 0; i < 4; i++) {
             add(100 + i, Seen.ORDERED, "", 0, "e1", "", 1);
         }
-        assertEquals(List.of(), new RulesChecker(rules(3, 0.1), 100 * MS, PLACES).check(tape).breaches());
+        assertEquals(
+                List.of(),
+                new RulesChecker(rules(3, 0.1), 100 * MS, PLACES).check(tape).breaches());
         add(200, Seen.ORDERED, "", 0, "e1", "", 1);
-        List<RulesChecker.Breach> breaches = new RulesChecker(rules(3, 0.1), 100 * MS, PLACES).check(tape).breaches();
+        List<RulesChecker.Breach> breaches =
+                new RulesChecker(rules(3, 0.1), 100 * MS, PLACES).check(tape).breaches();
         assertEquals(1, breaches.size());
-        assertTrue(breaches.get(0).what().contains("gave 5 orders"), breaches.get(0).what());
+        assertTrue(
+                breaches.get(0).what().contains("gave 5 orders"),
+                breaches.get(0).what());
         add(12_000, Seen.ORDERED, "", 0, "e1", "", 1);
-        assertEquals(1, new RulesChecker(rules(3, 0.1), 100 * MS, PLACES).check(tape).breaches().size());
+        assertEquals(
+                1,
+                new RulesChecker(rules(3, 0.1), 100 * MS, PLACES)
+                        .check(tape)
+                        .breaches()
+                        .size());
     }
 }
