--- a/lab/src/test/java/pearladder/traces/TracesTest.java
+++ b/lab/src/test/java/pearladder/traces/TracesTest.java
@@ -50,20 +50,24 @@
 
     @Test
     void thePlainLayoutIsReadWithItsEmptyFields() throws IOException {
-        assertEquals(Layout.PLAIN, read("arrival_s,model,work_ms,memory_mb,category,account\n0.5,a,20,400,draft,tender\n1,b,,,,\n")
-                .layout());
+        assertEquals(
+                Layout.PLAIN,
+                read("arrival_s,model,work_ms,memory_mb,category,account\n0.5,a,20,400,draft,tender\n1,b,,,,\n")
+                        .layout());
         assertEquals(new TraceCall(500 * MS, "a", 20 * MS, 400, "draft", "tender", 2), calls.get(0));
         assertEquals(new TraceCall(1000 * MS, "b", 0, Double.NaN, "", "", 3), calls.get(1));
     }
 
     private static String minutes(String function, int... counts) {
-        return "o1,app1," + function + ",http," + IntStream.range(0, 1440)
-                .mapToObj(i -> i < counts.length ? Integer.toString(counts[i]) : "0").collect(Collectors.joining(","));
+        return "o1,app1," + function + ",http,"
+                + IntStream.range(0, 1440)
+                        .mapToObj(i -> i < counts.length ? Integer.toString(counts[i]) : "0")
+                        .collect(Collectors.joining(","));
     }
 
     private static String header2019() {
-        return "HashOwner,HashApp,HashFunction,Trigger," + IntStream.rangeClosed(1, 1440).mapToObj(Integer::toString)
-                .collect(Collectors.joining(","));
+        return "HashOwner,HashApp,HashFunction,Trigger,"
+                + IntStream.rangeClosed(1, 1440).mapToObj(Integer::toString).collect(Collectors.joining(","));
     }
 
     @Test
@@ -75,12 +79,24 @@
         TraceFile.Read read = TraceFile.read(invocations, null, beside, WINDOW, skipped, calls::add);
         assertEquals(Layout.AZURE_FUNCTIONS_2019, read.layout());
         assertEquals(6, read.calls());
-        assertEquals(List.of(2L, 3L, 1L), IntStream.range(0, 3).mapToObj(minute -> calls.stream()
-                .filter(call -> call.at() / 60_000_000_000L == minute).count()).toList());
+        assertEquals(
+                List.of(2L, 3L, 1L),
+                IntStream.range(0, 3)
+                        .mapToObj(minute -> calls.stream()
+                                .filter(call -> call.at() / 60_000_000_000L == minute)
+                                .count())
+                        .toList());
         assertEquals(times().stream().sorted().toList(), times());
-        assertEquals(30_000 * MS, calls.get(1).at() - calls.get(0).at(), "two calls a minute stand half a minute apart");
+        assertEquals(
+                30_000 * MS, calls.get(1).at() - calls.get(0).at(), "two calls a minute stand half a minute apart");
         assertEquals(120 * MS, calls.get(0).work());
-        assertEquals(0, calls.stream().filter(call -> call.model().equals("f2")).findFirst().orElseThrow().work());
+        assertEquals(
+                0,
+                calls.stream()
+                        .filter(call -> call.model().equals("f2"))
+                        .findFirst()
+                        .orElseThrow()
+                        .work());
         assertEquals(171, calls.get(0).memoryMb());
         assertEquals(1, skipped.count());
     }
@@ -89,18 +105,23 @@
     void anInvocationBeginsItsDurationBeforeItsEndAndIsPutInOrder() throws IOException {
         TraceFile.Read read = read("app,func,end_timestamp,duration\na,f1,10.0,0.1\na,f2,10.5,2.5\na,f3,11,0\n");
         assertEquals(Layout.AZURE_FUNCTIONS_2021, read.layout());
-        assertEquals(List.of("f2", "f1", "f3"), calls.stream().map(TraceCall::model).toList());
+        assertEquals(
+                List.of("f2", "f1", "f3"), calls.stream().map(TraceCall::model).toList());
         assertEquals(List.of(8000 * MS, 9900 * MS, 11_000 * MS), times());
         assertEquals(1, read.reordered());
     }
 
     @Test
     void tokensBecomeWorkInBothFormsOfTheTime() throws IOException {
-        assertEquals(Layout.AZURE_LLM, read("TIMESTAMP,ContextTokens,GeneratedTokens\n2023-11-16 18:17:03.9799600,4808,10\n"
-                + "2023-11-16 23:59:59.9,100,1\n2023-11-17 00:00:00.1,100,1\n").layout());
+        assertEquals(
+                Layout.AZURE_LLM,
+                read("TIMESTAMP,ContextTokens,GeneratedTokens\n2023-11-16 18:17:03.9799600,4808,10\n"
+                                + "2023-11-16 23:59:59.9,100,1\n2023-11-17 00:00:00.1,100,1\n")
+                        .layout());
         assertEquals(4808 * 50_000L + 10 * 2_000_000L, calls.get(0).work());
         assertEquals(200 * MS, calls.get(2).at() - calls.get(1).at(), "time goes on over a day's end");
-        read("TIMESTAMP,ContextTokens,GeneratedTokens\n2024-05-10 00:00:00.009930+00:00,2162,5\n2024-05-10T02:00:00+02:00,1,1\n");
+        read(
+                "TIMESTAMP,ContextTokens,GeneratedTokens\n2024-05-10 00:00:00.009930+00:00,2162,5\n2024-05-10T02:00:00+02:00,1,1\n");
         assertEquals(2, calls.size());
         assertEquals(-9930_000L, calls.get(0).at() - calls.get(1).at());
     }
@@ -120,8 +141,11 @@
 
     @Test
     void theAlibabaLayoutIsReadAndARowThatEndsBeforeItBeginsIsNamed() throws IOException {
-        assertEquals(Layout.ALIBABA_2018, read("M1,1,j_1,1,Terminated,100,103,100.0,0.3\nM2,1,j_1,1,Terminated,104,101,100.0,0.3\n"
-                + "M3,1,j_2,2,Waiting,0,0,50,\n").layout());
+        assertEquals(
+                Layout.ALIBABA_2018,
+                read("M1,1,j_1,1,Terminated,100,103,100.0,0.3\nM2,1,j_1,1,Terminated,104,101,100.0,0.3\n"
+                                + "M3,1,j_2,2,Waiting,0,0,50,\n")
+                        .layout());
         assertEquals("j_1-M1", calls.get(0).model());
         assertEquals(3000 * MS, calls.get(0).work());
         assertEquals(List.of("line 2, end_time: before its start \"101\"", "line 3, start_time: missing"), named);
@@ -131,10 +155,16 @@
     void whatIsWrongInARowIsNamedByLineAndColumnAndCounted() throws IOException {
         read("arrival_s,model,work_ms,memory_mb,category,account\n1,a,,,,\nx,a,,,,\n2,,,,,\n3,a,-5,,,\n4,a,1e30,,,\n5\n"
                 + "6,a,,,,,,,\n\n7,\"two\nlines\",,,,\n8,a,,many,,\n9,a,,,,\n");
-        assertEquals(List.of("line 3, arrival_s: not a number \"x\"", "line 4, model: missing",
-                "line 5, work_ms: out of bounds \"-5\"", "line 6, work_ms: out of bounds \"1e30\"",
-                "line 7: wrong number of columns 1 where 2 to 6 belong", "line 8: wrong number of columns 9 where 2 to 6 belong",
-                "line 12, memory_mb: not a number \"many\""), named);
+        assertEquals(
+                List.of(
+                        "line 3, arrival_s: not a number \"x\"",
+                        "line 4, model: missing",
+                        "line 5, work_ms: out of bounds \"-5\"",
+                        "line 6, work_ms: out of bounds \"1e30\"",
+                        "line 7: wrong number of columns 1 where 2 to 6 belong",
+                        "line 8: wrong number of columns 9 where 2 to 6 belong",
+                        "line 12, memory_mb: not a number \"many\""),
+                named);
         assertEquals(3, calls.size());
         assertEquals(7, skipped.count());
         assertEquals(2, skipped.reasons().get("wrong number of columns"));
@@ -142,16 +172,24 @@
 
     @Test
     void strictStopsAtTheFirstSuchRow() {
-        skipped = new Skipped(true, row -> { });
-        assertEquals("line 2, arrival_s: not a number \"x\"", assertThrows(Skipped.Strict.class,
-                () -> read("arrival_s,model,work_ms,memory_mb,category,account\nx,a\n1,b\n")).getMessage());
+        skipped = new Skipped(true, row -> {});
+        assertEquals(
+                "line 2, arrival_s: not a number \"x\"",
+                assertThrows(
+                                Skipped.Strict.class,
+                                () -> read("arrival_s,model,work_ms,memory_mb,category,account\nx,a\n1,b\n"))
+                        .getMessage());
     }
 
     @Test
     void rowsOutOfOrderAreMovedWithinTheWindowAndNamedBeyondIt() throws IOException {
-        TraceFile.Read read = read("arrival_s,model,work_ms,memory_mb,category,account\n20,a\n15,b\n40,c\n29,d\n31,e\n45,f\n");
-        assertEquals(List.of("b", "a", "e", "c", "f"), calls.stream().map(TraceCall::model).toList().stream()
-                .filter(model -> !model.equals("d")).toList());
+        TraceFile.Read read =
+                read("arrival_s,model,work_ms,memory_mb,category,account\n20,a\n15,b\n40,c\n29,d\n31,e\n45,f\n");
+        assertEquals(
+                List.of("b", "a", "e", "c", "f"),
+                calls.stream().map(TraceCall::model).toList().stream()
+                        .filter(model -> !model.equals("d"))
+                        .toList());
         assertEquals(times().stream().sorted().toList(), times());
         assertTrue(read.reordered() >= 2);
         read("arrival_s,model,work_ms,memory_mb,category,account\n100,a\n120,b\n50,c\n");
@@ -175,17 +213,30 @@
 
     @Test
     void whatIsNoTraceIsRefusedInWords() throws IOException {
-        for (Map.Entry<String, String> wrong : Map.of("", "the file is empty", "a,b\n1,2\n", "of no known layout",
-                "\"never closed\n1,2\n", "it can't be read to its end").entrySet()) {
-            String message = assertThrows(TraceFile.NoTrace.class, () -> read(wrong.getKey())).getMessage();
+        for (Map.Entry<String, String> wrong : Map.of(
+                        "",
+                        "the file is empty",
+                        "a,b\n1,2\n",
+                        "of no known layout",
+                        "\"never closed\n1,2\n",
+                        "it can't be read to its end")
+                .entrySet()) {
+            String message = assertThrows(TraceFile.NoTrace.class, () -> read(wrong.getKey()))
+                    .getMessage();
             assertTrue(message.contains(wrong.getValue()), message);
         }
         Path foreign = Files.write(folder.resolve("latin.csv"), new byte[] {'a', (byte) 0xE9, ',', '1', '\n'});
-        assertTrue(assertThrows(IOException.class, () -> read(foreign)).getMessage().contains("UTF-8"));
-        assertTrue(assertThrows(TraceFile.NoTrace.class, () -> read(folder.resolve("none"))).getMessage()
+        assertTrue(assertThrows(IOException.class, () -> read(foreign))
+                .getMessage()
+                .contains("UTF-8"));
+        assertTrue(assertThrows(TraceFile.NoTrace.class, () -> read(folder.resolve("none")))
+                .getMessage()
                 .contains("can't be read"));
-        assertTrue(assertThrows(TraceFile.NoTrace.class, () -> TraceFile.read(file("1,2\n"), Layout.PLAIN, Companions.NONE, 0,
-                skipped, calls::add)).getMessage().contains("is not that of plain"));
+        assertTrue(assertThrows(
+                        TraceFile.NoTrace.class,
+                        () -> TraceFile.read(file("1,2\n"), Layout.PLAIN, Companions.NONE, 0, skipped, calls::add))
+                .getMessage()
+                .contains("is not that of plain"));
     }
 
     /** Written in the plain layout and read back it is the same trace; cut in two and joined it is whole. */
@@ -196,8 +247,14 @@
             List<TraceCall> made = new ArrayList<>();
             long at = 0;
             for (int i = 0; i < 300; i++) {
-                made.add(new TraceCall(at, "m \"" + random.nextInt(9) + "\",é", random.nextInt(3) * random.nextLong(1L << 40),
-                        random.nextBoolean() ? Double.NaN : random.nextInt(5000) / 10.0, "c" + random.nextInt(3), "", 0));
+                made.add(new TraceCall(
+                        at,
+                        "m \"" + random.nextInt(9) + "\",é",
+                        random.nextInt(3) * random.nextLong(1L << 40),
+                        random.nextBoolean() ? Double.NaN : random.nextInt(5000) / 10.0,
+                        "c" + random.nextInt(3),
+                        "",
+                        0));
                 at += random.nextLong(5_000_000_000L);
             }
             TraceInfo whole = new TraceInfo();
@@ -205,13 +262,25 @@
             assertEquals(whole.digest(), digest(List.of(cut(made, 0, Long.MAX_VALUE, 1))));
             long middle = at / 2;
             List<TraceCall> joined = new ArrayList<>(again(cut(made, 0, middle, 1)));
-            again(cut(made, middle, Long.MAX_VALUE, 1)).forEach(call -> joined.add(new TraceCall(call.at() + middle, call.model(),
-                    call.work(), call.memoryMb(), call.category(), call.account(), 0)));
+            again(cut(made, middle, Long.MAX_VALUE, 1))
+                    .forEach(call -> joined.add(new TraceCall(
+                            call.at() + middle,
+                            call.model(),
+                            call.work(),
+                            call.memoryMb(),
+                            call.category(),
+                            call.account(),
+                            0)));
             TraceInfo both = new TraceInfo();
             joined.forEach(both);
             assertEquals(whole.digest(), both.digest(), "seed " + seed);
-            List<String> half = again(cut(made, 0, Long.MAX_VALUE, 0.5)).stream().map(TraceCall::model).distinct().toList();
-            assertEquals(made.stream().filter(call -> half.contains(call.model())).count(), calls.size(),
+            List<String> half = again(cut(made, 0, Long.MAX_VALUE, 0.5)).stream()
+                    .map(TraceCall::model)
+                    .distinct()
+                    .toList();
+            assertEquals(
+                    made.stream().filter(call -> half.contains(call.model())).count(),
+                    calls.size(),
                     "a model's calls come all or none");
         }
     }
@@ -229,7 +298,8 @@
         assertEquals(first.digest(), again.digest());
         assertEquals(times().stream().sorted().toList(), times());
         assertTrue(calls.size() > 4000 && calls.size() < 8000, "6000 calls: " + calls.size());
-        Map<String, Long> pulses = calls.stream().filter(call -> call.model().startsWith("timer-"))
+        Map<String, Long> pulses = calls.stream()
+                .filter(call -> call.model().startsWith("timer-"))
                 .collect(Collectors.groupingBy(TraceCall::model, Collectors.counting()));
         assertEquals(300, pulses.size());
         assertTrue(pulses.values().stream().allMatch(count -> count == 4), "each timer pulses every 30 s");
--- a/records/src/main/java/pearladder/metering/Metering.java
+++ b/records/src/main/java/pearladder/metering/Metering.java
@@ -22,6 +22,7 @@
     public static final long INTERVAL = 60_000;
     /** Work is told up to a cut late, loads up to their own length; clocks of routers differ. */
     private static final long LATE = 3 * INTERVAL;
+
     private static final long USUALLY_KEPT = 10_000;
 
     /** One router's records as they are read. */
@@ -39,9 +40,9 @@
     }
 
     /** What was read, and what could not be placed in time. */
-    public record Read(long entries, long tooLate, long keptMillis) { }
+    public record Read(long entries, long tooLate, long keptMillis) {}
 
-    private Metering() { }
+    private Metering() {}
 
     /**
      * Reads all records and gives every share.
@@ -62,11 +63,14 @@
     }
 
     private static Read merge(List<Source> sources, Consumer<Share> taker) throws IOException {
-        long kept = sources.stream().filter(source -> source.head != null && source.head.kind() == Kind.STARTED)
-                .mapToLong(source -> source.head.amount()).max().orElse(USUALLY_KEPT);
+        long kept = sources.stream()
+                .filter(source -> source.head != null && source.head.kind() == Kind.STARTED)
+                .mapToLong(source -> source.head.amount())
+                .max()
+                .orElse(USUALLY_KEPT);
         Usage usage = new Usage(INTERVAL, kept, LATE);
-        PriorityQueue<Source> next = new PriorityQueue<>(Comparator.<Source>comparingLong(source -> source.head.at())
-                .thenComparing(source -> source.router));
+        PriorityQueue<Source> next = new PriorityQueue<>(
+                Comparator.<Source>comparingLong(source -> source.head.at()).thenComparing(source -> source.router));
         sources.stream().filter(source -> source.head != null).forEach(next::add);
         long entries = 0;
         long newest = 0;
@@ -92,13 +96,15 @@
     private static Evidence evidence(Source source, Entry entry) {
         return switch (entry.kind()) {
             case MODEL -> new Evidence.Memory(entry.at(), source.router, entry.model(), entry.amount());
-            case LOADING -> new Evidence.Loading(entry.at(), source.router, entry.engine(), entry.model(), entry.account(),
-                    entry.took() / 1000);
-            case LOADED -> entry.note().isEmpty() ? null
+            case LOADING -> new Evidence.Loading(
+                    entry.at(), source.router, entry.engine(), entry.model(), entry.account(), entry.took() / 1000);
+            case LOADED -> entry.note().isEmpty()
+                    ? null
                     : new Evidence.LoadFailed(entry.at(), source.router, entry.engine(), entry.model());
-            case COPIES -> new Evidence.Copies(entry.at(), source.router, entry.engine(), entry.model(), (int) entry.amount());
-            case WORK -> new Evidence.Worked(entry.at(), source.router, entry.engine(), entry.model(), entry.account(),
-                    entry.amount());
+            case COPIES -> new Evidence.Copies(
+                    entry.at(), source.router, entry.engine(), entry.model(), (int) entry.amount());
+            case WORK -> new Evidence.Worked(
+                    entry.at(), source.router, entry.engine(), entry.model(), entry.account(), entry.amount());
             case ENGINE -> engine(source, entry);
             default -> null;
         };
@@ -111,7 +117,8 @@
             return new Evidence.Gone(entry.at(), source.router, entry.engine());
         }
         Long before = source.starts.put(entry.engine(), entry.amount());
-        return before == null || before == entry.amount() || entry.amount() == 0 ? null
+        return before == null || before == entry.amount() || entry.amount() == 0
+                ? null
                 : new Evidence.Gone(entry.amount(), source.router, entry.engine());
     }
 }
--- a/records/src/main/java/pearladder/records/Archive.java
+++ b/records/src/main/java/pearladder/records/Archive.java
@@ -20,14 +20,15 @@
      *
      * @param damage a line for each file or batch that can't be believed, with what is lost
      */
-    public record Verified(int files, long batches, long entries, long bytes, List<String> damage) { }
+    public record Verified(int files, long batches, long entries, long bytes, List<String> damage) {}
 
     private final Path folder;
 
     /** @throws IOException where there is no such folder */
     public Archive(Path folder) throws IOException {
         if (!Files.isDirectory(folder)) {
-            throw new IOException(folder + ": no folder of records is there; it is \"records\" in a router's data folder");
+            throw new IOException(
+                    folder + ": no folder of records is there; it is \"records\" in a router's data folder");
         }
         this.folder = folder;
     }
@@ -43,7 +44,10 @@
 
     static List<Path> files(Path folder, String form) throws IOException {
         try (Stream<Path> all = Files.list(folder)) {
-            return new ArrayList<>(all.filter(file -> file.getFileName().toString().matches(form)).sorted().toList());
+            return new ArrayList<>(
+                    all.filter(file -> file.getFileName().toString().matches(form))
+                            .sorted()
+                            .toList());
         }
     }
 
@@ -105,7 +109,8 @@
                     counts[0]++;
                     counts[1] += batch.count();
                     if (batch.first() != expected[0]) {
-                        damage.add(file.getFileName() + ": entries " + expected[0] + " to " + (batch.first() - 1) + " are missing");
+                        damage.add(file.getFileName() + ": entries " + expected[0] + " to " + (batch.first() - 1)
+                                + " are missing");
                     }
                     expected[0] = batch.first() + batch.count();
                     if (!batch.damage().isEmpty()) {
--- a/records/src/main/java/pearladder/records/Batch.java
+++ b/records/src/main/java/pearladder/records/Batch.java
@@ -18,15 +18,17 @@
 /** Entries as bytes: CBOR rows, deflated. The engine's, model's and account's names repeat, so that little is left of them. */
 final class Batch {
     /** An entry with its place in its batch, which outlives a compaction. */
-    record Row(int place, Entry entry) { }
+    record Row(int place, Entry entry) {}
 
     private static final CBORFactory CBOR = new CBORFactory();
     private static final int LARGEST = 64 << 20;
 
-    private Batch() { }
+    private Batch() {}
 
     static List<Row> rows(List<Entry> entries) {
-        return IntStream.range(0, entries.size()).mapToObj(i -> new Row(i, entries.get(i))).toList();
+        return IntStream.range(0, entries.size())
+                .mapToObj(i -> new Row(i, entries.get(i)))
+                .toList();
     }
 
     static byte[] encode(List<Row> batch) throws IOException {
@@ -67,8 +69,16 @@
                 int place = rows.nextIntValue(0);
                 long at = rows.nextLongValue(0);
                 Kind kind = Kind.of(rows.nextIntValue(0));
-                Entry entry = new Entry(at, kind == null ? Kind.DROPPED : kind, text(rows), text(rows), text(rows), text(rows),
-                        text(rows), rows.nextLongValue(0), rows.nextLongValue(0));
+                Entry entry = new Entry(
+                        at,
+                        kind == null ? Kind.DROPPED : kind,
+                        text(rows),
+                        text(rows),
+                        text(rows),
+                        text(rows),
+                        text(rows),
+                        rows.nextLongValue(0),
+                        rows.nextLongValue(0));
                 expect(rows.nextToken() == JsonToken.END_ARRAY);
                 read += entry.call().length() + entry.note().length() + 64;
                 expect(read < LARGEST);
--- a/records/src/main/java/pearladder/records/Entry.java
+++ b/records/src/main/java/pearladder/records/Entry.java
@@ -7,10 +7,19 @@
  * @param amount by the kind
  * @param took microseconds
  */
-public record Entry(long at, Kind kind, String call, String model, String account, String engine, String note, long amount,
+public record Entry(
+        long at,
+        Kind kind,
+        String call,
+        String model,
+        String account,
+        String engine,
+        String note,
+        long amount,
         long took) {
     /** Without a call. */
-    public static Entry of(long at, Kind kind, String model, String account, String engine, String note, long amount, long took) {
+    public static Entry of(
+            long at, Kind kind, String model, String account, String engine, String note, long amount, long took) {
         return new Entry(at, kind, "", model, account, engine, note, amount, took);
     }
 }
--- a/records/src/main/java/pearladder/records/Keeping.java
+++ b/records/src/main/java/pearladder/records/Keeping.java
@@ -11,5 +11,6 @@
  */
 public record Keeping(long segmentBytes, long segmentMillis, long allBytes, long allMillis, long detailMillis) {
     /** A file for a day or 64 MB, 2 GB and 100 days in all, details for a week. */
-    public static final Keeping USUAL = new Keeping(64L << 20, 86_400_000L, 2L << 30, 100 * 86_400_000L, 7 * 86_400_000L);
+    public static final Keeping USUAL =
+            new Keeping(64L << 20, 86_400_000L, 2L << 30, 100 * 86_400_000L, 7 * 86_400_000L);
 }
--- a/records/src/main/java/pearladder/records/Records.java
+++ b/records/src/main/java/pearladder/records/Records.java
@@ -17,7 +17,7 @@
  */
 public final class Records implements AutoCloseable {
     /** What a compaction did. */
-    public record Compacted(int files, long before, long after, long details) { }
+    public record Compacted(int files, long before, long after, long details) {}
 
     private final Path folder;
     private final Keeping keeping;
@@ -41,7 +41,8 @@
      */
     public static Records open(Path folder, Keeping keeping, Consumer<String> told) throws IOException {
         Files.createDirectories(folder);
-        FileChannel channel = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        FileChannel channel =
+                FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         FileLock held = null;
         try {
             held = channel.tryLock();
@@ -89,7 +90,8 @@
                 Segment.delete(last);
                 next++;
                 whole = false;
-                told.accept(last + " can't be read (" + broken.getMessage() + "); it is set aside as " + aside.getFileName());
+                told.accept(last + " can't be read (" + broken.getMessage() + "); it is set aside as "
+                        + aside.getFileName());
             }
         }
         if (newest == null) {
@@ -193,7 +195,9 @@
             if (segment.until() < moment) {
                 segment.batches(batch -> {
                     if (batch.damage().isEmpty()) {
-                        details[0] += Batch.decode(batch.bytes()).stream().filter(row -> row.entry().kind().detail()).count();
+                        details[0] += Batch.decode(batch.bytes()).stream()
+                                .filter(row -> row.entry().kind().detail())
+                                .count();
                     }
                 });
             }
@@ -204,7 +208,8 @@
     private static void rewrite(Path file, long moment) throws IOException {
         Path beside = file.resolveSibling(file.getFileName().toString().replace(".db", ".new"));
         Segment.delete(beside);
-        try (Segment from = Segment.read(file); Segment to = Segment.write(beside)) {
+        try (Segment from = Segment.read(file);
+                Segment to = Segment.write(beside)) {
             to.together(true);
             from.batches(batch -> {
                 if (!batch.damage().isEmpty()) {
@@ -213,7 +218,9 @@
                     return;
                 }
                 List<Batch.Row> kept = new ArrayList<>(Batch.decode(batch.bytes()));
-                long until = kept.isEmpty() ? moment : kept.get(kept.size() - 1).entry().at();
+                long until = kept.isEmpty()
+                        ? moment
+                        : kept.get(kept.size() - 1).entry().at();
                 kept.removeIf(row -> row.entry().kind().detail() && row.entry().at() < moment);
                 byte[] bytes = Batch.encode(kept);
                 to.put(new Segment.Stored(batch.first(), batch.count(), Batch.sum(bytes), bytes), until);
--- a/records/src/main/java/pearladder/records/Segment.java
+++ b/records/src/main/java/pearladder/records/Segment.java
@@ -18,6 +18,7 @@
 final class Segment implements AutoCloseable {
     /** The format that this build writes; it reads this one and older ones. */
     static final int FORMAT = 1;
+
     private static final String NAME = "records-%016d.db";
 
     /** A batch as it stands in the file. */
@@ -66,8 +67,9 @@
         Segment segment = new Segment(file, connect("jdbc:sqlite:" + file, terms, file));
         try (Statement made = segment.connection.createStatement()) {
             made.execute("create table if not exists meta(name text primary key, value integer) without rowid");
-            made.execute("create table if not exists batch(first integer primary key, count integer, until integer, sum integer,"
-                    + " bytes blob)");
+            made.execute(
+                    "create table if not exists batch(first integer primary key, count integer, until integer, sum integer,"
+                            + " bytes blob)");
             made.execute("insert or ignore into meta values('format', " + FORMAT + ")");
             segment.checkFormat();
         } catch (SQLException broken) {
@@ -88,8 +90,8 @@
         } catch (SQLException alone) {
             segment.close();
         }
-        Segment still = new Segment(file, connect("jdbc:sqlite:file:" + file.toAbsolutePath() + "?immutable=1", new Properties(),
-                file));
+        Segment still = new Segment(
+                file, connect("jdbc:sqlite:file:" + file.toAbsolutePath() + "?immutable=1", new Properties(), file));
         try {
             still.checkFormat();
             return still;
@@ -122,7 +124,9 @@
     /** Adds a batch; it is on disk when this returns. */
     void append(long first, List<Entry> entries) throws IOException {
         byte[] bytes = Batch.encode(Batch.rows(entries));
-        put(new Stored(first, entries.size(), Batch.sum(bytes), bytes), entries.get(entries.size() - 1).at());
+        put(
+                new Stored(first, entries.size(), Batch.sum(bytes), bytes),
+                entries.get(entries.size() - 1).at());
     }
 
     void put(Stored batch, long until) throws IOException {
@@ -163,7 +167,8 @@
     }
 
     private long number(String question, long otherwise) throws IOException {
-        try (Statement asked = connection.createStatement(); ResultSet found = asked.executeQuery(question)) {
+        try (Statement asked = connection.createStatement();
+                ResultSet found = asked.executeQuery(question)) {
             return found.next() ? found.getLong(1) : otherwise;
         } catch (SQLException broken) {
             throw new IOException(file + ": " + broken.getMessage(), broken);
@@ -177,8 +182,9 @@
 
     /** Every batch in its order, from the one that holds a number on. */
     void batches(long from, Taker taker) throws IOException {
-        try (PreparedStatement asked = connection.prepareStatement("select first, count, sum, bytes from batch where first >="
-                + " ifnull((select max(first) from batch where first <= ?), 0) order by first")) {
+        try (PreparedStatement asked =
+                connection.prepareStatement("select first, count, sum, bytes from batch where first >="
+                        + " ifnull((select max(first) from batch where first <= ?), 0) order by first")) {
             asked.setLong(1, from);
             try (ResultSet found = asked.executeQuery()) {
                 while (found.next()) {
@@ -192,11 +198,13 @@
 
     /** The batch behind a number, or null. */
     Stored after(long number) throws IOException {
-        try (PreparedStatement asked = connection.prepareStatement("select first, count, sum, bytes from batch where first > ?"
-                + " order by first limit 1")) {
+        try (PreparedStatement asked = connection.prepareStatement(
+                "select first, count, sum, bytes from batch where first > ?" + " order by first limit 1")) {
             asked.setLong(1, number);
             try (ResultSet found = asked.executeQuery()) {
-                return found.next() ? new Stored(found.getLong(1), found.getInt(2), found.getLong(3), found.getBytes(4)) : null;
+                return found.next()
+                        ? new Stored(found.getLong(1), found.getInt(2), found.getLong(3), found.getBytes(4))
+                        : null;
             }
         } catch (SQLException broken) {
             throw new IOException(file + ": " + broken.getMessage(), broken);
@@ -205,7 +213,8 @@
 
     /** Damage that the store itself finds in the file's structure. */
     void structure(Consumer<String> found) throws IOException {
-        try (Statement asked = connection.createStatement(); ResultSet said = asked.executeQuery("pragma quick_check")) {
+        try (Statement asked = connection.createStatement();
+                ResultSet said = asked.executeQuery("pragma quick_check")) {
             while (said.next()) {
                 if (!said.getString(1).equals("ok")) {
                     found.accept(said.getString(1));
--- a/records/src/test/java/pearladder/metering/MeteringTest.java
+++ b/records/src/test/java/pearladder/metering/MeteringTest.java
@@ -25,7 +25,7 @@
 
     private Path router(String name, Entry... entries) throws IOException {
         Path records = folder.resolve(name);
-        try (Records kept = Records.open(records, Keeping.USUAL, text -> { })) {
+        try (Records kept = Records.open(records, Keeping.USUAL, text -> {})) {
             kept.append(List.of(entry(0, Kind.STARTED, "", "", "", name, 10_000)));
             for (Entry entry : entries) {
                 kept.append(List.of(entry));
@@ -34,13 +34,17 @@
         return records;
     }
 
-    private static Entry entry(long seconds, Kind kind, String model, String account, String engine, String note, long amount) {
+    private static Entry entry(
+            long seconds, Kind kind, String model, String account, String engine, String note, long amount) {
         return Entry.of(NOON + seconds * 1000, kind, model, account, engine, note, amount, 0);
     }
 
     private static Map<String, Long> byAccount(List<Path> folders) throws IOException {
         Map<String, Long> sums = new TreeMap<>();
-        assertEquals(0, Metering.read(folders, share -> sums.merge(share.account(), share.amount(), Long::sum)).tooLate());
+        assertEquals(
+                0,
+                Metering.read(folders, share -> sums.merge(share.account(), share.amount(), Long::sum))
+                        .tooLate());
         sums.values().removeIf(amount -> amount == 0);
         return sums;
     }
@@ -51,9 +55,16 @@
      */
     @Test
     void aModelThatServesTwoAccountsThroughTwoRoutersIsSplitAsByHand() throws IOException {
-        Path one = router("r1", entry(0, Kind.MODEL, "m", "", "", "", 400), Entry.of(NOON + 5_000, Kind.LOADING, "m", "tender", "e1", "", 1, 15_000_000),
-                entry(20, Kind.WORK, "m", "tender", "e1", "", 2_000_000), entry(30, Kind.WORK, "m", "tender", "e1", "", 500_000));
-        Path two = router("r2", entry(2, Kind.MODEL, "m", "", "", "", 400), entry(40, Kind.WORK, "m", "tender", "e1", "", 500_000),
+        Path one = router(
+                "r1",
+                entry(0, Kind.MODEL, "m", "", "", "", 400),
+                Entry.of(NOON + 5_000, Kind.LOADING, "m", "tender", "e1", "", 1, 15_000_000),
+                entry(20, Kind.WORK, "m", "tender", "e1", "", 2_000_000),
+                entry(30, Kind.WORK, "m", "tender", "e1", "", 500_000));
+        Path two = router(
+                "r2",
+                entry(2, Kind.MODEL, "m", "", "", "", 400),
+                entry(40, Kind.WORK, "m", "tender", "e1", "", 500_000),
                 entry(50, Kind.WORK, "m", "filing", "e1", "", 1_000_000));
         Map<String, Long> sums = byAccount(List.of(one, two));
         assertEquals(Map.of("filing", 5_500_000L, "tender", 16_500_000L), sums);
@@ -63,9 +74,14 @@
 
     @Test
     void aDeathThatTheListTellsAndARestartEndWhatStood() throws IOException {
-        Path one = router("r1", entry(0, Kind.MODEL, "m", "", "", "", 100), entry(1, Kind.ENGINE, "", "", "e1", "IN_SERVICE", NOON - 1),
-                entry(1, Kind.ENGINE, "", "", "e2", "IN_SERVICE", NOON - 1), entry(2, Kind.LOADING, "m", "a", "e1", "", 1),
-                entry(2, Kind.LOADING, "m", "a", "e2", "", 1), entry(5, Kind.ENGINE, "", "", "e1", "GONE", 0),
+        Path one = router(
+                "r1",
+                entry(0, Kind.MODEL, "m", "", "", "", 100),
+                entry(1, Kind.ENGINE, "", "", "e1", "IN_SERVICE", NOON - 1),
+                entry(1, Kind.ENGINE, "", "", "e2", "IN_SERVICE", NOON - 1),
+                entry(2, Kind.LOADING, "m", "a", "e1", "", 1),
+                entry(2, Kind.LOADING, "m", "a", "e2", "", 1),
+                entry(5, Kind.ENGINE, "", "", "e1", "GONE", 0),
                 entry(7, Kind.ENGINE, "", "", "e2", "IN_SERVICE", NOON + 6_000));
         assertEquals(Map.of("a", 100L * 3_000 + 100L * 4_000), byAccount(List.of(one)));
     }
@@ -73,12 +89,21 @@
     /** The clock steps back an hour: nothing is lost and nothing is counted twice; what came too late is told. */
     @Test
     void aClockThatStepsBackIsTold() throws IOException {
-        Path one = router("r1", entry(0, Kind.MODEL, "m", "", "", "", 100), entry(600, Kind.LOADING, "m", "a", "e1", "", 1),
-                entry(605, Kind.WORK, "m", "a", "e1", "", 9), entry(1800, Kind.WORK, "m", "a", "e1", "", 9),
+        Path one = router(
+                "r1",
+                entry(0, Kind.MODEL, "m", "", "", "", 100),
+                entry(600, Kind.LOADING, "m", "a", "e1", "", 1),
+                entry(605, Kind.WORK, "m", "a", "e1", "", 9),
+                entry(1800, Kind.WORK, "m", "a", "e1", "", 9),
                 entry(-1800, Kind.WORK, "m", "a", "e1", "", 9));
         List<Share> shares = new ArrayList<>();
         Metering.Read read = Metering.read(List.of(one), shares::add);
         assertEquals(1, read.tooLate());
-        assertEquals(100L * 15_000, shares.stream().filter(share -> share.from() < NOON + 700_000).mapToLong(Share::amount).sum());
+        assertEquals(
+                100L * 15_000,
+                shares.stream()
+                        .filter(share -> share.from() < NOON + 700_000)
+                        .mapToLong(Share::amount)
+                        .sum());
     }
 }
--- a/records/src/test/java/pearladder/records/RecordsTest.java
+++ b/records/src/test/java/pearladder/records/RecordsTest.java
@@ -26,16 +26,25 @@
     private Path folder;
 
     private static Entry ended(long at, int number) {
-        return new Entry(at, Kind.ENDED, "r1-" + number, "pair-" + number % 7, "tender", "engine-" + number % 5, "settled", number,
+        return new Entry(
+                at,
+                Kind.ENDED,
+                "r1-" + number,
+                "pair-" + number % 7,
+                "tender",
+                "engine-" + number % 5,
+                "settled",
+                number,
                 number * 10L);
     }
 
     private static Entry leg(long at, int number) {
-        return new Entry(at, Kind.LEG, "r1-" + number, "pair-" + number % 7, "", "engine-" + number % 5, "SUCCESS", 0, 5);
+        return new Entry(
+                at, Kind.LEG, "r1-" + number, "pair-" + number % 7, "", "engine-" + number % 5, "SUCCESS", 0, 5);
     }
 
     private Records open(Keeping keeping) throws IOException {
-        return Records.open(folder, keeping, text -> { });
+        return Records.open(folder, keeping, text -> {});
     }
 
     private static List<Entry> all(Path folder) throws IOException {
@@ -59,11 +68,14 @@
         Random random = new Random(7);
         Path source = folder.resolve("source");
         List<Entry> kept = new ArrayList<>();
-        try (Records records = Records.open(source, SMALL, text -> { })) {
+        try (Records records = Records.open(source, SMALL, text -> {})) {
             for (int round = 0; round < 40; round++) {
                 List<Entry> batch = new ArrayList<>();
                 for (int i = random.nextInt(8); i >= 0; i--) {
-                    batch.add(random.nextBoolean() ? ended(1000 + round, kept.size() + i) : leg(1000 + round, kept.size() + i));
+                    batch.add(
+                            random.nextBoolean()
+                                    ? ended(1000 + round, kept.size() + i)
+                                    : leg(1000 + round, kept.size() + i));
                 }
                 Path before = folder.resolve("before" + round);
                 Path after = folder.resolve("after" + round);
@@ -84,10 +96,11 @@
                 }
                 List<Entry> both = new ArrayList<>(kept);
                 both.addAll(batch);
-                try (Records again = Records.open(after, SMALL, text -> { })) {
+                try (Records again = Records.open(after, SMALL, text -> {})) {
                     List<Entry> found = all(after);
-                    assertTrue(found.equals(kept) || found.equals(both), "round " + round + ": " + found.size() + " entries of "
-                            + kept.size() + " acknowledged");
+                    assertTrue(
+                            found.equals(kept) || found.equals(both),
+                            "round " + round + ": " + found.size() + " entries of " + kept.size() + " acknowledged");
                     assertEquals(found.size() + 1, again.next());
                     again.append(List.of(ended(5000, 1)));
                     assertEquals(found.size() + 1, all(after).size());
@@ -142,7 +155,8 @@
             Records.Compacted done = records.compact(100);
             assertTrue(done.details() > 0);
             List<Entry> after = all(folder);
-            assertEquals(before.stream().filter(entry -> !entry.kind().detail()).toList(),
+            assertEquals(
+                    before.stream().filter(entry -> !entry.kind().detail()).toList(),
                     after.stream().filter(entry -> !entry.kind().detail()).toList());
             assertTrue(after.stream().anyMatch(entry -> entry.kind().detail()), "young details stay");
             assertEquals(20 - done.details(), after.size());
@@ -166,7 +180,9 @@
     void aSecondWriterIsRefused() throws IOException {
         try (Records records = open(SMALL)) {
             records.append(List.of(ended(1, 1)));
-            assertTrue(assertThrows(IOException.class, () -> open(SMALL)).getMessage().contains("held by another process"));
+            assertTrue(assertThrows(IOException.class, () -> open(SMALL))
+                    .getMessage()
+                    .contains("held by another process"));
         }
         open(SMALL).close();
     }
@@ -182,8 +198,10 @@
             newer.execute("update meta set value = 2");
         }
         byte[] bytes = Files.readAllBytes(file);
-        assertTrue(assertThrows(IOException.class, () -> open(SMALL)).getMessage().contains("format 2"));
-        assertTrue(assertThrows(IOException.class, () -> all(folder)).getMessage().contains("format 2"));
+        assertTrue(
+                assertThrows(IOException.class, () -> open(SMALL)).getMessage().contains("format 2"));
+        assertTrue(
+                assertThrows(IOException.class, () -> all(folder)).getMessage().contains("format 2"));
         assertEquals(bytes.length, Files.readAllBytes(file).length);
     }
 
@@ -194,7 +212,8 @@
                 records.append(List.of(ended(i, i), ended(i, i)));
             }
         }
-        try (Connection other = JDBC.createConnection("jdbc:sqlite:" + Archive.segments(folder).get(0), new Properties());
+        try (Connection other = JDBC.createConnection(
+                        "jdbc:sqlite:" + Archive.segments(folder).get(0), new Properties());
                 Statement flip = other.createStatement()) {
             flip.execute("update batch set bytes = zeroblob(length(bytes)) where first = 5");
             flip.execute("delete from batch where first = 7");
--- a/rehearsal/src/main/java/pearladder/rehearsal/Life.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Life.java
@@ -80,13 +80,15 @@
 
         @Override
         public void drop() {
-            time.after(delay, () -> run(() -> {
-                over = true;
-                open.remove(this);
-                if (call != null) {
-                    calls.left(call);
-                }
-            }));
+            time.after(
+                    delay,
+                    () -> run(() -> {
+                        over = true;
+                        open.remove(this);
+                        if (call != null) {
+                            calls.left(call);
+                        }
+                    }));
         }
     }
 
@@ -118,6 +120,7 @@
 
     /** A record is safe after so long, as over sockets. */
     private static final long KEPT_AFTER = 25_000_000L;
+
     private static final long SNAPSHOT = 1_000_000_000L;
 
     private final Dispatcher module;
@@ -142,18 +145,32 @@
     private long ahead;
     private boolean dead;
 
-    Life(Station station, Timeline time, Articles articles, VirtualFleet fleet, long delay, Consumer<String> logged,
-            Dispatcher module, Consumer<String> fell) {
+    Life(
+            Station station,
+            Timeline time,
+            Articles articles,
+            VirtualFleet fleet,
+            long delay,
+            Consumer<String> logged,
+            Dispatcher module,
+            Consumer<String> fell) {
         this.logged = logged;
         this.station = station;
         this.time = time;
         this.articles = articles;
         this.fleet = fleet;
         this.delay = delay;
-        this.engines = new VirtualEngines(this, articles.name(), delay, articles.connections().dial().nanos(), fell);
+        this.engines = new VirtualEngines(
+                this, articles.name(), delay, articles.connections().dial().nanos(), fell);
         this.list = new EngineList(0, entry -> engines.came(entry.engine(), fleet.host(entry.engine())), engines::went);
         this.module = module;
-        this.calls = new Calls(articles.facts(), this, module, engines, this, articles.records() == null ? Chronicle.NONE : new Kept());
+        this.calls = new Calls(
+                articles.facts(),
+                this,
+                module,
+                engines,
+                this,
+                articles.records() == null ? Chronicle.NONE : new Kept());
         this.desk = new ReleaseDesk(this, articles, station.journal(), calls::tell);
         this.calls.standings(desk::standing);
     }
@@ -163,8 +180,15 @@
         Event.Listed last = list.remembered(station.lastList());
         calls.tell(last);
         if (articles.records() != null) {
-            calls.tell(Recall.event(articles.facts(), station.known(), station.knownFor(time.now()), station.orders(time.now()), true,
-                    last, now(), why -> logged.accept("begins with what is believed " + why)));
+            calls.tell(Recall.event(
+                    articles.facts(),
+                    station.known(),
+                    station.knownFor(time.now()),
+                    station.orders(time.now()),
+                    true,
+                    last,
+                    now(),
+                    why -> logged.accept("begins with what is believed " + why)));
             snapshot();
         }
         desk.begin();
@@ -274,12 +298,28 @@
         } else {
             Span left = new Span(request.patience()).atMost(category.abandon());
             String mark = request.mark().isEmpty() ? null : request.mark();
-            String account = articles.facts().accounts().isEmpty() ? null : request.drawn().account();
-            ReleaseDesk.Chosen chosen = desk.choose(new ReleaseDesk.Wish(request.id(), request.drawn().model(), null, null,
-                    account, mark));
+            String account = articles.facts().accounts().isEmpty()
+                    ? null
+                    : request.drawn().account();
+            ReleaseDesk.Chosen chosen = desk.choose(
+                    new ReleaseDesk.Wish(request.id(), request.drawn().model(), null, null, account, mark));
             carried.version = chosen.version();
-            carried.call = calls.take(new Calls.Asked(request.id(), chosen.function(), mark, now(), left, category, account,
-                    terms.lanes(), terms.memoryMb(), terms.usualLoad(), null, request.repeat(), chosen.ending()), carried);
+            carried.call = calls.take(
+                    new Calls.Asked(
+                            request.id(),
+                            chosen.function(),
+                            mark,
+                            now(),
+                            left,
+                            category,
+                            account,
+                            terms.lanes(),
+                            terms.memoryMb(),
+                            terms.usualLoad(),
+                            null,
+                            request.repeat(),
+                            chosen.ending()),
+                    carried);
         }
     }
 
@@ -294,7 +334,8 @@
         heard(mine);
         after(2 * delay, () -> {
             if (mine == attempt && watching) {
-                watcher = fleet.roll().watch(articles.name(), version, line -> time.after(delay, () -> run(() -> line(mine, line))));
+                watcher = fleet.roll()
+                        .watch(articles.name(), version, line -> time.after(delay, () -> run(() -> line(mine, line))));
             }
         });
     }
--- a/rehearsal/src/main/java/pearladder/rehearsal/Rehearsal.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Rehearsal.java
@@ -54,8 +54,21 @@
      * @param decisions of all routers, and the nanoseconds of this machine that they took
      * @param told entries of lists that routers were sent
      */
-    public record Outcome(String digest, double credit, double worst, long calls, long loads, double p50, double p99, long events,
-            long decisions, long decidedNanos, long told, double wallSeconds, List<String> table, RulesChecker.Verdict verdict,
+    public record Outcome(
+            String digest,
+            double credit,
+            double worst,
+            long calls,
+            long loads,
+            double p50,
+            double p99,
+            long events,
+            long decisions,
+            long decidedNanos,
+            long told,
+            double wallSeconds,
+            List<String> table,
+            RulesChecker.Verdict verdict,
             List<String> faults) {
         /** Whether every rule and every expectation was kept. */
         public boolean kept() {
@@ -67,6 +80,7 @@
     private static final long EPOCH = 1_000_000_000_000L;
     /** Lines of the routers' logs that a page keeps at the most. */
     private static final int STAFF = 400;
+
     private static final long SETTLES = 1_000_000_000L;
     private static final YAMLMapper YAML = new YAMLMapper();
 
@@ -107,7 +121,8 @@
         time.runTo(EPOCH);
         Consumer<Seen> seen = this::seen;
         this.fleet = new VirtualFleet(time, plan.fleet(), plan.network().delay(), seen);
-        this.clients = new Clients(time, this::carry, plan, 0, trace != null ? trace : new Traffic(plan), front, books, seen);
+        this.clients =
+                new Clients(time, this::carry, plan, 0, trace != null ? trace : new Traffic(plan), front, books, seen);
         fleet.onListCut(() -> stations.values().forEach(station -> {
             if (station.life() != null) {
                 station.life().listBroke();
@@ -123,13 +138,15 @@
      * @param out folder for results, or null for none
      * @param progress lines of progress, or null for none
      */
-    public static Outcome play(JsonNode script, String name, Maker maker, Path out, PrintStream progress) throws IOException {
+    public static Outcome play(JsonNode script, String name, Maker maker, Path out, PrintStream progress)
+            throws IOException {
         return play(script, name, null, maker, out, progress);
     }
 
     /** The same with a trace's calls in place of the script's traffic; null for none. */
-    public static Outcome play(JsonNode script, String name, TraceSource.Terms trace, Maker maker, Path out,
-            PrintStream progress) throws IOException {
+    public static Outcome play(
+            JsonNode script, String name, TraceSource.Terms trace, Maker maker, Path out, PrintStream progress)
+            throws IOException {
         DayPlan plan = DayPlan.read(Yaml.read(name, YAML.writeValueAsString(script)));
         if (trace == null) {
             return new Rehearsal(script, plan, null, maker, progress).play(out);
@@ -143,8 +160,9 @@
         tape.add(one);
         loads += one.what().equals(Seen.LOADED) ? 1 : 0;
         told += one.what().equals(Seen.TOLD) ? 1 : 0;
-        digest.update((one.at() + " " + one.what() + " " + one.router() + " " + one.call() + " " + one.leg() + " " + one.engine()
-                + " " + one.model() + " " + one.note() + " " + one.figure() + "\n").getBytes(StandardCharsets.UTF_8));
+        digest.update((one.at() + " " + one.what() + " " + one.router() + " " + one.call() + " " + one.leg() + " "
+                        + one.engine() + " " + one.model() + " " + one.note() + " " + one.figure() + "\n")
+                .getBytes(StandardCharsets.UTF_8));
     }
 
     private Outcome play(Path out) throws IOException {
@@ -154,9 +172,21 @@
             String hall = plan.halls().get(i % plan.halls().size());
             Articles articles = articles(name, hall, i);
             int number = i;
-            stations.put(name, new Station(name, hall, () -> newest(name), (station, life) -> new Life(station, time, articles,
-                    fleet, plan.network().delay(), text -> logged(name, text), maker.make(plan.seed() * 1_000_003 + number * 1009L + life,
-                            articles.facts()), fleet::kill)));
+            stations.put(
+                    name,
+                    new Station(
+                            name,
+                            hall,
+                            () -> newest(name),
+                            (station, life) -> new Life(
+                                    station,
+                                    time,
+                                    articles,
+                                    fleet,
+                                    plan.network().delay(),
+                                    text -> logged(name, text),
+                                    maker.make(plan.seed() * 1_000_003 + number * 1009L + life, articles.facts()),
+                                    fleet::kill)));
             front.add(name, hall, i);
         }
         stations.values().forEach(Station::start);
@@ -168,8 +198,13 @@
         for (long at = begun; !done && at < end; at += 1_000_000_000L) {
             time.runTo(at);
             if (progress != null && (at - begun) % 10_000_000_000L == 0 && at > begun) {
-                progress.println(String.format(Locale.ROOT, "  %4.0f s: %d calls ended, credit %.3f; %d events, %.1f s of this"
-                        + " machine", (at - begun) / 1e9, books.calls(), books.credit(), time.ran(),
+                progress.println(String.format(
+                        Locale.ROOT,
+                        "  %4.0f s: %d calls ended, credit %.3f; %d events, %.1f s of this" + " machine",
+                        (at - begun) / 1e9,
+                        books.calls(),
+                        books.credit(),
+                        time.ran(),
                         (System.nanoTime() - wall) / 1e9));
             }
         }
@@ -199,7 +234,11 @@
     private Articles articles(String name, String hall, int number) throws IOException {
         ObjectNode file = script.get("router").deepCopy();
         ObjectNode head = file.withObject("/router");
-        head.put("name", name).put("listen", "127.0.0.1:0").put("hall", hall).put("number", number).put("data", "none");
+        head.put("name", name)
+                .put("listen", "127.0.0.1:0")
+                .put("hall", hall)
+                .put("number", number)
+                .put("data", "none");
         if (!head.has("peers")) {
             head.put("peers", plan.routers());
         }
@@ -222,7 +261,7 @@
         Life life = station.life();
         if (life == null) {
             time.after(2 * plan.network().delay(), () -> heard.unanswered("unreachable"));
-            return () -> { };
+            return () -> {};
         }
         Life.Carried carried = life.new Carried(request, heard);
         time.after(plan.network().delay(), () -> life.take(carried));
@@ -237,8 +276,10 @@
 
         @Override
         public List<String> routers(String hall) {
-            return stations.values().stream().filter(station -> hall.isEmpty() || station.hall.equals(hall))
-                    .map(station -> station.name).toList();
+            return stations.values().stream()
+                    .filter(station -> hall.isEmpty() || station.hall.equals(hall))
+                    .map(station -> station.name)
+                    .toList();
         }
 
         @Override
@@ -293,7 +334,9 @@
             List<Target> targets = releases.targets(order);
             for (Station station : stations.values()) {
                 if (station.life() != null) {
-                    station.life().order(targets, refusals -> refusals.stream().filter(refusal -> !refusal.isEmpty()).findFirst()
+                    station.life().order(targets, refusals -> refusals.stream()
+                            .filter(refusal -> !refusal.isEmpty())
+                            .findFirst()
                             .ifPresent(refusal -> faults.add(station.name + ": " + refusal)));
                 }
             }
@@ -316,8 +359,10 @@
         RulesChecker.Verdict verdict = new RulesChecker(plan.rules(), plan.slack(), plan.places()).check(tape);
         faults.addAll(plan.expected().missed(books));
         String sum = HexFormat.of().formatHex(digest.digest()).substring(0, 16);
-        long decisions = stations.values().stream().mapToLong(Station::decisions).sum();
-        long decided = stations.values().stream().mapToLong(Station::decidedNanos).sum();
+        long decisions =
+                stations.values().stream().mapToLong(Station::decisions).sum();
+        long decided =
+                stations.values().stream().mapToLong(Station::decidedNanos).sum();
         List<String> lines = new ArrayList<>(books.table());
         lines.addAll(VersionShares.lines(tape, begun, plan.releases()));
         lines.add(Results.fetched(plan, tape, begun));
@@ -328,8 +373,15 @@
             }
         }
         lines.add("");
-        lines.add(String.format(Locale.ROOT, "rehearsed with %d engines and %d routers: %d calls in %d tries, %d loads, digest %s",
-                plan.fleet().engines().size(), plan.routers(), books.calls(), books.tries(), loads, sum));
+        lines.add(String.format(
+                Locale.ROOT,
+                "rehearsed with %d engines and %d routers: %d calls in %d tries, %d loads, digest %s",
+                plan.fleet().engines().size(),
+                plan.routers(),
+                books.calls(),
+                books.tries(),
+                loads,
+                sum));
         lines.add("");
         lines.addAll(verdict.lines(begun, plan.rules()));
         faults.forEach(fault -> lines.add("fault: " + fault));
@@ -339,14 +391,31 @@
             ObjectNode results = Results.of(plan, books, verdict, faults, tape, begun, lines);
             ArrayNode seen = results.putArray("staff");
             staff.forEach(seen::add);
-            results.putObject("growth").put("loads_per_1000", 1000.0 * loads / Math.max(1, books.calls()))
+            results.putObject("growth")
+                    .put("loads_per_1000", 1000.0 * loads / Math.max(1, books.calls()))
                     .put("decision_us", decided / 1e3 / Math.max(1, decisions))
                     .put("decided_share", decided / 1e9 / plan.routers() / seconds())
                     .put("told_per_second", told / (double) plan.routers() / seconds())
-                    .put("events", time.ran()).put("wall_s", wall).put("lasting_s", seconds());
+                    .put("events", time.ran())
+                    .put("wall_s", wall)
+                    .put("lasting_s", seconds());
             Results.write(out, results);
         }
-        return new Outcome(sum, books.credit(), books.worstWindow(), books.calls(), loads, books.latencyMillis(50),
-                books.latencyMillis(99), time.ran(), decisions, decided, told, wall, lines, verdict, List.copyOf(faults));
+        return new Outcome(
+                sum,
+                books.credit(),
+                books.worstWindow(),
+                books.calls(),
+                loads,
+                books.latencyMillis(50),
+                books.latencyMillis(99),
+                time.ran(),
+                decisions,
+                decided,
+                told,
+                wall,
+                lines,
+                verdict,
+                List.copyOf(faults));
     }
 }
--- a/rehearsal/src/main/java/pearladder/rehearsal/Search.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Search.java
@@ -30,7 +30,7 @@
      * @param script as small as it could be made
      * @param rule that breaks, in words; empty where none does and it is only the credit that is low
      */
-    public record Found(ObjectNode script, String rule, double credit, int rehearsed) { }
+    public record Found(ObjectNode script, String rule, double credit, int rehearsed) {}
 
     private static final int MOST = 6;
     private static final int ROUNDS = 4;
@@ -61,7 +61,9 @@
     /** One script and what it came to. */
     private record Tried(ObjectNode script, Rehearsal.Outcome outcome) {
         String rule() {
-            return outcome.verdict().breaches().isEmpty() ? "" : outcome.verdict().breaches().get(0).rule().words();
+            return outcome.verdict().breaches().isEmpty()
+                    ? ""
+                    : outcome.verdict().breaches().get(0).rule().words();
         }
 
         /** The lower the worse; a broken rule is worse than any credit. */
@@ -77,7 +79,8 @@
      * @param tries scripts that are drawn
      * @param jobs rehearsals at once; what is found does not depend on it
      */
-    public static Found search(ObjectNode script, String name, Rehearsal.Maker maker, int tries, int jobs, PrintStream progress)
+    public static Found search(
+            ObjectNode script, String name, Rehearsal.Maker maker, int tries, int jobs, PrintStream progress)
             throws IOException, InterruptedException {
         ExecutorService pool = Executors.newFixedThreadPool(Math.max(1, jobs));
         try {
@@ -92,14 +95,18 @@
         for (int i = 0; i < tries; i++) {
             drawn.add(draw());
         }
-        Tried worst = play(drawn).stream().min(Comparator.comparingDouble(Tried::worth)).orElseThrow();
+        Tried worst = play(drawn).stream()
+                .min(Comparator.comparingDouble(Tried::worth))
+                .orElseThrow();
         say("drawn " + tries, worst);
         for (int round = 0; round < ROUNDS; round++) {
             List<ObjectNode> near = new ArrayList<>();
             for (int i = 0; i < Math.max(4, tries / 4); i++) {
                 near.add(shifted(worst.script()));
             }
-            Tried best = play(near).stream().min(Comparator.comparingDouble(Tried::worth)).orElseThrow();
+            Tried best = play(near).stream()
+                    .min(Comparator.comparingDouble(Tried::worth))
+                    .orElseThrow();
             if (best.worth() < worst.worth()) {
                 worst = best;
                 say("shifted, round " + (round + 1), worst);
@@ -111,8 +118,13 @@
     }
 
     private void say(String what, Tried tried) {
-        progress.println(String.format(Locale.ROOT, "%s: credit %.3f, %d troubles, %s", what, tried.outcome().credit(),
-                tried.script().path("troubles").size(), tried.rule().isEmpty() ? "rules kept" : "broken: " + tried.rule()));
+        progress.println(String.format(
+                Locale.ROOT,
+                "%s: credit %.3f, %d troubles, %s",
+                what,
+                tried.outcome().credit(),
+                tried.script().path("troubles").size(),
+                tried.rule().isEmpty() ? "rules kept" : "broken: " + tried.rule()));
     }
 
     private List<Tried> play(List<ObjectNode> scripts) throws IOException, InterruptedException {
@@ -128,7 +140,8 @@
             } catch (ExecutionException failed) {
                 Path left = Files.createTempFile("pearladder-search", ".yaml");
                 YAML.writeValue(left.toFile(), scripts.get(i));
-                throw new IOException("a rehearsal failed, its script is " + left + ": " + failed.getCause(), failed.getCause());
+                throw new IOException(
+                        "a rehearsal failed, its script is " + left + ": " + failed.getCause(), failed.getCause());
             }
         }
         return tried;
@@ -151,14 +164,19 @@
         DayPlan.Kind[] kinds = DayPlan.Kind.values();
         DayPlan.Kind kind = kinds[chance.nextInt(kinds.length)];
         double day = plan.lasting() / (double) SECOND;
-        double lasting = Math.min(day / 2, switch (kind) {
-            case RELEASE, RESET, LIST_CUT -> 0;
-            default -> 0.5 + chance.nextDouble() * day / 4;
-        });
+        double lasting = Math.min(
+                day / 2,
+                switch (kind) {
+                    case RELEASE, RESET, LIST_CUT -> 0;
+                    default -> 0.5 + chance.nextDouble() * day / 4;
+                });
         double at = chance.nextDouble() * (day - lasting);
-        ObjectNode trouble = YAML.createObjectNode().put("at", millis(at)).put("lasting", millis(lasting))
+        ObjectNode trouble = YAML.createObjectNode()
+                .put("at", millis(at))
+                .put("lasting", millis(lasting))
                 .put("what", kind.name().toLowerCase(Locale.ROOT).replace('_', '-'))
-                .put("share", Math.round(5 + chance.nextInt(60)) / 100.0).put("part", Math.round(20 + chance.nextInt(80)) / 100.0)
+                .put("share", Math.round(5 + chance.nextInt(60)) / 100.0)
+                .put("part", Math.round(20 + chance.nextInt(80)) / 100.0)
                 .put("times", 1 + chance.nextInt(9));
         if (chance.nextInt(3) == 0 || kind == DayPlan.Kind.HALL_LOST) {
             trouble.put("hall", plan.halls().get(chance.nextInt(plan.halls().size())));
@@ -192,7 +210,8 @@
 
     private void move(ObjectNode trouble, double seconds) {
         long lasting = number(trouble, "lasting");
-        long at = Math.max(0, Math.min(plan.lasting() / 1_000_000 - lasting, number(trouble, "at") + Math.round(seconds * 1000)));
+        long at = Math.max(
+                0, Math.min(plan.lasting() / 1_000_000 - lasting, number(trouble, "at") + Math.round(seconds * 1000)));
         trouble.put("at", at + " ms");
     }
 
@@ -223,7 +242,8 @@
                 }
             }
             for (Tried tried : play(less)) {
-                boolean asBad = found.rule().isEmpty() ? tried.outcome().credit() <= found.outcome().credit() + AS_BAD
+                boolean asBad = found.rule().isEmpty()
+                        ? tried.outcome().credit() <= found.outcome().credit() + AS_BAD
                         : tried.rule().equals(found.rule());
                 if (asBad) {
                     small = tried;
--- a/rehearsal/src/main/java/pearladder/rehearsal/Station.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Station.java
@@ -30,7 +30,11 @@
     private long decidedNanos;
 
     /** @param others what the other routers know of releases; @param maker of a life, by the seed's number */
-    Station(String name, String hall, Supplier<List<Target>> others, java.util.function.BiFunction<Station, Long, Life> maker) {
+    Station(
+            String name,
+            String hall,
+            Supplier<List<Target>> others,
+            java.util.function.BiFunction<Station, Long, Life> maker) {
         this.name = name;
         this.hall = hall;
         this.others = others;
--- a/rehearsal/src/main/java/pearladder/rehearsal/VirtualEngines.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/VirtualEngines.java
@@ -24,14 +24,21 @@
     private record Said(Outcome outcome, Event.Copy copy, int crowd, Event.Report report) implements EngineSaid {
         static Said of(Engine.Answer answer) {
             LoadReport report = answer.report();
-            return new Said(switch (answer.end()) {
-                case OK -> Outcome.SUCCESS;
-                case ERROR -> Outcome.ERROR;
-                case FULL -> Outcome.FULL;
-                case ABSENT -> Outcome.ABSENT;
-            }, answer.met() == null ? Event.Copy.UNTOLD : Event.Copy.valueOf(answer.met().name()), answer.crowd(),
-                    report == null ? null : new Event.Report(report.held(), report.waiting(), report.busy(), report.loads(),
-                            report.pinned()));
+            return new Said(
+                    switch (answer.end()) {
+                        case OK -> Outcome.SUCCESS;
+                        case ERROR -> Outcome.ERROR;
+                        case FULL -> Outcome.FULL;
+                        case ABSENT -> Outcome.ABSENT;
+                    },
+                    answer.met() == null
+                            ? Event.Copy.UNTOLD
+                            : Event.Copy.valueOf(answer.met().name()),
+                    answer.crowd(),
+                    report == null
+                            ? null
+                            : new Event.Report(
+                                    report.held(), report.waiting(), report.busy(), report.loads(), report.pinned()));
         }
     }
 
@@ -79,7 +86,8 @@
             this.link = link;
             this.work = work;
             this.ended = ended;
-            this.limit = life.after(Math.max(1_000_000, limit.nanos()),
+            this.limit = life.after(
+                    Math.max(1_000_000, limit.nanos()),
                     () -> end(written ? Outcome.TIMED_OUT : Outcome.UNREACHABLE, null));
             out.add(this);
             connect();
@@ -224,15 +232,20 @@
             return Sending.NONE;
         }
         Life.Carried carried = (Life.Carried) leg.call.reply;
-        Engine.Asked asked = new Engine.Asked(router, leg.call.named, leg.number, leg.call.function,
-                leg.call.mark == null ? "" : leg.call.mark, carried.work());
-        return new Flight(link, limit, reply -> link.host.engine.ask(asked, reply),
-                (outcome, answer) -> {
-                    Said said = answer == null ? null : Said.of(answer);
-                    boolean wrong = outcome == Outcome.SUCCESS && link.host.misnaming();
-                    ended.end(wrong ? Outcome.ERROR : outcome,
-                            wrong ? new Said(Outcome.ERROR, said.copy(), said.crowd(), said.report()) : said);
-                });
+        Engine.Asked asked = new Engine.Asked(
+                router,
+                leg.call.named,
+                leg.number,
+                leg.call.function,
+                leg.call.mark == null ? "" : leg.call.mark,
+                carried.work());
+        return new Flight(link, limit, reply -> link.host.engine.ask(asked, reply), (outcome, answer) -> {
+            Said said = answer == null ? null : Said.of(answer);
+            boolean wrong = outcome == Outcome.SUCCESS && link.host.misnaming();
+            ended.end(
+                    wrong ? Outcome.ERROR : outcome,
+                    wrong ? new Said(Outcome.ERROR, said.copy(), said.crowd(), said.report()) : said);
+        });
     }
 
     @Override
@@ -242,26 +255,35 @@
             ended.end(Outcome.UNREACHABLE, 0);
             return;
         }
-        new Flight(link, limit, reply -> {
-            Engine asked = link.host.engine;
-            if (copies == 0) {
-                reply.accept(new Engine.Answer(Engine.End.OK, null, 0, asked.standing(function), asked.report()));
-            } else {
-                asked.hold(router, function, copies, reply);
-            }
-            return null;
-        }, (outcome, answer) -> ended.end(outcome, answer == null ? 0 : answer.copies()));
+        new Flight(
+                link,
+                limit,
+                reply -> {
+                    Engine asked = link.host.engine;
+                    if (copies == 0) {
+                        reply.accept(
+                                new Engine.Answer(Engine.End.OK, null, 0, asked.standing(function), asked.report()));
+                    } else {
+                        asked.hold(router, function, copies, reply);
+                    }
+                    return null;
+                },
+                (outcome, answer) -> ended.end(outcome, answer == null ? 0 : answer.copies()));
     }
 
     @Override
     public void unload(String engine, String function, Span limit) {
         Link link = links.get(engine);
         if (link != null) {
-            new Flight(link, limit, reply -> {
-                link.host.engine.unload(function);
-                reply.accept(new Engine.Answer(Engine.End.OK, null, 0, 0, link.host.engine.report()));
-                return null;
-            }, (outcome, answer) -> { });
+            new Flight(
+                    link,
+                    limit,
+                    reply -> {
+                        link.host.engine.unload(function);
+                        reply.accept(new Engine.Answer(Engine.End.OK, null, 0, 0, link.host.engine.report()));
+                        return null;
+                    },
+                    (outcome, answer) -> {});
         }
     }
 
@@ -272,10 +294,14 @@
             ended.end(Outcome.UNREACHABLE, null);
             return;
         }
-        new Flight(link, limit, reply -> {
-            reply.accept(new Engine.Answer(Engine.End.OK, null, 0, 0, link.host.engine.report()));
-            return null;
-        }, (outcome, answer) -> ended.end(outcome, answer == null ? null : Said.of(answer)));
+        new Flight(
+                link,
+                limit,
+                reply -> {
+                    reply.accept(new Engine.Answer(Engine.End.OK, null, 0, 0, link.host.engine.report()));
+                    return null;
+                },
+                (outcome, answer) -> ended.end(outcome, answer == null ? null : Said.of(answer)));
     }
 
     @Override
--- a/rehearsal/src/main/java/pearladder/rehearsal/VirtualFleet.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/VirtualFleet.java
@@ -29,7 +29,7 @@
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<String, FleetPlan.Planned> planned = new LinkedHashMap<>();
     private final Map<Host, Long> still = new LinkedHashMap<>();
-    private Runnable listCut = () -> { };
+    private Runnable listCut = () -> {};
     private int made;
 
     VirtualFleet(Timeline time, FleetPlan plan, long delay, Consumer<Seen> seen) {
@@ -65,14 +65,24 @@
     }
 
     private void add(FleetPlan.Planned engine, boolean cold) {
-        String group = switch (engine.kind().rememberedBy()) {
-            case ALL -> "";
-            case HALL -> engine.hall();
-            case CELL -> Long.toString(engine.cell());
-        };
-        Marks shared = marks.computeIfAbsent(group, name -> new Marks(time, engine.kind().rememberedNanos()));
-        Engine model = new Engine(time, engine.id(), engine.kind(), plan::modelOf, shelf, shared, plan.seed() * 1000 + made++,
-                cold, seen);
+        String group =
+                switch (engine.kind().rememberedBy()) {
+                    case ALL -> "";
+                    case HALL -> engine.hall();
+                    case CELL -> Long.toString(engine.cell());
+                };
+        Marks shared = marks.computeIfAbsent(
+                group, name -> new Marks(time, engine.kind().rememberedNanos()));
+        Engine model = new Engine(
+                time,
+                engine.id(),
+                engine.kind(),
+                plan::modelOf,
+                shelf,
+                shared,
+                plan.seed() * 1000 + made++,
+                cold,
+                seen);
         hosts.put(engine.id(), new Host(time, delay, model, engine.hall()));
         planned.put(engine.id(), engine);
         tell(engine.id(), Standing.IN_SERVICE, cold ? time.now() / 1_000_000 : 0);
@@ -119,7 +129,10 @@
         FleetPlan.Planned old = planned.get(id);
         time.after(drainNanos, () -> {
             kill(id);
-            add(new FleetPlan.Planned(id.replaceFirst("(~[0-9]+)?$", "~" + made), old.kind(), old.hall(), old.cell()), true);
+            add(
+                    new FleetPlan.Planned(
+                            id.replaceFirst("(~[0-9]+)?$", "~" + made), old.kind(), old.hall(), old.cell()),
+                    true);
         });
     }
 
@@ -135,8 +148,8 @@
 
     /** Brings a trouble, in the same words as the stand-ins' control port takes them. */
     void act(String what, List<String> engines, String model, double figure) {
-        List<Host> named = (engines.isEmpty() ? List.copyOf(hosts.keySet()) : engines).stream().map(hosts::get)
-                .filter(host -> host != null).toList();
+        List<Host> named = (engines.isEmpty() ? List.copyOf(hosts.keySet()) : engines)
+                .stream().map(hosts::get).filter(host -> host != null).toList();
         long nanos = Math.round(figure * 1e6);
         boolean on = figure > 0;
         switch (what) {
@@ -153,7 +166,8 @@
             case "cable-cut" -> named.forEach(host -> host.cut(on, on));
             case "cable-deaf" -> named.forEach(host -> host.deaf(on));
             case "cable-reset" -> named.forEach(Host::reset);
-            case "release" -> named.forEach(host -> Arrays.stream(model.split(",")).forEach(host.engine::release));
+            case "release" -> named.forEach(
+                    host -> Arrays.stream(model.split(",")).forEach(host.engine::release));
             case "kill" -> engines.forEach(this::kill);
             case "restart" -> engines.forEach(this::restart);
             case "replace" -> engines.forEach(id -> replace(id, nanos));
@@ -163,7 +177,8 @@
             case "list-silent" -> roll.silent(on);
             case "list-cut" -> listCut.run();
             case "list-lag" -> roll.lag(nanos);
-            case "list-split" -> roll.split(on ? Set.of(model.split(",")) : Set.of(), on ? Set.copyOf(engines) : Set.of());
+            case "list-split" -> roll.split(
+                    on ? Set.of(model.split(",")) : Set.of(), on ? Set.copyOf(engines) : Set.of());
             default -> throw new IllegalArgumentException("unknown deed " + what);
         }
     }
--- a/rehearsal/src/test/java/pearladder/rehearsal/RehearsalTest.java
+++ b/rehearsal/src/test/java/pearladder/rehearsal/RehearsalTest.java
@@ -21,7 +21,8 @@
 import pearladder.lab.RulesChecker;
 
 class RehearsalTest {
-    private static final String SCRIPT = """
+    private static final String SCRIPT =
+            """
             day: {name: small, lasting: 12 s, seed: 9, halls: [east, west], routers: 3, rate: 120}
             clients: {tries: 3, pause: 150 ms, front_lag: 500 ms, leaving: 0.03}
             traffic:
@@ -93,8 +94,14 @@
             ObjectNode script = script();
             script.remove("releases");
             script.withObject("/day").put("lasting", "6 s");
-            script.putArray("troubles").addObject().put("at", "2 s").put("lasting", "2 s").put("share", 0.4).put("hall", "west")
-                    .put("times", 3).put("what", kind.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'));
+            script.putArray("troubles")
+                    .addObject()
+                    .put("at", "2 s")
+                    .put("lasting", "2 s")
+                    .put("share", 0.4)
+                    .put("hall", "west")
+                    .put("times", 3)
+                    .put("what", kind.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'));
             Rehearsal.Outcome outcome = play(script);
             assertEquals(List.of(), outcome.faults(), kind.name());
             assertTrue(outcome.calls() > 500, kind + ": " + outcome.calls());
@@ -108,7 +115,12 @@
         ObjectNode script = script();
         script.remove("releases");
         script.withObject("/day").put("lasting", "20 s");
-        script.putArray("troubles").addObject().put("at", "2 s").put("lasting", "12 s").put("what", "cut").put("share", 0.5);
+        script.putArray("troubles")
+                .addObject()
+                .put("at", "2 s")
+                .put("lasting", "12 s")
+                .put("what", "cut")
+                .put("share", 0.5);
         assertEquals(List.of(), play(script).verdict().breaches());
     }
 
--- a/router/src/main/java/pearladder/router/AdminDoor.java
+++ b/router/src/main/java/pearladder/router/AdminDoor.java
@@ -35,8 +35,10 @@
     AdminDoor(Vertx vertx, Articles articles, ReleaseDesk desk) {
         this.desk = desk;
         this.articles = articles;
-        this.server = vertx.createHttpServer(new HttpServerOptions().setHost(articles.admin().host())
-                .setPort(articles.admin().port())).requestHandler(this::take);
+        this.server = vertx.createHttpServer(new HttpServerOptions()
+                        .setHost(articles.admin().host())
+                        .setPort(articles.admin().port()))
+                .requestHandler(this::take);
     }
 
     Future<Integer> listen() {
@@ -47,15 +49,21 @@
         if (!PATHS.contains(request.path())) {
             end(request, 404, Bodies.error("no such path; there are " + String.join(", ", PATHS)));
         } else if (request.method().equals(HttpMethod.GET)) {
-            end(request, 200, switch (request.path()) {
-                case "/releases/history" -> history();
-                case "/releases/newest" -> newest(request.getParam("sum"));
-                default -> status();
-            });
+            end(
+                    request,
+                    200,
+                    switch (request.path()) {
+                        case "/releases/history" -> history();
+                        case "/releases/newest" -> newest(request.getParam("sum"));
+                        default -> status();
+                    });
         } else if (request.method().equals(HttpMethod.POST) && request.path().equals("/releases")) {
             request.body().onSuccess(body -> order(request, body));
         } else {
-            end(request, 405, Bodies.error("this path takes GET" + (request.path().equals("/releases") ? " or POST" : "")));
+            end(
+                    request,
+                    405,
+                    Bodies.error("this path takes GET" + (request.path().equals("/releases") ? " or POST" : "")));
         }
     }
 
@@ -89,8 +97,11 @@
     private void order(HttpServerRequest request, Buffer body) {
         List<Target> targets;
         try {
-            targets = body.length() > LARGEST ? List.of() : JSON.readerForListOf(Target.class)
-                    .with(DeserializationFeature.ACCEPT_SINGLE_VALUE_AS_ARRAY).readValue(body.getBytes());
+            targets = body.length() > LARGEST
+                    ? List.of()
+                    : JSON.readerForListOf(Target.class)
+                            .with(DeserializationFeature.ACCEPT_SINGLE_VALUE_AS_ARRAY)
+                            .readValue(body.getBytes());
         } catch (JsonProcessingException malformed) {
             end(request, 400, Bodies.error("not an order: " + malformed.getOriginalMessage()));
             return;
@@ -98,29 +109,46 @@
             throw new IllegalStateException(impossible);
         }
         if (targets.isEmpty() || !targets.stream().allMatch(AdminDoor::whole)) {
-            end(request, 400, Bodies.error("neither an order nor a list of them (" + (LARGEST >> 20) + " MB at the most): a plan with model, from, to, steps, hold, gate and onBreach, a mode, "
-                    + "a step, an epoch and who orders it were expected"));
+            end(
+                    request,
+                    400,
+                    Bodies.error("neither an order nor a list of them (" + (LARGEST >> 20)
+                            + " MB at the most): a plan with model, from, to, steps, hold, gate and onBreach, a mode, "
+                            + "a step, an epoch and who orders it were expected"));
             return;
         }
         desk.order(targets, refusals -> {
             ObjectNode told = JSON.createObjectNode();
             ArrayNode all = told.putArray("refused");
             refusals.forEach(all::add);
-            refusals.stream().filter(refusal -> !refusal.isEmpty()).findFirst().ifPresent(first -> told.put("error", first));
+            refusals.stream()
+                    .filter(refusal -> !refusal.isEmpty())
+                    .findFirst()
+                    .ifPresent(first -> told.put("error", first));
             end(request, told.has("error") ? 409 : 200, told.toString());
         });
     }
 
     /** Whether an order that came from outside has all its parts. */
     static boolean whole(Target target) {
-        return target != null && target.plan() != null && target.mode() != null && target.plan().model() != null
-                && target.plan().steps() != null && target.plan().gate() != null && target.plan().hold() != null
-                && target.plan().from() != null && target.plan().to() != null && target.plan().onBreach() != null;
+        return target != null
+                && target.plan() != null
+                && target.mode() != null
+                && target.plan().model() != null
+                && target.plan().steps() != null
+                && target.plan().gate() != null
+                && target.plan().hold() != null
+                && target.plan().from() != null
+                && target.plan().to() != null
+                && target.plan().onBreach() != null;
     }
 
     private static void end(HttpServerRequest request, int status, String body) {
         if (!request.response().ended() && !request.response().closed()) {
-            request.response().setStatusCode(status).putHeader("content-type", "application/json").end(body);
+            request.response()
+                    .setStatusCode(status)
+                    .putHeader("content-type", "application/json")
+                    .end(body);
         }
     }
 }
--- a/router/src/main/java/pearladder/router/BackgroundWork.java
+++ b/router/src/main/java/pearladder/router/BackgroundWork.java
@@ -19,7 +19,7 @@
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.background");
 
     /** One piece: what is done, and what becomes of it. */
-    private record Job(Supplier<Future<Load>> run, Promise<Void> done) { }
+    private record Job(Supplier<Future<Load>> run, Promise<Void> done) {}
 
     private final Timers timers;
     private final Scheduler scheduler;
@@ -83,7 +83,10 @@
         } else if (action instanceof WorkAction.GiveUp up) {
             Job job = jobs.remove(up.id());
             if (job != null) {
-                LOG.atInfo().addKeyValue("work", up.id()).addKeyValue("cause", up.why()).log("given up");
+                LOG.atInfo()
+                        .addKeyValue("work", up.id())
+                        .addKeyValue("cause", up.why())
+                        .log("given up");
                 job.done().fail(up.why());
             }
         } else if (action instanceof WorkAction.Wake wake) {
@@ -95,15 +98,20 @@
 
     private void begin(String id) {
         Job job = jobs.get(id);
-        run(job).onComplete(cost -> {
-            jobs.remove(id);
-            // who waited may ask for the next piece at once, and a stop must wait for that one too
-            job.done().complete();
-            tell(new WorkEvent.Ended(id, true, cost));
-        }, failed -> {
-            LOG.atWarn().addKeyValue("work", id).addKeyValue("cause", String.valueOf(failed.getMessage())).log("failed");
-            tell(new WorkEvent.Ended(id, false, Load.NONE));
-        });
+        run(job).onComplete(
+                        cost -> {
+                            jobs.remove(id);
+                            // who waited may ask for the next piece at once, and a stop must wait for that one too
+                            job.done().complete();
+                            tell(new WorkEvent.Ended(id, true, cost));
+                        },
+                        failed -> {
+                            LOG.atWarn()
+                                    .addKeyValue("work", id)
+                                    .addKeyValue("cause", String.valueOf(failed.getMessage()))
+                                    .log("failed");
+                            tell(new WorkEvent.Ended(id, false, Load.NONE));
+                        });
     }
 
     /** Guards against a job that throws where it should have failed: it would count as running, and hold up a stop, for ever. */
--- a/router/src/main/java/pearladder/router/Door.java
+++ b/router/src/main/java/pearladder/router/Door.java
@@ -10,7 +10,6 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import pearladder.api.Facts;
 import pearladder.api.Moment;
 import pearladder.api.Span;
@@ -29,16 +28,35 @@
      * @param wish what it is of; its name is null where the client gave none
      * @param hint of its work, or null
      */
-    record Understood(ReleaseDesk.Wish wish, Moment came, Span timeLeft, Facts.Terms category, Articles.ModelTerms terms,
-            Span hint, boolean repeat) {
+    record Understood(
+            ReleaseDesk.Wish wish,
+            Moment came,
+            Span timeLeft,
+            Facts.Terms category,
+            Articles.ModelTerms terms,
+            Span hint,
+            boolean repeat) {
         /** The call as the router holds it: under its own name or the router's for it, of the version chosen. */
         Calls.Asked asked(String name, ReleaseDesk releases, HttpReply reply) {
-            ReleaseDesk.Wish named = wish.named() != null ? wish
+            ReleaseDesk.Wish named = wish.named() != null
+                    ? wish
                     : new ReleaseDesk.Wish(name, wish.model(), wish.version(), wish.key(), wish.account(), wish.mark());
             ReleaseDesk.Chosen chosen = releases.choose(named);
             reply.taken(named.named(), chosen.version());
-            return new Calls.Asked(named.named(), chosen.function(), wish.mark(), came, timeLeft, category, wish.account(),
-                    terms.lanes(), terms.memoryMb(), terms.usualLoad(), hint, repeat, chosen.ending());
+            return new Calls.Asked(
+                    named.named(),
+                    chosen.function(),
+                    wish.mark(),
+                    came,
+                    timeLeft,
+                    category,
+                    wish.account(),
+                    terms.lanes(),
+                    terms.memoryMb(),
+                    terms.usualLoad(),
+                    hint,
+                    repeat,
+                    chosen.ending());
         }
     }
 
@@ -68,10 +86,15 @@
         this.house = house;
         this.meters = meters;
         this.vertx = vertx;
-        this.server = vertx.createHttpServer(new HttpServerOptions().setHost(articles.host()).setPort(articles.port())
-                .setTcpNoDelay(true).setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
-                .setIdleTimeout((int) articles.limits().idle().inMillis()).setMaxHeaderSize(16 << 10)
-                .setMaxInitialLineLength(8 << 10)).requestHandler(this::take);
+        this.server = vertx.createHttpServer(new HttpServerOptions()
+                        .setHost(articles.host())
+                        .setPort(articles.port())
+                        .setTcpNoDelay(true)
+                        .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
+                        .setIdleTimeout((int) articles.limits().idle().inMillis())
+                        .setMaxHeaderSize(16 << 10)
+                        .setMaxInitialLineLength(8 << 10))
+                .requestHandler(this::take);
     }
 
     Future<Integer> listen() {
@@ -88,8 +111,8 @@
             return;
         }
         Route route = Route.of(request.path());
-        HttpMethod wanted = route.kind() == Route.Kind.INFER || route.kind() == Route.Kind.INDEX
-                ? HttpMethod.POST : HttpMethod.GET;
+        HttpMethod wanted =
+                route.kind() == Route.Kind.INFER || route.kind() == Route.Kind.INDEX ? HttpMethod.POST : HttpMethod.GET;
         if (route.kind() != Route.Kind.UNKNOWN && !request.method().equals(wanted)) {
             request.response().putHeader("allow", wanted.name());
             refuse(request, 405, "this path takes " + wanted);
@@ -115,8 +138,7 @@
         if (!route.model().matches(NAME) || articles.modelOf(route.model()) == null) {
             refuse(request, 404, "unknown model " + shown(route.model()));
         } else if (route.kind() == Route.Kind.MODEL) {
-            json(request, Bodies.model(route.model(), route.version() == null ? List.of()
-                    : List.of(route.version())));
+            json(request, Bodies.model(route.model(), route.version() == null ? List.of() : List.of(route.version())));
         } else if (house.ready()) {
             json(request, "{\"name\":\"" + route.model() + "\",\"ready\":true}");
         } else {
@@ -137,19 +159,32 @@
             return;
         }
         String word = request.getHeader(Headers.CATEGORY);
-        String category = word != null ? word : model.category() != null ? model.category()
-                : articles.facts().categories().size() == 1 ? articles.facts().categories().get(0).name() : null;
+        String category = word != null
+                ? word
+                : model.category() != null
+                        ? model.category()
+                        : articles.facts().categories().size() == 1
+                                ? articles.facts().categories().get(0).name()
+                                : null;
         Facts.Terms terms = category == null ? null : articles.category(category);
         if (terms == null) {
-            refuse(request, 400, category == null ? "the header " + Headers.CATEGORY + " is missing"
-                    : Headers.CATEGORY + ": unknown category " + shown(category));
+            refuse(
+                    request,
+                    400,
+                    category == null
+                            ? "the header " + Headers.CATEGORY + " is missing"
+                            : Headers.CATEGORY + ": unknown category " + shown(category));
             return;
         }
         String account = request.getHeader(Headers.ACCOUNT);
         if (!articles.facts().accounts().isEmpty()
                 && articles.facts().accounts().stream().noneMatch(a -> a.name().equals(account))) {
-            refuse(request, 400, account == null ? "the header " + Headers.ACCOUNT + " is missing"
-                    : Headers.ACCOUNT + ": unknown account " + shown(account));
+            refuse(
+                    request,
+                    400,
+                    account == null
+                            ? "the header " + Headers.ACCOUNT + " is missing"
+                            : Headers.ACCOUNT + ": unknown account " + shown(account));
             return;
         }
         String mark = request.getHeader(Headers.MARK);
@@ -160,8 +195,11 @@
         Span patience = millis(request, Headers.PATIENCE, terms.abandon());
         Span hint = millis(request, Headers.HINT, Span.NONE);
         if (patience == null || hint == null || patience.nanos() <= 0) {
-            refuse(request, 400, (patience == null || patience.nanos() <= 0 ? Headers.PATIENCE : Headers.HINT)
-                    + ": a number of milliseconds was expected");
+            refuse(
+                    request,
+                    400,
+                    (patience == null || patience.nanos() <= 0 ? Headers.PATIENCE : Headers.HINT)
+                            + ": a number of milliseconds was expected");
             return;
         }
         if (length(request) > articles.limits().payload()) {
@@ -170,17 +208,33 @@
         }
         read(request, body -> {
             // what the loop is late counts twice: the call waited unseen on its way in, and so will its answer
-            Span left = patience.atMost(terms.abandon()).minus(VertxTimers.present().since(came)).minus(house.behind().times(2));
-            String closed = left.nanos() <= 0 ? "the client's time is up before the call could be taken" : house.closedBecause();
+            Span left = patience.atMost(terms.abandon())
+                    .minus(VertxTimers.present().since(came))
+                    .minus(house.behind().times(2));
+            String closed = left.nanos() <= 0
+                    ? "the client's time is up before the call could be taken"
+                    : house.closedBecause();
             if (closed != null) {
                 notTaken(request.response(), closed);
                 return;
             }
             String named = request.getHeader(Headers.CALL);
             String type = request.getHeader("content-type");
-            house.take(new Understood(new ReleaseDesk.Wish(named != null && named.matches(NAME) ? named : null, route.model(),
-                    route.version(), request.getHeader(Headers.KEY), articles.facts().accounts().isEmpty() ? null : account, mark),
-                    came, left, terms, model, hint.nanos() == 0 ? null : hint, "1".equals(request.getHeader(Headers.REPEAT))),
+            house.take(
+                    new Understood(
+                            new ReleaseDesk.Wish(
+                                    named != null && named.matches(NAME) ? named : null,
+                                    route.model(),
+                                    route.version(),
+                                    request.getHeader(Headers.KEY),
+                                    articles.facts().accounts().isEmpty() ? null : account,
+                                    mark),
+                            came,
+                            left,
+                            terms,
+                            model,
+                            hint.nanos() == 0 ? null : hint,
+                            "1".equals(request.getHeader(Headers.REPEAT))),
                     new HttpReply(route.model(), type == null ? "application/json" : type, body, request.response()));
         });
     }
@@ -190,14 +244,19 @@
         boolean[] over = {false};
         long timer = vertx.setTimer(Math.max(1, articles.limits().bodyWithin().inMillis()), fired -> {
             over[0] = true;
-            refuse(request, 408, "the body was not in after " + articles.limits().bodyWithin().inMillis() + " ms");
+            refuse(
+                    request,
+                    408,
+                    "the body was not in after "
+                            + articles.limits().bodyWithin().inMillis() + " ms");
         });
         request.exceptionHandler(left -> {
             over[0] = true;
             vertx.cancelTimer(timer);
         });
         request.handler(part -> {
-            if (!over[0] && body.length() + (long) part.length() > articles.limits().payload()) {
+            if (!over[0]
+                    && body.length() + (long) part.length() > articles.limits().payload()) {
                 over[0] = true;
                 vertx.cancelTimer(timer);
                 refuse(request, 413, "a body has " + articles.limits().payload() + " bytes at the most");
@@ -241,7 +300,10 @@
 
     private static void end(HttpServerRequest request, int status, String type, String body) {
         if (!request.response().ended() && !request.response().closed()) {
-            request.response().setStatusCode(status).putHeader("content-type", type).end(body);
+            request.response()
+                    .setStatusCode(status)
+                    .putHeader("content-type", type)
+                    .end(body);
         }
     }
 
--- a/router/src/main/java/pearladder/router/EngineAnswer.java
+++ b/router/src/main/java/pearladder/router/EngineAnswer.java
@@ -32,13 +32,15 @@
     @Override
     public Event.Copy copy() {
         String word = headers.get(Headers.COPY);
-        return word == null ? Event.Copy.UNTOLD : switch (word) {
-            case "stood" -> Event.Copy.STOOD;
-            case "load-begun" -> Event.Copy.LOAD_BEGUN;
-            case "load-joined" -> Event.Copy.LOAD_JOINED;
-            case "load-failed" -> Event.Copy.LOAD_FAILED;
-            default -> Event.Copy.UNTOLD;
-        };
+        return word == null
+                ? Event.Copy.UNTOLD
+                : switch (word) {
+                    case "stood" -> Event.Copy.STOOD;
+                    case "load-begun" -> Event.Copy.LOAD_BEGUN;
+                    case "load-joined" -> Event.Copy.LOAD_JOINED;
+                    case "load-failed" -> Event.Copy.LOAD_FAILED;
+                    default -> Event.Copy.UNTOLD;
+                };
     }
 
     @Override
@@ -54,7 +56,8 @@
 
     static Event.Report report(MultiMap headers) {
         LoadReport report = LoadReport.parse(headers.get(Headers.REPORT));
-        return report == null ? null : new Event.Report(report.held(), report.waiting(), report.busy(),
-                report.loads(), report.pinned());
+        return report == null
+                ? null
+                : new Event.Report(report.held(), report.waiting(), report.busy(), report.loads(), report.pinned());
     }
 }
--- a/router/src/main/java/pearladder/router/EngineLink.java
+++ b/router/src/main/java/pearladder/router/EngineLink.java
@@ -36,18 +36,29 @@
     }
 
     private HttpClient client() {
-        return vertx.createHttpClient(new HttpClientOptions().setDefaultHost(host).setDefaultPort(port)
-                .setConnectTimeout((int) terms.dial().inMillis())
-                .setKeepAliveTimeout((int) Math.max(1, Math.round(terms.idle().inSeconds())))
-                // a leg that is given up must not leave this machine later, when a cut is mended: closing resets
-                .setTcpNoDelay(true).setSoLinger(0).setPipelining(false),
+        return vertx.createHttpClient(
+                new HttpClientOptions()
+                        .setDefaultHost(host)
+                        .setDefaultPort(port)
+                        .setConnectTimeout((int) terms.dial().inMillis())
+                        .setKeepAliveTimeout(
+                                (int) Math.max(1, Math.round(terms.idle().inSeconds())))
+                        // a leg that is given up must not leave this machine later, when a cut is mended: closing
+                        // resets
+                        .setTcpNoDelay(true)
+                        .setSoLinger(0)
+                        .setPipelining(false),
                 new PoolOptions().setHttp1MaxSize(terms.perEngine()).setMaxWaitQueueSize(-1));
     }
 
     /** A connection for one request; the future fails if none was had in time, and then nothing was sent. */
     Future<HttpClientRequest> request(HttpMethod method, String uri) {
         out++;
-        return client.request(new RequestOptions().setMethod(method).setHost(host).setPort(port).setURI(uri)
+        return client.request(new RequestOptions()
+                .setMethod(method)
+                .setHost(host)
+                .setPort(port)
+                .setURI(uri)
                 .setConnectTimeout(terms.dial().inMillis()));
     }
 
@@ -78,7 +89,10 @@
     }
 
     /** Reads an answer whole, up to a limit; half an answer and one past the limit are failures. */
-    static void read(HttpClientResponse response, long limit, BiConsumer<HttpClientResponse, Buffer> whole,
+    static void read(
+            HttpClientResponse response,
+            long limit,
+            BiConsumer<HttpClientResponse, Buffer> whole,
             Consumer<Throwable> failed) {
         Buffer body = Buffer.buffer();
         boolean[] over = {false};
--- a/router/src/main/java/pearladder/router/HttpReply.java
+++ b/router/src/main/java/pearladder/router/HttpReply.java
@@ -64,7 +64,9 @@
                     response.putHeader(name, value);
                 }
             }
-            response.setStatusCode(answer.status()).putHeader(Headers.STATE, FinalState.SETTLED.word()).end(answer.body());
+            response.setStatusCode(answer.status())
+                    .putHeader(Headers.STATE, FinalState.SETTLED.word())
+                    .end(answer.body());
         }
     }
 
@@ -83,14 +85,17 @@
             response.putHeader(Headers.RETRY_AFTER_MS, Long.toString(millis))
                     .putHeader("retry-after", Long.toString((millis + 999) / 1000));
         }
-        response.setStatusCode(FinalState.DISMISSED.status).putHeader(Headers.STATE, FinalState.DISMISSED.word())
-                .putHeader("content-type", "application/json").end(Bodies.error(why));
+        response.setStatusCode(FinalState.DISMISSED.status)
+                .putHeader(Headers.STATE, FinalState.DISMISSED.word())
+                .putHeader("content-type", "application/json")
+                .end(Bodies.error(why));
     }
 
     @Override
     public void terminated() {
         if (open()) {
-            response.setStatusCode(FinalState.TERMINATED.status).putHeader(Headers.STATE, FinalState.TERMINATED.word())
+            response.setStatusCode(FinalState.TERMINATED.status)
+                    .putHeader(Headers.STATE, FinalState.TERMINATED.word())
                     .putHeader("content-type", "application/json")
                     .end(Bodies.error("no answer; it may or may not have taken effect"));
         }
--- a/router/src/main/java/pearladder/router/JournalOffLoop.java
+++ b/router/src/main/java/pearladder/router/JournalOffLoop.java
@@ -39,10 +39,14 @@
 
     @Override
     public void keep(List<Target> orders, Consumer<String> failure) {
-        write(() -> {
-            List<Target> there = journal.orders();
-            journal.append(orders.stream().filter(order -> !there.contains(order)).toList());
-        }, failure);
+        write(
+                () -> {
+                    List<Target> there = journal.orders();
+                    journal.append(orders.stream()
+                            .filter(order -> !there.contains(order))
+                            .toList());
+                },
+                failure);
     }
 
     @Override
@@ -52,9 +56,11 @@
 
     private void write(Writing writing, Consumer<String> failure) {
         vertx.<Void>executeBlocking(() -> {
-            writing.write();
-            return null;
-        }).onComplete(kept -> failure.accept(null), failed -> failure.accept(String.valueOf(failed.getMessage())));
+                    writing.write();
+                    return null;
+                })
+                .onComplete(
+                        kept -> failure.accept(null), failed -> failure.accept(String.valueOf(failed.getMessage())));
     }
 
     /** Done once everything that was handed over up to now is on disk, or has failed. */
--- a/router/src/main/java/pearladder/router/LastList.java
+++ b/router/src/main/java/pearladder/router/LastList.java
@@ -26,7 +26,9 @@
         } catch (NoSuchFileException none) {
             return null;
         } catch (IOException unreadable) {
-            LOG.atWarn().addKeyValue("file", file).addKeyValue("cause", unreadable.getMessage())
+            LOG.atWarn()
+                    .addKeyValue("file", file)
+                    .addKeyValue("cause", unreadable.getMessage())
                     .log("the last list can't be read; starting without one");
             return null;
         }
--- a/router/src/main/java/pearladder/router/Learning.java
+++ b/router/src/main/java/pearladder/router/Learning.java
@@ -37,6 +37,7 @@
     private static final long WITHIN_MILLIS = 1000;
     /** An answer that tells nothing new. */
     private static final Load USUAL = new Load(0, 500, 0);
+
     private static final int LARGEST = 16 << 20;
 
     private final Vertx vertx;
@@ -50,15 +51,18 @@
     private boolean learnt;
     private boolean closed;
 
-    Learning(Vertx vertx, ReleaseDesk desk, JournalOffLoop journal, BackgroundWork work,
-            List<Articles.Address> others) {
+    Learning(
+            Vertx vertx, ReleaseDesk desk, JournalOffLoop journal, BackgroundWork work, List<Articles.Address> others) {
         this.work = work;
         this.vertx = vertx;
         this.desk = desk;
         this.journal = journal;
         this.others = others;
-        this.client = others.isEmpty() ? null : vertx.createHttpClient(new HttpClientOptions()
-                .setConnectTimeout((int) WITHIN_MILLIS), new PoolOptions().setHttp1MaxSize(1));
+        this.client = others.isEmpty()
+                ? null
+                : vertx.createHttpClient(
+                        new HttpClientOptions().setConnectTimeout((int) WITHIN_MILLIS),
+                        new PoolOptions().setHttp1MaxSize(1));
     }
 
     /** Asks everybody; then one a second, in turn. */
@@ -79,7 +83,8 @@
     private void next() {
         if (!closed && !others.isEmpty()) {
             Articles.Address other = others.get(turn++ % others.size());
-            vertx.setTimer(EVERY_MILLIS, fired -> work.ask(Duties.LEARN, "", USUAL, null, () -> ask(other).map(USUAL))
+            vertx.setTimer(EVERY_MILLIS, fired -> work.ask(
+                            Duties.LEARN, "", USUAL, null, () -> ask(other).map(USUAL))
                     .onComplete(asked -> next()));
         }
     }
@@ -89,10 +94,13 @@
             // the turn came between this end and that of the background work
             return Future.succeededFuture();
         }
-        return client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(other.host()).setPort(other.port())
-                .setURI("/releases/newest?sum=" + desk.sum()))
-                .compose(request -> request.send().compose(HttpClientResponse::body)
-                        .onFailure(broken -> request.reset()))
+        return client.request(new RequestOptions()
+                        .setMethod(HttpMethod.GET)
+                        .setHost(other.host())
+                        .setPort(other.port())
+                        .setURI("/releases/newest?sum=" + desk.sum()))
+                .compose(request ->
+                        request.send().compose(HttpClientResponse::body).onFailure(broken -> request.reset()))
                 .timeout(WITHIN_MILLIS, TimeUnit.MILLISECONDS)
                 .<Void>map(body -> {
                     heard(other, body);
@@ -130,7 +138,9 @@
     private void stands(Articles.Address other, boolean answers, String why) {
         Boolean before = answering.put(other, answers);
         if (before == null ? !answers : before != answers) {
-            LOG.atInfo().addKeyValue("router", other.host() + ":" + other.port()).addKeyValue("cause", why)
+            LOG.atInfo()
+                    .addKeyValue("router", other.host() + ":" + other.port())
+                    .addKeyValue("cause", why)
                     .log(answers ? "orders are learnt from it again" : "no orders can be learnt from it");
         }
     }
--- a/router/src/main/java/pearladder/router/Legs.java
+++ b/router/src/main/java/pearladder/router/Legs.java
@@ -33,8 +33,8 @@
         Flight(EngineLink link, Span limit, LegEnded ended) {
             this.link = link;
             this.ended = ended;
-            this.timer = vertx.setTimer(Timers.millis(limit), fired -> end(written() ? Outcome.TIMED_OUT : Outcome.UNREACHABLE,
-                    null));
+            this.timer = vertx.setTimer(
+                    Timers.millis(limit), fired -> end(written() ? Outcome.TIMED_OUT : Outcome.UNREACHABLE, null));
         }
 
         private boolean written() {
@@ -42,22 +42,32 @@
         }
 
         Flight go(HttpMethod method, String uri, Writing writing) {
-            link.request(method, uri).onComplete(connected -> {
-                if (over) {
-                    connected.reset();
-                } else {
-                    request = connected;
-                    writing.write(connected.putHeader(Headers.ROUTER, router));
-                }
-            }, unreached -> end(Outcome.UNREACHABLE, null));
+            link.request(method, uri)
+                    .onComplete(
+                            connected -> {
+                                if (over) {
+                                    connected.reset();
+                                } else {
+                                    request = connected;
+                                    writing.write(connected.putHeader(Headers.ROUTER, router));
+                                }
+                            },
+                            unreached -> end(Outcome.UNREACHABLE, null));
             return this;
         }
 
         void send(Buffer body) {
-            request.send(body).onComplete(response -> EngineLink.read(response, answerLimit, (head, whole) -> {
-                EngineAnswer answer = EngineAnswer.of(head.statusCode(), head.headers(), whole);
-                end(answer.outcome(), answer);
-            }, broken -> end(Outcome.BROKEN, null)), broken -> end(Outcome.BROKEN, null));
+            request.send(body)
+                    .onComplete(
+                            response -> EngineLink.read(
+                                    response,
+                                    answerLimit,
+                                    (head, whole) -> {
+                                        EngineAnswer answer = EngineAnswer.of(head.statusCode(), head.headers(), whole);
+                                        end(answer.outcome(), answer);
+                                    },
+                                    broken -> end(Outcome.BROKEN, null)),
+                            broken -> end(Outcome.BROKEN, null));
         }
 
         /** The first end counts; whatever comes after it is passed over. */
@@ -122,7 +132,8 @@
             }
         });
         return flight.go(HttpMethod.POST, call.path(), request -> {
-            request.putHeader("content-type", call.contentType).putHeader(Headers.CALL, leg.call.named)
+            request.putHeader("content-type", call.contentType)
+                    .putHeader(Headers.CALL, leg.call.named)
                     .putHeader(Headers.LEG, Integer.toString(leg.number));
             if (leg.call.mark != null) {
                 request.putHeader(Headers.MARK, leg.call.mark);
@@ -134,8 +145,13 @@
     @Override
     public void order(String engine, String function, int copies, Span limit, Ordered ended) {
         boolean asks = copies == 0;
-        ask(engine, HttpMethod.POST, asks ? "/v2/repository/index" : "/v2/repository/models/" + function + "/load",
-                Buffer.buffer(asks ? "{}" : Bodies.load(copies)), limit, (outcome, said) -> {
+        ask(
+                engine,
+                HttpMethod.POST,
+                asks ? "/v2/repository/index" : "/v2/repository/models/" + function + "/load",
+                Buffer.buffer(asks ? "{}" : Bodies.load(copies)),
+                limit,
+                (outcome, said) -> {
                     EngineAnswer answer = (EngineAnswer) said;
                     if (answer == null) {
                         ended.end(outcome, 0);
@@ -143,9 +159,11 @@
                         ended.end(outcome, standing(answer.body(), function));
                     } else {
                         String stand = answer.headers().get(Headers.COPIES);
-                        ended.end(answer.status() == 503 ? Outcome.FULL : outcome,
-                                stand != null && stand.matches("[0-9]{1,6}") ? Integer.parseInt(stand)
-                                : outcome == Outcome.SUCCESS ? copies : 0);
+                        ended.end(
+                                answer.status() == 503 ? Outcome.FULL : outcome,
+                                stand != null && stand.matches("[0-9]{1,6}")
+                                        ? Integer.parseInt(stand)
+                                        : outcome == Outcome.SUCCESS ? copies : 0);
                     }
                 });
     }
@@ -153,7 +171,9 @@
     private static int standing(Buffer body, String function) {
         try {
             return (int) Bodies.indexed(body.toString()).stream()
-                    .filter(model -> model.name().equals(function) && model.state().equals("READY")).count();
+                    .filter(model ->
+                            model.name().equals(function) && model.state().equals("READY"))
+                    .count();
         } catch (java.io.IOException unreadable) {
             return 0;
         }
@@ -161,8 +181,13 @@
 
     @Override
     public void unload(String engine, String function, Span limit) {
-        ask(engine, HttpMethod.POST, "/v2/repository/models/" + function + "/unload", Buffer.buffer("{}"), limit,
-                (outcome, said) -> { });
+        ask(
+                engine,
+                HttpMethod.POST,
+                "/v2/repository/models/" + function + "/unload",
+                Buffer.buffer("{}"),
+                limit,
+                (outcome, said) -> {});
     }
 
     @Override
--- a/router/src/main/java/pearladder/router/ListWatch.java
+++ b/router/src/main/java/pearladder/router/ListWatch.java
@@ -48,8 +48,9 @@
         this.service = service;
         this.router = router;
         this.listener = listener;
-        this.client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false)
-                .setConnectTimeout((int) service.silence().inMillis()));
+        this.client = vertx.createHttpClient(
+                new HttpClientOptions().setKeepAlive(false).setConnectTimeout((int)
+                        service.silence().inMillis()));
     }
 
     /** Watches from the version it has on; does nothing where it watches already. */
@@ -60,8 +61,12 @@
         watching = true;
         int mine = ++attempt;
         heard(mine);
-        client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(service.host()).setPort(service.port())
-                .setURI("/v1/list/watch?from=" + version).putHeader(Headers.ROUTER, router))
+        client.request(new RequestOptions()
+                        .setMethod(HttpMethod.GET)
+                        .setHost(service.host())
+                        .setPort(service.port())
+                        .setURI("/v1/list/watch?from=" + version)
+                        .putHeader(Headers.ROUTER, router))
                 .compose(asked -> {
                     request = asked;
                     return asked.send();
@@ -75,7 +80,8 @@
             broke(mine, "status " + response.statusCode());
             return;
         }
-        RecordParser lines = RecordParser.newDelimited("\n", line -> line(mine, line)).maxRecordSize(LONGEST_LINE);
+        RecordParser lines =
+                RecordParser.newDelimited("\n", line -> line(mine, line)).maxRecordSize(LONGEST_LINE);
         lines.exceptionHandler(tooLong -> broke(mine, tooLong.getMessage()));
         response.handler(lines);
         response.exceptionHandler(broken -> broke(mine, broken.getMessage()));
--- a/router/src/main/java/pearladder/router/Meters.java
+++ b/router/src/main/java/pearladder/router/Meters.java
@@ -21,9 +21,11 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<FinalState, Counter> answers = new EnumMap<>(FinalState.class);
     private final Map<Outcome, Counter> legs = new EnumMap<>(Outcome.class);
-    private final Timer settled = Timer.builder("pearladder.call.seconds").publishPercentiles(0.5, 0.99)
+    private final Timer settled = Timer.builder("pearladder.call.seconds")
+            .publishPercentiles(0.5, 0.99)
             .register(registry);
-    private final Timer decisions = Timer.builder("pearladder.decision.seconds").publishPercentiles(0.5, 0.99)
+    private final Timer decisions = Timer.builder("pearladder.decision.seconds")
+            .publishPercentiles(0.5, 0.99)
             .register(registry);
     private final Counter left = registry.counter("pearladder.clients.left");
     private final Counter turnedAway = registry.counter("pearladder.calls.not.taken");
@@ -37,8 +39,10 @@
             answers.put(state, registry.counter("pearladder.calls", "state", state.word()));
         }
         for (Outcome outcome : Outcome.values()) {
-            legs.put(outcome, registry.counter("pearladder.legs", "outcome",
-                    outcome.name().toLowerCase(Locale.ROOT)));
+            legs.put(
+                    outcome,
+                    registry.counter(
+                            "pearladder.legs", "outcome", outcome.name().toLowerCase(Locale.ROOT)));
         }
         // a builder keeps its supplier; registry.gauge would hold it weakly and read NaN after a collection
         Gauge.builder("pearladder.calls.open", openCalls).register(registry);
--- a/router/src/main/java/pearladder/router/Operator.java
+++ b/router/src/main/java/pearladder/router/Operator.java
@@ -25,14 +25,16 @@
  */
 public final class Operator {
     /** What came of an order: how many routers took it, and a line for each. */
-    public record Told(int took, int asked, List<String> lines) { }
+    public record Told(int took, int asked, List<String> lines) {}
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final List<String> doors;
     private final String by;
-    private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(Duration.ofSeconds(2)).build();
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(2))
+            .build();
 
     /** @param doors addresses of the routers' admin doors; @param by who orders */
     public Operator(List<String> doors, String by) {
@@ -61,7 +63,8 @@
     public List<String> status() {
         return each("/releases", (door, body) -> {
             List<String> lines = new ArrayList<>();
-            body.path("status").forEach(line -> lines.add(door + " (" + body.path("router").asText() + "): " + line.asText()));
+            body.path("status")
+                    .forEach(line -> lines.add(door + " (" + body.path("router").asText() + "): " + line.asText()));
             return lines.isEmpty() ? List.of(door + " (" + body.path("router").asText() + "): no release") : lines;
         });
     }
@@ -71,10 +74,15 @@
         return each("/releases/history", (door, body) -> {
             List<String> lines = new ArrayList<>();
             for (JsonNode order : body) {
-                lines.add(door + ": " + java.time.Instant.ofEpochMilli(order.path("wallMillis").asLong()) + " "
-                        + order.path("by").asText() + " " + order.path("mode").asText().toLowerCase(java.util.Locale.ROOT) + " "
-                        + order.path("plan").path("model").asText() + " to " + order.path("plan").path("to").asText()
-                        + ", epoch " + order.path("epoch").asLong() + ", step " + order.path("step").asInt());
+                lines.add(door + ": "
+                        + java.time.Instant.ofEpochMilli(
+                                order.path("wallMillis").asLong()) + " "
+                        + order.path("by").asText() + " "
+                        + order.path("mode").asText().toLowerCase(java.util.Locale.ROOT) + " "
+                        + order.path("plan").path("model").asText() + " to "
+                        + order.path("plan").path("to").asText()
+                        + ", epoch " + order.path("epoch").asLong() + ", step "
+                        + order.path("step").asInt());
             }
             return lines;
         });
@@ -103,8 +111,11 @@
         List<Target> orders = new ArrayList<>();
         for (Plan plan : plans) {
             Target before = newest.get(plan.model());
-            String serves = before == null ? null : before.mode() == Target.Mode.ROLLED_BACK ? before.plan().from()
-                    : before.plan().to();
+            String serves = before == null
+                    ? null
+                    : before.mode() == Target.Mode.ROLLED_BACK
+                            ? before.plan().from()
+                            : before.plan().to();
             if (serves != null && !serves.equals(plan.from()) && !before.plan().equals(plan)) {
                 // all calls would go at once to a version that stands nowhere
                 wrong.add(plan.model() + ": its calls get version \"" + serves + "\", not \"" + plan.from()
@@ -135,7 +146,8 @@
                 continue;
             }
             Target wanted = change.apply(before);
-            orders.add(new Target(after(before), wanted.plan(), wanted.mode(), wanted.step(), by, System.currentTimeMillis()));
+            orders.add(new Target(
+                    after(before), wanted.plan(), wanted.mode(), wanted.step(), by, System.currentTimeMillis()));
         }
         Told told = give(orders);
         unknown.addAll(told.lines());
@@ -151,7 +163,8 @@
         Map<String, Target> newest = new LinkedHashMap<>();
         for (String door : doors) {
             try {
-                List<Target> targets = JSON.convertValue(get(door, "/releases").path("targets"), new TypeReference<>() { });
+                List<Target> targets =
+                        JSON.convertValue(get(door, "/releases").path("targets"), new TypeReference<>() {});
                 targets.forEach(target -> newest.merge(target.plan().model(), target, Target::newer));
             } catch (IOException away) {
                 continue;
@@ -167,9 +180,15 @@
         }
         Map<String, CompletableFuture<HttpResponse<String>>> answers = new LinkedHashMap<>();
         for (String door : doors) {
-            answers.put(door, client.sendAsync(HttpRequest.newBuilder(URI.create("http://" + door + "/releases"))
-                    .timeout(Duration.ofSeconds(10)).POST(HttpRequest.BodyPublishers.ofString(
-                            JSON.valueToTree(orders).toString())).build(), HttpResponse.BodyHandlers.ofString()));
+            answers.put(
+                    door,
+                    client.sendAsync(
+                            HttpRequest.newBuilder(URI.create("http://" + door + "/releases"))
+                                    .timeout(Duration.ofSeconds(10))
+                                    .POST(HttpRequest.BodyPublishers.ofString(
+                                            JSON.valueToTree(orders).toString()))
+                                    .build(),
+                            HttpResponse.BodyHandlers.ofString()));
         }
         List<String> lines = new ArrayList<>();
         int took = 0;
@@ -180,8 +199,11 @@
                 String refusal = refused == null ? null : i < refused.size() ? refused.get(i) : refused.get(0);
                 took += refusal != null && refusal.isEmpty() ? 1 : 0;
                 lines.add(answer.getKey() + ": " + order.plan().model() + " epoch " + order.epoch() + ": "
-                        + (refusal == null ? "no answer; it learns the order when it is back, or give it again"
-                        : refusal.isEmpty() ? order.mode().name().toLowerCase(java.util.Locale.ROOT) : "refused: " + refusal));
+                        + (refusal == null
+                                ? "no answer; it learns the order when it is back, or give it again"
+                                : refusal.isEmpty()
+                                        ? order.mode().name().toLowerCase(java.util.Locale.ROOT)
+                                        : "refused: " + refusal));
             }
         }
         return new Told(took, orders.size() * doors.size(), lines);
@@ -204,8 +226,11 @@
 
     private JsonNode get(String door, String path) throws IOException {
         try {
-            HttpResponse<String> answer = client.send(HttpRequest.newBuilder(URI.create("http://" + door + path))
-                    .timeout(Duration.ofSeconds(5)).build(), HttpResponse.BodyHandlers.ofString());
+            HttpResponse<String> answer = client.send(
+                    HttpRequest.newBuilder(URI.create("http://" + door + path))
+                            .timeout(Duration.ofSeconds(5))
+                            .build(),
+                    HttpResponse.BodyHandlers.ofString());
             return JSON.readTree(answer.body());
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
--- a/router/src/main/java/pearladder/router/PlanReader.java
+++ b/router/src/main/java/pearladder/router/PlanReader.java
@@ -10,7 +10,7 @@
 
 /** Reads a release's plan: one for each model that it names. docs/versions.md lists the keys. */
 public final class PlanReader {
-    private PlanReader() { }
+    private PlanReader() {}
 
     /** Reads a file; throws {@link pearladder.yaml.Mistakes.Found} with every mistake in it. */
     public static List<Plan> read(Path file) {
@@ -32,10 +32,14 @@
         List<Double> steps = release.at("steps").each(step -> step.number(0, 1e9));
         Span hold = new Span(release.at("hold").span("60 s"));
         long least = release.at("least_calls").whole(200, 0, Integer.MAX_VALUE);
-        Plan.Gate terms = new Plan.Gate(gate.at("excess").number(0.05, 0, 1), gate.at("wrongly").number(0.01, 0, 1),
+        Plan.Gate terms = new Plan.Gate(
+                gate.at("excess").number(0.05, 0, 1),
+                gate.at("wrongly").number(0.01, 0, 1),
                 gate.at("missed").number(0.05, 0, 1));
         Plan.Breach breach = release.at("on_breach").word(Plan.Breach.class, Plan.Breach.ROLL_BACK);
-        List<Plan> plans = models.stream().map(model -> new Plan(model, from, to, steps, hold, least, terms, breach)).toList();
+        List<Plan> plans = models.stream()
+                .map(model -> new Plan(model, from, to, steps, hold, least, terms, breach))
+                .toList();
         if (!plans.isEmpty()) {
             for (Plan.Fault fault : plans.get(0).faults()) {
                 Value at = release;
--- a/router/src/main/java/pearladder/router/Recorder.java
+++ b/router/src/main/java/pearladder/router/Recorder.java
@@ -28,7 +28,6 @@
 import pearladder.kserve.ListLine;
 import pearladder.records.Archive;
 import pearladder.records.Entry;
-import pearladder.records.Keeping;
 import pearladder.records.Kind;
 import pearladder.records.Records;
 import pearladder.router.core.Articles;
@@ -56,10 +55,11 @@
     private static final double ENTRY = 30;
     /** Entries looked through for orders at a start, at first. */
     private static final long FIRST_TAIL = 2_000;
+
     private static final long LAST_TAIL = 250_000;
 
     /** Whose calls worked where. */
-    private record Worker(String engine, String model, String account) { }
+    private record Worker(String engine, String model, String account) {}
 
     private static final class Work {
         private long micros;
@@ -95,7 +95,7 @@
     }
 
     /** The orders' ages that the records tell, by the wall clock. */
-    record Orders(List<Span> ages, boolean whole) { }
+    record Orders(List<Span> ages, boolean whole) {}
 
     /** Orders of the last window, read before anything is written: from the end, as far back as the window reaches. */
     Orders orders(Span window) {
@@ -130,22 +130,42 @@
     }
 
     void begin() {
-        add(Entry.of(wall.getAsLong(), Kind.STARTED, "", "", "", articles.name(),
-                articles.facts().copies().kept().inMillis(), 0), "");
-        every(CUT, () -> work.ask(Duties.METER, "", Load.NONE, null, () -> {
-            cut();
-            return Future.succeededFuture(Load.NONE);
-        }));
-        every(TIDY, () -> work.ask(Duties.COMPACT, "", new Load(0, articles.records().segmentBytes(), 0), null, () ->
-                writer.executeBlocking(() -> {
-                    int gone = records.retain();
-                    Records.Compacted done = records.compact(1);
-                    if (gone + done.files() > 0) {
-                        LOG.atInfo().addKeyValue("gone", gone).addKeyValue("compacted", done.files())
-                                .addKeyValue("details", done.details()).log("records tidied up");
-                    }
-                    return new Load(0, done.before() + done.after(), 0);
-                })));
+        add(
+                Entry.of(
+                        wall.getAsLong(),
+                        Kind.STARTED,
+                        "",
+                        "",
+                        "",
+                        articles.name(),
+                        articles.facts().copies().kept().inMillis(),
+                        0),
+                "");
+        every(
+                CUT,
+                () -> work.ask(Duties.METER, "", Load.NONE, null, () -> {
+                    cut();
+                    return Future.succeededFuture(Load.NONE);
+                }));
+        every(
+                TIDY,
+                () -> work.ask(
+                        Duties.COMPACT,
+                        "",
+                        new Load(0, articles.records().segmentBytes(), 0),
+                        null,
+                        () -> writer.executeBlocking(() -> {
+                            int gone = records.retain();
+                            Records.Compacted done = records.compact(1);
+                            if (gone + done.files() > 0) {
+                                LOG.atInfo()
+                                        .addKeyValue("gone", gone)
+                                        .addKeyValue("compacted", done.files())
+                                        .addKeyValue("details", done.details())
+                                        .log("records tidied up");
+                            }
+                            return new Load(0, done.before() + done.after(), 0);
+                        })));
     }
 
     private void every(Span span, java.util.function.Supplier<Future<Void>> what) {
@@ -160,7 +180,18 @@
 
     @Override
     public void ended(OpenCall call, String how, Span took) {
-        add(new Entry(wall.getAsLong(), Kind.ENDED, call.named, call.function, call.account, "", how, 0, took.nanos() / 1000), "");
+        add(
+                new Entry(
+                        wall.getAsLong(),
+                        Kind.ENDED,
+                        call.named,
+                        call.function,
+                        call.account,
+                        "",
+                        how,
+                        0,
+                        took.nanos() / 1000),
+                "");
     }
 
     @Override
@@ -170,21 +201,41 @@
         Event.Copy copy = said == null ? Event.Copy.UNTOLD : said.copy();
         model(now, call.function);
         if (copy == Event.Copy.LOAD_BEGUN || copy == Event.Copy.LOAD_FAILED) {
-            add(Entry.of(now - took.inMillis(), Kind.LOADING, call.function, call.account, leg.engine, "", 1, took.nanos() / 1000),
+            add(
+                    Entry.of(
+                            now - took.inMillis(),
+                            Kind.LOADING,
+                            call.function,
+                            call.account,
+                            leg.engine,
+                            "",
+                            1,
+                            took.nanos() / 1000),
                     "");
         }
         if (copy == Event.Copy.LOAD_FAILED) {
             add(Entry.of(now, Kind.LOADED, call.function, "", leg.engine, "failed", 0, took.nanos() / 1000), "");
         }
         if (outcome == Outcome.SUCCESS) {
-            // a call that waited for a load worked for an unknown part of its time; it renews the copy and weighs nothing
+            // a call that waited for a load worked for an unknown part of its time; it renews the copy and weighs
+            // nothing
             boolean warm = copy != Event.Copy.LOAD_BEGUN && copy != Event.Copy.LOAD_JOINED;
             Work one = cut.computeIfAbsent(new Worker(leg.engine, call.function, call.account), key -> new Work());
             one.micros += warm ? took.nanos() / 1000 : 0;
             one.last = now;
         }
-        add(new Entry(now, Kind.LEG, call.named, call.function, call.account, leg.engine, outcome.name(), copy.ordinal(),
-                took.nanos() / 1000), "");
+        add(
+                new Entry(
+                        now,
+                        Kind.LEG,
+                        call.named,
+                        call.function,
+                        call.account,
+                        leg.engine,
+                        outcome.name(),
+                        copy.ordinal(),
+                        took.nanos() / 1000),
+                "");
     }
 
     @Override
@@ -200,8 +251,17 @@
     public void ordered(String engine, String function, Outcome outcome, int copies, Span took) {
         long now = wall.getAsLong();
         if (outcome == Outcome.SUCCESS || copies > 0) {
-            add(Entry.of(now - took.inMillis(), Kind.LOADING, function, "", engine, "ordered", copies,
-                    took.nanos() / 1000), "");
+            add(
+                    Entry.of(
+                            now - took.inMillis(),
+                            Kind.LOADING,
+                            function,
+                            "",
+                            engine,
+                            "ordered",
+                            copies,
+                            took.nanos() / 1000),
+                    "");
             add(Entry.of(now, Kind.COPIES, function, "", engine, outcome.name(), copies, took.nanos() / 1000), "");
         }
     }
@@ -215,7 +275,17 @@
             boolean leaves = one.standing() == ListLine.Standing.GONE;
             Long before = leaves ? starts.remove(one.engine()) : starts.put(one.engine(), one.startedMillis());
             if (before == null ? !leaves : leaves || before != one.startedMillis()) {
-                add(Entry.of(now, Kind.ENGINE, "", "", one.engine(), one.standing().name(), one.startedMillis(), 0), "");
+                add(
+                        Entry.of(
+                                now,
+                                Kind.ENGINE,
+                                "",
+                                "",
+                                one.engine(),
+                                one.standing().name(),
+                                one.startedMillis(),
+                                0),
+                        "");
             }
         }
         for (String engine : gone) {
@@ -226,16 +296,28 @@
 
     private void model(long now, String function) {
         if (models.add(function)) {
-            Articles.ModelTerms terms = articles.modelOf(function.contains("@") ? function.substring(0, function.indexOf('@'))
-                    : function);
-            add(Entry.of(now, Kind.MODEL, function, "", "", "", terms == null ? 0 : Math.round(terms.memoryMb()), 0), "");
+            Articles.ModelTerms terms =
+                    articles.modelOf(function.contains("@") ? function.substring(0, function.indexOf('@')) : function);
+            add(
+                    Entry.of(
+                            now, Kind.MODEL, function, "", "", "", terms == null ? 0 : Math.round(terms.memoryMb()), 0),
+                    "");
         }
     }
 
     /** What accounts' calls worked since the last cut. */
     private void cut() {
-        cut.forEach((who, what) -> add(Entry.of(what.last, Kind.WORK, who.model(), who.account(), who.engine(), "", what.micros,
-                CUT.nanos() / 1000), ""));
+        cut.forEach((who, what) -> add(
+                Entry.of(
+                        what.last,
+                        Kind.WORK,
+                        who.model(),
+                        who.account(),
+                        who.engine(),
+                        "",
+                        what.micros,
+                        CUT.nanos() / 1000),
+                ""));
         cut.clear();
     }
 
@@ -255,7 +337,9 @@
             } else if (action instanceof BacklogAction.Write write) {
                 write(write.entries());
             } else if (action instanceof BacklogAction.TellLeftOut told) {
-                timers.after(Span.millis(1), () -> add(Entry.of(wall.getAsLong(), Kind.DROPPED, "", "", "", "", told.entries(), 0), ""));
+                timers.after(
+                        Span.millis(1),
+                        () -> add(Entry.of(wall.getAsLong(), Kind.DROPPED, "", "", "", "", told.entries(), 0), ""));
             } else if (action instanceof BacklogAction.Go go) {
                 orders.remove(go.order()).accept("");
             } else if (action instanceof BacklogAction.Withhold withheld) {
@@ -276,15 +360,23 @@
         queue.stream().limit(entries).forEach(batch::add);
         Load cost = new Load(0, entries * ENTRY, 0);
         long begun = System.nanoTime();
-        work.ask(Duties.RECORD, "", cost, null, () -> writer.executeBlocking(() -> {
-            records.append(batch);
-            return cost;
-        })).onComplete(safe -> {
-            for (int i = 0; i < entries; i++) {
-                queue.poll();
-            }
-            tell(new BacklogEvent.Written(new Span(System.nanoTime() - begun)), null);
-        }, failed -> tell(new BacklogEvent.Failed(String.valueOf(failed.getMessage())), null));
+        work.ask(
+                        Duties.RECORD,
+                        "",
+                        cost,
+                        null,
+                        () -> writer.executeBlocking(() -> {
+                            records.append(batch);
+                            return cost;
+                        }))
+                .onComplete(
+                        safe -> {
+                            for (int i = 0; i < entries; i++) {
+                                queue.poll();
+                            }
+                            tell(new BacklogEvent.Written(new Span(System.nanoTime() - begun)), null);
+                        },
+                        failed -> tell(new BacklogEvent.Failed(String.valueOf(failed.getMessage())), null));
     }
 
     /** Entries that wait for the disk, for the meters. */
--- a/router/src/main/java/pearladder/router/ReleaseJournal.java
+++ b/router/src/main/java/pearladder/router/ReleaseJournal.java
@@ -83,8 +83,9 @@
             if (end == all.length || !take(new String(all, at, end - at, StandardCharsets.UTF_8))) {
                 for (int i = end + 1; i < all.length; i++) {
                     if (all[i] == '\n') {
-                        throw new IOException(file + ": line " + line + " is damaged and others stand behind it; look at it, "
-                                + "and take that line out only if you know what it held");
+                        throw new IOException(
+                                file + ": line " + line + " is damaged and others stand behind it; look at it, "
+                                        + "and take that line out only if you know what it held");
                     }
                 }
                 channel.truncate(at);
@@ -175,12 +176,15 @@
             newest.merge(order.plan().model(), order, Target::newer);
         }
         List<Target> kept = new ArrayList<>(orders.subList(Math.max(0, orders.size() - LATEST), orders.size()));
-        List<Reached> far = reached.stream().filter(one -> newest.containsKey(one.model())
-                && newest.get(one.model()).epoch() == one.epoch()).distinct().toList();
+        List<Reached> far = reached.stream()
+                .filter(one -> newest.containsKey(one.model())
+                        && newest.get(one.model()).epoch() == one.epoch())
+                .distinct()
+                .toList();
         newest.values().stream().filter(order -> !kept.contains(order)).forEach(order -> kept.add(0, order));
         Path beside = file.resolveSibling("releases.new");
-        try (FileChannel fresh = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel fresh = FileChannel.open(
+                beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             for (Target order : kept) {
                 write(fresh, line(order));
             }
--- a/router/src/main/java/pearladder/router/Roster.java
+++ b/router/src/main/java/pearladder/router/Roster.java
@@ -25,8 +25,8 @@
     private final Articles.Connections connections;
     private final LastList lastList;
     private final Map<String, EngineLink> links = new HashMap<>();
-    private final EngineList list = new EngineList(System.currentTimeMillis() * 1_000_000L - System.nanoTime(), this::came,
-            this::retire);
+    private final EngineList list =
+            new EngineList(System.currentTimeMillis() * 1_000_000L - System.nanoTime(), this::came, this::retire);
     private boolean unwritten;
     private Future<Void> writing;
 
@@ -86,14 +86,20 @@
         }
         ListLine whole = list.whole();
         Load cost = new Load(0, whole.entries().size() * ENTRY, 0);
-        writing = work.ask(Duties.FLUSH, "", cost, null, () -> vertx.executeBlocking(() -> {
-            lastList.write(whole);
-            return cost;
-        }));
+        writing = work.ask(
+                Duties.FLUSH,
+                "",
+                cost,
+                null,
+                () -> vertx.executeBlocking(() -> {
+                    lastList.write(whole);
+                    return cost;
+                }));
         writing.onComplete(end -> {
             writing = null;
             if (end.failed()) {
-                LOG.atWarn().addKeyValue("cause", end.cause().getMessage())
+                LOG.atWarn()
+                        .addKeyValue("cause", end.cause().getMessage())
                         .log("the last list can't be written; a restart may know an older one");
             }
             if (unwritten) {
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -66,9 +66,12 @@
     private Router(Articles articles, Maker maker, long seed) throws IOException {
         this.articles = articles;
         ReleaseJournal orders = ReleaseJournal.open(articles.data());
-        this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
-                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+        this.vertx = Vertx.vertx(new VertxOptions()
+                .setEventLoopPoolSize(1)
+                .setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1)
+                .setFileSystemOptions(
+                        new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
         this.loop = vertx.getOrCreateContext();
         VertxTimers timers = new VertxTimers(vertx);
         this.work = new BackgroundWork(timers, Duties.scheduler(seed, timers.now()));
@@ -79,8 +82,12 @@
         this.module = maker.make(seed, articles.facts());
         this.snapshot = new Snapshot(articles.data());
         this.recorder = articles.records() == null ? null : recorder(timers, orders);
-        this.calls = new Calls(articles.facts(), timers, module,
-                new Legs(vertx, articles.name(), articles.limits().answer(), roster, watch::watch), meters,
+        this.calls = new Calls(
+                articles.facts(),
+                timers,
+                module,
+                new Legs(vertx, articles.name(), articles.limits().answer(), roster, watch::watch),
+                meters,
                 recorder == null ? Chronicle.NONE : recorder);
         this.door = new Door(vertx, articles, this, meters);
         this.journal = new JournalOffLoop(vertx, orders);
@@ -118,33 +125,51 @@
         Promise<Router> started = Promise.promise();
         router.loop.runOnContext(run -> {
             router.begin();
-            Future<Integer> admin = articles.admin() == null ? Future.succeededFuture(0)
+            Future<Integer> admin = articles.admin() == null
+                    ? Future.succeededFuture(0)
                     : new AdminDoor(router.vertx, articles, router.releases).listen();
             admin.compose(port -> {
-                router.adminPort = port;
-                return router.door.listen();
-            }).onComplete(port -> {
-                router.port = port;
-                router.pulse.begin();
-                router.vertx.setPeriodic(100, beat -> router.work.strained(router.behind()));
-                long begun = System.nanoTime();
-                WarmUp.run(router.vertx, articles, maker, port).onComplete(warm -> {
-                    router.warm = true;
-                    LOG.atInfo().addKeyValue("ms", (System.nanoTime() - begun) / 1_000_000).log("warmed up");
-                });
-                LOG.atInfo().addKeyValue("router", articles.name()).addKeyValue("port", port)
-                        .addKeyValue("engines", router.roster.size()).log("listening");
-                started.complete(router);
-            }, failed -> {
-                router.journal.close();
-                if (router.recorder != null) {
-                    router.recorder.close();
-                }
-                router.vertx.close();
-                started.fail(new IOException(articles.host() + ":" + articles.port() + (articles.admin() == null ? ""
-                        : " or " + articles.admin().host() + ":" + articles.admin().port()) + " can't be listened on: "
-                        + failed.getMessage() + "; is another router running there?", failed));
-            });
+                        router.adminPort = port;
+                        return router.door.listen();
+                    })
+                    .onComplete(
+                            port -> {
+                                router.port = port;
+                                router.pulse.begin();
+                                router.vertx.setPeriodic(100, beat -> router.work.strained(router.behind()));
+                                long begun = System.nanoTime();
+                                WarmUp.run(router.vertx, articles, maker, port).onComplete(warm -> {
+                                    router.warm = true;
+                                    LOG.atInfo()
+                                            .addKeyValue("ms", (System.nanoTime() - begun) / 1_000_000)
+                                            .log("warmed up");
+                                });
+                                LOG.atInfo()
+                                        .addKeyValue("router", articles.name())
+                                        .addKeyValue("port", port)
+                                        .addKeyValue("engines", router.roster.size())
+                                        .log("listening");
+                                started.complete(router);
+                            },
+                            failed -> {
+                                router.journal.close();
+                                if (router.recorder != null) {
+                                    router.recorder.close();
+                                }
+                                router.vertx.close();
+                                started.fail(new IOException(
+                                        articles.host() + ":" + articles.port()
+                                                + (articles.admin() == null
+                                                        ? ""
+                                                        : " or "
+                                                                + articles.admin()
+                                                                        .host() + ":"
+                                                                + articles.admin()
+                                                                        .port())
+                                                + " can't be listened on: "
+                                                + failed.getMessage() + "; is another router running there?",
+                                        failed));
+                            });
         });
         return started.future();
     }
@@ -174,8 +199,15 @@
         Recorder.Orders orders = recorder.orders(articles.facts().ration().window());
         Snapshot.Taken taken = snapshot.take();
         Span gap = taken == null ? Span.NONE : Span.millis(System.currentTimeMillis() - taken.wall());
-        calls.tell(Recall.event(articles.facts(), taken == null ? null : taken.known(), gap, orders.ages(), orders.whole(), list,
-                VertxTimers.present(), why -> LOG.info("begins with what is believed " + why)));
+        calls.tell(Recall.event(
+                articles.facts(),
+                taken == null ? null : taken.known(),
+                gap,
+                orders.ages(),
+                orders.whole(),
+                list,
+                VertxTimers.present(),
+                why -> LOG.info("begins with what is believed " + why)));
         recorder.begin();
         meters.records(recorder::held, () -> recorder.failing() ? 1 : 0);
         vertx.setPeriodic(SNAPSHOT_MILLIS, due -> {
@@ -215,11 +247,17 @@
                 watch.close();
                 // A last answer may still be on its way out of the socket; and a future of this loop says nothing
                 // once the loop is gone, so the last step is not chained.
-                vertx.setTimer(50, sent -> door.close().compose(closed -> recorder == null ? Future.<Void>succeededFuture()
-                        : recorder.flush().compose(flushed -> takeSnapshot()).<Void>mapEmpty()).compose(kept -> work.stop())
+                vertx.setTimer(50, sent -> door.close()
+                        .compose(closed -> recorder == null
+                                ? Future.<Void>succeededFuture()
+                                : recorder.flush()
+                                        .compose(flushed -> takeSnapshot())
+                                        .<Void>mapEmpty())
+                        .compose(kept -> work.stop())
                         .compose(done -> journal.written())
                         // a disk that hangs holds up the last writes, but not the end
-                        .timeout(WRITING_AT_STOP_SECONDS, TimeUnit.SECONDS).onComplete(end -> {
+                        .timeout(WRITING_AT_STOP_SECONDS, TimeUnit.SECONDS)
+                        .onComplete(end -> {
                             journal.close();
                             if (recorder != null) {
                                 recorder.close();
@@ -240,7 +278,8 @@
 
     @Override
     public String closedBecause() {
-        return stopping ? "this router is stopping"
+        return stopping
+                ? "this router is stopping"
                 : calls.size() >= articles.limits().openCalls() ? "this router holds as many calls as it may" : null;
     }
 
--- a/router/src/main/java/pearladder/router/Snapshot.java
+++ b/router/src/main/java/pearladder/router/Snapshot.java
@@ -21,13 +21,14 @@
 final class Snapshot {
     /** The format that is written; another one is not read. */
     private static final int FORMAT = 1;
+
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.recovery");
     private static final ObjectMapper JSON = new ObjectMapper()
             .setVisibility(com.fasterxml.jackson.annotation.PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY)
             .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
 
     /** @param wall when it was taken, milliseconds since 1970 */
-    record Taken(int format, long wall, Known known) { }
+    record Taken(int format, long wall, Known known) {}
 
     private final Path file;
 
@@ -45,7 +46,9 @@
                 throw new IOException("its checksum is another one");
             }
             Taken taken = JSON.readValue(bytes, Long.BYTES, bytes.length - Long.BYTES, Taken.class);
-            if (taken.format() != FORMAT || taken.known() == null || taken.known().workers() == null
+            if (taken.format() != FORMAT
+                    || taken.known() == null
+                    || taken.known().workers() == null
                     || taken.known().functions() == null) {
                 throw new IOException("it is of another format");
             }
@@ -53,7 +56,9 @@
         } catch (NoSuchFileException none) {
             return null;
         } catch (IOException | RuntimeException unreadable) {
-            LOG.atWarn().addKeyValue("file", tried).addKeyValue("cause", unreadable.getMessage())
+            LOG.atWarn()
+                    .addKeyValue("file", tried)
+                    .addKeyValue("cause", unreadable.getMessage())
                     .log("the snapshot can't be read; starting without one");
             return null;
         }
@@ -62,7 +67,10 @@
     /** Writes one; how many bytes it has. */
     long write(long wall, Known known) throws IOException {
         byte[] text = JSON.writeValueAsBytes(new Taken(FORMAT, wall, known));
-        byte[] bytes = ByteBuffer.allocate(Long.BYTES + text.length).putLong(0).put(text).array();
+        byte[] bytes = ByteBuffer.allocate(Long.BYTES + text.length)
+                .putLong(0)
+                .put(text)
+                .array();
         ByteBuffer.wrap(bytes).putLong(sum(bytes));
         WholeFile.write(file, bytes);
         return bytes.length;
--- a/router/src/main/java/pearladder/router/WarmUp.java
+++ b/router/src/main/java/pearladder/router/WarmUp.java
@@ -30,7 +30,7 @@
     private static final int AT_ONCE = 16;
     private static final Span BOUND = Span.millis(1500);
 
-    private WarmUp() { }
+    private WarmUp() {}
 
     /** Done once it is warm, or after a bound. */
     static Future<Void> run(Vertx vertx, Articles articles, Router.Maker maker, int port) {
@@ -39,7 +39,8 @@
             rehearse(maker.make(0, articles.facts()), articles.facts(), until);
             return null;
         });
-        HttpClient client = vertx.createHttpClient(new HttpClientOptions().setDefaultHost(articles.host()).setDefaultPort(port),
+        HttpClient client = vertx.createHttpClient(
+                new HttpClientOptions().setDefaultHost(articles.host()).setDefaultPort(port),
                 new PoolOptions().setHttp1MaxSize(AT_ONCE));
         int[] left = {KNOCKS};
         List<Future<Void>> all = new ArrayList<>(List.of(rehearsed));
@@ -55,7 +56,8 @@
             return Future.succeededFuture();
         }
         return client.request(HttpMethod.POST, "/v2/models/no%20model/infer")
-                .compose((HttpClientRequest request) -> request.send("{}")).compose(HttpClientResponse::body)
+                .compose((HttpClientRequest request) -> request.send("{}"))
+                .compose(HttpClientResponse::body)
                 .compose(body -> knock(client, left, until));
     }
 
@@ -68,15 +70,38 @@
         }
         module.on(now, new Event.Listed(Event.ListKind.WHOLE, workers));
         Facts.Terms category = facts.categories().get(0);
-        String account = facts.accounts().isEmpty() ? null : facts.accounts().get(0).name();
+        String account =
+                facts.accounts().isEmpty() ? null : facts.accounts().get(0).name();
         for (int i = 0; i < CALLS && System.nanoTime() < until; i++) {
             now = now.plus(Span.millis(5));
-            List<Action> actions = module.on(now, new Event.CallCame("call-" + i, "model-" + i % 40, category.name(), account,
-                    category.abandon(), 2, 100, null, null, false, false));
+            List<Action> actions = module.on(
+                    now,
+                    new Event.CallCame(
+                            "call-" + i,
+                            "model-" + i % 40,
+                            category.name(),
+                            account,
+                            category.abandon(),
+                            2,
+                            100,
+                            null,
+                            null,
+                            false,
+                            false));
             for (Action action : actions) {
                 if (action instanceof Action.Send send) {
-                    module.on(now, new Event.LegEnded(send.call(), 0, send.worker(), Outcome.SUCCESS, Span.millis(20), true,
-                            Event.Copy.STOOD, 0, new Event.Report(1, 0, 0.1, 0, 0.1)));
+                    module.on(
+                            now,
+                            new Event.LegEnded(
+                                    send.call(),
+                                    0,
+                                    send.worker(),
+                                    Outcome.SUCCESS,
+                                    Span.millis(20),
+                                    true,
+                                    Event.Copy.STOOD,
+                                    0,
+                                    new Event.Report(1, 0, 0.1, 0, 0.1)));
                 }
             }
             if (i % 20 == 0) {
--- a/router/src/main/java/pearladder/router/WholeFile.java
+++ b/router/src/main/java/pearladder/router/WholeFile.java
@@ -10,13 +10,13 @@
 
 /** A file that is replaced as a whole: written beside, synced and moved over, so that a crash leaves the old one or the new one. */
 final class WholeFile {
-    private WholeFile() { }
+    private WholeFile() {}
 
     static void write(Path file, byte[] bytes) throws IOException {
         Files.createDirectories(file.getParent());
         Path beside = file.resolveSibling(file.getFileName().toString().replaceFirst("\\.[^.]*$", ".new"));
-        try (FileChannel channel = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel channel = FileChannel.open(
+                beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             ByteBuffer left = ByteBuffer.wrap(bytes);
             while (left.hasRemaining()) {
                 channel.write(left);
--- a/router/src/main/java/pearladder/router/core/Articles.java
+++ b/router/src/main/java/pearladder/router/core/Articles.java
@@ -19,14 +19,25 @@
  * @param facts what the module is told
  * @param records how they are kept, or null for none
  */
-public record Articles(String name, String host, int port, Path data, Address admin,
-        List<Address> others, ListService list, Facts facts, List<ModelTerms> models, Limits limits,
-        Connections connections, Span stopWithin, Keeping records) {
+public record Articles(
+        String name,
+        String host,
+        int port,
+        Path data,
+        Address admin,
+        List<Address> others,
+        ListService list,
+        Facts facts,
+        List<ModelTerms> models,
+        Limits limits,
+        Connections connections,
+        Span stopWithin,
+        Keeping records) {
     /** An address; port 0, for one of this router's own, lets the system give one. */
-    public record Address(String host, int port) { }
+    public record Address(String host, int port) {}
 
     /** Where the list of engines comes from; silence for longer than the span means that it is broken. */
-    public record ListService(String host, int port, Span silence) { }
+    public record ListService(String host, int port, Span silence) {}
 
     /**
      * A family of models: a name, or its beginning with "*" behind it.
@@ -50,10 +61,10 @@
      * @param bodyWithin a call's body is in after so long, or the call is not taken
      * @param idle a client's connection without a byte for so long is closed
      */
-    public record Limits(long payload, long answer, int openCalls, Span bodyWithin, Span idle) { }
+    public record Limits(long payload, long answer, int openCalls, Span bodyWithin, Span idle) {}
 
     /** Connections to one engine: how many, how long to wait for one, and how long an idle one is kept. */
-    public record Connections(int perEngine, Span dial, Span idle) { }
+    public record Connections(int perEngine, Span dial, Span idle) {}
 
     /** The terms of a model, or null where it is not known; the first that matches counts. */
     public ModelTerms modelOf(String name) {
@@ -66,6 +77,9 @@
     }
 
     public Facts.Terms category(String name) {
-        return facts.categories().stream().filter(c -> c.name().equals(name)).findFirst().orElse(null);
+        return facts.categories().stream()
+                .filter(c -> c.name().equals(name))
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/router/src/main/java/pearladder/router/core/Calls.java
+++ b/router/src/main/java/pearladder/router/core/Calls.java
@@ -30,8 +30,20 @@
      * @param hint of its work, or null
      * @param ending hears how it ended
      */
-    public record Asked(String named, String function, String mark, Moment came, Span timeLeft, Facts.Terms category,
-            String account, int lanes, double memoryMb, Span usualLoad, Span hint, boolean repeat, Ending ending) { }
+    public record Asked(
+            String named,
+            String function,
+            String mark,
+            Moment came,
+            Span timeLeft,
+            Facts.Terms category,
+            String account,
+            int lanes,
+            double memoryMb,
+            Span usualLoad,
+            Span hint,
+            boolean repeat,
+            Ending ending) {}
 
     /** Hears how a call ended: whoever chose its function wants to know. */
     public interface Ending {
@@ -69,7 +81,7 @@
     private final Chronicle chronicle;
     private final Conductor conductor;
     private final Map<String, OpenCall> open = new HashMap<>();
-    private Standings standings = (function, share) -> { };
+    private Standings standings = (function, share) -> {};
     private long numbered;
     private Runnable emptied;
 
@@ -120,11 +132,29 @@
     /** Takes a call; from here on it gets one final answer. */
     public OpenCall take(Asked asked, Reply reply) {
         String id = Long.toString(++numbered);
-        OpenCall call = new OpenCall(id, asked.named(), asked.function(), asked.ending(), asked.mark(),
-                asked.account() == null ? "" : asked.account(), reply, asked.came(), asked.came().plus(asked.category().expected()));
+        OpenCall call = new OpenCall(
+                id,
+                asked.named(),
+                asked.function(),
+                asked.ending(),
+                asked.mark(),
+                asked.account() == null ? "" : asked.account(),
+                reply,
+                asked.came(),
+                asked.came().plus(asked.category().expected()));
         open.put(id, call);
-        conductor.tell(new Event.CallCame(id, call.function, asked.category().name(), asked.account(), asked.timeLeft(),
-                asked.lanes(), asked.memoryMb(), asked.usualLoad(), asked.hint(), asked.repeat(), false));
+        conductor.tell(new Event.CallCame(
+                id,
+                call.function,
+                asked.category().name(),
+                asked.account(),
+                asked.timeLeft(),
+                asked.lanes(),
+                asked.memoryMb(),
+                asked.usualLoad(),
+                asked.hint(),
+                asked.repeat(),
+                false));
         return call;
     }
 
@@ -162,7 +192,8 @@
         Moment now = timers.now();
         tally.answered(state, now.since(call.taken).nanos());
         chronicle.ended(call, state.word(), now.since(call.taken));
-        call.ending.ended(state == FinalState.SETTLED && !call.erred && now.before(call.expectedBy),
+        call.ending.ended(
+                state == FinalState.SETTLED && !call.erred && now.before(call.expectedBy),
                 call.legs.stream().map(leg -> leg.engine).distinct().toList());
         return true;
     }
@@ -197,8 +228,15 @@
             call.reply.settled(said);
             List.copyOf(call.legs).forEach(this::takeBack);
         }
-        conductor.tell(new Event.LegEnded(call.id, leg.number, leg.engine, outcome, timers.now().since(leg.sent), call.over,
-                said == null ? Event.Copy.UNTOLD : said.copy(), said == null ? -1 : said.crowd(),
+        conductor.tell(new Event.LegEnded(
+                call.id,
+                leg.number,
+                leg.engine,
+                outcome,
+                timers.now().since(leg.sent),
+                call.over,
+                said == null ? Event.Copy.UNTOLD : said.copy(),
+                said == null ? -1 : said.crowd(),
                 said == null ? null : said.report()));
         forget(call);
     }
@@ -264,8 +302,8 @@
     private void order(Action.Hold hold) {
         Moment sent = timers.now();
         tally.ordered();
-        engines.order(hold.worker(), hold.function(), hold.copies(), facts.copies().orderTimeout(),
-                (outcome, copies) -> {
+        engines.order(
+                hold.worker(), hold.function(), hold.copies(), facts.copies().orderTimeout(), (outcome, copies) -> {
                     Span took = timers.now().since(sent);
                     chronicle.ordered(hold.worker(), hold.function(), outcome, copies, took);
                     conductor.tell(new Event.LoadAnswered(hold.worker(), hold.function(), outcome, copies, took));
@@ -280,9 +318,11 @@
     @Override
     public void probe(Action.Probe probe) {
         Moment sent = timers.now();
-        engines.probe(probe.worker(), facts.copies().orderTimeout(), (outcome, said) ->
-                conductor.tell(new Event.Probed(probe.worker(), outcome, timers.now().since(sent),
-                        said == null ? null : said.report())));
+        engines.probe(
+                probe.worker(),
+                facts.copies().orderTimeout(),
+                (outcome, said) -> conductor.tell(new Event.Probed(
+                        probe.worker(), outcome, timers.now().since(sent), said == null ? null : said.report())));
     }
 
     @Override
--- a/router/src/main/java/pearladder/router/core/EngineList.java
+++ b/router/src/main/java/pearladder/router/core/EngineList.java
@@ -37,7 +37,9 @@
             last.entries().forEach(this::learn);
             known = !listed.isEmpty();
         }
-        return new Event.Listed(Event.ListKind.REMEMBERED, listed.values().stream().map(this::listing).toList());
+        return new Event.Listed(
+                Event.ListKind.REMEMBERED,
+                listed.values().stream().map(this::listing).toList());
     }
 
     /** Follows a line of the list service; what it says, for the module. */
@@ -51,7 +53,8 @@
         before.stream().filter(engine -> !listed.containsKey(engine)).forEach(went);
         version = line.version();
         known = true;
-        return new Event.Listed(whole ? Event.ListKind.WHOLE : Event.ListKind.CHANGES,
+        return new Event.Listed(
+                whole ? Event.ListKind.WHOLE : Event.ListKind.CHANGES,
                 new ArrayList<>(line.entries().stream().map(this::listing).toList()));
     }
 
@@ -67,8 +70,14 @@
 
     private Event.Listing listing(Entry entry) {
         Moment since = entry.startedMillis() == 0 ? null : new Moment(entry.startedMillis() * 1_000_000L - wallAhead);
-        return new Event.Listing(entry.engine(), entry.hall(), entry.kind(), entry.cell(),
-                Event.Standing.valueOf(entry.standing().name()), 1, since);
+        return new Event.Listing(
+                entry.engine(),
+                entry.hall(),
+                entry.kind(),
+                entry.cell(),
+                Event.Standing.valueOf(entry.standing().name()),
+                1,
+                since);
     }
 
     /** Whether any list is known. */
--- a/router/src/main/java/pearladder/router/core/Recall.java
+++ b/router/src/main/java/pearladder/router/core/Recall.java
@@ -13,7 +13,7 @@
 
 /** Asks the recovery module what of an earlier life the policy may start from. */
 public final class Recall {
-    private Recall() { }
+    private Recall() {}
 
     /**
      * What the policy is told after the remembered list.
@@ -25,11 +25,23 @@
      * @param list the remembered list
      * @param log gets one line with figures
      */
-    public static Event.Recalled event(Facts facts, Known then, Span gap, List<Span> orders, boolean whole, Event.Listed list,
-            Moment now, Consumer<String> log) {
+    public static Event.Recalled event(
+            Facts facts,
+            Known then,
+            Span gap,
+            List<Span> orders,
+            boolean whole,
+            Event.Listed list,
+            Moment now,
+            Consumer<String> log) {
         Map<String, Span> up = new HashMap<>();
-        list.listings().forEach(listing -> up.put(listing.worker(), listing.since() == null ? null : now.since(listing.since())));
-        Beliefs.Believed believed = new Beliefs(facts.copies().kept(), facts.ration().window(), facts.ration().free())
+        list.listings()
+                .forEach(listing ->
+                        up.put(listing.worker(), listing.since() == null ? null : now.since(listing.since())));
+        Beliefs.Believed believed = new Beliefs(
+                        facts.copies().kept(),
+                        facts.ration().window(),
+                        facts.ration().free())
                 .after(new Beliefs.Found(then, gap, orders, whole, up));
         log.accept(believed.why());
         return new Event.Recalled(believed.known());
--- a/router/src/main/java/pearladder/router/core/ReleaseDesk.java
+++ b/router/src/main/java/pearladder/router/core/ReleaseDesk.java
@@ -12,9 +12,9 @@
 import pearladder.api.Event;
 import pearladder.api.Span;
 import pearladder.kserve.Route;
+import pearladder.release.Reached;
 import pearladder.release.ReleaseAction;
 import pearladder.release.ReleaseEvent;
-import pearladder.release.Reached;
 import pearladder.release.Releases;
 import pearladder.release.Target;
 
@@ -53,7 +53,8 @@
         this.articles = articles;
         this.journal = journal;
         this.toPolicy = toPolicy;
-        this.module = new Releases(articles.facts().categories().stream().map(terms -> terms.remembered())
+        this.module = new Releases(articles.facts().categories().stream()
+                .map(terms -> terms.remembered())
                 .reduce(Span.NONE, Span::atLeast));
     }
 
@@ -91,7 +92,7 @@
     }
 
     /** The version that a call gets, empty for the model without one; who chose it hears how the call ends. */
-    public record Chosen(String version, String function, Calls.Ending ending) { }
+    public record Chosen(String version, String function, Calls.Ending ending) {}
 
     public Chosen choose(Wish wish) {
         if (wish.version() != null) {
@@ -165,7 +166,9 @@
     /** A sum over the newest targets: two routers with the same one know the same. */
     public String sum() {
         CRC32 crc = new CRC32();
-        module.targets().stream().map(target -> target.plan().model() + " " + target.epoch() + " " + target.by() + "\n").sorted()
+        module.targets().stream()
+                .map(target -> target.plan().model() + " " + target.epoch() + " " + target.by() + "\n")
+                .sorted()
                 .forEach(line -> crc.update(line.getBytes(StandardCharsets.UTF_8)));
         return Long.toHexString(crc.getValue());
     }
@@ -207,8 +210,13 @@
     private void want(String model, String version, String like, double share) {
         Articles.ModelTerms terms = articles.modelOf(model);
         if (terms != null) {
-            toPolicy.accept(new Event.Wanted(Route.function(model, version), Route.function(model, like), share, terms.lanes(),
-                    terms.memoryMb(), terms.usualLoad()));
+            toPolicy.accept(new Event.Wanted(
+                    Route.function(model, version),
+                    Route.function(model, like),
+                    share,
+                    terms.lanes(),
+                    terms.memoryMb(),
+                    terms.usualLoad()));
         }
     }
 
@@ -222,8 +230,12 @@
                 if (failure == null) {
                     tell(new ReleaseEvent.Kept(target));
                 }
-                answer(target, failure == null ? "" : "the journal can't be written: " + failure
-                        + "; nothing was changed, make room or mend the disk and order again");
+                answer(
+                        target,
+                        failure == null
+                                ? ""
+                                : "the journal can't be written: " + failure
+                                        + "; nothing was changed, make room or mend the disk and order again");
             }
         });
     }
--- a/router/src/main/java/pearladder/router/core/Reply.java
+++ b/router/src/main/java/pearladder/router/core/Reply.java
@@ -11,5 +11,5 @@
     void terminated();
 
     /** Nothing of the call is out any more, and nothing more will be told of it. */
-    default void forgotten() { }
+    default void forgotten() {}
 }
--- a/router/src/test/java/pearladder/router/BackgroundWorkTest.java
+++ b/router/src/test/java/pearladder/router/BackgroundWorkTest.java
@@ -20,7 +20,7 @@
 class BackgroundWorkTest {
     /** A clock that goes on when it is told to. */
     private static final class Steps implements Timers {
-        private record Waiting(long at, long number, Runnable what) { }
+        private record Waiting(long at, long number, Runnable what) {}
 
         private final PriorityQueue<Waiting> waiting = new PriorityQueue<>(
                 java.util.Comparator.comparingLong(Waiting::at).thenComparingLong(Waiting::number));
@@ -51,10 +51,15 @@
     }
 
     private final Steps steps = new Steps();
-    private final BackgroundWork work = new BackgroundWork(steps, new Scheduler(1, List.of(
-            new Duty(Duties.FLUSH, 0, new Load(0, 50e6, 0), 2, 1, 100, 3, Span.millis(200), true),
-            new Duty(Duties.LEARN, 1, new Load(0, 2e6, 0), 10, 4, 1000, 0, Span.millis(500), false)),
-            Span.millis(50), steps.now()));
+    private final BackgroundWork work = new BackgroundWork(
+            steps,
+            new Scheduler(
+                    1,
+                    List.of(
+                            new Duty(Duties.FLUSH, 0, new Load(0, 50e6, 0), 2, 1, 100, 3, Span.millis(200), true),
+                            new Duty(Duties.LEARN, 1, new Load(0, 2e6, 0), 10, 4, 1000, 0, Span.millis(500), false)),
+                    Span.millis(50),
+                    steps.now()));
 
     @Test
     void aJobThatThrowsHoldsUpNoStop() {
@@ -70,7 +75,8 @@
         Promise<Load> first = Promise.promise();
         Promise<Load> second = Promise.promise();
         List<Promise<Load>> tries = new java.util.ArrayList<>(List.of(first, second));
-        Future<Void> flushed = work.ask(Duties.FLUSH, "", Load.NONE, null, () -> tries.remove(0).future());
+        Future<Void> flushed = work.ask(
+                Duties.FLUSH, "", Load.NONE, null, () -> tries.remove(0).future());
         Future<Void> stopped = work.stop();
         first.fail("no space");
         assertFalse(stopped.isComplete());
