--- a/router/src/test/java/pearladder/router/HardCasesTest.java
+++ b/router/src/test/java/pearladder/router/HardCasesTest.java
@@ -18,23 +18,28 @@
 import pearladder.kserve.ListLine.Standing;
 
 class HardCasesTest {
-    private static final RawEngine.Script NEVER = (number, head, out, socket) -> { };
+    private static final RawEngine.Script NEVER = (number, head, out, socket) -> {};
     private static final RawEngine.Script CUT = (number, head, out, socket) -> socket.close();
     private static final RawEngine.Script OK = (number, head, out, socket) -> RawEngine.plain(out, 200, "", "{}");
 
     /** An engine answers for another model: its answer reaches nobody, and a call that may run again runs elsewhere. */
     @Test
     void anAnswerForAnotherModelSettlesNoCall() {
-        RawEngine.Script wrong = (number, head, out, socket) -> RawEngine.plain(out, 200, "pearladder-copy: stood\r\n",
-                "{\"model_name\":\"pair-b\",\"outputs\":[]}");
-        RawEngine.Script right = (number, head, out, socket) -> RawEngine.plain(out, 200, "pearladder-copy: stood\r\n",
-                "{\"id\":\"1\",\"model_name\":\"pair-a\",\"outputs\":[]}");
-        try (RawEngine one = new RawEngine(wrong); RawEngine two = new RawEngine(right); Stand stand = Stand.of(one, two)) {
+        RawEngine.Script wrong = (number, head, out, socket) ->
+                RawEngine.plain(out, 200, "pearladder-copy: stood\r\n", "{\"model_name\":\"pair-b\",\"outputs\":[]}");
+        RawEngine.Script right = (number, head, out, socket) -> RawEngine.plain(
+                out, 200, "pearladder-copy: stood\r\n", "{\"id\":\"1\",\"model_name\":\"pair-a\",\"outputs\":[]}");
+        try (RawEngine one = new RawEngine(wrong);
+                RawEngine two = new RawEngine(right);
+                Stand stand = Stand.of(one, two)) {
             for (int i = 0; i < 10; i++) {
                 HttpResponse<String> answer = Stand.await(stand.send("pair-a", 1));
                 assertTrue(!answer.body().contains("pair-b"), answer.body());
                 HttpResponse<String> binding = Stand.await(stand.send("pair-a", 1, "pearladder-category", "post"));
-                assertTrue(!binding.body().contains("pair-b") && !Stand.state(binding).equals("dismissed"), binding.body());
+                assertTrue(
+                        !binding.body().contains("pair-b")
+                                && !Stand.state(binding).equals("dismissed"),
+                        binding.body());
             }
             assertTrue(one.heads.stream().anyMatch(head -> head.contains("/infer")), "the wrong one was asked as well");
         }
@@ -63,7 +68,8 @@
             client.close();
             Stand.until("the router saw it", () -> stand.metric("pearladder_clients_left_total") == 1);
             Stand.until("nothing is held", () -> stand.metric("pearladder_calls_open") == 0);
-            Stand.until("the load came up all the same",
+            Stand.until(
+                    "the load came up all the same",
                     () -> stand.fleet.engine("engine-0").engine().standing("pair-slow") == 1);
             assertEquals(0, stand.seen(Seen.RAN).size());
         }
@@ -71,7 +77,8 @@
 
     @Test
     void aBindingCallCutAfterItWasWrittenIsTerminatedAndNeverSentAgain() {
-        try (RawEngine first = new RawEngine(CUT); RawEngine second = new RawEngine(CUT);
+        try (RawEngine first = new RawEngine(CUT);
+                RawEngine second = new RawEngine(CUT);
                 Stand stand = Stand.of(first, second)) {
             HttpResponse<String> answer = Stand.await(stand.send("pair-a", 1, "pearladder-category", "post"));
             assertEquals("terminated", Stand.state(answer));
@@ -82,7 +89,8 @@
 
     @Test
     void aFingerprintedCallCutAfterItWasWrittenIsRepeatedWithItsMark() {
-        try (RawEngine first = new RawEngine(CUT); RawEngine second = new RawEngine(CUT);
+        try (RawEngine first = new RawEngine(CUT);
+                RawEngine second = new RawEngine(CUT);
                 Stand stand = Stand.of(first, second)) {
             Stand.await(stand.send("pair-a", 1, "pearladder-category", "commit", "idempotency-key", "m-1"));
             List<String> heads = new ArrayList<>(first.heads);
@@ -95,15 +103,16 @@
     @Test
     void aFingerprintedCallStaysWithinItsGroup() {
         String inHall = Stand.RULES.replace("remembered: 8 s", "remembered: 8 s, group: zone");
-        try (RawEngine east = new RawEngine(CUT); RawEngine west = new RawEngine(CUT);
+        try (RawEngine east = new RawEngine(CUT);
+                RawEngine west = new RawEngine(CUT);
                 Stand stand = Stand.of(inHall, east)) {
             stand.list("west", west.door.getLocalPort(), "west", Standing.IN_SERVICE);
             Stand.until("both are listed", () -> stand.metric("pearladder_engines_listed") == 2);
             for (int i = 0; i < 6; i++) {
                 int before = east.heads.size();
                 int beside = west.heads.size();
-                HttpResponse<String> answer = Stand.await(stand.send("pair-" + i, 1, "pearladder-category", "commit",
-                        "idempotency-key", "m-" + i));
+                HttpResponse<String> answer = Stand.await(
+                        stand.send("pair-" + i, 1, "pearladder-category", "commit", "idempotency-key", "m-" + i));
                 assertEquals("terminated", Stand.state(answer));
                 assertTrue(east.heads.size() == before || west.heads.size() == beside, "call " + i + " left its hall");
             }
@@ -113,7 +122,8 @@
     @Test
     void anEngineThatIsNotThereProvesThatNothingRan() throws IOException {
         RawEngine gone = new RawEngine(OK);
-        try (RawEngine there = new RawEngine(OK); Stand stand = Stand.of(gone, there)) {
+        try (RawEngine there = new RawEngine(OK);
+                Stand stand = Stand.of(gone, there)) {
             gone.close();
             for (int i = 0; i < 12; i++) {
                 HttpResponse<String> answer = Stand.await(stand.send("pair-" + i, 1, "pearladder-category", "post"));
@@ -125,10 +135,11 @@
 
     @Test
     void aHungEngineCostsACallAtMostItsPatience() {
-        try (RawEngine hung = new RawEngine(NEVER); Stand stand = Stand.of(hung)) {
+        try (RawEngine hung = new RawEngine(NEVER);
+                Stand stand = Stand.of(hung)) {
             long begun = System.nanoTime();
-            HttpResponse<String> answer = Stand.await(stand.send("pair-a", 1, "pearladder-category", "post",
-                    "pearladder-patience-ms", "400"));
+            HttpResponse<String> answer = Stand.await(
+                    stand.send("pair-a", 1, "pearladder-category", "post", "pearladder-patience-ms", "400"));
             long took = (System.nanoTime() - begun) / 1_000_000;
             assertEquals("terminated", Stand.state(answer));
             assertTrue(took >= 300, "given up after " + took + " ms");
@@ -141,7 +152,8 @@
         String small = Stand.RULES + "limits: {answer: 10 KB}\n";
         RawEngine.Script script = (number, head, out, socket) -> {
             switch (number) {
-                case 1 -> out.write("HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf".getBytes(StandardCharsets.US_ASCII));
+                case 1 -> out.write(
+                        "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf".getBytes(StandardCharsets.US_ASCII));
                 case 2 -> out.write("this is no answer at all\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
                 case 3 -> RawEngine.plain(out, 200, "", "x".repeat(20_000));
                 default -> RawEngine.plain(out, 200, "", "{\"whole\":true}");
@@ -151,7 +163,8 @@
                 socket.close();
             }
         };
-        try (RawEngine engine = new RawEngine(script); Stand stand = Stand.of(small, engine)) {
+        try (RawEngine engine = new RawEngine(script);
+                Stand stand = Stand.of(small, engine)) {
             for (int i = 0; i < 3; i++) {
                 HttpResponse<String> answer = Stand.await(stand.send("pair-a", 1, "pearladder-category", "post"));
                 assertEquals("terminated", Stand.state(answer), answer.body());
@@ -162,7 +175,8 @@
     @Test
     void anEnginesFaultWithTheCallIsTheCallsAnswer() {
         RawEngine.Script script = (number, head, out, socket) -> RawEngine.plain(out, 400, "", "{\"error\":\"shape\"}");
-        try (RawEngine engine = new RawEngine(script); Stand stand = Stand.of(engine)) {
+        try (RawEngine engine = new RawEngine(script);
+                Stand stand = Stand.of(engine)) {
             HttpResponse<String> answer = Stand.await(stand.send("pair-a", 1));
             assertEquals(400, answer.statusCode());
             assertEquals("settled", Stand.state(answer));
@@ -173,14 +187,17 @@
 
     @Test
     void onlyARefusalWithItsProofLetsABindingCallGoOn() {
-        RawEngine.Script proven = (number, head, out, socket) ->
-                RawEngine.plain(out, 503, "pearladder-never-ran: full\r\n", "{}");
+        RawEngine.Script proven =
+                (number, head, out, socket) -> RawEngine.plain(out, 503, "pearladder-never-ran: full\r\n", "{}");
         RawEngine.Script bare = (number, head, out, socket) -> RawEngine.plain(out, 503, "", "{}");
-        try (RawEngine full = new RawEngine(proven); Stand stand = Stand.of(full)) {
+        try (RawEngine full = new RawEngine(proven);
+                Stand stand = Stand.of(full)) {
             assertEquals("dismissed", Stand.state(Stand.await(stand.send("pair-a", 1, "pearladder-category", "post"))));
         }
-        try (RawEngine unsure = new RawEngine(bare); Stand stand = Stand.of(unsure)) {
-            assertEquals("terminated", Stand.state(Stand.await(stand.send("pair-a", 1, "pearladder-category", "post"))));
+        try (RawEngine unsure = new RawEngine(bare);
+                Stand stand = Stand.of(unsure)) {
+            assertEquals(
+                    "terminated", Stand.state(Stand.await(stand.send("pair-a", 1, "pearladder-category", "post"))));
             assertEquals(1, unsure.heads.size());
         }
     }
@@ -192,15 +209,21 @@
             java.util.concurrent.locks.LockSupport.parkNanos(136_000_000L + number * 400_000L);
             RawEngine.plain(out, 200, "", "{}");
         };
-        try (RawEngine engine = new RawEngine(late); Stand stand = Stand.of(engine)) {
+        try (RawEngine engine = new RawEngine(late);
+                Stand stand = Stand.of(engine)) {
             List<Socket> clients = new ArrayList<>();
             for (int i = 0; i < 24; i++) {
-                clients.add(raw(stand, post("pair-" + i, "pearladder-category: post\r\npearladder-patience-ms: 150\r\n", "{}")));
+                clients.add(raw(
+                        stand,
+                        post("pair-" + i, "pearladder-category: post\r\npearladder-patience-ms: 150\r\n", "{}")));
             }
-            Stand.until("all have ended", () -> stand.metric("pearladder_calls_open") == 0
-                    && stand.metric("pearladder_calls_total{state=\"settled\"}")
-                    + stand.metric("pearladder_calls_total{state=\"dismissed\"}")
-                    + stand.metric("pearladder_calls_total{state=\"terminated\"}") == 24);
+            Stand.until(
+                    "all have ended",
+                    () -> stand.metric("pearladder_calls_open") == 0
+                            && stand.metric("pearladder_calls_total{state=\"settled\"}")
+                                            + stand.metric("pearladder_calls_total{state=\"dismissed\"}")
+                                            + stand.metric("pearladder_calls_total{state=\"terminated\"}")
+                                    == 24);
             for (Socket client : clients) {
                 try (client) {
                     client.setSoTimeout(50);
@@ -212,7 +235,8 @@
 
     @Test
     void twoThousandCallsAgainstOneDeadEngineAllGetTheirAnswer() {
-        try (RawEngine hung = new RawEngine(NEVER); Stand stand = Stand.of(hung)) {
+        try (RawEngine hung = new RawEngine(NEVER);
+                Stand stand = Stand.of(hung)) {
             List<CompletableFuture<HttpResponse<String>>> all = new ArrayList<>();
             for (int i = 0; i < 2000; i++) {
                 all.add(stand.send("pair-" + i % 50, 1, "pearladder-patience-ms", "1500"));
@@ -228,25 +252,42 @@
 
     @Test
     void whatIsNoCallIsRefusedInWordsAndNeverTaken() throws IOException {
-        String accounts = Stand.RULES + "accounts: {tender: {share: 0.5}}\nlimits: {payload: 1 KB, body_within: 300 ms}\n";
-        try (RawEngine engine = new RawEngine(OK); Stand stand = Stand.of(accounts, engine)) {
+        String accounts =
+                Stand.RULES + "accounts: {tender: {share: 0.5}}\nlimits: {payload: 1 KB, body_within: 300 ms}\n";
+        try (RawEngine engine = new RawEngine(OK);
+                Stand stand = Stand.of(accounts, engine)) {
             refused(stand, 400, "pearladder-account is missing", stand.call("pair-a", 1));
             refused(stand, 400, "unknown account", stand.call("pair-a", 1, "pearladder-account", "nobody"));
             refused(stand, 404, "unknown model", stand.call("other", 1, "pearladder-account", "tender"));
-            refused(stand, 400, "unknown category", stand.call("pair-a", 1, "pearladder-account", "tender",
-                    "pearladder-category", "no\"such"));
-            refused(stand, 400, "idempotency-key", stand.call("pair-a", 1, "pearladder-account", "tender",
-                    "pearladder-category", "commit"));
-            refused(stand, 400, "milliseconds", stand.call("pair-a", 1, "pearladder-account", "tender",
-                    "pearladder-patience-ms", "soon"));
-            refused(stand, 413, "1000 bytes", HttpRequest.newBuilder(stand.uri("/v2/models/pair-a/infer"))
-                    .header("pearladder-account", "tender")
-                    .POST(HttpRequest.BodyPublishers.ofString("x".repeat(2000))));
+            refused(
+                    stand,
+                    400,
+                    "unknown category",
+                    stand.call("pair-a", 1, "pearladder-account", "tender", "pearladder-category", "no\"such"));
+            refused(
+                    stand,
+                    400,
+                    "idempotency-key",
+                    stand.call("pair-a", 1, "pearladder-account", "tender", "pearladder-category", "commit"));
+            refused(
+                    stand,
+                    400,
+                    "milliseconds",
+                    stand.call("pair-a", 1, "pearladder-account", "tender", "pearladder-patience-ms", "soon"));
+            refused(
+                    stand,
+                    413,
+                    "1000 bytes",
+                    HttpRequest.newBuilder(stand.uri("/v2/models/pair-a/infer"))
+                            .header("pearladder-account", "tender")
+                            .POST(HttpRequest.BodyPublishers.ofString("x".repeat(2000))));
             refused(stand, 405, "takes POST", HttpRequest.newBuilder(stand.uri("/v2/models/pair-a/infer")));
             refused(stand, 404, "no such path", HttpRequest.newBuilder(stand.uri("/v3")));
             // a body that never comes whole is not waited for beyond its bound
-            try (Socket slow = raw(stand, "POST /v2/models/pair-a/infer HTTP/1.1\r\nhost: x\r\n"
-                    + "pearladder-account: tender\r\ncontent-length: 100\r\n\r\n{")) {
+            try (Socket slow = raw(
+                    stand,
+                    "POST /v2/models/pair-a/infer HTTP/1.1\r\nhost: x\r\n"
+                            + "pearladder-account: tender\r\ncontent-length: 100\r\n\r\n{")) {
                 slow.setSoTimeout(5000);
                 assertTrue(new String(slow.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
                         .startsWith("HTTP/1.1 408"));
@@ -261,8 +302,8 @@
     }
 
     private static void refused(Stand stand, int status, String words, HttpRequest.Builder request) {
-        HttpResponse<String> answer = Stand.await(stand.client.sendAsync(request.build(),
-                HttpResponse.BodyHandlers.ofString()));
+        HttpResponse<String> answer =
+                Stand.await(stand.client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofString()));
         assertEquals(status, answer.statusCode(), answer.body());
         assertTrue(answer.body().startsWith("{\"error\":") && answer.body().contains(words), answer.body());
         assertEquals("", Stand.state(answer));
@@ -271,10 +312,11 @@
     @Test
     void aClientThatNeverReadsHoldsUpNobodyElse() throws IOException {
         RawEngine.Script large = (number, head, out, socket) -> RawEngine.plain(out, 200, "", "y".repeat(8_000_000));
-        try (RawEngine engine = new RawEngine(large); Stand stand = Stand.of(engine);
+        try (RawEngine engine = new RawEngine(large);
+                Stand stand = Stand.of(engine);
                 Socket never = raw(stand, post("pair-a", "", "{}"))) {
-            Stand.until("its answer is on its way",
-                    () -> stand.metric("pearladder_calls_total{state=\"settled\"}") == 1);
+            Stand.until(
+                    "its answer is on its way", () -> stand.metric("pearladder_calls_total{state=\"settled\"}") == 1);
             HttpResponse<String> other = Stand.await(stand.send("pair-a", 1));
             assertEquals("settled", Stand.state(other));
             assertEquals(8_000_000, other.body().length());
@@ -289,10 +331,13 @@
             got.append(head);
             RawEngine.plain(out, 200, "content-type: application/octet-stream\r\n", "done");
         };
-        try (RawEngine engine = new RawEngine(script); Stand stand = Stand.of(engine)) {
-            HttpResponse<String> answer = Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(
-                    stand.uri("/v2/models/pair-a/versions/3/infer")).header("content-type", "application/x-tensors")
-                    .POST(HttpRequest.BodyPublishers.ofByteArray(new byte[9_000_000])).build(),
+        try (RawEngine engine = new RawEngine(script);
+                Stand stand = Stand.of(engine)) {
+            HttpResponse<String> answer = Stand.await(stand.client.sendAsync(
+                    HttpRequest.newBuilder(stand.uri("/v2/models/pair-a/versions/3/infer"))
+                            .header("content-type", "application/x-tensors")
+                            .POST(HttpRequest.BodyPublishers.ofByteArray(new byte[9_000_000]))
+                            .build(),
                     HttpResponse.BodyHandlers.ofString()));
             assertEquals("done", answer.body());
             assertTrue(got.toString().contains("content-length: 9000000"), got.toString());
--- a/router/src/test/java/pearladder/router/LifeTest.java
+++ b/router/src/test/java/pearladder/router/LifeTest.java
@@ -26,7 +26,8 @@
         try (Stand stand = new Stand(1)) {
             CompletableFuture<HttpResponse<String>> held = stand.send("pair-slow", 5);
             Stand.until("the call arrives", () -> stand.seen(Seen.ARRIVED).size() == 1);
-            CompletableFuture<Void> stopped = stand.router.stop().toCompletionStage().toCompletableFuture();
+            CompletableFuture<Void> stopped =
+                    stand.router.stop().toCompletionStage().toCompletableFuture();
             Stand.until("it is not ready", () -> stand.get("/v2/health/ready").statusCode() == 503);
             HttpResponse<String> turnedAway = Stand.await(stand.send("pair-a", 1));
             assertEquals("dismissed", Stand.state(turnedAway));
@@ -38,7 +39,8 @@
 
     @Test
     void aStoppingRouterTerminatesWhatIsStillOutAtItsBound() {
-        try (RawEngine hung = new RawEngine((number, head, out, socket) -> { }); Stand stand = Stand.of(hung)) {
+        try (RawEngine hung = new RawEngine((number, head, out, socket) -> {});
+                Stand stand = Stand.of(hung)) {
             CompletableFuture<HttpResponse<String>> held = stand.send("pair-a", 1, "pearladder-category", "post");
             Stand.until("the call arrives", () -> hung.heads.size() == 1);
             stand.router.stop();
@@ -48,10 +50,12 @@
 
     @Test
     void aRouterStartsFromItsLastListWhereTheListServiceIsAway() {
-        try (RawEngine engine = new RawEngine(OK); Stand stand = Stand.of(engine)) {
+        try (RawEngine engine = new RawEngine(OK);
+                Stand stand = Stand.of(engine)) {
             Stand.until("the list is on disk", () -> {
                 try {
-                    return Files.readString(stand.folder.resolve("r1/last-list.json")).contains("raw-0");
+                    return Files.readString(stand.folder.resolve("r1/last-list.json"))
+                            .contains("raw-0");
                 } catch (java.io.IOException notYet) {
                     return false;
                 }
@@ -66,7 +70,8 @@
 
     @Test
     void aLastListThatIsTornIsPassedOver() throws java.io.IOException {
-        try (RawEngine engine = new RawEngine(OK); Stand stand = Stand.of(engine)) {
+        try (RawEngine engine = new RawEngine(OK);
+                Stand stand = Stand.of(engine)) {
             Files.createDirectories(stand.folder.resolve("r2"));
             Files.writeString(stand.folder.resolve("r2/last-list.json"), "{\"kind\":\"whole\",\"vers");
             Router other = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.listPort(), Stand.RULES);
@@ -80,7 +85,8 @@
 
     @Test
     void aListThatBreaksOrFallsSilentIsWatchedAgainAndTheOldOneHolds() {
-        try (RawEngine engine = new RawEngine(OK); RawEngine later = new RawEngine(OK);
+        try (RawEngine engine = new RawEngine(OK);
+                RawEngine later = new RawEngine(OK);
                 Stand stand = Stand.of(engine)) {
             stand.fleet.run(() -> stand.fleet.list().cut());
             assertEquals("settled", Stand.state(Stand.await(stand.send("pair-a", 1))));
@@ -98,11 +104,16 @@
     @Test
     void aSecondRouterOnAPortSaysSo() {
         try (Stand stand = new Stand(1)) {
-            Articles second = ArticlesReader.read(Yaml.read("second", "router: {name: r9, listen: \"127.0.0.1:"
-                    + stand.router.port() + "\", data: \"" + stand.folder.resolve("r9")
-                    + "\"}\nlist: {address: \"127.0.0.1:" + stand.fleet.listPort() + "\"}\n" + Stand.RULES));
-            CompletionException failed = Assertions.assertThrows(CompletionException.class,
-                    () -> Router.start(second, Policy::new, 1).toCompletionStage().toCompletableFuture().join());
+            Articles second = ArticlesReader.read(Yaml.read(
+                    "second",
+                    "router: {name: r9, listen: \"127.0.0.1:"
+                            + stand.router.port() + "\", data: \"" + stand.folder.resolve("r9")
+                            + "\"}\nlist: {address: \"127.0.0.1:" + stand.fleet.listPort() + "\"}\n" + Stand.RULES));
+            CompletionException failed =
+                    Assertions.assertThrows(CompletionException.class, () -> Router.start(second, Policy::new, 1)
+                            .toCompletionStage()
+                            .toCompletableFuture()
+                            .join());
             assertTrue(failed.getCause().getMessage().contains("can't be listened on"), failed.toString());
         }
     }
--- a/router/src/test/java/pearladder/router/OperatorTest.java
+++ b/router/src/test/java/pearladder/router/OperatorTest.java
@@ -13,8 +13,9 @@
 
 class OperatorTest {
     private static List<Plan> plan(String from, String to) {
-        return PlanReader.read(Yaml.read("p.yaml", "release: {model: pair-a, from: \"" + from + "\", to: \"" + to
-                + "\", steps: [0.5, 1], hold: 10 s}"));
+        return PlanReader.read(Yaml.read(
+                "p.yaml",
+                "release: {model: pair-a, from: \"" + from + "\", to: \"" + to + "\", steps: [0.5, 1], hold: 10 s}"));
     }
 
     /** Two routers; one is away while an order is given, and ends in the newest state all the same. */
@@ -26,16 +27,31 @@
             Operator both = new Operator(List.of(first, "127.0.0.1:" + second.adminPort()), "ann");
             assertEquals(2, both.start(plan("", "2")).took());
             Stand.await(second.stop().toCompletionStage().toCompletableFuture());
-            Operator.Told told = both.change(List.of(), before -> new Target(0, before.plan(), Target.Mode.PAUSED, 0, "", 0));
+            Operator.Told told =
+                    both.change(List.of(), before -> new Target(0, before.plan(), Target.Mode.PAUSED, 0, "", 0));
             assertEquals(1, told.took());
-            assertTrue(told.lines().stream().anyMatch(line -> line.contains("no answer")), told.lines().toString());
+            assertTrue(
+                    told.lines().stream().anyMatch(line -> line.contains("no answer")),
+                    told.lines().toString());
             second = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.listPort(), Stand.RULES);
             both = new Operator(List.of(first, "127.0.0.1:" + second.adminPort()), "ben");
-            assertEquals(2, both.status().stream().filter(line -> line.contains("epoch 2, paused")
-                    || line.contains("epoch 1, running")).count(), both.status().toString());
-            assertEquals(2, both.change(List.of("pair-a"), before -> new Target(0, before.plan(), Target.Mode.ROLLED_BACK, 0, "",
-                    0)).took());
-            assertEquals(2, both.status().stream().filter(line -> line.contains("epoch 3, rolled_back")).count());
+            assertEquals(
+                    2,
+                    both.status().stream()
+                            .filter(line -> line.contains("epoch 2, paused") || line.contains("epoch 1, running"))
+                            .count(),
+                    both.status().toString());
+            assertEquals(
+                    2,
+                    both.change(
+                                    List.of("pair-a"),
+                                    before -> new Target(0, before.plan(), Target.Mode.ROLLED_BACK, 0, "", 0))
+                            .took());
+            assertEquals(
+                    2,
+                    both.status().stream()
+                            .filter(line -> line.contains("epoch 3, rolled_back"))
+                            .count());
             assertTrue(both.history().stream().anyMatch(line -> line.contains("ben rolled_back pair-a to 2, epoch 3")));
             Stand.await(second.stop().toCompletionStage().toCompletableFuture());
         }
@@ -48,14 +64,21 @@
             assertEquals(1, operator.start(plan("", "2")).took());
             Operator.Told wrong = operator.start(plan("1", "3"));
             assertEquals(0, wrong.took());
-            assertTrue(wrong.lines().get(0).contains("its calls get version \"2\", not \"1\""), wrong.lines().toString());
+            assertTrue(
+                    wrong.lines().get(0).contains("its calls get version \"2\", not \"1\""),
+                    wrong.lines().toString());
             assertEquals(1, operator.start(plan("2", "3")).took());
         }
     }
 
     @Test
     void aPlansMistakesAreNamedByLine() {
-        List<String> lines = assertThrows(Mistakes.Found.class, () -> PlanReader.read(Yaml.read("p.yaml", """
+        List<String> lines = assertThrows(
+                        Mistakes.Found.class,
+                        () -> PlanReader.read(
+                                Yaml.read(
+                                        "p.yaml",
+                                        """
                 release:
                   from: "2"
                   to: "2"
@@ -63,7 +86,10 @@
                   hold: 10
                   model: pair-a
                   when: now
-                """))).getMessage().lines().toList();
+                """)))
+                .getMessage()
+                .lines()
+                .toList();
         assertEquals(5, lines.size(), lines.toString());
         assertTrue(lines.get(0).startsWith("p.yaml:3: release.to: the new version is the old one"), lines.get(0));
         assertTrue(lines.get(1).contains("a share of 0.25 after 0.5 does not rise"), lines.get(1));
--- a/router/src/test/java/pearladder/router/RawEngine.java
+++ b/router/src/test/java/pearladder/router/RawEngine.java
@@ -23,6 +23,7 @@
     final ServerSocket door;
     /** Heads of the requests that came in whole, in order. */
     final List<String> heads = new CopyOnWriteArrayList<>();
+
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final Script script;
 
--- a/router/src/test/java/pearladder/router/RecorderTest.java
+++ b/router/src/test/java/pearladder/router/RecorderTest.java
@@ -21,7 +21,8 @@
 
 /** What a router keeps of what it did, over sockets. */
 class RecorderTest {
-    private static final String RULES = Stand.RULES + """
+    private static final String RULES = Stand.RULES
+            + """
             accounts: {tender: {share: 0.6}, filing: {share: 0.4}}
             rules: {ration: {free: 2, share: 0.1, window: 5 s}}
             copies: {kept: 1 s, orders: true}
@@ -59,7 +60,13 @@
     void everyCallIsThereWithItsEndAndItsAccountsWork() {
         try (Stand stand = stand()) {
             for (int i = 0; i < 6; i++) {
-                Stand.await(stand.send("pair-a", 5, "pearladder-account", i % 2 == 0 ? "tender" : "filing", "pearladder-call", "c" + i));
+                Stand.await(stand.send(
+                        "pair-a",
+                        5,
+                        "pearladder-account",
+                        i % 2 == 0 ? "tender" : "filing",
+                        "pearladder-call",
+                        "c" + i));
             }
             Stand.until("six ends are kept", () -> count(stand, Kind.ENDED) == 6);
             assertEquals(1, count(stand, Kind.LOADING));
@@ -67,13 +74,27 @@
             List<Entry> all = entries(stand);
             assertEquals(Kind.STARTED, all.get(0).kind());
             assertEquals(Kind.STOPPED, all.get(all.size() - 1).kind());
-            assertTrue(all.stream().filter(entry -> entry.kind() == Kind.ENDED).allMatch(entry -> entry.note().equals("settled")
-                    && entry.took() > 0 && entry.model().equals("pair-a")));
+            assertTrue(all.stream()
+                    .filter(entry -> entry.kind() == Kind.ENDED)
+                    .allMatch(entry -> entry.note().equals("settled")
+                            && entry.took() > 0
+                            && entry.model().equals("pair-a")));
             // the calls may fall into several cuts; one of them waited for the load and weighs nothing
-            assertEquals(Set.of("tender", "filing"), all.stream().filter(entry -> entry.kind() == Kind.WORK && entry.amount() > 0)
-                    .map(Entry::account).collect(Collectors.toSet()));
-            assertEquals(400, all.stream().filter(entry -> entry.kind() == Kind.MODEL).findFirst().orElseThrow().amount());
-            assertEquals(2, all.stream().filter(entry -> entry.kind() == Kind.ENGINE).count());
+            assertEquals(
+                    Set.of("tender", "filing"),
+                    all.stream()
+                            .filter(entry -> entry.kind() == Kind.WORK && entry.amount() > 0)
+                            .map(Entry::account)
+                            .collect(Collectors.toSet()));
+            assertEquals(
+                    400,
+                    all.stream()
+                            .filter(entry -> entry.kind() == Kind.MODEL)
+                            .findFirst()
+                            .orElseThrow()
+                            .amount());
+            assertEquals(
+                    2, all.stream().filter(entry -> entry.kind() == Kind.ENGINE).count());
         }
     }
 
@@ -87,8 +108,9 @@
             Path snapshot = stand.folder.resolve("r1/snapshot.json");
             Stand.until("a snapshot tells of the copy", () -> {
                 try {
-                    return Files.exists(snapshot) && Files.readString(snapshot, java.nio.charset.StandardCharsets.ISO_8859_1)
-                            .contains("\"copies\":[{\"worker\":\"" + engine);
+                    return Files.exists(snapshot)
+                            && Files.readString(snapshot, java.nio.charset.StandardCharsets.ISO_8859_1)
+                                    .contains("\"copies\":[{\"worker\":\"" + engine);
                 } catch (IOException moved) {
                     return false;
                 }
@@ -110,7 +132,8 @@
                 stop(stand);
                 Files.write(stand.folder.resolve("r1/snapshot.json"), bytes);
                 startAgain(stand);
-                assertEquals("settled", Stand.state(Stand.await(stand.send("pair-a", 5, "pearladder-account", "tender"))));
+                assertEquals(
+                        "settled", Stand.state(Stand.await(stand.send("pair-a", 5, "pearladder-account", "tender"))));
             }
         }
     }
@@ -122,16 +145,24 @@
             Stand.until("it is kept", () -> count(stand, Kind.ENDED) == 1);
             Path file;
             try (var files = Files.list(stand.folder.resolve("r1/records"))) {
-                file = files.filter(one -> one.toString().endsWith(".db")).findFirst().orElseThrow();
+                file = files.filter(one -> one.toString().endsWith(".db"))
+                        .findFirst()
+                        .orElseThrow();
             }
-            try (var other = JDBC.createConnection("jdbc:sqlite:" + file, new Properties()); var locking = other.createStatement()) {
+            try (var other = JDBC.createConnection("jdbc:sqlite:" + file, new Properties());
+                    var locking = other.createStatement()) {
                 locking.execute("begin immediate");
                 for (int i = 0; i < 5; i++) {
-                    assertEquals("settled", Stand.state(Stand.await(stand.send("pair-a", 5, "pearladder-account", "tender"))));
+                    assertEquals(
+                            "settled",
+                            Stand.state(Stand.await(stand.send("pair-a", 5, "pearladder-account", "tender"))));
                 }
-                Stand.until("the router says that nothing is kept", () -> stand.metric("pearladder_records_failing") == 1);
+                Stand.until(
+                        "the router says that nothing is kept", () -> stand.metric("pearladder_records_failing") == 1);
                 for (int i = 0; i < 5; i++) {
-                    assertEquals("settled", Stand.state(Stand.await(stand.send("pair-a", 5, "pearladder-account", "tender"))));
+                    assertEquals(
+                            "settled",
+                            Stand.state(Stand.await(stand.send("pair-a", 5, "pearladder-account", "tender"))));
                 }
                 locking.execute("rollback");
             }
@@ -144,9 +175,12 @@
     @Test
     void aSecondRouterOnTheSameFolderIsRefused() {
         try (Stand stand = stand()) {
-            Throwable refused = assertThrows(IllegalStateException.class, () -> stand.startRouter("r1", "127.0.0.1:"
-                    + stand.fleet.listPort(), RULES));
-            assertTrue(refused.getCause().getMessage().contains("held by another"), refused.getCause().getMessage());
+            Throwable refused = assertThrows(
+                    IllegalStateException.class,
+                    () -> stand.startRouter("r1", "127.0.0.1:" + stand.fleet.listPort(), RULES));
+            assertTrue(
+                    refused.getCause().getMessage().contains("held by another"),
+                    refused.getCause().getMessage());
         }
     }
 }
--- a/router/src/test/java/pearladder/router/ReleaseTest.java
+++ b/router/src/test/java/pearladder/router/ReleaseTest.java
@@ -32,14 +32,23 @@
     private static final String RULES = Stand.RULES + "copies: {orders: true, engine_memory: [4 GB]}\n";
 
     private static Target target(long epoch, String model, Mode mode, int step) {
-        Plan plan = new Plan(model, "1", "2", List.of(0.25, 1.0), Span.seconds(60), 50, new Plan.Gate(0.1, 0.01, 0.05),
+        Plan plan = new Plan(
+                model,
+                "1",
+                "2",
+                List.of(0.25, 1.0),
+                Span.seconds(60),
+                50,
+                new Plan.Gate(0.1, 0.01, 0.05),
                 Plan.Breach.ROLL_BACK);
         return new Target(epoch, plan, mode, step, "ops", 0);
     }
 
     private static HttpResponse<String> order(Stand stand, Target target) throws IOException {
-        return Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(admin(stand, "/releases"))
-                .POST(HttpRequest.BodyPublishers.ofString(JSON.writeValueAsString(target))).build(),
+        return Stand.await(stand.client.sendAsync(
+                HttpRequest.newBuilder(admin(stand, "/releases"))
+                        .POST(HttpRequest.BodyPublishers.ofString(JSON.writeValueAsString(target)))
+                        .build(),
                 HttpResponse.BodyHandlers.ofString()));
     }
 
@@ -48,8 +57,10 @@
     }
 
     private static String status(Stand stand) {
-        return Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(admin(stand, "/releases")).build(),
-                HttpResponse.BodyHandlers.ofString())).body();
+        return Stand.await(stand.client.sendAsync(
+                        HttpRequest.newBuilder(admin(stand, "/releases")).build(),
+                        HttpResponse.BodyHandlers.ofString()))
+                .body();
     }
 
     private static String version(HttpResponse<String> answer) {
@@ -72,17 +83,24 @@
         try (Stand stand = new Stand(Stand.FLEET.formatted(3), RULES)) {
             assertEquals("", version(Stand.await(stand.send("pair-a", 1))));
             assertEquals(200, order(stand, target(1, "pair-a", Mode.RUNNING, 0)).statusCode());
-            Stand.until("its copy stands and the step is taken", () -> status(stand).contains("share 0.25"));
-            assertTrue(stand.seen(Seen.ORDERED).stream().anyMatch(one -> one.model().equals("pair-a@2")), "loaded ahead");
+            Stand.until(
+                    "its copy stands and the step is taken", () -> status(stand).contains("share 0.25"));
+            assertTrue(
+                    stand.seen(Seen.ORDERED).stream()
+                            .anyMatch(one -> one.model().equals("pair-a@2")),
+                    "loaded ahead");
             Set<String> few = onNew(stand, 120);
             assertTrue(few.size() > 12 && few.size() < 50, "a quarter of 120: " + few.size());
             assertEquals(few, onNew(stand, 120), "a key keeps its version");
             long begun = System.nanoTime();
-            assertEquals(200, order(stand, target(2, "pair-a", Mode.ROLLED_BACK, 0)).statusCode());
+            assertEquals(
+                    200, order(stand, target(2, "pair-a", Mode.ROLLED_BACK, 0)).statusCode());
             assertEquals(Set.of(), onNew(stand, 40));
             assertTrue(System.nanoTime() - begun < 2_000_000_000L, "old traffic is restored within 2 s");
-            HttpResponse<String> named = Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(
-                    stand.uri("/v2/models/pair-a/versions/7/infer")).POST(HttpRequest.BodyPublishers.ofString("{}")).build(),
+            HttpResponse<String> named = Stand.await(stand.client.sendAsync(
+                    HttpRequest.newBuilder(stand.uri("/v2/models/pair-a/versions/7/infer"))
+                            .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                            .build(),
                     HttpResponse.BodyHandlers.ofString()));
             assertEquals("7", version(named), "a call that names its version gets it");
         }
@@ -95,21 +113,28 @@
             order(stand, target(1, "pair-slow", Mode.RUNNING, 1));
             Stand.until("the load is ordered", () -> stand.seen(Seen.ORDERED).stream()
                     .anyMatch(one -> one.model().equals("pair-slow@2")));
-            assertEquals(200, order(stand, target(2, "pair-slow", Mode.ROLLED_BACK, 0)).statusCode());
-            assertEquals(200, order(stand, target(3, "pair-slow", Mode.ROLLED_BACK, 0)).statusCode(), "again is harmless");
+            assertEquals(
+                    200,
+                    order(stand, target(2, "pair-slow", Mode.ROLLED_BACK, 0)).statusCode());
+            assertEquals(
+                    200,
+                    order(stand, target(3, "pair-slow", Mode.ROLLED_BACK, 0)).statusCode(),
+                    "again is harmless");
             for (int i = 0; i < 20; i++) {
                 HttpResponse<String> answer = Stand.await(stand.send("pair-slow", 1, "pearladder-key", "k" + i));
                 assertEquals("1", version(answer));
             }
-            assertTrue(stand.seen(Seen.ARRIVED).stream().noneMatch(one -> one.model().equals("pair-slow@2")));
+            assertTrue(stand.seen(Seen.ARRIVED).stream()
+                    .noneMatch(one -> one.model().equals("pair-slow@2")));
         }
     }
 
     @Test
     void aVersionThatFailsEachCallIsTakenBackByTheRouterItself() throws IOException {
-        RawEngine.Script script = (number, head, out, socket) -> RawEngine.plain(out, head.contains("/versions/2/") ? 500 : 200,
-                "pearladder-copy: stood\r\n", "{}");
-        try (RawEngine one = new RawEngine(script); RawEngine two = new RawEngine(script);
+        RawEngine.Script script = (number, head, out, socket) ->
+                RawEngine.plain(out, head.contains("/versions/2/") ? 500 : 200, "pearladder-copy: stood\r\n", "{}");
+        try (RawEngine one = new RawEngine(script);
+                RawEngine two = new RawEngine(script);
                 Stand stand = Stand.of(Stand.RULES, one, two)) {
             order(stand, target(1, "pair-a", Mode.RUNNING, 0));
             Stand.until("the step is taken", () -> status(stand).contains("share 0.25"));
@@ -149,29 +174,48 @@
             Router away = stand.startRouter("r2", list, rules);
             Stand.until("it learns", () -> newest(stand, away).contains("\"epoch\":1"));
             Stand.await(away.stop().toCompletionStage().toCompletableFuture());
-            assertEquals(200, order(stand, new Target(2, second.plan(), second.mode(), 0, "ben", 4 * hour)).statusCode(),
+            assertEquals(
+                    200,
+                    order(stand, new Target(2, second.plan(), second.mode(), 0, "ben", 4 * hour))
+                            .statusCode(),
                     "the epoch counts, whatever the clocks say");
             Router back = stand.startRouter("r2", list, rules);
             try {
-                while (Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + back.port()
-                        + "/v2/health/ready")).build(), HttpResponse.BodyHandlers.discarding())).statusCode() != 200) {
+                while (Stand.await(stand.client.sendAsync(
+                                        HttpRequest.newBuilder(URI.create(
+                                                        "http://127.0.0.1:" + back.port() + "/v2/health/ready"))
+                                                .build(),
+                                        HttpResponse.BodyHandlers.discarding()))
+                                .statusCode()
+                        != 200) {
                     Thread.onSpinWait();
                 }
                 assertTrue(newest(stand, back).contains("\"epoch\":2"), "it was ready with an old order");
                 order(stand, target(3, "pair-a", Mode.PAUSED, 0));
-                Stand.until("it learns later ones too", () -> newest(stand, back).contains("\"epoch\":3"));
+                Stand.until(
+                        "it learns later ones too", () -> newest(stand, back).contains("\"epoch\":3"));
             } finally {
                 Stand.await(back.stop().toCompletionStage().toCompletableFuture());
             }
             String sum = newest(stand, stand.router).replaceAll(".*\"sum\":\"([0-9a-f]+)\".*", "$1");
-            assertTrue(Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(admin(stand, "/releases/newest?sum=" + sum))
-                    .build(), HttpResponse.BodyHandlers.ofString())).body().endsWith("\"targets\":[]}"), "the same is not told twice");
+            assertTrue(
+                    Stand.await(stand.client.sendAsync(
+                                    HttpRequest.newBuilder(admin(stand, "/releases/newest?sum=" + sum))
+                                            .build(),
+                                    HttpResponse.BodyHandlers.ofString()))
+                            .body()
+                            .endsWith("\"targets\":[]}"),
+                    "the same is not told twice");
         }
     }
 
     private static String newest(Stand stand, Router router) {
-        return Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + router.adminPort()
-                + "/releases/newest")).build(), HttpResponse.BodyHandlers.ofString())).body();
+        return Stand.await(stand.client.sendAsync(
+                        HttpRequest.newBuilder(
+                                        URI.create("http://127.0.0.1:" + router.adminPort() + "/releases/newest"))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString()))
+                .body();
     }
 
     /** Killed after the journal had the order and before the operator had the answer: ordered again, it is no other order. */
@@ -210,21 +254,30 @@
             }
             String index = "[{\"name\":\"pair-a\",\"version\":\"9\",\"state\":\"READY\"},"
                     + "{\"name\":\"pair-a@9\",\"state\":\"READY\"}]";
-            RawEngine.plain(out, 200, "pearladder-copy: stood\r\n", head.contains("index") ? index
-                    : "{\"model_name\":\"pair-a\",\"model_version\":\"9\",\"outputs\":[]}");
+            RawEngine.plain(
+                    out,
+                    200,
+                    "pearladder-copy: stood\r\n",
+                    head.contains("index")
+                            ? index
+                            : "{\"model_name\":\"pair-a\",\"model_version\":\"9\",\"outputs\":[]}");
         };
-        try (RawEngine one = new RawEngine(script); RawEngine two = new RawEngine(script);
+        try (RawEngine one = new RawEngine(script);
+                RawEngine two = new RawEngine(script);
                 Stand stand = Stand.of(RULES, one, two)) {
             order(stand, target(1, "pair-a", Mode.RUNNING, 1));
-            Stand.until("the load is ordered", () -> one.heads.stream().anyMatch(head -> head.contains("/load "))
-                    || two.heads.stream().anyMatch(head -> head.contains("/load ")));
+            Stand.until(
+                    "the load is ordered",
+                    () -> one.heads.stream().anyMatch(head -> head.contains("/load "))
+                            || two.heads.stream().anyMatch(head -> head.contains("/load ")));
             for (int i = 0; i < 60; i++) {
                 HttpResponse<String> answer = Stand.await(stand.send("pair-a", 1, "pearladder-key", "doc-" + i));
                 assertEquals("settled", Stand.state(answer), "the old version goes on");
                 assertEquals("1", version(answer));
             }
             assertTrue(status(stand).contains("share 0.00"), status(stand));
-            assertTrue(one.heads.stream().noneMatch(head -> head.contains("versions/2/infer") || head.contains("versions/9/infer")));
+            assertTrue(one.heads.stream()
+                    .noneMatch(head -> head.contains("versions/2/infer") || head.contains("versions/9/infer")));
         }
     }
 
@@ -235,12 +288,18 @@
             for (int i = 0; i < 200; i++) {
                 many.add(target(1, i == 70 ? "other" : "pair-" + i, Mode.PAUSED, 0));
             }
-            HttpResponse<String> answer = Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(admin(stand, "/releases"))
-                    .POST(HttpRequest.BodyPublishers.ofString(JSON.writeValueAsString(many))).build(),
+            HttpResponse<String> answer = Stand.await(stand.client.sendAsync(
+                    HttpRequest.newBuilder(admin(stand, "/releases"))
+                            .POST(HttpRequest.BodyPublishers.ofString(JSON.writeValueAsString(many)))
+                            .build(),
                     HttpResponse.BodyHandlers.ofString()));
             assertEquals(409, answer.statusCode());
             assertEquals(200, JSON.readTree(answer.body()).path("refused").size());
-            assertTrue(JSON.readTree(answer.body()).path("refused").path(70).asText().contains("unknown model other"));
+            assertTrue(JSON.readTree(answer.body())
+                    .path("refused")
+                    .path(70)
+                    .asText()
+                    .contains("unknown model other"));
             assertEquals(199, JSON.readTree(status(stand)).path("targets").size());
         }
     }
@@ -251,8 +310,11 @@
             assertTrue(order(stand, target(1, "other", Mode.RUNNING, 0)).body().contains("unknown model other"));
             assertEquals(409, order(stand, target(1, "pair-a", Mode.RUNNING, 5)).statusCode());
             for (String body : List.of("", "{", "[]", "{\"epoch\":1}", "{\"epoch\":\"x\"}")) {
-                HttpResponse<String> answer = Stand.await(stand.client.sendAsync(HttpRequest.newBuilder(admin(stand, "/releases"))
-                        .POST(HttpRequest.BodyPublishers.ofString(body)).build(), HttpResponse.BodyHandlers.ofString()));
+                HttpResponse<String> answer = Stand.await(stand.client.sendAsync(
+                        HttpRequest.newBuilder(admin(stand, "/releases"))
+                                .POST(HttpRequest.BodyPublishers.ofString(body))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString()));
                 assertEquals(400, answer.statusCode(), body + " -> " + answer.body());
             }
         }
@@ -265,25 +327,39 @@
             for (int epoch = 1; epoch <= 3; epoch++) {
                 journal.append(List.of(target(epoch, "pair-a", Mode.RUNNING, 0)));
             }
-            assertTrue(assertThrows(IOException.class, () -> ReleaseJournal.open(folder)).getMessage()
+            assertTrue(assertThrows(IOException.class, () -> ReleaseJournal.open(folder))
+                    .getMessage()
                     .contains("held by another router"));
         }
         byte[] whole = Files.readAllBytes(file);
-        int last = whole.length - new String(whole, StandardCharsets.UTF_8).lines().reduce((a, b) -> b).orElseThrow().length() - 1;
+        int last = whole.length
+                - new String(whole, StandardCharsets.UTF_8)
+                        .lines()
+                        .reduce((a, b) -> b)
+                        .orElseThrow()
+                        .length()
+                - 1;
         for (int cut = last + 1; cut < whole.length; cut += 7) {
             Files.write(file, java.util.Arrays.copyOf(whole, cut));
             try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
-                assertEquals(List.of(1L, 2L), journal.orders().stream().map(Target::epoch).toList(), "cut at " + cut);
+                assertEquals(
+                        List.of(1L, 2L),
+                        journal.orders().stream().map(Target::epoch).toList(),
+                        "cut at " + cut);
                 journal.append(List.of(target(9, "pair-a", Mode.PAUSED, 0)));
             }
             try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
-                assertEquals(List.of(1L, 2L, 9L), journal.orders().stream().map(Target::epoch).toList());
+                assertEquals(
+                        List.of(1L, 2L, 9L),
+                        journal.orders().stream().map(Target::epoch).toList());
             }
         }
         byte[] damaged = whole.clone();
         damaged[20] ^= 1;
         Files.write(file, damaged);
-        assertTrue(assertThrows(IOException.class, () -> ReleaseJournal.open(folder)).getMessage().contains("line 1 is damaged"));
+        assertTrue(assertThrows(IOException.class, () -> ReleaseJournal.open(folder))
+                .getMessage()
+                .contains("line 1 is damaged"));
     }
 
     @Test
--- a/router/src/test/java/pearladder/router/RouterTest.java
+++ b/router/src/test/java/pearladder/router/RouterTest.java
@@ -17,12 +17,15 @@
             HttpResponse<String> first = Stand.await(stand.send("pair-a", 5));
             assertEquals(200, first.statusCode(), first.body());
             assertEquals("settled", Stand.state(first));
-            assertEquals("load-begun", first.headers().firstValue("pearladder-copy").orElse(""));
+            assertEquals(
+                    "load-begun", first.headers().firstValue("pearladder-copy").orElse(""));
             HttpResponse<String> second = Stand.await(stand.send("pair-a", 5));
             assertEquals("stood", second.headers().firstValue("pearladder-copy").orElse(""));
             assertTrue(second.body().contains("\"model_name\":\"pair-a\""), second.body());
             assertEquals(2, stand.seen(Seen.RAN).size());
-            assertEquals(1, stand.seen(Seen.RAN).stream().map(Seen::engine).distinct().count());
+            assertEquals(
+                    1,
+                    stand.seen(Seen.RAN).stream().map(Seen::engine).distinct().count());
         }
     }
 
@@ -33,7 +36,10 @@
             for (int i = 0; i < 200; i++) {
                 all.add(stand.send("pair-" + i % 10, 2));
             }
-            long settled = all.stream().map(Stand::await).filter(r -> Stand.state(r).equals("settled")).count();
+            long settled = all.stream()
+                    .map(Stand::await)
+                    .filter(r -> Stand.state(r).equals("settled"))
+                    .count();
             assertTrue(settled > 0);
             assertTrue(all.stream().map(Stand::await).allMatch(r -> List.of("settled", "dismissed", "terminated")
                     .contains(Stand.state(r))));
--- a/router/src/test/java/pearladder/router/Stand.java
+++ b/router/src/test/java/pearladder/router/Stand.java
@@ -28,7 +28,8 @@
 
 /** A router, its stand-ins and a client in one process, on ports given by the system. */
 final class Stand implements AutoCloseable {
-    static final String RULES = """
+    static final String RULES =
+            """
             categories:
               draw: {expected: 1 s, abandon: 3 s, effect: retriable}
               post: {expected: 1 s, abandon: 3 s, effect: binding}
@@ -36,7 +37,8 @@
             models:
               - {name: "pair-*", memory: 400 MB, lanes: 2, category: draw}
             """;
-    static final String FLEET = """
+    static final String FLEET =
+            """
             seed: 3
             shelf: {capacity: 8, limit: 40}
             list: {lag: 10 ms}
@@ -53,7 +55,8 @@
     final List<Seen> seen = new ArrayList<>();
     final Fleet fleet;
     final Path folder;
-    final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     Router router;
 
     Stand(int engines) {
@@ -85,8 +88,13 @@
 
     /** A figure of the router's metrics; 0 where it is not there. */
     double metric(String name) {
-        return get("/metrics").body().lines().filter(line -> line.startsWith(name + " "))
-                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1))).findFirst().orElse(0);
+        return get("/metrics")
+                .body()
+                .lines()
+                .filter(line -> line.startsWith(name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+                .findFirst()
+                .orElse(0);
     }
 
     private Stand(FleetPlan plan, String rules) {
@@ -105,10 +113,12 @@
     }
 
     Router startRouter(String name, String list, String rules) {
-        String head = "router: {name: " + name + ", listen: \"127.0.0.1:0\", admin: \"127.0.0.1:0\", hall: east, data: \"" + folder.resolve(name)
+        String head = "router: {name: " + name
+                + ", listen: \"127.0.0.1:0\", admin: \"127.0.0.1:0\", hall: east, data: \"" + folder.resolve(name)
                 + "\", stop_within: 2 s}\nlist: {address: \"" + list + "\", silence: 1500 ms}\n";
         return await(Router.start(ArticlesReader.read(Yaml.read("router", head + rules)), Policy::new, 5)
-                .toCompletionStage().toCompletableFuture());
+                .toCompletionStage()
+                .toCompletableFuture());
     }
 
     static <T> T await(CompletableFuture<T> future) {
@@ -141,8 +151,8 @@
     HttpRequest.Builder call(String model, double workMs, String... headers) {
         HttpRequest.Builder builder = HttpRequest.newBuilder(uri("/v2/models/" + model + "/infer"))
                 .timeout(Duration.ofSeconds(15))
-                .POST(HttpRequest.BodyPublishers.ofString("{\"parameters\":{\"work_ms\":" + workMs
-                        + "},\"inputs\":[]}"));
+                .POST(HttpRequest.BodyPublishers.ofString(
+                        "{\"parameters\":{\"work_ms\":" + workMs + "},\"inputs\":[]}"));
         return headers.length == 0 ? builder : builder.headers(headers);
     }
 
@@ -163,8 +173,11 @@
 
     /** The engine that runs a model's calls. */
     String engineOf(String model) {
-        return seen(Seen.ARRIVED).stream().filter(one -> one.model().equals(model))
-                .reduce((a, b) -> b).orElseThrow().engine();
+        return seen(Seen.ARRIVED).stream()
+                .filter(one -> one.model().equals(model))
+                .reduce((a, b) -> b)
+                .orElseThrow()
+                .engine();
     }
 
     @Override
--- a/terms/src/main/java/pearladder/terms/LoadReport.java
+++ b/terms/src/main/java/pearladder/terms/LoadReport.java
@@ -5,11 +5,15 @@
 
 /** A worker's load report under the operators' names for its values. */
 public final class LoadReport {
-    private LoadReport() { }
+    private LoadReport() {}
 
     /** @param value tells a value by its name, NaN where it is not reported */
     public static Report of(ToDoubleFunction<String> value) {
-        return new Report(value.applyAsDouble("outstanding"), value.applyAsDouble("backlog"), value.applyAsDouble("utilization"),
-                value.applyAsDouble("x1"), value.applyAsDouble("x0"));
+        return new Report(
+                value.applyAsDouble("outstanding"),
+                value.applyAsDouble("backlog"),
+                value.applyAsDouble("utilization"),
+                value.applyAsDouble("x1"),
+                value.applyAsDouble("x0"));
     }
 }
--- a/terms/src/main/java/pearladder/terms/Node.java
+++ b/terms/src/main/java/pearladder/terms/Node.java
@@ -60,7 +60,8 @@
     public <T> List<T> each(Function<Node, T> reading) {
         List<?> list = as(List.class, "a list", List.of());
         return java.util.stream.IntStream.range(0, list.size())
-                .mapToObj(i -> reading.apply(new Node(row, path + "[" + i + "]", list.get(i)))).toList();
+                .mapToObj(i -> reading.apply(new Node(row, path + "[" + i + "]", list.get(i))))
+                .toList();
     }
 
     public <T> T oneOf(Map<String, T> words) {
--- a/wirehost/src/main/java/pearladder/wire/WireHost.java
+++ b/wirehost/src/main/java/pearladder/wire/WireHost.java
@@ -40,15 +40,35 @@
         Dispatcher make(long seed, Facts facts);
     }
 
-    private static final Map<String, Outcome> OUTCOMES = Map.of("success", Outcome.SUCCESS, "failure",
-            Outcome.ERROR, "overloaded", Outcome.FULL, "timed_out", Outcome.TIMED_OUT, "unreachable",
-            Outcome.UNREACHABLE, "broken", Outcome.BROKEN, "withdrawn", Outcome.WITHDRAWN, "void", Outcome.VOID,
-            "absent", Outcome.ABSENT);
-    private static final Map<String, Event.ListKind> LIST_KINDS = Map.of("patch", Event.ListKind.CHANGES,
-            "whole", Event.ListKind.WHOLE, "stale_copy", Event.ListKind.REMEMBERED, "broken",
+    private static final Map<String, Outcome> OUTCOMES = Map.of(
+            "success",
+            Outcome.SUCCESS,
+            "failure",
+            Outcome.ERROR,
+            "overloaded",
+            Outcome.FULL,
+            "timed_out",
+            Outcome.TIMED_OUT,
+            "unreachable",
+            Outcome.UNREACHABLE,
+            "broken",
+            Outcome.BROKEN,
+            "withdrawn",
+            Outcome.WITHDRAWN,
+            "void",
+            Outcome.VOID,
+            "absent",
+            Outcome.ABSENT);
+    private static final Map<String, Event.ListKind> LIST_KINDS = Map.of(
+            "patch",
+            Event.ListKind.CHANGES,
+            "whole",
+            Event.ListKind.WHOLE,
+            "stale_copy",
+            Event.ListKind.REMEMBERED,
+            "broken",
             Event.ListKind.FAILED);
-    private static final Copy[] COPIES = {Copy.UNTOLD, Copy.STOOD, Copy.LOAD_BEGUN, Copy.LOAD_JOINED,
-        Copy.LOAD_FAILED};
+    private static final Copy[] COPIES = {Copy.UNTOLD, Copy.STOOD, Copy.LOAD_BEGUN, Copy.LOAD_JOINED, Copy.LOAD_FAILED};
 
     private final Maker maker;
     private final JsonFactory json = new JsonFactory();
@@ -177,8 +197,8 @@
                 yield new Event.Listed(kind, entries);
             }
             case "Demand" -> demand(row);
-            case "Streaming" -> new Event.StreamBegan(row.text("Txn"), (int) row.whole("SeqNo"),
-                    row.text("Worker"), new Span(row.whole("TookNs")));
+            case "Streaming" -> new Event.StreamBegan(
+                    row.text("Txn"), (int) row.whole("SeqNo"), row.text("Worker"), new Span(row.whole("TookNs")));
             case "Settled" -> settled(row);
             case "ClientLeft" -> new Event.ClientLeft(row.text("Txn"));
             case "Due" -> new Event.Due(row.text("Tag"));
@@ -191,7 +211,11 @@
                 Long copies = row.wholeOrNull("NInst");
                 String function = row.text("TargetFn");
                 Outcome outcome = word(row, "Verdict", OUTCOMES, row.text("Verdict"));
-                yield new Event.LoadAnswered(worker, function, outcome, copies == null ? 0 : copies.intValue(),
+                yield new Event.LoadAnswered(
+                        worker,
+                        function,
+                        outcome,
+                        copies == null ? 0 : copies.intValue(),
                         new Span(row.whole("TookNs")));
             }
             case "FromPeer" -> new Event.PeerSaid((int) row.whole("OriginPeer"), row.text("Contents"));
@@ -216,9 +240,17 @@
         Long hint = row.wholeOrNull("WorkHintNs");
         Double memory = row.numberOrNull("RamMb");
         String function = row.textOrNull("TargetFn");
-        return new Event.CallCame(call, function == null ? "" : function, category, (String) account, left,
-                lanes == null ? 1 : lanes.intValue(), memory == null ? 0 : memory,
-                startMs == null ? null : Span.seconds(startMs / 1e3), hint == null ? null : new Span(hint), resent,
+        return new Event.CallCame(
+                call,
+                function == null ? "" : function,
+                category,
+                (String) account,
+                left,
+                lanes == null ? 1 : lanes.intValue(),
+                memory == null ? 0 : memory,
+                startMs == null ? null : Span.seconds(startMs / 1e3),
+                hint == null ? null : new Span(hint),
+                resent,
                 row.flag("Write"));
     }
 
@@ -236,8 +268,8 @@
         if (told < 0 || copy >= COPIES.length) {
             throw row.bad("Detail", "unknown note " + told);
         }
-        return new Event.LegEnded(call, leg, worker, outcome, took, over, COPIES[copy], counted ? told / 8 : 0,
-                report(row));
+        return new Event.LegEnded(
+                call, leg, worker, outcome, took, over, COPIES[copy], counted ? told / 8 : 0, report(row));
     }
 
     private static Report report(Row row) {
@@ -255,8 +287,13 @@
                 throw entry.row().bad(entry.path(), "an entry has at least six values");
             }
             Span since = values.size() > 6 ? values.get(6).span() : Span.NONE;
-            return new Listing(values.get(0).text(), values.get(1).textOr(""), values.get(2).textOr(""),
-                    values.get(3).whole(0), values.get(4).oneOf(Standings.WORDS), values.get(5).number(1),
+            return new Listing(
+                    values.get(0).text(),
+                    values.get(1).textOr(""),
+                    values.get(2).textOr(""),
+                    values.get(3).whole(0),
+                    values.get(4).oneOf(Standings.WORDS),
+                    values.get(5).number(1),
                     since.nanos() == 0 ? null : new Moment(since.nanos()));
         });
     }
--- a/wirehost/src/test/java/pearladder/wire/WireHostTest.java
+++ b/wirehost/src/test/java/pearladder/wire/WireHostTest.java
@@ -33,12 +33,13 @@
     private String serve(String... lines) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         new WireHost((seed, told) -> {
-            facts.add(told);
-            return (now, event) -> {
-                events.add(event);
-                return answer;
-            };
-        }).serve(new ByteArrayInputStream(String.join("\n", lines).getBytes(StandardCharsets.UTF_8)), out);
+                    facts.add(told);
+                    return (now, event) -> {
+                        events.add(event);
+                        return answer;
+                    };
+                })
+                .serve(new ByteArrayInputStream(String.join("\n", lines).getBytes(StandardCharsets.UTF_8)), out);
         return out.toString(StandardCharsets.UTF_8).strip();
     }
 
@@ -49,40 +50,72 @@
 
     @Test
     void eventsAreReadAndActionsWritten() throws IOException {
-        answer = List.of(new Action.Send("t", "w", Span.millis(80)), new Action.Dismiss("t", Span.millis(1)),
-                new Action.Terminate("t"), new Action.Cancel("t", 1), new Action.Wake(new Moment(7), "x"),
-                new Action.Hold("w", "f", 2), new Action.Unload("w", "f"), new Action.Probe("w"),
-                new Action.CloseIdle("w"), new Action.Subscribe(true), new Action.FetchList(),
-                new Action.Tell(null, "hi"), new Action.Log("said"));
-        String reply = serve("[\"Frame\",5]", BEGIN,
+        answer = List.of(
+                new Action.Send("t", "w", Span.millis(80)),
+                new Action.Dismiss("t", Span.millis(1)),
+                new Action.Terminate("t"),
+                new Action.Cancel("t", 1),
+                new Action.Wake(new Moment(7), "x"),
+                new Action.Hold("w", "f", 2),
+                new Action.Unload("w", "f"),
+                new Action.Probe("w"),
+                new Action.CloseIdle("w"),
+                new Action.Subscribe(true),
+                new Action.FetchList(),
+                new Action.Tell(null, "hi"),
+                new Action.Log("said"));
+        String reply = serve(
+                "[\"Frame\",5]",
+                BEGIN,
                 "[\"Settled\",3,\"t\",true,17,\"w\",\"success\",18500000,0,{\"backlog\":3,\"x1\":1.25}]",
                 "[\"Commit\"]");
-        assertEquals(List.of("[\"Relay\",3,\"t\",\"w\",80000000]", "[\"Decline\",3,\"t\",1000000]",
-                "[\"ReportFailure\",3,\"t\"]", "[\"AbortAttempt\",3,\"t\",1]", "[\"NotifyMe\",3,7,\"x\"]",
-                "[\"HoldThere\",3,\"w\",\"f\",2]", "[\"Evict\",3,\"f\",\"w\"]", "[\"Ping\",3,\"w\"]",
-                "[\"HangUp\",3,\"w\"]", "[\"Watch\",3,true]", "[\"Fetch\",3]", "[\"Post\",3,null,\"hi\"]",
-                "[\"SayLog\",3,\"said\"]", "[\"Finished\"]"),
+        assertEquals(
+                List.of(
+                        "[\"Relay\",3,\"t\",\"w\",80000000]",
+                        "[\"Decline\",3,\"t\",1000000]",
+                        "[\"ReportFailure\",3,\"t\"]",
+                        "[\"AbortAttempt\",3,\"t\",1]",
+                        "[\"NotifyMe\",3,7,\"x\"]",
+                        "[\"HoldThere\",3,\"w\",\"f\",2]",
+                        "[\"Evict\",3,\"f\",\"w\"]",
+                        "[\"Ping\",3,\"w\"]",
+                        "[\"HangUp\",3,\"w\"]",
+                        "[\"Watch\",3,true]",
+                        "[\"Fetch\",3]",
+                        "[\"Post\",3,null,\"hi\"]",
+                        "[\"SayLog\",3,\"said\"]",
+                        "[\"Finished\"]"),
                 reply.lines().filter(line -> !line.isBlank()).toList());
         Event.LegEnded ended = (Event.LegEnded) events.get(0);
         assertEquals(Outcome.SUCCESS, ended.outcome());
         assertEquals(Event.Copy.STOOD, ended.copy());
         assertEquals(2, ended.alike());
         assertEquals(3, ended.report().waiting());
-        assertEquals(Facts.Effect.FINGERPRINTED, facts.get(0).categories().get(0).effect());
+        assertEquals(
+                Facts.Effect.FINGERPRINTED, facts.get(0).categories().get(0).effect());
         assertEquals(Facts.Group.ZONE, facts.get(0).categories().get(0).group());
         assertEquals(0.25, facts.get(0).coldStart().startShare());
     }
 
     @Test
     void rostersAreResolvedInTheOrderOfEventsAndInstancesBeginAnew() throws IOException {
-        serve("[\"Frame\",5]", BEGIN, "[\"Roster\",0,[[\"a\",\"z\",\"k\",0,\"in_service\",1,null]]]",
+        serve(
+                "[\"Frame\",5]",
+                BEGIN,
+                "[\"Roster\",0,[[\"a\",\"z\",\"k\",0,\"in_service\",1,null]]]",
                 "[\"DirectoryUpdate\",3,\"stale_copy\",41,0]",
                 "[\"Roster\",0,[[\"b\",\"z\",\"k\",0,\"terminating\",1,6100000000]]]",
-                "[\"DirectoryUpdate\",3,\"patch\",42,0]", "[\"DirectoryUpdate\",3,\"broken\",42,0]",
-                "[\"Destroy\",3]", BEGIN, "[\"Due\",3,\"sweep\"]",
-                "[\"Demand\",3,\"t\",2,900,false,\"acc\",240000000,\"c\",null,384,\"f\",false]", "[\"Commit\"]");
+                "[\"DirectoryUpdate\",3,\"patch\",42,0]",
+                "[\"DirectoryUpdate\",3,\"broken\",42,0]",
+                "[\"Destroy\",3]",
+                BEGIN,
+                "[\"Due\",3,\"sweep\"]",
+                "[\"Demand\",3,\"t\",2,900,false,\"acc\",240000000,\"c\",null,384,\"f\",false]",
+                "[\"Commit\"]");
         assertEquals("a", ((Event.Listed) events.get(0)).listings().get(0).worker());
-        assertEquals(new Moment(6100000000L), ((Event.Listed) events.get(1)).listings().get(0).since());
+        assertEquals(
+                new Moment(6100000000L),
+                ((Event.Listed) events.get(1)).listings().get(0).since());
         assertEquals(Event.ListKind.FAILED, ((Event.Listed) events.get(2)).kind());
         assertEquals(new Event.Due("sweep"), events.get(3));
         assertEquals(Span.millis(900), ((Event.CallCame) events.get(4)).usualLoad());
@@ -94,27 +127,31 @@
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         String lines = "[\"Frame\",5]\n" + BEGIN + "\n[\"Due\",3,\"x\"]\n[\"Due\",3,\"y\"]\n[\"Commit\"]";
         new WireHost((seed, told) -> (now, event) -> {
-            throw new IllegalStateException("broken");
-        }).serve(new ByteArrayInputStream(lines.getBytes(StandardCharsets.UTF_8)), out);
+                    throw new IllegalStateException("broken");
+                })
+                .serve(new ByteArrayInputStream(lines.getBytes(StandardCharsets.UTF_8)), out);
         String reply = out.toString(StandardCharsets.UTF_8);
         assertTrue(reply.contains("[\"GiveIn\",3,\"java.lang.IllegalStateException: broken"), reply);
         assertEquals(reply.indexOf("GiveIn"), reply.lastIndexOf("GiveIn"));
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "[\"Due\",3,7] | line 3, Tag",
-        "[\"Due\",4,\"x\"] | line 3, I",
-        "[\"Dew\",3,\"x\"] | line 3, message",
-        "[\"Due\",3 | line 3",
-        "{} | line 3, message",
-        "[\"Demand\",3,\"t\",\"two\"] | line 3, Width",
-        "[\"Demand\",3,\"t\",2,900,false,\"acc\",null] | line 3, RemainingNs",
-        "[\"Settled\",3,\"t\",true,null,\"w\",\"fine\",1,0] | line 3, Verdict",
-        "[\"Settled\",3,\"t\",true,null,\"w\",\"success\",1,0,{\"x1\":\"a\"}] | line 3, Load.x1",
-        "[\"DirectoryUpdate\",3,\"whole\",1,5] | line 3, Table",
-        "[\"Begin\",4,1,{\"Caps\":{\"MaxAttempts\":true}}] | line 3, Facts.Caps.MaxAttempts",
-        "[\"Roster\",0,[[\"a\",\"z\",\"k\",0,\"gone\",1]]] | line 3, Entries[0][4]"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "[\"Due\",3,7] | line 3, Tag",
+                "[\"Due\",4,\"x\"] | line 3, I",
+                "[\"Dew\",3,\"x\"] | line 3, message",
+                "[\"Due\",3 | line 3",
+                "{} | line 3, message",
+                "[\"Demand\",3,\"t\",\"two\"] | line 3, Width",
+                "[\"Demand\",3,\"t\",2,900,false,\"acc\",null] | line 3, RemainingNs",
+                "[\"Settled\",3,\"t\",true,null,\"w\",\"fine\",1,0] | line 3, Verdict",
+                "[\"Settled\",3,\"t\",true,null,\"w\",\"success\",1,0,{\"x1\":\"a\"}] | line 3, Load.x1",
+                "[\"DirectoryUpdate\",3,\"whole\",1,5] | line 3, Table",
+                "[\"Begin\",4,1,{\"Caps\":{\"MaxAttempts\":true}}] | line 3, Facts.Caps.MaxAttempts",
+                "[\"Roster\",0,[[\"a\",\"z\",\"k\",0,\"gone\",1]]] | line 3, Entries[0][4]"
+            })
     void badInputNamesTheLineAndTheField(String line, String named) {
         BadInput bad = assertThrows(BadInput.class, () -> serve("[\"Frame\",5]", BEGIN, line, "[\"Commit\"]"));
         assertTrue(bad.getMessage().startsWith(named), bad.getMessage());
--- a/yaml/src/main/java/pearladder/yaml/Value.java
+++ b/yaml/src/main/java/pearladder/yaml/Value.java
@@ -15,8 +15,8 @@
  * them all; {@link #done} then names keys that nobody read and throws.
  */
 public final class Value {
-    private static final Map<String, Double> SECONDS = Map.of("us", 1e-6, "ms", 1e-3, "s", 1.0, "min", 60.0, "h",
-            3600.0);
+    private static final Map<String, Double> SECONDS =
+            Map.of("us", 1e-6, "ms", 1e-3, "s", 1.0, "min", 60.0, "h", 3600.0);
     private static final Map<String, Double> BYTES = Map.of("B", 1.0, "KB", 1e3, "MB", 1e6, "GB", 1e9);
 
     private final Mistakes mistakes;
@@ -76,8 +76,7 @@
         if (inner instanceof Value value) {
             return value;
         }
-        return missing.computeIfAbsent(key,
-                k -> new Value(mistakes, path.isEmpty() ? k : path + "." + k, line, null));
+        return missing.computeIfAbsent(key, k -> new Value(mistakes, path.isEmpty() ? k : path + "." + k, line, null));
     }
 
     /** The keys in the order they stand. */
@@ -114,7 +113,9 @@
         if (raw instanceof String text) {
             return text;
         }
-        wrong(raw == null ? "a value is missing" : "a single value was expected", "write it behind \"" + name() + ": \"");
+        wrong(
+                raw == null ? "a value is missing" : "a single value was expected",
+                "write it behind \"" + name() + ": \"");
         return null;
     }
 
@@ -139,8 +140,7 @@
             if (number >= least && number <= most) {
                 return number;
             }
-            wrong("a number from " + plain(least) + " to " + plain(most) + " was expected, not " + text,
-                    "change it");
+            wrong("a number from " + plain(least) + " to " + plain(most) + " was expected, not " + text, "change it");
         } catch (NumberFormatException none) {
             wrong("a number was expected, not \"" + text + "\"", "write a number without a unit");
         }
@@ -243,8 +243,13 @@
             for (Map.Entry<?, ?> entry : map.entrySet()) {
                 Value inner = (Value) entry.getValue();
                 if (!read.contains(entry.getKey())) {
-                    inner.wrong("unknown key", read.isEmpty() ? "take it out"
-                            : "take it out, or write one of " + String.join(", ", read.stream().sorted().toList()));
+                    inner.wrong(
+                            "unknown key",
+                            read.isEmpty()
+                                    ? "take it out"
+                                    : "take it out, or write one of "
+                                            + String.join(
+                                                    ", ", read.stream().sorted().toList()));
                 } else {
                     inner.close();
                 }
@@ -269,7 +274,8 @@
     }
 
     private static String plain(double number) {
-        return number == Math.rint(number) && Math.abs(number) < 1e15 ? Long.toString((long) number)
+        return number == Math.rint(number) && Math.abs(number) < 1e15
+                ? Long.toString((long) number)
                 : Double.toString(number);
     }
 }
--- a/yaml/src/main/java/pearladder/yaml/Yaml.java
+++ b/yaml/src/main/java/pearladder/yaml/Yaml.java
@@ -28,7 +28,11 @@
         try {
             text = Files.readString(file);
         } catch (IOException unreadable) {
-            throw new Mistakes.Found(List.of(new Mistakes.Mistake(file.toString(), 1, "", "the file can't be read",
+            throw new Mistakes.Found(List.of(new Mistakes.Mistake(
+                    file.toString(),
+                    1,
+                    "",
+                    "the file can't be read",
                     "check that it is there, is UTF-8 and may be read")));
         }
         return read(file.toString(), text);
@@ -40,14 +44,26 @@
         try (JsonParser parser = new YAMLFactory().createParser(text)) {
             Yaml yaml = new Yaml(parser, mistakes);
             JsonToken first = parser.nextToken();
-            Value value = first == null ? new Value(mistakes, "", 1, new LinkedHashMap<String, Value>())
+            Value value = first == null
+                    ? new Value(mistakes, "", 1, new LinkedHashMap<String, Value>())
                     : yaml.value("", first);
             mistakes.raise();
             return value;
         } catch (JsonProcessingException malformed) {
-            int line = malformed.getLocation() == null ? 1 : Math.max(1, malformed.getLocation().getLineNr());
-            String what = malformed.getOriginalMessage().lines().findFirst().orElse("").trim();
-            throw new Mistakes.Found(List.of(new Mistakes.Mistake(file, line, "", "not YAML: " + what,
+            int line = malformed.getLocation() == null
+                    ? 1
+                    : Math.max(1, malformed.getLocation().getLineNr());
+            String what = malformed
+                    .getOriginalMessage()
+                    .lines()
+                    .findFirst()
+                    .orElse("")
+                    .trim();
+            throw new Mistakes.Found(List.of(new Mistakes.Mistake(
+                    file,
+                    line,
+                    "",
+                    "not YAML: " + what,
                     "check indents, colons and quotes at this line and the one before")));
         } catch (IOException impossible) {
             throw new IllegalStateException(impossible);
--- a/yaml/src/test/java/pearladder/yaml/YamlTest.java
+++ b/yaml/src/test/java/pearladder/yaml/YamlTest.java
@@ -10,7 +10,10 @@
 import org.junit.jupiter.api.Test;
 
 class YamlTest {
-    enum Colour { RED, DARK_BLUE }
+    enum Colour {
+        RED,
+        DARK_BLUE
+    }
 
     private static List<String> mistakes(String text, Consumer<Value> reading) {
         Mistakes.Found found = assertThrows(Mistakes.Found.class, () -> {
@@ -23,8 +26,8 @@
 
     @Test
     void valuesAreReadWithTheirUnits() {
-        Value value = Yaml.read("f.yaml", "a: 8 s\nb: 512 MB\nc: [1, 2]\nd: dark-blue\ne: 2.5\nf: true\ng: {h: x}\n"
-                + "i: 1.5 ms\n");
+        Value value = Yaml.read(
+                "f.yaml", "a: 8 s\nb: 512 MB\nc: [1, 2]\nd: dark-blue\ne: 2.5\nf: true\ng: {h: x}\n" + "i: 1.5 ms\n");
         assertEquals(8_000_000_000L, value.at("a").span());
         assertEquals(512_000_000L, value.at("b").bytes());
         assertEquals(List.of(1, 2), value.at("c").each(v -> v.whole(0, 9)));
@@ -40,12 +43,13 @@
 
     @Test
     void everyMistakeIsNamedWithLineKeyAndMend() {
-        assertEquals(List.of(
-                "f.yaml:1: a: a span of time with its unit was expected, not \"8\"; write for example \"8 s\"",
-                "f.yaml:2: b: a number from 0 to 3 was expected, not 4; change it",
-                "f.yaml:3: c: unknown word \"green\"; write one of red, dark-blue",
-                "f.yaml:4: d: a list was expected; write \"- \" before each entry",
-                "f.yaml:5: f: unknown key; take it out, or write one of a, b, c, d, e"),
+        assertEquals(
+                List.of(
+                        "f.yaml:1: a: a span of time with its unit was expected, not \"8\"; write for example \"8 s\"",
+                        "f.yaml:2: b: a number from 0 to 3 was expected, not 4; change it",
+                        "f.yaml:3: c: unknown word \"green\"; write one of red, dark-blue",
+                        "f.yaml:4: d: a list was expected; write \"- \" before each entry",
+                        "f.yaml:5: f: unknown key; take it out, or write one of a, b, c, d, e"),
                 mistakes("a: 8\nb: 4\nc: green\nd: 1\nf: 2\n", value -> {
                     value.at("a").span();
                     value.at("b").number(0, 3);
@@ -57,7 +61,8 @@
 
     @Test
     void aMissingValueNamesTheLineThatItBelongsTo() {
-        assertEquals(List.of("f.yaml:2: a.b: a value is missing; write it behind \"a.b: \""),
+        assertEquals(
+                List.of("f.yaml:2: a.b: a value is missing; write it behind \"a.b: \""),
                 mistakes("x: 1\na: {c: 1}\n", value -> {
                     value.at("x").whole(0, 1);
                     value.at("a").at("c").whole(0, 1);
@@ -67,10 +72,12 @@
 
     @Test
     void whatIsNotYamlAndKeysThatStandTwiceAreMistakes() {
-        assertTrue(mistakes("a: [1\nb: 2\n", value -> { }).get(0).startsWith("f.yaml:"));
-        assertEquals(List.of("f.yaml:3: a: the key stands twice; keep one of them"),
-                mistakes("a: 1\nb: 2\na: 3\n", value -> { }));
-        assertTrue(assertThrows(Mistakes.Found.class, () -> Yaml.read(Path.of("no/such.yaml"))).getMessage()
+        assertTrue(mistakes("a: [1\nb: 2\n", value -> {}).get(0).startsWith("f.yaml:"));
+        assertEquals(
+                List.of("f.yaml:3: a: the key stands twice; keep one of them"),
+                mistakes("a: 1\nb: 2\na: 3\n", value -> {}));
+        assertTrue(assertThrows(Mistakes.Found.class, () -> Yaml.read(Path.of("no/such.yaml")))
+                .getMessage()
                 .startsWith("no/such.yaml:1: the file can't be read"));
     }
 
