--- a/cli/src/main/java/pearladder/cli/CheckCommand.java
+++ b/cli/src/main/java/pearladder/cli/CheckCommand.java
@@ -5,10 +5,10 @@
 import pearladder.emulator.FleetPlan;
 import pearladder.lab.Day;
 import pearladder.lab.Experiment;
-import pearladder.router.PlanReader;
-import pearladder.router.core.ArticlesReader;
-import pearladder.yaml.Value;
-import pearladder.yaml.Yaml;
+import pearladder.router.RolloutPlanParser;
+import pearladder.router.core.RouterConfigParser;
+import pearladder.yaml.ConfigValue;
+import pearladder.yaml.YamlParser;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Parameters;
@@ -29,9 +29,9 @@
     @Override
     public Integer call() {
         String what = "a router";
-        Value value = Yaml.read(file);
+        ConfigValue value = YamlParser.read(file);
         if (value.keys().contains("release")) {
-            PlanReader.read(file);
+            RolloutPlanParser.read(file);
             what = "a release's plan";
         } else if (value.keys().contains("experiment")) {
             Experiment.check(file);
@@ -44,7 +44,7 @@
             value.done();
             what = "a fleet";
         } else {
-            ArticlesReader.read(file);
+            RouterConfigParser.read(file);
         }
         spec.commandLine().getOut().println(file + ": " + what + ", no mistake found");
         return 0;
--- a/cli/src/main/java/pearladder/cli/Commands.java
+++ b/cli/src/main/java/pearladder/cli/Commands.java
@@ -1,7 +1,7 @@
 package pearladder.cli;
 
 import java.io.PrintWriter;
-import pearladder.yaml.Mistakes;
+import pearladder.yaml.ConfigErrors;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -52,7 +52,7 @@
     /** A user's mistake is told in lines, never as a stack trace; a defect of ours keeps its trace in the log. */
     private static int failed(Exception failure, CommandLine line, CommandLine.ParseResult parsed) {
         PrintWriter err = line.getErr();
-        if (failure instanceof Mistakes.Found found) {
+        if (failure instanceof ConfigErrors.Found found) {
             found.list().forEach(err::println);
             err.flush();
             return 2;
--- a/cli/src/main/java/pearladder/cli/Decider.java
+++ b/cli/src/main/java/pearladder/cli/Decider.java
@@ -1,12 +1,12 @@
 package pearladder.cli;
 
-import pearladder.Policy;
+import pearladder.StickyFirstFitPolicy;
 import pearladder.baseline.RandomChoice;
 import pearladder.router.Router;
 
 /** Who decides in a router: the module, or a baseline that it is compared with. */
 enum Decider {
-    MODULE(Policy::new),
+    MODULE(StickyFirstFitPolicy::new),
     RANDOM(RandomChoice::new);
 
     final Router.Maker maker;
--- a/cli/src/main/java/pearladder/cli/EnginesCommand.java
+++ b/cli/src/main/java/pearladder/cli/EnginesCommand.java
@@ -10,8 +10,8 @@
 import pearladder.emulator.Tape;
 import pearladder.emulator.net.Control;
 import pearladder.emulator.net.Fleet;
-import pearladder.yaml.Value;
-import pearladder.yaml.Yaml;
+import pearladder.yaml.ConfigValue;
+import pearladder.yaml.YamlParser;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -36,7 +36,7 @@
     @Override
     public Integer call() throws IOException {
         Logs.setUp(Logs.Form.AUTO);
-        Value value = Yaml.read(file);
+        ConfigValue value = YamlParser.read(file);
         FleetPlan plan = FleetPlan.read(value.at("fleet"));
         value.done(java.util.Set.of("fleet"));
         Vertx vertx = Vertx.vertx();
--- a/cli/src/main/java/pearladder/cli/Main.java
+++ b/cli/src/main/java/pearladder/cli/Main.java
@@ -2,10 +2,10 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import pearladder.Policy;
+import pearladder.StickyFirstFitPolicy;
 import pearladder.platform.PlatformRouter;
-import pearladder.platform.Signals;
-import pearladder.terms.BadInput;
+import pearladder.platform.SignalHandlers;
+import pearladder.terms.InvalidInputException;
 import pearladder.wire.WireHost;
 
 /** The command line's door. The bench's adapter and the platform's router start
@@ -27,9 +27,9 @@
 
     private static int wirehost() {
         try {
-            new WireHost(Policy::new).serve(System.in, System.out);
+            new WireHost(StickyFirstFitPolicy::new).serve(System.in, System.out);
             return 0;
-        } catch (BadInput bad) {
+        } catch (InvalidInputException bad) {
             System.err.println("pearladder: " + bad.getMessage());
         } catch (IOException broken) {
             System.err.println("pearladder: the wire broke: " + broken.getMessage());
@@ -43,7 +43,7 @@
      * @param practice it ends once it is warm: the build lays its archive of classes so
      */
     private static int platform(boolean practice) {
-        Signals signals = Signals.heard();
+        SignalHandlers signals = SignalHandlers.heard();
         Logs.setUp(Logs.Form.TEXT);
         if (signals.deaf()) {
             System.err.println(
@@ -57,12 +57,12 @@
         }
         try {
             PlatformRouter router =
-                    new PlatformRouter(Path.of(file), System.getenv(), Policy::new, status -> Runtime.getRuntime()
+                    new PlatformRouter(Path.of(file), System.getenv(), StickyFirstFitPolicy::new, status -> Runtime.getRuntime()
                             .halt(status));
             signals.on(router::reload, router::stop);
             router.start(practice ? router::stop : () -> {});
             return Commands.RUNNING;
-        } catch (BadInput bad) {
+        } catch (InvalidInputException bad) {
             System.err.println("pearladder: " + bad.getMessage());
             return 2;
         } catch (IOException unread) {
--- a/cli/src/main/java/pearladder/cli/RecordsCommand.java
+++ b/cli/src/main/java/pearladder/cli/RecordsCommand.java
@@ -11,11 +11,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
-import pearladder.records.Archive;
-import pearladder.records.Entry;
-import pearladder.records.Keeping;
-import pearladder.records.Kind;
-import pearladder.records.Records;
+import pearladder.records.EventLogReader;
+import pearladder.records.LogEntry;
+import pearladder.records.RetentionSettings;
+import pearladder.records.LogEntryType;
+import pearladder.records.EventLog;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -50,7 +50,7 @@
             mixinStandardHelpOptions = true,
             description = "Look at every file, checksum and number; ends with 1 where something is lost.")
     int verify(@Parameters(index = "0", paramLabel = "DIR") Path folder) throws IOException {
-        Archive.Verified found = new Archive(folder).verify();
+        EventLogReader.Verified found = new EventLogReader(folder).verify();
         found.damage().forEach(out()::println);
         out().println(String.format(
                 Locale.ROOT,
@@ -68,7 +68,7 @@
             @Parameters(index = "0", paramLabel = "DIR") Path folder,
             @Option(names = "--from", defaultValue = "1", paramLabel = "NUMBER", description = "first entry") long from)
             throws IOException {
-        new Archive(folder).read(from, (number, entry) -> {
+        new EventLogReader(folder).read(from, (number, entry) -> {
             if (number >= from) {
                 out().println(JSON.createObjectNode()
                         .put("number", number)
@@ -100,7 +100,7 @@
         Instant to = Instant.ofEpochMilli(Long.MAX_VALUE);
 
         @Option(names = "--kind", description = "one of ${COMPLETION-CANDIDATES}")
-        Kind kind;
+        LogEntryType kind;
 
         @Option(names = "--call", description = "the call's name")
         String call;
@@ -114,7 +114,7 @@
         @Option(names = "--engine")
         String engine;
 
-        boolean is(Entry entry) {
+        boolean is(LogEntry entry) {
             return (kind == null || entry.kind() == kind)
                     && same(call, entry.call())
                     && same(model, entry.model())
@@ -134,7 +134,7 @@
     int query(@Parameters(index = "0", paramLabel = "DIR") Path folder, @CommandLine.Mixin Wanted wanted)
             throws IOException {
         long[] found = {0};
-        new Archive(folder).find(wanted.from.toEpochMilli(), wanted.to.toEpochMilli(), wanted::is, (number, entry) -> {
+        new EventLogReader(folder).find(wanted.from.toEpochMilli(), wanted.to.toEpochMilli(), wanted::is, (number, entry) -> {
             found[0]++;
             out().println(String.format(
                     Locale.ROOT,
@@ -149,7 +149,7 @@
         return 0;
     }
 
-    private static String words(Entry entry) {
+    private static String words(LogEntry entry) {
         StringBuilder words = new StringBuilder();
         for (String word : new String[] {entry.call(), entry.model(), entry.account(), entry.engine(), entry.note()}) {
             words.append(word.isEmpty() ? "" : word + "  ");
@@ -159,7 +159,7 @@
                 + (entry.took() == 0 ? "" : String.format(Locale.ROOT, "%.1f ms", entry.took() / 1e3));
     }
 
-    private static String word(Kind kind) {
+    private static String word(LogEntryType kind) {
         return kind.name().toLowerCase(Locale.ROOT);
     }
 
@@ -175,18 +175,18 @@
                             description = "details older than that go (default: ${DEFAULT-VALUE})")
                     int days)
             throws IOException {
-        Keeping usual = Keeping.USUAL;
-        new Archive(folder);
-        try (Records records = Records.open(
+        RetentionSettings usual = RetentionSettings.USUAL;
+        new EventLogReader(folder);
+        try (EventLog records = EventLog.open(
                 folder,
-                new Keeping(
+                new RetentionSettings(
                         usual.segmentBytes(),
                         usual.segmentMillis(),
                         usual.allBytes(),
                         usual.allMillis(),
                         days * 86_400_000L),
                 out()::println)) {
-            Records.Compacted done = records.compact(Integer.MAX_VALUE);
+            EventLog.Compacted done = records.compact(Integer.MAX_VALUE);
             out().println(String.format(
                     Locale.ROOT,
                     "%d files written anew: %d details gone, %.1f MB to %.1f MB",
@@ -210,7 +210,7 @@
             @Option(names = "--kills", defaultValue = "200", description = "default: ${DEFAULT-VALUE}") int kills,
             @Option(names = "--seed", defaultValue = "1", description = "of the moments") long seed)
             throws IOException {
-        if (Files.exists(folder) && !Archive.empty(folder)) {
+        if (Files.exists(folder) && !EventLogReader.empty(folder)) {
             throw new IOException(folder + ": there are records; name an empty folder");
         }
         Files.createDirectories(folder);
@@ -220,9 +220,9 @@
         for (int i = 0; i < kills; i++) {
             acknowledged = Math.max(acknowledged, writeAndKill(folder, 20 + random.nextInt(400)));
             // a compaction takes old details out, never their numbers: verify finds a number that is missing
-            Archive.Verified found = new Archive(folder).verify();
+            EventLogReader.Verified found = new EventLogReader(folder).verify();
             long[] last = {0};
-            new Archive(folder).read(acknowledged, (number, entry) -> last[0] = Math.max(last[0], number));
+            new EventLogReader(folder).read(acknowledged, (number, entry) -> last[0] = Math.max(last[0], number));
             if (last[0] < acknowledged || !found.damage().isEmpty()) {
                 lost++;
                 out().println("kill " + (i + 1) + ": " + acknowledged + " entries were acknowledged, " + last[0]
@@ -263,14 +263,14 @@
     @Command(name = "write", hidden = true)
     int write(@Parameters(index = "0") Path folder) throws IOException {
         Random random = new Random();
-        try (Records records =
-                Records.open(folder, new Keeping(1 << 20, 60_000, 1L << 40, 1L << 40, 1000), out()::println)) {
+        try (EventLog records =
+                EventLog.open(folder, new RetentionSettings(1 << 20, 60_000, 1L << 40, 1L << 40, 1000), out()::println)) {
             for (long batch = 0; batch < 1_000_000; batch++) {
-                List<Entry> entries = new ArrayList<>();
+                List<LogEntry> entries = new ArrayList<>();
                 for (int i = random.nextInt(40); i >= 0; i--) {
-                    entries.add(new Entry(
+                    entries.add(new LogEntry(
                             System.currentTimeMillis(),
-                            i % 3 == 0 ? Kind.ENDED : Kind.LEG,
+                            i % 3 == 0 ? LogEntryType.ENDED : LogEntryType.LEG,
                             "c" + batch + "-" + i,
                             "pair-" + i,
                             "tender",
--- a/cli/src/main/java/pearladder/cli/ReleaseCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReleaseCommand.java
@@ -2,9 +2,9 @@
 
 import java.nio.file.Path;
 import java.util.List;
-import pearladder.release.Target;
-import pearladder.router.Operator;
-import pearladder.router.PlanReader;
+import pearladder.release.RolloutTarget;
+import pearladder.router.RolloutClient;
+import pearladder.router.RolloutPlanParser;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -42,8 +42,8 @@
         @Option(names = "--all", description = "also all routers that these learn orders from")
         boolean all;
 
-        Operator operator() {
-            Operator operator = new Operator(doors, by);
+        RolloutClient operator() {
+            RolloutClient operator = new RolloutClient(doors, by);
             return all ? operator.andOthers() : operator;
         }
     }
@@ -58,7 +58,7 @@
     int start(
             @CommandLine.Mixin Routers routers,
             @Parameters(index = "0", paramLabel = "PLAN", description = "its file") Path plan) {
-        return told(routers.operator().start(PlanReader.read(plan)));
+        return told(routers.operator().start(RolloutPlanParser.read(plan)));
     }
 
     @Command(name = "status", mixinStandardHelpOptions = true, description = "How every release stands at each router.")
@@ -86,10 +86,10 @@
         return change(
                 routers,
                 models,
-                before -> new Target(
+                before -> new RolloutTarget(
                         0,
                         before.plan(),
-                        Target.Mode.RUNNING,
+                        RolloutTarget.Mode.RUNNING,
                         Math.min(before.step() + 1, before.plan().steps().size() - 1),
                         "",
                         0));
@@ -100,7 +100,7 @@
             @CommandLine.Mixin Routers routers,
             @Parameters(paramLabel = "MODEL", description = "none for all") List<String> models) {
         return change(
-                routers, models, before -> new Target(0, before.plan(), Target.Mode.PAUSED, before.step(), "", 0));
+                routers, models, before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.PAUSED, before.step(), "", 0));
     }
 
     @Command(name = "resume", mixinStandardHelpOptions = true, description = "Go on by the plan, also after a breach.")
@@ -108,7 +108,7 @@
             @CommandLine.Mixin Routers routers,
             @Parameters(paramLabel = "MODEL", description = "none for all") List<String> models) {
         return change(
-                routers, models, before -> new Target(0, before.plan(), Target.Mode.RUNNING, before.step(), "", 0));
+                routers, models, before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.RUNNING, before.step(), "", 0));
     }
 
     @Command(
@@ -118,14 +118,14 @@
     int rollback(
             @CommandLine.Mixin Routers routers,
             @Parameters(paramLabel = "MODEL", description = "none for all") List<String> models) {
-        return change(routers, models, before -> new Target(0, before.plan(), Target.Mode.ROLLED_BACK, 0, "", 0));
+        return change(routers, models, before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.ROLLED_BACK, 0, "", 0));
     }
 
-    private int change(Routers routers, List<String> models, java.util.function.UnaryOperator<Target> change) {
+    private int change(Routers routers, List<String> models, java.util.function.UnaryOperator<RolloutTarget> change) {
         return told(routers.operator().change(models == null ? List.of() : models, change));
     }
 
-    private int told(Operator.Told told) {
+    private int told(RolloutClient.Told told) {
         told.lines().forEach(spec.commandLine().getOut()::println);
         if (told.asked() == 0) {
             spec.commandLine().getOut().println("nothing to order");
--- a/cli/src/main/java/pearladder/cli/RouterCommand.java
+++ b/cli/src/main/java/pearladder/cli/RouterCommand.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import pearladder.router.Router;
-import pearladder.router.core.Articles;
-import pearladder.router.core.ArticlesReader;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.RouterConfigParser;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -38,7 +38,7 @@
     @Override
     public Integer call() throws IOException, InterruptedException {
         Logs.setUp(log);
-        Articles articles = ArticlesReader.read(file);
+        RouterConfig articles = RouterConfigParser.read(file);
         Router router;
         try {
             router = Router.start(articles, policy.maker, seed != null ? seed : new SecureRandom().nextLong())
--- a/cli/src/main/java/pearladder/cli/UsageCommand.java
+++ b/cli/src/main/java/pearladder/cli/UsageCommand.java
@@ -17,7 +17,7 @@
 import org.apache.commons.csv.CSVPrinter;
 import pearladder.lab.Report;
 import pearladder.metering.Metering;
-import pearladder.usage.Share;
+import pearladder.usage.UsageShare;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -47,7 +47,7 @@
         private long loads;
         private long work;
 
-        void add(Share share) {
+        void add(UsageShare share) {
             amount += share.amount();
             loads += share.loads();
             work += share.work();
@@ -78,7 +78,7 @@
         Instant to = Instant.ofEpochMilli(Long.MAX_VALUE);
 
         /** Gives every share of the time, one by one: a month has many millions. Whole minutes count by their beginning. */
-        void shares(PrintWriter out, Consumer<Share> taker) throws IOException {
+        void shares(PrintWriter out, Consumer<UsageShare> taker) throws IOException {
             Metering.Read read = Metering.read(folders, share -> {
                 if (share.from() >= from.toEpochMilli() && share.from() < to.toEpochMilli()) {
                     taker.accept(share);
@@ -158,7 +158,7 @@
         return 0;
     }
 
-    private String key(Share share) {
+    private String key(UsageShare share) {
         return String.join(
                 "\t",
                 by.stream()
@@ -171,7 +171,7 @@
                         .toList());
     }
 
-    private static String day(Share share) {
+    private static String day(UsageShare share) {
         return Instant.ofEpochMilli(share.from())
                 .atZone(ZoneOffset.UTC)
                 .toLocalDate()
--- a/decisions/src/main/java/pearladder/api/Action.java
+++ b/decisions/src/main/java/pearladder/api/Action.java
@@ -2,32 +2,32 @@
 
 /** What is to be done, in the order given. */
 public sealed interface Action {
-    record Send(String call, String worker, Span limit) implements Action {}
+    record SendAttempt(String requestId, String worker, TimeSpan timeout) implements Action {}
 
-    record Cancel(String call, int leg) implements Action {}
+    record CancelAttempt(String requestId, int attempt) implements Action {}
 
-    record Dismiss(String call, Span retryAfter) implements Action {}
+    record Reject(String requestId, TimeSpan retryAfter) implements Action {}
 
-    record Terminate(String call) implements Action {}
+    record Fail(String requestId) implements Action {}
 
-    record Wake(Moment at, String tag) implements Action {}
+    record SetTimer(MonotonicTime dueAt, String tag) implements Action {}
 
-    record Probe(String worker) implements Action {}
+    record CheckHealth(String worker) implements Action {}
 
-    record CloseIdle(String worker) implements Action {}
+    record CloseIdleConnections(String worker) implements Action {}
 
-    record Hold(String worker, String function, int copies) implements Action {}
+    record LoadInstances(String worker, String function, int instances) implements Action {}
 
     /** For what share of the load that was wanted ahead copies stand; told at each beat while it is wanted. */
-    record Standing(String function, double share) implements Action {}
+    record PrewarmProgress(String function, double share) implements Action {}
 
-    record Unload(String worker, String function) implements Action {}
+    record UnloadInstances(String worker, String function) implements Action {}
 
-    record Subscribe(boolean on) implements Action {}
+    record WatchEndpoints(boolean enabled) implements Action {}
 
-    record FetchList() implements Action {}
+    record PollEndpoints() implements Action {}
 
-    record Tell(Integer peer, String text) implements Action {}
+    record SendGossip(Integer peer, String text) implements Action {}
 
     record Log(String text) implements Action {}
 }
--- a/decisions/src/main/java/pearladder/api/Outcome.java
+++ b/decisions/src/main/java/pearladder/api/Outcome.java
@@ -12,9 +12,9 @@
     VOID(true),
     ABSENT(true);
 
-    public final boolean neverRan;
+    public final boolean neverExecuted;
 
     Outcome(boolean neverRan) {
-        this.neverRan = neverRan;
+        this.neverExecuted = neverRan;
     }
 }
--- a/decisions/src/main/java/pearladder/backlog/Backlog.java
+++ b/decisions/src/main/java/pearladder/backlog/WriteBuffer.java
@@ -4,8 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import pearladder.api.Moment;
-import pearladder.api.Span;
+import pearladder.api.MonotonicTime;
+import pearladder.api.TimeSpan;
 
 /**
  * What becomes of entries on their way to the disk. It is called through on(now, event): what happened goes in, what is to
@@ -16,32 +16,32 @@
  * limits goes out only when its record is safe, or a restart would not count it; one that would wait longer than the
  * loss window is withheld, since orders put off would come in one heap that no ration allows.
  */
-public final class Backlog {
-    private record Awaited(String order, long after, Moment until) {}
+public final class WriteBuffer {
+    private record Awaited(String order, long after, MonotonicTime until) {}
 
-    private static final Span FIRST_PAUSE = Span.millis(100);
-    private static final Span LONGEST_PAUSE = Span.seconds(2);
+    private static final TimeSpan FIRST_PAUSE = TimeSpan.millis(100);
+    private static final TimeSpan LONGEST_PAUSE = TimeSpan.seconds(2);
     private static final int SLOW = 3;
-    private static final Span IN_TIME = Span.seconds(5);
+    private static final TimeSpan IN_TIME = TimeSpan.seconds(5);
 
-    private final Span gather;
-    private final Span window;
+    private final TimeSpan gather;
+    private final TimeSpan window;
     private final int most;
     private final int atOnce;
     private final ArrayDeque<Awaited> awaited = new ArrayDeque<>();
-    private Moment now = new Moment(0);
-    private List<BacklogAction> todo = new ArrayList<>();
+    private MonotonicTime now = new MonotonicTime(0);
+    private List<WriteBufferAction> todo = new ArrayList<>();
     private long came;
     private long safe;
     private int writing;
     private long leftOut;
     private long facts;
-    private Moment notBefore;
-    private Span pause = FIRST_PAUSE;
+    private MonotonicTime notBefore;
+    private TimeSpan pause = FIRST_PAUSE;
     private boolean failing;
     private boolean late;
     private int slowInARow;
-    private Moment slowAt = new Moment(0);
+    private MonotonicTime slowAt = new MonotonicTime(0);
     private boolean stopping;
 
     /**
@@ -50,7 +50,7 @@
      * @param most entries held; details only up to half of it
      * @param atOnce entries in a batch
      */
-    public Backlog(Span gather, Span window, int most, int atOnce) {
+    public WriteBuffer(TimeSpan gather, TimeSpan window, int most, int atOnce) {
         this.gather = gather;
         this.window = window;
         this.most = most;
@@ -58,19 +58,19 @@
     }
 
     /** What happened at a moment, and what is to be done. */
-    public List<BacklogAction> on(Moment at, BacklogEvent event) {
+    public List<WriteBufferAction> on(MonotonicTime at, WriteBufferEvent event) {
         now = at;
         todo = new ArrayList<>();
-        if (event instanceof BacklogEvent.Came entry) {
+        if (event instanceof WriteBufferEvent.Came entry) {
             came(entry);
-        } else if (event instanceof BacklogEvent.Written written && writing > 0) {
+        } else if (event instanceof WriteBufferEvent.Written written && writing > 0) {
             written(written);
-        } else if (event instanceof BacklogEvent.Failed failed && writing > 0) {
+        } else if (event instanceof WriteBufferEvent.Failed failed && writing > 0) {
             failed(failed);
-        } else if (event instanceof BacklogEvent.Due) {
+        } else if (event instanceof WriteBufferEvent.Due) {
             withholdLate();
             write();
-        } else if (event instanceof BacklogEvent.Stopping) {
+        } else if (event instanceof WriteBufferEvent.Stopping) {
             stopping = true;
             notBefore = now;
             write();
@@ -88,30 +88,30 @@
         return failing;
     }
 
-    private void came(BacklogEvent.Came entry) {
+    private void came(WriteBufferEvent.Came entry) {
         boolean out = held() >= (entry.detail() ? most / 2 : most) || entry.detail() && failing;
         if (out) {
             leftOut++;
             facts += entry.detail() ? 0 : 1;
-            todo.add(new BacklogAction.LeaveOut());
+            todo.add(new WriteBufferAction.LeaveOut());
             if (!entry.order().isEmpty()) {
-                todo.add(new BacklogAction.Withhold(entry.order(), "more than " + most + " entries wait for the disk"));
+                todo.add(new WriteBufferAction.Withhold(entry.order(), "more than " + most + " entries wait for the disk"));
             }
             return;
         }
-        todo.add(new BacklogAction.Take());
+        todo.add(new WriteBufferAction.Take());
         came++;
         if (!entry.order().isEmpty()) {
             if (failing) {
-                todo.add(new BacklogAction.Withhold(entry.order(), "its record can't be kept"));
+                todo.add(new WriteBufferAction.Withhold(entry.order(), "its record can't be kept"));
             } else {
                 awaited.add(new Awaited(entry.order(), came, now.plus(window)));
-                todo.add(new BacklogAction.Wake(window));
+                todo.add(new WriteBufferAction.Wake(window));
             }
         }
         if (held() == 1) {
             notBefore = now.plus(gather);
-            todo.add(new BacklogAction.Wake(gather));
+            todo.add(new WriteBufferAction.Wake(gather));
         } else if (held() >= atOnce && !failing) {
             notBefore = now;
             write();
@@ -119,19 +119,19 @@
     }
 
     private void write() {
-        if (writing == 0 && held() > 0 && !now.before(notBefore)) {
+        if (writing == 0 && held() > 0 && !now.isBefore(notBefore)) {
             writing = Math.min(atOnce, held());
-            todo.add(new BacklogAction.Write(writing));
+            todo.add(new WriteBufferAction.Write(writing));
         }
     }
 
-    private void written(BacklogEvent.Written written) {
+    private void written(WriteBufferEvent.Written written) {
         safe += writing;
         writing = 0;
         pause = FIRST_PAUSE;
         if (failing) {
             failing = false;
-            todo.add(new BacklogAction.Log(String.format(
+            todo.add(new WriteBufferAction.Log(String.format(
                     Locale.ROOT,
                     "records are kept again: %d entries were left out, %d of them" + " no details",
                     leftOut,
@@ -140,10 +140,10 @@
         lateOrNot(written.took());
         withholdLate();
         while (!awaited.isEmpty() && awaited.peek().after() <= safe) {
-            todo.add(new BacklogAction.Go(awaited.poll().order()));
+            todo.add(new WriteBufferAction.Go(awaited.poll().order()));
         }
         if (leftOut > 0 && held() < most / 2) {
-            todo.add(new BacklogAction.TellLeftOut(leftOut));
+            todo.add(new WriteBufferAction.TellLeftOut(leftOut));
             leftOut = 0;
             facts = 0;
         }
@@ -152,52 +152,52 @@
             notBefore = soon ? now : now.plus(gather);
             write();
             if (!soon) {
-                todo.add(new BacklogAction.Wake(gather));
+                todo.add(new WriteBufferAction.Wake(gather));
             }
         }
     }
 
     /** One slow write is no mode; several in a row are, until none was slow for a while. */
-    private void lateOrNot(Span took) {
-        boolean slow = took.plus(gather).longerThan(window);
+    private void lateOrNot(TimeSpan took) {
+        boolean slow = took.plus(gather).isLongerThan(window);
         slowInARow = slow ? slowInARow + 1 : 0;
         slowAt = slow ? now : slowAt;
         boolean mode = late
                 ? slowAt.plus(IN_TIME).compareTo(now) > 0
-                : slowInARow >= SLOW || took.longerThan(window.times(SLOW));
+                : slowInARow >= SLOW || took.isLongerThan(window.times(SLOW));
         if (mode != late) {
             late = mode;
-            todo.add(new BacklogAction.Log(String.format(
+            todo.add(new WriteBufferAction.Log(String.format(
                     Locale.ROOT,
                     "records are written %s: %d ms a batch, %d entries wait",
                     late ? "late" : "in time again",
-                    took.inMillis(),
+                    took.toMillis(),
                     held())));
         }
     }
 
-    private void failed(BacklogEvent.Failed failed) {
+    private void failed(WriteBufferEvent.Failed failed) {
         writing = 0;
         if (!failing) {
             failing = true;
-            todo.add(new BacklogAction.Log(String.format(
+            todo.add(new WriteBufferAction.Log(String.format(
                     Locale.ROOT,
                     "records can't be kept (%s): %d entries wait, details are" + " left out, orders are withheld",
                     failed.why(),
                     held())));
         }
         while (!awaited.isEmpty()) {
-            todo.add(new BacklogAction.Withhold(awaited.poll().order(), "its record can't be kept"));
+            todo.add(new WriteBufferAction.Withhold(awaited.poll().order(), "its record can't be kept"));
         }
         notBefore = now.plus(pause);
-        todo.add(new BacklogAction.Wake(pause));
+        todo.add(new WriteBufferAction.Wake(pause));
         pause = pause.times(2).atMost(LONGEST_PAUSE);
     }
 
     /** The disk may stand still without an answer: an order doesn't wait for it. */
     private void withholdLate() {
-        while (!awaited.isEmpty() && !now.before(awaited.peek().until())) {
-            todo.add(new BacklogAction.Withhold(awaited.poll().order(), "its record came too late"));
+        while (!awaited.isEmpty() && !now.isBefore(awaited.peek().until())) {
+            todo.add(new WriteBufferAction.Withhold(awaited.poll().order(), "its record came too late"));
         }
     }
 }
--- a/decisions/src/main/java/pearladder/backlog/BacklogEvent.java
+++ b/decisions/src/main/java/pearladder/backlog/WriteBufferEvent.java
@@ -1,26 +1,26 @@
 package pearladder.backlog;
 
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 
 /** What happened to records that are to be kept. */
-public sealed interface BacklogEvent {
+public sealed interface WriteBufferEvent {
     /**
      * An entry came.
      *
      * @param detail it may be left out
      * @param order that must not go out before the entry is safe; empty for none
      */
-    record Came(boolean detail, String order) implements BacklogEvent {}
+    record Came(boolean detail, String order) implements WriteBufferEvent {}
 
     /** The batch that was to be written is safe. */
-    record Written(Span took) implements BacklogEvent {}
+    record Written(TimeSpan took) implements WriteBufferEvent {}
 
     /** Nothing of it is safe. */
-    record Failed(String why) implements BacklogEvent {}
+    record Failed(String why) implements WriteBufferEvent {}
 
     /** The time that was asked for has come. */
-    record Due() implements BacklogEvent {}
+    record Due() implements WriteBufferEvent {}
 
     /** Nothing more comes; what is held is to be written at once. */
-    record Stopping() implements BacklogEvent {}
+    record Stopping() implements WriteBufferEvent {}
 }
--- a/decisions/src/main/java/pearladder/baseline/RandomChoice.java
+++ b/decisions/src/main/java/pearladder/baseline/RandomChoice.java
@@ -8,103 +8,103 @@
 import java.util.TreeMap;
 import java.util.zip.CRC32;
 import pearladder.api.Action;
-import pearladder.api.Dispatcher;
+import pearladder.api.RoutingPolicy;
 import pearladder.api.Event;
-import pearladder.api.Facts;
-import pearladder.api.Moment;
+import pearladder.api.RoutingSettings;
+import pearladder.api.MonotonicTime;
 import pearladder.api.Outcome;
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 
 /**
  * A baseline only, to compare the module with: each call goes to a worker drawn at random among those in service, once;
  * a leg that is known not to have run is sent once more. No router serves with it.
  */
-public final class RandomChoice implements Dispatcher {
+public final class RandomChoice implements RoutingPolicy {
     private static final class Call {
-        final Moment until;
-        final Facts.Effect effect;
+        final MonotonicTime until;
+        final RoutingSettings.Idempotency effect;
         int legs;
 
-        Call(Moment until, Facts.Effect effect) {
+        Call(MonotonicTime until, RoutingSettings.Idempotency effect) {
             this.until = until;
             this.effect = effect;
         }
     }
 
     private final long seed;
-    private final Facts facts;
-    private final Map<String, Event.Listing> workers = new TreeMap<>();
+    private final RoutingSettings facts;
+    private final Map<String, Event.Endpoint> workers = new TreeMap<>();
     private final Map<String, Call> calls = new HashMap<>();
     private List<String> inService = List.of();
     private long drawn;
 
-    public RandomChoice(long seed, Facts facts) {
+    public RandomChoice(long seed, RoutingSettings facts) {
         this.seed = seed;
         this.facts = facts;
     }
 
     @Override
-    public List<Action> on(Moment now, Event event) {
+    public List<Action> handle(MonotonicTime now, Event event) {
         List<Action> todo = new ArrayList<>();
-        if (event instanceof Event.CallCame came) {
-            Facts.Effect effect = facts.categories().stream()
-                    .filter(c -> c.name().equals(came.category()))
+        if (event instanceof Event.RequestArrived came) {
+            RoutingSettings.Idempotency effect = facts.requestClasses().stream()
+                    .filter(c -> c.name().equals(came.requestClass()))
                     .findFirst()
                     .orElseThrow()
-                    .effect();
+                    .idempotency();
             Call call = new Call(now.plus(came.timeLeft()), effect);
-            calls.put(came.call(), call);
-            send(now, came.call(), call, todo);
-        } else if (event instanceof Event.LegEnded ended && calls.containsKey(ended.call())) {
-            ended(now, ended, calls.get(ended.call()), todo);
-        } else if (event instanceof Event.ClientLeft left) {
-            calls.remove(left.call());
-        } else if (event instanceof Event.Listed listed) {
+            calls.put(came.requestId(), call);
+            send(now, came.requestId(), call, todo);
+        } else if (event instanceof Event.AttemptEnded ended && calls.containsKey(ended.requestId())) {
+            ended(now, ended, calls.get(ended.requestId()), todo);
+        } else if (event instanceof Event.ClientDisconnected left) {
+            calls.remove(left.requestId());
+        } else if (event instanceof Event.EndpointsUpdated listed) {
             follow(listed, now, todo);
-        } else if (event instanceof Event.Due) {
-            todo.add(new Action.Subscribe(true));
+        } else if (event instanceof Event.TimerFired) {
+            todo.add(new Action.WatchEndpoints(true));
         }
         return todo;
     }
 
-    private void ended(Moment now, Event.LegEnded ended, Call call, List<Action> todo) {
-        if (ended.over() || ended.outcome() == Outcome.SUCCESS) {
-            calls.remove(ended.call());
-        } else if (ended.outcome().neverRan
-                && call.legs < Math.min(2, facts.allowances().legs())) {
-            send(now, ended.call(), call, todo);
+    private void ended(MonotonicTime now, Event.AttemptEnded ended, Call call, List<Action> todo) {
+        if (ended.requestCompleted() || ended.outcome() == Outcome.SUCCESS) {
+            calls.remove(ended.requestId());
+        } else if (ended.outcome().neverExecuted
+                && call.legs < Math.min(2, facts.attemptLimits().maxAttempts())) {
+            send(now, ended.requestId(), call, todo);
         } else {
-            calls.remove(ended.call());
+            calls.remove(ended.requestId());
             todo.add(
-                    ended.outcome().neverRan || call.effect == Facts.Effect.RETRIABLE
-                            ? new Action.Dismiss(ended.call(), Span.NONE)
-                            : new Action.Terminate(ended.call()));
+                    ended.outcome().neverExecuted || call.effect == RoutingSettings.Idempotency.RETRIABLE
+                            ? new Action.Reject(ended.requestId(), TimeSpan.ZERO)
+                            : new Action.Fail(ended.requestId()));
         }
     }
 
-    private void send(Moment now, String id, Call call, List<Action> todo) {
-        Span left = call.until.since(now).minus(facts.quantum().times(2));
+    private void send(MonotonicTime now, String id, Call call, List<Action> todo) {
+        TimeSpan left = call.until.since(now).minus(facts.quantum().times(2));
         if (inService.isEmpty() || left.nanos() <= 0) {
             calls.remove(id);
-            todo.add(new Action.Dismiss(id, Span.NONE));
+            todo.add(new Action.Reject(id, TimeSpan.ZERO));
             return;
         }
         call.legs++;
-        todo.add(new Action.Send(id, inService.get((int) (chance() * inService.size())), left));
+        todo.add(new Action.SendAttempt(id, inService.get((int) (chance() * inService.size())), left));
     }
 
-    private void follow(Event.Listed listed, Moment now, List<Action> todo) {
-        if (listed.kind() == Event.ListKind.FAILED) {
-            todo.add(new Action.Wake(now.plus(Span.millis(300)), "list"));
+    private void follow(Event.EndpointsUpdated listed, MonotonicTime now, List<Action> todo) {
+        if (listed.kind() == Event.EndpointUpdateKind.FAILED) {
+            todo.add(new Action.SetTimer(now.plus(TimeSpan.millis(300)), "list"));
             return;
         }
-        if (listed.kind() != Event.ListKind.CHANGES) {
+        if (listed.kind() != Event.EndpointUpdateKind.DELTA) {
             workers.clear();
         }
-        listed.listings().forEach(listing -> workers.put(listing.worker(), listing));
+        listed.endpoints().forEach(listing -> workers.put(listing.worker(), listing));
         inService = workers.values().stream()
-                .filter(w -> w.standing() == Event.Standing.IN_SERVICE)
-                .map(Event.Listing::worker)
+                .filter(w -> w.state() == Event.EndpointState.IN_SERVICE)
+                .map(Event.Endpoint::worker)
                 .toList();
     }
 
--- a/decisions/src/main/java/pearladder/recovery/Beliefs.java
+++ b/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
@@ -6,8 +6,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import pearladder.api.Span;
-import pearladder.state.Known;
+import pearladder.api.TimeSpan;
+import pearladder.state.PolicySnapshot;
 
 /**
  * What may be believed after a gap. Its one entry point is {@link #after}: a snapshot, how long ago it was taken and what
@@ -20,7 +20,7 @@
  * What a worker bears and what loads may be under way are left to be learnt anew: they were another load's, and believing them
  * cost credit in rehearsals (docs/records.md).
  */
-public final class Beliefs {
+public final class SnapshotRecovery {
     /**
      * What was found at a start.
      *
@@ -30,38 +30,38 @@
      * @param whole whether the records are: what they tell is all there was
      * @param up of each worker on the last list the age of its process now, null where the list doesn't tell
      */
-    public record Found(Known known, Span gap, List<Span> orders, boolean whole, Map<String, Span> up) {}
+    public record Found(PolicySnapshot known, TimeSpan gap, List<TimeSpan> orders, boolean whole, Map<String, TimeSpan> up) {}
 
     /** What may be believed, and a line with figures. */
-    public record Believed(Known known, String why) {}
+    public record Believed(PolicySnapshot known, String why) {}
 
     /** Two ages of one process, told by two clocks, differ by no more. */
-    private static final Span SAME = Span.millis(500);
+    private static final TimeSpan SAME = TimeSpan.millis(500);
     /** Where no list tells a process's age, only a gap that is too short for a restart is passed over. */
-    private static final Span TOO_SHORT = Span.seconds(10);
+    private static final TimeSpan TOO_SHORT = TimeSpan.seconds(10);
 
     private static final int MOST_COPIES = 64;
 
-    private final Span kept;
-    private final Span window;
+    private final TimeSpan kept;
+    private final TimeSpan window;
     private final double free;
-    private final Span old;
+    private final TimeSpan old;
 
     /**
      * @param kept idle copies are kept for so long
      * @param window of the ration of load orders; none for no ration
      * @param free orders that it always allows
      */
-    public Beliefs(Span kept, Span window, double free) {
+    public SnapshotRecovery(TimeSpan kept, TimeSpan window, double free) {
         this.kept = kept;
         this.window = window;
         this.free = free;
-        this.old = kept.times(3).atLeast(Span.seconds(30));
+        this.old = kept.times(3).atLeast(TimeSpan.seconds(30));
     }
 
     /** What the module may start from. */
     public Believed after(Found found) {
-        List<Span> orders = orders(found);
+        List<TimeSpan> orders = orders(found);
         if (found.known() == null) {
             return nothing(orders, "no snapshot");
         }
@@ -69,50 +69,50 @@
             return nothing(
                     orders, "the clock stepped back by " + seconds(found.gap().times(-1)));
         }
-        if (found.gap().longerThan(old)) {
+        if (found.gap().isLongerThan(old)) {
             return nothing(orders, "the snapshot is " + seconds(found.gap()) + " old");
         }
         String poison = poison(found.known());
         if (!poison.isEmpty()) {
             return nothing(orders, "the snapshot is none: " + poison);
         }
-        Span gap = found.gap();
+        TimeSpan gap = found.gap();
         Set<String> same = new HashSet<>();
-        List<Known.OfWorker> workers = new ArrayList<>();
-        for (Known.OfWorker worker : found.known().workers()) {
+        List<PolicySnapshot.WorkerSnapshot> workers = new ArrayList<>();
+        for (PolicySnapshot.WorkerSnapshot worker : found.known().workers()) {
             if (found.up().containsKey(worker.worker())
-                    && same(worker.up(), found.up().get(worker.worker()), gap)) {
+                    && same(worker.uptime(), found.up().get(worker.worker()), gap)) {
                 same.add(worker.worker());
-                workers.add(new Known.OfWorker(
+                workers.add(new PolicySnapshot.WorkerSnapshot(
                         worker.worker(),
                         found.up().get(worker.worker()),
-                        worker.aside().minus(gap).atLeast(Span.NONE)));
+                        worker.ejectedFor().minus(gap).atLeast(TimeSpan.ZERO)));
             }
         }
         int copies = 0;
         int had = 0;
-        List<Known.OfFunction> functions = new ArrayList<>();
-        for (Known.OfFunction function : found.known().functions()) {
-            List<Known.Copy> held = new ArrayList<>();
-            for (Known.Copy copy : function.copies()) {
-                Span untouched = copy.untouched().plus(gap);
-                if (same.contains(copy.worker()) && !untouched.longerThan(kept)) {
-                    held.add(new Known.Copy(copy.worker(), copy.instances(), untouched, copy.listed()));
+        List<PolicySnapshot.FunctionSnapshot> functions = new ArrayList<>();
+        for (PolicySnapshot.FunctionSnapshot function : found.known().functions()) {
+            List<PolicySnapshot.InstanceSnapshot> held = new ArrayList<>();
+            for (PolicySnapshot.InstanceSnapshot copy : function.instances()) {
+                TimeSpan untouched = copy.sinceRenewed().plus(gap);
+                if (same.contains(copy.worker()) && !untouched.isLongerThan(kept)) {
+                    held.add(new PolicySnapshot.InstanceSnapshot(copy.worker(), copy.instances(), untouched, copy.cached()));
                 }
             }
             copies += held.size();
-            had += function.copies().size();
-            functions.add(new Known.OfFunction(
+            had += function.instances().size();
+            functions.add(new PolicySnapshot.FunctionSnapshot(
                     function.function(),
-                    function.lanes(),
+                    function.concurrency(),
                     function.memoryMb(),
-                    function.usualLoad(),
-                    function.calls(),
-                    function.warmAnswers(),
+                    function.typicalLoadTime(),
+                    function.recentRequests(),
+                    function.warmResponses(),
                     function.warmSeconds(),
                     held));
         }
-        Known now = new Known(
+        PolicySnapshot now = new PolicySnapshot(
                 gap,
                 workers,
                 functions,
@@ -133,71 +133,71 @@
                         orders.size()));
     }
 
-    private static Believed nothing(List<Span> orders, String why) {
+    private static Believed nothing(List<TimeSpan> orders, String why) {
         return new Believed(
-                new Known(Span.NONE, List.of(), List.of(), orders, 0, 0), why + "; " + orders.size() + " orders count");
+                new PolicySnapshot(TimeSpan.ZERO, List.of(), List.of(), orders, 0, 0), why + "; " + orders.size() + " orders count");
     }
 
-    private static String seconds(Span span) {
-        return String.format(Locale.ROOT, "%.1f s", span.inSeconds());
+    private static String seconds(TimeSpan span) {
+        return String.format(Locale.ROOT, "%.1f s", span.toSeconds());
     }
 
     /** Ages by a clock that stepped back are unknown: such an order counts as sent now, which is the longest it can. */
-    private List<Span> orders(Found found) {
+    private List<TimeSpan> orders(Found found) {
         if (window.nanos() <= 0) {
             return List.of();
         }
-        List<Span> counted = new ArrayList<>();
-        for (Span age : found.orders()) {
-            if (!age.longerThan(window)) {
-                counted.add(age.atLeast(Span.NONE));
+        List<TimeSpan> counted = new ArrayList<>();
+        for (TimeSpan age : found.orders()) {
+            if (!age.isLongerThan(window)) {
+                counted.add(age.atLeast(TimeSpan.ZERO));
             }
         }
         while (!found.whole() && counted.size() < Math.ceil(free)) {
-            counted.add(Span.NONE);
+            counted.add(TimeSpan.ZERO);
         }
         counted.sort((a, b) -> b.compareTo(a));
         return counted;
     }
 
-    private static boolean same(Span then, Span now, Span gap) {
+    private static boolean same(TimeSpan then, TimeSpan now, TimeSpan gap) {
         if (then == null || now == null) {
-            return then == null && now == null && !gap.longerThan(TOO_SHORT);
+            return then == null && now == null && !gap.isLongerThan(TOO_SHORT);
         }
-        Span apart = now.minus(then.plus(gap));
-        return !apart.atLeast(apart.times(-1)).longerThan(SAME);
+        TimeSpan apart = now.minus(then.plus(gap));
+        return !apart.atLeast(apart.times(-1)).isLongerThan(SAME);
     }
 
     /** What no module ever held: such a snapshot was written by something else, or by a fault, and none of it is believed. */
-    private static String poison(Known known) {
+    private static String poison(PolicySnapshot known) {
         if (negative(known.age()) || !plain(known.loadSeconds()) || !plain(known.loadCount())) {
             return "figures that can't be";
         }
         Set<String> named = new HashSet<>();
-        for (Known.OfWorker worker : known.workers()) {
-            if (negative(worker.aside())
-                    || worker.up() != null && negative(worker.up())
-                    || worker.aside().longerThan(Span.seconds(3600))
+        for (PolicySnapshot.WorkerSnapshot worker : known.workers()) {
+            if (negative(worker.ejectedFor())
+                    || worker.uptime() != null && negative(worker.uptime())
+                    || worker.ejectedFor().isLongerThan(TimeSpan.seconds(3600))
                     || !named.add(worker.worker())) {
                 return "worker " + worker.worker();
             }
         }
         Set<String> functions = new HashSet<>();
-        for (Known.OfFunction function : known.functions()) {
+        for (PolicySnapshot.FunctionSnapshot function : known.functions()) {
             if (!functions.add(function.function())
-                    || function.lanes() < 1
+                    || function.concurrency() < 1
                     || !plain(function.memoryMb())
-                    || !plain(function.calls())
-                    || !plain(function.warmAnswers())
+                    || !plain(function.recentRequests())
+                    || !plain(function.warmResponses())
                     || !plain(function.warmSeconds())
-                    || function.usualLoad() != null && negative(function.usualLoad())) {
+                    || function.typicalLoadTime() != null && negative(function.typicalLoadTime())) {
                 return "function " + function.function();
             }
             Set<String> places = new HashSet<>();
-            for (Known.Copy copy : function.copies()) {
+            for (PolicySnapshot.InstanceSnapshot copy : function.instances()) {
                 if (copy.instances() < 1
                         || copy.instances() > MOST_COPIES
-                        || negative(copy.untouched())
+                        || negative(copy.sinceRenewed())
                         || !places.add(copy.worker())) {
                     return "the copies of " + function.function();
                 }
@@ -206,7 +206,7 @@
         return "";
     }
 
-    private static boolean negative(Span span) {
+    private static boolean negative(TimeSpan span) {
         return span.nanos() < 0;
     }
 
--- a/decisions/src/main/java/pearladder/release/Releases.java
+++ b/decisions/src/main/java/pearladder/release/RolloutController.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.zip.CRC32;
-import pearladder.api.Moment;
-import pearladder.api.Span;
-import pearladder.release.Target.Mode;
+import pearladder.api.MonotonicTime;
+import pearladder.api.TimeSpan;
+import pearladder.release.RolloutTarget.Mode;
 
 /**
  * All releases of one router. It is called through on(now, event): what happened goes in, what is to be done comes out.
@@ -20,23 +20,23 @@
  * A router steps up by itself when the step was held, enough calls ended, the gate finds the version no worse and copies
  * stand for the next share. It pauses or rolls back by itself on a breach. An order with a higher epoch overrides both.
  */
-public final class Releases {
-    private static final Span BEAT = Span.millis(250);
+public final class RolloutController {
+    private static final TimeSpan BEAT = TimeSpan.millis(250);
 
     private final class Release {
-        Target target;
+        RolloutTarget target;
         int step;
-        Moment since;
+        MonotonicTime since;
         boolean broken;
         double standing;
-        Doubt doubt;
+        VersionComparison doubt;
         boolean prepared;
         boolean warm;
 
         /** The share of keys that get the new version now. */
         double share() {
             boolean off =
-                    target.mode() == Mode.ROLLED_BACK || broken && target.plan().onBreach() == Plan.Breach.ROLL_BACK;
+                    target.mode() == Mode.ROLLED_BACK || broken && target.plan().onBreach() == RolloutPlan.Breach.ROLL_BACK;
             return off ? 0 : step < 0 ? 0 : target.plan().steps().get(step);
         }
 
@@ -47,11 +47,11 @@
         }
 
         /** All have the new version and the hold is over: the old copies may go. */
-        boolean over(Moment at) {
+        boolean over(MonotonicTime at) {
             return warm
                     && target.mode() == Mode.RUNNING
                     && step == target.plan().steps().size() - 1
-                    && !target.plan().hold().longerThan(at.since(since));
+                    && !target.plan().hold().isLongerThan(at.since(since));
         }
 
         double nextShare() {
@@ -59,47 +59,47 @@
         }
     }
 
-    private record Given(Release release, Target of, boolean toNew) {}
+    private record Given(Release release, RolloutTarget of, boolean toNew) {}
 
-    private record Marked(String version, Moment until) {}
+    private record Marked(String version, MonotonicTime until) {}
 
-    private final Span remembered;
+    private final TimeSpan remembered;
     private final Map<String, Release> releases = new LinkedHashMap<>();
     private final Map<String, Given> calls = new LinkedHashMap<>();
     private final Map<String, Marked> marks = new LinkedHashMap<>();
-    private Moment now;
-    private List<ReleaseAction> todo;
+    private MonotonicTime now;
+    private List<RolloutAction> todo;
     private boolean awake;
 
     /** @param remembered the longest time for which engines remember a mark */
-    public Releases(Span remembered) {
+    public RolloutController(TimeSpan remembered) {
         this.remembered = remembered;
     }
 
     /** What happened at a moment, and what is to be done. */
-    public List<ReleaseAction> on(Moment at, ReleaseEvent event) {
+    public List<RolloutAction> on(MonotonicTime at, RolloutEvent event) {
         now = at;
         todo = new ArrayList<>();
-        if (event instanceof ReleaseEvent.CallCame came) {
+        if (event instanceof RolloutEvent.CallCame came) {
             choose(came);
-        } else if (event instanceof ReleaseEvent.CallEnded ended) {
+        } else if (event instanceof RolloutEvent.CallEnded ended) {
             ended(ended);
-        } else if (event instanceof ReleaseEvent.Ordered ordered) {
+        } else if (event instanceof RolloutEvent.Ordered ordered) {
             ordered(ordered.target());
-        } else if (event instanceof ReleaseEvent.Kept kept) {
+        } else if (event instanceof RolloutEvent.Kept kept) {
             kept(kept.target());
-        } else if (event instanceof ReleaseEvent.Heard heard) {
+        } else if (event instanceof RolloutEvent.Heard heard) {
             heard(heard.target());
-        } else if (event instanceof ReleaseEvent.Restored restored) {
+        } else if (event instanceof RolloutEvent.Restored restored) {
             restore(restored);
-        } else if (event instanceof ReleaseEvent.Standing standing) {
+        } else if (event instanceof RolloutEvent.Standing standing) {
             Release release = releases.get(standing.model());
             if (release != null && release.target.plan().to().equals(standing.version())) {
                 release.standing = standing.share();
             }
-        } else if (event instanceof ReleaseEvent.CallLeft left) {
+        } else if (event instanceof RolloutEvent.CallLeft left) {
             calls.remove(left.call());
-        } else if (event instanceof ReleaseEvent.Due) {
+        } else if (event instanceof RolloutEvent.Due) {
             awake = false;
             beat();
         }
@@ -124,7 +124,7 @@
     }
 
     /** The newest target of each model, for a journal to be made short. */
-    public List<Target> targets() {
+    public List<RolloutTarget> targets() {
         return releases.values().stream().map(release -> release.target).toList();
     }
 
@@ -134,10 +134,10 @@
 
     // ---- a call comes and ends
 
-    private void choose(ReleaseEvent.CallCame came) {
+    private void choose(RolloutEvent.CallCame came) {
         Release release = releases.get(came.model());
         if (release == null) {
-            todo.add(new ReleaseAction.Use(came.call(), ""));
+            todo.add(new RolloutAction.Use(came.call(), ""));
             return;
         }
         String to = release.target.plan().to();
@@ -148,7 +148,7 @@
             // a repeat of a marked call meets the version that it met first, or its effect could happen in both
             String mark = came.model() + "\n" + came.mark();
             Marked before = marks.get(mark);
-            if (before != null && now.before(before.until())) {
+            if (before != null && now.isBefore(before.until())) {
                 version = before.version();
             } else {
                 marks.remove(mark);
@@ -156,7 +156,7 @@
             }
         }
         calls.put(came.call(), new Given(release, release.target, version.equals(to)));
-        todo.add(new ReleaseAction.Use(came.call(), version));
+        todo.add(new RolloutAction.Use(came.call(), version));
     }
 
     /** Where a key stands between 0 and 1; a key of another model stands elsewhere. */
@@ -168,7 +168,7 @@
         return ((mixed ^ (mixed >>> 31)) >>> 11) / (double) (1L << 53);
     }
 
-    private void ended(ReleaseEvent.CallEnded ended) {
+    private void ended(RolloutEvent.CallEnded ended) {
         Given given = calls.remove(ended.call());
         if (given == null || given.of().epoch() != given.release().target.epoch()) {
             return;
@@ -187,23 +187,23 @@
     private void breach(Release release) {
         release.broken = true;
         note(release);
-        Plan plan = release.target.plan();
-        boolean back = plan.onBreach() == Plan.Breach.ROLL_BACK;
-        todo.add(new ReleaseAction.Log(String.format(
+        RolloutPlan plan = release.target.plan();
+        boolean back = plan.onBreach() == RolloutPlan.Breach.ROLL_BACK;
+        todo.add(new RolloutAction.Log(String.format(
                 "%s %s at %s: %s",
                 back ? "rolled back" : "paused", plan.model(), name(plan.to()), release.doubt.figures())));
         if (back) {
-            todo.add(new ReleaseAction.Withdraw(plan.model(), plan.to()));
+            todo.add(new RolloutAction.Withdraw(plan.model(), plan.to()));
         }
     }
 
     // ---- orders
 
-    private void ordered(Target target) {
+    private void ordered(RolloutTarget target) {
         Release release = releases.get(target.plan().model());
         if (release != null && release.target.equals(target)) {
             // the same order again: its answer was lost, or it came by two ways
-            todo.add(new ReleaseAction.Keep(target));
+            todo.add(new RolloutAction.Keep(target));
             return;
         }
         if (release != null && target.epoch() <= release.target.epoch()) {
@@ -211,11 +211,11 @@
             return;
         }
         String fault = fault(target);
-        todo.add(fault == null ? new ReleaseAction.Keep(target) : new ReleaseAction.Refuse(target, fault));
+        todo.add(fault == null ? new RolloutAction.Keep(target) : new RolloutAction.Refuse(target, fault));
     }
 
-    private static String fault(Target target) {
-        List<Plan.Fault> faults = target.plan().faults();
+    private static String fault(RolloutTarget target) {
+        List<RolloutPlan.Fault> faults = target.plan().faults();
         return !faults.isEmpty()
                 ? faults.get(0).key() + ": " + faults.get(0).what() + "; "
                         + faults.get(0).mend()
@@ -224,22 +224,22 @@
                         : null;
     }
 
-    private void heard(Target target) {
+    private void heard(RolloutTarget target) {
         Release release = releases.get(target.plan().model());
         if ((release == null || target.epoch() > release.target.epoch()) && fault(target) == null) {
-            todo.add(new ReleaseAction.Keep(target));
+            todo.add(new RolloutAction.Keep(target));
         }
     }
 
-    private void refuse(Target target, Release release) {
-        todo.add(new ReleaseAction.Refuse(
+    private void refuse(RolloutTarget target, Release release) {
+        todo.add(new RolloutAction.Refuse(
                 target,
                 "epoch " + target.epoch() + " is not after " + release.target.epoch() + ", ordered by "
                         + release.target.by() + "; look at the status and order again"));
     }
 
     /** Two operators' orders may be on their way to the journal at once: the one that was kept first holds. */
-    private void kept(Target target) {
+    private void kept(RolloutTarget target) {
         Release release = releases.get(target.plan().model());
         if (release == null || target.epoch() > release.target.epoch()) {
             follow(target);
@@ -252,17 +252,17 @@
      * What the journal tells holds without being kept again; of two of a model the higher epoch. A step that was reached
      * is stood at again at once, since keys never move back, and a version that was found worse stays taken back.
      */
-    private void restore(ReleaseEvent.Restored restored) {
-        Map<String, Target> newest = new LinkedHashMap<>();
-        restored.targets().forEach(target -> newest.merge(target.plan().model(), target, Target::newer));
-        Map<String, Reached> furthest = new LinkedHashMap<>();
-        restored.reached().forEach(reached -> furthest.merge(reached.model(), reached, Releases::further));
-        for (Target target : newest.values()) {
+    private void restore(RolloutEvent.Restored restored) {
+        Map<String, RolloutTarget> newest = new LinkedHashMap<>();
+        restored.targets().forEach(target -> newest.merge(target.plan().model(), target, RolloutTarget::newer));
+        Map<String, RolloutProgress> furthest = new LinkedHashMap<>();
+        restored.reached().forEach(reached -> furthest.merge(reached.model(), reached, RolloutController::further));
+        for (RolloutTarget target : newest.values()) {
             Release release = releases.get(target.plan().model());
             if (release != null && target.epoch() <= release.target.epoch()) {
                 continue;
             }
-            Reached reached = furthest.get(target.plan().model());
+            RolloutProgress reached = furthest.get(target.plan().model());
             boolean known = reached != null && reached.epoch() == target.epoch() && target.mode() != Mode.ROLLED_BACK;
             follow(
                     target,
@@ -277,24 +277,24 @@
         }
     }
 
-    private static Reached further(Reached a, Reached b) {
+    private static RolloutProgress further(RolloutProgress a, RolloutProgress b) {
         return a.epoch() != b.epoch()
                 ? a.epoch() > b.epoch() ? a : b
-                : new Reached(a.model(), a.epoch(), Math.max(a.step(), b.step()), a.broken() || b.broken());
+                : new RolloutProgress(a.model(), a.epoch(), Math.max(a.step(), b.step()), a.broken() || b.broken());
     }
 
-    private void follow(Target target) {
+    private void follow(RolloutTarget target) {
         follow(target, -1, false);
     }
 
-    private void follow(Target target, int reached, boolean broken) {
-        Plan plan = target.plan();
+    private void follow(RolloutTarget target, int reached, boolean broken) {
+        RolloutPlan plan = target.plan();
         Release before = releases.get(plan.model());
         Release release = before != null && before.target.plan().equals(plan) ? before : new Release();
         boolean fresh = release != before;
         release.target = target;
         release.broken = broken;
-        release.doubt = fresh ? new Doubt(plan.gate()) : release.doubt.anew();
+        release.doubt = fresh ? new VersionComparison(plan.gate()) : release.doubt.anew();
         // the first step too waits until copies stand; a step that was reached is never gone back on but by a rollback
         release.step = fresh ? reached : Math.max(release.step, reached);
         release.since = now;
@@ -303,9 +303,9 @@
         releases.put(plan.model(), release);
         if (target.mode() == Mode.ROLLED_BACK) {
             release.step = -1;
-            todo.add(new ReleaseAction.Withdraw(plan.model(), plan.to()));
+            todo.add(new RolloutAction.Withdraw(plan.model(), plan.to()));
         }
-        todo.add(new ReleaseAction.Log(String.format(
+        todo.add(new RolloutAction.Log(String.format(
                 "release of %s at %s: epoch %d, %s, by %s",
                 plan.model(),
                 name(plan.to()),
@@ -321,8 +321,8 @@
     }
 
     private void note(Release release) {
-        todo.add(new ReleaseAction.Note(
-                new Reached(release.target.plan().model(), release.target.epoch(), release.step, release.broken)));
+        todo.add(new RolloutAction.Note(
+                new RolloutProgress(release.target.plan().model(), release.target.epoch(), release.step, release.broken)));
     }
 
     // ---- steps
@@ -331,7 +331,7 @@
         releases.values().forEach(this::advance);
         while (!marks.isEmpty()) {
             Map.Entry<String, Marked> oldest = marks.entrySet().iterator().next();
-            if (now.before(oldest.getValue().until())) {
+            if (now.isBefore(oldest.getValue().until())) {
                 return;
             }
             marks.remove(oldest.getKey());
@@ -340,11 +340,11 @@
 
     /** Asks for the copies of the next share, and steps up once all that a step asks for is there. */
     private void advance(Release release) {
-        Plan plan = release.target.plan();
+        RolloutPlan plan = release.target.plan();
         if (release.over(now)) {
             release.warm = false;
-            todo.add(new ReleaseAction.Withdraw(plan.model(), plan.from()));
-            todo.add(new ReleaseAction.Withdraw(plan.model(), plan.to()));
+            todo.add(new RolloutAction.Withdraw(plan.model(), plan.from()));
+            todo.add(new RolloutAction.Withdraw(plan.model(), plan.to()));
         }
         if (!release.moves()) {
             return;
@@ -352,14 +352,14 @@
         if (!release.prepared) {
             release.prepared = true;
             release.warm = true;
-            todo.add(new ReleaseAction.Prepare(plan.model(), plan.to(), plan.from(), release.nextShare()));
+            todo.add(new RolloutAction.Prepare(plan.model(), plan.to(), plan.from(), release.nextShare()));
             // what serves now is kept as it stands until the release is over, so that a way back is warm
-            todo.add(new ReleaseAction.Prepare(plan.model(), plan.from(), plan.from(), 1));
+            todo.add(new RolloutAction.Prepare(plan.model(), plan.from(), plan.from(), 1));
         }
         boolean ordered = release.step < release.target.step();
         boolean held = release.step < 0
                 || ordered
-                || !plan.hold().longerThan(now.since(release.since))
+                || !plan.hold().isLongerThan(now.since(release.since))
                         && release.doubt.calls() >= plan.leastCalls()
                         && release.doubt.foundNoWorse();
         if (held && release.standing >= release.nextShare()) {
@@ -367,7 +367,7 @@
             release.since = now;
             release.prepared = false;
             note(release);
-            todo.add(new ReleaseAction.Log(String.format(
+            todo.add(new RolloutAction.Log(String.format(
                     "%s at %s: share %.2f, copies for %.2f, %s",
                     plan.model(), name(plan.to()), release.share(), release.standing, release.doubt.figures())));
             release.doubt = release.doubt.anew();
@@ -378,7 +378,7 @@
     private void wake() {
         if (!awake && (!marks.isEmpty() || releases.values().stream().anyMatch(r -> r.moves() || r.warm))) {
             awake = true;
-            todo.add(new ReleaseAction.Wake(BEAT));
+            todo.add(new RolloutAction.Wake(BEAT));
         }
     }
 }
--- a/decisions/src/main/java/pearladder/release/Plan.java
+++ b/decisions/src/main/java/pearladder/release/RolloutPlan.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 
 /**
  * How one model goes from a version to another.
@@ -14,12 +14,12 @@
  * @param hold how long a step lasts at the least
  * @param leastCalls calls of the new version that a step must have seen
  */
-public record Plan(
+public record RolloutPlan(
         String model,
         String from,
         String to,
         List<Double> steps,
-        Span hold,
+        TimeSpan hold,
         long leastCalls,
         Gate gate,
         Breach onBreach) {
--- a/decisions/src/main/java/pearladder/release/Reached.java
+++ b/decisions/src/main/java/pearladder/release/RolloutProgress.java
@@ -7,4 +7,4 @@
  * @param step from 0 on
  * @param broken whether the gate had found the version worse: a restart must not begin it again
  */
-public record Reached(String model, long epoch, int step, boolean broken) {}
+public record RolloutProgress(String model, long epoch, int step, boolean broken) {}
--- a/decisions/src/main/java/pearladder/release/Target.java
+++ b/decisions/src/main/java/pearladder/release/RolloutTarget.java
@@ -9,7 +9,7 @@
  * @param by who ordered it
  * @param wallMillis when, by the operator's own clock; for the history only
  */
-public record Target(long epoch, Plan plan, Mode mode, int step, String by, long wallMillis) {
+public record RolloutTarget(long epoch, RolloutPlan plan, Mode mode, int step, String by, long wallMillis) {
     /** How the release stands by the operators' order. */
     public enum Mode {
         RUNNING,
@@ -18,7 +18,7 @@
     }
 
     /** Of two targets of one model the one that holds. */
-    public static Target newer(Target a, Target b) {
+    public static RolloutTarget newer(RolloutTarget a, RolloutTarget b) {
         return b.epoch() > a.epoch() ? b : a;
     }
 }
--- a/decisions/src/main/java/pearladder/release/Doubt.java
+++ b/decisions/src/main/java/pearladder/release/VersionComparison.java
@@ -20,7 +20,7 @@
  * That share is learnt from the old version's latest calls, starts from one in fifty, and is never taken for less than one
  * in two hundred: a share of zero would make one bad call a proof.
  */
-final class Doubt {
+final class VersionComparison {
     private static final double PRIOR_CALLS = 50;
     private static final double PRIOR_BAD = 1;
     private static final double LEAST = 0.005;
@@ -30,7 +30,7 @@
     /** The most of the bad results that may come from one engine. */
     private static final double ONE_ENGINE = 0.8;
 
-    private final Plan.Gate gate;
+    private final RolloutPlan.Gate gate;
     private final Map<String, Double> byEngine = new HashMap<>();
     private double oldCalls;
     private double oldBad;
@@ -43,13 +43,13 @@
     private boolean foundWorse;
     private boolean foundNoWorse;
 
-    Doubt(Plan.Gate gate) {
+    VersionComparison(RolloutPlan.Gate gate) {
         this.gate = gate;
     }
 
     /** A new step is judged anew, beside what is known of the old version. */
-    Doubt anew() {
-        Doubt next = new Doubt(gate);
+    VersionComparison anew() {
+        VersionComparison next = new VersionComparison(gate);
         next.oldCalls = oldCalls;
         next.oldBad = oldBad;
         return next;
--- a/decisions/src/main/java/pearladder/sockets/Seat.java
+++ b/decisions/src/main/java/pearladder/sockets/ClientConnectionState.java
@@ -1,22 +1,22 @@
 package pearladder.sockets;
 
-import pearladder.api.Moment;
+import pearladder.api.MonotonicTime;
 
 /** A client's connection, as what passes on it shows it. */
-public final class Seat {
-    public final Moment came;
+public final class ClientConnectionState {
+    public final MonotonicTime came;
     /** When a whole message last came or an answer last went out; null before the first. */
-    public Moment spoke;
+    public MonotonicTime spoke;
     /** Since when a message has been coming that is not whole; null where none is. */
-    public Moment partSince;
+    public MonotonicTime partSince;
     /** Since when the client has not read what it was sent; null where it reads. */
-    public Moment stuckSince;
+    public MonotonicTime stuckSince;
     /** Messages that could not be used. */
     public int unusable;
 
     public int callsOpen;
 
-    public Seat(Moment came) {
+    public ClientConnectionState(MonotonicTime came) {
         this.came = came;
     }
 }
--- a/decisions/src/main/java/pearladder/sockets/Link.java
+++ b/decisions/src/main/java/pearladder/sockets/WorkerConnectionState.java
@@ -1,9 +1,9 @@
 package pearladder.sockets;
 
-import pearladder.api.Moment;
+import pearladder.api.MonotonicTime;
 
 /** A connection to a worker, as what passes on it shows it. */
-public final class Link {
+public final class WorkerConnectionState {
     public final String worker;
     /** It stands; before that it is being opened. */
     public boolean up;
@@ -12,9 +12,9 @@
     /** Something ran out in silence on it, and nothing was heard since. */
     public boolean doubted;
     /** When it was last written to or heard. */
-    public Moment used;
+    public MonotonicTime used;
 
-    public Link(String worker, Moment opened) {
+    public WorkerConnectionState(String worker, MonotonicTime opened) {
         this.worker = worker;
         this.used = opened;
     }
--- a/decisions/src/main/java/pearladder/state/Place.java
+++ b/decisions/src/main/java/pearladder/state/Placement.java
@@ -1,20 +1,20 @@
 package pearladder.state;
 
-import pearladder.api.Moment;
+import pearladder.api.MonotonicTime;
 
 /** The ledger's entry for one function on one worker. */
-public final class Place {
+public final class Placement {
     public final Function function;
     public final Worker worker;
     public int inFlight;
     public int instances;
     public boolean loading;
-    public Moment touched;
-    public Moment sentAt;
-    public Moment refusedUntil;
-    public Moment orderedAt;
+    public MonotonicTime renewedAt;
+    public MonotonicTime sentAt;
+    public MonotonicTime overloadedUntil;
+    public MonotonicTime loadRequestedAt;
 
-    public Place(Function function, Worker worker) {
+    public Placement(Function function, Worker worker) {
         this.function = function;
         this.worker = worker;
     }
--- a/decisions/src/main/java/pearladder/state/Known.java
+++ b/decisions/src/main/java/pearladder/state/PolicySnapshot.java
@@ -1,7 +1,7 @@
 package pearladder.state;
 
 import java.util.List;
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 
 /**
  * What a router's module has learnt and would lose with its process, as plain state. Moments are told as ages, so that it
@@ -11,11 +11,11 @@
  * @param orders the ages of the load orders that its ration still counts
  * @param loadSeconds what loads took of late, a fading sum, with its count
  */
-public record Known(
-        Span age,
-        List<OfWorker> workers,
-        List<OfFunction> functions,
-        List<Span> orders,
+public record PolicySnapshot(
+        TimeSpan age,
+        List<WorkerSnapshot> workers,
+        List<FunctionSnapshot> functions,
+        List<TimeSpan> loadRequestAges,
         double loadSeconds,
         double loadCount) {
     /**
@@ -24,22 +24,22 @@
      * @param up the age of its process, or null where no list told it
      * @param aside it is set aside for so much longer; none where it isn't
      */
-    public record OfWorker(String worker, Span up, Span aside) {}
+    public record WorkerSnapshot(String worker, TimeSpan uptime, TimeSpan ejectedFor) {}
 
     /** A function with its fading sums. */
-    public record OfFunction(
+    public record FunctionSnapshot(
             String function,
-            int lanes,
+            int concurrency,
             double memoryMb,
-            Span usualLoad,
-            double calls,
-            double warmAnswers,
+            TimeSpan typicalLoadTime,
+            double recentRequests,
+            double warmResponses,
             double warmSeconds,
-            List<Copy> copies) {}
+            List<InstanceSnapshot> instances) {}
 
     /** Instances believed on a worker, and for how long nothing renewed that belief. */
-    public record Copy(String worker, int instances, Span untouched, boolean listed) {}
+    public record InstanceSnapshot(String worker, int instances, TimeSpan sinceRenewed, boolean cached) {}
 
     /** Nothing at all. */
-    public static final Known NOTHING = new Known(Span.NONE, List.of(), List.of(), List.of(), 0, 0);
+    public static final PolicySnapshot NOTHING = new PolicySnapshot(TimeSpan.ZERO, List.of(), List.of(), List.of(), 0, 0);
 }
--- a/decisions/src/main/java/pearladder/state/Worker.java
+++ b/decisions/src/main/java/pearladder/state/Worker.java
@@ -4,66 +4,66 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import pearladder.api.Event.Standing;
-import pearladder.api.Moment;
-import pearladder.api.Span;
+import pearladder.api.Event.EndpointState;
+import pearladder.api.MonotonicTime;
+import pearladder.api.TimeSpan;
 
 /** A worker as this router knows it: what the list said, and the ledger of what was sent and heard. */
 public final class Worker {
     public final String id;
-    public final long[] marks;
+    public final long[] virtualNodes;
     public boolean onRing;
     public String zone;
     public long cell;
-    public Standing standing = Standing.IN_SERVICE;
-    public Moment since;
-    public final Set<Leg> out = new LinkedHashSet<>();
-    public final List<Place> places = new ArrayList<>();
-    public final Decaying answers;
-    public final Decaying slowness;
-    public final Decaying failures;
-    public final Decaying settled;
-    public final Decaying strainSum;
-    public final Decaying strainCount;
-    public int coldOut;
-    public double bearing;
-    public Moment easedUntil;
-    public Moment heard;
-    public Moment sentAt;
-    public Moment refusedUntil;
-    public Moment asideUntil;
-    public double coldCredit;
-    public Moment coldCreditAt;
-    public double loading;
+    public EndpointState state = EndpointState.IN_SERVICE;
+    public MonotonicTime startedAt;
+    public final Set<Attempt> attemptsInFlight = new LinkedHashSet<>();
+    public final List<Placement> placements = new ArrayList<>();
+    public final DecayingSum responses;
+    public final DecayingSum slowness;
+    public final DecayingSum failures;
+    public final DecayingSum successes;
+    public final DecayingSum latencyRatioSum;
+    public final DecayingSum latencyRatioCount;
+    public int coldAttemptsInFlight;
+    public double concurrencyLimit;
+    public MonotonicTime limitReducedUntil;
+    public MonotonicTime lastHeardAt;
+    public MonotonicTime sentAt;
+    public MonotonicTime overloadedUntil;
+    public MonotonicTime ejectedUntil;
+    public double slowStartTokens;
+    public MonotonicTime slowStartTokensAt;
+    public double reportedLoads;
 
-    public Worker(String id, long[] marks, Span health, Span pace, Span strain) {
+    public Worker(String id, long[] marks, TimeSpan health, TimeSpan pace, TimeSpan strain) {
         this.id = id;
-        this.marks = marks;
-        this.answers = new Decaying(health);
-        this.slowness = new Decaying(health);
-        this.failures = new Decaying(health);
-        this.settled = new Decaying(pace);
-        this.strainSum = new Decaying(strain);
-        this.strainCount = new Decaying(strain);
+        this.virtualNodes = marks;
+        this.responses = new DecayingSum(health);
+        this.slowness = new DecayingSum(health);
+        this.failures = new DecayingSum(health);
+        this.successes = new DecayingSum(pace);
+        this.latencyRatioSum = new DecayingSum(strain);
+        this.latencyRatioCount = new DecayingSum(strain);
     }
 
     public void clearHealth() {
-        answers.clear();
+        responses.clear();
         slowness.clear();
         failures.clear();
     }
 
     /** The process is another one: nothing that was heard of it holds. */
-    public void begunAnew() {
+    public void resetAfterRestart() {
         clearHealth();
-        settled.clear();
-        asideUntil = null;
-        heard = null;
-        coldCreditAt = null;
+        successes.clear();
+        ejectedUntil = null;
+        lastHeardAt = null;
+        slowStartTokensAt = null;
     }
 
     /** Legs out that were believed to find their copy. */
-    public int warmOut() {
-        return out.size() - coldOut;
+    public int warmAttemptsInFlight() {
+        return attemptsInFlight.size() - coldAttemptsInFlight;
     }
 }
--- a/decisions/src/main/java/pearladder/usage/Usage.java
+++ b/decisions/src/main/java/pearladder/usage/UsageAccounting.java
@@ -12,7 +12,7 @@
 import java.util.TreeMap;
 
 /**
- * Who bears the memory that models hold. Evidence goes in through {@link #on}, in the order of time but for a stated
+ * Who bears the memory that models hold. Evidence goes in through {@link #handle}, in the order of time but for a stated
  * lateness; shares of intervals that are over come out; {@link #end} closes what is left.
  *
  * A copy counts from the moment its load is begun until the engine says that it is gone, its process ends, or nothing
@@ -21,7 +21,7 @@
  * nobody has worked yet the account bears it whose call began the load. Parts are whole numbers by the largest remainder:
  * they sum to the whole, whatever the order in which records are merged.
  */
-public final class Usage {
+public final class UsageAccounting {
     private static final int REMEMBERED = 5;
 
     /** A model's copies on an engine. */
@@ -46,13 +46,13 @@
     private final long interval;
     private final long kept;
     private final long late;
-    private final PriorityQueue<Evidence> waiting = new PriorityQueue<>(Comparator.comparingLong(Evidence::at)
-            .thenComparing(Usage::rank)
-            .thenComparing(Evidence::router)
-            .thenComparing(Evidence::toString));
+    private final PriorityQueue<InstanceObservation> waiting = new PriorityQueue<>(Comparator.comparingLong(InstanceObservation::at)
+            .thenComparing(UsageAccounting::rank)
+            .thenComparing(InstanceObservation::router)
+            .thenComparing(InstanceObservation::toString));
     private final TreeMap<String, Holding> holdings = new TreeMap<>();
     private final Map<String, Long> memory = new HashMap<>();
-    private List<Share> shares = new ArrayList<>();
+    private List<UsageShare> shares = new ArrayList<>();
     private long begins = Long.MIN_VALUE;
     private long newest = Long.MIN_VALUE;
     private long tooLate;
@@ -62,14 +62,14 @@
      * @param kept idle copies are kept for so long, milliseconds
      * @param late evidence may come so much later than what is newer, milliseconds
      */
-    public Usage(long interval, long kept, long late) {
+    public UsageAccounting(long interval, long kept, long late) {
         this.interval = interval;
         this.kept = kept;
         this.late = late;
     }
 
     /** What a record told; the shares of intervals that can't change any more. */
-    public List<Share> on(Evidence evidence) {
+    public List<UsageShare> on(InstanceObservation evidence) {
         shares = new ArrayList<>();
         waiting.add(evidence);
         newest = Math.max(newest, evidence.at());
@@ -80,7 +80,7 @@
     }
 
     /** Nothing more comes: all that is left, up to a moment or to the last evidence with what stands after it. */
-    public List<Share> end(long until) {
+    public List<UsageShare> end(long until) {
         shares = new ArrayList<>();
         while (!waiting.isEmpty()) {
             follow(waiting.poll());
@@ -103,19 +103,19 @@
     }
 
     /** At one moment, what ends goes before what begins, and what is said before what is done. */
-    private static int rank(Evidence evidence) {
-        return evidence instanceof Evidence.Memory
+    private static int rank(InstanceObservation evidence) {
+        return evidence instanceof InstanceObservation.Memory
                 ? 0
-                : evidence instanceof Evidence.Gone
+                : evidence instanceof InstanceObservation.Gone
                         ? 1
-                        : evidence instanceof Evidence.LoadFailed
+                        : evidence instanceof InstanceObservation.LoadFailed
                                 ? 2
-                                : evidence instanceof Evidence.Loading
+                                : evidence instanceof InstanceObservation.Loading
                                         ? 3
-                                        : evidence instanceof Evidence.Copies ? 4 : 5;
+                                        : evidence instanceof InstanceObservation.Copies ? 4 : 5;
     }
 
-    private void follow(Evidence evidence) {
+    private void follow(InstanceObservation evidence) {
         if (begins == Long.MIN_VALUE) {
             begins = Math.floorDiv(evidence.at(), interval) * interval;
         }
@@ -126,19 +126,19 @@
         while (at >= begins + interval) {
             close();
         }
-        if (evidence instanceof Evidence.Memory said) {
+        if (evidence instanceof InstanceObservation.Memory said) {
             holdings.values().stream()
                     .filter(holding -> holding.model.equals(said.model()))
                     .forEach(holding -> to(holding, at));
             memory.put(said.model(), said.megabytes());
-        } else if (evidence instanceof Evidence.Gone gone) {
+        } else if (evidence instanceof InstanceObservation.Gone gone) {
             holdings.values().stream()
                     .filter(holding -> holding.engine.equals(gone.engine()))
                     .forEach(holding -> set(holding, at, 0));
-        } else if (evidence instanceof Evidence.LoadFailed failed) {
+        } else if (evidence instanceof InstanceObservation.LoadFailed failed) {
             Holding holding = holding(failed.engine(), failed.model(), at);
             set(holding, at, Math.max(0, holding.copies - 1));
-        } else if (evidence instanceof Evidence.Loading loading) {
+        } else if (evidence instanceof InstanceObservation.Loading loading) {
             Holding holding = holding(loading.engine(), loading.model(), at);
             holding.loads.merge(loading.account(), 1, Integer::sum);
             if (holding.copies == 0) {
@@ -147,10 +147,10 @@
             set(holding, at, Math.max(1, holding.copies));
             // a load may last for longer than an idle copy is kept
             holding.touched = Math.max(holding.touched, at + loading.lasting());
-        } else if (evidence instanceof Evidence.Copies said) {
+        } else if (evidence instanceof InstanceObservation.Copies said) {
             Holding holding = holding(said.engine(), said.model(), at);
             set(holding, at, said.copies());
-        } else if (evidence instanceof Evidence.Worked worked) {
+        } else if (evidence instanceof InstanceObservation.Worked worked) {
             Holding holding = holding(worked.engine(), worked.model(), at);
             if (holding.copies == 0) {
                 holding.loader = worked.account();
@@ -218,7 +218,7 @@
             int loads = holding.loads.getOrDefault(account, 0);
             long work = holding.work.peekLast().getOrDefault(account, 0L);
             if (amount > 0 || loads > 0 || work > 0) {
-                shares.add(new Share(account, holding.model, holding.engine, begins, amount, loads, work));
+                shares.add(new UsageShare(account, holding.model, holding.engine, begins, amount, loads, work));
             }
         });
         holding.amount = 0;
--- a/decisions/src/main/java/pearladder/usage/Share.java
+++ b/decisions/src/main/java/pearladder/usage/UsageShare.java
@@ -9,4 +9,4 @@
  * @param loads begun in the interval for it
  * @param work of its calls there in the interval, microseconds
  */
-public record Share(String account, String model, String engine, long from, long amount, int loads, long work) {}
+public record UsageShare(String account, String model, String engine, long from, long amount, int loads, long work) {}
--- a/decisions/src/main/java/pearladder/work/Scheduler.java
+++ b/decisions/src/main/java/pearladder/work/BackgroundScheduler.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.zip.CRC32;
-import pearladder.api.Moment;
-import pearladder.api.Span;
+import pearladder.api.MonotonicTime;
+import pearladder.api.TimeSpan;
 
 /**
  * Which piece of background work is begun when. It is called through on(now, event): what happened goes in, what is to be
@@ -21,20 +21,20 @@
  * the one that is due first goes first. A class spends no more than its budget: what a piece cost beyond what was expected
  * is paid back before the next begins. A piece that can't begin by its time is given up at once, not when its time is up.
  */
-public final class Scheduler {
-    private static final Span BEAT = Span.millis(50);
+public final class BackgroundScheduler {
+    private static final TimeSpan BEAT = TimeSpan.millis(50);
     private static final double LONGEST_BACK_OFF = 100;
 
     private final class Piece {
-        final WorkEvent.Asked asked;
+        final JobEvent.Asked asked;
         final Group group;
         final long number;
         double start;
-        Moment notBefore;
+        MonotonicTime notBefore;
         int attempt;
         boolean running;
 
-        Piece(WorkEvent.Asked asked, Group group) {
+        Piece(JobEvent.Asked asked, Group group) {
             this.asked = asked;
             this.group = group;
             this.number = numbered++;
@@ -48,42 +48,42 @@
 
     /** One class with what it has left to spend and what waits in it. */
     private final class Group {
-        final Duty duty;
+        final JobClass duty;
         final Map<String, List<Piece>> waiting = new LinkedHashMap<>();
         final Map<String, Double> finished = new LinkedHashMap<>();
-        Load left;
-        Moment filledAt;
+        ResourceCost left;
+        MonotonicTime filledAt;
         double virtual;
         int running;
         int held;
         boolean starved;
 
-        Group(Duty duty) {
+        Group(JobClass duty) {
             this.duty = duty;
             this.left = duty.budget().times(duty.saved());
             this.filledAt = now;
         }
 
         void fill() {
-            left = left.plus(duty.budget(), now.since(filledAt).inSeconds())
+            left = left.plus(duty.budget(), now.since(filledAt).toSeconds())
                     .atMost(duty.budget().times(duty.saved()));
             filledAt = now;
         }
 
         /** How long until what is left bears a cost: all of it, or all that can ever be saved. */
-        double secondsUntil(Load cost) {
-            Load needed = cost.atMost(duty.budget().times(duty.saved()));
+        double secondsUntil(ResourceCost cost) {
+            ResourceCost needed = cost.atMost(duty.budget().times(duty.saved()));
             return Math.max(0, needed.plus(left, -1).shareOf(duty.budget()));
         }
     }
 
     private final long seed;
-    private final Span strainedAt;
+    private final TimeSpan strainedAt;
     private final TreeMap<Integer, List<Group>> ranks = new TreeMap<>();
     private final Map<String, Group> groups = new LinkedHashMap<>();
     private final Map<String, Piece> pieces = new LinkedHashMap<>();
-    private Moment now = new Moment(0);
-    private List<WorkAction> todo = new ArrayList<>();
+    private MonotonicTime now = new MonotonicTime(0);
+    private List<JobAction> todo = new ArrayList<>();
     private double strain;
     private long numbered;
     private long drawn;
@@ -94,11 +94,11 @@
      * @param seed of the chance in back-offs
      * @param strainedAt an event loop that is so late bears rank 0 only; one that is on time bears all ranks
      */
-    public Scheduler(long seed, List<Duty> duties, Span strainedAt, Moment begun) {
+    public BackgroundScheduler(long seed, List<JobClass> duties, TimeSpan strainedAt, MonotonicTime begun) {
         this.seed = seed;
         this.strainedAt = strainedAt;
         this.now = begun;
-        for (Duty duty : duties) {
+        for (JobClass duty : duties) {
             Group group = new Group(duty);
             groups.put(duty.name(), group);
             ranks.computeIfAbsent(duty.rank(), rank -> new ArrayList<>()).add(group);
@@ -106,26 +106,26 @@
     }
 
     /** What happened at a moment, and what is to be done. */
-    public List<WorkAction> on(Moment at, WorkEvent event) {
+    public List<JobAction> on(MonotonicTime at, JobEvent event) {
         now = at;
         todo = new ArrayList<>();
-        if (event instanceof WorkEvent.Asked asked) {
+        if (event instanceof JobEvent.Asked asked) {
             asked(asked);
-        } else if (event instanceof WorkEvent.Ended ended) {
+        } else if (event instanceof JobEvent.Ended ended) {
             ended(ended);
-        } else if (event instanceof WorkEvent.Cancelled cancelled) {
+        } else if (event instanceof JobEvent.Cancelled cancelled) {
             Piece piece = pieces.get(cancelled.id());
             if (piece != null && !piece.running) {
                 forget(piece);
             }
-        } else if (event instanceof WorkEvent.Strained strained) {
-            strain = Math.max(0, Math.min(1, strained.behind().over(strainedAt)));
-        } else if (event instanceof WorkEvent.Stopping) {
+        } else if (event instanceof JobEvent.Strained strained) {
+            strain = Math.max(0, Math.min(1, strained.behind().dividedBy(strainedAt)));
+        } else if (event instanceof JobEvent.Stopping) {
             stopping = true;
             List.copyOf(pieces.values()).stream()
                     .filter(piece -> !piece.running && !piece.group.duty.atStop())
                     .forEach(piece -> giveUp(piece, "the router stops"));
-        } else if (event instanceof WorkEvent.Due) {
+        } else if (event instanceof JobEvent.Due) {
             awake = false;
         }
         begin();
@@ -137,15 +137,15 @@
         return pieces.size();
     }
 
-    private void asked(WorkEvent.Asked asked) {
+    private void asked(JobEvent.Asked asked) {
         Group group = groups.get(asked.duty());
         if (group == null || pieces.containsKey(asked.id())) {
-            todo.add(new WorkAction.GiveUp(
+            todo.add(new JobAction.GiveUp(
                     asked.id(), group == null ? "no such class: " + asked.duty() : "asked for already"));
             return;
         }
         if (stopping && !group.duty.atStop()) {
-            todo.add(new WorkAction.GiveUp(asked.id(), "the router stops"));
+            todo.add(new JobAction.GiveUp(asked.id(), "the router stops"));
             return;
         }
         Piece piece = new Piece(asked, group);
@@ -186,10 +186,10 @@
 
     private void giveUp(Piece piece, String why) {
         forget(piece);
-        todo.add(new WorkAction.GiveUp(piece.asked.id(), why));
+        todo.add(new JobAction.GiveUp(piece.asked.id(), why));
     }
 
-    private void ended(WorkEvent.Ended ended) {
+    private void ended(JobEvent.Ended ended) {
         Piece piece = pieces.get(ended.id());
         if (piece == null || !piece.running) {
             return;
@@ -236,14 +236,14 @@
         }
         if (!awake && pieces.values().stream().anyMatch(piece -> !piece.running)) {
             awake = true;
-            todo.add(new WorkAction.Wake(BEAT));
+            todo.add(new JobAction.Wake(BEAT));
         }
     }
 
     private void starve(Group group, boolean on) {
         if (group.starved != on) {
             group.starved = on;
-            todo.add(new WorkAction.Log(String.format(
+            todo.add(new JobAction.Log(String.format(
                     "background work %s %s: strain %.2f, %d pieces wait",
                     group.duty.name(), on ? "stands still" : "goes on", strain, group.held)));
         }
@@ -265,7 +265,7 @@
             // an account that is behind the class's time says nothing any more
             double time = group.virtual;
             group.finished.values().removeIf(finish -> finish <= time);
-            todo.add(new WorkAction.Begin(next.asked.id(), next.attempt));
+            todo.add(new JobAction.Begin(next.asked.id(), next.attempt));
         }
     }
 
@@ -300,8 +300,8 @@
                 if (piece.asked.by() == null) {
                     break;
                 }
-                Moment soonest = now.plus(Span.seconds(group.secondsUntil(piece.asked.cost())));
-                if (piece.asked.by().before(soonest) || piece.asked.by().before(piece.notBefore)) {
+                MonotonicTime soonest = now.plus(TimeSpan.seconds(group.secondsUntil(piece.asked.cost())));
+                if (piece.asked.by().isBefore(soonest) || piece.asked.by().isBefore(piece.notBefore)) {
                     late.add(piece);
                 }
             }
--- a/decisions/src/main/java/pearladder/work/Duty.java
+++ b/decisions/src/main/java/pearladder/work/JobClass.java
@@ -1,6 +1,6 @@
 package pearladder.work;
 
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 
 /**
  * A class of background work as the operators allow it.
@@ -14,13 +14,13 @@
  * @param backOff before the first of them; it doubles with each, up to a hundred times
  * @param atStop whether it is still done when the router stops
  */
-public record Duty(
+public record JobClass(
         String name,
         int rank,
-        Load budget,
+        ResourceCost budget,
         double saved,
         int atOnce,
         int waiting,
         int retries,
-        Span backOff,
+        TimeSpan backOff,
         boolean atStop) {}
--- a/decisions/src/main/java/pearladder/work/WorkEvent.java
+++ b/decisions/src/main/java/pearladder/work/JobEvent.java
@@ -1,10 +1,10 @@
 package pearladder.work;
 
-import pearladder.api.Moment;
-import pearladder.api.Span;
+import pearladder.api.MonotonicTime;
+import pearladder.api.TimeSpan;
 
 /** What happened that the background work must know of. */
-public sealed interface WorkEvent {
+public sealed interface JobEvent {
     /**
      * A piece of work is asked for.
      *
@@ -13,20 +13,20 @@
      * @param cost as it is expected
      * @param by when it must have begun, or null
      */
-    record Asked(String id, String duty, String account, Load cost, Moment by) implements WorkEvent {}
+    record Asked(String id, String duty, String account, ResourceCost cost, MonotonicTime by) implements JobEvent {}
 
     /** A piece that was begun has ended; cost is what it really was. */
-    record Ended(String id, boolean well, Load cost) implements WorkEvent {}
+    record Ended(String id, boolean well, ResourceCost cost) implements JobEvent {}
 
     /** Nobody wants it any more. */
-    record Cancelled(String id) implements WorkEvent {}
+    record Cancelled(String id) implements JobEvent {}
 
     /** How late the router's event loop is: calls come before all of this. */
-    record Strained(Span behind) implements WorkEvent {}
+    record Strained(TimeSpan behind) implements JobEvent {}
 
     /** The router stops: only what is to be done at a stop is still begun. */
-    record Stopping() implements WorkEvent {}
+    record Stopping() implements JobEvent {}
 
     /** Some time has gone by. */
-    record Due() implements WorkEvent {}
+    record Due() implements JobEvent {}
 }
--- a/decisions/src/test/java/pearladder/FleetTest.java
+++ b/decisions/src/test/java/pearladder/FleetTest.java
@@ -15,31 +15,31 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import pearladder.api.Action;
 import pearladder.api.Event;
-import pearladder.api.Event.Copy;
-import pearladder.api.Event.ListKind;
-import pearladder.api.Event.Listing;
-import pearladder.api.Event.Standing;
-import pearladder.api.Facts;
-import pearladder.api.Moment;
+import pearladder.api.Event.InstanceStatus;
+import pearladder.api.Event.EndpointUpdateKind;
+import pearladder.api.Event.Endpoint;
+import pearladder.api.Event.EndpointState;
+import pearladder.api.RoutingSettings;
+import pearladder.api.MonotonicTime;
 import pearladder.api.Outcome;
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 
 /** Many routers against one fleet, each knowing its own traffic only: what they do together. */
 class FleetTest {
     private static final int WORKERS = 40;
     private static final double PER_WORKER = 8; // calls a second at a warm worker
     private static final int FUNCTIONS = 120;
-    private static final Span TAKES = Span.millis(120);
-    private static final Span LOADS = Span.millis(800);
-    private static final Moment BEGUN = new Moment(1_000_000_000_000L);
+    private static final TimeSpan TAKES = TimeSpan.millis(120);
+    private static final TimeSpan LOADS = TimeSpan.millis(800);
+    private static final MonotonicTime BEGUN = new MonotonicTime(1_000_000_000_000L);
     private static final String COLD = "w0";
 
-    private record Due(Moment at, long number, Runnable what) {}
+    private record Due(MonotonicTime at, long number, Runnable what) {}
 
     private final class Router {
         final double share;
-        Policy policy;
-        Moment told = BEGUN;
+        StickyFirstFitPolicy policy;
+        MonotonicTime told = BEGUN;
 
         Router(double share) {
             this.share = share;
@@ -47,41 +47,41 @@
 
         /** Knows nothing but the list. */
         void begin(long seed) {
-            policy = new Policy(seed, facts);
-            on(listed(ListKind.REMEMBERED));
+            policy = new StickyFirstFitPolicy(seed, facts);
+            on(listed(EndpointUpdateKind.CACHED));
             told = now;
         }
 
         void on(Event event) {
-            Policy mine = policy;
-            for (Action action : policy.on(now, event)) {
-                if (action instanceof Action.Wake wake) {
-                    after(wake.at().since(now), () -> {
+            StickyFirstFitPolicy mine = policy;
+            for (Action action : policy.handle(now, event)) {
+                if (action instanceof Action.SetTimer wake) {
+                    after(wake.dueAt().since(now), () -> {
                         if (policy == mine) {
-                            on(new Event.Due(wake.tag()));
+                            on(new Event.TimerFired(wake.tag()));
                         }
                     });
-                } else if (action instanceof Action.Send send) {
-                    int leg = legs.merge(send.call(), 1, Integer::sum) - 1;
+                } else if (action instanceof Action.SendAttempt send) {
+                    int leg = legs.merge(send.requestId(), 1, Integer::sum) - 1;
                     if (send.worker().equals(COLD) && cold != null) {
                         reached.add(now);
                     }
                     boolean stood = !standing.computeIfAbsent(send.worker(), id -> new HashSet<>())
-                            .add(functions.get(send.call()));
-                    Span took = stood ? TAKES : TAKES.plus(LOADS);
+                            .add(functions.get(send.requestId()));
+                    TimeSpan took = stood ? TAKES : TAKES.plus(LOADS);
                     after(took, () -> {
                         if (policy == mine) {
                             boolean down = lost.contains(send.worker());
-                            on(new Event.LegEnded(
-                                    send.call(),
+                            on(new Event.AttemptEnded(
+                                    send.requestId(),
                                     leg,
                                     send.worker(),
                                     down ? Outcome.UNREACHABLE : Outcome.SUCCESS,
                                     took,
                                     !down,
-                                    stood ? Copy.STOOD : Copy.LOAD_BEGUN,
+                                    stood ? InstanceStatus.STOOD : InstanceStatus.LOAD_BEGUN,
                                     0,
-                                    new Event.Report(Double.NaN, 1, Double.NaN, 0.2, Double.NaN)));
+                                    new Event.WorkerLoadReport(Double.NaN, 1, Double.NaN, 0.2, Double.NaN)));
                         }
                     });
                 }
@@ -95,18 +95,18 @@
     private final Map<String, String> functions = new HashMap<>();
     private final Map<String, Set<String>> standing = new HashMap<>();
     private final Set<String> lost = new HashSet<>();
-    private final List<Moment> reached = new ArrayList<>();
-    private Facts facts;
-    private Moment now = BEGUN;
-    private Moment cold;
+    private final List<MonotonicTime> reached = new ArrayList<>();
+    private RoutingSettings facts;
+    private MonotonicTime now = BEGUN;
+    private MonotonicTime cold;
     private long numbered;
 
-    private void after(Span span, Runnable what) {
-        due.add(new Due(now.plus(span.atLeast(Span.NONE)), numbered++, what));
+    private void after(TimeSpan span, Runnable what) {
+        due.add(new Due(now.plus(span.atLeast(TimeSpan.ZERO)), numbered++, what));
     }
 
-    private void until(Moment until) {
-        while (!due.isEmpty() && due.peek().at().before(until)) {
+    private void until(MonotonicTime until) {
+        while (!due.isEmpty() && due.peek().at().isBefore(until)) {
             Due next = due.poll();
             now = next.at();
             next.what().run();
@@ -114,18 +114,18 @@
         now = until;
     }
 
-    private Event.Listed listed(ListKind kind) {
-        List<Listing> listings = new ArrayList<>();
+    private Event.EndpointsUpdated listed(EndpointUpdateKind kind) {
+        List<Endpoint> listings = new ArrayList<>();
         for (int i = 0; i < WORKERS; i++) {
             String id = "w" + i;
             listings.add(Rig.listing(
-                    id, "a", lost.contains(id) ? Standing.GONE : Standing.IN_SERVICE, id.equals(COLD) ? cold : null));
+                    id, "a", lost.contains(id) ? EndpointState.GONE : EndpointState.IN_SERVICE, id.equals(COLD) ? cold : null));
         }
-        return new Event.Listed(kind, listings);
+        return new Event.EndpointsUpdated(kind, listings);
     }
 
     private void traffic(List<Router> routers, Random chance, double perSecond) {
-        after(Span.seconds(-Math.log(1 - chance.nextDouble()) / perSecond), () -> {
+        after(TimeSpan.seconds(-Math.log(1 - chance.nextDouble()) / perSecond), () -> {
             double at = chance.nextDouble()
                     * routers.stream().mapToDouble(router -> router.share).sum();
             int i = 0;
@@ -136,12 +136,12 @@
             // few functions have most of the calls
             functions.put(id, "f" + (int) (FUNCTIONS * Math.pow(chance.nextDouble(), 3)));
             routers.get(i)
-                    .on(new Event.CallCame(
+                    .on(new Event.RequestArrived(
                             id,
                             functions.get(id),
                             Rig.RETRIABLE.name(),
                             null,
-                            Span.seconds(4),
+                            TimeSpan.seconds(4),
                             2,
                             100,
                             LOADS,
@@ -168,45 +168,45 @@
         }
         routers.forEach(router -> router.begin(chance.nextLong()));
         traffic(routers, chance, WORKERS * PER_WORKER);
-        until(BEGUN.plus(Span.seconds(12)));
+        until(BEGUN.plus(TimeSpan.seconds(12)));
         cold = now;
         standing.remove(COLD);
         for (int i = 0; i < count; i++) {
             Router router = routers.get(i);
-            after(Span.millis(chance.nextInt(300)), () -> router.on(listed(ListKind.CHANGES)));
+            after(TimeSpan.millis(chance.nextInt(300)), () -> router.on(listed(EndpointUpdateKind.DELTA)));
             if (i % 7 == 2) {
-                after(Span.millis(500), () -> router.begin(chance.nextLong()));
+                after(TimeSpan.millis(500), () -> router.begin(chance.nextLong()));
             }
         }
-        until(cold.plus(Span.seconds(lostAfterSeconds)));
+        until(cold.plus(TimeSpan.seconds(lostAfterSeconds)));
         // a third of the others go at once, so that their calls look for room everywhere
         for (int i = 1; i <= WORKERS / 3; i++) {
             lost.add("w" + i);
         }
-        routers.forEach(router -> router.on(listed(ListKind.CHANGES)));
-        until(cold.plus(facts.coldStart().warmAfter()));
+        routers.forEach(router -> router.on(listed(EndpointUpdateKind.DELTA)));
+        until(cold.plus(facts.slowStart().warmUpTime()));
 
-        Facts.ColdStart rule = facts.coldStart();
+        RoutingSettings.SlowStartSettings rule = facts.slowStart();
         double worst = 0;
         String story = "";
-        ArrayDeque<Moment> window = new ArrayDeque<>();
-        for (Moment at : reached) {
+        ArrayDeque<MonotonicTime> window = new ArrayDeque<>();
+        for (MonotonicTime at : reached) {
             window.add(at);
-            while (at.since(window.peek()).longerThan(rule.fallAfter())) {
+            while (at.since(window.peek()).isLongerThan(rule.overloadTime())) {
                 window.poll();
             }
             double present =
-                    rule.startShare() + (1 - rule.startShare()) * at.since(cold).over(rule.warmAfter());
-            double allowed = rule.fallMultiple()
+                    rule.initialCapacityShare() + (1 - rule.initialCapacityShare()) * at.since(cold).dividedBy(rule.warmUpTime());
+            double allowed = rule.overloadFactor()
                     * present
                     * PER_WORKER
-                    * rule.fallAfter().inSeconds();
+                    * rule.overloadTime().toSeconds();
             double bound = allowed + 2 * Math.sqrt(allowed) + 2;
             if (window.size() / bound > worst) {
                 worst = window.size() / bound;
                 story = String.format(
                         "%.1f s after its start: %d calls, %.1f are allowed, %.1f with chance; %d in all",
-                        at.since(cold).inSeconds(), window.size(), allowed, bound, reached.size());
+                        at.since(cold).toSeconds(), window.size(), allowed, bound, reached.size());
             }
         }
         assertTrue(worst <= 1, story);
--- a/decisions/src/test/java/pearladder/PolicyTest.java
+++ b/decisions/src/test/java/pearladder/PolicyTest.java
@@ -13,16 +13,16 @@
 import org.junit.jupiter.api.Test;
 import pearladder.api.Action;
 import pearladder.api.Event;
-import pearladder.api.Event.Copy;
-import pearladder.api.Event.Standing;
-import pearladder.api.Facts;
+import pearladder.api.Event.InstanceStatus;
+import pearladder.api.Event.EndpointState;
+import pearladder.api.RoutingSettings;
 import pearladder.api.Outcome;
-import pearladder.api.Span;
-import pearladder.state.Known;
+import pearladder.api.TimeSpan;
+import pearladder.state.PolicySnapshot;
 
 /** Plain cases: the ordinary path, each rule, and each failure that was found. */
 class PolicyTest {
-    private static final Span QUICK = Span.millis(100);
+    private static final TimeSpan QUICK = TimeSpan.millis(100);
 
     private static String home(Rig rig, String function) {
         Rig.Taken call = rig.call(function, Rig.RETRIABLE);
@@ -56,7 +56,7 @@
             used.addAll(last.workers);
         }
         assertTrue(used.size() > 1);
-        Action.Dismiss dismissed = assertInstanceOf(Action.Dismiss.class, last.end);
+        Action.Reject dismissed = assertInstanceOf(Action.Reject.class, last.end);
         assertTrue(dismissed.retryAfter().nanos() > 0);
         assertTrue(last.workers.isEmpty());
     }
@@ -66,10 +66,10 @@
         Rig rig = Rig.withWorkers(Rig.plain(), 4);
         String home = home(rig, "f");
         Rig.Taken call = rig.call("f", Rig.RETRIABLE);
-        rig.end(call, 0, Outcome.FULL, Copy.UNTOLD, Span.millis(2));
+        rig.end(call, 0, Outcome.FULL, InstanceStatus.UNTOLD, TimeSpan.millis(2));
         Rig.Taken next = rig.call("f", Rig.RETRIABLE);
         assertTrue(!call.workers.subList(1, call.workers.size()).contains(home) && !next.workers.contains(home));
-        rig.pass(Span.seconds(1));
+        rig.pass(TimeSpan.seconds(1));
         assertEquals(home, rig.call("f", Rig.RETRIABLE).workers.get(0));
     }
 
@@ -79,19 +79,19 @@
         Rig rig = Rig.withWorkers(Rig.plain(), 4);
         String home = home(rig, "f");
         Rig.Taken call = rig.call("f", Rig.RETRIABLE);
-        rig.end(call, 0, Outcome.FULL, Copy.UNTOLD, Span.millis(120), 0, 0);
+        rig.end(call, 0, Outcome.FULL, InstanceStatus.UNTOLD, TimeSpan.millis(120), 0, 0);
         assertFalse(call.workers.subList(1, call.workers.size()).contains(home));
-        rig.end(call, 1, Outcome.SUCCESS, Copy.STOOD, Span.millis(120));
+        rig.end(call, 1, Outcome.SUCCESS, InstanceStatus.STOOD, TimeSpan.millis(120));
         for (int i = 0; i < 12; i++) {
             Rig.Taken next = rig.call("f", Rig.RETRIABLE);
             assertTrue(i > 2 || next.workers.get(0).equals(home), "it is not passed over");
             for (int leg = 0; leg < next.workers.size(); leg++) {
                 boolean there = next.workers.get(leg).equals(home);
-                rig.end(next, leg, there ? Outcome.FULL : Outcome.SUCCESS, Copy.STOOD, Span.millis(120), 0, 0);
+                rig.end(next, leg, there ? Outcome.FULL : Outcome.SUCCESS, InstanceStatus.STOOD, TimeSpan.millis(120), 0, 0);
             }
             Rig.Taken other = rig.call("g" + i, Rig.RETRIABLE);
-            rig.end(other, 0, Outcome.SUCCESS, Copy.STOOD, Span.millis(120), 0, 0);
-            rig.pass(Span.millis(100));
+            rig.end(other, 0, Outcome.SUCCESS, InstanceStatus.STOOD, TimeSpan.millis(120), 0, 0);
+            rig.pass(TimeSpan.millis(100));
         }
         assertFalse(rig.call("f", Rig.RETRIABLE).workers.contains(home), "it is set aside");
     }
@@ -100,10 +100,10 @@
     void aBindingCallThatMayHaveRunIsTerminated() {
         Rig rig = Rig.withWorkers(Rig.plain(), 4);
         Rig.Taken failed = rig.call("f", Rig.BINDING);
-        rig.end(failed, 0, Outcome.ERROR, Copy.UNTOLD, QUICK);
-        assertInstanceOf(Action.Terminate.class, failed.end);
+        rig.end(failed, 0, Outcome.ERROR, InstanceStatus.UNTOLD, QUICK);
+        assertInstanceOf(Action.Fail.class, failed.end);
         Rig.Taken refused = rig.call("g", Rig.BINDING);
-        rig.end(refused, 0, Outcome.UNREACHABLE, Copy.UNTOLD, QUICK);
+        rig.end(refused, 0, Outcome.UNREACHABLE, InstanceStatus.UNTOLD, QUICK);
         assertEquals(2, refused.workers.size());
         assertNotEquals(refused.workers.get(0), refused.workers.get(1));
     }
@@ -112,11 +112,11 @@
     void aFingerprintedCallStaysInTheGroupThatDropsItsRepeats() {
         Rig rig = Rig.withWorkers(Rig.plain(), 6);
         Rig.Taken call = rig.call("f", Rig.MARKED_IN_ZONE);
-        rig.end(call, 0, Outcome.BROKEN, Copy.UNTOLD, QUICK);
+        rig.end(call, 0, Outcome.BROKEN, InstanceStatus.UNTOLD, QUICK);
         assertEquals(2, call.workers.size());
-        rig.end(call, 1, Outcome.BROKEN, Copy.UNTOLD, QUICK);
-        rig.end(call, 2, Outcome.BROKEN, Copy.UNTOLD, QUICK);
-        assertInstanceOf(Action.Terminate.class, call.end);
+        rig.end(call, 1, Outcome.BROKEN, InstanceStatus.UNTOLD, QUICK);
+        rig.end(call, 2, Outcome.BROKEN, InstanceStatus.UNTOLD, QUICK);
+        assertInstanceOf(Action.Fail.class, call.end);
     }
 
     /** Guards against a repeat that leaves late, on a connection that comes up late, when it is no longer remembered. */
@@ -124,23 +124,23 @@
     void aFingerprintedCallIsSentAgainOnlyIfItsRepeatArrivesWhileItIsRemembered() {
         Rig rig = Rig.withWorkers(Rig.plain(), 6);
         Rig.Taken early = rig.call("f", Rig.MARKED_BRIEFLY);
-        rig.pass(Span.millis(1200));
-        rig.end(early, 0, Outcome.BROKEN, Copy.UNTOLD, Span.millis(1200));
+        rig.pass(TimeSpan.millis(1200));
+        rig.end(early, 0, Outcome.BROKEN, InstanceStatus.UNTOLD, TimeSpan.millis(1200));
         assertEquals(2, early.workers.size());
         Rig.Taken late = rig.call("g", Rig.MARKED_BRIEFLY);
-        rig.pass(Span.millis(1300));
-        rig.end(late, 0, Outcome.BROKEN, Copy.UNTOLD, Span.millis(1300));
+        rig.pass(TimeSpan.millis(1300));
+        rig.end(late, 0, Outcome.BROKEN, InstanceStatus.UNTOLD, TimeSpan.millis(1300));
         assertEquals(1, late.workers.size());
-        assertInstanceOf(Action.Dismiss.class, late.end);
+        assertInstanceOf(Action.Reject.class, late.end);
     }
 
     @Test
     void aDrainingWorkerGetsNothingNew() {
         Rig rig = Rig.withWorkers(Rig.plain(), 3);
         String home = home(rig, "f");
-        rig.stand(home, Standing.DRAINING, null);
+        rig.stand(home, EndpointState.DRAINING, null);
         assertNotEquals(home, rig.call("f", Rig.RETRIABLE).workers.get(0));
-        rig.stand(home, Standing.IN_SERVICE, null);
+        rig.stand(home, EndpointState.IN_SERVICE, null);
         assertEquals(home, home(rig, "g" + functionFor(rig, home)));
     }
 
@@ -159,7 +159,7 @@
         for (int i = 0; i < 400; i++) {
             home(rig, "f" + i % 40);
         }
-        rig.stand("w1", Standing.IN_SERVICE, rig.now);
+        rig.stand("w1", EndpointState.IN_SERVICE, rig.now);
         int toCold = 0;
         int warm = 0;
         for (int i = 0; i < 15; i++) {
@@ -182,24 +182,24 @@
         List<Rig.Taken> stuck = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
             Rig.Taken call = rig.call("f" + i, Rig.RETRIABLE);
-            rig.pass(Span.millis(50));
+            rig.pass(TimeSpan.millis(50));
             if (call.workers.get(0).equals(slow)) {
                 stuck.add(call);
             } else {
-                rig.settle(call, Span.millis(50));
+                rig.settle(call, TimeSpan.millis(50));
             }
         }
-        rig.pass(Span.seconds(1));
+        rig.pass(TimeSpan.seconds(1));
         assertTrue(rig.all.stream()
                 .anyMatch(a -> a instanceof Action.Log log && log.text().contains(slow)));
-        assertTrue(stuck.stream().anyMatch(call -> rig.all.contains(new Action.Cancel(call.id, 0))));
+        assertTrue(stuck.stream().anyMatch(call -> rig.all.contains(new Action.CancelAttempt(call.id, 0))));
         for (Rig.Taken call : stuck) {
             if (call.outcomes.get(0) == null) {
-                rig.end(call, 0, Outcome.WITHDRAWN, Copy.UNTOLD, Span.seconds(1));
+                rig.end(call, 0, Outcome.WITHDRAWN, InstanceStatus.UNTOLD, TimeSpan.seconds(1));
             }
         }
         assertNotEquals(slow, home(rig, "f0"));
-        rig.pass(Span.seconds(6));
+        rig.pass(TimeSpan.seconds(6));
         Set<String> used = new HashSet<>();
         for (int i = 0; i < 30; i++) {
             used.add(home(rig, "g" + i));
@@ -216,10 +216,10 @@
         for (int i = 0; i < 40; i++) {
             Rig.Taken call = rig.call("f", Rig.RETRIABLE);
             if (!call.over && call.workers.get(0).equals(home)) {
-                rig.end(call, 0, Outcome.FULL, Copy.UNTOLD, Span.millis(1));
+                rig.end(call, 0, Outcome.FULL, InstanceStatus.UNTOLD, TimeSpan.millis(1));
             }
             used.addAll(call.workers);
-            rig.pass(Span.millis(20));
+            rig.pass(TimeSpan.millis(20));
         }
         assertTrue(used.size() <= 2, "loads begun at " + used);
     }
@@ -227,17 +227,17 @@
     /* Found on slope-maps-later big-2: each of many routers kept one call out at a hot function's home. */
     @Test
     void aHotFunctionLeavesAStrainedWorkerThatManyRoutersShare() {
-        assertEquals(1, reached("hot", Span.millis(50), 20).size());
-        assertTrue(reached("hot", Span.millis(1500), 20).size() > 1);
+        assertEquals(1, reached("hot", TimeSpan.millis(50), 20).size());
+        assertTrue(reached("hot", TimeSpan.millis(1500), 20).size() > 1);
     }
 
     /* Found on wire-campus-main-later: light functions were sent away for a load each time a hot one was served. */
     @Test
     void aLightFunctionStaysWhereItsCopyStands() {
-        assertEquals(1, reached("light", Span.millis(600), 8).size());
+        assertEquals(1, reached("light", TimeSpan.millis(600), 8).size());
     }
 
-    private static Set<String> reached(String function, Span took, int calls) {
+    private static Set<String> reached(String function, TimeSpan took, int calls) {
         Rig rig = Rig.withWorkers(Rig.among(60), 4);
         Set<String> used = new HashSet<>();
         for (int i = 0; i < calls; i++) {
@@ -264,10 +264,10 @@
         for (int i = 0; i < 800; i++) {
             Rig.Taken call = rig.call("f" + i % 40, Rig.RETRIABLE);
             for (int leg = 0; leg < call.workers.size(); leg++) {
-                rig.end(call, leg, Outcome.FULL, Copy.UNTOLD, Span.millis(1), loads);
+                rig.end(call, leg, Outcome.FULL, InstanceStatus.UNTOLD, TimeSpan.millis(1), loads);
             }
             begun += call.workers.size();
-            rig.pass(Span.millis(20));
+            rig.pass(TimeSpan.millis(20));
         }
         return begun;
     }
@@ -275,10 +275,10 @@
     /* Found on slope-maps (i12d551, i63f7e7): with every worker holding too much, all answers came late. */
     @Test
     void aStrainedWorkerBearsFewerCalls() {
-        assertTrue(borne(Span.millis(900)) < borne(Span.millis(100)));
+        assertTrue(borne(TimeSpan.millis(900)) < borne(TimeSpan.millis(100)));
     }
 
-    private static int borne(Span took) {
+    private static int borne(TimeSpan took) {
         Rig rig = Rig.withWorkers(Rig.plain(), 2);
         for (int round = 0; round < 20; round++) {
             List<Rig.Taken> calls = new ArrayList<>();
@@ -311,9 +311,9 @@
         Set<String> used = new HashSet<>();
         for (int i = 0; i < 60; i++) {
             String id = "m" + i;
-            Rig.Taken call = new Rig.Taken(id, Rig.RETRIABLE, rig.now.plus(Span.seconds(4)));
+            Rig.Taken call = new Rig.Taken(id, Rig.RETRIABLE, rig.now.plus(TimeSpan.seconds(4)));
             rig.calls.put(id, call);
-            rig.on(new Event.CallCame(id, "f", "draw", null, Span.seconds(4), 2, memoryMb, QUICK, null, false, false));
+            rig.on(new Event.RequestArrived(id, "f", "draw", null, TimeSpan.seconds(4), 2, memoryMb, QUICK, null, false, false));
             used.addAll(call.workers);
             if (i == 0) {
                 rig.settle(call, QUICK);
@@ -324,21 +324,21 @@
 
     @Test
     void aCopyInUseIsHeldWithinTheRation() {
-        Facts facts = Rig.facts(true, true, new Facts.Ration(2, 0.1, Span.seconds(5)), List.of());
+        RoutingSettings facts = Rig.facts(true, true, new RoutingSettings.LoadQuota(2, 0.1, TimeSpan.seconds(5)), List.of());
         Rig rig = Rig.withWorkers(facts, 4);
         String home = home(rig, "f");
         home(rig, "f");
-        rig.pass(Span.seconds(7));
-        assertTrue(rig.all.contains(new Action.Hold(home, "f", 1)));
+        rig.pass(TimeSpan.seconds(7));
+        assertTrue(rig.all.contains(new Action.LoadInstances(home, "f", 1)));
     }
 
     @Test
     void aForgottenFunctionFindsItsFirstWorkerAgain() {
         Rig rig = Rig.withWorkers(Rig.plain(), 8);
         String home = home(rig, "f");
-        rig.pass(Span.seconds(200));
+        rig.pass(TimeSpan.seconds(200));
         assertEquals(home, home(rig, "f"));
-        rig.on(new Event.LoadAnswered(home, "f", Outcome.SUCCESS, 1, QUICK));
+        rig.on(new Event.LoadCompleted(home, "f", Outcome.SUCCESS, 1, QUICK));
         rig.assertAllAnswered();
     }
 
@@ -346,61 +346,61 @@
     void anUnsettledLegAtTheAbandonTimeIsAnsweredAtOnce() {
         Rig rig = Rig.withWorkers(Rig.plain(), 3);
         Rig.Taken call = rig.call("f", Rig.BINDING);
-        rig.pass(Span.millis(3992));
-        rig.on(new Event.LegEnded("nobody", 0, "w0", Outcome.ERROR, QUICK, false, Copy.UNTOLD, 0, null));
-        rig.end(call, 0, Outcome.TIMED_OUT, Copy.UNTOLD, Span.millis(3992));
-        assertInstanceOf(Action.Terminate.class, call.end);
-        rig.on(new Event.ClientLeft(call.id));
+        rig.pass(TimeSpan.millis(3992));
+        rig.on(new Event.AttemptEnded("nobody", 0, "w0", Outcome.ERROR, QUICK, false, InstanceStatus.UNTOLD, 0, null));
+        rig.end(call, 0, Outcome.TIMED_OUT, InstanceStatus.UNTOLD, TimeSpan.millis(3992));
+        assertInstanceOf(Action.Fail.class, call.end);
+        rig.on(new Event.ClientDisconnected(call.id));
     }
 
     private static List<Action> beat(Rig rig) {
         int from = rig.all.size();
-        rig.pass(Span.millis(100));
+        rig.pass(TimeSpan.millis(100));
         return List.copyOf(rig.all.subList(from, rig.all.size()));
     }
 
     /** A new version's copies come up ahead of its calls, one at a time, and are told once they bear the share. */
     @Test
     void copiesWantedAheadAreOrderedOneByOneAndToldWhenTheyStand() {
-        Rig rig = Rig.withWorkers(Rig.facts(true, true, new Facts.Ration(4, 0, Span.seconds(10)), List.of()), 4);
-        rig.now = rig.now.plus(Span.millis(100));
-        rig.on(new Event.Wanted("f@2", "f", 1, 2, 100, Span.millis(500)));
+        Rig rig = Rig.withWorkers(Rig.facts(true, true, new RoutingSettings.LoadQuota(4, 0, TimeSpan.seconds(10)), List.of()), 4);
+        rig.now = rig.now.plus(TimeSpan.millis(100));
+        rig.on(new Event.PrewarmRequested("f@2", "f", 1, 2, 100, TimeSpan.millis(500)));
         List<Action> first = beat(rig);
-        List<Action.Hold> holds = first.stream()
-                .filter(Action.Hold.class::isInstance)
-                .map(Action.Hold.class::cast)
+        List<Action.LoadInstances> holds = first.stream()
+                .filter(Action.LoadInstances.class::isInstance)
+                .map(Action.LoadInstances.class::cast)
                 .toList();
         assertEquals(1, holds.size());
-        assertTrue(first.contains(new Action.Standing("f@2", 0)), first.toString());
-        assertTrue(beat(rig).stream().noneMatch(Action.Hold.class::isInstance), "one at a time");
-        rig.on(new Event.LoadAnswered(holds.get(0).worker(), "f@2", Outcome.SUCCESS, 1, Span.millis(500)));
-        assertTrue(beat(rig).contains(new Action.Standing("f@2", 1)));
-        rig.on(new Event.Wanted("f@2", "f", 0, 2, 100, Span.millis(500)));
+        assertTrue(first.contains(new Action.PrewarmProgress("f@2", 0)), first.toString());
+        assertTrue(beat(rig).stream().noneMatch(Action.LoadInstances.class::isInstance), "one at a time");
+        rig.on(new Event.LoadCompleted(holds.get(0).worker(), "f@2", Outcome.SUCCESS, 1, TimeSpan.millis(500)));
+        assertTrue(beat(rig).contains(new Action.PrewarmProgress("f@2", 1)));
+        rig.on(new Event.PrewarmRequested("f@2", "f", 0, 2, 100, TimeSpan.millis(500)));
         assertTrue(beat(rig).stream()
-                .noneMatch(action -> action instanceof Action.Standing || action instanceof Action.Hold));
+                .noneMatch(action -> action instanceof Action.PrewarmProgress || action instanceof Action.LoadInstances));
     }
 
     @Test
     void whatIsToldAsKnownIsKnownToTheNextLife() {
-        Rig one = Rig.withWorkers(Rig.facts(true, true, new Facts.Ration(3, 0, Span.seconds(30)), List.of()), 4);
+        Rig one = Rig.withWorkers(Rig.facts(true, true, new RoutingSettings.LoadQuota(3, 0, TimeSpan.seconds(30)), List.of()), 4);
         for (int i = 0; i < 12; i++) {
             one.settle(one.call("f" + i % 3, Rig.RETRIABLE), QUICK);
         }
-        one.pass(Span.seconds(7));
-        Known known = one.policy.known(one.now);
+        one.pass(TimeSpan.seconds(7));
+        PolicySnapshot known = one.policy.snapshot(one.now);
         assertEquals(3, known.functions().size());
         assertTrue(known.functions().stream()
-                .allMatch(function -> function.copies().size() == 1));
-        assertEquals(3, known.orders().size(), "copies in use were renewed, up to the ration");
+                .allMatch(function -> function.instances().size() == 1));
+        assertEquals(3, known.loadRequestAges().size(), "copies in use were renewed, up to the ration");
         Rig two = Rig.withWorkers(one.facts, 4);
         two.now = one.now;
-        two.on(new Event.Recalled(known));
-        assertEquals(known, two.policy.known(two.now));
+        two.on(new Event.SnapshotRestored(known));
+        assertEquals(known, two.policy.snapshot(two.now));
         for (int i = 0; i < 12; i++) {
             two.settle(two.call("f" + i % 3, Rig.RETRIABLE), QUICK);
         }
-        two.pass(Span.seconds(7));
-        assertTrue(two.all.stream().noneMatch(Action.Hold.class::isInstance), "the ration counts across lives");
+        two.pass(TimeSpan.seconds(7));
+        assertTrue(two.all.stream().noneMatch(Action.LoadInstances.class::isInstance), "the ration counts across lives");
     }
 
     @Test
@@ -408,10 +408,10 @@
         Rig rig = Rig.withWorkers(Rig.plain(), 4);
         String home = home(rig, "f");
         Rig next = Rig.withWorkers(Rig.plain(), 4);
-        next.on(new Event.Recalled(new Known(
-                Span.NONE, List.of(new Known.OfWorker(home, null, Span.seconds(2))), List.of(), List.of(), 0, 0)));
+        next.on(new Event.SnapshotRestored(new PolicySnapshot(
+                TimeSpan.ZERO, List.of(new PolicySnapshot.WorkerSnapshot(home, null, TimeSpan.seconds(2))), List.of(), List.of(), 0, 0)));
         assertNotEquals(home, home(next, "f"));
-        next.pass(Span.seconds(12));
+        next.pass(TimeSpan.seconds(12));
         assertEquals(home, home(next, "f"));
     }
 }
--- a/decisions/src/test/java/pearladder/Rig.java
+++ b/decisions/src/test/java/pearladder/Rig.java
@@ -14,55 +14,55 @@
 import java.util.Set;
 import pearladder.api.Action;
 import pearladder.api.Event;
-import pearladder.api.Event.Copy;
-import pearladder.api.Event.ListKind;
-import pearladder.api.Event.Listing;
-import pearladder.api.Event.Standing;
-import pearladder.api.Facts;
-import pearladder.api.Facts.Effect;
-import pearladder.api.Facts.Group;
-import pearladder.api.Facts.Terms;
-import pearladder.api.Moment;
+import pearladder.api.Event.InstanceStatus;
+import pearladder.api.Event.EndpointUpdateKind;
+import pearladder.api.Event.Endpoint;
+import pearladder.api.Event.EndpointState;
+import pearladder.api.RoutingSettings;
+import pearladder.api.RoutingSettings.Idempotency;
+import pearladder.api.RoutingSettings.DeduplicationScope;
+import pearladder.api.RoutingSettings.RequestClass;
+import pearladder.api.MonotonicTime;
 import pearladder.api.Outcome;
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 
 /** Drives one instance by hand and checks the rules on each action it returns. */
 final class Rig {
-    static final Terms RETRIABLE = terms("draw", Effect.RETRIABLE, Group.ALL);
-    static final Terms BINDING = terms("post", Effect.BINDING, Group.ALL);
-    static final Terms MARKED = terms("commit", Effect.FINGERPRINTED, Group.ALL);
-    static final Terms MARKED_IN_ZONE = terms("note", Effect.FINGERPRINTED, Group.ZONE);
-    static final Terms MARKED_BRIEFLY = new Terms(
+    static final RequestClass RETRIABLE = terms("draw", Idempotency.RETRIABLE, DeduplicationScope.ALL);
+    static final RequestClass BINDING = terms("post", Idempotency.BINDING, DeduplicationScope.ALL);
+    static final RequestClass MARKED = terms("commit", Idempotency.FINGERPRINTED, DeduplicationScope.ALL);
+    static final RequestClass MARKED_IN_ZONE = terms("note", Idempotency.FINGERPRINTED, DeduplicationScope.ZONE);
+    static final RequestClass MARKED_BRIEFLY = new RequestClass(
             "brief",
-            Span.seconds(1),
-            Span.seconds(4),
+            TimeSpan.seconds(1),
+            TimeSpan.seconds(4),
             1,
             0.2,
-            Effect.FINGERPRINTED,
-            Group.ALL,
-            Span.millis(1500),
+            Idempotency.FINGERPRINTED,
+            DeduplicationScope.ALL,
+            TimeSpan.millis(1500),
             false,
             0);
 
     /** What the rig knows of a call. */
     static final class Taken {
         final String id;
-        final Terms terms;
-        final Moment until;
+        final RequestClass terms;
+        final MonotonicTime until;
         final List<String> workers = new ArrayList<>();
-        final List<Moment> sent = new ArrayList<>();
+        final List<MonotonicTime> sent = new ArrayList<>();
         final List<Outcome> outcomes = new ArrayList<>();
         Action end;
         boolean over;
 
-        Taken(String id, Terms terms, Moment until) {
+        Taken(String id, RequestClass terms, MonotonicTime until) {
             this.id = id;
             this.terms = terms;
             this.until = until;
         }
 
         boolean mayHaveRun() {
-            return outcomes.stream().anyMatch(o -> o == null || !o.neverRan);
+            return outcomes.stream().anyMatch(o -> o == null || !o.neverExecuted);
         }
 
         int out() {
@@ -70,138 +70,138 @@
         }
     }
 
-    final Facts facts;
-    final Policy policy;
+    final RoutingSettings facts;
+    final StickyFirstFitPolicy policy;
     final Map<String, Taken> calls = new LinkedHashMap<>();
-    final Map<String, Listing> workers = new LinkedHashMap<>();
+    final Map<String, Endpoint> workers = new LinkedHashMap<>();
     final Set<String> shut = new HashSet<>();
-    final ArrayDeque<Moment> orders = new ArrayDeque<>();
-    final List<Moment> takenAt = new ArrayList<>();
-    final List<Action.Wake> wakes = new ArrayList<>();
+    final ArrayDeque<MonotonicTime> orders = new ArrayDeque<>();
+    final List<MonotonicTime> takenAt = new ArrayList<>();
+    final List<Action.SetTimer> wakes = new ArrayList<>();
     final List<Action> all = new ArrayList<>();
-    Moment now = new Moment(1_000_000_000_000L);
+    MonotonicTime now = new MonotonicTime(1_000_000_000_000L);
     private int named;
 
-    Rig(long seed, Facts facts) {
+    Rig(long seed, RoutingSettings facts) {
         this.facts = facts;
-        this.policy = new Policy(seed, facts);
+        this.policy = new StickyFirstFitPolicy(seed, facts);
     }
 
-    static Terms terms(String name, Effect effect, Group group) {
-        return new Terms(name, Span.seconds(1), Span.seconds(4), 1, 0.2, effect, group, Span.seconds(6), false, 0);
+    static RequestClass terms(String name, Idempotency effect, DeduplicationScope group) {
+        return new RequestClass(name, TimeSpan.seconds(1), TimeSpan.seconds(4), 1, 0.2, effect, group, TimeSpan.seconds(6), false, 0);
     }
 
-    static Facts facts(boolean orders, boolean secondLegs, Facts.Ration ration, List<Facts.Account> accounts) {
+    static RoutingSettings facts(boolean orders, boolean secondLegs, RoutingSettings.LoadQuota ration, List<RoutingSettings.Tenant> accounts) {
         return facts(3, orders, secondLegs, ration, accounts);
     }
 
     /** A router that is one of so many. */
-    static Facts among(int peers) {
-        return facts(peers, false, true, new Facts.Ration(0, 0, Span.NONE), List.of());
+    static RoutingSettings among(int peers) {
+        return facts(peers, false, true, new RoutingSettings.LoadQuota(0, 0, TimeSpan.ZERO), List.of());
     }
 
-    private static Facts facts(
-            int peers, boolean orders, boolean secondLegs, Facts.Ration ration, List<Facts.Account> accounts) {
-        return new Facts(
+    private static RoutingSettings facts(
+            int peers, boolean orders, boolean secondLegs, RoutingSettings.LoadQuota ration, List<RoutingSettings.Tenant> accounts) {
+        return new RoutingSettings(
                 0,
                 peers,
                 "a",
-                Span.millis(4),
+                TimeSpan.millis(4),
                 List.of(RETRIABLE, BINDING, MARKED, MARKED_IN_ZONE, MARKED_BRIEFLY),
                 accounts,
-                new Facts.Allowances(
-                        3, secondLegs, true, true, false, true, Span.seconds(2), 0.1, false, Span.millis(250)),
-                new Facts.Answering(Span.millis(16), Span.millis(500)),
-                new Facts.ColdStart(0.25, Span.seconds(15), 2, Span.millis(1500)),
+                new RoutingSettings.AttemptLimits(
+                        3, secondLegs, true, true, false, true, TimeSpan.seconds(2), 0.1, false, TimeSpan.millis(250)),
+                new RoutingSettings.ResponseGrace(TimeSpan.millis(16), TimeSpan.millis(500)),
+                new RoutingSettings.SlowStartSettings(0.25, TimeSpan.seconds(15), 2, TimeSpan.millis(1500)),
                 ration,
-                new Facts.Copies(Span.seconds(8), orders, true, Span.seconds(10), true, true, List.of(50000.0)),
-                new Facts.Reports(List.of("x1"), true),
-                new Facts.Roll(false, Span.NONE),
-                new Facts.Prices(0.01, 0.05, 0.01, 0.03, 0.1, 0.05));
+                new RoutingSettings.InstanceSettings(TimeSpan.seconds(8), orders, true, TimeSpan.seconds(10), true, true, List.of(50000.0)),
+                new RoutingSettings.LoadReportSettings(List.of("x1"), true),
+                new RoutingSettings.DiscoverySettings(false, TimeSpan.ZERO),
+                new RoutingSettings.CostModel(0.01, 0.05, 0.01, 0.03, 0.1, 0.05));
     }
 
-    static Facts plain() {
-        return facts(false, true, new Facts.Ration(0, 0, Span.NONE), List.of());
+    static RoutingSettings plain() {
+        return facts(false, true, new RoutingSettings.LoadQuota(0, 0, TimeSpan.ZERO), List.of());
     }
 
-    static Rig withWorkers(Facts facts, int count) {
+    static Rig withWorkers(RoutingSettings facts, int count) {
         Rig rig = new Rig(7, facts);
         for (int i = 0; i < count; i++) {
-            rig.workers.put("w" + i, listing("w" + i, i % 2 == 0 ? "a" : "b", Standing.IN_SERVICE, null));
+            rig.workers.put("w" + i, listing("w" + i, i % 2 == 0 ? "a" : "b", EndpointState.IN_SERVICE, null));
         }
-        rig.list(ListKind.REMEMBERED);
+        rig.list(EndpointUpdateKind.CACHED);
         return rig;
     }
 
-    static Listing listing(String id, String zone, Standing standing, Moment since) {
-        return new Listing(id, zone, "k", 0, standing, 1, since);
+    static Endpoint listing(String id, String zone, EndpointState standing, MonotonicTime since) {
+        return new Endpoint(id, zone, "k", 0, standing, 1, since);
     }
 
-    void list(ListKind kind) {
-        for (Listing listing : workers.values()) {
-            if (listing.standing() == Standing.IN_SERVICE) {
+    void list(EndpointUpdateKind kind) {
+        for (Endpoint listing : workers.values()) {
+            if (listing.state() == EndpointState.IN_SERVICE) {
                 shut.remove(listing.worker());
             } else {
                 shut.add(listing.worker());
             }
         }
-        on(new Event.Listed(kind, List.copyOf(workers.values())));
+        on(new Event.EndpointsUpdated(kind, List.copyOf(workers.values())));
     }
 
-    void stand(String worker, Standing standing, Moment since) {
+    void stand(String worker, EndpointState standing, MonotonicTime since) {
         workers.put(worker, listing(worker, workers.get(worker).zone(), standing, since));
-        list(ListKind.CHANGES);
+        list(EndpointUpdateKind.DELTA);
     }
 
     /** Lets time pass; timers that fall due are delivered. */
-    void pass(Span span) {
-        Moment until = now.plus(span);
+    void pass(TimeSpan span) {
+        MonotonicTime until = now.plus(span);
         while (true) {
-            Action.Wake next = null;
-            for (Action.Wake wake : wakes) {
-                next = next == null || wake.at().before(next.at()) ? wake : next;
+            Action.SetTimer next = null;
+            for (Action.SetTimer wake : wakes) {
+                next = next == null || wake.dueAt().isBefore(next.dueAt()) ? wake : next;
             }
-            if (next == null || until.before(next.at())) {
+            if (next == null || until.isBefore(next.dueAt())) {
                 break;
             }
             wakes.remove(next);
-            now = next.at().before(now) ? now : next.at();
-            on(new Event.Due(next.tag()));
+            now = next.dueAt().isBefore(now) ? now : next.dueAt();
+            on(new Event.TimerFired(next.tag()));
         }
         now = until;
     }
 
-    Taken call(String function, Terms terms) {
-        return call(function, terms, null, 2, Span.seconds(4));
+    Taken call(String function, RequestClass terms) {
+        return call(function, terms, null, 2, TimeSpan.seconds(4));
     }
 
-    Taken call(String function, Terms terms, String account, int lanes, Span left) {
+    Taken call(String function, RequestClass terms, String account, int lanes, TimeSpan left) {
         Taken call = new Taken("call" + named++, terms, now.plus(left));
         calls.put(call.id, call);
         takenAt.add(now);
-        on(new Event.CallCame(
-                call.id, function, terms.name(), account, left, lanes, 500, Span.millis(800), null, false, false));
+        on(new Event.RequestArrived(
+                call.id, function, terms.name(), account, left, lanes, 500, TimeSpan.millis(800), null, false, false));
         return call;
     }
 
     /** Settles the call's only leg that is out, warm, after the given time. */
-    void settle(Taken call, Span took) {
+    void settle(Taken call, TimeSpan took) {
         int leg = call.outcomes.indexOf(null);
-        end(call, leg, Outcome.SUCCESS, Copy.STOOD, took);
+        end(call, leg, Outcome.SUCCESS, InstanceStatus.STOOD, took);
     }
 
-    void end(Taken call, int leg, Outcome outcome, Copy copy, Span took) {
+    void end(Taken call, int leg, Outcome outcome, InstanceStatus copy, TimeSpan took) {
         end(call, leg, outcome, copy, took, 0);
     }
 
-    void end(Taken call, int leg, Outcome outcome, Copy copy, Span took, double loads) {
+    void end(Taken call, int leg, Outcome outcome, InstanceStatus copy, TimeSpan took, double loads) {
         end(call, leg, outcome, copy, took, loads, Double.NaN);
     }
 
-    void end(Taken call, int leg, Outcome outcome, Copy copy, Span took, double loads, double waiting) {
+    void end(Taken call, int leg, Outcome outcome, InstanceStatus copy, TimeSpan took, double loads, double waiting) {
         call.outcomes.set(leg, outcome);
         call.over |= outcome == Outcome.SUCCESS;
-        on(new Event.LegEnded(
+        on(new Event.AttemptEnded(
                 call.id,
                 leg,
                 call.workers.get(leg),
@@ -210,11 +210,11 @@
                 call.over,
                 copy,
                 0,
-                new Event.Report(Double.NaN, waiting, Double.NaN, loads, Double.NaN)));
+                new Event.WorkerLoadReport(Double.NaN, waiting, Double.NaN, loads, Double.NaN)));
     }
 
     List<Action> on(Event event) {
-        List<Action> actions = policy.on(now, event);
+        List<Action> actions = policy.handle(now, event);
         for (Action action : actions) {
             check(action);
             all.add(action);
@@ -223,25 +223,25 @@
     }
 
     private void check(Action action) {
-        if (action instanceof Action.Send send) {
-            Taken call = calls.get(send.call());
+        if (action instanceof Action.SendAttempt send) {
+            Taken call = calls.get(send.requestId());
             assertFalse(call.over, "a leg after the end");
             assertFalse(shut.contains(send.worker()), "a leg to a worker that drains or is gone");
-            assertTrue(call.workers.size() < facts.allowances().legs(), "too many legs");
-            assertTrue(send.limit().nanos() > 0, "a limit in the past");
-            assertTrue(facts.allowances().secondLegs() || call.out() == 0, "two legs out at once");
-            if (call.terms.effect() == Effect.BINDING) {
+            assertTrue(call.workers.size() < facts.attemptLimits().maxAttempts(), "too many legs");
+            assertTrue(send.timeout().nanos() > 0, "a limit in the past");
+            assertTrue(facts.attemptLimits().hedging() || call.out() == 0, "two legs out at once");
+            if (call.terms.idempotency() == Idempotency.BINDING) {
                 assertFalse(call.mayHaveRun(), "a binding call that may have run was sent again");
-            } else if (call.terms.effect() == Effect.FINGERPRINTED && call.mayHaveRun()) {
+            } else if (call.terms.idempotency() == Idempotency.FINGERPRINTED && call.mayHaveRun()) {
                 int first = 0;
-                while (call.outcomes.get(first) != null && call.outcomes.get(first).neverRan) {
+                while (call.outcomes.get(first) != null && call.outcomes.get(first).neverExecuted) {
                     first++;
                 }
                 assertTrue(
-                        now.since(call.sent.get(first)).plus(facts.sending()).compareTo(call.terms.remembered()) <= 0,
+                        now.since(call.sent.get(first)).plus(facts.maxSendDelay()).compareTo(call.terms.deduplicationWindow()) <= 0,
                         "past memory, if its connection comes up as late as it may");
                 assertTrue(
-                        call.terms.group() == Group.ALL
+                        call.terms.deduplicationScope() == DeduplicationScope.ALL
                                 || workers.get(send.worker())
                                         .zone()
                                         .equals(workers.get(call.workers.get(first))
@@ -251,21 +251,21 @@
             call.workers.add(send.worker());
             call.sent.add(now);
             call.outcomes.add(null);
-        } else if (action instanceof Action.Dismiss dismiss) {
-            Taken call = calls.get(dismiss.call());
+        } else if (action instanceof Action.Reject dismiss) {
+            Taken call = calls.get(dismiss.requestId());
             assertTrue(
-                    call.terms.effect() == Effect.RETRIABLE
+                    call.terms.idempotency() == Idempotency.RETRIABLE
                             || !call.mayHaveRun()
-                            || call.terms.effect() == Effect.FINGERPRINTED && call.terms.group() == Group.ALL,
+                            || call.terms.idempotency() == Idempotency.FINGERPRINTED && call.terms.deduplicationScope() == DeduplicationScope.ALL,
                     "a dismissal of what may have run");
             finish(call, action);
-        } else if (action instanceof Action.Terminate terminate) {
-            finish(calls.get(terminate.call()), action);
-        } else if (action instanceof Action.Hold hold) {
-            assertTrue(facts.copies().orders(), "an order where none is allowed");
+        } else if (action instanceof Action.Fail terminate) {
+            finish(calls.get(terminate.requestId()), action);
+        } else if (action instanceof Action.LoadInstances hold) {
+            assertTrue(facts.instances().acceptsLoadRequests(), "an order where none is allowed");
             assertFalse(shut.contains(hold.worker()), "an order to a worker that drains or is gone");
             orders.add(now);
-            Facts.Ration ration = facts.ration();
+            RoutingSettings.LoadQuota ration = facts.loadQuota();
             if (ration.window().nanos() > 0) {
                 long ordered = orders.stream()
                         .filter(at -> now.since(at).compareTo(ration.window()) <= 0)
@@ -273,12 +273,12 @@
                 long took = takenAt.stream()
                         .filter(at -> now.since(at).compareTo(ration.window()) < 0)
                         .count();
-                assertTrue(ordered <= ration.free() + ration.share() * took, "more orders than the ration");
+                assertTrue(ordered <= ration.burst() + ration.requestShare() * took, "more orders than the ration");
             }
-        } else if (action instanceof Action.Cancel cancel) {
-            assertTrue(facts.allowances().cancel());
-            assertTrue(cancel.leg() < calls.get(cancel.call()).workers.size(), "a leg that was never sent");
-        } else if (action instanceof Action.Wake wake) {
+        } else if (action instanceof Action.CancelAttempt cancel) {
+            assertTrue(facts.attemptLimits().cancel());
+            assertTrue(cancel.attempt() < calls.get(cancel.requestId()).workers.size(), "a leg that was never sent");
+        } else if (action instanceof Action.SetTimer wake) {
             wakes.add(wake);
         }
     }
@@ -286,7 +286,7 @@
     private void finish(Taken call, Action action) {
         assertNotNull(call);
         assertFalse(call.over, "a second final answer");
-        assertFalse(call.until.plus(facts.answering().grace()).before(now), "a final answer too late");
+        assertFalse(call.until.plus(facts.responseGrace().grace()).isBefore(now), "a final answer too late");
         call.over = true;
         call.end = action;
     }
--- a/decisions/src/test/java/pearladder/recovery/BeliefsTest.java
+++ b/decisions/src/test/java/pearladder/recovery/BeliefsTest.java
@@ -9,58 +9,58 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import pearladder.api.Span;
-import pearladder.state.Known;
+import pearladder.api.TimeSpan;
+import pearladder.state.PolicySnapshot;
 
 class BeliefsTest {
-    private static final Span KEPT = Span.seconds(10);
-    private static final Span WINDOW = Span.seconds(5);
+    private static final TimeSpan KEPT = TimeSpan.seconds(10);
+    private static final TimeSpan WINDOW = TimeSpan.seconds(5);
 
-    private final Beliefs beliefs = new Beliefs(KEPT, WINDOW, 4);
+    private final SnapshotRecovery beliefs = new SnapshotRecovery(KEPT, WINDOW, 4);
 
-    private static Span s(double seconds) {
-        return Span.seconds(seconds);
+    private static TimeSpan s(double seconds) {
+        return TimeSpan.seconds(seconds);
     }
 
-    private static Known known(Span up, double calls, Known.Copy... copies) {
-        return new Known(
-                Span.NONE,
-                List.of(new Known.OfWorker("e1", up, s(2))),
-                List.of(new Known.OfFunction("f", 2, 400, null, calls, 5, 0.5, List.of(copies))),
+    private static PolicySnapshot known(TimeSpan up, double calls, PolicySnapshot.InstanceSnapshot... copies) {
+        return new PolicySnapshot(
+                TimeSpan.ZERO,
+                List.of(new PolicySnapshot.WorkerSnapshot("e1", up, s(2))),
+                List.of(new PolicySnapshot.FunctionSnapshot("f", 2, 400, null, calls, 5, 0.5, List.of(copies))),
                 List.of(),
                 10,
                 5);
     }
 
-    private Known after(Known known, Span gap, Span upNow) {
-        Map<String, Span> up = new HashMap<>();
+    private PolicySnapshot after(PolicySnapshot known, TimeSpan gap, TimeSpan upNow) {
+        Map<String, TimeSpan> up = new HashMap<>();
         up.put("e1", upNow);
-        return beliefs.after(new Beliefs.Found(known, gap, List.of(), true, up)).known();
+        return beliefs.after(new SnapshotRecovery.Found(known, gap, List.of(), true, up)).known();
     }
 
     @Test
     void aShortGapAgesWhatIsBelieved() {
-        Known now = after(known(s(100), 5, new Known.Copy("e1", 2, s(1), true)), s(2), s(102.1));
+        PolicySnapshot now = after(known(s(100), 5, new PolicySnapshot.InstanceSnapshot("e1", 2, s(1), true)), s(2), s(102.1));
         assertEquals(s(2), now.age());
-        assertEquals(List.of(new Known.OfWorker("e1", s(102.1), Span.NONE)), now.workers());
+        assertEquals(List.of(new PolicySnapshot.WorkerSnapshot("e1", s(102.1), TimeSpan.ZERO)), now.workers());
         assertEquals(
-                List.of(new Known.Copy("e1", 2, s(3), true)),
-                now.functions().get(0).copies());
+                List.of(new PolicySnapshot.InstanceSnapshot("e1", 2, s(3), true)),
+                now.functions().get(0).instances());
     }
 
     @Test
     void whatWasLearntOfAnotherProcessIsGone() {
-        Known now = after(known(s(100), 5, new Known.Copy("e1", 2, s(1), true)), s(2), s(1));
+        PolicySnapshot now = after(known(s(100), 5, new PolicySnapshot.InstanceSnapshot("e1", 2, s(1), true)), s(2), s(1));
         assertEquals(List.of(), now.workers());
-        assertEquals(List.of(), now.functions().get(0).copies());
-        assertEquals(5, now.functions().get(0).calls(), "what calls usually take is the function's own");
+        assertEquals(List.of(), now.functions().get(0).instances());
+        assertEquals(5, now.functions().get(0).recentRequests(), "what calls usually take is the function's own");
         assertEquals(
                 List.of(),
-                after(known(null, 5, new Known.Copy("e1", 1, s(1), true)), s(11), null)
+                after(known(null, 5, new PolicySnapshot.InstanceSnapshot("e1", 1, s(1), true)), s(11), null)
                         .workers());
         assertEquals(
                 1,
-                after(known(null, 5, new Known.Copy("e1", 1, s(1), true)), s(2), null)
+                after(known(null, 5, new PolicySnapshot.InstanceSnapshot("e1", 1, s(1), true)), s(2), null)
                         .workers()
                         .size());
     }
@@ -69,10 +69,10 @@
     void copiesEndWithTheTimeTheyAreKept() {
         assertEquals(
                 List.of(),
-                after(known(s(100), 5, new Known.Copy("e1", 1, s(8.5), true)), s(2), s(102))
+                after(known(s(100), 5, new PolicySnapshot.InstanceSnapshot("e1", 1, s(8.5), true)), s(2), s(102))
                         .functions()
                         .get(0)
-                        .copies());
+                        .instances());
     }
 
     @Test
@@ -81,48 +81,48 @@
         assertEquals(List.of(), after(known(s(100), 5), s(-3600), s(100)).functions());
         assertEquals(
                 List.of(),
-                beliefs.after(new Beliefs.Found(null, s(1), List.of(), true, Map.of()))
+                beliefs.after(new SnapshotRecovery.Found(null, s(1), List.of(), true, Map.of()))
                         .known()
                         .functions());
     }
 
     @Test
     void ordersCountWhateverElseIsBelieved() {
-        List<Span> ages = List.of(s(1), s(6), s(4), s(-3600));
+        List<TimeSpan> ages = List.of(s(1), s(6), s(4), s(-3600));
         assertEquals(
-                List.of(s(4), s(1), Span.NONE),
-                beliefs.after(new Beliefs.Found(null, s(1), ages, true, Map.of()))
+                List.of(s(4), s(1), TimeSpan.ZERO),
+                beliefs.after(new SnapshotRecovery.Found(null, s(1), ages, true, Map.of()))
                         .known()
-                        .orders());
+                        .loadRequestAges());
         assertEquals(
-                List.of(s(1), Span.NONE, Span.NONE, Span.NONE),
-                beliefs.after(new Beliefs.Found(null, s(1), List.of(s(1)), false, Map.of()))
+                List.of(s(1), TimeSpan.ZERO, TimeSpan.ZERO, TimeSpan.ZERO),
+                beliefs.after(new SnapshotRecovery.Found(null, s(1), List.of(s(1)), false, Map.of()))
                         .known()
-                        .orders());
+                        .loadRequestAges());
         assertEquals(
                 List.of(),
-                new Beliefs(KEPT, Span.NONE, 4)
-                        .after(new Beliefs.Found(null, s(1), ages, false, Map.of()))
+                new SnapshotRecovery(KEPT, TimeSpan.ZERO, 4)
+                        .after(new SnapshotRecovery.Found(null, s(1), ages, false, Map.of()))
                         .known()
-                        .orders());
+                        .loadRequestAges());
     }
 
     @Test
     void aPoisonedSnapshotIsBelievedInNothing() {
-        List<Known> poisoned = List.of(
+        List<PolicySnapshot> poisoned = List.of(
                 known(s(100), Double.NaN),
                 known(s(100), -1),
                 known(s(-5), 1),
-                known(s(100), 1, new Known.Copy("e1", 100_000, s(1), true)),
-                known(s(100), 1, new Known.Copy("e1", 1, s(-9), true)),
-                known(s(100), 1, new Known.Copy("e1", 1, s(1), true), new Known.Copy("e1", 1, s(1), true)),
-                new Known(Span.NONE, List.of(), List.of(), List.of(), Double.POSITIVE_INFINITY, 1));
-        for (Known one : poisoned) {
-            Beliefs.Believed now =
-                    beliefs.after(new Beliefs.Found(one, s(1), List.of(s(1)), true, Map.of("e1", s(101))));
+                known(s(100), 1, new PolicySnapshot.InstanceSnapshot("e1", 100_000, s(1), true)),
+                known(s(100), 1, new PolicySnapshot.InstanceSnapshot("e1", 1, s(-9), true)),
+                known(s(100), 1, new PolicySnapshot.InstanceSnapshot("e1", 1, s(1), true), new PolicySnapshot.InstanceSnapshot("e1", 1, s(1), true)),
+                new PolicySnapshot(TimeSpan.ZERO, List.of(), List.of(), List.of(), Double.POSITIVE_INFINITY, 1));
+        for (PolicySnapshot one : poisoned) {
+            SnapshotRecovery.Believed now =
+                    beliefs.after(new SnapshotRecovery.Found(one, s(1), List.of(s(1)), true, Map.of("e1", s(101))));
             assertTrue(now.why().startsWith("the snapshot is none"), now.why());
             assertEquals(List.of(), now.known().functions());
-            assertEquals(List.of(s(1)), now.known().orders());
+            assertEquals(List.of(s(1)), now.known().loadRequestAges());
         }
     }
 
@@ -131,55 +131,55 @@
     void lawsOnDrawnSnapshots() {
         for (int seed = 0; seed < 300; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
-            Span gap = s(random.nextDouble() * 40 - 3);
-            List<Known.OfWorker> workers = new ArrayList<>();
-            Map<String, Span> up = new HashMap<>();
+            TimeSpan gap = s(random.nextDouble() * 40 - 3);
+            List<PolicySnapshot.WorkerSnapshot> workers = new ArrayList<>();
+            Map<String, TimeSpan> up = new HashMap<>();
             for (int i = 0; i < 6; i++) {
-                Span then = random.nextInt(5) == 0 ? null : s(random.nextInt(100));
-                workers.add(new Known.OfWorker("e" + i, then, s(random.nextInt(5))));
+                TimeSpan then = random.nextInt(5) == 0 ? null : s(random.nextInt(100));
+                workers.add(new PolicySnapshot.WorkerSnapshot("e" + i, then, s(random.nextInt(5))));
                 if (random.nextInt(4) > 0) {
                     up.put(
                             "e" + i,
                             then == null ? null : random.nextBoolean() ? then.plus(gap) : s(random.nextInt(100)));
                 }
             }
-            List<Known.Copy> copies = new ArrayList<>();
+            List<PolicySnapshot.InstanceSnapshot> copies = new ArrayList<>();
             for (int i = 0; i < 6; i++) {
-                copies.add(new Known.Copy("e" + i, 1 + random.nextInt(4), s(random.nextInt(12)), random.nextBoolean()));
+                copies.add(new PolicySnapshot.InstanceSnapshot("e" + i, 1 + random.nextInt(4), s(random.nextInt(12)), random.nextBoolean()));
             }
-            List<Span> orders = new ArrayList<>();
+            List<TimeSpan> orders = new ArrayList<>();
             for (int i = random.nextInt(8); i > 0; i--) {
                 orders.add(s(random.nextDouble() * 9));
             }
             boolean whole = random.nextBoolean();
-            Known then = new Known(
-                    Span.NONE,
+            PolicySnapshot then = new PolicySnapshot(
+                    TimeSpan.ZERO,
                     workers,
-                    List.of(new Known.OfFunction("f", 1, 1, null, 1, 1, 1, copies)),
+                    List.of(new PolicySnapshot.FunctionSnapshot("f", 1, 1, null, 1, 1, 1, copies)),
                     List.of(),
                     1,
                     1);
-            Known now = beliefs.after(new Beliefs.Found(then, gap, orders, whole, up))
+            PolicySnapshot now = beliefs.after(new SnapshotRecovery.Found(then, gap, orders, whole, up))
                     .known();
-            for (Known.OfFunction function : now.functions()) {
-                for (Known.Copy copy : function.copies()) {
-                    Known.Copy was = copies.stream()
+            for (PolicySnapshot.FunctionSnapshot function : now.functions()) {
+                for (PolicySnapshot.InstanceSnapshot copy : function.instances()) {
+                    PolicySnapshot.InstanceSnapshot was = copies.stream()
                             .filter(one -> one.worker().equals(copy.worker()))
                             .findFirst()
                             .orElseThrow();
-                    assertEquals(was.untouched().plus(gap), copy.untouched());
-                    assertTrue(!copy.untouched().longerThan(KEPT) && copy.instances() <= was.instances());
+                    assertEquals(was.sinceRenewed().plus(gap), copy.sinceRenewed());
+                    assertTrue(!copy.sinceRenewed().isLongerThan(KEPT) && copy.instances() <= was.instances());
                     assertTrue(now.workers().stream()
                             .anyMatch(worker -> worker.worker().equals(copy.worker())));
                 }
             }
-            for (Known.OfWorker worker : now.workers()) {
+            for (PolicySnapshot.WorkerSnapshot worker : now.workers()) {
                 assertTrue(up.containsKey(worker.worker()));
-                assertTrue(worker.aside().nanos() >= 0);
+                assertTrue(worker.ejectedFor().nanos() >= 0);
             }
             long counted =
-                    orders.stream().filter(age -> !age.longerThan(WINDOW)).count();
-            assertEquals(whole ? counted : Math.max(counted, 4), now.orders().size());
+                    orders.stream().filter(age -> !age.isLongerThan(WINDOW)).count();
+            assertEquals(whole ? counted : Math.max(counted, 4), now.loadRequestAges().size());
             assertTrue(gap.nanos() >= 0 || now.functions().isEmpty());
         }
     }
--- a/decisions/src/test/java/pearladder/usage/UsageTest.java
+++ b/decisions/src/test/java/pearladder/usage/UsageTest.java
@@ -16,28 +16,28 @@
     private static final long MINUTE = 60_000;
     private static final long KEPT = 10_000;
 
-    private static List<Share> shares(List<Evidence> all, long until) {
-        Usage usage = new Usage(MINUTE, KEPT, 2 * MINUTE);
-        List<Share> shares = new ArrayList<>();
+    private static List<UsageShare> shares(List<InstanceObservation> all, long until) {
+        UsageAccounting usage = new UsageAccounting(MINUTE, KEPT, 2 * MINUTE);
+        List<UsageShare> shares = new ArrayList<>();
         all.forEach(one -> shares.addAll(usage.on(one)));
         shares.addAll(usage.end(until));
         assertEquals(0, usage.tooLate());
         return shares;
     }
 
-    private static Map<String, Long> byAccount(List<Share> shares) {
+    private static Map<String, Long> byAccount(List<UsageShare> shares) {
         Map<String, Long> sums = new TreeMap<>();
         shares.forEach(share -> sums.merge(share.account(), share.amount(), Long::sum));
         sums.values().removeIf(amount -> amount == 0);
         return sums;
     }
 
-    private static Evidence memory(String model, long megabytes) {
-        return new Evidence.Memory(0, "r1", model, megabytes);
+    private static InstanceObservation memory(String model, long megabytes) {
+        return new InstanceObservation.Memory(0, "r1", model, megabytes);
     }
 
-    private static Evidence worked(long at, String router, String account, long micros) {
-        return new Evidence.Worked(at, router, "e1", "m", account, micros);
+    private static InstanceObservation worked(long at, String router, String account, long micros) {
+        return new InstanceObservation.Worked(at, router, "e1", "m", account, micros);
     }
 
     @Test
@@ -47,7 +47,7 @@
                 byAccount(shares(
                         List.of(
                                 memory("m", 100),
-                                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
                                 worked(6_000, "r1", "tender", 500)),
                         10 * MINUTE)));
     }
@@ -59,7 +59,7 @@
                 byAccount(shares(
                         List.of(
                                 memory("m", 100),
-                                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 30_000),
+                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 30_000),
                                 worked(31_500, "r1", "tender", 500)),
                         10 * MINUTE)));
     }
@@ -71,39 +71,39 @@
                 byAccount(shares(
                         List.of(
                                 memory("m", 100),
-                                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0),
-                                new Evidence.LoadFailed(3_000, "r1", "e1", "m")),
+                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                new InstanceObservation.LoadFailed(3_000, "r1", "e1", "m")),
                         10 * MINUTE)));
         assertEquals(
                 Map.of("tender", 100L * 6_000),
                 byAccount(shares(
                         List.of(
                                 memory("m", 100),
-                                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
                                 worked(5_000, "r1", "tender", 9),
-                                new Evidence.Gone(7_000, "r2", "e1")),
+                                new InstanceObservation.Gone(7_000, "r2", "e1")),
                         10 * MINUTE)));
     }
 
     @Test
     void anEngineThatWasCutOffCountsAsLongAsItsCopiesAreKeptAndALaterWordCorrectsIt() {
-        List<Evidence> seen = new ArrayList<>(List.of(
+        List<InstanceObservation> seen = new ArrayList<>(List.of(
                 memory("m", 100),
-                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
                 worked(2_000, "r1", "tender", 9)));
         assertEquals(100L * 11_000, byAccount(shares(seen, MINUTE)).get("tender"));
         // another router reached it all the time
         seen.add(worked(9_000, "r2", "tender", 9));
         assertEquals(100L * 18_000, byAccount(shares(seen, MINUTE)).get("tender"));
         // and the list tells at last when it died
-        seen.add(new Evidence.Gone(9_500, "r1", "e1"));
+        seen.add(new InstanceObservation.Gone(9_500, "r1", "e1"));
         assertEquals(100L * 8_500, byAccount(shares(seen, MINUTE)).get("tender"));
     }
 
     @Test
     void sharedCopiesAreSplitByWorkAndOneCallBearsItsOwnWorkOnly() {
-        List<Evidence> seen = new ArrayList<>(List.of(memory("m", 100)));
-        seen.add(new Evidence.Loading(0, "r1", "e1", "m", "big", 0));
+        List<InstanceObservation> seen = new ArrayList<>(List.of(memory("m", 100)));
+        seen.add(new InstanceObservation.Loading(0, "r1", "e1", "m", "big", 0));
         for (long at = 1_000; at < 5 * MINUTE; at += 1_000) {
             seen.add(worked(at, "r1", "big", 1_000));
         }
@@ -121,7 +121,7 @@
         assertEquals(
                 Map.of("", 100L * KEPT),
                 byAccount(shares(
-                        List.of(memory("m", 100), new Evidence.Loading(1_000, "r1", "e1", "m", "", 0)), 10 * MINUTE)));
+                        List.of(memory("m", 100), new InstanceObservation.Loading(1_000, "r1", "e1", "m", "", 0)), 10 * MINUTE)));
     }
 
     @Test
@@ -131,17 +131,17 @@
                 byAccount(shares(
                         List.of(
                                 memory("m", 100),
-                                new Evidence.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
                                 worked(4_000, "r1", "tender", 5),
-                                new Evidence.Copies(5_000, "r1", "e1", "m", 3),
-                                new Evidence.Copies(7_000, "r1", "e1", "m", 0)),
+                                new InstanceObservation.Copies(5_000, "r1", "e1", "m", 3),
+                                new InstanceObservation.Copies(7_000, "r1", "e1", "m", 0)),
                         MINUTE)));
     }
 
     @Test
     void partsSumToTheWholeByTheLargestRemainder() {
         TreeMap<String, Long> weights = new TreeMap<>(Map.of("a", 1L, "b", 1L, "c", 1L));
-        assertEquals(Map.of("a", 34L, "b", 33L, "c", 33L), Usage.parts(100, weights));
+        assertEquals(Map.of("a", 34L, "b", 33L, "c", 33L), UsageAccounting.parts(100, weights));
         Random random = new Random(3);
         for (int i = 0; i < 500; i++) {
             TreeMap<String, Long> drawn = new TreeMap<>();
@@ -151,7 +151,7 @@
             long whole = random.nextLong(1L << 50);
             assertEquals(
                     whole,
-                    Usage.parts(whole, drawn).values().stream()
+                    UsageAccounting.parts(whole, drawn).values().stream()
                             .mapToLong(part -> part)
                             .sum());
         }
@@ -162,7 +162,7 @@
     void lawsOnDrawnRecords() {
         for (int seed = 0; seed < 60; seed++) {
             Random random = new Random(seed);
-            List<Evidence> all = new ArrayList<>(List.of(memory("m0", 100), memory("m1", 333), memory("m2", 7)));
+            List<InstanceObservation> all = new ArrayList<>(List.of(memory("m0", 100), memory("m1", 333), memory("m2", 7)));
             for (int i = 0; i < 150; i++) {
                 long at = random.nextInt((int) (6 * MINUTE));
                 String router = "r" + random.nextInt(3);
@@ -171,36 +171,36 @@
                 String account = "a" + random.nextInt(3);
                 all.add(
                         switch (random.nextInt(9)) {
-                            case 0 -> new Evidence.Loading(at, router, engine, model, account, 0);
-                            case 1 -> new Evidence.LoadFailed(at, router, engine, model);
-                            case 2 -> new Evidence.Copies(at, router, engine, model, random.nextInt(4));
-                            case 3 -> new Evidence.Gone(at, router, engine);
-                            default -> new Evidence.Worked(
+                            case 0 -> new InstanceObservation.Loading(at, router, engine, model, account, 0);
+                            case 1 -> new InstanceObservation.LoadFailed(at, router, engine, model);
+                            case 2 -> new InstanceObservation.Copies(at, router, engine, model, random.nextInt(4));
+                            case 3 -> new InstanceObservation.Gone(at, router, engine);
+                            default -> new InstanceObservation.Worked(
                                     at, router, engine, model, account, 1 + random.nextInt(100_000));
                         });
             }
-            Usage usage = new Usage(MINUTE, KEPT, 100 * MINUTE);
+            UsageAccounting usage = new UsageAccounting(MINUTE, KEPT, 100 * MINUTE);
             all.forEach(usage::on);
-            List<Share> one = usage.end(20 * MINUTE);
-            List<Evidence> shuffled = new ArrayList<>(all);
+            List<UsageShare> one = usage.end(20 * MINUTE);
+            List<InstanceObservation> shuffled = new ArrayList<>(all);
             Collections.shuffle(shuffled, random);
-            Usage other = new Usage(MINUTE, KEPT, 100 * MINUTE);
+            UsageAccounting other = new UsageAccounting(MINUTE, KEPT, 100 * MINUTE);
             shuffled.forEach(other::on);
             assertEquals(one, other.end(20 * MINUTE), "seed " + seed);
 
             assertEquals(
                     wholeByMilliseconds(all),
-                    one.stream().mapToLong(Share::amount).sum(),
+                    one.stream().mapToLong(UsageShare::amount).sum(),
                     "seed " + seed);
-            Evidence.Worked some = (Evidence.Worked) all.stream()
-                    .filter(Evidence.Worked.class::isInstance)
+            InstanceObservation.Worked some = (InstanceObservation.Worked) all.stream()
+                    .filter(InstanceObservation.Worked.class::isInstance)
                     .skip(random.nextInt(20))
                     .findFirst()
                     .orElseThrow();
-            List<Evidence> more = new ArrayList<>(all);
+            List<InstanceObservation> more = new ArrayList<>(all);
             more.add(
-                    new Evidence.Worked(some.at(), some.router(), some.engine(), some.model(), some.account(), 50_000));
-            Usage third = new Usage(MINUTE, KEPT, 100 * MINUTE);
+                    new InstanceObservation.Worked(some.at(), some.router(), some.engine(), some.model(), some.account(), 50_000));
+            UsageAccounting third = new UsageAccounting(MINUTE, KEPT, 100 * MINUTE);
             more.forEach(third::on);
             assertTrue(
                     byAccount(third.end(20 * MINUTE)).get(some.account())
@@ -210,12 +210,12 @@
     }
 
     /** The whole by another way: every millisecond of every engine and model is looked at by itself. */
-    private static long wholeByMilliseconds(List<Evidence> all) {
+    private static long wholeByMilliseconds(List<InstanceObservation> all) {
         Map<String, Long> memory = new HashMap<>();
-        List<Evidence> sorted = new ArrayList<>(all);
+        List<InstanceObservation> sorted = new ArrayList<>(all);
         sorted.sort((a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Integer.compare(rank(a), rank(b)));
         sorted.forEach(one -> {
-            if (one instanceof Evidence.Memory said) {
+            if (one instanceof InstanceObservation.Memory said) {
                 memory.put(said.model(), said.megabytes());
             }
         });
@@ -227,25 +227,25 @@
                 long touched = -1;
                 for (long now = 0; now < 7 * MINUTE; now++) {
                     for (; next < sorted.size() && sorted.get(next).at() == now; next++) {
-                        Evidence one = sorted.get(next);
+                        InstanceObservation one = sorted.get(next);
                         boolean alive = copies > 0 && now < touched + KEPT;
                         int had = alive ? copies : 0;
-                        int has = one instanceof Evidence.Gone gone
+                        int has = one instanceof InstanceObservation.Gone gone
                                         && gone.engine().equals(engine)
                                 ? 0
-                                : one instanceof Evidence.LoadFailed f
+                                : one instanceof InstanceObservation.LoadFailed f
                                                 && f.engine().equals(engine)
                                                 && f.model().equals(model)
                                         ? Math.max(0, had - 1)
-                                        : one instanceof Evidence.Loading l
+                                        : one instanceof InstanceObservation.Loading l
                                                         && l.engine().equals(engine)
                                                         && l.model().equals(model)
                                                 ? Math.max(1, had)
-                                                : one instanceof Evidence.Worked w
+                                                : one instanceof InstanceObservation.Worked w
                                                                 && w.engine().equals(engine)
                                                                 && w.model().equals(model)
                                                         ? Math.max(1, had)
-                                                        : one instanceof Evidence.Copies c
+                                                        : one instanceof InstanceObservation.Copies c
                                                                         && c.engine()
                                                                                 .equals(engine)
                                                                         && c.model()
@@ -264,15 +264,15 @@
         return whole;
     }
 
-    private static int rank(Evidence evidence) {
-        return evidence instanceof Evidence.Memory
+    private static int rank(InstanceObservation evidence) {
+        return evidence instanceof InstanceObservation.Memory
                 ? 0
-                : evidence instanceof Evidence.Gone
+                : evidence instanceof InstanceObservation.Gone
                         ? 1
-                        : evidence instanceof Evidence.LoadFailed
+                        : evidence instanceof InstanceObservation.LoadFailed
                                 ? 2
-                                : evidence instanceof Evidence.Loading
+                                : evidence instanceof InstanceObservation.Loading
                                         ? 3
-                                        : evidence instanceof Evidence.Copies ? 4 : 5;
+                                        : evidence instanceof InstanceObservation.Copies ? 4 : 5;
     }
 }
--- a/decisions/src/test/java/pearladder/work/SchedulerTest.java
+++ b/decisions/src/test/java/pearladder/work/SchedulerTest.java
@@ -12,43 +12,43 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import pearladder.api.Moment;
-import pearladder.api.Span;
+import pearladder.api.MonotonicTime;
+import pearladder.api.TimeSpan;
 
 class SchedulerTest {
-    private static final Span SECOND = Span.seconds(1);
-    private static final Load ONE = new Load(0.01, 0, 0);
-    private static final Duty FLUSH = duty("flush", 0, new Load(1, 0, 0), 4, true);
-    private static final Duty PROBE = duty("probe", 1, new Load(0.1, 0, 0), 2, false);
-    private static final Duty REPORT = duty("report", 2, new Load(0.05, 0, 0), 1, false);
+    private static final TimeSpan SECOND = TimeSpan.seconds(1);
+    private static final ResourceCost ONE = new ResourceCost(0.01, 0, 0);
+    private static final JobClass FLUSH = duty("flush", 0, new ResourceCost(1, 0, 0), 4, true);
+    private static final JobClass PROBE = duty("probe", 1, new ResourceCost(0.1, 0, 0), 2, false);
+    private static final JobClass REPORT = duty("report", 2, new ResourceCost(0.05, 0, 0), 1, false);
 
-    private Moment now = new Moment(0);
-    private Scheduler scheduler = new Scheduler(1, List.of(FLUSH, PROBE, REPORT), SECOND, now);
+    private MonotonicTime now = new MonotonicTime(0);
+    private BackgroundScheduler scheduler = new BackgroundScheduler(1, List.of(FLUSH, PROBE, REPORT), SECOND, now);
 
-    private static Duty duty(String name, int rank, Load budget, int atOnce, boolean atStop) {
-        return new Duty(name, rank, budget, 1, atOnce, 20, 2, Span.millis(100), atStop);
+    private static JobClass duty(String name, int rank, ResourceCost budget, int atOnce, boolean atStop) {
+        return new JobClass(name, rank, budget, 1, atOnce, 20, 2, TimeSpan.millis(100), atStop);
     }
 
-    private static WorkEvent.Asked ask(String id, String duty, String account) {
-        return new WorkEvent.Asked(id, duty, account, ONE, null);
+    private static JobEvent.Asked ask(String id, String duty, String account) {
+        return new JobEvent.Asked(id, duty, account, ONE, null);
     }
 
-    private List<String> begun(WorkEvent event) {
+    private List<String> begun(JobEvent event) {
         return scheduler.on(now, event).stream()
-                .filter(WorkAction.Begin.class::isInstance)
-                .map(action -> ((WorkAction.Begin) action).id())
+                .filter(JobAction.Begin.class::isInstance)
+                .map(action -> ((JobAction.Begin) action).id())
                 .toList();
     }
 
-    private static List<String> givenUp(List<WorkAction> actions) {
+    private static List<String> givenUp(List<JobAction> actions) {
         return actions.stream()
-                .filter(WorkAction.GiveUp.class::isInstance)
-                .map(action -> ((WorkAction.GiveUp) action).id())
+                .filter(JobAction.GiveUp.class::isInstance)
+                .map(action -> ((JobAction.GiveUp) action).id())
                 .toList();
     }
 
     private void end(String id) {
-        scheduler.on(now, new WorkEvent.Ended(id, true, ONE));
+        scheduler.on(now, new JobEvent.Ended(id, true, ONE));
     }
 
     @Test
@@ -62,47 +62,47 @@
         List<String> running = new ArrayList<>(first);
         while (!running.isEmpty()) {
             String ended = running.remove(0);
-            running.addAll(begun(new WorkEvent.Ended(ended, true, ONE)));
+            running.addAll(begun(new JobEvent.Ended(ended, true, ONE)));
             all.addAll(running);
         }
         assertEquals(10, all.size(), "a second's budget is ten pieces");
-        now = now.plus(Span.millis(210));
-        assertEquals(List.of("p10", "p11"), begun(new WorkEvent.Due()), "0.21 s earn two more");
+        now = now.plus(TimeSpan.millis(210));
+        assertEquals(List.of("p10", "p11"), begun(new JobEvent.Due()), "0.21 s earn two more");
     }
 
     @Test
     void whatAPieceCostBeyondItsEstimateIsPaidBack() {
         begun(ask("a", "report", ""));
-        scheduler.on(now, new WorkEvent.Ended("a", true, new Load(0.1, 0, 0)));
+        scheduler.on(now, new JobEvent.Ended("a", true, new ResourceCost(0.1, 0, 0)));
         assertEquals(List.of(), begun(ask("b", "report", "")));
-        now = now.plus(Span.millis(1100));
-        assertEquals(List.of(), begun(new WorkEvent.Due()), "0.05 s are left of a debt of 0.05 s and 0.01 are asked");
-        now = now.plus(Span.millis(200));
-        assertEquals(List.of("b"), begun(new WorkEvent.Due()));
+        now = now.plus(TimeSpan.millis(1100));
+        assertEquals(List.of(), begun(new JobEvent.Due()), "0.05 s are left of a debt of 0.05 s and 0.01 are asked");
+        now = now.plus(TimeSpan.millis(200));
+        assertEquals(List.of("b"), begun(new JobEvent.Due()));
     }
 
     @Test
     void underStrainTheLowestRankStandsStillFirstAndSaysSo() {
-        scheduler.on(now, new WorkEvent.Strained(Span.millis(400)));
-        List<WorkAction> actions = scheduler.on(now, ask("r", "report", ""));
+        scheduler.on(now, new JobEvent.Strained(TimeSpan.millis(400)));
+        List<JobAction> actions = scheduler.on(now, ask("r", "report", ""));
         assertTrue(actions.stream()
                 .anyMatch(action ->
-                        action instanceof WorkAction.Log log && log.text().contains("report stands still")));
+                        action instanceof JobAction.Log log && log.text().contains("report stands still")));
         assertEquals(List.of("p"), begun(ask("p", "probe", "")));
-        scheduler.on(now, new WorkEvent.Strained(Span.seconds(3)));
+        scheduler.on(now, new JobEvent.Strained(TimeSpan.seconds(3)));
         assertEquals(List.of(), begun(ask("p2", "probe", "")));
         assertEquals(List.of("f"), begun(ask("f", "flush", "")), "rank 0 always works");
-        assertEquals(List.of("p2", "r"), begun(new WorkEvent.Strained(Span.NONE)));
+        assertEquals(List.of("p2", "r"), begun(new JobEvent.Strained(TimeSpan.ZERO)));
     }
 
     /** Found over sockets: with two classes a microsecond's lateness of the loop stopped the second one for good. */
     @Test
     void aTraceOfStrainStopsNobody() {
-        scheduler = Duties.scheduler(1, now);
-        scheduler.on(now, new WorkEvent.Strained(Span.millis(2)));
-        assertEquals(List.of("l"), begun(new WorkEvent.Asked("l", Duties.LEARN, "", Load.NONE, null)));
-        scheduler.on(now, new WorkEvent.Strained(Span.seconds(1)));
-        assertEquals(List.of(), begun(new WorkEvent.Asked("l2", Duties.LEARN, "", Load.NONE, null)));
+        scheduler = JobClasses.scheduler(1, now);
+        scheduler.on(now, new JobEvent.Strained(TimeSpan.millis(2)));
+        assertEquals(List.of("l"), begun(new JobEvent.Asked("l", JobClasses.LEARN, "", ResourceCost.NONE, null)));
+        scheduler.on(now, new JobEvent.Strained(TimeSpan.seconds(1)));
+        assertEquals(List.of(), begun(new JobEvent.Asked("l2", JobClasses.LEARN, "", ResourceCost.NONE, null)));
     }
 
     @Test
@@ -110,39 +110,39 @@
         begun(ask("a", "flush", ""));
         List<Double> waits = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
-            scheduler.on(now, new WorkEvent.Ended("a", false, ONE));
-            Moment failed = now;
+            scheduler.on(now, new JobEvent.Ended("a", false, ONE));
+            MonotonicTime failed = now;
             List<String> again = List.of();
             while (again.isEmpty()) {
-                now = now.plus(Span.millis(5));
-                again = begun(new WorkEvent.Due());
+                now = now.plus(TimeSpan.millis(5));
+                again = begun(new JobEvent.Due());
             }
-            waits.add(now.since(failed).inSeconds());
+            waits.add(now.since(failed).toSeconds());
         }
         assertTrue(waits.get(0) >= 0.05 && waits.get(0) <= 0.16, waits.toString());
         assertTrue(waits.get(1) >= 0.1 && waits.get(1) <= 0.31, waits.toString());
-        assertEquals(List.of("a"), givenUp(scheduler.on(now, new WorkEvent.Ended("a", false, ONE))));
+        assertEquals(List.of("a"), givenUp(scheduler.on(now, new JobEvent.Ended("a", false, ONE))));
         assertEquals(0, scheduler.size());
     }
 
     @Test
     void whatCantBeginByItsTimeIsGivenUpAtOnce() {
         begun(ask("a", "report", ""));
-        scheduler.on(now, new WorkEvent.Ended("a", true, new Load(0.2, 0, 0)));
-        List<WorkAction> actions =
-                scheduler.on(now, new WorkEvent.Asked("b", "report", "", ONE, now.plus(Span.seconds(1))));
+        scheduler.on(now, new JobEvent.Ended("a", true, new ResourceCost(0.2, 0, 0)));
+        List<JobAction> actions =
+                scheduler.on(now, new JobEvent.Asked("b", "report", "", ONE, now.plus(TimeSpan.seconds(1))));
         assertEquals(List.of("b"), givenUp(actions), "three seconds of debt, and one second to begin");
         assertEquals(
                 List.of(),
-                givenUp(scheduler.on(now, new WorkEvent.Asked("c", "report", "", ONE, now.plus(Span.seconds(9))))));
+                givenUp(scheduler.on(now, new JobEvent.Asked("c", "report", "", ONE, now.plus(TimeSpan.seconds(9))))));
     }
 
     @Test
     void aFullClassGivesUpWhatIsDueLastAndAnUnknownOneIsSaid() {
         for (int i = 0; i < 22; i++) {
-            scheduler.on(now, new WorkEvent.Asked("r" + i, "report", "", ONE, now.plus(Span.seconds(100 + i))));
+            scheduler.on(now, new JobEvent.Asked("r" + i, "report", "", ONE, now.plus(TimeSpan.seconds(100 + i))));
         }
-        assertEquals(List.of("late"), givenUp(scheduler.on(now, new WorkEvent.Asked("late", "report", "", ONE, null))));
+        assertEquals(List.of("late"), givenUp(scheduler.on(now, new JobEvent.Asked("late", "report", "", ONE, null))));
         assertEquals(List.of("x"), givenUp(scheduler.on(now, ask("x", "other", ""))));
     }
 
@@ -152,15 +152,15 @@
             begun(ask("f" + i, "flush", ""));
             begun(ask("r" + i, "report", ""));
         }
-        assertEquals(5, givenUp(scheduler.on(now, new WorkEvent.Stopping())).size());
-        assertEquals(List.of("f4"), begun(new WorkEvent.Ended("f0", true, ONE)));
+        assertEquals(5, givenUp(scheduler.on(now, new JobEvent.Stopping())).size());
+        assertEquals(List.of("f4"), begun(new JobEvent.Ended("f0", true, ONE)));
         assertEquals(List.of("late"), givenUp(scheduler.on(now, ask("late", "probe", ""))));
     }
 
     @Test
     void accountsShareAClassWhoeverAsksMore() {
-        scheduler = new Scheduler(
-                1, List.of(new Duty("cut", 0, new Load(0.1, 0, 0), 0.1, 1, 1000, 0, Span.NONE, false)), SECOND, now);
+        scheduler = new BackgroundScheduler(
+                1, List.of(new JobClass("cut", 0, new ResourceCost(0.1, 0, 0), 0.1, 1, 1000, 0, TimeSpan.ZERO, false)), SECOND, now);
         for (int i = 0; i < 200; i++) {
             begun(ask("big" + i, "cut", "tender"));
         }
@@ -173,11 +173,11 @@
             if (running != null) {
                 done.merge(running.startsWith("small"), 1, Integer::sum);
                 assertTrue(done.getOrDefault(false, 0) <= done.getOrDefault(true, 0) + 2, done.toString());
-                List<String> next = begun(new WorkEvent.Ended(running, true, ONE));
+                List<String> next = begun(new JobEvent.Ended(running, true, ONE));
                 running = next.isEmpty() ? null : next.get(0);
             }
-            now = now.plus(Span.millis(20));
-            List<String> next = begun(new WorkEvent.Due());
+            now = now.plus(TimeSpan.millis(20));
+            List<String> next = begun(new JobEvent.Due());
             running = next.isEmpty() ? running : next.get(0);
         }
         assertEquals(20, done.get(true));
@@ -188,28 +188,28 @@
     void lawsHoldAfterEveryStep() {
         for (int seed = 0; seed < 60; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
-            List<Duty> duties = List.of(FLUSH, PROBE, REPORT);
-            Scheduler one = new Scheduler(seed, duties, SECOND, new Moment(0));
-            Moment at = new Moment(0);
+            List<JobClass> duties = List.of(FLUSH, PROBE, REPORT);
+            BackgroundScheduler one = new BackgroundScheduler(seed, duties, SECOND, new MonotonicTime(0));
+            MonotonicTime at = new MonotonicTime(0);
             Map<String, String> running = new HashMap<>();
             Map<String, Double> spent = new HashMap<>();
             Set<String> over = new HashSet<>();
             Set<String> asked = new HashSet<>();
             double strain = 0;
             for (int step = 0; step < 1500; step++) {
-                at = at.plus(Span.millis(random.nextInt(30)));
-                WorkEvent event;
+                at = at.plus(TimeSpan.millis(random.nextInt(30)));
+                JobEvent event;
                 int what = random.nextInt(10);
                 if (what < 5) {
-                    Duty duty = duties.get(random.nextInt(3));
+                    JobClass duty = duties.get(random.nextInt(3));
                     String id = duty.name() + ":" + step;
                     asked.add(id);
-                    event = new WorkEvent.Asked(
+                    event = new JobEvent.Asked(
                             id,
                             duty.name(),
                             "a" + random.nextInt(4),
-                            new Load(0.02 * random.nextDouble(), 0, 0),
-                            random.nextInt(3) == 0 ? at.plus(Span.millis(random.nextInt(2000))) : null);
+                            new ResourceCost(0.02 * random.nextDouble(), 0, 0),
+                            random.nextInt(3) == 0 ? at.plus(TimeSpan.millis(random.nextInt(2000))) : null);
                 } else if (what < 8 && !running.isEmpty()) {
                     String id = running.keySet().stream().sorted().toList().get(random.nextInt(running.size()));
                     boolean well = random.nextInt(4) > 0;
@@ -217,30 +217,30 @@
                     if (well) {
                         assertTrue(over.add(id));
                     }
-                    event = new WorkEvent.Ended(id, well, new Load(0.01, 0, 0));
+                    event = new JobEvent.Ended(id, well, new ResourceCost(0.01, 0, 0));
                     spent.merge(id.substring(0, id.indexOf(':')), 0.01, Double::sum);
                 } else if (what == 8) {
                     strain = random.nextInt(3) / 2.0;
-                    event = new WorkEvent.Strained(Span.seconds(strain));
+                    event = new JobEvent.Strained(TimeSpan.seconds(strain));
                 } else {
-                    event = new WorkEvent.Due();
+                    event = new JobEvent.Due();
                 }
-                for (WorkAction action : one.on(at, event)) {
-                    if (action instanceof WorkAction.Begin begin) {
+                for (JobAction action : one.on(at, event)) {
+                    if (action instanceof JobAction.Begin begin) {
                         String name = begin.id().substring(0, begin.id().indexOf(':'));
                         assertFalse(over.contains(begin.id()), "begun after its end");
                         assertEquals(null, running.put(begin.id(), name), "begun twice at once");
-                        Duty duty = duties.stream()
+                        JobClass duty = duties.stream()
                                 .filter(d -> d.name().equals(name))
                                 .findFirst()
                                 .orElseThrow();
                         assertTrue(duty.rank() <= (1 - strain) * 2 + 1e-9, "a rank that stands still");
-                    } else if (action instanceof WorkAction.GiveUp up) {
+                    } else if (action instanceof JobAction.GiveUp up) {
                         assertTrue(over.add(up.id()), "ended twice: " + up.id());
                         assertFalse(running.containsKey(up.id()), "given up while it runs");
                     }
                 }
-                for (Duty duty : duties) {
+                for (JobClass duty : duties) {
                     assertTrue(running.values().stream()
                                     .filter(duty.name()::equals)
                                     .count()
