--- a/emulator/src/main/java/pearladder/emulator/FleetPlan.java
+++ b/emulator/src/main/java/pearladder/emulator/FleetPlan.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import pearladder.yaml.Value;
+import pearladder.yaml.ConfigValue;
 
 /**
  * A fleet of stand-ins as its file states it.
@@ -24,17 +24,17 @@
     public record Planned(String id, EngineKind kind, String hall, long cell) {}
 
     /** Reads the "fleet" part of a file; mistakes are noted at their lines. */
-    public static FleetPlan read(Value fleet) {
-        Value shelf = fleet.at("shelf");
+    public static FleetPlan read(ConfigValue fleet) {
+        ConfigValue shelf = fleet.at("shelf");
         Map<String, EngineKind> kinds = fleet.at("kinds").eachKey(FleetPlan::kind);
         if (kinds.isEmpty()) {
             fleet.at("kinds").wrong("a kind of engine is missing", "write one with its cores and memory");
         }
         List<Planned> engines = new ArrayList<>();
-        for (Value group : fleet.at("engines").each(value -> value)) {
+        for (ConfigValue group : fleet.at("engines").each(value -> value)) {
             String name = group.at("name").text();
             String kind = group.at("kind").text();
-            List<String> halls = group.at("halls").each(Value::text);
+            List<String> halls = group.at("halls").each(ConfigValue::text);
             int perCell = group.at("per_cell").whole(4, 1, 10_000);
             int count = group.at("count").whole(1, 1, 10_000);
             if (!kinds.containsKey(kind)) {
@@ -62,8 +62,8 @@
                 engines);
     }
 
-    private static EngineKind kind(String name, Value kind) {
-        Value cold = kind.at("cold");
+    private static EngineKind kind(String name, ConfigValue kind) {
+        ConfigValue cold = kind.at("cold");
         return new EngineKind(
                 name,
                 kind.at("cores").whole(1, 1024),
@@ -85,7 +85,7 @@
     }
 
     /** Fetch and start as they are told, or as shares of the whole load. */
-    private static long fetch(Value model, boolean fetch) {
+    private static long fetch(ConfigValue model, boolean fetch) {
         if (!model.at("load").given()) {
             return model.at(fetch ? "fetch" : "start").span("0 s");
         }
@@ -99,7 +99,7 @@
         return Math.round(model.at("load").span() * (fetch ? share : 1 - share));
     }
 
-    private static ModelKind model(Value model) {
+    private static ModelKind model(ConfigValue model) {
         return new ModelKind(
                 model.at("name").text(),
                 model.at("memory").bytes() / 1e6,
--- a/emulator/src/main/java/pearladder/emulator/Roll.java
+++ b/emulator/src/main/java/pearladder/emulator/Roll.java
@@ -7,18 +7,18 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import pearladder.kserve.ListLine;
-import pearladder.kserve.ListLine.Entry;
-import pearladder.kserve.ListLine.Standing;
+import pearladder.kserve.DiscoveryMessage;
+import pearladder.kserve.DiscoveryMessage.Entry;
+import pearladder.kserve.DiscoveryMessage.Standing;
 
 /** The list service's own state: it knows only whether a process runs, and tells what changed late. */
 public final class Roll {
     /** One router's connection; gets lines until it closes. */
     public static final class Watcher {
         private final String router;
-        private final Consumer<ListLine> out;
+        private final Consumer<DiscoveryMessage> out;
 
-        private Watcher(String router, Consumer<ListLine> out) {
+        private Watcher(String router, Consumer<DiscoveryMessage> out) {
             this.router = router;
             this.out = out;
         }
@@ -65,10 +65,10 @@
         }
     }
 
-    private ListLine seenBy(String router, ListLine line) {
+    private DiscoveryMessage seenBy(String router, DiscoveryMessage line) {
         return hidden.isEmpty() || !misled.contains(router)
                 ? line
-                : new ListLine(
+                : new DiscoveryMessage(
                         line.kind(),
                         line.version(),
                         line.entries().stream()
@@ -90,19 +90,19 @@
                 history.pollFirstEntry();
             }
             if (!silent) {
-                ListLine line = new ListLine(ListLine.Kind.CHANGES, version, List.of(entry));
+                DiscoveryMessage line = new DiscoveryMessage(DiscoveryMessage.Kind.CHANGES, version, List.of(entry));
                 List.copyOf(watchers).forEach(watcher -> tell(watcher, line));
             }
         });
     }
 
     /** The whole list as it is known now. */
-    public ListLine whole() {
-        return new ListLine(ListLine.Kind.WHOLE, version, List.copyOf(entries.values()));
+    public DiscoveryMessage whole() {
+        return new DiscoveryMessage(DiscoveryMessage.Kind.WHOLE, version, List.copyOf(entries.values()));
     }
 
     /** A router watches from the version it has on; after a long gap it gets the whole list. */
-    public Watcher watch(String router, long from, Consumer<ListLine> out) {
+    public Watcher watch(String router, long from, Consumer<DiscoveryMessage> out) {
         Watcher watcher = new Watcher(router, out);
         watchers.add(watcher);
         if (!silent) {
@@ -112,8 +112,8 @@
             tell(
                     watcher,
                     known
-                            ? new ListLine(
-                                    ListLine.Kind.CHANGES,
+                            ? new DiscoveryMessage(
+                                    DiscoveryMessage.Kind.CHANGES,
                                     version,
                                     List.copyOf(history.tailMap(from, false).values()))
                             : whole());
@@ -128,13 +128,13 @@
     /** A sign of life to every router. */
     public void beat() {
         if (!silent) {
-            ListLine line = new ListLine(ListLine.Kind.BEAT, version, List.of());
+            DiscoveryMessage line = new DiscoveryMessage(DiscoveryMessage.Kind.BEAT, version, List.of());
             watchers.forEach(watcher -> watcher.out.accept(line));
         }
     }
 
-    private void tell(Watcher watcher, ListLine all) {
-        ListLine line = seenBy(watcher.router, all);
+    private void tell(Watcher watcher, DiscoveryMessage all) {
+        DiscoveryMessage line = seenBy(watcher.router, all);
         for (Entry entry : line.entries()) {
             seen.accept(new Seen(
                     time.now(),
--- a/emulator/src/main/java/pearladder/emulator/net/Control.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Control.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import pearladder.kserve.Bodies;
+import pearladder.kserve.JsonBodies;
 
 /**
  * A loopback port by which a day brings trouble on the stand-ins: POST /do?what=slow&amp;engines=e-1,e-2&amp;figure=5. What it
@@ -69,14 +69,14 @@
                         ? cable(what, router, named, figure)
                         : act(what, named, model == null ? "*" : model, figure);
         if (done == null) {
-            request.response().setStatusCode(400).end(Bodies.error("unknown deed " + what));
+            request.response().setStatusCode(400).end(JsonBodies.error("unknown deed " + what));
         } else {
             done.onComplete(end -> request.response()
                     .setStatusCode(end.succeeded() ? 200 : 500)
                     .end(
                             end.succeeded()
                                     ? "{}"
-                                    : Bodies.error(String.valueOf(end.cause().getMessage()))));
+                                    : JsonBodies.error(String.valueOf(end.cause().getMessage()))));
         }
     }
 
--- a/emulator/src/main/java/pearladder/emulator/net/EngineServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/EngineServer.java
@@ -13,7 +13,7 @@
 import java.io.IOException;
 import java.util.Locale;
 import pearladder.emulator.Engine;
-import pearladder.kserve.Bodies;
+import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Headers;
 import pearladder.kserve.Route;
 
@@ -94,13 +94,13 @@
             }
             case INDEX -> request.response()
                     .putHeader("content-type", "application/json")
-                    .end(Bodies.index(engine.index().stream()
-                            .map(copy -> new Bodies.Indexed(copy.getKey(), copy.getValue() ? "READY" : "LOADING"))
+                    .end(JsonBodies.index(engine.index().stream()
+                            .map(copy -> new JsonBodies.Indexed(copy.getKey(), copy.getValue() ? "READY" : "LOADING"))
                             .toList()));
             case LIVE, READY -> request.response()
                     .putHeader(Headers.REPORT, engine.report().text())
                     .end();
-            default -> request.response().setStatusCode(404).end(Bodies.error("not served by this stand-in"));
+            default -> request.response().setStatusCode(404).end(JsonBodies.error("not served by this stand-in"));
         }
     }
 
@@ -149,22 +149,22 @@
             case OK -> response.end("{\"model_name\":\"" + route.model() + (misnaming ? "-other" : "")
                     + "\",\"outputs\":[{\"name\":\"size\"," + "\"datatype\":\"INT64\",\"shape\":[1],\"data\":[" + size
                     + "]}]}");
-            case ERROR -> response.setStatusCode(500).end(Bodies.error("the model failed"));
+            case ERROR -> response.setStatusCode(500).end(JsonBodies.error("the model failed"));
             case FULL -> response.setStatusCode(503)
                     .putHeader(Headers.NEVER_RAN, "full")
-                    .end(Bodies.error("full"));
+                    .end(JsonBodies.error("full"));
             case ABSENT -> response.setStatusCode(404)
                     .putHeader(Headers.NEVER_RAN, "absent")
-                    .end(Bodies.error("the model is not loaded here"));
+                    .end(JsonBodies.error("the model is not loaded here"));
         }
     }
 
     private void load(HttpServerRequest request, Route route, Buffer body) {
         int copies;
         try {
-            copies = Bodies.copies(body.toString());
+            copies = JsonBodies.copies(body.toString());
         } catch (IOException malformed) {
-            request.response().setStatusCode(400).end(Bodies.error("the body is not JSON"));
+            request.response().setStatusCode(400).end(JsonBodies.error("the body is not JSON"));
             return;
         }
         engine.hold(header(request, Headers.ROUTER), route.model(), copies, answer -> {
@@ -175,8 +175,8 @@
             response.putHeader(Headers.COPIES, Integer.toString(answer.copies()));
             switch (answer.end()) {
                 case OK -> response.end("{}");
-                case FULL -> response.setStatusCode(503).end(Bodies.error("no room for all"));
-                default -> response.setStatusCode(500).end(Bodies.error("the load failed"));
+                case FULL -> response.setStatusCode(503).end(JsonBodies.error("no room for all"));
+                default -> response.setStatusCode(500).end(JsonBodies.error("the load failed"));
             }
         });
     }
--- a/emulator/src/main/java/pearladder/emulator/net/Fleet.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Fleet.java
@@ -17,8 +17,8 @@
 import pearladder.emulator.Roll;
 import pearladder.emulator.Seen;
 import pearladder.emulator.Shelf;
-import pearladder.kserve.ListLine.Entry;
-import pearladder.kserve.ListLine.Standing;
+import pearladder.kserve.DiscoveryMessage.Entry;
+import pearladder.kserve.DiscoveryMessage.Standing;
 
 /** All stand-ins of a plan on loopback ports given by the system, on one event loop. */
 public final class Fleet {
--- a/emulator/src/main/java/pearladder/emulator/net/ListServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/ListServer.java
@@ -11,19 +11,19 @@
 import java.util.function.BiFunction;
 import pearladder.emulator.Roll;
 import pearladder.kserve.Headers;
-import pearladder.kserve.ListLine;
+import pearladder.kserve.DiscoveryMessage;
 
 /** The stand-in list service: GET /v1/list/watch?from=VERSION stays open and brings a line for each change. */
 public final class ListServer {
     private final Vertx vertx;
     private final Roll roll;
-    private final BiFunction<String, ListLine.Entry, ListLine.Entry> reached;
+    private final BiFunction<String, DiscoveryMessage.Entry, DiscoveryMessage.Entry> reached;
     private final Set<HttpServerResponse> open = new HashSet<>();
     private HttpServer server;
     private int port;
 
     /** @param reached an entry as a router of that name reaches the engine */
-    ListServer(Vertx vertx, Roll roll, BiFunction<String, ListLine.Entry, ListLine.Entry> reached) {
+    ListServer(Vertx vertx, Roll roll, BiFunction<String, DiscoveryMessage.Entry, DiscoveryMessage.Entry> reached) {
         this.reached = reached;
         this.vertx = vertx;
         this.roll = roll;
@@ -67,7 +67,7 @@
         Roll.Watcher watcher = roll.watch(
                 router == null ? "" : router,
                 from == null || !from.matches("[0-9]{1,18}") ? 0 : Long.parseLong(from),
-                line -> response.write(new ListLine(
+                line -> response.write(new DiscoveryMessage(
                                         line.kind(),
                                         line.version(),
                                         line.entries().stream()
--- a/kserve/src/main/java/pearladder/kserve/ListLine.java
+++ b/kserve/src/main/java/pearladder/kserve/DiscoveryMessage.java
@@ -16,7 +16,7 @@
  * @param version the list's version after this line; only grows
  * @param entries the engines it names
  */
-public record ListLine(Kind kind, long version, List<Entry> entries) {
+public record DiscoveryMessage(Kind kind, long version, List<Entry> entries) {
     /** What a line brings. */
     public enum Kind {
         WHOLE,
@@ -82,7 +82,7 @@
      *
      * @throws IOException with a message that says what is wrong, where the line is not one of the list service
      */
-    public static ListLine parse(String text) throws IOException {
+    public static DiscoveryMessage parse(String text) throws IOException {
         Kind kind = null;
         long version = -1;
         List<Entry> entries = new ArrayList<>();
@@ -107,7 +107,7 @@
             expect(json.currentToken() == JsonToken.END_OBJECT, "a list line is one JSON object");
         }
         expect(kind != null && version >= 0, "a list line has a kind and a version");
-        return new ListLine(kind, version, List.copyOf(entries));
+        return new DiscoveryMessage(kind, version, List.copyOf(entries));
     }
 
     private static Entry entry(JsonParser json) throws IOException {
--- a/kserve/src/main/java/pearladder/kserve/Bodies.java
+++ b/kserve/src/main/java/pearladder/kserve/JsonBodies.java
@@ -10,7 +10,7 @@
 import java.util.List;
 
 /** The small bodies that are written or read outside the tensors. */
-public final class Bodies {
+public final class JsonBodies {
     /**
      * The model that an engine's answer names, or null where it names none before its outputs, or is no JSON. Only the head
      * of the answer is read.
@@ -46,7 +46,7 @@
 
     private static final JsonFactory JSON = new JsonFactory();
 
-    private Bodies() {}
+    private JsonBodies() {}
 
     private static String written(Writing writing) {
         StringWriter out = new StringWriter();
--- a/kserve/src/main/java/pearladder/kserve/FinalState.java
+++ b/kserve/src/main/java/pearladder/kserve/RequestOutcome.java
@@ -3,7 +3,7 @@
 import java.util.Locale;
 
 /** How a call ended; a client can tell the three apart for sure by {@link Headers#STATE}. */
-public enum FinalState {
+public enum RequestOutcome {
     /** The engine's answer is in the body. */
     SETTLED(200),
     /** Not done; trying again is harmless. */
@@ -14,18 +14,18 @@
     /** The HTTP status that goes with it; a settled call may carry the engine's own 4xx instead. */
     public final int status;
 
-    FinalState(int status) {
+    RequestOutcome(int status) {
         this.status = status;
     }
 
-    public String word() {
+    public String code() {
         return name().toLowerCase(Locale.ROOT);
     }
 
     /** The state of that word, or null where there is none. */
-    public static FinalState of(String word) {
-        for (FinalState state : values()) {
-            if (state.word().equals(word)) {
+    public static RequestOutcome of(String word) {
+        for (RequestOutcome state : values()) {
+            if (state.code().equals(word)) {
                 return state;
             }
         }
--- a/kserve/src/test/java/pearladder/kserve/KserveTest.java
+++ b/kserve/src/test/java/pearladder/kserve/KserveTest.java
@@ -10,8 +10,8 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import pearladder.kserve.ListLine.Entry;
-import pearladder.kserve.ListLine.Standing;
+import pearladder.kserve.DiscoveryMessage.Entry;
+import pearladder.kserve.DiscoveryMessage.Standing;
 import pearladder.kserve.Route.Kind;
 
 class KserveTest {
@@ -19,7 +19,7 @@
     void theModelThatAnsweredIsReadFromTheHeadOfItsAnswerOnly() {
         assertEquals(
                 "a",
-                Bodies.answeredBy(
+                JsonBodies.answeredBy(
                         "{\"id\":\"1\",\"parameters\":{\"model_name\":\"x\"},\"model_name\":\"a\"}".getBytes()));
         for (String body : List.of(
                 "",
@@ -29,7 +29,7 @@
                 "{\"model_name\":3}",
                 "{\"model_name\":",
                 "no JSON")) {
-            assertEquals(null, Bodies.answeredBy(body.getBytes()), body);
+            assertEquals(null, JsonBodies.answeredBy(body.getBytes()), body);
         }
     }
 
@@ -88,11 +88,11 @@
                         Standing.values()[random.nextInt(3)],
                         random.nextLong(1L << 42)));
             }
-            ListLine line = new ListLine(ListLine.Kind.values()[random.nextInt(3)], random.nextLong(1L << 60), entries);
-            assertEquals(line, ListLine.parse(line.text()));
+            DiscoveryMessage line = new DiscoveryMessage(DiscoveryMessage.Kind.values()[random.nextInt(3)], random.nextLong(1L << 60), entries);
+            assertEquals(line, DiscoveryMessage.parse(line.text()));
             String text = line.text();
             String torn = text.substring(0, random.nextInt(text.length()));
-            assertThrows(IOException.class, () -> ListLine.parse(torn), torn);
+            assertThrows(IOException.class, () -> DiscoveryMessage.parse(torn), torn);
         }
     }
 
@@ -113,21 +113,21 @@
         }) {
             assertEquals(
                     wrong[1],
-                    assertThrows(IOException.class, () -> ListLine.parse(wrong[0]))
+                    assertThrows(IOException.class, () -> DiscoveryMessage.parse(wrong[0]))
                             .getMessage());
         }
     }
 
     @Test
     void smallBodiesAreReadAsTheyAreWritten() throws IOException {
-        assertEquals(3, Bodies.copies(Bodies.load(3)));
-        assertEquals(1, Bodies.copies("{}"));
-        assertEquals(1, Bodies.copies(""));
-        assertThrows(IOException.class, () -> Bodies.copies("{\"parameters\":"));
-        List<Bodies.Indexed> index = List.of(new Bodies.Indexed("a", "READY"), new Bodies.Indexed("b\"", "LOADING"));
-        assertEquals(index, Bodies.indexed(Bodies.index(index)));
-        assertEquals("{\"error\":\"a \\\"b\\\"\"}", Bodies.error("a \"b\""));
-        assertEquals(FinalState.DISMISSED, FinalState.of("dismissed"));
-        assertNull(FinalState.of("done"));
+        assertEquals(3, JsonBodies.copies(JsonBodies.load(3)));
+        assertEquals(1, JsonBodies.copies("{}"));
+        assertEquals(1, JsonBodies.copies(""));
+        assertThrows(IOException.class, () -> JsonBodies.copies("{\"parameters\":"));
+        List<JsonBodies.Indexed> index = List.of(new JsonBodies.Indexed("a", "READY"), new JsonBodies.Indexed("b\"", "LOADING"));
+        assertEquals(index, JsonBodies.indexed(JsonBodies.index(index)));
+        assertEquals("{\"error\":\"a \\\"b\\\"\"}", JsonBodies.error("a \"b\""));
+        assertEquals(RequestOutcome.DISMISSED, RequestOutcome.of("dismissed"));
+        assertNull(RequestOutcome.of("done"));
     }
 }
--- a/lab/src/main/java/pearladder/lab/Clients.java
+++ b/lab/src/main/java/pearladder/lab/Clients.java
@@ -4,7 +4,7 @@
 import java.util.function.Consumer;
 import pearladder.emulator.Seen;
 import pearladder.emulator.Timeline;
-import pearladder.kserve.FinalState;
+import pearladder.kserve.RequestOutcome;
 
 /**
  * The day's clients: each call goes out at its time whether or not earlier ones came back; a client gives up, comes back
@@ -40,7 +40,7 @@
     /** What a client hears of its try: one of the two, once. */
     public interface Heard {
         /** @param state null where the answer names none; version empty where there is none; wait nanoseconds to come back */
-        void answered(FinalState state, int status, String version, long wait);
+        void answered(RequestOutcome state, int status, String version, long wait);
 
         /** @param how "unreachable" where nothing left, else "cut" */
         void unanswered(String how);
@@ -180,7 +180,7 @@
         }
 
         @Override
-        public void answered(FinalState state, int status, String version, long wait) {
+        public void answered(RequestOutcome state, int status, String version, long wait) {
             if (over) {
                 return;
             }
@@ -189,7 +189,7 @@
             note(
                     Seen.ANSWERED,
                     call.drawn.model() + (version.isEmpty() ? "" : "@" + version),
-                    state == null ? "status " + status : state.word());
+                    state == null ? "status " + status : state.code());
             ended(state, heedless ? 0 : wait);
         }
 
@@ -209,9 +209,9 @@
             }
         }
 
-        private void ended(FinalState state, long wait) {
+        private void ended(RequestOutcome state, long wait) {
             long took = time.now() - call.due;
-            if (state == FinalState.SETTLED) {
+            if (state == RequestOutcome.SETTLED) {
                 end(
                         call,
                         took <= call.terms.expected()
@@ -219,7 +219,7 @@
                                 : took <= call.terms.abandon() ? Books.End.LATE : Books.End.UNANSWERED);
                 return;
             }
-            boolean dismissed = state == FinalState.DISMISSED;
+            boolean dismissed = state == RequestOutcome.DISMISSED;
             if (!dismissed && !mayRepeat(call) || !retry(call, wait)) {
                 end(call, dismissed ? Books.End.DISMISSED : Books.End.TERMINATED);
             }
--- a/lab/src/main/java/pearladder/lab/DayPlan.java
+++ b/lab/src/main/java/pearladder/lab/DayPlan.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import pearladder.emulator.FleetPlan;
-import pearladder.yaml.Value;
-import pearladder.yaml.Yaml;
+import pearladder.yaml.ConfigValue;
+import pearladder.yaml.YamlParser;
 
 /**
  * One day as its script states it; spans in nanoseconds.
@@ -163,18 +163,18 @@
      */
     public record Trouble(long at, long lasting, Kind what, double share, double times, double part, String hall) {}
 
-    /** Reads a script; throws {@link pearladder.yaml.Mistakes.Found} with every mistake in it. */
+    /** Reads a script; throws {@link pearladder.yaml.ConfigErrors.Found} with every mistake in it. */
     public static DayPlan read(Path file) {
-        return read(Yaml.read(file));
+        return read(YamlParser.read(file));
     }
 
     /** The same of what was read already. */
-    public static DayPlan read(Value file) {
-        Value day = file.at("day");
-        Value clients = file.at("clients");
+    public static DayPlan read(ConfigValue file) {
+        ConfigValue day = file.at("day");
+        ConfigValue clients = file.at("clients");
         Rulebook rules = Rulebook.read(file.at("router"));
         long lasting = day.at("lasting").span();
-        List<String> halls = day.at("halls").each(Value::text);
+        List<String> halls = day.at("halls").each(ConfigValue::text);
         if (halls.isEmpty()) {
             day.at("halls").wrong("no hall is named", "write \"halls: [east, west]\"");
         }
@@ -228,7 +228,7 @@
         return plan;
     }
 
-    private static Flow flow(Value flow, Rulebook rules) {
+    private static Flow flow(ConfigValue flow, Rulebook rules) {
         String category = flow.at("category").text();
         if (!rules.categories().containsKey(category)) {
             flow.at("category")
@@ -248,7 +248,7 @@
                 flow.at("work").span("20 ms"));
     }
 
-    private static Trouble trouble(Value trouble, long lasting, List<String> halls) {
+    private static Trouble trouble(ConfigValue trouble, long lasting, List<String> halls) {
         long at = trouble.at("at").span();
         long length = trouble.at("lasting").span("0 s");
         if (at + length > lasting) {
--- a/lab/src/main/java/pearladder/lab/DecisionCost.java
+++ b/lab/src/main/java/pearladder/lab/DecisionCost.java
@@ -8,12 +8,12 @@
 import java.util.Locale;
 import java.util.SplittableRandom;
 import pearladder.api.Action;
-import pearladder.api.Dispatcher;
+import pearladder.api.RoutingPolicy;
 import pearladder.api.Event;
-import pearladder.api.Facts;
-import pearladder.api.Moment;
+import pearladder.api.RoutingSettings;
+import pearladder.api.MonotonicTime;
 import pearladder.api.Outcome;
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 
 /**
  * What one call costs the module itself, with no socket: microseconds and bytes for a call's coming, its legs' ends and
@@ -22,12 +22,12 @@
 public final class DecisionCost {
     /** Makes a module's instance. */
     public interface Maker {
-        Dispatcher make(long seed, Facts facts);
+        RoutingPolicy make(long seed, RoutingSettings facts);
     }
 
     private static final int MODELS = 400;
 
-    private record Out(Moment due, Event.LegEnded end) {}
+    private record Out(MonotonicTime due, Event.AttemptEnded end) {}
 
     private DecisionCost() {}
 
@@ -69,99 +69,99 @@
         return rows;
     }
 
-    private static Facts facts() {
-        return new Facts(
+    private static RoutingSettings facts() {
+        return new RoutingSettings(
                 0,
                 3,
                 "east",
-                Span.millis(5),
-                List.of(new Facts.Terms(
+                TimeSpan.millis(5),
+                List.of(new RoutingSettings.RequestClass(
                         "draft",
-                        Span.seconds(1),
-                        Span.seconds(3),
+                        TimeSpan.seconds(1),
+                        TimeSpan.seconds(3),
                         1,
                         0,
-                        Facts.Effect.RETRIABLE,
-                        Facts.Group.ALL,
-                        Span.NONE,
+                        RoutingSettings.Idempotency.RETRIABLE,
+                        RoutingSettings.DeduplicationScope.ALL,
+                        TimeSpan.ZERO,
                         false,
                         0)),
                 List.of(),
-                new Facts.Allowances(3, false, true, false, false, true, Span.seconds(2), 1, false, Span.millis(250)),
-                new Facts.Answering(Span.millis(15), Span.seconds(1)),
-                new Facts.ColdStart(0.25, Span.seconds(15), 2, Span.millis(1500)),
-                new Facts.Ration(0, 0, Span.NONE),
-                new Facts.Copies(Span.seconds(10), true, true, Span.seconds(10), true, true, List.of(6000.0)),
-                new Facts.Reports(List.of("waiting", "loads"), true),
-                new Facts.Roll(false, Span.NONE),
-                new Facts.Prices(0, 0, 0, 0, 0, 0));
+                new RoutingSettings.AttemptLimits(3, false, true, false, false, true, TimeSpan.seconds(2), 1, false, TimeSpan.millis(250)),
+                new RoutingSettings.ResponseGrace(TimeSpan.millis(15), TimeSpan.seconds(1)),
+                new RoutingSettings.SlowStartSettings(0.25, TimeSpan.seconds(15), 2, TimeSpan.millis(1500)),
+                new RoutingSettings.LoadQuota(0, 0, TimeSpan.ZERO),
+                new RoutingSettings.InstanceSettings(TimeSpan.seconds(10), true, true, TimeSpan.seconds(10), true, true, List.of(6000.0)),
+                new RoutingSettings.LoadReportSettings(List.of("waiting", "loads"), true),
+                new RoutingSettings.DiscoverySettings(false, TimeSpan.ZERO),
+                new RoutingSettings.CostModel(0, 0, 0, 0, 0, 0));
     }
 
     /** Microseconds a call, bytes a call, share dismissed. The rate grows with the fleet: 12 calls a second an engine. */
     private static double[] round(Maker maker, int engines, int calls) {
-        Dispatcher module = maker.make(1, facts());
+        RoutingPolicy module = maker.make(1, facts());
         SplittableRandom random = new SplittableRandom(5);
-        List<Event.Listing> listings = new ArrayList<>();
+        List<Event.Endpoint> listings = new ArrayList<>();
         for (int i = 0; i < engines; i++) {
-            listings.add(new Event.Listing("engine-" + i, "east", "std", 0, Event.Standing.IN_SERVICE, 1, null));
+            listings.add(new Event.Endpoint("engine-" + i, "east", "std", 0, Event.EndpointState.IN_SERVICE, 1, null));
         }
-        Moment now = new Moment(1_000_000_000_000L);
+        MonotonicTime now = new MonotonicTime(1_000_000_000_000L);
         ArrayDeque<Out> out = new ArrayDeque<>();
-        ArrayDeque<Moment> beats = new ArrayDeque<>();
+        ArrayDeque<MonotonicTime> beats = new ArrayDeque<>();
         long dismissed = 0;
         long spent = 0;
         long allocated = 0;
-        Span gap = Span.seconds(1.0 / (12.0 * engines));
+        TimeSpan gap = TimeSpan.seconds(1.0 / (12.0 * engines));
         var memory = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
         long thread = Thread.currentThread().getId();
         List<Event> events = new ArrayList<>();
-        events.add(new Event.Listed(Event.ListKind.WHOLE, listings));
+        events.add(new Event.EndpointsUpdated(Event.EndpointUpdateKind.SNAPSHOT, listings));
         for (int call = 0; call < calls; call++) {
             now = now.plus(gap);
-            while (!out.isEmpty() && out.peek().due().before(now)) {
+            while (!out.isEmpty() && out.peek().due().isBefore(now)) {
                 events.add(out.poll().end());
             }
-            if (!beats.isEmpty() && beats.peek().before(now)) {
+            if (!beats.isEmpty() && beats.peek().isBefore(now)) {
                 beats.clear();
-                events.add(new Event.Due("beat"));
+                events.add(new Event.TimerFired("beat"));
             }
             int model = (int) (MODELS * Math.pow(random.nextDouble(), 3));
-            events.add(new Event.CallCame(
+            events.add(new Event.RequestArrived(
                     "c" + call,
                     "model-" + model,
                     "draft",
                     null,
-                    Span.seconds(3),
+                    TimeSpan.seconds(3),
                     2,
                     400,
-                    Span.millis(600),
+                    TimeSpan.millis(600),
                     null,
                     false,
                     false));
             for (Event event : events) {
                 long bytes = memory.getThreadAllocatedBytes(thread);
                 long begun = System.nanoTime();
-                List<Action> actions = module.on(now, event);
+                List<Action> actions = module.handle(now, event);
                 spent += System.nanoTime() - begun;
                 allocated += memory.getThreadAllocatedBytes(thread) - bytes;
                 for (Action action : actions) {
-                    if (action instanceof Action.Send send) {
+                    if (action instanceof Action.SendAttempt send) {
                         out.add(new Out(
-                                now.plus(Span.millis(20)),
-                                new Event.LegEnded(
-                                        send.call(),
+                                now.plus(TimeSpan.millis(20)),
+                                new Event.AttemptEnded(
+                                        send.requestId(),
                                         0,
                                         send.worker(),
                                         Outcome.SUCCESS,
-                                        Span.millis(20),
+                                        TimeSpan.millis(20),
                                         true,
-                                        Event.Copy.STOOD,
+                                        Event.InstanceStatus.STOOD,
                                         0,
-                                        new Event.Report(1, 0, 0.3, 0, 0.2))));
-                    } else if (action instanceof Action.Dismiss) {
+                                        new Event.WorkerLoadReport(1, 0, 0.3, 0, 0.2))));
+                    } else if (action instanceof Action.Reject) {
                         dismissed++;
-                    } else if (action instanceof Action.Wake wake && wake.tag().equals("beat")) {
-                        beats.add(wake.at());
+                    } else if (action instanceof Action.SetTimer wake && wake.tag().equals("beat")) {
+                        beats.add(wake.dueAt());
                     }
                 }
             }
--- a/lab/src/main/java/pearladder/lab/ExperimentPlan.java
+++ b/lab/src/main/java/pearladder/lab/ExperimentPlan.java
@@ -3,8 +3,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import pearladder.yaml.Value;
-import pearladder.yaml.Yaml;
+import pearladder.yaml.ConfigValue;
+import pearladder.yaml.YamlParser;
 
 /**
  * A grid of runs as its file states it.
@@ -36,12 +36,12 @@
     }
 
     static ExperimentPlan read(Path file) {
-        return read(Yaml.read(file), file.toAbsolutePath().getParent());
+        return read(YamlParser.read(file), file.toAbsolutePath().getParent());
     }
 
-    static ExperimentPlan read(Value whole, Path folder) {
-        Value experiment = whole.at("experiment");
-        Value vary = experiment.at("vary");
+    static ExperimentPlan read(ConfigValue whole, Path folder) {
+        ConfigValue experiment = whole.at("experiment");
+        ConfigValue vary = experiment.at("vary");
         List<String> policies = orElse(vary.at("policy").each(ExperimentPlan::policy), "module");
         List<Size> sizes = sizes(vary);
         List<Double> rates = orElse(vary.at("rate").each(v -> v.number(0.1, 1e6)), Double.NaN);
@@ -73,7 +73,7 @@
     }
 
     /** Sizes that grow together are listed as such; else every number of engines meets every number of routers. */
-    private static List<Size> sizes(Value vary) {
+    private static List<Size> sizes(ConfigValue vary) {
         List<Size> sizes = new ArrayList<>(vary.at("sizes")
                 .each(size -> new Size(
                         size.at("engines").whole(1, 1, 10_000),
@@ -88,7 +88,7 @@
         return sizes;
     }
 
-    private static String policy(Value value) {
+    private static String policy(ConfigValue value) {
         String word = value.text();
         if (!word.equals("module") && !word.equals("random")) {
             value.wrong("unknown policy \"" + word + "\"", "write module or random");
@@ -96,7 +96,7 @@
         return word;
     }
 
-    private static TraceSource.Terms trace(Value trace, Path folder) {
+    private static TraceSource.Terms trace(ConfigValue trace, Path folder) {
         return new TraceSource.Terms(
                 folder.resolve(trace.at("file").text()),
                 null,
--- a/lab/src/main/java/pearladder/lab/HttpWire.java
+++ b/lab/src/main/java/pearladder/lab/HttpWire.java
@@ -13,7 +13,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import pearladder.emulator.Seen;
-import pearladder.kserve.FinalState;
+import pearladder.kserve.RequestOutcome;
 import pearladder.kserve.Headers;
 
 /** Tries over HTTP/JSON, on one event loop. */
@@ -122,7 +122,7 @@
                                 String version = response.getHeader(Headers.VERSION);
                                 String wait = response.getHeader(Headers.RETRY_AFTER_MS);
                                 heard.answered(
-                                        FinalState.of(response.getHeader(Headers.STATE)),
+                                        RequestOutcome.of(response.getHeader(Headers.STATE)),
                                         response.statusCode(),
                                         version == null ? "" : version,
                                         wait != null && wait.matches("[0-9]{1,9}")
--- a/lab/src/main/java/pearladder/lab/Measure.java
+++ b/lab/src/main/java/pearladder/lab/Measure.java
@@ -24,10 +24,10 @@
 import org.HdrHistogram.Histogram;
 import pearladder.emulator.FleetPlan;
 import pearladder.emulator.net.Fleet;
-import pearladder.kserve.FinalState;
+import pearladder.kserve.RequestOutcome;
 import pearladder.kserve.Headers;
-import pearladder.kserve.ListLine.Entry;
-import pearladder.kserve.ListLine.Standing;
+import pearladder.kserve.DiscoveryMessage.Entry;
+import pearladder.kserve.DiscoveryMessage.Standing;
 
 /**
  * What a router adds to a call: the same load straight to instant engines, through a bare pass-through and through the
@@ -189,7 +189,7 @@
                         response -> {
                             String state = response.getHeader(Headers.STATE);
                             if (response.statusCode() == 200
-                                    && (state == null || state.equals(FinalState.SETTLED.word()))) {
+                                    && (state == null || state.equals(RequestOutcome.SETTLED.code()))) {
                                 round.settled++;
                                 round.times.recordValue(Math.min(9_000_000_000L, System.nanoTime() - sent));
                             } else {
--- a/lab/src/main/java/pearladder/lab/ReleaseScript.java
+++ b/lab/src/main/java/pearladder/lab/ReleaseScript.java
@@ -14,8 +14,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import pearladder.release.Target;
-import pearladder.yaml.Value;
+import pearladder.release.RolloutTarget;
+import pearladder.yaml.ConfigValue;
 
 /** The operators of a day: orders on releases, given at their moments to every router over its admin door. */
 public final class ReleaseScript {
@@ -55,7 +55,7 @@
     }
 
     /** The orders of one line: one, or as many as it says, each so long after the one before. */
-    static List<Order> read(Value line) {
+    static List<Order> read(ConfigValue line) {
         Order first = one(line);
         List<Order> orders = new ArrayList<>();
         long every = line.at("every").span("0 s");
@@ -65,7 +65,7 @@
         return orders;
     }
 
-    private static Order one(Value order) {
+    private static Order one(ConfigValue order) {
         What what = order.at("order").word(What.class, null);
         ObjectNode plan = null;
         if (what == What.START) {
@@ -118,9 +118,9 @@
     }
 
     /** The targets of an order, for routers that are told them without a socket. */
-    public List<Target> targets(Order order) {
+    public List<RolloutTarget> targets(Order order) {
         return order.models().stream()
-                .map(model -> JSON.convertValue(next(order, model), Target.class))
+                .map(model -> JSON.convertValue(next(order, model), RolloutTarget.class))
                 .toList();
     }
 
--- a/lab/src/main/java/pearladder/lab/ReleaseTrials.java
+++ b/lab/src/main/java/pearladder/lab/ReleaseTrials.java
@@ -4,13 +4,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
-import pearladder.api.Moment;
-import pearladder.api.Span;
-import pearladder.release.Plan;
-import pearladder.release.ReleaseAction;
-import pearladder.release.ReleaseEvent;
-import pearladder.release.Releases;
-import pearladder.release.Target;
+import pearladder.api.MonotonicTime;
+import pearladder.api.TimeSpan;
+import pearladder.release.RolloutPlan;
+import pearladder.release.RolloutAction;
+import pearladder.release.RolloutEvent;
+import pearladder.release.RolloutController;
+import pearladder.release.RolloutTarget;
 
 /**
  * Trials of the release module alone, in simulated time and with drawn results: shares reached against those asked for, and
@@ -38,13 +38,13 @@
         return lines;
     }
 
-    private static Releases started(String model, List<Double> steps, int step) {
-        Releases releases = new Releases(Span.seconds(8));
-        Plan plan = new Plan(
-                model, "1", "2", steps, Span.NONE, 200, new Plan.Gate(0.05, 0.01, 0.05), Plan.Breach.ROLL_BACK);
-        Moment now = new Moment(0);
-        releases.on(now, new ReleaseEvent.Kept(new Target(1, plan, Target.Mode.RUNNING, step, "trial", 0)));
-        releases.on(now, new ReleaseEvent.Standing(model, "2", 1));
+    private static RolloutController started(String model, List<Double> steps, int step) {
+        RolloutController releases = new RolloutController(TimeSpan.seconds(8));
+        RolloutPlan plan = new RolloutPlan(
+                model, "1", "2", steps, TimeSpan.ZERO, 200, new RolloutPlan.Gate(0.05, 0.01, 0.05), RolloutPlan.Breach.ROLL_BACK);
+        MonotonicTime now = new MonotonicTime(0);
+        releases.on(now, new RolloutEvent.Kept(new RolloutTarget(1, plan, RolloutTarget.Mode.RUNNING, step, "trial", 0)));
+        releases.on(now, new RolloutEvent.Standing(model, "2", 1));
         return releases;
     }
 
@@ -53,15 +53,15 @@
         int within = 0;
         for (int model = 0; model < MODELS; model++) {
             String name = "pair-" + model;
-            Releases releases = started(name, List.of(asked, 1.0), 0);
-            releases.on(new Moment(1), new ReleaseEvent.Due());
+            RolloutController releases = started(name, List.of(asked, 1.0), 0);
+            releases.on(new MonotonicTime(1), new RolloutEvent.Due());
             int given = 0;
             for (int call = 0; call < CALLS; call++) {
-                given += use(releases, new Moment(2), name, "c" + call, "doc-" + call)
+                given += use(releases, new MonotonicTime(2), name, "c" + call, "doc-" + call)
                                 .equals("2")
                         ? 1
                         : 0;
-                releases.on(new Moment(2), new ReleaseEvent.CallLeft("c" + call));
+                releases.on(new MonotonicTime(2), new RolloutEvent.CallLeft("c" + call));
             }
             double off = Math.abs((double) given / CALLS - asked);
             furthest = Math.max(furthest, off);
@@ -80,9 +80,9 @@
                 error * 100);
     }
 
-    private static String use(Releases releases, Moment now, String model, String call, String key) {
-        for (ReleaseAction action : releases.on(now, new ReleaseEvent.CallCame(call, model, key, ""))) {
-            if (action instanceof ReleaseAction.Use use) {
+    private static String use(RolloutController releases, MonotonicTime now, String model, String call, String key) {
+        for (RolloutAction action : releases.on(now, new RolloutEvent.CallCame(call, model, key, ""))) {
+            if (action instanceof RolloutAction.Use use) {
                 return use.version();
             }
         }
@@ -95,20 +95,20 @@
         List<Integer> spent = new ArrayList<>();
         for (int trial = 0; trial < RELEASES; trial++) {
             SplittableRandom random = new SplittableRandom(trial);
-            Releases releases = started("pair", List.of(0.05, 0.25, 1.0), 0);
+            RolloutController releases = started("pair", List.of(0.05, 0.25, 1.0), 0);
             int given = 0;
             boolean ended = false;
             for (int call = 0; call < LONGEST && !ended; call++) {
-                Moment now = new Moment(1_000_000L * (call + 1));
+                MonotonicTime now = new MonotonicTime(1_000_000L * (call + 1));
                 String version = use(releases, now, "pair", "c" + call, "doc-" + call);
                 boolean toNew = version.equals("2");
                 given += toNew ? 1 : 0;
                 boolean well = random.nextDouble() >= (toNew ? Math.min(1, USUAL + excess) : USUAL);
-                for (ReleaseAction action : releases.on(
-                        now, new ReleaseEvent.CallEnded("c" + call, well, List.of("e" + random.nextInt(ENGINES))))) {
-                    ended |= action instanceof ReleaseAction.Withdraw;
+                for (RolloutAction action : releases.on(
+                        now, new RolloutEvent.CallEnded("c" + call, well, List.of("e" + random.nextInt(ENGINES))))) {
+                    ended |= action instanceof RolloutAction.Withdraw;
                 }
-                releases.on(now, new ReleaseEvent.Due());
+                releases.on(now, new RolloutEvent.Due());
                 if (!ended && releases.status().get(0).contains("share 1.00")) {
                     through++;
                     break;
--- a/lab/src/main/java/pearladder/lab/Results.java
+++ b/lab/src/main/java/pearladder/lab/Results.java
@@ -17,7 +17,7 @@
 import java.util.TreeMap;
 import pearladder.emulator.ModelKind;
 import pearladder.emulator.Seen;
-import pearladder.kserve.FinalState;
+import pearladder.kserve.RequestOutcome;
 
 /** A day's results as a file that reports and comparisons are made from: results.json in the day's folder. */
 public final class Results {
@@ -106,7 +106,7 @@
                         case Seen.REFUSED -> 2;
                         case Seen.LOADED -> seen.note().isEmpty() ? 3 : 4;
                         case Seen.UNLOADED -> 5;
-                        case Seen.ANSWERED -> seen.note().equals(FinalState.SETTLED.word()) ? 6 : -1;
+                        case Seen.ANSWERED -> seen.note().equals(RequestOutcome.SETTLED.code()) ? 6 : -1;
                         default -> -1;
                     };
             copies += at == 3 ? 1 : at == 5 ? -Math.round(seen.figure()) : 0;
@@ -155,7 +155,7 @@
                         seen.what().equals(Seen.REFUSED)
                                 ? "engines refused: " + seen.note().toLowerCase(Locale.ROOT)
                                 : "a leg without an answer");
-            } else if (seen.what().equals(Seen.ANSWERED) && seen.note().equals(FinalState.DISMISSED.word())) {
+            } else if (seen.what().equals(Seen.ANSWERED) && seen.note().equals(RequestOutcome.DISMISSED.code())) {
                 causes.merge(last.getOrDefault(seen.call(), "no leg was sent"), 1L, Long::sum);
             }
         }
--- a/lab/src/main/java/pearladder/lab/Rulebook.java
+++ b/lab/src/main/java/pearladder/lab/Rulebook.java
@@ -1,7 +1,7 @@
 package pearladder.lab;
 
 import java.util.Map;
-import pearladder.yaml.Value;
+import pearladder.yaml.ConfigValue;
 
 /**
  * The rules of a day as its routers' file states them; spans in nanoseconds.
@@ -20,7 +20,7 @@
         double rationFree,
         double rationShare,
         long rationWindow) {
-    static Rulebook read(Value router) {
+    static Rulebook read(ConfigValue router) {
         Map<String, CategoryTerms> categories = router.at("categories")
                 .eachKey((name, terms) -> new CategoryTerms(
                         name,
@@ -31,8 +31,8 @@
                         terms.at("remembered").span("0 s"),
                         terms.at("credit").number(1, 0, 1e9),
                         terms.at("late_credit").number(0, 0, 1)));
-        Value rules = router.at("rules");
-        Value ration = rules.at("ration");
+        ConfigValue rules = router.at("rules");
+        ConfigValue ration = rules.at("ration");
         return new Rulebook(
                 categories,
                 rules.at("answer_grace").span("15 ms"),
--- a/lab/src/test/java/pearladder/lab/DayPlanTest.java
+++ b/lab/src/test/java/pearladder/lab/DayPlanTest.java
@@ -14,8 +14,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import pearladder.emulator.Seen;
 import pearladder.emulator.Tape;
-import pearladder.yaml.Mistakes;
-import pearladder.yaml.Yaml;
+import pearladder.yaml.ConfigErrors;
+import pearladder.yaml.YamlParser;
 
 class DayPlanTest {
     private static final String DAY =
@@ -39,7 +39,7 @@
             """;
 
     private static DayPlan plan(int seed) {
-        return DayPlan.read(Yaml.read("d.yaml", DAY.formatted(seed)));
+        return DayPlan.read(YamlParser.read("d.yaml", DAY.formatted(seed)));
     }
 
     private static List<Source.Drawn> all(DayPlan plan) {
@@ -140,7 +140,7 @@
     @Test
     void theRateGoesUpAndDownAndThePopularityMovesOn() {
         DayPlan plan = DayPlan.read(
-                Yaml.read(
+                YamlParser.read(
                         "d.yaml",
                         """
                 day: {lasting: 40 s, halls: [east], rate: 100, tide: {period: 40 s, swing: 0.8}}
@@ -173,7 +173,7 @@
                 .replace("hall: west", "hall: north")
                 .replace("at: 14 s", "at: 19 s")
                 .replace("category: draft, share: 0.3", "category: post, share: 0.3");
-        List<String> lines = assertThrows(Mistakes.Found.class, () -> DayPlan.read(Yaml.read("d.yaml", wrong)))
+        List<String> lines = assertThrows(ConfigErrors.Found.class, () -> DayPlan.read(YamlParser.read("d.yaml", wrong)))
                 .getMessage()
                 .lines()
                 .toList();
--- a/lab/src/test/java/pearladder/lab/ReportTest.java
+++ b/lab/src/test/java/pearladder/lab/ReportTest.java
@@ -15,14 +15,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import pearladder.emulator.Seen;
-import pearladder.yaml.Mistakes;
-import pearladder.yaml.Yaml;
+import pearladder.yaml.ConfigErrors;
+import pearladder.yaml.YamlParser;
 
 class ReportTest {
     private static final long S = 1_000_000_000L;
 
     private static ObjectNode results(long seed) {
-        DayPlan plan = DayPlan.read(Yaml.read(
+        DayPlan plan = DayPlan.read(YamlParser.read(
                 "d.yaml",
                 """
                 day: {name: "a <day>", lasting: 30 s, seed: %d, halls: [east], rate: 5}
@@ -83,7 +83,7 @@
     @Test
     void aGridIsEveryCombinationAndItsMistakesAreNamed(@TempDir Path folder) {
         ExperimentPlan plan = ExperimentPlan.read(
-                Yaml.read(
+                YamlParser.read(
                         "e.yaml",
                         """
                 experiment:
@@ -98,7 +98,7 @@
         assertEquals("random-e12-q0.5.s3", plan.runs().get(23).label());
         assertEquals(folder.resolve("days/plain.yaml"), plan.base());
         ExperimentPlan pairs = ExperimentPlan.read(
-                Yaml.read(
+                YamlParser.read(
                         "e.yaml",
                         """
                 experiment:
@@ -110,9 +110,9 @@
                 List.of("module-e12-r2.s1", "module-e12-r2.s2", "module-e72-r16.s1", "module-e72-r16.s2"),
                 pairs.runs().stream().map(ExperimentPlan.Run::label).toList());
         List<String> lines = assertThrows(
-                        Mistakes.Found.class,
+                        ConfigErrors.Found.class,
                         () -> ExperimentPlan.read(
-                                Yaml.read(
+                                YamlParser.read(
                                         "e.yaml",
                                         """
                 experiment:
--- a/records/src/main/java/pearladder/metering/Metering.java
+++ b/records/src/main/java/pearladder/metering/Metering.java
@@ -9,12 +9,12 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
-import pearladder.records.Cursor;
-import pearladder.records.Entry;
-import pearladder.records.Kind;
-import pearladder.usage.Evidence;
-import pearladder.usage.Share;
-import pearladder.usage.Usage;
+import pearladder.records.EventLogCursor;
+import pearladder.records.LogEntry;
+import pearladder.records.LogEntryType;
+import pearladder.usage.InstanceObservation;
+import pearladder.usage.UsageShare;
+import pearladder.usage.UsageAccounting;
 
 /** Memory-seconds from the records of any number of routers, merged by time. */
 public final class Metering {
@@ -28,11 +28,11 @@
     /** One router's records as they are read. */
     private static final class Source {
         final String router;
-        final Cursor cursor;
+        final EventLogCursor cursor;
         final Map<String, Long> starts = new HashMap<>();
-        Entry head;
+        LogEntry head;
 
-        Source(String router, Cursor cursor) throws IOException {
+        Source(String router, EventLogCursor cursor) throws IOException {
             this.router = router;
             this.cursor = cursor;
             this.head = cursor.next();
@@ -50,11 +50,11 @@
      * @param folders of records, one a router
      * @param taker gets shares by interval, in order of time
      */
-    public static Read read(List<Path> folders, Consumer<Share> taker) throws IOException {
+    public static Read read(List<Path> folders, Consumer<UsageShare> taker) throws IOException {
         List<Source> sources = new ArrayList<>();
         try {
             for (Path folder : folders) {
-                sources.add(new Source(folder.toString(), new Cursor(folder)));
+                sources.add(new Source(folder.toString(), new EventLogCursor(folder)));
             }
             return merge(sources, taker);
         } finally {
@@ -62,13 +62,13 @@
         }
     }
 
-    private static Read merge(List<Source> sources, Consumer<Share> taker) throws IOException {
+    private static Read merge(List<Source> sources, Consumer<UsageShare> taker) throws IOException {
         long kept = sources.stream()
-                .filter(source -> source.head != null && source.head.kind() == Kind.STARTED)
+                .filter(source -> source.head != null && source.head.kind() == LogEntryType.STARTED)
                 .mapToLong(source -> source.head.amount())
                 .max()
                 .orElse(USUALLY_KEPT);
-        Usage usage = new Usage(INTERVAL, kept, LATE);
+        UsageAccounting usage = new UsageAccounting(INTERVAL, kept, LATE);
         PriorityQueue<Source> next = new PriorityQueue<>(
                 Comparator.<Source>comparingLong(source -> source.head.at()).thenComparing(source -> source.router));
         sources.stream().filter(source -> source.head != null).forEach(next::add);
@@ -76,10 +76,10 @@
         long newest = 0;
         while (!next.isEmpty()) {
             Source source = next.poll();
-            Entry entry = source.head;
+            LogEntry entry = source.head;
             entries++;
             newest = Math.max(newest, entry.at());
-            Evidence evidence = evidence(source, entry);
+            InstanceObservation evidence = evidence(source, entry);
             if (evidence != null) {
                 usage.on(evidence).forEach(taker);
             }
@@ -93,17 +93,17 @@
     }
 
     /** What an entry proves of memory, or null. */
-    private static Evidence evidence(Source source, Entry entry) {
+    private static InstanceObservation evidence(Source source, LogEntry entry) {
         return switch (entry.kind()) {
-            case MODEL -> new Evidence.Memory(entry.at(), source.router, entry.model(), entry.amount());
-            case LOADING -> new Evidence.Loading(
+            case MODEL -> new InstanceObservation.Memory(entry.at(), source.router, entry.model(), entry.amount());
+            case LOADING -> new InstanceObservation.Loading(
                     entry.at(), source.router, entry.engine(), entry.model(), entry.account(), entry.took() / 1000);
             case LOADED -> entry.note().isEmpty()
                     ? null
-                    : new Evidence.LoadFailed(entry.at(), source.router, entry.engine(), entry.model());
-            case COPIES -> new Evidence.Copies(
+                    : new InstanceObservation.LoadFailed(entry.at(), source.router, entry.engine(), entry.model());
+            case COPIES -> new InstanceObservation.Copies(
                     entry.at(), source.router, entry.engine(), entry.model(), (int) entry.amount());
-            case WORK -> new Evidence.Worked(
+            case WORK -> new InstanceObservation.Worked(
                     entry.at(), source.router, entry.engine(), entry.model(), entry.account(), entry.amount());
             case ENGINE -> engine(source, entry);
             default -> null;
@@ -111,14 +111,14 @@
     }
 
     /** An engine that the list lets go, or tells with another start, holds nothing from then on. */
-    private static Evidence engine(Source source, Entry entry) {
+    private static InstanceObservation engine(Source source, LogEntry entry) {
         if (entry.note().equals("GONE")) {
             source.starts.remove(entry.engine());
-            return new Evidence.Gone(entry.at(), source.router, entry.engine());
+            return new InstanceObservation.Gone(entry.at(), source.router, entry.engine());
         }
         Long before = source.starts.put(entry.engine(), entry.amount());
         return before == null || before == entry.amount() || entry.amount() == 0
                 ? null
-                : new Evidence.Gone(entry.amount(), source.router, entry.engine());
+                : new InstanceObservation.Gone(entry.amount(), source.router, entry.engine());
     }
 }
--- a/records/src/main/java/pearladder/records/Records.java
+++ b/records/src/main/java/pearladder/records/EventLog.java
@@ -15,19 +15,19 @@
 /**
  * The one writer of a folder of records. What {@link #append} returned from is on disk. It is used by one thread at a time.
  */
-public final class Records implements AutoCloseable {
+public final class EventLog implements AutoCloseable {
     /** What a compaction did. */
     public record Compacted(int files, long before, long after, long details) {}
 
     private final Path folder;
-    private final Keeping keeping;
+    private final RetentionSettings keeping;
     private final FileChannel lock;
-    private Segment newest;
+    private LogSegment newest;
     private long begunAt;
     private long next;
     private boolean whole = true;
 
-    private Records(Path folder, Keeping keeping, FileChannel lock) {
+    private EventLog(Path folder, RetentionSettings keeping, FileChannel lock) {
         this.folder = folder;
         this.keeping = keeping;
         this.lock = lock;
@@ -39,7 +39,7 @@
      * @param told gets a line for each file that can't be read any more and is set aside
      * @throws IOException where another process has it open, it was written by a newer build, or the disk fails
      */
-    public static Records open(Path folder, Keeping keeping, Consumer<String> told) throws IOException {
+    public static EventLog open(Path folder, RetentionSettings keeping, Consumer<String> told) throws IOException {
         Files.createDirectories(folder);
         FileChannel channel =
                 FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
@@ -57,7 +57,7 @@
         if (held == null) {
             throw new IOException(folder + " is held by another process; give each router its own data folder");
         }
-        Records records = new Records(folder, keeping, channel);
+        EventLog records = new EventLog(folder, keeping, channel);
         try {
             records.begin(told);
             return records;
@@ -68,26 +68,26 @@
     }
 
     private void begin(Consumer<String> told) throws IOException {
-        for (Path left : Archive.files(folder, "records-[0-9]{16}\\.(new|new-wal|new-shm|new-journal)")) {
+        for (Path left : EventLogReader.files(folder, "records-[0-9]{16}\\.(new|new-wal|new-shm|new-journal)")) {
             // a compaction that did not come to its end; the file it was made from still stands
             Files.deleteIfExists(left);
         }
-        List<Path> segments = Archive.segments(folder);
+        List<Path> segments = EventLogReader.segments(folder);
         next = 1;
         while (newest == null && !segments.isEmpty()) {
             Path last = segments.remove(segments.size() - 1);
-            next = Math.max(next, Segment.first(last));
+            next = Math.max(next, LogSegment.first(last));
             try {
-                newest = Segment.write(last);
+                newest = LogSegment.write(last);
                 next = Math.max(next, newest.next());
                 begunAt = newest.until();
-            } catch (NewerFormat unread) {
+            } catch (UnsupportedFormatException unread) {
                 throw unread;
             } catch (IOException broken) {
                 // Guards against a router that can't start because of what it only keeps: the file is kept for a look.
                 Path aside = last.resolveSibling(last.getFileName() + ".damaged");
                 Files.move(last, aside, StandardCopyOption.REPLACE_EXISTING);
-                Segment.delete(last);
+                LogSegment.delete(last);
                 next++;
                 whole = false;
                 told.accept(last + " can't be read (" + broken.getMessage() + "); it is set aside as "
@@ -95,7 +95,7 @@
             }
         }
         if (newest == null) {
-            newest = Segment.write(Segment.file(folder, next));
+            newest = LogSegment.write(LogSegment.file(folder, next));
         }
     }
 
@@ -110,7 +110,7 @@
     }
 
     /** Keeps entries, all or none; they are on disk when it returns. */
-    public void append(List<Entry> entries) throws IOException {
+    public void append(List<LogEntry> entries) throws IOException {
         if (entries.isEmpty()) {
             return;
         }
@@ -118,9 +118,9 @@
         if (begunAt == 0) {
             begunAt = now;
         }
-        if (Segment.bytes(newest.file) > keeping.segmentBytes() || now - begunAt > keeping.segmentMillis()) {
-            Segment full = newest;
-            newest = Segment.write(Segment.file(folder, next));
+        if (LogSegment.bytes(newest.file) > keeping.segmentBytes() || now - begunAt > keeping.segmentMillis()) {
+            LogSegment full = newest;
+            newest = LogSegment.write(LogSegment.file(folder, next));
             begunAt = now;
             full.close();
         }
@@ -135,8 +135,8 @@
      * another: a clock that jumps ahead by a year must not let all go.
      */
     public int retain() throws IOException {
-        List<Path> segments = Archive.segments(folder);
-        long all = segments.stream().mapToLong(Segment::bytes).sum();
+        List<Path> segments = EventLogReader.segments(folder);
+        long all = segments.stream().mapToLong(LogSegment::bytes).sum();
         long[] ages = new long[segments.size()];
         long after = newest.until();
         for (int i = segments.size() - 2; i >= 0; i--) {
@@ -146,15 +146,15 @@
         }
         int gone = 0;
         while (gone < segments.size() - 2 && (all > keeping.allBytes() || ages[gone] > keeping.allMillis())) {
-            all -= Segment.bytes(segments.get(gone));
-            Segment.delete(segments.get(gone++));
+            all -= LogSegment.bytes(segments.get(gone));
+            LogSegment.delete(segments.get(gone++));
         }
         return gone;
     }
 
     /** A file that can't be read is judged by its neighbour. */
     private static long until(Path segment, long otherwise) {
-        try (Segment read = Segment.read(segment)) {
+        try (LogSegment read = LogSegment.read(segment)) {
             return read.until();
         } catch (IOException broken) {
             return otherwise;
@@ -173,16 +173,16 @@
         long before = 0;
         long after = 0;
         long details = 0;
-        for (Path segment : Archive.segments(folder)) {
+        for (Path segment : EventLogReader.segments(folder)) {
             if (files >= most || segment.equals(newest.file)) {
                 break;
             }
             long left = detailsOlderThan(segment, until - keeping.detailMillis());
             if (left > 0) {
                 files++;
-                before += Segment.bytes(segment);
+                before += LogSegment.bytes(segment);
                 rewrite(segment, until - keeping.detailMillis());
-                after += Segment.bytes(segment);
+                after += LogSegment.bytes(segment);
                 details += left;
             }
         }
@@ -191,11 +191,11 @@
 
     private static long detailsOlderThan(Path file, long moment) throws IOException {
         long[] details = {0};
-        try (Segment segment = Segment.read(file)) {
+        try (LogSegment segment = LogSegment.read(file)) {
             if (segment.until() < moment) {
                 segment.batches(batch -> {
                     if (batch.damage().isEmpty()) {
-                        details[0] += Batch.decode(batch.bytes()).stream()
+                        details[0] += LogBatch.decode(batch.bytes()).stream()
                                 .filter(row -> row.entry().kind().detail())
                                 .count();
                     }
@@ -207,9 +207,9 @@
 
     private static void rewrite(Path file, long moment) throws IOException {
         Path beside = file.resolveSibling(file.getFileName().toString().replace(".db", ".new"));
-        Segment.delete(beside);
-        try (Segment from = Segment.read(file);
-                Segment to = Segment.write(beside)) {
+        LogSegment.delete(beside);
+        try (LogSegment from = LogSegment.read(file);
+                LogSegment to = LogSegment.write(beside)) {
             to.together(true);
             from.batches(batch -> {
                 if (!batch.damage().isEmpty()) {
@@ -217,13 +217,13 @@
                     to.put(batch, moment);
                     return;
                 }
-                List<Batch.Row> kept = new ArrayList<>(Batch.decode(batch.bytes()));
+                List<LogBatch.Row> kept = new ArrayList<>(LogBatch.decode(batch.bytes()));
                 long until = kept.isEmpty()
                         ? moment
                         : kept.get(kept.size() - 1).entry().at();
                 kept.removeIf(row -> row.entry().kind().detail() && row.entry().at() < moment);
-                byte[] bytes = Batch.encode(kept);
-                to.put(new Segment.Stored(batch.first(), batch.count(), Batch.sum(bytes), bytes), until);
+                byte[] bytes = LogBatch.encode(kept);
+                to.put(new LogSegment.Stored(batch.first(), batch.count(), LogBatch.sum(bytes), bytes), until);
             });
             to.together(false);
         }
--- a/records/src/main/java/pearladder/records/Cursor.java
+++ b/records/src/main/java/pearladder/records/EventLogCursor.java
@@ -6,20 +6,20 @@
 import java.util.Deque;
 
 /** Reads a folder's entries one by one, in the order written, a batch at a time; damaged batches are passed over. */
-public final class Cursor implements AutoCloseable {
+public final class EventLogCursor implements AutoCloseable {
     private final Deque<Path> files;
-    private final Deque<Entry> entries = new ArrayDeque<>();
-    private Segment segment;
+    private final Deque<LogEntry> entries = new ArrayDeque<>();
+    private LogSegment segment;
     private long after;
 
     /** @throws IOException where there is no such folder */
-    public Cursor(Path folder) throws IOException {
-        new Archive(folder);
-        this.files = new ArrayDeque<>(Archive.segments(folder));
+    public EventLogCursor(Path folder) throws IOException {
+        new EventLogReader(folder);
+        this.files = new ArrayDeque<>(EventLogReader.segments(folder));
     }
 
     /** The next entry, or null once there is none. */
-    public Entry next() throws IOException {
+    public LogEntry next() throws IOException {
         while (entries.isEmpty()) {
             if (segment == null) {
                 Path file = files.poll();
@@ -29,7 +29,7 @@
                 open(file);
                 continue;
             }
-            Segment.Stored batch = segment.after(after);
+            LogSegment.Stored batch = segment.after(after);
             if (batch == null) {
                 segment.close();
                 segment = null;
@@ -37,7 +37,7 @@
             }
             after = batch.first();
             if (batch.damage().isEmpty()) {
-                Batch.decode(batch.bytes()).forEach(row -> entries.add(row.entry()));
+                LogBatch.decode(batch.bytes()).forEach(row -> entries.add(row.entry()));
             }
         }
         return entries.poll();
@@ -45,9 +45,9 @@
 
     private void open(Path file) throws IOException {
         try {
-            segment = Segment.read(file);
-            after = Segment.first(file) - 1;
-        } catch (NewerFormat unread) {
+            segment = LogSegment.read(file);
+            after = LogSegment.first(file) - 1;
+        } catch (UnsupportedFormatException unread) {
             throw unread;
         } catch (IOException damaged) {
             // its entries are lost; verify tells of it
--- a/records/src/main/java/pearladder/records/Archive.java
+++ b/records/src/main/java/pearladder/records/EventLogReader.java
@@ -9,10 +9,10 @@
 import java.util.stream.Stream;
 
 /** What stands in a folder of records, read beside its writer or alone. */
-public final class Archive {
+public final class EventLogReader {
     /** Gets entries in the order written. */
     public interface Taker {
-        void take(long number, Entry entry) throws IOException;
+        void take(long number, LogEntry entry) throws IOException;
     }
 
     /**
@@ -25,7 +25,7 @@
     private final Path folder;
 
     /** @throws IOException where there is no such folder */
-    public Archive(Path folder) throws IOException {
+    public EventLogReader(Path folder) throws IOException {
         if (!Files.isDirectory(folder)) {
             throw new IOException(
                     folder + ": no folder of records is there; it is \"records\" in a router's data folder");
@@ -55,13 +55,13 @@
     public void read(long from, Taker taker) throws IOException {
         List<Path> segments = segments(folder);
         for (int i = 0; i < segments.size(); i++) {
-            if (i + 1 < segments.size() && Segment.first(segments.get(i + 1)) <= from) {
+            if (i + 1 < segments.size() && LogSegment.first(segments.get(i + 1)) <= from) {
                 continue;
             }
-            Segment segment;
+            LogSegment segment;
             try {
-                segment = Segment.read(segments.get(i));
-            } catch (NewerFormat unread) {
+                segment = LogSegment.read(segments.get(i));
+            } catch (UnsupportedFormatException unread) {
                 throw unread;
             } catch (IOException damaged) {
                 continue;
@@ -69,7 +69,7 @@
             try (segment) {
                 segment.batches(from, batch -> {
                     if (batch.first() + batch.count() > from && batch.damage().isEmpty()) {
-                        for (Batch.Row row : Batch.decode(batch.bytes())) {
+                        for (LogBatch.Row row : LogBatch.decode(batch.bytes())) {
                             taker.take(batch.first() + row.place(), row.entry());
                         }
                     }
@@ -79,7 +79,7 @@
     }
 
     /** Entries of a span of the wall clock that are looked for. */
-    public void find(long fromMillis, long toMillis, Predicate<Entry> wanted, Taker taker) throws IOException {
+    public void find(long fromMillis, long toMillis, Predicate<LogEntry> wanted, Taker taker) throws IOException {
         read(0, (number, entry) -> {
             if (entry.at() >= fromMillis && entry.at() < toMillis && wanted.test(entry)) {
                 taker.take(number, entry);
@@ -97,13 +97,13 @@
         }
         long[] expected = {-1};
         for (Path file : segments) {
-            counts[2] += Segment.bytes(file);
-            if (expected[0] >= 0 && Segment.first(file) != expected[0]) {
-                damage.add(file.getFileName() + ": begins at entry " + Segment.first(file) + " where " + expected[0]
+            counts[2] += LogSegment.bytes(file);
+            if (expected[0] >= 0 && LogSegment.first(file) != expected[0]) {
+                damage.add(file.getFileName() + ": begins at entry " + LogSegment.first(file) + " where " + expected[0]
                         + " would follow");
             }
-            expected[0] = Segment.first(file);
-            try (Segment segment = Segment.read(file)) {
+            expected[0] = LogSegment.first(file);
+            try (LogSegment segment = LogSegment.read(file)) {
                 segment.structure(what -> damage.add(file.getFileName() + ": " + what));
                 segment.batches(batch -> {
                     counts[0]++;
--- a/records/src/main/java/pearladder/records/Batch.java
+++ b/records/src/main/java/pearladder/records/LogBatch.java
@@ -16,16 +16,16 @@
 import java.util.zip.InflaterInputStream;
 
 /** Entries as bytes: CBOR rows, deflated. The engine's, model's and account's names repeat, so that little is left of them. */
-final class Batch {
+final class LogBatch {
     /** An entry with its place in its batch, which outlives a compaction. */
-    record Row(int place, Entry entry) {}
+    record Row(int place, LogEntry entry) {}
 
     private static final CBORFactory CBOR = new CBORFactory();
     private static final int LARGEST = 64 << 20;
 
-    private Batch() {}
+    private LogBatch() {}
 
-    static List<Row> rows(List<Entry> entries) {
+    static List<Row> rows(List<LogEntry> entries) {
         return IntStream.range(0, entries.size())
                 .mapToObj(i -> new Row(i, entries.get(i)))
                 .toList();
@@ -38,7 +38,7 @@
                 JsonGenerator rows = CBOR.createGenerator(packed)) {
             rows.writeStartArray();
             for (Row row : batch) {
-                Entry entry = row.entry();
+                LogEntry entry = row.entry();
                 rows.writeStartArray();
                 rows.writeNumber(row.place());
                 rows.writeNumber(entry.at());
@@ -68,10 +68,10 @@
             while (rows.nextToken() == JsonToken.START_ARRAY) {
                 int place = rows.nextIntValue(0);
                 long at = rows.nextLongValue(0);
-                Kind kind = Kind.of(rows.nextIntValue(0));
-                Entry entry = new Entry(
+                LogEntryType kind = LogEntryType.of(rows.nextIntValue(0));
+                LogEntry entry = new LogEntry(
                         at,
-                        kind == null ? Kind.DROPPED : kind,
+                        kind == null ? LogEntryType.DROPPED : kind,
                         text(rows),
                         text(rows),
                         text(rows),
--- a/records/src/main/java/pearladder/records/Entry.java
+++ b/records/src/main/java/pearladder/records/LogEntry.java
@@ -7,9 +7,9 @@
  * @param amount by the kind
  * @param took microseconds
  */
-public record Entry(
+public record LogEntry(
         long at,
-        Kind kind,
+        LogEntryType kind,
         String call,
         String model,
         String account,
@@ -18,8 +18,8 @@
         long amount,
         long took) {
     /** Without a call. */
-    public static Entry of(
-            long at, Kind kind, String model, String account, String engine, String note, long amount, long took) {
-        return new Entry(at, kind, "", model, account, engine, note, amount, took);
+    public static LogEntry of(
+            long at, LogEntryType kind, String model, String account, String engine, String note, long amount, long took) {
+        return new LogEntry(at, kind, "", model, account, engine, note, amount, took);
     }
 }
--- a/records/src/main/java/pearladder/records/Kind.java
+++ b/records/src/main/java/pearladder/records/LogEntryType.java
@@ -1,7 +1,7 @@
 package pearladder.records;
 
 /** What an entry tells. The code stands in files and never changes; a detail may be left out where the disk is slow. */
-public enum Kind {
+public enum LogEntryType {
     /** A router's life began; note: its name; amount: for how many milliseconds idle copies are kept. */
     STARTED(1, false),
     /** It ended in order. */
@@ -32,7 +32,7 @@
     final int code;
     private final boolean detail;
 
-    Kind(int code, boolean detail) {
+    LogEntryType(int code, boolean detail) {
         this.code = code;
         this.detail = detail;
     }
@@ -42,8 +42,8 @@
         return detail;
     }
 
-    static Kind of(int code) {
-        for (Kind kind : values()) {
+    static LogEntryType of(int code) {
+        for (LogEntryType kind : values()) {
             if (kind.code == code) {
                 return kind;
             }
--- a/records/src/main/java/pearladder/records/Segment.java
+++ b/records/src/main/java/pearladder/records/LogSegment.java
@@ -15,7 +15,7 @@
 import org.sqlite.JDBC;
 
 /** One file of records: batches by the number of their first entry. */
-final class Segment implements AutoCloseable {
+final class LogSegment implements AutoCloseable {
     /** The format that this build writes; it reads this one and older ones. */
     static final int FORMAT = 1;
 
@@ -25,11 +25,11 @@
     record Stored(long first, int count, long sum, byte[] bytes) {
         /** What is wrong with it, or empty. */
         String damage() {
-            if (Batch.sum(bytes) != sum) {
+            if (LogBatch.sum(bytes) != sum) {
                 return "its checksum is another one";
             }
             try {
-                return Batch.decode(bytes).size() <= count ? "" : "it holds more entries than it says";
+                return LogBatch.decode(bytes).size() <= count ? "" : "it holds more entries than it says";
             } catch (IOException unreadable) {
                 return unreadable.getMessage();
             }
@@ -43,7 +43,7 @@
     final Path file;
     private final Connection connection;
 
-    private Segment(Path file, Connection connection) {
+    private LogSegment(Path file, Connection connection) {
         this.file = file;
         this.connection = connection;
     }
@@ -59,12 +59,12 @@
     }
 
     /** Opens for writing, new or as it was left; what was acknowledged before a crash is there. */
-    static Segment write(Path file) throws IOException {
+    static LogSegment write(Path file) throws IOException {
         Properties terms = new Properties();
         // A commit is on disk when it returns. The log is folded into the file now and then, each time with a sync.
         terms.setProperty("journal_mode", "WAL");
         terms.setProperty("synchronous", "FULL");
-        Segment segment = new Segment(file, connect("jdbc:sqlite:" + file, terms, file));
+        LogSegment segment = new LogSegment(file, connect("jdbc:sqlite:" + file, terms, file));
         try (Statement made = segment.connection.createStatement()) {
             made.execute("create table if not exists meta(name text primary key, value integer) without rowid");
             made.execute(
@@ -80,17 +80,17 @@
     }
 
     /** Opens for reading, beside a writer or alone, on a disk that may be read-only. */
-    static Segment read(Path file) throws IOException {
+    static LogSegment read(Path file) throws IOException {
         Properties terms = new Properties();
         terms.setProperty("open_mode", "1");
-        Segment segment = new Segment(file, connect("jdbc:sqlite:" + file, terms, file));
+        LogSegment segment = new LogSegment(file, connect("jdbc:sqlite:" + file, terms, file));
         try {
             segment.checkFormat();
             return segment;
         } catch (SQLException alone) {
             segment.close();
         }
-        Segment still = new Segment(
+        LogSegment still = new LogSegment(
                 file, connect("jdbc:sqlite:file:" + file.toAbsolutePath() + "?immutable=1", new Properties(), file));
         try {
             still.checkFormat();
@@ -116,16 +116,16 @@
             int format = found.next() ? found.getInt(1) : 0;
             if (format > FORMAT || format < 1) {
                 close();
-                throw new NewerFormat(file, format);
+                throw new UnsupportedFormatException(file, format);
             }
         }
     }
 
     /** Adds a batch; it is on disk when this returns. */
-    void append(long first, List<Entry> entries) throws IOException {
-        byte[] bytes = Batch.encode(Batch.rows(entries));
+    void append(long first, List<LogEntry> entries) throws IOException {
+        byte[] bytes = LogBatch.encode(LogBatch.rows(entries));
         put(
-                new Stored(first, entries.size(), Batch.sum(bytes), bytes),
+                new Stored(first, entries.size(), LogBatch.sum(bytes), bytes),
                 entries.get(entries.size() - 1).at());
     }
 
--- a/records/src/test/java/pearladder/metering/MeteringTest.java
+++ b/records/src/test/java/pearladder/metering/MeteringTest.java
@@ -10,11 +10,11 @@
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.records.Entry;
-import pearladder.records.Keeping;
-import pearladder.records.Kind;
-import pearladder.records.Records;
-import pearladder.usage.Share;
+import pearladder.records.LogEntry;
+import pearladder.records.RetentionSettings;
+import pearladder.records.LogEntryType;
+import pearladder.records.EventLog;
+import pearladder.usage.UsageShare;
 
 class MeteringTest {
     /** A whole minute of the wall clock. */
@@ -23,20 +23,20 @@
     @TempDir
     private Path folder;
 
-    private Path router(String name, Entry... entries) throws IOException {
+    private Path router(String name, LogEntry... entries) throws IOException {
         Path records = folder.resolve(name);
-        try (Records kept = Records.open(records, Keeping.USUAL, text -> {})) {
-            kept.append(List.of(entry(0, Kind.STARTED, "", "", "", name, 10_000)));
-            for (Entry entry : entries) {
+        try (EventLog kept = EventLog.open(records, RetentionSettings.USUAL, text -> {})) {
+            kept.append(List.of(entry(0, LogEntryType.STARTED, "", "", "", name, 10_000)));
+            for (LogEntry entry : entries) {
                 kept.append(List.of(entry));
             }
         }
         return records;
     }
 
-    private static Entry entry(
-            long seconds, Kind kind, String model, String account, String engine, String note, long amount) {
-        return Entry.of(NOON + seconds * 1000, kind, model, account, engine, note, amount, 0);
+    private static LogEntry entry(
+            long seconds, LogEntryType kind, String model, String account, String engine, String note, long amount) {
+        return LogEntry.of(NOON + seconds * 1000, kind, model, account, engine, note, amount, 0);
     }
 
     private static Map<String, Long> byAccount(List<Path> folders) throws IOException {
@@ -57,15 +57,15 @@
     void aModelThatServesTwoAccountsThroughTwoRoutersIsSplitAsByHand() throws IOException {
         Path one = router(
                 "r1",
-                entry(0, Kind.MODEL, "m", "", "", "", 400),
-                Entry.of(NOON + 5_000, Kind.LOADING, "m", "tender", "e1", "", 1, 15_000_000),
-                entry(20, Kind.WORK, "m", "tender", "e1", "", 2_000_000),
-                entry(30, Kind.WORK, "m", "tender", "e1", "", 500_000));
+                entry(0, LogEntryType.MODEL, "m", "", "", "", 400),
+                LogEntry.of(NOON + 5_000, LogEntryType.LOADING, "m", "tender", "e1", "", 1, 15_000_000),
+                entry(20, LogEntryType.WORK, "m", "tender", "e1", "", 2_000_000),
+                entry(30, LogEntryType.WORK, "m", "tender", "e1", "", 500_000));
         Path two = router(
                 "r2",
-                entry(2, Kind.MODEL, "m", "", "", "", 400),
-                entry(40, Kind.WORK, "m", "tender", "e1", "", 500_000),
-                entry(50, Kind.WORK, "m", "filing", "e1", "", 1_000_000));
+                entry(2, LogEntryType.MODEL, "m", "", "", "", 400),
+                entry(40, LogEntryType.WORK, "m", "tender", "e1", "", 500_000),
+                entry(50, LogEntryType.WORK, "m", "filing", "e1", "", 1_000_000));
         Map<String, Long> sums = byAccount(List.of(one, two));
         assertEquals(Map.of("filing", 5_500_000L, "tender", 16_500_000L), sums);
         assertEquals(sums, byAccount(List.of(two, one)), "in any order");
@@ -76,13 +76,13 @@
     void aDeathThatTheListTellsAndARestartEndWhatStood() throws IOException {
         Path one = router(
                 "r1",
-                entry(0, Kind.MODEL, "m", "", "", "", 100),
-                entry(1, Kind.ENGINE, "", "", "e1", "IN_SERVICE", NOON - 1),
-                entry(1, Kind.ENGINE, "", "", "e2", "IN_SERVICE", NOON - 1),
-                entry(2, Kind.LOADING, "m", "a", "e1", "", 1),
-                entry(2, Kind.LOADING, "m", "a", "e2", "", 1),
-                entry(5, Kind.ENGINE, "", "", "e1", "GONE", 0),
-                entry(7, Kind.ENGINE, "", "", "e2", "IN_SERVICE", NOON + 6_000));
+                entry(0, LogEntryType.MODEL, "m", "", "", "", 100),
+                entry(1, LogEntryType.ENGINE, "", "", "e1", "IN_SERVICE", NOON - 1),
+                entry(1, LogEntryType.ENGINE, "", "", "e2", "IN_SERVICE", NOON - 1),
+                entry(2, LogEntryType.LOADING, "m", "a", "e1", "", 1),
+                entry(2, LogEntryType.LOADING, "m", "a", "e2", "", 1),
+                entry(5, LogEntryType.ENGINE, "", "", "e1", "GONE", 0),
+                entry(7, LogEntryType.ENGINE, "", "", "e2", "IN_SERVICE", NOON + 6_000));
         assertEquals(Map.of("a", 100L * 3_000 + 100L * 4_000), byAccount(List.of(one)));
     }
 
@@ -91,19 +91,19 @@
     void aClockThatStepsBackIsTold() throws IOException {
         Path one = router(
                 "r1",
-                entry(0, Kind.MODEL, "m", "", "", "", 100),
-                entry(600, Kind.LOADING, "m", "a", "e1", "", 1),
-                entry(605, Kind.WORK, "m", "a", "e1", "", 9),
-                entry(1800, Kind.WORK, "m", "a", "e1", "", 9),
-                entry(-1800, Kind.WORK, "m", "a", "e1", "", 9));
-        List<Share> shares = new ArrayList<>();
+                entry(0, LogEntryType.MODEL, "m", "", "", "", 100),
+                entry(600, LogEntryType.LOADING, "m", "a", "e1", "", 1),
+                entry(605, LogEntryType.WORK, "m", "a", "e1", "", 9),
+                entry(1800, LogEntryType.WORK, "m", "a", "e1", "", 9),
+                entry(-1800, LogEntryType.WORK, "m", "a", "e1", "", 9));
+        List<UsageShare> shares = new ArrayList<>();
         Metering.Read read = Metering.read(List.of(one), shares::add);
         assertEquals(1, read.tooLate());
         assertEquals(
                 100L * 15_000,
                 shares.stream()
                         .filter(share -> share.from() < NOON + 700_000)
-                        .mapToLong(Share::amount)
+                        .mapToLong(UsageShare::amount)
                         .sum());
     }
 }
--- a/records/src/test/java/pearladder/records/RecordsTest.java
+++ b/records/src/test/java/pearladder/records/RecordsTest.java
@@ -20,15 +20,15 @@
 import org.sqlite.JDBC;
 
 class RecordsTest {
-    private static final Keeping SMALL = new Keeping(20_000, 1_000_000, 1L << 30, 1L << 40, 1000);
+    private static final RetentionSettings SMALL = new RetentionSettings(20_000, 1_000_000, 1L << 30, 1L << 40, 1000);
 
     @TempDir
     private Path folder;
 
-    private static Entry ended(long at, int number) {
-        return new Entry(
+    private static LogEntry ended(long at, int number) {
+        return new LogEntry(
                 at,
-                Kind.ENDED,
+                LogEntryType.ENDED,
                 "r1-" + number,
                 "pair-" + number % 7,
                 "tender",
@@ -38,25 +38,25 @@
                 number * 10L);
     }
 
-    private static Entry leg(long at, int number) {
-        return new Entry(
-                at, Kind.LEG, "r1-" + number, "pair-" + number % 7, "", "engine-" + number % 5, "SUCCESS", 0, 5);
+    private static LogEntry leg(long at, int number) {
+        return new LogEntry(
+                at, LogEntryType.LEG, "r1-" + number, "pair-" + number % 7, "", "engine-" + number % 5, "SUCCESS", 0, 5);
     }
 
-    private Records open(Keeping keeping) throws IOException {
-        return Records.open(folder, keeping, text -> {});
+    private EventLog open(RetentionSettings keeping) throws IOException {
+        return EventLog.open(folder, keeping, text -> {});
     }
 
-    private static List<Entry> all(Path folder) throws IOException {
-        List<Entry> entries = new ArrayList<>();
-        new Archive(folder).read(0, (number, entry) -> entries.add(entry));
+    private static List<LogEntry> all(Path folder) throws IOException {
+        List<LogEntry> entries = new ArrayList<>();
+        new EventLogReader(folder).read(0, (number, entry) -> entries.add(entry));
         return entries;
     }
 
     /** What stands on disk now, as a kill would leave it: the files are copied while they are open. */
     private static void copy(Path from, Path to) throws IOException {
         Files.createDirectories(to);
-        for (Path file : Archive.files(from, "records-.*")) {
+        for (Path file : EventLogReader.files(from, "records-.*")) {
             if (!file.toString().endsWith("-shm")) {
                 Files.copy(file, to.resolve(file.getFileName()), StandardCopyOption.REPLACE_EXISTING);
             }
@@ -67,10 +67,10 @@
     void whatWasAcknowledgedOutlivesAKillAtAnyMomentWithTheTailCutAnywhereBeyondIt() throws IOException {
         Random random = new Random(7);
         Path source = folder.resolve("source");
-        List<Entry> kept = new ArrayList<>();
-        try (Records records = Records.open(source, SMALL, text -> {})) {
+        List<LogEntry> kept = new ArrayList<>();
+        try (EventLog records = EventLog.open(source, SMALL, text -> {})) {
             for (int round = 0; round < 40; round++) {
-                List<Entry> batch = new ArrayList<>();
+                List<LogEntry> batch = new ArrayList<>();
                 for (int i = random.nextInt(8); i >= 0; i--) {
                     batch.add(
                             random.nextBoolean()
@@ -83,7 +83,7 @@
                 records.append(batch);
                 copy(source, after);
                 // killed while the batch was being written: any part of what this batch added may be there
-                List<Path> logs = Archive.files(after, "records-.*-wal");
+                List<Path> logs = EventLogReader.files(after, "records-.*-wal");
                 Path log = logs.get(logs.size() - 1);
                 Path old = before.resolve(log.getFileName());
                 long had = Files.exists(old) ? Files.size(old) : 0;
@@ -94,10 +94,10 @@
                         cut.setLength(had + (long) (random.nextDouble() * (has - had)));
                     }
                 }
-                List<Entry> both = new ArrayList<>(kept);
+                List<LogEntry> both = new ArrayList<>(kept);
                 both.addAll(batch);
-                try (Records again = Records.open(after, SMALL, text -> {})) {
-                    List<Entry> found = all(after);
+                try (EventLog again = EventLog.open(after, SMALL, text -> {})) {
+                    List<LogEntry> found = all(after);
                     assertTrue(
                             found.equals(kept) || found.equals(both),
                             "round " + round + ": " + found.size() + " entries of " + kept.size() + " acknowledged");
@@ -105,7 +105,7 @@
                     again.append(List.of(ended(5000, 1)));
                     assertEquals(found.size() + 1, all(after).size());
                 }
-                assertEquals(List.of(), new Archive(after).verify().damage());
+                assertEquals(List.of(), new EventLogReader(after).verify().damage());
                 kept = both;
             }
         }
@@ -114,25 +114,25 @@
 
     @Test
     void filesFollowOneAnotherAndTheOldestGo() throws IOException {
-        Keeping keeping = new Keeping(20_000, 1000, 60_000, 100_000, 1000);
-        try (Records records = open(keeping)) {
+        RetentionSettings keeping = new RetentionSettings(20_000, 1000, 60_000, 100_000, 1000);
+        try (EventLog records = open(keeping)) {
             for (int i = 0; i < 40; i++) {
                 records.append(List.of(ended(i * 600L, i)));
             }
-            int files = Archive.segments(folder).size();
+            int files = EventLogReader.segments(folder).size();
             assertTrue(files > 10, files + " files");
             assertEquals(40, all(folder).size());
             assertTrue(records.retain() > 0);
-            List<Entry> left = all(folder);
+            List<LogEntry> left = all(folder);
             assertTrue(left.size() < 40 && !left.isEmpty());
             assertEquals(39, left.get(left.size() - 1).amount());
-            assertEquals(List.of(), new Archive(folder).verify().damage());
+            assertEquals(List.of(), new EventLogReader(folder).verify().damage());
         }
     }
 
     @Test
     void aClockThatJumpsAheadAYearLetsNothingGo() throws IOException {
-        try (Records records = open(new Keeping(1L << 30, 1000, 1L << 30, 60_000, 1000))) {
+        try (EventLog records = open(new RetentionSettings(1L << 30, 1000, 1L << 30, 60_000, 1000))) {
             for (int i = 0; i < 8; i++) {
                 records.append(List.of(ended(i * 1100L, i)));
             }
@@ -145,40 +145,40 @@
 
     @Test
     void aCompactionTakesOnlyOldDetailsAndOneThatWasKilledChangesNothing() throws IOException {
-        Keeping keeping = new Keeping(1L << 30, 1000, 1L << 30, 1L << 40, 2000);
-        try (Records records = open(keeping)) {
+        RetentionSettings keeping = new RetentionSettings(1L << 30, 1000, 1L << 30, 1L << 40, 2000);
+        try (EventLog records = open(keeping)) {
             for (int i = 0; i < 10; i++) {
                 records.append(List.of(ended(i * 600L, i), leg(i * 600L, i)));
             }
-            List<Entry> before = all(folder);
+            List<LogEntry> before = all(folder);
             Files.write(folder.resolve("records-0000000000000001.new"), new byte[100]);
-            Records.Compacted done = records.compact(100);
+            EventLog.Compacted done = records.compact(100);
             assertTrue(done.details() > 0);
-            List<Entry> after = all(folder);
+            List<LogEntry> after = all(folder);
             assertEquals(
                     before.stream().filter(entry -> !entry.kind().detail()).toList(),
                     after.stream().filter(entry -> !entry.kind().detail()).toList());
             assertTrue(after.stream().anyMatch(entry -> entry.kind().detail()), "young details stay");
             assertEquals(20 - done.details(), after.size());
             List<Long> numbers = new ArrayList<>();
-            new Archive(folder).read(0, (number, entry) -> {
+            new EventLogReader(folder).read(0, (number, entry) -> {
                 numbers.add(number);
-                assertEquals(number % 2 == 1 ? Kind.ENDED : Kind.LEG, entry.kind(), "a number outlives the compaction");
+                assertEquals(number % 2 == 1 ? LogEntryType.ENDED : LogEntryType.LEG, entry.kind(), "a number outlives the compaction");
             });
             assertEquals(20, numbers.get(numbers.size() - 1));
             assertEquals(0, records.compact(100).files());
         }
         Files.write(folder.resolve("records-0000000000000001.new"), new byte[100]);
-        try (Records records = open(keeping)) {
+        try (EventLog records = open(keeping)) {
             assertEquals(21, records.next());
         }
-        assertEquals(List.of(), Archive.files(folder, ".*\\.new"));
-        assertEquals(List.of(), new Archive(folder).verify().damage());
+        assertEquals(List.of(), EventLogReader.files(folder, ".*\\.new"));
+        assertEquals(List.of(), new EventLogReader(folder).verify().damage());
     }
 
     @Test
     void aSecondWriterIsRefused() throws IOException {
-        try (Records records = open(SMALL)) {
+        try (EventLog records = open(SMALL)) {
             records.append(List.of(ended(1, 1)));
             assertTrue(assertThrows(IOException.class, () -> open(SMALL))
                     .getMessage()
@@ -189,10 +189,10 @@
 
     @Test
     void aNewerFormatIsRefusedAndNothingIsTouched() throws Exception {
-        try (Records records = open(SMALL)) {
+        try (EventLog records = open(SMALL)) {
             records.append(List.of(ended(1, 1)));
         }
-        Path file = Archive.segments(folder).get(0);
+        Path file = EventLogReader.segments(folder).get(0);
         try (Connection other = JDBC.createConnection("jdbc:sqlite:" + file, new Properties());
                 Statement newer = other.createStatement()) {
             newer.execute("update meta set value = 2");
@@ -207,19 +207,19 @@
 
     @Test
     void aDamagedBatchIsNamedAndTheOthersAreRead() throws Exception {
-        try (Records records = open(Keeping.USUAL)) {
+        try (EventLog records = open(RetentionSettings.USUAL)) {
             for (int i = 0; i < 5; i++) {
                 records.append(List.of(ended(i, i), ended(i, i)));
             }
         }
         try (Connection other = JDBC.createConnection(
-                        "jdbc:sqlite:" + Archive.segments(folder).get(0), new Properties());
+                        "jdbc:sqlite:" + EventLogReader.segments(folder).get(0), new Properties());
                 Statement flip = other.createStatement()) {
             flip.execute("update batch set bytes = zeroblob(length(bytes)) where first = 5");
             flip.execute("delete from batch where first = 7");
         }
         assertEquals(6, all(folder).size());
-        List<String> damage = new Archive(folder).verify().damage();
+        List<String> damage = new EventLogReader(folder).verify().damage();
         assertEquals(2, damage.size());
         assertTrue(damage.get(0).contains("entries 5 to 6: its checksum is another one"), damage.get(0));
         assertTrue(damage.get(1).contains("entries 7 to 8 are missing"), damage.get(1));
@@ -227,17 +227,17 @@
 
     @Test
     void aFileThatCantBeReadIsSetAsideAndTheRouterWritesOn() throws IOException {
-        try (Records records = open(SMALL)) {
+        try (EventLog records = open(SMALL)) {
             records.append(List.of(ended(1, 1), ended(2, 2)));
         }
-        Path file = Archive.segments(folder).get(0);
+        Path file = EventLogReader.segments(folder).get(0);
         Files.write(file, new byte[8192]);
         List<String> told = new ArrayList<>();
-        try (Records records = Records.open(folder, SMALL, told::add)) {
+        try (EventLog records = EventLog.open(folder, SMALL, told::add)) {
             records.append(List.of(ended(3, 3)));
         }
         assertEquals(1, told.size());
         assertEquals(List.of(ended(3, 3)), all(folder));
-        assertTrue(new Archive(folder).verify().damage().get(0).contains("set aside"));
+        assertTrue(new EventLogReader(folder).verify().damage().get(0).contains("set aside"));
     }
 }
--- a/rehearsal/src/main/java/pearladder/rehearsal/Life.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Life.java
@@ -5,38 +5,38 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import pearladder.api.Dispatcher;
+import pearladder.api.RoutingPolicy;
 import pearladder.api.Event;
-import pearladder.api.Facts;
-import pearladder.api.Moment;
+import pearladder.api.RoutingSettings;
+import pearladder.api.MonotonicTime;
 import pearladder.api.Outcome;
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 import pearladder.emulator.Roll;
 import pearladder.emulator.Timeline;
-import pearladder.kserve.FinalState;
-import pearladder.kserve.ListLine;
+import pearladder.kserve.RequestOutcome;
+import pearladder.kserve.DiscoveryMessage;
 import pearladder.lab.Clients;
-import pearladder.release.Target;
-import pearladder.router.core.Articles;
-import pearladder.router.core.Calls;
-import pearladder.router.core.Chronicle;
-import pearladder.router.core.EngineList;
-import pearladder.router.core.EngineSaid;
-import pearladder.router.core.OpenCall;
-import pearladder.router.core.OpenLeg;
-import pearladder.router.core.Recall;
-import pearladder.router.core.ReleaseDesk;
-import pearladder.router.core.Reply;
-import pearladder.router.core.Tally;
+import pearladder.release.RolloutTarget;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.RequestManager;
+import pearladder.router.core.EventListener;
+import pearladder.router.core.EndpointList;
+import pearladder.router.core.WorkerResponse;
+import pearladder.router.core.ActiveRequest;
+import pearladder.router.core.ActiveAttempt;
+import pearladder.router.core.SnapshotLoader;
+import pearladder.router.core.RolloutManager;
+import pearladder.router.core.ResponseHandler;
+import pearladder.router.core.RouterMetrics;
 import pearladder.router.core.Timers;
 
 /** One router from its start to its death: the router's own code on the virtual clock and network. */
-final class Life implements Timers, Tally {
+final class Life implements Timers, RouterMetrics {
     /** One client's try at this router, and where its answer goes. */
-    final class Carried implements Reply, Clients.Wire.Out {
+    final class Carried implements ResponseHandler, Clients.Wire.Out {
         private final Clients.Request request;
         private final Clients.Heard heard;
-        private OpenCall call;
+        private ActiveRequest call;
         private String version = "";
         private boolean over;
 
@@ -51,21 +51,21 @@
         }
 
         @Override
-        public void settled(EngineSaid said) {
-            answer(FinalState.SETTLED, FinalState.SETTLED.status, 0);
+        public void succeeded(WorkerResponse said) {
+            answer(RequestOutcome.SETTLED, RequestOutcome.SETTLED.status, 0);
         }
 
         @Override
-        public void dismissed(Span retryAfter) {
-            answer(FinalState.DISMISSED, FinalState.DISMISSED.status, retryAfter.inMillis() * 1_000_000);
+        public void rejected(TimeSpan retryAfter) {
+            answer(RequestOutcome.DISMISSED, RequestOutcome.DISMISSED.status, retryAfter.toMillis() * 1_000_000);
         }
 
         @Override
-        public void terminated() {
-            answer(FinalState.TERMINATED, FinalState.TERMINATED.status, 0);
+        public void failed() {
+            answer(RequestOutcome.TERMINATED, RequestOutcome.TERMINATED.status, 0);
         }
 
-        void answer(FinalState state, int status, long wait) {
+        void answer(RequestOutcome state, int status, long wait) {
             if (!over) {
                 over = true;
                 open.remove(this);
@@ -86,26 +86,26 @@
                         over = true;
                         open.remove(this);
                         if (call != null) {
-                            calls.left(call);
+                            calls.clientDisconnected(call);
                         }
                     }));
         }
     }
 
     /** What a router's records keep that its next life asks for: here only the orders, each safe after the gathering time. */
-    private final class Kept implements Chronicle {
+    private final class Kept implements EventListener {
         @Override
-        public void ended(OpenCall ended, String how, Span took) {
+        public void onRequestEnded(ActiveRequest ended, String how, TimeSpan took) {
             // the tape has it
         }
 
         @Override
-        public void legEnded(OpenLeg leg, Outcome outcome, EngineSaid said, Span took) {
+        public void onAttemptEnded(ActiveAttempt leg, Outcome outcome, WorkerResponse said, TimeSpan took) {
             // the tape has it
         }
 
         @Override
-        public void ordering(String engine, String function, int copies, Consumer<String> answer) {
+        public void beforeLoadRequest(String engine, String function, int copies, Consumer<String> answer) {
             after(KEPT_AFTER, () -> {
                 station.ordered(time.now());
                 answer.accept("");
@@ -113,7 +113,7 @@
         }
 
         @Override
-        public void ordered(String engine, String function, Outcome outcome, int copies, Span took) {
+        public void onLoadRequestEnded(String engine, String function, Outcome outcome, int copies, TimeSpan took) {
             // the tape has it
         }
     }
@@ -123,17 +123,17 @@
 
     private static final long SNAPSHOT = 1_000_000_000L;
 
-    private final Dispatcher module;
+    private final RoutingPolicy module;
     private final Station station;
     private final Consumer<String> logged;
     private final Timeline time;
-    private final Articles articles;
+    private final RouterConfig articles;
     private final VirtualFleet fleet;
     private final long delay;
     private final VirtualEngines engines;
-    private final EngineList list;
-    private final Calls calls;
-    private final ReleaseDesk desk;
+    private final EndpointList list;
+    private final RequestManager calls;
+    private final RolloutManager desk;
     private final Set<Carried> open = new LinkedHashSet<>();
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
     private Roll.Watcher watcher;
@@ -148,11 +148,11 @@
     Life(
             Station station,
             Timeline time,
-            Articles articles,
+            RouterConfig articles,
             VirtualFleet fleet,
             long delay,
             Consumer<String> logged,
-            Dispatcher module,
+            RoutingPolicy module,
             Consumer<String> fell) {
         this.logged = logged;
         this.station = station;
@@ -162,25 +162,25 @@
         this.delay = delay;
         this.engines = new VirtualEngines(
                 this, articles.name(), delay, articles.connections().dial().nanos(), fell);
-        this.list = new EngineList(0, entry -> engines.came(entry.engine(), fleet.host(entry.engine())), engines::went);
+        this.list = new EndpointList(0, entry -> engines.came(entry.engine(), fleet.host(entry.engine())), engines::went);
         this.module = module;
-        this.calls = new Calls(
+        this.calls = new RequestManager(
                 articles.facts(),
                 this,
                 module,
                 engines,
                 this,
-                articles.records() == null ? Chronicle.NONE : new Kept());
-        this.desk = new ReleaseDesk(this, articles, station.journal(), calls::tell);
-        this.calls.standings(desk::standing);
+                articles.records() == null ? EventListener.NONE : new Kept());
+        this.desk = new RolloutManager(this, articles, station.journal(), calls::dispatch);
+        this.calls.onPrewarmProgress(desk::standing);
     }
 
     /** Begins as a router does: the last list, the journal, what others know, then the list service. */
     void begin() {
-        Event.Listed last = list.remembered(station.lastList());
-        calls.tell(last);
+        Event.EndpointsUpdated last = list.restore(station.lastList());
+        calls.dispatch(last);
         if (articles.records() != null) {
-            calls.tell(Recall.event(
+            calls.dispatch(SnapshotLoader.event(
                     articles.facts(),
                     station.known(),
                     station.knownFor(time.now()),
@@ -199,7 +199,7 @@
 
     private void snapshot() {
         after(SNAPSHOT, () -> {
-            station.remember(module.known(now()), time.now());
+            station.remember(module.snapshot(now()), time.now());
             snapshot();
         });
     }
@@ -211,23 +211,23 @@
         });
     }
 
-    List<Target> targets() {
+    List<RolloutTarget> targets() {
         return desk.targets();
     }
 
-    void order(List<Target> orders, Consumer<List<String>> answers) {
+    void order(List<RolloutTarget> orders, Consumer<List<String>> answers) {
         run(() -> desk.order(orders, answers));
     }
 
     // ---- time
 
     @Override
-    public Moment now() {
-        return new Moment(time.now() + ahead);
+    public MonotonicTime now() {
+        return new MonotonicTime(time.now() + ahead);
     }
 
     @Override
-    public Timer after(Span span, Runnable what) {
+    public Timer after(TimeSpan span, Runnable what) {
         Timeline.Planned planned = after(Timers.millis(span) * 1_000_000, what);
         return planned::callOff;
     }
@@ -286,26 +286,26 @@
 
     private void read(Carried carried) {
         Clients.Request request = carried.request;
-        Facts.Terms category = articles.category(request.terms().name());
-        Articles.ModelTerms terms = articles.modelOf(request.drawn().model());
+        RoutingSettings.RequestClass category = articles.category(request.terms().name());
+        RouterConfig.ModelTerms terms = articles.modelOf(request.drawn().model());
         if (carried.over) {
             return;
         }
         if (category == null || terms == null) {
             carried.answer(null, category == null ? 400 : 404, 0);
-        } else if (calls.size() >= articles.limits().openCalls()) {
-            carried.dismissed(articles.facts().allowances().longestRetryAfter());
+        } else if (calls.inFlight() >= articles.limits().openCalls()) {
+            carried.rejected(articles.facts().attemptLimits().maxRetryAfter());
         } else {
-            Span left = new Span(request.patience()).atMost(category.abandon());
+            TimeSpan left = new TimeSpan(request.patience()).atMost(category.deadline());
             String mark = request.mark().isEmpty() ? null : request.mark();
-            String account = articles.facts().accounts().isEmpty()
+            String account = articles.facts().tenants().isEmpty()
                     ? null
                     : request.drawn().account();
-            ReleaseDesk.Chosen chosen = desk.choose(
-                    new ReleaseDesk.Wish(request.id(), request.drawn().model(), null, null, account, mark));
+            RolloutManager.Chosen chosen = desk.choose(
+                    new RolloutManager.Wish(request.id(), request.drawn().model(), null, null, account, mark));
             carried.version = chosen.version();
-            carried.call = calls.take(
-                    new Calls.Asked(
+            carried.call = calls.accept(
+                    new RequestManager.ParsedRequest(
                             request.id(),
                             chosen.function(),
                             mark,
@@ -340,14 +340,14 @@
         });
     }
 
-    private void line(int mine, ListLine line) {
+    private void line(int mine, DiscoveryMessage line) {
         if (mine != attempt || !watching) {
             return;
         }
         heard(mine);
-        if (line.kind() != ListLine.Kind.BEAT) {
+        if (line.kind() != DiscoveryMessage.Kind.BEAT) {
             version = line.version();
-            calls.tell(list.follow(line));
+            calls.dispatch(list.apply(line));
             station.remember(list::whole);
         }
     }
@@ -374,38 +374,38 @@
             fleet.roll().leave(watcher);
             watcher = null;
         }
-        calls.tell(new Event.Listed(Event.ListKind.FAILED, List.of()));
+        calls.dispatch(new Event.EndpointsUpdated(Event.EndpointUpdateKind.FAILED, List.of()));
     }
 
     // ---- counts
 
     @Override
-    public void answered(FinalState state, long nanos) {
+    public void onResponse(RequestOutcome state, long nanos) {
         // the clients count answers
     }
 
     @Override
-    public void legEnded(Outcome outcome) {
+    public void onAttemptEnded(Outcome outcome) {
         // the tape has it
     }
 
     @Override
-    public void decided(long nanos) {
+    public void onDecision(long nanos) {
         station.decided(nanos);
     }
 
     @Override
-    public void modeChanged(String text) {
+    public void onModeChange(String text) {
         logged.accept(text);
     }
 
     @Override
-    public void clientLeft() {
+    public void onClientDisconnected() {
         // the tape has it
     }
 
     @Override
-    public void ordered() {
+    public void onLoadRequest() {
         // the tape has it
     }
 }
--- a/rehearsal/src/main/java/pearladder/rehearsal/Rehearsal.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Rehearsal.java
@@ -19,8 +19,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Consumer;
-import pearladder.api.Dispatcher;
-import pearladder.api.Facts;
+import pearladder.api.RoutingPolicy;
+import pearladder.api.RoutingSettings;
 import pearladder.emulator.Seen;
 import pearladder.emulator.VirtualTimeline;
 import pearladder.lab.Books;
@@ -34,16 +34,16 @@
 import pearladder.lab.Traffic;
 import pearladder.lab.Troubles;
 import pearladder.lab.VersionShares;
-import pearladder.release.Target;
-import pearladder.router.core.Articles;
-import pearladder.router.core.ArticlesReader;
-import pearladder.yaml.Yaml;
+import pearladder.release.RolloutTarget;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.RouterConfigParser;
+import pearladder.yaml.YamlParser;
 
 /** One day in virtual time, in one thread: the same script and seed give the same events, whatever the machine. */
 public final class Rehearsal {
     /** Makes the module's instance of a router. */
     public interface Maker {
-        Dispatcher make(long seed, Facts facts);
+        RoutingPolicy make(long seed, RoutingSettings facts);
     }
 
     /**
@@ -147,7 +147,7 @@
     public static Outcome play(
             JsonNode script, String name, TraceSource.Terms trace, Maker maker, Path out, PrintStream progress)
             throws IOException {
-        DayPlan plan = DayPlan.read(Yaml.read(name, YAML.writeValueAsString(script)));
+        DayPlan plan = DayPlan.read(YamlParser.read(name, YAML.writeValueAsString(script)));
         if (trace == null) {
             return new Rehearsal(script, plan, null, maker, progress).play(out);
         }
@@ -170,7 +170,7 @@
         for (int i = 0; i < plan.routers(); i++) {
             String name = "r" + (i + 1);
             String hall = plan.halls().get(i % plan.halls().size());
-            Articles articles = articles(name, hall, i);
+            RouterConfig articles = articles(name, hall, i);
             int number = i;
             stations.put(
                     name,
@@ -231,7 +231,7 @@
     }
 
     /** The file that a router of this day has, checked as the router checks its own. */
-    private Articles articles(String name, String hall, int number) throws IOException {
+    private RouterConfig articles(String name, String hall, int number) throws IOException {
         ObjectNode file = script.get("router").deepCopy();
         ObjectNode head = file.withObject("/router");
         head.put("name", name)
@@ -243,11 +243,11 @@
             head.put("peers", plan.routers());
         }
         file.withObject("/list").put("address", "127.0.0.1:1");
-        return ArticlesReader.read(Yaml.read(name, YAML.writeValueAsString(file)));
+        return RouterConfigParser.read(YamlParser.read(name, YAML.writeValueAsString(file)));
     }
 
-    private List<Target> newest(String but) {
-        List<Target> all = new ArrayList<>();
+    private List<RolloutTarget> newest(String but) {
+        List<RolloutTarget> all = new ArrayList<>();
         stations.values().forEach(station -> {
             if (!station.name.equals(but) && station.life() != null) {
                 all.addAll(station.life().targets());
@@ -331,7 +331,7 @@
 
         @Override
         public void order(ReleaseScript.Order order) {
-            List<Target> targets = releases.targets(order);
+            List<RolloutTarget> targets = releases.targets(order);
             for (Station station : stations.values()) {
                 if (station.life() != null) {
                     station.life().order(targets, refusals -> refusals.stream()
--- a/rehearsal/src/main/java/pearladder/rehearsal/Search.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Search.java
@@ -54,7 +54,7 @@
         this.maker = maker;
         this.pool = pool;
         this.progress = progress;
-        this.plan = DayPlan.read(pearladder.yaml.Yaml.read(name, YAML.writeValueAsString(base)));
+        this.plan = DayPlan.read(pearladder.yaml.YamlParser.read(name, YAML.writeValueAsString(base)));
         this.chance = new SplittableRandom(plan.seed());
     }
 
--- a/rehearsal/src/main/java/pearladder/rehearsal/Station.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Station.java
@@ -5,24 +5,24 @@
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
-import pearladder.api.Span;
-import pearladder.kserve.ListLine;
-import pearladder.release.Reached;
-import pearladder.release.Target;
-import pearladder.router.core.ReleaseDesk;
-import pearladder.state.Known;
+import pearladder.api.TimeSpan;
+import pearladder.kserve.DiscoveryMessage;
+import pearladder.release.RolloutProgress;
+import pearladder.release.RolloutTarget;
+import pearladder.router.core.RolloutManager;
+import pearladder.state.PolicySnapshot;
 
 /** A router's machine: what outlives the router's death, and the life that runs on it now, if any. */
 final class Station {
     final String name;
     final String hall;
-    private final Supplier<List<Target>> others;
+    private final Supplier<List<RolloutTarget>> others;
     private final LongFunction<Life> maker;
-    private final List<Target> orders = new ArrayList<>();
-    private final List<Reached> reached = new ArrayList<>();
-    private Supplier<ListLine> lastList = () -> null;
+    private final List<RolloutTarget> orders = new ArrayList<>();
+    private final List<RolloutProgress> reached = new ArrayList<>();
+    private Supplier<DiscoveryMessage> lastList = () -> null;
     private final List<Long> ordered = new ArrayList<>();
-    private Known known;
+    private PolicySnapshot known;
     private long knownAt;
     private Life life;
     private long lives;
@@ -33,7 +33,7 @@
     Station(
             String name,
             String hall,
-            Supplier<List<Target>> others,
+            Supplier<List<RolloutTarget>> others,
             java.util.function.BiFunction<Station, Long, Life> maker) {
         this.name = name;
         this.hall = hall;
@@ -59,20 +59,20 @@
     }
 
     /** What the other routers know of releases. */
-    List<Target> others() {
+    List<RolloutTarget> others() {
         return others.get();
     }
 
     /** What the last life's module knew when it was last kept, or null. */
-    Known known() {
+    PolicySnapshot known() {
         return known;
     }
 
-    Span knownFor(long now) {
-        return new Span(now - knownAt);
+    TimeSpan knownFor(long now) {
+        return new TimeSpan(now - knownAt);
     }
 
-    void remember(Known fresh, long now) {
+    void remember(PolicySnapshot fresh, long now) {
         known = fresh;
         knownAt = now;
     }
@@ -82,16 +82,16 @@
     }
 
     /** The ages of all orders that any life gave. */
-    List<Span> orders(long now) {
-        return ordered.stream().map(at -> new Span(now - at)).toList();
+    List<TimeSpan> orders(long now) {
+        return ordered.stream().map(at -> new TimeSpan(now - at)).toList();
     }
 
-    ListLine lastList() {
+    DiscoveryMessage lastList() {
         return lastList.get();
     }
 
     /** What was on disk when the life ended: it is asked for by the next life only. */
-    void remember(Supplier<ListLine> whole) {
+    void remember(Supplier<DiscoveryMessage> whole) {
         lastList = whole;
     }
 
@@ -108,26 +108,26 @@
         return decidedNanos;
     }
 
-    ReleaseDesk.Journal journal() {
-        return new ReleaseDesk.Journal() {
+    RolloutManager.Journal journal() {
+        return new RolloutManager.Journal() {
             @Override
-            public List<Target> orders() {
+            public List<RolloutTarget> orders() {
                 return List.copyOf(orders);
             }
 
             @Override
-            public List<Reached> reached() {
+            public List<RolloutProgress> reached() {
                 return List.copyOf(reached);
             }
 
             @Override
-            public void keep(List<Target> fresh, Consumer<String> failure) {
+            public void keep(List<RolloutTarget> fresh, Consumer<String> failure) {
                 orders.addAll(fresh);
                 failure.accept(null);
             }
 
             @Override
-            public void keep(Reached far, Consumer<String> failure) {
+            public void keep(RolloutProgress far, Consumer<String> failure) {
                 reached.add(far);
                 failure.accept(null);
             }
--- a/rehearsal/src/main/java/pearladder/rehearsal/VirtualEngines.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/VirtualEngines.java
@@ -8,20 +8,20 @@
 import java.util.function.Consumer;
 import pearladder.api.Event;
 import pearladder.api.Outcome;
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 import pearladder.emulator.Engine;
 import pearladder.emulator.Timeline;
 import pearladder.kserve.LoadReport;
-import pearladder.router.core.EngineSaid;
-import pearladder.router.core.Engines;
-import pearladder.router.core.OpenLeg;
+import pearladder.router.core.WorkerResponse;
+import pearladder.router.core.WorkerClient;
+import pearladder.router.core.ActiveAttempt;
 
 /**
  * One router's way to the engines over the virtual network: connections that are kept or made, requests, answers, and the
  * proofs that outcomes give. It mirrors what the real one does with sockets.
  */
-final class VirtualEngines implements Engines {
-    private record Said(Outcome outcome, Event.Copy copy, int crowd, Event.Report report) implements EngineSaid {
+final class VirtualEngines implements WorkerClient {
+    private record Said(Outcome outcome, Event.InstanceStatus instanceStatus, int concurrentRequests, Event.WorkerLoadReport loadReport) implements WorkerResponse {
         static Said of(Engine.Answer answer) {
             LoadReport report = answer.report();
             return new Said(
@@ -32,12 +32,12 @@
                         case ABSENT -> Outcome.ABSENT;
                     },
                     answer.met() == null
-                            ? Event.Copy.UNTOLD
-                            : Event.Copy.valueOf(answer.met().name()),
+                            ? Event.InstanceStatus.UNTOLD
+                            : Event.InstanceStatus.valueOf(answer.met().name()),
                     answer.crowd(),
                     report == null
                             ? null
-                            : new Event.Report(
+                            : new Event.WorkerLoadReport(
                                     report.held(), report.waiting(), report.busy(), report.loads(), report.pinned()));
         }
     }
@@ -73,7 +73,7 @@
     }
 
     /** One request's life. */
-    private final class Flight implements Sending, Host.Attached {
+    private final class Flight implements PendingSend, Host.Attached {
         private final Link link;
         private final Work work;
         private final Ended ended;
@@ -82,7 +82,7 @@
         private boolean written;
         private boolean over;
 
-        Flight(Link link, Span limit, Work work, Ended ended) {
+        Flight(Link link, TimeSpan limit, Work work, Ended ended) {
             this.link = link;
             this.work = work;
             this.ended = ended;
@@ -225,31 +225,31 @@
     }
 
     @Override
-    public Sending send(OpenLeg leg, Span limit, LegEnded ended) {
-        Link link = links.get(leg.engine);
+    public PendingSend send(ActiveAttempt leg, TimeSpan limit, AttemptListener ended) {
+        Link link = links.get(leg.worker);
         if (link == null) {
             ended.end(Outcome.VOID, null);
-            return Sending.NONE;
+            return PendingSend.NONE;
         }
-        Life.Carried carried = (Life.Carried) leg.call.reply;
+        Life.Carried carried = (Life.Carried) leg.request.responseHandler;
         Engine.Asked asked = new Engine.Asked(
                 router,
-                leg.call.named,
+                leg.request.clientRequestId,
                 leg.number,
-                leg.call.function,
-                leg.call.mark == null ? "" : leg.call.mark,
+                leg.request.function,
+                leg.request.idempotencyKey == null ? "" : leg.request.idempotencyKey,
                 carried.work());
         return new Flight(link, limit, reply -> link.host.engine.ask(asked, reply), (outcome, answer) -> {
             Said said = answer == null ? null : Said.of(answer);
             boolean wrong = outcome == Outcome.SUCCESS && link.host.misnaming();
             ended.end(
                     wrong ? Outcome.ERROR : outcome,
-                    wrong ? new Said(Outcome.ERROR, said.copy(), said.crowd(), said.report()) : said);
+                    wrong ? new Said(Outcome.ERROR, said.instanceStatus(), said.concurrentRequests(), said.loadReport()) : said);
         });
     }
 
     @Override
-    public void order(String engine, String function, int copies, Span limit, Ordered ended) {
+    public void loadInstances(String engine, String function, int copies, TimeSpan limit, LoadListener ended) {
         Link link = links.get(engine);
         if (link == null) {
             ended.end(Outcome.UNREACHABLE, 0);
@@ -272,7 +272,7 @@
     }
 
     @Override
-    public void unload(String engine, String function, Span limit) {
+    public void unloadInstances(String engine, String function, TimeSpan limit) {
         Link link = links.get(engine);
         if (link != null) {
             new Flight(
@@ -288,7 +288,7 @@
     }
 
     @Override
-    public void probe(String engine, Span limit, LegEnded ended) {
+    public void checkHealth(String engine, TimeSpan limit, AttemptListener ended) {
         Link link = links.get(engine);
         if (link == null) {
             ended.end(Outcome.UNREACHABLE, null);
@@ -305,7 +305,7 @@
     }
 
     @Override
-    public void closeIdle(String engine) {
+    public void closeIdleConnections(String engine) {
         Link link = links.get(engine);
         if (link != null) {
             link.idle = 0;
@@ -313,7 +313,7 @@
     }
 
     @Override
-    public void watchList() {
+    public void watchEndpoints() {
         life.watchList();
     }
 }
--- a/rehearsal/src/main/java/pearladder/rehearsal/VirtualFleet.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/VirtualFleet.java
@@ -14,8 +14,8 @@
 import pearladder.emulator.Seen;
 import pearladder.emulator.Shelf;
 import pearladder.emulator.Timeline;
-import pearladder.kserve.ListLine.Entry;
-import pearladder.kserve.ListLine.Standing;
+import pearladder.kserve.DiscoveryMessage.Entry;
+import pearladder.kserve.DiscoveryMessage.Standing;
 
 /** All engines of a plan, their shelf and their list, on the virtual network. */
 final class VirtualFleet {
--- a/rehearsal/src/test/java/pearladder/rehearsal/RehearsalTest.java
+++ b/rehearsal/src/test/java/pearladder/rehearsal/RehearsalTest.java
@@ -15,7 +15,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.Policy;
+import pearladder.StickyFirstFitPolicy;
 import pearladder.baseline.RandomChoice;
 import pearladder.lab.DayPlan;
 import pearladder.lab.RulesChecker;
@@ -61,7 +61,7 @@
     }
 
     private static Rehearsal.Outcome play(ObjectNode script) throws IOException {
-        return Rehearsal.play(script, "small", Policy::new, null, null);
+        return Rehearsal.play(script, "small", StickyFirstFitPolicy::new, null, null);
     }
 
     @Test
@@ -128,7 +128,7 @@
     void whatIsExpectedAndMissedIsSaid(@TempDir Path out) throws IOException {
         ObjectNode script = script();
         script.putObject("expect").put("credit", 1).put("worst_10_s", 1);
-        Rehearsal.Outcome outcome = Rehearsal.play(script, "small", Policy::new, out, null);
+        Rehearsal.Outcome outcome = Rehearsal.play(script, "small", StickyFirstFitPolicy::new, out, null);
         assertEquals(2, outcome.faults().size(), outcome.faults().toString());
         assertTrue(outcome.faults().get(0).startsWith("expected a credit of 1.000 at the least, it was 0."));
         assertTrue(Files.readString(out.resolve("table.txt")).contains("fault: expected"));
@@ -141,8 +141,8 @@
         script.remove("troubles");
         script.withObject("/day").put("lasting", "8 s");
         PrintStream quiet = new PrintStream(new ByteArrayOutputStream(), false, StandardCharsets.UTF_8);
-        Search.Found one = Search.search(script, "small", Policy::new, 6, 1, quiet);
-        Search.Found more = Search.search(script, "small", Policy::new, 6, 4, quiet);
+        Search.Found one = Search.search(script, "small", StickyFirstFitPolicy::new, 6, 1, quiet);
+        Search.Found more = Search.search(script, "small", StickyFirstFitPolicy::new, 6, 4, quiet);
         assertEquals(one.script(), more.script());
         assertEquals(one.credit(), more.credit());
         assertTrue(one.credit() <= play(script).credit(), "trouble earns nothing: " + one.credit());
--- a/router/src/main/java/pearladder/router/AdminDoor.java
+++ b/router/src/main/java/pearladder/router/AdminServer.java
@@ -13,26 +13,26 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
-import pearladder.kserve.Bodies;
-import pearladder.release.Target;
-import pearladder.router.core.Articles;
-import pearladder.router.core.ReleaseDesk;
+import pearladder.kserve.JsonBodies;
+import pearladder.release.RolloutTarget;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.RolloutManager;
 
 /**
  * The operators' own door, on an address of its own: GET and POST /releases, GET /releases/history, and for other routers
  * GET /releases/newest.
  */
-final class AdminDoor {
+final class AdminServer {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int LARGEST = 4 << 20;
 
     private static final List<String> PATHS = List.of("/releases", "/releases/history", "/releases/newest");
 
-    private final ReleaseDesk desk;
-    private final Articles articles;
+    private final RolloutManager desk;
+    private final RouterConfig articles;
     private final HttpServer server;
 
-    AdminDoor(Vertx vertx, Articles articles, ReleaseDesk desk) {
+    AdminServer(Vertx vertx, RouterConfig articles, RolloutManager desk) {
         this.desk = desk;
         this.articles = articles;
         this.server = vertx.createHttpServer(new HttpServerOptions()
@@ -47,7 +47,7 @@
 
     private void take(HttpServerRequest request) {
         if (!PATHS.contains(request.path())) {
-            end(request, 404, Bodies.error("no such path; there are " + String.join(", ", PATHS)));
+            end(request, 404, JsonBodies.error("no such path; there are " + String.join(", ", PATHS)));
         } else if (request.method().equals(HttpMethod.GET)) {
             end(
                     request,
@@ -63,7 +63,7 @@
             end(
                     request,
                     405,
-                    Bodies.error("this path takes GET" + (request.path().equals("/releases") ? " or POST" : "")));
+                    JsonBodies.error("this path takes GET" + (request.path().equals("/releases") ? " or POST" : "")));
         }
     }
 
@@ -95,24 +95,24 @@
     }
 
     private void order(HttpServerRequest request, Buffer body) {
-        List<Target> targets;
+        List<RolloutTarget> targets;
         try {
             targets = body.length() > LARGEST
                     ? List.of()
-                    : JSON.readerForListOf(Target.class)
+                    : JSON.readerForListOf(RolloutTarget.class)
                             .with(DeserializationFeature.ACCEPT_SINGLE_VALUE_AS_ARRAY)
                             .readValue(body.getBytes());
         } catch (JsonProcessingException malformed) {
-            end(request, 400, Bodies.error("not an order: " + malformed.getOriginalMessage()));
+            end(request, 400, JsonBodies.error("not an order: " + malformed.getOriginalMessage()));
             return;
         } catch (java.io.IOException impossible) {
             throw new IllegalStateException(impossible);
         }
-        if (targets.isEmpty() || !targets.stream().allMatch(AdminDoor::whole)) {
+        if (targets.isEmpty() || !targets.stream().allMatch(AdminServer::whole)) {
             end(
                     request,
                     400,
-                    Bodies.error("neither an order nor a list of them (" + (LARGEST >> 20)
+                    JsonBodies.error("neither an order nor a list of them (" + (LARGEST >> 20)
                             + " MB at the most): a plan with model, from, to, steps, hold, gate and onBreach, a mode, "
                             + "a step, an epoch and who orders it were expected"));
             return;
@@ -130,7 +130,7 @@
     }
 
     /** Whether an order that came from outside has all its parts. */
-    static boolean whole(Target target) {
+    static boolean whole(RolloutTarget target) {
         return target != null
                 && target.plan() != null
                 && target.mode() != null
--- a/router/src/main/java/pearladder/router/JournalOffLoop.java
+++ b/router/src/main/java/pearladder/router/AsyncRolloutJournal.java
@@ -7,12 +7,12 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.release.Reached;
-import pearladder.release.Target;
-import pearladder.router.core.ReleaseDesk;
+import pearladder.release.RolloutProgress;
+import pearladder.release.RolloutTarget;
+import pearladder.router.core.RolloutManager;
 
 /** The journal, written off the event loop, one thing after the other. */
-final class JournalOffLoop implements ReleaseDesk.Journal {
+final class AsyncRolloutJournal implements RolloutManager.Journal {
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.releases");
 
     private interface Writing {
@@ -20,28 +20,28 @@
     }
 
     private final Vertx vertx;
-    private final ReleaseJournal journal;
+    private final RolloutJournal journal;
 
-    JournalOffLoop(Vertx vertx, ReleaseJournal journal) {
+    AsyncRolloutJournal(Vertx vertx, RolloutJournal journal) {
         this.vertx = vertx;
         this.journal = journal;
     }
 
     @Override
-    public List<Target> orders() {
+    public List<RolloutTarget> orders() {
         return journal.orders();
     }
 
     @Override
-    public List<Reached> reached() {
+    public List<RolloutProgress> reached() {
         return journal.reached();
     }
 
     @Override
-    public void keep(List<Target> orders, Consumer<String> failure) {
+    public void keep(List<RolloutTarget> orders, Consumer<String> failure) {
         write(
                 () -> {
-                    List<Target> there = journal.orders();
+                    List<RolloutTarget> there = journal.orders();
                     journal.append(orders.stream()
                             .filter(order -> !there.contains(order))
                             .toList());
@@ -50,7 +50,7 @@
     }
 
     @Override
-    public void keep(Reached reached, Consumer<String> failure) {
+    public void keep(RolloutProgress reached, Consumer<String> failure) {
         write(() -> journal.append(reached), failure);
     }
 
--- a/router/src/main/java/pearladder/router/WholeFile.java
+++ b/router/src/main/java/pearladder/router/AtomicFile.java
@@ -9,8 +9,8 @@
 import java.nio.file.StandardOpenOption;
 
 /** A file that is replaced as a whole: written beside, synced and moved over, so that a crash leaves the old one or the new one. */
-final class WholeFile {
-    private WholeFile() {}
+final class AtomicFile {
+    private AtomicFile() {}
 
     static void write(Path file, byte[] bytes) throws IOException {
         Files.createDirectories(file.getParent());
--- a/router/src/main/java/pearladder/router/BackgroundWork.java
+++ b/router/src/main/java/pearladder/router/BackgroundWork.java
@@ -7,28 +7,28 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.api.Moment;
+import pearladder.api.MonotonicTime;
 import pearladder.router.core.Timers;
-import pearladder.work.Load;
-import pearladder.work.Scheduler;
-import pearladder.work.WorkAction;
-import pearladder.work.WorkEvent;
+import pearladder.work.ResourceCost;
+import pearladder.work.BackgroundScheduler;
+import pearladder.work.JobAction;
+import pearladder.work.JobEvent;
 
 /** Does the router's background work when the scheduler says so. The event loop calls it; the jobs themselves leave it. */
 final class BackgroundWork {
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.background");
 
     /** One piece: what is done, and what becomes of it. */
-    private record Job(Supplier<Future<Load>> run, Promise<Void> done) {}
+    private record Job(Supplier<Future<ResourceCost>> run, Promise<Void> done) {}
 
     private final Timers timers;
-    private final Scheduler scheduler;
+    private final BackgroundScheduler scheduler;
     private final Map<String, Job> jobs = new HashMap<>();
     private Promise<Void> stopped;
     private long numbered;
     private boolean ended;
 
-    BackgroundWork(Timers timers, Scheduler scheduler) {
+    BackgroundWork(Timers timers, BackgroundScheduler scheduler) {
         this.timers = timers;
         this.scheduler = scheduler;
     }
@@ -40,24 +40,24 @@
      * @param run does it off the event loop and brings what it cost
      * @return done once it is; it fails in words where it was given up
      */
-    Future<Void> ask(String duty, String account, Load cost, Moment by, Supplier<Future<Load>> run) {
+    Future<Void> ask(String duty, String account, ResourceCost cost, MonotonicTime by, Supplier<Future<ResourceCost>> run) {
         String id = duty + "-" + ++numbered;
         Promise<Void> done = Promise.promise();
         jobs.put(id, new Job(run, done));
-        tell(new WorkEvent.Asked(id, duty, account, cost, by));
+        tell(new JobEvent.Asked(id, duty, account, cost, by));
         return done.future();
     }
 
     /** How late the event loop is. */
-    void strained(pearladder.api.Span behind) {
-        tell(new WorkEvent.Strained(behind));
+    void strained(pearladder.api.TimeSpan behind) {
+        tell(new JobEvent.Strained(behind));
     }
 
     /** Begins nothing new but what is to be done at a stop; done once nothing is left. */
     Future<Void> stop() {
         if (stopped == null) {
             stopped = Promise.promise();
-            tell(new WorkEvent.Stopping());
+            tell(new JobEvent.Stopping());
             emptied();
         }
         return stopped.future();
@@ -70,17 +70,17 @@
         }
     }
 
-    private void tell(WorkEvent event) {
+    private void tell(JobEvent event) {
         if (!ended) {
             scheduler.on(timers.now(), event).forEach(this::act);
             emptied();
         }
     }
 
-    private void act(WorkAction action) {
-        if (action instanceof WorkAction.Begin begin) {
+    private void act(JobAction action) {
+        if (action instanceof JobAction.Begin begin) {
             begin(begin.id());
-        } else if (action instanceof WorkAction.GiveUp up) {
+        } else if (action instanceof JobAction.GiveUp up) {
             Job job = jobs.remove(up.id());
             if (job != null) {
                 LOG.atInfo()
@@ -89,9 +89,9 @@
                         .log("given up");
                 job.done().fail(up.why());
             }
-        } else if (action instanceof WorkAction.Wake wake) {
-            timers.after(wake.after(), () -> tell(new WorkEvent.Due()));
-        } else if (action instanceof WorkAction.Log log) {
+        } else if (action instanceof JobAction.Wake wake) {
+            timers.after(wake.after(), () -> tell(new JobEvent.Due()));
+        } else if (action instanceof JobAction.Log log) {
             LOG.info(log.text());
         }
     }
@@ -103,19 +103,19 @@
                             jobs.remove(id);
                             // who waited may ask for the next piece at once, and a stop must wait for that one too
                             job.done().complete();
-                            tell(new WorkEvent.Ended(id, true, cost));
+                            tell(new JobEvent.Ended(id, true, cost));
                         },
                         failed -> {
                             LOG.atWarn()
                                     .addKeyValue("work", id)
                                     .addKeyValue("cause", String.valueOf(failed.getMessage()))
                                     .log("failed");
-                            tell(new WorkEvent.Ended(id, false, Load.NONE));
+                            tell(new JobEvent.Ended(id, false, ResourceCost.NONE));
                         });
     }
 
     /** Guards against a job that throws where it should have failed: it would count as running, and hold up a stop, for ever. */
-    private static Future<Load> run(Job job) {
+    private static Future<ResourceCost> run(Job job) {
         try {
             return job.run().get();
         } catch (RuntimeException thrown) {
--- a/router/src/main/java/pearladder/router/LastList.java
+++ b/router/src/main/java/pearladder/router/EndpointListCache.java
@@ -7,22 +7,22 @@
 import java.nio.file.Path;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.kserve.ListLine;
+import pearladder.kserve.DiscoveryMessage;
 
 /** The last list on disk. It is written beside and moved over, so that a crash leaves the old one or the new one. */
-final class LastList {
-    private static final Logger LOG = LoggerFactory.getLogger(LastList.class);
+final class EndpointListCache {
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointListCache.class);
 
     private final Path file;
 
-    LastList(Path folder) {
+    EndpointListCache(Path folder) {
         this.file = folder.resolve("last-list.json");
     }
 
     /** The list as it was last written, or null where there is none that can be read. */
-    ListLine read() {
+    DiscoveryMessage read() {
         try {
-            return ListLine.parse(Files.readString(file));
+            return DiscoveryMessage.parse(Files.readString(file));
         } catch (NoSuchFileException none) {
             return null;
         } catch (IOException unreadable) {
@@ -34,7 +34,7 @@
         }
     }
 
-    void write(ListLine whole) throws IOException {
-        WholeFile.write(file, whole.text().getBytes(StandardCharsets.UTF_8));
+    void write(DiscoveryMessage whole) throws IOException {
+        AtomicFile.write(file, whole.text().getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/router/src/main/java/pearladder/router/ListWatch.java
+++ b/router/src/main/java/pearladder/router/EndpointWatch.java
@@ -13,26 +13,26 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pearladder.kserve.Headers;
-import pearladder.kserve.ListLine;
-import pearladder.router.core.Articles;
+import pearladder.kserve.DiscoveryMessage;
+import pearladder.router.core.RouterConfig;
 
 /**
  * The long-lived connection to the list service. When it breaks, falls silent or says something that can't be read, that
  * is told once; when to watch again is for the module to say.
  */
-final class ListWatch {
-    private static final Logger LOG = LoggerFactory.getLogger(ListWatch.class);
+final class EndpointWatch {
+    private static final Logger LOG = LoggerFactory.getLogger(EndpointWatch.class);
     private static final int LONGEST_LINE = 64 << 20;
 
     /** What the connection brings. */
     interface Listener {
-        void line(ListLine line);
+        void line(DiscoveryMessage line);
 
         void failed();
     }
 
     private final Vertx vertx;
-    private final Articles.ListService service;
+    private final RouterConfig.ListService service;
     private final String router;
     private final Listener listener;
     private final HttpClient client;
@@ -43,14 +43,14 @@
     private long silence = -1;
     private long version;
 
-    ListWatch(Vertx vertx, Articles.ListService service, String router, Listener listener) {
+    EndpointWatch(Vertx vertx, RouterConfig.ListService service, String router, Listener listener) {
         this.vertx = vertx;
         this.service = service;
         this.router = router;
         this.listener = listener;
         this.client = vertx.createHttpClient(
                 new HttpClientOptions().setKeepAlive(false).setConnectTimeout((int)
-                        service.silence().inMillis()));
+                        service.silence().toMillis()));
     }
 
     /** Watches from the version it has on; does nothing where it watches already. */
@@ -93,14 +93,14 @@
             return;
         }
         heard(mine);
-        ListLine line;
+        DiscoveryMessage line;
         try {
-            line = ListLine.parse(buffer.toString());
+            line = DiscoveryMessage.parse(buffer.toString());
         } catch (IOException unreadable) {
             broke(mine, "an unreadable line: " + unreadable.getMessage());
             return;
         }
-        if (line.kind() != ListLine.Kind.BEAT) {
+        if (line.kind() != DiscoveryMessage.Kind.BEAT) {
             version = line.version();
             listener.line(line);
         }
@@ -108,7 +108,7 @@
 
     private void heard(int mine) {
         vertx.cancelTimer(silence);
-        silence = vertx.setTimer(Math.max(1, service.silence().inMillis()), fired -> broke(mine, "silent"));
+        silence = vertx.setTimer(Math.max(1, service.silence().toMillis()), fired -> broke(mine, "silent"));
     }
 
     private void broke(int mine, String cause) {
--- a/router/src/main/java/pearladder/router/Pulse.java
+++ b/router/src/main/java/pearladder/router/EventLoopLag.java
@@ -6,7 +6,7 @@
  * How late the event loop is: a call that it reads now may have waited so long in its socket, unseen, and an answer that
  * falls due may go out so much later. Guards against a router that is late itself and starts each client's time anew.
  */
-public final class Pulse {
+public final class EventLoopLag {
     private static final long EVERY_MILLIS = 5;
     private static final double FADE = 0.9;
 
@@ -14,7 +14,7 @@
     private long due;
     private double behind;
 
-    public Pulse(Vertx vertx) {
+    public EventLoopLag(Vertx vertx) {
         this.vertx = vertx;
     }
 
--- a/router/src/main/java/pearladder/router/Recorder.java
+++ b/router/src/main/java/pearladder/router/EventRecorder.java
@@ -21,36 +21,36 @@
 import org.slf4j.LoggerFactory;
 import pearladder.api.Event;
 import pearladder.api.Outcome;
-import pearladder.api.Span;
-import pearladder.backlog.Backlog;
-import pearladder.backlog.BacklogAction;
-import pearladder.backlog.BacklogEvent;
-import pearladder.kserve.ListLine;
-import pearladder.records.Archive;
-import pearladder.records.Entry;
-import pearladder.records.Kind;
-import pearladder.records.Records;
-import pearladder.router.core.Articles;
-import pearladder.router.core.Chronicle;
-import pearladder.router.core.EngineSaid;
-import pearladder.router.core.OpenCall;
-import pearladder.router.core.OpenLeg;
+import pearladder.api.TimeSpan;
+import pearladder.backlog.WriteBuffer;
+import pearladder.backlog.WriteBufferAction;
+import pearladder.backlog.WriteBufferEvent;
+import pearladder.kserve.DiscoveryMessage;
+import pearladder.records.EventLogReader;
+import pearladder.records.LogEntry;
+import pearladder.records.LogEntryType;
+import pearladder.records.EventLog;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.EventListener;
+import pearladder.router.core.WorkerResponse;
+import pearladder.router.core.ActiveRequest;
+import pearladder.router.core.ActiveAttempt;
 import pearladder.router.core.Timers;
-import pearladder.work.Duties;
-import pearladder.work.Load;
+import pearladder.work.JobClasses;
+import pearladder.work.ResourceCost;
 
 /**
  * Keeps the record of what this router does: entries are made on the event loop and written off it, when the backlog module
  * says so. It does what that says and decides nothing.
  */
-final class Recorder implements Chronicle {
+final class EventRecorder implements EventListener {
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.records");
-    private static final Span GATHER = Span.millis(20);
-    private static final Span WINDOW = Span.millis(50);
+    private static final TimeSpan GATHER = TimeSpan.millis(20);
+    private static final TimeSpan WINDOW = TimeSpan.millis(50);
     private static final int MOST = 200_000;
     private static final int AT_ONCE = 5_000;
-    private static final Span CUT = Span.seconds(2);
-    private static final Span TIDY = Span.seconds(600);
+    private static final TimeSpan CUT = TimeSpan.seconds(2);
+    private static final TimeSpan TIDY = TimeSpan.seconds(600);
     /** Bytes of an entry on disk, about. */
     private static final double ENTRY = 30;
     /** Entries looked through for orders at a start, at first. */
@@ -70,11 +70,11 @@
     private final Timers timers;
     private final BackgroundWork work;
     private final LongSupplier wall;
-    private final Articles articles;
-    private final Records records;
+    private final RouterConfig articles;
+    private final EventLog records;
     private final WorkerExecutor writer;
-    private final Backlog backlog = new Backlog(GATHER, WINDOW, MOST, AT_ONCE);
-    private final ArrayDeque<Entry> queue = new ArrayDeque<>();
+    private final WriteBuffer backlog = new WriteBuffer(GATHER, WINDOW, MOST, AT_ONCE);
+    private final ArrayDeque<LogEntry> queue = new ArrayDeque<>();
     private final Map<String, Consumer<String>> orders = new HashMap<>();
     private final Map<Worker, Work> cut = new LinkedHashMap<>();
     private final Set<String> models = new HashSet<>();
@@ -84,23 +84,23 @@
     private boolean closed;
 
     /** @throws IOException where the folder can't be opened */
-    Recorder(Vertx vertx, Timers timers, BackgroundWork work, Articles articles, LongSupplier wall) throws IOException {
+    EventRecorder(Vertx vertx, Timers timers, BackgroundWork work, RouterConfig articles, LongSupplier wall) throws IOException {
         this.vertx = vertx;
         this.timers = timers;
         this.work = work;
         this.wall = wall;
         this.articles = articles;
-        this.records = Records.open(folder(articles), articles.records(), LOG::warn);
+        this.records = EventLog.open(folder(articles), articles.records(), LOG::warn);
         this.writer = vertx.createSharedWorkerExecutor("records", 1);
     }
 
     /** The orders' ages that the records tell, by the wall clock. */
-    record Orders(List<Span> ages, boolean whole) {}
+    record Orders(List<TimeSpan> ages, boolean whole) {}
 
     /** Orders of the last window, read before anything is written: from the end, as far back as the window reaches. */
-    Orders orders(Span window) {
+    Orders orders(TimeSpan window) {
         long now = wall.getAsLong();
-        List<Span> ages = new ArrayList<>();
+        List<TimeSpan> ages = new ArrayList<>();
         boolean whole = false;
         try {
             for (long tail = FIRST_TAIL; !whole && tail <= LAST_TAIL; tail *= 5) {
@@ -114,49 +114,49 @@
     }
 
     /** Whether the window is covered from an entry on. */
-    private boolean read(long from, Span window, long now, List<Span> ages) throws IOException {
+    private boolean read(long from, TimeSpan window, long now, List<TimeSpan> ages) throws IOException {
         boolean[] whole = {from == 1};
-        new Archive(folder(articles)).read(from, (number, entry) -> {
-            if (entry.kind() == Kind.ORDERED) {
-                ages.add(Span.millis(now - entry.at()));
+        new EventLogReader(folder(articles)).read(from, (number, entry) -> {
+            if (entry.kind() == LogEntryType.ORDERED) {
+                ages.add(TimeSpan.millis(now - entry.at()));
             }
-            whole[0] |= entry.at() <= now - window.inMillis();
+            whole[0] |= entry.at() <= now - window.toMillis();
         });
         return whole[0];
     }
 
-    private static Path folder(Articles articles) {
+    private static Path folder(RouterConfig articles) {
         return articles.data().resolve("records");
     }
 
     void begin() {
         add(
-                Entry.of(
+                LogEntry.of(
                         wall.getAsLong(),
-                        Kind.STARTED,
+                        LogEntryType.STARTED,
                         "",
                         "",
                         "",
                         articles.name(),
-                        articles.facts().copies().kept().inMillis(),
+                        articles.facts().instances().idleTimeout().toMillis(),
                         0),
                 "");
         every(
                 CUT,
-                () -> work.ask(Duties.METER, "", Load.NONE, null, () -> {
+                () -> work.ask(JobClasses.METER, "", ResourceCost.NONE, null, () -> {
                     cut();
-                    return Future.succeededFuture(Load.NONE);
+                    return Future.succeededFuture(ResourceCost.NONE);
                 }));
         every(
                 TIDY,
                 () -> work.ask(
-                        Duties.COMPACT,
+                        JobClasses.COMPACT,
                         "",
-                        new Load(0, articles.records().segmentBytes(), 0),
+                        new ResourceCost(0, articles.records().segmentBytes(), 0),
                         null,
                         () -> writer.executeBlocking(() -> {
                             int gone = records.retain();
-                            Records.Compacted done = records.compact(1);
+                            EventLog.Compacted done = records.compact(1);
                             if (gone + done.files() > 0) {
                                 LOG.atInfo()
                                         .addKeyValue("gone", gone)
@@ -164,11 +164,11 @@
                                         .addKeyValue("details", done.details())
                                         .log("records tidied up");
                             }
-                            return new Load(0, done.before() + done.after(), 0);
+                            return new ResourceCost(0, done.before() + done.after(), 0);
                         })));
     }
 
-    private void every(Span span, java.util.function.Supplier<Future<Void>> what) {
+    private void every(TimeSpan span, java.util.function.Supplier<Future<Void>> what) {
         timers.after(span, () -> {
             if (!closed) {
                 what.get().onComplete(done -> every(span, what));
@@ -179,14 +179,14 @@
     // ---- what happens
 
     @Override
-    public void ended(OpenCall call, String how, Span took) {
+    public void onRequestEnded(ActiveRequest call, String how, TimeSpan took) {
         add(
-                new Entry(
+                new LogEntry(
                         wall.getAsLong(),
-                        Kind.ENDED,
-                        call.named,
+                        LogEntryType.ENDED,
+                        call.clientRequestId,
                         call.function,
-                        call.account,
+                        call.tenant,
                         "",
                         how,
                         0,
@@ -195,43 +195,43 @@
     }
 
     @Override
-    public void legEnded(OpenLeg leg, Outcome outcome, EngineSaid said, Span took) {
+    public void onAttemptEnded(ActiveAttempt leg, Outcome outcome, WorkerResponse said, TimeSpan took) {
         long now = wall.getAsLong();
-        OpenCall call = leg.call;
-        Event.Copy copy = said == null ? Event.Copy.UNTOLD : said.copy();
+        ActiveRequest call = leg.request;
+        Event.InstanceStatus copy = said == null ? Event.InstanceStatus.UNTOLD : said.instanceStatus();
         model(now, call.function);
-        if (copy == Event.Copy.LOAD_BEGUN || copy == Event.Copy.LOAD_FAILED) {
+        if (copy == Event.InstanceStatus.LOAD_BEGUN || copy == Event.InstanceStatus.LOAD_FAILED) {
             add(
-                    Entry.of(
-                            now - took.inMillis(),
-                            Kind.LOADING,
+                    LogEntry.of(
+                            now - took.toMillis(),
+                            LogEntryType.LOADING,
                             call.function,
-                            call.account,
-                            leg.engine,
+                            call.tenant,
+                            leg.worker,
                             "",
                             1,
                             took.nanos() / 1000),
                     "");
         }
-        if (copy == Event.Copy.LOAD_FAILED) {
-            add(Entry.of(now, Kind.LOADED, call.function, "", leg.engine, "failed", 0, took.nanos() / 1000), "");
+        if (copy == Event.InstanceStatus.LOAD_FAILED) {
+            add(LogEntry.of(now, LogEntryType.LOADED, call.function, "", leg.worker, "failed", 0, took.nanos() / 1000), "");
         }
         if (outcome == Outcome.SUCCESS) {
             // a call that waited for a load worked for an unknown part of its time; it renews the copy and weighs
             // nothing
-            boolean warm = copy != Event.Copy.LOAD_BEGUN && copy != Event.Copy.LOAD_JOINED;
-            Work one = cut.computeIfAbsent(new Worker(leg.engine, call.function, call.account), key -> new Work());
+            boolean warm = copy != Event.InstanceStatus.LOAD_BEGUN && copy != Event.InstanceStatus.LOAD_JOINED;
+            Work one = cut.computeIfAbsent(new Worker(leg.worker, call.function, call.tenant), key -> new Work());
             one.micros += warm ? took.nanos() / 1000 : 0;
             one.last = now;
         }
         add(
-                new Entry(
+                new LogEntry(
                         now,
-                        Kind.LEG,
-                        call.named,
+                        LogEntryType.LEG,
+                        call.clientRequestId,
                         call.function,
-                        call.account,
-                        leg.engine,
+                        call.tenant,
+                        leg.worker,
                         outcome.name(),
                         copy.ordinal(),
                         took.nanos() / 1000),
@@ -239,22 +239,22 @@
     }
 
     @Override
-    public void ordering(String engine, String function, int copies, Consumer<String> answer) {
+    public void beforeLoadRequest(String engine, String function, int copies, Consumer<String> answer) {
         long now = wall.getAsLong();
         String id = Long.toString(++numbered);
         orders.put(id, answer);
         model(now, function);
-        add(Entry.of(now, Kind.ORDERED, function, "", engine, "", copies, 0), id);
+        add(LogEntry.of(now, LogEntryType.ORDERED, function, "", engine, "", copies, 0), id);
     }
 
     @Override
-    public void ordered(String engine, String function, Outcome outcome, int copies, Span took) {
+    public void onLoadRequestEnded(String engine, String function, Outcome outcome, int copies, TimeSpan took) {
         long now = wall.getAsLong();
         if (outcome == Outcome.SUCCESS || copies > 0) {
             add(
-                    Entry.of(
-                            now - took.inMillis(),
-                            Kind.LOADING,
+                    LogEntry.of(
+                            now - took.toMillis(),
+                            LogEntryType.LOADING,
                             function,
                             "",
                             engine,
@@ -262,23 +262,23 @@
                             copies,
                             took.nanos() / 1000),
                     "");
-            add(Entry.of(now, Kind.COPIES, function, "", engine, outcome.name(), copies, took.nanos() / 1000), "");
+            add(LogEntry.of(now, LogEntryType.COPIES, function, "", engine, outcome.name(), copies, took.nanos() / 1000), "");
         }
     }
 
     /** What the list tells of engines. */
-    void listed(ListLine line) {
+    void listed(DiscoveryMessage line) {
         long now = wall.getAsLong();
-        Set<String> gone = line.kind() == ListLine.Kind.WHOLE ? new TreeSet<>(starts.keySet()) : new TreeSet<>();
-        for (ListLine.Entry one : line.entries()) {
+        Set<String> gone = line.kind() == DiscoveryMessage.Kind.WHOLE ? new TreeSet<>(starts.keySet()) : new TreeSet<>();
+        for (DiscoveryMessage.Entry one : line.entries()) {
             gone.remove(one.engine());
-            boolean leaves = one.standing() == ListLine.Standing.GONE;
+            boolean leaves = one.standing() == DiscoveryMessage.Standing.GONE;
             Long before = leaves ? starts.remove(one.engine()) : starts.put(one.engine(), one.startedMillis());
             if (before == null ? !leaves : leaves || before != one.startedMillis()) {
                 add(
-                        Entry.of(
+                        LogEntry.of(
                                 now,
-                                Kind.ENGINE,
+                                LogEntryType.ENGINE,
                                 "",
                                 "",
                                 one.engine(),
@@ -290,17 +290,17 @@
         }
         for (String engine : gone) {
             starts.remove(engine);
-            add(Entry.of(now, Kind.ENGINE, "", "", engine, ListLine.Standing.GONE.name(), 0, 0), "");
+            add(LogEntry.of(now, LogEntryType.ENGINE, "", "", engine, DiscoveryMessage.Standing.GONE.name(), 0, 0), "");
         }
     }
 
     private void model(long now, String function) {
         if (models.add(function)) {
-            Articles.ModelTerms terms =
+            RouterConfig.ModelTerms terms =
                     articles.modelOf(function.contains("@") ? function.substring(0, function.indexOf('@')) : function);
             add(
-                    Entry.of(
-                            now, Kind.MODEL, function, "", "", "", terms == null ? 0 : Math.round(terms.memoryMb()), 0),
+                    LogEntry.of(
+                            now, LogEntryType.MODEL, function, "", "", "", terms == null ? 0 : Math.round(terms.memoryMb()), 0),
                     "");
         }
     }
@@ -308,9 +308,9 @@
     /** What accounts' calls worked since the last cut. */
     private void cut() {
         cut.forEach((who, what) -> add(
-                Entry.of(
+                LogEntry.of(
                         what.last,
-                        Kind.WORK,
+                        LogEntryType.WORK,
                         who.model(),
                         who.account(),
                         who.engine(),
@@ -323,30 +323,30 @@
 
     // ---- on its way to the disk
 
-    private void add(Entry entry, String order) {
-        tell(new BacklogEvent.Came(entry.kind().detail(), order), entry);
+    private void add(LogEntry entry, String order) {
+        tell(new WriteBufferEvent.Came(entry.kind().detail(), order), entry);
     }
 
-    private void tell(BacklogEvent event, Entry entry) {
+    private void tell(WriteBufferEvent event, LogEntry entry) {
         if (closed) {
             return;
         }
-        for (BacklogAction action : backlog.on(timers.now(), event)) {
-            if (action instanceof BacklogAction.Take) {
+        for (WriteBufferAction action : backlog.on(timers.now(), event)) {
+            if (action instanceof WriteBufferAction.Take) {
                 queue.add(entry);
-            } else if (action instanceof BacklogAction.Write write) {
+            } else if (action instanceof WriteBufferAction.Write write) {
                 write(write.entries());
-            } else if (action instanceof BacklogAction.TellLeftOut told) {
+            } else if (action instanceof WriteBufferAction.TellLeftOut told) {
                 timers.after(
-                        Span.millis(1),
-                        () -> add(Entry.of(wall.getAsLong(), Kind.DROPPED, "", "", "", "", told.entries(), 0), ""));
-            } else if (action instanceof BacklogAction.Go go) {
+                        TimeSpan.millis(1),
+                        () -> add(LogEntry.of(wall.getAsLong(), LogEntryType.DROPPED, "", "", "", "", told.entries(), 0), ""));
+            } else if (action instanceof WriteBufferAction.Go go) {
                 orders.remove(go.order()).accept("");
-            } else if (action instanceof BacklogAction.Withhold withheld) {
+            } else if (action instanceof WriteBufferAction.Withhold withheld) {
                 orders.remove(withheld.order()).accept(withheld.why());
-            } else if (action instanceof BacklogAction.Wake wake) {
-                timers.after(wake.after(), () -> tell(new BacklogEvent.Due(), null));
-            } else if (action instanceof BacklogAction.Log log) {
+            } else if (action instanceof WriteBufferAction.Wake wake) {
+                timers.after(wake.after(), () -> tell(new WriteBufferEvent.Due(), null));
+            } else if (action instanceof WriteBufferAction.Log log) {
                 LOG.info(log.text());
             }
         }
@@ -356,12 +356,12 @@
     }
 
     private void write(int entries) {
-        List<Entry> batch = new ArrayList<>(entries);
+        List<LogEntry> batch = new ArrayList<>(entries);
         queue.stream().limit(entries).forEach(batch::add);
-        Load cost = new Load(0, entries * ENTRY, 0);
+        ResourceCost cost = new ResourceCost(0, entries * ENTRY, 0);
         long begun = System.nanoTime();
         work.ask(
-                        Duties.RECORD,
+                        JobClasses.RECORD,
                         "",
                         cost,
                         null,
@@ -374,9 +374,9 @@
                             for (int i = 0; i < entries; i++) {
                                 queue.poll();
                             }
-                            tell(new BacklogEvent.Written(new Span(System.nanoTime() - begun)), null);
+                            tell(new WriteBufferEvent.Written(new TimeSpan(System.nanoTime() - begun)), null);
                         },
-                        failed -> tell(new BacklogEvent.Failed(String.valueOf(failed.getMessage())), null));
+                        failed -> tell(new WriteBufferEvent.Failed(String.valueOf(failed.getMessage())), null));
     }
 
     /** Entries that wait for the disk, for the meters. */
@@ -392,9 +392,9 @@
     /** Writes what is held; done once it is safe. A disk that refuses it holds up the caller until its own bound. */
     Future<Void> flush() {
         cut();
-        add(Entry.of(wall.getAsLong(), Kind.STOPPED, "", "", "", articles.name(), 0, 0), "");
+        add(LogEntry.of(wall.getAsLong(), LogEntryType.STOPPED, "", "", "", articles.name(), 0, 0), "");
         emptied = Promise.promise();
-        tell(new BacklogEvent.Stopping(), null);
+        tell(new WriteBufferEvent.Stopping(), null);
         return emptied.future();
     }
 
--- a/router/src/main/java/pearladder/router/HttpReply.java
+++ b/router/src/main/java/pearladder/router/HttpResponseHandler.java
@@ -3,15 +3,15 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
-import pearladder.api.Span;
-import pearladder.kserve.Bodies;
-import pearladder.kserve.FinalState;
+import pearladder.api.TimeSpan;
+import pearladder.kserve.JsonBodies;
+import pearladder.kserve.RequestOutcome;
 import pearladder.kserve.Headers;
-import pearladder.router.core.EngineSaid;
-import pearladder.router.core.Reply;
+import pearladder.router.core.WorkerResponse;
+import pearladder.router.core.ResponseHandler;
 
 /** A call as it came over HTTP/JSON, and where its answer goes; a client that is gone gets nothing more. */
-final class HttpReply implements Reply {
+final class HttpResponseHandler implements ResponseHandler {
     private static final List<String> HANDED_ON = List.of("content-type", Headers.COPY, Headers.CROWD, Headers.REPORT);
 
     final String contentType;
@@ -20,7 +20,7 @@
     private final String model;
     private String path;
 
-    HttpReply(String model, String contentType, Buffer body, HttpServerResponse response) {
+    HttpResponseHandler(String model, String contentType, Buffer body, HttpServerResponse response) {
         this.model = model;
         this.contentType = contentType;
         this.body = body;
@@ -33,11 +33,11 @@
     }
 
     /** Whether an answer is this call's: a settled one that names another model is not. */
-    boolean isOf(EngineAnswer answer) {
+    boolean isOf(HttpWorkerResponse answer) {
         if (answer.status() / 100 != 2) {
             return true;
         }
-        String named = Bodies.answeredBy(answer.body().getBytes());
+        String named = JsonBodies.answeredBy(answer.body().getBytes());
         return named == null || named.equals(model);
     }
 
@@ -55,8 +55,8 @@
     }
 
     @Override
-    public void settled(EngineSaid said) {
-        EngineAnswer answer = (EngineAnswer) said;
+    public void succeeded(WorkerResponse said) {
+        HttpWorkerResponse answer = (HttpWorkerResponse) said;
         if (open()) {
             for (String name : HANDED_ON) {
                 String value = answer.headers().get(name);
@@ -65,39 +65,39 @@
                 }
             }
             response.setStatusCode(answer.status())
-                    .putHeader(Headers.STATE, FinalState.SETTLED.word())
+                    .putHeader(Headers.STATE, RequestOutcome.SETTLED.code())
                     .end(answer.body());
         }
     }
 
     @Override
-    public void dismissed(Span retryAfter) {
+    public void rejected(TimeSpan retryAfter) {
         dismiss(response, "not done; trying again is harmless", retryAfter);
     }
 
     /** Writes the final answer of a dismissal. */
-    static void dismiss(HttpServerResponse response, String why, Span retryAfter) {
+    static void dismiss(HttpServerResponse response, String why, TimeSpan retryAfter) {
         if (response.ended() || response.closed()) {
             return;
         }
         if (retryAfter.nanos() > 0) {
-            long millis = Math.max(1, retryAfter.inMillis());
+            long millis = Math.max(1, retryAfter.toMillis());
             response.putHeader(Headers.RETRY_AFTER_MS, Long.toString(millis))
                     .putHeader("retry-after", Long.toString((millis + 999) / 1000));
         }
-        response.setStatusCode(FinalState.DISMISSED.status)
-                .putHeader(Headers.STATE, FinalState.DISMISSED.word())
+        response.setStatusCode(RequestOutcome.DISMISSED.status)
+                .putHeader(Headers.STATE, RequestOutcome.DISMISSED.code())
                 .putHeader("content-type", "application/json")
-                .end(Bodies.error(why));
+                .end(JsonBodies.error(why));
     }
 
     @Override
-    public void terminated() {
+    public void failed() {
         if (open()) {
-            response.setStatusCode(FinalState.TERMINATED.status)
-                    .putHeader(Headers.STATE, FinalState.TERMINATED.word())
+            response.setStatusCode(RequestOutcome.TERMINATED.status)
+                    .putHeader(Headers.STATE, RequestOutcome.TERMINATED.code())
                     .putHeader("content-type", "application/json")
-                    .end(Bodies.error("no answer; it may or may not have taken effect"));
+                    .end(JsonBodies.error("no answer; it may or may not have taken effect"));
         }
     }
 }
--- a/router/src/main/java/pearladder/router/Legs.java
+++ b/router/src/main/java/pearladder/router/HttpWorkerClient.java
@@ -5,32 +5,32 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import pearladder.api.Outcome;
-import pearladder.api.Span;
-import pearladder.kserve.Bodies;
+import pearladder.api.TimeSpan;
+import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Headers;
-import pearladder.router.core.Engines;
-import pearladder.router.core.OpenLeg;
+import pearladder.router.core.WorkerClient;
+import pearladder.router.core.ActiveAttempt;
 import pearladder.router.core.Timers;
 
 /**
  * Sends legs, orders and probes to engines over HTTP and tells how each ended, once. Unreachable is said only when no byte
  * left; from the first byte on a failure may have run.
  */
-final class Legs implements Engines {
+final class HttpWorkerClient implements WorkerClient {
     /** What is written once a connection is there. */
     private interface Writing {
         void write(HttpClientRequest request);
     }
 
     /** One request's life: it ends once, by its answer, its failure, its limit or because nobody waits any more. */
-    private final class Flight implements Sending {
-        private final EngineLink link;
-        private final LegEnded ended;
+    private final class Flight implements PendingSend {
+        private final WorkerConnectionPool link;
+        private final AttemptListener ended;
         private final long timer;
         private HttpClientRequest request;
         private boolean over;
 
-        Flight(EngineLink link, Span limit, LegEnded ended) {
+        Flight(WorkerConnectionPool link, TimeSpan limit, AttemptListener ended) {
             this.link = link;
             this.ended = ended;
             this.timer = vertx.setTimer(
@@ -59,11 +59,11 @@
         void send(Buffer body) {
             request.send(body)
                     .onComplete(
-                            response -> EngineLink.read(
+                            response -> WorkerConnectionPool.read(
                                     response,
                                     answerLimit,
                                     (head, whole) -> {
-                                        EngineAnswer answer = EngineAnswer.of(head.statusCode(), head.headers(), whole);
+                                        HttpWorkerResponse answer = HttpWorkerResponse.of(head.statusCode(), head.headers(), whole);
                                         end(answer.outcome(), answer);
                                     },
                                     broken -> end(Outcome.BROKEN, null)),
@@ -71,7 +71,7 @@
         }
 
         /** The first end counts; whatever comes after it is passed over. */
-        private void end(Outcome outcome, EngineAnswer answer) {
+        private void end(Outcome outcome, HttpWorkerResponse answer) {
             if (over) {
                 return;
             }
@@ -101,11 +101,11 @@
     private final Vertx vertx;
     private final String router;
     private final long answerLimit;
-    private final Roster roster;
+    private final WorkerRegistry roster;
     private final Runnable watch;
 
     /** @param watch watches the list of engines */
-    Legs(Vertx vertx, String router, long answerLimit, Roster roster, Runnable watch) {
+    HttpWorkerClient(Vertx vertx, String router, long answerLimit, WorkerRegistry roster, Runnable watch) {
         this.vertx = vertx;
         this.router = router;
         this.answerLimit = answerLimit;
@@ -114,18 +114,18 @@
     }
 
     @Override
-    public Sending send(OpenLeg leg, Span limit, LegEnded ended) {
-        EngineLink link = roster.link(leg.engine);
+    public PendingSend send(ActiveAttempt leg, TimeSpan limit, AttemptListener ended) {
+        WorkerConnectionPool link = roster.link(leg.worker);
         if (link == null) {
             ended.end(Outcome.VOID, null);
-            return Sending.NONE;
+            return PendingSend.NONE;
         }
-        HttpReply call = (HttpReply) leg.call.reply;
+        HttpResponseHandler call = (HttpResponseHandler) leg.request.responseHandler;
         Flight flight = new Flight(link, limit, (outcome, said) -> {
-            EngineAnswer answer = (EngineAnswer) said;
+            HttpWorkerResponse answer = (HttpWorkerResponse) said;
             if (answer != null && !call.isOf(answer)) {
                 // guards against an engine that answers for another model: its answer is nobody's
-                EngineAnswer wrong = new EngineAnswer(Outcome.ERROR, answer.status(), answer.headers(), answer.body());
+                HttpWorkerResponse wrong = new HttpWorkerResponse(Outcome.ERROR, answer.status(), answer.headers(), answer.body());
                 ended.end(Outcome.ERROR, wrong);
             } else {
                 ended.end(outcome, answer);
@@ -133,26 +133,26 @@
         });
         return flight.go(HttpMethod.POST, call.path(), request -> {
             request.putHeader("content-type", call.contentType)
-                    .putHeader(Headers.CALL, leg.call.named)
+                    .putHeader(Headers.CALL, leg.request.clientRequestId)
                     .putHeader(Headers.LEG, Integer.toString(leg.number));
-            if (leg.call.mark != null) {
-                request.putHeader(Headers.MARK, leg.call.mark);
+            if (leg.request.idempotencyKey != null) {
+                request.putHeader(Headers.MARK, leg.request.idempotencyKey);
             }
             flight.send(call.body);
         });
     }
 
     @Override
-    public void order(String engine, String function, int copies, Span limit, Ordered ended) {
+    public void loadInstances(String engine, String function, int copies, TimeSpan limit, LoadListener ended) {
         boolean asks = copies == 0;
         ask(
                 engine,
                 HttpMethod.POST,
                 asks ? "/v2/repository/index" : "/v2/repository/models/" + function + "/load",
-                Buffer.buffer(asks ? "{}" : Bodies.load(copies)),
+                Buffer.buffer(asks ? "{}" : JsonBodies.load(copies)),
                 limit,
                 (outcome, said) -> {
-                    EngineAnswer answer = (EngineAnswer) said;
+                    HttpWorkerResponse answer = (HttpWorkerResponse) said;
                     if (answer == null) {
                         ended.end(outcome, 0);
                     } else if (asks) {
@@ -170,7 +170,7 @@
 
     private static int standing(Buffer body, String function) {
         try {
-            return (int) Bodies.indexed(body.toString()).stream()
+            return (int) JsonBodies.indexed(body.toString()).stream()
                     .filter(model ->
                             model.name().equals(function) && model.state().equals("READY"))
                     .count();
@@ -180,7 +180,7 @@
     }
 
     @Override
-    public void unload(String engine, String function, Span limit) {
+    public void unloadInstances(String engine, String function, TimeSpan limit) {
         ask(
                 engine,
                 HttpMethod.POST,
@@ -191,12 +191,12 @@
     }
 
     @Override
-    public void probe(String engine, Span limit, LegEnded ended) {
+    public void checkHealth(String engine, TimeSpan limit, AttemptListener ended) {
         ask(engine, HttpMethod.GET, "/v2/health/live", Buffer.buffer(), limit, ended);
     }
 
-    private void ask(String engine, HttpMethod method, String uri, Buffer body, Span limit, LegEnded ended) {
-        EngineLink link = roster.link(engine);
+    private void ask(String engine, HttpMethod method, String uri, Buffer body, TimeSpan limit, AttemptListener ended) {
+        WorkerConnectionPool link = roster.link(engine);
         if (link == null) {
             ended.end(Outcome.UNREACHABLE, null);
             return;
@@ -209,15 +209,15 @@
     }
 
     @Override
-    public void closeIdle(String engine) {
-        EngineLink link = roster.link(engine);
+    public void closeIdleConnections(String engine) {
+        WorkerConnectionPool link = roster.link(engine);
         if (link != null) {
             link.closeIdle();
         }
     }
 
     @Override
-    public void watchList() {
+    public void watchEndpoints() {
         watch.run();
     }
 }
--- a/router/src/main/java/pearladder/router/EngineAnswer.java
+++ b/router/src/main/java/pearladder/router/HttpWorkerResponse.java
@@ -6,15 +6,15 @@
 import pearladder.api.Outcome;
 import pearladder.kserve.Headers;
 import pearladder.kserve.LoadReport;
-import pearladder.router.core.EngineSaid;
+import pearladder.router.core.WorkerResponse;
 
 /** What an engine's whole answer says: its outcome for the module, and what goes on to the client. */
-record EngineAnswer(Outcome outcome, int status, MultiMap headers, Buffer body) implements EngineSaid {
+record HttpWorkerResponse(Outcome outcome, int status, MultiMap headers, Buffer body) implements WorkerResponse {
     /**
      * An answer with a status of 2xx, or one that finds fault with the call itself, is the call's answer. Only a refusal
      * that carries its own proof ("never ran") says that the call never ran; any other failure may have run.
      */
-    static EngineAnswer of(int status, MultiMap headers, Buffer body) {
+    static HttpWorkerResponse of(int status, MultiMap headers, Buffer body) {
         String proof = headers.get(Headers.NEVER_RAN);
         Outcome outcome;
         if (status >= 200 && status < 300 || status == 400 || status == 413 || status == 415 || status == 422) {
@@ -26,38 +26,38 @@
         } else {
             outcome = Outcome.ERROR;
         }
-        return new EngineAnswer(outcome, status, headers, body);
+        return new HttpWorkerResponse(outcome, status, headers, body);
     }
 
     @Override
-    public Event.Copy copy() {
+    public Event.InstanceStatus instanceStatus() {
         String word = headers.get(Headers.COPY);
         return word == null
-                ? Event.Copy.UNTOLD
+                ? Event.InstanceStatus.UNTOLD
                 : switch (word) {
-                    case "stood" -> Event.Copy.STOOD;
-                    case "load-begun" -> Event.Copy.LOAD_BEGUN;
-                    case "load-joined" -> Event.Copy.LOAD_JOINED;
-                    case "load-failed" -> Event.Copy.LOAD_FAILED;
-                    default -> Event.Copy.UNTOLD;
+                    case "stood" -> Event.InstanceStatus.STOOD;
+                    case "load-begun" -> Event.InstanceStatus.LOAD_BEGUN;
+                    case "load-joined" -> Event.InstanceStatus.LOAD_JOINED;
+                    case "load-failed" -> Event.InstanceStatus.LOAD_FAILED;
+                    default -> Event.InstanceStatus.UNTOLD;
                 };
     }
 
     @Override
-    public int crowd() {
+    public int concurrentRequests() {
         String text = headers.get(Headers.CROWD);
         return text != null && text.matches("[0-9]{1,6}") ? Integer.parseInt(text) : -1;
     }
 
     @Override
-    public Event.Report report() {
+    public Event.WorkerLoadReport loadReport() {
         return report(headers);
     }
 
-    static Event.Report report(MultiMap headers) {
+    static Event.WorkerLoadReport report(MultiMap headers) {
         LoadReport report = LoadReport.parse(headers.get(Headers.REPORT));
         return report == null
                 ? null
-                : new Event.Report(report.held(), report.waiting(), report.busy(), report.loads(), report.pinned());
+                : new Event.WorkerLoadReport(report.held(), report.waiting(), report.busy(), report.loads(), report.pinned());
     }
 }
--- a/router/src/main/java/pearladder/router/Door.java
+++ b/router/src/main/java/pearladder/router/InferenceServer.java
@@ -10,18 +10,18 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import pearladder.api.Facts;
-import pearladder.api.Moment;
-import pearladder.api.Span;
-import pearladder.kserve.Bodies;
+import pearladder.api.RoutingSettings;
+import pearladder.api.MonotonicTime;
+import pearladder.api.TimeSpan;
+import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Headers;
 import pearladder.kserve.Route;
-import pearladder.router.core.Articles;
-import pearladder.router.core.Calls;
-import pearladder.router.core.ReleaseDesk;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.RequestManager;
+import pearladder.router.core.RolloutManager;
 
 /** The router's own side of KServe v2: reads calls, refuses what is no call, and answers what is asked of the router. */
-final class Door {
+final class InferenceServer {
     /**
      * A call as the door read it.
      *
@@ -29,21 +29,21 @@
      * @param hint of its work, or null
      */
     record Understood(
-            ReleaseDesk.Wish wish,
-            Moment came,
-            Span timeLeft,
-            Facts.Terms category,
-            Articles.ModelTerms terms,
-            Span hint,
+            RolloutManager.Wish wish,
+            MonotonicTime came,
+            TimeSpan timeLeft,
+            RoutingSettings.RequestClass category,
+            RouterConfig.ModelTerms terms,
+            TimeSpan hint,
             boolean repeat) {
         /** The call as the router holds it: under its own name or the router's for it, of the version chosen. */
-        Calls.Asked asked(String name, ReleaseDesk releases, HttpReply reply) {
-            ReleaseDesk.Wish named = wish.named() != null
+        RequestManager.ParsedRequest asked(String name, RolloutManager releases, HttpResponseHandler reply) {
+            RolloutManager.Wish named = wish.named() != null
                     ? wish
-                    : new ReleaseDesk.Wish(name, wish.model(), wish.version(), wish.key(), wish.account(), wish.mark());
-            ReleaseDesk.Chosen chosen = releases.choose(named);
+                    : new RolloutManager.Wish(name, wish.model(), wish.version(), wish.key(), wish.account(), wish.mark());
+            RolloutManager.Chosen chosen = releases.choose(named);
             reply.taken(named.named(), chosen.version());
-            return new Calls.Asked(
+            return new RequestManager.ParsedRequest(
                     named.named(),
                     chosen.function(),
                     wish.mark(),
@@ -65,23 +65,23 @@
         /** Why no call is taken now, or null. */
         String closedBecause();
 
-        void take(Understood understood, HttpReply reply);
+        void take(Understood understood, HttpResponseHandler reply);
 
         boolean ready();
 
         /** How late the event loop is. */
-        Span behind();
+        TimeSpan behind();
     }
 
     private static final String NAME = "[A-Za-z0-9._:-]{1,128}";
 
-    private final Articles articles;
+    private final RouterConfig articles;
     private final House house;
-    private final Meters meters;
+    private final PrometheusMetrics meters;
     private final Vertx vertx;
     private final HttpServer server;
 
-    Door(Vertx vertx, Articles articles, House house, Meters meters) {
+    InferenceServer(Vertx vertx, RouterConfig articles, House house, PrometheusMetrics meters) {
         this.articles = articles;
         this.house = house;
         this.meters = meters;
@@ -91,7 +91,7 @@
                         .setPort(articles.port())
                         .setTcpNoDelay(true)
                         .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
-                        .setIdleTimeout((int) articles.limits().idle().inMillis())
+                        .setIdleTimeout((int) articles.limits().idle().toMillis())
                         .setMaxHeaderSize(16 << 10)
                         .setMaxInitialLineLength(8 << 10))
                 .requestHandler(this::take);
@@ -120,7 +120,7 @@
         }
         switch (route.kind()) {
             case INFER -> infer(request, route);
-            case SERVER -> json(request, Bodies.server("pearladder", "0.2.0", List.of()));
+            case SERVER -> json(request, JsonBodies.server("pearladder", "0.2.0", List.of()));
             case LIVE -> json(request, "{\"live\":true}");
             case READY -> {
                 if (house.ready()) {
@@ -138,7 +138,7 @@
         if (!route.model().matches(NAME) || articles.modelOf(route.model()) == null) {
             refuse(request, 404, "unknown model " + shown(route.model()));
         } else if (route.kind() == Route.Kind.MODEL) {
-            json(request, Bodies.model(route.model(), route.version() == null ? List.of() : List.of(route.version())));
+            json(request, JsonBodies.model(route.model(), route.version() == null ? List.of() : List.of(route.version())));
         } else if (house.ready()) {
             json(request, "{\"name\":\"" + route.model() + "\",\"ready\":true}");
         } else {
@@ -148,8 +148,8 @@
 
     /** Reads the head of a call, then its body within its bounds of size and time; what is no call is never taken. */
     private void infer(HttpServerRequest request, Route route) {
-        Moment came = VertxTimers.present();
-        Articles.ModelTerms model = route.model().matches(NAME) ? articles.modelOf(route.model()) : null;
+        MonotonicTime came = VertxTimers.present();
+        RouterConfig.ModelTerms model = route.model().matches(NAME) ? articles.modelOf(route.model()) : null;
         if (model == null) {
             refuse(request, 404, "unknown model " + shown(route.model()));
             return;
@@ -163,10 +163,10 @@
                 ? word
                 : model.category() != null
                         ? model.category()
-                        : articles.facts().categories().size() == 1
-                                ? articles.facts().categories().get(0).name()
+                        : articles.facts().requestClasses().size() == 1
+                                ? articles.facts().requestClasses().get(0).name()
                                 : null;
-        Facts.Terms terms = category == null ? null : articles.category(category);
+        RoutingSettings.RequestClass terms = category == null ? null : articles.category(category);
         if (terms == null) {
             refuse(
                     request,
@@ -177,8 +177,8 @@
             return;
         }
         String account = request.getHeader(Headers.ACCOUNT);
-        if (!articles.facts().accounts().isEmpty()
-                && articles.facts().accounts().stream().noneMatch(a -> a.name().equals(account))) {
+        if (!articles.facts().tenants().isEmpty()
+                && articles.facts().tenants().stream().noneMatch(a -> a.name().equals(account))) {
             refuse(
                     request,
                     400,
@@ -188,12 +188,12 @@
             return;
         }
         String mark = request.getHeader(Headers.MARK);
-        if (terms.effect() == Facts.Effect.FINGERPRINTED && (mark == null || mark.isBlank())) {
+        if (terms.idempotency() == RoutingSettings.Idempotency.FINGERPRINTED && (mark == null || mark.isBlank())) {
             refuse(request, 400, "a call of category " + category + " needs the header " + Headers.MARK);
             return;
         }
-        Span patience = millis(request, Headers.PATIENCE, terms.abandon());
-        Span hint = millis(request, Headers.HINT, Span.NONE);
+        TimeSpan patience = millis(request, Headers.PATIENCE, terms.deadline());
+        TimeSpan hint = millis(request, Headers.HINT, TimeSpan.ZERO);
         if (patience == null || hint == null || patience.nanos() <= 0) {
             refuse(
                     request,
@@ -208,7 +208,7 @@
         }
         read(request, body -> {
             // what the loop is late counts twice: the call waited unseen on its way in, and so will its answer
-            Span left = patience.atMost(terms.abandon())
+            TimeSpan left = patience.atMost(terms.deadline())
                     .minus(VertxTimers.present().since(came))
                     .minus(house.behind().times(2));
             String closed = left.nanos() <= 0
@@ -222,12 +222,12 @@
             String type = request.getHeader("content-type");
             house.take(
                     new Understood(
-                            new ReleaseDesk.Wish(
+                            new RolloutManager.Wish(
                                     named != null && named.matches(NAME) ? named : null,
                                     route.model(),
                                     route.version(),
                                     request.getHeader(Headers.KEY),
-                                    articles.facts().accounts().isEmpty() ? null : account,
+                                    articles.facts().tenants().isEmpty() ? null : account,
                                     mark),
                             came,
                             left,
@@ -235,20 +235,20 @@
                             model,
                             hint.nanos() == 0 ? null : hint,
                             "1".equals(request.getHeader(Headers.REPEAT))),
-                    new HttpReply(route.model(), type == null ? "application/json" : type, body, request.response()));
+                    new HttpResponseHandler(route.model(), type == null ? "application/json" : type, body, request.response()));
         });
     }
 
     private void read(HttpServerRequest request, java.util.function.Consumer<Buffer> whole) {
         Buffer body = Buffer.buffer();
         boolean[] over = {false};
-        long timer = vertx.setTimer(Math.max(1, articles.limits().bodyWithin().inMillis()), fired -> {
+        long timer = vertx.setTimer(Math.max(1, articles.limits().bodyWithin().toMillis()), fired -> {
             over[0] = true;
             refuse(
                     request,
                     408,
                     "the body was not in after "
-                            + articles.limits().bodyWithin().inMillis() + " ms");
+                            + articles.limits().bodyWithin().toMillis() + " ms");
         });
         request.exceptionHandler(left -> {
             over[0] = true;
@@ -280,12 +280,12 @@
         return text != null && text.matches("[0-9]{1,18}") ? Long.parseLong(text) : 0;
     }
 
-    private static Span millis(HttpServerRequest request, String header, Span otherwise) {
+    private static TimeSpan millis(HttpServerRequest request, String header, TimeSpan otherwise) {
         String text = request.getHeader(header);
         if (text == null) {
             return otherwise;
         }
-        return text.matches("[0-9]{1,9}(\\.[0-9]{1,6})?") ? Span.seconds(Double.parseDouble(text) / 1e3) : null;
+        return text.matches("[0-9]{1,9}(\\.[0-9]{1,6})?") ? TimeSpan.seconds(Double.parseDouble(text) / 1e3) : null;
     }
 
     /** A client's own word, cut short, in a message that goes back to it. */
@@ -313,7 +313,7 @@
             request.response().putHeader("connection", "close");
             request.resume();
         }
-        end(request, status, "application/json", Bodies.error(why));
+        end(request, status, "application/json", JsonBodies.error(why));
         if (status == 408 || status == 413) {
             vertx.setTimer(50, t -> request.connection().close());
         }
@@ -322,6 +322,6 @@
     /** A call that was understood and not taken: never sent anywhere, so trying again is harmless. */
     private void notTaken(HttpServerResponse response, String why) {
         meters.notTaken();
-        HttpReply.dismiss(response, why, articles.facts().allowances().longestRetryAfter());
+        HttpResponseHandler.dismiss(response, why, articles.facts().attemptLimits().maxRetryAfter());
     }
 }
