--- a/router/src/main/java/pearladder/router/Meters.java
+++ b/router/src/main/java/pearladder/router/PrometheusMetrics.java
@@ -13,13 +13,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import pearladder.api.Outcome;
-import pearladder.kserve.FinalState;
-import pearladder.router.core.Tally;
+import pearladder.kserve.RequestOutcome;
+import pearladder.router.core.RouterMetrics;
 
 /** The router's counts, told on /metrics in the text form of Prometheus. */
-final class Meters implements Tally {
+final class PrometheusMetrics implements RouterMetrics {
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    private final Map<FinalState, Counter> answers = new EnumMap<>(FinalState.class);
+    private final Map<RequestOutcome, Counter> answers = new EnumMap<>(RequestOutcome.class);
     private final Map<Outcome, Counter> legs = new EnumMap<>(Outcome.class);
     private final Timer settled = Timer.builder("pearladder.call.seconds")
             .publishPercentiles(0.5, 0.99)
@@ -32,11 +32,11 @@
     private final Counter modes = registry.counter("pearladder.mode.changes");
     private final Counter orders = registry.counter("pearladder.load.orders");
 
-    Meters(Supplier<Number> openCalls, Supplier<Number> engines) {
+    PrometheusMetrics(Supplier<Number> openCalls, Supplier<Number> engines) {
         new JvmMemoryMetrics().bindTo(registry);
         new ProcessorMetrics().bindTo(registry);
-        for (FinalState state : FinalState.values()) {
-            answers.put(state, registry.counter("pearladder.calls", "state", state.word()));
+        for (RequestOutcome state : RequestOutcome.values()) {
+            answers.put(state, registry.counter("pearladder.calls", "state", state.code()));
         }
         for (Outcome outcome : Outcome.values()) {
             legs.put(
@@ -56,30 +56,30 @@
     }
 
     @Override
-    public void answered(FinalState state, long nanos) {
+    public void onResponse(RequestOutcome state, long nanos) {
         answers.get(state).increment();
-        if (state == FinalState.SETTLED) {
+        if (state == RequestOutcome.SETTLED) {
             settled.record(nanos, TimeUnit.NANOSECONDS);
         }
     }
 
     @Override
-    public void legEnded(Outcome outcome) {
+    public void onAttemptEnded(Outcome outcome) {
         legs.get(outcome).increment();
     }
 
     @Override
-    public void decided(long nanos) {
+    public void onDecision(long nanos) {
         decisions.record(nanos, TimeUnit.NANOSECONDS);
     }
 
     @Override
-    public void modeChanged(String text) {
+    public void onModeChange(String text) {
         modes.increment();
     }
 
     @Override
-    public void clientLeft() {
+    public void onClientDisconnected() {
         left.increment();
     }
 
@@ -88,7 +88,7 @@
     }
 
     @Override
-    public void ordered() {
+    public void onLoadRequest() {
         orders.increment();
     }
 
--- a/router/src/main/java/pearladder/router/Operator.java
+++ b/router/src/main/java/pearladder/router/RolloutClient.java
@@ -16,14 +16,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.function.UnaryOperator;
-import pearladder.release.Plan;
-import pearladder.release.Target;
+import pearladder.release.RolloutPlan;
+import pearladder.release.RolloutTarget;
 
 /**
  * An operator's side of releases: looks at every router's doors, makes the order that follows the newest one seen, and
  * gives it to all of them. A router that is away is named; it may be given the same order again.
  */
-public final class Operator {
+public final class RolloutClient {
     /** What came of an order: how many routers took it, and a line for each. */
     public record Told(int took, int asked, List<String> lines) {}
 
@@ -37,13 +37,13 @@
             .build();
 
     /** @param doors addresses of the routers' admin doors; @param by who orders */
-    public Operator(List<String> doors, String by) {
+    public RolloutClient(List<String> doors, String by) {
         this.doors = doors;
         this.by = by;
     }
 
     /** The same for these routers and all whom they learn from. */
-    public Operator andOthers() {
+    public RolloutClient andOthers() {
         List<String> all = new ArrayList<>(doors);
         for (String door : doors) {
             try {
@@ -56,7 +56,7 @@
                 continue;
             }
         }
-        return new Operator(all, by);
+        return new RolloutClient(all, by);
     }
 
     /** How every release stands at each router. */
@@ -105,15 +105,15 @@
     }
 
     /** Begins a release of each model at its first step. */
-    public Told start(List<Plan> plans) {
-        Map<String, Target> newest = newest();
+    public Told start(List<RolloutPlan> plans) {
+        Map<String, RolloutTarget> newest = newest();
         List<String> wrong = new ArrayList<>();
-        List<Target> orders = new ArrayList<>();
-        for (Plan plan : plans) {
-            Target before = newest.get(plan.model());
+        List<RolloutTarget> orders = new ArrayList<>();
+        for (RolloutPlan plan : plans) {
+            RolloutTarget before = newest.get(plan.model());
             String serves = before == null
                     ? null
-                    : before.mode() == Target.Mode.ROLLED_BACK
+                    : before.mode() == RolloutTarget.Mode.ROLLED_BACK
                             ? before.plan().from()
                             : before.plan().to();
             if (serves != null && !serves.equals(plan.from()) && !before.plan().equals(plan)) {
@@ -122,7 +122,7 @@
                         + "\"; mend \"from\", or roll the release before it back");
                 continue;
             }
-            orders.add(new Target(after(before), plan, Target.Mode.RUNNING, 0, by, System.currentTimeMillis()));
+            orders.add(new RolloutTarget(after(before), plan, RolloutTarget.Mode.RUNNING, 0, by, System.currentTimeMillis()));
         }
         Told told = give(orders);
         wrong.addAll(told.lines());
@@ -135,18 +135,18 @@
      * @param models names, or none for every release there is
      * @param change from the newest target to the next; its epoch, who and when are set here
      */
-    public Told change(List<String> models, UnaryOperator<Target> change) {
-        Map<String, Target> newest = newest();
-        List<Target> orders = new ArrayList<>();
+    public Told change(List<String> models, UnaryOperator<RolloutTarget> change) {
+        Map<String, RolloutTarget> newest = newest();
+        List<RolloutTarget> orders = new ArrayList<>();
         List<String> unknown = new ArrayList<>();
         for (String model : models.isEmpty() ? newest.keySet() : models) {
-            Target before = newest.get(model);
+            RolloutTarget before = newest.get(model);
             if (before == null) {
                 unknown.add(model + ": no release there; start one");
                 continue;
             }
-            Target wanted = change.apply(before);
-            orders.add(new Target(
+            RolloutTarget wanted = change.apply(before);
+            orders.add(new RolloutTarget(
                     after(before), wanted.plan(), wanted.mode(), wanted.step(), by, System.currentTimeMillis()));
         }
         Told told = give(orders);
@@ -154,18 +154,18 @@
         return new Told(told.took(), told.asked() + (models.isEmpty() ? 0 : models.size() - orders.size()), unknown);
     }
 
-    private static long after(Target before) {
+    private static long after(RolloutTarget before) {
         return before == null ? 1 : before.epoch() + 1;
     }
 
     /** The newest target of each model that any router knows; one that was away may know an older one. */
-    private Map<String, Target> newest() {
-        Map<String, Target> newest = new LinkedHashMap<>();
+    private Map<String, RolloutTarget> newest() {
+        Map<String, RolloutTarget> newest = new LinkedHashMap<>();
         for (String door : doors) {
             try {
-                List<Target> targets =
+                List<RolloutTarget> targets =
                         JSON.convertValue(get(door, "/releases").path("targets"), new TypeReference<>() {});
-                targets.forEach(target -> newest.merge(target.plan().model(), target, Target::newer));
+                targets.forEach(target -> newest.merge(target.plan().model(), target, RolloutTarget::newer));
             } catch (IOException away) {
                 continue;
             }
@@ -174,7 +174,7 @@
     }
 
     /** All orders to all routers at once: a router that is away holds nobody up. */
-    private Told give(List<Target> orders) {
+    private Told give(List<RolloutTarget> orders) {
         if (orders.isEmpty()) {
             return new Told(0, 0, List.of());
         }
@@ -195,7 +195,7 @@
         for (Map.Entry<String, CompletableFuture<HttpResponse<String>>> answer : answers.entrySet()) {
             List<String> refused = refused(answer.getValue());
             for (int i = 0; i < orders.size(); i++) {
-                Target order = orders.get(i);
+                RolloutTarget order = orders.get(i);
                 String refusal = refused == null ? null : i < refused.size() ? refused.get(i) : refused.get(0);
                 took += refusal != null && refusal.isEmpty() ? 1 : 0;
                 lines.add(answer.getKey() + ": " + order.plan().model() + " epoch " + order.epoch() + ": "
--- a/router/src/main/java/pearladder/router/ReleaseJournal.java
+++ b/router/src/main/java/pearladder/router/RolloutJournal.java
@@ -20,8 +20,8 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.zip.CRC32;
-import pearladder.release.Reached;
-import pearladder.release.Target;
+import pearladder.release.RolloutProgress;
+import pearladder.release.RolloutTarget;
 
 /**
  * Orders on releases, as they were taken, and how far this router came with them: a line each, with its check sum before it, on disk before anyone is told. A tail
@@ -29,25 +29,25 @@
  * was promised would be lost with it. A long journal is made short when opened: the newest order of each model with how far
  * it came, and the latest orders.
  */
-final class ReleaseJournal implements Closeable {
+final class RolloutJournal implements Closeable {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int LONG = 1000;
     private static final int LATEST = 200;
 
     private final Path file;
-    private final List<Target> orders = new CopyOnWriteArrayList<>();
-    private final List<Reached> reached = new ArrayList<>();
+    private final List<RolloutTarget> orders = new CopyOnWriteArrayList<>();
+    private final List<RolloutProgress> reached = new ArrayList<>();
     private int lines;
     private FileChannel channel;
 
-    private ReleaseJournal(Path file) {
+    private RolloutJournal(Path file) {
         this.file = file;
     }
 
     /** Opens the journal of a folder, and makes one where there is none. */
-    static ReleaseJournal open(Path folder) throws IOException {
+    static RolloutJournal open(Path folder) throws IOException {
         Files.createDirectories(folder);
-        ReleaseJournal journal = new ReleaseJournal(folder.resolve("releases.journal"));
+        RolloutJournal journal = new RolloutJournal(folder.resolve("releases.journal"));
         journal.lock();
         journal.read();
         if (journal.lines > LONG) {
@@ -110,9 +110,9 @@
         try {
             JsonNode node = JSON.readTree(json);
             if (node.has("plan")) {
-                orders.add(JSON.treeToValue(node, Target.class));
+                orders.add(JSON.treeToValue(node, RolloutTarget.class));
             } else {
-                reached.add(JSON.treeToValue(node, Reached.class));
+                reached.add(JSON.treeToValue(node, RolloutProgress.class));
             }
             return true;
         } catch (IOException foreign) {
@@ -136,9 +136,9 @@
     }
 
     /** Puts orders on disk in one go; where that fails the journal is as it was before, without any of them. */
-    void append(List<Target> fresh) throws IOException {
+    void append(List<RolloutTarget> fresh) throws IOException {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
-        for (Target order : fresh) {
+        for (RolloutTarget order : fresh) {
             all.write(line(order));
         }
         put(all.toByteArray());
@@ -146,7 +146,7 @@
     }
 
     /** The same for how far this router came. */
-    void append(Reached far) throws IOException {
+    void append(RolloutProgress far) throws IOException {
         put(line(far));
     }
 
@@ -171,12 +171,12 @@
     }
 
     private void shorten() throws IOException {
-        Map<String, Target> newest = new LinkedHashMap<>();
-        for (Target order : orders) {
-            newest.merge(order.plan().model(), order, Target::newer);
+        Map<String, RolloutTarget> newest = new LinkedHashMap<>();
+        for (RolloutTarget order : orders) {
+            newest.merge(order.plan().model(), order, RolloutTarget::newer);
         }
-        List<Target> kept = new ArrayList<>(orders.subList(Math.max(0, orders.size() - LATEST), orders.size()));
-        List<Reached> far = reached.stream()
+        List<RolloutTarget> kept = new ArrayList<>(orders.subList(Math.max(0, orders.size() - LATEST), orders.size()));
+        List<RolloutProgress> far = reached.stream()
                 .filter(one -> newest.containsKey(one.model())
                         && newest.get(one.model()).epoch() == one.epoch())
                 .distinct()
@@ -185,10 +185,10 @@
         Path beside = file.resolveSibling("releases.new");
         try (FileChannel fresh = FileChannel.open(
                 beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
-            for (Target order : kept) {
+            for (RolloutTarget order : kept) {
                 write(fresh, line(order));
             }
-            for (Reached one : far) {
+            for (RolloutProgress one : far) {
                 write(fresh, line(one));
             }
             fresh.force(true);
@@ -204,12 +204,12 @@
     }
 
     /** How far this router had come when the journal was opened. */
-    List<Reached> reached() {
+    List<RolloutProgress> reached() {
         return List.copyOf(reached);
     }
 
     /** Every order that stands here, oldest first. */
-    List<Target> orders() {
+    List<RolloutTarget> orders() {
         return List.copyOf(orders);
     }
 
--- a/router/src/main/java/pearladder/router/Learning.java
+++ b/router/src/main/java/pearladder/router/RolloutSync.java
@@ -19,40 +19,40 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.release.Target;
-import pearladder.router.core.Articles;
-import pearladder.router.core.ReleaseDesk;
-import pearladder.work.Duties;
-import pearladder.work.Load;
+import pearladder.release.RolloutTarget;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.RolloutManager;
+import pearladder.work.JobClasses;
+import pearladder.work.ResourceCost;
 
 /**
  * Learns the newest orders on releases from the other routers: from all of them before this one is ready, then from one
  * after the other. Guards against a router that was away, or cut off, while an order was given. Which order holds is the
  * release module's to say; the answer to a question whose sum is the same is empty, so that asking costs little.
  */
-final class Learning {
+final class RolloutSync {
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.releases");
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long EVERY_MILLIS = 1000;
     private static final long WITHIN_MILLIS = 1000;
     /** An answer that tells nothing new. */
-    private static final Load USUAL = new Load(0, 500, 0);
+    private static final ResourceCost USUAL = new ResourceCost(0, 500, 0);
 
     private static final int LARGEST = 16 << 20;
 
     private final Vertx vertx;
-    private final ReleaseDesk desk;
-    private final JournalOffLoop journal;
+    private final RolloutManager desk;
+    private final AsyncRolloutJournal journal;
     private final BackgroundWork work;
-    private final List<Articles.Address> others;
+    private final List<RouterConfig.Address> others;
     private final HttpClient client;
-    private final Map<Articles.Address, Boolean> answering = new HashMap<>();
+    private final Map<RouterConfig.Address, Boolean> answering = new HashMap<>();
     private int turn;
     private boolean learnt;
     private boolean closed;
 
-    Learning(
-            Vertx vertx, ReleaseDesk desk, JournalOffLoop journal, BackgroundWork work, List<Articles.Address> others) {
+    RolloutSync(
+            Vertx vertx, RolloutManager desk, AsyncRolloutJournal journal, BackgroundWork work, List<RouterConfig.Address> others) {
         this.work = work;
         this.vertx = vertx;
         this.desk = desk;
@@ -82,14 +82,14 @@
 
     private void next() {
         if (!closed && !others.isEmpty()) {
-            Articles.Address other = others.get(turn++ % others.size());
+            RouterConfig.Address other = others.get(turn++ % others.size());
             vertx.setTimer(EVERY_MILLIS, fired -> work.ask(
-                            Duties.LEARN, "", USUAL, null, () -> ask(other).map(USUAL))
+                            JobClasses.LEARN, "", USUAL, null, () -> ask(other).map(USUAL))
                     .onComplete(asked -> next()));
         }
     }
 
-    private Future<Void> ask(Articles.Address other) {
+    private Future<Void> ask(RouterConfig.Address other) {
         if (closed) {
             // the turn came between this end and that of the background work
             return Future.succeededFuture();
@@ -112,7 +112,7 @@
                 });
     }
 
-    private void heard(Articles.Address other, Buffer body) {
+    private void heard(RouterConfig.Address other, Buffer body) {
         if (closed) {
             return;
         }
@@ -124,8 +124,8 @@
             }
             stands(other, true, "");
             for (JsonNode target : said.path("targets")) {
-                Target told = JSON.treeToValue(target, Target.class);
-                if (AdminDoor.whole(told)) {
+                RolloutTarget told = JSON.treeToValue(target, RolloutTarget.class);
+                if (AdminServer.whole(told)) {
                     desk.heard(told);
                 }
             }
@@ -135,7 +135,7 @@
     }
 
     /** One line when a router goes, and one when it is back. */
-    private void stands(Articles.Address other, boolean answers, String why) {
+    private void stands(RouterConfig.Address other, boolean answers, String why) {
         Boolean before = answering.put(other, answers);
         if (before == null ? !answers : before != answers) {
             LOG.atInfo()
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/router/src/main/java/pearladder/router/Router.java
@@ -11,51 +11,51 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.api.Dispatcher;
+import pearladder.api.RoutingPolicy;
 import pearladder.api.Event;
-import pearladder.api.Facts;
-import pearladder.api.Span;
-import pearladder.kserve.ListLine;
-import pearladder.router.core.Articles;
-import pearladder.router.core.Calls;
-import pearladder.router.core.Chronicle;
-import pearladder.router.core.OpenCall;
-import pearladder.router.core.Recall;
-import pearladder.router.core.ReleaseDesk;
-import pearladder.state.Known;
-import pearladder.work.Duties;
-import pearladder.work.Load;
+import pearladder.api.RoutingSettings;
+import pearladder.api.TimeSpan;
+import pearladder.kserve.DiscoveryMessage;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.RequestManager;
+import pearladder.router.core.EventListener;
+import pearladder.router.core.ActiveRequest;
+import pearladder.router.core.SnapshotLoader;
+import pearladder.router.core.RolloutManager;
+import pearladder.state.PolicySnapshot;
+import pearladder.work.JobClasses;
+import pearladder.work.ResourceCost;
 
 /**
  * One router behind real sockets: its door, its engines, its list, its releases and one instance of the module, all on one
- * event loop. It is made, started, stopped once. What it does with calls is in {@link Calls}.
+ * event loop. It is made, started, stopped once. What it does with calls is in {@link RequestManager}.
  */
-public final class Router implements Door.House, ListWatch.Listener {
+public final class Router implements InferenceServer.House, EndpointWatch.Listener {
     /** Makes the module's instance. */
     public interface Maker {
-        Dispatcher make(long seed, Facts facts);
+        RoutingPolicy make(long seed, RoutingSettings facts);
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(Router.class);
     private static final int WRITING_AT_STOP_SECONDS = 5;
     private static final long SNAPSHOT_MILLIS = 1000;
 
-    private final Articles articles;
+    private final RouterConfig articles;
     private final Vertx vertx;
     private final Context loop;
-    private final Meters meters;
-    private final Calls calls;
-    private final Door door;
-    private final ListWatch watch;
-    private final Roster roster;
+    private final PrometheusMetrics meters;
+    private final RequestManager calls;
+    private final InferenceServer door;
+    private final EndpointWatch watch;
+    private final WorkerRegistry roster;
     private final BackgroundWork work;
-    private final Pulse pulse;
-    private final JournalOffLoop journal;
-    private final ReleaseDesk releases;
-    private final Learning learning;
-    private final Dispatcher module;
-    private final Snapshot snapshot;
-    private final Recorder recorder;
+    private final EventLoopLag pulse;
+    private final AsyncRolloutJournal journal;
+    private final RolloutManager releases;
+    private final RolloutSync learning;
+    private final RoutingPolicy module;
+    private final SnapshotFile snapshot;
+    private final EventRecorder recorder;
     private boolean stopping;
     private boolean warm;
     private Promise<Void> stopped;
@@ -63,9 +63,9 @@
     private int adminPort;
     private long numbered;
 
-    private Router(Articles articles, Maker maker, long seed) throws IOException {
+    private Router(RouterConfig articles, Maker maker, long seed) throws IOException {
         this.articles = articles;
-        ReleaseJournal orders = ReleaseJournal.open(articles.data());
+        RolloutJournal orders = RolloutJournal.open(articles.data());
         this.vertx = Vertx.vertx(new VertxOptions()
                 .setEventLoopPoolSize(1)
                 .setWorkerPoolSize(1)
@@ -74,31 +74,31 @@
                         new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
         this.loop = vertx.getOrCreateContext();
         VertxTimers timers = new VertxTimers(vertx);
-        this.work = new BackgroundWork(timers, Duties.scheduler(seed, timers.now()));
-        this.roster = new Roster(vertx, articles, work);
-        this.pulse = new Pulse(vertx);
-        this.meters = new Meters(this::held, roster::size);
-        this.watch = new ListWatch(vertx, articles.list(), articles.name(), this);
+        this.work = new BackgroundWork(timers, JobClasses.scheduler(seed, timers.now()));
+        this.roster = new WorkerRegistry(vertx, articles, work);
+        this.pulse = new EventLoopLag(vertx);
+        this.meters = new PrometheusMetrics(this::held, roster::size);
+        this.watch = new EndpointWatch(vertx, articles.list(), articles.name(), this);
         this.module = maker.make(seed, articles.facts());
-        this.snapshot = new Snapshot(articles.data());
+        this.snapshot = new SnapshotFile(articles.data());
         this.recorder = articles.records() == null ? null : recorder(timers, orders);
-        this.calls = new Calls(
+        this.calls = new RequestManager(
                 articles.facts(),
                 timers,
                 module,
-                new Legs(vertx, articles.name(), articles.limits().answer(), roster, watch::watch),
+                new HttpWorkerClient(vertx, articles.name(), articles.limits().answer(), roster, watch::watch),
                 meters,
-                recorder == null ? Chronicle.NONE : recorder);
-        this.door = new Door(vertx, articles, this, meters);
-        this.journal = new JournalOffLoop(vertx, orders);
-        this.releases = new ReleaseDesk(timers, articles, journal, calls::tell);
-        this.calls.standings(releases::standing);
-        this.learning = new Learning(vertx, releases, journal, work, articles.others());
+                recorder == null ? EventListener.NONE : recorder);
+        this.door = new InferenceServer(vertx, articles, this, meters);
+        this.journal = new AsyncRolloutJournal(vertx, orders);
+        this.releases = new RolloutManager(timers, articles, journal, calls::dispatch);
+        this.calls.onPrewarmProgress(releases::standing);
+        this.learning = new RolloutSync(vertx, releases, journal, work, articles.others());
     }
 
-    private Recorder recorder(VertxTimers timers, ReleaseJournal orders) throws IOException {
+    private EventRecorder recorder(VertxTimers timers, RolloutJournal orders) throws IOException {
         try {
-            return new Recorder(vertx, timers, work, articles, System::currentTimeMillis);
+            return new EventRecorder(vertx, timers, work, articles, System::currentTimeMillis);
         } catch (IOException unopened) {
             orders.close();
             vertx.close();
@@ -107,7 +107,7 @@
     }
 
     private Number held() {
-        return calls.size();
+        return calls.inFlight();
     }
 
     /**
@@ -115,7 +115,7 @@
      *
      * @param seed of the module's chance; a fresh one at every start
      */
-    public static Future<Router> start(Articles articles, Maker maker, long seed) {
+    public static Future<Router> start(RouterConfig articles, Maker maker, long seed) {
         Router router;
         try {
             router = new Router(articles, maker, seed);
@@ -127,7 +127,7 @@
             router.begin();
             Future<Integer> admin = articles.admin() == null
                     ? Future.succeededFuture(0)
-                    : new AdminDoor(router.vertx, articles, router.releases).listen();
+                    : new AdminServer(router.vertx, articles, router.releases).listen();
             admin.compose(port -> {
                         router.adminPort = port;
                         return router.door.listen();
@@ -184,8 +184,8 @@
     }
 
     private void begin() {
-        Event.Listed list = roster.remembered();
-        calls.tell(list);
+        Event.EndpointsUpdated list = roster.remembered();
+        calls.dispatch(list);
         if (recorder != null) {
             recall(list);
         }
@@ -195,11 +195,11 @@
     }
 
     /** What the last life knew, as far as it may be believed; then what this one knows is written once a second. */
-    private void recall(Event.Listed list) {
-        Recorder.Orders orders = recorder.orders(articles.facts().ration().window());
-        Snapshot.Taken taken = snapshot.take();
-        Span gap = taken == null ? Span.NONE : Span.millis(System.currentTimeMillis() - taken.wall());
-        calls.tell(Recall.event(
+    private void recall(Event.EndpointsUpdated list) {
+        EventRecorder.Orders orders = recorder.orders(articles.facts().loadQuota().window());
+        SnapshotFile.Taken taken = snapshot.take();
+        TimeSpan gap = taken == null ? TimeSpan.ZERO : TimeSpan.millis(System.currentTimeMillis() - taken.wall());
+        calls.dispatch(SnapshotLoader.event(
                 articles.facts(),
                 taken == null ? null : taken.known(),
                 gap,
@@ -212,15 +212,15 @@
         meters.records(recorder::held, () -> recorder.failing() ? 1 : 0);
         vertx.setPeriodic(SNAPSHOT_MILLIS, due -> {
             if (!stopping) {
-                work.ask(Duties.SNAPSHOT, "", Load.NONE, null, this::takeSnapshot);
+                work.ask(JobClasses.SNAPSHOT, "", ResourceCost.NONE, null, this::takeSnapshot);
             }
         });
     }
 
-    private Future<Load> takeSnapshot() {
-        Known known = module.known(VertxTimers.present());
+    private Future<ResourceCost> takeSnapshot() {
+        PolicySnapshot known = module.snapshot(VertxTimers.present());
         long wall = System.currentTimeMillis();
-        return vertx.executeBlocking(() -> new Load(0, snapshot.write(wall, known), 0));
+        return vertx.executeBlocking(() -> new ResourceCost(0, snapshot.write(wall, known), 0));
     }
 
     /** Takes nothing new, finishes what it holds within its bound, and ends. */
@@ -231,17 +231,17 @@
         stopped = Promise.promise();
         loop.runOnContext(run -> {
             stopping = true;
-            LOG.atInfo().addKeyValue("calls", calls.size()).log("stopping");
+            LOG.atInfo().addKeyValue("calls", calls.inFlight()).log("stopping");
             Promise<Void> emptied = Promise.promise();
-            long bound = vertx.setTimer(Math.max(1, articles.stopWithin().inMillis()), late -> {
-                LOG.atWarn().addKeyValue("calls", calls.size()).log("the bound is reached; terminating what is held");
-                calls.terminateAll();
+            long bound = vertx.setTimer(Math.max(1, articles.stopWithin().toMillis()), late -> {
+                LOG.atWarn().addKeyValue("calls", calls.inFlight()).log("the bound is reached; terminating what is held");
+                calls.failAll();
                 emptied.tryComplete();
             });
             calls.whenEmpty(emptied::tryComplete);
             emptied.future().onComplete(empty -> {
                 vertx.cancelTimer(bound);
-                calls.end();
+                calls.stop();
                 learning.close();
                 releases.end();
                 watch.close();
@@ -280,19 +280,19 @@
     public String closedBecause() {
         return stopping
                 ? "this router is stopping"
-                : calls.size() >= articles.limits().openCalls() ? "this router holds as many calls as it may" : null;
+                : calls.inFlight() >= articles.limits().openCalls() ? "this router holds as many calls as it may" : null;
     }
 
     @Override
-    public Span behind() {
-        return new Span(pulse.behind());
+    public TimeSpan behind() {
+        return new TimeSpan(pulse.behind());
     }
 
     @Override
-    public void take(Door.Understood understood, HttpReply reply) {
-        OpenCall call = calls.take(understood.asked(articles.name() + "-" + ++numbered, releases, reply), reply);
+    public void take(InferenceServer.Understood understood, HttpResponseHandler reply) {
+        ActiveRequest call = calls.accept(understood.asked(articles.name() + "-" + ++numbered, releases, reply), reply);
         if (!reply.response.ended()) {
-            reply.response.closeHandler(closed -> calls.left(call));
+            reply.response.closeHandler(closed -> calls.clientDisconnected(call));
         }
     }
 
@@ -300,15 +300,15 @@
 
     @Override
     public void failed() {
-        calls.tell(new Event.Listed(Event.ListKind.FAILED, List.of()));
+        calls.dispatch(new Event.EndpointsUpdated(Event.EndpointUpdateKind.FAILED, List.of()));
     }
 
     @Override
-    public void line(ListLine line) {
-        Event.Listed listed = roster.follow(line);
+    public void line(DiscoveryMessage line) {
+        Event.EndpointsUpdated listed = roster.follow(line);
         if (recorder != null) {
             recorder.listed(line);
         }
-        calls.tell(listed);
+        calls.dispatch(listed);
     }
 }
--- a/router/src/main/java/pearladder/router/Snapshot.java
+++ b/router/src/main/java/pearladder/router/SnapshotFile.java
@@ -12,13 +12,13 @@
 import java.util.zip.CRC32C;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.state.Known;
+import pearladder.state.PolicySnapshot;
 
 /**
  * What the module knew, on disk: a checksum, then JSON; written beside and moved over. At a start it is moved aside first,
  * so that a snapshot that brings a router down is used once: the next start finds none.
  */
-final class Snapshot {
+final class SnapshotFile {
     /** The format that is written; another one is not read. */
     private static final int FORMAT = 1;
 
@@ -28,11 +28,11 @@
             .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
 
     /** @param wall when it was taken, milliseconds since 1970 */
-    record Taken(int format, long wall, Known known) {}
+    record Taken(int format, long wall, PolicySnapshot known) {}
 
     private final Path file;
 
-    Snapshot(Path folder) {
+    SnapshotFile(Path folder) {
         this.file = folder.resolve("snapshot.json");
     }
 
@@ -65,14 +65,14 @@
     }
 
     /** Writes one; how many bytes it has. */
-    long write(long wall, Known known) throws IOException {
+    long write(long wall, PolicySnapshot known) throws IOException {
         byte[] text = JSON.writeValueAsBytes(new Taken(FORMAT, wall, known));
         byte[] bytes = ByteBuffer.allocate(Long.BYTES + text.length)
                 .putLong(0)
                 .put(text)
                 .array();
         ByteBuffer.wrap(bytes).putLong(sum(bytes));
-        WholeFile.write(file, bytes);
+        AtomicFile.write(file, bytes);
         return bytes.length;
     }
 
--- a/router/src/main/java/pearladder/router/VertxTimers.java
+++ b/router/src/main/java/pearladder/router/VertxTimers.java
@@ -1,8 +1,8 @@
 package pearladder.router;
 
 import io.vertx.core.Vertx;
-import pearladder.api.Moment;
-import pearladder.api.Span;
+import pearladder.api.MonotonicTime;
+import pearladder.api.TimeSpan;
 import pearladder.router.core.Timers;
 
 /** Timers of the event loop, and the machine's monotonic clock. */
@@ -13,17 +13,17 @@
         this.vertx = vertx;
     }
 
-    public static Moment present() {
-        return new Moment(System.nanoTime());
+    public static MonotonicTime present() {
+        return new MonotonicTime(System.nanoTime());
     }
 
     @Override
-    public Moment now() {
+    public MonotonicTime now() {
         return present();
     }
 
     @Override
-    public Timer after(Span span, Runnable what) {
+    public Timer after(TimeSpan span, Runnable what) {
         long timer = vertx.setTimer(Timers.millis(span), fired -> what.run());
         return () -> vertx.cancelTimer(timer);
     }
--- a/router/src/main/java/pearladder/router/WarmUp.java
+++ b/router/src/main/java/pearladder/router/WarmUp.java
@@ -11,13 +11,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import pearladder.api.Action;
-import pearladder.api.Dispatcher;
+import pearladder.api.RoutingPolicy;
 import pearladder.api.Event;
-import pearladder.api.Facts;
-import pearladder.api.Moment;
+import pearladder.api.RoutingSettings;
+import pearladder.api.MonotonicTime;
 import pearladder.api.Outcome;
-import pearladder.api.Span;
-import pearladder.router.core.Articles;
+import pearladder.api.TimeSpan;
+import pearladder.router.core.RouterConfig;
 
 /**
  * Guards against a router that is late for its first calls because its code is only then loaded and compiled: before it is
@@ -28,12 +28,12 @@
     private static final int WORKERS = 8;
     private static final int KNOCKS = 3000;
     private static final int AT_ONCE = 16;
-    private static final Span BOUND = Span.millis(1500);
+    private static final TimeSpan BOUND = TimeSpan.millis(1500);
 
     private WarmUp() {}
 
     /** Done once it is warm, or after a bound. */
-    static Future<Void> run(Vertx vertx, Articles articles, Router.Maker maker, int port) {
+    static Future<Void> run(Vertx vertx, RouterConfig articles, Router.Maker maker, int port) {
         long until = System.nanoTime() + BOUND.nanos();
         Future<Void> rehearsed = vertx.executeBlocking(() -> {
             rehearse(maker.make(0, articles.facts()), articles.facts(), until);
@@ -62,26 +62,26 @@
     }
 
     /** Plays calls that all settle, in a time of their own. */
-    private static void rehearse(Dispatcher module, Facts facts, long until) {
-        Moment now = new Moment(0);
-        List<Event.Listing> workers = new ArrayList<>();
+    private static void rehearse(RoutingPolicy module, RoutingSettings facts, long until) {
+        MonotonicTime now = new MonotonicTime(0);
+        List<Event.Endpoint> workers = new ArrayList<>();
         for (int i = 0; i < WORKERS; i++) {
-            workers.add(new Event.Listing("worker-" + i, facts.zone(), "", 0, Event.Standing.IN_SERVICE, 1, null));
+            workers.add(new Event.Endpoint("worker-" + i, facts.zone(), "", 0, Event.EndpointState.IN_SERVICE, 1, null));
         }
-        module.on(now, new Event.Listed(Event.ListKind.WHOLE, workers));
-        Facts.Terms category = facts.categories().get(0);
+        module.handle(now, new Event.EndpointsUpdated(Event.EndpointUpdateKind.SNAPSHOT, workers));
+        RoutingSettings.RequestClass category = facts.requestClasses().get(0);
         String account =
-                facts.accounts().isEmpty() ? null : facts.accounts().get(0).name();
+                facts.tenants().isEmpty() ? null : facts.tenants().get(0).name();
         for (int i = 0; i < CALLS && System.nanoTime() < until; i++) {
-            now = now.plus(Span.millis(5));
-            List<Action> actions = module.on(
+            now = now.plus(TimeSpan.millis(5));
+            List<Action> actions = module.handle(
                     now,
-                    new Event.CallCame(
+                    new Event.RequestArrived(
                             "call-" + i,
                             "model-" + i % 40,
                             category.name(),
                             account,
-                            category.abandon(),
+                            category.deadline(),
                             2,
                             100,
                             null,
@@ -89,23 +89,23 @@
                             false,
                             false));
             for (Action action : actions) {
-                if (action instanceof Action.Send send) {
-                    module.on(
+                if (action instanceof Action.SendAttempt send) {
+                    module.handle(
                             now,
-                            new Event.LegEnded(
-                                    send.call(),
+                            new Event.AttemptEnded(
+                                    send.requestId(),
                                     0,
                                     send.worker(),
                                     Outcome.SUCCESS,
-                                    Span.millis(20),
+                                    TimeSpan.millis(20),
                                     true,
-                                    Event.Copy.STOOD,
+                                    Event.InstanceStatus.STOOD,
                                     0,
-                                    new Event.Report(1, 0, 0.1, 0, 0.1)));
+                                    new Event.WorkerLoadReport(1, 0, 0.1, 0, 0.1)));
                 }
             }
             if (i % 20 == 0) {
-                module.on(now, new Event.Due("beat"));
+                module.handle(now, new Event.TimerFired("beat"));
             }
         }
     }
--- a/router/src/main/java/pearladder/router/EngineLink.java
+++ b/router/src/main/java/pearladder/router/WorkerConnectionPool.java
@@ -12,22 +12,22 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import pearladder.router.core.Articles;
+import pearladder.router.core.RouterConfig;
 
 /**
  * This router's connections to one engine at one address. A connection carries one call at a time; one that can't be had
  * within the dial time is a failure that proves that nothing left.
  */
-final class EngineLink {
+final class WorkerConnectionPool {
     final String host;
     final int port;
     private final Vertx vertx;
-    private final Articles.Connections terms;
+    private final RouterConfig.Connections terms;
     private HttpClient client;
     private int out;
     private boolean retired;
 
-    EngineLink(Vertx vertx, String host, int port, Articles.Connections terms) {
+    WorkerConnectionPool(Vertx vertx, String host, int port, RouterConfig.Connections terms) {
         this.vertx = vertx;
         this.host = host;
         this.port = port;
@@ -40,9 +40,9 @@
                 new HttpClientOptions()
                         .setDefaultHost(host)
                         .setDefaultPort(port)
-                        .setConnectTimeout((int) terms.dial().inMillis())
+                        .setConnectTimeout((int) terms.dial().toMillis())
                         .setKeepAliveTimeout(
-                                (int) Math.max(1, Math.round(terms.idle().inSeconds())))
+                                (int) Math.max(1, Math.round(terms.idle().toSeconds())))
                         // a leg that is given up must not leave this machine later, when a cut is mended: closing
                         // resets
                         .setTcpNoDelay(true)
@@ -59,7 +59,7 @@
                 .setHost(host)
                 .setPort(port)
                 .setURI(uri)
-                .setConnectTimeout(terms.dial().inMillis()));
+                .setConnectTimeout(terms.dial().toMillis()));
     }
 
     /** What was asked for by {@link #request} has ended. */
--- a/router/src/main/java/pearladder/router/Roster.java
+++ b/router/src/main/java/pearladder/router/WorkerRegistry.java
@@ -7,44 +7,44 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pearladder.api.Event;
-import pearladder.kserve.ListLine;
-import pearladder.router.core.Articles;
-import pearladder.router.core.EngineList;
-import pearladder.work.Duties;
-import pearladder.work.Load;
+import pearladder.kserve.DiscoveryMessage;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.EndpointList;
+import pearladder.work.JobClasses;
+import pearladder.work.ResourceCost;
 
 /** A link to each engine that the list has, and the last list on disk. */
-final class Roster {
-    private static final Logger LOG = LoggerFactory.getLogger(Roster.class);
+final class WorkerRegistry {
+    private static final Logger LOG = LoggerFactory.getLogger(WorkerRegistry.class);
 
     /** Bytes of an entry, about. */
     private static final double ENTRY = 150;
 
     private final Vertx vertx;
     private final BackgroundWork work;
-    private final Articles.Connections connections;
-    private final LastList lastList;
-    private final Map<String, EngineLink> links = new HashMap<>();
-    private final EngineList list =
-            new EngineList(System.currentTimeMillis() * 1_000_000L - System.nanoTime(), this::came, this::retire);
+    private final RouterConfig.Connections connections;
+    private final EndpointListCache lastList;
+    private final Map<String, WorkerConnectionPool> links = new HashMap<>();
+    private final EndpointList list =
+            new EndpointList(System.currentTimeMillis() * 1_000_000L - System.nanoTime(), this::came, this::retire);
     private boolean unwritten;
     private Future<Void> writing;
 
-    Roster(Vertx vertx, Articles articles, BackgroundWork work) {
+    WorkerRegistry(Vertx vertx, RouterConfig articles, BackgroundWork work) {
         this.vertx = vertx;
         this.work = work;
         this.connections = articles.connections();
-        this.lastList = new LastList(articles.data());
+        this.lastList = new EndpointListCache(articles.data());
     }
 
     /** The list that was last written, as the first event; an empty one where there is none. */
-    Event.Listed remembered() {
-        return list.remembered(lastList.read());
+    Event.EndpointsUpdated remembered() {
+        return list.restore(lastList.read());
     }
 
     /** Follows a line of the list service, and has the list written; what the line says, for the module. */
-    Event.Listed follow(ListLine line) {
-        Event.Listed told = list.follow(line);
+    Event.EndpointsUpdated follow(DiscoveryMessage line) {
+        Event.EndpointsUpdated told = list.apply(line);
         write();
         return told;
     }
@@ -59,20 +59,20 @@
     }
 
     /** The link to an engine, or null where none is listed under that name. */
-    EngineLink link(String engine) {
+    WorkerConnectionPool link(String engine) {
         return links.get(engine);
     }
 
-    private void came(ListLine.Entry entry) {
-        EngineLink link = links.get(entry.engine());
+    private void came(DiscoveryMessage.Entry entry) {
+        WorkerConnectionPool link = links.get(entry.engine());
         if (link == null || link.port != entry.port() || !link.host.equals(entry.host())) {
             retire(entry.engine());
-            links.put(entry.engine(), new EngineLink(vertx, entry.host(), entry.port(), connections));
+            links.put(entry.engine(), new WorkerConnectionPool(vertx, entry.host(), entry.port(), connections));
         }
     }
 
     private void retire(String engine) {
-        EngineLink link = links.remove(engine);
+        WorkerConnectionPool link = links.remove(engine);
         if (link != null) {
             link.retire();
         }
@@ -84,10 +84,10 @@
             unwritten = true;
             return;
         }
-        ListLine whole = list.whole();
-        Load cost = new Load(0, whole.entries().size() * ENTRY, 0);
+        DiscoveryMessage whole = list.whole();
+        ResourceCost cost = new ResourceCost(0, whole.entries().size() * ENTRY, 0);
         writing = work.ask(
-                Duties.FLUSH,
+                JobClasses.FLUSH,
                 "",
                 cost,
                 null,
--- a/router/src/main/java/pearladder/router/core/EngineList.java
+++ b/router/src/main/java/pearladder/router/core/EndpointList.java
@@ -6,13 +6,13 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import pearladder.api.Event;
-import pearladder.api.Moment;
-import pearladder.kserve.ListLine;
-import pearladder.kserve.ListLine.Entry;
-import pearladder.kserve.ListLine.Standing;
+import pearladder.api.MonotonicTime;
+import pearladder.kserve.DiscoveryMessage;
+import pearladder.kserve.DiscoveryMessage.Entry;
+import pearladder.kserve.DiscoveryMessage.Standing;
 
 /** The engines as the list has them, and what each line of it means for the module. */
-public final class EngineList {
+public final class EndpointList {
     private final Map<String, Entry> listed = new LinkedHashMap<>();
     private final long wallAhead;
     private final Consumer<Entry> came;
@@ -25,26 +25,26 @@
      * @param came an entry was told, new or changed
      * @param went an engine is listed no more
      */
-    public EngineList(long wallAhead, Consumer<Entry> came, Consumer<String> went) {
+    public EndpointList(long wallAhead, Consumer<Entry> came, Consumer<String> went) {
         this.wallAhead = wallAhead;
         this.came = came;
         this.went = went;
     }
 
     /** The list of an earlier life, as the first event; an empty one where it is null. */
-    public Event.Listed remembered(ListLine last) {
+    public Event.EndpointsUpdated restore(DiscoveryMessage last) {
         if (last != null) {
             last.entries().forEach(this::learn);
             known = !listed.isEmpty();
         }
-        return new Event.Listed(
-                Event.ListKind.REMEMBERED,
+        return new Event.EndpointsUpdated(
+                Event.EndpointUpdateKind.CACHED,
                 listed.values().stream().map(this::listing).toList());
     }
 
     /** Follows a line of the list service; what it says, for the module. */
-    public Event.Listed follow(ListLine line) {
-        boolean whole = line.kind() == ListLine.Kind.WHOLE;
+    public Event.EndpointsUpdated apply(DiscoveryMessage line) {
+        boolean whole = line.kind() == DiscoveryMessage.Kind.WHOLE;
         List<String> before = whole ? List.copyOf(listed.keySet()) : List.of();
         if (whole) {
             listed.clear();
@@ -53,8 +53,8 @@
         before.stream().filter(engine -> !listed.containsKey(engine)).forEach(went);
         version = line.version();
         known = true;
-        return new Event.Listed(
-                whole ? Event.ListKind.WHOLE : Event.ListKind.CHANGES,
+        return new Event.EndpointsUpdated(
+                whole ? Event.EndpointUpdateKind.SNAPSHOT : Event.EndpointUpdateKind.DELTA,
                 new ArrayList<>(line.entries().stream().map(this::listing).toList()));
     }
 
@@ -68,14 +68,14 @@
         }
     }
 
-    private Event.Listing listing(Entry entry) {
-        Moment since = entry.startedMillis() == 0 ? null : new Moment(entry.startedMillis() * 1_000_000L - wallAhead);
-        return new Event.Listing(
+    private Event.Endpoint listing(Entry entry) {
+        MonotonicTime since = entry.startedMillis() == 0 ? null : new MonotonicTime(entry.startedMillis() * 1_000_000L - wallAhead);
+        return new Event.Endpoint(
                 entry.engine(),
                 entry.hall(),
                 entry.kind(),
                 entry.cell(),
-                Event.Standing.valueOf(entry.standing().name()),
+                Event.EndpointState.valueOf(entry.standing().name()),
                 1,
                 since);
     }
@@ -90,7 +90,7 @@
     }
 
     /** The list as a line, to be remembered. */
-    public ListLine whole() {
-        return new ListLine(ListLine.Kind.WHOLE, version, List.copyOf(listed.values()));
+    public DiscoveryMessage whole() {
+        return new DiscoveryMessage(DiscoveryMessage.Kind.WHOLE, version, List.copyOf(listed.values()));
     }
 }
--- a/router/src/main/java/pearladder/router/core/Reply.java
+++ b/router/src/main/java/pearladder/router/core/ResponseHandler.java
@@ -1,15 +1,15 @@
 package pearladder.router.core;
 
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 
 /** Where the one final answer of a call goes. Each call gets one of the three, or none where its client left. */
-public interface Reply {
-    void settled(EngineSaid said);
+public interface ResponseHandler {
+    void succeeded(WorkerResponse said);
 
-    void dismissed(Span retryAfter);
+    void rejected(TimeSpan retryAfter);
 
-    void terminated();
+    void failed();
 
     /** Nothing of the call is out any more, and nothing more will be told of it. */
-    default void forgotten() {}
+    default void released() {}
 }
--- a/router/src/main/java/pearladder/router/core/ReleaseDesk.java
+++ b/router/src/main/java/pearladder/router/core/RolloutManager.java
@@ -10,63 +10,63 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pearladder.api.Event;
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 import pearladder.kserve.Route;
-import pearladder.release.Reached;
-import pearladder.release.ReleaseAction;
-import pearladder.release.ReleaseEvent;
-import pearladder.release.Releases;
-import pearladder.release.Target;
+import pearladder.release.RolloutProgress;
+import pearladder.release.RolloutAction;
+import pearladder.release.RolloutEvent;
+import pearladder.release.RolloutController;
+import pearladder.release.RolloutTarget;
 
 /** The hands of the release module: its journal, its timer, and its wishes for copies handed on to the policy. */
-public final class ReleaseDesk {
+public final class RolloutManager {
     /** Where orders are kept. Each thing that is begun ends once, in the order begun. */
     public interface Journal {
         /** Every order that stands there, oldest first. */
-        List<Target> orders();
+        List<RolloutTarget> orders();
 
         /** How far this router had come when the journal was opened. */
-        List<Reached> reached();
+        List<RolloutProgress> reached();
 
         /** Keeps orders, all or none; a null failure says that they are safe. */
-        void keep(List<Target> orders, Consumer<String> failure);
+        void keep(List<RolloutTarget> orders, Consumer<String> failure);
 
-        void keep(Reached reached, Consumer<String> failure);
+        void keep(RolloutProgress reached, Consumer<String> failure);
     }
 
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.releases");
 
     private final Timers timers;
-    private final Articles articles;
-    private final Releases module;
+    private final RouterConfig articles;
+    private final RolloutController module;
     private final Consumer<Event> toPolicy;
     private final Journal journal;
-    private final Map<Target, List<Consumer<String>>> waiting = new HashMap<>();
+    private final Map<RolloutTarget, List<Consumer<String>>> waiting = new HashMap<>();
     private String chosen;
     private long numbered;
-    private List<Target> together;
+    private List<RolloutTarget> together;
     private boolean ended;
 
     /** @param toPolicy takes the wishes for copies */
-    public ReleaseDesk(Timers timers, Articles articles, Journal journal, Consumer<Event> toPolicy) {
+    public RolloutManager(Timers timers, RouterConfig articles, Journal journal, Consumer<Event> toPolicy) {
         this.timers = timers;
         this.articles = articles;
         this.journal = journal;
         this.toPolicy = toPolicy;
-        this.module = new Releases(articles.facts().categories().stream()
-                .map(terms -> terms.remembered())
-                .reduce(Span.NONE, Span::atLeast));
+        this.module = new RolloutController(articles.facts().requestClasses().stream()
+                .map(terms -> terms.deduplicationWindow())
+                .reduce(TimeSpan.ZERO, TimeSpan::atLeast));
     }
 
     /** Follows what the journal holds; before the router is ready. */
     public void begin() {
-        tell(new ReleaseEvent.Restored(journal.orders(), journal.reached()));
+        tell(new RolloutEvent.Restored(journal.orders(), journal.reached()));
     }
 
     /** Another router's newest target of a model. */
-    public void heard(Target target) {
+    public void heard(RolloutTarget target) {
         if (articles.modelOf(target.plan().model()) != null) {
-            tell(new ReleaseEvent.Heard(target));
+            tell(new RolloutEvent.Heard(target));
         }
     }
 
@@ -92,24 +92,24 @@
     }
 
     /** The version that a call gets, empty for the model without one; who chose it hears how the call ends. */
-    public record Chosen(String version, String function, Calls.Ending ending) {}
+    public record Chosen(String version, String function, RequestManager.CompletionListener ending) {}
 
     public Chosen choose(Wish wish) {
         if (wish.version() != null) {
-            return new Chosen(wish.version(), Route.function(wish.model(), wish.version()), Calls.Ending.NONE);
+            return new Chosen(wish.version(), Route.function(wish.model(), wish.version()), RequestManager.CompletionListener.NONE);
         }
         String call = Long.toString(++numbered);
         chosen = "";
-        tell(new ReleaseEvent.CallCame(call, wish.model(), wish.together(), wish.mark() == null ? "" : wish.mark()));
-        return new Chosen(chosen, Route.function(wish.model(), chosen), new Calls.Ending() {
+        tell(new RolloutEvent.CallCame(call, wish.model(), wish.together(), wish.mark() == null ? "" : wish.mark()));
+        return new Chosen(chosen, Route.function(wish.model(), chosen), new RequestManager.CompletionListener() {
             @Override
-            public void ended(boolean well, List<String> engines) {
-                tell(new ReleaseEvent.CallEnded(call, well, engines));
+            public void onCompleted(boolean well, List<String> engines) {
+                tell(new RolloutEvent.CallEnded(call, well, engines));
             }
 
             @Override
-            public void left() {
-                tell(new ReleaseEvent.CallLeft(call));
+            public void onClientDisconnected() {
+                tell(new RolloutEvent.CallLeft(call));
             }
         });
     }
@@ -118,7 +118,7 @@
     public void standing(String function, double share) {
         int at = function.lastIndexOf('@');
         if (at > 0) {
-            tell(new ReleaseEvent.Standing(function.substring(0, at), function.substring(at + 1), share));
+            tell(new RolloutEvent.Standing(function.substring(0, at), function.substring(at + 1), share));
         }
     }
 
@@ -127,13 +127,13 @@
      *
      * @param answers gets, for each order in turn, an empty text once it is kept and followed, or why it is not
      */
-    public void order(List<Target> targets, Consumer<List<String>> answers) {
+    public void order(List<RolloutTarget> targets, Consumer<List<String>> answers) {
         String[] told = new String[targets.size()];
         int[] left = {targets.size()};
         together = new ArrayList<>();
         for (int i = 0; i < told.length; i++) {
             int at = i;
-            Target target = targets.get(i);
+            RolloutTarget target = targets.get(i);
             Consumer<String> answer = text -> {
                 told[at] = text;
                 if (--left[0] == 0) {
@@ -146,9 +146,9 @@
                 continue;
             }
             waiting.computeIfAbsent(target, same -> new ArrayList<>()).add(answer);
-            tell(new ReleaseEvent.Ordered(target));
+            tell(new RolloutEvent.Ordered(target));
         }
-        List<Target> kept = together;
+        List<RolloutTarget> kept = together;
         together = null;
         if (!kept.isEmpty()) {
             keep(kept);
@@ -159,7 +159,7 @@
         return module.status();
     }
 
-    public List<Target> targets() {
+    public List<RolloutTarget> targets() {
         return module.targets();
     }
 
@@ -173,44 +173,44 @@
         return Long.toHexString(crc.getValue());
     }
 
-    public List<Target> history() {
+    public List<RolloutTarget> history() {
         return journal.orders();
     }
 
-    private void tell(ReleaseEvent event) {
+    private void tell(RolloutEvent event) {
         if (!ended) {
             module.on(timers.now(), event).forEach(this::act);
         }
     }
 
-    private void act(ReleaseAction action) {
-        if (action instanceof ReleaseAction.Use use) {
+    private void act(RolloutAction action) {
+        if (action instanceof RolloutAction.Use use) {
             chosen = use.version();
-        } else if (action instanceof ReleaseAction.Prepare prepare) {
+        } else if (action instanceof RolloutAction.Prepare prepare) {
             want(prepare.model(), prepare.version(), prepare.like(), prepare.share());
-        } else if (action instanceof ReleaseAction.Withdraw withdraw) {
+        } else if (action instanceof RolloutAction.Withdraw withdraw) {
             want(withdraw.model(), withdraw.version(), withdraw.version(), 0);
-        } else if (action instanceof ReleaseAction.Keep keep) {
+        } else if (action instanceof RolloutAction.Keep keep) {
             if (together != null) {
                 together.add(keep.target());
             } else {
                 keep(List.of(keep.target()));
             }
-        } else if (action instanceof ReleaseAction.Note note) {
+        } else if (action instanceof RolloutAction.Note note) {
             note(note.reached());
-        } else if (action instanceof ReleaseAction.Refuse refuse) {
+        } else if (action instanceof RolloutAction.Refuse refuse) {
             answer(refuse.target(), refuse.why());
-        } else if (action instanceof ReleaseAction.Wake wake) {
-            timers.after(wake.after(), () -> tell(new ReleaseEvent.Due()));
-        } else if (action instanceof ReleaseAction.Log log) {
+        } else if (action instanceof RolloutAction.Wake wake) {
+            timers.after(wake.after(), () -> tell(new RolloutEvent.Due()));
+        } else if (action instanceof RolloutAction.Log log) {
             LOG.info(log.text());
         }
     }
 
     private void want(String model, String version, String like, double share) {
-        Articles.ModelTerms terms = articles.modelOf(model);
+        RouterConfig.ModelTerms terms = articles.modelOf(model);
         if (terms != null) {
-            toPolicy.accept(new Event.Wanted(
+            toPolicy.accept(new Event.PrewarmRequested(
                     Route.function(model, version),
                     Route.function(model, like),
                     share,
@@ -221,14 +221,14 @@
     }
 
     /** A disk that can't take them leaves everything as it was. */
-    private void keep(List<Target> targets) {
+    private void keep(List<RolloutTarget> targets) {
         journal.keep(targets, failure -> {
             if (failure != null) {
                 LOG.atError().addKeyValue("cause", failure).log("orders can't be kept and are refused");
             }
-            for (Target target : targets) {
+            for (RolloutTarget target : targets) {
                 if (failure == null) {
-                    tell(new ReleaseEvent.Kept(target));
+                    tell(new RolloutEvent.Kept(target));
                 }
                 answer(
                         target,
@@ -241,7 +241,7 @@
     }
 
     /** Where the disk can't take it, the release goes on; only a restart would then begin again at a lower step. */
-    private void note(Reached reached) {
+    private void note(RolloutProgress reached) {
         journal.keep(reached, failure -> {
             if (failure != null) {
                 LOG.atWarn().addKeyValue("cause", failure).log("the step that was reached can't be kept");
@@ -249,7 +249,7 @@
         });
     }
 
-    private void answer(Target target, String refusal) {
+    private void answer(RolloutTarget target, String refusal) {
         List<Consumer<String>> answers = waiting.remove(target);
         if (answers != null) {
             answers.forEach(answer -> answer.accept(refusal));
--- a/router/src/main/java/pearladder/router/core/Articles.java
+++ b/router/src/main/java/pearladder/router/core/RouterConfig.java
@@ -2,10 +2,10 @@
 
 import java.nio.file.Path;
 import java.util.List;
-import pearladder.api.Facts;
-import pearladder.api.Span;
+import pearladder.api.RoutingSettings;
+import pearladder.api.TimeSpan;
 import pearladder.kserve.Route;
-import pearladder.records.Keeping;
+import pearladder.records.RetentionSettings;
 
 /**
  * What a router is told in its file, once, at its start.
@@ -19,7 +19,7 @@
  * @param facts what the module is told
  * @param records how they are kept, or null for none
  */
-public record Articles(
+public record RouterConfig(
         String name,
         String host,
         int port,
@@ -27,17 +27,17 @@
         Address admin,
         List<Address> others,
         ListService list,
-        Facts facts,
+        RoutingSettings facts,
         List<ModelTerms> models,
         Limits limits,
         Connections connections,
-        Span stopWithin,
-        Keeping records) {
+        TimeSpan stopWithin,
+        RetentionSettings records) {
     /** An address; port 0, for one of this router's own, lets the system give one. */
     public record Address(String host, int port) {}
 
     /** Where the list of engines comes from; silence for longer than the span means that it is broken. */
-    public record ListService(String host, int port, Span silence) {}
+    public record ListService(String host, int port, TimeSpan silence) {}
 
     /**
      * A family of models: a name, or its beginning with "*" behind it.
@@ -46,7 +46,7 @@
      * @param usualLoad null where it is not known
      * @param category of calls that name none, or null
      */
-    public record ModelTerms(String pattern, int lanes, double memoryMb, Span usualLoad, String category) {
+    public record ModelTerms(String pattern, int lanes, double memoryMb, TimeSpan usualLoad, String category) {
         boolean matches(String model) {
             return Route.matches(pattern, model);
         }
@@ -61,10 +61,10 @@
      * @param bodyWithin a call's body is in after so long, or the call is not taken
      * @param idle a client's connection without a byte for so long is closed
      */
-    public record Limits(long payload, long answer, int openCalls, Span bodyWithin, Span idle) {}
+    public record Limits(long payload, long answer, int openCalls, TimeSpan bodyWithin, TimeSpan idle) {}
 
     /** Connections to one engine: how many, how long to wait for one, and how long an idle one is kept. */
-    public record Connections(int perEngine, Span dial, Span idle) {}
+    public record Connections(int perEngine, TimeSpan dial, TimeSpan idle) {}
 
     /** The terms of a model, or null where it is not known; the first that matches counts. */
     public ModelTerms modelOf(String name) {
@@ -76,8 +76,8 @@
         return null;
     }
 
-    public Facts.Terms category(String name) {
-        return facts.categories().stream()
+    public RoutingSettings.RequestClass category(String name) {
+        return facts.requestClasses().stream()
                 .filter(c -> c.name().equals(name))
                 .findFirst()
                 .orElse(null);
--- a/router/src/main/java/pearladder/router/core/Timers.java
+++ b/router/src/main/java/pearladder/router/core/Timers.java
@@ -1,7 +1,7 @@
 package pearladder.router.core;
 
-import pearladder.api.Moment;
-import pearladder.api.Span;
+import pearladder.api.MonotonicTime;
+import pearladder.api.TimeSpan;
 
 /** Time as a router knows it: which moment it is, and what happens later. One thread calls all of it. */
 public interface Timers {
@@ -10,13 +10,13 @@
         void cancel();
     }
 
-    Moment now();
+    MonotonicTime now();
 
     /** Runs something after a span; spans are rounded up to whole milliseconds, and one is the least. */
-    Timer after(Span span, Runnable what);
+    Timer after(TimeSpan span, Runnable what);
 
     /** A span as timers keep it, in milliseconds. */
-    static long millis(Span span) {
+    static long millis(TimeSpan span) {
         return Math.max(1, (span.nanos() + 999_999) / 1_000_000);
     }
 }
--- a/router/src/main/java/pearladder/router/core/Engines.java
+++ b/router/src/main/java/pearladder/router/core/WorkerClient.java
@@ -1,17 +1,17 @@
 package pearladder.router.core;
 
 import pearladder.api.Outcome;
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 
 /**
  * The way to the engines. Outcomes prove what they claim: unreachable and void are said only where nothing of a call left.
  * Each thing that is begun ends once, at the latest at its limit; it may end before the call that began it returns.
  */
-public interface Engines {
+public interface WorkerClient {
     /** A leg on its way. */
-    interface Sending {
+    interface PendingSend {
         /** Nothing is on its way: it ended at once. */
-        Sending NONE = new Sending() {
+        PendingSend NONE = new PendingSend() {
             @Override
             public void cancel() {
                 // it has ended
@@ -31,28 +31,28 @@
     }
 
     /** How a leg ended; said is null where no whole answer came. */
-    interface LegEnded {
-        void end(Outcome outcome, EngineSaid said);
+    interface AttemptListener {
+        void end(Outcome outcome, WorkerResponse said);
     }
 
     /** How an order ended, and how many copies stand. */
-    interface Ordered {
+    interface LoadListener {
         void end(Outcome outcome, int copies);
     }
 
     /** Sends a leg. To an engine that is not listed it ends unsent. */
-    Sending send(OpenLeg leg, Span limit, LegEnded ended);
+    PendingSend send(ActiveAttempt leg, TimeSpan limit, AttemptListener ended);
 
     /** Orders copies, or with 0 asks how many stand. */
-    void order(String engine, String function, int copies, Span limit, Ordered ended);
+    void loadInstances(String engine, String function, int copies, TimeSpan limit, LoadListener ended);
 
     /** Has the idle copies of a function unloaded; nobody waits for the answer. */
-    void unload(String engine, String function, Span limit);
+    void unloadInstances(String engine, String function, TimeSpan limit);
 
-    void probe(String engine, Span limit, LegEnded ended);
+    void checkHealth(String engine, TimeSpan limit, AttemptListener ended);
 
-    void closeIdle(String engine);
+    void closeIdleConnections(String engine);
 
     /** Watches the list of engines; does nothing where it is watched already. */
-    void watchList();
+    void watchEndpoints();
 }
--- a/router/src/main/java/pearladder/router/core/EngineSaid.java
+++ b/router/src/main/java/pearladder/router/core/WorkerResponse.java
@@ -4,15 +4,15 @@
 import pearladder.api.Outcome;
 
 /** What an engine's whole answer says to the module. */
-public interface EngineSaid {
+public interface WorkerResponse {
     Outcome outcome();
 
     /** How the call met its copy. */
-    Event.Copy copy();
+    Event.InstanceStatus instanceStatus();
 
     /** Calls of the same function that the engine held; -1 where it is not told. */
-    int crowd();
+    int concurrentRequests();
 
     /** Its load report, or null. */
-    Event.Report report();
+    Event.WorkerLoadReport loadReport();
 }
--- a/router/src/test/java/pearladder/router/BackgroundWorkTest.java
+++ b/router/src/test/java/pearladder/router/BackgroundWorkTest.java
@@ -9,13 +9,13 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import org.junit.jupiter.api.Test;
-import pearladder.api.Moment;
-import pearladder.api.Span;
+import pearladder.api.MonotonicTime;
+import pearladder.api.TimeSpan;
 import pearladder.router.core.Timers;
-import pearladder.work.Duties;
-import pearladder.work.Duty;
-import pearladder.work.Load;
-import pearladder.work.Scheduler;
+import pearladder.work.JobClasses;
+import pearladder.work.JobClass;
+import pearladder.work.ResourceCost;
+import pearladder.work.BackgroundScheduler;
 
 class BackgroundWorkTest {
     /** A clock that goes on when it is told to. */
@@ -28,12 +28,12 @@
         private long number;
 
         @Override
-        public Moment now() {
-            return new Moment(now);
+        public MonotonicTime now() {
+            return new MonotonicTime(now);
         }
 
         @Override
-        public Timer after(Span span, Runnable what) {
+        public Timer after(TimeSpan span, Runnable what) {
             Waiting one = new Waiting(now + Timers.millis(span) * 1_000_000, number++, what);
             waiting.add(one);
             return () -> waiting.remove(one);
@@ -53,17 +53,17 @@
     private final Steps steps = new Steps();
     private final BackgroundWork work = new BackgroundWork(
             steps,
-            new Scheduler(
+            new BackgroundScheduler(
                     1,
                     List.of(
-                            new Duty(Duties.FLUSH, 0, new Load(0, 50e6, 0), 2, 1, 100, 3, Span.millis(200), true),
-                            new Duty(Duties.LEARN, 1, new Load(0, 2e6, 0), 10, 4, 1000, 0, Span.millis(500), false)),
-                    Span.millis(50),
+                            new JobClass(JobClasses.FLUSH, 0, new ResourceCost(0, 50e6, 0), 2, 1, 100, 3, TimeSpan.millis(200), true),
+                            new JobClass(JobClasses.LEARN, 1, new ResourceCost(0, 2e6, 0), 10, 4, 1000, 0, TimeSpan.millis(500), false)),
+                    TimeSpan.millis(50),
                     steps.now()));
 
     @Test
     void aJobThatThrowsHoldsUpNoStop() {
-        Future<Void> thrown = work.ask(Duties.LEARN, "", Load.NONE, null, () -> {
+        Future<Void> thrown = work.ask(JobClasses.LEARN, "", ResourceCost.NONE, null, () -> {
             throw new IllegalStateException("the client is closed");
         });
         assertTrue(thrown.failed());
@@ -72,18 +72,18 @@
 
     @Test
     void aStopWaitsForWhatMustBeWrittenAndItsRetries() {
-        Promise<Load> first = Promise.promise();
-        Promise<Load> second = Promise.promise();
-        List<Promise<Load>> tries = new java.util.ArrayList<>(List.of(first, second));
+        Promise<ResourceCost> first = Promise.promise();
+        Promise<ResourceCost> second = Promise.promise();
+        List<Promise<ResourceCost>> tries = new java.util.ArrayList<>(List.of(first, second));
         Future<Void> flushed = work.ask(
-                Duties.FLUSH, "", Load.NONE, null, () -> tries.remove(0).future());
+                JobClasses.FLUSH, "", ResourceCost.NONE, null, () -> tries.remove(0).future());
         Future<Void> stopped = work.stop();
         first.fail("no space");
         assertFalse(stopped.isComplete());
         steps.on(1000);
         assertEquals(List.of(), tries);
         assertFalse(stopped.isComplete());
-        second.complete(Load.NONE);
+        second.complete(ResourceCost.NONE);
         assertTrue(flushed.succeeded());
         assertTrue(stopped.succeeded());
     }
--- a/router/src/test/java/pearladder/router/HardCasesTest.java
+++ b/router/src/test/java/pearladder/router/HardCasesTest.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import pearladder.emulator.Seen;
-import pearladder.kserve.ListLine.Standing;
+import pearladder.kserve.DiscoveryMessage.Standing;
 
 class HardCasesTest {
     private static final RawEngine.Script NEVER = (number, head, out, socket) -> {};
--- a/router/src/test/java/pearladder/router/LifeTest.java
+++ b/router/src/test/java/pearladder/router/LifeTest.java
@@ -10,12 +10,12 @@
 import java.util.concurrent.CompletionException;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
-import pearladder.Policy;
+import pearladder.StickyFirstFitPolicy;
 import pearladder.emulator.Seen;
-import pearladder.kserve.ListLine.Standing;
-import pearladder.router.core.Articles;
-import pearladder.router.core.ArticlesReader;
-import pearladder.yaml.Yaml;
+import pearladder.kserve.DiscoveryMessage.Standing;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.RouterConfigParser;
+import pearladder.yaml.YamlParser;
 
 /** Start, stop, the list and the last list. */
 class LifeTest {
@@ -104,13 +104,13 @@
     @Test
     void aSecondRouterOnAPortSaysSo() {
         try (Stand stand = new Stand(1)) {
-            Articles second = ArticlesReader.read(Yaml.read(
+            RouterConfig second = RouterConfigParser.read(YamlParser.read(
                     "second",
                     "router: {name: r9, listen: \"127.0.0.1:"
                             + stand.router.port() + "\", data: \"" + stand.folder.resolve("r9")
                             + "\"}\nlist: {address: \"127.0.0.1:" + stand.fleet.listPort() + "\"}\n" + Stand.RULES));
             CompletionException failed =
-                    Assertions.assertThrows(CompletionException.class, () -> Router.start(second, Policy::new, 1)
+                    Assertions.assertThrows(CompletionException.class, () -> Router.start(second, StickyFirstFitPolicy::new, 1)
                             .toCompletionStage()
                             .toCompletableFuture()
                             .join());
--- a/router/src/test/java/pearladder/router/OperatorTest.java
+++ b/router/src/test/java/pearladder/router/OperatorTest.java
@@ -6,14 +6,14 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pearladder.release.Plan;
-import pearladder.release.Target;
-import pearladder.yaml.Mistakes;
-import pearladder.yaml.Yaml;
+import pearladder.release.RolloutPlan;
+import pearladder.release.RolloutTarget;
+import pearladder.yaml.ConfigErrors;
+import pearladder.yaml.YamlParser;
 
 class OperatorTest {
-    private static List<Plan> plan(String from, String to) {
-        return PlanReader.read(Yaml.read(
+    private static List<RolloutPlan> plan(String from, String to) {
+        return RolloutPlanParser.read(YamlParser.read(
                 "p.yaml",
                 "release: {model: pair-a, from: \"" + from + "\", to: \"" + to + "\", steps: [0.5, 1], hold: 10 s}"));
     }
@@ -24,17 +24,17 @@
         try (Stand stand = new Stand(2)) {
             Router second = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.listPort(), Stand.RULES);
             String first = "127.0.0.1:" + stand.router.adminPort();
-            Operator both = new Operator(List.of(first, "127.0.0.1:" + second.adminPort()), "ann");
+            RolloutClient both = new RolloutClient(List.of(first, "127.0.0.1:" + second.adminPort()), "ann");
             assertEquals(2, both.start(plan("", "2")).took());
             Stand.await(second.stop().toCompletionStage().toCompletableFuture());
-            Operator.Told told =
-                    both.change(List.of(), before -> new Target(0, before.plan(), Target.Mode.PAUSED, 0, "", 0));
+            RolloutClient.Told told =
+                    both.change(List.of(), before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.PAUSED, 0, "", 0));
             assertEquals(1, told.took());
             assertTrue(
                     told.lines().stream().anyMatch(line -> line.contains("no answer")),
                     told.lines().toString());
             second = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.listPort(), Stand.RULES);
-            both = new Operator(List.of(first, "127.0.0.1:" + second.adminPort()), "ben");
+            both = new RolloutClient(List.of(first, "127.0.0.1:" + second.adminPort()), "ben");
             assertEquals(
                     2,
                     both.status().stream()
@@ -45,7 +45,7 @@
                     2,
                     both.change(
                                     List.of("pair-a"),
-                                    before -> new Target(0, before.plan(), Target.Mode.ROLLED_BACK, 0, "", 0))
+                                    before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.ROLLED_BACK, 0, "", 0))
                             .took());
             assertEquals(
                     2,
@@ -60,9 +60,9 @@
     @Test
     void aPlanFromAVersionThatDoesNotServeIsRefused() {
         try (Stand stand = new Stand(1)) {
-            Operator operator = new Operator(List.of("127.0.0.1:" + stand.router.adminPort()), "ann");
+            RolloutClient operator = new RolloutClient(List.of("127.0.0.1:" + stand.router.adminPort()), "ann");
             assertEquals(1, operator.start(plan("", "2")).took());
-            Operator.Told wrong = operator.start(plan("1", "3"));
+            RolloutClient.Told wrong = operator.start(plan("1", "3"));
             assertEquals(0, wrong.took());
             assertTrue(
                     wrong.lines().get(0).contains("its calls get version \"2\", not \"1\""),
@@ -74,9 +74,9 @@
     @Test
     void aPlansMistakesAreNamedByLine() {
         List<String> lines = assertThrows(
-                        Mistakes.Found.class,
-                        () -> PlanReader.read(
-                                Yaml.read(
+                        ConfigErrors.Found.class,
+                        () -> RolloutPlanParser.read(
+                                YamlParser.read(
                                         "p.yaml",
                                         """
                 release:
--- a/router/src/test/java/pearladder/router/RecorderTest.java
+++ b/router/src/test/java/pearladder/router/RecorderTest.java
@@ -15,9 +15,9 @@
 import org.junit.jupiter.api.Test;
 import org.sqlite.JDBC;
 import pearladder.emulator.Seen;
-import pearladder.records.Archive;
-import pearladder.records.Entry;
-import pearladder.records.Kind;
+import pearladder.records.EventLogReader;
+import pearladder.records.LogEntry;
+import pearladder.records.LogEntryType;
 
 /** What a router keeps of what it did, over sockets. */
 class RecorderTest {
@@ -29,17 +29,17 @@
             records: {details: 1 s}
             """;
 
-    private static List<Entry> entries(Stand stand) {
-        List<Entry> entries = new ArrayList<>();
+    private static List<LogEntry> entries(Stand stand) {
+        List<LogEntry> entries = new ArrayList<>();
         try {
-            new Archive(stand.folder.resolve("r1/records")).read(0, (number, entry) -> entries.add(entry));
+            new EventLogReader(stand.folder.resolve("r1/records")).read(0, (number, entry) -> entries.add(entry));
         } catch (IOException unread) {
             throw new IllegalStateException(unread);
         }
         return entries;
     }
 
-    private static long count(Stand stand, Kind kind) {
+    private static long count(Stand stand, LogEntryType kind) {
         return entries(stand).stream().filter(entry -> entry.kind() == kind).count();
     }
 
@@ -68,14 +68,14 @@
                         "pearladder-call",
                         "c" + i));
             }
-            Stand.until("six ends are kept", () -> count(stand, Kind.ENDED) == 6);
-            assertEquals(1, count(stand, Kind.LOADING));
+            Stand.until("six ends are kept", () -> count(stand, LogEntryType.ENDED) == 6);
+            assertEquals(1, count(stand, LogEntryType.LOADING));
             stop(stand);
-            List<Entry> all = entries(stand);
-            assertEquals(Kind.STARTED, all.get(0).kind());
-            assertEquals(Kind.STOPPED, all.get(all.size() - 1).kind());
+            List<LogEntry> all = entries(stand);
+            assertEquals(LogEntryType.STARTED, all.get(0).kind());
+            assertEquals(LogEntryType.STOPPED, all.get(all.size() - 1).kind());
             assertTrue(all.stream()
-                    .filter(entry -> entry.kind() == Kind.ENDED)
+                    .filter(entry -> entry.kind() == LogEntryType.ENDED)
                     .allMatch(entry -> entry.note().equals("settled")
                             && entry.took() > 0
                             && entry.model().equals("pair-a")));
@@ -83,18 +83,18 @@
             assertEquals(
                     Set.of("tender", "filing"),
                     all.stream()
-                            .filter(entry -> entry.kind() == Kind.WORK && entry.amount() > 0)
-                            .map(Entry::account)
+                            .filter(entry -> entry.kind() == LogEntryType.WORK && entry.amount() > 0)
+                            .map(LogEntry::account)
                             .collect(Collectors.toSet()));
             assertEquals(
                     400,
                     all.stream()
-                            .filter(entry -> entry.kind() == Kind.MODEL)
+                            .filter(entry -> entry.kind() == LogEntryType.MODEL)
                             .findFirst()
                             .orElseThrow()
                             .amount());
             assertEquals(
-                    2, all.stream().filter(entry -> entry.kind() == Kind.ENGINE).count());
+                    2, all.stream().filter(entry -> entry.kind() == LogEntryType.ENGINE).count());
         }
     }
 
@@ -121,7 +121,7 @@
             Stand.await(stand.send("pair-a", 5, "pearladder-account", "tender"));
             List<Seen> arrived = stand.seen(Seen.ARRIVED);
             assertEquals(engine, arrived.get(arrived.size() - 1).engine());
-            assertEquals(2, count(stand, Kind.STARTED));
+            assertEquals(2, count(stand, LogEntryType.STARTED));
         }
     }
 
@@ -142,7 +142,7 @@
     void callsGoOnWhileTheDiskRefusesAndWhatWasHeldIsKeptAfterwards() throws Exception {
         try (Stand stand = stand()) {
             Stand.await(stand.send("pair-a", 5, "pearladder-account", "tender"));
-            Stand.until("it is kept", () -> count(stand, Kind.ENDED) == 1);
+            Stand.until("it is kept", () -> count(stand, LogEntryType.ENDED) == 1);
             Path file;
             try (var files = Files.list(stand.folder.resolve("r1/records"))) {
                 file = files.filter(one -> one.toString().endsWith(".db"))
@@ -166,9 +166,9 @@
                 }
                 locking.execute("rollback");
             }
-            Stand.until("all ends are kept", () -> count(stand, Kind.ENDED) == 11);
+            Stand.until("all ends are kept", () -> count(stand, LogEntryType.ENDED) == 11);
             Stand.until("it says so", () -> stand.metric("pearladder_records_failing") == 0);
-            Stand.until("what was left out is told", () -> count(stand, Kind.DROPPED) == 1);
+            Stand.until("what was left out is told", () -> count(stand, LogEntryType.DROPPED) == 1);
         }
     }
 
--- a/router/src/test/java/pearladder/router/ReleaseTest.java
+++ b/router/src/test/java/pearladder/router/ReleaseTest.java
@@ -19,32 +19,32 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 import pearladder.emulator.Seen;
-import pearladder.release.Plan;
-import pearladder.release.Reached;
-import pearladder.release.Target;
-import pearladder.release.Target.Mode;
+import pearladder.release.RolloutPlan;
+import pearladder.release.RolloutProgress;
+import pearladder.release.RolloutTarget;
+import pearladder.release.RolloutTarget.Mode;
 
 /** Gradual versions over sockets, and the journal of orders. */
 class ReleaseTest {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String RULES = Stand.RULES + "copies: {orders: true, engine_memory: [4 GB]}\n";
 
-    private static Target target(long epoch, String model, Mode mode, int step) {
-        Plan plan = new Plan(
+    private static RolloutTarget target(long epoch, String model, Mode mode, int step) {
+        RolloutPlan plan = new RolloutPlan(
                 model,
                 "1",
                 "2",
                 List.of(0.25, 1.0),
-                Span.seconds(60),
+                TimeSpan.seconds(60),
                 50,
-                new Plan.Gate(0.1, 0.01, 0.05),
-                Plan.Breach.ROLL_BACK);
-        return new Target(epoch, plan, mode, step, "ops", 0);
+                new RolloutPlan.Gate(0.1, 0.01, 0.05),
+                RolloutPlan.Breach.ROLL_BACK);
+        return new RolloutTarget(epoch, plan, mode, step, "ops", 0);
     }
 
-    private static HttpResponse<String> order(Stand stand, Target target) throws IOException {
+    private static HttpResponse<String> order(Stand stand, RolloutTarget target) throws IOException {
         return Stand.await(stand.client.sendAsync(
                 HttpRequest.newBuilder(admin(stand, "/releases"))
                         .POST(HttpRequest.BodyPublishers.ofString(JSON.writeValueAsString(target)))
@@ -166,9 +166,9 @@
     void aRouterThatWasAwayLearnsTheNewestOrderFromAnotherBeforeItIsReady() throws IOException {
         try (Stand stand = new Stand(Stand.FLEET.formatted(2), RULES)) {
             long hour = 3_600_000;
-            Target first = target(1, "pair-a", Mode.RUNNING, 1);
-            Target second = target(2, "pair-a", Mode.ROLLED_BACK, 0);
-            order(stand, new Target(1, first.plan(), first.mode(), 1, "ann", 5 * hour));
+            RolloutTarget first = target(1, "pair-a", Mode.RUNNING, 1);
+            RolloutTarget second = target(2, "pair-a", Mode.ROLLED_BACK, 0);
+            order(stand, new RolloutTarget(1, first.plan(), first.mode(), 1, "ann", 5 * hour));
             String rules = RULES + "releases: {learn_from: [\"127.0.0.1:" + stand.router.adminPort() + "\"]}\n";
             String list = "127.0.0.1:" + stand.fleet.listPort();
             Router away = stand.startRouter("r2", list, rules);
@@ -176,7 +176,7 @@
             Stand.await(away.stop().toCompletionStage().toCompletableFuture());
             assertEquals(
                     200,
-                    order(stand, new Target(2, second.plan(), second.mode(), 0, "ben", 4 * hour))
+                    order(stand, new RolloutTarget(2, second.plan(), second.mode(), 0, "ben", 4 * hour))
                             .statusCode(),
                     "the epoch counts, whatever the clocks say");
             Router back = stand.startRouter("r2", list, rules);
@@ -223,7 +223,7 @@
     void anOrderWhoseAnswerWasLostIsInForceAndMayBeGivenAgain() throws IOException {
         try (Stand stand = new Stand(Stand.FLEET.formatted(1), RULES)) {
             Stand.await(stand.router.stop().toCompletionStage().toCompletableFuture());
-            try (ReleaseJournal journal = ReleaseJournal.open(stand.folder.resolve("r1"))) {
+            try (RolloutJournal journal = RolloutJournal.open(stand.folder.resolve("r1"))) {
                 journal.append(List.of(target(1, "pair-a", Mode.PAUSED, 0)));
             }
             stand.router = stand.startRouter("r1", "127.0.0.1:" + stand.fleet.listPort(), RULES);
@@ -284,7 +284,7 @@
     @Test
     void ordersOnManyModelsAreKeptInOneGoAndEachIsAnswered() throws IOException {
         try (Stand stand = new Stand(Stand.FLEET.formatted(1), RULES)) {
-            List<Target> many = new ArrayList<>();
+            List<RolloutTarget> many = new ArrayList<>();
             for (int i = 0; i < 200; i++) {
                 many.add(target(1, i == 70 ? "other" : "pair-" + i, Mode.PAUSED, 0));
             }
@@ -323,11 +323,11 @@
     @Test
     void aTornTailIsCutOffAndDamageBeforeItIsAnError(@TempDir Path folder) throws IOException {
         Path file = folder.resolve("releases.journal");
-        try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
+        try (RolloutJournal journal = RolloutJournal.open(folder)) {
             for (int epoch = 1; epoch <= 3; epoch++) {
                 journal.append(List.of(target(epoch, "pair-a", Mode.RUNNING, 0)));
             }
-            assertTrue(assertThrows(IOException.class, () -> ReleaseJournal.open(folder))
+            assertTrue(assertThrows(IOException.class, () -> RolloutJournal.open(folder))
                     .getMessage()
                     .contains("held by another router"));
         }
@@ -341,43 +341,43 @@
                 - 1;
         for (int cut = last + 1; cut < whole.length; cut += 7) {
             Files.write(file, java.util.Arrays.copyOf(whole, cut));
-            try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
+            try (RolloutJournal journal = RolloutJournal.open(folder)) {
                 assertEquals(
                         List.of(1L, 2L),
-                        journal.orders().stream().map(Target::epoch).toList(),
+                        journal.orders().stream().map(RolloutTarget::epoch).toList(),
                         "cut at " + cut);
                 journal.append(List.of(target(9, "pair-a", Mode.PAUSED, 0)));
             }
-            try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
+            try (RolloutJournal journal = RolloutJournal.open(folder)) {
                 assertEquals(
                         List.of(1L, 2L, 9L),
-                        journal.orders().stream().map(Target::epoch).toList());
+                        journal.orders().stream().map(RolloutTarget::epoch).toList());
             }
         }
         byte[] damaged = whole.clone();
         damaged[20] ^= 1;
         Files.write(file, damaged);
-        assertTrue(assertThrows(IOException.class, () -> ReleaseJournal.open(folder))
+        assertTrue(assertThrows(IOException.class, () -> RolloutJournal.open(folder))
                 .getMessage()
                 .contains("line 1 is damaged"));
     }
 
     @Test
     void aLongJournalIsMadeShortAndKeepsTheNewestOfEachModel(@TempDir Path folder) throws IOException {
-        try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
+        try (RolloutJournal journal = RolloutJournal.open(folder)) {
             journal.append(List.of(target(5, "pair-old", Mode.ROLLED_BACK, 0)));
             for (int epoch = 1; epoch <= 1005; epoch++) {
                 journal.append(List.of(target(epoch, "pair-a", Mode.RUNNING, 0)));
             }
-            journal.append(new Reached("pair-a", 1004, 0, true));
-            journal.append(new Reached("pair-a", 1005, 1, false));
-            journal.append(new Reached("pair-gone", 1, 1, false));
+            journal.append(new RolloutProgress("pair-a", 1004, 0, true));
+            journal.append(new RolloutProgress("pair-a", 1005, 1, false));
+            journal.append(new RolloutProgress("pair-gone", 1, 1, false));
         }
         Files.writeString(folder.resolve("releases.journal"), "torn", StandardOpenOption.APPEND);
-        try (ReleaseJournal journal = ReleaseJournal.open(folder)) {
-            List<Target> orders = new ArrayList<>(journal.orders());
+        try (RolloutJournal journal = RolloutJournal.open(folder)) {
+            List<RolloutTarget> orders = new ArrayList<>(journal.orders());
             assertEquals(201, orders.size());
-            assertEquals(List.of(new Reached("pair-a", 1005, 1, false)), journal.reached(), "older ones say nothing");
+            assertEquals(List.of(new RolloutProgress("pair-a", 1005, 1, false)), journal.reached(), "older ones say nothing");
             assertEquals(target(5, "pair-old", Mode.ROLLED_BACK, 0), orders.get(0));
             assertEquals(1005, orders.get(200).epoch());
         }
--- a/terms/src/main/java/pearladder/terms/BadInput.java
+++ b/terms/src/main/java/pearladder/terms/InvalidInputException.java
@@ -1,10 +1,10 @@
 package pearladder.terms;
 
 /** A line that is not what the wire allows; the message names the line and the field. */
-public final class BadInput extends RuntimeException {
+public final class InvalidInputException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    public BadInput(String message) {
+    public InvalidInputException(String message) {
         super(message);
     }
 }
--- a/terms/src/main/java/pearladder/terms/Node.java
+++ b/terms/src/main/java/pearladder/terms/JsonNodeReader.java
@@ -3,13 +3,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import pearladder.api.Span;
+import pearladder.api.TimeSpan;
 
 /** A value inside a JSON object, read by type; a wrong type names the path. Unknown keys are passed over. */
-public record Node(Row row, String path, Object value) {
-    public Node at(String key) {
+public record JsonNodeReader(JsonRowReader row, String path, Object value) {
+    public JsonNodeReader at(String key) {
         Object inner = value == null ? null : object().get(key);
-        return new Node(row, path + "." + key, inner);
+        return new JsonNodeReader(row, path + "." + key, inner);
     }
 
     private Map<?, ?> object() {
@@ -53,14 +53,14 @@
         return (int) number;
     }
 
-    public Span span() {
-        return new Span(Math.round(number(0)));
+    public TimeSpan span() {
+        return new TimeSpan(Math.round(number(0)));
     }
 
-    public <T> List<T> each(Function<Node, T> reading) {
+    public <T> List<T> each(Function<JsonNodeReader, T> reading) {
         List<?> list = as(List.class, "a list", List.of());
         return java.util.stream.IntStream.range(0, list.size())
-                .mapToObj(i -> reading.apply(new Node(row, path + "[" + i + "]", list.get(i))))
+                .mapToObj(i -> reading.apply(new JsonNodeReader(row, path + "[" + i + "]", list.get(i))))
                 .toList();
     }
 
--- a/terms/src/main/java/pearladder/terms/Row.java
+++ b/terms/src/main/java/pearladder/terms/JsonRowReader.java
@@ -10,23 +10,23 @@
 import java.util.Map;
 
 /** Reads one line, a JSON array, value by value; a value left out at the end reads as null. Or a whole document. */
-public final class Row {
+public final class JsonRowReader {
     private final JsonParser parser;
     private final String place;
     private boolean ended;
 
-    private Row(JsonParser parser, String place) {
+    private JsonRowReader(JsonParser parser, String place) {
         this.parser = parser;
         this.place = place;
     }
 
     /** A document of one value; mistakes are told with its name. */
-    public static Node document(JsonParser parser, String name) {
-        Row row = new Row(parser, name);
-        return new Node(row, "", row.tree("value"));
+    public static JsonNodeReader document(JsonParser parser, String name) {
+        JsonRowReader row = new JsonRowReader(parser, name);
+        return new JsonNodeReader(row, "", row.tree("value"));
     }
 
-    public Row(JsonParser parser, long line) {
+    public JsonRowReader(JsonParser parser, long line) {
         this(parser, "line " + line);
         if (read(parser::nextToken) != JsonToken.START_ARRAY) {
             throw bad("message", "an array was expected");
@@ -41,14 +41,14 @@
         try {
             return reading.get();
         } catch (JsonProcessingException malformed) {
-            throw new BadInput(place + ": not valid JSON: " + malformed.getOriginalMessage());
+            throw new InvalidInputException(place + ": not valid JSON: " + malformed.getOriginalMessage());
         } catch (IOException broken) {
-            throw new BadInput(place + ": " + broken.getMessage());
+            throw new InvalidInputException(place + ": " + broken.getMessage());
         }
     }
 
-    public BadInput bad(String field, String what) {
-        return new BadInput(place + ", " + field + ": " + what);
+    public InvalidInputException bad(String field, String what) {
+        return new InvalidInputException(place + ", " + field + ": " + what);
     }
 
     private JsonToken next(String field) {
--- a/terms/src/main/java/pearladder/terms/LoadReport.java
+++ b/terms/src/main/java/pearladder/terms/LoadReport.java
@@ -1,15 +1,15 @@
 package pearladder.terms;
 
 import java.util.function.ToDoubleFunction;
-import pearladder.api.Event.Report;
+import pearladder.api.Event.WorkerLoadReport;
 
 /** A worker's load report under the operators' names for its values. */
 public final class LoadReport {
     private LoadReport() {}
 
     /** @param value tells a value by its name, NaN where it is not reported */
-    public static Report of(ToDoubleFunction<String> value) {
-        return new Report(
+    public static WorkerLoadReport of(ToDoubleFunction<String> value) {
+        return new WorkerLoadReport(
                 value.applyAsDouble("outstanding"),
                 value.applyAsDouble("backlog"),
                 value.applyAsDouble("utilization"),
--- a/terms/src/main/java/pearladder/terms/FactsReader.java
+++ b/terms/src/main/java/pearladder/terms/RoutingSettingsParser.java
@@ -1,46 +1,46 @@
 package pearladder.terms;
 
 import java.util.Map;
-import pearladder.api.Facts;
-import pearladder.api.Facts.Account;
-import pearladder.api.Facts.Allowances;
-import pearladder.api.Facts.Answering;
-import pearladder.api.Facts.ColdStart;
-import pearladder.api.Facts.Copies;
-import pearladder.api.Facts.Effect;
-import pearladder.api.Facts.Group;
-import pearladder.api.Facts.Prices;
-import pearladder.api.Facts.Ration;
-import pearladder.api.Facts.Reports;
-import pearladder.api.Facts.Roll;
-import pearladder.api.Facts.Terms;
+import pearladder.api.RoutingSettings;
+import pearladder.api.RoutingSettings.Tenant;
+import pearladder.api.RoutingSettings.AttemptLimits;
+import pearladder.api.RoutingSettings.ResponseGrace;
+import pearladder.api.RoutingSettings.SlowStartSettings;
+import pearladder.api.RoutingSettings.InstanceSettings;
+import pearladder.api.RoutingSettings.Idempotency;
+import pearladder.api.RoutingSettings.DeduplicationScope;
+import pearladder.api.RoutingSettings.CostModel;
+import pearladder.api.RoutingSettings.LoadQuota;
+import pearladder.api.RoutingSettings.LoadReportSettings;
+import pearladder.api.RoutingSettings.DiscoverySettings;
+import pearladder.api.RoutingSettings.RequestClass;
 
 /** Turns the facts object, on the simulator's wire or in a platform's configuration, into the module's. */
-public final class FactsReader {
-    private static final Map<String, Effect> EFFECTS =
-            Map.of("free", Effect.RETRIABLE, "guarded", Effect.FINGERPRINTED, "single_shot", Effect.BINDING);
-    private static final Map<String, Group> GROUPS = Map.of("all", Group.ALL, "zone", Group.ZONE, "cell", Group.CELL);
+public final class RoutingSettingsParser {
+    private static final Map<String, Idempotency> EFFECTS =
+            Map.of("free", Idempotency.RETRIABLE, "guarded", Idempotency.FINGERPRINTED, "single_shot", Idempotency.BINDING);
+    private static final Map<String, DeduplicationScope> GROUPS = Map.of("all", DeduplicationScope.ALL, "zone", DeduplicationScope.ZONE, "cell", DeduplicationScope.CELL);
 
-    private FactsReader() {}
+    private RoutingSettingsParser() {}
 
-    public static Facts read(Node facts) {
-        Node caps = facts.at("Caps");
-        Node rules = facts.at("Rules");
-        Node family = facts.at("FamilyInfo");
-        Node penalties = facts.at("Penalties");
-        Node stats = facts.at("Stats");
-        return new Facts(
+    public static RoutingSettings read(JsonNodeReader facts) {
+        JsonNodeReader caps = facts.at("Caps");
+        JsonNodeReader rules = facts.at("Rules");
+        JsonNodeReader family = facts.at("FamilyInfo");
+        JsonNodeReader penalties = facts.at("Penalties");
+        JsonNodeReader stats = facts.at("Stats");
+        return new RoutingSettings(
                 facts.at("MyNumber").whole(0),
                 Math.max(1, facts.at("PeersTotal").whole(1)),
                 facts.at("Zone").textOr(""),
                 facts.at("QuantumNs").span(),
-                facts.at("Services").each(FactsReader::terms),
+                facts.at("Services").each(RoutingSettingsParser::terms),
                 facts.at("Accounts")
-                        .each(a -> new Account(
+                        .each(a -> new Tenant(
                                 a.at("Name").text(),
                                 a.at("Share").number(0),
                                 a.at("QuotaPerS").number(0))),
-                new Allowances(
+                new AttemptLimits(
                         caps.at("MaxAttempts").whole(1),
                         caps.at("SecondCopies").flag(false),
                         caps.at("MayCancel").flag(false),
@@ -51,19 +51,19 @@
                         facts.at("OverShareWorth").number(1),
                         facts.at("WorthBy").textOr("request").equals("work"),
                         caps.at("DialTimeoutNs").span()),
-                new Answering(
+                new ResponseGrace(
                         rules.at("GraceToAnswerNs").span(),
                         rules.at("StopSendingWithinNs").span()),
-                new ColdStart(
+                new SlowStartSettings(
                         rules.at("StartCapacity").number(1),
                         rules.at("ColdNs").span(),
                         rules.at("OverloadFactor").number(1),
                         rules.at("OverloadForNs").span()),
-                new Ration(
+                new LoadQuota(
                         family.at("LoadFree").number(0),
                         family.at("LoadRatio").number(0),
                         family.at("LoadSpanNs").span()),
-                new Copies(
+                new InstanceSettings(
                         family.at("LingerIdleNs").span(),
                         family.at("LoadControl").flag(false),
                         family.at("OnMiss").textOr("load").equals("load"),
@@ -71,13 +71,13 @@
                         family.at("TellsWarm").flag(false),
                         family.at("CountsAlike").flag(false),
                         family.at("MachineMb").each(mb -> mb.number(0))),
-                new Reports(
-                        stats.at("Fields").each(Node::text),
+                new LoadReportSettings(
+                        stats.at("Fields").each(JsonNodeReader::text),
                         stats.at("Via").textOr("none").equals("answers")),
-                new Roll(
+                new DiscoverySettings(
                         facts.at("MembershipMode").textOr("push").equals("ask"),
                         rules.at("MustAskInNs").span()),
-                new Prices(
+                new CostModel(
                         penalties.at("CrossZone").number(0),
                         penalties.at("Waste").number(0),
                         penalties.at("Probe").number(0),
@@ -86,8 +86,8 @@
                         family.at("IdleMemoryCost").number(0)));
     }
 
-    private static Terms terms(Node service) {
-        return new Terms(
+    private static RequestClass terms(JsonNodeReader service) {
+        return new RequestClass(
                 service.at("Name").text(),
                 service.at("AimNs").span(),
                 service.at("GiveUpNs").span(),
@@ -95,7 +95,7 @@
                 service.at("LateWorth").number(0),
                 service.at("Effect").oneOf(EFFECTS),
                 service.at("DedupScope").value() == null
-                        ? Group.ALL
+                        ? DeduplicationScope.ALL
                         : service.at("DedupScope").oneOf(GROUPS),
                 service.at("KeyTtlNs").span(),
                 service.at("Streamed").flag(false),
--- a/wirehost/src/main/java/pearladder/wire/WireHost.java
+++ b/wirehost/src/main/java/pearladder/wire/WireHost.java
@@ -17,27 +17,27 @@
 import java.util.Map;
 import java.util.Set;
 import pearladder.api.Action;
-import pearladder.api.Dispatcher;
+import pearladder.api.RoutingPolicy;
 import pearladder.api.Event;
-import pearladder.api.Event.Copy;
-import pearladder.api.Event.Listing;
-import pearladder.api.Event.Report;
-import pearladder.api.Facts;
-import pearladder.api.Moment;
+import pearladder.api.Event.InstanceStatus;
+import pearladder.api.Event.Endpoint;
+import pearladder.api.Event.WorkerLoadReport;
+import pearladder.api.RoutingSettings;
+import pearladder.api.MonotonicTime;
 import pearladder.api.Outcome;
-import pearladder.api.Span;
-import pearladder.terms.BadInput;
-import pearladder.terms.FactsReader;
+import pearladder.api.TimeSpan;
+import pearladder.terms.InvalidInputException;
+import pearladder.terms.RoutingSettingsParser;
 import pearladder.terms.LoadReport;
-import pearladder.terms.Node;
-import pearladder.terms.Row;
-import pearladder.terms.Standings;
+import pearladder.terms.JsonNodeReader;
+import pearladder.terms.JsonRowReader;
+import pearladder.terms.EndpointStates;
 
 /** Hosts many instances of the module on the simulator's wire: batches of lines in, one reply a batch out. */
 public final class WireHost {
     /** Makes one instance of the module. */
     public interface Maker {
-        Dispatcher make(long seed, Facts facts);
+        RoutingPolicy make(long seed, RoutingSettings facts);
     }
 
     private static final Map<String, Outcome> OUTCOMES = Map.of(
@@ -59,23 +59,23 @@
             Outcome.VOID,
             "absent",
             Outcome.ABSENT);
-    private static final Map<String, Event.ListKind> LIST_KINDS = Map.of(
+    private static final Map<String, Event.EndpointUpdateKind> LIST_KINDS = Map.of(
             "patch",
-            Event.ListKind.CHANGES,
+            Event.EndpointUpdateKind.DELTA,
             "whole",
-            Event.ListKind.WHOLE,
+            Event.EndpointUpdateKind.SNAPSHOT,
             "stale_copy",
-            Event.ListKind.REMEMBERED,
+            Event.EndpointUpdateKind.CACHED,
             "broken",
-            Event.ListKind.FAILED);
-    private static final Copy[] COPIES = {Copy.UNTOLD, Copy.STOOD, Copy.LOAD_BEGUN, Copy.LOAD_JOINED, Copy.LOAD_FAILED};
+            Event.EndpointUpdateKind.FAILED);
+    private static final InstanceStatus[] COPIES = {InstanceStatus.UNTOLD, InstanceStatus.STOOD, InstanceStatus.LOAD_BEGUN, InstanceStatus.LOAD_JOINED, InstanceStatus.LOAD_FAILED};
 
     private final Maker maker;
     private final JsonFactory json = new JsonFactory();
-    private final Map<Long, Dispatcher> instances = new HashMap<>();
-    private final Map<Long, List<Listing>> rosters = new HashMap<>();
+    private final Map<Long, RoutingPolicy> instances = new HashMap<>();
+    private final Map<Long, List<Endpoint>> rosters = new HashMap<>();
     private final Set<Long> faulted = new HashSet<>();
-    private Moment now;
+    private MonotonicTime now;
     private boolean inBatch;
     private long line;
 
@@ -94,21 +94,21 @@
                 continue;
             }
             try (JsonParser parser = json.createParser(text)) {
-                Row row = new Row(parser, line);
+                JsonRowReader row = new JsonRowReader(parser, line);
                 handle(row.text("message"), row, reply);
             }
         }
         if (inBatch) {
-            throw new BadInput("line " + line + ", message: the input ended inside a batch");
+            throw new InvalidInputException("line " + line + ", message: the input ended inside a batch");
         }
     }
 
-    private void handle(String name, Row row, JsonGenerator reply) throws IOException {
+    private void handle(String name, JsonRowReader row, JsonGenerator reply) throws IOException {
         if (name.equals("Frame")) {
             if (inBatch) {
                 throw row.bad("message", "a batch begins inside another");
             }
-            now = new Moment(row.whole("clock"));
+            now = new MonotonicTime(row.whole("clock"));
             inBatch = true;
             row.close();
             return;
@@ -128,13 +128,13 @@
             }
             case "Roster" -> {
                 long table = row.whole("Table");
-                rosters.put(table, listings(new Node(row, "Entries", row.tree("Entries"))));
+                rosters.put(table, listings(new JsonNodeReader(row, "Entries", row.tree("Entries"))));
                 row.close();
             }
             case "Begin" -> {
                 long instance = row.whole("I");
                 long seed = row.whole("RandomSeed");
-                Facts facts = FactsReader.read(new Node(row, "Facts", row.present("Facts", row.tree("Facts"))));
+                RoutingSettings facts = RoutingSettingsParser.read(new JsonNodeReader(row, "Facts", row.present("Facts", row.tree("Facts"))));
                 row.close();
                 faulted.remove(instance);
                 instances.put(instance, maker.make(seed, facts));
@@ -147,7 +147,7 @@
             }
             default -> {
                 long instance = row.whole("I");
-                Dispatcher dispatcher = dispatcher(row, instance);
+                RoutingPolicy dispatcher = dispatcher(row, instance);
                 Event event = event(name, row);
                 row.close();
                 act(instance, dispatcher, event, reply);
@@ -155,21 +155,21 @@
         }
     }
 
-    private Dispatcher dispatcher(Row row, long instance) {
-        Dispatcher dispatcher = instances.get(instance);
+    private RoutingPolicy dispatcher(JsonRowReader row, long instance) {
+        RoutingPolicy dispatcher = instances.get(instance);
         if (dispatcher == null) {
             throw row.bad("I", "instance " + instance + " has not begun");
         }
         return dispatcher;
     }
 
-    private void act(long instance, Dispatcher dispatcher, Event event, JsonGenerator reply) throws IOException {
+    private void act(long instance, RoutingPolicy dispatcher, Event event, JsonGenerator reply) throws IOException {
         if (faulted.contains(instance)) {
             return;
         }
         List<Action> actions;
         try {
-            actions = dispatcher.on(now, event);
+            actions = dispatcher.handle(now, event);
         } catch (RuntimeException failure) {
             faulted.add(instance);
             StackTraceElement[] trace = failure.getStackTrace();
@@ -183,47 +183,47 @@
         }
     }
 
-    private Event event(String name, Row row) {
+    private Event event(String name, JsonRowReader row) {
         return switch (name) {
             case "DirectoryUpdate" -> {
                 String mode = row.text("Mode");
                 row.wholeOrNull("Gen");
                 Long table = row.wholeOrNull("Table");
-                Event.ListKind kind = word(row, "Mode", LIST_KINDS, mode);
-                List<Listing> entries = kind == Event.ListKind.FAILED ? List.of() : rosters.get(table);
+                Event.EndpointUpdateKind kind = word(row, "Mode", LIST_KINDS, mode);
+                List<Endpoint> entries = kind == Event.EndpointUpdateKind.FAILED ? List.of() : rosters.get(table);
                 if (entries == null) {
                     throw row.bad("Table", "no such roster");
                 }
-                yield new Event.Listed(kind, entries);
+                yield new Event.EndpointsUpdated(kind, entries);
             }
             case "Demand" -> demand(row);
-            case "Streaming" -> new Event.StreamBegan(
-                    row.text("Txn"), (int) row.whole("SeqNo"), row.text("Worker"), new Span(row.whole("TookNs")));
+            case "Streaming" -> new Event.StreamStarted(
+                    row.text("Txn"), (int) row.whole("SeqNo"), row.text("Worker"), new TimeSpan(row.whole("TookNs")));
             case "Settled" -> settled(row);
-            case "ClientLeft" -> new Event.ClientLeft(row.text("Txn"));
-            case "Due" -> new Event.Due(row.text("Tag"));
+            case "ClientLeft" -> new Event.ClientDisconnected(row.text("Txn"));
+            case "Due" -> new Event.TimerFired(row.text("Tag"));
             case "ProbeResult" -> {
                 Outcome outcome = word(row, "Verdict", OUTCOMES, row.text("Verdict"));
-                yield new Event.Probed(row.text("Worker"), outcome, new Span(row.whole("TookNs")), report(row));
+                yield new Event.HealthCheckCompleted(row.text("Worker"), outcome, new TimeSpan(row.whole("TookNs")), report(row));
             }
             case "BroughtUp" -> {
                 String worker = row.text("Worker");
                 Long copies = row.wholeOrNull("NInst");
                 String function = row.text("TargetFn");
                 Outcome outcome = word(row, "Verdict", OUTCOMES, row.text("Verdict"));
-                yield new Event.LoadAnswered(
+                yield new Event.LoadCompleted(
                         worker,
                         function,
                         outcome,
                         copies == null ? 0 : copies.intValue(),
-                        new Span(row.whole("TookNs")));
+                        new TimeSpan(row.whole("TookNs")));
             }
-            case "FromPeer" -> new Event.PeerSaid((int) row.whole("OriginPeer"), row.text("Contents"));
+            case "FromPeer" -> new Event.GossipReceived((int) row.whole("OriginPeer"), row.text("Contents"));
             default -> throw row.bad("message", "unknown event " + name);
         };
     }
 
-    private Event demand(Row row) {
+    private Event demand(JsonRowReader row) {
         String call = row.text("Txn");
         Long lanes = row.wholeOrNull("Width");
         Double startMs = row.numberOrNull("StartMs");
@@ -235,12 +235,12 @@
         if (account != null && !(account instanceof String)) {
             throw row.bad("Org", "a text was expected");
         }
-        Span left = new Span(row.whole("RemainingNs"));
+        TimeSpan left = new TimeSpan(row.whole("RemainingNs"));
         String category = row.text("Priority");
         Long hint = row.wholeOrNull("WorkHintNs");
         Double memory = row.numberOrNull("RamMb");
         String function = row.textOrNull("TargetFn");
-        return new Event.CallCame(
+        return new Event.RequestArrived(
                 call,
                 function == null ? "" : function,
                 category,
@@ -248,57 +248,57 @@
                 left,
                 lanes == null ? 1 : lanes.intValue(),
                 memory == null ? 0 : memory,
-                startMs == null ? null : Span.seconds(startMs / 1e3),
-                hint == null ? null : new Span(hint),
+                startMs == null ? null : TimeSpan.seconds(startMs / 1e3),
+                hint == null ? null : new TimeSpan(hint),
                 resent,
                 row.flag("Write"));
     }
 
-    private Event settled(Row row) {
+    private Event settled(JsonRowReader row) {
         String call = row.text("Txn");
         boolean over = row.flag("Last");
         Long detail = row.wholeOrNull("Detail");
         int told = detail == null ? 0 : detail.intValue();
         String worker = row.text("Worker");
         Outcome outcome = word(row, "Verdict", OUTCOMES, row.text("Verdict"));
-        Span took = new Span(row.whole("TookNs"));
+        TimeSpan took = new TimeSpan(row.whole("TookNs"));
         int leg = (int) row.whole("SeqNo");
         boolean counted = outcome == Outcome.SUCCESS || outcome == Outcome.FULL;
         int copy = told % 8;
         if (told < 0 || copy >= COPIES.length) {
             throw row.bad("Detail", "unknown note " + told);
         }
-        return new Event.LegEnded(
+        return new Event.AttemptEnded(
                 call, leg, worker, outcome, took, over, COPIES[copy], counted ? told / 8 : 0, report(row));
     }
 
-    private static Report report(Row row) {
-        Node load = new Node(row, "Load", row.tree("Load"));
+    private static WorkerLoadReport report(JsonRowReader row) {
+        JsonNodeReader load = new JsonNodeReader(row, "Load", row.tree("Load"));
         if (load.value() == null) {
             return null;
         }
         return LoadReport.of(value -> load.at(value).number(Double.NaN));
     }
 
-    private static List<Listing> listings(Node entries) {
+    private static List<Endpoint> listings(JsonNodeReader entries) {
         return entries.each(entry -> {
-            List<Node> values = entry.each(value -> value);
+            List<JsonNodeReader> values = entry.each(value -> value);
             if (values.size() < 6) {
                 throw entry.row().bad(entry.path(), "an entry has at least six values");
             }
-            Span since = values.size() > 6 ? values.get(6).span() : Span.NONE;
-            return new Listing(
+            TimeSpan since = values.size() > 6 ? values.get(6).span() : TimeSpan.ZERO;
+            return new Endpoint(
                     values.get(0).text(),
                     values.get(1).textOr(""),
                     values.get(2).textOr(""),
                     values.get(3).whole(0),
-                    values.get(4).oneOf(Standings.WORDS),
+                    values.get(4).oneOf(EndpointStates.WORDS),
                     values.get(5).number(1),
-                    since.nanos() == 0 ? null : new Moment(since.nanos()));
+                    since.nanos() == 0 ? null : new MonotonicTime(since.nanos()));
         });
     }
 
-    private static <T> T word(Row row, String field, Map<String, T> words, String word) {
+    private static <T> T word(JsonRowReader row, String field, Map<String, T> words, String word) {
         T meaning = words.get(word);
         if (meaning == null) {
             throw row.bad(field, "unknown word " + word);
@@ -317,50 +317,50 @@
     }
 
     private static void write(long instance, Action action, JsonGenerator reply) throws IOException {
-        if (action instanceof Action.Send send) {
+        if (action instanceof Action.SendAttempt send) {
             begin(reply, "Relay", instance);
-            reply.writeString(send.call());
+            reply.writeString(send.requestId());
             reply.writeString(send.worker());
-            reply.writeNumber(send.limit().nanos());
-        } else if (action instanceof Action.Wake wake) {
+            reply.writeNumber(send.timeout().nanos());
+        } else if (action instanceof Action.SetTimer wake) {
             begin(reply, "NotifyMe", instance);
-            reply.writeNumber(wake.at().nanos());
+            reply.writeNumber(wake.dueAt().nanos());
             reply.writeString(wake.tag());
-        } else if (action instanceof Action.Cancel cancel) {
+        } else if (action instanceof Action.CancelAttempt cancel) {
             begin(reply, "AbortAttempt", instance);
-            reply.writeString(cancel.call());
-            reply.writeNumber(cancel.leg());
-        } else if (action instanceof Action.Dismiss dismiss) {
+            reply.writeString(cancel.requestId());
+            reply.writeNumber(cancel.attempt());
+        } else if (action instanceof Action.Reject dismiss) {
             begin(reply, "Decline", instance);
-            reply.writeString(dismiss.call());
+            reply.writeString(dismiss.requestId());
             reply.writeNumber(dismiss.retryAfter().nanos());
-        } else if (action instanceof Action.Terminate terminate) {
+        } else if (action instanceof Action.Fail terminate) {
             begin(reply, "ReportFailure", instance);
-            reply.writeString(terminate.call());
-        } else if (action instanceof Action.Hold hold) {
+            reply.writeString(terminate.requestId());
+        } else if (action instanceof Action.LoadInstances hold) {
             begin(reply, "HoldThere", instance);
             reply.writeString(hold.worker());
             reply.writeString(hold.function());
-            reply.writeNumber(hold.copies());
-        } else if (action instanceof Action.Unload unload) {
+            reply.writeNumber(hold.instances());
+        } else if (action instanceof Action.UnloadInstances unload) {
             begin(reply, "Evict", instance);
             reply.writeString(unload.function());
             reply.writeString(unload.worker());
-        } else if (action instanceof Action.Probe probe) {
+        } else if (action instanceof Action.CheckHealth probe) {
             begin(reply, "Ping", instance);
             reply.writeString(probe.worker());
-        } else if (action instanceof Action.CloseIdle close) {
+        } else if (action instanceof Action.CloseIdleConnections close) {
             begin(reply, "HangUp", instance);
             reply.writeString(close.worker());
-        } else if (action instanceof Action.Subscribe subscribe) {
+        } else if (action instanceof Action.WatchEndpoints subscribe) {
             begin(reply, "Watch", instance);
-            reply.writeBoolean(subscribe.on());
-        } else if (action instanceof Action.FetchList) {
+            reply.writeBoolean(subscribe.enabled());
+        } else if (action instanceof Action.PollEndpoints) {
             begin(reply, "Fetch", instance);
         } else if (action instanceof Action.Log log) {
             begin(reply, "SayLog", instance);
             reply.writeString(log.text());
-        } else if (action instanceof Action.Tell tell) {
+        } else if (action instanceof Action.SendGossip tell) {
             begin(reply, "Post", instance);
             if (tell.peer() == null) {
                 reply.writeNull();
--- a/wirehost/src/test/java/pearladder/wire/WireHostTest.java
+++ b/wirehost/src/test/java/pearladder/wire/WireHostTest.java
@@ -15,11 +15,11 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import pearladder.api.Action;
 import pearladder.api.Event;
-import pearladder.api.Facts;
-import pearladder.api.Moment;
+import pearladder.api.RoutingSettings;
+import pearladder.api.MonotonicTime;
 import pearladder.api.Outcome;
-import pearladder.api.Span;
-import pearladder.terms.BadInput;
+import pearladder.api.TimeSpan;
+import pearladder.terms.InvalidInputException;
 
 class WireHostTest {
     private static final String BEGIN = "[\"Begin\",3,99,{\"PeersTotal\":2,\"Unknown\":[1,{\"a\":null}],\"Services\":"
@@ -27,7 +27,7 @@
             + "{\"StartCapacity\":0.25}}]";
 
     private final List<Event> events = new ArrayList<>();
-    private final List<Facts> facts = new ArrayList<>();
+    private final List<RoutingSettings> facts = new ArrayList<>();
     private List<Action> answer = List.of();
 
     private String serve(String... lines) throws IOException {
@@ -51,18 +51,18 @@
     @Test
     void eventsAreReadAndActionsWritten() throws IOException {
         answer = List.of(
-                new Action.Send("t", "w", Span.millis(80)),
-                new Action.Dismiss("t", Span.millis(1)),
-                new Action.Terminate("t"),
-                new Action.Cancel("t", 1),
-                new Action.Wake(new Moment(7), "x"),
-                new Action.Hold("w", "f", 2),
-                new Action.Unload("w", "f"),
-                new Action.Probe("w"),
-                new Action.CloseIdle("w"),
-                new Action.Subscribe(true),
-                new Action.FetchList(),
-                new Action.Tell(null, "hi"),
+                new Action.SendAttempt("t", "w", TimeSpan.millis(80)),
+                new Action.Reject("t", TimeSpan.millis(1)),
+                new Action.Fail("t"),
+                new Action.CancelAttempt("t", 1),
+                new Action.SetTimer(new MonotonicTime(7), "x"),
+                new Action.LoadInstances("w", "f", 2),
+                new Action.UnloadInstances("w", "f"),
+                new Action.CheckHealth("w"),
+                new Action.CloseIdleConnections("w"),
+                new Action.WatchEndpoints(true),
+                new Action.PollEndpoints(),
+                new Action.SendGossip(null, "hi"),
                 new Action.Log("said"));
         String reply = serve(
                 "[\"Frame\",5]",
@@ -86,15 +86,15 @@
                         "[\"SayLog\",3,\"said\"]",
                         "[\"Finished\"]"),
                 reply.lines().filter(line -> !line.isBlank()).toList());
-        Event.LegEnded ended = (Event.LegEnded) events.get(0);
+        Event.AttemptEnded ended = (Event.AttemptEnded) events.get(0);
         assertEquals(Outcome.SUCCESS, ended.outcome());
-        assertEquals(Event.Copy.STOOD, ended.copy());
-        assertEquals(2, ended.alike());
-        assertEquals(3, ended.report().waiting());
+        assertEquals(Event.InstanceStatus.STOOD, ended.instanceStatus());
+        assertEquals(2, ended.concurrentRequests());
+        assertEquals(3, ended.loadReport().backlog());
         assertEquals(
-                Facts.Effect.FINGERPRINTED, facts.get(0).categories().get(0).effect());
-        assertEquals(Facts.Group.ZONE, facts.get(0).categories().get(0).group());
-        assertEquals(0.25, facts.get(0).coldStart().startShare());
+                RoutingSettings.Idempotency.FINGERPRINTED, facts.get(0).requestClasses().get(0).idempotency());
+        assertEquals(RoutingSettings.DeduplicationScope.ZONE, facts.get(0).requestClasses().get(0).deduplicationScope());
+        assertEquals(0.25, facts.get(0).slowStart().initialCapacityShare());
     }
 
     @Test
@@ -112,13 +112,13 @@
                 "[\"Due\",3,\"sweep\"]",
                 "[\"Demand\",3,\"t\",2,900,false,\"acc\",240000000,\"c\",null,384,\"f\",false]",
                 "[\"Commit\"]");
-        assertEquals("a", ((Event.Listed) events.get(0)).listings().get(0).worker());
+        assertEquals("a", ((Event.EndpointsUpdated) events.get(0)).endpoints().get(0).worker());
         assertEquals(
-                new Moment(6100000000L),
-                ((Event.Listed) events.get(1)).listings().get(0).since());
-        assertEquals(Event.ListKind.FAILED, ((Event.Listed) events.get(2)).kind());
-        assertEquals(new Event.Due("sweep"), events.get(3));
-        assertEquals(Span.millis(900), ((Event.CallCame) events.get(4)).usualLoad());
+                new MonotonicTime(6100000000L),
+                ((Event.EndpointsUpdated) events.get(1)).endpoints().get(0).startedAt());
+        assertEquals(Event.EndpointUpdateKind.FAILED, ((Event.EndpointsUpdated) events.get(2)).kind());
+        assertEquals(new Event.TimerFired("sweep"), events.get(3));
+        assertEquals(TimeSpan.millis(900), ((Event.RequestArrived) events.get(4)).typicalLoadTime());
         assertEquals(2, facts.size());
     }
 
@@ -153,7 +153,7 @@
                 "[\"Roster\",0,[[\"a\",\"z\",\"k\",0,\"gone\",1]]] | line 3, Entries[0][4]"
             })
     void badInputNamesTheLineAndTheField(String line, String named) {
-        BadInput bad = assertThrows(BadInput.class, () -> serve("[\"Frame\",5]", BEGIN, line, "[\"Commit\"]"));
+        InvalidInputException bad = assertThrows(InvalidInputException.class, () -> serve("[\"Frame\",5]", BEGIN, line, "[\"Commit\"]"));
         assertTrue(bad.getMessage().startsWith(named), bad.getMessage());
     }
 }
--- a/yaml/src/main/java/pearladder/yaml/Mistakes.java
+++ b/yaml/src/main/java/pearladder/yaml/ConfigErrors.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** The mistakes found in one file; all of them are collected before anything starts. */
-public final class Mistakes {
+public final class ConfigErrors {
     /** One mistake: where it stands, what is wrong and how it is mended. */
     public record Mistake(String file, int line, String key, String what, String mend) {
         @Override
@@ -31,7 +31,7 @@
     final String file;
     private final List<Mistake> list = new ArrayList<>();
 
-    Mistakes(String file) {
+    ConfigErrors(String file) {
         this.file = file;
     }
 
--- a/yaml/src/main/java/pearladder/yaml/Value.java
+++ b/yaml/src/main/java/pearladder/yaml/ConfigValue.java
@@ -14,19 +14,19 @@
  * A value of a checked file. Reading a wrong one notes a mistake and goes on with the default, so that one pass finds
  * them all; {@link #done} then names keys that nobody read and throws.
  */
-public final class Value {
+public final class ConfigValue {
     private static final Map<String, Double> SECONDS =
             Map.of("us", 1e-6, "ms", 1e-3, "s", 1.0, "min", 60.0, "h", 3600.0);
     private static final Map<String, Double> BYTES = Map.of("B", 1.0, "KB", 1e3, "MB", 1e6, "GB", 1e9);
 
-    private final Mistakes mistakes;
+    private final ConfigErrors mistakes;
     private final String path;
     private final int line;
     private final Object raw;
     private final Set<String> read = new HashSet<>();
-    private final Map<String, Value> missing = new LinkedHashMap<>();
+    private final Map<String, ConfigValue> missing = new LinkedHashMap<>();
 
-    Value(Mistakes mistakes, String path, int line, Object raw) {
+    ConfigValue(ConfigErrors mistakes, String path, int line, Object raw) {
         this.mistakes = mistakes;
         this.path = path;
         this.line = line;
@@ -70,13 +70,13 @@
     }
 
     /** The value under a key; one that is not there has no raw value and this value's line. */
-    public Value at(String key) {
+    public ConfigValue at(String key) {
         read.add(key);
         Object inner = map().get(key);
-        if (inner instanceof Value value) {
+        if (inner instanceof ConfigValue value) {
             return value;
         }
-        return missing.computeIfAbsent(key, k -> new Value(mistakes, path.isEmpty() ? k : path + "." + k, line, null));
+        return missing.computeIfAbsent(key, k -> new ConfigValue(mistakes, path.isEmpty() ? k : path + "." + k, line, null));
     }
 
     /** The keys in the order they stand. */
@@ -85,7 +85,7 @@
     }
 
     /** Reads each value of a map with its key, in the order they stand. */
-    public <T> Map<String, T> eachKey(BiFunction<String, Value, T> reading) {
+    public <T> Map<String, T> eachKey(BiFunction<String, ConfigValue, T> reading) {
         Map<String, T> values = new LinkedHashMap<>();
         for (String key : keys()) {
             values.put(key, reading.apply(key, at(key)));
@@ -94,7 +94,7 @@
     }
 
     /** Reads each value of a list; a missing list is empty. */
-    public <T> List<T> each(Function<Value, T> reading) {
+    public <T> List<T> each(Function<ConfigValue, T> reading) {
         if (raw == null) {
             return List.of();
         }
@@ -104,7 +104,7 @@
         }
         List<T> values = new ArrayList<>();
         for (Object inner : list) {
-            values.add(reading.apply((Value) inner));
+            values.add(reading.apply((ConfigValue) inner));
         }
         return values;
     }
@@ -205,7 +205,7 @@
     }
 
     public long span(String otherwise) {
-        return raw != null ? span() : new Value(mistakes, path, line, otherwise).span();
+        return raw != null ? span() : new ConfigValue(mistakes, path, line, otherwise).span();
     }
 
     /** A size in bytes, written with its unit: B, KB, MB or GB, in powers of ten. */
@@ -214,7 +214,7 @@
     }
 
     public long bytes(String otherwise) {
-        return raw != null ? bytes() : new Value(mistakes, path, line, otherwise).bytes();
+        return raw != null ? bytes() : new ConfigValue(mistakes, path, line, otherwise).bytes();
     }
 
     /** One of the words of an enum, written in small letters with hyphens. */
@@ -241,7 +241,7 @@
     public void close() {
         if (raw instanceof Map<?, ?> map) {
             for (Map.Entry<?, ?> entry : map.entrySet()) {
-                Value inner = (Value) entry.getValue();
+                ConfigValue inner = (ConfigValue) entry.getValue();
                 if (!read.contains(entry.getKey())) {
                     inner.wrong(
                             "unknown key",
@@ -255,7 +255,7 @@
                 }
             }
         } else if (raw instanceof List<?> list) {
-            list.forEach(inner -> ((Value) inner).close());
+            list.forEach(inner -> ((ConfigValue) inner).close());
         }
     }
 
@@ -267,7 +267,7 @@
         mistakes.raise();
     }
 
-    /** Ends the reading of a file: throws {@link Mistakes.Found} if anything was wrong. */
+    /** Ends the reading of a file: throws {@link ConfigErrors.Found} if anything was wrong. */
     public void done() {
         close();
         mistakes.raise();
--- a/yaml/src/main/java/pearladder/yaml/Yaml.java
+++ b/yaml/src/main/java/pearladder/yaml/YamlParser.java
@@ -13,22 +13,22 @@
 import java.util.Map;
 
 /** Reads a YAML file into values that know their line. Anchors and several documents are not taken. */
-public final class Yaml {
+public final class YamlParser {
     private final JsonParser parser;
-    private final Mistakes mistakes;
+    private final ConfigErrors mistakes;
 
-    private Yaml(JsonParser parser, Mistakes mistakes) {
+    private YamlParser(JsonParser parser, ConfigErrors mistakes) {
         this.parser = parser;
         this.mistakes = mistakes;
     }
 
-    /** Reads a file; throws {@link Mistakes.Found} where it can't be read or is not YAML. */
-    public static Value read(Path file) {
+    /** Reads a file; throws {@link ConfigErrors.Found} where it can't be read or is not YAML. */
+    public static ConfigValue read(Path file) {
         String text;
         try {
             text = Files.readString(file);
         } catch (IOException unreadable) {
-            throw new Mistakes.Found(List.of(new Mistakes.Mistake(
+            throw new ConfigErrors.Found(List.of(new ConfigErrors.Mistake(
                     file.toString(),
                     1,
                     "",
@@ -39,13 +39,13 @@
     }
 
     /** Reads a text under a file's name. */
-    public static Value read(String file, String text) {
-        Mistakes mistakes = new Mistakes(file);
+    public static ConfigValue read(String file, String text) {
+        ConfigErrors mistakes = new ConfigErrors(file);
         try (JsonParser parser = new YAMLFactory().createParser(text)) {
-            Yaml yaml = new Yaml(parser, mistakes);
+            YamlParser yaml = new YamlParser(parser, mistakes);
             JsonToken first = parser.nextToken();
-            Value value = first == null
-                    ? new Value(mistakes, "", 1, new LinkedHashMap<String, Value>())
+            ConfigValue value = first == null
+                    ? new ConfigValue(mistakes, "", 1, new LinkedHashMap<String, ConfigValue>())
                     : yaml.value("", first);
             mistakes.raise();
             return value;
@@ -59,7 +59,7 @@
                     .findFirst()
                     .orElse("")
                     .trim();
-            throw new Mistakes.Found(List.of(new Mistakes.Mistake(
+            throw new ConfigErrors.Found(List.of(new ConfigErrors.Mistake(
                     file,
                     line,
                     "",
@@ -70,29 +70,29 @@
         }
     }
 
-    private Value value(String path, JsonToken token) throws IOException {
+    private ConfigValue value(String path, JsonToken token) throws IOException {
         int line = parser.currentTokenLocation().getLineNr();
         if (token == JsonToken.START_OBJECT) {
-            Map<String, Value> map = new LinkedHashMap<>();
+            Map<String, ConfigValue> map = new LinkedHashMap<>();
             while (parser.nextToken() == JsonToken.FIELD_NAME) {
                 String key = parser.currentName();
                 int at = parser.currentTokenLocation().getLineNr();
                 String inner = path.isEmpty() ? key : path + "." + key;
-                Value value = value(inner, parser.nextToken());
-                if (map.putIfAbsent(key, new Value(mistakes, inner, at, value.raw())) != null) {
+                ConfigValue value = value(inner, parser.nextToken());
+                if (map.putIfAbsent(key, new ConfigValue(mistakes, inner, at, value.raw())) != null) {
                     mistakes.add(at, inner, "the key stands twice", "keep one of them");
                 }
             }
-            return new Value(mistakes, path, line, map);
+            return new ConfigValue(mistakes, path, line, map);
         }
         if (token == JsonToken.START_ARRAY) {
-            List<Value> list = new ArrayList<>();
+            List<ConfigValue> list = new ArrayList<>();
             JsonToken inner;
             while ((inner = parser.nextToken()) != JsonToken.END_ARRAY) {
                 list.add(value(path + "[" + list.size() + "]", inner));
             }
-            return new Value(mistakes, path, line, list);
+            return new ConfigValue(mistakes, path, line, list);
         }
-        return new Value(mistakes, path, line, token == JsonToken.VALUE_NULL ? null : parser.getText());
+        return new ConfigValue(mistakes, path, line, token == JsonToken.VALUE_NULL ? null : parser.getText());
     }
 }
--- a/yaml/src/test/java/pearladder/yaml/YamlTest.java
+++ b/yaml/src/test/java/pearladder/yaml/YamlTest.java
@@ -15,9 +15,9 @@
         DARK_BLUE
     }
 
-    private static List<String> mistakes(String text, Consumer<Value> reading) {
-        Mistakes.Found found = assertThrows(Mistakes.Found.class, () -> {
-            Value value = Yaml.read("f.yaml", text);
+    private static List<String> mistakes(String text, Consumer<ConfigValue> reading) {
+        ConfigErrors.Found found = assertThrows(ConfigErrors.Found.class, () -> {
+            ConfigValue value = YamlParser.read("f.yaml", text);
             reading.accept(value);
             value.done();
         });
@@ -26,7 +26,7 @@
 
     @Test
     void valuesAreReadWithTheirUnits() {
-        Value value = Yaml.read(
+        ConfigValue value = YamlParser.read(
                 "f.yaml", "a: 8 s\nb: 512 MB\nc: [1, 2]\nd: dark-blue\ne: 2.5\nf: true\ng: {h: x}\n" + "i: 1.5 ms\n");
         assertEquals(8_000_000_000L, value.at("a").span());
         assertEquals(512_000_000L, value.at("b").bytes());
@@ -54,7 +54,7 @@
                     value.at("a").span();
                     value.at("b").number(0, 3);
                     value.at("c").word(Colour.class, null);
-                    value.at("d").each(Value::text);
+                    value.at("d").each(ConfigValue::text);
                     value.at("e").text("");
                 }));
     }
@@ -76,13 +76,13 @@
         assertEquals(
                 List.of("f.yaml:3: a: the key stands twice; keep one of them"),
                 mistakes("a: 1\nb: 2\na: 3\n", value -> {}));
-        assertTrue(assertThrows(Mistakes.Found.class, () -> Yaml.read(Path.of("no/such.yaml")))
+        assertTrue(assertThrows(ConfigErrors.Found.class, () -> YamlParser.read(Path.of("no/such.yaml")))
                 .getMessage()
                 .startsWith("no/such.yaml:1: the file can't be read"));
     }
 
     @Test
     void anEmptyFileIsAnEmptyMap() {
-        assertEquals(List.of(), Yaml.read("f.yaml", "").keys());
+        assertEquals(List.of(), YamlParser.read("f.yaml", "").keys());
     }
 }
