--- a/cli/src/main/java/pearladder/cli/CheckCommand.java
+++ b/cli/src/main/java/pearladder/cli/CheckCommand.java
@@ -3,7 +3,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import pearladder.emulator.FleetPlan;
-import pearladder.lab.Day;
+import pearladder.lab.Scenario;
 import pearladder.lab.Experiment;
 import pearladder.router.RolloutPlanParser;
 import pearladder.router.core.RouterConfigParser;
@@ -37,7 +37,7 @@
             Experiment.check(file);
             what = "an experiment";
         } else if (value.keys().contains("day")) {
-            Day.check(file);
+            Scenario.check(file);
             what = "a day";
         } else if (value.keys().contains("fleet")) {
             FleetPlan.read(value.at("fleet"));
--- a/cli/src/main/java/pearladder/cli/Commands.java
+++ b/cli/src/main/java/pearladder/cli/Commands.java
@@ -18,7 +18,7 @@
             RouterCommand.class,
             EnginesCommand.class,
             CheckCommand.class,
-            DayCommand.class,
+            ScenarioCommand.class,
             RehearseCommand.class,
             SearchCommand.class,
             MeasureCommand.class,
--- a/cli/src/main/java/pearladder/cli/EnginesCommand.java
+++ b/cli/src/main/java/pearladder/cli/EnginesCommand.java
@@ -6,9 +6,9 @@
 import java.util.concurrent.Callable;
 import java.util.function.Consumer;
 import pearladder.emulator.FleetPlan;
-import pearladder.emulator.Seen;
-import pearladder.emulator.Tape;
-import pearladder.emulator.net.Control;
+import pearladder.emulator.Observation;
+import pearladder.emulator.ObservationLog;
+import pearladder.emulator.net.FaultInjectionServer;
 import pearladder.emulator.net.Fleet;
 import pearladder.yaml.ConfigValue;
 import pearladder.yaml.YamlParser;
@@ -40,15 +40,15 @@
         FleetPlan plan = FleetPlan.read(value.at("fleet"));
         value.done(java.util.Set.of("fleet"));
         Vertx vertx = Vertx.vertx();
-        Consumer<Seen> out = one -> {};
+        Consumer<Observation> out = one -> {};
         if (tape != null) {
-            Tape writer = new Tape(tape);
+            ObservationLog writer = new ObservationLog(tape);
             vertx.setPeriodic(200, tick -> writer.flush());
             Runtime.getRuntime().addShutdownHook(new Thread(writer::flush, "tape"));
             out = writer;
         }
         Fleet fleet = Fleet.start(vertx, plan, listPort, out);
-        int control = Control.start(vertx, fleet);
+        int control = FaultInjectionServer.start(vertx, fleet);
         System.out.println("{\"list\":" + fleet.listPort() + ",\"control\":" + control + ",\"engines\":"
                 + plan.engines().size() + "}");
         return Commands.RUNNING;
--- a/cli/src/main/java/pearladder/cli/ExperimentCommand.java
+++ b/cli/src/main/java/pearladder/cli/ExperimentCommand.java
@@ -25,7 +25,7 @@
     @Override
     public Integer call() throws IOException, InterruptedException {
         Logs.setUp(Logs.Form.TEXT);
-        int broken = Experiment.run(file, out, Program.command(), Program.build(), System.out);
+        int broken = Experiment.run(file, out, SelfCommand.command(), SelfCommand.build(), System.out);
         if (broken > 0) {
             System.out.println(broken + " runs broke a rule or had a fault");
         }
--- a/cli/src/main/java/pearladder/cli/Main.java
+++ b/cli/src/main/java/pearladder/cli/Main.java
@@ -6,7 +6,7 @@
 import pearladder.platform.PlatformRouter;
 import pearladder.platform.SignalHandlers;
 import pearladder.terms.InvalidInputException;
-import pearladder.wire.WireHost;
+import pearladder.wire.SimulatorAdapter;
 
 /** The command line's door. The bench's adapter and the platform's router start
  * here and load nothing of the rest. */
@@ -27,7 +27,7 @@
 
     private static int wirehost() {
         try {
-            new WireHost(StickyFirstFitPolicy::new).serve(System.in, System.out);
+            new SimulatorAdapter(StickyFirstFitPolicy::new).serve(System.in, System.out);
             return 0;
         } catch (InvalidInputException bad) {
             System.err.println("pearladder: " + bad.getMessage());
--- a/cli/src/main/java/pearladder/cli/MeasureCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeasureCommand.java
@@ -4,7 +4,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import pearladder.lab.DecisionCost;
-import pearladder.lab.Measure;
+import pearladder.lab.Benchmark;
 import pearladder.lab.QueueCost;
 import pearladder.lab.ReleaseTrials;
 import picocli.CommandLine.Command;
@@ -50,9 +50,9 @@
         }
         if (!records) {
             System.out.println("decisions alone");
-            DecisionCost.run(Decider.MODULE.maker::make, rounds, 12, 92, 500).forEach(System.out::println);
+            DecisionCost.run(PolicyChoice.MODULE.maker::make, rounds, 12, 92, 500).forEach(System.out::println);
         }
-        Measure.run(Program.command(), out, rounds, seconds, records, System.out);
+        Benchmark.run(SelfCommand.command(), out, rounds, seconds, records, System.out);
         return 0;
     }
 }
--- a/cli/src/main/java/pearladder/cli/Decider.java
+++ b/cli/src/main/java/pearladder/cli/PolicyChoice.java
@@ -5,13 +5,13 @@
 import pearladder.router.Router;
 
 /** Who decides in a router: the module, or a baseline that it is compared with. */
-enum Decider {
+enum PolicyChoice {
     MODULE(StickyFirstFitPolicy::new),
     RANDOM(RandomChoice::new);
 
     final Router.Maker maker;
 
-    Decider(Router.Maker maker) {
+    PolicyChoice(Router.Maker maker) {
         this.maker = maker;
     }
 }
--- a/cli/src/main/java/pearladder/cli/RecordsCommand.java
+++ b/cli/src/main/java/pearladder/cli/RecordsCommand.java
@@ -235,7 +235,7 @@
     }
 
     private static long writeAndKill(Path folder, int millis) throws IOException {
-        List<String> command = new ArrayList<>(Program.command());
+        List<String> command = new ArrayList<>(SelfCommand.command());
         command.addAll(List.of("records", "write", folder.toString()));
         Process writer = new ProcessBuilder(command)
                 .redirectError(ProcessBuilder.Redirect.INHERIT)
--- a/cli/src/main/java/pearladder/cli/RehearseCommand.java
+++ b/cli/src/main/java/pearladder/cli/RehearseCommand.java
@@ -15,8 +15,8 @@
 import java.util.concurrent.Future;
 import pearladder.lab.Report;
 import pearladder.lab.Scripts;
-import pearladder.lab.TraceSource;
-import pearladder.rehearsal.Rehearsal;
+import pearladder.lab.TraceWorkload;
+import pearladder.rehearsal.Simulation;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -90,7 +90,7 @@
     private Path out;
 
     @Option(names = "--policy", defaultValue = "MODULE", description = "who decides: ${COMPLETION-CANDIDATES}")
-    private Decider policy;
+    private PolicyChoice policy;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
@@ -100,9 +100,9 @@
         Scripts.check(file);
         Scripts.resize(script, engines, routers, rate);
         int first = seed >= 0 ? seed : script.at("/day/seed").asInt(1);
-        TraceSource.Terms terms = trace == null
+        TraceWorkload.Terms terms = trace == null
                 ? null
-                : new TraceSource.Terms(
+                : new TraceWorkload.Terms(
                         trace,
                         null,
                         null,
@@ -120,25 +120,25 @@
             Path written = out.resolve("day.yaml");
             script.withObject("/day").put("seed", first);
             new YAMLMapper().writeValue(written.toFile(), script);
-            return DayCommand.play(written, terms, out, policy);
+            return ScenarioCommand.play(written, terms, out, policy);
         }
         if (!sizes.isEmpty()) {
             return grow(script, first);
         }
         ExecutorService pool = Executors.newFixedThreadPool(Math.max(1, jobs));
-        List<Future<Rehearsal.Outcome>> all = new ArrayList<>();
+        List<Future<Simulation.Outcome>> all = new ArrayList<>();
         for (int i = 0; i < runs; i++) {
             ObjectNode one = script.deepCopy();
             one.withObject("/day").put("seed", first + i);
             Path folder = runs == 1 ? out : out.resolve("run.s" + (first + i));
-            all.add(pool.submit(() -> Rehearsal.play(
+            all.add(pool.submit(() -> Simulation.play(
                     one, file.toString(), terms, policy.maker::make, folder, runs == 1 ? System.out : null)));
         }
         pool.shutdown();
         boolean kept = true;
         for (int i = 0; i < runs; i++) {
             try {
-                Rehearsal.Outcome outcome = all.get(i).get();
+                Simulation.Outcome outcome = all.get(i).get();
                 kept &= outcome.kept();
                 if (runs == 1) {
                     System.out.println();
@@ -167,8 +167,8 @@
             grown.withObject("/day").put("seed", seed);
             String[] parts = size.split("x");
             Scripts.grow(grown, Integer.parseInt(parts[0]), Integer.parseInt(parts[1]));
-            Rehearsal.Outcome outcome =
-                    Rehearsal.play(grown, file.toString(), policy.maker::make, out.resolve(size), System.out);
+            Simulation.Outcome outcome =
+                    Simulation.play(grown, file.toString(), policy.maker::make, out.resolve(size), System.out);
             kept &= outcome.kept();
             System.out.println(size + ": " + line(outcome));
         }
@@ -177,7 +177,7 @@
         return kept ? 0 : 1;
     }
 
-    private static String line(Rehearsal.Outcome outcome) {
+    private static String line(Simulation.Outcome outcome) {
         return String.format(
                 Locale.ROOT,
                 "credit %.3f, worst 10 s %.3f, %d calls, %d loads, digest %s, %s; %d events at %.0f a second,"
--- a/cli/src/main/java/pearladder/cli/ReplayCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReplayCommand.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import pearladder.lab.TraceSource;
+import pearladder.lab.TraceWorkload;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -52,11 +52,11 @@
     private double usual;
 
     @Option(names = "--policy", defaultValue = "MODULE", description = "who decides: ${COMPLETION-CANDIDATES}")
-    private Decider policy;
+    private PolicyChoice policy;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        TraceSource.Terms terms = new TraceSource.Terms(
+        TraceWorkload.Terms terms = new TraceWorkload.Terms(
                 input.file,
                 input.layout,
                 input.durations,
@@ -69,6 +69,6 @@
                 Math.round(longest * 1e6),
                 Math.round(usual * 1e6),
                 input.strict);
-        return DayCommand.play(script, terms, out, policy);
+        return ScenarioCommand.play(script, terms, out, policy);
     }
 }
--- a/cli/src/main/java/pearladder/cli/RouterCommand.java
+++ b/cli/src/main/java/pearladder/cli/RouterCommand.java
@@ -30,7 +30,7 @@
     private Logs.Form log;
 
     @Option(names = "--policy", defaultValue = "MODULE", hidden = true, description = "RANDOM is a baseline for days")
-    private Decider policy;
+    private PolicyChoice policy;
 
     @Option(names = "--seed", description = "the module's chance, for a run that is to be repeated")
     private Long seed;
--- a/cli/src/main/java/pearladder/cli/DayCommand.java
+++ b/cli/src/main/java/pearladder/cli/ScenarioCommand.java
@@ -4,8 +4,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
-import pearladder.lab.Day;
-import pearladder.lab.TraceSource;
+import pearladder.lab.Scenario;
+import pearladder.lab.TraceWorkload;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -17,7 +17,7 @@
             "Play a scripted day: routers and engines as processes on loopback, traffic and troubles.",
             "Prints the table and the verdict on the five rules; ends with 1 where a rule was broken."
         })
-final class DayCommand implements Callable<Integer> {
+final class ScenarioCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "the script")
     private Path script;
 
@@ -32,23 +32,23 @@
             names = "--policy",
             defaultValue = "MODULE",
             description = "who decides: ${COMPLETION-CANDIDATES}; RANDOM is a baseline")
-    private Decider policy;
+    private PolicyChoice policy;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
         return play(script, out, policy);
     }
 
-    static int play(Path script, Path out, Decider policy) throws IOException, InterruptedException {
+    static int play(Path script, Path out, PolicyChoice policy) throws IOException, InterruptedException {
         return play(script, null, out, policy);
     }
 
     /** The same with a trace's calls in place of the script's traffic; null for none. */
-    static int play(Path script, TraceSource.Terms trace, Path out, Decider policy)
+    static int play(Path script, TraceWorkload.Terms trace, Path out, PolicyChoice policy)
             throws IOException, InterruptedException {
         Logs.setUp(Logs.Form.TEXT);
-        Day.Outcome outcome =
-                Day.play(script, trace, out, Program.command(), List.of("--policy", policy.name()), System.out);
+        Scenario.Outcome outcome =
+                Scenario.play(script, trace, out, SelfCommand.command(), List.of("--policy", policy.name()), System.out);
         System.out.println();
         outcome.table().forEach(System.out::println);
         System.out.println("kept in " + out);
--- a/cli/src/main/java/pearladder/cli/SearchCommand.java
+++ b/cli/src/main/java/pearladder/cli/SearchCommand.java
@@ -7,7 +7,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import pearladder.lab.Scripts;
-import pearladder.rehearsal.Search;
+import pearladder.rehearsal.FaultSearch;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -36,7 +36,7 @@
     private Path out;
 
     @Option(names = "--policy", defaultValue = "MODULE", description = "who decides: ${COMPLETION-CANDIDATES}")
-    private Decider policy;
+    private PolicyChoice policy;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
@@ -51,7 +51,7 @@
         if (seed >= 0) {
             script.withObject("/day").put("seed", seed);
         }
-        Search.Found found = Search.search(script, file.toString(), policy.maker::make, tries, jobs, System.out);
+        FaultSearch.Found found = FaultSearch.search(script, file.toString(), policy.maker::make, tries, jobs, System.out);
         yaml.writeValue(out.toFile(), found.script());
         System.out.println(found.rehearsed() + " rehearsals; the worst found is in " + out
                 + (found.rule().isEmpty() ? "" : ", which breaks: " + found.rule()));
--- a/cli/src/main/java/pearladder/cli/Program.java
+++ b/cli/src/main/java/pearladder/cli/SelfCommand.java
@@ -7,8 +7,8 @@
 import java.util.zip.CRC32;
 
 /** The command that runs this very program, for children of a day. */
-final class Program {
-    private Program() {}
+final class SelfCommand {
+    private SelfCommand() {}
 
     /** Which build this is: a check sum of the jar, or "classes" where it runs from a build's folders. */
     static String build() throws IOException {
--- a/cli/src/main/java/pearladder/cli/TraceCommand.java
+++ b/cli/src/main/java/pearladder/cli/TraceCommand.java
@@ -6,9 +6,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.function.Consumer;
-import pearladder.traces.Companions;
+import pearladder.traces.DurationTables;
 import pearladder.traces.Layout;
-import pearladder.traces.Skipped;
+import pearladder.traces.SkippedRows;
 import pearladder.traces.TraceCall;
 import pearladder.traces.TraceCut;
 import pearladder.traces.TraceFile;
@@ -59,9 +59,9 @@
         Path named;
 
         /** Reads all; rows left out are named in a file, or the first of them on standard error. */
-        TraceFile.Read read(Consumer<TraceCall> out, Skipped[] kept, PrintWriter err) throws IOException {
+        TraceFile.Read read(Consumer<TraceCall> out, SkippedRows[] kept, PrintWriter err) throws IOException {
             try (PrintWriter rows = named == null ? null : new PrintWriter(Files.newBufferedWriter(named))) {
-                Skipped skipped = new Skipped(strict, row -> {
+                SkippedRows skipped = new SkippedRows(strict, row -> {
                     if (rows != null) {
                         rows.println(row);
                     } else if (kept[0].count() <= 10) {
@@ -73,11 +73,11 @@
                 return TraceFile.read(
                         file,
                         layout,
-                        Companions.read(durations, memory, skipped),
+                        DurationTables.read(durations, memory, skipped),
                         Math.round(window * 1e9),
                         skipped,
                         out);
-            } catch (Skipped.Strict strictly) {
+            } catch (SkippedRows.Strict strictly) {
                 throw new IOException(file + ": " + strictly.getMessage() + " (--strict)", strictly);
             }
         }
@@ -106,7 +106,7 @@
             description = "Span, rows, rate over time, skew of models, rows left out by reason, digest.")
     int info(@CommandLine.Mixin Input input) throws IOException {
         TraceInfo info = new TraceInfo();
-        Skipped[] skipped = {null};
+        SkippedRows[] skipped = {null};
         TraceFile.Read read = input.read(info, skipped, spec.commandLine().getErr());
         info.lines(read, skipped[0]).forEach(spec.commandLine().getOut()::println);
         return 0;
@@ -183,7 +183,7 @@
     }
 
     private int write(Input input, Path to, long from, long until, double share, int seed) throws IOException {
-        Skipped[] skipped = {null};
+        SkippedRows[] skipped = {null};
         refuseOld(to);
         try (BufferedWriter writer = Files.newBufferedWriter(to);
                 TraceCut cut = new TraceCut(writer, from, until, share, seed)) {
--- a/cli/src/main/java/pearladder/cli/TryCommand.java
+++ b/cli/src/main/java/pearladder/cli/TryCommand.java
@@ -24,6 +24,6 @@
         try (InputStream day = TryCommand.class.getResourceAsStream("try.yaml")) {
             Files.copy(day, script, StandardCopyOption.REPLACE_EXISTING);
         }
-        return DayCommand.play(script, out, Decider.MODULE);
+        return ScenarioCommand.play(script, out, PolicyChoice.MODULE);
     }
 }
--- a/cli/src/test/java/pearladder/cli/DayTest.java
+++ b/cli/src/test/java/pearladder/cli/DayTest.java
@@ -19,10 +19,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.emulator.Seen;
-import pearladder.emulator.Tape;
-import pearladder.lab.Day;
-import pearladder.lab.RulesChecker;
+import pearladder.emulator.Observation;
+import pearladder.emulator.ObservationLog;
+import pearladder.lab.Scenario;
+import pearladder.lab.InvariantChecker;
 
 /** The whole path as processes, with faults injected; the slack is wide, so that a slow machine gives the same verdict. */
 class DayTest {
@@ -70,25 +70,25 @@
         Path script = folder.resolve("day.yaml");
         Files.writeString(script, SCRIPT);
         ByteArrayOutputStream said = new ByteArrayOutputStream();
-        Day.Outcome outcome = Day.play(
-                script, folder, Program.command(), List.of(), new PrintStream(said, true, StandardCharsets.UTF_8));
+        Scenario.Outcome outcome = Scenario.play(
+                script, folder, SelfCommand.command(), List.of(), new PrintStream(said, true, StandardCharsets.UTF_8));
         assertEquals(List.of(), outcome.verdict().breaches());
         assertEquals(List.of(), outcome.faults());
-        for (RulesChecker.Rule rule : RulesChecker.Rule.values()) {
+        for (InvariantChecker.Rule rule : InvariantChecker.Rule.values()) {
             assertTrue(outcome.verdict().looked().get(rule) > 0, rule + " was never looked at");
         }
         assertTrue(outcome.calls() > 450, "calls: " + outcome.calls());
         assertTrue(outcome.credit() > 0.3, "credit: " + outcome.credit());
-        List<Seen> tape = new ArrayList<>();
-        Tape.read(folder.resolve("clients.tape"), tape::add);
+        List<Observation> tape = new ArrayList<>();
+        ObservationLog.read(folder.resolve("clients.tape"), tape::add);
         assertEquals(
-                1, tape.stream().filter(seen -> seen.what().equals(Seen.KILLED)).count());
+                1, tape.stream().filter(seen -> seen.what().equals(Observation.KILLED)).count());
         assertEquals(
                 3,
-                tape.stream().filter(seen -> seen.what().equals(Seen.STARTED)).count());
+                tape.stream().filter(seen -> seen.what().equals(Observation.STARTED)).count());
         assertEquals(
                 7,
-                tape.stream().filter(seen -> seen.what().equals(Seen.TROUBLE)).count());
+                tape.stream().filter(seen -> seen.what().equals(Observation.TROUBLE)).count());
         assertTrue(said.toString(StandardCharsets.UTF_8).contains("curl -i http://127.0.0.1:"));
     }
 
@@ -166,7 +166,7 @@
     }
 
     private static List<String> command(String... words) {
-        List<String> command = new ArrayList<>(Program.command());
+        List<String> command = new ArrayList<>(SelfCommand.command());
         command.addAll(List.of(words));
         return command;
     }
--- a/emulator/src/main/java/pearladder/emulator/Roll.java
+++ b/emulator/src/main/java/pearladder/emulator/EndpointRegistry.java
@@ -12,7 +12,7 @@
 import pearladder.kserve.DiscoveryMessage.Standing;
 
 /** The list service's own state: it knows only whether a process runs, and tells what changed late. */
-public final class Roll {
+public final class EndpointRegistry {
     /** One router's connection; gets lines until it closes. */
     public static final class Watcher {
         private final String router;
@@ -27,7 +27,7 @@
     private static final int REMEMBERED = 200;
 
     private final Timeline time;
-    private final Consumer<Seen> seen;
+    private final Consumer<Observation> seen;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final TreeMap<Long, Entry> history = new TreeMap<>();
     private final List<Watcher> watchers = new ArrayList<>();
@@ -37,7 +37,7 @@
     private Set<String> hidden = Set.of();
     private Set<String> misled = Set.of();
 
-    public Roll(Timeline time, long lag, Consumer<Seen> seen) {
+    public EndpointRegistry(Timeline time, long lag, Consumer<Observation> seen) {
         this.time = time;
         this.lag = lag;
         this.seen = seen;
@@ -136,9 +136,9 @@
     private void tell(Watcher watcher, DiscoveryMessage all) {
         DiscoveryMessage line = seenBy(watcher.router, all);
         for (Entry entry : line.entries()) {
-            seen.accept(new Seen(
+            seen.accept(new Observation(
                     time.now(),
-                    Seen.TOLD,
+                    Observation.TOLD,
                     watcher.router,
                     "",
                     0,
--- a/emulator/src/main/java/pearladder/emulator/FleetPlan.java
+++ b/emulator/src/main/java/pearladder/emulator/FleetPlan.java
@@ -21,12 +21,12 @@
         List<ModelKind> models,
         List<Planned> engines) {
     /** One engine to stand up. */
-    public record Planned(String id, EngineKind kind, String hall, long cell) {}
+    public record Planned(String id, WorkerKind kind, String hall, long cell) {}
 
     /** Reads the "fleet" part of a file; mistakes are noted at their lines. */
     public static FleetPlan read(ConfigValue fleet) {
         ConfigValue shelf = fleet.at("shelf");
-        Map<String, EngineKind> kinds = fleet.at("kinds").eachKey(FleetPlan::kind);
+        Map<String, WorkerKind> kinds = fleet.at("kinds").eachKey(FleetPlan::kind);
         if (kinds.isEmpty()) {
             fleet.at("kinds").wrong("a kind of engine is missing", "write one with its cores and memory");
         }
@@ -62,9 +62,9 @@
                 engines);
     }
 
-    private static EngineKind kind(String name, ConfigValue kind) {
+    private static WorkerKind kind(String name, ConfigValue kind) {
         ConfigValue cold = kind.at("cold");
-        return new EngineKind(
+        return new WorkerKind(
                 name,
                 kind.at("cores").whole(1, 1024),
                 kind.at("speed").number(1, 0.01, 100),
@@ -76,7 +76,7 @@
                 kind.at("images").flag(false),
                 kind.at("cancel_stops").flag(true),
                 kind.at("remembered").span("8 s"),
-                kind.at("remembered_by").word(EngineKind.Group.class, EngineKind.Group.ALL),
+                kind.at("remembered_by").word(WorkerKind.Group.class, WorkerKind.Group.ALL),
                 cold.at("start_share").number(0.3, 0.01, 1),
                 cold.at("warm_after").span("15 s"),
                 cold.at("fall_multiple").number(2.5, 1, 100),
--- a/emulator/src/main/java/pearladder/emulator/Marks.java
+++ b/emulator/src/main/java/pearladder/emulator/IdempotencyCache.java
@@ -5,12 +5,12 @@
 import java.util.Map;
 
 /** The marks that a group of engines has seen: a repeat of one is dropped for so long after the first run. */
-public final class Marks {
+public final class IdempotencyCache {
     private final Timeline time;
     private final long rememberedNanos;
     private final Map<String, Long> until = new LinkedHashMap<>();
 
-    public Marks(Timeline time, long rememberedNanos) {
+    public IdempotencyCache(Timeline time, long rememberedNanos) {
         this.time = time;
         this.rememberedNanos = rememberedNanos;
     }
--- a/emulator/src/main/java/pearladder/emulator/Shelf.java
+++ b/emulator/src/main/java/pearladder/emulator/ModelStore.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 
 /** The shared store: fetches share its capacity, and past a limit it turns them away. */
-public final class Shelf {
+public final class ModelStore {
     private static final class Fetch {
         double left;
         Consumer<Boolean> done;
@@ -24,7 +24,7 @@
     private long refused;
 
     /** @param capacity fetches that go at full speed together; @param limit fetches under way at the most */
-    public Shelf(Timeline time, double capacity, int limit) {
+    public ModelStore(Timeline time, double capacity, int limit) {
         this.time = time;
         this.capacity = capacity;
         this.limit = limit;
--- a/emulator/src/main/java/pearladder/emulator/Seen.java
+++ b/emulator/src/main/java/pearladder/emulator/Observation.java
@@ -7,7 +7,7 @@
  * @param what see the constants
  * @param figure what the kind of line says: copies ordered, a status, a span in nanoseconds
  */
-public record Seen(
+public record Observation(
         long at,
         String what,
         String router,
@@ -58,7 +58,7 @@
     public static final String TROUBLE = "trouble";
 
     /** A line about one leg. */
-    static Seen leg(long at, String what, Engine.Asked asked, String engine, String note) {
-        return new Seen(at, what, asked.router(), asked.call(), asked.leg(), engine, asked.model(), note, 0);
+    static Observation leg(long at, String what, WorkerModel.Asked asked, String engine, String note) {
+        return new Observation(at, what, asked.router(), asked.call(), asked.leg(), engine, asked.model(), note, 0);
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/Tape.java
+++ b/emulator/src/main/java/pearladder/emulator/ObservationLog.java
@@ -15,14 +15,14 @@
 import java.util.function.Consumer;
 
 /** What was seen, a JSON object a line; a tape cut off in its last line is read up to there. */
-public final class Tape implements Consumer<Seen>, Closeable {
+public final class ObservationLog implements Consumer<Observation>, Closeable {
     private static final JsonFactory JSON = new JsonFactory();
 
     private final BufferedWriter writer;
     private final JsonGenerator json;
 
     /** Begins a tape; one that stands there is replaced. */
-    public Tape(Path file) {
+    public ObservationLog(Path file) {
         try {
             if (file.toAbsolutePath().getParent() != null) {
                 Files.createDirectories(file.toAbsolutePath().getParent());
@@ -37,7 +37,7 @@
     }
 
     @Override
-    public synchronized void accept(Seen seen) {
+    public synchronized void accept(Observation seen) {
         try {
             json.writeStartObject();
             json.writeNumberField("at", seen.at());
@@ -81,12 +81,12 @@
     }
 
     /** Reads a tape line by line; returns how many lines were not whole (at most the last of a run cut off). */
-    public static int read(Path file, Consumer<Seen> out) throws IOException {
+    public static int read(Path file, Consumer<Observation> out) throws IOException {
         int torn = 0;
         try (BufferedReader reader = Files.newBufferedReader(file)) {
             String line;
             while ((line = reader.readLine()) != null) {
-                Seen seen = parse(line);
+                Observation seen = parse(line);
                 if (seen == null) {
                     torn++;
                 } else {
@@ -97,7 +97,7 @@
         return torn;
     }
 
-    private static Seen parse(String line) {
+    private static Observation parse(String line) {
         long at = 0;
         String[] texts = {"", "", "", "", "", ""};
         int leg = 0;
@@ -124,7 +124,7 @@
             }
             return parser.currentToken() != JsonToken.END_OBJECT
                     ? null
-                    : new Seen(at, texts[0], texts[1], texts[2], leg, texts[3], texts[4], texts[5], figure);
+                    : new Observation(at, texts[0], texts[1], texts[2], leg, texts[3], texts[4], texts[5], figure);
         } catch (IOException torn) {
             return null;
         }
--- a/emulator/src/main/java/pearladder/emulator/EngineKind.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerKind.java
@@ -18,7 +18,7 @@
  * @param fallNanos over so long, a cold engine falls over and stays down
  * @param reportNanos its load report is renewed so seldom
  */
-public record EngineKind(
+public record WorkerKind(
         String name,
         int cores,
         double speed,
--- a/emulator/src/main/java/pearladder/emulator/Engine.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerModel.java
@@ -15,7 +15,7 @@
  * A stand-in engine. Running calls share its cores (processor sharing, each at most one core); a call whose model has no
  * free lane waits; a missing model is loaded: fetched from the shelf, then started.
  */
-public final class Engine {
+public final class WorkerModel {
     /** How a call met its copy. */
     public enum Met {
         STOOD,
@@ -89,17 +89,17 @@
 
     private final Timeline time;
     private final String id;
-    private final EngineKind kind;
+    private final WorkerKind kind;
     private final Function<String, ModelKind> models;
-    private final Shelf shelf;
-    private final Consumer<Seen> seen;
+    private final ModelStore shelf;
+    private final Consumer<Observation> seen;
     private final SplittableRandom random;
     private final List<Copy> copies = new ArrayList<>();
     private final ArrayDeque<Held> waiting = new ArrayDeque<>();
     private final List<Held> running = new ArrayList<>();
     private final ArrayDeque<Copy> toLoad = new ArrayDeque<>();
     private final Map<String, Long> images = new LinkedHashMap<>();
-    private final Marks marks;
+    private final IdempotencyCache marks;
     private final ArrayDeque<double[]> pressure = new ArrayDeque<>();
     private Timeline.Planned next;
     private long at;
@@ -122,16 +122,16 @@
     private final ArrayDeque<Object[]> late = new ArrayDeque<>();
 
     /** @param marks those of its group; @param cold whether it has just started */
-    public Engine(
+    public WorkerModel(
             Timeline time,
             String id,
-            EngineKind kind,
+            WorkerKind kind,
             Function<String, ModelKind> models,
-            Shelf shelf,
-            Marks marks,
+            ModelStore shelf,
+            IdempotencyCache marks,
             long seed,
             boolean cold,
-            Consumer<Seen> seen) {
+            Consumer<Observation> seen) {
         this.marks = marks;
         this.time = time;
         this.id = id;
@@ -149,7 +149,7 @@
         return id;
     }
 
-    public EngineKind kind() {
+    public WorkerKind kind() {
         return kind;
     }
 
@@ -278,7 +278,7 @@
         if (sent <= kind.fallMultiple() * bears) {
             return false;
         }
-        seen.accept(new Seen(time.now(), Seen.FELL, "", "", 0, id, "", "", sent / bears));
+        seen.accept(new Observation(time.now(), Observation.FELL, "", "", 0, id, "", "", sent / bears));
         die();
         return true;
     }
@@ -289,7 +289,7 @@
             return null;
         }
         ModelKind model = models.apply(asked.model());
-        seen.accept(Seen.leg(time.now(), Seen.ARRIVED, asked, id, asked.mark()));
+        seen.accept(Observation.leg(time.now(), Observation.ARRIVED, asked, id, asked.mark()));
         double work =
                 model == null ? 0 : (asked.workNanos() > 0 ? asked.workNanos() : model.workNanos()) * model.times();
         if (pushed(work)) {
@@ -305,7 +305,7 @@
                         .filter(h -> h.asked.model().equals(asked.model()))
                         .count());
         if (failing > 0 && random.nextDouble() < failing) {
-            seen.accept(Seen.leg(time.now(), Seen.RAN, asked, id, "failed"));
+            seen.accept(Observation.leg(time.now(), Observation.RAN, asked, id, "failed"));
             reply.accept(new Answer(End.ERROR, null, crowd, 0, report()));
             return null;
         }
@@ -338,14 +338,14 @@
     }
 
     private Held refuse(Asked asked, End end, Consumer<Answer> reply) {
-        seen.accept(Seen.leg(time.now(), Seen.REFUSED, asked, id, end.name()));
+        seen.accept(Observation.leg(time.now(), Observation.REFUSED, asked, id, end.name()));
         reply.accept(new Answer(end, null, 0, 0, report()));
         return null;
     }
 
     /** A repeat of what has run is answered and not run again. */
     private Held drop(Asked asked, int crowd, Consumer<Answer> reply) {
-        seen.accept(Seen.leg(time.now(), Seen.DROPPED, asked, id, asked.mark()));
+        seen.accept(Observation.leg(time.now(), Observation.DROPPED, asked, id, asked.mark()));
         reply.accept(new Answer(End.OK, Met.STOOD, crowd, 0, report()));
         return null;
     }
@@ -421,9 +421,9 @@
         }
         loading--;
         boolean stands = ok && !copy.stale;
-        seen.accept(new Seen(
+        seen.accept(new Observation(
                 time.now(),
-                Seen.LOADED,
+                Observation.LOADED,
                 "",
                 "",
                 0,
@@ -444,7 +444,7 @@
                 if (held.asked.model().equals(copy.model)) {
                     waiting.remove(held);
                     held.ended = true;
-                    seen.accept(Seen.leg(time.now(), Seen.REFUSED, held.asked, id, "load failed"));
+                    seen.accept(Observation.leg(time.now(), Observation.REFUSED, held.asked, id, "load failed"));
                     held.reply.accept(new Answer(End.ABSENT, Met.LOAD_FAILED, held.crowd, 0, report()));
                 }
             }
@@ -465,7 +465,7 @@
 
     private void gone(long count) {
         if (count > 0) {
-            seen.accept(new Seen(time.now(), Seen.UNLOADED, "", "", 0, id, "", "", count));
+            seen.accept(new Observation(time.now(), Observation.UNLOADED, "", "", 0, id, "", "", count));
         }
     }
 
@@ -491,7 +491,7 @@
         copy.busy++;
         running.add(held);
         marks.add(held.asked.mark());
-        seen.accept(Seen.leg(time.now(), Seen.RAN, held.asked, id, ""));
+        seen.accept(Observation.leg(time.now(), Observation.RAN, held.asked, id, ""));
         plan();
     }
 
@@ -563,7 +563,7 @@
         }
         boolean lost = losing > 0 && random.nextDouble() < losing;
         Consumer<Answer> reply = lost ? answer -> {} : told;
-        seen.accept(new Seen(time.now(), Seen.ORDERED, router, "", 0, id, model, "", wanted));
+        seen.accept(new Observation(time.now(), Observation.ORDERED, router, "", 0, id, model, "", wanted));
         ModelKind of = models.apply(model);
         if (of == null || draining) {
             reply.accept(new Answer(of == null ? End.ERROR : End.FULL, null, 0, standing(model), report()));
--- a/emulator/src/main/java/pearladder/emulator/net/ListServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/DiscoveryServer.java
@@ -9,21 +9,21 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.BiFunction;
-import pearladder.emulator.Roll;
+import pearladder.emulator.EndpointRegistry;
 import pearladder.kserve.Headers;
 import pearladder.kserve.DiscoveryMessage;
 
 /** The stand-in list service: GET /v1/list/watch?from=VERSION stays open and brings a line for each change. */
-public final class ListServer {
+public final class DiscoveryServer {
     private final Vertx vertx;
-    private final Roll roll;
+    private final EndpointRegistry roll;
     private final BiFunction<String, DiscoveryMessage.Entry, DiscoveryMessage.Entry> reached;
     private final Set<HttpServerResponse> open = new HashSet<>();
     private HttpServer server;
     private int port;
 
     /** @param reached an entry as a router of that name reaches the engine */
-    ListServer(Vertx vertx, Roll roll, BiFunction<String, DiscoveryMessage.Entry, DiscoveryMessage.Entry> reached) {
+    DiscoveryServer(Vertx vertx, EndpointRegistry roll, BiFunction<String, DiscoveryMessage.Entry, DiscoveryMessage.Entry> reached) {
         this.reached = reached;
         this.vertx = vertx;
         this.roll = roll;
@@ -64,7 +64,7 @@
         String from = request.getParam("from");
         response.setChunked(true);
         open.add(response);
-        Roll.Watcher watcher = roll.watch(
+        EndpointRegistry.Watcher watcher = roll.watch(
                 router == null ? "" : router,
                 from == null || !from.matches("[0-9]{1,18}") ? 0 : Long.parseLong(from),
                 line -> response.write(new DiscoveryMessage(
--- a/emulator/src/main/java/pearladder/emulator/net/Control.java
+++ b/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
@@ -16,16 +16,16 @@
  * A loopback port by which a day brings trouble on the stand-ins: POST /do?what=slow&amp;engines=e-1,e-2&amp;figure=5. What it
  * can do is listed in {@link #act}; a span is a figure in milliseconds.
  */
-public final class Control {
+public final class FaultInjectionServer {
     private final Fleet fleet;
 
-    private Control(Fleet fleet) {
+    private FaultInjectionServer(Fleet fleet) {
         this.fleet = fleet;
     }
 
     /** Listens on a port given by the system, which it returns. */
     public static int start(Vertx vertx, Fleet fleet) {
-        Control control = new Control(fleet);
+        FaultInjectionServer control = new FaultInjectionServer(fleet);
         return fleet.call(() -> vertx.createHttpServer(
                         new HttpServerOptions().setHost("127.0.0.1").setPort(0))
                 .requestHandler(control::take)
@@ -121,7 +121,7 @@
 
     /** Null where there is no such deed, or no cables. */
     private Future<Void> cable(String what, String router, List<String> engines, double figure) {
-        Cables cables = fleet.cables();
+        FaultProxy cables = fleet.cables();
         if (cables == null) {
             return null;
         }
@@ -136,7 +136,7 @@
         return Future.succeededFuture();
     }
 
-    private void each(List<String> engines, Consumer<EngineServer> what) {
+    private void each(List<String> engines, Consumer<WorkerServer> what) {
         engines.forEach(id -> what.accept(fleet.engine(id)));
     }
 
--- a/emulator/src/main/java/pearladder/emulator/net/Cables.java
+++ b/emulator/src/main/java/pearladder/emulator/net/FaultProxy.java
@@ -23,7 +23,7 @@
  * be cut (nothing passes and nobody accepts, as where packets are dropped), broken once (every connection is reset), or
  * refuse while its engine is down. One thread of its own relays for all.
  */
-public final class Cables implements AutoCloseable {
+public final class FaultProxy implements AutoCloseable {
     private static final int BUFFER = 64 << 10;
 
     private static final class Cable {
@@ -69,7 +69,7 @@
     private final Thread thread;
     private volatile boolean closed;
 
-    Cables() {
+    FaultProxy() {
         try {
             selector = Selector.open();
         } catch (IOException broken) {
@@ -155,7 +155,7 @@
 
     /** Resets every connection once. */
     void reset(String router, String engine) {
-        each(router, engine, cable -> List.copyOf(cable.wires).forEach(Cables::reset));
+        each(router, engine, cable -> List.copyOf(cable.wires).forEach(FaultProxy::reset));
     }
 
     /** The engine's process is gone, or back: connections are refused, or accepted again. */
@@ -166,7 +166,7 @@
             }
             cable.down = on;
             if (on) {
-                List.copyOf(cable.wires).forEach(Cables::reset);
+                List.copyOf(cable.wires).forEach(FaultProxy::reset);
                 cable.door.close();
             } else {
                 open(cable);
@@ -346,7 +346,7 @@
     public void close() {
         call(() -> {
             for (Cable cable : cables.values()) {
-                List.copyOf(cable.wires).forEach(Cables::reset);
+                List.copyOf(cable.wires).forEach(FaultProxy::reset);
                 cable.door.close();
             }
             return null;
--- a/emulator/src/main/java/pearladder/emulator/net/Fleet.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Fleet.java
@@ -11,12 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import pearladder.emulator.Engine;
+import pearladder.emulator.WorkerModel;
 import pearladder.emulator.FleetPlan;
-import pearladder.emulator.Marks;
-import pearladder.emulator.Roll;
-import pearladder.emulator.Seen;
-import pearladder.emulator.Shelf;
+import pearladder.emulator.IdempotencyCache;
+import pearladder.emulator.EndpointRegistry;
+import pearladder.emulator.Observation;
+import pearladder.emulator.ModelStore;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
 
@@ -25,36 +25,36 @@
     private final Vertx vertx;
     private final io.vertx.core.Context loop;
     private final FleetPlan plan;
-    private final Consumer<Seen> seen;
+    private final Consumer<Observation> seen;
     private final VertxTimeline time;
-    private final Shelf shelf;
-    private final Roll roll;
-    private final ListServer list;
-    private final Cables cables;
-    private final Map<String, Marks> marks = new LinkedHashMap<>();
-    private final Map<String, EngineServer> engines = new LinkedHashMap<>();
+    private final ModelStore shelf;
+    private final EndpointRegistry roll;
+    private final DiscoveryServer list;
+    private final FaultProxy cables;
+    private final Map<String, IdempotencyCache> marks = new LinkedHashMap<>();
+    private final Map<String, WorkerServer> engines = new LinkedHashMap<>();
     private final Map<String, FleetPlan.Planned> planned = new LinkedHashMap<>();
     private int made;
 
-    private Fleet(Vertx vertx, FleetPlan plan, Consumer<Seen> seen) {
+    private Fleet(Vertx vertx, FleetPlan plan, Consumer<Observation> seen) {
         this.vertx = vertx;
         this.loop = vertx.getOrCreateContext();
         this.plan = plan;
         this.seen = seen;
         this.time = new VertxTimeline(vertx);
-        this.shelf = new Shelf(time, plan.shelfCapacity(), plan.shelfLimit());
-        this.roll = new Roll(time, plan.lagNanos(), seen);
-        this.cables = plan.cables() ? new Cables() : null;
-        this.list = new ListServer(vertx, roll, this::reachedBy);
+        this.shelf = new ModelStore(time, plan.shelfCapacity(), plan.shelfLimit());
+        this.roll = new EndpointRegistry(time, plan.lagNanos(), seen);
+        this.cables = plan.cables() ? new FaultProxy() : null;
+        this.list = new DiscoveryServer(vertx, roll, this::reachedBy);
     }
 
     /** Stands everything up, warm and listed, and waits until it listens. */
-    public static Fleet start(Vertx vertx, FleetPlan plan, Consumer<Seen> seen) {
+    public static Fleet start(Vertx vertx, FleetPlan plan, Consumer<Observation> seen) {
         return start(vertx, plan, 0, seen);
     }
 
     /** The same with the list on a port of the caller's; 0 lets the system give one. */
-    public static Fleet start(Vertx vertx, FleetPlan plan, int listPort, Consumer<Seen> seen) {
+    public static Fleet start(Vertx vertx, FleetPlan plan, int listPort, Consumer<Observation> seen) {
         Fleet fleet = new Fleet(vertx, plan, seen);
         fleet.call(() -> {
             fleet.roll.lag(0);
@@ -105,15 +105,15 @@
         return list.port();
     }
 
-    public ListServer list() {
+    public DiscoveryServer list() {
         return list;
     }
 
-    public Roll roll() {
+    public EndpointRegistry roll() {
         return roll;
     }
 
-    public Shelf shelf() {
+    public ModelStore shelf() {
         return shelf;
     }
 
@@ -121,7 +121,7 @@
         return List.copyOf(engines.keySet());
     }
 
-    public EngineServer engine(String id) {
+    public WorkerServer engine(String id) {
         return engines.get(id);
     }
 
@@ -144,9 +144,9 @@
                     case HALL -> engine.hall();
                     case CELL -> Long.toString(engine.cell());
                 };
-        Marks shared = marks.computeIfAbsent(
-                group, name -> new Marks(time, engine.kind().rememberedNanos()));
-        Engine model = new Engine(
+        IdempotencyCache shared = marks.computeIfAbsent(
+                group, name -> new IdempotencyCache(time, engine.kind().rememberedNanos()));
+        WorkerModel model = new WorkerModel(
                 time,
                 engine.id(),
                 engine.kind(),
@@ -156,7 +156,7 @@
                 plan.seed() * 1000 + made++,
                 cold,
                 seen);
-        EngineServer server = new EngineServer(vertx, model, () -> kill(engine.id()));
+        WorkerServer server = new WorkerServer(vertx, model, () -> kill(engine.id()));
         engines.put(engine.id(), server);
         planned.put(engine.id(), engine);
         return server.listen()
@@ -208,13 +208,13 @@
     }
 
     /** The network between routers and engines; null where the plan has no cables. */
-    public Cables cables() {
+    public FaultProxy cables() {
         return cables;
     }
 
     /** A dead engine comes back on its port, empty and cold. */
     public Future<Void> restart(String id) {
-        EngineServer server = engines.get(id);
+        WorkerServer server = engines.get(id);
         if (server.engine().up()) {
             return Future.succeededFuture();
         }
--- a/emulator/src/main/java/pearladder/emulator/net/EngineServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/WorkerServer.java
@@ -12,17 +12,17 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.io.IOException;
 import java.util.Locale;
-import pearladder.emulator.Engine;
+import pearladder.emulator.WorkerModel;
 import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Headers;
 import pearladder.kserve.Route;
 
 /** One stand-in engine on a loopback port, speaking KServe v2 with the model repository extension. */
-public final class EngineServer {
+public final class WorkerServer {
     private static final JsonFactory JSON = new JsonFactory();
 
     private final Vertx vertx;
-    private final Engine engine;
+    private final WorkerModel engine;
     private final Runnable fell;
     private HttpServer server;
     private int port;
@@ -31,13 +31,13 @@
     private boolean misnaming;
 
     /** @param fell what else happens when the engine falls over */
-    EngineServer(Vertx vertx, Engine engine, Runnable fell) {
+    WorkerServer(Vertx vertx, WorkerModel engine, Runnable fell) {
         this.vertx = vertx;
         this.fell = fell;
         this.engine = engine;
     }
 
-    public Engine engine() {
+    public WorkerModel engine() {
         return engine;
     }
 
@@ -108,7 +108,7 @@
         if (hung || !engine.up()) {
             return;
         }
-        Engine.Asked asked = new Engine.Asked(
+        WorkerModel.Asked asked = new WorkerModel.Asked(
                 header(request, Headers.ROUTER),
                 header(request, Headers.CALL),
                 number(header(request, Headers.LEG)),
@@ -116,7 +116,7 @@
                 header(request, Headers.MARK),
                 work(body));
         HttpServerResponse response = request.response();
-        Engine.Held held = engine.ask(asked, answer -> answer(response, route, answer, body.length()));
+        WorkerModel.Held held = engine.ask(asked, answer -> answer(response, route, answer, body.length()));
         if (held != null) {
             response.closeHandler(closed -> {
                 if (!response.ended()) {
@@ -128,7 +128,7 @@
         }
     }
 
-    private void answer(HttpServerResponse response, Route route, Engine.Answer answer, int size) {
+    private void answer(HttpServerResponse response, Route route, WorkerModel.Answer answer, int size) {
         if (response.ended() || response.closed() || hung) {
             return;
         }
--- a/emulator/src/test/java/pearladder/emulator/EngineTest.java
+++ b/emulator/src/test/java/pearladder/emulator/EngineTest.java
@@ -8,22 +8,22 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import pearladder.emulator.Engine.Answer;
-import pearladder.emulator.Engine.Asked;
-import pearladder.emulator.Engine.End;
-import pearladder.emulator.Engine.Met;
+import pearladder.emulator.WorkerModel.Answer;
+import pearladder.emulator.WorkerModel.Asked;
+import pearladder.emulator.WorkerModel.End;
+import pearladder.emulator.WorkerModel.Met;
 
 class EngineTest {
     private static final long MS = 1_000_000;
     private static final ModelKind MODEL = new ModelKind("m*", 400, 2, 600 * MS, 200 * MS, 20 * MS, 0, 1);
 
     private final VirtualTimeline time = new VirtualTimeline();
-    private final List<Seen> seen = new ArrayList<>();
-    private final Marks marks = new Marks(time, 8000 * MS);
-    private final Shelf shelf = new Shelf(time, 2, 4);
+    private final List<Observation> seen = new ArrayList<>();
+    private final IdempotencyCache marks = new IdempotencyCache(time, 8000 * MS);
+    private final ModelStore shelf = new ModelStore(time, 2, 4);
 
-    private static EngineKind kind(int queue, boolean cancelStops, boolean images) {
-        return new EngineKind(
+    private static WorkerKind kind(int queue, boolean cancelStops, boolean images) {
+        return new WorkerKind(
                 "std",
                 2,
                 1,
@@ -35,7 +35,7 @@
                 images,
                 cancelStops,
                 8000 * MS,
-                EngineKind.Group.ALL,
+                WorkerKind.Group.ALL,
                 0.25,
                 10_000 * MS,
                 2,
@@ -43,8 +43,8 @@
                 100 * MS);
     }
 
-    private Engine engine(EngineKind kind, boolean cold) {
-        return new Engine(
+    private WorkerModel engine(WorkerKind kind, boolean cold) {
+        return new WorkerModel(
                 time, "e", kind, name -> MODEL.matches(name) ? MODEL : null, shelf, marks, 1, cold, seen::add);
     }
 
@@ -54,7 +54,7 @@
 
     @Test
     void aFirstCallWaitsForItsLoadAndTheNextFindsTheCopy() {
-        Engine engine = engine(kind(10, true, false), false);
+        WorkerModel engine = engine(kind(10, true, false), false);
         List<Answer> answers = new ArrayList<>();
         engine.ask(asked("c1", "m1", ""), answers::add);
         engine.ask(asked("c2", "m1", ""), answers::add);
@@ -71,7 +71,7 @@
 
     @Test
     void runningCallsShareTheCores() {
-        Engine engine = engine(kind(10, true, false), false);
+        WorkerModel engine = engine(kind(10, true, false), false);
         engine.hold("r", "m1", 2, answer -> {});
         time.runTo(2000 * MS);
         List<Long> ended = new ArrayList<>();
@@ -107,19 +107,19 @@
 
     @Test
     void aRefusedFetchFailsTheCallsThatWaitForIt() {
-        Engine engine = engine(kind(10, true, false), false);
+        WorkerModel engine = engine(kind(10, true, false), false);
         shelf.refuse(true);
         List<Answer> answers = new ArrayList<>();
         engine.ask(asked("c1", "m1", ""), answers::add);
         time.runTo(10 * MS);
         assertEquals(End.ABSENT, answers.get(0).end());
         assertEquals(Met.LOAD_FAILED, answers.get(0).met());
-        assertTrue(seen.stream().noneMatch(one -> one.what().equals(Seen.RAN)));
+        assertTrue(seen.stream().noneMatch(one -> one.what().equals(Observation.RAN)));
     }
 
     @Test
     void aFullQueueAndADrainRefuseUnseen() {
-        Engine engine = engine(kind(1, true, false), false);
+        WorkerModel engine = engine(kind(1, true, false), false);
         List<Answer> answers = new ArrayList<>();
         engine.ask(asked("c1", "m1", ""), answers::add);
         engine.ask(asked("c2", "m1", ""), answers::add);
@@ -133,8 +133,8 @@
 
     @Test
     void aMarkRunsOnceAcrossTheGroupAlsoWhereBothWaited() {
-        Engine one = engine(kind(10, true, false), false);
-        Engine two = engine(kind(10, true, false), false);
+        WorkerModel one = engine(kind(10, true, false), false);
+        WorkerModel two = engine(kind(10, true, false), false);
         List<Answer> answers = new ArrayList<>();
         one.ask(asked("c1", "m1", "k"), answers::add);
         two.ask(asked("c1", "m1", "k"), answers::add);
@@ -143,17 +143,17 @@
         time.runTo(3000 * MS);
         assertEquals(
                 3, answers.stream().filter(answer -> answer.end() == End.OK).count());
-        assertEquals(1, seen.stream().filter(s -> s.what().equals(Seen.RAN)).count());
+        assertEquals(1, seen.stream().filter(s -> s.what().equals(Observation.RAN)).count());
         time.runTo(12_000 * MS);
         one.ask(asked("c1", "m1", "k"), answers::add);
         time.runTo(14_000 * MS);
-        assertEquals(2, seen.stream().filter(s -> s.what().equals(Seen.RAN)).count(), "it is remembered for 8 s");
+        assertEquals(2, seen.stream().filter(s -> s.what().equals(Observation.RAN)).count(), "it is remembered for 8 s");
     }
 
     @Test
     void aColdEngineFallsOverWhenPushedAndAWarmOneDoesNot() {
-        Engine warm = engine(kind(500, true, false), false);
-        Engine cold = engine(kind(500, true, false), true);
+        WorkerModel warm = engine(kind(500, true, false), false);
+        WorkerModel cold = engine(kind(500, true, false), true);
         for (int i = 0; i < 80; i++) {
             time.runTo(time.now() + 10 * MS);
             warm.ask(asked("w" + i, "m1", ""), answer -> {});
@@ -162,12 +162,12 @@
         assertTrue(warm.up());
         assertFalse(cold.up(), "1.6 s of work within a second at a quarter of two cores");
         assertEquals(
-                1, seen.stream().filter(one -> one.what().equals(Seen.FELL)).count());
+                1, seen.stream().filter(one -> one.what().equals(Observation.FELL)).count());
     }
 
     @Test
     void aReleaseVoidsCopiesAndImages() {
-        Engine engine = engine(kind(10, true, true), false);
+        WorkerModel engine = engine(kind(10, true, true), false);
         List<Answer> answers = new ArrayList<>();
         engine.hold("r", "m1", 1, answers::add);
         time.runTo(900 * MS);
@@ -182,7 +182,7 @@
 
     @Test
     void anIdleCopyGoesAfterItsTimeAndAnOrderRenewsIt() {
-        Engine engine = engine(kind(10, true, false), false);
+        WorkerModel engine = engine(kind(10, true, false), false);
         engine.hold("r", "m1", 1, answer -> {});
         time.runTo(5000 * MS);
         engine.hold("r", "m1", 1, answer -> {});
@@ -197,9 +197,9 @@
     void lawsHoldThroughAnyTroubles() {
         for (int seed = 0; seed < 60; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
-            Engine engine = engine(kind(6, random.nextBoolean(), random.nextBoolean()), false);
+            WorkerModel engine = engine(kind(6, random.nextBoolean(), random.nextBoolean()), false);
             int[] answers = new int[400];
-            List<Engine.Held> held = new ArrayList<>();
+            List<WorkerModel.Held> held = new ArrayList<>();
             for (int step = 0; step < 400; step++) {
                 time.runTo(time.now() + random.nextLong(120 * MS));
                 int number = step;
@@ -221,7 +221,7 @@
                         }
                     }
                     default -> {
-                        Engine.Held one = engine.ask(
+                        WorkerModel.Held one = engine.ask(
                                 asked("s" + seed + "." + step, "m" + random.nextInt(4), ""),
                                 answer -> answers[number]++);
                         if (one != null) {
--- a/emulator/src/test/java/pearladder/emulator/LawsTest.java
+++ b/emulator/src/test/java/pearladder/emulator/LawsTest.java
@@ -33,7 +33,7 @@
 
     /** Poisson arrivals, exponential work, one lane a core: M/M/c. */
     private double run(double load, int calls) {
-        EngineKind kind = new EngineKind(
+        WorkerKind kind = new WorkerKind(
                 "k",
                 CORES,
                 1,
@@ -45,15 +45,15 @@
                 false,
                 true,
                 0,
-                EngineKind.Group.ALL,
+                WorkerKind.Group.ALL,
                 1,
                 0,
                 100,
                 1_000_000_000L,
                 100_000_000L);
         ModelKind model = new ModelKind("m", 100, CORES, 0, 0, 1, 0, 1);
-        Engine engine = new Engine(
-                time, "e", kind, name -> model, new Shelf(time, 1, 10), new Marks(time, 0), 1, false, seen -> {});
+        WorkerModel engine = new WorkerModel(
+                time, "e", kind, name -> model, new ModelStore(time, 1, 10), new IdempotencyCache(time, 0), 1, false, seen -> {});
         engine.hold("r", "m", 1, answer -> {});
         time.runTo(10_000_000_000L);
         since = time.now();
@@ -68,7 +68,7 @@
         return (time.now() - begun) / 1e9;
     }
 
-    private void arrive(Engine engine, double rate, int left) {
+    private void arrive(WorkerModel engine, double rate, int left) {
         if (left == 0) {
             return;
         }
@@ -76,8 +76,8 @@
             long came = time.now();
             double work = exponential(SERVICE);
             count(1);
-            engine.ask(new Engine.Asked("r", "c" + left, 0, "m", "", Math.max(1, Math.round(work * 1e9))), answer -> {
-                assertEquals(Engine.End.OK, answer.end());
+            engine.ask(new WorkerModel.Asked("r", "c" + left, 0, "m", "", Math.max(1, Math.round(work * 1e9))), answer -> {
+                assertEquals(WorkerModel.End.OK, answer.end());
                 count(-1);
                 double stay = (time.now() - came) / 1e9;
                 stays.add(stay);
@@ -123,7 +123,7 @@
         for (int seed = 0; seed < 20; seed++) {
             SplittableRandom chance = new SplittableRandom(seed);
             VirtualTimeline clock = new VirtualTimeline();
-            EngineKind kind = new EngineKind(
+            WorkerKind kind = new WorkerKind(
                     "k",
                     CORES,
                     1,
@@ -135,20 +135,20 @@
                     chance.nextBoolean(),
                     true,
                     0,
-                    EngineKind.Group.ALL,
+                    WorkerKind.Group.ALL,
                     1,
                     0,
                     100,
                     1_000_000_000L,
                     10_000_000L);
             int[] ended = {0};
-            Engine engine = new Engine(
+            WorkerModel engine = new WorkerModel(
                     clock,
                     "e",
                     kind,
                     name -> new ModelKind(name, 50 + 37 * (name.hashCode() % 9), 2, 30_000_000, 10_000_000, 1, 0, 1),
-                    new Shelf(clock, 2, 6),
-                    new Marks(clock, 0),
+                    new ModelStore(clock, 2, 6),
+                    new IdempotencyCache(clock, 0),
                     seed,
                     false,
                     seen -> {});
@@ -163,7 +163,7 @@
                     default -> {
                         came++;
                         engine.ask(
-                                new Engine.Asked("r", "c" + i, 0, model, "", 1 + chance.nextInt(20_000_000)),
+                                new WorkerModel.Asked("r", "c" + i, 0, model, "", 1 + chance.nextInt(20_000_000)),
                                 answer -> ended[0]++);
                     }
                 }
--- a/lab/src/main/java/pearladder/lab/Measure.java
+++ b/lab/src/main/java/pearladder/lab/Benchmark.java
@@ -33,7 +33,7 @@
  * What a router adds to a call: the same load straight to instant engines, through a bare pass-through and through the
  * router, in turns within one run; medians over the rounds. Callers are closed-loop, so this measures cost, not queues.
  */
-public final class Measure {
+public final class Benchmark {
     private static final int ENGINES = 8;
 
     private record Way(String name, List<Integer> ports) {}
@@ -49,7 +49,7 @@
     private final PrintStream out;
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(2));
 
-    private Measure(Path folder, PrintStream out) {
+    private Benchmark(Path folder, PrintStream out) {
         this.folder = folder;
         this.out = out;
     }
@@ -63,8 +63,8 @@
     public static void run(List<String> program, Path folder, int rounds, int seconds, boolean records, PrintStream out)
             throws IOException {
         Files.createDirectories(folder);
-        Measure measure = new Measure(folder, out);
-        Processes processes = new Processes(program, folder);
+        Benchmark measure = new Benchmark(folder, out);
+        ChildProcesses processes = new ChildProcesses(program, folder);
         try {
             measure.run(processes, rounds, seconds, records);
         } finally {
@@ -73,7 +73,7 @@
         }
     }
 
-    private void run(Processes processes, int rounds, int seconds, boolean records) throws IOException {
+    private void run(ChildProcesses processes, int rounds, int seconds, boolean records) throws IOException {
         List<Integer> engines = new ArrayList<>();
         for (int i = 0; i < ENGINES; i++) {
             engines.add(instantEngine());
@@ -86,17 +86,17 @@
                     list.roll().change(new Entry(id, "127.0.0.1", port, "east", "instant", 0, Standing.IN_SERVICE, 0)));
         }
         List<Way> ways = new ArrayList<>();
-        Stalls stalls = null;
+        DiskStallInjector stalls = null;
         if (records) {
             ways.add(router(processes, "off", list.listPort(), ""));
             ways.add(router(processes, "records", list.listPort(), "records: {}\n"));
             ways.add(router(processes, "stalling", list.listPort(), "records: {}\n"));
-            stalls = Stalls.begin(folder.resolve("data-stalling/records"));
+            stalls = DiskStallInjector.begin(folder.resolve("data-stalling/records"));
         } else {
             String targets =
                     String.join(",", engines.stream().map(Object::toString).toList());
             int through =
-                    Processes.number(processes.start("pass-through", "pass-through", "--targets", targets), "port");
+                    ChildProcesses.number(processes.start("pass-through", "pass-through", "--targets", targets), "port");
             ways.add(new Way("direct", engines));
             ways.add(new Way("pass-through", List.of(through)));
             ways.add(router(processes, "router", list.listPort(), ""));
@@ -119,7 +119,7 @@
         list.close();
     }
 
-    private Way router(Processes processes, String name, int list, String more) throws IOException {
+    private Way router(ChildProcesses processes, String name, int list, String more) throws IOException {
         Path file = folder.resolve(name + ".yaml");
         Files.writeString(
                 file,
@@ -129,7 +129,7 @@
                         + "models:\n  - {name: \"m-*\", memory: 100 MB, lanes: 64}\n" + more);
         return new Way(
                 name,
-                List.of(Processes.number(
+                List.of(ChildProcesses.number(
                         processes.start(name, "router", "-c", file.toString(), "--log", "JSON"), "port")));
     }
 
--- a/lab/src/main/java/pearladder/lab/Processes.java
+++ b/lab/src/main/java/pearladder/lab/ChildProcesses.java
@@ -13,13 +13,13 @@
 import java.util.concurrent.TimeUnit;
 
 /** The day's own child processes: started with this program's command, ended one by one and only these. */
-final class Processes implements AutoCloseable {
+final class ChildProcesses implements AutoCloseable {
     private final List<String> program;
     private final Path folder;
     private final Map<String, Process> running = java.util.Collections.synchronizedMap(new LinkedHashMap<>());
 
     /** @param program the command that runs this program, to which a command's own words are added */
-    Processes(List<String> program, Path folder) {
+    ChildProcesses(List<String> program, Path folder) {
         this(program, folder, false);
     }
 
@@ -27,7 +27,7 @@
      * @param crowded many processes for few cores: guards against a dozen machines that optimize the same code at once and
      *     starve what they measure; they then stop at the first compiler
      */
-    Processes(List<String> program, Path folder, boolean crowded) {
+    ChildProcesses(List<String> program, Path folder, boolean crowded) {
         this.program = new ArrayList<>(program);
         this.folder = folder;
         if (crowded) {
--- a/lab/src/main/java/pearladder/lab/Front.java
+++ b/lab/src/main/java/pearladder/lab/ClientLoadBalancer.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 
 /** The plain front layer: spreads clients over the routers of their hall, and goes on feeding a dead one for a while. */
-public final class Front {
+public final class ClientLoadBalancer {
     /** A router as the front layer sees it. */
     public record Target(String router, int port) {}
 
@@ -26,7 +26,7 @@
     private final List<Seat> seats = new ArrayList<>();
     private long turn;
 
-    public Front(long lag) {
+    public ClientLoadBalancer(long lag) {
         this.lag = lag;
     }
 
--- a/lab/src/main/java/pearladder/lab/Stalls.java
+++ b/lab/src/main/java/pearladder/lab/DiskStallInjector.java
@@ -14,24 +14,24 @@
 import org.sqlite.JDBC;
 
 /** Lets a running router's records stand still for half a second out of two: their newest file is locked for writing. */
-final class Stalls implements AutoCloseable {
+final class DiskStallInjector implements AutoCloseable {
     private static final long STILL = 500;
     private static final long EVERY = 2000;
 
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Thread thread;
 
-    private Stalls(Path file) {
+    private DiskStallInjector(Path file) {
         this.thread = new Thread(() -> run(file), "stalls");
         thread.setDaemon(true);
     }
 
-    static Stalls begin(Path folder) throws IOException {
+    static DiskStallInjector begin(Path folder) throws IOException {
         List<Path> files;
         try (Stream<Path> all = Files.list(folder)) {
             files = all.filter(file -> file.toString().endsWith(".db")).sorted().toList();
         }
-        Stalls stalls = new Stalls(files.get(files.size() - 1));
+        DiskStallInjector stalls = new DiskStallInjector(files.get(files.size() - 1));
         stalls.thread.start();
         return stalls;
     }
--- a/lab/src/main/java/pearladder/lab/Experiment.java
+++ b/lab/src/main/java/pearladder/lab/Experiment.java
@@ -36,7 +36,7 @@
 
     /** Only reads a file and its base; throws {@link pearladder.yaml.Mistakes.Found} with every mistake. */
     public static void check(Path file) {
-        DayPlan.read(ExperimentPlan.read(file).base());
+        ScenarioPlan.read(ExperimentPlan.read(file).base());
     }
 
     /**
@@ -48,7 +48,7 @@
     public static int run(Path file, Path out, List<String> program, String build, PrintStream progress)
             throws IOException, InterruptedException {
         ExperimentPlan plan = ExperimentPlan.read(file);
-        DayPlan.read(plan.base());
+        ScenarioPlan.read(plan.base());
         Files.createDirectories(out);
         return new Experiment(plan, out, program, build, progress).run();
     }
@@ -92,10 +92,10 @@
         Files.createDirectories(folder);
         Path file = folder.resolve("day.yaml");
         Files.writeString(file, script);
-        TraceSource.Terms trace = plan.trace() == null || Double.isNaN(run.speed())
+        TraceWorkload.Terms trace = plan.trace() == null || Double.isNaN(run.speed())
                 ? plan.trace()
                 : plan.trace().at(run.speed());
-        Day.play(
+        Scenario.play(
                 file,
                 trace,
                 folder,
--- a/lab/src/main/java/pearladder/lab/ExperimentPlan.java
+++ b/lab/src/main/java/pearladder/lab/ExperimentPlan.java
@@ -12,7 +12,7 @@
  * @param base the day's script that is varied
  * @param trace replayed in place of its traffic, or null
  */
-record ExperimentPlan(String name, Path base, TraceSource.Terms trace, List<Run> runs) {
+record ExperimentPlan(String name, Path base, TraceWorkload.Terms trace, List<Run> runs) {
     enum Troubles {
         AS_WRITTEN,
         NONE
@@ -49,7 +49,7 @@
         List<Troubles> troubles =
                 orElse(vary.at("troubles").each(v -> v.word(Troubles.class, null)), Troubles.AS_WRITTEN);
         List<Integer> seeds = orElse(vary.at("seed").each(v -> v.whole(0, Integer.MAX_VALUE)), 1);
-        TraceSource.Terms trace = experiment.at("trace").given() ? trace(experiment.at("trace"), folder) : null;
+        TraceWorkload.Terms trace = experiment.at("trace").given() ? trace(experiment.at("trace"), folder) : null;
         if (trace == null && !speeds.get(0).isNaN()) {
             vary.at("speed").wrong("only a trace has a speed", "name a trace, or vary the rate");
         }
@@ -96,8 +96,8 @@
         return word;
     }
 
-    private static TraceSource.Terms trace(ConfigValue trace, Path folder) {
-        return new TraceSource.Terms(
+    private static TraceWorkload.Terms trace(ConfigValue trace, Path folder) {
+        return new TraceWorkload.Terms(
                 folder.resolve(trace.at("file").text()),
                 null,
                 null,
--- a/lab/src/main/java/pearladder/lab/Troubles.java
+++ b/lab/src/main/java/pearladder/lab/FaultInjector.java
@@ -9,7 +9,7 @@
  * Turns the troubles of a script into deeds at moments. What a trouble meets (which engines, routers, models) is drawn
  * from the day's seed at its start, among those that stand then.
  */
-public final class Troubles {
+public final class FaultInjector {
     /** The world that troubles are brought on. */
     public interface World {
         /** Engines that stand, of a hall or of all where it is empty. */
@@ -24,7 +24,7 @@
         void startRouter(String router);
 
         /** Something befalls routers: see the trouble's kind; the figure is 0 at its end. */
-        void toRouters(DayPlan.Kind what, List<String> routers, double figure);
+        void toRouters(ScenarioPlan.Kind what, List<String> routers, double figure);
 
         /** Clients come back at once, whatever they are told, or heed it again. */
         void heedless(boolean on);
@@ -38,16 +38,16 @@
     /** More engines than so many are told by their number. */
     private static final int NAMED = 12;
 
-    private final DayPlan plan;
+    private final ScenarioPlan plan;
     private final World world;
     private final SplittableRandom chance;
     private final TreeMap<Long, List<Runnable>> deeds = new TreeMap<>();
 
-    public Troubles(DayPlan plan, World world) {
+    public FaultInjector(ScenarioPlan plan, World world) {
         this.plan = plan;
         this.world = world;
         this.chance = new SplittableRandom(plan.seed() * 131 + 3);
-        for (DayPlan.Trouble trouble : plan.troubles()) {
+        for (ScenarioPlan.Trouble trouble : plan.troubles()) {
             at(trouble.at(), () -> begin(trouble));
         }
         for (ReleaseScript.Order order : plan.releases()) {
@@ -81,7 +81,7 @@
         return picked;
     }
 
-    private void begin(DayPlan.Trouble trouble) {
+    private void begin(ScenarioPlan.Trouble trouble) {
         List<String> engines = some(world.engines(trouble.hall()), trouble.share());
         long end = trouble.at() + trouble.lasting();
         String word = trouble.what().name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
@@ -180,7 +180,7 @@
     }
 
     /** Engines are replaced in steps of a fifth of the fleet at the most; each drains for half a step. */
-    private void deploy(DayPlan.Trouble trouble, List<String> engines) {
+    private void deploy(ScenarioPlan.Trouble trouble, List<String> engines) {
         int atOnce = (int) Math.max(1, Math.floor(world.engines("").size() * 0.2));
         int steps = (engines.size() + atOnce - 1) / atOnce;
         long step = trouble.lasting() / Math.max(1, steps);
@@ -190,9 +190,9 @@
         }
     }
 
-    private void release(DayPlan.Trouble trouble) {
+    private void release(ScenarioPlan.Trouble trouble) {
         List<String> models = new ArrayList<>();
-        for (DayPlan.Flow flow : plan.flows()) {
+        for (ScenarioPlan.Flow flow : plan.flows()) {
             for (int i = 0; i < flow.models(); i++) {
                 models.add(flow.prefix() + i);
             }
@@ -201,7 +201,7 @@
     }
 
     /** Slower and slower in ten steps, then one death; back after two seconds. */
-    private void ageing(DayPlan.Trouble trouble, List<String> engines, long end) {
+    private void ageing(ScenarioPlan.Trouble trouble, List<String> engines, long end) {
         for (int i = 1; i <= 10; i++) {
             double slow = 1 + (trouble.times() - 1) * i / 10;
             at(trouble.at() + trouble.lasting() * i / 11, () -> world.toEngines("slow", engines, "", slow));
--- a/lab/src/main/java/pearladder/lab/HttpWire.java
+++ b/lab/src/main/java/pearladder/lab/HttpClientDriver.java
@@ -12,12 +12,12 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.List;
 import java.util.function.Consumer;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 import pearladder.kserve.RequestOutcome;
 import pearladder.kserve.Headers;
 
 /** Tries over HTTP/JSON, on one event loop. */
-final class HttpWire implements Clients.Wire {
+final class HttpClientDriver implements LoadGenerator.Wire {
     private static final long WATCH = 10_000_000L;
     private static final long PAUSE = 40_000_000L;
     private static final int WARM_UPS = 100;
@@ -25,7 +25,7 @@
     private final Vertx vertx;
     private final HttpClient client;
 
-    HttpWire(Vertx vertx) {
+    HttpClientDriver(Vertx vertx) {
         this.vertx = vertx;
         this.client = vertx.createHttpClient(
                 new HttpClientOptions()
@@ -36,15 +36,15 @@
     }
 
     /** Notes every pause of this process: what came meanwhile was seen late, whoever was on time. */
-    void watch(Consumer<Seen> seen) {
+    void watch(Consumer<Observation> seen) {
         watch(seen, System.nanoTime());
     }
 
-    private void watch(Consumer<Seen> seen, long last) {
+    private void watch(Consumer<Observation> seen, long last) {
         vertx.setTimer(WATCH / 1_000_000, fired -> {
             long now = System.nanoTime();
             if (now - last > PAUSE) {
-                seen.accept(new Seen(now, Seen.PAUSED, "", "", 0, "", "", "", now - last - WATCH));
+                seen.accept(new Observation(now, Observation.PAUSED, "", "", 0, "", "", "", now - last - WATCH));
             }
             watch(seen, now);
         });
@@ -66,7 +66,7 @@
     }
 
     @Override
-    public Out send(Clients.Request request, Clients.Heard heard) {
+    public Out send(LoadGenerator.Request request, LoadGenerator.Heard heard) {
         Sent sent = new Sent(request, heard);
         client.request(new RequestOptions()
                         .setMethod(HttpMethod.POST)
@@ -78,12 +78,12 @@
     }
 
     private static final class Sent implements Out {
-        private final Clients.Request asked;
-        private final Clients.Heard heard;
+        private final LoadGenerator.Request asked;
+        private final LoadGenerator.Heard heard;
         private HttpClientRequest request;
         private boolean dropped;
 
-        Sent(Clients.Request asked, Clients.Heard heard) {
+        Sent(LoadGenerator.Request asked, LoadGenerator.Heard heard) {
             this.asked = asked;
             this.heard = heard;
         }
--- a/lab/src/main/java/pearladder/lab/RulesChecker.java
+++ b/lab/src/main/java/pearladder/lab/InvariantChecker.java
@@ -11,14 +11,14 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 
 /**
  * Judges the five rules from what passed over the sockets and nothing else: tapes of the engines, of the list and of the
  * clients. A slack for sockets and for pauses of this machine is granted and stated; a router that was killed
  * or stood still owes nothing for that time.
  */
-public final class RulesChecker {
+public final class InvariantChecker {
     /** The rules in the order of the brief. */
     public enum Rule {
         ONE_ANSWER("one timely final answer for each call taken"),
@@ -44,7 +44,7 @@
     /** What was looked at, so that a check that saw nothing can't pass for one that found nothing. */
     public record Verdict(List<Breach> breaches, Map<Rule, Long> looked) {
         /** A line a rule, and the first breaches; begun is the day's start on the tape's clock. */
-        public List<String> lines(long begun, Rulebook rules) {
+        public List<String> lines(long begun, InvariantSettings rules) {
             List<String> lines = new ArrayList<>();
             for (Rule rule : Rule.values()) {
                 long broken = breaches.stream()
@@ -68,19 +68,19 @@
     }
 
     private static final class Try {
-        Seen sent;
-        Seen end;
+        Observation sent;
+        Observation end;
         int ends;
         boolean again;
         final List<Leg> legs = new ArrayList<>();
     }
 
     private static final class Leg {
-        final Seen arrived;
+        final Observation arrived;
         boolean refused;
         boolean ran;
 
-        Leg(Seen arrived) {
+        Leg(Observation arrived) {
             this.arrived = arrived;
         }
 
@@ -91,10 +91,10 @@
 
     private record Place(String hall, long cell) {}
 
-    private final Rulebook rules;
+    private final InvariantSettings rules;
     private final long slack;
     private final Map<String, Place> places;
-    private final TreeMap<Long, Seen> pauses = new TreeMap<>();
+    private final TreeMap<Long, Observation> pauses = new TreeMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private final Map<Rule, Long> looked = new LinkedHashMap<>();
 
@@ -102,7 +102,7 @@
      * @param slack nanoseconds granted for sockets and pauses
      * @param places hall and cell of each engine, "hall/cell"
      */
-    public RulesChecker(Rulebook rules, long slack, Map<String, String> places) {
+    public InvariantChecker(InvariantSettings rules, long slack, Map<String, String> places) {
         this.rules = rules;
         this.slack = slack;
         this.places = new HashMap<>();
@@ -116,17 +116,17 @@
     }
 
     /** Checks a whole run; the lines may come in any order. */
-    public Verdict check(List<Seen> tape) {
-        List<Seen> inTime = new ArrayList<>(tape);
-        inTime.sort(Comparator.comparingLong(Seen::at));
+    public Verdict check(List<Observation> tape) {
+        List<Observation> inTime = new ArrayList<>(tape);
+        inTime.sort(Comparator.comparingLong(Observation::at));
         readLate(inTime);
-        Map<String, List<Seen>> deaths = new HashMap<>();
-        for (Seen seen : inTime) {
-            if (seen.what().equals(Seen.KILLED) || seen.what().equals(Seen.STILL)) {
+        Map<String, List<Observation>> deaths = new HashMap<>();
+        for (Observation seen : inTime) {
+            if (seen.what().equals(Observation.KILLED) || seen.what().equals(Observation.STILL)) {
                 deaths.computeIfAbsent(seen.router(), r -> new ArrayList<>()).add(seen);
             }
         }
-        inTime.stream().filter(seen -> seen.what().equals(Seen.PAUSED)).forEach(pause -> pauses.put(pause.at(), pause));
+        inTime.stream().filter(seen -> seen.what().equals(Observation.PAUSED)).forEach(pause -> pauses.put(pause.at(), pause));
         Map<String, Try> tries = tries(inTime);
         tries.values().forEach(one -> oneAnswer(one, deaths.getOrDefault(one.sent.router(), List.of())));
         tries.values().forEach(this::noEffectTwice);
@@ -142,20 +142,20 @@
      * An engine that stood still reads afterwards what had come meanwhile: what it makes of that is its own, and no router
      * can take it back. Such legs are passed over; if it stood longer than it remembers marks, it broke its own promise.
      */
-    private void readLate(List<Seen> inTime) {
+    private void readLate(List<Observation> inTime) {
         Map<String, TreeMap<Long, Long>> still = new HashMap<>();
         inTime.stream()
-                .filter(seen -> seen.what().equals(Seen.STILL) && !seen.engine().isEmpty())
+                .filter(seen -> seen.what().equals(Observation.STILL) && !seen.engine().isEmpty())
                 .forEach(seen -> still.computeIfAbsent(seen.engine(), engine -> new TreeMap<>())
                         .put(seen.at() + (long) seen.figure(), seen.at()));
         if (still.isEmpty()) {
             return;
         }
         Set<String> late = new HashSet<>();
-        for (Seen seen : inTime) {
+        for (Observation seen : inTime) {
             Map.Entry<Long, Long> woke =
                     still.getOrDefault(seen.engine(), new TreeMap<>()).floorEntry(seen.at());
-            boolean read = seen.what().equals(Seen.ARRIVED) || seen.what().equals(Seen.RAN);
+            boolean read = seen.what().equals(Observation.ARRIVED) || seen.what().equals(Observation.RAN);
             if (read && woke != null && seen.at() - woke.getKey() <= slack) {
                 late.add(legOf(seen));
             }
@@ -163,7 +163,7 @@
         inTime.removeIf(seen -> !seen.engine().isEmpty() && late.contains(legOf(seen)));
     }
 
-    private static String legOf(Seen seen) {
+    private static String legOf(Observation seen) {
         return seen.call() + "\n" + seen.leg() + "\n" + seen.engine();
     }
 
@@ -175,32 +175,32 @@
         looked.merge(rule, 1L, Long::sum);
     }
 
-    private Map<String, Try> tries(List<Seen> inTime) {
+    private Map<String, Try> tries(List<Observation> inTime) {
         Map<String, Try> tries = new LinkedHashMap<>();
-        for (Seen seen : inTime) {
-            if (seen.what().equals(Seen.SENT)) {
+        for (Observation seen : inTime) {
+            if (seen.what().equals(Observation.SENT)) {
                 tries.computeIfAbsent(seen.call(), call -> new Try()).sent = seen;
             }
         }
-        for (Seen seen : inTime) {
+        for (Observation seen : inTime) {
             Try one = tries.get(seen.call());
             if (one == null) {
                 continue;
             }
             switch (seen.what()) {
-                case Seen.ANSWERED, Seen.UNANSWERED -> {
+                case Observation.ANSWERED, Observation.UNANSWERED -> {
                     one.end = seen;
                     one.ends++;
                 }
-                case Seen.AGAIN -> one.again = true;
-                case Seen.ARRIVED -> one.legs.add(new Leg(seen));
-                case Seen.REFUSED, Seen.RAN, Seen.DROPPED -> {
+                case Observation.AGAIN -> one.again = true;
+                case Observation.ARRIVED -> one.legs.add(new Leg(seen));
+                case Observation.REFUSED, Observation.RAN, Observation.DROPPED -> {
                     for (Leg leg : one.legs) {
                         if (leg.arrived.leg() == seen.leg()
                                 && leg.arrived.engine().equals(seen.engine())) {
-                            leg.refused |= seen.what().equals(Seen.REFUSED)
-                                    || seen.what().equals(Seen.DROPPED);
-                            leg.ran |= seen.what().equals(Seen.RAN);
+                            leg.refused |= seen.what().equals(Observation.REFUSED)
+                                    || seen.what().equals(Observation.DROPPED);
+                            leg.ran |= seen.what().equals(Observation.RAN);
                         }
                     }
                 }
@@ -210,8 +210,8 @@
         return tries;
     }
 
-    private void oneAnswer(Try one, List<Seen> deaths) {
-        Seen sent = one.sent;
+    private void oneAnswer(Try one, List<Observation> deaths) {
+        Observation sent = one.sent;
         long due = sent.at() + (long) sent.figure();
         if (one.end == null
                 || deaths.stream()
@@ -219,13 +219,13 @@
                                 && death.at() <= Math.min(due, one.end.at()) + slack)) {
             return;
         }
-        if (one.end.what().equals(Seen.UNANSWERED)
+        if (one.end.what().equals(Observation.UNANSWERED)
                 && (one.end.note().equals("unreachable") || one.end.note().equals("left"))) {
             return;
         }
         looked(Rule.ONE_ANSWER);
         String call = "call " + sent.call() + " (" + sent.note() + ") at " + sent.router();
-        if (one.end.what().equals(Seen.UNANSWERED)) {
+        if (one.end.what().equals(Observation.UNANSWERED)) {
             breach(Rule.ONE_ANSWER, due, call + " got no final answer: " + one.end.note());
         } else if (one.end.at() - paused(due, one.end.at()) > due + rules.answerGrace() + slack) {
             breach(
@@ -242,7 +242,7 @@
     /** How long the client itself was paused between a call's due time and the moment at which it saw the answer. */
     private long paused(long due, long seen) {
         long sum = 0;
-        for (Seen pause : pauses.tailMap(due, true).values()) {
+        for (Observation pause : pauses.tailMap(due, true).values()) {
             long began = Math.max(due, pause.at() - (long) pause.figure());
             sum += Math.max(0, Math.min(seen, pause.at()) - began);
             if (pause.at() >= seen) {
@@ -315,21 +315,21 @@
     }
 
     /** The effect itself: a mark, or a binding try, runs once. */
-    private void marks(List<Seen> inTime, Map<String, Try> tries) {
+    private void marks(List<Observation> inTime, Map<String, Try> tries) {
         Map<String, String> markOf = new HashMap<>();
-        Map<String, Seen> ran = new HashMap<>();
-        for (Seen seen : inTime) {
-            if (seen.what().equals(Seen.ARRIVED) && !seen.note().isEmpty()) {
+        Map<String, Observation> ran = new HashMap<>();
+        for (Observation seen : inTime) {
+            if (seen.what().equals(Observation.ARRIVED) && !seen.note().isEmpty()) {
                 markOf.put(seen.call(), seen.note());
             }
             Try one = tries.get(seen.call());
             CategoryTerms terms = one == null ? null : rules.categories().get(one.sent.note());
-            if (!seen.what().equals(Seen.RAN) || terms == null || terms.effect() == CategoryTerms.Effect.RETRIABLE) {
+            if (!seen.what().equals(Observation.RAN) || terms == null || terms.effect() == CategoryTerms.Effect.RETRIABLE) {
                 continue;
             }
             boolean binding = terms.effect() == CategoryTerms.Effect.BINDING;
             String key = binding ? "call " + seen.call() : "mark " + markOf.get(seen.call());
-            Seen before = ran.putIfAbsent(key, seen);
+            Observation before = ran.putIfAbsent(key, seen);
             if (before != null && (binding || !before.note().equals("failed"))) {
                 breach(
                         Rule.NO_EFFECT_TWICE,
@@ -339,21 +339,21 @@
         }
     }
 
-    private void drains(List<Seen> inTime) {
-        Map<String, Seen> told = new HashMap<>();
-        for (Seen seen : inTime) {
+    private void drains(List<Observation> inTime) {
+        Map<String, Observation> told = new HashMap<>();
+        for (Observation seen : inTime) {
             String key = seen.router() + ">" + seen.engine();
-            if (seen.what().equals(Seen.TOLD)) {
-                Seen before = told.get(key);
+            if (seen.what().equals(Observation.TOLD)) {
+                Observation before = told.get(key);
                 boolean same = before != null && before.note().equals(seen.note());
                 if (!same) {
                     told.put(key, seen);
                 }
-            } else if (seen.what().equals(Seen.KILLED)) {
+            } else if (seen.what().equals(Observation.KILLED)) {
                 told.keySet().removeIf(pair -> pair.startsWith(seen.router() + ">"));
-            } else if (seen.what().equals(Seen.ARRIVED) || seen.what().equals(Seen.ORDERED) && seen.figure() > 0) {
+            } else if (seen.what().equals(Observation.ARRIVED) || seen.what().equals(Observation.ORDERED) && seen.figure() > 0) {
                 looked(Rule.DRAINS_KEPT);
-                Seen last = told.get(key);
+                Observation last = told.get(key);
                 if (last != null
                         && !last.note().equals("IN_SERVICE")
                         && seen.at() > last.at() + rules.drainGrace() + slack) {
@@ -361,7 +361,7 @@
                             Rule.DRAINS_KEPT,
                             seen.at(),
                             seen.router() + " sent "
-                                    + (seen.what().equals(Seen.ARRIVED) ? "call " + seen.call() : "an order") + " to "
+                                    + (seen.what().equals(Observation.ARRIVED) ? "call " + seen.call() : "an order") + " to "
                                     + seen.engine() + " " + (seen.at() - last.at()) / 1_000_000
                                     + " ms after it was told "
                                     + last.note());
@@ -371,21 +371,21 @@
     }
 
     /** A fall is a breach where two thirds of what pushed came from routers that had been told of the start. */
-    private void cold(List<Seen> inTime) {
+    private void cold(List<Observation> inTime) {
         Map<String, Long> toldStart = new HashMap<>();
-        Map<String, ArrayDeque<Seen>> lately = new HashMap<>();
-        for (Seen seen : inTime) {
-            if (seen.what().equals(Seen.TOLD) && seen.figure() > 0) {
+        Map<String, ArrayDeque<Observation>> lately = new HashMap<>();
+        for (Observation seen : inTime) {
+            if (seen.what().equals(Observation.TOLD) && seen.figure() > 0) {
                 toldStart.put(seen.router() + ">" + seen.engine(), seen.at());
-            } else if (seen.what().equals(Seen.ARRIVED)) {
+            } else if (seen.what().equals(Observation.ARRIVED)) {
                 looked(Rule.COLD_NOT_PUSHED);
-                ArrayDeque<Seen> window = lately.computeIfAbsent(seen.engine(), e -> new ArrayDeque<>());
+                ArrayDeque<Observation> window = lately.computeIfAbsent(seen.engine(), e -> new ArrayDeque<>());
                 window.add(seen);
                 while (seen.at() - window.peek().at() > rules.fallAfter()) {
                     window.poll();
                 }
-            } else if (seen.what().equals(Seen.FELL)) {
-                ArrayDeque<Seen> window = lately.getOrDefault(seen.engine(), new ArrayDeque<>());
+            } else if (seen.what().equals(Observation.FELL)) {
+                ArrayDeque<Observation> window = lately.getOrDefault(seen.engine(), new ArrayDeque<>());
                 long informed = window.stream()
                         .filter(one -> {
                             Long at = toldStart.get(one.router() + ">" + one.engine());
@@ -404,23 +404,23 @@
         }
     }
 
-    private void ration(List<Seen> inTime, Map<String, Try> tries) {
+    private void ration(List<Observation> inTime, Map<String, Try> tries) {
         if (rules.rationWindow() <= 0) {
             return;
         }
         Map<String, ArrayDeque<Long>> orders = new HashMap<>();
         Map<String, ArrayDeque<Long>> taken = new HashMap<>();
-        for (Seen seen : inTime) {
-            if (seen.what().equals(Seen.KILLED)) {
+        for (Observation seen : inTime) {
+            if (seen.what().equals(Observation.KILLED)) {
                 orders.remove(seen.router());
                 taken.remove(seen.router());
-            } else if (seen.what().equals(Seen.SENT)) {
+            } else if (seen.what().equals(Observation.SENT)) {
                 Try one = tries.get(seen.call());
                 if (one.end == null || !one.end.note().equals("unreachable")) {
                     taken.computeIfAbsent(seen.router(), r -> new ArrayDeque<>())
                             .add(seen.at());
                 }
-            } else if (seen.what().equals(Seen.ORDERED) && seen.figure() > 0) {
+            } else if (seen.what().equals(Observation.ORDERED) && seen.figure() > 0) {
                 looked(Rule.ORDERS_RATIONED);
                 ArrayDeque<Long> given = orders.computeIfAbsent(seen.router(), r -> new ArrayDeque<>());
                 ArrayDeque<Long> calls = taken.computeIfAbsent(seen.router(), r -> new ArrayDeque<>());
--- a/lab/src/main/java/pearladder/lab/Rulebook.java
+++ b/lab/src/main/java/pearladder/lab/InvariantSettings.java
@@ -11,7 +11,7 @@
  * @param fallAfter the span over which a cold engine is pushed
  * @param rationWindow 0 where orders are not rationed
  */
-public record Rulebook(
+public record InvariantSettings(
         Map<String, CategoryTerms> categories,
         long answerGrace,
         long drainGrace,
@@ -20,7 +20,7 @@
         double rationFree,
         double rationShare,
         long rationWindow) {
-    static Rulebook read(ConfigValue router) {
+    static InvariantSettings read(ConfigValue router) {
         Map<String, CategoryTerms> categories = router.at("categories")
                 .eachKey((name, terms) -> new CategoryTerms(
                         name,
@@ -33,7 +33,7 @@
                         terms.at("late_credit").number(0, 0, 1)));
         ConfigValue rules = router.at("rules");
         ConfigValue ration = rules.at("ration");
-        return new Rulebook(
+        return new InvariantSettings(
                 categories,
                 rules.at("answer_grace").span("15 ms"),
                 rules.at("drain_grace").span("1 s"),
--- a/lab/src/main/java/pearladder/lab/Clients.java
+++ b/lab/src/main/java/pearladder/lab/LoadGenerator.java
@@ -2,7 +2,7 @@
 
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 import pearladder.emulator.Timeline;
 import pearladder.kserve.RequestOutcome;
 
@@ -11,7 +11,7 @@
  * when told to, and repeats only what its category lets it repeat. One of these lives on one thread; a day that sends more
  * than an event loop can has several. How a try travels is the wire's: sockets, or a rehearsal's virtual network.
  */
-public final class Clients {
+public final class LoadGenerator {
     /** How a try travels to a router and its answer back. */
     public interface Wire {
         /** A try that is out; dropping it closes its connection. */
@@ -29,9 +29,9 @@
      * @param mark empty where there is none
      */
     public record Request(
-            Front.Target target,
+            ClientLoadBalancer.Target target,
             String id,
-            Source.Drawn drawn,
+            RequestSource.Drawn drawn,
             CategoryTerms terms,
             String mark,
             boolean repeat,
@@ -52,13 +52,13 @@
     private static final long LEAST = 20_000_000L;
 
     private final class Call {
-        final Source.Drawn drawn;
+        final RequestSource.Drawn drawn;
         final CategoryTerms terms;
         final long due;
         final String mark;
         int tries;
 
-        Call(Source.Drawn drawn) {
+        Call(RequestSource.Drawn drawn) {
             this.drawn = drawn;
             this.terms = plan.rules().categories().get(drawn.category());
             this.due = begun + drawn.due();
@@ -68,28 +68,28 @@
 
     private final Timeline time;
     private final Wire wire;
-    private final DayPlan plan;
-    private final Front front;
-    private final Books books;
-    private final Consumer<Seen> seen;
-    private final Source traffic;
+    private final ScenarioPlan plan;
+    private final ClientLoadBalancer front;
+    private final LoadStatistics books;
+    private final Consumer<Observation> seen;
+    private final RequestSource traffic;
     private final SplittableRandom chance;
     private boolean heedless;
     private long begun;
-    private Source.Drawn next;
+    private RequestSource.Drawn next;
     private int open;
     private Runnable ended;
 
     /** @param lane its number among those of the day, for its own chance */
-    public Clients(
+    public LoadGenerator(
             Timeline time,
             Wire wire,
-            DayPlan plan,
+            ScenarioPlan plan,
             int lane,
-            Source source,
-            Front front,
-            Books books,
-            Consumer<Seen> seen) {
+            RequestSource source,
+            ClientLoadBalancer front,
+            LoadStatistics books,
+            Consumer<Observation> seen) {
         this.time = time;
         this.wire = wire;
         this.plan = plan;
@@ -132,11 +132,11 @@
         long now = time.now();
         long left = call.due + call.terms.abandon() - now;
         if (left < LEAST) {
-            end(call, Books.End.UNANSWERED);
+            end(call, LoadStatistics.End.UNANSWERED);
             return;
         }
         long patience = Math.min(left, Math.round(call.terms.abandon() * call.drawn.patience()));
-        Front.Target target = front.next(call.drawn.hall(), now);
+        ClientLoadBalancer.Target target = front.next(call.drawn.hall(), now);
         String id = "c" + call.drawn.number() + "." + call.tries++;
         books.tried();
         new Try(call, new Request(target, id, call.drawn, call.terms, call.mark, call.tries > 1, patience)).go(now);
@@ -155,15 +155,15 @@
         }
 
         void note(String what, String model, String note) {
-            seen.accept(new Seen(time.now(), what, request.target().router(), request.id(), 0, "", model, note, 0));
+            seen.accept(new Observation(time.now(), what, request.target().router(), request.id(), 0, "", model, note, 0));
         }
 
         void go(long now) {
             boolean leaves = chance.nextDouble() < plan.clients().leaving();
             long stays = leaves ? Math.round(request.patience() * chance.nextDouble()) : request.patience() + LISTENS;
-            seen.accept(new Seen(
+            seen.accept(new Observation(
                     now,
-                    Seen.SENT,
+                    Observation.SENT,
                     request.target().router(),
                     request.id(),
                     0,
@@ -187,7 +187,7 @@
             over = true;
             patience.callOff();
             note(
-                    Seen.ANSWERED,
+                    Observation.ANSWERED,
                     call.drawn.model() + (version.isEmpty() ? "" : "@" + version),
                     state == null ? "status " + status : state.code());
             ended(state, heedless ? 0 : wait);
@@ -203,9 +203,9 @@
             if (out != null) {
                 out.drop();
             }
-            note(Seen.UNANSWERED, call.drawn.model(), how);
+            note(Observation.UNANSWERED, call.drawn.model(), how);
             if (how.equals("left") || !how.equals("unreachable") && !mayRepeat(call) || !retry(call, 0)) {
-                end(call, Books.End.UNANSWERED);
+                end(call, LoadStatistics.End.UNANSWERED);
             }
         }
 
@@ -215,13 +215,13 @@
                 end(
                         call,
                         took <= call.terms.expected()
-                                ? Books.End.SETTLED
-                                : took <= call.terms.abandon() ? Books.End.LATE : Books.End.UNANSWERED);
+                                ? LoadStatistics.End.SETTLED
+                                : took <= call.terms.abandon() ? LoadStatistics.End.LATE : LoadStatistics.End.UNANSWERED);
                 return;
             }
             boolean dismissed = state == RequestOutcome.DISMISSED;
             if (!dismissed && !mayRepeat(call) || !retry(call, wait)) {
-                end(call, dismissed ? Books.End.DISMISSED : Books.End.TERMINATED);
+                end(call, dismissed ? LoadStatistics.End.DISMISSED : LoadStatistics.End.TERMINATED);
             }
         }
     }
@@ -249,7 +249,7 @@
         return true;
     }
 
-    private void end(Call call, Books.End how) {
+    private void end(Call call, LoadStatistics.End how) {
         books.ended(call.terms, call.drawn.account(), call.drawn.due(), time.now() - call.due, how);
         open--;
         if (next == null && open == 0) {
--- a/lab/src/main/java/pearladder/lab/Books.java
+++ b/lab/src/main/java/pearladder/lab/LoadStatistics.java
@@ -12,7 +12,7 @@
  * What a day's calls came to: credit asked for and earned, by category, account and ten seconds; times from the due time.
  * Every lane of clients writes into the same books.
  */
-public final class Books {
+public final class LoadStatistics {
     /** How a call ended for its client, all its tries together. */
     public enum End {
         SETTLED,
--- a/lab/src/main/java/pearladder/lab/Feed.java
+++ b/lab/src/main/java/pearladder/lab/RequestFeed.java
@@ -8,16 +8,16 @@
  * Deals one source's calls to several lanes, each on an event loop of its own: call n to lane n modulo their number. The
  * sequence is the source's whatever the number of lanes; only who sends a call depends on it.
  */
-final class Feed {
+final class RequestFeed {
     /** What one event loop sends, in the order of the calls' moments. */
-    final class Lane implements Source {
+    final class Lane implements RequestSource {
         private final ArrayDeque<Drawn> dealt = new ArrayDeque<>();
 
         private Lane() {}
 
         @Override
         public Drawn next() {
-            synchronized (Feed.this) {
+            synchronized (RequestFeed.this) {
                 while (dealt.isEmpty() && !dry) {
                     Drawn drawn = source.next();
                     dry = drawn == null;
@@ -30,11 +30,11 @@
         }
     }
 
-    private final Source source;
+    private final RequestSource source;
     private final List<Lane> lanes = new ArrayList<>();
     private boolean dry;
 
-    Feed(Source source, int lanes) {
+    RequestFeed(RequestSource source, int lanes) {
         this.source = source;
         for (int i = 0; i < lanes; i++) {
             this.lanes.add(new Lane());
--- a/lab/src/main/java/pearladder/lab/Source.java
+++ b/lab/src/main/java/pearladder/lab/RequestSource.java
@@ -1,7 +1,7 @@
 package pearladder.lab;
 
 /** Where a day's calls come from, in the order of their moments. */
-public interface Source {
+public interface RequestSource {
     /**
      * One call.
      *
--- a/lab/src/main/java/pearladder/lab/Results.java
+++ b/lab/src/main/java/pearladder/lab/Results.java
@@ -16,7 +16,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import pearladder.emulator.ModelKind;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 import pearladder.kserve.RequestOutcome;
 
 /** A day's results as a file that reports and comparisons are made from: results.json in the day's folder. */
@@ -29,11 +29,11 @@
 
     /** The results of a day. */
     public static ObjectNode of(
-            DayPlan plan,
-            Books books,
-            RulesChecker.Verdict verdict,
+            ScenarioPlan plan,
+            LoadStatistics books,
+            InvariantChecker.Verdict verdict,
             List<String> faults,
-            List<Seen> tape,
+            List<Observation> tape,
             long begun,
             List<String> table) {
         ObjectNode all = JSON.createObjectNode();
@@ -72,8 +72,8 @@
         ObjectNode causes = all.putObject("dismissed_because");
         dismissals(tape).forEach(causes::put);
         ArrayNode troubles = all.putArray("troubles");
-        for (Seen one : tape) {
-            if (one.what().equals(Seen.TROUBLE)) {
+        for (Observation one : tape) {
+            if (one.what().equals(Observation.TROUBLE)) {
                 troubles.addObject().put("at_s", (one.at() - begun) / 1e9).put("what", one.note());
             }
         }
@@ -95,18 +95,18 @@
      * By ten seconds of the day: legs, orders, refusals, loads and failed loads at the engines, the copies that stood at its
      * end, settled answers, and those of them that came from a version.
      */
-    private static TreeMap<Long, long[]> byWindow(List<Seen> tape, long begun) {
+    private static TreeMap<Long, long[]> byWindow(List<Observation> tape, long begun) {
         TreeMap<Long, long[]> windows = new TreeMap<>();
         long copies = 0;
-        for (Seen seen : tape) {
+        for (Observation seen : tape) {
             int at =
                     switch (seen.what()) {
-                        case Seen.ARRIVED -> 0;
-                        case Seen.ORDERED -> 1;
-                        case Seen.REFUSED -> 2;
-                        case Seen.LOADED -> seen.note().isEmpty() ? 3 : 4;
-                        case Seen.UNLOADED -> 5;
-                        case Seen.ANSWERED -> seen.note().equals(RequestOutcome.SETTLED.code()) ? 6 : -1;
+                        case Observation.ARRIVED -> 0;
+                        case Observation.ORDERED -> 1;
+                        case Observation.REFUSED -> 2;
+                        case Observation.LOADED -> seen.note().isEmpty() ? 3 : 4;
+                        case Observation.UNLOADED -> 5;
+                        case Observation.ANSWERED -> seen.note().equals(RequestOutcome.SETTLED.code()) ? 6 : -1;
                         default -> -1;
                     };
             copies += at == 3 ? 1 : at == 5 ? -Math.round(seen.figure()) : 0;
@@ -121,13 +121,13 @@
     }
 
     /** Loads that ended, what they fetched from the shelf, and the share of their time that the fetch was. */
-    public static String fetched(DayPlan plan, List<Seen> all, long begun) {
+    public static String fetched(ScenarioPlan plan, List<Observation> all, long begun) {
         long loads = 0;
         long failed = 0;
         double gigabytes = 0;
         double share = 0;
-        for (Seen seen : all) {
-            if (seen.what().equals(Seen.LOADED) && seen.at() >= begun) {
+        for (Observation seen : all) {
+            if (seen.what().equals(Observation.LOADED) && seen.at() >= begun) {
                 ModelKind kind = plan.fleet().modelOf(seen.model());
                 loads++;
                 failed += seen.note().isEmpty() ? 0 : 1;
@@ -145,17 +145,17 @@
     }
 
     /** Dismissed tries by what the engines had said to them; a try of which no leg left was refused by its router. */
-    private static Map<String, Long> dismissals(List<Seen> tape) {
+    private static Map<String, Long> dismissals(List<Observation> tape) {
         Map<String, String> last = new HashMap<>();
         Map<String, Long> causes = new TreeMap<>();
-        for (Seen seen : tape) {
-            if (seen.what().equals(Seen.REFUSED) || seen.what().equals(Seen.ARRIVED)) {
+        for (Observation seen : tape) {
+            if (seen.what().equals(Observation.REFUSED) || seen.what().equals(Observation.ARRIVED)) {
                 last.put(
                         seen.call(),
-                        seen.what().equals(Seen.REFUSED)
+                        seen.what().equals(Observation.REFUSED)
                                 ? "engines refused: " + seen.note().toLowerCase(Locale.ROOT)
                                 : "a leg without an answer");
-            } else if (seen.what().equals(Seen.ANSWERED) && seen.note().equals(RequestOutcome.DISMISSED.code())) {
+            } else if (seen.what().equals(Observation.ANSWERED) && seen.note().equals(RequestOutcome.DISMISSED.code())) {
                 causes.merge(last.getOrDefault(seen.call(), "no leg was sent"), 1L, Long::sum);
             }
         }
--- a/lab/src/main/java/pearladder/lab/Day.java
+++ b/lab/src/main/java/pearladder/lab/Scenario.java
@@ -29,19 +29,19 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import pearladder.emulator.Seen;
-import pearladder.emulator.Tape;
+import pearladder.emulator.Observation;
+import pearladder.emulator.ObservationLog;
 import pearladder.emulator.net.VertxTimeline;
 
 /** Plays one day: starts the processes, sends the traffic, brings the troubles, judges the rules and writes the table. */
-public final class Day {
+public final class Scenario {
     /** What a day came to. */
     public record Outcome(
             double credit,
             double worstWindow,
             long calls,
             List<String> table,
-            RulesChecker.Verdict verdict,
+            InvariantChecker.Verdict verdict,
             List<String> faults) {
         /** Whether every rule was kept and nothing else went wrong. */
         public boolean kept() {
@@ -52,44 +52,44 @@
     /** A run whose generator lagged more than this at p99 measured the generator. */
     private static final long LAG_MILLIS = 50;
 
-    private final DayPlan plan;
+    private final ScenarioPlan plan;
     private final Path script;
     private final Path out;
-    private final Processes processes;
+    private final ChildProcesses processes;
     private final List<String> routerWords;
     private final PrintStream progress;
     private final HttpClient control = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(5))
             .build();
-    private final ExecutorService helper = Executors.newSingleThreadExecutor(Day::daemon);
-    private final ExecutorService starters = Executors.newCachedThreadPool(Day::daemon);
+    private final ExecutorService helper = Executors.newSingleThreadExecutor(Scenario::daemon);
+    private final ExecutorService starters = Executors.newCachedThreadPool(Scenario::daemon);
     private final Map<String, Integer> ports = java.util.Collections.synchronizedMap(new LinkedHashMap<>());
     private final Map<String, String> halls = new LinkedHashMap<>();
     private final List<String> faults = java.util.Collections.synchronizedList(new ArrayList<>());
-    private final Front front;
-    private final Books books = new Books();
+    private final ClientLoadBalancer front;
+    private final LoadStatistics books = new LoadStatistics();
     private final RouterWatch watch = new RouterWatch(this::metrics);
     private final ReleaseScript releases = new ReleaseScript(control);
     private final Map<String, Integer> doors = java.util.Collections.synchronizedMap(new LinkedHashMap<>());
     private final List<Vertx> loops = new ArrayList<>();
-    private final List<Clients> clients = new ArrayList<>();
-    private Tape tape;
-    private TraceSource trace;
+    private final List<LoadGenerator> clients = new ArrayList<>();
+    private ObservationLog tape;
+    private TraceWorkload trace;
     private int controlPort;
     private int listPort;
     private volatile long begun;
     private double took;
 
-    private Day(Path script, Path out, List<String> program, List<String> routerWords, PrintStream progress) {
-        this.plan = DayPlan.read(script);
+    private Scenario(Path script, Path out, List<String> program, List<String> routerWords, PrintStream progress) {
+        this.plan = ScenarioPlan.read(script);
         this.script = script;
         this.out = out;
-        this.processes = new Processes(
+        this.processes = new ChildProcesses(
                 program, out, plan.routers() * 2 > Runtime.getRuntime().availableProcessors());
         this.routerWords = routerWords;
         this.progress = progress;
-        this.front = new Front(plan.clients().frontLag());
+        this.front = new ClientLoadBalancer(plan.clients().frontLag());
     }
 
     private static Thread daemon(Runnable run) {
@@ -100,7 +100,7 @@
 
     /** Only reads a script; throws {@link pearladder.yaml.Mistakes.Found} with every mistake in it. */
     public static void check(Path script) {
-        DayPlan.read(script);
+        ScenarioPlan.read(script);
     }
 
     /**
@@ -120,15 +120,15 @@
     /** The same with a trace's calls in place of the script's traffic, whose flows then only name whose calls they are. */
     public static Outcome play(
             Path script,
-            TraceSource.Terms trace,
+            TraceWorkload.Terms trace,
             Path out,
             List<String> program,
             List<String> routerWords,
             PrintStream progress)
             throws IOException, InterruptedException {
         Files.createDirectories(out);
-        Day day = new Day(script, out, program, routerWords, progress);
-        day.trace = trace == null ? null : new TraceSource(trace, day.plan, out);
+        Scenario day = new Scenario(script, out, program, routerWords, progress);
+        day.trace = trace == null ? null : new TraceWorkload(trace, day.plan, out);
         try {
             return day.play();
         } finally {
@@ -142,7 +142,7 @@
     }
 
     private Outcome play() throws IOException, InterruptedException {
-        for (DayPlan.Trouble trouble : plan.troubles()) {
+        for (ScenarioPlan.Trouble trouble : plan.troubles()) {
             if (trouble.what().rehearsedOnly()) {
                 throw new IOException(script + ": the trouble "
                         + trouble.what().name().toLowerCase(Locale.ROOT).replace('_', '-')
@@ -151,7 +151,7 @@
         }
         JsonNode whole = new YAMLMapper().readTree(script.toFile());
         startEngines(whole);
-        tape = new Tape(out.resolve("clients.tape"));
+        tape = new ObservationLog(out.resolve("clients.tape"));
         for (int i = 0; i < plan.routers(); i++) {
             String name = "r" + (i + 1);
             halls.put(name, plan.halls().get(i % plan.halls().size()));
@@ -177,7 +177,7 @@
         String address = "http://127.0.0.1:" + ports.get("r1");
         progress.println("running: " + plan.fleet().engines().size() + " engines, " + plan.routers()
                 + " routers; while it runs, try");
-        DayPlan.Flow flow = plan.flows().get(0);
+        ScenarioPlan.Flow flow = plan.flows().get(0);
         progress.println("  curl -i " + address + "/v2/models/" + flow.prefix() + "0/infer -H 'pearladder-category: "
                 + flow.category() + "'"
                 + (flow.account().isEmpty() ? "" : " -H 'pearladder-account: " + flow.account() + "'")
@@ -230,8 +230,8 @@
                 file.toString(),
                 "--tape",
                 out.resolve("engines.tape").toString());
-        listPort = Processes.number(line, "list");
-        controlPort = Processes.number(line, "control");
+        listPort = ChildProcesses.number(line, "list");
+        controlPort = ChildProcesses.number(line, "control");
     }
 
     private void writeRouter(JsonNode whole, String name, int number) throws IOException {
@@ -256,8 +256,8 @@
                 List.of("router", "-c", out.resolve(name + ".yaml").toString(), "--log", "JSON"));
         words.addAll(routerWords);
         String line = processes.start(name, words.toArray(String[]::new));
-        int port = Processes.number(line, "port");
-        doors.put(name, Processes.number(line, "admin"));
+        int port = ChildProcesses.number(line, "port");
+        doors.put(name, ChildProcesses.number(line, "admin"));
         boolean first = ports.put(name, port) == 0;
         if (first) {
             Path file = out.resolve(name + ".yaml");
@@ -267,7 +267,7 @@
         }
         for (int i = 0; i < 1500; i++) {
             if (status(port) == 200) {
-                tape.accept(seen(Seen.STARTED, name, ""));
+                tape.accept(seen(Observation.STARTED, name, ""));
                 return;
             }
             pause(20);
@@ -323,20 +323,20 @@
         }
     }
 
-    private static Seen seen(String what, String router, String note) {
-        return new Seen(System.nanoTime(), what, router, "", 0, "", "", note, 0);
+    private static Observation seen(String what, String router, String note) {
+        return new Observation(System.nanoTime(), what, router, "", 0, "", "", note, 0);
     }
 
     private void traffic() throws InterruptedException {
-        Troubles troubles = new Troubles(plan, new World());
-        Feed feed = new Feed(
-                trace != null ? trace : new Traffic(plan), plan.clients().lanes());
+        FaultInjector troubles = new FaultInjector(plan, new World());
+        RequestFeed feed = new RequestFeed(
+                trace != null ? trace : new SyntheticWorkload(plan), plan.clients().lanes());
         CountDownLatch warm = new CountDownLatch(plan.clients().lanes());
         CountDownLatch done = new CountDownLatch(plan.clients().lanes());
-        for (Feed.Lane lane : feed.lanes()) {
+        for (RequestFeed.Lane lane : feed.lanes()) {
             Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
-            HttpWire wire = new HttpWire(vertx);
-            clients.add(new Clients(new VertxTimeline(vertx), wire, plan, loops.size(), lane, front, books, tape));
+            HttpClientDriver wire = new HttpClientDriver(vertx);
+            clients.add(new LoadGenerator(new VertxTimeline(vertx), wire, plan, loops.size(), lane, front, books, tape));
             loops.add(vertx);
             vertx.runOnContext(run -> {
                 wire.watch(tape);
@@ -346,7 +346,7 @@
         warm.await();
         begun = System.nanoTime() + 200_000_000L;
         for (int i = 0; i < loops.size(); i++) {
-            Clients some = clients.get(i);
+            LoadGenerator some = clients.get(i);
             loops.get(i).runOnContext(run -> some.play(begun, done::countDown));
         }
         loops.get(0).setPeriodic(200, tick -> tape.flush());
@@ -379,7 +379,7 @@
                 vertx -> vertx.close().toCompletionStage().toCompletableFuture().join());
     }
 
-    private final class World implements Troubles.World {
+    private final class World implements FaultInjector.World {
         @Override
         public List<String> engines(String hall) {
             List<String> up = new ArrayList<>();
@@ -427,7 +427,7 @@
 
         @Override
         public void killRouter(String router) {
-            tape.accept(seen(Seen.KILLED, router, ""));
+            tape.accept(seen(Observation.KILLED, router, ""));
             processes.kill(router);
             doors.remove(router);
             front.died(router, System.nanoTime());
@@ -438,7 +438,7 @@
         public void startRouter(String router) {
             starters.execute(() -> {
                 try {
-                    Day.this.startRouter(router);
+                    Scenario.this.startRouter(router);
                     front.back(router);
                 } catch (IOException failed) {
                     faults.add(failed.getMessage());
@@ -447,14 +447,14 @@
         }
 
         @Override
-        public void toRouters(DayPlan.Kind what, List<String> routers, double figure) {
+        public void toRouters(ScenarioPlan.Kind what, List<String> routers, double figure) {
             throw new IllegalStateException(what + " is only rehearsed");
         }
 
         @Override
         public void heedless(boolean on) {
             for (int i = 0; i < clients.size(); i++) {
-                Clients some = clients.get(i);
+                LoadGenerator some = clients.get(i);
                 loops.get(i).runOnContext(run -> some.heedless(on));
             }
         }
@@ -469,21 +469,21 @@
 
         @Override
         public void say(String what) {
-            tape.accept(seen(Seen.TROUBLE, "", what));
+            tape.accept(seen(Observation.TROUBLE, "", what));
             progress.println(String.format(Locale.ROOT, "  %4.0f s: %s", (System.nanoTime() - begun) / 1e9, what));
         }
     }
 
     private Outcome judge() throws IOException {
-        List<Seen> all = new ArrayList<>();
+        List<Observation> all = new ArrayList<>();
         for (String name : List.of("engines.tape", "clients.tape")) {
-            int torn = Tape.read(out.resolve(name), all::add);
+            int torn = ObservationLog.read(out.resolve(name), all::add);
             if (torn > 1) {
                 faults.add(name + " has " + torn + " lines that can't be read");
             }
         }
         Map<String, String> places = plan.places();
-        RulesChecker.Verdict verdict = new RulesChecker(plan.rules(), plan.slack(), places).check(all);
+        InvariantChecker.Verdict verdict = new InvariantChecker(plan.rules(), plan.slack(), places).check(all);
         List<String> lines = new ArrayList<>(books.table());
         lines.addAll(VersionShares.lines(all, begun, plan.releases()));
         lines.add(Results.fetched(plan, all, begun));
--- a/lab/src/main/java/pearladder/lab/DayPlan.java
+++ b/lab/src/main/java/pearladder/lab/ScenarioPlan.java
@@ -15,7 +15,7 @@
  * @param halls in the order of the routers: router i stands in hall i modulo their number
  * @param slack how late an answer or a send may be seen before it counts: for sockets and pauses of the machine
  */
-public record DayPlan(
+public record ScenarioPlan(
         String name,
         long lasting,
         long seed,
@@ -27,7 +27,7 @@
         List<Flow> flows,
         List<Trouble> troubles,
         List<ReleaseScript.Order> releases,
-        Rulebook rules,
+        InvariantSettings rules,
         FleetPlan fleet,
         Network network,
         Expected expected,
@@ -133,7 +133,7 @@
      */
     public record Expected(double credit, double worst) {
         /** What did not hold, in words. */
-        public List<String> missed(Books books) {
+        public List<String> missed(LoadStatistics books) {
             List<String> missed = new ArrayList<>();
             if (books.credit() < credit) {
                 missed.add(String.format(
@@ -164,15 +164,15 @@
     public record Trouble(long at, long lasting, Kind what, double share, double times, double part, String hall) {}
 
     /** Reads a script; throws {@link pearladder.yaml.ConfigErrors.Found} with every mistake in it. */
-    public static DayPlan read(Path file) {
+    public static ScenarioPlan read(Path file) {
         return read(YamlParser.read(file));
     }
 
     /** The same of what was read already. */
-    public static DayPlan read(ConfigValue file) {
+    public static ScenarioPlan read(ConfigValue file) {
         ConfigValue day = file.at("day");
         ConfigValue clients = file.at("clients");
-        Rulebook rules = Rulebook.read(file.at("router"));
+        InvariantSettings rules = InvariantSettings.read(file.at("router"));
         long lasting = day.at("lasting").span();
         List<String> halls = day.at("halls").each(ConfigValue::text);
         if (halls.isEmpty()) {
@@ -192,7 +192,7 @@
             file.at("fleet")
                     .wrong("cuts, resets and slow handshakes need cables", "write \"cables: true\" in the fleet");
         }
-        DayPlan plan = new DayPlan(
+        ScenarioPlan plan = new ScenarioPlan(
                 day.at("name").text("day"),
                 lasting,
                 day.at("seed").whole(1, 0, Integer.MAX_VALUE),
@@ -228,7 +228,7 @@
         return plan;
     }
 
-    private static Flow flow(ConfigValue flow, Rulebook rules) {
+    private static Flow flow(ConfigValue flow, InvariantSettings rules) {
         String category = flow.at("category").text();
         if (!rules.categories().containsKey(category)) {
             flow.at("category")
--- a/lab/src/main/java/pearladder/lab/Scripts.java
+++ b/lab/src/main/java/pearladder/lab/Scripts.java
@@ -11,7 +11,7 @@
 
     /** Only reads a script; throws {@link pearladder.yaml.Mistakes.Found} with every mistake in it. */
     public static void check(Path file) {
-        DayPlan.read(file);
+        ScenarioPlan.read(file);
     }
 
     /**
--- a/lab/src/main/java/pearladder/lab/TraceSource.java
+++ b/lab/src/main/java/pearladder/lab/TraceWorkload.java
@@ -9,9 +9,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import pearladder.traces.Companions;
+import pearladder.traces.DurationTables;
 import pearladder.traces.Layout;
-import pearladder.traces.Skipped;
+import pearladder.traces.SkippedRows;
 import pearladder.traces.TraceCall;
 import pearladder.traces.TraceFile;
 import pearladder.traces.TraceInfo;
@@ -20,7 +20,7 @@
  * A trace's calls on a day: read on a thread of its own into a bounded queue, so that the file's size does not matter.
  * The sequence and its digest depend on the file and the script alone; the speed only moves the moments.
  */
-public final class TraceSource implements Source, AutoCloseable {
+public final class TraceWorkload implements RequestSource, AutoCloseable {
     /**
      * How a file is replayed.
      *
@@ -72,21 +72,21 @@
     private static final TraceCall END = new TraceCall(0, "", 0, 0, "", "", -1);
 
     private final Terms terms;
-    private final DayPlan plan;
+    private final ScenarioPlan plan;
     private final Path out;
     private final BlockingQueue<TraceCall> queue = new ArrayBlockingQueue<>(QUEUE);
     private final SplittableRandom chance;
     private final TraceInfo info = new TraceInfo();
     private final Thread reader;
     private volatile IOException failure;
-    private volatile Skipped skipped;
+    private volatile SkippedRows skipped;
     private volatile TraceFile.Read read;
     private long first;
     private long number;
     private long cut;
 
     /** @param out folder for the rows that were left out */
-    public TraceSource(Terms terms, DayPlan plan, Path out) {
+    public TraceWorkload(Terms terms, ScenarioPlan plan, Path out) {
         this.terms = terms;
         this.plan = plan;
         this.out = out;
@@ -100,18 +100,18 @@
         try {
             Files.createDirectories(out);
             try (PrintWriter rows = new PrintWriter(Files.newBufferedWriter(out.resolve("skipped.txt")))) {
-                skipped = new Skipped(terms.strict(), rows::println);
+                skipped = new SkippedRows(terms.strict(), rows::println);
                 read = TraceFile.read(
                         terms.file(),
                         terms.layout(),
-                        Companions.read(terms.durations(), terms.memory(), skipped),
+                        DurationTables.read(terms.durations(), terms.memory(), skipped),
                         terms.window(),
                         skipped,
                         this::offer);
             }
         } catch (IOException broken) {
             failure = broken;
-        } catch (Skipped.Strict strict) {
+        } catch (SkippedRows.Strict strict) {
             failure = new IOException(terms.file() + ": " + strict.getMessage() + " (--strict)", strict);
         } catch (IllegalStateException ended) {
             return;
@@ -147,7 +147,7 @@
         info.accept(call);
         long work = call.work() == 0 ? terms.usualWork() : Math.round(call.work() * terms.workScale());
         cut += work > terms.longestWork() ? 1 : 0;
-        DayPlan.Flow flow = flow(call);
+        ScenarioPlan.Flow flow = flow(call);
         double patience = plan.clients().patience() + (1 - plan.clients().patience()) * chance.nextDouble();
         String hall = plan.halls().get(chance.nextInt(plan.halls().size()));
         return new Drawn(
@@ -162,17 +162,17 @@
     }
 
     /** A model's calls belong to the flow that the row names, or to one drawn by the model's name by the flows' shares. */
-    private DayPlan.Flow flow(TraceCall call) {
-        List<DayPlan.Flow> flows = plan.flows().stream()
+    private ScenarioPlan.Flow flow(TraceCall call) {
+        List<ScenarioPlan.Flow> flows = plan.flows().stream()
                 .filter(flow -> flow.category().equals(call.category())
                         && (call.account().isEmpty() || flow.account().equals(call.account())))
                 .toList();
-        List<DayPlan.Flow> from = flows.isEmpty() ? plan.flows() : flows;
-        double sum = from.stream().mapToDouble(DayPlan.Flow::share).sum();
+        List<ScenarioPlan.Flow> from = flows.isEmpty() ? plan.flows() : flows;
+        double sum = from.stream().mapToDouble(ScenarioPlan.Flow::share).sum();
         java.util.zip.CRC32 crc = new java.util.zip.CRC32();
         crc.update(call.model().getBytes(java.nio.charset.StandardCharsets.UTF_8));
         double drawn = crc.getValue() / 4294967296.0 * sum;
-        for (DayPlan.Flow flow : from) {
+        for (ScenarioPlan.Flow flow : from) {
             drawn -= flow.share();
             if (drawn < 0) {
                 return flow;
--- a/lab/src/main/java/pearladder/lab/VersionShares.java
+++ b/lab/src/main/java/pearladder/lab/VersionShares.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 
 /**
  * What the clients saw of releases: the share of the new version's answers in each ten seconds, and how long after the order
@@ -20,7 +20,7 @@
     private VersionShares() {}
 
     /** The lines of a day's table. */
-    public static List<String> lines(List<Seen> tape, long begun, List<ReleaseScript.Order> orders) {
+    public static List<String> lines(List<Observation> tape, long begun, List<ReleaseScript.Order> orders) {
         List<String> lines = new ArrayList<>();
         Map<String, Set<String>> byVersion = new TreeMap<>();
         for (ReleaseScript.Order order : orders) {
@@ -34,10 +34,10 @@
         byVersion.forEach((name, models) -> {
             String version = name.substring(name.lastIndexOf('@') + 1);
             TreeMap<Long, long[]> windows = new TreeMap<>();
-            for (Seen seen : tape) {
+            for (Observation seen : tape) {
                 int at = seen.model().lastIndexOf('@');
                 String model = at < 0 ? seen.model() : seen.model().substring(0, at);
-                if (seen.what().equals(Seen.ANSWERED)
+                if (seen.what().equals(Observation.ANSWERED)
                         && seen.note().equals("settled")
                         && models.contains(model)
                         && seen.at() >= begun) {
@@ -60,7 +60,7 @@
     private record Sent(long at, String router) {}
 
     /** For each rollback and router, the span from the order to the last new call that went to the version taken back. */
-    private static List<String> restored(List<Seen> tape, List<ReleaseScript.Order> orders) {
+    private static List<String> restored(List<Observation> tape, List<ReleaseScript.Order> orders) {
         Map<String, Sent> sent = new HashMap<>();
         Map<String, String> to = new HashMap<>();
         orders.stream().filter(order -> order.plan() != null).forEach(order -> order.models()
@@ -68,11 +68,11 @@
         // for each model, moments of its orders: true for a rollback
         Map<String, TreeMap<Long, Boolean>> ordered = new HashMap<>();
         Set<String> routers = new HashSet<>();
-        for (Seen seen : tape) {
-            if (seen.what().equals(Seen.SENT)) {
+        for (Observation seen : tape) {
+            if (seen.what().equals(Observation.SENT)) {
                 sent.put(seen.call(), new Sent(seen.at(), seen.router()));
                 routers.add(seen.router());
-            } else if (seen.what().equals(Seen.TROUBLE) && seen.note().startsWith("order ")) {
+            } else if (seen.what().equals(Observation.TROUBLE) && seen.note().startsWith("order ")) {
                 String[] words = seen.note().split(" ");
                 for (int i = 0; i < Integer.parseInt(words[4]); i++) {
                     ordered.computeIfAbsent(words[2] + i, model -> new TreeMap<>())
@@ -86,10 +86,10 @@
                 routers.forEach(router -> last.put(model + "\n" + at + "\n" + router, at));
             }
         }));
-        for (Seen seen : tape) {
+        for (Observation seen : tape) {
             int mark = seen.model().lastIndexOf('@');
             Sent from = sent.get(seen.call());
-            if (!seen.what().equals(Seen.ANSWERED) || mark < 0 || from == null) {
+            if (!seen.what().equals(Observation.ANSWERED) || mark < 0 || from == null) {
                 continue;
             }
             String model = seen.model().substring(0, mark);
--- a/lab/src/main/java/pearladder/traces/Companions.java
+++ b/lab/src/main/java/pearladder/traces/DurationTables.java
@@ -14,17 +14,17 @@
  * The two files published beside the invocations of Azure Functions 2019: mean duration by function ("Average", in
  * milliseconds) and mean memory by app ("AverageAllocatedMb").
  */
-public record Companions(Map<String, Double> durations, Map<String, Double> memory) {
-    public static final Companions NONE = new Companions(Map.of(), Map.of());
+public record DurationTables(Map<String, Double> durations, Map<String, Double> memory) {
+    public static final DurationTables NONE = new DurationTables(Map.of(), Map.of());
 
     /** Reads the files that are given; either may be null. */
-    public static Companions read(Path durations, Path memory, Skipped skipped) throws IOException {
-        return new Companions(
+    public static DurationTables read(Path durations, Path memory, SkippedRows skipped) throws IOException {
+        return new DurationTables(
                 durations == null ? Map.of() : column(durations, "HashFunction", "Average", skipped),
                 memory == null ? Map.of() : column(memory, "HashApp", "AverageAllocatedMb", skipped));
     }
 
-    private static Map<String, Double> column(Path file, String key, String value, Skipped skipped) throws IOException {
+    private static Map<String, Double> column(Path file, String key, String value, SkippedRows skipped) throws IOException {
         Map<String, Double> figures = new HashMap<>();
         CSVFormat format = CSVFormat.DEFAULT
                 .builder()
--- a/lab/src/main/java/pearladder/traces/MinuteBook.java
+++ b/lab/src/main/java/pearladder/traces/MinuteCounts.java
@@ -11,7 +11,7 @@
  * hundred megabytes at the most. Given out minute by minute; within a minute a function's calls are spread evenly, from a
  * phase of the function's own, so that functions of one count a minute don't all come at its start.
  */
-final class MinuteBook {
+final class MinuteCounts {
     private static final long MINUTE = 60_000_000_000L;
 
     private record Line(
@@ -30,7 +30,7 @@
     private int last = -1;
 
     /** @param durations mean milliseconds by function; @param memory mean MB by app; either may be empty */
-    MinuteBook(Map<String, Double> durations, Map<String, Double> memory) {
+    MinuteCounts(Map<String, Double> durations, Map<String, Double> memory) {
         this.durations = durations;
         this.memory = memory;
     }
--- a/lab/src/main/java/pearladder/traces/InOrder.java
+++ b/lab/src/main/java/pearladder/traces/ReorderBuffer.java
@@ -7,7 +7,7 @@
  * Puts calls in the order of their arrival, as far as a window of time and a bound on calls held let it: a call that
  * comes later than the window is left out and named. Calls of the same moment keep the order of their lines.
  */
-final class InOrder implements Consumer<TraceCall> {
+final class ReorderBuffer implements Consumer<TraceCall> {
     private record Held(TraceCall call, long number) implements Comparable<Held> {
         @Override
         public int compareTo(Held other) {
@@ -18,7 +18,7 @@
 
     private final long window;
     private final int most;
-    private final Skipped skipped;
+    private final SkippedRows skipped;
     private final Consumer<TraceCall> out;
     private final PriorityQueue<Held> held = new PriorityQueue<>();
     private long numbered;
@@ -27,7 +27,7 @@
     private long moved;
 
     /** @param window nanoseconds, or Long.MAX_VALUE to hold all; @param most calls held at once */
-    InOrder(long window, int most, Skipped skipped, Consumer<TraceCall> out) {
+    ReorderBuffer(long window, int most, SkippedRows skipped, Consumer<TraceCall> out) {
         this.window = window;
         this.most = most;
         this.skipped = skipped;
--- a/lab/src/main/java/pearladder/traces/RowReader.java
+++ b/lab/src/main/java/pearladder/traces/RowReader.java
@@ -31,11 +31,11 @@
     }
 
     private final Layout layout;
-    private final Skipped skipped;
-    private final MinuteBook minutes;
+    private final SkippedRows skipped;
+    private final MinuteCounts minutes;
     private final Consumer<TraceCall> out;
 
-    RowReader(Layout layout, Skipped skipped, MinuteBook minutes, Consumer<TraceCall> out) {
+    RowReader(Layout layout, SkippedRows skipped, MinuteCounts minutes, Consumer<TraceCall> out) {
         this.minutes = minutes;
         this.layout = layout;
         this.skipped = skipped;
--- a/lab/src/main/java/pearladder/traces/Skipped.java
+++ b/lab/src/main/java/pearladder/traces/SkippedRows.java
@@ -5,7 +5,7 @@
 import java.util.function.Consumer;
 
 /** Rows that became no call: each is named to a listener, and counted by reason. */
-public final class Skipped {
+public final class SkippedRows {
     /** One row that was left out. */
     public record Row(long line, String column, String reason) {
         @Override
@@ -29,7 +29,7 @@
     private long count;
 
     /** @param named gets every row as it is met */
-    public Skipped(boolean strict, Consumer<Row> named) {
+    public SkippedRows(boolean strict, Consumer<Row> named) {
         this.strict = strict;
         this.named = named;
     }
--- a/lab/src/main/java/pearladder/traces/TraceFile.java
+++ b/lab/src/main/java/pearladder/traces/TraceFile.java
@@ -45,11 +45,11 @@
      * Reads a file from its beginning to its end.
      *
      * @param layout null to tell it from the first line
-     * @param companions beside counts by minute; {@link Companions#NONE} for other layouts
+     * @param companions beside counts by minute; {@link DurationTables#NONE} for other layouts
      * @param windowNanos how far out of order a row may be and still be put right
      */
     public static Read read(
-            Path file, Layout layout, Companions companions, long windowNanos, Skipped skipped, Consumer<TraceCall> out)
+            Path file, Layout layout, DurationTables companions, long windowNanos, SkippedRows skipped, Consumer<TraceCall> out)
             throws IOException {
         try (BufferedReader reader = open(file);
                 CSVParser parser = CSVFormat.DEFAULT
@@ -97,17 +97,17 @@
             Iterator<CSVRecord> rows,
             CSVRecord first,
             Layout layout,
-            Companions companions,
+            DurationTables companions,
             long window,
-            Skipped skipped,
+            SkippedRows skipped,
             Consumer<TraceCall> out) {
         long[] counts = new long[2];
         Consumer<TraceCall> counted = call -> {
             counts[1]++;
             out.accept(call);
         };
-        InOrder order = new InOrder(window, HELD, skipped, counted);
-        MinuteBook minutes = new MinuteBook(companions.durations(), companions.memory());
+        ReorderBuffer order = new ReorderBuffer(window, HELD, skipped, counted);
+        MinuteCounts minutes = new MinuteCounts(companions.durations(), companions.memory());
         RowReader reader = new RowReader(layout, skipped, minutes, order);
         if (first != null) {
             counts[0]++;
--- a/lab/src/main/java/pearladder/traces/TraceInfo.java
+++ b/lab/src/main/java/pearladder/traces/TraceInfo.java
@@ -61,7 +61,7 @@
     }
 
     /** The lines that "trace info" prints. */
-    public List<String> lines(TraceFile.Read read, Skipped skipped) {
+    public List<String> lines(TraceFile.Read read, SkippedRows skipped) {
         List<String> lines = new ArrayList<>();
         double span = (last - first) / 1e9;
         lines.add(String.format(
--- a/lab/src/test/java/pearladder/lab/DayPlanTest.java
+++ b/lab/src/test/java/pearladder/lab/DayPlanTest.java
@@ -12,8 +12,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.emulator.Seen;
-import pearladder.emulator.Tape;
+import pearladder.emulator.Observation;
+import pearladder.emulator.ObservationLog;
 import pearladder.yaml.ConfigErrors;
 import pearladder.yaml.YamlParser;
 
@@ -38,14 +38,14 @@
               engines: [{name: engine, count: 4, kind: std, halls: [east, west]}]
             """;
 
-    private static DayPlan plan(int seed) {
-        return DayPlan.read(YamlParser.read("d.yaml", DAY.formatted(seed)));
+    private static ScenarioPlan plan(int seed) {
+        return ScenarioPlan.read(YamlParser.read("d.yaml", DAY.formatted(seed)));
     }
 
-    private static List<Source.Drawn> all(DayPlan plan) {
-        Traffic traffic = new Traffic(plan);
-        List<Source.Drawn> drawn = new ArrayList<>();
-        Source.Drawn next;
+    private static List<RequestSource.Drawn> all(ScenarioPlan plan) {
+        SyntheticWorkload traffic = new SyntheticWorkload(plan);
+        List<RequestSource.Drawn> drawn = new ArrayList<>();
+        RequestSource.Drawn next;
         while ((next = traffic.next()) != null) {
             drawn.add(next);
         }
@@ -60,7 +60,7 @@
 
     @Test
     void trafficFollowsTheScript() {
-        List<Source.Drawn> drawn = all(plan(1));
+        List<RequestSource.Drawn> drawn = all(plan(1));
         long before = drawn.stream().filter(c -> c.due() < 2_000_000_000L).count();
         long burst = drawn.stream()
                 .filter(c -> c.due() >= 2_000_000_000L && c.due() < 6_000_000_000L)
@@ -72,7 +72,7 @@
         assertEquals(
                 once,
                 drawn.stream()
-                        .map(Source.Drawn::model)
+                        .map(RequestSource.Drawn::model)
                         .filter(m -> m.contains("once-"))
                         .distinct()
                         .count());
@@ -83,7 +83,7 @@
     @Test
     void troublesComeInTheirOrderAndEnd() {
         List<String> done = new ArrayList<>();
-        Troubles troubles = new Troubles(plan(1), new Troubles.World() {
+        FaultInjector troubles = new FaultInjector(plan(1), new FaultInjector.World() {
             @Override
             public List<String> engines(String hall) {
                 return hall.isEmpty() ? List.of("e0", "e1", "e2", "e3") : List.of("e1", "e3");
@@ -100,7 +100,7 @@
             }
 
             @Override
-            public void toRouters(DayPlan.Kind what, List<String> routers, double figure) {
+            public void toRouters(ScenarioPlan.Kind what, List<String> routers, double figure) {
                 throw new AssertionError(what);
             }
 
@@ -139,7 +139,7 @@
 
     @Test
     void theRateGoesUpAndDownAndThePopularityMovesOn() {
-        DayPlan plan = DayPlan.read(
+        ScenarioPlan plan = ScenarioPlan.read(
                 YamlParser.read(
                         "d.yaml",
                         """
@@ -151,13 +151,13 @@
                   models: [{name: "m-*", memory: 1 MB, load: 1 s, fetch_share: 0.7}]
                   engines: [{name: e, count: 1, kind: std}]
                 """));
-        List<Source.Drawn> drawn = all(plan);
+        List<RequestSource.Drawn> drawn = all(plan);
         long high = drawn.stream().filter(call -> call.due() < 20_000_000_000L).count();
         assertTrue(high > 2.2 * (drawn.size() - high), high + " of " + drawn.size() + " in the first half");
         for (int i = 0; i < 4; i++) {
             String hot = "m-" + i;
             long from = i * 10_000_000_000L;
-            List<Source.Drawn> now = drawn.stream()
+            List<RequestSource.Drawn> now = drawn.stream()
                     .filter(call -> call.due() >= from && call.due() < from + 10_000_000_000L)
                     .toList();
             assertTrue(now.stream().filter(call -> call.model().equals(hot)).count() > 0.8 * now.size(), hot);
@@ -173,7 +173,7 @@
                 .replace("hall: west", "hall: north")
                 .replace("at: 14 s", "at: 19 s")
                 .replace("category: draft, share: 0.3", "category: post, share: 0.3");
-        List<String> lines = assertThrows(ConfigErrors.Found.class, () -> DayPlan.read(YamlParser.read("d.yaml", wrong)))
+        List<String> lines = assertThrows(ConfigErrors.Found.class, () -> ScenarioPlan.read(YamlParser.read("d.yaml", wrong)))
                 .getMessage()
                 .lines()
                 .toList();
@@ -186,7 +186,7 @@
 
     @Test
     void theFrontFeedsADeadRouterForAWhileAndThenItsNeighbours() {
-        Front front = new Front(1000);
+        ClientLoadBalancer front = new ClientLoadBalancer(1000);
         front.add("r1", "east", 1);
         front.add("r2", "west", 2);
         assertEquals("r1", front.next("east", 0).router());
@@ -208,19 +208,19 @@
     @Test
     void aTapeIsReadAsItWasWrittenAndATornLastLineIsCounted(@TempDir Path folder) throws IOException {
         Path file = folder.resolve("t.tape");
-        List<Seen> lines = List.of(
-                new Seen(5, Seen.SENT, "r", "c\"1", 0, "", "m", "draft", 2.5),
-                new Seen(7, Seen.ARRIVED, "r", "c", 2, "e", "m", "", 0));
-        try (Tape tape = new Tape(file)) {
+        List<Observation> lines = List.of(
+                new Observation(5, Observation.SENT, "r", "c\"1", 0, "", "m", "draft", 2.5),
+                new Observation(7, Observation.ARRIVED, "r", "c", 2, "e", "m", "", 0));
+        try (ObservationLog tape = new ObservationLog(file)) {
             lines.forEach(tape);
         }
-        List<Seen> read = new ArrayList<>();
-        assertEquals(0, Tape.read(file, read::add));
+        List<Observation> read = new ArrayList<>();
+        assertEquals(0, ObservationLog.read(file, read::add));
         assertEquals(lines, read);
         String text = Files.readString(file);
         Files.writeString(file, text.substring(0, text.length() - 9));
         read.clear();
-        assertEquals(1, Tape.read(file, read::add));
+        assertEquals(1, ObservationLog.read(file, read::add));
         assertEquals(lines.subList(0, 1), read);
     }
 }
--- a/lab/src/test/java/pearladder/lab/FeedTest.java
+++ b/lab/src/test/java/pearladder/lab/FeedTest.java
@@ -9,9 +9,9 @@
 import org.junit.jupiter.api.Test;
 
 class FeedTest {
-    private static Source counting(int calls) {
+    private static RequestSource counting(int calls) {
         long[] made = {0};
-        return () -> made[0] == calls ? null : new Source.Drawn(made[0] * 10, made[0]++, "draft", "", "m", "", 1, 1);
+        return () -> made[0] == calls ? null : new RequestSource.Drawn(made[0] * 10, made[0]++, "draft", "", "m", "", 1, 1);
     }
 
     @Test
@@ -19,12 +19,12 @@
         for (int seed = 0; seed < 20; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
             int lanes = 1 + random.nextInt(5);
-            Feed feed = new Feed(counting(200), lanes);
+            RequestFeed feed = new RequestFeed(counting(200), lanes);
             List<List<Long>> got = new ArrayList<>();
             feed.lanes().forEach(lane -> got.add(new ArrayList<>()));
             for (int i = 0; i < 3000; i++) {
                 int lane = random.nextInt(lanes);
-                Source.Drawn drawn = feed.lanes().get(lane).next();
+                RequestSource.Drawn drawn = feed.lanes().get(lane).next();
                 if (drawn != null) {
                     got.get(lane).add(drawn.number());
                 }
--- a/lab/src/test/java/pearladder/lab/ReportTest.java
+++ b/lab/src/test/java/pearladder/lab/ReportTest.java
@@ -14,7 +14,7 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 import pearladder.yaml.ConfigErrors;
 import pearladder.yaml.YamlParser;
 
@@ -22,7 +22,7 @@
     private static final long S = 1_000_000_000L;
 
     private static ObjectNode results(long seed) {
-        DayPlan plan = DayPlan.read(YamlParser.read(
+        ScenarioPlan plan = ScenarioPlan.read(YamlParser.read(
                 "d.yaml",
                 """
                 day: {name: "a <day>", lasting: 30 s, seed: %d, halls: [east], rate: 5}
@@ -32,19 +32,19 @@
                 """
                         .formatted(seed)));
         CategoryTerms draft = plan.rules().categories().get("draft");
-        Books books = new Books();
-        books.ended(draft, "", 1 * S, S / 10, Books.End.SETTLED);
-        books.ended(draft, "", 2 * S, 2 * S, Books.End.LATE);
-        books.ended(draft, "", 12 * S, 0, Books.End.DISMISSED);
-        books.ended(draft, "", 13 * S, S / 5, Books.End.SETTLED);
-        Map<RulesChecker.Rule, Long> looked = new EnumMap<>(RulesChecker.Rule.class);
-        looked.put(RulesChecker.Rule.ONE_ANSWER, 4L);
-        List<Seen> tape = List.of(
-                new Seen(7 * S, Seen.TROUBLE, "", "", 0, "", "", "slow e-0", 0),
-                new Seen(8 * S, Seen.ARRIVED, "r", "c", 0, "e-0", "m", "", 0),
-                new Seen(17 * S, Seen.ORDERED, "r", "", 0, "e-0", "m", "", 1));
+        LoadStatistics books = new LoadStatistics();
+        books.ended(draft, "", 1 * S, S / 10, LoadStatistics.End.SETTLED);
+        books.ended(draft, "", 2 * S, 2 * S, LoadStatistics.End.LATE);
+        books.ended(draft, "", 12 * S, 0, LoadStatistics.End.DISMISSED);
+        books.ended(draft, "", 13 * S, S / 5, LoadStatistics.End.SETTLED);
+        Map<InvariantChecker.Rule, Long> looked = new EnumMap<>(InvariantChecker.Rule.class);
+        looked.put(InvariantChecker.Rule.ONE_ANSWER, 4L);
+        List<Observation> tape = List.of(
+                new Observation(7 * S, Observation.TROUBLE, "", "", 0, "", "", "slow e-0", 0),
+                new Observation(8 * S, Observation.ARRIVED, "r", "c", 0, "e-0", "m", "", 0),
+                new Observation(17 * S, Observation.ORDERED, "r", "", 0, "e-0", "m", "", 1));
         return Results.of(
-                plan, books, new RulesChecker.Verdict(List.of(), looked), List.of(), tape, 5 * S, List.of("a <row>"));
+                plan, books, new InvariantChecker.Verdict(List.of(), looked), List.of(), tape, 5 * S, List.of("a <row>"));
     }
 
     @Test
--- a/lab/src/test/java/pearladder/lab/RulesCheckerTest.java
+++ b/lab/src/test/java/pearladder/lab/RulesCheckerTest.java
@@ -7,24 +7,24 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 import pearladder.lab.CategoryTerms.Effect;
 import pearladder.lab.CategoryTerms.Group;
-import pearladder.lab.RulesChecker.Rule;
+import pearladder.lab.InvariantChecker.Rule;
 
 /** The checker itself: a tape that keeps the rules passes, and each way of breaking one is found and named. */
 class RulesCheckerTest {
     private static final long MS = 1_000_000;
     private static final Map<String, String> PLACES = Map.of("e1", "east/1", "e2", "east/2", "e3", "west/10001");
 
-    private final List<Seen> tape = new ArrayList<>();
+    private final List<Observation> tape = new ArrayList<>();
 
     private static CategoryTerms terms(String name, Effect effect, Group group) {
         return new CategoryTerms(name, effect, group, 1000 * MS, 3000 * MS, 8000 * MS, 1, 0);
     }
 
-    private static Rulebook rules(double free, double share) {
-        return new Rulebook(
+    private static InvariantSettings rules(double free, double share) {
+        return new InvariantSettings(
                 Map.of(
                         "draft",
                         terms("draft", Effect.RETRIABLE, Group.ALL),
@@ -44,33 +44,33 @@
     }
 
     private void add(long ms, String what, String call, int leg, String engine, String note, double figure) {
-        tape.add(new Seen(ms * MS, what, "r1", call, leg, engine, "m", note, figure));
+        tape.add(new Observation(ms * MS, what, "r1", call, leg, engine, "m", note, figure));
     }
 
     private void sent(long ms, String call, String category, long patience) {
-        add(ms, Seen.SENT, call, 0, "", category, patience * MS);
+        add(ms, Observation.SENT, call, 0, "", category, patience * MS);
     }
 
     private void ran(long ms, String call, int leg, String engine, String mark) {
-        add(ms, Seen.ARRIVED, call, leg, engine, mark, 0);
-        add(ms + 1, Seen.RAN, call, leg, engine, "", 0);
+        add(ms, Observation.ARRIVED, call, leg, engine, mark, 0);
+        add(ms + 1, Observation.RAN, call, leg, engine, "", 0);
     }
 
     private void refused(long ms, String call, int leg, String engine) {
-        add(ms, Seen.ARRIVED, call, leg, engine, "", 0);
-        add(ms, Seen.REFUSED, call, leg, engine, "FULL", 0);
+        add(ms, Observation.ARRIVED, call, leg, engine, "", 0);
+        add(ms, Observation.REFUSED, call, leg, engine, "FULL", 0);
     }
 
     private void answered(long ms, String call, String state) {
-        add(ms, Seen.ANSWERED, call, 0, "", state, 0);
+        add(ms, Observation.ANSWERED, call, 0, "", state, 0);
     }
 
-    private RulesChecker.Verdict check() {
-        return new RulesChecker(rules(0, 0), 100 * MS, PLACES).check(tape);
+    private InvariantChecker.Verdict check() {
+        return new InvariantChecker(rules(0, 0), 100 * MS, PLACES).check(tape);
     }
 
     private void broken(Rule rule, String words) {
-        List<RulesChecker.Breach> breaches = check().breaches();
+        List<InvariantChecker.Breach> breaches = check().breaches();
         assertEquals(1, breaches.size(), breaches.toString());
         assertEquals(rule, breaches.get(0).rule());
         assertTrue(breaches.get(0).what().contains(words), breaches.get(0).what());
@@ -84,10 +84,10 @@
         answered(40, "c1", "settled");
         sent(50, "c2", "commit", 3000);
         ran(55, "c2", 0, "e1", "k");
-        add(60, Seen.ARRIVED, "c2", 1, "e3", "k", 0);
-        add(60, Seen.DROPPED, "c2", 1, "e3", "k", 0);
+        add(60, Observation.ARRIVED, "c2", 1, "e3", "k", 0);
+        add(60, Observation.DROPPED, "c2", 1, "e3", "k", 0);
         answered(70, "c2", "settled");
-        RulesChecker.Verdict verdict = check();
+        InvariantChecker.Verdict verdict = check();
         assertEquals(List.of(), verdict.breaches());
         assertEquals(2, verdict.looked().get(Rule.ONE_ANSWER));
         assertEquals(2, verdict.looked().get(Rule.NO_EFFECT_TWICE));
@@ -97,7 +97,7 @@
     @Test
     void aCallWithoutAnAnswerIsFound() {
         sent(0, "c1", "draft", 3000);
-        add(3400, Seen.UNANSWERED, "c1", 0, "", "gave up", 0);
+        add(3400, Observation.UNANSWERED, "c1", 0, "", "gave up", 0);
         broken(Rule.ONE_ANSWER, "got no final answer");
     }
 
@@ -111,11 +111,11 @@
     @Test
     void aPauseOfTheClientItselfIsNoLatenessOfTheRouter() {
         sent(0, "c1", "draft", 3000);
-        add(3290, Seen.PAUSED, "", 0, "", "", 400 * MS);
+        add(3290, Observation.PAUSED, "", 0, "", "", 400 * MS);
         answered(3292, "c1", "terminated");
         assertEquals(List.of(), check().breaches());
         sent(5000, "c2", "draft", 3000);
-        add(8100, Seen.PAUSED, "", 0, "", "", 50 * MS);
+        add(8100, Observation.PAUSED, "", 0, "", "", 50 * MS);
         answered(8400, "c2", "terminated");
         broken(Rule.ONE_ANSWER, "400 ms after");
     }
@@ -131,12 +131,12 @@
     @Test
     void aKilledRouterAClientThatLeftAndAnUnreachableRouterOweNothing() {
         sent(0, "c1", "draft", 3000);
-        add(500, Seen.KILLED, "", 0, "", "", 0);
-        add(510, Seen.UNANSWERED, "c1", 0, "", "cut", 0);
+        add(500, Observation.KILLED, "", 0, "", "", 0);
+        add(510, Observation.UNANSWERED, "c1", 0, "", "cut", 0);
         sent(5000, "c2", "draft", 3000);
-        add(5100, Seen.UNANSWERED, "c2", 0, "", "left", 0);
+        add(5100, Observation.UNANSWERED, "c2", 0, "", "left", 0);
         sent(6000, "c3", "draft", 3000);
-        add(6100, Seen.UNANSWERED, "c3", 0, "", "unreachable", 0);
+        add(6100, Observation.UNANSWERED, "c3", 0, "", "unreachable", 0);
         assertEquals(List.of(), check().breaches());
         assertEquals(0, check().looked().get(Rule.ONE_ANSWER));
     }
@@ -144,8 +144,8 @@
     @Test
     void aBindingCallOnASecondEngineIsFoundWhereTheFirstMayHaveRun() {
         sent(0, "c1", "post", 3000);
-        add(5, Seen.ARRIVED, "c1", 0, "e1", "", 0);
-        add(50, Seen.ARRIVED, "c1", 1, "e2", "", 0);
+        add(5, Observation.ARRIVED, "c1", 0, "e1", "", 0);
+        add(50, Observation.ARRIVED, "c1", 1, "e2", "", 0);
         answered(80, "c1", "terminated");
         broken(Rule.NO_EFFECT_TWICE, "reached e2 after it may have run at e1");
     }
@@ -162,7 +162,7 @@
     void aRepeatAfterItsTimeIsFound() {
         sent(0, "c1", "commit", 20_000);
         ran(5, "c1", 0, "e1", "k");
-        add(8200, Seen.ARRIVED, "c1", 1, "e2", "k", 0);
+        add(8200, Observation.ARRIVED, "c1", 1, "e2", "k", 0);
         answered(8300, "c1", "settled");
         broken(Rule.NO_EFFECT_TWICE, "after the time for which e1 remembers it");
     }
@@ -171,7 +171,7 @@
     void aRepeatOutsideItsGroupIsFoundAlsoAtADeploysSuccessor() {
         sent(0, "c1", "note", 3000);
         ran(5, "c1", 0, "e1~7", "k");
-        add(100, Seen.ARRIVED, "c1", 1, "e3", "k", 0);
+        add(100, Observation.ARRIVED, "c1", 1, "e3", "k", 0);
         answered(200, "c1", "settled");
         broken(Rule.NO_EFFECT_TWICE, "left the group of e1~7 for e3");
     }
@@ -189,26 +189,26 @@
 
     @Test
     void aCallOrAnOrderToADrainingEngineIsFoundAfterItsGraceOnly() {
-        add(0, Seen.TOLD, "", 0, "e1", "IN_SERVICE", 0);
-        add(100, Seen.TOLD, "", 0, "e1", "DRAINING", 0);
-        add(1000, Seen.ARRIVED, "c1", 0, "e1", "", 0);
-        add(1500, Seen.ORDERED, "", 0, "e1", "", 0);
+        add(0, Observation.TOLD, "", 0, "e1", "IN_SERVICE", 0);
+        add(100, Observation.TOLD, "", 0, "e1", "DRAINING", 0);
+        add(1000, Observation.ARRIVED, "c1", 0, "e1", "", 0);
+        add(1500, Observation.ORDERED, "", 0, "e1", "", 0);
         assertEquals(List.of(), check().breaches());
-        add(1600, Seen.ORDERED, "", 0, "e1", "", 1);
+        add(1600, Observation.ORDERED, "", 0, "e1", "", 1);
         broken(Rule.DRAINS_KEPT, "an order to e1 1500 ms after it was told DRAINING");
-        add(1700, Seen.KILLED, "", 0, "", "", 0);
-        add(1800, Seen.ARRIVED, "c2", 0, "e1", "", 0);
+        add(1700, Observation.KILLED, "", 0, "", "", 0);
+        add(1800, Observation.ARRIVED, "c2", 0, "e1", "", 0);
         assertEquals(1, check().breaches().size(), "a router begun anew was not told yet");
     }
 
     @Test
     void aFallIsABreachOnlyWhereRoutersKnewOfTheStart() {
         for (int i = 0; i < 9; i++) {
-            add(1000 + i, Seen.ARRIVED, "c" + i, 0, "e1", "", 0);
+            add(1000 + i, Observation.ARRIVED, "c" + i, 0, "e1", "", 0);
         }
-        add(1010, Seen.FELL, "", 0, "e1", "", 3);
+        add(1010, Observation.FELL, "", 0, "e1", "", 3);
         assertEquals(List.of(), check().breaches());
-        add(500, Seen.TOLD, "", 0, "e1", "IN_SERVICE", 1);
+        add(500, Observation.TOLD, "", 0, "e1", "IN_SERVICE", 1);
         broken(Rule.COLD_NOT_PUSHED, "9 of 9 calls came from routers that knew");
     }
 
@@ -219,22 +219,22 @@
             answered(i + 1, "c" + i, "settled");
         }
         for (int i = 0; i < 4; i++) {
-            add(100 + i, Seen.ORDERED, "", 0, "e1", "", 1);
+            add(100 + i, Observation.ORDERED, "", 0, "e1", "", 1);
         }
         assertEquals(
                 List.of(),
-                new RulesChecker(rules(3, 0.1), 100 * MS, PLACES).check(tape).breaches());
-        add(200, Seen.ORDERED, "", 0, "e1", "", 1);
-        List<RulesChecker.Breach> breaches =
-                new RulesChecker(rules(3, 0.1), 100 * MS, PLACES).check(tape).breaches();
+                new InvariantChecker(rules(3, 0.1), 100 * MS, PLACES).check(tape).breaches());
+        add(200, Observation.ORDERED, "", 0, "e1", "", 1);
+        List<InvariantChecker.Breach> breaches =
+                new InvariantChecker(rules(3, 0.1), 100 * MS, PLACES).check(tape).breaches();
         assertEquals(1, breaches.size());
         assertTrue(
                 breaches.get(0).what().contains("gave 5 orders"),
                 breaches.get(0).what());
-        add(12_000, Seen.ORDERED, "", 0, "e1", "", 1);
+        add(12_000, Observation.ORDERED, "", 0, "e1", "", 1);
         assertEquals(
                 1,
-                new RulesChecker(rules(3, 0.1), 100 * MS, PLACES)
+                new InvariantChecker(rules(3, 0.1), 100 * MS, PLACES)
                         .check(tape)
                         .breaches()
                         .size());
--- a/lab/src/test/java/pearladder/traces/TracesTest.java
+++ b/lab/src/test/java/pearladder/traces/TracesTest.java
@@ -28,7 +28,7 @@
 
     private final List<TraceCall> calls = new ArrayList<>();
     private final List<String> named = new ArrayList<>();
-    private Skipped skipped = new Skipped(false, row -> named.add(row.toString()));
+    private SkippedRows skipped = new SkippedRows(false, row -> named.add(row.toString()));
 
     private Path file(String text) throws IOException {
         return Files.writeString(folder.resolve("t" + System.nanoTime() + ".csv"), text);
@@ -41,7 +41,7 @@
     private TraceFile.Read read(Path file) throws IOException {
         calls.clear();
         named.clear();
-        return TraceFile.read(file, null, Companions.NONE, WINDOW, skipped, calls::add);
+        return TraceFile.read(file, null, DurationTables.NONE, WINDOW, skipped, calls::add);
     }
 
     private List<Long> times() {
@@ -75,7 +75,7 @@
         Path invocations = file(header2019() + "\n" + minutes("f1", 2, 0, 1) + "\n" + minutes("f2", 0, 3) + "\n");
         Path durations = file("HashOwner,HashApp,HashFunction,Average,Count\no1,app1,f1,120,3\no1,app1,f2,x,3\n");
         Path memory = file("HashOwner,HashApp,SampleCount,AverageAllocatedMb\no1,app1,9,171\n");
-        Companions beside = Companions.read(durations, memory, skipped);
+        DurationTables beside = DurationTables.read(durations, memory, skipped);
         TraceFile.Read read = TraceFile.read(invocations, null, beside, WINDOW, skipped, calls::add);
         assertEquals(Layout.AZURE_FUNCTIONS_2019, read.layout());
         assertEquals(6, read.calls());
@@ -172,11 +172,11 @@
 
     @Test
     void strictStopsAtTheFirstSuchRow() {
-        skipped = new Skipped(true, row -> {});
+        skipped = new SkippedRows(true, row -> {});
         assertEquals(
                 "line 2, arrival_s: not a number \"x\"",
                 assertThrows(
-                                Skipped.Strict.class,
+                                SkippedRows.Strict.class,
                                 () -> read("arrival_s,model,work_ms,memory_mb,category,account\nx,a\n1,b\n"))
                         .getMessage());
     }
@@ -234,7 +234,7 @@
                 .contains("can't be read"));
         assertTrue(assertThrows(
                         TraceFile.NoTrace.class,
-                        () -> TraceFile.read(file("1,2\n"), Layout.PLAIN, Companions.NONE, 0, skipped, calls::add))
+                        () -> TraceFile.read(file("1,2\n"), Layout.PLAIN, DurationTables.NONE, 0, skipped, calls::add))
                 .getMessage()
                 .contains("is not that of plain"));
     }
@@ -315,7 +315,7 @@
 
     private List<TraceCall> again(String text) throws IOException {
         calls.clear();
-        TraceFile.read(file(text), null, Companions.NONE, WINDOW, skipped, calls::add);
+        TraceFile.read(file(text), null, DurationTables.NONE, WINDOW, skipped, calls::add);
         assertEquals(0, skipped.count());
         return List.copyOf(calls);
     }
--- a/rehearsal/src/main/java/pearladder/rehearsal/Search.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/FaultSearch.java
@@ -17,13 +17,13 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import pearladder.lab.DayPlan;
+import pearladder.lab.ScenarioPlan;
 
 /**
  * Looks for the seed and the troubles, their times and their overlap, under which a router does worst or a rule breaks, and
  * makes what it found as small as it stays as bad. The search is as repeatable as a rehearsal is.
  */
-public final class Search {
+public final class FaultSearch {
     /**
      * What was found.
      *
@@ -40,26 +40,26 @@
 
     private final ObjectNode base;
     private final String name;
-    private final Rehearsal.Maker maker;
+    private final Simulation.Maker maker;
     private final ExecutorService pool;
     private final PrintStream progress;
     private final SplittableRandom chance;
-    private final DayPlan plan;
+    private final ScenarioPlan plan;
     private int rehearsed;
 
-    private Search(ObjectNode base, String name, Rehearsal.Maker maker, ExecutorService pool, PrintStream progress)
+    private FaultSearch(ObjectNode base, String name, Simulation.Maker maker, ExecutorService pool, PrintStream progress)
             throws IOException {
         this.base = base;
         this.name = name;
         this.maker = maker;
         this.pool = pool;
         this.progress = progress;
-        this.plan = DayPlan.read(pearladder.yaml.YamlParser.read(name, YAML.writeValueAsString(base)));
+        this.plan = ScenarioPlan.read(pearladder.yaml.YamlParser.read(name, YAML.writeValueAsString(base)));
         this.chance = new SplittableRandom(plan.seed());
     }
 
     /** One script and what it came to. */
-    private record Tried(ObjectNode script, Rehearsal.Outcome outcome) {
+    private record Tried(ObjectNode script, Simulation.Outcome outcome) {
         String rule() {
             return outcome.verdict().breaches().isEmpty()
                     ? ""
@@ -80,11 +80,11 @@
      * @param jobs rehearsals at once; what is found does not depend on it
      */
     public static Found search(
-            ObjectNode script, String name, Rehearsal.Maker maker, int tries, int jobs, PrintStream progress)
+            ObjectNode script, String name, Simulation.Maker maker, int tries, int jobs, PrintStream progress)
             throws IOException, InterruptedException {
         ExecutorService pool = Executors.newFixedThreadPool(Math.max(1, jobs));
         try {
-            return new Search(script, name, maker, pool, progress).search(tries);
+            return new FaultSearch(script, name, maker, pool, progress).search(tries);
         } finally {
             pool.shutdownNow();
         }
@@ -128,9 +128,9 @@
     }
 
     private List<Tried> play(List<ObjectNode> scripts) throws IOException, InterruptedException {
-        List<Future<Rehearsal.Outcome>> all = new ArrayList<>();
+        List<Future<Simulation.Outcome>> all = new ArrayList<>();
         for (ObjectNode script : scripts) {
-            all.add(pool.submit(() -> Rehearsal.play(script, name, maker, null, null)));
+            all.add(pool.submit(() -> Simulation.play(script, name, maker, null, null)));
         }
         List<Tried> tried = new ArrayList<>();
         for (int i = 0; i < all.size(); i++) {
@@ -161,8 +161,8 @@
     }
 
     private ObjectNode trouble() {
-        DayPlan.Kind[] kinds = DayPlan.Kind.values();
-        DayPlan.Kind kind = kinds[chance.nextInt(kinds.length)];
+        ScenarioPlan.Kind[] kinds = ScenarioPlan.Kind.values();
+        ScenarioPlan.Kind kind = kinds[chance.nextInt(kinds.length)];
         double day = plan.lasting() / (double) SECOND;
         double lasting = Math.min(
                 day / 2,
@@ -178,7 +178,7 @@
                 .put("share", Math.round(5 + chance.nextInt(60)) / 100.0)
                 .put("part", Math.round(20 + chance.nextInt(80)) / 100.0)
                 .put("times", 1 + chance.nextInt(9));
-        if (chance.nextInt(3) == 0 || kind == DayPlan.Kind.HALL_LOST) {
+        if (chance.nextInt(3) == 0 || kind == ScenarioPlan.Kind.HALL_LOST) {
             trouble.put("hall", plan.halls().get(chance.nextInt(plan.halls().size())));
         }
         return trouble;
--- a/rehearsal/src/main/java/pearladder/rehearsal/VirtualFleet.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/SimulatedFleet.java
@@ -7,38 +7,38 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import pearladder.emulator.Engine;
+import pearladder.emulator.WorkerModel;
 import pearladder.emulator.FleetPlan;
-import pearladder.emulator.Marks;
-import pearladder.emulator.Roll;
-import pearladder.emulator.Seen;
-import pearladder.emulator.Shelf;
+import pearladder.emulator.IdempotencyCache;
+import pearladder.emulator.EndpointRegistry;
+import pearladder.emulator.Observation;
+import pearladder.emulator.ModelStore;
 import pearladder.emulator.Timeline;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
 
 /** All engines of a plan, their shelf and their list, on the virtual network. */
-final class VirtualFleet {
+final class SimulatedFleet {
     private final Timeline time;
     private final FleetPlan plan;
     private final long delay;
-    private final Consumer<Seen> seen;
-    private final Shelf shelf;
-    private final Roll roll;
-    private final Map<String, Marks> marks = new LinkedHashMap<>();
-    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final Consumer<Observation> seen;
+    private final ModelStore shelf;
+    private final EndpointRegistry roll;
+    private final Map<String, IdempotencyCache> marks = new LinkedHashMap<>();
+    private final Map<String, SimulatedNetworkPath> hosts = new LinkedHashMap<>();
     private final Map<String, FleetPlan.Planned> planned = new LinkedHashMap<>();
-    private final Map<Host, Long> still = new LinkedHashMap<>();
+    private final Map<SimulatedNetworkPath, Long> still = new LinkedHashMap<>();
     private Runnable listCut = () -> {};
     private int made;
 
-    VirtualFleet(Timeline time, FleetPlan plan, long delay, Consumer<Seen> seen) {
+    SimulatedFleet(Timeline time, FleetPlan plan, long delay, Consumer<Observation> seen) {
         this.time = time;
         this.plan = plan;
         this.delay = delay;
         this.seen = seen;
-        this.shelf = new Shelf(time, plan.shelfCapacity(), plan.shelfLimit());
-        this.roll = new Roll(time, 0, seen);
+        this.shelf = new ModelStore(time, plan.shelfCapacity(), plan.shelfLimit());
+        this.roll = new EndpointRegistry(time, 0, seen);
         plan.engines().forEach(engine -> add(engine, false));
         time.after(1, () -> roll.lag(plan.lagNanos()));
         beat();
@@ -51,11 +51,11 @@
         });
     }
 
-    Roll roll() {
+    EndpointRegistry roll() {
         return roll;
     }
 
-    Host host(String engine) {
+    SimulatedNetworkPath host(String engine) {
         return hosts.get(engine);
     }
 
@@ -71,9 +71,9 @@
                     case HALL -> engine.hall();
                     case CELL -> Long.toString(engine.cell());
                 };
-        Marks shared = marks.computeIfAbsent(
-                group, name -> new Marks(time, engine.kind().rememberedNanos()));
-        Engine model = new Engine(
+        IdempotencyCache shared = marks.computeIfAbsent(
+                group, name -> new IdempotencyCache(time, engine.kind().rememberedNanos()));
+        WorkerModel model = new WorkerModel(
                 time,
                 engine.id(),
                 engine.kind(),
@@ -83,7 +83,7 @@
                 plan.seed() * 1000 + made++,
                 cold,
                 seen);
-        hosts.put(engine.id(), new Host(time, delay, model, engine.hall()));
+        hosts.put(engine.id(), new SimulatedNetworkPath(time, delay, model, engine.hall()));
         planned.put(engine.id(), engine);
         tell(engine.id(), Standing.IN_SERVICE, cold ? time.now() / 1_000_000 : 0);
     }
@@ -111,7 +111,7 @@
     }
 
     private void restart(String id) {
-        Host host = hosts.get(id);
+        SimulatedNetworkPath host = hosts.get(id);
         if (!host.engine.up()) {
             host.engine.start();
             tell(id, Standing.IN_SERVICE, time.now() / 1_000_000);
@@ -136,19 +136,19 @@
         });
     }
 
-    private void pause(Host host, boolean on) {
+    private void pause(SimulatedNetworkPath host, boolean on) {
         if (on) {
             still.putIfAbsent(host, time.now());
         } else if (still.containsKey(host)) {
             long since = still.remove(host);
-            seen.accept(new Seen(since, Seen.STILL, "", "", 0, host.engine.id(), "", "", time.now() - since));
+            seen.accept(new Observation(since, Observation.STILL, "", "", 0, host.engine.id(), "", "", time.now() - since));
         }
         host.pause(on);
     }
 
     /** Brings a trouble, in the same words as the stand-ins' control port takes them. */
     void act(String what, List<String> engines, String model, double figure) {
-        List<Host> named = (engines.isEmpty() ? List.copyOf(hosts.keySet()) : engines)
+        List<SimulatedNetworkPath> named = (engines.isEmpty() ? List.copyOf(hosts.keySet()) : engines)
                 .stream().map(hosts::get).filter(host -> host != null).toList();
         long nanos = Math.round(figure * 1e6);
         boolean on = figure > 0;
@@ -165,7 +165,7 @@
             case "cut-back" -> named.forEach(host -> host.cut(false, on));
             case "cable-cut" -> named.forEach(host -> host.cut(on, on));
             case "cable-deaf" -> named.forEach(host -> host.deaf(on));
-            case "cable-reset" -> named.forEach(Host::reset);
+            case "cable-reset" -> named.forEach(SimulatedNetworkPath::reset);
             case "release" -> named.forEach(
                     host -> Arrays.stream(model.split(",")).forEach(host.engine::release));
             case "kill" -> engines.forEach(this::kill);
--- a/rehearsal/src/main/java/pearladder/rehearsal/Station.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/SimulatedHost.java
@@ -13,28 +13,28 @@
 import pearladder.state.PolicySnapshot;
 
 /** A router's machine: what outlives the router's death, and the life that runs on it now, if any. */
-final class Station {
+final class SimulatedHost {
     final String name;
     final String hall;
     private final Supplier<List<RolloutTarget>> others;
-    private final LongFunction<Life> maker;
+    private final LongFunction<SimulatedRouter> maker;
     private final List<RolloutTarget> orders = new ArrayList<>();
     private final List<RolloutProgress> reached = new ArrayList<>();
     private Supplier<DiscoveryMessage> lastList = () -> null;
     private final List<Long> ordered = new ArrayList<>();
     private PolicySnapshot known;
     private long knownAt;
-    private Life life;
+    private SimulatedRouter life;
     private long lives;
     private long decisions;
     private long decidedNanos;
 
     /** @param others what the other routers know of releases; @param maker of a life, by the seed's number */
-    Station(
+    SimulatedHost(
             String name,
             String hall,
             Supplier<List<RolloutTarget>> others,
-            java.util.function.BiFunction<Station, Long, Life> maker) {
+            java.util.function.BiFunction<SimulatedHost, Long, SimulatedRouter> maker) {
         this.name = name;
         this.hall = hall;
         this.others = others;
@@ -42,7 +42,7 @@
     }
 
     /** The life that runs now, or null. */
-    Life life() {
+    SimulatedRouter life() {
         return life;
     }
 
--- a/rehearsal/src/main/java/pearladder/rehearsal/Host.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/SimulatedNetworkPath.java
@@ -4,20 +4,20 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import pearladder.emulator.Engine;
+import pearladder.emulator.WorkerModel;
 import pearladder.emulator.Timeline;
 
 /**
  * An engine's place on the virtual network. A message takes the delay each way; while a way is cut what was sent waits, as
  * the machine that sent it would go on sending, and comes through when the way is mended, in its order.
  */
-final class Host {
+final class SimulatedNetworkPath {
     /** Something that waits for this engine and is told when its connection breaks. */
     interface Attached {
         void broke();
     }
 
-    final Engine engine;
+    final WorkerModel engine;
     final String hall;
     private final Timeline time;
     private final long delay;
@@ -33,7 +33,7 @@
     private boolean garbling;
     private boolean misnaming;
 
-    Host(Timeline time, long delay, Engine engine, String hall) {
+    SimulatedNetworkPath(Timeline time, long delay, WorkerModel engine, String hall) {
         this.time = time;
         this.delay = delay;
         this.engine = engine;
--- a/rehearsal/src/main/java/pearladder/rehearsal/Life.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/SimulatedRouter.java
@@ -11,11 +11,11 @@
 import pearladder.api.MonotonicTime;
 import pearladder.api.Outcome;
 import pearladder.api.TimeSpan;
-import pearladder.emulator.Roll;
+import pearladder.emulator.EndpointRegistry;
 import pearladder.emulator.Timeline;
 import pearladder.kserve.RequestOutcome;
 import pearladder.kserve.DiscoveryMessage;
-import pearladder.lab.Clients;
+import pearladder.lab.LoadGenerator;
 import pearladder.release.RolloutTarget;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.RequestManager;
@@ -31,16 +31,16 @@
 import pearladder.router.core.Timers;
 
 /** One router from its start to its death: the router's own code on the virtual clock and network. */
-final class Life implements Timers, RouterMetrics {
+final class SimulatedRouter implements Timers, RouterMetrics {
     /** One client's try at this router, and where its answer goes. */
-    final class Carried implements ResponseHandler, Clients.Wire.Out {
-        private final Clients.Request request;
-        private final Clients.Heard heard;
+    final class Carried implements ResponseHandler, LoadGenerator.Wire.Out {
+        private final LoadGenerator.Request request;
+        private final LoadGenerator.Heard heard;
         private ActiveRequest call;
         private String version = "";
         private boolean over;
 
-        Carried(Clients.Request request, Clients.Heard heard) {
+        Carried(LoadGenerator.Request request, LoadGenerator.Heard heard) {
             this.request = request;
             this.heard = heard;
         }
@@ -124,19 +124,19 @@
     private static final long SNAPSHOT = 1_000_000_000L;
 
     private final RoutingPolicy module;
-    private final Station station;
+    private final SimulatedHost station;
     private final Consumer<String> logged;
     private final Timeline time;
     private final RouterConfig articles;
-    private final VirtualFleet fleet;
+    private final SimulatedFleet fleet;
     private final long delay;
-    private final VirtualEngines engines;
+    private final SimulatedWorkerClient engines;
     private final EndpointList list;
     private final RequestManager calls;
     private final RolloutManager desk;
     private final Set<Carried> open = new LinkedHashSet<>();
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
-    private Roll.Watcher watcher;
+    private EndpointRegistry.Watcher watcher;
     private Timeline.Planned silence;
     private long version;
     private int attempt;
@@ -145,11 +145,11 @@
     private long ahead;
     private boolean dead;
 
-    Life(
-            Station station,
+    SimulatedRouter(
+            SimulatedHost station,
             Timeline time,
             RouterConfig articles,
-            VirtualFleet fleet,
+            SimulatedFleet fleet,
             long delay,
             Consumer<String> logged,
             RoutingPolicy module,
@@ -160,7 +160,7 @@
         this.articles = articles;
         this.fleet = fleet;
         this.delay = delay;
-        this.engines = new VirtualEngines(
+        this.engines = new SimulatedWorkerClient(
                 this, articles.name(), delay, articles.connections().dial().nanos(), fell);
         this.list = new EndpointList(0, entry -> engines.came(entry.engine(), fleet.host(entry.engine())), engines::went);
         this.module = module;
@@ -285,7 +285,7 @@
     }
 
     private void read(Carried carried) {
-        Clients.Request request = carried.request;
+        LoadGenerator.Request request = carried.request;
         RoutingSettings.RequestClass category = articles.category(request.terms().name());
         RouterConfig.ModelTerms terms = articles.modelOf(request.drawn().model());
         if (carried.over) {
--- a/rehearsal/src/main/java/pearladder/rehearsal/VirtualEngines.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/SimulatedWorkerClient.java
@@ -9,7 +9,7 @@
 import pearladder.api.Event;
 import pearladder.api.Outcome;
 import pearladder.api.TimeSpan;
-import pearladder.emulator.Engine;
+import pearladder.emulator.WorkerModel;
 import pearladder.emulator.Timeline;
 import pearladder.kserve.LoadReport;
 import pearladder.router.core.WorkerResponse;
@@ -20,9 +20,9 @@
  * One router's way to the engines over the virtual network: connections that are kept or made, requests, answers, and the
  * proofs that outcomes give. It mirrors what the real one does with sockets.
  */
-final class VirtualEngines implements WorkerClient {
+final class SimulatedWorkerClient implements WorkerClient {
     private record Said(Outcome outcome, Event.InstanceStatus instanceStatus, int concurrentRequests, Event.WorkerLoadReport loadReport) implements WorkerResponse {
-        static Said of(Engine.Answer answer) {
+        static Said of(WorkerModel.Answer answer) {
             LoadReport report = answer.report();
             return new Said(
                     switch (answer.end()) {
@@ -44,11 +44,11 @@
 
     /** This router's connections to one engine. */
     private static final class Link {
-        final Host host;
+        final SimulatedNetworkPath host;
         private int idle;
         private int generation;
 
-        Link(Host host) {
+        Link(SimulatedNetworkPath host) {
             this.host = host;
             this.generation = host.generation();
         }
@@ -65,20 +65,20 @@
 
     /** What a request does once it has reached its engine. */
     private interface Work {
-        Engine.Held begin(Consumer<Engine.Answer> reply);
+        WorkerModel.Held begin(Consumer<WorkerModel.Answer> reply);
     }
 
     private interface Ended {
-        void end(Outcome outcome, Engine.Answer answer);
+        void end(Outcome outcome, WorkerModel.Answer answer);
     }
 
     /** One request's life. */
-    private final class Flight implements PendingSend, Host.Attached {
+    private final class Flight implements PendingSend, SimulatedNetworkPath.Attached {
         private final Link link;
         private final Work work;
         private final Ended ended;
         private final Timeline.Planned limit;
-        private Engine.Held held;
+        private WorkerModel.Held held;
         private boolean written;
         private boolean over;
 
@@ -94,7 +94,7 @@
         }
 
         private void connect() {
-            Host host = link.host;
+            SimulatedNetworkPath host = link.host;
             if (link.reuse()) {
                 write();
             } else if (!host.accepts()) {
@@ -131,7 +131,7 @@
             });
         }
 
-        private void answered(Engine.Answer answer) {
+        private void answered(WorkerModel.Answer answer) {
             if (over) {
                 return;
             }
@@ -149,7 +149,7 @@
             life.run(() -> end(Outcome.BROKEN, null));
         }
 
-        private void end(Outcome outcome, Engine.Answer answer) {
+        private void end(Outcome outcome, WorkerModel.Answer answer) {
             if (over) {
                 return;
             }
@@ -185,7 +185,7 @@
         }
     }
 
-    private final Life life;
+    private final SimulatedRouter life;
     private final String router;
     private final long delay;
     private final long dial;
@@ -194,7 +194,7 @@
     private final Set<Flight> out = new LinkedHashSet<>();
 
     /** @param fell told of an engine that fell over */
-    VirtualEngines(Life life, String router, long delay, long dial, Consumer<String> fell) {
+    SimulatedWorkerClient(SimulatedRouter life, String router, long delay, long dial, Consumer<String> fell) {
         this.life = life;
         this.router = router;
         this.delay = delay;
@@ -202,7 +202,7 @@
         this.fell = fell;
     }
 
-    void came(String engine, Host host) {
+    void came(String engine, SimulatedNetworkPath host) {
         Link link = links.get(engine);
         if (link == null || link.host != host) {
             links.put(engine, new Link(host));
@@ -231,8 +231,8 @@
             ended.end(Outcome.VOID, null);
             return PendingSend.NONE;
         }
-        Life.Carried carried = (Life.Carried) leg.request.responseHandler;
-        Engine.Asked asked = new Engine.Asked(
+        SimulatedRouter.Carried carried = (SimulatedRouter.Carried) leg.request.responseHandler;
+        WorkerModel.Asked asked = new WorkerModel.Asked(
                 router,
                 leg.request.clientRequestId,
                 leg.number,
@@ -259,10 +259,10 @@
                 link,
                 limit,
                 reply -> {
-                    Engine asked = link.host.engine;
+                    WorkerModel asked = link.host.engine;
                     if (copies == 0) {
                         reply.accept(
-                                new Engine.Answer(Engine.End.OK, null, 0, asked.standing(function), asked.report()));
+                                new WorkerModel.Answer(WorkerModel.End.OK, null, 0, asked.standing(function), asked.report()));
                     } else {
                         asked.hold(router, function, copies, reply);
                     }
@@ -280,7 +280,7 @@
                     limit,
                     reply -> {
                         link.host.engine.unload(function);
-                        reply.accept(new Engine.Answer(Engine.End.OK, null, 0, 0, link.host.engine.report()));
+                        reply.accept(new WorkerModel.Answer(WorkerModel.End.OK, null, 0, 0, link.host.engine.report()));
                         return null;
                     },
                     (outcome, answer) -> {});
@@ -298,7 +298,7 @@
                 link,
                 limit,
                 reply -> {
-                    reply.accept(new Engine.Answer(Engine.End.OK, null, 0, 0, link.host.engine.report()));
+                    reply.accept(new WorkerModel.Answer(WorkerModel.End.OK, null, 0, 0, link.host.engine.report()));
                     return null;
                 },
                 (outcome, answer) -> ended.end(outcome, answer == null ? null : Said.of(answer)));
