--- a/rehearsal/src/main/java/pearladder/rehearsal/Rehearsal.java
+++ b/rehearsal/src/main/java/pearladder/rehearsal/Simulation.java
@@ -21,18 +21,18 @@
 import java.util.function.Consumer;
 import pearladder.api.RoutingPolicy;
 import pearladder.api.RoutingSettings;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 import pearladder.emulator.VirtualTimeline;
-import pearladder.lab.Books;
-import pearladder.lab.Clients;
-import pearladder.lab.DayPlan;
-import pearladder.lab.Front;
+import pearladder.lab.LoadStatistics;
+import pearladder.lab.LoadGenerator;
+import pearladder.lab.ScenarioPlan;
+import pearladder.lab.ClientLoadBalancer;
 import pearladder.lab.ReleaseScript;
 import pearladder.lab.Results;
-import pearladder.lab.RulesChecker;
-import pearladder.lab.TraceSource;
-import pearladder.lab.Traffic;
-import pearladder.lab.Troubles;
+import pearladder.lab.InvariantChecker;
+import pearladder.lab.TraceWorkload;
+import pearladder.lab.SyntheticWorkload;
+import pearladder.lab.FaultInjector;
 import pearladder.lab.VersionShares;
 import pearladder.release.RolloutTarget;
 import pearladder.router.core.RouterConfig;
@@ -40,7 +40,7 @@
 import pearladder.yaml.YamlParser;
 
 /** One day in virtual time, in one thread: the same script and seed give the same events, whatever the machine. */
-public final class Rehearsal {
+public final class Simulation {
     /** Makes the module's instance of a router. */
     public interface Maker {
         RoutingPolicy make(long seed, RoutingSettings facts);
@@ -68,7 +68,7 @@
             long told,
             double wallSeconds,
             List<String> table,
-            RulesChecker.Verdict verdict,
+            InvariantChecker.Verdict verdict,
             List<String> faults) {
         /** Whether every rule and every expectation was kept. */
         public boolean kept() {
@@ -84,20 +84,20 @@
     private static final long SETTLES = 1_000_000_000L;
     private static final YAMLMapper YAML = new YAMLMapper();
 
-    private final DayPlan plan;
+    private final ScenarioPlan plan;
     private final JsonNode script;
     private final Maker maker;
     private final VirtualTimeline time = new VirtualTimeline();
-    private final VirtualFleet fleet;
-    private final Map<String, Station> stations = new LinkedHashMap<>();
-    private final Front front;
-    private final Books books = new Books();
-    private final List<Seen> tape = new ArrayList<>();
+    private final SimulatedFleet fleet;
+    private final Map<String, SimulatedHost> stations = new LinkedHashMap<>();
+    private final ClientLoadBalancer front;
+    private final LoadStatistics books = new LoadStatistics();
+    private final List<Observation> tape = new ArrayList<>();
     private final MessageDigest digest;
     private final List<String> faults = new ArrayList<>();
     private final ReleaseScript releases = new ReleaseScript(null);
-    private final Clients clients;
-    private final TraceSource trace;
+    private final LoadGenerator clients;
+    private final TraceWorkload trace;
     private final List<String> staff = new ArrayList<>();
     private final PrintStream progress;
     private final Map<String, Long> still = new HashMap<>();
@@ -106,23 +106,23 @@
     private long loads;
     private long told;
 
-    private Rehearsal(JsonNode script, DayPlan plan, TraceSource trace, Maker maker, PrintStream progress) {
+    private Simulation(JsonNode script, ScenarioPlan plan, TraceWorkload trace, Maker maker, PrintStream progress) {
         this.trace = trace;
         this.script = script;
         this.plan = plan;
         this.maker = maker;
         this.progress = progress;
-        this.front = new Front(plan.clients().frontLag());
+        this.front = new ClientLoadBalancer(plan.clients().frontLag());
         try {
             this.digest = MessageDigest.getInstance("SHA-256");
         } catch (NoSuchAlgorithmException impossible) {
             throw new IllegalStateException(impossible);
         }
         time.runTo(EPOCH);
-        Consumer<Seen> seen = this::seen;
-        this.fleet = new VirtualFleet(time, plan.fleet(), plan.network().delay(), seen);
+        Consumer<Observation> seen = this::seen;
+        this.fleet = new SimulatedFleet(time, plan.fleet(), plan.network().delay(), seen);
         this.clients =
-                new Clients(time, this::carry, plan, 0, trace != null ? trace : new Traffic(plan), front, books, seen);
+                new LoadGenerator(time, this::carry, plan, 0, trace != null ? trace : new SyntheticWorkload(plan), front, books, seen);
         fleet.onListCut(() -> stations.values().forEach(station -> {
             if (station.life() != null) {
                 station.life().listBroke();
@@ -145,21 +145,21 @@
 
     /** The same with a trace's calls in place of the script's traffic; null for none. */
     public static Outcome play(
-            JsonNode script, String name, TraceSource.Terms trace, Maker maker, Path out, PrintStream progress)
+            JsonNode script, String name, TraceWorkload.Terms trace, Maker maker, Path out, PrintStream progress)
             throws IOException {
-        DayPlan plan = DayPlan.read(YamlParser.read(name, YAML.writeValueAsString(script)));
+        ScenarioPlan plan = ScenarioPlan.read(YamlParser.read(name, YAML.writeValueAsString(script)));
         if (trace == null) {
-            return new Rehearsal(script, plan, null, maker, progress).play(out);
+            return new Simulation(script, plan, null, maker, progress).play(out);
         }
-        try (TraceSource source = new TraceSource(trace, plan, out)) {
-            return new Rehearsal(script, plan, source, maker, progress).play(out);
+        try (TraceWorkload source = new TraceWorkload(trace, plan, out)) {
+            return new Simulation(script, plan, source, maker, progress).play(out);
         }
     }
 
-    private void seen(Seen one) {
+    private void seen(Observation one) {
         tape.add(one);
-        loads += one.what().equals(Seen.LOADED) ? 1 : 0;
-        told += one.what().equals(Seen.TOLD) ? 1 : 0;
+        loads += one.what().equals(Observation.LOADED) ? 1 : 0;
+        told += one.what().equals(Observation.TOLD) ? 1 : 0;
         digest.update((one.at() + " " + one.what() + " " + one.router() + " " + one.call() + " " + one.leg() + " "
                         + one.engine() + " " + one.model() + " " + one.note() + " " + one.figure() + "\n")
                 .getBytes(StandardCharsets.UTF_8));
@@ -174,11 +174,11 @@
             int number = i;
             stations.put(
                     name,
-                    new Station(
+                    new SimulatedHost(
                             name,
                             hall,
                             () -> newest(name),
-                            (station, life) -> new Life(
+                            (station, life) -> new SimulatedRouter(
                                     station,
                                     time,
                                     articles,
@@ -189,10 +189,10 @@
                                     fleet::kill)));
             front.add(name, hall, i);
         }
-        stations.values().forEach(Station::start);
+        stations.values().forEach(SimulatedHost::start);
         begun = time.now() + SETTLES;
         time.at(begun, () -> clients.play(begun, () -> done = true));
-        Troubles troubles = new Troubles(plan, new World());
+        FaultInjector troubles = new FaultInjector(plan, new World());
         time.at(begun, () -> bring(troubles));
         long end = trace != null ? Long.MAX_VALUE : begun + plan.lasting() + 60_000_000_000L;
         for (long at = begun; !done && at < end; at += 1_000_000_000L) {
@@ -223,7 +223,7 @@
         }
     }
 
-    private void bring(Troubles troubles) {
+    private void bring(FaultInjector troubles) {
         long next = troubles.due(time.now() - begun);
         if (next >= 0) {
             time.at(begun + next, () -> bring(troubles));
@@ -256,19 +256,19 @@
         return all;
     }
 
-    private Clients.Wire.Out carry(Clients.Request request, Clients.Heard heard) {
-        Station station = stations.get(request.target().router());
-        Life life = station.life();
+    private LoadGenerator.Wire.Out carry(LoadGenerator.Request request, LoadGenerator.Heard heard) {
+        SimulatedHost station = stations.get(request.target().router());
+        SimulatedRouter life = station.life();
         if (life == null) {
             time.after(2 * plan.network().delay(), () -> heard.unanswered("unreachable"));
             return () -> {};
         }
-        Life.Carried carried = life.new Carried(request, heard);
+        SimulatedRouter.Carried carried = life.new Carried(request, heard);
         time.after(plan.network().delay(), () -> life.take(carried));
         return carried;
     }
 
-    private final class World implements Troubles.World {
+    private final class World implements FaultInjector.World {
         @Override
         public List<String> engines(String hall) {
             return fleet.standing(hall);
@@ -289,7 +289,7 @@
 
         @Override
         public void killRouter(String router) {
-            seen(new Seen(time.now(), Seen.KILLED, router, "", 0, "", "", "", 0));
+            seen(new Observation(time.now(), Observation.KILLED, router, "", 0, "", "", "", 0));
             stations.get(router).kill();
             front.died(router, time.now());
         }
@@ -301,21 +301,21 @@
             }
             time.after(plan.network().routerStart(), () -> {
                 stations.get(router).start();
-                seen(new Seen(time.now(), Seen.STARTED, router, "", 0, "", "", "", 0));
+                seen(new Observation(time.now(), Observation.STARTED, router, "", 0, "", "", "", 0));
                 front.back(router);
             });
         }
 
         @Override
-        public void toRouters(DayPlan.Kind what, List<String> routers, double figure) {
+        public void toRouters(ScenarioPlan.Kind what, List<String> routers, double figure) {
             for (String router : routers) {
-                Life life = stations.get(router).life();
-                if (life != null && what == DayPlan.Kind.ROUTERS_PAUSED) {
+                SimulatedRouter life = stations.get(router).life();
+                if (life != null && what == ScenarioPlan.Kind.ROUTERS_PAUSED) {
                     if (figure > 0) {
                         still.putIfAbsent(router, time.now());
                     } else if (still.containsKey(router)) {
                         long since = still.remove(router);
-                        seen(new Seen(since, Seen.STILL, router, "", 0, "", "", "", time.now() - since));
+                        seen(new Observation(since, Observation.STILL, router, "", 0, "", "", "", time.now() - since));
                     }
                     life.pause(figure > 0);
                 } else if (life != null && figure > 0) {
@@ -332,7 +332,7 @@
         @Override
         public void order(ReleaseScript.Order order) {
             List<RolloutTarget> targets = releases.targets(order);
-            for (Station station : stations.values()) {
+            for (SimulatedHost station : stations.values()) {
                 if (station.life() != null) {
                     station.life().order(targets, refusals -> refusals.stream()
                             .filter(refusal -> !refusal.isEmpty())
@@ -344,7 +344,7 @@
 
         @Override
         public void say(String what) {
-            seen(new Seen(time.now(), Seen.TROUBLE, "", "", 0, "", "", what, 0));
+            seen(new Observation(time.now(), Observation.TROUBLE, "", "", 0, "", "", what, 0));
             if (progress != null) {
                 progress.println(String.format(Locale.ROOT, "  %4.0f s: %s", (time.now() - begun) / 1e9, what));
             }
@@ -356,13 +356,13 @@
     }
 
     private Outcome judge(Path out, double wall) throws IOException {
-        RulesChecker.Verdict verdict = new RulesChecker(plan.rules(), plan.slack(), plan.places()).check(tape);
+        InvariantChecker.Verdict verdict = new InvariantChecker(plan.rules(), plan.slack(), plan.places()).check(tape);
         faults.addAll(plan.expected().missed(books));
         String sum = HexFormat.of().formatHex(digest.digest()).substring(0, 16);
         long decisions =
-                stations.values().stream().mapToLong(Station::decisions).sum();
+                stations.values().stream().mapToLong(SimulatedHost::decisions).sum();
         long decided =
-                stations.values().stream().mapToLong(Station::decidedNanos).sum();
+                stations.values().stream().mapToLong(SimulatedHost::decidedNanos).sum();
         List<String> lines = new ArrayList<>(books.table());
         lines.addAll(VersionShares.lines(tape, begun, plan.releases()));
         lines.add(Results.fetched(plan, tape, begun));
--- a/rehearsal/src/test/java/pearladder/rehearsal/RehearsalTest.java
+++ b/rehearsal/src/test/java/pearladder/rehearsal/RehearsalTest.java
@@ -17,8 +17,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import pearladder.StickyFirstFitPolicy;
 import pearladder.baseline.RandomChoice;
-import pearladder.lab.DayPlan;
-import pearladder.lab.RulesChecker;
+import pearladder.lab.ScenarioPlan;
+import pearladder.lab.InvariantChecker;
 
 class RehearsalTest {
     private static final String SCRIPT =
@@ -60,14 +60,14 @@
         return (ObjectNode) new YAMLMapper().readTree(SCRIPT);
     }
 
-    private static Rehearsal.Outcome play(ObjectNode script) throws IOException {
-        return Rehearsal.play(script, "small", StickyFirstFitPolicy::new, null, null);
+    private static Simulation.Outcome play(ObjectNode script) throws IOException {
+        return Simulation.play(script, "small", StickyFirstFitPolicy::new, null, null);
     }
 
     @Test
     void theSameSeedGivesTheSameEventsAndAnotherSeedOthers() throws IOException {
-        Rehearsal.Outcome one = play(script());
-        Rehearsal.Outcome again = play(script());
+        Simulation.Outcome one = play(script());
+        Simulation.Outcome again = play(script());
         assertEquals(one.digest(), again.digest());
         assertEquals(one.events(), again.events());
         ObjectNode other = script();
@@ -77,20 +77,20 @@
 
     @Test
     void aBadDayKeepsTheRulesAndEachOfThemWasLookedAt() throws IOException {
-        Rehearsal.Outcome outcome = play(script());
+        Simulation.Outcome outcome = play(script());
         assertEquals(List.of(), outcome.verdict().breaches());
         assertEquals(List.of(), outcome.faults());
-        for (RulesChecker.Rule rule : RulesChecker.Rule.values()) {
+        for (InvariantChecker.Rule rule : InvariantChecker.Rule.values()) {
             assertTrue(outcome.verdict().looked().get(rule) > 0, rule + " was never looked at");
         }
         assertTrue(outcome.calls() > 1200 && outcome.credit() > 0.5, outcome.calls() + " " + outcome.credit());
-        Rehearsal.Outcome random = Rehearsal.play(script(), "small", RandomChoice::new, null, null);
+        Simulation.Outcome random = Simulation.play(script(), "small", RandomChoice::new, null, null);
         assertTrue(random.credit() < outcome.credit(), "the module decides here: " + random.credit());
     }
 
     @Test
     void eachTroubleCanBeRehearsedAndBreaksNoRule() throws IOException {
-        for (DayPlan.Kind kind : DayPlan.Kind.values()) {
+        for (ScenarioPlan.Kind kind : ScenarioPlan.Kind.values()) {
             ObjectNode script = script();
             script.remove("releases");
             script.withObject("/day").put("lasting", "6 s");
@@ -102,7 +102,7 @@
                     .put("hall", "west")
                     .put("times", 3)
                     .put("what", kind.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'));
-            Rehearsal.Outcome outcome = play(script);
+            Simulation.Outcome outcome = play(script);
             assertEquals(List.of(), outcome.faults(), kind.name());
             assertTrue(outcome.calls() > 500, kind + ": " + outcome.calls());
             assertEquals(List.of(), outcome.verdict().breaches(), kind.name());
@@ -128,7 +128,7 @@
     void whatIsExpectedAndMissedIsSaid(@TempDir Path out) throws IOException {
         ObjectNode script = script();
         script.putObject("expect").put("credit", 1).put("worst_10_s", 1);
-        Rehearsal.Outcome outcome = Rehearsal.play(script, "small", StickyFirstFitPolicy::new, out, null);
+        Simulation.Outcome outcome = Simulation.play(script, "small", StickyFirstFitPolicy::new, out, null);
         assertEquals(2, outcome.faults().size(), outcome.faults().toString());
         assertTrue(outcome.faults().get(0).startsWith("expected a credit of 1.000 at the least, it was 0."));
         assertTrue(Files.readString(out.resolve("table.txt")).contains("fault: expected"));
@@ -141,8 +141,8 @@
         script.remove("troubles");
         script.withObject("/day").put("lasting", "8 s");
         PrintStream quiet = new PrintStream(new ByteArrayOutputStream(), false, StandardCharsets.UTF_8);
-        Search.Found one = Search.search(script, "small", StickyFirstFitPolicy::new, 6, 1, quiet);
-        Search.Found more = Search.search(script, "small", StickyFirstFitPolicy::new, 6, 4, quiet);
+        FaultSearch.Found one = FaultSearch.search(script, "small", StickyFirstFitPolicy::new, 6, 1, quiet);
+        FaultSearch.Found more = FaultSearch.search(script, "small", StickyFirstFitPolicy::new, 6, 4, quiet);
         assertEquals(one.script(), more.script());
         assertEquals(one.credit(), more.credit());
         assertTrue(one.credit() <= play(script).credit(), "trouble earns nothing: " + one.credit());
--- a/router/src/test/java/pearladder/router/HardCasesTest.java
+++ b/router/src/test/java/pearladder/router/HardCasesTest.java
@@ -14,7 +14,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 import pearladder.kserve.DiscoveryMessage.Standing;
 
 class HardCasesTest {
@@ -49,11 +49,11 @@
     void anEngineThatDrainsWhileItLoadsFinishesItsCallAndGetsNothingNew() {
         try (Stand stand = new Stand(2)) {
             CompletableFuture<HttpResponse<String>> waiting = stand.send("pair-slow", 5);
-            Stand.until("the call arrives", () -> stand.seen(Seen.ARRIVED).size() == 1);
+            Stand.until("the call arrives", () -> stand.seen(Observation.ARRIVED).size() == 1);
             String engine = stand.engineOf("pair-slow");
             stand.fleet.run(() -> stand.fleet.drain(engine));
             assertEquals("settled", Stand.state(Stand.await(waiting)));
-            Stand.until("the router was told", () -> stand.seen(Seen.TOLD).stream()
+            Stand.until("the router was told", () -> stand.seen(Observation.TOLD).stream()
                     .anyMatch(one -> one.engine().equals(engine) && one.note().equals("DRAINING")));
             assertEquals("settled", Stand.state(Stand.await(stand.send("pair-slow", 5))));
             assertFalse(stand.engineOf("pair-slow").equals(engine));
@@ -64,14 +64,14 @@
     void aClientThatLeavesWhileItsCallWaitsOnALoadIsOwedNothingAndItsCallNeverRuns() throws IOException {
         try (Stand stand = new Stand(1)) {
             Socket client = raw(stand, post("pair-slow", "pearladder-patience-ms: 3000\r\n", "{}"));
-            Stand.until("the call arrives", () -> stand.seen(Seen.ARRIVED).size() == 1);
+            Stand.until("the call arrives", () -> stand.seen(Observation.ARRIVED).size() == 1);
             client.close();
             Stand.until("the router saw it", () -> stand.metric("pearladder_clients_left_total") == 1);
             Stand.until("nothing is held", () -> stand.metric("pearladder_calls_open") == 0);
             Stand.until(
                     "the load came up all the same",
                     () -> stand.fleet.engine("engine-0").engine().standing("pair-slow") == 1);
-            assertEquals(0, stand.seen(Seen.RAN).size());
+            assertEquals(0, stand.seen(Observation.RAN).size());
         }
     }
 
--- a/router/src/test/java/pearladder/router/LifeTest.java
+++ b/router/src/test/java/pearladder/router/LifeTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
 import pearladder.StickyFirstFitPolicy;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 import pearladder.kserve.DiscoveryMessage.Standing;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.RouterConfigParser;
@@ -25,7 +25,7 @@
     void aStoppingRouterFinishesWhatItHoldsAndTakesNothingNew() {
         try (Stand stand = new Stand(1)) {
             CompletableFuture<HttpResponse<String>> held = stand.send("pair-slow", 5);
-            Stand.until("the call arrives", () -> stand.seen(Seen.ARRIVED).size() == 1);
+            Stand.until("the call arrives", () -> stand.seen(Observation.ARRIVED).size() == 1);
             CompletableFuture<Void> stopped =
                     stand.router.stop().toCompletionStage().toCompletableFuture();
             Stand.until("it is not ready", () -> stand.get("/v2/health/ready").statusCode() == 503);
--- a/router/src/test/java/pearladder/router/RecorderTest.java
+++ b/router/src/test/java/pearladder/router/RecorderTest.java
@@ -14,7 +14,7 @@
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.sqlite.JDBC;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 import pearladder.records.EventLogReader;
 import pearladder.records.LogEntry;
 import pearladder.records.LogEntryType;
@@ -104,7 +104,7 @@
             for (int i = 0; i < 4; i++) {
                 Stand.await(stand.send("pair-a", 5, "pearladder-account", "tender"));
             }
-            String engine = stand.seen(Seen.ARRIVED).get(3).engine();
+            String engine = stand.seen(Observation.ARRIVED).get(3).engine();
             Path snapshot = stand.folder.resolve("r1/snapshot.json");
             Stand.until("a snapshot tells of the copy", () -> {
                 try {
@@ -119,7 +119,7 @@
             startAgain(stand);
             assertTrue(Files.exists(snapshot.resolveSibling("snapshot.tried")));
             Stand.await(stand.send("pair-a", 5, "pearladder-account", "tender"));
-            List<Seen> arrived = stand.seen(Seen.ARRIVED);
+            List<Observation> arrived = stand.seen(Observation.ARRIVED);
             assertEquals(engine, arrived.get(arrived.size() - 1).engine());
             assertEquals(2, count(stand, LogEntryType.STARTED));
         }
--- a/router/src/test/java/pearladder/router/ReleaseTest.java
+++ b/router/src/test/java/pearladder/router/ReleaseTest.java
@@ -20,7 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import pearladder.api.TimeSpan;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 import pearladder.release.RolloutPlan;
 import pearladder.release.RolloutProgress;
 import pearladder.release.RolloutTarget;
@@ -86,7 +86,7 @@
             Stand.until(
                     "its copy stands and the step is taken", () -> status(stand).contains("share 0.25"));
             assertTrue(
-                    stand.seen(Seen.ORDERED).stream()
+                    stand.seen(Observation.ORDERED).stream()
                             .anyMatch(one -> one.model().equals("pair-a@2")),
                     "loaded ahead");
             Set<String> few = onNew(stand, 120);
@@ -111,7 +111,7 @@
         try (Stand stand = new Stand(Stand.FLEET.formatted(2), RULES)) {
             Stand.await(stand.send("pair-slow", 1));
             order(stand, target(1, "pair-slow", Mode.RUNNING, 1));
-            Stand.until("the load is ordered", () -> stand.seen(Seen.ORDERED).stream()
+            Stand.until("the load is ordered", () -> stand.seen(Observation.ORDERED).stream()
                     .anyMatch(one -> one.model().equals("pair-slow@2")));
             assertEquals(
                     200,
@@ -124,7 +124,7 @@
                 HttpResponse<String> answer = Stand.await(stand.send("pair-slow", 1, "pearladder-key", "k" + i));
                 assertEquals("1", version(answer));
             }
-            assertTrue(stand.seen(Seen.ARRIVED).stream()
+            assertTrue(stand.seen(Observation.ARRIVED).stream()
                     .noneMatch(one -> one.model().equals("pair-slow@2")));
         }
     }
--- a/router/src/test/java/pearladder/router/RouterTest.java
+++ b/router/src/test/java/pearladder/router/RouterTest.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 
 class RouterTest {
     @Test
@@ -22,10 +22,10 @@
             HttpResponse<String> second = Stand.await(stand.send("pair-a", 5));
             assertEquals("stood", second.headers().firstValue("pearladder-copy").orElse(""));
             assertTrue(second.body().contains("\"model_name\":\"pair-a\""), second.body());
-            assertEquals(2, stand.seen(Seen.RAN).size());
+            assertEquals(2, stand.seen(Observation.RAN).size());
             assertEquals(
                     1,
-                    stand.seen(Seen.RAN).stream().map(Seen::engine).distinct().count());
+                    stand.seen(Observation.RAN).stream().map(Observation::engine).distinct().count());
         }
     }
 
--- a/router/src/test/java/pearladder/router/Stand.java
+++ b/router/src/test/java/pearladder/router/Stand.java
@@ -19,7 +19,7 @@
 import java.util.stream.Stream;
 import pearladder.StickyFirstFitPolicy;
 import pearladder.emulator.FleetPlan;
-import pearladder.emulator.Seen;
+import pearladder.emulator.Observation;
 import pearladder.emulator.net.Fleet;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
@@ -52,7 +52,7 @@
             """;
 
     final Vertx vertx = Vertx.vertx();
-    final List<Seen> seen = new ArrayList<>();
+    final List<Observation> seen = new ArrayList<>();
     final Fleet fleet;
     final Path folder;
     final HttpClient client =
@@ -165,7 +165,7 @@
     }
 
     /** What was seen of a kind, in order. */
-    List<Seen> seen(String what) {
+    List<Observation> seen(String what) {
         synchronized (seen) {
             return seen.stream().filter(one -> one.what().equals(what)).toList();
         }
@@ -173,7 +173,7 @@
 
     /** The engine that runs a model's calls. */
     String engineOf(String model) {
-        return seen(Seen.ARRIVED).stream()
+        return seen(Observation.ARRIVED).stream()
                 .filter(one -> one.model().equals(model))
                 .reduce((a, b) -> b)
                 .orElseThrow()
--- a/wirehost/src/main/java/pearladder/wire/WireHost.java
+++ b/wirehost/src/main/java/pearladder/wire/SimulatorAdapter.java
@@ -34,7 +34,7 @@
 import pearladder.terms.EndpointStates;
 
 /** Hosts many instances of the module on the simulator's wire: batches of lines in, one reply a batch out. */
-public final class WireHost {
+public final class SimulatorAdapter {
     /** Makes one instance of the module. */
     public interface Maker {
         RoutingPolicy make(long seed, RoutingSettings facts);
@@ -79,7 +79,7 @@
     private boolean inBatch;
     private long line;
 
-    public WireHost(Maker maker) {
+    public SimulatorAdapter(Maker maker) {
         this.maker = maker;
     }
 
--- a/wirehost/src/test/java/pearladder/wire/WireHostTest.java
+++ b/wirehost/src/test/java/pearladder/wire/WireHostTest.java
@@ -32,7 +32,7 @@
 
     private String serve(String... lines) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        new WireHost((seed, told) -> {
+        new SimulatorAdapter((seed, told) -> {
                     facts.add(told);
                     return (now, event) -> {
                         events.add(event);
@@ -126,7 +126,7 @@
     void aFailureInsideTheModuleBecomesAFault() throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         String lines = "[\"Frame\",5]\n" + BEGIN + "\n[\"Due\",3,\"x\"]\n[\"Due\",3,\"y\"]\n[\"Commit\"]";
-        new WireHost((seed, told) -> (now, event) -> {
+        new SimulatorAdapter((seed, told) -> (now, event) -> {
                     throw new IllegalStateException("broken");
                 })
                 .serve(new ByteArrayInputStream(lines.getBytes(StandardCharsets.UTF_8)), out);
