--- a/cli/src/main/java/pearladder/cli/Commands.java
+++ b/cli/src/main/java/pearladder/cli/Commands.java
@@ -1,7 +1,7 @@
 package pearladder.cli;
 
 import java.io.PrintWriter;
-import pearladder.yaml.ConfigErrors;
+import pearladder.config.ConfigErrors;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
--- a/cli/src/main/java/pearladder/cli/EnginesCommand.java
+++ b/cli/src/main/java/pearladder/cli/EnginesCommand.java
@@ -10,8 +10,8 @@
 import pearladder.emulator.ObservationLog;
 import pearladder.emulator.net.FaultInjectionServer;
 import pearladder.emulator.net.Fleet;
-import pearladder.yaml.ConfigValue;
-import pearladder.yaml.YamlParser;
+import pearladder.config.ConfigValue;
+import pearladder.config.YamlParser;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
--- a/cli/src/main/java/pearladder/cli/ExperimentCommand.java
+++ b/cli/src/main/java/pearladder/cli/ExperimentCommand.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import pearladder.lab.Experiment;
+import pearladder.testbed.Experiment;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
--- a/cli/src/main/java/pearladder/cli/Main.java
+++ b/cli/src/main/java/pearladder/cli/Main.java
@@ -2,11 +2,11 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import pearladder.StickyFirstFitPolicy;
+import pearladder.routing.StickyFirstFitPolicy;
 import pearladder.platform.PlatformRouter;
 import pearladder.platform.SignalHandlers;
-import pearladder.terms.InvalidInputException;
-import pearladder.wire.SimulatorAdapter;
+import pearladder.settings.InvalidInputException;
+import pearladder.simulator.SimulatorAdapter;
 
 /** The command line's door. The bench's adapter and the platform's router start
  * here and load nothing of the rest. */
--- a/cli/src/main/java/pearladder/cli/MeasureCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeasureCommand.java
@@ -3,10 +3,10 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import pearladder.lab.DecisionCost;
-import pearladder.lab.Benchmark;
-import pearladder.lab.QueueCost;
-import pearladder.lab.ReleaseTrials;
+import pearladder.testbed.DecisionCost;
+import pearladder.testbed.Benchmark;
+import pearladder.testbed.QueueCost;
+import pearladder.testbed.ReleaseTrials;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
--- a/cli/src/main/java/pearladder/cli/PassThroughCommand.java
+++ b/cli/src/main/java/pearladder/cli/PassThroughCommand.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.Callable;
-import pearladder.lab.PassThrough;
+import pearladder.testbed.PassThrough;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
--- a/cli/src/main/java/pearladder/cli/PolicyChoice.java
+++ b/cli/src/main/java/pearladder/cli/PolicyChoice.java
@@ -1,8 +1,8 @@
 package pearladder.cli;
 
-import pearladder.StickyFirstFitPolicy;
+import pearladder.routing.StickyFirstFitPolicy;
 import pearladder.baseline.RandomChoice;
-import pearladder.router.Router;
+import pearladder.router.kserve.Router;
 
 /** Who decides in a router: the module, or a baseline that it is compared with. */
 enum PolicyChoice {
--- a/cli/src/main/java/pearladder/cli/ReleaseCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReleaseCommand.java
@@ -2,9 +2,9 @@
 
 import java.nio.file.Path;
 import java.util.List;
-import pearladder.release.RolloutTarget;
-import pearladder.router.RolloutClient;
-import pearladder.router.RolloutPlanParser;
+import pearladder.rollout.RolloutTarget;
+import pearladder.router.kserve.RolloutClient;
+import pearladder.router.kserve.RolloutPlanParser;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
--- a/cli/src/main/java/pearladder/cli/ReplayCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReplayCommand.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import pearladder.lab.TraceWorkload;
+import pearladder.testbed.TraceWorkload;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
--- a/cli/src/main/java/pearladder/cli/RouterCommand.java
+++ b/cli/src/main/java/pearladder/cli/RouterCommand.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import pearladder.router.Router;
+import pearladder.router.kserve.Router;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.RouterConfigParser;
 import picocli.CommandLine.Command;
--- a/cli/src/test/java/pearladder/cli/DayTest.java
+++ b/cli/src/test/java/pearladder/cli/DayTest.java
@@ -21,8 +21,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import pearladder.emulator.Observation;
 import pearladder.emulator.ObservationLog;
-import pearladder.lab.Scenario;
-import pearladder.lab.InvariantChecker;
+import pearladder.testbed.Scenario;
+import pearladder.testbed.InvariantChecker;
 
 /** The whole path as processes, with faults injected; the slack is wide, so that a slow machine gives the same verdict. */
 class DayTest {
@@ -117,7 +117,7 @@
         process.getOutputStream().close();
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(0, process.waitFor());
-        assertTrue(said.contains("[\"Finished\"]") && said.contains("pearladder.wire.WireHost"));
+        assertTrue(said.contains("[\"Finished\"]") && said.contains("pearladder.simulator.SimulatorAdapter"));
         assertTrue(said.lines().noneMatch(line -> line.matches(".* (io\\.vertx|picocli|ch\\.qos|io\\.netty)\\..*")));
     }
 
--- a/yaml/src/main/java/pearladder/yaml/ConfigErrors.java
+++ b/config/src/main/java/pearladder/config/ConfigErrors.java
@@ -1,4 +1,4 @@
-package pearladder.yaml;
+package pearladder.config;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/yaml/src/main/java/pearladder/yaml/YamlParser.java
+++ b/config/src/main/java/pearladder/config/YamlParser.java
@@ -1,4 +1,4 @@
-package pearladder.yaml;
+package pearladder.config;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
--- a/yaml/src/test/java/pearladder/yaml/YamlTest.java
+++ b/config/src/test/java/pearladder/config/YamlTest.java
@@ -1,4 +1,4 @@
-package pearladder.yaml;
+package pearladder.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/decisions/src/main/java/pearladder/work/BackgroundScheduler.java
+++ b/decisions/src/main/java/pearladder/background/BackgroundScheduler.java
@@ -1,4 +1,4 @@
-package pearladder.work;
+package pearladder.background;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.zip.CRC32;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * Which piece of background work is begun when. It is called through on(now, event): what happened goes in, what is to be
--- a/decisions/src/main/java/pearladder/work/JobAction.java
+++ b/decisions/src/main/java/pearladder/background/JobAction.java
@@ -1,6 +1,6 @@
-package pearladder.work;
+package pearladder.background;
 
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 
 /** What is to be done with background work, in the order given. */
 public sealed interface JobAction {
--- a/decisions/src/main/java/pearladder/work/JobClass.java
+++ b/decisions/src/main/java/pearladder/background/JobClass.java
@@ -1,6 +1,6 @@
-package pearladder.work;
+package pearladder.background;
 
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * A class of background work as the operators allow it.
--- a/decisions/src/main/java/pearladder/work/JobClasses.java
+++ b/decisions/src/main/java/pearladder/background/JobClasses.java
@@ -1,7 +1,7 @@
-package pearladder.work;
+package pearladder.background;
 
 import java.util.List;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 
 /** The classes of a router's own background work. What each may spend is far above what it needs on a quiet day. */
 public final class JobClasses {
@@ -24,7 +24,7 @@
     private JobClasses() {}
 
     /** A scheduler of a router's own work. */
-    public static BackgroundScheduler scheduler(long seed, pearladder.api.MonotonicTime begun) {
+    public static BackgroundScheduler scheduler(long seed, pearladder.routing.api.MonotonicTime begun) {
         return new BackgroundScheduler(
                 seed,
                 List.of(
--- a/decisions/src/main/java/pearladder/work/JobEvent.java
+++ b/decisions/src/main/java/pearladder/background/JobEvent.java
@@ -1,7 +1,7 @@
-package pearladder.work;
+package pearladder.background;
 
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 /** What happened that the background work must know of. */
 public sealed interface JobEvent {
--- a/decisions/src/main/java/pearladder/work/ResourceCost.java
+++ b/decisions/src/main/java/pearladder/background/ResourceCost.java
@@ -1,4 +1,4 @@
-package pearladder.work;
+package pearladder.background;
 
 /**
  * What a piece of work costs, or what a class may spend in a second.
--- a/decisions/src/main/java/pearladder/baseline/RandomChoice.java
+++ b/decisions/src/main/java/pearladder/baseline/RandomChoice.java
@@ -7,13 +7,13 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.zip.CRC32;
-import pearladder.api.Action;
-import pearladder.api.RoutingPolicy;
-import pearladder.api.Event;
-import pearladder.api.RoutingSettings;
-import pearladder.api.MonotonicTime;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * A baseline only, to compare the module with: each call goes to a worker drawn at random among those in service, once;
--- a/decisions/src/main/java/pearladder/sockets/ClientConnectionState.java
+++ b/decisions/src/main/java/pearladder/connections/ClientConnectionState.java
@@ -1,6 +1,6 @@
-package pearladder.sockets;
+package pearladder.connections;
 
-import pearladder.api.MonotonicTime;
+import pearladder.routing.api.MonotonicTime;
 
 /** A client's connection, as what passes on it shows it. */
 public final class ClientConnectionState {
--- a/decisions/src/main/java/pearladder/sockets/ConnectionAction.java
+++ b/decisions/src/main/java/pearladder/connections/ConnectionAction.java
@@ -1,4 +1,4 @@
-package pearladder.sockets;
+package pearladder.connections;
 
 /** What is to be done with a connection. */
 public sealed interface ConnectionAction {
--- a/decisions/src/main/java/pearladder/sockets/ConnectionEvent.java
+++ b/decisions/src/main/java/pearladder/connections/ConnectionEvent.java
@@ -1,4 +1,4 @@
-package pearladder.sockets;
+package pearladder.connections;
 
 import java.util.Collection;
 
--- a/decisions/src/main/java/pearladder/sockets/ConnectionManager.java
+++ b/decisions/src/main/java/pearladder/connections/ConnectionManager.java
@@ -1,12 +1,12 @@
-package pearladder.sockets;
+package pearladder.connections;
 
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * Shares out the sockets of a router. Clients and workers have a part each, so that neither starves the other. Calls share
--- a/decisions/src/main/java/pearladder/sockets/GracefulShutdown.java
+++ b/decisions/src/main/java/pearladder/connections/GracefulShutdown.java
@@ -1,7 +1,7 @@
-package pearladder.sockets;
+package pearladder.connections;
 
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * When a router that was told to stop refuses, gives up and ends. It ends as soon as nothing is owed, and never so late that
--- a/decisions/src/main/java/pearladder/sockets/WorkerConnectionState.java
+++ b/decisions/src/main/java/pearladder/connections/WorkerConnectionState.java
@@ -1,6 +1,6 @@
-package pearladder.sockets;
+package pearladder.connections;
 
-import pearladder.api.MonotonicTime;
+import pearladder.routing.api.MonotonicTime;
 
 /** A connection to a worker, as what passes on it shows it. */
 public final class WorkerConnectionState {
--- a/decisions/src/main/java/pearladder/sockets/package-info.java
+++ b/decisions/src/main/java/pearladder/connections/package-info.java
@@ -1,2 +1,2 @@
 /** Whose connection is opened, used or closed on a router that may hold few sockets: no I/O, no clock. */
-package pearladder.sockets;
+package pearladder.connections;
--- a/decisions/src/main/java/pearladder/usage/InstanceObservation.java
+++ b/decisions/src/main/java/pearladder/metering/InstanceObservation.java
@@ -1,4 +1,4 @@
-package pearladder.usage;
+package pearladder.metering;
 
 /** What a record tells of a model's copies on an engine; moments are the wall clock's, milliseconds. */
 public sealed interface InstanceObservation {
--- a/decisions/src/main/java/pearladder/usage/UsageAccounting.java
+++ b/decisions/src/main/java/pearladder/metering/UsageAccounting.java
@@ -1,4 +1,4 @@
-package pearladder.usage;
+package pearladder.metering;
 
 import java.math.BigInteger;
 import java.util.ArrayDeque;
--- a/decisions/src/main/java/pearladder/usage/UsageShare.java
+++ b/decisions/src/main/java/pearladder/metering/UsageShare.java
@@ -1,4 +1,4 @@
-package pearladder.usage;
+package pearladder.metering;
 
 /**
  * What an account bears of a model's memory on an engine in an interval.
--- a/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
+++ b/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
@@ -6,8 +6,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import pearladder.api.TimeSpan;
-import pearladder.state.PolicySnapshot;
+import pearladder.routing.api.TimeSpan;
+import pearladder.routing.state.PolicySnapshot;
 
 /**
  * What may be believed after a gap. Its one entry point is {@link #after}: a snapshot, how long ago it was taken and what
--- a/decisions/src/main/java/pearladder/release/RolloutAction.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutAction.java
@@ -1,6 +1,6 @@
-package pearladder.release;
+package pearladder.rollout;
 
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 
 /** What is to be done for a release, in the order given. */
 public sealed interface RolloutAction {
--- a/decisions/src/main/java/pearladder/release/RolloutController.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutController.java
@@ -1,4 +1,4 @@
-package pearladder.release;
+package pearladder.rollout;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.zip.CRC32;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
-import pearladder.release.RolloutTarget.Mode;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
+import pearladder.rollout.RolloutTarget.Mode;
 
 /**
  * All releases of one router. It is called through on(now, event): what happened goes in, what is to be done comes out.
--- a/decisions/src/main/java/pearladder/release/RolloutEvent.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutEvent.java
@@ -1,4 +1,4 @@
-package pearladder.release;
+package pearladder.rollout;
 
 import java.util.List;
 
--- a/decisions/src/main/java/pearladder/release/RolloutPlan.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutPlan.java
@@ -1,8 +1,8 @@
-package pearladder.release;
+package pearladder.rollout;
 
 import java.util.ArrayList;
 import java.util.List;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * How one model goes from a version to another.
--- a/decisions/src/main/java/pearladder/release/RolloutProgress.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutProgress.java
@@ -1,4 +1,4 @@
-package pearladder.release;
+package pearladder.rollout;
 
 /**
  * How far one router has come by itself with a target; kept beside the orders, so that a restart goes on from there.
--- a/decisions/src/main/java/pearladder/release/RolloutTarget.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutTarget.java
@@ -1,4 +1,4 @@
-package pearladder.release;
+package pearladder.rollout;
 
 /**
  * What operators want of one model's release: the whole of it, so that a router needs only the newest one. Of two, the one
--- a/decisions/src/main/java/pearladder/release/package-info.java
+++ b/decisions/src/main/java/pearladder/rollout/package-info.java
@@ -3,4 +3,4 @@
  * decision module of its own: no I/O, no threads, no clock. Which worker runs the call stays with the policy, to which a
  * version is a function of its own. docs/versions.md says which ways were weighed.
  */
-package pearladder.release;
+package pearladder.rollout;
--- a/decisions/src/main/java/pearladder/StickyFirstFitPolicy.java
+++ b/decisions/src/main/java/pearladder/routing/StickyFirstFitPolicy.java
@@ -1,4 +1,4 @@
-package pearladder;
+package pearladder.routing;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -13,27 +13,27 @@
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 import java.util.zip.CRC32;
-import pearladder.api.Action;
-import pearladder.api.RoutingPolicy;
-import pearladder.api.Event;
-import pearladder.api.Event.InstanceStatus;
-import pearladder.api.Event.EndpointState;
-import pearladder.api.RoutingSettings;
-import pearladder.api.MonotonicTime;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
-import pearladder.state.Request;
-import pearladder.state.DecayingSum;
-import pearladder.state.Function;
-import pearladder.state.PolicySnapshot;
-import pearladder.state.Attempt;
-import pearladder.state.Placement;
-import pearladder.state.Worker;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Event.InstanceStatus;
+import pearladder.routing.api.Event.EndpointState;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
+import pearladder.routing.state.Request;
+import pearladder.routing.state.DecayingSum;
+import pearladder.routing.state.Function;
+import pearladder.routing.state.PolicySnapshot;
+import pearladder.routing.state.Attempt;
+import pearladder.routing.state.Placement;
+import pearladder.routing.state.Worker;
 
 /*
- * All decisions of one router. It is called through pearladder.api.Dispatcher: on(now, event) takes what
+ * All decisions of one router. It is called through pearladder.routing.api.Dispatcher: on(now, event) takes what
  * happened and returns what is to be done, in order. Events, actions and the facts told at the start are in
- * pearladder.api; the plain records kept here are in pearladder.state. It reads no clock, shares nothing.
+ * pearladder.routing.api; the plain records kept here are in pearladder.routing.state. It reads no clock, shares nothing.
  *
  * Ordinary path, sticky first-fit (docs/design.md): each function has a short list of workers; a call takes
  * the first listed worker with room, else the first with room in an order of workers rotated by a hash of
--- a/decisions/src/main/java/pearladder/api/Action.java
+++ b/decisions/src/main/java/pearladder/routing/api/Action.java
@@ -1,4 +1,4 @@
-package pearladder.api;
+package pearladder.routing.api;
 
 /** What is to be done, in the order given. */
 public sealed interface Action {
--- a/decisions/src/main/java/pearladder/api/Event.java
+++ b/decisions/src/main/java/pearladder/routing/api/Event.java
@@ -1,7 +1,7 @@
-package pearladder.api;
+package pearladder.routing.api;
 
 import java.util.List;
-import pearladder.state.PolicySnapshot;
+import pearladder.routing.state.PolicySnapshot;
 
 /** What happened. Ids are the caller's; the module looks them up at its door. */
 public sealed interface Event {
--- a/decisions/src/main/java/pearladder/api/MonotonicTime.java
+++ b/decisions/src/main/java/pearladder/routing/api/MonotonicTime.java
@@ -1,4 +1,4 @@
-package pearladder.api;
+package pearladder.routing.api;
 
 /** A point in time on the clock that the caller hands in with every event. */
 public record MonotonicTime(long nanos) implements Comparable<MonotonicTime> {
--- a/decisions/src/main/java/pearladder/api/Outcome.java
+++ b/decisions/src/main/java/pearladder/routing/api/Outcome.java
@@ -1,4 +1,4 @@
-package pearladder.api;
+package pearladder.routing.api;
 
 /** How a leg, a probe or an order to load ended; some outcomes prove that the call never ran. */
 public enum Outcome {
--- a/decisions/src/main/java/pearladder/api/RoutingPolicy.java
+++ b/decisions/src/main/java/pearladder/routing/api/RoutingPolicy.java
@@ -1,7 +1,7 @@
-package pearladder.api;
+package pearladder.routing.api;
 
 import java.util.List;
-import pearladder.state.PolicySnapshot;
+import pearladder.routing.state.PolicySnapshot;
 
 /** One router's decisions: what happened goes in, what is to be done comes out. */
 public interface RoutingPolicy {
--- a/decisions/src/main/java/pearladder/api/RoutingSettings.java
+++ b/decisions/src/main/java/pearladder/routing/api/RoutingSettings.java
@@ -1,4 +1,4 @@
-package pearladder.api;
+package pearladder.routing.api;
 
 import java.util.List;
 
--- a/decisions/src/main/java/pearladder/api/TimeSpan.java
+++ b/decisions/src/main/java/pearladder/routing/api/TimeSpan.java
@@ -1,4 +1,4 @@
-package pearladder.api;
+package pearladder.routing.api;
 
 /** A length of time. */
 public record TimeSpan(long nanos) implements Comparable<TimeSpan> {
--- a/decisions/src/main/java/pearladder/state/Attempt.java
+++ b/decisions/src/main/java/pearladder/routing/state/Attempt.java
@@ -1,7 +1,7 @@
-package pearladder.state;
+package pearladder.routing.state;
 
-import pearladder.api.MonotonicTime;
-import pearladder.api.Outcome;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
 
 /** One sending of a call to a worker; the outcome is null while it is out. */
 public final class Attempt {
--- a/decisions/src/main/java/pearladder/state/DecayingSum.java
+++ b/decisions/src/main/java/pearladder/routing/state/DecayingSum.java
@@ -1,7 +1,7 @@
-package pearladder.state;
+package pearladder.routing.state;
 
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 /** A sum whose parts fade with age; brought up to date when read or added to. */
 public final class DecayingSum {
--- a/decisions/src/main/java/pearladder/state/Function.java
+++ b/decisions/src/main/java/pearladder/routing/state/Function.java
@@ -1,4 +1,4 @@
-package pearladder.state;
+package pearladder.routing.state;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 
 /** A function: what its calls told, where it is placed, and the short cached list of its workers. */
 public final class Function {
--- a/decisions/src/main/java/pearladder/state/Placement.java
+++ b/decisions/src/main/java/pearladder/routing/state/Placement.java
@@ -1,6 +1,6 @@
-package pearladder.state;
+package pearladder.routing.state;
 
-import pearladder.api.MonotonicTime;
+import pearladder.routing.api.MonotonicTime;
 
 /** The ledger's entry for one function on one worker. */
 public final class Placement {
--- a/decisions/src/main/java/pearladder/state/PolicySnapshot.java
+++ b/decisions/src/main/java/pearladder/routing/state/PolicySnapshot.java
@@ -1,7 +1,7 @@
-package pearladder.state;
+package pearladder.routing.state;
 
 import java.util.List;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * What a router's module has learnt and would lose with its process, as plain state. Moments are told as ages, so that it
--- a/decisions/src/main/java/pearladder/state/Request.java
+++ b/decisions/src/main/java/pearladder/routing/state/Request.java
@@ -1,10 +1,10 @@
-package pearladder.state;
+package pearladder.routing.state;
 
 import java.util.ArrayList;
 import java.util.List;
-import pearladder.api.RoutingSettings.RequestClass;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.RoutingSettings.RequestClass;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 /** A call this router has taken and, until over, owes one final answer. */
 public final class Request {
--- a/decisions/src/main/java/pearladder/state/Worker.java
+++ b/decisions/src/main/java/pearladder/routing/state/Worker.java
@@ -1,12 +1,12 @@
-package pearladder.state;
+package pearladder.routing.state;
 
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import pearladder.api.Event.EndpointState;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Event.EndpointState;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 /** A worker as this router knows it: what the list said, and the ledger of what was sent and heard. */
 public final class Worker {
--- a/decisions/src/main/java/pearladder/backlog/WriteBuffer.java
+++ b/decisions/src/main/java/pearladder/writebuffer/WriteBuffer.java
@@ -1,11 +1,11 @@
-package pearladder.backlog;
+package pearladder.writebuffer;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * What becomes of entries on their way to the disk. It is called through on(now, event): what happened goes in, what is to
--- a/decisions/src/main/java/pearladder/backlog/WriteBufferAction.java
+++ b/decisions/src/main/java/pearladder/writebuffer/WriteBufferAction.java
@@ -1,6 +1,6 @@
-package pearladder.backlog;
+package pearladder.writebuffer;
 
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 
 /** What is to be done, in the order given. */
 public sealed interface WriteBufferAction {
--- a/decisions/src/main/java/pearladder/backlog/WriteBufferEvent.java
+++ b/decisions/src/main/java/pearladder/writebuffer/WriteBufferEvent.java
@@ -1,6 +1,6 @@
-package pearladder.backlog;
+package pearladder.writebuffer;
 
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 
 /** What happened to records that are to be kept. */
 public sealed interface WriteBufferEvent {
--- a/decisions/src/test/java/pearladder/work/SchedulerTest.java
+++ b/decisions/src/test/java/pearladder/background/SchedulerTest.java
@@ -1,4 +1,4 @@
-package pearladder.work;
+package pearladder.background;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,8 +12,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 class SchedulerTest {
     private static final TimeSpan SECOND = TimeSpan.seconds(1);
--- a/decisions/src/test/java/pearladder/sockets/ShutdownTest.java
+++ b/decisions/src/test/java/pearladder/connections/ShutdownTest.java
@@ -1,12 +1,12 @@
-package pearladder.sockets;
+package pearladder.connections;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import org.junit.jupiter.api.Test;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
-import pearladder.sockets.GracefulShutdown.Owed;
-import pearladder.sockets.GracefulShutdown.Step;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
+import pearladder.connections.GracefulShutdown.Owed;
+import pearladder.connections.GracefulShutdown.Step;
 
 class ShutdownTest {
     private static final Owed NOTHING = new Owed(0, 0, 0);
--- a/decisions/src/test/java/pearladder/sockets/SocketsTest.java
+++ b/decisions/src/test/java/pearladder/connections/SocketsTest.java
@@ -1,4 +1,4 @@
-package pearladder.sockets;
+package pearladder.connections;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -14,12 +14,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
-import pearladder.sockets.ConnectionAction.CloseLink;
-import pearladder.sockets.ConnectionAction.CloseSeat;
-import pearladder.sockets.ConnectionAction.OpenLink;
-import pearladder.sockets.ConnectionAction.UseLink;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
+import pearladder.connections.ConnectionAction.CloseLink;
+import pearladder.connections.ConnectionAction.CloseSeat;
+import pearladder.connections.ConnectionAction.OpenLink;
+import pearladder.connections.ConnectionAction.UseLink;
 
 class SocketsTest {
     private final ConnectionManager sockets = new ConnectionManager(new ConnectionManager.Holding(3, 4, 2, TimeSpan.seconds(2), TimeSpan.seconds(10)));
--- a/decisions/src/test/java/pearladder/usage/UsageTest.java
+++ b/decisions/src/test/java/pearladder/metering/UsageTest.java
@@ -1,4 +1,4 @@
-package pearladder.usage;
+package pearladder.metering;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/decisions/src/test/java/pearladder/recovery/BeliefsTest.java
+++ b/decisions/src/test/java/pearladder/recovery/BeliefsTest.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import pearladder.api.TimeSpan;
-import pearladder.state.PolicySnapshot;
+import pearladder.routing.api.TimeSpan;
+import pearladder.routing.state.PolicySnapshot;
 
 class BeliefsTest {
     private static final TimeSpan KEPT = TimeSpan.seconds(10);
--- a/decisions/src/test/java/pearladder/release/ReleasesTest.java
+++ b/decisions/src/test/java/pearladder/rollout/ReleasesTest.java
@@ -1,4 +1,4 @@
-package pearladder.release;
+package pearladder.rollout;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -14,9 +14,9 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
-import pearladder.release.RolloutTarget.Mode;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
+import pearladder.rollout.RolloutTarget.Mode;
 
 class ReleasesTest {
     private static final RolloutPlan.Gate GATE = new RolloutPlan.Gate(0.05, 0.01, 0.05);
--- a/decisions/src/test/java/pearladder/FleetTest.java
+++ b/decisions/src/test/java/pearladder/routing/FleetTest.java
@@ -1,4 +1,4 @@
-package pearladder;
+package pearladder.routing;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,16 +13,16 @@
 import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import pearladder.api.Action;
-import pearladder.api.Event;
-import pearladder.api.Event.InstanceStatus;
-import pearladder.api.Event.EndpointUpdateKind;
-import pearladder.api.Event.Endpoint;
-import pearladder.api.Event.EndpointState;
-import pearladder.api.RoutingSettings;
-import pearladder.api.MonotonicTime;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Event.InstanceStatus;
+import pearladder.routing.api.Event.EndpointUpdateKind;
+import pearladder.routing.api.Event.Endpoint;
+import pearladder.routing.api.Event.EndpointState;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 
 /** Many routers against one fleet, each knowing its own traffic only: what they do together. */
 class FleetTest {
--- a/decisions/src/test/java/pearladder/PolicyTest.java
+++ b/decisions/src/test/java/pearladder/routing/PolicyTest.java
@@ -1,4 +1,4 @@
-package pearladder;
+package pearladder.routing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,14 +11,14 @@
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import pearladder.api.Action;
-import pearladder.api.Event;
-import pearladder.api.Event.InstanceStatus;
-import pearladder.api.Event.EndpointState;
-import pearladder.api.RoutingSettings;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
-import pearladder.state.PolicySnapshot;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Event.InstanceStatus;
+import pearladder.routing.api.Event.EndpointState;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
+import pearladder.routing.state.PolicySnapshot;
 
 /** Plain cases: the ordinary path, each rule, and each failure that was found. */
 class PolicyTest {
--- a/decisions/src/test/java/pearladder/Rig.java
+++ b/decisions/src/test/java/pearladder/routing/Rig.java
@@ -1,4 +1,4 @@
-package pearladder;
+package pearladder.routing;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,19 +12,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import pearladder.api.Action;
-import pearladder.api.Event;
-import pearladder.api.Event.InstanceStatus;
-import pearladder.api.Event.EndpointUpdateKind;
-import pearladder.api.Event.Endpoint;
-import pearladder.api.Event.EndpointState;
-import pearladder.api.RoutingSettings;
-import pearladder.api.RoutingSettings.Idempotency;
-import pearladder.api.RoutingSettings.DeduplicationScope;
-import pearladder.api.RoutingSettings.RequestClass;
-import pearladder.api.MonotonicTime;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Event.InstanceStatus;
+import pearladder.routing.api.Event.EndpointUpdateKind;
+import pearladder.routing.api.Event.Endpoint;
+import pearladder.routing.api.Event.EndpointState;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.RoutingSettings.Idempotency;
+import pearladder.routing.api.RoutingSettings.DeduplicationScope;
+import pearladder.routing.api.RoutingSettings.RequestClass;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 
 /** Drives one instance by hand and checks the rules on each action it returns. */
 final class Rig {
--- a/decisions/src/test/java/pearladder/RulesTest.java
+++ b/decisions/src/test/java/pearladder/routing/RulesTest.java
@@ -1,4 +1,4 @@
-package pearladder;
+package pearladder.routing;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -6,14 +6,14 @@
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import pearladder.api.Action;
-import pearladder.api.Event;
-import pearladder.api.Event.InstanceStatus;
-import pearladder.api.Event.EndpointState;
-import pearladder.api.RoutingSettings;
-import pearladder.api.RoutingSettings.RequestClass;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Event.InstanceStatus;
+import pearladder.routing.api.Event.EndpointState;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.RoutingSettings.RequestClass;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 
 /** Seeded random runs: calls, outcomes, lists and orders as they come; the rig checks the rules at each action. */
 class RulesTest {
--- a/decisions/src/test/java/pearladder/backlog/BacklogTest.java
+++ b/decisions/src/test/java/pearladder/writebuffer/BacklogTest.java
@@ -1,4 +1,4 @@
-package pearladder.backlog;
+package pearladder.writebuffer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,8 +10,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 class BacklogTest {
     private static final TimeSpan GATHER = TimeSpan.millis(20);
--- a/emulator/src/main/java/pearladder/emulator/FleetPlan.java
+++ b/emulator/src/main/java/pearladder/emulator/FleetPlan.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import pearladder.yaml.ConfigValue;
+import pearladder.config.ConfigValue;
 
 /**
  * A fleet of stand-ins as its file states it.
--- a/records/src/main/java/pearladder/records/LogBatch.java
+++ b/eventlog/src/main/java/pearladder/eventlog/LogBatch.java
@@ -1,4 +1,4 @@
-package pearladder.records;
+package pearladder.eventlog;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
--- a/records/src/main/java/pearladder/records/LogEntry.java
+++ b/eventlog/src/main/java/pearladder/eventlog/LogEntry.java
@@ -1,4 +1,4 @@
-package pearladder.records;
+package pearladder.eventlog;
 
 /**
  * One thing that a router did or learnt. Texts are empty and numbers 0 where they don't apply.
--- a/records/src/main/java/pearladder/records/LogEntryType.java
+++ b/eventlog/src/main/java/pearladder/eventlog/LogEntryType.java
@@ -1,4 +1,4 @@
-package pearladder.records;
+package pearladder.eventlog;
 
 /** What an entry tells. The code stands in files and never changes; a detail may be left out where the disk is slow. */
 public enum LogEntryType {
--- a/records/src/main/java/pearladder/records/RetentionSettings.java
+++ b/eventlog/src/main/java/pearladder/eventlog/RetentionSettings.java
@@ -1,4 +1,4 @@
-package pearladder.records;
+package pearladder.eventlog;
 
 /**
  * How records are kept.
--- a/records/src/main/java/pearladder/records/UnsupportedFormatException.java
+++ b/eventlog/src/main/java/pearladder/eventlog/UnsupportedFormatException.java
@@ -1,4 +1,4 @@
-package pearladder.records;
+package pearladder.eventlog;
 
 import java.io.IOException;
 import java.nio.file.Path;
--- a/records/src/main/java/pearladder/metering/Metering.java
+++ b/eventlog/src/main/java/pearladder/eventlog/metering/Metering.java
@@ -1,4 +1,4 @@
-package pearladder.metering;
+package pearladder.eventlog.metering;
 
 import java.io.IOException;
 import java.nio.file.Path;
@@ -9,12 +9,12 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
-import pearladder.records.EventLogCursor;
-import pearladder.records.LogEntry;
-import pearladder.records.LogEntryType;
-import pearladder.usage.InstanceObservation;
-import pearladder.usage.UsageShare;
-import pearladder.usage.UsageAccounting;
+import pearladder.eventlog.EventLogCursor;
+import pearladder.eventlog.LogEntry;
+import pearladder.eventlog.LogEntryType;
+import pearladder.metering.InstanceObservation;
+import pearladder.metering.UsageShare;
+import pearladder.metering.UsageAccounting;
 
 /** Memory-seconds from the records of any number of routers, merged by time. */
 public final class Metering {
--- a/records/src/main/java/pearladder/metering/package-info.java
+++ b/eventlog/src/main/java/pearladder/eventlog/metering/package-info.java
@@ -1,2 +1,2 @@
 /** Reads the records of several routers as evidence of what models held, and sums up what the usage module makes of it. */
-package pearladder.metering;
+package pearladder.eventlog.metering;
--- a/records/src/test/java/pearladder/records/RecordsTest.java
+++ b/eventlog/src/test/java/pearladder/eventlog/RecordsTest.java
@@ -1,4 +1,4 @@
-package pearladder.records;
+package pearladder.eventlog;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/records/src/test/java/pearladder/metering/MeteringTest.java
+++ b/eventlog/src/test/java/pearladder/eventlog/metering/MeteringTest.java
@@ -1,4 +1,4 @@
-package pearladder.metering;
+package pearladder.eventlog.metering;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -10,11 +10,11 @@
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.records.LogEntry;
-import pearladder.records.RetentionSettings;
-import pearladder.records.LogEntryType;
-import pearladder.records.EventLog;
-import pearladder.usage.UsageShare;
+import pearladder.eventlog.LogEntry;
+import pearladder.eventlog.RetentionSettings;
+import pearladder.eventlog.LogEntryType;
+import pearladder.eventlog.EventLog;
+import pearladder.metering.UsageShare;
 
 class MeteringTest {
     /** A whole minute of the wall clock. */
--- a/router/src/main/java/pearladder/router/core/ActiveAttempt.java
+++ b/kserve-router/src/main/java/pearladder/router/core/ActiveAttempt.java
@@ -1,6 +1,6 @@
 package pearladder.router.core;
 
-import pearladder.api.MonotonicTime;
+import pearladder.routing.api.MonotonicTime;
 
 /** One sending of a call to an engine. */
 public final class ActiveAttempt {
--- a/router/src/main/java/pearladder/router/core/ActiveRequest.java
+++ b/kserve-router/src/main/java/pearladder/router/core/ActiveRequest.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import pearladder.api.MonotonicTime;
+import pearladder.routing.api.MonotonicTime;
 
 /** A call that this router has taken: whose it is, where the answer goes, and the legs so far. */
 public final class ActiveRequest {
--- a/router/src/main/java/pearladder/router/core/EventListener.java
+++ b/kserve-router/src/main/java/pearladder/router/core/EventListener.java
@@ -1,8 +1,8 @@
 package pearladder.router.core;
 
 import java.util.function.Consumer;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 
 /** Hears what a router does, to keep a record of it. */
 public interface EventListener {
--- a/router/src/main/java/pearladder/router/core/PolicyDriver.java
+++ b/kserve-router/src/main/java/pearladder/router/core/PolicyDriver.java
@@ -6,10 +6,10 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.api.Action;
-import pearladder.api.RoutingPolicy;
-import pearladder.api.Event;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * Hands each event to the module and has its actions done, one event after the other: what an action causes at once
--- a/router/src/main/java/pearladder/router/core/RequestManager.java
+++ b/kserve-router/src/main/java/pearladder/router/core/RequestManager.java
@@ -5,13 +5,13 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.api.Action;
-import pearladder.api.RoutingPolicy;
-import pearladder.api.Event;
-import pearladder.api.RoutingSettings;
-import pearladder.api.MonotonicTime;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 import pearladder.kserve.RequestOutcome;
 
 /**
--- a/router/src/main/java/pearladder/router/core/ResponseHandler.java
+++ b/kserve-router/src/main/java/pearladder/router/core/ResponseHandler.java
@@ -1,6 +1,6 @@
 package pearladder.router.core;
 
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 
 /** Where the one final answer of a call goes. Each call gets one of the three, or none where its client left. */
 public interface ResponseHandler {
--- a/router/src/main/java/pearladder/router/core/RolloutManager.java
+++ b/kserve-router/src/main/java/pearladder/router/core/RolloutManager.java
@@ -9,14 +9,14 @@
 import java.util.zip.CRC32;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.api.Event;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.TimeSpan;
 import pearladder.kserve.Route;
-import pearladder.release.RolloutProgress;
-import pearladder.release.RolloutAction;
-import pearladder.release.RolloutEvent;
-import pearladder.release.RolloutController;
-import pearladder.release.RolloutTarget;
+import pearladder.rollout.RolloutProgress;
+import pearladder.rollout.RolloutAction;
+import pearladder.rollout.RolloutEvent;
+import pearladder.rollout.RolloutController;
+import pearladder.rollout.RolloutTarget;
 
 /** The hands of the release module: its journal, its timer, and its wishes for copies handed on to the policy. */
 public final class RolloutManager {
--- a/router/src/main/java/pearladder/router/core/RouterConfig.java
+++ b/kserve-router/src/main/java/pearladder/router/core/RouterConfig.java
@@ -2,10 +2,10 @@
 
 import java.nio.file.Path;
 import java.util.List;
-import pearladder.api.RoutingSettings;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.TimeSpan;
 import pearladder.kserve.Route;
-import pearladder.records.RetentionSettings;
+import pearladder.eventlog.RetentionSettings;
 
 /**
  * What a router is told in its file, once, at its start.
--- a/router/src/main/java/pearladder/router/core/RouterConfigParser.java
+++ b/kserve-router/src/main/java/pearladder/router/core/RouterConfigParser.java
@@ -3,29 +3,29 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import pearladder.api.RoutingSettings;
-import pearladder.api.RoutingSettings.Tenant;
-import pearladder.api.RoutingSettings.AttemptLimits;
-import pearladder.api.RoutingSettings.ResponseGrace;
-import pearladder.api.RoutingSettings.SlowStartSettings;
-import pearladder.api.RoutingSettings.InstanceSettings;
-import pearladder.api.RoutingSettings.Idempotency;
-import pearladder.api.RoutingSettings.DeduplicationScope;
-import pearladder.api.RoutingSettings.CostModel;
-import pearladder.api.RoutingSettings.LoadQuota;
-import pearladder.api.RoutingSettings.LoadReportSettings;
-import pearladder.api.RoutingSettings.DiscoverySettings;
-import pearladder.api.RoutingSettings.RequestClass;
-import pearladder.api.TimeSpan;
-import pearladder.records.RetentionSettings;
-import pearladder.yaml.ConfigValue;
-import pearladder.yaml.YamlParser;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.RoutingSettings.Tenant;
+import pearladder.routing.api.RoutingSettings.AttemptLimits;
+import pearladder.routing.api.RoutingSettings.ResponseGrace;
+import pearladder.routing.api.RoutingSettings.SlowStartSettings;
+import pearladder.routing.api.RoutingSettings.InstanceSettings;
+import pearladder.routing.api.RoutingSettings.Idempotency;
+import pearladder.routing.api.RoutingSettings.DeduplicationScope;
+import pearladder.routing.api.RoutingSettings.CostModel;
+import pearladder.routing.api.RoutingSettings.LoadQuota;
+import pearladder.routing.api.RoutingSettings.LoadReportSettings;
+import pearladder.routing.api.RoutingSettings.DiscoverySettings;
+import pearladder.routing.api.RoutingSettings.RequestClass;
+import pearladder.routing.api.TimeSpan;
+import pearladder.eventlog.RetentionSettings;
+import pearladder.config.ConfigValue;
+import pearladder.config.YamlParser;
 
 /** Reads a router's file, checks all of it and names every mistake. docs/operating.md lists the keys. */
 public final class RouterConfigParser {
     private RouterConfigParser() {}
 
-    /** Reads a file; throws {@link pearladder.yaml.ConfigErrors.Found} with every mistake in it. */
+    /** Reads a file; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
     public static RouterConfig read(Path file) {
         return read(YamlParser.read(file));
     }
--- a/router/src/main/java/pearladder/router/core/RouterMetrics.java
+++ b/kserve-router/src/main/java/pearladder/router/core/RouterMetrics.java
@@ -1,6 +1,6 @@
 package pearladder.router.core;
 
-import pearladder.api.Outcome;
+import pearladder.routing.api.Outcome;
 import pearladder.kserve.RequestOutcome;
 
 /** Counts of what a router does. */
--- a/router/src/main/java/pearladder/router/core/SnapshotLoader.java
+++ b/kserve-router/src/main/java/pearladder/router/core/SnapshotLoader.java
@@ -4,12 +4,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import pearladder.api.Event;
-import pearladder.api.RoutingSettings;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 import pearladder.recovery.SnapshotRecovery;
-import pearladder.state.PolicySnapshot;
+import pearladder.routing.state.PolicySnapshot;
 
 /** Asks the recovery module what of an earlier life the policy may start from. */
 public final class SnapshotLoader {
--- a/router/src/main/java/pearladder/router/core/Timers.java
+++ b/kserve-router/src/main/java/pearladder/router/core/Timers.java
@@ -1,7 +1,7 @@
 package pearladder.router.core;
 
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 /** Time as a router knows it: which moment it is, and what happens later. One thread calls all of it. */
 public interface Timers {
--- a/router/src/main/java/pearladder/router/core/WorkerClient.java
+++ b/kserve-router/src/main/java/pearladder/router/core/WorkerClient.java
@@ -1,7 +1,7 @@
 package pearladder.router.core;
 
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * The way to the engines. Outcomes prove what they claim: unreachable and void are said only where nothing of a call left.
--- a/router/src/main/java/pearladder/router/core/WorkerResponse.java
+++ b/kserve-router/src/main/java/pearladder/router/core/WorkerResponse.java
@@ -1,7 +1,7 @@
 package pearladder.router.core;
 
-import pearladder.api.Event;
-import pearladder.api.Outcome;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Outcome;
 
 /** What an engine's whole answer says to the module. */
 public interface WorkerResponse {
--- a/router/src/main/java/pearladder/router/AdminServer.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/AdminServer.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -14,7 +14,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
 import pearladder.kserve.JsonBodies;
-import pearladder.release.RolloutTarget;
+import pearladder.rollout.RolloutTarget;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.RolloutManager;
 
--- a/router/src/main/java/pearladder/router/AsyncRolloutJournal.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/AsyncRolloutJournal.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -7,8 +7,8 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.release.RolloutProgress;
-import pearladder.release.RolloutTarget;
+import pearladder.rollout.RolloutProgress;
+import pearladder.rollout.RolloutTarget;
 import pearladder.router.core.RolloutManager;
 
 /** The journal, written off the event loop, one thing after the other. */
--- a/router/src/main/java/pearladder/router/BackgroundWork.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/BackgroundWork.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -7,12 +7,12 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.api.MonotonicTime;
+import pearladder.routing.api.MonotonicTime;
 import pearladder.router.core.Timers;
-import pearladder.work.ResourceCost;
-import pearladder.work.BackgroundScheduler;
-import pearladder.work.JobAction;
-import pearladder.work.JobEvent;
+import pearladder.background.ResourceCost;
+import pearladder.background.BackgroundScheduler;
+import pearladder.background.JobAction;
+import pearladder.background.JobEvent;
 
 /** Does the router's background work when the scheduler says so. The event loop calls it; the jobs themselves leave it. */
 final class BackgroundWork {
@@ -49,7 +49,7 @@
     }
 
     /** How late the event loop is. */
-    void strained(pearladder.api.TimeSpan behind) {
+    void strained(pearladder.routing.api.TimeSpan behind) {
         tell(new JobEvent.Strained(behind));
     }
 
--- a/router/src/main/java/pearladder/router/EndpointListCache.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EndpointListCache.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
--- a/router/src/main/java/pearladder/router/EventLoopLag.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EventLoopLag.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.Vertx;
 
--- a/router/src/main/java/pearladder/router/EventRecorder.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EventRecorder.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -19,25 +19,25 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.api.Event;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
-import pearladder.backlog.WriteBuffer;
-import pearladder.backlog.WriteBufferAction;
-import pearladder.backlog.WriteBufferEvent;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
+import pearladder.writebuffer.WriteBuffer;
+import pearladder.writebuffer.WriteBufferAction;
+import pearladder.writebuffer.WriteBufferEvent;
 import pearladder.kserve.DiscoveryMessage;
-import pearladder.records.EventLogReader;
-import pearladder.records.LogEntry;
-import pearladder.records.LogEntryType;
-import pearladder.records.EventLog;
+import pearladder.eventlog.EventLogReader;
+import pearladder.eventlog.LogEntry;
+import pearladder.eventlog.LogEntryType;
+import pearladder.eventlog.EventLog;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.EventListener;
 import pearladder.router.core.WorkerResponse;
 import pearladder.router.core.ActiveRequest;
 import pearladder.router.core.ActiveAttempt;
 import pearladder.router.core.Timers;
-import pearladder.work.JobClasses;
-import pearladder.work.ResourceCost;
+import pearladder.background.JobClasses;
+import pearladder.background.ResourceCost;
 
 /**
  * Keeps the record of what this router does: entries are made on the event loop and written off it, when the backlog module
--- a/router/src/main/java/pearladder/router/HttpResponseHandler.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpResponseHandler.java
@@ -1,9 +1,9 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 import pearladder.kserve.JsonBodies;
 import pearladder.kserve.RequestOutcome;
 import pearladder.kserve.Headers;
--- a/router/src/main/java/pearladder/router/HttpWorkerClient.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerClient.java
@@ -1,11 +1,11 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Headers;
 import pearladder.router.core.WorkerClient;
--- a/router/src/main/java/pearladder/router/HttpWorkerResponse.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerResponse.java
@@ -1,9 +1,9 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import pearladder.api.Event;
-import pearladder.api.Outcome;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Outcome;
 import pearladder.kserve.Headers;
 import pearladder.kserve.LoadReport;
 import pearladder.router.core.WorkerResponse;
--- a/router/src/main/java/pearladder/router/InferenceServer.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/InferenceServer.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -10,9 +10,9 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import pearladder.api.RoutingSettings;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Headers;
 import pearladder.kserve.Route;
--- a/router/src/main/java/pearladder/router/PrometheusMetrics.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/PrometheusMetrics.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
@@ -12,7 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import pearladder.api.Outcome;
+import pearladder.routing.api.Outcome;
 import pearladder.kserve.RequestOutcome;
 import pearladder.router.core.RouterMetrics;
 
--- a/router/src/main/java/pearladder/router/RolloutClient.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutClient.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -16,8 +16,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.function.UnaryOperator;
-import pearladder.release.RolloutPlan;
-import pearladder.release.RolloutTarget;
+import pearladder.rollout.RolloutPlan;
+import pearladder.rollout.RolloutTarget;
 
 /**
  * An operator's side of releases: looks at every router's doors, makes the order that follows the newest one seen, and
--- a/router/src/main/java/pearladder/router/RolloutJournal.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutJournal.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -20,8 +20,8 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.zip.CRC32;
-import pearladder.release.RolloutProgress;
-import pearladder.release.RolloutTarget;
+import pearladder.rollout.RolloutProgress;
+import pearladder.rollout.RolloutTarget;
 
 /**
  * Orders on releases, as they were taken, and how far this router came with them: a line each, with its check sum before it, on disk before anyone is told. A tail
--- a/router/src/main/java/pearladder/router/RolloutPlanParser.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutPlanParser.java
@@ -1,18 +1,18 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import pearladder.api.TimeSpan;
-import pearladder.release.RolloutPlan;
-import pearladder.yaml.ConfigValue;
-import pearladder.yaml.YamlParser;
+import pearladder.routing.api.TimeSpan;
+import pearladder.rollout.RolloutPlan;
+import pearladder.config.ConfigValue;
+import pearladder.config.YamlParser;
 
 /** Reads a release's plan: one for each model that it names. docs/versions.md lists the keys. */
 public final class RolloutPlanParser {
     private RolloutPlanParser() {}
 
-    /** Reads a file; throws {@link pearladder.yaml.ConfigErrors.Found} with every mistake in it. */
+    /** Reads a file; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
     public static List<RolloutPlan> read(Path file) {
         return read(YamlParser.read(file));
     }
--- a/router/src/main/java/pearladder/router/RolloutSync.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutSync.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -19,11 +19,11 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.release.RolloutTarget;
+import pearladder.rollout.RolloutTarget;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.RolloutManager;
-import pearladder.work.JobClasses;
-import pearladder.work.ResourceCost;
+import pearladder.background.JobClasses;
+import pearladder.background.ResourceCost;
 
 /**
  * Learns the newest orders on releases from the other routers: from all of them before this one is ready, then from one
--- a/router/src/main/java/pearladder/router/Router.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/Router.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.Context;
 import io.vertx.core.Future;
@@ -11,10 +11,10 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.api.RoutingPolicy;
-import pearladder.api.Event;
-import pearladder.api.RoutingSettings;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.TimeSpan;
 import pearladder.kserve.DiscoveryMessage;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.RequestManager;
@@ -22,9 +22,9 @@
 import pearladder.router.core.ActiveRequest;
 import pearladder.router.core.SnapshotLoader;
 import pearladder.router.core.RolloutManager;
-import pearladder.state.PolicySnapshot;
-import pearladder.work.JobClasses;
-import pearladder.work.ResourceCost;
+import pearladder.routing.state.PolicySnapshot;
+import pearladder.background.JobClasses;
+import pearladder.background.ResourceCost;
 
 /**
  * One router behind real sockets: its door, its engines, its list, its releases and one instance of the module, all on one
--- a/router/src/main/java/pearladder/router/SnapshotFile.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/SnapshotFile.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import com.fasterxml.jackson.annotation.JsonAutoDetect;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -12,7 +12,7 @@
 import java.util.zip.CRC32C;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.state.PolicySnapshot;
+import pearladder.routing.state.PolicySnapshot;
 
 /**
  * What the module knew, on disk: a checksum, then JSON; written beside and moved over. At a start it is moved aside first,
--- a/router/src/main/java/pearladder/router/VertxTimers.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/VertxTimers.java
@@ -1,8 +1,8 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.Vertx;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 import pearladder.router.core.Timers;
 
 /** Timers of the event loop, and the machine's monotonic clock. */
--- a/router/src/main/java/pearladder/router/WarmUp.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/WarmUp.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -10,13 +10,13 @@
 import io.vertx.core.http.PoolOptions;
 import java.util.ArrayList;
 import java.util.List;
-import pearladder.api.Action;
-import pearladder.api.RoutingPolicy;
-import pearladder.api.Event;
-import pearladder.api.RoutingSettings;
-import pearladder.api.MonotonicTime;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 import pearladder.router.core.RouterConfig;
 
 /**
--- a/router/src/main/java/pearladder/router/WorkerRegistry.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/WorkerRegistry.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -6,12 +6,12 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.api.Event;
+import pearladder.routing.api.Event;
 import pearladder.kserve.DiscoveryMessage;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.EndpointList;
-import pearladder.work.JobClasses;
-import pearladder.work.ResourceCost;
+import pearladder.background.JobClasses;
+import pearladder.background.ResourceCost;
 
 /** A link to each engine that the list has, and the last list on disk. */
 final class WorkerRegistry {
--- a/router/src/test/java/pearladder/router/BackgroundWorkTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/BackgroundWorkTest.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,13 +9,13 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import org.junit.jupiter.api.Test;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 import pearladder.router.core.Timers;
-import pearladder.work.JobClasses;
-import pearladder.work.JobClass;
-import pearladder.work.ResourceCost;
-import pearladder.work.BackgroundScheduler;
+import pearladder.background.JobClasses;
+import pearladder.background.JobClass;
+import pearladder.background.ResourceCost;
+import pearladder.background.BackgroundScheduler;
 
 class BackgroundWorkTest {
     /** A clock that goes on when it is told to. */
--- a/router/src/test/java/pearladder/router/HardCasesTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/HardCasesTest.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/router/src/test/java/pearladder/router/LifeTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/LifeTest.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -10,12 +10,12 @@
 import java.util.concurrent.CompletionException;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
-import pearladder.StickyFirstFitPolicy;
+import pearladder.routing.StickyFirstFitPolicy;
 import pearladder.emulator.Observation;
 import pearladder.kserve.DiscoveryMessage.Standing;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.RouterConfigParser;
-import pearladder.yaml.YamlParser;
+import pearladder.config.YamlParser;
 
 /** Start, stop, the list and the last list. */
 class LifeTest {
--- a/router/src/test/java/pearladder/router/OperatorTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/OperatorTest.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -6,10 +6,10 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pearladder.release.RolloutPlan;
-import pearladder.release.RolloutTarget;
-import pearladder.yaml.ConfigErrors;
-import pearladder.yaml.YamlParser;
+import pearladder.rollout.RolloutPlan;
+import pearladder.rollout.RolloutTarget;
+import pearladder.config.ConfigErrors;
+import pearladder.config.YamlParser;
 
 class OperatorTest {
     private static List<RolloutPlan> plan(String from, String to) {
--- a/router/src/test/java/pearladder/router/RawEngine.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/RawEngine.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import java.io.BufferedInputStream;
 import java.io.IOException;
--- a/router/src/test/java/pearladder/router/RecorderTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/RecorderTest.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -15,9 +15,9 @@
 import org.junit.jupiter.api.Test;
 import org.sqlite.JDBC;
 import pearladder.emulator.Observation;
-import pearladder.records.EventLogReader;
-import pearladder.records.LogEntry;
-import pearladder.records.LogEntryType;
+import pearladder.eventlog.EventLogReader;
+import pearladder.eventlog.LogEntry;
+import pearladder.eventlog.LogEntryType;
 
 /** What a router keeps of what it did, over sockets. */
 class RecorderTest {
--- a/router/src/test/java/pearladder/router/ReleaseTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/ReleaseTest.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -19,12 +19,12 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 import pearladder.emulator.Observation;
-import pearladder.release.RolloutPlan;
-import pearladder.release.RolloutProgress;
-import pearladder.release.RolloutTarget;
-import pearladder.release.RolloutTarget.Mode;
+import pearladder.rollout.RolloutPlan;
+import pearladder.rollout.RolloutProgress;
+import pearladder.rollout.RolloutTarget;
+import pearladder.rollout.RolloutTarget.Mode;
 
 /** Gradual versions over sockets, and the journal of orders. */
 class ReleaseTest {
--- a/router/src/test/java/pearladder/router/Stand.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/Stand.java
@@ -1,4 +1,4 @@
-package pearladder.router;
+package pearladder.router.kserve;
 
 import io.vertx.core.Vertx;
 import java.io.IOException;
@@ -17,14 +17,14 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
-import pearladder.StickyFirstFitPolicy;
+import pearladder.routing.StickyFirstFitPolicy;
 import pearladder.emulator.FleetPlan;
 import pearladder.emulator.Observation;
 import pearladder.emulator.net.Fleet;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
 import pearladder.router.core.RouterConfigParser;
-import pearladder.yaml.YamlParser;
+import pearladder.config.YamlParser;
 
 /** A router, its stand-ins and a client in one process, on ports given by the system. */
 final class Stand implements AutoCloseable {
--- a/records/src/main/java/pearladder/records/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/**
- * An append-only record of what a router did, in segments that are SQLite files. A batch is one row with its own checksum;
- * {@link pearladder.records.Records} writes, {@link pearladder.records.Archive} reads what stands in a folder.
- */
-package pearladder.records;
--- a/terms/src/main/java/pearladder/terms/EndpointStates.java
+++ b/settings/src/main/java/pearladder/settings/EndpointStates.java
@@ -1,7 +1,7 @@
-package pearladder.terms;
+package pearladder.settings;
 
 import java.util.Map;
-import pearladder.api.Event.EndpointState;
+import pearladder.routing.api.Event.EndpointState;
 
 /** How the operators word a worker's standing, in the simulator's lists and in the control feed. */
 public final class EndpointStates {
--- a/terms/src/main/java/pearladder/terms/InvalidInputException.java
+++ b/settings/src/main/java/pearladder/settings/InvalidInputException.java
@@ -1,4 +1,4 @@
-package pearladder.terms;
+package pearladder.settings;
 
 /** A line that is not what the wire allows; the message names the line and the field. */
 public final class InvalidInputException extends RuntimeException {
--- a/terms/src/main/java/pearladder/terms/JsonNodeReader.java
+++ b/settings/src/main/java/pearladder/settings/JsonNodeReader.java
@@ -1,9 +1,9 @@
-package pearladder.terms;
+package pearladder.settings;
 
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 
 /** A value inside a JSON object, read by type; a wrong type names the path. Unknown keys are passed over. */
 public record JsonNodeReader(JsonRowReader row, String path, Object value) {
--- a/terms/src/main/java/pearladder/terms/JsonRowReader.java
+++ b/settings/src/main/java/pearladder/settings/JsonRowReader.java
@@ -1,4 +1,4 @@
-package pearladder.terms;
+package pearladder.settings;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
--- a/terms/src/main/java/pearladder/terms/LoadReport.java
+++ b/settings/src/main/java/pearladder/settings/LoadReport.java
@@ -1,7 +1,7 @@
-package pearladder.terms;
+package pearladder.settings;
 
 import java.util.function.ToDoubleFunction;
-import pearladder.api.Event.WorkerLoadReport;
+import pearladder.routing.api.Event.WorkerLoadReport;
 
 /** A worker's load report under the operators' names for its values. */
 public final class LoadReport {
--- a/terms/src/main/java/pearladder/terms/RoutingSettingsParser.java
+++ b/settings/src/main/java/pearladder/settings/RoutingSettingsParser.java
@@ -1,19 +1,19 @@
-package pearladder.terms;
+package pearladder.settings;
 
 import java.util.Map;
-import pearladder.api.RoutingSettings;
-import pearladder.api.RoutingSettings.Tenant;
-import pearladder.api.RoutingSettings.AttemptLimits;
-import pearladder.api.RoutingSettings.ResponseGrace;
-import pearladder.api.RoutingSettings.SlowStartSettings;
-import pearladder.api.RoutingSettings.InstanceSettings;
-import pearladder.api.RoutingSettings.Idempotency;
-import pearladder.api.RoutingSettings.DeduplicationScope;
-import pearladder.api.RoutingSettings.CostModel;
-import pearladder.api.RoutingSettings.LoadQuota;
-import pearladder.api.RoutingSettings.LoadReportSettings;
-import pearladder.api.RoutingSettings.DiscoverySettings;
-import pearladder.api.RoutingSettings.RequestClass;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.RoutingSettings.Tenant;
+import pearladder.routing.api.RoutingSettings.AttemptLimits;
+import pearladder.routing.api.RoutingSettings.ResponseGrace;
+import pearladder.routing.api.RoutingSettings.SlowStartSettings;
+import pearladder.routing.api.RoutingSettings.InstanceSettings;
+import pearladder.routing.api.RoutingSettings.Idempotency;
+import pearladder.routing.api.RoutingSettings.DeduplicationScope;
+import pearladder.routing.api.RoutingSettings.CostModel;
+import pearladder.routing.api.RoutingSettings.LoadQuota;
+import pearladder.routing.api.RoutingSettings.LoadReportSettings;
+import pearladder.routing.api.RoutingSettings.DiscoverySettings;
+import pearladder.routing.api.RoutingSettings.RequestClass;
 
 /** Turns the facts object, on the simulator's wire or in a platform's configuration, into the module's. */
 public final class RoutingSettingsParser {
--- a/rehearsal/src/main/java/pearladder/rehearsal/FaultSearch.java
+++ b/simulation/src/main/java/pearladder/simulation/FaultSearch.java
@@ -1,4 +1,4 @@
-package pearladder.rehearsal;
+package pearladder.simulation;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -17,7 +17,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import pearladder.lab.ScenarioPlan;
+import pearladder.testbed.ScenarioPlan;
 
 /**
  * Looks for the seed and the troubles, their times and their overlap, under which a router does worst or a rule breaks, and
@@ -54,7 +54,7 @@
         this.maker = maker;
         this.pool = pool;
         this.progress = progress;
-        this.plan = ScenarioPlan.read(pearladder.yaml.YamlParser.read(name, YAML.writeValueAsString(base)));
+        this.plan = ScenarioPlan.read(pearladder.config.YamlParser.read(name, YAML.writeValueAsString(base)));
         this.chance = new SplittableRandom(plan.seed());
     }
 
--- a/rehearsal/src/main/java/pearladder/rehearsal/SimulatedHost.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedHost.java
@@ -1,16 +1,16 @@
-package pearladder.rehearsal;
+package pearladder.simulation;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.TimeSpan;
 import pearladder.kserve.DiscoveryMessage;
-import pearladder.release.RolloutProgress;
-import pearladder.release.RolloutTarget;
+import pearladder.rollout.RolloutProgress;
+import pearladder.rollout.RolloutTarget;
 import pearladder.router.core.RolloutManager;
-import pearladder.state.PolicySnapshot;
+import pearladder.routing.state.PolicySnapshot;
 
 /** A router's machine: what outlives the router's death, and the life that runs on it now, if any. */
 final class SimulatedHost {
--- a/rehearsal/src/main/java/pearladder/rehearsal/SimulatedNetworkPath.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedNetworkPath.java
@@ -1,4 +1,4 @@
-package pearladder.rehearsal;
+package pearladder.simulation;
 
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
--- a/rehearsal/src/main/java/pearladder/rehearsal/SimulatedWorkerClient.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
@@ -1,4 +1,4 @@
-package pearladder.rehearsal;
+package pearladder.simulation;
 
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -6,9 +6,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import pearladder.api.Event;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 import pearladder.emulator.WorkerModel;
 import pearladder.emulator.Timeline;
 import pearladder.kserve.LoadReport;
--- a/rehearsal/src/main/java/pearladder/rehearsal/Simulation.java
+++ b/simulation/src/main/java/pearladder/simulation/Simulation.java
@@ -1,4 +1,4 @@
-package pearladder.rehearsal;
+package pearladder.simulation;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -19,25 +19,25 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Consumer;
-import pearladder.api.RoutingPolicy;
-import pearladder.api.RoutingSettings;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.RoutingSettings;
 import pearladder.emulator.Observation;
 import pearladder.emulator.VirtualTimeline;
-import pearladder.lab.LoadStatistics;
-import pearladder.lab.LoadGenerator;
-import pearladder.lab.ScenarioPlan;
-import pearladder.lab.ClientLoadBalancer;
-import pearladder.lab.ReleaseScript;
-import pearladder.lab.Results;
-import pearladder.lab.InvariantChecker;
-import pearladder.lab.TraceWorkload;
-import pearladder.lab.SyntheticWorkload;
-import pearladder.lab.FaultInjector;
-import pearladder.lab.VersionShares;
-import pearladder.release.RolloutTarget;
+import pearladder.testbed.LoadStatistics;
+import pearladder.testbed.LoadGenerator;
+import pearladder.testbed.ScenarioPlan;
+import pearladder.testbed.ClientLoadBalancer;
+import pearladder.testbed.ReleaseScript;
+import pearladder.testbed.Results;
+import pearladder.testbed.InvariantChecker;
+import pearladder.testbed.TraceWorkload;
+import pearladder.testbed.SyntheticWorkload;
+import pearladder.testbed.FaultInjector;
+import pearladder.testbed.VersionShares;
+import pearladder.rollout.RolloutTarget;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.RouterConfigParser;
-import pearladder.yaml.YamlParser;
+import pearladder.config.YamlParser;
 
 /** One day in virtual time, in one thread: the same script and seed give the same events, whatever the machine. */
 public final class Simulation {
--- a/rehearsal/src/test/java/pearladder/rehearsal/RehearsalTest.java
+++ b/simulation/src/test/java/pearladder/simulation/RehearsalTest.java
@@ -1,4 +1,4 @@
-package pearladder.rehearsal;
+package pearladder.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -15,10 +15,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.StickyFirstFitPolicy;
+import pearladder.routing.StickyFirstFitPolicy;
 import pearladder.baseline.RandomChoice;
-import pearladder.lab.ScenarioPlan;
-import pearladder.lab.InvariantChecker;
+import pearladder.testbed.ScenarioPlan;
+import pearladder.testbed.InvariantChecker;
 
 class RehearsalTest {
     private static final String SCRIPT =
--- a/wirehost/src/main/java/pearladder/wire/SimulatorAdapter.java
+++ b/simulator-adapter/src/main/java/pearladder/simulator/SimulatorAdapter.java
@@ -1,4 +1,4 @@
-package pearladder.wire;
+package pearladder.simulator;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -16,22 +16,22 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import pearladder.api.Action;
-import pearladder.api.RoutingPolicy;
-import pearladder.api.Event;
-import pearladder.api.Event.InstanceStatus;
-import pearladder.api.Event.Endpoint;
-import pearladder.api.Event.WorkerLoadReport;
-import pearladder.api.RoutingSettings;
-import pearladder.api.MonotonicTime;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
-import pearladder.terms.InvalidInputException;
-import pearladder.terms.RoutingSettingsParser;
-import pearladder.terms.LoadReport;
-import pearladder.terms.JsonNodeReader;
-import pearladder.terms.JsonRowReader;
-import pearladder.terms.EndpointStates;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Event.InstanceStatus;
+import pearladder.routing.api.Event.Endpoint;
+import pearladder.routing.api.Event.WorkerLoadReport;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
+import pearladder.settings.InvalidInputException;
+import pearladder.settings.RoutingSettingsParser;
+import pearladder.settings.LoadReport;
+import pearladder.settings.JsonNodeReader;
+import pearladder.settings.JsonRowReader;
+import pearladder.settings.EndpointStates;
 
 /** Hosts many instances of the module on the simulator's wire: batches of lines in, one reply a batch out. */
 public final class SimulatorAdapter {
--- a/wirehost/src/test/java/pearladder/wire/WireHostTest.java
+++ b/simulator-adapter/src/test/java/pearladder/simulator/WireHostTest.java
@@ -1,4 +1,4 @@
-package pearladder.wire;
+package pearladder.simulator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -13,13 +13,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import pearladder.api.Action;
-import pearladder.api.Event;
-import pearladder.api.RoutingSettings;
-import pearladder.api.MonotonicTime;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
-import pearladder.terms.InvalidInputException;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
+import pearladder.settings.InvalidInputException;
 
 class WireHostTest {
     private static final String BEGIN = "[\"Begin\",3,99,{\"PeersTotal\":2,\"Unknown\":[1,{\"a\":null}],\"Services\":"
--- a/lab/src/main/java/pearladder/lab/CategoryTerms.java
+++ b/testbed/src/main/java/pearladder/testbed/CategoryTerms.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 /** What the checker and the clients must know of a category; spans in nanoseconds. */
 public record CategoryTerms(
--- a/lab/src/main/java/pearladder/lab/DecisionCost.java
+++ b/testbed/src/main/java/pearladder/testbed/DecisionCost.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import java.lang.management.ManagementFactory;
 import java.util.ArrayDeque;
@@ -7,13 +7,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
-import pearladder.api.Action;
-import pearladder.api.RoutingPolicy;
-import pearladder.api.Event;
-import pearladder.api.RoutingSettings;
-import pearladder.api.MonotonicTime;
-import pearladder.api.Outcome;
-import pearladder.api.TimeSpan;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * What one call costs the module itself, with no socket: microseconds and bytes for a call's coming, its legs' ends and
--- a/lab/src/main/java/pearladder/lab/DiskStallInjector.java
+++ b/testbed/src/main/java/pearladder/testbed/DiskStallInjector.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import java.io.IOException;
 import java.nio.file.Files;
--- a/lab/src/main/java/pearladder/lab/Experiment.java
+++ b/testbed/src/main/java/pearladder/testbed/Experiment.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -34,7 +34,7 @@
         this.progress = progress;
     }
 
-    /** Only reads a file and its base; throws {@link pearladder.yaml.Mistakes.Found} with every mistake. */
+    /** Only reads a file and its base; throws {@link pearladder.config.Mistakes.Found} with every mistake. */
     public static void check(Path file) {
         ScenarioPlan.read(ExperimentPlan.read(file).base());
     }
--- a/lab/src/main/java/pearladder/lab/ExperimentPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ExperimentPlan.java
@@ -1,10 +1,10 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import pearladder.yaml.ConfigValue;
-import pearladder.yaml.YamlParser;
+import pearladder.config.ConfigValue;
+import pearladder.config.YamlParser;
 
 /**
  * A grid of runs as its file states it.
--- a/lab/src/main/java/pearladder/lab/HttpClientDriver.java
+++ b/testbed/src/main/java/pearladder/testbed/HttpClientDriver.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
--- a/lab/src/main/java/pearladder/lab/InvariantSettings.java
+++ b/testbed/src/main/java/pearladder/testbed/InvariantSettings.java
@@ -1,7 +1,7 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import java.util.Map;
-import pearladder.yaml.ConfigValue;
+import pearladder.config.ConfigValue;
 
 /**
  * The rules of a day as its routers' file states them; spans in nanoseconds.
--- a/lab/src/main/java/pearladder/lab/LoadGenerator.java
+++ b/testbed/src/main/java/pearladder/testbed/LoadGenerator.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
--- a/lab/src/main/java/pearladder/lab/PassThrough.java
+++ b/testbed/src/main/java/pearladder/testbed/PassThrough.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
--- a/lab/src/main/java/pearladder/lab/QueueCost.java
+++ b/testbed/src/main/java/pearladder/testbed/QueueCost.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import java.util.ArrayList;
 import java.util.Arrays;
--- a/lab/src/main/java/pearladder/lab/ReleaseScript.java
+++ b/testbed/src/main/java/pearladder/testbed/ReleaseScript.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -14,8 +14,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import pearladder.release.RolloutTarget;
-import pearladder.yaml.ConfigValue;
+import pearladder.rollout.RolloutTarget;
+import pearladder.config.ConfigValue;
 
 /** The operators of a day: orders on releases, given at their moments to every router over its admin door. */
 public final class ReleaseScript {
--- a/lab/src/main/java/pearladder/lab/ReleaseTrials.java
+++ b/testbed/src/main/java/pearladder/testbed/ReleaseTrials.java
@@ -1,16 +1,16 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
-import pearladder.api.MonotonicTime;
-import pearladder.api.TimeSpan;
-import pearladder.release.RolloutPlan;
-import pearladder.release.RolloutAction;
-import pearladder.release.RolloutEvent;
-import pearladder.release.RolloutController;
-import pearladder.release.RolloutTarget;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
+import pearladder.rollout.RolloutPlan;
+import pearladder.rollout.RolloutAction;
+import pearladder.rollout.RolloutEvent;
+import pearladder.rollout.RolloutController;
+import pearladder.rollout.RolloutTarget;
 
 /**
  * Trials of the release module alone, in simulated time and with drawn results: shares reached against those asked for, and
--- a/lab/src/main/java/pearladder/lab/Report.java
+++ b/testbed/src/main/java/pearladder/testbed/Report.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.awt.Color;
--- a/lab/src/main/java/pearladder/lab/RequestSource.java
+++ b/testbed/src/main/java/pearladder/testbed/RequestSource.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 /** Where a day's calls come from, in the order of their moments. */
 public interface RequestSource {
--- a/lab/src/main/java/pearladder/lab/Scenario.java
+++ b/testbed/src/main/java/pearladder/testbed/Scenario.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -98,7 +98,7 @@
         return thread;
     }
 
-    /** Only reads a script; throws {@link pearladder.yaml.Mistakes.Found} with every mistake in it. */
+    /** Only reads a script; throws {@link pearladder.config.Mistakes.Found} with every mistake in it. */
     public static void check(Path script) {
         ScenarioPlan.read(script);
     }
--- a/lab/src/main/java/pearladder/lab/ScenarioPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import pearladder.emulator.FleetPlan;
-import pearladder.yaml.ConfigValue;
-import pearladder.yaml.YamlParser;
+import pearladder.config.ConfigValue;
+import pearladder.config.YamlParser;
 
 /**
  * One day as its script states it; spans in nanoseconds.
@@ -163,7 +163,7 @@
      */
     public record Trouble(long at, long lasting, Kind what, double share, double times, double part, String hall) {}
 
-    /** Reads a script; throws {@link pearladder.yaml.ConfigErrors.Found} with every mistake in it. */
+    /** Reads a script; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
     public static ScenarioPlan read(Path file) {
         return read(YamlParser.read(file));
     }
--- a/lab/src/test/java/pearladder/lab/DayPlanTest.java
+++ b/testbed/src/test/java/pearladder/testbed/DayPlanTest.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -14,8 +14,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import pearladder.emulator.Observation;
 import pearladder.emulator.ObservationLog;
-import pearladder.yaml.ConfigErrors;
-import pearladder.yaml.YamlParser;
+import pearladder.config.ConfigErrors;
+import pearladder.config.YamlParser;
 
 class DayPlanTest {
     private static final String DAY =
--- a/lab/src/test/java/pearladder/lab/FeedTest.java
+++ b/testbed/src/test/java/pearladder/testbed/FeedTest.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/lab/src/test/java/pearladder/lab/ReportTest.java
+++ b/testbed/src/test/java/pearladder/testbed/ReportTest.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -15,8 +15,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import pearladder.emulator.Observation;
-import pearladder.yaml.ConfigErrors;
-import pearladder.yaml.YamlParser;
+import pearladder.config.ConfigErrors;
+import pearladder.config.YamlParser;
 
 class ReportTest {
     private static final long S = 1_000_000_000L;
--- a/lab/src/test/java/pearladder/lab/RulesCheckerTest.java
+++ b/testbed/src/test/java/pearladder/testbed/RulesCheckerTest.java
@@ -1,4 +1,4 @@
-package pearladder.lab;
+package pearladder.testbed;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,9 +8,9 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import pearladder.emulator.Observation;
-import pearladder.lab.CategoryTerms.Effect;
-import pearladder.lab.CategoryTerms.Group;
-import pearladder.lab.InvariantChecker.Rule;
+import pearladder.testbed.CategoryTerms.Effect;
+import pearladder.testbed.CategoryTerms.Group;
+import pearladder.testbed.InvariantChecker.Rule;
 
 /** The checker itself: a tape that keeps the rules passes, and each way of breaking one is found and named. */
 class RulesCheckerTest {
