--- /dev/null
+++ b/cli/src/test/java/pearladder/architecture/KnownViolation.java
@@ -0,0 +1,10 @@
+package pearladder.architecture;
+
+/**
+ * An import against the arrows that was there before the rule.
+ *
+ * @param from the module that imports
+ * @param to the module that is imported
+ * @param reason what is imported, and why it is still there
+ */
+record KnownViolation(Layer from, Layer to, String reason) {}
--- /dev/null
+++ b/cli/src/test/java/pearladder/architecture/package-info.java
@@ -0,0 +1,2 @@
+/** Checks which module may import which. */
+package pearladder.architecture;
--- /dev/null
+++ b/cli/src/test/java/pearladder/routing/violation/package-info.java
@@ -0,0 +1,2 @@
+/** Classes placed against the architecture on purpose; only {@code ArchitectureTest} reads them. */
+package pearladder.routing.violation;
