--- a/cli/src/main/java/pearladder/cli/CheckCommand.java
+++ b/cli/src/main/java/pearladder/cli/CheckCommand.java
@@ -2,13 +2,13 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import pearladder.emulator.FleetPlan;
-import pearladder.testbed.Scenario;
-import pearladder.testbed.Experiment;
-import pearladder.router.kserve.RolloutPlanParser;
-import pearladder.router.core.RouterConfigParser;
 import pearladder.config.ConfigValue;
 import pearladder.config.YamlParser;
+import pearladder.emulator.FleetPlan;
+import pearladder.router.core.RouterConfigParser;
+import pearladder.router.kserve.RolloutPlanParser;
+import pearladder.testbed.Experiment;
+import pearladder.testbed.Scenario;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Parameters;
--- a/cli/src/main/java/pearladder/cli/EnginesCommand.java
+++ b/cli/src/main/java/pearladder/cli/EnginesCommand.java
@@ -5,13 +5,13 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.function.Consumer;
+import pearladder.config.ConfigValue;
+import pearladder.config.YamlParser;
 import pearladder.emulator.FleetPlan;
 import pearladder.emulator.Observation;
 import pearladder.emulator.ObservationLog;
 import pearladder.emulator.net.FaultInjectionServer;
 import pearladder.emulator.net.Fleet;
-import pearladder.config.ConfigValue;
-import pearladder.config.YamlParser;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
--- a/cli/src/main/java/pearladder/cli/Main.java
+++ b/cli/src/main/java/pearladder/cli/Main.java
@@ -2,9 +2,9 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
-import pearladder.routing.StickyFirstFitPolicy;
 import pearladder.platform.PlatformRouter;
 import pearladder.platform.SignalHandlers;
+import pearladder.routing.StickyFirstFitPolicy;
 import pearladder.settings.InvalidInputException;
 import pearladder.simulator.SimulatorAdapter;
 
@@ -56,8 +56,8 @@
             return 2;
         }
         try {
-            PlatformRouter router =
-                    new PlatformRouter(Path.of(file), System.getenv(), StickyFirstFitPolicy::new, status -> Runtime.getRuntime()
+            PlatformRouter router = new PlatformRouter(
+                    Path.of(file), System.getenv(), StickyFirstFitPolicy::new, status -> Runtime.getRuntime()
                             .halt(status));
             signals.on(router::reload, router::stop);
             router.start(practice ? router::stop : () -> {});
--- a/cli/src/main/java/pearladder/cli/MeasureCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeasureCommand.java
@@ -3,8 +3,8 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import pearladder.testbed.DecisionCost;
 import pearladder.testbed.Benchmark;
+import pearladder.testbed.DecisionCost;
 import pearladder.testbed.QueueCost;
 import pearladder.testbed.ReleaseTrials;
 import picocli.CommandLine.Command;
@@ -50,7 +50,8 @@
         }
         if (!records) {
             System.out.println("decisions alone");
-            DecisionCost.run(PolicyChoice.MODULE.maker::make, rounds, 12, 92, 500).forEach(System.out::println);
+            DecisionCost.run(PolicyChoice.MODULE.maker::make, rounds, 12, 92, 500)
+                    .forEach(System.out::println);
         }
         Benchmark.run(SelfCommand.command(), out, rounds, seconds, records, System.out);
         return 0;
--- a/cli/src/main/java/pearladder/cli/PolicyChoice.java
+++ b/cli/src/main/java/pearladder/cli/PolicyChoice.java
@@ -1,8 +1,8 @@
 package pearladder.cli;
 
-import pearladder.routing.StickyFirstFitPolicy;
 import pearladder.baseline.RandomChoice;
 import pearladder.router.kserve.Router;
+import pearladder.routing.StickyFirstFitPolicy;
 
 /** Who decides in a router: the module, or a baseline that it is compared with. */
 enum PolicyChoice {
--- a/cli/src/main/java/pearladder/cli/RecordsCommand.java
+++ b/cli/src/main/java/pearladder/cli/RecordsCommand.java
@@ -11,11 +11,11 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
+import pearladder.eventlog.EventLog;
 import pearladder.eventlog.EventLogReader;
 import pearladder.eventlog.LogEntry;
-import pearladder.eventlog.RetentionSettings;
 import pearladder.eventlog.LogEntryType;
-import pearladder.eventlog.EventLog;
+import pearladder.eventlog.RetentionSettings;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -134,16 +134,17 @@
     int query(@Parameters(index = "0", paramLabel = "DIR") Path folder, @CommandLine.Mixin Wanted wanted)
             throws IOException {
         long[] found = {0};
-        new EventLogReader(folder).find(wanted.from.toEpochMilli(), wanted.to.toEpochMilli(), wanted::is, (number, entry) -> {
-            found[0]++;
-            out().println(String.format(
-                    Locale.ROOT,
-                    "%8d  %s  %-9s %s",
-                    number,
-                    Instant.ofEpochMilli(entry.at()),
-                    word(entry.kind()),
-                    words(entry)));
-        });
+        new EventLogReader(folder)
+                .find(wanted.from.toEpochMilli(), wanted.to.toEpochMilli(), wanted::is, (number, entry) -> {
+                    found[0]++;
+                    out().println(String.format(
+                            Locale.ROOT,
+                            "%8d  %s  %-9s %s",
+                            number,
+                            Instant.ofEpochMilli(entry.at()),
+                            word(entry.kind()),
+                            words(entry)));
+                });
         out().println(found[0] + " entries");
         out().flush();
         return 0;
@@ -263,8 +264,8 @@
     @Command(name = "write", hidden = true)
     int write(@Parameters(index = "0") Path folder) throws IOException {
         Random random = new Random();
-        try (EventLog records =
-                EventLog.open(folder, new RetentionSettings(1 << 20, 60_000, 1L << 40, 1L << 40, 1000), out()::println)) {
+        try (EventLog records = EventLog.open(
+                folder, new RetentionSettings(1 << 20, 60_000, 1L << 40, 1L << 40, 1000), out()::println)) {
             for (long batch = 0; batch < 1_000_000; batch++) {
                 List<LogEntry> entries = new ArrayList<>();
                 for (int i = random.nextInt(40); i >= 0; i--) {
--- a/cli/src/main/java/pearladder/cli/ReleaseCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReleaseCommand.java
@@ -100,7 +100,9 @@
             @CommandLine.Mixin Routers routers,
             @Parameters(paramLabel = "MODEL", description = "none for all") List<String> models) {
         return change(
-                routers, models, before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.PAUSED, before.step(), "", 0));
+                routers,
+                models,
+                before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.PAUSED, before.step(), "", 0));
     }
 
     @Command(name = "resume", mixinStandardHelpOptions = true, description = "Go on by the plan, also after a breach.")
@@ -108,7 +110,9 @@
             @CommandLine.Mixin Routers routers,
             @Parameters(paramLabel = "MODEL", description = "none for all") List<String> models) {
         return change(
-                routers, models, before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.RUNNING, before.step(), "", 0));
+                routers,
+                models,
+                before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.RUNNING, before.step(), "", 0));
     }
 
     @Command(
@@ -118,7 +122,10 @@
     int rollback(
             @CommandLine.Mixin Routers routers,
             @Parameters(paramLabel = "MODEL", description = "none for all") List<String> models) {
-        return change(routers, models, before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.ROLLED_BACK, 0, "", 0));
+        return change(
+                routers,
+                models,
+                before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.ROLLED_BACK, 0, "", 0));
     }
 
     private int change(Routers routers, List<String> models, java.util.function.UnaryOperator<RolloutTarget> change) {
--- a/cli/src/main/java/pearladder/cli/ScenarioCommand.java
+++ b/cli/src/main/java/pearladder/cli/ScenarioCommand.java
@@ -47,8 +47,8 @@
     static int play(Path script, TraceWorkload.Terms trace, Path out, PolicyChoice policy)
             throws IOException, InterruptedException {
         Logs.setUp(Logs.Form.TEXT);
-        Scenario.Outcome outcome =
-                Scenario.play(script, trace, out, SelfCommand.command(), List.of("--policy", policy.name()), System.out);
+        Scenario.Outcome outcome = Scenario.play(
+                script, trace, out, SelfCommand.command(), List.of("--policy", policy.name()), System.out);
         System.out.println();
         outcome.table().forEach(System.out::println);
         System.out.println("kept in " + out);
--- a/cli/src/main/java/pearladder/cli/SearchCommand.java
+++ b/cli/src/main/java/pearladder/cli/SearchCommand.java
@@ -6,8 +6,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import pearladder.testbed.Scripts;
 import pearladder.simulation.FaultSearch;
+import pearladder.testbed.Scripts;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -51,7 +51,8 @@
         if (seed >= 0) {
             script.withObject("/day").put("seed", seed);
         }
-        FaultSearch.Found found = FaultSearch.search(script, file.toString(), policy.maker::make, tries, jobs, System.out);
+        FaultSearch.Found found =
+                FaultSearch.search(script, file.toString(), policy.maker::make, tries, jobs, System.out);
         yaml.writeValue(out.toFile(), found.script());
         System.out.println(found.rehearsed() + " rehearsals; the worst found is in " + out
                 + (found.rule().isEmpty() ? "" : ", which breaks: " + found.rule()));
--- a/cli/src/test/java/pearladder/cli/DayTest.java
+++ b/cli/src/test/java/pearladder/cli/DayTest.java
@@ -21,8 +21,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import pearladder.emulator.Observation;
 import pearladder.emulator.ObservationLog;
-import pearladder.testbed.Scenario;
 import pearladder.testbed.InvariantChecker;
+import pearladder.testbed.Scenario;
 
 /** The whole path as processes, with faults injected; the slack is wide, so that a slow machine gives the same verdict. */
 class DayTest {
@@ -82,13 +82,20 @@
         List<Observation> tape = new ArrayList<>();
         ObservationLog.read(folder.resolve("clients.tape"), tape::add);
         assertEquals(
-                1, tape.stream().filter(seen -> seen.what().equals(Observation.KILLED)).count());
+                1,
+                tape.stream()
+                        .filter(seen -> seen.what().equals(Observation.KILLED))
+                        .count());
         assertEquals(
                 3,
-                tape.stream().filter(seen -> seen.what().equals(Observation.STARTED)).count());
+                tape.stream()
+                        .filter(seen -> seen.what().equals(Observation.STARTED))
+                        .count());
         assertEquals(
                 7,
-                tape.stream().filter(seen -> seen.what().equals(Observation.TROUBLE)).count());
+                tape.stream()
+                        .filter(seen -> seen.what().equals(Observation.TROUBLE))
+                        .count());
         assertTrue(said.toString(StandardCharsets.UTF_8).contains("curl -i http://127.0.0.1:"));
     }
 
--- a/config/src/main/java/pearladder/config/ConfigValue.java
+++ b/config/src/main/java/pearladder/config/ConfigValue.java
@@ -76,7 +76,8 @@
         if (inner instanceof ConfigValue value) {
             return value;
         }
-        return missing.computeIfAbsent(key, k -> new ConfigValue(mistakes, path.isEmpty() ? k : path + "." + k, line, null));
+        return missing.computeIfAbsent(
+                key, k -> new ConfigValue(mistakes, path.isEmpty() ? k : path + "." + k, line, null));
     }
 
     /** The keys in the order they stand. */
--- a/decisions/src/main/java/pearladder/background/JobClasses.java
+++ b/decisions/src/main/java/pearladder/background/JobClasses.java
@@ -31,9 +31,12 @@
                         new JobClass(FLUSH, 0, new ResourceCost(0, 50e6, 0), 2, 1, 100, 3, TimeSpan.millis(200), true),
                         new JobClass(RECORD, 0, new ResourceCost(0, 50e6, 0), 2, 1, 2, 0, TimeSpan.millis(100), true),
                         new JobClass(METER, 1, ResourceCost.NONE, 1, 1, 2, 0, TimeSpan.millis(500), false),
-                        new JobClass(SNAPSHOT, 2, new ResourceCost(0, 10e6, 0), 10, 1, 1, 0, TimeSpan.millis(500), false),
-                        new JobClass(COMPACT, 3, new ResourceCost(0, 2e6, 0), 100, 1, 1, 0, TimeSpan.millis(500), false),
-                        new JobClass(LEARN, 1, new ResourceCost(0, 2e6, 0), 10, 4, 1000, 0, TimeSpan.millis(500), false)),
+                        new JobClass(
+                                SNAPSHOT, 2, new ResourceCost(0, 10e6, 0), 10, 1, 1, 0, TimeSpan.millis(500), false),
+                        new JobClass(
+                                COMPACT, 3, new ResourceCost(0, 2e6, 0), 100, 1, 1, 0, TimeSpan.millis(500), false),
+                        new JobClass(
+                                LEARN, 1, new ResourceCost(0, 2e6, 0), 10, 4, 1000, 0, TimeSpan.millis(500), false)),
                 STRAINED_AT,
                 begun);
     }
--- a/decisions/src/main/java/pearladder/baseline/RandomChoice.java
+++ b/decisions/src/main/java/pearladder/baseline/RandomChoice.java
@@ -8,11 +8,11 @@
 import java.util.TreeMap;
 import java.util.zip.CRC32;
 import pearladder.routing.api.Action;
-import pearladder.routing.api.RoutingPolicy;
 import pearladder.routing.api.Event;
-import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.Outcome;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
 
 /**
--- a/decisions/src/main/java/pearladder/connections/ConnectionEvent.java
+++ b/decisions/src/main/java/pearladder/connections/ConnectionEvent.java
@@ -9,7 +9,8 @@
     record SeatLeft(ClientConnectionState seat) implements ConnectionEvent {}
 
     /** Something is to be sent to a worker, but not on those avoided; its links are told as they stand. */
-    record LinkWanted(String worker, Collection<WorkerConnectionState> links, Collection<WorkerConnectionState> avoided) implements ConnectionEvent {}
+    record LinkWanted(String worker, Collection<WorkerConnectionState> links, Collection<WorkerConnectionState> avoided)
+            implements ConnectionEvent {}
 
     record LinkGone(WorkerConnectionState link) implements ConnectionEvent {}
 
--- a/decisions/src/main/java/pearladder/metering/UsageAccounting.java
+++ b/decisions/src/main/java/pearladder/metering/UsageAccounting.java
@@ -46,10 +46,11 @@
     private final long interval;
     private final long kept;
     private final long late;
-    private final PriorityQueue<InstanceObservation> waiting = new PriorityQueue<>(Comparator.comparingLong(InstanceObservation::at)
-            .thenComparing(UsageAccounting::rank)
-            .thenComparing(InstanceObservation::router)
-            .thenComparing(InstanceObservation::toString));
+    private final PriorityQueue<InstanceObservation> waiting =
+            new PriorityQueue<>(Comparator.comparingLong(InstanceObservation::at)
+                    .thenComparing(UsageAccounting::rank)
+                    .thenComparing(InstanceObservation::router)
+                    .thenComparing(InstanceObservation::toString));
     private final TreeMap<String, Holding> holdings = new TreeMap<>();
     private final Map<String, Long> memory = new HashMap<>();
     private List<UsageShare> shares = new ArrayList<>();
--- a/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
+++ b/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
@@ -30,7 +30,8 @@
      * @param whole whether the records are: what they tell is all there was
      * @param up of each worker on the last list the age of its process now, null where the list doesn't tell
      */
-    public record Found(PolicySnapshot known, TimeSpan gap, List<TimeSpan> orders, boolean whole, Map<String, TimeSpan> up) {}
+    public record Found(
+            PolicySnapshot known, TimeSpan gap, List<TimeSpan> orders, boolean whole, Map<String, TimeSpan> up) {}
 
     /** What may be believed, and a line with figures. */
     public record Believed(PolicySnapshot known, String why) {}
@@ -97,7 +98,8 @@
             for (PolicySnapshot.InstanceSnapshot copy : function.instances()) {
                 TimeSpan untouched = copy.sinceRenewed().plus(gap);
                 if (same.contains(copy.worker()) && !untouched.isLongerThan(kept)) {
-                    held.add(new PolicySnapshot.InstanceSnapshot(copy.worker(), copy.instances(), untouched, copy.cached()));
+                    held.add(new PolicySnapshot.InstanceSnapshot(
+                            copy.worker(), copy.instances(), untouched, copy.cached()));
                 }
             }
             copies += held.size();
@@ -135,7 +137,8 @@
 
     private static Believed nothing(List<TimeSpan> orders, String why) {
         return new Believed(
-                new PolicySnapshot(TimeSpan.ZERO, List.of(), List.of(), orders, 0, 0), why + "; " + orders.size() + " orders count");
+                new PolicySnapshot(TimeSpan.ZERO, List.of(), List.of(), orders, 0, 0),
+                why + "; " + orders.size() + " orders count");
     }
 
     private static String seconds(TimeSpan span) {
--- a/decisions/src/main/java/pearladder/rollout/RolloutController.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutController.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.zip.CRC32;
+import pearladder.rollout.RolloutTarget.Mode;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
-import pearladder.rollout.RolloutTarget.Mode;
 
 /**
  * All releases of one router. It is called through on(now, event): what happened goes in, what is to be done comes out.
@@ -35,8 +35,8 @@
 
         /** The share of keys that get the new version now. */
         double share() {
-            boolean off =
-                    target.mode() == Mode.ROLLED_BACK || broken && target.plan().onBreach() == RolloutPlan.Breach.ROLL_BACK;
+            boolean off = target.mode() == Mode.ROLLED_BACK
+                    || broken && target.plan().onBreach() == RolloutPlan.Breach.ROLL_BACK;
             return off ? 0 : step < 0 ? 0 : target.plan().steps().get(step);
         }
 
@@ -321,8 +321,8 @@
     }
 
     private void note(Release release) {
-        todo.add(new RolloutAction.Note(
-                new RolloutProgress(release.target.plan().model(), release.target.epoch(), release.step, release.broken)));
+        todo.add(new RolloutAction.Note(new RolloutProgress(
+                release.target.plan().model(), release.target.epoch(), release.step, release.broken)));
     }
 
     // ---- steps
--- a/decisions/src/main/java/pearladder/routing/api/Event.java
+++ b/decisions/src/main/java/pearladder/routing/api/Event.java
@@ -20,7 +20,13 @@
 
     /** A worker as the list shows it; since is null when it has run for long. */
     record Endpoint(
-            String worker, String zone, String kind, long cell, EndpointState state, double weight, MonotonicTime startedAt) {}
+            String worker,
+            String zone,
+            String kind,
+            long cell,
+            EndpointState state,
+            double weight,
+            MonotonicTime startedAt) {}
 
     record EndpointsUpdated(EndpointUpdateKind kind, List<Endpoint> endpoints) implements Event {}
 
@@ -65,15 +71,23 @@
 
     record ClientDisconnected(String requestId) implements Event {}
 
-    record HealthCheckCompleted(String worker, Outcome outcome, TimeSpan elapsed, WorkerLoadReport loadReport) implements Event {}
+    record HealthCheckCompleted(String worker, Outcome outcome, TimeSpan elapsed, WorkerLoadReport loadReport)
+            implements Event {}
 
-    record LoadCompleted(String worker, String function, Outcome outcome, int instances, TimeSpan elapsed) implements Event {}
+    record LoadCompleted(String worker, String function, Outcome outcome, int instances, TimeSpan elapsed)
+            implements Event {}
 
     /**
      * Copies of a function are to stand ahead of its calls, for a share of what another function's copies bear now; like
      * itself, those that stand are only kept. A share of 0 takes the wish back.
      */
-    record PrewarmRequested(String function, String referenceFunction, double share, int concurrency, double memoryMb, TimeSpan typicalLoadTime)
+    record PrewarmRequested(
+            String function,
+            String referenceFunction,
+            double share,
+            int concurrency,
+            double memoryMb,
+            TimeSpan typicalLoadTime)
             implements Event {}
 
     /** What of an earlier life may be believed; told after the remembered list, before the first call. */
@@ -84,5 +98,6 @@
     record GossipReceived(int peer, String text) implements Event {}
 
     /** A worker's own report; a value that is not reported is NaN. */
-    record WorkerLoadReport(double outstanding, double backlog, double utilization, double loadsInProgress, double memoryInUseShare) {}
+    record WorkerLoadReport(
+            double outstanding, double backlog, double utilization, double loadsInProgress, double memoryInUseShare) {}
 }
--- a/decisions/src/main/java/pearladder/routing/api/RoutingSettings.java
+++ b/decisions/src/main/java/pearladder/routing/api/RoutingSettings.java
@@ -69,7 +69,8 @@
     public record ResponseGrace(TimeSpan grace, TimeSpan drainGrace) {}
 
     /** A cold worker starts at a share of its capacity and falls at a multiple of it sent for a span. */
-    public record SlowStartSettings(double initialCapacityShare, TimeSpan warmUpTime, double overloadFactor, TimeSpan overloadTime) {}
+    public record SlowStartSettings(
+            double initialCapacityShare, TimeSpan warmUpTime, double overloadFactor, TimeSpan overloadTime) {}
 
     /** Orders to load within a window: a few, and a share of the calls taken in it. A window of zero: no limit. */
     public record LoadQuota(double burst, double requestShare, TimeSpan window) {}
--- a/decisions/src/main/java/pearladder/routing/state/PolicySnapshot.java
+++ b/decisions/src/main/java/pearladder/routing/state/PolicySnapshot.java
@@ -41,5 +41,6 @@
     public record InstanceSnapshot(String worker, int instances, TimeSpan sinceRenewed, boolean cached) {}
 
     /** Nothing at all. */
-    public static final PolicySnapshot NOTHING = new PolicySnapshot(TimeSpan.ZERO, List.of(), List.of(), List.of(), 0, 0);
+    public static final PolicySnapshot NOTHING =
+            new PolicySnapshot(TimeSpan.ZERO, List.of(), List.of(), List.of(), 0, 0);
 }
--- a/decisions/src/main/java/pearladder/routing/state/Request.java
+++ b/decisions/src/main/java/pearladder/routing/state/Request.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import pearladder.routing.api.RoutingSettings.RequestClass;
 import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.RoutingSettings.RequestClass;
 import pearladder.routing.api.TimeSpan;
 
 /** A call this router has taken and, until over, owes one final answer. */
@@ -19,7 +19,13 @@
     public boolean streaming;
     public int attemptsInFlight;
 
-    public Request(String id, Function function, RequestClass terms, MonotonicTime taken, MonotonicTime givenUpAt, TimeSpan hint) {
+    public Request(
+            String id,
+            Function function,
+            RequestClass terms,
+            MonotonicTime taken,
+            MonotonicTime givenUpAt,
+            TimeSpan hint) {
         this.id = id;
         this.function = function;
         this.requestClass = terms;
--- a/decisions/src/main/java/pearladder/writebuffer/WriteBuffer.java
+++ b/decisions/src/main/java/pearladder/writebuffer/WriteBuffer.java
@@ -95,7 +95,8 @@
             facts += entry.detail() ? 0 : 1;
             todo.add(new WriteBufferAction.LeaveOut());
             if (!entry.order().isEmpty()) {
-                todo.add(new WriteBufferAction.Withhold(entry.order(), "more than " + most + " entries wait for the disk"));
+                todo.add(new WriteBufferAction.Withhold(
+                        entry.order(), "more than " + most + " entries wait for the disk"));
             }
             return;
         }
--- a/decisions/src/test/java/pearladder/background/SchedulerTest.java
+++ b/decisions/src/test/java/pearladder/background/SchedulerTest.java
@@ -160,7 +160,10 @@
     @Test
     void accountsShareAClassWhoeverAsksMore() {
         scheduler = new BackgroundScheduler(
-                1, List.of(new JobClass("cut", 0, new ResourceCost(0.1, 0, 0), 0.1, 1, 1000, 0, TimeSpan.ZERO, false)), SECOND, now);
+                1,
+                List.of(new JobClass("cut", 0, new ResourceCost(0.1, 0, 0), 0.1, 1, 1000, 0, TimeSpan.ZERO, false)),
+                SECOND,
+                now);
         for (int i = 0; i < 200; i++) {
             begun(ask("big" + i, "cut", "tender"));
         }
--- a/decisions/src/test/java/pearladder/connections/ShutdownTest.java
+++ b/decisions/src/test/java/pearladder/connections/ShutdownTest.java
@@ -3,10 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import org.junit.jupiter.api.Test;
-import pearladder.routing.api.MonotonicTime;
-import pearladder.routing.api.TimeSpan;
 import pearladder.connections.GracefulShutdown.Owed;
 import pearladder.connections.GracefulShutdown.Step;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 class ShutdownTest {
     private static final Owed NOTHING = new Owed(0, 0, 0);
@@ -27,10 +27,14 @@
     @Test
     void itWaitsForWhatIsOwedNotForAFixedTime() {
         assertEquals(Step.REFUSE, at(TimeSpan.seconds(4), 4000, null, new Owed(1, 0, 0)), "a call without its answer");
-        assertEquals(Step.REFUSE, at(TimeSpan.seconds(4), 4000, null, new Owed(0, 1, 0)), "an answer that has not left");
-        assertEquals(Step.REFUSE, at(TimeSpan.seconds(4), 4000, null, new Owed(0, 0, 1)), "a request that is half here");
         assertEquals(
-                Step.REFUSE, at(TimeSpan.seconds(4), 740, TOLD.plus(TimeSpan.millis(691)), NOTHING), "a client just heard");
+                Step.REFUSE, at(TimeSpan.seconds(4), 4000, null, new Owed(0, 1, 0)), "an answer that has not left");
+        assertEquals(
+                Step.REFUSE, at(TimeSpan.seconds(4), 4000, null, new Owed(0, 0, 1)), "a request that is half here");
+        assertEquals(
+                Step.REFUSE,
+                at(TimeSpan.seconds(4), 740, TOLD.plus(TimeSpan.millis(691)), NOTHING),
+                "a client just heard");
     }
 
     @Test
--- a/decisions/src/test/java/pearladder/connections/SocketsTest.java
+++ b/decisions/src/test/java/pearladder/connections/SocketsTest.java
@@ -14,15 +14,16 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import pearladder.routing.api.MonotonicTime;
-import pearladder.routing.api.TimeSpan;
 import pearladder.connections.ConnectionAction.CloseLink;
 import pearladder.connections.ConnectionAction.CloseSeat;
 import pearladder.connections.ConnectionAction.OpenLink;
 import pearladder.connections.ConnectionAction.UseLink;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 class SocketsTest {
-    private final ConnectionManager sockets = new ConnectionManager(new ConnectionManager.Holding(3, 4, 2, TimeSpan.seconds(2), TimeSpan.seconds(10)));
+    private final ConnectionManager sockets =
+            new ConnectionManager(new ConnectionManager.Holding(3, 4, 2, TimeSpan.seconds(2), TimeSpan.seconds(10)));
     private MonotonicTime now = new MonotonicTime(1_000_000_000L);
 
     private List<ConnectionAction> on(ConnectionEvent event) {
@@ -52,7 +53,8 @@
         ClientConnectionState working = come(true, 2);
         ClientConnectionState silent = come(false, 0);
         assertEquals(
-                List.of(new CloseSeat(silent, "too many connections")), on(new ConnectionEvent.SeatTaken(new ClientConnectionState(now))));
+                List.of(new CloseSeat(silent, "too many connections")),
+                on(new ConnectionEvent.SeatTaken(new ClientConnectionState(now))));
         ClientConnectionState newcomer = new ClientConnectionState(now);
         newcomer.spoke = now;
         CloseSeat next = (CloseSeat) on(new ConnectionEvent.SeatTaken(newcomer)).get(0);
@@ -91,12 +93,14 @@
         WorkerConnectionState second = open("a", List.of(first));
         first.out = 0;
         assertEquals(
-                List.of(new UseLink(first)), on(new ConnectionEvent.LinkWanted("a", List.of(first, second), List.of())));
+                List.of(new UseLink(first)),
+                on(new ConnectionEvent.LinkWanted("a", List.of(first, second), List.of())));
         first.out = 1;
         open("b", List.of());
         open("b", List.of());
         assertEquals(
-                List.of(new UseLink(first)), on(new ConnectionEvent.LinkWanted("a", List.of(first, second), List.of())));
+                List.of(new UseLink(first)),
+                on(new ConnectionEvent.LinkWanted("a", List.of(first, second), List.of())));
         assertEquals(
                 List.of(new UseLink(second)),
                 on(new ConnectionEvent.LinkWanted("a", List.of(first, second), List.of(first))));
--- a/decisions/src/test/java/pearladder/metering/UsageTest.java
+++ b/decisions/src/test/java/pearladder/metering/UsageTest.java
@@ -121,7 +121,8 @@
         assertEquals(
                 Map.of("", 100L * KEPT),
                 byAccount(shares(
-                        List.of(memory("m", 100), new InstanceObservation.Loading(1_000, "r1", "e1", "m", "", 0)), 10 * MINUTE)));
+                        List.of(memory("m", 100), new InstanceObservation.Loading(1_000, "r1", "e1", "m", "", 0)),
+                        10 * MINUTE)));
     }
 
     @Test
@@ -162,7 +163,8 @@
     void lawsOnDrawnRecords() {
         for (int seed = 0; seed < 60; seed++) {
             Random random = new Random(seed);
-            List<InstanceObservation> all = new ArrayList<>(List.of(memory("m0", 100), memory("m1", 333), memory("m2", 7)));
+            List<InstanceObservation> all =
+                    new ArrayList<>(List.of(memory("m0", 100), memory("m1", 333), memory("m2", 7)));
             for (int i = 0; i < 150; i++) {
                 long at = random.nextInt((int) (6 * MINUTE));
                 String router = "r" + random.nextInt(3);
@@ -198,8 +200,8 @@
                     .findFirst()
                     .orElseThrow();
             List<InstanceObservation> more = new ArrayList<>(all);
-            more.add(
-                    new InstanceObservation.Worked(some.at(), some.router(), some.engine(), some.model(), some.account(), 50_000));
+            more.add(new InstanceObservation.Worked(
+                    some.at(), some.router(), some.engine(), some.model(), some.account(), 50_000));
             UsageAccounting third = new UsageAccounting(MINUTE, KEPT, 100 * MINUTE);
             more.forEach(third::on);
             assertTrue(
--- a/decisions/src/test/java/pearladder/recovery/BeliefsTest.java
+++ b/decisions/src/test/java/pearladder/recovery/BeliefsTest.java
@@ -35,12 +35,14 @@
     private PolicySnapshot after(PolicySnapshot known, TimeSpan gap, TimeSpan upNow) {
         Map<String, TimeSpan> up = new HashMap<>();
         up.put("e1", upNow);
-        return beliefs.after(new SnapshotRecovery.Found(known, gap, List.of(), true, up)).known();
+        return beliefs.after(new SnapshotRecovery.Found(known, gap, List.of(), true, up))
+                .known();
     }
 
     @Test
     void aShortGapAgesWhatIsBelieved() {
-        PolicySnapshot now = after(known(s(100), 5, new PolicySnapshot.InstanceSnapshot("e1", 2, s(1), true)), s(2), s(102.1));
+        PolicySnapshot now =
+                after(known(s(100), 5, new PolicySnapshot.InstanceSnapshot("e1", 2, s(1), true)), s(2), s(102.1));
         assertEquals(s(2), now.age());
         assertEquals(List.of(new PolicySnapshot.WorkerSnapshot("e1", s(102.1), TimeSpan.ZERO)), now.workers());
         assertEquals(
@@ -50,7 +52,8 @@
 
     @Test
     void whatWasLearntOfAnotherProcessIsGone() {
-        PolicySnapshot now = after(known(s(100), 5, new PolicySnapshot.InstanceSnapshot("e1", 2, s(1), true)), s(2), s(1));
+        PolicySnapshot now =
+                after(known(s(100), 5, new PolicySnapshot.InstanceSnapshot("e1", 2, s(1), true)), s(2), s(1));
         assertEquals(List.of(), now.workers());
         assertEquals(List.of(), now.functions().get(0).instances());
         assertEquals(5, now.functions().get(0).recentRequests(), "what calls usually take is the function's own");
@@ -115,7 +118,11 @@
                 known(s(-5), 1),
                 known(s(100), 1, new PolicySnapshot.InstanceSnapshot("e1", 100_000, s(1), true)),
                 known(s(100), 1, new PolicySnapshot.InstanceSnapshot("e1", 1, s(-9), true)),
-                known(s(100), 1, new PolicySnapshot.InstanceSnapshot("e1", 1, s(1), true), new PolicySnapshot.InstanceSnapshot("e1", 1, s(1), true)),
+                known(
+                        s(100),
+                        1,
+                        new PolicySnapshot.InstanceSnapshot("e1", 1, s(1), true),
+                        new PolicySnapshot.InstanceSnapshot("e1", 1, s(1), true)),
                 new PolicySnapshot(TimeSpan.ZERO, List.of(), List.of(), List.of(), Double.POSITIVE_INFINITY, 1));
         for (PolicySnapshot one : poisoned) {
             SnapshotRecovery.Believed now =
@@ -145,7 +152,8 @@
             }
             List<PolicySnapshot.InstanceSnapshot> copies = new ArrayList<>();
             for (int i = 0; i < 6; i++) {
-                copies.add(new PolicySnapshot.InstanceSnapshot("e" + i, 1 + random.nextInt(4), s(random.nextInt(12)), random.nextBoolean()));
+                copies.add(new PolicySnapshot.InstanceSnapshot(
+                        "e" + i, 1 + random.nextInt(4), s(random.nextInt(12)), random.nextBoolean()));
             }
             List<TimeSpan> orders = new ArrayList<>();
             for (int i = random.nextInt(8); i > 0; i--) {
@@ -179,7 +187,9 @@
             }
             long counted =
                     orders.stream().filter(age -> !age.isLongerThan(WINDOW)).count();
-            assertEquals(whole ? counted : Math.max(counted, 4), now.loadRequestAges().size());
+            assertEquals(
+                    whole ? counted : Math.max(counted, 4),
+                    now.loadRequestAges().size());
             assertTrue(gap.nanos() >= 0 || now.functions().isEmpty());
         }
     }
--- a/decisions/src/test/java/pearladder/rollout/ReleasesTest.java
+++ b/decisions/src/test/java/pearladder/rollout/ReleasesTest.java
@@ -14,9 +14,9 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import pearladder.rollout.RolloutTarget.Mode;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
-import pearladder.rollout.RolloutTarget.Mode;
 
 class ReleasesTest {
     private static final RolloutPlan.Gate GATE = new RolloutPlan.Gate(0.05, 0.01, 0.05);
@@ -221,7 +221,14 @@
                 only(order(1, Mode.RUNNING, 0), RolloutAction.Keep.class).size(),
                 "the same order again is no other");
         RolloutPlan down = new RolloutPlan(
-                "pair", "1", "1", List.of(0.5, 0.2, 1.5), TimeSpan.ZERO, 0, new RolloutPlan.Gate(0, 0.7, 0.1), RolloutPlan.Breach.PAUSE);
+                "pair",
+                "1",
+                "1",
+                List.of(0.5, 0.2, 1.5),
+                TimeSpan.ZERO,
+                0,
+                new RolloutPlan.Gate(0, 0.7, 0.1),
+                RolloutPlan.Breach.PAUSE);
         assertEquals(
                 List.of("to", "steps", "steps", "gate.excess", "gate"),
                 down.faults().stream().map(RolloutPlan.Fault::key).toList());
@@ -377,7 +384,8 @@
             List<RolloutTarget> orders = new ArrayList<>();
             for (int epoch = 1; epoch <= 12; epoch++) {
                 RolloutPlan plan = random.nextInt(4) == 0
-                        ? new RolloutPlan("pair", "2", "3", PLAN.steps(), PLAN.hold(), 5, GATE, RolloutPlan.Breach.PAUSE)
+                        ? new RolloutPlan(
+                                "pair", "2", "3", PLAN.steps(), PLAN.hold(), 5, GATE, RolloutPlan.Breach.PAUSE)
                         : PLAN;
                 orders.add(target(epoch, plan, Mode.values()[random.nextInt(3)], random.nextInt(3)));
             }
--- a/decisions/src/test/java/pearladder/routing/FleetTest.java
+++ b/decisions/src/test/java/pearladder/routing/FleetTest.java
@@ -15,13 +15,13 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import pearladder.routing.api.Action;
 import pearladder.routing.api.Event;
-import pearladder.routing.api.Event.InstanceStatus;
-import pearladder.routing.api.Event.EndpointUpdateKind;
 import pearladder.routing.api.Event.Endpoint;
 import pearladder.routing.api.Event.EndpointState;
-import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.Event.EndpointUpdateKind;
+import pearladder.routing.api.Event.InstanceStatus;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.Outcome;
+import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
 
 /** Many routers against one fleet, each knowing its own traffic only: what they do together. */
@@ -119,7 +119,10 @@
         for (int i = 0; i < WORKERS; i++) {
             String id = "w" + i;
             listings.add(Rig.listing(
-                    id, "a", lost.contains(id) ? EndpointState.GONE : EndpointState.IN_SERVICE, id.equals(COLD) ? cold : null));
+                    id,
+                    "a",
+                    lost.contains(id) ? EndpointState.GONE : EndpointState.IN_SERVICE,
+                    id.equals(COLD) ? cold : null));
         }
         return new Event.EndpointsUpdated(kind, listings);
     }
@@ -195,8 +198,8 @@
             while (at.since(window.peek()).isLongerThan(rule.overloadTime())) {
                 window.poll();
             }
-            double present =
-                    rule.initialCapacityShare() + (1 - rule.initialCapacityShare()) * at.since(cold).dividedBy(rule.warmUpTime());
+            double present = rule.initialCapacityShare()
+                    + (1 - rule.initialCapacityShare()) * at.since(cold).dividedBy(rule.warmUpTime());
             double allowed = rule.overloadFactor()
                     * present
                     * PER_WORKER
--- a/decisions/src/test/java/pearladder/routing/PolicyTest.java
+++ b/decisions/src/test/java/pearladder/routing/PolicyTest.java
@@ -13,10 +13,10 @@
 import org.junit.jupiter.api.Test;
 import pearladder.routing.api.Action;
 import pearladder.routing.api.Event;
-import pearladder.routing.api.Event.InstanceStatus;
 import pearladder.routing.api.Event.EndpointState;
-import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.Event.InstanceStatus;
 import pearladder.routing.api.Outcome;
+import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.PolicySnapshot;
 
@@ -87,7 +87,14 @@
             assertTrue(i > 2 || next.workers.get(0).equals(home), "it is not passed over");
             for (int leg = 0; leg < next.workers.size(); leg++) {
                 boolean there = next.workers.get(leg).equals(home);
-                rig.end(next, leg, there ? Outcome.FULL : Outcome.SUCCESS, InstanceStatus.STOOD, TimeSpan.millis(120), 0, 0);
+                rig.end(
+                        next,
+                        leg,
+                        there ? Outcome.FULL : Outcome.SUCCESS,
+                        InstanceStatus.STOOD,
+                        TimeSpan.millis(120),
+                        0,
+                        0);
             }
             Rig.Taken other = rig.call("g" + i, Rig.RETRIABLE);
             rig.end(other, 0, Outcome.SUCCESS, InstanceStatus.STOOD, TimeSpan.millis(120), 0, 0);
@@ -313,7 +320,8 @@
             String id = "m" + i;
             Rig.Taken call = new Rig.Taken(id, Rig.RETRIABLE, rig.now.plus(TimeSpan.seconds(4)));
             rig.calls.put(id, call);
-            rig.on(new Event.RequestArrived(id, "f", "draw", null, TimeSpan.seconds(4), 2, memoryMb, QUICK, null, false, false));
+            rig.on(new Event.RequestArrived(
+                    id, "f", "draw", null, TimeSpan.seconds(4), 2, memoryMb, QUICK, null, false, false));
             used.addAll(call.workers);
             if (i == 0) {
                 rig.settle(call, QUICK);
@@ -324,7 +332,8 @@
 
     @Test
     void aCopyInUseIsHeldWithinTheRation() {
-        RoutingSettings facts = Rig.facts(true, true, new RoutingSettings.LoadQuota(2, 0.1, TimeSpan.seconds(5)), List.of());
+        RoutingSettings facts =
+                Rig.facts(true, true, new RoutingSettings.LoadQuota(2, 0.1, TimeSpan.seconds(5)), List.of());
         Rig rig = Rig.withWorkers(facts, 4);
         String home = home(rig, "f");
         home(rig, "f");
@@ -362,7 +371,8 @@
     /** A new version's copies come up ahead of its calls, one at a time, and are told once they bear the share. */
     @Test
     void copiesWantedAheadAreOrderedOneByOneAndToldWhenTheyStand() {
-        Rig rig = Rig.withWorkers(Rig.facts(true, true, new RoutingSettings.LoadQuota(4, 0, TimeSpan.seconds(10)), List.of()), 4);
+        Rig rig = Rig.withWorkers(
+                Rig.facts(true, true, new RoutingSettings.LoadQuota(4, 0, TimeSpan.seconds(10)), List.of()), 4);
         rig.now = rig.now.plus(TimeSpan.millis(100));
         rig.on(new Event.PrewarmRequested("f@2", "f", 1, 2, 100, TimeSpan.millis(500)));
         List<Action> first = beat(rig);
@@ -377,12 +387,14 @@
         assertTrue(beat(rig).contains(new Action.PrewarmProgress("f@2", 1)));
         rig.on(new Event.PrewarmRequested("f@2", "f", 0, 2, 100, TimeSpan.millis(500)));
         assertTrue(beat(rig).stream()
-                .noneMatch(action -> action instanceof Action.PrewarmProgress || action instanceof Action.LoadInstances));
+                .noneMatch(
+                        action -> action instanceof Action.PrewarmProgress || action instanceof Action.LoadInstances));
     }
 
     @Test
     void whatIsToldAsKnownIsKnownToTheNextLife() {
-        Rig one = Rig.withWorkers(Rig.facts(true, true, new RoutingSettings.LoadQuota(3, 0, TimeSpan.seconds(30)), List.of()), 4);
+        Rig one = Rig.withWorkers(
+                Rig.facts(true, true, new RoutingSettings.LoadQuota(3, 0, TimeSpan.seconds(30)), List.of()), 4);
         for (int i = 0; i < 12; i++) {
             one.settle(one.call("f" + i % 3, Rig.RETRIABLE), QUICK);
         }
@@ -400,7 +412,8 @@
             two.settle(two.call("f" + i % 3, Rig.RETRIABLE), QUICK);
         }
         two.pass(TimeSpan.seconds(7));
-        assertTrue(two.all.stream().noneMatch(Action.LoadInstances.class::isInstance), "the ration counts across lives");
+        assertTrue(
+                two.all.stream().noneMatch(Action.LoadInstances.class::isInstance), "the ration counts across lives");
     }
 
     @Test
@@ -409,7 +422,12 @@
         String home = home(rig, "f");
         Rig next = Rig.withWorkers(Rig.plain(), 4);
         next.on(new Event.SnapshotRestored(new PolicySnapshot(
-                TimeSpan.ZERO, List.of(new PolicySnapshot.WorkerSnapshot(home, null, TimeSpan.seconds(2))), List.of(), List.of(), 0, 0)));
+                TimeSpan.ZERO,
+                List.of(new PolicySnapshot.WorkerSnapshot(home, null, TimeSpan.seconds(2))),
+                List.of(),
+                List.of(),
+                0,
+                0)));
         assertNotEquals(home, home(next, "f"));
         next.pass(TimeSpan.seconds(12));
         assertEquals(home, home(next, "f"));
--- a/decisions/src/test/java/pearladder/routing/Rig.java
+++ b/decisions/src/test/java/pearladder/routing/Rig.java
@@ -14,16 +14,16 @@
 import java.util.Set;
 import pearladder.routing.api.Action;
 import pearladder.routing.api.Event;
-import pearladder.routing.api.Event.InstanceStatus;
-import pearladder.routing.api.Event.EndpointUpdateKind;
 import pearladder.routing.api.Event.Endpoint;
 import pearladder.routing.api.Event.EndpointState;
+import pearladder.routing.api.Event.EndpointUpdateKind;
+import pearladder.routing.api.Event.InstanceStatus;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
 import pearladder.routing.api.RoutingSettings;
-import pearladder.routing.api.RoutingSettings.Idempotency;
 import pearladder.routing.api.RoutingSettings.DeduplicationScope;
+import pearladder.routing.api.RoutingSettings.Idempotency;
 import pearladder.routing.api.RoutingSettings.RequestClass;
-import pearladder.routing.api.MonotonicTime;
-import pearladder.routing.api.Outcome;
 import pearladder.routing.api.TimeSpan;
 
 /** Drives one instance by hand and checks the rules on each action it returns. */
@@ -88,10 +88,15 @@
     }
 
     static RequestClass terms(String name, Idempotency effect, DeduplicationScope group) {
-        return new RequestClass(name, TimeSpan.seconds(1), TimeSpan.seconds(4), 1, 0.2, effect, group, TimeSpan.seconds(6), false, 0);
+        return new RequestClass(
+                name, TimeSpan.seconds(1), TimeSpan.seconds(4), 1, 0.2, effect, group, TimeSpan.seconds(6), false, 0);
     }
 
-    static RoutingSettings facts(boolean orders, boolean secondLegs, RoutingSettings.LoadQuota ration, List<RoutingSettings.Tenant> accounts) {
+    static RoutingSettings facts(
+            boolean orders,
+            boolean secondLegs,
+            RoutingSettings.LoadQuota ration,
+            List<RoutingSettings.Tenant> accounts) {
         return facts(3, orders, secondLegs, ration, accounts);
     }
 
@@ -101,7 +106,11 @@
     }
 
     private static RoutingSettings facts(
-            int peers, boolean orders, boolean secondLegs, RoutingSettings.LoadQuota ration, List<RoutingSettings.Tenant> accounts) {
+            int peers,
+            boolean orders,
+            boolean secondLegs,
+            RoutingSettings.LoadQuota ration,
+            List<RoutingSettings.Tenant> accounts) {
         return new RoutingSettings(
                 0,
                 peers,
@@ -114,7 +123,8 @@
                 new RoutingSettings.ResponseGrace(TimeSpan.millis(16), TimeSpan.millis(500)),
                 new RoutingSettings.SlowStartSettings(0.25, TimeSpan.seconds(15), 2, TimeSpan.millis(1500)),
                 ration,
-                new RoutingSettings.InstanceSettings(TimeSpan.seconds(8), orders, true, TimeSpan.seconds(10), true, true, List.of(50000.0)),
+                new RoutingSettings.InstanceSettings(
+                        TimeSpan.seconds(8), orders, true, TimeSpan.seconds(10), true, true, List.of(50000.0)),
                 new RoutingSettings.LoadReportSettings(List.of("x1"), true),
                 new RoutingSettings.DiscoverySettings(false, TimeSpan.ZERO),
                 new RoutingSettings.CostModel(0.01, 0.05, 0.01, 0.03, 0.1, 0.05));
@@ -238,7 +248,10 @@
                     first++;
                 }
                 assertTrue(
-                        now.since(call.sent.get(first)).plus(facts.maxSendDelay()).compareTo(call.terms.deduplicationWindow()) <= 0,
+                        now.since(call.sent.get(first))
+                                        .plus(facts.maxSendDelay())
+                                        .compareTo(call.terms.deduplicationWindow())
+                                <= 0,
                         "past memory, if its connection comes up as late as it may");
                 assertTrue(
                         call.terms.deduplicationScope() == DeduplicationScope.ALL
@@ -256,7 +269,8 @@
             assertTrue(
                     call.terms.idempotency() == Idempotency.RETRIABLE
                             || !call.mayHaveRun()
-                            || call.terms.idempotency() == Idempotency.FINGERPRINTED && call.terms.deduplicationScope() == DeduplicationScope.ALL,
+                            || call.terms.idempotency() == Idempotency.FINGERPRINTED
+                                    && call.terms.deduplicationScope() == DeduplicationScope.ALL,
                     "a dismissal of what may have run");
             finish(call, action);
         } else if (action instanceof Action.Fail terminate) {
--- a/decisions/src/test/java/pearladder/routing/RulesTest.java
+++ b/decisions/src/test/java/pearladder/routing/RulesTest.java
@@ -8,11 +8,11 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import pearladder.routing.api.Action;
 import pearladder.routing.api.Event;
-import pearladder.routing.api.Event.InstanceStatus;
 import pearladder.routing.api.Event.EndpointState;
+import pearladder.routing.api.Event.InstanceStatus;
+import pearladder.routing.api.Outcome;
 import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.RoutingSettings.RequestClass;
-import pearladder.routing.api.Outcome;
 import pearladder.routing.api.TimeSpan;
 
 /** Seeded random runs: calls, outcomes, lists and orders as they come; the rig checks the rules at each action. */
@@ -22,8 +22,9 @@
 
     private static RoutingSettings shape(SplittableRandom random) {
         boolean orders = random.nextBoolean();
-        RoutingSettings.LoadQuota ration =
-                random.nextBoolean() ? new RoutingSettings.LoadQuota(2, 0.1, TimeSpan.seconds(5)) : new RoutingSettings.LoadQuota(0, 0, TimeSpan.ZERO);
+        RoutingSettings.LoadQuota ration = random.nextBoolean()
+                ? new RoutingSettings.LoadQuota(2, 0.1, TimeSpan.seconds(5))
+                : new RoutingSettings.LoadQuota(0, 0, TimeSpan.ZERO);
         List<RoutingSettings.Tenant> accounts = random.nextBoolean()
                 ? List.of()
                 : List.of(new RoutingSettings.Tenant("x", 0.7, 60), new RoutingSettings.Tenant("y", 0.3, 20));
@@ -118,7 +119,8 @@
 
     /** Events about calls that ended, workers that went and orders of another life do no harm. */
     private static void strays(Rig rig, SplittableRandom random) {
-        rig.on(new Event.AttemptEnded("call0", 0, "w0", Outcome.SUCCESS, TimeSpan.millis(5), true, InstanceStatus.STOOD, 3, null));
+        rig.on(new Event.AttemptEnded(
+                "call0", 0, "w0", Outcome.SUCCESS, TimeSpan.millis(5), true, InstanceStatus.STOOD, 3, null));
         rig.on(new Event.ClientDisconnected("call1"));
         rig.on(new Event.LoadCompleted("w9", "f1", Outcome.SUCCESS, 1, TimeSpan.millis(5)));
         rig.on(new Event.HealthCheckCompleted("w9", Outcome.TIMED_OUT, TimeSpan.millis(250), null));
--- a/decisions/src/test/java/pearladder/writebuffer/BacklogTest.java
+++ b/decisions/src/test/java/pearladder/writebuffer/BacklogTest.java
@@ -50,10 +50,14 @@
     @Test
     void anOrderGoesOutOnlyOnceItsRecordIsSafe() {
         assertEquals(
-                List.of(new WriteBufferAction.Take(), new WriteBufferAction.Wake(WINDOW), new WriteBufferAction.Wake(GATHER)),
+                List.of(
+                        new WriteBufferAction.Take(),
+                        new WriteBufferAction.Wake(WINDOW),
+                        new WriteBufferAction.Wake(GATHER)),
                 on(new WriteBufferEvent.Came(false, "o1")));
         after(20, new WriteBufferEvent.Due());
-        assertEquals(List.of(new WriteBufferAction.Go("o1")), after(3, new WriteBufferEvent.Written(TimeSpan.millis(3))));
+        assertEquals(
+                List.of(new WriteBufferAction.Go("o1")), after(3, new WriteBufferEvent.Written(TimeSpan.millis(3))));
     }
 
     @Test
@@ -78,7 +82,8 @@
         assertTrue(on(new WriteBufferEvent.Came(false, "o1"))
                 .contains(new WriteBufferAction.Withhold("o1", "its record can't be kept")));
         assertEquals(List.of(new WriteBufferAction.Write(2)), after(100, new WriteBufferEvent.Due()));
-        assertFalse(on(new WriteBufferEvent.Failed("no space")).stream().anyMatch(WriteBufferAction.Log.class::isInstance));
+        assertFalse(
+                on(new WriteBufferEvent.Failed("no space")).stream().anyMatch(WriteBufferAction.Log.class::isInstance));
         assertEquals(List.of(new WriteBufferAction.Write(2)), after(200, new WriteBufferEvent.Due()));
         List<WriteBufferAction> again = on(new WriteBufferEvent.Written(TimeSpan.millis(1)));
         assertTrue(again.get(0) instanceof WriteBufferAction.Log log
--- a/emulator/src/main/java/pearladder/emulator/net/DiscoveryServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/DiscoveryServer.java
@@ -10,8 +10,8 @@
 import java.util.Set;
 import java.util.function.BiFunction;
 import pearladder.emulator.EndpointRegistry;
-import pearladder.kserve.Headers;
 import pearladder.kserve.DiscoveryMessage;
+import pearladder.kserve.Headers;
 
 /** The stand-in list service: GET /v1/list/watch?from=VERSION stays open and brings a line for each change. */
 public final class DiscoveryServer {
@@ -23,7 +23,10 @@
     private int port;
 
     /** @param reached an entry as a router of that name reaches the engine */
-    DiscoveryServer(Vertx vertx, EndpointRegistry roll, BiFunction<String, DiscoveryMessage.Entry, DiscoveryMessage.Entry> reached) {
+    DiscoveryServer(
+            Vertx vertx,
+            EndpointRegistry roll,
+            BiFunction<String, DiscoveryMessage.Entry, DiscoveryMessage.Entry> reached) {
         this.reached = reached;
         this.vertx = vertx;
         this.roll = roll;
--- a/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
@@ -76,7 +76,8 @@
                     .end(
                             end.succeeded()
                                     ? "{}"
-                                    : JsonBodies.error(String.valueOf(end.cause().getMessage()))));
+                                    : JsonBodies.error(
+                                            String.valueOf(end.cause().getMessage()))));
         }
     }
 
--- a/emulator/src/main/java/pearladder/emulator/net/Fleet.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Fleet.java
@@ -11,12 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import pearladder.emulator.WorkerModel;
+import pearladder.emulator.EndpointRegistry;
 import pearladder.emulator.FleetPlan;
 import pearladder.emulator.IdempotencyCache;
-import pearladder.emulator.EndpointRegistry;
-import pearladder.emulator.Observation;
 import pearladder.emulator.ModelStore;
+import pearladder.emulator.Observation;
+import pearladder.emulator.WorkerModel;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
 
--- a/emulator/src/main/java/pearladder/emulator/net/WorkerServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/WorkerServer.java
@@ -13,8 +13,8 @@
 import java.io.IOException;
 import java.util.Locale;
 import pearladder.emulator.WorkerModel;
-import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Headers;
+import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Route;
 
 /** One stand-in engine on a loopback port, speaking KServe v2 with the model repository extension. */
--- a/emulator/src/test/java/pearladder/emulator/EngineTest.java
+++ b/emulator/src/test/java/pearladder/emulator/EngineTest.java
@@ -143,11 +143,13 @@
         time.runTo(3000 * MS);
         assertEquals(
                 3, answers.stream().filter(answer -> answer.end() == End.OK).count());
-        assertEquals(1, seen.stream().filter(s -> s.what().equals(Observation.RAN)).count());
+        assertEquals(
+                1, seen.stream().filter(s -> s.what().equals(Observation.RAN)).count());
         time.runTo(12_000 * MS);
         one.ask(asked("c1", "m1", "k"), answers::add);
         time.runTo(14_000 * MS);
-        assertEquals(2, seen.stream().filter(s -> s.what().equals(Observation.RAN)).count(), "it is remembered for 8 s");
+        assertEquals(
+                2, seen.stream().filter(s -> s.what().equals(Observation.RAN)).count(), "it is remembered for 8 s");
     }
 
     @Test
@@ -162,7 +164,8 @@
         assertTrue(warm.up());
         assertFalse(cold.up(), "1.6 s of work within a second at a quarter of two cores");
         assertEquals(
-                1, seen.stream().filter(one -> one.what().equals(Observation.FELL)).count());
+                1,
+                seen.stream().filter(one -> one.what().equals(Observation.FELL)).count());
     }
 
     @Test
--- a/emulator/src/test/java/pearladder/emulator/LawsTest.java
+++ b/emulator/src/test/java/pearladder/emulator/LawsTest.java
@@ -53,7 +53,15 @@
                 100_000_000L);
         ModelKind model = new ModelKind("m", 100, CORES, 0, 0, 1, 0, 1);
         WorkerModel engine = new WorkerModel(
-                time, "e", kind, name -> model, new ModelStore(time, 1, 10), new IdempotencyCache(time, 0), 1, false, seen -> {});
+                time,
+                "e",
+                kind,
+                name -> model,
+                new ModelStore(time, 1, 10),
+                new IdempotencyCache(time, 0),
+                1,
+                false,
+                seen -> {});
         engine.hold("r", "m", 1, answer -> {});
         time.runTo(10_000_000_000L);
         since = time.now();
@@ -76,13 +84,14 @@
             long came = time.now();
             double work = exponential(SERVICE);
             count(1);
-            engine.ask(new WorkerModel.Asked("r", "c" + left, 0, "m", "", Math.max(1, Math.round(work * 1e9))), answer -> {
-                assertEquals(WorkerModel.End.OK, answer.end());
-                count(-1);
-                double stay = (time.now() - came) / 1e9;
-                stays.add(stay);
-                waits.add(stay - work);
-            });
+            engine.ask(
+                    new WorkerModel.Asked("r", "c" + left, 0, "m", "", Math.max(1, Math.round(work * 1e9))), answer -> {
+                        assertEquals(WorkerModel.End.OK, answer.end());
+                        count(-1);
+                        double stay = (time.now() - came) / 1e9;
+                        stays.add(stay);
+                        waits.add(stay - work);
+                    });
             arrive(engine, rate, left - 1);
         });
     }
--- a/eventlog/src/main/java/pearladder/eventlog/LogEntry.java
+++ b/eventlog/src/main/java/pearladder/eventlog/LogEntry.java
@@ -19,7 +19,14 @@
         long took) {
     /** Without a call. */
     public static LogEntry of(
-            long at, LogEntryType kind, String model, String account, String engine, String note, long amount, long took) {
+            long at,
+            LogEntryType kind,
+            String model,
+            String account,
+            String engine,
+            String note,
+            long amount,
+            long took) {
         return new LogEntry(at, kind, "", model, account, engine, note, amount, took);
     }
 }
--- a/eventlog/src/main/java/pearladder/eventlog/metering/Metering.java
+++ b/eventlog/src/main/java/pearladder/eventlog/metering/Metering.java
@@ -13,8 +13,8 @@
 import pearladder.eventlog.LogEntry;
 import pearladder.eventlog.LogEntryType;
 import pearladder.metering.InstanceObservation;
-import pearladder.metering.UsageShare;
 import pearladder.metering.UsageAccounting;
+import pearladder.metering.UsageShare;
 
 /** Memory-seconds from the records of any number of routers, merged by time. */
 public final class Metering {
--- a/eventlog/src/test/java/pearladder/eventlog/RecordsTest.java
+++ b/eventlog/src/test/java/pearladder/eventlog/RecordsTest.java
@@ -40,7 +40,15 @@
 
     private static LogEntry leg(long at, int number) {
         return new LogEntry(
-                at, LogEntryType.LEG, "r1-" + number, "pair-" + number % 7, "", "engine-" + number % 5, "SUCCESS", 0, 5);
+                at,
+                LogEntryType.LEG,
+                "r1-" + number,
+                "pair-" + number % 7,
+                "",
+                "engine-" + number % 5,
+                "SUCCESS",
+                0,
+                5);
     }
 
     private EventLog open(RetentionSettings keeping) throws IOException {
@@ -163,7 +171,10 @@
             List<Long> numbers = new ArrayList<>();
             new EventLogReader(folder).read(0, (number, entry) -> {
                 numbers.add(number);
-                assertEquals(number % 2 == 1 ? LogEntryType.ENDED : LogEntryType.LEG, entry.kind(), "a number outlives the compaction");
+                assertEquals(
+                        number % 2 == 1 ? LogEntryType.ENDED : LogEntryType.LEG,
+                        entry.kind(),
+                        "a number outlives the compaction");
             });
             assertEquals(20, numbers.get(numbers.size() - 1));
             assertEquals(0, records.compact(100).files());
--- a/eventlog/src/test/java/pearladder/eventlog/metering/MeteringTest.java
+++ b/eventlog/src/test/java/pearladder/eventlog/metering/MeteringTest.java
@@ -10,10 +10,10 @@
 import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import pearladder.eventlog.EventLog;
 import pearladder.eventlog.LogEntry;
-import pearladder.eventlog.RetentionSettings;
 import pearladder.eventlog.LogEntryType;
-import pearladder.eventlog.EventLog;
+import pearladder.eventlog.RetentionSettings;
 import pearladder.metering.UsageShare;
 
 class MeteringTest {
--- a/kserve-router/src/main/java/pearladder/router/core/EndpointList.java
+++ b/kserve-router/src/main/java/pearladder/router/core/EndpointList.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import pearladder.routing.api.Event;
-import pearladder.routing.api.MonotonicTime;
 import pearladder.kserve.DiscoveryMessage;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.MonotonicTime;
 
 /** The engines as the list has them, and what each line of it means for the module. */
 public final class EndpointList {
@@ -69,7 +69,8 @@
     }
 
     private Event.Endpoint listing(Entry entry) {
-        MonotonicTime since = entry.startedMillis() == 0 ? null : new MonotonicTime(entry.startedMillis() * 1_000_000L - wallAhead);
+        MonotonicTime since =
+                entry.startedMillis() == 0 ? null : new MonotonicTime(entry.startedMillis() * 1_000_000L - wallAhead);
         return new Event.Endpoint(
                 entry.engine(),
                 entry.hall(),
--- a/kserve-router/src/main/java/pearladder/router/core/PolicyDriver.java
+++ b/kserve-router/src/main/java/pearladder/router/core/PolicyDriver.java
@@ -7,8 +7,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pearladder.routing.api.Action;
-import pearladder.routing.api.RoutingPolicy;
 import pearladder.routing.api.Event;
+import pearladder.routing.api.RoutingPolicy;
 import pearladder.routing.api.TimeSpan;
 
 /**
--- a/kserve-router/src/main/java/pearladder/router/core/RequestManager.java
+++ b/kserve-router/src/main/java/pearladder/router/core/RequestManager.java
@@ -5,14 +5,14 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import pearladder.kserve.RequestOutcome;
 import pearladder.routing.api.Action;
-import pearladder.routing.api.RoutingPolicy;
 import pearladder.routing.api.Event;
-import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.Outcome;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
-import pearladder.kserve.RequestOutcome;
 
 /**
  * The calls that a router holds: each is told to the module, its legs go out as the module says, and it gets its one final
@@ -86,7 +86,13 @@
     private Runnable emptied;
 
     /** @param chronicle hears what happens */
-    public RequestManager(RoutingSettings facts, Timers timers, RoutingPolicy module, WorkerClient engines, RouterMetrics tally, EventListener chronicle) {
+    public RequestManager(
+            RoutingSettings facts,
+            Timers timers,
+            RoutingPolicy module,
+            WorkerClient engines,
+            RouterMetrics tally,
+            EventListener chronicle) {
         this.chronicle = chronicle;
         this.facts = facts;
         this.timers = timers;
@@ -223,7 +229,8 @@
         call.attemptsInFlight--;
         tally.onAttemptEnded(outcome);
         chronicle.onAttemptEnded(leg, outcome, said, timers.now().since(leg.sentAt));
-        call.workerFailed |= outcome == Outcome.ERROR || said != null && said.instanceStatus() == Event.InstanceStatus.LOAD_FAILED;
+        call.workerFailed |=
+                outcome == Outcome.ERROR || said != null && said.instanceStatus() == Event.InstanceStatus.LOAD_FAILED;
         if (outcome == Outcome.SUCCESS && answers(call, RequestOutcome.SETTLED)) {
             call.responseHandler.succeeded(said);
             List.copyOf(call.attempts).forEach(this::takeBack);
@@ -294,7 +301,8 @@
             if (refusal.isEmpty()) {
                 order(hold);
             } else {
-                conductor.dispatch(new Event.LoadCompleted(hold.worker(), hold.function(), Outcome.VOID, 0, TimeSpan.ZERO));
+                conductor.dispatch(
+                        new Event.LoadCompleted(hold.worker(), hold.function(), Outcome.VOID, 0, TimeSpan.ZERO));
             }
         });
     }
@@ -303,7 +311,11 @@
         MonotonicTime sent = timers.now();
         tally.onLoadRequest();
         engines.loadInstances(
-                hold.worker(), hold.function(), hold.instances(), facts.instances().loadRequestTimeout(), (outcome, copies) -> {
+                hold.worker(),
+                hold.function(),
+                hold.instances(),
+                facts.instances().loadRequestTimeout(),
+                (outcome, copies) -> {
                     TimeSpan took = timers.now().since(sent);
                     chronicle.onLoadRequestEnded(hold.worker(), hold.function(), outcome, copies, took);
                     conductor.dispatch(new Event.LoadCompleted(hold.worker(), hold.function(), outcome, copies, took));
@@ -312,7 +324,8 @@
 
     @Override
     public void unloadInstances(Action.UnloadInstances unload) {
-        engines.unloadInstances(unload.worker(), unload.function(), facts.instances().loadRequestTimeout());
+        engines.unloadInstances(
+                unload.worker(), unload.function(), facts.instances().loadRequestTimeout());
     }
 
     @Override
--- a/kserve-router/src/main/java/pearladder/router/core/RolloutManager.java
+++ b/kserve-router/src/main/java/pearladder/router/core/RolloutManager.java
@@ -9,14 +9,14 @@
 import java.util.zip.CRC32;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.routing.api.Event;
-import pearladder.routing.api.TimeSpan;
 import pearladder.kserve.Route;
-import pearladder.rollout.RolloutProgress;
 import pearladder.rollout.RolloutAction;
-import pearladder.rollout.RolloutEvent;
 import pearladder.rollout.RolloutController;
+import pearladder.rollout.RolloutEvent;
+import pearladder.rollout.RolloutProgress;
 import pearladder.rollout.RolloutTarget;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.TimeSpan;
 
 /** The hands of the release module: its journal, its timer, and its wishes for copies handed on to the policy. */
 public final class RolloutManager {
@@ -96,7 +96,10 @@
 
     public Chosen choose(Wish wish) {
         if (wish.version() != null) {
-            return new Chosen(wish.version(), Route.function(wish.model(), wish.version()), RequestManager.CompletionListener.NONE);
+            return new Chosen(
+                    wish.version(),
+                    Route.function(wish.model(), wish.version()),
+                    RequestManager.CompletionListener.NONE);
         }
         String call = Long.toString(++numbered);
         chosen = "";
--- a/kserve-router/src/main/java/pearladder/router/core/RouterConfig.java
+++ b/kserve-router/src/main/java/pearladder/router/core/RouterConfig.java
@@ -2,10 +2,10 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import pearladder.eventlog.RetentionSettings;
+import pearladder.kserve.Route;
 import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
-import pearladder.kserve.Route;
-import pearladder.eventlog.RetentionSettings;
 
 /**
  * What a router is told in its file, once, at its start.
--- a/kserve-router/src/main/java/pearladder/router/core/RouterConfigParser.java
+++ b/kserve-router/src/main/java/pearladder/router/core/RouterConfigParser.java
@@ -3,23 +3,23 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import pearladder.config.ConfigValue;
+import pearladder.config.YamlParser;
+import pearladder.eventlog.RetentionSettings;
 import pearladder.routing.api.RoutingSettings;
-import pearladder.routing.api.RoutingSettings.Tenant;
 import pearladder.routing.api.RoutingSettings.AttemptLimits;
-import pearladder.routing.api.RoutingSettings.ResponseGrace;
-import pearladder.routing.api.RoutingSettings.SlowStartSettings;
-import pearladder.routing.api.RoutingSettings.InstanceSettings;
-import pearladder.routing.api.RoutingSettings.Idempotency;
-import pearladder.routing.api.RoutingSettings.DeduplicationScope;
 import pearladder.routing.api.RoutingSettings.CostModel;
+import pearladder.routing.api.RoutingSettings.DeduplicationScope;
+import pearladder.routing.api.RoutingSettings.DiscoverySettings;
+import pearladder.routing.api.RoutingSettings.Idempotency;
+import pearladder.routing.api.RoutingSettings.InstanceSettings;
 import pearladder.routing.api.RoutingSettings.LoadQuota;
 import pearladder.routing.api.RoutingSettings.LoadReportSettings;
-import pearladder.routing.api.RoutingSettings.DiscoverySettings;
 import pearladder.routing.api.RoutingSettings.RequestClass;
+import pearladder.routing.api.RoutingSettings.ResponseGrace;
+import pearladder.routing.api.RoutingSettings.SlowStartSettings;
+import pearladder.routing.api.RoutingSettings.Tenant;
 import pearladder.routing.api.TimeSpan;
-import pearladder.eventlog.RetentionSettings;
-import pearladder.config.ConfigValue;
-import pearladder.config.YamlParser;
 
 /** Reads a router's file, checks all of it and names every mistake. docs/operating.md lists the keys. */
 public final class RouterConfigParser {
--- a/kserve-router/src/main/java/pearladder/router/core/RouterMetrics.java
+++ b/kserve-router/src/main/java/pearladder/router/core/RouterMetrics.java
@@ -1,7 +1,7 @@
 package pearladder.router.core;
 
-import pearladder.routing.api.Outcome;
 import pearladder.kserve.RequestOutcome;
+import pearladder.routing.api.Outcome;
 
 /** Counts of what a router does. */
 public interface RouterMetrics {
--- a/kserve-router/src/main/java/pearladder/router/core/SnapshotLoader.java
+++ b/kserve-router/src/main/java/pearladder/router/core/SnapshotLoader.java
@@ -4,11 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import pearladder.recovery.SnapshotRecovery;
 import pearladder.routing.api.Event;
-import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
-import pearladder.recovery.SnapshotRecovery;
 import pearladder.routing.state.PolicySnapshot;
 
 /** Asks the recovery module what of an earlier life the policy may start from. */
--- a/kserve-router/src/main/java/pearladder/router/kserve/BackgroundWork.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/BackgroundWork.java
@@ -7,12 +7,12 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.routing.api.MonotonicTime;
-import pearladder.router.core.Timers;
-import pearladder.background.ResourceCost;
 import pearladder.background.BackgroundScheduler;
 import pearladder.background.JobAction;
 import pearladder.background.JobEvent;
+import pearladder.background.ResourceCost;
+import pearladder.router.core.Timers;
+import pearladder.routing.api.MonotonicTime;
 
 /** Does the router's background work when the scheduler says so. The event loop calls it; the jobs themselves leave it. */
 final class BackgroundWork {
@@ -40,7 +40,8 @@
      * @param run does it off the event loop and brings what it cost
      * @return done once it is; it fails in words where it was given up
      */
-    Future<Void> ask(String duty, String account, ResourceCost cost, MonotonicTime by, Supplier<Future<ResourceCost>> run) {
+    Future<Void> ask(
+            String duty, String account, ResourceCost cost, MonotonicTime by, Supplier<Future<ResourceCost>> run) {
         String id = duty + "-" + ++numbered;
         Promise<Void> done = Promise.promise();
         jobs.put(id, new Job(run, done));
--- a/kserve-router/src/main/java/pearladder/router/kserve/EndpointWatch.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EndpointWatch.java
@@ -12,8 +12,8 @@
 import java.io.IOException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.kserve.Headers;
 import pearladder.kserve.DiscoveryMessage;
+import pearladder.kserve.Headers;
 import pearladder.router.core.RouterConfig;
 
 /**
--- a/kserve-router/src/main/java/pearladder/router/kserve/EventRecorder.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EventRecorder.java
@@ -19,25 +19,25 @@
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import pearladder.background.JobClasses;
+import pearladder.background.ResourceCost;
+import pearladder.eventlog.EventLog;
+import pearladder.eventlog.EventLogReader;
+import pearladder.eventlog.LogEntry;
+import pearladder.eventlog.LogEntryType;
+import pearladder.kserve.DiscoveryMessage;
+import pearladder.router.core.ActiveAttempt;
+import pearladder.router.core.ActiveRequest;
+import pearladder.router.core.EventListener;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.Timers;
+import pearladder.router.core.WorkerResponse;
 import pearladder.routing.api.Event;
 import pearladder.routing.api.Outcome;
 import pearladder.routing.api.TimeSpan;
 import pearladder.writebuffer.WriteBuffer;
 import pearladder.writebuffer.WriteBufferAction;
 import pearladder.writebuffer.WriteBufferEvent;
-import pearladder.kserve.DiscoveryMessage;
-import pearladder.eventlog.EventLogReader;
-import pearladder.eventlog.LogEntry;
-import pearladder.eventlog.LogEntryType;
-import pearladder.eventlog.EventLog;
-import pearladder.router.core.RouterConfig;
-import pearladder.router.core.EventListener;
-import pearladder.router.core.WorkerResponse;
-import pearladder.router.core.ActiveRequest;
-import pearladder.router.core.ActiveAttempt;
-import pearladder.router.core.Timers;
-import pearladder.background.JobClasses;
-import pearladder.background.ResourceCost;
 
 /**
  * Keeps the record of what this router does: entries are made on the event loop and written off it, when the backlog module
@@ -84,7 +84,8 @@
     private boolean closed;
 
     /** @throws IOException where the folder can't be opened */
-    EventRecorder(Vertx vertx, Timers timers, BackgroundWork work, RouterConfig articles, LongSupplier wall) throws IOException {
+    EventRecorder(Vertx vertx, Timers timers, BackgroundWork work, RouterConfig articles, LongSupplier wall)
+            throws IOException {
         this.vertx = vertx;
         this.timers = timers;
         this.work = work;
@@ -214,7 +215,10 @@
                     "");
         }
         if (copy == Event.InstanceStatus.LOAD_FAILED) {
-            add(LogEntry.of(now, LogEntryType.LOADED, call.function, "", leg.worker, "failed", 0, took.nanos() / 1000), "");
+            add(
+                    LogEntry.of(
+                            now, LogEntryType.LOADED, call.function, "", leg.worker, "failed", 0, took.nanos() / 1000),
+                    "");
         }
         if (outcome == Outcome.SUCCESS) {
             // a call that waited for a load worked for an unknown part of its time; it renews the copy and weighs
@@ -262,14 +266,25 @@
                             copies,
                             took.nanos() / 1000),
                     "");
-            add(LogEntry.of(now, LogEntryType.COPIES, function, "", engine, outcome.name(), copies, took.nanos() / 1000), "");
+            add(
+                    LogEntry.of(
+                            now,
+                            LogEntryType.COPIES,
+                            function,
+                            "",
+                            engine,
+                            outcome.name(),
+                            copies,
+                            took.nanos() / 1000),
+                    "");
         }
     }
 
     /** What the list tells of engines. */
     void listed(DiscoveryMessage line) {
         long now = wall.getAsLong();
-        Set<String> gone = line.kind() == DiscoveryMessage.Kind.WHOLE ? new TreeSet<>(starts.keySet()) : new TreeSet<>();
+        Set<String> gone =
+                line.kind() == DiscoveryMessage.Kind.WHOLE ? new TreeSet<>(starts.keySet()) : new TreeSet<>();
         for (DiscoveryMessage.Entry one : line.entries()) {
             gone.remove(one.engine());
             boolean leaves = one.standing() == DiscoveryMessage.Standing.GONE;
@@ -300,7 +315,14 @@
                     articles.modelOf(function.contains("@") ? function.substring(0, function.indexOf('@')) : function);
             add(
                     LogEntry.of(
-                            now, LogEntryType.MODEL, function, "", "", "", terms == null ? 0 : Math.round(terms.memoryMb()), 0),
+                            now,
+                            LogEntryType.MODEL,
+                            function,
+                            "",
+                            "",
+                            "",
+                            terms == null ? 0 : Math.round(terms.memoryMb()),
+                            0),
                     "");
         }
     }
@@ -339,7 +361,9 @@
             } else if (action instanceof WriteBufferAction.TellLeftOut told) {
                 timers.after(
                         TimeSpan.millis(1),
-                        () -> add(LogEntry.of(wall.getAsLong(), LogEntryType.DROPPED, "", "", "", "", told.entries(), 0), ""));
+                        () -> add(
+                                LogEntry.of(wall.getAsLong(), LogEntryType.DROPPED, "", "", "", "", told.entries(), 0),
+                                ""));
             } else if (action instanceof WriteBufferAction.Go go) {
                 orders.remove(go.order()).accept("");
             } else if (action instanceof WriteBufferAction.Withhold withheld) {
--- a/kserve-router/src/main/java/pearladder/router/kserve/HttpResponseHandler.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpResponseHandler.java
@@ -3,12 +3,12 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
-import pearladder.routing.api.TimeSpan;
+import pearladder.kserve.Headers;
 import pearladder.kserve.JsonBodies;
 import pearladder.kserve.RequestOutcome;
-import pearladder.kserve.Headers;
-import pearladder.router.core.WorkerResponse;
 import pearladder.router.core.ResponseHandler;
+import pearladder.router.core.WorkerResponse;
+import pearladder.routing.api.TimeSpan;
 
 /** A call as it came over HTTP/JSON, and where its answer goes; a client that is gone gets nothing more. */
 final class HttpResponseHandler implements ResponseHandler {
--- a/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerClient.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerClient.java
@@ -4,13 +4,13 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
-import pearladder.routing.api.Outcome;
-import pearladder.routing.api.TimeSpan;
-import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Headers;
-import pearladder.router.core.WorkerClient;
+import pearladder.kserve.JsonBodies;
 import pearladder.router.core.ActiveAttempt;
 import pearladder.router.core.Timers;
+import pearladder.router.core.WorkerClient;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * Sends legs, orders and probes to engines over HTTP and tells how each ended, once. Unreachable is said only when no byte
@@ -63,7 +63,8 @@
                                     response,
                                     answerLimit,
                                     (head, whole) -> {
-                                        HttpWorkerResponse answer = HttpWorkerResponse.of(head.statusCode(), head.headers(), whole);
+                                        HttpWorkerResponse answer =
+                                                HttpWorkerResponse.of(head.statusCode(), head.headers(), whole);
                                         end(answer.outcome(), answer);
                                     },
                                     broken -> end(Outcome.BROKEN, null)),
@@ -125,7 +126,8 @@
             HttpWorkerResponse answer = (HttpWorkerResponse) said;
             if (answer != null && !call.isOf(answer)) {
                 // guards against an engine that answers for another model: its answer is nobody's
-                HttpWorkerResponse wrong = new HttpWorkerResponse(Outcome.ERROR, answer.status(), answer.headers(), answer.body());
+                HttpWorkerResponse wrong =
+                        new HttpWorkerResponse(Outcome.ERROR, answer.status(), answer.headers(), answer.body());
                 ended.end(Outcome.ERROR, wrong);
             } else {
                 ended.end(outcome, answer);
--- a/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerResponse.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerResponse.java
@@ -2,11 +2,11 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import pearladder.routing.api.Event;
-import pearladder.routing.api.Outcome;
 import pearladder.kserve.Headers;
 import pearladder.kserve.LoadReport;
 import pearladder.router.core.WorkerResponse;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Outcome;
 
 /** What an engine's whole answer says: its outcome for the module, and what goes on to the client. */
 record HttpWorkerResponse(Outcome outcome, int status, MultiMap headers, Buffer body) implements WorkerResponse {
@@ -58,6 +58,7 @@
         LoadReport report = LoadReport.parse(headers.get(Headers.REPORT));
         return report == null
                 ? null
-                : new Event.WorkerLoadReport(report.held(), report.waiting(), report.busy(), report.loads(), report.pinned());
+                : new Event.WorkerLoadReport(
+                        report.held(), report.waiting(), report.busy(), report.loads(), report.pinned());
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/InferenceServer.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/InferenceServer.java
@@ -10,15 +10,15 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import pearladder.routing.api.RoutingSettings;
-import pearladder.routing.api.MonotonicTime;
-import pearladder.routing.api.TimeSpan;
-import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Headers;
+import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Route;
-import pearladder.router.core.RouterConfig;
 import pearladder.router.core.RequestManager;
 import pearladder.router.core.RolloutManager;
+import pearladder.router.core.RouterConfig;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.TimeSpan;
 
 /** The router's own side of KServe v2: reads calls, refuses what is no call, and answers what is asked of the router. */
 final class InferenceServer {
@@ -40,7 +40,8 @@
         RequestManager.ParsedRequest asked(String name, RolloutManager releases, HttpResponseHandler reply) {
             RolloutManager.Wish named = wish.named() != null
                     ? wish
-                    : new RolloutManager.Wish(name, wish.model(), wish.version(), wish.key(), wish.account(), wish.mark());
+                    : new RolloutManager.Wish(
+                            name, wish.model(), wish.version(), wish.key(), wish.account(), wish.mark());
             RolloutManager.Chosen chosen = releases.choose(named);
             reply.taken(named.named(), chosen.version());
             return new RequestManager.ParsedRequest(
@@ -138,7 +139,9 @@
         if (!route.model().matches(NAME) || articles.modelOf(route.model()) == null) {
             refuse(request, 404, "unknown model " + shown(route.model()));
         } else if (route.kind() == Route.Kind.MODEL) {
-            json(request, JsonBodies.model(route.model(), route.version() == null ? List.of() : List.of(route.version())));
+            json(
+                    request,
+                    JsonBodies.model(route.model(), route.version() == null ? List.of() : List.of(route.version())));
         } else if (house.ready()) {
             json(request, "{\"name\":\"" + route.model() + "\",\"ready\":true}");
         } else {
@@ -235,7 +238,8 @@
                             model,
                             hint.nanos() == 0 ? null : hint,
                             "1".equals(request.getHeader(Headers.REPEAT))),
-                    new HttpResponseHandler(route.model(), type == null ? "application/json" : type, body, request.response()));
+                    new HttpResponseHandler(
+                            route.model(), type == null ? "application/json" : type, body, request.response()));
         });
     }
 
@@ -322,6 +326,7 @@
     /** A call that was understood and not taken: never sent anywhere, so trying again is harmless. */
     private void notTaken(HttpServerResponse response, String why) {
         meters.notTaken();
-        HttpResponseHandler.dismiss(response, why, articles.facts().attemptLimits().maxRetryAfter());
+        HttpResponseHandler.dismiss(
+                response, why, articles.facts().attemptLimits().maxRetryAfter());
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/PrometheusMetrics.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/PrometheusMetrics.java
@@ -12,9 +12,9 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import pearladder.routing.api.Outcome;
 import pearladder.kserve.RequestOutcome;
 import pearladder.router.core.RouterMetrics;
+import pearladder.routing.api.Outcome;
 
 /** The router's counts, told on /metrics in the text form of Prometheus. */
 final class PrometheusMetrics implements RouterMetrics {
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutClient.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutClient.java
@@ -122,7 +122,8 @@
                         + "\"; mend \"from\", or roll the release before it back");
                 continue;
             }
-            orders.add(new RolloutTarget(after(before), plan, RolloutTarget.Mode.RUNNING, 0, by, System.currentTimeMillis()));
+            orders.add(new RolloutTarget(
+                    after(before), plan, RolloutTarget.Mode.RUNNING, 0, by, System.currentTimeMillis()));
         }
         Told told = give(orders);
         wrong.addAll(told.lines());
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutPlanParser.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutPlanParser.java
@@ -3,10 +3,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import pearladder.routing.api.TimeSpan;
-import pearladder.rollout.RolloutPlan;
 import pearladder.config.ConfigValue;
 import pearladder.config.YamlParser;
+import pearladder.rollout.RolloutPlan;
+import pearladder.routing.api.TimeSpan;
 
 /** Reads a release's plan: one for each model that it names. docs/versions.md lists the keys. */
 public final class RolloutPlanParser {
@@ -36,7 +36,8 @@
                 gate.at("excess").number(0.05, 0, 1),
                 gate.at("wrongly").number(0.01, 0, 1),
                 gate.at("missed").number(0.05, 0, 1));
-        RolloutPlan.Breach breach = release.at("on_breach").word(RolloutPlan.Breach.class, RolloutPlan.Breach.ROLL_BACK);
+        RolloutPlan.Breach breach =
+                release.at("on_breach").word(RolloutPlan.Breach.class, RolloutPlan.Breach.ROLL_BACK);
         List<RolloutPlan> plans = models.stream()
                 .map(model -> new RolloutPlan(model, from, to, steps, hold, least, terms, breach))
                 .toList();
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutSync.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutSync.java
@@ -19,11 +19,11 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.rollout.RolloutTarget;
-import pearladder.router.core.RouterConfig;
-import pearladder.router.core.RolloutManager;
 import pearladder.background.JobClasses;
 import pearladder.background.ResourceCost;
+import pearladder.rollout.RolloutTarget;
+import pearladder.router.core.RolloutManager;
+import pearladder.router.core.RouterConfig;
 
 /**
  * Learns the newest orders on releases from the other routers: from all of them before this one is ready, then from one
@@ -52,7 +52,11 @@
     private boolean closed;
 
     RolloutSync(
-            Vertx vertx, RolloutManager desk, AsyncRolloutJournal journal, BackgroundWork work, List<RouterConfig.Address> others) {
+            Vertx vertx,
+            RolloutManager desk,
+            AsyncRolloutJournal journal,
+            BackgroundWork work,
+            List<RouterConfig.Address> others) {
         this.work = work;
         this.vertx = vertx;
         this.desk = desk;
--- a/kserve-router/src/main/java/pearladder/router/kserve/Router.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/Router.java
@@ -11,20 +11,20 @@
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.routing.api.RoutingPolicy;
-import pearladder.routing.api.Event;
-import pearladder.routing.api.RoutingSettings;
-import pearladder.routing.api.TimeSpan;
+import pearladder.background.JobClasses;
+import pearladder.background.ResourceCost;
 import pearladder.kserve.DiscoveryMessage;
-import pearladder.router.core.RouterConfig;
-import pearladder.router.core.RequestManager;
-import pearladder.router.core.EventListener;
 import pearladder.router.core.ActiveRequest;
-import pearladder.router.core.SnapshotLoader;
+import pearladder.router.core.EventListener;
+import pearladder.router.core.RequestManager;
 import pearladder.router.core.RolloutManager;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.SnapshotLoader;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.PolicySnapshot;
-import pearladder.background.JobClasses;
-import pearladder.background.ResourceCost;
 
 /**
  * One router behind real sockets: its door, its engines, its list, its releases and one instance of the module, all on one
@@ -196,7 +196,8 @@
 
     /** What the last life knew, as far as it may be believed; then what this one knows is written once a second. */
     private void recall(Event.EndpointsUpdated list) {
-        EventRecorder.Orders orders = recorder.orders(articles.facts().loadQuota().window());
+        EventRecorder.Orders orders =
+                recorder.orders(articles.facts().loadQuota().window());
         SnapshotFile.Taken taken = snapshot.take();
         TimeSpan gap = taken == null ? TimeSpan.ZERO : TimeSpan.millis(System.currentTimeMillis() - taken.wall());
         calls.dispatch(SnapshotLoader.event(
@@ -234,7 +235,9 @@
             LOG.atInfo().addKeyValue("calls", calls.inFlight()).log("stopping");
             Promise<Void> emptied = Promise.promise();
             long bound = vertx.setTimer(Math.max(1, articles.stopWithin().toMillis()), late -> {
-                LOG.atWarn().addKeyValue("calls", calls.inFlight()).log("the bound is reached; terminating what is held");
+                LOG.atWarn()
+                        .addKeyValue("calls", calls.inFlight())
+                        .log("the bound is reached; terminating what is held");
                 calls.failAll();
                 emptied.tryComplete();
             });
@@ -280,7 +283,9 @@
     public String closedBecause() {
         return stopping
                 ? "this router is stopping"
-                : calls.inFlight() >= articles.limits().openCalls() ? "this router holds as many calls as it may" : null;
+                : calls.inFlight() >= articles.limits().openCalls()
+                        ? "this router holds as many calls as it may"
+                        : null;
     }
 
     @Override
--- a/kserve-router/src/main/java/pearladder/router/kserve/VertxTimers.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/VertxTimers.java
@@ -1,9 +1,9 @@
 package pearladder.router.kserve;
 
 import io.vertx.core.Vertx;
+import pearladder.router.core.Timers;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
-import pearladder.router.core.Timers;
 
 /** Timers of the event loop, and the machine's monotonic clock. */
 public final class VertxTimers implements Timers {
--- a/kserve-router/src/main/java/pearladder/router/kserve/WarmUp.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/WarmUp.java
@@ -10,14 +10,14 @@
 import io.vertx.core.http.PoolOptions;
 import java.util.ArrayList;
 import java.util.List;
+import pearladder.router.core.RouterConfig;
 import pearladder.routing.api.Action;
-import pearladder.routing.api.RoutingPolicy;
 import pearladder.routing.api.Event;
-import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.Outcome;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
-import pearladder.router.core.RouterConfig;
 
 /**
  * Guards against a router that is late for its first calls because its code is only then loaded and compiled: before it is
@@ -66,7 +66,8 @@
         MonotonicTime now = new MonotonicTime(0);
         List<Event.Endpoint> workers = new ArrayList<>();
         for (int i = 0; i < WORKERS; i++) {
-            workers.add(new Event.Endpoint("worker-" + i, facts.zone(), "", 0, Event.EndpointState.IN_SERVICE, 1, null));
+            workers.add(
+                    new Event.Endpoint("worker-" + i, facts.zone(), "", 0, Event.EndpointState.IN_SERVICE, 1, null));
         }
         module.handle(now, new Event.EndpointsUpdated(Event.EndpointUpdateKind.SNAPSHOT, workers));
         RoutingSettings.RequestClass category = facts.requestClasses().get(0);
--- a/kserve-router/src/main/java/pearladder/router/kserve/WorkerRegistry.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/WorkerRegistry.java
@@ -6,12 +6,12 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import pearladder.routing.api.Event;
-import pearladder.kserve.DiscoveryMessage;
-import pearladder.router.core.RouterConfig;
-import pearladder.router.core.EndpointList;
 import pearladder.background.JobClasses;
 import pearladder.background.ResourceCost;
+import pearladder.kserve.DiscoveryMessage;
+import pearladder.router.core.EndpointList;
+import pearladder.router.core.RouterConfig;
+import pearladder.routing.api.Event;
 
 /** A link to each engine that the list has, and the last list on disk. */
 final class WorkerRegistry {
--- a/kserve-router/src/test/java/pearladder/router/kserve/BackgroundWorkTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/BackgroundWorkTest.java
@@ -9,13 +9,13 @@
 import java.util.List;
 import java.util.PriorityQueue;
 import org.junit.jupiter.api.Test;
-import pearladder.routing.api.MonotonicTime;
-import pearladder.routing.api.TimeSpan;
-import pearladder.router.core.Timers;
-import pearladder.background.JobClasses;
+import pearladder.background.BackgroundScheduler;
 import pearladder.background.JobClass;
+import pearladder.background.JobClasses;
 import pearladder.background.ResourceCost;
-import pearladder.background.BackgroundScheduler;
+import pearladder.router.core.Timers;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 class BackgroundWorkTest {
     /** A clock that goes on when it is told to. */
@@ -56,8 +56,26 @@
             new BackgroundScheduler(
                     1,
                     List.of(
-                            new JobClass(JobClasses.FLUSH, 0, new ResourceCost(0, 50e6, 0), 2, 1, 100, 3, TimeSpan.millis(200), true),
-                            new JobClass(JobClasses.LEARN, 1, new ResourceCost(0, 2e6, 0), 10, 4, 1000, 0, TimeSpan.millis(500), false)),
+                            new JobClass(
+                                    JobClasses.FLUSH,
+                                    0,
+                                    new ResourceCost(0, 50e6, 0),
+                                    2,
+                                    1,
+                                    100,
+                                    3,
+                                    TimeSpan.millis(200),
+                                    true),
+                            new JobClass(
+                                    JobClasses.LEARN,
+                                    1,
+                                    new ResourceCost(0, 2e6, 0),
+                                    10,
+                                    4,
+                                    1000,
+                                    0,
+                                    TimeSpan.millis(500),
+                                    false)),
                     TimeSpan.millis(50),
                     steps.now()));
 
@@ -75,8 +93,8 @@
         Promise<ResourceCost> first = Promise.promise();
         Promise<ResourceCost> second = Promise.promise();
         List<Promise<ResourceCost>> tries = new java.util.ArrayList<>(List.of(first, second));
-        Future<Void> flushed = work.ask(
-                JobClasses.FLUSH, "", ResourceCost.NONE, null, () -> tries.remove(0).future());
+        Future<Void> flushed = work.ask(JobClasses.FLUSH, "", ResourceCost.NONE, null, () -> tries.remove(0)
+                .future());
         Future<Void> stopped = work.stop();
         first.fail("no space");
         assertFalse(stopped.isComplete());
--- a/kserve-router/src/test/java/pearladder/router/kserve/HardCasesTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/HardCasesTest.java
@@ -49,7 +49,8 @@
     void anEngineThatDrainsWhileItLoadsFinishesItsCallAndGetsNothingNew() {
         try (Stand stand = new Stand(2)) {
             CompletableFuture<HttpResponse<String>> waiting = stand.send("pair-slow", 5);
-            Stand.until("the call arrives", () -> stand.seen(Observation.ARRIVED).size() == 1);
+            Stand.until(
+                    "the call arrives", () -> stand.seen(Observation.ARRIVED).size() == 1);
             String engine = stand.engineOf("pair-slow");
             stand.fleet.run(() -> stand.fleet.drain(engine));
             assertEquals("settled", Stand.state(Stand.await(waiting)));
@@ -64,7 +65,8 @@
     void aClientThatLeavesWhileItsCallWaitsOnALoadIsOwedNothingAndItsCallNeverRuns() throws IOException {
         try (Stand stand = new Stand(1)) {
             Socket client = raw(stand, post("pair-slow", "pearladder-patience-ms: 3000\r\n", "{}"));
-            Stand.until("the call arrives", () -> stand.seen(Observation.ARRIVED).size() == 1);
+            Stand.until(
+                    "the call arrives", () -> stand.seen(Observation.ARRIVED).size() == 1);
             client.close();
             Stand.until("the router saw it", () -> stand.metric("pearladder_clients_left_total") == 1);
             Stand.until("nothing is held", () -> stand.metric("pearladder_calls_open") == 0);
--- a/kserve-router/src/test/java/pearladder/router/kserve/LifeTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/LifeTest.java
@@ -10,12 +10,12 @@
 import java.util.concurrent.CompletionException;
 import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.api.Test;
-import pearladder.routing.StickyFirstFitPolicy;
+import pearladder.config.YamlParser;
 import pearladder.emulator.Observation;
 import pearladder.kserve.DiscoveryMessage.Standing;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.RouterConfigParser;
-import pearladder.config.YamlParser;
+import pearladder.routing.StickyFirstFitPolicy;
 
 /** Start, stop, the list and the last list. */
 class LifeTest {
@@ -25,7 +25,8 @@
     void aStoppingRouterFinishesWhatItHoldsAndTakesNothingNew() {
         try (Stand stand = new Stand(1)) {
             CompletableFuture<HttpResponse<String>> held = stand.send("pair-slow", 5);
-            Stand.until("the call arrives", () -> stand.seen(Observation.ARRIVED).size() == 1);
+            Stand.until(
+                    "the call arrives", () -> stand.seen(Observation.ARRIVED).size() == 1);
             CompletableFuture<Void> stopped =
                     stand.router.stop().toCompletionStage().toCompletableFuture();
             Stand.until("it is not ready", () -> stand.get("/v2/health/ready").statusCode() == 503);
@@ -109,8 +110,8 @@
                     "router: {name: r9, listen: \"127.0.0.1:"
                             + stand.router.port() + "\", data: \"" + stand.folder.resolve("r9")
                             + "\"}\nlist: {address: \"127.0.0.1:" + stand.fleet.listPort() + "\"}\n" + Stand.RULES));
-            CompletionException failed =
-                    Assertions.assertThrows(CompletionException.class, () -> Router.start(second, StickyFirstFitPolicy::new, 1)
+            CompletionException failed = Assertions.assertThrows(
+                    CompletionException.class, () -> Router.start(second, StickyFirstFitPolicy::new, 1)
                             .toCompletionStage()
                             .toCompletableFuture()
                             .join());
--- a/kserve-router/src/test/java/pearladder/router/kserve/OperatorTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/OperatorTest.java
@@ -6,10 +6,10 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pearladder.rollout.RolloutPlan;
-import pearladder.rollout.RolloutTarget;
 import pearladder.config.ConfigErrors;
 import pearladder.config.YamlParser;
+import pearladder.rollout.RolloutPlan;
+import pearladder.rollout.RolloutTarget;
 
 class OperatorTest {
     private static List<RolloutPlan> plan(String from, String to) {
@@ -27,8 +27,8 @@
             RolloutClient both = new RolloutClient(List.of(first, "127.0.0.1:" + second.adminPort()), "ann");
             assertEquals(2, both.start(plan("", "2")).took());
             Stand.await(second.stop().toCompletionStage().toCompletableFuture());
-            RolloutClient.Told told =
-                    both.change(List.of(), before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.PAUSED, 0, "", 0));
+            RolloutClient.Told told = both.change(
+                    List.of(), before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.PAUSED, 0, "", 0));
             assertEquals(1, told.took());
             assertTrue(
                     told.lines().stream().anyMatch(line -> line.contains("no answer")),
@@ -45,7 +45,8 @@
                     2,
                     both.change(
                                     List.of("pair-a"),
-                                    before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.ROLLED_BACK, 0, "", 0))
+                                    before -> new RolloutTarget(
+                                            0, before.plan(), RolloutTarget.Mode.ROLLED_BACK, 0, "", 0))
                             .took());
             assertEquals(
                     2,
--- a/kserve-router/src/test/java/pearladder/router/kserve/RecorderTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/RecorderTest.java
@@ -94,7 +94,10 @@
                             .orElseThrow()
                             .amount());
             assertEquals(
-                    2, all.stream().filter(entry -> entry.kind() == LogEntryType.ENGINE).count());
+                    2,
+                    all.stream()
+                            .filter(entry -> entry.kind() == LogEntryType.ENGINE)
+                            .count());
         }
     }
 
--- a/kserve-router/src/test/java/pearladder/router/kserve/ReleaseTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/ReleaseTest.java
@@ -19,12 +19,12 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.routing.api.TimeSpan;
 import pearladder.emulator.Observation;
 import pearladder.rollout.RolloutPlan;
 import pearladder.rollout.RolloutProgress;
 import pearladder.rollout.RolloutTarget;
 import pearladder.rollout.RolloutTarget.Mode;
+import pearladder.routing.api.TimeSpan;
 
 /** Gradual versions over sockets, and the journal of orders. */
 class ReleaseTest {
@@ -377,7 +377,10 @@
         try (RolloutJournal journal = RolloutJournal.open(folder)) {
             List<RolloutTarget> orders = new ArrayList<>(journal.orders());
             assertEquals(201, orders.size());
-            assertEquals(List.of(new RolloutProgress("pair-a", 1005, 1, false)), journal.reached(), "older ones say nothing");
+            assertEquals(
+                    List.of(new RolloutProgress("pair-a", 1005, 1, false)),
+                    journal.reached(),
+                    "older ones say nothing");
             assertEquals(target(5, "pair-old", Mode.ROLLED_BACK, 0), orders.get(0));
             assertEquals(1005, orders.get(200).epoch());
         }
--- a/kserve-router/src/test/java/pearladder/router/kserve/RouterTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/RouterTest.java
@@ -25,7 +25,10 @@
             assertEquals(2, stand.seen(Observation.RAN).size());
             assertEquals(
                     1,
-                    stand.seen(Observation.RAN).stream().map(Observation::engine).distinct().count());
+                    stand.seen(Observation.RAN).stream()
+                            .map(Observation::engine)
+                            .distinct()
+                            .count());
         }
     }
 
--- a/kserve-router/src/test/java/pearladder/router/kserve/Stand.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/Stand.java
@@ -17,14 +17,14 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
-import pearladder.routing.StickyFirstFitPolicy;
+import pearladder.config.YamlParser;
 import pearladder.emulator.FleetPlan;
 import pearladder.emulator.Observation;
 import pearladder.emulator.net.Fleet;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
 import pearladder.router.core.RouterConfigParser;
-import pearladder.config.YamlParser;
+import pearladder.routing.StickyFirstFitPolicy;
 
 /** A router, its stand-ins and a client in one process, on ports given by the system. */
 final class Stand implements AutoCloseable {
@@ -116,7 +116,8 @@
         String head = "router: {name: " + name
                 + ", listen: \"127.0.0.1:0\", admin: \"127.0.0.1:0\", hall: east, data: \"" + folder.resolve(name)
                 + "\", stop_within: 2 s}\nlist: {address: \"" + list + "\", silence: 1500 ms}\n";
-        return await(Router.start(RouterConfigParser.read(YamlParser.read("router", head + rules)), StickyFirstFitPolicy::new, 5)
+        return await(Router.start(
+                        RouterConfigParser.read(YamlParser.read("router", head + rules)), StickyFirstFitPolicy::new, 5)
                 .toCompletionStage()
                 .toCompletableFuture());
     }
--- a/kserve/src/test/java/pearladder/kserve/KserveTest.java
+++ b/kserve/src/test/java/pearladder/kserve/KserveTest.java
@@ -88,7 +88,8 @@
                         Standing.values()[random.nextInt(3)],
                         random.nextLong(1L << 42)));
             }
-            DiscoveryMessage line = new DiscoveryMessage(DiscoveryMessage.Kind.values()[random.nextInt(3)], random.nextLong(1L << 60), entries);
+            DiscoveryMessage line = new DiscoveryMessage(
+                    DiscoveryMessage.Kind.values()[random.nextInt(3)], random.nextLong(1L << 60), entries);
             assertEquals(line, DiscoveryMessage.parse(line.text()));
             String text = line.text();
             String torn = text.substring(0, random.nextInt(text.length()));
@@ -124,7 +125,8 @@
         assertEquals(1, JsonBodies.copies("{}"));
         assertEquals(1, JsonBodies.copies(""));
         assertThrows(IOException.class, () -> JsonBodies.copies("{\"parameters\":"));
-        List<JsonBodies.Indexed> index = List.of(new JsonBodies.Indexed("a", "READY"), new JsonBodies.Indexed("b\"", "LOADING"));
+        List<JsonBodies.Indexed> index =
+                List.of(new JsonBodies.Indexed("a", "READY"), new JsonBodies.Indexed("b\"", "LOADING"));
         assertEquals(index, JsonBodies.indexed(JsonBodies.index(index)));
         assertEquals("{\"error\":\"a \\\"b\\\"\"}", JsonBodies.error("a \"b\""));
         assertEquals(RequestOutcome.DISMISSED, RequestOutcome.of("dismissed"));
--- a/settings/src/main/java/pearladder/settings/RoutingSettingsParser.java
+++ b/settings/src/main/java/pearladder/settings/RoutingSettingsParser.java
@@ -2,24 +2,25 @@
 
 import java.util.Map;
 import pearladder.routing.api.RoutingSettings;
-import pearladder.routing.api.RoutingSettings.Tenant;
 import pearladder.routing.api.RoutingSettings.AttemptLimits;
-import pearladder.routing.api.RoutingSettings.ResponseGrace;
-import pearladder.routing.api.RoutingSettings.SlowStartSettings;
-import pearladder.routing.api.RoutingSettings.InstanceSettings;
-import pearladder.routing.api.RoutingSettings.Idempotency;
-import pearladder.routing.api.RoutingSettings.DeduplicationScope;
 import pearladder.routing.api.RoutingSettings.CostModel;
+import pearladder.routing.api.RoutingSettings.DeduplicationScope;
+import pearladder.routing.api.RoutingSettings.DiscoverySettings;
+import pearladder.routing.api.RoutingSettings.Idempotency;
+import pearladder.routing.api.RoutingSettings.InstanceSettings;
 import pearladder.routing.api.RoutingSettings.LoadQuota;
 import pearladder.routing.api.RoutingSettings.LoadReportSettings;
-import pearladder.routing.api.RoutingSettings.DiscoverySettings;
 import pearladder.routing.api.RoutingSettings.RequestClass;
+import pearladder.routing.api.RoutingSettings.ResponseGrace;
+import pearladder.routing.api.RoutingSettings.SlowStartSettings;
+import pearladder.routing.api.RoutingSettings.Tenant;
 
 /** Turns the facts object, on the simulator's wire or in a platform's configuration, into the module's. */
 public final class RoutingSettingsParser {
-    private static final Map<String, Idempotency> EFFECTS =
-            Map.of("free", Idempotency.RETRIABLE, "guarded", Idempotency.FINGERPRINTED, "single_shot", Idempotency.BINDING);
-    private static final Map<String, DeduplicationScope> GROUPS = Map.of("all", DeduplicationScope.ALL, "zone", DeduplicationScope.ZONE, "cell", DeduplicationScope.CELL);
+    private static final Map<String, Idempotency> EFFECTS = Map.of(
+            "free", Idempotency.RETRIABLE, "guarded", Idempotency.FINGERPRINTED, "single_shot", Idempotency.BINDING);
+    private static final Map<String, DeduplicationScope> GROUPS =
+            Map.of("all", DeduplicationScope.ALL, "zone", DeduplicationScope.ZONE, "cell", DeduplicationScope.CELL);
 
     private RoutingSettingsParser() {}
 
--- a/simulation/src/main/java/pearladder/simulation/FaultSearch.java
+++ b/simulation/src/main/java/pearladder/simulation/FaultSearch.java
@@ -47,7 +47,8 @@
     private final ScenarioPlan plan;
     private int rehearsed;
 
-    private FaultSearch(ObjectNode base, String name, Simulation.Maker maker, ExecutorService pool, PrintStream progress)
+    private FaultSearch(
+            ObjectNode base, String name, Simulation.Maker maker, ExecutorService pool, PrintStream progress)
             throws IOException {
         this.base = base;
         this.name = name;
--- a/simulation/src/main/java/pearladder/simulation/SimulatedFleet.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedFleet.java
@@ -7,13 +7,13 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import pearladder.emulator.WorkerModel;
+import pearladder.emulator.EndpointRegistry;
 import pearladder.emulator.FleetPlan;
 import pearladder.emulator.IdempotencyCache;
-import pearladder.emulator.EndpointRegistry;
-import pearladder.emulator.Observation;
 import pearladder.emulator.ModelStore;
+import pearladder.emulator.Observation;
 import pearladder.emulator.Timeline;
+import pearladder.emulator.WorkerModel;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
 
@@ -141,7 +141,8 @@
             still.putIfAbsent(host, time.now());
         } else if (still.containsKey(host)) {
             long since = still.remove(host);
-            seen.accept(new Observation(since, Observation.STILL, "", "", 0, host.engine.id(), "", "", time.now() - since));
+            seen.accept(
+                    new Observation(since, Observation.STILL, "", "", 0, host.engine.id(), "", "", time.now() - since));
         }
         host.pause(on);
     }
--- a/simulation/src/main/java/pearladder/simulation/SimulatedHost.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedHost.java
@@ -5,11 +5,11 @@
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
-import pearladder.routing.api.TimeSpan;
 import pearladder.kserve.DiscoveryMessage;
 import pearladder.rollout.RolloutProgress;
 import pearladder.rollout.RolloutTarget;
 import pearladder.router.core.RolloutManager;
+import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.PolicySnapshot;
 
 /** A router's machine: what outlives the router's death, and the life that runs on it now, if any. */
--- a/simulation/src/main/java/pearladder/simulation/SimulatedNetworkPath.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedNetworkPath.java
@@ -4,8 +4,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import pearladder.emulator.WorkerModel;
 import pearladder.emulator.Timeline;
+import pearladder.emulator.WorkerModel;
 
 /**
  * An engine's place on the virtual network. A message takes the delay each way; while a way is cut what was sent waits, as
--- a/simulation/src/main/java/pearladder/simulation/SimulatedRouter.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedRouter.java
@@ -5,30 +5,30 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import pearladder.routing.api.RoutingPolicy;
-import pearladder.routing.api.Event;
-import pearladder.routing.api.RoutingSettings;
-import pearladder.routing.api.MonotonicTime;
-import pearladder.routing.api.Outcome;
-import pearladder.routing.api.TimeSpan;
 import pearladder.emulator.EndpointRegistry;
 import pearladder.emulator.Timeline;
-import pearladder.kserve.RequestOutcome;
 import pearladder.kserve.DiscoveryMessage;
-import pearladder.testbed.LoadGenerator;
+import pearladder.kserve.RequestOutcome;
 import pearladder.rollout.RolloutTarget;
-import pearladder.router.core.RouterConfig;
-import pearladder.router.core.RequestManager;
-import pearladder.router.core.EventListener;
-import pearladder.router.core.EndpointList;
-import pearladder.router.core.WorkerResponse;
-import pearladder.router.core.ActiveRequest;
 import pearladder.router.core.ActiveAttempt;
-import pearladder.router.core.SnapshotLoader;
-import pearladder.router.core.RolloutManager;
+import pearladder.router.core.ActiveRequest;
+import pearladder.router.core.EndpointList;
+import pearladder.router.core.EventListener;
+import pearladder.router.core.RequestManager;
 import pearladder.router.core.ResponseHandler;
+import pearladder.router.core.RolloutManager;
+import pearladder.router.core.RouterConfig;
 import pearladder.router.core.RouterMetrics;
+import pearladder.router.core.SnapshotLoader;
 import pearladder.router.core.Timers;
+import pearladder.router.core.WorkerResponse;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.TimeSpan;
+import pearladder.testbed.LoadGenerator;
 
 /** One router from its start to its death: the router's own code on the virtual clock and network. */
 final class SimulatedRouter implements Timers, RouterMetrics {
@@ -162,7 +162,8 @@
         this.delay = delay;
         this.engines = new SimulatedWorkerClient(
                 this, articles.name(), delay, articles.connections().dial().nanos(), fell);
-        this.list = new EndpointList(0, entry -> engines.came(entry.engine(), fleet.host(entry.engine())), engines::went);
+        this.list =
+                new EndpointList(0, entry -> engines.came(entry.engine(), fleet.host(entry.engine())), engines::went);
         this.module = module;
         this.calls = new RequestManager(
                 articles.facts(),
@@ -286,7 +287,8 @@
 
     private void read(Carried carried) {
         LoadGenerator.Request request = carried.request;
-        RoutingSettings.RequestClass category = articles.category(request.terms().name());
+        RoutingSettings.RequestClass category =
+                articles.category(request.terms().name());
         RouterConfig.ModelTerms terms = articles.modelOf(request.drawn().model());
         if (carried.over) {
             return;
--- a/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
@@ -6,22 +6,27 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import pearladder.routing.api.Event;
-import pearladder.routing.api.Outcome;
-import pearladder.routing.api.TimeSpan;
-import pearladder.emulator.WorkerModel;
 import pearladder.emulator.Timeline;
+import pearladder.emulator.WorkerModel;
 import pearladder.kserve.LoadReport;
-import pearladder.router.core.WorkerResponse;
-import pearladder.router.core.WorkerClient;
 import pearladder.router.core.ActiveAttempt;
+import pearladder.router.core.WorkerClient;
+import pearladder.router.core.WorkerResponse;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * One router's way to the engines over the virtual network: connections that are kept or made, requests, answers, and the
  * proofs that outcomes give. It mirrors what the real one does with sockets.
  */
 final class SimulatedWorkerClient implements WorkerClient {
-    private record Said(Outcome outcome, Event.InstanceStatus instanceStatus, int concurrentRequests, Event.WorkerLoadReport loadReport) implements WorkerResponse {
+    private record Said(
+            Outcome outcome,
+            Event.InstanceStatus instanceStatus,
+            int concurrentRequests,
+            Event.WorkerLoadReport loadReport)
+            implements WorkerResponse {
         static Said of(WorkerModel.Answer answer) {
             LoadReport report = answer.report();
             return new Said(
@@ -244,7 +249,10 @@
             boolean wrong = outcome == Outcome.SUCCESS && link.host.misnaming();
             ended.end(
                     wrong ? Outcome.ERROR : outcome,
-                    wrong ? new Said(Outcome.ERROR, said.instanceStatus(), said.concurrentRequests(), said.loadReport()) : said);
+                    wrong
+                            ? new Said(
+                                    Outcome.ERROR, said.instanceStatus(), said.concurrentRequests(), said.loadReport())
+                            : said);
         });
     }
 
@@ -261,8 +269,8 @@
                 reply -> {
                     WorkerModel asked = link.host.engine;
                     if (copies == 0) {
-                        reply.accept(
-                                new WorkerModel.Answer(WorkerModel.End.OK, null, 0, asked.standing(function), asked.report()));
+                        reply.accept(new WorkerModel.Answer(
+                                WorkerModel.End.OK, null, 0, asked.standing(function), asked.report()));
                     } else {
                         asked.hold(router, function, copies, reply);
                     }
--- a/simulation/src/main/java/pearladder/simulation/Simulation.java
+++ b/simulation/src/main/java/pearladder/simulation/Simulation.java
@@ -19,25 +19,25 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Consumer;
-import pearladder.routing.api.RoutingPolicy;
-import pearladder.routing.api.RoutingSettings;
+import pearladder.config.YamlParser;
 import pearladder.emulator.Observation;
 import pearladder.emulator.VirtualTimeline;
-import pearladder.testbed.LoadStatistics;
-import pearladder.testbed.LoadGenerator;
-import pearladder.testbed.ScenarioPlan;
+import pearladder.rollout.RolloutTarget;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.RouterConfigParser;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.RoutingSettings;
 import pearladder.testbed.ClientLoadBalancer;
+import pearladder.testbed.FaultInjector;
+import pearladder.testbed.InvariantChecker;
+import pearladder.testbed.LoadGenerator;
+import pearladder.testbed.LoadStatistics;
 import pearladder.testbed.ReleaseScript;
 import pearladder.testbed.Results;
-import pearladder.testbed.InvariantChecker;
-import pearladder.testbed.TraceWorkload;
+import pearladder.testbed.ScenarioPlan;
 import pearladder.testbed.SyntheticWorkload;
-import pearladder.testbed.FaultInjector;
+import pearladder.testbed.TraceWorkload;
 import pearladder.testbed.VersionShares;
-import pearladder.rollout.RolloutTarget;
-import pearladder.router.core.RouterConfig;
-import pearladder.router.core.RouterConfigParser;
-import pearladder.config.YamlParser;
 
 /** One day in virtual time, in one thread: the same script and seed give the same events, whatever the machine. */
 public final class Simulation {
@@ -121,8 +121,8 @@
         time.runTo(EPOCH);
         Consumer<Observation> seen = this::seen;
         this.fleet = new SimulatedFleet(time, plan.fleet(), plan.network().delay(), seen);
-        this.clients =
-                new LoadGenerator(time, this::carry, plan, 0, trace != null ? trace : new SyntheticWorkload(plan), front, books, seen);
+        this.clients = new LoadGenerator(
+                time, this::carry, plan, 0, trace != null ? trace : new SyntheticWorkload(plan), front, books, seen);
         fleet.onListCut(() -> stations.values().forEach(station -> {
             if (station.life() != null) {
                 station.life().listBroke();
@@ -361,8 +361,9 @@
         String sum = HexFormat.of().formatHex(digest.digest()).substring(0, 16);
         long decisions =
                 stations.values().stream().mapToLong(SimulatedHost::decisions).sum();
-        long decided =
-                stations.values().stream().mapToLong(SimulatedHost::decidedNanos).sum();
+        long decided = stations.values().stream()
+                .mapToLong(SimulatedHost::decidedNanos)
+                .sum();
         List<String> lines = new ArrayList<>(books.table());
         lines.addAll(VersionShares.lines(tape, begun, plan.releases()));
         lines.add(Results.fetched(plan, tape, begun));
--- a/simulation/src/test/java/pearladder/simulation/RehearsalTest.java
+++ b/simulation/src/test/java/pearladder/simulation/RehearsalTest.java
@@ -15,10 +15,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.routing.StickyFirstFitPolicy;
 import pearladder.baseline.RandomChoice;
-import pearladder.testbed.ScenarioPlan;
+import pearladder.routing.StickyFirstFitPolicy;
 import pearladder.testbed.InvariantChecker;
+import pearladder.testbed.ScenarioPlan;
 
 class RehearsalTest {
     private static final String SCRIPT =
--- a/simulator-adapter/src/main/java/pearladder/simulator/SimulatorAdapter.java
+++ b/simulator-adapter/src/main/java/pearladder/simulator/SimulatorAdapter.java
@@ -17,21 +17,21 @@
 import java.util.Map;
 import java.util.Set;
 import pearladder.routing.api.Action;
-import pearladder.routing.api.RoutingPolicy;
 import pearladder.routing.api.Event;
-import pearladder.routing.api.Event.InstanceStatus;
 import pearladder.routing.api.Event.Endpoint;
+import pearladder.routing.api.Event.InstanceStatus;
 import pearladder.routing.api.Event.WorkerLoadReport;
-import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.Outcome;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
+import pearladder.settings.EndpointStates;
 import pearladder.settings.InvalidInputException;
-import pearladder.settings.RoutingSettingsParser;
-import pearladder.settings.LoadReport;
 import pearladder.settings.JsonNodeReader;
 import pearladder.settings.JsonRowReader;
-import pearladder.settings.EndpointStates;
+import pearladder.settings.LoadReport;
+import pearladder.settings.RoutingSettingsParser;
 
 /** Hosts many instances of the module on the simulator's wire: batches of lines in, one reply a batch out. */
 public final class SimulatorAdapter {
@@ -68,7 +68,13 @@
             Event.EndpointUpdateKind.CACHED,
             "broken",
             Event.EndpointUpdateKind.FAILED);
-    private static final InstanceStatus[] COPIES = {InstanceStatus.UNTOLD, InstanceStatus.STOOD, InstanceStatus.LOAD_BEGUN, InstanceStatus.LOAD_JOINED, InstanceStatus.LOAD_FAILED};
+    private static final InstanceStatus[] COPIES = {
+        InstanceStatus.UNTOLD,
+        InstanceStatus.STOOD,
+        InstanceStatus.LOAD_BEGUN,
+        InstanceStatus.LOAD_JOINED,
+        InstanceStatus.LOAD_FAILED
+    };
 
     private final Maker maker;
     private final JsonFactory json = new JsonFactory();
@@ -134,7 +140,8 @@
             case "Begin" -> {
                 long instance = row.whole("I");
                 long seed = row.whole("RandomSeed");
-                RoutingSettings facts = RoutingSettingsParser.read(new JsonNodeReader(row, "Facts", row.present("Facts", row.tree("Facts"))));
+                RoutingSettings facts = RoutingSettingsParser.read(
+                        new JsonNodeReader(row, "Facts", row.present("Facts", row.tree("Facts"))));
                 row.close();
                 faulted.remove(instance);
                 instances.put(instance, maker.make(seed, facts));
@@ -204,7 +211,8 @@
             case "Due" -> new Event.TimerFired(row.text("Tag"));
             case "ProbeResult" -> {
                 Outcome outcome = word(row, "Verdict", OUTCOMES, row.text("Verdict"));
-                yield new Event.HealthCheckCompleted(row.text("Worker"), outcome, new TimeSpan(row.whole("TookNs")), report(row));
+                yield new Event.HealthCheckCompleted(
+                        row.text("Worker"), outcome, new TimeSpan(row.whole("TookNs")), report(row));
             }
             case "BroughtUp" -> {
                 String worker = row.text("Worker");
--- a/simulator-adapter/src/test/java/pearladder/simulator/WireHostTest.java
+++ b/simulator-adapter/src/test/java/pearladder/simulator/WireHostTest.java
@@ -15,9 +15,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import pearladder.routing.api.Action;
 import pearladder.routing.api.Event;
-import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.Outcome;
+import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
 import pearladder.settings.InvalidInputException;
 
@@ -92,8 +92,11 @@
         assertEquals(2, ended.concurrentRequests());
         assertEquals(3, ended.loadReport().backlog());
         assertEquals(
-                RoutingSettings.Idempotency.FINGERPRINTED, facts.get(0).requestClasses().get(0).idempotency());
-        assertEquals(RoutingSettings.DeduplicationScope.ZONE, facts.get(0).requestClasses().get(0).deduplicationScope());
+                RoutingSettings.Idempotency.FINGERPRINTED,
+                facts.get(0).requestClasses().get(0).idempotency());
+        assertEquals(
+                RoutingSettings.DeduplicationScope.ZONE,
+                facts.get(0).requestClasses().get(0).deduplicationScope());
         assertEquals(0.25, facts.get(0).slowStart().initialCapacityShare());
     }
 
@@ -112,7 +115,8 @@
                 "[\"Due\",3,\"sweep\"]",
                 "[\"Demand\",3,\"t\",2,900,false,\"acc\",240000000,\"c\",null,384,\"f\",false]",
                 "[\"Commit\"]");
-        assertEquals("a", ((Event.EndpointsUpdated) events.get(0)).endpoints().get(0).worker());
+        assertEquals(
+                "a", ((Event.EndpointsUpdated) events.get(0)).endpoints().get(0).worker());
         assertEquals(
                 new MonotonicTime(6100000000L),
                 ((Event.EndpointsUpdated) events.get(1)).endpoints().get(0).startedAt());
@@ -153,7 +157,8 @@
                 "[\"Roster\",0,[[\"a\",\"z\",\"k\",0,\"gone\",1]]] | line 3, Entries[0][4]"
             })
     void badInputNamesTheLineAndTheField(String line, String named) {
-        InvalidInputException bad = assertThrows(InvalidInputException.class, () -> serve("[\"Frame\",5]", BEGIN, line, "[\"Commit\"]"));
+        InvalidInputException bad =
+                assertThrows(InvalidInputException.class, () -> serve("[\"Frame\",5]", BEGIN, line, "[\"Commit\"]"));
         assertTrue(bad.getMessage().startsWith(named), bad.getMessage());
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/Benchmark.java
+++ b/testbed/src/main/java/pearladder/testbed/Benchmark.java
@@ -24,10 +24,10 @@
 import org.HdrHistogram.Histogram;
 import pearladder.emulator.FleetPlan;
 import pearladder.emulator.net.Fleet;
-import pearladder.kserve.RequestOutcome;
-import pearladder.kserve.Headers;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
+import pearladder.kserve.Headers;
+import pearladder.kserve.RequestOutcome;
 
 /**
  * What a router adds to a call: the same load straight to instant engines, through a bare pass-through and through the
@@ -95,8 +95,8 @@
         } else {
             String targets =
                     String.join(",", engines.stream().map(Object::toString).toList());
-            int through =
-                    ChildProcesses.number(processes.start("pass-through", "pass-through", "--targets", targets), "port");
+            int through = ChildProcesses.number(
+                    processes.start("pass-through", "pass-through", "--targets", targets), "port");
             ways.add(new Way("direct", engines));
             ways.add(new Way("pass-through", List.of(through)));
             ways.add(router(processes, "router", list.listPort(), ""));
--- a/testbed/src/main/java/pearladder/testbed/DecisionCost.java
+++ b/testbed/src/main/java/pearladder/testbed/DecisionCost.java
@@ -8,11 +8,11 @@
 import java.util.Locale;
 import java.util.SplittableRandom;
 import pearladder.routing.api.Action;
-import pearladder.routing.api.RoutingPolicy;
 import pearladder.routing.api.Event;
-import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.Outcome;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
 
 /**
@@ -87,11 +87,13 @@
                         false,
                         0)),
                 List.of(),
-                new RoutingSettings.AttemptLimits(3, false, true, false, false, true, TimeSpan.seconds(2), 1, false, TimeSpan.millis(250)),
+                new RoutingSettings.AttemptLimits(
+                        3, false, true, false, false, true, TimeSpan.seconds(2), 1, false, TimeSpan.millis(250)),
                 new RoutingSettings.ResponseGrace(TimeSpan.millis(15), TimeSpan.seconds(1)),
                 new RoutingSettings.SlowStartSettings(0.25, TimeSpan.seconds(15), 2, TimeSpan.millis(1500)),
                 new RoutingSettings.LoadQuota(0, 0, TimeSpan.ZERO),
-                new RoutingSettings.InstanceSettings(TimeSpan.seconds(10), true, true, TimeSpan.seconds(10), true, true, List.of(6000.0)),
+                new RoutingSettings.InstanceSettings(
+                        TimeSpan.seconds(10), true, true, TimeSpan.seconds(10), true, true, List.of(6000.0)),
                 new RoutingSettings.LoadReportSettings(List.of("waiting", "loads"), true),
                 new RoutingSettings.DiscoverySettings(false, TimeSpan.ZERO),
                 new RoutingSettings.CostModel(0, 0, 0, 0, 0, 0));
@@ -160,7 +162,8 @@
                                         new Event.WorkerLoadReport(1, 0, 0.3, 0, 0.2))));
                     } else if (action instanceof Action.Reject) {
                         dismissed++;
-                    } else if (action instanceof Action.SetTimer wake && wake.tag().equals("beat")) {
+                    } else if (action instanceof Action.SetTimer wake
+                            && wake.tag().equals("beat")) {
                         beats.add(wake.dueAt());
                     }
                 }
--- a/testbed/src/main/java/pearladder/testbed/HttpClientDriver.java
+++ b/testbed/src/main/java/pearladder/testbed/HttpClientDriver.java
@@ -13,8 +13,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import pearladder.emulator.Observation;
-import pearladder.kserve.RequestOutcome;
 import pearladder.kserve.Headers;
+import pearladder.kserve.RequestOutcome;
 
 /** Tries over HTTP/JSON, on one event loop. */
 final class HttpClientDriver implements LoadGenerator.Wire {
--- a/testbed/src/main/java/pearladder/testbed/InvariantChecker.java
+++ b/testbed/src/main/java/pearladder/testbed/InvariantChecker.java
@@ -126,7 +126,9 @@
                 deaths.computeIfAbsent(seen.router(), r -> new ArrayList<>()).add(seen);
             }
         }
-        inTime.stream().filter(seen -> seen.what().equals(Observation.PAUSED)).forEach(pause -> pauses.put(pause.at(), pause));
+        inTime.stream()
+                .filter(seen -> seen.what().equals(Observation.PAUSED))
+                .forEach(pause -> pauses.put(pause.at(), pause));
         Map<String, Try> tries = tries(inTime);
         tries.values().forEach(one -> oneAnswer(one, deaths.getOrDefault(one.sent.router(), List.of())));
         tries.values().forEach(this::noEffectTwice);
@@ -145,7 +147,8 @@
     private void readLate(List<Observation> inTime) {
         Map<String, TreeMap<Long, Long>> still = new HashMap<>();
         inTime.stream()
-                .filter(seen -> seen.what().equals(Observation.STILL) && !seen.engine().isEmpty())
+                .filter(seen ->
+                        seen.what().equals(Observation.STILL) && !seen.engine().isEmpty())
                 .forEach(seen -> still.computeIfAbsent(seen.engine(), engine -> new TreeMap<>())
                         .put(seen.at() + (long) seen.figure(), seen.at()));
         if (still.isEmpty()) {
@@ -155,7 +158,8 @@
         for (Observation seen : inTime) {
             Map.Entry<Long, Long> woke =
                     still.getOrDefault(seen.engine(), new TreeMap<>()).floorEntry(seen.at());
-            boolean read = seen.what().equals(Observation.ARRIVED) || seen.what().equals(Observation.RAN);
+            boolean read =
+                    seen.what().equals(Observation.ARRIVED) || seen.what().equals(Observation.RAN);
             if (read && woke != null && seen.at() - woke.getKey() <= slack) {
                 late.add(legOf(seen));
             }
@@ -324,7 +328,9 @@
             }
             Try one = tries.get(seen.call());
             CategoryTerms terms = one == null ? null : rules.categories().get(one.sent.note());
-            if (!seen.what().equals(Observation.RAN) || terms == null || terms.effect() == CategoryTerms.Effect.RETRIABLE) {
+            if (!seen.what().equals(Observation.RAN)
+                    || terms == null
+                    || terms.effect() == CategoryTerms.Effect.RETRIABLE) {
                 continue;
             }
             boolean binding = terms.effect() == CategoryTerms.Effect.BINDING;
@@ -351,7 +357,8 @@
                 }
             } else if (seen.what().equals(Observation.KILLED)) {
                 told.keySet().removeIf(pair -> pair.startsWith(seen.router() + ">"));
-            } else if (seen.what().equals(Observation.ARRIVED) || seen.what().equals(Observation.ORDERED) && seen.figure() > 0) {
+            } else if (seen.what().equals(Observation.ARRIVED)
+                    || seen.what().equals(Observation.ORDERED) && seen.figure() > 0) {
                 looked(Rule.DRAINS_KEPT);
                 Observation last = told.get(key);
                 if (last != null
@@ -361,7 +368,8 @@
                             Rule.DRAINS_KEPT,
                             seen.at(),
                             seen.router() + " sent "
-                                    + (seen.what().equals(Observation.ARRIVED) ? "call " + seen.call() : "an order") + " to "
+                                    + (seen.what().equals(Observation.ARRIVED) ? "call " + seen.call() : "an order")
+                                    + " to "
                                     + seen.engine() + " " + (seen.at() - last.at()) / 1_000_000
                                     + " ms after it was told "
                                     + last.note());
--- a/testbed/src/main/java/pearladder/testbed/LoadGenerator.java
+++ b/testbed/src/main/java/pearladder/testbed/LoadGenerator.java
@@ -155,7 +155,8 @@
         }
 
         void note(String what, String model, String note) {
-            seen.accept(new Observation(time.now(), what, request.target().router(), request.id(), 0, "", model, note, 0));
+            seen.accept(
+                    new Observation(time.now(), what, request.target().router(), request.id(), 0, "", model, note, 0));
         }
 
         void go(long now) {
@@ -216,7 +217,9 @@
                         call,
                         took <= call.terms.expected()
                                 ? LoadStatistics.End.SETTLED
-                                : took <= call.terms.abandon() ? LoadStatistics.End.LATE : LoadStatistics.End.UNANSWERED);
+                                : took <= call.terms.abandon()
+                                        ? LoadStatistics.End.LATE
+                                        : LoadStatistics.End.UNANSWERED);
                 return;
             }
             boolean dismissed = state == RequestOutcome.DISMISSED;
--- a/testbed/src/main/java/pearladder/testbed/ReleaseScript.java
+++ b/testbed/src/main/java/pearladder/testbed/ReleaseScript.java
@@ -14,8 +14,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
-import pearladder.rollout.RolloutTarget;
 import pearladder.config.ConfigValue;
+import pearladder.rollout.RolloutTarget;
 
 /** The operators of a day: orders on releases, given at their moments to every router over its admin door. */
 public final class ReleaseScript {
--- a/testbed/src/main/java/pearladder/testbed/ReleaseTrials.java
+++ b/testbed/src/main/java/pearladder/testbed/ReleaseTrials.java
@@ -4,13 +4,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
-import pearladder.routing.api.MonotonicTime;
-import pearladder.routing.api.TimeSpan;
-import pearladder.rollout.RolloutPlan;
 import pearladder.rollout.RolloutAction;
-import pearladder.rollout.RolloutEvent;
 import pearladder.rollout.RolloutController;
+import pearladder.rollout.RolloutEvent;
+import pearladder.rollout.RolloutPlan;
 import pearladder.rollout.RolloutTarget;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * Trials of the release module alone, in simulated time and with drawn results: shares reached against those asked for, and
@@ -41,9 +41,17 @@
     private static RolloutController started(String model, List<Double> steps, int step) {
         RolloutController releases = new RolloutController(TimeSpan.seconds(8));
         RolloutPlan plan = new RolloutPlan(
-                model, "1", "2", steps, TimeSpan.ZERO, 200, new RolloutPlan.Gate(0.05, 0.01, 0.05), RolloutPlan.Breach.ROLL_BACK);
+                model,
+                "1",
+                "2",
+                steps,
+                TimeSpan.ZERO,
+                200,
+                new RolloutPlan.Gate(0.05, 0.01, 0.05),
+                RolloutPlan.Breach.ROLL_BACK);
         MonotonicTime now = new MonotonicTime(0);
-        releases.on(now, new RolloutEvent.Kept(new RolloutTarget(1, plan, RolloutTarget.Mode.RUNNING, step, "trial", 0)));
+        releases.on(
+                now, new RolloutEvent.Kept(new RolloutTarget(1, plan, RolloutTarget.Mode.RUNNING, step, "trial", 0)));
         releases.on(now, new RolloutEvent.Standing(model, "2", 1));
         return releases;
     }
--- a/testbed/src/main/java/pearladder/testbed/Results.java
+++ b/testbed/src/main/java/pearladder/testbed/Results.java
@@ -155,7 +155,8 @@
                         seen.what().equals(Observation.REFUSED)
                                 ? "engines refused: " + seen.note().toLowerCase(Locale.ROOT)
                                 : "a leg without an answer");
-            } else if (seen.what().equals(Observation.ANSWERED) && seen.note().equals(RequestOutcome.DISMISSED.code())) {
+            } else if (seen.what().equals(Observation.ANSWERED)
+                    && seen.note().equals(RequestOutcome.DISMISSED.code())) {
                 causes.merge(last.getOrDefault(seen.call(), "no leg was sent"), 1L, Long::sum);
             }
         }
--- a/testbed/src/main/java/pearladder/testbed/Scenario.java
+++ b/testbed/src/main/java/pearladder/testbed/Scenario.java
@@ -330,13 +330,15 @@
     private void traffic() throws InterruptedException {
         FaultInjector troubles = new FaultInjector(plan, new World());
         RequestFeed feed = new RequestFeed(
-                trace != null ? trace : new SyntheticWorkload(plan), plan.clients().lanes());
+                trace != null ? trace : new SyntheticWorkload(plan),
+                plan.clients().lanes());
         CountDownLatch warm = new CountDownLatch(plan.clients().lanes());
         CountDownLatch done = new CountDownLatch(plan.clients().lanes());
         for (RequestFeed.Lane lane : feed.lanes()) {
             Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
             HttpClientDriver wire = new HttpClientDriver(vertx);
-            clients.add(new LoadGenerator(new VertxTimeline(vertx), wire, plan, loops.size(), lane, front, books, tape));
+            clients.add(
+                    new LoadGenerator(new VertxTimeline(vertx), wire, plan, loops.size(), lane, front, books, tape));
             loops.add(vertx);
             vertx.runOnContext(run -> {
                 wire.watch(tape);
--- a/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
@@ -5,9 +5,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import pearladder.emulator.FleetPlan;
 import pearladder.config.ConfigValue;
 import pearladder.config.YamlParser;
+import pearladder.emulator.FleetPlan;
 
 /**
  * One day as its script states it; spans in nanoseconds.
--- a/testbed/src/main/java/pearladder/traces/DurationTables.java
+++ b/testbed/src/main/java/pearladder/traces/DurationTables.java
@@ -24,7 +24,8 @@
                 memory == null ? Map.of() : column(memory, "HashApp", "AverageAllocatedMb", skipped));
     }
 
-    private static Map<String, Double> column(Path file, String key, String value, SkippedRows skipped) throws IOException {
+    private static Map<String, Double> column(Path file, String key, String value, SkippedRows skipped)
+            throws IOException {
         Map<String, Double> figures = new HashMap<>();
         CSVFormat format = CSVFormat.DEFAULT
                 .builder()
--- a/testbed/src/main/java/pearladder/traces/TraceFile.java
+++ b/testbed/src/main/java/pearladder/traces/TraceFile.java
@@ -49,7 +49,12 @@
      * @param windowNanos how far out of order a row may be and still be put right
      */
     public static Read read(
-            Path file, Layout layout, DurationTables companions, long windowNanos, SkippedRows skipped, Consumer<TraceCall> out)
+            Path file,
+            Layout layout,
+            DurationTables companions,
+            long windowNanos,
+            SkippedRows skipped,
+            Consumer<TraceCall> out)
             throws IOException {
         try (BufferedReader reader = open(file);
                 CSVParser parser = CSVFormat.DEFAULT
--- a/testbed/src/test/java/pearladder/testbed/DayPlanTest.java
+++ b/testbed/src/test/java/pearladder/testbed/DayPlanTest.java
@@ -12,10 +12,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.emulator.Observation;
-import pearladder.emulator.ObservationLog;
 import pearladder.config.ConfigErrors;
 import pearladder.config.YamlParser;
+import pearladder.emulator.Observation;
+import pearladder.emulator.ObservationLog;
 
 class DayPlanTest {
     private static final String DAY =
@@ -173,7 +173,8 @@
                 .replace("hall: west", "hall: north")
                 .replace("at: 14 s", "at: 19 s")
                 .replace("category: draft, share: 0.3", "category: post, share: 0.3");
-        List<String> lines = assertThrows(ConfigErrors.Found.class, () -> ScenarioPlan.read(YamlParser.read("d.yaml", wrong)))
+        List<String> lines = assertThrows(
+                        ConfigErrors.Found.class, () -> ScenarioPlan.read(YamlParser.read("d.yaml", wrong)))
                 .getMessage()
                 .lines()
                 .toList();
--- a/testbed/src/test/java/pearladder/testbed/FeedTest.java
+++ b/testbed/src/test/java/pearladder/testbed/FeedTest.java
@@ -11,7 +11,8 @@
 class FeedTest {
     private static RequestSource counting(int calls) {
         long[] made = {0};
-        return () -> made[0] == calls ? null : new RequestSource.Drawn(made[0] * 10, made[0]++, "draft", "", "m", "", 1, 1);
+        return () ->
+                made[0] == calls ? null : new RequestSource.Drawn(made[0] * 10, made[0]++, "draft", "", "m", "", 1, 1);
     }
 
     @Test
--- a/testbed/src/test/java/pearladder/testbed/ReportTest.java
+++ b/testbed/src/test/java/pearladder/testbed/ReportTest.java
@@ -14,9 +14,9 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import pearladder.emulator.Observation;
 import pearladder.config.ConfigErrors;
 import pearladder.config.YamlParser;
+import pearladder.emulator.Observation;
 
 class ReportTest {
     private static final long S = 1_000_000_000L;
@@ -44,7 +44,13 @@
                 new Observation(8 * S, Observation.ARRIVED, "r", "c", 0, "e-0", "m", "", 0),
                 new Observation(17 * S, Observation.ORDERED, "r", "", 0, "e-0", "m", "", 1));
         return Results.of(
-                plan, books, new InvariantChecker.Verdict(List.of(), looked), List.of(), tape, 5 * S, List.of("a <row>"));
+                plan,
+                books,
+                new InvariantChecker.Verdict(List.of(), looked),
+                List.of(),
+                tape,
+                5 * S,
+                List.of("a <row>"));
     }
 
     @Test
--- a/testbed/src/test/java/pearladder/testbed/RulesCheckerTest.java
+++ b/testbed/src/test/java/pearladder/testbed/RulesCheckerTest.java
@@ -223,10 +223,13 @@
         }
         assertEquals(
                 List.of(),
-                new InvariantChecker(rules(3, 0.1), 100 * MS, PLACES).check(tape).breaches());
+                new InvariantChecker(rules(3, 0.1), 100 * MS, PLACES)
+                        .check(tape)
+                        .breaches());
         add(200, Observation.ORDERED, "", 0, "e1", "", 1);
-        List<InvariantChecker.Breach> breaches =
-                new InvariantChecker(rules(3, 0.1), 100 * MS, PLACES).check(tape).breaches();
+        List<InvariantChecker.Breach> breaches = new InvariantChecker(rules(3, 0.1), 100 * MS, PLACES)
+                .check(tape)
+                .breaches();
         assertEquals(1, breaches.size());
         assertTrue(
                 breaches.get(0).what().contains("gave 5 orders"),
