A router tries an address that is still in use again for 10 s

Cause: a router gave up at the first attempt to bind its address and exited with status 1.

Change: an address that can't be bound is tried again every 100 ms for 10 s, said once in the log; then exit with 1 as before, address and reason in the last line.

--- a/cli/src/test/java/pearladder/cli/PlatformTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformTest.java
@@ -8,6 +8,7 @@
 import com.sun.net.httpserver.HttpServer;
 import java.net.ConnectException;
 import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -107,6 +108,46 @@
         }
     }
 
+    /**
+     * Guards against a start that fails because another process, such as a predecessor that is still ending, holds the address
+     * for a moment: the router exited with status 1 at once.
+     */
+    @Test
+    void anAddressThatIsStillInUseIsTriedAgain() throws Exception {
+        ServerSocket holder = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        try (Worker one = new Worker("one")) {
+            int port = holder.getLocalPort();
+            process = start(configuration(port, feed(null, new LinkedBlockingQueue<>()), one.member()), Map.of());
+            awaitLog("can't be listened on yet");
+            assertFalse(process.waitFor(500, TimeUnit.MILLISECONDS), this::log);
+            holder.close();
+            ready(port);
+            call("00000000000000a1");
+            assertEquals("one!", served(heard()));
+            assertEquals(1, log().split("can't be listened on", -1).length - 1, "told once, not at each attempt: " + log());
+        }
+    }
+
+    @Test
+    void anAddressThatStaysInUseEndsTheRouterWithTheReasonInItsLog() throws Exception {
+        try (ServerSocket holder = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            int port = holder.getLocalPort();
+            process = start(configuration(port, feed(null, new LinkedBlockingQueue<>()), ""), Map.of());
+            awaitLog("can't be listened on yet");
+            assertTrue(process.waitFor(30, TimeUnit.SECONDS), this::log);
+            assertEquals(1, process.exitValue(), this::log);
+            String[] lines = log().split("\n");
+            assertTrue(lines[lines.length - 1].contains("127.0.0.1:" + port + " can't be listened on: Address already in use"), this::log);
+        }
+    }
+
+    private void awaitLog(String text) throws InterruptedException {
+        while (!log().contains(text)) {
+            assertTrue(process.isAlive(), this::log);
+            Thread.sleep(10);
+        }
+    }
+
     /** Names come from the settings alone: nothing of the practice's stands in a log or an answer. */
     @Test
     void neitherLogNorAnswerHasAWordOfThePractice() throws Exception {
