--- a/kserve-router/src/main/java/pearladder/router/kserve/SnapshotFile.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/SnapshotFile.java
@@ -23,7 +23,7 @@
     private static final int FORMAT = 1;
 
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.recovery");
-    private static final ObjectMapper JSON = new ObjectMapper()
+    private static final ObjectMapper JSON = SnapshotJson.register(new ObjectMapper())
             .setVisibility(com.fasterxml.jackson.annotation.PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY)
             .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
 
