Standard names and one method per event in the connections package

Change: ConnectionManager dispatches to one method per event; limits, timeouts and identifiers have standard names and units; Javadoc on every public item. The log's reasons for closing a client are worded plainly ("too many connections" stays). Symbols used by the platform router keep their names for now.

--- a/decisions/src/main/java/pearladder/connections/ClientConnectionState.java
+++ b/decisions/src/main/java/pearladder/connections/ClientConnectionState.java
@@ -2,21 +2,27 @@
 
 import pearladder.routing.api.MonotonicTime;
 
-/** A client's connection, as what passes on it shows it. */
+/**
+ * State of one client connection that {@link ConnectionManager} decides by. The owner of the socket keeps the fields up to
+ * date, on the event loop; the manager only reads them. Instances are compared by identity.
+ */
 public final class ClientConnectionState {
-    public final MonotonicTime came;
-    /** When a whole message last came or an answer last went out; null before the first. */
+    /** When the connection was accepted. */
+    public final MonotonicTime connectedAt;
+    /** When a complete message was last received or a response was last sent; null before the first of either. */
     public MonotonicTime spoke;
-    /** Since when a message has been coming that is not whole; null where none is. */
+    /** When the first byte of a message that is still incomplete was received; null while there is no such message. */
     public MonotonicTime partSince;
-    /** Since when the client has not read what it was sent; null where it reads. */
+    /** Since when the client has not read what was sent to it; null while it reads. */
     public MonotonicTime stuckSince;
-    /** Messages that could not be used. */
+    /** Number of messages received that could not be used. */
     public int unusable;
 
+    /** Number of requests that have not been answered yet. */
     public int callsOpen;
 
-    public ClientConnectionState(MonotonicTime came) {
-        this.came = came;
+    /** Creates the state of a connection that was accepted at the given time and has received nothing yet. */
+    public ClientConnectionState(MonotonicTime connectedAt) {
+        this.connectedAt = connectedAt;
     }
 }
--- a/decisions/src/main/java/pearladder/connections/ConnectionAction.java
+++ b/decisions/src/main/java/pearladder/connections/ConnectionAction.java
@@ -1,15 +1,20 @@
 package pearladder.connections;
 
-/** What is to be done with a connection. */
+/** What the owner of the sockets has to do with a connection. */
 public sealed interface ConnectionAction {
-    /** @param why a few words for the log */
+    /**
+     * Close this client connection.
+     *
+     * @param why reason in a few words, for the log
+     */
     record CloseSeat(ClientConnectionState seat, String why) implements ConnectionAction {}
 
+    /** Close this worker connection; no command is in flight on it. */
     record CloseLink(WorkerConnectionState link) implements ConnectionAction {}
 
-    /** Send on this one. */
+    /** Send the command on this connection, which exists already. */
     record UseLink(WorkerConnectionState link) implements ConnectionAction {}
 
-    /** Open this new one and send on it. */
+    /** Open this new connection and send the command on it. */
     record OpenLink(WorkerConnectionState link) implements ConnectionAction {}
 }
--- a/decisions/src/main/java/pearladder/connections/ConnectionEvent.java
+++ b/decisions/src/main/java/pearladder/connections/ConnectionEvent.java
@@ -2,18 +2,27 @@
 
 import java.util.Collection;
 
-/** What happened to the sockets. */
+/** What happened to the connections of a router. */
 public sealed interface ConnectionEvent {
-    record SeatTaken(ClientConnectionState seat) implements ConnectionEvent {}
+    /** A client connection was accepted. */
+    record SeatTaken(ClientConnectionState connection) implements ConnectionEvent {}
 
-    record SeatLeft(ClientConnectionState seat) implements ConnectionEvent {}
+    /** A client connection was closed, by either side. */
+    record SeatLeft(ClientConnectionState connection) implements ConnectionEvent {}
 
-    /** Something is to be sent to a worker, but not on those avoided; its links are told as they stand. */
-    record LinkWanted(String worker, Collection<WorkerConnectionState> links, Collection<WorkerConnectionState> avoided)
+    /**
+     * A command is to be sent to a worker.
+     *
+     * @param connections all connections to that worker, in their present state
+     * @param avoided connections that must not be used, as an earlier attempt of the request was sent on them
+     */
+    record LinkWanted(
+            String worker, Collection<WorkerConnectionState> connections, Collection<WorkerConnectionState> avoided)
             implements ConnectionEvent {}
 
-    record LinkGone(WorkerConnectionState link) implements ConnectionEvent {}
+    /** A worker connection was closed or could not be opened. */
+    record LinkGone(WorkerConnectionState connection) implements ConnectionEvent {}
 
-    /** Told a few times a second. */
+    /** Time has passed; reported a few times a second. */
     record Beat() implements ConnectionEvent {}
 }
--- a/decisions/src/main/java/pearladder/connections/ConnectionManager.java
+++ b/decisions/src/main/java/pearladder/connections/ConnectionManager.java
@@ -9,153 +9,234 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * Shares out the sockets of a router. Clients and workers have a part each, so that neither starves the other. Calls share
- * a connection to a worker only where no further one may be opened: a spoilt answer ends all that is out on its connection.
+ * Shares a router's file descriptors among its connections. Clients and workers have separate limits, so that neither side
+ * can starve the other. Requests are multiplexed on a worker connection only where no further connection may be opened,
+ * because a malformed response fails every command in flight on its connection.
  */
 public final class ConnectionManager {
     /**
-     * How many sockets there are, and how long connections are borne with.
+     * Limits on the number of connections and on how long an unused one is kept.
      *
-     * @param seats clients' connections at the most
-     * @param links connections to workers at the most, all of them together
-     * @param streams calls out on one connection at the most
-     * @param silent a client without a whole message for so long after connecting, inside a message or without reading
-     * @param idle a link that was unused for so long is closed before its worker does it, in the middle of a send
+     * @param maxClientConnections client connections open at a time, at most
+     * @param maxWorkerConnections worker connections open at a time, to all workers together, at most
+     * @param maxInFlight commands in flight on one worker connection, at most
+     * @param clientTimeout longest time a client may take to send its first message, to complete a message, or to read
+     *     what was sent to it
+     * @param workerIdleTimeout an unused worker connection is closed after so long, before the worker closes it in the
+     *     middle of a send
      */
-    public record Holding(int seats, int links, int streams, TimeSpan silent, TimeSpan idle) {
-        private static final int RESERVED = 8; // a part of so many for sockets just accepted or closing
-        private static final int LEAST = 16;
-        private static final TimeSpan SILENT = TimeSpan.millis(2000);
-        private static final double IDLE = 0.5; // of what workers bear with
+    public record Holding(
+            int maxClientConnections,
+            int maxWorkerConnections,
+            int maxInFlight,
+            TimeSpan clientTimeout,
+            TimeSpan workerIdleTimeout) {
+        /** One descriptor in so many is kept free for connections that were just accepted or are being closed. */
+        private static final int RESERVE_DIVISOR = 8;
+        /** Fewest connections that clients and workers get each, however low the limit of the process is. */
+        private static final int MIN_CONNECTIONS = 16;
+
+        private static final TimeSpan CLIENT_TIMEOUT = TimeSpan.millis(2000);
+        /** Part of the worker's own idle timeout after which the router closes the connection first. */
+        private static final double IDLE_TIMEOUT_FRACTION = 0.5;
 
         /**
-         * Clients and workers get half each of what is left.
+         * Divides the descriptors that are left in halves, one for clients and one for workers.
          *
-         * @param descriptors that the process may hold
-         * @param own those that it holds for itself
-         * @param idle workers close a connection that was unused for so long
+         * @param descriptorLimit file descriptors that the process may open
+         * @param ownDescriptors file descriptors that the process needs for other things
+         * @param maxInFlight commands in flight on one worker connection, at most
+         * @param workerIdleTimeout time after which workers close an unused connection
          */
-        public static Holding of(int descriptors, int own, int streams, TimeSpan idle) {
-            int free = Math.max(2 * LEAST, descriptors - own - descriptors / RESERVED);
-            return new Holding(free / 2, free - free / 2, streams, SILENT, idle.times(IDLE));
+        public static Holding of(int descriptorLimit, int ownDescriptors, int maxInFlight, TimeSpan workerIdleTimeout) {
+            int free =
+                    Math.max(2 * MIN_CONNECTIONS, descriptorLimit - ownDescriptors - descriptorLimit / RESERVE_DIVISOR);
+            return new Holding(
+                    free / 2,
+                    free - free / 2,
+                    maxInFlight,
+                    CLIENT_TIMEOUT,
+                    workerIdleTimeout.times(IDLE_TIMEOUT_FRACTION));
         }
     }
 
-    private static final int UNUSABLE = 16; // messages that can't be used before their client is closed
+    /** Number of unusable messages at which their client is disconnected. */
+    private static final int MAX_UNUSABLE_MESSAGES = 16;
 
-    private final Holding holding;
-    private final Set<ClientConnectionState> seats = new LinkedHashSet<>();
-    private final Set<WorkerConnectionState> links = new LinkedHashSet<>();
+    private final Holding limits;
+    /** In the order in which they were accepted. */
+    private final Set<ClientConnectionState> clientConnections = new LinkedHashSet<>();
+    /** In the order in which they were opened. */
+    private final Set<WorkerConnectionState> workerConnections = new LinkedHashSet<>();
 
-    public ConnectionManager(Holding holding) {
-        this.holding = holding;
+    /** Creates a manager of no connections. */
+    public ConnectionManager(Holding limits) {
+        this.limits = limits;
     }
 
+    /**
+     * Takes in what happened.
+     *
+     * @return what is to be done, in this order; empty where a command has to wait as no connection can take it
+     */
     public List<ConnectionAction> on(MonotonicTime now, ConnectionEvent event) {
-        List<ConnectionAction> todo = new ArrayList<>();
-        if (event instanceof ConnectionEvent.SeatTaken taken) {
-            seats.add(taken.seat());
-            if (seats.size() > holding.seats()) {
-                closeSeat(leastMissed(taken.seat()), "too many connections", todo);
-            }
-        } else if (event instanceof ConnectionEvent.SeatLeft left) {
-            seats.remove(left.seat());
-        } else if (event instanceof ConnectionEvent.LinkGone gone) {
-            links.remove(gone.link());
-        } else if (event instanceof ConnectionEvent.LinkWanted wanted) {
-            choose(now, wanted, todo);
+        List<ConnectionAction> actions = new ArrayList<>();
+        if (event instanceof ConnectionEvent.SeatTaken connected) {
+            onClientConnected(connected.connection(), actions);
+        } else if (event instanceof ConnectionEvent.SeatLeft disconnected) {
+            clientConnections.remove(disconnected.connection());
+        } else if (event instanceof ConnectionEvent.LinkGone closed) {
+            workerConnections.remove(closed.connection());
+        } else if (event instanceof ConnectionEvent.LinkWanted requested) {
+            onWorkerConnectionRequested(now, requested, actions);
         } else if (event instanceof ConnectionEvent.Beat) {
-            List.copyOf(seats).forEach(seat -> judge(now, seat, todo));
-            List.copyOf(links).stream()
-                    .filter(link -> unused(link) && now.since(link.used).isLongerThan(holding.idle()))
-                    .forEach(link -> closeLink(link, todo));
+            onTick(now, actions);
+        }
+        return actions;
+    }
+
+    private void onTick(MonotonicTime now, List<ConnectionAction> actions) {
+        for (ClientConnectionState connection : List.copyOf(clientConnections)) {
+            String reason = closeReason(now, connection);
+            if (reason != null) {
+                closeClient(connection, reason, actions);
+            }
+        }
+        for (WorkerConnectionState connection : List.copyOf(workerConnections)) {
+            if (isUnused(connection) && now.since(connection.used).isLongerThan(limits.workerIdleTimeout())) {
+                closeWorker(connection, actions);
+            }
         }
-        return todo;
     }
 
     // ---- clients
 
-    private void judge(MonotonicTime now, ClientConnectionState seat, List<ConnectionAction> todo) {
-        if (seat.spoke == null && now.since(seat.came).isLongerThan(holding.silent())) {
-            closeSeat(seat, "nothing whole was said", todo);
-        } else if (seat.partSince != null && now.since(seat.partSince).isLongerThan(holding.silent())) {
-            closeSeat(seat, "a message stays unfinished", todo);
-        } else if (seat.stuckSince != null && now.since(seat.stuckSince).isLongerThan(holding.silent())) {
-            closeSeat(seat, "answers are not read", todo);
-        } else if (seat.unusable >= UNUSABLE) {
-            closeSeat(seat, "too much that can't be used", todo);
+    private void onClientConnected(ClientConnectionState connection, List<ConnectionAction> actions) {
+        clientConnections.add(connection);
+        if (clientConnections.size() > limits.maxClientConnections()) {
+            closeClient(leastValuable(connection), "too many connections", actions);
+        }
+    }
+
+    /** Why a client connection must be closed; null while it may stay. */
+    private String closeReason(MonotonicTime now, ClientConnectionState connection) {
+        if (connection.spoke == null && isTimedOut(now, connection.connectedAt)) {
+            return "no complete message received";
         }
+        if (isTimedOut(now, connection.partSince)) {
+            return "a message stays incomplete";
+        }
+        if (isTimedOut(now, connection.stuckSince)) {
+            return "responses are not read";
+        }
+        if (connection.unusable >= MAX_UNUSABLE_MESSAGES) {
+            return "too many unusable messages";
+        }
+        return null;
     }
 
-    /** One that never said anything, the oldest first; else one without calls, the longest unused; else the newcomer. */
-    private ClientConnectionState leastMissed(ClientConnectionState newcomer) {
-        ClientConnectionState idle = null;
-        for (ClientConnectionState seat : seats) {
-            if (seat.spoke == null && seat != newcomer) {
-                return seat;
+    /** Whether the client timeout has passed since a time; false where the time is null. */
+    private boolean isTimedOut(MonotonicTime now, MonotonicTime since) {
+        return since != null && now.since(since).isLongerThan(limits.clientTimeout());
+    }
+
+    /**
+     * The connection to close over the limit: the oldest one that never sent anything; else the least recently used one
+     * without open requests; else the newest.
+     */
+    private ClientConnectionState leastValuable(ClientConnectionState newest) {
+        ClientConnectionState leastRecentlyUsed = null;
+        for (ClientConnectionState connection : clientConnections) {
+            if (connection.spoke == null && connection != newest) {
+                return connection;
             }
-            if (seat.callsOpen == 0 && seat.spoke != null && (idle == null || seat.spoke.isBefore(idle.spoke))) {
-                idle = seat;
+            boolean isIdle = connection.callsOpen == 0 && connection.spoke != null;
+            if (isIdle && (leastRecentlyUsed == null || connection.spoke.isBefore(leastRecentlyUsed.spoke))) {
+                leastRecentlyUsed = connection;
             }
         }
-        return idle != null ? idle : newcomer;
+        return leastRecentlyUsed != null ? leastRecentlyUsed : newest;
     }
 
-    private void closeSeat(ClientConnectionState seat, String why, List<ConnectionAction> todo) {
-        seats.remove(seat);
-        todo.add(new ConnectionAction.CloseSeat(seat, why));
+    private void closeClient(ClientConnectionState connection, String reason, List<ConnectionAction> actions) {
+        clientConnections.remove(connection);
+        actions.add(new ConnectionAction.CloseSeat(connection, reason));
     }
 
     // ---- workers
 
-    private void choose(MonotonicTime now, ConnectionEvent.LinkWanted wanted, List<ConnectionAction> todo) {
+    /** Uses a free connection; else opens one, closing an unused one where the limit is reached; else shares one. */
+    private void onWorkerConnectionRequested(
+            MonotonicTime now, ConnectionEvent.LinkWanted requested, List<ConnectionAction> actions) {
         WorkerConnectionState free = null;
-        WorkerConnectionState shared = null;
-        for (WorkerConnectionState link : wanted.links()) {
-            if (link.doubted || wanted.avoided().contains(link) || !links.contains(link)) {
+        WorkerConnectionState shareable = null;
+        for (WorkerConnectionState connection : requested.connections()) {
+            if (!isUsable(connection, requested)) {
                 continue;
             }
-            if (link.up && link.out == 0 && (free == null || free.used.isBefore(link.used))) {
-                free = link;
-            } else if (link.out < holding.streams() && (shared == null || link.out < shared.out)) {
-                shared = link;
+            if (isUnused(connection) && (free == null || free.used.isBefore(connection.used))) {
+                free = connection;
+            } else if (connection.out < limits.maxInFlight() && (shareable == null || connection.out < shareable.out)) {
+                shareable = connection;
             }
         }
         if (free != null) {
-            todo.add(new ConnectionAction.UseLink(free));
-            return;
-        }
-        WorkerConnectionState spare = links.size() < holding.links() ? null : spare(wanted.links(), shared != null);
-        if (links.size() < holding.links() || spare != null) {
-            if (spare != null) {
-                closeLink(spare, todo);
-            }
-            WorkerConnectionState link = new WorkerConnectionState(wanted.worker(), now);
-            links.add(link);
-            todo.add(new ConnectionAction.OpenLink(link));
-        } else if (shared != null) {
-            todo.add(new ConnectionAction.UseLink(shared));
+            actions.add(new ConnectionAction.UseLink(free));
+        } else if (makeRoom(requested.connections(), shareable != null, actions)) {
+            WorkerConnectionState opened = new WorkerConnectionState(requested.worker(), now);
+            workerConnections.add(opened);
+            actions.add(new ConnectionAction.OpenLink(opened));
+        } else if (shareable != null) {
+            actions.add(new ConnectionAction.UseLink(shareable));
         }
     }
 
-    /** Whether its socket can be had back by closing it: one that is still being opened stays until it is up or has failed. */
-    private static boolean unused(WorkerConnectionState link) {
-        return link.up && link.out == 0;
+    private boolean isUsable(WorkerConnectionState connection, ConnectionEvent.LinkWanted requested) {
+        return !connection.doubted
+                && !requested.avoided().contains(connection)
+                && workerConnections.contains(connection);
+    }
+
+    /**
+     * Whether closing the connection would give its descriptor back. One that is still being opened stays until it is
+     * established or has failed.
+     */
+    private static boolean isUnused(WorkerConnectionState connection) {
+        return connection.up && connection.out == 0;
+    }
+
+    /** Whether one more worker connection may be opened, after closing an unused one where the limit is reached. */
+    private boolean makeRoom(
+            Collection<WorkerConnectionState> ownConnections, boolean ownOnly, List<ConnectionAction> actions) {
+        if (workerConnections.size() < limits.maxWorkerConnections()) {
+            return true;
+        }
+        WorkerConnectionState evicted = leastRecentlyUsed(ownConnections, ownOnly);
+        if (evicted == null) {
+            return false;
+        }
+        closeWorker(evicted, actions);
+        return true;
     }
 
-    /** A link that nothing is out on; not one of another worker's where there is one to share. */
-    private WorkerConnectionState spare(Collection<WorkerConnectionState> own, boolean ownOnly) {
-        WorkerConnectionState spare = null;
-        for (WorkerConnectionState link : links) {
-            if (unused(link) && (!ownOnly || own.contains(link)) && (spare == null || link.used.isBefore(spare.used))) {
-                spare = link;
+    /**
+     * The unused worker connection that was unused for longest, or null where there is none.
+     *
+     * @param ownOnly whether only connections to the same worker may be taken, as one of those can be shared
+     */
+    private WorkerConnectionState leastRecentlyUsed(Collection<WorkerConnectionState> ownConnections, boolean ownOnly) {
+        WorkerConnectionState leastRecentlyUsed = null;
+        for (WorkerConnectionState connection : workerConnections) {
+            boolean isCandidate = isUnused(connection) && (!ownOnly || ownConnections.contains(connection));
+            if (isCandidate && (leastRecentlyUsed == null || connection.used.isBefore(leastRecentlyUsed.used))) {
+                leastRecentlyUsed = connection;
             }
         }
-        return spare;
+        return leastRecentlyUsed;
     }
 
-    private void closeLink(WorkerConnectionState link, List<ConnectionAction> todo) {
-        links.remove(link);
-        todo.add(new ConnectionAction.CloseLink(link));
+    private void closeWorker(WorkerConnectionState connection, List<ConnectionAction> actions) {
+        workerConnections.remove(connection);
+        actions.add(new ConnectionAction.CloseLink(connection));
     }
 }
--- a/decisions/src/main/java/pearladder/connections/GracefulShutdown.java
+++ b/decisions/src/main/java/pearladder/connections/GracefulShutdown.java
@@ -4,56 +4,70 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * When a router that was told to stop refuses, gives up and ends. It ends as soon as nothing is owed, and never so late that
- * it is killed over what it holds.
+ * Decides when a router that received a stop signal rejects new requests, abandons those still open, and exits. It exits
+ * as soon as no response is owed to anyone, and always before the platform kills the process.
  */
 public final class GracefulShutdown {
-    /** What is to be done now. */
+    /** What the router does at a moment of the shutdown. */
     public enum Step {
+        /** Serve requests as before the signal. */
         SERVE,
+        /** Reject new requests; go on with those that are open. */
         REFUSE,
+        /** Answer every open request with a failure. */
         GIVE_UP,
+        /** End the process. */
         EXIT
     }
 
     /**
      * What would be lost if the process ended now.
      *
-     * @param calls without their answer
-     * @param unsent bytes of answers that the machine has not taken yet
-     * @param unfinished clients inside a message
+     * @param openRequests requests without a response
+     * @param unsentBytes bytes of responses that the operating system has not taken yet
+     * @param partialMessages clients of which an incomplete message was received
      */
-    public record Owed(int calls, long unsent, int unfinished) {
-        private boolean nothing() {
-            return calls == 0 && unsent == 0 && unfinished == 0;
+    public record Owed(int openRequests, long unsentBytes, int partialMessages) {
+        private boolean isNothing() {
+            return openRequests == 0 && unsentBytes == 0 && partialMessages == 0;
         }
     }
 
-    /** Requests come for 0.6 s after the signal, as the platform states it, and its limits have 0.05 s of slack. */
+    /** Margin for the platform's timers, which are stated to be that exact. */
     private static final TimeSpan SLACK = TimeSpan.millis(50);
+    /** The platform goes on sending requests for 0.6 s after the signal; the slack is counted at both ends. */
+    private static final TimeSpan SERVING_TIME = TimeSpan.millis(600).plus(SLACK.times(2));
+    /** The platform kills after the longest deadline, which it counts as at least this, plus the serving time. */
+    private static final TimeSpan MIN_DEADLINE = TimeSpan.millis(3000);
 
-    private static final TimeSpan SERVES = TimeSpan.millis(600).plus(SLACK.times(2));
-    /** It kills after the longest deadline, counted as so long at the least, and the span in which it still serves. */
-    private static final TimeSpan SHORTEST = TimeSpan.millis(3000);
+    private final MonotonicTime signalledAt;
+    private final MonotonicTime killedAt;
 
-    private final MonotonicTime told;
-    private final MonotonicTime killed;
-
-    /** @param longest the longest deadline of any class */
-    public GracefulShutdown(MonotonicTime told, TimeSpan longest) {
-        this.told = told;
-        this.killed = told.plus(longest.atLeast(SHORTEST)).plus(SERVES);
+    /**
+     * Begins a shutdown.
+     *
+     * @param signalledAt when the stop signal was received
+     * @param longestDeadline longest deadline of any request class
+     */
+    public GracefulShutdown(MonotonicTime signalledAt, TimeSpan longestDeadline) {
+        this.signalledAt = signalledAt;
+        this.killedAt = signalledAt.plus(longestDeadline.atLeast(MIN_DEADLINE)).plus(SERVING_TIME);
     }
 
-    /** @param heard when a client last connected or sent something; null where none did */
-    public Step on(MonotonicTime now, MonotonicTime heard, Owed owed) {
-        if (now.isBefore(told.plus(SERVES))) {
+    /**
+     * What the router does now.
+     *
+     * @param lastReceivedAt when a client last connected or sent something; null where none did
+     */
+    public Step on(MonotonicTime now, MonotonicTime lastReceivedAt, Owed owed) {
+        if (now.isBefore(signalledAt.plus(SERVING_TIME))) {
             return Step.SERVE;
         }
-        boolean quiet = heard == null || !now.isBefore(heard.plus(SLACK));
-        if (quiet && owed.nothing() || !now.isBefore(killed.minus(SLACK))) {
+        boolean isQuiet = lastReceivedAt == null || !now.isBefore(lastReceivedAt.plus(SLACK));
+        boolean isOutOfTime = !now.isBefore(killedAt.minus(SLACK));
+        if (isQuiet && owed.isNothing() || isOutOfTime) {
             return Step.EXIT;
         }
-        return now.isBefore(killed.minus(SLACK.times(2))) ? Step.REFUSE : Step.GIVE_UP;
+        return now.isBefore(killedAt.minus(SLACK.times(2))) ? Step.REFUSE : Step.GIVE_UP;
     }
 }
--- a/decisions/src/main/java/pearladder/connections/WorkerConnectionState.java
+++ b/decisions/src/main/java/pearladder/connections/WorkerConnectionState.java
@@ -2,20 +2,25 @@
 
 import pearladder.routing.api.MonotonicTime;
 
-/** A connection to a worker, as what passes on it shows it. */
+/**
+ * State of one worker connection that {@link ConnectionManager} decides by. The owner of the socket keeps the fields up to
+ * date, on the event loop; the manager only reads them. Instances are compared by identity.
+ */
 public final class WorkerConnectionState {
+    /** Identifier of the worker at the other end. */
     public final String worker;
-    /** It stands; before that it is being opened. */
+    /** Whether the connection is established; false while it is being opened. */
     public boolean up;
-    /** What is out on it and unanswered. */
+    /** Number of commands sent or queued on the connection that have no response yet. */
     public int out;
-    /** Something ran out in silence on it, and nothing was heard since. */
+    /** Whether a command timed out on the connection and nothing has been received since. */
     public boolean doubted;
-    /** When it was last written to or heard. */
+    /** When the connection was last written to or last received something; when it was opened before that. */
     public MonotonicTime used;
 
-    public WorkerConnectionState(String worker, MonotonicTime opened) {
+    /** Creates the state of a connection to the worker that is being opened since the given time. */
+    public WorkerConnectionState(String worker, MonotonicTime openedAt) {
         this.worker = worker;
-        this.used = opened;
+        this.used = openedAt;
     }
 }
--- a/decisions/src/main/java/pearladder/connections/package-info.java
+++ b/decisions/src/main/java/pearladder/connections/package-info.java
@@ -1,2 +1,5 @@
-/** Whose connection is opened, used or closed on a router that may hold few sockets: no I/O, no clock. */
+/**
+ * Decides which connections a router opens, uses and closes within its limit of file descriptors, and how it shuts down
+ * gracefully. No I/O, no threads, no clock: the time comes in with each event.
+ */
 package pearladder.connections;
--- /dev/null
+++ b/decisions/src/test/java/pearladder/connections/GracefulShutdownTest.java
@@ -0,0 +1,60 @@
+package pearladder.connections;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+import pearladder.connections.GracefulShutdown.Owed;
+import pearladder.connections.GracefulShutdown.Step;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
+
+class GracefulShutdownTest {
+    private static final Owed NOTHING = new Owed(0, 0, 0);
+    private static final MonotonicTime SIGNALLED_AT = new MonotonicTime(5_000_000_000L);
+
+    private static Step stepAt(TimeSpan longestDeadline, long millis, MonotonicTime lastReceivedAt, Owed owed) {
+        return new GracefulShutdown(SIGNALLED_AT, longestDeadline)
+                .on(SIGNALLED_AT.plus(TimeSpan.millis(millis)), lastReceivedAt, owed);
+    }
+
+    @Test
+    void servesForTheServingTimeAfterTheSignal() {
+        assertEquals(Step.SERVE, stepAt(TimeSpan.seconds(4), 0, null, NOTHING));
+        assertEquals(Step.SERVE, stepAt(TimeSpan.seconds(4), 699, null, NOTHING));
+    }
+
+    @Test
+    void exitsAfterTheServingTimeWhenNothingIsOwed() {
+        assertEquals(Step.EXIT, stepAt(TimeSpan.seconds(4), 700, null, NOTHING));
+        assertEquals(Step.EXIT, stepAt(TimeSpan.seconds(4), 700, SIGNALLED_AT.plus(TimeSpan.millis(650)), NOTHING));
+    }
+
+    @Test
+    void rejectsNewRequestsWhileSomethingIsOwed() {
+        assertEquals(
+                Step.REFUSE, stepAt(TimeSpan.seconds(4), 4000, null, new Owed(1, 0, 0)), "a request without response");
+        assertEquals(
+                Step.REFUSE, stepAt(TimeSpan.seconds(4), 4000, null, new Owed(0, 1, 0)), "a response not yet sent");
+        assertEquals(Step.REFUSE, stepAt(TimeSpan.seconds(4), 4000, null, new Owed(0, 0, 1)), "a partial message");
+    }
+
+    @Test
+    void rejectsNewRequestsWhileAClientWasHeardWithinTheSlack() {
+        assertEquals(Step.REFUSE, stepAt(TimeSpan.seconds(4), 740, SIGNALLED_AT.plus(TimeSpan.millis(691)), NOTHING));
+    }
+
+    @Test
+    void abandonsOpenRequestsAndExitsBeforeTheProcessIsKilled() {
+        Owed everything = new Owed(3, 100, 2);
+        assertEquals(Step.REFUSE, stepAt(TimeSpan.seconds(4), 4599, null, everything));
+        assertEquals(Step.GIVE_UP, stepAt(TimeSpan.seconds(4), 4600, null, everything));
+        assertEquals(Step.EXIT, stepAt(TimeSpan.seconds(4), 4650, null, everything));
+    }
+
+    @Test
+    void countsAShortDeadlineAsThreeSeconds() {
+        Owed everything = new Owed(3, 100, 2);
+        assertEquals(Step.GIVE_UP, stepAt(TimeSpan.seconds(1), 3600, null, everything));
+        assertEquals(Step.REFUSE, stepAt(TimeSpan.seconds(1), 3599, null, everything));
+    }
+}
