--- a/decisions/src/main/java/pearladder/connections/WorkerConnectionState.java
+++ b/decisions/src/main/java/pearladder/connections/WorkerConnectionState.java
@@ -3,8 +3,8 @@
 import pearladder.routing.api.MonotonicTime;
 
 /**
- * State of one worker connection that {@link ConnectionManager} decides by. The owner of the socket keeps the fields up to
- * date, on the event loop; the manager only reads them. Instances are compared by identity.
+ * State of one worker connection that {@link ConnectionManager} decides by. The owner of the socket keeps the fields up
+ * to date, on the event loop; the manager only reads them. Instances are compared by identity.
  */
 public final class WorkerConnectionState {
     /** Identifier of the worker at the other end. */
--- a/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
+++ b/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
@@ -1,6 +1,7 @@
 package pearladder.recovery;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -10,210 +11,211 @@
 import pearladder.routing.state.PolicySnapshot;
 
 /**
- * What may be believed after a gap. Its one entry point is {@link #after}: a snapshot, how long ago it was taken and what
- * the last list says go in; what the module may start from, and why the rest may not, come out.
+ * Decides what of a routing policy's snapshot still holds after a restart. Its one entry point is {@link #after}.
  *
- * What was learnt of a process holds for that process only, so a worker counts whose process is as old as it would have
- * become. What fades, fades by real time. A copy holds for as long as idle ones are kept. Orders count for the ration
- * whatever else is believed; where the records can't tell them, all that the ration allows counts as sent just now.
+ * <p>What was learnt about a worker holds for that worker process only, so a worker counts only if its uptime now is what
+ * it would have become. Decaying values decay by the time that passed. An instance counts for as long as idle instances are
+ * kept. Load requests count against the load quota whatever becomes of the rest; where the event log is incomplete, the
+ * full burst counts as just sent.
  *
- * What a worker bears and what loads may be under way are left to be learnt anew: they were another load's, and believing them
- * cost credit in rehearsals (docs/records.md).
+ * <p>Concurrency limits of workers and loads in progress are not restored but learnt again: they belong to the load before
+ * the restart, and restoring them lowered the score in simulations (docs/records.md).
  */
 public final class SnapshotRecovery {
     /**
-     * What was found at a start.
+     * What is known at a start.
      *
-     * @param known the snapshot, or null where there is none that can be read
-     * @param gap from the snapshot to now by the wall clock; negative where that stepped back
-     * @param orders the ages of the orders that the records tell, counted by the wall clock
-     * @param whole whether the records are: what they tell is all there was
-     * @param up of each worker on the last list the age of its process now, null where the list doesn't tell
+     * @param snapshot the snapshot, or null where there is no readable one
+     * @param gap time from the snapshot to now by the wall clock; negative where that clock was set back
+     * @param loadRequestAges ages of the load requests in the event log, by the wall clock
+     * @param isLogComplete whether the event log holds all load requests there were
+     * @param uptimes for each worker of the last endpoint list the uptime of its process now, null where the list gives
+     *     none
      */
     public record Found(
-            PolicySnapshot known, TimeSpan gap, List<TimeSpan> orders, boolean whole, Map<String, TimeSpan> up) {}
+            PolicySnapshot snapshot,
+            TimeSpan gap,
+            List<TimeSpan> loadRequestAges,
+            boolean isLogComplete,
+            Map<String, TimeSpan> uptimes) {}
 
-    /** What may be believed, and a line with figures. */
+    /**
+     * What the policy may start from.
+     *
+     * @param known the part of the snapshot that still holds; without workers and functions where none of it does
+     * @param why one line for the log: how much was restored, or why nothing was
+     */
     public record Believed(PolicySnapshot known, String why) {}
 
-    /** Two ages of one process, told by two clocks, differ by no more. */
-    private static final TimeSpan SAME = TimeSpan.millis(500);
-    /** Where no list tells a process's age, only a gap that is too short for a restart is passed over. */
-    private static final TimeSpan TOO_SHORT = TimeSpan.seconds(10);
+    /** Most by which two measurements of the age of one process differ. */
+    private static final TimeSpan UPTIME_TOLERANCE = TimeSpan.millis(500);
+    /** Where no list gives an uptime, a worker counts as not restarted within a gap of at most this. */
+    private static final TimeSpan MIN_RESTART_TIME = TimeSpan.seconds(10);
+    /** A snapshot older than this many idle timeouts is not used, as hardly any instance is left then. */
+    private static final double MAX_AGE_IN_IDLE_TIMEOUTS = 3;
+    /** A snapshot may be at least this old, however short the idle timeout is. */
+    private static final TimeSpan MIN_MAX_AGE = TimeSpan.seconds(30);
 
-    private static final int MOST_COPIES = 64;
-
-    private final TimeSpan kept;
-    private final TimeSpan window;
-    private final double free;
-    private final TimeSpan old;
+    private final TimeSpan idleTimeout;
+    private final TimeSpan quotaWindow;
+    private final double quotaBurst;
+    private final TimeSpan maxAge;
 
     /**
-     * @param kept idle copies are kept for so long
-     * @param window of the ration of load orders; none for no ration
-     * @param free orders that it always allows
+     * Creates the recovery for one set of routing settings.
+     *
+     * @param idleTimeout time for which idle instances are kept
+     * @param quotaWindow window of the load quota; zero where there is no quota
+     * @param quotaBurst load requests that the quota always allows within the window
      */
-    public SnapshotRecovery(TimeSpan kept, TimeSpan window, double free) {
-        this.kept = kept;
-        this.window = window;
-        this.free = free;
-        this.old = kept.times(3).atLeast(TimeSpan.seconds(30));
+    public SnapshotRecovery(TimeSpan idleTimeout, TimeSpan quotaWindow, double quotaBurst) {
+        this.idleTimeout = idleTimeout;
+        this.quotaWindow = quotaWindow;
+        this.quotaBurst = quotaBurst;
+        this.maxAge = idleTimeout.times(MAX_AGE_IN_IDLE_TIMEOUTS).atLeast(MIN_MAX_AGE);
     }
 
-    /** What the module may start from. */
+    /** Decides what the policy may start from. */
     public Believed after(Found found) {
-        List<TimeSpan> orders = orders(found);
-        if (found.known() == null) {
-            return nothing(orders, "no snapshot");
-        }
-        if (found.gap().nanos() < 0) {
-            return nothing(
-                    orders, "the clock stepped back by " + seconds(found.gap().times(-1)));
+        List<TimeSpan> loadRequestAges = countedLoadRequests(found);
+        String reason = whyUnusable(found);
+        return reason == null ? restore(found, loadRequestAges) : restoreNothing(loadRequestAges, reason);
+    }
+
+    /** Why no part of the snapshot may be used; null where it may be. */
+    private String whyUnusable(Found found) {
+        if (found.snapshot() == null) {
+            return "no snapshot";
         }
-        if (found.gap().isLongerThan(old)) {
-            return nothing(orders, "the snapshot is " + seconds(found.gap()) + " old");
+        if (isNegative(found.gap())) {
+            return "the clock stepped back by " + formatSeconds(found.gap().times(-1));
         }
-        String poison = poison(found.known());
-        if (!poison.isEmpty()) {
-            return nothing(orders, "the snapshot is none: " + poison);
+        if (found.gap().isLongerThan(maxAge)) {
+            return "the snapshot is " + formatSeconds(found.gap()) + " old";
         }
-        TimeSpan gap = found.gap();
-        Set<String> same = new HashSet<>();
-        List<PolicySnapshot.WorkerSnapshot> workers = new ArrayList<>();
-        for (PolicySnapshot.WorkerSnapshot worker : found.known().workers()) {
-            if (found.up().containsKey(worker.worker())
-                    && same(worker.uptime(), found.up().get(worker.worker()), gap)) {
-                same.add(worker.worker());
-                workers.add(new PolicySnapshot.WorkerSnapshot(
-                        worker.worker(),
-                        found.up().get(worker.worker()),
-                        worker.ejectedFor().minus(gap).atLeast(TimeSpan.ZERO)));
-            }
-        }
-        int copies = 0;
-        int had = 0;
+        String invalidPart = SnapshotValidator.findInvalidPart(found.snapshot());
+        return invalidPart == null ? null : "the snapshot is none: " + invalidPart;
+    }
+
+    private static Believed restoreNothing(List<TimeSpan> loadRequestAges, String reason) {
+        return new Believed(
+                new PolicySnapshot(TimeSpan.ZERO, List.of(), List.of(), loadRequestAges, 0, 0),
+                reason + "; " + loadRequestAges.size() + " load requests count");
+    }
+
+    private Believed restore(Found found, List<TimeSpan> loadRequestAges) {
+        PolicySnapshot then = found.snapshot();
+        List<PolicySnapshot.WorkerSnapshot> workers = restoreWorkers(found);
+        Set<String> restoredWorkers = new HashSet<>();
+        workers.forEach(worker -> restoredWorkers.add(worker.worker()));
         List<PolicySnapshot.FunctionSnapshot> functions = new ArrayList<>();
-        for (PolicySnapshot.FunctionSnapshot function : found.known().functions()) {
-            List<PolicySnapshot.InstanceSnapshot> held = new ArrayList<>();
-            for (PolicySnapshot.InstanceSnapshot copy : function.instances()) {
-                TimeSpan untouched = copy.sinceRenewed().plus(gap);
-                if (same.contains(copy.worker()) && !untouched.isLongerThan(kept)) {
-                    held.add(new PolicySnapshot.InstanceSnapshot(
-                            copy.worker(), copy.instances(), untouched, copy.cached()));
-                }
-            }
-            copies += held.size();
-            had += function.instances().size();
-            functions.add(new PolicySnapshot.FunctionSnapshot(
-                    function.function(),
-                    function.concurrency(),
-                    function.memoryMb(),
-                    function.typicalLoadTime(),
-                    function.recentRequests(),
-                    function.warmResponses(),
-                    function.warmSeconds(),
-                    held));
+        for (PolicySnapshot.FunctionSnapshot function : then.functions()) {
+            functions.add(withInstances(function, restoreInstances(function, found.gap(), restoredWorkers)));
         }
         PolicySnapshot now = new PolicySnapshot(
-                gap,
-                workers,
-                functions,
-                orders,
-                found.known().loadSeconds(),
-                found.known().loadCount());
-        return new Believed(
-                now,
-                String.format(
-                        Locale.ROOT,
-                        "after %s: %d of %d workers, %d of %d copies, %d functions, %d orders" + " count",
-                        seconds(gap),
-                        workers.size(),
-                        found.known().workers().size(),
-                        copies,
-                        had,
-                        functions.size(),
-                        orders.size()));
+                found.gap(), workers, functions, loadRequestAges, then.loadSeconds(), then.loadCount());
+        return new Believed(now, describe(then, now));
     }
 
-    private static Believed nothing(List<TimeSpan> orders, String why) {
-        return new Believed(
-                new PolicySnapshot(TimeSpan.ZERO, List.of(), List.of(), orders, 0, 0),
-                why + "; " + orders.size() + " orders count");
+    private static String describe(PolicySnapshot then, PolicySnapshot now) {
+        return String.format(
+                Locale.ROOT,
+                "after %s: %d of %d workers, %d of %d instances, %d functions, %d load requests count",
+                formatSeconds(now.age()),
+                now.workers().size(),
+                then.workers().size(),
+                placementCount(now),
+                placementCount(then),
+                now.functions().size(),
+                now.loadRequestAges().size());
     }
 
-    private static String seconds(TimeSpan span) {
-        return String.format(Locale.ROOT, "%.1f s", span.toSeconds());
+    /** Number of pairs of a function and a worker that has instances of it. */
+    private static int placementCount(PolicySnapshot snapshot) {
+        return snapshot.functions().stream()
+                .mapToInt(function -> function.instances().size())
+                .sum();
     }
 
-    /** Ages by a clock that stepped back are unknown: such an order counts as sent now, which is the longest it can. */
-    private List<TimeSpan> orders(Found found) {
-        if (window.nanos() <= 0) {
-            return List.of();
-        }
-        List<TimeSpan> counted = new ArrayList<>();
-        for (TimeSpan age : found.orders()) {
-            if (!age.isLongerThan(window)) {
-                counted.add(age.atLeast(TimeSpan.ZERO));
+    /** The workers that run the same process as then, with their present uptime and remaining ejection time. */
+    private static List<PolicySnapshot.WorkerSnapshot> restoreWorkers(Found found) {
+        List<PolicySnapshot.WorkerSnapshot> restored = new ArrayList<>();
+        for (PolicySnapshot.WorkerSnapshot worker : found.snapshot().workers()) {
+            String id = worker.worker();
+            if (!found.uptimes().containsKey(id)) {
+                continue;
+            }
+            TimeSpan uptime = found.uptimes().get(id);
+            if (isSameProcess(worker.uptime(), uptime, found.gap())) {
+                TimeSpan ejectedFor = worker.ejectedFor().minus(found.gap()).atLeast(TimeSpan.ZERO);
+                restored.add(new PolicySnapshot.WorkerSnapshot(id, uptime, ejectedFor));
             }
         }
-        while (!found.whole() && counted.size() < Math.ceil(free)) {
-            counted.add(TimeSpan.ZERO);
-        }
-        counted.sort((a, b) -> b.compareTo(a));
-        return counted;
+        return restored;
     }
 
-    private static boolean same(TimeSpan then, TimeSpan now, TimeSpan gap) {
+    /** Whether an uptime is that of the same process after the gap; null stands for an unknown uptime. */
+    private static boolean isSameProcess(TimeSpan then, TimeSpan now, TimeSpan gap) {
         if (then == null || now == null) {
-            return then == null && now == null && !gap.isLongerThan(TOO_SHORT);
+            return then == null && now == null && !gap.isLongerThan(MIN_RESTART_TIME);
         }
-        TimeSpan apart = now.minus(then.plus(gap));
-        return !apart.atLeast(apart.times(-1)).isLongerThan(SAME);
+        TimeSpan difference = now.minus(then.plus(gap));
+        TimeSpan distance = difference.atLeast(difference.times(-1));
+        return !distance.isLongerThan(UPTIME_TOLERANCE);
     }
 
-    /** What no module ever held: such a snapshot was written by something else, or by a fault, and none of it is believed. */
-    private static String poison(PolicySnapshot known) {
-        if (negative(known.age()) || !plain(known.loadSeconds()) || !plain(known.loadCount())) {
-            return "figures that can't be";
-        }
-        Set<String> named = new HashSet<>();
-        for (PolicySnapshot.WorkerSnapshot worker : known.workers()) {
-            if (negative(worker.ejectedFor())
-                    || worker.uptime() != null && negative(worker.uptime())
-                    || worker.ejectedFor().isLongerThan(TimeSpan.seconds(3600))
-                    || !named.add(worker.worker())) {
-                return "worker " + worker.worker();
+    private List<PolicySnapshot.InstanceSnapshot> restoreInstances(
+            PolicySnapshot.FunctionSnapshot function, TimeSpan gap, Set<String> restoredWorkers) {
+        List<PolicySnapshot.InstanceSnapshot> restored = new ArrayList<>();
+        for (PolicySnapshot.InstanceSnapshot instance : function.instances()) {
+            TimeSpan sinceRenewed = instance.sinceRenewed().plus(gap);
+            if (restoredWorkers.contains(instance.worker()) && !sinceRenewed.isLongerThan(idleTimeout)) {
+                restored.add(new PolicySnapshot.InstanceSnapshot(
+                        instance.worker(), instance.instances(), sinceRenewed, instance.cached()));
             }
         }
-        Set<String> functions = new HashSet<>();
-        for (PolicySnapshot.FunctionSnapshot function : known.functions()) {
-            if (!functions.add(function.function())
-                    || function.concurrency() < 1
-                    || !plain(function.memoryMb())
-                    || !plain(function.recentRequests())
-                    || !plain(function.warmResponses())
-                    || !plain(function.warmSeconds())
-                    || function.typicalLoadTime() != null && negative(function.typicalLoadTime())) {
-                return "function " + function.function();
-            }
-            Set<String> places = new HashSet<>();
-            for (PolicySnapshot.InstanceSnapshot copy : function.instances()) {
-                if (copy.instances() < 1
-                        || copy.instances() > MOST_COPIES
-                        || negative(copy.sinceRenewed())
-                        || !places.add(copy.worker())) {
-                    return "the copies of " + function.function();
-                }
+        return restored;
+    }
+
+    private static PolicySnapshot.FunctionSnapshot withInstances(
+            PolicySnapshot.FunctionSnapshot function, List<PolicySnapshot.InstanceSnapshot> instances) {
+        return new PolicySnapshot.FunctionSnapshot(
+                function.function(),
+                function.concurrency(),
+                function.memoryMb(),
+                function.typicalLoadTime(),
+                function.recentRequests(),
+                function.warmResponses(),
+                function.warmSeconds(),
+                instances);
+    }
+
+    /**
+     * Ages of the load requests that count against the quota, oldest first. A negative age comes from a clock that was set
+     * back; such a request counts as just sent, the longest that it can count.
+     */
+    private List<TimeSpan> countedLoadRequests(Found found) {
+        if (quotaWindow.nanos() <= 0) {
+            return List.of();
+        }
+        List<TimeSpan> counted = new ArrayList<>();
+        for (TimeSpan age : found.loadRequestAges()) {
+            if (!age.isLongerThan(quotaWindow)) {
+                counted.add(age.atLeast(TimeSpan.ZERO));
             }
         }
-        return "";
+        while (!found.isLogComplete() && counted.size() < Math.ceil(quotaBurst)) {
+            counted.add(TimeSpan.ZERO);
+        }
+        counted.sort(Comparator.reverseOrder());
+        return counted;
     }
 
-    private static boolean negative(TimeSpan span) {
+    private static boolean isNegative(TimeSpan span) {
         return span.nanos() < 0;
     }
 
-    private static boolean plain(double figure) {
-        return figure >= 0 && figure < 1e12;
+    private static String formatSeconds(TimeSpan span) {
+        return String.format(Locale.ROOT, "%.1f s", span.toSeconds());
     }
 }
--- a/decisions/src/main/java/pearladder/recovery/package-info.java
+++ b/decisions/src/main/java/pearladder/recovery/package-info.java
@@ -1,4 +1,4 @@
 /**
- * What a router that starts again may believe of what its last life had learnt. No I/O, no threads, no clock.
+ * Decides how much of its predecessor's routing state a restarted router may use again. No I/O, no threads, no clock.
  */
 package pearladder.recovery;
