Rollout controller split by job; standard names in the rollout package

Cause: RolloutController kept state, hashing of keys and remembered idempotency keys in one class of 384 lines, and VersionComparison had numbers without a name. Change: ModelRollout holds one model's state, RoutingKeyPosition the hash, IdempotencyKeyVersions the remembered versions; RolloutController has one method per event. VersionComparison names its two tests, bounds and decaying counts. RolloutPlan checks steps and gate in a method each. Tests only follow three renamed methods.

--- a/decisions/src/main/java/pearladder/rollout/RolloutAction.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutAction.java
@@ -2,29 +2,41 @@
 
 import pearladder.routing.api.TimeSpan;
 
-/** What is to be done for a release, in the order given. */
+/** What has to be done for a rollout, in the order given. */
 public sealed interface RolloutAction {
-    /** The call goes to that version; empty for the model without one. */
-    record Use(String call, String version) implements RolloutAction {}
-
-    /** Copies of the version are to stand for that share of what the like version's copies bear; low in priority. */
+    /** Route the request to this version; empty for the model without a version. */
+    record Use(String requestId, String version) implements RolloutAction {}
+
+    /**
+     * Load instances of a version, with low priority.
+     *
+     * @param like version whose instances carry the load that is measured against
+     * @param share part of that load for which instances of the version have to be ready, 0 to 1
+     */
     record Prepare(String model, String version, String like, double share) implements RolloutAction {}
 
-    /** Copies of the version are no longer wanted: loads that are not begun, and those that stand idle. */
+    /** Stop keeping instances of a version: cancel loads that have not begun, let idle instances go. */
     record Withdraw(String model, String version) implements RolloutAction {}
 
-    /** The order can be followed: it goes into the journal, then back as kept, and only then is the operator told so. */
+    /**
+     * Write the target to the journal, then report {@link RolloutEvent.Kept}; only then is the operator told that it
+     * was accepted.
+     */
     record Keep(RolloutTarget target) implements RolloutAction {}
 
-    /** This router has come so far: it goes into the journal as well, and nobody waits for that. */
+    /** Write this router's progress to the journal; nobody waits for that. */
     record Note(RolloutProgress reached) implements RolloutAction {}
 
-    /** The order is refused: another one came first, or its plan can't be followed. */
+    /**
+     * Tell the operator that the target is rejected, as another one came first or its plan is invalid.
+     *
+     * @param why reason, and what the operator can do
+     */
     record Refuse(RolloutTarget target, String why) implements RolloutAction {}
 
-    /** Call again after so long. */
+    /** Report {@link RolloutEvent.Due} after this time. */
     record Wake(TimeSpan after) implements RolloutAction {}
 
-    /** A change of mode, with its figures. */
+    /** Log a change of the rollout, with its figures. */
     record Log(String text) implements RolloutAction {}
 }
--- a/decisions/src/main/java/pearladder/rollout/RolloutController.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutController.java
@@ -1,384 +1,356 @@
 package pearladder.rollout;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.zip.CRC32;
 import pearladder.rollout.RolloutTarget.Mode;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
 
 /**
- * All releases of one router. It is called through on(now, event): what happened goes in, what is to be done comes out.
+ * All rollouts of one router. Its one entry point is {@link #on}: an event goes in, actions come out.
  *
- * A key's place is a hash of model and key, the same at every router. At a share s the keys below s get the new version, so
- * a step up only adds keys and a rollback takes all of them back. A call keeps the version that it was first given, and
- * so does a mark while it is remembered: a client's repeat meets the version of its first leg.
+ * <p>A routing key has a position from 0 to 1, a hash of model and key and so the same at every router. At a share s
+ * the keys below s get the new version: a step only adds keys and a rollback takes all of them back. A request keeps
+ * the version that it was first given; so does an idempotency key while workers remember it, so that a client's retry
+ * meets the version of the first attempt.
  *
- * A router steps up by itself when the step was held, enough calls ended, the gate finds the version no worse and copies
- * stand for the next share. It pauses or rolls back by itself on a breach. An order with a higher epoch overrides both.
+ * <p>A router takes the next step by itself when the present one was held long enough, enough requests ended, the gate
+ * finds the version no worse, and instances for the next share are ready. It pauses or rolls back by itself when the
+ * gate finds the version worse. A target with a higher epoch overrides both.
  */
 public final class RolloutController {
-    private static final TimeSpan BEAT = TimeSpan.millis(250);
-
-    private final class Release {
-        RolloutTarget target;
-        int step;
-        MonotonicTime since;
-        boolean broken;
-        double standing;
-        VersionComparison doubt;
-        boolean prepared;
-        boolean warm;
-
-        /** The share of keys that get the new version now. */
-        double share() {
-            boolean off = target.mode() == Mode.ROLLED_BACK
-                    || broken && target.plan().onBreach() == RolloutPlan.Breach.ROLL_BACK;
-            return off ? 0 : step < 0 ? 0 : target.plan().steps().get(step);
-        }
-
-        boolean moves() {
-            return target.mode() == Mode.RUNNING
-                    && !broken
-                    && step < target.plan().steps().size() - 1;
-        }
-
-        /** All have the new version and the hold is over: the old copies may go. */
-        boolean over(MonotonicTime at) {
-            return warm
-                    && target.mode() == Mode.RUNNING
-                    && step == target.plan().steps().size() - 1
-                    && !target.plan().hold().isLongerThan(at.since(since));
-        }
+    /** Time between two checks whether a step may be taken; short against the least sensible hold, a second. */
+    private static final TimeSpan TICK = TimeSpan.millis(250);
 
-        double nextShare() {
-            return target.plan().steps().get(step + 1);
-        }
-    }
-
-    private record Given(Release release, RolloutTarget of, boolean toNew) {}
+    /** @param epoch of the target that the request was routed by */
+    private record Assignment(ModelRollout rollout, long epoch, boolean isNewVersion) {}
 
-    private record Marked(String version, MonotonicTime until) {}
+    private final Map<String, ModelRollout> rollouts = new LinkedHashMap<>();
+    private final Map<String, Assignment> openRequests = new HashMap<>();
+    private final IdempotencyKeyVersions keyVersions;
+    private boolean isWakeScheduled;
 
-    private final TimeSpan remembered;
-    private final Map<String, Release> releases = new LinkedHashMap<>();
-    private final Map<String, Given> calls = new LinkedHashMap<>();
-    private final Map<String, Marked> marks = new LinkedHashMap<>();
+    /** Time of the event that is being handled. */
     private MonotonicTime now;
-    private List<RolloutAction> todo;
-    private boolean awake;
+    /** Actions for the event that is being handled. */
+    private List<RolloutAction> actions;
 
-    /** @param remembered the longest time for which engines remember a mark */
-    public RolloutController(TimeSpan remembered) {
-        this.remembered = remembered;
+    /** @param keyRetention longest time for which workers remember an idempotency key */
+    public RolloutController(TimeSpan keyRetention) {
+        this.keyVersions = new IdempotencyKeyVersions(keyRetention);
     }
 
-    /** What happened at a moment, and what is to be done. */
-    public List<RolloutAction> on(MonotonicTime at, RolloutEvent event) {
-        now = at;
-        todo = new ArrayList<>();
-        if (event instanceof RolloutEvent.CallCame came) {
-            choose(came);
-        } else if (event instanceof RolloutEvent.CallEnded ended) {
-            ended(ended);
+    /**
+     * Takes in what happened.
+     *
+     * @return what is to be done, in this order
+     */
+    public List<RolloutAction> on(MonotonicTime eventTime, RolloutEvent event) {
+        now = eventTime;
+        actions = new ArrayList<>();
+        dispatch(event);
+        scheduleWake();
+        return actions;
+    }
+
+    private void dispatch(RolloutEvent event) {
+        if (event instanceof RolloutEvent.CallCame received) {
+            onRequestReceived(received);
+        } else if (event instanceof RolloutEvent.CallEnded completed) {
+            onRequestCompleted(completed);
+        } else if (event instanceof RolloutEvent.CallLeft disconnected) {
+            openRequests.remove(disconnected.requestId());
         } else if (event instanceof RolloutEvent.Ordered ordered) {
-            ordered(ordered.target());
+            onTargetOrdered(ordered.target());
         } else if (event instanceof RolloutEvent.Kept kept) {
-            kept(kept.target());
+            onTargetKept(kept.target());
         } else if (event instanceof RolloutEvent.Heard heard) {
-            heard(heard.target());
+            onTargetHeard(heard.target());
         } else if (event instanceof RolloutEvent.Restored restored) {
-            restore(restored);
-        } else if (event instanceof RolloutEvent.Standing standing) {
-            Release release = releases.get(standing.model());
-            if (release != null && release.target.plan().to().equals(standing.version())) {
-                release.standing = standing.share();
-            }
-        } else if (event instanceof RolloutEvent.CallLeft left) {
-            calls.remove(left.call());
+            onJournalRead(restored);
+        } else if (event instanceof RolloutEvent.Standing ready) {
+            onInstancesReady(ready);
         } else if (event instanceof RolloutEvent.Due) {
-            awake = false;
-            beat();
+            onTick();
         }
-        wake();
-        return todo;
     }
 
-    /** How each release stands, a line a model. */
+    /** One line about each rollout, for operators. */
     public List<String> status() {
-        return releases.values().stream()
-                .map(release -> String.format(
-                        "%s %s -> %s: epoch %d, %s, share %.2f, copies for %.2f, %s",
-                        release.target.plan().model(),
-                        name(release.target.plan().from()),
-                        name(release.target.plan().to()),
-                        release.target.epoch(),
-                        release.broken ? "broken" : release.target.mode().name().toLowerCase(java.util.Locale.ROOT),
-                        release.share(),
-                        release.standing,
-                        release.doubt.figures()))
-                .toList();
+        return rollouts.values().stream().map(ModelRollout::status).toList();
     }
 
-    /** The newest target of each model, for a journal to be made short. */
+    /** The newest target of each model; a compacted journal needs no others. */
     public List<RolloutTarget> targets() {
-        return releases.values().stream().map(release -> release.target).toList();
+        return rollouts.values().stream().map(rollout -> rollout.target).toList();
     }
 
-    private static String name(String version) {
-        return version.isEmpty() ? "(none)" : version;
+    private void scheduleWake() {
+        boolean isWakeNeeded = !keyVersions.isEmpty()
+                || rollouts.values().stream().anyMatch(rollout -> rollout.canAdvance() || rollout.keepsInstances);
+        if (isWakeNeeded && !isWakeScheduled) {
+            isWakeScheduled = true;
+            actions.add(new RolloutAction.Wake(TICK));
+        }
     }
 
-    // ---- a call comes and ends
+    // ---- requests
 
-    private void choose(RolloutEvent.CallCame came) {
-        Release release = releases.get(came.model());
-        if (release == null) {
-            todo.add(new RolloutAction.Use(came.call(), ""));
+    private void onRequestReceived(RolloutEvent.CallCame received) {
+        ModelRollout rollout = rollouts.get(received.model());
+        if (rollout == null) {
+            actions.add(new RolloutAction.Use(received.requestId(), ""));
             return;
         }
-        String to = release.target.plan().to();
-        String version = place(came.model(), came.key()) < release.share()
-                ? to
-                : release.target.plan().from();
-        if (!came.mark().isEmpty()) {
-            // a repeat of a marked call meets the version that it met first, or its effect could happen in both
-            String mark = came.model() + "\n" + came.mark();
-            Marked before = marks.get(mark);
-            if (before != null && now.isBefore(before.until())) {
-                version = before.version();
-            } else {
-                marks.remove(mark);
-                marks.put(mark, new Marked(version, now.plus(remembered)));
-            }
+        String newVersion = rollout.plan().to();
+        double position = RoutingKeyPosition.of(received.model(), received.routingKey());
+        String version =
+                position < rollout.share() ? newVersion : rollout.plan().from();
+        if (!received.idempotencyKey().isEmpty()) {
+            version = keyVersions.rememberedOr(version, received.model(), received.idempotencyKey(), now);
         }
-        calls.put(came.call(), new Given(release, release.target, version.equals(to)));
-        todo.add(new RolloutAction.Use(came.call(), version));
+        openRequests.put(
+                received.requestId(), new Assignment(rollout, rollout.target.epoch(), version.equals(newVersion)));
+        actions.add(new RolloutAction.Use(received.requestId(), version));
     }
 
-    /** Where a key stands between 0 and 1; a key of another model stands elsewhere. */
-    private static double place(String model, String key) {
-        CRC32 crc = new CRC32();
-        crc.update((model + "\n" + key).getBytes(StandardCharsets.UTF_8));
-        long mixed = (crc.getValue() + 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
-        mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
-        return ((mixed ^ (mixed >>> 31)) >>> 11) / (double) (1L << 53);
-    }
-
-    private void ended(RolloutEvent.CallEnded ended) {
-        Given given = calls.remove(ended.call());
-        if (given == null || given.of().epoch() != given.release().target.epoch()) {
+    /** A request that was routed by an earlier target says nothing about the present one. */
+    private void onRequestCompleted(RolloutEvent.CallEnded completed) {
+        Assignment assignment = openRequests.remove(completed.requestId());
+        if (assignment == null
+                || assignment.epoch() != assignment.rollout().target.epoch()) {
             return;
         }
-        Release release = given.release();
-        if (given.toNew()) {
-            release.doubt.newEnded(ended.well(), ended.engines());
+        ModelRollout rollout = assignment.rollout();
+        if (assignment.isNewVersion()) {
+            rollout.comparison.onNewVersionResult(completed.isGood(), completed.workers());
         } else {
-            release.doubt.oldEnded(ended.well());
+            rollout.comparison.onOldVersionResult(completed.isGood());
         }
-        if (release.doubt.foundWorse() && !release.broken && release.target.mode() != Mode.ROLLED_BACK) {
-            breach(release);
+        boolean canBreak = !rollout.isBroken && rollout.target.mode() != Mode.ROLLED_BACK;
+        if (canBreak && rollout.comparison.isFoundWorse()) {
+            onFoundWorse(rollout);
         }
     }
 
-    private void breach(Release release) {
-        release.broken = true;
-        note(release);
-        RolloutPlan plan = release.target.plan();
-        boolean back = plan.onBreach() == RolloutPlan.Breach.ROLL_BACK;
-        todo.add(new RolloutAction.Log(String.format(
+    private void onFoundWorse(ModelRollout rollout) {
+        rollout.isBroken = true;
+        recordProgress(rollout);
+        RolloutPlan plan = rollout.plan();
+        boolean isRolledBack = plan.onBreach() == RolloutPlan.Breach.ROLL_BACK;
+        log(
                 "%s %s at %s: %s",
-                back ? "rolled back" : "paused", plan.model(), name(plan.to()), release.doubt.figures())));
-        if (back) {
-            todo.add(new RolloutAction.Withdraw(plan.model(), plan.to()));
+                isRolledBack ? "rolled back" : "paused",
+                plan.model(),
+                ModelRollout.displayName(plan.to()),
+                rollout.comparison.figures());
+        if (isRolledBack) {
+            actions.add(new RolloutAction.Withdraw(plan.model(), plan.to()));
         }
     }
 
-    // ---- orders
+    // ---- targets
 
-    private void ordered(RolloutTarget target) {
-        Release release = releases.get(target.plan().model());
-        if (release != null && release.target.equals(target)) {
-            // the same order again: its answer was lost, or it came by two ways
-            todo.add(new RolloutAction.Keep(target));
+    private void onTargetOrdered(RolloutTarget target) {
+        ModelRollout rollout = rollouts.get(target.plan().model());
+        if (rollout != null && rollout.target.equals(target)) {
+            // Sent again because the answer was lost, or received by two ways.
+            actions.add(new RolloutAction.Keep(target));
             return;
         }
-        if (release != null && target.epoch() <= release.target.epoch()) {
-            refuse(target, release);
+        if (!isNewer(target, rollout)) {
+            rejectAsOutdated(target, rollout);
             return;
         }
-        String fault = fault(target);
-        todo.add(fault == null ? new RolloutAction.Keep(target) : new RolloutAction.Refuse(target, fault));
+        String fault = findFault(target);
+        actions.add(fault == null ? new RolloutAction.Keep(target) : new RolloutAction.Refuse(target, fault));
     }
 
-    private static String fault(RolloutTarget target) {
-        List<RolloutPlan.Fault> faults = target.plan().faults();
-        return !faults.isEmpty()
-                ? faults.get(0).key() + ": " + faults.get(0).what() + "; "
-                        + faults.get(0).mend()
-                : target.step() < 0 || target.step() >= target.plan().steps().size()
-                        ? "there is no step " + target.step()
-                        : null;
+    private void onTargetHeard(RolloutTarget target) {
+        boolean isNewer = isNewer(target, rollouts.get(target.plan().model()));
+        if (isNewer && findFault(target) == null) {
+            actions.add(new RolloutAction.Keep(target));
+        }
     }
 
-    private void heard(RolloutTarget target) {
-        Release release = releases.get(target.plan().model());
-        if ((release == null || target.epoch() > release.target.epoch()) && fault(target) == null) {
-            todo.add(new RolloutAction.Keep(target));
+    /** Two operators' targets may be on their way to the journal at once: the one that was kept first holds. */
+    private void onTargetKept(RolloutTarget target) {
+        ModelRollout rollout = rollouts.get(target.plan().model());
+        if (isNewer(target, rollout)) {
+            follow(target, ModelRollout.BEFORE_FIRST_STEP, false);
+        } else if (!rollout.target.equals(target)) {
+            rejectAsOutdated(target, rollout);
         }
     }
 
-    private void refuse(RolloutTarget target, Release release) {
-        todo.add(new RolloutAction.Refuse(
-                target,
-                "epoch " + target.epoch() + " is not after " + release.target.epoch() + ", ordered by "
-                        + release.target.by() + "; look at the status and order again"));
+    /** @param rollout of the same model, or null where there is none yet */
+    private static boolean isNewer(RolloutTarget target, ModelRollout rollout) {
+        return rollout == null || target.epoch() > rollout.target.epoch();
     }
 
-    /** Two operators' orders may be on their way to the journal at once: the one that was kept first holds. */
-    private void kept(RolloutTarget target) {
-        Release release = releases.get(target.plan().model());
-        if (release == null || target.epoch() > release.target.epoch()) {
-            follow(target);
-        } else if (!release.target.equals(target)) {
-            refuse(target, release);
+    /** Why a target can't be followed; null where it can. */
+    private static String findFault(RolloutTarget target) {
+        List<RolloutPlan.Fault> faults = target.plan().faults();
+        if (!faults.isEmpty()) {
+            RolloutPlan.Fault first = faults.get(0);
+            return first.key() + ": " + first.what() + "; " + first.mend();
         }
+        boolean isStepOfPlan =
+                target.step() >= 0 && target.step() < target.plan().steps().size();
+        return isStepOfPlan ? null : "there is no step " + target.step();
+    }
+
+    private void rejectAsOutdated(RolloutTarget target, ModelRollout rollout) {
+        RolloutTarget present = rollout.target;
+        actions.add(new RolloutAction.Refuse(
+                target,
+                "epoch " + target.epoch() + " is not after " + present.epoch() + ", ordered by " + present.by()
+                        + "; look at the status and order again"));
     }
 
     /**
-     * What the journal tells holds without being kept again; of two of a model the higher epoch. A step that was reached
-     * is stood at again at once, since keys never move back, and a version that was found worse stays taken back.
+     * Targets from the journal hold without being kept again; of two of a model the one with the higher epoch. A step
+     * that was reached is taken up again at once, since keys never move back, and a version found worse stays rolled
+     * back.
      */
-    private void restore(RolloutEvent.Restored restored) {
+    private void onJournalRead(RolloutEvent.Restored restored) {
         Map<String, RolloutTarget> newest = new LinkedHashMap<>();
         restored.targets().forEach(target -> newest.merge(target.plan().model(), target, RolloutTarget::newer));
-        Map<String, RolloutProgress> furthest = new LinkedHashMap<>();
-        restored.reached().forEach(reached -> furthest.merge(reached.model(), reached, RolloutController::further));
+        Map<String, RolloutProgress> furthest = new HashMap<>();
+        restored.progress().forEach(progress -> furthest.merge(progress.model(), progress, RolloutController::combine));
         for (RolloutTarget target : newest.values()) {
-            Release release = releases.get(target.plan().model());
-            if (release != null && target.epoch() <= release.target.epoch()) {
-                continue;
+            String model = target.plan().model();
+            if (isNewer(target, rollouts.get(model))) {
+                resume(target, furthest.get(model));
             }
-            RolloutProgress reached = furthest.get(target.plan().model());
-            boolean known = reached != null && reached.epoch() == target.epoch() && target.mode() != Mode.ROLLED_BACK;
-            follow(
-                    target,
-                    known
-                            ? Math.max(
-                                    -1,
-                                    Math.min(
-                                            reached.step(),
-                                            target.plan().steps().size() - 1))
-                            : -1,
-                    known && reached.broken());
         }
     }
 
-    private static RolloutProgress further(RolloutProgress a, RolloutProgress b) {
-        return a.epoch() != b.epoch()
-                ? a.epoch() > b.epoch() ? a : b
-                : new RolloutProgress(a.model(), a.epoch(), Math.max(a.step(), b.step()), a.broken() || b.broken());
+    /** @param progress of the same model, or null */
+    private void resume(RolloutTarget target, RolloutProgress progress) {
+        boolean isOfTarget = progress != null && progress.epoch() == target.epoch();
+        if (!isOfTarget || target.mode() == Mode.ROLLED_BACK) {
+            follow(target, ModelRollout.BEFORE_FIRST_STEP, false);
+            return;
+        }
+        int lastStep = target.plan().steps().size() - 1;
+        int reachedStep = Math.max(ModelRollout.BEFORE_FIRST_STEP, Math.min(progress.step(), lastStep));
+        follow(target, reachedStep, progress.broken());
     }
 
-    private void follow(RolloutTarget target) {
-        follow(target, -1, false);
+    /** Progress under the higher epoch; under the same epoch what either of both reached or found. */
+    private static RolloutProgress combine(RolloutProgress a, RolloutProgress b) {
+        if (a.epoch() != b.epoch()) {
+            return a.epoch() > b.epoch() ? a : b;
+        }
+        return new RolloutProgress(a.model(), a.epoch(), Math.max(a.step(), b.step()), a.broken() || b.broken());
     }
 
-    private void follow(RolloutTarget target, int reached, boolean broken) {
+    /**
+     * Makes a target the one that holds for its model. The first step, too, waits until instances are ready; a step
+     * that was reached is only left by a rollback.
+     *
+     * @param reachedStep step that this router was at under the same target before a restart
+     */
+    private void follow(RolloutTarget target, int reachedStep, boolean isBroken) {
         RolloutPlan plan = target.plan();
-        Release before = releases.get(plan.model());
-        Release release = before != null && before.target.plan().equals(plan) ? before : new Release();
-        boolean fresh = release != before;
-        release.target = target;
-        release.broken = broken;
-        release.doubt = fresh ? new VersionComparison(plan.gate()) : release.doubt.anew();
-        // the first step too waits until copies stand; a step that was reached is never gone back on but by a rollback
-        release.step = fresh ? reached : Math.max(release.step, reached);
-        release.since = now;
-        release.prepared = false;
-        release.warm |= release.step >= 0;
-        releases.put(plan.model(), release);
+        ModelRollout before = rollouts.get(plan.model());
+        boolean isSamePlan = before != null && before.plan().equals(plan);
+        ModelRollout rollout = isSamePlan ? before : new ModelRollout();
+        rollout.target = target;
+        rollout.isBroken = isBroken;
+        rollout.comparison = isSamePlan ? rollout.comparison.restarted() : new VersionComparison(plan.gate());
+        rollout.step = isSamePlan ? Math.max(rollout.step, reachedStep) : reachedStep;
+        rollout.stepStartedAt = now;
+        rollout.isNextStepPrepared = false;
+        rollout.keepsInstances |= rollout.step >= 0;
+        rollouts.put(plan.model(), rollout);
         if (target.mode() == Mode.ROLLED_BACK) {
-            release.step = -1;
-            todo.add(new RolloutAction.Withdraw(plan.model(), plan.to()));
+            rollout.step = ModelRollout.BEFORE_FIRST_STEP;
+            actions.add(new RolloutAction.Withdraw(plan.model(), plan.to()));
         }
-        todo.add(new RolloutAction.Log(String.format(
+        log(
                 "release of %s at %s: epoch %d, %s, by %s",
                 plan.model(),
-                name(plan.to()),
+                ModelRollout.displayName(plan.to()),
                 target.epoch(),
-                target.mode().name().toLowerCase(java.util.Locale.ROOT),
-                target.by())));
-        if (target.mode() != Mode.ROLLED_BACK && release.step >= 0 && reached < 0) {
-            note(release);
+                ModelRollout.displayName(target.mode()),
+                target.by());
+        if (rollout.step >= 0 && reachedStep < 0) {
+            recordProgress(rollout);
         }
         if (target.mode() == Mode.RUNNING) {
-            advance(release);
+            advance(rollout);
         }
     }
 
-    private void note(Release release) {
-        todo.add(new RolloutAction.Note(new RolloutProgress(
-                release.target.plan().model(), release.target.epoch(), release.step, release.broken)));
+    private void recordProgress(ModelRollout rollout) {
+        actions.add(new RolloutAction.Note(rollout.progress()));
+    }
+
+    private void log(String format, Object... arguments) {
+        actions.add(new RolloutAction.Log(String.format(format, arguments)));
     }
 
     // ---- steps
 
-    private void beat() {
-        releases.values().forEach(this::advance);
-        while (!marks.isEmpty()) {
-            Map.Entry<String, Marked> oldest = marks.entrySet().iterator().next();
-            if (now.isBefore(oldest.getValue().until())) {
-                return;
-            }
-            marks.remove(oldest.getKey());
+    private void onInstancesReady(RolloutEvent.Standing ready) {
+        ModelRollout rollout = rollouts.get(ready.model());
+        if (rollout != null && rollout.plan().to().equals(ready.version())) {
+            rollout.readyShare = ready.readyShare();
         }
     }
 
-    /** Asks for the copies of the next share, and steps up once all that a step asks for is there. */
-    private void advance(Release release) {
-        RolloutPlan plan = release.target.plan();
-        if (release.over(now)) {
-            release.warm = false;
-            todo.add(new RolloutAction.Withdraw(plan.model(), plan.from()));
-            todo.add(new RolloutAction.Withdraw(plan.model(), plan.to()));
+    private void onTick() {
+        isWakeScheduled = false;
+        rollouts.values().forEach(this::advance);
+        keyVersions.removeExpired(now);
+    }
+
+    /** Asks for the instances of the next step, and takes it once all that it needs is there. */
+    private void advance(ModelRollout rollout) {
+        if (rollout.isOver(now)) {
+            rollout.keepsInstances = false;
+            RolloutPlan plan = rollout.plan();
+            actions.add(new RolloutAction.Withdraw(plan.model(), plan.from()));
+            actions.add(new RolloutAction.Withdraw(plan.model(), plan.to()));
         }
-        if (!release.moves()) {
+        if (!rollout.canAdvance()) {
             return;
         }
-        if (!release.prepared) {
-            release.prepared = true;
-            release.warm = true;
-            todo.add(new RolloutAction.Prepare(plan.model(), plan.to(), plan.from(), release.nextShare()));
-            // what serves now is kept as it stands until the release is over, so that a way back is warm
-            todo.add(new RolloutAction.Prepare(plan.model(), plan.from(), plan.from(), 1));
+        if (!rollout.isNextStepPrepared) {
+            prepareNextStep(rollout);
         }
-        boolean ordered = release.step < release.target.step();
-        boolean held = release.step < 0
-                || ordered
-                || !plan.hold().isLongerThan(now.since(release.since))
-                        && release.doubt.calls() >= plan.leastCalls()
-                        && release.doubt.foundNoWorse();
-        if (held && release.standing >= release.nextShare()) {
-            release.step++;
-            release.since = now;
-            release.prepared = false;
-            note(release);
-            todo.add(new RolloutAction.Log(String.format(
-                    "%s at %s: share %.2f, copies for %.2f, %s",
-                    plan.model(), name(plan.to()), release.share(), release.standing, release.doubt.figures())));
-            release.doubt = release.doubt.anew();
-            advance(release);
+        if (rollout.isNextStepDue(now)) {
+            takeNextStep(rollout);
+            advance(rollout);
         }
     }
 
-    private void wake() {
-        if (!awake && (!marks.isEmpty() || releases.values().stream().anyMatch(r -> r.moves() || r.warm))) {
-            awake = true;
-            todo.add(new RolloutAction.Wake(BEAT));
-        }
+    /** The old version's instances are kept until the rollout is over, so that a rollback finds them loaded. */
+    private void prepareNextStep(ModelRollout rollout) {
+        RolloutPlan plan = rollout.plan();
+        rollout.isNextStepPrepared = true;
+        rollout.keepsInstances = true;
+        actions.add(new RolloutAction.Prepare(plan.model(), plan.to(), plan.from(), rollout.nextShare()));
+        actions.add(new RolloutAction.Prepare(plan.model(), plan.from(), plan.from(), 1));
+    }
+
+    private void takeNextStep(ModelRollout rollout) {
+        rollout.step++;
+        rollout.stepStartedAt = now;
+        rollout.isNextStepPrepared = false;
+        recordProgress(rollout);
+        log(
+                "%s at %s: share %.2f, copies for %.2f, %s",
+                rollout.plan().model(),
+                ModelRollout.displayName(rollout.plan().to()),
+                rollout.share(),
+                rollout.readyShare,
+                rollout.comparison.figures());
+        rollout.comparison = rollout.comparison.restarted();
     }
 }
--- a/decisions/src/main/java/pearladder/rollout/RolloutEvent.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutEvent.java
@@ -2,45 +2,46 @@
 
 import java.util.List;
 
-/** What happened that a release must know of. */
+/** What happened that a {@link RolloutController} has to know of. */
 public sealed interface RolloutEvent {
-    /** An operator's order came in; it is only judged, and followed once it is kept. */
+    /** An operator sent a target. It is only checked, and followed once it is in the journal. */
     record Ordered(RolloutTarget target) implements RolloutEvent {}
 
-    /** An order that was to be kept stands in the journal, safe from a crash. */
+    /** A target that was to be kept is in the journal and survives a crash. */
     record Kept(RolloutTarget target) implements RolloutEvent {}
 
-    /** Another router told of a target. It is followed where it is newer, and passed over where it is not. */
+    /** Another router reported a target. It is followed if it is newer and ignored if it is not. */
     record Heard(RolloutTarget target) implements RolloutEvent {}
 
-    /** What the journal held, at the start and before the first call. */
-    record Restored(List<RolloutTarget> targets, List<RolloutProgress> reached) implements RolloutEvent {}
+    /** The journal was read, at the start and before the first request. */
+    record Restored(List<RolloutTarget> targets, List<RolloutProgress> progress) implements RolloutEvent {}
 
     /**
-     * A call came that names no version.
+     * A request was received that names no version.
      *
-     * @param key what keeps together: account and document, or the call itself where it has none
-     * @param mark of a fingerprinted call; empty where there is none
+     * @param routingKey requests with the same key get the same version: tenant and document, or the request itself
+     * @param idempotencyKey of a request that is idempotent by key; empty where there is none
      */
-    record CallCame(String call, String model, String key, String mark) implements RolloutEvent {}
+    record CallCame(String requestId, String model, String routingKey, String idempotencyKey) implements RolloutEvent {}
 
     /**
-     * A call ended: well, that is settled within its expected time without an engine's error, or badly.
+     * A request ended.
      *
-     * @param engines to which its legs went, each once
+     * @param isGood whether it succeeded within its latency objective and without a worker's error
+     * @param workers to which its attempts were sent, each once
      */
-    record CallEnded(String call, boolean well, List<String> engines) implements RolloutEvent {}
+    record CallEnded(String requestId, boolean isGood, List<String> workers) implements RolloutEvent {}
 
-    /** A call's client left before it ended: it says nothing of its version. */
-    record CallLeft(String call) implements RolloutEvent {}
+    /** The client disconnected before its request ended, which says nothing about the version. */
+    record CallLeft(String requestId) implements RolloutEvent {}
 
     /**
-     * Where copies stand, as the router believes.
+     * The routing policy counted the instances of a version.
      *
-     * @param share of the model's load that the standing copies of the version can bear, 0 to 1
+     * @param readyShare part of the model's load that the ready instances can carry, 0 to 1
      */
-    record Standing(String model, String version, double share) implements RolloutEvent {}
+    record Standing(String model, String version, double readyShare) implements RolloutEvent {}
 
-    /** Some time has gone by. */
+    /** The time asked for by {@link RolloutAction.Wake} has passed. */
     record Due() implements RolloutEvent {}
 }
--- a/decisions/src/main/java/pearladder/rollout/RolloutPlan.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutPlan.java
@@ -5,14 +5,14 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * How one model goes from a version to another.
+ * How one model moves from a version to another. Read and written as JSON by component name.
  *
- * @param model the model's name
- * @param from the version that serves now; empty for the model without a version
+ * @param model name of the model
+ * @param from version that serves now; empty for the model without a version
  * @param to the new version
- * @param steps shares of the keys, rising, the last of them 1
- * @param hold how long a step lasts at the least
- * @param leastCalls calls of the new version that a step must have seen
+ * @param steps shares of the routing keys that get the new version, rising, the last of them 1
+ * @param hold least time that each step lasts
+ * @param leastCalls requests of the new version that must have ended within a step
  */
 public record RolloutPlan(
         String model,
@@ -23,32 +23,50 @@
         long leastCalls,
         Gate gate,
         Breach onBreach) {
+    /** A test with a chance of error from here on decides no better than a coin. */
+    private static final double MAX_ERROR_CHANCE = 0.5;
+
     /**
      * When the new version counts as worse.
      *
-     * @param excess how much larger its share of bad results may be than the old one's, 0 to 1
-     * @param wrongly the chance of taking back a version that is no worse, 0 to 1
-     * @param missed the chance of letting a step pass for one that is worse by the excess, 0 to 1
+     * @param excess how much larger its share of bad results may be than that of the old version, 0 to 1
+     * @param wrongly accepted chance of taking back a version that is no worse, 0 to 0.5
+     * @param missed accepted chance of taking a step with a version that is worse by the excess, 0 to 0.5
      */
     public record Gate(double excess, double wrongly, double missed) {}
 
-    /** What is done on a breach. */
+    /** What a router does by itself when the gate finds the new version worse. */
     public enum Breach {
+        /** Stay at the present step until an operator decides. */
         PAUSE,
+        /** Send every request to the old version. */
         ROLL_BACK
     }
 
-    /** What is wrong with a plan, and how it is mended. */
+    /**
+     * One fault of a plan.
+     *
+     * @param key component of the plan, with a dot before that of the gate
+     * @param what what is wrong
+     * @param mend how to correct it
+     */
     public record Fault(String key, String what, String mend) {}
 
-    /** Every fault of the plan; none where it can be followed. */
+    /** All faults of the plan; empty if it can be followed. */
     public List<Fault> faults() {
         List<Fault> faults = new ArrayList<>();
         if (from.equals(to)) {
             faults.add(new Fault("to", "the new version is the old one", "name another version"));
         }
+        addStepFaults(faults);
+        addGateFaults(faults);
+        return faults;
+    }
+
+    private void addStepFaults(List<Fault> faults) {
         if (steps.isEmpty()) {
             faults.add(new Fault("steps", "no step is named", "write for example [0.05, 0.25, 1]"));
+            return;
         }
         double before = 0;
         for (double step : steps) {
@@ -62,17 +80,19 @@
             }
             before = step;
         }
-        if (!steps.isEmpty() && before < 1) {
+        if (before < 1) {
             faults.add(new Fault("steps", "the last share is " + before, "end with 1"));
         }
+    }
+
+    private void addGateFaults(List<Fault> faults) {
         if (gate.excess() <= 0 || gate.excess() > 1) {
             faults.add(new Fault("gate.excess", gate.excess() + " is no excess", "write a share from above 0 to 1"));
         }
         for (double chance : new double[] {gate.wrongly(), gate.missed()}) {
-            if (chance <= 0 || chance >= 0.5) {
+            if (chance <= 0 || chance >= MAX_ERROR_CHANCE) {
                 faults.add(new Fault("gate", "a chance of " + chance + " says nothing", "write one between 0 and 0.5"));
             }
         }
-        return faults;
     }
 }
--- a/decisions/src/main/java/pearladder/rollout/RolloutProgress.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutProgress.java
@@ -1,10 +1,11 @@
 package pearladder.rollout;
 
 /**
- * How far one router has come by itself with a target; kept beside the orders, so that a restart goes on from there.
+ * How far one router has come with a target by itself. Kept in the journal beside the targets, so that the router
+ * goes on from there after a restart. Read and written as JSON by component name.
  *
- * @param epoch of the target; what was reached under an earlier one says nothing
- * @param step from 0 on
- * @param broken whether the gate had found the version worse: a restart must not begin it again
+ * @param epoch epoch of the target; progress under an earlier epoch says nothing
+ * @param step index of the step, from 0; -1 before the first
+ * @param broken whether the gate found the version worse, so that a restart does not begin the rollout again
  */
 public record RolloutProgress(String model, long epoch, int step, boolean broken) {}
--- a/decisions/src/main/java/pearladder/rollout/VersionComparison.java
+++ b/decisions/src/main/java/pearladder/rollout/VersionComparison.java
@@ -5,128 +5,155 @@
 import java.util.Map;
 
 /**
- * Whether a new version is worse than the old one that runs beside it, judged call by call; few calls judge nothing. Two
- * sequential probability ratio tests (Wald, Ann. Math. Stat. 16, 1945) look at it from both sides.
+ * Compares the bad results of a new version with those of the old one that runs beside it, request by request, by two
+ * sequential probability ratio tests (Wald, Ann. Math. Stat. 16, 1945). Few requests decide nothing.
  *
- * Worse: looks at bad results only, and at whose they are. If the new version is no worse, a bad result is the new one's
- * as often as any call is; if its share of bad results is larger by the excess, more often. A trouble that meets both
- * versions makes more bad results and changes neither chance, so it speaks against nobody. Where no call goes to the old
- * version there is nothing to compare with, and this test says nothing.
+ * <p>Found worse: looks only at bad results and at which version they come from. If the new version is no worse, a bad
+ * result comes from it as often as any request does; if its share of bad results is larger by the excess, more often.
+ * A fault that affects both versions causes more bad results but changes neither probability. Where no request goes
+ * to the old version there is nothing to compare with, and this test does not decide.
  *
- * A new version stands on few engines at first, and one of them may be sick. So no verdict is given while nearly all of
- * its bad results come from one engine: it takes another to find a version worse.
+ * <p>A new version runs on few workers at first, and one of those may be faulty. So a version is not found worse while
+ * nearly all of its bad results come from one worker.
  *
- * No worse: looks at the new version's calls against the old one's share of bad results, and is only asked before a step.
- * That share is learnt from the old version's latest calls, starts from one in fifty, and is never taken for less than one
- * in two hundred: a share of zero would make one bad call a proof.
+ * <p>Found no worse: compares the new version's results with the old version's share of bad results; only needed
+ * before a step. That share is learnt from the old version's latest requests, with a prior of one in fifty and a
+ * lower bound of one in two hundred: with a share of zero, a single bad request would prove the new version worse.
  */
 final class VersionComparison {
-    private static final double PRIOR_CALLS = 50;
+    private static final double PRIOR_REQUESTS = 50;
     private static final double PRIOR_BAD = 1;
-    private static final double LEAST = 0.005;
-    /** Calls fade after so many of them. */
-    private static final double LATEST = 400;
+    private static final double MIN_BAD_SHARE = 0.005;
+    /** Upper bound of an assumed share of bad results, as the logarithm of a chance of zero is not finite. */
+    private static final double MAX_BAD_SHARE = 0.999;
+    /** Decaying counts follow about this many latest requests. */
+    private static final double DECAY_REQUESTS = 400;
 
-    /** The most of the bad results that may come from one engine. */
-    private static final double ONE_ENGINE = 0.8;
+    private static final double DECAY = 1 - 1 / DECAY_REQUESTS;
+    /** Largest part of the new version's bad results that may come from one worker when it is found worse. */
+    private static final double MAX_PART_OF_ONE_WORKER = 0.8;
 
     private final RolloutPlan.Gate gate;
-    private final Map<String, Double> byEngine = new HashMap<>();
-    private double oldCalls;
+    /** Decaying count of the new version's bad results by worker; one of several workers gets an equal part. */
+    private final Map<String, Double> badByWorker = new HashMap<>();
+    /** Decaying counts of the old version's requests and of the bad ones among them. */
+    private double oldRequests;
+
     private double oldBad;
-    private double newOfLatest;
-    private double latest;
-    private long calls;
-    private long bad;
-    private double worse;
-    private double noWorse;
-    private boolean foundWorse;
-    private boolean foundNoWorse;
+    /** Decaying counts of the requests of both versions, and of those of the new one. */
+    private double latestRequests;
+
+    private double latestNewRequests;
+    private long newRequests;
+    private long newBad;
+    /** Logarithms of the two tests' likelihood ratios: of worse by the excess against no worse. */
+    private double logOddsByOrigin;
+
+    private double logOddsByResult;
+    private boolean isFoundWorse;
+    private boolean passesResultTest;
 
     VersionComparison(RolloutPlan.Gate gate) {
         this.gate = gate;
     }
 
-    /** A new step is judged anew, beside what is known of the old version. */
-    VersionComparison anew() {
+    /** A comparison for the next step, which begins with what is known about the old version only. */
+    VersionComparison restarted() {
         VersionComparison next = new VersionComparison(gate);
-        next.oldCalls = oldCalls;
+        next.oldRequests = oldRequests;
         next.oldBad = oldBad;
         return next;
     }
 
-    void oldEnded(boolean well) {
-        double fade = 1 - 1 / LATEST;
-        oldCalls = oldCalls * fade + 1;
-        oldBad = oldBad * fade + (well ? 0 : 1);
-        count(false);
-        if (!well) {
-            weigh(false);
+    void onOldVersionResult(boolean isGood) {
+        oldRequests = oldRequests * DECAY + 1;
+        oldBad = oldBad * DECAY + (isGood ? 0 : 1);
+        countRequest(false);
+        if (!isGood) {
+            updateOriginTest(false);
         }
     }
 
-    /** @param engines to which the call's legs went */
-    void newEnded(boolean well, List<String> engines) {
-        calls++;
-        bad += well ? 0 : 1;
-        count(true);
-        double usual = usual();
-        double more = Math.min(0.999, usual + gate.excess());
-        noWorse += well ? Math.log((1 - more) / (1 - usual)) : Math.log(more / usual);
-        noWorse = Math.min(noWorse, Math.log((1 - gate.missed()) / gate.wrongly()));
-        foundNoWorse |= noWorse <= Math.log(gate.missed() / (1 - gate.wrongly()));
-        byEngine.replaceAll((engine, sum) -> sum * (1 - 1 / LATEST));
-        if (!well) {
-            engines.forEach(engine -> byEngine.merge(engine, 1.0 / engines.size(), Double::sum));
-            weigh(true);
+    /** @param workers to which the request's attempts were sent, each once */
+    void onNewVersionResult(boolean isGood, List<String> workers) {
+        newRequests++;
+        newBad += isGood ? 0 : 1;
+        countRequest(true);
+        updateResultTest(isGood);
+        badByWorker.replaceAll((worker, bad) -> bad * DECAY);
+        if (!isGood) {
+            workers.forEach(worker -> badByWorker.merge(worker, 1.0 / workers.size(), Double::sum));
+            updateOriginTest(true);
         }
     }
 
-    private void count(boolean toNew) {
-        double fade = 1 - 1 / LATEST;
-        latest = latest * fade + 1;
-        newOfLatest = newOfLatest * fade + (toNew ? 1 : 0);
+    private void countRequest(boolean isNewVersion) {
+        latestRequests = latestRequests * DECAY + 1;
+        latestNewRequests = latestNewRequests * DECAY + (isNewVersion ? 1 : 0);
+    }
+
+    /** The log-odds stay below their upper bound, so that a version which has recovered can pass later. */
+    private void updateResultTest(boolean isGood) {
+        double ifNoWorse = oldBadShare();
+        double ifWorse = Math.min(MAX_BAD_SHARE, ifNoWorse + gate.excess());
+        logOddsByResult += isGood ? Math.log((1 - ifWorse) / (1 - ifNoWorse)) : Math.log(ifWorse / ifNoWorse);
+        logOddsByResult = Math.min(logOddsByResult, worseBound());
+        passesResultTest |= logOddsByResult <= noWorseBound();
     }
 
-    /** A bad result has come: by whom? The sum stays above its lower bound, so that a bad turn is found later too. */
-    private void weigh(boolean byNew) {
-        double share = newOfLatest / latest;
-        if (share <= 0 || share >= 1) {
+    /** The log-odds stay above their lower bound, so that a version which turns bad is found later too. */
+    private void updateOriginTest(boolean isNewVersion) {
+        double ifNoWorse = latestNewRequests / latestRequests;
+        if (ifNoWorse <= 0 || ifNoWorse >= 1) {
             return;
         }
-        double usual = usual();
-        double badNew = share * Math.min(1, usual + gate.excess());
-        double ifWorse = badNew / (badNew + (1 - share) * usual);
-        worse += byNew ? Math.log(ifWorse / share) : Math.log((1 - ifWorse) / (1 - share));
-        worse = Math.max(worse, Math.log(gate.missed() / (1 - gate.wrongly())));
-        foundWorse |= worse >= Math.log((1 - gate.missed()) / gate.wrongly()) && !oneEngine();
+        double oldBadShare = oldBadShare();
+        double badOfNew = ifNoWorse * Math.min(1, oldBadShare + gate.excess());
+        double ifWorse = badOfNew / (badOfNew + (1 - ifNoWorse) * oldBadShare);
+        logOddsByOrigin += isNewVersion ? Math.log(ifWorse / ifNoWorse) : Math.log((1 - ifWorse) / (1 - ifNoWorse));
+        logOddsByOrigin = Math.max(logOddsByOrigin, noWorseBound());
+        isFoundWorse |= logOddsByOrigin >= worseBound() && !isOneWorkerToBlame();
+    }
+
+    /** Wald's bound at which the version is accepted as worse. */
+    private double worseBound() {
+        return Math.log((1 - gate.missed()) / gate.wrongly());
+    }
+
+    /** Wald's bound at which the version is accepted as no worse. */
+    private double noWorseBound() {
+        return Math.log(gate.missed() / (1 - gate.wrongly()));
     }
 
-    private boolean oneEngine() {
-        double most = byEngine.values().stream().mapToDouble(sum -> sum).max().orElse(0);
-        return most
-                > ONE_ENGINE
-                        * byEngine.values().stream().mapToDouble(sum -> sum).sum();
+    private boolean isOneWorkerToBlame() {
+        double most =
+                badByWorker.values().stream().mapToDouble(bad -> bad).max().orElse(0);
+        double sum = badByWorker.values().stream().mapToDouble(bad -> bad).sum();
+        return most > MAX_PART_OF_ONE_WORKER * sum;
     }
 
-    /** The old version's share of bad results. */
-    double usual() {
-        return Math.max(LEAST, (oldBad + PRIOR_BAD) / (oldCalls + PRIOR_CALLS));
+    /** The old version's share of bad results, 0 to 1. */
+    private double oldBadShare() {
+        return Math.max(MIN_BAD_SHARE, (oldBad + PRIOR_BAD) / (oldRequests + PRIOR_REQUESTS));
     }
 
-    boolean foundWorse() {
-        return foundWorse;
+    boolean isFoundWorse() {
+        return isFoundWorse;
     }
 
-    boolean foundNoWorse() {
-        return foundNoWorse && !foundWorse;
+    boolean isFoundNoWorse() {
+        return passesResultTest && !isFoundWorse;
     }
 
-    long calls() {
-        return calls;
+    /** Requests of the new version that ended since the step began. */
+    long newRequests() {
+        return newRequests;
     }
 
+    /** The figures for the log and the status. */
     String figures() {
-        return String.format("%d bad of %d, usual %.3f, odds of worse %.2f", bad, calls, usual(), Math.exp(worse));
+        return String.format(
+                "%d bad of %d, usual %.3f, odds of worse %.2f",
+                newBad, newRequests, oldBadShare(), Math.exp(logOddsByOrigin));
     }
 }
--- a/decisions/src/main/java/pearladder/rollout/package-info.java
+++ b/decisions/src/main/java/pearladder/rollout/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Gradual versions: which version of a model a call gets, when a step may be taken and when it must be taken back. A
- * decision module of its own: no I/O, no threads, no clock. Which worker runs the call stays with the policy, to which a
- * version is a function of its own. docs/versions.md says which ways were weighed.
+ * Gradual rollout of model versions: decides which version of a model a request gets, when the next step may be taken
+ * and when the rollout is paused or rolled back. No I/O, no threads, no clock. Which worker runs the request stays
+ * with the routing policy, to which each version is a function of its own. docs/versions.md compares the alternatives.
  */
 package pearladder.rollout;
--- a/decisions/src/test/java/pearladder/rollout/ReleasesTest.java
+++ b/decisions/src/test/java/pearladder/rollout/ReleasesTest.java
@@ -283,16 +283,16 @@
     void oneSickEngineTakesNoVersionBackAndTwoDo() {
         VersionComparison doubt = new VersionComparison(GATE);
         for (int i = 0; i < 400; i++) {
-            doubt.oldEnded(true);
+            doubt.onOldVersionResult(true);
             if (i % 10 == 0) {
-                doubt.newEnded(false, List.of("sick"));
+                doubt.onNewVersionResult(false, List.of("sick"));
             }
         }
-        assertFalse(doubt.foundWorse(), doubt.figures());
+        assertFalse(doubt.isFoundWorse(), doubt.figures());
         for (int i = 0; i < 12; i++) {
-            doubt.newEnded(false, List.of("other"));
+            doubt.onNewVersionResult(false, List.of("other"));
         }
-        assertTrue(doubt.foundWorse(), doubt.figures());
+        assertTrue(doubt.isFoundWorse(), doubt.figures());
     }
 
     /** Two hundred releases of a version that is no worse, and two hundred of one whose calls fail more by ten points. */
@@ -311,14 +311,14 @@
     private boolean broken(int seed, double badOld, double badNew, int calls) {
         VersionComparison doubt = new VersionComparison(GATE);
         SplittableRandom random = new SplittableRandom(seed);
-        for (int i = 0; i < calls && !doubt.foundWorse(); i++) {
+        for (int i = 0; i < calls && !doubt.isFoundWorse(); i++) {
             if (random.nextDouble() < 0.1) {
-                doubt.newEnded(random.nextDouble() >= badNew, List.of("e" + random.nextInt(3)));
+                doubt.onNewVersionResult(random.nextDouble() >= badNew, List.of("e" + random.nextInt(3)));
             } else {
-                doubt.oldEnded(random.nextDouble() >= badOld);
+                doubt.onOldVersionResult(random.nextDouble() >= badOld);
             }
         }
-        return doubt.foundWorse();
+        return doubt.isFoundWorse();
     }
 
     /** Found when routers were killed amid a release: one that came back gave every key back to the old version. */
