--- /dev/null
+++ b/decisions/src/test/java/pearladder/rollout/RolloutControllerRandomizedTest.java
@@ -0,0 +1,132 @@
+package pearladder.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import pearladder.rollout.RolloutTarget.Mode;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
+
+class RolloutControllerRandomizedTest extends RolloutTestBase {
+    /** Whatever is lost, duplicated, out of order or restarted: every router follows the newest target in the end. */
+    @Test
+    void everyRouterEndsWithTheNewestTarget() {
+        for (int seed = 0; seed < 200; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            List<RolloutTarget> targets = randomTargets(random);
+            RolloutTarget newest = targets.get(11);
+            for (int router = 0; router < 4; router++) {
+                List<RolloutTarget> received = new ArrayList<>(targets);
+                received.addAll(targets.subList(3, 9));
+                Collections.shuffle(received, new Random(seed * 31L + router));
+                received.removeIf(target -> target != newest && random.nextInt(3) == 0);
+                assertEquals(List.of(newest), followAll(received, random, seed).targets(), "seed " + seed);
+            }
+        }
+    }
+
+    private static List<RolloutTarget> randomTargets(SplittableRandom random) {
+        RolloutPlan otherPlan =
+                new RolloutPlan("pair", "2", "3", PLAN.steps(), PLAN.hold(), 5, GATE, RolloutPlan.Breach.PAUSE);
+        List<RolloutTarget> targets = new ArrayList<>();
+        for (int epoch = 1; epoch <= 12; epoch++) {
+            RolloutPlan plan = random.nextInt(4) == 0 ? otherPlan : PLAN;
+            targets.add(target(epoch, plan, Mode.values()[random.nextInt(3)], random.nextInt(3)));
+        }
+        return targets;
+    }
+
+    /** A router that receives the targets in turn and is restarted now and then, with its journal out of order. */
+    private RolloutController followAll(List<RolloutTarget> received, SplittableRandom random, int seed) {
+        List<RolloutTarget> journal = new ArrayList<>();
+        RolloutController router = newController();
+        for (RolloutTarget target : received) {
+            only(order(router, now, target), RolloutAction.Keep.class).forEach(keep -> journal.add(keep.target()));
+            if (random.nextInt(6) == 0) {
+                router = newController();
+                List<RolloutTarget> read = new ArrayList<>(journal);
+                Collections.shuffle(read, new Random(seed));
+                router.on(now, new RolloutEvent.Restored(read, List.of()));
+            }
+        }
+        return router;
+    }
+
+    /** Random targets, results and instances: one version a request, and keys move back only by a rollback. */
+    @Test
+    void movesKeysBackOnlyByARollback() {
+        for (int seed = 0; seed < 60; seed++) {
+            new RandomRun(seed).run();
+        }
+    }
+
+    private static final class RandomRun {
+        private final int seed;
+        private final SplittableRandom random;
+        private final RolloutController controller = newController();
+        private final Set<String> keysOnNewVersion = new HashSet<>();
+        private MonotonicTime now = new MonotonicTime(0);
+        private long epoch;
+
+        RandomRun(int seed) {
+            this.seed = seed;
+            this.random = new SplittableRandom(seed);
+        }
+
+        void run() {
+            for (int step = 0; step < 600; step++) {
+                now = now.plus(TimeSpan.millis(random.nextInt(400)));
+                List<RolloutAction> actions = randomEvent(step);
+                if (!only(actions, RolloutAction.Withdraw.class).isEmpty()) {
+                    keysOnNewVersion.clear();
+                }
+            }
+        }
+
+        private List<RolloutAction> randomEvent(int step) {
+            switch (random.nextInt(20)) {
+                case 0:
+                    return orderRandomTarget();
+                case 1:
+                    return controller.on(now, new RolloutEvent.Standing("pair", "2", random.nextDouble()));
+                case 2:
+                case 3:
+                    return controller.on(now, new RolloutEvent.Due());
+                default:
+                    return completeRequest(step);
+            }
+        }
+
+        private List<RolloutAction> orderRandomTarget() {
+            Mode mode = Mode.values()[random.nextInt(3)];
+            List<RolloutAction> actions = order(controller, now, target(++epoch, PLAN, mode, random.nextInt(3)));
+            if (mode == Mode.ROLLED_BACK) {
+                keysOnNewVersion.clear();
+            }
+            return actions;
+        }
+
+        private List<RolloutAction> completeRequest(int step) {
+            String key = "k" + random.nextInt(60);
+            String requestId = "c" + step;
+            List<RolloutAction.Use> uses = only(
+                    controller.on(now, new RolloutEvent.CallCame(requestId, "pair", key, "")), RolloutAction.Use.class);
+            assertEquals(1, uses.size());
+            boolean isNew = uses.get(0).version().equals("2");
+            assertTrue(isNew || !keysOnNewVersion.contains(key), "a key moved back at seed " + seed + " step " + step);
+            if (isNew) {
+                keysOnNewVersion.add(key);
+            }
+            boolean isGood = random.nextInt(50) > 0;
+            return controller.on(now, new RolloutEvent.CallEnded(requestId, isGood, List.of("e")));
+        }
+    }
+}
