Background scheduler split into queue and scheduler; standard names for jobs

Cause: BackgroundScheduler held the jobs, the fair queues, the budgets and the dispatch in one class, with pieces, duties and groups for jobs, job classes and queues. Change: JobQueue does the fair queueing and budget of one class, Job is one job, BackgroundScheduler decides on events by a method each; numbers are named constants with units. Log lines and reasons stay as they are; symbols used by the KServe router keep their names for now. Comment lines over 120 characters in connections, recovery and rollout are wrapped.

--- a/decisions/src/main/java/pearladder/background/JobAction.java
+++ b/decisions/src/main/java/pearladder/background/JobAction.java
@@ -2,17 +2,25 @@
 
 import pearladder.routing.api.TimeSpan;
 
-/** What is to be done with background work, in the order given. */
+/** What has to be done with background jobs, in the order given. */
 public sealed interface JobAction {
-    /** Do it now; tell how it ended. */
+    /**
+     * Run the job now and report {@link JobEvent.Ended}.
+     *
+     * @param attempt 1 for the first
+     */
     record Begin(String id, int attempt) implements JobAction {}
 
-    /** It will not be done, and nothing more is heard of it. */
+    /**
+     * The job is dropped; nothing more is said about it.
+     *
+     * @param why reason in a few words, for the log and for whoever submitted it
+     */
     record GiveUp(String id, String why) implements JobAction {}
 
-    /** Call again after so long. */
+    /** Report {@link JobEvent.Due} after this time. */
     record Wake(TimeSpan after) implements JobAction {}
 
-    /** A change of mode, with its figures. */
+    /** Log a change of the scheduler's state, with its figures. */
     record Log(String text) implements JobAction {}
 }
--- a/decisions/src/main/java/pearladder/background/JobClass.java
+++ b/decisions/src/main/java/pearladder/background/JobClass.java
@@ -3,24 +3,29 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * A class of background work as the operators allow it.
+ * A class of background jobs and its limits.
  *
- * @param rank 0 for what matters most; under strain the highest ranks stand still first
- * @param budget for each second; a kind of cost of 0 has no budget
- * @param saved budget of so many seconds may be saved up while nothing is done
- * @param atOnce pieces that run at a time
- * @param waiting pieces that wait at the most; past it the one that is due last is given up
- * @param retries of a piece that failed
- * @param backOff before the first of them; it doubles with each, up to a hundred times
- * @param atStop whether it is still done when the router stops
+ * @param rank 0 for the most important; while the event loop is late the highest ranks are suspended first
+ * @param budgetPerSecond what the class may spend in a second; a kind of cost with 0 has no limit
+ * @param burstSeconds unspent budget of at most so many seconds is saved up
+ * @param maxRunning jobs that run at a time, at most
+ * @param maxWaiting jobs that wait, at most; over it the one with the latest deadline is dropped
+ * @param maxRetries times that a failed job is started again
+ * @param backoff time before the first retry; doubles with each, up to a hundred times
+ * @param runsAtShutdown whether its jobs are still started while the router shuts down
  */
 public record JobClass(
         String name,
         int rank,
-        ResourceCost budget,
-        double saved,
-        int atOnce,
-        int waiting,
-        int retries,
-        TimeSpan backOff,
-        boolean atStop) {}
+        ResourceCost budgetPerSecond,
+        double burstSeconds,
+        int maxRunning,
+        int maxWaiting,
+        int maxRetries,
+        TimeSpan backoff,
+        boolean runsAtShutdown) {
+    /** The most budget that can be saved up. */
+    ResourceCost burst() {
+        return budgetPerSecond.times(burstSeconds);
+    }
+}
--- a/decisions/src/main/java/pearladder/background/JobClasses.java
+++ b/decisions/src/main/java/pearladder/background/JobClasses.java
@@ -1,43 +1,53 @@
 package pearladder.background;
 
 import java.util.List;
+import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
 
-/** The classes of a router's own background work. What each may spend is far above what it needs on a quiet day. */
+/** The classes of a router's own background jobs. Each budget is far above what the class needs under ordinary load. */
 public final class JobClasses {
-    /** Writes what must outlive this process; one at a time, and still at a stop. */
+    /** Writes what must outlive the process, as the endpoint list; one at a time, at a shutdown too. */
     public static final String FLUSH = "flush";
-    /** Asks other routers what they know. */
+    /** Asks other routers for their rollout targets. */
     public static final String LEARN = "learn";
 
-    /** Writes records; orders wait for it. */
+    /** Writes the event log; load requests wait for it. */
     public static final String RECORD = "record";
-    /** Cuts what accounts' calls worked. */
+    /** Sums up the usage of tenants. */
     public static final String METER = "meter";
-    /** Writes what a next life may start from. */
+    /** Writes the policy's snapshot. */
     public static final String SNAPSHOT = "snapshot";
-    /** Lets old records go. */
+    /** Deletes old segments of the event log. */
     public static final String COMPACT = "compact";
 
-    private static final TimeSpan STRAINED_AT = TimeSpan.millis(50);
+    /** Lag of the event loop from which on only rank 0 is started. */
+    private static final TimeSpan FULL_OVERLOAD_LAG = TimeSpan.millis(50);
+    /** Bytes a second for writes that requests or a restart wait for. */
+    private static final ResourceCost URGENT_BYTES = new ResourceCost(0, 50e6, 0);
+    /** Bytes a second for a snapshot. */
+    private static final ResourceCost SNAPSHOT_BYTES = new ResourceCost(0, 10e6, 0);
+    /** Bytes a second for what can wait. */
+    private static final ResourceCost LOW_PRIORITY_BYTES = new ResourceCost(0, 2e6, 0);
+
+    private static final TimeSpan FLUSH_BACKOFF = TimeSpan.millis(200);
+    /** For classes whose jobs are not retried but submitted anew by their owners. */
+    private static final TimeSpan UNUSED_BACKOFF = TimeSpan.millis(500);
 
     private JobClasses() {}
 
-    /** A scheduler of a router's own work. */
-    public static BackgroundScheduler scheduler(long seed, pearladder.routing.api.MonotonicTime begun) {
-        return new BackgroundScheduler(
-                seed,
-                List.of(
-                        new JobClass(FLUSH, 0, new ResourceCost(0, 50e6, 0), 2, 1, 100, 3, TimeSpan.millis(200), true),
-                        new JobClass(RECORD, 0, new ResourceCost(0, 50e6, 0), 2, 1, 2, 0, TimeSpan.millis(100), true),
-                        new JobClass(METER, 1, ResourceCost.NONE, 1, 1, 2, 0, TimeSpan.millis(500), false),
-                        new JobClass(
-                                SNAPSHOT, 2, new ResourceCost(0, 10e6, 0), 10, 1, 1, 0, TimeSpan.millis(500), false),
-                        new JobClass(
-                                COMPACT, 3, new ResourceCost(0, 2e6, 0), 100, 1, 1, 0, TimeSpan.millis(500), false),
-                        new JobClass(
-                                LEARN, 1, new ResourceCost(0, 2e6, 0), 10, 4, 1000, 0, TimeSpan.millis(500), false)),
-                STRAINED_AT,
-                begun);
+    /**
+     * A scheduler of these classes.
+     *
+     * @param seed of the random part of back-offs
+     */
+    public static BackgroundScheduler scheduler(long seed, MonotonicTime startedAt) {
+        List<JobClass> jobClasses = List.of(
+                new JobClass(FLUSH, 0, URGENT_BYTES, 2, 1, 100, 3, FLUSH_BACKOFF, true),
+                new JobClass(RECORD, 0, URGENT_BYTES, 2, 1, 2, 0, UNUSED_BACKOFF, true),
+                new JobClass(METER, 1, ResourceCost.NONE, 1, 1, 2, 0, UNUSED_BACKOFF, false),
+                new JobClass(SNAPSHOT, 2, SNAPSHOT_BYTES, 10, 1, 1, 0, UNUSED_BACKOFF, false),
+                new JobClass(COMPACT, 3, LOW_PRIORITY_BYTES, 100, 1, 1, 0, UNUSED_BACKOFF, false),
+                new JobClass(LEARN, 1, LOW_PRIORITY_BYTES, 10, 4, 1000, 0, UNUSED_BACKOFF, false));
+        return new BackgroundScheduler(seed, jobClasses, FULL_OVERLOAD_LAG, startedAt);
     }
 }
--- a/decisions/src/main/java/pearladder/background/JobEvent.java
+++ b/decisions/src/main/java/pearladder/background/JobEvent.java
@@ -3,30 +3,30 @@
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
 
-/** What happened that the background work must know of. */
+/** What happened that a {@link BackgroundScheduler} has to know of. */
 public sealed interface JobEvent {
     /**
-     * A piece of work is asked for.
+     * A job was submitted.
      *
-     * @param duty the name of its class
-     * @param account whose it is; empty for the router's own
-     * @param cost as it is expected
-     * @param by when it must have begun, or null
+     * @param jobClass name of its class
+     * @param tenant on whose behalf it runs; empty for the router's own jobs
+     * @param startBy when it must have been started, or null
      */
-    record Asked(String id, String duty, String account, ResourceCost cost, MonotonicTime by) implements JobEvent {}
+    record Asked(String id, String jobClass, String tenant, ResourceCost expectedCost, MonotonicTime startBy)
+            implements JobEvent {}
 
-    /** A piece that was begun has ended; cost is what it really was. */
-    record Ended(String id, boolean well, ResourceCost cost) implements JobEvent {}
+    /** A job that was started has ended; the cost is what was measured. */
+    record Ended(String id, boolean isSuccess, ResourceCost cost) implements JobEvent {}
 
-    /** Nobody wants it any more. */
+    /** A job is not wanted any more; one that is running runs to its end. */
     record Cancelled(String id) implements JobEvent {}
 
-    /** How late the router's event loop is: calls come before all of this. */
-    record Strained(TimeSpan behind) implements JobEvent {}
+    /** The lag of the router's event loop was measured: requests go before all background jobs. */
+    record Strained(TimeSpan loopLag) implements JobEvent {}
 
-    /** The router stops: only what is to be done at a stop is still begun. */
+    /** The router shuts down: only jobs of classes that run at a shutdown are still started. */
     record Stopping() implements JobEvent {}
 
-    /** Some time has gone by. */
+    /** The time asked for by {@link JobAction.Wake} has passed. */
     record Due() implements JobEvent {}
 }
--- a/decisions/src/main/java/pearladder/background/ResourceCost.java
+++ b/decisions/src/main/java/pearladder/background/ResourceCost.java
@@ -1,30 +1,39 @@
 package pearladder.background;
 
 /**
- * What a piece of work costs, or what a class may spend in a second.
+ * What a job costs, or what a job class may spend in a second.
  *
- * @param cpu seconds of a core
- * @param bytes read or written
- * @param orders to engines
+ * @param cpuSeconds seconds of one core
+ * @param bytes bytes read or written
+ * @param loadRequests load requests sent to workers
  */
-public record ResourceCost(double cpu, double bytes, double orders) {
+public record ResourceCost(double cpuSeconds, double bytes, double loadRequests) {
+    /** No cost; as a budget, no limit. */
     public static final ResourceCost NONE = new ResourceCost(0, 0, 0);
 
-    ResourceCost plus(ResourceCost other, double times) {
-        return new ResourceCost(cpu + times * other.cpu, bytes + times * other.bytes, orders + times * other.orders);
+    ResourceCost plus(ResourceCost other) {
+        return new ResourceCost(cpuSeconds + other.cpuSeconds, bytes + other.bytes, loadRequests + other.loadRequests);
     }
 
-    ResourceCost atMost(ResourceCost most) {
-        return new ResourceCost(Math.min(cpu, most.cpu), Math.min(bytes, most.bytes), Math.min(orders, most.orders));
+    ResourceCost minus(ResourceCost other) {
+        return new ResourceCost(cpuSeconds - other.cpuSeconds, bytes - other.bytes, loadRequests - other.loadRequests);
+    }
+
+    ResourceCost atMost(ResourceCost limit) {
+        return new ResourceCost(
+                Math.min(cpuSeconds, limit.cpuSeconds),
+                Math.min(bytes, limit.bytes),
+                Math.min(loadRequests, limit.loadRequests));
     }
 
     ResourceCost times(double factor) {
-        return new ResourceCost(cpu * factor, bytes * factor, orders * factor);
+        return new ResourceCost(cpuSeconds * factor, bytes * factor, loadRequests * factor);
     }
 
-    /** The largest of the three as a share of a budget; a kind of cost without a budget is none. */
+    /** The largest of the three as a multiple of the budget; a kind of cost without a budget counts as 0. */
     double shareOf(ResourceCost budget) {
-        return Math.max(share(cpu, budget.cpu), Math.max(share(bytes, budget.bytes), share(orders, budget.orders)));
+        double share = Math.max(share(bytes, budget.bytes), share(loadRequests, budget.loadRequests));
+        return Math.max(share(cpuSeconds, budget.cpuSeconds), share);
     }
 
     private static double share(double cost, double budget) {
--- a/decisions/src/main/java/pearladder/background/package-info.java
+++ b/decisions/src/main/java/pearladder/background/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Background work of a router: what is begun when, within which budgets, and what is given up. No I/O, no threads, no clock;
- * something else does the work and tells how it ended.
+ * Background jobs of a router: decides which is started when, within which budgets, and which is dropped. No I/O, no
+ * threads, no clock; the caller runs the jobs and reports how they ended.
  */
 package pearladder.background;
--- a/decisions/src/main/java/pearladder/connections/ConnectionManager.java
+++ b/decisions/src/main/java/pearladder/connections/ConnectionManager.java
@@ -9,9 +9,9 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * Shares a router's file descriptors among its connections. Clients and workers have separate limits, so that neither side
- * can starve the other. Requests are multiplexed on a worker connection only where no further connection may be opened,
- * because a malformed response fails every command in flight on its connection.
+ * Shares a router's file descriptors among its connections. Clients and workers have separate limits, so that neither
+ * side can starve the other. Requests are multiplexed on a worker connection only where no further connection may be
+ * opened, because a malformed response fails every command in flight on its connection.
  */
 public final class ConnectionManager {
     /**
--- a/decisions/src/main/java/pearladder/connections/GracefulShutdown.java
+++ b/decisions/src/main/java/pearladder/connections/GracefulShutdown.java
@@ -4,8 +4,8 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * Decides when a router that received a stop signal rejects new requests, abandons those still open, and exits. It exits
- * as soon as no response is owed to anyone, and always before the platform kills the process.
+ * Decides when a router that received a stop signal rejects new requests, abandons those still open, and exits. It
+ * exits as soon as no response is owed to anyone, and always before the platform kills the process.
  */
 public final class GracefulShutdown {
     /** What the router does at a moment of the shutdown. */
--- a/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
+++ b/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
@@ -13,13 +13,13 @@
 /**
  * Decides what of a routing policy's snapshot still holds after a restart. Its one entry point is {@link #after}.
  *
- * <p>What was learnt about a worker holds for that worker process only, so a worker counts only if its uptime now is what
- * it would have become. Decaying values decay by the time that passed. An instance counts for as long as idle instances are
- * kept. Load requests count against the load quota whatever becomes of the rest; where the event log is incomplete, the
- * full burst counts as just sent.
+ * <p>What was learnt about a worker holds for that worker process only, so a worker counts only if its uptime now is
+ * what it would have become. Decaying values decay by the time that passed. An instance counts for as long as idle
+ * instances are kept. Load requests count against the load quota whatever becomes of the rest; where the event log is
+ * incomplete, the full burst counts as just sent.
  *
- * <p>Concurrency limits of workers and loads in progress are not restored but learnt again: they belong to the load before
- * the restart, and restoring them lowered the score in simulations (docs/records.md).
+ * <p>Concurrency limits of workers and loads in progress are not restored but learnt again: they belong to the load
+ * before the restart, and restoring them lowered the score in simulations (docs/records.md).
  */
 public final class SnapshotRecovery {
     /**
@@ -191,8 +191,8 @@
     }
 
     /**
-     * Ages of the load requests that count against the quota, oldest first. A negative age comes from a clock that was set
-     * back; such a request counts as just sent, the longest that it can count.
+     * Ages of the load requests that count against the quota, oldest first. A negative age comes from a clock that was
+     * set back; such a request counts as just sent, the longest that it can count.
      */
     private List<TimeSpan> countedLoadRequests(Found found) {
         if (quotaWindow.nanos() <= 0) {
--- a/decisions/src/test/java/pearladder/rollout/VersionComparisonTest.java
+++ b/decisions/src/test/java/pearladder/rollout/VersionComparisonTest.java
@@ -10,7 +10,7 @@
 class VersionComparisonTest {
     private static final RolloutPlan.Gate GATE = new RolloutPlan.Gate(0.05, 0.01, 0.05);
 
-    /** Found in a scenario with failing workers: a good version whose one instance was on one of them was taken back. */
+    /** Found in a scenario with failing workers: a good version with one instance there was rolled back. */
     @Test
     void findsAVersionWorseOnlyWhenItFailsOnMoreThanOneWorker() {
         VersionComparison comparison = new VersionComparison(GATE);
