Event-loop lag, timers and the policy factory in the router core

The platform needed the KServe router's package only for EventLoopLag, VertxTimers and Router.Maker. They move to pearladder.router.core; Router.Maker becomes PolicyFactory. The platform's arrow to the KServe router leaves the architecture check's known violations. Signal handling stays with the platform, which alone has it.

--- a/cli/src/main/java/pearladder/cli/PolicyChoice.java
+++ b/cli/src/main/java/pearladder/cli/PolicyChoice.java
@@ -1,7 +1,7 @@
 package pearladder.cli;
 
 import pearladder.baseline.RandomChoice;
-import pearladder.router.kserve.Router;
+import pearladder.router.core.PolicyFactory;
 import pearladder.routing.StickyFirstFitPolicy;
 
 /** Who decides in a router: the module, or a baseline that it is compared with. */
@@ -9,9 +9,9 @@
     MODULE(StickyFirstFitPolicy::new),
     RANDOM(RandomChoice::new);
 
-    final Router.Maker maker;
+    final PolicyFactory maker;
 
-    PolicyChoice(Router.Maker maker) {
+    PolicyChoice(PolicyFactory maker) {
         this.maker = maker;
     }
 }
--- a/cli/src/test/java/pearladder/architecture/ArchitectureTest.java
+++ b/cli/src/test/java/pearladder/architecture/ArchitectureTest.java
@@ -47,10 +47,6 @@
                     Layer.EVENTLOG,
                     "the router's configuration holds the event log's retention settings"),
             new KnownViolation(Layer.PLATFORM, Layer.KSERVE, "request counts are kept by KServe's final states"),
-            new KnownViolation(
-                    Layer.PLATFORM,
-                    Layer.KSERVE_ROUTER,
-                    "event-loop lag, timers and the interface that makes a policy are the KServe router's"),
             new KnownViolation(
                     Layer.SETTINGS,
                     Layer.DECISIONS,
--- a/kserve-router/src/main/java/pearladder/router/kserve/VertxTimers.java
+++ b/kserve-router/src/main/java/pearladder/router/core/VertxTimers.java
@@ -1,18 +1,19 @@
-package pearladder.router.kserve;
+package pearladder.router.core;
 
 import io.vertx.core.Vertx;
-import pearladder.router.core.Timers;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
 
-/** Timers of the event loop, and the machine's monotonic clock. */
+/** Timers of a Vert.x event loop, and the machine's monotonic clock. */
 public final class VertxTimers implements Timers {
     private final Vertx vertx;
 
+    /** Creates timers that run on the event loop that sets them. */
     public VertxTimers(Vertx vertx) {
         this.vertx = vertx;
     }
 
+    /** The time by the machine's monotonic clock. */
     public static MonotonicTime present() {
         return new MonotonicTime(System.nanoTime());
     }
@@ -23,8 +24,8 @@
     }
 
     @Override
-    public Timer after(TimeSpan span, Runnable what) {
-        long timer = vertx.setTimer(Timers.millis(span), fired -> what.run());
-        return () -> vertx.cancelTimer(timer);
+    public Timer after(TimeSpan delay, Runnable task) {
+        long timerId = vertx.setTimer(Timers.millis(delay), firedId -> task.run());
+        return () -> vertx.cancelTimer(timerId);
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/InferenceServer.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/InferenceServer.java
@@ -16,6 +16,7 @@
 import pearladder.router.core.RequestManager;
 import pearladder.router.core.RolloutManager;
 import pearladder.router.core.RouterConfig;
+import pearladder.router.core.VertxTimers;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
--- a/kserve-router/src/main/java/pearladder/router/kserve/Router.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/Router.java
@@ -16,13 +16,15 @@
 import pearladder.kserve.DiscoveryMessage;
 import pearladder.router.core.ActiveRequest;
 import pearladder.router.core.EventListener;
+import pearladder.router.core.EventLoopLag;
+import pearladder.router.core.PolicyFactory;
 import pearladder.router.core.RequestManager;
 import pearladder.router.core.RolloutManager;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.SnapshotLoader;
+import pearladder.router.core.VertxTimers;
 import pearladder.routing.api.Event;
 import pearladder.routing.api.RoutingPolicy;
-import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.PolicySnapshot;
 
@@ -31,11 +33,6 @@
  * event loop. It is made, started, stopped once. What it does with calls is in {@link RequestManager}.
  */
 public final class Router implements InferenceServer.House, EndpointWatch.Listener {
-    /** Makes the module's instance. */
-    public interface Maker {
-        RoutingPolicy make(long seed, RoutingSettings facts);
-    }
-
     private static final Logger LOG = LoggerFactory.getLogger(Router.class);
     private static final int WRITING_AT_STOP_SECONDS = 5;
     private static final long SNAPSHOT_MILLIS = 1000;
@@ -63,7 +60,7 @@
     private int adminPort;
     private long numbered;
 
-    private Router(RouterConfig articles, Maker maker, long seed) throws IOException {
+    private Router(RouterConfig articles, PolicyFactory policyFactory, long seed) throws IOException {
         this.articles = articles;
         RolloutJournal orders = RolloutJournal.open(articles.data());
         this.vertx = Vertx.vertx(new VertxOptions()
@@ -79,7 +76,7 @@
         this.pulse = new EventLoopLag(vertx);
         this.meters = new PrometheusMetrics(this::held, roster::size);
         this.watch = new EndpointWatch(vertx, articles.list(), articles.name(), this);
-        this.module = maker.make(seed, articles.facts());
+        this.module = policyFactory.make(seed, articles.facts());
         this.snapshot = new SnapshotFile(articles.data());
         this.recorder = articles.records() == null ? null : recorder(timers, orders);
         this.calls = new RequestManager(
@@ -115,10 +112,10 @@
      *
      * @param seed of the module's chance; a fresh one at every start
      */
-    public static Future<Router> start(RouterConfig articles, Maker maker, long seed) {
+    public static Future<Router> start(RouterConfig articles, PolicyFactory policyFactory, long seed) {
         Router router;
         try {
-            router = new Router(articles, maker, seed);
+            router = new Router(articles, policyFactory, seed);
         } catch (IOException unopened) {
             return Future.failedFuture(unopened);
         }
@@ -138,12 +135,13 @@
                                 router.pulse.begin();
                                 router.vertx.setPeriodic(100, beat -> router.work.strained(router.behind()));
                                 long begun = System.nanoTime();
-                                WarmUp.run(router.vertx, articles, maker, port).onComplete(warm -> {
-                                    router.warm = true;
-                                    LOG.atInfo()
-                                            .addKeyValue("ms", (System.nanoTime() - begun) / 1_000_000)
-                                            .log("warmed up");
-                                });
+                                WarmUp.run(router.vertx, articles, policyFactory, port)
+                                        .onComplete(warm -> {
+                                            router.warm = true;
+                                            LOG.atInfo()
+                                                    .addKeyValue("ms", (System.nanoTime() - begun) / 1_000_000)
+                                                    .log("warmed up");
+                                        });
                                 LOG.atInfo()
                                         .addKeyValue("router", articles.name())
                                         .addKeyValue("port", port)
--- a/kserve-router/src/main/java/pearladder/router/kserve/WarmUp.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/WarmUp.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.PoolOptions;
 import java.util.ArrayList;
 import java.util.List;
+import pearladder.router.core.PolicyFactory;
 import pearladder.router.core.RouterConfig;
 import pearladder.routing.api.Action;
 import pearladder.routing.api.Event;
@@ -33,10 +34,10 @@
     private WarmUp() {}
 
     /** Done once it is warm, or after a bound. */
-    static Future<Void> run(Vertx vertx, RouterConfig articles, Router.Maker maker, int port) {
+    static Future<Void> run(Vertx vertx, RouterConfig articles, PolicyFactory policyFactory, int port) {
         long until = System.nanoTime() + BOUND.nanos();
         Future<Void> rehearsed = vertx.executeBlocking(() -> {
-            rehearse(maker.make(0, articles.facts()), articles.facts(), until);
+            rehearse(policyFactory.make(0, articles.facts()), articles.facts(), until);
             return null;
         });
         HttpClient client = vertx.createHttpClient(
