Router core: standard names, one file's job each, comments in technical English

The core's fields, locals, parameters, comments and log lines still had the words of the earlier house style after the types were renamed. They get the field's names; ActiveRequest and ActiveAttempt build and cancel themselves; RequestManager and PolicyDriver are split into short methods.

--- a/router-core/src/main/java/pearladder/router/core/ActiveAttempt.java
+++ b/router-core/src/main/java/pearladder/router/core/ActiveAttempt.java
@@ -2,19 +2,44 @@
 
 import pearladder.routing.api.MonotonicTime;
 
-/** One sending of a call to an engine. */
+/** One attempt to have a request executed by a worker. */
 public final class ActiveAttempt {
     public final ActiveRequest request;
+    /** Counts the attempts of a request, from 0. */
     public final int number;
+
     public final String worker;
     final MonotonicTime sentAt;
+    /** Null until the worker client has taken the attempt. */
     WorkerClient.PendingSend pendingSend;
+
     boolean ended;
 
-    ActiveAttempt(ActiveRequest call, int number, String engine, MonotonicTime sent) {
-        this.request = call;
+    ActiveAttempt(ActiveRequest request, int number, String worker, MonotonicTime sentAt) {
+        this.request = request;
         this.number = number;
-        this.worker = engine;
-        this.sentAt = sent;
+        this.worker = worker;
+        this.sentAt = sentAt;
+    }
+
+    /** Stops waiting for the response; what the worker executes goes on or is cancelled there. */
+    void cancel() {
+        if (isPending()) {
+            pendingSend.cancel();
+        }
+    }
+
+    /**
+     * Ends the attempt if nothing of it has been sent yet. Guards against an attempt that leaves after its request
+     * was completed because its connection was established late.
+     */
+    void cancelUnsent() {
+        if (isPending()) {
+            pendingSend.takeBack();
+        }
+    }
+
+    private boolean isPending() {
+        return !ended && pendingSend != null;
     }
 }
--- a/router-core/src/main/java/pearladder/router/core/ActiveRequest.java
+++ b/router-core/src/main/java/pearladder/router/core/ActiveRequest.java
@@ -4,48 +4,57 @@
 import java.util.List;
 import pearladder.routing.api.MonotonicTime;
 
-/** A call that this router has taken: whose it is, where the answer goes, and the legs so far. */
+/** A request that this router has admitted: whose it is, who gets the response, and the attempts so far. */
 public final class ActiveRequest {
+    /** Unique within this router. */
     public final String id;
-    /** The client's own name for the call, handed on to engines; the router's id where it named none. */
+    /** The client's id of the request, passed on to workers; the router's id where the client gave none. */
     public final String clientRequestId;
 
     public final String function;
+    /** Null where the client gave none. */
     public final String idempotencyKey;
-    /** Empty where there are none. */
+    /** Empty where tenants are not distinguished. */
     public final String tenant;
 
     public final ResponseHandler responseHandler;
     final MonotonicTime admittedAt;
-    /** When an answer is still within the expected time. */
+    /** A response before this moment meets the latency objective. */
     final MonotonicTime objectiveAt;
 
     final RequestManager.CompletionListener completionListener;
-    /** Whether a leg ended with an engine's error. */
+    /** Whether an attempt ended with a worker's error. */
     boolean workerFailed;
 
     final List<ActiveAttempt> attempts = new ArrayList<>(2);
     int attemptsInFlight;
+    /** Whether the client has its final answer, or has disconnected. */
     boolean completed;
 
-    ActiveRequest(
-            String id,
-            String named,
-            String function,
-            RequestManager.CompletionListener ending,
-            String mark,
-            String account,
-            ResponseHandler reply,
-            MonotonicTime taken,
-            MonotonicTime expectedBy) {
+    ActiveRequest(String id, RequestManager.ParsedRequest parsed, ResponseHandler responseHandler) {
         this.id = id;
-        this.clientRequestId = named;
-        this.function = function;
-        this.completionListener = ending;
-        this.idempotencyKey = mark;
-        this.tenant = account;
-        this.responseHandler = reply;
-        this.admittedAt = taken;
-        this.objectiveAt = expectedBy;
+        this.clientRequestId = parsed.clientRequestId();
+        this.function = parsed.function();
+        this.completionListener = parsed.completionListener();
+        this.idempotencyKey = parsed.idempotencyKey();
+        this.tenant = parsed.tenant() == null ? "" : parsed.tenant();
+        this.responseHandler = responseHandler;
+        this.admittedAt = parsed.receivedAt();
+        this.objectiveAt = parsed.receivedAt().plus(parsed.requestClass().latencyObjective());
+    }
+
+    /** The workers that were sent an attempt, each once, in the order of the attempts. */
+    List<String> workers() {
+        return attempts.stream().map(attempt -> attempt.worker).distinct().toList();
+    }
+
+    /** A copy, because cancelling an attempt may end it and cause another one. */
+    List<ActiveAttempt> attemptsSoFar() {
+        return List.copyOf(attempts);
+    }
+
+    /** Whether nothing is owed to the client and no attempt is under way. */
+    boolean isFinished() {
+        return completed && attemptsInFlight == 0;
     }
 }
--- a/router-core/src/main/java/pearladder/router/core/EventListener.java
+++ b/router-core/src/main/java/pearladder/router/core/EventListener.java
@@ -4,40 +4,48 @@
 import pearladder.routing.api.Outcome;
 import pearladder.routing.api.TimeSpan;
 
-/** Hears what a router does, to keep a record of it. */
+/** Told what a router does, to keep a record of it. */
 public interface EventListener {
-    /** Hears nothing; orders go out at once. */
+    /** Records nothing; load requests are sent at once. */
     EventListener NONE = new EventListener() {
         @Override
-        public void onRequestEnded(ActiveRequest call, String how, TimeSpan took) {
-            // nothing is kept
+        public void onRequestEnded(ActiveRequest request, String ending, TimeSpan duration) {
+            // nothing is recorded
         }
 
         @Override
-        public void onAttemptEnded(ActiveAttempt leg, Outcome outcome, WorkerResponse said, TimeSpan took) {
-            // nothing is kept
+        public void onAttemptEnded(ActiveAttempt attempt, Outcome outcome, WorkerResponse response, TimeSpan duration) {
+            // nothing is recorded
         }
 
         @Override
-        public void beforeLoadRequest(String engine, String function, int copies, Consumer<String> answer) {
+        public void beforeLoadRequest(String worker, String function, int instances, Consumer<String> answer) {
             answer.accept("");
         }
 
         @Override
-        public void onLoadRequestEnded(String engine, String function, Outcome outcome, int copies, TimeSpan took) {
-            // nothing is kept
+        public void onLoadRequestEnded(
+                String worker, String function, Outcome outcome, int instances, TimeSpan duration) {
+            // nothing is recorded
         }
     };
 
-    /** A call ended: settled, dismissed, terminated or left. */
-    void onRequestEnded(ActiveRequest call, String how, TimeSpan took);
+    /** How {@link #onRequestEnded} names the end of a request whose client disconnected. */
+    String CLIENT_DISCONNECTED = "left";
 
-    /** @param said null where the engine said nothing */
-    void onAttemptEnded(ActiveAttempt leg, Outcome outcome, WorkerResponse said, TimeSpan took);
+    /** @param ending the {@linkplain CompletionStatus#code() code} of its status, or {@link #CLIENT_DISCONNECTED} */
+    void onRequestEnded(ActiveRequest request, String ending, TimeSpan duration);
 
-    /** An order is to go out; the answer is empty once it may, or says why it must not. It comes once, now or later. */
-    void beforeLoadRequest(String engine, String function, int copies, Consumer<String> answer);
+    /** @param response null where no complete response came */
+    void onAttemptEnded(ActiveAttempt attempt, Outcome outcome, WorkerResponse response, TimeSpan duration);
 
-    /** How an order ended, and how many copies the engine says it holds. */
-    void onLoadRequestEnded(String engine, String function, Outcome outcome, int copies, TimeSpan took);
+    /**
+     * A load request is about to be sent.
+     *
+     * @param answer called once, now or later: empty where the request may be sent, or says why it must not
+     */
+    void beforeLoadRequest(String worker, String function, int instances, Consumer<String> answer);
+
+    /** @param instances that are loaded on the worker now, as it says */
+    void onLoadRequestEnded(String worker, String function, Outcome outcome, int instances, TimeSpan duration);
 }
--- a/router-core/src/main/java/pearladder/router/core/EventLoopLag.java
+++ b/router-core/src/main/java/pearladder/router/core/EventLoopLag.java
@@ -3,9 +3,9 @@
 import io.vertx.core.Vertx;
 
 /**
- * Measures how late the event loop runs. A request that is read now may have waited that long in its socket, unseen, and a
- * response may leave that much later than decided; deadlines that ignored this would be too generous on a busy router.
- * Confined to the event loop.
+ * Measures how late the event loop runs. A request that is read now may have waited that long in its socket,
+ * unseen, and a response may leave that much later than decided; deadlines that ignored this would be too generous
+ * on a busy router. Confined to the event loop.
  */
 public final class EventLoopLag {
     private static final long TICK_MILLIS = 5;
--- a/router-core/src/main/java/pearladder/router/core/PolicyDriver.java
+++ b/router-core/src/main/java/pearladder/router/core/PolicyDriver.java
@@ -12,136 +12,144 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * Hands each event to the module and has its actions done, one event after the other: what an action causes at once
- * waits until the actions before it are done. Only the event loop calls it.
+ * Passes events to the routing policy and its actions to an {@link ActionHandler}, one event after the other: an
+ * event that an action causes at once waits until the actions before it are done.
  */
 final class PolicyDriver {
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.decisions");
+    /** After so long the policy gets a timer again on which it failed. */
+    private static final TimeSpan TIMER_RETRY_DELAY = TimeSpan.millis(100);
 
-    /** Does what the module asks of the world outside. */
+    /** Executes the policy's actions, except its timers and log lines. */
     interface ActionHandler {
-        void send(Action.SendAttempt send);
+        void send(Action.SendAttempt action);
 
-        void cancel(Action.CancelAttempt cancel);
+        void cancel(Action.CancelAttempt action);
 
-        void reject(Action.Reject dismiss);
+        void reject(Action.Reject action);
 
-        void fail(Action.Fail terminate);
+        void fail(Action.Fail action);
 
-        void checkHealth(Action.CheckHealth probe);
+        void checkHealth(Action.CheckHealth action);
 
-        void closeIdleConnections(Action.CloseIdleConnections close);
+        void closeIdleConnections(Action.CloseIdleConnections action);
 
-        void loadInstances(Action.LoadInstances hold);
+        void loadInstances(Action.LoadInstances action);
 
-        void unloadInstances(Action.UnloadInstances unload);
+        void unloadInstances(Action.UnloadInstances action);
 
-        void watchEndpoints(Action.WatchEndpoints subscribe);
+        void watchEndpoints(Action.WatchEndpoints action);
 
         void pollEndpoints();
 
-        void reportPrewarmProgress(Action.PrewarmProgress standing);
+        void reportPrewarmProgress(Action.PrewarmProgress action);
     }
 
-    private final Timers clock;
-    private final RoutingPolicy module;
-    private final RouterMetrics tally;
-    private final ActionHandler hands;
-    private final ArrayDeque<Event> events = new ArrayDeque<>();
-    private final Set<Timers.Timer> timers = new HashSet<>();
-    private boolean busy;
-    private boolean ended;
-
-    PolicyDriver(Timers clock, RoutingPolicy module, RouterMetrics tally, ActionHandler hands) {
-        this.clock = clock;
-        this.module = module;
-        this.tally = tally;
-        this.hands = hands;
+    private final Timers timers;
+    private final RoutingPolicy policy;
+    private final RouterMetrics metrics;
+    private final ActionHandler actionHandler;
+    private final ArrayDeque<Event> pendingEvents = new ArrayDeque<>();
+    private final Set<Timers.Timer> activeTimers = new HashSet<>();
+    private boolean dispatching;
+    private boolean stopped;
+
+    PolicyDriver(Timers timers, RoutingPolicy policy, RouterMetrics metrics, ActionHandler actionHandler) {
+        this.timers = timers;
+        this.policy = policy;
+        this.metrics = metrics;
+        this.actionHandler = actionHandler;
     }
 
-    /** Nothing more reaches the module. */
+    /** Cancels the timers; later events do not reach the policy. */
     void stop() {
-        ended = true;
-        timers.forEach(Timers.Timer::cancel);
+        stopped = true;
+        activeTimers.forEach(Timers.Timer::cancel);
     }
 
+    /** Has the policy handle an event, now or, where it is handling another one, after that one's actions. */
     void dispatch(Event event) {
-        events.add(event);
-        if (busy || ended) {
+        pendingEvents.add(event);
+        if (dispatching || stopped) {
             return;
         }
-        busy = true;
+        dispatching = true;
         try {
-            Event next;
-            while ((next = events.poll()) != null) {
-                List<Action> actions;
-                long begun = System.nanoTime();
-                try {
-                    actions = module.handle(clock.now(), next);
-                } catch (RuntimeException failure) {
-                    failed(next, failure);
-                    continue;
-                }
-                tally.onDecision(System.nanoTime() - begun);
-                actions.forEach(this::act);
+            for (Event next = pendingEvents.poll(); next != null; next = pendingEvents.poll()) {
+                decide(next).forEach(this::execute);
             }
         } finally {
-            busy = false;
+            dispatching = false;
         }
     }
 
-    /** Guards against a call that is never answered because the module failed on it: it promises nothing then. */
-    private void failed(Event event, RuntimeException failure) {
-        LOG.error("the module failed on {}", event, failure);
-        if (event instanceof Event.RequestArrived came) {
-            hands.fail(new Action.Fail(came.requestId()));
-        } else if (event instanceof Event.AttemptEnded ended && !ended.requestCompleted()) {
-            hands.fail(new Action.Fail(ended.requestId()));
-        } else if (event instanceof Event.TimerFired due) {
-            wake(new Action.SetTimer(clock.now().plus(TimeSpan.millis(100)), due.tag()));
+    /** The policy's actions on an event; none where it failed. */
+    private List<Action> decide(Event event) {
+        List<Action> actions;
+        long startedAt = System.nanoTime();
+        try {
+            actions = policy.handle(timers.now(), event);
+        } catch (RuntimeException failure) {
+            onPolicyFailure(event, failure);
+            return List.of();
+        }
+        metrics.onDecision(System.nanoTime() - startedAt);
+        return actions;
+    }
+
+    /** Guards against a request that is never answered because the policy failed on it: the request fails then. */
+    private void onPolicyFailure(Event event, RuntimeException failure) {
+        LOG.error("the policy failed on {}", event, failure);
+        if (event instanceof Event.RequestArrived arrived) {
+            actionHandler.fail(new Action.Fail(arrived.requestId()));
+        } else if (event instanceof Event.AttemptEnded attemptEnded && !attemptEnded.requestCompleted()) {
+            actionHandler.fail(new Action.Fail(attemptEnded.requestId()));
+        } else if (event instanceof Event.TimerFired timerFired) {
+            setTimer(new Action.SetTimer(timers.now().plus(TIMER_RETRY_DELAY), timerFired.tag()));
         }
     }
 
-    private void act(Action action) {
+    private void execute(Action action) {
         if (action instanceof Action.SendAttempt send) {
-            hands.send(send);
-        } else if (action instanceof Action.SetTimer wake) {
-            wake(wake);
-        } else if (action instanceof Action.Reject dismiss) {
-            hands.reject(dismiss);
-        } else if (action instanceof Action.Fail terminate) {
-            hands.fail(terminate);
+            actionHandler.send(send);
+        } else if (action instanceof Action.SetTimer setTimer) {
+            setTimer(setTimer);
+        } else if (action instanceof Action.Reject reject) {
+            actionHandler.reject(reject);
+        } else if (action instanceof Action.Fail fail) {
+            actionHandler.fail(fail);
         } else if (action instanceof Action.CancelAttempt cancel) {
-            hands.cancel(cancel);
-        } else if (action instanceof Action.LoadInstances hold) {
-            hands.loadInstances(hold);
+            actionHandler.cancel(cancel);
+        } else if (action instanceof Action.LoadInstances load) {
+            actionHandler.loadInstances(load);
         } else if (action instanceof Action.UnloadInstances unload) {
-            hands.unloadInstances(unload);
-        } else if (action instanceof Action.CheckHealth probe) {
-            hands.checkHealth(probe);
+            actionHandler.unloadInstances(unload);
+        } else if (action instanceof Action.CheckHealth check) {
+            actionHandler.checkHealth(check);
         } else if (action instanceof Action.CloseIdleConnections close) {
-            hands.closeIdleConnections(close);
-        } else if (action instanceof Action.WatchEndpoints subscribe) {
-            hands.watchEndpoints(subscribe);
-        } else if (action instanceof Action.PrewarmProgress standing) {
-            hands.reportPrewarmProgress(standing);
+            actionHandler.closeIdleConnections(close);
+        } else if (action instanceof Action.WatchEndpoints watch) {
+            actionHandler.watchEndpoints(watch);
+        } else if (action instanceof Action.PrewarmProgress progress) {
+            actionHandler.reportPrewarmProgress(progress);
         } else if (action instanceof Action.PollEndpoints) {
-            hands.pollEndpoints();
+            actionHandler.pollEndpoints();
         } else if (action instanceof Action.Log log) {
             LOG.info(log.text());
-            tally.onModeChange(log.text());
+            metrics.onModeChange(log.text());
         } else {
-            LOG.warn("not done, no way to: {}", action);
+            LOG.warn("this router can't execute {}", action);
         }
     }
 
-    /** Timers run in whole milliseconds: a wake comes at its time or up to a millisecond later. */
-    private void wake(Action.SetTimer wake) {
+    /** Timers run in whole milliseconds: one fires at its time or up to a millisecond later. */
+    private void setTimer(Action.SetTimer action) {
         Timers.Timer[] timer = {null};
-        timer[0] = clock.after(wake.dueAt().since(clock.now()).atLeast(TimeSpan.ZERO), () -> {
-            timers.remove(timer[0]);
-            dispatch(new Event.TimerFired(wake.tag()));
+        TimeSpan delay = action.dueAt().since(timers.now()).atLeast(TimeSpan.ZERO);
+        timer[0] = timers.after(delay, () -> {
+            activeTimers.remove(timer[0]);
+            dispatch(new Event.TimerFired(action.tag()));
         });
-        timers.add(timer[0]);
+        activeTimers.add(timer[0]);
     }
 }
--- a/router-core/src/main/java/pearladder/router/core/RequestManager.java
+++ b/router-core/src/main/java/pearladder/router/core/RequestManager.java
@@ -14,20 +14,26 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * The calls that a router holds: each is told to the module, its legs go out as the module says, and it gets its one final
- * answer. What the module decides is done here and nowhere else.
+ * The requests that a router has in flight. Each is reported to the routing policy, its attempts are sent as the
+ * policy decides, and its client gets one final answer.
  */
 public final class RequestManager implements PolicyDriver.ActionHandler {
     /**
-     * A call as it was understood at the door.
+     * A request as the server has parsed it.
      *
-     * @param named the name that workers see
-     * @param mark against repeats, or null
-     * @param account null where there are none
-     * @param lanes calls that a loaded copy runs at once
-     * @param usualLoad null where it is not known
-     * @param hint of its work, or null
-     * @param ending hears how it ended
+     * @param clientRequestId the id that workers see
+     * @param function that is to be executed
+     * @param idempotencyKey against duplicates, or null
+     * @param receivedAt when its first bytes were read
+     * @param timeLeft until its deadline
+     * @param requestClass with its latency objective and idempotency
+     * @param tenant null where tenants are not distinguished
+     * @param concurrency requests that an instance of the function executes at once
+     * @param memoryMb of an instance
+     * @param typicalLoadTime of an instance; null where it is not known
+     * @param workEstimate the client's estimate, or null
+     * @param clientRetry whether the client says that this is a retry
+     * @param completionListener told how the request ended
      */
     public record ParsedRequest(
             String clientRequestId,
@@ -44,318 +50,332 @@
             boolean clientRetry,
             CompletionListener completionListener) {}
 
-    /** Hears how a call ended: whoever chose its function wants to know. */
+    /** Told how a request ended. One of the two methods is called, once. */
     public interface CompletionListener {
-        /** Hears nothing. */
+        /** Ignores the end. */
         CompletionListener NONE = new CompletionListener() {
             @Override
-            public void onCompleted(boolean well, List<String> engines) {
-                // nobody asked
+            public void onCompleted(boolean successful, List<String> workers) {
+                // ignored
             }
 
             @Override
             public void onClientDisconnected() {
-                // nobody asked
+                // ignored
             }
         };
 
-        /** @param well settled, without a worker's error, within its expected time */
-        void onCompleted(boolean well, List<String> engines);
+        /**
+         * The request was answered.
+         *
+         * @param successful whether it succeeded within its latency objective and no attempt had a worker's error
+         * @param workers that were sent an attempt
+         */
+        void onCompleted(boolean successful, List<String> workers);
 
-        /** Its client left before its answer. */
+        /** The client disconnected before its request was answered. */
         void onClientDisconnected();
     }
 
-    /** Hears for what share of the load wanted ahead copies of a function stand. */
+    /** Told how far the prewarming of a function is. */
     public interface PrewarmListener {
+        /** @param share of the load that the loaded instances can take */
         void onProgress(String function, double share);
     }
 
     private static final Logger LOG = LoggerFactory.getLogger(RequestManager.class);
 
-    private final RoutingSettings facts;
+    private final RoutingSettings settings;
     private final Timers timers;
-    private final WorkerClient engines;
-    private final RouterMetrics tally;
-    private final EventListener chronicle;
-    private final PolicyDriver conductor;
-    private final Map<String, ActiveRequest> open = new HashMap<>();
-    private PrewarmListener standings = (function, share) -> {};
-    private long numbered;
-    private Runnable emptied;
-
-    /** @param chronicle hears what happens */
+    private final WorkerClient workerClient;
+    private final RouterMetrics metrics;
+    private final EventListener eventListener;
+    private final PolicyDriver policyDriver;
+    private final Map<String, ActiveRequest> activeRequests = new HashMap<>();
+    private PrewarmListener prewarmListener = (function, share) -> {};
+    private long requestCount;
+    /** Null unless somebody waits for the last request. */
+    private Runnable whenEmpty;
+
+    /**
+     * Creates a manager without requests.
+     *
+     * @param settings the same that the policy was created with
+     * @param eventListener told what happens, and asked before load requests
+     */
     public RequestManager(
-            RoutingSettings facts,
+            RoutingSettings settings,
             Timers timers,
-            RoutingPolicy module,
-            WorkerClient engines,
-            RouterMetrics tally,
-            EventListener chronicle) {
-        this.chronicle = chronicle;
-        this.facts = facts;
+            RoutingPolicy policy,
+            WorkerClient workerClient,
+            RouterMetrics metrics,
+            EventListener eventListener) {
+        this.settings = settings;
         this.timers = timers;
-        this.engines = engines;
-        this.tally = tally;
-        this.conductor = new PolicyDriver(timers, module, tally, this);
+        this.workerClient = workerClient;
+        this.metrics = metrics;
+        this.eventListener = eventListener;
+        this.policyDriver = new PolicyDriver(timers, policy, metrics, this);
     }
 
-    /** Who wants copies ahead; told once, before the first call. */
-    public void onPrewarmProgress(PrewarmListener wanted) {
-        standings = wanted;
+    /** Sets who is told of prewarming; called before the first request. */
+    public void onPrewarmProgress(PrewarmListener listener) {
+        prewarmListener = listener;
     }
 
-    /** Tells the module of something that happened. */
+    /** Reports an event to the policy. */
     public void dispatch(Event event) {
-        conductor.dispatch(event);
+        policyDriver.dispatch(event);
     }
 
-    /** Calls that are held now. */
+    /** Requests that are not answered yet, or have an attempt under way. */
     public int inFlight() {
-        return open.size();
+        return activeRequests.size();
     }
 
-    /** Nothing more reaches the module. */
+    /** Ends the policy's part: later events do not reach it. */
     public void stop() {
-        conductor.stop();
+        policyDriver.stop();
     }
 
-    /** Runs something once no call is held. */
-    public void whenEmpty(Runnable what) {
-        if (open.isEmpty()) {
-            what.run();
+    /** Runs a task once no request is in flight. */
+    public void whenEmpty(Runnable task) {
+        if (activeRequests.isEmpty()) {
+            task.run();
         } else {
-            emptied = what;
+            whenEmpty = task;
         }
     }
 
-    /** Gives every call that is held its answer: terminated. */
+    /** Answers every request in flight as failed. */
     public void failAll() {
-        List.copyOf(open.values()).forEach(call -> fail(new Action.Fail(call.id)));
+        List.copyOf(activeRequests.values()).forEach(request -> fail(new Action.Fail(request.id)));
     }
 
-    /** Takes a call; from here on it gets one final answer. */
-    public ActiveRequest accept(ParsedRequest asked, ResponseHandler reply) {
-        String id = Long.toString(++numbered);
-        ActiveRequest call = new ActiveRequest(
-                id,
-                asked.clientRequestId(),
-                asked.function(),
-                asked.completionListener(),
-                asked.idempotencyKey(),
-                asked.tenant() == null ? "" : asked.tenant(),
-                reply,
-                asked.receivedAt(),
-                asked.receivedAt().plus(asked.requestClass().latencyObjective()));
-        open.put(id, call);
-        conductor.dispatch(new Event.RequestArrived(
+    /** Admits a request; from here on it gets one final answer. */
+    public ActiveRequest accept(ParsedRequest parsed, ResponseHandler responseHandler) {
+        String id = Long.toString(++requestCount);
+        ActiveRequest request = new ActiveRequest(id, parsed, responseHandler);
+        activeRequests.put(id, request);
+        policyDriver.dispatch(new Event.RequestArrived(
                 id,
-                call.function,
-                asked.requestClass().name(),
-                asked.tenant(),
-                asked.timeLeft(),
-                asked.concurrency(),
-                asked.memoryMb(),
-                asked.typicalLoadTime(),
-                asked.workEstimate(),
-                asked.clientRetry(),
+                parsed.function(),
+                parsed.requestClass().name(),
+                parsed.tenant(),
+                parsed.timeLeft(),
+                parsed.concurrency(),
+                parsed.memoryMb(),
+                parsed.typicalLoadTime(),
+                parsed.workEstimate(),
+                parsed.clientRetry(),
                 false));
-        return call;
+        return request;
     }
 
-    /** The client is gone: nothing is owed any more, and what still runs for it is called off. */
-    public void clientDisconnected(ActiveRequest call) {
-        if (call.completed) {
+    /** The client has disconnected: it is owed no answer, and attempts under way are cancelled as far as allowed. */
+    public void clientDisconnected(ActiveRequest request) {
+        if (request.completed) {
             return;
         }
-        call.completed = true;
-        tally.onClientDisconnected();
-        chronicle.onRequestEnded(call, "left", timers.now().since(call.admittedAt));
-        call.completionListener.onClientDisconnected();
-        conductor.dispatch(new Event.ClientDisconnected(call.id));
-        List.copyOf(call.attempts).forEach(facts.attemptLimits().cancel() ? this::cancel : this::takeBack);
-        forget(call);
+        request.completed = true;
+        metrics.onClientDisconnected();
+        eventListener.onRequestEnded(
+                request, EventListener.CLIENT_DISCONNECTED, timers.now().since(request.admittedAt));
+        request.completionListener.onClientDisconnected();
+        policyDriver.dispatch(new Event.ClientDisconnected(request.id));
+        boolean cancelsSent = settings.attemptLimits().cancel();
+        request.attemptsSoFar().forEach(cancelsSent ? ActiveAttempt::cancel : ActiveAttempt::cancelUnsent);
+        removeIfFinished(request);
     }
 
-    private void forget(ActiveRequest call) {
-        if (call.completed && call.attemptsInFlight == 0 && open.remove(call.id) != null) {
-            call.responseHandler.released();
-            if (emptied != null && open.isEmpty()) {
-                Runnable then = emptied;
-                emptied = null;
-                then.run();
-            }
+    private void removeIfFinished(ActiveRequest request) {
+        if (request.isFinished() && activeRequests.remove(request.id) != null) {
+            request.responseHandler.released();
+            runWhenEmpty();
         }
     }
 
-    /** Whether a call still gets its one final answer, which is given now; false where it had one before. */
-    private boolean answers(ActiveRequest call, CompletionStatus state) {
-        if (call == null || call.completed) {
+    private void runWhenEmpty() {
+        if (whenEmpty != null && activeRequests.isEmpty()) {
+            Runnable task = whenEmpty;
+            whenEmpty = null;
+            task.run();
+        }
+    }
+
+    /**
+     * Marks a request as answered and reports it.
+     *
+     * @return whether the caller is to give the answer; false where there is no such request or it was answered
+     *     before
+     */
+    private boolean complete(ActiveRequest request, CompletionStatus status) {
+        if (request == null || request.completed) {
             return false;
         }
-        call.completed = true;
+        request.completed = true;
         MonotonicTime now = timers.now();
-        tally.onResponse(state, now.since(call.admittedAt).nanos());
-        chronicle.onRequestEnded(call, state.code(), now.since(call.admittedAt));
-        call.completionListener.onCompleted(
-                state == CompletionStatus.SUCCEEDED && !call.workerFailed && now.isBefore(call.objectiveAt),
-                call.attempts.stream().map(leg -> leg.worker).distinct().toList());
+        TimeSpan duration = now.since(request.admittedAt);
+        metrics.onResponse(status, duration.nanos());
+        eventListener.onRequestEnded(request, status.code(), duration);
+        boolean successful =
+                status == CompletionStatus.SUCCEEDED && !request.workerFailed && now.isBefore(request.objectiveAt);
+        request.completionListener.onCompleted(successful, request.workers());
         return true;
     }
 
-    // ---- what the module asks for
+    // ---- actions of the policy
 
     @Override
-    public void send(Action.SendAttempt send) {
-        ActiveRequest call = open.get(send.requestId());
-        if (call == null) {
-            LOG.error("a leg for a call that is not held: {}", send.requestId());
+    public void send(Action.SendAttempt action) {
+        ActiveRequest request = activeRequests.get(action.requestId());
+        if (request == null) {
+            LOG.error("the policy sends an attempt of request {}, which is not in flight", action.requestId());
             return;
         }
-        ActiveAttempt leg = new ActiveAttempt(call, call.attempts.size(), send.worker(), timers.now());
-        call.attempts.add(leg);
-        call.attemptsInFlight++;
-        if (call.completed) {
-            ended(leg, Outcome.VOID, null);
+        ActiveAttempt attempt = new ActiveAttempt(request, request.attempts.size(), action.worker(), timers.now());
+        request.attempts.add(attempt);
+        request.attemptsInFlight++;
+        if (request.completed) {
+            onAttemptEnded(attempt, Outcome.VOID, null);
         } else {
-            leg.pendingSend = engines.send(leg, send.timeout(), (outcome, said) -> ended(leg, outcome, said));
+            attempt.pendingSend = workerClient.send(
+                    attempt, action.timeout(), (outcome, response) -> onAttemptEnded(attempt, outcome, response));
         }
     }
 
-    private void ended(ActiveAttempt leg, Outcome outcome, WorkerResponse said) {
-        ActiveRequest call = leg.request;
-        leg.ended = true;
-        call.attemptsInFlight--;
-        tally.onAttemptEnded(outcome);
-        chronicle.onAttemptEnded(leg, outcome, said, timers.now().since(leg.sentAt));
-        call.workerFailed |=
-                outcome == Outcome.ERROR || said != null && said.instanceStatus() == Event.InstanceStatus.LOAD_FAILED;
-        if (outcome == Outcome.SUCCESS && answers(call, CompletionStatus.SUCCEEDED)) {
-            call.responseHandler.succeeded(said);
-            List.copyOf(call.attempts).forEach(this::takeBack);
+    private void onAttemptEnded(ActiveAttempt attempt, Outcome outcome, WorkerResponse response) {
+        ActiveRequest request = attempt.request;
+        attempt.ended = true;
+        request.attemptsInFlight--;
+        metrics.onAttemptEnded(outcome);
+        eventListener.onAttemptEnded(attempt, outcome, response, timers.now().since(attempt.sentAt));
+        request.workerFailed |= isWorkerFailure(outcome, response);
+        if (outcome == Outcome.SUCCESS && complete(request, CompletionStatus.SUCCEEDED)) {
+            request.responseHandler.succeeded(response);
+            request.attemptsSoFar().forEach(ActiveAttempt::cancelUnsent);
         }
-        conductor.dispatch(new Event.AttemptEnded(
-                call.id,
-                leg.number,
-                leg.worker,
-                outcome,
-                timers.now().since(leg.sentAt),
-                call.completed,
-                said == null ? Event.InstanceStatus.UNTOLD : said.instanceStatus(),
-                said == null ? -1 : said.concurrentRequests(),
-                said == null ? null : said.loadReport()));
-        forget(call);
+        policyDriver.dispatch(attemptEnded(attempt, outcome, response));
+        removeIfFinished(request);
     }
 
-    /**
-     * Guards against a leg that leaves after its call has ended, because its connection came up late: no allowance is needed
-     * for what no engine has heard of.
-     */
-    private void takeBack(ActiveAttempt leg) {
-        if (!leg.ended && leg.pendingSend != null) {
-            leg.pendingSend.takeBack();
-        }
+    private static boolean isWorkerFailure(Outcome outcome, WorkerResponse response) {
+        return outcome == Outcome.ERROR
+                || response != null && response.instanceStatus() == Event.InstanceStatus.LOAD_FAILED;
     }
 
-    private void cancel(ActiveAttempt leg) {
-        if (!leg.ended && leg.pendingSend != null) {
-            leg.pendingSend.cancel();
-        }
+    private Event.AttemptEnded attemptEnded(ActiveAttempt attempt, Outcome outcome, WorkerResponse response) {
+        return new Event.AttemptEnded(
+                attempt.request.id,
+                attempt.number,
+                attempt.worker,
+                outcome,
+                timers.now().since(attempt.sentAt),
+                attempt.request.completed,
+                response == null ? Event.InstanceStatus.UNTOLD : response.instanceStatus(),
+                response == null ? -1 : response.concurrentRequests(),
+                response == null ? null : response.loadReport());
     }
 
     @Override
-    public void cancel(Action.CancelAttempt cancel) {
-        ActiveRequest call = open.get(cancel.requestId());
-        if (call != null && cancel.attempt() < call.attempts.size()) {
-            cancel(call.attempts.get(cancel.attempt()));
+    public void cancel(Action.CancelAttempt action) {
+        ActiveRequest request = activeRequests.get(action.requestId());
+        if (request != null && action.attempt() < request.attempts.size()) {
+            request.attempts.get(action.attempt()).cancel();
         }
     }
 
     @Override
-    public void reject(Action.Reject dismiss) {
-        ActiveRequest call = open.get(dismiss.requestId());
-        if (answers(call, CompletionStatus.REJECTED)) {
-            call.responseHandler.rejected(dismiss.retryAfter());
+    public void reject(Action.Reject action) {
+        ActiveRequest request = activeRequests.get(action.requestId());
+        if (complete(request, CompletionStatus.REJECTED)) {
+            request.responseHandler.rejected(action.retryAfter());
         }
-        if (call != null) {
-            forget(call);
+        if (request != null) {
+            removeIfFinished(request);
         }
     }
 
     @Override
-    public void fail(Action.Fail terminate) {
-        ActiveRequest call = open.get(terminate.requestId());
-        if (answers(call, CompletionStatus.FAILED)) {
-            call.responseHandler.failed();
-            List.copyOf(call.attempts).forEach(this::takeBack);
+    public void fail(Action.Fail action) {
+        ActiveRequest request = activeRequests.get(action.requestId());
+        if (complete(request, CompletionStatus.FAILED)) {
+            request.responseHandler.failed();
+            request.attemptsSoFar().forEach(ActiveAttempt::cancelUnsent);
         }
-        if (call != null) {
-            forget(call);
+        if (request != null) {
+            removeIfFinished(request);
         }
     }
 
     @Override
-    public void loadInstances(Action.LoadInstances hold) {
-        chronicle.beforeLoadRequest(hold.worker(), hold.function(), hold.instances(), refusal -> {
+    public void loadInstances(Action.LoadInstances action) {
+        eventListener.beforeLoadRequest(action.worker(), action.function(), action.instances(), refusal -> {
             if (refusal.isEmpty()) {
-                order(hold);
+                sendLoadRequest(action);
             } else {
-                conductor.dispatch(
-                        new Event.LoadCompleted(hold.worker(), hold.function(), Outcome.VOID, 0, TimeSpan.ZERO));
+                policyDriver.dispatch(
+                        new Event.LoadCompleted(action.worker(), action.function(), Outcome.VOID, 0, TimeSpan.ZERO));
             }
         });
     }
 
-    private void order(Action.LoadInstances hold) {
-        MonotonicTime sent = timers.now();
-        tally.onLoadRequest();
-        engines.loadInstances(
-                hold.worker(),
-                hold.function(),
-                hold.instances(),
-                facts.instances().loadRequestTimeout(),
-                (outcome, copies) -> {
-                    TimeSpan took = timers.now().since(sent);
-                    chronicle.onLoadRequestEnded(hold.worker(), hold.function(), outcome, copies, took);
-                    conductor.dispatch(new Event.LoadCompleted(hold.worker(), hold.function(), outcome, copies, took));
-                });
+    private void sendLoadRequest(Action.LoadInstances action) {
+        MonotonicTime sentAt = timers.now();
+        metrics.onLoadRequest();
+        workerClient.loadInstances(
+                action.worker(),
+                action.function(),
+                action.instances(),
+                settings.instances().loadRequestTimeout(),
+                (outcome, instances) -> onLoadRequestEnded(action, sentAt, outcome, instances));
+    }
+
+    private void onLoadRequestEnded(Action.LoadInstances action, MonotonicTime sentAt, Outcome outcome, int instances) {
+        TimeSpan duration = timers.now().since(sentAt);
+        eventListener.onLoadRequestEnded(action.worker(), action.function(), outcome, instances, duration);
+        policyDriver.dispatch(
+                new Event.LoadCompleted(action.worker(), action.function(), outcome, instances, duration));
     }
 
     @Override
-    public void unloadInstances(Action.UnloadInstances unload) {
-        engines.unloadInstances(
-                unload.worker(), unload.function(), facts.instances().loadRequestTimeout());
+    public void unloadInstances(Action.UnloadInstances action) {
+        workerClient.unloadInstances(
+                action.worker(), action.function(), settings.instances().loadRequestTimeout());
     }
 
     @Override
-    public void checkHealth(Action.CheckHealth probe) {
-        MonotonicTime sent = timers.now();
-        engines.checkHealth(
-                probe.worker(),
-                facts.instances().loadRequestTimeout(),
-                (outcome, said) -> conductor.dispatch(new Event.HealthCheckCompleted(
-                        probe.worker(), outcome, timers.now().since(sent), said == null ? null : said.loadReport())));
+    public void checkHealth(Action.CheckHealth action) {
+        MonotonicTime sentAt = timers.now();
+        workerClient.checkHealth(
+                action.worker(),
+                settings.instances().loadRequestTimeout(),
+                (outcome, response) -> policyDriver.dispatch(new Event.HealthCheckCompleted(
+                        action.worker(),
+                        outcome,
+                        timers.now().since(sentAt),
+                        response == null ? null : response.loadReport())));
     }
 
     @Override
-    public void closeIdleConnections(Action.CloseIdleConnections close) {
-        engines.closeIdleConnections(close.worker());
+    public void closeIdleConnections(Action.CloseIdleConnections action) {
+        workerClient.closeIdleConnections(action.worker());
     }
 
     @Override
-    public void watchEndpoints(Action.WatchEndpoints subscribe) {
-        if (subscribe.enabled()) {
-            engines.watchEndpoints();
+    public void watchEndpoints(Action.WatchEndpoints action) {
+        if (action.enabled()) {
+            workerClient.watchEndpoints();
         }
     }
 
     @Override
-    public void reportPrewarmProgress(Action.PrewarmProgress standing) {
-        standings.onProgress(standing.function(), standing.share());
+    public void reportPrewarmProgress(Action.PrewarmProgress action) {
+        prewarmListener.onProgress(action.function(), action.share());
     }
 
     @Override
     public void pollEndpoints() {
-        engines.watchEndpoints();
+        workerClient.watchEndpoints();
     }
 }
--- a/router-core/src/main/java/pearladder/router/core/ResponseHandler.java
+++ b/router-core/src/main/java/pearladder/router/core/ResponseHandler.java
@@ -2,14 +2,19 @@
 
 import pearladder.routing.api.TimeSpan;
 
-/** Where the one final answer of a call goes. Each call gets one of the three, or none where its client left. */
+/** Gives a client the final answer to its request. Of the first three methods, one is called, once. */
 public interface ResponseHandler {
-    void succeeded(WorkerResponse said);
+    /** A worker has executed the request. */
+    void succeeded(WorkerResponse response);
 
+    /** The request was not executed, and the client may retry it. */
     void rejected(TimeSpan retryAfter);
 
+    /** No worker has answered; whether the request took effect is unknown. */
     void failed();
 
-    /** Nothing of the call is out any more, and nothing more will be told of it. */
+    /**
+     * The request is answered or its client has disconnected, and no attempt is under way: its buffers may be reused.
+     */
     default void released() {}
 }
--- a/router-core/src/main/java/pearladder/router/core/RouterMetrics.java
+++ b/router-core/src/main/java/pearladder/router/core/RouterMetrics.java
@@ -2,20 +2,23 @@
 
 import pearladder.routing.api.Outcome;
 
-/** Counts of what a router does. */
+/** Counts what a router does. */
 public interface RouterMetrics {
-    /** A final answer, so long after the call was taken. */
-    void onResponse(CompletionStatus state, long nanos);
+    /** A request was answered, so many nanoseconds after it was received. */
+    void onResponse(CompletionStatus status, long nanos);
 
+    /** An attempt ended. */
     void onAttemptEnded(Outcome outcome);
 
-    /** One decision of the module took so long. */
+    /** The routing policy took so many nanoseconds to handle one event. */
     void onDecision(long nanos);
 
-    /** A module told of a change of mode, with its figures. */
+    /** The routing policy logged a change of mode, with its figures. */
     void onModeChange(String text);
 
+    /** A client disconnected before its request was answered. */
     void onClientDisconnected();
 
+    /** A worker was asked to load instances. */
     void onLoadRequest();
 }
--- a/router-core/src/main/java/pearladder/router/core/SnapshotLoader.java
+++ b/router-core/src/main/java/pearladder/router/core/SnapshotLoader.java
@@ -11,39 +11,46 @@
 import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.PolicySnapshot;
 
-/** Asks the recovery module what of an earlier life the policy may start from. */
+/** Decides, by the rules of {@link SnapshotRecovery}, what of a snapshot the routing policy starts from. */
 public final class SnapshotLoader {
     private SnapshotLoader() {}
 
     /**
-     * What the policy is told after the remembered list.
+     * What the policy is told after the cached endpoint list.
      *
-     * @param then the snapshot, or null
-     * @param gap since it was taken, by the wall clock
-     * @param orders the ages of load orders that records tell
-     * @param whole whether the records tell all of them
-     * @param list the remembered list
+     * @param snapshot of the router's last run, or null
+     * @param age of the snapshot, by the wall clock
+     * @param loadRequestAges of the load requests in the event log
+     * @param logComplete whether the event log has all of them
+     * @param endpoints the cached endpoint list
      * @param log gets one line with figures
      */
     public static Event.SnapshotRestored event(
-            RoutingSettings facts,
-            PolicySnapshot then,
-            TimeSpan gap,
-            List<TimeSpan> orders,
-            boolean whole,
-            Event.EndpointsUpdated list,
+            RoutingSettings settings,
+            PolicySnapshot snapshot,
+            TimeSpan age,
+            List<TimeSpan> loadRequestAges,
+            boolean logComplete,
+            Event.EndpointsUpdated endpoints,
             MonotonicTime now,
             Consumer<String> log) {
-        Map<String, TimeSpan> up = new HashMap<>();
-        list.endpoints()
-                .forEach(listing ->
-                        up.put(listing.worker(), listing.startedAt() == null ? null : now.since(listing.startedAt())));
-        SnapshotRecovery.Believed believed = new SnapshotRecovery(
-                        facts.instances().idleTimeout(),
-                        facts.loadQuota().window(),
-                        facts.loadQuota().burst())
-                .after(new SnapshotRecovery.Found(then, gap, orders, whole, up));
-        log.accept(believed.why());
-        return new Event.SnapshotRestored(believed.known());
+        SnapshotRecovery recovery = new SnapshotRecovery(
+                settings.instances().idleTimeout(),
+                settings.loadQuota().window(),
+                settings.loadQuota().burst());
+        SnapshotRecovery.Believed recovered = recovery.after(
+                new SnapshotRecovery.Found(snapshot, age, loadRequestAges, logComplete, uptimes(endpoints, now)));
+        log.accept(recovered.why());
+        return new Event.SnapshotRestored(recovered.known());
+    }
+
+    /** How long each listed worker has been up; null where that is not known. */
+    private static Map<String, TimeSpan> uptimes(Event.EndpointsUpdated endpoints, MonotonicTime now) {
+        Map<String, TimeSpan> uptimes = new HashMap<>();
+        for (Event.Endpoint endpoint : endpoints.endpoints()) {
+            MonotonicTime startedAt = endpoint.startedAt();
+            uptimes.put(endpoint.worker(), startedAt == null ? null : now.since(startedAt));
+        }
+        return uptimes;
     }
 }
--- a/router-core/src/main/java/pearladder/router/core/Timers.java
+++ b/router-core/src/main/java/pearladder/router/core/Timers.java
@@ -3,20 +3,22 @@
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
 
-/** Time as a router knows it: which moment it is, and what happens later. One thread calls all of it. */
+/** A router's clock and timers. Tasks run on the thread that sets them. */
 public interface Timers {
-    /** Something that will happen; calling it off twice, or after it happened, does nothing. */
+    /** A task that will run later. */
     interface Timer {
+        /** Cancels the task; has no effect once it has run or was cancelled. */
         void cancel();
     }
 
+    /** The current time. */
     MonotonicTime now();
 
-    /** Runs something after a span; spans are rounded up to whole milliseconds, and one is the least. */
-    Timer after(TimeSpan span, Runnable what);
+    /** Runs a task once after a delay, which is rounded up to whole milliseconds and is one at the least. */
+    Timer after(TimeSpan delay, Runnable task);
 
-    /** A span as timers keep it, in milliseconds. */
-    static long millis(TimeSpan span) {
-        return Math.max(1, (span.nanos() + 999_999) / 1_000_000);
+    /** A delay in milliseconds, as timers keep it. */
+    static long millis(TimeSpan delay) {
+        return Math.max(1, (delay.nanos() + 999_999) / 1_000_000);
     }
 }
--- a/router-core/src/main/java/pearladder/router/core/WorkerClient.java
+++ b/router-core/src/main/java/pearladder/router/core/WorkerClient.java
@@ -4,13 +4,14 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * The way to the engines. Outcomes prove what they claim: unreachable and void are said only where nothing of a call left.
- * Each thing that is begun ends once, at the latest at its limit; it may end before the call that began it returns.
+ * The router's connections to its workers. {@link Outcome#UNREACHABLE} and {@link Outcome#VOID} are reported only
+ * where nothing of a request was sent. Everything that is begun ends once, at the latest at its timeout; it may
+ * end before the method that began it returns.
  */
 public interface WorkerClient {
-    /** A leg on its way. */
+    /** An attempt that is under way. */
     interface PendingSend {
-        /** Nothing is on its way: it ended at once. */
+        /** An attempt that ended before {@link WorkerClient#send} returned. */
         PendingSend NONE = new PendingSend() {
             @Override
             public void cancel() {
@@ -23,36 +24,40 @@
             }
         };
 
-        /** Ceases to wait for it. */
+        /** Stops waiting for the response. */
         void cancel();
 
-        /** Ends it unsent where nothing of it has left yet; what has left goes on. */
+        /** Ends the attempt if nothing of it has been sent yet; otherwise it goes on. */
         void takeBack();
     }
 
-    /** How a leg ended; said is null where no whole answer came. */
+    /** Told once how an attempt or a health check ended. */
     interface AttemptListener {
-        void end(Outcome outcome, WorkerResponse said);
+        /** @param response null where no complete response came */
+        void end(Outcome outcome, WorkerResponse response);
     }
 
-    /** How an order ended, and how many copies stand. */
+    /** Told once how a load request ended. */
     interface LoadListener {
-        void end(Outcome outcome, int copies);
+        /** @param instances that are loaded on the worker now */
+        void end(Outcome outcome, int instances);
     }
 
-    /** Sends a leg. To an engine that is not listed it ends unsent. */
-    PendingSend send(ActiveAttempt leg, TimeSpan limit, AttemptListener ended);
+    /** Sends an attempt to its worker; to one that is not listed it ends unsent. */
+    PendingSend send(ActiveAttempt attempt, TimeSpan timeout, AttemptListener listener);
 
-    /** Orders copies, or with 0 asks how many stand. */
-    void loadInstances(String engine, String function, int copies, TimeSpan limit, LoadListener ended);
+    /** Asks a worker to load instances of a function, or with 0 how many it has. */
+    void loadInstances(String worker, String function, int instances, TimeSpan timeout, LoadListener listener);
 
-    /** Has the idle copies of a function unloaded; nobody waits for the answer. */
-    void unloadInstances(String engine, String function, TimeSpan limit);
+    /** Asks a worker to unload its idle instances of a function; the response is not awaited. */
+    void unloadInstances(String worker, String function, TimeSpan timeout);
 
-    void checkHealth(String engine, TimeSpan limit, AttemptListener ended);
+    /** Asks a worker whether it is healthy. */
+    void checkHealth(String worker, TimeSpan timeout, AttemptListener listener);
 
-    void closeIdleConnections(String engine);
+    /** Closes the connections to a worker that carry no request. */
+    void closeIdleConnections(String worker);
 
-    /** Watches the list of engines; does nothing where it is watched already. */
+    /** Watches the endpoint list; has no effect where it is watched already. */
     void watchEndpoints();
 }
--- a/router-core/src/main/java/pearladder/router/core/WorkerResponse.java
+++ b/router-core/src/main/java/pearladder/router/core/WorkerResponse.java
@@ -3,16 +3,17 @@
 import pearladder.routing.api.Event;
 import pearladder.routing.api.Outcome;
 
-/** What an engine's whole answer says to the module. */
+/** What a worker's complete response tells the routing policy. */
 public interface WorkerResponse {
+    /** How the attempt ended. */
     Outcome outcome();
 
-    /** How the call met its copy. */
+    /** Whether the request found an instance loaded. */
     Event.InstanceStatus instanceStatus();
 
-    /** Calls of the same function that the engine held; -1 where it is not told. */
+    /** Requests for the same function that the worker had in flight; -1 where it does not say. */
     int concurrentRequests();
 
-    /** Its load report, or null. */
+    /** The worker's load report, or null. */
     Event.WorkerLoadReport loadReport();
 }
