--- /dev/null
+++ b/router-core/src/main/java/pearladder/router/core/PolicyDriver.java
@@ -0,0 +1,155 @@
+package pearladder.router.core;
+
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.routing.api.TimeSpan;
+
+/**
+ * Passes events to the routing policy and its actions to an {@link ActionHandler}, one event after the other: an
+ * event that an action causes at once waits until the actions before it are done.
+ */
+final class PolicyDriver {
+    private static final Logger LOG = LoggerFactory.getLogger("pearladder.decisions");
+    /** After so long the policy gets a timer again on which it failed. */
+    private static final TimeSpan TIMER_RETRY_DELAY = TimeSpan.millis(100);
+
+    /** Executes the policy's actions, except its timers and log lines. */
+    interface ActionHandler {
+        void send(Action.SendAttempt action);
+
+        void cancel(Action.CancelAttempt action);
+
+        void reject(Action.Reject action);
+
+        void fail(Action.Fail action);
+
+        void checkHealth(Action.CheckHealth action);
+
+        void closeIdleConnections(Action.CloseIdleConnections action);
+
+        void loadInstances(Action.LoadInstances action);
+
+        void unloadInstances(Action.UnloadInstances action);
+
+        void watchEndpoints(Action.WatchEndpoints action);
+
+        void pollEndpoints();
+
+        void reportPrewarmProgress(Action.PrewarmProgress action);
+    }
+
+    private final Timers timers;
+    private final RoutingPolicy policy;
+    private final RouterMetrics metrics;
+    private final ActionHandler actionHandler;
+    private final ArrayDeque<Event> pendingEvents = new ArrayDeque<>();
+    private final Set<Timers.Timer> activeTimers = new HashSet<>();
+    private boolean dispatching;
+    private boolean stopped;
+
+    PolicyDriver(Timers timers, RoutingPolicy policy, RouterMetrics metrics, ActionHandler actionHandler) {
+        this.timers = timers;
+        this.policy = policy;
+        this.metrics = metrics;
+        this.actionHandler = actionHandler;
+    }
+
+    /** Cancels the timers; later events do not reach the policy. */
+    void stop() {
+        stopped = true;
+        activeTimers.forEach(Timers.Timer::cancel);
+    }
+
+    /** Has the policy handle an event, now or, where it is handling another one, after that one's actions. */
+    void dispatch(Event event) {
+        pendingEvents.add(event);
+        if (dispatching || stopped) {
+            return;
+        }
+        dispatching = true;
+        try {
+            for (Event next = pendingEvents.poll(); next != null; next = pendingEvents.poll()) {
+                decide(next).forEach(this::execute);
+            }
+        } finally {
+            dispatching = false;
+        }
+    }
+
+    /** The policy's actions on an event; none where it failed. */
+    private List<Action> decide(Event event) {
+        List<Action> actions;
+        long startedAt = System.nanoTime();
+        try {
+            actions = policy.handle(timers.now(), event);
+        } catch (RuntimeException failure) {
+            onPolicyFailure(event, failure);
+            return List.of();
+        }
+        metrics.onDecision(System.nanoTime() - startedAt);
+        return actions;
+    }
+
+    /** Guards against a request that is never answered because the policy failed on it: the request fails then. */
+    private void onPolicyFailure(Event event, RuntimeException failure) {
+        LOG.error("the policy failed on {}", event, failure);
+        if (event instanceof Event.RequestArrived arrived) {
+            actionHandler.fail(new Action.Fail(arrived.requestId()));
+        } else if (event instanceof Event.AttemptEnded attemptEnded && !attemptEnded.requestCompleted()) {
+            actionHandler.fail(new Action.Fail(attemptEnded.requestId()));
+        } else if (event instanceof Event.TimerFired timerFired) {
+            setTimer(new Action.SetTimer(timers.now().plus(TIMER_RETRY_DELAY), timerFired.tag()));
+        }
+    }
+
+    private void execute(Action action) {
+        if (action instanceof Action.SendAttempt send) {
+            actionHandler.send(send);
+        } else if (action instanceof Action.SetTimer setTimer) {
+            setTimer(setTimer);
+        } else if (action instanceof Action.Reject reject) {
+            actionHandler.reject(reject);
+        } else if (action instanceof Action.Fail fail) {
+            actionHandler.fail(fail);
+        } else if (action instanceof Action.CancelAttempt cancel) {
+            actionHandler.cancel(cancel);
+        } else if (action instanceof Action.LoadInstances load) {
+            actionHandler.loadInstances(load);
+        } else if (action instanceof Action.UnloadInstances unload) {
+            actionHandler.unloadInstances(unload);
+        } else if (action instanceof Action.CheckHealth check) {
+            actionHandler.checkHealth(check);
+        } else if (action instanceof Action.CloseIdleConnections close) {
+            actionHandler.closeIdleConnections(close);
+        } else if (action instanceof Action.WatchEndpoints watch) {
+            actionHandler.watchEndpoints(watch);
+        } else if (action instanceof Action.PrewarmProgress progress) {
+            actionHandler.reportPrewarmProgress(progress);
+        } else if (action instanceof Action.PollEndpoints) {
+            actionHandler.pollEndpoints();
+        } else if (action instanceof Action.Log log) {
+            LOG.info(log.text());
+            metrics.onModeChange(log.text());
+        } else {
+            LOG.warn("this router can't execute {}", action);
+        }
+    }
+
+    /** Timers run in whole milliseconds: one fires at its time or up to a millisecond later. */
+    private void setTimer(Action.SetTimer action) {
+        Timers.Timer[] timer = {null};
+        TimeSpan delay = action.dueAt().since(timers.now()).atLeast(TimeSpan.ZERO);
+        timer[0] = timers.after(delay, () -> {
+            activeTimers.remove(timer[0]);
+            dispatch(new Event.TimerFired(action.tag()));
+        });
+        activeTimers.add(timer[0]);
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/pearladder/router/core/SnapshotLoader.java
@@ -0,0 +1,56 @@
+package pearladder.router.core;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import pearladder.recovery.SnapshotRecovery;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.TimeSpan;
+import pearladder.routing.state.PolicySnapshot;
+
+/** Decides, by the rules of {@link SnapshotRecovery}, what of a snapshot the routing policy starts from. */
+public final class SnapshotLoader {
+    private SnapshotLoader() {}
+
+    /**
+     * What the policy is told after the cached endpoint list.
+     *
+     * @param snapshot of the router's last run, or null
+     * @param age of the snapshot, by the wall clock
+     * @param loadRequestAges of the load requests in the event log
+     * @param logComplete whether the event log has all of them
+     * @param endpoints the cached endpoint list
+     * @param log gets one line with figures
+     */
+    public static Event.SnapshotRestored event(
+            RoutingSettings settings,
+            PolicySnapshot snapshot,
+            TimeSpan age,
+            List<TimeSpan> loadRequestAges,
+            boolean logComplete,
+            Event.EndpointsUpdated endpoints,
+            MonotonicTime now,
+            Consumer<String> log) {
+        SnapshotRecovery recovery = new SnapshotRecovery(
+                settings.instances().idleTimeout(),
+                settings.loadQuota().window(),
+                settings.loadQuota().burst());
+        SnapshotRecovery.Believed recovered = recovery.after(
+                new SnapshotRecovery.Found(snapshot, age, loadRequestAges, logComplete, uptimes(endpoints, now)));
+        log.accept(recovered.why());
+        return new Event.SnapshotRestored(recovered.known());
+    }
+
+    /** How long each listed worker has been up; null where that is not known. */
+    private static Map<String, TimeSpan> uptimes(Event.EndpointsUpdated endpoints, MonotonicTime now) {
+        Map<String, TimeSpan> uptimes = new HashMap<>();
+        for (Event.Endpoint endpoint : endpoints.endpoints()) {
+            MonotonicTime startedAt = endpoint.startedAt();
+            uptimes.put(endpoint.worker(), startedAt == null ? null : now.since(startedAt));
+        }
+        return uptimes;
+    }
+}
--- /dev/null
+++ b/router-core/src/main/java/pearladder/router/core/Timers.java
@@ -0,0 +1,24 @@
+package pearladder.router.core;
+
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
+
+/** A router's clock and timers. Tasks run on the thread that sets them. */
+public interface Timers {
+    /** A task that will run later. */
+    interface Timer {
+        /** Cancels the task; has no effect once it has run or was cancelled. */
+        void cancel();
+    }
+
+    /** The current time. */
+    MonotonicTime now();
+
+    /** Runs a task once after a delay, which is rounded up to whole milliseconds and is one at the least. */
+    Timer after(TimeSpan delay, Runnable task);
+
+    /** A delay in milliseconds, as timers keep it. */
+    static long millis(TimeSpan delay) {
+        return Math.max(1, (delay.nanos() + 999_999) / 1_000_000);
+    }
+}
