--- a/emulator/src/main/java/pearladder/emulator/EndpointRegistry.java
+++ b/emulator/src/main/java/pearladder/emulator/EndpointRegistry.java
@@ -44,7 +44,7 @@
     }
 
     /** How late changes are told, in nanoseconds. */
-    public void lag(long nanos) {
+    public void setLag(long nanos) {
         lag = nanos;
     }
 
@@ -52,16 +52,16 @@
     public void silent(boolean on) {
         silent = on;
         if (!on) {
-            watchers.forEach(watcher -> tell(watcher, whole()));
+            watchers.forEach(watcher -> tell(watcher, snapshot()));
         }
     }
 
     /** Two truths: some routers are told that some engines are gone, and the others that they are not; none mends it. */
-    public void split(Set<String> routers, Set<String> engines) {
+    public void setSplitView(Set<String> routers, Set<String> engines) {
         misled = Set.copyOf(routers);
         hidden = Set.copyOf(engines);
         if (!silent) {
-            watchers.forEach(watcher -> tell(watcher, whole()));
+            watchers.forEach(watcher -> tell(watcher, snapshot()));
         }
     }
 
@@ -97,7 +97,7 @@
     }
 
     /** The whole list as it is known now. */
-    public DiscoveryMessage whole() {
+    public DiscoveryMessage snapshot() {
         return new DiscoveryMessage(DiscoveryMessage.Kind.WHOLE, version, List.copyOf(entries.values()));
     }
 
@@ -116,17 +116,17 @@
                                     DiscoveryMessage.Kind.CHANGES,
                                     version,
                                     List.copyOf(history.tailMap(from, false).values()))
-                            : whole());
+                            : snapshot());
         }
         return watcher;
     }
 
-    public void leave(Watcher watcher) {
+    public void removeWatcher(Watcher watcher) {
         watchers.remove(watcher);
     }
 
     /** A sign of life to every router. */
-    public void beat() {
+    public void sendHeartbeat() {
         if (!silent) {
             DiscoveryMessage line = new DiscoveryMessage(DiscoveryMessage.Kind.BEAT, version, List.of());
             watchers.forEach(watcher -> watcher.out.accept(line));
--- a/emulator/src/main/java/pearladder/emulator/FleetPlan.java
+++ b/emulator/src/main/java/pearladder/emulator/FleetPlan.java
@@ -14,8 +14,8 @@
  */
 public record FleetPlan(
         long seed,
-        double shelfCapacity,
-        int shelfLimit,
+        double modelStoreCapacity,
+        int modelStoreFetchLimit,
         long lagNanos,
         boolean cables,
         List<ModelKind> models,
@@ -76,7 +76,7 @@
                 kind.at("images").flag(false),
                 kind.at("cancel_stops").flag(true),
                 kind.at("remembered").span("8 s"),
-                kind.at("remembered_by").word(WorkerKind.Group.class, WorkerKind.Group.ALL),
+                kind.at("remembered_by").word(WorkerKind.IdempotencyScope.class, WorkerKind.IdempotencyScope.ALL),
                 cold.at("start_share").number(0.3, 0.01, 1),
                 cold.at("warm_after").span("15 s"),
                 cold.at("fall_multiple").number(2.5, 1, 100),
--- a/emulator/src/main/java/pearladder/emulator/IdempotencyCache.java
+++ b/emulator/src/main/java/pearladder/emulator/IdempotencyCache.java
@@ -4,28 +4,35 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** The marks that a group of engines has seen: a repeat of one is dropped for so long after the first run. */
+/** The idempotency keys that a group of workers has run: a duplicate is dropped for so long after the first run. */
 public final class IdempotencyCache {
     private final Timeline time;
-    private final long rememberedNanos;
-    private final Map<String, Long> until = new LinkedHashMap<>();
+    private final long windowNanos;
+    /** When each key expires; all stay equally long, so the oldest come first. */
+    private final Map<String, Long> expiresAt = new LinkedHashMap<>();
 
-    public IdempotencyCache(Timeline time, long rememberedNanos) {
+    /** A cache that keeps each key for so many nanoseconds. */
+    public IdempotencyCache(Timeline time, long windowNanos) {
         this.time = time;
-        this.rememberedNanos = rememberedNanos;
+        this.windowNanos = windowNanos;
     }
 
-    boolean has(String mark) {
-        Iterator<Long> oldest = until.values().iterator();
-        while (oldest.hasNext() && oldest.next() < time.now()) {
-            oldest.remove();
+    /** Whether the key has run within the window; the empty key never has. */
+    boolean contains(String key) {
+        removeExpired();
+        return !key.isEmpty() && expiresAt.containsKey(key);
+    }
+
+    private void removeExpired() {
+        Iterator<Long> oldestFirst = expiresAt.values().iterator();
+        while (oldestFirst.hasNext() && oldestFirst.next() < time.now()) {
+            oldestFirst.remove();
         }
-        return !mark.isEmpty() && until.containsKey(mark);
     }
 
-    void add(String mark) {
-        if (!mark.isEmpty()) {
-            until.putIfAbsent(mark, time.now() + rememberedNanos);
+    void add(String key) {
+        if (!key.isEmpty()) {
+            expiresAt.putIfAbsent(key, time.now() + windowNanos);
         }
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/ModelKind.java
+++ b/emulator/src/main/java/pearladder/emulator/ModelKind.java
@@ -17,12 +17,12 @@
 public record ModelKind(
         String pattern,
         double memoryMb,
-        int lanes,
+        int concurrency,
         long fetchNanos,
         long startNanos,
         long workNanos,
-        double failing,
-        double times) {
+        double failureShare,
+        double workMultiplier) {
     /** Whether the name belongs to it. */
     public boolean matches(String name) {
         return Route.matches(pattern, name);
--- a/emulator/src/main/java/pearladder/emulator/ModelStore.java
+++ b/emulator/src/main/java/pearladder/emulator/ModelStore.java
@@ -31,18 +31,18 @@
     }
 
     /** Runs so many times slower, 1 for the usual. */
-    public void slow(double times) {
+    public void setSlowdown(double times) {
         advance();
         slowness = Math.max(1, times);
         plan();
     }
 
-    public void refuse(boolean all) {
+    public void setRejectingAll(boolean all) {
         refusing = all;
     }
 
     /** What it serves is damaged: a fetch takes its time and brings nothing that starts. */
-    public void damage(boolean on) {
+    public void setServingDamagedImages(boolean on) {
         damaged = on;
     }
 
--- a/emulator/src/main/java/pearladder/emulator/Observation.java
+++ b/emulator/src/main/java/pearladder/emulator/Observation.java
@@ -57,8 +57,9 @@
     /** By the day: a trouble began; figure is its span in nanoseconds. */
     public static final String TROUBLE = "trouble";
 
-    /** A line about one leg. */
-    static Observation leg(long at, String what, WorkerModel.Asked asked, String engine, String note) {
-        return new Observation(at, what, asked.router(), asked.call(), asked.leg(), engine, asked.model(), note, 0);
+    /** An observation of one attempt at a worker. */
+    static Observation ofAttempt(long at, String what, WorkerRequest request, String worker, String note) {
+        return new Observation(
+                at, what, request.router(), request.requestId(), request.attempt(), worker, request.model(), note, 0);
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/WorkerKind.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerKind.java
@@ -23,21 +23,21 @@
         int cores,
         double speed,
         double memoryMb,
-        int loaders,
-        int queue,
-        long keptNanos,
-        boolean ownCopies,
-        boolean images,
-        boolean cancelStops,
-        long rememberedNanos,
-        Group rememberedBy,
-        double startShare,
-        long warmNanos,
-        double fallMultiple,
-        long fallNanos,
-        long reportNanos) {
+        int concurrentLoads,
+        int queueLimit,
+        long idleTimeoutNanos,
+        boolean scalesUpByItself,
+        boolean cachesImages,
+        boolean stopsOnCancel,
+        long idempotencyWindowNanos,
+        IdempotencyScope idempotencyScope,
+        double coldCapacityShare,
+        long warmUpNanos,
+        double overloadMultiple,
+        long overloadWindowNanos,
+        long reportIntervalNanos) {
     /** Engines that share their marks. */
-    public enum Group {
+    public enum IdempotencyScope {
         ALL,
         HALL,
         CELL
--- a/emulator/src/main/java/pearladder/emulator/WorkerModel.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerModel.java
@@ -2,660 +2,393 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
-import java.util.function.Function;
+import java.util.stream.Stream;
 import pearladder.kserve.LoadReport;
-import pearladder.kserve.Route;
 
 /**
- * A stand-in engine. Running calls share its cores (processor sharing, each at most one core); a call whose model has no
- * free lane waits; a missing model is loaded: fetched from the shelf, then started.
+ * The model of a worker. Running requests share its cores; a request whose model has no free slot waits in the queue; a
+ * missing model is loaded, that is, fetched from the model store and then started. Faults are set from outside.
  */
 public final class WorkerModel {
-    /** How a call met its copy. */
-    public enum Met {
-        STOOD,
-        LOAD_BEGUN,
-        LOAD_JOINED,
-        LOAD_FAILED
-    }
-
-    /** How an engine ends a call or an order. */
-    public enum End {
-        OK,
-        ERROR,
-        FULL,
-        ABSENT
-    }
-
-    /** A call as it reaches an engine; mark is empty where there is none, workNanos 0 for the model's usual. */
-    public record Asked(String router, String call, int leg, String model, String mark, long workNanos) {}
-
-    /** An answer; copies is for orders: how many stand. */
-    public record Answer(End end, Met met, int crowd, int copies, LoadReport report) {}
-
-    /** A handle on a call that is held here. */
-    public final class Held {
-        private final Asked asked;
-        private final Consumer<Answer> reply;
-        private final int crowd;
-        private Met met;
-        private Copy on;
-        private double left;
-        private boolean ended;
-
-        private Held(Asked asked, int crowd, Consumer<Answer> reply) {
-            this.asked = asked;
-            this.reply = reply;
-            this.crowd = crowd;
-        }
-
-        /** The caller is gone: waiting work is dropped, running work stops where this kind does that. */
-        public void cancel() {
-            if (ended) {
-                return;
-            }
-            if (on == null) {
-                waiting.remove(this);
-                ended = true;
-            } else if (kind.cancelStops()) {
-                advance();
-                release(this);
-                serve();
-            }
-        }
-    }
-
-    private static final class Copy {
-        final String model;
-        final ModelKind kind;
-        boolean standing;
-        boolean stale;
-        long begunAt;
-        long fetchedAt;
-        int busy;
-        long idleSince;
-        final List<Consumer<Boolean>> awaited = new ArrayList<>();
-
-        Copy(String model, ModelKind kind) {
-            this.model = model;
-            this.kind = kind;
-        }
-    }
-
     private final Timeline time;
     private final String id;
     private final WorkerKind kind;
-    private final Function<String, ModelKind> models;
-    private final ModelStore shelf;
-    private final Consumer<Observation> seen;
+    private final WorkerEnvironment environment;
+    private final WorkerObserver observer;
     private final SplittableRandom random;
-    private final List<Copy> copies = new ArrayList<>();
-    private final ArrayDeque<Held> waiting = new ArrayDeque<>();
-    private final List<Held> running = new ArrayList<>();
-    private final ArrayDeque<Copy> toLoad = new ArrayDeque<>();
-    private final Map<String, Long> images = new LinkedHashMap<>();
-    private final IdempotencyCache marks;
-    private final ArrayDeque<double[]> pressure = new ArrayDeque<>();
-    private Timeline.Planned next;
-    private long at;
-    private int loading;
-    private long startedAt;
-    private boolean cold;
+    private final ArrayDeque<PendingRequest> queue = new ArrayDeque<>();
+    private final ProcessorSharing cores;
+    private final InstancePool instances;
+    private final WarmUp warmUp;
+    private final LoadReporter reporter;
     private boolean up = true;
     private boolean draining;
-    private double slowness = 1;
-    private boolean frozen;
-    private double failing;
-    private double losing;
-    private double leakPerSecond;
-    private long leakingSince;
-    private double lostForGood;
-    private int life;
-    private LoadReport report;
-    private long reportedAt;
-    private long reportDelay;
-    private final ArrayDeque<Object[]> late = new ArrayDeque<>();
-
-    /** @param marks those of its group; @param cold whether it has just started */
-    public WorkerModel(
-            Timeline time,
-            String id,
-            WorkerKind kind,
-            Function<String, ModelKind> models,
-            ModelStore shelf,
-            IdempotencyCache marks,
-            long seed,
-            boolean cold,
-            Consumer<Observation> seen) {
-        this.marks = marks;
-        this.time = time;
-        this.id = id;
-        this.kind = kind;
-        this.models = models;
-        this.shelf = shelf;
-        this.seen = seen;
-        this.random = new SplittableRandom(seed);
-        this.cold = cold;
-        this.startedAt = time.now();
-        this.at = time.now();
-    }
-
+    private double failureShare;
+    private double lostLoadReplyShare;
+
+    /** A worker that is up and holds nothing. */
+    public WorkerModel(WorkerSettings settings, WorkerEnvironment environment) {
+        this.environment = environment;
+        this.time = environment.time();
+        this.id = settings.id();
+        this.kind = settings.kind();
+        this.random = new SplittableRandom(settings.seed());
+        this.observer = new WorkerObserver(time, id, environment.observations());
+        this.cores = new ProcessorSharing(time, kind, this::onCompletionDue);
+        this.instances = new InstancePool(environment, kind, observer, new LoadListener());
+        this.warmUp = new WarmUp(time, kind, settings.coldStart());
+        this.reporter = new LoadReporter(time, kind.reportIntervalNanos(), random, this::measureLoad);
+    }
+
+    /** Its name, unique in the fleet. */
     public String id() {
         return id;
     }
 
-    public WorkerKind kind() {
-        return kind;
-    }
-
-    public boolean up() {
+    /** Whether its process runs. */
+    public boolean isUp() {
         return up;
     }
 
-    public boolean draining() {
+    /** Whether it finishes what it holds and takes nothing new. */
+    public boolean isDraining() {
         return draining;
     }
 
+    /** Takes nothing new from now on and finishes what it holds. */
     public void drain() {
         draining = true;
     }
 
     /** Runs so many times slower than usual. */
-    public void slow(double times) {
-        advance();
-        slowness = Math.max(1, times);
-        plan();
-    }
-
-    /** Stands still, with all that runs on it, or goes on. */
-    public void freeze(boolean on) {
-        advance();
-        frozen = on;
-        plan();
+    public void setSlowdown(double factor) {
+        cores.setSlowdown(factor);
     }
 
-    /** Fails a share of its calls at once. */
-    public void failing(double share) {
-        failing = share;
+    /** Pauses all that runs on it, or continues. */
+    public void setPaused(boolean on) {
+        cores.setPaused(on);
     }
 
-    /** Loses a share of its answers to orders; the loads themselves happen. */
-    public void losing(double share) {
-        losing = share;
+    /** Fails this share of its requests, 0 to 1, at once. */
+    public void setFailureShare(double share) {
+        failureShare = share;
     }
 
-    /** Loses memory for good, in MB a second from now on; a restart mends it, and 0 leaves what is lost as it is. */
-    public void leak(double perSecond) {
-        double lost = leaked();
-        leakPerSecond = perSecond;
-        leakingSince = perSecond > 0 ? time.now() - Math.round(lost / perSecond * 1e9) : time.now();
-        lostForGood = perSecond > 0 ? 0 : lost;
+    /** Loses this share of its replies to load requests, 0 to 1; the loads themselves happen. */
+    public void setLostLoadReplyShare(double share) {
+        lostLoadReplyShare = share;
     }
 
-    private double leaked() {
-        return lostForGood + leakPerSecond * (time.now() - leakingSince) / 1e9;
+    /** Leaks memory from now on, in MB a second; a restart frees it, and 0 only stops the leak. */
+    public void setMemoryLeak(double mbPerSecond) {
+        instances.leak().setRate(mbPerSecond);
     }
 
-    /** Its reports tell what was so long ago. */
-    public void reportLate(long nanos) {
-        reportDelay = nanos;
+    /** Its load reports say what was so long ago. */
+    public void setReportDelay(long nanos) {
+        reporter.setDelay(nanos);
     }
 
-    /** Dies: everything held is lost without an answer. */
-    public void die() {
+    /** The process dies: everything held is lost without a reply. */
+    public void crash() {
         up = false;
-        life++;
-        advance();
-        waiting.forEach(held -> held.ended = true);
-        running.forEach(held -> held.ended = true);
-        waiting.clear();
-        running.clear();
-        gone(copies.stream().filter(copy -> copy.standing).count());
-        copies.clear();
-        toLoad.clear();
-        images.clear();
-        pressure.clear();
-        loading = 0;
-        plan();
-    }
-
-    /** Comes back empty and cold. */
-    public void start() {
+        cores.accountProgress();
+        queue.forEach(pending -> pending.ended = true);
+        cores.running().forEach(pending -> pending.ended = true);
+        queue.clear();
+        cores.clear();
+        instances.clear();
+        warmUp.clearWindow();
+        cores.scheduleNextCompletion();
+    }
+
+    /** The process starts again, empty, cold and without faults. */
+    public void restart() {
         up = true;
         draining = false;
-        cold = true;
-        slowness = 1;
-        frozen = false;
-        failing = 0;
-        losing = 0;
-        leakPerSecond = 0;
-        lostForGood = 0;
-        startedAt = time.now();
-        at = time.now();
-        report = null;
-        late.clear();
-    }
-
-    /** The models whose names match are released anew: their copies and images go void. */
-    public void release(String pattern) {
-        images.keySet().removeIf(model -> Route.matches(pattern, model));
-        for (Copy copy : List.copyOf(copies)) {
-            if (Route.matches(pattern, copy.model)) {
-                copy.stale = true;
-                if (copy.standing && copy.busy == 0) {
-                    drop(copy);
-                }
-            }
-        }
-    }
-
-    /** The share of its capacity that it bears now. */
-    double present() {
-        if (!cold) {
-            return 1;
-        }
-        double age = (double) (time.now() - startedAt) / Math.max(1, kind.warmNanos());
-        cold = age < 1;
-        return Math.min(1, kind.startShare() + (1 - kind.startShare()) * age);
+        failureShare = 0;
+        lostLoadReplyShare = 0;
+        cores.reset();
+        instances.leak().reset();
+        warmUp.restart();
+        reporter.reset();
     }
 
-    private boolean pushed(double work) {
-        if (present() >= 1) {
-            pressure.clear();
-            return false;
-        }
-        pressure.add(new double[] {time.now(), work});
-        while (!pressure.isEmpty() && time.now() - pressure.peek()[0] > kind.fallNanos()) {
-            pressure.poll();
-        }
-        double sent = pressure.stream().mapToDouble(p -> p[1]).sum();
-        double bears = kind.cores() * kind.speed() * present() * kind.fallNanos();
-        if (sent <= kind.fallMultiple() * bears) {
-            return false;
-        }
-        seen.accept(new Observation(time.now(), Observation.FELL, "", "", 0, id, "", "", sent / bears));
-        die();
-        return true;
+    /** A new release of the models that match the pattern: their instances and images are void. */
+    public void invalidateModels(String pattern) {
+        instances.invalidate(pattern);
     }
 
-    /** Takes a call; the answer comes later, or never where the engine dies first. Null where it was answered at once. */
-    public Held ask(Asked asked, Consumer<Answer> reply) {
+    /**
+     * Takes a request. The reply comes later, or never where the worker dies first.
+     *
+     * @return a handle on the request, or null where it was replied to at once or the worker is down
+     */
+    public PendingRequest submit(WorkerRequest request, Consumer<WorkerReply> replyTo) {
         if (!up) {
             return null;
         }
-        ModelKind model = models.apply(asked.model());
-        seen.accept(Observation.leg(time.now(), Observation.ARRIVED, asked, id, asked.mark()));
-        double work =
-                model == null ? 0 : (asked.workNanos() > 0 ? asked.workNanos() : model.workNanos()) * model.times();
-        if (pushed(work)) {
+        ModelKind model = environment.models().apply(request.model());
+        observer.attempt(Observation.ARRIVED, request, request.idempotencyKey());
+        double work = workOf(request, model);
+        if (crashesFrom(work)) {
             return null;
         }
         if (model == null) {
-            return refuse(asked, End.ABSENT, reply);
+            return reject(request, WorkerOutcome.ABSENT, replyTo);
         }
-        int crowd = (int) (running.stream()
-                        .filter(h -> h.asked.model().equals(asked.model()))
-                        .count()
-                + waiting.stream()
-                        .filter(h -> h.asked.model().equals(asked.model()))
-                        .count());
-        if (failing > 0 && random.nextDouble() < failing) {
-            seen.accept(Observation.leg(time.now(), Observation.RAN, asked, id, "failed"));
-            reply.accept(new Answer(End.ERROR, null, crowd, 0, report()));
+        int concurrentRequests = heldFor(request.model());
+        if (failureShare > 0 && random.nextDouble() < failureShare) {
+            observer.attempt(Observation.RAN, request, "failed");
+            replyTo.accept(new WorkerReply(WorkerOutcome.ERROR, null, concurrentRequests, 0, report()));
             return null;
         }
-        if (marks.has(asked.mark())) {
-            return drop(asked, crowd, reply);
-        }
-        Held held = new Held(asked, crowd, reply);
-        held.left = work;
-        Copy free = free(asked.model());
-        if (draining || free == null && waiting.size() >= kind.queue()) {
-            return refuse(asked, End.FULL, reply);
-        }
-        boolean loadingNow = copies.stream().anyMatch(c -> c.model.equals(asked.model()) && !c.standing && !c.stale);
-        boolean any = loadingNow || copies.stream().anyMatch(c -> c.model.equals(asked.model()) && !c.stale);
-        if (free != null) {
-            held.met = Met.STOOD;
-            run(held, free);
-            return held;
-        }
-        held.met = !any ? Met.LOAD_BEGUN : loadingNow ? Met.LOAD_JOINED : Met.STOOD;
-        if (!any || kind.ownCopies() && !loadingNow) {
-            Copy begun = load(asked.model(), model);
-            if (begun == null && !any) {
-                return refuse(asked, End.FULL, reply);
-            }
-            held.met = begun != null ? Met.LOAD_BEGUN : held.met;
+        if (environment.idempotencyCache().contains(request.idempotencyKey())) {
+            replyToDuplicate(request, concurrentRequests, replyTo);
+            return null;
         }
-        waiting.add(held);
-        return held;
+        return admit(new PendingRequest(this, request, concurrentRequests, work, replyTo), model);
     }
 
-    private Held refuse(Asked asked, End end, Consumer<Answer> reply) {
-        seen.accept(Observation.leg(time.now(), Observation.REFUSED, asked, id, end.name()));
-        reply.accept(new Answer(end, null, 0, 0, report()));
-        return null;
-    }
-
-    /** A repeat of what has run is answered and not run again. */
-    private Held drop(Asked asked, int crowd, Consumer<Answer> reply) {
-        seen.accept(Observation.leg(time.now(), Observation.DROPPED, asked, id, asked.mark()));
-        reply.accept(new Answer(End.OK, Met.STOOD, crowd, 0, report()));
-        return null;
-    }
-
-    private Copy free(String model) {
-        Copy best = null;
-        for (Copy copy : copies) {
-            if (copy.standing
-                    && !copy.stale
-                    && copy.model.equals(model)
-                    && copy.busy < copy.kind.lanes()
-                    && (best == null || copy.busy < best.busy)) {
-                best = copy;
-            }
+    private static double workOf(WorkerRequest request, ModelKind model) {
+        if (model == null) {
+            return 0;
         }
-        return best;
+        long named = request.workNanos() > 0 ? request.workNanos() : model.workNanos();
+        return named * model.workMultiplier();
     }
 
-    private double used() {
-        return leaked()
-                + copies.stream().mapToDouble(copy -> copy.kind.memoryMb()).sum();
+    /** Crashes where the worker is cold and this is more work than it can bear. */
+    private boolean crashesFrom(double work) {
+        OptionalDouble overload = warmUp.recordWork(work);
+        overload.ifPresent(multiple -> {
+            observer.crashedFromOverload(multiple);
+            crash();
+        });
+        return overload.isPresent();
     }
 
-    /** Begins a load, making room by unloading idle copies; null where there is no room. */
-    private Copy load(String model, ModelKind of) {
-        double free = kind.memoryMb() - used();
-        double idle = copies.stream()
-                .filter(c -> c.standing && c.busy == 0)
-                .mapToDouble(c -> c.kind.memoryMb())
-                .sum();
-        if (free + idle < of.memoryMb()) {
-            return null;
-        }
-        while (kind.memoryMb() - used() < of.memoryMb() && copies.stream().anyMatch(c -> c.standing && c.busy == 0)) {
-            copies.stream()
-                    .filter(c -> c.standing && c.busy == 0)
-                    .min((a, b) -> Long.compare(a.idleSince, b.idleSince))
-                    .ifPresent(this::drop);
-        }
-        Copy copy = new Copy(model, of);
-        copies.add(copy);
-        toLoad.add(copy);
-        startLoads();
-        return copy;
-    }
-
-    private void startLoads() {
-        while (loading < kind.loaders() && !toLoad.isEmpty()) {
-            Copy copy = toLoad.poll();
-            loading++;
-            copy.begunAt = time.now();
-            copy.fetchedAt = time.now();
-            int then = life;
-            if (kind.images() && images.containsKey(copy.model)) {
-                time.after(copy.kind.startNanos(), () -> loaded(copy, true, then));
-            } else {
-                shelf.fetch(copy.kind.fetchNanos(), ok -> {
-                    copy.fetchedAt = time.now();
-                    if (life == then && ok) {
-                        images.put(copy.model, time.now());
-                        time.after(copy.kind.startNanos(), () -> loaded(copy, true, then));
-                    } else {
-                        loaded(copy, false, then);
-                    }
-                });
-            }
-        }
+    private int heldFor(String model) {
+        return (int) Stream.concat(cores.running().stream(), queue.stream())
+                .filter(pending -> pending.request.model().equals(model))
+                .count();
     }
 
-    private void loaded(Copy copy, boolean ok, int then) {
-        if (life != then) {
-            return;
+    /** Runs the request, or queues it and loads its model where that is needed; null where it is rejected. */
+    private PendingRequest admit(PendingRequest pending, ModelKind modelKind) {
+        String model = pending.request.model();
+        ModelInstance free = instances.leastBusyWithFreeSlot(model);
+        if (draining || free == null && queue.size() >= kind.queueLimit()) {
+            return reject(pending.request, WorkerOutcome.FULL, pending.replyTo);
         }
-        loading--;
-        boolean stands = ok && !copy.stale;
-        seen.accept(new Observation(
-                time.now(),
-                Observation.LOADED,
-                "",
-                "",
-                0,
-                id,
-                copy.model,
-                stands ? "" : ok ? "released anew" : "no image",
-                fetchShare(copy)));
-        if (stands) {
-            copy.standing = true;
-            idle(copy);
-        } else {
-            copies.remove(copy);
-        }
-        List.copyOf(copy.awaited).forEach(order -> order.accept(stands));
-        boolean another = copies.stream().anyMatch(c -> c.model.equals(copy.model) && !c.stale);
-        if (!stands && !another) {
-            for (Held held : List.copyOf(waiting)) {
-                if (held.asked.model().equals(copy.model)) {
-                    waiting.remove(held);
-                    held.ended = true;
-                    seen.accept(Observation.leg(time.now(), Observation.REFUSED, held.asked, id, "load failed"));
-                    held.reply.accept(new Answer(End.ABSENT, Met.LOAD_FAILED, held.crowd, 0, report()));
-                }
+        if (free != null) {
+            pending.instanceState = InstanceState.STOOD;
+            run(pending, free);
+            return pending;
+        }
+        boolean loading = instances.isLoading(model);
+        boolean present = instances.hasCurrent(model);
+        pending.instanceState = loading ? InstanceState.LOAD_JOINED : InstanceState.STOOD;
+        if (!present || kind.scalesUpByItself() && !loading) {
+            ModelInstance started = instances.load(model, modelKind);
+            if (started == null && !present) {
+                return reject(pending.request, WorkerOutcome.FULL, pending.replyTo);
+            }
+            if (started != null) {
+                pending.instanceState = InstanceState.LOAD_BEGUN;
             }
         }
-        startLoads();
-        serve();
-    }
-
-    private double fetchShare(Copy copy) {
-        return (double) (copy.fetchedAt - copy.begunAt) / Math.max(1, time.now() - copy.begunAt);
-    }
-
-    private void drop(Copy copy) {
-        if (copies.remove(copy)) {
-            gone(1);
-        }
+        queue.add(pending);
+        return pending;
     }
 
-    private void gone(long count) {
-        if (count > 0) {
-            seen.accept(new Observation(time.now(), Observation.UNLOADED, "", "", 0, id, "", "", count));
-        }
+    private PendingRequest reject(WorkerRequest request, WorkerOutcome outcome, Consumer<WorkerReply> replyTo) {
+        observer.attempt(Observation.REFUSED, request, outcome.name());
+        replyTo.accept(WorkerReply.of(outcome, report()));
+        return null;
     }
 
-    private void idle(Copy copy) {
-        copy.idleSince = time.now();
-        long since = copy.idleSince;
-        time.after(kind.keptNanos(), () -> {
-            if (copy.busy == 0 && copy.idleSince == since) {
-                drop(copy);
-            }
-        });
+    /** Replies to a request whose idempotency key has been seen, without running it again. */
+    private void replyToDuplicate(WorkerRequest request, int concurrentRequests, Consumer<WorkerReply> replyTo) {
+        observer.attempt(Observation.DROPPED, request, request.idempotencyKey());
+        replyTo.accept(new WorkerReply(WorkerOutcome.OK, InstanceState.STOOD, concurrentRequests, 0, report()));
     }
 
-    private void run(Held held, Copy copy) {
-        if (marks.has(held.asked.mark())) {
-            // it waited here while a repeat of it ran elsewhere in the group
-            held.ended = true;
-            drop(held.asked, held.crowd, held.reply);
+    private void run(PendingRequest pending, ModelInstance instance) {
+        WorkerRequest request = pending.request;
+        if (environment.idempotencyCache().contains(request.idempotencyKey())) {
+            // It waited here while a duplicate of it ran elsewhere in the group.
+            pending.ended = true;
+            replyToDuplicate(request, pending.concurrentRequests, pending.replyTo);
             return;
         }
-        advance();
-        held.on = copy;
-        copy.busy++;
-        running.add(held);
-        marks.add(held.asked.mark());
-        seen.accept(Observation.leg(time.now(), Observation.RAN, held.asked, id, ""));
-        plan();
-    }
-
-    private void release(Held held) {
-        held.ended = true;
-        running.remove(held);
-        held.on.busy--;
-        if (held.on.busy == 0) {
-            if (held.on.stale) {
-                drop(held.on);
-            } else {
-                idle(held.on);
-            }
-        }
-        plan();
-    }
-
-    /** Gives free lanes to waiting calls, oldest first, and begins the loads that they still need. */
-    private void serve() {
-        for (Held held : List.copyOf(waiting)) {
-            Copy copy = free(held.asked.model());
-            if (copy != null) {
-                waiting.remove(held);
-                run(held, copy);
-            } else if (copies.stream().noneMatch(c -> c.model.equals(held.asked.model()) && !c.stale)) {
-                load(held.asked.model(), models.apply(held.asked.model()));
+        pending.instance = instance;
+        instances.occupySlot(instance);
+        environment.idempotencyCache().add(request.idempotencyKey());
+        observer.attempt(Observation.RAN, request, "");
+        cores.add(pending);
+    }
+
+    void cancel(PendingRequest pending) {
+        if (pending.instance == null) {
+            queue.remove(pending);
+            pending.ended = true;
+        } else if (kind.stopsOnCancel()) {
+            cores.accountProgress();
+            end(pending);
+            serveQueue();
+        }
+    }
+
+    private void end(PendingRequest pending) {
+        pending.ended = true;
+        cores.remove(pending);
+        instances.releaseSlot(pending.instance);
+        cores.scheduleNextCompletion();
+    }
+
+    private void onCompletionDue() {
+        cores.accountProgress();
+        for (PendingRequest pending : cores.completed()) {
+            end(pending);
+            double modelFailureShare = pending.instance.kind.failureShare();
+            boolean failed = modelFailureShare > 0 && random.nextDouble() < modelFailureShare;
+            pending.replyTo.accept(new WorkerReply(
+                    failed ? WorkerOutcome.ERROR : WorkerOutcome.OK,
+                    pending.instanceState,
+                    pending.concurrentRequests,
+                    0,
+                    report()));
+        }
+        serveQueue();
+        cores.scheduleNextCompletion();
+    }
+
+    /** Gives free slots to queued requests, oldest first, and starts the loads that they still need. */
+    private void serveQueue() {
+        for (PendingRequest pending : List.copyOf(queue)) {
+            String model = pending.request.model();
+            ModelInstance free = instances.leastBusyWithFreeSlot(model);
+            if (free != null) {
+                queue.remove(pending);
+                run(pending, free);
+            } else if (!instances.hasCurrent(model)) {
+                instances.load(model, environment.models().apply(model));
             }
         }
     }
 
-    private double rate() {
-        double share = Math.min(1, (double) kind.cores() / Math.max(1, running.size()));
-        return share * kind.speed() / slowness;
-    }
-
-    private void advance() {
-        double gone = frozen ? 0 : (time.now() - at) * rate();
-        at = time.now();
-        running.forEach(held -> held.left -= gone);
-    }
-
-    private void plan() {
-        if (next != null) {
-            next.callOff();
-            next = null;
-        }
-        if (!running.isEmpty() && !frozen) {
-            double least = running.stream().mapToDouble(held -> held.left).min().orElse(0);
-            next = time.after((long) Math.ceil(Math.max(0, least) / rate()), this::due);
+    /** What the end of a load means for the queue. */
+    private final class LoadListener implements InstancePool.Listener {
+        @Override
+        public void onModelUnavailable(String model) {
+            for (PendingRequest pending : List.copyOf(queue)) {
+                if (pending.request.model().equals(model)) {
+                    queue.remove(pending);
+                    pending.ended = true;
+                    observer.attempt(Observation.REFUSED, pending.request, "load failed");
+                    pending.replyTo.accept(new WorkerReply(
+                            WorkerOutcome.ABSENT, InstanceState.LOAD_FAILED, pending.concurrentRequests, 0, report()));
+                }
+            }
         }
-    }
 
-    private void due() {
-        advance();
-        for (Held held : running.stream().filter(h -> h.left < 1).toList()) {
-            release(held);
-            double failing = held.on.kind.failing();
-            boolean fails = failing > 0 && random.nextDouble() < failing;
-            held.reply.accept(new Answer(fails ? End.ERROR : End.OK, held.met, held.crowd, 0, report()));
+        @Override
+        public void onLoadEnded() {
+            serveQueue();
         }
-        serve();
-        plan();
     }
 
-    /** An order to hold copies; it is answered once they stand or it is clear that they will not. */
-    public void hold(String router, String model, int wanted, Consumer<Answer> told) {
+    /**
+     * Takes a load request, to hold so many instances of a model; the reply comes once they are ready or it is clear that
+     * they will not be. Idle instances of the model are kept for their full time again.
+     */
+    public void loadInstances(String router, String model, int wanted, Consumer<WorkerReply> replyTo) {
         if (!up) {
             return;
         }
-        boolean lost = losing > 0 && random.nextDouble() < losing;
-        Consumer<Answer> reply = lost ? answer -> {} : told;
-        seen.accept(new Observation(time.now(), Observation.ORDERED, router, "", 0, id, model, "", wanted));
-        ModelKind of = models.apply(model);
-        if (of == null || draining) {
-            reply.accept(new Answer(of == null ? End.ERROR : End.FULL, null, 0, standing(model), report()));
+        boolean replyLost = lostLoadReplyShare > 0 && random.nextDouble() < lostLoadReplyShare;
+        Consumer<WorkerReply> effectiveReplyTo = replyLost ? reply -> {} : replyTo;
+        observer.loadRequested(router, model, wanted);
+        ModelKind modelKind = environment.models().apply(model);
+        if (modelKind == null) {
+            replyToLoad(model, WorkerOutcome.ERROR, effectiveReplyTo);
             return;
         }
-        List<Copy> there =
-                copies.stream().filter(c -> c.model.equals(model) && !c.stale).toList();
-        there.stream().filter(c -> c.standing && c.busy == 0).forEach(this::idle);
-        List<Copy> awaited =
-                new ArrayList<>(there.stream().filter(c -> !c.standing).toList());
-        for (int i = there.size(); i < wanted; i++) {
-            Copy begun = load(model, of);
-            if (begun == null) {
-                reply.accept(new Answer(End.FULL, null, 0, standing(model), report()));
+        if (draining) {
+            replyToLoad(model, WorkerOutcome.FULL, effectiveReplyTo);
+            return;
+        }
+        List<ModelInstance> current = instances.current(model);
+        current.stream().filter(ModelInstance::isIdle).forEach(instances::startIdleTimer);
+        List<ModelInstance> awaited = new ArrayList<>(
+                current.stream().filter(instance -> !instance.ready).toList());
+        for (int i = current.size(); i < wanted; i++) {
+            ModelInstance started = instances.load(model, modelKind);
+            if (started == null) {
+                replyToLoad(model, WorkerOutcome.FULL, effectiveReplyTo);
                 return;
             }
-            awaited.add(begun);
+            awaited.add(started);
         }
         if (standing(model) >= wanted || awaited.isEmpty()) {
-            reply.accept(new Answer(End.OK, null, 0, standing(model), report()));
+            replyToLoad(model, WorkerOutcome.OK, effectiveReplyTo);
             return;
         }
-        int[] left = {awaited.size()};
-        boolean[] failed = {false};
-        for (Copy copy : awaited) {
-            copy.awaited.add(ok -> {
-                failed[0] |= !ok;
-                if (--left[0] == 0) {
-                    reply.accept(new Answer(failed[0] ? End.ERROR : End.OK, null, 0, standing(model), report()));
-                }
-            });
-        }
+        AwaitedLoads.await(
+                awaited,
+                allSucceeded ->
+                        replyToLoad(model, allSucceeded ? WorkerOutcome.OK : WorkerOutcome.ERROR, effectiveReplyTo));
+    }
+
+    private void replyToLoad(String model, WorkerOutcome outcome, Consumer<WorkerReply> replyTo) {
+        replyTo.accept(WorkerReply.ofLoad(outcome, standing(model), report()));
     }
 
-    /** Unloads the idle copies of a model. */
+    /** Unloads the idle instances of a model. */
     public void unload(String model) {
-        copies.stream()
-                .filter(copy -> copy.model.equals(model) && copy.standing && copy.busy == 0)
-                .toList()
-                .forEach(this::drop);
+        instances.unloadIdle(model);
     }
 
-    /** How many copies of a model stand. */
+    /** How many instances of a model's current release are ready. */
     public int standing(String model) {
-        return (int) copies.stream()
-                .filter(c -> c.model.equals(model) && c.standing && !c.stale)
-                .count();
+        return instances.readyCount(model);
     }
 
-    /** The models that stand or load, a copy a line; true where it stands. */
+    /** Whether each instance is ready, by model, ready and loading ones; a model appears once for each instance. */
     public List<Map.Entry<String, Boolean>> index() {
-        return copies.stream().map(copy -> Map.entry(copy.model, copy.standing)).toList();
+        return instances.instances().stream()
+                .map(instance -> Map.entry(instance.model, instance.ready))
+                .toList();
     }
 
-    /** Calls held: running and waiting. */
-    public int held() {
-        return running.size() + waiting.size();
+    /** Requests held: running and queued. */
+    public int heldRequests() {
+        return cores.count() + queue.size();
     }
 
-    /** The memory that loaded and loading copies take, in MB. */
-    public double memoryUsed() {
-        return used();
+    /** The memory that instances, ready and loading, and a leak take, in MB. */
+    public double usedMemoryMb() {
+        return instances.usedMemoryMb();
     }
 
-    /** Its load report: renewed seldom, told late, with a little noise. */
+    /** Its load report: measured seldom, with a little noise, and late where {@link #setReportDelay} says so. */
     public LoadReport report() {
-        if (report == null || time.now() - reportedAt >= kind.reportNanos()) {
-            reportedAt = time.now();
-            double noise = 0.95 + 0.1 * random.nextDouble();
-            double pinned = copies.stream()
-                            .filter(c -> !c.standing || c.busy > 0)
-                            .mapToDouble(c -> c.kind.memoryMb())
-                            .sum()
-                    / kind.memoryMb();
-            report = new LoadReport(
-                    held() * noise,
-                    waiting.size() * noise,
-                    Math.min(1, (double) running.size() / kind.cores()),
-                    loading + toLoad.size(),
-                    pinned);
-            late.add(new Object[] {time.now(), report});
-        }
-        LoadReport told = report;
-        if (reportDelay > 0) {
-            told = null;
-            for (Object[] old : late) {
-                told = (Long) old[0] <= time.now() - reportDelay || told == null ? (LoadReport) old[1] : told;
-            }
-        }
-        while (late.size() > 1 && (Long) late.peek()[0] < time.now() - reportDelay - kind.reportNanos()) {
-            late.poll();
-        }
-        return told;
+        return reporter.report();
+    }
+
+    private LoadReport measureLoad(double noise) {
+        return new LoadReport(
+                heldRequests() * noise,
+                queue.size() * noise,
+                Math.min(1, (double) cores.count() / kind.cores()),
+                instances.pendingLoads(),
+                instances.pinnedMemoryMb() / kind.memoryMb());
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/net/DiscoveryServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/DiscoveryServer.java
@@ -41,7 +41,7 @@
         server = vertx.createHttpServer(
                         new HttpServerOptions().setHost("127.0.0.1").setPort(port))
                 .requestHandler(this::take);
-        vertx.setPeriodic(500, tick -> roll.beat());
+        vertx.setPeriodic(500, tick -> roll.sendHeartbeat());
         return server.listen().map(listening -> {
             port = listening.actualPort();
             return null;
@@ -56,7 +56,7 @@
     private void take(HttpServerRequest request) {
         HttpServerResponse response = request.response();
         if (request.path().equals("/v1/list")) {
-            response.end(roll.whole().text() + "\n");
+            response.end(roll.snapshot().text() + "\n");
             return;
         }
         if (!request.path().equals("/v1/list/watch")) {
@@ -79,7 +79,7 @@
                                 .text()
                         + "\n"));
         response.closeHandler(closed -> {
-            roll.leave(watcher);
+            roll.removeWatcher(watcher);
             open.remove(response);
         });
     }
--- a/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
@@ -42,12 +42,12 @@
                         .append(fleet.hall(id))
                         .append(' ')
                         .append(
-                                fleet.engine(id).engine().up()
-                                                && !fleet.engine(id).engine().draining()
+                                fleet.engine(id).engine().isUp()
+                                                && !fleet.engine(id).engine().isDraining()
                                         ? "up"
                                         : "down")
                         .append(' ')
-                        .append(fleet.engine(id).engine().held())
+                        .append(fleet.engine(id).engine().heldRequests())
                         .append('\n');
             }
             request.response().end(lines.toString());
@@ -85,14 +85,14 @@
     private Future<Void> act(String what, List<String> engines, String model, double figure) {
         long nanos = Math.round(figure * 1e6);
         switch (what) {
-            case "slow" -> each(engines, server -> server.engine().slow(figure));
-            case "failing" -> each(engines, server -> server.engine().failing(figure));
+            case "slow" -> each(engines, server -> server.engine().setSlowdown(figure));
+            case "failing" -> each(engines, server -> server.engine().setFailureShare(figure));
             case "hang" -> each(engines, server -> server.hang(figure > 0));
             case "misname" -> each(engines, server -> server.misname(figure > 0));
             case "garble" -> each(engines, server -> server.garble(figure > 0));
-            case "late-reports" -> each(engines, server -> server.engine().reportLate(nanos));
+            case "late-reports" -> each(engines, server -> server.engine().setReportDelay(nanos));
             case "release" -> each(
-                    engines, server -> Arrays.stream(model.split(",")).forEach(server.engine()::release));
+                    engines, server -> Arrays.stream(model.split(",")).forEach(server.engine()::invalidateModels));
             case "drain" -> engines.forEach(fleet::drain);
             case "kill" -> {
                 return all(engines, fleet::kill);
@@ -101,18 +101,18 @@
                 return all(engines, fleet::restart);
             }
             case "replace" -> engines.forEach(id -> fleet.replace(id, nanos));
-            case "losing" -> each(engines, server -> server.engine().losing(figure));
-            case "leak" -> each(engines, server -> server.engine().leak(figure));
-            case "shelf-damage" -> fleet.shelf().damage(figure > 0);
+            case "losing" -> each(engines, server -> server.engine().setLostLoadReplyShare(figure));
+            case "leak" -> each(engines, server -> server.engine().setMemoryLeak(figure));
+            case "shelf-damage" -> fleet.shelf().setServingDamagedImages(figure > 0);
             case "list-split" -> fleet.roll()
-                    .split(
+                    .setSplitView(
                             figure > 0 ? Set.of(model.split(",")) : Set.of(),
                             figure > 0 ? Set.copyOf(engines) : Set.of());
-            case "shelf-slow" -> fleet.shelf().slow(figure);
-            case "shelf-refuse" -> fleet.shelf().refuse(figure > 0);
+            case "shelf-slow" -> fleet.shelf().setSlowdown(figure);
+            case "shelf-refuse" -> fleet.shelf().setRejectingAll(figure > 0);
             case "list-silent" -> fleet.roll().silent(figure > 0);
             case "list-cut" -> fleet.list().cut();
-            case "list-lag" -> fleet.roll().lag(nanos);
+            case "list-lag" -> fleet.roll().setLag(nanos);
             default -> {
                 return null;
             }
--- a/emulator/src/main/java/pearladder/emulator/net/Fleet.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Fleet.java
@@ -16,7 +16,9 @@
 import pearladder.emulator.IdempotencyCache;
 import pearladder.emulator.ModelStore;
 import pearladder.emulator.Observation;
+import pearladder.emulator.WorkerEnvironment;
 import pearladder.emulator.WorkerModel;
+import pearladder.emulator.WorkerSettings;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
 
@@ -42,7 +44,7 @@
         this.plan = plan;
         this.seen = seen;
         this.time = new VertxTimeline(vertx);
-        this.shelf = new ModelStore(time, plan.shelfCapacity(), plan.shelfLimit());
+        this.shelf = new ModelStore(time, plan.modelStoreCapacity(), plan.modelStoreFetchLimit());
         this.roll = new EndpointRegistry(time, plan.lagNanos(), seen);
         this.cables = plan.cables() ? new FaultProxy() : null;
         this.list = new DiscoveryServer(vertx, roll, this::reachedBy);
@@ -57,12 +59,12 @@
     public static Fleet start(Vertx vertx, FleetPlan plan, int listPort, Consumer<Observation> seen) {
         Fleet fleet = new Fleet(vertx, plan, seen);
         fleet.call(() -> {
-            fleet.roll.lag(0);
+            fleet.roll.setLag(0);
             Future<Void> all = fleet.list.listen(listPort);
             for (FleetPlan.Planned engine : plan.engines()) {
                 all = all.compose(done -> fleet.add(engine, false));
             }
-            return all.onSuccess(done -> vertx.setTimer(20, fired -> fleet.roll.lag(plan.lagNanos())));
+            return all.onSuccess(done -> vertx.setTimer(20, fired -> fleet.roll.setLag(plan.lagNanos())));
         });
         return fleet;
     }
@@ -139,23 +141,16 @@
     /** Stands up one more engine; on the stand-ins' loop. */
     public Future<Void> add(FleetPlan.Planned engine, boolean cold) {
         String group =
-                switch (engine.kind().rememberedBy()) {
+                switch (engine.kind().idempotencyScope()) {
                     case ALL -> "";
                     case HALL -> engine.hall();
                     case CELL -> Long.toString(engine.cell());
                 };
         IdempotencyCache shared = marks.computeIfAbsent(
-                group, name -> new IdempotencyCache(time, engine.kind().rememberedNanos()));
+                group, name -> new IdempotencyCache(time, engine.kind().idempotencyWindowNanos()));
         WorkerModel model = new WorkerModel(
-                time,
-                engine.id(),
-                engine.kind(),
-                plan::modelOf,
-                shelf,
-                shared,
-                plan.seed() * 1000 + made++,
-                cold,
-                seen);
+                new WorkerSettings(engine.id(), engine.kind(), plan.seed() * 1000 + made++, cold),
+                new WorkerEnvironment(time, plan::modelOf, shelf, shared, seen));
         WorkerServer server = new WorkerServer(vertx, model, () -> kill(engine.id()));
         engines.put(engine.id(), server);
         planned.put(engine.id(), engine);
@@ -215,10 +210,10 @@
     /** A dead engine comes back on its port, empty and cold. */
     public Future<Void> restart(String id) {
         WorkerServer server = engines.get(id);
-        if (server.engine().up()) {
+        if (server.engine().isUp()) {
             return Future.succeededFuture();
         }
-        server.engine().start();
+        server.engine().restart();
         return server.listen().onSuccess(done -> {
             if (cables != null) {
                 cables.down(id, false);
--- a/emulator/src/main/java/pearladder/emulator/net/WorkerServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/WorkerServer.java
@@ -12,7 +12,10 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.io.IOException;
 import java.util.Locale;
+import pearladder.emulator.PendingRequest;
 import pearladder.emulator.WorkerModel;
+import pearladder.emulator.WorkerReply;
+import pearladder.emulator.WorkerRequest;
 import pearladder.kserve.Headers;
 import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Route;
@@ -75,13 +78,13 @@
 
     /** The process dies: every connection breaks. */
     Future<Void> die() {
-        engine.die();
+        engine.crash();
         hung = false;
         return server == null ? Future.succeededFuture() : server.close();
     }
 
     private void take(HttpServerRequest request) {
-        if (hung || !engine.up()) {
+        if (hung || !engine.isUp()) {
             return;
         }
         Route route = Route.of(request.path());
@@ -105,10 +108,10 @@
     }
 
     private void infer(HttpServerRequest request, Route route, Buffer body) {
-        if (hung || !engine.up()) {
+        if (hung || !engine.isUp()) {
             return;
         }
-        WorkerModel.Asked asked = new WorkerModel.Asked(
+        WorkerRequest asked = new WorkerRequest(
                 header(request, Headers.ROUTER),
                 header(request, Headers.CALL),
                 number(header(request, Headers.LEG)),
@@ -116,19 +119,19 @@
                 header(request, Headers.MARK),
                 work(body));
         HttpServerResponse response = request.response();
-        WorkerModel.Held held = engine.ask(asked, answer -> answer(response, route, answer, body.length()));
+        PendingRequest held = engine.submit(asked, answer -> answer(response, route, answer, body.length()));
         if (held != null) {
             response.closeHandler(closed -> {
                 if (!response.ended()) {
                     held.cancel();
                 }
             });
-        } else if (!engine.up()) {
+        } else if (!engine.isUp()) {
             fell.run();
         }
     }
 
-    private void answer(HttpServerResponse response, Route route, WorkerModel.Answer answer, int size) {
+    private void answer(HttpServerResponse response, Route route, WorkerReply answer, int size) {
         if (response.ended() || response.closed() || hung) {
             return;
         }
@@ -140,12 +143,13 @@
         }
         response.putHeader("content-type", "application/json");
         response.putHeader(Headers.REPORT, answer.report().text());
-        response.putHeader(Headers.CROWD, Integer.toString(answer.crowd()));
-        if (answer.met() != null) {
+        response.putHeader(Headers.CROWD, Integer.toString(answer.concurrentRequests()));
+        if (answer.instanceState() != null) {
             response.putHeader(
-                    Headers.COPY, answer.met().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+                    Headers.COPY,
+                    answer.instanceState().name().toLowerCase(Locale.ROOT).replace('_', '-'));
         }
-        switch (answer.end()) {
+        switch (answer.outcome()) {
             case OK -> response.end("{\"model_name\":\"" + route.model() + (misnaming ? "-other" : "")
                     + "\",\"outputs\":[{\"name\":\"size\"," + "\"datatype\":\"INT64\",\"shape\":[1],\"data\":[" + size
                     + "]}]}");
@@ -167,13 +171,13 @@
             request.response().setStatusCode(400).end(JsonBodies.error("the body is not JSON"));
             return;
         }
-        engine.hold(header(request, Headers.ROUTER), route.model(), copies, answer -> {
+        engine.loadInstances(header(request, Headers.ROUTER), route.model(), copies, answer -> {
             HttpServerResponse response = request.response();
             if (response.ended() || response.closed() || hung) {
                 return;
             }
-            response.putHeader(Headers.COPIES, Integer.toString(answer.copies()));
-            switch (answer.end()) {
+            response.putHeader(Headers.COPIES, Integer.toString(answer.readyInstances()));
+            switch (answer.outcome()) {
                 case OK -> response.end("{}");
                 case FULL -> response.setStatusCode(503).end(JsonBodies.error("no room for all"));
                 default -> response.setStatusCode(500).end(JsonBodies.error("the load failed"));
--- a/emulator/src/test/java/pearladder/emulator/EngineTest.java
+++ b/emulator/src/test/java/pearladder/emulator/EngineTest.java
@@ -8,10 +8,6 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import pearladder.emulator.WorkerModel.Answer;
-import pearladder.emulator.WorkerModel.Asked;
-import pearladder.emulator.WorkerModel.End;
-import pearladder.emulator.WorkerModel.Met;
 
 class EngineTest {
     private static final long MS = 1_000_000;
@@ -35,7 +31,7 @@
                 images,
                 cancelStops,
                 8000 * MS,
-                WorkerKind.Group.ALL,
+                WorkerKind.IdempotencyScope.ALL,
                 0.25,
                 10_000 * MS,
                 2,
@@ -45,38 +41,39 @@
 
     private WorkerModel engine(WorkerKind kind, boolean cold) {
         return new WorkerModel(
-                time, "e", kind, name -> MODEL.matches(name) ? MODEL : null, shelf, marks, 1, cold, seen::add);
+                new WorkerSettings("e", kind, 1, cold),
+                new WorkerEnvironment(time, name -> MODEL.matches(name) ? MODEL : null, shelf, marks, seen::add));
     }
 
-    private static Asked asked(String call, String model, String mark) {
-        return new Asked("r", call, 0, model, mark, 20 * MS);
+    private static WorkerRequest asked(String call, String model, String mark) {
+        return new WorkerRequest("r", call, 0, model, mark, 20 * MS);
     }
 
     @Test
     void aFirstCallWaitsForItsLoadAndTheNextFindsTheCopy() {
         WorkerModel engine = engine(kind(10, true, false), false);
-        List<Answer> answers = new ArrayList<>();
-        engine.ask(asked("c1", "m1", ""), answers::add);
-        engine.ask(asked("c2", "m1", ""), answers::add);
+        List<WorkerReply> answers = new ArrayList<>();
+        engine.submit(asked("c1", "m1", ""), answers::add);
+        engine.submit(asked("c2", "m1", ""), answers::add);
         time.runTo(799 * MS);
         assertEquals(0, answers.size());
         time.runTo(830 * MS);
         assertEquals(
-                List.of(Met.LOAD_BEGUN, Met.LOAD_JOINED),
-                answers.stream().map(Answer::met).toList());
-        engine.ask(asked("c3", "m1", ""), answers::add);
+                List.of(InstanceState.LOAD_BEGUN, InstanceState.LOAD_JOINED),
+                answers.stream().map(WorkerReply::instanceState).toList());
+        engine.submit(asked("c3", "m1", ""), answers::add);
         time.runTo(851 * MS);
-        assertEquals(Met.STOOD, answers.get(2).met());
+        assertEquals(InstanceState.STOOD, answers.get(2).instanceState());
     }
 
     @Test
     void runningCallsShareTheCores() {
         WorkerModel engine = engine(kind(10, true, false), false);
-        engine.hold("r", "m1", 2, answer -> {});
+        engine.loadInstances("r", "m1", 2, answer -> {});
         time.runTo(2000 * MS);
         List<Long> ended = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
-            engine.ask(asked("c" + i, "m1", ""), answer -> ended.add(time.now()));
+            engine.submit(asked("c" + i, "m1", ""), answer -> ended.add(time.now()));
         }
         time.runTo(2039 * MS);
         assertEquals(0, ended.size(), "four calls of 20 ms on two cores take 40 ms");
@@ -97,7 +94,7 @@
         assertEquals(0, done.size());
         time.runTo(201 * MS);
         assertEquals(4, done.size());
-        shelf.slow(5);
+        shelf.setSlowdown(5);
         shelf.fetch(100 * MS, ok -> done.add(time.now()));
         time.runTo(690 * MS);
         assertEquals(4, done.size());
@@ -108,45 +105,48 @@
     @Test
     void aRefusedFetchFailsTheCallsThatWaitForIt() {
         WorkerModel engine = engine(kind(10, true, false), false);
-        shelf.refuse(true);
-        List<Answer> answers = new ArrayList<>();
-        engine.ask(asked("c1", "m1", ""), answers::add);
+        shelf.setRejectingAll(true);
+        List<WorkerReply> answers = new ArrayList<>();
+        engine.submit(asked("c1", "m1", ""), answers::add);
         time.runTo(10 * MS);
-        assertEquals(End.ABSENT, answers.get(0).end());
-        assertEquals(Met.LOAD_FAILED, answers.get(0).met());
+        assertEquals(WorkerOutcome.ABSENT, answers.get(0).outcome());
+        assertEquals(InstanceState.LOAD_FAILED, answers.get(0).instanceState());
         assertTrue(seen.stream().noneMatch(one -> one.what().equals(Observation.RAN)));
     }
 
     @Test
     void aFullQueueAndADrainRefuseUnseen() {
         WorkerModel engine = engine(kind(1, true, false), false);
-        List<Answer> answers = new ArrayList<>();
-        engine.ask(asked("c1", "m1", ""), answers::add);
-        engine.ask(asked("c2", "m1", ""), answers::add);
-        assertEquals(End.FULL, answers.get(0).end());
+        List<WorkerReply> answers = new ArrayList<>();
+        engine.submit(asked("c1", "m1", ""), answers::add);
+        engine.submit(asked("c2", "m1", ""), answers::add);
+        assertEquals(WorkerOutcome.FULL, answers.get(0).outcome());
         engine.drain();
-        engine.ask(asked("c3", "m2", ""), answers::add);
-        assertEquals(End.FULL, answers.get(1).end());
+        engine.submit(asked("c3", "m2", ""), answers::add);
+        assertEquals(WorkerOutcome.FULL, answers.get(1).outcome());
         time.runTo(900 * MS);
-        assertEquals(End.OK, answers.get(2).end(), "what it held it finishes");
+        assertEquals(WorkerOutcome.OK, answers.get(2).outcome(), "what it held it finishes");
     }
 
     @Test
     void aMarkRunsOnceAcrossTheGroupAlsoWhereBothWaited() {
         WorkerModel one = engine(kind(10, true, false), false);
         WorkerModel two = engine(kind(10, true, false), false);
-        List<Answer> answers = new ArrayList<>();
-        one.ask(asked("c1", "m1", "k"), answers::add);
-        two.ask(asked("c1", "m1", "k"), answers::add);
+        List<WorkerReply> answers = new ArrayList<>();
+        one.submit(asked("c1", "m1", "k"), answers::add);
+        two.submit(asked("c1", "m1", "k"), answers::add);
         time.runTo(2000 * MS);
-        one.ask(asked("c1", "m1", "k"), answers::add);
+        one.submit(asked("c1", "m1", "k"), answers::add);
         time.runTo(3000 * MS);
         assertEquals(
-                3, answers.stream().filter(answer -> answer.end() == End.OK).count());
+                3,
+                answers.stream()
+                        .filter(answer -> answer.outcome() == WorkerOutcome.OK)
+                        .count());
         assertEquals(
                 1, seen.stream().filter(s -> s.what().equals(Observation.RAN)).count());
         time.runTo(12_000 * MS);
-        one.ask(asked("c1", "m1", "k"), answers::add);
+        one.submit(asked("c1", "m1", "k"), answers::add);
         time.runTo(14_000 * MS);
         assertEquals(
                 2, seen.stream().filter(s -> s.what().equals(Observation.RAN)).count(), "it is remembered for 8 s");
@@ -158,11 +158,11 @@
         WorkerModel cold = engine(kind(500, true, false), true);
         for (int i = 0; i < 80; i++) {
             time.runTo(time.now() + 10 * MS);
-            warm.ask(asked("w" + i, "m1", ""), answer -> {});
-            cold.ask(asked("c" + i, "m1", ""), answer -> {});
+            warm.submit(asked("w" + i, "m1", ""), answer -> {});
+            cold.submit(asked("c" + i, "m1", ""), answer -> {});
         }
-        assertTrue(warm.up());
-        assertFalse(cold.up(), "1.6 s of work within a second at a quarter of two cores");
+        assertTrue(warm.isUp());
+        assertFalse(cold.isUp(), "1.6 s of work within a second at a quarter of two cores");
         assertEquals(
                 1,
                 seen.stream().filter(one -> one.what().equals(Observation.FELL)).count());
@@ -171,24 +171,24 @@
     @Test
     void aReleaseVoidsCopiesAndImages() {
         WorkerModel engine = engine(kind(10, true, true), false);
-        List<Answer> answers = new ArrayList<>();
-        engine.hold("r", "m1", 1, answers::add);
+        List<WorkerReply> answers = new ArrayList<>();
+        engine.loadInstances("r", "m1", 1, answers::add);
         time.runTo(900 * MS);
-        engine.release("m*");
+        engine.invalidateModels("m*");
         assertEquals(0, engine.standing("m1"));
-        engine.ask(asked("c1", "m1", ""), answers::add);
+        engine.submit(asked("c1", "m1", ""), answers::add);
         time.runTo(1650 * MS);
         assertEquals(1, answers.size(), "the image is void too, so the fetch comes again");
         time.runTo(1800 * MS);
-        assertEquals(Met.LOAD_BEGUN, answers.get(1).met());
+        assertEquals(InstanceState.LOAD_BEGUN, answers.get(1).instanceState());
     }
 
     @Test
     void anIdleCopyGoesAfterItsTimeAndAnOrderRenewsIt() {
         WorkerModel engine = engine(kind(10, true, false), false);
-        engine.hold("r", "m1", 1, answer -> {});
+        engine.loadInstances("r", "m1", 1, answer -> {});
         time.runTo(5000 * MS);
-        engine.hold("r", "m1", 1, answer -> {});
+        engine.loadInstances("r", "m1", 1, answer -> {});
         time.runTo(9000 * MS);
         assertEquals(1, engine.standing("m1"));
         time.runTo(10_100 * MS);
@@ -202,29 +202,29 @@
             SplittableRandom random = new SplittableRandom(seed);
             WorkerModel engine = engine(kind(6, random.nextBoolean(), random.nextBoolean()), false);
             int[] answers = new int[400];
-            List<WorkerModel.Held> held = new ArrayList<>();
+            List<PendingRequest> held = new ArrayList<>();
             for (int step = 0; step < 400; step++) {
                 time.runTo(time.now() + random.nextLong(120 * MS));
                 int number = step;
                 switch (random.nextInt(12)) {
-                    case 0 -> engine.release("m" + random.nextInt(4));
-                    case 1 -> engine.slow(1 + random.nextInt(4));
-                    case 2 -> shelf.refuse(random.nextInt(3) == 0);
+                    case 0 -> engine.invalidateModels("m" + random.nextInt(4));
+                    case 1 -> engine.setSlowdown(1 + random.nextInt(4));
+                    case 2 -> shelf.setRejectingAll(random.nextInt(3) == 0);
                     case 3 -> {
                         if (!held.isEmpty()) {
                             held.remove(random.nextInt(held.size())).cancel();
                         }
                     }
-                    case 4 -> engine.hold("r", "m" + random.nextInt(4), 1 + random.nextInt(2), answer -> {});
+                    case 4 -> engine.loadInstances("r", "m" + random.nextInt(4), 1 + random.nextInt(2), answer -> {});
                     case 5 -> {
                         if (random.nextInt(8) == 0) {
-                            engine.die();
+                            engine.crash();
                             held.clear();
-                            engine.start();
+                            engine.restart();
                         }
                     }
                     default -> {
-                        WorkerModel.Held one = engine.ask(
+                        PendingRequest one = engine.submit(
                                 asked("s" + seed + "." + step, "m" + random.nextInt(4), ""),
                                 answer -> answers[number]++);
                         if (one != null) {
@@ -232,13 +232,13 @@
                         }
                     }
                 }
-                assertTrue(engine.memoryUsed() <= 1000, "memory at seed " + seed + " step " + step);
+                assertTrue(engine.usedMemoryMb() <= 1000, "memory at seed " + seed + " step " + step);
                 assertTrue(answers[number] <= 1);
             }
-            shelf.refuse(false);
-            engine.slow(1);
+            shelf.setRejectingAll(false);
+            engine.setSlowdown(1);
             time.runTo(time.now() + 60_000 * MS);
-            assertEquals(0, engine.held(), "nothing is held for ever, seed " + seed);
+            assertEquals(0, engine.heldRequests(), "nothing is held for ever, seed " + seed);
             for (int answer : answers) {
                 assertTrue(answer <= 1, "an answer came twice, seed " + seed);
             }
--- a/emulator/src/test/java/pearladder/emulator/LawsTest.java
+++ b/emulator/src/test/java/pearladder/emulator/LawsTest.java
@@ -45,7 +45,7 @@
                 false,
                 true,
                 0,
-                WorkerKind.Group.ALL,
+                WorkerKind.IdempotencyScope.ALL,
                 1,
                 0,
                 100,
@@ -53,16 +53,10 @@
                 100_000_000L);
         ModelKind model = new ModelKind("m", 100, CORES, 0, 0, 1, 0, 1);
         WorkerModel engine = new WorkerModel(
-                time,
-                "e",
-                kind,
-                name -> model,
-                new ModelStore(time, 1, 10),
-                new IdempotencyCache(time, 0),
-                1,
-                false,
-                seen -> {});
-        engine.hold("r", "m", 1, answer -> {});
+                new WorkerSettings("e", kind, 1, false),
+                new WorkerEnvironment(
+                        time, name -> model, new ModelStore(time, 1, 10), new IdempotencyCache(time, 0), seen -> {}));
+        engine.loadInstances("r", "m", 1, answer -> {});
         time.runTo(10_000_000_000L);
         since = time.now();
         double rate = load * CORES / SERVICE;
@@ -72,7 +66,7 @@
             time.runTo(time.now() + 1_000_000_000L);
         }
         count(0);
-        assertEquals(0, engine.held(), "what came in went out");
+        assertEquals(0, engine.heldRequests(), "what came in went out");
         return (time.now() - begun) / 1e9;
     }
 
@@ -84,9 +78,9 @@
             long came = time.now();
             double work = exponential(SERVICE);
             count(1);
-            engine.ask(
-                    new WorkerModel.Asked("r", "c" + left, 0, "m", "", Math.max(1, Math.round(work * 1e9))), answer -> {
-                        assertEquals(WorkerModel.End.OK, answer.end());
+            engine.submit(
+                    new WorkerRequest("r", "c" + left, 0, "m", "", Math.max(1, Math.round(work * 1e9))), answer -> {
+                        assertEquals(WorkerOutcome.OK, answer.outcome());
                         count(-1);
                         double stay = (time.now() - came) / 1e9;
                         stays.add(stay);
@@ -144,7 +138,7 @@
                     chance.nextBoolean(),
                     true,
                     0,
-                    WorkerKind.Group.ALL,
+                    WorkerKind.IdempotencyScope.ALL,
                     1,
                     0,
                     100,
@@ -152,31 +146,30 @@
                     10_000_000L);
             int[] ended = {0};
             WorkerModel engine = new WorkerModel(
-                    clock,
-                    "e",
-                    kind,
-                    name -> new ModelKind(name, 50 + 37 * (name.hashCode() % 9), 2, 30_000_000, 10_000_000, 1, 0, 1),
-                    new ModelStore(clock, 2, 6),
-                    new IdempotencyCache(clock, 0),
-                    seed,
-                    false,
-                    seen -> {});
+                    new WorkerSettings("e", kind, seed, false),
+                    new WorkerEnvironment(
+                            clock,
+                            name -> new ModelKind(
+                                    name, 50 + 37 * (name.hashCode() % 9), 2, 30_000_000, 10_000_000, 1, 0, 1),
+                            new ModelStore(clock, 2, 6),
+                            new IdempotencyCache(clock, 0),
+                            seen -> {}));
             int came = 0;
             for (int i = 0; i < 2000; i++) {
                 clock.runTo(clock.now() + chance.nextInt(8_000_000));
                 String model = "m" + chance.nextInt(14);
                 switch (chance.nextInt(12)) {
-                    case 0 -> engine.hold("r", model, 1 + chance.nextInt(2), answer -> {});
+                    case 0 -> engine.loadInstances("r", model, 1 + chance.nextInt(2), answer -> {});
                     case 1 -> engine.unload(model);
-                    case 2 -> engine.release(model);
+                    case 2 -> engine.invalidateModels(model);
                     default -> {
                         came++;
-                        engine.ask(
-                                new WorkerModel.Asked("r", "c" + i, 0, model, "", 1 + chance.nextInt(20_000_000)),
+                        engine.submit(
+                                new WorkerRequest("r", "c" + i, 0, model, "", 1 + chance.nextInt(20_000_000)),
                                 answer -> ended[0]++);
                     }
                 }
-                assertTrue(engine.memoryUsed() <= kind.memoryMb() + 1e-6, "seed " + seed + " step " + i);
+                assertTrue(engine.usedMemoryMb() <= kind.memoryMb() + 1e-6, "seed " + seed + " step " + i);
             }
             clock.runTo(clock.now() + 100_000_000_000L);
             assertEquals(came, ended[0], "seed " + seed);
--- a/simulation/src/main/java/pearladder/simulation/SimulatedFleet.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedFleet.java
@@ -13,7 +13,9 @@
 import pearladder.emulator.ModelStore;
 import pearladder.emulator.Observation;
 import pearladder.emulator.Timeline;
+import pearladder.emulator.WorkerEnvironment;
 import pearladder.emulator.WorkerModel;
+import pearladder.emulator.WorkerSettings;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
 
@@ -37,16 +39,16 @@
         this.plan = plan;
         this.delay = delay;
         this.seen = seen;
-        this.shelf = new ModelStore(time, plan.shelfCapacity(), plan.shelfLimit());
+        this.shelf = new ModelStore(time, plan.modelStoreCapacity(), plan.modelStoreFetchLimit());
         this.roll = new EndpointRegistry(time, 0, seen);
         plan.engines().forEach(engine -> add(engine, false));
-        time.after(1, () -> roll.lag(plan.lagNanos()));
+        time.after(1, () -> roll.setLag(plan.lagNanos()));
         beat();
     }
 
     private void beat() {
         time.after(500_000_000L, () -> {
-            roll.beat();
+            roll.sendHeartbeat();
             beat();
         });
     }
@@ -66,23 +68,16 @@
 
     private void add(FleetPlan.Planned engine, boolean cold) {
         String group =
-                switch (engine.kind().rememberedBy()) {
+                switch (engine.kind().idempotencyScope()) {
                     case ALL -> "";
                     case HALL -> engine.hall();
                     case CELL -> Long.toString(engine.cell());
                 };
         IdempotencyCache shared = marks.computeIfAbsent(
-                group, name -> new IdempotencyCache(time, engine.kind().rememberedNanos()));
+                group, name -> new IdempotencyCache(time, engine.kind().idempotencyWindowNanos()));
         WorkerModel model = new WorkerModel(
-                time,
-                engine.id(),
-                engine.kind(),
-                plan::modelOf,
-                shelf,
-                shared,
-                plan.seed() * 1000 + made++,
-                cold,
-                seen);
+                new WorkerSettings(engine.id(), engine.kind(), plan.seed() * 1000 + made++, cold),
+                new WorkerEnvironment(time, plan::modelOf, shelf, shared, seen));
         hosts.put(engine.id(), new SimulatedNetworkPath(time, delay, model, engine.hall()));
         planned.put(engine.id(), engine);
         tell(engine.id(), Standing.IN_SERVICE, cold ? time.now() / 1_000_000 : 0);
@@ -97,7 +92,7 @@
     List<String> standing(String hall) {
         List<String> up = new ArrayList<>();
         hosts.forEach((id, host) -> {
-            if (host.engine.up() && !host.engine.draining() && (hall.isEmpty() || host.hall.equals(hall))) {
+            if (host.engine.isUp() && !host.engine.isDraining() && (hall.isEmpty() || host.hall.equals(hall))) {
                 up.add(id);
             }
         });
@@ -112,8 +107,8 @@
 
     private void restart(String id) {
         SimulatedNetworkPath host = hosts.get(id);
-        if (!host.engine.up()) {
-            host.engine.start();
+        if (!host.engine.isUp()) {
+            host.engine.restart();
             tell(id, Standing.IN_SERVICE, time.now() / 1_000_000);
         }
     }
@@ -154,31 +149,31 @@
         long nanos = Math.round(figure * 1e6);
         boolean on = figure > 0;
         switch (what) {
-            case "slow" -> named.forEach(host -> host.engine.slow(figure));
-            case "failing" -> named.forEach(host -> host.engine.failing(figure));
+            case "slow" -> named.forEach(host -> host.engine.setSlowdown(figure));
+            case "failing" -> named.forEach(host -> host.engine.setFailureShare(figure));
             case "hang" -> named.forEach(host -> host.hang(on));
             case "misname" -> named.forEach(host -> host.misname(on));
             case "garble" -> named.forEach(host -> host.garble(on));
-            case "late-reports" -> named.forEach(host -> host.engine.reportLate(nanos));
-            case "losing" -> named.forEach(host -> host.engine.losing(figure));
-            case "leak" -> named.forEach(host -> host.engine.leak(figure));
+            case "late-reports" -> named.forEach(host -> host.engine.setReportDelay(nanos));
+            case "losing" -> named.forEach(host -> host.engine.setLostLoadReplyShare(figure));
+            case "leak" -> named.forEach(host -> host.engine.setMemoryLeak(figure));
             case "pause" -> named.forEach(host -> pause(host, on));
             case "cut-back" -> named.forEach(host -> host.cut(false, on));
             case "cable-cut" -> named.forEach(host -> host.cut(on, on));
             case "cable-deaf" -> named.forEach(host -> host.deaf(on));
             case "cable-reset" -> named.forEach(SimulatedNetworkPath::reset);
             case "release" -> named.forEach(
-                    host -> Arrays.stream(model.split(",")).forEach(host.engine::release));
+                    host -> Arrays.stream(model.split(",")).forEach(host.engine::invalidateModels));
             case "kill" -> engines.forEach(this::kill);
             case "restart" -> engines.forEach(this::restart);
             case "replace" -> engines.forEach(id -> replace(id, nanos));
-            case "shelf-slow" -> shelf.slow(figure);
-            case "shelf-refuse" -> shelf.refuse(on);
-            case "shelf-damage" -> shelf.damage(on);
+            case "shelf-slow" -> shelf.setSlowdown(figure);
+            case "shelf-refuse" -> shelf.setRejectingAll(on);
+            case "shelf-damage" -> shelf.setServingDamagedImages(on);
             case "list-silent" -> roll.silent(on);
             case "list-cut" -> listCut.run();
-            case "list-lag" -> roll.lag(nanos);
-            case "list-split" -> roll.split(
+            case "list-lag" -> roll.setLag(nanos);
+            case "list-split" -> roll.setSplitView(
                     on ? Set.of(model.split(",")) : Set.of(), on ? Set.copyOf(engines) : Set.of());
             default -> throw new IllegalArgumentException("unknown deed " + what);
         }
--- a/simulation/src/main/java/pearladder/simulation/SimulatedNetworkPath.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedNetworkPath.java
@@ -90,7 +90,7 @@
     /** The whole process stands still; its kernel goes on accepting. */
     void pause(boolean on) {
         paused = on;
-        engine.freeze(on);
+        engine.setPaused(on);
         mend();
     }
 
@@ -143,7 +143,7 @@
 
     /** The process dies. */
     void die() {
-        engine.die();
+        engine.crash();
         hung = false;
         garbling = false;
         misnaming = false;
--- a/simulation/src/main/java/pearladder/simulation/SimulatedRouter.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedRouter.java
@@ -268,7 +268,7 @@
         List.copyOf(open).forEach(Carried::cut);
         open.clear();
         if (watcher != null) {
-            fleet.roll().leave(watcher);
+            fleet.roll().removeWatcher(watcher);
         }
     }
 
@@ -373,7 +373,7 @@
         }
         watching = false;
         if (watcher != null) {
-            fleet.roll().leave(watcher);
+            fleet.roll().removeWatcher(watcher);
             watcher = null;
         }
         calls.dispatch(new Event.EndpointsUpdated(Event.EndpointUpdateKind.FAILED, List.of()));
--- a/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
@@ -6,8 +6,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import pearladder.emulator.PendingRequest;
 import pearladder.emulator.Timeline;
 import pearladder.emulator.WorkerModel;
+import pearladder.emulator.WorkerOutcome;
+import pearladder.emulator.WorkerReply;
+import pearladder.emulator.WorkerRequest;
 import pearladder.kserve.LoadReport;
 import pearladder.router.core.ActiveAttempt;
 import pearladder.router.core.WorkerClient;
@@ -27,19 +31,20 @@
             int concurrentRequests,
             Event.WorkerLoadReport loadReport)
             implements WorkerResponse {
-        static Said of(WorkerModel.Answer answer) {
+        static Said of(WorkerReply answer) {
             LoadReport report = answer.report();
             return new Said(
-                    switch (answer.end()) {
+                    switch (answer.outcome()) {
                         case OK -> Outcome.SUCCESS;
                         case ERROR -> Outcome.ERROR;
                         case FULL -> Outcome.FULL;
                         case ABSENT -> Outcome.ABSENT;
                     },
-                    answer.met() == null
+                    answer.instanceState() == null
                             ? Event.InstanceStatus.UNTOLD
-                            : Event.InstanceStatus.valueOf(answer.met().name()),
-                    answer.crowd(),
+                            : Event.InstanceStatus.valueOf(
+                                    answer.instanceState().name()),
+                    answer.concurrentRequests(),
                     report == null
                             ? null
                             : new Event.WorkerLoadReport(
@@ -70,11 +75,11 @@
 
     /** What a request does once it has reached its engine. */
     private interface Work {
-        WorkerModel.Held begin(Consumer<WorkerModel.Answer> reply);
+        PendingRequest begin(Consumer<WorkerReply> reply);
     }
 
     private interface Ended {
-        void end(Outcome outcome, WorkerModel.Answer answer);
+        void end(Outcome outcome, WorkerReply answer);
     }
 
     /** One request's life. */
@@ -83,7 +88,7 @@
         private final Work work;
         private final Ended ended;
         private final Timeline.Planned limit;
-        private WorkerModel.Held held;
+        private PendingRequest held;
         private boolean written;
         private boolean over;
 
@@ -104,7 +109,7 @@
                 write();
             } else if (!host.accepts()) {
                 life.after(dial, () -> end(Outcome.UNREACHABLE, null));
-            } else if (!host.engine.up()) {
+            } else if (!host.engine.isUp()) {
                 life.after(2 * delay, () -> end(Outcome.UNREACHABLE, null));
             } else {
                 life.after(2 * delay, () -> {
@@ -125,18 +130,18 @@
                     // given up while the way was cut: its connection was reset, and what had not left is dropped
                     return;
                 }
-                if (!link.host.engine.up()) {
+                if (!link.host.engine.isUp()) {
                     broke();
                 } else if (!link.host.hung()) {
                     held = work.begin(answer -> link.host.out(() -> life.run(() -> answered(answer))));
-                    if (held == null && !link.host.engine.up()) {
+                    if (held == null && !link.host.engine.isUp()) {
                         fell.accept(link.host.engine.id());
                     }
                 }
             });
         }
 
-        private void answered(WorkerModel.Answer answer) {
+        private void answered(WorkerReply answer) {
             if (over) {
                 return;
             }
@@ -154,7 +159,7 @@
             life.run(() -> end(Outcome.BROKEN, null));
         }
 
-        private void end(Outcome outcome, WorkerModel.Answer answer) {
+        private void end(Outcome outcome, WorkerReply answer) {
             if (over) {
                 return;
             }
@@ -171,7 +176,7 @@
         /** The connection goes, and the engine notices. */
         void hangUp() {
             link.host.in(() -> {
-                if (held != null && link.host.engine.up()) {
+                if (held != null && link.host.engine.isUp()) {
                     held.cancel();
                 }
             });
@@ -237,14 +242,14 @@
             return PendingSend.NONE;
         }
         SimulatedRouter.Carried carried = (SimulatedRouter.Carried) leg.request.responseHandler;
-        WorkerModel.Asked asked = new WorkerModel.Asked(
+        WorkerRequest asked = new WorkerRequest(
                 router,
                 leg.request.clientRequestId,
                 leg.number,
                 leg.request.function,
                 leg.request.idempotencyKey == null ? "" : leg.request.idempotencyKey,
                 carried.work());
-        return new Flight(link, limit, reply -> link.host.engine.ask(asked, reply), (outcome, answer) -> {
+        return new Flight(link, limit, reply -> link.host.engine.submit(asked, reply), (outcome, answer) -> {
             Said said = answer == null ? null : Said.of(answer);
             boolean wrong = outcome == Outcome.SUCCESS && link.host.misnaming();
             ended.end(
@@ -269,14 +274,13 @@
                 reply -> {
                     WorkerModel asked = link.host.engine;
                     if (copies == 0) {
-                        reply.accept(new WorkerModel.Answer(
-                                WorkerModel.End.OK, null, 0, asked.standing(function), asked.report()));
+                        reply.accept(WorkerReply.ofLoad(WorkerOutcome.OK, asked.standing(function), asked.report()));
                     } else {
-                        asked.hold(router, function, copies, reply);
+                        asked.loadInstances(router, function, copies, reply);
                     }
                     return null;
                 },
-                (outcome, answer) -> ended.end(outcome, answer == null ? 0 : answer.copies()));
+                (outcome, answer) -> ended.end(outcome, answer == null ? 0 : answer.readyInstances()));
     }
 
     @Override
@@ -288,7 +292,7 @@
                     limit,
                     reply -> {
                         link.host.engine.unload(function);
-                        reply.accept(new WorkerModel.Answer(WorkerModel.End.OK, null, 0, 0, link.host.engine.report()));
+                        reply.accept(WorkerReply.of(WorkerOutcome.OK, link.host.engine.report()));
                         return null;
                     },
                     (outcome, answer) -> {});
@@ -306,7 +310,7 @@
                 link,
                 limit,
                 reply -> {
-                    reply.accept(new WorkerModel.Answer(WorkerModel.End.OK, null, 0, 0, link.host.engine.report()));
+                    reply.accept(WorkerReply.of(WorkerOutcome.OK, link.host.engine.report()));
                     return null;
                 },
                 (outcome, answer) -> ended.end(outcome, answer == null ? null : Said.of(answer)));
