--- a/emulator/src/main/java/pearladder/emulator/EndpointRegistry.java
+++ b/emulator/src/main/java/pearladder/emulator/EndpointRegistry.java
@@ -9,144 +9,166 @@
 import java.util.function.Consumer;
 import pearladder.kserve.DiscoveryMessage;
 import pearladder.kserve.DiscoveryMessage.Entry;
+import pearladder.kserve.DiscoveryMessage.Kind;
 import pearladder.kserve.DiscoveryMessage.Standing;
 
-/** The list service's own state: it knows only whether a process runs, and tells what changed late. */
+/**
+ * The state of the discovery service: the endpoint list with its version, and the routers that watch it. It knows only
+ * whether a worker's process runs, and learns of changes after a lag.
+ */
 public final class EndpointRegistry {
-    /** One router's connection; gets lines until it closes. */
+    /** One router's watch, which receives messages until it is removed. */
     public static final class Watcher {
         private final String router;
-        private final Consumer<DiscoveryMessage> out;
+        private final Consumer<DiscoveryMessage> receiver;
 
-        private Watcher(String router, Consumer<DiscoveryMessage> out) {
+        private Watcher(String router, Consumer<DiscoveryMessage> receiver) {
             this.router = router;
-            this.out = out;
+            this.receiver = receiver;
         }
     }
 
-    private static final int REMEMBERED = 200;
+    /** Changes kept for watchers that come back; a watcher further behind gets the whole list. */
+    private static final int HISTORY_LIMIT = 200;
 
     private final Timeline time;
-    private final Consumer<Observation> seen;
+    private final Consumer<Observation> observations;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
-    private final TreeMap<Long, Entry> history = new TreeMap<>();
+    private final TreeMap<Long, Entry> changesByVersion = new TreeMap<>();
     private final List<Watcher> watchers = new ArrayList<>();
     private long version;
-    private long lag;
+    private long lagNanos;
     private boolean silent;
-    private Set<String> hidden = Set.of();
-    private Set<String> misled = Set.of();
-
-    public EndpointRegistry(Timeline time, long lag, Consumer<Observation> seen) {
+    private Set<String> hiddenWorkers = Set.of();
+    private Set<String> misledRouters = Set.of();
+
+    /**
+     * An empty registry.
+     *
+     * @param lagNanos after how long it learns of a change
+     * @param observations receives each entry that a router is sent
+     */
+    public EndpointRegistry(Timeline time, long lagNanos, Consumer<Observation> observations) {
         this.time = time;
-        this.lag = lag;
-        this.seen = seen;
+        this.lagNanos = lagNanos;
+        this.observations = observations;
     }
 
-    /** How late changes are told, in nanoseconds. */
+    /** Changes the lag, in nanoseconds; changes under way keep theirs. */
     public void setLag(long nanos) {
-        lag = nanos;
+        lagNanos = nanos;
     }
 
-    /** A silent list keeps its connections and says nothing, not even a beat. */
+    /** Sends nothing, not even heartbeats, though connections stay; afterwards every watcher gets the whole list. */
     public void silent(boolean on) {
         silent = on;
         if (!on) {
-            watchers.forEach(watcher -> tell(watcher, snapshot()));
+            sendSnapshotToAll();
         }
     }
 
-    /** Two truths: some routers are told that some engines are gone, and the others that they are not; none mends it. */
-    public void setSplitView(Set<String> routers, Set<String> engines) {
-        misled = Set.copyOf(routers);
-        hidden = Set.copyOf(engines);
+    /** Tells some routers that some workers are gone, and the others that they are there. Empty sets end it. */
+    public void setSplitView(Set<String> routers, Set<String> workers) {
+        misledRouters = Set.copyOf(routers);
+        hiddenWorkers = Set.copyOf(workers);
         if (!silent) {
-            watchers.forEach(watcher -> tell(watcher, snapshot()));
+            sendSnapshotToAll();
         }
     }
 
-    private DiscoveryMessage seenBy(String router, DiscoveryMessage line) {
-        return hidden.isEmpty() || !misled.contains(router)
-                ? line
-                : new DiscoveryMessage(
-                        line.kind(),
-                        line.version(),
-                        line.entries().stream()
-                                .filter(entry -> !hidden.contains(entry.engine()))
-                                .toList());
+    private void sendSnapshotToAll() {
+        watchers.forEach(watcher -> send(watcher, snapshot()));
     }
 
-    /** An engine changed; the list knows it after its lag. */
+    /** A worker has changed; the registry learns of it after the lag. */
     public void change(Entry entry) {
-        time.after(lag, () -> {
-            version++;
-            if (entry.standing() == Standing.GONE) {
-                entries.remove(entry.engine());
-            } else {
-                entries.put(entry.engine(), entry);
-            }
-            history.put(version, entry);
-            while (history.size() > REMEMBERED) {
-                history.pollFirstEntry();
-            }
-            if (!silent) {
-                DiscoveryMessage line = new DiscoveryMessage(DiscoveryMessage.Kind.CHANGES, version, List.of(entry));
-                List.copyOf(watchers).forEach(watcher -> tell(watcher, line));
-            }
-        });
+        time.after(lagNanos, () -> apply(entry));
+    }
+
+    private void apply(Entry entry) {
+        version++;
+        if (entry.standing() == Standing.GONE) {
+            entries.remove(entry.engine());
+        } else {
+            entries.put(entry.engine(), entry);
+        }
+        changesByVersion.put(version, entry);
+        while (changesByVersion.size() > HISTORY_LIMIT) {
+            changesByVersion.pollFirstEntry();
+        }
+        if (!silent) {
+            DiscoveryMessage change = new DiscoveryMessage(Kind.CHANGES, version, List.of(entry));
+            List.copyOf(watchers).forEach(watcher -> send(watcher, change));
+        }
     }
 
     /** The whole list as it is known now. */
     public DiscoveryMessage snapshot() {
-        return new DiscoveryMessage(DiscoveryMessage.Kind.WHOLE, version, List.copyOf(entries.values()));
+        return new DiscoveryMessage(Kind.WHOLE, version, List.copyOf(entries.values()));
     }
 
-    /** A router watches from the version it has on; after a long gap it gets the whole list. */
-    public Watcher watch(String router, long from, Consumer<DiscoveryMessage> out) {
-        Watcher watcher = new Watcher(router, out);
+    /**
+     * Adds a router's watch. It is sent the changes since the version that it has, or the whole list where these are no
+     * longer kept.
+     *
+     * @param knownVersion the version that the router has, or 0 for none
+     */
+    public Watcher watch(String router, long knownVersion, Consumer<DiscoveryMessage> receiver) {
+        Watcher watcher = new Watcher(router, receiver);
         watchers.add(watcher);
         if (!silent) {
-            boolean known = from > 0
-                    && from <= version
-                    && (from == version || !history.isEmpty() && history.firstKey() <= from + 1);
-            tell(
-                    watcher,
-                    known
-                            ? new DiscoveryMessage(
-                                    DiscoveryMessage.Kind.CHANGES,
-                                    version,
-                                    List.copyOf(history.tailMap(from, false).values()))
-                            : snapshot());
+            send(watcher, hasChangesSince(knownVersion) ? changesSince(knownVersion) : snapshot());
         }
         return watcher;
     }
 
+    private boolean hasChangesSince(long knownVersion) {
+        if (knownVersion <= 0 || knownVersion > version) {
+            return false;
+        }
+        boolean kept = !changesByVersion.isEmpty() && changesByVersion.firstKey() <= knownVersion + 1;
+        return knownVersion == version || kept;
+    }
+
+    private DiscoveryMessage changesSince(long knownVersion) {
+        List<Entry> changes =
+                List.copyOf(changesByVersion.tailMap(knownVersion, false).values());
+        return new DiscoveryMessage(Kind.CHANGES, version, changes);
+    }
+
+    /** Ends a watch. */
     public void removeWatcher(Watcher watcher) {
         watchers.remove(watcher);
     }
 
-    /** A sign of life to every router. */
+    /** Sends a heartbeat to every watcher. */
     public void sendHeartbeat() {
         if (!silent) {
-            DiscoveryMessage line = new DiscoveryMessage(DiscoveryMessage.Kind.BEAT, version, List.of());
-            watchers.forEach(watcher -> watcher.out.accept(line));
+            DiscoveryMessage heartbeat = new DiscoveryMessage(Kind.BEAT, version, List.of());
+            watchers.forEach(watcher -> watcher.receiver.accept(heartbeat));
         }
     }
 
-    private void tell(Watcher watcher, DiscoveryMessage all) {
-        DiscoveryMessage line = seenBy(watcher.router, all);
-        for (Entry entry : line.entries()) {
-            seen.accept(new Observation(
-                    time.now(),
-                    Observation.TOLD,
-                    watcher.router,
-                    "",
-                    0,
-                    entry.engine(),
-                    "",
-                    entry.standing().name(),
-                    entry.startedMillis()));
+    private void send(Watcher watcher, DiscoveryMessage complete) {
+        DiscoveryMessage message = viewOf(watcher.router, complete);
+        message.entries().forEach(entry -> observations.accept(toldTo(watcher.router, entry)));
+        watcher.receiver.accept(message);
+    }
+
+    /** The message without the workers that are hidden from the router. */
+    private DiscoveryMessage viewOf(String router, DiscoveryMessage message) {
+        if (hiddenWorkers.isEmpty() || !misledRouters.contains(router)) {
+            return message;
         }
-        watcher.out.accept(line);
+        List<Entry> visible = message.entries().stream()
+                .filter(entry -> !hiddenWorkers.contains(entry.engine()))
+                .toList();
+        return new DiscoveryMessage(message.kind(), message.version(), visible);
+    }
+
+    private Observation toldTo(String router, Entry entry) {
+        String state = entry.standing().name();
+        return new Observation(
+                time.now(), Observation.TOLD, router, "", 0, entry.engine(), "", state, entry.startedMillis());
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/FleetPlan.java
+++ b/emulator/src/main/java/pearladder/emulator/FleetPlan.java
@@ -6,11 +6,15 @@
 import pearladder.config.ConfigValue;
 
 /**
- * A fleet of stand-ins as its file states it.
+ * A fleet of emulated workers as a scenario file describes it.
  *
- * @param shelfCapacity fetches that the shelf serves at full speed together
- * @param lagNanos how late the list tells a change
- * @param cables whether each router reaches each engine over a cable of its own, that can be cut
+ * @param seed of all random draws of the workers
+ * @param modelStoreCapacity fetches that the model store serves at full speed together
+ * @param modelStoreFetchLimit fetches under way at the most
+ * @param lagNanos how late the endpoint registry learns of a change
+ * @param cables whether each router reaches each worker through a fault proxy
+ * @param models families of models; the first that matches a name counts
+ * @param engines the workers to start
  */
 public record FleetPlan(
         long seed,
@@ -20,55 +24,75 @@
         boolean cables,
         List<ModelKind> models,
         List<Planned> engines) {
-    /** One engine to stand up. */
+    /**
+     * One worker to start.
+     *
+     * @param id unique in the fleet
+     * @param hall the hall where it stands
+     * @param cell number of its cell, a group of workers within the hall
+     */
     public record Planned(String id, WorkerKind kind, String hall, long cell) {}
 
-    /** Reads the "fleet" part of a file; mistakes are noted at their lines. */
+    /** Cells of different halls differ by a multiple of this. */
+    private static final long CELL_NUMBERS_PER_HALL = 10_000;
+
+    private static final int MAX_WORKERS_PER_GROUP = 10_000;
+    private static final String DEFAULT_HALL = "hall";
+    private static final double BYTES_PER_MB = 1e6;
+
+    /** Reads the "fleet" part of a file; mistakes are reported with their lines. */
     public static FleetPlan read(ConfigValue fleet) {
-        ConfigValue shelf = fleet.at("shelf");
-        Map<String, WorkerKind> kinds = fleet.at("kinds").eachKey(FleetPlan::kind);
+        ConfigValue modelStore = fleet.at("shelf");
+        Map<String, WorkerKind> kinds = fleet.at("kinds").eachKey(FleetPlan::readWorkerKind);
         if (kinds.isEmpty()) {
             fleet.at("kinds").wrong("a kind of engine is missing", "write one with its cores and memory");
         }
-        List<Planned> engines = new ArrayList<>();
+        List<Planned> workers = new ArrayList<>();
         for (ConfigValue group : fleet.at("engines").each(value -> value)) {
-            String name = group.at("name").text();
-            String kind = group.at("kind").text();
-            List<String> halls = group.at("halls").each(ConfigValue::text);
-            int perCell = group.at("per_cell").whole(4, 1, 10_000);
-            int count = group.at("count").whole(1, 1, 10_000);
-            if (!kinds.containsKey(kind)) {
-                group.at("kind")
-                        .wrong("unknown kind \"" + kind + "\"", "write one of " + String.join(", ", kinds.keySet()));
-                continue;
-            }
-            for (int i = 0; i < count; i++) {
-                String hall = halls.isEmpty() ? "hall" : halls.get(i % halls.size());
-                int inHall = halls.isEmpty() ? i : i / halls.size();
-                long cell = Math.max(0, halls.indexOf(hall)) * 10_000L + inHall / perCell;
-                engines.add(new Planned(name + "-" + i, kinds.get(kind), hall, cell));
-            }
+            workers.addAll(readGroup(group, kinds));
         }
-        if (engines.isEmpty()) {
+        if (workers.isEmpty()) {
             fleet.at("engines").wrong("no engine is listed", "write \"- {name: engine, count: 3, kind: ...}\"");
         }
         return new FleetPlan(
                 fleet.at("seed").whole(1, 0, Integer.MAX_VALUE),
-                shelf.at("capacity").number(8, 0.1, 1e6),
-                shelf.at("limit").whole(64, 1, 1_000_000),
+                modelStore.at("capacity").number(8, 0.1, 1e6),
+                modelStore.at("limit").whole(64, 1, 1_000_000),
                 fleet.at("list").at("lag").span("500 ms"),
                 fleet.at("cables").flag(false),
-                fleet.at("models").each(FleetPlan::model),
-                engines);
+                fleet.at("models").each(FleetPlan::readModelKind),
+                workers);
+    }
+
+    /** Reads a group of like workers, spread over its halls in turn. */
+    private static List<Planned> readGroup(ConfigValue group, Map<String, WorkerKind> kinds) {
+        String name = group.at("name").text();
+        String kind = group.at("kind").text();
+        List<String> halls = group.at("halls").each(ConfigValue::text);
+        int perCell = group.at("per_cell").whole(4, 1, MAX_WORKERS_PER_GROUP);
+        int count = group.at("count").whole(1, 1, MAX_WORKERS_PER_GROUP);
+        if (!kinds.containsKey(kind)) {
+            group.at("kind")
+                    .wrong("unknown kind \"" + kind + "\"", "write one of " + String.join(", ", kinds.keySet()));
+            return List.of();
+        }
+        List<Planned> workers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            String hall = halls.isEmpty() ? DEFAULT_HALL : halls.get(i % halls.size());
+            int indexInHall = halls.isEmpty() ? i : i / halls.size();
+            long cell = Math.max(0, halls.indexOf(hall)) * CELL_NUMBERS_PER_HALL + indexInHall / perCell;
+            workers.add(new Planned(name + "-" + i, kinds.get(kind), hall, cell));
+        }
+        return workers;
     }
 
-    private static WorkerKind kind(String name, ConfigValue kind) {
+    private static WorkerKind readWorkerKind(String name, ConfigValue kind) {
         ConfigValue cold = kind.at("cold");
         return new WorkerKind(
                 name,
                 kind.at("cores").whole(1, 1024),
                 kind.at("speed").number(1, 0.01, 100),
-                kind.at("memory").bytes() / 1e6,
+                kind.at("memory").bytes() / BYTES_PER_MB,
                 kind.at("loaders").whole(4, 1, 1000),
                 kind.at("queue").whole(64, 0, 100_000),
                 kind.at("kept").span("10 s"),
@@ -84,10 +108,26 @@
                 kind.at("reports_every").span("300 ms"));
     }
 
-    /** Fetch and start as they are told, or as shares of the whole load. */
-    private static long fetch(ConfigValue model, boolean fetch) {
+    private static ModelKind readModelKind(ConfigValue model) {
+        return new ModelKind(
+                model.at("name").text(),
+                model.at("memory").bytes() / BYTES_PER_MB,
+                model.at("lanes").whole(1, 1, 1000),
+                readLoadPhase(model, "fetch"),
+                readLoadPhase(model, "start"),
+                model.at("work").span("20 ms"),
+                model.at("failing").number(0, 0, 1),
+                model.at("times").number(1, 0.01, 1000));
+    }
+
+    /**
+     * The length of one of a load's two phases, which are given each, or as the whole load and the fetch's share of it.
+     *
+     * @param phase "fetch" or "start"
+     */
+    private static long readLoadPhase(ConfigValue model, String phase) {
         if (!model.at("load").given()) {
-            return model.at(fetch ? "fetch" : "start").span("0 s");
+            return model.at(phase).span("0 s");
         }
         if (model.at("fetch").given() || model.at("start").given()) {
             model.at("load")
@@ -95,23 +135,12 @@
                             "a load is told, and its fetch or start beside it",
                             "keep load and fetch_share, or fetch and start");
         }
-        double share = model.at("fetch_share").number(0.75, 0, 1);
-        return Math.round(model.at("load").span() * (fetch ? share : 1 - share));
-    }
-
-    private static ModelKind model(ConfigValue model) {
-        return new ModelKind(
-                model.at("name").text(),
-                model.at("memory").bytes() / 1e6,
-                model.at("lanes").whole(1, 1, 1000),
-                fetch(model, true),
-                fetch(model, false),
-                model.at("work").span("20 ms"),
-                model.at("failing").number(0, 0, 1),
-                model.at("times").number(1, 0.01, 1000));
+        double fetchShare = model.at("fetch_share").number(0.75, 0, 1);
+        double share = phase.equals("fetch") ? fetchShare : 1 - fetchShare;
+        return Math.round(model.at("load").span() * share);
     }
 
-    /** The kind of a model's name, or null where none matches; the first that matches counts. */
+    /** The kind of the model of this name, or null where none matches; the first that matches counts. */
     public ModelKind modelOf(String name) {
         for (ModelKind model : models) {
             if (model.matches(name)) {
--- a/emulator/src/main/java/pearladder/emulator/ModelKind.java
+++ b/emulator/src/main/java/pearladder/emulator/ModelKind.java
@@ -3,16 +3,16 @@
 import pearladder.kserve.Route;
 
 /**
- * What the stand-ins know of a family of models.
+ * What the emulator knows of a family of models.
  *
- * @param pattern a model's name, or its beginning with "*" behind it
- * @param memoryMb of one loaded copy
- * @param lanes calls that a copy runs at once
- * @param fetchNanos the fetch from a shelf that nobody else uses
- * @param startNanos from the image to a standing copy
- * @param workNanos of a call that names no work of its own, on a core of speed 1
- * @param failing share of its calls that fail, whatever engine runs them
- * @param times of the work that a call names, for a version that is slower than it should be
+ * @param pattern a model's name, or the beginning of names followed by "*"
+ * @param memoryMb of one instance
+ * @param concurrency requests that an instance runs at once
+ * @param fetchNanos the fetch of its image from a model store without other load
+ * @param startNanos from the image to a ready instance
+ * @param workNanos of a request that names no work of its own, on a core of speed 1
+ * @param failureShare share of its requests that fail whatever worker runs them, 0 to 1
+ * @param workMultiplier factor on a request's work, for a version that is slower than it should be
  */
 public record ModelKind(
         String pattern,
@@ -23,7 +23,7 @@
         long workNanos,
         double failureShare,
         double workMultiplier) {
-    /** Whether the name belongs to it. */
+    /** Whether a model of this name belongs to the family. */
     public boolean matches(String name) {
         return Route.matches(pattern, name);
     }
--- a/emulator/src/main/java/pearladder/emulator/ModelStore.java
+++ b/emulator/src/main/java/pearladder/emulator/ModelStore.java
@@ -4,99 +4,112 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/** The shared store: fetches share its capacity, and past a limit it turns them away. */
+/**
+ * The shared store that workers fetch model images from. Concurrent fetches share its capacity equally, and it rejects
+ * those beyond a limit.
+ */
 public final class ModelStore {
+    /** How long the rejection of a fetch takes. */
+    private static final long REJECTION_NANOS = 1_000_000;
+    /** A fetch with less time left than this, in nanoseconds at full speed, is complete. */
+    private static final double COMPLETE_BELOW = 1;
+
     private static final class Fetch {
-        double left;
-        Consumer<Boolean> done;
+        final Consumer<Boolean> onEnded;
+        double remainingNanos;
+
+        Fetch(long fullSpeedNanos, Consumer<Boolean> onEnded) {
+            this.remainingNanos = fullSpeedNanos;
+            this.onEnded = onEnded;
+        }
     }
 
     private final Timeline time;
     private final double capacity;
-    private final int limit;
-    private final List<Fetch> under = new ArrayList<>();
-    private Timeline.Planned next;
-    private long at;
-    private double slowness = 1;
-    private boolean refusing;
-    private boolean damaged;
-    private long fetched;
-    private long refused;
+    private final int fetchLimit;
+    private final List<Fetch> active = new ArrayList<>();
+    private Timeline.Planned nextCompletion;
+    private long accountedUntil;
+    private double slowdown = 1;
+    private boolean rejectingAll;
+    private boolean servingDamagedImages;
 
-    /** @param capacity fetches that go at full speed together; @param limit fetches under way at the most */
-    public ModelStore(Timeline time, double capacity, int limit) {
+    /**
+     * A store without load.
+     *
+     * @param capacity fetches that together still run at full speed
+     * @param fetchLimit fetches under way at the most; further ones are rejected
+     */
+    public ModelStore(Timeline time, double capacity, int fetchLimit) {
         this.time = time;
         this.capacity = capacity;
-        this.limit = limit;
+        this.fetchLimit = fetchLimit;
     }
 
-    /** Runs so many times slower, 1 for the usual. */
-    public void setSlowdown(double times) {
-        advance();
-        slowness = Math.max(1, times);
-        plan();
+    /** Runs so many times slower than usual, at least 1. */
+    public void setSlowdown(double factor) {
+        accountProgress();
+        slowdown = Math.max(1, factor);
+        scheduleNextCompletion();
     }
 
-    public void setRejectingAll(boolean all) {
-        refusing = all;
+    /** Rejects every new fetch, or none that is within the limit. */
+    public void setRejectingAll(boolean on) {
+        rejectingAll = on;
     }
 
-    /** What it serves is damaged: a fetch takes its time and brings nothing that starts. */
+    /** Serves damaged images: a fetch takes its time and then fails. */
     public void setServingDamagedImages(boolean on) {
-        damaged = on;
-    }
-
-    public long fetched() {
-        return fetched;
-    }
-
-    public long refused() {
-        return refused;
+        servingDamagedImages = on;
     }
 
-    /** Begins a fetch that would take so long alone; tells whether it came through. */
-    public void fetch(long aloneNanos, Consumer<Boolean> done) {
-        if (refusing || under.size() >= limit) {
-            refused++;
-            time.after(1_000_000, () -> done.accept(false));
+    /**
+     * Starts a fetch.
+     *
+     * @param fullSpeedNanos how long it takes at full speed
+     * @param onEnded told later whether it brought an image that can be started
+     */
+    public void fetch(long fullSpeedNanos, Consumer<Boolean> onEnded) {
+        if (rejectingAll || active.size() >= fetchLimit) {
+            time.after(REJECTION_NANOS, () -> onEnded.accept(false));
             return;
         }
-        advance();
-        Fetch fetch = new Fetch();
-        fetch.left = aloneNanos;
-        fetch.done = done;
-        under.add(fetch);
-        plan();
+        accountProgress();
+        active.add(new Fetch(fullSpeedNanos, onEnded));
+        scheduleNextCompletion();
     }
 
+    /** The speed of each fetch, 1 for full speed. */
     private double rate() {
-        return Math.min(1, capacity / Math.max(1, under.size())) / slowness;
+        return Math.min(1, capacity / Math.max(1, active.size())) / slowdown;
     }
 
-    private void advance() {
-        double gone = (time.now() - at) * rate();
-        at = time.now();
-        under.forEach(fetch -> fetch.left -= gone);
+    private void accountProgress() {
+        double progress = (time.now() - accountedUntil) * rate();
+        accountedUntil = time.now();
+        active.forEach(fetch -> fetch.remainingNanos -= progress);
     }
 
-    private void plan() {
-        if (next != null) {
-            next.callOff();
+    private void scheduleNextCompletion() {
+        if (nextCompletion != null) {
+            nextCompletion.callOff();
         }
-        if (!under.isEmpty()) {
-            double least = under.stream().mapToDouble(fetch -> fetch.left).min().orElse(0);
-            next = time.after((long) Math.ceil(Math.max(0, least) / rate()), this::due);
+        if (!active.isEmpty()) {
+            double least = active.stream()
+                    .mapToDouble(fetch -> fetch.remainingNanos)
+                    .min()
+                    .orElse(0);
+            nextCompletion = time.after((long) Math.ceil(Math.max(0, least) / rate()), this::onCompletionDue);
         }
     }
 
-    private void due() {
-        advance();
-        List<Fetch> ended = under.stream().filter(fetch -> fetch.left < 1).toList();
-        under.removeAll(ended);
-        plan();
-        for (Fetch fetch : ended) {
-            fetched++;
-            fetch.done.accept(!damaged);
-        }
+    private void onCompletionDue() {
+        accountProgress();
+        List<Fetch> completed = active.stream()
+                .filter(fetch -> fetch.remainingNanos < COMPLETE_BELOW)
+                .toList();
+        active.removeAll(completed);
+        scheduleNextCompletion();
+        completed.forEach(fetch -> fetch.onEnded.accept(!servingDamagedImages));
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/Observation.java
+++ b/emulator/src/main/java/pearladder/emulator/Observation.java
@@ -1,11 +1,17 @@
 package pearladder.emulator;
 
 /**
- * One thing seen from outside a router, as a line of a tape; what does not apply is empty or 0.
+ * Something that was observed from outside a router. What does not apply is empty or 0.
  *
- * @param at nanoseconds of the machine's monotonic clock, the same for all processes of a run
- * @param what see the constants
- * @param figure what the kind of line says: copies ordered, a status, a span in nanoseconds
+ * @param at nanoseconds of the machine's monotonic clock, the same for all processes of a run, or of the virtual clock
+ * @param what the kind of event, one of the constants below; they are written to observation logs
+ * @param router name of the router
+ * @param call the client's id of the request
+ * @param leg number of the attempt
+ * @param engine id of the worker
+ * @param model name of the model
+ * @param note text whose meaning depends on the kind of event
+ * @param figure number whose meaning depends on the kind of event
  */
 public record Observation(
         long at,
@@ -17,44 +23,44 @@
         String model,
         String note,
         double figure) {
-    /** At an engine: a leg reached it; note is the mark against repeats. */
+    /** At a worker: an attempt reached it; the note is the idempotency key. */
     public static final String ARRIVED = "arrived";
-    /** At an engine: a leg began to run (the effect happens). */
+    /** At a worker: an attempt began to run, so that its effect happens. */
     public static final String RAN = "ran";
-    /** At an engine: a leg was refused unseen, so it never ran. */
+    /** At a worker: an attempt was rejected and never ran; the note says why. */
     public static final String REFUSED = "refused";
-    /** At an engine: a repeat was dropped and answered from what is remembered. */
+    /** At a worker: a duplicate was replied to without running; the note is the idempotency key. */
     public static final String DROPPED = "dropped";
-    /** At an engine: an order to load; figure is the copies wanted. */
+    /** At a worker: a load request; the figure is the number of instances wanted. */
     public static final String ORDERED = "ordered";
     /**
-     * At an engine: a load ended; note is empty where the copy stands, else why it does not; figure is the share
-     * of its time that was the fetch's.
+     * At a worker: a load ended. The note is empty where the instance is ready, else it says why not; the figure is the
+     * share of the load's time that the fetch took.
      */
     public static final String LOADED = "loaded";
-    /** At an engine: copies went, by themselves or for room; figure is how many. */
+    /** At a worker: instances were unloaded; the figure is how many. */
     public static final String UNLOADED = "unloaded";
-    /** At an engine: it fell over for being pushed while cold; figure is the multiple of what it bears. */
+    /** At a worker: it crashed from overload while cold; the figure is the multiple of its capacity that it was sent. */
     public static final String FELL = "fell";
-    /** At the list: a router was told an engine's standing, which is the note; figure is its start, in nanoseconds. */
+    /** At the registry: a router was sent a worker's state, the note; the figure is the worker's start in epoch ms. */
     public static final String TOLD = "told";
-    /** At a client: a try went out; note is its category, figure its patience in nanoseconds. */
+    /** At a client: a try was sent; the note is its request class, the figure its timeout in nanoseconds. */
     public static final String SENT = "sent";
-    /** At a client: a final answer; note is its state. */
+    /** At a client: a final answer; the note is its outcome. */
     public static final String ANSWERED = "answered";
-    /** At a client: the try ended without a final answer; note says how. */
+    /** At a client: the try ended without a final answer; the note says how. */
     public static final String UNANSWERED = "unanswered";
     /** At a client: something came after the final answer. */
     public static final String AGAIN = "again";
-    /** At a client: its own process paused, so that it saw what came meanwhile late; figure is for how long. */
+    /** At a client: its own process paused and saw late what came meanwhile; the figure is the length of the pause. */
     public static final String PAUSED = "paused";
-    /** By the day: a router was killed, or started. */
+    /** By the scenario: a router was killed. */
     public static final String KILLED = "killed";
-
+    /** By the scenario: a router was started. */
     public static final String STARTED = "started";
-    /** By the day: a router, or an engine, stood still from here on; figure is for how long, in nanoseconds. */
+    /** By the scenario: a router or a worker was paused from here on; the figure is for how long, in nanoseconds. */
     public static final String STILL = "still";
-    /** By the day: a trouble began; figure is its span in nanoseconds. */
+    /** By the scenario: a fault began; the note describes it. */
     public static final String TROUBLE = "trouble";
 
     /** An observation of one attempt at a worker. */
--- a/emulator/src/main/java/pearladder/emulator/ObservationLog.java
+++ b/emulator/src/main/java/pearladder/emulator/ObservationLog.java
@@ -12,66 +12,84 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.function.Consumer;
 
-/** What was seen, a JSON object a line; a tape cut off in its last line is read up to there. */
+/**
+ * A file of observations, one JSON object a line; fields that do not apply are left out. A file whose last line is
+ * incomplete, as after a crash, can be read up to there. Safe for use by several threads.
+ */
 public final class ObservationLog implements Consumer<Observation>, Closeable {
     private static final JsonFactory JSON = new JsonFactory();
+    private static final String AT = "at";
+    private static final String EVENT = "what";
+    private static final String ROUTER = "router";
+    private static final String REQUEST_ID = "call";
+    private static final String ATTEMPT = "leg";
+    private static final String WORKER = "engine";
+    private static final String MODEL = "model";
+    private static final String NOTE = "note";
+    private static final String VALUE = "figure";
 
     private final BufferedWriter writer;
     private final JsonGenerator json;
 
-    /** Begins a tape; one that stands there is replaced. */
+    /**
+     * Starts a log; an existing file is replaced, missing folders are made.
+     *
+     * @throws UncheckedIOException where the file can't be written
+     */
     public ObservationLog(Path file) {
         try {
-            if (file.toAbsolutePath().getParent() != null) {
-                Files.createDirectories(file.toAbsolutePath().getParent());
+            Path folder = file.toAbsolutePath().getParent();
+            if (folder != null) {
+                Files.createDirectories(folder);
             }
             writer = Files.newBufferedWriter(file);
             json = JSON.createGenerator(writer);
             json.setPrettyPrinter(new MinimalPrettyPrinter("\n"));
             json.disable(JsonGenerator.Feature.FLUSH_PASSED_TO_STREAM);
-        } catch (IOException broken) {
-            throw new UncheckedIOException("the tape can't be written: " + file, broken);
+        } catch (IOException e) {
+            throw new UncheckedIOException("the observation log can't be written: " + file, e);
         }
     }
 
     @Override
-    public synchronized void accept(Observation seen) {
+    public synchronized void accept(Observation observation) {
         try {
             json.writeStartObject();
-            json.writeNumberField("at", seen.at());
-            json.writeStringField("what", seen.what());
-            field("router", seen.router());
-            field("call", seen.call());
-            if (seen.leg() != 0) {
-                json.writeNumberField("leg", seen.leg());
+            json.writeNumberField(AT, observation.at());
+            json.writeStringField(EVENT, observation.what());
+            writeUnlessEmpty(ROUTER, observation.router());
+            writeUnlessEmpty(REQUEST_ID, observation.call());
+            if (observation.leg() != 0) {
+                json.writeNumberField(ATTEMPT, observation.leg());
             }
-            field("engine", seen.engine());
-            field("model", seen.model());
-            field("note", seen.note());
-            if (seen.figure() != 0) {
-                json.writeNumberField("figure", seen.figure());
+            writeUnlessEmpty(WORKER, observation.engine());
+            writeUnlessEmpty(MODEL, observation.model());
+            writeUnlessEmpty(NOTE, observation.note());
+            if (observation.figure() != 0) {
+                json.writeNumberField(VALUE, observation.figure());
             }
             json.writeEndObject();
-        } catch (IOException broken) {
-            throw new UncheckedIOException("the tape can't be written", broken);
+        } catch (IOException e) {
+            throw new UncheckedIOException("the observation log can't be written", e);
         }
     }
 
-    private void field(String name, String value) throws IOException {
+    private void writeUnlessEmpty(String name, String value) throws IOException {
         if (!value.isEmpty()) {
             json.writeStringField(name, value);
         }
     }
 
-    /** Puts on disk what was seen up to now. */
+    /** Writes to the file what was observed up to now. */
     public synchronized void flush() {
         try {
             json.flush();
             writer.flush();
-        } catch (IOException broken) {
-            throw new UncheckedIOException("the tape can't be written", broken);
+        } catch (IOException e) {
+            throw new UncheckedIOException("the observation log can't be written", e);
         }
     }
 
@@ -80,53 +98,74 @@
         json.close();
     }
 
-    /** Reads a tape line by line; returns how many lines were not whole (at most the last of a run cut off). */
-    public static int read(Path file, Consumer<Observation> out) throws IOException {
-        int torn = 0;
+    /**
+     * Reads a log line by line.
+     *
+     * @return how many lines were malformed; after a crash at most the last one of each run
+     */
+    public static int read(Path file, Consumer<Observation> receiver) throws IOException {
+        int malformed = 0;
         try (BufferedReader reader = Files.newBufferedReader(file)) {
             String line;
             while ((line = reader.readLine()) != null) {
-                Observation seen = parse(line);
-                if (seen == null) {
-                    torn++;
-                } else {
-                    out.accept(seen);
-                }
+                Optional<Observation> observation = parse(line);
+                observation.ifPresent(receiver);
+                malformed += observation.isPresent() ? 0 : 1;
             }
         }
-        return torn;
+        return malformed;
     }
 
-    private static Observation parse(String line) {
-        long at = 0;
-        String[] texts = {"", "", "", "", "", ""};
-        int leg = 0;
-        double figure = 0;
+    /** The values of one line as they are read. */
+    private static final class Fields {
+        long at;
+        String event = "";
+        String router = "";
+        String requestId = "";
+        int attempt;
+        String worker = "";
+        String model = "";
+        String note = "";
+        double value;
+
+        /** Takes the current value; fields unknown here are skipped. */
+        void read(String name, JsonParser parser) throws IOException {
+            switch (name) {
+                case AT -> at = parser.getLongValue();
+                case EVENT -> event = parser.getText();
+                case ROUTER -> router = parser.getText();
+                case REQUEST_ID -> requestId = parser.getText();
+                case ATTEMPT -> attempt = parser.getIntValue();
+                case WORKER -> worker = parser.getText();
+                case MODEL -> model = parser.getText();
+                case NOTE -> note = parser.getText();
+                case VALUE -> value = parser.getDoubleValue();
+                default -> parser.skipChildren();
+            }
+        }
+
+        Observation toObservation() {
+            return new Observation(at, event, router, requestId, attempt, worker, model, note, value);
+        }
+    }
+
+    /** Empty where the line is malformed. */
+    private static Optional<Observation> parse(String line) {
+        Fields fields = new Fields();
         try (JsonParser parser = JSON.createParser(line)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
-                return null;
+                return Optional.empty();
             }
             while (parser.nextToken() == JsonToken.FIELD_NAME) {
                 String name = parser.currentName();
                 parser.nextToken();
-                switch (name) {
-                    case "at" -> at = parser.getLongValue();
-                    case "leg" -> leg = parser.getIntValue();
-                    case "figure" -> figure = parser.getDoubleValue();
-                    case "what" -> texts[0] = parser.getText();
-                    case "router" -> texts[1] = parser.getText();
-                    case "call" -> texts[2] = parser.getText();
-                    case "engine" -> texts[3] = parser.getText();
-                    case "model" -> texts[4] = parser.getText();
-                    case "note" -> texts[5] = parser.getText();
-                    default -> parser.skipChildren();
-                }
+                fields.read(name, parser);
             }
-            return parser.currentToken() != JsonToken.END_OBJECT
-                    ? null
-                    : new Observation(at, texts[0], texts[1], texts[2], leg, texts[3], texts[4], texts[5], figure);
-        } catch (IOException torn) {
-            return null;
+            return parser.currentToken() == JsonToken.END_OBJECT
+                    ? Optional.of(fields.toObservation())
+                    : Optional.empty();
+        } catch (IOException e) {
+            return Optional.empty();
         }
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/Timeline.java
+++ b/emulator/src/main/java/pearladder/emulator/Timeline.java
@@ -1,20 +1,21 @@
 package pearladder.emulator;
 
-/** Where a stand-in lives in time: what the time is, and what happens later. One thread calls all of it. */
+/** A clock and a scheduler of later tasks, in real or virtual time. All tasks run in one thread. */
 public interface Timeline {
-    /** Something that will happen; calling it off twice, or after it happened, does nothing. */
+    /** A scheduled task. */
     interface Planned {
+        /** Cancels the task; does nothing where it has run or has been cancelled before. */
         void callOff();
     }
 
-    /** Nanoseconds; of no particular start. */
+    /** The time in nanoseconds since an arbitrary origin. */
     long now();
 
-    /** Runs something at a time, or at once in a later turn where the time has passed. */
-    Planned at(long nanos, Runnable what);
+    /** Runs a task at a time in nanoseconds; where that has passed, as soon as possible, but not within this call. */
+    Planned at(long nanos, Runnable task);
 
-    /** Runs something after a span in nanoseconds. */
-    default Planned after(long nanos, Runnable what) {
-        return at(now() + Math.max(0, nanos), what);
+    /** Runs a task after a delay in nanoseconds; a negative delay counts as none. */
+    default Planned after(long nanos, Runnable task) {
+        return at(now() + Math.max(0, nanos), task);
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/VirtualTimeline.java
+++ b/emulator/src/main/java/pearladder/emulator/VirtualTimeline.java
@@ -2,34 +2,35 @@
 
 import java.util.PriorityQueue;
 
-/** Time that moves only from one planned thing to the next; things of the same moment happen in the order planned. */
+/** Virtual time, which moves only from one task to the next; tasks of the same moment run in the order scheduled. */
 public final class VirtualTimeline implements Timeline {
-    private static final class Entry implements Planned, Comparable<Entry> {
+    private static final class Task implements Planned, Comparable<Task> {
         final long at;
-        final long number;
-        Runnable what;
+        final long sequence;
+        /** Null once cancelled; the entry stays in the queue until its time. */
+        Runnable action;
 
-        Entry(long at, long number, Runnable what) {
+        Task(long at, long sequence, Runnable action) {
             this.at = at;
-            this.number = number;
-            this.what = what;
+            this.sequence = sequence;
+            this.action = action;
         }
 
         @Override
         public void callOff() {
-            what = null;
+            action = null;
         }
 
         @Override
-        public int compareTo(Entry other) {
+        public int compareTo(Task other) {
             int byTime = Long.compare(at, other.at);
-            return byTime != 0 ? byTime : Long.compare(number, other.number);
+            return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
         }
     }
 
-    private final PriorityQueue<Entry> queue = new PriorityQueue<>();
+    private final PriorityQueue<Task> queue = new PriorityQueue<>();
     private long now;
-    private long numbered;
+    private long nextSequence;
     private long ran;
 
     @Override
@@ -38,25 +39,25 @@
     }
 
     @Override
-    public Planned at(long nanos, Runnable what) {
-        Entry entry = new Entry(Math.max(now, nanos), numbered++, what);
-        queue.add(entry);
-        return entry;
+    public Planned at(long nanos, Runnable action) {
+        Task task = new Task(Math.max(now, nanos), nextSequence++, action);
+        queue.add(task);
+        return task;
     }
 
-    /** How many things have happened. */
+    /** How many tasks have run; cancelled ones don't count. */
     public long ran() {
         return ran;
     }
 
-    /** Lets everything happen up to and at a time, which is then the present. */
+    /** Runs all tasks due up to and at a time in nanoseconds, which is then the present. */
     public void runTo(long nanos) {
         while (!queue.isEmpty() && queue.peek().at <= nanos) {
-            Entry entry = queue.poll();
-            now = entry.at;
-            if (entry.what != null) {
+            Task task = queue.poll();
+            now = task.at;
+            if (task.action != null) {
                 ran++;
-                entry.what.run();
+                task.action.run();
             }
         }
         now = Math.max(now, nanos);
--- a/emulator/src/main/java/pearladder/emulator/WorkerKind.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerKind.java
@@ -1,22 +1,25 @@
 package pearladder.emulator;
 
 /**
- * What kind of machine an engine is, and its habits.
+ * The hardware and behaviour of a kind of worker. Spans are in nanoseconds.
  *
+ * @param name as the endpoint list tells it
+ * @param cores how many requests run at full speed together
  * @param speed of a core, 1 for a standard one
- * @param loaders loads that run at a time
- * @param queue calls that may wait, for lanes and for loads; past it the engine refuses as full
- * @param keptNanos an idle copy is unloaded after so long
- * @param ownCopies whether the engine starts another copy by itself where all lanes are taken
- * @param images whether fetched images stay on its disk and spare the next fetch
- * @param cancelStops whether running work stops when its caller is gone
- * @param rememberedNanos for how long a repeat with the same mark is dropped
- * @param rememberedBy the engines that drop each other's repeats
- * @param startShare of its capacity right after a start
- * @param warmNanos after a start it bears all of it
- * @param fallMultiple sent more than so many times its present capacity
- * @param fallNanos over so long, a cold engine falls over and stays down
- * @param reportNanos its load report is renewed so seldom
+ * @param memoryMb for model instances
+ * @param concurrentLoads loads that run at a time; further ones wait
+ * @param queueLimit requests that may wait for a slot or a load; beyond it requests are rejected
+ * @param idleTimeoutNanos an instance that is idle for so long is unloaded
+ * @param scalesUpByItself whether the worker loads another instance where all slots are taken
+ * @param cachesImages whether fetched images stay on its disk and spare the next fetch
+ * @param stopsOnCancel whether running work stops when the caller is gone
+ * @param idempotencyWindowNanos for how long a duplicate with the same idempotency key is dropped
+ * @param idempotencyScope the workers that drop each other's duplicates
+ * @param coldCapacityShare share of its capacity right after a start, 0 to 1
+ * @param warmUpNanos how long after a start it has its full capacity
+ * @param overloadMultiple a cold worker that is sent more than this multiple of its present capacity
+ * @param overloadWindowNanos over this window crashes and stays down
+ * @param reportIntervalNanos how often its load report is measured anew
  */
 public record WorkerKind(
         String name,
@@ -36,10 +39,13 @@
         double overloadMultiple,
         long overloadWindowNanos,
         long reportIntervalNanos) {
-    /** Engines that share their marks. */
+    /** The workers that share their idempotency keys. Written as words in scenario files. */
     public enum IdempotencyScope {
+        /** All workers of the fleet. */
         ALL,
+        /** Those of the same hall. */
         HALL,
+        /** Those of the same cell. */
         CELL
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/net/DiscoveryServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/DiscoveryServer.java
@@ -7,80 +7,91 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.function.BiFunction;
 import pearladder.emulator.EndpointRegistry;
 import pearladder.kserve.DiscoveryMessage;
 import pearladder.kserve.Headers;
 
-/** The stand-in list service: GET /v1/list/watch?from=VERSION stays open and brings a line for each change. */
+/**
+ * The discovery service: GET /v1/list answers with the whole endpoint list; GET /v1/list/watch?from=VERSION stays open and
+ * brings one line for each change.
+ */
 public final class DiscoveryServer {
+    private static final String LIST_PATH = "/v1/list";
+    private static final String WATCH_PATH = "/v1/list/watch";
+    private static final long HEARTBEAT_MILLIS = 500;
+
     private final Vertx vertx;
-    private final EndpointRegistry roll;
-    private final BiFunction<String, DiscoveryMessage.Entry, DiscoveryMessage.Entry> reached;
-    private final Set<HttpServerResponse> open = new HashSet<>();
-    private HttpServer server;
+    private final EndpointRegistry registry;
+    private final BiFunction<String, DiscoveryMessage.Entry, DiscoveryMessage.Entry> addressing;
+    private final Set<HttpServerResponse> openWatches = new HashSet<>();
     private int port;
 
-    /** @param reached an entry as a router of that name reaches the engine */
+    /** @param addressing an entry with the address by which the router of that name reaches the worker */
     DiscoveryServer(
             Vertx vertx,
-            EndpointRegistry roll,
-            BiFunction<String, DiscoveryMessage.Entry, DiscoveryMessage.Entry> reached) {
-        this.reached = reached;
+            EndpointRegistry registry,
+            BiFunction<String, DiscoveryMessage.Entry, DiscoveryMessage.Entry> addressing) {
         this.vertx = vertx;
-        this.roll = roll;
+        this.registry = registry;
+        this.addressing = addressing;
     }
 
+    /** The port on which it listens. */
     public int port() {
         return port;
     }
 
-    Future<Void> listen(int wanted) {
-        port = wanted;
-        server = vertx.createHttpServer(
-                        new HttpServerOptions().setHost("127.0.0.1").setPort(port))
-                .requestHandler(this::take);
-        vertx.setPeriodic(500, tick -> roll.sendHeartbeat());
-        return server.listen().map(listening -> {
-            port = listening.actualPort();
-            return null;
-        });
+    /** @param wantedPort 0 lets the system give one */
+    Future<Void> listen(int wantedPort) {
+        HttpServerOptions options = new HttpServerOptions().setHost("127.0.0.1").setPort(wantedPort);
+        HttpServer server = vertx.createHttpServer(options).requestHandler(this::handle);
+        vertx.setPeriodic(HEARTBEAT_MILLIS, timer -> registry.sendHeartbeat());
+        return server.listen()
+                .onSuccess(listening -> port = listening.actualPort())
+                .mapEmpty();
     }
 
-    /** Breaks every connection; routers may come again. */
+    /** Resets every watch; routers may connect again. */
     public void cut() {
-        Set.copyOf(open).forEach(HttpServerResponse::reset);
+        Set.copyOf(openWatches).forEach(HttpServerResponse::reset);
     }
 
-    private void take(HttpServerRequest request) {
-        HttpServerResponse response = request.response();
-        if (request.path().equals("/v1/list")) {
-            response.end(roll.snapshot().text() + "\n");
-            return;
+    private void handle(HttpServerRequest request) {
+        switch (request.path()) {
+            case LIST_PATH -> request.response().end(registry.snapshot().text() + "\n");
+            case WATCH_PATH -> watch(request);
+            default -> request.response().setStatusCode(404).end();
         }
-        if (!request.path().equals("/v1/list/watch")) {
-            response.setStatusCode(404).end();
-            return;
-        }
-        String router = request.getHeader(Headers.ROUTER);
-        String from = request.getParam("from");
+    }
+
+    private void watch(HttpServerRequest request) {
+        String header = request.getHeader(Headers.ROUTER);
+        String router = header == null ? "" : header;
+        HttpServerResponse response = request.response();
         response.setChunked(true);
-        open.add(response);
-        EndpointRegistry.Watcher watcher = roll.watch(
-                router == null ? "" : router,
-                from == null || !from.matches("[0-9]{1,18}") ? 0 : Long.parseLong(from),
-                line -> response.write(new DiscoveryMessage(
-                                        line.kind(),
-                                        line.version(),
-                                        line.entries().stream()
-                                                .map(entry -> reached.apply(router == null ? "" : router, entry))
-                                                .toList())
-                                .text()
-                        + "\n"));
+        openWatches.add(response);
+        EndpointRegistry.Watcher watcher = registry.watch(
+                router,
+                version(request.getParam("from")),
+                message -> response.write(addressedFor(router, message).text() + "\n"));
         response.closeHandler(closed -> {
-            roll.removeWatcher(watcher);
-            open.remove(response);
+            registry.removeWatcher(watcher);
+            openWatches.remove(response);
         });
     }
+
+    /** The version that a router has; 0 where none is given or it is malformed. */
+    private static long version(String from) {
+        return from == null || !from.matches("[0-9]{1,18}") ? 0 : Long.parseLong(from);
+    }
+
+    private DiscoveryMessage addressedFor(String router, DiscoveryMessage message) {
+        List<DiscoveryMessage.Entry> entries = message.entries().stream()
+                .map(entry -> addressing.apply(router, entry))
+                .toList();
+        return new DiscoveryMessage(message.kind(), message.version(), entries);
+    }
 }
--- a/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
@@ -5,18 +5,27 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Set;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import pearladder.emulator.EndpointRegistry;
+import pearladder.emulator.FaultCommand;
+import pearladder.emulator.ModelStore;
+import pearladder.emulator.WorkerModel;
 import pearladder.kserve.JsonBodies;
 
 /**
- * A loopback port by which a day brings trouble on the stand-ins: POST /do?what=slow&amp;engines=e-1,e-2&amp;figure=5. What it
- * can do is listed in {@link #act}; a span is a figure in milliseconds.
+ * A loopback port by which a scenario injects faults: POST /do?what=slow&amp;engines=e-1,e-2&amp;figure=5. Without engines a
+ * command is for all of them. GET /engines lists the workers. Commands are those of {@link FaultCommand} and of the methods
+ * here.
  */
 public final class FaultInjectionServer {
+    private static final String WORKERS_PATH = "/engines";
+    private static final String NETWORK_PREFIX = "cable-";
+    private static final String ALL_MODELS = "*";
+
     private final Fleet fleet;
 
     private FaultInjectionServer(Fleet fleet) {
@@ -28,122 +37,117 @@
         FaultInjectionServer control = new FaultInjectionServer(fleet);
         return fleet.call(() -> vertx.createHttpServer(
                         new HttpServerOptions().setHost("127.0.0.1").setPort(0))
-                .requestHandler(control::take)
+                .requestHandler(control::handle)
                 .listen()
                 .map(HttpServer::actualPort));
     }
 
-    private void take(HttpServerRequest request) {
-        if (request.path().equals("/engines")) {
+    private void handle(HttpServerRequest request) {
+        if (request.path().equals(WORKERS_PATH)) {
             StringBuilder lines = new StringBuilder();
-            for (String id : fleet.ids()) {
-                lines.append(id)
-                        .append(' ')
-                        .append(fleet.hall(id))
-                        .append(' ')
-                        .append(
-                                fleet.engine(id).engine().isUp()
-                                                && !fleet.engine(id).engine().isDraining()
-                                        ? "up"
-                                        : "down")
-                        .append(' ')
-                        .append(fleet.engine(id).engine().heldRequests())
-                        .append('\n');
-            }
+            fleet.ids().forEach(id -> lines.append(describe(id)).append('\n'));
             request.response().end(lines.toString());
             return;
         }
-        String what = request.getParam("what");
-        String engines = request.getParam("engines");
-        String model = request.getParam("model");
-        double figure = request.getParam("figure") == null ? 0 : Double.parseDouble(request.getParam("figure"));
-        List<String> named = engines == null || engines.isEmpty()
-                ? fleet.ids()
-                : Arrays.stream(engines.split(","))
-                        .filter(fleet.ids()::contains)
-                        .toList();
-        String router = request.getParam("router") == null ? "" : request.getParam("router");
-        Future<Void> done = what == null
-                ? null
-                : what.startsWith("cable-")
-                        ? cable(what, router, named, figure)
-                        : act(what, named, model == null ? "*" : model, figure);
-        if (done == null) {
-            request.response().setStatusCode(400).end(JsonBodies.error("unknown deed " + what));
-        } else {
-            done.onComplete(end -> request.response()
-                    .setStatusCode(end.succeeded() ? 200 : 500)
-                    .end(
-                            end.succeeded()
-                                    ? "{}"
-                                    : JsonBodies.error(
-                                            String.valueOf(end.cause().getMessage()))));
-        }
+        FaultCommand command = new FaultCommand(
+                String.valueOf(request.getParam("what")),
+                workers(request.getParam("engines")),
+                parameter(request, "model", ALL_MODELS),
+                Double.parseDouble(parameter(request, "figure", "0")));
+        Optional<Future<Void>> done = command.what().startsWith(NETWORK_PREFIX)
+                ? applyToNetwork(command, parameter(request, "router", ""))
+                : apply(command);
+        done.ifPresentOrElse(
+                future -> respondWhenDone(request, future),
+                () -> request.response().setStatusCode(400).end(JsonBodies.error("unknown deed " + command.what())));
     }
 
-    /** Null where there is no such deed. */
-    private Future<Void> act(String what, List<String> engines, String model, double figure) {
-        long nanos = Math.round(figure * 1e6);
-        switch (what) {
-            case "slow" -> each(engines, server -> server.engine().setSlowdown(figure));
-            case "failing" -> each(engines, server -> server.engine().setFailureShare(figure));
-            case "hang" -> each(engines, server -> server.hang(figure > 0));
-            case "misname" -> each(engines, server -> server.misname(figure > 0));
-            case "garble" -> each(engines, server -> server.garble(figure > 0));
-            case "late-reports" -> each(engines, server -> server.engine().setReportDelay(nanos));
-            case "release" -> each(
-                    engines, server -> Arrays.stream(model.split(",")).forEach(server.engine()::invalidateModels));
-            case "drain" -> engines.forEach(fleet::drain);
-            case "kill" -> {
-                return all(engines, fleet::kill);
-            }
-            case "restart" -> {
-                return all(engines, fleet::restart);
-            }
-            case "replace" -> engines.forEach(id -> fleet.replace(id, nanos));
-            case "losing" -> each(engines, server -> server.engine().setLostLoadReplyShare(figure));
-            case "leak" -> each(engines, server -> server.engine().setMemoryLeak(figure));
-            case "shelf-damage" -> fleet.shelf().setServingDamagedImages(figure > 0);
-            case "list-split" -> fleet.roll()
-                    .setSplitView(
-                            figure > 0 ? Set.of(model.split(",")) : Set.of(),
-                            figure > 0 ? Set.copyOf(engines) : Set.of());
-            case "shelf-slow" -> fleet.shelf().setSlowdown(figure);
-            case "shelf-refuse" -> fleet.shelf().setRejectingAll(figure > 0);
-            case "list-silent" -> fleet.roll().silent(figure > 0);
-            case "list-cut" -> fleet.list().cut();
-            case "list-lag" -> fleet.roll().setLag(nanos);
-            default -> {
-                return null;
-            }
+    private static String parameter(HttpServerRequest request, String name, String otherwise) {
+        String value = request.getParam(name);
+        return value == null ? otherwise : value;
+    }
+
+    /** The line of a worker: id, hall, "up" where it takes requests, and the number of requests that it holds. */
+    private String describe(String id) {
+        WorkerModel worker = fleet.engine(id).engine();
+        String state = worker.isUp() && !worker.isDraining() ? "up" : "down";
+        return id + ' ' + fleet.hall(id) + ' ' + state + ' ' + worker.heldRequests();
+    }
+
+    private List<String> workers(String ids) {
+        if (ids == null || ids.isEmpty()) {
+            return fleet.ids();
         }
-        return Future.succeededFuture();
+        return Arrays.stream(ids.split(",")).filter(fleet.ids()::contains).toList();
     }
 
-    /** Null where there is no such deed, or no cables. */
-    private Future<Void> cable(String what, String router, List<String> engines, double figure) {
-        FaultProxy cables = fleet.cables();
-        if (cables == null) {
-            return null;
+    private static void respondWhenDone(HttpServerRequest request, Future<Void> done) {
+        done.onSuccess(nothing -> request.response().setStatusCode(200).end("{}"));
+        done.onFailure(failure ->
+                request.response().setStatusCode(500).end(JsonBodies.error(String.valueOf(failure.getMessage()))));
+    }
+
+    /** Empty where the command is unknown. */
+    private Optional<Future<Void>> apply(FaultCommand command) {
+        Optional<Consumer<WorkerModel>> workerFault = command.workerFault();
+        if (workerFault.isPresent()) {
+            return forEachServer(command, server -> workerFault.get().accept(server.engine()));
+        }
+        Optional<Consumer<ModelStore>> modelStoreFault = command.modelStoreFault();
+        if (modelStoreFault.isPresent()) {
+            modelStoreFault.get().accept(fleet.modelStore());
+            return done();
         }
-        switch (what) {
-            case "cable-cut" -> engines.forEach(id -> cables.cut(router, id, figure > 0));
-            case "cable-deaf" -> engines.forEach(id -> cables.deaf(id, figure > 0));
-            case "cable-reset" -> engines.forEach(id -> cables.reset(router, id));
-            default -> {
-                return null;
+        Optional<Consumer<EndpointRegistry>> registryFault = command.registryFault();
+        if (registryFault.isPresent()) {
+            registryFault.get().accept(fleet.roll());
+            return done();
+        }
+        return switch (command.what()) {
+            case "hang" -> forEachServer(command, server -> server.setHanging(command.isOn()));
+            case "misname" -> forEachServer(command, server -> server.setMisnamingModels(command.isOn()));
+            case "garble" -> forEachServer(command, server -> server.setTruncatingResponses(command.isOn()));
+            case "drain" -> forEachId(command, fleet::drain);
+            case "replace" -> forEachId(command, id -> fleet.replace(id, command.nanos()));
+            case "kill" -> untilAllDone(command, fleet::kill);
+            case "restart" -> untilAllDone(command, fleet::restart);
+            case "list-cut" -> {
+                fleet.list().cut();
+                yield done();
             }
+            default -> Optional.empty();
+        };
+    }
+
+    /** Empty where the command is unknown, or the fleet has no fault proxy. */
+    private Optional<Future<Void>> applyToNetwork(FaultCommand command, String router) {
+        FaultProxy proxy = fleet.faultProxy();
+        if (proxy == null) {
+            return Optional.empty();
         }
-        return Future.succeededFuture();
+        return switch (command.what()) {
+            case "cable-cut" -> forEachId(command, id -> proxy.setCut(router, id, command.isOn()));
+            case "cable-deaf" -> forEachId(command, id -> proxy.setNotAccepting(id, command.isOn()));
+            case "cable-reset" -> forEachId(command, id -> proxy.reset(router, id));
+            default -> Optional.empty();
+        };
+    }
+
+    private Optional<Future<Void>> forEachServer(FaultCommand command, Consumer<WorkerServer> action) {
+        return forEachId(command, id -> action.accept(fleet.engine(id)));
+    }
+
+    private static Optional<Future<Void>> forEachId(FaultCommand command, Consumer<String> action) {
+        command.workers().forEach(action);
+        return done();
     }
 
-    private void each(List<String> engines, Consumer<WorkerServer> what) {
-        engines.forEach(id -> what.accept(fleet.engine(id)));
+    private static Optional<Future<Void>> untilAllDone(FaultCommand command, Function<String, Future<Void>> action) {
+        List<Future<Void>> all = command.workers().stream().map(action).toList();
+        return Optional.of(Future.all(all).mapEmpty());
     }
 
-    private static Future<Void> all(List<String> engines, java.util.function.Function<String, Future<Void>> what) {
-        List<Future<Void>> all = new ArrayList<>();
-        engines.forEach(id -> all.add(what.apply(id)));
-        return Future.all(all).mapEmpty();
+    private static Optional<Future<Void>> done() {
+        return Optional.of(Future.succeededFuture());
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/net/Fleet.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Fleet.java
@@ -7,244 +7,215 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import pearladder.emulator.EndpointRegistry;
 import pearladder.emulator.FleetPlan;
-import pearladder.emulator.IdempotencyCache;
 import pearladder.emulator.ModelStore;
 import pearladder.emulator.Observation;
-import pearladder.emulator.WorkerEnvironment;
-import pearladder.emulator.WorkerModel;
-import pearladder.emulator.WorkerSettings;
+import pearladder.emulator.WorkerFactory;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
 
-/** All stand-ins of a plan on loopback ports given by the system, on one event loop. */
+/**
+ * All emulated workers of a plan with their model store and discovery service, on loopback ports given by the system. One
+ * event loop owns them: methods that return a future or act on workers are to be called on it, through {@link #call} or
+ * {@link #run}.
+ */
 public final class Fleet {
+    private static final String LOOPBACK = "127.0.0.1";
+    /** The registry learns of the first workers without lag; its own lag is set after so long. */
+    private static final long START_WITHOUT_LAG_MILLIS = 20;
+    /** The start time told of a worker that was warm when the fleet started. */
+    private static final long STARTED_BEFORE = 0;
+
     private final Vertx vertx;
-    private final io.vertx.core.Context loop;
-    private final FleetPlan plan;
-    private final Consumer<Observation> seen;
+    private final EventLoop loop;
     private final VertxTimeline time;
-    private final ModelStore shelf;
-    private final EndpointRegistry roll;
-    private final DiscoveryServer list;
-    private final FaultProxy cables;
-    private final Map<String, IdempotencyCache> marks = new LinkedHashMap<>();
-    private final Map<String, WorkerServer> engines = new LinkedHashMap<>();
-    private final Map<String, FleetPlan.Planned> planned = new LinkedHashMap<>();
-    private int made;
-
-    private Fleet(Vertx vertx, FleetPlan plan, Consumer<Observation> seen) {
+    private final ModelStore modelStore;
+    private final WorkerFactory workerFactory;
+    private final EndpointRegistry registry;
+    private final DiscoveryServer discoveryServer;
+    private final FaultProxy faultProxy;
+    private final Map<String, WorkerServer> servers = new LinkedHashMap<>();
+    private final Map<String, FleetPlan.Planned> plannedWorkers = new LinkedHashMap<>();
+
+    private Fleet(Vertx vertx, FleetPlan plan, Consumer<Observation> observations) {
         this.vertx = vertx;
-        this.loop = vertx.getOrCreateContext();
-        this.plan = plan;
-        this.seen = seen;
+        this.loop = new EventLoop(vertx);
         this.time = new VertxTimeline(vertx);
-        this.shelf = new ModelStore(time, plan.modelStoreCapacity(), plan.modelStoreFetchLimit());
-        this.roll = new EndpointRegistry(time, plan.lagNanos(), seen);
-        this.cables = plan.cables() ? new FaultProxy() : null;
-        this.list = new DiscoveryServer(vertx, roll, this::reachedBy);
+        this.modelStore = new ModelStore(time, plan.modelStoreCapacity(), plan.modelStoreFetchLimit());
+        this.workerFactory = new WorkerFactory(time, plan, modelStore, observations);
+        this.registry = new EndpointRegistry(time, plan.lagNanos(), observations);
+        this.faultProxy = plan.cables() ? new FaultProxy() : null;
+        this.discoveryServer = new DiscoveryServer(vertx, registry, this::addressedFor);
     }
 
-    /** Stands everything up, warm and listed, and waits until it listens. */
-    public static Fleet start(Vertx vertx, FleetPlan plan, Consumer<Observation> seen) {
-        return start(vertx, plan, 0, seen);
+    /** Starts all workers, warm and listed, and waits until they listen. */
+    public static Fleet start(Vertx vertx, FleetPlan plan, Consumer<Observation> observations) {
+        return start(vertx, plan, 0, observations);
     }
 
-    /** The same with the list on a port of the caller's; 0 lets the system give one. */
-    public static Fleet start(Vertx vertx, FleetPlan plan, int listPort, Consumer<Observation> seen) {
-        Fleet fleet = new Fleet(vertx, plan, seen);
-        fleet.call(() -> {
-            fleet.roll.setLag(0);
-            Future<Void> all = fleet.list.listen(listPort);
-            for (FleetPlan.Planned engine : plan.engines()) {
-                all = all.compose(done -> fleet.add(engine, false));
-            }
-            return all.onSuccess(done -> vertx.setTimer(20, fired -> fleet.roll.setLag(plan.lagNanos())));
-        });
+    /** The same with the discovery service on a port of the caller's; 0 lets the system give one. */
+    public static Fleet start(Vertx vertx, FleetPlan plan, int discoveryPort, Consumer<Observation> observations) {
+        Fleet fleet = new Fleet(vertx, plan, observations);
+        fleet.call(() -> fleet.startAll(plan, discoveryPort));
         return fleet;
     }
 
-    /** Runs something on the stand-ins' own loop and waits for it. */
-    public <T> T call(Supplier<Future<T>> what) {
-        CountDownLatch done = new CountDownLatch(1);
-        Promise<T> promise = Promise.promise();
-        loop.runOnContext(run -> {
-            try {
-                what.get().onComplete(promise);
-            } catch (RuntimeException failed) {
-                promise.fail(failed);
-            }
-        });
-        promise.future().onComplete(end -> done.countDown());
-        try {
-            if (!done.await(20, TimeUnit.SECONDS)) {
-                throw new IllegalStateException("the stand-ins did not answer within 20 s");
-            }
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-            throw new IllegalStateException(stopped);
-        }
-        if (promise.future().failed()) {
-            throw new IllegalStateException(promise.future().cause());
+    private Future<Void> startAll(FleetPlan plan, int discoveryPort) {
+        registry.setLag(0);
+        Future<Void> all = discoveryServer.listen(discoveryPort);
+        for (FleetPlan.Planned worker : plan.engines()) {
+            all = all.compose(done -> add(worker, false));
         }
-        return promise.future().result();
+        return all.onSuccess(
+                done -> vertx.setTimer(START_WITHOUT_LAG_MILLIS, fired -> registry.setLag(plan.lagNanos())));
+    }
+
+    /** Runs a task on the fleet's event loop and waits for its result. */
+    public <T> T call(Supplier<Future<T>> task) {
+        return loop.call(task);
     }
 
-    /** Runs something on the stand-ins' own loop and waits for its end. */
-    public void run(Runnable what) {
+    /** Runs a task on the fleet's event loop and waits for its end. */
+    public void run(Runnable task) {
         call(() -> {
-            what.run();
+            task.run();
             return Future.succeededFuture();
         });
     }
 
+    /** The port of the discovery service. */
     public int listPort() {
-        return list.port();
+        return discoveryServer.port();
     }
 
+    /** The discovery service. */
     public DiscoveryServer list() {
-        return list;
+        return discoveryServer;
     }
 
+    /** What the discovery service knows. */
     public EndpointRegistry roll() {
-        return roll;
+        return registry;
     }
 
-    public ModelStore shelf() {
-        return shelf;
+    /** The store that all workers fetch models from. */
+    public ModelStore modelStore() {
+        return modelStore;
     }
 
+    /** The network between routers and workers; null where the plan has no fault proxy. */
+    public FaultProxy faultProxy() {
+        return faultProxy;
+    }
+
+    /** The ids of all workers, those that are down included. */
     public List<String> ids() {
-        return List.copyOf(engines.keySet());
+        return List.copyOf(servers.keySet());
     }
 
+    /** The worker of this id. */
     public WorkerServer engine(String id) {
-        return engines.get(id);
+        return servers.get(id);
     }
 
+    /** The hall where a worker stands. */
     public String hall(String id) {
-        return planned.get(id).hall();
-    }
-
-    /** Engines of a hall, or all where the hall is empty. */
-    public List<String> in(String hall) {
-        return engines.keySet().stream()
-                .filter(id -> hall.isEmpty() || planned.get(id).hall().equals(hall))
-                .toList();
-    }
-
-    /** Stands up one more engine; on the stand-ins' loop. */
-    public Future<Void> add(FleetPlan.Planned engine, boolean cold) {
-        String group =
-                switch (engine.kind().idempotencyScope()) {
-                    case ALL -> "";
-                    case HALL -> engine.hall();
-                    case CELL -> Long.toString(engine.cell());
-                };
-        IdempotencyCache shared = marks.computeIfAbsent(
-                group, name -> new IdempotencyCache(time, engine.kind().idempotencyWindowNanos()));
-        WorkerModel model = new WorkerModel(
-                new WorkerSettings(engine.id(), engine.kind(), plan.seed() * 1000 + made++, cold),
-                new WorkerEnvironment(time, plan::modelOf, shelf, shared, seen));
-        WorkerServer server = new WorkerServer(vertx, model, () -> kill(engine.id()));
-        engines.put(engine.id(), server);
-        planned.put(engine.id(), engine);
+        return plannedWorkers.get(id).hall();
+    }
+
+    private Future<Void> add(FleetPlan.Planned worker, boolean coldStart) {
+        String id = worker.id();
+        WorkerServer server = new WorkerServer(vertx, workerFactory.create(worker, coldStart), () -> kill(id));
+        servers.put(id, server);
+        plannedWorkers.put(id, worker);
         return server.listen()
-                .onSuccess(done -> tell(engine.id(), Standing.IN_SERVICE, cold ? System.currentTimeMillis() : 0));
+                .onSuccess(done ->
+                        announce(id, Standing.IN_SERVICE, coldStart ? System.currentTimeMillis() : STARTED_BEFORE));
     }
 
-    private void tell(String id, Standing standing, long started) {
-        FleetPlan.Planned engine = planned.get(id);
-        roll.change(new Entry(
+    private void announce(String id, Standing state, long startedMillis) {
+        FleetPlan.Planned worker = plannedWorkers.get(id);
+        registry.change(new Entry(
                 id,
-                "127.0.0.1",
-                engines.get(id).port(),
-                engine.hall(),
-                engine.kind().name(),
-                engine.cell(),
-                standing,
-                started));
+                LOOPBACK,
+                servers.get(id).port(),
+                worker.hall(),
+                worker.kind().name(),
+                worker.cell(),
+                state,
+                startedMillis));
     }
 
-    /** An engine announces that it drains: it takes nothing new and finishes what it holds. */
+    /** A worker announces that it drains: it takes nothing new and finishes what it holds. */
     public void drain(String id) {
-        engines.get(id).engine().drain();
-        tell(id, Standing.DRAINING, 0);
+        servers.get(id).engine().drain();
+        announce(id, Standing.DRAINING, 0);
     }
 
-    /** An engine's process dies; the list learns of it late. */
+    /** A worker's process dies; the registry learns of it after its lag. */
     public Future<Void> kill(String id) {
-        Future<Void> dead = engines.get(id).die();
-        if (cables != null) {
-            cables.down(id, true);
+        Future<Void> closed = servers.get(id).crash();
+        if (faultProxy != null) {
+            faultProxy.setDown(id, true);
         }
-        tell(id, Standing.GONE, 0);
-        return dead;
+        announce(id, Standing.GONE, 0);
+        return closed;
     }
 
-    /** An engine's entry as a router reaches it. */
-    private Entry reachedBy(String router, Entry entry) {
-        return cables == null || entry.standing() == Standing.GONE
-                ? entry
-                : new Entry(
-                        entry.engine(),
-                        entry.host(),
-                        cables.port(router, entry.engine(), entry.port()),
-                        entry.hall(),
-                        entry.kind(),
-                        entry.cell(),
-                        entry.standing(),
-                        entry.startedMillis());
-    }
-
-    /** The network between routers and engines; null where the plan has no cables. */
-    public FaultProxy cables() {
-        return cables;
-    }
-
-    /** A dead engine comes back on its port, empty and cold. */
+    /** A worker's entry with the address by which a router reaches it. */
+    private Entry addressedFor(String router, Entry entry) {
+        if (faultProxy == null || entry.standing() == Standing.GONE) {
+            return entry;
+        }
+        return new Entry(
+                entry.engine(),
+                entry.host(),
+                faultProxy.port(router, entry.engine(), entry.port()),
+                entry.hall(),
+                entry.kind(),
+                entry.cell(),
+                entry.standing(),
+                entry.startedMillis());
+    }
+
+    /** A dead worker starts again on its port, empty and cold; does nothing where it runs. */
     public Future<Void> restart(String id) {
-        WorkerServer server = engines.get(id);
+        WorkerServer server = servers.get(id);
         if (server.engine().isUp()) {
             return Future.succeededFuture();
         }
         server.engine().restart();
         return server.listen().onSuccess(done -> {
-            if (cables != null) {
-                cables.down(id, false);
+            if (faultProxy != null) {
+                faultProxy.setDown(id, false);
             }
-            tell(id, Standing.IN_SERVICE, System.currentTimeMillis());
+            announce(id, Standing.IN_SERVICE, System.currentTimeMillis());
         });
     }
 
-    /** A rolling deploy's step: the engine drains, goes, and a successor with a new name starts cold. */
+    /** A step of a rolling deployment: the worker drains, goes, and a successor with a new id starts cold. */
     public Future<Void> replace(String id, long drainNanos) {
         drain(id);
-        Promise<Void> done = Promise.promise();
-        FleetPlan.Planned old = planned.get(id);
-        time.after(drainNanos, () -> kill(id).onComplete(dead -> {
-            String name = id.replaceFirst("(~[0-9]+)?$", "~" + made);
-            add(new FleetPlan.Planned(name, old.kind(), old.hall(), old.cell()), true)
-                    .onComplete(done);
-        }));
-        return done.future();
+        Promise<Void> replaced = Promise.promise();
+        FleetPlan.Planned old = plannedWorkers.get(id);
+        time.after(drainNanos, () -> kill(id).onComplete(
+                        dead -> add(workerFactory.successorOf(old), true).onComplete(replaced)));
+        return replaced.future();
     }
 
-    /** Ends the engines and the list. */
+    /** Stops the workers and breaks the connections of the discovery service. */
     public void close() {
         call(() -> {
-            List<Future<Void>> all = new ArrayList<>();
-            engines.values().forEach(engine -> all.add(engine.die()));
-            list.cut();
-            if (cables != null) {
-                cables.close();
+            List<Future<Void>> closed = new ArrayList<>();
+            servers.values().forEach(server -> closed.add(server.crash()));
+            discoveryServer.cut();
+            if (faultProxy != null) {
+                faultProxy.close();
             }
-            return Future.all(all).mapEmpty();
+            return Future.all(closed).mapEmpty();
         });
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/net/VertxTimeline.java
+++ b/emulator/src/main/java/pearladder/emulator/net/VertxTimeline.java
@@ -3,10 +3,14 @@
 import io.vertx.core.Vertx;
 import pearladder.emulator.Timeline;
 
-/** Real time on an event loop; a planned thing happens up to a millisecond late. */
+/** Real time on an event loop; tasks run up to about a millisecond late, as timers count in milliseconds. */
 public final class VertxTimeline implements Timeline {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long SHORTEST_TIMER_MILLIS = 1;
+
     private final Vertx vertx;
 
+    /** A timeline whose tasks run on the caller's event loop. */
     public VertxTimeline(Vertx vertx) {
         this.vertx = vertx;
     }
@@ -17,9 +21,9 @@
     }
 
     @Override
-    public Planned at(long nanos, Runnable what) {
-        long millis = Math.max(1, (nanos - now() + 500_000) / 1_000_000);
-        long timer = vertx.setTimer(millis, fired -> what.run());
+    public Planned at(long nanos, Runnable task) {
+        long roundedMillis = (nanos - now() + NANOS_PER_MILLI / 2) / NANOS_PER_MILLI;
+        long timer = vertx.setTimer(Math.max(SHORTEST_TIMER_MILLIS, roundedMillis), fired -> task.run());
         return () -> vertx.cancelTimer(timer);
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/net/WorkerServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/WorkerServer.java
@@ -1,8 +1,5 @@
 package pearladder.emulator.net;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -11,6 +8,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.io.IOException;
+import java.util.List;
 import java.util.Locale;
 import pearladder.emulator.PendingRequest;
 import pearladder.emulator.WorkerModel;
@@ -20,46 +18,52 @@
 import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Route;
 
-/** One stand-in engine on a loopback port, speaking KServe v2 with the model repository extension. */
+/** An emulated worker on a loopback port, speaking KServe v2 with the model repository extension. */
 public final class WorkerServer {
-    private static final JsonFactory JSON = new JsonFactory();
+    private static final int IDLE_TIMEOUT_SECONDS = 120;
+    private static final String CONTENT_TYPE = "content-type";
+    private static final String JSON_TYPE = "application/json";
+    /** Announced for a response that is to be broken off, longer than what is sent. */
+    private static final String TRUNCATED_LENGTH = "1000";
 
     private final Vertx vertx;
-    private final WorkerModel engine;
-    private final Runnable fell;
+    private final WorkerModel worker;
+    private final Runnable onOverloadCrash;
     private HttpServer server;
     private int port;
-    private boolean hung;
-    private boolean garbling;
+    private boolean hanging;
+    private boolean truncating;
     private boolean misnaming;
 
-    /** @param fell what else happens when the engine falls over */
-    WorkerServer(Vertx vertx, WorkerModel engine, Runnable fell) {
+    /** @param onOverloadCrash called after the worker has crashed from overload */
+    WorkerServer(Vertx vertx, WorkerModel worker, Runnable onOverloadCrash) {
         this.vertx = vertx;
-        this.fell = fell;
-        this.engine = engine;
+        this.worker = worker;
+        this.onOverloadCrash = onOverloadCrash;
     }
 
+    /** The worker behind the port. */
     public WorkerModel engine() {
-        return engine;
+        return worker;
     }
 
+    /** The port on which it listens, which it keeps after a restart. */
     public int port() {
         return port;
     }
 
-    /** Accepts and reads, and never answers. */
-    public void hang(boolean on) {
-        hung = on;
+    /** Accepts and reads, and never responds. */
+    public void setHanging(boolean on) {
+        hanging = on;
     }
 
-    /** Answers with half an answer and then breaks the connection. */
-    public void garble(boolean on) {
-        garbling = on;
+    /** Sends the beginning of a response and then resets the connection. */
+    public void setTruncatingResponses(boolean on) {
+        truncating = on;
     }
 
-    /** Answers for another model than it was asked for. */
-    public void misname(boolean on) {
+    /** Responds for another model than it was asked for. */
+    public void setMisnamingModels(boolean on) {
         misnaming = on;
     }
 
@@ -68,121 +72,135 @@
                 .setHost("127.0.0.1")
                 .setPort(port)
                 .setReuseAddress(true)
-                .setIdleTimeout(120);
-        server = vertx.createHttpServer(options).requestHandler(this::take);
-        return server.listen().map(listening -> {
-            port = listening.actualPort();
-            return null;
-        });
+                .setIdleTimeout(IDLE_TIMEOUT_SECONDS);
+        server = vertx.createHttpServer(options).requestHandler(this::handle);
+        return server.listen()
+                .onSuccess(listening -> port = listening.actualPort())
+                .mapEmpty();
     }
 
     /** The process dies: every connection breaks. */
-    Future<Void> die() {
-        engine.crash();
-        hung = false;
+    Future<Void> crash() {
+        worker.crash();
+        hanging = false;
         return server == null ? Future.succeededFuture() : server.close();
     }
 
-    private void take(HttpServerRequest request) {
-        if (hung || !engine.isUp()) {
+    private void handle(HttpServerRequest request) {
+        if (!responds()) {
             return;
         }
         Route route = Route.of(request.path());
+        HttpServerResponse response = request.response();
         switch (route.kind()) {
             case INFER -> request.body().onSuccess(body -> infer(request, route, body));
             case LOAD -> request.body().onSuccess(body -> load(request, route, body));
             case UNLOAD -> {
-                engine.unload(route.model());
-                request.response().end("{}");
+                worker.unload(route.model());
+                response.end("{}");
             }
-            case INDEX -> request.response()
-                    .putHeader("content-type", "application/json")
-                    .end(JsonBodies.index(engine.index().stream()
-                            .map(copy -> new JsonBodies.Indexed(copy.getKey(), copy.getValue() ? "READY" : "LOADING"))
-                            .toList()));
-            case LIVE, READY -> request.response()
-                    .putHeader(Headers.REPORT, engine.report().text())
+            case INDEX -> response.putHeader(CONTENT_TYPE, JSON_TYPE).end(JsonBodies.index(index()));
+            case LIVE, READY -> response.putHeader(
+                            Headers.REPORT, worker.report().text())
                     .end();
-            default -> request.response().setStatusCode(404).end(JsonBodies.error("not served by this stand-in"));
+            default -> response.setStatusCode(404).end(JsonBodies.error("not served by this stand-in"));
         }
     }
 
+    private boolean responds() {
+        return !hanging && worker.isUp();
+    }
+
+    private List<JsonBodies.Indexed> index() {
+        return worker.index().stream()
+                .map(instance -> new JsonBodies.Indexed(instance.getKey(), instance.getValue() ? "READY" : "LOADING"))
+                .toList();
+    }
+
     private void infer(HttpServerRequest request, Route route, Buffer body) {
-        if (hung || !engine.isUp()) {
+        if (!responds()) {
             return;
         }
-        WorkerRequest asked = new WorkerRequest(
+        WorkerRequest workerRequest = new WorkerRequest(
                 header(request, Headers.ROUTER),
                 header(request, Headers.CALL),
-                number(header(request, Headers.LEG)),
+                numberOrZero(header(request, Headers.LEG)),
                 Route.function(route.model(), route.version()),
                 header(request, Headers.MARK),
-                work(body));
+                InferenceBody.workNanos(body));
         HttpServerResponse response = request.response();
-        PendingRequest held = engine.submit(asked, answer -> answer(response, route, answer, body.length()));
-        if (held != null) {
+        PendingRequest pending = worker.submit(workerRequest, reply -> respond(response, route, reply, body.length()));
+        if (pending != null) {
             response.closeHandler(closed -> {
                 if (!response.ended()) {
-                    held.cancel();
+                    pending.cancel();
                 }
             });
-        } else if (!engine.isUp()) {
-            fell.run();
+        } else if (!worker.isUp()) {
+            onOverloadCrash.run();
         }
     }
 
-    private void answer(HttpServerResponse response, Route route, WorkerReply answer, int size) {
-        if (response.ended() || response.closed() || hung) {
+    private boolean isOver(HttpServerResponse response) {
+        return response.ended() || response.closed() || hanging;
+    }
+
+    private void respond(HttpServerResponse response, Route route, WorkerReply reply, int requestBytes) {
+        if (isOver(response)) {
             return;
         }
-        if (garbling) {
-            response.putHeader("content-length", "1000")
+        if (truncating) {
+            response.putHeader("content-length", TRUNCATED_LENGTH)
                     .write("{\"model_name\":")
-                    .onComplete(half -> response.reset());
+                    .onComplete(written -> response.reset());
             return;
         }
-        response.putHeader("content-type", "application/json");
-        response.putHeader(Headers.REPORT, answer.report().text());
-        response.putHeader(Headers.CROWD, Integer.toString(answer.concurrentRequests()));
-        if (answer.instanceState() != null) {
-            response.putHeader(
-                    Headers.COPY,
-                    answer.instanceState().name().toLowerCase(Locale.ROOT).replace('_', '-'));
+        response.putHeader(CONTENT_TYPE, JSON_TYPE);
+        response.putHeader(Headers.REPORT, reply.report().text());
+        response.putHeader(Headers.CROWD, Integer.toString(reply.concurrentRequests()));
+        if (reply.instanceState() != null) {
+            String state = reply.instanceState().name().toLowerCase(Locale.ROOT).replace('_', '-');
+            response.putHeader(Headers.COPY, state);
         }
-        switch (answer.outcome()) {
-            case OK -> response.end("{\"model_name\":\"" + route.model() + (misnaming ? "-other" : "")
-                    + "\",\"outputs\":[{\"name\":\"size\"," + "\"datatype\":\"INT64\",\"shape\":[1],\"data\":[" + size
-                    + "]}]}");
+        String model = route.model() + (misnaming ? "-other" : "");
+        switch (reply.outcome()) {
+            case OK -> response.end(InferenceBody.response(model, requestBytes));
             case ERROR -> response.setStatusCode(500).end(JsonBodies.error("the model failed"));
-            case FULL -> response.setStatusCode(503)
-                    .putHeader(Headers.NEVER_RAN, "full")
-                    .end(JsonBodies.error("full"));
-            case ABSENT -> response.setStatusCode(404)
-                    .putHeader(Headers.NEVER_RAN, "absent")
-                    .end(JsonBodies.error("the model is not loaded here"));
+            case FULL -> reject(response, 503, "full", "full");
+            case ABSENT -> reject(response, 404, "absent", "the model is not loaded here");
         }
     }
 
+    /** @param reason for which the request never ran, in the words of its header */
+    private static void reject(HttpServerResponse response, int status, String reason, String message) {
+        response.setStatusCode(status).putHeader(Headers.NEVER_RAN, reason).end(JsonBodies.error(message));
+    }
+
     private void load(HttpServerRequest request, Route route, Buffer body) {
-        int copies;
+        int instances;
         try {
-            copies = JsonBodies.copies(body.toString());
-        } catch (IOException malformed) {
+            instances = JsonBodies.copies(body.toString());
+        } catch (IOException e) {
             request.response().setStatusCode(400).end(JsonBodies.error("the body is not JSON"));
             return;
         }
-        engine.loadInstances(header(request, Headers.ROUTER), route.model(), copies, answer -> {
-            HttpServerResponse response = request.response();
-            if (response.ended() || response.closed() || hung) {
-                return;
-            }
-            response.putHeader(Headers.COPIES, Integer.toString(answer.readyInstances()));
-            switch (answer.outcome()) {
-                case OK -> response.end("{}");
-                case FULL -> response.setStatusCode(503).end(JsonBodies.error("no room for all"));
-                default -> response.setStatusCode(500).end(JsonBodies.error("the load failed"));
-            }
-        });
+        worker.loadInstances(
+                header(request, Headers.ROUTER),
+                route.model(),
+                instances,
+                reply -> respondToLoad(request.response(), reply));
+    }
+
+    private void respondToLoad(HttpServerResponse response, WorkerReply reply) {
+        if (isOver(response)) {
+            return;
+        }
+        response.putHeader(Headers.COPIES, Integer.toString(reply.readyInstances()));
+        switch (reply.outcome()) {
+            case OK -> response.end("{}");
+            case FULL -> response.setStatusCode(503).end(JsonBodies.error("no room for all"));
+            default -> response.setStatusCode(500).end(JsonBodies.error("the load failed"));
+        }
     }
 
     private static String header(HttpServerRequest request, String name) {
@@ -190,30 +208,11 @@
         return value == null ? "" : value;
     }
 
-    private static int number(String text) {
+    private static int numberOrZero(String text) {
         try {
             return Integer.parseInt(text);
-        } catch (NumberFormatException none) {
-            return 0;
-        }
-    }
-
-    /** The work that a stand-in's client asks for, in parameters.work_ms; 0 where it asks for none. */
-    private static long work(Buffer body) {
-        try (JsonParser json = JSON.createParser(body.getBytes())) {
-            JsonToken token;
-            while ((token = json.nextToken()) != null) {
-                if (token == JsonToken.FIELD_NAME && json.currentName().equals("inputs")) {
-                    return 0;
-                }
-                if (token == JsonToken.FIELD_NAME && json.currentName().equals("work_ms")) {
-                    json.nextToken();
-                    return Math.round(json.getDoubleValue() * 1e6);
-                }
-            }
-        } catch (IOException malformed) {
+        } catch (NumberFormatException e) {
             return 0;
         }
-        return 0;
     }
 }
--- a/simulation/src/main/java/pearladder/simulation/SimulatedFleet.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedFleet.java
@@ -1,181 +1,191 @@
 package pearladder.simulation;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Objects;
 import java.util.function.Consumer;
 import pearladder.emulator.EndpointRegistry;
+import pearladder.emulator.FaultCommand;
 import pearladder.emulator.FleetPlan;
-import pearladder.emulator.IdempotencyCache;
 import pearladder.emulator.ModelStore;
 import pearladder.emulator.Observation;
 import pearladder.emulator.Timeline;
-import pearladder.emulator.WorkerEnvironment;
+import pearladder.emulator.WorkerFactory;
 import pearladder.emulator.WorkerModel;
-import pearladder.emulator.WorkerSettings;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Standing;
 
-/** All engines of a plan, their shelf and their list, on the virtual network. */
+/** All workers of a plan with their model store and endpoint registry, on the virtual network. */
 final class SimulatedFleet {
+    private static final long HEARTBEAT_NANOS = 500_000_000L;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    /** Addresses play no part in a simulation: routers find a worker's network path by its id. */
+    private static final String HOST = "virtual";
+
+    private static final int PORT = 1;
+    /** The start time told of a worker that was warm when the simulation began. */
+    private static final long STARTED_BEFORE = 0;
+
     private final Timeline time;
-    private final FleetPlan plan;
-    private final long delay;
-    private final Consumer<Observation> seen;
-    private final ModelStore shelf;
-    private final EndpointRegistry roll;
-    private final Map<String, IdempotencyCache> marks = new LinkedHashMap<>();
-    private final Map<String, SimulatedNetworkPath> hosts = new LinkedHashMap<>();
-    private final Map<String, FleetPlan.Planned> planned = new LinkedHashMap<>();
-    private final Map<SimulatedNetworkPath, Long> still = new LinkedHashMap<>();
-    private Runnable listCut = () -> {};
-    private int made;
-
-    SimulatedFleet(Timeline time, FleetPlan plan, long delay, Consumer<Observation> seen) {
+    private final long networkDelayNanos;
+    private final Consumer<Observation> observations;
+    private final ModelStore modelStore;
+    private final WorkerFactory workerFactory;
+    private final EndpointRegistry registry;
+    private final Map<String, SimulatedNetworkPath> paths = new LinkedHashMap<>();
+    private final Map<String, FleetPlan.Planned> plannedWorkers = new LinkedHashMap<>();
+    private final Map<SimulatedNetworkPath, Long> pausedSince = new LinkedHashMap<>();
+    private Runnable onDiscoveryCut = () -> {};
+
+    SimulatedFleet(Timeline time, FleetPlan plan, long networkDelayNanos, Consumer<Observation> observations) {
         this.time = time;
-        this.plan = plan;
-        this.delay = delay;
-        this.seen = seen;
-        this.shelf = new ModelStore(time, plan.modelStoreCapacity(), plan.modelStoreFetchLimit());
-        this.roll = new EndpointRegistry(time, 0, seen);
-        plan.engines().forEach(engine -> add(engine, false));
-        time.after(1, () -> roll.setLag(plan.lagNanos()));
-        beat();
-    }
-
-    private void beat() {
-        time.after(500_000_000L, () -> {
-            roll.sendHeartbeat();
-            beat();
+        this.networkDelayNanos = networkDelayNanos;
+        this.observations = observations;
+        this.modelStore = new ModelStore(time, plan.modelStoreCapacity(), plan.modelStoreFetchLimit());
+        this.workerFactory = new WorkerFactory(time, plan, modelStore, observations);
+        this.registry = new EndpointRegistry(time, 0, observations);
+        plan.engines().forEach(worker -> add(worker, false));
+        // The first workers are listed without lag, in the tasks just scheduled.
+        time.after(1, () -> registry.setLag(plan.lagNanos()));
+        scheduleHeartbeat();
+    }
+
+    private void scheduleHeartbeat() {
+        time.after(HEARTBEAT_NANOS, () -> {
+            registry.sendHeartbeat();
+            scheduleHeartbeat();
         });
     }
 
-    EndpointRegistry roll() {
-        return roll;
+    EndpointRegistry registry() {
+        return registry;
     }
 
-    SimulatedNetworkPath host(String engine) {
-        return hosts.get(engine);
+    SimulatedNetworkPath pathTo(String worker) {
+        return paths.get(worker);
     }
 
-    /** What happens when every connection of the list breaks. */
-    void onListCut(Runnable what) {
-        listCut = what;
+    /** What happens when every connection of the discovery service breaks. */
+    void onDiscoveryCut(Runnable action) {
+        onDiscoveryCut = action;
     }
 
-    private void add(FleetPlan.Planned engine, boolean cold) {
-        String group =
-                switch (engine.kind().idempotencyScope()) {
-                    case ALL -> "";
-                    case HALL -> engine.hall();
-                    case CELL -> Long.toString(engine.cell());
-                };
-        IdempotencyCache shared = marks.computeIfAbsent(
-                group, name -> new IdempotencyCache(time, engine.kind().idempotencyWindowNanos()));
-        WorkerModel model = new WorkerModel(
-                new WorkerSettings(engine.id(), engine.kind(), plan.seed() * 1000 + made++, cold),
-                new WorkerEnvironment(time, plan::modelOf, shelf, shared, seen));
-        hosts.put(engine.id(), new SimulatedNetworkPath(time, delay, model, engine.hall()));
-        planned.put(engine.id(), engine);
-        tell(engine.id(), Standing.IN_SERVICE, cold ? time.now() / 1_000_000 : 0);
+    private void add(FleetPlan.Planned planned, boolean coldStart) {
+        WorkerModel worker = workerFactory.create(planned, coldStart);
+        paths.put(planned.id(), new SimulatedNetworkPath(time, networkDelayNanos, worker, planned.hall()));
+        plannedWorkers.put(planned.id(), planned);
+        announce(planned.id(), Standing.IN_SERVICE, coldStart ? nowMillis() : STARTED_BEFORE);
     }
 
-    private void tell(String id, Standing standing, long started) {
-        FleetPlan.Planned engine = planned.get(id);
-        roll.change(new Entry(id, "virtual", 1, engine.hall(), engine.kind().name(), engine.cell(), standing, started));
+    private long nowMillis() {
+        return time.now() / NANOS_PER_MILLI;
     }
 
-    /** Engines that stand, of a hall or of all where it is empty. */
-    List<String> standing(String hall) {
-        List<String> up = new ArrayList<>();
-        hosts.forEach((id, host) -> {
-            if (host.engine.isUp() && !host.engine.isDraining() && (hall.isEmpty() || host.hall.equals(hall))) {
-                up.add(id);
+    private void announce(String id, Standing state, long startedMillis) {
+        FleetPlan.Planned worker = plannedWorkers.get(id);
+        registry.change(
+                new Entry(id, HOST, PORT, worker.hall(), worker.kind().name(), worker.cell(), state, startedMillis));
+    }
+
+    /** Workers that take requests, of a hall or of all where the hall is empty. */
+    List<String> inService(String hall) {
+        List<String> ids = new ArrayList<>();
+        paths.forEach((id, path) -> {
+            boolean inService = path.worker.isUp() && !path.worker.isDraining();
+            if (inService && (hall.isEmpty() || path.hall.equals(hall))) {
+                ids.add(id);
             }
         });
-        return up;
+        return ids;
     }
 
-    /** An engine's process dies; the list learns of it late. */
+    /** A worker's process dies; the registry learns of it after its lag. */
     void kill(String id) {
-        hosts.get(id).die();
-        tell(id, Standing.GONE, 0);
+        paths.get(id).crash();
+        announce(id, Standing.GONE, 0);
     }
 
     private void restart(String id) {
-        SimulatedNetworkPath host = hosts.get(id);
-        if (!host.engine.isUp()) {
-            host.engine.restart();
-            tell(id, Standing.IN_SERVICE, time.now() / 1_000_000);
+        WorkerModel worker = paths.get(id).worker;
+        if (!worker.isUp()) {
+            worker.restart();
+            announce(id, Standing.IN_SERVICE, nowMillis());
         }
     }
 
     private void drain(String id) {
-        hosts.get(id).engine.drain();
-        tell(id, Standing.DRAINING, 0);
+        paths.get(id).worker.drain();
+        announce(id, Standing.DRAINING, 0);
     }
 
-    /** A rolling deploy's step: the engine drains, goes, and a successor with a new name starts cold. */
+    /** A step of a rolling deployment: the worker drains, goes, and a successor with a new id starts cold. */
     private void replace(String id, long drainNanos) {
         drain(id);
-        FleetPlan.Planned old = planned.get(id);
+        FleetPlan.Planned old = plannedWorkers.get(id);
         time.after(drainNanos, () -> {
             kill(id);
-            add(
-                    new FleetPlan.Planned(
-                            id.replaceFirst("(~[0-9]+)?$", "~" + made), old.kind(), old.hall(), old.cell()),
-                    true);
+            add(workerFactory.successorOf(old), true);
         });
     }
 
-    private void pause(SimulatedNetworkPath host, boolean on) {
+    private void setPaused(SimulatedNetworkPath path, boolean on) {
         if (on) {
-            still.putIfAbsent(host, time.now());
-        } else if (still.containsKey(host)) {
-            long since = still.remove(host);
-            seen.accept(
-                    new Observation(since, Observation.STILL, "", "", 0, host.engine.id(), "", "", time.now() - since));
+            pausedSince.putIfAbsent(path, time.now());
+        } else if (pausedSince.containsKey(path)) {
+            long since = pausedSince.remove(path);
+            observations.accept(
+                    new Observation(since, Observation.STILL, "", "", 0, path.worker.id(), "", "", time.now() - since));
         }
-        host.pause(on);
-    }
-
-    /** Brings a trouble, in the same words as the stand-ins' control port takes them. */
-    void act(String what, List<String> engines, String model, double figure) {
-        List<SimulatedNetworkPath> named = (engines.isEmpty() ? List.copyOf(hosts.keySet()) : engines)
-                .stream().map(hosts::get).filter(host -> host != null).toList();
-        long nanos = Math.round(figure * 1e6);
-        boolean on = figure > 0;
-        switch (what) {
-            case "slow" -> named.forEach(host -> host.engine.setSlowdown(figure));
-            case "failing" -> named.forEach(host -> host.engine.setFailureShare(figure));
-            case "hang" -> named.forEach(host -> host.hang(on));
-            case "misname" -> named.forEach(host -> host.misname(on));
-            case "garble" -> named.forEach(host -> host.garble(on));
-            case "late-reports" -> named.forEach(host -> host.engine.setReportDelay(nanos));
-            case "losing" -> named.forEach(host -> host.engine.setLostLoadReplyShare(figure));
-            case "leak" -> named.forEach(host -> host.engine.setMemoryLeak(figure));
-            case "pause" -> named.forEach(host -> pause(host, on));
-            case "cut-back" -> named.forEach(host -> host.cut(false, on));
-            case "cable-cut" -> named.forEach(host -> host.cut(on, on));
-            case "cable-deaf" -> named.forEach(host -> host.deaf(on));
-            case "cable-reset" -> named.forEach(SimulatedNetworkPath::reset);
-            case "release" -> named.forEach(
-                    host -> Arrays.stream(model.split(",")).forEach(host.engine::invalidateModels));
-            case "kill" -> engines.forEach(this::kill);
-            case "restart" -> engines.forEach(this::restart);
-            case "replace" -> engines.forEach(id -> replace(id, nanos));
-            case "shelf-slow" -> shelf.setSlowdown(figure);
-            case "shelf-refuse" -> shelf.setRejectingAll(on);
-            case "shelf-damage" -> shelf.setServingDamagedImages(on);
-            case "list-silent" -> roll.silent(on);
-            case "list-cut" -> listCut.run();
-            case "list-lag" -> roll.setLag(nanos);
-            case "list-split" -> roll.setSplitView(
-                    on ? Set.of(model.split(",")) : Set.of(), on ? Set.copyOf(engines) : Set.of());
-            default -> throw new IllegalArgumentException("unknown deed " + what);
+        path.setPaused(on);
+    }
+
+    /**
+     * Brings a fault, named by the same words as over sockets.
+     *
+     * @throws IllegalArgumentException where there is no such fault
+     */
+    void apply(FaultCommand command) {
+        command.workerFault()
+                .ifPresentOrElse(
+                        fault -> concerned(command).forEach(path -> fault.accept(path.worker)),
+                        () -> applyToServices(command));
+    }
+
+    /** The paths to the command's workers, or to all where it names none. */
+    private List<SimulatedNetworkPath> concerned(FaultCommand command) {
+        List<String> ids = command.workers().isEmpty() ? List.copyOf(paths.keySet()) : command.workers();
+        return ids.stream().map(paths::get).filter(Objects::nonNull).toList();
+    }
+
+    private void applyToServices(FaultCommand command) {
+        command.modelStoreFault().ifPresentOrElse(fault -> fault.accept(modelStore), () -> command.registryFault()
+                .ifPresentOrElse(fault -> fault.accept(registry), () -> applyToProcesses(command)));
+    }
+
+    private void applyToProcesses(FaultCommand command) {
+        switch (command.what()) {
+            case "kill" -> command.workers().forEach(this::kill);
+            case "restart" -> command.workers().forEach(this::restart);
+            case "replace" -> command.workers().forEach(id -> replace(id, command.nanos()));
+            case "list-cut" -> onDiscoveryCut.run();
+            default -> concerned(command).forEach(pathFault(command));
         }
     }
+
+    private Consumer<SimulatedNetworkPath> pathFault(FaultCommand command) {
+        boolean on = command.isOn();
+        return switch (command.what()) {
+            case "hang" -> path -> path.setHanging(on);
+            case "misname" -> path -> path.setMisnamingModels(on);
+            case "garble" -> path -> path.setTruncatingResponses(on);
+            case "pause" -> path -> setPaused(path, on);
+            case "cut-back" -> path -> path.setCut(false, on);
+            case "cable-cut" -> path -> path.setCut(on, on);
+            case "cable-deaf" -> path -> path.setNotAccepting(on);
+            case "cable-reset" -> SimulatedNetworkPath::resetConnections;
+            default -> throw new IllegalArgumentException("unknown fault " + command.what());
+        };
+    }
 }
--- a/simulation/src/main/java/pearladder/simulation/SimulatedNetworkPath.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedNetworkPath.java
@@ -8,147 +8,154 @@
 import pearladder.emulator.WorkerModel;
 
 /**
- * An engine's place on the virtual network. A message takes the delay each way; while a way is cut what was sent waits, as
- * the machine that sent it would go on sending, and comes through when the way is mended, in its order.
+ * The way between all routers and one worker on the virtual network. A message takes the delay each way. While a direction
+ * is cut, messages wait, as their sender would go on retransmitting them, and are delivered in order once it is restored.
  */
 final class SimulatedNetworkPath {
-    /** Something that waits for this engine and is told when its connection breaks. */
-    interface Attached {
-        void broke();
+    /** An exchange on a connection to this worker. */
+    interface Exchange {
+        /** Its connection was reset. */
+        void onReset();
     }
 
-    final WorkerModel engine;
+    final WorkerModel worker;
     final String hall;
     private final Timeline time;
-    private final long delay;
-    private final Set<Attached> attached = new LinkedHashSet<>();
-    private final List<Runnable> heldIn = new ArrayList<>();
-    private final List<Runnable> heldOut = new ArrayList<>();
+    private final long delayNanos;
+    private final Set<Exchange> exchanges = new LinkedHashSet<>();
+    private final List<Runnable> heldToWorker = new ArrayList<>();
+    private final List<Runnable> heldToRouters = new ArrayList<>();
     private int generation;
-    private boolean cutIn;
-    private boolean cutOut;
+    private boolean cutToWorker;
+    private boolean cutToRouters;
     private boolean paused;
-    private boolean deaf;
-    private boolean hung;
-    private boolean garbling;
+    private boolean notAccepting;
+    private boolean hanging;
+    private boolean truncating;
     private boolean misnaming;
 
-    SimulatedNetworkPath(Timeline time, long delay, WorkerModel engine, String hall) {
+    SimulatedNetworkPath(Timeline time, long delayNanos, WorkerModel worker, String hall) {
         this.time = time;
-        this.delay = delay;
-        this.engine = engine;
+        this.delayNanos = delayNanos;
+        this.worker = worker;
         this.hall = hall;
     }
 
-    /** A message reaches the engine. */
-    void in(Runnable what) {
-        time.after(delay, () -> {
-            if (cutIn || paused) {
-                heldIn.add(what);
+    /** Sends a message to the worker. */
+    void sendToWorker(Runnable delivery) {
+        time.after(delayNanos, () -> {
+            if (cutToWorker || paused) {
+                heldToWorker.add(delivery);
             } else {
-                what.run();
+                delivery.run();
             }
         });
     }
 
-    /** A message reaches a router. */
-    void out(Runnable what) {
-        if (cutOut || paused) {
-            heldOut.add(what);
+    /** Sends a message to a router. */
+    void sendToRouter(Runnable delivery) {
+        if (cutToRouters || paused) {
+            heldToRouters.add(delivery);
         } else {
-            time.after(delay, what);
+            time.after(delayNanos, delivery);
         }
     }
 
-    /** Whether a new connection is answered at all. */
-    boolean accepts() {
-        return !cutIn && !cutOut && !deaf;
+    /** Whether an attempt to connect gets an answer at all, be it a refusal. */
+    boolean answersConnects() {
+        return !cutToWorker && !cutToRouters && !notAccepting;
     }
 
-    boolean hung() {
-        return hung;
+    boolean isHanging() {
+        return hanging;
     }
 
-    boolean misnaming() {
+    boolean isMisnamingModels() {
         return misnaming;
     }
 
-    void misname(boolean on) {
-        misnaming = on;
+    boolean isTruncatingResponses() {
+        return truncating;
     }
 
-    boolean garbling() {
-        return garbling;
+    /** Cuts or restores the two directions. */
+    void setCut(boolean toWorker, boolean toRouters) {
+        cutToWorker = toWorker;
+        cutToRouters = toRouters;
+        deliverHeld();
     }
 
-    void cut(boolean in, boolean out) {
-        cutIn = in;
-        cutOut = out;
-        mend();
+    /** Pauses the whole process, or continues it; its kernel goes on accepting connections. */
+    void setPaused(boolean on) {
+        paused = on;
+        worker.setPaused(on);
+        deliverHeld();
     }
 
-    /** The whole process stands still; its kernel goes on accepting. */
-    void pause(boolean on) {
-        paused = on;
-        engine.setPaused(on);
-        mend();
+    /** New connections wait for ever, while existing ones go on. */
+    void setNotAccepting(boolean on) {
+        notAccepting = on;
     }
 
-    void deaf(boolean on) {
-        deaf = on;
+    /** The worker accepts and reads, and never responds. */
+    void setHanging(boolean on) {
+        hanging = on;
     }
 
-    void hang(boolean on) {
-        hung = on;
+    /** The worker breaks off its responses. */
+    void setTruncatingResponses(boolean on) {
+        truncating = on;
     }
 
-    void garble(boolean on) {
-        garbling = on;
+    /** The worker responds for another model than it was asked for. */
+    void setMisnamingModels(boolean on) {
+        misnaming = on;
     }
 
-    private void mend() {
-        if (!cutIn && !paused) {
-            List<Runnable> in = List.copyOf(heldIn);
-            heldIn.clear();
-            in.forEach(Runnable::run);
+    private void deliverHeld() {
+        if (!cutToWorker && !paused) {
+            List<Runnable> deliveries = List.copyOf(heldToWorker);
+            heldToWorker.clear();
+            deliveries.forEach(Runnable::run);
         }
-        if (!cutOut && !paused) {
-            List<Runnable> out = List.copyOf(heldOut);
-            heldOut.clear();
-            out.forEach(what -> time.after(delay, what));
+        if (!cutToRouters && !paused) {
+            List<Runnable> deliveries = List.copyOf(heldToRouters);
+            heldToRouters.clear();
+            deliveries.forEach(delivery -> time.after(delayNanos, delivery));
         }
     }
 
-    void attach(Attached one) {
-        attached.add(one);
+    /** The exchange is told of resets from now on. */
+    void register(Exchange exchange) {
+        exchanges.add(exchange);
     }
 
-    void detach(Attached one) {
-        attached.remove(one);
+    void unregister(Exchange exchange) {
+        exchanges.remove(exchange);
     }
 
-    /** Counts how often every connection to it broke: one that was kept from before is none any more. */
+    /** How often all connections were reset: an idle connection of an earlier generation no longer exists. */
     int generation() {
         return generation;
     }
 
-    /** Every connection breaks; the other side learns of it after the delay. */
-    void reset() {
+    /** Resets every connection; the other side learns of it after the delay. */
+    void resetConnections() {
         generation++;
-        List<Attached> all = List.copyOf(attached);
-        attached.clear();
-        heldOut.clear();
-        all.forEach(one -> time.after(delay, one::broke));
+        List<Exchange> reset = List.copyOf(exchanges);
+        exchanges.clear();
+        heldToRouters.clear();
+        reset.forEach(exchange -> time.after(delayNanos, exchange::onReset));
     }
 
-    /** The process dies. */
-    void die() {
-        engine.crash();
-        hung = false;
-        garbling = false;
+    /** The worker's process dies. */
+    void crash() {
+        worker.crash();
+        hanging = false;
+        truncating = false;
         misnaming = false;
         paused = false;
-        heldIn.clear();
-        reset();
+        heldToWorker.clear();
+        resetConnections();
     }
 }
--- a/simulation/src/main/java/pearladder/simulation/SimulatedRouter.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedRouter.java
@@ -163,7 +163,7 @@
         this.engines = new SimulatedWorkerClient(
                 this, articles.name(), delay, articles.connections().dial().nanos(), fell);
         this.list =
-                new EndpointList(0, entry -> engines.came(entry.engine(), fleet.host(entry.engine())), engines::went);
+                new EndpointList(0, entry -> engines.came(entry.engine(), fleet.pathTo(entry.engine())), engines::went);
         this.module = module;
         this.calls = new RequestManager(
                 articles.facts(),
@@ -268,7 +268,7 @@
         List.copyOf(open).forEach(Carried::cut);
         open.clear();
         if (watcher != null) {
-            fleet.roll().removeWatcher(watcher);
+            fleet.registry().removeWatcher(watcher);
         }
     }
 
@@ -336,7 +336,7 @@
         heard(mine);
         after(2 * delay, () -> {
             if (mine == attempt && watching) {
-                watcher = fleet.roll()
+                watcher = fleet.registry()
                         .watch(articles.name(), version, line -> time.after(delay, () -> run(() -> line(mine, line))));
             }
         });
@@ -373,7 +373,7 @@
         }
         watching = false;
         if (watcher != null) {
-            fleet.roll().removeWatcher(watcher);
+            fleet.registry().removeWatcher(watcher);
             watcher = null;
         }
         calls.dispatch(new Event.EndpointsUpdated(Event.EndpointUpdateKind.FAILED, List.of()));
--- a/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
@@ -83,7 +83,7 @@
     }
 
     /** One request's life. */
-    private final class Flight implements PendingSend, SimulatedNetworkPath.Attached {
+    private final class Flight implements PendingSend, SimulatedNetworkPath.Exchange {
         private final Link link;
         private final Work work;
         private final Ended ended;
@@ -107,9 +107,9 @@
             SimulatedNetworkPath host = link.host;
             if (link.reuse()) {
                 write();
-            } else if (!host.accepts()) {
+            } else if (!host.answersConnects()) {
                 life.after(dial, () -> end(Outcome.UNREACHABLE, null));
-            } else if (!host.engine.isUp()) {
+            } else if (!host.worker.isUp()) {
                 life.after(2 * delay, () -> end(Outcome.UNREACHABLE, null));
             } else {
                 life.after(2 * delay, () -> {
@@ -124,18 +124,18 @@
 
         private void write() {
             written = true;
-            link.host.attach(this);
-            link.host.in(() -> {
+            link.host.register(this);
+            link.host.sendToWorker(() -> {
                 if (over) {
                     // given up while the way was cut: its connection was reset, and what had not left is dropped
                     return;
                 }
-                if (!link.host.engine.isUp()) {
-                    broke();
-                } else if (!link.host.hung()) {
-                    held = work.begin(answer -> link.host.out(() -> life.run(() -> answered(answer))));
-                    if (held == null && !link.host.engine.isUp()) {
-                        fell.accept(link.host.engine.id());
+                if (!link.host.worker.isUp()) {
+                    onReset();
+                } else if (!link.host.isHanging()) {
+                    held = work.begin(answer -> link.host.sendToRouter(() -> life.run(() -> answered(answer))));
+                    if (held == null && !link.host.worker.isUp()) {
+                        fell.accept(link.host.worker.id());
                     }
                 }
             });
@@ -145,7 +145,7 @@
             if (over) {
                 return;
             }
-            if (link.host.garbling()) {
+            if (link.host.isTruncatingResponses()) {
                 end(Outcome.BROKEN, null);
             } else {
                 link.idle++;
@@ -154,7 +154,7 @@
         }
 
         @Override
-        public void broke() {
+        public void onReset() {
             link.idle = 0;
             life.run(() -> end(Outcome.BROKEN, null));
         }
@@ -166,7 +166,7 @@
             over = true;
             out.remove(this);
             limit.callOff();
-            link.host.detach(this);
+            link.host.unregister(this);
             if (answer == null && written) {
                 hangUp();
             }
@@ -175,8 +175,8 @@
 
         /** The connection goes, and the engine notices. */
         void hangUp() {
-            link.host.in(() -> {
-                if (held != null && link.host.engine.isUp()) {
+            link.host.sendToWorker(() -> {
+                if (held != null && link.host.worker.isUp()) {
                     held.cancel();
                 }
             });
@@ -228,7 +228,7 @@
         for (Flight flight : List.copyOf(out)) {
             if (flight.written) {
                 flight.over = true;
-                flight.link.host.detach(flight);
+                flight.link.host.unregister(flight);
                 flight.hangUp();
             }
         }
@@ -249,9 +249,9 @@
                 leg.request.function,
                 leg.request.idempotencyKey == null ? "" : leg.request.idempotencyKey,
                 carried.work());
-        return new Flight(link, limit, reply -> link.host.engine.submit(asked, reply), (outcome, answer) -> {
+        return new Flight(link, limit, reply -> link.host.worker.submit(asked, reply), (outcome, answer) -> {
             Said said = answer == null ? null : Said.of(answer);
-            boolean wrong = outcome == Outcome.SUCCESS && link.host.misnaming();
+            boolean wrong = outcome == Outcome.SUCCESS && link.host.isMisnamingModels();
             ended.end(
                     wrong ? Outcome.ERROR : outcome,
                     wrong
@@ -272,7 +272,7 @@
                 link,
                 limit,
                 reply -> {
-                    WorkerModel asked = link.host.engine;
+                    WorkerModel asked = link.host.worker;
                     if (copies == 0) {
                         reply.accept(WorkerReply.ofLoad(WorkerOutcome.OK, asked.standing(function), asked.report()));
                     } else {
@@ -291,8 +291,8 @@
                     link,
                     limit,
                     reply -> {
-                        link.host.engine.unload(function);
-                        reply.accept(WorkerReply.of(WorkerOutcome.OK, link.host.engine.report()));
+                        link.host.worker.unload(function);
+                        reply.accept(WorkerReply.of(WorkerOutcome.OK, link.host.worker.report()));
                         return null;
                     },
                     (outcome, answer) -> {});
@@ -310,7 +310,7 @@
                 link,
                 limit,
                 reply -> {
-                    reply.accept(WorkerReply.of(WorkerOutcome.OK, link.host.engine.report()));
+                    reply.accept(WorkerReply.of(WorkerOutcome.OK, link.host.worker.report()));
                     return null;
                 },
                 (outcome, answer) -> ended.end(outcome, answer == null ? null : Said.of(answer)));
--- a/simulation/src/main/java/pearladder/simulation/Simulation.java
+++ b/simulation/src/main/java/pearladder/simulation/Simulation.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import pearladder.config.YamlParser;
+import pearladder.emulator.FaultCommand;
 import pearladder.emulator.Observation;
 import pearladder.emulator.VirtualTimeline;
 import pearladder.rollout.RolloutTarget;
@@ -123,7 +124,7 @@
         this.fleet = new SimulatedFleet(time, plan.fleet(), plan.network().delay(), seen);
         this.clients = new LoadGenerator(
                 time, this::carry, plan, 0, trace != null ? trace : new SyntheticWorkload(plan), front, books, seen);
-        fleet.onListCut(() -> stations.values().forEach(station -> {
+        fleet.onDiscoveryCut(() -> stations.values().forEach(station -> {
             if (station.life() != null) {
                 station.life().listBroke();
             }
@@ -271,7 +272,7 @@
     private final class World implements FaultInjector.World {
         @Override
         public List<String> engines(String hall) {
-            return fleet.standing(hall);
+            return fleet.inService(hall);
         }
 
         @Override
@@ -284,7 +285,7 @@
 
         @Override
         public void toEngines(String what, List<String> engines, String model, double figure) {
-            fleet.act(what, engines, model, figure);
+            fleet.apply(new FaultCommand(what, engines, model, figure));
         }
 
         @Override
