Split simulation by job; tests named after what they test

SimulatedRouter held the clients' exchanges, the discovery watch, a stand-in for the event log and the router itself; SimulatedWorkerClient held connections, exchanges and responses; Simulation held the routers' set-up, the recording of observations and the results. Each is a class now: ClientExchange, DiscoveryWatch, LoadRequestRecorder, SimulatedConnectionPool, SimulatedExchange, SimulatedResponse, SimulatedRouters, ObservationRecorder, RouterLogs, SimulationReport, InMemoryRolloutJournal. FaultSearch leaves drawing and varying scenarios to FaultScenarioGenerator. Names are the standard terms.

Tests: EngineTest is WorkerModelTest, with ModelStoreTest and WorkerModelRandomizedTest split off; LawsTest is WorkerModelQueueingTest, its random run moved to WorkerModelRandomizedTest; RehearsalTest is SimulationTest, with FaultSearchTest split off. Assertions, their literals and the random draws are as they were.

--- /dev/null
+++ b/simulation/src/main/java/pearladder/simulation/InMemoryRolloutJournal.java
@@ -0,0 +1,36 @@
+package pearladder.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import pearladder.rollout.RolloutProgress;
+import pearladder.rollout.RolloutTarget;
+import pearladder.router.core.RolloutManager;
+
+/** A rollout journal that outlives its router's process; writing to it succeeds at once. */
+final class InMemoryRolloutJournal implements RolloutManager.Journal {
+    private final List<RolloutTarget> targets = new ArrayList<>();
+    private final List<RolloutProgress> progress = new ArrayList<>();
+
+    @Override
+    public List<RolloutTarget> orders() {
+        return List.copyOf(targets);
+    }
+
+    @Override
+    public List<RolloutProgress> reached() {
+        return List.copyOf(progress);
+    }
+
+    @Override
+    public void keep(List<RolloutTarget> newTargets, Consumer<String> onWritten) {
+        targets.addAll(newTargets);
+        onWritten.accept(null);
+    }
+
+    @Override
+    public void keep(RolloutProgress newProgress, Consumer<String> onWritten) {
+        progress.add(newProgress);
+        onWritten.accept(null);
+    }
+}
--- a/simulation/src/main/java/pearladder/simulation/SimulatedHost.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedHost.java
@@ -2,135 +2,122 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
-import java.util.function.LongFunction;
 import java.util.function.Supplier;
+import pearladder.emulator.Timeline;
 import pearladder.kserve.DiscoveryMessage;
-import pearladder.rollout.RolloutProgress;
 import pearladder.rollout.RolloutTarget;
 import pearladder.router.core.RolloutManager;
 import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.PolicySnapshot;
 
-/** A router's machine: what outlives the router's death, and the life that runs on it now, if any. */
+/** A router's machine: what is on its disk, and the router that runs on it now, if any. */
 final class SimulatedHost {
+    /** Creates a router each time that its process starts. */
+    interface RouterFactory {
+        /** The incarnation counts the starts on this host, from 0. */
+        SimulatedRouter create(SimulatedHost host, long incarnation);
+    }
+
     final String name;
     final String hall;
-    private final Supplier<List<RolloutTarget>> others;
-    private final LongFunction<SimulatedRouter> maker;
-    private final List<RolloutTarget> orders = new ArrayList<>();
-    private final List<RolloutProgress> reached = new ArrayList<>();
-    private Supplier<DiscoveryMessage> lastList = () -> null;
-    private final List<Long> ordered = new ArrayList<>();
-    private PolicySnapshot known;
-    private long knownAt;
-    private SimulatedRouter life;
-    private long lives;
+    private final Timeline time;
+    private final Supplier<List<RolloutTarget>> peerTargets;
+    private final RouterFactory routerFactory;
+    private final InMemoryRolloutJournal rolloutJournal = new InMemoryRolloutJournal();
+    private final List<Long> loadRequestsAt = new ArrayList<>();
+    private Supplier<DiscoveryMessage> cachedEndpoints = () -> null;
+    private PolicySnapshot snapshot;
+    private long snapshotAt;
+    private SimulatedRouter router;
+    private long starts;
     private long decisions;
-    private long decidedNanos;
+    private long decisionNanos;
 
-    /** @param others what the other routers know of releases; @param maker of a life, by the seed's number */
+    /** @param peerTargets the rollout targets that the other routers know */
     SimulatedHost(
             String name,
             String hall,
-            Supplier<List<RolloutTarget>> others,
-            java.util.function.BiFunction<SimulatedHost, Long, SimulatedRouter> maker) {
+            Timeline time,
+            Supplier<List<RolloutTarget>> peerTargets,
+            RouterFactory routerFactory) {
         this.name = name;
         this.hall = hall;
-        this.others = others;
-        this.maker = number -> maker.apply(this, number);
+        this.time = time;
+        this.peerTargets = peerTargets;
+        this.routerFactory = routerFactory;
     }
 
-    /** The life that runs now, or null. */
-    SimulatedRouter life() {
-        return life;
+    /** The router that runs now, or null. */
+    SimulatedRouter router() {
+        return router;
     }
 
     void start() {
-        life = maker.apply(lives++);
-        life.begin();
+        router = routerFactory.create(this, starts);
+        starts++;
+        router.start();
     }
 
     void kill() {
-        if (life != null) {
-            life.die();
-            life = null;
+        if (router != null) {
+            router.die();
+            router = null;
         }
     }
 
-    /** What the other routers know of releases. */
-    List<RolloutTarget> others() {
-        return others.get();
+    /** The rollout targets that the other routers know. */
+    List<RolloutTarget> peerTargets() {
+        return peerTargets.get();
     }
 
-    /** What the last life's module knew when it was last kept, or null. */
-    PolicySnapshot known() {
-        return known;
+    RolloutManager.Journal rolloutJournal() {
+        return rolloutJournal;
     }
 
-    TimeSpan knownFor(long now) {
-        return new TimeSpan(now - knownAt);
+    /** The last policy snapshot that was saved, or null. */
+    PolicySnapshot snapshot() {
+        return snapshot;
     }
 
-    void remember(PolicySnapshot fresh, long now) {
-        known = fresh;
-        knownAt = now;
+    TimeSpan snapshotAge() {
+        return new TimeSpan(time.now() - snapshotAt);
     }
 
-    void ordered(long now) {
-        ordered.add(now);
+    void saveSnapshot(PolicySnapshot newSnapshot) {
+        snapshot = newSnapshot;
+        snapshotAt = time.now();
     }
 
-    /** The ages of all orders that any life gave. */
-    List<TimeSpan> orders(long now) {
-        return ordered.stream().map(at -> new TimeSpan(now - at)).toList();
+    void recordLoadRequest() {
+        loadRequestsAt.add(time.now());
     }
 
-    DiscoveryMessage lastList() {
-        return lastList.get();
+    /** The ages of all load requests that any incarnation sent. */
+    List<TimeSpan> loadRequestAges() {
+        return loadRequestsAt.stream().map(at -> new TimeSpan(time.now() - at)).toList();
     }
 
-    /** What was on disk when the life ended: it is asked for by the next life only. */
-    void remember(Supplier<DiscoveryMessage> whole) {
-        lastList = whole;
+    /** The endpoint list that the last incarnation had, or null. */
+    DiscoveryMessage cachedEndpoints() {
+        return cachedEndpoints.get();
     }
 
-    void decided(long nanos) {
+    /** The list is only asked for by the next incarnation, and then as it was at the end of this one. */
+    void cacheEndpoints(Supplier<DiscoveryMessage> endpoints) {
+        cachedEndpoints = endpoints;
+    }
+
+    /** A routing decision took so long on this machine. */
+    void recordDecision(long nanos) {
         decisions++;
-        decidedNanos += nanos;
+        decisionNanos += nanos;
     }
 
     long decisions() {
         return decisions;
     }
 
-    long decidedNanos() {
-        return decidedNanos;
-    }
-
-    RolloutManager.Journal journal() {
-        return new RolloutManager.Journal() {
-            @Override
-            public List<RolloutTarget> orders() {
-                return List.copyOf(orders);
-            }
-
-            @Override
-            public List<RolloutProgress> reached() {
-                return List.copyOf(reached);
-            }
-
-            @Override
-            public void keep(List<RolloutTarget> fresh, Consumer<String> failure) {
-                orders.addAll(fresh);
-                failure.accept(null);
-            }
-
-            @Override
-            public void keep(RolloutProgress far, Consumer<String> failure) {
-                reached.add(far);
-                failure.accept(null);
-            }
-        };
+    long decisionNanos() {
+        return decisionNanos;
     }
 }
--- /dev/null
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedResponse.java
@@ -0,0 +1,44 @@
+package pearladder.simulation;
+
+import pearladder.emulator.WorkerReply;
+import pearladder.kserve.LoadReport;
+import pearladder.router.core.WorkerResponse;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Outcome;
+
+/** A worker's reply as a router reads it, with what the HTTP client would read from status and headers. */
+record SimulatedResponse(
+        Outcome outcome, Event.InstanceStatus instanceStatus, int concurrentRequests, Event.WorkerLoadReport loadReport)
+        implements WorkerResponse {
+    static SimulatedResponse of(WorkerReply reply) {
+        return new SimulatedResponse(
+                outcomeOf(reply), instanceStatusOf(reply), reply.concurrentRequests(), loadReportOf(reply.report()));
+    }
+
+    static Outcome outcomeOf(WorkerReply reply) {
+        return switch (reply.outcome()) {
+            case OK -> Outcome.SUCCESS;
+            case ERROR -> Outcome.ERROR;
+            case FULL -> Outcome.FULL;
+            case ABSENT -> Outcome.ABSENT;
+        };
+    }
+
+    private static Event.InstanceStatus instanceStatusOf(WorkerReply reply) {
+        return reply.instanceState() == null
+                ? Event.InstanceStatus.UNTOLD
+                : Event.InstanceStatus.valueOf(reply.instanceState().name());
+    }
+
+    private static Event.WorkerLoadReport loadReportOf(LoadReport report) {
+        return report == null
+                ? null
+                : new Event.WorkerLoadReport(
+                        report.held(), report.waiting(), report.busy(), report.loads(), report.pinned());
+    }
+
+    /** The same response, read as an error: it names another model than was asked for. */
+    SimulatedResponse asError() {
+        return new SimulatedResponse(Outcome.ERROR, instanceStatus, concurrentRequests, loadReport);
+    }
+}
--- a/simulation/src/main/java/pearladder/simulation/SimulatedRouter.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedRouter.java
@@ -5,23 +5,19 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
-import pearladder.emulator.EndpointRegistry;
 import pearladder.emulator.Timeline;
 import pearladder.kserve.DiscoveryMessage;
 import pearladder.kserve.RequestOutcome;
 import pearladder.rollout.RolloutTarget;
-import pearladder.router.core.ActiveAttempt;
 import pearladder.router.core.ActiveRequest;
 import pearladder.router.core.EndpointList;
 import pearladder.router.core.EventListener;
 import pearladder.router.core.RequestManager;
-import pearladder.router.core.ResponseHandler;
 import pearladder.router.core.RolloutManager;
 import pearladder.router.core.RouterConfig;
 import pearladder.router.core.RouterMetrics;
 import pearladder.router.core.SnapshotLoader;
 import pearladder.router.core.Timers;
-import pearladder.router.core.WorkerResponse;
 import pearladder.routing.api.Event;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.Outcome;
@@ -30,384 +26,282 @@
 import pearladder.routing.api.TimeSpan;
 import pearladder.testbed.LoadGenerator;
 
-/** One router from its start to its death: the router's own code on the virtual clock and network. */
+/** One router process from its start to its death: the router's own core on the virtual clock and network. */
 final class SimulatedRouter implements Timers, RouterMetrics {
-    /** One client's try at this router, and where its answer goes. */
-    final class Carried implements ResponseHandler, LoadGenerator.Wire.Out {
-        private final LoadGenerator.Request request;
-        private final LoadGenerator.Heard heard;
-        private ActiveRequest call;
-        private String version = "";
-        private boolean over;
-
-        Carried(LoadGenerator.Request request, LoadGenerator.Heard heard) {
-            this.request = request;
-            this.heard = heard;
-        }
-
-        /** Nanoseconds on a standard core. */
-        long work() {
-            return request.drawn().work();
-        }
-
-        @Override
-        public void succeeded(WorkerResponse said) {
-            answer(RequestOutcome.SETTLED, RequestOutcome.SETTLED.status, 0);
-        }
-
-        @Override
-        public void rejected(TimeSpan retryAfter) {
-            answer(RequestOutcome.DISMISSED, RequestOutcome.DISMISSED.status, retryAfter.toMillis() * 1_000_000);
-        }
-
-        @Override
-        public void failed() {
-            answer(RequestOutcome.TERMINATED, RequestOutcome.TERMINATED.status, 0);
-        }
-
-        void answer(RequestOutcome state, int status, long wait) {
-            if (!over) {
-                over = true;
-                open.remove(this);
-                time.after(delay, () -> heard.answered(state, status, version, wait));
-            }
-        }
-
-        private void cut() {
-            over = true;
-            time.after(delay, () -> heard.unanswered("cut"));
-        }
-
-        @Override
-        public void drop() {
-            time.after(
-                    delay,
-                    () -> run(() -> {
-                        over = true;
-                        open.remove(this);
-                        if (call != null) {
-                            calls.clientDisconnected(call);
-                        }
-                    }));
-        }
-    }
-
-    /** What a router's records keep that its next life asks for: here only the orders, each safe after the gathering time. */
-    private final class Kept implements EventListener {
-        @Override
-        public void onRequestEnded(ActiveRequest ended, String how, TimeSpan took) {
-            // the tape has it
-        }
-
-        @Override
-        public void onAttemptEnded(ActiveAttempt leg, Outcome outcome, WorkerResponse said, TimeSpan took) {
-            // the tape has it
-        }
-
-        @Override
-        public void beforeLoadRequest(String engine, String function, int copies, Consumer<String> answer) {
-            after(KEPT_AFTER, () -> {
-                station.ordered(time.now());
-                answer.accept("");
-            });
-        }
-
-        @Override
-        public void onLoadRequestEnded(String engine, String function, Outcome outcome, int copies, TimeSpan took) {
-            // the tape has it
-        }
-    }
-
-    /** A record is safe after so long, as over sockets. */
-    private static final long KEPT_AFTER = 25_000_000L;
-
-    private static final long SNAPSHOT = 1_000_000_000L;
-
-    private final RoutingPolicy module;
-    private final SimulatedHost station;
-    private final Consumer<String> logged;
+    private static final long SNAPSHOT_INTERVAL_NANOS = 1_000_000_000L;
+    private static final long PEER_SYNC_INTERVAL_NANOS = 1_000_000_000L;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final int BAD_REQUEST = 400;
+    private static final int NOT_FOUND = 404;
+
+    private final SimulatedHost host;
+    private final RouterConfig config;
+    private final RoutingPolicy policy;
     private final Timeline time;
-    private final RouterConfig articles;
-    private final SimulatedFleet fleet;
-    private final long delay;
-    private final SimulatedWorkerClient engines;
-    private final EndpointList list;
-    private final RequestManager calls;
-    private final RolloutManager desk;
-    private final Set<Carried> open = new LinkedHashSet<>();
-    private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
-    private EndpointRegistry.Watcher watcher;
-    private Timeline.Planned silence;
-    private long version;
-    private int attempt;
-    private boolean watching;
+    private final long networkDelayNanos;
+    private final Consumer<String> log;
+    private final SimulatedWorkerClient workerClient;
+    private final EndpointList endpoints;
+    private final RequestManager requests;
+    private final RolloutManager rollouts;
+    private final DiscoveryWatch discovery;
+    private final Set<ClientExchange> openExchanges = new LinkedHashSet<>();
+    /** What is to run once the process continues. */
+    private final ArrayDeque<Runnable> heldWhilePaused = new ArrayDeque<>();
+
     private boolean paused;
-    private long ahead;
+    private long clockOffsetNanos;
     private boolean dead;
 
-    SimulatedRouter(
-            SimulatedHost station,
-            Timeline time,
-            RouterConfig articles,
-            SimulatedFleet fleet,
-            long delay,
-            Consumer<String> logged,
-            RoutingPolicy module,
-            Consumer<String> fell) {
-        this.logged = logged;
-        this.station = station;
-        this.time = time;
-        this.articles = articles;
-        this.fleet = fleet;
-        this.delay = delay;
-        this.engines = new SimulatedWorkerClient(
-                this, articles.name(), delay, articles.connections().dial().nanos(), fell);
-        this.list =
-                new EndpointList(0, entry -> engines.came(entry.engine(), fleet.pathTo(entry.engine())), engines::went);
-        this.module = module;
-        this.calls = new RequestManager(
-                articles.facts(),
-                this,
-                module,
-                engines,
-                this,
-                articles.records() == null ? EventListener.NONE : new Kept());
-        this.desk = new RolloutManager(this, articles, station.journal(), calls::dispatch);
-        this.calls.onPrewarmProgress(desk::standing);
+    SimulatedRouter(SimulatedHost host, RouterConfig config, RoutingPolicy policy, RouterEnvironment environment) {
+        this.host = host;
+        this.config = config;
+        this.policy = policy;
+        this.time = environment.time();
+        this.networkDelayNanos = environment.networkDelayNanos();
+        this.log = environment.log();
+        SimulatedFleet fleet = environment.fleet();
+        long connectTimeoutNanos = config.connections().dial().nanos();
+        this.workerClient =
+                new SimulatedWorkerClient(this, config.name(), networkDelayNanos, connectTimeoutNanos, fleet::kill);
+        long silenceTimeoutNanos = config.list().silence().nanos();
+        this.discovery =
+                new DiscoveryWatch(this, config.name(), environment, silenceTimeoutNanos, new EndpointListener());
+        this.endpoints = new EndpointList(
+                0,
+                entry -> workerClient.onWorkerListed(entry.engine(), fleet.pathTo(entry.engine())),
+                workerClient::onWorkerRemoved);
+        EventListener events = config.records() == null ? EventListener.NONE : new LoadRequestRecorder(this, host);
+        this.requests = new RequestManager(config.facts(), this, policy, workerClient, this, events);
+        this.rollouts = new RolloutManager(this, config, host.rolloutJournal(), requests::dispatch);
+        this.requests.onPrewarmProgress(rollouts::standing);
     }
 
-    /** Begins as a router does: the last list, the journal, what others know, then the list service. */
-    void begin() {
-        Event.EndpointsUpdated last = list.restore(station.lastList());
-        calls.dispatch(last);
-        if (articles.records() != null) {
-            calls.dispatch(SnapshotLoader.event(
-                    articles.facts(),
-                    station.known(),
-                    station.knownFor(time.now()),
-                    station.orders(time.now()),
+    /** Starts as a router does: the cached endpoints, the snapshot, the rollout journal, the peers, then discovery. */
+    void start() {
+        Event.EndpointsUpdated cached = endpoints.restore(host.cachedEndpoints());
+        requests.dispatch(cached);
+        if (config.records() != null) {
+            requests.dispatch(SnapshotLoader.event(
+                    config.facts(),
+                    host.snapshot(),
+                    host.snapshotAge(),
+                    host.loadRequestAges(),
                     true,
-                    last,
+                    cached,
                     now(),
-                    why -> logged.accept("begins with what is believed " + why)));
-            snapshot();
+                    what -> log.accept("begins with what is believed " + what)));
+            scheduleSnapshot();
         }
-        desk.begin();
-        station.others().forEach(desk::heard);
-        watchList();
-        learn();
+        rollouts.begin();
+        learnFromPeers();
+        watchEndpoints();
+        schedulePeerSync();
     }
 
-    private void snapshot() {
-        after(SNAPSHOT, () -> {
-            station.remember(module.snapshot(now()), time.now());
-            snapshot();
+    private void scheduleSnapshot() {
+        after(SNAPSHOT_INTERVAL_NANOS, () -> {
+            host.saveSnapshot(policy.snapshot(now()));
+            scheduleSnapshot();
         });
     }
 
-    private void learn() {
-        after(1_000_000_000L, () -> {
-            station.others().forEach(desk::heard);
-            learn();
+    private void schedulePeerSync() {
+        after(PEER_SYNC_INTERVAL_NANOS, () -> {
+            learnFromPeers();
+            schedulePeerSync();
         });
     }
 
-    List<RolloutTarget> targets() {
-        return desk.targets();
+    private void learnFromPeers() {
+        host.peerTargets().forEach(rollouts::heard);
     }
 
-    void order(List<RolloutTarget> orders, Consumer<List<String>> answers) {
-        run(() -> desk.order(orders, answers));
+    /** The rollout targets that this router knows. */
+    List<RolloutTarget> rolloutTargets() {
+        return rollouts.targets();
     }
 
-    // ---- time
+    /** An operator orders rollouts. */
+    void order(List<RolloutTarget> targets, Consumer<List<String>> onRefusals) {
+        run(() -> rollouts.order(targets, onRefusals));
+    }
 
     @Override
     public MonotonicTime now() {
-        return new MonotonicTime(time.now() + ahead);
+        return new MonotonicTime(time.now() + clockOffsetNanos);
     }
 
     @Override
-    public Timer after(TimeSpan span, Runnable what) {
-        Timeline.Planned planned = after(Timers.millis(span) * 1_000_000, what);
-        return planned::callOff;
+    public Timer after(TimeSpan span, Runnable task) {
+        Timeline.Planned scheduled = after(Timers.millis(span) * NANOS_PER_MILLI, task);
+        return scheduled::callOff;
     }
 
-    Timeline.Planned after(long nanos, Runnable what) {
-        return time.after(nanos, () -> run(what));
+    /** Runs a task of this router after a delay, by the rules of {@link #run}. */
+    Timeline.Planned after(long nanos, Runnable task) {
+        return time.after(nanos, () -> run(task));
     }
 
-    /** Runs something of this router's: not when it is dead, and only later while it stands still. */
-    void run(Runnable what) {
+    /** Runs a task of this router now; not where it is dead, and only once it continues where it is paused. */
+    void run(Runnable task) {
         if (dead) {
             return;
         }
         if (paused) {
-            waiting.add(what);
+            heldWhilePaused.add(task);
         } else {
-            what.run();
+            task.run();
         }
     }
 
-    void pause(boolean on) {
+    /** Pauses the process, or continues it. */
+    void setPaused(boolean on) {
         paused = on;
-        while (!paused && !waiting.isEmpty()) {
-            waiting.poll().run();
+        while (!paused && !heldWhilePaused.isEmpty()) {
+            heldWhilePaused.poll().run();
         }
     }
 
-    /** Its clock jumps ahead by so much for good. */
-    void jump(long nanos) {
-        ahead += nanos;
+    /** The router's clock jumps ahead for good. */
+    void jumpClock(long nanos) {
+        clockOffsetNanos += nanos;
     }
 
-    /** Killed: clients and engines see their connections break, and nothing of it happens any more. */
+    /** Killed: its connections to clients and workers break, and no task of it runs any more. */
     void die() {
         dead = true;
-        engines.die();
-        List.copyOf(open).forEach(Carried::cut);
-        open.clear();
-        if (watcher != null) {
-            fleet.registry().removeWatcher(watcher);
-        }
+        workerClient.abandonAll();
+        List.copyOf(openExchanges).forEach(ClientExchange::breakOff);
+        openExchanges.clear();
+        discovery.abandon();
     }
 
-    // ---- the door
+    /** A client sends a request, which arrives after the network's delay. */
+    ClientExchange receive(LoadGenerator.Request request, LoadGenerator.Heard client) {
+        ClientExchange exchange = new ClientExchange(this, time, networkDelayNanos, request, client);
+        time.after(networkDelayNanos, () -> onArrived(exchange));
+        return exchange;
+    }
 
-    /** A try reaches the door; it mirrors what the real door makes of a call. */
-    void take(Carried carried) {
+    private void onArrived(ClientExchange exchange) {
         if (dead) {
-            carried.over = true;
-            time.after(delay, () -> carried.heard.unanswered("unreachable"));
+            exchange.refuse();
             return;
         }
-        open.add(carried);
-        run(() -> read(carried));
+        openExchanges.add(exchange);
+        run(() -> handle(exchange));
     }
 
-    private void read(Carried carried) {
-        LoadGenerator.Request request = carried.request;
-        RoutingSettings.RequestClass category =
-                articles.category(request.terms().name());
-        RouterConfig.ModelTerms terms = articles.modelOf(request.drawn().model());
-        if (carried.over) {
+    /** Does with a request what the HTTP request handler does. */
+    private void handle(ClientExchange exchange) {
+        if (exchange.isOver()) {
             return;
         }
-        if (category == null || terms == null) {
-            carried.answer(null, category == null ? 400 : 404, 0);
-        } else if (calls.inFlight() >= articles.limits().openCalls()) {
-            carried.rejected(articles.facts().attemptLimits().maxRetryAfter());
+        LoadGenerator.Request request = exchange.request();
+        RoutingSettings.RequestClass requestClass =
+                config.category(request.terms().name());
+        RouterConfig.ModelTerms model = config.modelOf(request.drawn().model());
+        if (requestClass == null) {
+            exchange.respond(null, BAD_REQUEST, 0);
+        } else if (model == null) {
+            exchange.respond(null, NOT_FOUND, 0);
+        } else if (requests.inFlight() >= config.limits().openCalls()) {
+            exchange.rejected(config.facts().attemptLimits().maxRetryAfter());
         } else {
-            TimeSpan left = new TimeSpan(request.patience()).atMost(category.deadline());
-            String mark = request.mark().isEmpty() ? null : request.mark();
-            String account = articles.facts().tenants().isEmpty()
-                    ? null
-                    : request.drawn().account();
-            RolloutManager.Chosen chosen = desk.choose(
-                    new RolloutManager.Wish(request.id(), request.drawn().model(), null, null, account, mark));
-            carried.version = chosen.version();
-            carried.call = calls.accept(
-                    new RequestManager.ParsedRequest(
-                            request.id(),
-                            chosen.function(),
-                            mark,
-                            now(),
-                            left,
-                            category,
-                            account,
-                            terms.lanes(),
-                            terms.memoryMb(),
-                            terms.usualLoad(),
-                            null,
-                            request.repeat(),
-                            chosen.ending()),
-                    carried);
+            accept(exchange, requestClass, model);
         }
     }
 
-    // ---- the list
+    private void accept(
+            ClientExchange exchange, RoutingSettings.RequestClass requestClass, RouterConfig.ModelTerms model) {
+        LoadGenerator.Request request = exchange.request();
+        TimeSpan deadline = new TimeSpan(request.patience()).atMost(requestClass.deadline());
+        String idempotencyKey = request.mark().isEmpty() ? null : request.mark();
+        boolean hasTenants = !config.facts().tenants().isEmpty();
+        String tenant = hasTenants ? request.drawn().account() : null;
+        RolloutManager.Chosen chosen = rollouts.choose(
+                new RolloutManager.Wish(request.id(), request.drawn().model(), null, null, tenant, idempotencyKey));
+        exchange.setVersion(chosen.version());
+        exchange.setAccepted(requests.accept(
+                new RequestManager.ParsedRequest(
+                        request.id(),
+                        chosen.function(),
+                        idempotencyKey,
+                        now(),
+                        deadline,
+                        requestClass,
+                        tenant,
+                        model.lanes(),
+                        model.memoryMb(),
+                        model.usualLoad(),
+                        null,
+                        request.repeat(),
+                        chosen.ending()),
+                exchange));
+    }
 
-    void watchList() {
-        if (watching || dead) {
-            return;
-        }
-        watching = true;
-        int mine = ++attempt;
-        heard(mine);
-        after(2 * delay, () -> {
-            if (mine == attempt && watching) {
-                watcher = fleet.registry()
-                        .watch(articles.name(), version, line -> time.after(delay, () -> run(() -> line(mine, line))));
-            }
-        });
+    void onExchangeOver(ClientExchange exchange) {
+        openExchanges.remove(exchange);
     }
 
-    private void line(int mine, DiscoveryMessage line) {
-        if (mine != attempt || !watching) {
-            return;
-        }
-        heard(mine);
-        if (line.kind() != DiscoveryMessage.Kind.BEAT) {
-            version = line.version();
-            calls.dispatch(list.apply(line));
-            station.remember(list::whole);
-        }
+    void onClientDisconnected(ActiveRequest request) {
+        requests.clientDisconnected(request);
     }
 
-    private void heard(int mine) {
-        if (silence != null) {
-            silence.callOff();
+    /** Connects to the discovery service where this is not so already. */
+    void watchEndpoints() {
+        if (!dead) {
+            discovery.connect();
         }
-        silence = after(articles.list().silence().nanos(), () -> broke(mine));
     }
 
-    /** The list's connection breaks. */
-    void listBroke() {
-        int mine = attempt;
-        time.after(delay, () -> run(() -> broke(mine)));
+    /** The discovery service resets its connections. */
+    void resetDiscovery() {
+        discovery.reset();
     }
 
-    private void broke(int mine) {
-        if (mine != attempt || !watching) {
-            return;
+    /** What the discovery service tells goes to the policy, and the list to the host's disk. */
+    private final class EndpointListener implements DiscoveryWatch.Listener {
+        @Override
+        public void onMessage(DiscoveryMessage message) {
+            requests.dispatch(endpoints.apply(message));
+            host.cacheEndpoints(endpoints::whole);
         }
-        watching = false;
-        if (watcher != null) {
-            fleet.registry().removeWatcher(watcher);
-            watcher = null;
+
+        @Override
+        public void onDisconnected() {
+            requests.dispatch(new Event.EndpointsUpdated(Event.EndpointUpdateKind.FAILED, List.of()));
         }
-        calls.dispatch(new Event.EndpointsUpdated(Event.EndpointUpdateKind.FAILED, List.of()));
     }
 
-    // ---- counts
-
     @Override
-    public void onResponse(RequestOutcome state, long nanos) {
-        // the clients count answers
+    public void onResponse(RequestOutcome outcome, long nanos) {
+        // The clients count responses.
     }
 
     @Override
     public void onAttemptEnded(Outcome outcome) {
-        // the tape has it
+        // The observations have it.
     }
 
     @Override
     public void onDecision(long nanos) {
-        station.decided(nanos);
+        host.recordDecision(nanos);
     }
 
     @Override
     public void onModeChange(String text) {
-        logged.accept(text);
+        log.accept(text);
     }
 
     @Override
     public void onClientDisconnected() {
-        // the tape has it
+        // The observations have it.
     }
 
     @Override
     public void onLoadRequest() {
-        // the tape has it
+        // The observations have it.
     }
 }
--- /dev/null
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedRouters.java
@@ -0,0 +1,133 @@
+package pearladder.simulation;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pearladder.config.YamlParser;
+import pearladder.emulator.Timeline;
+import pearladder.rollout.RolloutTarget;
+import pearladder.router.core.RouterConfig;
+import pearladder.router.core.RouterConfigParser;
+import pearladder.routing.api.RoutingPolicy;
+import pearladder.testbed.ScenarioPlan;
+
+/** All routers of a scenario, each on a host of its own. */
+final class SimulatedRouters {
+    private static final YAMLMapper YAML = new YAMLMapper();
+    /** Seeds of policies differ by scenario, router and incarnation. */
+    private static final long SEED_PER_SCENARIO = 1_000_003;
+
+    private static final long SEED_PER_ROUTER = 1009;
+
+    private final ScenarioPlan plan;
+    private final JsonNode script;
+    private final Simulation.Maker policyFactory;
+    private final Timeline time;
+    private final SimulatedFleet fleet;
+    private final RouterLogs logs;
+    private final Map<String, SimulatedHost> hosts = new LinkedHashMap<>();
+
+    /** @param script whose "router" part each router's configuration is made from */
+    SimulatedRouters(
+            ScenarioPlan plan,
+            JsonNode script,
+            Simulation.Maker policyFactory,
+            Timeline time,
+            SimulatedFleet fleet,
+            RouterLogs logs) {
+        this.plan = plan;
+        this.script = script;
+        this.policyFactory = policyFactory;
+        this.time = time;
+        this.fleet = fleet;
+        this.logs = logs;
+    }
+
+    /**
+     * Sets up a host whose router is yet to be started.
+     *
+     * @param number of the router, from 0
+     */
+    SimulatedHost addHost(int number) throws IOException {
+        String name = "r" + (number + 1);
+        String hall = plan.halls().get(number % plan.halls().size());
+        RouterConfig config = configOf(name, hall, number);
+        RouterEnvironment environment =
+                new RouterEnvironment(time, fleet, plan.network().delay(), text -> logs.add(name, text));
+        SimulatedHost host =
+                new SimulatedHost(name, hall, time, () -> targetsKnownBesides(name), (self, incarnation) -> {
+                    long seed = plan.seed() * SEED_PER_SCENARIO + number * SEED_PER_ROUTER + incarnation;
+                    RoutingPolicy policy = policyFactory.make(seed, config.facts());
+                    return new SimulatedRouter(self, config, policy, environment);
+                });
+        hosts.put(name, host);
+        return host;
+    }
+
+    /** A router's configuration file, checked as the router checks its own. */
+    private RouterConfig configOf(String name, String hall, int number) throws IOException {
+        ObjectNode file = script.get("router").deepCopy();
+        ObjectNode router = file.withObject("/router");
+        router.put("name", name)
+                .put("listen", "127.0.0.1:0")
+                .put("hall", hall)
+                .put("number", number)
+                .put("data", "none");
+        if (!router.has("peers")) {
+            router.put("peers", plan.routers());
+        }
+        file.withObject("/list").put("address", "127.0.0.1:1");
+        return RouterConfigParser.read(YamlParser.read(name, YAML.writeValueAsString(file)));
+    }
+
+    private List<RolloutTarget> targetsKnownBesides(String router) {
+        List<RolloutTarget> targets = new ArrayList<>();
+        for (SimulatedHost host : hosts.values()) {
+            if (!host.name.equals(router) && host.router() != null) {
+                targets.addAll(host.router().rolloutTargets());
+            }
+        }
+        return targets;
+    }
+
+    SimulatedHost host(String router) {
+        return hosts.get(router);
+    }
+
+    Collection<SimulatedHost> hosts() {
+        return hosts.values();
+    }
+
+    /** The names of the routers of a hall, or of all where the hall is empty. */
+    List<String> namesIn(String hall) {
+        return hosts.values().stream()
+                .filter(host -> hall.isEmpty() || host.hall.equals(hall))
+                .map(host -> host.name)
+                .toList();
+    }
+
+    /** The discovery service resets the connections of all routers. */
+    void resetDiscovery() {
+        for (SimulatedHost host : hosts.values()) {
+            if (host.router() != null) {
+                host.router().resetDiscovery();
+            }
+        }
+    }
+
+    /** Routing decisions of all routers. */
+    long decisions() {
+        return hosts.values().stream().mapToLong(SimulatedHost::decisions).sum();
+    }
+
+    /** The time of this machine that all routing decisions took. */
+    long decisionNanos() {
+        return hosts.values().stream().mapToLong(SimulatedHost::decisionNanos).sum();
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/pearladder/simulation/SimulationReport.java
@@ -0,0 +1,129 @@
+package pearladder.simulation;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import pearladder.emulator.Observation;
+import pearladder.testbed.InvariantChecker;
+import pearladder.testbed.LoadStatistics;
+import pearladder.testbed.Results;
+import pearladder.testbed.ScenarioPlan;
+import pearladder.testbed.TraceWorkload;
+import pearladder.testbed.VersionShares;
+
+/**
+ * Judges a run that has ended and writes its results.
+ *
+ * @param trace null where the traffic was the scenario's own
+ * @param startedAt virtual time of the scenario's start
+ * @param endedAt virtual time of the run's end
+ * @param events tasks that the virtual clock ran
+ * @param wallSeconds time of this machine that the run took
+ * @param faults what went wrong in the run; what is found here is added
+ */
+record SimulationReport(
+        ScenarioPlan plan,
+        LoadStatistics statistics,
+        ObservationRecorder recorder,
+        SimulatedRouters routers,
+        TraceWorkload trace,
+        RouterLogs routerLogs,
+        long startedAt,
+        long endedAt,
+        long events,
+        double wallSeconds,
+        List<String> faults) {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double NANOS_PER_MICRO = 1e3;
+
+    /** @param folder for the results, or null where none are to be written */
+    Simulation.Outcome write(Path folder) throws IOException {
+        List<Observation> observations = recorder.observations();
+        InvariantChecker checker = new InvariantChecker(plan.rules(), plan.slack(), plan.places());
+        InvariantChecker.Verdict verdict = checker.check(observations);
+        faults.addAll(plan.expected().missed(statistics));
+        String digest = recorder.digest();
+        List<String> table = table(verdict, digest);
+        if (folder != null) {
+            Files.createDirectories(folder);
+            Files.write(folder.resolve("table.txt"), table);
+            ObjectNode results = Results.of(plan, statistics, verdict, faults, observations, startedAt, table);
+            addRouterLogs(results);
+            addGrowth(results);
+            Results.write(folder, results);
+        }
+        return outcome(verdict, digest, table);
+    }
+
+    private List<String> table(InvariantChecker.Verdict verdict, String digest) {
+        List<String> lines = new ArrayList<>(statistics.table());
+        lines.addAll(VersionShares.lines(recorder.observations(), startedAt, plan.releases()));
+        lines.add(Results.fetched(plan, recorder.observations(), startedAt));
+        if (trace != null) {
+            lines.addAll(trace.lines());
+            if (trace.failure() != null) {
+                faults.add(trace.failure().getMessage());
+            }
+        }
+        lines.add("");
+        lines.add(String.format(
+                Locale.ROOT,
+                "rehearsed with %d engines and %d routers: %d calls in %d tries, %d loads, digest %s",
+                plan.fleet().engines().size(),
+                plan.routers(),
+                statistics.calls(),
+                statistics.tries(),
+                recorder.loads(),
+                digest));
+        lines.add("");
+        lines.addAll(verdict.lines(startedAt, plan.rules()));
+        faults.forEach(fault -> lines.add("fault: " + fault));
+        return lines;
+    }
+
+    private void addRouterLogs(ObjectNode results) {
+        ArrayNode lines = results.putArray("staff");
+        routerLogs.lines().forEach(lines::add);
+    }
+
+    /** The figures that show what grows with the size of the fleet. */
+    private void addGrowth(ObjectNode results) {
+        double decisionNanos = routers.decisionNanos();
+        results.putObject("growth")
+                .put("loads_per_1000", 1000.0 * recorder.loads() / Math.max(1, statistics.calls()))
+                .put("decision_us", decisionNanos / NANOS_PER_MICRO / Math.max(1, routers.decisions()))
+                .put("decided_share", decisionNanos / NANOS_PER_SECOND / plan.routers() / seconds())
+                .put("told_per_second", recorder.endpointsSent() / (double) plan.routers() / seconds())
+                .put("events", events)
+                .put("wall_s", wallSeconds)
+                .put("lasting_s", seconds());
+    }
+
+    private double seconds() {
+        return (endedAt - startedAt) / NANOS_PER_SECOND;
+    }
+
+    private Simulation.Outcome outcome(InvariantChecker.Verdict verdict, String digest, List<String> table) {
+        return new Simulation.Outcome(
+                digest,
+                statistics.credit(),
+                statistics.worstWindow(),
+                statistics.calls(),
+                recorder.loads(),
+                statistics.latencyMillis(50),
+                statistics.latencyMillis(99),
+                events,
+                routers.decisions(),
+                routers.decisionNanos(),
+                recorder.endpointsSent(),
+                wallSeconds,
+                table,
+                verdict,
+                List.copyOf(faults));
+    }
+}
--- a/simulation/src/main/java/pearladder/simulation/package-info.java
+++ b/simulation/src/main/java/pearladder/simulation/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Days in virtual time. The routers' calls, lists and releases are the router's own code, the engines and the shelf are the
- * emulator's, the clients, troubles and rules are the days'; only the network between them is made here.
+ * Scenarios in virtual time. The routers run the router's own core, the workers, the model store and the endpoint registry
+ * are those of the emulator, the clients, faults and invariants those of the testbed; only the network between them is made
+ * here. A run is single-threaded and the same seed gives the same events on any machine.
  */
 package pearladder.simulation;
--- /dev/null
+++ b/simulation/src/test/java/pearladder/simulation/SimulationTest.java
@@ -0,0 +1,90 @@
+package pearladder.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import pearladder.baseline.RandomChoice;
+import pearladder.routing.StickyFirstFitPolicy;
+import pearladder.testbed.InvariantChecker;
+import pearladder.testbed.ScenarioPlan;
+
+class SimulationTest {
+    @Test
+    void sameSeedGivesSameEventsAndAnotherSeedOthers() throws IOException {
+        Simulation.Outcome one = SmallScenario.run(SmallScenario.script());
+        Simulation.Outcome again = SmallScenario.run(SmallScenario.script());
+        assertEquals(one.digest(), again.digest());
+        assertEquals(one.events(), again.events());
+        ObjectNode other = SmallScenario.script();
+        other.withObject("/day").put("seed", 10);
+        assertNotEquals(one.digest(), SmallScenario.run(other).digest());
+    }
+
+    @Test
+    void faultyScenarioKeepsTheInvariantsAndEachOfThemIsChecked() throws IOException {
+        Simulation.Outcome outcome = SmallScenario.run(SmallScenario.script());
+        assertEquals(List.of(), outcome.verdict().breaches());
+        assertEquals(List.of(), outcome.faults());
+        for (InvariantChecker.Rule rule : InvariantChecker.Rule.values()) {
+            assertTrue(outcome.verdict().looked().get(rule) > 0, rule + " was never looked at");
+        }
+        assertTrue(outcome.calls() > 1200 && outcome.credit() > 0.5, outcome.calls() + " " + outcome.credit());
+        Simulation.Outcome random = Simulation.play(SmallScenario.script(), "small", RandomChoice::new, null, null);
+        assertTrue(random.credit() < outcome.credit(), "the policy matters here: " + random.credit());
+    }
+
+    @Test
+    void eachKindOfFaultCanBeSimulatedAndBreaksNoInvariant() throws IOException {
+        for (ScenarioPlan.Kind kind : ScenarioPlan.Kind.values()) {
+            ObjectNode script = SmallScenario.script();
+            script.remove("releases");
+            script.withObject("/day").put("lasting", "6 s");
+            script.putArray("troubles")
+                    .addObject()
+                    .put("at", "2 s")
+                    .put("lasting", "2 s")
+                    .put("share", 0.4)
+                    .put("hall", "west")
+                    .put("times", 3)
+                    .put("what", kind.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+            Simulation.Outcome outcome = SmallScenario.run(script);
+            assertEquals(List.of(), outcome.faults(), kind.name());
+            assertTrue(outcome.calls() > 500, kind + ": " + outcome.calls());
+            assertEquals(List.of(), outcome.verdict().breaches(), kind.name());
+        }
+    }
+
+    /** Regression test: an attempt abandoned during a cut reached its worker when the cut was over. */
+    @Test
+    void attemptAbandonedDuringACutNeverArrives() throws IOException {
+        ObjectNode script = SmallScenario.script();
+        script.remove("releases");
+        script.withObject("/day").put("lasting", "20 s");
+        script.putArray("troubles")
+                .addObject()
+                .put("at", "2 s")
+                .put("lasting", "12 s")
+                .put("what", "cut")
+                .put("share", 0.5);
+        assertEquals(List.of(), SmallScenario.run(script).verdict().breaches());
+    }
+
+    @Test
+    void missedExpectationsAreReported(@TempDir Path out) throws IOException {
+        ObjectNode script = SmallScenario.script();
+        script.putObject("expect").put("credit", 1).put("worst_10_s", 1);
+        Simulation.Outcome outcome = Simulation.play(script, "small", StickyFirstFitPolicy::new, out, null);
+        assertEquals(2, outcome.faults().size(), outcome.faults().toString());
+        assertTrue(outcome.faults().get(0).startsWith("expected a credit of 1.000 at the least, it was 0."));
+        assertTrue(Files.readString(out.resolve("table.txt")).contains("fault: expected"));
+    }
+}
