Load requests in a class of their own; comment lines within 120 columns

Comments longer than 120 columns are wrapped anew; one line of the simulation test's script is broken in two within its flow mapping.

--- a/emulator/src/main/java/pearladder/emulator/InstancePool.java
+++ b/emulator/src/main/java/pearladder/emulator/InstancePool.java
@@ -10,8 +10,8 @@
 import pearladder.kserve.Route;
 
 /**
- * The model instances in a worker's memory: loads them through the model store, unloads idle ones after a time or to make
- * room for others. The instances never take more memory than the worker has.
+ * The model instances in a worker's memory: loads them through the model store, unloads idle ones after a time or
+ * to make room for others. The instances never take more memory than the worker has.
  */
 final class InstancePool {
     /** Told when a load has ended. */
--- a/emulator/src/main/java/pearladder/emulator/Observation.java
+++ b/emulator/src/main/java/pearladder/emulator/Observation.java
@@ -40,7 +40,10 @@
     public static final String LOADED = "loaded";
     /** At a worker: instances were unloaded; the figure is how many. */
     public static final String UNLOADED = "unloaded";
-    /** At a worker: it crashed from overload while cold; the figure is the multiple of its capacity that it was sent. */
+    /**
+     * At a worker: it crashed from overload while cold; the figure is the multiple of its capacity that it was
+     * sent.
+     */
     public static final String FELL = "fell";
     /** At the registry: a router was sent a worker's state, the note; the figure is the worker's start in epoch ms. */
     public static final String TOLD = "told";
--- a/emulator/src/main/java/pearladder/emulator/ProcessorSharing.java
+++ b/emulator/src/main/java/pearladder/emulator/ProcessorSharing.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * The cores of a worker under egalitarian processor sharing: each running request gets an equal share, at most one core.
- * Progress is accounted for whenever the share changes, and one timer is set for the next completion.
+ * The cores of a worker under egalitarian processor sharing: each running request gets an equal share, at most one
+ * core. Progress is accounted for whenever the share changes, and one timer is set for the next completion.
  */
 final class ProcessorSharing {
     /** A request with less work left than this, in nanoseconds, is complete. */
--- a/emulator/src/main/java/pearladder/emulator/WarmUp.java
+++ b/emulator/src/main/java/pearladder/emulator/WarmUp.java
@@ -4,8 +4,8 @@
 import java.util.OptionalDouble;
 
 /**
- * A worker's capacity after a start, which grows linearly from {@link WorkerKind#coldCapacityShare} to 1, and the check for
- * overload: a cold worker that is sent too much work within a window crashes.
+ * A worker's capacity after a start, which grows linearly from {@link WorkerKind#coldCapacityShare} to 1, and the
+ * check for overload: a cold worker that is sent too much work within a window crashes.
  */
 final class WarmUp {
     private record WorkArrival(long at, double workNanos) {}
--- a/emulator/src/main/java/pearladder/emulator/WorkerFactory.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerFactory.java
@@ -4,7 +4,10 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
-/** Creates the workers of a fleet, which share a model store and, by group, the idempotency keys that they have seen. */
+/**
+ * Creates the workers of a fleet, which share a model store and, by group, the idempotency keys that they have
+ * seen.
+ */
 public final class WorkerFactory {
     /** Seeds of different plans' workers differ by a multiple of this. */
     private static final long SEEDS_PER_PLAN = 1000;
--- a/emulator/src/main/java/pearladder/emulator/WorkerModel.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerModel.java
@@ -1,7 +1,6 @@
 package pearladder.emulator;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -306,49 +305,29 @@
     }
 
     /**
-     * Takes a load request, to hold so many instances of a model; the reply comes once they are ready or it is clear that
-     * they will not be. Idle instances of the model are kept for their full time again.
+     * Takes a load request, to hold so many instances of a model; the reply comes once they are ready or it is
+     * clear that they will not be. Idle instances of the model are kept for their full time again.
      */
     public void loadInstances(String router, String model, int wanted, Consumer<WorkerReply> replyTo) {
         if (!up) {
             return;
         }
         boolean replyLost = lostLoadReplyShare > 0 && random.nextDouble() < lostLoadReplyShare;
-        Consumer<WorkerReply> effectiveReplyTo = replyLost ? reply -> {} : replyTo;
         observer.loadRequested(router, model, wanted);
+        Consumer<WorkerOutcome> onEnded = outcome -> {
+            WorkerReply reply = WorkerReply.ofLoad(outcome, standing(model), report());
+            if (!replyLost) {
+                replyTo.accept(reply);
+            }
+        };
         ModelKind modelKind = environment.models().apply(model);
         if (modelKind == null) {
-            replyToLoad(model, WorkerOutcome.ERROR, effectiveReplyTo);
-            return;
-        }
-        if (draining) {
-            replyToLoad(model, WorkerOutcome.FULL, effectiveReplyTo);
-            return;
+            onEnded.accept(WorkerOutcome.ERROR);
+        } else if (draining) {
+            onEnded.accept(WorkerOutcome.FULL);
+        } else {
+            new LoadRequest(instances, model, modelKind, wanted, onEnded).start();
         }
-        List<ModelInstance> current = instances.current(model);
-        current.stream().filter(ModelInstance::isIdle).forEach(instances::startIdleTimer);
-        List<ModelInstance> awaited = new ArrayList<>(
-                current.stream().filter(instance -> !instance.ready).toList());
-        for (int i = current.size(); i < wanted; i++) {
-            ModelInstance started = instances.load(model, modelKind);
-            if (started == null) {
-                replyToLoad(model, WorkerOutcome.FULL, effectiveReplyTo);
-                return;
-            }
-            awaited.add(started);
-        }
-        if (standing(model) >= wanted || awaited.isEmpty()) {
-            replyToLoad(model, WorkerOutcome.OK, effectiveReplyTo);
-            return;
-        }
-        AwaitedLoads.await(
-                awaited,
-                allSucceeded ->
-                        replyToLoad(model, allSucceeded ? WorkerOutcome.OK : WorkerOutcome.ERROR, effectiveReplyTo));
-    }
-
-    private void replyToLoad(String model, WorkerOutcome outcome, Consumer<WorkerReply> replyTo) {
-        replyTo.accept(WorkerReply.ofLoad(outcome, standing(model), report()));
     }
 
     /** Unloads the idle instances of a model. */
--- a/emulator/src/main/java/pearladder/emulator/net/DiscoveryServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/DiscoveryServer.java
@@ -15,8 +15,8 @@
 import pearladder.kserve.Headers;
 
 /**
- * The discovery service: GET /v1/list answers with the whole endpoint list; GET /v1/list/watch?from=VERSION stays open and
- * brings one line for each change.
+ * The discovery service: GET /v1/list answers with the whole endpoint list; GET /v1/list/watch?from=VERSION stays
+ * open and brings one line for each change.
  */
 public final class DiscoveryServer {
     private static final String LIST_PATH = "/v1/list";
--- a/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
@@ -17,9 +17,9 @@
 import pearladder.kserve.JsonBodies;
 
 /**
- * A loopback port by which a scenario injects faults: POST /do?what=slow&amp;engines=e-1,e-2&amp;figure=5. Without engines a
- * command is for all of them. GET /engines lists the workers. Commands are those of {@link FaultCommand} and of the methods
- * here.
+ * A loopback port by which a scenario injects faults: POST /do?what=slow&amp;engines=e-1,e-2&amp;figure=5. Without
+ * engines a command is for all of them. GET /engines lists the workers. Commands are those of {@link FaultCommand}
+ * and of the methods here.
  */
 public final class FaultInjectionServer {
     private static final String WORKERS_PATH = "/engines";
--- a/emulator/src/main/java/pearladder/emulator/net/FaultProxy.java
+++ b/emulator/src/main/java/pearladder/emulator/net/FaultProxy.java
@@ -13,9 +13,10 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A proxy between routers and workers that emulates network faults. Each router reaches each worker by a route of its own,
- * a relay on a loopback port, which can be cut, have its connections reset, accept no connections, or refuse them while its
- * worker is down. One thread relays for all; the methods here hand it tasks and wait for their end.
+ * A proxy between routers and workers that emulates network faults. Each router reaches each worker by a route of
+ * its own, a relay on a loopback port, which can be cut, have its connections reset, accept no connections, or
+ * refuse them while its worker is down. One thread relays for all; the methods here hand it tasks and wait for
+ * their end.
  */
 public final class FaultProxy implements AutoCloseable {
     /** How long the thread waits for sockets or tasks before it looks whether it is closed. */
@@ -44,8 +45,8 @@
     }
 
     /**
-     * The port by which a router reaches a worker; the route is opened when first asked for, or when the worker's own port
-     * has changed.
+     * The port by which a router reaches a worker; the route is opened when first asked for, or when the worker's
+     * own port has changed.
      */
     int port(String router, String worker, int targetPort) {
         return call(() -> {
--- a/emulator/src/main/java/pearladder/emulator/net/Fleet.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Fleet.java
@@ -18,9 +18,9 @@
 import pearladder.kserve.DiscoveryMessage.Standing;
 
 /**
- * All emulated workers of a plan with their model store and discovery service, on loopback ports given by the system. One
- * event loop owns them: methods that return a future or act on workers are to be called on it, through {@link #call} or
- * {@link #run}.
+ * All emulated workers of a plan with their model store and discovery service, on loopback ports given by the
+ * system. One event loop owns them: methods that return a future or act on workers are to be called on it, through
+ * {@link #call} or {@link #run}.
  */
 public final class Fleet {
     private static final String LOOPBACK = "127.0.0.1";
--- a/emulator/src/main/java/pearladder/emulator/net/ProxyConnection.java
+++ b/emulator/src/main/java/pearladder/emulator/net/ProxyConnection.java
@@ -9,8 +9,8 @@
 import java.util.List;
 
 /**
- * One connection through a {@link ProxyRoute}. Each direction has a buffer, which is filled from one end and emptied into the
- * other before more is read, so that a slow receiver holds up its sender.
+ * One connection through a {@link ProxyRoute}. Each direction has a buffer, which is filled from one end and
+ * emptied into the other before more is read, so that a slow receiver holds up its sender.
  */
 final class ProxyConnection {
     private static final int BUFFER_BYTES = 64 << 10;
@@ -131,8 +131,9 @@
     }
 
     /**
-     * The route's cut is over. A sender that gave up during the cut would no longer retransmit, so a connection with an end
-     * that has closed is reset with all that it held; otherwise a network fault would be emulated that does not exist.
+     * The route's cut is over. A sender that gave up during the cut would no longer retransmit, so a connection
+     * with an end that has closed is reset with all that it held; otherwise a network fault would be emulated that
+     * does not exist.
      */
     void resetIfAnEndHasClosed() {
         try {
--- a/emulator/src/test/java/pearladder/emulator/WorkerModelRandomizedTest.java
+++ b/emulator/src/test/java/pearladder/emulator/WorkerModelRandomizedTest.java
@@ -16,7 +16,10 @@
     private final VirtualTimeline time = new VirtualTimeline();
     private final WorkerModelFixture fixture = new WorkerModelFixture(time);
 
-    /** Whatever comes, in any order: memory is never exceeded, a request is replied to once, and none is held for ever. */
+    /**
+     * Whatever comes, in any order: memory is never exceeded, a request is replied to once, and none is held for
+     * ever.
+     */
     @Test
     void memoryIsKeptAndRepliesComeOnceUnderAnyFaults() {
         for (int seed = 0; seed < 60; seed++) {
--- a/simulation/src/main/java/pearladder/simulation/DiscoveryWatch.java
+++ b/simulation/src/main/java/pearladder/simulation/DiscoveryWatch.java
@@ -5,8 +5,8 @@
 import pearladder.kserve.DiscoveryMessage;
 
 /**
- * A router's watch of the endpoint registry over the virtual network. It counts as broken where it is silent for too long;
- * the router decides when to connect again.
+ * A router's watch of the endpoint registry over the virtual network. It counts as broken where it is silent for
+ * too long; the router decides when to connect again.
  */
 final class DiscoveryWatch {
     /** What the watch tells its router. */
--- a/simulation/src/main/java/pearladder/simulation/LoadRequestRecorder.java
+++ b/simulation/src/main/java/pearladder/simulation/LoadRequestRecorder.java
@@ -9,8 +9,8 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * Stands for a router's event log on disk. Of all events it keeps the load requests only, which are all that the router's
- * next incarnation asks for.
+ * Stands for a router's event log on disk. Of all events it keeps the load requests only, which are all that the
+ * router's next incarnation asks for.
  */
 final class LoadRequestRecorder implements EventListener {
     /** After so long an event is safe on disk, as with real files. */
--- a/simulation/src/main/java/pearladder/simulation/SimulatedExchange.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedExchange.java
@@ -9,8 +9,8 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * One request of a router to a worker, from connecting to its end. It ends once: with a reply, a failure, a timeout, or by
- * being cancelled.
+ * One request of a router to a worker, from connecting to its end. It ends once: with a reply, a failure, a
+ * timeout, or by being cancelled.
  */
 final class SimulatedExchange implements WorkerClient.PendingSend, SimulatedNetworkPath.Exchange {
     /** What the request does once it has reached its worker. */
--- a/simulation/src/main/java/pearladder/simulation/SimulatedNetworkPath.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedNetworkPath.java
@@ -8,8 +8,9 @@
 import pearladder.emulator.WorkerModel;
 
 /**
- * The way between all routers and one worker on the virtual network. A message takes the delay each way. While a direction
- * is cut, messages wait, as their sender would go on retransmitting them, and are delivered in order once it is restored.
+ * The way between all routers and one worker on the virtual network. A message takes the delay each way. While a
+ * direction is cut, messages wait, as their sender would go on retransmitting them, and are delivered in order once
+ * it is restored.
  */
 final class SimulatedNetworkPath {
     /** An exchange on a connection to this worker. */
--- a/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
@@ -17,8 +17,8 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * One router's client of the workers over the virtual network. It behaves as the HTTP client does with sockets: connections
- * are kept or made, and an outcome is only told where it is certain.
+ * One router's client of the workers over the virtual network. It behaves as the HTTP client does with sockets:
+ * connections are kept or made, and an outcome is only told where it is certain.
  */
 final class SimulatedWorkerClient implements WorkerClient {
     private final SimulatedRouter router;
--- a/simulation/src/test/java/pearladder/simulation/SmallScenario.java
+++ b/simulation/src/test/java/pearladder/simulation/SmallScenario.java
@@ -16,7 +16,8 @@
               - {category: commit, share: 0.2, models: pair-, count: 24, work: 15 ms}
               - {category: post, share: 0.2, models: pair-, count: 24, work: 15 ms}
             releases:
-              - {at: 1 s, order: start, models: pair-, count: 24, from: "", to: "2", steps: [0.3, 1], hold: 2 s, least_calls: 3}
+              - {at: 1 s, order: start, models: pair-, count: 24, from: "", to: "2",
+                 steps: [0.3, 1], hold: 2 s, least_calls: 3}
               - {at: 7 s, order: rollback, models: pair-, count: 24}
             troubles:
               - {at: 2 s, lasting: 2 s, what: cut, share: 0.3}
