--- a/testbed/src/main/java/pearladder/testbed/ReleaseScript.java
+++ b/testbed/src/main/java/pearladder/testbed/ReleaseScript.java
@@ -3,9 +3,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -44,14 +41,21 @@
         }
     }
 
+    static final String NO_ANSWER = "no answer";
+
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(5);
 
     private final Map<String, ObjectNode> newest = new LinkedHashMap<>();
-    private final HttpClient client;
+    private final LoopbackHttpClient http;
 
-    /** @param client by which orders are given; null where only {@link #targets} is asked */
-    public ReleaseScript(HttpClient client) {
-        this.client = client;
+    /**
+     * Creates the operators of a scenario.
+     *
+     * @param http by which orders are given; null where only {@link #targets} is asked
+     */
+    public ReleaseScript(LoopbackHttpClient http) {
+        this.http = http;
     }
 
     /** The orders of one line: one, or as many as it says, each so long after the one before. */
@@ -89,32 +93,29 @@
                 plan);
     }
 
-    /** Gives an order to every router, all at once; a line for each that did not take it. */
-    List<String> give(Order order, Map<String, Integer> doors) {
+    /**
+     * Gives an order to every router, all at once; a line for each that did not take it, which ends with
+     * {@link #NO_ANSWER} where the router gave no response.
+     */
+    List<String> give(Order order, Map<String, Integer> adminPorts) {
         ArrayNode targets = JSON.createArrayNode();
         order.models().forEach(model -> targets.add(next(order, model)));
-        Map<String, CompletableFuture<HttpResponse<String>>> answers = new LinkedHashMap<>();
-        doors.forEach((router, door) -> answers.put(
-                router,
-                client.sendAsync(
-                        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + door + "/releases"))
-                                .timeout(Duration.ofSeconds(5))
-                                .POST(HttpRequest.BodyPublishers.ofString(targets.toString()))
-                                .build(),
-                        HttpResponse.BodyHandlers.ofString())));
-        List<String> refused = new ArrayList<>();
-        answers.forEach((router, answer) -> {
+        Map<String, CompletableFuture<HttpResponse<String>>> responses = new LinkedHashMap<>();
+        adminPorts.forEach((router, adminPort) ->
+                responses.put(router, http.post(adminPort, "/releases", targets.toString(), ORDER_TIMEOUT)));
+        List<String> rejections = new ArrayList<>();
+        responses.forEach((router, response) -> {
             try {
-                if (answer.get().statusCode() != 200) {
-                    refused.add(router + ": " + answer.get().body());
+                if (response.get().statusCode() != LoopbackHttpClient.OK) {
+                    rejections.add(router + ": " + response.get().body());
                 }
-            } catch (ExecutionException away) {
-                refused.add(router + ": no answer");
-            } catch (InterruptedException stopped) {
+            } catch (ExecutionException unreachable) {
+                rejections.add(router + ": " + NO_ANSWER);
+            } catch (InterruptedException interrupted) {
                 Thread.currentThread().interrupt();
             }
         });
-        return refused;
+        return rejections;
     }
 
     /** The targets of an order, for routers that are told them without a socket. */
@@ -129,7 +130,7 @@
         ObjectNode target = before == null ? JSON.createObjectNode() : before.deepCopy();
         target.put("epoch", before == null ? 1 : before.path("epoch").asLong() + 1)
                 .put("by", "day")
-                .put("wallMillis", client == null ? 0 : System.currentTimeMillis());
+                .put("wallMillis", http == null ? 0 : System.currentTimeMillis());
         switch (order.what()) {
             case START -> {
                 target.put("mode", "RUNNING").put("step", 0);
--- /dev/null
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioEvaluation.java
@@ -0,0 +1,109 @@
+package pearladder.testbed;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import pearladder.emulator.Observation;
+import pearladder.emulator.ObservationLog;
+
+/** Evaluates a scenario that has ended: checks its observation logs and writes its table and its results. */
+final class ScenarioEvaluation {
+    static final String WORKER_LOG = "engines.tape";
+    static final String CLIENT_LOG = "clients.tape";
+
+    private static final String TABLE_FILE = "table.txt";
+    /** A run whose generator lagged more than this at p99 measured the generator. */
+    private static final long GENERATOR_LAG_MILLIS = 50;
+    /** The last line of a log may be torn where its process was killed. */
+    private static final int TORN_LINES_ALLOWED = 1;
+
+    /**
+     * What is known of a scenario at its end.
+     *
+     * @param startedAt on the clock of the observations, in nanoseconds
+     * @param routerUsage lines on what the routers used
+     * @param trace whose requests were sent, or null
+     */
+    record Run(long startedAt, double seconds, List<String> routerUsage, TraceWorkload trace) {}
+
+    private final ScenarioPlan plan;
+    private final Path folder;
+    private final LoadStatistics statistics;
+    private final List<String> faults;
+
+    /**
+     * Creates an evaluation.
+     *
+     * @param folder holds the logs, and is where the table and the results go
+     * @param faults what went wrong so far; more may be added
+     */
+    ScenarioEvaluation(ScenarioPlan plan, Path folder, LoadStatistics statistics, List<String> faults) {
+        this.plan = plan;
+        this.folder = folder;
+        this.statistics = statistics;
+        this.faults = faults;
+    }
+
+    Scenario.Outcome evaluate(Run run) throws IOException {
+        List<Observation> observations = readLogs();
+        InvariantChecker.Verdict verdict =
+                new InvariantChecker(plan.rules(), plan.slack(), plan.places()).check(observations);
+        List<String> lines = new ArrayList<>(statistics.table());
+        lines.addAll(VersionShares.lines(observations, run.startedAt(), plan.releases()));
+        lines.add(Results.fetched(plan, observations, run.startedAt()));
+        lines.add("");
+        lines.add(loadLine(run.seconds()));
+        lines.addAll(run.routerUsage());
+        if (run.trace() != null) {
+            lines.addAll(run.trace().lines());
+        }
+        findFaults(run.trace());
+        lines.add("");
+        lines.addAll(verdict.lines(run.startedAt(), plan.rules()));
+        faults.forEach(fault -> lines.add("fault: " + fault));
+        Files.write(folder.resolve(TABLE_FILE), lines);
+        Results.write(folder, Results.of(plan, statistics, verdict, faults, observations, run.startedAt(), lines));
+        return new Scenario.Outcome(
+                statistics.credit(), statistics.worstWindow(), statistics.calls(), lines, verdict, List.copyOf(faults));
+    }
+
+    private List<Observation> readLogs() throws IOException {
+        List<Observation> observations = new ArrayList<>();
+        for (String name : List.of(WORKER_LOG, CLIENT_LOG)) {
+            int torn = ObservationLog.read(folder.resolve(name), observations::add);
+            if (torn > TORN_LINES_ALLOWED) {
+                faults.add(name + " has " + torn + " lines that can't be read");
+            }
+        }
+        return observations;
+    }
+
+    private String loadLine(double seconds) {
+        return String.format(
+                Locale.ROOT,
+                "%d calls in %d tries over %.0f s; the generator was late by %.1f ms at p99, %.1f ms at most",
+                statistics.calls(),
+                statistics.tries(),
+                seconds,
+                statistics.lagMillis(99),
+                statistics.lagMillis(100));
+    }
+
+    private void findFaults(TraceWorkload trace) {
+        if (trace != null && trace.failure() != null) {
+            faults.add(trace.failure().getMessage());
+        }
+        faults.addAll(plan.expected().missed(statistics));
+        double lagMillis = statistics.lagMillis(99);
+        if (lagMillis > GENERATOR_LAG_MILLIS) {
+            faults.add(String.format(
+                    Locale.ROOT,
+                    "the generator was late by %.0f ms at p99, over %d ms: not to be quoted",
+                    lagMillis,
+                    GENERATOR_LAG_MILLIS));
+        }
+    }
+}
