--- /dev/null
+++ b/testbed/src/main/java/pearladder/testbed/DrainCheck.java
@@ -0,0 +1,68 @@
+package pearladder.testbed;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import pearladder.emulator.Observation;
+import pearladder.testbed.InvariantChecker.Rule;
+
+/** Checks that a router sends nothing new to a worker that it was told is draining or gone, after a grace. */
+final class DrainCheck {
+    private static final String IN_SERVICE = "IN_SERVICE";
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final InvariantSettings settings;
+    private final long slack;
+    private final CheckFindings findings;
+    /** What each router was told of each worker, from the moment of the last change on. */
+    private final Map<RouterAndWorker, Observation> states = new HashMap<>();
+
+    /**
+     * Creates a check.
+     *
+     * @param slack in nanoseconds
+     */
+    DrainCheck(InvariantSettings settings, long slack, CheckFindings findings) {
+        this.settings = settings;
+        this.slack = slack;
+        this.findings = findings;
+    }
+
+    void check(List<Observation> inOrder) {
+        for (Observation seen : inOrder) {
+            switch (seen.what()) {
+                case Observation.TOLD -> stateTold(seen);
+                case Observation.KILLED -> states.keySet()
+                        .removeIf(pair -> pair.router().equals(seen.router()));
+                case Observation.ARRIVED -> checkSent(seen, "call " + seen.call());
+                case Observation.ORDERED -> {
+                    if (seen.figure() > 0) {
+                        checkSent(seen, "an order");
+                    }
+                }
+                default -> {}
+            }
+        }
+    }
+
+    private void stateTold(Observation seen) {
+        RouterAndWorker pair = RouterAndWorker.of(seen);
+        Observation before = states.get(pair);
+        if (before == null || !before.note().equals(seen.note())) {
+            states.put(pair, seen);
+        }
+    }
+
+    private void checkSent(Observation seen, String what) {
+        findings.looked(Rule.DRAINS_KEPT);
+        Observation told = states.get(RouterAndWorker.of(seen));
+        if (told == null || told.note().equals(IN_SERVICE) || seen.at() <= told.at() + settings.drainGrace() + slack) {
+            return;
+        }
+        findings.breach(
+                Rule.DRAINS_KEPT,
+                seen.at(),
+                seen.router() + " sent " + what + " to " + seen.engine() + " "
+                        + (seen.at() - told.at()) / NANOS_PER_MILLI + " ms after it was told " + told.note());
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/pearladder/testbed/FinalAnswerCheck.java
@@ -0,0 +1,93 @@
+package pearladder.testbed;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import pearladder.emulator.Observation;
+import pearladder.testbed.InvariantChecker.Rule;
+
+/**
+ * Checks that each request has one final answer in time. A router that was killed or paused owes none for that time,
+ * nor does one for a request whose client could not reach it or left early.
+ */
+final class FinalAnswerCheck {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final InvariantSettings settings;
+    private final long slack;
+    private final CheckFindings findings;
+    private final Map<String, List<Observation>> outages = new HashMap<>();
+    private final TreeMap<Long, Observation> clientPauses = new TreeMap<>();
+
+    /**
+     * Creates a check.
+     *
+     * @param slack in nanoseconds
+     */
+    FinalAnswerCheck(InvariantSettings settings, long slack, CheckFindings findings) {
+        this.settings = settings;
+        this.slack = slack;
+        this.findings = findings;
+    }
+
+    void check(List<Observation> inOrder, Collection<ObservedRequest> requests) {
+        for (Observation seen : inOrder) {
+            switch (seen.what()) {
+                case Observation.KILLED, Observation.STILL -> outages.computeIfAbsent(
+                                seen.router(), router -> new ArrayList<>())
+                        .add(seen);
+                case Observation.PAUSED -> clientPauses.put(seen.at(), seen);
+                default -> {}
+            }
+        }
+        requests.forEach(this::check);
+    }
+
+    private void check(ObservedRequest request) {
+        if (request.end() == null
+                || routerWasOut(request)
+                || request.endedUnanswered(ObservedRequest.UNREACHABLE)
+                || request.endedUnanswered(ObservedRequest.LEFT)) {
+            return;
+        }
+        findings.looked(Rule.ONE_ANSWER);
+        String what = "call " + request.id() + " (" + request.requestClass() + ") at " + request.router();
+        Observation end = request.end();
+        long deadline = request.deadline();
+        if (request.isUnanswered()) {
+            findings.breach(Rule.ONE_ANSWER, deadline, what + " got no final answer: " + end.note());
+        } else if (end.at() - clientPaused(deadline, end.at()) > deadline + settings.answerGrace() + slack) {
+            findings.breach(
+                    Rule.ONE_ANSWER,
+                    end.at(),
+                    what + " was " + end.note() + " " + (end.at() - deadline) / NANOS_PER_MILLI
+                            + " ms after the client's time was up");
+        }
+        if (request.hasSeveralAnswers()) {
+            findings.breach(Rule.ONE_ANSWER, end.at(), what + " got more than one final answer");
+        }
+    }
+
+    private boolean routerWasOut(ObservedRequest request) {
+        long from = request.sentAt() - slack;
+        long until = Math.min(request.deadline(), request.end().at()) + slack;
+        return outages.getOrDefault(request.router(), List.of()).stream()
+                .anyMatch(outage -> outage.at() + (long) outage.figure() >= from && outage.at() <= until);
+    }
+
+    /** For how long the client itself was paused between a deadline and the moment at which it saw the answer. */
+    private long clientPaused(long deadline, long seenAt) {
+        long sum = 0;
+        for (Observation pause : clientPauses.tailMap(deadline, true).values()) {
+            long pausedFrom = Math.max(deadline, pause.at() - (long) pause.figure());
+            sum += Math.max(0, Math.min(seenAt, pause.at()) - pausedFrom);
+            if (pause.at() >= seenAt) {
+                break;
+            }
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/pearladder/testbed/LoadQuotaCheck.java
@@ -0,0 +1,84 @@
+package pearladder.testbed;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import pearladder.emulator.Observation;
+import pearladder.testbed.InvariantChecker.Rule;
+
+/**
+ * Checks that each router orders no more loads within a window than a free number and a share of the requests that
+ * clients sent to it. The slack narrows the window of the loads and widens that of the requests.
+ */
+final class LoadQuotaCheck {
+    private final InvariantSettings settings;
+    private final long slack;
+    private final CheckFindings findings;
+    private final Map<String, Deque<Long>> loadTimes = new HashMap<>();
+    private final Map<String, Deque<Long>> requestTimes = new HashMap<>();
+
+    /**
+     * Creates a check.
+     *
+     * @param slack in nanoseconds
+     */
+    LoadQuotaCheck(InvariantSettings settings, long slack, CheckFindings findings) {
+        this.settings = settings;
+        this.slack = slack;
+        this.findings = findings;
+    }
+
+    void check(List<Observation> inOrder, Map<String, ObservedRequest> requests) {
+        if (settings.rationWindow() <= 0) {
+            return;
+        }
+        for (Observation seen : inOrder) {
+            switch (seen.what()) {
+                case Observation.KILLED -> {
+                    loadTimes.remove(seen.router());
+                    requestTimes.remove(seen.router());
+                }
+                case Observation.SENT -> {
+                    if (!requests.get(seen.call()).endedUnanswered(ObservedRequest.UNREACHABLE)) {
+                        times(requestTimes, seen.router()).add(seen.at());
+                    }
+                }
+                case Observation.ORDERED -> {
+                    if (seen.figure() > 0) {
+                        checkLoad(seen);
+                    }
+                }
+                default -> {}
+            }
+        }
+    }
+
+    private void checkLoad(Observation ordered) {
+        findings.looked(Rule.ORDERS_RATIONED);
+        Deque<Long> loads = times(loadTimes, ordered.router());
+        Deque<Long> requests = times(requestTimes, ordered.router());
+        loads.add(ordered.at());
+        while (ordered.at() - loads.peek() > settings.rationWindow() - slack) {
+            loads.poll();
+        }
+        while (!requests.isEmpty() && ordered.at() - requests.peek() > settings.rationWindow() + slack) {
+            requests.poll();
+        }
+        double quota = settings.rationFree() + settings.rationShare() * requests.size();
+        if (loads.size() > quota) {
+            findings.breach(
+                    Rule.ORDERS_RATIONED,
+                    ordered.at(),
+                    ordered.router() + " gave " + loads.size()
+                            + " orders to load within the window; its calls allow "
+                            + String.format(Locale.ROOT, "%.1f", quota));
+        }
+    }
+
+    private static Deque<Long> times(Map<String, Deque<Long>> byRouter, String router) {
+        return byRouter.computeIfAbsent(router, key -> new ArrayDeque<>());
+    }
+}
--- a/testbed/src/main/java/pearladder/testbed/Results.java
+++ b/testbed/src/main/java/pearladder/testbed/Results.java
@@ -81,19 +81,15 @@
         verdict.looked().forEach((rule, looked) -> rules.addObject()
                 .put("rule", rule.words())
                 .put("looked", looked)
-                .put(
-                        "broken",
-                        verdict.breaches().stream()
-                                .filter(breach -> breach.rule() == rule)
-                                .count()));
+                .put("broken", verdict.broken(rule)));
         ArrayNode lines = all.putArray("table");
         table.forEach(lines::add);
         return all;
     }
 
     /**
-     * By ten seconds of the day: legs, orders, refusals, loads and failed loads at the engines, the copies that stood at its
-     * end, settled answers, and those of them that came from a version.
+     * By ten seconds of the day: legs, orders, refusals, loads and failed loads at the engines, the copies that stood
+     * at its end, settled answers, and those of them that came from a version.
      */
     private static TreeMap<Long, long[]> byWindow(List<Observation> tape, long begun) {
         TreeMap<Long, long[]> windows = new TreeMap<>();
--- /dev/null
+++ b/testbed/src/main/java/pearladder/testbed/SingleEffectCheck.java
@@ -0,0 +1,141 @@
+package pearladder.testbed;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import pearladder.emulator.Observation;
+import pearladder.testbed.InvariantChecker.Rule;
+import pearladder.testbed.ObservedRequest.Attempt;
+
+/**
+ * Checks that nothing takes effect twice. By attempts: one that arrived and was not refused may have run, and the
+ * request class says what may follow it. By effects: a non-idempotent request, or an idempotency key, runs once.
+ */
+final class SingleEffectCheck {
+    private record Location(String zone, long cell) {
+        /** Reads "zone/cell". */
+        static Location of(String place) {
+            int slash = place.lastIndexOf('/');
+            return new Location(place.substring(0, slash), Long.parseLong(place.substring(slash + 1)));
+        }
+    }
+
+    private final InvariantSettings settings;
+    private final long slack;
+    private final CheckFindings findings;
+    private final Map<String, Location> locations = new HashMap<>();
+
+    /**
+     * Creates a check.
+     *
+     * @param slack in nanoseconds
+     * @param places zone and cell of each worker, "zone/cell"
+     */
+    SingleEffectCheck(InvariantSettings settings, long slack, Map<String, String> places, CheckFindings findings) {
+        this.settings = settings;
+        this.slack = slack;
+        this.findings = findings;
+        places.forEach((worker, place) -> locations.put(worker, Location.of(place)));
+    }
+
+    void check(List<Observation> inOrder, Map<String, ObservedRequest> requests) {
+        requests.values().forEach(this::checkAttempts);
+        checkEffects(inOrder, requests);
+    }
+
+    /** The terms of a request's class, or null where it has none or may take effect any number of times. */
+    private CategoryTerms termsOf(ObservedRequest request) {
+        CategoryTerms terms = request == null ? null : settings.categories().get(request.requestClass());
+        return terms == null || terms.effect() == CategoryTerms.Effect.RETRIABLE ? null : terms;
+    }
+
+    private void checkAttempts(ObservedRequest request) {
+        CategoryTerms terms = termsOf(request);
+        if (terms == null) {
+            return;
+        }
+        findings.looked(Rule.NO_EFFECT_TWICE);
+        String what = "call " + request.id() + " (" + terms.name() + ")";
+        Attempt first = null;
+        for (Attempt attempt : request.attempts()) {
+            if (first != null) {
+                checkRetry(terms, what, first, attempt);
+            } else if (attempt.mayHaveRun()) {
+                first = attempt;
+            }
+        }
+        boolean rejected = request.end() != null && request.end().note().equals("dismissed");
+        boolean mayBeRejected =
+                terms.effect() != CategoryTerms.Effect.BINDING && terms.group() == CategoryTerms.Group.ALL;
+        if (rejected && first != null && !mayBeRejected) {
+            findings.breach(
+                    Rule.NO_EFFECT_TWICE,
+                    request.end().at(),
+                    what + " was dismissed and may have run at " + first.worker());
+        }
+    }
+
+    private void checkRetry(CategoryTerms terms, String what, Attempt first, Attempt retry) {
+        if (terms.effect() == CategoryTerms.Effect.BINDING) {
+            findings.breach(
+                    Rule.NO_EFFECT_TWICE,
+                    retry.arrivedAt(),
+                    what + " reached " + retry.worker() + " after it may have run at " + first.worker());
+            return;
+        }
+        if (retry.arrivedAt() - first.arrivedAt() > terms.remembered() + slack) {
+            findings.breach(
+                    Rule.NO_EFFECT_TWICE,
+                    retry.arrivedAt(),
+                    what + " was repeated after the time for which " + first.worker() + " remembers it");
+        }
+        if (!shareMemory(terms.group(), first.worker(), retry.worker())) {
+            findings.breach(
+                    Rule.NO_EFFECT_TWICE,
+                    retry.arrivedAt(),
+                    what + " left the group of " + first.worker() + " for " + retry.worker());
+        }
+    }
+
+    /** Whether two workers share the memory of idempotency keys. */
+    private boolean shareMemory(CategoryTerms.Group group, String worker, String other) {
+        if (group == CategoryTerms.Group.ALL) {
+            return true;
+        }
+        Location one = locationOf(worker);
+        Location two = locationOf(other);
+        if (one == null || two == null) {
+            return false;
+        }
+        return group == CategoryTerms.Group.ZONE ? one.zone().equals(two.zone()) : one.cell() == two.cell();
+    }
+
+    /** A worker that replaced another in a deployment ("engine-3~15") is where the one of its name was ("engine-3"). */
+    private Location locationOf(String worker) {
+        int successor = worker.indexOf('~');
+        return locations.get(successor < 0 ? worker : worker.substring(0, successor));
+    }
+
+    private void checkEffects(List<Observation> inOrder, Map<String, ObservedRequest> requests) {
+        Map<String, String> keyOf = new HashMap<>();
+        Map<String, Observation> effects = new HashMap<>();
+        for (Observation seen : inOrder) {
+            if (seen.what().equals(Observation.ARRIVED) && !seen.note().isEmpty()) {
+                keyOf.put(seen.call(), seen.note());
+            }
+            CategoryTerms terms = termsOf(requests.get(seen.call()));
+            if (!seen.what().equals(Observation.RAN) || terms == null) {
+                continue;
+            }
+            boolean binding = terms.effect() == CategoryTerms.Effect.BINDING;
+            String effect = binding ? "call " + seen.call() : "mark " + keyOf.get(seen.call());
+            Observation before = effects.putIfAbsent(effect, seen);
+            if (before != null && (binding || !before.note().equals("failed"))) {
+                findings.breach(
+                        Rule.NO_EFFECT_TWICE,
+                        seen.at(),
+                        effect + " ran at " + before.engine() + " and again at " + seen.engine());
+            }
+        }
+    }
+}
