Parsing of scenarios apart from the plan; faults as a table and short actions

Cause: ScenarioPlan read its YAML in one method of 60 lines, and FaultInjector chose among 33 kinds of faults in one of 90. Change: ScenarioPlanParser; TimedFault, a table of the faults that one command begins and ends; named commands and constants; Javadoc with units. The order of random draws stays.

--- a/testbed/src/main/java/pearladder/testbed/FaultInjector.java
+++ b/testbed/src/main/java/pearladder/testbed/FaultInjector.java
@@ -2,211 +2,259 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import pearladder.testbed.ScenarioPlan.Trouble;
 
 /**
- * Turns the troubles of a script into deeds at moments. What a trouble meets (which engines, routers, models) is drawn
- * from the day's seed at its start, among those that stand then.
+ * Turns the faults and rollout orders of a script into actions at moments. Which workers, routers or models a fault
+ * affects is drawn from the scenario's seed when it starts, among those that run then. Not thread-safe.
  */
 public final class FaultInjector {
-    /** The world that troubles are brought on. */
+    /** What faults are injected into: real processes, or a simulation. */
     public interface World {
-        /** Engines that stand, of a hall or of all where it is empty. */
+        /** The ids of the workers that run, of a zone or of all where it is empty. */
         List<String> engines(String hall);
 
+        /** The names of the routers of a zone, or of all where it is empty. */
         List<String> routers(String hall);
 
+        /**
+         * Sends a command to the workers' control.
+         *
+         * @param what a word of the control endpoint
+         * @param model the models that it concerns, or empty
+         * @param figure its meaning is the command's
+         */
         void toEngines(String what, List<String> engines, String model, double figure);
 
+        /** Kills a router outright. */
         void killRouter(String router);
 
+        /** Starts a router that was killed. */
         void startRouter(String router);
 
-        /** Something befalls routers: see the trouble's kind; the figure is 0 at its end. */
+        /** Begins a fault of routers, or ends it where the figure is 0. */
         void toRouters(ScenarioPlan.Kind what, List<String> routers, double figure);
 
-        /** Clients come back at once, whatever they are told, or heed it again. */
+        /** Whether clients retry at once, whatever Retry-After says. */
         void heedless(boolean on);
 
-        /** An operator gives an order on releases. */
+        /** Gives an order on rollouts to the routers. */
         void order(ReleaseScript.Order order);
 
+        /** Reports what happens, for people and for the observation log. */
         void say(String what);
     }
 
-    /** More engines than so many are told by their number. */
-    private static final int NAMED = 12;
+    /** Commands of the workers' control; further ones are in {@link TimedFault}. */
+    private static final String KILL = "kill";
+
+    private static final String RESTART = "restart";
+    private static final String REPLACE = "replace";
+    private static final String RELEASE = "release";
+    private static final String SLOW = "slow";
+    private static final String RESET_CONNECTIONS = "cable-reset";
+    private static final String CUT_REGISTRY = "list-cut";
+    private static final String SPLIT_REGISTRY = "list-split";
+
+    /** More workers than this are reported by their number, not by their names. */
+    private static final int MAX_NAMED_WORKERS = 12;
+    /** The share of all workers that a rolling deployment replaces at a time. */
+    private static final double DEPLOYMENT_STEP_SHARE = 0.2;
+
+    private static final int AGEING_STEPS = 10;
+    private static final long AGED_RESTART_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /** Sets the random sequence of faults apart from those of the load. */
+    private static final long SEED_FACTOR = 131;
+
+    private static final long SEED_OFFSET = 3;
 
     private final ScenarioPlan plan;
     private final World world;
-    private final SplittableRandom chance;
-    private final TreeMap<Long, List<Runnable>> deeds = new TreeMap<>();
+    private final SplittableRandom random;
+    private final TreeMap<Long, List<Runnable>> actions = new TreeMap<>();
 
+    /** Plans the faults and orders of a script; nothing happens before {@link #due}. */
     public FaultInjector(ScenarioPlan plan, World world) {
         this.plan = plan;
         this.world = world;
-        this.chance = new SplittableRandom(plan.seed() * 131 + 3);
-        for (ScenarioPlan.Trouble trouble : plan.troubles()) {
-            at(trouble.at(), () -> begin(trouble));
+        this.random = new SplittableRandom(plan.seed() * SEED_FACTOR + SEED_OFFSET);
+        for (Trouble fault : plan.troubles()) {
+            at(fault.at(), () -> begin(fault));
         }
         for (ReleaseScript.Order order : plan.releases()) {
-            at(order.at(), () -> {
-                world.say("order " + order.what().name().toLowerCase(java.util.Locale.ROOT) + " " + order.prefix()
-                        + " x " + order.count());
-                world.order(order);
-            });
+            at(order.at(), () -> give(order));
         }
     }
 
-    private void at(long when, Runnable deed) {
-        deeds.computeIfAbsent(when, w -> new ArrayList<>()).add(deed);
+    private void at(long moment, Runnable action) {
+        actions.computeIfAbsent(moment, key -> new ArrayList<>()).add(action);
     }
 
-    /** Does what is due at a moment of the day; returns when the next thing is due, or -1. */
+    /**
+     * Does what is due.
+     *
+     * @param now nanoseconds since the start of the scenario
+     * @return when the next action is due, or -1
+     */
     public long due(long now) {
-        while (!deeds.isEmpty() && deeds.firstKey() <= now) {
-            deeds.pollFirstEntry().getValue().forEach(Runnable::run);
+        while (!actions.isEmpty() && actions.firstKey() <= now) {
+            actions.pollFirstEntry().getValue().forEach(Runnable::run);
         }
-        return deeds.isEmpty() ? -1 : deeds.firstKey();
+        return actions.isEmpty() ? -1 : actions.firstKey();
     }
 
-    private <T> List<T> some(List<T> of, double share) {
-        List<T> left = new ArrayList<>(of);
-        List<T> picked = new ArrayList<>();
-        int count = share <= 0 ? 0 : (int) Math.max(1, Math.round(of.size() * share));
-        while (picked.size() < count && !left.isEmpty()) {
-            picked.add(left.remove(chance.nextInt(left.size())));
+    private void give(ReleaseScript.Order order) {
+        world.say(
+                "order " + order.what().name().toLowerCase(Locale.ROOT) + " " + order.prefix() + " x " + order.count());
+        world.order(order);
+    }
+
+    /** Draws a share of some things, one at the least unless the share is 0. */
+    private <T> List<T> draw(List<T> from, double share) {
+        List<T> left = new ArrayList<>(from);
+        List<T> drawn = new ArrayList<>();
+        int count = share <= 0 ? 0 : (int) Math.max(1, Math.round(from.size() * share));
+        while (drawn.size() < count && !left.isEmpty()) {
+            drawn.add(left.remove(random.nextInt(left.size())));
         }
-        return picked;
-    }
-
-    private void begin(ScenarioPlan.Trouble trouble) {
-        List<String> engines = some(world.engines(trouble.hall()), trouble.share());
-        long end = trouble.at() + trouble.lasting();
-        String word = trouble.what().name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
-        world.say(word
-                + switch (trouble.what()) {
-                    case BURST -> " times " + trouble.times();
-                    case HALL_LOST -> " " + trouble.hall() + ": "
-                            + world.engines(trouble.hall()).size() + " engines and its routers";
-                    case ONE_OFFS, HEAVY -> " for " + trouble.share() + " of the calls";
-                    case SLOW_SHELF,
-                            REFUSING_SHELF,
-                            LIST_SILENT,
-                            LIST_CUT,
-                            LIST_LAG,
-                            ROUTERS_KILLED,
-                            RELEASE,
-                            DAMAGED_IMAGES,
-                            HEEDLESS,
-                            ROUTERS_PAUSED,
-                            CLOCK_JUMP -> "";
-                    default -> engines.size() > NAMED
-                            ? ": " + engines.size() + " engines"
-                            : " " + String.join(" ", engines);
-                });
-        switch (trouble.what()) {
-            case BURST, ONE_OFFS, HEAVY -> {}
-            case ROLLING_DEPLOY -> deploy(trouble, engines);
-            case RELEASE -> release(trouble);
-            case HALL_LOST -> {
-                List<String> hall = world.engines(trouble.hall());
-                List<String> routers = world.routers(trouble.hall());
-                world.toEngines("kill", hall, "", 0);
-                routers.forEach(world::killRouter);
-                at(end, () -> {
-                    world.toEngines("restart", hall, "", 0);
-                    routers.forEach(world::startRouter);
-                });
-            }
-            case ROUTERS_KILLED -> {
-                List<String> routers = some(world.routers(trouble.hall()), trouble.share());
-                routers.forEach(world::killRouter);
-                at(end, () -> routers.forEach(world::startRouter));
+        return drawn;
+    }
+
+    private void begin(Trouble fault) {
+        List<String> workers = draw(world.engines(fault.hall()), fault.share());
+        String word = fault.what().name().toLowerCase(Locale.ROOT).replace('_', '-');
+        world.say(word + details(fault, workers));
+        TimedFault timed = TimedFault.of(fault.what());
+        if (timed != null) {
+            injectTimed(timed, fault, workers);
+        } else {
+            inject(fault, workers);
+        }
+    }
+
+    private String details(Trouble fault, List<String> workers) {
+        return switch (fault.what()) {
+            case BURST -> " times " + fault.times();
+            case HALL_LOST -> " " + fault.hall() + ": "
+                    + world.engines(fault.hall()).size() + " engines and its routers";
+            case ONE_OFFS, HEAVY -> " for " + fault.share() + " of the calls";
+            case SLOW_SHELF,
+                    REFUSING_SHELF,
+                    LIST_SILENT,
+                    LIST_CUT,
+                    LIST_LAG,
+                    ROUTERS_KILLED,
+                    RELEASE,
+                    DAMAGED_IMAGES,
+                    HEEDLESS,
+                    ROUTERS_PAUSED,
+                    CLOCK_JUMP -> "";
+            default -> workers.size() > MAX_NAMED_WORKERS
+                    ? ": " + workers.size() + " engines"
+                    : " " + String.join(" ", workers);
+        };
+    }
+
+    private void injectTimed(TimedFault timed, Trouble fault, List<String> selected) {
+        List<String> zone = timed.scope() == TimedFault.Scope.ZONE ? world.engines(fault.hall()) : List.of();
+        List<String> workers = timed.workers(selected, zone);
+        world.toEngines(timed.command(), workers, "", timed.figure().applyAsDouble(fault));
+        double usual = timed.usual().applyAsDouble(plan);
+        at(endOf(fault), () -> world.toEngines(timed.command(), workers, "", usual));
+    }
+
+    private static long endOf(Trouble fault) {
+        return fault.at() + fault.lasting();
+    }
+
+    private void inject(Trouble fault, List<String> workers) {
+        switch (fault.what()) {
+            case BURST, ONE_OFFS, HEAVY -> {
+                // the load itself brings these
             }
-            case ENGINES_KILLED, MASS_RESTART -> {
-                world.toEngines("kill", engines, "", 0);
-                at(end, () -> world.toEngines("restart", engines, "", 0));
+            case ROLLING_DEPLOY -> deploy(fault, workers);
+            case RELEASE -> release(fault);
+            case HALL_LOST -> {
+                killWorkers(fault, world.engines(fault.hall()));
+                killRouters(fault, world.routers(fault.hall()));
             }
-            case FAILING -> during(engines, "failing", trouble.part(), 0, end);
-            case SLOW -> during(engines, "slow", trouble.times(), 1, end);
-            case AGEING -> ageing(trouble, engines, end);
-            case HANG -> during(engines, "hang", 1, 0, end);
-            case GARBLE -> during(engines, "garble", 1, 0, end);
-            case LATE_REPORTS -> during(world.engines(trouble.hall()), "late-reports", trouble.times() * 1000, 0, end);
-            case SLOW_SHELF -> during(List.of(), "shelf-slow", trouble.times(), 1, end);
-            case REFUSING_SHELF -> during(List.of(), "shelf-refuse", 1, 0, end);
-            case SLOW_HANDSHAKES -> during(engines, "cable-deaf", 1, 0, end);
-            case CUT -> during(engines, "cable-cut", 1, 0, end);
-            case RESET -> world.toEngines("cable-reset", engines, "", 0);
-            case LIST_SILENT -> during(List.of(), "list-silent", 1, 0, end);
-            case LIST_CUT -> world.toEngines("list-cut", List.of(), "", 0);
-            case LOST_LOADS -> during(engines, "losing", trouble.part(), 0, end);
-            case LEAK -> during(engines, "leak", trouble.times(), 0, end);
-            case DAMAGED_IMAGES -> during(List.of(), "shelf-damage", 1, 0, end);
-            case WRONG_MODEL -> during(engines, "misname", 1, 0, end);
-            case SPLIT_LIST -> split(engines, end);
+            case ROUTERS_KILLED -> killRouters(fault, draw(world.routers(fault.hall()), fault.share()));
+            case ENGINES_KILLED, MASS_RESTART -> killWorkers(fault, workers);
+            case AGEING -> age(fault, workers);
+            case RESET -> world.toEngines(RESET_CONNECTIONS, workers, "", 0);
+            case LIST_CUT -> world.toEngines(CUT_REGISTRY, List.of(), "", 0);
+            case SPLIT_LIST -> splitRegistry(fault, workers);
             case HEEDLESS -> {
                 world.heedless(true);
-                at(end, () -> world.heedless(false));
+                at(endOf(fault), () -> world.heedless(false));
             }
-            case ENGINES_PAUSED -> during(engines, "pause", 1, 0, end);
-            case ONE_WAY_CUT -> during(engines, "cut-back", 1, 0, end);
             case ROUTERS_PAUSED, CLOCK_JUMP -> {
-                List<String> routers = some(world.routers(trouble.hall()), trouble.share());
-                world.toRouters(trouble.what(), routers, trouble.times());
-                at(end, () -> world.toRouters(trouble.what(), routers, 0));
+                List<String> routers = draw(world.routers(fault.hall()), fault.share());
+                world.toRouters(fault.what(), routers, fault.times());
+                at(endOf(fault), () -> world.toRouters(fault.what(), routers, 0));
             }
-            case LIST_LAG -> during(
-                    List.of(), "list-lag", trouble.times() * 1000, plan.fleet().lagNanos() / 1e6, end);
+            default -> throw new IllegalStateException("no way to inject " + fault.what());
         }
     }
 
-    /** Every second router is told that the engines are gone. */
-    private void split(List<String> engines, long end) {
-        List<String> all = world.routers("");
-        List<String> misled = new ArrayList<>();
-        for (int i = 1; i < all.size(); i += 2) {
-            misled.add(all.get(i));
-        }
-        world.toEngines("list-split", engines, String.join(",", misled), 1);
-        at(end, () -> world.toEngines("list-split", engines, "", 0));
+    /** Kills workers outright and restarts them at the end of the fault. */
+    private void killWorkers(Trouble fault, List<String> workers) {
+        world.toEngines(KILL, workers, "", 0);
+        at(endOf(fault), () -> world.toEngines(RESTART, workers, "", 0));
+    }
+
+    /** Kills routers outright and restarts them at the end of the fault. */
+    private void killRouters(Trouble fault, List<String> routers) {
+        routers.forEach(world::killRouter);
+        at(endOf(fault), () -> routers.forEach(world::startRouter));
     }
 
-    private void during(List<String> engines, String what, double figure, double usual, long end) {
-        world.toEngines(what, engines, "", figure);
-        at(end, () -> world.toEngines(what, engines, "", usual));
+    /** Every second router is told that the workers are gone. */
+    private void splitRegistry(Trouble fault, List<String> workers) {
+        List<String> routers = world.routers("");
+        List<String> misled = new ArrayList<>();
+        for (int i = 1; i < routers.size(); i += 2) {
+            misled.add(routers.get(i));
+        }
+        world.toEngines(SPLIT_REGISTRY, workers, String.join(",", misled), 1);
+        at(endOf(fault), () -> world.toEngines(SPLIT_REGISTRY, workers, "", 0));
     }
 
-    /** Engines are replaced in steps of a fifth of the fleet at the most; each drains for half a step. */
-    private void deploy(ScenarioPlan.Trouble trouble, List<String> engines) {
-        int atOnce = (int) Math.max(1, Math.floor(world.engines("").size() * 0.2));
-        int steps = (engines.size() + atOnce - 1) / atOnce;
-        long step = trouble.lasting() / Math.max(1, steps);
+    /** Replaces workers in steps; each drains for half a step, which the command is told in milliseconds. */
+    private void deploy(Trouble fault, List<String> workers) {
+        int atOnce = (int) Math.max(1, Math.floor(world.engines("").size() * DEPLOYMENT_STEP_SHARE));
+        int steps = (workers.size() + atOnce - 1) / atOnce;
+        long stepNanos = fault.lasting() / Math.max(1, steps);
+        double drainMillis = stepNanos / 2e6;
         for (int i = 0; i < steps; i++) {
-            List<String> some = List.copyOf(engines.subList(i * atOnce, Math.min(engines.size(), (i + 1) * atOnce)));
-            at(trouble.at() + i * step + 1, () -> world.toEngines("replace", some, "", step / 2e6));
+            int end = Math.min(workers.size(), (i + 1) * atOnce);
+            List<String> replaced = List.copyOf(workers.subList(i * atOnce, end));
+            at(fault.at() + i * stepNanos + 1, () -> world.toEngines(REPLACE, replaced, "", drainMillis));
         }
     }
 
-    private void release(ScenarioPlan.Trouble trouble) {
+    private void release(Trouble fault) {
         List<String> models = new ArrayList<>();
         for (ScenarioPlan.Flow flow : plan.flows()) {
             for (int i = 0; i < flow.models(); i++) {
                 models.add(flow.prefix() + i);
             }
         }
-        world.toEngines("release", List.of(), String.join(",", some(models, trouble.share())), 0);
+        world.toEngines(RELEASE, List.of(), String.join(",", draw(models, fault.share())), 0);
     }
 
-    /** Slower and slower in ten steps, then one death; back after two seconds. */
-    private void ageing(ScenarioPlan.Trouble trouble, List<String> engines, long end) {
-        for (int i = 1; i <= 10; i++) {
-            double slow = 1 + (trouble.times() - 1) * i / 10;
-            at(trouble.at() + trouble.lasting() * i / 11, () -> world.toEngines("slow", engines, "", slow));
+    /** Workers get slower in equal steps, die at the end and restart a little later. */
+    private void age(Trouble fault, List<String> workers) {
+        for (int i = 1; i <= AGEING_STEPS; i++) {
+            double factor = 1 + (fault.times() - 1) * i / AGEING_STEPS;
+            long moment = fault.at() + fault.lasting() * i / (AGEING_STEPS + 1);
+            at(moment, () -> world.toEngines(SLOW, workers, "", factor));
         }
-        at(end, () -> world.toEngines("kill", engines, "", 0));
-        at(end + 2_000_000_000L, () -> world.toEngines("restart", engines, "", 0));
+        at(endOf(fault), () -> world.toEngines(KILL, workers, "", 0));
+        at(endOf(fault) + AGED_RESTART_NANOS, () -> world.toEngines(RESTART, workers, "", 0));
     }
 }
--- /dev/null
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioPlanParser.java
@@ -0,0 +1,170 @@
+package pearladder.testbed;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import pearladder.config.ConfigValue;
+import pearladder.emulator.FleetPlan;
+import pearladder.testbed.ScenarioPlan.Clients;
+import pearladder.testbed.ScenarioPlan.Expected;
+import pearladder.testbed.ScenarioPlan.Flow;
+import pearladder.testbed.ScenarioPlan.Kind;
+import pearladder.testbed.ScenarioPlan.Network;
+import pearladder.testbed.ScenarioPlan.Tide;
+import pearladder.testbed.ScenarioPlan.Trouble;
+
+/** Reads the script of a scenario and names every mistake in it; docs/days.md describes the keys. */
+final class ScenarioPlanParser {
+    /** Sections whose keys must all be known. The routers check their own section. */
+    private static final Set<String> CHECKED_SECTIONS =
+            Set.of("day", "clients", "traffic", "troubles", "releases", "fleet", "network", "expect");
+
+    /** Faults that need a proxy in front of each worker. */
+    private static final Set<Kind> PROXY_FAULTS = EnumSet.of(Kind.CUT, Kind.RESET, Kind.SLOW_HANDSHAKES);
+
+    private static final int MAX_ROUTERS = 1000;
+    private static final int MAX_CLIENT_ATTEMPTS = 20;
+    private static final int MAX_CLIENT_LANES = 16;
+    private static final int MAX_MODELS = 1_000_000;
+    private static final double MAX_RATE = 1e6;
+
+    private final ConfigValue file;
+    private final ConfigValue day;
+
+    ScenarioPlanParser(ConfigValue file) {
+        this.file = file;
+        this.day = file.at("day");
+    }
+
+    /** The plan; throws {@link pearladder.config.ConfigErrors.Found} where there is any mistake. */
+    ScenarioPlan parse() {
+        InvariantSettings rules = InvariantSettings.read(file.at("router"));
+        long lasting = day.at("lasting").span();
+        List<String> zones = zones();
+        List<Flow> flows = flows(rules);
+        List<Trouble> faults = faults(lasting, zones);
+        FleetPlan fleet = fleet(faults);
+        ScenarioPlan plan = new ScenarioPlan(
+                day.at("name").text("day"),
+                lasting,
+                day.at("seed").whole(1, 0, Integer.MAX_VALUE),
+                day.at("slack").span("150 ms"),
+                zones,
+                day.at("routers").whole(2, 1, MAX_ROUTERS),
+                day.at("rate").number(0.1, MAX_RATE),
+                clients(file.at("clients")),
+                flows,
+                faults,
+                releases(),
+                rules,
+                fleet,
+                network(file.at("network")),
+                expected(file.at("expect")),
+                tide(day.at("tide")));
+        file.done(CHECKED_SECTIONS);
+        return plan;
+    }
+
+    private List<String> zones() {
+        List<String> zones = day.at("halls").each(ConfigValue::text);
+        if (zones.isEmpty()) {
+            day.at("halls").wrong("no hall is named", "write \"halls: [east, west]\"");
+        }
+        return zones;
+    }
+
+    private List<Flow> flows(InvariantSettings rules) {
+        List<Flow> flows = file.at("traffic").each(flow -> flow(flow, rules));
+        if (flows.isEmpty()) {
+            file.at("traffic")
+                    .wrong("no traffic", "write \"- {category: ..., models: pair-, count: 20, work: 20 ms}\"");
+        }
+        return flows;
+    }
+
+    private static Flow flow(ConfigValue flow, InvariantSettings rules) {
+        String requestClass = flow.at("category").text();
+        if (!rules.categories().containsKey(requestClass)) {
+            String known = String.join(", ", rules.categories().keySet());
+            flow.at("category").wrong("unknown category \"" + requestClass + "\"", "write one of " + known);
+        }
+        return new Flow(
+                requestClass,
+                flow.at("account").text(""),
+                flow.at("share").number(1, 0, 1),
+                flow.at("models").text(),
+                flow.at("count").whole(1, 1, MAX_MODELS),
+                flow.at("skew").number(1, 0, 5),
+                flow.at("shift").span("0 s"),
+                flow.at("work").span("20 ms"));
+    }
+
+    private List<Trouble> faults(long lasting, List<String> zones) {
+        List<Trouble> faults = new ArrayList<>(file.at("troubles").each(fault -> fault(fault, lasting, zones)));
+        faults.sort(Comparator.comparingLong(Trouble::at));
+        return faults;
+    }
+
+    private static Trouble fault(ConfigValue fault, long scenarioLasting, List<String> zones) {
+        long at = fault.at("at").span();
+        long lasting = fault.at("lasting").span("0 s");
+        if (at + lasting > scenarioLasting) {
+            fault.at("at").wrong("the trouble ends after the day", "begin it earlier, or make the day longer");
+        }
+        String zone = fault.at("hall").text("");
+        if (!zone.isEmpty() && !zones.contains(zone)) {
+            fault.at("hall").wrong("unknown hall \"" + zone + "\"", "write one of " + String.join(", ", zones));
+        }
+        return new Trouble(
+                at,
+                lasting,
+                fault.at("what").word(Kind.class, null),
+                fault.at("share").number(0.2, 0, 1),
+                fault.at("times").number(5, 1, 1000),
+                fault.at("part").number(0.7, 0, 1),
+                zone);
+    }
+
+    private FleetPlan fleet(List<Trouble> faults) {
+        FleetPlan fleet = FleetPlan.read(file.at("fleet"));
+        boolean needsProxies = faults.stream().anyMatch(fault -> PROXY_FAULTS.contains(fault.what()));
+        if (needsProxies && !fleet.cables()) {
+            file.at("fleet")
+                    .wrong("cuts, resets and slow handshakes need cables", "write \"cables: true\" in the fleet");
+        }
+        return fleet;
+    }
+
+    private static Clients clients(ConfigValue clients) {
+        return new Clients(
+                clients.at("tries").whole(3, 1, MAX_CLIENT_ATTEMPTS),
+                clients.at("pause").span("200 ms"),
+                clients.at("patience").number(0.5, 0.05, 1),
+                clients.at("front_lag").span("2 s"),
+                clients.at("leaving").number(0, 0, 1),
+                clients.at("lanes").whole(1, 1, MAX_CLIENT_LANES));
+    }
+
+    private List<ReleaseScript.Order> releases() {
+        return file.at("releases").each(ReleaseScript::read).stream()
+                .flatMap(List::stream)
+                .toList();
+    }
+
+    private static Network network(ConfigValue network) {
+        return new Network(
+                network.at("delay").span("600 us"), network.at("router_start").span("2 s"));
+    }
+
+    private static Expected expected(ConfigValue expected) {
+        return new Expected(
+                expected.at("credit").number(Double.NaN, 0, 1),
+                expected.at("worst_10_s").number(Double.NaN, 0, 1));
+    }
+
+    private static Tide tide(ConfigValue tide) {
+        return new Tide(tide.at("period").span("0 s"), tide.at("swing").number(0.5, 0, 1));
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/pearladder/testbed/TimedFault.java
@@ -0,0 +1,81 @@
+package pearladder.testbed;
+
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+import pearladder.testbed.ScenarioPlan.Kind;
+import pearladder.testbed.ScenarioPlan.Trouble;
+
+/**
+ * A fault that one command of the workers' control endpoint begins and the same command with another figure ends.
+ *
+ * @param command a word of the control endpoint
+ * @param figure with which it begins
+ * @param usual the figure with which it ends
+ */
+record TimedFault(String command, Scope scope, ToDoubleFunction<Trouble> figure, ToDoubleFunction<ScenarioPlan> usual) {
+    /** Which workers a command names. */
+    enum Scope {
+        /** Those drawn by the fault's share. */
+        SELECTED,
+        /** All of the fault's zone. */
+        ZONE,
+        /** None: it concerns the model store or the endpoint registry. */
+        NONE
+    }
+
+    private static final double MILLIS_PER_SECOND = 1000;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final Map<Kind, TimedFault> BY_KIND = byKind();
+
+    /** The timed fault of a kind, or null where the kind is injected in another way. */
+    static TimedFault of(Kind kind) {
+        return BY_KIND.get(kind);
+    }
+
+    /** The workers that its command names. */
+    List<String> workers(List<String> selected, List<String> zone) {
+        return switch (scope) {
+            case SELECTED -> selected;
+            case ZONE -> zone;
+            case NONE -> List.of();
+        };
+    }
+
+    private static Map<Kind, TimedFault> byKind() {
+        Map<Kind, TimedFault> faults = new EnumMap<>(Kind.class);
+        faults.put(Kind.FAILING, new TimedFault("failing", Scope.SELECTED, Trouble::part, plan -> 0));
+        faults.put(Kind.SLOW, new TimedFault("slow", Scope.SELECTED, Trouble::times, plan -> 1));
+        faults.put(Kind.LOST_LOADS, new TimedFault("losing", Scope.SELECTED, Trouble::part, plan -> 0));
+        faults.put(Kind.LEAK, new TimedFault("leak", Scope.SELECTED, Trouble::times, plan -> 0));
+        faults.put(Kind.HANG, onOff("hang", Scope.SELECTED));
+        faults.put(Kind.GARBLE, onOff("garble", Scope.SELECTED));
+        faults.put(Kind.SLOW_HANDSHAKES, onOff("cable-deaf", Scope.SELECTED));
+        faults.put(Kind.CUT, onOff("cable-cut", Scope.SELECTED));
+        faults.put(Kind.WRONG_MODEL, onOff("misname", Scope.SELECTED));
+        faults.put(Kind.ENGINES_PAUSED, onOff("pause", Scope.SELECTED));
+        faults.put(Kind.ONE_WAY_CUT, onOff("cut-back", Scope.SELECTED));
+        faults.put(Kind.LATE_REPORTS, new TimedFault("late-reports", Scope.ZONE, TimedFault::timesInMillis, plan -> 0));
+        faults.put(Kind.SLOW_SHELF, new TimedFault("shelf-slow", Scope.NONE, Trouble::times, plan -> 1));
+        faults.put(Kind.REFUSING_SHELF, onOff("shelf-refuse", Scope.NONE));
+        faults.put(Kind.DAMAGED_IMAGES, onOff("shelf-damage", Scope.NONE));
+        faults.put(Kind.LIST_SILENT, onOff("list-silent", Scope.NONE));
+        faults.put(
+                Kind.LIST_LAG,
+                new TimedFault("list-lag", Scope.NONE, TimedFault::timesInMillis, TimedFault::registryLagMillis));
+        return faults;
+    }
+
+    private static TimedFault onOff(String command, Scope scope) {
+        return new TimedFault(command, scope, fault -> 1, plan -> 0);
+    }
+
+    private static double timesInMillis(Trouble fault) {
+        return fault.times() * MILLIS_PER_SECOND;
+    }
+
+    private static double registryLagMillis(ScenarioPlan plan) {
+        return plan.fleet().lagNanos() / NANOS_PER_MILLI;
+    }
+}
