--- a/testbed/src/main/java/pearladder/testbed/ClientLoadBalancer.java
+++ b/testbed/src/main/java/pearladder/testbed/ClientLoadBalancer.java
@@ -5,64 +5,82 @@
 import java.util.List;
 import java.util.Map;
 
-/** The plain front layer: spreads clients over the routers of their hall, and goes on feeding a dead one for a while. */
+/**
+ * The load balancer in front of the routers: spreads clients round robin over the routers of their zone, and goes on
+ * sending to a dead one until it notices. Routers are added before the first request; after that it is thread-safe.
+ */
 public final class ClientLoadBalancer {
-    /** A router as the front layer sees it. */
+    /** A router as clients reach it. */
     public record Target(String router, int port) {}
 
-    private static final class Seat {
-        final Target target;
-        final String hall;
-        volatile long deadSince = -1;
+    private static final long ALIVE = -1;
 
-        Seat(Target target, String hall) {
+    private static final class Backend {
+        private final Target target;
+        private final String zone;
+        /** Nanoseconds, or {@link #ALIVE}. */
+        private volatile long diedAt = ALIVE;
+
+        Backend(Target target, String zone) {
             this.target = target;
-            this.hall = hall;
+            this.zone = zone;
         }
     }
 
     private final long lag;
-    private final Map<String, Seat> byName = new HashMap<>();
-    private final List<Seat> seats = new ArrayList<>();
+    private final Map<String, Backend> byName = new HashMap<>();
+    private final List<Backend> backends = new ArrayList<>();
     private long turn;
 
+    /**
+     * Creates a load balancer without routers.
+     *
+     * @param lag nanoseconds until it notices that a router died
+     */
     public ClientLoadBalancer(long lag) {
         this.lag = lag;
     }
 
-    public void add(String router, String hall, int port) {
-        Seat seat = new Seat(new Target(router, port), hall);
-        byName.put(router, seat);
-        seats.add(seat);
+    /** Adds a router that is alive. */
+    public void add(String router, String zone, int port) {
+        Backend backend = new Backend(new Target(router, port), zone);
+        byName.put(router, backend);
+        backends.add(backend);
     }
 
+    /** A router died at a moment, in nanoseconds. */
     public void died(String router, long now) {
-        byName.get(router).deadSince = now;
+        byName.get(router).diedAt = now;
     }
 
+    /** A router that had died is alive again. */
     public void back(String router) {
-        byName.get(router).deadSince = -1;
+        byName.get(router).diedAt = ALIVE;
     }
 
-    /** The next router for a client of a hall: one of its hall, else any, else one that is known to be dead. */
-    public synchronized Target next(String hall, long now) {
-        int near = 0;
-        int fed = 0;
-        for (Seat seat : seats) {
-            fed += fed(seat, now) ? 1 : 0;
-            near += fed(seat, now) && seat.hall.equals(hall) ? 1 : 0;
+    /** The next router for a client of a zone: one of its zone, else any, else one that is known to be dead. */
+    public synchronized Target next(String zone, long now) {
+        int usable = 0;
+        int usableInZone = 0;
+        for (Backend backend : backends) {
+            if (isUsable(backend, now)) {
+                usable++;
+                usableInZone += backend.zone.equals(zone) ? 1 : 0;
+            }
         }
-        int at = (int) (turn++ % (near > 0 ? near : fed > 0 ? fed : seats.size()));
-        for (Seat seat : seats) {
-            boolean counts = fed == 0 || fed(seat, now) && (near == 0 || seat.hall.equals(hall));
-            if (counts && at-- == 0) {
-                return seat.target;
+        int candidates = usableInZone > 0 ? usableInZone : usable > 0 ? usable : backends.size();
+        int index = (int) (turn++ % candidates);
+        for (Backend backend : backends) {
+            boolean inZone = usableInZone == 0 || backend.zone.equals(zone);
+            boolean candidate = usable == 0 || isUsable(backend, now) && inZone;
+            if (candidate && index-- == 0) {
+                return backend.target;
             }
         }
         throw new IllegalStateException("no router");
     }
 
-    private boolean fed(Seat seat, long now) {
-        return seat.deadSince < 0 || now - seat.deadSince < lag;
+    private boolean isUsable(Backend backend, long now) {
+        return backend.diedAt < 0 || now - backend.diedAt < lag;
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/HttpClientDriver.java
+++ b/testbed/src/main/java/pearladder/testbed/HttpClientDriver.java
@@ -11,16 +11,30 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import pearladder.emulator.Observation;
 import pearladder.kserve.Headers;
 import pearladder.kserve.RequestOutcome;
 
-/** Tries over HTTP/JSON, on one event loop. */
+/** Sends the requests of a load generator as KServe v2 over HTTP, on one event loop. */
 final class HttpClientDriver implements LoadGenerator.Wire {
-    private static final long WATCH = 10_000_000L;
-    private static final long PAUSE = 40_000_000L;
-    private static final int WARM_UPS = 100;
+    private static final String HOST = "127.0.0.1";
+    private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+    private static final int KEEP_ALIVE_SECONDS = 20;
+    private static final int MAX_CONNECTIONS = 20_000;
+    private static final int UNBOUNDED = -1;
+
+    private static final long PAUSE_CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    /** A check that is later than this was held up by a pause of the process. */
+    private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
+    private static final int WARM_UP_ROUNDS = 100;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    /** Retry-After in milliseconds; longer values are ignored. */
+    private static final String MILLIS_PATTERN = "[0-9]{1,9}";
+
+    private static final String CUT = "cut";
 
     private final Vertx vertx;
     private final HttpClient client;
@@ -29,40 +43,46 @@
         this.vertx = vertx;
         this.client = vertx.createHttpClient(
                 new HttpClientOptions()
-                        .setConnectTimeout(1000)
+                        .setConnectTimeout(CONNECT_TIMEOUT_MILLIS)
                         .setTcpNoDelay(true)
-                        .setKeepAliveTimeout(20),
-                new PoolOptions().setHttp1MaxSize(20_000).setMaxWaitQueueSize(-1));
+                        .setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
+                new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS).setMaxWaitQueueSize(UNBOUNDED));
     }
 
-    /** Notes every pause of this process: what came meanwhile was seen late, whoever was on time. */
-    void watch(Consumer<Observation> seen) {
-        watch(seen, System.nanoTime());
+    /** Reports every pause of this process from now on: what came meanwhile is observed late, whoever was on time. */
+    void watch(Consumer<Observation> observations) {
+        watch(observations, System.nanoTime());
     }
 
-    private void watch(Consumer<Observation> seen, long last) {
-        vertx.setTimer(WATCH / 1_000_000, fired -> {
+    private void watch(Consumer<Observation> observations, long lastCheckAt) {
+        vertx.setTimer(TimeUnit.NANOSECONDS.toMillis(PAUSE_CHECK_NANOS), timer -> {
             long now = System.nanoTime();
-            if (now - last > PAUSE) {
-                seen.accept(new Observation(now, Observation.PAUSED, "", "", 0, "", "", "", now - last - WATCH));
+            long sinceLast = now - lastCheckAt;
+            if (sinceLast > PAUSE_NANOS) {
+                long paused = sinceLast - PAUSE_CHECK_NANOS;
+                observations.accept(new Observation(now, Observation.PAUSED, "", "", 0, "", "", "", paused));
             }
-            watch(seen, now);
+            watch(observations, now);
         });
     }
 
-    /** Asks each router a few hundred things of no weight, so that the first calls don't measure class loading here. */
+    /**
+     * Sends some rounds of health checks to each router, so that the first requests don't measure class loading here.
+     */
     Future<Void> warmUp(List<Integer> ports) {
-        Future<Void> all = Future.succeededFuture();
-        for (int i = 0; i < WARM_UPS; i++) {
-            List<Future<Void>> round = ports.stream()
-                    .map(port -> client.request(HttpMethod.GET, port, "127.0.0.1", "/v2/health/live")
-                            .compose(HttpClientRequest::send)
-                            .compose(HttpClientResponse::body)
-                            .<Void>mapEmpty())
-                    .toList();
-            all = all.compose(done -> Future.join(round).mapEmpty());
+        Future<Void> rounds = Future.succeededFuture();
+        for (int i = 0; i < WARM_UP_ROUNDS; i++) {
+            List<Future<Void>> round = ports.stream().map(this::checkHealth).toList();
+            rounds = rounds.compose(done -> Future.join(round).mapEmpty());
         }
-        return all;
+        return rounds;
+    }
+
+    private Future<Void> checkHealth(int port) {
+        return client.request(HttpMethod.GET, port, HOST, "/v2/health/live")
+                .compose(HttpClientRequest::send)
+                .compose(HttpClientResponse::body)
+                .mapEmpty();
     }
 
     @Override
@@ -70,73 +90,81 @@
         Sent sent = new Sent(request, heard);
         client.request(new RequestOptions()
                         .setMethod(HttpMethod.POST)
-                        .setHost("127.0.0.1")
+                        .setHost(HOST)
                         .setPort(request.target().port())
                         .setURI("/v2/models/" + request.drawn().model() + "/infer"))
-                .onComplete(sent::write, unreached -> heard.unanswered("unreachable"));
+                .onComplete(sent::write, unreachable -> heard.unanswered(ObservedRequest.UNREACHABLE));
         return sent;
     }
 
     private static final class Sent implements Out {
-        private final LoadGenerator.Request asked;
+        private final LoadGenerator.Request request;
         private final LoadGenerator.Heard heard;
-        private HttpClientRequest request;
+        private HttpClientRequest httpRequest;
         private boolean dropped;
 
-        Sent(LoadGenerator.Request asked, LoadGenerator.Heard heard) {
-            this.asked = asked;
+        Sent(LoadGenerator.Request request, LoadGenerator.Heard heard) {
+            this.request = request;
             this.heard = heard;
         }
 
+        /** Writes the request onto its connection, unless it was dropped meanwhile. */
         void write(HttpClientRequest connected) {
-            request = connected;
+            httpRequest = connected;
             if (dropped) {
-                request.reset();
+                httpRequest.reset();
                 return;
             }
-            request.putHeader("content-type", "application/json")
-                    .putHeader(Headers.CALL, asked.id())
-                    .putHeader(Headers.CATEGORY, asked.terms().name())
-                    .putHeader(Headers.PATIENCE, Long.toString(Math.max(1, asked.patience() / 1_000_000)));
-            if (!asked.drawn().account().isEmpty()) {
-                request.putHeader(Headers.ACCOUNT, asked.drawn().account());
+            putHeaders();
+            httpRequest.send(Buffer.buffer(body())).onComplete(this::answered, cut -> heard.unanswered(CUT));
+        }
+
+        private void putHeaders() {
+            long patienceMillis = Math.max(1, request.patience() / NANOS_PER_MILLI);
+            httpRequest
+                    .putHeader("content-type", "application/json")
+                    .putHeader(Headers.CALL, request.id())
+                    .putHeader(Headers.CATEGORY, request.terms().name())
+                    .putHeader(Headers.PATIENCE, Long.toString(patienceMillis));
+            if (!request.drawn().account().isEmpty()) {
+                httpRequest.putHeader(Headers.ACCOUNT, request.drawn().account());
             }
-            if (!asked.mark().isEmpty()) {
-                request.putHeader(Headers.MARK, asked.mark());
+            if (!request.mark().isEmpty()) {
+                httpRequest.putHeader(Headers.MARK, request.mark());
             }
-            if (asked.repeat()) {
-                request.putHeader(Headers.REPEAT, "1");
+            if (request.repeat()) {
+                httpRequest.putHeader(Headers.REPEAT, "1");
             }
-            request.send(
-                            Buffer.buffer(
-                                    "{\"parameters\":{\"work_ms\":"
-                                            + asked.drawn().work() / 1e6
-                                            + "},\"inputs\":[{\"name\":\"in\",\"datatype\":\"BYTES\",\"shape\":[1],\"data\":[\"text\"]}]}"))
-                    .onComplete(this::answered, cut -> heard.unanswered("cut"));
+        }
+
+        private String body() {
+            double workMillis = request.drawn().work() / (double) NANOS_PER_MILLI;
+            return "{\"parameters\":{\"work_ms\":" + workMillis
+                    + "},\"inputs\":[{\"name\":\"in\",\"datatype\":\"BYTES\",\"shape\":[1],\"data\":[\"text\"]}]}";
         }
 
         private void answered(HttpClientResponse response) {
-            response.body()
-                    .onComplete(
-                            body -> {
-                                String version = response.getHeader(Headers.VERSION);
-                                String wait = response.getHeader(Headers.RETRY_AFTER_MS);
-                                heard.answered(
-                                        RequestOutcome.of(response.getHeader(Headers.STATE)),
-                                        response.statusCode(),
-                                        version == null ? "" : version,
-                                        wait != null && wait.matches("[0-9]{1,9}")
-                                                ? Long.parseLong(wait) * 1_000_000L
-                                                : 0);
-                            },
-                            half -> heard.unanswered("cut"));
+            response.body().onComplete(body -> complete(response), cut -> heard.unanswered(CUT));
+        }
+
+        private void complete(HttpClientResponse response) {
+            String version = response.getHeader(Headers.VERSION);
+            heard.answered(
+                    RequestOutcome.of(response.getHeader(Headers.STATE)),
+                    response.statusCode(),
+                    version == null ? "" : version,
+                    retryAfterNanos(response.getHeader(Headers.RETRY_AFTER_MS)));
+        }
+
+        private static long retryAfterNanos(String millis) {
+            return millis != null && millis.matches(MILLIS_PATTERN) ? Long.parseLong(millis) * NANOS_PER_MILLI : 0;
         }
 
         @Override
         public void drop() {
             dropped = true;
-            if (request != null) {
-                request.reset();
+            if (httpRequest != null) {
+                httpRequest.reset();
             }
         }
     }
--- a/testbed/src/main/java/pearladder/testbed/LoadGenerator.java
+++ b/testbed/src/main/java/pearladder/testbed/LoadGenerator.java
@@ -1,32 +1,36 @@
 package pearladder.testbed;
 
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import pearladder.emulator.Observation;
 import pearladder.emulator.Timeline;
 import pearladder.kserve.RequestOutcome;
 
 /**
- * The day's clients: each call goes out at its time whether or not earlier ones came back; a client gives up, comes back
- * when told to, and repeats only what its category lets it repeat. One of these lives on one thread; a day that sends more
- * than an event loop can has several. How a try travels is the wire's: sockets, or a rehearsal's virtual network.
+ * The clients of a scenario, open loop: each request goes out at its time whether or not earlier ones have ended. A
+ * client gives up at its deadline, waits for Retry-After, and retries only what the request class allows. An instance
+ * belongs to one thread; a scenario that sends more than one event loop can has several.
  */
 public final class LoadGenerator {
-    /** How a try travels to a router and its answer back. */
+    /** How a request travels to a router and its response back: sockets, or a simulated network. */
     public interface Wire {
-        /** A try that is out; dropping it closes its connection. */
+        /** A request that was sent. */
         interface Out {
+            /** Cancels it by closing its connection. */
             void drop();
         }
 
+        /** Sends a request; what comes of it is told to the listener once. */
         Out send(Request request, Heard heard);
     }
 
     /**
-     * A try as its router gets it.
+     * One attempt of a client as its router gets it.
      *
-     * @param patience nanoseconds
-     * @param mark empty where there is none
+     * @param mark the idempotency key; empty where there is none
+     * @param repeat whether an earlier attempt of the same request was sent
+     * @param patience nanoseconds until its deadline
      */
     public record Request(
             ClientLoadBalancer.Target target,
@@ -37,226 +41,280 @@
             boolean repeat,
             long patience) {}
 
-    /** What a client hears of its try: one of the two, once. */
+    /** Listens for the end of an attempt; one of the two methods is called, once. */
     public interface Heard {
-        /** @param state null where the answer names none; version empty where there is none; wait nanoseconds to come back */
+        /**
+         * The final answer came.
+         *
+         * @param state null where the response names none
+         * @param version of the model; empty where the response names none
+         * @param wait Retry-After in nanoseconds, or 0
+         */
         void answered(RequestOutcome state, int status, String version, long wait);
 
-        /** @param how "unreachable" where nothing left, else "cut" */
+        /**
+         * The attempt ended without a final answer.
+         *
+         * @param how "unreachable" where nothing was sent, else "cut"
+         */
         void unanswered(String how);
     }
 
-    /** How much longer than its patience a client listens, only to see what comes too late. */
-    private static final long LISTENS = 400_000_000L;
+    /** The notes of observations that no response came for; the checks know the first two. */
+    private static final String UNREACHABLE = ObservedRequest.UNREACHABLE;
 
-    private static final long LEAST = 20_000_000L;
+    private static final String LEFT = ObservedRequest.LEFT;
+    private static final String GAVE_UP = "gave up";
 
-    private final class Call {
+    /** For how long after its deadline a client listens, only to observe what comes too late. */
+    private static final long LISTEN_AFTER_DEADLINE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    /** Less time than this is not worth an attempt; also the pause of clients that ignore Retry-After. */
+    private static final long SHORTEST_ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    /** A pause before a retry is multiplied by a random factor from this on, up to it plus the spread. */
+    private static final double LEAST_PAUSE_FACTOR = 0.75;
+
+    private static final double PAUSE_FACTOR_SPREAD = 0.5;
+    /** Sets the random sequences of the lanes apart from each other and from those of the load and the faults. */
+    private static final long SEED_FACTOR = 31;
+
+    private static final long SEED_OFFSET = 7;
+    private static final long LANE_SEED_STEP = 1_000_003;
+
+    private final class PendingRequest {
         final RequestSource.Drawn drawn;
         final CategoryTerms terms;
-        final long due;
-        final String mark;
-        int tries;
+        final long dueAt;
+        final String idempotencyKey;
+        int attempts;
 
-        Call(RequestSource.Drawn drawn) {
+        PendingRequest(RequestSource.Drawn drawn) {
             this.drawn = drawn;
             this.terms = plan.rules().categories().get(drawn.category());
-            this.due = begun + drawn.due();
-            this.mark = terms.effect() == CategoryTerms.Effect.FINGERPRINTED ? "m" + drawn.number() : "";
+            this.dueAt = startedAt + drawn.due();
+            this.idempotencyKey = terms.effect() == CategoryTerms.Effect.FINGERPRINTED ? "m" + drawn.number() : "";
+        }
+
+        long elapsed() {
+            return time.now() - dueAt;
+        }
+
+        /** Nanoseconds from a moment until its deadline. */
+        long remaining(long now) {
+            return dueAt + terms.abandon() - now;
+        }
+
+        /** Whether its class allows a retry after an attempt that may have taken effect. */
+        boolean mayRetry() {
+            return switch (terms.effect()) {
+                case RETRIABLE -> true;
+                case FINGERPRINTED -> terms.group() == CategoryTerms.Group.ALL && elapsed() < terms.remembered() / 2;
+                case BINDING -> false;
+            };
         }
     }
 
     private final Timeline time;
     private final Wire wire;
     private final ScenarioPlan plan;
-    private final ClientLoadBalancer front;
-    private final LoadStatistics books;
-    private final Consumer<Observation> seen;
-    private final RequestSource traffic;
-    private final SplittableRandom chance;
-    private boolean heedless;
-    private long begun;
+    private final ClientLoadBalancer loadBalancer;
+    private final LoadStatistics statistics;
+    private final Consumer<Observation> observations;
+    private final RequestSource source;
+    private final SplittableRandom random;
+    private boolean ignoresRetryAfter;
+    private long startedAt;
     private RequestSource.Drawn next;
-    private int open;
-    private Runnable ended;
+    private int pending;
+    private Runnable onEnd;
 
-    /** @param lane its number among those of the day, for its own chance */
+    /**
+     * Creates a generator.
+     *
+     * @param lane its number among those of the scenario, which sets its random sequence apart
+     * @param source what it sends
+     */
     public LoadGenerator(
             Timeline time,
             Wire wire,
             ScenarioPlan plan,
             int lane,
             RequestSource source,
-            ClientLoadBalancer front,
-            LoadStatistics books,
-            Consumer<Observation> seen) {
+            ClientLoadBalancer loadBalancer,
+            LoadStatistics statistics,
+            Consumer<Observation> observations) {
         this.time = time;
         this.wire = wire;
         this.plan = plan;
-        this.front = front;
-        this.books = books;
-        this.seen = seen;
-        this.traffic = source;
-        this.chance = new SplittableRandom(plan.seed() * 31 + 7 + lane * 1_000_003L);
+        this.loadBalancer = loadBalancer;
+        this.statistics = statistics;
+        this.observations = observations;
+        this.source = source;
+        this.random = new SplittableRandom(plan.seed() * SEED_FACTOR + SEED_OFFSET + lane * LANE_SEED_STEP);
     }
 
-    /** Sends the day's calls from a moment on; tells when the last one has ended. */
-    public void play(long start, Runnable done) {
-        begun = start;
-        ended = done;
-        next = traffic.next();
-        turn();
+    /**
+     * Sends all requests of the source.
+     *
+     * @param startAt of the scenario, on the timeline's clock
+     * @param onEnd runs when the last request has ended
+     */
+    public void play(long startAt, Runnable onEnd) {
+        this.startedAt = startAt;
+        this.onEnd = onEnd;
+        next = source.next();
+        sendDue();
     }
 
-    /** Clients that come back at once, whatever they were told. */
+    /** Whether clients retry at once, whatever Retry-After says. */
     public void heedless(boolean on) {
-        heedless = on;
+        ignoresRetryAfter = on;
     }
 
-    private void turn() {
+    private void sendDue() {
         long now = time.now();
-        while (next != null && begun + next.due() <= now) {
-            books.sent(now - begun - next.due());
-            open++;
-            send(new Call(next));
-            next = traffic.next();
+        while (next != null && startedAt + next.due() <= now) {
+            statistics.sent(now - startedAt - next.due());
+            pending++;
+            sendAttempt(new PendingRequest(next));
+            next = source.next();
         }
         if (next != null) {
-            time.at(begun + next.due(), this::turn);
-        } else if (open == 0) {
-            ended.run();
+            time.at(startedAt + next.due(), this::sendDue);
+        } else if (pending == 0) {
+            onEnd.run();
         }
     }
 
-    private void send(Call call) {
+    private void sendAttempt(PendingRequest pendingRequest) {
         long now = time.now();
-        long left = call.due + call.terms.abandon() - now;
-        if (left < LEAST) {
-            end(call, LoadStatistics.End.UNANSWERED);
+        long remaining = pendingRequest.remaining(now);
+        if (remaining < SHORTEST_ATTEMPT_NANOS) {
+            end(pendingRequest, LoadStatistics.End.UNANSWERED);
             return;
         }
-        long patience = Math.min(left, Math.round(call.terms.abandon() * call.drawn.patience()));
-        ClientLoadBalancer.Target target = front.next(call.drawn.hall(), now);
-        String id = "c" + call.drawn.number() + "." + call.tries++;
-        books.tried();
-        new Try(call, new Request(target, id, call.drawn, call.terms, call.mark, call.tries > 1, patience)).go(now);
+        RequestSource.Drawn drawn = pendingRequest.drawn;
+        long patience = Math.min(remaining, Math.round(pendingRequest.terms.abandon() * drawn.patience()));
+        ClientLoadBalancer.Target target = loadBalancer.next(drawn.hall(), now);
+        String id = "c" + drawn.number() + "." + pendingRequest.attempts++;
+        statistics.tried();
+        Request request = new Request(
+                target,
+                id,
+                drawn,
+                pendingRequest.terms,
+                pendingRequest.idempotencyKey,
+                pendingRequest.attempts > 1,
+                patience);
+        new Attempt(pendingRequest, request).send(now);
     }
 
-    private final class Try implements Heard {
-        final Call call;
-        final Request request;
-        Wire.Out out;
-        Timeline.Planned patience;
-        boolean over;
+    private final class Attempt implements Heard {
+        private final PendingRequest pendingRequest;
+        private final Request request;
+        private Wire.Out sent;
+        private Timeline.Planned timeout;
+        private boolean ended;
 
-        Try(Call call, Request request) {
-            this.call = call;
+        Attempt(PendingRequest pendingRequest, Request request) {
+            this.pendingRequest = pendingRequest;
             this.request = request;
         }
 
-        void note(String what, String model, String note) {
-            seen.accept(
-                    new Observation(time.now(), what, request.target().router(), request.id(), 0, "", model, note, 0));
+        private void observe(long at, String what, String model, String note, double figure) {
+            String router = request.target().router();
+            observations.accept(new Observation(at, what, router, request.id(), 0, "", model, note, figure));
         }
 
-        void go(long now) {
-            boolean leaves = chance.nextDouble() < plan.clients().leaving();
-            long stays = leaves ? Math.round(request.patience() * chance.nextDouble()) : request.patience() + LISTENS;
-            seen.accept(new Observation(
-                    now,
-                    Observation.SENT,
-                    request.target().router(),
-                    request.id(),
-                    0,
-                    "",
-                    call.drawn.model(),
-                    call.terms.name(),
-                    request.patience()));
-            patience = time.after(stays, () -> unanswered(leaves ? "left" : "gave up"));
-            Wire.Out sent = wire.send(request, this);
-            if (over) {
-                sent.drop();
+        void send(long now) {
+            boolean leaves = random.nextDouble() < plan.clients().leaving();
+            long listens = leaves
+                    ? Math.round(request.patience() * random.nextDouble())
+                    : request.patience() + LISTEN_AFTER_DEADLINE_NANOS;
+            String model = pendingRequest.drawn.model();
+            observe(now, Observation.SENT, model, pendingRequest.terms.name(), request.patience());
+            timeout = time.after(listens, () -> unanswered(leaves ? LEFT : GAVE_UP));
+            Wire.Out out = wire.send(request, this);
+            if (ended) {
+                out.drop();
             }
-            out = sent;
+            sent = out;
         }
 
-        @Override
-        public void answered(RequestOutcome state, int status, String version, long wait) {
-            if (over) {
-                return;
+        /** Ends the attempt; false where it has ended before. */
+        private boolean markEnded() {
+            if (ended) {
+                return false;
             }
-            over = true;
-            patience.callOff();
-            note(
-                    Observation.ANSWERED,
-                    call.drawn.model() + (version.isEmpty() ? "" : "@" + version),
-                    state == null ? "status " + status : state.code());
-            ended(state, heedless ? 0 : wait);
+            ended = true;
+            timeout.callOff();
+            return true;
         }
 
         @Override
-        public void unanswered(String how) {
-            if (over) {
+        public void answered(RequestOutcome state, int status, String version, long wait) {
+            if (!markEnded()) {
                 return;
             }
-            over = true;
-            patience.callOff();
-            if (out != null) {
-                out.drop();
+            String model = pendingRequest.drawn.model() + (version.isEmpty() ? "" : "@" + version);
+            String note = state == null ? "status " + status : state.code();
+            observe(time.now(), Observation.ANSWERED, model, note, 0);
+            if (state == RequestOutcome.SETTLED) {
+                end(pendingRequest, endOfSuccess(pendingRequest));
+                return;
             }
-            note(Observation.UNANSWERED, call.drawn.model(), how);
-            if (how.equals("left") || !how.equals("unreachable") && !mayRepeat(call) || !retry(call, 0)) {
-                end(call, LoadStatistics.End.UNANSWERED);
+            boolean rejected = state == RequestOutcome.DISMISSED;
+            boolean retryAllowed = rejected || pendingRequest.mayRetry();
+            if (!retryAllowed || !retry(pendingRequest, ignoresRetryAfter ? 0 : wait)) {
+                end(pendingRequest, rejected ? LoadStatistics.End.DISMISSED : LoadStatistics.End.TERMINATED);
             }
         }
 
-        private void ended(RequestOutcome state, long wait) {
-            long took = time.now() - call.due;
-            if (state == RequestOutcome.SETTLED) {
-                end(
-                        call,
-                        took <= call.terms.expected()
-                                ? LoadStatistics.End.SETTLED
-                                : took <= call.terms.abandon()
-                                        ? LoadStatistics.End.LATE
-                                        : LoadStatistics.End.UNANSWERED);
+        @Override
+        public void unanswered(String how) {
+            if (!markEnded()) {
                 return;
             }
-            boolean dismissed = state == RequestOutcome.DISMISSED;
-            if (!dismissed && !mayRepeat(call) || !retry(call, wait)) {
-                end(call, dismissed ? LoadStatistics.End.DISMISSED : LoadStatistics.End.TERMINATED);
+            if (sent != null) {
+                sent.drop();
+            }
+            observe(time.now(), Observation.UNANSWERED, pendingRequest.drawn.model(), how, 0);
+            boolean retryAllowed = !how.equals(LEFT) && (how.equals(UNREACHABLE) || pendingRequest.mayRetry());
+            if (!retryAllowed || !retry(pendingRequest, 0)) {
+                end(pendingRequest, LoadStatistics.End.UNANSWERED);
             }
         }
     }
 
-    /** What a category lets a client repeat after a try that may have taken effect. */
-    private boolean mayRepeat(Call call) {
-        return switch (call.terms.effect()) {
-            case RETRIABLE -> true;
-            case FINGERPRINTED -> call.terms.group() == CategoryTerms.Group.ALL
-                    && time.now() - call.due < call.terms.remembered() / 2;
-            case BINDING -> false;
-        };
+    private static LoadStatistics.End endOfSuccess(PendingRequest pendingRequest) {
+        long elapsed = pendingRequest.elapsed();
+        if (elapsed <= pendingRequest.terms.expected()) {
+            return LoadStatistics.End.SETTLED;
+        }
+        return elapsed <= pendingRequest.terms.abandon() ? LoadStatistics.End.LATE : LoadStatistics.End.UNANSWERED;
     }
 
-    /** Comes back when told to, or after its pause, each with a random part; false where no try is left. */
-    private boolean retry(Call call, long wait) {
-        long pause = heedless
-                ? LEAST
-                : Math.round(Math.max(wait, plan.clients().pause()) * (0.75 + 0.5 * chance.nextDouble()));
-        long left = call.due + call.terms.abandon() - time.now() - pause;
-        if (call.tries >= plan.clients().tries() || left < LEAST) {
+    /** Retries after Retry-After or the client's pause, whichever is longer; false where no attempt is left. */
+    private boolean retry(PendingRequest pendingRequest, long retryAfter) {
+        long pause = ignoresRetryAfter ? SHORTEST_ATTEMPT_NANOS : randomPause(retryAfter);
+        long remaining = pendingRequest.remaining(time.now()) - pause;
+        if (pendingRequest.attempts >= plan.clients().tries() || remaining < SHORTEST_ATTEMPT_NANOS) {
             return false;
         }
-        time.after(pause, () -> send(call));
+        time.after(pause, () -> sendAttempt(pendingRequest));
         return true;
     }
 
-    private void end(Call call, LoadStatistics.End how) {
-        books.ended(call.terms, call.drawn.account(), call.drawn.due(), time.now() - call.due, how);
-        open--;
-        if (next == null && open == 0) {
-            ended.run();
+    private long randomPause(long retryAfter) {
+        double factor = LEAST_PAUSE_FACTOR + PAUSE_FACTOR_SPREAD * random.nextDouble();
+        return Math.round(Math.max(retryAfter, plan.clients().pause()) * factor);
+    }
+
+    private void end(PendingRequest pendingRequest, LoadStatistics.End how) {
+        RequestSource.Drawn drawn = pendingRequest.drawn;
+        statistics.ended(pendingRequest.terms, drawn.account(), drawn.due(), pendingRequest.elapsed(), how);
+        pending--;
+        if (next == null && pending == 0) {
+            onEnd.run();
         }
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/LoadStatistics.java
+++ b/testbed/src/main/java/pearladder/testbed/LoadStatistics.java
@@ -1,121 +1,224 @@
 package pearladder.testbed;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 
 /**
- * What a day's calls came to: credit asked for and earned, by category, account and ten seconds; times from the due time.
- * Every lane of clients writes into the same books.
+ * How the requests of a scenario ended: the priority weight asked for and earned, and latencies from the moment at
+ * which a request was due; in all, by request class, by tenant and by ten seconds. Thread-safe: all load generators
+ * share one.
  */
 public final class LoadStatistics {
-    /** How a call ended for its client, all its tries together. */
+    /** How a request ended for its client, all its attempts together. */
     public enum End {
+        /** Succeeded within its latency objective. */
         SETTLED,
+        /** Succeeded after its latency objective and before its deadline. */
         LATE,
+        /** Rejected. */
         DISMISSED,
+        /** Failed. */
         TERMINATED,
+        /** No answer before its deadline. */
         UNANSWERED
     }
 
-    private static final class Line {
-        double asked;
-        double earned;
-        final long[] ends = new long[End.values().length];
-        final Histogram times = new Histogram(60_000_000_000L, 3);
+    /** Length of the windows of time by which requests are counted, in seconds. */
+    static final long WINDOW_SECONDS = 10;
+
+    static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(WINDOW_SECONDS);
+
+    /** Longer times are recorded as this. */
+    private static final long LONGEST_RECORDED_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    private static final int SIGNIFICANT_DIGITS = 3;
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    /** Counts of some of the requests. */
+    private static final class Group {
+        private double weightAsked;
+        private double weightEarned;
+        private final long[] ends = new long[End.values().length];
+        private final Histogram latencies = histogram();
+
+        void add(End end, double asked, double earned, long latencyNanos) {
+            weightAsked += asked;
+            weightEarned += earned;
+            ends[end.ordinal()]++;
+            if (end == End.SETTLED || end == End.LATE) {
+                latencies.recordValue(latencyNanos);
+            }
+        }
+
+        long count(End end) {
+            return ends[end.ordinal()];
+        }
+
+        long count() {
+            long count = 0;
+            for (long ended : ends) {
+                count += ended;
+            }
+            return count;
+        }
+
+        double earnedShare() {
+            return weightAsked == 0 ? 1 : weightEarned / weightAsked;
+        }
+
+        String row(String name) {
+            return String.format(
+                    Locale.ROOT,
+                    "%-22s %8d %7.3f %8d %6d %9d %10d %10d %8.1f %8.1f %8.1f",
+                    name,
+                    count(),
+                    earnedShare(),
+                    count(End.SETTLED),
+                    count(End.LATE),
+                    count(End.DISMISSED),
+                    count(End.TERMINATED),
+                    count(End.UNANSWERED),
+                    latencies.getValueAtPercentile(50) / NANOS_PER_MILLI,
+                    latencies.getValueAtPercentile(99) / NANOS_PER_MILLI,
+                    latencies.getMaxValue() / NANOS_PER_MILLI);
+        }
     }
 
-    private static final long WINDOW = 10_000_000_000L;
+    private final Map<String, Group> requestClasses = new TreeMap<>();
+    private final Map<String, Group> tenants = new TreeMap<>();
+    /** By the number of the window. */
+    private final TreeMap<Long, Group> windows = new TreeMap<>();
+
+    private final Group all = new Group();
+    private final Histogram generatorLag = histogram();
+    private long attempts;
 
-    private final Map<String, Line> categories = new TreeMap<>();
-    private final Map<String, Line> accounts = new TreeMap<>();
-    private final TreeMap<Long, Line> windows = new TreeMap<>();
-    private final Line all = new Line();
-    private final Histogram lag = new Histogram(60_000_000_000L, 3);
-    private long tries;
+    private static Histogram histogram() {
+        return new Histogram(LONGEST_RECORDED_NANOS, SIGNIFICANT_DIGITS);
+    }
+
+    private static long recordable(long nanos) {
+        return Math.max(0, Math.min(LONGEST_RECORDED_NANOS, nanos));
+    }
 
-    /** The generator sent a call so late. */
+    /** Counts a request that the generator sent so late. */
     public synchronized void sent(long lateNanos) {
-        lag.recordValue(Math.max(0, Math.min(60_000_000_000L, lateNanos)));
+        generatorLag.recordValue(recordable(lateNanos));
     }
 
+    /** Counts an attempt. */
     synchronized void tried() {
-        tries++;
-    }
-
-    /** A call ended for good; due from the day's start, took from its due time. */
-    synchronized void ended(CategoryTerms terms, String account, long due, long took, End end) {
-        double earned = end == End.SETTLED ? terms.credit() : end == End.LATE ? terms.credit() * terms.lateCredit() : 0;
-        List<Line> lines = new ArrayList<>(List.of(
-                all,
-                categories.computeIfAbsent(terms.name(), n -> new Line()),
-                windows.computeIfAbsent(due / WINDOW, n -> new Line())));
-        if (!account.isEmpty()) {
-            lines.add(accounts.computeIfAbsent(account, n -> new Line()));
+        attempts++;
+    }
+
+    /**
+     * Counts a request that has ended.
+     *
+     * @param tenant empty where it has none
+     * @param due nanoseconds from the start of the scenario
+     * @param took nanoseconds since it was due
+     */
+    synchronized void ended(CategoryTerms terms, String tenant, long due, long took, End end) {
+        double earned = earned(terms, end);
+        long latency = recordable(took);
+        for (Group group : groupsOf(terms.name(), tenant, due)) {
+            group.add(end, terms.credit(), earned, latency);
         }
-        for (Line line : lines) {
-            line.asked += terms.credit();
-            line.earned += earned;
-            line.ends[end.ordinal()]++;
-            if (end == End.SETTLED || end == End.LATE) {
-                line.times.recordValue(Math.max(0, Math.min(60_000_000_000L, took)));
-            }
+    }
+
+    private static double earned(CategoryTerms terms, End end) {
+        return switch (end) {
+            case SETTLED -> terms.credit();
+            case LATE -> terms.credit() * terms.lateCredit();
+            case DISMISSED, TERMINATED, UNANSWERED -> 0;
+        };
+    }
+
+    private List<Group> groupsOf(String requestClass, String tenant, long due) {
+        List<Group> groups = new ArrayList<>();
+        groups.add(all);
+        groups.add(requestClasses.computeIfAbsent(requestClass, name -> new Group()));
+        groups.add(windows.computeIfAbsent(due / WINDOW_NANOS, window -> new Group()));
+        if (!tenant.isEmpty()) {
+            groups.add(tenants.computeIfAbsent(tenant, name -> new Group()));
         }
+        return groups;
     }
 
+    /** How many requests have ended. */
     public synchronized long calls() {
-        return all.times.getTotalCount() + all.ends[2] + all.ends[3] + all.ends[4];
+        return all.count();
     }
 
-    /** The share of the credit asked for that was earned. */
+    /** The share of the priority weight asked for that was earned, 0 to 1. */
     public synchronized double credit() {
-        return all.asked == 0 ? 1 : all.earned / all.asked;
+        return all.earnedShare();
     }
 
+    /** The least share of the priority weight earned in a window. */
     public synchronized double worstWindow() {
         return windows.values().stream()
-                .filter(line -> line.asked > 0)
-                .mapToDouble(line -> line.earned / line.asked)
+                .filter(window -> window.weightAsked > 0)
+                .mapToDouble(Group::earnedShare)
                 .min()
                 .orElse(1);
     }
 
+    /** The share of the priority weight earned in each window, by the second at which it begins. */
     synchronized Map<Long, Double> byWindow() {
-        Map<Long, Double> credit = new LinkedHashMap<>();
-        windows.forEach((at, line) -> credit.put(at * 10, line.asked == 0 ? 1 : line.earned / line.asked));
-        return credit;
+        Map<Long, Double> shares = new LinkedHashMap<>();
+        windows.forEach((number, window) -> shares.put(number * WINDOW_SECONDS, window.earnedShare()));
+        return shares;
     }
 
-    /** How many calls ended in each way. */
+    /** How many requests ended in each way, by its word in lower case. */
     public synchronized Map<String, Long> ends() {
         Map<String, Long> ends = new LinkedHashMap<>();
         for (End end : End.values()) {
-            ends.put(end.name().toLowerCase(Locale.ROOT), all.ends[end.ordinal()]);
+            ends.put(end.name().toLowerCase(Locale.ROOT), all.count(end));
         }
         return ends;
     }
 
-    /** Time from a call's due moment to its answer, of calls that got one. */
+    /** A percentile (0 to 100) of the latencies of requests that succeeded, from the moment at which they were due. */
     public synchronized double latencyMillis(double percentile) {
-        return all.times.getValueAtPercentile(percentile) / 1e6;
+        return all.latencies.getValueAtPercentile(percentile) / NANOS_PER_MILLI;
     }
 
+    /** A percentile (0 to 100) of how late the generator sent. */
     synchronized double lagMillis(double percentile) {
-        return lag.getValueAtPercentile(percentile) / 1e6;
+        return generatorLag.getValueAtPercentile(percentile) / NANOS_PER_MILLI;
     }
 
+    /** How many attempts were sent. */
     public synchronized long tries() {
-        return tries;
+        return attempts;
     }
 
-    /** The table as people read it. */
+    /** A table for people: a row for each group and for the worst window. */
     public synchronized List<String> table() {
         List<String> rows = new ArrayList<>();
-        rows.add(String.format(
+        rows.add(header());
+        rows.add(all.row("all"));
+        requestClasses.forEach((name, group) -> rows.add(group.row("category " + name)));
+        tenants.forEach((name, group) -> rows.add(group.row("account " + name)));
+        windows.entrySet().stream()
+                .min(Comparator.comparingDouble(
+                        window -> window.getValue().weightEarned / window.getValue().weightAsked))
+                .ifPresent(worst ->
+                        rows.add(worst.getValue().row("worst 10 s, from " + worst.getKey() * WINDOW_SECONDS + " s")));
+        return rows;
+    }
+
+    private static String header() {
+        return String.format(
                 Locale.ROOT,
                 "%-22s %8s %7s %8s %6s %9s %10s %10s %8s %8s %8s",
                 "",
@@ -128,35 +231,6 @@
                 "unanswered",
                 "p50 ms",
                 "p99 ms",
-                "max ms"));
-        rows.add(row("all", all));
-        categories.forEach((name, line) -> rows.add(row("category " + name, line)));
-        accounts.forEach((name, line) -> rows.add(row("account " + name, line)));
-        windows.entrySet().stream()
-                .min((a, b) -> Double.compare(
-                        a.getValue().earned / a.getValue().asked, b.getValue().earned / b.getValue().asked))
-                .ifPresent(worst -> rows.add(row("worst 10 s, from " + worst.getKey() * 10 + " s", worst.getValue())));
-        return rows;
-    }
-
-    private static String row(String name, Line line) {
-        long calls = 0;
-        for (long end : line.ends) {
-            calls += end;
-        }
-        return String.format(
-                Locale.ROOT,
-                "%-22s %8d %7.3f %8d %6d %9d %10d %10d %8.1f %8.1f %8.1f",
-                name,
-                calls,
-                line.asked == 0 ? 1 : line.earned / line.asked,
-                line.ends[0],
-                line.ends[1],
-                line.ends[2],
-                line.ends[3],
-                line.ends[4],
-                line.times.getValueAtPercentile(50) / 1e6,
-                line.times.getValueAtPercentile(99) / 1e6,
-                line.times.getMaxValue() / 1e6);
+                "max ms");
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/RequestFeed.java
+++ b/testbed/src/main/java/pearladder/testbed/RequestFeed.java
@@ -3,36 +3,34 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 
 /**
- * Deals one source's calls to several lanes, each on an event loop of its own: call n to lane n modulo their number. The
- * sequence is the source's whatever the number of lanes; only who sends a call depends on it.
+ * Distributes the requests of one source over lanes, each on an event loop of its own: request n goes to lane n
+ * modulo their number. The sequence is the source's whatever the number of lanes; only who sends a request depends on
+ * it. Thread-safe.
  */
 final class RequestFeed {
-    /** What one event loop sends, in the order of the calls' moments. */
+    /** What one event loop sends, in the order of the requests' moments. */
     final class Lane implements RequestSource {
-        private final ArrayDeque<Drawn> dealt = new ArrayDeque<>();
+        private final Queue<Drawn> waiting = new ArrayDeque<>();
 
         private Lane() {}
 
         @Override
         public Drawn next() {
             synchronized (RequestFeed.this) {
-                while (dealt.isEmpty() && !dry) {
-                    Drawn drawn = source.next();
-                    dry = drawn == null;
-                    if (!dry) {
-                        lanes.get((int) (drawn.number() % lanes.size())).dealt.add(drawn);
-                    }
+                while (waiting.isEmpty() && !exhausted) {
+                    distributeNext();
                 }
-                return dealt.poll();
+                return waiting.poll();
             }
         }
     }
 
     private final RequestSource source;
     private final List<Lane> lanes = new ArrayList<>();
-    private boolean dry;
+    private boolean exhausted;
 
     RequestFeed(RequestSource source, int lanes) {
         this.source = source;
@@ -41,6 +39,16 @@
         }
     }
 
+    private void distributeNext() {
+        RequestSource.Drawn request = source.next();
+        if (request == null) {
+            exhausted = true;
+            return;
+        }
+        int lane = (int) (request.number() % lanes.size());
+        lanes.get(lane).waiting.add(request);
+    }
+
     List<Lane> lanes() {
         return lanes;
     }
--- a/testbed/src/main/java/pearladder/testbed/RequestSource.java
+++ b/testbed/src/main/java/pearladder/testbed/RequestSource.java
@@ -1,13 +1,17 @@
 package pearladder.testbed;
 
-/** Where a day's calls come from, in the order of their moments. */
+/** Where the requests of a scenario come from, in the order of their moments. */
 public interface RequestSource {
     /**
-     * One call.
+     * One request.
      *
-     * @param due so many nanoseconds after the day's start
+     * @param due nanoseconds after the start of the scenario
+     * @param number from 0 on, in the order of the source
+     * @param category the request class
+     * @param account the tenant; empty for none
+     * @param hall the zone of its client
      * @param work on a standard core, in nanoseconds
-     * @param patience the share of the abandon time that each try is given
+     * @param patience the share of the deadline that each attempt is given, 0 to 1
      */
     record Drawn(
             long due,
@@ -19,6 +23,6 @@
             long work,
             double patience) {}
 
-    /** The next call, or null once there are no more. */
+    /** The next request, or null once there are no more. */
     Drawn next();
 }
--- a/testbed/src/main/java/pearladder/testbed/Results.java
+++ b/testbed/src/main/java/pearladder/testbed/Results.java
@@ -19,147 +19,139 @@
 import pearladder.emulator.Observation;
 import pearladder.kserve.RequestOutcome;
 
-/** A day's results as a file that reports and comparisons are made from: results.json in the day's folder. */
+/** The results of a scenario as a file, results.json in its folder, from which reports and comparisons are made. */
 public final class Results {
     static final String FILE = "results.json";
+
     private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
-    private static final long WINDOW = 10_000_000_000L;
+    private static final double[] PERCENTILES = {10, 25, 50, 75, 90, 95, 99, 99.9, 100};
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MB_PER_GB = 1e3;
+    /** The note of a load whose image is not in the store, so that nothing was fetched. */
+    private static final String NO_IMAGE = "no image";
 
     private Results() {}
 
-    /** The results of a day. */
+    /**
+     * The results of a scenario.
+     *
+     * @param begun start of the scenario on the observations' clock, in nanoseconds
+     * @param table lines for people
+     */
     public static ObjectNode of(
             ScenarioPlan plan,
-            LoadStatistics books,
+            LoadStatistics statistics,
             InvariantChecker.Verdict verdict,
             List<String> faults,
-            List<Observation> tape,
+            List<Observation> observations,
             long begun,
             List<String> table) {
-        ObjectNode all = JSON.createObjectNode();
-        all.put("name", plan.name())
-                .put("seed", plan.seed())
-                .put("engines", plan.fleet().engines().size())
-                .put("routers", plan.routers())
-                .put("calls", books.calls())
-                .put("tries", books.tries())
-                .put("credit", books.credit())
-                .put("worst10s", books.worstWindow())
-                .put("lag_p99_ms", books.lagMillis(99))
-                .put("breaches", verdict.breaches().size())
-                .put("faults", faults.size());
-        books.ends().forEach((name, count) -> all.put(name, count));
-        ObjectNode latency = all.putObject("latency_ms");
-        for (double percentile : new double[] {10, 25, 50, 75, 90, 95, 99, 99.9, 100}) {
-            latency.put(Double.toString(percentile), books.latencyMillis(percentile));
+        ObjectNode results = JSON.createObjectNode();
+        putTotals(results, plan, statistics);
+        results.put("breaches", verdict.breaches().size()).put("faults", faults.size());
+        statistics.ends().forEach((name, count) -> results.put(name, count));
+        ObjectNode latency = results.putObject("latency_ms");
+        for (double percentile : PERCENTILES) {
+            latency.put(Double.toString(percentile), statistics.latencyMillis(percentile));
         }
-        ArrayNode windows = all.putArray("windows");
-        TreeMap<Long, long[]> seen = byWindow(tape, begun);
-        books.byWindow().forEach((from, credit) -> {
-            long[] counts = seen.getOrDefault(from / 10, new long[8]);
-            windows.addObject()
-                    .put("from_s", from)
-                    .put("credit", credit)
-                    .put("legs", counts[0])
-                    .put("orders", counts[1])
-                    .put("refused", counts[2])
-                    .put("loads", counts[3])
-                    .put("loads_failed", counts[4])
-                    .put("copies", counts[5])
-                    .put("settled", counts[6])
-                    .put("settled_by_version", counts[7]);
-        });
-        ObjectNode causes = all.putObject("dismissed_because");
-        dismissals(tape).forEach(causes::put);
-        ArrayNode troubles = all.putArray("troubles");
-        for (Observation one : tape) {
-            if (one.what().equals(Observation.TROUBLE)) {
-                troubles.addObject().put("at_s", (one.at() - begun) / 1e9).put("what", one.note());
-            }
-        }
-        ArrayNode rules = all.putArray("rules");
+        putWindows(results.putArray("windows"), statistics, WindowCounts.of(observations, begun));
+        ObjectNode causes = results.putObject("dismissed_because");
+        rejectionCauses(observations).forEach(causes::put);
+        putFaults(results.putArray("troubles"), observations, begun);
+        ArrayNode rules = results.putArray("rules");
         verdict.looked().forEach((rule, looked) -> rules.addObject()
                 .put("rule", rule.words())
                 .put("looked", looked)
                 .put("broken", verdict.broken(rule)));
-        ArrayNode lines = all.putArray("table");
+        ArrayNode lines = results.putArray("table");
         table.forEach(lines::add);
-        return all;
+        return results;
     }
 
-    /**
-     * By ten seconds of the day: legs, orders, refusals, loads and failed loads at the engines, the copies that stood
-     * at its end, settled answers, and those of them that came from a version.
-     */
-    private static TreeMap<Long, long[]> byWindow(List<Observation> tape, long begun) {
-        TreeMap<Long, long[]> windows = new TreeMap<>();
-        long copies = 0;
-        for (Observation seen : tape) {
-            int at =
-                    switch (seen.what()) {
-                        case Observation.ARRIVED -> 0;
-                        case Observation.ORDERED -> 1;
-                        case Observation.REFUSED -> 2;
-                        case Observation.LOADED -> seen.note().isEmpty() ? 3 : 4;
-                        case Observation.UNLOADED -> 5;
-                        case Observation.ANSWERED -> seen.note().equals(RequestOutcome.SETTLED.code()) ? 6 : -1;
-                        default -> -1;
-                    };
-            copies += at == 3 ? 1 : at == 5 ? -Math.round(seen.figure()) : 0;
-            if (at >= 0 && seen.at() >= begun) {
-                long[] counts = windows.computeIfAbsent((seen.at() - begun) / WINDOW, w -> new long[8]);
-                counts[at]++;
-                counts[7] += at == 6 && seen.model().contains("@") ? 1 : 0;
-                counts[5] = copies;
+    private static void putTotals(ObjectNode results, ScenarioPlan plan, LoadStatistics statistics) {
+        results.put("name", plan.name())
+                .put("seed", plan.seed())
+                .put("engines", plan.fleet().engines().size())
+                .put("routers", plan.routers())
+                .put("calls", statistics.calls())
+                .put("tries", statistics.tries())
+                .put("credit", statistics.credit())
+                .put("worst10s", statistics.worstWindow())
+                .put("lag_p99_ms", statistics.lagMillis(99));
+    }
+
+    private static void putWindows(ArrayNode array, LoadStatistics statistics, Map<Long, WindowCounts> windows) {
+        statistics.byWindow().forEach((fromSeconds, credit) -> {
+            WindowCounts counts = windows.getOrDefault(fromSeconds / LoadStatistics.WINDOW_SECONDS, new WindowCounts());
+            ObjectNode window = array.addObject().put("from_s", fromSeconds).put("credit", credit);
+            counts.putInto(window);
+        });
+    }
+
+    private static void putFaults(ArrayNode array, List<Observation> observations, long begun) {
+        for (Observation seen : observations) {
+            if (seen.what().equals(Observation.TROUBLE)) {
+                array.addObject()
+                        .put("at_s", (seen.at() - begun) / NANOS_PER_SECOND)
+                        .put("what", seen.note());
             }
         }
-        return windows;
     }
 
-    /** Loads that ended, what they fetched from the shelf, and the share of their time that the fetch was. */
-    public static String fetched(ScenarioPlan plan, List<Observation> all, long begun) {
+    /**
+     * A line on the loads that ended, what they fetched from the store, and the share of their time that the fetch
+     * took.
+     */
+    public static String fetched(ScenarioPlan plan, List<Observation> observations, long begun) {
         long loads = 0;
         long failed = 0;
         double gigabytes = 0;
-        double share = 0;
-        for (Observation seen : all) {
-            if (seen.what().equals(Observation.LOADED) && seen.at() >= begun) {
-                ModelKind kind = plan.fleet().modelOf(seen.model());
-                loads++;
-                failed += seen.note().isEmpty() ? 0 : 1;
-                share += seen.note().isEmpty() ? seen.figure() : 0;
-                gigabytes += kind == null || seen.note().equals("no image") ? 0 : kind.memoryMb() / 1e3;
+        double fetchShares = 0;
+        for (Observation seen : observations) {
+            if (!seen.what().equals(Observation.LOADED) || seen.at() < begun) {
+                continue;
+            }
+            loads++;
+            if (seen.note().isEmpty()) {
+                fetchShares += seen.figure();
+            } else {
+                failed++;
+            }
+            ModelKind kind = plan.fleet().modelOf(seen.model());
+            if (kind != null && !seen.note().equals(NO_IMAGE)) {
+                gigabytes += kind.memoryMb() / MB_PER_GB;
             }
         }
         return String.format(
                 Locale.ROOT,
-                "%d loads, %d of them failed; %.1f GB fetched from the shelf; a load was %.0f%% fetch on " + "the mean",
+                "%d loads, %d of them failed; %.1f GB fetched from the shelf; a load was %.0f%% fetch on the mean",
                 loads,
                 failed,
                 gigabytes,
-                100 * share / Math.max(1, loads - failed));
+                100 * fetchShares / Math.max(1, loads - failed));
     }
 
-    /** Dismissed tries by what the engines had said to them; a try of which no leg left was refused by its router. */
-    private static Map<String, Long> dismissals(List<Observation> tape) {
-        Map<String, String> last = new HashMap<>();
+    /** How many attempts were rejected, by what the workers had said to them before. */
+    private static Map<String, Long> rejectionCauses(List<Observation> observations) {
+        Map<String, String> lastAtWorker = new HashMap<>();
         Map<String, Long> causes = new TreeMap<>();
-        for (Observation seen : tape) {
-            if (seen.what().equals(Observation.REFUSED) || seen.what().equals(Observation.ARRIVED)) {
-                last.put(
-                        seen.call(),
-                        seen.what().equals(Observation.REFUSED)
-                                ? "engines refused: " + seen.note().toLowerCase(Locale.ROOT)
-                                : "a leg without an answer");
-            } else if (seen.what().equals(Observation.ANSWERED)
-                    && seen.note().equals(RequestOutcome.DISMISSED.code())) {
-                causes.merge(last.getOrDefault(seen.call(), "no leg was sent"), 1L, Long::sum);
+        for (Observation seen : observations) {
+            switch (seen.what()) {
+                case Observation.ARRIVED -> lastAtWorker.put(seen.call(), "a leg without an answer");
+                case Observation.REFUSED -> lastAtWorker.put(
+                        seen.call(), "engines refused: " + seen.note().toLowerCase(Locale.ROOT));
+                case Observation.ANSWERED -> {
+                    if (seen.note().equals(RequestOutcome.DISMISSED.code())) {
+                        causes.merge(lastAtWorker.getOrDefault(seen.call(), "no leg was sent"), 1L, Long::sum);
+                    }
+                }
+                default -> {}
             }
         }
         return causes;
     }
 
-    /** Writes beside and moves over, so that a results file is whole or not there. */
+    /** Writes results into a folder, beside and moved over, so that the file is whole or not there. */
     public static void write(Path folder, JsonNode results) throws IOException {
         Path beside = folder.resolve("results.new");
         JSON.writeValue(beside.toFile(), results);
@@ -170,22 +162,23 @@
     public static JsonNode read(Path folder) {
         try {
             return JSON.readTree(folder.resolve(FILE).toFile());
-        } catch (IOException none) {
+        } catch (IOException unreadable) {
             return null;
         }
     }
 
-    /** Every results file in a folder and in the folders right below it, by the folder's name. */
+    /** The results in a folder and in the folders right below it, by the folder's name. */
     static Map<String, JsonNode> below(Path folder) throws IOException {
-        Map<String, JsonNode> all = new TreeMap<>();
-        List<Path> folders = new ArrayList<>(List.of(folder));
-        try (var inside = Files.list(folder)) {
-            inside.filter(Files::isDirectory).forEach(folders::add);
+        List<Path> folders = new ArrayList<>();
+        folders.add(folder);
+        try (var children = Files.list(folder)) {
+            children.filter(Files::isDirectory).forEach(folders::add);
         }
-        for (Path one : folders) {
-            JsonNode results = read(one);
+        Map<String, JsonNode> all = new TreeMap<>();
+        for (Path each : folders) {
+            JsonNode results = read(each);
             if (results != null) {
-                all.put(one.getFileName().toString(), results);
+                all.put(each.getFileName().toString(), results);
             }
         }
         return all;
--- a/testbed/src/main/java/pearladder/testbed/SyntheticWorkload.java
+++ b/testbed/src/main/java/pearladder/testbed/SyntheticWorkload.java
@@ -1,74 +1,96 @@
 package pearladder.testbed;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
 
-/** Draws the day's calls from its seed: the same script draws the same calls at the same moments. */
+/**
+ * Draws the requests of a scenario from its seed: the same script draws the same requests at the same moments.
+ * Arrivals are a Poisson process whose rate follows the script.
+ */
 public final class SyntheticWorkload implements RequestSource {
+    /** The rate never falls below this share of the mean. */
+    private static final double LEAST_RATE_SHARE = 0.01;
+    /** Work is drawn evenly from this share of the mean up to it plus 1. */
+    private static final double LEAST_WORK_SHARE = 0.5;
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private final ScenarioPlan plan;
     private final SplittableRandom arrivals;
     private final SplittableRandom contents;
-    private final List<double[]> popularity = new ArrayList<>();
+    /** By flow, the sums of its models' popularities up to each. */
+    private final List<double[]> cumulativePopularity = new ArrayList<>();
+
     private long due;
     private long number;
 
+    /** Creates a workload that begins with the scenario. */
     public SyntheticWorkload(ScenarioPlan plan) {
         this.plan = plan;
         SplittableRandom random = new SplittableRandom(plan.seed());
         this.arrivals = random.split();
         this.contents = random.split();
         for (ScenarioPlan.Flow flow : plan.flows()) {
-            double[] upTo = new double[flow.models()];
-            double sum = 0;
-            for (int i = 0; i < upTo.length; i++) {
-                sum += Math.pow(i + 1, -flow.skew());
-                upTo[i] = sum;
-            }
-            popularity.add(upTo);
+            cumulativePopularity.add(zipf(flow.models(), flow.skew()));
         }
     }
 
+    private static double[] zipf(int models, double skew) {
+        double[] cumulative = new double[models];
+        double sum = 0;
+        for (int i = 0; i < models; i++) {
+            sum += Math.pow(i + 1, -skew);
+            cumulative[i] = sum;
+        }
+        return cumulative;
+    }
+
     @Override
     public Drawn next() {
-        double rate = plan.rate() * Math.max(0.01, plan.tide().at(due)) * times(ScenarioPlan.Kind.BURST, due);
-        due += Math.round(-Math.log(1 - arrivals.nextDouble()) / rate * 1e9);
+        due += Math.round(-Math.log(1 - arrivals.nextDouble()) / rate() * NANOS_PER_SECOND);
         if (due >= plan.lasting()) {
             return null;
         }
-        int at = pick();
-        ScenarioPlan.Flow flow = plan.flows().get(at);
-        String hall = plan.halls().get(contents.nextInt(plan.halls().size()));
-        double work = flow.work() * (0.5 + contents.nextDouble());
-        double heavy = contents.nextDouble();
-        double once = contents.nextDouble();
+        // the order of the draws is part of what a seed means
+        int flowIndex = drawFlow();
+        ScenarioPlan.Flow flow = plan.flows().get(flowIndex);
+        String zone = plan.halls().get(contents.nextInt(plan.halls().size()));
+        double work = flow.work() * (LEAST_WORK_SHARE + contents.nextDouble());
+        double heavyDraw = contents.nextDouble();
+        double oneOffDraw = contents.nextDouble();
         double patience = plan.clients().patience() + (1 - plan.clients().patience()) * contents.nextDouble();
-        int rank = model(popularity.get(at), contents.nextDouble());
-        String model = flow.prefix() + (flow.shift() == 0 ? rank : (int) ((rank + due / flow.shift()) % flow.models()));
-        for (ScenarioPlan.Trouble trouble : plan.troubles()) {
-            if (due < trouble.at() || due >= trouble.at() + trouble.lasting()) {
+        String model = flow.prefix() + drawModel(flow, cumulativePopularity.get(flowIndex));
+        for (ScenarioPlan.Trouble fault : plan.troubles()) {
+            if (!isActive(fault)) {
                 continue;
             }
-            if (trouble.what() == ScenarioPlan.Kind.HEAVY && heavy < trouble.share()) {
-                work *= trouble.times();
-            } else if (trouble.what() == ScenarioPlan.Kind.ONE_OFFS && once < trouble.share()) {
+            if (fault.what() == ScenarioPlan.Kind.HEAVY && heavyDraw < fault.share()) {
+                work *= fault.times();
+            } else if (fault.what() == ScenarioPlan.Kind.ONE_OFFS && oneOffDraw < fault.share()) {
                 model = flow.prefix() + "once-" + number;
             }
         }
-        return new Drawn(due, number++, flow.category(), flow.account(), model, hall, Math.round(work), patience);
+        return new Drawn(due, number++, flow.category(), flow.account(), model, zone, Math.round(work), patience);
     }
 
-    private double times(ScenarioPlan.Kind kind, long at) {
-        double times = 1;
-        for (ScenarioPlan.Trouble trouble : plan.troubles()) {
-            if (trouble.what() == kind && at >= trouble.at() && at < trouble.at() + trouble.lasting()) {
-                times *= trouble.times();
+    /** Requests a second at the last arrival. */
+    private double rate() {
+        double bursts = 1;
+        for (ScenarioPlan.Trouble fault : plan.troubles()) {
+            if (fault.what() == ScenarioPlan.Kind.BURST && isActive(fault)) {
+                bursts *= fault.times();
             }
         }
-        return times;
+        return plan.rate() * Math.max(LEAST_RATE_SHARE, plan.tide().at(due)) * bursts;
+    }
+
+    private boolean isActive(ScenarioPlan.Trouble fault) {
+        return due >= fault.at() && due < fault.at() + fault.lasting();
     }
 
-    private int pick() {
+    private int drawFlow() {
         double sum = plan.flows().stream().mapToDouble(ScenarioPlan.Flow::share).sum();
         double drawn = contents.nextDouble() * sum;
         for (int i = 0; i < plan.flows().size(); i++) {
@@ -80,9 +102,10 @@
         return plan.flows().size() - 1;
     }
 
-    private static int model(double[] upTo, double drawn) {
-        double wanted = drawn * upTo[upTo.length - 1];
-        int at = java.util.Arrays.binarySearch(upTo, wanted);
-        return Math.min(upTo.length - 1, at < 0 ? -at - 1 : at);
+    private int drawModel(ScenarioPlan.Flow flow, double[] cumulative) {
+        int last = cumulative.length - 1;
+        int found = Arrays.binarySearch(cumulative, contents.nextDouble() * cumulative[last]);
+        int rank = Math.min(last, found < 0 ? -found - 1 : found);
+        return flow.shift() == 0 ? rank : (int) ((rank + due / flow.shift()) % flow.models());
     }
 }
--- /dev/null
+++ b/testbed/src/main/java/pearladder/testbed/WindowCounts.java
@@ -0,0 +1,93 @@
+package pearladder.testbed;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.TreeMap;
+import pearladder.emulator.Observation;
+import pearladder.kserve.RequestOutcome;
+
+/**
+ * What was observed at workers and clients within one window of a scenario, {@link LoadStatistics#WINDOW_SECONDS}
+ * long.
+ */
+final class WindowCounts {
+    private long attempts;
+    private long loadRequests;
+    private long refusals;
+    private long loads;
+    private long failedLoads;
+    /** How many stood at the window's last event. */
+    private long instances;
+
+    private long successes;
+    private long successesByVersion;
+
+    /**
+     * Counts observations, which must be in the order of time for the instances to be right; by the window's number.
+     */
+    static TreeMap<Long, WindowCounts> of(List<Observation> observations, long startedAt) {
+        TreeMap<Long, WindowCounts> windows = new TreeMap<>();
+        long instances = 0;
+        for (Observation seen : observations) {
+            instances += addedInstances(seen);
+            if (isCounted(seen) && seen.at() >= startedAt) {
+                long number = (seen.at() - startedAt) / LoadStatistics.WINDOW_NANOS;
+                WindowCounts window = windows.computeIfAbsent(number, key -> new WindowCounts());
+                window.add(seen);
+                window.instances = instances;
+            }
+        }
+        return windows;
+    }
+
+    private static long addedInstances(Observation seen) {
+        return switch (seen.what()) {
+            case Observation.LOADED -> seen.note().isEmpty() ? 1 : 0;
+            case Observation.UNLOADED -> -Math.round(seen.figure());
+            default -> 0;
+        };
+    }
+
+    private static boolean isCounted(Observation seen) {
+        return switch (seen.what()) {
+            case Observation.ARRIVED,
+                    Observation.ORDERED,
+                    Observation.REFUSED,
+                    Observation.LOADED,
+                    Observation.UNLOADED -> true;
+            case Observation.ANSWERED -> seen.note().equals(RequestOutcome.SETTLED.code());
+            default -> false;
+        };
+    }
+
+    private void add(Observation seen) {
+        switch (seen.what()) {
+            case Observation.ARRIVED -> attempts++;
+            case Observation.ORDERED -> loadRequests++;
+            case Observation.REFUSED -> refusals++;
+            case Observation.LOADED -> {
+                if (seen.note().isEmpty()) {
+                    loads++;
+                } else {
+                    failedLoads++;
+                }
+            }
+            case Observation.ANSWERED -> {
+                successes++;
+                successesByVersion += seen.model().contains("@") ? 1 : 0;
+            }
+            default -> {}
+        }
+    }
+
+    void putInto(ObjectNode window) {
+        window.put("legs", attempts)
+                .put("orders", loadRequests)
+                .put("refused", refusals)
+                .put("loads", loads)
+                .put("loads_failed", failedLoads)
+                .put("copies", instances)
+                .put("settled", successes)
+                .put("settled_by_version", successesByVersion);
+    }
+}
