--- a/testbed/src/main/java/pearladder/testbed/DecisionCost.java
+++ b/testbed/src/main/java/pearladder/testbed/DecisionCost.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
@@ -16,22 +17,53 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * What one call costs the module itself, with no socket: microseconds and bytes for a call's coming, its legs' ends and
- * its share of the beats, at a fleet's size. Time is the script's own; answers come 20 ms later, found loaded.
+ * Measures what a request costs the policy itself, with no socket: microseconds and bytes for its arrival, the ends
+ * of its attempts and its share of the ticks, by the size of the fleet. Time is simulated; attempts succeed after 20
+ * ms on an instance that is loaded.
  */
 public final class DecisionCost {
-    /** Makes a module's instance. */
+    /** Makes an instance of a policy. */
     public interface Maker {
+        /** A new instance for these settings, whose random choices come from the seed. */
         RoutingPolicy make(long seed, RoutingSettings facts);
     }
 
     private static final int MODELS = 400;
+    private static final int REQUESTS = 60_000;
+    private static final double REQUESTS_PER_SECOND_AND_WORKER = 12;
+    private static final TimeSpan LATENCY = TimeSpan.millis(20);
+    private static final MonotonicTime START = new MonotonicTime(1_000_000_000_000L);
+    /** The policy's name for its periodic timer. */
+    private static final String TICK = "beat";
 
-    private record Out(MonotonicTime due, Event.AttemptEnded end) {}
+    private static final long POLICY_SEED = 1;
+    private static final long LOAD_SEED = 5;
 
-    private DecisionCost() {}
+    private record PendingAttempt(MonotonicTime dueAt, Event.AttemptEnded end) {}
 
-    /** Lines of a table: a row for each size, medians over the rounds. */
+    /** What one round measured, by request. */
+    private record Cost(double micros, double bytes, double rejectedShare) {}
+
+    private final RoutingPolicy policy;
+    private final com.sun.management.ThreadMXBean threads =
+            (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+    private final long threadId = Thread.currentThread().getId();
+    private final Deque<PendingAttempt> attempts = new ArrayDeque<>();
+    private final Deque<MonotonicTime> ticks = new ArrayDeque<>();
+    private long rejected;
+    private long spentNanos;
+    private long allocatedBytes;
+
+    private DecisionCost(RoutingPolicy policy) {
+        this.policy = policy;
+    }
+
+    /**
+     * Measures a policy.
+     *
+     * @param sizes numbers of workers
+     * @return lines of a table: a row for each size, medians over the rounds
+     */
     public static List<String> run(Maker maker, int rounds, int... sizes) {
         List<String> rows = new ArrayList<>();
         rows.add(String.format(
@@ -43,49 +75,47 @@
                 "dismissed",
                 "calls a round"));
         for (int size : sizes) {
-            double[] micros = new double[rounds];
-            double[] bytes = new double[rounds];
-            double dismissed = 0;
-            int calls = 60_000;
-            round(maker, size, calls);
-            for (int i = 0; i < rounds; i++) {
-                double[] figures = round(maker, size, calls);
-                micros[i] = figures[0];
-                bytes[i] = figures[1];
-                dismissed = figures[2];
-            }
-            Arrays.sort(micros);
-            Arrays.sort(bytes);
-            rows.add(String.format(
-                    Locale.ROOT,
-                    "%-10d %26s %12.0f %11.1f%% %14d",
-                    size,
-                    String.format(
-                            Locale.ROOT, "%.1f (%.1f to %.1f)", micros[rounds / 2], micros[0], micros[rounds - 1]),
-                    bytes[rounds / 2],
-                    100 * dismissed,
-                    calls));
+            rows.add(row(maker, rounds, size));
         }
         return rows;
     }
 
-    private static RoutingSettings facts() {
+    private static String row(Maker maker, int rounds, int size) {
+        measure(maker, size);
+        double[] micros = new double[rounds];
+        double[] bytes = new double[rounds];
+        double rejectedShare = 0;
+        for (int i = 0; i < rounds; i++) {
+            Cost cost = measure(maker, size);
+            micros[i] = cost.micros();
+            bytes[i] = cost.bytes();
+            rejectedShare = cost.rejectedShare();
+        }
+        Arrays.sort(micros);
+        Arrays.sort(bytes);
+        String range =
+                String.format(Locale.ROOT, "%.1f (%.1f to %.1f)", micros[rounds / 2], micros[0], micros[rounds - 1]);
+        return String.format(
+                Locale.ROOT,
+                "%-10d %26s %12.0f %11.1f%% %14d",
+                size,
+                range,
+                bytes[rounds / 2],
+                100 * rejectedShare,
+                REQUESTS);
+    }
+
+    private static Cost measure(Maker maker, int workers) {
+        return new DecisionCost(maker.make(POLICY_SEED, settings())).run(workers);
+    }
+
+    private static RoutingSettings settings() {
         return new RoutingSettings(
                 0,
                 3,
                 "east",
                 TimeSpan.millis(5),
-                List.of(new RoutingSettings.RequestClass(
-                        "draft",
-                        TimeSpan.seconds(1),
-                        TimeSpan.seconds(3),
-                        1,
-                        0,
-                        RoutingSettings.Idempotency.RETRIABLE,
-                        RoutingSettings.DeduplicationScope.ALL,
-                        TimeSpan.ZERO,
-                        false,
-                        0)),
+                List.of(requestClass()),
                 List.of(),
                 new RoutingSettings.AttemptLimits(
                         3, false, true, false, false, true, TimeSpan.seconds(2), 1, false, TimeSpan.millis(250)),
@@ -99,77 +129,106 @@
                 new RoutingSettings.CostModel(0, 0, 0, 0, 0, 0));
     }
 
-    /** Microseconds a call, bytes a call, share dismissed. The rate grows with the fleet: 12 calls a second an engine. */
-    private static double[] round(Maker maker, int engines, int calls) {
-        RoutingPolicy module = maker.make(1, facts());
-        SplittableRandom random = new SplittableRandom(5);
-        List<Event.Endpoint> listings = new ArrayList<>();
-        for (int i = 0; i < engines; i++) {
-            listings.add(new Event.Endpoint("engine-" + i, "east", "std", 0, Event.EndpointState.IN_SERVICE, 1, null));
-        }
-        MonotonicTime now = new MonotonicTime(1_000_000_000_000L);
-        ArrayDeque<Out> out = new ArrayDeque<>();
-        ArrayDeque<MonotonicTime> beats = new ArrayDeque<>();
-        long dismissed = 0;
-        long spent = 0;
-        long allocated = 0;
-        TimeSpan gap = TimeSpan.seconds(1.0 / (12.0 * engines));
-        var memory = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
-        long thread = Thread.currentThread().getId();
+    private static RoutingSettings.RequestClass requestClass() {
+        return new RoutingSettings.RequestClass(
+                "draft",
+                TimeSpan.seconds(1),
+                TimeSpan.seconds(3),
+                1,
+                0,
+                RoutingSettings.Idempotency.RETRIABLE,
+                RoutingSettings.DeduplicationScope.ALL,
+                TimeSpan.ZERO,
+                false,
+                0);
+    }
+
+    /** One round; the rate grows with the fleet. */
+    private Cost run(int workers) {
+        SplittableRandom random = new SplittableRandom(LOAD_SEED);
+        TimeSpan interval = TimeSpan.seconds(1.0 / (REQUESTS_PER_SECOND_AND_WORKER * workers));
+        MonotonicTime now = START;
         List<Event> events = new ArrayList<>();
-        events.add(new Event.EndpointsUpdated(Event.EndpointUpdateKind.SNAPSHOT, listings));
-        for (int call = 0; call < calls; call++) {
-            now = now.plus(gap);
-            while (!out.isEmpty() && out.peek().due().isBefore(now)) {
-                events.add(out.poll().end());
-            }
-            if (!beats.isEmpty() && beats.peek().isBefore(now)) {
-                beats.clear();
-                events.add(new Event.TimerFired("beat"));
-            }
+        events.add(new Event.EndpointsUpdated(Event.EndpointUpdateKind.SNAPSHOT, endpoints(workers)));
+        for (int request = 0; request < REQUESTS; request++) {
+            now = now.plus(interval);
+            addDue(events, now);
+            // cubed, so that a few models get most of the requests
             int model = (int) (MODELS * Math.pow(random.nextDouble(), 3));
-            events.add(new Event.RequestArrived(
-                    "c" + call,
-                    "model-" + model,
-                    "draft",
-                    null,
-                    TimeSpan.seconds(3),
-                    2,
-                    400,
-                    TimeSpan.millis(600),
-                    null,
-                    false,
-                    false));
+            events.add(arrival(request, model));
             for (Event event : events) {
-                long bytes = memory.getThreadAllocatedBytes(thread);
-                long begun = System.nanoTime();
-                List<Action> actions = module.handle(now, event);
-                spent += System.nanoTime() - begun;
-                allocated += memory.getThreadAllocatedBytes(thread) - bytes;
-                for (Action action : actions) {
-                    if (action instanceof Action.SendAttempt send) {
-                        out.add(new Out(
-                                now.plus(TimeSpan.millis(20)),
-                                new Event.AttemptEnded(
-                                        send.requestId(),
-                                        0,
-                                        send.worker(),
-                                        Outcome.SUCCESS,
-                                        TimeSpan.millis(20),
-                                        true,
-                                        Event.InstanceStatus.STOOD,
-                                        0,
-                                        new Event.WorkerLoadReport(1, 0, 0.3, 0, 0.2))));
-                    } else if (action instanceof Action.Reject) {
-                        dismissed++;
-                    } else if (action instanceof Action.SetTimer wake
-                            && wake.tag().equals("beat")) {
-                        beats.add(wake.dueAt());
-                    }
-                }
+                handle(now, event);
             }
             events.clear();
         }
-        return new double[] {spent / 1e3 / calls, (double) allocated / calls, (double) dismissed / calls};
+        return new Cost(spentNanos / 1e3 / REQUESTS, (double) allocatedBytes / REQUESTS, (double) rejected / REQUESTS);
+    }
+
+    private static List<Event.Endpoint> endpoints(int workers) {
+        List<Event.Endpoint> endpoints = new ArrayList<>();
+        for (int i = 0; i < workers; i++) {
+            endpoints.add(new Event.Endpoint("engine-" + i, "east", "std", 0, Event.EndpointState.IN_SERVICE, 1, null));
+        }
+        return endpoints;
+    }
+
+    /** Adds the attempts that have ended by now, and one tick however many are due. */
+    private void addDue(List<Event> events, MonotonicTime now) {
+        while (!attempts.isEmpty() && attempts.peek().dueAt().isBefore(now)) {
+            events.add(attempts.poll().end());
+        }
+        if (!ticks.isEmpty() && ticks.peek().isBefore(now)) {
+            ticks.clear();
+            events.add(new Event.TimerFired(TICK));
+        }
+    }
+
+    private static Event arrival(int request, int model) {
+        return new Event.RequestArrived(
+                "c" + request,
+                "model-" + model,
+                "draft",
+                null,
+                TimeSpan.seconds(3),
+                2,
+                400,
+                TimeSpan.millis(600),
+                null,
+                false,
+                false);
+    }
+
+    private void handle(MonotonicTime now, Event event) {
+        long allocatedBefore = threads.getThreadAllocatedBytes(threadId);
+        long startedAt = System.nanoTime();
+        List<Action> actions = policy.handle(now, event);
+        spentNanos += System.nanoTime() - startedAt;
+        allocatedBytes += threads.getThreadAllocatedBytes(threadId) - allocatedBefore;
+        for (Action action : actions) {
+            perform(now, action);
+        }
+    }
+
+    private void perform(MonotonicTime now, Action action) {
+        if (action instanceof Action.SendAttempt send) {
+            attempts.add(new PendingAttempt(now.plus(LATENCY), success(send)));
+        } else if (action instanceof Action.Reject) {
+            rejected++;
+        } else if (action instanceof Action.SetTimer timer && timer.tag().equals(TICK)) {
+            ticks.add(timer.dueAt());
+        }
+    }
+
+    private static Event.AttemptEnded success(Action.SendAttempt send) {
+        return new Event.AttemptEnded(
+                send.requestId(),
+                0,
+                send.worker(),
+                Outcome.SUCCESS,
+                LATENCY,
+                true,
+                Event.InstanceStatus.STOOD,
+                0,
+                new Event.WorkerLoadReport(1, 0, 0.3, 0, 0.2));
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/DiskStallInjector.java
+++ b/testbed/src/main/java/pearladder/testbed/DiskStallInjector.java
@@ -13,19 +13,21 @@
 import java.util.stream.Stream;
 import org.sqlite.JDBC;
 
-/** Lets a running router's records stand still for half a second out of two: their newest file is locked for writing. */
+/** Stalls the disk of a running router: its event log is locked for writing for half a second out of two. */
 final class DiskStallInjector implements AutoCloseable {
-    private static final long STILL = 500;
-    private static final long EVERY = 2000;
+    private static final long STALL_MILLIS = 500;
+    private static final long PERIOD_MILLIS = 2000;
+    private static final String BUSY_TIMEOUT_MILLIS = "1000";
 
     private final CountDownLatch ended = new CountDownLatch(1);
     private final Thread thread;
 
     private DiskStallInjector(Path file) {
-        this.thread = new Thread(() -> run(file), "stalls");
+        this.thread = new Thread(() -> run(file), "disk-stalls");
         thread.setDaemon(true);
     }
 
+    /** Starts to stall the newest segment of the event log in a folder. */
     static DiskStallInjector begin(Path folder) throws IOException {
         List<Path> files;
         try (Stream<Path> all = Files.list(folder)) {
@@ -37,20 +39,20 @@
     }
 
     private void run(Path file) {
-        Properties terms = new Properties();
-        terms.setProperty("busy_timeout", "1000");
-        try (Connection connection = JDBC.createConnection("jdbc:sqlite:" + file, terms);
+        Properties settings = new Properties();
+        settings.setProperty("busy_timeout", BUSY_TIMEOUT_MILLIS);
+        try (Connection connection = JDBC.createConnection("jdbc:sqlite:" + file, settings);
                 Statement lock = connection.createStatement()) {
-            while (!ended.await(EVERY - STILL, TimeUnit.MILLISECONDS)) {
+            while (!ended.await(PERIOD_MILLIS - STALL_MILLIS, TimeUnit.MILLISECONDS)) {
                 lock.execute("begin immediate");
-                boolean over = ended.await(STILL, TimeUnit.MILLISECONDS);
+                boolean last = ended.await(STALL_MILLIS, TimeUnit.MILLISECONDS);
                 lock.execute("rollback");
-                if (over) {
+                if (last) {
                     return;
                 }
             }
         } catch (SQLException | InterruptedException failed) {
-            throw new IllegalStateException("the stalls ended: " + failed.getMessage(), failed);
+            throw new IllegalStateException("the disk stalls ended: " + failed.getMessage(), failed);
         }
     }
 
--- a/testbed/src/main/java/pearladder/testbed/ExperimentPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ExperimentPlan.java
@@ -7,27 +7,49 @@
 import pearladder.config.YamlParser;
 
 /**
- * A grid of runs as its file states it.
+ * A grid of runs as its file describes it.
  *
- * @param base the day's script that is varied
- * @param trace replayed in place of its traffic, or null
+ * @param base the script of the scenario that is varied
+ * @param trace replayed in place of its load, or null
  */
 record ExperimentPlan(String name, Path base, TraceWorkload.Terms trace, List<Run> runs) {
+    /** Which faults a run injects; the words of files. */
     enum Troubles {
+        /** Those of the script. */
         AS_WRITTEN,
+        /** None. */
         NONE
     }
 
-    /** Engines and routers that are varied together. */
+    private static final String POLICY = "module";
+    private static final String RANDOM_POLICY = "random";
+    private static final int MAX_ENGINES = 10_000;
+    private static final int MAX_ROUTERS = 64;
+
+    /** Numbers of workers and routers that are varied together. */
     private record Size(int engines, int routers) {}
 
     /** One run; 0 or a NaN keeps what the script says. */
     record Run(String policy, int engines, int routers, double rate, double speed, Troubles troubles, int seed) {
         /** A folder's name; runs that differ only in their seed differ only behind the last dot. */
         String label() {
-            return policy + (engines > 0 ? "-e" + engines : "") + (routers > 0 ? "-r" + routers : "")
-                    + (Double.isNaN(rate) ? "" : "-q" + plain(rate)) + (Double.isNaN(speed) ? "" : "-x" + plain(speed))
-                    + (troubles == Troubles.NONE ? "-calm" : "") + ".s" + seed;
+            StringBuilder label = new StringBuilder(policy);
+            if (engines > 0) {
+                label.append("-e").append(engines);
+            }
+            if (routers > 0) {
+                label.append("-r").append(routers);
+            }
+            if (!Double.isNaN(rate)) {
+                label.append("-q").append(plain(rate));
+            }
+            if (!Double.isNaN(speed)) {
+                label.append("-x").append(plain(speed));
+            }
+            if (troubles == Troubles.NONE) {
+                label.append("-calm");
+            }
+            return label.append(".s").append(seed).toString();
         }
 
         private static String plain(double number) {
@@ -35,51 +57,65 @@
         }
     }
 
+    /** Reads a file; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
     static ExperimentPlan read(Path file) {
         return read(YamlParser.read(file), file.toAbsolutePath().getParent());
     }
 
+    /** Reads a file that was parsed already; its paths are relative to the folder. */
     static ExperimentPlan read(ConfigValue whole, Path folder) {
         ConfigValue experiment = whole.at("experiment");
         ConfigValue vary = experiment.at("vary");
-        List<String> policies = orElse(vary.at("policy").each(ExperimentPlan::policy), "module");
+        List<String> policies = orElse(vary.at("policy").each(ExperimentPlan::policy), POLICY);
         List<Size> sizes = sizes(vary);
-        List<Double> rates = orElse(vary.at("rate").each(v -> v.number(0.1, 1e6)), Double.NaN);
-        List<Double> speeds = orElse(vary.at("speed").each(v -> v.number(0.001, 1e6)), Double.NaN);
+        List<Double> rates = orElse(vary.at("rate").each(value -> value.number(0.1, 1e6)), Double.NaN);
+        List<Double> speeds = orElse(vary.at("speed").each(value -> value.number(0.001, 1e6)), Double.NaN);
         List<Troubles> troubles =
-                orElse(vary.at("troubles").each(v -> v.word(Troubles.class, null)), Troubles.AS_WRITTEN);
-        List<Integer> seeds = orElse(vary.at("seed").each(v -> v.whole(0, Integer.MAX_VALUE)), 1);
+                orElse(vary.at("troubles").each(value -> value.word(Troubles.class, null)), Troubles.AS_WRITTEN);
+        List<Integer> seeds = orElse(vary.at("seed").each(value -> value.whole(0, Integer.MAX_VALUE)), 1);
         TraceWorkload.Terms trace = experiment.at("trace").given() ? trace(experiment.at("trace"), folder) : null;
         if (trace == null && !speeds.get(0).isNaN()) {
             vary.at("speed").wrong("only a trace has a speed", "name a trace, or vary the rate");
         }
+        String name = experiment.at("name").text("experiment");
+        Path base = folder.resolve(experiment.at("base").text());
+        whole.done();
         List<Run> runs = new ArrayList<>();
         for (String policy : policies) {
             for (Size size : sizes) {
-                for (double rate : rates) {
-                    for (double speed : speeds) {
-                        for (Troubles trouble : troubles) {
-                            seeds.forEach(seed -> runs.add(
-                                    new Run(policy, size.engines(), size.routers(), rate, speed, trouble, seed)));
-                        }
-                    }
-                }
+                runs.addAll(runs(policy, size, rates, speeds, troubles, seeds));
             }
         }
-        String name = experiment.at("name").text("experiment");
-        Path base = folder.resolve(experiment.at("base").text());
-        whole.done();
         return new ExperimentPlan(name, base, trace, runs);
     }
 
-    /** Sizes that grow together are listed as such; else every number of engines meets every number of routers. */
+    private static List<Run> runs(
+            String policy,
+            Size size,
+            List<Double> rates,
+            List<Double> speeds,
+            List<Troubles> troubles,
+            List<Integer> seeds) {
+        List<Run> runs = new ArrayList<>();
+        for (double rate : rates) {
+            for (double speed : speeds) {
+                for (Troubles trouble : troubles) {
+                    seeds.forEach(seed ->
+                            runs.add(new Run(policy, size.engines(), size.routers(), rate, speed, trouble, seed)));
+                }
+            }
+        }
+        return runs;
+    }
+
+    /** Sizes that are listed together, or else every number of workers with every number of routers. */
     private static List<Size> sizes(ConfigValue vary) {
         List<Size> sizes = new ArrayList<>(vary.at("sizes")
                 .each(size -> new Size(
-                        size.at("engines").whole(1, 1, 10_000),
-                        size.at("routers").whole(1, 1, 64))));
-        List<Integer> engines = orElse(vary.at("engines").each(v -> v.whole(1, 10_000)), 0);
-        List<Integer> routers = orElse(vary.at("routers").each(v -> v.whole(1, 64)), 0);
+                        size.at("engines").whole(1, 1, MAX_ENGINES),
+                        size.at("routers").whole(1, 1, MAX_ROUTERS))));
+        List<Integer> engines = orElse(vary.at("engines").each(value -> value.whole(1, MAX_ENGINES)), 0);
+        List<Integer> routers = orElse(vary.at("routers").each(value -> value.whole(1, MAX_ROUTERS)), 0);
         if (sizes.isEmpty()) {
             engines.forEach(count -> routers.forEach(number -> sizes.add(new Size(count, number))));
         } else if (engines.get(0) > 0 || routers.get(0) > 0) {
@@ -90,7 +126,7 @@
 
     private static String policy(ConfigValue value) {
         String word = value.text();
-        if (!word.equals("module") && !word.equals("random")) {
+        if (!word.equals(POLICY) && !word.equals(RANDOM_POLICY)) {
             value.wrong("unknown policy \"" + word + "\"", "write module or random");
         }
         return word;
--- a/testbed/src/main/java/pearladder/testbed/PassThrough.java
+++ b/testbed/src/main/java/pearladder/testbed/PassThrough.java
@@ -13,10 +13,14 @@
 import java.util.List;
 
 /**
- * A baseline that the router is measured against: takes a request whole, hands it to the next of its targets in turn,
- * and hands the answer back whole. One event loop, no decision, no list, no time-out.
+ * A bare proxy against which the router is measured: buffers each request, forwards it to its targets round robin, and
+ * returns the buffered response. One event loop; no decisions, no discovery, no timeouts.
  */
 public final class PassThrough {
+    private static final String HOST = "127.0.0.1";
+    private static final int MAX_CONNECTIONS = 256;
+    private static final int BAD_GATEWAY = 502;
+
     private final HttpClient client;
     private final List<Integer> targets;
     private int turn;
@@ -24,16 +28,21 @@
     private PassThrough(Vertx vertx, List<Integer> targets) {
         this.targets = targets;
         this.client = vertx.createHttpClient(
-                new HttpClientOptions().setTcpNoDelay(true), new PoolOptions().setHttp1MaxSize(256));
+                new HttpClientOptions().setTcpNoDelay(true), new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
     }
 
-    /** Starts one and returns its port; it runs until the process ends. */
+    /**
+     * Starts a proxy, which runs until the process ends.
+     *
+     * @param targets ports on loopback
+     * @return its port
+     */
     public static int start(List<Integer> targets) {
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
-        PassThrough through = new PassThrough(vertx, targets);
+        PassThrough proxy = new PassThrough(vertx, targets);
         return vertx.createHttpServer(
-                        new HttpServerOptions().setHost("127.0.0.1").setPort(0).setTcpNoDelay(true))
-                .requestHandler(through::take)
+                        new HttpServerOptions().setHost(HOST).setPort(0).setTcpNoDelay(true))
+                .requestHandler(proxy::forward)
                 .listen()
                 .map(HttpServer::actualPort)
                 .toCompletionStage()
@@ -41,15 +50,16 @@
                 .join();
     }
 
-    private void take(HttpServerRequest request) {
+    private void forward(HttpServerRequest request) {
         request.body()
                 .compose(body -> client.request(
-                                HttpMethod.POST, targets.get(turn++ % targets.size()), "127.0.0.1", request.uri())
-                        .compose((HttpClientRequest to) -> to.send(body)))
+                                HttpMethod.POST, targets.get(turn++ % targets.size()), HOST, request.uri())
+                        .compose((HttpClientRequest forwarded) -> forwarded.send(body)))
                 .compose(response -> response.body().map(body -> {
                     request.response().setStatusCode(response.statusCode()).end(body);
                     return null;
                 }))
-                .onFailure(broken -> request.response().setStatusCode(502).end());
+                .onFailure(
+                        broken -> request.response().setStatusCode(BAD_GATEWAY).end());
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/QueueCost.java
+++ b/testbed/src/main/java/pearladder/testbed/QueueCost.java
@@ -8,13 +8,20 @@
 import pearladder.emulator.VirtualTimeline;
 
 /**
- * What an event costs in the rehearsals' queue, against a calendar queue (Brown, CACM 31, 1988): the hold model, in which
- * each event that happens plans one more after an exponential span.
+ * Measures what an event costs in the event queue of simulations, against a calendar queue (R. Brown, Calendar queues,
+ * CACM 31(10), 1988). The hold model: each event that runs schedules one more after an exponential span.
  */
 public final class QueueCost {
     private static final int EVENTS = 400_000;
+    private static final int[] SIZES = {1_000, 30_000, 1_000_000};
+    private static final double MEAN_SPAN_NANOS = 1e9;
+    /** Events that a step of the heap's clock runs on the mean. */
+    private static final int EVENTS_PER_STEP = 1000;
 
-    /** Days of a fixed width in a ring; the width is set for a few events a day, from the mean span and the size. */
+    /**
+     * Buckets ("days") of a fixed width in a ring; the width is set for a few events in each, from the mean span and
+     * the size.
+     */
     private static final class Calendar {
         private final List<List<long[]>> days;
         private final long width;
@@ -30,21 +37,21 @@
         }
 
         void add(long at) {
-            List<long[]> on = days.get((int) (at / width % days.size()));
-            int place = on.size();
-            while (place > 0 && on.get(place - 1)[0] < at) {
-                place--;
+            List<long[]> bucket = days.get((int) (at / width % days.size()));
+            int index = bucket.size();
+            while (index > 0 && bucket.get(index - 1)[0] < at) {
+                index--;
             }
-            on.add(place, new long[] {at});
+            bucket.add(index, new long[] {at});
             size++;
         }
 
         long poll() {
             while (true) {
-                List<long[]> on = days.get((int) (day % days.size()));
-                if (!on.isEmpty() && on.get(on.size() - 1)[0] / width <= day) {
+                List<long[]> bucket = days.get((int) (day % days.size()));
+                if (!bucket.isEmpty() && bucket.get(bucket.size() - 1)[0] / width <= day) {
                     size--;
-                    return on.remove(on.size() - 1)[0];
+                    return bucket.remove(bucket.size() - 1)[0];
                 }
                 day++;
             }
@@ -53,10 +60,10 @@
 
     private QueueCost() {}
 
-    /** A line a size: nanoseconds an event, medians of some rounds in turns. */
+    /** Measures both queues in turns; a line for each size with nanoseconds an event, medians over the rounds. */
     public static List<String> run(int rounds) {
         List<String> lines = new ArrayList<>();
-        for (int size : new int[] {1_000, 30_000, 1_000_000}) {
+        for (int size : SIZES) {
             double[] heap = new double[rounds];
             double[] calendar = new double[rounds];
             for (int i = 0; i < rounds; i++) {
@@ -67,7 +74,7 @@
             Arrays.sort(calendar);
             lines.add(String.format(
                     Locale.ROOT,
-                    "%d events planned: heap %.0f ns an event (%.0f to %.0f), calendar queue %.0f (%.0f to" + " %.0f)",
+                    "%d events planned: heap %.0f ns an event (%.0f to %.0f), calendar queue %.0f (%.0f to %.0f)",
                     size,
                     heap[rounds / 2],
                     heap[0],
@@ -79,34 +86,32 @@
         return lines;
     }
 
-    private static final double MEAN = 1e9;
-
     private static long span(SplittableRandom random) {
-        return Math.round(-Math.log(1 - random.nextDouble()) * MEAN);
+        return Math.round(-Math.log(1 - random.nextDouble()) * MEAN_SPAN_NANOS);
     }
 
     private static double heap(int size, int seed) {
         VirtualTimeline time = new VirtualTimeline();
         SplittableRandom random = new SplittableRandom(seed);
-        Runnable[] again = {null};
-        again[0] = () -> time.after(span(random), again[0]);
+        Runnable[] event = {null};
+        event[0] = () -> time.after(span(random), event[0]);
         for (int i = 0; i < size; i++) {
-            time.after(span(random), again[0]);
+            time.after(span(random), event[0]);
         }
-        long begun = System.nanoTime();
+        long startedAt = System.nanoTime();
         while (time.ran() < EVENTS) {
-            time.runTo(time.now() + Math.max(1, Math.round(MEAN / size * 1000)));
+            time.runTo(time.now() + Math.max(1, Math.round(MEAN_SPAN_NANOS / size * EVENTS_PER_STEP)));
         }
-        return (double) (System.nanoTime() - begun) / time.ran();
+        return (double) (System.nanoTime() - startedAt) / time.ran();
     }
 
     private static double calendar(int size, int seed) {
-        Calendar queue = new Calendar(size, MEAN);
+        Calendar queue = new Calendar(size, MEAN_SPAN_NANOS);
         SplittableRandom random = new SplittableRandom(seed);
         for (int i = 0; i < size; i++) {
             queue.add(span(random));
         }
-        long begun = System.nanoTime();
+        long startedAt = System.nanoTime();
         for (int i = 0; i < EVENTS; i++) {
             long now = queue.poll();
             queue.add(now + span(random));
@@ -114,6 +119,6 @@
         if (queue.size != size) {
             throw new IllegalStateException("events were lost: " + queue.size);
         }
-        return (double) (System.nanoTime() - begun) / EVENTS;
+        return (double) (System.nanoTime() - startedAt) / EVENTS;
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/ReleaseScript.java
+++ b/testbed/src/main/java/pearladder/testbed/ReleaseScript.java
@@ -14,21 +14,29 @@
 import pearladder.config.ConfigValue;
 import pearladder.rollout.RolloutTarget;
 
-/** The operators of a day: orders on releases, given at their moments to every router over its admin door. */
+/** The operators of a scenario: orders on rollouts, given at their moments to every router at its admin port. */
 public final class ReleaseScript {
+    /** Kinds of orders, by the words of scripts. */
     public enum What {
+        /** Starts a rollout at its first step. */
         START,
+        /** Goes on to the next step. */
         STEP,
+        /** Keeps the share and judges no more. */
         PAUSE,
+        /** Ends a pause. */
         RESUME,
+        /** Returns all requests to the old version. */
         ROLLBACK
     }
 
     /**
      * One order.
      *
-     * @param prefix of the models it is for; with a count names are prefix plus a number from 0 on
-     * @param plan of a start, as the routers' door takes it but for the model; null for the other orders
+     * @param at from the start of the scenario, in nanoseconds
+     * @param prefix of the models that it is for, whose names end with a number from 0 on
+     * @param count of those models
+     * @param plan of a start, as the routers take it but for the model; null for the other orders
      */
     public record Order(long at, What what, String prefix, int count, ObjectNode plan) {
         /** The models that it is for. */
@@ -41,12 +49,16 @@
         }
     }
 
+    /** Ends the line on a router that gave no response. */
     static final String NO_ANSWER = "no answer";
 
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int MAX_REPEATS = 1000;
+    private static final int MAX_MODELS = 10_000;
+    private static final int MAX_LEAST_REQUESTS = 1_000_000;
     private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(5);
 
-    private final Map<String, ObjectNode> newest = new LinkedHashMap<>();
+    private final Map<String, ObjectNode> lastTargets = new LinkedHashMap<>();
     private final LoopbackHttpClient http;
 
     /**
@@ -58,39 +70,39 @@
         this.http = http;
     }
 
-    /** The orders of one line: one, or as many as it says, each so long after the one before. */
-    static List<Order> read(ConfigValue line) {
-        Order first = one(line);
+    /** The orders of one entry of a script: one, or as many as it says, each so long after the one before. */
+    static List<Order> read(ConfigValue entry) {
+        Order first = one(entry);
         List<Order> orders = new ArrayList<>();
-        long every = line.at("every").span("0 s");
-        for (int i = 0; i < line.at("times").whole(1, 1, 1000); i++) {
-            orders.add(new Order(first.at() + i * every, first.what(), first.prefix(), first.count(), first.plan()));
+        long interval = entry.at("every").span("0 s");
+        for (int i = 0; i < entry.at("times").whole(1, 1, MAX_REPEATS); i++) {
+            orders.add(new Order(first.at() + i * interval, first.what(), first.prefix(), first.count(), first.plan()));
         }
         return orders;
     }
 
-    private static Order one(ConfigValue order) {
-        What what = order.at("order").word(What.class, null);
-        ObjectNode plan = null;
-        if (what == What.START) {
-            plan = JSON.createObjectNode()
-                    .put("from", order.at("from").text(""))
-                    .put("to", order.at("to").text());
-            plan.putPOJO("steps", order.at("steps").each(step -> step.number(0, 1)));
-            plan.putObject("hold").put("nanos", order.at("hold").span("10 s"));
-            plan.put("leastCalls", order.at("least_calls").whole(50, 0, 1_000_000));
-            plan.putObject("gate")
-                    .put("excess", order.at("excess").number(0.05, 0, 1))
-                    .put("wrongly", order.at("wrongly").number(0.01, 0, 0.5))
-                    .put("missed", order.at("missed").number(0.05, 0, 0.5));
-            plan.put("onBreach", "ROLL_BACK");
-        }
+    private static Order one(ConfigValue entry) {
+        What what = entry.at("order").word(What.class, null);
         return new Order(
-                order.at("at").span(),
+                entry.at("at").span(),
                 what,
-                order.at("models").text(),
-                order.at("count").whole(1, 1, 10_000),
-                plan);
+                entry.at("models").text(),
+                entry.at("count").whole(1, 1, MAX_MODELS),
+                what == What.START ? plan(entry) : null);
+    }
+
+    private static ObjectNode plan(ConfigValue entry) {
+        ObjectNode plan = JSON.createObjectNode()
+                .put("from", entry.at("from").text(""))
+                .put("to", entry.at("to").text());
+        plan.putPOJO("steps", entry.at("steps").each(step -> step.number(0, 1)));
+        plan.putObject("hold").put("nanos", entry.at("hold").span("10 s"));
+        plan.put("leastCalls", entry.at("least_calls").whole(50, 0, MAX_LEAST_REQUESTS));
+        plan.putObject("gate")
+                .put("excess", entry.at("excess").number(0.05, 0, 1))
+                .put("wrongly", entry.at("wrongly").number(0.01, 0, 0.5))
+                .put("missed", entry.at("missed").number(0.05, 0, 0.5));
+        return plan.put("onBreach", "ROLL_BACK");
     }
 
     /**
@@ -118,15 +130,16 @@
         return rejections;
     }
 
-    /** The targets of an order, for routers that are told them without a socket. */
+    /** The targets of an order, for routers that are told them without HTTP. */
     public List<RolloutTarget> targets(Order order) {
         return order.models().stream()
                 .map(model -> JSON.convertValue(next(order, model), RolloutTarget.class))
                 .toList();
     }
 
+    /** The target that replaces a model's last one. */
     private ObjectNode next(Order order, String model) {
-        ObjectNode before = newest.get(model);
+        ObjectNode before = lastTargets.get(model);
         ObjectNode target = before == null ? JSON.createObjectNode() : before.deepCopy();
         target.put("epoch", before == null ? 1 : before.path("epoch").asLong() + 1)
                 .put("by", "day")
@@ -136,17 +149,16 @@
                 target.put("mode", "RUNNING").put("step", 0);
                 ((ObjectNode) target.putObject("plan").setAll(order.plan())).put("model", model);
             }
-            case STEP -> target.put("mode", "RUNNING")
-                    .put(
-                            "step",
-                            Math.min(
-                                    target.path("step").asInt() + 1,
-                                    target.path("plan").path("steps").size() - 1));
+            case STEP -> {
+                int last = target.path("plan").path("steps").size() - 1;
+                target.put("mode", "RUNNING")
+                        .put("step", Math.min(target.path("step").asInt() + 1, last));
+            }
             case PAUSE -> target.put("mode", "PAUSED");
             case RESUME -> target.put("mode", "RUNNING");
             case ROLLBACK -> target.put("mode", "ROLLED_BACK").put("step", 0);
         }
-        newest.put(model, target);
+        lastTargets.put(model, target);
         return target;
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/ReleaseTrials.java
+++ b/testbed/src/main/java/pearladder/testbed/ReleaseTrials.java
@@ -13,132 +13,168 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * Trials of the release module alone, in simulated time and with drawn results: shares reached against those asked for, and
- * how many of many releases were taken back, by how much worse the new version is.
+ * Trials of the rollout controller alone, in simulated time and with random results: shares reached against those asked
+ * for, and how many of many rollouts are rolled back, by how much worse the new version is.
  */
 public final class ReleaseTrials {
-    private static final int CALLS = 10_000;
+    private static final double[] SHARES_ASKED = {0.05, 0.25, 0.5};
+    private static final double[] EXCESS_FAILURES = {0, 0.01, 0.02, 0.05, 0.1, 0.3, 0.98};
+    private static final List<Double> STEPS = List.of(0.05, 0.25, 1.0);
+    private static final String OLD_VERSION = "1";
+    private static final String NEW_VERSION = "2";
+    private static final String MODEL = "pair";
+    /** How the controller's status names a rollout that has reached all requests. */
+    private static final String COMPLETE = "share 1.00";
+
+    private static final int REQUESTS_PER_MODEL = 10_000;
     private static final int MODELS = 40;
-    private static final int RELEASES = 200;
-    private static final int LONGEST = 40_000;
-    private static final double USUAL = 0.02;
-    private static final int ENGINES = 6;
+    private static final int ROLLOUTS = 200;
+    private static final int MAX_REQUESTS_PER_ROLLOUT = 40_000;
+    private static final double USUAL_FAILURES = 0.02;
+    private static final double SHARE_TOLERANCE = 0.01;
+    private static final int WORKERS = 6;
+    private static final long REQUEST_INTERVAL_NANOS = 1_000_000;
+    private static final int LEAST_REQUESTS_PER_STEP = 200;
+    private static final TimeSpan CONTROLLER_TIMEOUT = TimeSpan.seconds(8);
+
+    private enum End {
+        ROLLED_BACK,
+        COMPLETED,
+        HELD
+    }
+
+    /** How a rollout ended and how many requests the new version got. */
+    private record Trial(End end, int requestsToNew) {}
 
     private ReleaseTrials() {}
 
-    /** Runs all trials; a line a result. The same each time. */
+    /** Runs all trials, a line for each result; the same each time. */
     public static List<String> run() {
         List<String> lines = new ArrayList<>();
-        for (double asked : new double[] {0.05, 0.25, 0.5}) {
-            lines.add(share(asked));
+        for (double asked : SHARES_ASKED) {
+            lines.add(shareLine(asked));
         }
-        for (double excess : new double[] {0, 0.01, 0.02, 0.05, 0.1, 0.3, 0.98}) {
-            lines.add(verdicts(excess));
+        for (double excess : EXCESS_FAILURES) {
+            lines.add(rollbackLine(excess));
         }
         return lines;
     }
 
-    private static RolloutController started(String model, List<Double> steps, int step) {
-        RolloutController releases = new RolloutController(TimeSpan.seconds(8));
+    private static RolloutController started(String model, List<Double> steps) {
+        RolloutController controller = new RolloutController(CONTROLLER_TIMEOUT);
         RolloutPlan plan = new RolloutPlan(
                 model,
-                "1",
-                "2",
+                OLD_VERSION,
+                NEW_VERSION,
                 steps,
                 TimeSpan.ZERO,
-                200,
+                LEAST_REQUESTS_PER_STEP,
                 new RolloutPlan.Gate(0.05, 0.01, 0.05),
                 RolloutPlan.Breach.ROLL_BACK);
         MonotonicTime now = new MonotonicTime(0);
-        releases.on(
-                now, new RolloutEvent.Kept(new RolloutTarget(1, plan, RolloutTarget.Mode.RUNNING, step, "trial", 0)));
-        releases.on(now, new RolloutEvent.Standing(model, "2", 1));
-        return releases;
+        RolloutTarget target = new RolloutTarget(1, plan, RolloutTarget.Mode.RUNNING, 0, "trial", 0);
+        controller.on(now, new RolloutEvent.Kept(target));
+        controller.on(now, new RolloutEvent.Standing(model, NEW_VERSION, 1));
+        return controller;
     }
 
-    private static String share(double asked) {
+    private static String shareLine(double asked) {
         double furthest = 0;
         int within = 0;
-        for (int model = 0; model < MODELS; model++) {
-            String name = "pair-" + model;
-            RolloutController releases = started(name, List.of(asked, 1.0), 0);
-            releases.on(new MonotonicTime(1), new RolloutEvent.Due());
-            int given = 0;
-            for (int call = 0; call < CALLS; call++) {
-                given += use(releases, new MonotonicTime(2), name, "c" + call, "doc-" + call)
-                                .equals("2")
-                        ? 1
-                        : 0;
-                releases.on(new MonotonicTime(2), new RolloutEvent.CallLeft("c" + call));
-            }
-            double off = Math.abs((double) given / CALLS - asked);
-            furthest = Math.max(furthest, off);
-            within += off <= 0.01 ? 1 : 0;
+        for (int i = 0; i < MODELS; i++) {
+            double error = Math.abs(shareReached("pair-" + i, asked) - asked);
+            furthest = Math.max(furthest, error);
+            within += error <= SHARE_TOLERANCE ? 1 : 0;
         }
-        double error = Math.sqrt(asked * (1 - asked) / CALLS);
+        double standardError = Math.sqrt(asked * (1 - asked) / REQUESTS_PER_MODEL);
         return String.format(
                 Locale.ROOT,
                 "share %.2f asked, %d calls of a key each: within 1 point at %d of %d models, furthest "
                         + "%.2f points (a fair draw's standard error is %.2f)",
                 asked,
-                CALLS,
+                REQUESTS_PER_MODEL,
                 within,
                 MODELS,
                 furthest * 100,
-                error * 100);
+                standardError * 100);
+    }
+
+    private static double shareReached(String model, double asked) {
+        RolloutController controller = started(model, List.of(asked, 1.0));
+        controller.on(new MonotonicTime(1), new RolloutEvent.Due());
+        MonotonicTime now = new MonotonicTime(2);
+        int requestsToNew = 0;
+        for (int i = 0; i < REQUESTS_PER_MODEL; i++) {
+            boolean toNew = isNew(versionFor(controller, now, model, i));
+            requestsToNew += toNew ? 1 : 0;
+            controller.on(now, new RolloutEvent.CallLeft("c" + i));
+        }
+        return (double) requestsToNew / REQUESTS_PER_MODEL;
     }
 
-    private static String use(RolloutController releases, MonotonicTime now, String model, String call, String key) {
-        for (RolloutAction action : releases.on(now, new RolloutEvent.CallCame(call, model, key, ""))) {
+    private static boolean isNew(String version) {
+        return version.equals(NEW_VERSION);
+    }
+
+    private static String versionFor(RolloutController controller, MonotonicTime now, String model, int request) {
+        String id = "c" + request;
+        for (RolloutAction action : controller.on(now, new RolloutEvent.CallCame(id, model, "doc-" + request, ""))) {
             if (action instanceof RolloutAction.Use use) {
                 return use.version();
             }
         }
-        throw new IllegalStateException("no version for " + call);
+        throw new IllegalStateException("no version for " + id);
     }
 
-    private static String verdicts(double excess) {
-        int back = 0;
-        int through = 0;
-        List<Integer> spent = new ArrayList<>();
-        for (int trial = 0; trial < RELEASES; trial++) {
-            SplittableRandom random = new SplittableRandom(trial);
-            RolloutController releases = started("pair", List.of(0.05, 0.25, 1.0), 0);
-            int given = 0;
-            boolean ended = false;
-            for (int call = 0; call < LONGEST && !ended; call++) {
-                MonotonicTime now = new MonotonicTime(1_000_000L * (call + 1));
-                String version = use(releases, now, "pair", "c" + call, "doc-" + call);
-                boolean toNew = version.equals("2");
-                given += toNew ? 1 : 0;
-                boolean well = random.nextDouble() >= (toNew ? Math.min(1, USUAL + excess) : USUAL);
-                for (RolloutAction action : releases.on(
-                        now, new RolloutEvent.CallEnded("c" + call, well, List.of("e" + random.nextInt(ENGINES))))) {
-                    ended |= action instanceof RolloutAction.Withdraw;
-                }
-                releases.on(now, new RolloutEvent.Due());
-                if (!ended && releases.status().get(0).contains("share 1.00")) {
-                    through++;
-                    break;
-                }
-            }
-            if (ended) {
-                back++;
-                spent.add(given);
+    private static String rollbackLine(double excess) {
+        int completed = 0;
+        List<Integer> requestsBeforeRollback = new ArrayList<>();
+        for (int seed = 0; seed < ROLLOUTS; seed++) {
+            Trial trial = rollout(seed, excess);
+            completed += trial.end() == End.COMPLETED ? 1 : 0;
+            if (trial.end() == End.ROLLED_BACK) {
+                requestsBeforeRollback.add(trial.requestsToNew());
             }
         }
-        spent.sort(null);
+        requestsBeforeRollback.sort(null);
+        int rolledBack = requestsBeforeRollback.size();
+        String median =
+                rolledBack == 0 ? "" : " after " + requestsBeforeRollback.get(rolledBack / 2) + " calls to it (median)";
         return String.format(
                 Locale.ROOT,
                 "worse by %.2f over a usual share of %.2f, %d releases of at most %d calls: %d taken back"
                         + "%s, %d went all the way, %d were still held",
                 excess,
-                USUAL,
-                RELEASES,
-                LONGEST,
-                back,
-                spent.isEmpty() ? "" : " after " + spent.get(spent.size() / 2) + " calls to it (median)",
-                through,
-                RELEASES - back - through);
+                USUAL_FAILURES,
+                ROLLOUTS,
+                MAX_REQUESTS_PER_ROLLOUT,
+                rolledBack,
+                median,
+                completed,
+                ROLLOUTS - rolledBack - completed);
+    }
+
+    private static Trial rollout(int seed, double excess) {
+        SplittableRandom random = new SplittableRandom(seed);
+        RolloutController controller = started(MODEL, STEPS);
+        int requestsToNew = 0;
+        for (int i = 0; i < MAX_REQUESTS_PER_ROLLOUT; i++) {
+            MonotonicTime now = new MonotonicTime(REQUEST_INTERVAL_NANOS * (i + 1));
+            boolean toNew = isNew(versionFor(controller, now, MODEL, i));
+            requestsToNew += toNew ? 1 : 0;
+            double failures = toNew ? Math.min(1, USUAL_FAILURES + excess) : USUAL_FAILURES;
+            boolean succeeded = random.nextDouble() >= failures;
+            List<String> workers = List.of("e" + random.nextInt(WORKERS));
+            List<RolloutAction> actions = controller.on(now, new RolloutEvent.CallEnded("c" + i, succeeded, workers));
+            boolean rolledBack = actions.stream().anyMatch(RolloutAction.Withdraw.class::isInstance);
+            controller.on(now, new RolloutEvent.Due());
+            if (rolledBack) {
+                return new Trial(End.ROLLED_BACK, requestsToNew);
+            }
+            if (controller.status().get(0).contains(COMPLETE)) {
+                return new Trial(End.COMPLETED, requestsToNew);
+            }
+        }
+        return new Trial(End.HELD, requestsToNew);
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/RouterWatch.java
+++ b/testbed/src/main/java/pearladder/testbed/RouterWatch.java
@@ -6,69 +6,88 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /**
- * What the routers use over a day: of the heap the least of each minute's samples, near what is live right after a
- * collection; of the processor the mean and the most, in cores.
+ * What the routers use over a scenario: of the heap the least of each minute's samples, which is near what is live
+ * right after a collection; of the processor the mean and the most, in cores.
  */
 final class RouterWatch {
+    private static final String HEAP_METRIC = "jvm_memory_used_bytes{area=\"heap\"";
+    private static final String CPU_USAGE_METRIC = "process_cpu_usage";
+    private static final String CPU_COUNT_METRIC = "system_cpu_count";
+    private static final double BYTES_PER_MB = 1e6;
+    private static final double MISSING = -1;
+
     private final Supplier<Map<String, String>> metrics;
-    private final long begun = System.nanoTime();
-    private final Map<String, Map<Long, Double>> least = new LinkedHashMap<>();
-    private final Map<String, DoubleSummaryStatistics> processor = new LinkedHashMap<>();
+    private final long startedAt = System.nanoTime();
+    /** By router and minute, in bytes. */
+    private final Map<String, Map<Long, Double>> leastHeap = new LinkedHashMap<>();
+
+    private final Map<String, DoubleSummaryStatistics> cores = new LinkedHashMap<>();
 
-    /** @param metrics the text of each router's metrics, by its name */
+    /**
+     * Creates a watch that has no samples.
+     *
+     * @param metrics the text of each router's metrics, by its name
+     */
     RouterWatch(Supplier<Map<String, String>> metrics) {
         this.metrics = metrics;
     }
 
+    /** Takes one sample of each router that answers. */
     void sample() {
-        long minute = (System.nanoTime() - begun) / 60_000_000_000L;
+        long minute = TimeUnit.NANOSECONDS.toMinutes(System.nanoTime() - startedAt);
         metrics.get().forEach((router, text) -> {
-            double used = text.lines()
-                    .filter(line -> line.startsWith("jvm_memory_used_bytes{area=\"heap\""))
-                    .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
-                    .sum();
-            least.computeIfAbsent(router, r -> new LinkedHashMap<>()).merge(minute, used, Math::min);
-            double cores = figure(text, "process_cpu_usage") * figure(text, "system_cpu_count");
-            if (cores >= 0) {
-                processor
-                        .computeIfAbsent(router, r -> new DoubleSummaryStatistics())
-                        .accept(cores);
+            leastHeap.computeIfAbsent(router, name -> new LinkedHashMap<>()).merge(minute, heapBytes(text), Math::min);
+            double used = value(text, CPU_USAGE_METRIC) * value(text, CPU_COUNT_METRIC);
+            if (used >= 0) {
+                cores.computeIfAbsent(router, name -> new DoubleSummaryStatistics())
+                        .accept(used);
             }
         });
     }
 
-    private static double figure(String text, String name) {
-        return text.lines()
+    private static double heapBytes(String metrics) {
+        return metrics.lines()
+                .filter(line -> line.startsWith(HEAP_METRIC))
+                .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+                .sum();
+    }
+
+    private static double value(String metrics, String name) {
+        return metrics.lines()
                 .filter(line -> line.startsWith(name + " "))
                 .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
                 .findFirst()
-                .orElse(-1);
+                .orElse(MISSING);
     }
 
+    /** Lines for the table of a scenario. */
     List<String> lines() {
         List<String> lines = new ArrayList<>();
-        least.forEach((router, minutes) -> lines.add("least heap of " + router + " in each minute, MB: "
+        leastHeap.forEach((router, minutes) -> lines.add("least heap of " + router + " in each minute, MB: "
                 + String.join(
                         " ",
-                        minutes.values().stream()
-                                .map(b -> String.format(Locale.ROOT, "%.0f", b / 1e6))
-                                .toList())));
-        if (!processor.isEmpty()) {
+                        minutes.values().stream().map(RouterWatch::megabytes).toList())));
+        if (!cores.isEmpty()) {
             lines.add(String.format(
                     Locale.ROOT,
                     "cores used by a router: %.2f on the mean, %.2f at most",
-                    processor.values().stream()
+                    cores.values().stream()
                             .mapToDouble(DoubleSummaryStatistics::getAverage)
                             .average()
                             .orElse(0),
-                    processor.values().stream()
+                    cores.values().stream()
                             .mapToDouble(DoubleSummaryStatistics::getMax)
                             .max()
                             .orElse(0)));
         }
         return lines;
     }
+
+    private static String megabytes(double bytes) {
+        return String.format(Locale.ROOT, "%.0f", bytes / BYTES_PER_MB);
+    }
 }
--- a/testbed/src/main/java/pearladder/testbed/Scripts.java
+++ b/testbed/src/main/java/pearladder/testbed/Scripts.java
@@ -5,42 +5,50 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.file.Path;
 
-/** Changes to a day's script that keep its meaning: other sizes, another rate. */
+/** Changes to the script of a scenario that keep its meaning: other sizes, another rate. */
 public final class Scripts {
     private Scripts() {}
 
-    /** Only reads a script; throws {@link pearladder.config.Mistakes.Found} with every mistake in it. */
+    /** Only reads a script; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
     public static void check(Path file) {
         ScenarioPlan.read(file);
     }
 
     /**
-     * The same day for a larger or smaller fleet: calls, models and the shelf go with the number of engines, so that what
-     * changes is the size alone.
+     * The same day for a larger or smaller fleet: calls, models and the shelf go with the number of engines, so that
+     * what changes is the size alone.
      */
     public static void grow(ObjectNode script, int engines, int routers) {
-        int had = 0;
-        for (JsonNode group : script.at("/fleet/engines")) {
-            had += group.path("count").asInt(1);
-        }
-        double times = (double) engines / had;
-        resize(script, engines, routers, script.at("/day/rate").asDouble() * times);
+        double factor = (double) engines / workers(script.at("/fleet/engines"));
+        resize(script, engines, routers, script.at("/day/rate").asDouble() * factor);
         for (JsonNode flow : script.at("/traffic")) {
-            scale((ObjectNode) flow, "count", times);
+            scale((ObjectNode) flow, "count", factor);
         }
-        if (script.at("/fleet/shelf") instanceof ObjectNode shelf) {
-            scale(shelf, "capacity", times);
-            scale(shelf, "limit", times);
+        if (script.at("/fleet/shelf") instanceof ObjectNode store) {
+            scale(store, "capacity", factor);
+            scale(store, "limit", factor);
         }
     }
 
-    private static void scale(ObjectNode node, String key, double times) {
+    private static void scale(ObjectNode node, String key, double factor) {
         if (node.has(key)) {
-            node.put(key, Math.max(1, (int) Math.round(node.path(key).asInt() * times)));
+            node.put(key, Math.max(1, (int) Math.round(node.path(key).asInt() * factor)));
         }
     }
 
-    /** Puts other sizes in place of a script's own; 0, or a rate that is none, keeps what it says. */
+    private static int workers(JsonNode groups) {
+        int workers = 0;
+        for (JsonNode group : groups) {
+            workers += countOf(group);
+        }
+        return workers;
+    }
+
+    private static int countOf(JsonNode group) {
+        return group.path("count").asInt(1);
+    }
+
+    /** Replaces the sizes of a script; 0, or a rate that is NaN, keeps what it says. */
     public static void resize(ObjectNode script, int engines, int routers, double rate) {
         ObjectNode day = script.withObject("/day");
         if (routers > 0) {
@@ -50,19 +58,20 @@
             day.put("rate", rate);
         }
         if (engines > 0) {
-            ArrayNode groups = (ArrayNode) script.at("/fleet/engines");
-            int all = 0;
-            for (JsonNode group : groups) {
-                all += group.path("count").asInt(1);
-            }
-            int left = engines;
-            for (int i = 0; i < groups.size(); i++) {
-                int count = i == groups.size() - 1
-                        ? left
-                        : Math.round((float) groups.get(i).path("count").asInt(1) * engines / all);
-                ((ObjectNode) groups.get(i)).put("count", Math.max(1, count));
-                left -= count;
-            }
+            resizeGroups((ArrayNode) script.at("/fleet/engines"), engines);
+        }
+    }
+
+    /** Keeps the proportions of the groups; the last takes what rounding leaves. */
+    private static void resizeGroups(ArrayNode groups, int engines) {
+        int before = workers(groups);
+        int left = engines;
+        for (int i = 0; i < groups.size(); i++) {
+            JsonNode group = groups.get(i);
+            boolean last = i == groups.size() - 1;
+            int count = last ? left : Math.round((float) countOf(group) * engines / before);
+            ((ObjectNode) group).put("count", Math.max(1, count));
+            left -= count;
         }
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/TraceWorkload.java
+++ b/testbed/src/main/java/pearladder/testbed/TraceWorkload.java
@@ -2,13 +2,16 @@
 
 import java.io.IOException;
 import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.zip.CRC32;
 import pearladder.traces.DurationTables;
 import pearladder.traces.Layout;
 import pearladder.traces.SkippedRows;
@@ -17,21 +20,25 @@
 import pearladder.traces.TraceInfo;
 
 /**
- * A trace's calls on a day: read on a thread of its own into a bounded queue, so that the file's size does not matter.
- * The sequence and its digest depend on the file and the script alone; the speed only moves the moments.
+ * The requests of a trace in a scenario: read on a thread of its own into a bounded queue, so that the file's size
+ * does not matter. The sequence and its digest depend on the file and the script alone; the speed only moves the
+ * moments.
  */
 public final class TraceWorkload implements RequestSource, AutoCloseable {
     /**
      * How a file is replayed.
      *
      * @param layout null to tell it from the first line
-     * @param speed so many times faster than it was
+     * @param durations published beside the trace, or null
+     * @param memory published beside the trace, or null
+     * @param speed factor by which it is replayed faster
      * @param window nanoseconds within which rows are put back in order
-     * @param most calls at the most, 0 for all
-     * @param lasting nanoseconds of the replay at the most, as it is played; 0 for all
-     * @param workScale of the work that the trace tells
+     * @param most requests at the most, 0 for all
+     * @param lasting nanoseconds of the replay at the most, at its speed; 0 for all
+     * @param workScale factor for the work that the trace tells
      * @param longestWork nanoseconds; longer work is cut to it and counted
      * @param usualWork nanoseconds, where the trace tells none
+     * @param strict whether to stop at the first row that is no request
      */
     public record Terms(
             Path file,
@@ -47,13 +54,13 @@
             long usualWork,
             boolean strict) {
         /** The same at another speed. */
-        Terms at(double times) {
+        Terms at(double otherSpeed) {
             return new Terms(
                     file,
                     layout,
                     durations,
                     memory,
-                    times,
+                    otherSpeed,
                     window,
                     most,
                     lasting,
@@ -64,33 +71,44 @@
         }
     }
 
-    /** Size classes of models, in MB: a model is named "m400-..." for the class that its memory falls under. */
-    private static final int[] CLASSES = {100, 200, 400, 800, 1600, 3200};
+    /** Size classes of models: a model is named "m400-..." for the class that its memory falls under. */
+    private static final int[] SIZE_CLASSES_MB = {100, 200, 400, 800, 1600, 3200};
 
-    private static final int USUAL_CLASS = 400;
-    private static final int QUEUE = 20_000;
+    private static final int USUAL_SIZE_CLASS_MB = 400;
+    private static final int MAX_MODEL_NAME_LENGTH = 100;
+    private static final String NOT_ALLOWED_IN_NAMES = "[^A-Za-z0-9._:-]";
+    private static final int QUEUE_CAPACITY = 20_000;
+    private static final long LEAST_WORK_NANOS = 1000;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final double CRC_RANGE = 4294967296.0;
+    private static final String SKIPPED_FILE = "skipped.txt";
+    /** Ends the queue. */
     private static final TraceCall END = new TraceCall(0, "", 0, 0, "", "", -1);
 
     private final Terms terms;
     private final ScenarioPlan plan;
-    private final Path out;
-    private final BlockingQueue<TraceCall> queue = new ArrayBlockingQueue<>(QUEUE);
-    private final SplittableRandom chance;
+    private final Path folder;
+    private final BlockingQueue<TraceCall> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
+    private final SplittableRandom random;
     private final TraceInfo info = new TraceInfo();
     private final Thread reader;
     private volatile IOException failure;
     private volatile SkippedRows skipped;
     private volatile TraceFile.Read read;
-    private long first;
+    private long firstAt;
     private long number;
-    private long cut;
+    private long workCut;
 
-    /** @param out folder for the rows that were left out */
-    public TraceWorkload(Terms terms, ScenarioPlan plan, Path out) {
+    /**
+     * Starts to read.
+     *
+     * @param folder for the list of rows that were left out
+     */
+    public TraceWorkload(Terms terms, ScenarioPlan plan, Path folder) {
         this.terms = terms;
         this.plan = plan;
-        this.out = out;
-        this.chance = new SplittableRandom(plan.seed());
+        this.folder = folder;
+        this.random = new SplittableRandom(plan.seed());
         this.reader = new Thread(this::read, "trace");
         reader.setDaemon(true);
         reader.start();
@@ -98,22 +116,17 @@
 
     private void read() {
         try {
-            Files.createDirectories(out);
-            try (PrintWriter rows = new PrintWriter(Files.newBufferedWriter(out.resolve("skipped.txt")))) {
+            Files.createDirectories(folder);
+            try (PrintWriter rows = new PrintWriter(Files.newBufferedWriter(folder.resolve(SKIPPED_FILE)))) {
                 skipped = new SkippedRows(terms.strict(), rows::println);
-                read = TraceFile.read(
-                        terms.file(),
-                        terms.layout(),
-                        DurationTables.read(terms.durations(), terms.memory(), skipped),
-                        terms.window(),
-                        skipped,
-                        this::offer);
+                DurationTables companions = DurationTables.read(terms.durations(), terms.memory(), skipped);
+                read = TraceFile.read(terms.file(), terms.layout(), companions, terms.window(), skipped, this::offer);
             }
-        } catch (IOException broken) {
-            failure = broken;
+        } catch (IOException failed) {
+            failure = failed;
         } catch (SkippedRows.Strict strict) {
             failure = new IOException(terms.file() + ": " + strict.getMessage() + " (--strict)", strict);
-        } catch (IllegalStateException ended) {
+        } catch (IllegalStateException interrupted) {
             return;
         }
         offer(END);
@@ -122,46 +135,49 @@
     private void offer(TraceCall call) {
         try {
             queue.put(call);
-        } catch (InterruptedException closed) {
-            throw new IllegalStateException(closed);
+        } catch (InterruptedException interrupted) {
+            throw new IllegalStateException(interrupted);
         }
     }
 
     @Override
     public Drawn next() {
-        TraceCall call;
-        try {
-            call = terms.most() > 0 && number >= terms.most() ? END : queue.take();
-        } catch (InterruptedException closed) {
-            Thread.currentThread().interrupt();
-            return null;
-        }
+        TraceCall call = take();
         if (call == END) {
             return null;
         }
-        first = number == 0 ? call.at() : first;
-        long due = Math.round((call.at() - first) / terms.speed());
+        firstAt = number == 0 ? call.at() : firstAt;
+        long due = Math.round((call.at() - firstAt) / terms.speed());
         if (terms.lasting() > 0 && due > terms.lasting()) {
             return null;
         }
         info.accept(call);
-        long work = call.work() == 0 ? terms.usualWork() : Math.round(call.work() * terms.workScale());
-        cut += work > terms.longestWork() ? 1 : 0;
         ScenarioPlan.Flow flow = flow(call);
-        double patience = plan.clients().patience() + (1 - plan.clients().patience()) * chance.nextDouble();
-        String hall = plan.halls().get(chance.nextInt(plan.halls().size()));
-        return new Drawn(
-                due,
-                number++,
-                flow.category(),
-                flow.account(),
-                model(call),
-                hall,
-                Math.max(1000, Math.min(work, terms.longestWork())),
-                patience);
+        double patience = plan.clients().patience() + (1 - plan.clients().patience()) * random.nextDouble();
+        String zone = plan.halls().get(random.nextInt(plan.halls().size()));
+        return new Drawn(due, number++, flow.category(), flow.account(), model(call), zone, work(call), patience);
+    }
+
+    /** The next row; {@link #END} where there is none, or after as many as are asked for. */
+    private TraceCall take() {
+        if (terms.most() > 0 && number >= terms.most()) {
+            return END;
+        }
+        try {
+            return queue.take();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return END;
+        }
+    }
+
+    private long work(TraceCall call) {
+        long work = call.work() == 0 ? terms.usualWork() : Math.round(call.work() * terms.workScale());
+        workCut += work > terms.longestWork() ? 1 : 0;
+        return Math.max(LEAST_WORK_NANOS, Math.min(work, terms.longestWork()));
     }
 
-    /** A model's calls belong to the flow that the row names, or to one drawn by the model's name by the flows' shares. */
+    /** The flow that the row names, else one by a hash of the model's name in proportion to the flows' shares. */
     private ScenarioPlan.Flow flow(TraceCall call) {
         List<ScenarioPlan.Flow> flows = plan.flows().stream()
                 .filter(flow -> flow.category().equals(call.category())
@@ -169,9 +185,9 @@
                 .toList();
         List<ScenarioPlan.Flow> from = flows.isEmpty() ? plan.flows() : flows;
         double sum = from.stream().mapToDouble(ScenarioPlan.Flow::share).sum();
-        java.util.zip.CRC32 crc = new java.util.zip.CRC32();
-        crc.update(call.model().getBytes(java.nio.charset.StandardCharsets.UTF_8));
-        double drawn = crc.getValue() / 4294967296.0 * sum;
+        CRC32 crc = new CRC32();
+        crc.update(call.model().getBytes(StandardCharsets.UTF_8));
+        double drawn = crc.getValue() / CRC_RANGE * sum;
         for (ScenarioPlan.Flow flow : from) {
             drawn -= flow.share();
             if (drawn < 0) {
@@ -182,31 +198,38 @@
     }
 
     private static String model(TraceCall call) {
-        int size = USUAL_CLASS;
-        if (!Double.isNaN(call.memoryMb())) {
-            size = CLASSES[CLASSES.length - 1];
-            for (int i = CLASSES.length - 1; i >= 0 && call.memoryMb() <= CLASSES[i]; i--) {
-                size = CLASSES[i];
+        String name = call.model().replaceAll(NOT_ALLOWED_IN_NAMES, "_");
+        String shortened = name.substring(0, Math.min(name.length(), MAX_MODEL_NAME_LENGTH));
+        return "m" + sizeClassMb(call.memoryMb()) + "-" + shortened;
+    }
+
+    /** The smallest class that holds so much, else the largest. */
+    private static int sizeClassMb(double memoryMb) {
+        if (Double.isNaN(memoryMb)) {
+            return USUAL_SIZE_CLASS_MB;
+        }
+        for (int sizeClass : SIZE_CLASSES_MB) {
+            if (memoryMb <= sizeClass) {
+                return sizeClass;
             }
         }
-        String name = call.model().replaceAll("[^A-Za-z0-9._:-]", "_");
-        return "m" + size + "-" + (name.length() > 100 ? name.substring(0, 100) : name);
+        return SIZE_CLASSES_MB[SIZE_CLASSES_MB.length - 1];
     }
 
-    /** What the report says of the trace: what was replayed, what was left out, and the digest of the sequence. */
+    /** Lines for a table: what was replayed, what was left out, and the digest of the sequence. */
     public List<String> lines() {
         List<String> lines = new ArrayList<>();
         lines.add("replayed " + number + " calls of " + terms.file().getFileName() + " at " + terms.speed()
                 + " times its speed; digest " + info.digest());
         if (read != null) {
             lines.add(read.rows() + " rows of " + read.layout().word() + "; " + read.reordered()
-                    + " put back in time order, " + skipped.count() + " left out (skipped.txt)");
-            new java.util.TreeMap<>(skipped.reasons())
+                    + " put back in time order, " + skipped.count() + " left out (" + SKIPPED_FILE + ")");
+            new TreeMap<>(skipped.reasons())
                     .forEach((reason, count) -> lines.add("  left out, " + reason + ": " + count));
         } else if (failure == null) {
             lines.add("the file was not read to its end");
         }
-        lines.add("work cut to " + terms.longestWork() / 1_000_000 + " ms: " + cut + " calls");
+        lines.add("work cut to " + terms.longestWork() / NANOS_PER_MILLI + " ms: " + workCut + " calls");
         return lines;
     }
 
--- a/testbed/src/main/java/pearladder/testbed/VersionShares.java
+++ b/testbed/src/main/java/pearladder/testbed/VersionShares.java
@@ -1,7 +1,6 @@
 package pearladder.testbed;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -9,112 +8,92 @@
 import java.util.Set;
 import java.util.TreeMap;
 import pearladder.emulator.Observation;
+import pearladder.kserve.RequestOutcome;
 
-/**
- * What the clients saw of releases: the share of the new version's answers in each ten seconds, and how long after the order
- * of a rollback a router still sent new calls there.
- */
+/** What clients saw of rollouts: the new version's share of the answers in each window, and how fast rollbacks were. */
 public final class VersionShares {
-    private static final long WINDOW = 10_000_000_000L;
+    /** A model as an answer names it, "model@version"; the version is empty where it names none. */
+    record VersionedModel(String model, String version) {
+        static VersionedModel of(Observation seen) {
+            int separator = seen.model().lastIndexOf('@');
+            return separator < 0
+                    ? new VersionedModel(seen.model(), "")
+                    : new VersionedModel(
+                            seen.model().substring(0, separator), seen.model().substring(separator + 1));
+        }
+    }
+
+    /** A rollout to a version of the models of a prefix. */
+    private record Rollout(String prefix, String version) {
+        static Rollout of(ReleaseScript.Order start) {
+            return new Rollout(start.prefix(), newVersion(start));
+        }
+
+        String name() {
+            return prefix + "@" + version;
+        }
+    }
+
+    private static final class Answers {
+        private long all;
+        private long ofVersion;
+
+        String share() {
+            return String.format(Locale.ROOT, "%.2f", (double) ofVersion / all);
+        }
+    }
 
     private VersionShares() {}
 
-    /** The lines of a day's table. */
-    public static List<String> lines(List<Observation> tape, long begun, List<ReleaseScript.Order> orders) {
-        List<String> lines = new ArrayList<>();
-        Map<String, Set<String>> byVersion = new TreeMap<>();
+    /**
+     * Lines for the table of a scenario.
+     *
+     * @param observations in the order of time of each observer
+     * @param begun start of the scenario on the observations' clock, in nanoseconds
+     */
+    public static List<String> lines(List<Observation> observations, long begun, List<ReleaseScript.Order> orders) {
+        Map<String, Rollout> rollouts = new TreeMap<>();
+        Map<String, Set<String>> models = new TreeMap<>();
         for (ReleaseScript.Order order : orders) {
             if (order.plan() != null) {
-                byVersion
-                        .computeIfAbsent(
-                                order.prefix() + "@" + order.plan().path("to").asText(), to -> new HashSet<>())
-                        .addAll(order.models());
+                Rollout rollout = Rollout.of(order);
+                rollouts.put(rollout.name(), rollout);
+                models.computeIfAbsent(rollout.name(), name -> new HashSet<>()).addAll(order.models());
             }
         }
-        byVersion.forEach((name, models) -> {
-            String version = name.substring(name.lastIndexOf('@') + 1);
-            TreeMap<Long, long[]> windows = new TreeMap<>();
-            for (Observation seen : tape) {
-                int at = seen.model().lastIndexOf('@');
-                String model = at < 0 ? seen.model() : seen.model().substring(0, at);
-                if (seen.what().equals(Observation.ANSWERED)
-                        && seen.note().equals("settled")
-                        && models.contains(model)
-                        && seen.at() >= begun) {
-                    long[] counts = windows.computeIfAbsent((seen.at() - begun) / WINDOW, w -> new long[2]);
-                    counts[0]++;
-                    counts[1] += at >= 0 && seen.model().substring(at + 1).equals(version) ? 1 : 0;
-                }
-            }
-            lines.add("share of " + name + " in each 10 s, of " + models.size() + " models: "
-                    + String.join(
-                            " ",
-                            windows.values().stream()
-                                    .map(c -> String.format(Locale.ROOT, "%.2f", (double) c[1] / c[0]))
-                                    .toList()));
-        });
-        lines.addAll(restored(tape, orders));
+        List<String> lines = new ArrayList<>();
+        rollouts.forEach((name, rollout) -> lines.add(
+                shareLine(rollout, models.get(name), answers(observations, begun, rollout, models.get(name)))));
+        lines.addAll(new RollbackDelays(observations, orders).lines());
         return lines;
     }
 
-    private record Sent(long at, String router) {}
+    /** The version to which a start order leads. */
+    static String newVersion(ReleaseScript.Order start) {
+        return start.plan().path("to").asText();
+    }
 
-    /** For each rollback and router, the span from the order to the last new call that went to the version taken back. */
-    private static List<String> restored(List<Observation> tape, List<ReleaseScript.Order> orders) {
-        Map<String, Sent> sent = new HashMap<>();
-        Map<String, String> to = new HashMap<>();
-        orders.stream().filter(order -> order.plan() != null).forEach(order -> order.models()
-                .forEach(model -> to.put(model, order.plan().path("to").asText())));
-        // for each model, moments of its orders: true for a rollback
-        Map<String, TreeMap<Long, Boolean>> ordered = new HashMap<>();
-        Set<String> routers = new HashSet<>();
-        for (Observation seen : tape) {
-            if (seen.what().equals(Observation.SENT)) {
-                sent.put(seen.call(), new Sent(seen.at(), seen.router()));
-                routers.add(seen.router());
-            } else if (seen.what().equals(Observation.TROUBLE) && seen.note().startsWith("order ")) {
-                String[] words = seen.note().split(" ");
-                for (int i = 0; i < Integer.parseInt(words[4]); i++) {
-                    ordered.computeIfAbsent(words[2] + i, model -> new TreeMap<>())
-                            .put(seen.at(), words[1].equals("rollback"));
-                }
+    private static TreeMap<Long, Answers> answers(
+            List<Observation> observations, long begun, Rollout rollout, Set<String> models) {
+        TreeMap<Long, Answers> windows = new TreeMap<>();
+        for (Observation seen : observations) {
+            VersionedModel answered = VersionedModel.of(seen);
+            if (seen.what().equals(Observation.ANSWERED)
+                    && seen.note().equals(RequestOutcome.SETTLED.code())
+                    && models.contains(answered.model())
+                    && seen.at() >= begun) {
+                long number = (seen.at() - begun) / LoadStatistics.WINDOW_NANOS;
+                Answers answers = windows.computeIfAbsent(number, key -> new Answers());
+                answers.all++;
+                answers.ofVersion += answered.version().equals(rollout.version()) ? 1 : 0;
             }
         }
-        Map<String, Long> last = new HashMap<>();
-        ordered.forEach((model, moments) -> moments.forEach((at, back) -> {
-            if (back) {
-                routers.forEach(router -> last.put(model + "\n" + at + "\n" + router, at));
-            }
-        }));
-        for (Observation seen : tape) {
-            int mark = seen.model().lastIndexOf('@');
-            Sent from = sent.get(seen.call());
-            if (!seen.what().equals(Observation.ANSWERED) || mark < 0 || from == null) {
-                continue;
-            }
-            String model = seen.model().substring(0, mark);
-            Map.Entry<Long, Boolean> before =
-                    ordered.getOrDefault(model, new TreeMap<>()).floorEntry(from.at());
-            if (before != null
-                    && before.getValue()
-                    && seen.model().substring(mark + 1).equals(to.get(model))) {
-                last.merge(model + "\n" + before.getKey() + "\n" + from.router(), from.at(), Math::max);
-            }
-        }
-        if (last.isEmpty()) {
-            return List.of();
-        }
-        List<Double> millis = last.entrySet().stream()
-                .map(one -> (one.getValue() - Long.parseLong(one.getKey().split("\n")[1])) / 1e6)
-                .sorted()
-                .toList();
-        return List.of(String.format(
-                Locale.ROOT,
-                "old traffic restored after a rollback, %d of models at routers: p50 %.0f ms, "
-                        + "p99 %.0f ms, longest %.0f ms",
-                millis.size(),
-                millis.get(millis.size() / 2),
-                millis.get((int) Math.ceil(millis.size() * 0.99) - 1),
-                millis.get(millis.size() - 1)));
+        return windows;
+    }
+
+    private static String shareLine(Rollout rollout, Set<String> models, TreeMap<Long, Answers> windows) {
+        List<String> shares = windows.values().stream().map(Answers::share).toList();
+        return "share of " + rollout.name() + " in each 10 s, of " + models.size() + " models: "
+                + String.join(" ", shares);
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/package-info.java
+++ b/testbed/src/main/java/pearladder/testbed/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Days: routers and engines as processes on loopback, traffic and troubles from one script, and the rules judged only by
- * what passed over the sockets, as the tapes of engines, list and clients have it.
+ * Runs scenarios: routers and emulated workers as processes on loopback, load and faults from one script, and
+ * invariants that are checked only by what was observed at the workers, at the endpoint registry and at the clients.
+ * Also replays of traces, grids of runs, reports and micro-benchmarks. docs/days.md describes the scripts.
  */
 package pearladder.testbed;
