--- a/testbed/src/main/java/pearladder/traces/DurationTables.java
+++ b/testbed/src/main/java/pearladder/traces/DurationTables.java
@@ -13,8 +13,12 @@
 /**
  * The two files published beside the invocations of Azure Functions 2019: mean duration by function ("Average", in
  * milliseconds) and mean memory by app ("AverageAllocatedMb").
+ *
+ * @param durations in milliseconds by function
+ * @param memory in MB by app
  */
 public record DurationTables(Map<String, Double> durations, Map<String, Double> memory) {
+    /** No files. */
     public static final DurationTables NONE = new DurationTables(Map.of(), Map.of());
 
     /** Reads the files that are given; either may be null. */
--- a/testbed/src/main/java/pearladder/traces/Layout.java
+++ b/testbed/src/main/java/pearladder/traces/Layout.java
@@ -18,17 +18,20 @@
     /** Alibaba cluster trace 2018, batch_task; no header, 9 columns, seconds. */
     ALIBABA_2018(List.of(), false);
 
+    static final int GOOGLE_2011_COLUMNS = 13;
+    static final int ALIBABA_2018_COLUMNS = 9;
+
     private final List<String> header;
-    private final boolean headed;
+    private final boolean hasHeader;
 
-    Layout(List<String> header, boolean headed) {
+    Layout(List<String> header, boolean hasHeader) {
         this.header = header;
-        this.headed = headed;
+        this.hasHeader = hasHeader;
     }
 
     /** Whether the published files begin with a line of column names. */
     public boolean headed() {
-        return headed;
+        return hasHeader;
     }
 
     /** The columns that a header must begin with. */
@@ -36,6 +39,7 @@
         return header;
     }
 
+    /** Its name on the command line. */
     public String word() {
         return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
@@ -53,16 +57,16 @@
     /** The layout that a first line tells, or null: by its header, else by its number of columns and their kind. */
     static Layout guess(List<String> first) {
         for (Layout layout : values()) {
-            if (layout.headed
+            if (layout.hasHeader
                     && first.size() >= layout.header.size()
                     && first.subList(0, layout.header.size()).equals(layout.header)) {
                 return layout;
             }
         }
-        if (first.size() == 13 && first.get(0).matches("[0-9]+")) {
+        if (first.size() == GOOGLE_2011_COLUMNS && first.get(0).matches("[0-9]+")) {
             return GOOGLE_2011;
         }
-        return first.size() == 9
+        return first.size() == ALIBABA_2018_COLUMNS
                         && first.get(1).matches("[0-9.]*")
                         && first.get(5).matches("[0-9]*")
                 ? ALIBABA_2018
--- a/testbed/src/main/java/pearladder/traces/MinuteCounts.java
+++ b/testbed/src/main/java/pearladder/traces/MinuteCounts.java
@@ -4,17 +4,29 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 
 /**
- * Invocations by function and minute, held as sparse counts: a published day of some fifty thousand functions takes some
- * hundred megabytes at the most. Given out minute by minute; within a minute a function's calls are spread evenly, from a
- * phase of the function's own, so that functions of one count a minute don't all come at its start.
+ * Invocations by function and minute, held as sparse counts: a published day of some fifty thousand functions takes
+ * some hundred megabytes at the most. Given out minute by minute; within a minute a function's calls are spread
+ * evenly, from a phase of the function's own, so that functions of one count a minute don't all come at its start.
  */
 final class MinuteCounts {
-    private static final long MINUTE = 60_000_000_000L;
+    private static final long MINUTE_NANOS = TimeUnit.MINUTES.toNanos(1);
+    private static final double NANOS_PER_MILLI = 1e6;
 
-    private record Line(
+    /**
+     * The counts of one function.
+     *
+     * @param minutes those in which it was invoked, in order
+     * @param counts by the same index
+     * @param phase of its requests within a minute, 0 to 1
+     * @param work nanoseconds, 0 where it is not known
+     * @param line of the file
+     */
+    private record Function(
             String model,
             String account,
             int[] minutes,
@@ -22,63 +34,66 @@
             double phase,
             long work,
             double memoryMb,
-            long line) {}
+            long line) {
+        /** Request k of those of a minute. */
+        TraceCall call(int minute, int count, int k) {
+            long at = minute * MINUTE_NANOS + (long) (MINUTE_NANOS * ((k + phase) / count));
+            return new TraceCall(at, model, work, memoryMb, "", account, line);
+        }
+    }
 
     private final Map<String, Double> durations;
     private final Map<String, Double> memory;
-    private final List<Line> lines = new ArrayList<>();
-    private int last = -1;
+    private final List<Function> functions = new ArrayList<>();
+    private int lastMinute = -1;
 
-    /** @param durations mean milliseconds by function; @param memory mean MB by app; either may be empty */
+    /**
+     * Creates an empty set of counts.
+     *
+     * @param durations mean milliseconds by function; may be empty
+     * @param memory mean MB by app; may be empty
+     */
     MinuteCounts(Map<String, Double> durations, Map<String, Double> memory) {
         this.durations = durations;
         this.memory = memory;
     }
 
+    /**
+     * Adds a row.
+     *
+     * @param counts by minute
+     * @param line of the file
+     */
     void add(String owner, String app, String function, int[] counts, long line) {
-        int used = 0;
-        for (int count : counts) {
-            used += count > 0 ? 1 : 0;
-        }
-        int[] minutes = new int[used];
-        int[] some = new int[used];
-        int at = 0;
-        for (int minute = 0; minute < counts.length; minute++) {
-            if (counts[minute] > 0) {
-                minutes[at] = minute;
-                some[at++] = counts[minute];
-                last = Math.max(last, minute);
-            }
+        int[] minutes = IntStream.range(0, counts.length)
+                .filter(minute -> counts[minute] > 0)
+                .toArray();
+        if (minutes.length > 0) {
+            lastMinute = Math.max(lastMinute, minutes[minutes.length - 1]);
         }
-        lines.add(new Line(
+        functions.add(new Function(
                 function,
                 owner,
                 minutes,
-                some,
+                IntStream.of(minutes).map(minute -> counts[minute]).toArray(),
                 Hashes.share(function),
-                Math.round(durations.getOrDefault(function, 0.0) * 1e6),
+                Math.round(durations.getOrDefault(function, 0.0) * NANOS_PER_MILLI),
                 memory.getOrDefault(app, Double.NaN),
                 line));
     }
 
+    /** Gives all requests in the order of time. */
     void give(Consumer<TraceCall> out) {
-        int[] next = new int[lines.size()];
+        int[] next = new int[functions.size()];
         List<TraceCall> calls = new ArrayList<>();
-        for (int minute = 0; minute <= last; minute++) {
+        for (int minute = 0; minute <= lastMinute; minute++) {
             calls.clear();
             for (int i = 0; i < next.length; i++) {
-                Line line = lines.get(i);
-                if (next[i] < line.minutes.length && line.minutes[next[i]] == minute) {
-                    int count = line.counts[next[i]++];
+                Function function = functions.get(i);
+                if (next[i] < function.minutes().length && function.minutes()[next[i]] == minute) {
+                    int count = function.counts()[next[i]++];
                     for (int k = 0; k < count; k++) {
-                        calls.add(new TraceCall(
-                                minute * MINUTE + (long) (MINUTE * ((k + line.phase) / count)),
-                                line.model,
-                                line.work,
-                                line.memoryMb,
-                                "",
-                                line.account,
-                                line.line));
+                        calls.add(function.call(minute, count, k));
                     }
                 }
             }
--- a/testbed/src/main/java/pearladder/traces/ReorderBuffer.java
+++ b/testbed/src/main/java/pearladder/traces/ReorderBuffer.java
@@ -4,8 +4,8 @@
 import java.util.function.Consumer;
 
 /**
- * Puts calls in the order of their arrival, as far as a window of time and a bound on calls held let it: a call that
- * comes later than the window is left out and named. Calls of the same moment keep the order of their lines.
+ * Puts requests in the order of their arrival, within a window of time and a bound on requests held: one that comes
+ * later than the window is left out and reported. Requests of the same moment keep the order of their lines.
  */
 final class ReorderBuffer implements Consumer<TraceCall> {
     private record Held(TraceCall call, long number) implements Comparable<Held> {
@@ -16,60 +16,70 @@
         }
     }
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private final long window;
-    private final int most;
+    private final int maxHeld;
     private final SkippedRows skipped;
     private final Consumer<TraceCall> out;
     private final PriorityQueue<Held> held = new PriorityQueue<>();
-    private long numbered;
+    private long added;
     private long newest = Long.MIN_VALUE;
-    private long given = Long.MIN_VALUE;
-    private long moved;
+    private long lastGiven = Long.MIN_VALUE;
+    private long reordered;
 
-    /** @param window nanoseconds, or Long.MAX_VALUE to hold all; @param most calls held at once */
-    ReorderBuffer(long window, int most, SkippedRows skipped, Consumer<TraceCall> out) {
+    /**
+     * Creates an empty buffer.
+     *
+     * @param window nanoseconds, or Long.MAX_VALUE for no bound
+     * @param maxHeld requests held at once
+     */
+    ReorderBuffer(long window, int maxHeld, SkippedRows skipped, Consumer<TraceCall> out) {
         this.window = window;
-        this.most = most;
+        this.maxHeld = maxHeld;
         this.skipped = skipped;
         this.out = out;
     }
 
     @Override
     public void accept(TraceCall call) {
-        if (call.at() < given) {
+        if (call.at() < lastGiven) {
             skipped.add(
                     call.line(),
                     "",
                     "out of time order beyond the window",
-                    "by " + (given - call.at()) / 1_000_000 + " ms");
+                    "by " + (lastGiven - call.at()) / NANOS_PER_MILLI + " ms");
             return;
         }
-        moved += call.at() < newest ? 1 : 0;
+        reordered += call.at() < newest ? 1 : 0;
         newest = Math.max(newest, call.at());
-        held.add(new Held(call, numbered++));
-        while (held.size() > most
-                || !held.isEmpty()
-                        && window != Long.MAX_VALUE
-                        && newest - held.peek().call().at() > window) {
+        held.add(new Held(call, added++));
+        while (held.size() > maxHeld || oldestIsBeyondWindow()) {
             give();
         }
     }
 
+    private boolean oldestIsBeyondWindow() {
+        return !held.isEmpty()
+                && window != Long.MAX_VALUE
+                && newest - held.peek().call().at() > window;
+    }
+
     private void give() {
         TraceCall call = held.poll().call();
-        given = call.at();
+        lastGiven = call.at();
         out.accept(call);
     }
 
-    /** The file has ended: what is held goes out in order. */
+    /** Gives all that is held; the file has ended. */
     void end() {
         while (!held.isEmpty()) {
             give();
         }
     }
 
-    /** Calls that came out of order and were put right. */
+    /** How many came out of order and were put right. */
     long moved() {
-        return moved;
+        return reordered;
     }
 }
--- a/testbed/src/main/java/pearladder/traces/RowReader.java
+++ b/testbed/src/main/java/pearladder/traces/RowReader.java
@@ -4,26 +4,42 @@
 import java.time.OffsetDateTime;
 import java.time.ZoneOffset;
 import java.time.format.DateTimeParseException;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
 import org.apache.commons.csv.CSVRecord;
 
-/** Turns the rows of one layout into calls. A row that can't be one is named with its column and left out. */
+/** Turns the rows of one layout into requests. A row that can't be one is reported with its column and left out. */
 final class RowReader {
-    private static final long SECOND = 1_000_000_000L;
-    private static final int MINUTES = 1440;
-    /** Work of a token that is read, and of one that is written, where a trace tells only tokens. */
-    private static final long READ_TOKEN = 50_000;
-
-    private static final long WRITTEN_TOKEN = 2_000_000;
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long NANOS_PER_MICRO = 1000;
+    private static final int MINUTES_PER_DAY = 1440;
+    /** Columns of Azure Functions 2019 before the minutes. */
+    private static final int COLUMNS_BEFORE_MINUTES = 4;
+    /** Work of a token that is read, in nanoseconds, where a trace tells only tokens. */
+    private static final long READ_TOKEN_NANOS = 50_000;
+    /** Work of a token that is written, in nanoseconds. */
+    private static final long WRITTEN_TOKEN_NANOS = 2_000_000;
+    /** Memory of the largest machine, of which the Google trace states shares. */
+    private static final double GOOGLE_MACHINE_MB = 64_000;
+
+    private static final double GOOGLE_USUAL_CPU = 0.05;
+    private static final int GOOGLE_SUBMISSION = 0;
+    /** The Alibaba trace states shares of a machine in per cent, of which one stands for 1 GB. */
+    private static final double ALIBABA_MB_PER_UNIT = 1000;
+    /** Numbers from here on are no plausible figures of a trace. */
+    private static final double NUMBER_LIMIT = 1e15;
+    /** Just below the range of a long. */
+    private static final double NANOS_LIMIT = 9e18;
 
     /** A field that is not what its column holds. */
-    private static final class Bad extends RuntimeException {
+    private static final class InvalidField extends RuntimeException {
         private static final long serialVersionUID = 1L;
         final String column;
         final transient String detail;
 
-        Bad(String column, String kind, String detail) {
+        InvalidField(String column, String kind, String detail) {
             super(kind, null, false, false);
             this.column = column;
             this.detail = detail;
@@ -42,7 +58,7 @@
         this.out = out;
     }
 
-    /** Reads one row that stands on a line; a row of minutes goes into its book. */
+    /** Reads the row of a line; counts by minute are collected, all other rows become a request at once. */
     void read(CSVRecord row, long line) {
         try {
             switch (layout) {
@@ -53,18 +69,18 @@
                 case GOOGLE_2011 -> task(row, line);
                 case ALIBABA_2018 -> batch(row, line);
             }
-        } catch (Bad bad) {
-            skipped.add(line, bad.column, bad.getMessage(), bad.detail);
+        } catch (InvalidField invalid) {
+            skipped.add(line, invalid.column, invalid.getMessage(), invalid.detail);
         }
     }
 
     private void plain(CSVRecord row, long line) {
         columns(row, 2, 6);
-        long at = nanos(row, 0, "arrival_s", SECOND);
+        long at = nanos(row, 0, "arrival_s", NANOS_PER_SECOND);
         out.accept(new TraceCall(
                 at,
                 text(row, 1, "model"),
-                row.size() > 2 && !row.get(2).isBlank() ? nanos(row, 2, "work_ms", 1_000_000) : 0,
+                row.size() > 2 && !row.get(2).isBlank() ? nanos(row, 2, "work_ms", NANOS_PER_MILLI) : 0,
                 row.size() > 3 && !row.get(3).isBlank() ? number(row, 3, "memory_mb") : Double.NaN,
                 row.size() > 4 ? row.get(4) : "",
                 row.size() > 5 ? row.get(5) : "",
@@ -72,12 +88,12 @@
     }
 
     private void minutes(CSVRecord row, long line) {
-        columns(row, 5, 4 + MINUTES);
-        int[] counts = new int[row.size() - 4];
+        columns(row, COLUMNS_BEFORE_MINUTES + 1, COLUMNS_BEFORE_MINUTES + MINUTES_PER_DAY);
+        int[] counts = new int[row.size() - COLUMNS_BEFORE_MINUTES];
         for (int i = 0; i < counts.length; i++) {
-            String field = row.get(i + 4).trim();
+            String field = row.get(i + COLUMNS_BEFORE_MINUTES).trim();
             if (!field.matches("[0-9]{1,9}")) {
-                throw new Bad(
+                throw new InvalidField(
                         "minute " + (i + 1),
                         field.isEmpty() ? "missing" : "not a count",
                         field.isEmpty() ? "" : "\"" + field + "\"");
@@ -89,8 +105,8 @@
 
     private void invocation(CSVRecord row, long line) {
         columns(row, 4, 4);
-        long end = nanos(row, 2, "end_timestamp", SECOND);
-        long took = nanos(row, 3, "duration", SECOND);
+        long end = nanos(row, 2, "end_timestamp", NANOS_PER_SECOND);
+        long took = nanos(row, 3, "duration", NANOS_PER_SECOND);
         out.accept(new TraceCall(end - took, text(row, 1, "func"), took, Double.NaN, "", text(row, 0, "app"), line));
     }
 
@@ -98,42 +114,42 @@
         columns(row, 3, 3);
         long context = count(row, 1, "ContextTokens");
         long written = count(row, 2, "GeneratedTokens");
-        // one model serves all of it; calls of like length are kept apart so that they can be placed apart
+        // one model serves all requests; those of similar length get a name of their own, to be placed apart
         long bucket = 64 - Long.numberOfLeadingZeros(Math.max(1, context));
         out.accept(new TraceCall(
                 instant(row, 0, "TIMESTAMP"),
                 "llm-" + bucket,
-                context * READ_TOKEN + written * WRITTEN_TOKEN,
+                context * READ_TOKEN_NANOS + written * WRITTEN_TOKEN_NANOS,
                 Double.NaN,
                 "",
                 "",
                 line));
     }
 
-    /** Only submissions are calls; other events of a task are no rows of ours and are not counted as left out. */
+    /** Only submissions are requests; other events of a task are not counted as left out. */
     private void task(CSVRecord row, long line) {
-        columns(row, 13, 13);
-        if (count(row, 5, "event type") != 0) {
+        columns(row, Layout.GOOGLE_2011_COLUMNS, Layout.GOOGLE_2011_COLUMNS);
+        if (count(row, 5, "event type") != GOOGLE_SUBMISSION) {
             return;
         }
-        long at = nanos(row, 0, "timestamp", 1000);
-        double cpu = row.get(9).isBlank() ? 0.05 : number(row, 9, "CPU request");
-        double memory = row.get(10).isBlank() ? Double.NaN : number(row, 10, "memory request") * 64_000;
+        long at = nanos(row, 0, "timestamp", NANOS_PER_MICRO);
+        double cpu = row.get(9).isBlank() ? GOOGLE_USUAL_CPU : number(row, 9, "CPU request");
+        double memory = row.get(10).isBlank() ? Double.NaN : number(row, 10, "memory request") * GOOGLE_MACHINE_MB;
         out.accept(new TraceCall(
-                at, "job-" + text(row, 2, "job ID"), (long) (cpu * SECOND), memory, "", row.get(6), line));
+                at, "job-" + text(row, 2, "job ID"), (long) (cpu * NANOS_PER_SECOND), memory, "", row.get(6), line));
     }
 
     private void batch(CSVRecord row, long line) {
-        columns(row, 9, 9);
-        long start = nanos(row, 5, "start_time", SECOND);
-        long end = nanos(row, 6, "end_time", SECOND);
+        columns(row, Layout.ALIBABA_2018_COLUMNS, Layout.ALIBABA_2018_COLUMNS);
+        long start = nanos(row, 5, "start_time", NANOS_PER_SECOND);
+        long end = nanos(row, 6, "end_time", NANOS_PER_SECOND);
         if (start <= 0) {
-            throw new Bad("start_time", "missing", "");
+            throw new InvalidField("start_time", "missing", "");
         }
         if (end < start) {
-            throw new Bad("end_time", "before its start", "\"" + row.get(6) + "\"");
+            throw new InvalidField("end_time", "before its start", "\"" + row.get(6) + "\"");
         }
-        double memory = row.get(8).isBlank() ? Double.NaN : number(row, 8, "plan_mem") * 1000;
+        double memory = row.get(8).isBlank() ? Double.NaN : number(row, 8, "plan_mem") * ALIBABA_MB_PER_UNIT;
         out.accept(new TraceCall(
                 start,
                 text(row, 2, "job_name") + "-" + text(row, 0, "task_name"),
@@ -144,19 +160,19 @@
                 line));
     }
 
-    private static void columns(CSVRecord row, int least, int most) {
-        if (row.size() < least || row.size() > most) {
-            throw new Bad(
+    private static void columns(CSVRecord row, int min, int max) {
+        if (row.size() < min || row.size() > max) {
+            throw new InvalidField(
                     "",
                     "wrong number of columns",
-                    row.size() + " where " + (least == most ? least : least + " to " + most) + " belong");
+                    row.size() + " where " + (min == max ? min : min + " to " + max) + " belong");
         }
     }
 
     private static String text(CSVRecord row, int at, String column) {
         String field = row.get(at).trim();
         if (field.isEmpty()) {
-            throw new Bad(column, "missing", "");
+            throw new InvalidField(column, "missing", "");
         }
         return field;
     }
@@ -165,27 +181,27 @@
         String field = text(row, at, column);
         try {
             double number = Double.parseDouble(field);
-            if (number >= 0 && number < 1e15) {
+            if (number >= 0 && number < NUMBER_LIMIT) {
                 return number;
             }
         } catch (NumberFormatException none) {
-            throw new Bad(column, "not a number", "\"" + field + "\"");
+            throw new InvalidField(column, "not a number", "\"" + field + "\"");
         }
-        throw new Bad(column, "out of bounds", "\"" + field + "\"");
+        throw new InvalidField(column, "out of bounds", "\"" + field + "\"");
     }
 
     private static long count(CSVRecord row, int at, String column) {
         double number = number(row, at, column);
         if (number != Math.rint(number)) {
-            throw new Bad(column, "not a whole number", "\"" + row.get(at) + "\"");
+            throw new InvalidField(column, "not a whole number", "\"" + row.get(at) + "\"");
         }
         return (long) number;
     }
 
     private static long nanos(CSVRecord row, int at, String column, long unit) {
         double number = number(row, at, column);
-        if (number * unit > 9e18) {
-            throw new Bad(column, "out of bounds", "\"" + row.get(at) + "\"");
+        if (number * unit > NANOS_LIMIT) {
+            throw new InvalidField(column, "out of bounds", "\"" + row.get(at) + "\"");
         }
         // through the whole part first: a double of nanoseconds would lose the last digits after some months
         long whole = (long) number;
@@ -198,14 +214,14 @@
             OffsetDateTime time = field.matches(".*(Z|[+-][0-9]{2}:?[0-9]{2})$")
                     ? OffsetDateTime.parse(field)
                     : LocalDateTime.parse(field).atOffset(ZoneOffset.UTC);
-            return Math.addExact(Math.multiplyExact(time.toEpochSecond(), SECOND), time.getNano());
+            return Math.addExact(Math.multiplyExact(time.toEpochSecond(), NANOS_PER_SECOND), time.getNano());
         } catch (DateTimeParseException | ArithmeticException none) {
-            throw new Bad(column, "not a date and time", "\"" + row.get(at) + "\"");
+            throw new InvalidField(column, "not a date and time", "\"" + row.get(at) + "\"");
         }
     }
 
-    /** The layouts as one line for each, for help texts. */
+    /** The names of all layouts, for messages. */
     static List<String> words() {
-        return java.util.Arrays.stream(Layout.values()).map(Layout::word).toList();
+        return Arrays.stream(Layout.values()).map(Layout::word).toList();
     }
 }
--- a/testbed/src/main/java/pearladder/traces/SkippedRows.java
+++ b/testbed/src/main/java/pearladder/traces/SkippedRows.java
@@ -4,7 +4,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-/** Rows that became no call: each is named to a listener, and counted by reason. */
+/** Rows of a trace that were left out: each is reported to a listener, and counted by reason. */
 public final class SkippedRows {
     /** One row that was left out. */
     public record Row(long line, String column, String reason) {
@@ -28,13 +28,25 @@
     private final Map<String, Long> reasons = new TreeMap<>();
     private long count;
 
-    /** @param named gets every row as it is met */
+    /**
+     * Creates an empty count.
+     *
+     * @param strict throws {@link Strict} at the first row instead
+     * @param named is given every row as it is met
+     */
     public SkippedRows(boolean strict, Consumer<Row> named) {
         this.strict = strict;
         this.named = named;
     }
 
-    /** @param kind the reason without the row's own words, under which it is counted */
+    /**
+     * Reports and counts a row.
+     *
+     * @param line of the file
+     * @param column empty where no single one is wrong
+     * @param kind the reason under which it is counted
+     * @param detail of this row; may be empty
+     */
     void add(long line, String column, String kind, String detail) {
         Row row = new Row(line, column, detail.isEmpty() ? kind : kind + " " + detail);
         if (strict) {
@@ -45,6 +57,7 @@
         named.accept(row);
     }
 
+    /** How many rows were left out. */
     public long count() {
         return count;
     }
--- a/testbed/src/main/java/pearladder/traces/TraceCut.java
+++ b/testbed/src/main/java/pearladder/traces/TraceCut.java
@@ -2,25 +2,31 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.math.BigDecimal;
 import java.util.Locale;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.apache.commons.csv.CSVFormat;
 import org.apache.commons.csv.CSVPrinter;
 
-/** Writes calls in the plain layout, all or a part: a window of time, a share of models by a seeded hash. */
+/** Writes requests in the plain layout, all or a part: a window of time, a share of models by a seeded hash. */
 public final class TraceCut implements Consumer<TraceCall>, AutoCloseable {
+    private static final int NANOS_PER_SECOND_DIGITS = 9;
+    private static final int NANOS_PER_MILLI_DIGITS = 6;
+
     private final CSVPrinter printer;
     private final Predicate<TraceCall> wanted;
     private final long from;
     private long first;
-    private boolean begun;
+    private boolean started;
     private long written;
 
     /**
+     * Creates a writer and writes the header.
+     *
      * @param fromNanos since the first call
      * @param toNanos since the first call; what is at it or later is left out
-     * @param share of the models, from 0 to 1; a model's calls come all or none
+     * @param share of the models, 0 to 1; the requests of a model come all or none
      */
     public TraceCut(Appendable out, long fromNanos, long toNanos, double share, int seed) throws IOException {
         this.printer = CSVFormat.DEFAULT
@@ -37,8 +43,8 @@
 
     @Override
     public void accept(TraceCall call) {
-        if (!begun) {
-            begun = true;
+        if (!started) {
+            started = true;
             first = call.at();
         }
         if (!wanted.test(call)) {
@@ -47,9 +53,9 @@
         long at = call.at() - first - from;
         try {
             printer.printRecord(
-                    decimals(at, 9),
+                    decimals(at, NANOS_PER_SECOND_DIGITS),
                     call.model(),
-                    call.work() == 0 ? "" : decimals(call.work(), 6),
+                    call.work() == 0 ? "" : decimals(call.work(), NANOS_PER_MILLI_DIGITS),
                     Double.isNaN(call.memoryMb()) ? "" : String.format(Locale.ROOT, "%.1f", call.memoryMb()),
                     call.category(),
                     call.account());
@@ -59,11 +65,12 @@
         }
     }
 
-    /** A whole number moved right by so many places, without a detour through floating point. */
+    /** A whole number shifted right by so many decimal places, exactly. */
     private static String decimals(long value, int places) {
-        return java.math.BigDecimal.valueOf(value, places).stripTrailingZeros().toPlainString();
+        return BigDecimal.valueOf(value, places).stripTrailingZeros().toPlainString();
     }
 
+    /** How many were written. */
     public long written() {
         return written;
     }
--- a/testbed/src/main/java/pearladder/traces/TraceInfo.java
+++ b/testbed/src/main/java/pearladder/traces/TraceInfo.java
@@ -4,6 +4,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
@@ -12,9 +13,15 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-/** What a trace holds: span, rate over time, skew of the models, and a digest of the sequence of calls. */
+/**
+ * Describes a trace: its span, the rate over time, the skew of the models, and a digest of the sequence of requests.
+ */
 public final class TraceInfo implements Consumer<TraceCall> {
     private static final int BARS = 20;
+    private static final int LONGEST_BAR = 40;
+    private static final int DIGEST_DIGITS = 16;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final Map<String, long[]> models = new HashMap<>();
     private final TreeMap<Long, Long> seconds = new TreeMap<>();
@@ -24,6 +31,7 @@
     private long calls;
     private double work;
 
+    /** Creates the information on an empty trace. */
     public TraceInfo() {
         try {
             digest = MessageDigest.getInstance("SHA-256");
@@ -37,7 +45,7 @@
         first = calls == 0 ? call.at() : first;
         last = call.at();
         calls++;
-        work += call.work() / 1e6;
+        work += call.work() / NANOS_PER_MILLI;
         models.computeIfAbsent(call.model(), m -> new long[1])[0]++;
         seconds.merge((call.at() - first) / 1_000_000_000L, 1L, Long::sum);
         digest.update((call.at() - first + "," + call.model() + "," + call.work() + "," + call.memoryMb() + ","
@@ -50,12 +58,13 @@
         try {
             return HexFormat.of()
                     .formatHex(((MessageDigest) digest.clone()).digest())
-                    .substring(0, 16);
+                    .substring(0, DIGEST_DIGITS);
         } catch (CloneNotSupportedException impossible) {
             throw new IllegalStateException(impossible);
         }
     }
 
+    /** How many requests were accepted. */
     public long calls() {
         return calls;
     }
@@ -63,7 +72,7 @@
     /** The lines that "trace info" prints. */
     public List<String> lines(TraceFile.Read read, SkippedRows skipped) {
         List<String> lines = new ArrayList<>();
-        double span = (last - first) / 1e9;
+        double span = (last - first) / NANOS_PER_SECOND;
         lines.add(String.format(
                 Locale.ROOT,
                 "layout %s: %d rows, %d calls over %.1f s (%.2f a second), digest %s",
@@ -77,7 +86,7 @@
                 Locale.ROOT, "%d put back in time order, %d left out", read.reordered(), skipped.count()));
         new TreeMap<>(skipped.reasons()).forEach((reason, count) -> lines.add("  left out, " + reason + ": " + count));
         long[] counts = models.values().stream().mapToLong(c -> c[0]).sorted().toArray();
-        long once = java.util.Arrays.stream(counts).filter(count -> count == 1).count();
+        long once = Arrays.stream(counts).filter(count -> count == 1).count();
         lines.add(String.format(
                 Locale.ROOT,
                 "%d models; called once: %d; share of calls of the first 1, 10, 100: %.3f %.3f %.3f;"
@@ -92,6 +101,7 @@
         return lines;
     }
 
+    /** The share of all requests that the most popular models get. */
     private double top(long[] sorted, int most) {
         long sum = 0;
         for (int i = sorted.length - 1; i >= Math.max(0, sorted.length - most); i--) {
@@ -100,12 +110,13 @@
         return calls == 0 ? 0 : (double) sum / calls;
     }
 
+    /** Adds a line for each span of so many seconds, with its rate as a number and as a bar. */
     private void bars(List<String> lines, long width) {
         TreeMap<Long, Long> bars = new TreeMap<>();
         seconds.forEach((second, count) -> bars.merge(second / width, count, Long::sum));
         long most = bars.values().stream().mapToLong(Long::longValue).max().orElse(1);
         bars.forEach((bar, count) -> lines.add(String.format(
                 Locale.ROOT, "%8d s %9.2f a second %s", bar * width, (double) count / width, "#".repeat((int)
-                                Math.max(1, 40 * count / most)))));
+                                Math.max(1, LONGEST_BAR * count / most)))));
     }
 }
--- a/testbed/src/main/java/pearladder/traces/TraceMaker.java
+++ b/testbed/src/main/java/pearladder/traces/TraceMaker.java
@@ -5,19 +5,20 @@
 import java.util.function.Consumer;
 
 /**
- * Makes a trace of this project's own where none is at hand: models by Zipf's law down to a long tail that is called once,
- * bursts of whole minutes, and timers that pulse at fixed periods. The same seed makes the same trace.
+ * Makes a synthetic trace where none is at hand: models by Zipf's law down to a long tail that is requested once,
+ * bursts of whole minutes, and timers with a fixed period. The same seed makes the same trace.
  */
 public final class TraceMaker {
     /**
      * What is made.
      *
-     * @param rate calls a second on the mean
-     * @param seconds how long
-     * @param skew Zipf's exponent
-     * @param timers share of the calls that come from timers, each of a model of its own
-     * @param bursts how much a minute's rate may differ: 0 for none, 1 for from nothing to twice the mean
-     * @param workMillis mean work of a call
+     * @param models how many there are beside those of the timers
+     * @param skew exponent of Zipf's law
+     * @param rate mean requests a second
+     * @param seconds length of the trace
+     * @param timers share of the requests that come from timers, each of a model of its own
+     * @param bursts how much the rate of a minute may differ: 0 for none, 1 for from nothing to twice the mean
+     * @param workMillis mean work of a request
      */
     public record Terms(
             int models,
@@ -29,69 +30,100 @@
             double workMillis,
             long seed) {}
 
-    private static final double PERIOD = 30;
-    private static final double[] MEMORY = {100, 200, 400, 400, 400, 800};
+    private static final double TIMER_PERIOD_SECONDS = 30;
+    private static final double SECONDS_PER_MINUTE = 60;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double NANOS_PER_MILLI = 1e6;
+    /** Sizes of the models; a model's is taken by its number. */
+    private static final double[] MEMORY_MB = {100, 200, 400, 400, 400, 800};
+
+    private static final int MEMORY_STEP = 31;
 
     private final Terms terms;
     private final SplittableRandom random;
-    private final double[] upTo;
+    /** Sums of the models' popularities up to each. */
+    private final double[] cumulativePopularity;
+
+    private final double steadyRate;
+    /** When each timer fires within a period, in seconds, sorted. */
+    private final double[] timerPhases;
+
+    private int nextTimer;
+    private long timerPeriods;
+    private double minute = -1;
+    private double rate;
 
     private TraceMaker(Terms terms) {
         this.terms = terms;
         this.random = new SplittableRandom(terms.seed());
-        this.upTo = new double[terms.models()];
+        this.cumulativePopularity = new double[terms.models()];
         double sum = 0;
-        for (int i = 0; i < upTo.length; i++) {
+        for (int i = 0; i < cumulativePopularity.length; i++) {
             sum += Math.pow(i + 1, -terms.skew());
-            upTo[i] = sum;
+            cumulativePopularity[i] = sum;
         }
+        this.steadyRate = terms.rate() * (1 - terms.timers());
+        this.rate = steadyRate;
+        this.timerPhases = new double[(int) Math.round(terms.rate() * terms.timers() * TIMER_PERIOD_SECONDS)];
+        for (int i = 0; i < timerPhases.length; i++) {
+            timerPhases[i] = random.nextDouble() * TIMER_PERIOD_SECONDS;
+        }
+        Arrays.sort(timerPhases);
     }
 
-    /** Makes all calls in the order of their arrival. */
+    /** Makes all requests in the order of their arrival. */
     public static void make(Terms terms, Consumer<TraceCall> out) {
         new TraceMaker(terms).make(out);
     }
 
     private void make(Consumer<TraceCall> out) {
-        int pulses = (int) Math.round(terms.rate() * terms.timers() * PERIOD);
-        double[] timers = new double[pulses];
-        for (int i = 0; i < pulses; i++) {
-            timers[i] = random.nextDouble() * PERIOD;
-        }
-        Arrays.sort(timers);
-        int timer = 0;
-        long round = 0;
         double at = 0;
-        double steady = terms.rate() * (1 - terms.timers());
-        double minute = -1;
-        double rate = steady;
         while (true) {
-            if (Math.floor(at / 60) != minute) {
-                minute = Math.floor(at / 60);
-                rate = steady * (1 + terms.bursts() * (2 * random.nextDouble() - 1));
-            }
-            at += rate <= 0 ? 60 : -Math.log(1 - random.nextDouble()) / rate;
-            while (pulses > 0 && timers[timer] + round * PERIOD <= Math.min(at, terms.seconds())) {
-                out.accept(call(timers[timer] + round * PERIOD, "timer-" + timer, timer));
-                timer = (timer + 1) % pulses;
-                round += timer == 0 ? 1 : 0;
-            }
+            drawRate(at);
+            at += rate <= 0 ? SECONDS_PER_MINUTE : -Math.log(1 - random.nextDouble()) / rate;
+            fireTimers(Math.min(at, terms.seconds()), out);
             if (at >= terms.seconds()) {
                 return;
             }
-            int found = Arrays.binarySearch(upTo, random.nextDouble() * upTo[upTo.length - 1]);
-            int model = Math.min(upTo.length - 1, found < 0 ? -found - 1 : found);
+            int model = drawModel();
             out.accept(call(at, "fn-" + model, model));
         }
     }
 
-    private TraceCall call(double at, String model, int number) {
-        double work = terms.workMillis() * (0.5 + random.nextDouble());
+    /** Draws a new rate at the start of each minute. */
+    private void drawRate(double at) {
+        double currentMinute = Math.floor(at / SECONDS_PER_MINUTE);
+        if (currentMinute != minute) {
+            minute = currentMinute;
+            rate = steadyRate * (1 + terms.bursts() * (2 * random.nextDouble() - 1));
+        }
+    }
+
+    private void fireTimers(double until, Consumer<TraceCall> out) {
+        while (timerPhases.length > 0 && nextTimerAt() <= until) {
+            out.accept(call(nextTimerAt(), "timer-" + nextTimer, nextTimer));
+            nextTimer = (nextTimer + 1) % timerPhases.length;
+            timerPeriods += nextTimer == 0 ? 1 : 0;
+        }
+    }
+
+    private double nextTimerAt() {
+        return timerPhases[nextTimer] + timerPeriods * TIMER_PERIOD_SECONDS;
+    }
+
+    private int drawModel() {
+        int last = cumulativePopularity.length - 1;
+        int found = Arrays.binarySearch(cumulativePopularity, random.nextDouble() * cumulativePopularity[last]);
+        return Math.min(last, found < 0 ? -found - 1 : found);
+    }
+
+    private TraceCall call(double atSeconds, String model, int number) {
+        double workMillis = terms.workMillis() * (0.5 + random.nextDouble());
         return new TraceCall(
-                Math.round(at * 1e9),
+                Math.round(atSeconds * NANOS_PER_SECOND),
                 model,
-                Math.round(work * 1e6),
-                MEMORY[Math.floorMod(number * 31, MEMORY.length)],
+                Math.round(workMillis * NANOS_PER_MILLI),
+                MEMORY_MB[Math.floorMod(number * MEMORY_STEP, MEMORY_MB.length)],
                 "",
                 "",
                 0);
