--- a/testbed/src/main/java/pearladder/traces/DurationTables.java
+++ b/testbed/src/main/java/pearladder/traces/DurationTables.java
@@ -13,8 +13,12 @@
 /**
  * The two files published beside the invocations of Azure Functions 2019: mean duration by function ("Average", in
  * milliseconds) and mean memory by app ("AverageAllocatedMb").
+ *
+ * @param durations in milliseconds by function
+ * @param memory in MB by app
  */
 public record DurationTables(Map<String, Double> durations, Map<String, Double> memory) {
+    /** No files. */
     public static final DurationTables NONE = new DurationTables(Map.of(), Map.of());
 
     /** Reads the files that are given; either may be null. */
@@ -36,7 +40,7 @@
         try (CSVParser parser = format.parse(Files.newBufferedReader(file, StandardCharsets.UTF_8))) {
             for (String column : new String[] {key, value}) {
                 if (!parser.getHeaderNames().contains(column)) {
-                    throw new TraceFile.NoTrace(
+                    throw new TraceFile.InvalidTraceException(
                             file, "line 1: no column " + column + "; give the file published beside the invocations");
                 }
             }
