--- a/cli/src/main/java/pearladder/cli/CheckCommand.java
+++ b/cli/src/main/java/pearladder/cli/CheckCommand.java
@@ -14,13 +14,14 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
+/** Checks a file of any kind that the other commands read. */
 @Command(
         name = "check",
         mixinStandardHelpOptions = true,
         description =
-                "Check a router's, a fleet's, a day's, an experiment's or a release's file; each mistake is named with line, key and mend.")
+                "Check the file of a router, fleet, scenario, experiment or rollout; each mistake with line, key and remedy.")
 final class CheckCommand implements Callable<Integer> {
-    @Parameters(paramLabel = "FILE", description = "what is checked")
+    @Parameters(paramLabel = "FILE", description = "the file to check")
     private Path file;
 
     @Spec
@@ -28,25 +29,25 @@
 
     @Override
     public Integer call() {
-        String what = "a router";
+        String kind = "a router";
         ConfigValue value = YamlParser.read(file);
         if (value.keys().contains("release")) {
             RolloutPlanParser.read(file);
-            what = "a release's plan";
+            kind = "a release's plan";
         } else if (value.keys().contains("experiment")) {
             Experiment.check(file);
-            what = "an experiment";
+            kind = "an experiment";
         } else if (value.keys().contains("day")) {
             Scenario.check(file);
-            what = "a day";
+            kind = "a day";
         } else if (value.keys().contains("fleet")) {
             FleetPlan.read(value.at("fleet"));
             value.done();
-            what = "a fleet";
+            kind = "a fleet";
         } else {
             RouterConfigParser.read(file);
         }
-        spec.commandLine().getOut().println(file + ": " + what + ", no mistake found");
+        spec.commandLine().getOut().println(file + ": " + kind + ", no mistake found");
         return 0;
     }
 }
--- a/cli/src/main/java/pearladder/cli/Commands.java
+++ b/cli/src/main/java/pearladder/cli/Commands.java
@@ -1,79 +1,89 @@
 package pearladder.cli;
 
+import java.io.IOException;
 import java.io.PrintWriter;
+import java.io.UncheckedIOException;
+import java.nio.file.FileSystemException;
+import org.slf4j.LoggerFactory;
 import pearladder.config.ConfigErrors;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Spec;
 
-/** All commands. Exit codes: 0 done, 1 failed or a rule broken, 2 a mistake in the command line or in a file. */
+/** The root command, with the handling of failures that all commands share. */
 @Command(
         name = "pearladder",
         mixinStandardHelpOptions = true,
         version = "pearladder 0.2.0",
-        description = "Runs calls on workers that load functions or models on demand.",
+        description = "Runs requests on workers that load functions or models on demand.",
         subcommands = {
             TryCommand.class,
             RouterCommand.class,
-            EnginesCommand.class,
+            StandInsCommand.class,
             CheckCommand.class,
             ScenarioCommand.class,
-            RehearseCommand.class,
-            SearchCommand.class,
+            SimulationCommand.class,
+            FaultSearchCommand.class,
             MeasureCommand.class,
             PassThroughCommand.class,
             TraceCommand.class,
             ReplayCommand.class,
             ExperimentCommand.class,
             ReportCommand.class,
-            ReleaseCommand.class,
-            RecordsCommand.class,
-            UsageCommand.class,
-            WirehostCommand.class,
+            RolloutCommand.class,
+            EventLogCommand.class,
+            MeteringCommand.class,
+            SimulatorAdapterCommand.class,
             PlatformCommand.class,
             CommandLine.HelpCommand.class
         })
 final class Commands implements Runnable {
-    /** The command runs on in other threads and ends the process itself. */
+    /** Not an exit code: the command goes on in other threads and ends the process itself. */
     static final int RUNNING = -1;
 
+    /** Exit code for a mistake in the command line or in a file. */
+    static final int USAGE_ERROR = 2;
+
     @Spec
     private CommandSpec spec;
 
     static int run(String... arguments) {
-        return line().execute(arguments);
+        return commandLine().execute(arguments);
     }
 
-    static CommandLine line() {
-        return new CommandLine(new Commands()).setExecutionExceptionHandler(Commands::failed);
+    static CommandLine commandLine() {
+        return new CommandLine(new Commands()).setExecutionExceptionHandler(Commands::handleFailure);
     }
 
-    /** A user's mistake is told in lines, never as a stack trace; a defect of ours keeps its trace in the log. */
-    private static int failed(Exception failure, CommandLine line, CommandLine.ParseResult parsed) {
-        PrintWriter err = line.getErr();
-        if (failure instanceof ConfigErrors.Found found) {
-            found.list().forEach(err::println);
+    /** A user's mistake is reported in lines, never as a stack trace; a defect keeps its trace in the log. */
+    private static int handleFailure(Exception failure, CommandLine commandLine, CommandLine.ParseResult parsed) {
+        PrintWriter err = commandLine.getErr();
+        if (failure instanceof ConfigErrors.Found errors) {
+            errors.list().forEach(err::println);
             err.flush();
-            return 2;
+            return USAGE_ERROR;
         }
-        if (failure instanceof java.nio.file.FileSystemException file) {
-            // its message is often the bare path
-            err.println("pearladder: " + file.getFile() + ": it can't be read or written"
-                    + (file.getReason() == null
-                            ? "; check that it and its folder are there"
-                            : ": " + file.getReason()));
+        if (failure instanceof FileSystemException fileFailure) {
+            err.println("pearladder: " + describe(fileFailure));
             return 1;
         }
-        if (failure instanceof java.io.IOException || failure instanceof java.io.UncheckedIOException) {
+        if (failure instanceof IOException || failure instanceof UncheckedIOException) {
             err.println("pearladder: " + failure.getMessage());
             return 1;
         }
         err.println("pearladder: " + failure);
-        org.slf4j.LoggerFactory.getLogger(Commands.class).error("a command failed", failure);
+        LoggerFactory.getLogger(Commands.class).error("a command failed", failure);
         return 1;
     }
 
+    /** The message of such an exception is often the bare path. */
+    private static String describe(FileSystemException failure) {
+        String advice =
+                failure.getReason() == null ? "; check that it and its folder are there" : ": " + failure.getReason();
+        return failure.getFile() + ": it can't be read or written" + advice;
+    }
+
     @Override
     public void run() {
         throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
--- a/cli/src/main/java/pearladder/cli/ExperimentCommand.java
+++ b/cli/src/main/java/pearladder/cli/ExperimentCommand.java
@@ -8,24 +8,25 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
+/** Runs the scenarios of an experiment. */
 @Command(
         name = "experiment",
         mixinStandardHelpOptions = true,
         description = {
-            "Run a grid of days one by one (policy, engines, routers, rate, speed, troubles, seeds).",
-            "Goes on where it was cut off; keeps results.csv, a results.json for each run, and report.html."
+            "Run a grid of scenarios one by one (policy, engines, routers, rate, speed, troubles, seeds).",
+            "Continues where it was interrupted; keeps results.csv, a results.json for each run, and report.html."
         })
 final class ExperimentCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "the experiment")
     private Path file;
 
-    @Option(names = "--out", defaultValue = "experiment-out", paramLabel = "DIR", description = "a folder for each run")
+    @Option(names = "--out", defaultValue = "experiment-out", paramLabel = "DIR", description = "folder of the runs")
     private Path out;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
         Logs.setUp(Logs.Form.TEXT);
-        int broken = Experiment.run(file, out, SelfCommand.command(), SelfCommand.build(), System.out);
+        int broken = Experiment.run(file, out, OwnProcess.command(), OwnProcess.build(), System.out);
         if (broken > 0) {
             System.out.println(broken + " runs broke a rule or had a fault");
         }
--- a/cli/src/main/java/pearladder/cli/SearchCommand.java
+++ b/cli/src/main/java/pearladder/cli/FaultSearchCommand.java
@@ -12,30 +12,36 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
+/** Searches for the faults under which the routers do worst. */
 @Command(
         name = "search",
         mixinStandardHelpOptions = true,
         description = {
-            "Look for troubles, times and a seed under which the routers do worst or break a rule, by rehearsal.",
-            "The script's own troubles are replaced; what is found is made small and written as a script."
+            "Search, by simulation, for faults, times and a seed under which the routers do worst, or break an",
+            "invariant.",
+            "The script's own faults are replaced; what is found is reduced and written as a script."
         })
-final class SearchCommand implements Callable<Integer> {
-    @Parameters(paramLabel = "FILE", description = "the script whose fleet, traffic and rules are kept")
+final class FaultSearchCommand implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "the script whose fleet, traffic and invariants are used")
     private Path file;
 
-    @Option(names = "--tries", defaultValue = "64", description = "scripts drawn (default: ${DEFAULT-VALUE})")
+    @Option(names = "--tries", defaultValue = "64", description = "scripts tried (default: ${DEFAULT-VALUE})")
     private int tries;
 
-    @Option(names = "--jobs", defaultValue = "4", description = "rehearsals at once (default: ${DEFAULT-VALUE})")
+    @Option(names = "--jobs", defaultValue = "4", description = "simulations at once (default: ${DEFAULT-VALUE})")
     private int jobs;
 
-    @Option(names = "--seed", defaultValue = "-1", description = "of the search, in place of the script's")
+    @Option(names = "--seed", defaultValue = "-1", description = "seed of the search, in place of the script's")
     private int seed;
 
-    @Option(names = "--out", defaultValue = "found.yaml", paramLabel = "FILE", description = "the script found")
+    @Option(
+            names = "--out",
+            defaultValue = "found.yaml",
+            paramLabel = "FILE",
+            description = "where the script found is written")
     private Path out;
 
-    @Option(names = "--policy", defaultValue = "MODULE", description = "who decides: ${COMPLETION-CANDIDATES}")
+    @Option(names = "--policy", defaultValue = "MODULE", description = "which policy decides: ${COMPLETION-CANDIDATES}")
     private PolicyChoice policy;
 
     @Override
--- a/cli/src/main/java/pearladder/cli/Logs.java
+++ b/cli/src/main/java/pearladder/cli/Logs.java
@@ -10,8 +10,9 @@
 import ch.qos.logback.core.encoder.Encoder;
 import org.slf4j.LoggerFactory;
 
-/** Logs on standard error: JSON, a line an event with a field for each figure, or text where a person reads. */
+/** Sets up logging to standard error: JSON with a field for each figure, or text for people. */
 final class Logs {
+    /** Words of {@code --log}; AUTO is text on a terminal, else JSON. */
     enum Form {
         AUTO,
         JSON,
@@ -34,13 +35,13 @@
         root.setLevel(Level.WARN);
         root.addAppender(appender);
         context.getLogger("pearladder").setLevel(Level.INFO);
-        String traced = System.getProperty("pearladder.trace");
-        if (traced != null) {
-            context.getLogger("pearladder.trace." + traced).setLevel(Level.TRACE);
+        String traceName = System.getProperty("pearladder.trace");
+        if (traceName != null) {
+            context.getLogger("pearladder.trace." + traceName).setLevel(Level.TRACE);
         }
     }
 
-    /** Only what fails: a rehearsal's hundred routers would each tell their modes. */
+    /** Logs errors only: a simulation's hundred routers would each log their changes of mode. */
     static void quiet() {
         ((LoggerContext) LoggerFactory.getILoggerFactory())
                 .getLogger("pearladder")
--- a/cli/src/main/java/pearladder/cli/Main.java
+++ b/cli/src/main/java/pearladder/cli/Main.java
@@ -8,66 +8,86 @@
 import pearladder.settings.InvalidInputException;
 import pearladder.simulator.SimulatorAdapter;
 
-/** The command line's door. The bench's adapter and the platform's router start
- * here and load nothing of the rest. */
+/**
+ * Entry point of the jar. The simulator adapter and the platform's router start here, without the command line's parser, so
+ * that they load none of its classes.
+ */
 public final class Main {
+    private static final String SIMULATOR_ADAPTER = "wirehost";
+    private static final String PLATFORM_ROUTER = "platform";
+    /** The platform's router, which ends once it is warm: the build makes its class archive from such a run. */
+    private static final String PLATFORM_WARM_UP = "practice";
+
+    private static final String CONFIG_VARIABLE = "ROUTER_CONFIG";
+
     private Main() {}
 
+    /**
+     * Runs one command and ends the process with its exit code, unless the command goes on in other threads.
+     *
+     * @param arguments the command and its options
+     */
     public static void main(String[] arguments) {
-        String only = arguments.length == 1 ? arguments[0] : "";
-        int status = only.equals("wirehost")
-                ? wirehost()
-                : only.equals("platform") || only.equals("practice")
-                        ? platform(only.equals("practice"))
-                        : Commands.run(arguments);
-        if (status >= 0) {
+        int status = run(arguments);
+        if (status != Commands.RUNNING) {
             System.exit(status);
         }
     }
 
-    private static int wirehost() {
+    private static int run(String[] arguments) {
+        String command = arguments.length == 1 ? arguments[0] : "";
+        return switch (command) {
+            case SIMULATOR_ADAPTER -> runSimulatorAdapter();
+            case PLATFORM_ROUTER -> runPlatformRouter(false);
+            case PLATFORM_WARM_UP -> runPlatformRouter(true);
+            default -> Commands.run(arguments);
+        };
+    }
+
+    private static int runSimulatorAdapter() {
         try {
             new SimulatorAdapter(StickyFirstFitPolicy::new).serve(System.in, System.out);
             return 0;
-        } catch (InvalidInputException bad) {
-            System.err.println("pearladder: " + bad.getMessage());
-        } catch (IOException broken) {
-            System.err.println("pearladder: the wire broke: " + broken.getMessage());
+        } catch (InvalidInputException invalid) {
+            printError(invalid.getMessage());
+        } catch (IOException failure) {
+            printError("the wire broke: " + failure.getMessage());
         }
         return 1;
     }
 
-    /**
-     * A router on the operators' platform.
-     *
-     * @param practice it ends once it is warm: the build lays its archive of classes so
-     */
-    private static int platform(boolean practice) {
+    /** @param endWhenWarm stop after the warm-up, before any client is served */
+    private static int runPlatformRouter(boolean endWhenWarm) {
         SignalHandlers signals = SignalHandlers.heard();
         Logs.setUp(Logs.Form.TEXT);
         if (signals.deaf()) {
-            System.err.println(
-                    "pearladder: whoever started this ignores SIGHUP or SIGTERM (as nohup does), and so it never hears them;"
-                            + " start it without");
+            printError("whoever started this ignores SIGHUP or SIGTERM (as nohup does), and so it never hears them;"
+                    + " start it without");
         }
-        String file = System.getenv("ROUTER_CONFIG");
+        String file = System.getenv(CONFIG_VARIABLE);
         if (file == null) {
-            System.err.println("pearladder: ROUTER_CONFIG is not set; it names the router's configuration");
-            return 2;
+            printError("ROUTER_CONFIG is not set; it names the router's configuration");
+            return Commands.USAGE_ERROR;
         }
         try {
-            PlatformRouter router = new PlatformRouter(
-                    Path.of(file), System.getenv(), StickyFirstFitPolicy::new, status -> Runtime.getRuntime()
-                            .halt(status));
+            PlatformRouter router =
+                    new PlatformRouter(Path.of(file), System.getenv(), StickyFirstFitPolicy::new, Main::halt);
             signals.on(router::reload, router::stop);
-            router.start(practice ? router::stop : () -> {});
+            router.start(endWhenWarm ? router::stop : () -> {});
             return Commands.RUNNING;
-        } catch (InvalidInputException bad) {
-            System.err.println("pearladder: " + bad.getMessage());
-            return 2;
-        } catch (IOException unread) {
-            System.err.println("pearladder: " + file + " can't be read: " + unread.getMessage());
-            return 2;
+        } catch (InvalidInputException invalid) {
+            printError(invalid.getMessage());
+        } catch (IOException unreadable) {
+            printError(file + " can't be read: " + unreadable.getMessage());
         }
+        return Commands.USAGE_ERROR;
+    }
+
+    private static void halt(int status) {
+        Runtime.getRuntime().halt(status);
+    }
+
+    private static void printError(String message) {
+        System.err.println("pearladder: " + message);
     }
 }
--- a/cli/src/main/java/pearladder/cli/MeasureCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeasureCommand.java
@@ -10,32 +10,34 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
+/** Measures the router and the policy on this machine. */
 @Command(
         name = "measure",
         mixinStandardHelpOptions = true,
-        description = "Measure what the router adds to a call, and what one decision costs; on loopback, some minutes.")
+        description =
+                "Measure what the router adds to a request, and what one decision costs; on loopback, some minutes.")
 final class MeasureCommand implements Callable<Integer> {
-    @Option(names = "--out", defaultValue = "measure-out", paramLabel = "DIR", description = "for logs")
+    @Option(names = "--out", defaultValue = "measure-out", paramLabel = "DIR", description = "folder for logs")
     private Path out;
 
-    @Option(names = "--rounds", defaultValue = "5", description = "rounds for each way (default: ${DEFAULT-VALUE})")
+    @Option(names = "--rounds", defaultValue = "5", description = "rounds for each variant (default: ${DEFAULT-VALUE})")
     private int rounds;
 
-    @Option(names = "--seconds", defaultValue = "4", description = "seconds a round (default: ${DEFAULT-VALUE})")
+    @Option(names = "--seconds", defaultValue = "4", description = "seconds per round (default: ${DEFAULT-VALUE})")
     private int seconds;
 
     @Option(
             names = "--releases",
-            description = "instead, trials of the release module alone: shares, and wrong and missed verdicts")
-    private boolean releases;
+            description = "instead, trials of the rollout decisions alone: shares, and wrong and missed verdicts")
+    private boolean rollouts;
 
-    @Option(names = "--queue", description = "instead, what an event costs in the rehearsals' queue")
+    @Option(names = "--queue", description = "instead, what an event costs in the simulation's queue")
     private boolean queue;
 
     @Option(
             names = "--records",
-            description = "instead, what records cost a call: without, with, and with a store that stalls")
-    private boolean records;
+            description = "instead, what the event log costs a request: without, with, and with a disk that stalls")
+    private boolean eventLog;
 
     @Override
     public Integer call() throws IOException {
@@ -44,16 +46,16 @@
             QueueCost.run(rounds).forEach(System.out::println);
             return 0;
         }
-        if (releases) {
+        if (rollouts) {
             ReleaseTrials.run().forEach(System.out::println);
             return 0;
         }
-        if (!records) {
+        if (!eventLog) {
             System.out.println("decisions alone");
             DecisionCost.run(PolicyChoice.MODULE.maker::make, rounds, 12, 92, 500)
                     .forEach(System.out::println);
         }
-        Benchmark.run(SelfCommand.command(), out, rounds, seconds, records, System.out);
+        Benchmark.run(OwnProcess.command(), out, rounds, seconds, eventLog, System.out);
         return 0;
     }
 }
--- a/cli/src/main/java/pearladder/cli/SelfCommand.java
+++ b/cli/src/main/java/pearladder/cli/OwnProcess.java
@@ -6,11 +6,11 @@
 import java.util.List;
 import java.util.zip.CRC32;
 
-/** The command that runs this very program, for children of a day. */
-final class SelfCommand {
-    private SelfCommand() {}
+/** How to start this very program again as a child process. */
+final class OwnProcess {
+    private OwnProcess() {}
 
-    /** Which build this is: a check sum of the jar, or "classes" where it runs from a build's folders. */
+    /** Identifies the build: a checksum of the jar, or "classes" if it runs from a build's folders. */
     static String build() throws IOException {
         Path jar = Path.of(System.getProperty("java.class.path"));
         if (!Files.isRegularFile(jar)) {
@@ -21,6 +21,7 @@
         return Long.toHexString(crc.getValue());
     }
 
+    /** The command line up to the arguments. */
     static List<String> command() {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
         return List.of(
--- a/cli/src/main/java/pearladder/cli/PlatformCommand.java
+++ b/cli/src/main/java/pearladder/cli/PlatformCommand.java
@@ -3,13 +3,14 @@
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 
-/** Only so that the help lists it: the command itself starts in {@link Main}, without the rest. */
+/** Lists the platform's router in the help; it is started by {@link Main}, which loads nothing of the command line. */
 @Command(
         name = "platform",
-        description = "A router on the operators' platform, told by ROUTER_CONFIG; takes no options.")
+        description =
+                "Run a router on the operators' platform; ROUTER_CONFIG names its configuration; takes no options.")
 final class PlatformCommand implements Callable<Integer> {
     @Override
     public Integer call() {
-        return 2;
+        return Commands.USAGE_ERROR;
     }
 }
--- a/cli/src/main/java/pearladder/cli/ReplayCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReplayCommand.java
@@ -8,50 +8,66 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
+/** Replays a trace over sockets. */
 @Command(
         name = "replay",
         mixinStandardHelpOptions = true,
         description = {
-            "Replay a trace over sockets against real routers and stand-in engines.",
-            "The fleet's file is a day's script; its flows say whose calls the models' are."
+            "Replay a trace over sockets against real routers and stand-in workers.",
+            "The fleet's file is a scenario; its flows say which tenant and request class each model belongs to."
         })
 final class ReplayCommand implements Callable<Integer> {
     @CommandLine.Mixin
     private TraceCommand.Input input;
 
-    @Option(names = "--fleet", required = true, paramLabel = "FILE", description = "a day's script")
+    @Option(names = "--fleet", required = true, paramLabel = "FILE", description = "a scenario")
     private Path script;
 
-    @Option(names = "--out", defaultValue = "replay-out", paramLabel = "DIR", description = "tapes, logs and the table")
+    @Option(
+            names = "--out",
+            defaultValue = "replay-out",
+            paramLabel = "DIR",
+            description = "observation logs, logs and the table")
     private Path out;
 
-    @Option(names = "--speed", defaultValue = "1", description = "times faster than it was (default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--speed",
+            defaultValue = "1",
+            description = "factor on the trace's speed (default: ${DEFAULT-VALUE})")
     private double speed;
 
     @Option(
             names = "--most",
             defaultValue = "0",
             paramLabel = "CALLS",
-            description = "end after so many calls; 0 for all")
-    private long most;
+            description = "end after so many requests; 0 for all")
+    private long mostRequests;
 
     @Option(
             names = "--lasting",
             defaultValue = "0",
             paramLabel = "SECONDS",
             description = "end after so long; 0 for all")
-    private double lasting;
+    private double lastingSeconds;
 
-    @Option(names = "--work-scale", defaultValue = "1", description = "of the work that the trace tells")
+    @Option(names = "--work-scale", defaultValue = "1", description = "factor on the work in the trace")
     private double workScale;
 
-    @Option(names = "--longest-work", defaultValue = "500", paramLabel = "MS", description = "cut longer work to it")
-    private double longest;
+    @Option(
+            names = "--longest-work",
+            defaultValue = "500",
+            paramLabel = "MS",
+            description = "longest work; more is cut to it")
+    private double longestWorkMillis;
 
-    @Option(names = "--usual-work", defaultValue = "20", paramLabel = "MS", description = "where the trace tells none")
-    private double usual;
+    @Option(
+            names = "--usual-work",
+            defaultValue = "20",
+            paramLabel = "MS",
+            description = "work where the trace has none")
+    private double defaultWorkMillis;
 
-    @Option(names = "--policy", defaultValue = "MODULE", description = "who decides: ${COMPLETION-CANDIDATES}")
+    @Option(names = "--policy", defaultValue = "MODULE", description = "which policy decides: ${COMPLETION-CANDIDATES}")
     private PolicyChoice policy;
 
     @Override
@@ -63,11 +79,11 @@
                 input.memory,
                 speed,
                 Math.round(input.window * 1e9),
-                most,
-                Math.round(lasting * 1e9),
+                mostRequests,
+                Math.round(lastingSeconds * 1e9),
                 workScale,
-                Math.round(longest * 1e6),
-                Math.round(usual * 1e6),
+                Math.round(longestWorkMillis * 1e6),
+                Math.round(defaultWorkMillis * 1e6),
                 input.strict);
         return ScenarioCommand.play(script, terms, out, policy);
     }
--- a/cli/src/main/java/pearladder/cli/ReportCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReportCommand.java
@@ -7,13 +7,14 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
 
+/** Writes the report of a scenario, a replay or an experiment. */
 @Command(
         name = "report",
         mixinStandardHelpOptions = true,
         description =
                 "Make one page with tables and charts from the results in a folder and the folders right below it.")
 final class ReportCommand implements Callable<Integer> {
-    @Parameters(paramLabel = "DIR", description = "of a day, a replay or an experiment")
+    @Parameters(paramLabel = "DIR", description = "of a scenario, a replay or an experiment")
     private Path folder;
 
     @Override
--- a/cli/src/main/java/pearladder/cli/ReleaseCommand.java
+++ b/cli/src/main/java/pearladder/cli/RolloutCommand.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.List;
+import java.util.function.UnaryOperator;
 import pearladder.rollout.RolloutTarget;
 import pearladder.router.kserve.RolloutClient;
 import pearladder.router.kserve.RolloutPlanParser;
@@ -12,39 +13,40 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
+/** Starts, watches and steers rollouts at running routers. */
 @Command(
         name = "release",
         mixinStandardHelpOptions = true,
         description = {
-            "Shift models to a new version in steps, and take them back in one order.",
-            "Every order goes to all routers named; 1 where one of them did not take it."
+            "Shift models to a new version in steps, and roll them back with one command.",
+            "Every command goes to all routers named; ends with 1 if one of them did not accept it."
         })
-final class ReleaseCommand implements Runnable {
+final class RolloutCommand implements Runnable {
     @Spec
     private CommandSpec spec;
 
-    /** Where the routers are, and who orders. */
+    /** Options that name the routers and the operator. */
     static final class Routers {
         @Option(
                 names = "--routers",
                 required = true,
                 split = ",",
                 paramLabel = "HOST:PORT",
-                description = "the admin doors of the routers")
-        List<String> doors;
+                description = "admin addresses of the routers")
+        List<String> adminAddresses;
 
         @Option(
                 names = "--by",
                 defaultValue = "${sys:user.name}",
-                description = "who orders (default: ${DEFAULT-VALUE})")
-        String by;
+                description = "recorded as who did it (default: ${DEFAULT-VALUE})")
+        String operator;
 
-        @Option(names = "--all", description = "also all routers that these learn orders from")
+        @Option(names = "--all", description = "also all routers that these fetch rollouts from")
         boolean all;
 
-        RolloutClient operator() {
-            RolloutClient operator = new RolloutClient(doors, by);
-            return all ? operator.andOthers() : operator;
+        RolloutClient client() {
+            RolloutClient client = new RolloutClient(adminAddresses, operator);
+            return all ? client.andOthers() : client;
         }
     }
 
@@ -54,35 +56,35 @@
                 spec.commandLine(), "start, status, step, pause, resume, rollback or history is missing");
     }
 
-    @Command(name = "start", mixinStandardHelpOptions = true, description = "Begin the release of a plan.")
+    @Command(name = "start", mixinStandardHelpOptions = true, description = "Start the rollout of a plan.")
     int start(
             @CommandLine.Mixin Routers routers,
-            @Parameters(index = "0", paramLabel = "PLAN", description = "its file") Path plan) {
-        return told(routers.operator().start(RolloutPlanParser.read(plan)));
+            @Parameters(index = "0", paramLabel = "PLAN", description = "the plan's file") Path plan) {
+        return report(routers.client().start(RolloutPlanParser.read(plan)));
     }
 
-    @Command(name = "status", mixinStandardHelpOptions = true, description = "How every release stands at each router.")
+    @Command(name = "status", mixinStandardHelpOptions = true, description = "Show every rollout at each router.")
     int status(@CommandLine.Mixin Routers routers) {
-        routers.operator().status().forEach(spec.commandLine().getOut()::println);
+        routers.client().status().forEach(spec.commandLine().getOut()::println);
         return 0;
     }
 
     @Command(
             name = "history",
             mixinStandardHelpOptions = true,
-            description = "Who ordered what and when, as the routers keep it.")
+            description = "Show who did what and when, from the routers' journals.")
     int history(@CommandLine.Mixin Routers routers) {
-        routers.operator().history().forEach(spec.commandLine().getOut()::println);
+        routers.client().history().forEach(spec.commandLine().getOut()::println);
         return 0;
     }
 
     @Command(
             name = "step",
             mixinStandardHelpOptions = true,
-            description = "Go to the next step once copies stand for it.")
+            description = "Go to the next step once its instances are loaded.")
     int step(
             @CommandLine.Mixin Routers routers,
-            @Parameters(paramLabel = "MODEL", description = "none for all") List<String> models) {
+            @Parameters(paramLabel = "MODEL", description = "all if none is named") List<String> models) {
         return change(
                 routers,
                 models,
@@ -95,20 +97,23 @@
                         0));
     }
 
-    @Command(name = "pause", mixinStandardHelpOptions = true, description = "Stay at the share that is reached.")
+    @Command(name = "pause", mixinStandardHelpOptions = true, description = "Stay at the current share.")
     int pause(
             @CommandLine.Mixin Routers routers,
-            @Parameters(paramLabel = "MODEL", description = "none for all") List<String> models) {
+            @Parameters(paramLabel = "MODEL", description = "all if none is named") List<String> models) {
         return change(
                 routers,
                 models,
                 before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.PAUSED, before.step(), "", 0));
     }
 
-    @Command(name = "resume", mixinStandardHelpOptions = true, description = "Go on by the plan, also after a breach.")
+    @Command(
+            name = "resume",
+            mixinStandardHelpOptions = true,
+            description = "Continue the plan, also after the new version was found worse.")
     int resume(
             @CommandLine.Mixin Routers routers,
-            @Parameters(paramLabel = "MODEL", description = "none for all") List<String> models) {
+            @Parameters(paramLabel = "MODEL", description = "all if none is named") List<String> models) {
         return change(
                 routers,
                 models,
@@ -118,25 +123,25 @@
     @Command(
             name = "rollback",
             mixinStandardHelpOptions = true,
-            description = "Everything back to the old version at once.")
+            description = "Send everything back to the old version at once.")
     int rollback(
             @CommandLine.Mixin Routers routers,
-            @Parameters(paramLabel = "MODEL", description = "none for all") List<String> models) {
+            @Parameters(paramLabel = "MODEL", description = "all if none is named") List<String> models) {
         return change(
                 routers,
                 models,
                 before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.ROLLED_BACK, 0, "", 0));
     }
 
-    private int change(Routers routers, List<String> models, java.util.function.UnaryOperator<RolloutTarget> change) {
-        return told(routers.operator().change(models == null ? List.of() : models, change));
+    private int change(Routers routers, List<String> models, UnaryOperator<RolloutTarget> change) {
+        return report(routers.client().change(models == null ? List.of() : models, change));
     }
 
-    private int told(RolloutClient.Told told) {
-        told.lines().forEach(spec.commandLine().getOut()::println);
-        if (told.asked() == 0) {
+    private int report(RolloutClient.Told result) {
+        result.lines().forEach(spec.commandLine().getOut()::println);
+        if (result.asked() == 0) {
             spec.commandLine().getOut().println("nothing to order");
         }
-        return told.asked() > 0 && told.took() == told.asked() ? 0 : 1;
+        return result.asked() > 0 && result.took() == result.asked() ? 0 : 1;
     }
 }
--- a/cli/src/main/java/pearladder/cli/RouterCommand.java
+++ b/cli/src/main/java/pearladder/cli/RouterCommand.java
@@ -14,11 +14,14 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
+/** Runs a KServe router. */
 @Command(
         name = "router",
         mixinStandardHelpOptions = true,
-        description = "Run a router until it is told to end (SIGTERM: finish what is held, then exit with 0).")
+        description = "Run a KServe router until SIGTERM, which finishes the requests it holds, then exits with 0.")
 final class RouterCommand implements Callable<Integer> {
+    private static final int START_LIMIT_SECONDS = 30;
+
     @Option(
             names = {"-c", "--config"},
             required = true,
@@ -29,39 +32,43 @@
     @Option(names = "--log", defaultValue = "AUTO", description = "${COMPLETION-CANDIDATES}")
     private Logs.Form log;
 
-    @Option(names = "--policy", defaultValue = "MODULE", hidden = true, description = "RANDOM is a baseline for days")
+    @Option(
+            names = "--policy",
+            defaultValue = "MODULE",
+            hidden = true,
+            description = "RANDOM is a baseline for scenarios")
     private PolicyChoice policy;
 
-    @Option(names = "--seed", description = "the module's chance, for a run that is to be repeated")
+    @Option(names = "--seed", description = "seed of the policy's random choices, to repeat a run")
     private Long seed;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
         Logs.setUp(log);
-        RouterConfig articles = RouterConfigParser.read(file);
+        RouterConfig config = RouterConfigParser.read(file);
         Router router;
         try {
-            router = Router.start(articles, policy.maker, seed != null ? seed : new SecureRandom().nextLong())
+            router = Router.start(config, policy.maker, seed != null ? seed : new SecureRandom().nextLong())
                     .toCompletionStage()
                     .toCompletableFuture()
-                    .get(30, TimeUnit.SECONDS);
-        } catch (ExecutionException failed) {
-            throw new IOException(failed.getCause().getMessage());
-        } catch (TimeoutException late) {
-            throw new IOException("the router did not start within 30 s");
+                    .get(START_LIMIT_SECONDS, TimeUnit.SECONDS);
+        } catch (ExecutionException failure) {
+            throw new IOException(failure.getCause().getMessage());
+        } catch (TimeoutException timeout) {
+            throw new IOException("the router did not start within " + START_LIMIT_SECONDS + " s");
         }
-        System.out.println("{\"router\":\"" + articles.name() + "\",\"port\":" + router.port()
+        System.out.println("{\"router\":\"" + config.name() + "\",\"port\":" + router.port()
                 + (router.adminPort() > 0 ? ",\"admin\":" + router.adminPort() : "") + "}");
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(router), "stop"));
         return Commands.RUNNING;
     }
 
-    /** The exit code after a signal is ours to say: 0 once all that was held has its answer. */
+    /** Ends with 0 once every request that was held has its response, in place of the signal's exit code. */
     private static void stop(Router router) {
         int status = 0;
         try {
             router.stop().toCompletionStage().toCompletableFuture().join();
-        } catch (CompletionException failed) {
+        } catch (CompletionException failure) {
             status = 1;
         }
         Runtime.getRuntime().halt(status);
--- a/cli/src/main/java/pearladder/cli/ScenarioCommand.java
+++ b/cli/src/main/java/pearladder/cli/ScenarioCommand.java
@@ -10,12 +10,13 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
+/** Plays a scenario over sockets. */
 @Command(
         name = "day",
         mixinStandardHelpOptions = true,
         description = {
-            "Play a scripted day: routers and engines as processes on loopback, traffic and troubles.",
-            "Prints the table and the verdict on the five rules; ends with 1 where a rule was broken."
+            "Play a scenario: routers and stand-in workers as processes on loopback, traffic and faults.",
+            "Prints the table and the verdict on the five invariants; ends with 1 if one was broken."
         })
 final class ScenarioCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "the script")
@@ -25,13 +26,13 @@
             names = "--out",
             defaultValue = "day-out",
             paramLabel = "DIR",
-            description = "where tapes, logs and the table go (default: ${DEFAULT-VALUE})")
+            description = "folder for observation logs, logs and the table (default: ${DEFAULT-VALUE})")
     private Path out;
 
     @Option(
             names = "--policy",
             defaultValue = "MODULE",
-            description = "who decides: ${COMPLETION-CANDIDATES}; RANDOM is a baseline")
+            description = "which policy decides: ${COMPLETION-CANDIDATES}; RANDOM is a baseline")
     private PolicyChoice policy;
 
     @Override
@@ -39,16 +40,17 @@
         return play(script, out, policy);
     }
 
+    /** Plays a scenario with the script's own traffic. */
     static int play(Path script, Path out, PolicyChoice policy) throws IOException, InterruptedException {
         return play(script, null, out, policy);
     }
 
-    /** The same with a trace's calls in place of the script's traffic; null for none. */
+    /** Plays a scenario with a trace's requests in place of the script's traffic; null for none. */
     static int play(Path script, TraceWorkload.Terms trace, Path out, PolicyChoice policy)
             throws IOException, InterruptedException {
         Logs.setUp(Logs.Form.TEXT);
-        Scenario.Outcome outcome = Scenario.play(
-                script, trace, out, SelfCommand.command(), List.of("--policy", policy.name()), System.out);
+        Scenario.Outcome outcome =
+                Scenario.play(script, trace, out, OwnProcess.command(), List.of("--policy", policy.name()), System.out);
         System.out.println();
         outcome.table().forEach(System.out::println);
         System.out.println("kept in " + out);
--- a/cli/src/main/java/pearladder/cli/RehearseCommand.java
+++ b/cli/src/main/java/pearladder/cli/SimulationCommand.java
@@ -21,33 +21,40 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
+/** Plays a scenario in virtual time. */
 @Command(
         name = "rehearse",
         mixinStandardHelpOptions = true,
         description = {
-            "Play a day's script in virtual time: the routers' own code, emulated engines and network, in one process.",
-            "The same script and seed give the same digest. Ends with 1 where a rule or an expectation was not kept."
+            "Play a scenario in virtual time: the routers' own code, emulated workers and network, in one process.",
+            "The same script and seed give the same digest. Ends with 1 if an invariant or an expectation was broken."
         })
-final class RehearseCommand implements Callable<Integer> {
+final class SimulationCommand implements Callable<Integer> {
+    /** Rows of a trace are put back in order within it. */
+    private static final long REORDER_WINDOW_NANOS = 60_000_000_000L;
+
+    private static final long LONGEST_WORK_NANOS = 500_000_000L;
+    private static final long DEFAULT_WORK_NANOS = 20_000_000L;
+
     @Parameters(paramLabel = "FILE", description = "the script")
     private Path file;
 
     @Option(
             names = "--engines",
             defaultValue = "0",
-            description = "as many engines in place of the script's, in its shares")
+            description = "number of workers in place of the script's, in its shares")
     private int engines;
 
-    @Option(names = "--routers", defaultValue = "0", description = "as many routers in place of the script's")
+    @Option(names = "--routers", defaultValue = "0", description = "number of routers in place of the script's")
     private int routers;
 
-    @Option(names = "--rate", defaultValue = "0", description = "calls a second in place of the script's")
+    @Option(names = "--rate", defaultValue = "0", description = "requests a second in place of the script's")
     private double rate;
 
-    @Option(names = "--seed", defaultValue = "-1", description = "in place of the script's")
+    @Option(names = "--seed", defaultValue = "-1", description = "seed in place of the script's")
     private int seed;
 
-    @Option(names = "--trace", paramLabel = "FILE", description = "a trace's calls in place of the script's traffic")
+    @Option(names = "--trace", paramLabel = "FILE", description = "a trace's requests in place of the script's traffic")
     private Path trace;
 
     @Option(names = "--speed", defaultValue = "1", description = "of the trace (default: ${DEFAULT-VALUE})")
@@ -60,7 +67,10 @@
             description = "of the trace; 0 for all of it")
     private double lasting;
 
-    @Option(names = "--runs", defaultValue = "1", description = "one after the other seed (default: ${DEFAULT-VALUE})")
+    @Option(
+            names = "--runs",
+            defaultValue = "1",
+            description = "runs with consecutive seeds (default: ${DEFAULT-VALUE})")
     private int runs;
 
     @Option(
@@ -74,22 +84,19 @@
             split = ",",
             paramLabel = "ENGINESxROUTERS",
             description = {
-                "the same day at these sizes, one after the other: calls, models and the shelf go with the engines;",
+                "the same scenario at these sizes, one after the other;",
+                "requests, models and model store grow with the workers;",
                 "the page charts what grows. 100x10,1000x100"
             })
     private List<String> sizes = List.of();
 
-    @Option(names = "--sockets", description = "the same script with processes over sockets")
+    @Option(names = "--sockets", description = "run the same script with processes over sockets")
     private boolean sockets;
 
-    @Option(
-            names = "--out",
-            defaultValue = "rehearse-out",
-            paramLabel = "DIR",
-            description = "results and the report's page")
+    @Option(names = "--out", defaultValue = "rehearse-out", paramLabel = "DIR", description = "results and report")
     private Path out;
 
-    @Option(names = "--policy", defaultValue = "MODULE", description = "who decides: ${COMPLETION-CANDIDATES}")
+    @Option(names = "--policy", defaultValue = "MODULE", description = "which policy decides: ${COMPLETION-CANDIDATES}")
     private PolicyChoice policy;
 
     @Override
@@ -99,85 +106,101 @@
         ObjectNode script = (ObjectNode) new YAMLMapper().readTree(file.toFile());
         Scripts.check(file);
         Scripts.resize(script, engines, routers, rate);
-        int first = seed >= 0 ? seed : script.at("/day/seed").asInt(1);
-        TraceWorkload.Terms terms = trace == null
-                ? null
-                : new TraceWorkload.Terms(
-                        trace,
-                        null,
-                        null,
-                        null,
-                        speed,
-                        60_000_000_000L,
-                        0,
-                        Math.round(lasting * 1e9),
-                        1,
-                        500_000_000L,
-                        20_000_000L,
-                        false);
+        int firstSeed = seed >= 0 ? seed : script.at("/day/seed").asInt(1);
         if (sockets) {
-            Files.createDirectories(out);
-            Path written = out.resolve("day.yaml");
-            script.withObject("/day").put("seed", first);
-            new YAMLMapper().writeValue(written.toFile(), script);
-            return ScenarioCommand.play(written, terms, out, policy);
+            return runOverSockets(script, firstSeed);
         }
-        if (!sizes.isEmpty()) {
-            return grow(script, first);
+        boolean kept = sizes.isEmpty() ? runSeeds(script, firstSeed) : runSizes(script, firstSeed);
+        System.setProperty("java.awt.headless", "true");
+        System.out.println("report: " + Report.write(out.toAbsolutePath().normalize()));
+        return kept ? 0 : 1;
+    }
+
+    /** The trace in place of the script's traffic; null for none. */
+    private TraceWorkload.Terms traceTerms() {
+        if (trace == null) {
+            return null;
         }
+        return new TraceWorkload.Terms(
+                trace,
+                null,
+                null,
+                null,
+                speed,
+                REORDER_WINDOW_NANOS,
+                0,
+                Math.round(lasting * 1e9),
+                1,
+                LONGEST_WORK_NANOS,
+                DEFAULT_WORK_NANOS,
+                false);
+    }
+
+    private int runOverSockets(ObjectNode script, int firstSeed) throws IOException, InterruptedException {
+        Files.createDirectories(out);
+        Path resized = out.resolve("day.yaml");
+        script.withObject("/day").put("seed", firstSeed);
+        new YAMLMapper().writeValue(resized.toFile(), script);
+        return ScenarioCommand.play(resized, traceTerms(), out, policy);
+    }
+
+    /** Runs one simulation for each seed, some at once; returns whether all kept the invariants and expectations. */
+    private boolean runSeeds(ObjectNode script, int firstSeed) throws IOException, InterruptedException {
+        TraceWorkload.Terms terms = traceTerms();
         ExecutorService pool = Executors.newFixedThreadPool(Math.max(1, jobs));
-        List<Future<Simulation.Outcome>> all = new ArrayList<>();
+        List<Future<Simulation.Outcome>> outcomes = new ArrayList<>();
         for (int i = 0; i < runs; i++) {
-            ObjectNode one = script.deepCopy();
-            one.withObject("/day").put("seed", first + i);
-            Path folder = runs == 1 ? out : out.resolve("run.s" + (first + i));
-            all.add(pool.submit(() -> Simulation.play(
-                    one, file.toString(), terms, policy.maker::make, folder, runs == 1 ? System.out : null)));
+            ObjectNode seeded = script.deepCopy();
+            seeded.withObject("/day").put("seed", firstSeed + i);
+            Path folder = runs == 1 ? out : out.resolve("run.s" + (firstSeed + i));
+            outcomes.add(pool.submit(() -> Simulation.play(
+                    seeded, file.toString(), terms, policy.maker::make, folder, runs == 1 ? System.out : null)));
         }
         pool.shutdown();
         boolean kept = true;
         for (int i = 0; i < runs; i++) {
-            try {
-                Simulation.Outcome outcome = all.get(i).get();
-                kept &= outcome.kept();
-                if (runs == 1) {
-                    System.out.println();
-                    outcome.table().forEach(System.out::println);
-                }
-                System.out.println("seed " + (first + i) + ": " + line(outcome));
-            } catch (ExecutionException failed) {
-                if (failed.getCause() instanceof RuntimeException cause) {
-                    throw cause;
-                }
-                throw new IOException(failed.getCause().getMessage(), failed.getCause());
+            Simulation.Outcome outcome = await(outcomes.get(i));
+            kept &= outcome.kept();
+            if (runs == 1) {
+                System.out.println();
+                outcome.table().forEach(System.out::println);
             }
+            System.out.println("seed " + (firstSeed + i) + ": " + summary(outcome));
+        }
+        return kept;
+    }
+
+    private static Simulation.Outcome await(Future<Simulation.Outcome> run) throws IOException, InterruptedException {
+        try {
+            return run.get();
+        } catch (ExecutionException failure) {
+            if (failure.getCause() instanceof RuntimeException cause) {
+                throw cause;
+            }
+            throw new IOException(failure.getCause().getMessage(), failure.getCause());
         }
-        System.setProperty("java.awt.headless", "true");
-        System.out.println("report: " + Report.write(out.toAbsolutePath().normalize()));
-        return kept ? 0 : 1;
     }
 
-    private int grow(ObjectNode script, int seed) throws IOException {
+    /** Runs the scenario at each size; returns whether all runs kept the invariants and expectations. */
+    private boolean runSizes(ObjectNode script, int firstSeed) throws IOException {
         boolean kept = true;
         for (String size : sizes) {
             if (!size.matches("[1-9][0-9]{0,5}x[1-9][0-9]{0,4}")) {
                 throw new IOException("--grow " + size + ": a size is ENGINESxROUTERS, such as 1000x100");
             }
             ObjectNode grown = script.deepCopy();
-            grown.withObject("/day").put("seed", seed);
+            grown.withObject("/day").put("seed", firstSeed);
             String[] parts = size.split("x");
             Scripts.grow(grown, Integer.parseInt(parts[0]), Integer.parseInt(parts[1]));
             Simulation.Outcome outcome =
                     Simulation.play(grown, file.toString(), policy.maker::make, out.resolve(size), System.out);
             kept &= outcome.kept();
-            System.out.println(size + ": " + line(outcome));
+            System.out.println(size + ": " + summary(outcome));
         }
-        System.setProperty("java.awt.headless", "true");
-        System.out.println("report: " + Report.write(out.toAbsolutePath().normalize()));
-        return kept ? 0 : 1;
+        return kept;
     }
 
-    private static String line(Simulation.Outcome outcome) {
+    private static String summary(Simulation.Outcome outcome) {
         return String.format(
                 Locale.ROOT,
                 "credit %.3f, worst 10 s %.3f, %d calls, %d loads, digest %s, %s; %d events at %.0f a second,"
--- a/cli/src/main/java/pearladder/cli/EnginesCommand.java
+++ b/cli/src/main/java/pearladder/cli/StandInsCommand.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.function.Consumer;
 import pearladder.config.ConfigValue;
@@ -15,41 +16,44 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
+/** Runs workers, a model store and discovery that only pretend, for tests and scenarios. */
 @Command(
         name = "engines",
         mixinStandardHelpOptions = true,
-        description = "Run stand-in engines, their shelf and their list on loopback until told to end.")
-final class EnginesCommand implements Callable<Integer> {
+        description = "Run stand-in workers, their model store and discovery on loopback until stopped.")
+final class StandInsCommand implements Callable<Integer> {
+    private static final long FLUSH_MILLIS = 200;
+
     @Option(
             names = {"-c", "--config"},
             required = true,
             paramLabel = "FILE",
-            description = "a file with a fleet")
+            description = "the fleet's file")
     private Path file;
 
-    @Option(names = "--tape", paramLabel = "FILE", description = "keep what the engines see")
-    private Path tape;
+    @Option(names = "--tape", paramLabel = "FILE", description = "write an observation log of the workers")
+    private Path observationFile;
 
-    @Option(names = "--list-port", defaultValue = "0", paramLabel = "PORT", description = "port of the list service")
-    private int listPort;
+    @Option(names = "--list-port", defaultValue = "0", paramLabel = "PORT", description = "port of discovery")
+    private int discoveryPort;
 
     @Override
     public Integer call() throws IOException {
         Logs.setUp(Logs.Form.AUTO);
         ConfigValue value = YamlParser.read(file);
         FleetPlan plan = FleetPlan.read(value.at("fleet"));
-        value.done(java.util.Set.of("fleet"));
+        value.done(Set.of("fleet"));
         Vertx vertx = Vertx.vertx();
-        Consumer<Observation> out = one -> {};
-        if (tape != null) {
-            ObservationLog writer = new ObservationLog(tape);
-            vertx.setPeriodic(200, tick -> writer.flush());
-            Runtime.getRuntime().addShutdownHook(new Thread(writer::flush, "tape"));
-            out = writer;
+        Consumer<Observation> observer = observation -> {};
+        if (observationFile != null) {
+            ObservationLog observationLog = new ObservationLog(observationFile);
+            vertx.setPeriodic(FLUSH_MILLIS, tick -> observationLog.flush());
+            Runtime.getRuntime().addShutdownHook(new Thread(observationLog::flush, "observation-log"));
+            observer = observationLog;
         }
-        Fleet fleet = Fleet.start(vertx, plan, listPort, out);
-        int control = FaultInjectionServer.start(vertx, fleet);
-        System.out.println("{\"list\":" + fleet.listPort() + ",\"control\":" + control + ",\"engines\":"
+        Fleet fleet = Fleet.start(vertx, plan, discoveryPort, observer);
+        int controlPort = FaultInjectionServer.start(vertx, fleet);
+        System.out.println("{\"list\":" + fleet.listPort() + ",\"control\":" + controlPort + ",\"engines\":"
                 + plan.engines().size() + "}");
         return Commands.RUNNING;
     }
--- a/cli/src/main/java/pearladder/cli/TraceCommand.java
+++ b/cli/src/main/java/pearladder/cli/TraceCommand.java
@@ -21,22 +21,23 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
+/** Inspects, converts and makes traces. */
 @Command(name = "trace", mixinStandardHelpOptions = true, description = "Look at public cluster traces in CSV.")
 final class TraceCommand implements Runnable {
     @Spec
     private CommandSpec spec;
 
-    /** What all of them take. */
+    /** Options of all commands that read a trace. */
     static final class Input {
         @Parameters(index = "0", paramLabel = "FILE", description = "the trace, plain or gzip")
         Path file;
 
         @Option(
                 names = "--layout",
-                converter = LayoutWord.class,
+                converter = LayoutConverter.class,
                 paramLabel = "LAYOUT",
                 description = "plain, azure-functions-2019, azure-functions-2021, azure-llm, google-2011, alibaba-2018;"
-                        + " told from the first line where it is missing")
+                        + " recognized by the first line if missing")
         Layout layout;
 
         @Option(names = "--durations", paramLabel = "FILE", description = "azure-functions-2019: durations by function")
@@ -55,12 +56,13 @@
         @Option(names = "--strict", description = "stop at the first row that can't be read")
         boolean strict;
 
-        @Option(names = "--skipped", paramLabel = "FILE", description = "name every row that is left out here")
-        Path named;
+        @Option(names = "--skipped", paramLabel = "FILE", description = "write every row that is left out to this file")
+        Path skippedFile;
 
-        /** Reads all; rows left out are named in a file, or the first of them on standard error. */
+        /** Reads the trace; rows left out are written to a file, or the first of them to standard error. */
         TraceFile.Read read(Consumer<TraceCall> out, SkippedRows[] kept, PrintWriter err) throws IOException {
-            try (PrintWriter rows = named == null ? null : new PrintWriter(Files.newBufferedWriter(named))) {
+            try (PrintWriter rows =
+                    skippedFile == null ? null : new PrintWriter(Files.newBufferedWriter(skippedFile))) {
                 SkippedRows skipped = new SkippedRows(strict, row -> {
                     if (rows != null) {
                         rows.println(row);
@@ -83,8 +85,8 @@
         }
     }
 
-    /** A layout by its word. */
-    static final class LayoutWord implements CommandLine.ITypeConverter<Layout> {
+    /** Reads the name of a layout. */
+    static final class LayoutConverter implements CommandLine.ITypeConverter<Layout> {
         @Override
         public Layout convert(String word) {
             Layout layout = Layout.of(word);
@@ -127,9 +129,13 @@
     int cut(
             @CommandLine.Mixin Input input,
             @Parameters(index = "1", paramLabel = "TO", description = "the new file") Path to,
-            @Option(names = "--from", defaultValue = "0", paramLabel = "SECONDS", description = "after the first call")
+            @Option(
+                            names = "--from",
+                            defaultValue = "0",
+                            paramLabel = "SECONDS",
+                            description = "after the first request")
                     double from,
-            @Option(names = "--until", paramLabel = "SECONDS", description = "after the first call") Double until,
+            @Option(names = "--until", paramLabel = "SECONDS", description = "after the first request") Double until,
             @Option(names = "--share", defaultValue = "1", description = "of the models, from 0 to 1") double share,
             @Option(names = "--seed", defaultValue = "0", description = "of the choice of models") int seed)
             throws IOException {
@@ -146,15 +152,18 @@
             name = "make",
             mixinStandardHelpOptions = true,
             description = {
-                "Make a trace where none is at hand, in the plain layout: Zipf's law down to models called once,",
-                "minutes of more and less, timers that pulse. The same seed makes the same trace."
+                "Make a trace where none is at hand, in the plain layout: Zipf's law down to models with one request,",
+                "minutes with more and with less load, timers with regular bursts. The same seed makes the same trace."
             })
     int make(
             @Parameters(index = "0", paramLabel = "TO", description = "the new file") Path to,
             @Option(names = "--models", defaultValue = "200", description = "(default: ${DEFAULT-VALUE})") int models,
             @Option(names = "--skew", defaultValue = "1", description = "Zipf's exponent (default: ${DEFAULT-VALUE})")
                     double skew,
-            @Option(names = "--rate", defaultValue = "100", description = "calls a second (default: ${DEFAULT-VALUE})")
+            @Option(
+                            names = "--rate",
+                            defaultValue = "100",
+                            description = "requests a second (default: ${DEFAULT-VALUE})")
                     double rate,
             @Option(names = "--lasting", defaultValue = "60", paramLabel = "SECONDS") double seconds,
             @Option(
@@ -166,7 +175,7 @@
             @Option(names = "--work", defaultValue = "20", paramLabel = "MS", description = "mean work") double work,
             @Option(names = "--seed", defaultValue = "1") long seed)
             throws IOException {
-        refuseOld(to);
+        refuseExisting(to);
         TraceMaker.Terms terms = new TraceMaker.Terms(models, skew, rate, seconds, timers, bursts, work, seed);
         try (BufferedWriter writer = Files.newBufferedWriter(to);
                 TraceCut cut = new TraceCut(writer, 0, Long.MAX_VALUE, 1, 0)) {
@@ -176,7 +185,7 @@
         return 0;
     }
 
-    private static void refuseOld(Path to) throws IOException {
+    private static void refuseExisting(Path to) throws IOException {
         if (Files.exists(to)) {
             throw new IOException(to + ": it is there already; name another file, or take it away first");
         }
@@ -184,7 +193,7 @@
 
     private int write(Input input, Path to, long from, long until, double share, int seed) throws IOException {
         SkippedRows[] skipped = {null};
-        refuseOld(to);
+        refuseExisting(to);
         try (BufferedWriter writer = Files.newBufferedWriter(to);
                 TraceCut cut = new TraceCut(writer, from, until, share, seed)) {
             TraceFile.Read read = input.read(cut, skipped, spec.commandLine().getErr());
--- a/cli/src/test/java/pearladder/cli/DayTest.java
+++ b/cli/src/test/java/pearladder/cli/CommandProcessTest.java
@@ -24,9 +24,12 @@
 import pearladder.testbed.InvariantChecker;
 import pearladder.testbed.Scenario;
 
-/** The whole path as processes, with faults injected; the slack is wide, so that a slow machine gives the same verdict. */
-class DayTest {
-    private static final String SCRIPT =
+/**
+ * Commands run as processes: a scenario with injected faults, a router with a bad file or a full disk, the adapter.
+ * The scenario's slack is wide, so that a slow machine gives the same verdict.
+ */
+class CommandProcessTest {
+    private static final String SCENARIO =
             """
             day: {name: small, lasting: 12 s, seed: 9, halls: [east, west], routers: 2, rate: 50, slack: 2 s}
             clients: {tries: 3, pause: 150 ms, front_lag: 500 ms, leaving: 0.03}
@@ -60,121 +63,129 @@
               engines: [{name: engine, count: 6, kind: std, halls: [east, west]}]
             """;
 
-    private static final String ORDER =
+    private static final String ROUTER_WITH_ADMIN =
+            """
+            router: {name: r1, listen: "127.0.0.1:0", admin: "127.0.0.1:0", data: "%s/data", stop_within: 1 s}
+            list: {address: "127.0.0.1:1"}
+            categories:
+              draft: {expected: 1 s, abandon: 2 s, effect: retriable}
+            models: [{name: "*", memory: 1 MB, lanes: 1}]
+            """;
+
+    private static final String ROLLOUT_TARGET =
             "{\"epoch\":%d,\"mode\":\"PAUSED\",\"step\":0,\"by\":\"ops\",\"wallMillis\":1,\"plan\":"
-                    + "{\"model\":\"a\",\"from\":\"\",\"to\":\"2\",\"steps\":[1.0],\"hold\":{\"nanos\":1},\"leastCalls\":1,"
+                    + "{\"model\":\"a\",\"from\":\"\",\"to\":\"2\",\"steps\":[1.0],\"hold\":{\"nanos\":1},"
+                    + "\"leastCalls\":1,"
                     + "\"gate\":{\"excess\":0.1,\"wrongly\":0.01,\"missed\":0.05},\"onBreach\":\"PAUSE\"}}";
 
     @Test
-    void aSmallBadDayKeepsTheRulesOverTheSockets(@TempDir Path folder) throws IOException, InterruptedException {
+    void scenarioWithFaultsKeepsTheInvariantsOverSockets(@TempDir Path folder)
+            throws IOException, InterruptedException {
         Path script = folder.resolve("day.yaml");
-        Files.writeString(script, SCRIPT);
-        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        Files.writeString(script, SCENARIO);
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
         Scenario.Outcome outcome = Scenario.play(
-                script, folder, SelfCommand.command(), List.of(), new PrintStream(said, true, StandardCharsets.UTF_8));
+                script, folder, OwnProcess.command(), List.of(), new PrintStream(output, true, StandardCharsets.UTF_8));
         assertEquals(List.of(), outcome.verdict().breaches());
         assertEquals(List.of(), outcome.faults());
         for (InvariantChecker.Rule rule : InvariantChecker.Rule.values()) {
-            assertTrue(outcome.verdict().looked().get(rule) > 0, rule + " was never looked at");
+            assertTrue(outcome.verdict().looked().get(rule) > 0, rule + " was never checked");
         }
         assertTrue(outcome.calls() > 450, "calls: " + outcome.calls());
         assertTrue(outcome.credit() > 0.3, "credit: " + outcome.credit());
-        List<Observation> tape = new ArrayList<>();
-        ObservationLog.read(folder.resolve("clients.tape"), tape::add);
+        List<Observation> observations = new ArrayList<>();
+        ObservationLog.read(folder.resolve("clients.tape"), observations::add);
         assertEquals(
                 1,
-                tape.stream()
-                        .filter(seen -> seen.what().equals(Observation.KILLED))
+                observations.stream()
+                        .filter(observation -> observation.what().equals(Observation.KILLED))
                         .count());
         assertEquals(
                 3,
-                tape.stream()
-                        .filter(seen -> seen.what().equals(Observation.STARTED))
+                observations.stream()
+                        .filter(observation -> observation.what().equals(Observation.STARTED))
                         .count());
         assertEquals(
                 7,
-                tape.stream()
-                        .filter(seen -> seen.what().equals(Observation.TROUBLE))
+                observations.stream()
+                        .filter(observation -> observation.what().equals(Observation.TROUBLE))
                         .count());
-        assertTrue(said.toString(StandardCharsets.UTF_8).contains("curl -i http://127.0.0.1:"));
+        assertTrue(output.toString(StandardCharsets.UTF_8).contains("curl -i http://127.0.0.1:"));
     }
 
     @Test
-    void aFileWithMistakesStartsNothing(@TempDir Path folder) throws IOException, InterruptedException {
+    void routerDoesNotStartWithMistakesInItsFile(@TempDir Path folder) throws IOException, InterruptedException {
         Path file = folder.resolve("router.yaml");
         Files.writeString(file, "router: {name: r 1, listen: here}\nlist: {address: \"127.0.0.1:0\"}\nmodels: 3\n");
         Process process = new ProcessBuilder(command("router", "-c", file.toString()))
                 .redirectErrorStream(true)
                 .start();
-        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertEquals(2, process.waitFor(), said);
-        List<String> lines = said.lines().toList();
-        assertTrue(lines.stream().allMatch(line -> line.matches(".*router\\.yaml:[0-9]+: [a-z_.]+: .+; .+")), said);
+        String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(2, process.waitFor(), output);
+        List<String> lines = output.lines().toList();
+        assertTrue(lines.stream().allMatch(line -> line.matches(".*router\\.yaml:[0-9]+: [a-z_.]+: .+; .+")), output);
         for (String key : List.of("router.name", "router.listen", "list.address", "categories", "models")) {
-            assertTrue(lines.stream().anyMatch(line -> line.contains(": " + key + ": ")), key + " in " + said);
+            assertTrue(lines.stream().anyMatch(line -> line.contains(": " + key + ": ")), key + " in " + output);
         }
     }
 
     @Test
-    void theWireOfTheBenchLoadsNothingOfTheRouter() throws IOException, InterruptedException {
+    void simulatorAdapterLoadsNoClassesOfTheRouter() throws IOException, InterruptedException {
         List<String> command = command("wirehost");
         command.add(1, "-Xlog:class+load:stdout");
         Process process = new ProcessBuilder(command).start();
         process.getOutputStream().write("[\"Frame\",1]\n[\"Commit\"]\n".getBytes(StandardCharsets.US_ASCII));
         process.getOutputStream().close();
-        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(0, process.waitFor());
-        assertTrue(said.contains("[\"Finished\"]") && said.contains("pearladder.simulator.SimulatorAdapter"));
-        assertTrue(said.lines().noneMatch(line -> line.matches(".* (io\\.vertx|picocli|ch\\.qos|io\\.netty)\\..*")));
+        assertTrue(output.contains("[\"Finished\"]") && output.contains("pearladder.simulator.SimulatorAdapter"));
+        assertTrue(output.lines().noneMatch(line -> line.matches(".* (io\\.vertx|picocli|ch\\.qos|io\\.netty)\\..*")));
     }
 
-    /** The disk is full for the journal: files of the router's process may not grow past some kilobytes. */
+    /** The disk is full for the rollout journal: files of the router's process may not grow past some kilobytes. */
     @Test
-    void anOrderThatAFullDiskCantTakeIsRefusedAndTheRouterServesOn(@TempDir Path folder)
+    void rolloutTargetIsRefusedOnAFullDiskAndTheRouterServesOn(@TempDir Path folder)
             throws IOException, InterruptedException {
         Path file = folder.resolve("router.yaml");
-        Files.writeString(
-                file,
-                "router: {name: r1, listen: \"127.0.0.1:0\", admin: \"127.0.0.1:0\", data: \"" + folder
-                        + "/data\", stop_within: 1 s}\nlist: {address: \"127.0.0.1:1\"}\ncategories:\n  draft: {expected: 1 s, abandon: "
-                        + "2 s, effect: retriable}\nmodels: [{name: \"*\", memory: 1 MB, lanes: 1}]\n");
-        List<String> words = command("router", "-c", file.toString());
-        words.add(1, "-XX:-UsePerfData");
+        Files.writeString(file, ROUTER_WITH_ADMIN.formatted(folder));
+        List<String> routerCommand = command("router", "-c", file.toString());
+        routerCommand.add(1, "-XX:-UsePerfData");
         List<String> limited = new ArrayList<>(List.of("sh", "-c", "ulimit -f 4; exec \"$@\"", "sh"));
-        limited.addAll(words);
+        limited.addAll(routerCommand);
         Process process = new ProcessBuilder(limited)
                 .redirectError(ProcessBuilder.Redirect.DISCARD)
                 .start();
         try (BufferedReader out =
                 new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
-            String line = out.readLine();
-            String door = "http://127.0.0.1:" + line.replaceAll(".*\"admin\":([0-9]+).*", "$1") + "/releases";
+            String startLine = out.readLine();
+            String adminUrl = "http://127.0.0.1:" + startLine.replaceAll(".*\"admin\":([0-9]+).*", "$1") + "/releases";
             HttpClient client = HttpClient.newHttpClient();
-            int taken = 0;
-            HttpResponse<String> answer;
+            int accepted = 0;
+            HttpResponse<String> response;
             do {
-                answer = client.send(
-                        HttpRequest.newBuilder(URI.create(door))
-                                .POST(HttpRequest.BodyPublishers.ofString(ORDER.formatted(taken + 1)))
+                response = client.send(
+                        HttpRequest.newBuilder(URI.create(adminUrl))
+                                .POST(HttpRequest.BodyPublishers.ofString(ROLLOUT_TARGET.formatted(accepted + 1)))
                                 .build(),
                         HttpResponse.BodyHandlers.ofString());
-            } while (answer.statusCode() == 200 && ++taken < 100);
-            assertEquals(409, answer.statusCode(), answer.body());
+            } while (response.statusCode() == 200 && ++accepted < 100);
+            assertEquals(409, response.statusCode(), response.body());
             assertTrue(
-                    taken > 2 && answer.body().contains("the journal can't be written"), taken + " " + answer.body());
+                    accepted > 2 && response.body().contains("the journal can't be written"),
+                    accepted + " " + response.body());
             String status = client.send(
-                            HttpRequest.newBuilder(URI.create(door)).build(), HttpResponse.BodyHandlers.ofString())
+                            HttpRequest.newBuilder(URI.create(adminUrl)).build(), HttpResponse.BodyHandlers.ofString())
                     .body();
-            assertTrue(status.contains("epoch " + taken + ", paused"), status);
+            assertTrue(status.contains("epoch " + accepted + ", paused"), status);
         } finally {
             process.destroy();
             assertEquals(0, process.waitFor());
         }
     }
 
-    private static List<String> command(String... words) {
-        List<String> command = new ArrayList<>(SelfCommand.command());
-        command.addAll(List.of(words));
+    private static List<String> command(String... arguments) {
+        List<String> command = new ArrayList<>(OwnProcess.command());
+        command.addAll(List.of(arguments));
         return command;
     }
 }
--- a/cli/src/test/java/pearladder/cli/CommandsTest.java
+++ b/cli/src/test/java/pearladder/cli/CommandsTest.java
@@ -8,24 +8,60 @@
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import picocli.CommandLine;
 
+/** Commands in this process: their names, what they write, and how they report mistakes. */
 class CommandsTest {
     private final StringWriter out = new StringWriter();
     private final StringWriter err = new StringWriter();
 
-    private int run(String... words) {
+    private int run(String... arguments) {
         out.getBuffer().setLength(0);
         err.getBuffer().setLength(0);
-        return Commands.line()
+        return Commands.commandLine()
                 .setOut(new PrintWriter(out, true))
                 .setErr(new PrintWriter(err, true))
-                .execute(words);
+                .execute(arguments);
     }
 
     @Test
-    void aTraceIsCutIntoANewFileAndNeverOverAnOldOne(@TempDir Path folder) throws IOException {
+    void commandsKeepTheirNames() {
+        CommandLine root = Commands.commandLine();
+        assertEquals(
+                Set.of(
+                        "try",
+                        "router",
+                        "engines",
+                        "check",
+                        "day",
+                        "rehearse",
+                        "search",
+                        "measure",
+                        "pass-through",
+                        "trace",
+                        "replay",
+                        "experiment",
+                        "report",
+                        "release",
+                        "records",
+                        "usage",
+                        "wirehost",
+                        "platform",
+                        "help"),
+                root.getSubcommands().keySet());
+        assertEquals(
+                Set.of("verify", "dump", "query", "compact", "prove", "write"),
+                root.getSubcommands().get("records").getSubcommands().keySet());
+        assertEquals(
+                Set.of("explain"),
+                root.getSubcommands().get("usage").getSubcommands().keySet());
+    }
+
+    @Test
+    void traceIsCutIntoANewFileAndNeverOverwritesAnExistingOne(@TempDir Path folder) throws IOException {
         Path from = folder.resolve("from.csv");
         String text = "arrival_s,model,work_ms,memory_mb,category,account\n0,a,,,,\n5,b,,,,\n9,c,,,,\n";
         Files.writeString(from, text);
@@ -41,9 +77,9 @@
     }
 
     @Test
-    void mistakesOfAUserAreToldInWordsWithTheirExitCode(@TempDir Path folder) throws IOException {
-        Path odd = Files.writeString(folder.resolve("odd.yaml"), "day: {lasting: 5}\n");
-        assertEquals(2, run("check", odd.toString()));
+    void userMistakesAreReportedWithTheirExitCodeAndNoStackTrace(@TempDir Path folder) throws IOException {
+        Path invalid = Files.writeString(folder.resolve("odd.yaml"), "day: {lasting: 5}\n");
+        assertEquals(2, run("check", invalid.toString()));
         assertTrue(
                 err.toString().contains("odd.yaml:1: day.lasting: a span of time with its unit was expected"),
                 err.toString());
