Split the policy into one file a mechanism

Change: StickyFirstFitPolicy keeps the ordinary path; outlier detection, slow start, retries, preloading, the load limit, the concurrency limit and the conclusions from an ended attempt are classes of their own.

--- /dev/null
+++ b/decisions/src/main/java/pearladder/routing/RetryPolicy.java
@@ -0,0 +1,108 @@
+package pearladder.routing;
+
+import pearladder.routing.api.RoutingSettings.AttemptLimits;
+import pearladder.routing.api.RoutingSettings.DeduplicationScope;
+import pearladder.routing.api.RoutingSettings.Idempotency;
+import pearladder.routing.api.RoutingSettings.RequestClass;
+import pearladder.routing.api.TimeSpan;
+import pearladder.routing.state.Attempt;
+import pearladder.routing.state.DecayingSum;
+import pearladder.routing.state.Request;
+import pearladder.routing.state.RouterState;
+import pearladder.routing.state.Worker;
+
+/**
+ * Decides what may be sent again, where, and how much of that in all.
+ *
+ * <p>A request that may have been executed is repeated only if that is harmless: always for an idempotent one, within
+ * the scope and window of deduplication for one with an idempotency key, never otherwise. A retry budget, a share of
+ * the recent requests, prevents retry storms.
+ */
+final class RetryPolicy {
+    private static final double BUDGET_SHARE = 0.2; // retries for each recent request,
+    private static final double BUDGET_MIN = 3; // and so many on top
+
+    private final RouterState state;
+    private final AttemptLimits limits;
+    private final DecayingSum recentRetries;
+    private final DecayingSum recentRequests;
+
+    RetryPolicy(RouterState state) {
+        this.state = state;
+        this.limits = state.settings().attemptLimits();
+        this.recentRetries = new DecayingSum(state.decayTimes().rates());
+        this.recentRequests = new DecayingSum(state.decayTimes().rates());
+    }
+
+    void onRequestAdmitted() {
+        recentRequests.add(state.now(), 1);
+    }
+
+    void onRetry(boolean exemptFromBudget) {
+        recentRetries.add(state.now(), exemptFromBudget ? 0 : 1);
+    }
+
+    /** Whether the client may be told to try again, as a repeat would be harmless. */
+    boolean mayReject(Request request) {
+        RequestClass requestClass = request.requestClass;
+        return requestClass.idempotency() == Idempotency.RETRIABLE
+                || firstPossiblyExecuted(request) == null
+                || requestClass.idempotency() == Idempotency.FINGERPRINTED
+                        && requestClass.deduplicationScope() == DeduplicationScope.ALL;
+    }
+
+    /** Whether the worker may be sent the request, in view of the earlier attempts. */
+    boolean maySendTo(Request request, Worker worker) {
+        Attempt executed = firstPossiblyExecuted(request);
+        Idempotency idempotency = request.requestClass.idempotency();
+        if (executed == null || idempotency == Idempotency.RETRIABLE) {
+            return true;
+        }
+        return idempotency == Idempotency.FINGERPRINTED && isDeduplicated(executed, worker);
+    }
+
+    /** Whether the worker would still recognise a repeat of the attempt when that arrives. */
+    private boolean isDeduplicated(Attempt executed, Worker worker) {
+        RequestClass requestClass = executed.request.requestClass;
+        Worker first = executed.placement.worker;
+        TimeSpan age = state.age(executed.sentAt);
+        TimeSpan ageOnArrival = age.plus(state.settings().maxSendDelay());
+        return ageOnArrival.compareTo(requestClass.deduplicationWindow()) < 0
+                && switch (requestClass.deduplicationScope()) {
+                    case ALL -> true;
+                    case ZONE -> worker.zone.equals(first.zone);
+                    case CELL -> worker.cell == first.cell;
+                };
+    }
+
+    boolean mayRetry(Request request, boolean exemptFromBudget) {
+        boolean nonIdempotent = request.requestClass.idempotency() == Idempotency.BINDING;
+        return (!nonIdempotent || firstPossiblyExecuted(request) == null)
+                && !request.streaming
+                && request.attempts.size() < limits.maxAttempts()
+                && (exemptFromBudget || isWithinBudget())
+                && request.deadlineAt
+                        .since(state.now())
+                        .isLongerThan(state.typicalTimes().requestTime(request.function));
+    }
+
+    private boolean isWithinBudget() {
+        double budget = BUDGET_MIN + BUDGET_SHARE * recentRequests.read(state.now());
+        return recentRetries.read(state.now()) < budget;
+    }
+
+    /** Whether an attempt of the request may be cancelled in order to send it elsewhere. */
+    boolean mayCancelAndRetry(Request request) {
+        return limits.cancel()
+                && !request.completed
+                && request.requestClass.idempotency() != Idempotency.BINDING
+                && mayRetry(request, false);
+    }
+
+    private static Attempt firstPossiblyExecuted(Request request) {
+        return request.attempts.stream()
+                .filter(Attempt::mayHaveExecuted)
+                .findFirst()
+                .orElse(null);
+    }
+}
--- a/decisions/src/main/java/pearladder/routing/state/Attempt.java
+++ b/decisions/src/main/java/pearladder/routing/state/Attempt.java
@@ -3,25 +3,28 @@
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.Outcome;
 
-/** One sending of a call to a worker; the outcome is null while it is out. */
+/** One sending of a request to a worker; the outcome is null while it is in flight. */
 public final class Attempt {
     public final Request request;
     public final int number;
     public final Placement placement;
     public final MonotonicTime sentAt;
+    /** Whether an instance was assumed to be loaded there. */
     public final boolean assumedWarm;
+
     public Outcome outcome;
     public boolean cancelled;
 
-    public Attempt(Request call, int number, Placement place, MonotonicTime sent, boolean copyBelieved) {
-        this.request = call;
-        this.number = number;
-        this.placement = place;
-        this.sentAt = sent;
-        this.assumedWarm = copyBelieved;
+    /** The request's next attempt. */
+    public Attempt(Request request, Placement placement, MonotonicTime sentAt, boolean assumedWarm) {
+        this.request = request;
+        this.number = request.attempts.size();
+        this.placement = placement;
+        this.sentAt = sentAt;
+        this.assumedWarm = assumedWarm;
     }
 
-    /** Whether nothing proves that it never ran. */
+    /** Whether nothing proves that the worker never executed it. */
     public boolean mayHaveExecuted() {
         return outcome == null || !outcome.neverExecuted;
     }
--- /dev/null
+++ b/decisions/src/main/java/pearladder/routing/state/EventDrivenPolicy.java
@@ -0,0 +1,112 @@
+package pearladder.routing.state;
+
+import java.util.List;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.RoutingPolicy;
+
+/**
+ * Passes each event to the method that decides on it, once the objects that it concerns are found. Events about unknown
+ * objects, which may be late, are dropped, as are those that no method is for.
+ */
+public abstract class EventDrivenPolicy implements RoutingPolicy {
+    private final RouterState state;
+    private boolean started;
+
+    /** @param state shared with the mechanisms of the policy */
+    protected EventDrivenPolicy(RouterState state) {
+        this.state = state;
+    }
+
+    @Override
+    public final List<Action> handle(MonotonicTime now, Event event) {
+        state.advanceTo(now);
+        List<Action> actions = state.startActions();
+        if (!started) {
+            started = true;
+            onStart();
+        }
+        dispatch(event);
+        return actions;
+    }
+
+    private void dispatch(Event event) {
+        if (event instanceof Event.RequestArrived arrived) {
+            onRequestAdmitted(state.admit(arrived));
+        } else if (event instanceof Event.AttemptEnded ended) {
+            endAttempt(ended);
+        } else if (event instanceof Event.TimerFired fired) {
+            onTimerFired(fired.tag());
+        } else if (event instanceof Event.EndpointsUpdated updated) {
+            onEndpointsUpdated(updated);
+        } else if (event instanceof Event.ClientDisconnected disconnected) {
+            completeRequest(disconnected.requestId());
+        } else if (event instanceof Event.StreamStarted streamStarted) {
+            startStream(streamStarted.requestId());
+        } else if (event instanceof Event.PrewarmRequested requested) {
+            setPrewarm(requested);
+        } else if (event instanceof Event.SnapshotRestored restored) {
+            onSnapshotRestored(restored.snapshot());
+        } else if (event instanceof Event.LoadCompleted completed) {
+            completeLoad(completed);
+        }
+    }
+
+    private void endAttempt(Event.AttemptEnded event) {
+        Attempt attempt = state.findInFlight(event.requestId(), event.attempt());
+        if (attempt != null) {
+            state.endAttempt(attempt, event.outcome());
+            onAttemptEnded(attempt, event);
+        }
+    }
+
+    private void completeRequest(String requestId) {
+        Request request = state.findRequest(requestId);
+        if (request != null) {
+            state.completeRequest(request);
+        }
+    }
+
+    private void startStream(String requestId) {
+        Request request = state.findRequest(requestId);
+        if (request != null) {
+            request.streaming = true;
+        }
+    }
+
+    private void setPrewarm(Event.PrewarmRequested event) {
+        Function function = state.function(event.function());
+        function.setRequirements(event.concurrency(), event.memoryMb(), event.typicalLoadTime());
+        function.prewarmShare = event.share();
+        function.prewarmReference = state.findFunction(event.referenceFunction());
+    }
+
+    private void completeLoad(Event.LoadCompleted event) {
+        Placement placement = state.findPlacement(event.function(), event.worker());
+        if (placement != null) {
+            onLoadCompleted(placement, event);
+        }
+    }
+
+    /** The first event is about to be handled. */
+    protected abstract void onStart();
+
+    /** A request was admitted and counted; it has to be sent or answered now. */
+    protected abstract void onRequestAdmitted(Request request);
+
+    /** An attempt has ended and is no longer counted as in flight. */
+    protected abstract void onAttemptEnded(Attempt attempt, Event.AttemptEnded event);
+
+    /** A timer that was set with this tag has fired. */
+    protected abstract void onTimerFired(String tag);
+
+    /** The endpoint list has changed or could not be read; not yet applied. */
+    protected abstract void onEndpointsUpdated(Event.EndpointsUpdated event);
+
+    /** A snapshot of an earlier process is to be restored. */
+    protected abstract void onSnapshotRestored(PolicySnapshot snapshot);
+
+    /** A load request was answered. */
+    protected abstract void onLoadCompleted(Placement placement, Event.LoadCompleted event);
+}
--- a/decisions/src/main/java/pearladder/routing/state/Function.java
+++ b/decisions/src/main/java/pearladder/routing/state/Function.java
@@ -8,7 +8,7 @@
 import java.util.Set;
 import pearladder.routing.api.TimeSpan;
 
-/** A function: what its calls told, where it is placed, and the short cached list of its workers. */
+/** A function: what its requests stated, its placements, and the short cached list of them. */
 public final class Function {
     public final String id;
     public int concurrency;
@@ -19,22 +19,61 @@
     public final DecayingSum recentRequests;
     public final DecayingSum warmResponses;
     public final DecayingSum warmSeconds;
+    /** Workers in ring order from the function's hash on, as far as computed. */
     public final List<Worker> ringOrder = new ArrayList<>();
-    /** The same workers, to be asked for only. */
+    /** The same workers, for lookups. */
     public final Set<Worker> orderedWorkers = new HashSet<>();
 
+    /** The position on the ring from which the order continues. */
     public long ringPosition;
+
+    /** The ring's version for which the order holds. */
     public long ringOrderVersion = -1;
+    /** All requests since it became known. */
     public long requestCount;
-    /** The share of the like function's load for which copies are to stand ahead; 0 where none is wanted. */
+
+    /** The share of the reference function's instances that are to be loaded before requests; 0 for none. */
     public double prewarmShare;
 
     public Function prewarmReference;
 
-    public Function(String id, TimeSpan demand, TimeSpan pace) {
+    /**
+     * @param demandDecay the decay time of its recent requests
+     * @param rateDecay the decay time of its warm responses and of their times
+     */
+    public Function(String id, TimeSpan demandDecay, TimeSpan rateDecay) {
         this.id = id;
-        this.recentRequests = new DecayingSum(demand);
-        this.warmResponses = new DecayingSum(pace);
-        this.warmSeconds = new DecayingSum(pace);
+        this.recentRequests = new DecayingSum(demandDecay);
+        this.warmResponses = new DecayingSum(rateDecay);
+        this.warmSeconds = new DecayingSum(rateDecay);
+    }
+
+    /** The placement on the worker; where there is none, an empty one that isn't recorded. */
+    public Placement placementOrEmpty(Worker worker) {
+        Placement placement = placements.get(worker);
+        return placement != null ? placement : new Placement(this, worker);
+    }
+
+    /** The placement on the worker, new where there was none. */
+    public Placement placementOn(Worker worker) {
+        Placement placement = placements.get(worker);
+        if (placement == null) {
+            placement = new Placement(this, worker);
+            placements.put(worker, placement);
+            worker.placements.add(placement);
+        }
+        return placement;
+    }
+
+    /**
+     * Sets what a request stated of the function.
+     *
+     * @param concurrency requests that one instance runs at once; at least 1 is assumed
+     * @param typicalLoadTime null where it isn't stated
+     */
+    public void setRequirements(int concurrency, double memoryMb, TimeSpan typicalLoadTime) {
+        this.concurrency = Math.max(1, concurrency);
+        this.memoryMb = memoryMb;
+        this.typicalLoadTime = typicalLoadTime;
     }
 }
--- a/decisions/src/main/java/pearladder/routing/state/Request.java
+++ b/decisions/src/main/java/pearladder/routing/state/Request.java
@@ -6,7 +6,7 @@
 import pearladder.routing.api.RoutingSettings.RequestClass;
 import pearladder.routing.api.TimeSpan;
 
-/** A call this router has taken and, until over, owes one final answer. */
+/** A request that this router admitted; it owes one final answer until the request is completed. */
 public final class Request {
     public final String id;
     public final Function function;
@@ -19,18 +19,19 @@
     public boolean streaming;
     public int attemptsInFlight;
 
+    /** @param workEstimate the time that the client expects it to take, or null */
     public Request(
             String id,
             Function function,
-            RequestClass terms,
-            MonotonicTime taken,
-            MonotonicTime givenUpAt,
-            TimeSpan hint) {
+            RequestClass requestClass,
+            MonotonicTime admittedAt,
+            MonotonicTime deadlineAt,
+            TimeSpan workEstimate) {
         this.id = id;
         this.function = function;
-        this.requestClass = terms;
-        this.admittedAt = taken;
-        this.deadlineAt = givenUpAt;
-        this.workEstimate = hint;
+        this.requestClass = requestClass;
+        this.admittedAt = admittedAt;
+        this.deadlineAt = deadlineAt;
+        this.workEstimate = workEstimate;
     }
 }
--- a/decisions/src/main/java/pearladder/routing/state/Worker.java
+++ b/decisions/src/main/java/pearladder/routing/state/Worker.java
@@ -6,55 +6,78 @@
 import java.util.Set;
 import pearladder.routing.api.Event.EndpointState;
 import pearladder.routing.api.MonotonicTime;
-import pearladder.routing.api.TimeSpan;
 
-/** A worker as this router knows it: what the list said, and the ledger of what was sent and heard. */
+/** A worker as this router knows it: what the endpoint list stated, and what was sent to it and heard of it. */
 public final class Worker {
     public final String id;
     public final long[] virtualNodes;
+    /** Whether it is in service, and so on the hash ring. */
     public boolean onRing;
+
     public String zone;
     public long cell;
     public EndpointState state = EndpointState.IN_SERVICE;
+    /** When its process started; null where no list told it. */
     public MonotonicTime startedAt;
+
     public final Set<Attempt> attemptsInFlight = new LinkedHashSet<>();
     public final List<Placement> placements = new ArrayList<>();
+    /** Ended attempts by which its health is judged. */
     public final DecayingSum responses;
+    /** Of these, the sum of their time over the time that they should take. */
     public final DecayingSum slowness;
+    /** Of these, how many failed; a refusal without need counts in part. */
     public final DecayingSum failures;
+    /** Successful responses. */
     public final DecayingSum successes;
-    public final DecayingSum latencyRatioSum;
-    public final DecayingSum latencyRatioCount;
+    /** Latency of warm responses as a share of what their latency objective allows, weighted by priority. */
+    public final DecayingMean latencyRatio;
+
+    /** Attempts in flight that were sent where no instance was assumed to be loaded. */
     public int coldAttemptsInFlight;
+    /** Attempts that it may have in flight from this router; 0 before any was measured. */
     public double concurrencyLimit;
+    /** The limit is not reduced again before. */
     public MonotonicTime limitReducedUntil;
+    /** When it last responded. */
     public MonotonicTime lastHeardAt;
+    /** When an attempt was last sent to it; null where none was. */
     public MonotonicTime sentAt;
+    /** It refused as full and is passed over until then. */
     public MonotonicTime overloadedUntil;
+    /** It was judged an outlier and is passed over until then. */
     public MonotonicTime ejectedUntil;
+    /** Requests that it may get at once while it is warming up. */
     public double slowStartTokens;
+    /** When the tokens were last topped up. */
     public MonotonicTime slowStartTokensAt;
+    /** Loads in progress by its last report. */
     public double reportedLoads;
 
-    public Worker(String id, long[] marks, TimeSpan health, TimeSpan pace, TimeSpan strain) {
+    /** @param virtualNodes the worker's positions on the hash ring */
+    public Worker(String id, long[] virtualNodes, DecayTimes decayTimes) {
         this.id = id;
-        this.virtualNodes = marks;
-        this.responses = new DecayingSum(health);
-        this.slowness = new DecayingSum(health);
-        this.failures = new DecayingSum(health);
-        this.successes = new DecayingSum(pace);
-        this.latencyRatioSum = new DecayingSum(strain);
-        this.latencyRatioCount = new DecayingSum(strain);
+        this.virtualNodes = virtualNodes;
+        this.responses = new DecayingSum(decayTimes.health());
+        this.slowness = new DecayingSum(decayTimes.health());
+        this.failures = new DecayingSum(decayTimes.health());
+        this.successes = new DecayingSum(decayTimes.rates());
+        this.latencyRatio = new DecayingMean(decayTimes.latencyRatio(), 0, 0);
     }
 
+    /** Forgets how the worker has been judged. */
     public void clearHealth() {
         responses.clear();
         slowness.clear();
         failures.clear();
     }
 
-    /** The process is another one: nothing that was heard of it holds. */
-    public void resetAfterRestart() {
+    /** The worker left or is another process: it has no instances, and nothing that was heard of it holds. */
+    public void invalidatePlacements() {
+        for (Placement placement : placements) {
+            placement.instances = 0;
+            placement.function.cachedPlacements.remove(placement);
+        }
         clearHealth();
         successes.clear();
         ejectedUntil = null;
@@ -62,7 +85,7 @@
         slowStartTokensAt = null;
     }
 
-    /** Legs out that were believed to find their copy. */
+    /** Attempts in flight that were sent where an instance was assumed to be loaded. */
     public int warmAttemptsInFlight() {
         return attemptsInFlight.size() - coldAttemptsInFlight;
     }
