--- a/decisions/src/main/java/pearladder/baseline/RandomChoice.java
+++ b/decisions/src/main/java/pearladder/baseline/RandomChoice.java
@@ -1,116 +1,121 @@
 package pearladder.baseline;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.zip.CRC32;
 import pearladder.routing.api.Action;
 import pearladder.routing.api.Event;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.Outcome;
 import pearladder.routing.api.RoutingPolicy;
 import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.RoutingSettings.Idempotency;
 import pearladder.routing.api.TimeSpan;
+import pearladder.routing.state.SeededRandom;
 
 /**
- * A baseline only, to compare the module with: each call goes to a worker drawn at random among those in service, once;
- * a leg that is known not to have run is sent once more. No router serves with it.
+ * A baseline to compare the policy with: each request goes to a worker drawn at random among those in service; one
+ * that is known not to have been executed is sent once more. No router serves with it.
  */
 public final class RandomChoice implements RoutingPolicy {
-    private static final class Call {
-        final MonotonicTime until;
-        final RoutingSettings.Idempotency effect;
-        int legs;
+    private static final int MAX_ATTEMPTS = 2;
+    private static final TimeSpan ENDPOINTS_RETRY = TimeSpan.millis(300);
 
-        Call(MonotonicTime until, RoutingSettings.Idempotency effect) {
-            this.until = until;
-            this.effect = effect;
+    private static final class OpenRequest {
+        final MonotonicTime deadlineAt;
+        final Idempotency idempotency;
+        int attempts;
+
+        OpenRequest(MonotonicTime deadlineAt, Idempotency idempotency) {
+            this.deadlineAt = deadlineAt;
+            this.idempotency = idempotency;
         }
     }
 
-    private final long seed;
-    private final RoutingSettings facts;
+    private final SeededRandom random;
+    private final RoutingSettings settings;
     private final Map<String, Event.Endpoint> workers = new TreeMap<>();
-    private final Map<String, Call> calls = new HashMap<>();
+    private final Map<String, OpenRequest> requests = new HashMap<>();
     private List<String> inService = List.of();
-    private long drawn;
 
-    public RandomChoice(long seed, RoutingSettings facts) {
-        this.seed = seed;
-        this.facts = facts;
+    /** @param seed selects the sequence of random draws */
+    public RandomChoice(long seed, RoutingSettings settings) {
+        this.random = new SeededRandom(seed);
+        this.settings = settings;
     }
 
     @Override
     public List<Action> handle(MonotonicTime now, Event event) {
-        List<Action> todo = new ArrayList<>();
-        if (event instanceof Event.RequestArrived came) {
-            RoutingSettings.Idempotency effect = facts.requestClasses().stream()
-                    .filter(c -> c.name().equals(came.requestClass()))
-                    .findFirst()
-                    .orElseThrow()
-                    .idempotency();
-            Call call = new Call(now.plus(came.timeLeft()), effect);
-            calls.put(came.requestId(), call);
-            send(now, came.requestId(), call, todo);
-        } else if (event instanceof Event.AttemptEnded ended && calls.containsKey(ended.requestId())) {
-            ended(now, ended, calls.get(ended.requestId()), todo);
-        } else if (event instanceof Event.ClientDisconnected left) {
-            calls.remove(left.requestId());
-        } else if (event instanceof Event.EndpointsUpdated listed) {
-            follow(listed, now, todo);
+        List<Action> actions = new ArrayList<>();
+        if (event instanceof Event.RequestArrived arrived) {
+            onRequestArrived(now, arrived, actions);
+        } else if (event instanceof Event.AttemptEnded ended && requests.containsKey(ended.requestId())) {
+            onAttemptEnded(now, ended, actions);
+        } else if (event instanceof Event.ClientDisconnected disconnected) {
+            requests.remove(disconnected.requestId());
+        } else if (event instanceof Event.EndpointsUpdated update) {
+            onEndpointsUpdated(now, update, actions);
         } else if (event instanceof Event.TimerFired) {
-            todo.add(new Action.WatchEndpoints(true));
+            actions.add(new Action.WatchEndpoints(true));
         }
-        return todo;
+        return actions;
+    }
+
+    private void onRequestArrived(MonotonicTime now, Event.RequestArrived event, List<Action> actions) {
+        Idempotency idempotency = settings.requestClasses().stream()
+                .filter(requestClass -> requestClass.name().equals(event.requestClass()))
+                .findFirst()
+                .orElseThrow()
+                .idempotency();
+        OpenRequest request = new OpenRequest(now.plus(event.timeLeft()), idempotency);
+        requests.put(event.requestId(), request);
+        send(now, event.requestId(), request, actions);
     }
 
-    private void ended(MonotonicTime now, Event.AttemptEnded ended, Call call, List<Action> todo) {
-        if (ended.requestCompleted() || ended.outcome() == Outcome.SUCCESS) {
-            calls.remove(ended.requestId());
-        } else if (ended.outcome().neverExecuted
-                && call.legs < Math.min(2, facts.attemptLimits().maxAttempts())) {
-            send(now, ended.requestId(), call, todo);
+    private void onAttemptEnded(MonotonicTime now, Event.AttemptEnded event, List<Action> actions) {
+        OpenRequest request = requests.get(event.requestId());
+        int maxAttempts = Math.min(MAX_ATTEMPTS, settings.attemptLimits().maxAttempts());
+        if (event.requestCompleted() || event.outcome() == Outcome.SUCCESS) {
+            requests.remove(event.requestId());
+        } else if (event.outcome().neverExecuted && request.attempts < maxAttempts) {
+            send(now, event.requestId(), request, actions);
         } else {
-            calls.remove(ended.requestId());
-            todo.add(
-                    ended.outcome().neverExecuted || call.effect == RoutingSettings.Idempotency.RETRIABLE
-                            ? new Action.Reject(ended.requestId(), TimeSpan.ZERO)
-                            : new Action.Fail(ended.requestId()));
+            requests.remove(event.requestId());
+            boolean harmless = event.outcome().neverExecuted || request.idempotency == Idempotency.RETRIABLE;
+            actions.add(
+                    harmless
+                            ? new Action.Reject(event.requestId(), TimeSpan.ZERO)
+                            : new Action.Fail(event.requestId()));
         }
     }
 
-    private void send(MonotonicTime now, String id, Call call, List<Action> todo) {
-        TimeSpan left = call.until.since(now).minus(facts.quantum().times(2));
-        if (inService.isEmpty() || left.nanos() <= 0) {
-            calls.remove(id);
-            todo.add(new Action.Reject(id, TimeSpan.ZERO));
+    private void send(MonotonicTime now, String requestId, OpenRequest request, List<Action> actions) {
+        TimeSpan timeout =
+                request.deadlineAt.since(now).minus(settings.quantum().times(2));
+        if (inService.isEmpty() || timeout.nanos() <= 0) {
+            requests.remove(requestId);
+            actions.add(new Action.Reject(requestId, TimeSpan.ZERO));
             return;
         }
-        call.legs++;
-        todo.add(new Action.SendAttempt(id, inService.get((int) (chance() * inService.size())), left));
+        request.attempts++;
+        String worker = inService.get((int) (random.next() * inService.size()));
+        actions.add(new Action.SendAttempt(requestId, worker, timeout));
     }
 
-    private void follow(Event.EndpointsUpdated listed, MonotonicTime now, List<Action> todo) {
-        if (listed.kind() == Event.EndpointUpdateKind.FAILED) {
-            todo.add(new Action.SetTimer(now.plus(TimeSpan.millis(300)), "list"));
+    private void onEndpointsUpdated(MonotonicTime now, Event.EndpointsUpdated update, List<Action> actions) {
+        if (update.kind() == Event.EndpointUpdateKind.FAILED) {
+            actions.add(new Action.SetTimer(now.plus(ENDPOINTS_RETRY), "list"));
             return;
         }
-        if (listed.kind() != Event.EndpointUpdateKind.DELTA) {
+        if (update.kind() != Event.EndpointUpdateKind.DELTA) {
             workers.clear();
         }
-        listed.endpoints().forEach(listing -> workers.put(listing.worker(), listing));
+        update.endpoints().forEach(endpoint -> workers.put(endpoint.worker(), endpoint));
         inService = workers.values().stream()
-                .filter(w -> w.state() == Event.EndpointState.IN_SERVICE)
+                .filter(endpoint -> endpoint.state() == Event.EndpointState.IN_SERVICE)
                 .map(Event.Endpoint::worker)
                 .toList();
     }
-
-    private double chance() {
-        CRC32 crc = new CRC32();
-        crc.update((seed + ":" + drawn++).getBytes(StandardCharsets.UTF_8));
-        return crc.getValue() / 4294967296.0;
-    }
 }
--- a/decisions/src/main/java/pearladder/routing/AdaptiveConcurrencyLimit.java
+++ b/decisions/src/main/java/pearladder/routing/AdaptiveConcurrencyLimit.java
@@ -10,13 +10,7 @@
 import pearladder.routing.state.RouterState;
 import pearladder.routing.state.Worker;
 
-/**
- * How many requests of this router a worker takes at once: the part of its capacity that counting instances can't show.
- *
- * <p>The limit grows while requests that found their instance are quick, and shrinks when they take a large part of
- * their latency objective or the worker refuses as full, whoever crowds it: requests that only wait hold memory. Below
- * one request the limit is a pace.
- */
+/** How many requests of this router a worker takes at once, learnt from latencies and refusals. */
 final class AdaptiveConcurrencyLimit {
     /** A worker that refused as full is passed over, and its limit not reduced again, for so long. */
     static final TimeSpan OVERLOAD_PAUSE = TimeSpan.millis(300);
@@ -47,7 +41,7 @@
         return Math.min(1, FEW_ROUTERS / settings.routerCount());
     }
 
-    /** The limit as a check applies it: exceeded, where the check allows that and the worker is quick enough. */
+    /** The limit as a check applies it: overcommitted where the check allows it and the worker is quick. */
     double limit(Worker worker, CapacityCheck check) {
         return limit(worker) * (latencyRatio(worker) > MAX_LATENCY_RATIO ? 1 : check.overcommit);
     }
@@ -61,11 +55,9 @@
         return worker.latencyRatio.weight(state.now()) <= 0 ? 0 : worker.latencyRatio.read(state.now());
     }
 
-    /**
-     * Whether one more request stays within the limit. Below one request the limit is a pace: first the worker's, then
-     * the function's there, so that heavy functions leave and light ones stay. Past it a worker with an instance still
-     * takes the request while its warm responses are quicker than a load elsewhere is likely to be.
-     */
+    // Below one request the limit is a pace: first the worker's, then the function's there, so that heavy
+    // functions leave and light ones stay. Past it a worker with an instance still takes the request while
+    // its warm responses are quicker than a load elsewhere is likely to be.
     boolean admits(Request request, Placement placement, CapacityCheck check, double limit) {
         Worker worker = placement.worker;
         MonotonicTime lastSentAt = check == CapacityCheck.STRICT ? worker.sentAt : placement.sentAt;
@@ -75,10 +67,9 @@
         if (placement.inFlight == 0 && isPaceKept(placement, lastSentAt, limit)) {
             return true;
         }
-        double objective = request.requestClass.latencyObjective().toSeconds();
-        double warmLatency = latencyRatio(worker) * TARGET_LATENCY * objective;
+        double warmLatency = latencyRatio(worker) * TARGET_LATENCY * objectiveSeconds(request);
         return check != CapacityCheck.STRICT
-                && loadLimiter.assumedInstances(placement) > 0
+                && loadLimiter.hasAssumedInstance(placement)
                 && warmLatency < likelyLoadSeconds(placement);
     }
 
@@ -87,9 +78,12 @@
         return state.age(lastSentAt).times(limit).isLongerThan(requestTime);
     }
 
+    private static double objectiveSeconds(Request request) {
+        return request.requestClass.latencyObjective().toSeconds();
+    }
+
     private double likelyLoadSeconds(Placement placement) {
-        double loadRatio = loadLimiter.coldLoadRatio();
-        return loadRatio * state.typicalTimes().loadTime(placement.function).toSeconds();
+        return loadLimiter.coldLoadRatio() * state.typicalTimes().loadSeconds(placement.function);
     }
 
     /** Adjusts the limit to the latency of a response from an instance that was already loaded. */
@@ -100,8 +94,7 @@
         if (state.settings().attemptLimits().weightByWork() && request.workEstimate != null) {
             weight *= request.workEstimate.toSeconds();
         }
-        double weightedRatio =
-                weight * seconds / request.requestClass.latencyObjective().toSeconds();
+        double weightedRatio = weight * seconds / objectiveSeconds(request);
         worker.latencyRatio.addWeighted(state.now(), weightedRatio, weight * TARGET_LATENCY);
         if (latencyRatio(worker) > 1) {
             double factor = Math.min(MAX_DECREASE, 1 / latencyRatio(worker));
--- a/decisions/src/main/java/pearladder/routing/AttemptOutcomeHandler.java
+++ b/decisions/src/main/java/pearladder/routing/AttemptOutcomeHandler.java
@@ -3,12 +3,13 @@
 import pearladder.routing.api.Event;
 import pearladder.routing.api.Event.InstanceStatus;
 import pearladder.routing.api.Event.WorkerLoadReport;
+import pearladder.routing.api.Outcome;
 import pearladder.routing.state.Attempt;
 import pearladder.routing.state.Placement;
 import pearladder.routing.state.RouterState;
 import pearladder.routing.state.Worker;
 
-/** Draws conclusions from an ended attempt: on the instance, on the worker's health and limit, and on the loads. */
+/** Draws conclusions from an ended attempt: on the instance, the worker's health and limit, and the loads. */
 final class AttemptOutcomeHandler {
     private static final double REFUSAL_DECREASE = 0.7; // of the concurrency limit, by a refusal as full
     private static final double NEEDLESS_REFUSAL = 0.5; // of a failure: the request wasn't executed
@@ -40,7 +41,7 @@
         }
         switch (event.outcome()) {
             case SUCCESS -> onSuccess(attempt, event);
-            case FULL -> onFull(attempt.placement, report);
+            case FULL -> onFull(attempt.placement, event);
             case ABSENT -> onAbsent(attempt.placement, event.instanceStatus());
             case ERROR, BROKEN, UNREACHABLE -> onFailure(attempt.placement.worker, event.instanceStatus());
             case TIMED_OUT, WITHDRAWN -> onUnanswered(attempt);
@@ -69,26 +70,23 @@
     private void onSuccessWithLoad(Attempt attempt, double seconds) {
         Placement placement = attempt.placement;
         placement.instances += attempt.assumedWarm ? 1 : 0;
-        double requestSeconds =
-                state.typicalTimes().requestTime(placement.function).toSeconds();
+        double requestSeconds = state.typicalTimes().requestSeconds(placement.function);
         loadLimiter.onLoadCompleted(placement.function, Math.max(0, seconds - requestSeconds));
     }
 
     private void onWarmSuccess(Attempt attempt, double seconds) {
         Worker worker = attempt.placement.worker;
         concurrencyLimit.onWarmResponse(attempt, seconds);
-        worker.responses.add(state.now(), 1);
-        double typicalSeconds =
-                state.typicalTimes().requestTime(attempt.request).toSeconds();
-        worker.slowness.add(state.now(), seconds / typicalSeconds);
+        double typicalSeconds = state.typicalTimes().requestSeconds(attempt.request);
+        worker.addResponse(state.now(), seconds / typicalSeconds);
         state.typicalTimes().addWarmResponse(attempt.request, seconds);
     }
 
-    private void onFull(Placement placement, WorkerLoadReport report) {
+    private void onFull(Placement placement, Event.AttemptEnded event) {
         Worker worker = placement.worker;
         worker.lastHeardAt = state.now();
-        if (isIdle(report)) {
-            addFailure(worker, NEEDLESS_REFUSAL);
+        if (isNeedlessRefusal(event)) {
+            worker.addFailure(state.now(), NEEDLESS_REFUSAL);
         } else {
             placement.overloadedUntil = state.now().plus(AdaptiveConcurrencyLimit.OVERLOAD_PAUSE);
             worker.overloadedUntil = placement.overloadedUntil;
@@ -108,24 +106,19 @@
         if (status == InstanceStatus.LOAD_FAILED) {
             loadLimiter.onLoadFailed();
         } else {
-            addFailure(worker, 1);
+            worker.addFailure(state.now(), 1);
         }
     }
 
     private void onUnanswered(Attempt attempt) {
-        Worker worker = attempt.placement.worker;
-        worker.responses.add(state.now(), 1);
-        worker.slowness.add(state.now(), outlierDetector.overdueRatio(attempt));
-    }
-
-    private void addFailure(Worker worker, double weight) {
-        worker.responses.add(state.now(), 1);
-        worker.failures.add(state.now(), weight);
+        attempt.placement.worker.addResponse(state.now(), outlierDetector.overdueRatio(attempt));
     }
 
-    /** Whether a worker has capacity by its own report, so that a refusal as full is a fault of the worker. */
-    static boolean isIdle(WorkerLoadReport report) {
-        return report != null
+    /** Whether a worker refused as full that has capacity by its own report: a fault of the worker. */
+    static boolean isNeedlessRefusal(Event.AttemptEnded event) {
+        WorkerLoadReport report = event.loadReport();
+        return event.outcome() == Outcome.FULL
+                && report != null
                 && report.backlog() < AdaptiveConcurrencyLimit.INITIAL_LIMIT
                 && report.loadsInProgress() < AdaptiveConcurrencyLimit.INITIAL_LIMIT;
     }
--- a/decisions/src/main/java/pearladder/routing/InstancePreloader.java
+++ b/decisions/src/main/java/pearladder/routing/InstancePreloader.java
@@ -1,20 +1,18 @@
 package pearladder.routing;
 
+import java.util.function.Predicate;
 import pearladder.routing.api.Action;
 import pearladder.routing.api.Event;
 import pearladder.routing.api.Outcome;
 import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.Function;
-import pearladder.routing.state.LoadQuotaCounter;
 import pearladder.routing.state.Placement;
 import pearladder.routing.state.RouterState;
+import pearladder.routing.state.Worker;
 
-/**
- * Asks workers to load instances: renews those in use before they are idle for too long, adds one where requests
- * crowd, and prewarms functions on demand, all within the load quota. Does nothing where workers take no such requests.
- */
+/** Asks workers to load: renews instances in use, adds some where requests crowd, prewarms functions. */
 final class InstancePreloader {
-    private static final double RENEWAL_SHARE = 0.55; // of the idle timeout, after which instances are renewed
+    private static final double RENEWAL_SHARE = 0.55; // of the idle timeout: instances are renewed
     private static final long MIN_REQUESTS = 2; // of a function, in all
     private static final double MIN_RECENT_REQUESTS = 0.5;
     private static final int MAX_INSTANCES = 4; // to which one is added where requests crowd
@@ -25,7 +23,6 @@
     private final RouterState state;
     private final SlowStart slowStart;
     private final ModelLoadLimiter loadLimiter;
-    private final LoadQuotaCounter quotaCounter;
     private final boolean allowed;
     private final TimeSpan renewalAge;
 
@@ -33,19 +30,10 @@
         this.state = state;
         this.slowStart = slowStart;
         this.loadLimiter = loadLimiter;
-        this.quotaCounter = new LoadQuotaCounter(state.settings().loadQuota());
         this.allowed = state.settings().instances().acceptsLoadRequests();
         this.renewalAge = state.settings().instances().idleTimeout().times(RENEWAL_SHARE);
     }
 
-    LoadQuotaCounter quotaCounter() {
-        return quotaCounter;
-    }
-
-    void onRequestAdmitted() {
-        quotaCounter.addAdmittedRequest(state.now());
-    }
-
     /** Renews the instances in use and adds some where requests crowd, once a tick. */
     void maintainInstances() {
         if (!allowed) {
@@ -53,7 +41,7 @@
         }
         for (Function function : state.functions()) {
             if (isInDemand(function)) {
-                renewFirst(function);
+                renewIfDue(function.cachedPlacements.get(0));
                 function.cachedPlacements.forEach(this::addInstanceIfCrowded);
             }
         }
@@ -65,18 +53,13 @@
                 && function.recentRequests.read(state.now()) >= MIN_RECENT_REQUESTS;
     }
 
-    private void renewFirst(Function function) {
-        Placement first = function.cachedPlacements.get(0);
-        if (needsRenewal(first)) {
-            requestLoad(first, 1);
+    private void renewIfDue(Placement placement) {
+        if (loadLimiter.hasAssumedInstance(placement)
+                && state.age(placement.renewedAt).isLongerThan(renewalAge)) {
+            requestLoad(placement, 1);
         }
     }
 
-    private boolean needsRenewal(Placement placement) {
-        return loadLimiter.assumedInstances(placement) > 0
-                && state.age(placement.renewedAt).isLongerThan(renewalAge);
-    }
-
     private void addInstanceIfCrowded(Placement placement) {
         boolean awaited = isLoadAwaited(placement);
         int instances = loadLimiter.assumedInstances(placement);
@@ -96,28 +79,30 @@
         return !state.age(placement.loadRequestedAt).isLongerThan(timeout);
     }
 
-    /**
-     * Loads instances before a function's requests, where that is wanted: one load request at a time, within the same
-     * quota and load limit as any other, and only while a part of the quota is left. Loaded ones are renewed.
-     */
-    void prewarm(Function function) {
+    /** Prewarms the functions for which that is wanted, once a tick. */
+    void prewarmFunctions() {
+        state.functions().stream().filter(function -> function.prewarmShare > 0).forEach(this::prewarm);
+    }
+
+    // One load request at a time, within the same quota and load limit as any other, and only while a part of
+    // the quota is left. Instances that are loaded already are renewed.
+    private void prewarm(Function function) {
         int loaded = countInstances(function);
         double wanted = wantedInstances(function, loaded);
         boolean complete = !allowed || loaded >= wanted;
         double progress = complete ? 1 : loaded / wanted;
         state.emit(new Action.PrewarmProgress(function.id, function.prewarmShare * progress));
-        if (!allowed || !quotaCounter.allows(state.now(), PREWARM_QUOTA_SHARE)) {
+        if (!allowed || !state.loadQuota().allows(state.now(), PREWARM_QUOTA_SHARE)) {
             return;
         }
         boolean loading = false;
         for (Placement placement : function.placements.values()) {
             loading |= isLoading(placement);
-            if (needsRenewal(placement)) {
-                requestLoad(placement, 1);
-            }
+            renewIfDue(placement);
         }
         if (!complete && !loading) {
-            state.endpoints().firstInRingOrder(function, worker -> requestFirstLoad(function.placementOn(worker)));
+            Predicate<Worker> requestLoad = worker -> requestFirstLoad(function.placementOn(worker));
+            state.endpoints().firstInRingOrder(function, null, requestLoad);
         }
     }
 
@@ -126,8 +111,7 @@
         if (reference == function) {
             return loaded;
         }
-        int referenceInstances = reference == null ? 1 : countInstances(reference);
-        double wanted = reference == null ? 1 : Math.ceil(function.prewarmShare * referenceInstances);
+        double wanted = reference == null ? 1 : Math.ceil(function.prewarmShare * countInstances(reference));
         return Math.max(1, wanted);
     }
 
@@ -153,10 +137,12 @@
 
     /** Returns whether the load was requested. */
     private boolean requestLoad(Placement placement, int instances) {
-        if (!allowed || !state.isEligible(placement.worker) || !quotaCounter.allows(state.now(), 1)) {
+        if (!allowed
+                || !state.isEligible(placement.worker)
+                || !state.loadQuota().allows(state.now(), 1)) {
             return false;
         }
-        quotaCounter.addLoadRequest(state.now());
+        state.loadQuota().addLoadRequest(state.now());
         placement.loadRequestedAt = state.now();
         placement.renewedAt = state.now();
         int requested = Math.min(MAX_REQUESTED_INSTANCES, instances);
--- a/decisions/src/main/java/pearladder/routing/ModelLoadLimiter.java
+++ b/decisions/src/main/java/pearladder/routing/ModelLoadLimiter.java
@@ -1,5 +1,6 @@
 package pearladder.routing;
 
+import java.util.function.Predicate;
 import pearladder.routing.api.Event.InstanceStatus;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
@@ -10,16 +11,7 @@
 import pearladder.routing.state.RouterState;
 import pearladder.routing.state.Worker;
 
-/**
- * Starts loads only as fast as they complete; beyond that, requests join a load in progress or are rejected.
- *
- * <p>Guards against load storms, whatever their cause: a slow, crowded, refusing or stopped model store; workers whose
- * waiting rooms fill with requests that wait for loads; refusals that would push every request to a worker where it
- * starts one more load. The window of loads that this router may have in progress starts as our part of the fleet,
- * widens with each load in time, halves when loads fail or are late, and loses a quarter at refusals while workers
- * report loads; a hot worker's own extra instances are no storm. Below one load it is a pace. Could harm by rejecting
- * requests while the workers recover from a loss of their instances.
- */
+/** Starts loads only as fast as they complete; beyond that, requests join a load or are rejected. */
 final class ModelLoadLimiter {
     private static final double LATE_FACTOR = 1.5; // of the typical time: a load is late
     private static final double MEMORY_SHARE = 0.4; // of a worker, for instances that this router knows of
@@ -31,7 +23,7 @@
     private static final double MIN_MEAN_LOADS = 0.5; // reported by a worker; below, nothing is decreased
     private static final double FULL_REPORTED_LOADS = 2; // reported loads that fill a worker's waiting room
     private static final double MAX_EXCESS_LOADS = 2; // reported loads of a worker over the mean
-    private static final double MIN_FAILURES = 1.5; // recent failures that are borne,
+    private static final double MIN_FAILURES = 1.5; // recent failures that are tolerated,
     private static final double FAILURE_SHARE = 0.2; // or this share of recent loads
     private static final double LIKELY_LOAD = 0.5;
 
@@ -65,7 +57,7 @@
                 .orElse(0);
     }
 
-    /** Instances assumed to be loaded, until nothing has renewed that for as long as workers keep idle ones. */
+    /** Instances assumed to be loaded; without renewal, for as long as workers keep idle ones. */
     int assumedInstances(Placement placement) {
         TimeSpan idleTimeout = state.settings().instances().idleTimeout();
         if (placement.renewedAt == null || state.age(placement.renewedAt).isLongerThan(idleTimeout)) {
@@ -74,6 +66,10 @@
         return placement.instances;
     }
 
+    boolean hasAssumedInstance(Placement placement) {
+        return assumedInstances(placement) > 0;
+    }
+
     /** The share of attempts sent where no instance was assumed that had to wait for a load. */
     double coldLoadRatio() {
         return coldLoadRatio.read(state.now());
@@ -85,8 +81,8 @@
             return true;
         }
         if (Double.isNaN(window)) {
-            double workersPerRouter = (double) state.endpoints().inService().size()
-                    / state.settings().routerCount();
+            double workersPerRouter =
+                    (double) state.workerCount() / state.settings().routerCount();
             window = Math.max(INITIAL_WINDOW_SHARES * fairShare, workersPerRouter);
         }
         if (placement.worker == homeWorker(placement.function)) {
@@ -105,14 +101,16 @@
 
     /** The worker that all routers choose first for the function while every worker has capacity. */
     private Worker homeWorker(Function function) {
-        return state.endpoints()
-                .firstInRingOrder(function, worker -> state.isEligible(worker) && slowStart.admits(worker));
+        Predicate<Worker> admissible = worker -> state.isEligible(worker) && slowStart.admits(worker);
+        return state.endpoints().firstInRingOrder(function, null, admissible);
     }
 
     private boolean canJoinLoad(Function function) {
-        return function.cachedPlacements.stream()
-                .anyMatch(placement ->
-                        placement.loading && state.isEligible(placement.worker) && coldLoadRatio() > LIKELY_LOAD);
+        return function.cachedPlacements.stream().anyMatch(this::isLoadLikely);
+    }
+
+    private boolean isLoadLikely(Placement placement) {
+        return placement.loading && state.isEligible(placement.worker) && coldLoadRatio() > LIKELY_LOAD;
     }
 
     private boolean paceAllows(Function function) {
@@ -123,7 +121,7 @@
         return state.age(lastStartAt).times(window).isLongerThan(likelyLoadTime);
     }
 
-    /** Whether one more instance fits beside those known; other routers' are not, so only a part may be used. */
+    /** Whether one more instance fits beside those known; a part is left for those of other routers. */
     boolean hasMemory(Placement placement) {
         double capacityMb = state.minWorkerMemoryMb();
         double usedMb = placement.function.memoryMb;
@@ -141,7 +139,7 @@
         }
     }
 
-    /** An attempt sent where no instance was assumed has ended, so the load there has completed or never will. */
+    /** Its attempt having ended, the load at the placement has completed or never will. */
     void onColdAttemptEnded(Placement placement) {
         if (placement.loading) {
             placement.loading = false;
@@ -156,13 +154,13 @@
     }
 
     void onLoadCompleted(Function function, double seconds) {
-        double timeRatio = seconds / state.typicalTimes().loadTime(function).toSeconds();
+        double timeRatio = seconds / state.typicalTimes().loadSeconds(function);
         state.typicalTimes().addLoad(seconds);
         loads.add(state.now(), 1);
         if (timeRatio > LATE_FACTOR) {
             decreaseWindow("late", timeRatio, FAILURE_DECREASE);
         } else {
-            double maxWindow = Math.max(1, state.endpoints().inService().size() * fairShare);
+            double maxWindow = Math.max(1, state.workerCount() * fairShare);
             double step = GROWTH_STEP * (window < 1 ? window : fairShare);
             window = Math.min(maxWindow, window + step);
         }
@@ -170,8 +168,8 @@
 
     void onLoadFailed() {
         failures.add(state.now(), 1);
-        double borneFailures = Math.max(MIN_FAILURES, FAILURE_SHARE * loads.read(state.now()));
-        if (failures.read(state.now()) > borneFailures) {
+        double toleratedFailures = Math.max(MIN_FAILURES, FAILURE_SHARE * loads.read(state.now()));
+        if (failures.read(state.now()) > toleratedFailures) {
             decreaseWindow("failed", 1, FAILURE_DECREASE);
         }
     }
--- a/decisions/src/main/java/pearladder/routing/OutlierDetector.java
+++ b/decisions/src/main/java/pearladder/routing/OutlierDetector.java
@@ -6,18 +6,12 @@
 import pearladder.routing.api.Action;
 import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.Attempt;
-import pearladder.routing.state.Placement;
+import pearladder.routing.state.Median;
 import pearladder.routing.state.RouterState;
 import pearladder.routing.state.SeededRandom;
 import pearladder.routing.state.Worker;
 
-/**
- * Ejects a worker for a while that fails, hangs or is slow in comparison with the others.
- *
- * <p>Guards against workers that slow down, fail fast, hang or vanish before the endpoint list says so. Judged only
- * against the fleet's median, so that a slow model store or an overload ejects nobody. Could harm where one worker
- * serves all heavy functions; times are therefore taken relative to each function's typical time.
- */
+/** Ejects a worker for a while that fails, hangs or is slow in comparison with the others. */
 final class OutlierDetector {
     private static final TimeSpan MIN_EJECTION = TimeSpan.seconds(3);
     private static final TimeSpan RANDOM_EJECTION = TimeSpan.seconds(2); // on top: from none to this
@@ -31,7 +25,11 @@
     private static final double COLD_LOADS = 2; // typical load times granted where no instance was assumed
 
     /** What a worker is judged by; the responses include overdue attempts in flight. */
-    private record Health(Worker worker, double responses, double slowness, double failures, double failureRatio) {}
+    private record Health(Worker worker, double responses, double slowness, double failures) {
+        double failureRatio() {
+            return failures / Math.max(1, responses);
+        }
+    }
 
     private final RouterState state;
     private final RetryPolicy retryPolicy;
@@ -55,7 +53,7 @@
         }
         double medianSlowness = Math.max(1, median(fleet, Health::slowness));
         double medianFailureRatio = median(fleet, Health::failureRatio);
-        double maxEjected = MAX_EJECTED_SHARE * state.endpoints().inService().size();
+        double maxEjected = MAX_EJECTED_SHARE * state.workerCount();
         for (Health health : fleet) {
             if (state.isPending(health.worker.ejectedUntil)) {
                 cancelOverdueAttempts(health.worker);
@@ -83,7 +81,7 @@
             if (ratio > OUTLIER_FACTOR) {
                 overdueAttempts++;
                 overdueRatios += ratio;
-                silent &= isSilentSince(attempt);
+                silent &= attempt.isWorkerSilentSince();
             }
         }
         if (silent && overdueAttempts >= MIN_SILENT_ATTEMPTS) {
@@ -93,14 +91,13 @@
             responses += overdueAttempts;
             slowness += overdueRatios;
         }
-        double divisor = Math.max(1, responses);
         double failures = worker.failures.read(state.now());
-        return new Health(worker, responses, slowness / divisor, failures, failures / divisor);
+        return new Health(worker, responses, slowness / Math.max(1, responses), failures);
     }
 
     private static boolean isOutlier(Health health, double medianSlowness, double medianFailureRatio) {
         double maxFailureRatio = Math.max(MIN_FAILURE_RATIO, OUTLIER_FACTOR * medianFailureRatio);
-        boolean failing = health.failures >= MIN_FAILURES && health.failureRatio > maxFailureRatio;
+        boolean failing = health.failures >= MIN_FAILURES && health.failureRatio() > maxFailureRatio;
         boolean slow = health.responses >= MIN_RESPONSES && health.slowness > OUTLIER_FACTOR * medianSlowness;
         return failing || slow;
     }
@@ -108,28 +105,17 @@
     private void eject(Health health, double medianSlowness) {
         Worker worker = health.worker;
         worker.ejectedUntil = state.now().plus(MIN_EJECTION).plus(RANDOM_EJECTION.times(random.next()));
-        for (Placement placement : worker.placements) {
-            placement.function.cachedPlacements.remove(placement);
-        }
+        worker.uncachePlacements();
+        int inFlight = worker.attemptsInFlight.size();
         state.log(
                 "set aside %s: slowness %.1f of %.1f, failures %.1f of %.1f, %d out",
-                worker.id,
-                health.slowness,
-                medianSlowness,
-                health.failures,
-                health.responses,
-                worker.attemptsInFlight.size());
+                worker.id, health.slowness, medianSlowness, health.failures, health.responses, inFlight);
         worker.clearHealth();
         cancelOverdueAttempts(worker);
     }
 
     private static double median(List<Health> fleet, ToDoubleFunction<Health> measure) {
-        double[] sorted = fleet.stream()
-                .filter(health -> health.responses >= 1)
-                .mapToDouble(measure)
-                .sorted()
-                .toArray();
-        return sorted.length == 0 ? 0 : sorted[sorted.length / 2];
+        return Median.of(fleet.stream().filter(health -> health.responses >= 1).mapToDouble(measure));
     }
 
     /** Cancels what is stuck on an ejected worker and may be sent elsewhere. */
@@ -143,7 +129,7 @@
         }
     }
 
-    /** An attempt's age over the time that it should take, with a load where the worker has answered since. */
+    /** An attempt's age over the time that it should take, with a load unless the worker is silent. */
     double overdueRatio(Attempt attempt) {
         TimeSpan load = state.typicalTimes().loadTime(attempt.request.function).times(grantedLoads(attempt));
         TimeSpan granted = state.typicalTimes().requestTime(attempt.request).plus(load);
@@ -154,11 +140,6 @@
         if (!attempt.assumedWarm) {
             return COLD_LOADS;
         }
-        return isSilentSince(attempt) ? 0 : 1;
-    }
-
-    private static boolean isSilentSince(Attempt attempt) {
-        Worker worker = attempt.placement.worker;
-        return worker.lastHeardAt == null || worker.lastHeardAt.isBefore(attempt.sentAt);
+        return attempt.isWorkerSilentSince() ? 0 : 1;
     }
 }
--- a/decisions/src/main/java/pearladder/routing/RetryPolicy.java
+++ b/decisions/src/main/java/pearladder/routing/RetryPolicy.java
@@ -11,13 +11,7 @@
 import pearladder.routing.state.RouterState;
 import pearladder.routing.state.Worker;
 
-/**
- * Decides what may be sent again, where, and how much of that in all.
- *
- * <p>A request that may have been executed is repeated only if that is harmless: always for an idempotent one, within
- * the scope and window of deduplication for one with an idempotency key, never otherwise. A retry budget, a share of
- * the recent requests, prevents retry storms.
- */
+/** Decides what may be sent again, where, and how much of that in all. */
 final class RetryPolicy {
     private static final double BUDGET_SHARE = 0.2; // retries for each recent request,
     private static final double BUDGET_MIN = 3; // and so many on top
@@ -46,14 +40,14 @@
     boolean mayReject(Request request) {
         RequestClass requestClass = request.requestClass;
         return requestClass.idempotency() == Idempotency.RETRIABLE
-                || firstPossiblyExecuted(request) == null
+                || request.firstPossiblyExecuted() == null
                 || requestClass.idempotency() == Idempotency.FINGERPRINTED
                         && requestClass.deduplicationScope() == DeduplicationScope.ALL;
     }
 
     /** Whether the worker may be sent the request, in view of the earlier attempts. */
     boolean maySendTo(Request request, Worker worker) {
-        Attempt executed = firstPossiblyExecuted(request);
+        Attempt executed = request.firstPossiblyExecuted();
         Idempotency idempotency = request.requestClass.idempotency();
         if (executed == null || idempotency == Idempotency.RETRIABLE) {
             return true;
@@ -77,13 +71,11 @@
 
     boolean mayRetry(Request request, boolean exemptFromBudget) {
         boolean nonIdempotent = request.requestClass.idempotency() == Idempotency.BINDING;
-        return (!nonIdempotent || firstPossiblyExecuted(request) == null)
+        return (!nonIdempotent || request.firstPossiblyExecuted() == null)
                 && !request.streaming
                 && request.attempts.size() < limits.maxAttempts()
                 && (exemptFromBudget || isWithinBudget())
-                && request.deadlineAt
-                        .since(state.now())
-                        .isLongerThan(state.typicalTimes().requestTime(request.function));
+                && state.timeLeft(request).isLongerThan(state.typicalTimes().requestTime(request.function));
     }
 
     private boolean isWithinBudget() {
@@ -98,11 +90,4 @@
                 && request.requestClass.idempotency() != Idempotency.BINDING
                 && mayRetry(request, false);
     }
-
-    private static Attempt firstPossiblyExecuted(Request request) {
-        return request.attempts.stream()
-                .filter(Attempt::mayHaveExecuted)
-                .findFirst()
-                .orElse(null);
-    }
 }
--- a/decisions/src/main/java/pearladder/routing/SlowStart.java
+++ b/decisions/src/main/java/pearladder/routing/SlowStart.java
@@ -1,17 +1,10 @@
 package pearladder.routing;
 
 import pearladder.routing.api.RoutingSettings.SlowStartSettings;
-import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.RouterState;
 import pearladder.routing.state.Worker;
 
-/**
- * Limits the rate of requests to a worker that has just started to our part of what it can take.
- *
- * <p>Our own rate of successes on a warm worker is, at the least, our part of a warm worker's capacity. A worker that
- * is warming up gets its present share of that, times the overload factor of the settings, with a margin, through a
- * token bucket. Drawback: while we have had few successes, it warms up slowly.
- */
+/** Limits the rate of requests to a worker that has just started to our part of what it can take. */
 final class SlowStart {
     private static final double MARGIN = 0.6; // of the rate at which a warming worker would be overloaded
     private static final double INITIAL_TOKENS = 0.5;
@@ -33,8 +26,7 @@
                 .filter(worker -> !isWarmingUp(worker))
                 .mapToDouble(worker -> worker.successes.perSecond(state.now()))
                 .sum();
-        int inService = state.endpoints().inService().size();
-        int warm = inService - state.endpoints().warmingUp().size();
+        int warm = state.workerCount() - state.endpoints().warmingUp().size();
         successesPerSecond = total / Math.max(1, warm);
     }
 
@@ -48,16 +40,9 @@
             return true;
         }
         double rate = allowedRequestsPerSecond(worker);
-        if (worker.slowStartTokensAt == null) {
-            worker.slowStartTokens = INITIAL_TOKENS;
-        } else {
-            double maxTokens = Math.max(1, rate * settings.overloadTime().toSeconds() * BURST_SHARE);
-            TimeSpan elapsed = state.age(worker.slowStartTokensAt);
-            double gained = rate * elapsed.toSeconds();
-            worker.slowStartTokens = Math.min(maxTokens, worker.slowStartTokens + gained);
-        }
-        worker.slowStartTokensAt = state.now();
-        return worker.slowStartTokens >= 1;
+        double maxTokens = Math.max(1, rate * settings.overloadTime().toSeconds() * BURST_SHARE);
+        worker.slowStartTokens.refill(state.now(), rate, maxTokens, INITIAL_TOKENS);
+        return worker.slowStartTokens.hasToken();
     }
 
     private double allowedRequestsPerSecond(Worker worker) {
@@ -68,6 +53,8 @@
     }
 
     void onAttemptSent(Worker worker) {
-        worker.slowStartTokens -= isWarmingUp(worker) ? 1 : 0;
+        if (isWarmingUp(worker)) {
+            worker.slowStartTokens.removeToken();
+        }
     }
 }
--- a/decisions/src/main/java/pearladder/routing/StickyFirstFitPolicy.java
+++ b/decisions/src/main/java/pearladder/routing/StickyFirstFitPolicy.java
@@ -1,13 +1,11 @@
 package pearladder.routing;
 
-import java.util.Comparator;
-import java.util.List;
+import java.util.function.Predicate;
 import pearladder.routing.api.Action;
 import pearladder.routing.api.Event;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.Outcome;
 import pearladder.routing.api.RoutingSettings;
-import pearladder.routing.api.RoutingSettings.AttemptLimits;
 import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.Attempt;
 import pearladder.routing.state.DecayTimes;
@@ -23,26 +21,33 @@
 import pearladder.routing.state.Worker;
 
 /**
- * All decisions of one router: sticky first fit (docs/design.md) with the mechanisms of this package beside it.
+ * All decisions of one router: sticky first fit, with the mechanisms that the package description explains.
  *
- * <p>Each function has a short cached list of workers. A request is sent to the first of them with capacity, else to the
- * first with capacity in the ring order of the function, which joins the list; where no worker has capacity the request
- * is rejected at once. The policy reads no clock and shares nothing; it is called on one thread.
+ * <p>It reads no clock and shares nothing with other instances; it is called on one thread.
  */
 public final class StickyFirstFitPolicy extends EventDrivenPolicy {
     private static final TimeSpan TICK = TimeSpan.millis(100);
     private static final String TICK_TIMER = "beat";
     private static final String ENDPOINTS_TIMER = "list";
     private static final TimeSpan ENDPOINTS_RETRY = TimeSpan.millis(200); // to twice that, at random
+    private static final TimeSpan HEALTH_DECAY = TimeSpan.seconds(3);
+    private static final TimeSpan RATE_DECAY = TimeSpan.seconds(5);
+    private static final TimeSpan LATENCY_RATIO_DECAY = TimeSpan.seconds(1);
+    private static final TimeSpan DEMAND_DECAY = TimeSpan.seconds(30);
+    private static final double INITIAL_REQUEST_SECONDS = 0.1;
+    private static final double INITIAL_LOAD_SECONDS = 1;
+    private static final double FUNCTION_PRIOR_WEIGHT = 2; // in requests
     private static final DecayTimes DECAY_TIMES =
-            new DecayTimes(TimeSpan.seconds(3), TimeSpan.seconds(5), TimeSpan.seconds(1), TimeSpan.seconds(30));
-    private static final TypicalTimes.Priors TIME_PRIORS = new TypicalTimes.Priors(0.1, 2, 1);
+            new DecayTimes(HEALTH_DECAY, RATE_DECAY, LATENCY_RATIO_DECAY, DEMAND_DECAY);
+    private static final TypicalTimes.Priors TIME_PRIORS =
+            new TypicalTimes.Priors(INITIAL_REQUEST_SECONDS, FUNCTION_PRIOR_WEIGHT, INITIAL_LOAD_SECONDS);
     private static final int VIRTUAL_NODES = 64; // of each worker on the ring
     private static final int MAX_CACHED_WORKERS = 4; // of a function
     private static final double SPARE_ATTEMPTS = 1; // beside the mean in flight on a worker
-    private static final TimeSpan HEARD_WITHIN = TimeSpan.seconds(5); // else a worker counts as loaded as the mean
+    private static final TimeSpan HEARD_WITHIN = TimeSpan.seconds(5); // else a worker counts as the mean
     private static final double FORGOTTEN_REQUESTS = 0.01; // decayed, below which a function is dropped
     private static final double SEND_QUANTA = 2; // left of the deadline for the response
+    private static final TimeSpan MIN_TIMEOUT = new TimeSpan(1);
     private static final double RETRY_AFTER_REQUESTS = 2; // typical request times
 
     /** How strictly capacity is judged: in mean attempts in flight on a worker, and in concurrency limits. */
@@ -89,7 +94,7 @@
         outlierDetector = new OutlierDetector(state, retryPolicy, random);
         instancePreloader = new InstancePreloader(state, slowStart, loadLimiter);
         outcomeHandler = new AttemptOutcomeHandler(state, loadLimiter, concurrencyLimit, outlierDetector);
-        snapshotMapper = new PolicySnapshotMapper(state, instancePreloader.quotaCounter());
+        snapshotMapper = new PolicySnapshotMapper(state);
     }
 
     @Override
@@ -121,24 +126,25 @@
         slowStart.evaluate();
         loadLimiter.evaluate();
         instancePreloader.maintainInstances();
-        state.functions().stream().filter(function -> function.prewarmShare > 0).forEach(instancePreloader::prewarm);
-        for (Function function : state.functions()) {
-            function.cachedPlacements.removeIf(placement -> !isUsed(placement));
-        }
+        instancePreloader.prewarmFunctions();
+        state.functions().forEach(function -> function.cachedPlacements.removeIf(this::isUnused));
         state.removeFunctionsIf(this::isForgotten);
     }
 
-    private boolean isUsed(Placement placement) {
-        return placement.inFlight != 0 || loadLimiter.assumedInstances(placement) != 0;
+    private boolean isUnused(Placement placement) {
+        return placement.inFlight == 0 && loadLimiter.assumedInstances(placement) == 0;
+    }
+
+    private boolean isHeld(Placement placement) {
+        return placement.inFlight + loadLimiter.assumedInstances(placement) > 0;
     }
 
-    /** A function without recent requests, instances or attempts is dropped, or one-off functions would pile up. */
+    /** Unused functions are dropped, as those that are called only once would pile up. */
     private boolean isForgotten(Function function) {
         return function.recentRequests.read(state.now()) <= FORGOTTEN_REQUESTS
                 && function.prewarmShare <= 0
                 && function.cachedPlacements.isEmpty()
-                && function.placements.values().stream()
-                        .allMatch(placement -> placement.inFlight + loadLimiter.assumedInstances(placement) <= 0);
+                && function.placements.values().stream().noneMatch(this::isHeld);
     }
 
     @Override
@@ -167,7 +173,6 @@
     @Override
     protected void onRequestAdmitted(Request request) {
         retryPolicy.onRequestAdmitted();
-        instancePreloader.onRequestAdmitted();
         assign(request, null);
     }
 
@@ -183,7 +188,7 @@
     }
 
     private void retryOrAnswer(Request request, Attempt last, Event.AttemptEnded event) {
-        boolean needlessRefusal = event.outcome() == Outcome.FULL && AttemptOutcomeHandler.isIdle(event.loadReport());
+        boolean needlessRefusal = AttemptOutcomeHandler.isNeedlessRefusal(event);
         if (retryPolicy.mayRetry(request, needlessRefusal)) {
             retryPolicy.onRetry(needlessRefusal);
             assign(request, event.outcome() == Outcome.ABSENT ? null : last.placement.worker);
@@ -203,7 +208,7 @@
         }
     }
 
-    /** Cached workers, then all; where workers accept load requests, rather a relaxed check than another load. */
+    /** Cached workers, then all; where workers take load requests, rather a relaxed check than a load. */
     private Placement choose(Request request, Worker avoided) {
         Placement placement = chooseCached(request, avoided, CapacityCheck.STRICT);
         if (placement == null) {
@@ -233,38 +238,23 @@
 
     private Placement chooseInRingOrder(Request request, Worker avoided, CapacityCheck check) {
         Function function = request.function;
-        Worker chosen = state.endpoints()
-                .firstInRingOrder(
-                        function,
-                        worker -> worker != avoided && hasCapacity(request, function.placementOrEmpty(worker), check));
+        Predicate<Worker> fits = worker -> hasCapacity(request, function.placementOrEmpty(worker), check);
+        Worker chosen = state.endpoints().firstInRingOrder(function, avoided, fits);
         return chosen == null ? null : function.placementOn(chosen);
     }
 
-    /** Adds a placement to its function's cached list, which is kept in ring order. */
     private void cache(Placement placement) {
-        List<Placement> cached = placement.function.cachedPlacements;
-        if (!cached.contains(placement)) {
-            if (cached.size() >= MAX_CACHED_WORKERS) {
-                cached.remove(cached.size() - 1);
-            }
-            cached.add(placement);
-            List<Worker> ringOrder = placement.function.ringOrder;
-            cached.sort(Comparator.comparingInt(other -> ringOrder.indexOf(other.worker)));
-        }
+        placement.function.cache(placement, MAX_CACHED_WORKERS);
     }
 
     /** Capacity for the function there, and the worker's attempts in flight against the fleet's mean. */
     private boolean hasCapacity(Request request, Placement placement, CapacityCheck wantedCheck) {
         Worker worker = placement.worker;
-        if (!state.isEligible(worker)
-                || state.isPending(placement.overloadedUntil)
-                || state.isPending(worker.overloadedUntil)
-                || !hasInstanceCapacity(placement)) {
+        if (!state.isAvailable(placement) || !hasInstanceCapacity(placement)) {
             return false;
         }
         CapacityCheck check = hasCachedInstance(placement.function) ? wantedCheck : CapacityCheck.RELAXED;
-        double mean = (double) state.attemptsInFlight()
-                / Math.max(1, state.endpoints().inService().size());
+        double mean = state.meanAttemptsInFlight();
         double limit = concurrencyLimit.limit(worker, check);
         return assumedInFlight(worker, mean) <= check.maxOverMean * (mean + SPARE_ATTEMPTS)
                 && concurrencyLimit.admits(request, placement, check, limit)
@@ -279,12 +269,12 @@
     }
 
     private boolean hasCachedInstance(Function function) {
-        return function.cachedPlacements.stream().anyMatch(placement -> loadLimiter.assumedInstances(placement) > 0);
+        return function.cachedPlacements.stream().anyMatch(loadLimiter::hasAssumedInstance);
     }
 
     private double assumedInFlight(Worker worker, double mean) {
-        boolean heard =
-                worker.lastHeardAt != null && !state.age(worker.lastHeardAt).isLongerThan(HEARD_WITHIN);
+        MonotonicTime heardAt = worker.lastHeardAt;
+        boolean heard = heardAt != null && !state.age(heardAt).isLongerThan(HEARD_WITHIN);
         int inFlight = worker.attemptsInFlight.size();
         return heard ? inFlight : Math.max(inFlight, mean);
     }
@@ -294,8 +284,8 @@
         loadLimiter.onAttemptSent(placement);
         state.addAttempt(new Attempt(request, placement, state.now(), assumedWarm));
         slowStart.onAttemptSent(placement.worker);
-        TimeSpan timeLeft = request.deadlineAt.since(state.now());
-        TimeSpan timeout = timeLeft.minus(settings.quantum().times(SEND_QUANTA)).atLeast(new TimeSpan(1));
+        TimeSpan reserve = settings.quantum().times(SEND_QUANTA);
+        TimeSpan timeout = state.timeLeft(request).minus(reserve).atLeast(MIN_TIMEOUT);
         state.emit(new Action.SendAttempt(request.id, placement.worker.id, timeout));
     }
 
@@ -313,8 +303,8 @@
     }
 
     private TimeSpan retryAfter(Function function) {
-        AttemptLimits limits = settings.attemptLimits();
         TimeSpan pause = state.typicalTimes().requestTime(function).times(RETRY_AFTER_REQUESTS);
-        return limits.retryAfter() ? pause.atMost(limits.maxRetryAfter()) : TimeSpan.ZERO;
+        TimeSpan bounded = pause.atMost(settings.attemptLimits().maxRetryAfter());
+        return settings.attemptLimits().retryAfter() ? bounded : TimeSpan.ZERO;
     }
 }
--- a/decisions/src/main/java/pearladder/routing/api/Action.java
+++ b/decisions/src/main/java/pearladder/routing/api/Action.java
@@ -1,33 +1,46 @@
 package pearladder.routing.api;
 
-/** What is to be done, in the order given. */
+/** What the router is to do; a list of actions is carried out in its order. */
 public sealed interface Action {
+    /** Send the request to the worker as its next attempt, which ends as timed out after the timeout. */
     record SendAttempt(String requestId, String worker, TimeSpan timeout) implements Action {}
 
+    /** Cancel an attempt in flight; its number counts from 0. */
     record CancelAttempt(String requestId, int attempt) implements Action {}
 
+    /** Give the final answer that the client may try again, after a span that is zero where none is told. */
     record Reject(String requestId, TimeSpan retryAfter) implements Action {}
 
+    /** Give the final answer that the request failed. */
     record Fail(String requestId) implements Action {}
 
+    /** Tell the policy when a time has come, with the tag. */
     record SetTimer(MonotonicTime dueAt, String tag) implements Action {}
 
+    /** Probe a worker. */
     record CheckHealth(String worker) implements Action {}
 
+    /** Close the idle connections to a worker. */
     record CloseIdleConnections(String worker) implements Action {}
 
+    /** Ask a worker to have so many instances of a function loaded. */
     record LoadInstances(String worker, String function, int instances) implements Action {}
 
-    /** For what share of the load that was wanted ahead copies stand; told at each beat while it is wanted. */
+    /** For what share of the wanted load the instances are ready; told at each tick while prewarming is wanted. */
     record PrewarmProgress(String function, double share) implements Action {}
 
+    /** Ask a worker to unload a function. */
     record UnloadInstances(String worker, String function) implements Action {}
 
+    /** Start or stop to follow the endpoint list. */
     record WatchEndpoints(boolean enabled) implements Action {}
 
+    /** Read the endpoint list once. */
     record PollEndpoints() implements Action {}
 
+    /** Send a text to one other router, or to all where the peer is null. */
     record SendGossip(Integer peer, String text) implements Action {}
 
+    /** Write a text to the log. */
     record Log(String text) implements Action {}
 }
--- a/decisions/src/main/java/pearladder/routing/api/Event.java
+++ b/decisions/src/main/java/pearladder/routing/api/Event.java
@@ -3,14 +3,16 @@
 import java.util.List;
 import pearladder.routing.state.PolicySnapshot;
 
-/** What happened. Ids are the caller's; the module looks them up at its door. */
+/** What happened. Ids are the caller's; those that are unknown or no longer known are ignored. */
 public sealed interface Event {
+    /** A worker's state by the endpoint list. */
     enum EndpointState {
         IN_SERVICE,
         DRAINING,
         GONE
     }
 
+    /** What an update holds: changes, all workers, all as of an earlier time, or nothing as it failed. */
     enum EndpointUpdateKind {
         DELTA,
         SNAPSHOT,
@@ -18,7 +20,7 @@
         FAILED
     }
 
-    /** A worker as the list shows it; since is null when it has run for long. */
+    /** A worker as the endpoint list states it; startedAt is null when it has run for long. */
     record Endpoint(
             String worker,
             String zone,
@@ -28,9 +30,10 @@
             double weight,
             MonotonicTime startedAt) {}
 
+    /** The endpoint list was read, or could not be. */
     record EndpointsUpdated(EndpointUpdateKind kind, List<Endpoint> endpoints) implements Event {}
 
-    /** A call; hint and usualLoad are null where they are not told, account is null where there are none. */
+    /** A request; typicalLoadTime and workEstimate are null where they are not stated, tenant where there are none. */
     record RequestArrived(
             String requestId,
             String function,
@@ -45,9 +48,10 @@
             boolean write)
             implements Event {}
 
+    /** The first part of a streamed response has been passed on. */
     record StreamStarted(String requestId, int attempt, String worker, TimeSpan elapsed) implements Event {}
 
-    /** How the call met its copy, as a settled answer tells it. */
+    /** How the request found its instance, as a response tells it. */
     enum InstanceStatus {
         UNTOLD,
         STOOD,
@@ -56,7 +60,7 @@
         LOAD_FAILED
     }
 
-    /** One leg ended; over says that the call has ended too; alike is -1 where it is not told. */
+    /** An attempt ended; requestCompleted says that its request has its final answer too. */
     record AttemptEnded(
             String requestId,
             int attempt,
@@ -69,17 +73,20 @@
             WorkerLoadReport loadReport)
             implements Event {}
 
+    /** The client no longer waits for the response. */
     record ClientDisconnected(String requestId) implements Event {}
 
+    /** A probe ended. */
     record HealthCheckCompleted(String worker, Outcome outcome, TimeSpan elapsed, WorkerLoadReport loadReport)
             implements Event {}
 
+    /** A worker answered a load request: so many instances are loaded there now. */
     record LoadCompleted(String worker, String function, Outcome outcome, int instances, TimeSpan elapsed)
             implements Event {}
 
     /**
-     * Copies of a function are to stand ahead of its calls, for a share of what another function's copies bear now; like
-     * itself, those that stand are only kept. A share of 0 takes the wish back.
+     * Instances of a function are to be loaded before its requests, for a share of the load that the instances of a
+     * reference function bear now. With itself as reference, the loaded ones are only renewed. A share of 0 ends it.
      */
     record PrewarmRequested(
             String function,
@@ -90,11 +97,13 @@
             TimeSpan typicalLoadTime)
             implements Event {}
 
-    /** What of an earlier life may be believed; told after the remembered list, before the first call. */
+    /** What of an earlier process is still valid; told after the cached endpoint list, before the first request. */
     record SnapshotRestored(PolicySnapshot snapshot) implements Event {}
 
+    /** A timer that the policy set is due. */
     record TimerFired(String tag) implements Event {}
 
+    /** Another router sent a text. */
     record GossipReceived(int peer, String text) implements Event {}
 
     /** A worker's own report; a value that is not reported is NaN. */
--- a/decisions/src/main/java/pearladder/routing/api/Outcome.java
+++ b/decisions/src/main/java/pearladder/routing/api/Outcome.java
@@ -1,6 +1,6 @@
 package pearladder.routing.api;
 
-/** How a leg, a probe or an order to load ended; some outcomes prove that the call never ran. */
+/** How an attempt, a probe or a load request ended. */
 public enum Outcome {
     SUCCESS(false),
     ERROR(false),
@@ -12,9 +12,10 @@
     VOID(true),
     ABSENT(true);
 
+    /** Whether it proves that the worker never executed the request. */
     public final boolean neverExecuted;
 
-    Outcome(boolean neverRan) {
-        this.neverExecuted = neverRan;
+    Outcome(boolean neverExecuted) {
+        this.neverExecuted = neverExecuted;
     }
 }
--- a/decisions/src/main/java/pearladder/routing/api/RoutingSettings.java
+++ b/decisions/src/main/java/pearladder/routing/api/RoutingSettings.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** What an instance is told once, at its start. Spans of zero and null lists mean that nothing is set. */
+/** What a router is told once, at its start. Spans of zero and empty lists mean that nothing is set. */
 public record RoutingSettings(
         int routerIndex,
         int routerCount,
@@ -19,20 +19,21 @@
         DiscoverySettings discovery,
         CostModel costs) {
 
+    /** What a repeat of a request does: nothing more, nothing more within the deduplication, or its work again. */
     public enum Idempotency {
         RETRIABLE,
         FINGERPRINTED,
         BINDING
     }
 
-    /** The workers that drop a repeat of a fingerprinted call. */
+    /** The workers that recognise a repeat of a request with an idempotency key: all, or those where it came first. */
     public enum DeduplicationScope {
         ALL,
         ZONE,
         CELL
     }
 
-    /** What is agreed for a category of calls. */
+    /** What is agreed for a class of requests. */
     public record RequestClass(
             String name,
             TimeSpan latencyObjective,
@@ -45,9 +46,14 @@
             boolean streamed,
             double latencyObjectiveFactor) {}
 
+    /** A tenant with its share of the capacity. */
     public record Tenant(String name, double share, double quotaPerSecond) {}
 
-    /** @param connecting how long a connection to a worker may take to come up before a call leaves on it */
+    /**
+     * What may be sent.
+     *
+     * @param connectTimeout how long a connection to a worker may take to come up before an attempt is sent on it
+     */
     public record AttemptLimits(
             int maxAttempts,
             boolean hedging,
@@ -60,21 +66,22 @@
             boolean weightByWork,
             TimeSpan connectTimeout) {}
 
-    /** How long after its decision a call may leave at the latest. */
+    /** How long after the decision an attempt is sent at the latest. */
     public TimeSpan maxSendDelay() {
         return quantum.plus(attemptLimits.connectTimeout());
     }
 
-    /** How late a final answer and the last send to a draining worker may come. */
+    /** How late a final answer, and the last attempt sent to a draining worker, may come. */
     public record ResponseGrace(TimeSpan grace, TimeSpan drainGrace) {}
 
-    /** A cold worker starts at a share of its capacity and falls at a multiple of it sent for a span. */
+    /** A worker starts at a share of its capacity; a multiple of that, sent for a span, overloads it. */
     public record SlowStartSettings(
             double initialCapacityShare, TimeSpan warmUpTime, double overloadFactor, TimeSpan overloadTime) {}
 
-    /** Orders to load within a window: a few, and a share of the calls taken in it. A window of zero: no limit. */
+    /** Load requests within a window: a few, and a share of the requests admitted in it. A window of zero: no limit. */
     public record LoadQuota(double burst, double requestShare, TimeSpan window) {}
 
+    /** How workers load and keep instances; the memory is in MB. */
     public record InstanceSettings(
             TimeSpan idleTimeout,
             boolean acceptsLoadRequests,
@@ -84,11 +91,13 @@
             boolean reportsConcurrency,
             List<Double> memoryByWorkerKind) {}
 
+    /** What workers report of their load. */
     public record LoadReportSettings(List<String> fields, boolean inAnswers) {}
 
-    /** How the list of workers comes: pushed, or asked for within a span. */
+    /** How the endpoint list comes: pushed, or polled within an interval. */
     public record DiscoverySettings(boolean polled, TimeSpan pollInterval) {}
 
+    /** What the operators charge for each kind of waste. */
     public record CostModel(
             double crossZone, double waste, double probe, double modelFetch, double lateFailure, double idleMemory) {}
 }
--- a/decisions/src/main/java/pearladder/routing/state/Attempt.java
+++ b/decisions/src/main/java/pearladder/routing/state/Attempt.java
@@ -24,6 +24,12 @@
         this.assumedWarm = assumedWarm;
     }
 
+    /** Whether the worker hasn't responded to anything since this was sent. */
+    public boolean isWorkerSilentSince() {
+        MonotonicTime lastHeardAt = placement.worker.lastHeardAt;
+        return lastHeardAt == null || lastHeardAt.isBefore(sentAt);
+    }
+
     /** Whether nothing proves that the worker never executed it. */
     public boolean mayHaveExecuted() {
         return outcome == null || !outcome.neverExecuted;
--- a/decisions/src/main/java/pearladder/routing/state/EndpointList.java
+++ b/decisions/src/main/java/pearladder/routing/state/EndpointList.java
@@ -48,11 +48,15 @@
         return workers.get(workerId);
     }
 
-    /** The first worker in service, in the function's ring order, that matches; null where none does. */
-    public Worker firstInRingOrder(Function function, Predicate<Worker> condition) {
+    /**
+     * The first worker in service, in the function's ring order, that matches; null where none does.
+     *
+     * @param avoided a worker that isn't considered, or null
+     */
+    public Worker firstInRingOrder(Function function, Worker avoided, Predicate<Worker> condition) {
         for (int i = 0; i < inService.size(); i++) {
             Worker worker = ring.workerAt(function, i);
-            if (condition.test(worker)) {
+            if (worker != avoided && condition.test(worker)) {
                 return worker;
             }
         }
--- a/decisions/src/main/java/pearladder/routing/state/Function.java
+++ b/decisions/src/main/java/pearladder/routing/state/Function.java
@@ -1,6 +1,7 @@
 package pearladder.routing.state;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -65,6 +66,18 @@
         return placement;
     }
 
+    /** Adds a placement to the cached list, kept in ring order; where the list is full its last entry is removed. */
+    public void cache(Placement placement, int maxCached) {
+        if (cachedPlacements.contains(placement)) {
+            return;
+        }
+        if (cachedPlacements.size() >= maxCached) {
+            cachedPlacements.remove(cachedPlacements.size() - 1);
+        }
+        cachedPlacements.add(placement);
+        cachedPlacements.sort(Comparator.comparingInt(cached -> ringOrder.indexOf(cached.worker)));
+    }
+
     /**
      * Sets what a request stated of the function.
      *
--- a/decisions/src/main/java/pearladder/routing/state/PolicySnapshot.java
+++ b/decisions/src/main/java/pearladder/routing/state/PolicySnapshot.java
@@ -4,12 +4,13 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * What a router's module has learnt and would lose with its process, as plain state. Moments are told as ages, so that it
- * means the same to another process.
+ * What a router's policy has learnt and would lose with its process, as plain state. Times are given as ages, so that
+ * it means the same to another process.
  *
  * @param age how old all of it is
- * @param orders the ages of the load orders that its ration still counts
- * @param loadSeconds what loads took of late, a fading sum, with its count
+ * @param loadRequestAges the ages of the load requests that the load quota still counts
+ * @param loadSeconds what recent loads took, a decaying sum in seconds
+ * @param loadCount the decaying count of these loads
  */
 public record PolicySnapshot(
         TimeSpan age,
@@ -21,12 +22,12 @@
     /**
      * A worker.
      *
-     * @param up the age of its process, or null where no list told it
-     * @param aside it is set aside for so much longer; none where it isn't
+     * @param uptime the age of its process, or null where no list stated it
+     * @param ejectedFor it stays ejected for so much longer; zero where it isn't ejected
      */
     public record WorkerSnapshot(String worker, TimeSpan uptime, TimeSpan ejectedFor) {}
 
-    /** A function with its fading sums. */
+    /** A function with its decaying sums. */
     public record FunctionSnapshot(
             String function,
             int concurrency,
@@ -37,7 +38,7 @@
             double warmSeconds,
             List<InstanceSnapshot> instances) {}
 
-    /** Instances believed on a worker, and for how long nothing renewed that belief. */
+    /** Instances assumed on a worker, and for how long nothing has renewed that. */
     public record InstanceSnapshot(String worker, int instances, TimeSpan sinceRenewed, boolean cached) {}
 
     /** Nothing at all. */
--- a/decisions/src/main/java/pearladder/routing/state/PolicySnapshotMapper.java
+++ b/decisions/src/main/java/pearladder/routing/state/PolicySnapshotMapper.java
@@ -11,13 +11,11 @@
 public final class PolicySnapshotMapper {
     private final RouterState state;
     private final TypicalTimes typicalTimes;
-    private final LoadQuotaCounter quotaCounter;
 
-    /** A mapper of all that is given here. */
-    public PolicySnapshotMapper(RouterState state, LoadQuotaCounter quotaCounter) {
+    /** A mapper of this state. */
+    public PolicySnapshotMapper(RouterState state) {
         this.state = state;
         this.typicalTimes = state.typicalTimes();
-        this.quotaCounter = quotaCounter;
     }
 
     /** The state now; only placements with an assumed instance are written. */
@@ -32,7 +30,7 @@
             functions.add(writeFunction(function, assumedInstances));
         }
         List<TimeSpan> loadRequestAges =
-                quotaCounter.loadRequests().stream().map(now::since).toList();
+                state.loadQuota().loadRequests().stream().map(now::since).toList();
         DecayingMean loadSeconds = typicalTimes.loadSeconds();
         return new PolicySnapshot(
                 TimeSpan.ZERO, workers, functions, loadRequestAges, loadSeconds.sum(now), loadSeconds.weight(now));
@@ -87,7 +85,7 @@
         for (PolicySnapshot.FunctionSnapshot functionSnapshot : snapshot.functions()) {
             restoreFunction(functionSnapshot, writtenAt, cache);
         }
-        snapshot.loadRequestAges().forEach(age -> quotaCounter.addLoadRequest(now.minus(age)));
+        snapshot.loadRequestAges().forEach(age -> state.loadQuota().addLoadRequest(now.minus(age)));
         typicalTimes.loadSeconds().addWeighted(writtenAt, snapshot.loadSeconds(), snapshot.loadCount());
     }
 
--- a/decisions/src/main/java/pearladder/routing/state/Request.java
+++ b/decisions/src/main/java/pearladder/routing/state/Request.java
@@ -34,4 +34,14 @@
         this.deadlineAt = deadlineAt;
         this.workEstimate = workEstimate;
     }
+
+    /** The first attempt that the worker may have executed, or null where there is none. */
+    public Attempt firstPossiblyExecuted() {
+        for (Attempt attempt : attempts) {
+            if (attempt.mayHaveExecuted()) {
+                return attempt;
+            }
+        }
+        return null;
+    }
 }
--- a/decisions/src/main/java/pearladder/routing/state/RouterState.java
+++ b/decisions/src/main/java/pearladder/routing/state/RouterState.java
@@ -25,6 +25,7 @@
     private final DecayTimes decayTimes;
     private final TypicalTimes typicalTimes;
     private final EndpointList endpoints;
+    private final LoadQuotaCounter loadQuota;
     private final Map<String, Function> functions = new LinkedHashMap<>();
     private final Map<String, RequestClass> requestClasses = new HashMap<>();
     private final Map<String, Request> requests = new HashMap<>();
@@ -42,6 +43,7 @@
         this.typicalTimes = new TypicalTimes(this, decayTimes, timePriors);
         this.decayTimes = decayTimes;
         settings.requestClasses().forEach(requestClass -> requestClasses.put(requestClass.name(), requestClass));
+        this.loadQuota = new LoadQuotaCounter(settings.loadQuota());
         this.endpoints = new EndpointList(new HashRing(virtualNodesPerWorker), decayTimes);
     }
 
@@ -81,6 +83,18 @@
         return moment != null && now.isBefore(moment);
     }
 
+    /** The time until the client's deadline for a request. */
+    public TimeSpan timeLeft(Request request) {
+        return request.deadlineAt.since(now);
+    }
+
+    /** Whether the worker is eligible and refused nothing as full of late that concerns the function. */
+    public boolean isAvailable(Placement placement) {
+        return isEligible(placement.worker)
+                && !isPending(placement.overloadedUntil)
+                && !isPending(placement.worker.overloadedUntil);
+    }
+
     /** Whether the worker is in service and not ejected. */
     public boolean isEligible(Worker worker) {
         return worker.state == EndpointState.IN_SERVICE && !isPending(worker.ejectedUntil);
@@ -101,6 +115,11 @@
         return typicalTimes;
     }
 
+    /** What counts against the load quota. */
+    public LoadQuotaCounter loadQuota() {
+        return loadQuota;
+    }
+
     /** The workers as the endpoint list states them. */
     public EndpointList endpoints() {
         return endpoints;
@@ -146,6 +165,7 @@
         function.setRequirements(event.concurrency(), event.memoryMb(), event.typicalLoadTime());
         function.recentRequests.add(now, 1);
         function.requestCount++;
+        loadQuota.addAdmittedRequest(now);
         MonotonicTime deadlineAt = now.plus(event.timeLeft());
         Request request = new Request(event.requestId(), function, requestClass, now, deadlineAt, event.workEstimate());
         requests.put(request.id, request);
@@ -190,9 +210,14 @@
         }
     }
 
-    /** All attempts in flight. */
-    public int attemptsInFlight() {
-        return attemptsInFlight;
+    /** The number of workers in service. */
+    public int workerCount() {
+        return endpoints.inService().size();
+    }
+
+    /** The mean number of attempts in flight on a worker in service. */
+    public double meanAttemptsInFlight() {
+        return (double) attemptsInFlight / Math.max(1, workerCount());
     }
 
     /** Counts an attempt that is sent now. */
--- a/decisions/src/main/java/pearladder/routing/state/TypicalTimes.java
+++ b/decisions/src/main/java/pearladder/routing/state/TypicalTimes.java
@@ -47,6 +47,21 @@
         return typical.plus(request.workEstimate.times(measuredToEstimated)).times(0.5);
     }
 
+    /** The time of a function's request on an instance that is already loaded, in seconds. */
+    public double requestSeconds(Function function) {
+        return requestTime(function).toSeconds();
+    }
+
+    /** The time of one request, in seconds. */
+    public double requestSeconds(Request request) {
+        return requestTime(request).toSeconds();
+    }
+
+    /** The time of a load of the function, in seconds. */
+    public double loadSeconds(Function function) {
+        return loadTime(function).toSeconds();
+    }
+
     /** The time of a load of the function: as stated, else the mean of all loads. */
     public TimeSpan loadTime(Function function) {
         if (function.typicalLoadTime != null) {
--- a/decisions/src/main/java/pearladder/routing/state/Worker.java
+++ b/decisions/src/main/java/pearladder/routing/state/Worker.java
@@ -48,9 +48,7 @@
     /** It was judged an outlier and is passed over until then. */
     public MonotonicTime ejectedUntil;
     /** Requests that it may get at once while it is warming up. */
-    public double slowStartTokens;
-    /** When the tokens were last topped up. */
-    public MonotonicTime slowStartTokensAt;
+    public final TokenBucket slowStartTokens = new TokenBucket();
     /** Loads in progress by its last report. */
     public double reportedLoads;
 
@@ -65,6 +63,25 @@
         this.latencyRatio = new DecayingMean(decayTimes.latencyRatio(), 0, 0);
     }
 
+    /** Takes it from all cached lists. */
+    public void uncachePlacements() {
+        for (Placement placement : placements) {
+            placement.function.cachedPlacements.remove(placement);
+        }
+    }
+
+    /** Counts an ended attempt with its time over the time that it should take. */
+    public void addResponse(MonotonicTime now, double timeRatio) {
+        responses.add(now, 1);
+        slowness.add(now, timeRatio);
+    }
+
+    /** Counts a failed attempt. */
+    public void addFailure(MonotonicTime now, double weight) {
+        responses.add(now, 1);
+        failures.add(now, weight);
+    }
+
     /** Forgets how the worker has been judged. */
     public void clearHealth() {
         responses.clear();
@@ -82,7 +99,7 @@
         successes.clear();
         ejectedUntil = null;
         lastHeardAt = null;
-        slowStartTokensAt = null;
+        slowStartTokens.reset();
     }
 
     /** Attempts in flight that were sent where an instance was assumed to be loaded. */
