--- /dev/null
+++ b/decisions/src/main/java/pearladder/routing/InstancePreloader.java
@@ -0,0 +1,162 @@
+package pearladder.routing;
+
+import java.util.function.Predicate;
+import pearladder.routing.api.Action;
+import pearladder.routing.api.Event;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
+import pearladder.routing.state.Function;
+import pearladder.routing.state.Placement;
+import pearladder.routing.state.RouterState;
+import pearladder.routing.state.Worker;
+
+/** Asks workers to load: renews instances in use, adds some where requests crowd, prewarms functions. */
+final class InstancePreloader {
+    private static final double RENEWAL_SHARE = 0.55; // of the idle timeout: instances are renewed
+    private static final long MIN_REQUESTS = 2; // of a function, in all
+    private static final double MIN_RECENT_REQUESTS = 0.5;
+    private static final int MAX_INSTANCES = 4; // to which one is added where requests crowd
+    private static final int MAX_REQUESTED_INSTANCES = 16; // by one load request
+    private static final double LOAD_TIMEOUT = 2; // typical load times for which a load request is awaited
+    private static final double PREWARM_QUOTA_SHARE = 0.5; // the rest is left for requests that are here
+
+    private final RouterState state;
+    private final SlowStart slowStart;
+    private final ModelLoadLimiter loadLimiter;
+    private final boolean allowed;
+    private final TimeSpan renewalAge;
+
+    InstancePreloader(RouterState state, SlowStart slowStart, ModelLoadLimiter loadLimiter) {
+        this.state = state;
+        this.slowStart = slowStart;
+        this.loadLimiter = loadLimiter;
+        this.allowed = state.settings().instances().acceptsLoadRequests();
+        this.renewalAge = state.settings().instances().idleTimeout().times(RENEWAL_SHARE);
+    }
+
+    /** Renews the instances in use and adds some where requests crowd, once a tick. */
+    void maintainInstances() {
+        if (!allowed) {
+            return;
+        }
+        for (Function function : state.functions()) {
+            if (isInDemand(function)) {
+                renewIfDue(function.cachedPlacements.get(0));
+                function.cachedPlacements.forEach(this::addInstanceIfCrowded);
+            }
+        }
+    }
+
+    private boolean isInDemand(Function function) {
+        return function.requestCount >= MIN_REQUESTS
+                && !function.cachedPlacements.isEmpty()
+                && function.recentRequests.read(state.now()) >= MIN_RECENT_REQUESTS;
+    }
+
+    private void renewIfDue(Placement placement) {
+        if (loadLimiter.hasAssumedInstance(placement)
+                && state.age(placement.renewedAt).isLongerThan(renewalAge)) {
+            requestLoad(placement, 1);
+        }
+    }
+
+    private void addInstanceIfCrowded(Placement placement) {
+        boolean awaited = isLoadAwaited(placement);
+        int instances = loadLimiter.assumedInstances(placement);
+        boolean crowded = instances > 0
+                && instances < MAX_INSTANCES
+                && placement.inFlight > placement.function.concurrency * instances;
+        if (crowded && !awaited && placement.worker.reportedLoads < 1 && loadLimiter.hasMemory(placement)) {
+            requestLoad(placement, instances + 1);
+        }
+    }
+
+    private boolean isLoadAwaited(Placement placement) {
+        if (placement.loadRequestedAt == null) {
+            return false;
+        }
+        TimeSpan timeout = state.typicalTimes().loadTime(placement.function).times(LOAD_TIMEOUT);
+        return !state.age(placement.loadRequestedAt).isLongerThan(timeout);
+    }
+
+    /** Prewarms the functions for which that is wanted, once a tick. */
+    void prewarmFunctions() {
+        state.functions().stream().filter(function -> function.prewarmShare > 0).forEach(this::prewarm);
+    }
+
+    // One load request at a time, within the same quota and load limit as any other, and only while a part of
+    // the quota is left. Instances that are loaded already are renewed.
+    private void prewarm(Function function) {
+        int loaded = countInstances(function);
+        double wanted = wantedInstances(function, loaded);
+        boolean complete = !allowed || loaded >= wanted;
+        double progress = complete ? 1 : loaded / wanted;
+        state.emit(new Action.PrewarmProgress(function.id, function.prewarmShare * progress));
+        if (!allowed || !state.loadQuota().allows(state.now(), PREWARM_QUOTA_SHARE)) {
+            return;
+        }
+        boolean loading = false;
+        for (Placement placement : function.placements.values()) {
+            loading |= isLoading(placement);
+            renewIfDue(placement);
+        }
+        if (!complete && !loading) {
+            Predicate<Worker> requestLoad = worker -> requestFirstLoad(function.placementOn(worker));
+            state.endpoints().firstInRingOrder(function, null, requestLoad);
+        }
+    }
+
+    private double wantedInstances(Function function, int loaded) {
+        Function reference = function.prewarmReference;
+        if (reference == function) {
+            return loaded;
+        }
+        double wanted = reference == null ? 1 : Math.ceil(function.prewarmShare * countInstances(reference));
+        return Math.max(1, wanted);
+    }
+
+    private boolean isLoading(Placement placement) {
+        return placement.loading
+                || placement.loadRequestedAt != null
+                        && loadLimiter.assumedInstances(placement) == 0
+                        && isLoadAwaited(placement);
+    }
+
+    private boolean requestFirstLoad(Placement placement) {
+        return loadLimiter.assumedInstances(placement) == 0
+                && slowStart.admits(placement.worker)
+                && loadLimiter.admits(placement)
+                && requestLoad(placement, 1);
+    }
+
+    private int countInstances(Function function) {
+        return function.placements.values().stream()
+                .mapToInt(loadLimiter::assumedInstances)
+                .sum();
+    }
+
+    /** Returns whether the load was requested. */
+    private boolean requestLoad(Placement placement, int instances) {
+        if (!allowed
+                || !state.isEligible(placement.worker)
+                || !state.loadQuota().allows(state.now(), 1)) {
+            return false;
+        }
+        state.loadQuota().addLoadRequest(state.now());
+        placement.loadRequestedAt = state.now();
+        placement.renewedAt = state.now();
+        int requested = Math.min(MAX_REQUESTED_INSTANCES, instances);
+        state.emit(new Action.LoadInstances(placement.worker.id, placement.function.id, requested));
+        return true;
+    }
+
+    void onLoadCompleted(Placement placement, Event.LoadCompleted event) {
+        if (event.outcome() == Outcome.SUCCESS || event.instances() > 0) {
+            placement.instances = event.instances();
+            placement.renewedAt = state.now();
+        } else if (event.outcome() == Outcome.ERROR) {
+            placement.instances = 0;
+            loadLimiter.onLoadFailed();
+        }
+    }
+}
