Faults as an enum with words, index entries as a record

A worker's index is a list of records in place of map entries. Two error messages of the emulator name faults and workers by the standard terms.

--- a/emulator/src/main/java/pearladder/emulator/FaultCommand.java
+++ b/emulator/src/main/java/pearladder/emulator/FaultCommand.java
@@ -6,13 +6,13 @@
 import java.util.function.Consumer;
 
 /**
- * A command that brings a fault, or ends it. Scenarios name faults by the words of {@link #what}.
+ * A command that brings a fault, or ends it.
  *
  * @param workers ids of the workers concerned
  * @param model a model's name or pattern, or several separated by commas; for a split view, the routers misled
  * @param figure a factor, a share or a span in milliseconds; for what is only on or off, on where it is above 0
  */
-public record FaultCommand(String what, List<String> workers, String model, double figure) {
+public record FaultCommand(FaultType type, List<String> workers, String model, double figure) {
     private static final double NANOS_PER_MILLI = 1e6;
 
     /** Whether a fault that is only on or off begins. */
@@ -28,13 +28,13 @@
     /** The effect on each worker; empty where the command is not for a worker's model. */
     public Optional<Consumer<WorkerModel>> workerFault() {
         return Optional.ofNullable(
-                switch (what) {
-                    case "slow" -> worker -> worker.setSlowdown(figure);
-                    case "failing" -> worker -> worker.setFailureShare(figure);
-                    case "late-reports" -> worker -> worker.setReportDelay(nanos());
-                    case "losing" -> worker -> worker.setLostLoadReplyShare(figure);
-                    case "leak" -> worker -> worker.setMemoryLeak(figure);
-                    case "release" -> worker -> List.of(model.split(",")).forEach(worker::invalidateModels);
+                switch (type) {
+                    case SLOWDOWN -> worker -> worker.setSlowdown(figure);
+                    case REQUEST_FAILURES -> worker -> worker.setFailureShare(figure);
+                    case LATE_REPORTS -> worker -> worker.setReportDelay(nanos());
+                    case LOST_LOAD_REPLIES -> worker -> worker.setLostLoadReplyShare(figure);
+                    case MEMORY_LEAK -> worker -> worker.setMemoryLeak(figure);
+                    case MODEL_RELEASE -> worker -> List.of(model.split(",")).forEach(worker::invalidateModels);
                     default -> null;
                 });
     }
@@ -42,10 +42,10 @@
     /** The effect on the model store; empty where the command is not for it. */
     public Optional<Consumer<ModelStore>> modelStoreFault() {
         return Optional.ofNullable(
-                switch (what) {
-                    case "shelf-slow" -> store -> store.setSlowdown(figure);
-                    case "shelf-refuse" -> store -> store.setRejectingAll(isOn());
-                    case "shelf-damage" -> store -> store.setServingDamagedImages(isOn());
+                switch (type) {
+                    case MODEL_STORE_SLOWDOWN -> store -> store.setSlowdown(figure);
+                    case MODEL_STORE_REJECTING -> store -> store.setRejectingAll(isOn());
+                    case MODEL_STORE_DAMAGED -> store -> store.setServingDamagedImages(isOn());
                     default -> null;
                 });
     }
@@ -53,10 +53,10 @@
     /** The effect on the endpoint registry; empty where the command is not for it. */
     public Optional<Consumer<EndpointRegistry>> registryFault() {
         return Optional.ofNullable(
-                switch (what) {
-                    case "list-silent" -> registry -> registry.silent(isOn());
-                    case "list-lag" -> registry -> registry.setLag(nanos());
-                    case "list-split" -> this::splitView;
+                switch (type) {
+                    case DISCOVERY_SILENT -> registry -> registry.silent(isOn());
+                    case DISCOVERY_LAG -> registry -> registry.setLag(nanos());
+                    case DISCOVERY_SPLIT -> this::splitView;
                     default -> null;
                 });
     }
--- a/emulator/src/main/java/pearladder/emulator/ModelInstance.java
+++ b/emulator/src/main/java/pearladder/emulator/ModelInstance.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 
-/** One copy of a model in a worker's memory, loading or ready. */
+/** One instance of a model in a worker's memory, loading or ready. */
 final class ModelInstance {
     final String model;
     final ModelKind kind;
--- a/emulator/src/main/java/pearladder/emulator/WorkerModel.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerModel.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.List;
-import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -14,6 +13,9 @@
  * missing model is loaded, that is, fetched from the model store and then started. Faults are set from outside.
  */
 public final class WorkerModel {
+    /** One instance, as the worker's index lists it. */
+    public record IndexEntry(String model, boolean ready) {}
+
     private final Timeline time;
     private final String id;
     private final WorkerKind kind;
@@ -340,10 +342,10 @@
         return instances.readyCount(model);
     }
 
-    /** Whether each instance is ready, by model, ready and loading ones; a model appears once for each instance. */
-    public List<Map.Entry<String, Boolean>> index() {
+    /** All instances, ready and loading. */
+    public List<IndexEntry> index() {
         return instances.instances().stream()
-                .map(instance -> Map.entry(instance.model, instance.ready))
+                .map(instance -> new IndexEntry(instance.model, instance.ready))
                 .toList();
     }
 
--- a/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
@@ -12,18 +12,18 @@
 import java.util.function.Function;
 import pearladder.emulator.EndpointRegistry;
 import pearladder.emulator.FaultCommand;
+import pearladder.emulator.FaultType;
 import pearladder.emulator.ModelStore;
 import pearladder.emulator.WorkerModel;
 import pearladder.kserve.JsonBodies;
 
 /**
  * A loopback port by which a scenario injects faults: POST /do?what=slow&amp;engines=e-1,e-2&amp;figure=5. Without
- * engines a command is for all of them. GET /engines lists the workers. Commands are those of {@link FaultCommand}
- * and of the methods here.
+ * engines a command is for all of them. GET /engines lists the workers. Commands are the words of
+ * {@link FaultType}.
  */
 public final class FaultInjectionServer {
     private static final String WORKERS_PATH = "/engines";
-    private static final String NETWORK_PREFIX = "cable-";
     private static final String ALL_MODELS = "*";
 
     private final Fleet fleet;
@@ -49,17 +49,24 @@
             request.response().end(lines.toString());
             return;
         }
+        String word = String.valueOf(request.getParam("what"));
+        Optional<Future<Void>> done = FaultType.of(word).flatMap(type -> apply(type, request));
+        done.ifPresentOrElse(
+                future -> respondWhenDone(request, future),
+                () -> request.response().setStatusCode(400).end(JsonBodies.error("unknown fault " + word)));
+    }
+
+    private Optional<Future<Void>> apply(FaultType type, HttpServerRequest request) {
         FaultCommand command = new FaultCommand(
-                String.valueOf(request.getParam("what")),
+                type,
                 workers(request.getParam("engines")),
                 parameter(request, "model", ALL_MODELS),
                 Double.parseDouble(parameter(request, "figure", "0")));
-        Optional<Future<Void>> done = command.what().startsWith(NETWORK_PREFIX)
-                ? applyToNetwork(command, parameter(request, "router", ""))
-                : apply(command);
-        done.ifPresentOrElse(
-                future -> respondWhenDone(request, future),
-                () -> request.response().setStatusCode(400).end(JsonBodies.error("unknown deed " + command.what())));
+        return switch (type) {
+            case NETWORK_CUT, NOT_ACCEPTING, CONNECTION_RESET -> applyToNetwork(
+                    command, parameter(request, "router", ""));
+            default -> apply(command);
+        };
     }
 
     private static String parameter(HttpServerRequest request, String name, String otherwise) {
@@ -103,15 +110,15 @@
             registryFault.get().accept(fleet.roll());
             return done();
         }
-        return switch (command.what()) {
-            case "hang" -> forEachServer(command, server -> server.setHanging(command.isOn()));
-            case "misname" -> forEachServer(command, server -> server.setMisnamingModels(command.isOn()));
-            case "garble" -> forEachServer(command, server -> server.setTruncatingResponses(command.isOn()));
-            case "drain" -> forEachId(command, fleet::drain);
-            case "replace" -> forEachId(command, id -> fleet.replace(id, command.nanos()));
-            case "kill" -> untilAllDone(command, fleet::kill);
-            case "restart" -> untilAllDone(command, fleet::restart);
-            case "list-cut" -> {
+        return switch (command.type()) {
+            case HANGING -> forEachServer(command, server -> server.setHanging(command.isOn()));
+            case MISNAMED_MODELS -> forEachServer(command, server -> server.setMisnamingModels(command.isOn()));
+            case TRUNCATED_RESPONSES -> forEachServer(command, server -> server.setTruncatingResponses(command.isOn()));
+            case DRAIN -> forEachId(command, fleet::drain);
+            case REPLACE -> forEachId(command, id -> fleet.replace(id, command.nanos()));
+            case KILL -> untilAllDone(command, fleet::kill);
+            case RESTART -> untilAllDone(command, fleet::restart);
+            case DISCOVERY_RESET -> {
                 fleet.list().cut();
                 yield done();
             }
@@ -125,10 +132,10 @@
         if (proxy == null) {
             return Optional.empty();
         }
-        return switch (command.what()) {
-            case "cable-cut" -> forEachId(command, id -> proxy.setCut(router, id, command.isOn()));
-            case "cable-deaf" -> forEachId(command, id -> proxy.setNotAccepting(id, command.isOn()));
-            case "cable-reset" -> forEachId(command, id -> proxy.reset(router, id));
+        return switch (command.type()) {
+            case NETWORK_CUT -> forEachId(command, id -> proxy.setCut(router, id, command.isOn()));
+            case NOT_ACCEPTING -> forEachId(command, id -> proxy.setNotAccepting(id, command.isOn()));
+            case CONNECTION_RESET -> forEachId(command, id -> proxy.reset(router, id));
             default -> Optional.empty();
         };
     }
--- a/emulator/src/main/java/pearladder/emulator/net/WorkerServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/WorkerServer.java
@@ -103,7 +103,7 @@
             case LIVE, READY -> response.putHeader(
                             Headers.REPORT, worker.report().text())
                     .end();
-            default -> response.setStatusCode(404).end(JsonBodies.error("not served by this stand-in"));
+            default -> response.setStatusCode(404).end(JsonBodies.error("not served by this worker"));
         }
     }
 
@@ -113,7 +113,7 @@
 
     private List<JsonBodies.Indexed> index() {
         return worker.index().stream()
-                .map(instance -> new JsonBodies.Indexed(instance.getKey(), instance.getValue() ? "READY" : "LOADING"))
+                .map(instance -> new JsonBodies.Indexed(instance.model(), instance.ready() ? "READY" : "LOADING"))
                 .toList();
     }
 
--- a/simulation/src/main/java/pearladder/simulation/SimulatedFleet.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedFleet.java
@@ -165,27 +165,28 @@
     }
 
     private void applyToProcesses(FaultCommand command) {
-        switch (command.what()) {
-            case "kill" -> command.workers().forEach(this::kill);
-            case "restart" -> command.workers().forEach(this::restart);
-            case "replace" -> command.workers().forEach(id -> replace(id, command.nanos()));
-            case "list-cut" -> onDiscoveryCut.run();
+        switch (command.type()) {
+            case KILL -> command.workers().forEach(this::kill);
+            case RESTART -> command.workers().forEach(this::restart);
+            case REPLACE -> command.workers().forEach(id -> replace(id, command.nanos()));
+            case DISCOVERY_RESET -> onDiscoveryCut.run();
             default -> concerned(command).forEach(pathFault(command));
         }
     }
 
     private Consumer<SimulatedNetworkPath> pathFault(FaultCommand command) {
         boolean on = command.isOn();
-        return switch (command.what()) {
-            case "hang" -> path -> path.setHanging(on);
-            case "misname" -> path -> path.setMisnamingModels(on);
-            case "garble" -> path -> path.setTruncatingResponses(on);
-            case "pause" -> path -> setPaused(path, on);
-            case "cut-back" -> path -> path.setCut(false, on);
-            case "cable-cut" -> path -> path.setCut(on, on);
-            case "cable-deaf" -> path -> path.setNotAccepting(on);
-            case "cable-reset" -> SimulatedNetworkPath::resetConnections;
-            default -> throw new IllegalArgumentException("unknown fault " + command.what());
+        return switch (command.type()) {
+            case HANGING -> path -> path.setHanging(on);
+            case MISNAMED_MODELS -> path -> path.setMisnamingModels(on);
+            case TRUNCATED_RESPONSES -> path -> path.setTruncatingResponses(on);
+            case PAUSE -> path -> setPaused(path, on);
+            case RESPONSE_PATH_CUT -> path -> path.setCut(false, on);
+            case NETWORK_CUT -> path -> path.setCut(on, on);
+            case NOT_ACCEPTING -> path -> path.setNotAccepting(on);
+            case CONNECTION_RESET -> SimulatedNetworkPath::resetConnections;
+            default -> throw new IllegalArgumentException(
+                    "not a fault of simulations: " + command.type().word());
         };
     }
 }
--- a/simulation/src/main/java/pearladder/simulation/Simulation.java
+++ b/simulation/src/main/java/pearladder/simulation/Simulation.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import pearladder.config.YamlParser;
 import pearladder.emulator.FaultCommand;
+import pearladder.emulator.FaultType;
 import pearladder.emulator.Observation;
 import pearladder.emulator.VirtualTimeline;
 import pearladder.rollout.RolloutTarget;
@@ -256,7 +257,9 @@
 
         @Override
         public void toEngines(String what, List<String> workers, String model, double figure) {
-            fleet.apply(new FaultCommand(what, workers, model, figure));
+            FaultType type =
+                    FaultType.of(what).orElseThrow(() -> new IllegalArgumentException("unknown fault " + what));
+            fleet.apply(new FaultCommand(type, workers, model, figure));
         }
 
         @Override
