Zipf's law, the choice of a flow and the draw of patience stand once

Cause: SyntheticWorkload and TraceMaker each drew ranks by Zipf's law, and SyntheticWorkload and TraceWorkload each chose flows by share and drew patience. Change: ZipfDistribution, ScenarioPlan.Flow.choose and ScenarioPlan.Clients.patience; the arithmetic and the order of draws stay.

--- a/testbed/src/main/java/pearladder/testbed/Benchmark.java
+++ b/testbed/src/main/java/pearladder/testbed/Benchmark.java
@@ -52,8 +52,8 @@
      *
      * @param program the command that runs this program
      * @param seconds length of a round
-     * @param records compares routers instead of ways: without an event log, with one, and with one whose disk stalls for
-     *     half a second out of two
+     * @param records compares routers instead of ways: without an event log, with one, and with one whose disk stalls
+     *     for half a second out of two
      */
     public static void run(List<String> program, Path folder, int rounds, int seconds, boolean records, PrintStream out)
             throws IOException {
--- a/testbed/src/main/java/pearladder/testbed/ChildProcesses.java
+++ b/testbed/src/main/java/pearladder/testbed/ChildProcesses.java
@@ -40,8 +40,8 @@
     /**
      * Creates an empty set of processes.
      *
-     * @param crowded whether they are many for the cores of this machine: they then use the first compiler only, as a dozen
-     *     virtual machines that optimize the same code at once starve what is measured
+     * @param crowded whether they are many for the cores of this machine: they then use the first compiler only, as a
+     *     dozen virtual machines that optimize the same code at once starve what is measured
      */
     ChildProcesses(List<String> program, Path folder, boolean crowded) {
         this.program = new ArrayList<>(program);
--- a/testbed/src/main/java/pearladder/testbed/ExperimentPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ExperimentPlan.java
@@ -70,7 +70,7 @@
         List<Size> sizes = sizes(vary);
         List<Double> rates = orElse(vary.at("rate").each(value -> value.number(0.1, 1e6)), Double.NaN);
         List<Double> speeds = orElse(vary.at("speed").each(value -> value.number(0.001, 1e6)), Double.NaN);
-        List<Faults> troubles =
+        List<Faults> faults =
                 orElse(vary.at("troubles").each(value -> value.word(Faults.class, null)), Faults.AS_WRITTEN);
         List<Integer> seeds = orElse(vary.at("seed").each(value -> value.whole(0, Integer.MAX_VALUE)), 1);
         TraceWorkload.Terms trace = experiment.at("trace").given() ? trace(experiment.at("trace"), folder) : null;
@@ -83,7 +83,7 @@
         List<Run> runs = new ArrayList<>();
         for (String policy : policies) {
             for (Size size : sizes) {
-                runs.addAll(runs(policy, size, rates, speeds, troubles, seeds));
+                runs.addAll(runs(policy, size, rates, speeds, faults, seeds));
             }
         }
         return new ExperimentPlan(name, base, trace, runs);
@@ -94,14 +94,14 @@
             Size size,
             List<Double> rates,
             List<Double> speeds,
-            List<Faults> troubles,
+            List<Faults> faults,
             List<Integer> seeds) {
         List<Run> runs = new ArrayList<>();
         for (double rate : rates) {
             for (double speed : speeds) {
-                for (Faults trouble : troubles) {
+                for (Faults faultChoice : faults) {
                     seeds.forEach(seed ->
-                            runs.add(new Run(policy, size.engines(), size.routers(), rate, speed, trouble, seed)));
+                            runs.add(new Run(policy, size.engines(), size.routers(), rate, speed, faultChoice, seed)));
                 }
             }
         }
--- a/testbed/src/main/java/pearladder/testbed/FaultInjector.java
+++ b/testbed/src/main/java/pearladder/testbed/FaultInjector.java
@@ -16,10 +16,10 @@
     /** What faults are injected into: real processes, or a simulation. */
     public interface World {
         /** The ids of the workers that run, of a zone or of all where it is empty. */
-        List<String> engines(String hall);
+        List<String> engines(String zone);
 
         /** The names of the routers of a zone, or of all where it is empty. */
-        List<String> routers(String hall);
+        List<String> routers(String zone);
 
         /**
          * Sends a command to the workers' control.
--- a/testbed/src/main/java/pearladder/testbed/InvariantChecker.java
+++ b/testbed/src/main/java/pearladder/testbed/InvariantChecker.java
@@ -64,9 +64,9 @@
         /**
          * A line for each rule, and the first breaches.
          *
-         * @param begun start of the scenario on the observations' clock, in nanoseconds
+         * @param startedAt start of the scenario on the observations' clock, in nanoseconds
          */
-        public List<String> lines(long begun, InvariantSettings rules) {
+        public List<String> lines(long startedAt, InvariantSettings rules) {
             List<String> lines = new ArrayList<>();
             for (Rule rule : Rule.values()) {
                 boolean unset = rule == Rule.LOAD_QUOTA_KEPT && rules.quotaWindow() == 0;
@@ -75,7 +75,7 @@
             }
             for (Breach breach : breaches.subList(0, Math.min(BREACHES_LISTED, breaches.size()))) {
                 lines.add(String.format(
-                        Locale.ROOT, "  at %.3f s: %s", (breach.at() - begun) / 1e9, breach.description()));
+                        Locale.ROOT, "  at %.3f s: %s", (breach.at() - startedAt) / 1e9, breach.description()));
             }
             return lines;
         }
--- a/testbed/src/main/java/pearladder/testbed/Results.java
+++ b/testbed/src/main/java/pearladder/testbed/Results.java
@@ -35,7 +35,7 @@
     /**
      * The results of a scenario.
      *
-     * @param begun start of the scenario on the observations' clock, in nanoseconds
+     * @param startedAt start of the scenario on the observations' clock, in nanoseconds
      * @param table lines for people
      */
     public static ObjectNode of(
@@ -44,7 +44,7 @@
             InvariantChecker.Verdict verdict,
             List<String> faults,
             List<Observation> observations,
-            long begun,
+            long startedAt,
             List<String> table) {
         ObjectNode results = JSON.createObjectNode();
         putTotals(results, plan, statistics);
@@ -54,10 +54,10 @@
         for (double percentile : PERCENTILES) {
             latency.put(Double.toString(percentile), statistics.latencyMillis(percentile));
         }
-        putWindows(results.putArray("windows"), statistics, WindowCounts.of(observations, begun));
+        putWindows(results.putArray("windows"), statistics, WindowCounts.of(observations, startedAt));
         ObjectNode causes = results.putObject("dismissed_because");
         rejectionCauses(observations).forEach(causes::put);
-        putFaults(results.putArray("troubles"), observations, begun);
+        putFaults(results.putArray("troubles"), observations, startedAt);
         ArrayNode rules = results.putArray("rules");
         verdict.looked().forEach((rule, looked) -> rules.addObject()
                 .put("rule", rule.words())
@@ -88,11 +88,11 @@
         });
     }
 
-    private static void putFaults(ArrayNode array, List<Observation> observations, long begun) {
+    private static void putFaults(ArrayNode array, List<Observation> observations, long startedAt) {
         for (Observation seen : observations) {
             if (seen.what().equals(Observation.TROUBLE)) {
                 array.addObject()
-                        .put("at_s", (seen.at() - begun) / NANOS_PER_SECOND)
+                        .put("at_s", (seen.at() - startedAt) / NANOS_PER_SECOND)
                         .put("what", seen.note());
             }
         }
@@ -102,13 +102,13 @@
      * A line on the loads that ended, what they fetched from the store, and the share of their time that the fetch
      * took.
      */
-    public static String fetched(ScenarioPlan plan, List<Observation> observations, long begun) {
+    public static String fetched(ScenarioPlan plan, List<Observation> observations, long startedAt) {
         long loads = 0;
         long failed = 0;
         double gigabytes = 0;
         double fetchShares = 0;
         for (Observation seen : observations) {
-            if (!seen.what().equals(Observation.LOADED) || seen.at() < begun) {
+            if (!seen.what().equals(Observation.LOADED) || seen.at() < startedAt) {
                 continue;
             }
             loads++;
--- a/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
@@ -55,7 +55,12 @@
      * @param lanes event loops that send; one bears about a thousand requests a second
      */
     public record Clients(
-            int maxAttempts, long retryPause, double leastPatience, long frontLag, double cancelShare, int lanes) {}
+            int maxAttempts, long retryPause, double leastPatience, long frontLag, double cancelShare, int lanes) {
+        /** The share of the deadline that an attempt is given, for a random number from 0 to 1. */
+        double patience(double uniform) {
+            return leastPatience + (1 - leastPatience) * uniform;
+        }
+    }
 
     /**
      * One flow of requests.
@@ -77,7 +82,25 @@
             int modelCount,
             double skew,
             long shiftInterval,
-            long meanWork) {}
+            long meanWork) {
+        /**
+         * Chooses among flows in proportion to their shares.
+         *
+         * @param uniform from 0 up to, not including, 1
+         * @return an index
+         */
+        static int choose(List<Flow> flows, double uniform) {
+            double sum = flows.stream().mapToDouble(Flow::share).sum();
+            double left = uniform * sum;
+            for (int i = 0; i < flows.size(); i++) {
+                left -= flows.get(i).share();
+                if (left < 0) {
+                    return i;
+                }
+            }
+            return flows.size() - 1;
+        }
+    }
 
     /** Kinds of faults, by the words of scripts; docs/days.md says what each does. */
     public enum Kind {
--- a/testbed/src/main/java/pearladder/testbed/Scripts.java
+++ b/testbed/src/main/java/pearladder/testbed/Scripts.java
@@ -15,8 +15,8 @@
     }
 
     /**
-     * The same day for a larger or smaller fleet: calls, models and the shelf go with the number of engines, so that
-     * what changes is the size alone.
+     * The same scenario for a larger or smaller fleet: requests, models and the model store are scaled with the number
+     * of workers, so that only the size changes.
      */
     public static void grow(ObjectNode script, int engines, int routers) {
         double factor = (double) engines / workers(script.at("/fleet/engines"));
--- a/testbed/src/main/java/pearladder/testbed/SyntheticWorkload.java
+++ b/testbed/src/main/java/pearladder/testbed/SyntheticWorkload.java
@@ -1,9 +1,9 @@
 package pearladder.testbed;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
+import pearladder.traces.ZipfDistribution;
 
 /**
  * Draws the requests of a scenario from its seed: the same script draws the same requests at the same moments.
@@ -20,9 +20,7 @@
     private final ScenarioPlan plan;
     private final SplittableRandom arrivals;
     private final SplittableRandom contents;
-    /** By flow, the sums of its models' popularities up to each. */
-    private final List<double[]> cumulativePopularity = new ArrayList<>();
-
+    private final List<ZipfDistribution> popularities = new ArrayList<>();
     private long due;
     private long number;
 
@@ -33,18 +31,8 @@
         this.arrivals = random.split();
         this.contents = random.split();
         for (ScenarioPlan.Flow flow : plan.flows()) {
-            cumulativePopularity.add(zipf(flow.modelCount(), flow.skew()));
-        }
-    }
-
-    private static double[] zipf(int models, double skew) {
-        double[] cumulative = new double[models];
-        double sum = 0;
-        for (int i = 0; i < models; i++) {
-            sum += Math.pow(i + 1, -skew);
-            cumulative[i] = sum;
+            popularities.add(new ZipfDistribution(flow.modelCount(), flow.skew()));
         }
-        return cumulative;
     }
 
     @Override
@@ -54,14 +42,15 @@
             return null;
         }
         // the order of the draws is part of what a seed means
-        int flowIndex = drawFlow();
+        int flowIndex = ScenarioPlan.Flow.choose(plan.flows(), contents.nextDouble());
         ScenarioPlan.Flow flow = plan.flows().get(flowIndex);
         String zone = plan.halls().get(contents.nextInt(plan.halls().size()));
         double work = flow.meanWork() * (LEAST_WORK_SHARE + contents.nextDouble());
         double heavyDraw = contents.nextDouble();
         double oneOffDraw = contents.nextDouble();
-        double patience = plan.clients().leastPatience() + (1 - plan.clients().leastPatience()) * contents.nextDouble();
-        String model = flow.modelPrefix() + drawModel(flow, cumulativePopularity.get(flowIndex));
+        double patience = plan.clients().patience(contents.nextDouble());
+        int rank = popularities.get(flowIndex).rank(contents.nextDouble());
+        String model = flow.modelPrefix() + model(flow, rank);
         for (ScenarioPlan.Fault fault : plan.faults()) {
             if (!isActive(fault)) {
                 continue;
@@ -90,22 +79,8 @@
         return due >= fault.startAt() && due < fault.startAt() + fault.duration();
     }
 
-    private int drawFlow() {
-        double sum = plan.flows().stream().mapToDouble(ScenarioPlan.Flow::share).sum();
-        double drawn = contents.nextDouble() * sum;
-        for (int i = 0; i < plan.flows().size(); i++) {
-            drawn -= plan.flows().get(i).share();
-            if (drawn < 0) {
-                return i;
-            }
-        }
-        return plan.flows().size() - 1;
-    }
-
-    private int drawModel(ScenarioPlan.Flow flow, double[] cumulative) {
-        int last = cumulative.length - 1;
-        int found = Arrays.binarySearch(cumulative, contents.nextDouble() * cumulative[last]);
-        int rank = Math.min(last, found < 0 ? -found - 1 : found);
+    /** The model of a rank, which moves on by one with each shift of the popularity. */
+    private int model(ScenarioPlan.Flow flow, int rank) {
         return flow.shiftInterval() == 0 ? rank : (int) ((rank + due / flow.shiftInterval()) % flow.modelCount());
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/TraceWorkload.java
+++ b/testbed/src/main/java/pearladder/testbed/TraceWorkload.java
@@ -154,7 +154,7 @@
         }
         info.accept(call);
         ScenarioPlan.Flow flow = flow(call);
-        double patience = plan.clients().leastPatience() + (1 - plan.clients().leastPatience()) * random.nextDouble();
+        double patience = plan.clients().patience(random.nextDouble());
         String zone = plan.halls().get(random.nextInt(plan.halls().size()));
         return new Drawn(due, number++, flow.requestClass(), flow.tenant(), model(call), zone, work(call), patience);
     }
@@ -185,17 +185,9 @@
                         && (call.account().isEmpty() || flow.tenant().equals(call.account())))
                 .toList();
         List<ScenarioPlan.Flow> from = flows.isEmpty() ? plan.flows() : flows;
-        double sum = from.stream().mapToDouble(ScenarioPlan.Flow::share).sum();
         CRC32 crc = new CRC32();
         crc.update(call.model().getBytes(StandardCharsets.UTF_8));
-        double drawn = crc.getValue() / CRC_RANGE * sum;
-        for (ScenarioPlan.Flow flow : from) {
-            drawn -= flow.share();
-            if (drawn < 0) {
-                return flow;
-            }
-        }
-        return from.get(from.size() - 1);
+        return from.get(ScenarioPlan.Flow.choose(from, crc.getValue() / CRC_RANGE));
     }
 
     private static String model(TraceCall call) {
--- a/testbed/src/main/java/pearladder/testbed/VersionShares.java
+++ b/testbed/src/main/java/pearladder/testbed/VersionShares.java
@@ -49,9 +49,9 @@
      * Lines for the table of a scenario.
      *
      * @param observations in the order of time of each observer
-     * @param begun start of the scenario on the observations' clock, in nanoseconds
+     * @param startedAt start of the scenario on the observations' clock, in nanoseconds
      */
-    public static List<String> lines(List<Observation> observations, long begun, List<ReleaseScript.Order> orders) {
+    public static List<String> lines(List<Observation> observations, long startedAt, List<ReleaseScript.Order> orders) {
         Map<String, Rollout> rollouts = new TreeMap<>();
         Map<String, Set<String>> models = new TreeMap<>();
         for (ReleaseScript.Order order : orders) {
@@ -63,7 +63,7 @@
         }
         List<String> lines = new ArrayList<>();
         rollouts.forEach((name, rollout) -> lines.add(
-                shareLine(rollout, models.get(name), answers(observations, begun, rollout, models.get(name)))));
+                shareLine(rollout, models.get(name), answers(observations, startedAt, rollout, models.get(name)))));
         lines.addAll(new RollbackDelays(observations, orders).lines());
         return lines;
     }
@@ -74,15 +74,15 @@
     }
 
     private static TreeMap<Long, Answers> answers(
-            List<Observation> observations, long begun, Rollout rollout, Set<String> models) {
+            List<Observation> observations, long startedAt, Rollout rollout, Set<String> models) {
         TreeMap<Long, Answers> windows = new TreeMap<>();
         for (Observation seen : observations) {
             VersionedModel answered = VersionedModel.of(seen);
             if (seen.what().equals(Observation.ANSWERED)
                     && seen.note().equals(RequestOutcome.SETTLED.code())
                     && models.contains(answered.model())
-                    && seen.at() >= begun) {
-                long number = (seen.at() - begun) / LoadStatistics.WINDOW_NANOS;
+                    && seen.at() >= startedAt) {
+                long number = (seen.at() - startedAt) / LoadStatistics.WINDOW_NANOS;
                 Answers answers = windows.computeIfAbsent(number, key -> new Answers());
                 answers.all++;
                 answers.ofVersion += answered.version().equals(rollout.version()) ? 1 : 0;
--- a/testbed/src/main/java/pearladder/traces/MinuteCounts.java
+++ b/testbed/src/main/java/pearladder/traces/MinuteCounts.java
@@ -10,8 +10,8 @@
 
 /**
  * Invocations by function and minute, held as sparse counts: a published day of some fifty thousand functions takes
- * some hundred megabytes at the most. Given out minute by minute; within a minute a function's calls are spread
- * evenly, from a phase of the function's own, so that functions of one count a minute don't all come at its start.
+ * some hundred megabytes at the most. Given minute by minute; within a minute the requests of a function are spread
+ * evenly, from a phase of the function's own, so that functions of one count a minute don't all start with it.
  */
 final class MinuteCounts {
     private static final long MINUTE_NANOS = TimeUnit.MINUTES.toNanos(1);
--- a/testbed/src/main/java/pearladder/traces/TraceCut.java
+++ b/testbed/src/main/java/pearladder/traces/TraceCut.java
@@ -24,8 +24,8 @@
     /**
      * Creates a writer and writes the header.
      *
-     * @param fromNanos since the first call
-     * @param toNanos since the first call; what is at it or later is left out
+     * @param fromNanos since the first request
+     * @param toNanos since the first request; what is at it or later is left out
      * @param share of the models, 0 to 1; the requests of a model come all or none
      */
     public TraceCut(Appendable out, long fromNanos, long toNanos, double share, int seed) throws IOException {
--- a/testbed/src/main/java/pearladder/traces/TraceFile.java
+++ b/testbed/src/main/java/pearladder/traces/TraceFile.java
@@ -86,7 +86,7 @@
                     cause instanceof CharacterCodingException
                             ? NOT_UTF_8
                             : "it can't be read to its end: " + cause.getMessage());
-        } catch (CharacterCodingException notUtf8) {
+        } catch (CharacterCodingException notUtf) {
             throw new InvalidTraceException(file, NOT_UTF_8);
         }
     }
--- a/testbed/src/main/java/pearladder/traces/TraceMaker.java
+++ b/testbed/src/main/java/pearladder/traces/TraceMaker.java
@@ -41,9 +41,7 @@
 
     private final Terms terms;
     private final SplittableRandom random;
-    /** Sums of the models' popularities up to each. */
-    private final double[] cumulativePopularity;
-
+    private final ZipfDistribution popularity;
     private final double steadyRate;
     /** When each timer fires within a period, in seconds, sorted. */
     private final double[] timerPhases;
@@ -56,12 +54,7 @@
     private TraceMaker(Terms terms) {
         this.terms = terms;
         this.random = new SplittableRandom(terms.seed());
-        this.cumulativePopularity = new double[terms.models()];
-        double sum = 0;
-        for (int i = 0; i < cumulativePopularity.length; i++) {
-            sum += Math.pow(i + 1, -terms.skew());
-            cumulativePopularity[i] = sum;
-        }
+        this.popularity = new ZipfDistribution(terms.models(), terms.skew());
         this.steadyRate = terms.rate() * (1 - terms.timers());
         this.rate = steadyRate;
         this.timerPhases = new double[(int) Math.round(terms.rate() * terms.timers() * TIMER_PERIOD_SECONDS)];
@@ -85,7 +78,7 @@
             if (at >= terms.seconds()) {
                 return;
             }
-            int model = drawModel();
+            int model = popularity.rank(random.nextDouble());
             out.accept(call(at, "fn-" + model, model));
         }
     }
@@ -111,12 +104,6 @@
         return timerPhases[nextTimer] + timerPeriods * TIMER_PERIOD_SECONDS;
     }
 
-    private int drawModel() {
-        int last = cumulativePopularity.length - 1;
-        int found = Arrays.binarySearch(cumulativePopularity, random.nextDouble() * cumulativePopularity[last]);
-        return Math.min(last, found < 0 ? -found - 1 : found);
-    }
-
     private TraceCall call(double atSeconds, String model, int number) {
         double workMillis = terms.workMillis() * (0.5 + random.nextDouble());
         return new TraceCall(
--- a/testbed/src/test/java/pearladder/traces/TraceFileTest.java
+++ b/testbed/src/test/java/pearladder/traces/TraceFileTest.java
@@ -120,8 +120,8 @@
                         .layout());
         assertEquals(4808 * 50_000L + 10 * 2_000_000L, calls.get(0).work());
         assertEquals(200 * MS, calls.get(2).at() - calls.get(1).at(), "time goes on over a day's end");
-        read(
-                "TIMESTAMP,ContextTokens,GeneratedTokens\n2024-05-10 00:00:00.009930+00:00,2162,5\n2024-05-10T02:00:00+02:00,1,1\n");
+        read("TIMESTAMP,ContextTokens,GeneratedTokens\n2024-05-10 00:00:00.009930+00:00,2162,5\n"
+                + "2024-05-10T02:00:00+02:00,1,1\n");
         assertEquals(2, calls.size());
         assertEquals(-9930_000L, calls.get(0).at() - calls.get(1).at());
     }
