Write buffer by one method per event; the disk's delay judged in WriteDelayMonitor

Cause: WriteBuffer mixed entries, writes, load requests and the judgement of slow writes, with words of the old house style (came, out, most, heap). Change: WriteDelayMonitor tells whether the disk is behind; WriteBuffer has one short method for each event and step. Log lines and reasons stay; symbols used by the event recorder keep their names for now.

--- a/decisions/src/main/java/pearladder/writebuffer/WriteBuffer.java
+++ b/decisions/src/main/java/pearladder/writebuffer/WriteBuffer.java
@@ -8,197 +8,232 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * What becomes of entries on their way to the disk. It is called through on(now, event): what happened goes in, what is to
- * be done comes out.
+ * Decides what becomes of entries on their way to the disk. Its main entry point is {@link #on}: an event goes in,
+ * actions come out.
  *
- * Entries are gathered for a short time and written together, so that what a crash can lose is bounded by gathering and one
- * write. A disk that can't follow costs details first, then everything; a call never waits for it. An order that a ration
- * limits goes out only when its record is safe, or a restart would not count it; one that would wait longer than the
- * loss window is withheld, since orders put off would come in one heap that no ration allows.
+ * <p>Entries are gathered for a short time and written in one batch, so that a crash loses at most what was gathered
+ * and one write. While the disk is too slow, details are dropped first, then everything; a request never waits for it.
+ * A load request under a quota is sent only when its entry is on disk, or a restart would not count it; one that would
+ * wait longer than the loss window is withheld, since delayed load requests would be sent in a burst that no quota
+ * allows.
  */
 public final class WriteBuffer {
-    private record Awaited(String order, long after, MonotonicTime until) {}
-
-    private static final TimeSpan FIRST_PAUSE = TimeSpan.millis(100);
-    private static final TimeSpan LONGEST_PAUSE = TimeSpan.seconds(2);
-    private static final int SLOW = 3;
-    private static final TimeSpan IN_TIME = TimeSpan.seconds(5);
-
-    private final TimeSpan gather;
-    private final TimeSpan window;
-    private final int most;
-    private final int atOnce;
-    private final ArrayDeque<Awaited> awaited = new ArrayDeque<>();
-    private MonotonicTime now = new MonotonicTime(0);
-    private List<WriteBufferAction> todo = new ArrayList<>();
-    private long came;
-    private long safe;
+    /** @param position number of the last entry that must be on disk before the load request is sent */
+    private record PendingLoadRequest(String id, long position, MonotonicTime expiresAt) {}
+
+    private static final TimeSpan FIRST_RETRY_DELAY = TimeSpan.millis(100);
+    private static final TimeSpan MAX_RETRY_DELAY = TimeSpan.seconds(2);
+    private static final String NOT_WRITABLE = "its record can't be kept";
+
+    private final TimeSpan gatherTime;
+    private final TimeSpan lossWindow;
+    private final int capacity;
+    private final int batchSize;
+    private final WriteDelayMonitor delayMonitor;
+    /** In the order of their entries. */
+    private final ArrayDeque<PendingLoadRequest> pendingLoadRequests = new ArrayDeque<>();
+
+    private long acceptedCount;
+    private long writtenCount;
+    /** Entries in the batch that is being written; 0 while none is. */
     private int writing;
-    private long leftOut;
-    private long facts;
-    private MonotonicTime notBefore;
-    private TimeSpan pause = FIRST_PAUSE;
-    private boolean failing;
-    private boolean late;
-    private int slowInARow;
-    private MonotonicTime slowAt = new MonotonicTime(0);
-    private boolean stopping;
+    /** Entries dropped since they were last reported, and those among them that are no details. */
+    private long droppedCount;
+
+    private long droppedFacts;
+    /** Earliest time of the next write; null before the first entry. */
+    private MonotonicTime nextWriteAt;
+
+    private TimeSpan retryDelay = FIRST_RETRY_DELAY;
+    private boolean isFailing;
+    private boolean isStopping;
+
+    /** Time of the event that is being handled. */
+    private MonotonicTime now = new MonotonicTime(0);
+    /** Actions for the event that is being handled. */
+    private List<WriteBufferAction> actions = new ArrayList<>();
 
     /**
-     * @param gather entries for so long before they are written
-     * @param window what a crash may lose, as time; an order waits no longer for its record
-     * @param most entries held; details only up to half of it
-     * @param atOnce entries in a batch
+     * Creates an empty buffer.
+     *
+     * @param gatherTime time for which entries are gathered before they are written
+     * @param lossWindow most that a crash may lose, as time; a load request waits no longer for its entry
+     * @param capacity entries held, at most; details only up to half of it
+     * @param batchSize entries written at a time, at most
      */
-    public WriteBuffer(TimeSpan gather, TimeSpan window, int most, int atOnce) {
-        this.gather = gather;
-        this.window = window;
-        this.most = most;
-        this.atOnce = atOnce;
+    public WriteBuffer(TimeSpan gatherTime, TimeSpan lossWindow, int capacity, int batchSize) {
+        this.gatherTime = gatherTime;
+        this.lossWindow = lossWindow;
+        this.capacity = capacity;
+        this.batchSize = batchSize;
+        this.delayMonitor = new WriteDelayMonitor(gatherTime, lossWindow);
     }
 
-    /** What happened at a moment, and what is to be done. */
-    public List<WriteBufferAction> on(MonotonicTime at, WriteBufferEvent event) {
-        now = at;
-        todo = new ArrayList<>();
+    /**
+     * Takes in what happened.
+     *
+     * @return what is to be done, in this order
+     */
+    public List<WriteBufferAction> on(MonotonicTime eventTime, WriteBufferEvent event) {
+        now = eventTime;
+        actions = new ArrayList<>();
         if (event instanceof WriteBufferEvent.Came entry) {
-            came(entry);
+            onEntry(entry);
         } else if (event instanceof WriteBufferEvent.Written written && writing > 0) {
-            written(written);
+            onWritten(written);
         } else if (event instanceof WriteBufferEvent.Failed failed && writing > 0) {
-            failed(failed);
+            onFailed(failed);
         } else if (event instanceof WriteBufferEvent.Due) {
-            withholdLate();
-            write();
+            withholdExpired();
+            writeIfDue();
         } else if (event instanceof WriteBufferEvent.Stopping) {
-            stopping = true;
-            notBefore = now;
-            write();
+            isStopping = true;
+            nextWriteAt = now;
+            writeIfDue();
         }
-        return todo;
+        return actions;
     }
 
-    /** Entries taken and not yet safe. */
+    /** Number of entries taken that are not on disk yet. */
     public int held() {
-        return (int) (came - safe);
+        return (int) (acceptedCount - writtenCount);
     }
 
-    /** Whether the disk refused the last batch. */
+    /** Whether the last write has failed. */
     public boolean failing() {
-        return failing;
-    }
-
-    private void came(WriteBufferEvent.Came entry) {
-        boolean out = held() >= (entry.detail() ? most / 2 : most) || entry.detail() && failing;
-        if (out) {
-            leftOut++;
-            facts += entry.detail() ? 0 : 1;
-            todo.add(new WriteBufferAction.LeaveOut());
-            if (!entry.order().isEmpty()) {
-                todo.add(new WriteBufferAction.Withhold(
-                        entry.order(), "more than " + most + " entries wait for the disk"));
-            }
+        return isFailing;
+    }
+
+    // ---- entries
+
+    private void onEntry(WriteBufferEvent.Came entry) {
+        if (mustDrop(entry)) {
+            drop(entry);
             return;
         }
-        todo.add(new WriteBufferAction.Take());
-        came++;
-        if (!entry.order().isEmpty()) {
-            if (failing) {
-                todo.add(new WriteBufferAction.Withhold(entry.order(), "its record can't be kept"));
-            } else {
-                awaited.add(new Awaited(entry.order(), came, now.plus(window)));
-                todo.add(new WriteBufferAction.Wake(window));
-            }
+        actions.add(new WriteBufferAction.Take());
+        acceptedCount++;
+        if (!entry.loadRequestId().isEmpty()) {
+            awaitWrite(entry.loadRequestId());
         }
         if (held() == 1) {
-            notBefore = now.plus(gather);
-            todo.add(new WriteBufferAction.Wake(gather));
-        } else if (held() >= atOnce && !failing) {
-            notBefore = now;
-            write();
+            nextWriteAt = now.plus(gatherTime);
+            actions.add(new WriteBufferAction.Wake(gatherTime));
+        } else if (held() >= batchSize && !isFailing) {
+            nextWriteAt = now;
+            writeIfDue();
+        }
+    }
+
+    private boolean mustDrop(WriteBufferEvent.Came entry) {
+        return held() >= (entry.isDetail() ? capacity / 2 : capacity) || entry.isDetail() && isFailing;
+    }
+
+    private void drop(WriteBufferEvent.Came entry) {
+        droppedCount++;
+        droppedFacts += entry.isDetail() ? 0 : 1;
+        actions.add(new WriteBufferAction.LeaveOut());
+        if (!entry.loadRequestId().isEmpty()) {
+            withhold(entry.loadRequestId(), "more than " + capacity + " entries wait for the disk");
         }
     }
 
-    private void write() {
-        if (writing == 0 && held() > 0 && !now.isBefore(notBefore)) {
-            writing = Math.min(atOnce, held());
-            todo.add(new WriteBufferAction.Write(writing));
+    /** Lets a load request wait for the entry that was just taken. */
+    private void awaitWrite(String loadRequestId) {
+        if (isFailing) {
+            withhold(loadRequestId, NOT_WRITABLE);
+            return;
         }
+        pendingLoadRequests.add(new PendingLoadRequest(loadRequestId, acceptedCount, now.plus(lossWindow)));
+        actions.add(new WriteBufferAction.Wake(lossWindow));
     }
 
-    private void written(WriteBufferEvent.Written written) {
-        safe += writing;
+    /** The disk may hang without an answer: a load request does not wait for it. */
+    private void withholdExpired() {
+        while (!pendingLoadRequests.isEmpty()
+                && !now.isBefore(pendingLoadRequests.peek().expiresAt())) {
+            withhold(pendingLoadRequests.poll().id(), "its record came too late");
+        }
+    }
+
+    private void withhold(String loadRequestId, String reason) {
+        actions.add(new WriteBufferAction.Withhold(loadRequestId, reason));
+    }
+
+    // ---- writes
+
+    private void writeIfDue() {
+        if (writing == 0 && held() > 0 && !now.isBefore(nextWriteAt)) {
+            writing = Math.min(batchSize, held());
+            actions.add(new WriteBufferAction.Write(writing));
+        }
+    }
+
+    private void onWritten(WriteBufferEvent.Written written) {
+        writtenCount += writing;
         writing = 0;
-        pause = FIRST_PAUSE;
-        if (failing) {
-            failing = false;
-            todo.add(new WriteBufferAction.Log(String.format(
-                    Locale.ROOT,
-                    "records are kept again: %d entries were left out, %d of them" + " no details",
-                    leftOut,
-                    facts)));
-        }
-        lateOrNot(written.took());
-        withholdLate();
-        while (!awaited.isEmpty() && awaited.peek().after() <= safe) {
-            todo.add(new WriteBufferAction.Go(awaited.poll().order()));
-        }
-        if (leftOut > 0 && held() < most / 2) {
-            todo.add(new WriteBufferAction.TellLeftOut(leftOut));
-            leftOut = 0;
-            facts = 0;
-        }
-        if (held() > 0) {
-            boolean soon = stopping || late || held() >= atOnce;
-            notBefore = soon ? now : now.plus(gather);
-            write();
-            if (!soon) {
-                todo.add(new WriteBufferAction.Wake(gather));
-            }
-        }
-    }
-
-    /** One slow write is no mode; several in a row are, until none was slow for a while. */
-    private void lateOrNot(TimeSpan took) {
-        boolean slow = took.plus(gather).isLongerThan(window);
-        slowInARow = slow ? slowInARow + 1 : 0;
-        slowAt = slow ? now : slowAt;
-        boolean mode = late
-                ? slowAt.plus(IN_TIME).compareTo(now) > 0
-                : slowInARow >= SLOW || took.isLongerThan(window.times(SLOW));
-        if (mode != late) {
-            late = mode;
-            todo.add(new WriteBufferAction.Log(String.format(
-                    Locale.ROOT,
+        retryDelay = FIRST_RETRY_DELAY;
+        if (isFailing) {
+            isFailing = false;
+            log("records are kept again: %d entries were left out, %d of them no details", droppedCount, droppedFacts);
+        }
+        if (delayMonitor.onWritten(now, written.took())) {
+            log(
                     "records are written %s: %d ms a batch, %d entries wait",
-                    late ? "late" : "in time again",
-                    took.toMillis(),
-                    held())));
+                    delayMonitor.isBehind() ? "late" : "in time again",
+                    written.took().toMillis(),
+                    held());
         }
+        withholdExpired();
+        releaseLoadRequests();
+        reportDropped();
+        writeRest();
     }
 
-    private void failed(WriteBufferEvent.Failed failed) {
-        writing = 0;
-        if (!failing) {
-            failing = true;
-            todo.add(new WriteBufferAction.Log(String.format(
-                    Locale.ROOT,
-                    "records can't be kept (%s): %d entries wait, details are" + " left out, orders are withheld",
-                    failed.why(),
-                    held())));
+    private void releaseLoadRequests() {
+        while (!pendingLoadRequests.isEmpty() && pendingLoadRequests.peek().position() <= writtenCount) {
+            actions.add(new WriteBufferAction.Go(pendingLoadRequests.poll().id()));
+        }
+    }
+
+    /** Waits until there is room for the entry that tells of it. */
+    private void reportDropped() {
+        if (droppedCount > 0 && held() < capacity / 2) {
+            actions.add(new WriteBufferAction.TellLeftOut(droppedCount));
+            droppedCount = 0;
+            droppedFacts = 0;
+        }
+    }
+
+    private void writeRest() {
+        if (held() == 0) {
+            return;
         }
-        while (!awaited.isEmpty()) {
-            todo.add(new WriteBufferAction.Withhold(awaited.poll().order(), "its record can't be kept"));
+        boolean isDueAtOnce = isStopping || delayMonitor.isBehind() || held() >= batchSize;
+        nextWriteAt = isDueAtOnce ? now : now.plus(gatherTime);
+        writeIfDue();
+        if (!isDueAtOnce) {
+            actions.add(new WriteBufferAction.Wake(gatherTime));
         }
-        notBefore = now.plus(pause);
-        todo.add(new WriteBufferAction.Wake(pause));
-        pause = pause.times(2).atMost(LONGEST_PAUSE);
     }
 
-    /** The disk may stand still without an answer: an order doesn't wait for it. */
-    private void withholdLate() {
-        while (!awaited.isEmpty() && !now.isBefore(awaited.peek().until())) {
-            todo.add(new WriteBufferAction.Withhold(awaited.poll().order(), "its record came too late"));
+    private void onFailed(WriteBufferEvent.Failed failed) {
+        writing = 0;
+        if (!isFailing) {
+            isFailing = true;
+            log(
+                    "records can't be kept (%s): %d entries wait, details are left out, orders are withheld",
+                    failed.reason(), held());
+        }
+        while (!pendingLoadRequests.isEmpty()) {
+            withhold(pendingLoadRequests.poll().id(), NOT_WRITABLE);
         }
+        nextWriteAt = now.plus(retryDelay);
+        actions.add(new WriteBufferAction.Wake(retryDelay));
+        retryDelay = retryDelay.times(2).atMost(MAX_RETRY_DELAY);
+    }
+
+    private void log(String format, Object... arguments) {
+        actions.add(new WriteBufferAction.Log(String.format(Locale.ROOT, format, arguments)));
     }
 }
--- a/decisions/src/main/java/pearladder/writebuffer/WriteBufferAction.java
+++ b/decisions/src/main/java/pearladder/writebuffer/WriteBufferAction.java
@@ -2,28 +2,33 @@
 
 import pearladder.routing.api.TimeSpan;
 
-/** What is to be done, in the order given. */
+/** What has to be done with entries and load requests, in the order given. */
 public sealed interface WriteBufferAction {
-    /** The entry that came joins the end of those that are held. */
+    /** Append the new entry to the buffer. */
     record Take() implements WriteBufferAction {}
 
-    /** The entry that came is let go. */
+    /** Drop the new entry. */
     record LeaveOut() implements WriteBufferAction {}
 
-    /** Write the first so many of those held; tell how it went. */
+    /** Write this many entries from the head of the buffer and report how it went. */
     record Write(int entries) implements WriteBufferAction {}
 
-    /** Add an entry that says how many were left out. */
+    /** Add an entry that tells how many were dropped. */
     record TellLeftOut(long entries) implements WriteBufferAction {}
 
-    /** An order may go out now. */
+    /** The load request may be sent now. */
     record Go(String order) implements WriteBufferAction {}
 
-    /** An order must not go out any more. */
+    /**
+     * The load request must not be sent any more.
+     *
+     * @param why reason in a few words, for the log
+     */
     record Withhold(String order, String why) implements WriteBufferAction {}
 
+    /** Report {@link WriteBufferEvent.Due} after this time. */
     record Wake(TimeSpan after) implements WriteBufferAction {}
 
-    /** A change of mode, with its figures. */
+    /** Log a change of the buffer's state, with its figures. */
     record Log(String text) implements WriteBufferAction {}
 }
--- a/decisions/src/main/java/pearladder/writebuffer/WriteBufferEvent.java
+++ b/decisions/src/main/java/pearladder/writebuffer/WriteBufferEvent.java
@@ -2,25 +2,29 @@
 
 import pearladder.routing.api.TimeSpan;
 
-/** What happened to records that are to be kept. */
+/** What happened that a {@link WriteBuffer} has to know of. */
 public sealed interface WriteBufferEvent {
     /**
-     * An entry came.
+     * An entry is to be written.
      *
-     * @param detail it may be left out
-     * @param order that must not go out before the entry is safe; empty for none
+     * @param isDetail whether it may be dropped rather early
+     * @param loadRequestId load request that must not be sent before the entry is on disk; empty for none
      */
-    record Came(boolean detail, String order) implements WriteBufferEvent {}
+    record Came(boolean isDetail, String loadRequestId) implements WriteBufferEvent {}
 
-    /** The batch that was to be written is safe. */
+    /** The whole batch is on disk. */
     record Written(TimeSpan took) implements WriteBufferEvent {}
 
-    /** Nothing of it is safe. */
-    record Failed(String why) implements WriteBufferEvent {}
+    /**
+     * No entry of the batch is on disk.
+     *
+     * @param reason in a few words, for the log
+     */
+    record Failed(String reason) implements WriteBufferEvent {}
 
-    /** The time that was asked for has come. */
+    /** The time asked for by {@link WriteBufferAction.Wake} has passed. */
     record Due() implements WriteBufferEvent {}
 
-    /** Nothing more comes; what is held is to be written at once. */
+    /** No more entries come; those in the buffer are to be written at once. */
     record Stopping() implements WriteBufferEvent {}
 }
--- a/decisions/src/main/java/pearladder/writebuffer/package-info.java
+++ b/decisions/src/main/java/pearladder/writebuffer/package-info.java
@@ -1,5 +1,5 @@
 /**
- * What waits to be kept on disk: what is left out when the disk can't follow, when a batch is written, and which orders
- * must wait until their record is safe. No I/O, no threads, no clock.
+ * Entries of the event log on their way to the disk: decides when a batch is written, which entries are dropped when
+ * the disk is too slow, and which load requests wait until their entry is on disk. No I/O, no threads, no clock.
  */
 package pearladder.writebuffer;
--- /dev/null
+++ b/decisions/src/test/java/pearladder/writebuffer/WriteBufferTest.java
@@ -0,0 +1,97 @@
+package pearladder.writebuffer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
+
+class WriteBufferTest {
+    private static final TimeSpan GATHER_TIME = TimeSpan.millis(20);
+    private static final TimeSpan LOSS_WINDOW = TimeSpan.millis(50);
+
+    private final WriteBuffer buffer = new WriteBuffer(GATHER_TIME, LOSS_WINDOW, 100, 30);
+    private MonotonicTime now = new MonotonicTime(0);
+
+    private List<WriteBufferAction> on(WriteBufferEvent event) {
+        return buffer.on(now, event);
+    }
+
+    private List<WriteBufferAction> after(long millis, WriteBufferEvent event) {
+        now = now.plus(TimeSpan.millis(millis));
+        return on(event);
+    }
+
+    private static WriteBufferEvent fact() {
+        return new WriteBufferEvent.Came(false, "");
+    }
+
+    private static WriteBufferEvent detail() {
+        return new WriteBufferEvent.Came(true, "");
+    }
+
+    @Test
+    void writesGatheredEntriesInOneBatch() {
+        on(fact());
+        assertEquals(List.of(new WriteBufferAction.Take()), after(5, fact()));
+        assertEquals(List.of(new WriteBufferAction.Write(2)), after(15, new WriteBufferEvent.Due()));
+        assertEquals(List.of(), after(30, new WriteBufferEvent.Due()));
+        assertEquals(List.of(), on(new WriteBufferEvent.Written(TimeSpan.millis(2))));
+        assertEquals(0, buffer.held());
+    }
+
+    @Test
+    void sendsALoadRequestOnlyWhenItsEntryIsOnDisk() {
+        assertEquals(
+                List.of(
+                        new WriteBufferAction.Take(),
+                        new WriteBufferAction.Wake(LOSS_WINDOW),
+                        new WriteBufferAction.Wake(GATHER_TIME)),
+                on(new WriteBufferEvent.Came(false, "o1")));
+        after(20, new WriteBufferEvent.Due());
+        assertEquals(
+                List.of(new WriteBufferAction.Go("o1")), after(3, new WriteBufferEvent.Written(TimeSpan.millis(3))));
+    }
+
+    @Test
+    void withholdsALoadRequestWhenTheDiskHangs() {
+        on(new WriteBufferEvent.Came(false, "o1"));
+        after(20, new WriteBufferEvent.Due());
+        assertEquals(
+                List.of(new WriteBufferAction.Withhold("o1", "its record came too late")),
+                after(30, new WriteBufferEvent.Due()));
+        List<WriteBufferAction> late = after(450, new WriteBufferEvent.Written(TimeSpan.millis(480)));
+        assertEquals(1, late.size());
+        assertTrue(((WriteBufferAction.Log) late.get(0)).text().contains("late: 480 ms"));
+    }
+
+    @Test
+    void dropsDetailsAndWithholdsLoadRequestsWhileTheDiskIsFullAndLogsItOnce() {
+        on(fact());
+        after(20, new WriteBufferEvent.Due());
+        List<WriteBufferAction> failed = on(new WriteBufferEvent.Failed("no space"));
+        assertTrue(failed.stream().anyMatch(WriteBufferAction.Log.class::isInstance));
+        assertEquals(List.of(new WriteBufferAction.LeaveOut()), on(detail()));
+        assertTrue(on(new WriteBufferEvent.Came(false, "o1"))
+                .contains(new WriteBufferAction.Withhold("o1", "its record can't be kept")));
+        assertEquals(List.of(new WriteBufferAction.Write(2)), after(100, new WriteBufferEvent.Due()));
+        assertFalse(
+                on(new WriteBufferEvent.Failed("no space")).stream().anyMatch(WriteBufferAction.Log.class::isInstance));
+        assertEquals(List.of(new WriteBufferAction.Write(2)), after(200, new WriteBufferEvent.Due()));
+        List<WriteBufferAction> again = on(new WriteBufferEvent.Written(TimeSpan.millis(1)));
+        assertTrue(again.get(0) instanceof WriteBufferAction.Log log
+                && log.text().contains("kept again: 1 entries were left out, 0"));
+        assertTrue(again.contains(new WriteBufferAction.TellLeftOut(1)));
+    }
+
+    @Test
+    void writesAtOnceWhenStopping() {
+        for (int i = 0; i < 29; i++) {
+            on(fact());
+        }
+        assertEquals(List.of(new WriteBufferAction.Write(29)), on(new WriteBufferEvent.Stopping()));
+    }
+}
