Usage accounting split into instances, division and intervals; standard names in metering

Cause: UsageAccounting held the state of each model on a worker, the division by largest remainder and the intervals in one class, with a chain of nested conditions and a method of over 40 lines; the test recomputed the whole in one nested expression. Change: InstanceUsage counts the memory of one model on one worker, LargestRemainder divides, UsageAccounting orders observations and closes intervals; times and amounts have units in their names. The order of observations of the same time is unchanged. Symbols used by other modules keep their names for now.

--- a/decisions/src/main/java/pearladder/metering/InstanceObservation.java
+++ b/decisions/src/main/java/pearladder/metering/InstanceObservation.java
@@ -1,29 +1,43 @@
 package pearladder.metering;
 
-/** What a record tells of a model's copies on an engine; moments are the wall clock's, milliseconds. */
+/**
+ * What an entry of an event log tells about a model's instances on a worker. Times are those of the wall clock,
+ * milliseconds since 1970.
+ */
 public sealed interface InstanceObservation {
-    long at();
+    /** When it happened, milliseconds since 1970. */
+    long atMillis();
 
-    /** Which router saw it; the same thing seen by two counts once. */
+    /** The router that observed it; an instance observed by two routers counts once. */
     String router();
 
-    /** A load was begun, by an account's call or, where that is empty, by an order; it lasted for so many milliseconds. */
-    record Loading(long at, String router, String engine, String model, String account, long lasting)
+    /**
+     * A load was started.
+     *
+     * @param tenant whose request started it; empty where the router loaded ahead of requests
+     * @param loadMillis how long the load took
+     */
+    record Loading(long atMillis, String router, String worker, String model, String tenant, long loadMillis)
             implements InstanceObservation {}
 
-    /** A load failed: nothing stands. */
-    record LoadFailed(long at, String router, String engine, String model) implements InstanceObservation {}
+    /** A load failed: its instance is not there. */
+    record LoadFailed(long atMillis, String router, String worker, String model) implements InstanceObservation {}
 
-    /** The engine said how many copies stand. */
-    record Copies(long at, String router, String engine, String model, int copies) implements InstanceObservation {}
+    /** The worker reported how many instances it holds. */
+    record Copies(long atMillis, String router, String worker, String model, int instances)
+            implements InstanceObservation {}
 
-    /** An account's calls worked there, microseconds in all, the last of them at the moment. */
-    record Worked(long at, String router, String engine, String model, String account, long micros)
+    /**
+     * A tenant's requests ran there, the last of them until now.
+     *
+     * @param workMicros how long they ran in all, microseconds
+     */
+    record Worked(long atMillis, String router, String worker, String model, String tenant, long workMicros)
             implements InstanceObservation {}
 
-    /** The engine's process ended or began anew: what it held is gone. */
-    record Gone(long at, String router, String engine) implements InstanceObservation {}
+    /** The worker's process ended or was restarted: all its instances are gone. */
+    record Gone(long atMillis, String router, String worker) implements InstanceObservation {}
 
-    /** A model's copies hold so many megabytes each, from the moment on. */
-    record Memory(long at, String router, String model, long megabytes) implements InstanceObservation {}
+    /** From now on each instance of the model holds so many megabytes. */
+    record Memory(long atMillis, String router, String model, long memoryMb) implements InstanceObservation {}
 }
--- /dev/null
+++ b/decisions/src/main/java/pearladder/metering/InstanceUsage.java
@@ -0,0 +1,133 @@
+package pearladder.metering;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The instances of one model on one worker and their memory in the open interval. Times in milliseconds. */
+final class InstanceUsage {
+    /** Work of the open interval and of the four before it decides on the shares. */
+    private static final int WORK_INTERVALS = 5;
+
+    final String worker;
+    final String model;
+    private final long idleTimeout;
+    private int instances;
+    /** Memory is counted up to here. */
+    private long countedUntil;
+    /** When the instances were last known to be there. */
+    private long renewedAt;
+    /** Megabytes times milliseconds in the open interval. */
+    private long amount;
+    /** Tenant that pays while no request has run; empty for none. */
+    private String loader = "";
+    /** Microseconds by tenant for each interval, the open one last. */
+    private final Deque<TreeMap<String, Long>> workByInterval = new ArrayDeque<>();
+    /** Loads by tenant in the open interval. */
+    private final TreeMap<String, Integer> loads = new TreeMap<>();
+
+    InstanceUsage(String worker, String model, long idleTimeout) {
+        this.worker = worker;
+        this.model = model;
+        this.idleTimeout = idleTimeout;
+        workByInterval.add(new TreeMap<>());
+    }
+
+    // ---- instances
+
+    /**
+     * Counts the memory up to a time, or to the earlier one at which the instances reached the idle timeout.
+     *
+     * @param memoryMb of each instance
+     */
+    void countUntil(long time, long memoryMb) {
+        long expiresAt = renewedAt + idleTimeout;
+        long end = Math.min(time, expiresAt);
+        if (instances > 0 && end > countedUntil) {
+            amount = Math.addExact(amount, Math.multiplyExact(instances * (end - countedUntil), memoryMb));
+        }
+        if (time >= expiresAt) {
+            instances = 0;
+        }
+        countedUntil = Math.max(countedUntil, time);
+    }
+
+    /** From this time on there are so many instances. Memory must have been counted up to it. */
+    void setInstances(long time, int count) {
+        renewedAt = instances > 0 ? Math.max(renewedAt, time) : time;
+        instances = count;
+    }
+
+    void onLoadStarted(long time, String tenant, long loadMillis) {
+        loads.merge(tenant, 1, Integer::sum);
+        ensureInstance(time, tenant);
+        // A load may take longer than the idle timeout.
+        renewedAt = Math.max(renewedAt, time + loadMillis);
+    }
+
+    void onLoadFailed(long time) {
+        setInstances(time, Math.max(0, instances - 1));
+    }
+
+    void onWork(long time, String tenant, long workMicros) {
+        ensureInstance(time, tenant);
+        workByInterval.peekLast().merge(tenant, workMicros, Long::sum);
+    }
+
+    private void ensureInstance(long time, String tenant) {
+        if (instances == 0) {
+            loader = tenant;
+        }
+        setInstances(time, Math.max(1, instances));
+    }
+
+    boolean hasOpenUsage() {
+        return instances > 0 || amount > 0;
+    }
+
+    /** Whether neither instances nor work of the last intervals are left. */
+    boolean isEmpty() {
+        return instances == 0 && workByInterval.stream().allMatch(Map::isEmpty);
+    }
+
+    // ---- shares
+
+    void startNextInterval() {
+        workByInterval.add(new TreeMap<>());
+        while (workByInterval.size() > WORK_INTERVALS) {
+            workByInterval.poll();
+        }
+    }
+
+    /** Divides the memory of the open interval among the tenants, and begins to count anew. */
+    List<UsageShare> takeShares(long intervalStart) {
+        TreeMap<String, Long> openWork = workByInterval.peekLast();
+        TreeMap<String, Long> amounts = LargestRemainder.divide(amount, weights());
+        openWork.keySet().forEach(tenant -> amounts.putIfAbsent(tenant, 0L));
+        loads.keySet().forEach(tenant -> amounts.putIfAbsent(tenant, 0L));
+        List<UsageShare> shares = new ArrayList<>();
+        amounts.forEach((tenant, tenantAmount) -> {
+            int loadCount = loads.getOrDefault(tenant, 0);
+            long work = openWork.getOrDefault(tenant, 0L);
+            if (tenantAmount > 0 || loadCount > 0 || work > 0) {
+                shares.add(new UsageShare(tenant, model, worker, intervalStart, tenantAmount, loadCount, work));
+            }
+        });
+        amount = 0;
+        loads.clear();
+        return shares;
+    }
+
+    private TreeMap<String, Long> weights() {
+        TreeMap<String, Long> weights = new TreeMap<>();
+        workByInterval.forEach(work -> work.forEach((tenant, micros) -> weights.merge(tenant, micros, Long::sum)));
+        weights.values().removeIf(micros -> micros <= 0);
+        if (weights.isEmpty()) {
+            weights.put(loader, 1L);
+        }
+        return weights;
+    }
+}
--- a/decisions/src/main/java/pearladder/metering/UsageShare.java
+++ b/decisions/src/main/java/pearladder/metering/UsageShare.java
@@ -1,12 +1,13 @@
 package pearladder.metering;
 
 /**
- * What an account bears of a model's memory on an engine in an interval.
+ * A tenant's share of the memory that a model held on a worker in an interval.
  *
- * @param account empty where nobody's call ever asked for the copies
- * @param from beginning of the interval, wall clock, milliseconds
+ * @param account tenant; empty where no tenant's request ever asked for the instances
+ * @param engine worker
+ * @param from start of the interval by the wall clock, milliseconds since 1970
  * @param amount megabytes times milliseconds
- * @param loads begun in the interval for it
- * @param work of its calls there in the interval, microseconds
+ * @param loads loads that were started for the tenant in the interval
+ * @param work time that the tenant's requests ran there in the interval, microseconds
  */
 public record UsageShare(String account, String model, String engine, long from, long amount, int loads, long work) {}
--- a/decisions/src/main/java/pearladder/metering/package-info.java
+++ b/decisions/src/main/java/pearladder/metering/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Memory-seconds by account: what models held on engines, from the records of any number of routers, split so that the
- * parts sum exactly to the whole. No I/O, no clock.
+ * Memory usage by tenant: what models held on workers, from the event logs of any number of routers, divided among
+ * tenants so that the shares sum exactly to the whole. No I/O, no clock.
  */
 package pearladder.metering;
--- /dev/null
+++ b/decisions/src/test/java/pearladder/metering/UsageAccountingRandomizedTest.java
@@ -0,0 +1,90 @@
+package pearladder.metering;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Random observations: the order of merging changes nothing, sums are exact, and more work never lowers a tenant's
+ * share.
+ */
+class UsageAccountingRandomizedTest {
+    private static final long MINUTE = 60_000;
+    private static final long IDLE_TIMEOUT = 10_000;
+
+    @Test
+    void sumsAreExactAndIndependentOfTheOrderOfMerging() {
+        for (int seed = 0; seed < 60; seed++) {
+            Random random = new Random(seed);
+            List<InstanceObservation> observations = randomObservations(random);
+            List<UsageShare> shares = shares(observations);
+            List<InstanceObservation> shuffled = new ArrayList<>(observations);
+            Collections.shuffle(shuffled, random);
+            assertEquals(shares, shares(shuffled), "seed " + seed);
+            assertEquals(
+                    MillisecondUsage.total(observations, IDLE_TIMEOUT, 7 * MINUTE),
+                    shares.stream().mapToLong(UsageShare::amount).sum(),
+                    "seed " + seed);
+            checkMoreWorkNeverCostsLess(observations, shares, random, seed);
+        }
+    }
+
+    private static List<UsageShare> shares(List<InstanceObservation> observations) {
+        UsageAccounting usage = new UsageAccounting(MINUTE, IDLE_TIMEOUT, 100 * MINUTE);
+        observations.forEach(usage::on);
+        return usage.end(20 * MINUTE);
+    }
+
+    private static List<InstanceObservation> randomObservations(Random random) {
+        List<InstanceObservation> observations = new ArrayList<>(List.of(
+                new InstanceObservation.Memory(0, "r1", "m0", 100),
+                new InstanceObservation.Memory(0, "r1", "m1", 333),
+                new InstanceObservation.Memory(0, "r1", "m2", 7)));
+        for (int i = 0; i < 150; i++) {
+            observations.add(randomObservation(random));
+        }
+        return observations;
+    }
+
+    private static InstanceObservation randomObservation(Random random) {
+        long at = random.nextInt((int) (6 * MINUTE));
+        String router = "r" + random.nextInt(3);
+        String worker = "e" + random.nextInt(3);
+        String model = "m" + random.nextInt(3);
+        String tenant = "a" + random.nextInt(3);
+        return switch (random.nextInt(9)) {
+            case 0 -> new InstanceObservation.Loading(at, router, worker, model, tenant, 0);
+            case 1 -> new InstanceObservation.LoadFailed(at, router, worker, model);
+            case 2 -> new InstanceObservation.Copies(at, router, worker, model, random.nextInt(4));
+            case 3 -> new InstanceObservation.Gone(at, router, worker);
+            default -> new InstanceObservation.Worked(at, router, worker, model, tenant, 1 + random.nextInt(100_000));
+        };
+    }
+
+    private static void checkMoreWorkNeverCostsLess(
+            List<InstanceObservation> observations, List<UsageShare> shares, Random random, int seed) {
+        InstanceObservation.Worked some = (InstanceObservation.Worked) observations.stream()
+                .filter(InstanceObservation.Worked.class::isInstance)
+                .skip(random.nextInt(20))
+                .findFirst()
+                .orElseThrow();
+        List<InstanceObservation> more = new ArrayList<>(observations);
+        more.add(new InstanceObservation.Worked(
+                some.atMillis(), some.router(), some.worker(), some.model(), some.tenant(), 50_000));
+        long before = amount(shares, some.tenant());
+        assertTrue(before > 0, "seed " + seed);
+        assertTrue(amount(shares(more), some.tenant()) >= before, "seed " + seed);
+    }
+
+    private static long amount(List<UsageShare> shares, String tenant) {
+        return shares.stream()
+                .filter(share -> share.account().equals(tenant))
+                .mapToLong(UsageShare::amount)
+                .sum();
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/pearladder/metering/UsageAccountingTest.java
@@ -0,0 +1,142 @@
+package pearladder.metering;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+class UsageAccountingTest {
+    private static final long MINUTE = 60_000;
+    private static final long IDLE_TIMEOUT = 10_000;
+
+    private static List<UsageShare> shares(List<InstanceObservation> observations, long until) {
+        UsageAccounting usage = new UsageAccounting(MINUTE, IDLE_TIMEOUT, 2 * MINUTE);
+        List<UsageShare> shares = new ArrayList<>();
+        observations.forEach(observation -> shares.addAll(usage.on(observation)));
+        shares.addAll(usage.end(until));
+        assertEquals(0, usage.tooLate());
+        return shares;
+    }
+
+    private static Map<String, Long> amountByTenant(List<UsageShare> shares) {
+        Map<String, Long> sums = new TreeMap<>();
+        shares.forEach(share -> sums.merge(share.account(), share.amount(), Long::sum));
+        sums.values().removeIf(amount -> amount == 0);
+        return sums;
+    }
+
+    private static InstanceObservation memory(String model, long memoryMb) {
+        return new InstanceObservation.Memory(0, "r1", model, memoryMb);
+    }
+
+    private static InstanceObservation worked(long at, String router, String tenant, long workMicros) {
+        return new InstanceObservation.Worked(at, router, "e1", "m", tenant, workMicros);
+    }
+
+    @Test
+    void countsAnInstanceFromTheStartOfItsLoadToTheIdleTimeout() {
+        assertEquals(
+                Map.of("tender", 100L * (5_000 + IDLE_TIMEOUT)),
+                amountByTenant(shares(
+                        List.of(
+                                memory("m", 100),
+                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                worked(6_000, "r1", "tender", 500)),
+                        10 * MINUTE)));
+    }
+
+    @Test
+    void countsTheWholeOfALoadThatTakesLongerThanTheIdleTimeout() {
+        assertEquals(
+                Map.of("tender", 100L * (30_000 + 500 + IDLE_TIMEOUT)),
+                amountByTenant(shares(
+                        List.of(
+                                memory("m", 100),
+                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 30_000),
+                                worked(31_500, "r1", "tender", 500)),
+                        10 * MINUTE)));
+    }
+
+    @Test
+    void stopsCountingWhenALoadFails() {
+        assertEquals(
+                Map.of("tender", 100L * 2_000),
+                amountByTenant(shares(
+                        List.of(
+                                memory("m", 100),
+                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                new InstanceObservation.LoadFailed(3_000, "r1", "e1", "m")),
+                        10 * MINUTE)));
+    }
+
+    @Test
+    void stopsCountingWhenTheWorkerIsGone() {
+        assertEquals(
+                Map.of("tender", 100L * 6_000),
+                amountByTenant(shares(
+                        List.of(
+                                memory("m", 100),
+                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                worked(5_000, "r1", "tender", 9),
+                                new InstanceObservation.Gone(7_000, "r2", "e1")),
+                        10 * MINUTE)));
+    }
+
+    @Test
+    void countsAnUnreachableWorkerToTheIdleTimeoutUnlessAnotherObservationCorrectsIt() {
+        List<InstanceObservation> observations = new ArrayList<>(List.of(
+                memory("m", 100),
+                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                worked(2_000, "r1", "tender", 9)));
+        assertEquals(100L * 11_000, amountByTenant(shares(observations, MINUTE)).get("tender"));
+        // Another router reached it all the time.
+        observations.add(worked(9_000, "r2", "tender", 9));
+        assertEquals(100L * 18_000, amountByTenant(shares(observations, MINUTE)).get("tender"));
+        // At last the endpoint list tells when it died.
+        observations.add(new InstanceObservation.Gone(9_500, "r1", "e1"));
+        assertEquals(100L * 8_500, amountByTenant(shares(observations, MINUTE)).get("tender"));
+    }
+
+    @Test
+    void dividesSharedInstancesByWork() {
+        List<InstanceObservation> observations = new ArrayList<>(List.of(memory("m", 100)));
+        observations.add(new InstanceObservation.Loading(0, "r1", "e1", "m", "big", 0));
+        for (long at = 1_000; at < 5 * MINUTE; at += 1_000) {
+            observations.add(worked(at, "r1", "big", 1_000));
+        }
+        long alone = amountByTenant(shares(observations, 10 * MINUTE)).get("big");
+        observations.add(worked(4 * MINUTE + 500, "r1", "small", 1_000));
+        Map<String, Long> both = amountByTenant(shares(observations, 10 * MINUTE));
+        assertEquals(alone, both.get("big") + both.get("small"));
+        // One request of some three hundred, in the last of five minutes.
+        assertTrue(both.get("small") < alone / 300, both + " of " + alone);
+        assertTrue(both.get("small") > 0);
+    }
+
+    @Test
+    void chargesNoTenantForUnusedInstancesLoadedAheadOfRequests() {
+        assertEquals(
+                Map.of("", 100L * IDLE_TIMEOUT),
+                amountByTenant(shares(
+                        List.of(memory("m", 100), new InstanceObservation.Loading(1_000, "r1", "e1", "m", "", 0)),
+                        10 * MINUTE)));
+    }
+
+    @Test
+    void countsEachInstanceThatTheWorkerReports() {
+        assertEquals(
+                Map.of("tender", 100L * (4_000 + 3 * 2_000)),
+                amountByTenant(shares(
+                        List.of(
+                                memory("m", 100),
+                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                worked(4_000, "r1", "tender", 5),
+                                new InstanceObservation.Copies(5_000, "r1", "e1", "m", 3),
+                                new InstanceObservation.Copies(7_000, "r1", "e1", "m", 0)),
+                        MINUTE)));
+    }
+}
