--- a/kserve-router/src/main/java/pearladder/router/kserve/AdminServer.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/AdminServer.java
@@ -12,136 +12,158 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
 import java.util.List;
 import pearladder.kserve.JsonBodies;
+import pearladder.rollout.RolloutPlan;
 import pearladder.rollout.RolloutTarget;
 
 /**
- * The operators' own door, on an address of its own: GET and POST /releases, GET /releases/history, and for other routers
- * GET /releases/newest.
+ * The operators' HTTP server, on an address of its own: GET and POST /releases, GET /releases/history, and for
+ * other routers GET /releases/newest.
  */
 final class AdminServer {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final int LARGEST = 4 << 20;
+    private static final int MAX_REQUEST_BYTES = 4 << 20;
+    private static final String STATUS_PATH = "/releases";
+    private static final String HISTORY_PATH = "/releases/history";
+    private static final String NEWEST_PATH = "/releases/newest";
+    private static final List<String> PATHS = List.of(STATUS_PATH, HISTORY_PATH, NEWEST_PATH);
 
-    private static final List<String> PATHS = List.of("/releases", "/releases/history", "/releases/newest");
-
-    private final RolloutManager desk;
-    private final RouterConfig articles;
+    private final RolloutManager rolloutManager;
+    private final RouterConfig config;
     private final HttpServer server;
 
-    AdminServer(Vertx vertx, RouterConfig articles, RolloutManager desk) {
-        this.desk = desk;
-        this.articles = articles;
+    AdminServer(Vertx vertx, RouterConfig config, RolloutManager rolloutManager) {
+        this.rolloutManager = rolloutManager;
+        this.config = config;
         this.server = vertx.createHttpServer(new HttpServerOptions()
-                        .setHost(articles.admin().host())
-                        .setPort(articles.admin().port()))
-                .requestHandler(this::take);
+                        .setHost(config.admin().host())
+                        .setPort(config.admin().port()))
+                .requestHandler(this::handle);
     }
 
+    /** Listens; the future brings the port. */
     Future<Integer> listen() {
         return server.listen().map(HttpServer::actualPort);
     }
 
-    private void take(HttpServerRequest request) {
-        if (!PATHS.contains(request.path())) {
-            end(request, 404, JsonBodies.error("no such path; there are " + String.join(", ", PATHS)));
+    private void handle(HttpServerRequest request) {
+        String path = request.path();
+        if (!PATHS.contains(path)) {
+            respond(request, 404, JsonBodies.error("no such path; there are " + String.join(", ", PATHS)));
         } else if (request.method().equals(HttpMethod.GET)) {
-            end(
-                    request,
-                    200,
-                    switch (request.path()) {
-                        case "/releases/history" -> history();
-                        case "/releases/newest" -> newest(request.getParam("sum"));
-                        default -> status();
-                    });
-        } else if (request.method().equals(HttpMethod.POST) && request.path().equals("/releases")) {
-            request.body().onSuccess(body -> order(request, body));
+            respond(request, 200, get(request));
+        } else if (request.method().equals(HttpMethod.POST) && path.equals(STATUS_PATH)) {
+            request.body().onSuccess(body -> setTargets(request, body));
         } else {
-            end(
-                    request,
-                    405,
-                    JsonBodies.error("this path takes GET" + (request.path().equals("/releases") ? " or POST" : "")));
+            String methods = "GET" + (path.equals(STATUS_PATH) ? " or POST" : "");
+            respond(request, 405, JsonBodies.error("this path takes " + methods));
         }
     }
 
-    /** The newest target of each model, or none where the asker has the same. */
-    private String newest(String sum) {
-        ObjectNode all = JSON.createObjectNode().put("router", articles.name()).put("sum", desk.sum());
-        ArrayNode targets = all.putArray("targets");
-        if (!desk.sum().equals(sum)) {
-            desk.targets().forEach(target -> targets.add(JSON.valueToTree(target)));
+    private String get(HttpServerRequest request) {
+        return switch (request.path()) {
+            case HISTORY_PATH -> history();
+            case NEWEST_PATH -> newest(request.getParam("sum"));
+            default -> status();
+        };
+    }
+
+    /** The newest target of each model, or none where the other router's checksum is the same. */
+    private String newest(String checksum) {
+        String ownChecksum = rolloutManager.sum();
+        ObjectNode response =
+                JSON.createObjectNode().put("router", config.name()).put("sum", ownChecksum);
+        ArrayNode targets = response.putArray("targets");
+        if (!ownChecksum.equals(checksum)) {
+            rolloutManager.targets().forEach(target -> targets.add(JSON.valueToTree(target)));
         }
-        return all.toString();
+        return response.toString();
     }
 
     private String status() {
-        ObjectNode all = JSON.createObjectNode().put("router", articles.name());
-        ArrayNode others = all.putArray("others");
-        articles.others().forEach(other -> others.add(other.host() + ":" + other.port()));
-        ArrayNode targets = all.putArray("targets");
-        desk.targets().forEach(target -> targets.add(JSON.valueToTree(target)));
-        ArrayNode lines = all.putArray("status");
-        desk.status().forEach(lines::add);
-        return all.toString();
+        ObjectNode response = JSON.createObjectNode().put("router", config.name());
+        ArrayNode peers = response.putArray("others");
+        config.others().forEach(peer -> peers.add(peer.host() + ":" + peer.port()));
+        ArrayNode targets = response.putArray("targets");
+        rolloutManager.targets().forEach(target -> targets.add(JSON.valueToTree(target)));
+        ArrayNode lines = response.putArray("status");
+        rolloutManager.status().forEach(lines::add);
+        return response.toString();
     }
 
     private String history() {
-        ArrayNode all = JSON.createArrayNode();
-        desk.history().forEach(order -> all.add(JSON.valueToTree(order)));
-        return all.toString();
+        ArrayNode response = JSON.createArrayNode();
+        rolloutManager.history().forEach(target -> response.add(JSON.valueToTree(target)));
+        return response.toString();
     }
 
-    private void order(HttpServerRequest request, Buffer body) {
+    private void setTargets(HttpServerRequest request, Buffer body) {
         List<RolloutTarget> targets;
         try {
-            targets = body.length() > LARGEST
-                    ? List.of()
-                    : JSON.readerForListOf(RolloutTarget.class)
-                            .with(DeserializationFeature.ACCEPT_SINGLE_VALUE_AS_ARRAY)
-                            .readValue(body.getBytes());
+            targets = parse(body);
         } catch (JsonProcessingException malformed) {
-            end(request, 400, JsonBodies.error("not an order: " + malformed.getOriginalMessage()));
+            respond(request, 400, JsonBodies.error("not an order: " + malformed.getOriginalMessage()));
             return;
-        } catch (java.io.IOException impossible) {
-            throw new IllegalStateException(impossible);
         }
-        if (targets.isEmpty() || !targets.stream().allMatch(AdminServer::whole)) {
-            end(
+        if (targets.isEmpty() || !targets.stream().allMatch(AdminServer::isComplete)) {
+            respond(
                     request,
                     400,
-                    JsonBodies.error("neither an order nor a list of them (" + (LARGEST >> 20)
+                    JsonBodies.error("neither an order nor a list of them (" + (MAX_REQUEST_BYTES >> 20)
                             + " MB at the most): a plan with model, from, to, steps, hold, gate and onBreach, a mode, "
                             + "a step, an epoch and who orders it were expected"));
             return;
         }
-        desk.order(targets, refusals -> {
-            ObjectNode told = JSON.createObjectNode();
-            ArrayNode all = told.putArray("refused");
-            refusals.forEach(all::add);
-            refusals.stream()
-                    .filter(refusal -> !refusal.isEmpty())
-                    .findFirst()
-                    .ifPresent(first -> told.put("error", first));
-            end(request, told.has("error") ? 409 : 200, told.toString());
-        });
+        rolloutManager.order(targets, answers -> respond(request, answers));
+    }
+
+    /** One target or a list of them; none where the body is too long. */
+    private static List<RolloutTarget> parse(Buffer body) throws JsonProcessingException {
+        if (body.length() > MAX_REQUEST_BYTES) {
+            return List.of();
+        }
+        try {
+            return JSON.readerForListOf(RolloutTarget.class)
+                    .with(DeserializationFeature.ACCEPT_SINGLE_VALUE_AS_ARRAY)
+                    .readValue(body.getBytes());
+        } catch (JsonProcessingException malformed) {
+            throw malformed;
+        } catch (IOException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    /** @param answers for each target in turn empty, or why it was refused */
+    private static void respond(HttpServerRequest request, List<String> answers) {
+        ObjectNode response = JSON.createObjectNode();
+        ArrayNode refused = response.putArray("refused");
+        answers.forEach(refused::add);
+        answers.stream()
+                .filter(answer -> !answer.isEmpty())
+                .findFirst()
+                .ifPresent(refusal -> response.put("error", refusal));
+        respond(request, response.has("error") ? 409 : 200, response.toString());
+    }
+
+    /** Whether a target that was received has all its parts. */
+    static boolean isComplete(RolloutTarget target) {
+        return target != null && target.mode() != null && isComplete(target.plan());
     }
 
-    /** Whether an order that came from outside has all its parts. */
-    static boolean whole(RolloutTarget target) {
-        return target != null
-                && target.plan() != null
-                && target.mode() != null
-                && target.plan().model() != null
-                && target.plan().steps() != null
-                && target.plan().gate() != null
-                && target.plan().hold() != null
-                && target.plan().from() != null
-                && target.plan().to() != null
-                && target.plan().onBreach() != null;
+    private static boolean isComplete(RolloutPlan plan) {
+        return plan != null
+                && plan.model() != null
+                && plan.steps() != null
+                && plan.gate() != null
+                && plan.hold() != null
+                && plan.from() != null
+                && plan.to() != null
+                && plan.onBreach() != null;
     }
 
-    private static void end(HttpServerRequest request, int status, String body) {
+    private static void respond(HttpServerRequest request, int status, String body) {
         if (!request.response().ended() && !request.response().closed()) {
             request.response()
                     .setStatusCode(status)
--- a/kserve-router/src/main/java/pearladder/router/kserve/AsyncRolloutJournal.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/AsyncRolloutJournal.java
@@ -10,12 +10,12 @@
 import pearladder.rollout.RolloutProgress;
 import pearladder.rollout.RolloutTarget;
 
-/** The journal, written off the event loop, one thing after the other. */
+/** A {@link RolloutJournal} that is written off the event loop, one write after the other. */
 final class AsyncRolloutJournal implements RolloutManager.Journal {
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.releases");
 
-    private interface Writing {
-        void write() throws IOException;
+    private interface WriteTask {
+        void run() throws IOException;
     }
 
     private final Vertx vertx;
@@ -28,50 +28,50 @@
 
     @Override
     public List<RolloutTarget> orders() {
-        return journal.orders();
+        return journal.targets();
     }
 
     @Override
     public List<RolloutProgress> reached() {
-        return journal.reached();
+        return journal.progress();
     }
 
     @Override
-    public void keep(List<RolloutTarget> orders, Consumer<String> failure) {
+    public void keep(List<RolloutTarget> targets, Consumer<String> failure) {
         write(
                 () -> {
-                    List<RolloutTarget> there = journal.orders();
-                    journal.append(orders.stream()
-                            .filter(order -> !there.contains(order))
+                    List<RolloutTarget> written = journal.targets();
+                    journal.append(targets.stream()
+                            .filter(target -> !written.contains(target))
                             .toList());
                 },
                 failure);
     }
 
     @Override
-    public void keep(RolloutProgress reached, Consumer<String> failure) {
-        write(() -> journal.append(reached), failure);
+    public void keep(RolloutProgress progress, Consumer<String> failure) {
+        write(() -> journal.append(progress), failure);
     }
 
-    private void write(Writing writing, Consumer<String> failure) {
+    private void write(WriteTask task, Consumer<String> failure) {
         vertx.<Void>executeBlocking(() -> {
-                    writing.write();
+                    task.run();
                     return null;
                 })
                 .onComplete(
-                        kept -> failure.accept(null), failed -> failure.accept(String.valueOf(failed.getMessage())));
+                        written -> failure.accept(null), cause -> failure.accept(String.valueOf(cause.getMessage())));
     }
 
-    /** Done once everything that was handed over up to now is on disk, or has failed. */
-    Future<Void> written() {
+    /** Completed once every write that was begun up to now has ended. */
+    Future<Void> flush() {
         return vertx.executeBlocking(() -> null);
     }
 
     void close() {
         try {
             journal.close();
-        } catch (IOException lost) {
-            LOG.warn("the journal could not be closed: {}", lost.getMessage());
+        } catch (IOException failure) {
+            LOG.warn("the rollout journal can't be closed: {}", failure.getMessage());
         }
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/AtomicFile.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/AtomicFile.java
@@ -8,21 +8,28 @@
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 
-/** A file that is replaced as a whole: written beside, synced and moved over, so that a crash leaves the old one or the new one. */
+/** Replaces a file as a whole, so that a crash leaves the old content or the new one. */
 final class AtomicFile {
     private AtomicFile() {}
 
-    static void write(Path file, byte[] bytes) throws IOException {
+    /** Writes a temporary file beside it, with suffix ".new", syncs it and renames it. */
+    static void write(Path file, byte[] content) throws IOException {
         Files.createDirectories(file.getParent());
-        Path beside = file.resolveSibling(file.getFileName().toString().replaceFirst("\\.[^.]*$", ".new"));
+        String temporaryName = file.getFileName().toString().replaceFirst("\\.[^.]*$", ".new");
+        Path temporary = file.resolveSibling(temporaryName);
         try (FileChannel channel = FileChannel.open(
-                beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
-            ByteBuffer left = ByteBuffer.wrap(bytes);
-            while (left.hasRemaining()) {
-                channel.write(left);
-            }
+                temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
+            writeFully(channel, content);
             channel.force(true);
         }
-        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** Writes all bytes at the channel's position. */
+    static void writeFully(FileChannel channel, byte[] bytes) throws IOException {
+        ByteBuffer buffer = ByteBuffer.wrap(bytes);
+        while (buffer.hasRemaining()) {
+            channel.write(buffer);
+        }
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/BackgroundWork.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/BackgroundWork.java
@@ -13,20 +13,31 @@
 import pearladder.background.ResourceCost;
 import pearladder.router.core.Timers;
 import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.TimeSpan;
 
-/** Does the router's background work when the scheduler says so. The event loop calls it; the jobs themselves leave it. */
+/**
+ * Runs background jobs when a {@link BackgroundScheduler} says so. Confined to the event loop; the jobs themselves
+ * run off it.
+ */
 final class BackgroundWork {
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.background");
 
-    /** One piece: what is done, and what becomes of it. */
-    private record Job(Supplier<Future<ResourceCost>> run, Promise<Void> done) {}
+    /**
+     * A submitted job.
+     *
+     * @param task runs the job once
+     * @param completion completed when the job has succeeded or was given up
+     */
+    private record Job(Supplier<Future<ResourceCost>> task, Promise<Void> completion) {}
 
     private final Timers timers;
     private final BackgroundScheduler scheduler;
     private final Map<String, Job> jobs = new HashMap<>();
-    private Promise<Void> stopped;
-    private long numbered;
-    private boolean ended;
+    private long jobCount;
+    /** Null until {@link #stop}. */
+    private Promise<Void> stopCompletion;
+
+    private boolean stopped;
 
     BackgroundWork(Timers timers, BackgroundScheduler scheduler) {
         this.timers = timers;
@@ -34,93 +45,104 @@
     }
 
     /**
-     * Asks for a piece of work.
+     * Submits a job.
      *
-     * @param by when it must have begun, or null
-     * @param run does it off the event loop and brings what it cost
-     * @return done once it is; it fails in words where it was given up
+     * @param jobClass one of {@link pearladder.background.JobClasses}
+     * @param cost that is expected
+     * @param startBy when it must have started, or null
+     * @param task runs it off the event loop and returns its actual cost
+     * @return completed once the job has succeeded; fails with the reason where it was given up
      */
-    Future<Void> ask(
-            String duty, String account, ResourceCost cost, MonotonicTime by, Supplier<Future<ResourceCost>> run) {
-        String id = duty + "-" + ++numbered;
-        Promise<Void> done = Promise.promise();
-        jobs.put(id, new Job(run, done));
-        tell(new JobEvent.Asked(id, duty, account, cost, by));
-        return done.future();
+    Future<Void> submit(
+            String jobClass,
+            String tenant,
+            ResourceCost cost,
+            MonotonicTime startBy,
+            Supplier<Future<ResourceCost>> task) {
+        String id = jobClass + "-" + ++jobCount;
+        Promise<Void> completion = Promise.promise();
+        jobs.put(id, new Job(task, completion));
+        handle(new JobEvent.Asked(id, jobClass, tenant, cost, startBy));
+        return completion.future();
     }
 
-    /** How late the event loop is. */
-    void strained(pearladder.routing.api.TimeSpan behind) {
-        tell(new JobEvent.Strained(behind));
+    /** Reports how late the event loop is. */
+    void onEventLoopLag(TimeSpan lag) {
+        handle(new JobEvent.Strained(lag));
     }
 
-    /** Begins nothing new but what is to be done at a stop; done once nothing is left. */
+    /** Starts no new jobs but those that a stop requires; completed once no job is left. */
     Future<Void> stop() {
-        if (stopped == null) {
-            stopped = Promise.promise();
-            tell(new JobEvent.Stopping());
-            emptied();
+        if (stopCompletion == null) {
+            stopCompletion = Promise.promise();
+            handle(new JobEvent.Stopping());
+            completeStopIfIdle();
         }
-        return stopped.future();
+        return stopCompletion.future();
     }
 
-    private void emptied() {
-        if (stopped != null && scheduler.size() == 0) {
-            ended = true;
-            stopped.tryComplete();
+    private void completeStopIfIdle() {
+        if (stopCompletion != null && scheduler.size() == 0) {
+            stopped = true;
+            stopCompletion.tryComplete();
         }
     }
 
-    private void tell(JobEvent event) {
-        if (!ended) {
-            scheduler.on(timers.now(), event).forEach(this::act);
-            emptied();
+    private void handle(JobEvent event) {
+        if (!stopped) {
+            scheduler.on(timers.now(), event).forEach(this::execute);
+            completeStopIfIdle();
         }
     }
 
-    private void act(JobAction action) {
+    private void execute(JobAction action) {
         if (action instanceof JobAction.Begin begin) {
             begin(begin.id());
-        } else if (action instanceof JobAction.GiveUp up) {
-            Job job = jobs.remove(up.id());
-            if (job != null) {
-                LOG.atInfo()
-                        .addKeyValue("work", up.id())
-                        .addKeyValue("cause", up.why())
-                        .log("given up");
-                job.done().fail(up.why());
-            }
+        } else if (action instanceof JobAction.GiveUp giveUp) {
+            giveUp(giveUp.id(), giveUp.why());
         } else if (action instanceof JobAction.Wake wake) {
-            timers.after(wake.after(), () -> tell(new JobEvent.Due()));
+            timers.after(wake.after(), () -> handle(new JobEvent.Due()));
         } else if (action instanceof JobAction.Log log) {
             LOG.info(log.text());
         }
     }
 
+    private void giveUp(String id, String reason) {
+        Job job = jobs.remove(id);
+        if (job != null) {
+            LOG.atInfo().addKeyValue("work", id).addKeyValue("cause", reason).log("given up");
+            job.completion().fail(reason);
+        }
+    }
+
     private void begin(String id) {
         Job job = jobs.get(id);
-        run(job).onComplete(
-                        cost -> {
-                            jobs.remove(id);
-                            // who waited may ask for the next piece at once, and a stop must wait for that one too
-                            job.done().complete();
-                            tell(new JobEvent.Ended(id, true, cost));
-                        },
-                        failed -> {
-                            LOG.atWarn()
-                                    .addKeyValue("work", id)
-                                    .addKeyValue("cause", String.valueOf(failed.getMessage()))
-                                    .log("failed");
-                            tell(new JobEvent.Ended(id, false, ResourceCost.NONE));
-                        });
+        run(job).onComplete(cost -> onSuccess(id, job, cost), failure -> onFailure(id, failure));
     }
 
-    /** Guards against a job that throws where it should have failed: it would count as running, and hold up a stop, for ever. */
+    /**
+     * Guards against a job that throws where it should fail: it would count as running, and hold up a stop, for ever.
+     */
     private static Future<ResourceCost> run(Job job) {
         try {
-            return job.run().get();
-        } catch (RuntimeException thrown) {
-            return Future.failedFuture(thrown);
+            return job.task().get();
+        } catch (RuntimeException failure) {
+            return Future.failedFuture(failure);
         }
     }
+
+    private void onSuccess(String id, Job job, ResourceCost cost) {
+        jobs.remove(id);
+        // first the completion: it may submit the next job at once, and a stop must wait for that one too
+        job.completion().complete();
+        handle(new JobEvent.Ended(id, true, cost));
+    }
+
+    private void onFailure(String id, Throwable failure) {
+        LOG.atWarn()
+                .addKeyValue("work", id)
+                .addKeyValue("cause", String.valueOf(failure.getMessage()))
+                .log("failed");
+        handle(new JobEvent.Ended(id, false, ResourceCost.NONE));
+    }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/EndpointList.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EndpointList.java
@@ -11,87 +11,105 @@
 import pearladder.routing.api.Event;
 import pearladder.routing.api.MonotonicTime;
 
-/** The engines as the list has them, and what each line of it means for the module. */
+/** The workers as the discovery service lists them, and what each of its messages means for the routing policy. */
 public final class EndpointList {
-    private final Map<String, Entry> listed = new LinkedHashMap<>();
-    private final long wallAhead;
-    private final Consumer<Entry> came;
-    private final Consumer<String> went;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final long wallClockOffsetNanos;
+    private final Consumer<Entry> onUpdated;
+    private final Consumer<String> onRemoved;
     private long version;
     private boolean known;
 
     /**
-     * @param wallAhead wall clock less the moments' clock, nanoseconds: fixed, so that a start told twice is the same moment
-     * @param came an entry was told, new or changed
-     * @param went an engine is listed no more
+     * Creates an empty list.
+     *
+     * @param wallClockOffsetNanos wall clock less monotonic clock; fixed, so that a start time that is listed
+     *     twice is the same monotonic time
+     * @param onUpdated told of each entry that was received, new or changed
+     * @param onRemoved told of each worker that is no longer listed
      */
-    public EndpointList(long wallAhead, Consumer<Entry> came, Consumer<String> went) {
-        this.wallAhead = wallAhead;
-        this.came = came;
-        this.went = went;
+    public EndpointList(long wallClockOffsetNanos, Consumer<Entry> onUpdated, Consumer<String> onRemoved) {
+        this.wallClockOffsetNanos = wallClockOffsetNanos;
+        this.onUpdated = onUpdated;
+        this.onRemoved = onRemoved;
     }
 
-    /** The list of an earlier life, as the first event; an empty one where it is null. */
-    public Event.EndpointsUpdated restore(DiscoveryMessage last) {
-        if (last != null) {
-            last.entries().forEach(this::learn);
-            known = !listed.isEmpty();
+    /**
+     * Starts from the list of an earlier run.
+     *
+     * @param cached null where there is none
+     * @return the list as the policy's first event
+     */
+    public Event.EndpointsUpdated restore(DiscoveryMessage cached) {
+        if (cached != null) {
+            cached.entries().forEach(this::update);
+            known = !entries.isEmpty();
         }
         return new Event.EndpointsUpdated(
                 Event.EndpointUpdateKind.CACHED,
-                listed.values().stream().map(this::listing).toList());
+                entries.values().stream().map(this::endpoint).toList());
     }
 
-    /** Follows a line of the list service; what it says, for the module. */
-    public Event.EndpointsUpdated apply(DiscoveryMessage line) {
-        boolean whole = line.kind() == DiscoveryMessage.Kind.WHOLE;
-        List<String> before = whole ? List.copyOf(listed.keySet()) : List.of();
-        if (whole) {
-            listed.clear();
+    /** Applies a message of the discovery service, and returns it as an event for the policy. */
+    public Event.EndpointsUpdated apply(DiscoveryMessage message) {
+        boolean complete = message.kind() == DiscoveryMessage.Kind.WHOLE;
+        List<String> listedBefore = complete ? List.copyOf(entries.keySet()) : List.of();
+        if (complete) {
+            entries.clear();
         }
-        line.entries().forEach(this::learn);
-        before.stream().filter(engine -> !listed.containsKey(engine)).forEach(went);
-        version = line.version();
+        message.entries().forEach(this::update);
+        listedBefore.stream().filter(worker -> !entries.containsKey(worker)).forEach(onRemoved);
+        version = message.version();
         known = true;
         return new Event.EndpointsUpdated(
-                whole ? Event.EndpointUpdateKind.SNAPSHOT : Event.EndpointUpdateKind.DELTA,
-                new ArrayList<>(line.entries().stream().map(this::listing).toList()));
+                complete ? Event.EndpointUpdateKind.SNAPSHOT : Event.EndpointUpdateKind.DELTA,
+                new ArrayList<>(message.entries().stream().map(this::endpoint).toList()));
     }
 
-    private void learn(Entry entry) {
+    private void update(Entry entry) {
         if (entry.standing() == Standing.GONE) {
-            listed.remove(entry.engine());
-            went.accept(entry.engine());
+            entries.remove(entry.engine());
+            onRemoved.accept(entry.engine());
         } else {
-            listed.put(entry.engine(), entry);
-            came.accept(entry);
+            entries.put(entry.engine(), entry);
+            onUpdated.accept(entry);
         }
     }
 
-    private Event.Endpoint listing(Entry entry) {
-        MonotonicTime since =
-                entry.startedMillis() == 0 ? null : new MonotonicTime(entry.startedMillis() * 1_000_000L - wallAhead);
+    private Event.Endpoint endpoint(Entry entry) {
         return new Event.Endpoint(
-                entry.engine(),
-                entry.hall(),
-                entry.kind(),
-                entry.cell(),
-                Event.EndpointState.valueOf(entry.standing().name()),
-                1,
-                since);
+                entry.engine(), entry.hall(), entry.kind(), entry.cell(), state(entry.standing()), 1, startedAt(entry));
+    }
+
+    private static Event.EndpointState state(Standing standing) {
+        return switch (standing) {
+            case IN_SERVICE -> Event.EndpointState.IN_SERVICE;
+            case DRAINING -> Event.EndpointState.DRAINING;
+            case GONE -> Event.EndpointState.GONE;
+        };
+    }
+
+    private MonotonicTime startedAt(Entry entry) {
+        if (entry.startedMillis() == 0) {
+            return null;
+        }
+        return new MonotonicTime(entry.startedMillis() * NANOS_PER_MILLI - wallClockOffsetNanos);
     }
 
-    /** Whether any list is known. */
+    /** Whether a list was received, or restored with entries. */
     public boolean known() {
         return known;
     }
 
+    /** How many workers are listed. */
     public int size() {
-        return listed.size();
+        return entries.size();
     }
 
-    /** The list as a line, to be remembered. */
+    /** The complete list as a message, to be cached. */
     public DiscoveryMessage whole() {
-        return new DiscoveryMessage(DiscoveryMessage.Kind.WHOLE, version, List.copyOf(listed.values()));
+        return new DiscoveryMessage(DiscoveryMessage.Kind.WHOLE, version, List.copyOf(entries.values()));
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/EndpointListCache.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EndpointListCache.java
@@ -9,21 +9,22 @@
 import org.slf4j.LoggerFactory;
 import pearladder.kserve.DiscoveryMessage;
 
-/** The last list on disk. It is written beside and moved over, so that a crash leaves the old one or the new one. */
+/** The last endpoint list on disk, from which a router starts while the discovery service is unavailable. */
 final class EndpointListCache {
     private static final Logger LOG = LoggerFactory.getLogger(EndpointListCache.class);
+    private static final String FILE_NAME = "last-list.json";
 
     private final Path file;
 
-    EndpointListCache(Path folder) {
-        this.file = folder.resolve("last-list.json");
+    EndpointListCache(Path directory) {
+        this.file = directory.resolve(FILE_NAME);
     }
 
     /** The list as it was last written, or null where there is none that can be read. */
     DiscoveryMessage read() {
         try {
             return DiscoveryMessage.parse(Files.readString(file));
-        } catch (NoSuchFileException none) {
+        } catch (NoSuchFileException missing) {
             return null;
         } catch (IOException unreadable) {
             LOG.atWarn()
@@ -34,7 +35,7 @@
         }
     }
 
-    void write(DiscoveryMessage whole) throws IOException {
-        AtomicFile.write(file, whole.text().getBytes(StandardCharsets.UTF_8));
+    void write(DiscoveryMessage completeList) throws IOException {
+        AtomicFile.write(file, completeList.text().getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/EndpointWatch.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EndpointWatch.java
@@ -16,117 +16,126 @@
 import pearladder.kserve.Headers;
 
 /**
- * The long-lived connection to the list service. When it breaks, falls silent or says something that can't be read, that
- * is told once; when to watch again is for the module to say.
+ * The long-lived connection to the discovery service. A connection that fails, falls silent or brings an
+ * unreadable message is closed and reported once; the routing policy decides when to connect again.
  */
 final class EndpointWatch {
     private static final Logger LOG = LoggerFactory.getLogger(EndpointWatch.class);
-    private static final int LONGEST_LINE = 64 << 20;
+    private static final int MAX_MESSAGE_BYTES = 64 << 20;
+    private static final int OK = 200;
+    private static final long NO_TIMER = -1;
 
-    /** What the connection brings. */
+    /** Told what the connection brings. */
     interface Listener {
-        void line(DiscoveryMessage line);
+        void onMessage(DiscoveryMessage message);
 
-        void failed();
+        void onDisconnected();
     }
 
     private final Vertx vertx;
     private final RouterConfig.ListService service;
-    private final String router;
+    private final String routerName;
     private final Listener listener;
     private final HttpClient client;
     private HttpClientRequest request;
-    private int attempt;
+    /** Counts the connections; callbacks of earlier ones are ignored. */
+    private int connectionNumber;
+
     private boolean watching;
     private boolean closed;
-    private long silence = -1;
+    private long silenceTimer = NO_TIMER;
     private long version;
 
-    EndpointWatch(Vertx vertx, RouterConfig.ListService service, String router, Listener listener) {
+    EndpointWatch(Vertx vertx, RouterConfig.ListService service, String routerName, Listener listener) {
         this.vertx = vertx;
         this.service = service;
-        this.router = router;
+        this.routerName = routerName;
         this.listener = listener;
         this.client = vertx.createHttpClient(
                 new HttpClientOptions().setKeepAlive(false).setConnectTimeout((int)
                         service.silence().toMillis()));
     }
 
-    /** Watches from the version it has on; does nothing where it watches already. */
+    /** Connects, and watches from the last version on; has no effect while it watches already. */
     void watch() {
         if (watching || closed) {
             return;
         }
         watching = true;
-        int mine = ++attempt;
-        heard(mine);
+        int connection = ++connectionNumber;
+        restartSilenceTimer(connection);
         client.request(new RequestOptions()
                         .setMethod(HttpMethod.GET)
                         .setHost(service.host())
                         .setPort(service.port())
                         .setURI("/v1/list/watch?from=" + version)
-                        .putHeader(Headers.ROUTER, router))
-                .compose(asked -> {
-                    request = asked;
-                    return asked.send();
+                        .putHeader(Headers.ROUTER, routerName))
+                .compose(connected -> {
+                    request = connected;
+                    return connected.send();
                 })
-                .onSuccess(response -> read(mine, response))
-                .onFailure(unreached -> broke(mine, unreached.getMessage()));
+                .onSuccess(response -> readMessages(connection, response))
+                .onFailure(failure -> disconnect(connection, failure.getMessage()));
     }
 
-    private void read(int mine, HttpClientResponse response) {
-        if (response.statusCode() != 200) {
-            broke(mine, "status " + response.statusCode());
+    private void readMessages(int connection, HttpClientResponse response) {
+        if (response.statusCode() != OK) {
+            disconnect(connection, "status " + response.statusCode());
             return;
         }
-        RecordParser lines =
-                RecordParser.newDelimited("\n", line -> line(mine, line)).maxRecordSize(LONGEST_LINE);
-        lines.exceptionHandler(tooLong -> broke(mine, tooLong.getMessage()));
+        RecordParser lines = RecordParser.newDelimited("\n", line -> onLine(connection, line))
+                .maxRecordSize(MAX_MESSAGE_BYTES);
+        lines.exceptionHandler(failure -> disconnect(connection, failure.getMessage()));
         response.handler(lines);
-        response.exceptionHandler(broken -> broke(mine, broken.getMessage()));
-        response.endHandler(end -> broke(mine, "the service closed it"));
+        response.exceptionHandler(failure -> disconnect(connection, failure.getMessage()));
+        response.endHandler(end -> disconnect(connection, "the service closed it"));
     }
 
-    private void line(int mine, Buffer buffer) {
-        if (mine != attempt || !watching) {
+    private void onLine(int connection, Buffer line) {
+        if (!isCurrent(connection)) {
             return;
         }
-        heard(mine);
-        DiscoveryMessage line;
+        restartSilenceTimer(connection);
+        DiscoveryMessage message;
         try {
-            line = DiscoveryMessage.parse(buffer.toString());
+            message = DiscoveryMessage.parse(line.toString());
         } catch (IOException unreadable) {
-            broke(mine, "an unreadable line: " + unreadable.getMessage());
+            disconnect(connection, "an unreadable line: " + unreadable.getMessage());
             return;
         }
-        if (line.kind() != DiscoveryMessage.Kind.BEAT) {
-            version = line.version();
-            listener.line(line);
+        if (message.kind() != DiscoveryMessage.Kind.BEAT) {
+            version = message.version();
+            listener.onMessage(message);
         }
     }
 
-    private void heard(int mine) {
-        vertx.cancelTimer(silence);
-        silence = vertx.setTimer(Math.max(1, service.silence().toMillis()), fired -> broke(mine, "silent"));
+    private boolean isCurrent(int connection) {
+        return connection == connectionNumber && watching;
+    }
+
+    private void restartSilenceTimer(int connection) {
+        vertx.cancelTimer(silenceTimer);
+        long millis = Math.max(1, service.silence().toMillis());
+        silenceTimer = vertx.setTimer(millis, timerId -> disconnect(connection, "silent"));
     }
 
-    private void broke(int mine, String cause) {
-        if (mine != attempt || !watching || closed) {
+    private void disconnect(int connection, String cause) {
+        if (!isCurrent(connection) || closed) {
             return;
         }
         watching = false;
-        vertx.cancelTimer(silence);
+        vertx.cancelTimer(silenceTimer);
         if (request != null) {
             request.reset();
             request = null;
         }
         LOG.atWarn().addKeyValue("cause", cause).addKeyValue("version", version).log("the list service is away");
-        listener.failed();
+        listener.onDisconnected();
     }
 
     void close() {
         closed = true;
-        vertx.cancelTimer(silence);
+        vertx.cancelTimer(silenceTimer);
         client.close();
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/EventRecorder.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EventRecorder.java
@@ -1,28 +1,24 @@
 package pearladder.router.kserve;
 
 import io.vertx.core.Future;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.WorkerExecutor;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import pearladder.background.JobClasses;
 import pearladder.background.ResourceCost;
 import pearladder.eventlog.EventLog;
-import pearladder.eventlog.EventLogReader;
 import pearladder.eventlog.LogEntry;
 import pearladder.eventlog.LogEntryType;
 import pearladder.kserve.DiscoveryMessage;
@@ -34,395 +30,295 @@
 import pearladder.routing.api.Event;
 import pearladder.routing.api.Outcome;
 import pearladder.routing.api.TimeSpan;
-import pearladder.writebuffer.WriteBuffer;
-import pearladder.writebuffer.WriteBufferAction;
-import pearladder.writebuffer.WriteBufferEvent;
-
-/**
- * Keeps the record of what this router does: entries are made on the event loop and written off it, when the backlog module
- * says so. It does what that says and decides nothing.
- */
+
+/** Records what this router does in its event log. Confined to the event loop; the log is written off it. */
 final class EventRecorder implements EventListener {
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.records");
-    private static final TimeSpan GATHER = TimeSpan.millis(20);
-    private static final TimeSpan WINDOW = TimeSpan.millis(50);
-    private static final int MOST = 200_000;
-    private static final int AT_ONCE = 5_000;
-    private static final TimeSpan CUT = TimeSpan.seconds(2);
-    private static final TimeSpan TIDY = TimeSpan.seconds(600);
-    /** Bytes of an entry on disk, about. */
-    private static final double ENTRY = 30;
-    /** Entries looked through for orders at a start, at first. */
-    private static final long FIRST_TAIL = 2_000;
-
-    private static final long LAST_TAIL = 250_000;
-
-    /** Whose calls worked where. */
-    private record Worker(String engine, String model, String account) {}
-
-    private static final class Work {
+    private static final String DIRECTORY_NAME = "records";
+    private static final TimeSpan USAGE_INTERVAL = TimeSpan.seconds(2);
+    private static final TimeSpan RETENTION_INTERVAL = TimeSpan.seconds(600);
+    private static final int FILES_PER_COMPACTION = 1;
+    private static final int NANOS_PER_MICRO = 1000;
+    /** How a {@link LogEntryType#LOADED} entry says that the load failed. */
+    private static final String LOAD_FAILED = "failed";
+    /** How a {@link LogEntryType#LOADING} entry says that a load request began the load. */
+    private static final String LOAD_REQUESTED = "ordered";
+
+    /** Whose requests were executed where. */
+    private record UsageKey(String worker, String function, String tenant) {}
+
+    private static final class Usage {
         private long micros;
-        private long last;
+        private long lastUsedAt;
     }
 
-    private final Vertx vertx;
     private final Timers timers;
-    private final BackgroundWork work;
-    private final LongSupplier wall;
-    private final RouterConfig articles;
-    private final EventLog records;
-    private final WorkerExecutor writer;
-    private final WriteBuffer backlog = new WriteBuffer(GATHER, WINDOW, MOST, AT_ONCE);
-    private final ArrayDeque<LogEntry> queue = new ArrayDeque<>();
-    private final Map<String, Consumer<String>> orders = new HashMap<>();
-    private final Map<Worker, Work> cut = new LinkedHashMap<>();
-    private final Set<String> models = new HashSet<>();
-    private final Map<String, Long> starts = new HashMap<>();
-    private Promise<Void> emptied;
-    private long numbered;
-    private boolean closed;
-
-    /** @throws IOException where the folder can't be opened */
-    EventRecorder(Vertx vertx, Timers timers, BackgroundWork work, RouterConfig articles, LongSupplier wall)
+    private final BackgroundWork backgroundWork;
+    private final LongSupplier wallClock;
+    private final RouterConfig config;
+    private final EventLog log;
+    private final WorkerExecutor executor;
+    private final EventLogWriter writer;
+    /** Since the last usage entries were written. */
+    private final Map<UsageKey, Usage> usages = new LinkedHashMap<>();
+
+    private final Set<String> recordedFunctions = new HashSet<>();
+    /** When each listed worker was started, milliseconds since 1970. */
+    private final Map<String, Long> workerStarts = new HashMap<>();
+
+    /**
+     * Opens the event log.
+     *
+     * @param wallClock milliseconds since 1970
+     * @throws IOException where the log's directory can't be opened
+     */
+    EventRecorder(
+            Vertx vertx, Timers timers, BackgroundWork backgroundWork, RouterConfig config, LongSupplier wallClock)
             throws IOException {
-        this.vertx = vertx;
         this.timers = timers;
-        this.work = work;
-        this.wall = wall;
-        this.articles = articles;
-        this.records = EventLog.open(folder(articles), articles.records(), LOG::warn);
-        this.writer = vertx.createSharedWorkerExecutor("records", 1);
+        this.backgroundWork = backgroundWork;
+        this.wallClock = wallClock;
+        this.config = config;
+        this.log = EventLog.open(directory(config), config.records(), LOG::warn);
+        this.executor = vertx.createSharedWorkerExecutor("records", 1);
+        this.writer = new EventLogWriter(timers, backgroundWork, wallClock, log, executor);
     }
 
-    /** The orders' ages that the records tell, by the wall clock. */
-    record Orders(List<TimeSpan> ages, boolean whole) {}
-
-    /** Orders of the last window, read before anything is written: from the end, as far back as the window reaches. */
-    Orders orders(TimeSpan window) {
-        long now = wall.getAsLong();
-        List<TimeSpan> ages = new ArrayList<>();
-        boolean whole = false;
-        try {
-            for (long tail = FIRST_TAIL; !whole && tail <= LAST_TAIL; tail *= 5) {
-                ages.clear();
-                whole = read(Math.max(1, records.next() - tail), window, now, ages);
-            }
-        } catch (IOException unreadable) {
-            LOG.atWarn().addKeyValue("cause", unreadable.getMessage()).log("the orders of the last life can't be read");
-        }
-        return new Orders(ages, whole && records.whole());
+    private static Path directory(RouterConfig config) {
+        return config.data().resolve(DIRECTORY_NAME);
     }
 
-    /** Whether the window is covered from an entry on. */
-    private boolean read(long from, TimeSpan window, long now, List<TimeSpan> ages) throws IOException {
-        boolean[] whole = {from == 1};
-        new EventLogReader(folder(articles)).read(from, (number, entry) -> {
-            if (entry.kind() == LogEntryType.ORDERED) {
-                ages.add(TimeSpan.millis(now - entry.at()));
+    /** The load requests of the last run that are younger than a window; called before {@link #start}. */
+    LoadRequestHistory loadRequests(TimeSpan window) {
+        return LoadRequestHistory.read(log, directory(config), window, wallClock.getAsLong());
+    }
+
+    /** Records the start, and begins the periodic jobs. */
+    void start() {
+        long idleTimeoutMillis = config.facts().instances().idleTimeout().toMillis();
+        writer.append(LogEntry.of(
+                wallClock.getAsLong(), LogEntryType.STARTED, "", "", "", config.name(), idleTimeoutMillis, 0));
+        repeat(USAGE_INTERVAL, this::submitUsage);
+        repeat(RETENTION_INTERVAL, this::submitRetention);
+    }
+
+    private void repeat(TimeSpan interval, Supplier<Future<Void>> job) {
+        timers.after(interval, () -> {
+            if (!writer.isClosed()) {
+                job.get().onComplete(done -> repeat(interval, job));
             }
-            whole[0] |= entry.at() <= now - window.toMillis();
         });
-        return whole[0];
     }
 
-    private static Path folder(RouterConfig articles) {
-        return articles.data().resolve("records");
+    private Future<Void> submitUsage() {
+        return backgroundWork.submit(JobClasses.METER, "", ResourceCost.NONE, null, () -> {
+            appendUsage();
+            return Future.succeededFuture(ResourceCost.NONE);
+        });
     }
 
-    void begin() {
-        add(
-                LogEntry.of(
-                        wall.getAsLong(),
-                        LogEntryType.STARTED,
-                        "",
-                        "",
-                        "",
-                        articles.name(),
-                        articles.facts().instances().idleTimeout().toMillis(),
-                        0),
-                "");
-        every(
-                CUT,
-                () -> work.ask(JobClasses.METER, "", ResourceCost.NONE, null, () -> {
-                    cut();
-                    return Future.succeededFuture(ResourceCost.NONE);
-                }));
-        every(
-                TIDY,
-                () -> work.ask(
-                        JobClasses.COMPACT,
-                        "",
-                        new ResourceCost(0, articles.records().segmentBytes(), 0),
-                        null,
-                        () -> writer.executeBlocking(() -> {
-                            int gone = records.retain();
-                            EventLog.Compacted done = records.compact(1);
-                            if (gone + done.files() > 0) {
-                                LOG.atInfo()
-                                        .addKeyValue("gone", gone)
-                                        .addKeyValue("compacted", done.files())
-                                        .addKeyValue("details", done.details())
-                                        .log("records tidied up");
-                            }
-                            return new ResourceCost(0, done.before() + done.after(), 0);
-                        })));
+    private Future<Void> submitRetention() {
+        ResourceCost expected = new ResourceCost(0, config.records().segmentBytes(), 0);
+        return backgroundWork.submit(
+                JobClasses.COMPACT, "", expected, null, () -> executor.executeBlocking(this::applyRetention));
     }
 
-    private void every(TimeSpan span, java.util.function.Supplier<Future<Void>> what) {
-        timers.after(span, () -> {
-            if (!closed) {
-                what.get().onComplete(done -> every(span, what));
-            }
-        });
+    /** Runs off the event loop, on the thread that writes the log. */
+    private ResourceCost applyRetention() throws IOException {
+        int deleted = log.retain();
+        EventLog.Compacted compacted = log.compact(FILES_PER_COMPACTION);
+        if (deleted + compacted.files() > 0) {
+            LOG.atInfo()
+                    .addKeyValue("gone", deleted)
+                    .addKeyValue("compacted", compacted.files())
+                    .addKeyValue("details", compacted.details())
+                    .log("event log files were deleted or compacted");
+        }
+        return new ResourceCost(0, compacted.before() + compacted.after(), 0);
     }
 
-    // ---- what happens
+    // ---- what the router does
 
     @Override
-    public void onRequestEnded(ActiveRequest call, String how, TimeSpan took) {
-        add(
-                new LogEntry(
-                        wall.getAsLong(),
-                        LogEntryType.ENDED,
-                        call.clientRequestId,
-                        call.function,
-                        call.tenant,
-                        "",
-                        how,
-                        0,
-                        took.nanos() / 1000),
-                "");
+    public void onRequestEnded(ActiveRequest request, String ending, TimeSpan duration) {
+        writer.append(new LogEntry(
+                wallClock.getAsLong(),
+                LogEntryType.ENDED,
+                request.clientRequestId,
+                request.function,
+                request.tenant,
+                "",
+                ending,
+                0,
+                micros(duration)));
     }
 
     @Override
-    public void onAttemptEnded(ActiveAttempt leg, Outcome outcome, WorkerResponse said, TimeSpan took) {
-        long now = wall.getAsLong();
-        ActiveRequest call = leg.request;
-        Event.InstanceStatus copy = said == null ? Event.InstanceStatus.UNTOLD : said.instanceStatus();
-        model(now, call.function);
-        if (copy == Event.InstanceStatus.LOAD_BEGUN || copy == Event.InstanceStatus.LOAD_FAILED) {
-            add(
-                    LogEntry.of(
-                            now - took.toMillis(),
-                            LogEntryType.LOADING,
-                            call.function,
-                            call.tenant,
-                            leg.worker,
-                            "",
-                            1,
-                            took.nanos() / 1000),
-                    "");
+    public void onAttemptEnded(ActiveAttempt attempt, Outcome outcome, WorkerResponse response, TimeSpan duration) {
+        long now = wallClock.getAsLong();
+        Event.InstanceStatus status = response == null ? Event.InstanceStatus.UNTOLD : response.instanceStatus();
+        appendFunction(now, attempt.request.function);
+        appendLoad(now, attempt, status, duration);
+        if (outcome == Outcome.SUCCESS) {
+            addUsage(now, attempt, status, duration);
         }
-        if (copy == Event.InstanceStatus.LOAD_FAILED) {
-            add(
-                    LogEntry.of(
-                            now, LogEntryType.LOADED, call.function, "", leg.worker, "failed", 0, took.nanos() / 1000),
-                    "");
+        writer.append(new LogEntry(
+                now,
+                LogEntryType.LEG,
+                attempt.request.clientRequestId,
+                attempt.request.function,
+                attempt.request.tenant,
+                attempt.worker,
+                outcome.name(),
+                status.ordinal(),
+                micros(duration)));
+    }
+
+    /** Records the load that an attempt began, and its failure. */
+    private void appendLoad(long now, ActiveAttempt attempt, Event.InstanceStatus status, TimeSpan duration) {
+        ActiveRequest request = attempt.request;
+        boolean failed = status == Event.InstanceStatus.LOAD_FAILED;
+        if (failed || status == Event.InstanceStatus.LOAD_BEGUN) {
+            writer.append(LogEntry.of(
+                    now - duration.toMillis(),
+                    LogEntryType.LOADING,
+                    request.function,
+                    request.tenant,
+                    attempt.worker,
+                    "",
+                    1,
+                    micros(duration)));
         }
-        if (outcome == Outcome.SUCCESS) {
-            // a call that waited for a load worked for an unknown part of its time; it renews the copy and weighs
-            // nothing
-            boolean warm = copy != Event.InstanceStatus.LOAD_BEGUN && copy != Event.InstanceStatus.LOAD_JOINED;
-            Work one = cut.computeIfAbsent(new Worker(leg.worker, call.function, call.tenant), key -> new Work());
-            one.micros += warm ? took.nanos() / 1000 : 0;
-            one.last = now;
+        if (failed) {
+            writer.append(LogEntry.of(
+                    now, LogEntryType.LOADED, request.function, "", attempt.worker, LOAD_FAILED, 0, micros(duration)));
         }
-        add(
-                new LogEntry(
-                        now,
-                        LogEntryType.LEG,
-                        call.clientRequestId,
-                        call.function,
-                        call.tenant,
-                        leg.worker,
-                        outcome.name(),
-                        copy.ordinal(),
-                        took.nanos() / 1000),
-                "");
+    }
+
+    /** Of a request that waited for a load, the time of its execution is unknown: it counts as use, for no time. */
+    private void addUsage(long now, ActiveAttempt attempt, Event.InstanceStatus status, TimeSpan duration) {
+        boolean waitedForLoad = status == Event.InstanceStatus.LOAD_BEGUN || status == Event.InstanceStatus.LOAD_JOINED;
+        ActiveRequest request = attempt.request;
+        UsageKey key = new UsageKey(attempt.worker, request.function, request.tenant);
+        Usage usage = usages.computeIfAbsent(key, absent -> new Usage());
+        usage.micros += waitedForLoad ? 0 : micros(duration);
+        usage.lastUsedAt = now;
+    }
+
+    private void appendUsage() {
+        usages.forEach((key, usage) -> writer.append(LogEntry.of(
+                usage.lastUsedAt,
+                LogEntryType.WORK,
+                key.function(),
+                key.tenant(),
+                key.worker(),
+                "",
+                usage.micros,
+                micros(USAGE_INTERVAL))));
+        usages.clear();
     }
 
     @Override
-    public void beforeLoadRequest(String engine, String function, int copies, Consumer<String> answer) {
-        long now = wall.getAsLong();
-        String id = Long.toString(++numbered);
-        orders.put(id, answer);
-        model(now, function);
-        add(LogEntry.of(now, LogEntryType.ORDERED, function, "", engine, "", copies, 0), id);
+    public void beforeLoadRequest(String worker, String function, int instances, Consumer<String> answer) {
+        long now = wallClock.getAsLong();
+        appendFunction(now, function);
+        writer.append(LogEntry.of(now, LogEntryType.ORDERED, function, "", worker, "", instances, 0), answer);
     }
 
     @Override
-    public void onLoadRequestEnded(String engine, String function, Outcome outcome, int copies, TimeSpan took) {
-        long now = wall.getAsLong();
-        if (outcome == Outcome.SUCCESS || copies > 0) {
-            add(
-                    LogEntry.of(
-                            now - took.toMillis(),
-                            LogEntryType.LOADING,
-                            function,
-                            "",
-                            engine,
-                            "ordered",
-                            copies,
-                            took.nanos() / 1000),
-                    "");
-            add(
-                    LogEntry.of(
-                            now,
-                            LogEntryType.COPIES,
-                            function,
-                            "",
-                            engine,
-                            outcome.name(),
-                            copies,
-                            took.nanos() / 1000),
-                    "");
+    public void onLoadRequestEnded(String worker, String function, Outcome outcome, int instances, TimeSpan duration) {
+        if (outcome != Outcome.SUCCESS && instances <= 0) {
+            return;
         }
+        long now = wallClock.getAsLong();
+        writer.append(LogEntry.of(
+                now - duration.toMillis(),
+                LogEntryType.LOADING,
+                function,
+                "",
+                worker,
+                LOAD_REQUESTED,
+                instances,
+                micros(duration)));
+        writer.append(LogEntry.of(
+                now, LogEntryType.COPIES, function, "", worker, outcome.name(), instances, micros(duration)));
     }
 
-    /** What the list tells of engines. */
-    void listed(DiscoveryMessage line) {
-        long now = wall.getAsLong();
-        Set<String> gone =
-                line.kind() == DiscoveryMessage.Kind.WHOLE ? new TreeSet<>(starts.keySet()) : new TreeSet<>();
-        for (DiscoveryMessage.Entry one : line.entries()) {
-            gone.remove(one.engine());
-            boolean leaves = one.standing() == DiscoveryMessage.Standing.GONE;
-            Long before = leaves ? starts.remove(one.engine()) : starts.put(one.engine(), one.startedMillis());
-            if (before == null ? !leaves : leaves || before != one.startedMillis()) {
-                add(
-                        LogEntry.of(
-                                now,
-                                LogEntryType.ENGINE,
-                                "",
-                                "",
-                                one.engine(),
-                                one.standing().name(),
-                                one.startedMillis(),
-                                0),
-                        "");
+    /** The discovery service has sent a message. */
+    void onDiscoveryMessage(DiscoveryMessage message) {
+        long now = wallClock.getAsLong();
+        boolean complete = message.kind() == DiscoveryMessage.Kind.WHOLE;
+        Set<String> unlisted = complete ? new TreeSet<>(workerStarts.keySet()) : new TreeSet<>();
+        for (DiscoveryMessage.Entry entry : message.entries()) {
+            unlisted.remove(entry.engine());
+            if (updateWorkerStart(entry)) {
+                appendWorker(now, entry.engine(), entry.standing(), entry.startedMillis());
             }
         }
-        for (String engine : gone) {
-            starts.remove(engine);
-            add(LogEntry.of(now, LogEntryType.ENGINE, "", "", engine, DiscoveryMessage.Standing.GONE.name(), 0, 0), "");
+        for (String worker : unlisted) {
+            workerStarts.remove(worker);
+            appendWorker(now, worker, DiscoveryMessage.Standing.GONE, 0);
         }
     }
 
-    private void model(long now, String function) {
-        if (models.add(function)) {
-            RouterConfig.ModelTerms terms =
-                    articles.modelOf(function.contains("@") ? function.substring(0, function.indexOf('@')) : function);
-            add(
-                    LogEntry.of(
-                            now,
-                            LogEntryType.MODEL,
-                            function,
-                            "",
-                            "",
-                            "",
-                            terms == null ? 0 : Math.round(terms.memoryMb()),
-                            0),
-                    "");
+    /** Whether the worker is new, was restarted or is gone. */
+    private boolean updateWorkerStart(DiscoveryMessage.Entry entry) {
+        if (entry.standing() == DiscoveryMessage.Standing.GONE) {
+            return workerStarts.remove(entry.engine()) != null;
         }
+        Long previous = workerStarts.put(entry.engine(), entry.startedMillis());
+        return previous == null || previous != entry.startedMillis();
     }
 
-    /** What accounts' calls worked since the last cut. */
-    private void cut() {
-        cut.forEach((who, what) -> add(
-                LogEntry.of(
-                        what.last,
-                        LogEntryType.WORK,
-                        who.model(),
-                        who.account(),
-                        who.engine(),
-                        "",
-                        what.micros,
-                        CUT.nanos() / 1000),
-                ""));
-        cut.clear();
+    private void appendWorker(long now, String worker, DiscoveryMessage.Standing standing, long startedMillis) {
+        writer.append(LogEntry.of(now, LogEntryType.ENGINE, "", "", worker, note(standing), startedMillis, 0));
     }
 
-    // ---- on its way to the disk
-
-    private void add(LogEntry entry, String order) {
-        tell(new WriteBufferEvent.Came(entry.kind().detail(), order), entry);
+    /** The log's words for the states of workers; part of its format. */
+    private static String note(DiscoveryMessage.Standing standing) {
+        return switch (standing) {
+            case IN_SERVICE -> "IN_SERVICE";
+            case DRAINING -> "DRAINING";
+            case GONE -> "GONE";
+        };
     }
 
-    private void tell(WriteBufferEvent event, LogEntry entry) {
-        if (closed) {
+    /** Records a function's memory, once. */
+    private void appendFunction(long now, String function) {
+        if (!recordedFunctions.add(function)) {
             return;
         }
-        for (WriteBufferAction action : backlog.on(timers.now(), event)) {
-            if (action instanceof WriteBufferAction.Take) {
-                queue.add(entry);
-            } else if (action instanceof WriteBufferAction.Write write) {
-                write(write.entries());
-            } else if (action instanceof WriteBufferAction.TellLeftOut told) {
-                timers.after(
-                        TimeSpan.millis(1),
-                        () -> add(
-                                LogEntry.of(wall.getAsLong(), LogEntryType.DROPPED, "", "", "", "", told.entries(), 0),
-                                ""));
-            } else if (action instanceof WriteBufferAction.Go go) {
-                orders.remove(go.order()).accept("");
-            } else if (action instanceof WriteBufferAction.Withhold withheld) {
-                orders.remove(withheld.order()).accept(withheld.why());
-            } else if (action instanceof WriteBufferAction.Wake wake) {
-                timers.after(wake.after(), () -> tell(new WriteBufferEvent.Due(), null));
-            } else if (action instanceof WriteBufferAction.Log log) {
-                LOG.info(log.text());
-            }
-        }
-        if (emptied != null && backlog.held() == 0) {
-            emptied.tryComplete();
-        }
+        int separator = function.indexOf('@');
+        RouterConfig.ModelTerms settings = config.modelOf(separator < 0 ? function : function.substring(0, separator));
+        long memoryMb = settings == null ? 0 : Math.round(settings.memoryMb());
+        writer.append(LogEntry.of(now, LogEntryType.MODEL, function, "", "", "", memoryMb, 0));
     }
 
-    private void write(int entries) {
-        List<LogEntry> batch = new ArrayList<>(entries);
-        queue.stream().limit(entries).forEach(batch::add);
-        ResourceCost cost = new ResourceCost(0, entries * ENTRY, 0);
-        long begun = System.nanoTime();
-        work.ask(
-                        JobClasses.RECORD,
-                        "",
-                        cost,
-                        null,
-                        () -> writer.executeBlocking(() -> {
-                            records.append(batch);
-                            return cost;
-                        }))
-                .onComplete(
-                        safe -> {
-                            for (int i = 0; i < entries; i++) {
-                                queue.poll();
-                            }
-                            tell(new WriteBufferEvent.Written(new TimeSpan(System.nanoTime() - begun)), null);
-                        },
-                        failed -> tell(new WriteBufferEvent.Failed(String.valueOf(failed.getMessage())), null));
+    private static long micros(TimeSpan span) {
+        return span.nanos() / NANOS_PER_MICRO;
     }
 
-    /** Entries that wait for the disk, for the meters. */
-    int held() {
-        return backlog.held();
+    /** Entries that are not on disk yet. */
+    int pendingCount() {
+        return writer.pendingCount();
     }
 
-    /** Whether the disk refused the last batch. */
-    boolean failing() {
-        return backlog.failing();
+    /** Whether the last write failed. */
+    boolean isFailing() {
+        return writer.isFailing();
     }
 
-    /** Writes what is held; done once it is safe. A disk that refuses it holds up the caller until its own bound. */
+    /**
+     * Records the stop; completed once every entry is on disk. The caller sets a timeout, as the disk may refuse
+     * them.
+     */
     Future<Void> flush() {
-        cut();
-        add(LogEntry.of(wall.getAsLong(), LogEntryType.STOPPED, "", "", "", articles.name(), 0, 0), "");
-        emptied = Promise.promise();
-        tell(new WriteBufferEvent.Stopping(), null);
-        return emptied.future();
+        appendUsage();
+        writer.append(LogEntry.of(wallClock.getAsLong(), LogEntryType.STOPPED, "", "", "", config.name(), 0, 0));
+        return writer.flush();
     }
 
     void close() {
-        closed = true;
-        records.close();
+        writer.close();
     }
 }
--- /dev/null
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpExchange.java
@@ -0,0 +1,114 @@
+package pearladder.router.kserve;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import java.util.function.Consumer;
+import pearladder.router.core.Timers;
+import pearladder.router.core.WorkerClient;
+import pearladder.routing.api.Outcome;
+import pearladder.routing.api.TimeSpan;
+
+/**
+ * One HTTP request to a worker and its response. It ends once: by its response, a failure, its timeout or because
+ * it was cancelled. Until a connection is there nothing was sent, and the outcome says so; from then on a failure
+ * may have been executed.
+ */
+final class HttpExchange implements WorkerClient.PendingSend {
+    private final Vertx vertx;
+    private final WorkerConnectionPool pool;
+    private final long maxResponseBytes;
+    private final WorkerClient.AttemptListener listener;
+    private final long timeoutTimer;
+    /** Null until a connection is there. */
+    private HttpClientRequest request;
+
+    private boolean ended;
+
+    /** Creates an exchange whose timeout runs from now on; {@link #send} begins it. */
+    HttpExchange(
+            Vertx vertx,
+            WorkerConnectionPool pool,
+            long maxResponseBytes,
+            TimeSpan timeout,
+            WorkerClient.AttemptListener listener) {
+        this.vertx = vertx;
+        this.pool = pool;
+        this.maxResponseBytes = maxResponseBytes;
+        this.listener = listener;
+        this.timeoutTimer = vertx.setTimer(
+                Timers.millis(timeout), timerId -> end(isSent() ? Outcome.TIMED_OUT : Outcome.UNREACHABLE, null));
+    }
+
+    /** @param headers sets the headers of the request */
+    void send(HttpMethod method, String uri, Consumer<HttpClientRequest> headers, Buffer body) {
+        pool.request(method, uri)
+                .onComplete(
+                        connected -> onConnected(connected, headers, body), failure -> end(Outcome.UNREACHABLE, null));
+    }
+
+    private void onConnected(HttpClientRequest connected, Consumer<HttpClientRequest> headers, Buffer body) {
+        if (ended) {
+            connected.reset();
+            return;
+        }
+        request = connected;
+        headers.accept(connected);
+        connected.send(body).onComplete(this::readResponse, failure -> end(Outcome.BROKEN, null));
+    }
+
+    private void readResponse(HttpClientResponse response) {
+        BodyReader.Listener bodyListener = new BodyReader.Listener() {
+            @Override
+            public void onComplete(Buffer body) {
+                HttpWorkerResponse workerResponse =
+                        HttpWorkerResponse.of(response.statusCode(), response.headers(), body);
+                end(workerResponse.outcome(), workerResponse);
+            }
+
+            @Override
+            public void onTooLong() {
+                response.request().reset();
+                end(Outcome.BROKEN, null);
+            }
+
+            @Override
+            public void onFailure(Throwable cause) {
+                end(Outcome.BROKEN, null);
+            }
+        };
+        new BodyReader(response, maxResponseBytes, bodyListener).start();
+    }
+
+    private boolean isSent() {
+        return request != null;
+    }
+
+    /** The first end counts; later ones are ignored. */
+    private void end(Outcome outcome, HttpWorkerResponse response) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        vertx.cancelTimer(timeoutTimer);
+        if (response == null && request != null) {
+            request.reset();
+        }
+        pool.onRequestEnded();
+        listener.end(outcome, response);
+    }
+
+    @Override
+    public void cancel() {
+        end(isSent() ? Outcome.WITHDRAWN : Outcome.VOID, null);
+    }
+
+    @Override
+    public void takeBack() {
+        if (!isSent()) {
+            end(Outcome.VOID, null);
+        }
+    }
+}
--- a/kserve-router/src/main/java/pearladder/router/kserve/HttpResponseHandler.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpResponseHandler.java
@@ -10,15 +10,19 @@
 import pearladder.router.core.WorkerResponse;
 import pearladder.routing.api.TimeSpan;
 
-/** A call as it came over HTTP/JSON, and where its answer goes; a client that is gone gets nothing more. */
+/**
+ * The body of an inference request, and the HTTP response to it; a client that has disconnected gets nothing more.
+ */
 final class HttpResponseHandler implements ResponseHandler {
-    private static final List<String> HANDED_ON = List.of("content-type", Headers.COPY, Headers.CROWD, Headers.REPORT);
+    private static final List<String> FORWARDED_HEADERS =
+            List.of("content-type", Headers.COPY, Headers.CROWD, Headers.REPORT);
+    private static final String JSON_TYPE = "application/json";
 
     final String contentType;
     final Buffer body;
     final HttpServerResponse response;
     private final String model;
-    private String path;
+    private String workerPath;
 
     HttpResponseHandler(String model, String contentType, Buffer body, HttpServerResponse response) {
         this.model = model;
@@ -27,77 +31,85 @@
         this.response = response;
     }
 
-    /** The path of the call at an engine. */
-    String path() {
-        return path;
+    /** The path of the request at a worker; null before {@link #onAdmitted}. */
+    String workerPath() {
+        return workerPath;
     }
 
-    /** Whether an answer is this call's: a settled one that names another model is not. */
-    boolean isOf(HttpWorkerResponse answer) {
-        if (answer.status() / 100 != 2) {
+    /** Whether a response is to this request: one that succeeded and names another model is not. */
+    boolean isAnsweredBy(HttpWorkerResponse workerResponse) {
+        if (!workerResponse.isSuccessful()) {
             return true;
         }
-        String named = JsonBodies.answeredBy(answer.body().getBytes());
-        return named == null || named.equals(model);
+        String answeringModel = JsonBodies.answeredBy(workerResponse.body().getBytes());
+        return answeringModel == null || answeringModel.equals(model);
     }
 
-    /** The call was taken: the name that engines see, and the version chosen for it (empty for none). */
-    void taken(String named, String version) {
-        path = "/v2/models/" + model + (version.isEmpty() ? "" : "/versions/" + version) + "/infer";
-        response.putHeader(Headers.CALL, named);
+    /**
+     * The request was admitted.
+     *
+     * @param requestId that workers see
+     * @param version that was chosen; empty for the model without a version
+     */
+    void onAdmitted(String requestId, String version) {
+        workerPath = "/v2/models/" + model + (version.isEmpty() ? "" : "/versions/" + version) + "/infer";
+        response.putHeader(Headers.CALL, requestId);
         if (!version.isEmpty()) {
             response.putHeader(Headers.VERSION, version);
         }
     }
 
-    private boolean open() {
+    private static boolean isOpen(HttpServerResponse response) {
         return !response.ended() && !response.closed();
     }
 
     @Override
-    public void succeeded(WorkerResponse said) {
-        HttpWorkerResponse answer = (HttpWorkerResponse) said;
-        if (open()) {
-            for (String name : HANDED_ON) {
-                String value = answer.headers().get(name);
-                if (value != null) {
-                    response.putHeader(name, value);
-                }
+    public void succeeded(WorkerResponse workerResponse) {
+        if (!isOpen(response)) {
+            return;
+        }
+        HttpWorkerResponse httpResponse = (HttpWorkerResponse) workerResponse;
+        for (String name : FORWARDED_HEADERS) {
+            String value = httpResponse.headers().get(name);
+            if (value != null) {
+                response.putHeader(name, value);
             }
-            response.setStatusCode(answer.status())
-                    .putHeader(Headers.STATE, RequestOutcome.SETTLED.code())
-                    .end(answer.body());
         }
+        response.setStatusCode(httpResponse.status())
+                .putHeader(Headers.STATE, RequestOutcome.SETTLED.code())
+                .end(httpResponse.body());
     }
 
     @Override
     public void rejected(TimeSpan retryAfter) {
-        dismiss(response, "not done; trying again is harmless", retryAfter);
+        reject(response, "not done; trying again is harmless", retryAfter);
     }
 
-    /** Writes the final answer of a dismissal. */
-    static void dismiss(HttpServerResponse response, String why, TimeSpan retryAfter) {
-        if (response.ended() || response.closed()) {
+    /** Ends a response as rejected. */
+    static void reject(HttpServerResponse response, String reason, TimeSpan retryAfter) {
+        if (!isOpen(response)) {
             return;
         }
         if (retryAfter.nanos() > 0) {
             long millis = Math.max(1, retryAfter.toMillis());
+            long roundedUpSeconds = (millis + 999) / 1000;
             response.putHeader(Headers.RETRY_AFTER_MS, Long.toString(millis))
-                    .putHeader("retry-after", Long.toString((millis + 999) / 1000));
+                    .putHeader("retry-after", Long.toString(roundedUpSeconds));
         }
-        response.setStatusCode(RequestOutcome.DISMISSED.status)
-                .putHeader(Headers.STATE, RequestOutcome.DISMISSED.code())
-                .putHeader("content-type", "application/json")
-                .end(JsonBodies.error(why));
+        endWithError(response, RequestOutcome.DISMISSED, reason);
     }
 
     @Override
     public void failed() {
-        if (open()) {
-            response.setStatusCode(RequestOutcome.TERMINATED.status)
-                    .putHeader(Headers.STATE, RequestOutcome.TERMINATED.code())
-                    .putHeader("content-type", "application/json")
-                    .end(JsonBodies.error("no answer; it may or may not have taken effect"));
+        if (isOpen(response)) {
+            endWithError(response, RequestOutcome.TERMINATED, "no answer; it may or may not have taken effect");
         }
     }
+
+    private static void endWithError(HttpServerResponse response, RequestOutcome outcome, String reason) {
+        response.setStatusCode(outcome.status)
+                .putHeader(Headers.STATE, outcome.code())
+                .putHeader("content-type", JSON_TYPE)
+                .end(JsonBodies.error(reason));
+    }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerResponse.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerResponse.java
@@ -8,57 +8,89 @@
 import pearladder.routing.api.Event;
 import pearladder.routing.api.Outcome;
 
-/** What an engine's whole answer says: its outcome for the module, and what goes on to the client. */
+/** A worker's complete HTTP response: what it tells the routing policy, and what is passed on to the client. */
 record HttpWorkerResponse(Outcome outcome, int status, MultiMap headers, Buffer body) implements WorkerResponse {
+    private static final String COUNT_PATTERN = "[0-9]{1,6}";
+
     /**
-     * An answer with a status of 2xx, or one that finds fault with the call itself, is the call's answer. Only a refusal
-     * that carries its own proof ("never ran") says that the call never ran; any other failure may have run.
+     * Reads the outcome from status and headers. A status of 2xx, and one that finds fault with the request
+     * itself, answers the request. Only {@link Headers#NEVER_RAN} proves that a request was not executed; after
+     * any other failure it may have been.
      */
     static HttpWorkerResponse of(int status, MultiMap headers, Buffer body) {
-        String proof = headers.get(Headers.NEVER_RAN);
-        Outcome outcome;
-        if (status >= 200 && status < 300 || status == 400 || status == 413 || status == 415 || status == 422) {
-            outcome = Outcome.SUCCESS;
-        } else if ("full".equals(proof)) {
-            outcome = Outcome.FULL;
-        } else if ("absent".equals(proof)) {
-            outcome = Outcome.ABSENT;
-        } else {
-            outcome = Outcome.ERROR;
+        return new HttpWorkerResponse(outcome(status, headers.get(Headers.NEVER_RAN)), status, headers, body);
+    }
+
+    private static Outcome outcome(int status, String neverExecuted) {
+        if (isAnswer(status)) {
+            return Outcome.SUCCESS;
         }
-        return new HttpWorkerResponse(outcome, status, headers, body);
+        if ("full".equals(neverExecuted)) {
+            return Outcome.FULL;
+        }
+        if ("absent".equals(neverExecuted)) {
+            return Outcome.ABSENT;
+        }
+        return Outcome.ERROR;
+    }
+
+    private static boolean isAnswer(int status) {
+        return switch (status) {
+            case 400, 413, 415, 422 -> true;
+            default -> isSuccessful(status);
+        };
+    }
+
+    private static boolean isSuccessful(int status) {
+        return status >= 200 && status < 300;
+    }
+
+    /** Whether the status is 2xx. */
+    boolean isSuccessful() {
+        return isSuccessful(status);
+    }
+
+    HttpWorkerResponse withOutcome(Outcome other) {
+        return new HttpWorkerResponse(other, status, headers, body);
     }
 
     @Override
     public Event.InstanceStatus instanceStatus() {
-        String word = headers.get(Headers.COPY);
-        return word == null
-                ? Event.InstanceStatus.UNTOLD
-                : switch (word) {
-                    case "stood" -> Event.InstanceStatus.STOOD;
-                    case "load-begun" -> Event.InstanceStatus.LOAD_BEGUN;
-                    case "load-joined" -> Event.InstanceStatus.LOAD_JOINED;
-                    case "load-failed" -> Event.InstanceStatus.LOAD_FAILED;
-                    default -> Event.InstanceStatus.UNTOLD;
-                };
+        String code = headers.get(Headers.COPY);
+        if (code == null) {
+            return Event.InstanceStatus.UNTOLD;
+        }
+        return switch (code) {
+            case "stood" -> Event.InstanceStatus.STOOD;
+            case "load-begun" -> Event.InstanceStatus.LOAD_BEGUN;
+            case "load-joined" -> Event.InstanceStatus.LOAD_JOINED;
+            case "load-failed" -> Event.InstanceStatus.LOAD_FAILED;
+            default -> Event.InstanceStatus.UNTOLD;
+        };
     }
 
     @Override
     public int concurrentRequests() {
-        String text = headers.get(Headers.CROWD);
-        return text != null && text.matches("[0-9]{1,6}") ? Integer.parseInt(text) : -1;
+        return count(Headers.CROWD, -1);
     }
 
-    @Override
-    public Event.WorkerLoadReport loadReport() {
-        return report(headers);
+    /** Instances that are loaded, on the response to a load request; a default where the worker does not say. */
+    int loadedInstances(int defaultCount) {
+        return count(Headers.COPIES, defaultCount);
     }
 
-    static Event.WorkerLoadReport report(MultiMap headers) {
+    private int count(String header, int defaultCount) {
+        String text = headers.get(header);
+        return text != null && text.matches(COUNT_PATTERN) ? Integer.parseInt(text) : defaultCount;
+    }
+
+    @Override
+    public Event.WorkerLoadReport loadReport() {
         LoadReport report = LoadReport.parse(headers.get(Headers.REPORT));
-        return report == null
-                ? null
-                : new Event.WorkerLoadReport(
-                        report.held(), report.waiting(), report.busy(), report.loads(), report.pinned());
+        if (report == null) {
+            return null;
+        }
+        return new Event.WorkerLoadReport(
+                report.held(), report.waiting(), report.busy(), report.loads(), report.pinned());
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/InferenceServer.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/InferenceServer.java
@@ -7,96 +7,74 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.HttpServerResponse;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import pearladder.kserve.Headers;
 import pearladder.kserve.JsonBodies;
 import pearladder.kserve.Route;
-import pearladder.router.core.RequestManager;
 import pearladder.router.core.VertxTimers;
 import pearladder.routing.api.MonotonicTime;
-import pearladder.routing.api.RoutingSettings;
 import pearladder.routing.api.TimeSpan;
 
-/** The router's own side of KServe v2: reads calls, refuses what is no call, and answers what is asked of the router. */
+/**
+ * The KServe v2 server: parses inference requests and passes them on, refuses what is none, and answers requests
+ * about the router itself.
+ */
 final class InferenceServer {
-    /**
-     * A call as the door read it.
-     *
-     * @param wish what it is of; its name is null where the client gave none
-     * @param hint of its work, or null
-     */
-    record Understood(
-            RolloutManager.Wish wish,
-            MonotonicTime came,
-            TimeSpan timeLeft,
-            RoutingSettings.RequestClass category,
-            RouterConfig.ModelTerms terms,
-            TimeSpan hint,
-            boolean repeat) {
-        /** The call as the router holds it: under its own name or the router's for it, of the version chosen. */
-        RequestManager.ParsedRequest asked(String name, RolloutManager releases, HttpResponseHandler reply) {
-            RolloutManager.Wish named = wish.named() != null
-                    ? wish
-                    : new RolloutManager.Wish(
-                            name, wish.model(), wish.version(), wish.key(), wish.account(), wish.mark());
-            RolloutManager.Chosen chosen = releases.choose(named);
-            reply.taken(named.named(), chosen.version());
-            return new RequestManager.ParsedRequest(
-                    named.named(),
-                    chosen.function(),
-                    wish.mark(),
-                    came,
-                    timeLeft,
-                    category,
-                    wish.account(),
-                    terms.lanes(),
-                    terms.memoryMb(),
-                    terms.usualLoad(),
-                    hint,
-                    repeat,
-                    chosen.ending());
-        }
-    }
+    /** Takes inference requests, and says whether it can. */
+    interface RequestHandler {
+        /** Why no request is admitted now, or null. */
+        String rejectionReason();
 
-    /** What the door needs of the router. */
-    interface House {
-        /** Why no call is taken now, or null. */
-        String closedBecause();
+        void admit(InferenceRequest request, HttpResponseHandler responseHandler);
 
-        void take(Understood understood, HttpResponseHandler reply);
-
-        boolean ready();
+        boolean isReady();
 
         /** How late the event loop is. */
-        TimeSpan behind();
-    }
-
-    private static final String NAME = "[A-Za-z0-9._:-]{1,128}";
-
-    private final RouterConfig articles;
-    private final House house;
-    private final PrometheusMetrics meters;
+        TimeSpan eventLoopLag();
+    }
+
+    private static final String SERVER_NAME = "pearladder";
+    private static final String VERSION = "0.2.0";
+    private static final String METRICS_PATH = "/metrics";
+    private static final String METRICS_TYPE = "text/plain; version=0.0.4";
+    private static final String JSON_TYPE = "application/json";
+    private static final int MAX_HEADER_BYTES = 16 << 10;
+    private static final int MAX_REQUEST_LINE_BYTES = 8 << 10;
+    /** For a refusal to reach a client that is still sending its body. */
+    private static final long CLOSE_DELAY_MILLIS = 50;
+
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int CONTENT_TOO_LARGE = 413;
+    private static final int SERVICE_UNAVAILABLE = 503;
+
+    private final RouterConfig config;
+    private final RequestHandler requestHandler;
+    private final PrometheusMetrics metrics;
     private final Vertx vertx;
     private final HttpServer server;
 
-    InferenceServer(Vertx vertx, RouterConfig articles, House house, PrometheusMetrics meters) {
-        this.articles = articles;
-        this.house = house;
-        this.meters = meters;
+    InferenceServer(Vertx vertx, RouterConfig config, RequestHandler requestHandler, PrometheusMetrics metrics) {
+        this.config = config;
+        this.requestHandler = requestHandler;
+        this.metrics = metrics;
         this.vertx = vertx;
         this.server = vertx.createHttpServer(new HttpServerOptions()
-                        .setHost(articles.host())
-                        .setPort(articles.port())
+                        .setHost(config.host())
+                        .setPort(config.port())
                         .setTcpNoDelay(true)
                         .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
-                        .setIdleTimeout((int) articles.limits().idle().toMillis())
-                        .setMaxHeaderSize(16 << 10)
-                        .setMaxInitialLineLength(8 << 10))
-                .requestHandler(this::take);
+                        .setIdleTimeout((int) config.limits().idle().toMillis())
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES))
+                .requestHandler(this::handle);
     }
 
+    /** Listens; the future brings the port. */
     Future<Integer> listen() {
         return server.listen().map(HttpServer::actualPort);
     }
@@ -105,227 +83,170 @@
         return server.close();
     }
 
-    private void take(HttpServerRequest request) {
-        if (request.path().equals("/metrics")) {
-            end(request, 200, "text/plain; version=0.0.4", meters.text());
+    private void handle(HttpServerRequest request) {
+        if (request.path().equals(METRICS_PATH)) {
+            respond(request, OK, METRICS_TYPE, metrics.scrape());
             return;
         }
         Route route = Route.of(request.path());
-        HttpMethod wanted =
-                route.kind() == Route.Kind.INFER || route.kind() == Route.Kind.INDEX ? HttpMethod.POST : HttpMethod.GET;
-        if (route.kind() != Route.Kind.UNKNOWN && !request.method().equals(wanted)) {
-            request.response().putHeader("allow", wanted.name());
-            refuse(request, 405, "this path takes " + wanted);
+        HttpMethod method = method(route.kind());
+        if (route.kind() != Route.Kind.UNKNOWN && !request.method().equals(method)) {
+            request.response().putHeader("allow", method.name());
+            refuse(request, METHOD_NOT_ALLOWED, "this path takes " + method);
             return;
         }
+        try {
+            handle(request, route);
+        } catch (RequestRefusedException refusal) {
+            refuse(request, refusal.status, refusal.getMessage());
+        }
+    }
+
+    private static HttpMethod method(Route.Kind kind) {
+        return kind == Route.Kind.INFER || kind == Route.Kind.INDEX ? HttpMethod.POST : HttpMethod.GET;
+    }
+
+    private void handle(HttpServerRequest request, Route route) throws RequestRefusedException {
         switch (route.kind()) {
             case INFER -> infer(request, route);
-            case SERVER -> json(request, JsonBodies.server("pearladder", "0.2.0", List.of()));
-            case LIVE -> json(request, "{\"live\":true}");
+            case SERVER -> respondJson(request, JsonBodies.server(SERVER_NAME, VERSION, List.of()));
+            case LIVE -> respondJson(request, "{\"live\":true}");
             case READY -> {
-                if (house.ready()) {
-                    json(request, "{\"ready\":true}");
-                } else {
-                    refuse(request, 503, "not ready: no list of engines, or stopping");
-                }
+                checkReady("not ready: no list of engines, or stopping");
+                respondJson(request, "{\"ready\":true}");
             }
-            case MODEL, MODEL_READY -> model(request, route);
-            default -> refuse(request, 404, "no such path; calls go to /v2/models/MODEL/infer");
+            case MODEL -> {
+                RequestHead.modelSettings(route.model(), config);
+                List<String> versions = route.version() == null ? List.of() : List.of(route.version());
+                respondJson(request, JsonBodies.model(route.model(), versions));
+            }
+            case MODEL_READY -> {
+                RequestHead.modelSettings(route.model(), config);
+                checkReady("not ready");
+                respondJson(request, "{\"name\":\"" + route.model() + "\",\"ready\":true}");
+            }
+            default -> throw new RequestRefusedException(NOT_FOUND, "no such path; calls go to /v2/models/MODEL/infer");
         }
     }
 
-    private void model(HttpServerRequest request, Route route) {
-        if (!route.model().matches(NAME) || articles.modelOf(route.model()) == null) {
-            refuse(request, 404, "unknown model " + shown(route.model()));
-        } else if (route.kind() == Route.Kind.MODEL) {
-            json(
-                    request,
-                    JsonBodies.model(route.model(), route.version() == null ? List.of() : List.of(route.version())));
-        } else if (house.ready()) {
-            json(request, "{\"name\":\"" + route.model() + "\",\"ready\":true}");
-        } else {
-            refuse(request, 503, "not ready");
+    private void checkReady(String otherwise) throws RequestRefusedException {
+        if (!requestHandler.isReady()) {
+            throw new RequestRefusedException(SERVICE_UNAVAILABLE, otherwise);
         }
     }
 
-    /** Reads the head of a call, then its body within its bounds of size and time; what is no call is never taken. */
-    private void infer(HttpServerRequest request, Route route) {
-        MonotonicTime came = VertxTimers.present();
-        RouterConfig.ModelTerms model = route.model().matches(NAME) ? articles.modelOf(route.model()) : null;
-        if (model == null) {
-            refuse(request, 404, "unknown model " + shown(route.model()));
-            return;
-        }
-        if (route.version() != null && !route.version().matches(NAME)) {
-            refuse(request, 404, "unknown version " + shown(route.version()));
-            return;
-        }
-        String word = request.getHeader(Headers.CATEGORY);
-        String category = word != null
-                ? word
-                : model.category() != null
-                        ? model.category()
-                        : articles.facts().requestClasses().size() == 1
-                                ? articles.facts().requestClasses().get(0).name()
-                                : null;
-        RoutingSettings.RequestClass terms = category == null ? null : articles.category(category);
-        if (terms == null) {
-            refuse(
-                    request,
-                    400,
-                    category == null
-                            ? "the header " + Headers.CATEGORY + " is missing"
-                            : Headers.CATEGORY + ": unknown category " + shown(category));
-            return;
-        }
-        String account = request.getHeader(Headers.ACCOUNT);
-        if (!articles.facts().tenants().isEmpty()
-                && articles.facts().tenants().stream().noneMatch(a -> a.name().equals(account))) {
-            refuse(
-                    request,
-                    400,
-                    account == null
-                            ? "the header " + Headers.ACCOUNT + " is missing"
-                            : Headers.ACCOUNT + ": unknown account " + shown(account));
-            return;
-        }
-        String mark = request.getHeader(Headers.MARK);
-        if (terms.idempotency() == RoutingSettings.Idempotency.FINGERPRINTED && (mark == null || mark.isBlank())) {
-            refuse(request, 400, "a call of category " + category + " needs the header " + Headers.MARK);
-            return;
-        }
-        TimeSpan patience = millis(request, Headers.PATIENCE, terms.deadline());
-        TimeSpan hint = millis(request, Headers.HINT, TimeSpan.ZERO);
-        if (patience == null || hint == null || patience.nanos() <= 0) {
-            refuse(
-                    request,
-                    400,
-                    (patience == null || patience.nanos() <= 0 ? Headers.PATIENCE : Headers.HINT)
-                            + ": a number of milliseconds was expected");
-            return;
-        }
-        if (length(request) > articles.limits().payload()) {
-            refuse(request, 413, "a body has " + articles.limits().payload() + " bytes at the most");
+    /** Parses the head, then reads the body within its limits of size and time. */
+    private void infer(HttpServerRequest request, Route route) throws RequestRefusedException {
+        MonotonicTime receivedAt = VertxTimers.present();
+        RequestHead head = RequestHead.parse(route, request.headers(), config);
+        readBody(request, body -> admit(request, head, receivedAt, body));
+    }
+
+    private void admit(HttpServerRequest request, RequestHead head, MonotonicTime receivedAt, Buffer body) {
+        TimeSpan timeLeft = timeLeft(head, receivedAt);
+        String rejectionReason = timeLeft.nanos() <= 0
+                ? "the client's time is up before the call could be taken"
+                : requestHandler.rejectionReason();
+        if (rejectionReason != null) {
+            metrics.onNotAdmitted();
+            TimeSpan retryAfter = config.facts().attemptLimits().maxRetryAfter();
+            HttpResponseHandler.reject(request.response(), rejectionReason, retryAfter);
             return;
         }
-        read(request, body -> {
-            // what the loop is late counts twice: the call waited unseen on its way in, and so will its answer
-            TimeSpan left = patience.atMost(terms.deadline())
-                    .minus(VertxTimers.present().since(came))
-                    .minus(house.behind().times(2));
-            String closed = left.nanos() <= 0
-                    ? "the client's time is up before the call could be taken"
-                    : house.closedBecause();
-            if (closed != null) {
-                notTaken(request.response(), closed);
-                return;
-            }
-            String named = request.getHeader(Headers.CALL);
-            String type = request.getHeader("content-type");
-            house.take(
-                    new Understood(
-                            new RolloutManager.Wish(
-                                    named != null && named.matches(NAME) ? named : null,
-                                    route.model(),
-                                    route.version(),
-                                    request.getHeader(Headers.KEY),
-                                    articles.facts().tenants().isEmpty() ? null : account,
-                                    mark),
-                            came,
-                            left,
-                            terms,
-                            model,
-                            hint.nanos() == 0 ? null : hint,
-                            "1".equals(request.getHeader(Headers.REPEAT))),
-                    new HttpResponseHandler(
-                            route.model(), type == null ? "application/json" : type, body, request.response()));
-        });
+        String contentType = request.getHeader("content-type");
+        HttpResponseHandler responseHandler = new HttpResponseHandler(
+                head.route().model(), contentType == null ? JSON_TYPE : contentType, body, request.response());
+        requestHandler.admit(inferenceRequest(request, head, receivedAt, timeLeft), responseHandler);
     }
 
-    private void read(HttpServerRequest request, java.util.function.Consumer<Buffer> whole) {
-        Buffer body = Buffer.buffer();
-        boolean[] over = {false};
-        long timer = vertx.setTimer(Math.max(1, articles.limits().bodyWithin().toMillis()), fired -> {
-            over[0] = true;
+    /**
+     * The event-loop lag counts twice: the request waited unseen for that long when it came in, and so will its
+     * response when it goes out.
+     */
+    private TimeSpan timeLeft(RequestHead head, MonotonicTime receivedAt) {
+        return head.timeout()
+                .atMost(head.requestClass().deadline())
+                .minus(VertxTimers.present().since(receivedAt))
+                .minus(requestHandler.eventLoopLag().times(2));
+    }
+
+    private static InferenceRequest inferenceRequest(
+            HttpServerRequest request, RequestHead head, MonotonicTime receivedAt, TimeSpan timeLeft) {
+        String clientRequestId = request.getHeader(Headers.CALL);
+        RolloutManager.Wish wish = new RolloutManager.Wish(
+                clientRequestId != null && RequestHead.isName(clientRequestId) ? clientRequestId : null,
+                head.route().model(),
+                head.route().version(),
+                request.getHeader(Headers.KEY),
+                head.tenant(),
+                head.idempotencyKey());
+        return new InferenceRequest(
+                wish,
+                receivedAt,
+                timeLeft,
+                head.requestClass(),
+                head.modelSettings(),
+                head.workEstimate(),
+                "1".equals(request.getHeader(Headers.REPEAT)));
+    }
+
+    private void readBody(HttpServerRequest request, Consumer<Buffer> onComplete) {
+        long maxBytes = config.limits().payload();
+        long timeoutMillis = Math.max(1, config.limits().bodyWithin().toMillis());
+        BodyReader[] reader = {null};
+        long timeoutTimer = vertx.setTimer(timeoutMillis, timerId -> {
+            reader[0].cancel();
             refuse(
                     request,
-                    408,
-                    "the body was not in after "
-                            + articles.limits().bodyWithin().toMillis() + " ms");
-        });
-        request.exceptionHandler(left -> {
-            over[0] = true;
-            vertx.cancelTimer(timer);
+                    REQUEST_TIMEOUT,
+                    "the body was not in after " + config.limits().bodyWithin().toMillis() + " ms");
         });
-        request.handler(part -> {
-            if (!over[0]
-                    && body.length() + (long) part.length() > articles.limits().payload()) {
-                over[0] = true;
-                vertx.cancelTimer(timer);
-                refuse(request, 413, "a body has " + articles.limits().payload() + " bytes at the most");
-            } else if (!over[0]) {
-                body.appendBuffer(part);
-            }
-        });
-        request.endHandler(end -> {
-            if (!over[0]) {
-                over[0] = true;
-                vertx.cancelTimer(timer);
+        reader[0] = new BodyReader(request, maxBytes, new BodyReader.Listener() {
+            @Override
+            public void onComplete(Buffer body) {
+                vertx.cancelTimer(timeoutTimer);
                 if (!request.response().closed()) {
-                    whole.accept(body);
+                    onComplete.accept(body);
                 }
             }
-        });
-    }
 
-    private static long length(HttpServerRequest request) {
-        String text = request.getHeader("content-length");
-        return text != null && text.matches("[0-9]{1,18}") ? Long.parseLong(text) : 0;
-    }
-
-    private static TimeSpan millis(HttpServerRequest request, String header, TimeSpan otherwise) {
-        String text = request.getHeader(header);
-        if (text == null) {
-            return otherwise;
-        }
-        return text.matches("[0-9]{1,9}(\\.[0-9]{1,6})?") ? TimeSpan.seconds(Double.parseDouble(text) / 1e3) : null;
-    }
+            @Override
+            public void onTooLong() {
+                vertx.cancelTimer(timeoutTimer);
+                RequestRefusedException refusal = RequestHead.bodyTooLong(maxBytes);
+                refuse(request, refusal.status, refusal.getMessage());
+            }
 
-    /** A client's own word, cut short, in a message that goes back to it. */
-    private static String shown(String word) {
-        String plain = word.replaceAll("[^A-Za-z0-9._:@/-]", "?");
-        return "\"" + (plain.length() > 64 ? plain.substring(0, 64) + "..." : plain) + "\"";
+            @Override
+            public void onFailure(Throwable cause) {
+                vertx.cancelTimer(timeoutTimer);
+            }
+        });
+        reader[0].start();
     }
 
-    private void json(HttpServerRequest request, String body) {
-        end(request, 200, "application/json", body);
+    private static void respondJson(HttpServerRequest request, String body) {
+        respond(request, OK, JSON_TYPE, body);
     }
 
-    private static void end(HttpServerRequest request, int status, String type, String body) {
+    private static void respond(HttpServerRequest request, int status, String contentType, String body) {
         if (!request.response().ended() && !request.response().closed()) {
             request.response()
                     .setStatusCode(status)
-                    .putHeader("content-type", type)
+                    .putHeader("content-type", contentType)
                     .end(body);
         }
     }
 
-    /** What is no call, or none that can be understood; where its body is still coming, the connection ends with it. */
-    private void refuse(HttpServerRequest request, int status, String why) {
+    /** Where the body is still being sent, the connection is closed after the response. */
+    private void refuse(HttpServerRequest request, int status, String reason) {
         if (!request.isEnded()) {
             request.response().putHeader("connection", "close");
             request.resume();
         }
-        end(request, status, "application/json", JsonBodies.error(why));
-        if (status == 408 || status == 413) {
-            vertx.setTimer(50, t -> request.connection().close());
+        respond(request, status, JSON_TYPE, JsonBodies.error(reason));
+        if (status == REQUEST_TIMEOUT || status == CONTENT_TOO_LARGE) {
+            vertx.setTimer(CLOSE_DELAY_MILLIS, timerId -> request.connection().close());
         }
     }
-
-    /** A call that was understood and not taken: never sent anywhere, so trying again is harmless. */
-    private void notTaken(HttpServerResponse response, String why) {
-        meters.notTaken();
-        HttpResponseHandler.dismiss(
-                response, why, articles.facts().attemptLimits().maxRetryAfter());
-    }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/PrometheusMetrics.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/PrometheusMetrics.java
@@ -16,83 +16,97 @@
 import pearladder.router.core.RouterMetrics;
 import pearladder.routing.api.Outcome;
 
-/** The router's counts, told on /metrics in the text form of Prometheus. */
+/** The router's metrics, in the text format of Prometheus. */
 final class PrometheusMetrics implements RouterMetrics {
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    private final Map<CompletionStatus, Counter> answers = new EnumMap<>(CompletionStatus.class);
-    private final Map<Outcome, Counter> legs = new EnumMap<>(Outcome.class);
-    private final Timer settled = Timer.builder("pearladder.call.seconds")
-            .publishPercentiles(0.5, 0.99)
-            .register(registry);
-    private final Timer decisions = Timer.builder("pearladder.decision.seconds")
-            .publishPercentiles(0.5, 0.99)
-            .register(registry);
-    private final Counter left = registry.counter("pearladder.clients.left");
-    private final Counter turnedAway = registry.counter("pearladder.calls.not.taken");
-    private final Counter modes = registry.counter("pearladder.mode.changes");
-    private final Counter orders = registry.counter("pearladder.load.orders");
+    private final Map<CompletionStatus, Counter> responses = new EnumMap<>(CompletionStatus.class);
+    private final Map<Outcome, Counter> attempts = new EnumMap<>(Outcome.class);
+    private final Timer successLatency = timer("pearladder.call.seconds");
+    private final Timer decisionTime = timer("pearladder.decision.seconds");
+    private final Counter clientDisconnects = registry.counter("pearladder.clients.left");
+    private final Counter requestsNotAdmitted = registry.counter("pearladder.calls.not.taken");
+    private final Counter modeChanges = registry.counter("pearladder.mode.changes");
+    private final Counter loadRequests = registry.counter("pearladder.load.orders");
 
-    PrometheusMetrics(Supplier<Number> openCalls, Supplier<Number> engines) {
+    PrometheusMetrics(Supplier<Number> requestsInFlight, Supplier<Number> listedWorkers) {
         new JvmMemoryMetrics().bindTo(registry);
         new ProcessorMetrics().bindTo(registry);
-        for (CompletionStatus state : CompletionStatus.values()) {
-            answers.put(state, registry.counter("pearladder.calls", "state", state.code()));
+        for (CompletionStatus status : CompletionStatus.values()) {
+            responses.put(status, registry.counter("pearladder.calls", "state", status.code()));
         }
         for (Outcome outcome : Outcome.values()) {
-            legs.put(
-                    outcome,
-                    registry.counter(
-                            "pearladder.legs", "outcome", outcome.name().toLowerCase(Locale.ROOT)));
+            attempts.put(outcome, registry.counter("pearladder.legs", "outcome", code(outcome)));
         }
-        // a builder keeps its supplier; registry.gauge would hold it weakly and read NaN after a collection
-        Gauge.builder("pearladder.calls.open", openCalls).register(registry);
-        Gauge.builder("pearladder.engines.listed", engines).register(registry);
+        gauge("pearladder.calls.open", requestsInFlight);
+        gauge("pearladder.engines.listed", listedWorkers);
     }
 
-    /** Records on their way to the disk. */
-    void records(Supplier<Number> held, Supplier<Number> failing) {
-        Gauge.builder("pearladder.records.held", held).register(registry);
-        Gauge.builder("pearladder.records.failing", failing).register(registry);
+    private Timer timer(String name) {
+        return Timer.builder(name).publishPercentiles(0.5, 0.99).register(registry);
+    }
+
+    /**
+     * The builder keeps its supplier; {@code registry.gauge} would hold it weakly and read NaN after a collection.
+     */
+    private void gauge(String name, Supplier<Number> value) {
+        Gauge.builder(name, value).register(registry);
+    }
+
+    private static String code(Outcome outcome) {
+        return outcome.name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Adds gauges of the event log.
+     *
+     * @param pending entries that are not on disk yet
+     * @param failing 1 where the last write failed, else 0
+     */
+    void addEventLogGauges(Supplier<Number> pending, Supplier<Number> failing) {
+        gauge("pearladder.records.held", pending);
+        gauge("pearladder.records.failing", failing);
     }
 
     @Override
-    public void onResponse(CompletionStatus state, long nanos) {
-        answers.get(state).increment();
-        if (state == CompletionStatus.SUCCEEDED) {
-            settled.record(nanos, TimeUnit.NANOSECONDS);
+    public void onResponse(CompletionStatus status, long nanos) {
+        responses.get(status).increment();
+        if (status == CompletionStatus.SUCCEEDED) {
+            successLatency.record(nanos, TimeUnit.NANOSECONDS);
         }
     }
 
     @Override
     public void onAttemptEnded(Outcome outcome) {
-        legs.get(outcome).increment();
+        attempts.get(outcome).increment();
     }
 
     @Override
     public void onDecision(long nanos) {
-        decisions.record(nanos, TimeUnit.NANOSECONDS);
+        decisionTime.record(nanos, TimeUnit.NANOSECONDS);
     }
 
     @Override
     public void onModeChange(String text) {
-        modes.increment();
+        modeChanges.increment();
     }
 
     @Override
     public void onClientDisconnected() {
-        left.increment();
+        clientDisconnects.increment();
     }
 
-    void notTaken() {
-        turnedAway.increment();
+    /** A request was understood and not admitted. */
+    void onNotAdmitted() {
+        requestsNotAdmitted.increment();
     }
 
     @Override
     public void onLoadRequest() {
-        orders.increment();
+        loadRequests.increment();
     }
 
-    String text() {
+    /** All metrics, as they are scraped. */
+    String scrape() {
         return registry.scrape();
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutClient.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutClient.java
@@ -20,8 +20,8 @@
 import pearladder.rollout.RolloutTarget;
 
 /**
- * An operator's side of releases: looks at every router's doors, makes the order that follows the newest one seen, and
- * gives it to all of them. A router that is away is named; it may be given the same order again.
+ * An operator's side of releases: looks at every router's doors, makes the order that follows the newest one seen,
+ * and gives it to all of them. A router that is away is named; it may be given the same order again.
  */
 public final class RolloutClient {
     /** What came of an order: how many routers took it, and a line for each. */
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutJournal.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutJournal.java
@@ -5,7 +5,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
@@ -24,19 +23,27 @@
 import pearladder.rollout.RolloutTarget;
 
 /**
- * Orders on releases, as they were taken, and how far this router came with them: a line each, with its check sum before it, on disk before anyone is told. A tail
- * that a crash left torn is cut off when it is opened; anything wrong before the tail is an error, since an order that
- * was promised would be lost with it. A long journal is made short when opened: the newest order of each model with how far
- * it came, and the latest orders.
+ * An append-only file of rollout targets, as they were accepted, and of this router's progress with them. Each
+ * line has the CRC-32 of its JSON in front and is on disk before anyone is told of it.
+ *
+ * <p>When the file is opened, a last line that a crash has left incomplete is truncated; a damaged line before
+ * others is an error, since an accepted target would be lost with it. A long file is compacted then: the newest
+ * target of each model with its progress remains, and the latest targets.
  */
 final class RolloutJournal implements Closeable {
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final int LONG = 1000;
-    private static final int LATEST = 200;
+    private static final String FILE_NAME = "releases.journal";
+    private static final String COMPACTED_FILE_NAME = "releases.new";
+    /** A file of more lines is compacted when it is opened. */
+    private static final int MAX_LINES = 1000;
+    /** Targets that a compaction leaves, besides the newest of each model. */
+    private static final int COMPACTED_TARGETS = 200;
+
+    private static final int CHECKSUM_DIGITS = 8;
 
     private final Path file;
-    private final List<RolloutTarget> orders = new CopyOnWriteArrayList<>();
-    private final List<RolloutProgress> reached = new ArrayList<>();
+    private final List<RolloutTarget> targets = new CopyOnWriteArrayList<>();
+    private final List<RolloutProgress> progress = new ArrayList<>();
     private int lines;
     private FileChannel channel;
 
@@ -44,173 +51,194 @@
         this.file = file;
     }
 
-    /** Opens the journal of a folder, and makes one where there is none. */
-    static RolloutJournal open(Path folder) throws IOException {
-        Files.createDirectories(folder);
-        RolloutJournal journal = new RolloutJournal(folder.resolve("releases.journal"));
-        journal.lock();
+    /** Opens the journal of a directory; creates both where they are missing. */
+    static RolloutJournal open(Path directory) throws IOException {
+        Files.createDirectories(directory);
+        RolloutJournal journal = new RolloutJournal(directory.resolve(FILE_NAME));
+        journal.openChannel();
         journal.read();
-        if (journal.lines > LONG) {
-            journal.shorten();
+        if (journal.lines > MAX_LINES) {
+            journal.compact();
         }
         return journal;
     }
 
-    private void lock() throws IOException {
+    private void openChannel() throws IOException {
         channel = FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
-        FileLock lock;
-        try {
-            lock = channel.tryLock();
-        } catch (OverlappingFileLockException here) {
-            lock = null;
-        }
-        if (lock == null) {
+        if (!lock(channel)) {
             channel.close();
             throw new IOException(file + " is held by another router; give each its own data folder");
         }
     }
 
+    private static boolean lock(FileChannel channel) throws IOException {
+        try {
+            FileLock lock = channel.tryLock();
+            return lock != null;
+        } catch (OverlappingFileLockException lockedByThisProcess) {
+            return false;
+        }
+    }
+
     private void read() throws IOException {
-        byte[] all = Files.readAllBytes(file);
-        int at = 0;
-        int line = 0;
-        while (at < all.length) {
-            line++;
-            int end = at;
-            while (end < all.length && all[end] != '\n') {
-                end++;
-            }
-            if (end == all.length || !take(new String(all, at, end - at, StandardCharsets.UTF_8))) {
-                for (int i = end + 1; i < all.length; i++) {
-                    if (all[i] == '\n') {
-                        throw new IOException(
-                                file + ": line " + line + " is damaged and others stand behind it; look at it, "
-                                        + "and take that line out only if you know what it held");
-                    }
-                }
-                channel.truncate(at);
+        byte[] content = Files.readAllBytes(file);
+        int start = 0;
+        while (start < content.length) {
+            int end = lineEnd(content, start);
+            boolean complete = end < content.length;
+            if (!complete || !parse(new String(content, start, end - start, StandardCharsets.UTF_8))) {
+                checkIsLastLine(content, end);
+                channel.truncate(start);
                 channel.force(true);
                 break;
             }
             lines++;
-            at = end + 1;
+            start = end + 1;
         }
         channel.position(channel.size());
     }
 
-    /** An order has a plan, what was reached has none; false where the line is neither. */
-    private boolean take(String line) {
-        if (line.length() < 10 || line.charAt(8) != ' ') {
+    /** The index of the next line feed, or the length where there is none. */
+    private static int lineEnd(byte[] content, int start) {
+        int end = start;
+        while (end < content.length && content[end] != '\n') {
+            end++;
+        }
+        return end;
+    }
+
+    private void checkIsLastLine(byte[] content, int end) throws IOException {
+        if (lineEnd(content, end + 1) < content.length) {
+            throw new IOException(
+                    file + ": line " + (lines + 1) + " is damaged and others stand behind it; look at it, "
+                            + "and take that line out only if you know what it held");
+        }
+    }
+
+    /** Adds what a line holds; false where it is damaged. */
+    private boolean parse(String line) {
+        if (line.length() < CHECKSUM_DIGITS + 2 || line.charAt(CHECKSUM_DIGITS) != ' ') {
             return false;
         }
-        String json = line.substring(9);
-        if (!line.substring(0, 8).equals(sum(json.getBytes(StandardCharsets.UTF_8)))) {
+        String json = line.substring(CHECKSUM_DIGITS + 1);
+        String checksum = line.substring(0, CHECKSUM_DIGITS);
+        if (!checksum.equals(checksum(json.getBytes(StandardCharsets.UTF_8)))) {
             return false;
         }
         try {
             JsonNode node = JSON.readTree(json);
             if (node.has("plan")) {
-                orders.add(JSON.treeToValue(node, RolloutTarget.class));
+                targets.add(JSON.treeToValue(node, RolloutTarget.class));
             } else {
-                reached.add(JSON.treeToValue(node, RolloutProgress.class));
+                progress.add(JSON.treeToValue(node, RolloutProgress.class));
             }
             return true;
-        } catch (IOException foreign) {
+        } catch (IOException malformed) {
             return false;
         }
     }
 
-    private static String sum(byte[] bytes) {
+    private static String checksum(byte[] json) {
         CRC32 crc = new CRC32();
-        crc.update(bytes);
+        crc.update(json);
         return String.format("%08x", crc.getValue());
     }
 
-    private static byte[] line(Object orderOrReached) throws IOException {
-        byte[] json = JSON.writeValueAsBytes(orderOrReached);
+    /** @param targetOrProgress a {@link RolloutTarget} or a {@link RolloutProgress} */
+    private static byte[] line(Object targetOrProgress) throws IOException {
+        byte[] json = JSON.writeValueAsBytes(targetOrProgress);
         ByteArrayOutputStream line = new ByteArrayOutputStream();
-        line.write((sum(json) + " ").getBytes(StandardCharsets.US_ASCII));
+        line.write((checksum(json) + " ").getBytes(StandardCharsets.US_ASCII));
         line.write(json);
         line.write('\n');
         return line.toByteArray();
     }
 
-    /** Puts orders on disk in one go; where that fails the journal is as it was before, without any of them. */
-    void append(List<RolloutTarget> fresh) throws IOException {
-        ByteArrayOutputStream all = new ByteArrayOutputStream();
-        for (RolloutTarget order : fresh) {
-            all.write(line(order));
+    /** Appends targets in one write; where that fails, the file is as before, without any of them. */
+    void append(List<RolloutTarget> added) throws IOException {
+        ByteArrayOutputStream addedLines = new ByteArrayOutputStream();
+        for (RolloutTarget target : added) {
+            addedLines.write(line(target));
         }
-        put(all.toByteArray());
-        orders.addAll(fresh);
+        appendLines(addedLines.toByteArray());
+        targets.addAll(added);
     }
 
-    /** The same for how far this router came. */
-    void append(RolloutProgress far) throws IOException {
-        put(line(far));
+    /** Appends progress; where that fails, the file is as before. */
+    void append(RolloutProgress added) throws IOException {
+        appendLines(line(added));
     }
 
-    private void put(byte[] line) throws IOException {
-        long before = channel.size();
+    private void appendLines(byte[] addedLines) throws IOException {
+        long sizeBefore = channel.size();
         try {
-            write(channel, line);
+            AtomicFile.writeFully(channel, addedLines);
             channel.force(true);
-        } catch (IOException failed) {
-            // half a line must not stand before the next one
-            channel.truncate(before);
-            channel.position(before);
-            throw failed;
+        } catch (IOException failure) {
+            // an incomplete line must not be followed by another one
+            channel.truncate(sizeBefore);
+            channel.position(sizeBefore);
+            throw failure;
         }
     }
 
-    private static void write(FileChannel to, byte[] bytes) throws IOException {
-        ByteBuffer buffer = ByteBuffer.wrap(bytes);
-        while (buffer.hasRemaining()) {
-            to.write(buffer);
+    private void compact() throws IOException {
+        Map<String, RolloutTarget> newest = new LinkedHashMap<>();
+        for (RolloutTarget target : targets) {
+            newest.merge(target.plan().model(), target, RolloutTarget::newer);
         }
+        List<RolloutTarget> keptTargets = latestTargets();
+        newest.values().stream()
+                .filter(target -> !keptTargets.contains(target))
+                .forEach(target -> keptTargets.add(0, target));
+        List<RolloutProgress> keptProgress = progressOf(newest);
+        Path compacted = file.resolveSibling(COMPACTED_FILE_NAME);
+        writeCompacted(compacted, keptTargets, keptProgress);
+        channel.close();
+        Files.move(compacted, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        openChannel();
+        channel.position(channel.size());
+        targets.clear();
+        targets.addAll(keptTargets);
+        progress.clear();
+        progress.addAll(keptProgress);
     }
 
-    private void shorten() throws IOException {
-        Map<String, RolloutTarget> newest = new LinkedHashMap<>();
-        for (RolloutTarget order : orders) {
-            newest.merge(order.plan().model(), order, RolloutTarget::newer);
-        }
-        List<RolloutTarget> kept = new ArrayList<>(orders.subList(Math.max(0, orders.size() - LATEST), orders.size()));
-        List<RolloutProgress> far = reached.stream()
-                .filter(one -> newest.containsKey(one.model())
-                        && newest.get(one.model()).epoch() == one.epoch())
+    private List<RolloutTarget> latestTargets() {
+        int first = Math.max(0, targets.size() - COMPACTED_TARGETS);
+        return new ArrayList<>(targets.subList(first, targets.size()));
+    }
+
+    private List<RolloutProgress> progressOf(Map<String, RolloutTarget> newest) {
+        return progress.stream()
+                .filter(made -> newest.containsKey(made.model()))
+                .filter(made -> newest.get(made.model()).epoch() == made.epoch())
                 .distinct()
                 .toList();
-        newest.values().stream().filter(order -> !kept.contains(order)).forEach(order -> kept.add(0, order));
-        Path beside = file.resolveSibling("releases.new");
-        try (FileChannel fresh = FileChannel.open(
-                beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
-            for (RolloutTarget order : kept) {
-                write(fresh, line(order));
+    }
+
+    private static void writeCompacted(Path compacted, List<RolloutTarget> targets, List<RolloutProgress> progress)
+            throws IOException {
+        try (FileChannel output = FileChannel.open(
+                compacted, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
+            for (RolloutTarget target : targets) {
+                AtomicFile.writeFully(output, line(target));
             }
-            for (RolloutProgress one : far) {
-                write(fresh, line(one));
+            for (RolloutProgress made : progress) {
+                AtomicFile.writeFully(output, line(made));
             }
-            fresh.force(true);
+            output.force(true);
         }
-        channel.close();
-        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        lock();
-        channel.position(channel.size());
-        orders.clear();
-        orders.addAll(kept);
-        reached.clear();
-        reached.addAll(far);
     }
 
-    /** How far this router had come when the journal was opened. */
-    List<RolloutProgress> reached() {
-        return List.copyOf(reached);
+    /** This router's progress when the journal was opened. */
+    List<RolloutProgress> progress() {
+        return List.copyOf(progress);
     }
 
-    /** Every order that stands here, oldest first. */
-    List<RolloutTarget> orders() {
-        return List.copyOf(orders);
+    /** Every target in the journal, oldest first. */
+    List<RolloutTarget> targets() {
+        return List.copyOf(targets);
     }
 
     @Override
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutManager.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutManager.java
@@ -20,82 +20,118 @@
 import pearladder.routing.api.Event;
 import pearladder.routing.api.TimeSpan;
 
-/** The hands of the release module: its journal, its timer, and its wishes for copies handed on to the policy. */
+/**
+ * Executes the decisions of a {@link RolloutController}: writes its journal, sets its timers and passes its prewarm
+ * requests to the routing policy. Confined to the event loop.
+ */
 public final class RolloutManager {
-    /** Where orders are kept. Each thing that is begun ends once, in the order begun. */
+    /**
+     * The durable journal of rollouts. Each write ends once, and writes end in the order in which they were begun.
+     */
     public interface Journal {
-        /** Every order that stands there, oldest first. */
+        /** Every target that was accepted, oldest first. */
         List<RolloutTarget> orders();
 
-        /** How far this router had come when the journal was opened. */
+        /** The progress that this router had made when the journal was opened. */
         List<RolloutProgress> reached();
 
-        /** Keeps orders, all or none; a null failure says that they are safe. */
-        void keep(List<RolloutTarget> orders, Consumer<String> failure);
+        /**
+         * Writes targets, all or none.
+         *
+         * @param failure null once they are durable, or why they could not be written
+         */
+        void keep(List<RolloutTarget> targets, Consumer<String> failure);
+
+        /**
+         * Writes progress.
+         *
+         * @param failure null once it is durable, or why it could not be written
+         */
+        void keep(RolloutProgress progress, Consumer<String> failure);
+    }
 
-        void keep(RolloutProgress reached, Consumer<String> failure);
+    /**
+     * What a request says about the version it is to get.
+     *
+     * @param named the request's id
+     * @param model that it names
+     * @param version null where the client leaves the choice to the router
+     * @param key requests with the same key get the same version, or null
+     * @param account its tenant, or null
+     * @param mark its idempotency key, or null
+     */
+    public record Wish(String named, String model, String version, String key, String account, String mark) {
+        /** The requests of one tenant with one key form a group; a request without a key is one by itself. */
+        private String group() {
+            return key == null ? named : (account == null ? "" : account) + "\n" + key;
+        }
     }
 
+    /**
+     * The version that a request gets.
+     *
+     * @param version empty for the model without a version
+     * @param function the function of model and version
+     * @param ending told how the request ended
+     */
+    public record Chosen(String version, String function, RequestManager.CompletionListener ending) {}
+
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.releases");
+    /** Separates model and version in a function's name. */
+    private static final char VERSION_SEPARATOR = '@';
 
     private final Timers timers;
-    private final RouterConfig articles;
-    private final RolloutController module;
-    private final Consumer<Event> toPolicy;
+    private final RouterConfig config;
+    private final RolloutController controller;
+    private final Consumer<Event> policyEvents;
     private final Journal journal;
-    private final Map<RolloutTarget, List<Consumer<String>>> waiting = new HashMap<>();
-    private String chosen;
-    private long numbered;
-    private List<RolloutTarget> together;
-    private boolean ended;
-
-    /** @param toPolicy takes the wishes for copies */
-    public RolloutManager(Timers timers, RouterConfig articles, Journal journal, Consumer<Event> toPolicy) {
+    private final Map<RolloutTarget, List<Consumer<String>>> pendingAnswers = new HashMap<>();
+    /** What the controller chose last. */
+    private String chosenVersion;
+
+    private long requestCount;
+    /** Targets of one request that are to be written together; null while there is no such request. */
+    private List<RolloutTarget> batch;
+
+    private boolean stopped;
+
+    /**
+     * Creates a manager; {@link #begin} starts it.
+     *
+     * @param policyEvents passes prewarm requests to the routing policy
+     */
+    public RolloutManager(Timers timers, RouterConfig config, Journal journal, Consumer<Event> policyEvents) {
         this.timers = timers;
-        this.articles = articles;
+        this.config = config;
         this.journal = journal;
-        this.toPolicy = toPolicy;
-        this.module = new RolloutController(articles.facts().requestClasses().stream()
-                .map(terms -> terms.deduplicationWindow())
-                .reduce(TimeSpan.ZERO, TimeSpan::atLeast));
+        this.policyEvents = policyEvents;
+        this.controller = new RolloutController(longestDeduplicationWindow(config));
     }
 
-    /** Follows what the journal holds; before the router is ready. */
-    public void begin() {
-        tell(new RolloutEvent.Restored(journal.orders(), journal.reached()));
+    private static TimeSpan longestDeduplicationWindow(RouterConfig config) {
+        return config.facts().requestClasses().stream()
+                .map(requestClass -> requestClass.deduplicationWindow())
+                .reduce(TimeSpan.ZERO, TimeSpan::atLeast);
     }
 
-    /** Another router's newest target of a model. */
-    public void heard(RolloutTarget target) {
-        if (articles.modelOf(target.plan().model()) != null) {
-            tell(new RolloutEvent.Heard(target));
-        }
+    /** Continues the rollouts of the journal; called before the router is ready. */
+    public void begin() {
+        handle(new RolloutEvent.Restored(journal.orders(), journal.reached()));
     }
 
-    /** Nothing more reaches the module. */
+    /** Ends the controller's part: later events do not reach it. */
     public void end() {
-        ended = true;
+        stopped = true;
     }
 
-    /**
-     * What a call is of.
-     *
-     * @param named the name that engines see
-     * @param version null where the client names none
-     * @param key what keeps together when versions shift, or null
-     * @param account null where there are none
-     * @param mark against repeats, or null
-     */
-    public record Wish(String named, String model, String version, String key, String account, String mark) {
-        /** Account and document keep together, or the call stands alone. */
-        private String together() {
-            return key == null ? named : (account == null ? "" : account) + "\n" + key;
+    /** Another router has told its newest target of a model. */
+    public void heard(RolloutTarget target) {
+        if (config.modelOf(target.plan().model()) != null) {
+            handle(new RolloutEvent.Heard(target));
         }
     }
 
-    /** The version that a call gets, empty for the model without one; who chose it hears how the call ends. */
-    public record Chosen(String version, String function, RequestManager.CompletionListener ending) {}
-
+    /** Chooses the version that a request gets. */
     public Chosen choose(Wish wish) {
         if (wish.version() != null) {
             return new Chosen(
@@ -103,159 +139,189 @@
                     Route.function(wish.model(), wish.version()),
                     RequestManager.CompletionListener.NONE);
         }
-        String call = Long.toString(++numbered);
-        chosen = "";
-        tell(new RolloutEvent.CallCame(call, wish.model(), wish.together(), wish.mark() == null ? "" : wish.mark()));
-        return new Chosen(chosen, Route.function(wish.model(), chosen), new RequestManager.CompletionListener() {
+        String requestId = Long.toString(++requestCount);
+        String idempotencyKey = wish.mark() == null ? "" : wish.mark();
+        chosenVersion = "";
+        handle(new RolloutEvent.CallCame(requestId, wish.model(), wish.group(), idempotencyKey));
+        String function = Route.function(wish.model(), chosenVersion);
+        return new Chosen(chosenVersion, function, completionListener(requestId));
+    }
+
+    private RequestManager.CompletionListener completionListener(String requestId) {
+        return new RequestManager.CompletionListener() {
             @Override
-            public void onCompleted(boolean well, List<String> engines) {
-                tell(new RolloutEvent.CallEnded(call, well, engines));
+            public void onCompleted(boolean successful, List<String> workers) {
+                handle(new RolloutEvent.CallEnded(requestId, successful, workers));
             }
 
             @Override
             public void onClientDisconnected() {
-                tell(new RolloutEvent.CallLeft(call));
+                handle(new RolloutEvent.CallLeft(requestId));
             }
-        });
+        };
     }
 
-    /** The policy tells for what share copies of a function stand; functions without a version are none of ours. */
+    /** The policy reports the prewarming of a function; functions without a version take no part in rollouts. */
     public void standing(String function, double share) {
-        int at = function.lastIndexOf('@');
-        if (at > 0) {
-            tell(new RolloutEvent.Standing(function.substring(0, at), function.substring(at + 1), share));
+        int separator = function.lastIndexOf(VERSION_SEPARATOR);
+        if (separator > 0) {
+            String model = function.substring(0, separator);
+            String version = function.substring(separator + 1);
+            handle(new RolloutEvent.Standing(model, version, share));
         }
     }
 
     /**
-     * An operator's orders, kept together in one go.
+     * Applies an operator's targets, which are written to the journal together.
      *
-     * @param answers gets, for each order in turn, an empty text once it is kept and followed, or why it is not
+     * @param answers called once with a text for each target in turn: empty where it is durable and followed, or
+     *     why it was refused
      */
     public void order(List<RolloutTarget> targets, Consumer<List<String>> answers) {
-        String[] told = new String[targets.size()];
-        int[] left = {targets.size()};
-        together = new ArrayList<>();
-        for (int i = 0; i < told.length; i++) {
-            int at = i;
-            RolloutTarget target = targets.get(i);
-            Consumer<String> answer = text -> {
-                told[at] = text;
-                if (--left[0] == 0) {
-                    answers.accept(List.of(told));
+        AnswerCollector collector = new AnswerCollector(targets.size(), answers);
+        batch = new ArrayList<>();
+        for (int i = 0; i < targets.size(); i++) {
+            order(targets.get(i), collector.forTarget(i));
+        }
+        List<RolloutTarget> accepted = batch;
+        batch = null;
+        if (!accepted.isEmpty()) {
+            writeTargets(accepted);
+        }
+    }
+
+    private void order(RolloutTarget target, Consumer<String> answer) {
+        String model = target.plan().model();
+        if (config.modelOf(model) == null) {
+            answer.accept("plan.model: unknown model " + model + "; name one that this router's file knows");
+            return;
+        }
+        pendingAnswers.computeIfAbsent(target, same -> new ArrayList<>()).add(answer);
+        handle(new RolloutEvent.Ordered(target));
+    }
+
+    /** Collects the answers to several targets, and passes them on once it has all. */
+    private static final class AnswerCollector {
+        private final String[] answers;
+        private final Consumer<List<String>> whenComplete;
+        private int missing;
+
+        AnswerCollector(int count, Consumer<List<String>> whenComplete) {
+            this.answers = new String[count];
+            this.missing = count;
+            this.whenComplete = whenComplete;
+        }
+
+        Consumer<String> forTarget(int index) {
+            return answer -> {
+                answers[index] = answer;
+                if (--missing == 0) {
+                    whenComplete.accept(List.of(answers));
                 }
             };
-            if (articles.modelOf(target.plan().model()) == null) {
-                answer.accept("plan.model: unknown model " + target.plan().model()
-                        + "; name one that this router's file knows");
-                continue;
-            }
-            waiting.computeIfAbsent(target, same -> new ArrayList<>()).add(answer);
-            tell(new RolloutEvent.Ordered(target));
-        }
-        List<RolloutTarget> kept = together;
-        together = null;
-        if (!kept.isEmpty()) {
-            keep(kept);
         }
     }
 
+    /** A line about each rollout, for operators. */
     public List<String> status() {
-        return module.status();
+        return controller.status();
     }
 
+    /** The newest target of each model. */
     public List<RolloutTarget> targets() {
-        return module.targets();
+        return controller.targets();
     }
 
-    /** A sum over the newest targets: two routers with the same one know the same. */
+    /** A checksum of the newest targets: two routers with the same one have the same targets. */
     public String sum() {
         CRC32 crc = new CRC32();
-        module.targets().stream()
+        controller.targets().stream()
                 .map(target -> target.plan().model() + " " + target.epoch() + " " + target.by() + "\n")
                 .sorted()
                 .forEach(line -> crc.update(line.getBytes(StandardCharsets.UTF_8)));
         return Long.toHexString(crc.getValue());
     }
 
+    /** Every target that was accepted, oldest first. */
     public List<RolloutTarget> history() {
         return journal.orders();
     }
 
-    private void tell(RolloutEvent event) {
-        if (!ended) {
-            module.on(timers.now(), event).forEach(this::act);
+    private void handle(RolloutEvent event) {
+        if (!stopped) {
+            controller.on(timers.now(), event).forEach(this::execute);
         }
     }
 
-    private void act(RolloutAction action) {
+    private void execute(RolloutAction action) {
         if (action instanceof RolloutAction.Use use) {
-            chosen = use.version();
+            chosenVersion = use.version();
         } else if (action instanceof RolloutAction.Prepare prepare) {
-            want(prepare.model(), prepare.version(), prepare.like(), prepare.share());
+            requestPrewarm(prepare.model(), prepare.version(), prepare.like(), prepare.share());
         } else if (action instanceof RolloutAction.Withdraw withdraw) {
-            want(withdraw.model(), withdraw.version(), withdraw.version(), 0);
+            requestPrewarm(withdraw.model(), withdraw.version(), withdraw.version(), 0);
         } else if (action instanceof RolloutAction.Keep keep) {
-            if (together != null) {
-                together.add(keep.target());
-            } else {
-                keep(List.of(keep.target()));
-            }
+            acceptTarget(keep.target());
         } else if (action instanceof RolloutAction.Note note) {
-            note(note.reached());
+            writeProgress(note.reached());
         } else if (action instanceof RolloutAction.Refuse refuse) {
             answer(refuse.target(), refuse.why());
         } else if (action instanceof RolloutAction.Wake wake) {
-            timers.after(wake.after(), () -> tell(new RolloutEvent.Due()));
+            timers.after(wake.after(), () -> handle(new RolloutEvent.Due()));
         } else if (action instanceof RolloutAction.Log log) {
             LOG.info(log.text());
         }
     }
 
-    private void want(String model, String version, String like, double share) {
-        RouterConfig.ModelTerms terms = articles.modelOf(model);
-        if (terms != null) {
-            toPolicy.accept(new Event.PrewarmRequested(
+    private void requestPrewarm(String model, String version, String referenceVersion, double share) {
+        RouterConfig.ModelTerms settings = config.modelOf(model);
+        if (settings != null) {
+            policyEvents.accept(new Event.PrewarmRequested(
                     Route.function(model, version),
-                    Route.function(model, like),
+                    Route.function(model, referenceVersion),
                     share,
-                    terms.lanes(),
-                    terms.memoryMb(),
-                    terms.usualLoad()));
+                    settings.lanes(),
+                    settings.memoryMb(),
+                    settings.usualLoad()));
+        }
+    }
+
+    private void acceptTarget(RolloutTarget target) {
+        if (batch != null) {
+            batch.add(target);
+        } else {
+            writeTargets(List.of(target));
         }
     }
 
-    /** A disk that can't take them leaves everything as it was. */
-    private void keep(List<RolloutTarget> targets) {
+    /** Where they cannot be written, they are refused and everything stays as it was. */
+    private void writeTargets(List<RolloutTarget> targets) {
         journal.keep(targets, failure -> {
-            if (failure != null) {
-                LOG.atError().addKeyValue("cause", failure).log("orders can't be kept and are refused");
-            }
-            for (RolloutTarget target : targets) {
-                if (failure == null) {
-                    tell(new RolloutEvent.Kept(target));
+            if (failure == null) {
+                for (RolloutTarget target : targets) {
+                    handle(new RolloutEvent.Kept(target));
+                    answer(target, "");
                 }
-                answer(
-                        target,
-                        failure == null
-                                ? ""
-                                : "the journal can't be written: " + failure
-                                        + "; nothing was changed, make room or mend the disk and order again");
+            } else {
+                LOG.atError().addKeyValue("cause", failure).log("rollout targets can't be written and are refused");
+                String refusal = "the journal can't be written: " + failure
+                        + "; nothing was changed, make room or mend the disk and order again";
+                targets.forEach(target -> answer(target, refusal));
             }
         });
     }
 
-    /** Where the disk can't take it, the release goes on; only a restart would then begin again at a lower step. */
-    private void note(RolloutProgress reached) {
-        journal.keep(reached, failure -> {
+    /** Where it cannot be written, the rollout goes on; only a restart would then resume at a lower step. */
+    private void writeProgress(RolloutProgress progress) {
+        journal.keep(progress, failure -> {
             if (failure != null) {
-                LOG.atWarn().addKeyValue("cause", failure).log("the step that was reached can't be kept");
+                LOG.atWarn().addKeyValue("cause", failure).log("the progress of a rollout can't be written");
             }
         });
     }
 
     private void answer(RolloutTarget target, String refusal) {
-        List<Consumer<String>> answers = waiting.remove(target);
+        List<Consumer<String>> answers = pendingAnswers.remove(target);
         if (answers != null) {
             answers.forEach(answer -> answer.accept(refusal));
         }
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutPlanParser.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutPlanParser.java
@@ -8,49 +8,62 @@
 import pearladder.rollout.RolloutPlan;
 import pearladder.routing.api.TimeSpan;
 
-/** Reads a release's plan: one for each model that it names. docs/versions.md lists the keys. */
+/** Parses the file of a rollout into a plan for each model that it names. docs/versions.md lists the keys. */
 public final class RolloutPlanParser {
     private RolloutPlanParser() {}
 
-    /** Reads a file; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
+    /** Parses a file; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
     public static List<RolloutPlan> read(Path file) {
         return read(YamlParser.read(file));
     }
 
     static List<RolloutPlan> read(ConfigValue file) {
-        ConfigValue release = file.at("release");
-        List<String> models = new ArrayList<>(release.at("models").each(ConfigValue::text));
-        if (release.at("model").given()) {
-            models.add(release.at("model").text());
+        ConfigValue rollout = file.at("release");
+        List<String> models = models(rollout);
+        String from = rollout.at("from").text("");
+        String to = rollout.at("to").text();
+        List<Double> steps = rollout.at("steps").each(step -> step.number(0, 1e9));
+        TimeSpan hold = new TimeSpan(rollout.at("hold").span("60 s"));
+        long leastRequests = rollout.at("least_calls").whole(200, 0, Integer.MAX_VALUE);
+        RolloutPlan.Gate gate = gate(rollout.at("gate"));
+        RolloutPlan.Breach onBreach =
+                rollout.at("on_breach").word(RolloutPlan.Breach.class, RolloutPlan.Breach.ROLL_BACK);
+        List<RolloutPlan> plans = models.stream()
+                .map(model -> new RolloutPlan(model, from, to, steps, hold, leastRequests, gate, onBreach))
+                .toList();
+        if (!plans.isEmpty()) {
+            // the plans differ in their model only
+            reportFaults(plans.get(0), rollout);
+        }
+        file.done();
+        return plans;
+    }
+
+    private static List<String> models(ConfigValue rollout) {
+        List<String> models = new ArrayList<>(rollout.at("models").each(ConfigValue::text));
+        if (rollout.at("model").given()) {
+            models.add(rollout.at("model").text());
         }
         if (models.isEmpty()) {
-            release.at("model").wrong("no model is named", "write \"model: NAME\", or \"models: [NAME, ...]\"");
+            rollout.at("model").wrong("no model is named", "write \"model: NAME\", or \"models: [NAME, ...]\"");
         }
-        ConfigValue gate = release.at("gate");
-        String from = release.at("from").text("");
-        String to = release.at("to").text();
-        List<Double> steps = release.at("steps").each(step -> step.number(0, 1e9));
-        TimeSpan hold = new TimeSpan(release.at("hold").span("60 s"));
-        long least = release.at("least_calls").whole(200, 0, Integer.MAX_VALUE);
-        RolloutPlan.Gate terms = new RolloutPlan.Gate(
+        return models;
+    }
+
+    private static RolloutPlan.Gate gate(ConfigValue gate) {
+        return new RolloutPlan.Gate(
                 gate.at("excess").number(0.05, 0, 1),
                 gate.at("wrongly").number(0.01, 0, 1),
                 gate.at("missed").number(0.05, 0, 1));
-        RolloutPlan.Breach breach =
-                release.at("on_breach").word(RolloutPlan.Breach.class, RolloutPlan.Breach.ROLL_BACK);
-        List<RolloutPlan> plans = models.stream()
-                .map(model -> new RolloutPlan(model, from, to, steps, hold, least, terms, breach))
-                .toList();
-        if (!plans.isEmpty()) {
-            for (RolloutPlan.Fault fault : plans.get(0).faults()) {
-                ConfigValue at = release;
-                for (String part : fault.key().split("\\.")) {
-                    at = at.at(part);
-                }
-                at.wrong(fault.what(), fault.mend());
+    }
+
+    private static void reportFaults(RolloutPlan plan, ConfigValue rollout) {
+        for (RolloutPlan.Fault fault : plan.faults()) {
+            ConfigValue value = rollout;
+            for (String key : fault.key().split("\\.")) {
+                value = value.at(key);
             }
+            value.wrong(fault.what(), fault.mend());
         }
-        file.done();
-        return plans;
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutSync.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutSync.java
@@ -24,126 +24,138 @@
 import pearladder.rollout.RolloutTarget;
 
 /**
- * Learns the newest orders on releases from the other routers: from all of them before this one is ready, then from one
- * after the other. Guards against a router that was away, or cut off, while an order was given. Which order holds is the
- * release module's to say; the answer to a question whose sum is the same is empty, so that asking costs little.
+ * Fetches the newest rollout targets from the other routers: from all of them before this one is ready, then from
+ * one after the other. Guards against a router that was down, or partitioned, while a target was set. Which target
+ * holds is decided by the rollout controller. A peer whose targets have the same checksum responds with none, so
+ * that polling is cheap.
  */
 final class RolloutSync {
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.releases");
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final long EVERY_MILLIS = 1000;
-    private static final long WITHIN_MILLIS = 1000;
-    /** An answer that tells nothing new. */
-    private static final ResourceCost USUAL = new ResourceCost(0, 500, 0);
-
-    private static final int LARGEST = 16 << 20;
+    private static final long POLL_INTERVAL_MILLIS = 1000;
+    private static final long TIMEOUT_MILLIS = 1000;
+    private static final int MAX_RESPONSE_BYTES = 16 << 20;
+    /** Of a response without targets. */
+    private static final ResourceCost TYPICAL_COST = new ResourceCost(0, 500, 0);
 
     private final Vertx vertx;
-    private final RolloutManager desk;
+    private final RolloutManager rolloutManager;
     private final AsyncRolloutJournal journal;
-    private final BackgroundWork work;
-    private final List<RouterConfig.Address> others;
+    private final BackgroundWork backgroundWork;
+    private final List<RouterConfig.Address> peers;
+    /** Null where there are no peers. */
     private final HttpClient client;
-    private final Map<RouterConfig.Address, Boolean> answering = new HashMap<>();
-    private int turn;
-    private boolean learnt;
+
+    private final Map<RouterConfig.Address, Boolean> reachable = new HashMap<>();
+    private int nextPeer;
+    private boolean synced;
     private boolean closed;
 
     RolloutSync(
             Vertx vertx,
-            RolloutManager desk,
+            RolloutManager rolloutManager,
             AsyncRolloutJournal journal,
-            BackgroundWork work,
-            List<RouterConfig.Address> others) {
-        this.work = work;
+            BackgroundWork backgroundWork,
+            List<RouterConfig.Address> peers) {
         this.vertx = vertx;
-        this.desk = desk;
+        this.rolloutManager = rolloutManager;
         this.journal = journal;
-        this.others = others;
-        this.client = others.isEmpty()
-                ? null
-                : vertx.createHttpClient(
-                        new HttpClientOptions().setConnectTimeout((int) WITHIN_MILLIS),
-                        new PoolOptions().setHttp1MaxSize(1));
+        this.backgroundWork = backgroundWork;
+        this.peers = peers;
+        this.client = peers.isEmpty() ? null : createClient(vertx);
     }
 
-    /** Asks everybody; then one a second, in turn. */
-    void begin() {
-        List<Future<Void>> all = new ArrayList<>();
-        others.forEach(other -> all.add(ask(other)));
-        Future.join(all).onComplete(asked -> journal.written().onComplete(kept -> {
-            learnt = true;
-            next();
+    private static HttpClient createClient(Vertx vertx) {
+        return vertx.createHttpClient(
+                new HttpClientOptions().setConnectTimeout((int) TIMEOUT_MILLIS), new PoolOptions().setHttp1MaxSize(1));
+    }
+
+    /** Asks every peer once, then one a second in turn. */
+    void start() {
+        List<Future<Void>> responses = new ArrayList<>();
+        peers.forEach(peer -> responses.add(fetch(peer)));
+        Future.join(responses).onComplete(all -> journal.flush().onComplete(written -> {
+            synced = true;
+            scheduleNext();
         }));
     }
 
-    /** Whether everybody was asked once, and what they told is in force. */
-    boolean learnt() {
-        return learnt;
+    /** Whether every peer was asked once, and the targets they told are in effect. */
+    boolean isSynced() {
+        return synced;
     }
 
-    private void next() {
-        if (!closed && !others.isEmpty()) {
-            RouterConfig.Address other = others.get(turn++ % others.size());
-            vertx.setTimer(EVERY_MILLIS, fired -> work.ask(
-                            JobClasses.LEARN, "", USUAL, null, () -> ask(other).map(USUAL))
-                    .onComplete(asked -> next()));
+    private void scheduleNext() {
+        if (!closed && !peers.isEmpty()) {
+            RouterConfig.Address peer = peers.get(nextPeer++ % peers.size());
+            vertx.setTimer(POLL_INTERVAL_MILLIS, timerId -> submitFetch(peer).onComplete(done -> scheduleNext()));
         }
     }
 
-    private Future<Void> ask(RouterConfig.Address other) {
+    private Future<Void> submitFetch(RouterConfig.Address peer) {
+        return backgroundWork.submit(
+                JobClasses.LEARN, "", TYPICAL_COST, null, () -> fetch(peer).map(TYPICAL_COST));
+    }
+
+    /** Succeeds in any case, at the latest at the timeout. */
+    private Future<Void> fetch(RouterConfig.Address peer) {
         if (closed) {
-            // the turn came between this end and that of the background work
+            // the job was begun between the end of this sync and that of the background work
             return Future.succeededFuture();
         }
         return client.request(new RequestOptions()
                         .setMethod(HttpMethod.GET)
-                        .setHost(other.host())
-                        .setPort(other.port())
-                        .setURI("/releases/newest?sum=" + desk.sum()))
+                        .setHost(peer.host())
+                        .setPort(peer.port())
+                        .setURI("/releases/newest?sum=" + rolloutManager.sum()))
                 .compose(request ->
-                        request.send().compose(HttpClientResponse::body).onFailure(broken -> request.reset()))
-                .timeout(WITHIN_MILLIS, TimeUnit.MILLISECONDS)
+                        request.send().compose(HttpClientResponse::body).onFailure(failure -> request.reset()))
+                .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .<Void>map(body -> {
-                    heard(other, body);
+                    onResponse(peer, body);
                     return null;
                 })
-                .otherwise(away -> {
-                    stands(other, false, away.getMessage());
+                .otherwise(failure -> {
+                    updateReachable(peer, false, failure.getMessage());
                     return null;
                 });
     }
 
-    private void heard(RouterConfig.Address other, Buffer body) {
+    private void onResponse(RouterConfig.Address peer, Buffer body) {
         if (closed) {
             return;
         }
         try {
-            JsonNode said = body.length() > LARGEST ? null : JSON.readTree(body.getBytes());
-            if (said == null || !said.has("targets")) {
-                stands(other, false, "its answer is none of a router");
+            JsonNode response = body.length() > MAX_RESPONSE_BYTES ? null : JSON.readTree(body.getBytes());
+            if (response == null || !response.has("targets")) {
+                updateReachable(peer, false, "its answer is none of a router");
                 return;
             }
-            stands(other, true, "");
-            for (JsonNode target : said.path("targets")) {
-                RolloutTarget told = JSON.treeToValue(target, RolloutTarget.class);
-                if (AdminServer.whole(told)) {
-                    desk.heard(told);
-                }
+            updateReachable(peer, true, "");
+            applyTargets(response.path("targets"));
+        } catch (IOException malformed) {
+            updateReachable(peer, false, "its answer can't be read");
+        }
+    }
+
+    private void applyTargets(JsonNode targets) throws IOException {
+        for (JsonNode node : targets) {
+            RolloutTarget target = JSON.treeToValue(node, RolloutTarget.class);
+            if (AdminServer.isComplete(target)) {
+                rolloutManager.heard(target);
             }
-        } catch (IOException foreign) {
-            stands(other, false, "its answer can't be read");
         }
     }
 
-    /** One line when a router goes, and one when it is back. */
-    private void stands(RouterConfig.Address other, boolean answers, String why) {
-        Boolean before = answering.put(other, answers);
-        if (before == null ? !answers : before != answers) {
+    /** Logs when a peer becomes unreachable, and when it is back. */
+    private void updateReachable(RouterConfig.Address peer, boolean isReachable, String cause) {
+        Boolean previous = reachable.put(peer, isReachable);
+        boolean changed = previous == null ? !isReachable : previous != isReachable;
+        if (changed) {
             LOG.atInfo()
-                    .addKeyValue("router", other.host() + ":" + other.port())
-                    .addKeyValue("cause", why)
-                    .log(answers ? "orders are learnt from it again" : "no orders can be learnt from it");
+                    .addKeyValue("router", peer.host() + ":" + peer.port())
+                    .addKeyValue("cause", cause)
+                    .log(isReachable ? "orders are learnt from it again" : "no orders can be learnt from it");
         }
     }
 
--- a/kserve-router/src/main/java/pearladder/router/kserve/Router.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/Router.java
@@ -27,289 +27,332 @@
 import pearladder.routing.state.PolicySnapshot;
 
 /**
- * One router behind real sockets: its door, its engines, its list, its releases and one instance of the module, all on one
- * event loop. It is made, started, stopped once. What it does with calls is in {@link RequestManager}.
+ * A KServe v2 router: its servers, its connections to workers and to the discovery service, its rollouts and one
+ * routing policy, all on one event loop. It is started and stopped once. What it does with requests is in {@link
+ * RequestManager}.
  */
-public final class Router implements InferenceServer.House, EndpointWatch.Listener {
+public final class Router implements InferenceServer.RequestHandler, EndpointWatch.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(Router.class);
-    private static final int WRITING_AT_STOP_SECONDS = 5;
-    private static final long SNAPSHOT_MILLIS = 1000;
+    /** For the last writes of a stop; a disk that hangs must not hold it up for ever. */
+    private static final int FINAL_WRITES_TIMEOUT_SECONDS = 5;
+    /** For the last response to leave its socket before the server is closed. */
+    private static final long SERVER_CLOSE_DELAY_MILLIS = 50;
 
-    private final RouterConfig articles;
+    private static final long SNAPSHOT_INTERVAL_MILLIS = 1000;
+    private static final long LAG_REPORT_INTERVAL_MILLIS = 100;
+
+    private final RouterConfig config;
     private final Vertx vertx;
-    private final Context loop;
-    private final PrometheusMetrics meters;
-    private final RequestManager calls;
-    private final InferenceServer door;
-    private final EndpointWatch watch;
-    private final WorkerRegistry roster;
-    private final BackgroundWork work;
-    private final EventLoopLag pulse;
+    private final Context eventLoop;
+    private final PrometheusMetrics metrics;
+    private final RequestManager requestManager;
+    private final InferenceServer server;
+    private final EndpointWatch endpointWatch;
+    private final WorkerRegistry registry;
+    private final BackgroundWork backgroundWork;
+    private final EventLoopLag eventLoopLag;
     private final AsyncRolloutJournal journal;
-    private final RolloutManager releases;
-    private final RolloutSync learning;
-    private final RoutingPolicy module;
-    private final SnapshotFile snapshot;
+    private final RolloutManager rolloutManager;
+    private final RolloutSync rolloutSync;
+    private final RoutingPolicy policy;
+    private final SnapshotFile snapshotFile;
+    /** Null where no event log is configured. */
     private final EventRecorder recorder;
+
     private boolean stopping;
-    private boolean warm;
-    private Promise<Void> stopped;
+    private boolean warmedUp;
+    /** Null until {@link #stop}. */
+    private Promise<Void> stopCompletion;
+
     private int port;
     private int adminPort;
-    private long numbered;
+    private long requestCount;
+
+    private Router(RouterConfig config, PolicyFactory policyFactory, long seed) throws IOException {
+        this.config = config;
+        RolloutJournal rolloutJournal = RolloutJournal.open(config.data());
+        this.vertx = createVertx();
+        this.eventLoop = vertx.getOrCreateContext();
+        VertxTimers timers = new VertxTimers(vertx);
+        this.backgroundWork = new BackgroundWork(timers, JobClasses.scheduler(seed, timers.now()));
+        this.registry = new WorkerRegistry(vertx, config, backgroundWork);
+        this.eventLoopLag = new EventLoopLag(vertx);
+        this.metrics = new PrometheusMetrics(this::requestsInFlight, registry::size);
+        this.endpointWatch = new EndpointWatch(vertx, config.list(), config.name(), this);
+        this.policy = policyFactory.make(seed, config.facts());
+        this.snapshotFile = new SnapshotFile(config.data());
+        this.recorder = config.records() == null ? null : openRecorder(timers, rolloutJournal);
+        this.requestManager = new RequestManager(
+                config.facts(),
+                timers,
+                policy,
+                new HttpWorkerClient(vertx, config.name(), config.limits().answer(), registry, endpointWatch::watch),
+                metrics,
+                recorder == null ? EventListener.NONE : recorder);
+        this.server = new InferenceServer(vertx, config, this, metrics);
+        this.journal = new AsyncRolloutJournal(vertx, rolloutJournal);
+        this.rolloutManager = new RolloutManager(timers, config, journal, requestManager::dispatch);
+        this.requestManager.onPrewarmProgress(rolloutManager::standing);
+        this.rolloutSync = new RolloutSync(vertx, rolloutManager, journal, backgroundWork, config.others());
+    }
 
-    private Router(RouterConfig articles, PolicyFactory policyFactory, long seed) throws IOException {
-        this.articles = articles;
-        RolloutJournal orders = RolloutJournal.open(articles.data());
-        this.vertx = Vertx.vertx(new VertxOptions()
+    /** One event loop, and one thread for what blocks. */
+    private static Vertx createVertx() {
+        return Vertx.vertx(new VertxOptions()
                 .setEventLoopPoolSize(1)
                 .setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1)
                 .setFileSystemOptions(
                         new FileSystemOptions().setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
-        this.loop = vertx.getOrCreateContext();
-        VertxTimers timers = new VertxTimers(vertx);
-        this.work = new BackgroundWork(timers, JobClasses.scheduler(seed, timers.now()));
-        this.roster = new WorkerRegistry(vertx, articles, work);
-        this.pulse = new EventLoopLag(vertx);
-        this.meters = new PrometheusMetrics(this::held, roster::size);
-        this.watch = new EndpointWatch(vertx, articles.list(), articles.name(), this);
-        this.module = policyFactory.make(seed, articles.facts());
-        this.snapshot = new SnapshotFile(articles.data());
-        this.recorder = articles.records() == null ? null : recorder(timers, orders);
-        this.calls = new RequestManager(
-                articles.facts(),
-                timers,
-                module,
-                new HttpWorkerClient(vertx, articles.name(), articles.limits().answer(), roster, watch::watch),
-                meters,
-                recorder == null ? EventListener.NONE : recorder);
-        this.door = new InferenceServer(vertx, articles, this, meters);
-        this.journal = new AsyncRolloutJournal(vertx, orders);
-        this.releases = new RolloutManager(timers, articles, journal, calls::dispatch);
-        this.calls.onPrewarmProgress(releases::standing);
-        this.learning = new RolloutSync(vertx, releases, journal, work, articles.others());
     }
 
-    private EventRecorder recorder(VertxTimers timers, RolloutJournal orders) throws IOException {
+    private EventRecorder openRecorder(VertxTimers timers, RolloutJournal rolloutJournal) throws IOException {
         try {
-            return new EventRecorder(vertx, timers, work, articles, System::currentTimeMillis);
-        } catch (IOException unopened) {
-            orders.close();
+            return new EventRecorder(vertx, timers, backgroundWork, config, System::currentTimeMillis);
+        } catch (IOException failure) {
+            rolloutJournal.close();
             vertx.close();
-            throw unopened;
+            throw failure;
         }
     }
 
-    private Number held() {
-        return calls.inFlight();
+    private Number requestsInFlight() {
+        return requestManager.inFlight();
     }
 
+    // ---- start
+
     /**
-     * Starts a router; the future brings it once it listens, or fails with the cause in words.
+     * Starts a router.
      *
-     * @param seed of the module's chance; a fresh one at every start
+     * @param seed of the policy's random numbers; another one at every start
+     * @return the router once it listens; fails with an {@link IOException} whose message says what to do
      */
-    public static Future<Router> start(RouterConfig articles, PolicyFactory policyFactory, long seed) {
+    public static Future<Router> start(RouterConfig config, PolicyFactory policyFactory, long seed) {
         Router router;
         try {
-            router = new Router(articles, policyFactory, seed);
-        } catch (IOException unopened) {
-            return Future.failedFuture(unopened);
+            router = new Router(config, policyFactory, seed);
+        } catch (IOException failure) {
+            return Future.failedFuture(failure);
         }
         Promise<Router> started = Promise.promise();
-        router.loop.runOnContext(run -> {
-            router.begin();
-            Future<Integer> admin = articles.admin() == null
-                    ? Future.succeededFuture(0)
-                    : new AdminServer(router.vertx, articles, router.releases).listen();
-            admin.compose(port -> {
-                        router.adminPort = port;
-                        return router.door.listen();
-                    })
-                    .onComplete(
-                            port -> {
-                                router.port = port;
-                                router.pulse.begin();
-                                router.vertx.setPeriodic(100, beat -> router.work.strained(router.behind()));
-                                long begun = System.nanoTime();
-                                WarmUp.run(router.vertx, articles, policyFactory, port)
-                                        .onComplete(warm -> {
-                                            router.warm = true;
-                                            LOG.atInfo()
-                                                    .addKeyValue("ms", (System.nanoTime() - begun) / 1_000_000)
-                                                    .log("warmed up");
-                                        });
-                                LOG.atInfo()
-                                        .addKeyValue("router", articles.name())
-                                        .addKeyValue("port", port)
-                                        .addKeyValue("engines", router.roster.size())
-                                        .log("listening");
-                                started.complete(router);
-                            },
-                            failed -> {
-                                router.journal.close();
-                                if (router.recorder != null) {
-                                    router.recorder.close();
-                                }
-                                router.vertx.close();
-                                started.fail(new IOException(
-                                        articles.host() + ":" + articles.port()
-                                                + (articles.admin() == null
-                                                        ? ""
-                                                        : " or "
-                                                                + articles.admin()
-                                                                        .host() + ":"
-                                                                + articles.admin()
-                                                                        .port())
-                                                + " can't be listened on: "
-                                                + failed.getMessage() + "; is another router running there?",
-                                        failed));
-                            });
-        });
+        router.eventLoop.runOnContext(run -> router.start(policyFactory, started));
         return started.future();
     }
 
-    public int port() {
-        return port;
+    private void start(PolicyFactory policyFactory, Promise<Router> started) {
+        restoreState();
+        listen().onComplete(
+                        listening -> {
+                            onListening(policyFactory);
+                            started.complete(this);
+                        },
+                        failure -> {
+                            releaseResources();
+                            started.fail(cannotListen(failure));
+                        });
     }
 
-    /** The port of the operators' door; 0 where there is none. */
-    public int adminPort() {
-        return adminPort;
-    }
-
-    private void begin() {
-        Event.EndpointsUpdated list = roster.remembered();
-        calls.dispatch(list);
+    private void restoreState() {
+        Event.EndpointsUpdated cachedEndpoints = registry.restore();
+        requestManager.dispatch(cachedEndpoints);
         if (recorder != null) {
-            recall(list);
+            restoreSnapshot(cachedEndpoints);
+            startRecording();
         }
-        releases.begin();
-        learning.begin();
-        watch.watch();
+        rolloutManager.begin();
+        rolloutSync.start();
+        endpointWatch.watch();
     }
 
-    /** What the last life knew, as far as it may be believed; then what this one knows is written once a second. */
-    private void recall(Event.EndpointsUpdated list) {
-        EventRecorder.Orders orders =
-                recorder.orders(articles.facts().loadQuota().window());
-        SnapshotFile.Taken taken = snapshot.take();
-        TimeSpan gap = taken == null ? TimeSpan.ZERO : TimeSpan.millis(System.currentTimeMillis() - taken.wall());
-        calls.dispatch(SnapshotLoader.event(
-                articles.facts(),
+    /** Has the policy start from what the last run knew, as far as that still holds. */
+    private void restoreSnapshot(Event.EndpointsUpdated cachedEndpoints) {
+        LoadRequestHistory history =
+                recorder.loadRequests(config.facts().loadQuota().window());
+        SnapshotFile.Taken taken = snapshotFile.take();
+        TimeSpan age = taken == null ? TimeSpan.ZERO : TimeSpan.millis(System.currentTimeMillis() - taken.wall());
+        requestManager.dispatch(SnapshotLoader.event(
+                config.facts(),
                 taken == null ? null : taken.known(),
-                gap,
-                orders.ages(),
-                orders.whole(),
-                list,
+                age,
+                history.ages(),
+                history.complete(),
+                cachedEndpoints,
                 VertxTimers.present(),
-                why -> LOG.info("begins with what is believed " + why)));
-        recorder.begin();
-        meters.records(recorder::held, () -> recorder.failing() ? 1 : 0);
-        vertx.setPeriodic(SNAPSHOT_MILLIS, due -> {
+                figures -> LOG.info("begins with what is believed " + figures)));
+    }
+
+    private void startRecording() {
+        recorder.start();
+        metrics.addEventLogGauges(recorder::pendingCount, () -> recorder.isFailing() ? 1 : 0);
+        vertx.setPeriodic(SNAPSHOT_INTERVAL_MILLIS, timerId -> {
             if (!stopping) {
-                work.ask(JobClasses.SNAPSHOT, "", ResourceCost.NONE, null, this::takeSnapshot);
+                backgroundWork.submit(JobClasses.SNAPSHOT, "", ResourceCost.NONE, null, this::writeSnapshot);
             }
         });
     }
 
-    private Future<ResourceCost> takeSnapshot() {
-        PolicySnapshot known = module.snapshot(VertxTimers.present());
-        long wall = System.currentTimeMillis();
-        return vertx.executeBlocking(() -> new ResourceCost(0, snapshot.write(wall, known), 0));
+    private Future<ResourceCost> writeSnapshot() {
+        PolicySnapshot snapshot = policy.snapshot(VertxTimers.present());
+        long takenAtMillis = System.currentTimeMillis();
+        return vertx.executeBlocking(() -> new ResourceCost(0, snapshotFile.write(takenAtMillis, snapshot), 0));
     }
 
-    /** Takes nothing new, finishes what it holds within its bound, and ends. */
+    private Future<Integer> listen() {
+        Future<Integer> adminListening = config.admin() == null
+                ? Future.succeededFuture(0)
+                : new AdminServer(vertx, config, rolloutManager).listen();
+        return adminListening
+                .compose(admin -> {
+                    adminPort = admin;
+                    return server.listen();
+                })
+                .onSuccess(listening -> port = listening);
+    }
+
+    private void onListening(PolicyFactory policyFactory) {
+        eventLoopLag.begin();
+        vertx.setPeriodic(LAG_REPORT_INTERVAL_MILLIS, timerId -> backgroundWork.onEventLoopLag(eventLoopLag()));
+        warmUp(policyFactory);
+        LOG.atInfo()
+                .addKeyValue("router", config.name())
+                .addKeyValue("port", port)
+                .addKeyValue("engines", registry.size())
+                .log("listening");
+    }
+
+    private void warmUp(PolicyFactory policyFactory) {
+        long startedAt = System.nanoTime();
+        WarmUp.run(vertx, config, policyFactory, port).onComplete(done -> {
+            warmedUp = true;
+            LOG.atInfo()
+                    .addKeyValue("ms", (System.nanoTime() - startedAt) / 1_000_000)
+                    .log("warmed up");
+        });
+    }
+
+    private IOException cannotListen(Throwable failure) {
+        String addresses = config.host() + ":" + config.port();
+        if (config.admin() != null) {
+            addresses += " or " + config.admin().host() + ":" + config.admin().port();
+        }
+        return new IOException(
+                addresses + " can't be listened on: " + failure.getMessage() + "; is another router running there?",
+                failure);
+    }
+
+    /** The port that it listens on. */
+    public int port() {
+        return port;
+    }
+
+    /** The port of the admin server; 0 where there is none. */
+    public int adminPort() {
+        return adminPort;
+    }
+
+    // ---- stop
+
+    /** Admits no more requests, completes those in flight or fails them at the configured limit, and ends. */
     public synchronized Future<Void> stop() {
-        if (stopped != null) {
-            return stopped.future();
+        if (stopCompletion == null) {
+            stopCompletion = Promise.promise();
+            eventLoop.runOnContext(run -> drain());
         }
-        stopped = Promise.promise();
-        loop.runOnContext(run -> {
-            stopping = true;
-            LOG.atInfo().addKeyValue("calls", calls.inFlight()).log("stopping");
-            Promise<Void> emptied = Promise.promise();
-            long bound = vertx.setTimer(Math.max(1, articles.stopWithin().toMillis()), late -> {
-                LOG.atWarn()
-                        .addKeyValue("calls", calls.inFlight())
-                        .log("the bound is reached; terminating what is held");
-                calls.failAll();
-                emptied.tryComplete();
-            });
-            calls.whenEmpty(emptied::tryComplete);
-            emptied.future().onComplete(empty -> {
-                vertx.cancelTimer(bound);
-                calls.stop();
-                learning.close();
-                releases.end();
-                watch.close();
-                // A last answer may still be on its way out of the socket; and a future of this loop says nothing
-                // once the loop is gone, so the last step is not chained.
-                vertx.setTimer(50, sent -> door.close()
-                        .compose(closed -> recorder == null
-                                ? Future.<Void>succeededFuture()
-                                : recorder.flush()
-                                        .compose(flushed -> takeSnapshot())
-                                        .<Void>mapEmpty())
-                        .compose(kept -> work.stop())
-                        .compose(done -> journal.written())
-                        // a disk that hangs holds up the last writes, but not the end
-                        .timeout(WRITING_AT_STOP_SECONDS, TimeUnit.SECONDS)
-                        .onComplete(end -> {
-                            journal.close();
-                            if (recorder != null) {
-                                recorder.close();
-                            }
-                            vertx.close().onComplete(stopped);
-                        }));
-            });
+        return stopCompletion.future();
+    }
+
+    private void drain() {
+        stopping = true;
+        LOG.atInfo().addKeyValue("calls", requestManager.inFlight()).log("stopping");
+        Promise<Void> drained = Promise.promise();
+        long drainLimitMillis = Math.max(1, config.stopWithin().toMillis());
+        long limitTimer = vertx.setTimer(drainLimitMillis, timerId -> {
+            LOG.atWarn()
+                    .addKeyValue("calls", requestManager.inFlight())
+                    .log("the bound is reached; terminating what is held");
+            requestManager.failAll();
+            drained.tryComplete();
+        });
+        requestManager.whenEmpty(drained::tryComplete);
+        drained.future().onComplete(done -> {
+            vertx.cancelTimer(limitTimer);
+            requestManager.stop();
+            rolloutSync.close();
+            rolloutManager.end();
+            endpointWatch.close();
+            vertx.setTimer(SERVER_CLOSE_DELAY_MILLIS, timerId -> closeServerAndFiles());
         });
-        return stopped.future();
     }
 
-    // ---- the door
+    /** A future of this event loop is not completed once the loop has ended, so the last step is not chained. */
+    private void closeServerAndFiles() {
+        server.close()
+                .compose(closed -> recorder == null ? Future.<Void>succeededFuture() : writeFinalState())
+                .compose(written -> backgroundWork.stop())
+                .compose(stopped -> journal.flush())
+                .timeout(FINAL_WRITES_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                .onComplete(end -> releaseResources().onComplete(stopCompletion));
+    }
+
+    private Future<Void> writeFinalState() {
+        return recorder.flush().compose(flushed -> writeSnapshot()).mapEmpty();
+    }
+
+    private Future<Void> releaseResources() {
+        journal.close();
+        if (recorder != null) {
+            recorder.close();
+        }
+        return vertx.close();
+    }
+
+    // ---- requests
 
     @Override
-    public boolean ready() {
-        return roster.known() && warm && learning.learnt() && !stopping;
+    public boolean isReady() {
+        return registry.isKnown() && warmedUp && rolloutSync.isSynced() && !stopping;
     }
 
     @Override
-    public String closedBecause() {
-        return stopping
-                ? "this router is stopping"
-                : calls.inFlight() >= articles.limits().openCalls()
-                        ? "this router holds as many calls as it may"
-                        : null;
+    public String rejectionReason() {
+        if (stopping) {
+            return "this router is stopping";
+        }
+        if (requestManager.inFlight() >= config.limits().openCalls()) {
+            return "this router holds as many calls as it may";
+        }
+        return null;
     }
 
     @Override
-    public TimeSpan behind() {
-        return new TimeSpan(pulse.behind());
+    public TimeSpan eventLoopLag() {
+        return new TimeSpan(eventLoopLag.behind());
     }
 
     @Override
-    public void take(InferenceServer.Understood understood, HttpResponseHandler reply) {
-        ActiveRequest call = calls.accept(understood.asked(articles.name() + "-" + ++numbered, releases, reply), reply);
-        if (!reply.response.ended()) {
-            reply.response.closeHandler(closed -> calls.clientDisconnected(call));
+    public void admit(InferenceRequest inferenceRequest, HttpResponseHandler responseHandler) {
+        String defaultId = config.name() + "-" + ++requestCount;
+        RequestManager.ParsedRequest parsed = inferenceRequest.withVersion(defaultId, rolloutManager, responseHandler);
+        ActiveRequest request = requestManager.accept(parsed, responseHandler);
+        if (!responseHandler.response.ended()) {
+            responseHandler.response.closeHandler(closed -> requestManager.clientDisconnected(request));
         }
     }
 
-    // ---- the list
+    // ---- discovery
 
     @Override
-    public void failed() {
-        calls.dispatch(new Event.EndpointsUpdated(Event.EndpointUpdateKind.FAILED, List.of()));
+    public void onDisconnected() {
+        requestManager.dispatch(new Event.EndpointsUpdated(Event.EndpointUpdateKind.FAILED, List.of()));
     }
 
     @Override
-    public void line(DiscoveryMessage line) {
-        Event.EndpointsUpdated listed = roster.follow(line);
+    public void onMessage(DiscoveryMessage message) {
+        Event.EndpointsUpdated event = registry.apply(message);
         if (recorder != null) {
-            recorder.listed(line);
+            recorder.onDiscoveryMessage(message);
         }
-        calls.dispatch(listed);
+        requestManager.dispatch(event);
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/RouterConfig.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RouterConfig.java
@@ -8,16 +8,21 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * What a router is told in its file, once, at its start.
+ * A router's configuration, read once at its start.
  *
  * @param name of this router, unique among them
  * @param host address to listen on
- * @param port to listen on; 0 lets the system give one
- * @param data folder for the last list and the orders on releases
- * @param admin where operators' orders come in, or null for nowhere
- * @param others the admin doors of the other routers, from which the newest orders are learnt; none for an operator alone
- * @param facts what the module is told
- * @param records how they are kept, or null for none
+ * @param port to listen on; 0 for one that the system chooses
+ * @param data directory of the endpoint list cache, the rollout journal, the snapshot and the event log
+ * @param admin address of the admin server, or null for none
+ * @param others admin servers of the other routers, from which rollout targets are synced; none for a router alone
+ * @param list the discovery service
+ * @param facts settings of the routing policy
+ * @param models the models that requests may name
+ * @param limits on requests, responses and client connections
+ * @param connections to workers
+ * @param stopWithin requests in flight are failed so long after a stop began
+ * @param records retention of the event log, or null for no event log
  */
 public record RouterConfig(
         String name,
@@ -33,18 +38,24 @@
         Connections connections,
         TimeSpan stopWithin,
         RetentionSettings records) {
-    /** An address; port 0, for one of this router's own, lets the system give one. */
+    /** A network address; port 0, for one that this router listens on, lets the system choose. */
     public record Address(String host, int port) {}
 
-    /** Where the list of engines comes from; silence for longer than the span means that it is broken. */
+    /**
+     * The discovery service.
+     *
+     * @param silence a connection on which nothing was received for so long counts as broken
+     */
     public record ListService(String host, int port, TimeSpan silence) {}
 
     /**
-     * A family of models: a name, or its beginning with "*" behind it.
+     * A group of models.
      *
-     * @param lanes calls that a loaded copy runs at once
-     * @param usualLoad null where it is not known
-     * @param category of calls that name none, or null
+     * @param pattern a model's name, or a prefix followed by "*"
+     * @param lanes requests that a loaded instance executes at once
+     * @param memoryMb of an instance
+     * @param usualLoad typical load time; null where it is not known
+     * @param category request class of requests that name none, or null
      */
     public record ModelTerms(String pattern, int lanes, double memoryMb, TimeSpan usualLoad, String category) {
         boolean matches(String model) {
@@ -53,32 +64,39 @@
     }
 
     /**
-     * What the router holds at the most.
+     * Limits on what the router holds.
      *
-     * @param payload bytes of a call's body
-     * @param answer bytes of an engine's answer
-     * @param openCalls calls held at once
-     * @param bodyWithin a call's body is in after so long, or the call is not taken
-     * @param idle a client's connection without a byte for so long is closed
+     * @param payload bytes of a request's body
+     * @param answer bytes of a worker's response
+     * @param openCalls requests in flight
+     * @param bodyWithin a request whose body is not complete after so long is refused
+     * @param idle a client connection on which nothing was sent for so long is closed
      */
     public record Limits(long payload, long answer, int openCalls, TimeSpan bodyWithin, TimeSpan idle) {}
 
-    /** Connections to one engine: how many, how long to wait for one, and how long an idle one is kept. */
+    /**
+     * Connections to one worker.
+     *
+     * @param perEngine how many at once
+     * @param dial the time to get one, from the pool or newly established
+     * @param idle one that was not used for so long is closed
+     */
     public record Connections(int perEngine, TimeSpan dial, TimeSpan idle) {}
 
-    /** The terms of a model, or null where it is not known; the first that matches counts. */
-    public ModelTerms modelOf(String name) {
-        for (ModelTerms model : models) {
-            if (model.matches(name)) {
-                return model;
+    /** The settings of a model, by the first pattern that matches; null where none does. */
+    public ModelTerms modelOf(String model) {
+        for (ModelTerms candidate : models) {
+            if (candidate.matches(model)) {
+                return candidate;
             }
         }
         return null;
     }
 
-    public RoutingSettings.RequestClass category(String name) {
+    /** The request class of a name; null where there is none. */
+    public RoutingSettings.RequestClass category(String requestClass) {
         return facts.requestClasses().stream()
-                .filter(c -> c.name().equals(name))
+                .filter(candidate -> candidate.name().equals(requestClass))
                 .findFirst()
                 .orElse(null);
     }
