--- a/kserve-router/src/main/java/pearladder/router/kserve/SnapshotFile.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/SnapshotFile.java
@@ -1,6 +1,7 @@
 package pearladder.router.kserve;
 
 import com.fasterxml.jackson.annotation.JsonAutoDetect;
+import com.fasterxml.jackson.annotation.PropertyAccessor;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
@@ -15,70 +16,91 @@
 import pearladder.routing.state.PolicySnapshot;
 
 /**
- * What the module knew, on disk: a checksum, then JSON; written beside and moved over. At a start it is moved aside first,
- * so that a snapshot that brings a router down is used once: the next start finds none.
+ * The routing policy's snapshot on disk: eight bytes with the CRC-32C of what follows, then JSON. At a start the
+ * file is renamed before it is read, so that a snapshot that crashes a router is used once: the next start finds
+ * none.
  */
 final class SnapshotFile {
-    /** The format that is written; another one is not read. */
+    /** The format that is written; no other one is read. */
     private static final int FORMAT = 1;
 
+    private static final String FILE_NAME = "snapshot.json";
+    private static final String USED_FILE_NAME = "snapshot.tried";
+    private static final int CHECKSUM_BYTES = Long.BYTES;
+
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.recovery");
     private static final ObjectMapper JSON = SnapshotJson.register(new ObjectMapper())
-            .setVisibility(com.fasterxml.jackson.annotation.PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY)
+            .setVisibility(PropertyAccessor.FIELD, JsonAutoDetect.Visibility.ANY)
             .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
 
-    /** @param wall when it was taken, milliseconds since 1970 */
+    /**
+     * What the file holds. The names of the components are those of the JSON.
+     *
+     * @param format the version of the format
+     * @param wall when the snapshot was taken, milliseconds since 1970
+     * @param known the snapshot
+     */
     record Taken(int format, long wall, PolicySnapshot known) {}
 
     private final Path file;
 
-    SnapshotFile(Path folder) {
-        this.file = folder.resolve("snapshot.json");
+    SnapshotFile(Path directory) {
+        this.file = directory.resolve(FILE_NAME);
     }
 
-    /** The last one, or null where there is none that can be read. */
+    /** Takes the last snapshot, or null where there is none that can be read. */
     Taken take() {
-        Path tried = file.resolveSibling("snapshot.tried");
+        Path used = file.resolveSibling(USED_FILE_NAME);
         try {
-            Files.move(file, tried, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-            byte[] bytes = Files.readAllBytes(tried);
-            if (bytes.length < Long.BYTES || ByteBuffer.wrap(bytes).getLong() != sum(bytes)) {
-                throw new IOException("its checksum is another one");
-            }
-            Taken taken = JSON.readValue(bytes, Long.BYTES, bytes.length - Long.BYTES, Taken.class);
-            if (taken.format() != FORMAT
-                    || taken.known() == null
-                    || taken.known().workers() == null
-                    || taken.known().functions() == null) {
-                throw new IOException("it is of another format");
-            }
-            return taken;
-        } catch (NoSuchFileException none) {
+            Files.move(file, used, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+            return parse(Files.readAllBytes(used));
+        } catch (NoSuchFileException missing) {
             return null;
         } catch (IOException | RuntimeException unreadable) {
             LOG.atWarn()
-                    .addKeyValue("file", tried)
+                    .addKeyValue("file", used)
                     .addKeyValue("cause", unreadable.getMessage())
                     .log("the snapshot can't be read; starting without one");
             return null;
         }
     }
 
-    /** Writes one; how many bytes it has. */
-    long write(long wall, PolicySnapshot known) throws IOException {
-        byte[] text = JSON.writeValueAsBytes(new Taken(FORMAT, wall, known));
-        byte[] bytes = ByteBuffer.allocate(Long.BYTES + text.length)
+    private static Taken parse(byte[] content) throws IOException {
+        if (content.length < CHECKSUM_BYTES || ByteBuffer.wrap(content).getLong() != checksum(content)) {
+            throw new IOException("its checksum is another one");
+        }
+        Taken taken = JSON.readValue(content, CHECKSUM_BYTES, content.length - CHECKSUM_BYTES, Taken.class);
+        if (taken.format() != FORMAT || !isComplete(taken.known())) {
+            throw new IOException("it is of another format");
+        }
+        return taken;
+    }
+
+    private static boolean isComplete(PolicySnapshot snapshot) {
+        return snapshot != null && snapshot.workers() != null && snapshot.functions() != null;
+    }
+
+    /**
+     * Replaces the snapshot.
+     *
+     * @param takenAtMillis wall clock, milliseconds since 1970
+     * @return the size of the file in bytes
+     */
+    long write(long takenAtMillis, PolicySnapshot snapshot) throws IOException {
+        byte[] json = JSON.writeValueAsBytes(new Taken(FORMAT, takenAtMillis, snapshot));
+        byte[] content = ByteBuffer.allocate(CHECKSUM_BYTES + json.length)
                 .putLong(0)
-                .put(text)
+                .put(json)
                 .array();
-        ByteBuffer.wrap(bytes).putLong(sum(bytes));
-        AtomicFile.write(file, bytes);
-        return bytes.length;
+        ByteBuffer.wrap(content).putLong(checksum(content));
+        AtomicFile.write(file, content);
+        return content.length;
     }
 
-    private static long sum(byte[] bytes) {
+    /** Of what follows the first eight bytes. */
+    private static long checksum(byte[] content) {
         CRC32C crc = new CRC32C();
-        crc.update(bytes, Long.BYTES, bytes.length - Long.BYTES);
+        crc.update(content, CHECKSUM_BYTES, content.length - CHECKSUM_BYTES);
         return crc.getValue();
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/SnapshotJson.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/SnapshotJson.java
@@ -7,9 +7,9 @@
 import pearladder.routing.state.PolicySnapshot;
 
 /**
- * The names that a {@link PolicySnapshot} has in its JSON file. They are part of the file's format 1 and stay as they are when
- * a component of the snapshot is renamed. Each record here is a Jackson mix-in: its components are those of the snapshot's
- * record of the same shape.
+ * The names that a {@link PolicySnapshot} has in its JSON file. They are part of the file's format 1 and stay as
+ * they are when a component of the snapshot is renamed. Each record here is a Jackson mix-in: its components are
+ * those of the snapshot's record of the same shape.
  */
 final class SnapshotJson {
     private SnapshotJson() {}
--- a/kserve-router/src/main/java/pearladder/router/kserve/WarmUp.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/WarmUp.java
@@ -20,94 +20,108 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * Guards against a router that is late for its first calls because its code is only then loaded and compiled: before it is
- * ready it plays calls of no one to an instance of the module that is thrown away, and knocks at its own door.
+ * Guards against a router that is late for its first requests because its code is loaded and compiled only then:
+ * before it is ready it has a policy that is thrown away handle invented requests, and sends requests to its own
+ * server.
  */
 final class WarmUp {
-    private static final int CALLS = 5000;
+    private static final int POLICY_REQUESTS = 5000;
     private static final int WORKERS = 8;
-    private static final int KNOCKS = 3000;
-    private static final int AT_ONCE = 16;
-    private static final TimeSpan BOUND = TimeSpan.millis(1500);
+    private static final int FUNCTIONS = 40;
+    private static final int SERVER_REQUESTS = 3000;
+    private static final int SERVER_CONNECTIONS = 16;
+    private static final TimeSpan TIME_LIMIT = TimeSpan.millis(1500);
+    private static final TimeSpan REQUEST_INTERVAL = TimeSpan.millis(5);
+    private static final TimeSpan RESPONSE_TIME = TimeSpan.millis(20);
+    private static final int REQUESTS_PER_TICK = 20;
+    private static final String TICK_TAG = "beat";
+    /** No configuration can name this model, so the server refuses the request. */
+    private static final String REFUSED_PATH = "/v2/models/no%20model/infer";
 
     private WarmUp() {}
 
-    /** Done once it is warm, or after a bound. */
-    static Future<Void> run(Vertx vertx, RouterConfig articles, PolicyFactory policyFactory, int port) {
-        long until = System.nanoTime() + BOUND.nanos();
-        Future<Void> rehearsed = vertx.executeBlocking(() -> {
-            rehearse(policyFactory.make(0, articles.facts()), articles.facts(), until);
+    /** Completed once it is done, or the time limit is reached. */
+    static Future<Void> run(Vertx vertx, RouterConfig config, PolicyFactory policyFactory, int port) {
+        long endsAt = System.nanoTime() + TIME_LIMIT.nanos();
+        Future<Void> policyDone = vertx.executeBlocking(() -> {
+            runPolicy(policyFactory.make(0, config.facts()), config.facts(), endsAt);
             return null;
         });
         HttpClient client = vertx.createHttpClient(
-                new HttpClientOptions().setDefaultHost(articles.host()).setDefaultPort(port),
-                new PoolOptions().setHttp1MaxSize(AT_ONCE));
-        int[] left = {KNOCKS};
-        List<Future<Void>> all = new ArrayList<>(List.of(rehearsed));
-        for (int i = 0; i < AT_ONCE; i++) {
-            all.add(knock(client, left, until));
+                new HttpClientOptions().setDefaultHost(config.host()).setDefaultPort(port),
+                new PoolOptions().setHttp1MaxSize(SERVER_CONNECTIONS));
+        int[] requestsLeft = {SERVER_REQUESTS};
+        List<Future<Void>> all = new ArrayList<>(List.of(policyDone));
+        for (int i = 0; i < SERVER_CONNECTIONS; i++) {
+            all.add(sendRequests(client, requestsLeft, endsAt));
         }
         return Future.join(all).<Void>mapEmpty().otherwiseEmpty().onComplete(done -> client.close());
     }
 
-    /** A call of a model that no file can name: it goes through the door and is refused there. */
-    private static Future<Void> knock(HttpClient client, int[] left, long until) {
-        if (left[0]-- <= 0 || System.nanoTime() > until) {
+    private static Future<Void> sendRequests(HttpClient client, int[] requestsLeft, long endsAt) {
+        if (requestsLeft[0]-- <= 0 || System.nanoTime() > endsAt) {
             return Future.succeededFuture();
         }
-        return client.request(HttpMethod.POST, "/v2/models/no%20model/infer")
+        return client.request(HttpMethod.POST, REFUSED_PATH)
                 .compose((HttpClientRequest request) -> request.send("{}"))
                 .compose(HttpClientResponse::body)
-                .compose(body -> knock(client, left, until));
+                .compose(body -> sendRequests(client, requestsLeft, endsAt));
     }
 
-    /** Plays calls that all settle, in a time of their own. */
-    private static void rehearse(RoutingPolicy module, RoutingSettings facts, long until) {
+    /** Has a policy handle requests that all succeed, in virtual time. */
+    private static void runPolicy(RoutingPolicy policy, RoutingSettings settings, long endsAt) {
         MonotonicTime now = new MonotonicTime(0);
-        List<Event.Endpoint> workers = new ArrayList<>();
-        for (int i = 0; i < WORKERS; i++) {
-            workers.add(
-                    new Event.Endpoint("worker-" + i, facts.zone(), "", 0, Event.EndpointState.IN_SERVICE, 1, null));
-        }
-        module.handle(now, new Event.EndpointsUpdated(Event.EndpointUpdateKind.SNAPSHOT, workers));
-        RoutingSettings.RequestClass category = facts.requestClasses().get(0);
-        String account =
-                facts.tenants().isEmpty() ? null : facts.tenants().get(0).name();
-        for (int i = 0; i < CALLS && System.nanoTime() < until; i++) {
-            now = now.plus(TimeSpan.millis(5));
-            List<Action> actions = module.handle(
-                    now,
-                    new Event.RequestArrived(
-                            "call-" + i,
-                            "model-" + i % 40,
-                            category.name(),
-                            account,
-                            category.deadline(),
-                            2,
-                            100,
-                            null,
-                            null,
-                            false,
-                            false));
-            for (Action action : actions) {
+        policy.handle(now, new Event.EndpointsUpdated(Event.EndpointUpdateKind.SNAPSHOT, workers(settings)));
+        for (int i = 0; i < POLICY_REQUESTS && System.nanoTime() < endsAt; i++) {
+            now = now.plus(REQUEST_INTERVAL);
+            for (Action action : policy.handle(now, request(i, settings))) {
                 if (action instanceof Action.SendAttempt send) {
-                    module.handle(
-                            now,
-                            new Event.AttemptEnded(
-                                    send.requestId(),
-                                    0,
-                                    send.worker(),
-                                    Outcome.SUCCESS,
-                                    TimeSpan.millis(20),
-                                    true,
-                                    Event.InstanceStatus.STOOD,
-                                    0,
-                                    new Event.WorkerLoadReport(1, 0, 0.1, 0, 0.1)));
+                    policy.handle(now, success(send));
                 }
             }
-            if (i % 20 == 0) {
-                module.handle(now, new Event.TimerFired("beat"));
+            if (i % REQUESTS_PER_TICK == 0) {
+                policy.handle(now, new Event.TimerFired(TICK_TAG));
             }
         }
     }
+
+    private static List<Event.Endpoint> workers(RoutingSettings settings) {
+        List<Event.Endpoint> workers = new ArrayList<>();
+        for (int i = 0; i < WORKERS; i++) {
+            workers.add(
+                    new Event.Endpoint("worker-" + i, settings.zone(), "", 0, Event.EndpointState.IN_SERVICE, 1, null));
+        }
+        return workers;
+    }
+
+    private static Event.RequestArrived request(int number, RoutingSettings settings) {
+        RoutingSettings.RequestClass requestClass = settings.requestClasses().get(0);
+        String tenant =
+                settings.tenants().isEmpty() ? null : settings.tenants().get(0).name();
+        return new Event.RequestArrived(
+                "call-" + number,
+                "model-" + number % FUNCTIONS,
+                requestClass.name(),
+                tenant,
+                requestClass.deadline(),
+                2,
+                100,
+                null,
+                null,
+                false,
+                false);
+    }
+
+    private static Event.AttemptEnded success(Action.SendAttempt send) {
+        return new Event.AttemptEnded(
+                send.requestId(),
+                0,
+                send.worker(),
+                Outcome.SUCCESS,
+                RESPONSE_TIME,
+                true,
+                Event.InstanceStatus.STOOD,
+                0,
+                new Event.WorkerLoadReport(1, 0, 0.1, 0, 0.1));
+    }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/WorkerRegistry.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/WorkerRegistry.java
@@ -11,99 +11,102 @@
 import pearladder.kserve.DiscoveryMessage;
 import pearladder.routing.api.Event;
 
-/** A link to each engine that the list has, and the last list on disk. */
+/** A connection pool for each listed worker, and the endpoint list's cache on disk. */
 final class WorkerRegistry {
     private static final Logger LOG = LoggerFactory.getLogger(WorkerRegistry.class);
-
-    /** Bytes of an entry, about. */
-    private static final double ENTRY = 150;
+    private static final double BYTES_PER_ENTRY = 150;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final Vertx vertx;
-    private final BackgroundWork work;
-    private final RouterConfig.Connections connections;
-    private final EndpointListCache lastList;
-    private final Map<String, WorkerConnectionPool> links = new HashMap<>();
-    private final EndpointList list =
-            new EndpointList(System.currentTimeMillis() * 1_000_000L - System.nanoTime(), this::came, this::retire);
-    private boolean unwritten;
+    private final BackgroundWork backgroundWork;
+    private final RouterConfig.Connections connectionSettings;
+    private final EndpointListCache cache;
+    private final Map<String, WorkerConnectionPool> pools = new HashMap<>();
+    private final EndpointList endpoints = new EndpointList(
+            System.currentTimeMillis() * NANOS_PER_MILLI - System.nanoTime(), this::onUpdated, this::retire);
+    /** Whether the list has changed since the write under way was begun. */
+    private boolean changedWhileWriting;
+    /** Null while nothing is being written. */
     private Future<Void> writing;
 
-    WorkerRegistry(Vertx vertx, RouterConfig articles, BackgroundWork work) {
+    WorkerRegistry(Vertx vertx, RouterConfig config, BackgroundWork backgroundWork) {
         this.vertx = vertx;
-        this.work = work;
-        this.connections = articles.connections();
-        this.lastList = new EndpointListCache(articles.data());
+        this.backgroundWork = backgroundWork;
+        this.connectionSettings = config.connections();
+        this.cache = new EndpointListCache(config.data());
     }
 
-    /** The list that was last written, as the first event; an empty one where there is none. */
-    Event.EndpointsUpdated remembered() {
-        return list.restore(lastList.read());
+    /** The cached list as the policy's first event; an empty one where none is cached. */
+    Event.EndpointsUpdated restore() {
+        return endpoints.restore(cache.read());
     }
 
-    /** Follows a line of the list service, and has the list written; what the line says, for the module. */
-    Event.EndpointsUpdated follow(DiscoveryMessage line) {
-        Event.EndpointsUpdated told = list.apply(line);
-        write();
-        return told;
+    /** Applies a message of the discovery service, caches the list, and returns the message as an event. */
+    Event.EndpointsUpdated apply(DiscoveryMessage message) {
+        Event.EndpointsUpdated event = endpoints.apply(message);
+        writeCache();
+        return event;
     }
 
-    /** Whether any list is known. */
-    boolean known() {
-        return list.known();
+    /** Whether a list was received or restored. */
+    boolean isKnown() {
+        return endpoints.known();
     }
 
     int size() {
-        return list.size();
+        return endpoints.size();
     }
 
-    /** The link to an engine, or null where none is listed under that name. */
-    WorkerConnectionPool link(String engine) {
-        return links.get(engine);
+    /** The connections to a worker, or null where none is listed under that name. */
+    WorkerConnectionPool pool(String worker) {
+        return pools.get(worker);
     }
 
-    private void came(DiscoveryMessage.Entry entry) {
-        WorkerConnectionPool link = links.get(entry.engine());
-        if (link == null || link.port != entry.port() || !link.host.equals(entry.host())) {
+    private void onUpdated(DiscoveryMessage.Entry entry) {
+        WorkerConnectionPool pool = pools.get(entry.engine());
+        if (pool == null || pool.port != entry.port() || !pool.host.equals(entry.host())) {
             retire(entry.engine());
-            links.put(entry.engine(), new WorkerConnectionPool(vertx, entry.host(), entry.port(), connections));
+            pools.put(entry.engine(), new WorkerConnectionPool(vertx, entry.host(), entry.port(), connectionSettings));
         }
     }
 
-    private void retire(String engine) {
-        WorkerConnectionPool link = links.remove(engine);
-        if (link != null) {
-            link.retire();
+    private void retire(String worker) {
+        WorkerConnectionPool pool = pools.remove(worker);
+        if (pool != null) {
+            pool.retire();
         }
     }
 
-    /** Has the list written, one writing at a time; what changed meanwhile is written after it. */
-    private void write() {
+    /** One write at a time; what changes meanwhile is written after it. */
+    private void writeCache() {
         if (writing != null) {
-            unwritten = true;
+            changedWhileWriting = true;
             return;
         }
-        DiscoveryMessage whole = list.whole();
-        ResourceCost cost = new ResourceCost(0, whole.entries().size() * ENTRY, 0);
-        writing = work.ask(
+        DiscoveryMessage complete = endpoints.whole();
+        ResourceCost cost = new ResourceCost(0, complete.entries().size() * BYTES_PER_ENTRY, 0);
+        writing = backgroundWork.submit(
                 JobClasses.FLUSH,
                 "",
                 cost,
                 null,
                 () -> vertx.executeBlocking(() -> {
-                    lastList.write(whole);
+                    cache.write(complete);
                     return cost;
                 }));
-        writing.onComplete(end -> {
-            writing = null;
-            if (end.failed()) {
-                LOG.atWarn()
-                        .addKeyValue("cause", end.cause().getMessage())
-                        .log("the last list can't be written; a restart may know an older one");
-            }
-            if (unwritten) {
-                unwritten = false;
-                write();
-            }
-        });
+        writing.onComplete(result -> onWritten(result.cause()));
+    }
+
+    private void onWritten(Throwable failure) {
+        writing = null;
+        if (failure != null) {
+            LOG.atWarn()
+                    .addKeyValue("cause", failure.getMessage())
+                    .log("the last list can't be written; a restart may know an older one");
+        }
+        if (changedWhileWriting) {
+            changedWhileWriting = false;
+            writeCache();
+        }
     }
 }
--- a/kserve-router/src/test/java/pearladder/router/kserve/BackgroundWorkTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/BackgroundWorkTest.java
@@ -81,7 +81,7 @@
 
     @Test
     void aJobThatThrowsHoldsUpNoStop() {
-        Future<Void> thrown = work.ask(JobClasses.LEARN, "", ResourceCost.NONE, null, () -> {
+        Future<Void> thrown = work.submit(JobClasses.LEARN, "", ResourceCost.NONE, null, () -> {
             throw new IllegalStateException("the client is closed");
         });
         assertTrue(thrown.failed());
@@ -93,7 +93,7 @@
         Promise<ResourceCost> first = Promise.promise();
         Promise<ResourceCost> second = Promise.promise();
         List<Promise<ResourceCost>> tries = new java.util.ArrayList<>(List.of(first, second));
-        Future<Void> flushed = work.ask(JobClasses.FLUSH, "", ResourceCost.NONE, null, () -> tries.remove(0)
+        Future<Void> flushed = work.submit(JobClasses.FLUSH, "", ResourceCost.NONE, null, () -> tries.remove(0)
                 .future());
         Future<Void> stopped = work.stop();
         first.fail("no space");
--- a/kserve-router/src/test/java/pearladder/router/kserve/ReleaseTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/ReleaseTest.java
@@ -218,7 +218,10 @@
                 .body();
     }
 
-    /** Killed after the journal had the order and before the operator had the answer: ordered again, it is no other order. */
+    /**
+     * Killed after the journal had the order and before the operator had the answer: ordered again, it is no other
+     * order.
+     */
     @Test
     void anOrderWhoseAnswerWasLostIsInForceAndMayBeGivenAgain() throws IOException {
         try (Stand stand = new Stand(Stand.FLEET.formatted(1), RULES)) {
@@ -344,14 +347,14 @@
             try (RolloutJournal journal = RolloutJournal.open(folder)) {
                 assertEquals(
                         List.of(1L, 2L),
-                        journal.orders().stream().map(RolloutTarget::epoch).toList(),
+                        journal.targets().stream().map(RolloutTarget::epoch).toList(),
                         "cut at " + cut);
                 journal.append(List.of(target(9, "pair-a", Mode.PAUSED, 0)));
             }
             try (RolloutJournal journal = RolloutJournal.open(folder)) {
                 assertEquals(
                         List.of(1L, 2L, 9L),
-                        journal.orders().stream().map(RolloutTarget::epoch).toList());
+                        journal.targets().stream().map(RolloutTarget::epoch).toList());
             }
         }
         byte[] damaged = whole.clone();
@@ -375,11 +378,11 @@
         }
         Files.writeString(folder.resolve("releases.journal"), "torn", StandardOpenOption.APPEND);
         try (RolloutJournal journal = RolloutJournal.open(folder)) {
-            List<RolloutTarget> orders = new ArrayList<>(journal.orders());
+            List<RolloutTarget> orders = new ArrayList<>(journal.targets());
             assertEquals(201, orders.size());
             assertEquals(
                     List.of(new RolloutProgress("pair-a", 1005, 1, false)),
-                    journal.reached(),
+                    journal.progress(),
                     "older ones say nothing");
             assertEquals(target(5, "pair-old", Mode.ROLLED_BACK, 0), orders.get(0));
             assertEquals(1005, orders.get(200).epoch());
