--- a/config/src/main/java/pearladder/config/ConfigErrors.java
+++ b/config/src/main/java/pearladder/config/ConfigErrors.java
@@ -1,11 +1,20 @@
 package pearladder.config;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
-/** The mistakes found in one file; all of them are collected before anything starts. */
+/** Collects the mistakes of one file, so that all of them are reported at once. */
 public final class ConfigErrors {
-    /** One mistake: where it stands, what is wrong and how it is mended. */
+    /**
+     * A mistake in a file.
+     *
+     * @param file its name
+     * @param line from 1
+     * @param key with its parents, separated by dots; empty for the whole file
+     * @param what is wrong
+     * @param mend what to do
+     */
     public record Mistake(String file, int line, String key, String what, String mend) {
         @Override
         public String toString() {
@@ -16,34 +25,35 @@
     /** Thrown when a file has mistakes; the message has a line for each. */
     public static final class Found extends RuntimeException {
         private static final long serialVersionUID = 1L;
-        private final transient List<Mistake> list;
+        private final transient List<Mistake> mistakes;
 
-        Found(List<Mistake> list) {
-            super(String.join("\n", list.stream().map(Mistake::toString).toList()));
-            this.list = List.copyOf(list);
+        Found(List<Mistake> mistakes) {
+            super(String.join("\n", mistakes.stream().map(Mistake::toString).toList()));
+            this.mistakes = List.copyOf(mistakes);
         }
 
+        /** The mistakes, sorted by line. */
         public List<Mistake> list() {
-            return list;
+            return mistakes;
         }
     }
 
     final String file;
-    private final List<Mistake> list = new ArrayList<>();
+    private final List<Mistake> mistakes = new ArrayList<>();
 
     ConfigErrors(String file) {
         this.file = file;
     }
 
     void add(int line, String key, String what, String mend) {
-        list.add(new Mistake(file, line, key, what, mend));
+        mistakes.add(new Mistake(file, line, key, what, mend));
     }
 
     /** Throws {@link Found} if there is any mistake. */
     public void raise() {
-        if (!list.isEmpty()) {
-            list.sort((a, b) -> Integer.compare(a.line(), b.line()));
-            throw new Found(list);
+        if (!mistakes.isEmpty()) {
+            mistakes.sort(Comparator.comparingInt(Mistake::line));
+            throw new Found(mistakes);
         }
     }
 }
--- a/config/src/main/java/pearladder/config/ConfigValue.java
+++ b/config/src/main/java/pearladder/config/ConfigValue.java
@@ -11,13 +11,13 @@
 import java.util.function.Function;
 
 /**
- * A value of a checked file. Reading a wrong one notes a mistake and goes on with the default, so that one pass finds
- * them all; {@link #done} then names keys that nobody read and throws.
+ * A value of a configuration file. A reader that finds a mistake reports it and returns a default, so that one
+ * pass finds all mistakes; {@link #done} then reports keys that were not read, and throws.
  */
 public final class ConfigValue {
-    private static final Map<String, Double> SECONDS =
+    private static final Map<String, Double> SECONDS_BY_UNIT =
             Map.of("us", 1e-6, "ms", 1e-3, "s", 1.0, "min", 60.0, "h", 3600.0);
-    private static final Map<String, Double> BYTES = Map.of("B", 1.0, "KB", 1e3, "MB", 1e6, "GB", 1e9);
+    private static final Map<String, Double> BYTES_BY_UNIT = Map.of("B", 1.0, "KB", 1e3, "MB", 1e6, "GB", 1e9);
 
     private final ConfigErrors mistakes;
     private final String path;
@@ -37,19 +37,27 @@
         return raw;
     }
 
+    /** The key with its parents, separated by dots; empty for the whole file. */
     public String path() {
         return path;
     }
 
+    /** The line in the file, from 1. */
     public int line() {
         return line;
     }
 
+    /** Whether the key is in the file, with a value. */
     public boolean given() {
         return raw != null;
     }
 
-    /** Notes a mistake at this value. */
+    /**
+     * Reports a mistake at this value.
+     *
+     * @param what is wrong
+     * @param mend what to do
+     */
     public void wrong(String what, String mend) {
         mistakes.add(line, path, what, mend);
     }
@@ -69,7 +77,7 @@
         return path.isEmpty() ? "the file" : path;
     }
 
-    /** The value under a key; one that is not there has no raw value and this value's line. */
+    /** The value of a key; a missing one is not {@link #given}, and has this value's line. */
     public ConfigValue at(String key) {
         read.add(key);
         Object inner = map().get(key);
@@ -77,25 +85,25 @@
             return value;
         }
         return missing.computeIfAbsent(
-                key, k -> new ConfigValue(mistakes, path.isEmpty() ? k : path + "." + k, line, null));
+                key, absent -> new ConfigValue(mistakes, path.isEmpty() ? key : path + "." + key, line, null));
     }
 
-    /** The keys in the order they stand. */
+    /** The keys, in the file's order. */
     public List<String> keys() {
         return map().keySet().stream().map(Object::toString).toList();
     }
 
-    /** Reads each value of a map with its key, in the order they stand. */
-    public <T> Map<String, T> eachKey(BiFunction<String, ConfigValue, T> reading) {
+    /** Reads each value of a map with its key, in the file's order. */
+    public <T> Map<String, T> eachKey(BiFunction<String, ConfigValue, T> reader) {
         Map<String, T> values = new LinkedHashMap<>();
         for (String key : keys()) {
-            values.put(key, reading.apply(key, at(key)));
+            values.put(key, reader.apply(key, at(key)));
         }
         return values;
     }
 
     /** Reads each value of a list; a missing list is empty. */
-    public <T> List<T> each(Function<ConfigValue, T> reading) {
+    public <T> List<T> each(Function<ConfigValue, T> reader) {
         if (raw == null) {
             return List.of();
         }
@@ -105,7 +113,7 @@
         }
         List<T> values = new ArrayList<>();
         for (Object inner : list) {
-            values.add(reading.apply((ConfigValue) inner));
+            values.add(reader.apply((ConfigValue) inner));
         }
         return values;
     }
@@ -120,76 +128,81 @@
         return null;
     }
 
-    /** A text that must be there. */
+    /** A text; reports a mistake where it is missing. */
     public String text() {
         String text = scalar();
         return text == null ? "" : text;
     }
 
-    public String text(String otherwise) {
-        return raw == null ? otherwise : text();
+    /** A text, or a default where it is missing. */
+    public String text(String defaultText) {
+        return raw == null ? defaultText : text();
     }
 
-    /** A number within bounds. */
-    public double number(double least, double most) {
+    /** A number within bounds; reports a mistake where it is missing. */
+    public double number(double min, double max) {
         String text = scalar();
         if (text == null) {
-            return least;
+            return min;
         }
         try {
             double number = Double.parseDouble(text);
-            if (number >= least && number <= most) {
+            if (number >= min && number <= max) {
                 return number;
             }
-            wrong("a number from " + plain(least) + " to " + plain(most) + " was expected, not " + text, "change it");
+            wrong("a number from " + plain(min) + " to " + plain(max) + " was expected, not " + text, "change it");
         } catch (NumberFormatException none) {
             wrong("a number was expected, not \"" + text + "\"", "write a number without a unit");
         }
-        return least;
+        return min;
     }
 
-    public double number(double otherwise, double least, double most) {
-        return raw == null ? otherwise : number(least, most);
+    /** A number within bounds, or a default where it is missing. */
+    public double number(double defaultNumber, double min, double max) {
+        return raw == null ? defaultNumber : number(min, max);
     }
 
-    /** A whole number within bounds. */
-    public int whole(int least, int most) {
-        double number = number(least, most);
+    /** A whole number within bounds; reports a mistake where it is missing. */
+    public int whole(int min, int max) {
+        double number = number(min, max);
         if (number != Math.rint(number)) {
             wrong("a whole number was expected", "leave out what stands behind the point");
         }
         return (int) number;
     }
 
-    public int whole(int otherwise, int least, int most) {
-        return raw == null ? otherwise : whole(least, most);
+    /** A whole number within bounds, or a default where it is missing. */
+    public int whole(int defaultNumber, int min, int max) {
+        return raw == null ? defaultNumber : whole(min, max);
     }
 
-    public boolean flag(boolean otherwise) {
+    /** True or false, or a default where it is missing. */
+    public boolean flag(boolean defaultFlag) {
         if (raw == null) {
-            return otherwise;
+            return defaultFlag;
         }
         String text = scalar();
         if ("true".equals(text) || "false".equals(text)) {
             return "true".equals(text);
         }
         wrong("true or false was expected", "write one of the two");
-        return otherwise;
+        return defaultFlag;
     }
 
-    private double unit(Map<String, Double> units, String what, String example) {
+    /** A number in the units' base; 0 where there is a mistake. */
+    private double withUnit(Map<String, Double> units, String what, String example) {
         String text = scalar();
         if (text == null) {
             return 0;
         }
         String trimmed = text.trim();
-        int at = 0;
-        while (at < trimmed.length() && (Character.isDigit(trimmed.charAt(at)) || trimmed.charAt(at) == '.')) {
-            at++;
+        int numberEnd = 0;
+        while (numberEnd < trimmed.length() && isPartOfNumber(trimmed.charAt(numberEnd))) {
+            numberEnd++;
         }
-        Double unit = units.get(trimmed.substring(at).trim());
+        Double unit = units.get(trimmed.substring(numberEnd).trim());
         try {
-            double number = Double.parseDouble(trimmed.substring(0, at));
+            double number = Double.parseDouble(trimmed.substring(0, numberEnd));
             if (unit != null) {
                 return number * unit;
             }
@@ -200,28 +213,38 @@
         return 0;
     }
 
-    /** A span in nanoseconds, written with its unit: us, ms, s, min or h. */
+    private static boolean isPartOfNumber(char character) {
+        return Character.isDigit(character) || character == '.';
+    }
+
+    /** A duration in nanoseconds, written with its unit: us, ms, s, min or h. */
     public long span() {
-        return Math.round(unit(SECONDS, "a span of time", "8 s") * 1e9);
+        return Math.round(withUnit(SECONDS_BY_UNIT, "a span of time", "8 s") * 1e9);
     }
 
-    public long span(String otherwise) {
-        return raw != null ? span() : new ConfigValue(mistakes, path, line, otherwise).span();
+    /** A duration in nanoseconds, or a default written with its unit; null where there is none. */
+    public long span(String defaultSpan) {
+        return raw != null ? span() : new ConfigValue(mistakes, path, line, defaultSpan).span();
     }
 
     /** A size in bytes, written with its unit: B, KB, MB or GB, in powers of ten. */
     public long bytes() {
-        return Math.round(unit(BYTES, "a size", "512 MB"));
+        return Math.round(withUnit(BYTES_BY_UNIT, "a size", "512 MB"));
     }
 
-    public long bytes(String otherwise) {
-        return raw != null ? bytes() : new ConfigValue(mistakes, path, line, otherwise).bytes();
+    /** A size in bytes, or a default written with its unit. */
+    public long bytes(String defaultSize) {
+        return raw != null ? bytes() : new ConfigValue(mistakes, path, line, defaultSize).bytes();
     }
 
-    /** One of the words of an enum, written in small letters with hyphens. */
-    public <E extends Enum<E>> E word(Class<E> type, E otherwise) {
-        if (raw == null && otherwise != null) {
-            return otherwise;
+    /**
+     * A constant of an enum, written in lower case with hyphens.
+     *
+     * @param defaultValue null where the key must be there
+     */
+    public <E extends Enum<E>> E word(Class<E> type, E defaultValue) {
+        if (raw == null && defaultValue != null) {
+            return defaultValue;
         }
         String text = scalar();
         List<String> words = new ArrayList<>();
@@ -235,22 +258,16 @@
         if (text != null) {
             wrong("unknown word \"" + text + "\"", "write one of " + String.join(", ", words));
         }
-        return otherwise != null ? otherwise : type.getEnumConstants()[0];
+        return defaultValue != null ? defaultValue : type.getEnumConstants()[0];
     }
 
-    /** Names every key below here that was never read. */
+    /** Reports every key below this value that was not read. */
     public void close() {
         if (raw instanceof Map<?, ?> map) {
             for (Map.Entry<?, ?> entry : map.entrySet()) {
                 ConfigValue inner = (ConfigValue) entry.getValue();
                 if (!read.contains(entry.getKey())) {
-                    inner.wrong(
-                            "unknown key",
-                            read.isEmpty()
-                                    ? "take it out"
-                                    : "take it out, or write one of "
-                                            + String.join(
-                                                    ", ", read.stream().sorted().toList()));
+                    inner.wrong("unknown key", "take it out" + alternatives());
                 } else {
                     inner.close();
                 }
@@ -260,10 +277,17 @@
         }
     }
 
-    /** Ends the reading of some parts of a file that has others for other readers. */
-    public void done(Set<String> parts) {
-        for (String part : parts) {
-            at(part).close();
+    private String alternatives() {
+        return read.isEmpty()
+                ? ""
+                : ", or write one of "
+                        + String.join(", ", read.stream().sorted().toList());
+    }
+
+    /** Ends the reading of some sections of a file that has others for other readers. */
+    public void done(Set<String> sections) {
+        for (String section : sections) {
+            at(section).close();
         }
         mistakes.raise();
     }
--- a/config/src/main/java/pearladder/config/YamlParser.java
+++ b/config/src/main/java/pearladder/config/YamlParser.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Reads a YAML file into values that know their line. Anchors and several documents are not taken. */
+/** Parses a YAML file into values that know their line. Anchors and several documents are not supported. */
 public final class YamlParser {
     private final JsonParser parser;
     private final ConfigErrors mistakes;
@@ -22,7 +22,7 @@
         this.mistakes = mistakes;
     }
 
-    /** Reads a file; throws {@link ConfigErrors.Found} where it can't be read or is not YAML. */
+    /** Parses a file; throws {@link ConfigErrors.Found} where it can't be read or is not YAML. */
     public static ConfigValue read(Path file) {
         String text;
         try {
@@ -38,7 +38,7 @@
         return read(file.toString(), text);
     }
 
-    /** Reads a text under a file's name. */
+    /** Parses a text; mistakes are reported under a file's name. */
     public static ConfigValue read(String file, String text) {
         ConfigErrors mistakes = new ConfigErrors(file);
         try (JsonParser parser = new YAMLFactory().createParser(text)) {
@@ -76,11 +76,11 @@
             Map<String, ConfigValue> map = new LinkedHashMap<>();
             while (parser.nextToken() == JsonToken.FIELD_NAME) {
                 String key = parser.currentName();
-                int at = parser.currentTokenLocation().getLineNr();
+                int keyLine = parser.currentTokenLocation().getLineNr();
                 String inner = path.isEmpty() ? key : path + "." + key;
                 ConfigValue value = value(inner, parser.nextToken());
-                if (map.putIfAbsent(key, new ConfigValue(mistakes, inner, at, value.raw())) != null) {
-                    mistakes.add(at, inner, "the key stands twice", "keep one of them");
+                if (map.putIfAbsent(key, new ConfigValue(mistakes, inner, keyLine, value.raw())) != null) {
+                    mistakes.add(keyLine, inner, "the key stands twice", "keep one of them");
                 }
             }
             return new ConfigValue(mistakes, path, line, map);
--- a/eventlog/src/main/java/pearladder/eventlog/EventLog.java
+++ b/eventlog/src/main/java/pearladder/eventlog/EventLog.java
@@ -13,66 +13,88 @@
 import java.util.function.Consumer;
 
 /**
- * The one writer of a folder of records. What {@link #append} returned from is on disk. It is used by one thread at a time.
+ * The only writer of an event log's directory. Entries are on disk when {@link #append} returns. Used by one
+ * thread at a time.
  */
 public final class EventLog implements AutoCloseable {
-    /** What a compaction did. */
+    /**
+     * What a compaction did.
+     *
+     * @param files that were rewritten
+     * @param before their size before, bytes
+     * @param after their size after, bytes
+     * @param details that were deleted
+     */
     public record Compacted(int files, long before, long after, long details) {}
 
-    private final Path folder;
-    private final RetentionSettings keeping;
+    private static final String LOCK_FILE_NAME = "lock";
+    /** Files of a compaction that a crash has interrupted. */
+    private static final String INCOMPLETE_PATTERN = "records-[0-9]{16}\\.(new|new-wal|new-shm|new-journal)";
+
+    private static final String DAMAGED_SUFFIX = ".damaged";
+    /** The segment that is written, and the one before it, are always kept. */
+    private static final int MIN_SEGMENTS = 2;
+
+    private final Path directory;
+    private final RetentionSettings retention;
     private final FileChannel lock;
     private LogSegment newest;
-    private long begunAt;
+    /** When the newest segment's first entry was made, milliseconds since 1970; 0 where it is empty. */
+    private long newestBeganAt;
+
     private long next;
-    private boolean whole = true;
+    private boolean complete = true;
 
-    private EventLog(Path folder, RetentionSettings keeping, FileChannel lock) {
-        this.folder = folder;
-        this.keeping = keeping;
+    private EventLog(Path directory, RetentionSettings retention, FileChannel lock) {
+        this.directory = directory;
+        this.retention = retention;
         this.lock = lock;
     }
 
     /**
-     * Opens a folder, makes it where there is none.
+     * Opens the log of a directory; creates both where they are missing.
      *
-     * @param told gets a line for each file that can't be read any more and is set aside
-     * @throws IOException where another process has it open, it was written by a newer build, or the disk fails
+     * @param warnings gets a line for each file that can't be read any more and is renamed
+     * @throws IOException where another process has it open, it was written by a newer version, or the disk fails
      */
-    public static EventLog open(Path folder, RetentionSettings keeping, Consumer<String> told) throws IOException {
-        Files.createDirectories(folder);
-        FileChannel channel =
-                FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        FileLock held = null;
+    public static EventLog open(Path directory, RetentionSettings retention, Consumer<String> warnings)
+            throws IOException {
+        Files.createDirectories(directory);
+        EventLog log = new EventLog(directory, retention, lock(directory));
         try {
-            held = channel.tryLock();
-        } catch (OverlappingFileLockException here) {
-            // another part of this process has it
-            held = null;
+            log.openNewest(warnings);
+            return log;
+        } catch (IOException failure) {
+            log.close();
+            throw failure;
+        }
+    }
+
+    private static FileChannel lock(Path directory) throws IOException {
+        FileChannel channel = FileChannel.open(
+                directory.resolve(LOCK_FILE_NAME), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        FileLock lock = null;
+        try {
+            lock = channel.tryLock();
+        } catch (OverlappingFileLockException lockedByThisProcess) {
+            lock = null;
         } finally {
-            if (held == null) {
+            if (lock == null) {
                 channel.close();
             }
         }
-        if (held == null) {
-            throw new IOException(folder + " is held by another process; give each router its own data folder");
-        }
-        EventLog records = new EventLog(folder, keeping, channel);
-        try {
-            records.begin(told);
-            return records;
-        } catch (IOException failed) {
-            records.close();
-            throw failed;
+        if (lock == null) {
+            throw new IOException(directory + " is held by another process; give each router its own data folder");
         }
+        return channel;
     }
 
-    private void begin(Consumer<String> told) throws IOException {
-        for (Path left : EventLogReader.files(folder, "records-[0-9]{16}\\.(new|new-wal|new-shm|new-journal)")) {
-            // a compaction that did not come to its end; the file it was made from still stands
-            Files.deleteIfExists(left);
+    /** Opens the newest segment that is readable. */
+    private void openNewest(Consumer<String> warnings) throws IOException {
+        for (Path incomplete : EventLogReader.files(directory, INCOMPLETE_PATTERN)) {
+            Files.deleteIfExists(incomplete);
         }
-        List<Path> segments = EventLogReader.segments(folder);
+        List<Path> segments = EventLogReader.segments(directory);
         next = 1;
         while (newest == null && !segments.isEmpty()) {
             Path last = segments.remove(segments.size() - 1);
@@ -80,157 +102,183 @@
             try {
                 newest = LogSegment.write(last);
                 next = Math.max(next, newest.next());
-                begunAt = newest.until();
-            } catch (UnsupportedFormatException unread) {
-                throw unread;
-            } catch (IOException broken) {
-                // Guards against a router that can't start because of what it only keeps: the file is kept for a look.
-                Path aside = last.resolveSibling(last.getFileName() + ".damaged");
-                Files.move(last, aside, StandardCopyOption.REPLACE_EXISTING);
-                LogSegment.delete(last);
-                next++;
-                whole = false;
-                told.accept(last + " can't be read (" + broken.getMessage() + "); it is set aside as "
-                        + aside.getFileName());
+                newestBeganAt = newest.until();
+            } catch (UnsupportedFormatException newerVersion) {
+                throw newerVersion;
+            } catch (IOException damage) {
+                setAside(last, damage, warnings);
             }
         }
         if (newest == null) {
-            newest = LogSegment.write(LogSegment.file(folder, next));
+            newest = LogSegment.write(LogSegment.file(directory, next));
         }
     }
 
+    /** Guards against a router that can't start because of a log that it only writes: the file is kept for a look. */
+    private void setAside(Path segment, IOException damage, Consumer<String> warnings) throws IOException {
+        Path renamed = segment.resolveSibling(segment.getFileName() + DAMAGED_SUFFIX);
+        Files.move(segment, renamed, StandardCopyOption.REPLACE_EXISTING);
+        LogSegment.delete(segment);
+        next++;
+        complete = false;
+        warnings.accept(
+                segment + " can't be read (" + damage.getMessage() + "); it is set aside as " + renamed.getFileName());
+    }
+
     /** The number that the next entry gets. */
     public long next() {
         return next;
     }
 
-    /** Whether the newest file could be read at the start: else what was written last is lost. */
+    /** Whether the newest segment was readable when the log was opened; otherwise the last entries are lost. */
     public boolean whole() {
-        return whole;
+        return complete;
     }
 
-    /** Keeps entries, all or none; they are on disk when it returns. */
+    /** Appends entries, all or none; they are on disk when this returns. */
     public void append(List<LogEntry> entries) throws IOException {
         if (entries.isEmpty()) {
             return;
         }
         long now = entries.get(0).at();
-        if (begunAt == 0) {
-            begunAt = now;
+        if (newestBeganAt == 0) {
+            newestBeganAt = now;
         }
-        if (LogSegment.bytes(newest.file) > keeping.segmentBytes() || now - begunAt > keeping.segmentMillis()) {
+        if (isFull(now)) {
             LogSegment full = newest;
-            newest = LogSegment.write(LogSegment.file(folder, next));
-            begunAt = now;
+            newest = LogSegment.write(LogSegment.file(directory, next));
+            newestBeganAt = now;
             full.close();
         }
         newest.append(next, entries);
         next += entries.size();
     }
 
+    private boolean isFull(long now) {
+        return LogSegment.bytes(newest.file) > retention.segmentBytes()
+                || now - newestBeganAt > retention.segmentMillis();
+    }
+
     /**
-     * Lets the oldest files go that are too old or too much; never the one that is written, nor the one before it.
+     * Deletes the oldest segments while they are too old or too large; never the one that is written, nor the one
+     * before it.
+     *
+     * <p>A segment's age is the sum of the steps from segment to segment after it, each of at most twice the age
+     * at which one follows another: a clock that jumps ahead by a year must not delete them all.
      *
-     * A file's age is the sum of the steps from file to file after it, each of at most twice the time after which one follows
-     * another: a clock that jumps ahead by a year must not let all go.
+     * @return how many were deleted
      */
     public int retain() throws IOException {
-        List<Path> segments = EventLogReader.segments(folder);
-        long all = segments.stream().mapToLong(LogSegment::bytes).sum();
+        List<Path> segments = EventLogReader.segments(directory);
+        long[] ages = ages(segments);
+        long allBytes = segments.stream().mapToLong(LogSegment::bytes).sum();
+        int deleted = 0;
+        while (deleted < segments.size() - MIN_SEGMENTS
+                && (allBytes > retention.allBytes() || ages[deleted] > retention.allMillis())) {
+            Path oldest = segments.get(deleted);
+            allBytes -= LogSegment.bytes(oldest);
+            LogSegment.delete(oldest);
+            deleted++;
+        }
+        return deleted;
+    }
+
+    private long[] ages(List<Path> segments) throws IOException {
         long[] ages = new long[segments.size()];
-        long after = newest.until();
+        long maxStep = 2 * retention.segmentMillis();
+        long nextUntil = newest.until();
         for (int i = segments.size() - 2; i >= 0; i--) {
-            long until = until(segments.get(i), after);
-            ages[i] = ages[i + 1] + Math.max(0, Math.min(after - until, 2 * keeping.segmentMillis()));
-            after = until;
-        }
-        int gone = 0;
-        while (gone < segments.size() - 2 && (all > keeping.allBytes() || ages[gone] > keeping.allMillis())) {
-            all -= LogSegment.bytes(segments.get(gone));
-            LogSegment.delete(segments.get(gone++));
+            long until = until(segments.get(i), nextUntil);
+            long step = Math.max(0, Math.min(nextUntil - until, maxStep));
+            ages[i] = ages[i + 1] + step;
+            nextUntil = until;
         }
-        return gone;
+        return ages;
     }
 
-    /** A file that can't be read is judged by its neighbour. */
-    private static long until(Path segment, long otherwise) {
-        try (LogSegment read = LogSegment.read(segment)) {
-            return read.until();
-        } catch (IOException broken) {
+    private static long until(Path file, long otherwise) {
+        try (LogSegment segment = LogSegment.read(file)) {
+            return segment.until();
+        } catch (IOException unreadable) {
             return otherwise;
         }
     }
 
     /**
-     * Writes the files that are full anew without old details. Each is written beside and moved over, so that a crash
-     * leaves the old one or the new one.
+     * Rewrites full segments without old details. Each is written to a new file that then replaces it, so that a
+     * crash leaves the old one or the new one.
      *
-     * @param most files at once
+     * @param maxFiles rewritten by this call
      */
-    public Compacted compact(int most) throws IOException {
-        long until = newest.until();
+    public Compacted compact(int maxFiles) throws IOException {
+        long detailsBefore = newest.until() - retention.detailMillis();
         int files = 0;
-        long before = 0;
-        long after = 0;
+        long bytesBefore = 0;
+        long bytesAfter = 0;
         long details = 0;
-        for (Path segment : EventLogReader.segments(folder)) {
-            if (files >= most || segment.equals(newest.file)) {
+        for (Path segment : EventLogReader.segments(directory)) {
+            if (files >= maxFiles || segment.equals(newest.file)) {
                 break;
             }
-            long left = detailsOlderThan(segment, until - keeping.detailMillis());
-            if (left > 0) {
+            long oldDetails = detailsOlderThan(segment, detailsBefore);
+            if (oldDetails > 0) {
                 files++;
-                before += LogSegment.bytes(segment);
-                rewrite(segment, until - keeping.detailMillis());
-                after += LogSegment.bytes(segment);
-                details += left;
+                bytesBefore += LogSegment.bytes(segment);
+                rewrite(segment, detailsBefore);
+                bytesAfter += LogSegment.bytes(segment);
+                details += oldDetails;
             }
         }
-        return new Compacted(files, before, after, details);
+        return new Compacted(files, bytesBefore, bytesAfter, details);
     }
 
-    private static long detailsOlderThan(Path file, long moment) throws IOException {
+    /** Counts details of a segment that ended before a time; 0 for one that ended later. */
+    private static long detailsOlderThan(Path file, long time) throws IOException {
         long[] details = {0};
         try (LogSegment segment = LogSegment.read(file)) {
-            if (segment.until() < moment) {
-                segment.batches(batch -> {
-                    if (batch.damage().isEmpty()) {
-                        details[0] += LogBatch.decode(batch.bytes()).stream()
-                                .filter(row -> row.entry().kind().detail())
-                                .count();
-                    }
-                });
+            if (segment.until() < time) {
+                segment.batches(batch -> details[0] += countDetails(batch));
             }
         }
         return details[0];
     }
 
-    private static void rewrite(Path file, long moment) throws IOException {
-        Path beside = file.resolveSibling(file.getFileName().toString().replace(".db", ".new"));
-        LogSegment.delete(beside);
-        try (LogSegment from = LogSegment.read(file);
-                LogSegment to = LogSegment.write(beside)) {
-            to.together(true);
-            from.batches(batch -> {
-                if (!batch.damage().isEmpty()) {
-                    // what can't be read is kept as it is: a later look may make something of it
-                    to.put(batch, moment);
-                    return;
-                }
-                List<LogBatch.Row> kept = new ArrayList<>(LogBatch.decode(batch.bytes()));
-                long until = kept.isEmpty()
-                        ? moment
-                        : kept.get(kept.size() - 1).entry().at();
-                kept.removeIf(row -> row.entry().kind().detail() && row.entry().at() < moment);
-                byte[] bytes = LogBatch.encode(kept);
-                to.put(new LogSegment.Stored(batch.first(), batch.count(), LogBatch.sum(bytes), bytes), until);
-            });
-            to.together(false);
-        }
-        // closing folded the log into the file, and synced it
-        Files.deleteIfExists(Path.of(file + "-wal"));
-        Files.deleteIfExists(Path.of(file + "-shm"));
-        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    private static long countDetails(LogSegment.Stored batch) throws IOException {
+        if (!batch.damage().isEmpty()) {
+            return 0;
+        }
+        return LogBatch.decode(batch.bytes()).stream()
+                .filter(row -> row.entry().kind().detail())
+                .count();
+    }
+
+    private static void rewrite(Path file, long detailsBefore) throws IOException {
+        Path rewritten = file.resolveSibling(file.getFileName().toString().replace(".db", ".new"));
+        LogSegment.delete(rewritten);
+        try (LogSegment source = LogSegment.read(file);
+                LogSegment target = LogSegment.write(rewritten)) {
+            target.beginTransaction();
+            source.batches(batch -> copy(batch, target, detailsBefore));
+            target.commitTransaction();
+        }
+        // closing has applied the write-ahead log to the file, and synced it
+        LogSegment.deleteWriteAheadLog(file);
+        Files.move(rewritten, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** Copies a batch without old details; a damaged one is copied as it is, as it may be readable one day. */
+    private static void copy(LogSegment.Stored batch, LogSegment target, long detailsBefore) throws IOException {
+        if (!batch.damage().isEmpty()) {
+            target.put(batch, detailsBefore);
+            return;
+        }
+        List<LogBatch.Row> rows = new ArrayList<>(LogBatch.decode(batch.bytes()));
+        long until = rows.isEmpty()
+                ? detailsBefore
+                : rows.get(rows.size() - 1).entry().at();
+        rows.removeIf(row -> row.entry().kind().detail() && row.entry().at() < detailsBefore);
+        byte[] bytes = LogBatch.encode(rows);
+        target.put(new LogSegment.Stored(batch.first(), batch.count(), LogBatch.sum(bytes), bytes), until);
     }
 
     @Override
@@ -240,8 +288,8 @@
         }
         try {
             lock.close();
-        } catch (IOException gone) {
-            // the system lets go of it with the process
+        } catch (IOException ignored) {
+            // the system releases the lock with the process
             return;
         }
     }
--- a/eventlog/src/main/java/pearladder/eventlog/EventLogReader.java
+++ b/eventlog/src/main/java/pearladder/eventlog/EventLogReader.java
@@ -8,77 +8,103 @@
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 
-/** What stands in a folder of records, read beside its writer or alone. */
+/** Reads the event log of a directory, beside its writer or alone. */
 public final class EventLogReader {
-    /** Gets entries in the order written. */
+    /** Gets entries in the order in which they were written. */
     public interface Taker {
+        /** @param number of the entry, from 1 */
         void take(long number, LogEntry entry) throws IOException;
     }
 
     /**
-     * What a look at all files found.
+     * The result of a verification.
      *
-     * @param damage a line for each file or batch that can't be believed, with what is lost
+     * @param files that were checked
+     * @param batches in them
+     * @param entries in them
+     * @param bytes of them
+     * @param damage a line for each file or batch that is damaged, with what is lost
      */
     public record Verified(int files, long batches, long entries, long bytes, List<String> damage) {}
 
-    private final Path folder;
+    private static final String DAMAGED_PATTERN = "records-.*\\.damaged";
 
-    /** @throws IOException where there is no such folder */
-    public EventLogReader(Path folder) throws IOException {
-        if (!Files.isDirectory(folder)) {
+    private final Path directory;
+
+    /** @throws IOException where there is no such directory */
+    public EventLogReader(Path directory) throws IOException {
+        if (!Files.isDirectory(directory)) {
             throw new IOException(
-                    folder + ": no folder of records is there; it is \"records\" in a router's data folder");
+                    directory + ": no folder of records is there; it is \"records\" in a router's data folder");
         }
-        this.folder = folder;
+        this.directory = directory;
     }
 
-    /** Whether a folder holds no records. */
-    public static boolean empty(Path folder) throws IOException {
-        return segments(folder).isEmpty();
+    /** Whether a directory holds no log. */
+    public static boolean empty(Path directory) throws IOException {
+        return segments(directory).isEmpty();
     }
 
-    static List<Path> segments(Path folder) throws IOException {
-        return files(folder, "records-[0-9]{16}\\.db");
+    /** The segments' files, oldest first. */
+    static List<Path> segments(Path directory) throws IOException {
+        return files(directory, LogSegment.FILE_PATTERN);
     }
 
-    static List<Path> files(Path folder, String form) throws IOException {
-        try (Stream<Path> all = Files.list(folder)) {
+    /** The files whose names match a pattern, sorted. */
+    static List<Path> files(Path directory, String namePattern) throws IOException {
+        try (Stream<Path> files = Files.list(directory)) {
             return new ArrayList<>(
-                    all.filter(file -> file.getFileName().toString().matches(form))
+                    files.filter(file -> file.getFileName().toString().matches(namePattern))
                             .sorted()
                             .toList());
         }
     }
 
-    /** Every entry that can be read, from a number on; a damaged batch or file is passed over, {@link #verify} tells of it. */
+    /**
+     * Reads every entry from a number on. Damaged batches and files are left out; {@link #verify} reports them.
+     *
+     * @throws IOException where a segment was written by a newer version, or the taker fails
+     */
     public void read(long from, Taker taker) throws IOException {
-        List<Path> segments = segments(folder);
+        List<Path> segments = segments(directory);
         for (int i = 0; i < segments.size(); i++) {
-            if (i + 1 < segments.size() && LogSegment.first(segments.get(i + 1)) <= from) {
-                continue;
-            }
-            LogSegment segment;
-            try {
-                segment = LogSegment.read(segments.get(i));
-            } catch (UnsupportedFormatException unread) {
-                throw unread;
-            } catch (IOException damaged) {
-                continue;
-            }
-            try (segment) {
-                segment.batches(from, batch -> {
-                    if (batch.first() + batch.count() > from && batch.damage().isEmpty()) {
-                        for (LogBatch.Row row : LogBatch.decode(batch.bytes())) {
-                            taker.take(batch.first() + row.place(), row.entry());
-                        }
-                    }
-                });
+            boolean endsBefore = i + 1 < segments.size() && LogSegment.first(segments.get(i + 1)) <= from;
+            if (!endsBefore) {
+                readSegment(segments.get(i), from, taker);
             }
         }
     }
 
-    /** Entries of a span of the wall clock that are looked for. */
+    private static void readSegment(Path file, long from, Taker taker) throws IOException {
+        LogSegment segment;
+        try {
+            segment = LogSegment.read(file);
+        } catch (UnsupportedFormatException newerVersion) {
+            throw newerVersion;
+        } catch (IOException damaged) {
+            return;
+        }
+        try (segment) {
+            segment.batches(from, batch -> readBatch(batch, from, taker));
+        }
+    }
+
+    private static void readBatch(LogSegment.Stored batch, long from, Taker taker) throws IOException {
+        boolean endsBefore = batch.first() + batch.count() <= from;
+        if (endsBefore || !batch.damage().isEmpty()) {
+            return;
+        }
+        for (LogBatch.Row row : LogBatch.decode(batch.bytes())) {
+            taker.take(batch.first() + row.place(), row.entry());
+        }
+    }
+
+    /**
+     * Reads the entries of a period that match.
+     *
+     * @param fromMillis wall clock, milliseconds since 1970
+     * @param toMillis the first moment after the period
+     */
     public void find(long fromMillis, long toMillis, Predicate<LogEntry> wanted, Taker taker) throws IOException {
         read(0, (number, entry) -> {
             if (entry.at() >= fromMillis && entry.at() < toMillis && wanted.test(entry)) {
@@ -87,42 +113,16 @@
         });
     }
 
-    /** Looks at every file, every batch and every number. */
+    /** Checks every file, every batch and that the entries' numbers follow each other. */
     public Verified verify() throws IOException {
-        List<String> damage = new ArrayList<>();
-        long[] counts = new long[3];
-        List<Path> segments = segments(folder);
-        for (Path file : files(folder, "records-.*\\.damaged")) {
-            damage.add(file.getFileName() + ": set aside at a start, its entries are lost");
+        LogVerification verification = new LogVerification();
+        List<Path> segments = segments(directory);
+        for (Path file : files(directory, DAMAGED_PATTERN)) {
+            verification.addSetAside(file);
         }
-        long[] expected = {-1};
         for (Path file : segments) {
-            counts[2] += LogSegment.bytes(file);
-            if (expected[0] >= 0 && LogSegment.first(file) != expected[0]) {
-                damage.add(file.getFileName() + ": begins at entry " + LogSegment.first(file) + " where " + expected[0]
-                        + " would follow");
-            }
-            expected[0] = LogSegment.first(file);
-            try (LogSegment segment = LogSegment.read(file)) {
-                segment.structure(what -> damage.add(file.getFileName() + ": " + what));
-                segment.batches(batch -> {
-                    counts[0]++;
-                    counts[1] += batch.count();
-                    if (batch.first() != expected[0]) {
-                        damage.add(file.getFileName() + ": entries " + expected[0] + " to " + (batch.first() - 1)
-                                + " are missing");
-                    }
-                    expected[0] = batch.first() + batch.count();
-                    if (!batch.damage().isEmpty()) {
-                        damage.add(file.getFileName() + ": entries " + batch.first() + " to " + (expected[0] - 1) + ": "
-                                + batch.damage());
-                    }
-                });
-            } catch (IOException broken) {
-                damage.add(file.getFileName() + ": " + broken.getMessage());
-                expected[0] = -1;
-            }
+            verification.check(file);
         }
-        return new Verified(segments.size(), counts[0], counts[1], counts[2], damage);
+        return verification.result(segments.size());
     }
 }
--- a/eventlog/src/main/java/pearladder/eventlog/LogBatch.java
+++ b/eventlog/src/main/java/pearladder/eventlog/LogBatch.java
@@ -15,13 +15,20 @@
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
 
-/** Entries as bytes: CBOR rows, deflated. The engine's, model's and account's names repeat, so that little is left of them. */
+/** Encodes a batch of entries: an array of CBOR arrays, deflated, as names repeat within a batch. */
 final class LogBatch {
-    /** An entry with its place in its batch, which outlives a compaction. */
+    /**
+     * An entry in a batch.
+     *
+     * @param place in the batch when it was written; a compaction leaves it as it is
+     */
     record Row(int place, LogEntry entry) {}
 
     private static final CBORFactory CBOR = new CBORFactory();
-    private static final int LARGEST = 64 << 20;
+    /** Guards against a damaged batch that inflates without end. */
+    private static final int MAX_DECODED_BYTES = 64 << 20;
+    /** About what an entry has besides its longest texts. */
+    private static final int BYTES_PER_ENTRY = 64;
 
     private LogBatch() {}
 
@@ -34,65 +41,74 @@
     static byte[] encode(List<Row> batch) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         Deflater deflater = new Deflater(Deflater.BEST_SPEED);
-        try (DeflaterOutputStream packed = new DeflaterOutputStream(bytes, deflater);
-                JsonGenerator rows = CBOR.createGenerator(packed)) {
-            rows.writeStartArray();
+        try (DeflaterOutputStream deflated = new DeflaterOutputStream(bytes, deflater);
+                JsonGenerator cbor = CBOR.createGenerator(deflated)) {
+            cbor.writeStartArray();
             for (Row row : batch) {
-                LogEntry entry = row.entry();
-                rows.writeStartArray();
-                rows.writeNumber(row.place());
-                rows.writeNumber(entry.at());
-                rows.writeNumber(entry.kind().code);
-                rows.writeString(entry.call());
-                rows.writeString(entry.model());
-                rows.writeString(entry.account());
-                rows.writeString(entry.engine());
-                rows.writeString(entry.note());
-                rows.writeNumber(entry.amount());
-                rows.writeNumber(entry.took());
-                rows.writeEndArray();
+                write(cbor, row);
             }
-            rows.writeEndArray();
+            cbor.writeEndArray();
         } finally {
             deflater.end();
         }
         return bytes.toByteArray();
     }
 
-    /** Entries of a kind that this build doesn't know are passed over: a later one may write them in the same format. */
+    private static void write(JsonGenerator cbor, Row row) throws IOException {
+        LogEntry entry = row.entry();
+        cbor.writeStartArray();
+        cbor.writeNumber(row.place());
+        cbor.writeNumber(entry.at());
+        cbor.writeNumber(entry.kind().number);
+        cbor.writeString(entry.call());
+        cbor.writeString(entry.model());
+        cbor.writeString(entry.account());
+        cbor.writeString(entry.engine());
+        cbor.writeString(entry.note());
+        cbor.writeNumber(entry.amount());
+        cbor.writeNumber(entry.took());
+        cbor.writeEndArray();
+    }
+
+    /**
+     * Entries of a type that this version does not know are left out: a later one may write them in the same format.
+     */
     static List<Row> decode(byte[] bytes) throws IOException {
-        List<Row> entries = new ArrayList<>();
-        try (JsonParser rows = CBOR.createParser(new InflaterInputStream(new ByteArrayInputStream(bytes)))) {
-            expect(rows.nextToken() == JsonToken.START_ARRAY);
-            long read = 0;
-            while (rows.nextToken() == JsonToken.START_ARRAY) {
-                int place = rows.nextIntValue(0);
-                long at = rows.nextLongValue(0);
-                LogEntryType kind = LogEntryType.of(rows.nextIntValue(0));
-                LogEntry entry = new LogEntry(
-                        at,
-                        kind == null ? LogEntryType.DROPPED : kind,
-                        text(rows),
-                        text(rows),
-                        text(rows),
-                        text(rows),
-                        text(rows),
-                        rows.nextLongValue(0),
-                        rows.nextLongValue(0));
-                expect(rows.nextToken() == JsonToken.END_ARRAY);
-                read += entry.call().length() + entry.note().length() + 64;
-                expect(read < LARGEST);
-                if (kind != null) {
-                    entries.add(new Row(place, entry));
+        List<Row> rows = new ArrayList<>();
+        try (JsonParser cbor = CBOR.createParser(new InflaterInputStream(new ByteArrayInputStream(bytes)))) {
+            expect(cbor.nextToken() == JsonToken.START_ARRAY);
+            long decodedBytes = 0;
+            while (cbor.nextToken() == JsonToken.START_ARRAY) {
+                int place = cbor.nextIntValue(0);
+                long at = cbor.nextLongValue(0);
+                LogEntryType type = LogEntryType.of(cbor.nextIntValue(0));
+                LogEntry entry = readEntry(cbor, at, type == null ? LogEntryType.DROPPED : type);
+                expect(cbor.nextToken() == JsonToken.END_ARRAY);
+                decodedBytes += entry.call().length() + entry.note().length() + BYTES_PER_ENTRY;
+                expect(decodedBytes < MAX_DECODED_BYTES);
+                if (type != null) {
+                    rows.add(new Row(place, entry));
                 }
             }
-            expect(rows.currentToken() == JsonToken.END_ARRAY);
+            expect(cbor.currentToken() == JsonToken.END_ARRAY);
         }
-        return entries;
+        return rows;
+    }
+
+    /** Reads what follows the type. */
+    private static LogEntry readEntry(JsonParser cbor, long at, LogEntryType type) throws IOException {
+        String call = readText(cbor);
+        String model = readText(cbor);
+        String account = readText(cbor);
+        String engine = readText(cbor);
+        String note = readText(cbor);
+        long amount = cbor.nextLongValue(0);
+        long took = cbor.nextLongValue(0);
+        return new LogEntry(at, type, call, model, account, engine, note, amount, took);
     }
 
-    private static String text(JsonParser rows) throws IOException {
-        String text = rows.nextTextValue();
+    private static String readText(JsonParser cbor) throws IOException {
+        String text = cbor.nextTextValue();
         expect(text != null);
         return text;
     }
@@ -103,6 +119,7 @@
         }
     }
 
+    /** CRC-32C of an encoded batch. */
     static long sum(byte[] bytes) {
         CRC32C crc = new CRC32C();
         crc.update(bytes);
--- a/eventlog/src/main/java/pearladder/eventlog/LogEntryType.java
+++ b/eventlog/src/main/java/pearladder/eventlog/LogEntryType.java
@@ -1,51 +1,67 @@
 package pearladder.eventlog;
 
-/** What an entry tells. The code stands in files and never changes; a detail may be left out where the disk is slow. */
+/**
+ * What an entry records. The number is part of the log's format and never changes; the code is its word for people
+ * and in exports. A router may leave out a detail while its disk is slow.
+ */
 public enum LogEntryType {
-    /** A router's life began; note: its name; amount: for how many milliseconds idle copies are kept. */
-    STARTED(1, false),
-    /** It ended in order. */
-    STOPPED(2, false),
-    /** A call ended; note: settled, dismissed, terminated or left; took: microseconds. */
-    ENDED(3, false),
-    /** A leg ended; note: its outcome; took: microseconds; amount: 1 where it began a load, 2 where it joined one. */
-    LEG(4, true),
-    /** What an account's calls worked on an engine since the last such cut; amount: microseconds; took: the cut's span. */
-    WORK(5, false),
-    /** A load was begun; the account is whose call began it, empty for an order; took: the load, microseconds. */
-    LOADING(6, false),
+    /** A router started; note: its name; amount: for how many milliseconds idle instances stay loaded. */
+    STARTED(1, "started", false),
+    /** It stopped in order. */
+    STOPPED(2, "stopped", false),
+    /** A request ended; note: settled, dismissed, terminated or left; took: microseconds. */
+    ENDED(3, "ended", false),
+    /**
+     * An attempt ended; note: its outcome; took: microseconds; amount: the ordinal of
+     * {@code pearladder.routing.api.Event.InstanceStatus}.
+     */
+    LEG(4, "leg", true),
+    /**
+     * For how long a worker executed a tenant's requests since the last such entry; amount: that; took: the period.
+     */
+    WORK(5, "work", false),
+    /** A load began; the tenant is whose request began it, empty for a load request; took: the load, microseconds. */
+    LOADING(6, "loading", false),
     /** It ended; note: empty, or why it failed. */
-    LOADED(7, false),
-    /** So many copies stand, as the engine said; amount: copies. */
-    COPIES(8, false),
-    /** An order to hold copies goes out; amount: copies. */
-    ORDERED(9, false),
-    /** The list tells of an engine; note: its standing; amount: its start, milliseconds of the wall clock, or 0. */
-    ENGINE(10, false),
-    /** What is done about a release; the note says it. */
-    RELEASE(11, false),
+    LOADED(7, "loaded", false),
+    /** So many instances are loaded, as the worker says; amount: instances. */
+    COPIES(8, "copies", false),
+    /** A load request is about to be sent; amount: instances. */
+    ORDERED(9, "ordered", false),
+    /** A worker's state was listed; note: the state; amount: its start, milliseconds since 1970, or 0. */
+    ENGINE(10, "engine", false),
+    /** Something was done about a rollout; the note says what. */
+    RELEASE(11, "release", false),
     /** So many details were left out up to here; amount. */
-    DROPPED(13, false),
-    /** A model's copies hold so many megabytes each; amount. */
-    MODEL(14, false);
+    DROPPED(13, "dropped", false),
+    /** An instance of a function has so many megabytes; amount. */
+    MODEL(14, "model", false);
 
-    final int code;
+    final int number;
+    private final String code;
     private final boolean detail;
 
-    LogEntryType(int code, boolean detail) {
+    LogEntryType(int number, String code, boolean detail) {
+        this.number = number;
         this.code = code;
         this.detail = detail;
     }
 
-    /** Whether a router may leave it out when its disk can't follow. */
+    /** The word for this type in exports and queries; stable across versions. */
+    public String code() {
+        return code;
+    }
+
+    /** Whether a router may leave it out while its disk is slow. */
     public boolean detail() {
         return detail;
     }
 
-    static LogEntryType of(int code) {
-        for (LogEntryType kind : values()) {
-            if (kind.code == code) {
-                return kind;
+    /** The type of a number, or null where this version knows none. */
+    static LogEntryType of(int number) {
+        for (LogEntryType type : values()) {
+            if (type.number == number) {
+                return type;
             }
         }
         return null;
--- a/eventlog/src/main/java/pearladder/eventlog/UnsupportedFormatException.java
+++ b/eventlog/src/main/java/pearladder/eventlog/UnsupportedFormatException.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 
-/** Records that this build can't read, and must not touch: a newer one wrote them. */
+/** A segment was written by a newer version; this one can't read it, and must not change it. */
 final class UnsupportedFormatException extends IOException {
     private static final long serialVersionUID = 1L;
 
--- a/eventlog/src/main/java/pearladder/eventlog/metering/Metering.java
+++ b/eventlog/src/main/java/pearladder/eventlog/metering/Metering.java
@@ -16,20 +16,29 @@
 import pearladder.metering.UsageAccounting;
 import pearladder.metering.UsageShare;
 
-/** Memory-seconds from the records of any number of routers, merged by time. */
+/** Computes memory-seconds from the event logs of any number of routers, merged by time. */
 public final class Metering {
-    /** Shares are split by the minute. */
+    /** Shares are computed for each minute; milliseconds. */
     public static final long INTERVAL = 60_000;
-    /** Work is told up to a cut late, loads up to their own length; clocks of routers differ. */
-    private static final long LATE = 3 * INTERVAL;
+    /**
+     * Entries are accepted so much late, milliseconds: usage is logged after the fact, a load once it has ended,
+     * and the clocks of routers differ.
+     */
+    private static final long MAX_LATENESS = 3 * INTERVAL;
+    /** For logs whose first entry does not tell the idle timeout. */
+    private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 10_000;
+    /** The note of a worker that is no longer listed. */
+    private static final String GONE = "GONE";
 
-    private static final long USUALLY_KEPT = 10_000;
+    private static final int MICROS_PER_MILLI = 1000;
 
-    /** One router's records as they are read. */
+    /** One router's log, read up to its head. */
     private static final class Source {
         final String router;
         final EventLogCursor cursor;
-        final Map<String, Long> starts = new HashMap<>();
+        /** When each worker was started, as the log has it. */
+        final Map<String, Long> workerStarts = new HashMap<>();
+        /** Null at the end. */
         LogEntry head;
 
         Source(String router, EventLogCursor cursor) throws IOException {
@@ -39,22 +48,28 @@
         }
     }
 
-    /** What was read, and what could not be placed in time. */
+    /**
+     * What was read.
+     *
+     * @param entries in all logs
+     * @param tooLate of them, which were left out
+     * @param keptMillis for how long idle instances stay loaded
+     */
     public record Read(long entries, long tooLate, long keptMillis) {}
 
     private Metering() {}
 
     /**
-     * Reads all records and gives every share.
+     * Reads all logs and computes every share.
      *
-     * @param folders of records, one a router
-     * @param taker gets shares by interval, in order of time
+     * @param directories of logs, one a router
+     * @param taker gets the shares by interval, in order of time
      */
-    public static Read read(List<Path> folders, Consumer<UsageShare> taker) throws IOException {
+    public static Read read(List<Path> directories, Consumer<UsageShare> taker) throws IOException {
         List<Source> sources = new ArrayList<>();
         try {
-            for (Path folder : folders) {
-                sources.add(new Source(folder.toString(), new EventLogCursor(folder)));
+            for (Path directory : directories) {
+                sources.add(new Source(directory.toString(), new EventLogCursor(directory)));
             }
             return merge(sources, taker);
         } finally {
@@ -63,62 +78,68 @@
     }
 
     private static Read merge(List<Source> sources, Consumer<UsageShare> taker) throws IOException {
-        long kept = sources.stream()
-                .filter(source -> source.head != null && source.head.kind() == LogEntryType.STARTED)
-                .mapToLong(source -> source.head.amount())
-                .max()
-                .orElse(USUALLY_KEPT);
-        UsageAccounting usage = new UsageAccounting(INTERVAL, kept, LATE);
-        PriorityQueue<Source> next = new PriorityQueue<>(
+        long idleTimeout = idleTimeoutMillis(sources);
+        UsageAccounting accounting = new UsageAccounting(INTERVAL, idleTimeout, MAX_LATENESS);
+        PriorityQueue<Source> oldestFirst = new PriorityQueue<>(
                 Comparator.<Source>comparingLong(source -> source.head.at()).thenComparing(source -> source.router));
-        sources.stream().filter(source -> source.head != null).forEach(next::add);
+        sources.stream().filter(source -> source.head != null).forEach(oldestFirst::add);
         long entries = 0;
         long newest = 0;
-        while (!next.isEmpty()) {
-            Source source = next.poll();
+        while (!oldestFirst.isEmpty()) {
+            Source source = oldestFirst.poll();
             LogEntry entry = source.head;
             entries++;
             newest = Math.max(newest, entry.at());
-            InstanceObservation evidence = evidence(source, entry);
-            if (evidence != null) {
-                usage.on(evidence).forEach(taker);
+            InstanceObservation observation = observation(source, entry);
+            if (observation != null) {
+                accounting.on(observation).forEach(taker);
             }
             source.head = source.cursor.next();
             if (source.head != null) {
-                next.add(source);
+                oldestFirst.add(source);
             }
         }
-        usage.end(newest + kept).forEach(taker);
-        return new Read(entries, usage.tooLate(), kept);
+        accounting.end(newest + idleTimeout).forEach(taker);
+        return new Read(entries, accounting.tooLate(), idleTimeout);
+    }
+
+    /** The longest of those that the logs begin with. */
+    private static long idleTimeoutMillis(List<Source> sources) {
+        return sources.stream()
+                .filter(source -> source.head != null && source.head.kind() == LogEntryType.STARTED)
+                .mapToLong(source -> source.head.amount())
+                .max()
+                .orElse(DEFAULT_IDLE_TIMEOUT_MILLIS);
     }
 
-    /** What an entry proves of memory, or null. */
-    private static InstanceObservation evidence(Source source, LogEntry entry) {
+    /** What an entry proves about instances, or null. */
+    private static InstanceObservation observation(Source source, LogEntry entry) {
+        long at = entry.at();
+        String router = source.router;
         return switch (entry.kind()) {
-            case MODEL -> new InstanceObservation.Memory(entry.at(), source.router, entry.model(), entry.amount());
+            case MODEL -> new InstanceObservation.Memory(at, router, entry.model(), entry.amount());
             case LOADING -> new InstanceObservation.Loading(
-                    entry.at(), source.router, entry.engine(), entry.model(), entry.account(), entry.took() / 1000);
+                    at, router, entry.engine(), entry.model(), entry.account(), entry.took() / MICROS_PER_MILLI);
             case LOADED -> entry.note().isEmpty()
                     ? null
-                    : new InstanceObservation.LoadFailed(entry.at(), source.router, entry.engine(), entry.model());
+                    : new InstanceObservation.LoadFailed(at, router, entry.engine(), entry.model());
             case COPIES -> new InstanceObservation.Copies(
-                    entry.at(), source.router, entry.engine(), entry.model(), (int) entry.amount());
+                    at, router, entry.engine(), entry.model(), (int) entry.amount());
             case WORK -> new InstanceObservation.Worked(
-                    entry.at(), source.router, entry.engine(), entry.model(), entry.account(), entry.amount());
-            case ENGINE -> engine(source, entry);
+                    at, router, entry.engine(), entry.model(), entry.account(), entry.amount());
+            case ENGINE -> workerGone(source, entry);
             default -> null;
         };
     }
 
-    /** An engine that the list lets go, or tells with another start, holds nothing from then on. */
-    private static InstanceObservation engine(Source source, LogEntry entry) {
-        if (entry.note().equals("GONE")) {
-            source.starts.remove(entry.engine());
+    /** A worker that is no longer listed, or is listed with another start, has no instances from then on. */
+    private static InstanceObservation workerGone(Source source, LogEntry entry) {
+        if (entry.note().equals(GONE)) {
+            source.workerStarts.remove(entry.engine());
             return new InstanceObservation.Gone(entry.at(), source.router, entry.engine());
         }
-        Long before = source.starts.put(entry.engine(), entry.amount());
-        return before == null || before == entry.amount() || entry.amount() == 0
-                ? null
-                : new InstanceObservation.Gone(entry.amount(), source.router, entry.engine());
+        Long previousStart = source.workerStarts.put(entry.engine(), entry.amount());
+        boolean restarted = previousStart != null && previousStart != entry.amount() && entry.amount() != 0;
+        return restarted ? new InstanceObservation.Gone(entry.amount(), source.router, entry.engine()) : null;
     }
 }
--- a/eventlog/src/main/java/pearladder/eventlog/metering/package-info.java
+++ b/eventlog/src/main/java/pearladder/eventlog/metering/package-info.java
@@ -1,2 +1,4 @@
-/** Reads the records of several routers as evidence of what models held, and sums up what the usage module makes of it. */
+/**
+ * Reads the event logs of several routers as observations of instances, and sums up the memory-seconds of tenants.
+ */
 package pearladder.eventlog.metering;
--- a/eventlog/src/main/java/pearladder/eventlog/package-info.java
+++ b/eventlog/src/main/java/pearladder/eventlog/package-info.java
@@ -1,5 +1,6 @@
 /**
- * An append-only record of what a router did, in segments that are SQLite files. A batch is one row with its own checksum;
- * {@link pearladder.eventlog.Records} writes, {@link pearladder.eventlog.Archive} reads what stands in a folder.
+ * An append-only log of what a router did, in segments that are SQLite files. A row is a batch of entries with its
+ * own checksum. {@link pearladder.eventlog.EventLog} writes a log, {@link pearladder.eventlog.EventLogReader}
+ * reads one.
  */
 package pearladder.eventlog;
--- a/kserve/src/main/java/pearladder/kserve/DiscoveryMessage.java
+++ b/kserve/src/main/java/pearladder/kserve/DiscoveryMessage.java
@@ -10,32 +10,85 @@
 import java.util.List;
 
 /**
- * One line of the list service: a JSON object that is a whole list, changes to it, or a sign of life ("beat").
+ * A message of the discovery service: one line with a JSON object that holds the complete endpoint list, changes
+ * to it, or nothing but a heartbeat.
  *
- * @param kind whole, changes or beat
- * @param version the list's version after this line; only grows
- * @param entries the engines it names
+ * @param kind complete list, changes or heartbeat
+ * @param version of the list after this message; only grows
+ * @param entries the workers that it names
  */
 public record DiscoveryMessage(Kind kind, long version, List<Entry> entries) {
-    /** What a line brings. */
+    /** What a message holds. */
     public enum Kind {
-        WHOLE,
-        CHANGES,
-        BEAT
+        /** The complete list. */
+        WHOLE("whole"),
+        /** Entries that are new or have changed. */
+        CHANGES("changes"),
+        /** A heartbeat. */
+        BEAT("beat");
+
+        private final String code;
+
+        Kind(String code) {
+            this.code = code;
+        }
+
+        /** The word in a message; part of the protocol. */
+        public String code() {
+            return code;
+        }
+
+        private static Kind parse(String code) throws IOException {
+            for (Kind kind : values()) {
+                if (kind.code.equalsIgnoreCase(code)) {
+                    return kind;
+                }
+            }
+            throw unknownWord(code);
+        }
     }
 
-    /** An engine's standing. */
+    /** A worker's state. */
     public enum Standing {
-        IN_SERVICE,
-        DRAINING,
-        GONE
+        /** Takes requests. */
+        IN_SERVICE("in_service"),
+        /** Takes no new requests, and completes those it has. */
+        DRAINING("draining"),
+        /** Is no longer listed. */
+        GONE("gone");
+
+        private final String code;
+
+        Standing(String code) {
+            this.code = code;
+        }
+
+        /** The word in a message; part of the protocol. */
+        public String code() {
+            return code;
+        }
+
+        private static Standing parse(String code) throws IOException {
+            for (Standing standing : values()) {
+                if (standing.code.equalsIgnoreCase(code)) {
+                    return standing;
+                }
+            }
+            throw unknownWord(code);
+        }
     }
 
     /**
-     * One engine.
+     * A worker.
      *
-     * @param startedMillis wall-clock time of its last start in milliseconds since 1970; 0 where it has run for long
-     * @param cell a group of engines that drop each other's repeats
+     * @param engine its name
+     * @param host it listens on
+     * @param port it listens on
+     * @param hall its zone
+     * @param kind of its machine
+     * @param cell workers of one group deduplicate each other's requests
+     * @param standing its state
+     * @param startedMillis wall-clock time of its last start in milliseconds since 1970; 0 where that was long ago
      */
     public record Entry(
             String engine,
@@ -48,39 +101,46 @@
             long startedMillis) {}
 
     private static final JsonFactory JSON = new JsonFactory();
+    private static final String DEFAULT_HOST = "127.0.0.1";
+    private static final int MAX_PORT = 65_535;
 
-    /** The line as JSON, without a line end. */
+    /** The message as JSON, without a line end. */
     public String text() {
-        StringWriter out = new StringWriter();
-        try (JsonGenerator json = JSON.createGenerator(out)) {
+        StringWriter output = new StringWriter();
+        try (JsonGenerator json = JSON.createGenerator(output)) {
             json.writeStartObject();
-            json.writeStringField("kind", kind.name().toLowerCase(java.util.Locale.ROOT));
+            json.writeStringField("kind", kind.code());
             json.writeNumberField("version", version);
             json.writeArrayFieldStart("engines");
             for (Entry entry : entries) {
-                json.writeStartObject();
-                json.writeStringField("engine", entry.engine);
-                json.writeStringField("host", entry.host);
-                json.writeNumberField("port", entry.port);
-                json.writeStringField("hall", entry.hall);
-                json.writeStringField("kind", entry.kind);
-                json.writeNumberField("cell", entry.cell);
-                json.writeStringField("standing", entry.standing.name().toLowerCase(java.util.Locale.ROOT));
-                json.writeNumberField("started", entry.startedMillis);
-                json.writeEndObject();
+                write(json, entry);
             }
             json.writeEndArray();
             json.writeEndObject();
         } catch (IOException impossible) {
             throw new IllegalStateException(impossible);
         }
-        return out.toString();
+        return output.toString();
+    }
+
+    private static void write(JsonGenerator json, Entry entry) throws IOException {
+        json.writeStartObject();
+        json.writeStringField("engine", entry.engine);
+        json.writeStringField("host", entry.host);
+        json.writeNumberField("port", entry.port);
+        json.writeStringField("hall", entry.hall);
+        json.writeStringField("kind", entry.kind);
+        json.writeNumberField("cell", entry.cell);
+        json.writeStringField("standing", entry.standing.code());
+        json.writeNumberField("started", entry.startedMillis);
+        json.writeEndObject();
     }
 
     /**
-     * Reads a line.
+     * Parses a message; unknown fields are ignored.
      *
-     * @throws IOException with a message that says what is wrong, where the line is not one of the list service
+     * @throws IOException with a message that says what is wrong, where the text is no message of the discovery
+     *     service
      */
     public static DiscoveryMessage parse(String text) throws IOException {
         Kind kind = null;
@@ -92,15 +152,9 @@
                 String name = json.currentName();
                 json.nextToken();
                 switch (name) {
-                    case "kind" -> kind = word(Kind.class, json.getText());
+                    case "kind" -> kind = Kind.parse(json.getText());
                     case "version" -> version = json.getLongValue();
-                    case "engines" -> {
-                        expect(json.currentToken() == JsonToken.START_ARRAY, "engines is a list");
-                        while (json.nextToken() == JsonToken.START_OBJECT) {
-                            entries.add(entry(json));
-                        }
-                        expect(json.currentToken() == JsonToken.END_ARRAY, "engines is a list of objects");
-                    }
+                    case "engines" -> parseEntries(json, entries);
                     default -> json.skipChildren();
                 }
             }
@@ -110,15 +164,23 @@
         return new DiscoveryMessage(kind, version, List.copyOf(entries));
     }
 
-    private static Entry entry(JsonParser json) throws IOException {
+    private static void parseEntries(JsonParser json, List<Entry> entries) throws IOException {
+        expect(json.currentToken() == JsonToken.START_ARRAY, "engines is a list");
+        while (json.nextToken() == JsonToken.START_OBJECT) {
+            entries.add(parseEntry(json));
+        }
+        expect(json.currentToken() == JsonToken.END_ARRAY, "engines is a list of objects");
+    }
+
+    private static Entry parseEntry(JsonParser json) throws IOException {
         String engine = null;
-        String host = "127.0.0.1";
+        String host = DEFAULT_HOST;
         int port = 0;
         String hall = "";
         String kind = "";
         long cell = 0;
         Standing standing = null;
-        long started = 0;
+        long startedMillis = 0;
         while (json.nextToken() == JsonToken.FIELD_NAME) {
             String name = json.currentName();
             json.nextToken();
@@ -129,28 +191,23 @@
                 case "hall" -> hall = json.getText();
                 case "kind" -> kind = json.getText();
                 case "cell" -> cell = json.getLongValue();
-                case "standing" -> standing = word(Standing.class, json.getText());
-                case "started" -> started = json.getLongValue();
+                case "standing" -> standing = Standing.parse(json.getText());
+                case "started" -> startedMillis = json.getLongValue();
                 default -> json.skipChildren();
             }
         }
         expect(engine != null && standing != null, "an entry has an engine and a standing");
-        expect(port > 0 && port < 65536, "an entry has a port from 1 to 65535");
-        return new Entry(engine, host, port, hall, kind, cell, standing, started);
+        expect(port > 0 && port <= MAX_PORT, "an entry has a port from 1 to 65535");
+        return new Entry(engine, host, port, hall, kind, cell, standing, startedMillis);
     }
 
-    private static <E extends Enum<E>> E word(Class<E> type, String word) throws IOException {
-        for (E value : type.getEnumConstants()) {
-            if (value.name().equalsIgnoreCase(word)) {
-                return value;
-            }
-        }
-        throw new IOException("unknown word " + word);
+    private static IOException unknownWord(String word) {
+        return new IOException("unknown word " + word);
     }
 
-    private static void expect(boolean holds, String what) throws IOException {
+    private static void expect(boolean holds, String otherwise) throws IOException {
         if (!holds) {
-            throw new IOException(what);
+            throw new IOException(otherwise);
         }
     }
 }
--- a/kserve/src/main/java/pearladder/kserve/Headers.java
+++ b/kserve/src/main/java/pearladder/kserve/Headers.java
@@ -1,45 +1,56 @@
 package pearladder.kserve;
 
-/** The headers that carry what KServe v2 lacks. docs/protocol.md has the one table with units and directions. */
+/** The HTTP headers that carry what KServe v2 lacks. docs/protocol.md has a table with units and directions. */
 public final class Headers {
     // from a client
+
+    /** The client's tenant. */
     public static final String ACCOUNT = "pearladder-account";
+    /** The request class. */
     public static final String CATEGORY = "pearladder-category";
-    /** How long the client waits for this try, in milliseconds. */
+    /** How long the client waits for this attempt, in milliseconds. */
     public static final String PATIENCE = "pearladder-patience-ms";
-
+    /** The idempotency key. */
     public static final String MARK = "idempotency-key";
-    /** What keeps together when versions shift: a document, a contract. */
+    /** Requests with the same key get the same version during a rollout: a document, a contract. */
     public static final String KEY = "pearladder-key";
-    /** "1" where the client repeats a call it has sent before. */
+    /** "1" where the client retries a request that it has sent before. */
     public static final String REPEAT = "pearladder-repeat";
-    /** The work expected, in milliseconds on a standard core. */
+    /** The client's estimate of the work, in milliseconds on a standard core. */
     public static final String HINT = "pearladder-hint-ms";
 
     // to a client
-    /** One of {@link FinalState}. */
+
+    /** One of the codes of {@link RequestOutcome}. */
     public static final String STATE = "pearladder-state";
-    /** When to come back, in milliseconds; beside the published Retry-After in whole seconds. */
+    /** When to retry, in milliseconds; beside the published Retry-After in whole seconds. */
     public static final String RETRY_AFTER_MS = "pearladder-retry-after-ms";
-
-    /** The model's version that the call got; absent where the model has none. */
+    /** The model's version that executed the request; absent where the model has none. */
     public static final String VERSION = "pearladder-version";
 
-    // from a router to an engine
+    // from a router to a worker
+
+    /** The router's name. */
     public static final String ROUTER = "pearladder-router";
+    /** The request's id; from a client and to it as well. */
     public static final String CALL = "pearladder-call";
+    /** The number of the attempt, from 0. */
     public static final String LEG = "pearladder-leg";
 
-    // from an engine, handed on to the client
-    /** How the call met its copy: stood, load-begun, load-joined or load-failed. */
+    // from a worker, passed on to the client
+
+    /** Whether an instance was loaded: stood, load-begun, load-joined or load-failed. */
     public static final String COPY = "pearladder-copy";
-    /** The engine's load report, see {@link LoadReport}. */
+    /** The worker's load report, see {@link LoadReport}. */
     public static final String REPORT = "pearladder-report";
-    /** Calls of the same model that the engine held when this one came. */
+    /** Requests for the same model that the worker had when this one arrived. */
     public static final String CROWD = "pearladder-crowd";
-    /** "full" or "absent" on an answer that proves that the call never ran. */
+
+    // from a worker to a router
+
+    /** "full" or "absent" on a response that proves that the request was not executed. */
     public static final String NEVER_RAN = "pearladder-never-ran";
-    /** On the answer to a load order: copies that stand now. */
+    /** On the response to a load request: instances that are loaded now. */
     public static final String COPIES = "pearladder-copies";
 
     private Headers() {}
--- a/kserve/src/main/java/pearladder/kserve/JsonBodies.java
+++ b/kserve/src/main/java/pearladder/kserve/JsonBodies.java
@@ -9,109 +9,119 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** The small bodies that are written or read outside the tensors. */
+/** Reads and writes the JSON bodies of KServe v2 that hold no tensors. */
 public final class JsonBodies {
     /**
-     * The model that an engine's answer names, or null where it names none before its outputs, or is no JSON. Only the head
-     * of the answer is read.
+     * A line of a model repository's index.
+     *
+     * @param name of the model
+     * @param state READY, LOADING or UNAVAILABLE, as published
+     */
+    public record Indexed(String name, String state) {}
+
+    private interface JsonWriter {
+        void write(JsonGenerator json) throws IOException;
+    }
+
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private JsonBodies() {}
+
+    /**
+     * The model that a worker's response names. Only the fields before the outputs are read.
+     *
+     * @return null where it names none before its outputs, or is no JSON
      */
     public static String answeredBy(byte[] body) {
         try (JsonParser json = JSON.createParser(body)) {
-            if (json.nextToken() != JsonToken.START_OBJECT) {
-                return null;
-            }
-            while (json.nextToken() == JsonToken.FIELD_NAME) {
-                String name = json.currentName();
-                JsonToken value = json.nextToken();
-                if (name.equals("model_name")) {
-                    return value == JsonToken.VALUE_STRING ? json.getText() : null;
-                }
-                if (name.equals("outputs")) {
-                    return null;
-                }
-                json.skipChildren();
-            }
-            return null;
-        } catch (IOException unreadable) {
+            return json.nextToken() == JsonToken.START_OBJECT ? modelName(json) : null;
+        } catch (IOException malformed) {
             return null;
         }
     }
 
-    /** One line of a model repository's index; state is READY, LOADING or UNAVAILABLE as published. */
-    public record Indexed(String name, String state) {}
-
-    private interface Writing {
-        void to(JsonGenerator json) throws IOException;
+    private static String modelName(JsonParser json) throws IOException {
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String name = json.currentName();
+            JsonToken value = json.nextToken();
+            if (name.equals("model_name")) {
+                return value == JsonToken.VALUE_STRING ? json.getText() : null;
+            }
+            if (name.equals("outputs")) {
+                return null;
+            }
+            json.skipChildren();
+        }
+        return null;
     }
 
-    private static final JsonFactory JSON = new JsonFactory();
-
-    private JsonBodies() {}
+    private static String write(JsonWriter writer) {
+        StringWriter output = new StringWriter();
+        try (JsonGenerator json = JSON.createGenerator(output)) {
+            writer.write(json);
+        } catch (IOException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+        return output.toString();
+    }
 
-    private static String written(Writing writing) {
-        StringWriter out = new StringWriter();
-        try (JsonGenerator json = JSON.createGenerator(out)) {
+    private static String writeObject(JsonWriter fields) {
+        return write(json -> {
             json.writeStartObject();
-            writing.to(json);
+            fields.write(json);
             json.writeEndObject();
-        } catch (IOException impossible) {
-            throw new IllegalStateException(impossible);
+        });
+    }
+
+    private static void writeStrings(JsonGenerator json, String field, List<String> values) throws IOException {
+        json.writeArrayFieldStart(field);
+        for (String value : values) {
+            json.writeString(value);
         }
-        return out.toString();
+        json.writeEndArray();
     }
 
-    /** The published form of every failure: {"error": "..."}. */
-    public static String error(String what) {
-        return written(json -> json.writeStringField("error", what));
+    /** The published form of every error: {"error": "..."}. */
+    public static String error(String message) {
+        return writeObject(json -> json.writeStringField("error", message));
     }
 
     /** Server metadata. */
     public static String server(String name, String version, List<String> extensions) {
-        return written(json -> {
+        return writeObject(json -> {
             json.writeStringField("name", name);
             json.writeStringField("version", version);
-            json.writeArrayFieldStart("extensions");
-            for (String extension : extensions) {
-                json.writeString(extension);
-            }
-            json.writeEndArray();
+            writeStrings(json, "extensions", extensions);
         });
     }
 
-    /** Model metadata; tensors are not known here, so their lists are empty. */
+    /** Model metadata; the tensors are not known here, so their lists are empty. */
     public static String model(String name, List<String> versions) {
-        return written(json -> {
+        return writeObject(json -> {
             json.writeStringField("name", name);
-            json.writeArrayFieldStart("versions");
-            for (String version : versions) {
-                json.writeString(version);
-            }
-            json.writeEndArray();
+            writeStrings(json, "versions", versions);
             json.writeStringField("platform", "pearladder");
-            json.writeArrayFieldStart("inputs");
-            json.writeEndArray();
-            json.writeArrayFieldStart("outputs");
-            json.writeEndArray();
+            writeStrings(json, "inputs", List.of());
+            writeStrings(json, "outputs", List.of());
         });
     }
 
-    /** A load order that asks for so many copies to stand. */
-    public static String load(int copies) {
-        return written(json -> {
+    /** A load request for so many instances. */
+    public static String load(int instances) {
+        return writeObject(json -> {
             json.writeObjectFieldStart("parameters");
-            json.writeNumberField("copies", copies);
+            json.writeNumberField("copies", instances);
             json.writeEndObject();
         });
     }
 
-    /** The copies that a load order asks for; 1 where it names none. */
+    /** The instances that a load request asks for; 1 where it does not say. */
     public static int copies(String body) throws IOException {
         if (body.isBlank()) {
             return 1;
         }
         try (JsonParser json = JSON.createParser(body)) {
-            JsonToken token;
-            while ((token = json.nextToken()) != null) {
+            for (JsonToken token = json.nextToken(); token != null; token = json.nextToken()) {
                 if (token == JsonToken.FIELD_NAME && json.currentName().equals("copies")) {
                     return json.nextIntValue(1);
                 }
@@ -122,8 +132,7 @@
 
     /** A repository index. */
     public static String index(List<Indexed> models) {
-        StringWriter out = new StringWriter();
-        try (JsonGenerator json = JSON.createGenerator(out)) {
+        return write(json -> {
             json.writeStartArray();
             for (Indexed model : models) {
                 json.writeStartObject();
@@ -132,13 +141,10 @@
                 json.writeEndObject();
             }
             json.writeEndArray();
-        } catch (IOException impossible) {
-            throw new IllegalStateException(impossible);
-        }
-        return out.toString();
+        });
     }
 
-    /** Reads a repository index; a model that stands in several copies has as many lines. */
+    /** Parses a repository index; a model with several instances has as many lines. */
     public static List<Indexed> indexed(String body) throws IOException {
         List<Indexed> models = new ArrayList<>();
         try (JsonParser json = JSON.createParser(body)) {
@@ -146,25 +152,27 @@
                 throw new IOException("an index is a list");
             }
             while (json.nextToken() == JsonToken.START_OBJECT) {
-                String name = null;
-                String state = "";
-                while (json.nextToken() == JsonToken.FIELD_NAME) {
-                    String field = json.currentName();
-                    json.nextToken();
-                    if (field.equals("name")) {
-                        name = json.getText();
-                    } else if (field.equals("state")) {
-                        state = json.getText();
-                    } else {
-                        json.skipChildren();
-                    }
-                }
-                if (name == null) {
-                    throw new IOException("an index line has a name");
-                }
-                models.add(new Indexed(name, state));
+                models.add(parseIndexed(json));
             }
         }
         return models;
     }
+
+    private static Indexed parseIndexed(JsonParser json) throws IOException {
+        String name = null;
+        String state = "";
+        while (json.nextToken() == JsonToken.FIELD_NAME) {
+            String field = json.currentName();
+            json.nextToken();
+            switch (field) {
+                case "name" -> name = json.getText();
+                case "state" -> state = json.getText();
+                default -> json.skipChildren();
+            }
+        }
+        if (name == null) {
+            throw new IOException("an index line has a name");
+        }
+        return new Indexed(name, state);
+    }
 }
--- a/kserve/src/main/java/pearladder/kserve/RequestOutcome.java
+++ b/kserve/src/main/java/pearladder/kserve/RequestOutcome.java
@@ -1,32 +1,34 @@
 package pearladder.kserve;
 
-import java.util.Locale;
-
-/** How a call ended; a client can tell the three apart for sure by {@link Headers#STATE}. */
+/** How a request was answered, as the header {@link Headers#STATE} tells the client. */
 public enum RequestOutcome {
-    /** The engine's answer is in the body. */
-    SETTLED(200),
-    /** Not done; trying again is harmless. */
-    DISMISSED(503),
-    /** Not answered; nothing is promised about whether it took effect. */
-    TERMINATED(502);
+    /** The worker's response is in the body. */
+    SETTLED("settled", 200),
+    /** Not executed; a retry is harmless. */
+    DISMISSED("dismissed", 503),
+    /** No worker has responded; whether the request took effect is unknown. */
+    TERMINATED("terminated", 502);
 
-    /** The HTTP status that goes with it; a settled call may carry the engine's own 4xx instead. */
+    /** The HTTP status that goes with it; a settled request may carry the worker's own 4xx instead. */
     public final int status;
 
-    RequestOutcome(int status) {
+    private final String code;
+
+    RequestOutcome(String code, int status) {
+        this.code = code;
         this.status = status;
     }
 
+    /** The header's value; part of the protocol. */
     public String code() {
-        return name().toLowerCase(Locale.ROOT);
+        return code;
     }
 
-    /** The state of that word, or null where there is none. */
-    public static RequestOutcome of(String word) {
-        for (RequestOutcome state : values()) {
-            if (state.code().equals(word)) {
-                return state;
+    /** The outcome of a code, or null where there is none. */
+    public static RequestOutcome of(String code) {
+        for (RequestOutcome outcome : values()) {
+            if (outcome.code.equals(code)) {
+                return outcome;
             }
         }
         return null;
--- a/kserve/src/main/java/pearladder/kserve/Route.java
+++ b/kserve/src/main/java/pearladder/kserve/Route.java
@@ -4,9 +4,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-/** What a request path of KServe v2 asks for; model and version are null where the path names none. */
+/**
+ * What a request's path asks for by KServe v2.
+ *
+ * @param kind of the request
+ * @param model null where the path names none
+ * @param version null where the path names none
+ */
 public record Route(Kind kind, String model, String version) {
-    /** The published requests, and one kind for all that is none of them. */
+    /** The published requests, and {@link #UNKNOWN} for any other path. */
     public enum Kind {
         SERVER,
         LIVE,
@@ -20,67 +26,72 @@
         UNKNOWN
     }
 
-    private static final Route NONE = new Route(Kind.UNKNOWN, null, null);
+    private static final Route UNKNOWN_PATH = new Route(Kind.UNKNOWN, null, null);
 
-    /** Reads a path without its query; anything that is not published is {@link Kind#UNKNOWN}. */
+    /** Parses a path without its query. */
     public static Route of(String path) {
         if (!path.startsWith("/v2")) {
-            return NONE;
+            return UNKNOWN_PATH;
         }
         List<String> parts = List.of(path.substring(1).split("/"));
         if (parts.stream().anyMatch(String::isEmpty) || !parts.get(0).equals("v2")) {
-            return NONE;
+            return UNKNOWN_PATH;
         }
         if (parts.size() == 1) {
             return new Route(Kind.SERVER, null, null);
         }
         return switch (parts.get(1)) {
-            case "health" -> parts.size() != 3
-                    ? NONE
-                    : switch (parts.get(2)) {
-                        case "live" -> new Route(Kind.LIVE, null, null);
-                        case "ready" -> new Route(Kind.READY, null, null);
-                        default -> NONE;
-                    };
+            case "health" -> health(parts);
             case "models" -> model(parts);
             case "repository" -> repository(parts);
-            default -> NONE;
+            default -> UNKNOWN_PATH;
         };
     }
 
-    /** Whether a model's name is that of a pattern: the name itself, or its beginning with "*" behind it. */
+    /** Whether a model's name matches a pattern: the name itself, or a prefix followed by "*". */
     public static boolean matches(String pattern, String name) {
         return pattern.endsWith("*")
                 ? name.startsWith(pattern.substring(0, pattern.length() - 1))
                 : name.equals(pattern);
     }
 
-    /** A version of a model is a function of its own; a version that is null or empty is the model itself. */
+    /** The function of a model's version; without a version (null or empty) it is the model itself. */
     public static String function(String model, String version) {
         return version == null || version.isEmpty() ? model : model + "@" + version;
     }
 
+    private static Route health(List<String> parts) {
+        if (parts.size() != 3) {
+            return UNKNOWN_PATH;
+        }
+        return switch (parts.get(2)) {
+            case "live" -> new Route(Kind.LIVE, null, null);
+            case "ready" -> new Route(Kind.READY, null, null);
+            default -> UNKNOWN_PATH;
+        };
+    }
+
     private static Route model(List<String> parts) {
         if (parts.size() < 3) {
-            return NONE;
+            return UNKNOWN_PATH;
         }
-        String name = decoded(parts.get(2));
-        int at = 3;
+        String name = decode(parts.get(2));
+        int next = 3;
         String version = null;
         if (parts.size() >= 5 && parts.get(3).equals("versions")) {
-            version = decoded(parts.get(4));
-            at = 5;
+            version = decode(parts.get(4));
+            next = 5;
         }
-        if (name == null || parts.size() > at + 1) {
-            return NONE;
+        if (name == null || parts.size() > next + 1) {
+            return UNKNOWN_PATH;
         }
-        if (parts.size() == at) {
+        if (parts.size() == next) {
             return new Route(Kind.MODEL, name, version);
         }
-        return switch (parts.get(at)) {
+        return switch (parts.get(next)) {
             case "infer" -> new Route(Kind.INFER, name, version);
             case "ready" -> new Route(Kind.MODEL_READY, name, version);
-            default -> NONE;
+            default -> UNKNOWN_PATH;
         };
     }
 
@@ -88,17 +99,18 @@
         if (parts.size() == 3 && parts.get(2).equals("index")) {
             return new Route(Kind.INDEX, null, null);
         }
-        if (parts.size() != 5 || !parts.get(2).equals("models") || decoded(parts.get(3)) == null) {
-            return NONE;
+        if (parts.size() != 5 || !parts.get(2).equals("models") || decode(parts.get(3)) == null) {
+            return UNKNOWN_PATH;
         }
         return switch (parts.get(4)) {
-            case "load" -> new Route(Kind.LOAD, decoded(parts.get(3)), null);
-            case "unload" -> new Route(Kind.UNLOAD, decoded(parts.get(3)), null);
-            default -> NONE;
+            case "load" -> new Route(Kind.LOAD, decode(parts.get(3)), null);
+            case "unload" -> new Route(Kind.UNLOAD, decode(parts.get(3)), null);
+            default -> UNKNOWN_PATH;
         };
     }
 
-    private static String decoded(String part) {
+    /** Null where the encoding is malformed. */
+    private static String decode(String part) {
         try {
             return URLDecoder.decode(part.replace("+", "%2B"), StandardCharsets.UTF_8);
         } catch (IllegalArgumentException malformed) {
