--- a/cli/src/test/java/pearladder/cli/PlatformProgram.java
+++ b/cli/src/test/java/pearladder/cli/PlatformProcessFixture.java
@@ -32,28 +32,28 @@
 import org.msgpack.core.MessageUnpacker;
 import org.msgpack.value.ArrayValue;
 
-/** The real program on the platform's protocol: a child process, its signals, a worker and feeds on loopback. */
+/** Runs the real program as a child process, with fake workers and discovery services on loopback and real signals. */
 @Timeout(120)
-abstract class PlatformProgram {
-    private static final String CALL = "commit";
+abstract class PlatformProcessFixture {
+    private static final String REQUEST_CLASS = "commit";
 
-    /** A worker that answers each call with its own name and the call's body, at once or when it is let. */
-    static final class Worker implements AutoCloseable {
+    /** Answers each request with its own name and the request's body, once its latch is open. */
+    static final class FakeWorker implements AutoCloseable {
         final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        final BlockingQueue<String> called = new LinkedBlockingQueue<>();
-        final BlockingQueue<String> halted = new LinkedBlockingQueue<>();
-        /** Calls that are not answered. */
-        final Set<String> held = ConcurrentHashMap.newKeySet();
+        final BlockingQueue<String> receivedRequests = new LinkedBlockingQueue<>();
+        final BlockingQueue<String> cancelledRequests = new LinkedBlockingQueue<>();
+        /** The ids of requests that are never answered. */
+        final Set<String> unansweredRequests = ConcurrentHashMap.newKeySet();
 
         final String name;
-        volatile CountDownLatch let = new CountDownLatch(0);
+        volatile CountDownLatch responseLatch = new CountDownLatch(0);
 
-        Worker(String name) throws IOException {
+        FakeWorker(String name) throws IOException {
             this.name = name;
-            thread(() -> {
+            startDaemon(() -> {
                 while (true) {
                     Socket socket = server.accept();
-                    thread(() -> serve(socket));
+                    startDaemon(() -> serve(socket));
                 }
             });
         }
@@ -68,17 +68,17 @@
                     line(in);
                 }
                 if (words.get(0).equals("go")) {
-                    called.add(words.get(1));
-                    thread(() -> answer(socket, words.get(1), name + words.get(3)));
+                    receivedRequests.add(words.get(1));
+                    startDaemon(() -> answer(socket, words.get(1), name + words.get(3)));
                 } else if (words.get(0).equals("halt")) {
-                    halted.add(words.get(1));
+                    cancelledRequests.add(words.get(1));
                 }
             }
         }
 
         private void answer(Socket socket, String id, String body) throws Exception {
-            let.await();
-            if (!held.contains(id)) {
+            responseLatch.await();
+            if (!unansweredRequests.contains(id)) {
                 byte[] answer = ("*4\r\n$16\r\n" + id + "\r\n$3\r\nACK\r\n$7\r\ntell=up\r\n$" + body.length() + "\r\n"
                                 + body + "\r\n")
                         .getBytes(StandardCharsets.ISO_8859_1);
@@ -102,7 +102,8 @@
 
         String member() {
             return "{\"id\":\"" + name + "\",\"addr\":\"127.0.0.1:" + server.getLocalPort()
-                    + "\",\"zone\":\"hall\",\"kind\":\"kind\",\"cell\":1,\"state\":\"in_service\",\"weight\":1,\"started_ms\":0}";
+                    + "\",\"zone\":\"hall\",\"kind\":\"kind\",\"cell\":1,\"state\":\"in_service\","
+                    + "\"weight\":1,\"started_ms\":0}";
         }
 
         @Override
@@ -111,15 +112,15 @@
         }
     }
 
-    interface Work {
+    interface Task {
         void run() throws Exception;
     }
 
-    static void thread(Work work) {
+    static void startDaemon(Task work) {
         Thread thread = new Thread(() -> {
             try {
                 work.run();
-            } catch (Exception ended) {
+            } catch (Exception closed) {
                 // a closed socket ends it
             }
         });
@@ -130,10 +131,10 @@
     @TempDir
     Path folder;
 
-    final List<HttpServer> feeds = new ArrayList<>();
+    final List<HttpServer> discoveryServers = new ArrayList<>();
     Process process;
     Socket client;
-    MessageUnpacker answers;
+    MessageUnpacker responses;
     int number;
 
     @AfterEach
@@ -141,29 +142,34 @@
         if (process != null) {
             process.destroyForcibly();
         }
-        feeds.forEach(feed -> feed.stop(0));
+        discoveryServers.forEach(discovery -> discovery.stop(0));
         if (client != null) {
             client.close();
         }
     }
 
-    /** A feed that tells one event after the first, and the number that it is next asked for. */
-    HttpServer feed(String event, BlockingQueue<String> asked) throws IOException {
-        return feed(event, asked, new CountDownLatch(0));
+    /**
+     * A discovery service that reports one event after the first.
+     *
+     * @param event the members of the event; null where there is none
+     * @param asked receives the query of each poll
+     */
+    HttpServer startDiscovery(String event, BlockingQueue<String> asked) throws IOException {
+        return startDiscovery(event, asked, new CountDownLatch(0));
     }
 
-    /** @param held no answer is given before it is let go */
-    HttpServer feed(String event, BlockingQueue<String> asked, CountDownLatch held) throws IOException {
-        HttpServer feed = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
-        feed.setExecutor(Executors.newCachedThreadPool(work -> {
+    /** The same with a latch that holds all responses until it is open. */
+    HttpServer startDiscovery(String event, BlockingQueue<String> asked, CountDownLatch latch) throws IOException {
+        HttpServer discovery = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+        discovery.setExecutor(Executors.newCachedThreadPool(work -> {
             Thread thread = new Thread(work);
             thread.setDaemon(true);
             return thread;
         }));
-        feed.createContext("/v1/events", exchange -> {
+        discovery.createContext("/v1/events", exchange -> {
             String query = exchange.getRequestURI().getQuery();
             asked.add(query);
-            await(held);
+            await(latch);
             boolean first = query.startsWith("SUB=1&") && event != null;
             byte[] answer = (first
                             ? "{\"n\":2,\"events\":[{\"n\":2,\"members\":{\"version\":2,\"full\":false,\"servers\":["
@@ -181,9 +187,9 @@
             exchange.getResponseBody().write(answer);
             exchange.close();
         });
-        feed.start();
-        feeds.add(feed);
-        return feed;
+        discovery.start();
+        discoveryServers.add(discovery);
+        return discovery;
     }
 
     static void await(CountDownLatch latch) {
@@ -194,11 +200,13 @@
         }
     }
 
-    Path configuration(int port, HttpServer feed, String member) throws IOException {
+    Path writeConfiguration(int port, HttpServer discovery, String member) throws IOException {
         Path practice = Path.of("..", "deploy", "practice.json");
         String text = Files.readString(practice)
                 .replace("\"127.0.0.1:0\"", "\"127.0.0.1:" + port + "\"")
-                .replace("\"127.0.0.1:1\",", "\"127.0.0.1:" + feed.getAddress().getPort() + "\",")
+                .replace(
+                        "\"127.0.0.1:1\",",
+                        "\"127.0.0.1:" + discovery.getAddress().getPort() + "\",")
                 .replaceAll("\\{\"id\": \"worker-1\"[^}]*\\}", member);
         return Files.writeString(folder.resolve("config.json"), text);
     }
@@ -207,7 +215,7 @@
         return start(configuration, more, "");
     }
 
-    /** @param before what the shell does before it becomes the program */
+    /** @param before shell commands that run before the shell becomes the program */
     Process start(Path configuration, Map<String, String> more, String before) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(
                 "/bin/sh",
@@ -257,17 +265,17 @@
         }
     }
 
-    ArrayValue heard() throws IOException {
-        return answers.unpackValue().asArrayValue();
+    ArrayValue receive() throws IOException {
+        return responses.unpackValue().asArrayValue();
     }
 
-    void call(String id) throws IOException {
+    void sendRequest(String id) throws IOException {
         client.getOutputStream().write(request(id, new byte[] {'!'}));
     }
 
     byte[] request(String id, byte[] body) throws IOException {
         return message(
-                CALL,
+                REQUEST_CLASS,
                 Map.of(
                         "rid",
                         id,
@@ -284,7 +292,7 @@
                 body);
     }
 
-    String served(ArrayValue answer) {
+    String successBody(ArrayValue answer) {
         assertTrue(answer.get(2).isNilValue(), answer.toString());
         return new String(
                 answer.get(3).asArrayValue().get(0).asBinaryValue().asByteArray(), StandardCharsets.ISO_8859_1);
@@ -296,7 +304,7 @@
             assertTrue(process.isAlive(), () -> log());
             try {
                 client = new Socket(InetAddress.getLoopbackAddress(), port);
-                answers = MessagePack.newDefaultUnpacker(client.getInputStream());
+                responses = MessagePack.newDefaultUnpacker(client.getInputStream());
                 return;
             } catch (IOException notYet) {
                 Thread.onSpinWait();
@@ -304,12 +312,12 @@
         }
     }
 
-    /** Asks until the router says that it is ready: it listens before. */
-    void ready(int port) throws Exception {
+    /** Asks until the router reports that it is ready; it listens before. */
+    void awaitReady(int port) throws Exception {
         while (true) {
             connect(port);
             send("check", Map.of(), null);
-            if (heard().get(3).asArrayValue().get(0).asBooleanValue().getBoolean()) {
+            if (receive().get(3).asArrayValue().get(0).asBooleanValue().getBoolean()) {
                 return;
             }
             client.close();
@@ -324,7 +332,7 @@
         }
     }
 
-    void signal(String signal) throws Exception {
+    void sendSignal(String signal) throws Exception {
         assertEquals(
                 0,
                 new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
--- a/cli/src/test/java/pearladder/cli/PlatformTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformTest.java
@@ -22,101 +22,117 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** How the program starts, serves, follows its feed and ends. */
-class PlatformTest extends PlatformProgram {
+/** How the program starts, serves, follows discovery and ends. */
+class PlatformTest extends PlatformProcessFixture {
+    /** The fields of a request under the renamed configuration. */
+    private static final Map<String, String> RENAMED_FIELDS = Map.of(
+            "rid",
+            "00000000000000a2",
+            "budget",
+            "3000",
+            "acct",
+            "silo",
+            "token",
+            "t1",
+            "obj",
+            "00000000000000aa");
+
     @Test
-    void itServesFollowsItsFeedToAnotherAddressAndEndsWithNothingLost() throws Exception {
-        try (Worker one = new Worker("one");
-                Worker two = new Worker("two")) {
+    void servesFollowsDiscoveryToANewAddressAndShutsDownGracefully() throws Exception {
+        try (FakeWorker one = new FakeWorker("one");
+                FakeWorker two = new FakeWorker("two")) {
             BlockingQueue<String> askedFirst = new LinkedBlockingQueue<>();
             BlockingQueue<String> askedNext = new LinkedBlockingQueue<>();
-            HttpServer first = feed(null, askedFirst);
+            HttpServer first = startDiscovery(null, askedFirst);
             int port = freePort();
             process = start(
-                    configuration(port, first, one.member()),
+                    writeConfiguration(port, first, one.member()),
                     Map.of("ROUTER_NAME", "practice", "ROUTER_LISTEN", "127.0.0.1:" + port));
-            ready(port);
-            call("00000000000000a1");
-            assertEquals("one!", served(heard()));
+            awaitReady(port);
+            sendRequest("00000000000000a1");
+            assertEquals("one!", successBody(receive()));
 
-            HttpServer next = feed(one.member().replace("in_service", "terminating") + "," + two.member(), askedNext);
-            configuration(port, next, one.member());
-            signal("HUP");
+            HttpServer next =
+                    startDiscovery(one.member().replace("in_service", "terminating") + "," + two.member(), askedNext);
+            writeConfiguration(port, next, one.member());
+            sendSignal("HUP");
             assertEquals("SUB=1&wait=1000", askedNext.take(), "the numbers go on");
             while (!askedNext.take().startsWith("SUB=2")) {
                 Thread.onSpinWait();
             }
-            call("00000000000000a2");
-            assertEquals("two!", served(heard()), "the drain and the new worker were heard there");
+            sendRequest("00000000000000a2");
+            assertEquals("two!", successBody(receive()), "the drain and the new worker were heard there");
 
             Files.writeString(folder.resolve("config.json"), "{\"name\":");
-            signal("HUP");
+            sendSignal("HUP");
             askedNext.clear();
             askedNext.take();
-            two.let = new CountDownLatch(1);
-            call("00000000000000a3");
-            assertEquals("00000000000000a2", two.called.take());
-            assertEquals("00000000000000a3", two.called.take(), "a broken file changes nothing");
-            signal("TERM");
-            two.let.countDown();
-            assertEquals("two!", served(heard()), "what is held gets its answer");
+            two.responseLatch = new CountDownLatch(1);
+            sendRequest("00000000000000a3");
+            assertEquals("00000000000000a2", two.receivedRequests.take());
+            assertEquals("00000000000000a3", two.receivedRequests.take(), "a broken file changes nothing");
+            sendSignal("TERM");
+            two.responseLatch.countDown();
+            assertEquals("two!", successBody(receive()), "what is held gets its answer");
             assertTrue(process.waitFor(10, TimeUnit.SECONDS), this::log);
             assertEquals(0, process.exitValue(), this::log);
         }
     }
 
     /**
-     * Guards against the drain rule broken at restarts: the address was open before the feed had been asked, and clients that
-     * still held a killed router's address were sent to workers that drained since the configuration was written.
+     * Guards against requests to draining workers after a restart: the address was open before the first poll, and
+     * clients that still used a killed router's address were sent to workers that began to drain after the
+     * configuration was written.
      */
     @Test
-    void noClientIsHeardBeforeTheFeedWasAskedWhatHasChanged() throws Exception {
-        try (Worker one = new Worker("one");
-                Worker two = new Worker("two")) {
+    void noRequestIsServedBeforeDiscoveryWasPolled() throws Exception {
+        try (FakeWorker one = new FakeWorker("one");
+                FakeWorker two = new FakeWorker("two")) {
             BlockingQueue<String> asked = new LinkedBlockingQueue<>();
             CountDownLatch held = new CountDownLatch(1);
-            HttpServer feed = feed(one.member().replace("in_service", "terminating") + "," + two.member(), asked, held);
+            HttpServer discovery =
+                    startDiscovery(one.member().replace("in_service", "terminating") + "," + two.member(), asked, held);
             int port = freePort();
-            process = start(configuration(port, feed, one.member()), Map.of());
+            process = start(writeConfiguration(port, discovery, one.member()), Map.of());
             assertEquals("SUB=1&wait=0", asked.take());
             assertThrows(ConnectException.class, () -> new Socket(InetAddress.getLoopbackAddress(), port).close());
             held.countDown();
             connect(port);
-            call("00000000000000a1");
-            assertEquals("two!", served(heard()), "the first call of all, warm or not, knows of the drain");
-            assertTrue(one.called.isEmpty());
+            sendRequest("00000000000000a1");
+            assertEquals("two!", successBody(receive()), "the first call of all, warm or not, knows of the drain");
+            assertTrue(one.receivedRequests.isEmpty());
         }
     }
 
-    /** What the configuration tells is enough where the feed is down: refusing, or silent while open. */
+    /** The known events are enough where discovery is down: refusing, or connected and silent. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
-    void aRouterIsReadyWhileItsFeedIsDown(boolean silent) throws Exception {
-        try (Worker one = new Worker("one")) {
+    void routerIsReadyWhileDiscoveryIsDown(boolean silent) throws Exception {
+        try (FakeWorker one = new FakeWorker("one")) {
             CountDownLatch held = new CountDownLatch(1);
-            HttpServer feed = feed(null, new LinkedBlockingQueue<>(), held);
+            HttpServer discovery = startDiscovery(null, new LinkedBlockingQueue<>(), held);
             int port = freePort();
-            Path configuration = configuration(port, feed, one.member());
+            Path configuration = writeConfiguration(port, discovery, one.member());
             if (!silent) {
-                feed.stop(0);
+                discovery.stop(0);
             }
             long begun = System.nanoTime();
             process = start(configuration, Map.of());
-            ready(port);
+            awaitReady(port);
             assertTrue(System.nanoTime() - begun < TimeUnit.SECONDS.toNanos(10), this::log);
-            call("00000000000000a1");
-            assertEquals("one!", served(heard()));
+            sendRequest("00000000000000a1");
+            assertEquals("one!", successBody(receive()));
             held.countDown();
         }
     }
 
-    /** Names come from the settings alone: nothing of the practice's stands in a log or an answer. */
+    /** Names come from the configuration alone: none of the warm-up configuration is in the log or a response. */
     @Test
-    void neitherLogNorAnswerHasAWordOfThePractice() throws Exception {
-        try (Worker one = new Worker("barge")) {
-            HttpServer feed = feed(null, new LinkedBlockingQueue<>());
+    void logAndResponsesHoldNoNameOfTheWarmUpConfiguration() throws Exception {
+        try (FakeWorker one = new FakeWorker("barge")) {
+            HttpServer discovery = startDiscovery(null, new LinkedBlockingQueue<>());
             int port = freePort();
-            Path file = configuration(port, feed, one.member());
+            Path file = writeConfiguration(port, discovery, one.member());
             Files.writeString(
                     file,
                     Files.readString(file)
@@ -127,26 +143,13 @@
                             .replace("commit", "mill")
                             .replace("hall", "quay"));
             process = start(file, Map.of());
-            ready(port);
-            call("00000000000000a1");
-            String answer = heard().toString();
+            awaitReady(port);
+            sendRequest("00000000000000a1");
+            String answer = receive().toString();
             assertTrue(answer.contains("unknown method"), answer);
-            send(
-                    "mill",
-                    Map.of(
-                            "rid",
-                            "00000000000000a2",
-                            "budget",
-                            "3000",
-                            "acct",
-                            "silo",
-                            "token",
-                            "t1",
-                            "obj",
-                            "00000000000000aa"),
-                    new byte[] {'!'});
-            assertEquals("barge!", served(heard()));
-            signal("TERM");
+            send("mill", RENAMED_FIELDS, new byte[] {'!'});
+            assertEquals("barge!", successBody(receive()));
+            sendSignal("TERM");
             assertTrue(process.waitFor(20, TimeUnit.SECONDS), this::log);
             for (String word : List.of("practice", "tender", "shipping", "draft", "commit", "hall", "worker-")) {
                 assertFalse((log() + answer).contains(word), () -> word + " in " + log());
@@ -154,14 +157,14 @@
         }
     }
 
-    /** Guards against a heap that fits one deployment's memory only: a third of what the configuration states. */
+    /** Guards against a heap that fits the memory of one deployment only. */
     @ParameterizedTest
     @CsvSource({
         "'{\"limits\": {\"cores\": 0.5, \"memory_mb\" : 152, \"sockets\": 9}}', 50",
         "'{\"limits\":{\"memory_mb\":96}}', 32",
         "'{\"limits\":{}}', 48"
     })
-    void theHeapIsAThirdOfTheMemoryThatTheConfigurationStates(String configuration, int heap) throws Exception {
+    void heapIsAThirdOfTheConfiguredMemory(String configuration, int heap) throws Exception {
         Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
         assertTrue(java.toFile().setExecutable(true));
         ProcessBuilder router =
@@ -179,20 +182,23 @@
         assertEquals(0, started.waitFor());
     }
 
-    /** Guards against a router that hears of no new configuration, and nobody knows why: a JVM obeys an ignored SIGHUP. */
+    /**
+     * Guards against a router that ignores reloads without a word: a JVM never receives a signal that its parent
+     * ignores.
+     */
     @ParameterizedTest
     @ValueSource(strings = {"trap '' HUP; ", ""})
-    void aSignalIgnoredByWhoStartedItIsToldInWords(String before) throws Exception {
-        HttpServer feed = feed(null, new LinkedBlockingQueue<>());
-        process = start(configuration(1, feed, ""), Map.of("ROUTER_NAME", "another"), before);
+    void signalIgnoredByTheParentIsReported(String before) throws Exception {
+        HttpServer discovery = startDiscovery(null, new LinkedBlockingQueue<>());
+        process = start(writeConfiguration(1, discovery, ""), Map.of("ROUTER_NAME", "another"), before);
         assertEquals(2, process.waitFor());
         assertEquals(!before.isEmpty(), log().contains("ignores SIGHUP or SIGTERM"), this::log);
     }
 
     @Test
-    void aConfigurationThatDisagreesOrCantBeReadIsToldInWords() throws Exception {
-        HttpServer feed = feed(null, new LinkedBlockingQueue<>());
-        Path good = configuration(1, feed, "");
+    void conflictingOrUnreadableConfigurationIsReported() throws Exception {
+        HttpServer discovery = startDiscovery(null, new LinkedBlockingQueue<>());
+        Path good = writeConfiguration(1, discovery, "");
         process = start(good, Map.of("ROUTER_NAME", "another"));
         assertEquals(2, process.waitFor());
         assertTrue(log().contains("ROUTER_NAME says another, the file practice"), this::log);
