Help of records prove, usage and search: the first line is whole in lists of commands

Cause: the first line of a description is what a list of commands shows; two of them were half a sentence.

Change: each description line is a sentence of its own.

--- a/cli/src/main/java/pearladder/cli/EventLogCrashCommand.java
+++ b/cli/src/main/java/pearladder/cli/EventLogCrashCommand.java
@@ -21,8 +21,8 @@
         name = "prove",
         mixinStandardHelpOptions = true,
         description = {
-            "Kill a writer at random times, and check that every entry it had acknowledged is there;",
-            "in an empty folder, on the disk in question. Ends with 1 where something was lost."
+            "Kill a writer at random times, and check that every entry it had acknowledged is there.",
+            "Use an empty folder on the disk in question. Ends with 1 where something was lost."
         })
 final class EventLogCrashCommand implements Callable<Integer> {
     /** Ends a line of the writer that acknowledges entries, so that a line cut off by the kill does not count. */
--- a/cli/src/main/java/pearladder/cli/FaultSearchCommand.java
+++ b/cli/src/main/java/pearladder/cli/FaultSearchCommand.java
@@ -17,8 +17,7 @@
         name = "search",
         mixinStandardHelpOptions = true,
         description = {
-            "Search, by simulation, for faults, times and a seed under which the routers do worst, or break an",
-            "invariant.",
+            "Search by simulation for faults, times and a seed under which routers do worst or break an invariant.",
             "The script's own faults are replaced; what is found is reduced and written as a script."
         })
 final class FaultSearchCommand implements Callable<Integer> {
--- a/cli/src/main/java/pearladder/cli/MeteringCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeteringCommand.java
@@ -27,8 +27,8 @@
         name = "usage",
         mixinStandardHelpOptions = true,
         description = {
-            "Memory-seconds by tenant, from the event logs of all routers: gigabytes times seconds that models held,",
-            "loading counted.",
+            "Memory-seconds by tenant, from the event logs of all routers.",
+            "They are gigabytes times seconds that models held, loading counted.",
             "Shares sum exactly to the whole; event logs of several routers are merged without counting twice."
         },
         subcommands = MeteringExplainCommand.class)
