--- a/decisions/src/test/java/pearladder/routing/Rig.java
+++ b/decisions/src/test/java/pearladder/routing/Rig.java
@@ -28,6 +28,7 @@
 
 /** Drives one instance by hand and checks the rules on each action it returns. */
 final class Rig {
+    static final TimeSpan QUICK = TimeSpan.millis(100);
     static final RequestClass RETRIABLE = terms("draw", Idempotency.RETRIABLE, DeduplicationScope.ALL);
     static final RequestClass BINDING = terms("post", Idempotency.BINDING, DeduplicationScope.ALL);
     static final RequestClass MARKED = terms("commit", Idempotency.FINGERPRINTED, DeduplicationScope.ALL);
@@ -163,6 +164,14 @@
         list(EndpointUpdateKind.DELTA);
     }
 
+    /** The worker that takes a request of the function now; the request ends at once. */
+    static String home(Rig rig, String function) {
+        Taken call = rig.call(function, RETRIABLE);
+        rig.pass(QUICK);
+        rig.settle(call, QUICK);
+        return call.workers.get(0);
+    }
+
     /** Lets time pass; timers that fall due are delivered. */
     void pass(TimeSpan span) {
         MonotonicTime until = now.plus(span);
