--- a/decisions/src/main/java/pearladder/routing/package-info.java
+++ b/decisions/src/main/java/pearladder/routing/package-info.java
@@ -27,10 +27,10 @@
  *       starts as our part of the fleet, widens with each load in time, halves when loads fail or are late, and loses a
  *       quarter at refusals while workers report loads; a hot worker's own extra instances are no storm. Below one load
  *       it is a pace. Could harm by rejecting requests while the workers recover from a loss of their instances.
- *   <li>{@code AdaptiveConcurrencyLimit} is the part of the capacity of a worker that a count of instances hides. It increases
- *       while requests that found their instance are quick, and decreases when they take a large part of their latency
- *       objective or the worker refuses as full, whoever crowds it: requests that only wait hold memory. Below one
- *       request it is a pace.
+ *   <li>{@code AdaptiveConcurrencyLimit} limits how many requests of this router a worker takes at once.
+ *   <li>That limit is the part of a worker's capacity that counting instances can't show. It grows while requests that
+ *       found their instance are quick, and shrinks when they take a large part of their latency objective or the
+ *       worker refuses as full, whoever crowds it: requests that only wait hold memory. Below one request it is a pace.
  *   <li>{@code AttemptOutcomeHandler} tells the mechanisms what an ended attempt shows.
  * </ul>
  *
--- a/simulator-adapter/src/test/java/pearladder/simulator/WireHostTest.java
+++ b/simulator-adapter/src/test/java/pearladder/simulator/SimulatorAdapterTest.java
@@ -21,11 +21,41 @@
 import pearladder.routing.api.TimeSpan;
 import pearladder.settings.InvalidInputException;
 
-class WireHostTest {
+class SimulatorAdapterTest {
     private static final String BEGIN = "[\"Begin\",3,99,{\"PeersTotal\":2,\"Unknown\":[1,{\"a\":null}],\"Services\":"
             + "[{\"Name\":\"c\",\"Effect\":\"guarded\",\"AimNs\":5,\"DedupScope\":\"zone\"}],\"Rules\":"
             + "{\"StartCapacity\":0.25}}]";
 
+    private static final List<Action> EACH_ACTION = List.of(
+            new Action.SendAttempt("t", "w", TimeSpan.millis(80)),
+            new Action.Reject("t", TimeSpan.millis(1)),
+            new Action.Fail("t"),
+            new Action.CancelAttempt("t", 1),
+            new Action.SetTimer(new MonotonicTime(7), "x"),
+            new Action.LoadInstances("w", "f", 2),
+            new Action.UnloadInstances("w", "f"),
+            new Action.CheckHealth("w"),
+            new Action.CloseIdleConnections("w"),
+            new Action.WatchEndpoints(true),
+            new Action.PollEndpoints(),
+            new Action.SendGossip(null, "hi"),
+            new Action.Log("said"));
+    private static final List<String> EACH_ACTION_WRITTEN = List.of(
+            "[\"Relay\",3,\"t\",\"w\",80000000]",
+            "[\"Decline\",3,\"t\",1000000]",
+            "[\"ReportFailure\",3,\"t\"]",
+            "[\"AbortAttempt\",3,\"t\",1]",
+            "[\"NotifyMe\",3,7,\"x\"]",
+            "[\"HoldThere\",3,\"w\",\"f\",2]",
+            "[\"Evict\",3,\"f\",\"w\"]",
+            "[\"Ping\",3,\"w\"]",
+            "[\"HangUp\",3,\"w\"]",
+            "[\"Watch\",3,true]",
+            "[\"Fetch\",3]",
+            "[\"Post\",3,null,\"hi\"]",
+            "[\"SayLog\",3,\"said\"]",
+            "[\"Finished\"]");
+
     private final List<Event> events = new ArrayList<>();
     private final List<RoutingSettings> facts = new ArrayList<>();
     private List<Action> answer = List.of();
@@ -44,47 +74,20 @@
     }
 
     @Test
-    void anEmptyBatchGetsAnEmptyReply() throws IOException {
+    void emptyBatchGetsAnEmptyReply() throws IOException {
         assertEquals("[\"Finished\"]", serve("[\"Frame\",8412250000]", "[\"Commit\"]"));
     }
 
     @Test
     void eventsAreReadAndActionsWritten() throws IOException {
-        answer = List.of(
-                new Action.SendAttempt("t", "w", TimeSpan.millis(80)),
-                new Action.Reject("t", TimeSpan.millis(1)),
-                new Action.Fail("t"),
-                new Action.CancelAttempt("t", 1),
-                new Action.SetTimer(new MonotonicTime(7), "x"),
-                new Action.LoadInstances("w", "f", 2),
-                new Action.UnloadInstances("w", "f"),
-                new Action.CheckHealth("w"),
-                new Action.CloseIdleConnections("w"),
-                new Action.WatchEndpoints(true),
-                new Action.PollEndpoints(),
-                new Action.SendGossip(null, "hi"),
-                new Action.Log("said"));
+        answer = EACH_ACTION;
         String reply = serve(
                 "[\"Frame\",5]",
                 BEGIN,
                 "[\"Settled\",3,\"t\",true,17,\"w\",\"success\",18500000,0,{\"backlog\":3,\"x1\":1.25}]",
                 "[\"Commit\"]");
         assertEquals(
-                List.of(
-                        "[\"Relay\",3,\"t\",\"w\",80000000]",
-                        "[\"Decline\",3,\"t\",1000000]",
-                        "[\"ReportFailure\",3,\"t\"]",
-                        "[\"AbortAttempt\",3,\"t\",1]",
-                        "[\"NotifyMe\",3,7,\"x\"]",
-                        "[\"HoldThere\",3,\"w\",\"f\",2]",
-                        "[\"Evict\",3,\"f\",\"w\"]",
-                        "[\"Ping\",3,\"w\"]",
-                        "[\"HangUp\",3,\"w\"]",
-                        "[\"Watch\",3,true]",
-                        "[\"Fetch\",3]",
-                        "[\"Post\",3,null,\"hi\"]",
-                        "[\"SayLog\",3,\"said\"]",
-                        "[\"Finished\"]"),
+                EACH_ACTION_WRITTEN,
                 reply.lines().filter(line -> !line.isBlank()).toList());
         Event.AttemptEnded ended = (Event.AttemptEnded) events.get(0);
         assertEquals(Outcome.SUCCESS, ended.outcome());
@@ -101,7 +104,7 @@
     }
 
     @Test
-    void rostersAreResolvedInTheOrderOfEventsAndInstancesBeginAnew() throws IOException {
+    void endpointTablesAreResolvedInTheOrderOfEventsAndRoutersRestart() throws IOException {
         serve(
                 "[\"Frame\",5]",
                 BEGIN,
@@ -127,7 +130,7 @@
     }
 
     @Test
-    void aFailureInsideTheModuleBecomesAFault() throws IOException {
+    void failureInsideThePolicyIsReportedOnce() throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         String lines = "[\"Frame\",5]\n" + BEGIN + "\n[\"Due\",3,\"x\"]\n[\"Due\",3,\"y\"]\n[\"Commit\"]";
         new SimulatorAdapter((seed, told) -> (now, event) -> {
@@ -156,7 +159,7 @@
                 "[\"Begin\",4,1,{\"Caps\":{\"MaxAttempts\":true}}] | line 3, Facts.Caps.MaxAttempts",
                 "[\"Roster\",0,[[\"a\",\"z\",\"k\",0,\"gone\",1]]] | line 3, Entries[0][4]"
             })
-    void badInputNamesTheLineAndTheField(String line, String named) {
+    void invalidInputNamesTheLineAndTheField(String line, String named) {
         InvalidInputException bad =
                 assertThrows(InvalidInputException.class, () -> serve("[\"Frame\",5]", BEGIN, line, "[\"Commit\"]"));
         assertTrue(bad.getMessage().startsWith(named), bad.getMessage());
