--- a/cli/src/test/java/pearladder/cli/PlatformTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformTest.java
@@ -27,16 +27,7 @@
 class PlatformTest extends PlatformProcessFixture {
     /** The fields of a request under the renamed configuration. */
     private static final Map<String, String> RENAMED_FIELDS = Map.of(
-            "rid",
-            "00000000000000a2",
-            "budget",
-            "3000",
-            "acct",
-            "silo",
-            "token",
-            "t1",
-            "obj",
-            "00000000000000aa");
+            "rid", "00000000000000a2", "budget", "3000", "acct", "silo", "token", "t1", "obj", "00000000000000aa");
 
     @Test
     void servesFollowsDiscoveryToANewAddressAndShutsDownGracefully() throws Exception {
