--- a/cli/src/main/java/pearladder/cli/Commands.java
+++ b/cli/src/main/java/pearladder/cli/Commands.java
@@ -59,8 +59,8 @@
     /** A user's mistake is reported in lines, never as a stack trace; a defect keeps its trace in the log. */
     private static int handleFailure(Exception failure, CommandLine commandLine, CommandLine.ParseResult parsed) {
         PrintWriter err = commandLine.getErr();
-        if (failure instanceof ConfigErrors.Found errors) {
-            errors.list().forEach(err::println);
+        if (failure instanceof ConfigErrors.ConfigException errors) {
+            errors.mistakes().forEach(err::println);
             err.flush();
             return USAGE_ERROR;
         }
--- a/cli/src/main/java/pearladder/cli/EventLogCommand.java
+++ b/cli/src/main/java/pearladder/cli/EventLogCommand.java
@@ -71,14 +71,14 @@
                 out().println(JSON.createObjectNode()
                         .put("number", number)
                         .put("at", Instant.ofEpochMilli(entry.at()).toString())
-                        .put("kind", code(entry.kind()))
-                        .put("call", entry.call())
-                        .put("model", entry.model())
-                        .put("account", entry.account())
-                        .put("engine", entry.engine())
+                        .put("kind", code(entry.type()))
+                        .put("call", entry.requestId())
+                        .put("model", entry.function())
+                        .put("account", entry.tenant())
+                        .put("engine", entry.worker())
                         .put("note", entry.note())
                         .put("amount", entry.amount())
-                        .put("took_us", entry.took()));
+                        .put("took_us", entry.micros()));
             }
         });
         out().flush();
@@ -113,11 +113,11 @@
         String engine;
 
         boolean matches(LogEntry entry) {
-            return (kind == null || entry.kind() == kind)
-                    && accepts(call, entry.call())
-                    && accepts(model, entry.model())
-                    && accepts(account, entry.account())
-                    && accepts(engine, entry.engine());
+            return (kind == null || entry.type() == kind)
+                    && accepts(call, entry.requestId())
+                    && accepts(model, entry.function())
+                    && accepts(account, entry.tenant())
+                    && accepts(engine, entry.worker());
         }
 
         private static boolean accepts(String wanted, String value) {
@@ -140,7 +140,7 @@
                             "%8d  %s  %-9s %s",
                             number,
                             Instant.ofEpochMilli(entry.at()),
-                            code(entry.kind()),
+                            code(entry.type()),
                             describe(entry)));
                 });
         out().println(count[0] + " entries");
@@ -150,12 +150,13 @@
 
     private static String describe(LogEntry entry) {
         StringBuilder text = new StringBuilder();
-        for (String field : new String[] {entry.call(), entry.model(), entry.account(), entry.engine(), entry.note()}) {
+        for (String field :
+                new String[] {entry.requestId(), entry.function(), entry.tenant(), entry.worker(), entry.note()}) {
             text.append(field.isEmpty() ? "" : field + "  ");
         }
         return text
                 + (entry.amount() == 0 ? "" : entry.amount() + "  ")
-                + (entry.took() == 0 ? "" : String.format(Locale.ROOT, "%.1f ms", entry.took() / 1e3));
+                + (entry.micros() == 0 ? "" : String.format(Locale.ROOT, "%.1f ms", entry.micros() / 1e3));
     }
 
     /** Old names of the entry types: scripts read them. */
@@ -175,15 +176,15 @@
                             description = "remove details older than that (default: ${DEFAULT-VALUE})")
                     int days)
             throws IOException {
-        RetentionSettings defaults = RetentionSettings.USUAL;
+        RetentionSettings defaults = RetentionSettings.DEFAULTS;
         new EventLogReader(folder);
         try (EventLog eventLog = EventLog.open(
                 folder,
                 new RetentionSettings(
                         defaults.segmentBytes(),
                         defaults.segmentMillis(),
-                        defaults.allBytes(),
-                        defaults.allMillis(),
+                        defaults.maxBytes(),
+                        defaults.maxAgeMillis(),
                         TimeUnit.DAYS.toMillis(days)),
                 out()::println)) {
             EventLog.Compacted compacted = eventLog.compact(Integer.MAX_VALUE);
--- a/cli/src/main/java/pearladder/cli/EventLogCrashCommand.java
+++ b/cli/src/main/java/pearladder/cli/EventLogCrashCommand.java
@@ -45,7 +45,7 @@
 
     @Override
     public Integer call() throws IOException {
-        if (Files.exists(folder) && !EventLogReader.empty(folder)) {
+        if (Files.exists(folder) && !EventLogReader.isEmpty(folder)) {
             throw new IOException(folder + ": there are records; name an empty folder");
         }
         Files.createDirectories(folder);
--- a/cli/src/main/java/pearladder/cli/EventLogWriterCommand.java
+++ b/cli/src/main/java/pearladder/cli/EventLogWriterCommand.java
@@ -46,7 +46,7 @@
                 if (batch % BATCHES_BETWEEN_COMPACTIONS == BATCHES_BETWEEN_COMPACTIONS - 1) {
                     eventLog.compact(1);
                 }
-                out.println(eventLog.next() - 1 + EventLogCrashCommand.ACKNOWLEDGEMENT_END);
+                out.println(eventLog.nextNumber() - 1 + EventLogCrashCommand.ACKNOWLEDGEMENT_END);
                 out.flush();
             }
         }
--- a/cli/src/main/java/pearladder/cli/FaultSearchCommand.java
+++ b/cli/src/main/java/pearladder/cli/FaultSearchCommand.java
@@ -7,7 +7,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import pearladder.simulation.FaultSearch;
-import pearladder.testbed.Scripts;
+import pearladder.testbed.ScenarioScripts;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -50,17 +50,17 @@
         if (Files.exists(out)) {
             throw new IOException(out + ": it is there already; name another file");
         }
-        Scripts.check(file);
+        ScenarioScripts.check(file);
         YAMLMapper yaml = new YAMLMapper();
         ObjectNode script = (ObjectNode) yaml.readTree(file.toFile());
         if (seed >= 0) {
             script.withObject("/day").put("seed", seed);
         }
         FaultSearch.Found found =
-                FaultSearch.search(script, file.toString(), policy.maker::make, tries, jobs, System.out);
+                FaultSearch.search(script, file.toString(), policy.maker::create, tries, jobs, System.out);
         yaml.writeValue(out.toFile(), found.script());
-        System.out.println(found.rehearsed() + " rehearsals; the worst found is in " + out
-                + (found.rule().isEmpty() ? "" : ", which breaks: " + found.rule()));
-        return found.rule().isEmpty() ? 0 : 1;
+        System.out.println(found.runs() + " rehearsals; the worst found is in " + out
+                + (found.brokenInvariant().isEmpty() ? "" : ", which breaks: " + found.brokenInvariant()));
+        return found.brokenInvariant().isEmpty() ? 0 : 1;
     }
 }
--- a/cli/src/main/java/pearladder/cli/Main.java
+++ b/cli/src/main/java/pearladder/cli/Main.java
@@ -58,9 +58,9 @@
 
     /** @param endWhenWarm stop after the warm-up, before any client is served */
     private static int runPlatformRouter(boolean endWhenWarm) {
-        SignalHandlers signals = SignalHandlers.heard();
+        SignalHandlers signals = SignalHandlers.install();
         Logs.setUp(Logs.Form.TEXT);
-        if (signals.deaf()) {
+        if (signals.isAnyIgnored()) {
             printError("whoever started this ignores SIGHUP or SIGTERM (as nohup does), and so it never hears them;"
                     + " start it without");
         }
@@ -72,7 +72,7 @@
         try {
             PlatformRouter router =
                     new PlatformRouter(Path.of(file), System.getenv(), StickyFirstFitPolicy::new, Main::halt);
-            signals.on(router::reload, router::stop);
+            signals.setActions(router::reload, router::stop);
             router.start(endWhenWarm ? router::stop : () -> {});
             return Commands.RUNNING;
         } catch (InvalidInputException invalid) {
--- a/cli/src/main/java/pearladder/cli/MeasureCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeasureCommand.java
@@ -6,7 +6,7 @@
 import pearladder.testbed.Benchmark;
 import pearladder.testbed.DecisionCost;
 import pearladder.testbed.QueueCost;
-import pearladder.testbed.ReleaseTrials;
+import pearladder.testbed.RolloutTrials;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -47,12 +47,12 @@
             return 0;
         }
         if (rollouts) {
-            ReleaseTrials.run().forEach(System.out::println);
+            RolloutTrials.run().forEach(System.out::println);
             return 0;
         }
         if (!eventLog) {
             System.out.println("decisions alone");
-            DecisionCost.run(PolicyChoice.MODULE.maker::make, rounds, 12, 92, 500)
+            DecisionCost.run(PolicyChoice.MODULE.maker::create, rounds, 12, 92, 500)
                     .forEach(System.out::println);
         }
         Benchmark.run(OwnProcess.command(), out, rounds, seconds, eventLog, System.out);
--- a/cli/src/main/java/pearladder/cli/MeteringCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeteringCommand.java
@@ -73,7 +73,10 @@
         input.shares(out, share -> {
             rows.computeIfAbsent(key(share), key -> new UsageSums()).add(share);
             byDay.computeIfAbsent(tenant(share), tenant -> new TreeMap<>())
-                    .merge(day(share), share.amount() / UsageSums.MEGABYTE_MILLIS_PER_GIGABYTE_SECOND, Double::sum);
+                    .merge(
+                            day(share),
+                            share.megabyteMillis() / UsageSums.MEGABYTE_MILLIS_PER_GIGABYTE_SECOND,
+                            Double::sum);
             all.add(share);
         });
         printTable(out, rows, all);
@@ -114,7 +117,7 @@
     }
 
     private static String tenant(UsageShare share) {
-        return share.account().isEmpty() ? "(nobody)" : share.account();
+        return share.tenant().isEmpty() ? "(nobody)" : share.tenant();
     }
 
     private String key(UsageShare share) {
@@ -124,14 +127,14 @@
                         .map(group -> switch (group) {
                             case ACCOUNT -> tenant(share);
                             case MODEL -> share.model();
-                            case ENGINE -> share.engine();
+                            case ENGINE -> share.worker();
                             case DAY -> day(share);
                         })
                         .toList());
     }
 
     static String day(UsageShare share) {
-        return Instant.ofEpochMilli(share.from())
+        return Instant.ofEpochMilli(share.intervalStartMillis())
                 .atZone(ZoneOffset.UTC)
                 .toLocalDate()
                 .toString();
--- a/cli/src/main/java/pearladder/cli/MeteringExplainCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeteringExplainCommand.java
@@ -74,9 +74,9 @@
     private long[] usedTime(MeteringInput input, PrintWriter out) throws IOException {
         long[] used = {Long.MAX_VALUE, Long.MIN_VALUE};
         input.shares(out, share -> {
-            if (share.account().equals(account)) {
-                used[0] = Math.min(used[0], share.from());
-                used[1] = Math.max(used[1], share.from() + Metering.INTERVAL);
+            if (share.tenant().equals(account)) {
+                used[0] = Math.min(used[0], share.intervalStartMillis());
+                used[1] = Math.max(used[1], share.intervalStartMillis() + Metering.INTERVAL_MILLIS);
             }
         });
         return used[1] == Long.MIN_VALUE ? null : used;
@@ -88,9 +88,9 @@
         TreeMap<String, UsageSums> days = new TreeMap<>();
         Halves all = new Halves();
         input.shares(out, share -> {
-            if (share.account().equals(account)) {
+            if (share.tenant().equals(account)) {
                 Halves model = models.computeIfAbsent(share.model(), name -> new Halves());
-                boolean early = share.from() < half;
+                boolean early = share.intervalStartMillis() < half;
                 (early ? model.first : model.second).add(share);
                 (early ? all.first : all.second).add(share);
                 days.computeIfAbsent(MeteringCommand.day(share), day -> new UsageSums())
--- a/cli/src/main/java/pearladder/cli/MeteringInput.java
+++ b/cli/src/main/java/pearladder/cli/MeteringInput.java
@@ -32,7 +32,7 @@
     /** Passes on every share of that time, one by one: a month has many millions. Minutes count by their start. */
     void shares(PrintWriter out, Consumer<UsageShare> consumer) throws IOException {
         Metering.Read read = Metering.read(folders, share -> {
-            if (share.from() >= from.toEpochMilli() && share.from() < to.toEpochMilli()) {
+            if (share.intervalStartMillis() >= from.toEpochMilli() && share.intervalStartMillis() < to.toEpochMilli()) {
                 consumer.accept(share);
             }
         });
--- a/cli/src/main/java/pearladder/cli/ReplayCommand.java
+++ b/cli/src/main/java/pearladder/cli/ReplayCommand.java
@@ -72,7 +72,7 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        TraceWorkload.Terms terms = new TraceWorkload.Terms(
+        TraceWorkload.ReplaySettings terms = new TraceWorkload.ReplaySettings(
                 input.file,
                 input.layout,
                 input.durations,
--- a/cli/src/main/java/pearladder/cli/RolloutCommand.java
+++ b/cli/src/main/java/pearladder/cli/RolloutCommand.java
@@ -46,7 +46,7 @@
 
         RolloutClient client() {
             RolloutClient client = new RolloutClient(adminAddresses, operator);
-            return all ? client.andOthers() : client;
+            return all ? client.withPeers() : client;
         }
     }
 
@@ -137,11 +137,11 @@
         return report(routers.client().change(models == null ? List.of() : models, change));
     }
 
-    private int report(RolloutClient.Told result) {
+    private int report(RolloutClient.RolloutResult result) {
         result.lines().forEach(spec.commandLine().getOut()::println);
-        if (result.asked() == 0) {
+        if (result.requestedCount() == 0) {
             spec.commandLine().getOut().println("nothing to order");
         }
-        return result.asked() > 0 && result.took() == result.asked() ? 0 : 1;
+        return result.requestedCount() > 0 && result.acceptedCount() == result.requestedCount() ? 0 : 1;
     }
 }
--- a/cli/src/main/java/pearladder/cli/ScenarioCommand.java
+++ b/cli/src/main/java/pearladder/cli/ScenarioCommand.java
@@ -46,14 +46,14 @@
     }
 
     /** Plays a scenario with a trace's requests in place of the script's traffic; null for none. */
-    static int play(Path script, TraceWorkload.Terms trace, Path out, PolicyChoice policy)
+    static int play(Path script, TraceWorkload.ReplaySettings trace, Path out, PolicyChoice policy)
             throws IOException, InterruptedException {
         Logs.setUp(Logs.Form.TEXT);
-        Scenario.Outcome outcome =
-                Scenario.play(script, trace, out, OwnProcess.command(), List.of("--policy", policy.name()), System.out);
+        Scenario.Result outcome =
+                Scenario.run(script, trace, out, OwnProcess.command(), List.of("--policy", policy.name()), System.out);
         System.out.println();
         outcome.table().forEach(System.out::println);
         System.out.println("kept in " + out);
-        return outcome.kept() ? 0 : 1;
+        return outcome.isClean() ? 0 : 1;
     }
 }
--- a/cli/src/main/java/pearladder/cli/SimulationCommand.java
+++ b/cli/src/main/java/pearladder/cli/SimulationCommand.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.Future;
 import pearladder.simulation.Simulation;
 import pearladder.testbed.Report;
-import pearladder.testbed.Scripts;
+import pearladder.testbed.ScenarioScripts;
 import pearladder.testbed.TraceWorkload;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -104,8 +104,8 @@
         Logs.setUp(Logs.Form.TEXT);
         Logs.quiet();
         ObjectNode script = (ObjectNode) new YAMLMapper().readTree(file.toFile());
-        Scripts.check(file);
-        Scripts.resize(script, engines, routers, rate);
+        ScenarioScripts.check(file);
+        ScenarioScripts.resize(script, engines, routers, rate);
         int firstSeed = seed >= 0 ? seed : script.at("/day/seed").asInt(1);
         if (sockets) {
             return runOverSockets(script, firstSeed);
@@ -117,11 +117,11 @@
     }
 
     /** The trace in place of the script's traffic; null for none. */
-    private TraceWorkload.Terms traceTerms() {
+    private TraceWorkload.ReplaySettings traceTerms() {
         if (trace == null) {
             return null;
         }
-        return new TraceWorkload.Terms(
+        return new TraceWorkload.ReplaySettings(
                 trace,
                 null,
                 null,
@@ -146,21 +146,21 @@
 
     /** Runs one simulation for each seed, some at once; returns whether all kept the invariants and expectations. */
     private boolean runSeeds(ObjectNode script, int firstSeed) throws IOException, InterruptedException {
-        TraceWorkload.Terms terms = traceTerms();
+        TraceWorkload.ReplaySettings terms = traceTerms();
         ExecutorService pool = Executors.newFixedThreadPool(Math.max(1, jobs));
-        List<Future<Simulation.Outcome>> outcomes = new ArrayList<>();
+        List<Future<Simulation.Result>> outcomes = new ArrayList<>();
         for (int i = 0; i < runs; i++) {
             ObjectNode seeded = script.deepCopy();
             seeded.withObject("/day").put("seed", firstSeed + i);
             Path folder = runs == 1 ? out : out.resolve("run.s" + (firstSeed + i));
-            outcomes.add(pool.submit(() -> Simulation.play(
-                    seeded, file.toString(), terms, policy.maker::make, folder, runs == 1 ? System.out : null)));
+            outcomes.add(pool.submit(() -> Simulation.run(
+                    seeded, file.toString(), terms, policy.maker::create, folder, runs == 1 ? System.out : null)));
         }
         pool.shutdown();
         boolean kept = true;
         for (int i = 0; i < runs; i++) {
-            Simulation.Outcome outcome = await(outcomes.get(i));
-            kept &= outcome.kept();
+            Simulation.Result outcome = await(outcomes.get(i));
+            kept &= outcome.passed();
             if (runs == 1) {
                 System.out.println();
                 outcome.table().forEach(System.out::println);
@@ -170,7 +170,7 @@
         return kept;
     }
 
-    private static Simulation.Outcome await(Future<Simulation.Outcome> run) throws IOException, InterruptedException {
+    private static Simulation.Result await(Future<Simulation.Result> run) throws IOException, InterruptedException {
         try {
             return run.get();
         } catch (ExecutionException failure) {
@@ -191,30 +191,30 @@
             ObjectNode grown = script.deepCopy();
             grown.withObject("/day").put("seed", firstSeed);
             String[] parts = size.split("x");
-            Scripts.grow(grown, Integer.parseInt(parts[0]), Integer.parseInt(parts[1]));
-            Simulation.Outcome outcome =
-                    Simulation.play(grown, file.toString(), policy.maker::make, out.resolve(size), System.out);
-            kept &= outcome.kept();
+            ScenarioScripts.grow(grown, Integer.parseInt(parts[0]), Integer.parseInt(parts[1]));
+            Simulation.Result outcome =
+                    Simulation.run(grown, file.toString(), policy.maker::create, out.resolve(size), System.out);
+            kept &= outcome.passed();
             System.out.println(size + ": " + summary(outcome));
         }
         return kept;
     }
 
-    private static String summary(Simulation.Outcome outcome) {
+    private static String summary(Simulation.Result outcome) {
         return String.format(
                 Locale.ROOT,
                 "credit %.3f, worst 10 s %.3f, %d calls, %d loads, digest %s, %s; %d events at %.0f a second,"
                         + " decisions %.2f us each, %d list entries told, %.1f s of this machine",
                 outcome.credit(),
-                outcome.worst(),
-                outcome.calls(),
+                outcome.worstWindowCredit(),
+                outcome.requests(),
                 outcome.loads(),
                 outcome.digest(),
-                outcome.kept() ? "kept" : "NOT KEPT",
+                outcome.passed() ? "kept" : "NOT KEPT",
                 outcome.events(),
                 outcome.events() / outcome.wallSeconds(),
-                outcome.decidedNanos() / 1e3 / Math.max(1, outcome.decisions()),
-                outcome.told(),
+                outcome.decisionNanos() / 1e3 / Math.max(1, outcome.decisions()),
+                outcome.endpointsSent(),
                 outcome.wallSeconds());
     }
 }
--- a/cli/src/main/java/pearladder/cli/StandInsCommand.java
+++ b/cli/src/main/java/pearladder/cli/StandInsCommand.java
@@ -53,8 +53,8 @@
         }
         Fleet fleet = Fleet.start(vertx, plan, discoveryPort, observer);
         int controlPort = FaultInjectionServer.start(vertx, fleet);
-        System.out.println("{\"list\":" + fleet.listPort() + ",\"control\":" + controlPort + ",\"engines\":"
-                + plan.engines().size() + "}");
+        System.out.println("{\"list\":" + fleet.discoveryPort() + ",\"control\":" + controlPort + ",\"engines\":"
+                + plan.workers().size() + "}");
         return Commands.RUNNING;
     }
 }
--- a/cli/src/main/java/pearladder/cli/TraceCommand.java
+++ b/cli/src/main/java/pearladder/cli/TraceCommand.java
@@ -9,11 +9,11 @@
 import pearladder.traces.DurationTables;
 import pearladder.traces.Layout;
 import pearladder.traces.SkippedRows;
-import pearladder.traces.TraceCall;
-import pearladder.traces.TraceCut;
 import pearladder.traces.TraceFile;
+import pearladder.traces.TraceGenerator;
 import pearladder.traces.TraceInfo;
-import pearladder.traces.TraceMaker;
+import pearladder.traces.TraceRequest;
+import pearladder.traces.TraceWriter;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -60,7 +60,7 @@
         Path skippedFile;
 
         /** Reads the trace; rows left out are written to a file, or the first of them to standard error. */
-        TraceFile.Read read(Consumer<TraceCall> out, SkippedRows[] kept, PrintWriter err) throws IOException {
+        TraceFile.Summary read(Consumer<TraceRequest> out, SkippedRows[] kept, PrintWriter err) throws IOException {
             try (PrintWriter rows =
                     skippedFile == null ? null : new PrintWriter(Files.newBufferedWriter(skippedFile))) {
                 SkippedRows skipped = new SkippedRows(strict, row -> {
@@ -79,7 +79,7 @@
                         Math.round(window * 1e9),
                         skipped,
                         out);
-            } catch (SkippedRows.Strict strictly) {
+            } catch (SkippedRows.StrictModeException strictly) {
                 throw new IOException(file + ": " + strictly.getMessage() + " (--strict)", strictly);
             }
         }
@@ -109,7 +109,7 @@
     int info(@CommandLine.Mixin Input input) throws IOException {
         TraceInfo info = new TraceInfo();
         SkippedRows[] skipped = {null};
-        TraceFile.Read read = input.read(info, skipped, spec.commandLine().getErr());
+        TraceFile.Summary read = input.read(info, skipped, spec.commandLine().getErr());
         info.lines(read, skipped[0]).forEach(spec.commandLine().getOut()::println);
         return 0;
     }
@@ -176,10 +176,11 @@
             @Option(names = "--seed", defaultValue = "1") long seed)
             throws IOException {
         refuseExisting(to);
-        TraceMaker.Terms terms = new TraceMaker.Terms(models, skew, rate, seconds, timers, bursts, work, seed);
+        TraceGenerator.Settings terms =
+                new TraceGenerator.Settings(models, skew, rate, seconds, timers, bursts, work, seed);
         try (BufferedWriter writer = Files.newBufferedWriter(to);
-                TraceCut cut = new TraceCut(writer, 0, Long.MAX_VALUE, 1, 0)) {
-            TraceMaker.make(terms, cut);
+                TraceWriter cut = new TraceWriter(writer, 0, Long.MAX_VALUE, 1, 0)) {
+            TraceGenerator.make(terms, cut);
             spec.commandLine().getOut().println(cut.written() + " calls written to " + to);
         }
         return 0;
@@ -195,11 +196,11 @@
         SkippedRows[] skipped = {null};
         refuseExisting(to);
         try (BufferedWriter writer = Files.newBufferedWriter(to);
-                TraceCut cut = new TraceCut(writer, from, until, share, seed)) {
-            TraceFile.Read read = input.read(cut, skipped, spec.commandLine().getErr());
+                TraceWriter cut = new TraceWriter(writer, from, until, share, seed)) {
+            TraceFile.Summary read = input.read(cut, skipped, spec.commandLine().getErr());
             spec.commandLine()
                     .getOut()
-                    .println(cut.written() + " of " + read.calls() + " calls written to " + to + ", "
+                    .println(cut.written() + " of " + read.requests() + " calls written to " + to + ", "
                             + skipped[0].count() + " rows left out");
         }
         return 0;
--- a/cli/src/main/java/pearladder/cli/UsageSums.java
+++ b/cli/src/main/java/pearladder/cli/UsageSums.java
@@ -13,9 +13,9 @@
     private long workMicros;
 
     void add(UsageShare share) {
-        megabyteMillis += share.amount();
+        megabyteMillis += share.megabyteMillis();
         loads += share.loads();
-        workMicros += share.work();
+        workMicros += share.workMicros();
     }
 
     /** Memory-seconds, in whole megabyte-milliseconds so that sums stay exact. */
--- a/cli/src/test/java/pearladder/cli/CommandProcessTest.java
+++ b/cli/src/test/java/pearladder/cli/CommandProcessTest.java
@@ -84,31 +84,31 @@
         Path script = folder.resolve("day.yaml");
         Files.writeString(script, SCENARIO);
         ByteArrayOutputStream output = new ByteArrayOutputStream();
-        Scenario.Outcome outcome = Scenario.play(
+        Scenario.Result outcome = Scenario.run(
                 script, folder, OwnProcess.command(), List.of(), new PrintStream(output, true, StandardCharsets.UTF_8));
-        assertEquals(List.of(), outcome.verdict().breaches());
+        assertEquals(List.of(), outcome.verdict().violations());
         assertEquals(List.of(), outcome.faults());
-        for (InvariantChecker.Rule rule : InvariantChecker.Rule.values()) {
-            assertTrue(outcome.verdict().looked().get(rule) > 0, rule + " was never checked");
+        for (InvariantChecker.Invariant rule : InvariantChecker.Invariant.values()) {
+            assertTrue(outcome.verdict().checkedCounts().get(rule) > 0, rule + " was never checked");
         }
-        assertTrue(outcome.calls() > 450, "calls: " + outcome.calls());
+        assertTrue(outcome.requests() > 450, "calls: " + outcome.requests());
         assertTrue(outcome.credit() > 0.3, "credit: " + outcome.credit());
         List<Observation> observations = new ArrayList<>();
         ObservationLog.read(folder.resolve("clients.tape"), observations::add);
         assertEquals(
                 1,
                 observations.stream()
-                        .filter(observation -> observation.what().equals(Observation.KILLED))
+                        .filter(observation -> observation.event().equals(Observation.KILLED))
                         .count());
         assertEquals(
                 3,
                 observations.stream()
-                        .filter(observation -> observation.what().equals(Observation.STARTED))
+                        .filter(observation -> observation.event().equals(Observation.STARTED))
                         .count());
         assertEquals(
                 7,
                 observations.stream()
-                        .filter(observation -> observation.what().equals(Observation.TROUBLE))
+                        .filter(observation -> observation.event().equals(Observation.FAULT_INJECTED))
                         .count());
         assertTrue(output.toString(StandardCharsets.UTF_8).contains("curl -i http://127.0.0.1:"));
     }
--- a/config/src/main/java/pearladder/config/ConfigErrors.java
+++ b/config/src/main/java/pearladder/config/ConfigErrors.java
@@ -23,17 +23,17 @@
     }
 
     /** Thrown when a file has mistakes; the message has a line for each. */
-    public static final class Found extends RuntimeException {
+    public static final class ConfigException extends RuntimeException {
         private static final long serialVersionUID = 1L;
         private final transient List<Mistake> mistakes;
 
-        Found(List<Mistake> mistakes) {
+        ConfigException(List<Mistake> mistakes) {
             super(String.join("\n", mistakes.stream().map(Mistake::toString).toList()));
             this.mistakes = List.copyOf(mistakes);
         }
 
         /** The mistakes, sorted by line. */
-        public List<Mistake> list() {
+        public List<Mistake> mistakes() {
             return mistakes;
         }
     }
@@ -49,11 +49,11 @@
         mistakes.add(new Mistake(file, line, key, what, mend));
     }
 
-    /** Throws {@link Found} if there is any mistake. */
+    /** Throws {@link RestartState} if there is any mistake. */
     public void raise() {
         if (!mistakes.isEmpty()) {
             mistakes.sort(Comparator.comparingInt(Mistake::line));
-            throw new Found(mistakes);
+            throw new ConfigException(mistakes);
         }
     }
 }
--- a/config/src/main/java/pearladder/config/ConfigValue.java
+++ b/config/src/main/java/pearladder/config/ConfigValue.java
@@ -48,7 +48,7 @@
     }
 
     /** Whether the key is in the file, with a value. */
-    public boolean given() {
+    public boolean isGiven() {
         return raw != null;
     }
 
@@ -58,7 +58,7 @@
      * @param what is wrong
      * @param mend what to do
      */
-    public void wrong(String what, String mend) {
+    public void addMistake(String what, String mend) {
         mistakes.add(line, path, what, mend);
     }
 
@@ -69,7 +69,7 @@
         if (raw instanceof Map<?, ?> map) {
             return map;
         }
-        wrong("keys and values were expected", "write \"key: value\" lines, indented below " + name());
+        addMistake("keys and values were expected", "write \"key: value\" lines, indented below " + name());
         return Map.of();
     }
 
@@ -77,7 +77,7 @@
         return path.isEmpty() ? "the file" : path;
     }
 
-    /** The value of a key; a missing one is not {@link #given}, and has this value's line. */
+    /** The value of a key; a missing one is not {@link #isGiven}, and has this value's line. */
     public ConfigValue at(String key) {
         read.add(key);
         Object inner = map().get(key);
@@ -108,7 +108,7 @@
             return List.of();
         }
         if (!(raw instanceof List<?> list)) {
-            wrong("a list was expected", "write \"- \" before each entry");
+            addMistake("a list was expected", "write \"- \" before each entry");
             return List.of();
         }
         List<T> values = new ArrayList<>();
@@ -122,7 +122,7 @@
         if (raw instanceof String text) {
             return text;
         }
-        wrong(
+        addMistake(
                 raw == null ? "a value is missing" : "a single value was expected",
                 "write it behind \"" + name() + ": \"");
         return null;
@@ -150,9 +150,9 @@
             if (number >= min && number <= max) {
                 return number;
             }
-            wrong("a number from " + plain(min) + " to " + plain(max) + " was expected, not " + text, "change it");
+            addMistake("a number from " + plain(min) + " to " + plain(max) + " was expected, not " + text, "change it");
         } catch (NumberFormatException none) {
-            wrong("a number was expected, not \"" + text + "\"", "write a number without a unit");
+            addMistake("a number was expected, not \"" + text + "\"", "write a number without a unit");
         }
         return min;
     }
@@ -166,7 +166,7 @@
     public int whole(int min, int max) {
         double number = number(min, max);
         if (number != Math.rint(number)) {
-            wrong("a whole number was expected", "leave out what stands behind the point");
+            addMistake("a whole number was expected", "leave out what stands behind the point");
         }
         return (int) number;
     }
@@ -185,7 +185,7 @@
         if ("true".equals(text) || "false".equals(text)) {
             return "true".equals(text);
         }
-        wrong("true or false was expected", "write one of the two");
+        addMistake("true or false was expected", "write one of the two");
         return defaultFlag;
     }
 
@@ -206,9 +206,11 @@
             if (unit != null) {
                 return number * unit;
             }
-            wrong(what + " with its unit was expected, not \"" + text + "\"", "write for example \"" + example + "\"");
+            addMistake(
+                    what + " with its unit was expected, not \"" + text + "\"",
+                    "write for example \"" + example + "\"");
         } catch (NumberFormatException none) {
-            wrong(what + " was expected, not \"" + text + "\"", "write for example \"" + example + "\"");
+            addMistake(what + " was expected, not \"" + text + "\"", "write for example \"" + example + "\"");
         }
         return 0;
     }
@@ -256,7 +258,7 @@
             words.add(word);
         }
         if (text != null) {
-            wrong("unknown word \"" + text + "\"", "write one of " + String.join(", ", words));
+            addMistake("unknown word \"" + text + "\"", "write one of " + String.join(", ", words));
         }
         return defaultValue != null ? defaultValue : type.getEnumConstants()[0];
     }
@@ -267,7 +269,7 @@
             for (Map.Entry<?, ?> entry : map.entrySet()) {
                 ConfigValue inner = (ConfigValue) entry.getValue();
                 if (!read.contains(entry.getKey())) {
-                    inner.wrong("unknown key", "take it out" + alternatives());
+                    inner.addMistake("unknown key", "take it out" + alternatives());
                 } else {
                     inner.close();
                 }
@@ -292,7 +294,7 @@
         mistakes.raise();
     }
 
-    /** Ends the reading of a file: throws {@link ConfigErrors.Found} if anything was wrong. */
+    /** Ends the reading of a file: throws {@link ConfigErrors.RestartState} if anything was wrong. */
     public void done() {
         close();
         mistakes.raise();
--- a/config/src/main/java/pearladder/config/YamlParser.java
+++ b/config/src/main/java/pearladder/config/YamlParser.java
@@ -22,13 +22,13 @@
         this.mistakes = mistakes;
     }
 
-    /** Parses a file; throws {@link ConfigErrors.Found} where it can't be read or is not YAML. */
+    /** Parses a file; throws {@link ConfigErrors.RestartState} where it can't be read or is not YAML. */
     public static ConfigValue read(Path file) {
         String text;
         try {
             text = Files.readString(file);
         } catch (IOException unreadable) {
-            throw new ConfigErrors.Found(List.of(new ConfigErrors.Mistake(
+            throw new ConfigErrors.ConfigException(List.of(new ConfigErrors.Mistake(
                     file.toString(),
                     1,
                     "",
@@ -59,7 +59,7 @@
                     .findFirst()
                     .orElse("")
                     .trim();
-            throw new ConfigErrors.Found(List.of(new ConfigErrors.Mistake(
+            throw new ConfigErrors.ConfigException(List.of(new ConfigErrors.Mistake(
                     file,
                     line,
                     "",
--- a/config/src/test/java/pearladder/config/YamlTest.java
+++ b/config/src/test/java/pearladder/config/YamlTest.java
@@ -16,7 +16,7 @@
     }
 
     private static List<String> mistakes(String text, Consumer<ConfigValue> reading) {
-        ConfigErrors.Found found = assertThrows(ConfigErrors.Found.class, () -> {
+        ConfigErrors.ConfigException found = assertThrows(ConfigErrors.ConfigException.class, () -> {
             ConfigValue value = YamlParser.read("f.yaml", text);
             reading.accept(value);
             value.done();
@@ -76,7 +76,7 @@
         assertEquals(
                 List.of("f.yaml:3: a: the key stands twice; keep one of them"),
                 mistakes("a: 1\nb: 2\na: 3\n", value -> {}));
-        assertTrue(assertThrows(ConfigErrors.Found.class, () -> YamlParser.read(Path.of("no/such.yaml")))
+        assertTrue(assertThrows(ConfigErrors.ConfigException.class, () -> YamlParser.read(Path.of("no/such.yaml")))
                 .getMessage()
                 .startsWith("no/such.yaml:1: the file can't be read"));
     }
--- a/decisions/src/main/java/pearladder/background/BackgroundScheduler.java
+++ b/decisions/src/main/java/pearladder/background/BackgroundScheduler.java
@@ -11,7 +11,7 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * Decides when each background job is started. Its one entry point is {@link #on}: an event goes in, actions come out.
+ * Decides when each background job is started. Its one entry point is {@link #setActions}: an event goes in, actions come out.
  *
  * <p>Job classes go by rank; within a class tenants share fairly ({@link JobQueue}). A class spends no more than its
  * budget: what a job cost beyond what was expected is paid back before the next one starts. A job that can't start by
@@ -76,17 +76,17 @@
     public List<JobAction> on(MonotonicTime eventTime, JobEvent event) {
         now = eventTime;
         actions = new ArrayList<>();
-        if (event instanceof JobEvent.Asked submitted) {
+        if (event instanceof JobEvent.JobSubmitted submitted) {
             onSubmitted(submitted);
-        } else if (event instanceof JobEvent.Ended ended) {
+        } else if (event instanceof JobEvent.JobEnded ended) {
             onEnded(ended);
-        } else if (event instanceof JobEvent.Cancelled cancelled) {
+        } else if (event instanceof JobEvent.JobCancelled cancelled) {
             onCancelled(cancelled);
-        } else if (event instanceof JobEvent.Strained measured) {
+        } else if (event instanceof JobEvent.LoopLagMeasured measured) {
             overload = Math.max(0, Math.min(1, measured.loopLag().dividedBy(fullOverloadLag)));
-        } else if (event instanceof JobEvent.Stopping) {
+        } else if (event instanceof JobEvent.ShutdownBegun) {
             onShutdown();
-        } else if (event instanceof JobEvent.Due) {
+        } else if (event instanceof JobEvent.Tick) {
             isWakeScheduled = false;
         }
         startJobs();
@@ -99,11 +99,11 @@
         return jobs.size();
     }
 
-    private void onSubmitted(JobEvent.Asked submitted) {
+    private void onSubmitted(JobEvent.JobSubmitted submitted) {
         JobQueue queue = queues.get(submitted.jobClass());
         String reason = whyRejected(submitted, queue);
         if (reason != null) {
-            actions.add(new JobAction.GiveUp(submitted.id(), reason));
+            actions.add(new JobAction.DropJob(submitted.id(), reason));
             return;
         }
         Job job = new Job(submitted, queue, submittedCount++, now);
@@ -116,7 +116,7 @@
     }
 
     /** Why a job is not accepted; null where it is. */
-    private String whyRejected(JobEvent.Asked submitted, JobQueue queue) {
+    private String whyRejected(JobEvent.JobSubmitted submitted, JobQueue queue) {
         if (queue == null) {
             return "no such class: " + submitted.jobClass();
         }
@@ -126,7 +126,7 @@
         return isShuttingDown && !queue.jobClass.runsAtShutdown() ? "the router stops" : null;
     }
 
-    private void onCancelled(JobEvent.Cancelled cancelled) {
+    private void onCancelled(JobEvent.JobCancelled cancelled) {
         Job job = jobs.get(cancelled.id());
         if (job != null && !job.isRunning) {
             remove(job);
@@ -140,7 +140,7 @@
                 .forEach(job -> drop(job, "the router stops"));
     }
 
-    private void onEnded(JobEvent.Ended ended) {
+    private void onEnded(JobEvent.JobEnded ended) {
         Job job = jobs.get(ended.id());
         if (job == null || !job.isRunning) {
             return;
@@ -171,7 +171,7 @@
 
     private void drop(Job job, String reason) {
         remove(job);
-        actions.add(new JobAction.GiveUp(job.id(), reason));
+        actions.add(new JobAction.DropJob(job.id(), reason));
     }
 
     private void remove(Job job) {
@@ -212,14 +212,14 @@
         queue.refill(now);
         for (Job job = queue.next(now); job != null; job = queue.next(now)) {
             queue.start(job);
-            actions.add(new JobAction.Begin(job.id(), job.attempt));
+            actions.add(new JobAction.StartJob(job.id(), job.attempt));
         }
     }
 
     private void scheduleWake() {
         if (!isWakeScheduled && jobs.values().stream().anyMatch(job -> !job.isRunning)) {
             isWakeScheduled = true;
-            actions.add(new JobAction.Wake(TICK));
+            actions.add(new JobAction.ScheduleTick(TICK));
         }
     }
 }
--- a/decisions/src/main/java/pearladder/background/Job.java
+++ b/decisions/src/main/java/pearladder/background/Job.java
@@ -9,7 +9,7 @@
     static final Comparator<Job> BY_DEADLINE =
             Comparator.comparingLong(Job::deadlineNanos).thenComparingLong(job -> job.number);
 
-    final JobEvent.Asked request;
+    final JobEvent.JobSubmitted request;
     final JobQueue queue;
     private final long number;
     /** Start tag of fair queueing, in seconds of the class's budget; set when the job is considered. */
@@ -22,7 +22,7 @@
     boolean isRunning;
 
     /** @param number of the job in the order in which they were submitted */
-    Job(JobEvent.Asked request, JobQueue queue, long number, MonotonicTime submittedAt) {
+    Job(JobEvent.JobSubmitted request, JobQueue queue, long number, MonotonicTime submittedAt) {
         this.request = request;
         this.queue = queue;
         this.number = number;
--- a/decisions/src/main/java/pearladder/background/JobClasses.java
+++ b/decisions/src/main/java/pearladder/background/JobClasses.java
@@ -9,7 +9,7 @@
     /** Writes what must outlive the process, as the endpoint list; one at a time, at a shutdown too. */
     public static final String FLUSH = "flush";
     /** Asks other routers for their rollout targets. */
-    public static final String LEARN = "learn";
+    public static final String SYNC = "learn";
 
     /** Writes the event log; load requests wait for it. */
     public static final String RECORD = "record";
@@ -40,14 +40,14 @@
      *
      * @param seed of the random part of back-offs
      */
-    public static BackgroundScheduler scheduler(long seed, MonotonicTime startedAt) {
+    public static BackgroundScheduler createScheduler(long seed, MonotonicTime startedAt) {
         List<JobClass> jobClasses = List.of(
                 new JobClass(FLUSH, 0, URGENT_BYTES, 2, 1, 100, 3, FLUSH_BACKOFF, true),
                 new JobClass(RECORD, 0, URGENT_BYTES, 2, 1, 2, 0, UNUSED_BACKOFF, true),
                 new JobClass(METER, 1, ResourceCost.NONE, 1, 1, 2, 0, UNUSED_BACKOFF, false),
                 new JobClass(SNAPSHOT, 2, SNAPSHOT_BYTES, 10, 1, 1, 0, UNUSED_BACKOFF, false),
                 new JobClass(COMPACT, 3, LOW_PRIORITY_BYTES, 100, 1, 1, 0, UNUSED_BACKOFF, false),
-                new JobClass(LEARN, 1, LOW_PRIORITY_BYTES, 10, 4, 1000, 0, UNUSED_BACKOFF, false));
+                new JobClass(SYNC, 1, LOW_PRIORITY_BYTES, 10, 4, 1000, 0, UNUSED_BACKOFF, false));
         return new BackgroundScheduler(seed, jobClasses, FULL_OVERLOAD_LAG, startedAt);
     }
 }
--- a/decisions/src/main/java/pearladder/background/JobEvent.java
+++ b/decisions/src/main/java/pearladder/background/JobEvent.java
@@ -12,21 +12,21 @@
      * @param tenant on whose behalf it runs; empty for the router's own jobs
      * @param startBy when it must have been started, or null
      */
-    record Asked(String id, String jobClass, String tenant, ResourceCost expectedCost, MonotonicTime startBy)
+    record JobSubmitted(String id, String jobClass, String tenant, ResourceCost expectedCost, MonotonicTime startBy)
             implements JobEvent {}
 
     /** A job that was started has ended; the cost is what was measured. */
-    record Ended(String id, boolean isSuccess, ResourceCost cost) implements JobEvent {}
+    record JobEnded(String id, boolean isSuccess, ResourceCost cost) implements JobEvent {}
 
     /** A job is not wanted any more; one that is running runs to its end. */
-    record Cancelled(String id) implements JobEvent {}
+    record JobCancelled(String id) implements JobEvent {}
 
     /** The lag of the router's event loop was measured: requests go before all background jobs. */
-    record Strained(TimeSpan loopLag) implements JobEvent {}
+    record LoopLagMeasured(TimeSpan loopLag) implements JobEvent {}
 
     /** The router shuts down: only jobs of classes that run at a shutdown are still started. */
-    record Stopping() implements JobEvent {}
+    record ShutdownBegun() implements JobEvent {}
 
-    /** The time asked for by {@link JobAction.Wake} has passed. */
-    record Due() implements JobEvent {}
+    /** The time asked for by {@link JobAction.ScheduleTick} has passed. */
+    record Tick() implements JobEvent {}
 }
--- a/decisions/src/main/java/pearladder/connections/ConnectionAction.java
+++ b/decisions/src/main/java/pearladder/connections/ConnectionAction.java
@@ -7,14 +7,14 @@
      *
      * @param why reason in a few words, for the log
      */
-    record CloseSeat(ClientConnectionState seat, String why) implements ConnectionAction {}
+    record CloseClientConnection(ClientConnectionState connection, String reason) implements ConnectionAction {}
 
     /** Close this worker connection; no command is in flight on it. */
-    record CloseLink(WorkerConnectionState link) implements ConnectionAction {}
+    record CloseWorkerConnection(WorkerConnectionState connection) implements ConnectionAction {}
 
     /** Send the command on this connection, which exists already. */
-    record UseLink(WorkerConnectionState link) implements ConnectionAction {}
+    record UseWorkerConnection(WorkerConnectionState connection) implements ConnectionAction {}
 
     /** Open this new connection and send the command on it. */
-    record OpenLink(WorkerConnectionState link) implements ConnectionAction {}
+    record OpenWorkerConnection(WorkerConnectionState connection) implements ConnectionAction {}
 }
--- a/decisions/src/main/java/pearladder/connections/ConnectionEvent.java
+++ b/decisions/src/main/java/pearladder/connections/ConnectionEvent.java
@@ -5,10 +5,10 @@
 /** What happened to the connections of a router. */
 public sealed interface ConnectionEvent {
     /** A client connection was accepted. */
-    record SeatTaken(ClientConnectionState connection) implements ConnectionEvent {}
+    record ClientConnected(ClientConnectionState connection) implements ConnectionEvent {}
 
     /** A client connection was closed, by either side. */
-    record SeatLeft(ClientConnectionState connection) implements ConnectionEvent {}
+    record ClientDisconnected(ClientConnectionState connection) implements ConnectionEvent {}
 
     /**
      * A command is to be sent to a worker.
@@ -16,13 +16,13 @@
      * @param connections all connections to that worker, in their present state
      * @param avoided connections that must not be used, as an earlier attempt of the request was sent on them
      */
-    record LinkWanted(
+    record WorkerConnectionRequested(
             String worker, Collection<WorkerConnectionState> connections, Collection<WorkerConnectionState> avoided)
             implements ConnectionEvent {}
 
     /** A worker connection was closed or could not be opened. */
-    record LinkGone(WorkerConnectionState connection) implements ConnectionEvent {}
+    record WorkerConnectionReleased(WorkerConnectionState connection) implements ConnectionEvent {}
 
     /** Time has passed; reported a few times a second. */
-    record Beat() implements ConnectionEvent {}
+    record Tick() implements ConnectionEvent {}
 }
--- a/decisions/src/main/java/pearladder/connections/ConnectionManager.java
+++ b/decisions/src/main/java/pearladder/connections/ConnectionManager.java
@@ -25,7 +25,7 @@
      * @param workerIdleTimeout an unused worker connection is closed after so long, before the worker closes it in the
      *     middle of a send
      */
-    public record Holding(
+    public record ConnectionLimits(
             int maxClientConnections,
             int maxWorkerConnections,
             int maxInFlight,
@@ -48,10 +48,11 @@
          * @param maxInFlight commands in flight on one worker connection, at most
          * @param workerIdleTimeout time after which workers close an unused connection
          */
-        public static Holding of(int descriptorLimit, int ownDescriptors, int maxInFlight, TimeSpan workerIdleTimeout) {
+        public static ConnectionLimits of(
+                int descriptorLimit, int ownDescriptors, int maxInFlight, TimeSpan workerIdleTimeout) {
             int free =
                     Math.max(2 * MIN_CONNECTIONS, descriptorLimit - ownDescriptors - descriptorLimit / RESERVE_DIVISOR);
-            return new Holding(
+            return new ConnectionLimits(
                     free / 2,
                     free - free / 2,
                     maxInFlight,
@@ -63,14 +64,14 @@
     /** Number of unusable messages at which their client is disconnected. */
     private static final int MAX_UNUSABLE_MESSAGES = 16;
 
-    private final Holding limits;
+    private final ConnectionLimits limits;
     /** In the order in which they were accepted. */
     private final Set<ClientConnectionState> clientConnections = new LinkedHashSet<>();
     /** In the order in which they were opened. */
     private final Set<WorkerConnectionState> workerConnections = new LinkedHashSet<>();
 
     /** Creates a manager of no connections. */
-    public ConnectionManager(Holding limits) {
+    public ConnectionManager(ConnectionLimits limits) {
         this.limits = limits;
     }
 
@@ -81,15 +82,15 @@
      */
     public List<ConnectionAction> on(MonotonicTime now, ConnectionEvent event) {
         List<ConnectionAction> actions = new ArrayList<>();
-        if (event instanceof ConnectionEvent.SeatTaken connected) {
+        if (event instanceof ConnectionEvent.ClientConnected connected) {
             onClientConnected(connected.connection(), actions);
-        } else if (event instanceof ConnectionEvent.SeatLeft disconnected) {
+        } else if (event instanceof ConnectionEvent.ClientDisconnected disconnected) {
             clientConnections.remove(disconnected.connection());
-        } else if (event instanceof ConnectionEvent.LinkGone closed) {
+        } else if (event instanceof ConnectionEvent.WorkerConnectionReleased closed) {
             workerConnections.remove(closed.connection());
-        } else if (event instanceof ConnectionEvent.LinkWanted requested) {
+        } else if (event instanceof ConnectionEvent.WorkerConnectionRequested requested) {
             onWorkerConnectionRequested(now, requested, actions);
-        } else if (event instanceof ConnectionEvent.Beat) {
+        } else if (event instanceof ConnectionEvent.Tick) {
             onTick(now, actions);
         }
         return actions;
@@ -103,7 +104,7 @@
             }
         }
         for (WorkerConnectionState connection : List.copyOf(workerConnections)) {
-            if (isUnused(connection) && now.since(connection.used).isLongerThan(limits.workerIdleTimeout())) {
+            if (isUnused(connection) && now.since(connection.lastUsedAt).isLongerThan(limits.workerIdleTimeout())) {
                 closeWorker(connection, actions);
             }
         }
@@ -120,16 +121,16 @@
 
     /** Why a client connection must be closed; null while it may stay. */
     private String closeReason(MonotonicTime now, ClientConnectionState connection) {
-        if (connection.spoke == null && isTimedOut(now, connection.connectedAt)) {
+        if (connection.lastMessageAt == null && isTimedOut(now, connection.connectedAt)) {
             return "no complete message received";
         }
-        if (isTimedOut(now, connection.partSince)) {
+        if (isTimedOut(now, connection.partialMessageSince)) {
             return "a message stays incomplete";
         }
-        if (isTimedOut(now, connection.stuckSince)) {
+        if (isTimedOut(now, connection.notReadingSince)) {
             return "responses are not read";
         }
-        if (connection.unusable >= MAX_UNUSABLE_MESSAGES) {
+        if (connection.unusableMessages >= MAX_UNUSABLE_MESSAGES) {
             return "too many unusable messages";
         }
         return null;
@@ -147,11 +148,13 @@
     private ClientConnectionState leastValuable(ClientConnectionState newest) {
         ClientConnectionState leastRecentlyUsed = null;
         for (ClientConnectionState connection : clientConnections) {
-            if (connection.spoke == null && connection != newest) {
+            if (connection.lastMessageAt == null && connection != newest) {
                 return connection;
             }
-            boolean isIdle = connection.callsOpen == 0 && connection.spoke != null;
-            if (isIdle && (leastRecentlyUsed == null || connection.spoke.isBefore(leastRecentlyUsed.spoke))) {
+            boolean isIdle = connection.openRequests == 0 && connection.lastMessageAt != null;
+            if (isIdle
+                    && (leastRecentlyUsed == null
+                            || connection.lastMessageAt.isBefore(leastRecentlyUsed.lastMessageAt))) {
                 leastRecentlyUsed = connection;
             }
         }
@@ -160,39 +163,40 @@
 
     private void closeClient(ClientConnectionState connection, String reason, List<ConnectionAction> actions) {
         clientConnections.remove(connection);
-        actions.add(new ConnectionAction.CloseSeat(connection, reason));
+        actions.add(new ConnectionAction.CloseClientConnection(connection, reason));
     }
 
     // ---- workers
 
     /** Uses a free connection; else opens one, closing an unused one where the limit is reached; else shares one. */
     private void onWorkerConnectionRequested(
-            MonotonicTime now, ConnectionEvent.LinkWanted requested, List<ConnectionAction> actions) {
+            MonotonicTime now, ConnectionEvent.WorkerConnectionRequested requested, List<ConnectionAction> actions) {
         WorkerConnectionState free = null;
         WorkerConnectionState shareable = null;
         for (WorkerConnectionState connection : requested.connections()) {
             if (!isUsable(connection, requested)) {
                 continue;
             }
-            if (isUnused(connection) && (free == null || free.used.isBefore(connection.used))) {
+            if (isUnused(connection) && (free == null || free.lastUsedAt.isBefore(connection.lastUsedAt))) {
                 free = connection;
-            } else if (connection.out < limits.maxInFlight() && (shareable == null || connection.out < shareable.out)) {
+            } else if (connection.inFlight < limits.maxInFlight()
+                    && (shareable == null || connection.inFlight < shareable.inFlight)) {
                 shareable = connection;
             }
         }
         if (free != null) {
-            actions.add(new ConnectionAction.UseLink(free));
+            actions.add(new ConnectionAction.UseWorkerConnection(free));
         } else if (makeRoom(requested.connections(), shareable != null, actions)) {
             WorkerConnectionState opened = new WorkerConnectionState(requested.worker(), now);
             workerConnections.add(opened);
-            actions.add(new ConnectionAction.OpenLink(opened));
+            actions.add(new ConnectionAction.OpenWorkerConnection(opened));
         } else if (shareable != null) {
-            actions.add(new ConnectionAction.UseLink(shareable));
+            actions.add(new ConnectionAction.UseWorkerConnection(shareable));
         }
     }
 
-    private boolean isUsable(WorkerConnectionState connection, ConnectionEvent.LinkWanted requested) {
-        return !connection.doubted
+    private boolean isUsable(WorkerConnectionState connection, ConnectionEvent.WorkerConnectionRequested requested) {
+        return !connection.suspect
                 && !requested.avoided().contains(connection)
                 && workerConnections.contains(connection);
     }
@@ -202,7 +206,7 @@
      * established or has failed.
      */
     private static boolean isUnused(WorkerConnectionState connection) {
-        return connection.up && connection.out == 0;
+        return connection.established && connection.inFlight == 0;
     }
 
     /** Whether one more worker connection may be opened, after closing an unused one where the limit is reached. */
@@ -228,7 +232,8 @@
         WorkerConnectionState leastRecentlyUsed = null;
         for (WorkerConnectionState connection : workerConnections) {
             boolean isCandidate = isUnused(connection) && (!ownOnly || ownConnections.contains(connection));
-            if (isCandidate && (leastRecentlyUsed == null || connection.used.isBefore(leastRecentlyUsed.used))) {
+            if (isCandidate
+                    && (leastRecentlyUsed == null || connection.lastUsedAt.isBefore(leastRecentlyUsed.lastUsedAt))) {
                 leastRecentlyUsed = connection;
             }
         }
@@ -237,6 +242,6 @@
 
     private void closeWorker(WorkerConnectionState connection, List<ConnectionAction> actions) {
         workerConnections.remove(connection);
-        actions.add(new ConnectionAction.CloseLink(connection));
+        actions.add(new ConnectionAction.CloseWorkerConnection(connection));
     }
 }
--- a/decisions/src/main/java/pearladder/connections/GracefulShutdown.java
+++ b/decisions/src/main/java/pearladder/connections/GracefulShutdown.java
@@ -13,9 +13,9 @@
         /** Serve requests as before the signal. */
         SERVE,
         /** Reject new requests; go on with those that are open. */
-        REFUSE,
+        REJECT,
         /** Answer every open request with a failure. */
-        GIVE_UP,
+        ABANDON,
         /** End the process. */
         EXIT
     }
@@ -27,7 +27,7 @@
      * @param unsentBytes bytes of responses that the operating system has not taken yet
      * @param partialMessages clients of which an incomplete message was received
      */
-    public record Owed(int openRequests, long unsentBytes, int partialMessages) {
+    public record OutstandingWork(int openRequests, long unsentBytes, int partialMessages) {
         private boolean isNothing() {
             return openRequests == 0 && unsentBytes == 0 && partialMessages == 0;
         }
@@ -59,7 +59,7 @@
      *
      * @param lastReceivedAt when a client last connected or sent something; null where none did
      */
-    public Step on(MonotonicTime now, MonotonicTime lastReceivedAt, Owed owed) {
+    public Step on(MonotonicTime now, MonotonicTime lastReceivedAt, OutstandingWork owed) {
         if (now.isBefore(signalledAt.plus(SERVING_TIME))) {
             return Step.SERVE;
         }
@@ -68,6 +68,6 @@
         if (isQuiet && owed.isNothing() || isOutOfTime) {
             return Step.EXIT;
         }
-        return now.isBefore(killedAt.minus(SLACK.times(2))) ? Step.REFUSE : Step.GIVE_UP;
+        return now.isBefore(killedAt.minus(SLACK.times(2))) ? Step.REJECT : Step.ABANDON;
     }
 }
--- a/decisions/src/main/java/pearladder/connections/WorkerConnectionState.java
+++ b/decisions/src/main/java/pearladder/connections/WorkerConnectionState.java
@@ -10,17 +10,17 @@
     /** Identifier of the worker at the other end. */
     public final String worker;
     /** Whether the connection is established; false while it is being opened. */
-    public boolean up;
+    public boolean established;
     /** Number of commands sent or queued on the connection that have no response yet. */
-    public int out;
+    public int inFlight;
     /** Whether a command timed out on the connection and nothing has been received since. */
-    public boolean doubted;
+    public boolean suspect;
     /** When the connection was last written to or last received something; when it was opened before that. */
-    public MonotonicTime used;
+    public MonotonicTime lastUsedAt;
 
     /** Creates the state of a connection to the worker that is being opened since the given time. */
     public WorkerConnectionState(String worker, MonotonicTime openedAt) {
         this.worker = worker;
-        this.used = openedAt;
+        this.lastUsedAt = openedAt;
     }
 }
--- a/decisions/src/main/java/pearladder/metering/InstanceObservation.java
+++ b/decisions/src/main/java/pearladder/metering/InstanceObservation.java
@@ -17,14 +17,14 @@
      * @param tenant whose request started it; empty where the router loaded ahead of requests
      * @param loadMillis how long the load took
      */
-    record Loading(long atMillis, String router, String worker, String model, String tenant, long loadMillis)
+    record LoadStarted(long atMillis, String router, String worker, String model, String tenant, long loadMillis)
             implements InstanceObservation {}
 
     /** A load failed: its instance is not there. */
     record LoadFailed(long atMillis, String router, String worker, String model) implements InstanceObservation {}
 
     /** The worker reported how many instances it holds. */
-    record Copies(long atMillis, String router, String worker, String model, int instances)
+    record InstancesReported(long atMillis, String router, String worker, String model, int instances)
             implements InstanceObservation {}
 
     /**
@@ -32,12 +32,12 @@
      *
      * @param workMicros how long they ran in all, microseconds
      */
-    record Worked(long atMillis, String router, String worker, String model, String tenant, long workMicros)
+    record WorkReported(long atMillis, String router, String worker, String model, String tenant, long workMicros)
             implements InstanceObservation {}
 
     /** The worker's process ended or was restarted: all its instances are gone. */
-    record Gone(long atMillis, String router, String worker) implements InstanceObservation {}
+    record WorkerGone(long atMillis, String router, String worker) implements InstanceObservation {}
 
     /** From now on each instance of the model holds so many megabytes. */
-    record Memory(long atMillis, String router, String model, long memoryMb) implements InstanceObservation {}
+    record ModelMemoryKnown(long atMillis, String router, String model, long memoryMb) implements InstanceObservation {}
 }
--- a/decisions/src/main/java/pearladder/metering/UsageAccounting.java
+++ b/decisions/src/main/java/pearladder/metering/UsageAccounting.java
@@ -9,8 +9,8 @@
 import java.util.TreeMap;
 
 /**
- * Divides the memory that models hold among tenants. Observations go in through {@link #on}, in the order of time but
- * for a stated lateness; the shares of intervals that are over come out; {@link #end} closes what is left. Times in
+ * Divides the memory that models hold among tenants. Observations go in through {@link #setActions}, in the order of time but
+ * for a stated lateness; the shares of intervals that are over come out; {@link #finish} closes what is left. Times in
  * milliseconds.
  *
  * <p>An instance counts from the start of its load until the worker reports that it is gone, its process ends, or
@@ -70,7 +70,7 @@
     }
 
     /** No more observations come; returns the remaining shares, of all usage up to a time. */
-    public List<UsageShare> end(long untilMillis) {
+    public List<UsageShare> finish(long untilMillis) {
         shares = new ArrayList<>();
         while (!waiting.isEmpty()) {
             process(waiting.poll());
@@ -86,7 +86,7 @@
     }
 
     /** Number of observations that came later than the stated lateness; they count in the first open interval. */
-    public long tooLate() {
+    public long lateObservationCount() {
         return tooLateCount;
     }
 
@@ -96,16 +96,16 @@
 
     /** At the same time, what ends instances goes before what begins them, and reports go before work. */
     private static int orderAtSameTime(InstanceObservation observation) {
-        if (observation instanceof InstanceObservation.Memory) {
+        if (observation instanceof InstanceObservation.ModelMemoryKnown) {
             return 0;
-        } else if (observation instanceof InstanceObservation.Gone) {
+        } else if (observation instanceof InstanceObservation.WorkerGone) {
             return 1;
         } else if (observation instanceof InstanceObservation.LoadFailed) {
             return 2;
-        } else if (observation instanceof InstanceObservation.Loading) {
+        } else if (observation instanceof InstanceObservation.LoadStarted) {
             return 3;
         }
-        return observation instanceof InstanceObservation.Copies ? 4 : 5;
+        return observation instanceof InstanceObservation.InstancesReported ? 4 : 5;
     }
 
     private void process(InstanceObservation observation) {
@@ -123,22 +123,22 @@
     }
 
     private void apply(InstanceObservation observation, long time) {
-        if (observation instanceof InstanceObservation.Memory memory) {
+        if (observation instanceof InstanceObservation.ModelMemoryKnown memory) {
             onMemoryKnown(memory, time);
-        } else if (observation instanceof InstanceObservation.Gone gone) {
+        } else if (observation instanceof InstanceObservation.WorkerGone gone) {
             onWorkerGone(gone, time);
         } else if (observation instanceof InstanceObservation.LoadFailed failed) {
             usage(failed.worker(), failed.model(), time).onLoadFailed(time);
-        } else if (observation instanceof InstanceObservation.Loading started) {
+        } else if (observation instanceof InstanceObservation.LoadStarted started) {
             usage(started.worker(), started.model(), time).onLoadStarted(time, started.tenant(), started.loadMillis());
-        } else if (observation instanceof InstanceObservation.Copies reported) {
+        } else if (observation instanceof InstanceObservation.InstancesReported reported) {
             usage(reported.worker(), reported.model(), time).setInstances(time, reported.instances());
-        } else if (observation instanceof InstanceObservation.Worked worked) {
+        } else if (observation instanceof InstanceObservation.WorkReported worked) {
             usage(worked.worker(), worked.model(), time).onWork(time, worked.tenant(), worked.workMicros());
         }
     }
 
-    private void onMemoryKnown(InstanceObservation.Memory memory, long time) {
+    private void onMemoryKnown(InstanceObservation.ModelMemoryKnown memory, long time) {
         for (InstanceUsage usage : usages.values()) {
             if (usage.model.equals(memory.model())) {
                 countUntil(usage, time);
@@ -147,7 +147,7 @@
         memoryMb.put(memory.model(), memory.memoryMb());
     }
 
-    private void onWorkerGone(InstanceObservation.Gone gone, long time) {
+    private void onWorkerGone(InstanceObservation.WorkerGone gone, long time) {
         for (InstanceUsage usage : usages.values()) {
             if (usage.worker.equals(gone.worker())) {
                 countUntil(usage, time);
--- a/decisions/src/main/java/pearladder/metering/UsageShare.java
+++ b/decisions/src/main/java/pearladder/metering/UsageShare.java
@@ -10,4 +10,11 @@
  * @param loads loads that were started for the tenant in the interval
  * @param work time that the tenant's requests ran there in the interval, microseconds
  */
-public record UsageShare(String account, String model, String engine, long from, long amount, int loads, long work) {}
+public record UsageShare(
+        String tenant,
+        String model,
+        String worker,
+        long intervalStartMillis,
+        long megabyteMillis,
+        int loads,
+        long workMicros) {}
--- a/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
+++ b/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
@@ -11,7 +11,7 @@
 import pearladder.routing.state.PolicySnapshot;
 
 /**
- * Decides what of a routing policy's snapshot still holds after a restart. Its one entry point is {@link #after}.
+ * Decides what of a routing policy's snapshot still holds after a restart. Its one entry point is {@link #recover}.
  *
  * <p>What was learnt about a worker holds for that worker process only, so a worker counts only if its uptime now is
  * what it would have become. Decaying values decay by the time that passed. An instance counts for as long as idle
@@ -32,7 +32,7 @@
      * @param uptimes for each worker of the last endpoint list the uptime of its process now, null where the list gives
      *     none
      */
-    public record Found(
+    public record RestartState(
             PolicySnapshot snapshot,
             TimeSpan gap,
             List<TimeSpan> loadRequestAges,
@@ -45,7 +45,7 @@
      * @param known the part of the snapshot that still holds; without workers and functions where none of it does
      * @param why one line for the log: how much was restored, or why nothing was
      */
-    public record Believed(PolicySnapshot known, String why) {}
+    public record RecoveredState(PolicySnapshot snapshot, String reason) {}
 
     /** Most by which two measurements of the age of one process differ. */
     private static final TimeSpan UPTIME_TOLERANCE = TimeSpan.millis(500);
@@ -76,14 +76,14 @@
     }
 
     /** Decides what the policy may start from. */
-    public Believed after(Found found) {
+    public RecoveredState recover(RestartState found) {
         List<TimeSpan> loadRequestAges = countedLoadRequests(found);
         String reason = whyUnusable(found);
         return reason == null ? restore(found, loadRequestAges) : restoreNothing(loadRequestAges, reason);
     }
 
     /** Why no part of the snapshot may be used; null where it may be. */
-    private String whyUnusable(Found found) {
+    private String whyUnusable(RestartState found) {
         if (found.snapshot() == null) {
             return "no snapshot";
         }
@@ -97,13 +97,13 @@
         return invalidPart == null ? null : "the snapshot is none: " + invalidPart;
     }
 
-    private static Believed restoreNothing(List<TimeSpan> loadRequestAges, String reason) {
-        return new Believed(
+    private static RecoveredState restoreNothing(List<TimeSpan> loadRequestAges, String reason) {
+        return new RecoveredState(
                 new PolicySnapshot(TimeSpan.ZERO, List.of(), List.of(), loadRequestAges, 0, 0),
                 reason + "; " + loadRequestAges.size() + " load requests count");
     }
 
-    private Believed restore(Found found, List<TimeSpan> loadRequestAges) {
+    private RecoveredState restore(RestartState found, List<TimeSpan> loadRequestAges) {
         PolicySnapshot then = found.snapshot();
         List<PolicySnapshot.WorkerSnapshot> workers = restoreWorkers(found);
         Set<String> restoredWorkers = new HashSet<>();
@@ -114,7 +114,7 @@
         }
         PolicySnapshot now = new PolicySnapshot(
                 found.gap(), workers, functions, loadRequestAges, then.loadSeconds(), then.loadCount());
-        return new Believed(now, describe(then, now));
+        return new RecoveredState(now, describe(then, now));
     }
 
     private static String describe(PolicySnapshot then, PolicySnapshot now) {
@@ -138,7 +138,7 @@
     }
 
     /** The workers that run the same process as then, with their present uptime and remaining ejection time. */
-    private static List<PolicySnapshot.WorkerSnapshot> restoreWorkers(Found found) {
+    private static List<PolicySnapshot.WorkerSnapshot> restoreWorkers(RestartState found) {
         List<PolicySnapshot.WorkerSnapshot> restored = new ArrayList<>();
         for (PolicySnapshot.WorkerSnapshot worker : found.snapshot().workers()) {
             String id = worker.worker();
@@ -194,7 +194,7 @@
      * Ages of the load requests that count against the quota, oldest first. A negative age comes from a clock that was
      * set back; such a request counts as just sent, the longest that it can count.
      */
-    private List<TimeSpan> countedLoadRequests(Found found) {
+    private List<TimeSpan> countedLoadRequests(RestartState found) {
         if (quotaWindow.nanos() <= 0) {
             return List.of();
         }
--- a/decisions/src/main/java/pearladder/rollout/RolloutAction.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutAction.java
@@ -5,7 +5,7 @@
 /** What has to be done for a rollout, in the order given. */
 public sealed interface RolloutAction {
     /** Route the request to this version; empty for the model without a version. */
-    record Use(String requestId, String version) implements RolloutAction {}
+    record UseVersion(String requestId, String version) implements RolloutAction {}
 
     /**
      * Load instances of a version, with low priority.
@@ -13,29 +13,30 @@
      * @param like version whose instances carry the load that is measured against
      * @param share part of that load for which instances of the version have to be ready, 0 to 1
      */
-    record Prepare(String model, String version, String like, double share) implements RolloutAction {}
+    record LoadInstances(String model, String version, String referenceVersion, double share)
+            implements RolloutAction {}
 
     /** Stop keeping instances of a version: cancel loads that have not begun, let idle instances go. */
-    record Withdraw(String model, String version) implements RolloutAction {}
+    record ReleaseInstances(String model, String version) implements RolloutAction {}
 
     /**
-     * Write the target to the journal, then report {@link RolloutEvent.Kept}; only then is the operator told that it
+     * Write the target to the journal, then report {@link RolloutEvent.TargetPersisted}; only then is the operator told that it
      * was accepted.
      */
-    record Keep(RolloutTarget target) implements RolloutAction {}
+    record PersistTarget(RolloutTarget target) implements RolloutAction {}
 
     /** Write this router's progress to the journal; nobody waits for that. */
-    record Note(RolloutProgress reached) implements RolloutAction {}
+    record PersistProgress(RolloutProgress progress) implements RolloutAction {}
 
     /**
      * Tell the operator that the target is rejected, as another one came first or its plan is invalid.
      *
      * @param why reason, and what the operator can do
      */
-    record Refuse(RolloutTarget target, String why) implements RolloutAction {}
+    record RejectTarget(RolloutTarget target, String reason) implements RolloutAction {}
 
-    /** Report {@link RolloutEvent.Due} after this time. */
-    record Wake(TimeSpan after) implements RolloutAction {}
+    /** Report {@link RolloutEvent.Tick} after this time. */
+    record ScheduleTick(TimeSpan delay) implements RolloutAction {}
 
     /** Log a change of the rollout, with its figures. */
     record Log(String text) implements RolloutAction {}
--- a/decisions/src/main/java/pearladder/rollout/RolloutController.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutController.java
@@ -10,7 +10,7 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * All rollouts of one router. Its one entry point is {@link #on}: an event goes in, actions come out.
+ * All rollouts of one router. Its one entry point is {@link #setActions}: an event goes in, actions come out.
  *
  * <p>A routing key has a position from 0 to 1, a hash of model and key and so the same at every router. At a share s
  * the keys below s get the new version: a step only adds keys and a rollback takes all of them back. A request keeps
@@ -57,23 +57,23 @@
     }
 
     private void dispatch(RolloutEvent event) {
-        if (event instanceof RolloutEvent.CallCame received) {
+        if (event instanceof RolloutEvent.RequestReceived received) {
             onRequestReceived(received);
-        } else if (event instanceof RolloutEvent.CallEnded completed) {
+        } else if (event instanceof RolloutEvent.RequestCompleted completed) {
             onRequestCompleted(completed);
-        } else if (event instanceof RolloutEvent.CallLeft disconnected) {
+        } else if (event instanceof RolloutEvent.ClientDisconnected disconnected) {
             openRequests.remove(disconnected.requestId());
-        } else if (event instanceof RolloutEvent.Ordered ordered) {
+        } else if (event instanceof RolloutEvent.TargetOrdered ordered) {
             onTargetOrdered(ordered.target());
-        } else if (event instanceof RolloutEvent.Kept kept) {
+        } else if (event instanceof RolloutEvent.TargetPersisted kept) {
             onTargetKept(kept.target());
-        } else if (event instanceof RolloutEvent.Heard heard) {
+        } else if (event instanceof RolloutEvent.TargetReceived heard) {
             onTargetHeard(heard.target());
-        } else if (event instanceof RolloutEvent.Restored restored) {
+        } else if (event instanceof RolloutEvent.JournalRestored restored) {
             onJournalRead(restored);
-        } else if (event instanceof RolloutEvent.Standing ready) {
+        } else if (event instanceof RolloutEvent.InstancesReady ready) {
             onInstancesReady(ready);
-        } else if (event instanceof RolloutEvent.Due) {
+        } else if (event instanceof RolloutEvent.Tick) {
             onTick();
         }
     }
@@ -93,16 +93,16 @@
                 || rollouts.values().stream().anyMatch(rollout -> rollout.canAdvance() || rollout.keepsInstances);
         if (isWakeNeeded && !isWakeScheduled) {
             isWakeScheduled = true;
-            actions.add(new RolloutAction.Wake(TICK));
+            actions.add(new RolloutAction.ScheduleTick(TICK));
         }
     }
 
     // ---- requests
 
-    private void onRequestReceived(RolloutEvent.CallCame received) {
+    private void onRequestReceived(RolloutEvent.RequestReceived received) {
         ModelRollout rollout = rollouts.get(received.model());
         if (rollout == null) {
-            actions.add(new RolloutAction.Use(received.requestId(), ""));
+            actions.add(new RolloutAction.UseVersion(received.requestId(), ""));
             return;
         }
         String newVersion = rollout.plan().to();
@@ -114,11 +114,11 @@
         }
         openRequests.put(
                 received.requestId(), new Assignment(rollout, rollout.target.epoch(), version.equals(newVersion)));
-        actions.add(new RolloutAction.Use(received.requestId(), version));
+        actions.add(new RolloutAction.UseVersion(received.requestId(), version));
     }
 
     /** A request that was routed by an earlier target says nothing about the present one. */
-    private void onRequestCompleted(RolloutEvent.CallEnded completed) {
+    private void onRequestCompleted(RolloutEvent.RequestCompleted completed) {
         Assignment assignment = openRequests.remove(completed.requestId());
         if (assignment == null
                 || assignment.epoch() != assignment.rollout().target.epoch()) {
@@ -148,7 +148,7 @@
                 ModelRollout.displayName(plan.to()),
                 rollout.comparison.figures());
         if (isRolledBack) {
-            actions.add(new RolloutAction.Withdraw(plan.model(), plan.to()));
+            actions.add(new RolloutAction.ReleaseInstances(plan.model(), plan.to()));
         }
     }
 
@@ -158,7 +158,7 @@
         ModelRollout rollout = rollouts.get(target.plan().model());
         if (rollout != null && rollout.target.equals(target)) {
             // Sent again because the answer was lost, or received by two ways.
-            actions.add(new RolloutAction.Keep(target));
+            actions.add(new RolloutAction.PersistTarget(target));
             return;
         }
         if (!isNewer(target, rollout)) {
@@ -166,13 +166,16 @@
             return;
         }
         String fault = findFault(target);
-        actions.add(fault == null ? new RolloutAction.Keep(target) : new RolloutAction.Refuse(target, fault));
+        actions.add(
+                fault == null
+                        ? new RolloutAction.PersistTarget(target)
+                        : new RolloutAction.RejectTarget(target, fault));
     }
 
     private void onTargetHeard(RolloutTarget target) {
         boolean isNewer = isNewer(target, rollouts.get(target.plan().model()));
         if (isNewer && findFault(target) == null) {
-            actions.add(new RolloutAction.Keep(target));
+            actions.add(new RolloutAction.PersistTarget(target));
         }
     }
 
@@ -196,7 +199,7 @@
         List<RolloutPlan.Fault> faults = target.plan().faults();
         if (!faults.isEmpty()) {
             RolloutPlan.Fault first = faults.get(0);
-            return first.key() + ": " + first.what() + "; " + first.mend();
+            return first.key() + ": " + first.problem() + "; " + first.remedy();
         }
         boolean isStepOfPlan =
                 target.step() >= 0 && target.step() < target.plan().steps().size();
@@ -205,7 +208,7 @@
 
     private void rejectAsOutdated(RolloutTarget target, ModelRollout rollout) {
         RolloutTarget present = rollout.target;
-        actions.add(new RolloutAction.Refuse(
+        actions.add(new RolloutAction.RejectTarget(
                 target,
                 "epoch " + target.epoch() + " is not after " + present.epoch() + ", ordered by " + present.by()
                         + "; look at the status and order again"));
@@ -216,7 +219,7 @@
      * that was reached is taken up again at once, since keys never move back, and a version found worse stays rolled
      * back.
      */
-    private void onJournalRead(RolloutEvent.Restored restored) {
+    private void onJournalRead(RolloutEvent.JournalRestored restored) {
         Map<String, RolloutTarget> newest = new LinkedHashMap<>();
         restored.targets().forEach(target -> newest.merge(target.plan().model(), target, RolloutTarget::newer));
         Map<String, RolloutProgress> furthest = new HashMap<>();
@@ -270,7 +273,7 @@
         rollouts.put(plan.model(), rollout);
         if (target.mode() == Mode.ROLLED_BACK) {
             rollout.step = ModelRollout.BEFORE_FIRST_STEP;
-            actions.add(new RolloutAction.Withdraw(plan.model(), plan.to()));
+            actions.add(new RolloutAction.ReleaseInstances(plan.model(), plan.to()));
         }
         log(
                 "release of %s at %s: epoch %d, %s, by %s",
@@ -288,7 +291,7 @@
     }
 
     private void recordProgress(ModelRollout rollout) {
-        actions.add(new RolloutAction.Note(rollout.progress()));
+        actions.add(new RolloutAction.PersistProgress(rollout.progress()));
     }
 
     private void log(String format, Object... arguments) {
@@ -297,7 +300,7 @@
 
     // ---- steps
 
-    private void onInstancesReady(RolloutEvent.Standing ready) {
+    private void onInstancesReady(RolloutEvent.InstancesReady ready) {
         ModelRollout rollout = rollouts.get(ready.model());
         if (rollout != null && rollout.plan().to().equals(ready.version())) {
             rollout.readyShare = ready.readyShare();
@@ -315,8 +318,8 @@
         if (rollout.isOver(now)) {
             rollout.keepsInstances = false;
             RolloutPlan plan = rollout.plan();
-            actions.add(new RolloutAction.Withdraw(plan.model(), plan.from()));
-            actions.add(new RolloutAction.Withdraw(plan.model(), plan.to()));
+            actions.add(new RolloutAction.ReleaseInstances(plan.model(), plan.from()));
+            actions.add(new RolloutAction.ReleaseInstances(plan.model(), plan.to()));
         }
         if (!rollout.canAdvance()) {
             return;
@@ -335,8 +338,8 @@
         RolloutPlan plan = rollout.plan();
         rollout.isNextStepPrepared = true;
         rollout.keepsInstances = true;
-        actions.add(new RolloutAction.Prepare(plan.model(), plan.to(), plan.from(), rollout.nextShare()));
-        actions.add(new RolloutAction.Prepare(plan.model(), plan.from(), plan.from(), 1));
+        actions.add(new RolloutAction.LoadInstances(plan.model(), plan.to(), plan.from(), rollout.nextShare()));
+        actions.add(new RolloutAction.LoadInstances(plan.model(), plan.from(), plan.from(), 1));
     }
 
     private void takeNextStep(ModelRollout rollout) {
--- a/decisions/src/main/java/pearladder/rollout/RolloutEvent.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutEvent.java
@@ -5,16 +5,16 @@
 /** What happened that a {@link RolloutController} has to know of. */
 public sealed interface RolloutEvent {
     /** An operator sent a target. It is only checked, and followed once it is in the journal. */
-    record Ordered(RolloutTarget target) implements RolloutEvent {}
+    record TargetOrdered(RolloutTarget target) implements RolloutEvent {}
 
     /** A target that was to be kept is in the journal and survives a crash. */
-    record Kept(RolloutTarget target) implements RolloutEvent {}
+    record TargetPersisted(RolloutTarget target) implements RolloutEvent {}
 
     /** Another router reported a target. It is followed if it is newer and ignored if it is not. */
-    record Heard(RolloutTarget target) implements RolloutEvent {}
+    record TargetReceived(RolloutTarget target) implements RolloutEvent {}
 
     /** The journal was read, at the start and before the first request. */
-    record Restored(List<RolloutTarget> targets, List<RolloutProgress> progress) implements RolloutEvent {}
+    record JournalRestored(List<RolloutTarget> targets, List<RolloutProgress> progress) implements RolloutEvent {}
 
     /**
      * A request was received that names no version.
@@ -22,7 +22,8 @@
      * @param routingKey requests with the same key get the same version: tenant and document, or the request itself
      * @param idempotencyKey of a request that is idempotent by key; empty where there is none
      */
-    record CallCame(String requestId, String model, String routingKey, String idempotencyKey) implements RolloutEvent {}
+    record RequestReceived(String requestId, String model, String routingKey, String idempotencyKey)
+            implements RolloutEvent {}
 
     /**
      * A request ended.
@@ -30,18 +31,18 @@
      * @param isGood whether it succeeded within its latency objective and without a worker's error
      * @param workers to which its attempts were sent, each once
      */
-    record CallEnded(String requestId, boolean isGood, List<String> workers) implements RolloutEvent {}
+    record RequestCompleted(String requestId, boolean isGood, List<String> workers) implements RolloutEvent {}
 
     /** The client disconnected before its request ended, which says nothing about the version. */
-    record CallLeft(String requestId) implements RolloutEvent {}
+    record ClientDisconnected(String requestId) implements RolloutEvent {}
 
     /**
      * The routing policy counted the instances of a version.
      *
      * @param readyShare part of the model's load that the ready instances can carry, 0 to 1
      */
-    record Standing(String model, String version, double readyShare) implements RolloutEvent {}
+    record InstancesReady(String model, String version, double readyShare) implements RolloutEvent {}
 
-    /** The time asked for by {@link RolloutAction.Wake} has passed. */
-    record Due() implements RolloutEvent {}
+    /** The time asked for by {@link RolloutAction.ScheduleTick} has passed. */
+    record Tick() implements RolloutEvent {}
 }
--- a/decisions/src/main/java/pearladder/rollout/RolloutPlan.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutPlan.java
@@ -50,7 +50,7 @@
      * @param what what is wrong
      * @param mend how to correct it
      */
-    public record Fault(String key, String what, String mend) {}
+    public record Fault(String key, String problem, String remedy) {}
 
     /** All faults of the plan; empty if it can be followed. */
     public List<Fault> faults() {
--- a/decisions/src/main/java/pearladder/writebuffer/WriteBuffer.java
+++ b/decisions/src/main/java/pearladder/writebuffer/WriteBuffer.java
@@ -8,7 +8,7 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * Decides what becomes of entries on their way to the disk. Its main entry point is {@link #on}: an event goes in,
+ * Decides what becomes of entries on their way to the disk. Its main entry point is {@link #setActions}: an event goes in,
  * actions come out.
  *
  * <p>Entries are gathered for a short time and written in one batch, so that a crash loses at most what was gathered
@@ -77,16 +77,16 @@
     public List<WriteBufferAction> on(MonotonicTime eventTime, WriteBufferEvent event) {
         now = eventTime;
         actions = new ArrayList<>();
-        if (event instanceof WriteBufferEvent.Came entry) {
+        if (event instanceof WriteBufferEvent.EntryReceived entry) {
             onEntry(entry);
         } else if (event instanceof WriteBufferEvent.Written written && writing > 0) {
             onWritten(written);
-        } else if (event instanceof WriteBufferEvent.Failed failed && writing > 0) {
+        } else if (event instanceof WriteBufferEvent.WriteFailed failed && writing > 0) {
             onFailed(failed);
-        } else if (event instanceof WriteBufferEvent.Due) {
+        } else if (event instanceof WriteBufferEvent.Tick) {
             withholdExpired();
             writeIfDue();
-        } else if (event instanceof WriteBufferEvent.Stopping) {
+        } else if (event instanceof WriteBufferEvent.ShutdownBegun) {
             isStopping = true;
             nextWriteAt = now;
             writeIfDue();
@@ -95,44 +95,44 @@
     }
 
     /** Number of entries taken that are not on disk yet. */
-    public int held() {
+    public int size() {
         return (int) (acceptedCount - writtenCount);
     }
 
     /** Whether the last write has failed. */
-    public boolean failing() {
+    public boolean isFailing() {
         return isFailing;
     }
 
     // ---- entries
 
-    private void onEntry(WriteBufferEvent.Came entry) {
+    private void onEntry(WriteBufferEvent.EntryReceived entry) {
         if (mustDrop(entry)) {
             drop(entry);
             return;
         }
-        actions.add(new WriteBufferAction.Take());
+        actions.add(new WriteBufferAction.AcceptEntry());
         acceptedCount++;
         if (!entry.loadRequestId().isEmpty()) {
             awaitWrite(entry.loadRequestId());
         }
-        if (held() == 1) {
+        if (size() == 1) {
             nextWriteAt = now.plus(gatherTime);
-            actions.add(new WriteBufferAction.Wake(gatherTime));
-        } else if (held() >= batchSize && !isFailing) {
+            actions.add(new WriteBufferAction.ScheduleTick(gatherTime));
+        } else if (size() >= batchSize && !isFailing) {
             nextWriteAt = now;
             writeIfDue();
         }
     }
 
-    private boolean mustDrop(WriteBufferEvent.Came entry) {
-        return held() >= (entry.isDetail() ? capacity / 2 : capacity) || entry.isDetail() && isFailing;
+    private boolean mustDrop(WriteBufferEvent.EntryReceived entry) {
+        return size() >= (entry.isDetail() ? capacity / 2 : capacity) || entry.isDetail() && isFailing;
     }
 
-    private void drop(WriteBufferEvent.Came entry) {
+    private void drop(WriteBufferEvent.EntryReceived entry) {
         droppedCount++;
         droppedFacts += entry.isDetail() ? 0 : 1;
-        actions.add(new WriteBufferAction.LeaveOut());
+        actions.add(new WriteBufferAction.DropEntry());
         if (!entry.loadRequestId().isEmpty()) {
             withhold(entry.loadRequestId(), "more than " + capacity + " entries wait for the disk");
         }
@@ -145,7 +145,7 @@
             return;
         }
         pendingLoadRequests.add(new PendingLoadRequest(loadRequestId, acceptedCount, now.plus(lossWindow)));
-        actions.add(new WriteBufferAction.Wake(lossWindow));
+        actions.add(new WriteBufferAction.ScheduleTick(lossWindow));
     }
 
     /** The disk may hang without an answer: a load request does not wait for it. */
@@ -157,15 +157,15 @@
     }
 
     private void withhold(String loadRequestId, String reason) {
-        actions.add(new WriteBufferAction.Withhold(loadRequestId, reason));
+        actions.add(new WriteBufferAction.WithholdLoadRequest(loadRequestId, reason));
     }
 
     // ---- writes
 
     private void writeIfDue() {
-        if (writing == 0 && held() > 0 && !now.isBefore(nextWriteAt)) {
-            writing = Math.min(batchSize, held());
-            actions.add(new WriteBufferAction.Write(writing));
+        if (writing == 0 && size() > 0 && !now.isBefore(nextWriteAt)) {
+            writing = Math.min(batchSize, size());
+            actions.add(new WriteBufferAction.WriteBatch(writing));
         }
     }
 
@@ -182,7 +182,7 @@
                     "records are written %s: %d ms a batch, %d entries wait",
                     delayMonitor.isBehind() ? "late" : "in time again",
                     written.took().toMillis(),
-                    held());
+                    size());
         }
         withholdExpired();
         releaseLoadRequests();
@@ -192,44 +192,45 @@
 
     private void releaseLoadRequests() {
         while (!pendingLoadRequests.isEmpty() && pendingLoadRequests.peek().position() <= writtenCount) {
-            actions.add(new WriteBufferAction.Go(pendingLoadRequests.poll().id()));
+            actions.add(new WriteBufferAction.SendLoadRequest(
+                    pendingLoadRequests.poll().id()));
         }
     }
 
     /** Waits until there is room for the entry that tells of it. */
     private void reportDropped() {
-        if (droppedCount > 0 && held() < capacity / 2) {
-            actions.add(new WriteBufferAction.TellLeftOut(droppedCount));
+        if (droppedCount > 0 && size() < capacity / 2) {
+            actions.add(new WriteBufferAction.ReportDropped(droppedCount));
             droppedCount = 0;
             droppedFacts = 0;
         }
     }
 
     private void writeRest() {
-        if (held() == 0) {
+        if (size() == 0) {
             return;
         }
-        boolean isDueAtOnce = isStopping || delayMonitor.isBehind() || held() >= batchSize;
+        boolean isDueAtOnce = isStopping || delayMonitor.isBehind() || size() >= batchSize;
         nextWriteAt = isDueAtOnce ? now : now.plus(gatherTime);
         writeIfDue();
         if (!isDueAtOnce) {
-            actions.add(new WriteBufferAction.Wake(gatherTime));
+            actions.add(new WriteBufferAction.ScheduleTick(gatherTime));
         }
     }
 
-    private void onFailed(WriteBufferEvent.Failed failed) {
+    private void onFailed(WriteBufferEvent.WriteFailed failed) {
         writing = 0;
         if (!isFailing) {
             isFailing = true;
             log(
                     "records can't be kept (%s): %d entries wait, details are left out, orders are withheld",
-                    failed.reason(), held());
+                    failed.reason(), size());
         }
         while (!pendingLoadRequests.isEmpty()) {
             withhold(pendingLoadRequests.poll().id(), NOT_WRITABLE);
         }
         nextWriteAt = now.plus(retryDelay);
-        actions.add(new WriteBufferAction.Wake(retryDelay));
+        actions.add(new WriteBufferAction.ScheduleTick(retryDelay));
         retryDelay = retryDelay.times(2).atMost(MAX_RETRY_DELAY);
     }
 
--- a/decisions/src/main/java/pearladder/writebuffer/WriteBufferAction.java
+++ b/decisions/src/main/java/pearladder/writebuffer/WriteBufferAction.java
@@ -5,29 +5,29 @@
 /** What has to be done with entries and load requests, in the order given. */
 public sealed interface WriteBufferAction {
     /** Append the new entry to the buffer. */
-    record Take() implements WriteBufferAction {}
+    record AcceptEntry() implements WriteBufferAction {}
 
     /** Drop the new entry. */
-    record LeaveOut() implements WriteBufferAction {}
+    record DropEntry() implements WriteBufferAction {}
 
     /** Write this many entries from the head of the buffer and report how it went. */
-    record Write(int entries) implements WriteBufferAction {}
+    record WriteBatch(int entries) implements WriteBufferAction {}
 
     /** Add an entry that tells how many were dropped. */
-    record TellLeftOut(long entries) implements WriteBufferAction {}
+    record ReportDropped(long entries) implements WriteBufferAction {}
 
     /** The load request may be sent now. */
-    record Go(String order) implements WriteBufferAction {}
+    record SendLoadRequest(String loadRequestId) implements WriteBufferAction {}
 
     /**
      * The load request must not be sent any more.
      *
      * @param why reason in a few words, for the log
      */
-    record Withhold(String order, String why) implements WriteBufferAction {}
+    record WithholdLoadRequest(String loadRequestId, String reason) implements WriteBufferAction {}
 
-    /** Report {@link WriteBufferEvent.Due} after this time. */
-    record Wake(TimeSpan after) implements WriteBufferAction {}
+    /** Report {@link WriteBufferEvent.Tick} after this time. */
+    record ScheduleTick(TimeSpan delay) implements WriteBufferAction {}
 
     /** Log a change of the buffer's state, with its figures. */
     record Log(String text) implements WriteBufferAction {}
--- a/decisions/src/main/java/pearladder/writebuffer/WriteBufferEvent.java
+++ b/decisions/src/main/java/pearladder/writebuffer/WriteBufferEvent.java
@@ -10,7 +10,7 @@
      * @param isDetail whether it may be dropped rather early
      * @param loadRequestId load request that must not be sent before the entry is on disk; empty for none
      */
-    record Came(boolean isDetail, String loadRequestId) implements WriteBufferEvent {}
+    record EntryReceived(boolean isDetail, String loadRequestId) implements WriteBufferEvent {}
 
     /** The whole batch is on disk. */
     record Written(TimeSpan took) implements WriteBufferEvent {}
@@ -20,11 +20,11 @@
      *
      * @param reason in a few words, for the log
      */
-    record Failed(String reason) implements WriteBufferEvent {}
+    record WriteFailed(String reason) implements WriteBufferEvent {}
 
-    /** The time asked for by {@link WriteBufferAction.Wake} has passed. */
-    record Due() implements WriteBufferEvent {}
+    /** The time asked for by {@link WriteBufferAction.ScheduleTick} has passed. */
+    record Tick() implements WriteBufferEvent {}
 
     /** No more entries come; those in the buffer are to be written at once. */
-    record Stopping() implements WriteBufferEvent {}
+    record ShutdownBegun() implements WriteBufferEvent {}
 }
--- a/decisions/src/test/java/pearladder/background/BackgroundSchedulerRandomizedTest.java
+++ b/decisions/src/test/java/pearladder/background/BackgroundSchedulerRandomizedTest.java
@@ -74,16 +74,16 @@
             }
             if (kind == 8) {
                 lag = random.nextInt(3) / 2.0;
-                return new JobEvent.Strained(TimeSpan.seconds(lag));
+                return new JobEvent.LoopLagMeasured(TimeSpan.seconds(lag));
             }
-            return new JobEvent.Due();
+            return new JobEvent.Tick();
         }
 
         private JobEvent submitRandomJob(int step) {
             JobClass jobClass = JOB_CLASSES.get(random.nextInt(3));
             String id = jobClass.name() + ":" + step;
             submitted.add(id);
-            return new JobEvent.Asked(
+            return new JobEvent.JobSubmitted(
                     id,
                     jobClass.name(),
                     "a" + random.nextInt(4),
@@ -99,7 +99,7 @@
                 assertTrue(ended.add(id));
             }
             spent.merge(className(id), 0.01, Double::sum);
-            return new JobEvent.Ended(id, isSuccess, new ResourceCost(0.01, 0, 0));
+            return new JobEvent.JobEnded(id, isSuccess, new ResourceCost(0.01, 0, 0));
         }
 
         private static String className(String id) {
@@ -107,7 +107,7 @@
         }
 
         private void checkAction(JobAction action) {
-            if (action instanceof JobAction.Begin begin) {
+            if (action instanceof JobAction.StartJob begin) {
                 String name = className(begin.id());
                 assertFalse(ended.contains(begin.id()), "started after its end");
                 assertEquals(null, running.put(begin.id(), name), "started twice at once");
@@ -116,7 +116,7 @@
                         .findFirst()
                         .orElseThrow();
                 assertTrue(jobClass.rank() <= (1 - lag) * 2 + 1e-9, "a rank that is suspended");
-            } else if (action instanceof JobAction.GiveUp dropped) {
+            } else if (action instanceof JobAction.DropJob dropped) {
                 assertTrue(ended.add(dropped.id()), "ended twice: " + dropped.id());
                 assertFalse(running.containsKey(dropped.id()), "dropped while it runs");
             }
--- a/decisions/src/test/java/pearladder/background/BackgroundSchedulerTest.java
+++ b/decisions/src/test/java/pearladder/background/BackgroundSchedulerTest.java
@@ -28,26 +28,26 @@
         return new JobClass(name, rank, budgetPerSecond, 1, maxRunning, 20, 2, TimeSpan.millis(100), runsAtShutdown);
     }
 
-    private static JobEvent.Asked job(String id, String jobClass, String tenant) {
-        return new JobEvent.Asked(id, jobClass, tenant, ONE, null);
+    private static JobEvent.JobSubmitted job(String id, String jobClass, String tenant) {
+        return new JobEvent.JobSubmitted(id, jobClass, tenant, ONE, null);
     }
 
     private List<String> started(JobEvent event) {
         return scheduler.on(now, event).stream()
-                .filter(JobAction.Begin.class::isInstance)
-                .map(action -> ((JobAction.Begin) action).id())
+                .filter(JobAction.StartJob.class::isInstance)
+                .map(action -> ((JobAction.StartJob) action).id())
                 .toList();
     }
 
     private static List<String> dropped(List<JobAction> actions) {
         return actions.stream()
-                .filter(JobAction.GiveUp.class::isInstance)
-                .map(action -> ((JobAction.GiveUp) action).id())
+                .filter(JobAction.DropJob.class::isInstance)
+                .map(action -> ((JobAction.DropJob) action).id())
                 .toList();
     }
 
     private void end(String id) {
-        scheduler.on(now, new JobEvent.Ended(id, true, ONE));
+        scheduler.on(now, new JobEvent.JobEnded(id, true, ONE));
     }
 
     @Test
@@ -61,47 +61,48 @@
         List<String> running = new ArrayList<>(first);
         while (!running.isEmpty()) {
             String ended = running.remove(0);
-            running.addAll(started(new JobEvent.Ended(ended, true, ONE)));
+            running.addAll(started(new JobEvent.JobEnded(ended, true, ONE)));
             all.addAll(running);
         }
         assertEquals(10, all.size(), "a second's budget is ten jobs");
         now = now.plus(TimeSpan.millis(210));
-        assertEquals(List.of("p10", "p11"), started(new JobEvent.Due()), "0.21 s earn two more");
+        assertEquals(List.of("p10", "p11"), started(new JobEvent.Tick()), "0.21 s earn two more");
     }
 
     @Test
     void paysBackWhatAJobCostBeyondItsEstimate() {
         started(job("a", "report", ""));
-        scheduler.on(now, new JobEvent.Ended("a", true, new ResourceCost(0.1, 0, 0)));
+        scheduler.on(now, new JobEvent.JobEnded("a", true, new ResourceCost(0.1, 0, 0)));
         assertEquals(List.of(), started(job("b", "report", "")));
         now = now.plus(TimeSpan.millis(1100));
-        assertEquals(List.of(), started(new JobEvent.Due()), "0.05 s are left of a debt of 0.05 s and 0.01 are asked");
+        assertEquals(List.of(), started(new JobEvent.Tick()), "0.05 s are left of a debt of 0.05 s and 0.01 are asked");
         now = now.plus(TimeSpan.millis(200));
-        assertEquals(List.of("b"), started(new JobEvent.Due()));
+        assertEquals(List.of("b"), started(new JobEvent.Tick()));
     }
 
     @Test
     void suspendsTheHighestRankFirstWhenTheEventLoopIsLateAndLogsIt() {
-        scheduler.on(now, new JobEvent.Strained(TimeSpan.millis(400)));
+        scheduler.on(now, new JobEvent.LoopLagMeasured(TimeSpan.millis(400)));
         List<JobAction> actions = scheduler.on(now, job("r", "report", ""));
         assertTrue(actions.stream()
                 .anyMatch(action ->
                         action instanceof JobAction.Log log && log.text().contains("report stands still")));
         assertEquals(List.of("p"), started(job("p", "probe", "")));
-        scheduler.on(now, new JobEvent.Strained(TimeSpan.seconds(3)));
+        scheduler.on(now, new JobEvent.LoopLagMeasured(TimeSpan.seconds(3)));
         assertEquals(List.of(), started(job("p2", "probe", "")));
         assertEquals(List.of("f"), started(job("f", "flush", "")), "rank 0 always works");
-        assertEquals(List.of("p2", "r"), started(new JobEvent.Strained(TimeSpan.ZERO)));
+        assertEquals(List.of("p2", "r"), started(new JobEvent.LoopLagMeasured(TimeSpan.ZERO)));
     }
 
     /** Found over real sockets: with two classes, a lag of a microsecond suspended the second one for good. */
     @Test
     void suspendsNothingOverASmallLag() {
-        scheduler = JobClasses.scheduler(1, now);
-        scheduler.on(now, new JobEvent.Strained(TimeSpan.millis(2)));
-        assertEquals(List.of("l"), started(new JobEvent.Asked("l", JobClasses.LEARN, "", ResourceCost.NONE, null)));
-        scheduler.on(now, new JobEvent.Strained(TimeSpan.seconds(1)));
-        assertEquals(List.of(), started(new JobEvent.Asked("l2", JobClasses.LEARN, "", ResourceCost.NONE, null)));
+        scheduler = JobClasses.createScheduler(1, now);
+        scheduler.on(now, new JobEvent.LoopLagMeasured(TimeSpan.millis(2)));
+        assertEquals(
+                List.of("l"), started(new JobEvent.JobSubmitted("l", JobClasses.SYNC, "", ResourceCost.NONE, null)));
+        scheduler.on(now, new JobEvent.LoopLagMeasured(TimeSpan.seconds(1)));
+        assertEquals(List.of(), started(new JobEvent.JobSubmitted("l2", JobClasses.SYNC, "", ResourceCost.NONE, null)));
     }
 
     @Test
@@ -109,39 +110,43 @@
         started(job("a", "flush", ""));
         List<Double> backoffs = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
-            scheduler.on(now, new JobEvent.Ended("a", false, ONE));
+            scheduler.on(now, new JobEvent.JobEnded("a", false, ONE));
             MonotonicTime failedAt = now;
             List<String> restarted = List.of();
             while (restarted.isEmpty()) {
                 now = now.plus(TimeSpan.millis(5));
-                restarted = started(new JobEvent.Due());
+                restarted = started(new JobEvent.Tick());
             }
             backoffs.add(now.since(failedAt).toSeconds());
         }
         assertTrue(backoffs.get(0) >= 0.05 && backoffs.get(0) <= 0.16, backoffs.toString());
         assertTrue(backoffs.get(1) >= 0.1 && backoffs.get(1) <= 0.31, backoffs.toString());
-        assertEquals(List.of("a"), dropped(scheduler.on(now, new JobEvent.Ended("a", false, ONE))));
+        assertEquals(List.of("a"), dropped(scheduler.on(now, new JobEvent.JobEnded("a", false, ONE))));
         assertEquals(0, scheduler.size());
     }
 
     @Test
     void dropsAJobThatCannotStartByItsDeadlineAtOnce() {
         started(job("a", "report", ""));
-        scheduler.on(now, new JobEvent.Ended("a", true, new ResourceCost(0.2, 0, 0)));
+        scheduler.on(now, new JobEvent.JobEnded("a", true, new ResourceCost(0.2, 0, 0)));
         List<JobAction> actions =
-                scheduler.on(now, new JobEvent.Asked("b", "report", "", ONE, now.plus(TimeSpan.seconds(1))));
+                scheduler.on(now, new JobEvent.JobSubmitted("b", "report", "", ONE, now.plus(TimeSpan.seconds(1))));
         assertEquals(List.of("b"), dropped(actions), "three seconds of debt, and one second to begin");
         assertEquals(
                 List.of(),
-                dropped(scheduler.on(now, new JobEvent.Asked("c", "report", "", ONE, now.plus(TimeSpan.seconds(9))))));
+                dropped(scheduler.on(
+                        now, new JobEvent.JobSubmitted("c", "report", "", ONE, now.plus(TimeSpan.seconds(9))))));
     }
 
     @Test
     void dropsTheJobWithTheLatestDeadlineWhenAClassIsFull() {
         for (int i = 0; i < 22; i++) {
-            scheduler.on(now, new JobEvent.Asked("r" + i, "report", "", ONE, now.plus(TimeSpan.seconds(100 + i))));
+            scheduler.on(
+                    now, new JobEvent.JobSubmitted("r" + i, "report", "", ONE, now.plus(TimeSpan.seconds(100 + i))));
         }
-        assertEquals(List.of("late"), dropped(scheduler.on(now, new JobEvent.Asked("late", "report", "", ONE, null))));
+        assertEquals(
+                List.of("late"),
+                dropped(scheduler.on(now, new JobEvent.JobSubmitted("late", "report", "", ONE, null))));
     }
 
     @Test
@@ -155,8 +160,8 @@
             started(job("f" + i, "flush", ""));
             started(job("r" + i, "report", ""));
         }
-        assertEquals(5, dropped(scheduler.on(now, new JobEvent.Stopping())).size());
-        assertEquals(List.of("f4"), started(new JobEvent.Ended("f0", true, ONE)));
+        assertEquals(5, dropped(scheduler.on(now, new JobEvent.ShutdownBegun())).size());
+        assertEquals(List.of("f4"), started(new JobEvent.JobEnded("f0", true, ONE)));
         assertEquals(List.of("late"), dropped(scheduler.on(now, job("late", "probe", ""))));
     }
 
@@ -179,11 +184,11 @@
             if (running != null) {
                 done.merge(running.startsWith("small"), 1, Integer::sum);
                 assertTrue(done.getOrDefault(false, 0) <= done.getOrDefault(true, 0) + 2, done.toString());
-                List<String> next = started(new JobEvent.Ended(running, true, ONE));
+                List<String> next = started(new JobEvent.JobEnded(running, true, ONE));
                 running = next.isEmpty() ? null : next.get(0);
             }
             now = now.plus(TimeSpan.millis(20));
-            List<String> next = started(new JobEvent.Due());
+            List<String> next = started(new JobEvent.Tick());
             running = next.isEmpty() ? running : next.get(0);
         }
         assertEquals(20, done.get(true));
--- a/decisions/src/test/java/pearladder/connections/ConnectionManagerRandomizedTest.java
+++ b/decisions/src/test/java/pearladder/connections/ConnectionManagerRandomizedTest.java
@@ -11,10 +11,10 @@
 import java.util.Random;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import pearladder.connections.ConnectionAction.CloseLink;
-import pearladder.connections.ConnectionAction.CloseSeat;
-import pearladder.connections.ConnectionAction.OpenLink;
-import pearladder.connections.ConnectionAction.UseLink;
+import pearladder.connections.ConnectionAction.CloseClientConnection;
+import pearladder.connections.ConnectionAction.CloseWorkerConnection;
+import pearladder.connections.ConnectionAction.OpenWorkerConnection;
+import pearladder.connections.ConnectionAction.UseWorkerConnection;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
 
@@ -25,7 +25,7 @@
     private static final int MAX_WORKER_CONNECTIONS = 4;
     private static final int MAX_IN_FLIGHT = 2;
 
-    private final ConnectionManager manager = new ConnectionManager(new ConnectionManager.Holding(
+    private final ConnectionManager manager = new ConnectionManager(new ConnectionManager.ConnectionLimits(
             MAX_CLIENTS, MAX_WORKER_CONNECTIONS, MAX_IN_FLIGHT, TimeSpan.seconds(2), TimeSpan.seconds(10)));
     private final List<ClientConnectionState> clients = new ArrayList<>();
     private final Map<String, List<WorkerConnectionState>> workers = new HashMap<>();
@@ -53,21 +53,21 @@
             case 0:
                 ClientConnectionState connection = new ClientConnectionState(now);
                 clients.add(connection);
-                return on(new ConnectionEvent.SeatTaken(connection));
+                return on(new ConnectionEvent.ClientConnected(connection));
             case 1:
                 if (!clients.isEmpty()) {
                     ClientConnectionState sender = clients.get(random.nextInt(clients.size()));
-                    sender.spoke = now;
-                    sender.callsOpen = random.nextInt(2);
+                    sender.lastMessageAt = now;
+                    sender.openRequests = random.nextInt(2);
                 }
                 return List.of();
             case 2:
                 if (!clients.isEmpty()) {
-                    on(new ConnectionEvent.SeatLeft(clients.remove(random.nextInt(clients.size()))));
+                    on(new ConnectionEvent.ClientDisconnected(clients.remove(random.nextInt(clients.size()))));
                 }
                 return List.of();
             case 3:
-                return on(new ConnectionEvent.Beat());
+                return on(new ConnectionEvent.Tick());
             default:
                 return requestConnection(random);
         }
@@ -76,37 +76,38 @@
     private List<ConnectionAction> requestConnection(Random random) {
         String worker = "w" + random.nextInt(3);
         List<WorkerConnectionState> own = workers.computeIfAbsent(worker, key -> new ArrayList<>());
-        own.forEach(connection -> connection.doubted = random.nextInt(8) == 0);
+        own.forEach(connection -> connection.suspect = random.nextInt(8) == 0);
         List<WorkerConnectionState> avoided =
                 own.stream().filter(connection -> random.nextInt(4) == 0).toList();
-        List<ConnectionAction> actions = on(new ConnectionEvent.LinkWanted(worker, List.copyOf(own), avoided));
+        List<ConnectionAction> actions =
+                on(new ConnectionEvent.WorkerConnectionRequested(worker, List.copyOf(own), avoided));
         for (ConnectionAction action : actions) {
-            if (action instanceof UseLink use) {
-                send(worker, use.link(), avoided);
-            } else if (action instanceof OpenLink open) {
-                send(worker, open.link(), avoided);
-                own.add(open.link());
+            if (action instanceof UseWorkerConnection use) {
+                send(worker, use.connection(), avoided);
+            } else if (action instanceof OpenWorkerConnection open) {
+                send(worker, open.connection(), avoided);
+                own.add(open.connection());
             }
         }
-        own.forEach(connection -> connection.out = random.nextBoolean() ? 0 : connection.out);
+        own.forEach(connection -> connection.inFlight = random.nextBoolean() ? 0 : connection.inFlight);
         return actions;
     }
 
     private void send(String worker, WorkerConnectionState connection, List<WorkerConnectionState> avoided) {
         assertEquals(worker, connection.worker);
-        assertFalse(connection.doubted || avoided.contains(connection));
-        assertTrue(connection.out < MAX_IN_FLIGHT);
-        connection.out++;
-        connection.up = true;
-        connection.used = now;
+        assertFalse(connection.suspect || avoided.contains(connection));
+        assertTrue(connection.inFlight < MAX_IN_FLIGHT);
+        connection.inFlight++;
+        connection.established = true;
+        connection.lastUsedAt = now;
     }
 
     private void applyClose(ConnectionAction action) {
-        if (action instanceof CloseSeat close) {
-            assertTrue(clients.remove(close.seat()), "closed once, and only while connected");
-        } else if (action instanceof CloseLink close) {
-            assertTrue(workers.get(close.link().worker).remove(close.link()));
-            assertEquals(0, close.link().out, "nothing is in flight on it");
+        if (action instanceof CloseClientConnection close) {
+            assertTrue(clients.remove(close.connection()), "closed once, and only while connected");
+        } else if (action instanceof CloseWorkerConnection close) {
+            assertTrue(workers.get(close.connection().worker).remove(close.connection()));
+            assertEquals(0, close.connection().inFlight, "nothing is in flight on it");
         }
     }
 }
--- a/decisions/src/test/java/pearladder/connections/ConnectionManagerTest.java
+++ b/decisions/src/test/java/pearladder/connections/ConnectionManagerTest.java
@@ -7,17 +7,17 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import pearladder.connections.ConnectionAction.CloseLink;
-import pearladder.connections.ConnectionAction.CloseSeat;
-import pearladder.connections.ConnectionAction.OpenLink;
-import pearladder.connections.ConnectionAction.UseLink;
+import pearladder.connections.ConnectionAction.CloseClientConnection;
+import pearladder.connections.ConnectionAction.CloseWorkerConnection;
+import pearladder.connections.ConnectionAction.OpenWorkerConnection;
+import pearladder.connections.ConnectionAction.UseWorkerConnection;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
 
 class ConnectionManagerTest {
     /** At most 3 client connections, 4 worker connections and 2 commands in flight on each of these. */
-    private final ConnectionManager manager =
-            new ConnectionManager(new ConnectionManager.Holding(3, 4, 2, TimeSpan.seconds(2), TimeSpan.seconds(10)));
+    private final ConnectionManager manager = new ConnectionManager(
+            new ConnectionManager.ConnectionLimits(3, 4, 2, TimeSpan.seconds(2), TimeSpan.seconds(10)));
 
     private MonotonicTime now = new MonotonicTime(1_000_000_000L);
 
@@ -26,11 +26,11 @@
     }
 
     private List<ConnectionAction> tick() {
-        return on(new ConnectionEvent.Beat());
+        return on(new ConnectionEvent.Tick());
     }
 
     private List<ConnectionAction> request(String worker, List<WorkerConnectionState> connections) {
-        return on(new ConnectionEvent.LinkWanted(worker, connections, List.of()));
+        return on(new ConnectionEvent.WorkerConnectionRequested(worker, connections, List.of()));
     }
 
     private void advance(TimeSpan span) {
@@ -39,18 +39,18 @@
 
     private ClientConnectionState connect(boolean hasSentMessage, int openRequests) {
         ClientConnectionState connection = new ClientConnectionState(now);
-        connection.spoke = hasSentMessage ? now : null;
-        connection.callsOpen = openRequests;
-        assertEquals(List.of(), on(new ConnectionEvent.SeatTaken(connection)));
+        connection.lastMessageAt = hasSentMessage ? now : null;
+        connection.openRequests = openRequests;
+        assertEquals(List.of(), on(new ConnectionEvent.ClientConnected(connection)));
         return connection;
     }
 
     /** Opens one more connection to the worker, with one command in flight. */
     private WorkerConnectionState open(String worker, List<WorkerConnectionState> connections) {
         List<ConnectionAction> actions = request(worker, connections);
-        WorkerConnectionState connection = ((OpenLink) actions.get(actions.size() - 1)).link();
-        connection.up = true;
-        connection.out = 1;
+        WorkerConnectionState connection = ((OpenWorkerConnection) actions.get(actions.size() - 1)).connection();
+        connection.established = true;
+        connection.inFlight = 1;
         return connection;
     }
 
@@ -61,36 +61,39 @@
         ClientConnectionState working = connect(true, 2);
         ClientConnectionState silent = connect(false, 0);
         assertEquals(
-                List.of(new CloseSeat(silent, "too many connections")),
-                on(new ConnectionEvent.SeatTaken(new ClientConnectionState(now))));
+                List.of(new CloseClientConnection(silent, "too many connections")),
+                on(new ConnectionEvent.ClientConnected(new ClientConnectionState(now))));
         ClientConnectionState newest = new ClientConnectionState(now);
-        newest.spoke = now;
-        CloseSeat next = (CloseSeat) on(new ConnectionEvent.SeatTaken(newest)).get(0);
-        assertNotSame(working, next.seat());
-        assertNotSame(idle, next.seat(), "the one accepted before has sent nothing either");
+        newest.lastMessageAt = now;
+        CloseClientConnection next = (CloseClientConnection)
+                on(new ConnectionEvent.ClientConnected(newest)).get(0);
+        assertNotSame(working, next.connection());
+        assertNotSame(idle, next.connection(), "the one accepted before has sent nothing either");
     }
 
     @Test
     void closesClientsThatSendNoCompleteMessageOrReadNothingAfterTheTimeout() {
         ClientConnectionState silent = connect(false, 0);
         ClientConnectionState partial = connect(true, 0);
-        partial.partSince = now;
+        partial.partialMessageSince = now;
         ClientConnectionState notReading = connect(true, 1);
-        notReading.stuckSince = now;
+        notReading.notReadingSince = now;
         advance(TimeSpan.millis(1900));
         assertEquals(List.of(), tick());
         advance(TimeSpan.millis(200));
         assertEquals(
                 List.of(silent, partial, notReading),
-                tick().stream().map(action -> ((CloseSeat) action).seat()).toList());
+                tick().stream()
+                        .map(action -> ((CloseClientConnection) action).connection())
+                        .toList());
         assertEquals(List.of(), tick(), "each is closed once");
     }
 
     @Test
     void closesAClientThatSendsTooManyUnusableMessages() {
         ClientConnectionState connection = connect(true, 0);
-        connection.unusable = 1000;
-        assertSame(connection, ((CloseSeat) tick().get(0)).seat());
+        connection.unusableMessages = 1000;
+        assertSame(connection, ((CloseClientConnection) tick().get(0)).connection());
     }
 
     @Test
@@ -98,29 +101,31 @@
         WorkerConnectionState first = open("a", List.of());
         WorkerConnectionState second = open("a", List.of(first));
         List<WorkerConnectionState> both = List.of(first, second);
-        first.out = 0;
-        assertEquals(List.of(new UseLink(first)), request("a", both));
-        first.out = 1;
+        first.inFlight = 0;
+        assertEquals(List.of(new UseWorkerConnection(first)), request("a", both));
+        first.inFlight = 1;
         open("b", List.of());
         open("b", List.of());
-        assertEquals(List.of(new UseLink(first)), request("a", both));
-        assertEquals(List.of(new UseLink(second)), on(new ConnectionEvent.LinkWanted("a", both, List.of(first))));
-        first.out = 2;
-        second.out = 2;
+        assertEquals(List.of(new UseWorkerConnection(first)), request("a", both));
+        assertEquals(
+                List.of(new UseWorkerConnection(second)),
+                on(new ConnectionEvent.WorkerConnectionRequested("a", both, List.of(first))));
+        first.inFlight = 2;
+        second.inFlight = 2;
         assertEquals(List.of(), request("a", both), "both have the most commands in flight");
     }
 
     @Test
     void closesAnUnusedConnectionOfAnotherWorkerRatherThanUseASuspectOne() {
         WorkerConnectionState suspect = open("a", List.of());
-        suspect.doubted = true;
+        suspect.suspect = true;
         WorkerConnectionState unused = open("b", List.of());
         open("b", List.of());
         open("b", List.of());
-        unused.out = 0;
+        unused.inFlight = 0;
         List<ConnectionAction> actions = request("a", List.of(suspect));
-        assertEquals(new CloseLink(unused), actions.get(0));
-        assertTrue(actions.get(1) instanceof OpenLink);
+        assertEquals(new CloseWorkerConnection(unused), actions.get(0));
+        assertTrue(actions.get(1) instanceof OpenWorkerConnection);
     }
 
     @Test
@@ -128,16 +133,16 @@
         WorkerConnectionState connection = open("a", List.of());
         advance(TimeSpan.seconds(11));
         assertEquals(List.of(), tick(), "a command is in flight on it");
-        connection.out = 0;
-        assertEquals(List.of(new CloseLink(connection)), tick());
+        connection.inFlight = 0;
+        assertEquals(List.of(new CloseWorkerConnection(connection)), tick());
     }
 
     @Test
     void keepsAnUnusedConnectionThatIsStillBeingOpened() {
         for (String worker : List.of("a", "b", "c", "d")) {
             WorkerConnectionState opening = open(worker, List.of());
-            opening.up = false;
-            opening.out = 0;
+            opening.established = false;
+            opening.inFlight = 0;
         }
         assertEquals(List.of(), request("e", List.of()), "none may be closed to make room");
         advance(TimeSpan.seconds(11));
--- a/decisions/src/test/java/pearladder/connections/GracefulShutdownTest.java
+++ b/decisions/src/test/java/pearladder/connections/GracefulShutdownTest.java
@@ -3,16 +3,17 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import org.junit.jupiter.api.Test;
-import pearladder.connections.GracefulShutdown.Owed;
+import pearladder.connections.GracefulShutdown.OutstandingWork;
 import pearladder.connections.GracefulShutdown.Step;
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
 
 class GracefulShutdownTest {
-    private static final Owed NOTHING = new Owed(0, 0, 0);
+    private static final OutstandingWork NOTHING = new OutstandingWork(0, 0, 0);
     private static final MonotonicTime SIGNALLED_AT = new MonotonicTime(5_000_000_000L);
 
-    private static Step stepAt(TimeSpan longestDeadline, long millis, MonotonicTime lastReceivedAt, Owed owed) {
+    private static Step stepAt(
+            TimeSpan longestDeadline, long millis, MonotonicTime lastReceivedAt, OutstandingWork owed) {
         return new GracefulShutdown(SIGNALLED_AT, longestDeadline)
                 .on(SIGNALLED_AT.plus(TimeSpan.millis(millis)), lastReceivedAt, owed);
     }
@@ -32,29 +33,36 @@
     @Test
     void rejectsNewRequestsWhileSomethingIsOwed() {
         assertEquals(
-                Step.REFUSE, stepAt(TimeSpan.seconds(4), 4000, null, new Owed(1, 0, 0)), "a request without response");
+                Step.REJECT,
+                stepAt(TimeSpan.seconds(4), 4000, null, new OutstandingWork(1, 0, 0)),
+                "a request without response");
         assertEquals(
-                Step.REFUSE, stepAt(TimeSpan.seconds(4), 4000, null, new Owed(0, 1, 0)), "a response not yet sent");
-        assertEquals(Step.REFUSE, stepAt(TimeSpan.seconds(4), 4000, null, new Owed(0, 0, 1)), "a partial message");
+                Step.REJECT,
+                stepAt(TimeSpan.seconds(4), 4000, null, new OutstandingWork(0, 1, 0)),
+                "a response not yet sent");
+        assertEquals(
+                Step.REJECT,
+                stepAt(TimeSpan.seconds(4), 4000, null, new OutstandingWork(0, 0, 1)),
+                "a partial message");
     }
 
     @Test
     void rejectsNewRequestsWhileAClientWasHeardWithinTheSlack() {
-        assertEquals(Step.REFUSE, stepAt(TimeSpan.seconds(4), 740, SIGNALLED_AT.plus(TimeSpan.millis(691)), NOTHING));
+        assertEquals(Step.REJECT, stepAt(TimeSpan.seconds(4), 740, SIGNALLED_AT.plus(TimeSpan.millis(691)), NOTHING));
     }
 
     @Test
     void abandonsOpenRequestsAndExitsBeforeTheProcessIsKilled() {
-        Owed everything = new Owed(3, 100, 2);
-        assertEquals(Step.REFUSE, stepAt(TimeSpan.seconds(4), 4599, null, everything));
-        assertEquals(Step.GIVE_UP, stepAt(TimeSpan.seconds(4), 4600, null, everything));
+        OutstandingWork everything = new OutstandingWork(3, 100, 2);
+        assertEquals(Step.REJECT, stepAt(TimeSpan.seconds(4), 4599, null, everything));
+        assertEquals(Step.ABANDON, stepAt(TimeSpan.seconds(4), 4600, null, everything));
         assertEquals(Step.EXIT, stepAt(TimeSpan.seconds(4), 4650, null, everything));
     }
 
     @Test
     void countsAShortDeadlineAsThreeSeconds() {
-        Owed everything = new Owed(3, 100, 2);
-        assertEquals(Step.GIVE_UP, stepAt(TimeSpan.seconds(1), 3600, null, everything));
-        assertEquals(Step.REFUSE, stepAt(TimeSpan.seconds(1), 3599, null, everything));
+        OutstandingWork everything = new OutstandingWork(3, 100, 2);
+        assertEquals(Step.ABANDON, stepAt(TimeSpan.seconds(1), 3600, null, everything));
+        assertEquals(Step.REJECT, stepAt(TimeSpan.seconds(1), 3599, null, everything));
     }
 }
--- a/decisions/src/test/java/pearladder/metering/MillisecondUsage.java
+++ b/decisions/src/test/java/pearladder/metering/MillisecondUsage.java
@@ -27,7 +27,7 @@
                 .thenComparing(MillisecondUsage::orderAtSameTime));
         Map<String, Long> memoryMb = new HashMap<>();
         for (InstanceObservation observation : sorted) {
-            if (observation instanceof InstanceObservation.Memory memory) {
+            if (observation instanceof InstanceObservation.ModelMemoryKnown memory) {
                 memoryMb.put(memory.model(), memory.memoryMb());
             }
         }
@@ -59,19 +59,19 @@
 
     private void apply(InstanceObservation observation, long now) {
         int before = present(now);
-        if (observation instanceof InstanceObservation.Gone gone
+        if (observation instanceof InstanceObservation.WorkerGone gone
                 && gone.worker().equals(worker)) {
             set(0, now);
         } else if (observation instanceof InstanceObservation.LoadFailed failed
                 && isHere(failed.worker(), failed.model())) {
             set(Math.max(0, before - 1), now);
-        } else if (observation instanceof InstanceObservation.Loading started
+        } else if (observation instanceof InstanceObservation.LoadStarted started
                 && isHere(started.worker(), started.model())) {
             set(Math.max(1, before), now);
-        } else if (observation instanceof InstanceObservation.Worked worked
+        } else if (observation instanceof InstanceObservation.WorkReported worked
                 && isHere(worked.worker(), worked.model())) {
             set(Math.max(1, before), now);
-        } else if (observation instanceof InstanceObservation.Copies reported
+        } else if (observation instanceof InstanceObservation.InstancesReported reported
                 && isHere(reported.worker(), reported.model())) {
             set(reported.instances(), now);
         }
@@ -88,12 +88,12 @@
 
     private static int orderAtSameTime(InstanceObservation observation) {
         List<Class<? extends InstanceObservation>> order = List.of(
-                InstanceObservation.Memory.class,
-                InstanceObservation.Gone.class,
+                InstanceObservation.ModelMemoryKnown.class,
+                InstanceObservation.WorkerGone.class,
                 InstanceObservation.LoadFailed.class,
-                InstanceObservation.Loading.class,
-                InstanceObservation.Copies.class,
-                InstanceObservation.Worked.class);
+                InstanceObservation.LoadStarted.class,
+                InstanceObservation.InstancesReported.class,
+                InstanceObservation.WorkReported.class);
         return order.indexOf(observation.getClass());
     }
 }
--- a/decisions/src/test/java/pearladder/metering/UsageAccountingRandomizedTest.java
+++ b/decisions/src/test/java/pearladder/metering/UsageAccountingRandomizedTest.java
@@ -28,7 +28,7 @@
             assertEquals(shares, shares(shuffled), "seed " + seed);
             assertEquals(
                     MillisecondUsage.total(observations, IDLE_TIMEOUT, 7 * MINUTE),
-                    shares.stream().mapToLong(UsageShare::amount).sum(),
+                    shares.stream().mapToLong(UsageShare::megabyteMillis).sum(),
                     "seed " + seed);
             checkMoreWorkNeverCostsLess(observations, shares, random, seed);
         }
@@ -37,14 +37,14 @@
     private static List<UsageShare> shares(List<InstanceObservation> observations) {
         UsageAccounting usage = new UsageAccounting(MINUTE, IDLE_TIMEOUT, 100 * MINUTE);
         observations.forEach(usage::on);
-        return usage.end(20 * MINUTE);
+        return usage.finish(20 * MINUTE);
     }
 
     private static List<InstanceObservation> randomObservations(Random random) {
         List<InstanceObservation> observations = new ArrayList<>(List.of(
-                new InstanceObservation.Memory(0, "r1", "m0", 100),
-                new InstanceObservation.Memory(0, "r1", "m1", 333),
-                new InstanceObservation.Memory(0, "r1", "m2", 7)));
+                new InstanceObservation.ModelMemoryKnown(0, "r1", "m0", 100),
+                new InstanceObservation.ModelMemoryKnown(0, "r1", "m1", 333),
+                new InstanceObservation.ModelMemoryKnown(0, "r1", "m2", 7)));
         for (int i = 0; i < 150; i++) {
             observations.add(randomObservation(random));
         }
@@ -58,23 +58,24 @@
         String model = "m" + random.nextInt(3);
         String tenant = "a" + random.nextInt(3);
         return switch (random.nextInt(9)) {
-            case 0 -> new InstanceObservation.Loading(at, router, worker, model, tenant, 0);
+            case 0 -> new InstanceObservation.LoadStarted(at, router, worker, model, tenant, 0);
             case 1 -> new InstanceObservation.LoadFailed(at, router, worker, model);
-            case 2 -> new InstanceObservation.Copies(at, router, worker, model, random.nextInt(4));
-            case 3 -> new InstanceObservation.Gone(at, router, worker);
-            default -> new InstanceObservation.Worked(at, router, worker, model, tenant, 1 + random.nextInt(100_000));
+            case 2 -> new InstanceObservation.InstancesReported(at, router, worker, model, random.nextInt(4));
+            case 3 -> new InstanceObservation.WorkerGone(at, router, worker);
+            default -> new InstanceObservation.WorkReported(
+                    at, router, worker, model, tenant, 1 + random.nextInt(100_000));
         };
     }
 
     private static void checkMoreWorkNeverCostsLess(
             List<InstanceObservation> observations, List<UsageShare> shares, Random random, int seed) {
-        InstanceObservation.Worked some = (InstanceObservation.Worked) observations.stream()
-                .filter(InstanceObservation.Worked.class::isInstance)
+        InstanceObservation.WorkReported some = (InstanceObservation.WorkReported) observations.stream()
+                .filter(InstanceObservation.WorkReported.class::isInstance)
                 .skip(random.nextInt(20))
                 .findFirst()
                 .orElseThrow();
         List<InstanceObservation> more = new ArrayList<>(observations);
-        more.add(new InstanceObservation.Worked(
+        more.add(new InstanceObservation.WorkReported(
                 some.atMillis(), some.router(), some.worker(), some.model(), some.tenant(), 50_000));
         long before = amount(shares, some.tenant());
         assertTrue(before > 0, "seed " + seed);
@@ -83,8 +84,8 @@
 
     private static long amount(List<UsageShare> shares, String tenant) {
         return shares.stream()
-                .filter(share -> share.account().equals(tenant))
-                .mapToLong(UsageShare::amount)
+                .filter(share -> share.tenant().equals(tenant))
+                .mapToLong(UsageShare::megabyteMillis)
                 .sum();
     }
 }
--- a/decisions/src/test/java/pearladder/metering/UsageAccountingTest.java
+++ b/decisions/src/test/java/pearladder/metering/UsageAccountingTest.java
@@ -17,24 +17,24 @@
         UsageAccounting usage = new UsageAccounting(MINUTE, IDLE_TIMEOUT, 2 * MINUTE);
         List<UsageShare> shares = new ArrayList<>();
         observations.forEach(observation -> shares.addAll(usage.on(observation)));
-        shares.addAll(usage.end(until));
-        assertEquals(0, usage.tooLate());
+        shares.addAll(usage.finish(until));
+        assertEquals(0, usage.lateObservationCount());
         return shares;
     }
 
     private static Map<String, Long> amountByTenant(List<UsageShare> shares) {
         Map<String, Long> sums = new TreeMap<>();
-        shares.forEach(share -> sums.merge(share.account(), share.amount(), Long::sum));
+        shares.forEach(share -> sums.merge(share.tenant(), share.megabyteMillis(), Long::sum));
         sums.values().removeIf(amount -> amount == 0);
         return sums;
     }
 
     private static InstanceObservation memory(String model, long memoryMb) {
-        return new InstanceObservation.Memory(0, "r1", model, memoryMb);
+        return new InstanceObservation.ModelMemoryKnown(0, "r1", model, memoryMb);
     }
 
     private static InstanceObservation worked(long at, String router, String tenant, long workMicros) {
-        return new InstanceObservation.Worked(at, router, "e1", "m", tenant, workMicros);
+        return new InstanceObservation.WorkReported(at, router, "e1", "m", tenant, workMicros);
     }
 
     @Test
@@ -44,7 +44,7 @@
                 amountByTenant(shares(
                         List.of(
                                 memory("m", 100),
-                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                new InstanceObservation.LoadStarted(1_000, "r1", "e1", "m", "tender", 0),
                                 worked(6_000, "r1", "tender", 500)),
                         10 * MINUTE)));
     }
@@ -56,7 +56,7 @@
                 amountByTenant(shares(
                         List.of(
                                 memory("m", 100),
-                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 30_000),
+                                new InstanceObservation.LoadStarted(1_000, "r1", "e1", "m", "tender", 30_000),
                                 worked(31_500, "r1", "tender", 500)),
                         10 * MINUTE)));
     }
@@ -68,7 +68,7 @@
                 amountByTenant(shares(
                         List.of(
                                 memory("m", 100),
-                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                new InstanceObservation.LoadStarted(1_000, "r1", "e1", "m", "tender", 0),
                                 new InstanceObservation.LoadFailed(3_000, "r1", "e1", "m")),
                         10 * MINUTE)));
     }
@@ -80,9 +80,9 @@
                 amountByTenant(shares(
                         List.of(
                                 memory("m", 100),
-                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                new InstanceObservation.LoadStarted(1_000, "r1", "e1", "m", "tender", 0),
                                 worked(5_000, "r1", "tender", 9),
-                                new InstanceObservation.Gone(7_000, "r2", "e1")),
+                                new InstanceObservation.WorkerGone(7_000, "r2", "e1")),
                         10 * MINUTE)));
     }
 
@@ -90,21 +90,21 @@
     void countsAnUnreachableWorkerToTheIdleTimeoutUnlessAnotherObservationCorrectsIt() {
         List<InstanceObservation> observations = new ArrayList<>(List.of(
                 memory("m", 100),
-                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                new InstanceObservation.LoadStarted(1_000, "r1", "e1", "m", "tender", 0),
                 worked(2_000, "r1", "tender", 9)));
         assertEquals(100L * 11_000, amountByTenant(shares(observations, MINUTE)).get("tender"));
         // Another router reached it all the time.
         observations.add(worked(9_000, "r2", "tender", 9));
         assertEquals(100L * 18_000, amountByTenant(shares(observations, MINUTE)).get("tender"));
         // At last the endpoint list tells when it died.
-        observations.add(new InstanceObservation.Gone(9_500, "r1", "e1"));
+        observations.add(new InstanceObservation.WorkerGone(9_500, "r1", "e1"));
         assertEquals(100L * 8_500, amountByTenant(shares(observations, MINUTE)).get("tender"));
     }
 
     @Test
     void dividesSharedInstancesByWork() {
         List<InstanceObservation> observations = new ArrayList<>(List.of(memory("m", 100)));
-        observations.add(new InstanceObservation.Loading(0, "r1", "e1", "m", "big", 0));
+        observations.add(new InstanceObservation.LoadStarted(0, "r1", "e1", "m", "big", 0));
         for (long at = 1_000; at < 5 * MINUTE; at += 1_000) {
             observations.add(worked(at, "r1", "big", 1_000));
         }
@@ -122,7 +122,7 @@
         assertEquals(
                 Map.of("", 100L * IDLE_TIMEOUT),
                 amountByTenant(shares(
-                        List.of(memory("m", 100), new InstanceObservation.Loading(1_000, "r1", "e1", "m", "", 0)),
+                        List.of(memory("m", 100), new InstanceObservation.LoadStarted(1_000, "r1", "e1", "m", "", 0)),
                         10 * MINUTE)));
     }
 
@@ -133,10 +133,10 @@
                 amountByTenant(shares(
                         List.of(
                                 memory("m", 100),
-                                new InstanceObservation.Loading(1_000, "r1", "e1", "m", "tender", 0),
+                                new InstanceObservation.LoadStarted(1_000, "r1", "e1", "m", "tender", 0),
                                 worked(4_000, "r1", "tender", 5),
-                                new InstanceObservation.Copies(5_000, "r1", "e1", "m", 3),
-                                new InstanceObservation.Copies(7_000, "r1", "e1", "m", 0)),
+                                new InstanceObservation.InstancesReported(5_000, "r1", "e1", "m", 3),
+                                new InstanceObservation.InstancesReported(7_000, "r1", "e1", "m", 0)),
                         MINUTE)));
     }
 }
--- a/decisions/src/test/java/pearladder/recovery/SnapshotRecoveryRandomizedTest.java
+++ b/decisions/src/test/java/pearladder/recovery/SnapshotRecoveryRandomizedTest.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import pearladder.recovery.SnapshotRecovery.Found;
+import pearladder.recovery.SnapshotRecovery.RestartState;
 import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.PolicySnapshot;
 import pearladder.routing.state.PolicySnapshot.FunctionSnapshot;
@@ -28,8 +28,8 @@
     @Test
     void restoresNothingThatDoesNotHoldAnyMore() {
         for (int seed = 0; seed < 300; seed++) {
-            Found found = randomFound(new SplittableRandom(seed));
-            PolicySnapshot now = recovery.after(found).known();
+            RestartState found = randomFound(new SplittableRandom(seed));
+            PolicySnapshot now = recovery.recover(found).snapshot();
             checkInstances(found, now);
             checkWorkers(found, now);
             checkLoadRequests(found, now);
@@ -41,7 +41,7 @@
         return TimeSpan.seconds(seconds);
     }
 
-    private static Found randomFound(SplittableRandom random) {
+    private static RestartState randomFound(SplittableRandom random) {
         TimeSpan gap = seconds(random.nextDouble() * 40 - 3);
         Map<String, TimeSpan> uptimes = new HashMap<>();
         List<WorkerSnapshot> workers = randomWorkers(random, gap, uptimes);
@@ -57,7 +57,7 @@
         boolean isLogComplete = random.nextBoolean();
         FunctionSnapshot function = new FunctionSnapshot("f", 1, 1, null, 1, 1, 1, instances);
         PolicySnapshot then = new PolicySnapshot(TimeSpan.ZERO, workers, List.of(function), List.of(), 1, 1);
-        return new Found(then, gap, loadRequestAges, isLogComplete, uptimes);
+        return new RestartState(then, gap, loadRequestAges, isLogComplete, uptimes);
     }
 
     /** Fills {@code uptimes} with those after the gap: of some the same process, of some another, of some none. */
@@ -76,7 +76,7 @@
         return workers;
     }
 
-    private static void checkInstances(Found found, PolicySnapshot now) {
+    private static void checkInstances(RestartState found, PolicySnapshot now) {
         for (FunctionSnapshot function : now.functions()) {
             for (InstanceSnapshot instance : function.instances()) {
                 InstanceSnapshot then = found.snapshot().functions().get(0).instances().stream()
@@ -92,14 +92,14 @@
         }
     }
 
-    private static void checkWorkers(Found found, PolicySnapshot now) {
+    private static void checkWorkers(RestartState found, PolicySnapshot now) {
         for (WorkerSnapshot worker : now.workers()) {
             assertTrue(found.uptimes().containsKey(worker.worker()));
             assertTrue(worker.ejectedFor().nanos() >= 0);
         }
     }
 
-    private static void checkLoadRequests(Found found, PolicySnapshot now) {
+    private static void checkLoadRequests(RestartState found, PolicySnapshot now) {
         long withinWindow = found.loadRequestAges().stream()
                 .filter(age -> !age.isLongerThan(QUOTA_WINDOW))
                 .count();
--- a/decisions/src/test/java/pearladder/recovery/SnapshotRecoveryTest.java
+++ b/decisions/src/test/java/pearladder/recovery/SnapshotRecoveryTest.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import pearladder.recovery.SnapshotRecovery.Found;
+import pearladder.recovery.SnapshotRecovery.RestartState;
 import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.PolicySnapshot;
 import pearladder.routing.state.PolicySnapshot.FunctionSnapshot;
@@ -42,14 +42,14 @@
     private PolicySnapshot recover(PolicySnapshot snapshot, TimeSpan gap, TimeSpan uptimeNow) {
         Map<String, TimeSpan> uptimes = new HashMap<>();
         uptimes.put("e1", uptimeNow);
-        return recovery.after(new Found(snapshot, gap, List.of(), true, uptimes))
-                .known();
+        return recovery.recover(new RestartState(snapshot, gap, List.of(), true, uptimes))
+                .snapshot();
     }
 
     private static List<TimeSpan> loadRequestAges(
             SnapshotRecovery recovery, List<TimeSpan> logged, boolean isLogComplete) {
-        return recovery.after(new Found(null, seconds(1), logged, isLogComplete, Map.of()))
-                .known()
+        return recovery.recover(new RestartState(null, seconds(1), logged, isLogComplete, Map.of()))
+                .snapshot()
                 .loadRequestAges();
     }
 
@@ -87,8 +87,8 @@
         PolicySnapshot snapshot = snapshot(seconds(100), 5);
         assertEquals(List.of(), recover(snapshot, seconds(31), seconds(131)).functions());
         assertEquals(List.of(), recover(snapshot, seconds(-3600), seconds(100)).functions());
-        Found noSnapshot = new Found(null, seconds(1), List.of(), true, Map.of());
-        assertEquals(List.of(), recovery.after(noSnapshot).known().functions());
+        RestartState noSnapshot = new RestartState(null, seconds(1), List.of(), true, Map.of());
+        assertEquals(List.of(), recovery.recover(noSnapshot).snapshot().functions());
     }
 
     @Test
@@ -122,11 +122,11 @@
                 snapshot(seconds(100), 1, instances(1, 1), instances(1, 1)),
                 new PolicySnapshot(TimeSpan.ZERO, List.of(), List.of(), List.of(), Double.POSITIVE_INFINITY, 1));
         for (PolicySnapshot snapshot : invalid) {
-            SnapshotRecovery.Believed recovered = recovery.after(
-                    new Found(snapshot, seconds(1), List.of(seconds(1)), true, Map.of("e1", seconds(101))));
-            assertTrue(recovered.why().startsWith("the snapshot is none"), recovered.why());
-            assertEquals(List.of(), recovered.known().functions());
-            assertEquals(List.of(seconds(1)), recovered.known().loadRequestAges());
+            SnapshotRecovery.RecoveredState recovered = recovery.recover(
+                    new RestartState(snapshot, seconds(1), List.of(seconds(1)), true, Map.of("e1", seconds(101))));
+            assertTrue(recovered.reason().startsWith("the snapshot is none"), recovered.reason());
+            assertEquals(List.of(), recovered.snapshot().functions());
+            assertEquals(List.of(seconds(1)), recovered.snapshot().loadRequestAges());
         }
     }
 }
--- a/decisions/src/test/java/pearladder/rollout/RolloutControllerRandomizedTest.java
+++ b/decisions/src/test/java/pearladder/rollout/RolloutControllerRandomizedTest.java
@@ -49,12 +49,13 @@
         List<RolloutTarget> journal = new ArrayList<>();
         RolloutController router = newController();
         for (RolloutTarget target : received) {
-            only(order(router, now, target), RolloutAction.Keep.class).forEach(keep -> journal.add(keep.target()));
+            only(order(router, now, target), RolloutAction.PersistTarget.class)
+                    .forEach(keep -> journal.add(keep.target()));
             if (random.nextInt(6) == 0) {
                 router = newController();
                 List<RolloutTarget> read = new ArrayList<>(journal);
                 Collections.shuffle(read, new Random(seed));
-                router.on(now, new RolloutEvent.Restored(read, List.of()));
+                router.on(now, new RolloutEvent.JournalRestored(read, List.of()));
             }
         }
         return router;
@@ -85,7 +86,7 @@
             for (int step = 0; step < 600; step++) {
                 now = now.plus(TimeSpan.millis(random.nextInt(400)));
                 List<RolloutAction> actions = randomEvent(step);
-                if (!only(actions, RolloutAction.Withdraw.class).isEmpty()) {
+                if (!only(actions, RolloutAction.ReleaseInstances.class).isEmpty()) {
                     keysOnNewVersion.clear();
                 }
             }
@@ -96,10 +97,10 @@
                 case 0:
                     return orderRandomTarget();
                 case 1:
-                    return controller.on(now, new RolloutEvent.Standing("pair", "2", random.nextDouble()));
+                    return controller.on(now, new RolloutEvent.InstancesReady("pair", "2", random.nextDouble()));
                 case 2:
                 case 3:
-                    return controller.on(now, new RolloutEvent.Due());
+                    return controller.on(now, new RolloutEvent.Tick());
                 default:
                     return completeRequest(step);
             }
@@ -117,8 +118,9 @@
         private List<RolloutAction> completeRequest(int step) {
             String key = "k" + random.nextInt(60);
             String requestId = "c" + step;
-            List<RolloutAction.Use> uses = only(
-                    controller.on(now, new RolloutEvent.CallCame(requestId, "pair", key, "")), RolloutAction.Use.class);
+            List<RolloutAction.UseVersion> uses = only(
+                    controller.on(now, new RolloutEvent.RequestReceived(requestId, "pair", key, "")),
+                    RolloutAction.UseVersion.class);
             assertEquals(1, uses.size());
             boolean isNew = uses.get(0).version().equals("2");
             assertTrue(isNew || !keysOnNewVersion.contains(key), "a key moved back at seed " + seed + " step " + step);
@@ -126,7 +128,7 @@
                 keysOnNewVersion.add(key);
             }
             boolean isGood = random.nextInt(50) > 0;
-            return controller.on(now, new RolloutEvent.CallEnded(requestId, isGood, List.of("e")));
+            return controller.on(now, new RolloutEvent.RequestCompleted(requestId, isGood, List.of("e")));
         }
     }
 }
--- a/decisions/src/test/java/pearladder/rollout/RolloutControllerTargetsTest.java
+++ b/decisions/src/test/java/pearladder/rollout/RolloutControllerTargetsTest.java
@@ -14,18 +14,19 @@
 
 /** Targets of operators, of other routers and of the journal. */
 class RolloutControllerTargetsTest extends RolloutTestBase {
-    private List<RolloutAction.Refuse> rejections(RolloutEvent event) {
-        return only(on(event), RolloutAction.Refuse.class);
+    private List<RolloutAction.RejectTarget> rejections(RolloutEvent event) {
+        return only(on(event), RolloutAction.RejectTarget.class);
     }
 
     @Test
     void rejectsASecondTargetOfTheSameEpochUnlessItIsTheSame() {
         order(1, Mode.RUNNING, 0);
-        List<RolloutAction.Refuse> second =
-                rejections(new RolloutEvent.Ordered(new RolloutTarget(1, PLAN, Mode.PAUSED, 0, "other", 0)));
+        List<RolloutAction.RejectTarget> second =
+                rejections(new RolloutEvent.TargetOrdered(new RolloutTarget(1, PLAN, Mode.PAUSED, 0, "other", 0)));
         assertEquals(1, second.size());
-        assertTrue(second.get(0).why().contains("ordered by ops"), second.get(0).why());
-        List<RolloutAction.Keep> same = only(order(1, Mode.RUNNING, 0), RolloutAction.Keep.class);
+        assertTrue(
+                second.get(0).reason().contains("ordered by ops"), second.get(0).reason());
+        List<RolloutAction.PersistTarget> same = only(order(1, Mode.RUNNING, 0), RolloutAction.PersistTarget.class);
         assertEquals(1, same.size(), "the same target again is no other");
     }
 
@@ -46,10 +47,12 @@
         order(1, Mode.RUNNING, 0);
         assertEquals(
                 1,
-                rejections(new RolloutEvent.Ordered(target(9, invalid, Mode.RUNNING, 0)))
+                rejections(new RolloutEvent.TargetOrdered(target(9, invalid, Mode.RUNNING, 0)))
                         .size());
         assertEquals(
-                1, only(order(9, Mode.RUNNING, 7), RolloutAction.Refuse.class).size());
+                1,
+                only(order(9, Mode.RUNNING, 7), RolloutAction.RejectTarget.class)
+                        .size());
     }
 
     @Test
@@ -58,27 +61,27 @@
         RolloutTarget two = new RolloutTarget(1, PLAN, Mode.PAUSED, 0, "other", 0);
         assertEquals(
                 1,
-                only(on(new RolloutEvent.Ordered(one)), RolloutAction.Keep.class)
+                only(on(new RolloutEvent.TargetOrdered(one)), RolloutAction.PersistTarget.class)
                         .size());
         assertEquals(List.of(), controller.targets(), "a target that is not in the journal yet is not followed");
         assertEquals(
                 1,
-                only(on(new RolloutEvent.Ordered(two)), RolloutAction.Keep.class)
+                only(on(new RolloutEvent.TargetOrdered(two)), RolloutAction.PersistTarget.class)
                         .size());
-        on(new RolloutEvent.Kept(two));
-        assertEquals(1, rejections(new RolloutEvent.Kept(one)).size());
+        on(new RolloutEvent.TargetPersisted(two));
+        assertEquals(1, rejections(new RolloutEvent.TargetPersisted(one)).size());
         assertEquals(List.of(two), controller.targets());
     }
 
     @Test
     void keepsTheTargetOfAnotherRouterOnlyIfItIsNewerAndValid() {
         order(2, Mode.PAUSED, 0);
-        assertEquals(List.of(), on(new RolloutEvent.Heard(target(1, PLAN, Mode.RUNNING, 0))));
-        assertEquals(List.of(), on(new RolloutEvent.Heard(target(2, PLAN, Mode.RUNNING, 0))));
-        assertEquals(List.of(), on(new RolloutEvent.Heard(target(9, PLAN, Mode.RUNNING, 7))), "no such step");
+        assertEquals(List.of(), on(new RolloutEvent.TargetReceived(target(1, PLAN, Mode.RUNNING, 0))));
+        assertEquals(List.of(), on(new RolloutEvent.TargetReceived(target(2, PLAN, Mode.RUNNING, 0))));
+        assertEquals(List.of(), on(new RolloutEvent.TargetReceived(target(9, PLAN, Mode.RUNNING, 7))), "no such step");
         RolloutTarget newer = target(3, PLAN, Mode.ROLLED_BACK, 0);
-        assertEquals(List.of(new RolloutAction.Keep(newer)), on(new RolloutEvent.Heard(newer)));
-        on(new RolloutEvent.Kept(newer));
+        assertEquals(List.of(new RolloutAction.PersistTarget(newer)), on(new RolloutEvent.TargetReceived(newer)));
+        on(new RolloutEvent.TargetPersisted(newer));
         assertEquals(List.of(newer), controller.targets());
     }
 
@@ -88,11 +91,11 @@
         RolloutController before = newController();
         List<RolloutProgress> journal = new ArrayList<>();
         collect(order(before, now, target(1, PLAN, Mode.RUNNING, 1)), journal);
-        collect(before.on(now, new RolloutEvent.Standing("pair", "2", 0.3)), journal);
-        collect(before.on(now, new RolloutEvent.Due()), journal);
+        collect(before.on(now, new RolloutEvent.InstancesReady("pair", "2", 0.3)), journal);
+        collect(before.on(now, new RolloutEvent.Tick()), journal);
         assertEquals(new RolloutProgress("pair", 1, 1, false), journal.get(journal.size() - 1));
         Collections.shuffle(journal, new Random(2));
-        on(new RolloutEvent.Restored(List.of(target(1, PLAN, Mode.RUNNING, 1)), journal));
+        on(new RolloutEvent.JournalRestored(List.of(target(1, PLAN, Mode.RUNNING, 1)), journal));
         Set<String> keys = keysOnNewVersion();
         assertTrue(keys.size() > 430 && keys.size() < 570, "a quarter of 2000 at once: " + keys.size());
         collect(order(2, Mode.PAUSED, 1), journal);
@@ -103,12 +106,12 @@
     }
 
     private static void collect(List<RolloutAction> actions, List<RolloutProgress> journal) {
-        only(actions, RolloutAction.Note.class).forEach(note -> journal.add(note.reached()));
+        only(actions, RolloutAction.PersistProgress.class).forEach(note -> journal.add(note.progress()));
     }
 
     @Test
     void staysRolledBackAfterARestartWhenTheVersionWasFoundWorse() {
-        on(new RolloutEvent.Restored(
+        on(new RolloutEvent.JournalRestored(
                 List.of(target(1, PLAN, Mode.RUNNING, 0)),
                 List.of(new RolloutProgress("pair", 1, 1, true), new RolloutProgress("pair", 1, 0, false))));
         assertStatusContains("broken, share 0.00");
@@ -116,7 +119,7 @@
 
     @Test
     void ignoresProgressOfAnOlderEpochAfterARestart() {
-        on(new RolloutEvent.Restored(
+        on(new RolloutEvent.JournalRestored(
                 List.of(target(2, PLAN, Mode.ROLLED_BACK, 0), target(1, PLAN, Mode.RUNNING, 0)),
                 List.of(new RolloutProgress("pair", 1, 2, false))));
         assertStatusContains("rolled_back, share 0.00");
--- a/decisions/src/test/java/pearladder/rollout/RolloutControllerTest.java
+++ b/decisions/src/test/java/pearladder/rollout/RolloutControllerTest.java
@@ -25,9 +25,9 @@
         List<RolloutAction> actions = order(1, Mode.RUNNING, 0);
         assertEquals(
                 List.of(
-                        new RolloutAction.Prepare("pair", "2", "1", 0.05),
-                        new RolloutAction.Prepare("pair", "1", "1", 1)),
-                only(actions, RolloutAction.Prepare.class));
+                        new RolloutAction.LoadInstances("pair", "2", "1", 0.05),
+                        new RolloutAction.LoadInstances("pair", "1", "1", 1)),
+                only(actions, RolloutAction.LoadInstances.class));
         assertEquals(Set.of(), keysOnNewVersion(), "before its instances are ready nobody gets it");
         instancesReady(0.05);
         Set<String> few = keysOnNewVersion();
@@ -59,9 +59,9 @@
         advance(TimeSpan.seconds(11));
         tick();
         assertStatusContains("share 1.00");
-        assertEquals(List.of(), only(tick(), RolloutAction.Withdraw.class), "the old instances are kept");
+        assertEquals(List.of(), only(tick(), RolloutAction.ReleaseInstances.class), "the old instances are kept");
         advance(TimeSpan.seconds(11));
-        assertTrue(tick().contains(new RolloutAction.Withdraw("pair", "1")), "until the hold is over");
+        assertTrue(tick().contains(new RolloutAction.ReleaseInstances("pair", "1")), "until the hold is over");
     }
 
     @Test
@@ -84,12 +84,13 @@
         while (status().contains("share 0.05") && failed < most) {
             String requestId = nextRequestId();
             if (!version(requestId, requestId, "").equals("2")) {
-                on(new RolloutEvent.CallEnded(requestId, true, List.of("e0")));
+                on(new RolloutEvent.RequestCompleted(requestId, true, List.of("e0")));
                 continue;
             }
             failed++;
-            List<RolloutAction> actions = on(new RolloutEvent.CallEnded(requestId, false, List.of("e" + failed % 2)));
-            if (!only(actions, RolloutAction.Withdraw.class).isEmpty()) {
+            List<RolloutAction> actions =
+                    on(new RolloutEvent.RequestCompleted(requestId, false, List.of("e" + failed % 2)));
+            if (!only(actions, RolloutAction.ReleaseInstances.class).isEmpty()) {
                 break;
             }
         }
--- a/decisions/src/test/java/pearladder/rollout/RolloutTestBase.java
+++ b/decisions/src/test/java/pearladder/rollout/RolloutTestBase.java
@@ -35,7 +35,7 @@
     }
 
     List<RolloutAction> tick() {
-        return on(new RolloutEvent.Due());
+        return on(new RolloutEvent.Tick());
     }
 
     void advance(TimeSpan span) {
@@ -48,9 +48,9 @@
 
     /** Orders the target and reports as kept what is to be kept. */
     static List<RolloutAction> order(RolloutController controller, MonotonicTime now, RolloutTarget target) {
-        List<RolloutAction> actions = new ArrayList<>(controller.on(now, new RolloutEvent.Ordered(target)));
-        for (RolloutAction.Keep keep : only(actions, RolloutAction.Keep.class)) {
-            actions.addAll(controller.on(now, new RolloutEvent.Kept(keep.target())));
+        List<RolloutAction> actions = new ArrayList<>(controller.on(now, new RolloutEvent.TargetOrdered(target)));
+        for (RolloutAction.PersistTarget keep : only(actions, RolloutAction.PersistTarget.class)) {
+            actions.addAll(controller.on(now, new RolloutEvent.TargetPersisted(keep.target())));
         }
         return actions;
     }
@@ -68,8 +68,9 @@
     }
 
     String version(String requestId, String routingKey, String idempotencyKey) {
-        List<RolloutAction.Use> uses = only(
-                on(new RolloutEvent.CallCame(requestId, "pair", routingKey, idempotencyKey)), RolloutAction.Use.class);
+        List<RolloutAction.UseVersion> uses = only(
+                on(new RolloutEvent.RequestReceived(requestId, "pair", routingKey, idempotencyKey)),
+                RolloutAction.UseVersion.class);
         assertEquals(1, uses.size());
         return uses.get(0).version();
     }
@@ -86,7 +87,7 @@
     }
 
     void instancesReady(double share) {
-        on(new RolloutEvent.Standing("pair", "2", share));
+        on(new RolloutEvent.InstancesReady("pair", "2", share));
         tick();
     }
 
@@ -95,7 +96,7 @@
             String requestId = nextRequestId();
             double badShare = version(requestId, requestId, "").equals("2") ? badShareOfNew : badShareOfOld;
             boolean isGood = random.nextDouble() >= badShare;
-            on(new RolloutEvent.CallEnded(requestId, isGood, List.of("e" + random.nextInt(4))));
+            on(new RolloutEvent.RequestCompleted(requestId, isGood, List.of("e" + random.nextInt(4))));
         }
     }
 
--- a/decisions/src/test/java/pearladder/writebuffer/WriteBufferRandomizedTest.java
+++ b/decisions/src/test/java/pearladder/writebuffer/WriteBufferRandomizedTest.java
@@ -42,16 +42,17 @@
             for (int step = 0; step < 600; step++) {
                 now = now.plus(TimeSpan.millis(random.nextInt(12)));
                 WriteBufferEvent event = randomEvent(step);
-                String loadRequestId = event instanceof WriteBufferEvent.Came entry ? entry.loadRequestId() : "";
+                String loadRequestId =
+                        event instanceof WriteBufferEvent.EntryReceived entry ? entry.loadRequestId() : "";
                 boolean isAnswered = false;
                 for (WriteBufferAction action : buffer.on(now, event)) {
-                    isAnswered |=
-                            action instanceof WriteBufferAction.Take || action instanceof WriteBufferAction.LeaveOut;
+                    isAnswered |= action instanceof WriteBufferAction.AcceptEntry
+                            || action instanceof WriteBufferAction.DropEntry;
                     apply(action, step, loadRequestId);
                 }
-                assertEquals(event instanceof WriteBufferEvent.Came, isAnswered);
-                assertEquals(queue.size(), buffer.held());
-                assertTrue(buffer.held() <= 100);
+                assertEquals(event instanceof WriteBufferEvent.EntryReceived, isAnswered);
+                assertEquals(queue.size(), buffer.size());
+                assertTrue(buffer.size() <= 100);
                 assertTrue(reported <= dropped);
             }
         }
@@ -62,17 +63,17 @@
                 return endWrite();
             }
             if (random.nextInt(3) == 0) {
-                return new WriteBufferEvent.Due();
+                return new WriteBufferEvent.Tick();
             }
             boolean hasLoadRequest = random.nextInt(5) == 0 && !isDetail;
-            return new WriteBufferEvent.Came(isDetail, hasLoadRequest ? "o" + step : "");
+            return new WriteBufferEvent.EntryReceived(isDetail, hasLoadRequest ? "o" + step : "");
         }
 
         private WriteBufferEvent endWrite() {
             boolean isWritten = random.nextInt(4) > 0;
             WriteBufferEvent event = isWritten
                     ? new WriteBufferEvent.Written(TimeSpan.millis(random.nextInt(80)))
-                    : new WriteBufferEvent.Failed("drawn");
+                    : new WriteBufferEvent.WriteFailed("drawn");
             for (int i = 0; isWritten && i < writing; i++) {
                 onDisk.add(queue.remove(0));
             }
@@ -81,26 +82,26 @@
         }
 
         private void apply(WriteBufferAction action, int step, String loadRequestId) {
-            if (action instanceof WriteBufferAction.Take) {
+            if (action instanceof WriteBufferAction.AcceptEntry) {
                 queue.add(loadRequestId.isEmpty() ? "e" + step : loadRequestId);
                 if (!loadRequestId.isEmpty()) {
                     pendingLoadRequests.add(loadRequestId);
                 }
-            } else if (action instanceof WriteBufferAction.LeaveOut) {
+            } else if (action instanceof WriteBufferAction.DropEntry) {
                 dropped++;
-            } else if (action instanceof WriteBufferAction.Write write) {
+            } else if (action instanceof WriteBufferAction.WriteBatch write) {
                 assertEquals(0, writing, "one batch at a time");
                 writing = write.entries();
                 assertTrue(writing > 0 && writing <= queue.size());
-            } else if (action instanceof WriteBufferAction.Go go) {
-                assertTrue(pendingLoadRequests.remove(go.order()), go.order() + " ended twice");
-                assertTrue(onDisk.contains(go.order()), "before its entry was on disk");
-            } else if (action instanceof WriteBufferAction.Withhold withhold) {
+            } else if (action instanceof WriteBufferAction.SendLoadRequest go) {
+                assertTrue(pendingLoadRequests.remove(go.loadRequestId()), go.loadRequestId() + " ended twice");
+                assertTrue(onDisk.contains(go.loadRequestId()), "before its entry was on disk");
+            } else if (action instanceof WriteBufferAction.WithholdLoadRequest withhold) {
                 assertTrue(
-                        pendingLoadRequests.remove(withhold.order())
-                                || withhold.order().equals(loadRequestId),
+                        pendingLoadRequests.remove(withhold.loadRequestId())
+                                || withhold.loadRequestId().equals(loadRequestId),
                         "ended twice");
-            } else if (action instanceof WriteBufferAction.TellLeftOut report) {
+            } else if (action instanceof WriteBufferAction.ReportDropped report) {
                 reported += report.entries();
             }
         }
--- a/decisions/src/test/java/pearladder/writebuffer/WriteBufferTest.java
+++ b/decisions/src/test/java/pearladder/writebuffer/WriteBufferTest.java
@@ -26,43 +26,44 @@
     }
 
     private static WriteBufferEvent fact() {
-        return new WriteBufferEvent.Came(false, "");
+        return new WriteBufferEvent.EntryReceived(false, "");
     }
 
     private static WriteBufferEvent detail() {
-        return new WriteBufferEvent.Came(true, "");
+        return new WriteBufferEvent.EntryReceived(true, "");
     }
 
     @Test
     void writesGatheredEntriesInOneBatch() {
         on(fact());
-        assertEquals(List.of(new WriteBufferAction.Take()), after(5, fact()));
-        assertEquals(List.of(new WriteBufferAction.Write(2)), after(15, new WriteBufferEvent.Due()));
-        assertEquals(List.of(), after(30, new WriteBufferEvent.Due()));
+        assertEquals(List.of(new WriteBufferAction.AcceptEntry()), after(5, fact()));
+        assertEquals(List.of(new WriteBufferAction.WriteBatch(2)), after(15, new WriteBufferEvent.Tick()));
+        assertEquals(List.of(), after(30, new WriteBufferEvent.Tick()));
         assertEquals(List.of(), on(new WriteBufferEvent.Written(TimeSpan.millis(2))));
-        assertEquals(0, buffer.held());
+        assertEquals(0, buffer.size());
     }
 
     @Test
     void sendsALoadRequestOnlyWhenItsEntryIsOnDisk() {
         assertEquals(
                 List.of(
-                        new WriteBufferAction.Take(),
-                        new WriteBufferAction.Wake(LOSS_WINDOW),
-                        new WriteBufferAction.Wake(GATHER_TIME)),
-                on(new WriteBufferEvent.Came(false, "o1")));
-        after(20, new WriteBufferEvent.Due());
+                        new WriteBufferAction.AcceptEntry(),
+                        new WriteBufferAction.ScheduleTick(LOSS_WINDOW),
+                        new WriteBufferAction.ScheduleTick(GATHER_TIME)),
+                on(new WriteBufferEvent.EntryReceived(false, "o1")));
+        after(20, new WriteBufferEvent.Tick());
         assertEquals(
-                List.of(new WriteBufferAction.Go("o1")), after(3, new WriteBufferEvent.Written(TimeSpan.millis(3))));
+                List.of(new WriteBufferAction.SendLoadRequest("o1")),
+                after(3, new WriteBufferEvent.Written(TimeSpan.millis(3))));
     }
 
     @Test
     void withholdsALoadRequestWhenTheDiskHangs() {
-        on(new WriteBufferEvent.Came(false, "o1"));
-        after(20, new WriteBufferEvent.Due());
+        on(new WriteBufferEvent.EntryReceived(false, "o1"));
+        after(20, new WriteBufferEvent.Tick());
         assertEquals(
-                List.of(new WriteBufferAction.Withhold("o1", "its record came too late")),
-                after(30, new WriteBufferEvent.Due()));
+                List.of(new WriteBufferAction.WithholdLoadRequest("o1", "its record came too late")),
+                after(30, new WriteBufferEvent.Tick()));
         List<WriteBufferAction> late = after(450, new WriteBufferEvent.Written(TimeSpan.millis(480)));
         assertEquals(1, late.size());
         assertTrue(((WriteBufferAction.Log) late.get(0)).text().contains("late: 480 ms"));
@@ -71,20 +72,20 @@
     @Test
     void dropsDetailsAndWithholdsLoadRequestsWhileTheDiskIsFullAndLogsItOnce() {
         on(fact());
-        after(20, new WriteBufferEvent.Due());
-        List<WriteBufferAction> failed = on(new WriteBufferEvent.Failed("no space"));
+        after(20, new WriteBufferEvent.Tick());
+        List<WriteBufferAction> failed = on(new WriteBufferEvent.WriteFailed("no space"));
         assertTrue(failed.stream().anyMatch(WriteBufferAction.Log.class::isInstance));
-        assertEquals(List.of(new WriteBufferAction.LeaveOut()), on(detail()));
-        assertTrue(on(new WriteBufferEvent.Came(false, "o1"))
-                .contains(new WriteBufferAction.Withhold("o1", "its record can't be kept")));
-        assertEquals(List.of(new WriteBufferAction.Write(2)), after(100, new WriteBufferEvent.Due()));
-        assertFalse(
-                on(new WriteBufferEvent.Failed("no space")).stream().anyMatch(WriteBufferAction.Log.class::isInstance));
-        assertEquals(List.of(new WriteBufferAction.Write(2)), after(200, new WriteBufferEvent.Due()));
+        assertEquals(List.of(new WriteBufferAction.DropEntry()), on(detail()));
+        assertTrue(on(new WriteBufferEvent.EntryReceived(false, "o1"))
+                .contains(new WriteBufferAction.WithholdLoadRequest("o1", "its record can't be kept")));
+        assertEquals(List.of(new WriteBufferAction.WriteBatch(2)), after(100, new WriteBufferEvent.Tick()));
+        assertFalse(on(new WriteBufferEvent.WriteFailed("no space")).stream()
+                .anyMatch(WriteBufferAction.Log.class::isInstance));
+        assertEquals(List.of(new WriteBufferAction.WriteBatch(2)), after(200, new WriteBufferEvent.Tick()));
         List<WriteBufferAction> again = on(new WriteBufferEvent.Written(TimeSpan.millis(1)));
         assertTrue(again.get(0) instanceof WriteBufferAction.Log log
                 && log.text().contains("kept again: 1 entries were left out, 0"));
-        assertTrue(again.contains(new WriteBufferAction.TellLeftOut(1)));
+        assertTrue(again.contains(new WriteBufferAction.ReportDropped(1)));
     }
 
     @Test
@@ -92,6 +93,6 @@
         for (int i = 0; i < 29; i++) {
             on(fact());
         }
-        assertEquals(List.of(new WriteBufferAction.Write(29)), on(new WriteBufferEvent.Stopping()));
+        assertEquals(List.of(new WriteBufferAction.WriteBatch(29)), on(new WriteBufferEvent.ShutdownBegun()));
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/EndpointRegistry.java
+++ b/emulator/src/main/java/pearladder/emulator/EndpointRegistry.java
@@ -10,7 +10,7 @@
 import pearladder.kserve.DiscoveryMessage;
 import pearladder.kserve.DiscoveryMessage.Entry;
 import pearladder.kserve.DiscoveryMessage.Kind;
-import pearladder.kserve.DiscoveryMessage.Standing;
+import pearladder.kserve.DiscoveryMessage.WorkerState;
 
 /**
  * The state of the discovery service: the endpoint list with its version, and the routers that watch it. It knows only
@@ -60,7 +60,7 @@
     }
 
     /** Sends nothing, not even heartbeats, though connections stay; afterwards every watcher gets the whole list. */
-    public void silent(boolean on) {
+    public void setSilent(boolean on) {
         silent = on;
         if (!on) {
             sendSnapshotToAll();
@@ -87,10 +87,10 @@
 
     private void apply(Entry entry) {
         version++;
-        if (entry.standing() == Standing.GONE) {
-            entries.remove(entry.engine());
+        if (entry.state() == WorkerState.GONE) {
+            entries.remove(entry.worker());
         } else {
-            entries.put(entry.engine(), entry);
+            entries.put(entry.worker(), entry);
         }
         changesByVersion.put(version, entry);
         while (changesByVersion.size() > HISTORY_LIMIT) {
@@ -161,14 +161,14 @@
             return message;
         }
         List<Entry> visible = message.entries().stream()
-                .filter(entry -> !hiddenWorkers.contains(entry.engine()))
+                .filter(entry -> !hiddenWorkers.contains(entry.worker()))
                 .toList();
         return new DiscoveryMessage(message.kind(), message.version(), visible);
     }
 
     private Observation toldTo(String router, Entry entry) {
-        String state = entry.standing().name();
+        String state = entry.state().name();
         return new Observation(
-                time.now(), Observation.TOLD, router, "", 0, entry.engine(), "", state, entry.startedMillis());
+                time.now(), Observation.ENDPOINT_SENT, router, "", 0, entry.worker(), "", state, entry.startedMillis());
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/FaultCommand.java
+++ b/emulator/src/main/java/pearladder/emulator/FaultCommand.java
@@ -54,7 +54,7 @@
     public Optional<Consumer<EndpointRegistry>> registryFault() {
         return Optional.ofNullable(
                 switch (type) {
-                    case DISCOVERY_SILENT -> registry -> registry.silent(isOn());
+                    case DISCOVERY_SILENT -> registry -> registry.setSilent(isOn());
                     case DISCOVERY_LAG -> registry -> registry.setLag(nanos());
                     case DISCOVERY_SPLIT -> this::splitView;
                     default -> null;
--- a/emulator/src/main/java/pearladder/emulator/FleetPlan.java
+++ b/emulator/src/main/java/pearladder/emulator/FleetPlan.java
@@ -20,10 +20,10 @@
         long seed,
         double modelStoreCapacity,
         int modelStoreFetchLimit,
-        long lagNanos,
-        boolean cables,
+        long discoveryLagNanos,
+        boolean usesFaultProxy,
         List<ModelKind> models,
-        List<Planned> engines) {
+        List<PlannedWorker> workers) {
     /**
      * One worker to start.
      *
@@ -31,7 +31,7 @@
      * @param hall the hall where it stands
      * @param cell number of its cell, a group of workers within the hall
      */
-    public record Planned(String id, WorkerKind kind, String hall, long cell) {}
+    public record PlannedWorker(String id, WorkerKind kind, String hall, long cell) {}
 
     /** Cells of different halls differ by a multiple of this. */
     private static final long CELL_NUMBERS_PER_HALL = 10_000;
@@ -45,14 +45,14 @@
         ConfigValue modelStore = fleet.at("shelf");
         Map<String, WorkerKind> kinds = fleet.at("kinds").eachKey(FleetPlan::readWorkerKind);
         if (kinds.isEmpty()) {
-            fleet.at("kinds").wrong("a kind of engine is missing", "write one with its cores and memory");
+            fleet.at("kinds").addMistake("a kind of engine is missing", "write one with its cores and memory");
         }
-        List<Planned> workers = new ArrayList<>();
+        List<PlannedWorker> workers = new ArrayList<>();
         for (ConfigValue group : fleet.at("engines").each(value -> value)) {
             workers.addAll(readGroup(group, kinds));
         }
         if (workers.isEmpty()) {
-            fleet.at("engines").wrong("no engine is listed", "write \"- {name: engine, count: 3, kind: ...}\"");
+            fleet.at("engines").addMistake("no engine is listed", "write \"- {name: engine, count: 3, kind: ...}\"");
         }
         return new FleetPlan(
                 fleet.at("seed").whole(1, 0, Integer.MAX_VALUE),
@@ -65,7 +65,7 @@
     }
 
     /** Reads a group of like workers, spread over its halls in turn. */
-    private static List<Planned> readGroup(ConfigValue group, Map<String, WorkerKind> kinds) {
+    private static List<PlannedWorker> readGroup(ConfigValue group, Map<String, WorkerKind> kinds) {
         String name = group.at("name").text();
         String kind = group.at("kind").text();
         List<String> halls = group.at("halls").each(ConfigValue::text);
@@ -73,15 +73,15 @@
         int count = group.at("count").whole(1, 1, MAX_WORKERS_PER_GROUP);
         if (!kinds.containsKey(kind)) {
             group.at("kind")
-                    .wrong("unknown kind \"" + kind + "\"", "write one of " + String.join(", ", kinds.keySet()));
+                    .addMistake("unknown kind \"" + kind + "\"", "write one of " + String.join(", ", kinds.keySet()));
             return List.of();
         }
-        List<Planned> workers = new ArrayList<>();
+        List<PlannedWorker> workers = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             String hall = halls.isEmpty() ? DEFAULT_HALL : halls.get(i % halls.size());
             int indexInHall = halls.isEmpty() ? i : i / halls.size();
             long cell = Math.max(0, halls.indexOf(hall)) * CELL_NUMBERS_PER_HALL + indexInHall / perCell;
-            workers.add(new Planned(name + "-" + i, kinds.get(kind), hall, cell));
+            workers.add(new PlannedWorker(name + "-" + i, kinds.get(kind), hall, cell));
         }
         return workers;
     }
@@ -126,12 +126,12 @@
      * @param phase "fetch" or "start"
      */
     private static long readLoadPhase(ConfigValue model, String phase) {
-        if (!model.at("load").given()) {
+        if (!model.at("load").isGiven()) {
             return model.at(phase).span("0 s");
         }
-        if (model.at("fetch").given() || model.at("start").given()) {
+        if (model.at("fetch").isGiven() || model.at("start").isGiven()) {
             model.at("load")
-                    .wrong(
+                    .addMistake(
                             "a load is told, and its fetch or start beside it",
                             "keep load and fetch_share, or fetch and start");
         }
--- a/emulator/src/main/java/pearladder/emulator/ModelStore.java
+++ b/emulator/src/main/java/pearladder/emulator/ModelStore.java
@@ -28,7 +28,7 @@
     private final double capacity;
     private final int fetchLimit;
     private final List<Fetch> active = new ArrayList<>();
-    private Timeline.Planned nextCompletion;
+    private Timeline.ScheduledTask nextCompletion;
     private long accountedUntil;
     private double slowdown = 1;
     private boolean rejectingAll;
@@ -92,7 +92,7 @@
 
     private void scheduleNextCompletion() {
         if (nextCompletion != null) {
-            nextCompletion.callOff();
+            nextCompletion.cancel();
         }
         if (!active.isEmpty()) {
             double least = active.stream()
--- a/emulator/src/main/java/pearladder/emulator/Observation.java
+++ b/emulator/src/main/java/pearladder/emulator/Observation.java
@@ -15,38 +15,38 @@
  */
 public record Observation(
         long at,
-        String what,
+        String event,
         String router,
-        String call,
-        int leg,
-        String engine,
+        String requestId,
+        int attempt,
+        String worker,
         String model,
         String note,
-        double figure) {
+        double value) {
     /** At a worker: an attempt reached it; the note is the idempotency key. */
     public static final String ARRIVED = "arrived";
     /** At a worker: an attempt began to run, so that its effect happens. */
     public static final String RAN = "ran";
     /** At a worker: an attempt was rejected and never ran; the note says why. */
-    public static final String REFUSED = "refused";
+    public static final String REJECTED = "refused";
     /** At a worker: a duplicate was replied to without running; the note is the idempotency key. */
-    public static final String DROPPED = "dropped";
+    public static final String DUPLICATE_DROPPED = "dropped";
     /** At a worker: a load request; the figure is the number of instances wanted. */
-    public static final String ORDERED = "ordered";
+    public static final String LOAD_REQUESTED = "ordered";
     /**
      * At a worker: a load ended. The note is empty where the instance is ready, else it says why not; the figure is the
      * share of the load's time that the fetch took.
      */
-    public static final String LOADED = "loaded";
+    public static final String LOAD_ENDED = "loaded";
     /** At a worker: instances were unloaded; the figure is how many. */
     public static final String UNLOADED = "unloaded";
     /**
      * At a worker: it crashed from overload while cold; the figure is the multiple of its capacity that it was
      * sent.
      */
-    public static final String FELL = "fell";
+    public static final String CRASHED_FROM_OVERLOAD = "fell";
     /** At the registry: a router was sent a worker's state, the note; the figure is the worker's start in epoch ms. */
-    public static final String TOLD = "told";
+    public static final String ENDPOINT_SENT = "told";
     /** At a client: a try was sent; the note is its request class, the figure its timeout in nanoseconds. */
     public static final String SENT = "sent";
     /** At a client: a final answer; the note is its outcome. */
@@ -54,17 +54,17 @@
     /** At a client: the try ended without a final answer; the note says how. */
     public static final String UNANSWERED = "unanswered";
     /** At a client: something came after the final answer. */
-    public static final String AGAIN = "again";
+    public static final String ANSWERED_AGAIN = "again";
     /** At a client: its own process paused and saw late what came meanwhile; the figure is the length of the pause. */
-    public static final String PAUSED = "paused";
+    public static final String CLIENT_PAUSED = "paused";
     /** By the scenario: a router was killed. */
     public static final String KILLED = "killed";
     /** By the scenario: a router was started. */
     public static final String STARTED = "started";
     /** By the scenario: a router or a worker was paused from here on; the figure is for how long, in nanoseconds. */
-    public static final String STILL = "still";
+    public static final String PROCESS_PAUSED = "still";
     /** By the scenario: a fault began; the note describes it. */
-    public static final String TROUBLE = "trouble";
+    public static final String FAULT_INJECTED = "trouble";
 
     /** An observation of one attempt at a worker. */
     static Observation ofAttempt(long at, String what, WorkerRequest request, String worker, String note) {
--- a/emulator/src/main/java/pearladder/emulator/ObservationLog.java
+++ b/emulator/src/main/java/pearladder/emulator/ObservationLog.java
@@ -59,17 +59,17 @@
         try {
             json.writeStartObject();
             json.writeNumberField(AT, observation.at());
-            json.writeStringField(EVENT, observation.what());
+            json.writeStringField(EVENT, observation.event());
             writeUnlessEmpty(ROUTER, observation.router());
-            writeUnlessEmpty(REQUEST_ID, observation.call());
-            if (observation.leg() != 0) {
-                json.writeNumberField(ATTEMPT, observation.leg());
+            writeUnlessEmpty(REQUEST_ID, observation.requestId());
+            if (observation.attempt() != 0) {
+                json.writeNumberField(ATTEMPT, observation.attempt());
             }
-            writeUnlessEmpty(WORKER, observation.engine());
+            writeUnlessEmpty(WORKER, observation.worker());
             writeUnlessEmpty(MODEL, observation.model());
             writeUnlessEmpty(NOTE, observation.note());
-            if (observation.figure() != 0) {
-                json.writeNumberField(VALUE, observation.figure());
+            if (observation.value() != 0) {
+                json.writeNumberField(VALUE, observation.value());
             }
             json.writeEndObject();
         } catch (IOException e) {
--- a/emulator/src/main/java/pearladder/emulator/ProcessorSharing.java
+++ b/emulator/src/main/java/pearladder/emulator/ProcessorSharing.java
@@ -15,7 +15,7 @@
     private final WorkerKind kind;
     private final Runnable onCompletionDue;
     private final List<PendingRequest> running = new ArrayList<>();
-    private Timeline.Planned nextCompletion;
+    private Timeline.ScheduledTask nextCompletion;
     private long accountedUntil;
     private double slowdown = 1;
     private boolean paused;
@@ -89,7 +89,7 @@
     /** Sets the timer anew for the request that completes first. */
     void scheduleNextCompletion() {
         if (nextCompletion != null) {
-            nextCompletion.callOff();
+            nextCompletion.cancel();
             nextCompletion = null;
         }
         if (!running.isEmpty() && !paused) {
--- a/emulator/src/main/java/pearladder/emulator/VirtualTimeline.java
+++ b/emulator/src/main/java/pearladder/emulator/VirtualTimeline.java
@@ -4,7 +4,7 @@
 
 /** Virtual time, which moves only from one task to the next; tasks of the same moment run in the order scheduled. */
 public final class VirtualTimeline implements Timeline {
-    private static final class Task implements Planned, Comparable<Task> {
+    private static final class Task implements ScheduledTask, Comparable<Task> {
         final long at;
         final long sequence;
         /** Null once cancelled; the entry stays in the queue until its time. */
@@ -17,7 +17,7 @@
         }
 
         @Override
-        public void callOff() {
+        public void cancel() {
             action = null;
         }
 
@@ -31,7 +31,7 @@
     private final PriorityQueue<Task> queue = new PriorityQueue<>();
     private long now;
     private long nextSequence;
-    private long ran;
+    private long executedTasks;
 
     @Override
     public long now() {
@@ -39,24 +39,24 @@
     }
 
     @Override
-    public Planned at(long nanos, Runnable action) {
+    public ScheduledTask at(long nanos, Runnable action) {
         Task task = new Task(Math.max(now, nanos), nextSequence++, action);
         queue.add(task);
         return task;
     }
 
     /** How many tasks have run; cancelled ones don't count. */
-    public long ran() {
-        return ran;
+    public long executedTasks() {
+        return executedTasks;
     }
 
     /** Runs all tasks due up to and at a time in nanoseconds, which is then the present. */
-    public void runTo(long nanos) {
+    public void advanceTo(long nanos) {
         while (!queue.isEmpty() && queue.peek().at <= nanos) {
             Task task = queue.poll();
             now = task.at;
             if (task.action != null) {
-                ran++;
+                executedTasks++;
                 task.action.run();
             }
         }
--- a/emulator/src/main/java/pearladder/emulator/WorkerFactory.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerFactory.java
@@ -30,7 +30,7 @@
     }
 
     /** @param coldStart whether the worker has just started and is still to warm up */
-    public WorkerModel create(FleetPlan.Planned worker, boolean coldStart) {
+    public WorkerModel create(FleetPlan.PlannedWorker worker, boolean coldStart) {
         long seed = plan.seed() * SEEDS_PER_PLAN + created;
         created++;
         return new WorkerModel(
@@ -38,7 +38,7 @@
                 new WorkerEnvironment(time, plan::modelOf, modelStore, idempotencyCacheOf(worker), observations));
     }
 
-    private IdempotencyCache idempotencyCacheOf(FleetPlan.Planned worker) {
+    private IdempotencyCache idempotencyCacheOf(FleetPlan.PlannedWorker worker) {
         String group =
                 switch (worker.kind().idempotencyScope()) {
                     case ALL -> "";
@@ -50,8 +50,8 @@
     }
 
     /** The worker that takes another's place in a rolling deployment: the same but for its id, which is new. */
-    public FleetPlan.Planned successorOf(FleetPlan.Planned worker) {
+    public FleetPlan.PlannedWorker successorOf(FleetPlan.PlannedWorker worker) {
         String id = worker.id().replaceFirst(SUCCESSOR_SUFFIX, "~" + created);
-        return new FleetPlan.Planned(id, worker.kind(), worker.hall(), worker.cell());
+        return new FleetPlan.PlannedWorker(id, worker.kind(), worker.hall(), worker.cell());
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/WorkerModel.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerModel.java
@@ -210,14 +210,14 @@
     }
 
     private PendingRequest reject(WorkerRequest request, WorkerOutcome outcome, Consumer<WorkerReply> replyTo) {
-        observer.attempt(Observation.REFUSED, request, outcome.name());
+        observer.attempt(Observation.REJECTED, request, outcome.name());
         replyTo.accept(WorkerReply.of(outcome, report()));
         return null;
     }
 
     /** Replies to a request whose idempotency key has been seen, without running it again. */
     private void replyToDuplicate(WorkerRequest request, int concurrentRequests, Consumer<WorkerReply> replyTo) {
-        observer.attempt(Observation.DROPPED, request, request.idempotencyKey());
+        observer.attempt(Observation.DUPLICATE_DROPPED, request, request.idempotencyKey());
         replyTo.accept(new WorkerReply(WorkerOutcome.OK, InstanceState.STOOD, concurrentRequests, 0, report()));
     }
 
@@ -293,7 +293,7 @@
                 if (pending.request.model().equals(model)) {
                     queue.remove(pending);
                     pending.ended = true;
-                    observer.attempt(Observation.REFUSED, pending.request, "load failed");
+                    observer.attempt(Observation.REJECTED, pending.request, "load failed");
                     pending.replyTo.accept(new WorkerReply(
                             WorkerOutcome.ABSENT, InstanceState.LOAD_FAILED, pending.concurrentRequests, 0, report()));
                 }
@@ -317,7 +317,7 @@
         boolean replyLost = lostLoadReplyShare > 0 && random.nextDouble() < lostLoadReplyShare;
         observer.loadRequested(router, model, wanted);
         Consumer<WorkerOutcome> onEnded = outcome -> {
-            WorkerReply reply = WorkerReply.ofLoad(outcome, standing(model), report());
+            WorkerReply reply = WorkerReply.ofLoad(outcome, readyInstances(model), report());
             if (!replyLost) {
                 replyTo.accept(reply);
             }
@@ -338,7 +338,7 @@
     }
 
     /** How many instances of a model's current release are ready. */
-    public int standing(String model) {
+    public int readyInstances(String model) {
         return instances.readyCount(model);
     }
 
--- a/emulator/src/main/java/pearladder/emulator/WorkerObserver.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerObserver.java
@@ -20,12 +20,12 @@
     }
 
     void loadRequested(String router, String model, int instances) {
-        record(Observation.ORDERED, router, model, "", instances);
+        record(Observation.LOAD_REQUESTED, router, model, "", instances);
     }
 
     /** @param failure empty where the instance is ready */
     void loadEnded(String model, String failure, double fetchShare) {
-        record(Observation.LOADED, "", model, failure, fetchShare);
+        record(Observation.LOAD_ENDED, "", model, failure, fetchShare);
     }
 
     void unloaded(long instances) {
@@ -35,7 +35,7 @@
     }
 
     void crashedFromOverload(double multipleOfCapacity) {
-        record(Observation.FELL, "", "", "", multipleOfCapacity);
+        record(Observation.CRASHED_FROM_OVERLOAD, "", "", "", multipleOfCapacity);
     }
 
     private void record(String event, String router, String model, String note, double figure) {
--- a/emulator/src/main/java/pearladder/emulator/net/DiscoveryServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/DiscoveryServer.java
@@ -55,13 +55,13 @@
     }
 
     /** Resets every watch; routers may connect again. */
-    public void cut() {
+    public void resetWatches() {
         Set.copyOf(openWatches).forEach(HttpServerResponse::reset);
     }
 
     private void handle(HttpServerRequest request) {
         switch (request.path()) {
-            case LIST_PATH -> request.response().end(registry.snapshot().text() + "\n");
+            case LIST_PATH -> request.response().end(registry.snapshot().toJson() + "\n");
             case WATCH_PATH -> watch(request);
             default -> request.response().setStatusCode(404).end();
         }
@@ -76,7 +76,7 @@
         EndpointRegistry.Watcher watcher = registry.watch(
                 router,
                 version(request.getParam("from")),
-                message -> response.write(addressedFor(router, message).text() + "\n"));
+                message -> response.write(addressedFor(router, message).toJson() + "\n"));
         response.closeHandler(closed -> {
             registry.removeWatcher(watcher);
             openWatches.remove(response);
