--- a/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
@@ -45,7 +45,7 @@
     private void handle(HttpServerRequest request) {
         if (request.path().equals(WORKERS_PATH)) {
             StringBuilder lines = new StringBuilder();
-            fleet.ids().forEach(id -> lines.append(describe(id)).append('\n'));
+            fleet.workerIds().forEach(id -> lines.append(describe(id)).append('\n'));
             request.response().end(lines.toString());
             return;
         }
@@ -76,16 +76,16 @@
 
     /** The line of a worker: id, hall, "up" where it takes requests, and the number of requests that it holds. */
     private String describe(String id) {
-        WorkerModel worker = fleet.engine(id).engine();
+        WorkerModel worker = fleet.server(id).worker();
         String state = worker.isUp() && !worker.isDraining() ? "up" : "down";
-        return id + ' ' + fleet.hall(id) + ' ' + state + ' ' + worker.heldRequests();
+        return id + ' ' + fleet.hallOf(id) + ' ' + state + ' ' + worker.heldRequests();
     }
 
     private List<String> workers(String ids) {
         if (ids == null || ids.isEmpty()) {
-            return fleet.ids();
+            return fleet.workerIds();
         }
-        return Arrays.stream(ids.split(",")).filter(fleet.ids()::contains).toList();
+        return Arrays.stream(ids.split(",")).filter(fleet.workerIds()::contains).toList();
     }
 
     private static void respondWhenDone(HttpServerRequest request, Future<Void> done) {
@@ -98,7 +98,7 @@
     private Optional<Future<Void>> apply(FaultCommand command) {
         Optional<Consumer<WorkerModel>> workerFault = command.workerFault();
         if (workerFault.isPresent()) {
-            return forEachServer(command, server -> workerFault.get().accept(server.engine()));
+            return forEachServer(command, server -> workerFault.get().accept(server.worker()));
         }
         Optional<Consumer<ModelStore>> modelStoreFault = command.modelStoreFault();
         if (modelStoreFault.isPresent()) {
@@ -107,7 +107,7 @@
         }
         Optional<Consumer<EndpointRegistry>> registryFault = command.registryFault();
         if (registryFault.isPresent()) {
-            registryFault.get().accept(fleet.roll());
+            registryFault.get().accept(fleet.registry());
             return done();
         }
         return switch (command.type()) {
@@ -119,7 +119,7 @@
             case KILL -> untilAllDone(command, fleet::kill);
             case RESTART -> untilAllDone(command, fleet::restart);
             case DISCOVERY_RESET -> {
-                fleet.list().cut();
+                fleet.discoveryServer().resetWatches();
                 yield done();
             }
             default -> Optional.empty();
@@ -141,7 +141,7 @@
     }
 
     private Optional<Future<Void>> forEachServer(FaultCommand command, Consumer<WorkerServer> action) {
-        return forEachId(command, id -> action.accept(fleet.engine(id)));
+        return forEachId(command, id -> action.accept(fleet.server(id)));
     }
 
     private static Optional<Future<Void>> forEachId(FaultCommand command, Consumer<String> action) {
--- a/emulator/src/main/java/pearladder/emulator/net/Fleet.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Fleet.java
@@ -15,7 +15,7 @@
 import pearladder.emulator.Observation;
 import pearladder.emulator.WorkerFactory;
 import pearladder.kserve.DiscoveryMessage.Entry;
-import pearladder.kserve.DiscoveryMessage.Standing;
+import pearladder.kserve.DiscoveryMessage.WorkerState;
 
 /**
  * All emulated workers of a plan with their model store and discovery service, on loopback ports given by the
@@ -38,7 +38,7 @@
     private final DiscoveryServer discoveryServer;
     private final FaultProxy faultProxy;
     private final Map<String, WorkerServer> servers = new LinkedHashMap<>();
-    private final Map<String, FleetPlan.Planned> plannedWorkers = new LinkedHashMap<>();
+    private final Map<String, FleetPlan.PlannedWorker> plannedWorkers = new LinkedHashMap<>();
 
     private Fleet(Vertx vertx, FleetPlan plan, Consumer<Observation> observations) {
         this.vertx = vertx;
@@ -46,8 +46,8 @@
         this.time = new VertxTimeline(vertx);
         this.modelStore = new ModelStore(time, plan.modelStoreCapacity(), plan.modelStoreFetchLimit());
         this.workerFactory = new WorkerFactory(time, plan, modelStore, observations);
-        this.registry = new EndpointRegistry(time, plan.lagNanos(), observations);
-        this.faultProxy = plan.cables() ? new FaultProxy() : null;
+        this.registry = new EndpointRegistry(time, plan.discoveryLagNanos(), observations);
+        this.faultProxy = plan.usesFaultProxy() ? new FaultProxy() : null;
         this.discoveryServer = new DiscoveryServer(vertx, registry, this::addressedFor);
     }
 
@@ -66,11 +66,11 @@
     private Future<Void> startAll(FleetPlan plan, int discoveryPort) {
         registry.setLag(0);
         Future<Void> all = discoveryServer.listen(discoveryPort);
-        for (FleetPlan.Planned worker : plan.engines()) {
+        for (FleetPlan.PlannedWorker worker : plan.workers()) {
             all = all.compose(done -> add(worker, false));
         }
         return all.onSuccess(
-                done -> vertx.setTimer(START_WITHOUT_LAG_MILLIS, fired -> registry.setLag(plan.lagNanos())));
+                done -> vertx.setTimer(START_WITHOUT_LAG_MILLIS, fired -> registry.setLag(plan.discoveryLagNanos())));
     }
 
     /** Runs a task on the fleet's event loop and waits for its result. */
@@ -87,17 +87,17 @@
     }
 
     /** The port of the discovery service. */
-    public int listPort() {
+    public int discoveryPort() {
         return discoveryServer.port();
     }
 
     /** The discovery service. */
-    public DiscoveryServer list() {
+    public DiscoveryServer discoveryServer() {
         return discoveryServer;
     }
 
     /** What the discovery service knows. */
-    public EndpointRegistry roll() {
+    public EndpointRegistry registry() {
         return registry;
     }
 
@@ -112,32 +112,32 @@
     }
 
     /** The ids of all workers, those that are down included. */
-    public List<String> ids() {
+    public List<String> workerIds() {
         return List.copyOf(servers.keySet());
     }
 
     /** The worker of this id. */
-    public WorkerServer engine(String id) {
+    public WorkerServer server(String id) {
         return servers.get(id);
     }
 
     /** The hall where a worker stands. */
-    public String hall(String id) {
+    public String hallOf(String id) {
         return plannedWorkers.get(id).hall();
     }
 
-    private Future<Void> add(FleetPlan.Planned worker, boolean coldStart) {
+    private Future<Void> add(FleetPlan.PlannedWorker worker, boolean coldStart) {
         String id = worker.id();
         WorkerServer server = new WorkerServer(vertx, workerFactory.create(worker, coldStart), () -> kill(id));
         servers.put(id, server);
         plannedWorkers.put(id, worker);
         return server.listen()
                 .onSuccess(done ->
-                        announce(id, Standing.IN_SERVICE, coldStart ? System.currentTimeMillis() : STARTED_BEFORE));
+                        announce(id, WorkerState.IN_SERVICE, coldStart ? System.currentTimeMillis() : STARTED_BEFORE));
     }
 
-    private void announce(String id, Standing state, long startedMillis) {
-        FleetPlan.Planned worker = plannedWorkers.get(id);
+    private void announce(String id, WorkerState state, long startedMillis) {
+        FleetPlan.PlannedWorker worker = plannedWorkers.get(id);
         registry.change(new Entry(
                 id,
                 LOOPBACK,
@@ -151,8 +151,8 @@
 
     /** A worker announces that it drains: it takes nothing new and finishes what it holds. */
     public void drain(String id) {
-        servers.get(id).engine().drain();
-        announce(id, Standing.DRAINING, 0);
+        servers.get(id).worker().drain();
+        announce(id, WorkerState.DRAINING, 0);
     }
 
     /** A worker's process dies; the registry learns of it after its lag. */
@@ -161,38 +161,38 @@
         if (faultProxy != null) {
             faultProxy.setDown(id, true);
         }
-        announce(id, Standing.GONE, 0);
+        announce(id, WorkerState.GONE, 0);
         return closed;
     }
 
     /** A worker's entry with the address by which a router reaches it. */
     private Entry addressedFor(String router, Entry entry) {
-        if (faultProxy == null || entry.standing() == Standing.GONE) {
+        if (faultProxy == null || entry.state() == WorkerState.GONE) {
             return entry;
         }
         return new Entry(
-                entry.engine(),
+                entry.worker(),
                 entry.host(),
-                faultProxy.port(router, entry.engine(), entry.port()),
-                entry.hall(),
+                faultProxy.port(router, entry.worker(), entry.port()),
+                entry.zone(),
                 entry.kind(),
                 entry.cell(),
-                entry.standing(),
+                entry.state(),
                 entry.startedMillis());
     }
 
     /** A dead worker starts again on its port, empty and cold; does nothing where it runs. */
     public Future<Void> restart(String id) {
         WorkerServer server = servers.get(id);
-        if (server.engine().isUp()) {
+        if (server.worker().isUp()) {
             return Future.succeededFuture();
         }
-        server.engine().restart();
+        server.worker().restart();
         return server.listen().onSuccess(done -> {
             if (faultProxy != null) {
                 faultProxy.setDown(id, false);
             }
-            announce(id, Standing.IN_SERVICE, System.currentTimeMillis());
+            announce(id, WorkerState.IN_SERVICE, System.currentTimeMillis());
         });
     }
 
@@ -200,7 +200,7 @@
     public Future<Void> replace(String id, long drainNanos) {
         drain(id);
         Promise<Void> replaced = Promise.promise();
-        FleetPlan.Planned old = plannedWorkers.get(id);
+        FleetPlan.PlannedWorker old = plannedWorkers.get(id);
         time.after(drainNanos, () -> kill(id).onComplete(
                         dead -> add(workerFactory.successorOf(old), true).onComplete(replaced)));
         return replaced.future();
@@ -211,7 +211,7 @@
         call(() -> {
             List<Future<Void>> closed = new ArrayList<>();
             servers.values().forEach(server -> closed.add(server.crash()));
-            discoveryServer.cut();
+            discoveryServer.resetWatches();
             if (faultProxy != null) {
                 faultProxy.close();
             }
--- a/emulator/src/main/java/pearladder/emulator/net/VertxTimeline.java
+++ b/emulator/src/main/java/pearladder/emulator/net/VertxTimeline.java
@@ -21,7 +21,7 @@
     }
 
     @Override
-    public Planned at(long nanos, Runnable task) {
+    public ScheduledTask at(long nanos, Runnable task) {
         long roundedMillis = (nanos - now() + NANOS_PER_MILLI / 2) / NANOS_PER_MILLI;
         long timer = vertx.setTimer(Math.max(SHORTEST_TIMER_MILLIS, roundedMillis), fired -> task.run());
         return () -> vertx.cancelTimer(timer);
--- a/emulator/src/main/java/pearladder/emulator/net/WorkerServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/WorkerServer.java
@@ -43,7 +43,7 @@
     }
 
     /** The worker behind the port. */
-    public WorkerModel engine() {
+    public WorkerModel worker() {
         return worker;
     }
 
@@ -101,7 +101,7 @@
             }
             case INDEX -> response.putHeader(CONTENT_TYPE, JSON_TYPE).end(JsonBodies.index(index()));
             case LIVE, READY -> response.putHeader(
-                            Headers.REPORT, worker.report().text())
+                            Headers.LOAD_REPORT, worker.report().text())
                     .end();
             default -> response.setStatusCode(404).end(JsonBodies.error("not served by this worker"));
         }
@@ -111,9 +111,9 @@
         return !hanging && worker.isUp();
     }
 
-    private List<JsonBodies.Indexed> index() {
+    private List<JsonBodies.IndexedModel> index() {
         return worker.index().stream()
-                .map(instance -> new JsonBodies.Indexed(instance.model(), instance.ready() ? "READY" : "LOADING"))
+                .map(instance -> new JsonBodies.IndexedModel(instance.model(), instance.ready() ? "READY" : "LOADING"))
                 .toList();
     }
 
@@ -123,10 +123,10 @@
         }
         WorkerRequest workerRequest = new WorkerRequest(
                 header(request, Headers.ROUTER),
-                header(request, Headers.CALL),
-                numberOrZero(header(request, Headers.LEG)),
+                header(request, Headers.REQUEST_ID),
+                numberOrZero(header(request, Headers.ATTEMPT)),
                 Route.function(route.model(), route.version()),
-                header(request, Headers.MARK),
+                header(request, Headers.IDEMPOTENCY_KEY),
                 InferenceBody.workNanos(body));
         HttpServerResponse response = request.response();
         PendingRequest pending = worker.submit(workerRequest, reply -> respond(response, route, reply, body.length()));
@@ -156,11 +156,11 @@
             return;
         }
         response.putHeader(CONTENT_TYPE, JSON_TYPE);
-        response.putHeader(Headers.REPORT, reply.report().text());
-        response.putHeader(Headers.CROWD, Integer.toString(reply.concurrentRequests()));
+        response.putHeader(Headers.LOAD_REPORT, reply.report().text());
+        response.putHeader(Headers.CONCURRENT_REQUESTS, Integer.toString(reply.concurrentRequests()));
         if (reply.instanceState() != null) {
             String state = reply.instanceState().name().toLowerCase(Locale.ROOT).replace('_', '-');
-            response.putHeader(Headers.COPY, state);
+            response.putHeader(Headers.INSTANCE_STATUS, state);
         }
         String model = route.model() + (misnaming ? "-other" : "");
         switch (reply.outcome()) {
@@ -173,13 +173,13 @@
 
     /** @param reason for which the request never ran, in the words of its header */
     private static void reject(HttpServerResponse response, int status, String reason, String message) {
-        response.setStatusCode(status).putHeader(Headers.NEVER_RAN, reason).end(JsonBodies.error(message));
+        response.setStatusCode(status).putHeader(Headers.NOT_EXECUTED, reason).end(JsonBodies.error(message));
     }
 
     private void load(HttpServerRequest request, Route route, Buffer body) {
         int instances;
         try {
-            instances = JsonBodies.copies(body.toString());
+            instances = JsonBodies.requestedInstances(body.toString());
         } catch (IOException e) {
             request.response().setStatusCode(400).end(JsonBodies.error("the body is not JSON"));
             return;
@@ -195,7 +195,7 @@
         if (isOver(response)) {
             return;
         }
-        response.putHeader(Headers.COPIES, Integer.toString(reply.readyInstances()));
+        response.putHeader(Headers.INSTANCES, Integer.toString(reply.readyInstances()));
         switch (reply.outcome()) {
             case OK -> response.end("{}");
             case FULL -> response.setStatusCode(503).end(JsonBodies.error("no room for all"));
--- a/emulator/src/test/java/pearladder/emulator/ModelStoreTest.java
+++ b/emulator/src/test/java/pearladder/emulator/ModelStoreTest.java
@@ -20,16 +20,16 @@
         }
         List<Boolean> rejected = new ArrayList<>();
         modelStore.fetch(100 * MS, rejected::add);
-        time.runTo(199 * MS);
+        time.advanceTo(199 * MS);
         assertEquals(List.of(false), rejected);
         assertEquals(0, endedAt.size());
-        time.runTo(201 * MS);
+        time.advanceTo(201 * MS);
         assertEquals(4, endedAt.size());
         modelStore.setSlowdown(5);
         modelStore.fetch(100 * MS, ok -> endedAt.add(time.now()));
-        time.runTo(690 * MS);
+        time.advanceTo(690 * MS);
         assertEquals(4, endedAt.size());
-        time.runTo(702 * MS);
+        time.advanceTo(702 * MS);
         assertEquals(5, endedAt.size());
     }
 }
--- a/emulator/src/test/java/pearladder/emulator/WorkerModelQueueingTest.java
+++ b/emulator/src/test/java/pearladder/emulator/WorkerModelQueueingTest.java
@@ -37,13 +37,13 @@
     private double run(double load, int requests) {
         WorkerModel worker = worker();
         worker.loadInstances("r", "m", 1, reply -> {});
-        time.runTo(10_000_000_000L);
+        time.advanceTo(10_000_000_000L);
         countedUntil = time.now();
         double requestsPerSecond = load * CORES / MEAN_WORK_SECONDS;
         scheduleArrivals(worker, requestsPerSecond, requests);
         long startedAt = time.now();
         while (latencySeconds.size() < requests) {
-            time.runTo(time.now() + 1_000_000_000L);
+            time.advanceTo(time.now() + 1_000_000_000L);
         }
         count(0);
         assertEquals(0, worker.heldRequests(), "what came in went out");
--- a/emulator/src/test/java/pearladder/emulator/WorkerModelRandomizedTest.java
+++ b/emulator/src/test/java/pearladder/emulator/WorkerModelRandomizedTest.java
@@ -28,7 +28,7 @@
             int[] replies = new int[STEPS];
             List<PendingRequest> pending = new ArrayList<>();
             for (int step = 0; step < STEPS; step++) {
-                time.runTo(time.now() + random.nextLong(120 * MS));
+                time.advanceTo(time.now() + random.nextLong(120 * MS));
                 int number = step;
                 if (!injectFault(worker, pending, random)) {
                     PendingRequest one = worker.submit(
@@ -43,7 +43,7 @@
             }
             fixture.modelStore.setRejectingAll(false);
             worker.setSlowdown(1);
-            time.runTo(time.now() + 60_000 * MS);
+            time.advanceTo(time.now() + 60_000 * MS);
             assertEquals(0, worker.heldRequests(), "nothing is held for ever, seed " + seed);
             for (int count : replies) {
                 assertTrue(count <= 1, "a reply came twice, seed " + seed);
@@ -88,7 +88,7 @@
             int[] ended = {0};
             int submitted = 0;
             for (int step = 0; step < 2000; step++) {
-                clock.runTo(clock.now() + random.nextInt(8_000_000));
+                clock.advanceTo(clock.now() + random.nextInt(8_000_000));
                 String model = "m" + random.nextInt(14);
                 switch (random.nextInt(12)) {
                     case 0 -> worker.loadInstances("r", model, 1 + random.nextInt(2), reply -> {});
@@ -102,7 +102,7 @@
                 }
                 assertTrue(worker.usedMemoryMb() <= kind.memoryMb() + 1e-6, "seed " + seed + " step " + step);
             }
-            clock.runTo(clock.now() + 100_000_000_000L);
+            clock.advanceTo(clock.now() + 100_000_000_000L);
             assertEquals(submitted, ended[0], "seed " + seed);
         }
     }
--- a/emulator/src/test/java/pearladder/emulator/WorkerModelTest.java
+++ b/emulator/src/test/java/pearladder/emulator/WorkerModelTest.java
@@ -22,7 +22,7 @@
 
     private long observed(String event) {
         return observations.stream()
-                .filter(observation -> observation.what().equals(event))
+                .filter(observation -> observation.event().equals(event))
                 .count();
     }
 
@@ -31,14 +31,14 @@
         WorkerModel worker = fixture.worker(10, true, false);
         worker.submit(request("c1", "m1", ""), replies::add);
         worker.submit(request("c2", "m1", ""), replies::add);
-        time.runTo(799 * MS);
+        time.advanceTo(799 * MS);
         assertEquals(0, replies.size());
-        time.runTo(830 * MS);
+        time.advanceTo(830 * MS);
         assertEquals(
                 List.of(InstanceState.LOAD_BEGUN, InstanceState.LOAD_JOINED),
                 replies.stream().map(WorkerReply::instanceState).toList());
         worker.submit(request("c3", "m1", ""), replies::add);
-        time.runTo(851 * MS);
+        time.advanceTo(851 * MS);
         assertEquals(InstanceState.STOOD, replies.get(2).instanceState());
     }
 
@@ -46,14 +46,14 @@
     void runningRequestsShareTheCores() {
         WorkerModel worker = fixture.worker(10, true, false);
         worker.loadInstances("r", "m1", 2, reply -> {});
-        time.runTo(2000 * MS);
+        time.advanceTo(2000 * MS);
         List<Long> endedAt = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             worker.submit(request("c" + i, "m1", ""), reply -> endedAt.add(time.now()));
         }
-        time.runTo(2039 * MS);
+        time.advanceTo(2039 * MS);
         assertEquals(0, endedAt.size(), "four requests of 20 ms on two cores take 40 ms");
-        time.runTo(2041 * MS);
+        time.advanceTo(2041 * MS);
         assertEquals(4, endedAt.size());
     }
 
@@ -62,10 +62,10 @@
         WorkerModel worker = fixture.worker(10, true, false);
         fixture.modelStore.setRejectingAll(true);
         worker.submit(request("c1", "m1", ""), replies::add);
-        time.runTo(10 * MS);
+        time.advanceTo(10 * MS);
         assertEquals(WorkerOutcome.ABSENT, replies.get(0).outcome());
         assertEquals(InstanceState.LOAD_FAILED, replies.get(0).instanceState());
-        assertTrue(observations.stream().noneMatch(one -> one.what().equals(Observation.RAN)));
+        assertTrue(observations.stream().noneMatch(one -> one.event().equals(Observation.RAN)));
     }
 
     @Test
@@ -77,7 +77,7 @@
         worker.drain();
         worker.submit(request("c3", "m2", ""), replies::add);
         assertEquals(WorkerOutcome.FULL, replies.get(1).outcome());
-        time.runTo(900 * MS);
+        time.advanceTo(900 * MS);
         assertEquals(WorkerOutcome.OK, replies.get(2).outcome(), "what it held it finishes");
     }
 
@@ -87,18 +87,18 @@
         WorkerModel two = fixture.worker(10, true, false);
         one.submit(request("c1", "m1", "k"), replies::add);
         two.submit(request("c1", "m1", "k"), replies::add);
-        time.runTo(2000 * MS);
+        time.advanceTo(2000 * MS);
         one.submit(request("c1", "m1", "k"), replies::add);
-        time.runTo(3000 * MS);
+        time.advanceTo(3000 * MS);
         assertEquals(
                 3,
                 replies.stream()
                         .filter(reply -> reply.outcome() == WorkerOutcome.OK)
                         .count());
         assertEquals(1, observed(Observation.RAN));
-        time.runTo(12_000 * MS);
+        time.advanceTo(12_000 * MS);
         one.submit(request("c1", "m1", "k"), replies::add);
-        time.runTo(14_000 * MS);
+        time.advanceTo(14_000 * MS);
         assertEquals(2, observed(Observation.RAN), "it is remembered for 8 s");
     }
 
@@ -107,26 +107,26 @@
         WorkerModel warm = fixture.worker(500, true, false);
         WorkerModel cold = fixture.coldWorker(500);
         for (int i = 0; i < 80; i++) {
-            time.runTo(time.now() + 10 * MS);
+            time.advanceTo(time.now() + 10 * MS);
             warm.submit(request("w" + i, "m1", ""), reply -> {});
             cold.submit(request("c" + i, "m1", ""), reply -> {});
         }
         assertTrue(warm.isUp());
         assertFalse(cold.isUp(), "1.6 s of work within a second at a quarter of two cores");
-        assertEquals(1, observed(Observation.FELL));
+        assertEquals(1, observed(Observation.CRASHED_FROM_OVERLOAD));
     }
 
     @Test
     void newReleaseVoidsInstancesAndImages() {
         WorkerModel worker = fixture.worker(10, true, true);
         worker.loadInstances("r", "m1", 1, replies::add);
-        time.runTo(900 * MS);
+        time.advanceTo(900 * MS);
         worker.invalidateModels("m*");
-        assertEquals(0, worker.standing("m1"));
+        assertEquals(0, worker.readyInstances("m1"));
         worker.submit(request("c1", "m1", ""), replies::add);
-        time.runTo(1650 * MS);
+        time.advanceTo(1650 * MS);
         assertEquals(1, replies.size(), "the image is void too, so the fetch comes again");
-        time.runTo(1800 * MS);
+        time.advanceTo(1800 * MS);
         assertEquals(InstanceState.LOAD_BEGUN, replies.get(1).instanceState());
     }
 
@@ -134,11 +134,11 @@
     void idleInstanceIsUnloadedAfterItsTimeoutWhichALoadRequestRenews() {
         WorkerModel worker = fixture.worker(10, true, false);
         worker.loadInstances("r", "m1", 1, reply -> {});
-        time.runTo(5000 * MS);
+        time.advanceTo(5000 * MS);
         worker.loadInstances("r", "m1", 1, reply -> {});
-        time.runTo(9000 * MS);
-        assertEquals(1, worker.standing("m1"));
-        time.runTo(10_100 * MS);
-        assertEquals(0, worker.standing("m1"));
+        time.advanceTo(9000 * MS);
+        assertEquals(1, worker.readyInstances("m1"));
+        time.advanceTo(10_100 * MS);
+        assertEquals(0, worker.readyInstances("m1"));
     }
 }
--- a/eventlog/src/main/java/pearladder/eventlog/EventLog.java
+++ b/eventlog/src/main/java/pearladder/eventlog/EventLog.java
@@ -126,12 +126,12 @@
     }
 
     /** The number that the next entry gets. */
-    public long next() {
+    public long nextNumber() {
         return next;
     }
 
     /** Whether the newest segment was readable when the log was opened; otherwise the last entries are lost. */
-    public boolean whole() {
+    public boolean isComplete() {
         return complete;
     }
 
@@ -174,7 +174,7 @@
         long allBytes = segments.stream().mapToLong(LogSegment::bytes).sum();
         int deleted = 0;
         while (deleted < segments.size() - MIN_SEGMENTS
-                && (allBytes > retention.allBytes() || ages[deleted] > retention.allMillis())) {
+                && (allBytes > retention.maxBytes() || ages[deleted] > retention.maxAgeMillis())) {
             Path oldest = segments.get(deleted);
             allBytes -= LogSegment.bytes(oldest);
             LogSegment.delete(oldest);
@@ -211,7 +211,7 @@
      * @param maxFiles rewritten by this call
      */
     public Compacted compact(int maxFiles) throws IOException {
-        long detailsBefore = newest.until() - retention.detailMillis();
+        long detailsBefore = newest.until() - retention.maxDetailAgeMillis();
         int files = 0;
         long bytesBefore = 0;
         long bytesAfter = 0;
@@ -248,7 +248,7 @@
             return 0;
         }
         return LogBatch.decode(batch.bytes()).stream()
-                .filter(row -> row.entry().kind().detail())
+                .filter(row -> row.entry().type().isDetail())
                 .count();
     }
 
@@ -276,7 +276,7 @@
         long until = rows.isEmpty()
                 ? detailsBefore
                 : rows.get(rows.size() - 1).entry().at();
-        rows.removeIf(row -> row.entry().kind().detail() && row.entry().at() < detailsBefore);
+        rows.removeIf(row -> row.entry().type().isDetail() && row.entry().at() < detailsBefore);
         byte[] bytes = LogBatch.encode(rows);
         target.put(new LogSegment.Stored(batch.first(), batch.count(), LogBatch.sum(bytes), bytes), until);
     }
--- a/eventlog/src/main/java/pearladder/eventlog/EventLogReader.java
+++ b/eventlog/src/main/java/pearladder/eventlog/EventLogReader.java
@@ -11,9 +11,9 @@
 /** Reads the event log of a directory, beside its writer or alone. */
 public final class EventLogReader {
     /** Gets entries in the order in which they were written. */
-    public interface Taker {
+    public interface EntryConsumer {
         /** @param number of the entry, from 1 */
-        void take(long number, LogEntry entry) throws IOException;
+        void accept(long number, LogEntry entry) throws IOException;
     }
 
     /**
@@ -41,7 +41,7 @@
     }
 
     /** Whether a directory holds no log. */
-    public static boolean empty(Path directory) throws IOException {
+    public static boolean isEmpty(Path directory) throws IOException {
         return segments(directory).isEmpty();
     }
 
@@ -65,7 +65,7 @@
      *
      * @throws IOException where a segment was written by a newer version, or the taker fails
      */
-    public void read(long from, Taker taker) throws IOException {
+    public void read(long from, EntryConsumer taker) throws IOException {
         List<Path> segments = segments(directory);
         for (int i = 0; i < segments.size(); i++) {
             boolean endsBefore = i + 1 < segments.size() && LogSegment.first(segments.get(i + 1)) <= from;
@@ -75,7 +75,7 @@
         }
     }
 
-    private static void readSegment(Path file, long from, Taker taker) throws IOException {
+    private static void readSegment(Path file, long from, EntryConsumer taker) throws IOException {
         LogSegment segment;
         try {
             segment = LogSegment.read(file);
@@ -89,13 +89,13 @@
         }
     }
 
-    private static void readBatch(LogSegment.Stored batch, long from, Taker taker) throws IOException {
+    private static void readBatch(LogSegment.Stored batch, long from, EntryConsumer taker) throws IOException {
         boolean endsBefore = batch.first() + batch.count() <= from;
         if (endsBefore || !batch.damage().isEmpty()) {
             return;
         }
         for (LogBatch.Row row : LogBatch.decode(batch.bytes())) {
-            taker.take(batch.first() + row.place(), row.entry());
+            taker.accept(batch.first() + row.place(), row.entry());
         }
     }
 
@@ -105,10 +105,11 @@
      * @param fromMillis wall clock, milliseconds since 1970
      * @param toMillis the first moment after the period
      */
-    public void find(long fromMillis, long toMillis, Predicate<LogEntry> wanted, Taker taker) throws IOException {
+    public void find(long fromMillis, long toMillis, Predicate<LogEntry> wanted, EntryConsumer taker)
+            throws IOException {
         read(0, (number, entry) -> {
             if (entry.at() >= fromMillis && entry.at() < toMillis && wanted.test(entry)) {
-                taker.take(number, entry);
+                taker.accept(number, entry);
             }
         });
     }
--- a/eventlog/src/main/java/pearladder/eventlog/LogBatch.java
+++ b/eventlog/src/main/java/pearladder/eventlog/LogBatch.java
@@ -59,14 +59,14 @@
         cbor.writeStartArray();
         cbor.writeNumber(row.place());
         cbor.writeNumber(entry.at());
-        cbor.writeNumber(entry.kind().number);
-        cbor.writeString(entry.call());
-        cbor.writeString(entry.model());
-        cbor.writeString(entry.account());
-        cbor.writeString(entry.engine());
+        cbor.writeNumber(entry.type().number);
+        cbor.writeString(entry.requestId());
+        cbor.writeString(entry.function());
+        cbor.writeString(entry.tenant());
+        cbor.writeString(entry.worker());
         cbor.writeString(entry.note());
         cbor.writeNumber(entry.amount());
-        cbor.writeNumber(entry.took());
+        cbor.writeNumber(entry.micros());
         cbor.writeEndArray();
     }
 
@@ -84,7 +84,7 @@
                 LogEntryType type = LogEntryType.of(cbor.nextIntValue(0));
                 LogEntry entry = readEntry(cbor, at, type == null ? LogEntryType.DROPPED : type);
                 expect(cbor.nextToken() == JsonToken.END_ARRAY);
-                decodedBytes += entry.call().length() + entry.note().length() + BYTES_PER_ENTRY;
+                decodedBytes += entry.requestId().length() + entry.note().length() + BYTES_PER_ENTRY;
                 expect(decodedBytes < MAX_DECODED_BYTES);
                 if (type != null) {
                     rows.add(new Row(place, entry));
--- a/eventlog/src/main/java/pearladder/eventlog/LogEntry.java
+++ b/eventlog/src/main/java/pearladder/eventlog/LogEntry.java
@@ -15,14 +15,14 @@
  */
 public record LogEntry(
         long at,
-        LogEntryType kind,
-        String call,
-        String model,
-        String account,
-        String engine,
+        LogEntryType type,
+        String requestId,
+        String function,
+        String tenant,
+        String worker,
         String note,
         long amount,
-        long took) {
+        long micros) {
     /** An entry that is not about a request. */
     public static LogEntry of(
             long at,
--- a/eventlog/src/main/java/pearladder/eventlog/LogEntryType.java
+++ b/eventlog/src/main/java/pearladder/eventlog/LogEntryType.java
@@ -53,7 +53,7 @@
     }
 
     /** Whether a router may leave it out while its disk is slow. */
-    public boolean detail() {
+    public boolean isDetail() {
         return detail;
     }
 
--- a/eventlog/src/main/java/pearladder/eventlog/RetentionSettings.java
+++ b/eventlog/src/main/java/pearladder/eventlog/RetentionSettings.java
@@ -10,10 +10,10 @@
  * @param detailMillis a compaction deletes details that are older
  */
 public record RetentionSettings(
-        long segmentBytes, long segmentMillis, long allBytes, long allMillis, long detailMillis) {
+        long segmentBytes, long segmentMillis, long maxBytes, long maxAgeMillis, long maxDetailAgeMillis) {
     private static final long DAY_MILLIS = 86_400_000L;
 
     /** Segments of a day or 64 MB, 2 GB and 100 days in all, details for a week. */
-    public static final RetentionSettings USUAL =
+    public static final RetentionSettings DEFAULTS =
             new RetentionSettings(64L << 20, DAY_MILLIS, 2L << 30, 100 * DAY_MILLIS, 7 * DAY_MILLIS);
 }
--- a/eventlog/src/main/java/pearladder/eventlog/metering/Metering.java
+++ b/eventlog/src/main/java/pearladder/eventlog/metering/Metering.java
@@ -19,12 +19,12 @@
 /** Computes memory-seconds from the event logs of any number of routers, merged by time. */
 public final class Metering {
     /** Shares are computed for each minute; milliseconds. */
-    public static final long INTERVAL = 60_000;
+    public static final long INTERVAL_MILLIS = 60_000;
     /**
      * Entries are accepted so much late, milliseconds: usage is logged after the fact, a load once it has ended,
      * and the clocks of routers differ.
      */
-    private static final long MAX_LATENESS = 3 * INTERVAL;
+    private static final long MAX_LATENESS = 3 * INTERVAL_MILLIS;
     /** For logs whose first entry does not tell the idle timeout. */
     private static final long DEFAULT_IDLE_TIMEOUT_MILLIS = 10_000;
     /** The note of a worker that is no longer listed. */
@@ -55,7 +55,7 @@
      * @param tooLate of them, which were left out
      * @param keptMillis for how long idle instances stay loaded
      */
-    public record Read(long entries, long tooLate, long keptMillis) {}
+    public record Read(long entries, long tooLate, long idleTimeoutMillis) {}
 
     private Metering() {}
 
@@ -79,7 +79,7 @@
 
     private static Read merge(List<Source> sources, Consumer<UsageShare> taker) throws IOException {
         long idleTimeout = idleTimeoutMillis(sources);
-        UsageAccounting accounting = new UsageAccounting(INTERVAL, idleTimeout, MAX_LATENESS);
+        UsageAccounting accounting = new UsageAccounting(INTERVAL_MILLIS, idleTimeout, MAX_LATENESS);
         PriorityQueue<Source> oldestFirst = new PriorityQueue<>(
                 Comparator.<Source>comparingLong(source -> source.head.at()).thenComparing(source -> source.router));
         sources.stream().filter(source -> source.head != null).forEach(oldestFirst::add);
@@ -99,14 +99,14 @@
                 oldestFirst.add(source);
             }
         }
-        accounting.end(newest + idleTimeout).forEach(taker);
-        return new Read(entries, accounting.tooLate(), idleTimeout);
+        accounting.finish(newest + idleTimeout).forEach(taker);
+        return new Read(entries, accounting.lateObservationCount(), idleTimeout);
     }
 
     /** The longest of those that the logs begin with. */
     private static long idleTimeoutMillis(List<Source> sources) {
         return sources.stream()
-                .filter(source -> source.head != null && source.head.kind() == LogEntryType.STARTED)
+                .filter(source -> source.head != null && source.head.type() == LogEntryType.STARTED)
                 .mapToLong(source -> source.head.amount())
                 .max()
                 .orElse(DEFAULT_IDLE_TIMEOUT_MILLIS);
@@ -116,17 +116,17 @@
     private static InstanceObservation observation(Source source, LogEntry entry) {
         long at = entry.at();
         String router = source.router;
-        return switch (entry.kind()) {
-            case MODEL -> new InstanceObservation.Memory(at, router, entry.model(), entry.amount());
-            case LOADING -> new InstanceObservation.Loading(
-                    at, router, entry.engine(), entry.model(), entry.account(), entry.took() / MICROS_PER_MILLI);
+        return switch (entry.type()) {
+            case MODEL -> new InstanceObservation.ModelMemoryKnown(at, router, entry.function(), entry.amount());
+            case LOADING -> new InstanceObservation.LoadStarted(
+                    at, router, entry.worker(), entry.function(), entry.tenant(), entry.micros() / MICROS_PER_MILLI);
             case LOADED -> entry.note().isEmpty()
                     ? null
-                    : new InstanceObservation.LoadFailed(at, router, entry.engine(), entry.model());
-            case COPIES -> new InstanceObservation.Copies(
-                    at, router, entry.engine(), entry.model(), (int) entry.amount());
-            case WORK -> new InstanceObservation.Worked(
-                    at, router, entry.engine(), entry.model(), entry.account(), entry.amount());
+                    : new InstanceObservation.LoadFailed(at, router, entry.worker(), entry.function());
+            case COPIES -> new InstanceObservation.InstancesReported(
+                    at, router, entry.worker(), entry.function(), (int) entry.amount());
+            case WORK -> new InstanceObservation.WorkReported(
+                    at, router, entry.worker(), entry.function(), entry.tenant(), entry.amount());
             case ENGINE -> workerGone(source, entry);
             default -> null;
         };
@@ -135,11 +135,11 @@
     /** A worker that is no longer listed, or is listed with another start, has no instances from then on. */
     private static InstanceObservation workerGone(Source source, LogEntry entry) {
         if (entry.note().equals(GONE)) {
-            source.workerStarts.remove(entry.engine());
-            return new InstanceObservation.Gone(entry.at(), source.router, entry.engine());
+            source.workerStarts.remove(entry.worker());
+            return new InstanceObservation.WorkerGone(entry.at(), source.router, entry.worker());
         }
-        Long previousStart = source.workerStarts.put(entry.engine(), entry.amount());
+        Long previousStart = source.workerStarts.put(entry.worker(), entry.amount());
         boolean restarted = previousStart != null && previousStart != entry.amount() && entry.amount() != 0;
-        return restarted ? new InstanceObservation.Gone(entry.amount(), source.router, entry.engine()) : null;
+        return restarted ? new InstanceObservation.WorkerGone(entry.amount(), source.router, entry.worker()) : null;
     }
 }
--- a/eventlog/src/test/java/pearladder/eventlog/EarlierVersionLogTest.java
+++ b/eventlog/src/test/java/pearladder/eventlog/EarlierVersionLogTest.java
@@ -47,14 +47,14 @@
                 "\t",
                 Long.toString(number),
                 Long.toString(entry.at()),
-                entry.kind().code(),
-                entry.call(),
-                entry.model(),
-                entry.account(),
-                entry.engine(),
+                entry.type().code(),
+                entry.requestId(),
+                entry.function(),
+                entry.tenant(),
+                entry.worker(),
                 entry.note(),
                 Long.toString(entry.amount()),
-                Long.toString(entry.took()));
+                Long.toString(entry.micros()));
     }
 
     @Test
@@ -75,8 +75,8 @@
     @Test
     void entriesAreAppendedToTheLog() throws IOException {
         LogEntry added = LogEntry.of(1, LogEntryType.STARTED, "", "", "", "r1", 0, 0);
-        try (EventLog log = EventLog.open(directory, RetentionSettings.USUAL, warning -> {})) {
-            assertEquals(125, log.next());
+        try (EventLog log = EventLog.open(directory, RetentionSettings.DEFAULTS, warning -> {})) {
+            assertEquals(125, log.nextNumber());
             log.append(List.of(added));
         }
         List<LogEntry> entries = new ArrayList<>();
--- a/eventlog/src/test/java/pearladder/eventlog/RecordsTest.java
+++ b/eventlog/src/test/java/pearladder/eventlog/RecordsTest.java
@@ -109,7 +109,7 @@
                     assertTrue(
                             found.equals(kept) || found.equals(both),
                             "round " + round + ": " + found.size() + " entries of " + kept.size() + " acknowledged");
-                    assertEquals(found.size() + 1, again.next());
+                    assertEquals(found.size() + 1, again.nextNumber());
                     again.append(List.of(ended(5000, 1)));
                     assertEquals(found.size() + 1, all(after).size());
                 }
@@ -164,16 +164,16 @@
             assertTrue(done.details() > 0);
             List<LogEntry> after = all(folder);
             assertEquals(
-                    before.stream().filter(entry -> !entry.kind().detail()).toList(),
-                    after.stream().filter(entry -> !entry.kind().detail()).toList());
-            assertTrue(after.stream().anyMatch(entry -> entry.kind().detail()), "young details stay");
+                    before.stream().filter(entry -> !entry.type().isDetail()).toList(),
+                    after.stream().filter(entry -> !entry.type().isDetail()).toList());
+            assertTrue(after.stream().anyMatch(entry -> entry.type().isDetail()), "young details stay");
             assertEquals(20 - done.details(), after.size());
             List<Long> numbers = new ArrayList<>();
             new EventLogReader(folder).read(0, (number, entry) -> {
                 numbers.add(number);
                 assertEquals(
                         number % 2 == 1 ? LogEntryType.ENDED : LogEntryType.LEG,
-                        entry.kind(),
+                        entry.type(),
                         "a number outlives the compaction");
             });
             assertEquals(20, numbers.get(numbers.size() - 1));
@@ -181,7 +181,7 @@
         }
         Files.write(folder.resolve("records-0000000000000001.new"), new byte[100]);
         try (EventLog records = open(keeping)) {
-            assertEquals(21, records.next());
+            assertEquals(21, records.nextNumber());
         }
         assertEquals(List.of(), EventLogReader.files(folder, ".*\\.new"));
         assertEquals(List.of(), new EventLogReader(folder).verify().damage());
@@ -218,7 +218,7 @@
 
     @Test
     void aDamagedBatchIsNamedAndTheOthersAreRead() throws Exception {
-        try (EventLog records = open(RetentionSettings.USUAL)) {
+        try (EventLog records = open(RetentionSettings.DEFAULTS)) {
             for (int i = 0; i < 5; i++) {
                 records.append(List.of(ended(i, i), ended(i, i)));
             }
--- a/eventlog/src/test/java/pearladder/eventlog/metering/MeteringTest.java
+++ b/eventlog/src/test/java/pearladder/eventlog/metering/MeteringTest.java
@@ -25,7 +25,7 @@
 
     private Path router(String name, LogEntry... entries) throws IOException {
         Path records = folder.resolve(name);
-        try (EventLog kept = EventLog.open(records, RetentionSettings.USUAL, text -> {})) {
+        try (EventLog kept = EventLog.open(records, RetentionSettings.DEFAULTS, text -> {})) {
             kept.append(List.of(entry(0, LogEntryType.STARTED, "", "", "", name, 10_000)));
             for (LogEntry entry : entries) {
                 kept.append(List.of(entry));
@@ -43,7 +43,7 @@
         Map<String, Long> sums = new TreeMap<>();
         assertEquals(
                 0,
-                Metering.read(folders, share -> sums.merge(share.account(), share.amount(), Long::sum))
+                Metering.read(folders, share -> sums.merge(share.tenant(), share.megabyteMillis(), Long::sum))
                         .tooLate());
         sums.values().removeIf(amount -> amount == 0);
         return sums;
@@ -102,8 +102,8 @@
         assertEquals(
                 100L * 15_000,
                 shares.stream()
-                        .filter(share -> share.from() < NOON + 700_000)
-                        .mapToLong(UsageShare::amount)
+                        .filter(share -> share.intervalStartMillis() < NOON + 700_000)
+                        .mapToLong(UsageShare::megabyteMillis)
                         .sum());
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/AdminServer.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/AdminServer.java
@@ -72,7 +72,7 @@
 
     /** The newest target of each model, or none where the other router's checksum is the same. */
     private String newest(String checksum) {
-        String ownChecksum = rolloutManager.sum();
+        String ownChecksum = rolloutManager.checksum();
         ObjectNode response =
                 JSON.createObjectNode().put("router", config.name()).put("sum", ownChecksum);
         ArrayNode targets = response.putArray("targets");
@@ -85,7 +85,7 @@
     private String status() {
         ObjectNode response = JSON.createObjectNode().put("router", config.name());
         ArrayNode peers = response.putArray("others");
-        config.others().forEach(peer -> peers.add(peer.host() + ":" + peer.port()));
+        config.peers().forEach(peer -> peers.add(peer.host() + ":" + peer.port()));
         ArrayNode targets = response.putArray("targets");
         rolloutManager.targets().forEach(target -> targets.add(JSON.valueToTree(target)));
         ArrayNode lines = response.putArray("status");
@@ -116,7 +116,7 @@
                             + "a step, an epoch and who orders it were expected"));
             return;
         }
-        rolloutManager.order(targets, answers -> respond(request, answers));
+        rolloutManager.setTargets(targets, answers -> respond(request, answers));
     }
 
     /** One target or a list of them; none where the body is too long. */
--- a/kserve-router/src/main/java/pearladder/router/kserve/AsyncRolloutJournal.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/AsyncRolloutJournal.java
@@ -27,17 +27,17 @@
     }
 
     @Override
-    public List<RolloutTarget> orders() {
+    public List<RolloutTarget> targets() {
         return journal.targets();
     }
 
     @Override
-    public List<RolloutProgress> reached() {
+    public List<RolloutProgress> progress() {
         return journal.progress();
     }
 
     @Override
-    public void keep(List<RolloutTarget> targets, Consumer<String> failure) {
+    public void write(List<RolloutTarget> targets, Consumer<String> failure) {
         write(
                 () -> {
                     List<RolloutTarget> written = journal.targets();
@@ -49,7 +49,7 @@
     }
 
     @Override
-    public void keep(RolloutProgress progress, Consumer<String> failure) {
+    public void write(RolloutProgress progress, Consumer<String> failure) {
         write(() -> journal.append(progress), failure);
     }
 
--- a/kserve-router/src/main/java/pearladder/router/kserve/BackgroundWork.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/BackgroundWork.java
@@ -62,20 +62,20 @@
         String id = jobClass + "-" + ++jobCount;
         Promise<Void> completion = Promise.promise();
         jobs.put(id, new Job(task, completion));
-        handle(new JobEvent.Asked(id, jobClass, tenant, cost, startBy));
+        handle(new JobEvent.JobSubmitted(id, jobClass, tenant, cost, startBy));
         return completion.future();
     }
 
     /** Reports how late the event loop is. */
     void onEventLoopLag(TimeSpan lag) {
-        handle(new JobEvent.Strained(lag));
+        handle(new JobEvent.LoopLagMeasured(lag));
     }
 
     /** Starts no new jobs but those that a stop requires; completed once no job is left. */
     Future<Void> stop() {
         if (stopCompletion == null) {
             stopCompletion = Promise.promise();
-            handle(new JobEvent.Stopping());
+            handle(new JobEvent.ShutdownBegun());
             completeStopIfIdle();
         }
         return stopCompletion.future();
@@ -96,12 +96,12 @@
     }
 
     private void execute(JobAction action) {
-        if (action instanceof JobAction.Begin begin) {
+        if (action instanceof JobAction.StartJob begin) {
             begin(begin.id());
-        } else if (action instanceof JobAction.GiveUp giveUp) {
-            giveUp(giveUp.id(), giveUp.why());
-        } else if (action instanceof JobAction.Wake wake) {
-            timers.after(wake.after(), () -> handle(new JobEvent.Due()));
+        } else if (action instanceof JobAction.DropJob giveUp) {
+            giveUp(giveUp.id(), giveUp.reason());
+        } else if (action instanceof JobAction.ScheduleTick wake) {
+            timers.after(wake.delay(), () -> handle(new JobEvent.Tick()));
         } else if (action instanceof JobAction.Log log) {
             LOG.info(log.text());
         }
@@ -135,7 +135,7 @@
         jobs.remove(id);
         // first the completion: it may submit the next job at once, and a stop must wait for that one too
         job.completion().complete();
-        handle(new JobEvent.Ended(id, true, cost));
+        handle(new JobEvent.JobEnded(id, true, cost));
     }
 
     private void onFailure(String id, Throwable failure) {
@@ -143,6 +143,6 @@
                 .addKeyValue("work", id)
                 .addKeyValue("cause", String.valueOf(failure.getMessage()))
                 .log("failed");
-        handle(new JobEvent.Ended(id, false, ResourceCost.NONE));
+        handle(new JobEvent.JobEnded(id, false, ResourceCost.NONE));
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/EndpointList.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EndpointList.java
@@ -7,7 +7,7 @@
 import java.util.function.Consumer;
 import pearladder.kserve.DiscoveryMessage;
 import pearladder.kserve.DiscoveryMessage.Entry;
-import pearladder.kserve.DiscoveryMessage.Standing;
+import pearladder.kserve.DiscoveryMessage.WorkerState;
 import pearladder.routing.api.Event;
 import pearladder.routing.api.MonotonicTime;
 
@@ -69,21 +69,21 @@
     }
 
     private void update(Entry entry) {
-        if (entry.standing() == Standing.GONE) {
-            entries.remove(entry.engine());
-            onRemoved.accept(entry.engine());
+        if (entry.state() == WorkerState.GONE) {
+            entries.remove(entry.worker());
+            onRemoved.accept(entry.worker());
         } else {
-            entries.put(entry.engine(), entry);
+            entries.put(entry.worker(), entry);
             onUpdated.accept(entry);
         }
     }
 
     private Event.Endpoint endpoint(Entry entry) {
         return new Event.Endpoint(
-                entry.engine(), entry.hall(), entry.kind(), entry.cell(), state(entry.standing()), 1, startedAt(entry));
+                entry.worker(), entry.zone(), entry.kind(), entry.cell(), state(entry.state()), 1, startedAt(entry));
     }
 
-    private static Event.EndpointState state(Standing standing) {
+    private static Event.EndpointState state(WorkerState standing) {
         return switch (standing) {
             case IN_SERVICE -> Event.EndpointState.IN_SERVICE;
             case DRAINING -> Event.EndpointState.DRAINING;
@@ -99,7 +99,7 @@
     }
 
     /** Whether a list was received, or restored with entries. */
-    public boolean known() {
+    public boolean isKnown() {
         return known;
     }
 
@@ -109,7 +109,7 @@
     }
 
     /** The complete list as a message, to be cached. */
-    public DiscoveryMessage whole() {
+    public DiscoveryMessage snapshot() {
         return new DiscoveryMessage(DiscoveryMessage.Kind.WHOLE, version, List.copyOf(entries.values()));
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/EndpointListCache.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EndpointListCache.java
@@ -36,6 +36,6 @@
     }
 
     void write(DiscoveryMessage completeList) throws IOException {
-        AtomicFile.write(file, completeList.text().getBytes(StandardCharsets.UTF_8));
+        AtomicFile.write(file, completeList.toJson().getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/EndpointWatch.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EndpointWatch.java
@@ -33,7 +33,7 @@
     }
 
     private final Vertx vertx;
-    private final RouterConfig.ListService service;
+    private final RouterConfig.DiscoveryService service;
     private final String routerName;
     private final Listener listener;
     private final HttpClient client;
@@ -46,14 +46,14 @@
     private long silenceTimer = NO_TIMER;
     private long version;
 
-    EndpointWatch(Vertx vertx, RouterConfig.ListService service, String routerName, Listener listener) {
+    EndpointWatch(Vertx vertx, RouterConfig.DiscoveryService service, String routerName, Listener listener) {
         this.vertx = vertx;
         this.service = service;
         this.routerName = routerName;
         this.listener = listener;
         this.client = vertx.createHttpClient(
                 new HttpClientOptions().setKeepAlive(false).setConnectTimeout((int)
-                        service.silence().toMillis()));
+                        service.silenceTimeout().toMillis()));
     }
 
     /** Connects, and watches from the last version on; has no effect while it watches already. */
@@ -115,7 +115,7 @@
 
     private void restartSilenceTimer(int connection) {
         vertx.cancelTimer(silenceTimer);
-        long millis = Math.max(1, service.silence().toMillis());
+        long millis = Math.max(1, service.silenceTimeout().toMillis());
         silenceTimer = vertx.setTimer(millis, timerId -> disconnect(connection, "silent"));
     }
 
--- a/kserve-router/src/main/java/pearladder/router/kserve/EventLogWriter.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EventLogWriter.java
@@ -71,7 +71,7 @@
     }
 
     void append(LogEntry entry) {
-        handle(new WriteBufferEvent.Came(entry.kind().detail(), NO_LOAD_REQUEST), entry);
+        handle(new WriteBufferEvent.EntryReceived(entry.type().isDetail(), NO_LOAD_REQUEST), entry);
     }
 
     /**
@@ -82,7 +82,7 @@
     void append(LogEntry entry, Consumer<String> answer) {
         String id = Long.toString(++loadRequestCount);
         waitingLoadRequests.put(id, answer);
-        handle(new WriteBufferEvent.Came(entry.kind().detail(), id), entry);
+        handle(new WriteBufferEvent.EntryReceived(entry.type().isDetail(), id), entry);
     }
 
     /** @param entry null unless the event is its arrival */
@@ -93,24 +93,24 @@
         for (WriteBufferAction action : buffer.on(timers.now(), event)) {
             execute(action, entry);
         }
-        if (flushCompletion != null && buffer.held() == 0) {
+        if (flushCompletion != null && buffer.size() == 0) {
             flushCompletion.tryComplete();
         }
     }
 
     private void execute(WriteBufferAction action, LogEntry entry) {
-        if (action instanceof WriteBufferAction.Take) {
+        if (action instanceof WriteBufferAction.AcceptEntry) {
             pending.add(entry);
-        } else if (action instanceof WriteBufferAction.Write write) {
+        } else if (action instanceof WriteBufferAction.WriteBatch write) {
             write(write.entries());
-        } else if (action instanceof WriteBufferAction.TellLeftOut dropped) {
+        } else if (action instanceof WriteBufferAction.ReportDropped dropped) {
             timers.after(DROP_REPORT_DELAY, () -> appendDropped(dropped.entries()));
-        } else if (action instanceof WriteBufferAction.Go go) {
-            waitingLoadRequests.remove(go.order()).accept("");
-        } else if (action instanceof WriteBufferAction.Withhold withhold) {
-            waitingLoadRequests.remove(withhold.order()).accept(withhold.why());
-        } else if (action instanceof WriteBufferAction.Wake wake) {
-            timers.after(wake.after(), () -> handle(new WriteBufferEvent.Due(), null));
+        } else if (action instanceof WriteBufferAction.SendLoadRequest go) {
+            waitingLoadRequests.remove(go.loadRequestId()).accept("");
+        } else if (action instanceof WriteBufferAction.WithholdLoadRequest withhold) {
+            waitingLoadRequests.remove(withhold.loadRequestId()).accept(withhold.reason());
+        } else if (action instanceof WriteBufferAction.ScheduleTick wake) {
+            timers.after(wake.delay(), () -> handle(new WriteBufferEvent.Tick(), null));
         } else if (action instanceof WriteBufferAction.Log message) {
             LOG.info(message.text());
         }
@@ -136,7 +136,7 @@
                 }));
         written.onComplete(
                 success -> onWritten(count, startedAt),
-                failure -> handle(new WriteBufferEvent.Failed(String.valueOf(failure.getMessage())), null));
+                failure -> handle(new WriteBufferEvent.WriteFailed(String.valueOf(failure.getMessage())), null));
     }
 
     private void onWritten(int count, long startedAt) {
@@ -148,18 +148,18 @@
 
     /** Entries that are not on disk yet. */
     int pendingCount() {
-        return buffer.held();
+        return buffer.size();
     }
 
     /** Whether the last write failed. */
     boolean isFailing() {
-        return buffer.failing();
+        return buffer.isFailing();
     }
 
     /** Completed once every entry is on disk; not while the disk refuses them, so the caller sets a timeout. */
     Future<Void> flush() {
         flushCompletion = Promise.promise();
-        handle(new WriteBufferEvent.Stopping(), null);
+        handle(new WriteBufferEvent.ShutdownBegun(), null);
         return flushCompletion.future();
     }
 
--- a/kserve-router/src/main/java/pearladder/router/kserve/EventRecorder.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EventRecorder.java
@@ -79,13 +79,13 @@
         this.backgroundWork = backgroundWork;
         this.wallClock = wallClock;
         this.config = config;
-        this.log = EventLog.open(directory(config), config.records(), LOG::warn);
+        this.log = EventLog.open(directory(config), config.retention(), LOG::warn);
         this.executor = vertx.createSharedWorkerExecutor("records", 1);
         this.writer = new EventLogWriter(timers, backgroundWork, wallClock, log, executor);
     }
 
     private static Path directory(RouterConfig config) {
-        return config.data().resolve(DIRECTORY_NAME);
+        return config.dataDirectory().resolve(DIRECTORY_NAME);
     }
 
     /** The load requests of the last run that are younger than a window; called before {@link #start}. */
@@ -95,7 +95,8 @@
 
     /** Records the start, and begins the periodic jobs. */
     void start() {
-        long idleTimeoutMillis = config.facts().instances().idleTimeout().toMillis();
+        long idleTimeoutMillis =
+                config.routingSettings().instances().idleTimeout().toMillis();
         writer.append(LogEntry.of(
                 wallClock.getAsLong(), LogEntryType.STARTED, "", "", "", config.name(), idleTimeoutMillis, 0));
         repeat(USAGE_INTERVAL, this::submitUsage);
@@ -118,7 +119,7 @@
     }
 
     private Future<Void> submitRetention() {
-        ResourceCost expected = new ResourceCost(0, config.records().segmentBytes(), 0);
+        ResourceCost expected = new ResourceCost(0, config.retention().segmentBytes(), 0);
         return backgroundWork.submit(
                 JobClasses.COMPACT, "", expected, null, () -> executor.executeBlocking(this::applyRetention));
     }
@@ -250,32 +251,32 @@
         boolean complete = message.kind() == DiscoveryMessage.Kind.WHOLE;
         Set<String> unlisted = complete ? new TreeSet<>(workerStarts.keySet()) : new TreeSet<>();
         for (DiscoveryMessage.Entry entry : message.entries()) {
-            unlisted.remove(entry.engine());
+            unlisted.remove(entry.worker());
             if (updateWorkerStart(entry)) {
-                appendWorker(now, entry.engine(), entry.standing(), entry.startedMillis());
+                appendWorker(now, entry.worker(), entry.state(), entry.startedMillis());
             }
         }
         for (String worker : unlisted) {
             workerStarts.remove(worker);
-            appendWorker(now, worker, DiscoveryMessage.Standing.GONE, 0);
+            appendWorker(now, worker, DiscoveryMessage.WorkerState.GONE, 0);
         }
     }
 
     /** Whether the worker is new, was restarted or is gone. */
     private boolean updateWorkerStart(DiscoveryMessage.Entry entry) {
-        if (entry.standing() == DiscoveryMessage.Standing.GONE) {
-            return workerStarts.remove(entry.engine()) != null;
+        if (entry.state() == DiscoveryMessage.WorkerState.GONE) {
+            return workerStarts.remove(entry.worker()) != null;
         }
-        Long previous = workerStarts.put(entry.engine(), entry.startedMillis());
+        Long previous = workerStarts.put(entry.worker(), entry.startedMillis());
         return previous == null || previous != entry.startedMillis();
     }
 
-    private void appendWorker(long now, String worker, DiscoveryMessage.Standing standing, long startedMillis) {
+    private void appendWorker(long now, String worker, DiscoveryMessage.WorkerState standing, long startedMillis) {
         writer.append(LogEntry.of(now, LogEntryType.ENGINE, "", "", worker, note(standing), startedMillis, 0));
     }
 
     /** The log's words for the states of workers; part of its format. */
-    private static String note(DiscoveryMessage.Standing standing) {
+    private static String note(DiscoveryMessage.WorkerState standing) {
         return switch (standing) {
             case IN_SERVICE -> "IN_SERVICE";
             case DRAINING -> "DRAINING";
@@ -289,7 +290,8 @@
             return;
         }
         int separator = function.indexOf('@');
-        RouterConfig.ModelTerms settings = config.modelOf(separator < 0 ? function : function.substring(0, separator));
+        RouterConfig.ModelSettings settings =
+                config.modelSettings(separator < 0 ? function : function.substring(0, separator));
         long memoryMb = settings == null ? 0 : Math.round(settings.memoryMb());
         writer.append(LogEntry.of(now, LogEntryType.MODEL, function, "", "", "", memoryMb, 0));
     }
--- a/kserve-router/src/main/java/pearladder/router/kserve/HttpExchange.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpExchange.java
@@ -97,7 +97,7 @@
             request.reset();
         }
         pool.onRequestEnded();
-        listener.end(outcome, response);
+        listener.onEnded(outcome, response);
     }
 
     @Override
@@ -106,7 +106,7 @@
     }
 
     @Override
-    public void takeBack() {
+    public void cancelUnsent() {
         if (!isSent()) {
             end(Outcome.VOID, null);
         }
--- a/kserve-router/src/main/java/pearladder/router/kserve/HttpResponseHandler.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpResponseHandler.java
@@ -15,7 +15,7 @@
  */
 final class HttpResponseHandler implements ResponseHandler {
     private static final List<String> FORWARDED_HEADERS =
-            List.of("content-type", Headers.COPY, Headers.CROWD, Headers.REPORT);
+            List.of("content-type", Headers.INSTANCE_STATUS, Headers.CONCURRENT_REQUESTS, Headers.LOAD_REPORT);
     private static final String JSON_TYPE = "application/json";
 
     final String contentType;
@@ -41,7 +41,7 @@
         if (!workerResponse.isSuccessful()) {
             return true;
         }
-        String answeringModel = JsonBodies.answeredBy(workerResponse.body().getBytes());
+        String answeringModel = JsonBodies.respondingModel(workerResponse.body().getBytes());
         return answeringModel == null || answeringModel.equals(model);
     }
 
@@ -53,7 +53,7 @@
      */
     void onAdmitted(String requestId, String version) {
         workerPath = "/v2/models/" + model + (version.isEmpty() ? "" : "/versions/" + version) + "/infer";
-        response.putHeader(Headers.CALL, requestId);
+        response.putHeader(Headers.REQUEST_ID, requestId);
         if (!version.isEmpty()) {
             response.putHeader(Headers.VERSION, version);
         }
@@ -64,7 +64,7 @@
     }
 
     @Override
-    public void succeeded(WorkerResponse workerResponse) {
+    public void onSuccess(WorkerResponse workerResponse) {
         if (!isOpen(response)) {
             return;
         }
@@ -76,12 +76,12 @@
             }
         }
         response.setStatusCode(httpResponse.status())
-                .putHeader(Headers.STATE, RequestOutcome.SETTLED.code())
+                .putHeader(Headers.OUTCOME, RequestOutcome.SETTLED.code())
                 .end(httpResponse.body());
     }
 
     @Override
-    public void rejected(TimeSpan retryAfter) {
+    public void onRejected(TimeSpan retryAfter) {
         reject(response, "not done; trying again is harmless", retryAfter);
     }
 
@@ -100,7 +100,7 @@
     }
 
     @Override
-    public void failed() {
+    public void onFailure() {
         if (isOpen(response)) {
             endWithError(response, RequestOutcome.TERMINATED, "no answer; it may or may not have taken effect");
         }
@@ -108,7 +108,7 @@
 
     private static void endWithError(HttpServerResponse response, RequestOutcome outcome, String reason) {
         response.setStatusCode(outcome.status)
-                .putHeader(Headers.STATE, outcome.code())
+                .putHeader(Headers.OUTCOME, outcome.code())
                 .putHeader("content-type", JSON_TYPE)
                 .end(JsonBodies.error(reason));
     }
--- a/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerClient.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerClient.java
@@ -39,7 +39,7 @@
     public PendingSend send(ActiveAttempt attempt, TimeSpan timeout, AttemptListener listener) {
         WorkerConnectionPool pool = registry.pool(attempt.worker);
         if (pool == null) {
-            listener.end(Outcome.VOID, null);
+            listener.onEnded(Outcome.VOID, null);
             return PendingSend.NONE;
         }
         HttpResponseHandler handler = (HttpResponseHandler) attempt.request.responseHandler;
@@ -56,10 +56,10 @@
     private void setAttemptHeaders(HttpClientRequest request, ActiveAttempt attempt, String contentType) {
         request.putHeader(Headers.ROUTER, routerName)
                 .putHeader("content-type", contentType)
-                .putHeader(Headers.CALL, attempt.request.clientRequestId)
-                .putHeader(Headers.LEG, Integer.toString(attempt.number));
+                .putHeader(Headers.REQUEST_ID, attempt.request.clientRequestId)
+                .putHeader(Headers.ATTEMPT, Integer.toString(attempt.number));
         if (attempt.request.idempotencyKey != null) {
-            request.putHeader(Headers.MARK, attempt.request.idempotencyKey);
+            request.putHeader(Headers.IDEMPOTENCY_KEY, attempt.request.idempotencyKey);
         }
     }
 
@@ -68,9 +68,9 @@
         return (outcome, workerResponse) -> {
             HttpWorkerResponse response = (HttpWorkerResponse) workerResponse;
             if (response == null || handler.isAnsweredBy(response)) {
-                listener.end(outcome, response);
+                listener.onEnded(outcome, response);
             } else {
-                listener.end(Outcome.ERROR, response.withOutcome(Outcome.ERROR));
+                listener.onEnded(Outcome.ERROR, response.withOutcome(Outcome.ERROR));
             }
         };
     }
@@ -84,13 +84,13 @@
         String uri = "/v2/repository/models/" + function + "/load";
         request(worker, HttpMethod.POST, uri, JsonBodies.load(instances), timeout, (outcome, workerResponse) -> {
             if (workerResponse == null) {
-                listener.end(outcome, 0);
+                listener.onEnded(outcome, 0);
                 return;
             }
             HttpWorkerResponse response = (HttpWorkerResponse) workerResponse;
             boolean full = response.status() == SERVICE_UNAVAILABLE;
             int assumed = outcome == Outcome.SUCCESS ? instances : 0;
-            listener.end(full ? Outcome.FULL : outcome, response.loadedInstances(assumed));
+            listener.onEnded(full ? Outcome.FULL : outcome, response.loadedInstances(assumed));
         });
     }
 
@@ -98,13 +98,13 @@
         String uri = "/v2/repository/index";
         request(worker, HttpMethod.POST, uri, EMPTY_JSON, timeout, (outcome, workerResponse) -> {
             HttpWorkerResponse response = (HttpWorkerResponse) workerResponse;
-            listener.end(outcome, response == null ? 0 : readyInstances(response.body(), function));
+            listener.onEnded(outcome, response == null ? 0 : readyInstances(response.body(), function));
         });
     }
 
     private static int readyInstances(Buffer index, String function) {
         try {
-            return (int) JsonBodies.indexed(index.toString()).stream()
+            return (int) JsonBodies.parseIndex(index.toString()).stream()
                     .filter(model -> model.name().equals(function))
                     .filter(model -> model.state().equals(READY_STATE))
                     .count();
@@ -129,7 +129,7 @@
             String worker, HttpMethod method, String uri, String body, TimeSpan timeout, AttemptListener listener) {
         WorkerConnectionPool pool = registry.pool(worker);
         if (pool == null) {
-            listener.end(Outcome.UNREACHABLE, null);
+            listener.onEnded(Outcome.UNREACHABLE, null);
             return;
         }
         HttpExchange exchange = new HttpExchange(vertx, pool, maxResponseBytes, timeout, listener);
--- a/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerResponse.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerResponse.java
@@ -18,7 +18,7 @@
      * any other failure it may have been.
      */
     static HttpWorkerResponse of(int status, MultiMap headers, Buffer body) {
-        return new HttpWorkerResponse(outcome(status, headers.get(Headers.NEVER_RAN)), status, headers, body);
+        return new HttpWorkerResponse(outcome(status, headers.get(Headers.NOT_EXECUTED)), status, headers, body);
     }
 
     private static Outcome outcome(int status, String neverExecuted) {
@@ -56,7 +56,7 @@
 
     @Override
     public Event.InstanceStatus instanceStatus() {
-        String code = headers.get(Headers.COPY);
+        String code = headers.get(Headers.INSTANCE_STATUS);
         if (code == null) {
             return Event.InstanceStatus.UNTOLD;
         }
@@ -71,12 +71,12 @@
 
     @Override
     public int concurrentRequests() {
-        return count(Headers.CROWD, -1);
+        return count(Headers.CONCURRENT_REQUESTS, -1);
     }
 
     /** Instances that are loaded, on the response to a load request; a default where the worker does not say. */
     int loadedInstances(int defaultCount) {
-        return count(Headers.COPIES, defaultCount);
+        return count(Headers.INSTANCES, defaultCount);
     }
 
     private int count(String header, int defaultCount) {
@@ -86,7 +86,7 @@
 
     @Override
     public Event.WorkerLoadReport loadReport() {
-        LoadReport report = LoadReport.parse(headers.get(Headers.REPORT));
+        LoadReport report = LoadReport.parse(headers.get(Headers.LOAD_REPORT));
         if (report == null) {
             return null;
         }
--- a/kserve-router/src/main/java/pearladder/router/kserve/InferenceRequest.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/InferenceRequest.java
@@ -17,11 +17,11 @@
  * @param clientRetry whether the client says that this is a retry
  */
 record InferenceRequest(
-        RolloutManager.Wish wish,
+        RolloutManager.VersionRequest wish,
         MonotonicTime receivedAt,
         TimeSpan timeLeft,
         RoutingSettings.RequestClass requestClass,
-        RouterConfig.ModelTerms modelSettings,
+        RouterConfig.ModelSettings modelSettings,
         TimeSpan workEstimate,
         boolean clientRetry) {
     /**
@@ -31,26 +31,27 @@
      */
     RequestManager.ParsedRequest withVersion(
             String defaultId, RolloutManager rolloutManager, HttpResponseHandler responseHandler) {
-        RolloutManager.Wish named = wish.named() == null ? named(defaultId) : wish;
-        RolloutManager.Chosen chosen = rolloutManager.choose(named);
-        responseHandler.onAdmitted(named.named(), chosen.version());
+        RolloutManager.VersionRequest named = wish.requestId() == null ? named(defaultId) : wish;
+        RolloutManager.ChosenVersion chosen = rolloutManager.choose(named);
+        responseHandler.onAdmitted(named.requestId(), chosen.version());
         return new RequestManager.ParsedRequest(
-                named.named(),
+                named.requestId(),
                 chosen.function(),
-                wish.mark(),
+                wish.idempotencyKey(),
                 receivedAt,
                 timeLeft,
                 requestClass,
-                wish.account(),
-                modelSettings.lanes(),
+                wish.tenant(),
+                modelSettings.concurrency(),
                 modelSettings.memoryMb(),
-                modelSettings.usualLoad(),
+                modelSettings.typicalLoadTime(),
                 workEstimate,
                 clientRetry,
-                chosen.ending());
+                chosen.completionListener());
     }
 
-    private RolloutManager.Wish named(String id) {
-        return new RolloutManager.Wish(id, wish.model(), wish.version(), wish.key(), wish.account(), wish.mark());
+    private RolloutManager.VersionRequest named(String id) {
+        return new RolloutManager.VersionRequest(
+                id, wish.model(), wish.version(), wish.groupKey(), wish.tenant(), wish.idempotencyKey());
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/InferenceServer.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/InferenceServer.java
@@ -68,7 +68,7 @@
                         .setPort(config.port())
                         .setTcpNoDelay(true)
                         .setIdleTimeoutUnit(TimeUnit.MILLISECONDS)
-                        .setIdleTimeout((int) config.limits().idle().toMillis())
+                        .setIdleTimeout((int) config.limits().idleTimeout().toMillis())
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
                         .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES))
                 .requestHandler(this::handle);
@@ -137,7 +137,7 @@
 
     /** Parses the head, then reads the body within its limits of size and time. */
     private void infer(HttpServerRequest request, Route route) throws RequestRefusedException {
-        MonotonicTime receivedAt = VertxTimers.present();
+        MonotonicTime receivedAt = VertxTimers.currentTime();
         RequestHead head = RequestHead.parse(route, request.headers(), config);
         readBody(request, body -> admit(request, head, receivedAt, body));
     }
@@ -149,7 +149,7 @@
                 : requestHandler.rejectionReason();
         if (rejectionReason != null) {
             metrics.onNotAdmitted();
-            TimeSpan retryAfter = config.facts().attemptLimits().maxRetryAfter();
+            TimeSpan retryAfter = config.routingSettings().attemptLimits().maxRetryAfter();
             HttpResponseHandler.reject(request.response(), rejectionReason, retryAfter);
             return;
         }
@@ -166,18 +166,18 @@
     private TimeSpan timeLeft(RequestHead head, MonotonicTime receivedAt) {
         return head.timeout()
                 .atMost(head.requestClass().deadline())
-                .minus(VertxTimers.present().since(receivedAt))
+                .minus(VertxTimers.currentTime().since(receivedAt))
                 .minus(requestHandler.eventLoopLag().times(2));
     }
 
     private static InferenceRequest inferenceRequest(
             HttpServerRequest request, RequestHead head, MonotonicTime receivedAt, TimeSpan timeLeft) {
-        String clientRequestId = request.getHeader(Headers.CALL);
-        RolloutManager.Wish wish = new RolloutManager.Wish(
+        String clientRequestId = request.getHeader(Headers.REQUEST_ID);
+        RolloutManager.VersionRequest wish = new RolloutManager.VersionRequest(
                 clientRequestId != null && RequestHead.isName(clientRequestId) ? clientRequestId : null,
                 head.route().model(),
                 head.route().version(),
-                request.getHeader(Headers.KEY),
+                request.getHeader(Headers.ROLLOUT_KEY),
                 head.tenant(),
                 head.idempotencyKey());
         return new InferenceRequest(
@@ -187,19 +187,19 @@
                 head.requestClass(),
                 head.modelSettings(),
                 head.workEstimate(),
-                "1".equals(request.getHeader(Headers.REPEAT)));
+                "1".equals(request.getHeader(Headers.CLIENT_RETRY)));
     }
 
     private void readBody(HttpServerRequest request, Consumer<Buffer> onComplete) {
-        long maxBytes = config.limits().payload();
-        long timeoutMillis = Math.max(1, config.limits().bodyWithin().toMillis());
+        long maxBytes = config.limits().maxRequestBytes();
+        long timeoutMillis = Math.max(1, config.limits().bodyTimeout().toMillis());
         BodyReader[] reader = {null};
         long timeoutTimer = vertx.setTimer(timeoutMillis, timerId -> {
             reader[0].cancel();
             refuse(
                     request,
                     REQUEST_TIMEOUT,
-                    "the body was not in after " + config.limits().bodyWithin().toMillis() + " ms");
+                    "the body was not in after " + config.limits().bodyTimeout().toMillis() + " ms");
         });
         reader[0] = new BodyReader(request, maxBytes, new BodyReader.Listener() {
             @Override
--- a/kserve-router/src/main/java/pearladder/router/kserve/LoadRequestHistory.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/LoadRequestHistory.java
@@ -36,14 +36,14 @@
         try {
             for (long entries = MIN_ENTRIES; !complete && entries <= MAX_ENTRIES; entries *= GROWTH_FACTOR) {
                 ages.clear();
-                complete = read(directory, Math.max(1, log.next() - entries), window, nowMillis, ages);
+                complete = read(directory, Math.max(1, log.nextNumber() - entries), window, nowMillis, ages);
             }
         } catch (IOException unreadable) {
             LOG.atWarn()
                     .addKeyValue("cause", unreadable.getMessage())
                     .log("the load requests of the last run can't be read");
         }
-        return new LoadRequestHistory(ages, complete && log.whole());
+        return new LoadRequestHistory(ages, complete && log.isComplete());
     }
 
     /** Adds the ages of load requests from an entry on; whether these entries cover the window. */
@@ -51,7 +51,7 @@
             throws IOException {
         boolean[] covered = {first == 1};
         new EventLogReader(directory).read(first, (number, entry) -> {
-            if (entry.kind() == LogEntryType.ORDERED) {
+            if (entry.type() == LogEntryType.ORDERED) {
                 ages.add(TimeSpan.millis(nowMillis - entry.at()));
             }
             covered[0] |= entry.at() <= nowMillis - window.toMillis();
--- a/kserve-router/src/main/java/pearladder/router/kserve/RequestHead.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RequestHead.java
@@ -19,7 +19,7 @@
  */
 record RequestHead(
         Route route,
-        RouterConfig.ModelTerms modelSettings,
+        RouterConfig.ModelSettings modelSettings,
         RoutingSettings.RequestClass requestClass,
         String tenant,
         String idempotencyKey,
@@ -37,18 +37,19 @@
 
     /** Checks path and headers in the order of the parameters above, then the length of the body. */
     static RequestHead parse(Route route, MultiMap headers, RouterConfig config) throws RequestRefusedException {
-        RouterConfig.ModelTerms modelSettings = modelSettings(route.model(), config);
+        RouterConfig.ModelSettings modelSettings = modelSettings(route.model(), config);
         checkVersion(route.version());
-        RoutingSettings.RequestClass requestClass = requestClass(headers.get(Headers.CATEGORY), modelSettings, config);
-        String tenant = tenant(headers.get(Headers.ACCOUNT), config.facts());
-        String idempotencyKey = headers.get(Headers.MARK);
+        RoutingSettings.RequestClass requestClass =
+                requestClass(headers.get(Headers.REQUEST_CLASS), modelSettings, config);
+        String tenant = tenant(headers.get(Headers.TENANT), config.routingSettings());
+        String idempotencyKey = headers.get(Headers.IDEMPOTENCY_KEY);
         checkIdempotencyKey(idempotencyKey, requestClass);
-        TimeSpan timeout = millis(headers, Headers.PATIENCE, requestClass.deadline());
+        TimeSpan timeout = millis(headers, Headers.TIMEOUT_MS, requestClass.deadline());
         if (timeout.nanos() <= 0) {
-            throw notMillis(Headers.PATIENCE);
+            throw notMillis(Headers.TIMEOUT_MS);
         }
-        TimeSpan workEstimate = millis(headers, Headers.HINT, TimeSpan.ZERO);
-        checkLength(headers.get("content-length"), config.limits().payload());
+        TimeSpan workEstimate = millis(headers, Headers.WORK_ESTIMATE_MS, TimeSpan.ZERO);
+        checkLength(headers.get("content-length"), config.limits().maxRequestBytes());
         return new RequestHead(
                 route,
                 modelSettings,
@@ -60,8 +61,8 @@
     }
 
     /** The settings of a model. */
-    static RouterConfig.ModelTerms modelSettings(String model, RouterConfig config) throws RequestRefusedException {
-        RouterConfig.ModelTerms settings = isName(model) ? config.modelOf(model) : null;
+    static RouterConfig.ModelSettings modelSettings(String model, RouterConfig config) throws RequestRefusedException {
+        RouterConfig.ModelSettings settings = isName(model) ? config.modelSettings(model) : null;
         if (settings == null) {
             throw new RequestRefusedException(NOT_FOUND, "unknown model " + quoted(model));
         }
@@ -75,22 +76,24 @@
     }
 
     private static RoutingSettings.RequestClass requestClass(
-            String named, RouterConfig.ModelTerms modelSettings, RouterConfig config) throws RequestRefusedException {
-        String name = named != null ? named : defaultRequestClass(modelSettings, config.facts());
+            String named, RouterConfig.ModelSettings modelSettings, RouterConfig config)
+            throws RequestRefusedException {
+        String name = named != null ? named : defaultRequestClass(modelSettings, config.routingSettings());
         if (name == null) {
-            throw new RequestRefusedException(BAD_REQUEST, "the header " + Headers.CATEGORY + " is missing");
+            throw new RequestRefusedException(BAD_REQUEST, "the header " + Headers.REQUEST_CLASS + " is missing");
         }
-        RoutingSettings.RequestClass requestClass = config.category(name);
+        RoutingSettings.RequestClass requestClass = config.requestClass(name);
         if (requestClass == null) {
-            throw new RequestRefusedException(BAD_REQUEST, Headers.CATEGORY + ": unknown category " + quoted(name));
+            throw new RequestRefusedException(
+                    BAD_REQUEST, Headers.REQUEST_CLASS + ": unknown category " + quoted(name));
         }
         return requestClass;
     }
 
     /** The model's, or the only one that is configured; null where there is neither. */
-    private static String defaultRequestClass(RouterConfig.ModelTerms modelSettings, RoutingSettings settings) {
-        if (modelSettings.category() != null) {
-            return modelSettings.category();
+    private static String defaultRequestClass(RouterConfig.ModelSettings modelSettings, RoutingSettings settings) {
+        if (modelSettings.requestClass() != null) {
+            return modelSettings.requestClass();
         }
         return settings.requestClasses().size() == 1
                 ? settings.requestClasses().get(0).name()
@@ -105,8 +108,8 @@
             throw new RequestRefusedException(
                     BAD_REQUEST,
                     named == null
-                            ? "the header " + Headers.ACCOUNT + " is missing"
-                            : Headers.ACCOUNT + ": unknown account " + quoted(named));
+                            ? "the header " + Headers.TENANT + " is missing"
+                            : Headers.TENANT + ": unknown account " + quoted(named));
         }
         return named;
     }
@@ -116,7 +119,8 @@
         boolean required = requestClass.idempotency() == RoutingSettings.Idempotency.FINGERPRINTED;
         if (required && (key == null || key.isBlank())) {
             throw new RequestRefusedException(
-                    BAD_REQUEST, "a call of category " + requestClass.name() + " needs the header " + Headers.MARK);
+                    BAD_REQUEST,
+                    "a call of category " + requestClass.name() + " needs the header " + Headers.IDEMPOTENCY_KEY);
         }
     }
 
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutClient.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutClient.java
@@ -25,7 +25,7 @@
  */
 public final class RolloutClient {
     /** What came of an order: how many routers took it, and a line for each. */
-    public record Told(int took, int asked, List<String> lines) {}
+    public record RolloutResult(int acceptedCount, int requestedCount, List<String> lines) {}
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -43,7 +43,7 @@
     }
 
     /** The same for these routers and all whom they learn from. */
-    public RolloutClient andOthers() {
+    public RolloutClient withPeers() {
         List<String> all = new ArrayList<>(doors);
         for (String door : doors) {
             try {
@@ -105,7 +105,7 @@
     }
 
     /** Begins a release of each model at its first step. */
-    public Told start(List<RolloutPlan> plans) {
+    public RolloutResult start(List<RolloutPlan> plans) {
         Map<String, RolloutTarget> newest = newest();
         List<String> wrong = new ArrayList<>();
         List<RolloutTarget> orders = new ArrayList<>();
@@ -125,9 +125,9 @@
             orders.add(new RolloutTarget(
                     after(before), plan, RolloutTarget.Mode.RUNNING, 0, by, System.currentTimeMillis()));
         }
-        Told told = give(orders);
+        RolloutResult told = give(orders);
         wrong.addAll(told.lines());
-        return new Told(told.took(), told.asked() + plans.size() - orders.size(), wrong);
+        return new RolloutResult(told.acceptedCount(), told.requestedCount() + plans.size() - orders.size(), wrong);
     }
 
     /**
@@ -136,7 +136,7 @@
      * @param models names, or none for every release there is
      * @param change from the newest target to the next; its epoch, who and when are set here
      */
-    public Told change(List<String> models, UnaryOperator<RolloutTarget> change) {
+    public RolloutResult change(List<String> models, UnaryOperator<RolloutTarget> change) {
         Map<String, RolloutTarget> newest = newest();
         List<RolloutTarget> orders = new ArrayList<>();
         List<String> unknown = new ArrayList<>();
@@ -150,9 +150,12 @@
             orders.add(new RolloutTarget(
                     after(before), wanted.plan(), wanted.mode(), wanted.step(), by, System.currentTimeMillis()));
         }
-        Told told = give(orders);
+        RolloutResult told = give(orders);
         unknown.addAll(told.lines());
-        return new Told(told.took(), told.asked() + (models.isEmpty() ? 0 : models.size() - orders.size()), unknown);
+        return new RolloutResult(
+                told.acceptedCount(),
+                told.requestedCount() + (models.isEmpty() ? 0 : models.size() - orders.size()),
+                unknown);
     }
 
     private static long after(RolloutTarget before) {
@@ -175,9 +178,9 @@
     }
 
     /** All orders to all routers at once: a router that is away holds nobody up. */
-    private Told give(List<RolloutTarget> orders) {
+    private RolloutResult give(List<RolloutTarget> orders) {
         if (orders.isEmpty()) {
-            return new Told(0, 0, List.of());
+            return new RolloutResult(0, 0, List.of());
         }
         Map<String, CompletableFuture<HttpResponse<String>>> answers = new LinkedHashMap<>();
         for (String door : doors) {
@@ -207,7 +210,7 @@
                                         : "refused: " + refusal));
             }
         }
-        return new Told(took, orders.size() * doors.size(), lines);
+        return new RolloutResult(took, orders.size() * doors.size(), lines);
     }
 
     /** Why each order was refused, empty for one that was taken; null where there was no answer. */
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutManager.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutManager.java
@@ -30,24 +30,24 @@
      */
     public interface Journal {
         /** Every target that was accepted, oldest first. */
-        List<RolloutTarget> orders();
+        List<RolloutTarget> targets();
 
         /** The progress that this router had made when the journal was opened. */
-        List<RolloutProgress> reached();
+        List<RolloutProgress> progress();
 
         /**
          * Writes targets, all or none.
          *
          * @param failure null once they are durable, or why they could not be written
          */
-        void keep(List<RolloutTarget> targets, Consumer<String> failure);
+        void write(List<RolloutTarget> targets, Consumer<String> failure);
 
         /**
          * Writes progress.
          *
          * @param failure null once it is durable, or why it could not be written
          */
-        void keep(RolloutProgress progress, Consumer<String> failure);
+        void write(RolloutProgress progress, Consumer<String> failure);
     }
 
     /**
@@ -60,10 +60,11 @@
      * @param account its tenant, or null
      * @param mark its idempotency key, or null
      */
-    public record Wish(String named, String model, String version, String key, String account, String mark) {
+    public record VersionRequest(
+            String requestId, String model, String version, String groupKey, String tenant, String idempotencyKey) {
         /** The requests of one tenant with one key form a group; a request without a key is one by itself. */
         private String group() {
-            return key == null ? named : (account == null ? "" : account) + "\n" + key;
+            return groupKey == null ? requestId : (tenant == null ? "" : tenant) + "\n" + groupKey;
         }
     }
 
@@ -74,7 +75,8 @@
      * @param function the function of model and version
      * @param ending told how the request ended
      */
-    public record Chosen(String version, String function, RequestManager.CompletionListener ending) {}
+    public record ChosenVersion(
+            String version, String function, RequestManager.CompletionListener completionListener) {}
 
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.releases");
     /** Separates model and version in a function's name. */
@@ -96,7 +98,7 @@
     private boolean stopped;
 
     /**
-     * Creates a manager; {@link #begin} starts it.
+     * Creates a manager; {@link #start} starts it.
      *
      * @param policyEvents passes prewarm requests to the routing policy
      */
@@ -109,65 +111,65 @@
     }
 
     private static TimeSpan longestDeduplicationWindow(RouterConfig config) {
-        return config.facts().requestClasses().stream()
+        return config.routingSettings().requestClasses().stream()
                 .map(requestClass -> requestClass.deduplicationWindow())
                 .reduce(TimeSpan.ZERO, TimeSpan::atLeast);
     }
 
     /** Continues the rollouts of the journal; called before the router is ready. */
-    public void begin() {
-        handle(new RolloutEvent.Restored(journal.orders(), journal.reached()));
+    public void start() {
+        handle(new RolloutEvent.JournalRestored(journal.targets(), journal.progress()));
     }
 
     /** Ends the controller's part: later events do not reach it. */
-    public void end() {
+    public void stop() {
         stopped = true;
     }
 
     /** Another router has told its newest target of a model. */
-    public void heard(RolloutTarget target) {
-        if (config.modelOf(target.plan().model()) != null) {
-            handle(new RolloutEvent.Heard(target));
+    public void onPeerTarget(RolloutTarget target) {
+        if (config.modelSettings(target.plan().model()) != null) {
+            handle(new RolloutEvent.TargetReceived(target));
         }
     }
 
     /** Chooses the version that a request gets. */
-    public Chosen choose(Wish wish) {
+    public ChosenVersion choose(VersionRequest wish) {
         if (wish.version() != null) {
-            return new Chosen(
+            return new ChosenVersion(
                     wish.version(),
                     Route.function(wish.model(), wish.version()),
                     RequestManager.CompletionListener.NONE);
         }
         String requestId = Long.toString(++requestCount);
-        String idempotencyKey = wish.mark() == null ? "" : wish.mark();
+        String idempotencyKey = wish.idempotencyKey() == null ? "" : wish.idempotencyKey();
         chosenVersion = "";
-        handle(new RolloutEvent.CallCame(requestId, wish.model(), wish.group(), idempotencyKey));
+        handle(new RolloutEvent.RequestReceived(requestId, wish.model(), wish.group(), idempotencyKey));
         String function = Route.function(wish.model(), chosenVersion);
-        return new Chosen(chosenVersion, function, completionListener(requestId));
+        return new ChosenVersion(chosenVersion, function, completionListener(requestId));
     }
 
     private RequestManager.CompletionListener completionListener(String requestId) {
         return new RequestManager.CompletionListener() {
             @Override
             public void onCompleted(boolean successful, List<String> workers) {
-                handle(new RolloutEvent.CallEnded(requestId, successful, workers));
+                handle(new RolloutEvent.RequestCompleted(requestId, successful, workers));
             }
 
             @Override
             public void onClientDisconnected() {
-                handle(new RolloutEvent.CallLeft(requestId));
+                handle(new RolloutEvent.ClientDisconnected(requestId));
             }
         };
     }
 
     /** The policy reports the prewarming of a function; functions without a version take no part in rollouts. */
-    public void standing(String function, double share) {
+    public void onPrewarmProgress(String function, double share) {
         int separator = function.lastIndexOf(VERSION_SEPARATOR);
         if (separator > 0) {
             String model = function.substring(0, separator);
             String version = function.substring(separator + 1);
-            handle(new RolloutEvent.Standing(model, version, share));
+            handle(new RolloutEvent.InstancesReady(model, version, share));
         }
     }
 
@@ -177,11 +179,11 @@
      * @param answers called once with a text for each target in turn: empty where it is durable and followed, or
      *     why it was refused
      */
-    public void order(List<RolloutTarget> targets, Consumer<List<String>> answers) {
+    public void setTargets(List<RolloutTarget> targets, Consumer<List<String>> answers) {
         AnswerCollector collector = new AnswerCollector(targets.size(), answers);
         batch = new ArrayList<>();
         for (int i = 0; i < targets.size(); i++) {
-            order(targets.get(i), collector.forTarget(i));
+            setTargets(targets.get(i), collector.forTarget(i));
         }
         List<RolloutTarget> accepted = batch;
         batch = null;
@@ -190,14 +192,14 @@
         }
     }
 
-    private void order(RolloutTarget target, Consumer<String> answer) {
+    private void setTargets(RolloutTarget target, Consumer<String> answer) {
         String model = target.plan().model();
-        if (config.modelOf(model) == null) {
+        if (config.modelSettings(model) == null) {
             answer.accept("plan.model: unknown model " + model + "; name one that this router's file knows");
             return;
         }
         pendingAnswers.computeIfAbsent(target, same -> new ArrayList<>()).add(answer);
-        handle(new RolloutEvent.Ordered(target));
+        handle(new RolloutEvent.TargetOrdered(target));
     }
 
     /** Collects the answers to several targets, and passes them on once it has all. */
@@ -233,7 +235,7 @@
     }
 
     /** A checksum of the newest targets: two routers with the same one have the same targets. */
-    public String sum() {
+    public String checksum() {
         CRC32 crc = new CRC32();
         controller.targets().stream()
                 .map(target -> target.plan().model() + " " + target.epoch() + " " + target.by() + "\n")
@@ -244,7 +246,7 @@
 
     /** Every target that was accepted, oldest first. */
     public List<RolloutTarget> history() {
-        return journal.orders();
+        return journal.targets();
     }
 
     private void handle(RolloutEvent event) {
@@ -254,35 +256,35 @@
     }
 
     private void execute(RolloutAction action) {
-        if (action instanceof RolloutAction.Use use) {
+        if (action instanceof RolloutAction.UseVersion use) {
             chosenVersion = use.version();
-        } else if (action instanceof RolloutAction.Prepare prepare) {
-            requestPrewarm(prepare.model(), prepare.version(), prepare.like(), prepare.share());
-        } else if (action instanceof RolloutAction.Withdraw withdraw) {
+        } else if (action instanceof RolloutAction.LoadInstances prepare) {
+            requestPrewarm(prepare.model(), prepare.version(), prepare.referenceVersion(), prepare.share());
+        } else if (action instanceof RolloutAction.ReleaseInstances withdraw) {
             requestPrewarm(withdraw.model(), withdraw.version(), withdraw.version(), 0);
-        } else if (action instanceof RolloutAction.Keep keep) {
+        } else if (action instanceof RolloutAction.PersistTarget keep) {
             acceptTarget(keep.target());
-        } else if (action instanceof RolloutAction.Note note) {
-            writeProgress(note.reached());
-        } else if (action instanceof RolloutAction.Refuse refuse) {
-            answer(refuse.target(), refuse.why());
-        } else if (action instanceof RolloutAction.Wake wake) {
-            timers.after(wake.after(), () -> handle(new RolloutEvent.Due()));
+        } else if (action instanceof RolloutAction.PersistProgress note) {
+            writeProgress(note.progress());
+        } else if (action instanceof RolloutAction.RejectTarget refuse) {
+            answer(refuse.target(), refuse.reason());
+        } else if (action instanceof RolloutAction.ScheduleTick wake) {
+            timers.after(wake.delay(), () -> handle(new RolloutEvent.Tick()));
         } else if (action instanceof RolloutAction.Log log) {
             LOG.info(log.text());
         }
     }
 
     private void requestPrewarm(String model, String version, String referenceVersion, double share) {
-        RouterConfig.ModelTerms settings = config.modelOf(model);
+        RouterConfig.ModelSettings settings = config.modelSettings(model);
         if (settings != null) {
             policyEvents.accept(new Event.PrewarmRequested(
                     Route.function(model, version),
                     Route.function(model, referenceVersion),
                     share,
-                    settings.lanes(),
+                    settings.concurrency(),
                     settings.memoryMb(),
-                    settings.usualLoad()));
+                    settings.typicalLoadTime()));
         }
     }
 
@@ -296,10 +298,10 @@
 
     /** Where they cannot be written, they are refused and everything stays as it was. */
     private void writeTargets(List<RolloutTarget> targets) {
-        journal.keep(targets, failure -> {
+        journal.write(targets, failure -> {
             if (failure == null) {
                 for (RolloutTarget target : targets) {
-                    handle(new RolloutEvent.Kept(target));
+                    handle(new RolloutEvent.TargetPersisted(target));
                     answer(target, "");
                 }
             } else {
@@ -313,7 +315,7 @@
 
     /** Where it cannot be written, the rollout goes on; only a restart would then resume at a lower step. */
     private void writeProgress(RolloutProgress progress) {
-        journal.keep(progress, failure -> {
+        journal.write(progress, failure -> {
             if (failure != null) {
                 LOG.atWarn().addKeyValue("cause", failure).log("the progress of a rollout can't be written");
             }
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutPlanParser.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutPlanParser.java
@@ -12,7 +12,7 @@
 public final class RolloutPlanParser {
     private RolloutPlanParser() {}
 
-    /** Parses a file; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
+    /** Parses a file; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
     public static List<RolloutPlan> read(Path file) {
         return read(YamlParser.read(file));
     }
@@ -41,11 +41,11 @@
 
     private static List<String> models(ConfigValue rollout) {
         List<String> models = new ArrayList<>(rollout.at("models").each(ConfigValue::text));
-        if (rollout.at("model").given()) {
+        if (rollout.at("model").isGiven()) {
             models.add(rollout.at("model").text());
         }
         if (models.isEmpty()) {
-            rollout.at("model").wrong("no model is named", "write \"model: NAME\", or \"models: [NAME, ...]\"");
+            rollout.at("model").addMistake("no model is named", "write \"model: NAME\", or \"models: [NAME, ...]\"");
         }
         return models;
     }
@@ -63,7 +63,7 @@
             for (String key : fault.key().split("\\.")) {
                 value = value.at(key);
             }
-            value.wrong(fault.what(), fault.mend());
+            value.addMistake(fault.problem(), fault.remedy());
         }
     }
 }
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutSync.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutSync.java
@@ -94,7 +94,7 @@
 
     private Future<Void> submitFetch(RouterConfig.Address peer) {
         return backgroundWork.submit(
-                JobClasses.LEARN, "", TYPICAL_COST, null, () -> fetch(peer).map(TYPICAL_COST));
+                JobClasses.SYNC, "", TYPICAL_COST, null, () -> fetch(peer).map(TYPICAL_COST));
     }
 
     /** Succeeds in any case, at the latest at the timeout. */
@@ -107,7 +107,7 @@
                         .setMethod(HttpMethod.GET)
                         .setHost(peer.host())
                         .setPort(peer.port())
-                        .setURI("/releases/newest?sum=" + rolloutManager.sum()))
+                        .setURI("/releases/newest?sum=" + rolloutManager.checksum()))
                 .compose(request ->
                         request.send().compose(HttpClientResponse::body).onFailure(failure -> request.reset()))
                 .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
@@ -142,7 +142,7 @@
         for (JsonNode node : targets) {
             RolloutTarget target = JSON.treeToValue(node, RolloutTarget.class);
             if (AdminServer.isComplete(target)) {
-                rolloutManager.heard(target);
+                rolloutManager.onPeerTarget(target);
             }
         }
     }
--- a/kserve-router/src/main/java/pearladder/router/kserve/Router.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/Router.java
@@ -70,30 +70,31 @@
 
     private Router(RouterConfig config, PolicyFactory policyFactory, long seed) throws IOException {
         this.config = config;
-        RolloutJournal rolloutJournal = RolloutJournal.open(config.data());
+        RolloutJournal rolloutJournal = RolloutJournal.open(config.dataDirectory());
         this.vertx = createVertx();
         this.eventLoop = vertx.getOrCreateContext();
         VertxTimers timers = new VertxTimers(vertx);
-        this.backgroundWork = new BackgroundWork(timers, JobClasses.scheduler(seed, timers.now()));
+        this.backgroundWork = new BackgroundWork(timers, JobClasses.createScheduler(seed, timers.now()));
         this.registry = new WorkerRegistry(vertx, config, backgroundWork);
         this.eventLoopLag = new EventLoopLag(vertx);
         this.metrics = new PrometheusMetrics(this::requestsInFlight, registry::size);
-        this.endpointWatch = new EndpointWatch(vertx, config.list(), config.name(), this);
-        this.policy = policyFactory.make(seed, config.facts());
-        this.snapshotFile = new SnapshotFile(config.data());
-        this.recorder = config.records() == null ? null : openRecorder(timers, rolloutJournal);
+        this.endpointWatch = new EndpointWatch(vertx, config.discovery(), config.name(), this);
+        this.policy = policyFactory.create(seed, config.routingSettings());
+        this.snapshotFile = new SnapshotFile(config.dataDirectory());
+        this.recorder = config.retention() == null ? null : openRecorder(timers, rolloutJournal);
         this.requestManager = new RequestManager(
-                config.facts(),
+                config.routingSettings(),
                 timers,
                 policy,
-                new HttpWorkerClient(vertx, config.name(), config.limits().answer(), registry, endpointWatch::watch),
+                new HttpWorkerClient(
+                        vertx, config.name(), config.limits().maxResponseBytes(), registry, endpointWatch::watch),
                 metrics,
                 recorder == null ? EventListener.NONE : recorder);
         this.server = new InferenceServer(vertx, config, this, metrics);
         this.journal = new AsyncRolloutJournal(vertx, rolloutJournal);
         this.rolloutManager = new RolloutManager(timers, config, journal, requestManager::dispatch);
-        this.requestManager.onPrewarmProgress(rolloutManager::standing);
-        this.rolloutSync = new RolloutSync(vertx, rolloutManager, journal, backgroundWork, config.others());
+        this.requestManager.onPrewarmProgress(rolloutManager::onPrewarmProgress);
+        this.rolloutSync = new RolloutSync(vertx, rolloutManager, journal, backgroundWork, config.peers());
     }
 
     /** One event loop, and one thread for what blocks. */
@@ -160,7 +161,7 @@
             restoreSnapshot(cachedEndpoints);
             startRecording();
         }
-        rolloutManager.begin();
+        rolloutManager.start();
         rolloutSync.start();
         endpointWatch.watch();
     }
@@ -168,17 +169,17 @@
     /** Has the policy start from what the last run knew, as far as that still holds. */
     private void restoreSnapshot(Event.EndpointsUpdated cachedEndpoints) {
         LoadRequestHistory history =
-                recorder.loadRequests(config.facts().loadQuota().window());
+                recorder.loadRequests(config.routingSettings().loadQuota().window());
         SnapshotFile.Taken taken = snapshotFile.take();
         TimeSpan age = taken == null ? TimeSpan.ZERO : TimeSpan.millis(System.currentTimeMillis() - taken.wall());
-        requestManager.dispatch(SnapshotLoader.event(
-                config.facts(),
+        requestManager.dispatch(SnapshotLoader.restoredEvent(
+                config.routingSettings(),
                 taken == null ? null : taken.known(),
                 age,
                 history.ages(),
                 history.complete(),
                 cachedEndpoints,
-                VertxTimers.present(),
+                VertxTimers.currentTime(),
                 figures -> LOG.info("begins with what is believed " + figures)));
     }
 
@@ -193,7 +194,7 @@
     }
 
     private Future<ResourceCost> writeSnapshot() {
-        PolicySnapshot snapshot = policy.snapshot(VertxTimers.present());
+        PolicySnapshot snapshot = policy.snapshot(VertxTimers.currentTime());
         long takenAtMillis = System.currentTimeMillis();
         return vertx.executeBlocking(() -> new ResourceCost(0, snapshotFile.write(takenAtMillis, snapshot), 0));
     }
@@ -211,7 +212,7 @@
     }
 
     private void onListening(PolicyFactory policyFactory) {
-        eventLoopLag.begin();
+        eventLoopLag.start();
         vertx.setPeriodic(LAG_REPORT_INTERVAL_MILLIS, timerId -> backgroundWork.onEventLoopLag(eventLoopLag()));
         warmUp(policyFactory);
         LOG.atInfo()
@@ -266,7 +267,7 @@
         stopping = true;
         LOG.atInfo().addKeyValue("calls", requestManager.inFlight()).log("stopping");
         Promise<Void> drained = Promise.promise();
-        long drainLimitMillis = Math.max(1, config.stopWithin().toMillis());
+        long drainLimitMillis = Math.max(1, config.drainTimeout().toMillis());
         long limitTimer = vertx.setTimer(drainLimitMillis, timerId -> {
             LOG.atWarn()
                     .addKeyValue("calls", requestManager.inFlight())
@@ -279,7 +280,7 @@
             vertx.cancelTimer(limitTimer);
             requestManager.stop();
             rolloutSync.close();
-            rolloutManager.end();
+            rolloutManager.stop();
             endpointWatch.close();
             vertx.setTimer(SERVER_CLOSE_DELAY_MILLIS, timerId -> closeServerAndFiles());
         });
@@ -319,7 +320,7 @@
         if (stopping) {
             return "this router is stopping";
         }
-        if (requestManager.inFlight() >= config.limits().openCalls()) {
+        if (requestManager.inFlight() >= config.limits().maxRequestsInFlight()) {
             return "this router holds as many calls as it may";
         }
         return null;
@@ -327,7 +328,7 @@
 
     @Override
     public TimeSpan eventLoopLag() {
-        return new TimeSpan(eventLoopLag.behind());
+        return new TimeSpan(eventLoopLag.lagNanos());
     }
 
     @Override
--- a/kserve-router/src/main/java/pearladder/router/kserve/RouterConfig.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RouterConfig.java
@@ -28,16 +28,16 @@
         String name,
         String host,
         int port,
-        Path data,
+        Path dataDirectory,
         Address admin,
-        List<Address> others,
-        ListService list,
-        RoutingSettings facts,
-        List<ModelTerms> models,
+        List<Address> peers,
+        DiscoveryService discovery,
+        RoutingSettings routingSettings,
+        List<ModelSettings> models,
         Limits limits,
         Connections connections,
-        TimeSpan stopWithin,
-        RetentionSettings records) {
+        TimeSpan drainTimeout,
+        RetentionSettings retention) {
     /** A network address; port 0, for one that this router listens on, lets the system choose. */
     public record Address(String host, int port) {}
 
@@ -46,7 +46,7 @@
      *
      * @param silence a connection on which nothing was received for so long counts as broken
      */
-    public record ListService(String host, int port, TimeSpan silence) {}
+    public record DiscoveryService(String host, int port, TimeSpan silenceTimeout) {}
 
     /**
      * A group of models.
@@ -57,7 +57,8 @@
      * @param usualLoad typical load time; null where it is not known
      * @param category request class of requests that name none, or null
      */
-    public record ModelTerms(String pattern, int lanes, double memoryMb, TimeSpan usualLoad, String category) {
+    public record ModelSettings(
+            String pattern, int concurrency, double memoryMb, TimeSpan typicalLoadTime, String requestClass) {
         boolean matches(String model) {
             return Route.matches(pattern, model);
         }
@@ -72,7 +73,12 @@
      * @param bodyWithin a request whose body is not complete after so long is refused
      * @param idle a client connection on which nothing was sent for so long is closed
      */
-    public record Limits(long payload, long answer, int openCalls, TimeSpan bodyWithin, TimeSpan idle) {}
+    public record Limits(
+            long maxRequestBytes,
+            long maxResponseBytes,
+            int maxRequestsInFlight,
+            TimeSpan bodyTimeout,
+            TimeSpan idleTimeout) {}
 
     /**
      * Connections to one worker.
@@ -81,11 +87,11 @@
      * @param dial the time to get one, from the pool or newly established
      * @param idle one that was not used for so long is closed
      */
-    public record Connections(int perEngine, TimeSpan dial, TimeSpan idle) {}
+    public record Connections(int maxPerWorker, TimeSpan connectTimeout, TimeSpan idleTimeout) {}
 
     /** The settings of a model, by the first pattern that matches; null where none does. */
-    public ModelTerms modelOf(String model) {
-        for (ModelTerms candidate : models) {
+    public ModelSettings modelSettings(String model) {
+        for (ModelSettings candidate : models) {
             if (candidate.matches(model)) {
                 return candidate;
             }
@@ -94,8 +100,8 @@
     }
 
     /** The request class of a name; null where there is none. */
-    public RoutingSettings.RequestClass category(String requestClass) {
-        return facts.requestClasses().stream()
+    public RoutingSettings.RequestClass requestClass(String requestClass) {
+        return routingSettings.requestClasses().stream()
                 .filter(candidate -> candidate.name().equals(requestClass))
                 .findFirst()
                 .orElse(null);
--- a/kserve-router/src/main/java/pearladder/router/kserve/RouterConfigParser.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RouterConfigParser.java
@@ -17,21 +17,21 @@
 
     private RouterConfigParser() {}
 
-    /** Parses a file; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
+    /** Parses a file; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
     public static RouterConfig read(Path file) {
         return read(YamlParser.read(file));
     }
 
-    /** Parses a YAML document; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
+    /** Parses a YAML document; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
     public static RouterConfig read(ConfigValue file) {
         ConfigValue router = file.at("router");
         String name = name(router.at("name"));
         RouterConfig.Address listen = address(router.at("listen"), true);
         RouterConfig.Address discovery = address(file.at("list").at("address"), false);
-        RouterConfig.Address admin = router.at("admin").given() ? address(router.at("admin"), true) : null;
+        RouterConfig.Address admin = router.at("admin").isGiven() ? address(router.at("admin"), true) : null;
         TimeSpan connectTimeout = span(file.at("connections").at("dial"), "250 ms");
         RoutingSettings settings = RoutingSettingsParser.parse(file, connectTimeout);
-        List<RouterConfig.ModelTerms> models = models(file.at("models"), settings);
+        List<RouterConfig.ModelSettings> models = models(file.at("models"), settings);
         RouterConfig config = new RouterConfig(
                 name,
                 listen.host(),
@@ -39,7 +39,7 @@
                 Path.of(router.at("data").text("data/" + name)),
                 admin,
                 file.at("releases").at("learn_from").each(peer -> address(peer, false)),
-                new RouterConfig.ListService(
+                new RouterConfig.DiscoveryService(
                         discovery.host(), discovery.port(), span(file.at("list").at("silence"), "3 s")),
                 settings,
                 models,
@@ -55,7 +55,7 @@
     private static String name(ConfigValue value) {
         String name = value.text();
         if (!name.matches(NAME_PATTERN)) {
-            value.wrong("a name has 1 to 64 letters, digits, dots, hyphens or underscores", "change it");
+            value.addMistake("a name has 1 to 64 letters, digits, dots, hyphens or underscores", "change it");
         }
         return name;
     }
@@ -77,9 +77,9 @@
     }
 
     private static void checkIdleTimeout(ConfigValue idle, RouterConfig config) {
-        for (RequestClass requestClass : config.facts().requestClasses()) {
-            if (!config.limits().idle().isLongerThan(requestClass.deadline())) {
-                idle.wrong(
+        for (RequestClass requestClass : config.routingSettings().requestClasses()) {
+            if (!config.limits().idleTimeout().isLongerThan(requestClass.deadline())) {
+                idle.addMistake(
                         "a client's idle time is no longer than the abandon time of " + requestClass.name(),
                         "make it longer, or waiting clients are cut off");
             }
@@ -88,7 +88,7 @@
 
     /** Null where the section is missing. */
     private static RetentionSettings retention(ConfigValue records) {
-        if (!records.given()) {
+        if (!records.isGiven()) {
             return null;
         }
         RetentionSettings retention = new RetentionSettings(
@@ -97,9 +97,9 @@
                 records.at("all").bytes("2 GB"),
                 span(records.at("kept"), "8640000 s").toMillis(),
                 span(records.at("details"), "604800 s").toMillis());
-        if (retention.allBytes() < 2 * retention.segmentBytes()) {
+        if (retention.maxBytes() < 2 * retention.segmentBytes()) {
             records.at("all")
-                    .wrong("all records are less than two files of them", "make it larger, or \"file\" smaller");
+                    .addMistake("all records are less than two files of them", "make it larger, or \"file\" smaller");
         }
         return retention;
     }
@@ -112,7 +112,7 @@
                 || !port.matches(PORT_PATTERN)
                 || Integer.parseInt(port) > MAX_PORT
                 || !anyPort && port.equals("0")) {
-            value.wrong(
+            value.addMistake(
                     "an address with its port was expected, not \"" + text + "\"",
                     "write for example \"127.0.0.1:8080\"");
             return new RouterConfig.Address("127.0.0.1", 0);
@@ -120,28 +120,29 @@
         return new RouterConfig.Address(text.substring(0, colon), Integer.parseInt(port));
     }
 
-    private static List<RouterConfig.ModelTerms> models(ConfigValue models, RoutingSettings settings) {
-        List<RouterConfig.ModelTerms> parsed = models.each(model -> model(model, settings));
+    private static List<RouterConfig.ModelSettings> models(ConfigValue models, RoutingSettings settings) {
+        List<RouterConfig.ModelSettings> parsed = models.each(model -> model(model, settings));
         if (parsed.isEmpty()) {
-            models.wrong("no model is named", "write \"- {name: \\\"*\\\", memory: 400 MB, lanes: 2}\"");
+            models.addMistake("no model is named", "write \"- {name: \\\"*\\\", memory: 400 MB, lanes: 2}\"");
         }
         return parsed;
     }
 
-    private static RouterConfig.ModelTerms model(ConfigValue model, RoutingSettings settings) {
+    private static RouterConfig.ModelSettings model(ConfigValue model, RoutingSettings settings) {
         String requestClass = model.at("category").text(null);
         List<String> known =
                 settings.requestClasses().stream().map(RequestClass::name).toList();
         if (requestClass != null && !known.contains(requestClass)) {
             model.at("category")
-                    .wrong("unknown category \"" + requestClass + "\"", "write one of " + String.join(", ", known));
+                    .addMistake(
+                            "unknown category \"" + requestClass + "\"", "write one of " + String.join(", ", known));
         }
         ConfigValue typicalLoadTime = model.at("usual_load");
-        return new RouterConfig.ModelTerms(
+        return new RouterConfig.ModelSettings(
                 model.at("name").text(),
                 model.at("lanes").whole(1, 1, 100_000),
                 model.at("memory").bytes() / 1e6,
-                typicalLoadTime.given() ? new TimeSpan(typicalLoadTime.span()) : null,
+                typicalLoadTime.isGiven() ? new TimeSpan(typicalLoadTime.span()) : null,
                 requestClass);
     }
 
--- a/kserve-router/src/main/java/pearladder/router/kserve/RoutingSettingsParser.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RoutingSettingsParser.java
@@ -53,7 +53,8 @@
         List<RequestClass> requestClasses = new ArrayList<>(
                 categories.eachKey(RoutingSettingsParser::requestClass).values());
         if (requestClasses.isEmpty()) {
-            categories.wrong("no category is named", "write one with its expected and abandon time and its effect");
+            categories.addMistake(
+                    "no category is named", "write one with its expected and abandon time and its effect");
         }
         return requestClasses;
     }
@@ -64,11 +65,11 @@
         Idempotency idempotency = category.at("effect").word(Idempotency.class, null);
         TimeSpan deduplicationWindow = span(category.at("remembered"), "0 s");
         if (deadline.nanos() > 0 && latencyObjective.isLongerThan(deadline)) {
-            category.at("expected").wrong("the expected time is longer than the abandon time", "make it shorter");
+            category.at("expected").addMistake("the expected time is longer than the abandon time", "make it shorter");
         }
         if (idempotency == Idempotency.FINGERPRINTED && deduplicationWindow.nanos() == 0) {
             category.at("remembered")
-                    .wrong(
+                    .addMistake(
                             "a fingerprinted category says for how long repeats are dropped",
                             "write for example \"remembered: 8 s\"");
         }
@@ -90,7 +91,7 @@
                 new ArrayList<>(accounts.eachKey(RoutingSettingsParser::tenant).values());
         double shares = tenants.stream().mapToDouble(Tenant::share).sum();
         if (shares > MAX_SUM_OF_SHARES) {
-            accounts.wrong(String.format("the shares add up to %.2f", shares), "make it 1 at the most");
+            accounts.addMistake(String.format("the shares add up to %.2f", shares), "make it 1 at the most");
         }
         return tenants;
     }
--- a/kserve-router/src/main/java/pearladder/router/kserve/WarmUp.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/WarmUp.java
@@ -44,7 +44,7 @@
     static Future<Void> run(Vertx vertx, RouterConfig config, PolicyFactory policyFactory, int port) {
         long endsAt = System.nanoTime() + TIME_LIMIT.nanos();
         Future<Void> policyDone = vertx.executeBlocking(() -> {
-            runPolicy(policyFactory.make(0, config.facts()), config.facts(), endsAt);
+            runPolicy(policyFactory.create(0, config.routingSettings()), config.routingSettings(), endsAt);
             return null;
         });
         HttpClient client = vertx.createHttpClient(
--- a/kserve-router/src/main/java/pearladder/router/kserve/WorkerConnectionPool.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/WorkerConnectionPool.java
@@ -33,11 +33,11 @@
     }
 
     private HttpClient createClient() {
-        int idleSeconds = (int) Math.max(1, Math.round(settings.idle().toSeconds()));
+        int idleSeconds = (int) Math.max(1, Math.round(settings.idleTimeout().toSeconds()));
         HttpClientOptions clientOptions = new HttpClientOptions()
                 .setDefaultHost(host)
                 .setDefaultPort(port)
-                .setConnectTimeout((int) settings.dial().toMillis())
+                .setConnectTimeout((int) settings.connectTimeout().toMillis())
                 .setKeepAliveTimeout(idleSeconds)
                 .setTcpNoDelay(true)
                 // Closing resets the connection: a request that was given up must not be delivered later, when a
@@ -45,7 +45,7 @@
                 .setSoLinger(0)
                 .setPipelining(false);
         PoolOptions poolOptions =
-                new PoolOptions().setHttp1MaxSize(settings.perEngine()).setMaxWaitQueueSize(UNBOUNDED_QUEUE);
+                new PoolOptions().setHttp1MaxSize(settings.maxPerWorker()).setMaxWaitQueueSize(UNBOUNDED_QUEUE);
         return vertx.createHttpClient(clientOptions, poolOptions);
     }
 
@@ -60,7 +60,7 @@
                 .setHost(host)
                 .setPort(port)
                 .setURI(uri)
-                .setConnectTimeout(settings.dial().toMillis()));
+                .setConnectTimeout(settings.connectTimeout().toMillis()));
     }
 
     /** A request that was begun by {@link #request} has ended. */
--- a/kserve-router/src/main/java/pearladder/router/kserve/WorkerRegistry.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/WorkerRegistry.java
@@ -33,7 +33,7 @@
         this.vertx = vertx;
         this.backgroundWork = backgroundWork;
         this.connectionSettings = config.connections();
-        this.cache = new EndpointListCache(config.data());
+        this.cache = new EndpointListCache(config.dataDirectory());
     }
 
     /** The cached list as the policy's first event; an empty one where none is cached. */
@@ -50,7 +50,7 @@
 
     /** Whether a list was received or restored. */
     boolean isKnown() {
-        return endpoints.known();
+        return endpoints.isKnown();
     }
 
     int size() {
@@ -63,10 +63,10 @@
     }
 
     private void onUpdated(DiscoveryMessage.Entry entry) {
-        WorkerConnectionPool pool = pools.get(entry.engine());
+        WorkerConnectionPool pool = pools.get(entry.worker());
         if (pool == null || pool.port != entry.port() || !pool.host.equals(entry.host())) {
-            retire(entry.engine());
-            pools.put(entry.engine(), new WorkerConnectionPool(vertx, entry.host(), entry.port(), connectionSettings));
+            retire(entry.worker());
+            pools.put(entry.worker(), new WorkerConnectionPool(vertx, entry.host(), entry.port(), connectionSettings));
         }
     }
 
@@ -83,7 +83,7 @@
             changedWhileWriting = true;
             return;
         }
-        DiscoveryMessage complete = endpoints.whole();
+        DiscoveryMessage complete = endpoints.snapshot();
         ResourceCost cost = new ResourceCost(0, complete.entries().size() * BYTES_PER_ENTRY, 0);
         writing = backgroundWork.submit(
                 JobClasses.FLUSH,
--- a/kserve-router/src/test/java/pearladder/router/kserve/BackgroundWorkTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/BackgroundWorkTest.java
@@ -67,7 +67,7 @@
                                     TimeSpan.millis(200),
                                     true),
                             new JobClass(
-                                    JobClasses.LEARN,
+                                    JobClasses.SYNC,
                                     1,
                                     new ResourceCost(0, 2e6, 0),
                                     10,
@@ -81,7 +81,7 @@
 
     @Test
     void aJobThatThrowsHoldsUpNoStop() {
-        Future<Void> thrown = work.submit(JobClasses.LEARN, "", ResourceCost.NONE, null, () -> {
+        Future<Void> thrown = work.submit(JobClasses.SYNC, "", ResourceCost.NONE, null, () -> {
             throw new IllegalStateException("the client is closed");
         });
         assertTrue(thrown.failed());
--- a/kserve-router/src/test/java/pearladder/router/kserve/EarlierVersionFilesTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/EarlierVersionFilesTest.java
@@ -72,10 +72,10 @@
         DiscoveryMessage cached = cache.read();
         assertEquals(
                 List.of("engine-0", "engine-1"),
-                cached.entries().stream().map(DiscoveryMessage.Entry::engine).toList());
+                cached.entries().stream().map(DiscoveryMessage.Entry::worker).toList());
         assertEquals(
-                List.of(DiscoveryMessage.Standing.IN_SERVICE, DiscoveryMessage.Standing.IN_SERVICE),
-                cached.entries().stream().map(DiscoveryMessage.Entry::standing).toList());
+                List.of(DiscoveryMessage.WorkerState.IN_SERVICE, DiscoveryMessage.WorkerState.IN_SERVICE),
+                cached.entries().stream().map(DiscoveryMessage.Entry::state).toList());
         cache.write(cached);
         assertArrayEquals(resource(ENDPOINT_LIST), Files.readAllBytes(directory.resolve(ENDPOINT_LIST)));
     }
--- a/kserve-router/src/test/java/pearladder/router/kserve/HardCasesTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/HardCasesTest.java
@@ -15,7 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import pearladder.emulator.Observation;
-import pearladder.kserve.DiscoveryMessage.Standing;
+import pearladder.kserve.DiscoveryMessage.WorkerState;
 
 class HardCasesTest {
     private static final RawEngine.Script NEVER = (number, head, out, socket) -> {};
@@ -54,8 +54,8 @@
             String engine = stand.engineOf("pair-slow");
             stand.fleet.run(() -> stand.fleet.drain(engine));
             assertEquals("settled", Stand.state(Stand.await(waiting)));
-            Stand.until("the router was told", () -> stand.seen(Observation.TOLD).stream()
-                    .anyMatch(one -> one.engine().equals(engine) && one.note().equals("DRAINING")));
+            Stand.until("the router was told", () -> stand.seen(Observation.ENDPOINT_SENT).stream()
+                    .anyMatch(one -> one.worker().equals(engine) && one.note().equals("DRAINING")));
             assertEquals("settled", Stand.state(Stand.await(stand.send("pair-slow", 5))));
             assertFalse(stand.engineOf("pair-slow").equals(engine));
         }
@@ -72,7 +72,7 @@
             Stand.until("nothing is held", () -> stand.metric("pearladder_calls_open") == 0);
             Stand.until(
                     "the load came up all the same",
-                    () -> stand.fleet.engine("engine-0").engine().standing("pair-slow") == 1);
+                    () -> stand.fleet.server("engine-0").worker().readyInstances("pair-slow") == 1);
             assertEquals(0, stand.seen(Observation.RAN).size());
         }
     }
@@ -108,7 +108,7 @@
         try (RawEngine east = new RawEngine(CUT);
                 RawEngine west = new RawEngine(CUT);
                 Stand stand = Stand.of(inHall, east)) {
-            stand.list("west", west.door.getLocalPort(), "west", Standing.IN_SERVICE);
+            stand.list("west", west.door.getLocalPort(), "west", WorkerState.IN_SERVICE);
             Stand.until("both are listed", () -> stand.metric("pearladder_engines_listed") == 2);
             for (int i = 0; i < 6; i++) {
                 int before = east.heads.size();
--- a/kserve-router/src/test/java/pearladder/router/kserve/LifeTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/LifeTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Test;
 import pearladder.config.YamlParser;
 import pearladder.emulator.Observation;
-import pearladder.kserve.DiscoveryMessage.Standing;
+import pearladder.kserve.DiscoveryMessage.WorkerState;
 import pearladder.routing.StickyFirstFitPolicy;
 
 /** Start, stop, the list and the last list. */
@@ -73,7 +73,7 @@
                 Stand stand = Stand.of(engine)) {
             Files.createDirectories(stand.folder.resolve("r2"));
             Files.writeString(stand.folder.resolve("r2/last-list.json"), "{\"kind\":\"whole\",\"vers");
-            Router other = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.listPort(), Stand.RULES);
+            Router other = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.discoveryPort(), Stand.RULES);
             Router first = stand.router;
             stand.router = other;
             Stand.until("it learns the list anew", () -> stand.metric("pearladder_engines_listed") == 1);
@@ -87,15 +87,15 @@
         try (RawEngine engine = new RawEngine(OK);
                 RawEngine later = new RawEngine(OK);
                 Stand stand = Stand.of(engine)) {
-            stand.fleet.run(() -> stand.fleet.list().cut());
+            stand.fleet.run(() -> stand.fleet.discoveryServer().resetWatches());
             assertEquals("settled", Stand.state(Stand.await(stand.send("pair-a", 1))));
-            stand.list("later", later.door.getLocalPort(), "east", Standing.IN_SERVICE);
+            stand.list("later", later.door.getLocalPort(), "east", WorkerState.IN_SERVICE);
             Stand.until("it is back", () -> stand.metric("pearladder_engines_listed") == 2);
-            stand.fleet.run(() -> stand.fleet.roll().silent(true));
-            stand.list("later", later.door.getLocalPort(), "east", Standing.GONE);
+            stand.fleet.run(() -> stand.fleet.registry().setSilent(true));
+            stand.list("later", later.door.getLocalPort(), "east", WorkerState.GONE);
             // silence breaks the connection; the router comes again and again and hears nothing
             assertEquals(2, stand.metric("pearladder_engines_listed"));
-            stand.fleet.run(() -> stand.fleet.roll().silent(false));
+            stand.fleet.run(() -> stand.fleet.registry().setSilent(false));
             Stand.until("it heard what changed", () -> stand.metric("pearladder_engines_listed") == 1);
         }
     }
@@ -107,7 +107,8 @@
                     "second",
                     "router: {name: r9, listen: \"127.0.0.1:"
                             + stand.router.port() + "\", data: \"" + stand.folder.resolve("r9")
-                            + "\"}\nlist: {address: \"127.0.0.1:" + stand.fleet.listPort() + "\"}\n" + Stand.RULES));
+                            + "\"}\nlist: {address: \"127.0.0.1:" + stand.fleet.discoveryPort() + "\"}\n"
+                            + Stand.RULES));
             CompletionException failed = Assertions.assertThrows(
                     CompletionException.class, () -> Router.start(second, StickyFirstFitPolicy::new, 1)
                             .toCompletionStage()
--- a/kserve-router/src/test/java/pearladder/router/kserve/OperatorTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/OperatorTest.java
@@ -22,18 +22,18 @@
     @Test
     void ordersReachEveryRouterAndOneThatWasAwayCatchesUp() {
         try (Stand stand = new Stand(2)) {
-            Router second = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.listPort(), Stand.RULES);
+            Router second = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.discoveryPort(), Stand.RULES);
             String first = "127.0.0.1:" + stand.router.adminPort();
             RolloutClient both = new RolloutClient(List.of(first, "127.0.0.1:" + second.adminPort()), "ann");
-            assertEquals(2, both.start(plan("", "2")).took());
+            assertEquals(2, both.start(plan("", "2")).acceptedCount());
             Stand.await(second.stop().toCompletionStage().toCompletableFuture());
-            RolloutClient.Told told = both.change(
+            RolloutClient.RolloutResult told = both.change(
                     List.of(), before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.PAUSED, 0, "", 0));
-            assertEquals(1, told.took());
+            assertEquals(1, told.acceptedCount());
             assertTrue(
                     told.lines().stream().anyMatch(line -> line.contains("no answer")),
                     told.lines().toString());
-            second = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.listPort(), Stand.RULES);
+            second = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.discoveryPort(), Stand.RULES);
             both = new RolloutClient(List.of(first, "127.0.0.1:" + second.adminPort()), "ben");
             assertEquals(
                     2,
@@ -47,7 +47,7 @@
                                     List.of("pair-a"),
                                     before -> new RolloutTarget(
                                             0, before.plan(), RolloutTarget.Mode.ROLLED_BACK, 0, "", 0))
-                            .took());
+                            .acceptedCount());
             assertEquals(
                     2,
                     both.status().stream()
@@ -62,20 +62,20 @@
     void aPlanFromAVersionThatDoesNotServeIsRefused() {
         try (Stand stand = new Stand(1)) {
             RolloutClient operator = new RolloutClient(List.of("127.0.0.1:" + stand.router.adminPort()), "ann");
-            assertEquals(1, operator.start(plan("", "2")).took());
-            RolloutClient.Told wrong = operator.start(plan("1", "3"));
-            assertEquals(0, wrong.took());
+            assertEquals(1, operator.start(plan("", "2")).acceptedCount());
+            RolloutClient.RolloutResult wrong = operator.start(plan("1", "3"));
+            assertEquals(0, wrong.acceptedCount());
             assertTrue(
                     wrong.lines().get(0).contains("its calls get version \"2\", not \"1\""),
                     wrong.lines().toString());
-            assertEquals(1, operator.start(plan("2", "3")).took());
+            assertEquals(1, operator.start(plan("2", "3")).acceptedCount());
         }
     }
 
     @Test
     void aPlansMistakesAreNamedByLine() {
         List<String> lines = assertThrows(
-                        ConfigErrors.Found.class,
+                        ConfigErrors.ConfigException.class,
                         () -> RolloutPlanParser.read(
                                 YamlParser.read(
                                         "p.yaml",
--- a/kserve-router/src/test/java/pearladder/router/kserve/RecorderTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/RecorderTest.java
@@ -40,7 +40,7 @@
     }
 
     private static long count(Stand stand, LogEntryType kind) {
-        return entries(stand).stream().filter(entry -> entry.kind() == kind).count();
+        return entries(stand).stream().filter(entry -> entry.type() == kind).count();
     }
 
     private static Stand stand() {
@@ -52,7 +52,7 @@
     }
 
     private static void startAgain(Stand stand) {
-        stand.router = stand.startRouter("r1", "127.0.0.1:" + stand.fleet.listPort(), RULES);
+        stand.router = stand.startRouter("r1", "127.0.0.1:" + stand.fleet.discoveryPort(), RULES);
         Stand.until("it is ready", () -> stand.get("/v2/health/ready").statusCode() == 200);
     }
 
@@ -72,31 +72,31 @@
             assertEquals(1, count(stand, LogEntryType.LOADING));
             stop(stand);
             List<LogEntry> all = entries(stand);
-            assertEquals(LogEntryType.STARTED, all.get(0).kind());
-            assertEquals(LogEntryType.STOPPED, all.get(all.size() - 1).kind());
+            assertEquals(LogEntryType.STARTED, all.get(0).type());
+            assertEquals(LogEntryType.STOPPED, all.get(all.size() - 1).type());
             assertTrue(all.stream()
-                    .filter(entry -> entry.kind() == LogEntryType.ENDED)
+                    .filter(entry -> entry.type() == LogEntryType.ENDED)
                     .allMatch(entry -> entry.note().equals("settled")
-                            && entry.took() > 0
-                            && entry.model().equals("pair-a")));
+                            && entry.micros() > 0
+                            && entry.function().equals("pair-a")));
             // the calls may fall into several cuts; one of them waited for the load and weighs nothing
             assertEquals(
                     Set.of("tender", "filing"),
                     all.stream()
-                            .filter(entry -> entry.kind() == LogEntryType.WORK && entry.amount() > 0)
-                            .map(LogEntry::account)
+                            .filter(entry -> entry.type() == LogEntryType.WORK && entry.amount() > 0)
+                            .map(LogEntry::tenant)
                             .collect(Collectors.toSet()));
             assertEquals(
                     400,
                     all.stream()
-                            .filter(entry -> entry.kind() == LogEntryType.MODEL)
+                            .filter(entry -> entry.type() == LogEntryType.MODEL)
                             .findFirst()
                             .orElseThrow()
                             .amount());
             assertEquals(
                     2,
                     all.stream()
-                            .filter(entry -> entry.kind() == LogEntryType.ENGINE)
+                            .filter(entry -> entry.type() == LogEntryType.ENGINE)
                             .count());
         }
     }
@@ -107,7 +107,7 @@
             for (int i = 0; i < 4; i++) {
                 Stand.await(stand.send("pair-a", 5, "pearladder-account", "tender"));
             }
-            String engine = stand.seen(Observation.ARRIVED).get(3).engine();
+            String engine = stand.seen(Observation.ARRIVED).get(3).worker();
             Path snapshot = stand.folder.resolve("r1/snapshot.json");
             Stand.until("a snapshot tells of the copy", () -> {
                 try {
@@ -123,7 +123,7 @@
             assertTrue(Files.exists(snapshot.resolveSibling("snapshot.tried")));
             Stand.await(stand.send("pair-a", 5, "pearladder-account", "tender"));
             List<Observation> arrived = stand.seen(Observation.ARRIVED);
-            assertEquals(engine, arrived.get(arrived.size() - 1).engine());
+            assertEquals(engine, arrived.get(arrived.size() - 1).worker());
             assertEquals(2, count(stand, LogEntryType.STARTED));
         }
     }
@@ -180,7 +180,7 @@
         try (Stand stand = stand()) {
             Throwable refused = assertThrows(
                     IllegalStateException.class,
-                    () -> stand.startRouter("r1", "127.0.0.1:" + stand.fleet.listPort(), RULES));
+                    () -> stand.startRouter("r1", "127.0.0.1:" + stand.fleet.discoveryPort(), RULES));
             assertTrue(
                     refused.getCause().getMessage().contains("held by another"),
                     refused.getCause().getMessage());
--- a/kserve-router/src/test/java/pearladder/router/kserve/ReleaseTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/ReleaseTest.java
@@ -86,7 +86,7 @@
             Stand.until(
                     "its copy stands and the step is taken", () -> status(stand).contains("share 0.25"));
             assertTrue(
-                    stand.seen(Observation.ORDERED).stream()
+                    stand.seen(Observation.LOAD_REQUESTED).stream()
                             .anyMatch(one -> one.model().equals("pair-a@2")),
                     "loaded ahead");
             Set<String> few = onNew(stand, 120);
@@ -111,7 +111,7 @@
         try (Stand stand = new Stand(Stand.FLEET.formatted(2), RULES)) {
             Stand.await(stand.send("pair-slow", 1));
             order(stand, target(1, "pair-slow", Mode.RUNNING, 1));
-            Stand.until("the load is ordered", () -> stand.seen(Observation.ORDERED).stream()
+            Stand.until("the load is ordered", () -> stand.seen(Observation.LOAD_REQUESTED).stream()
                     .anyMatch(one -> one.model().equals("pair-slow@2")));
             assertEquals(
                     200,
@@ -152,7 +152,7 @@
             order(stand, target(1, "pair-a", Mode.RUNNING, 1));
             order(stand, target(2, "pair-a", Mode.ROLLED_BACK, 0));
             Stand.await(stand.router.stop().toCompletionStage().toCompletableFuture());
-            stand.router = stand.startRouter("r1", "127.0.0.1:" + stand.fleet.listPort(), RULES);
+            stand.router = stand.startRouter("r1", "127.0.0.1:" + stand.fleet.discoveryPort(), RULES);
             assertTrue(status(stand).contains("epoch 2, rolled_back"), status(stand));
             HttpResponse<String> late = order(stand, target(1, "pair-a", Mode.RUNNING, 1));
             assertEquals(409, late.statusCode(), "an order from before, come late");
@@ -170,7 +170,7 @@
             RolloutTarget second = target(2, "pair-a", Mode.ROLLED_BACK, 0);
             order(stand, new RolloutTarget(1, first.plan(), first.mode(), 1, "ann", 5 * hour));
             String rules = RULES + "releases: {learn_from: [\"127.0.0.1:" + stand.router.adminPort() + "\"]}\n";
-            String list = "127.0.0.1:" + stand.fleet.listPort();
+            String list = "127.0.0.1:" + stand.fleet.discoveryPort();
             Router away = stand.startRouter("r2", list, rules);
             Stand.until("it learns", () -> newest(stand, away).contains("\"epoch\":1"));
             Stand.await(away.stop().toCompletionStage().toCompletableFuture());
@@ -229,7 +229,7 @@
             try (RolloutJournal journal = RolloutJournal.open(stand.folder.resolve("r1"))) {
                 journal.append(List.of(target(1, "pair-a", Mode.PAUSED, 0)));
             }
-            stand.router = stand.startRouter("r1", "127.0.0.1:" + stand.fleet.listPort(), RULES);
+            stand.router = stand.startRouter("r1", "127.0.0.1:" + stand.fleet.discoveryPort(), RULES);
             assertTrue(status(stand).contains("epoch 1, paused"), status(stand));
             assertEquals(200, order(stand, target(1, "pair-a", Mode.PAUSED, 0)).statusCode());
             assertEquals(409, order(stand, target(1, "pair-a", Mode.RUNNING, 0)).statusCode());
@@ -243,7 +243,7 @@
             Stand.until("the step is taken", () -> status(stand).contains("share 0.25"));
             Set<String> few = onNew(stand, 80);
             Stand.await(stand.router.stop().toCompletionStage().toCompletableFuture());
-            stand.router = stand.startRouter("r1", "127.0.0.1:" + stand.fleet.listPort(), RULES);
+            stand.router = stand.startRouter("r1", "127.0.0.1:" + stand.fleet.discoveryPort(), RULES);
             Stand.until("it is ready", () -> stand.get("/v2/health/ready").statusCode() == 200);
             assertEquals(few, onNew(stand, 80), "no key moves back for a restart");
         }
--- a/kserve-router/src/test/java/pearladder/router/kserve/RouterTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/RouterTest.java
@@ -26,7 +26,7 @@
             assertEquals(
                     1,
                     stand.seen(Observation.RAN).stream()
-                            .map(Observation::engine)
+                            .map(Observation::worker)
                             .distinct()
                             .count());
         }
--- a/kserve-router/src/test/java/pearladder/router/kserve/Stand.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/Stand.java
@@ -22,7 +22,7 @@
 import pearladder.emulator.Observation;
 import pearladder.emulator.net.Fleet;
 import pearladder.kserve.DiscoveryMessage.Entry;
-import pearladder.kserve.DiscoveryMessage.Standing;
+import pearladder.kserve.DiscoveryMessage.WorkerState;
 import pearladder.routing.StickyFirstFitPolicy;
 
 /** A router, its stand-ins and a client in one process, on ports given by the system. */
@@ -74,15 +74,15 @@
     static Stand of(String rules, RawEngine... engines) {
         Stand stand = new Stand(new FleetPlan(1, 1, 1, 0, false, List.of(), List.of()), rules);
         for (int i = 0; i < engines.length; i++) {
-            stand.list("raw-" + i, engines[i].door.getLocalPort(), "east", Standing.IN_SERVICE);
+            stand.list("raw-" + i, engines[i].door.getLocalPort(), "east", WorkerState.IN_SERVICE);
         }
         until("the engines are listed", () -> stand.metric("pearladder_engines_listed") == engines.length);
         return stand;
     }
 
     /** The list tells of an engine. */
-    void list(String engine, int port, String hall, Standing standing) {
-        fleet.run(() -> fleet.roll().change(new Entry(engine, "127.0.0.1", port, hall, "raw", 0, standing, 0)));
+    void list(String engine, int port, String hall, WorkerState standing) {
+        fleet.run(() -> fleet.registry().change(new Entry(engine, "127.0.0.1", port, hall, "raw", 0, standing, 0)));
     }
 
     /** A figure of the router's metrics; 0 where it is not there. */
@@ -107,7 +107,7 @@
         } catch (IOException broken) {
             throw new IllegalStateException(broken);
         }
-        router = startRouter("r1", "127.0.0.1:" + this.fleet.listPort(), rules);
+        router = startRouter("r1", "127.0.0.1:" + this.fleet.discoveryPort(), rules);
         until("the list is there", () -> get("/v2/health/ready").statusCode() == 200);
     }
 
@@ -167,7 +167,7 @@
     /** What was seen of a kind, in order. */
     List<Observation> seen(String what) {
         synchronized (seen) {
-            return seen.stream().filter(one -> one.what().equals(what)).toList();
+            return seen.stream().filter(one -> one.event().equals(what)).toList();
         }
     }
 
@@ -177,7 +177,7 @@
                 .filter(one -> one.model().equals(model))
                 .reduce((a, b) -> b)
                 .orElseThrow()
-                .engine();
+                .worker();
     }
 
     @Override
--- a/kserve/src/main/java/pearladder/kserve/DiscoveryMessage.java
+++ b/kserve/src/main/java/pearladder/kserve/DiscoveryMessage.java
@@ -49,7 +49,7 @@
     }
 
     /** A worker's state. */
-    public enum Standing {
+    public enum WorkerState {
         /** Takes requests. */
         IN_SERVICE("in_service"),
         /** Takes no new requests, and completes those it has. */
@@ -59,7 +59,7 @@
 
         private final String code;
 
-        Standing(String code) {
+        WorkerState(String code) {
             this.code = code;
         }
 
@@ -68,8 +68,8 @@
             return code;
         }
 
-        private static Standing parse(String code) throws IOException {
-            for (Standing standing : values()) {
+        private static WorkerState parse(String code) throws IOException {
+            for (WorkerState standing : values()) {
                 if (standing.code.equalsIgnoreCase(code)) {
                     return standing;
                 }
@@ -91,13 +91,13 @@
      * @param startedMillis wall-clock time of its last start in milliseconds since 1970; 0 where that was long ago
      */
     public record Entry(
-            String engine,
+            String worker,
             String host,
             int port,
-            String hall,
+            String zone,
             String kind,
             long cell,
-            Standing standing,
+            WorkerState state,
             long startedMillis) {}
 
     private static final JsonFactory JSON = new JsonFactory();
@@ -105,7 +105,7 @@
     private static final int MAX_PORT = 65_535;
 
     /** The message as JSON, without a line end. */
-    public String text() {
+    public String toJson() {
         StringWriter output = new StringWriter();
         try (JsonGenerator json = JSON.createGenerator(output)) {
             json.writeStartObject();
@@ -125,13 +125,13 @@
 
     private static void write(JsonGenerator json, Entry entry) throws IOException {
         json.writeStartObject();
-        json.writeStringField("engine", entry.engine);
+        json.writeStringField("engine", entry.worker);
         json.writeStringField("host", entry.host);
         json.writeNumberField("port", entry.port);
-        json.writeStringField("hall", entry.hall);
+        json.writeStringField("hall", entry.zone);
         json.writeStringField("kind", entry.kind);
         json.writeNumberField("cell", entry.cell);
-        json.writeStringField("standing", entry.standing.code());
+        json.writeStringField("standing", entry.state.code());
         json.writeNumberField("started", entry.startedMillis);
         json.writeEndObject();
     }
@@ -179,7 +179,7 @@
         String hall = "";
         String kind = "";
         long cell = 0;
-        Standing standing = null;
+        WorkerState standing = null;
         long startedMillis = 0;
         while (json.nextToken() == JsonToken.FIELD_NAME) {
             String name = json.currentName();
@@ -191,7 +191,7 @@
                 case "hall" -> hall = json.getText();
                 case "kind" -> kind = json.getText();
                 case "cell" -> cell = json.getLongValue();
-                case "standing" -> standing = Standing.parse(json.getText());
+                case "standing" -> standing = WorkerState.parse(json.getText());
                 case "started" -> startedMillis = json.getLongValue();
                 default -> json.skipChildren();
             }
--- a/kserve/src/main/java/pearladder/kserve/JsonBodies.java
+++ b/kserve/src/main/java/pearladder/kserve/JsonBodies.java
@@ -17,7 +17,7 @@
      * @param name of the model
      * @param state READY, LOADING or UNAVAILABLE, as published
      */
-    public record Indexed(String name, String state) {}
+    public record IndexedModel(String name, String state) {}
 
     private interface JsonWriter {
         void write(JsonGenerator json) throws IOException;
@@ -32,7 +32,7 @@
      *
      * @return null where it names none before its outputs, or is no JSON
      */
-    public static String answeredBy(byte[] body) {
+    public static String respondingModel(byte[] body) {
         try (JsonParser json = JSON.createParser(body)) {
             return json.nextToken() == JsonToken.START_OBJECT ? modelName(json) : null;
         } catch (IOException malformed) {
@@ -116,7 +116,7 @@
     }
 
     /** The instances that a load request asks for; 1 where it does not say. */
-    public static int copies(String body) throws IOException {
+    public static int requestedInstances(String body) throws IOException {
         if (body.isBlank()) {
             return 1;
         }
@@ -131,10 +131,10 @@
     }
 
     /** A repository index. */
-    public static String index(List<Indexed> models) {
+    public static String index(List<IndexedModel> models) {
         return write(json -> {
             json.writeStartArray();
-            for (Indexed model : models) {
+            for (IndexedModel model : models) {
                 json.writeStartObject();
                 json.writeStringField("name", model.name());
                 json.writeStringField("state", model.state());
@@ -145,8 +145,8 @@
     }
 
     /** Parses a repository index; a model with several instances has as many lines. */
-    public static List<Indexed> indexed(String body) throws IOException {
-        List<Indexed> models = new ArrayList<>();
+    public static List<IndexedModel> parseIndex(String body) throws IOException {
+        List<IndexedModel> models = new ArrayList<>();
         try (JsonParser json = JSON.createParser(body)) {
             if (json.nextToken() != JsonToken.START_ARRAY) {
                 throw new IOException("an index is a list");
@@ -158,7 +158,7 @@
         return models;
     }
 
-    private static Indexed parseIndexed(JsonParser json) throws IOException {
+    private static IndexedModel parseIndexed(JsonParser json) throws IOException {
         String name = null;
         String state = "";
         while (json.nextToken() == JsonToken.FIELD_NAME) {
@@ -173,6 +173,6 @@
         if (name == null) {
             throw new IOException("an index line has a name");
         }
-        return new Indexed(name, state);
+        return new IndexedModel(name, state);
     }
 }
--- a/kserve/src/test/java/pearladder/kserve/KserveTest.java
+++ b/kserve/src/test/java/pearladder/kserve/KserveTest.java
@@ -11,7 +11,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import pearladder.kserve.DiscoveryMessage.Entry;
-import pearladder.kserve.DiscoveryMessage.Standing;
+import pearladder.kserve.DiscoveryMessage.WorkerState;
 import pearladder.kserve.Route.Kind;
 
 class KserveTest {
@@ -19,7 +19,7 @@
     void theModelThatAnsweredIsReadFromTheHeadOfItsAnswerOnly() {
         assertEquals(
                 "a",
-                JsonBodies.answeredBy(
+                JsonBodies.respondingModel(
                         "{\"id\":\"1\",\"parameters\":{\"model_name\":\"x\"},\"model_name\":\"a\"}".getBytes()));
         for (String body : List.of(
                 "",
@@ -29,7 +29,7 @@
                 "{\"model_name\":3}",
                 "{\"model_name\":",
                 "no JSON")) {
-            assertEquals(null, JsonBodies.answeredBy(body.getBytes()), body);
+            assertEquals(null, JsonBodies.respondingModel(body.getBytes()), body);
         }
     }
 
@@ -85,13 +85,13 @@
                         "h" + random.nextInt(3),
                         "é",
                         random.nextLong(1000),
-                        Standing.values()[random.nextInt(3)],
+                        WorkerState.values()[random.nextInt(3)],
                         random.nextLong(1L << 42)));
             }
             DiscoveryMessage line = new DiscoveryMessage(
                     DiscoveryMessage.Kind.values()[random.nextInt(3)], random.nextLong(1L << 60), entries);
-            assertEquals(line, DiscoveryMessage.parse(line.text()));
-            String text = line.text();
+            assertEquals(line, DiscoveryMessage.parse(line.toJson()));
+            String text = line.toJson();
             String torn = text.substring(0, random.nextInt(text.length()));
             assertThrows(IOException.class, () -> DiscoveryMessage.parse(torn), torn);
         }
@@ -121,13 +121,13 @@
 
     @Test
     void smallBodiesAreReadAsTheyAreWritten() throws IOException {
-        assertEquals(3, JsonBodies.copies(JsonBodies.load(3)));
-        assertEquals(1, JsonBodies.copies("{}"));
-        assertEquals(1, JsonBodies.copies(""));
-        assertThrows(IOException.class, () -> JsonBodies.copies("{\"parameters\":"));
-        List<JsonBodies.Indexed> index =
-                List.of(new JsonBodies.Indexed("a", "READY"), new JsonBodies.Indexed("b\"", "LOADING"));
-        assertEquals(index, JsonBodies.indexed(JsonBodies.index(index)));
+        assertEquals(3, JsonBodies.requestedInstances(JsonBodies.load(3)));
+        assertEquals(1, JsonBodies.requestedInstances("{}"));
+        assertEquals(1, JsonBodies.requestedInstances(""));
+        assertThrows(IOException.class, () -> JsonBodies.requestedInstances("{\"parameters\":"));
+        List<JsonBodies.IndexedModel> index =
+                List.of(new JsonBodies.IndexedModel("a", "READY"), new JsonBodies.IndexedModel("b\"", "LOADING"));
+        assertEquals(index, JsonBodies.parseIndex(JsonBodies.index(index)));
         assertEquals("{\"error\":\"a \\\"b\\\"\"}", JsonBodies.error("a \"b\""));
         assertEquals(RequestOutcome.DISMISSED, RequestOutcome.of("dismissed"));
         assertNull(RequestOutcome.of("done"));
--- a/router-core/src/main/java/pearladder/router/core/ActiveAttempt.java
+++ b/router-core/src/main/java/pearladder/router/core/ActiveAttempt.java
@@ -35,7 +35,7 @@
      */
     void cancelUnsent() {
         if (isPending()) {
-            pendingSend.takeBack();
+            pendingSend.cancelUnsent();
         }
     }
 
--- a/router-core/src/main/java/pearladder/router/core/EventLoopLag.java
+++ b/router-core/src/main/java/pearladder/router/core/EventLoopLag.java
@@ -19,23 +19,23 @@
     private long nextTickAtNanos;
     private double recentLagNanos;
 
-    /** Creates a measurement that starts with {@link #begin}. */
+    /** Creates a measurement that starts with {@link #start}. */
     public EventLoopLag(Vertx vertx) {
         this.vertx = vertx;
     }
 
     /** Starts measuring; called on the event loop. */
-    public void begin() {
+    public void start() {
         nextTickAtNanos = System.nanoTime() + TICK_MILLIS * NANOS_PER_MILLI;
         vertx.setTimer(TICK_MILLIS, timerId -> {
             double lag = Math.max(0, System.nanoTime() - nextTickAtNanos - TIMER_RESOLUTION_NANOS);
             recentLagNanos = Math.max(lag, recentLagNanos * DECAY_PER_TICK);
-            begin();
+            start();
         });
     }
 
     /** Nanoseconds: the greater of the recent lag and the lateness of the tick that is overdue now. */
-    public long behind() {
+    public long lagNanos() {
         return Math.round(Math.max(recentLagNanos, System.nanoTime() - nextTickAtNanos - TIMER_RESOLUTION_NANOS));
     }
 }
--- a/router-core/src/main/java/pearladder/router/core/PolicyFactory.java
+++ b/router-core/src/main/java/pearladder/router/core/PolicyFactory.java
@@ -11,5 +11,5 @@
      * @param seed of the policy's random numbers
      * @param settings what the policy is told about this router and its traffic
      */
-    RoutingPolicy make(long seed, RoutingSettings settings);
+    RoutingPolicy create(long seed, RoutingSettings settings);
 }
--- a/router-core/src/main/java/pearladder/router/core/RequestManager.java
+++ b/router-core/src/main/java/pearladder/router/core/RequestManager.java
@@ -190,7 +190,7 @@
 
     private void removeIfFinished(ActiveRequest request) {
         if (request.isFinished() && activeRequests.remove(request.id) != null) {
-            request.responseHandler.released();
+            request.responseHandler.onReleased();
             runWhenEmpty();
         }
     }
@@ -252,7 +252,7 @@
         eventListener.onAttemptEnded(attempt, outcome, response, timers.now().since(attempt.sentAt));
         request.workerFailed |= isWorkerFailure(outcome, response);
         if (outcome == Outcome.SUCCESS && complete(request, CompletionStatus.SUCCEEDED)) {
-            request.responseHandler.succeeded(response);
+            request.responseHandler.onSuccess(response);
             request.attemptsSoFar().forEach(ActiveAttempt::cancelUnsent);
         }
         policyDriver.dispatch(attemptEnded(attempt, outcome, response));
@@ -289,7 +289,7 @@
     public void reject(Action.Reject action) {
         ActiveRequest request = activeRequests.get(action.requestId());
         if (complete(request, CompletionStatus.REJECTED)) {
-            request.responseHandler.rejected(action.retryAfter());
+            request.responseHandler.onRejected(action.retryAfter());
         }
         if (request != null) {
             removeIfFinished(request);
@@ -300,7 +300,7 @@
     public void fail(Action.Fail action) {
         ActiveRequest request = activeRequests.get(action.requestId());
         if (complete(request, CompletionStatus.FAILED)) {
-            request.responseHandler.failed();
+            request.responseHandler.onFailure();
             request.attemptsSoFar().forEach(ActiveAttempt::cancelUnsent);
         }
         if (request != null) {
--- a/router-core/src/main/java/pearladder/router/core/ResponseHandler.java
+++ b/router-core/src/main/java/pearladder/router/core/ResponseHandler.java
@@ -5,16 +5,16 @@
 /** Gives a client the final answer to its request. Of the first three methods, one is called, once. */
 public interface ResponseHandler {
     /** A worker has executed the request. */
-    void succeeded(WorkerResponse response);
+    void onSuccess(WorkerResponse response);
 
     /** The request was not executed, and the client may retry it. */
-    void rejected(TimeSpan retryAfter);
+    void onRejected(TimeSpan retryAfter);
 
     /** No worker has answered; whether the request took effect is unknown. */
-    void failed();
+    void onFailure();
 
     /**
      * The request is answered or its client has disconnected, and no attempt is under way: its buffers may be reused.
      */
-    default void released() {}
+    default void onReleased() {}
 }
--- a/router-core/src/main/java/pearladder/router/core/SnapshotLoader.java
+++ b/router-core/src/main/java/pearladder/router/core/SnapshotLoader.java
@@ -25,7 +25,7 @@
      * @param endpoints the cached endpoint list
      * @param log gets one line with figures
      */
-    public static Event.SnapshotRestored event(
+    public static Event.SnapshotRestored restoredEvent(
             RoutingSettings settings,
             PolicySnapshot snapshot,
             TimeSpan age,
@@ -38,10 +38,10 @@
                 settings.instances().idleTimeout(),
                 settings.loadQuota().window(),
                 settings.loadQuota().burst());
-        SnapshotRecovery.Believed recovered = recovery.after(
-                new SnapshotRecovery.Found(snapshot, age, loadRequestAges, logComplete, uptimes(endpoints, now)));
-        log.accept(recovered.why());
-        return new Event.SnapshotRestored(recovered.known());
+        SnapshotRecovery.RecoveredState recovered = recovery.recover(new SnapshotRecovery.RestartState(
+                snapshot, age, loadRequestAges, logComplete, uptimes(endpoints, now)));
+        log.accept(recovered.reason());
+        return new Event.SnapshotRestored(recovered.snapshot());
     }
 
     /** How long each listed worker has been up; null where that is not known. */
--- a/router-core/src/main/java/pearladder/router/core/VertxTimers.java
+++ b/router-core/src/main/java/pearladder/router/core/VertxTimers.java
@@ -14,13 +14,13 @@
     }
 
     /** The time by the machine's monotonic clock. */
-    public static MonotonicTime present() {
+    public static MonotonicTime currentTime() {
         return new MonotonicTime(System.nanoTime());
     }
 
     @Override
     public MonotonicTime now() {
-        return present();
+        return currentTime();
     }
 
     @Override
--- a/router-core/src/main/java/pearladder/router/core/WorkerClient.java
+++ b/router-core/src/main/java/pearladder/router/core/WorkerClient.java
@@ -4,7 +4,7 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * The router's connections to its workers. {@link Outcome#UNREACHABLE} and {@link Outcome#VOID} are reported only
+ * The router's connections to its workers. {@link Result#UNREACHABLE} and {@link Result#VOID} are reported only
  * where nothing of a request was sent. Everything that is begun ends once, at the latest at its timeout; it may
  * end before the method that began it returns.
  */
@@ -19,7 +19,7 @@
             }
 
             @Override
-            public void takeBack() {
+            public void cancelUnsent() {
                 // it has ended
             }
         };
@@ -28,19 +28,19 @@
         void cancel();
 
         /** Ends the attempt if nothing of it has been sent yet; otherwise it goes on. */
-        void takeBack();
+        void cancelUnsent();
     }
 
     /** Told once how an attempt or a health check ended. */
     interface AttemptListener {
         /** @param response null where no complete response came */
-        void end(Outcome outcome, WorkerResponse response);
+        void onEnded(Outcome outcome, WorkerResponse response);
     }
 
     /** Told once how a load request ended. */
     interface LoadListener {
         /** @param instances that are loaded on the worker now */
-        void end(Outcome outcome, int instances);
+        void onEnded(Outcome outcome, int instances);
     }
 
     /** Sends an attempt to its worker; to one that is not listed it ends unsent. */
--- a/simulation/src/main/java/pearladder/simulation/ClientExchange.java
+++ b/simulation/src/main/java/pearladder/simulation/ClientExchange.java
@@ -9,14 +9,14 @@
 import pearladder.testbed.LoadGenerator;
 
 /** One client's try at a router, and where its response goes. */
-final class ClientExchange implements ResponseHandler, LoadGenerator.Wire.Out {
+final class ClientExchange implements ResponseHandler, LoadGenerator.RequestTransport.SentRequest {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final SimulatedRouter router;
     private final Timeline time;
     private final long networkDelayNanos;
     private final LoadGenerator.Request request;
-    private final LoadGenerator.Heard client;
+    private final LoadGenerator.ResponseListener client;
     private ActiveRequest accepted;
     private String version = "";
     private boolean over;
@@ -26,7 +26,7 @@
             Timeline time,
             long networkDelayNanos,
             LoadGenerator.Request request,
-            LoadGenerator.Heard client) {
+            LoadGenerator.ResponseListener client) {
         this.router = router;
         this.time = time;
         this.networkDelayNanos = networkDelayNanos;
@@ -44,7 +44,7 @@
 
     /** The work that the request asks for, in nanoseconds on a core of speed 1. */
     long workNanos() {
-        return request.drawn().work();
+        return request.scheduled().work();
     }
 
     /** The version that the router has chosen, told to the client with the response. */
@@ -57,18 +57,18 @@
     }
 
     @Override
-    public void succeeded(WorkerResponse response) {
+    public void onSuccess(WorkerResponse response) {
         respond(RequestOutcome.SETTLED, RequestOutcome.SETTLED.status, 0);
     }
 
     @Override
-    public void rejected(TimeSpan retryAfter) {
+    public void onRejected(TimeSpan retryAfter) {
         long retryAfterNanos = retryAfter.toMillis() * NANOS_PER_MILLI;
         respond(RequestOutcome.DISMISSED, RequestOutcome.DISMISSED.status, retryAfterNanos);
     }
 
     @Override
-    public void failed() {
+    public void onFailure() {
         respond(RequestOutcome.TERMINATED, RequestOutcome.TERMINATED.status, 0);
     }
 
@@ -79,7 +79,7 @@
         }
         over = true;
         router.onExchangeOver(this);
-        time.after(networkDelayNanos, () -> client.answered(outcome, status, version, retryAfterNanos));
+        time.after(networkDelayNanos, () -> client.onAnswer(outcome, status, version, retryAfterNanos));
     }
 
     /** The router is dead and refuses the connection. */
@@ -94,12 +94,12 @@
 
     private void endWithoutResponse(String reason) {
         over = true;
-        time.after(networkDelayNanos, () -> client.unanswered(reason));
+        time.after(networkDelayNanos, () -> client.onNoAnswer(reason));
     }
 
     /** The client closes its connection; the router learns of it after the delay. */
     @Override
-    public void drop() {
+    public void cancel() {
         time.after(networkDelayNanos, () -> router.run(this::onClientDisconnected));
     }
 
--- a/simulation/src/main/java/pearladder/simulation/DiscoveryWatch.java
+++ b/simulation/src/main/java/pearladder/simulation/DiscoveryWatch.java
@@ -26,7 +26,7 @@
     private final long silenceTimeoutNanos;
     private final Listener listener;
     private EndpointRegistry.Watcher watcher;
-    private Timeline.Planned silenceTimeout;
+    private Timeline.ScheduledTask silenceTimeout;
     /** Version of the list that the router has. */
     private long version;
     /** Counts connections, so that what comes late from an earlier one is ignored. */
@@ -86,7 +86,7 @@
 
     private void restartSilenceTimeout(int current) {
         if (silenceTimeout != null) {
-            silenceTimeout.callOff();
+            silenceTimeout.cancel();
         }
         silenceTimeout = router.after(silenceTimeoutNanos, () -> onDisconnected(current));
     }
--- a/simulation/src/main/java/pearladder/simulation/FaultScenarioGenerator.java
+++ b/simulation/src/main/java/pearladder/simulation/FaultScenarioGenerator.java
@@ -52,9 +52,9 @@
     }
 
     private ObjectNode drawFault() {
-        ScenarioPlan.Kind[] kinds = ScenarioPlan.Kind.values();
-        ScenarioPlan.Kind kind = kinds[random.nextInt(kinds.length)];
-        double scenarioSeconds = plan.lasting() / NANOS_PER_SECOND;
+        ScenarioPlan.FaultKind[] kinds = ScenarioPlan.FaultKind.values();
+        ScenarioPlan.FaultKind kind = kinds[random.nextInt(kinds.length)];
+        double scenarioSeconds = plan.duration() / NANOS_PER_SECOND;
         double lastingSeconds = Math.min(scenarioSeconds / 2, drawLastingSeconds(kind, scenarioSeconds));
         double atSeconds = random.nextDouble() * (scenarioSeconds - lastingSeconds);
         ObjectNode fault = YAML.createObjectNode()
@@ -64,14 +64,14 @@
                 .put("share", Math.round(5 + random.nextInt(60)) / 100.0)
                 .put("part", Math.round(20 + random.nextInt(80)) / 100.0)
                 .put("times", 1 + random.nextInt(9));
-        if (random.nextInt(3) == 0 || kind == ScenarioPlan.Kind.HALL_LOST) {
-            fault.put("hall", plan.halls().get(random.nextInt(plan.halls().size())));
+        if (random.nextInt(3) == 0 || kind == ScenarioPlan.FaultKind.HALL_LOST) {
+            fault.put("hall", plan.zones().get(random.nextInt(plan.zones().size())));
         }
         return fault;
     }
 
     /** How long a fault lasts; 0 for those that are over at once. */
-    private double drawLastingSeconds(ScenarioPlan.Kind kind, double scenarioSeconds) {
+    private double drawLastingSeconds(ScenarioPlan.FaultKind kind, double scenarioSeconds) {
         return switch (kind) {
             case RELEASE, RESET, LIST_CUT -> 0;
             default -> SHORTEST_FAULT_SECONDS + random.nextDouble() * scenarioSeconds / 4;
@@ -108,7 +108,7 @@
 
     /** Moves a fault in time, within the scenario. */
     private void shift(ObjectNode fault, double seconds) {
-        long latest = plan.lasting() / NANOS_PER_MILLI - millis(fault, "lasting");
+        long latest = plan.duration() / NANOS_PER_MILLI - millis(fault, "lasting");
         long shifted = millis(fault, "at") + Math.round(seconds * 1000);
         fault.put("at", inMillis(Math.max(0, Math.min(latest, shifted))));
     }
--- a/simulation/src/main/java/pearladder/simulation/FaultSearch.java
+++ b/simulation/src/main/java/pearladder/simulation/FaultSearch.java
@@ -32,20 +32,20 @@
      * @param credit that the clients got, 0 to 1
      * @param rehearsed how many scenarios were run
      */
-    public record Found(ObjectNode script, String rule, double credit, int rehearsed) {}
+    public record Found(ObjectNode script, String brokenInvariant, double credit, int runs) {}
 
     /** One script and what it came to. */
-    private record Trial(ObjectNode script, Simulation.Outcome outcome) {
+    private record Trial(ObjectNode script, Simulation.Result outcome) {
         /** The first invariant that broke, in words; empty where none did. */
         String brokenInvariant() {
-            return outcome.verdict().breaches().isEmpty()
+            return outcome.verdict().violations().isEmpty()
                     ? ""
-                    : outcome.verdict().breaches().get(0).rule().words();
+                    : outcome.verdict().violations().get(0).rule().description();
         }
 
         /** The lower the worse; a broken invariant is worse than any credit. */
         double score() {
-            return outcome.verdict().breaches().isEmpty() ? outcome.credit() : outcome.credit() - BREACH_PENALTY;
+            return outcome.verdict().violations().isEmpty() ? outcome.credit() : outcome.credit() - BREACH_PENALTY;
         }
 
         boolean isAsBadAs(Trial other) {
@@ -65,14 +65,18 @@
     private static final YAMLMapper YAML = new YAMLMapper();
 
     private final String name;
-    private final Simulation.Maker policyFactory;
+    private final Simulation.PolicyFactory policyFactory;
     private final ExecutorService pool;
     private final PrintStream progress;
     private final FaultScenarioGenerator generator;
     private int runs;
 
     private FaultSearch(
-            ObjectNode base, String name, Simulation.Maker policyFactory, ExecutorService pool, PrintStream progress)
+            ObjectNode base,
+            String name,
+            Simulation.PolicyFactory policyFactory,
+            ExecutorService pool,
+            PrintStream progress)
             throws IOException {
         this.name = name;
         this.policyFactory = policyFactory;
@@ -92,7 +96,12 @@
      * @param progress receives a line after each step
      */
     public static Found search(
-            ObjectNode script, String name, Simulation.Maker policyFactory, int tries, int jobs, PrintStream progress)
+            ObjectNode script,
+            String name,
+            Simulation.PolicyFactory policyFactory,
+            int tries,
+            int jobs,
+            PrintStream progress)
             throws IOException, InterruptedException {
         ExecutorService pool = Executors.newFixedThreadPool(Math.max(1, jobs));
         try {
@@ -139,9 +148,9 @@
 
     /** Runs all scripts and waits for their end; a script whose run fails is kept in a file for inspection. */
     private List<Trial> run(List<ObjectNode> scripts) throws IOException, InterruptedException {
-        List<Future<Simulation.Outcome>> outcomes = new ArrayList<>();
+        List<Future<Simulation.Result>> outcomes = new ArrayList<>();
         for (ObjectNode script : scripts) {
-            outcomes.add(pool.submit(() -> Simulation.play(script, name, policyFactory, null, null)));
+            outcomes.add(pool.submit(() -> Simulation.run(script, name, policyFactory, null, null)));
         }
         List<Trial> trials = new ArrayList<>();
         for (int i = 0; i < scripts.size(); i++) {
--- a/simulation/src/main/java/pearladder/simulation/InMemoryRolloutJournal.java
+++ b/simulation/src/main/java/pearladder/simulation/InMemoryRolloutJournal.java
@@ -13,23 +13,23 @@
     private final List<RolloutProgress> progress = new ArrayList<>();
 
     @Override
-    public List<RolloutTarget> orders() {
+    public List<RolloutTarget> targets() {
         return List.copyOf(targets);
     }
 
     @Override
-    public List<RolloutProgress> reached() {
+    public List<RolloutProgress> progress() {
         return List.copyOf(progress);
     }
 
     @Override
-    public void keep(List<RolloutTarget> newTargets, Consumer<String> onWritten) {
+    public void write(List<RolloutTarget> newTargets, Consumer<String> onWritten) {
         targets.addAll(newTargets);
         onWritten.accept(null);
     }
 
     @Override
-    public void keep(RolloutProgress newProgress, Consumer<String> onWritten) {
+    public void write(RolloutProgress newProgress, Consumer<String> onWritten) {
         progress.add(newProgress);
         onWritten.accept(null);
     }
--- a/simulation/src/main/java/pearladder/simulation/ObservationRecorder.java
+++ b/simulation/src/main/java/pearladder/simulation/ObservationRecorder.java
@@ -30,15 +30,16 @@
     @Override
     public void accept(Observation observation) {
         observations.add(observation);
-        loads += observation.what().equals(Observation.LOADED) ? 1 : 0;
-        endpointsSent += observation.what().equals(Observation.TOLD) ? 1 : 0;
+        loads += observation.event().equals(Observation.LOAD_ENDED) ? 1 : 0;
+        endpointsSent += observation.event().equals(Observation.ENDPOINT_SENT) ? 1 : 0;
         digest.update(canonicalText(observation).getBytes(StandardCharsets.UTF_8));
     }
 
     private static String canonicalText(Observation observation) {
-        return observation.at() + " " + observation.what() + " " + observation.router() + " " + observation.call() + " "
-                + observation.leg() + " " + observation.engine() + " " + observation.model() + " "
-                + observation.note() + " " + observation.figure() + "\n";
+        return observation.at() + " " + observation.event() + " " + observation.router() + " " + observation.requestId()
+                + " "
+                + observation.attempt() + " " + observation.worker() + " " + observation.model() + " "
+                + observation.note() + " " + observation.value() + "\n";
     }
 
     List<Observation> observations() {
--- a/simulation/src/main/java/pearladder/simulation/SimulatedExchange.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedExchange.java
@@ -33,7 +33,7 @@
     private final SimulatedNetworkPath path;
     private final Operation operation;
     private final Listener listener;
-    private Timeline.Planned timeout;
+    private Timeline.ScheduledTask timeout;
     private PendingRequest pending;
     private boolean sent;
     private boolean over;
@@ -128,7 +128,7 @@
         }
         over = true;
         client.remove(this);
-        timeout.callOff();
+        timeout.cancel();
         path.unregister(this);
         if (reply == null && sent) {
             closeConnection();
@@ -160,7 +160,7 @@
     }
 
     @Override
-    public void takeBack() {
+    public void cancelUnsent() {
         if (!sent) {
             end(Outcome.VOID, null);
         }
--- a/simulation/src/main/java/pearladder/simulation/SimulatedFleet.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedFleet.java
@@ -15,7 +15,7 @@
 import pearladder.emulator.WorkerFactory;
 import pearladder.emulator.WorkerModel;
 import pearladder.kserve.DiscoveryMessage.Entry;
-import pearladder.kserve.DiscoveryMessage.Standing;
+import pearladder.kserve.DiscoveryMessage.WorkerState;
 
 /** All workers of a plan with their model store and endpoint registry, on the virtual network. */
 final class SimulatedFleet {
@@ -35,7 +35,7 @@
     private final WorkerFactory workerFactory;
     private final EndpointRegistry registry;
     private final Map<String, SimulatedNetworkPath> paths = new LinkedHashMap<>();
-    private final Map<String, FleetPlan.Planned> plannedWorkers = new LinkedHashMap<>();
+    private final Map<String, FleetPlan.PlannedWorker> plannedWorkers = new LinkedHashMap<>();
     private final Map<SimulatedNetworkPath, Long> pausedSince = new LinkedHashMap<>();
     private Runnable onDiscoveryCut = () -> {};
 
@@ -46,9 +46,9 @@
         this.modelStore = new ModelStore(time, plan.modelStoreCapacity(), plan.modelStoreFetchLimit());
         this.workerFactory = new WorkerFactory(time, plan, modelStore, observations);
         this.registry = new EndpointRegistry(time, 0, observations);
-        plan.engines().forEach(worker -> add(worker, false));
+        plan.workers().forEach(worker -> add(worker, false));
         // The first workers are listed without lag, in the tasks just scheduled.
-        time.after(1, () -> registry.setLag(plan.lagNanos()));
+        time.after(1, () -> registry.setLag(plan.discoveryLagNanos()));
         scheduleHeartbeat();
     }
 
@@ -72,19 +72,19 @@
         onDiscoveryCut = action;
     }
 
-    private void add(FleetPlan.Planned planned, boolean coldStart) {
+    private void add(FleetPlan.PlannedWorker planned, boolean coldStart) {
         WorkerModel worker = workerFactory.create(planned, coldStart);
         paths.put(planned.id(), new SimulatedNetworkPath(time, networkDelayNanos, worker, planned.hall()));
         plannedWorkers.put(planned.id(), planned);
-        announce(planned.id(), Standing.IN_SERVICE, coldStart ? nowMillis() : STARTED_BEFORE);
+        announce(planned.id(), WorkerState.IN_SERVICE, coldStart ? nowMillis() : STARTED_BEFORE);
     }
 
     private long nowMillis() {
         return time.now() / NANOS_PER_MILLI;
     }
 
-    private void announce(String id, Standing state, long startedMillis) {
-        FleetPlan.Planned worker = plannedWorkers.get(id);
+    private void announce(String id, WorkerState state, long startedMillis) {
+        FleetPlan.PlannedWorker worker = plannedWorkers.get(id);
         registry.change(
                 new Entry(id, HOST, PORT, worker.hall(), worker.kind().name(), worker.cell(), state, startedMillis));
     }
@@ -104,26 +104,26 @@
     /** A worker's process dies; the registry learns of it after its lag. */
     void kill(String id) {
         paths.get(id).crash();
-        announce(id, Standing.GONE, 0);
+        announce(id, WorkerState.GONE, 0);
     }
 
     private void restart(String id) {
         WorkerModel worker = paths.get(id).worker;
         if (!worker.isUp()) {
             worker.restart();
-            announce(id, Standing.IN_SERVICE, nowMillis());
+            announce(id, WorkerState.IN_SERVICE, nowMillis());
         }
     }
 
     private void drain(String id) {
         paths.get(id).worker.drain();
-        announce(id, Standing.DRAINING, 0);
+        announce(id, WorkerState.DRAINING, 0);
     }
 
     /** A step of a rolling deployment: the worker drains, goes, and a successor with a new id starts cold. */
     private void replace(String id, long drainNanos) {
         drain(id);
-        FleetPlan.Planned old = plannedWorkers.get(id);
+        FleetPlan.PlannedWorker old = plannedWorkers.get(id);
         time.after(drainNanos, () -> {
             kill(id);
             add(workerFactory.successorOf(old), true);
@@ -135,8 +135,8 @@
             pausedSince.putIfAbsent(path, time.now());
         } else if (pausedSince.containsKey(path)) {
             long since = pausedSince.remove(path);
-            observations.accept(
-                    new Observation(since, Observation.STILL, "", "", 0, path.worker.id(), "", "", time.now() - since));
+            observations.accept(new Observation(
+                    since, Observation.PROCESS_PAUSED, "", "", 0, path.worker.id(), "", "", time.now() - since));
         }
         path.setPaused(on);
     }
--- a/simulation/src/main/java/pearladder/simulation/SimulatedRouter.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedRouter.java
@@ -61,29 +61,29 @@
         this.networkDelayNanos = environment.networkDelayNanos();
         this.log = environment.log();
         SimulatedFleet fleet = environment.fleet();
-        long connectTimeoutNanos = config.connections().dial().nanos();
+        long connectTimeoutNanos = config.connections().connectTimeout().nanos();
         this.workerClient =
                 new SimulatedWorkerClient(this, config.name(), networkDelayNanos, connectTimeoutNanos, fleet::kill);
-        long silenceTimeoutNanos = config.list().silence().nanos();
+        long silenceTimeoutNanos = config.discovery().silenceTimeout().nanos();
         this.discovery =
                 new DiscoveryWatch(this, config.name(), environment, silenceTimeoutNanos, new EndpointListener());
         this.endpoints = new EndpointList(
                 0,
-                entry -> workerClient.onWorkerListed(entry.engine(), fleet.pathTo(entry.engine())),
+                entry -> workerClient.onWorkerListed(entry.worker(), fleet.pathTo(entry.worker())),
                 workerClient::onWorkerRemoved);
-        EventListener events = config.records() == null ? EventListener.NONE : new LoadRequestRecorder(this, host);
-        this.requests = new RequestManager(config.facts(), this, policy, workerClient, this, events);
+        EventListener events = config.retention() == null ? EventListener.NONE : new LoadRequestRecorder(this, host);
+        this.requests = new RequestManager(config.routingSettings(), this, policy, workerClient, this, events);
         this.rollouts = new RolloutManager(this, config, host.rolloutJournal(), requests::dispatch);
-        this.requests.onPrewarmProgress(rollouts::standing);
+        this.requests.onPrewarmProgress(rollouts::onPrewarmProgress);
     }
 
     /** Starts as a router does: the cached endpoints, the snapshot, the rollout journal, the peers, then discovery. */
     void start() {
         Event.EndpointsUpdated cached = endpoints.restore(host.cachedEndpoints());
         requests.dispatch(cached);
-        if (config.records() != null) {
-            requests.dispatch(SnapshotLoader.event(
-                    config.facts(),
+        if (config.retention() != null) {
+            requests.dispatch(SnapshotLoader.restoredEvent(
+                    config.routingSettings(),
                     host.snapshot(),
                     host.snapshotAge(),
                     host.loadRequestAges(),
@@ -93,7 +93,7 @@
                     what -> log.accept("begins with what is believed " + what)));
             scheduleSnapshot();
         }
-        rollouts.begin();
+        rollouts.start();
         learnFromPeers();
         watchEndpoints();
         schedulePeerSync();
@@ -114,7 +114,7 @@
     }
 
     private void learnFromPeers() {
-        host.peerTargets().forEach(rollouts::heard);
+        host.peerTargets().forEach(rollouts::onPeerTarget);
     }
 
     /** The rollout targets that this router knows. */
@@ -124,7 +124,7 @@
 
     /** An operator orders rollouts. */
     void order(List<RolloutTarget> targets, Consumer<List<String>> onRefusals) {
-        run(() -> rollouts.order(targets, onRefusals));
+        run(() -> rollouts.setTargets(targets, onRefusals));
     }
 
     @Override
@@ -134,12 +134,12 @@
 
     @Override
     public Timer after(TimeSpan span, Runnable task) {
-        Timeline.Planned scheduled = after(Timers.millis(span) * NANOS_PER_MILLI, task);
-        return scheduled::callOff;
+        Timeline.ScheduledTask scheduled = after(Timers.millis(span) * NANOS_PER_MILLI, task);
+        return scheduled::cancel;
     }
 
     /** Runs a task of this router after a delay, by the rules of {@link #run}. */
-    Timeline.Planned after(long nanos, Runnable task) {
+    Timeline.ScheduledTask after(long nanos, Runnable task) {
         return time.after(nanos, () -> run(task));
     }
 
@@ -178,7 +178,7 @@
     }
 
     /** A client sends a request, which arrives after the network's delay. */
-    ClientExchange receive(LoadGenerator.Request request, LoadGenerator.Heard client) {
+    ClientExchange receive(LoadGenerator.Request request, LoadGenerator.ResponseListener client) {
         ClientExchange exchange = new ClientExchange(this, time, networkDelayNanos, request, client);
         time.after(networkDelayNanos, () -> onArrived(exchange));
         return exchange;
@@ -200,28 +200,29 @@
         }
         LoadGenerator.Request request = exchange.request();
         RoutingSettings.RequestClass requestClass =
-                config.category(request.terms().name());
-        RouterConfig.ModelTerms model = config.modelOf(request.drawn().model());
+                config.requestClass(request.terms().name());
+        RouterConfig.ModelSettings model =
+                config.modelSettings(request.scheduled().model());
         if (requestClass == null) {
             exchange.respond(null, BAD_REQUEST, 0);
         } else if (model == null) {
             exchange.respond(null, NOT_FOUND, 0);
-        } else if (requests.inFlight() >= config.limits().openCalls()) {
-            exchange.rejected(config.facts().attemptLimits().maxRetryAfter());
+        } else if (requests.inFlight() >= config.limits().maxRequestsInFlight()) {
+            exchange.onRejected(config.routingSettings().attemptLimits().maxRetryAfter());
         } else {
             accept(exchange, requestClass, model);
         }
     }
 
     private void accept(
-            ClientExchange exchange, RoutingSettings.RequestClass requestClass, RouterConfig.ModelTerms model) {
+            ClientExchange exchange, RoutingSettings.RequestClass requestClass, RouterConfig.ModelSettings model) {
         LoadGenerator.Request request = exchange.request();
-        TimeSpan deadline = new TimeSpan(request.patience()).atMost(requestClass.deadline());
-        String idempotencyKey = request.mark().isEmpty() ? null : request.mark();
-        boolean hasTenants = !config.facts().tenants().isEmpty();
-        String tenant = hasTenants ? request.drawn().account() : null;
-        RolloutManager.Chosen chosen = rollouts.choose(
-                new RolloutManager.Wish(request.id(), request.drawn().model(), null, null, tenant, idempotencyKey));
+        TimeSpan deadline = new TimeSpan(request.timeToDeadline()).atMost(requestClass.deadline());
+        String idempotencyKey = request.idempotencyKey().isEmpty() ? null : request.idempotencyKey();
+        boolean hasTenants = !config.routingSettings().tenants().isEmpty();
+        String tenant = hasTenants ? request.scheduled().tenant() : null;
+        RolloutManager.ChosenVersion chosen = rollouts.choose(new RolloutManager.VersionRequest(
+                request.id(), request.scheduled().model(), null, null, tenant, idempotencyKey));
         exchange.setVersion(chosen.version());
         exchange.setAccepted(requests.accept(
                 new RequestManager.ParsedRequest(
@@ -232,12 +233,12 @@
                         deadline,
                         requestClass,
                         tenant,
-                        model.lanes(),
+                        model.concurrency(),
                         model.memoryMb(),
-                        model.usualLoad(),
+                        model.typicalLoadTime(),
                         null,
-                        request.repeat(),
-                        chosen.ending()),
+                        request.isRetry(),
+                        chosen.completionListener()),
                 exchange));
     }
 
@@ -266,7 +267,7 @@
         @Override
         public void onMessage(DiscoveryMessage message) {
             requests.dispatch(endpoints.apply(message));
-            host.cacheEndpoints(endpoints::whole);
+            host.cacheEndpoints(endpoints::snapshot);
         }
 
         @Override
--- a/simulation/src/main/java/pearladder/simulation/SimulatedRouters.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedRouters.java
@@ -27,7 +27,7 @@
 
     private final ScenarioPlan plan;
     private final JsonNode script;
-    private final Simulation.Maker policyFactory;
+    private final Simulation.PolicyFactory policyFactory;
     private final Timeline time;
     private final SimulatedFleet fleet;
     private final RouterLogs logs;
@@ -37,7 +37,7 @@
     SimulatedRouters(
             ScenarioPlan plan,
             JsonNode script,
-            Simulation.Maker policyFactory,
+            Simulation.PolicyFactory policyFactory,
             Timeline time,
             SimulatedFleet fleet,
             RouterLogs logs) {
@@ -56,14 +56,14 @@
      */
     SimulatedHost addHost(int number) throws IOException {
         String name = "r" + (number + 1);
-        String hall = plan.halls().get(number % plan.halls().size());
+        String hall = plan.zones().get(number % plan.zones().size());
         RouterConfig config = configOf(name, hall, number);
         RouterEnvironment environment =
                 new RouterEnvironment(time, fleet, plan.network().delay(), text -> logs.add(name, text));
         SimulatedHost host =
                 new SimulatedHost(name, hall, time, () -> targetsKnownBesides(name), (self, incarnation) -> {
                     long seed = plan.seed() * SEED_PER_SCENARIO + number * SEED_PER_ROUTER + incarnation;
-                    RoutingPolicy policy = policyFactory.make(seed, config.facts());
+                    RoutingPolicy policy = policyFactory.create(seed, config.routingSettings());
                     return new SimulatedRouter(self, config, policy, environment);
                 });
         hosts.put(name, host);
--- a/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
@@ -97,7 +97,7 @@
     public PendingSend send(ActiveAttempt attempt, TimeSpan limit, AttemptListener listener) {
         SimulatedConnectionPool pool = poolsByWorker.get(attempt.worker);
         if (pool == null) {
-            listener.end(Outcome.VOID, null);
+            listener.onEnded(Outcome.VOID, null);
             return PendingSend.NONE;
         }
         SimulatedNetworkPath path = pool.path();
@@ -125,9 +125,9 @@
             SimulatedNetworkPath path, Outcome outcome, WorkerReply reply, AttemptListener listener) {
         SimulatedResponse response = reply == null ? null : SimulatedResponse.of(reply);
         if (outcome == Outcome.SUCCESS && path.isMisnamingModels()) {
-            listener.end(Outcome.ERROR, response.asError());
+            listener.onEnded(Outcome.ERROR, response.asError());
         } else {
-            listener.end(outcome, response);
+            listener.onEnded(outcome, response);
         }
     }
 
@@ -135,7 +135,7 @@
     public void loadInstances(String worker, String function, int instances, TimeSpan limit, LoadListener listener) {
         SimulatedConnectionPool pool = poolsByWorker.get(worker);
         if (pool == null) {
-            listener.end(Outcome.UNREACHABLE, 0);
+            listener.onEnded(Outcome.UNREACHABLE, 0);
             return;
         }
         WorkerModel model = pool.path().worker;
@@ -143,14 +143,14 @@
                 pool,
                 limit,
                 replyTo -> loadOrCount(model, function, instances, replyTo),
-                (outcome, reply) -> listener.end(outcome, reply == null ? 0 : reply.readyInstances()));
+                (outcome, reply) -> listener.onEnded(outcome, reply == null ? 0 : reply.readyInstances()));
     }
 
     /** With 0 instances wanted it is only asked how many are ready. */
     private PendingRequest loadOrCount(
             WorkerModel worker, String function, int instances, Consumer<WorkerReply> replyTo) {
         if (instances == 0) {
-            replyTo.accept(WorkerReply.ofLoad(WorkerOutcome.OK, worker.standing(function), worker.report()));
+            replyTo.accept(WorkerReply.ofLoad(WorkerOutcome.OK, worker.readyInstances(function), worker.report()));
         } else {
             worker.loadInstances(routerName, function, instances, replyTo);
         }
@@ -178,7 +178,7 @@
     public void checkHealth(String worker, TimeSpan limit, AttemptListener listener) {
         SimulatedConnectionPool pool = poolsByWorker.get(worker);
         if (pool == null) {
-            listener.end(Outcome.UNREACHABLE, null);
+            listener.onEnded(Outcome.UNREACHABLE, null);
             return;
         }
         WorkerModel model = pool.path().worker;
@@ -186,7 +186,7 @@
                 pool,
                 limit,
                 replyTo -> replyOk(model, replyTo),
-                (outcome, reply) -> listener.end(outcome, reply == null ? null : SimulatedResponse.of(reply)));
+                (outcome, reply) -> listener.onEnded(outcome, reply == null ? null : SimulatedResponse.of(reply)));
     }
 
     private static PendingRequest replyOk(WorkerModel worker, Consumer<WorkerReply> replyTo) {
