--- a/simulation/src/main/java/pearladder/simulation/Simulation.java
+++ b/simulation/src/main/java/pearladder/simulation/Simulation.java
@@ -23,7 +23,7 @@
 import pearladder.testbed.InvariantChecker;
 import pearladder.testbed.LoadGenerator;
 import pearladder.testbed.LoadStatistics;
-import pearladder.testbed.ReleaseScript;
+import pearladder.testbed.RolloutScript;
 import pearladder.testbed.ScenarioPlan;
 import pearladder.testbed.SyntheticWorkload;
 import pearladder.testbed.TraceWorkload;
@@ -33,9 +33,9 @@
  */
 public final class Simulation {
     /** Creates the policy of a router. */
-    public interface Maker {
+    public interface PolicyFactory {
         /** The policy of a router with these settings; all its random draws come from the seed. */
-        RoutingPolicy make(long seed, RoutingSettings settings);
+        RoutingPolicy create(long seed, RoutingSettings settings);
     }
 
     /**
@@ -57,25 +57,25 @@
      * @param verdict of the invariant checker
      * @param faults expectations that were missed, and what went wrong in the run
      */
-    public record Outcome(
+    public record Result(
             String digest,
             double credit,
-            double worst,
-            long calls,
+            double worstWindowCredit,
+            long requests,
             long loads,
-            double p50,
-            double p99,
+            double p50Millis,
+            double p99Millis,
             long events,
             long decisions,
-            long decidedNanos,
-            long told,
+            long decisionNanos,
+            long endpointsSent,
             double wallSeconds,
             List<String> table,
             InvariantChecker.Verdict verdict,
             List<String> faults) {
         /** Whether every invariant and every expectation was kept. */
-        public boolean kept() {
-            return verdict.breaches().isEmpty() && faults.isEmpty();
+        public boolean passed() {
+            return verdict.violations().isEmpty() && faults.isEmpty();
         }
     }
 
@@ -98,7 +98,7 @@
     private final ObservationRecorder recorder = new ObservationRecorder();
     private final LoadStatistics statistics = new LoadStatistics();
     private final RouterLogs routerLogs = new RouterLogs(time);
-    private final ReleaseScript releases = new ReleaseScript(null);
+    private final RolloutScript releases = new RolloutScript(null);
     private final List<String> faults = new ArrayList<>();
     private final SimulatedFleet fleet;
     private final SimulatedRouters routers;
@@ -108,12 +108,16 @@
     private boolean clientsEnded;
 
     private Simulation(
-            JsonNode script, ScenarioPlan plan, TraceWorkload trace, Maker policyFactory, PrintStream progress) {
+            JsonNode script,
+            ScenarioPlan plan,
+            TraceWorkload trace,
+            PolicyFactory policyFactory,
+            PrintStream progress) {
         this.plan = plan;
         this.trace = trace;
         this.progress = progress;
-        this.loadBalancer = new ClientLoadBalancer(plan.clients().frontLag());
-        time.runTo(EPOCH_NANOS);
+        this.loadBalancer = new ClientLoadBalancer(plan.clients().loadBalancerLag());
+        time.advanceTo(EPOCH_NANOS);
         this.fleet = new SimulatedFleet(time, plan.fleet(), plan.network().delay(), recorder);
         this.routers = new SimulatedRouters(plan, script, policyFactory, time, fleet, routerLogs);
         this.clients = new LoadGenerator(
@@ -136,9 +140,9 @@
      * @param out folder for results, or null for none
      * @param progress receives lines of progress; null for none
      */
-    public static Outcome play(JsonNode script, String name, Maker policyFactory, Path out, PrintStream progress)
+    public static Result run(JsonNode script, String name, PolicyFactory policyFactory, Path out, PrintStream progress)
             throws IOException {
-        return play(script, name, null, policyFactory, out, progress);
+        return run(script, name, null, policyFactory, out, progress);
     }
 
     /**
@@ -146,11 +150,11 @@
      *
      * @param trace null for the script's traffic
      */
-    public static Outcome play(
+    public static Result run(
             JsonNode script,
             String name,
-            TraceWorkload.Terms trace,
-            Maker policyFactory,
+            TraceWorkload.ReplaySettings trace,
+            PolicyFactory policyFactory,
             Path out,
             PrintStream progress)
             throws IOException {
@@ -163,17 +167,17 @@
         }
     }
 
-    private Outcome run(Path out) throws IOException {
+    private Result run(Path out) throws IOException {
         long wallStart = System.nanoTime();
         startRouters();
         startedAt = time.now() + SETTLING_NANOS;
         routerLogs.setOrigin(startedAt);
-        time.at(startedAt, () -> clients.play(startedAt, () -> clientsEnded = true));
+        time.at(startedAt, () -> clients.start(startedAt, () -> clientsEnded = true));
         FaultInjector faultInjector = new FaultInjector(plan, new World());
         time.at(startedAt, () -> injectFaults(faultInjector));
         runClients(wallStart);
         // What comes too late after the last response is to be seen as well.
-        time.runTo(time.now() + SETTLING_NANOS);
+        time.advanceTo(time.now() + SETTLING_NANOS);
         return new SimulationReport(
                         plan,
                         statistics,
@@ -183,7 +187,7 @@
                         routerLogs,
                         startedAt,
                         time.now(),
-                        time.ran(),
+                        time.executedTasks(),
                         secondsSince(wallStart),
                         faults)
                 .write(out);
@@ -198,9 +202,9 @@
     }
 
     private void runClients(long wallStart) {
-        long latestEnd = trace != null ? Long.MAX_VALUE : startedAt + plan.lasting() + CLIENTS_END_WITHIN_NANOS;
+        long latestEnd = trace != null ? Long.MAX_VALUE : startedAt + plan.duration() + CLIENTS_END_WITHIN_NANOS;
         for (long at = startedAt; !clientsEnded && at < latestEnd; at += SECOND_NANOS) {
-            time.runTo(at);
+            time.advanceTo(at);
             if (progress != null && (at - startedAt) % PROGRESS_INTERVAL_NANOS == 0 && at > startedAt) {
                 reportProgress(at, wallStart);
             }
@@ -215,9 +219,9 @@
                 Locale.ROOT,
                 "  %4.0f s: %d calls ended, credit %.3f; %d events, %.1f s of this machine",
                 (at - startedAt) / 1e9,
-                statistics.calls(),
+                statistics.requests(),
                 statistics.credit(),
-                time.ran(),
+                time.executedTasks(),
                 secondsSince(wallStart)));
     }
 
@@ -226,27 +230,28 @@
     }
 
     private void injectFaults(FaultInjector faultInjector) {
-        long next = faultInjector.due(time.now() - startedAt);
+        long next = faultInjector.runDue(time.now() - startedAt);
         if (next >= 0) {
             time.at(startedAt + next, () -> injectFaults(faultInjector));
         }
     }
 
-    private LoadGenerator.Wire.Out send(LoadGenerator.Request request, LoadGenerator.Heard client) {
+    private LoadGenerator.RequestTransport.SentRequest send(
+            LoadGenerator.Request request, LoadGenerator.ResponseListener client) {
         SimulatedRouter router = routers.host(request.target().router()).router();
         if (router == null) {
-            time.after(2 * plan.network().delay(), () -> client.unanswered("unreachable"));
+            time.after(2 * plan.network().delay(), () -> client.onNoAnswer("unreachable"));
             return () -> {};
         }
         return router.receive(request, client);
     }
 
     /** What the scenario's faults act on. */
-    private final class World implements FaultInjector.World {
+    private final class World implements FaultInjector.FaultTarget {
         private final Map<String, Long> pausedSince = new HashMap<>();
 
         @Override
-        public List<String> engines(String hall) {
+        public List<String> runningWorkers(String hall) {
             return fleet.inService(hall);
         }
 
@@ -256,7 +261,7 @@
         }
 
         @Override
-        public void toEngines(String what, List<String> workers, String model, double figure) {
+        public void commandWorkers(String what, List<String> workers, String model, double figure) {
             FaultType type =
                     FaultType.of(what).orElseThrow(() -> new IllegalArgumentException("unknown fault " + what));
             fleet.apply(new FaultCommand(type, workers, model, figure));
@@ -266,7 +271,7 @@
         public void killRouter(String router) {
             recorder.accept(new Observation(time.now(), Observation.KILLED, router, "", 0, "", "", "", 0));
             routers.host(router).kill();
-            loadBalancer.died(router, time.now());
+            loadBalancer.markDead(router, time.now());
         }
 
         @Override
@@ -277,18 +282,18 @@
             time.after(plan.network().routerStart(), () -> {
                 routers.host(router).start();
                 recorder.accept(new Observation(time.now(), Observation.STARTED, router, "", 0, "", "", "", 0));
-                loadBalancer.back(router);
+                loadBalancer.markAlive(router);
             });
         }
 
         @Override
-        public void toRouters(ScenarioPlan.Kind what, List<String> names, double figure) {
+        public void injectIntoRouters(ScenarioPlan.FaultKind what, List<String> names, double figure) {
             for (String name : names) {
                 SimulatedRouter router = routers.host(name).router();
                 if (router == null) {
                     continue;
                 }
-                if (what == ScenarioPlan.Kind.ROUTERS_PAUSED) {
+                if (what == ScenarioPlan.FaultKind.ROUTERS_PAUSED) {
                     setPaused(name, router, figure > 0);
                 } else if (figure > 0) {
                     router.jumpClock(Math.round(figure * SECOND_NANOS));
@@ -302,19 +307,20 @@
             } else if (pausedSince.containsKey(name)) {
                 long since = pausedSince.remove(name);
                 long pausedNanos = time.now() - since;
-                recorder.accept(new Observation(since, Observation.STILL, name, "", 0, "", "", "", pausedNanos));
+                recorder.accept(
+                        new Observation(since, Observation.PROCESS_PAUSED, name, "", 0, "", "", "", pausedNanos));
             }
             router.setPaused(on);
         }
 
         @Override
-        public void heedless(boolean on) {
-            clients.heedless(on);
+        public void ignoreRetryAfter(boolean on) {
+            clients.ignoreRetryAfter(on);
         }
 
         @Override
-        public void order(ReleaseScript.Order order) {
-            List<RolloutTarget> targets = releases.targets(order);
+        public void giveRolloutOrder(RolloutScript.Order order) {
+            List<RolloutTarget> targets = releases.nextTargets(order);
             for (SimulatedHost host : routers.hosts()) {
                 if (host.router() != null) {
                     host.router().order(targets, refusals -> addRefusal(host.name, refusals));
@@ -330,8 +336,8 @@
         }
 
         @Override
-        public void say(String what) {
-            recorder.accept(new Observation(time.now(), Observation.TROUBLE, "", "", 0, "", "", what, 0));
+        public void report(String what) {
+            recorder.accept(new Observation(time.now(), Observation.FAULT_INJECTED, "", "", 0, "", "", what, 0));
             if (progress != null) {
                 double seconds = (time.now() - startedAt) / 1e9;
                 progress.println(String.format(Locale.ROOT, "  %4.0f s: %s", seconds, what));
--- a/simulation/src/main/java/pearladder/simulation/SimulationReport.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulationReport.java
@@ -42,11 +42,11 @@
     private static final double NANOS_PER_MICRO = 1e3;
 
     /** @param folder for the results, or null where none are to be written */
-    Simulation.Outcome write(Path folder) throws IOException {
+    Simulation.Result write(Path folder) throws IOException {
         List<Observation> observations = recorder.observations();
-        InvariantChecker checker = new InvariantChecker(plan.rules(), plan.slack(), plan.places());
+        InvariantChecker checker = new InvariantChecker(plan.invariantSettings(), plan.slack(), plan.workerLocations());
         InvariantChecker.Verdict verdict = checker.check(observations);
-        faults.addAll(plan.expected().missed(statistics));
+        faults.addAll(plan.expected().missedRequirements(statistics));
         String digest = recorder.digest();
         List<String> table = table(verdict, digest);
         if (folder != null) {
@@ -62,8 +62,8 @@
 
     private List<String> table(InvariantChecker.Verdict verdict, String digest) {
         List<String> lines = new ArrayList<>(statistics.table());
-        lines.addAll(VersionShares.lines(recorder.observations(), startedAt, plan.releases()));
-        lines.add(Results.fetched(plan, recorder.observations(), startedAt));
+        lines.addAll(VersionShares.lines(recorder.observations(), startedAt, plan.rolloutOrders()));
+        lines.add(Results.loadsLine(plan, recorder.observations(), startedAt));
         if (trace != null) {
             lines.addAll(trace.lines());
             if (trace.failure() != null) {
@@ -74,14 +74,14 @@
         lines.add(String.format(
                 Locale.ROOT,
                 "rehearsed with %d engines and %d routers: %d calls in %d tries, %d loads, digest %s",
-                plan.fleet().engines().size(),
+                plan.fleet().workers().size(),
                 plan.routers(),
-                statistics.calls(),
-                statistics.tries(),
+                statistics.requests(),
+                statistics.attempts(),
                 recorder.loads(),
                 digest));
         lines.add("");
-        lines.addAll(verdict.lines(startedAt, plan.rules()));
+        lines.addAll(verdict.lines(startedAt, plan.invariantSettings()));
         faults.forEach(fault -> lines.add("fault: " + fault));
         return lines;
     }
@@ -95,7 +95,7 @@
     private void addGrowth(ObjectNode results) {
         double decisionNanos = routers.decisionNanos();
         results.putObject("growth")
-                .put("loads_per_1000", 1000.0 * recorder.loads() / Math.max(1, statistics.calls()))
+                .put("loads_per_1000", 1000.0 * recorder.loads() / Math.max(1, statistics.requests()))
                 .put("decision_us", decisionNanos / NANOS_PER_MICRO / Math.max(1, routers.decisions()))
                 .put("decided_share", decisionNanos / NANOS_PER_SECOND / plan.routers() / seconds())
                 .put("told_per_second", recorder.endpointsSent() / (double) plan.routers() / seconds())
@@ -108,12 +108,12 @@
         return (endedAt - startedAt) / NANOS_PER_SECOND;
     }
 
-    private Simulation.Outcome outcome(InvariantChecker.Verdict verdict, String digest, List<String> table) {
-        return new Simulation.Outcome(
+    private Simulation.Result outcome(InvariantChecker.Verdict verdict, String digest, List<String> table) {
+        return new Simulation.Result(
                 digest,
                 statistics.credit(),
-                statistics.worstWindow(),
-                statistics.calls(),
+                statistics.leastWindowCredit(),
+                statistics.requests(),
                 recorder.loads(),
                 statistics.latencyMillis(50),
                 statistics.latencyMillis(99),
--- a/simulation/src/test/java/pearladder/simulation/SimulationTest.java
+++ b/simulation/src/test/java/pearladder/simulation/SimulationTest.java
@@ -20,8 +20,8 @@
 class SimulationTest {
     @Test
     void sameSeedGivesSameEventsAndAnotherSeedOthers() throws IOException {
-        Simulation.Outcome one = SmallScenario.run(SmallScenario.script());
-        Simulation.Outcome again = SmallScenario.run(SmallScenario.script());
+        Simulation.Result one = SmallScenario.run(SmallScenario.script());
+        Simulation.Result again = SmallScenario.run(SmallScenario.script());
         assertEquals(one.digest(), again.digest());
         assertEquals(one.events(), again.events());
         ObjectNode other = SmallScenario.script();
@@ -31,20 +31,20 @@
 
     @Test
     void faultyScenarioKeepsTheInvariantsAndEachOfThemIsChecked() throws IOException {
-        Simulation.Outcome outcome = SmallScenario.run(SmallScenario.script());
-        assertEquals(List.of(), outcome.verdict().breaches());
+        Simulation.Result outcome = SmallScenario.run(SmallScenario.script());
+        assertEquals(List.of(), outcome.verdict().violations());
         assertEquals(List.of(), outcome.faults());
-        for (InvariantChecker.Rule rule : InvariantChecker.Rule.values()) {
-            assertTrue(outcome.verdict().looked().get(rule) > 0, rule + " was never looked at");
+        for (InvariantChecker.Invariant rule : InvariantChecker.Invariant.values()) {
+            assertTrue(outcome.verdict().checkedCounts().get(rule) > 0, rule + " was never looked at");
         }
-        assertTrue(outcome.calls() > 1200 && outcome.credit() > 0.5, outcome.calls() + " " + outcome.credit());
-        Simulation.Outcome random = Simulation.play(SmallScenario.script(), "small", RandomChoice::new, null, null);
+        assertTrue(outcome.requests() > 1200 && outcome.credit() > 0.5, outcome.requests() + " " + outcome.credit());
+        Simulation.Result random = Simulation.run(SmallScenario.script(), "small", RandomChoice::new, null, null);
         assertTrue(random.credit() < outcome.credit(), "the policy matters here: " + random.credit());
     }
 
     @Test
     void eachKindOfFaultCanBeSimulatedAndBreaksNoInvariant() throws IOException {
-        for (ScenarioPlan.Kind kind : ScenarioPlan.Kind.values()) {
+        for (ScenarioPlan.FaultKind kind : ScenarioPlan.FaultKind.values()) {
             ObjectNode script = SmallScenario.script();
             script.remove("releases");
             script.withObject("/day").put("lasting", "6 s");
@@ -56,10 +56,10 @@
                     .put("hall", "west")
                     .put("times", 3)
                     .put("what", kind.name().toLowerCase(Locale.ROOT).replace('_', '-'));
-            Simulation.Outcome outcome = SmallScenario.run(script);
+            Simulation.Result outcome = SmallScenario.run(script);
             assertEquals(List.of(), outcome.faults(), kind.name());
-            assertTrue(outcome.calls() > 500, kind + ": " + outcome.calls());
-            assertEquals(List.of(), outcome.verdict().breaches(), kind.name());
+            assertTrue(outcome.requests() > 500, kind + ": " + outcome.requests());
+            assertEquals(List.of(), outcome.verdict().violations(), kind.name());
         }
     }
 
@@ -75,14 +75,14 @@
                 .put("lasting", "12 s")
                 .put("what", "cut")
                 .put("share", 0.5);
-        assertEquals(List.of(), SmallScenario.run(script).verdict().breaches());
+        assertEquals(List.of(), SmallScenario.run(script).verdict().violations());
     }
 
     @Test
     void missedExpectationsAreReported(@TempDir Path out) throws IOException {
         ObjectNode script = SmallScenario.script();
         script.putObject("expect").put("credit", 1).put("worst_10_s", 1);
-        Simulation.Outcome outcome = Simulation.play(script, "small", StickyFirstFitPolicy::new, out, null);
+        Simulation.Result outcome = Simulation.run(script, "small", StickyFirstFitPolicy::new, out, null);
         assertEquals(2, outcome.faults().size(), outcome.faults().toString());
         assertTrue(outcome.faults().get(0).startsWith("expected a credit of 1.000 at the least, it was 0."));
         assertTrue(Files.readString(out.resolve("table.txt")).contains("fault: expected"));
--- a/simulation/src/test/java/pearladder/simulation/SmallScenario.java
+++ b/simulation/src/test/java/pearladder/simulation/SmallScenario.java
@@ -50,7 +50,7 @@
         return (ObjectNode) new YAMLMapper().readTree(SCRIPT);
     }
 
-    static Simulation.Outcome run(ObjectNode script) throws IOException {
-        return Simulation.play(script, "small", StickyFirstFitPolicy::new, null, null);
+    static Simulation.Result run(ObjectNode script) throws IOException {
+        return Simulation.run(script, "small", StickyFirstFitPolicy::new, null, null);
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/Benchmark.java
+++ b/testbed/src/main/java/pearladder/testbed/Benchmark.java
@@ -16,7 +16,7 @@
 import pearladder.emulator.FleetPlan;
 import pearladder.emulator.net.Fleet;
 import pearladder.kserve.DiscoveryMessage.Entry;
-import pearladder.kserve.DiscoveryMessage.Standing;
+import pearladder.kserve.DiscoveryMessage.WorkerState;
 import pearladder.kserve.Headers;
 
 /**
@@ -75,7 +75,7 @@
         }
         Fleet registry = startRegistry(workers);
         if (records) {
-            List<Way> ways = eventLogWays(registry.listPort());
+            List<Way> ways = eventLogWays(registry.discoveryPort());
             DiskStallInjector stalls = DiskStallInjector.begin(folder.resolve("data-" + STALLING + "/records"));
             try {
                 measure(ways, rounds, seconds);
@@ -83,7 +83,7 @@
                 stalls.close();
             }
         } else {
-            measure(ways(workers, registry.listPort()), rounds, seconds);
+            measure(ways(workers, registry.discoveryPort()), rounds, seconds);
         }
         registry.close();
     }
@@ -127,8 +127,8 @@
         Fleet registry = Fleet.start(vertx, new FleetPlan(1, 1, 1, 0, false, List.of(), List.of()), seen -> {});
         for (int i = 0; i < workers.size(); i++) {
             int port = workers.get(i);
-            Entry entry = new Entry("instant-" + i, "127.0.0.1", port, "east", "instant", 0, Standing.IN_SERVICE, 0);
-            registry.run(() -> registry.roll().change(entry));
+            Entry entry = new Entry("instant-" + i, "127.0.0.1", port, "east", "instant", 0, WorkerState.IN_SERVICE, 0);
+            registry.run(() -> registry.registry().change(entry));
         }
         return registry;
     }
@@ -157,7 +157,7 @@
                         new HttpServerOptions().setHost("127.0.0.1").setPort(0).setTcpNoDelay(true))
                 .requestHandler(request -> request.body().onSuccess(body -> request.response()
                         .putHeader("content-type", "application/json")
-                        .putHeader(Headers.COPY, "stood")
+                        .putHeader(Headers.INSTANCE_STATUS, "stood")
                         .end("{\"model_name\":\"" + request.path().split("/")[3] + "\",\"outputs\":[]}")))
                 .listen()
                 .map(HttpServer::actualPort)
--- a/testbed/src/main/java/pearladder/testbed/ClientLoadBalancer.java
+++ b/testbed/src/main/java/pearladder/testbed/ClientLoadBalancer.java
@@ -49,12 +49,12 @@
     }
 
     /** A router died at a moment, in nanoseconds. */
-    public void died(String router, long now) {
+    public void markDead(String router, long now) {
         byName.get(router).diedAt = now;
     }
 
     /** A router that had died is alive again. */
-    public void back(String router) {
+    public void markAlive(String router) {
         byName.get(router).diedAt = ALIVE;
     }
 
--- a/testbed/src/main/java/pearladder/testbed/ClosedLoopClients.java
+++ b/testbed/src/main/java/pearladder/testbed/ClosedLoopClients.java
@@ -111,7 +111,7 @@
     }
 
     private void count(HttpClientResponse response, long sentAt) {
-        String state = response.getHeader(Headers.STATE);
+        String state = response.getHeader(Headers.OUTCOME);
         boolean succeeded = state == null || state.equals(RequestOutcome.SETTLED.code());
         if (response.statusCode() == HTTP_OK && succeeded) {
             round.successes++;
--- a/testbed/src/main/java/pearladder/testbed/ColdStartCheck.java
+++ b/testbed/src/main/java/pearladder/testbed/ColdStartCheck.java
@@ -7,7 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import pearladder.emulator.Observation;
-import pearladder.testbed.InvariantChecker.Rule;
+import pearladder.testbed.InvariantChecker.Invariant;
 
 /**
  * Checks that routers do not overload a worker that they know has just started: where one fell over, less than two
@@ -33,22 +33,22 @@
 
     void check(List<Observation> inOrder) {
         for (Observation seen : inOrder) {
-            switch (seen.what()) {
-                case Observation.TOLD -> {
-                    if (seen.figure() > 0) {
+            switch (seen.event()) {
+                case Observation.ENDPOINT_SENT -> {
+                    if (seen.value() > 0) {
                         startsTold.put(RouterAndWorker.of(seen), seen.at());
                     }
                 }
                 case Observation.ARRIVED -> arrived(seen);
-                case Observation.FELL -> checkOverload(seen);
+                case Observation.CRASHED_FROM_OVERLOAD -> checkOverload(seen);
                 default -> {}
             }
         }
     }
 
     private void arrived(Observation seen) {
-        findings.looked(Rule.COLD_WORKER_NOT_OVERLOADED);
-        Deque<Observation> recent = recentArrivals.computeIfAbsent(seen.engine(), worker -> new ArrayDeque<>());
+        findings.looked(Invariant.COLD_WORKER_NOT_OVERLOADED);
+        Deque<Observation> recent = recentArrivals.computeIfAbsent(seen.worker(), worker -> new ArrayDeque<>());
         recent.add(seen);
         while (seen.at() - recent.peek().at() > settings.overloadWindow()) {
             recent.poll();
@@ -56,15 +56,15 @@
     }
 
     private void checkOverload(Observation fell) {
-        Deque<Observation> recent = recentArrivals.getOrDefault(fell.engine(), new ArrayDeque<>());
+        Deque<Observation> recent = recentArrivals.getOrDefault(fell.worker(), new ArrayDeque<>());
         long informed = recent.stream().filter(this::senderKnewOfStart).count();
         if (informed * 3 < recent.size() * 2L) {
             return;
         }
         findings.breach(
-                Rule.COLD_WORKER_NOT_OVERLOADED,
+                Invariant.COLD_WORKER_NOT_OVERLOADED,
                 fell.at(),
-                fell.engine() + " fell over at " + String.format(Locale.ROOT, "%.1f", fell.figure())
+                fell.worker() + " fell over at " + String.format(Locale.ROOT, "%.1f", fell.value())
                         + " times what it bears; " + informed + " of " + recent.size()
                         + " calls came from routers that knew it was cold");
     }
--- a/testbed/src/main/java/pearladder/testbed/DecisionCost.java
+++ b/testbed/src/main/java/pearladder/testbed/DecisionCost.java
@@ -23,7 +23,7 @@
  */
 public final class DecisionCost {
     /** Makes an instance of a policy. */
-    public interface Maker {
+    public interface PolicyFactory {
         /** A new instance for these settings, whose random choices come from the seed. */
         RoutingPolicy make(long seed, RoutingSettings facts);
     }
@@ -64,7 +64,7 @@
      * @param sizes numbers of workers
      * @return lines of a table: a row for each size, medians over the rounds
      */
-    public static List<String> run(Maker maker, int rounds, int... sizes) {
+    public static List<String> run(PolicyFactory maker, int rounds, int... sizes) {
         List<String> rows = new ArrayList<>();
         rows.add(String.format(
                 Locale.ROOT,
@@ -80,7 +80,7 @@
         return rows;
     }
 
-    private static String row(Maker maker, int rounds, int size) {
+    private static String row(PolicyFactory maker, int rounds, int size) {
         measure(maker, size);
         double[] micros = new double[rounds];
         double[] bytes = new double[rounds];
@@ -105,7 +105,7 @@
                 REQUESTS);
     }
 
-    private static Cost measure(Maker maker, int workers) {
+    private static Cost measure(PolicyFactory maker, int workers) {
         return new DecisionCost(maker.make(POLICY_SEED, settings())).run(workers);
     }
 
--- a/testbed/src/main/java/pearladder/testbed/DrainCheck.java
+++ b/testbed/src/main/java/pearladder/testbed/DrainCheck.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import pearladder.emulator.Observation;
-import pearladder.testbed.InvariantChecker.Rule;
+import pearladder.testbed.InvariantChecker.Invariant;
 
 /** Checks that a router sends nothing new to a worker that it was told is draining or gone, after a grace. */
 final class DrainCheck {
@@ -30,13 +30,13 @@
 
     void check(List<Observation> inOrder) {
         for (Observation seen : inOrder) {
-            switch (seen.what()) {
-                case Observation.TOLD -> stateTold(seen);
+            switch (seen.event()) {
+                case Observation.ENDPOINT_SENT -> stateTold(seen);
                 case Observation.KILLED -> states.keySet()
                         .removeIf(pair -> pair.router().equals(seen.router()));
-                case Observation.ARRIVED -> checkSent(seen, "call " + seen.call());
-                case Observation.ORDERED -> {
-                    if (seen.figure() > 0) {
+                case Observation.ARRIVED -> checkSent(seen, "call " + seen.requestId());
+                case Observation.LOAD_REQUESTED -> {
+                    if (seen.value() > 0) {
                         checkSent(seen, "an order");
                     }
                 }
@@ -54,15 +54,15 @@
     }
 
     private void checkSent(Observation seen, String what) {
-        findings.looked(Rule.DRAIN_RESPECTED);
+        findings.looked(Invariant.DRAIN_RESPECTED);
         Observation told = states.get(RouterAndWorker.of(seen));
         if (told == null || told.note().equals(IN_SERVICE) || seen.at() <= told.at() + settings.drainGrace() + slack) {
             return;
         }
         findings.breach(
-                Rule.DRAIN_RESPECTED,
+                Invariant.DRAIN_RESPECTED,
                 seen.at(),
-                seen.router() + " sent " + what + " to " + seen.engine() + " "
+                seen.router() + " sent " + what + " to " + seen.worker() + " "
                         + (seen.at() - told.at()) / NANOS_PER_MILLI + " ms after it was told " + told.note());
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/Experiment.java
+++ b/testbed/src/main/java/pearladder/testbed/Experiment.java
@@ -59,7 +59,7 @@
         this.progress = progress;
     }
 
-    /** Only reads a file and its base; throws {@link pearladder.config.ConfigErrors.Found} with every mistake. */
+    /** Only reads a file and its base; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake. */
     public static void check(Path file) {
         ScenarioPlan.read(ExperimentPlan.read(file).base());
     }
@@ -132,10 +132,10 @@
         Files.createDirectories(runFolder);
         Path file = runFolder.resolve("day.yaml");
         Files.writeString(file, script);
-        TraceWorkload.Terms trace = plan.trace() == null || Double.isNaN(run.speed())
+        TraceWorkload.ReplaySettings trace = plan.trace() == null || Double.isNaN(run.speed())
                 ? plan.trace()
                 : plan.trace().atSpeed(run.speed());
-        Scenario.play(
+        Scenario.run(
                 file,
                 trace,
                 runFolder,
@@ -152,7 +152,7 @@
     private ObjectNode script(ExperimentPlan.Run run) throws IOException {
         ObjectNode script = (ObjectNode) YAML.readTree(plan.base().toFile());
         script.withObject("/day").put("seed", run.seed()).put("name", run.label());
-        Scripts.resize(script, run.engines(), run.routers(), run.rate());
+        ScenarioScripts.resize(script, run.engines(), run.routers(), run.rate());
         if (run.faults() == ExperimentPlan.Faults.NONE) {
             script.remove("troubles");
         }
--- a/testbed/src/main/java/pearladder/testbed/ExperimentPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ExperimentPlan.java
@@ -12,7 +12,7 @@
  * @param base the script of the scenario that is varied
  * @param trace replayed in place of its load, or null
  */
-record ExperimentPlan(String name, Path base, TraceWorkload.Terms trace, List<Run> runs) {
+record ExperimentPlan(String name, Path base, TraceWorkload.ReplaySettings trace, List<Run> runs) {
     /** Which faults a run injects; the words of files. */
     enum Faults {
         /** Those of the script. */
@@ -57,7 +57,7 @@
         }
     }
 
-    /** Reads a file; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
+    /** Reads a file; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
     static ExperimentPlan read(Path file) {
         return read(YamlParser.read(file), file.toAbsolutePath().getParent());
     }
@@ -73,9 +73,10 @@
         List<Faults> faults =
                 orElse(vary.at("troubles").each(value -> value.word(Faults.class, null)), Faults.AS_WRITTEN);
         List<Integer> seeds = orElse(vary.at("seed").each(value -> value.whole(0, Integer.MAX_VALUE)), 1);
-        TraceWorkload.Terms trace = experiment.at("trace").given() ? trace(experiment.at("trace"), folder) : null;
+        TraceWorkload.ReplaySettings trace =
+                experiment.at("trace").isGiven() ? trace(experiment.at("trace"), folder) : null;
         if (trace == null && !speeds.get(0).isNaN()) {
-            vary.at("speed").wrong("only a trace has a speed", "name a trace, or vary the rate");
+            vary.at("speed").addMistake("only a trace has a speed", "name a trace, or vary the rate");
         }
         String name = experiment.at("name").text("experiment");
         Path base = folder.resolve(experiment.at("base").text());
@@ -119,7 +120,8 @@
         if (sizes.isEmpty()) {
             engines.forEach(count -> routers.forEach(number -> sizes.add(new Size(count, number))));
         } else if (engines.get(0) > 0 || routers.get(0) > 0) {
-            vary.at("sizes").wrong("sizes are listed, and engines or routers beside them", "keep one of the two ways");
+            vary.at("sizes")
+                    .addMistake("sizes are listed, and engines or routers beside them", "keep one of the two ways");
         }
         return sizes;
     }
@@ -127,13 +129,13 @@
     private static String policy(ConfigValue value) {
         String word = value.text();
         if (!word.equals(POLICY) && !word.equals(RANDOM_POLICY)) {
-            value.wrong("unknown policy \"" + word + "\"", "write module or random");
+            value.addMistake("unknown policy \"" + word + "\"", "write module or random");
         }
         return word;
     }
 
-    private static TraceWorkload.Terms trace(ConfigValue trace, Path folder) {
-        return new TraceWorkload.Terms(
+    private static TraceWorkload.ReplaySettings trace(ConfigValue trace, Path folder) {
+        return new TraceWorkload.ReplaySettings(
                 folder.resolve(trace.at("file").text()),
                 null,
                 null,
--- a/testbed/src/main/java/pearladder/testbed/FaultInjector.java
+++ b/testbed/src/main/java/pearladder/testbed/FaultInjector.java
@@ -14,9 +14,9 @@
  */
 public final class FaultInjector {
     /** What faults are injected into: real processes, or a simulation. */
-    public interface World {
+    public interface FaultTarget {
         /** The ids of the workers that run, of a zone or of all where it is empty. */
-        List<String> engines(String zone);
+        List<String> runningWorkers(String zone);
 
         /** The names of the routers of a zone, or of all where it is empty. */
         List<String> routers(String zone);
@@ -28,7 +28,7 @@
          * @param model the models that it concerns, or empty
          * @param figure its meaning is the command's
          */
-        void toEngines(String what, List<String> engines, String model, double figure);
+        void commandWorkers(String what, List<String> engines, String model, double figure);
 
         /** Kills a router outright. */
         void killRouter(String router);
@@ -37,16 +37,16 @@
         void startRouter(String router);
 
         /** Begins a fault of routers, or ends it where the figure is 0. */
-        void toRouters(ScenarioPlan.Kind what, List<String> routers, double figure);
+        void injectIntoRouters(ScenarioPlan.FaultKind what, List<String> routers, double figure);
 
         /** Whether clients retry at once, whatever Retry-After says. */
-        void heedless(boolean on);
+        void ignoreRetryAfter(boolean on);
 
         /** Gives an order on rollouts to the routers. */
-        void order(ReleaseScript.Order order);
+        void giveRolloutOrder(RolloutScript.Order order);
 
         /** Reports what happens, for people and for the observation log. */
-        void say(String what);
+        void report(String what);
     }
 
     /** Commands of the workers' control; further ones are in {@link TimedFault}. */
@@ -73,19 +73,19 @@
     private static final long SEED_OFFSET = 3;
 
     private final ScenarioPlan plan;
-    private final World world;
+    private final FaultTarget world;
     private final SplittableRandom random;
     private final TreeMap<Long, List<Runnable>> actions = new TreeMap<>();
 
-    /** Plans the faults and orders of a script; nothing happens before {@link #due}. */
-    public FaultInjector(ScenarioPlan plan, World world) {
+    /** Plans the faults and orders of a script; nothing happens before {@link #runDue}. */
+    public FaultInjector(ScenarioPlan plan, FaultTarget world) {
         this.plan = plan;
         this.world = world;
         this.random = new SplittableRandom(plan.seed() * SEED_FACTOR + SEED_OFFSET);
         for (Fault fault : plan.faults()) {
             at(fault.startAt(), () -> begin(fault));
         }
-        for (ReleaseScript.Order order : plan.releases()) {
+        for (RolloutScript.Order order : plan.rolloutOrders()) {
             at(order.at(), () -> give(order));
         }
     }
@@ -100,17 +100,17 @@
      * @param now nanoseconds since the start of the scenario
      * @return when the next action is due, or -1
      */
-    public long due(long now) {
+    public long runDue(long now) {
         while (!actions.isEmpty() && actions.firstKey() <= now) {
             actions.pollFirstEntry().getValue().forEach(Runnable::run);
         }
         return actions.isEmpty() ? -1 : actions.firstKey();
     }
 
-    private void give(ReleaseScript.Order order) {
-        world.say("order " + order.type().name().toLowerCase(Locale.ROOT) + " " + order.modelPrefix() + " x "
+    private void give(RolloutScript.Order order) {
+        world.report("order " + order.type().name().toLowerCase(Locale.ROOT) + " " + order.modelPrefix() + " x "
                 + order.modelCount());
-        world.order(order);
+        world.giveRolloutOrder(order);
     }
 
     /** Draws a share of some things, one at the least unless the share is 0. */
@@ -125,9 +125,9 @@
     }
 
     private void begin(Fault fault) {
-        List<String> workers = draw(world.engines(fault.zone()), fault.share());
+        List<String> workers = draw(world.runningWorkers(fault.zone()), fault.share());
         String word = fault.kind().name().toLowerCase(Locale.ROOT).replace('_', '-');
-        world.say(word + details(fault, workers));
+        world.report(word + details(fault, workers));
         TimedFault timed = TimedFault.of(fault.kind());
         if (timed != null) {
             injectTimed(timed, fault, workers);
@@ -140,7 +140,7 @@
         return switch (fault.kind()) {
             case BURST -> " times " + fault.factor();
             case HALL_LOST -> " " + fault.zone() + ": "
-                    + world.engines(fault.zone()).size() + " engines and its routers";
+                    + world.runningWorkers(fault.zone()).size() + " engines and its routers";
             case ONE_OFFS, HEAVY -> " for " + fault.share() + " of the calls";
             case SLOW_SHELF,
                     REFUSING_SHELF,
@@ -160,11 +160,11 @@
     }
 
     private void injectTimed(TimedFault timed, Fault fault, List<String> selected) {
-        List<String> zone = timed.scope() == TimedFault.Scope.ZONE ? world.engines(fault.zone()) : List.of();
+        List<String> zone = timed.scope() == TimedFault.Scope.ZONE ? world.runningWorkers(fault.zone()) : List.of();
         List<String> workers = timed.workers(selected, zone);
-        world.toEngines(timed.command(), workers, "", timed.figure().applyAsDouble(fault));
+        world.commandWorkers(timed.command(), workers, "", timed.figure().applyAsDouble(fault));
         double usual = timed.usual().applyAsDouble(plan);
-        at(endOf(fault), () -> world.toEngines(timed.command(), workers, "", usual));
+        at(endOf(fault), () -> world.commandWorkers(timed.command(), workers, "", usual));
     }
 
     private static long endOf(Fault fault) {
@@ -179,23 +179,23 @@
             case ROLLING_DEPLOY -> deploy(fault, workers);
             case RELEASE -> release(fault);
             case HALL_LOST -> {
-                killWorkers(fault, world.engines(fault.zone()));
+                killWorkers(fault, world.runningWorkers(fault.zone()));
                 killRouters(fault, world.routers(fault.zone()));
             }
             case ROUTERS_KILLED -> killRouters(fault, draw(world.routers(fault.zone()), fault.share()));
             case ENGINES_KILLED, MASS_RESTART -> killWorkers(fault, workers);
             case AGEING -> age(fault, workers);
-            case RESET -> world.toEngines(RESET_CONNECTIONS, workers, "", 0);
-            case LIST_CUT -> world.toEngines(CUT_REGISTRY, List.of(), "", 0);
+            case RESET -> world.commandWorkers(RESET_CONNECTIONS, workers, "", 0);
+            case LIST_CUT -> world.commandWorkers(CUT_REGISTRY, List.of(), "", 0);
             case SPLIT_LIST -> splitRegistry(fault, workers);
             case HEEDLESS -> {
-                world.heedless(true);
-                at(endOf(fault), () -> world.heedless(false));
+                world.ignoreRetryAfter(true);
+                at(endOf(fault), () -> world.ignoreRetryAfter(false));
             }
             case ROUTERS_PAUSED, CLOCK_JUMP -> {
                 List<String> routers = draw(world.routers(fault.zone()), fault.share());
-                world.toRouters(fault.kind(), routers, fault.factor());
-                at(endOf(fault), () -> world.toRouters(fault.kind(), routers, 0));
+                world.injectIntoRouters(fault.kind(), routers, fault.factor());
+                at(endOf(fault), () -> world.injectIntoRouters(fault.kind(), routers, 0));
             }
             default -> throw new IllegalStateException("no way to inject " + fault.kind());
         }
@@ -203,8 +203,8 @@
 
     /** Kills workers outright and restarts them at the end of the fault. */
     private void killWorkers(Fault fault, List<String> workers) {
-        world.toEngines(KILL, workers, "", 0);
-        at(endOf(fault), () -> world.toEngines(RESTART, workers, "", 0));
+        world.commandWorkers(KILL, workers, "", 0);
+        at(endOf(fault), () -> world.commandWorkers(RESTART, workers, "", 0));
     }
 
     /** Kills routers outright and restarts them at the end of the fault. */
@@ -220,20 +220,20 @@
         for (int i = 1; i < routers.size(); i += 2) {
             misled.add(routers.get(i));
         }
-        world.toEngines(SPLIT_REGISTRY, workers, String.join(",", misled), 1);
-        at(endOf(fault), () -> world.toEngines(SPLIT_REGISTRY, workers, "", 0));
+        world.commandWorkers(SPLIT_REGISTRY, workers, String.join(",", misled), 1);
+        at(endOf(fault), () -> world.commandWorkers(SPLIT_REGISTRY, workers, "", 0));
     }
 
     /** Replaces workers in steps; each drains for half a step, which the command is told in milliseconds. */
     private void deploy(Fault fault, List<String> workers) {
-        int atOnce = (int) Math.max(1, Math.floor(world.engines("").size() * DEPLOYMENT_STEP_SHARE));
+        int atOnce = (int) Math.max(1, Math.floor(world.runningWorkers("").size() * DEPLOYMENT_STEP_SHARE));
         int steps = (workers.size() + atOnce - 1) / atOnce;
         long stepNanos = fault.duration() / Math.max(1, steps);
         double drainMillis = stepNanos / 2e6;
         for (int i = 0; i < steps; i++) {
             int end = Math.min(workers.size(), (i + 1) * atOnce);
             List<String> replaced = List.copyOf(workers.subList(i * atOnce, end));
-            at(fault.startAt() + i * stepNanos + 1, () -> world.toEngines(REPLACE, replaced, "", drainMillis));
+            at(fault.startAt() + i * stepNanos + 1, () -> world.commandWorkers(REPLACE, replaced, "", drainMillis));
         }
     }
 
@@ -244,7 +244,7 @@
                 models.add(flow.modelPrefix() + i);
             }
         }
-        world.toEngines(RELEASE, List.of(), String.join(",", draw(models, fault.share())), 0);
+        world.commandWorkers(RELEASE, List.of(), String.join(",", draw(models, fault.share())), 0);
     }
 
     /** Workers get slower in equal steps, die at the end and restart a little later. */
@@ -252,9 +252,9 @@
         for (int i = 1; i <= AGEING_STEPS; i++) {
             double factor = 1 + (fault.factor() - 1) * i / AGEING_STEPS;
             long moment = fault.startAt() + fault.duration() * i / (AGEING_STEPS + 1);
-            at(moment, () -> world.toEngines(SLOW, workers, "", factor));
+            at(moment, () -> world.commandWorkers(SLOW, workers, "", factor));
         }
-        at(endOf(fault), () -> world.toEngines(KILL, workers, "", 0));
-        at(endOf(fault) + AGED_RESTART_NANOS, () -> world.toEngines(RESTART, workers, "", 0));
+        at(endOf(fault), () -> world.commandWorkers(KILL, workers, "", 0));
+        at(endOf(fault) + AGED_RESTART_NANOS, () -> world.commandWorkers(RESTART, workers, "", 0));
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/FinalAnswerCheck.java
+++ b/testbed/src/main/java/pearladder/testbed/FinalAnswerCheck.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import pearladder.emulator.Observation;
-import pearladder.testbed.InvariantChecker.Rule;
+import pearladder.testbed.InvariantChecker.Invariant;
 
 /**
  * Checks that each request has one final answer in time. A router that was killed or paused owes none for that time,
@@ -35,11 +35,11 @@
 
     void check(List<Observation> inOrder, Collection<ObservedRequest> requests) {
         for (Observation seen : inOrder) {
-            switch (seen.what()) {
-                case Observation.KILLED, Observation.STILL -> outages.computeIfAbsent(
+            switch (seen.event()) {
+                case Observation.KILLED, Observation.PROCESS_PAUSED -> outages.computeIfAbsent(
                                 seen.router(), router -> new ArrayList<>())
                         .add(seen);
-                case Observation.PAUSED -> clientPauses.put(seen.at(), seen);
+                case Observation.CLIENT_PAUSED -> clientPauses.put(seen.at(), seen);
                 default -> {}
             }
         }
@@ -53,21 +53,21 @@
                 || request.endedUnanswered(ObservedRequest.LEFT)) {
             return;
         }
-        findings.looked(Rule.ONE_ANSWER);
+        findings.looked(Invariant.ONE_ANSWER);
         String what = "call " + request.id() + " (" + request.requestClass() + ") at " + request.router();
         Observation end = request.end();
         long deadline = request.deadline();
         if (request.isUnanswered()) {
-            findings.breach(Rule.ONE_ANSWER, deadline, what + " got no final answer: " + end.note());
+            findings.breach(Invariant.ONE_ANSWER, deadline, what + " got no final answer: " + end.note());
         } else if (end.at() - clientPaused(deadline, end.at()) > deadline + settings.answerGrace() + slack) {
             findings.breach(
-                    Rule.ONE_ANSWER,
+                    Invariant.ONE_ANSWER,
                     end.at(),
                     what + " was " + end.note() + " " + (end.at() - deadline) / NANOS_PER_MILLI
                             + " ms after the client's time was up");
         }
         if (request.hasSeveralAnswers()) {
-            findings.breach(Rule.ONE_ANSWER, end.at(), what + " got more than one final answer");
+            findings.breach(Invariant.ONE_ANSWER, end.at(), what + " got more than one final answer");
         }
     }
 
@@ -75,14 +75,14 @@
         long from = request.sentAt() - slack;
         long until = Math.min(request.deadline(), request.end().at()) + slack;
         return outages.getOrDefault(request.router(), List.of()).stream()
-                .anyMatch(outage -> outage.at() + (long) outage.figure() >= from && outage.at() <= until);
+                .anyMatch(outage -> outage.at() + (long) outage.value() >= from && outage.at() <= until);
     }
 
     /** For how long the client itself was paused between a deadline and the moment at which it saw the answer. */
     private long clientPaused(long deadline, long seenAt) {
         long sum = 0;
         for (Observation pause : clientPauses.tailMap(deadline, true).values()) {
-            long pausedFrom = Math.max(deadline, pause.at() - (long) pause.figure());
+            long pausedFrom = Math.max(deadline, pause.at() - (long) pause.value());
             sum += Math.max(0, Math.min(seenAt, pause.at()) - pausedFrom);
             if (pause.at() >= seenAt) {
                 break;
--- a/testbed/src/main/java/pearladder/testbed/HttpClientDriver.java
+++ b/testbed/src/main/java/pearladder/testbed/HttpClientDriver.java
@@ -18,7 +18,7 @@
 import pearladder.kserve.RequestOutcome;
 
 /** Sends the requests of a load generator as KServe v2 over HTTP, on one event loop. */
-final class HttpClientDriver implements LoadGenerator.Wire {
+final class HttpClientDriver implements LoadGenerator.RequestTransport {
     private static final String HOST = "127.0.0.1";
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
     private static final int KEEP_ALIVE_SECONDS = 20;
@@ -60,7 +60,7 @@
             long sinceLast = now - lastCheckAt;
             if (sinceLast > PAUSE_NANOS) {
                 long paused = sinceLast - PAUSE_CHECK_NANOS;
-                observations.accept(new Observation(now, Observation.PAUSED, "", "", 0, "", "", "", paused));
+                observations.accept(new Observation(now, Observation.CLIENT_PAUSED, "", "", 0, "", "", "", paused));
             }
             watch(observations, now);
         });
@@ -86,24 +86,24 @@
     }
 
     @Override
-    public Out send(LoadGenerator.Request request, LoadGenerator.Heard heard) {
+    public SentRequest send(LoadGenerator.Request request, LoadGenerator.ResponseListener heard) {
         Sent sent = new Sent(request, heard);
         client.request(new RequestOptions()
                         .setMethod(HttpMethod.POST)
                         .setHost(HOST)
                         .setPort(request.target().port())
-                        .setURI("/v2/models/" + request.drawn().model() + "/infer"))
-                .onComplete(sent::write, unreachable -> heard.unanswered(ObservedRequest.UNREACHABLE));
+                        .setURI("/v2/models/" + request.scheduled().model() + "/infer"))
+                .onComplete(sent::write, unreachable -> heard.onNoAnswer(ObservedRequest.UNREACHABLE));
         return sent;
     }
 
-    private static final class Sent implements Out {
+    private static final class Sent implements SentRequest {
         private final LoadGenerator.Request request;
-        private final LoadGenerator.Heard heard;
+        private final LoadGenerator.ResponseListener heard;
         private HttpClientRequest httpRequest;
         private boolean dropped;
 
-        Sent(LoadGenerator.Request request, LoadGenerator.Heard heard) {
+        Sent(LoadGenerator.Request request, LoadGenerator.ResponseListener heard) {
             this.request = request;
             this.heard = heard;
         }
@@ -116,41 +116,41 @@
                 return;
             }
             putHeaders();
-            httpRequest.send(Buffer.buffer(body())).onComplete(this::answered, cut -> heard.unanswered(CUT));
+            httpRequest.send(Buffer.buffer(body())).onComplete(this::answered, cut -> heard.onNoAnswer(CUT));
         }
 
         private void putHeaders() {
-            long patienceMillis = Math.max(1, request.patience() / NANOS_PER_MILLI);
+            long patienceMillis = Math.max(1, request.timeToDeadline() / NANOS_PER_MILLI);
             httpRequest
                     .putHeader("content-type", "application/json")
-                    .putHeader(Headers.CALL, request.id())
-                    .putHeader(Headers.CATEGORY, request.terms().name())
-                    .putHeader(Headers.PATIENCE, Long.toString(patienceMillis));
-            if (!request.drawn().account().isEmpty()) {
-                httpRequest.putHeader(Headers.ACCOUNT, request.drawn().account());
+                    .putHeader(Headers.REQUEST_ID, request.id())
+                    .putHeader(Headers.REQUEST_CLASS, request.terms().name())
+                    .putHeader(Headers.TIMEOUT_MS, Long.toString(patienceMillis));
+            if (!request.scheduled().tenant().isEmpty()) {
+                httpRequest.putHeader(Headers.TENANT, request.scheduled().tenant());
             }
-            if (!request.mark().isEmpty()) {
-                httpRequest.putHeader(Headers.MARK, request.mark());
+            if (!request.idempotencyKey().isEmpty()) {
+                httpRequest.putHeader(Headers.IDEMPOTENCY_KEY, request.idempotencyKey());
             }
-            if (request.repeat()) {
-                httpRequest.putHeader(Headers.REPEAT, "1");
+            if (request.isRetry()) {
+                httpRequest.putHeader(Headers.CLIENT_RETRY, "1");
             }
         }
 
         private String body() {
-            double workMillis = request.drawn().work() / (double) NANOS_PER_MILLI;
+            double workMillis = request.scheduled().work() / (double) NANOS_PER_MILLI;
             return "{\"parameters\":{\"work_ms\":" + workMillis
                     + "},\"inputs\":[{\"name\":\"in\",\"datatype\":\"BYTES\",\"shape\":[1],\"data\":[\"text\"]}]}";
         }
 
         private void answered(HttpClientResponse response) {
-            response.body().onComplete(body -> complete(response), cut -> heard.unanswered(CUT));
+            response.body().onComplete(body -> complete(response), cut -> heard.onNoAnswer(CUT));
         }
 
         private void complete(HttpClientResponse response) {
             String version = response.getHeader(Headers.VERSION);
-            heard.answered(
-                    RequestOutcome.of(response.getHeader(Headers.STATE)),
+            heard.onAnswer(
+                    RequestOutcome.of(response.getHeader(Headers.OUTCOME)),
                     response.statusCode(),
                     version == null ? "" : version,
                     retryAfterNanos(response.getHeader(Headers.RETRY_AFTER_MS)));
@@ -161,7 +161,7 @@
         }
 
         @Override
-        public void drop() {
+        public void cancel() {
             dropped = true;
             if (httpRequest != null) {
                 httpRequest.reset();
--- a/testbed/src/main/java/pearladder/testbed/InvariantChecker.java
+++ b/testbed/src/main/java/pearladder/testbed/InvariantChecker.java
@@ -18,7 +18,7 @@
  */
 public final class InvariantChecker {
     /** The invariants, in the order of docs/days.md. */
-    public enum Rule {
+    public enum Invariant {
         /** Each request has one final answer, in time. */
         ONE_ANSWER("one timely final answer for each call taken"),
         /** No request and no idempotency key takes effect twice. */
@@ -32,12 +32,12 @@
 
         private final String words;
 
-        Rule(String words) {
+        Invariant(String words) {
             this.words = words;
         }
 
         /** The invariant as tables and results name it. */
-        public String words() {
+        public String description() {
             return words;
         }
     }
@@ -51,7 +51,7 @@
      * @param at nanoseconds of the observations' clock
      * @param description happened
      */
-    public record Breach(Rule rule, long at, String description) {}
+    public record Violation(Invariant rule, long at, String description) {}
 
     /**
      * The result of a check.
@@ -60,7 +60,7 @@
      * @param looked how many things each rule looked at, so that a check that saw nothing can't pass for one that found
      *     nothing
      */
-    public record Verdict(List<Breach> breaches, Map<Rule, Long> looked) {
+    public record Verdict(List<Violation> violations, Map<Invariant, Long> checkedCounts) {
         /**
          * A line for each rule, and the first breaches.
          *
@@ -68,26 +68,27 @@
          */
         public List<String> lines(long startedAt, InvariantSettings rules) {
             List<String> lines = new ArrayList<>();
-            for (Rule rule : Rule.values()) {
-                boolean unset = rule == Rule.LOAD_QUOTA_KEPT && rules.quotaWindow() == 0;
+            for (Invariant rule : Invariant.values()) {
+                boolean unset = rule == Invariant.LOAD_QUOTA_KEPT && rules.quotaWindow() == 0;
                 lines.add(String.format(
-                        Locale.ROOT, "%-46s %s", rule.words(), unset ? "no ration is set" : result(rule)));
+                        Locale.ROOT, "%-46s %s", rule.description(), unset ? "no ration is set" : result(rule)));
             }
-            for (Breach breach : breaches.subList(0, Math.min(BREACHES_LISTED, breaches.size()))) {
+            for (Violation breach : violations.subList(0, Math.min(BREACHES_LISTED, violations.size()))) {
                 lines.add(String.format(
                         Locale.ROOT, "  at %.3f s: %s", (breach.at() - startedAt) / 1e9, breach.description()));
             }
             return lines;
         }
 
-        private String result(Rule rule) {
+        private String result(Invariant rule) {
             long broken = broken(rule);
-            return (broken == 0 ? "kept" : "BROKEN " + broken + " times") + ", " + looked.get(rule) + " looked at";
+            return (broken == 0 ? "kept" : "BROKEN " + broken + " times") + ", " + checkedCounts.get(rule)
+                    + " looked at";
         }
 
         /** How many breaches of a rule were found. */
-        long broken(Rule rule) {
-            return breaches.stream().filter(breach -> breach.rule() == rule).count();
+        long broken(Invariant rule) {
+            return violations.stream().filter(breach -> breach.rule() == rule).count();
         }
     }
 
@@ -129,30 +130,31 @@
     private void removeAttemptsReadLate(List<Observation> inOrder) {
         Map<String, TreeSet<Long>> pauseEnds = new HashMap<>();
         for (Observation seen : inOrder) {
-            if (seen.what().equals(Observation.STILL) && !seen.engine().isEmpty()) {
+            if (seen.event().equals(Observation.PROCESS_PAUSED)
+                    && !seen.worker().isEmpty()) {
                 pauseEnds
-                        .computeIfAbsent(seen.engine(), worker -> new TreeSet<>())
-                        .add(seen.at() + (long) seen.figure());
+                        .computeIfAbsent(seen.worker(), worker -> new TreeSet<>())
+                        .add(seen.at() + (long) seen.value());
             }
         }
         Set<AttemptAtWorker> readLate = new HashSet<>();
         for (Observation seen : inOrder) {
-            TreeSet<Long> ends = pauseEnds.get(seen.engine());
+            TreeSet<Long> ends = pauseEnds.get(seen.worker());
             Long end = ends == null ? null : ends.floor(seen.at());
             boolean read =
-                    seen.what().equals(Observation.ARRIVED) || seen.what().equals(Observation.RAN);
+                    seen.event().equals(Observation.ARRIVED) || seen.event().equals(Observation.RAN);
             if (read && end != null && seen.at() - end <= slack) {
                 readLate.add(AttemptAtWorker.of(seen));
             }
         }
         if (!readLate.isEmpty()) {
-            inOrder.removeIf(seen -> !seen.engine().isEmpty() && readLate.contains(AttemptAtWorker.of(seen)));
+            inOrder.removeIf(seen -> !seen.worker().isEmpty() && readLate.contains(AttemptAtWorker.of(seen)));
         }
     }
 
     private record AttemptAtWorker(String request, int attempt, String worker) {
         static AttemptAtWorker of(Observation seen) {
-            return new AttemptAtWorker(seen.call(), seen.leg(), seen.engine());
+            return new AttemptAtWorker(seen.requestId(), seen.attempt(), seen.worker());
         }
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/InvariantSettings.java
+++ b/testbed/src/main/java/pearladder/testbed/InvariantSettings.java
@@ -16,7 +16,7 @@
  * @param quotaWindow 0 where there is no load quota
  */
 public record InvariantSettings(
-        Map<String, CategoryTerms> requestClasses,
+        Map<String, RequestClassTerms> requestClasses,
         long answerGrace,
         long drainGrace,
         long warmUpTime,
@@ -39,11 +39,12 @@
                 quota.at("window").span("0 s"));
     }
 
-    private static CategoryTerms terms(String name, ConfigValue terms) {
-        return new CategoryTerms(
+    private static RequestClassTerms terms(String name, ConfigValue terms) {
+        return new RequestClassTerms(
                 name,
-                terms.at("effect").word(CategoryTerms.Idempotency.class, CategoryTerms.Idempotency.RETRIABLE),
-                terms.at("group").word(CategoryTerms.DeduplicationScope.class, CategoryTerms.DeduplicationScope.ALL),
+                terms.at("effect").word(RequestClassTerms.Idempotency.class, RequestClassTerms.Idempotency.RETRIABLE),
+                terms.at("group")
+                        .word(RequestClassTerms.DeduplicationScope.class, RequestClassTerms.DeduplicationScope.ALL),
                 terms.at("expected").span(),
                 terms.at("abandon").span(),
                 terms.at("remembered").span("0 s"),
--- a/testbed/src/main/java/pearladder/testbed/LoadGenerator.java
+++ b/testbed/src/main/java/pearladder/testbed/LoadGenerator.java
@@ -14,15 +14,15 @@
  */
 public final class LoadGenerator {
     /** How a request travels to a router and its response back: sockets, or a simulated network. */
-    public interface Wire {
+    public interface RequestTransport {
         /** A request that was sent. */
-        interface Out {
+        interface SentRequest {
             /** Cancels it by closing its connection. */
-            void drop();
+            void cancel();
         }
 
         /** Sends a request; what comes of it is told to the listener once. */
-        Out send(Request request, Heard heard);
+        SentRequest send(Request request, ResponseListener heard);
     }
 
     /**
@@ -35,14 +35,14 @@
     public record Request(
             ClientLoadBalancer.Target target,
             String id,
-            RequestSource.Drawn drawn,
-            CategoryTerms terms,
-            String mark,
-            boolean repeat,
-            long patience) {}
+            RequestSource.ScheduledRequest scheduled,
+            RequestClassTerms terms,
+            String idempotencyKey,
+            boolean isRetry,
+            long timeToDeadline) {}
 
     /** Listens for the end of an attempt; one of the two methods is called, once. */
-    public interface Heard {
+    public interface ResponseListener {
         /**
          * The final answer came.
          *
@@ -50,14 +50,14 @@
          * @param version of the model; empty where the response names none
          * @param wait Retry-After in nanoseconds, or 0
          */
-        void answered(RequestOutcome state, int status, String version, long wait);
+        void onAnswer(RequestOutcome state, int status, String version, long wait);
 
         /**
          * The attempt ended without a final answer.
          *
          * @param how "unreachable" where nothing was sent, else "cut"
          */
-        void unanswered(String how);
+        void onNoAnswer(String how);
     }
 
     /** The notes of observations that no response came for; the checks know the first two. */
@@ -81,18 +81,18 @@
     private static final long LANE_SEED_STEP = 1_000_003;
 
     private final class PendingRequest {
-        final RequestSource.Drawn drawn;
-        final CategoryTerms terms;
+        final RequestSource.ScheduledRequest drawn;
+        final RequestClassTerms terms;
         final long dueAt;
         final String idempotencyKey;
         int attempts;
 
-        PendingRequest(RequestSource.Drawn drawn) {
+        PendingRequest(RequestSource.ScheduledRequest drawn) {
             this.drawn = drawn;
-            this.terms = plan.rules().requestClasses().get(drawn.requestClass());
+            this.terms = plan.invariantSettings().requestClasses().get(drawn.requestClass());
             this.dueAt = startedAt + drawn.dueAfter();
             this.idempotencyKey =
-                    terms.idempotency() == CategoryTerms.Idempotency.FINGERPRINTED ? "m" + drawn.number() : "";
+                    terms.idempotency() == RequestClassTerms.Idempotency.FINGERPRINTED ? "m" + drawn.number() : "";
         }
 
         long elapsed() {
@@ -108,7 +108,7 @@
         boolean mayRetry() {
             return switch (terms.idempotency()) {
                 case RETRIABLE -> true;
-                case FINGERPRINTED -> terms.deduplicationScope() == CategoryTerms.DeduplicationScope.ALL
+                case FINGERPRINTED -> terms.deduplicationScope() == RequestClassTerms.DeduplicationScope.ALL
                         && elapsed() < terms.keyRetention() / 2;
                 case BINDING -> false;
             };
@@ -116,7 +116,7 @@
     }
 
     private final Timeline time;
-    private final Wire wire;
+    private final RequestTransport wire;
     private final ScenarioPlan plan;
     private final ClientLoadBalancer loadBalancer;
     private final LoadStatistics statistics;
@@ -125,7 +125,7 @@
     private final SplittableRandom random;
     private boolean ignoresRetryAfter;
     private long startedAt;
-    private RequestSource.Drawn next;
+    private RequestSource.ScheduledRequest next;
     private int pending;
     private Runnable onEnd;
 
@@ -137,7 +137,7 @@
      */
     public LoadGenerator(
             Timeline time,
-            Wire wire,
+            RequestTransport wire,
             ScenarioPlan plan,
             int lane,
             RequestSource source,
@@ -160,7 +160,7 @@
      * @param startAt of the scenario, on the timeline's clock
      * @param onEnd runs when the last request has ended
      */
-    public void play(long startAt, Runnable onEnd) {
+    public void start(long startAt, Runnable onEnd) {
         this.startedAt = startAt;
         this.onEnd = onEnd;
         next = source.next();
@@ -168,7 +168,7 @@
     }
 
     /** Whether clients retry at once, whatever Retry-After says. */
-    public void heedless(boolean on) {
+    public void ignoreRetryAfter(boolean on) {
         ignoresRetryAfter = on;
     }
 
@@ -194,7 +194,7 @@
             end(pendingRequest, LoadStatistics.End.UNANSWERED);
             return;
         }
-        RequestSource.Drawn drawn = pendingRequest.drawn;
+        RequestSource.ScheduledRequest drawn = pendingRequest.drawn;
         long patience = Math.min(remaining, Math.round(pendingRequest.terms.deadline() * drawn.patience()));
         ClientLoadBalancer.Target target = loadBalancer.next(drawn.zone(), now);
         String id = "c" + drawn.number() + "." + pendingRequest.attempts++;
@@ -210,11 +210,11 @@
         new Attempt(pendingRequest, request).send(now);
     }
 
-    private final class Attempt implements Heard {
+    private final class Attempt implements ResponseListener {
         private final PendingRequest pendingRequest;
         private final Request request;
-        private Wire.Out sent;
-        private Timeline.Planned timeout;
+        private RequestTransport.SentRequest sent;
+        private Timeline.ScheduledTask timeout;
         private boolean ended;
 
         Attempt(PendingRequest pendingRequest, Request request) {
@@ -230,14 +230,14 @@
         void send(long now) {
             boolean leaves = random.nextDouble() < plan.clients().cancelShare();
             long listens = leaves
-                    ? Math.round(request.patience() * random.nextDouble())
-                    : request.patience() + LISTEN_AFTER_DEADLINE_NANOS;
+                    ? Math.round(request.timeToDeadline() * random.nextDouble())
+                    : request.timeToDeadline() + LISTEN_AFTER_DEADLINE_NANOS;
             String model = pendingRequest.drawn.model();
-            observe(now, Observation.SENT, model, pendingRequest.terms.name(), request.patience());
-            timeout = time.after(listens, () -> unanswered(leaves ? LEFT : GAVE_UP));
-            Wire.Out out = wire.send(request, this);
+            observe(now, Observation.SENT, model, pendingRequest.terms.name(), request.timeToDeadline());
+            timeout = time.after(listens, () -> onNoAnswer(leaves ? LEFT : GAVE_UP));
+            RequestTransport.SentRequest out = wire.send(request, this);
             if (ended) {
-                out.drop();
+                out.cancel();
             }
             sent = out;
         }
@@ -248,12 +248,12 @@
                 return false;
             }
             ended = true;
-            timeout.callOff();
+            timeout.cancel();
             return true;
         }
 
         @Override
-        public void answered(RequestOutcome state, int status, String version, long wait) {
+        public void onAnswer(RequestOutcome state, int status, String version, long wait) {
             if (!markEnded()) {
                 return;
             }
@@ -272,12 +272,12 @@
         }
 
         @Override
-        public void unanswered(String how) {
+        public void onNoAnswer(String how) {
             if (!markEnded()) {
                 return;
             }
             if (sent != null) {
-                sent.drop();
+                sent.cancel();
             }
             observe(time.now(), Observation.UNANSWERED, pendingRequest.drawn.model(), how, 0);
             boolean retryAllowed = !how.equals(LEFT) && (how.equals(UNREACHABLE) || pendingRequest.mayRetry());
@@ -312,8 +312,8 @@
     }
 
     private void end(PendingRequest pendingRequest, LoadStatistics.End how) {
-        RequestSource.Drawn drawn = pendingRequest.drawn;
-        statistics.recordEnd(pendingRequest.terms, drawn.account(), drawn.dueAfter(), pendingRequest.elapsed(), how);
+        RequestSource.ScheduledRequest drawn = pendingRequest.drawn;
+        statistics.recordEnd(pendingRequest.terms, drawn.tenant(), drawn.dueAfter(), pendingRequest.elapsed(), how);
         pending--;
         if (next == null && pending == 0) {
             onEnd.run();
--- a/testbed/src/main/java/pearladder/testbed/LoadGeneratorPool.java
+++ b/testbed/src/main/java/pearladder/testbed/LoadGeneratorPool.java
@@ -65,7 +65,7 @@
      */
     void start(long startAt) {
         for (Lane lane : lanes) {
-            lane.vertx().runOnContext(run -> lane.generator().play(startAt, finished::countDown));
+            lane.vertx().runOnContext(run -> lane.generator().start(startAt, finished::countDown));
         }
         lanes.get(0).vertx().setPeriodic(FLUSH_INTERVAL_MILLIS, tick -> observations.flush());
     }
@@ -78,7 +78,7 @@
     /** Whether clients retry at once, whatever Retry-After says. */
     void ignoreRetryAfter(boolean ignored) {
         for (Lane lane : lanes) {
-            lane.vertx().runOnContext(run -> lane.generator().heedless(ignored));
+            lane.vertx().runOnContext(run -> lane.generator().ignoreRetryAfter(ignored));
         }
     }
 
--- a/testbed/src/main/java/pearladder/testbed/LoadQuotaCheck.java
+++ b/testbed/src/main/java/pearladder/testbed/LoadQuotaCheck.java
@@ -7,7 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import pearladder.emulator.Observation;
-import pearladder.testbed.InvariantChecker.Rule;
+import pearladder.testbed.InvariantChecker.Invariant;
 
 /**
  * Checks that each router orders no more loads within a window than a free number and a share of the requests that
@@ -36,18 +36,18 @@
             return;
         }
         for (Observation seen : inOrder) {
-            switch (seen.what()) {
+            switch (seen.event()) {
                 case Observation.KILLED -> {
                     loadTimes.remove(seen.router());
                     requestTimes.remove(seen.router());
                 }
                 case Observation.SENT -> {
-                    if (!requests.get(seen.call()).endedUnanswered(ObservedRequest.UNREACHABLE)) {
+                    if (!requests.get(seen.requestId()).endedUnanswered(ObservedRequest.UNREACHABLE)) {
                         times(requestTimes, seen.router()).add(seen.at());
                     }
                 }
-                case Observation.ORDERED -> {
-                    if (seen.figure() > 0) {
+                case Observation.LOAD_REQUESTED -> {
+                    if (seen.value() > 0) {
                         checkLoad(seen);
                     }
                 }
@@ -57,7 +57,7 @@
     }
 
     private void checkLoad(Observation ordered) {
-        findings.looked(Rule.LOAD_QUOTA_KEPT);
+        findings.looked(Invariant.LOAD_QUOTA_KEPT);
         Deque<Long> loads = times(loadTimes, ordered.router());
         Deque<Long> requests = times(requestTimes, ordered.router());
         loads.add(ordered.at());
@@ -70,7 +70,7 @@
         double quota = settings.quotaFree() + settings.quotaShare() * requests.size();
         if (loads.size() > quota) {
             findings.breach(
-                    Rule.LOAD_QUOTA_KEPT,
+                    Invariant.LOAD_QUOTA_KEPT,
                     ordered.at(),
                     ordered.router() + " gave " + loads.size()
                             + " orders to load within the window; its calls allow "
--- a/testbed/src/main/java/pearladder/testbed/LoadStatistics.java
+++ b/testbed/src/main/java/pearladder/testbed/LoadStatistics.java
@@ -125,7 +125,7 @@
      * @param due nanoseconds from the start of the scenario
      * @param took nanoseconds since it was due
      */
-    synchronized void recordEnd(CategoryTerms terms, String tenant, long due, long took, End end) {
+    synchronized void recordEnd(RequestClassTerms terms, String tenant, long due, long took, End end) {
         double earned = earned(terms, end);
         long latency = recordable(took);
         for (Group group : groupsOf(terms.name(), tenant, due)) {
@@ -133,7 +133,7 @@
         }
     }
 
-    private static double earned(CategoryTerms terms, End end) {
+    private static double earned(RequestClassTerms terms, End end) {
         return switch (end) {
             case SETTLED -> terms.priorityWeight();
             case LATE -> terms.priorityWeight() * terms.lateWeightShare();
@@ -153,7 +153,7 @@
     }
 
     /** How many requests have ended. */
-    public synchronized long calls() {
+    public synchronized long requests() {
         return all.count();
     }
 
@@ -163,7 +163,7 @@
     }
 
     /** The least share of the priority weight earned in a window. */
-    public synchronized double worstWindow() {
+    public synchronized double leastWindowCredit() {
         return windows.values().stream()
                 .filter(window -> window.weightAsked > 0)
                 .mapToDouble(Group::earnedShare)
@@ -198,7 +198,7 @@
     }
 
     /** How many attempts were sent. */
-    public synchronized long tries() {
+    public synchronized long attempts() {
         return attempts;
     }
 
--- a/testbed/src/main/java/pearladder/testbed/ObservedRequest.java
+++ b/testbed/src/main/java/pearladder/testbed/ObservedRequest.java
@@ -28,7 +28,7 @@
         }
 
         String worker() {
-            return arrival.engine();
+            return arrival.worker();
         }
 
         /** True unless the worker refused it unseen, or answered it from what it remembers. */
@@ -37,7 +37,7 @@
         }
 
         private boolean isOf(Observation seen) {
-            return arrival.leg() == seen.leg() && arrival.engine().equals(seen.engine());
+            return arrival.attempt() == seen.attempt() && arrival.worker().equals(seen.worker());
         }
     }
 
@@ -55,12 +55,12 @@
     static Map<String, ObservedRequest> of(List<Observation> inOrder) {
         Map<String, ObservedRequest> requests = new LinkedHashMap<>();
         for (Observation seen : inOrder) {
-            if (seen.what().equals(Observation.SENT)) {
-                requests.put(seen.call(), new ObservedRequest(seen));
+            if (seen.event().equals(Observation.SENT)) {
+                requests.put(seen.requestId(), new ObservedRequest(seen));
             }
         }
         for (Observation seen : inOrder) {
-            ObservedRequest request = requests.get(seen.call());
+            ObservedRequest request = requests.get(seen.requestId());
             if (request != null) {
                 request.add(seen);
             }
@@ -69,14 +69,14 @@
     }
 
     private void add(Observation seen) {
-        switch (seen.what()) {
+        switch (seen.event()) {
             case Observation.ANSWERED, Observation.UNANSWERED -> {
                 end = seen;
                 ends++;
             }
-            case Observation.AGAIN -> answeredAgain = true;
+            case Observation.ANSWERED_AGAIN -> answeredAgain = true;
             case Observation.ARRIVED -> attempts.add(new Attempt(seen));
-            case Observation.REFUSED, Observation.DROPPED -> attempts.stream()
+            case Observation.REJECTED, Observation.DUPLICATE_DROPPED -> attempts.stream()
                     .filter(attempt -> attempt.isOf(seen))
                     .forEach(attempt -> attempt.refused = true);
             default -> {}
@@ -84,7 +84,7 @@
     }
 
     String id() {
-        return sent.call();
+        return sent.requestId();
     }
 
     String router() {
@@ -101,7 +101,7 @@
 
     /** When the client's time for it was up, in nanoseconds. */
     long deadline() {
-        return sent.at() + (long) sent.figure();
+        return sent.at() + (long) sent.value();
     }
 
     /** What the client saw last of it; null where it saw nothing. */
@@ -115,7 +115,7 @@
     }
 
     boolean isUnanswered() {
-        return end != null && end.what().equals(Observation.UNANSWERED);
+        return end != null && end.event().equals(Observation.UNANSWERED);
     }
 
     boolean hasSeveralAnswers() {
--- a/testbed/src/main/java/pearladder/testbed/QueueCost.java
+++ b/testbed/src/main/java/pearladder/testbed/QueueCost.java
@@ -99,10 +99,10 @@
             time.after(span(random), event[0]);
         }
         long startedAt = System.nanoTime();
-        while (time.ran() < EVENTS) {
-            time.runTo(time.now() + Math.max(1, Math.round(MEAN_SPAN_NANOS / size * EVENTS_PER_STEP)));
+        while (time.executedTasks() < EVENTS) {
+            time.advanceTo(time.now() + Math.max(1, Math.round(MEAN_SPAN_NANOS / size * EVENTS_PER_STEP)));
         }
-        return (double) (System.nanoTime() - startedAt) / time.ran();
+        return (double) (System.nanoTime() - startedAt) / time.executedTasks();
     }
 
     private static double calendar(int size, int seed) {
--- a/testbed/src/main/java/pearladder/testbed/CategoryTerms.java
+++ b/testbed/src/main/java/pearladder/testbed/RequestClassTerms.java
@@ -9,7 +9,7 @@
  * @param priorityWeight the priority weight that a success within the objective earns
  * @param lateWeightShare share of the weight that a later success earns, 0 to 1
  */
-public record CategoryTerms(
+public record RequestClassTerms(
         String name,
         Idempotency idempotency,
         DeduplicationScope deduplicationScope,
--- a/testbed/src/main/java/pearladder/testbed/RequestFeed.java
+++ b/testbed/src/main/java/pearladder/testbed/RequestFeed.java
@@ -13,12 +13,12 @@
 final class RequestFeed {
     /** What one event loop sends, in the order of the requests' moments. */
     final class Lane implements RequestSource {
-        private final Queue<Drawn> waiting = new ArrayDeque<>();
+        private final Queue<ScheduledRequest> waiting = new ArrayDeque<>();
 
         private Lane() {}
 
         @Override
-        public Drawn next() {
+        public ScheduledRequest next() {
             synchronized (RequestFeed.this) {
                 while (waiting.isEmpty() && !exhausted) {
                     distributeNext();
@@ -40,7 +40,7 @@
     }
 
     private void distributeNext() {
-        RequestSource.Drawn request = source.next();
+        RequestSource.ScheduledRequest request = source.next();
         if (request == null) {
             exhausted = true;
             return;
--- a/testbed/src/main/java/pearladder/testbed/RequestSource.java
+++ b/testbed/src/main/java/pearladder/testbed/RequestSource.java
@@ -13,16 +13,16 @@
      * @param work on a standard core, in nanoseconds
      * @param patience the share of the deadline that each attempt is given, 0 to 1
      */
-    record Drawn(
+    record ScheduledRequest(
             long dueAfter,
             long number,
             String requestClass,
-            String account,
+            String tenant,
             String model,
             String zone,
             long work,
             double patience) {}
 
     /** The next request, or null once there are no more. */
-    Drawn next();
+    ScheduledRequest next();
 }
--- a/testbed/src/main/java/pearladder/testbed/Results.java
+++ b/testbed/src/main/java/pearladder/testbed/Results.java
@@ -48,7 +48,7 @@
             List<String> table) {
         ObjectNode results = JSON.createObjectNode();
         putTotals(results, plan, statistics);
-        results.put("breaches", verdict.breaches().size()).put("faults", faults.size());
+        results.put("breaches", verdict.violations().size()).put("faults", faults.size());
         statistics.countsByEnd().forEach((name, count) -> results.put(name, count));
         ObjectNode latency = results.putObject("latency_ms");
         for (double percentile : PERCENTILES) {
@@ -59,8 +59,8 @@
         rejectionCauses(observations).forEach(causes::put);
         putFaults(results.putArray("troubles"), observations, startedAt);
         ArrayNode rules = results.putArray("rules");
-        verdict.looked().forEach((rule, looked) -> rules.addObject()
-                .put("rule", rule.words())
+        verdict.checkedCounts().forEach((rule, looked) -> rules.addObject()
+                .put("rule", rule.description())
                 .put("looked", looked)
                 .put("broken", verdict.broken(rule)));
         ArrayNode lines = results.putArray("table");
@@ -71,12 +71,12 @@
     private static void putTotals(ObjectNode results, ScenarioPlan plan, LoadStatistics statistics) {
         results.put("name", plan.name())
                 .put("seed", plan.seed())
-                .put("engines", plan.fleet().engines().size())
+                .put("engines", plan.fleet().workers().size())
                 .put("routers", plan.routers())
-                .put("calls", statistics.calls())
-                .put("tries", statistics.tries())
+                .put("calls", statistics.requests())
+                .put("tries", statistics.attempts())
                 .put("credit", statistics.credit())
-                .put("worst10s", statistics.worstWindow())
+                .put("worst10s", statistics.leastWindowCredit())
                 .put("lag_p99_ms", statistics.generatorLagMillis(99));
     }
 
@@ -90,7 +90,7 @@
 
     private static void putFaults(ArrayNode array, List<Observation> observations, long startedAt) {
         for (Observation seen : observations) {
-            if (seen.what().equals(Observation.TROUBLE)) {
+            if (seen.event().equals(Observation.FAULT_INJECTED)) {
                 array.addObject()
                         .put("at_s", (seen.at() - startedAt) / NANOS_PER_SECOND)
                         .put("what", seen.note());
@@ -102,18 +102,18 @@
      * A line on the loads that ended, what they fetched from the store, and the share of their time that the fetch
      * took.
      */
-    public static String fetched(ScenarioPlan plan, List<Observation> observations, long startedAt) {
+    public static String loadsLine(ScenarioPlan plan, List<Observation> observations, long startedAt) {
         long loads = 0;
         long failed = 0;
         double gigabytes = 0;
         double fetchShares = 0;
         for (Observation seen : observations) {
-            if (!seen.what().equals(Observation.LOADED) || seen.at() < startedAt) {
+            if (!seen.event().equals(Observation.LOAD_ENDED) || seen.at() < startedAt) {
                 continue;
             }
             loads++;
             if (seen.note().isEmpty()) {
-                fetchShares += seen.figure();
+                fetchShares += seen.value();
             } else {
                 failed++;
             }
@@ -136,13 +136,13 @@
         Map<String, String> lastAtWorker = new HashMap<>();
         Map<String, Long> causes = new TreeMap<>();
         for (Observation seen : observations) {
-            switch (seen.what()) {
-                case Observation.ARRIVED -> lastAtWorker.put(seen.call(), "a leg without an answer");
-                case Observation.REFUSED -> lastAtWorker.put(
-                        seen.call(), "engines refused: " + seen.note().toLowerCase(Locale.ROOT));
+            switch (seen.event()) {
+                case Observation.ARRIVED -> lastAtWorker.put(seen.requestId(), "a leg without an answer");
+                case Observation.REJECTED -> lastAtWorker.put(
+                        seen.requestId(), "engines refused: " + seen.note().toLowerCase(Locale.ROOT));
                 case Observation.ANSWERED -> {
                     if (seen.note().equals(RequestOutcome.DISMISSED.code())) {
-                        causes.merge(lastAtWorker.getOrDefault(seen.call(), "no leg was sent"), 1L, Long::sum);
+                        causes.merge(lastAtWorker.getOrDefault(seen.requestId(), "no leg was sent"), 1L, Long::sum);
                     }
                 }
                 default -> {}
--- a/testbed/src/main/java/pearladder/testbed/RollbackDelays.java
+++ b/testbed/src/main/java/pearladder/testbed/RollbackDelays.java
@@ -35,8 +35,8 @@
 
     private final Map<Rollback, Long> lastSent = new HashMap<>();
 
-    RollbackDelays(List<Observation> observations, List<ReleaseScript.Order> orders) {
-        for (ReleaseScript.Order order : orders) {
+    RollbackDelays(List<Observation> observations, List<RolloutScript.Order> orders) {
+        for (RolloutScript.Order order : orders) {
             if (order.plan() != null) {
                 order.models().forEach(model -> newVersions.put(model, VersionShares.newVersion(order)));
             }
@@ -51,10 +51,11 @@
     }
 
     private void addSentOrOrder(Observation seen) {
-        if (seen.what().equals(Observation.SENT)) {
-            requests.put(seen.call(), new Sent(seen.at(), seen.router()));
+        if (seen.event().equals(Observation.SENT)) {
+            requests.put(seen.requestId(), new Sent(seen.at(), seen.router()));
             routers.add(seen.router());
-        } else if (seen.what().equals(Observation.TROUBLE) && seen.note().startsWith(ORDER_PREFIX)) {
+        } else if (seen.event().equals(Observation.FAULT_INJECTED)
+                && seen.note().startsWith(ORDER_PREFIX)) {
             String[] words = seen.note().split(" ");
             boolean rollback = words[1].equals(ROLLBACK);
             String prefix = words[2];
@@ -66,8 +67,8 @@
     }
 
     private void addAnswer(Observation seen) {
-        Sent sent = requests.get(seen.call());
-        if (!seen.what().equals(Observation.ANSWERED)
+        Sent sent = requests.get(seen.requestId());
+        if (!seen.event().equals(Observation.ANSWERED)
                 || sent == null
                 || !seen.model().contains("@")) {
             return;
--- a/testbed/src/main/java/pearladder/testbed/ReleaseScript.java
+++ b/testbed/src/main/java/pearladder/testbed/RolloutScript.java
@@ -15,7 +15,7 @@
 import pearladder.rollout.RolloutTarget;
 
 /** The operators of a scenario: orders on rollouts, given at their moments to every router at its admin port. */
-public final class ReleaseScript {
+public final class RolloutScript {
     /** Kinds of orders, by the words of scripts. */
     public enum OrderType {
         /** Starts a rollout at its first step. */
@@ -64,9 +64,9 @@
     /**
      * Creates the operators of a scenario.
      *
-     * @param http by which orders are given; null where only {@link #targets} is asked
+     * @param http by which orders are given; null where only {@link #nextTargets} is asked
      */
-    public ReleaseScript(LoopbackHttpClient http) {
+    public RolloutScript(LoopbackHttpClient http) {
         this.http = http;
     }
 
@@ -132,7 +132,7 @@
     }
 
     /** The targets of an order, for routers that are told them without HTTP. */
-    public List<RolloutTarget> targets(Order order) {
+    public List<RolloutTarget> nextTargets(Order order) {
         return order.models().stream()
                 .map(model -> JSON.convertValue(next(order, model), RolloutTarget.class))
                 .toList();
--- a/testbed/src/main/java/pearladder/testbed/ReleaseTrials.java
+++ b/testbed/src/main/java/pearladder/testbed/RolloutTrials.java
@@ -16,7 +16,7 @@
  * Trials of the rollout controller alone, in simulated time and with random results: shares reached against those asked
  * for, and how many of many rollouts are rolled back, by how much worse the new version is.
  */
-public final class ReleaseTrials {
+public final class RolloutTrials {
     private static final double[] SHARES_ASKED = {0.05, 0.25, 0.5};
     private static final double[] EXCESS_FAILURES = {0, 0.01, 0.02, 0.05, 0.1, 0.3, 0.98};
     private static final List<Double> STEPS = List.of(0.05, 0.25, 1.0);
@@ -46,7 +46,7 @@
     /** How a rollout ended and how many requests the new version got. */
     private record Trial(End end, int requestsToNew) {}
 
-    private ReleaseTrials() {}
+    private RolloutTrials() {}
 
     /** Runs all trials, a line for each result; the same each time. */
     public static List<String> run() {
@@ -73,8 +73,8 @@
                 RolloutPlan.Breach.ROLL_BACK);
         MonotonicTime now = new MonotonicTime(0);
         RolloutTarget target = new RolloutTarget(1, plan, RolloutTarget.Mode.RUNNING, 0, "trial", 0);
-        controller.on(now, new RolloutEvent.Kept(target));
-        controller.on(now, new RolloutEvent.Standing(model, NEW_VERSION, 1));
+        controller.on(now, new RolloutEvent.TargetPersisted(target));
+        controller.on(now, new RolloutEvent.InstancesReady(model, NEW_VERSION, 1));
         return controller;
     }
 
@@ -101,13 +101,13 @@
 
     private static double shareReached(String model, double asked) {
         RolloutController controller = started(model, List.of(asked, 1.0));
-        controller.on(new MonotonicTime(1), new RolloutEvent.Due());
+        controller.on(new MonotonicTime(1), new RolloutEvent.Tick());
         MonotonicTime now = new MonotonicTime(2);
         int requestsToNew = 0;
         for (int i = 0; i < REQUESTS_PER_MODEL; i++) {
             boolean toNew = isNew(versionFor(controller, now, model, i));
             requestsToNew += toNew ? 1 : 0;
-            controller.on(now, new RolloutEvent.CallLeft("c" + i));
+            controller.on(now, new RolloutEvent.ClientDisconnected("c" + i));
         }
         return (double) requestsToNew / REQUESTS_PER_MODEL;
     }
@@ -118,8 +118,9 @@
 
     private static String versionFor(RolloutController controller, MonotonicTime now, String model, int request) {
         String id = "c" + request;
-        for (RolloutAction action : controller.on(now, new RolloutEvent.CallCame(id, model, "doc-" + request, ""))) {
-            if (action instanceof RolloutAction.Use use) {
+        for (RolloutAction action :
+                controller.on(now, new RolloutEvent.RequestReceived(id, model, "doc-" + request, ""))) {
+            if (action instanceof RolloutAction.UseVersion use) {
                 return use.version();
             }
         }
@@ -165,9 +166,10 @@
             double failures = toNew ? Math.min(1, USUAL_FAILURES + excess) : USUAL_FAILURES;
             boolean succeeded = random.nextDouble() >= failures;
             List<String> workers = List.of("e" + random.nextInt(WORKERS));
-            List<RolloutAction> actions = controller.on(now, new RolloutEvent.CallEnded("c" + i, succeeded, workers));
-            boolean rolledBack = actions.stream().anyMatch(RolloutAction.Withdraw.class::isInstance);
-            controller.on(now, new RolloutEvent.Due());
+            List<RolloutAction> actions =
+                    controller.on(now, new RolloutEvent.RequestCompleted("c" + i, succeeded, workers));
+            boolean rolledBack = actions.stream().anyMatch(RolloutAction.ReleaseInstances.class::isInstance);
+            controller.on(now, new RolloutEvent.Tick());
             if (rolledBack) {
                 return new Trial(End.ROLLED_BACK, requestsToNew);
             }
--- a/testbed/src/main/java/pearladder/testbed/RouterAndWorker.java
+++ b/testbed/src/main/java/pearladder/testbed/RouterAndWorker.java
@@ -5,6 +5,6 @@
 /** A router and a worker of which it was told or to which it sent something. */
 record RouterAndWorker(String router, String worker) {
     static RouterAndWorker of(Observation seen) {
-        return new RouterAndWorker(seen.router(), seen.engine());
+        return new RouterAndWorker(seen.router(), seen.worker());
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/RouterProcesses.java
+++ b/testbed/src/main/java/pearladder/testbed/RouterProcesses.java
@@ -63,7 +63,7 @@
         this.observations = observations;
         for (int i = 0; i < plan.routers(); i++) {
             String name = "r" + (i + 1);
-            zones.put(name, plan.halls().get(i % plan.halls().size()));
+            zones.put(name, plan.zones().get(i % plan.zones().size()));
             ports.put(name, 0);
         }
     }
--- a/testbed/src/main/java/pearladder/testbed/Scenario.java
+++ b/testbed/src/main/java/pearladder/testbed/Scenario.java
@@ -32,16 +32,16 @@
      * @param table lines for people
      * @param faults what went wrong beside the invariants
      */
-    public record Outcome(
+    public record Result(
             double credit,
             double worstWindow,
-            long calls,
+            long requests,
             List<String> table,
             InvariantChecker.Verdict verdict,
             List<String> faults) {
         /** Whether every invariant held and nothing else went wrong. */
-        public boolean kept() {
-            return verdict.breaches().isEmpty() && faults.isEmpty();
+        public boolean isClean() {
+            return verdict.violations().isEmpty() && faults.isEmpty();
         }
     }
 
@@ -70,7 +70,7 @@
     private final ClientLoadBalancer loadBalancer;
     private final LoadStatistics statistics = new LoadStatistics();
     private final RouterUsage routerUsage = new RouterUsage(() -> this.routers.metrics());
-    private final ReleaseScript releases = new ReleaseScript(http);
+    private final RolloutScript releases = new RolloutScript(http);
     private ObservationLog observations;
     private RouterProcesses routers;
     private WorkerControl workers;
@@ -88,7 +88,7 @@
         this.processes = new ChildProcesses(program, folder, crowded);
         this.routerArguments = routerArguments;
         this.progress = progress;
-        this.loadBalancer = new ClientLoadBalancer(plan.clients().frontLag());
+        this.loadBalancer = new ClientLoadBalancer(plan.clients().loadBalancerLag());
     }
 
     static Thread daemonThread(Runnable run) {
@@ -102,7 +102,7 @@
         return new Observation(System.nanoTime(), what, router, "", 0, "", "", note, 0);
     }
 
-    /** Only reads a script; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
+    /** Only reads a script; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
     public static void check(Path script) {
         ScenarioPlan.read(script);
     }
@@ -115,16 +115,16 @@
      * @param routerArguments further words of the routers' command line
      * @param progress where lines of progress go
      */
-    public static Outcome play(
+    public static Result run(
             Path script, Path folder, List<String> program, List<String> routerArguments, PrintStream progress)
             throws IOException, InterruptedException {
-        return play(script, null, folder, program, routerArguments, progress);
+        return run(script, null, folder, program, routerArguments, progress);
     }
 
     /** Runs a scenario with the requests of a trace; the script's flows then only say whose requests they are. */
-    public static Outcome play(
+    public static Result run(
             Path script,
-            TraceWorkload.Terms trace,
+            TraceWorkload.ReplaySettings trace,
             Path folder,
             List<String> program,
             List<String> routerArguments,
@@ -151,7 +151,7 @@
         }
     }
 
-    private Outcome run() throws IOException, InterruptedException {
+    private Result run() throws IOException, InterruptedException {
         requireNoSimulatedFaults();
         JsonNode document = new YAMLMapper().readTree(script.toFile());
         startWorkers(document.get("fleet"));
@@ -192,7 +192,7 @@
     }
 
     private void printHowToTry() {
-        int engines = plan.fleet().engines().size();
+        int engines = plan.fleet().workers().size();
         progress.println("running: " + engines + " engines, " + plan.routers() + " routers; while it runs, try");
         ScenarioPlan.Flow flow = plan.flows().get(0);
         String account = flow.tenant().isEmpty() ? "" : " -H 'pearladder-account: " + flow.tenant() + "'";
@@ -216,24 +216,24 @@
     }
 
     private void injectFaults(FaultInjector injector) {
-        long next = injector.due(nanosSinceStart());
+        long next = injector.runDue(nanosSinceStart());
         while (next >= 0 && !Thread.currentThread().isInterrupted()) {
             long wait = Math.min(LONGEST_FAULT_WAIT_NANOS, next - nanosSinceStart());
             LockSupport.parkNanos(Math.max(SHORTEST_FAULT_WAIT_NANOS, wait));
-            next = injector.due(nanosSinceStart());
+            next = injector.runDue(nanosSinceStart());
         }
     }
 
     private void awaitClients() throws InterruptedException {
         long leftMillis =
-                trace != null ? Long.MAX_VALUE : TimeUnit.NANOSECONDS.toMillis(plan.lasting()) + END_TIMEOUT_MILLIS;
+                trace != null ? Long.MAX_VALUE : TimeUnit.NANOSECONDS.toMillis(plan.duration()) + END_TIMEOUT_MILLIS;
         while (!clients.awaitEnd(PROGRESS_INTERVAL_SECONDS)) {
             routerUsage.sample();
             progress.println(String.format(
                     Locale.ROOT,
                     "  %4.0f s: %d calls ended, credit %.3f",
                     secondsSinceStart(),
-                    statistics.calls(),
+                    statistics.requests(),
                     statistics.credit()));
             leftMillis -= TimeUnit.SECONDS.toMillis(PROGRESS_INTERVAL_SECONDS);
             if (leftMillis < 0) {
@@ -252,9 +252,9 @@
     }
 
     /** Injects faults into the processes of this scenario. */
-    private final class ProcessFaults implements FaultInjector.World {
+    private final class ProcessFaults implements FaultInjector.FaultTarget {
         @Override
-        public List<String> engines(String zone) {
+        public List<String> runningWorkers(String zone) {
             return workers.running(zone);
         }
 
@@ -264,42 +264,42 @@
         }
 
         @Override
-        public void toEngines(String what, List<String> engines, String model, double figure) {
+        public void commandWorkers(String what, List<String> engines, String model, double figure) {
             workers.inject(what, engines, model, figure);
         }
 
         @Override
         public void killRouter(String router) {
             routers.kill(router);
-            loadBalancer.died(router, System.nanoTime());
+            loadBalancer.markDead(router, System.nanoTime());
         }
 
         @Override
         public void startRouter(String router) {
-            routers.startInBackground(router, () -> loadBalancer.back(router), faults::add);
+            routers.startInBackground(router, () -> loadBalancer.markAlive(router), faults::add);
         }
 
         @Override
-        public void toRouters(ScenarioPlan.Kind what, List<String> names, double figure) {
+        public void injectIntoRouters(ScenarioPlan.FaultKind what, List<String> names, double figure) {
             throw new IllegalStateException(what + " is only rehearsed");
         }
 
         @Override
-        public void heedless(boolean on) {
+        public void ignoreRetryAfter(boolean on) {
             clients.ignoreRetryAfter(on);
         }
 
         /** A router that dies under the order is no fault: it gets the order from the others when it is back. */
         @Override
-        public void order(ReleaseScript.Order order) {
+        public void giveRolloutOrder(RolloutScript.Order order) {
             releases.give(order, routers.adminPorts()).stream()
-                    .filter(line -> !line.endsWith(ReleaseScript.NO_ANSWER))
+                    .filter(line -> !line.endsWith(RolloutScript.NO_ANSWER))
                     .forEach(faults::add);
         }
 
         @Override
-        public void say(String what) {
-            observations.accept(observation(Observation.TROUBLE, "", what));
+        public void report(String what) {
+            observations.accept(observation(Observation.FAULT_INJECTED, "", what));
             progress.println(String.format(Locale.ROOT, "  %4.0f s: %s", secondsSinceStart(), what));
         }
     }
--- a/testbed/src/main/java/pearladder/testbed/ScenarioEvaluation.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioEvaluation.java
@@ -47,13 +47,14 @@
         this.faults = faults;
     }
 
-    Scenario.Outcome evaluate(Run run) throws IOException {
+    Scenario.Result evaluate(Run run) throws IOException {
         List<Observation> observations = readLogs();
-        InvariantChecker.Verdict verdict =
-                new InvariantChecker(plan.rules(), plan.slack(), plan.places()).check(observations);
+        InvariantChecker.Verdict verdict = new InvariantChecker(
+                        plan.invariantSettings(), plan.slack(), plan.workerLocations())
+                .check(observations);
         List<String> lines = new ArrayList<>(statistics.table());
-        lines.addAll(VersionShares.lines(observations, run.startedAt(), plan.releases()));
-        lines.add(Results.fetched(plan, observations, run.startedAt()));
+        lines.addAll(VersionShares.lines(observations, run.startedAt(), plan.rolloutOrders()));
+        lines.add(Results.loadsLine(plan, observations, run.startedAt()));
         lines.add("");
         lines.add(loadLine(run.seconds()));
         lines.addAll(run.routerUsage());
@@ -62,12 +63,17 @@
         }
         findFaults(run.trace());
         lines.add("");
-        lines.addAll(verdict.lines(run.startedAt(), plan.rules()));
+        lines.addAll(verdict.lines(run.startedAt(), plan.invariantSettings()));
         faults.forEach(fault -> lines.add("fault: " + fault));
         Files.write(folder.resolve(TABLE_FILE), lines);
         Results.write(folder, Results.of(plan, statistics, verdict, faults, observations, run.startedAt(), lines));
-        return new Scenario.Outcome(
-                statistics.credit(), statistics.worstWindow(), statistics.calls(), lines, verdict, List.copyOf(faults));
+        return new Scenario.Result(
+                statistics.credit(),
+                statistics.leastWindowCredit(),
+                statistics.requests(),
+                lines,
+                verdict,
+                List.copyOf(faults));
     }
 
     private List<Observation> readLogs() throws IOException {
@@ -85,8 +91,8 @@
         return String.format(
                 Locale.ROOT,
                 "%d calls in %d tries over %.0f s; the generator was late by %.1f ms at p99, %.1f ms at most",
-                statistics.calls(),
-                statistics.tries(),
+                statistics.requests(),
+                statistics.attempts(),
                 seconds,
                 statistics.generatorLagMillis(99),
                 statistics.generatorLagMillis(100));
@@ -96,7 +102,7 @@
         if (trace != null && trace.failure() != null) {
             faults.add(trace.failure().getMessage());
         }
-        faults.addAll(plan.expected().missed(statistics));
+        faults.addAll(plan.expected().missedRequirements(statistics));
         double lagMillis = statistics.generatorLagMillis(99);
         if (lagMillis > GENERATOR_LAG_MILLIS) {
             faults.add(String.format(
--- a/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
@@ -29,17 +29,17 @@
  */
 public record ScenarioPlan(
         String name,
-        long lasting,
+        long duration,
         long seed,
         long slack,
-        List<String> halls,
+        List<String> zones,
         int routers,
         double rate,
         Clients clients,
         List<Flow> flows,
         List<Fault> faults,
-        List<ReleaseScript.Order> releases,
-        InvariantSettings rules,
+        List<RolloutScript.Order> rolloutOrders,
+        InvariantSettings invariantSettings,
         FleetPlan fleet,
         Network network,
         Expected expected,
@@ -55,7 +55,12 @@
      * @param lanes event loops that send; one bears about a thousand requests a second
      */
     public record Clients(
-            int maxAttempts, long retryPause, double leastPatience, long frontLag, double cancelShare, int lanes) {
+            int maxAttempts,
+            long retryPause,
+            double leastPatience,
+            long loadBalancerLag,
+            double cancelShare,
+            int lanes) {
         /** The share of the deadline that an attempt is given, for a random number from 0 to 1. */
         double patience(double uniform) {
             return leastPatience + (1 - leastPatience) * uniform;
@@ -103,7 +108,7 @@
     }
 
     /** Kinds of faults, by the words of scripts; docs/days.md says what each does. */
-    public enum Kind {
+    public enum FaultKind {
         BURST,
         ONE_OFFS,
         HEAVY,
@@ -173,7 +178,7 @@
      */
     public record Expected(double leastCredit, double leastWindowCredit) {
         /** A line for each requirement that was missed. */
-        public List<String> missed(LoadStatistics statistics) {
+        public List<String> missedRequirements(LoadStatistics statistics) {
             List<String> missed = new ArrayList<>();
             if (statistics.credit() < leastCredit) {
                 missed.add(String.format(
@@ -182,12 +187,12 @@
                         leastCredit,
                         statistics.credit()));
             }
-            if (statistics.worstWindow() < leastWindowCredit) {
+            if (statistics.leastWindowCredit() < leastWindowCredit) {
                 missed.add(String.format(
                         Locale.ROOT,
                         "expected %.3f in each ten seconds, the worst was %.3f",
                         leastWindowCredit,
-                        statistics.worstWindow()));
+                        statistics.leastWindowCredit()));
             }
             return missed;
         }
@@ -203,9 +208,15 @@
      * @param zone the zone that it is limited to; empty for all
      */
     public record Fault(
-            long startAt, long duration, Kind kind, double share, double factor, double probability, String zone) {}
+            long startAt,
+            long duration,
+            FaultKind kind,
+            double share,
+            double factor,
+            double probability,
+            String zone) {}
 
-    /** Reads a script; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
+    /** Reads a script; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
     public static ScenarioPlan read(Path file) {
         return read(YamlParser.read(file));
     }
@@ -216,9 +227,9 @@
     }
 
     /** Zone and cell of each worker by its id, written "zone/cell". */
-    public Map<String, String> places() {
+    public Map<String, String> workerLocations() {
         Map<String, String> places = new LinkedHashMap<>();
-        fleet.engines().forEach(engine -> places.put(engine.id(), engine.hall() + "/" + engine.cell()));
+        fleet.workers().forEach(engine -> places.put(engine.id(), engine.hall() + "/" + engine.cell()));
         return places;
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/ScenarioPlanParser.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioPlanParser.java
@@ -10,8 +10,8 @@
 import pearladder.testbed.ScenarioPlan.Clients;
 import pearladder.testbed.ScenarioPlan.Expected;
 import pearladder.testbed.ScenarioPlan.Fault;
+import pearladder.testbed.ScenarioPlan.FaultKind;
 import pearladder.testbed.ScenarioPlan.Flow;
-import pearladder.testbed.ScenarioPlan.Kind;
 import pearladder.testbed.ScenarioPlan.Network;
 import pearladder.testbed.ScenarioPlan.RateVariation;
 
@@ -22,7 +22,8 @@
             Set.of("day", "clients", "traffic", "troubles", "releases", "fleet", "network", "expect");
 
     /** Faults that need a proxy in front of each worker. */
-    private static final Set<Kind> PROXY_FAULTS = EnumSet.of(Kind.CUT, Kind.RESET, Kind.SLOW_HANDSHAKES);
+    private static final Set<FaultKind> PROXY_FAULTS =
+            EnumSet.of(FaultKind.CUT, FaultKind.RESET, FaultKind.SLOW_HANDSHAKES);
 
     private static final int MAX_ROUTERS = 1000;
     private static final int MAX_CLIENT_ATTEMPTS = 20;
@@ -38,7 +39,7 @@
         this.day = file.at("day");
     }
 
-    /** The plan; throws {@link pearladder.config.ConfigErrors.Found} where there is any mistake. */
+    /** The plan; throws {@link pearladder.config.ConfigErrors.RestartState} where there is any mistake. */
     ScenarioPlan parse() {
         InvariantSettings rules = InvariantSettings.read(file.at("router"));
         long lasting = day.at("lasting").span();
@@ -70,7 +71,7 @@
     private List<String> zones() {
         List<String> zones = day.at("halls").each(ConfigValue::text);
         if (zones.isEmpty()) {
-            day.at("halls").wrong("no hall is named", "write \"halls: [east, west]\"");
+            day.at("halls").addMistake("no hall is named", "write \"halls: [east, west]\"");
         }
         return zones;
     }
@@ -79,7 +80,7 @@
         List<Flow> flows = file.at("traffic").each(flow -> flow(flow, rules));
         if (flows.isEmpty()) {
             file.at("traffic")
-                    .wrong("no traffic", "write \"- {category: ..., models: pair-, count: 20, work: 20 ms}\"");
+                    .addMistake("no traffic", "write \"- {category: ..., models: pair-, count: 20, work: 20 ms}\"");
         }
         return flows;
     }
@@ -88,7 +89,7 @@
         String requestClass = flow.at("category").text();
         if (!rules.requestClasses().containsKey(requestClass)) {
             String known = String.join(", ", rules.requestClasses().keySet());
-            flow.at("category").wrong("unknown category \"" + requestClass + "\"", "write one of " + known);
+            flow.at("category").addMistake("unknown category \"" + requestClass + "\"", "write one of " + known);
         }
         return new Flow(
                 requestClass,
@@ -111,16 +112,16 @@
         long at = fault.at("at").span();
         long lasting = fault.at("lasting").span("0 s");
         if (at + lasting > scenarioLasting) {
-            fault.at("at").wrong("the trouble ends after the day", "begin it earlier, or make the day longer");
+            fault.at("at").addMistake("the trouble ends after the day", "begin it earlier, or make the day longer");
         }
         String zone = fault.at("hall").text("");
         if (!zone.isEmpty() && !zones.contains(zone)) {
-            fault.at("hall").wrong("unknown hall \"" + zone + "\"", "write one of " + String.join(", ", zones));
+            fault.at("hall").addMistake("unknown hall \"" + zone + "\"", "write one of " + String.join(", ", zones));
         }
         return new Fault(
                 at,
                 lasting,
-                fault.at("what").word(Kind.class, null),
+                fault.at("what").word(FaultKind.class, null),
                 fault.at("share").number(0.2, 0, 1),
                 fault.at("times").number(5, 1, 1000),
                 fault.at("part").number(0.7, 0, 1),
@@ -130,9 +131,9 @@
     private FleetPlan fleet(List<Fault> faults) {
         FleetPlan fleet = FleetPlan.read(file.at("fleet"));
         boolean needsProxies = faults.stream().anyMatch(fault -> PROXY_FAULTS.contains(fault.kind()));
-        if (needsProxies && !fleet.cables()) {
+        if (needsProxies && !fleet.usesFaultProxy()) {
             file.at("fleet")
-                    .wrong("cuts, resets and slow handshakes need cables", "write \"cables: true\" in the fleet");
+                    .addMistake("cuts, resets and slow handshakes need cables", "write \"cables: true\" in the fleet");
         }
         return fleet;
     }
@@ -147,8 +148,8 @@
                 clients.at("lanes").whole(1, 1, MAX_CLIENT_LANES));
     }
 
-    private List<ReleaseScript.Order> releases() {
-        return file.at("releases").each(ReleaseScript::read).stream()
+    private List<RolloutScript.Order> releases() {
+        return file.at("releases").each(RolloutScript::read).stream()
                 .flatMap(List::stream)
                 .toList();
     }
--- a/testbed/src/main/java/pearladder/testbed/Scripts.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioScripts.java
@@ -6,10 +6,10 @@
 import java.nio.file.Path;
 
 /** Changes to the script of a scenario that keep its meaning: other sizes, another rate. */
-public final class Scripts {
-    private Scripts() {}
+public final class ScenarioScripts {
+    private ScenarioScripts() {}
 
-    /** Only reads a script; throws {@link pearladder.config.ConfigErrors.Found} with every mistake in it. */
+    /** Only reads a script; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
     public static void check(Path file) {
         ScenarioPlan.read(file);
     }
--- a/testbed/src/main/java/pearladder/testbed/SingleEffectCheck.java
+++ b/testbed/src/main/java/pearladder/testbed/SingleEffectCheck.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import pearladder.emulator.Observation;
-import pearladder.testbed.InvariantChecker.Rule;
+import pearladder.testbed.InvariantChecker.Invariant;
 import pearladder.testbed.ObservedRequest.Attempt;
 
 /**
@@ -44,17 +44,18 @@
     }
 
     /** The terms of a request's class, or null where it has none or may take effect any number of times. */
-    private CategoryTerms termsOf(ObservedRequest request) {
-        CategoryTerms terms = request == null ? null : settings.requestClasses().get(request.requestClass());
-        return terms == null || terms.idempotency() == CategoryTerms.Idempotency.RETRIABLE ? null : terms;
+    private RequestClassTerms termsOf(ObservedRequest request) {
+        RequestClassTerms terms =
+                request == null ? null : settings.requestClasses().get(request.requestClass());
+        return terms == null || terms.idempotency() == RequestClassTerms.Idempotency.RETRIABLE ? null : terms;
     }
 
     private void checkAttempts(ObservedRequest request) {
-        CategoryTerms terms = termsOf(request);
+        RequestClassTerms terms = termsOf(request);
         if (terms == null) {
             return;
         }
-        findings.looked(Rule.NO_EFFECT_TWICE);
+        findings.looked(Invariant.NO_EFFECT_TWICE);
         String what = "call " + request.id() + " (" + terms.name() + ")";
         Attempt first = null;
         for (Attempt attempt : request.attempts()) {
@@ -65,41 +66,41 @@
             }
         }
         boolean rejected = request.end() != null && request.end().note().equals("dismissed");
-        boolean mayBeRejected = terms.idempotency() != CategoryTerms.Idempotency.BINDING
-                && terms.deduplicationScope() == CategoryTerms.DeduplicationScope.ALL;
+        boolean mayBeRejected = terms.idempotency() != RequestClassTerms.Idempotency.BINDING
+                && terms.deduplicationScope() == RequestClassTerms.DeduplicationScope.ALL;
         if (rejected && first != null && !mayBeRejected) {
             findings.breach(
-                    Rule.NO_EFFECT_TWICE,
+                    Invariant.NO_EFFECT_TWICE,
                     request.end().at(),
                     what + " was dismissed and may have run at " + first.worker());
         }
     }
 
-    private void checkRetry(CategoryTerms terms, String what, Attempt first, Attempt retry) {
-        if (terms.idempotency() == CategoryTerms.Idempotency.BINDING) {
+    private void checkRetry(RequestClassTerms terms, String what, Attempt first, Attempt retry) {
+        if (terms.idempotency() == RequestClassTerms.Idempotency.BINDING) {
             findings.breach(
-                    Rule.NO_EFFECT_TWICE,
+                    Invariant.NO_EFFECT_TWICE,
                     retry.arrivedAt(),
                     what + " reached " + retry.worker() + " after it may have run at " + first.worker());
             return;
         }
         if (retry.arrivedAt() - first.arrivedAt() > terms.keyRetention() + slack) {
             findings.breach(
-                    Rule.NO_EFFECT_TWICE,
+                    Invariant.NO_EFFECT_TWICE,
                     retry.arrivedAt(),
                     what + " was repeated after the time for which " + first.worker() + " remembers it");
         }
         if (!shareMemory(terms.deduplicationScope(), first.worker(), retry.worker())) {
             findings.breach(
-                    Rule.NO_EFFECT_TWICE,
+                    Invariant.NO_EFFECT_TWICE,
                     retry.arrivedAt(),
                     what + " left the group of " + first.worker() + " for " + retry.worker());
         }
     }
 
     /** Whether two workers share the memory of idempotency keys. */
-    private boolean shareMemory(CategoryTerms.DeduplicationScope group, String worker, String other) {
-        if (group == CategoryTerms.DeduplicationScope.ALL) {
+    private boolean shareMemory(RequestClassTerms.DeduplicationScope group, String worker, String other) {
+        if (group == RequestClassTerms.DeduplicationScope.ALL) {
             return true;
         }
         Location one = locationOf(worker);
@@ -107,7 +108,7 @@
         if (one == null || two == null) {
             return false;
         }
-        return group == CategoryTerms.DeduplicationScope.ZONE
+        return group == RequestClassTerms.DeduplicationScope.ZONE
                 ? one.zone().equals(two.zone())
                 : one.cell() == two.cell();
     }
@@ -122,21 +123,21 @@
         Map<String, String> keyOf = new HashMap<>();
         Map<String, Observation> effects = new HashMap<>();
         for (Observation seen : inOrder) {
-            if (seen.what().equals(Observation.ARRIVED) && !seen.note().isEmpty()) {
-                keyOf.put(seen.call(), seen.note());
+            if (seen.event().equals(Observation.ARRIVED) && !seen.note().isEmpty()) {
+                keyOf.put(seen.requestId(), seen.note());
             }
-            CategoryTerms terms = termsOf(requests.get(seen.call()));
-            if (!seen.what().equals(Observation.RAN) || terms == null) {
+            RequestClassTerms terms = termsOf(requests.get(seen.requestId()));
+            if (!seen.event().equals(Observation.RAN) || terms == null) {
                 continue;
             }
-            boolean binding = terms.idempotency() == CategoryTerms.Idempotency.BINDING;
-            String effect = binding ? "call " + seen.call() : "mark " + keyOf.get(seen.call());
+            boolean binding = terms.idempotency() == RequestClassTerms.Idempotency.BINDING;
+            String effect = binding ? "call " + seen.requestId() : "mark " + keyOf.get(seen.requestId());
             Observation before = effects.putIfAbsent(effect, seen);
             if (before != null && (binding || !before.note().equals("failed"))) {
                 findings.breach(
-                        Rule.NO_EFFECT_TWICE,
+                        Invariant.NO_EFFECT_TWICE,
                         seen.at(),
-                        effect + " ran at " + before.engine() + " and again at " + seen.engine());
+                        effect + " ran at " + before.worker() + " and again at " + seen.worker());
             }
         }
     }
--- a/testbed/src/main/java/pearladder/testbed/SyntheticWorkload.java
+++ b/testbed/src/main/java/pearladder/testbed/SyntheticWorkload.java
@@ -36,15 +36,15 @@
     }
 
     @Override
-    public Drawn next() {
+    public ScheduledRequest next() {
         due += Math.round(-Math.log(1 - arrivals.nextDouble()) / rate() * NANOS_PER_SECOND);
-        if (due >= plan.lasting()) {
+        if (due >= plan.duration()) {
             return null;
         }
         // the order of the draws is part of what a seed means
         int flowIndex = ScenarioPlan.Flow.choose(plan.flows(), contents.nextDouble());
         ScenarioPlan.Flow flow = plan.flows().get(flowIndex);
-        String zone = plan.halls().get(contents.nextInt(plan.halls().size()));
+        String zone = plan.zones().get(contents.nextInt(plan.zones().size()));
         double work = flow.meanWork() * (LEAST_WORK_SHARE + contents.nextDouble());
         double heavyDraw = contents.nextDouble();
         double oneOffDraw = contents.nextDouble();
@@ -55,20 +55,21 @@
             if (!isActive(fault)) {
                 continue;
             }
-            if (fault.kind() == ScenarioPlan.Kind.HEAVY && heavyDraw < fault.share()) {
+            if (fault.kind() == ScenarioPlan.FaultKind.HEAVY && heavyDraw < fault.share()) {
                 work *= fault.factor();
-            } else if (fault.kind() == ScenarioPlan.Kind.ONE_OFFS && oneOffDraw < fault.share()) {
+            } else if (fault.kind() == ScenarioPlan.FaultKind.ONE_OFFS && oneOffDraw < fault.share()) {
                 model = flow.modelPrefix() + "once-" + number;
             }
         }
-        return new Drawn(due, number++, flow.requestClass(), flow.tenant(), model, zone, Math.round(work), patience);
+        return new ScheduledRequest(
+                due, number++, flow.requestClass(), flow.tenant(), model, zone, Math.round(work), patience);
     }
 
     /** Requests a second at the last arrival. */
     private double rate() {
         double bursts = 1;
         for (ScenarioPlan.Fault fault : plan.faults()) {
-            if (fault.kind() == ScenarioPlan.Kind.BURST && isActive(fault)) {
+            if (fault.kind() == ScenarioPlan.FaultKind.BURST && isActive(fault)) {
                 bursts *= fault.factor();
             }
         }
--- a/testbed/src/main/java/pearladder/testbed/TimedFault.java
+++ b/testbed/src/main/java/pearladder/testbed/TimedFault.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.function.ToDoubleFunction;
 import pearladder.testbed.ScenarioPlan.Fault;
-import pearladder.testbed.ScenarioPlan.Kind;
+import pearladder.testbed.ScenarioPlan.FaultKind;
 
 /**
  * A fault that one command of the workers' control endpoint begins and the same command with another figure ends.
@@ -27,10 +27,10 @@
 
     private static final double MILLIS_PER_SECOND = 1000;
     private static final double NANOS_PER_MILLI = 1e6;
-    private static final Map<Kind, TimedFault> BY_KIND = byKind();
+    private static final Map<FaultKind, TimedFault> BY_KIND = byKind();
 
     /** The timed fault of a kind, or null where the kind is injected in another way. */
-    static TimedFault of(Kind kind) {
+    static TimedFault of(FaultKind kind) {
         return BY_KIND.get(kind);
     }
 
@@ -43,26 +43,28 @@
         };
     }
 
-    private static Map<Kind, TimedFault> byKind() {
-        Map<Kind, TimedFault> faults = new EnumMap<>(Kind.class);
-        faults.put(Kind.FAILING, new TimedFault("failing", Scope.SELECTED, Fault::probability, plan -> 0));
-        faults.put(Kind.SLOW, new TimedFault("slow", Scope.SELECTED, Fault::factor, plan -> 1));
-        faults.put(Kind.LOST_LOADS, new TimedFault("losing", Scope.SELECTED, Fault::probability, plan -> 0));
-        faults.put(Kind.LEAK, new TimedFault("leak", Scope.SELECTED, Fault::factor, plan -> 0));
-        faults.put(Kind.HANG, onOff("hang", Scope.SELECTED));
-        faults.put(Kind.GARBLE, onOff("garble", Scope.SELECTED));
-        faults.put(Kind.SLOW_HANDSHAKES, onOff("cable-deaf", Scope.SELECTED));
-        faults.put(Kind.CUT, onOff("cable-cut", Scope.SELECTED));
-        faults.put(Kind.WRONG_MODEL, onOff("misname", Scope.SELECTED));
-        faults.put(Kind.ENGINES_PAUSED, onOff("pause", Scope.SELECTED));
-        faults.put(Kind.ONE_WAY_CUT, onOff("cut-back", Scope.SELECTED));
-        faults.put(Kind.LATE_REPORTS, new TimedFault("late-reports", Scope.ZONE, TimedFault::timesInMillis, plan -> 0));
-        faults.put(Kind.SLOW_SHELF, new TimedFault("shelf-slow", Scope.NONE, Fault::factor, plan -> 1));
-        faults.put(Kind.REFUSING_SHELF, onOff("shelf-refuse", Scope.NONE));
-        faults.put(Kind.DAMAGED_IMAGES, onOff("shelf-damage", Scope.NONE));
-        faults.put(Kind.LIST_SILENT, onOff("list-silent", Scope.NONE));
+    private static Map<FaultKind, TimedFault> byKind() {
+        Map<FaultKind, TimedFault> faults = new EnumMap<>(FaultKind.class);
+        faults.put(FaultKind.FAILING, new TimedFault("failing", Scope.SELECTED, Fault::probability, plan -> 0));
+        faults.put(FaultKind.SLOW, new TimedFault("slow", Scope.SELECTED, Fault::factor, plan -> 1));
+        faults.put(FaultKind.LOST_LOADS, new TimedFault("losing", Scope.SELECTED, Fault::probability, plan -> 0));
+        faults.put(FaultKind.LEAK, new TimedFault("leak", Scope.SELECTED, Fault::factor, plan -> 0));
+        faults.put(FaultKind.HANG, onOff("hang", Scope.SELECTED));
+        faults.put(FaultKind.GARBLE, onOff("garble", Scope.SELECTED));
+        faults.put(FaultKind.SLOW_HANDSHAKES, onOff("cable-deaf", Scope.SELECTED));
+        faults.put(FaultKind.CUT, onOff("cable-cut", Scope.SELECTED));
+        faults.put(FaultKind.WRONG_MODEL, onOff("misname", Scope.SELECTED));
+        faults.put(FaultKind.ENGINES_PAUSED, onOff("pause", Scope.SELECTED));
+        faults.put(FaultKind.ONE_WAY_CUT, onOff("cut-back", Scope.SELECTED));
         faults.put(
-                Kind.LIST_LAG,
+                FaultKind.LATE_REPORTS,
+                new TimedFault("late-reports", Scope.ZONE, TimedFault::timesInMillis, plan -> 0));
+        faults.put(FaultKind.SLOW_SHELF, new TimedFault("shelf-slow", Scope.NONE, Fault::factor, plan -> 1));
+        faults.put(FaultKind.REFUSING_SHELF, onOff("shelf-refuse", Scope.NONE));
+        faults.put(FaultKind.DAMAGED_IMAGES, onOff("shelf-damage", Scope.NONE));
+        faults.put(FaultKind.LIST_SILENT, onOff("list-silent", Scope.NONE));
+        faults.put(
+                FaultKind.LIST_LAG,
                 new TimedFault("list-lag", Scope.NONE, TimedFault::timesInMillis, TimedFault::registryLagMillis));
         return faults;
     }
@@ -76,6 +78,6 @@
     }
 
     private static double registryLagMillis(ScenarioPlan plan) {
-        return plan.fleet().lagNanos() / NANOS_PER_MILLI;
+        return plan.fleet().discoveryLagNanos() / NANOS_PER_MILLI;
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/TraceWorkload.java
+++ b/testbed/src/main/java/pearladder/testbed/TraceWorkload.java
@@ -15,9 +15,9 @@
 import pearladder.traces.DurationTables;
 import pearladder.traces.Layout;
 import pearladder.traces.SkippedRows;
-import pearladder.traces.TraceCall;
 import pearladder.traces.TraceFile;
 import pearladder.traces.TraceInfo;
+import pearladder.traces.TraceRequest;
 
 /**
  * The requests of a trace in a scenario: read on a thread of its own into a bounded queue, so that the file's size
@@ -40,7 +40,7 @@
      * @param defaultWork nanoseconds, where the trace tells none
      * @param strict whether to stop at the first row that is no request
      */
-    public record Terms(
+    public record ReplaySettings(
             Path file,
             Layout layout,
             Path durations,
@@ -54,8 +54,8 @@
             long defaultWork,
             boolean strict) {
         /** The same at another speed. */
-        Terms atSpeed(double otherSpeed) {
-            return new Terms(
+        ReplaySettings atSpeed(double otherSpeed) {
+            return new ReplaySettings(
                     file,
                     layout,
                     durations,
@@ -83,18 +83,18 @@
     private static final double CRC_RANGE = 4294967296.0;
     private static final String SKIPPED_FILE = "skipped.txt";
     /** Ends the queue. */
-    private static final TraceCall END = new TraceCall(0, "", 0, 0, "", "", -1);
+    private static final TraceRequest END = new TraceRequest(0, "", 0, 0, "", "", -1);
 
-    private final Terms terms;
+    private final ReplaySettings terms;
     private final ScenarioPlan plan;
     private final Path folder;
-    private final BlockingQueue<TraceCall> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
+    private final BlockingQueue<TraceRequest> queue = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
     private final SplittableRandom random;
     private final TraceInfo info = new TraceInfo();
     private final Thread reader;
     private volatile IOException failure;
     private volatile SkippedRows skipped;
-    private volatile TraceFile.Read read;
+    private volatile TraceFile.Summary read;
     private long firstAt;
     private long number;
     private long workCut;
@@ -104,7 +104,7 @@
      *
      * @param folder for the list of rows that were left out
      */
-    public TraceWorkload(Terms terms, ScenarioPlan plan, Path folder) {
+    public TraceWorkload(ReplaySettings terms, ScenarioPlan plan, Path folder) {
         this.terms = terms;
         this.plan = plan;
         this.folder = folder;
@@ -125,7 +125,7 @@
             }
         } catch (IOException failed) {
             failure = failed;
-        } catch (SkippedRows.Strict strict) {
+        } catch (SkippedRows.StrictModeException strict) {
             failure = new IOException(terms.file() + ": " + strict.getMessage() + " (--strict)", strict);
         } catch (IllegalStateException interrupted) {
             return;
@@ -133,7 +133,7 @@
         offer(END);
     }
 
-    private void offer(TraceCall call) {
+    private void offer(TraceRequest call) {
         try {
             queue.put(call);
         } catch (InterruptedException interrupted) {
@@ -142,8 +142,8 @@
     }
 
     @Override
-    public Drawn next() {
-        TraceCall call = take();
+    public ScheduledRequest next() {
+        TraceRequest call = take();
         if (call == END) {
             return null;
         }
@@ -155,12 +155,13 @@
         info.accept(call);
         ScenarioPlan.Flow flow = flow(call);
         double patience = plan.clients().patience(random.nextDouble());
-        String zone = plan.halls().get(random.nextInt(plan.halls().size()));
-        return new Drawn(due, number++, flow.requestClass(), flow.tenant(), model(call), zone, work(call), patience);
+        String zone = plan.zones().get(random.nextInt(plan.zones().size()));
+        return new ScheduledRequest(
+                due, number++, flow.requestClass(), flow.tenant(), model(call), zone, work(call), patience);
     }
 
     /** The next row; {@link #END} where there is none, or after as many as are asked for. */
-    private TraceCall take() {
+    private TraceRequest take() {
         if (terms.maxRequests() > 0 && number >= terms.maxRequests()) {
             return END;
         }
@@ -172,14 +173,14 @@
         }
     }
 
-    private long work(TraceCall call) {
+    private long work(TraceRequest call) {
         long work = call.work() == 0 ? terms.defaultWork() : Math.round(call.work() * terms.workScale());
         workCut += work > terms.maxWork() ? 1 : 0;
         return Math.max(LEAST_WORK_NANOS, Math.min(work, terms.maxWork()));
     }
 
     /** The flow that the row names, else one by a hash of the model's name in proportion to the flows' shares. */
-    private ScenarioPlan.Flow flow(TraceCall call) {
+    private ScenarioPlan.Flow flow(TraceRequest call) {
         List<ScenarioPlan.Flow> flows = plan.flows().stream()
                 .filter(flow -> flow.requestClass().equals(call.category())
                         && (call.account().isEmpty() || flow.tenant().equals(call.account())))
@@ -190,7 +191,7 @@
         return from.get(ScenarioPlan.Flow.choose(from, crc.getValue() / CRC_RANGE));
     }
 
-    private static String model(TraceCall call) {
+    private static String model(TraceRequest call) {
         String name = call.model().replaceAll(NOT_ALLOWED_IN_NAMES, "_");
         String shortened = name.substring(0, Math.min(name.length(), MAX_MODEL_NAME_LENGTH));
         return "m" + sizeClassMb(call.memoryMb()) + "-" + shortened;
--- a/testbed/src/main/java/pearladder/testbed/VersionShares.java
+++ b/testbed/src/main/java/pearladder/testbed/VersionShares.java
@@ -25,7 +25,7 @@
 
     /** A rollout to a version of the models of a prefix. */
     private record Rollout(String prefix, String version) {
-        static Rollout of(ReleaseScript.Order start) {
+        static Rollout of(RolloutScript.Order start) {
             return new Rollout(start.modelPrefix(), newVersion(start));
         }
 
@@ -51,10 +51,10 @@
      * @param observations in the order of time of each observer
      * @param startedAt start of the scenario on the observations' clock, in nanoseconds
      */
-    public static List<String> lines(List<Observation> observations, long startedAt, List<ReleaseScript.Order> orders) {
+    public static List<String> lines(List<Observation> observations, long startedAt, List<RolloutScript.Order> orders) {
         Map<String, Rollout> rollouts = new TreeMap<>();
         Map<String, Set<String>> models = new TreeMap<>();
-        for (ReleaseScript.Order order : orders) {
+        for (RolloutScript.Order order : orders) {
             if (order.plan() != null) {
                 Rollout rollout = Rollout.of(order);
                 rollouts.put(rollout.name(), rollout);
@@ -69,7 +69,7 @@
     }
 
     /** The version to which a start order leads. */
-    static String newVersion(ReleaseScript.Order start) {
+    static String newVersion(RolloutScript.Order start) {
         return start.plan().path("to").asText();
     }
 
@@ -78,7 +78,7 @@
         TreeMap<Long, Answers> windows = new TreeMap<>();
         for (Observation seen : observations) {
             VersionedModel answered = VersionedModel.of(seen);
-            if (seen.what().equals(Observation.ANSWERED)
+            if (seen.event().equals(Observation.ANSWERED)
                     && seen.note().equals(RequestOutcome.SETTLED.code())
                     && models.contains(answered.model())
                     && seen.at() >= startedAt) {
--- a/testbed/src/main/java/pearladder/testbed/WindowCounts.java
+++ b/testbed/src/main/java/pearladder/testbed/WindowCounts.java
@@ -41,19 +41,19 @@
     }
 
     private static long addedInstances(Observation seen) {
-        return switch (seen.what()) {
-            case Observation.LOADED -> seen.note().isEmpty() ? 1 : 0;
-            case Observation.UNLOADED -> -Math.round(seen.figure());
+        return switch (seen.event()) {
+            case Observation.LOAD_ENDED -> seen.note().isEmpty() ? 1 : 0;
+            case Observation.UNLOADED -> -Math.round(seen.value());
             default -> 0;
         };
     }
 
     private static boolean isCounted(Observation seen) {
-        return switch (seen.what()) {
+        return switch (seen.event()) {
             case Observation.ARRIVED,
-                    Observation.ORDERED,
-                    Observation.REFUSED,
-                    Observation.LOADED,
+                    Observation.LOAD_REQUESTED,
+                    Observation.REJECTED,
+                    Observation.LOAD_ENDED,
                     Observation.UNLOADED -> true;
             case Observation.ANSWERED -> seen.note().equals(RequestOutcome.SETTLED.code());
             default -> false;
@@ -61,11 +61,11 @@
     }
 
     private void add(Observation seen) {
-        switch (seen.what()) {
+        switch (seen.event()) {
             case Observation.ARRIVED -> attempts++;
-            case Observation.ORDERED -> loadRequests++;
-            case Observation.REFUSED -> refusals++;
-            case Observation.LOADED -> {
+            case Observation.LOAD_REQUESTED -> loadRequests++;
+            case Observation.REJECTED -> refusals++;
+            case Observation.LOAD_ENDED -> {
                 if (seen.note().isEmpty()) {
                     loads++;
                 } else {
--- a/testbed/src/main/java/pearladder/traces/MinuteCounts.java
+++ b/testbed/src/main/java/pearladder/traces/MinuteCounts.java
@@ -36,9 +36,9 @@
             double memoryMb,
             long line) {
         /** Request k of those of a minute. */
-        TraceCall call(int minute, int count, int k) {
+        TraceRequest call(int minute, int count, int k) {
             long at = minute * MINUTE_NANOS + (long) (MINUTE_NANOS * ((k + phase) / count));
-            return new TraceCall(at, model, work, memoryMb, "", account, line);
+            return new TraceRequest(at, model, work, memoryMb, "", account, line);
         }
     }
 
@@ -83,9 +83,9 @@
     }
 
     /** Gives all requests in the order of time. */
-    void give(Consumer<TraceCall> out) {
+    void give(Consumer<TraceRequest> out) {
         int[] next = new int[functions.size()];
-        List<TraceCall> calls = new ArrayList<>();
+        List<TraceRequest> calls = new ArrayList<>();
         for (int minute = 0; minute <= lastMinute; minute++) {
             calls.clear();
             for (int i = 0; i < next.length; i++) {
@@ -97,7 +97,7 @@
                     }
                 }
             }
-            calls.sort(Comparator.comparingLong(TraceCall::at));
+            calls.sort(Comparator.comparingLong(TraceRequest::at));
             calls.forEach(out);
         }
     }
--- a/testbed/src/main/java/pearladder/traces/ReorderBuffer.java
+++ b/testbed/src/main/java/pearladder/traces/ReorderBuffer.java
@@ -7,8 +7,8 @@
  * Puts requests in the order of their arrival, within a window of time and a bound on requests held: one that comes
  * later than the window is left out and reported. Requests of the same moment keep the order of their lines.
  */
-final class ReorderBuffer implements Consumer<TraceCall> {
-    private record Held(TraceCall call, long number) implements Comparable<Held> {
+final class ReorderBuffer implements Consumer<TraceRequest> {
+    private record Held(TraceRequest call, long number) implements Comparable<Held> {
         @Override
         public int compareTo(Held other) {
             int byTime = Long.compare(call.at(), other.call.at());
@@ -21,7 +21,7 @@
     private final long window;
     private final int maxHeld;
     private final SkippedRows skipped;
-    private final Consumer<TraceCall> out;
+    private final Consumer<TraceRequest> out;
     private final PriorityQueue<Held> held = new PriorityQueue<>();
     private long added;
     private long newest = Long.MIN_VALUE;
@@ -34,7 +34,7 @@
      * @param window nanoseconds, or Long.MAX_VALUE for no bound
      * @param maxHeld requests held at once
      */
-    ReorderBuffer(long window, int maxHeld, SkippedRows skipped, Consumer<TraceCall> out) {
+    ReorderBuffer(long window, int maxHeld, SkippedRows skipped, Consumer<TraceRequest> out) {
         this.window = window;
         this.maxHeld = maxHeld;
         this.skipped = skipped;
@@ -42,7 +42,7 @@
     }
 
     @Override
-    public void accept(TraceCall call) {
+    public void accept(TraceRequest call) {
         if (call.at() < lastGiven) {
             skipped.add(
                     call.line(),
@@ -66,7 +66,7 @@
     }
 
     private void give() {
-        TraceCall call = held.poll().call();
+        TraceRequest call = held.poll().call();
         lastGiven = call.at();
         out.accept(call);
     }
--- a/testbed/src/main/java/pearladder/traces/RowReader.java
+++ b/testbed/src/main/java/pearladder/traces/RowReader.java
@@ -49,9 +49,9 @@
     private final Layout layout;
     private final SkippedRows skipped;
     private final MinuteCounts minutes;
-    private final Consumer<TraceCall> out;
+    private final Consumer<TraceRequest> out;
 
-    RowReader(Layout layout, SkippedRows skipped, MinuteCounts minutes, Consumer<TraceCall> out) {
+    RowReader(Layout layout, SkippedRows skipped, MinuteCounts minutes, Consumer<TraceRequest> out) {
         this.minutes = minutes;
         this.layout = layout;
         this.skipped = skipped;
@@ -77,7 +77,7 @@
     private void plain(CSVRecord row, long line) {
         columns(row, 2, 6);
         long at = nanos(row, 0, "arrival_s", NANOS_PER_SECOND);
-        out.accept(new TraceCall(
+        out.accept(new TraceRequest(
                 at,
                 text(row, 1, "model"),
                 row.size() > 2 && !row.get(2).isBlank() ? nanos(row, 2, "work_ms", NANOS_PER_MILLI) : 0,
@@ -107,7 +107,7 @@
         columns(row, 4, 4);
         long end = nanos(row, 2, "end_timestamp", NANOS_PER_SECOND);
         long took = nanos(row, 3, "duration", NANOS_PER_SECOND);
-        out.accept(new TraceCall(end - took, text(row, 1, "func"), took, Double.NaN, "", text(row, 0, "app"), line));
+        out.accept(new TraceRequest(end - took, text(row, 1, "func"), took, Double.NaN, "", text(row, 0, "app"), line));
     }
 
     private void tokens(CSVRecord row, long line) {
@@ -116,7 +116,7 @@
         long written = count(row, 2, "GeneratedTokens");
         // one model serves all requests; those of similar length get a name of their own, to be placed apart
         long bucket = 64 - Long.numberOfLeadingZeros(Math.max(1, context));
-        out.accept(new TraceCall(
+        out.accept(new TraceRequest(
                 instant(row, 0, "TIMESTAMP"),
                 "llm-" + bucket,
                 context * READ_TOKEN_NANOS + written * WRITTEN_TOKEN_NANOS,
@@ -135,7 +135,7 @@
         long at = nanos(row, 0, "timestamp", NANOS_PER_MICRO);
         double cpu = row.get(9).isBlank() ? GOOGLE_USUAL_CPU : number(row, 9, "CPU request");
         double memory = row.get(10).isBlank() ? Double.NaN : number(row, 10, "memory request") * GOOGLE_MACHINE_MB;
-        out.accept(new TraceCall(
+        out.accept(new TraceRequest(
                 at, "job-" + text(row, 2, "job ID"), (long) (cpu * NANOS_PER_SECOND), memory, "", row.get(6), line));
     }
 
@@ -150,7 +150,7 @@
             throw new InvalidField("end_time", "before its start", "\"" + row.get(6) + "\"");
         }
         double memory = row.get(8).isBlank() ? Double.NaN : number(row, 8, "plan_mem") * ALIBABA_MB_PER_UNIT;
-        out.accept(new TraceCall(
+        out.accept(new TraceRequest(
                 start,
                 text(row, 2, "job_name") + "-" + text(row, 0, "task_name"),
                 end - start,
--- a/testbed/src/main/java/pearladder/traces/SkippedRows.java
+++ b/testbed/src/main/java/pearladder/traces/SkippedRows.java
@@ -15,10 +15,10 @@
     }
 
     /** Thrown at the first such row where the caller asked to be strict. */
-    public static final class Strict extends RuntimeException {
+    public static final class StrictModeException extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
-        Strict(Row row) {
+        StrictModeException(Row row) {
             super(row.toString());
         }
     }
@@ -31,7 +31,7 @@
     /**
      * Creates an empty count.
      *
-     * @param strict throws {@link Strict} at the first row instead
+     * @param strict throws {@link StrictModeException} at the first row instead
      * @param named is given every row as it is met
      */
     public SkippedRows(boolean strict, Consumer<Row> named) {
@@ -50,7 +50,7 @@
     void add(long line, String column, String kind, String detail) {
         Row row = new Row(line, column, detail.isEmpty() ? kind : kind + " " + detail);
         if (strict) {
-            throw new Strict(row);
+            throw new StrictModeException(row);
         }
         count++;
         reasons.merge((column.isEmpty() ? "" : column + ": ") + kind, 1L, Long::sum);
--- a/testbed/src/main/java/pearladder/traces/TraceFile.java
+++ b/testbed/src/main/java/pearladder/traces/TraceFile.java
@@ -24,7 +24,7 @@
      * @param calls requests that were made of them
      * @param reordered rows that came out of time order and were put right
      */
-    public record Read(Layout layout, long rows, long calls, long reordered) {}
+    public record Summary(Layout layout, long rows, long requests, long reordered) {}
 
     /** Thrown for a file that is no trace: the message names the file and says what to do. */
     public static final class InvalidTraceException extends IOException {
@@ -43,11 +43,11 @@
 
     private final Layout layout;
     private final SkippedRows skipped;
-    private final Consumer<TraceCall> out;
+    private final Consumer<TraceRequest> out;
     private long rows;
     private long calls;
 
-    private TraceFile(Layout layout, SkippedRows skipped, Consumer<TraceCall> out) {
+    private TraceFile(Layout layout, SkippedRows skipped, Consumer<TraceRequest> out) {
         this.layout = layout;
         this.skipped = skipped;
         this.out = out;
@@ -60,13 +60,13 @@
      * @param companions beside counts by minute; {@link DurationTables#NONE} for other layouts
      * @param windowNanos how far out of order a row may be and still be put right
      */
-    public static Read read(
+    public static Summary read(
             Path file,
             Layout layout,
             DurationTables companions,
             long windowNanos,
             SkippedRows skipped,
-            Consumer<TraceCall> out)
+            Consumer<TraceRequest> out)
             throws IOException {
         CSVFormat format = CSVFormat.DEFAULT.builder().setIgnoreEmptyLines(true).get();
         try (BufferedReader reader = TraceInput.open(file);
@@ -118,7 +118,7 @@
     }
 
     /** Reads all rows; the first has been read already, or is null where it was a header. */
-    private Read read(
+    private Summary read(
             CSVParser parser, Iterator<CSVRecord> rest, CSVRecord first, DurationTables companions, long window) {
         ReorderBuffer order = new ReorderBuffer(window, MAX_HELD, skipped, this::count);
         MinuteCounts minutes = new MinuteCounts(companions.durations(), companions.memory());
@@ -137,10 +137,10 @@
         }
         order.end();
         minutes.give(this::count);
-        return new Read(layout, rows, calls, order.moved());
+        return new Summary(layout, rows, calls, order.moved());
     }
 
-    private void count(TraceCall call) {
+    private void count(TraceRequest call) {
         calls++;
         out.accept(call);
     }
--- a/testbed/src/main/java/pearladder/traces/TraceMaker.java
+++ b/testbed/src/main/java/pearladder/traces/TraceGenerator.java
@@ -8,7 +8,7 @@
  * Makes a synthetic trace where none is at hand: models by Zipf's law down to a long tail that is requested once,
  * bursts of whole minutes, and timers with a fixed period. The same seed makes the same trace.
  */
-public final class TraceMaker {
+public final class TraceGenerator {
     /**
      * What is made.
      *
@@ -20,7 +20,7 @@
      * @param bursts how much the rate of a minute may differ: 0 for none, 1 for from nothing to twice the mean
      * @param workMillis mean work of a request
      */
-    public record Terms(
+    public record Settings(
             int models,
             double skew,
             double rate,
@@ -39,7 +39,7 @@
 
     private static final int MEMORY_STEP = 31;
 
-    private final Terms terms;
+    private final Settings terms;
     private final SplittableRandom random;
     private final ZipfDistribution popularity;
     private final double steadyRate;
@@ -51,7 +51,7 @@
     private double minute = -1;
     private double rate;
 
-    private TraceMaker(Terms terms) {
+    private TraceGenerator(Settings terms) {
         this.terms = terms;
         this.random = new SplittableRandom(terms.seed());
         this.popularity = new ZipfDistribution(terms.models(), terms.skew());
@@ -65,11 +65,11 @@
     }
 
     /** Makes all requests in the order of their arrival. */
-    public static void make(Terms terms, Consumer<TraceCall> out) {
-        new TraceMaker(terms).make(out);
+    public static void make(Settings terms, Consumer<TraceRequest> out) {
+        new TraceGenerator(terms).make(out);
     }
 
-    private void make(Consumer<TraceCall> out) {
+    private void make(Consumer<TraceRequest> out) {
         double at = 0;
         while (true) {
             drawRate(at);
@@ -92,7 +92,7 @@
         }
     }
 
-    private void fireTimers(double until, Consumer<TraceCall> out) {
+    private void fireTimers(double until, Consumer<TraceRequest> out) {
         while (timerPhases.length > 0 && nextTimerAt() <= until) {
             out.accept(call(nextTimerAt(), "timer-" + nextTimer, nextTimer));
             nextTimer = (nextTimer + 1) % timerPhases.length;
@@ -104,9 +104,9 @@
         return timerPhases[nextTimer] + timerPeriods * TIMER_PERIOD_SECONDS;
     }
 
-    private TraceCall call(double atSeconds, String model, int number) {
+    private TraceRequest call(double atSeconds, String model, int number) {
         double workMillis = terms.workMillis() * (0.5 + random.nextDouble());
-        return new TraceCall(
+        return new TraceRequest(
                 Math.round(atSeconds * NANOS_PER_SECOND),
                 model,
                 Math.round(workMillis * NANOS_PER_MILLI),
--- a/testbed/src/main/java/pearladder/traces/TraceInfo.java
+++ b/testbed/src/main/java/pearladder/traces/TraceInfo.java
@@ -16,7 +16,7 @@
 /**
  * Describes a trace: its span, the rate over time, the skew of the models, and a digest of the sequence of requests.
  */
-public final class TraceInfo implements Consumer<TraceCall> {
+public final class TraceInfo implements Consumer<TraceRequest> {
     private static final int BARS = 20;
     private static final int LONGEST_BAR = 40;
     private static final int DIGEST_DIGITS = 16;
@@ -41,7 +41,7 @@
     }
 
     @Override
-    public void accept(TraceCall call) {
+    public void accept(TraceRequest call) {
         first = calls == 0 ? call.at() : first;
         last = call.at();
         calls++;
@@ -70,7 +70,7 @@
     }
 
     /** The lines that "trace info" prints. */
-    public List<String> lines(TraceFile.Read read, SkippedRows skipped) {
+    public List<String> lines(TraceFile.Summary read, SkippedRows skipped) {
         List<String> lines = new ArrayList<>();
         double span = (last - first) / NANOS_PER_SECOND;
         lines.add(String.format(
--- a/testbed/src/main/java/pearladder/traces/TraceCall.java
+++ b/testbed/src/main/java/pearladder/traces/TraceRequest.java
@@ -11,5 +11,5 @@
  * @param account the tenant; empty where the layout tells none
  * @param line of the file that it came from
  */
-public record TraceCall(
+public record TraceRequest(
         long at, String model, long work, double memoryMb, String category, String account, long line) {}
--- a/testbed/src/main/java/pearladder/traces/TraceCut.java
+++ b/testbed/src/main/java/pearladder/traces/TraceWriter.java
@@ -10,12 +10,12 @@
 import org.apache.commons.csv.CSVPrinter;
 
 /** Writes requests in the plain layout, all or a part: a window of time, a share of models by a seeded hash. */
-public final class TraceCut implements Consumer<TraceCall>, AutoCloseable {
+public final class TraceWriter implements Consumer<TraceRequest>, AutoCloseable {
     private static final int NANOS_PER_SECOND_DIGITS = 9;
     private static final int NANOS_PER_MILLI_DIGITS = 6;
 
     private final CSVPrinter printer;
-    private final Predicate<TraceCall> wanted;
+    private final Predicate<TraceRequest> wanted;
     private final long from;
     private long first;
     private boolean started;
@@ -28,7 +28,7 @@
      * @param toNanos since the first request; what is at it or later is left out
      * @param share of the models, 0 to 1; the requests of a model come all or none
      */
-    public TraceCut(Appendable out, long fromNanos, long toNanos, double share, int seed) throws IOException {
+    public TraceWriter(Appendable out, long fromNanos, long toNanos, double share, int seed) throws IOException {
         this.printer = CSVFormat.DEFAULT
                 .builder()
                 .setRecordSeparator('\n')
@@ -42,7 +42,7 @@
     }
 
     @Override
-    public void accept(TraceCall call) {
+    public void accept(TraceRequest call) {
         if (!started) {
             started = true;
             first = call.at();
--- a/testbed/src/test/java/pearladder/testbed/ClientLoadBalancerTest.java
+++ b/testbed/src/test/java/pearladder/testbed/ClientLoadBalancerTest.java
@@ -13,13 +13,13 @@
         loadBalancer.add("r1", "east", 1);
         loadBalancer.add("r2", "west", 2);
         assertEquals("r1", loadBalancer.next("east", 0).router());
-        loadBalancer.died("r1", 100);
+        loadBalancer.markDead("r1", 100);
         assertEquals("r1", loadBalancer.next("east", 1099).router());
         assertEquals("r2", loadBalancer.next("east", 1100).router());
-        loadBalancer.back("r1");
+        loadBalancer.markAlive("r1");
         assertEquals("r1", loadBalancer.next("east", 1200).router());
-        loadBalancer.died("r1", 0);
-        loadBalancer.died("r2", 0);
+        loadBalancer.markDead("r1", 0);
+        loadBalancer.markDead("r2", 0);
         assertEquals(
                 2,
                 Stream.of(loadBalancer.next("west", 5000), loadBalancer.next("west", 5000))
--- a/testbed/src/test/java/pearladder/testbed/ExperimentPlanTest.java
+++ b/testbed/src/test/java/pearladder/testbed/ExperimentPlanTest.java
@@ -51,7 +51,7 @@
     @Test
     void reportsEveryMistake(@TempDir Path folder) {
         List<String> lines = assertThrows(
-                        ConfigErrors.Found.class,
+                        ConfigErrors.ConfigException.class,
                         () -> ExperimentPlan.read(
                                 YamlParser.read(
                                         "e.yaml",
--- a/testbed/src/test/java/pearladder/testbed/FaultInjectorTest.java
+++ b/testbed/src/test/java/pearladder/testbed/FaultInjectorTest.java
@@ -9,11 +9,11 @@
 /** In which order faults begin and end. */
 class FaultInjectorTest {
     /** Records what is injected; knows four workers, two of them in a zone, and one router. */
-    private static final class RecordingTarget implements FaultInjector.World {
+    private static final class RecordingTarget implements FaultInjector.FaultTarget {
         private final List<String> injected = new ArrayList<>();
 
         @Override
-        public List<String> engines(String zone) {
+        public List<String> runningWorkers(String zone) {
             return zone.isEmpty() ? List.of("e0", "e1", "e2", "e3") : List.of("e1", "e3");
         }
 
@@ -23,17 +23,17 @@
         }
 
         @Override
-        public void toEngines(String what, List<String> engines, String model, double figure) {
+        public void commandWorkers(String what, List<String> engines, String model, double figure) {
             injected.add(what + engines.size() + " " + figure);
         }
 
         @Override
-        public void toRouters(ScenarioPlan.Kind what, List<String> routers, double figure) {
+        public void injectIntoRouters(ScenarioPlan.FaultKind what, List<String> routers, double figure) {
             throw new AssertionError(what);
         }
 
         @Override
-        public void heedless(boolean on) {
+        public void ignoreRetryAfter(boolean on) {
             throw new AssertionError("not in this script");
         }
 
@@ -48,12 +48,12 @@
         }
 
         @Override
-        public void order(ReleaseScript.Order order) {
+        public void giveRolloutOrder(RolloutScript.Order order) {
             injected.add("order " + order.type());
         }
 
         @Override
-        public void say(String what) {
+        public void report(String what) {
             injected.add(what.split(" ")[0]);
         }
     }
@@ -62,13 +62,13 @@
     void faultsBeginInOrderAndEnd() {
         RecordingTarget target = new RecordingTarget();
         FaultInjector injector = new FaultInjector(TestScenarios.plan(1), target);
-        assertEquals(2_000_000_000L, injector.due(0));
-        assertEquals(16_000_000_000L, injector.due(15_500_000_000L));
+        assertEquals(2_000_000_000L, injector.runDue(0));
+        assertEquals(16_000_000_000L, injector.runDue(15_500_000_000L));
         assertEquals(
                 List.of("burst", "one-offs", "slow", "slow2 4.0", "hall-lost", "kill2 0.0", "kill r2"),
                 target.injected);
         target.injected.clear();
-        assertEquals(-1, injector.due(16_000_000_000L));
+        assertEquals(-1, injector.runDue(16_000_000_000L));
         assertEquals(List.of("slow2 1.0", "restart2 0.0", "start r2"), target.injected);
     }
 }
--- a/testbed/src/test/java/pearladder/testbed/InvariantCheckerTest.java
+++ b/testbed/src/test/java/pearladder/testbed/InvariantCheckerTest.java
@@ -8,9 +8,9 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import pearladder.emulator.Observation;
-import pearladder.testbed.CategoryTerms.DeduplicationScope;
-import pearladder.testbed.CategoryTerms.Idempotency;
-import pearladder.testbed.InvariantChecker.Rule;
+import pearladder.testbed.InvariantChecker.Invariant;
+import pearladder.testbed.RequestClassTerms.DeduplicationScope;
+import pearladder.testbed.RequestClassTerms.Idempotency;
 
 /** A run that keeps the invariants passes, and each way of breaking one is found and described. */
 class InvariantCheckerTest {
@@ -19,8 +19,8 @@
 
     private final List<Observation> observations = new ArrayList<>();
 
-    private static CategoryTerms terms(String name, Idempotency effect, DeduplicationScope group) {
-        return new CategoryTerms(name, effect, group, 1000 * MS, 3000 * MS, 8000 * MS, 1, 0);
+    private static RequestClassTerms terms(String name, Idempotency effect, DeduplicationScope group) {
+        return new RequestClassTerms(name, effect, group, 1000 * MS, 3000 * MS, 8000 * MS, 1, 0);
     }
 
     private static InvariantSettings settings(double free, double share) {
@@ -58,7 +58,7 @@
 
     private void refused(long ms, String call, int leg, String engine) {
         add(ms, Observation.ARRIVED, call, leg, engine, "", 0);
-        add(ms, Observation.REFUSED, call, leg, engine, "FULL", 0);
+        add(ms, Observation.REJECTED, call, leg, engine, "FULL", 0);
     }
 
     private void answered(long ms, String call, String state) {
@@ -69,8 +69,8 @@
         return new InvariantChecker(settings(0, 0), 100 * MS, LOCATIONS).check(observations);
     }
 
-    private void assertOneBreach(Rule rule, String words) {
-        List<InvariantChecker.Breach> breaches = check().breaches();
+    private void assertOneBreach(Invariant rule, String words) {
+        List<InvariantChecker.Violation> breaches = check().violations();
         assertEquals(1, breaches.size(), breaches.toString());
         assertEquals(rule, breaches.get(0).rule());
         assertTrue(
@@ -86,39 +86,39 @@
         sent(50, "c2", "commit", 3000);
         ran(55, "c2", 0, "e1", "k");
         add(60, Observation.ARRIVED, "c2", 1, "e3", "k", 0);
-        add(60, Observation.DROPPED, "c2", 1, "e3", "k", 0);
+        add(60, Observation.DUPLICATE_DROPPED, "c2", 1, "e3", "k", 0);
         answered(70, "c2", "settled");
         InvariantChecker.Verdict verdict = check();
-        assertEquals(List.of(), verdict.breaches());
-        assertEquals(2, verdict.looked().get(Rule.ONE_ANSWER));
-        assertEquals(2, verdict.looked().get(Rule.NO_EFFECT_TWICE));
-        assertEquals(4, verdict.looked().get(Rule.DRAIN_RESPECTED));
+        assertEquals(List.of(), verdict.violations());
+        assertEquals(2, verdict.checkedCounts().get(Invariant.ONE_ANSWER));
+        assertEquals(2, verdict.checkedCounts().get(Invariant.NO_EFFECT_TWICE));
+        assertEquals(4, verdict.checkedCounts().get(Invariant.DRAIN_RESPECTED));
     }
 
     @Test
     void missingAnswerIsFound() {
         sent(0, "c1", "draft", 3000);
         add(3400, Observation.UNANSWERED, "c1", 0, "", "gave up", 0);
-        assertOneBreach(Rule.ONE_ANSWER, "got no final answer");
+        assertOneBreach(Invariant.ONE_ANSWER, "got no final answer");
     }
 
     @Test
     void lateAnswerIsFound() {
         sent(0, "c1", "draft", 3000);
         answered(3200, "c1", "terminated");
-        assertOneBreach(Rule.ONE_ANSWER, "200 ms after");
+        assertOneBreach(Invariant.ONE_ANSWER, "200 ms after");
     }
 
     @Test
     void pauseOfTheClientIsNotCountedAsLateness() {
         sent(0, "c1", "draft", 3000);
-        add(3290, Observation.PAUSED, "", 0, "", "", 400 * MS);
+        add(3290, Observation.CLIENT_PAUSED, "", 0, "", "", 400 * MS);
         answered(3292, "c1", "terminated");
-        assertEquals(List.of(), check().breaches());
+        assertEquals(List.of(), check().violations());
         sent(5000, "c2", "draft", 3000);
-        add(8100, Observation.PAUSED, "", 0, "", "", 50 * MS);
+        add(8100, Observation.CLIENT_PAUSED, "", 0, "", "", 50 * MS);
         answered(8400, "c2", "terminated");
-        assertOneBreach(Rule.ONE_ANSWER, "400 ms after");
+        assertOneBreach(Invariant.ONE_ANSWER, "400 ms after");
     }
 
     @Test
@@ -126,7 +126,7 @@
         sent(0, "c1", "draft", 3000);
         answered(10, "c1", "dismissed");
         answered(20, "c1", "settled");
-        assertOneBreach(Rule.ONE_ANSWER, "more than one");
+        assertOneBreach(Invariant.ONE_ANSWER, "more than one");
     }
 
     @Test
@@ -138,8 +138,8 @@
         add(5100, Observation.UNANSWERED, "c2", 0, "", "left", 0);
         sent(6000, "c3", "draft", 3000);
         add(6100, Observation.UNANSWERED, "c3", 0, "", "unreachable", 0);
-        assertEquals(List.of(), check().breaches());
-        assertEquals(0, check().looked().get(Rule.ONE_ANSWER));
+        assertEquals(List.of(), check().violations());
+        assertEquals(0, check().checkedCounts().get(Invariant.ONE_ANSWER));
     }
 
     @Test
@@ -148,7 +148,7 @@
         add(5, Observation.ARRIVED, "c1", 0, "e1", "", 0);
         add(50, Observation.ARRIVED, "c1", 1, "e2", "", 0);
         answered(80, "c1", "terminated");
-        assertOneBreach(Rule.NO_EFFECT_TWICE, "reached e2 after it may have run at e1");
+        assertOneBreach(Invariant.NO_EFFECT_TWICE, "reached e2 after it may have run at e1");
     }
 
     @Test
@@ -156,7 +156,7 @@
         sent(0, "c1", "post", 3000);
         ran(5, "c1", 0, "e1", "");
         answered(80, "c1", "dismissed");
-        assertOneBreach(Rule.NO_EFFECT_TWICE, "was dismissed and may have run at e1");
+        assertOneBreach(Invariant.NO_EFFECT_TWICE, "was dismissed and may have run at e1");
     }
 
     @Test
@@ -165,7 +165,7 @@
         ran(5, "c1", 0, "e1", "k");
         add(8200, Observation.ARRIVED, "c1", 1, "e2", "k", 0);
         answered(8300, "c1", "settled");
-        assertOneBreach(Rule.NO_EFFECT_TWICE, "after the time for which e1 remembers it");
+        assertOneBreach(Invariant.NO_EFFECT_TWICE, "after the time for which e1 remembers it");
     }
 
     @Test
@@ -174,7 +174,7 @@
         ran(5, "c1", 0, "e1~7", "k");
         add(100, Observation.ARRIVED, "c1", 1, "e3", "k", 0);
         answered(200, "c1", "settled");
-        assertOneBreach(Rule.NO_EFFECT_TWICE, "left the group of e1~7 for e3");
+        assertOneBreach(Invariant.NO_EFFECT_TWICE, "left the group of e1~7 for e3");
     }
 
     @Test
@@ -185,21 +185,21 @@
         sent(1000, "c2", "commit", 1000);
         ran(1005, "c2", 0, "e2", "k");
         answered(1050, "c2", "settled");
-        assertOneBreach(Rule.NO_EFFECT_TWICE, "mark k ran at e1 and again at e2");
+        assertOneBreach(Invariant.NO_EFFECT_TWICE, "mark k ran at e1 and again at e2");
     }
 
     @Test
     void requestOrLoadAtDrainingWorkerIsFoundAfterGraceOnly() {
-        add(0, Observation.TOLD, "", 0, "e1", "IN_SERVICE", 0);
-        add(100, Observation.TOLD, "", 0, "e1", "DRAINING", 0);
+        add(0, Observation.ENDPOINT_SENT, "", 0, "e1", "IN_SERVICE", 0);
+        add(100, Observation.ENDPOINT_SENT, "", 0, "e1", "DRAINING", 0);
         add(1000, Observation.ARRIVED, "c1", 0, "e1", "", 0);
-        add(1500, Observation.ORDERED, "", 0, "e1", "", 0);
-        assertEquals(List.of(), check().breaches());
-        add(1600, Observation.ORDERED, "", 0, "e1", "", 1);
-        assertOneBreach(Rule.DRAIN_RESPECTED, "an order to e1 1500 ms after it was told DRAINING");
+        add(1500, Observation.LOAD_REQUESTED, "", 0, "e1", "", 0);
+        assertEquals(List.of(), check().violations());
+        add(1600, Observation.LOAD_REQUESTED, "", 0, "e1", "", 1);
+        assertOneBreach(Invariant.DRAIN_RESPECTED, "an order to e1 1500 ms after it was told DRAINING");
         add(1700, Observation.KILLED, "", 0, "", "", 0);
         add(1800, Observation.ARRIVED, "c2", 0, "e1", "", 0);
-        assertEquals(1, check().breaches().size(), "a router begun anew was not told yet");
+        assertEquals(1, check().violations().size(), "a router begun anew was not told yet");
     }
 
     @Test
@@ -207,10 +207,10 @@
         for (int i = 0; i < 9; i++) {
             add(1000 + i, Observation.ARRIVED, "c" + i, 0, "e1", "", 0);
         }
-        add(1010, Observation.FELL, "", 0, "e1", "", 3);
-        assertEquals(List.of(), check().breaches());
-        add(500, Observation.TOLD, "", 0, "e1", "IN_SERVICE", 1);
-        assertOneBreach(Rule.COLD_WORKER_NOT_OVERLOADED, "9 of 9 calls came from routers that knew");
+        add(1010, Observation.CRASHED_FROM_OVERLOAD, "", 0, "e1", "", 3);
+        assertEquals(List.of(), check().violations());
+        add(500, Observation.ENDPOINT_SENT, "", 0, "e1", "IN_SERVICE", 1);
+        assertOneBreach(Invariant.COLD_WORKER_NOT_OVERLOADED, "9 of 9 calls came from routers that knew");
     }
 
     @Test
@@ -220,27 +220,27 @@
             answered(i + 1, "c" + i, "settled");
         }
         for (int i = 0; i < 4; i++) {
-            add(100 + i, Observation.ORDERED, "", 0, "e1", "", 1);
+            add(100 + i, Observation.LOAD_REQUESTED, "", 0, "e1", "", 1);
         }
         assertEquals(
                 List.of(),
                 new InvariantChecker(settings(3, 0.1), 100 * MS, LOCATIONS)
                         .check(observations)
-                        .breaches());
-        add(200, Observation.ORDERED, "", 0, "e1", "", 1);
-        List<InvariantChecker.Breach> breaches = new InvariantChecker(settings(3, 0.1), 100 * MS, LOCATIONS)
+                        .violations());
+        add(200, Observation.LOAD_REQUESTED, "", 0, "e1", "", 1);
+        List<InvariantChecker.Violation> breaches = new InvariantChecker(settings(3, 0.1), 100 * MS, LOCATIONS)
                 .check(observations)
-                .breaches();
+                .violations();
         assertEquals(1, breaches.size());
         assertTrue(
                 breaches.get(0).description().contains("gave 5 orders"),
                 breaches.get(0).description());
-        add(12_000, Observation.ORDERED, "", 0, "e1", "", 1);
+        add(12_000, Observation.LOAD_REQUESTED, "", 0, "e1", "", 1);
         assertEquals(
                 1,
                 new InvariantChecker(settings(3, 0.1), 100 * MS, LOCATIONS)
                         .check(observations)
-                        .breaches()
+                        .violations()
                         .size());
     }
 }
--- a/testbed/src/test/java/pearladder/testbed/RequestFeedTest.java
+++ b/testbed/src/test/java/pearladder/testbed/RequestFeedTest.java
@@ -12,8 +12,9 @@
 class RequestFeedTest {
     private static RequestSource countingSource(int calls) {
         long[] made = {0};
-        return () ->
-                made[0] == calls ? null : new RequestSource.Drawn(made[0] * 10, made[0]++, "draft", "", "m", "", 1, 1);
+        return () -> made[0] == calls
+                ? null
+                : new RequestSource.ScheduledRequest(made[0] * 10, made[0]++, "draft", "", "m", "", 1, 1);
     }
 
     @Test
@@ -26,7 +27,7 @@
             feed.lanes().forEach(lane -> received.add(new ArrayList<>()));
             for (int i = 0; i < 3000; i++) {
                 int lane = random.nextInt(lanes);
-                RequestSource.Drawn drawn = feed.lanes().get(lane).next();
+                RequestSource.ScheduledRequest drawn = feed.lanes().get(lane).next();
                 if (drawn != null) {
                     received.get(lane).add(drawn.number());
                 }
--- a/testbed/src/test/java/pearladder/testbed/SyntheticWorkloadTest.java
+++ b/testbed/src/test/java/pearladder/testbed/SyntheticWorkloadTest.java
@@ -11,10 +11,10 @@
 
 /** Which requests a script and its seed draw. */
 class SyntheticWorkloadTest {
-    private static List<RequestSource.Drawn> requests(ScenarioPlan plan) {
+    private static List<RequestSource.ScheduledRequest> requests(ScenarioPlan plan) {
         SyntheticWorkload traffic = new SyntheticWorkload(plan);
-        List<RequestSource.Drawn> drawn = new ArrayList<>();
-        RequestSource.Drawn next;
+        List<RequestSource.ScheduledRequest> drawn = new ArrayList<>();
+        RequestSource.ScheduledRequest next;
         while ((next = traffic.next()) != null) {
             drawn.add(next);
         }
@@ -29,7 +29,7 @@
 
     @Test
     void loadFollowsTheScript() {
-        List<RequestSource.Drawn> drawn = requests(TestScenarios.plan(1));
+        List<RequestSource.ScheduledRequest> drawn = requests(TestScenarios.plan(1));
         long before = drawn.stream().filter(c -> c.dueAfter() < 2_000_000_000L).count();
         long burst = drawn.stream()
                 .filter(c -> c.dueAfter() >= 2_000_000_000L && c.dueAfter() < 6_000_000_000L)
@@ -41,7 +41,7 @@
         assertEquals(
                 once,
                 drawn.stream()
-                        .map(RequestSource.Drawn::model)
+                        .map(RequestSource.ScheduledRequest::model)
                         .filter(m -> m.contains("once-"))
                         .distinct()
                         .count());
@@ -63,14 +63,14 @@
                   models: [{name: "m-*", memory: 1 MB, load: 1 s, fetch_share: 0.7}]
                   engines: [{name: e, count: 1, kind: std}]
                 """));
-        List<RequestSource.Drawn> drawn = requests(plan);
+        List<RequestSource.ScheduledRequest> drawn = requests(plan);
         long high =
                 drawn.stream().filter(call -> call.dueAfter() < 20_000_000_000L).count();
         assertTrue(high > 2.2 * (drawn.size() - high), high + " of " + drawn.size() + " in the first half");
         for (int i = 0; i < 4; i++) {
             String hot = "m-" + i;
             long from = i * 10_000_000_000L;
-            List<RequestSource.Drawn> now = drawn.stream()
+            List<RequestSource.ScheduledRequest> now = drawn.stream()
                     .filter(call -> call.dueAfter() >= from && call.dueAfter() < from + 10_000_000_000L)
                     .toList();
             assertTrue(now.stream().filter(call -> call.model().equals(hot)).count() > 0.8 * now.size(), hot);
--- a/testbed/src/test/java/pearladder/testbed/TestResults.java
+++ b/testbed/src/test/java/pearladder/testbed/TestResults.java
@@ -24,18 +24,18 @@
                 fleet: {kinds: {std: {cores: 1, memory: 1 GB}}, models: [], engines: [{name: e, kind: std}]}
                 """
                         .formatted(seed)));
-        CategoryTerms draft = plan.rules().requestClasses().get("draft");
+        RequestClassTerms draft = plan.invariantSettings().requestClasses().get("draft");
         LoadStatistics statistics = new LoadStatistics();
         statistics.recordEnd(draft, "", 1 * SECOND, SECOND / 10, LoadStatistics.End.SETTLED);
         statistics.recordEnd(draft, "", 2 * SECOND, 2 * SECOND, LoadStatistics.End.LATE);
         statistics.recordEnd(draft, "", 12 * SECOND, 0, LoadStatistics.End.DISMISSED);
         statistics.recordEnd(draft, "", 13 * SECOND, SECOND / 5, LoadStatistics.End.SETTLED);
-        Map<InvariantChecker.Rule, Long> looked = new EnumMap<>(InvariantChecker.Rule.class);
-        looked.put(InvariantChecker.Rule.ONE_ANSWER, 4L);
+        Map<InvariantChecker.Invariant, Long> looked = new EnumMap<>(InvariantChecker.Invariant.class);
+        looked.put(InvariantChecker.Invariant.ONE_ANSWER, 4L);
         List<Observation> observations = List.of(
-                new Observation(7 * SECOND, Observation.TROUBLE, "", "", 0, "", "", "slow e-0", 0),
+                new Observation(7 * SECOND, Observation.FAULT_INJECTED, "", "", 0, "", "", "slow e-0", 0),
                 new Observation(8 * SECOND, Observation.ARRIVED, "r", "c", 0, "e-0", "m", "", 0),
-                new Observation(17 * SECOND, Observation.ORDERED, "r", "", 0, "e-0", "m", "", 1));
+                new Observation(17 * SECOND, Observation.LOAD_REQUESTED, "r", "", 0, "e-0", "m", "", 1));
         return Results.of(
                 plan,
                 statistics,
--- a/testbed/src/test/java/pearladder/traces/TraceCutTest.java
+++ b/testbed/src/test/java/pearladder/traces/TraceCutTest.java
@@ -22,7 +22,7 @@
     @Test
     void convertedTraceIsReadBackUnchanged() throws IOException {
         for (int seed = 0; seed < SEEDS; seed++) {
-            List<TraceCall> trace = randomTrace(seed);
+            List<TraceRequest> trace = randomTrace(seed);
             assertEquals(digest(trace), digest(readBack(cut(trace, 0, Long.MAX_VALUE, 1))), "seed " + seed);
         }
     }
@@ -30,10 +30,10 @@
     @Test
     void traceCutInTwoAndJoinedIsWhole() throws IOException {
         for (int seed = 0; seed < SEEDS; seed++) {
-            List<TraceCall> trace = randomTrace(seed);
+            List<TraceRequest> trace = randomTrace(seed);
             long middle = trace.get(trace.size() - 1).at() / 2;
-            List<TraceCall> joined = new ArrayList<>(readBack(cut(trace, 0, middle, 1)));
-            for (TraceCall call : readBack(cut(trace, middle, Long.MAX_VALUE, 1))) {
+            List<TraceRequest> joined = new ArrayList<>(readBack(cut(trace, 0, middle, 1)));
+            for (TraceRequest call : readBack(cut(trace, middle, Long.MAX_VALUE, 1))) {
                 joined.add(later(call, middle));
             }
             assertEquals(digest(trace), digest(joined), "seed " + seed);
@@ -43,21 +43,22 @@
     @Test
     void requestsOfAModelAreKeptAllOrNone() throws IOException {
         for (int seed = 0; seed < SEEDS; seed++) {
-            List<TraceCall> trace = randomTrace(seed);
-            List<TraceCall> half = readBack(cut(trace, 0, Long.MAX_VALUE, 0.5));
-            List<String> models = half.stream().map(TraceCall::model).distinct().toList();
+            List<TraceRequest> trace = randomTrace(seed);
+            List<TraceRequest> half = readBack(cut(trace, 0, Long.MAX_VALUE, 0.5));
+            List<String> models =
+                    half.stream().map(TraceRequest::model).distinct().toList();
             long ofThoseModels =
                     trace.stream().filter(call -> models.contains(call.model())).count();
             assertEquals(ofThoseModels, half.size(), "a model's calls come all or none");
         }
     }
 
-    private static List<TraceCall> randomTrace(int seed) {
+    private static List<TraceRequest> randomTrace(int seed) {
         SplittableRandom random = new SplittableRandom(seed);
-        List<TraceCall> trace = new ArrayList<>();
+        List<TraceRequest> trace = new ArrayList<>();
         long at = 0;
         for (int i = 0; i < 300; i++) {
-            trace.add(new TraceCall(
+            trace.add(new TraceRequest(
                     at,
                     "m \"" + random.nextInt(9) + "\",é",
                     random.nextInt(3) * random.nextLong(1L << 40),
@@ -70,29 +71,29 @@
         return trace;
     }
 
-    private static TraceCall later(TraceCall call, long nanos) {
-        return new TraceCall(
+    private static TraceRequest later(TraceRequest call, long nanos) {
+        return new TraceRequest(
                 call.at() + nanos, call.model(), call.work(), call.memoryMb(), call.category(), call.account(), 0);
     }
 
-    private static String cut(List<TraceCall> trace, long from, long to, double share) throws IOException {
+    private static String cut(List<TraceRequest> trace, long from, long to, double share) throws IOException {
         StringBuilder out = new StringBuilder();
-        try (TraceCut cut = new TraceCut(out, from, to, share, 3)) {
+        try (TraceWriter cut = new TraceWriter(out, from, to, share, 3)) {
             trace.forEach(cut);
         }
         return out.toString();
     }
 
-    private List<TraceCall> readBack(String text) throws IOException {
+    private List<TraceRequest> readBack(String text) throws IOException {
         Path file = Files.writeString(folder.resolve("t.csv"), text);
         SkippedRows skipped = new SkippedRows(false, row -> {});
-        List<TraceCall> calls = new ArrayList<>();
+        List<TraceRequest> calls = new ArrayList<>();
         TraceFile.read(file, null, DurationTables.NONE, WINDOW_NANOS, skipped, calls::add);
         assertEquals(0, skipped.count());
         return calls;
     }
 
-    private static String digest(List<TraceCall> calls) {
+    private static String digest(List<TraceRequest> calls) {
         TraceInfo info = new TraceInfo();
         calls.forEach(info);
         return info.digest();
--- a/testbed/src/test/java/pearladder/traces/TraceFileTest.java
+++ b/testbed/src/test/java/pearladder/traces/TraceFileTest.java
@@ -26,7 +26,7 @@
     @TempDir
     private Path folder;
 
-    private final List<TraceCall> calls = new ArrayList<>();
+    private final List<TraceRequest> calls = new ArrayList<>();
     private final List<String> reportedRows = new ArrayList<>();
     private SkippedRows skipped = new SkippedRows(false, row -> reportedRows.add(row.toString()));
 
@@ -34,18 +34,18 @@
         return Files.writeString(folder.resolve("t" + System.nanoTime() + ".csv"), text);
     }
 
-    private TraceFile.Read read(String text) throws IOException {
+    private TraceFile.Summary read(String text) throws IOException {
         return read(file(text));
     }
 
-    private TraceFile.Read read(Path file) throws IOException {
+    private TraceFile.Summary read(Path file) throws IOException {
         calls.clear();
         reportedRows.clear();
         return TraceFile.read(file, null, DurationTables.NONE, WINDOW_NANOS, skipped, calls::add);
     }
 
     private List<Long> times() {
-        return calls.stream().map(TraceCall::at).toList();
+        return calls.stream().map(TraceRequest::at).toList();
     }
 
     @Test
@@ -54,8 +54,8 @@
                 Layout.PLAIN,
                 read("arrival_s,model,work_ms,memory_mb,category,account\n0.5,a,20,400,draft,tender\n1,b,,,,\n")
                         .layout());
-        assertEquals(new TraceCall(500 * MS, "a", 20 * MS, 400, "draft", "tender", 2), calls.get(0));
-        assertEquals(new TraceCall(1000 * MS, "b", 0, Double.NaN, "", "", 3), calls.get(1));
+        assertEquals(new TraceRequest(500 * MS, "a", 20 * MS, 400, "draft", "tender", 2), calls.get(0));
+        assertEquals(new TraceRequest(1000 * MS, "b", 0, Double.NaN, "", "", 3), calls.get(1));
     }
 
     private static String minutes(String function, int... counts) {
@@ -76,9 +76,9 @@
         Path durations = file("HashOwner,HashApp,HashFunction,Average,Count\no1,app1,f1,120,3\no1,app1,f2,x,3\n");
         Path memory = file("HashOwner,HashApp,SampleCount,AverageAllocatedMb\no1,app1,9,171\n");
         DurationTables beside = DurationTables.read(durations, memory, skipped);
-        TraceFile.Read read = TraceFile.read(invocations, null, beside, WINDOW_NANOS, skipped, calls::add);
+        TraceFile.Summary read = TraceFile.read(invocations, null, beside, WINDOW_NANOS, skipped, calls::add);
         assertEquals(Layout.AZURE_FUNCTIONS_2019, read.layout());
-        assertEquals(6, read.calls());
+        assertEquals(6, read.requests());
         assertEquals(
                 List.of(2L, 3L, 1L),
                 IntStream.range(0, 3)
@@ -103,10 +103,11 @@
 
     @Test
     void invocationStartsItsDurationBeforeItsEndAndIsReordered() throws IOException {
-        TraceFile.Read read = read("app,func,end_timestamp,duration\na,f1,10.0,0.1\na,f2,10.5,2.5\na,f3,11,0\n");
+        TraceFile.Summary read = read("app,func,end_timestamp,duration\na,f1,10.0,0.1\na,f2,10.5,2.5\na,f3,11,0\n");
         assertEquals(Layout.AZURE_FUNCTIONS_2021, read.layout());
         assertEquals(
-                List.of("f2", "f1", "f3"), calls.stream().map(TraceCall::model).toList());
+                List.of("f2", "f1", "f3"),
+                calls.stream().map(TraceRequest::model).toList());
         assertEquals(List.of(8000 * MS, 9900 * MS, 11_000 * MS), times());
         assertEquals(1, read.reordered());
     }
@@ -128,7 +129,7 @@
 
     @Test
     void onlySubmissionsOfGoogleLayoutAreRequests() throws IOException {
-        TraceFile.Read read = read("600000000,,3418309,0,4155527081,0,user1,3,9,0.125,0.07446,0.0004,0\n"
+        TraceFile.Summary read = read("600000000,,3418309,0,4155527081,0,user1,3,9,0.125,0.07446,0.0004,0\n"
                 + "600000500,,3418309,0,4155527081,1,user1,3,9,0.125,0.07446,0.0004,0\n"
                 + "600001000,,3418314,1,,0,user2,3,9,,,,\n");
         assertEquals(Layout.GOOGLE_2011, read.layout());
@@ -177,18 +178,18 @@
         assertEquals(
                 "line 2, arrival_s: not a number \"x\"",
                 assertThrows(
-                                SkippedRows.Strict.class,
+                                SkippedRows.StrictModeException.class,
                                 () -> read("arrival_s,model,work_ms,memory_mb,category,account\nx,a\n1,b\n"))
                         .getMessage());
     }
 
     @Test
     void reordersRowsWithinWindowAndReportsThemBeyondIt() throws IOException {
-        TraceFile.Read read =
+        TraceFile.Summary read =
                 read("arrival_s,model,work_ms,memory_mb,category,account\n20,a\n15,b\n40,c\n29,d\n31,e\n45,f\n");
         assertEquals(
                 List.of("b", "a", "e", "c", "f"),
-                calls.stream().map(TraceCall::model).toList().stream()
+                calls.stream().map(TraceRequest::model).toList().stream()
                         .filter(model -> !model.equals("d"))
                         .toList());
         assertEquals(times().stream().sorted().toList(), times());
@@ -201,7 +202,7 @@
     void gzipByteOrderMarkAndCarriageReturnsMakeNoDifference() throws IOException {
         String text = "arrival_s,model,work_ms,memory_mb,category,account\n1,a,5,,,\n2,b,6,,,\n";
         read(text);
-        List<TraceCall> plain = List.copyOf(calls);
+        List<TraceRequest> plain = List.copyOf(calls);
         read("\uFEFF" + text.replace("\n", "\r\n"));
         assertEquals(plain, calls);
         Path zipped = folder.resolve("t.csv.gz");
--- a/testbed/src/test/java/pearladder/traces/TraceMakerTest.java
+++ b/testbed/src/test/java/pearladder/traces/TraceMakerTest.java
@@ -13,22 +13,22 @@
 class TraceMakerTest {
     @Test
     void syntheticTraceIsOrderedFollowsItsSettingsAndIsReproducible() {
-        TraceMaker.Terms terms = new TraceMaker.Terms(1000, 1, 50, 120, 0.2, 0.5, 20, 7);
+        TraceGenerator.Settings terms = new TraceGenerator.Settings(1000, 1, 50, 120, 0.2, 0.5, 20, 7);
         TraceInfo first = new TraceInfo();
-        TraceMaker.make(terms, first);
+        TraceGenerator.make(terms, first);
         TraceInfo second = new TraceInfo();
-        List<TraceCall> calls = new ArrayList<>();
-        TraceMaker.make(terms, call -> {
+        List<TraceRequest> calls = new ArrayList<>();
+        TraceGenerator.make(terms, call -> {
             calls.add(call);
             second.accept(call);
         });
         assertEquals(first.digest(), second.digest());
-        List<Long> times = calls.stream().map(TraceCall::at).toList();
+        List<Long> times = calls.stream().map(TraceRequest::at).toList();
         assertEquals(times.stream().sorted().toList(), times);
         assertTrue(calls.size() > 4000 && calls.size() < 8000, "6000 calls: " + calls.size());
         Map<String, Long> pulses = calls.stream()
                 .filter(call -> call.model().startsWith("timer-"))
-                .collect(Collectors.groupingBy(TraceCall::model, Collectors.counting()));
+                .collect(Collectors.groupingBy(TraceRequest::model, Collectors.counting()));
         assertEquals(300, pulses.size());
         assertTrue(pulses.values().stream().allMatch(count -> count == 4), "each timer pulses every 30 s");
     }
