Rollout client in short steps, its HTTP requests in a class of their own

Cause: RolloutClient mixed HTTP, the choice of targets and text, with nested conditionals and names of the old house style.

Change: AdminClient holds the HTTP requests and a typed response to new targets; RolloutClient derives targets and formats lines. Paths, timeouts and every text stay.

--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutClient.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutClient.java
@@ -4,241 +4,245 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
 import java.util.function.UnaryOperator;
 import pearladder.rollout.RolloutPlan;
 import pearladder.rollout.RolloutTarget;
 
 /**
- * An operator's side of releases: looks at every router's doors, makes the order that follows the newest one seen,
- * and gives it to all of them. A router that is away is named; it may be given the same order again.
+ * An operator's client for rollouts. To change one, it reads the targets of all routers, derives the target that
+ * follows the newest, and sends that to all of them. An unavailable router is reported; the same command may be given
+ * again.
  */
 public final class RolloutClient {
-    /** What came of an order: how many routers took it, and a line for each. */
+    private static final long FIRST_EPOCH = 1;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final List<String> adminAddresses;
+    private final String operator;
+    private final AdminClient admin = new AdminClient();
+
+    /**
+     * The result of a command.
+     *
+     * @param acceptedCount targets that were accepted, each counted once for each router
+     * @param requestedCount targets that should have been accepted, counted alike
+     * @param lines for people: one for each target and router, and one for each model without a valid target
+     */
     public record RolloutResult(int acceptedCount, int requestedCount, List<String> lines) {}
 
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private interface ResponseFormatter {
+        List<String> format(String address, JsonNode response);
+    }
 
-    private final List<String> doors;
-    private final String by;
-    private final HttpClient client = HttpClient.newBuilder()
-            .version(HttpClient.Version.HTTP_1_1)
-            .connectTimeout(Duration.ofSeconds(2))
-            .build();
+    private interface ResponseRequest {
+        JsonNode send(String address) throws IOException;
+    }
 
-    /** @param doors addresses of the routers' admin doors; @param by who orders */
-    public RolloutClient(List<String> doors, String by) {
-        this.doors = doors;
-        this.by = by;
+    /**
+     * A client for some routers.
+     *
+     * @param adminAddresses of the routers' admin servers, host:port
+     * @param operator recorded as who changed a rollout
+     */
+    public RolloutClient(List<String> adminAddresses, String operator) {
+        this.adminAddresses = adminAddresses;
+        this.operator = operator;
     }
 
-    /** The same for these routers and all whom they learn from. */
+    /** A client for these routers and all peers from which they sync targets; an unavailable router's are left out. */
     public RolloutClient withPeers() {
-        List<String> all = new ArrayList<>(doors);
-        for (String door : doors) {
-            try {
-                get(door, "/releases").path("others").forEach(other -> {
-                    if (!all.contains(other.asText())) {
-                        all.add(other.asText());
-                    }
-                });
-            } catch (IOException away) {
-                continue;
+        List<String> withPeers = new ArrayList<>(adminAddresses);
+        for (String address : adminAddresses) {
+            for (String peer : peers(address)) {
+                if (!withPeers.contains(peer)) {
+                    withPeers.add(peer);
+                }
             }
         }
-        return new RolloutClient(all, by);
+        return new RolloutClient(withPeers, operator);
+    }
+
+    private List<String> peers(String address) {
+        List<String> peers = new ArrayList<>();
+        try {
+            admin.rollouts(address).path("others").forEach(peer -> peers.add(peer.asText()));
+        } catch (IOException unavailable) {
+            return List.of();
+        }
+        return peers;
     }
 
-    /** How every release stands at each router. */
+    /** The state of every rollout at each router, as lines for people. */
     public List<String> status() {
-        return each("/releases", (door, body) -> {
-            List<String> lines = new ArrayList<>();
-            body.path("status")
-                    .forEach(line -> lines.add(door + " (" + body.path("router").asText() + "): " + line.asText()));
-            return lines.isEmpty() ? List.of(door + " (" + body.path("router").asText() + "): no release") : lines;
-        });
+        return formatEach(admin::rollouts, RolloutClient::formatStatus);
+    }
+
+    private static List<String> formatStatus(String address, JsonNode rollouts) {
+        String prefix = address + " (" + rollouts.path("router").asText() + "): ";
+        List<String> lines = new ArrayList<>();
+        rollouts.path("status").forEach(status -> lines.add(prefix + status.asText()));
+        if (lines.isEmpty()) {
+            lines.add(prefix + "no release");
+        }
+        return lines;
     }
 
-    /** Every order that the routers keep, oldest first. */
+    /** Every target in the routers' journals, oldest first, as lines for people. */
     public List<String> history() {
-        return each("/releases/history", (door, body) -> {
-            List<String> lines = new ArrayList<>();
-            for (JsonNode order : body) {
-                lines.add(door + ": "
-                        + java.time.Instant.ofEpochMilli(
-                                order.path("wallMillis").asLong()) + " "
-                        + order.path("by").asText() + " "
-                        + order.path("mode").asText().toLowerCase(java.util.Locale.ROOT) + " "
-                        + order.path("plan").path("model").asText() + " to "
-                        + order.path("plan").path("to").asText()
-                        + ", epoch " + order.path("epoch").asLong() + ", step "
-                        + order.path("step").asInt());
-            }
-            return lines;
-        });
+        return formatEach(admin::history, RolloutClient::formatHistory);
+    }
+
+    private static List<String> formatHistory(String address, JsonNode history) {
+        List<String> lines = new ArrayList<>();
+        for (JsonNode target : history) {
+            lines.add(address + ": " + formatTarget(target));
+        }
+        return lines;
     }
 
-    private interface Reading {
-        List<String> lines(String door, JsonNode body);
+    private static String formatTarget(JsonNode target) {
+        JsonNode plan = target.path("plan");
+        return Instant.ofEpochMilli(target.path("wallMillis").asLong())
+                + " " + target.path("by").asText()
+                + " " + target.path("mode").asText().toLowerCase(Locale.ROOT)
+                + " " + plan.path("model").asText()
+                + " to " + plan.path("to").asText()
+                + ", epoch " + target.path("epoch").asLong()
+                + ", step " + target.path("step").asInt();
     }
 
-    private List<String> each(String path, Reading reading) {
+    private List<String> formatEach(ResponseRequest request, ResponseFormatter formatter) {
         List<String> lines = new ArrayList<>();
-        for (String door : doors) {
+        for (String address : adminAddresses) {
             try {
-                lines.addAll(reading.lines(door, get(door, path)));
-            } catch (IOException away) {
-                lines.add(door + ": no answer: " + away.getMessage());
+                lines.addAll(formatter.format(address, request.send(address)));
+            } catch (IOException unavailable) {
+                lines.add(address + ": no answer: " + unavailable.getMessage());
             }
         }
         return lines;
     }
 
-    /** Begins a release of each model at its first step. */
+    /** Starts a rollout of each plan at its first step. A plan from a version that is not in service is refused. */
     public RolloutResult start(List<RolloutPlan> plans) {
-        Map<String, RolloutTarget> newest = newest();
-        List<String> wrong = new ArrayList<>();
-        List<RolloutTarget> orders = new ArrayList<>();
+        Map<String, RolloutTarget> newestTargets = newestTargets();
+        List<String> refusals = new ArrayList<>();
+        List<RolloutTarget> targets = new ArrayList<>();
         for (RolloutPlan plan : plans) {
-            RolloutTarget before = newest.get(plan.model());
-            String serves = before == null
-                    ? null
-                    : before.mode() == RolloutTarget.Mode.ROLLED_BACK
-                            ? before.plan().from()
-                            : before.plan().to();
-            if (serves != null && !serves.equals(plan.from()) && !before.plan().equals(plan)) {
-                // all calls would go at once to a version that stands nowhere
-                wrong.add(plan.model() + ": its calls get version \"" + serves + "\", not \"" + plan.from()
-                        + "\"; mend \"from\", or roll the release before it back");
-                continue;
+            RolloutTarget previous = newestTargets.get(plan.model());
+            if (previous != null && !mayFollow(previous, plan)) {
+                refusals.add(plan.model() + ": its calls get version \"" + versionInService(previous) + "\", not \""
+                        + plan.from() + "\"; mend \"from\", or roll the release before it back");
+            } else {
+                targets.add(nextTarget(previous, plan, RolloutTarget.Mode.RUNNING, 0));
             }
-            orders.add(new RolloutTarget(
-                    after(before), plan, RolloutTarget.Mode.RUNNING, 0, by, System.currentTimeMillis()));
         }
-        RolloutResult told = give(orders);
-        wrong.addAll(told.lines());
-        return new RolloutResult(told.acceptedCount(), told.requestedCount() + plans.size() - orders.size(), wrong);
+        return send(targets, refusals);
+    }
+
+    /** Otherwise all requests would go at once to a version that no worker has loaded. */
+    private static boolean mayFollow(RolloutTarget previous, RolloutPlan plan) {
+        return versionInService(previous).equals(plan.from()) || previous.plan().equals(plan);
+    }
+
+    private static String versionInService(RolloutTarget target) {
+        RolloutPlan plan = target.plan();
+        return target.mode() == RolloutTarget.Mode.ROLLED_BACK ? plan.from() : plan.to();
     }
 
     /**
-     * Changes the releases of some models.
+     * Changes the rollouts of some models.
      *
-     * @param models names, or none for every release there is
-     * @param change from the newest target to the next; its epoch, who and when are set here
+     * @param models names, or none for every rollout there is
+     * @param change from the newest target to the next; its epoch, operator and time are set here
      */
     public RolloutResult change(List<String> models, UnaryOperator<RolloutTarget> change) {
-        Map<String, RolloutTarget> newest = newest();
-        List<RolloutTarget> orders = new ArrayList<>();
-        List<String> unknown = new ArrayList<>();
-        for (String model : models.isEmpty() ? newest.keySet() : models) {
-            RolloutTarget before = newest.get(model);
-            if (before == null) {
-                unknown.add(model + ": no release there; start one");
-                continue;
+        Map<String, RolloutTarget> newestTargets = newestTargets();
+        List<RolloutTarget> targets = new ArrayList<>();
+        List<String> refusals = new ArrayList<>();
+        for (String model : models.isEmpty() ? newestTargets.keySet() : models) {
+            RolloutTarget previous = newestTargets.get(model);
+            if (previous == null) {
+                refusals.add(model + ": no release there; start one");
+            } else {
+                RolloutTarget changed = change.apply(previous);
+                targets.add(nextTarget(previous, changed.plan(), changed.mode(), changed.step()));
             }
-            RolloutTarget wanted = change.apply(before);
-            orders.add(new RolloutTarget(
-                    after(before), wanted.plan(), wanted.mode(), wanted.step(), by, System.currentTimeMillis()));
         }
-        RolloutResult told = give(orders);
-        unknown.addAll(told.lines());
-        return new RolloutResult(
-                told.acceptedCount(),
-                told.requestedCount() + (models.isEmpty() ? 0 : models.size() - orders.size()),
-                unknown);
+        return send(targets, refusals);
     }
 
-    private static long after(RolloutTarget before) {
-        return before == null ? 1 : before.epoch() + 1;
+    private RolloutTarget nextTarget(RolloutTarget previous, RolloutPlan plan, RolloutTarget.Mode mode, int step) {
+        long epoch = previous == null ? FIRST_EPOCH : previous.epoch() + 1;
+        return new RolloutTarget(epoch, plan, mode, step, operator, System.currentTimeMillis());
     }
 
-    /** The newest target of each model that any router knows; one that was away may know an older one. */
-    private Map<String, RolloutTarget> newest() {
+    /** The newest target of each model that any router knows; one that was unavailable may know an older one. */
+    private Map<String, RolloutTarget> newestTargets() {
         Map<String, RolloutTarget> newest = new LinkedHashMap<>();
-        for (String door : doors) {
-            try {
-                List<RolloutTarget> targets =
-                        JSON.convertValue(get(door, "/releases").path("targets"), new TypeReference<>() {});
-                targets.forEach(target -> newest.merge(target.plan().model(), target, RolloutTarget::newer));
-            } catch (IOException away) {
-                continue;
+        for (String address : adminAddresses) {
+            for (RolloutTarget target : targets(address)) {
+                newest.merge(target.plan().model(), target, RolloutTarget::newer);
             }
         }
         return newest;
     }
 
-    /** All orders to all routers at once: a router that is away holds nobody up. */
-    private RolloutResult give(List<RolloutTarget> orders) {
-        if (orders.isEmpty()) {
+    private List<RolloutTarget> targets(String address) {
+        try {
+            return JSON.convertValue(admin.rollouts(address).path("targets"), new TypeReference<>() {});
+        } catch (IOException unavailable) {
+            return List.of();
+        }
+    }
+
+    /** Sends targets to all routers; the models refused here count as requested, once each. */
+    private RolloutResult send(List<RolloutTarget> targets, List<String> refusals) {
+        RolloutResult sent = send(targets);
+        List<String> lines = new ArrayList<>(refusals);
+        lines.addAll(sent.lines());
+        return new RolloutResult(sent.acceptedCount(), sent.requestedCount() + refusals.size(), lines);
+    }
+
+    /** To all routers at once: an unavailable router delays no other. */
+    private RolloutResult send(List<RolloutTarget> targets) {
+        if (targets.isEmpty()) {
             return new RolloutResult(0, 0, List.of());
         }
-        Map<String, CompletableFuture<HttpResponse<String>>> answers = new LinkedHashMap<>();
-        for (String door : doors) {
-            answers.put(
-                    door,
-                    client.sendAsync(
-                            HttpRequest.newBuilder(URI.create("http://" + door + "/releases"))
-                                    .timeout(Duration.ofSeconds(10))
-                                    .POST(HttpRequest.BodyPublishers.ofString(
-                                            JSON.valueToTree(orders).toString()))
-                                    .build(),
-                            HttpResponse.BodyHandlers.ofString()));
+        String json = JSON.valueToTree(targets).toString();
+        Map<String, CompletableFuture<HttpResponse<String>>> pending = new LinkedHashMap<>();
+        for (String address : adminAddresses) {
+            pending.put(address, admin.sendTargets(address, json));
         }
         List<String> lines = new ArrayList<>();
-        int took = 0;
-        for (Map.Entry<String, CompletableFuture<HttpResponse<String>>> answer : answers.entrySet()) {
-            List<String> refused = refused(answer.getValue());
-            for (int i = 0; i < orders.size(); i++) {
-                RolloutTarget order = orders.get(i);
-                String refusal = refused == null ? null : i < refused.size() ? refused.get(i) : refused.get(0);
-                took += refusal != null && refusal.isEmpty() ? 1 : 0;
-                lines.add(answer.getKey() + ": " + order.plan().model() + " epoch " + order.epoch() + ": "
-                        + (refusal == null
-                                ? "no answer; it learns the order when it is back, or give it again"
-                                : refusal.isEmpty()
-                                        ? order.mode().name().toLowerCase(java.util.Locale.ROOT)
-                                        : "refused: " + refusal));
+        int acceptedCount = 0;
+        for (String address : pending.keySet()) {
+            AdminClient.UpdateResponse response = AdminClient.awaitUpdate(pending.get(address));
+            for (int i = 0; i < targets.size(); i++) {
+                acceptedCount += response.isAccepted(i) ? 1 : 0;
+                lines.add(formatResponse(address, targets.get(i), response, i));
             }
         }
-        return new RolloutResult(took, orders.size() * doors.size(), lines);
+        return new RolloutResult(acceptedCount, targets.size() * adminAddresses.size(), lines);
     }
 
-    /** Why each order was refused, empty for one that was taken; null where there was no answer. */
-    private static List<String> refused(CompletableFuture<HttpResponse<String>> answer) {
-        try {
-            JsonNode told = JSON.readTree(answer.get().body());
-            List<String> refused = new ArrayList<>();
-            told.path("refused").forEach(refusal -> refused.add(refusal.asText()));
-            return refused.isEmpty() ? List.of(told.path("error").asText("not an answer of a router")) : refused;
-        } catch (IOException | ExecutionException away) {
-            return null;
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-            return null;
+    private static String formatResponse(
+            String address, RolloutTarget target, AdminClient.UpdateResponse response, int index) {
+        String prefix = address + ": " + target.plan().model() + " epoch " + target.epoch() + ": ";
+        if (!response.received()) {
+            return prefix + "no answer; it learns the order when it is back, or give it again";
         }
-    }
-
-    private JsonNode get(String door, String path) throws IOException {
-        try {
-            HttpResponse<String> answer = client.send(
-                    HttpRequest.newBuilder(URI.create("http://" + door + path))
-                            .timeout(Duration.ofSeconds(5))
-                            .build(),
-                    HttpResponse.BodyHandlers.ofString());
-            return JSON.readTree(answer.body());
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted");
+        if (!response.isAccepted(index)) {
+            return prefix + "refused: " + response.refusal(index);
         }
+        return prefix + target.mode().name().toLowerCase(Locale.ROOT);
     }
 }
