Standard names for parameters and doc tags of event log, KServe and its router

Cause: 35 @param tags still named components as they were called before the renames; locals and parameters kept old words.

Change: tags name the present components; parameters and locals follow (worker, zone, state, tenant, quota, consumer). Keys, texts, constants and files stay.

--- a/eventlog/src/main/java/pearladder/eventlog/EventLog.java
+++ b/eventlog/src/main/java/pearladder/eventlog/EventLog.java
@@ -106,7 +106,7 @@
             } catch (UnsupportedFormatException newerVersion) {
                 throw newerVersion;
             } catch (IOException damage) {
-                setAside(last, damage, warnings);
+                renameDamaged(last, damage, warnings);
             }
         }
         if (newest == null) {
@@ -114,8 +114,8 @@
         }
     }
 
-    /** Guards against a router that can't start because of a log that it only writes: the file is kept for a look. */
-    private void setAside(Path segment, IOException damage, Consumer<String> warnings) throws IOException {
+    /** A log that is only written must not keep a router from starting: the damaged file is kept under another name. */
+    private void renameDamaged(Path segment, IOException damage, Consumer<String> warnings) throws IOException {
         Path renamed = segment.resolveSibling(segment.getFileName() + DAMAGED_SUFFIX);
         Files.move(segment, renamed, StandardCopyOption.REPLACE_EXISTING);
         LogSegment.delete(segment);
--- a/eventlog/src/main/java/pearladder/eventlog/EventLogReader.java
+++ b/eventlog/src/main/java/pearladder/eventlog/EventLogReader.java
@@ -63,19 +63,19 @@
     /**
      * Reads every entry from a number on. Damaged batches and files are left out; {@link #verify} reports them.
      *
-     * @throws IOException where a segment was written by a newer version, or the taker fails
+     * @throws IOException where a segment was written by a newer version, or the consumer fails
      */
-    public void read(long from, EntryConsumer taker) throws IOException {
+    public void read(long from, EntryConsumer consumer) throws IOException {
         List<Path> segments = segments(directory);
         for (int i = 0; i < segments.size(); i++) {
             boolean endsBefore = i + 1 < segments.size() && LogSegment.first(segments.get(i + 1)) <= from;
             if (!endsBefore) {
-                readSegment(segments.get(i), from, taker);
+                readSegment(segments.get(i), from, consumer);
             }
         }
     }
 
-    private static void readSegment(Path file, long from, EntryConsumer taker) throws IOException {
+    private static void readSegment(Path file, long from, EntryConsumer consumer) throws IOException {
         LogSegment segment;
         try {
             segment = LogSegment.read(file);
@@ -85,17 +85,17 @@
             return;
         }
         try (segment) {
-            segment.batches(from, batch -> readBatch(batch, from, taker));
+            segment.batches(from, batch -> readBatch(batch, from, consumer));
         }
     }
 
-    private static void readBatch(LogSegment.Stored batch, long from, EntryConsumer taker) throws IOException {
+    private static void readBatch(LogSegment.Stored batch, long from, EntryConsumer consumer) throws IOException {
         boolean endsBefore = batch.first() + batch.count() <= from;
         if (endsBefore || !batch.damage().isEmpty()) {
             return;
         }
         for (LogBatch.Row row : LogBatch.decode(batch.bytes())) {
-            taker.accept(batch.first() + row.place(), row.entry());
+            consumer.accept(batch.first() + row.place(), row.entry());
         }
     }
 
@@ -105,11 +105,11 @@
      * @param fromMillis wall clock, milliseconds since 1970
      * @param toMillis the first moment after the period
      */
-    public void find(long fromMillis, long toMillis, Predicate<LogEntry> wanted, EntryConsumer taker)
+    public void find(long fromMillis, long toMillis, Predicate<LogEntry> wanted, EntryConsumer consumer)
             throws IOException {
         read(0, (number, entry) -> {
             if (entry.at() >= fromMillis && entry.at() < toMillis && wanted.test(entry)) {
-                taker.accept(number, entry);
+                consumer.accept(number, entry);
             }
         });
     }
@@ -119,7 +119,7 @@
         LogVerification verification = new LogVerification();
         List<Path> segments = segments(directory);
         for (Path file : files(directory, DAMAGED_PATTERN)) {
-            verification.addSetAside(file);
+            verification.addRenamed(file);
         }
         for (Path file : segments) {
             verification.check(file);
--- a/eventlog/src/main/java/pearladder/eventlog/LogBatch.java
+++ b/eventlog/src/main/java/pearladder/eventlog/LogBatch.java
@@ -97,14 +97,14 @@
 
     /** Reads what follows the type. */
     private static LogEntry readEntry(JsonParser cbor, long at, LogEntryType type) throws IOException {
-        String call = readText(cbor);
-        String model = readText(cbor);
-        String account = readText(cbor);
-        String engine = readText(cbor);
+        String requestId = readText(cbor);
+        String function = readText(cbor);
+        String tenant = readText(cbor);
+        String worker = readText(cbor);
         String note = readText(cbor);
         long amount = cbor.nextLongValue(0);
-        long took = cbor.nextLongValue(0);
-        return new LogEntry(at, type, call, model, account, engine, note, amount, took);
+        long micros = cbor.nextLongValue(0);
+        return new LogEntry(at, type, requestId, function, tenant, worker, note, amount, micros);
     }
 
     private static String readText(JsonParser cbor) throws IOException {
--- a/eventlog/src/main/java/pearladder/eventlog/LogEntryType.java
+++ b/eventlog/src/main/java/pearladder/eventlog/LogEntryType.java
@@ -9,18 +9,21 @@
     STARTED(1, "started", false),
     /** It stopped in order. */
     STOPPED(2, "stopped", false),
-    /** A request ended; note: settled, dismissed, terminated or left; took: microseconds. */
+    /**
+     * A request ended; note: "settled" (succeeded), "dismissed" (rejected), "terminated" (failed) or "left" (the client
+     * disconnected); micros: its duration.
+     */
     ENDED(3, "ended", false),
     /**
-     * An attempt ended; note: its outcome; took: microseconds; amount: the ordinal of
+     * An attempt ended; note: its outcome; micros: its duration; amount: the ordinal of
      * {@code pearladder.routing.api.Event.InstanceStatus}.
      */
     LEG(4, "leg", true),
     /**
-     * For how long a worker executed a tenant's requests since the last such entry; amount: that; took: the period.
+     * For how long a worker executed a tenant's requests since the last such entry; amount: that; micros: the period.
      */
     WORK(5, "work", false),
-    /** A load began; the tenant is whose request began it, empty for a load request; took: the load, microseconds. */
+    /** A load began; the tenant is whose request began it, empty for a load request; micros: duration of the load. */
     LOADING(6, "loading", false),
     /** It ended; note: empty, or why it failed. */
     LOADED(7, "loaded", false),
--- a/eventlog/src/main/java/pearladder/eventlog/LogVerification.java
+++ b/eventlog/src/main/java/pearladder/eventlog/LogVerification.java
@@ -17,7 +17,7 @@
     private long expected = UNKNOWN;
 
     /** Reports a file that was renamed because it could not be read. */
-    void addSetAside(Path file) {
+    void addRenamed(Path file) {
         add(file, "set aside at a start, its entries are lost");
     }
 
--- a/eventlog/src/main/java/pearladder/eventlog/RetentionSettings.java
+++ b/eventlog/src/main/java/pearladder/eventlog/RetentionSettings.java
@@ -5,9 +5,9 @@
  *
  * @param segmentBytes a segment that is so large is followed by a new one
  * @param segmentMillis a segment that is so old is followed by a new one
- * @param allBytes the oldest segments are deleted while all are larger
- * @param allMillis segments are deleted whose newest entry is so much older than the newest of all
- * @param detailMillis a compaction deletes details that are older
+ * @param maxBytes the oldest segments are deleted while all are larger
+ * @param maxAgeMillis segments are deleted whose newest entry is so much older than the newest of all
+ * @param maxDetailAgeMillis a compaction deletes details that are older
  */
 public record RetentionSettings(
         long segmentBytes, long segmentMillis, long maxBytes, long maxAgeMillis, long maxDetailAgeMillis) {
--- a/eventlog/src/main/java/pearladder/eventlog/metering/Metering.java
+++ b/eventlog/src/main/java/pearladder/eventlog/metering/Metering.java
@@ -53,7 +53,7 @@
      *
      * @param entries in all logs
      * @param tooLate of them, which were left out
-     * @param keptMillis for how long idle instances stay loaded
+     * @param idleTimeoutMillis for how long idle instances stay loaded
      */
     public record Read(long entries, long tooLate, long idleTimeoutMillis) {}
 
@@ -63,21 +63,21 @@
      * Reads all logs and computes every share.
      *
      * @param directories of logs, one a router
-     * @param taker gets the shares by interval, in order of time
+     * @param consumer gets the shares by interval, in order of time
      */
-    public static Read read(List<Path> directories, Consumer<UsageShare> taker) throws IOException {
+    public static Read read(List<Path> directories, Consumer<UsageShare> consumer) throws IOException {
         List<Source> sources = new ArrayList<>();
         try {
             for (Path directory : directories) {
                 sources.add(new Source(directory.toString(), new EventLogCursor(directory)));
             }
-            return merge(sources, taker);
+            return merge(sources, consumer);
         } finally {
             sources.forEach(source -> source.cursor.close());
         }
     }
 
-    private static Read merge(List<Source> sources, Consumer<UsageShare> taker) throws IOException {
+    private static Read merge(List<Source> sources, Consumer<UsageShare> consumer) throws IOException {
         long idleTimeout = idleTimeoutMillis(sources);
         UsageAccounting accounting = new UsageAccounting(INTERVAL_MILLIS, idleTimeout, MAX_LATENESS);
         PriorityQueue<Source> oldestFirst = new PriorityQueue<>(
@@ -92,14 +92,14 @@
             newest = Math.max(newest, entry.at());
             InstanceObservation observation = observation(source, entry);
             if (observation != null) {
-                accounting.on(observation).forEach(taker);
+                accounting.on(observation).forEach(consumer);
             }
             source.head = source.cursor.next();
             if (source.head != null) {
                 oldestFirst.add(source);
             }
         }
-        accounting.finish(newest + idleTimeout).forEach(taker);
+        accounting.finish(newest + idleTimeout).forEach(consumer);
         return new Read(entries, accounting.lateObservationCount(), idleTimeout);
     }
 
--- a/kserve-router/src/main/java/pearladder/router/kserve/EndpointList.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EndpointList.java
@@ -37,10 +37,10 @@
     }
 
     /**
-     * Starts from the list of an earlier run.
+     * Starts from the endpoint list of an earlier run.
      *
      * @param cached null where there is none
-     * @return the list as the policy's first event
+     * @return the endpoint list as the policy's first event
      */
     public Event.EndpointsUpdated restore(DiscoveryMessage cached) {
         if (cached != null) {
@@ -83,8 +83,8 @@
                 entry.worker(), entry.zone(), entry.kind(), entry.cell(), state(entry.state()), 1, startedAt(entry));
     }
 
-    private static Event.EndpointState state(WorkerState standing) {
-        return switch (standing) {
+    private static Event.EndpointState state(WorkerState state) {
+        return switch (state) {
             case IN_SERVICE -> Event.EndpointState.IN_SERVICE;
             case DRAINING -> Event.EndpointState.DRAINING;
             case GONE -> Event.EndpointState.GONE;
--- a/kserve-router/src/main/java/pearladder/router/kserve/EndpointListCache.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EndpointListCache.java
@@ -20,7 +20,7 @@
         this.file = directory.resolve(FILE_NAME);
     }
 
-    /** The list as it was last written, or null where there is none that can be read. */
+    /** The endpoint list as it was last written, or null where there is none that can be read. */
     DiscoveryMessage read() {
         try {
             return DiscoveryMessage.parse(Files.readString(file));
--- a/kserve-router/src/main/java/pearladder/router/kserve/EventRecorder.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/EventRecorder.java
@@ -271,13 +271,13 @@
         return previous == null || previous != entry.startedMillis();
     }
 
-    private void appendWorker(long now, String worker, DiscoveryMessage.WorkerState standing, long startedMillis) {
-        writer.append(LogEntry.of(now, LogEntryType.ENGINE, "", "", worker, note(standing), startedMillis, 0));
+    private void appendWorker(long now, String worker, DiscoveryMessage.WorkerState state, long startedMillis) {
+        writer.append(LogEntry.of(now, LogEntryType.ENGINE, "", "", worker, note(state), startedMillis, 0));
     }
 
     /** The log's words for the states of workers; part of its format. */
-    private static String note(DiscoveryMessage.WorkerState standing) {
-        return switch (standing) {
+    private static String note(DiscoveryMessage.WorkerState state) {
+        return switch (state) {
             case IN_SERVICE -> "IN_SERVICE";
             case DRAINING -> "DRAINING";
             case GONE -> "GONE";
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutManager.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutManager.java
@@ -53,12 +53,12 @@
     /**
      * What a request says about the version it is to get.
      *
-     * @param named the request's id
+     * @param requestId the request's id
      * @param model that it names
      * @param version null where the client leaves the choice to the router
-     * @param key requests with the same key get the same version, or null
-     * @param account its tenant, or null
-     * @param mark its idempotency key, or null
+     * @param groupKey requests with the same key get the same version, or null
+     * @param tenant its tenant, or null
+     * @param idempotencyKey its idempotency key, or null
      */
     public record VersionRequest(
             String requestId, String model, String version, String groupKey, String tenant, String idempotencyKey) {
@@ -73,7 +73,7 @@
      *
      * @param version empty for the model without a version
      * @param function the function of model and version
-     * @param ending told how the request ended
+     * @param completionListener told how the request ended
      */
     public record ChosenVersion(
             String version, String function, RequestManager.CompletionListener completionListener) {}
--- a/kserve-router/src/main/java/pearladder/router/kserve/RouterConfig.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RouterConfig.java
@@ -13,16 +13,16 @@
  * @param name of this router, unique among them
  * @param host address to listen on
  * @param port to listen on; 0 for one that the system chooses
- * @param data directory of the endpoint list cache, the rollout journal, the snapshot and the event log
+ * @param dataDirectory directory of the endpoint list cache, the rollout journal, the snapshot and the event log
  * @param admin address of the admin server, or null for none
- * @param others admin servers of the other routers, from which rollout targets are synced; none for a router alone
- * @param list the discovery service
- * @param facts settings of the routing policy
+ * @param peers admin servers of the other routers, from which rollout targets are synced; none for a router alone
+ * @param discovery the discovery service
+ * @param routingSettings settings of the routing policy
  * @param models the models that requests may name
  * @param limits on requests, responses and client connections
  * @param connections to workers
- * @param stopWithin requests in flight are failed so long after a stop began
- * @param records retention of the event log, or null for no event log
+ * @param drainTimeout requests in flight are failed so long after a stop began
+ * @param retention retention of the event log, or null for no event log
  */
 public record RouterConfig(
         String name,
@@ -44,7 +44,7 @@
     /**
      * The discovery service.
      *
-     * @param silence a connection on which nothing was received for so long counts as broken
+     * @param silenceTimeout a connection on which nothing was received for so long counts as broken
      */
     public record DiscoveryService(String host, int port, TimeSpan silenceTimeout) {}
 
@@ -52,10 +52,10 @@
      * A group of models.
      *
      * @param pattern a model's name, or a prefix followed by "*"
-     * @param lanes requests that a loaded instance executes at once
+     * @param concurrency requests that a loaded instance executes at once
      * @param memoryMb of an instance
-     * @param usualLoad typical load time; null where it is not known
-     * @param category request class of requests that name none, or null
+     * @param typicalLoadTime typical load time; null where it is not known
+     * @param requestClass request class of requests that name none, or null
      */
     public record ModelSettings(
             String pattern, int concurrency, double memoryMb, TimeSpan typicalLoadTime, String requestClass) {
@@ -67,11 +67,11 @@
     /**
      * Limits on what the router holds.
      *
-     * @param payload bytes of a request's body
-     * @param answer bytes of a worker's response
-     * @param openCalls requests in flight
-     * @param bodyWithin a request whose body is not complete after so long is refused
-     * @param idle a client connection on which nothing was sent for so long is closed
+     * @param maxRequestBytes bytes of a request's body
+     * @param maxResponseBytes bytes of a worker's response
+     * @param maxRequestsInFlight requests in flight
+     * @param bodyTimeout a request whose body is not complete after so long is refused
+     * @param idleTimeout a client connection on which nothing was sent for so long is closed
      */
     public record Limits(
             long maxRequestBytes,
@@ -83,9 +83,9 @@
     /**
      * Connections to one worker.
      *
-     * @param perEngine how many at once
-     * @param dial the time to get one, from the pool or newly established
-     * @param idle one that was not used for so long is closed
+     * @param maxPerWorker how many at once
+     * @param connectTimeout the time to get one, from the pool or newly established
+     * @param idleTimeout one that was not used for so long is closed
      */
     public record Connections(int maxPerWorker, TimeSpan connectTimeout, TimeSpan idleTimeout) {}
 
--- a/kserve-router/src/main/java/pearladder/router/kserve/RoutingSettingsParser.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RoutingSettingsParser.java
@@ -49,26 +49,25 @@
                 costModel(file.at("prices")));
     }
 
-    private static List<RequestClass> requestClasses(ConfigValue categories) {
+    private static List<RequestClass> requestClasses(ConfigValue section) {
         List<RequestClass> requestClasses = new ArrayList<>(
-                categories.eachKey(RoutingSettingsParser::requestClass).values());
+                section.eachKey(RoutingSettingsParser::requestClass).values());
         if (requestClasses.isEmpty()) {
-            categories.addMistake(
-                    "no category is named", "write one with its expected and abandon time and its effect");
+            section.addMistake("no category is named", "write one with its expected and abandon time and its effect");
         }
         return requestClasses;
     }
 
-    private static RequestClass requestClass(String name, ConfigValue category) {
-        TimeSpan latencyObjective = span(category.at("expected"), null);
-        TimeSpan deadline = span(category.at("abandon"), null);
-        Idempotency idempotency = category.at("effect").word(Idempotency.class, null);
-        TimeSpan deduplicationWindow = span(category.at("remembered"), "0 s");
+    private static RequestClass requestClass(String name, ConfigValue section) {
+        TimeSpan latencyObjective = span(section.at("expected"), null);
+        TimeSpan deadline = span(section.at("abandon"), null);
+        Idempotency idempotency = section.at("effect").word(Idempotency.class, null);
+        TimeSpan deduplicationWindow = span(section.at("remembered"), "0 s");
         if (deadline.nanos() > 0 && latencyObjective.isLongerThan(deadline)) {
-            category.at("expected").addMistake("the expected time is longer than the abandon time", "make it shorter");
+            section.at("expected").addMistake("the expected time is longer than the abandon time", "make it shorter");
         }
         if (idempotency == Idempotency.FINGERPRINTED && deduplicationWindow.nanos() == 0) {
-            category.at("remembered")
+            section.at("remembered")
                     .addMistake(
                             "a fingerprinted category says for how long repeats are dropped",
                             "write for example \"remembered: 8 s\"");
@@ -77,41 +76,41 @@
                 name,
                 latencyObjective,
                 deadline,
-                category.at("credit").number(1, 0, 1e9),
-                category.at("late_credit").number(0, 0, 1),
+                section.at("credit").number(1, 0, 1e9),
+                section.at("late_credit").number(0, 0, 1),
                 idempotency,
-                category.at("group").word(DeduplicationScope.class, DeduplicationScope.ALL),
+                section.at("group").word(DeduplicationScope.class, DeduplicationScope.ALL),
                 deduplicationWindow,
                 false,
-                category.at("expected_stretch").number(0, 0, 1000));
+                section.at("expected_stretch").number(0, 0, 1000));
     }
 
-    private static List<Tenant> tenants(ConfigValue accounts) {
+    private static List<Tenant> tenants(ConfigValue section) {
         List<Tenant> tenants =
-                new ArrayList<>(accounts.eachKey(RoutingSettingsParser::tenant).values());
+                new ArrayList<>(section.eachKey(RoutingSettingsParser::tenant).values());
         double shares = tenants.stream().mapToDouble(Tenant::share).sum();
         if (shares > MAX_SUM_OF_SHARES) {
-            accounts.addMistake(String.format("the shares add up to %.2f", shares), "make it 1 at the most");
+            section.addMistake(String.format("the shares add up to %.2f", shares), "make it 1 at the most");
         }
         return tenants;
     }
 
-    private static Tenant tenant(String name, ConfigValue account) {
+    private static Tenant tenant(String name, ConfigValue tenant) {
         return new Tenant(
-                name, account.at("share").number(0, 1), account.at("per_second").number(0, 0, 1e9));
+                name, tenant.at("share").number(0, 1), tenant.at("per_second").number(0, 0, 1e9));
     }
 
-    private static AttemptLimits attemptLimits(ConfigValue allowances, TimeSpan connectTimeout) {
+    private static AttemptLimits attemptLimits(ConfigValue limits, TimeSpan connectTimeout) {
         return new AttemptLimits(
-                allowances.at("legs").whole(3, 1, 100),
-                allowances.at("second_legs").flag(false),
-                allowances.at("cancel").flag(true),
-                allowances.at("probes").flag(false),
+                limits.at("legs").whole(3, 1, 100),
+                limits.at("second_legs").flag(false),
+                limits.at("cancel").flag(true),
+                limits.at("probes").flag(false),
                 false,
-                allowances.at("retry_after").flag(true),
-                span(allowances.at("longest_retry_after"), "2 s"),
-                allowances.at("over_share_credit").number(1, 0, 1),
-                allowances.at("credit_by_work").flag(false),
+                limits.at("retry_after").flag(true),
+                span(limits.at("longest_retry_after"), "2 s"),
+                limits.at("over_share_credit").number(1, 0, 1),
+                limits.at("credit_by_work").flag(false),
                 connectTimeout);
     }
 
@@ -119,40 +118,40 @@
         return new ResponseGrace(span(rules.at("answer_grace"), "15 ms"), span(rules.at("drain_grace"), "1 s"));
     }
 
-    private static SlowStartSettings slowStart(ConfigValue cold) {
+    private static SlowStartSettings slowStart(ConfigValue slowStart) {
         return new SlowStartSettings(
-                cold.at("start_share").number(0.25, 0.001, 1),
-                span(cold.at("warm_after"), "15 s"),
-                cold.at("fall_multiple").number(2, 0.1, 1000),
-                span(cold.at("fall_after"), "1500 ms"));
+                slowStart.at("start_share").number(0.25, 0.001, 1),
+                span(slowStart.at("warm_after"), "15 s"),
+                slowStart.at("fall_multiple").number(2, 0.1, 1000),
+                span(slowStart.at("fall_after"), "1500 ms"));
     }
 
-    private static LoadQuota loadQuota(ConfigValue ration) {
+    private static LoadQuota loadQuota(ConfigValue quota) {
         return new LoadQuota(
-                ration.at("free").number(0, 0, 1e6),
-                ration.at("share").number(0, 0, 100),
-                span(ration.at("window"), "0 s"));
+                quota.at("free").number(0, 0, 1e6),
+                quota.at("share").number(0, 0, 100),
+                span(quota.at("window"), "0 s"));
     }
 
-    private static InstanceSettings instances(ConfigValue copies, List<Double> workerMemoryMb) {
+    private static InstanceSettings instances(ConfigValue instances, List<Double> workerMemoryMb) {
         return new InstanceSettings(
-                span(copies.at("kept"), "10 s"),
-                copies.at("orders").flag(false),
-                copies.at("loads_on_miss").flag(true),
-                span(copies.at("order_timeout"), "10 s"),
-                copies.at("tells_warm").flag(true),
-                copies.at("tells_crowd").flag(true),
+                span(instances.at("kept"), "10 s"),
+                instances.at("orders").flag(false),
+                instances.at("loads_on_miss").flag(true),
+                span(instances.at("order_timeout"), "10 s"),
+                instances.at("tells_warm").flag(true),
+                instances.at("tells_crowd").flag(true),
                 workerMemoryMb);
     }
 
-    private static CostModel costModel(ConfigValue prices) {
+    private static CostModel costModel(ConfigValue costs) {
         return new CostModel(
-                prices.at("crossing").number(0, 0, 1),
-                prices.at("waste").number(0, 0, 1),
-                prices.at("probe").number(0, 0, 1),
-                prices.at("fetch").number(0, 0, 1),
-                prices.at("late_failure").number(0, 0, 1),
-                prices.at("idle_memory").number(0, 0, 1));
+                costs.at("crossing").number(0, 0, 1),
+                costs.at("waste").number(0, 0, 1),
+                costs.at("probe").number(0, 0, 1),
+                costs.at("fetch").number(0, 0, 1),
+                costs.at("late_failure").number(0, 0, 1),
+                costs.at("idle_memory").number(0, 0, 1));
     }
 
     /** A default that is null stands for a key that must be there. */
--- a/kserve-router/src/main/java/pearladder/router/kserve/WorkerRegistry.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/WorkerRegistry.java
@@ -24,7 +24,7 @@
     private final Map<String, WorkerConnectionPool> pools = new HashMap<>();
     private final EndpointList endpoints = new EndpointList(
             System.currentTimeMillis() * NANOS_PER_MILLI - System.nanoTime(), this::onUpdated, this::retire);
-    /** Whether the list has changed since the write under way was begun. */
+    /** Whether the endpoint list has changed since the write under way was begun. */
     private boolean changedWhileWriting;
     /** Null while nothing is being written. */
     private Future<Void> writing;
@@ -41,7 +41,7 @@
         return endpoints.restore(cache.read());
     }
 
-    /** Applies a message of the discovery service, caches the list, and returns the message as an event. */
+    /** Applies a message of the discovery service, caches the endpoint list, and returns the message as an event. */
     Event.EndpointsUpdated apply(DiscoveryMessage message) {
         Event.EndpointsUpdated event = endpoints.apply(message);
         writeCache();
--- a/kserve-router/src/main/java/pearladder/router/kserve/package-info.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/package-info.java
@@ -1,5 +1,5 @@
 /**
- * The router: sockets, timers, the list, and one instance of the decision module. It reports what happened and
- * does what it is told; nothing of what the module decides is decided here. All of it runs on one event loop.
+ * The KServe v2 router: HTTP servers and connections, timers, the endpoint list, and one routing policy. It reports
+ * events to the policy and executes its actions; no routing decision is made here. All of it runs on one event loop.
  */
 package pearladder.router.kserve;
--- a/kserve/src/main/java/pearladder/kserve/DiscoveryMessage.java
+++ b/kserve/src/main/java/pearladder/kserve/DiscoveryMessage.java
@@ -14,7 +14,7 @@
  * to it, or nothing but a heartbeat.
  *
  * @param kind complete list, changes or heartbeat
- * @param version of the list after this message; only grows
+ * @param version of the endpoint list after this message; only grows
  * @param entries the workers that it names
  */
 public record DiscoveryMessage(Kind kind, long version, List<Entry> entries) {
@@ -69,9 +69,9 @@
         }
 
         private static WorkerState parse(String code) throws IOException {
-            for (WorkerState standing : values()) {
-                if (standing.code.equalsIgnoreCase(code)) {
-                    return standing;
+            for (WorkerState state : values()) {
+                if (state.code.equalsIgnoreCase(code)) {
+                    return state;
                 }
             }
             throw unknownWord(code);
@@ -81,13 +81,13 @@
     /**
      * A worker.
      *
-     * @param engine its name
+     * @param worker its name
      * @param host it listens on
      * @param port it listens on
-     * @param hall its zone
+     * @param zone its zone
      * @param kind of its machine
      * @param cell workers of one group deduplicate each other's requests
-     * @param standing its state
+     * @param state its state
      * @param startedMillis wall-clock time of its last start in milliseconds since 1970; 0 where that was long ago
      */
     public record Entry(
@@ -173,32 +173,32 @@
     }
 
     private static Entry parseEntry(JsonParser json) throws IOException {
-        String engine = null;
+        String worker = null;
         String host = DEFAULT_HOST;
         int port = 0;
-        String hall = "";
+        String zone = "";
         String kind = "";
         long cell = 0;
-        WorkerState standing = null;
+        WorkerState state = null;
         long startedMillis = 0;
         while (json.nextToken() == JsonToken.FIELD_NAME) {
             String name = json.currentName();
             json.nextToken();
             switch (name) {
-                case "engine" -> engine = json.getText();
+                case "engine" -> worker = json.getText();
                 case "host" -> host = json.getText();
                 case "port" -> port = json.getIntValue();
-                case "hall" -> hall = json.getText();
+                case "hall" -> zone = json.getText();
                 case "kind" -> kind = json.getText();
                 case "cell" -> cell = json.getLongValue();
-                case "standing" -> standing = WorkerState.parse(json.getText());
+                case "standing" -> state = WorkerState.parse(json.getText());
                 case "started" -> startedMillis = json.getLongValue();
                 default -> json.skipChildren();
             }
         }
-        expect(engine != null && standing != null, "an entry has an engine and a standing");
+        expect(worker != null && state != null, "an entry has an engine and a standing");
         expect(port > 0 && port <= MAX_PORT, "an entry has a port from 1 to 65535");
-        return new Entry(engine, host, port, hall, kind, cell, standing, startedMillis);
+        return new Entry(worker, host, port, zone, kind, cell, state, startedMillis);
     }
 
     private static IOException unknownWord(String word) {
--- a/kserve/src/main/java/pearladder/kserve/RequestOutcome.java
+++ b/kserve/src/main/java/pearladder/kserve/RequestOutcome.java
@@ -9,7 +9,7 @@
     /** No worker has responded; whether the request took effect is unknown. */
     TERMINATED("terminated", 502);
 
-    /** The HTTP status that goes with it; a settled request may carry the worker's own 4xx instead. */
+    /** The HTTP status that goes with it; a successful request may carry the worker's own 4xx instead. */
     public final int status;
 
     private final String code;
