--- a/cli/src/main/java/pearladder/cli/CheckCommand.java
+++ b/cli/src/main/java/pearladder/cli/CheckCommand.java
@@ -18,8 +18,8 @@
 @Command(
         name = "check",
         mixinStandardHelpOptions = true,
-        description =
-                "Check the file of a router, fleet, scenario, experiment or rollout; each mistake with line, key and remedy.")
+        description = "Check the file of a router, fleet, scenario, experiment or rollout;"
+                + " each mistake with line, key and remedy.")
 final class CheckCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "the file to check")
     private Path file;
--- a/cli/src/main/java/pearladder/cli/Main.java
+++ b/cli/src/main/java/pearladder/cli/Main.java
@@ -9,8 +9,8 @@
 import pearladder.simulator.SimulatorAdapter;
 
 /**
- * Entry point of the jar. The simulator adapter and the platform's router start here, without the command line's parser, so
- * that they load none of its classes.
+ * Entry point of the jar. The simulator adapter and the platform's router start here, without the command line's
+ * parser, so that they load none of its classes.
  */
 public final class Main {
     private static final String SIMULATOR_ADAPTER = "wirehost";
--- a/cli/src/test/java/pearladder/cli/PlatformProcessFixture.java
+++ b/cli/src/test/java/pearladder/cli/PlatformProcessFixture.java
@@ -201,8 +201,8 @@
     }
 
     Path writeConfiguration(int port, HttpServer discovery, String member) throws IOException {
-        Path practice = Path.of("..", "deploy", "practice.json");
-        String text = Files.readString(practice)
+        Path warmUpConfiguration = Path.of("..", "deploy", "practice.json");
+        String text = Files.readString(warmUpConfiguration)
                 .replace("\"127.0.0.1:0\"", "\"127.0.0.1:" + port + "\"")
                 .replace(
                         "\"127.0.0.1:1\",",
--- a/emulator/src/main/java/pearladder/emulator/EndpointRegistry.java
+++ b/emulator/src/main/java/pearladder/emulator/EndpointRegistry.java
@@ -67,7 +67,7 @@
         }
     }
 
-    /** Tells some routers that some workers are gone, and the others that they are there. Empty sets end it. */
+    /** Shows some routers an endpoint list without some workers; the others see the whole list. Empty sets end it. */
     public void setSplitView(Set<String> routers, Set<String> workers) {
         misledRouters = Set.copyOf(routers);
         hiddenWorkers = Set.copyOf(workers);
--- a/emulator/src/main/java/pearladder/emulator/FleetPlan.java
+++ b/emulator/src/main/java/pearladder/emulator/FleetPlan.java
@@ -11,10 +11,10 @@
  * @param seed of all random draws of the workers
  * @param modelStoreCapacity fetches that the model store serves at full speed together
  * @param modelStoreFetchLimit fetches under way at the most
- * @param lagNanos how late the endpoint registry learns of a change
- * @param cables whether each router reaches each worker through a fault proxy
+ * @param discoveryLagNanos how late the endpoint registry learns of a change
+ * @param usesFaultProxy whether each router reaches each worker through a fault proxy
  * @param models families of models; the first that matches a name counts
- * @param engines the workers to start
+ * @param workers the workers to start
  */
 public record FleetPlan(
         long seed,
@@ -28,16 +28,16 @@
      * One worker to start.
      *
      * @param id unique in the fleet
-     * @param hall the hall where it stands
-     * @param cell number of its cell, a group of workers within the hall
+     * @param zone the zone it is in
+     * @param cell number of its cell, a group of workers within the zone
      */
-    public record PlannedWorker(String id, WorkerKind kind, String hall, long cell) {}
+    public record PlannedWorker(String id, WorkerKind kind, String zone, long cell) {}
 
-    /** Cells of different halls differ by a multiple of this. */
-    private static final long CELL_NUMBERS_PER_HALL = 10_000;
+    /** Cells of different zones differ by a multiple of this. */
+    private static final long CELL_NUMBERS_PER_ZONE = 10_000;
 
     private static final int MAX_WORKERS_PER_GROUP = 10_000;
-    private static final String DEFAULT_HALL = "hall";
+    private static final String DEFAULT_ZONE = "hall";
     private static final double BYTES_PER_MB = 1e6;
 
     /** Reads the "fleet" part of a file; mistakes are reported with their lines. */
@@ -64,11 +64,11 @@
                 workers);
     }
 
-    /** Reads a group of like workers, spread over its halls in turn. */
+    /** Reads a group of like workers, spread over its zones in turn. */
     private static List<PlannedWorker> readGroup(ConfigValue group, Map<String, WorkerKind> kinds) {
         String name = group.at("name").text();
         String kind = group.at("kind").text();
-        List<String> halls = group.at("halls").each(ConfigValue::text);
+        List<String> zones = group.at("halls").each(ConfigValue::text);
         int perCell = group.at("per_cell").whole(4, 1, MAX_WORKERS_PER_GROUP);
         int count = group.at("count").whole(1, 1, MAX_WORKERS_PER_GROUP);
         if (!kinds.containsKey(kind)) {
@@ -78,10 +78,10 @@
         }
         List<PlannedWorker> workers = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            String hall = halls.isEmpty() ? DEFAULT_HALL : halls.get(i % halls.size());
-            int indexInHall = halls.isEmpty() ? i : i / halls.size();
-            long cell = Math.max(0, halls.indexOf(hall)) * CELL_NUMBERS_PER_HALL + indexInHall / perCell;
-            workers.add(new PlannedWorker(name + "-" + i, kinds.get(kind), hall, cell));
+            String zone = zones.isEmpty() ? DEFAULT_ZONE : zones.get(i % zones.size());
+            int indexInZone = zones.isEmpty() ? i : i / zones.size();
+            long cell = Math.max(0, zones.indexOf(zone)) * CELL_NUMBERS_PER_ZONE + indexInZone / perCell;
+            workers.add(new PlannedWorker(name + "-" + i, kinds.get(kind), zone, cell));
         }
         return workers;
     }
--- a/emulator/src/main/java/pearladder/emulator/InstancePool.java
+++ b/emulator/src/main/java/pearladder/emulator/InstancePool.java
@@ -14,7 +14,7 @@
  * to make room for others. The instances never take more memory than the worker has.
  */
 final class InstancePool {
-    /** Told when a load has ended. */
+    /** Notified when a load has ended. */
     interface Listener {
         /** A load failed and the model has no other instance, ready or loading. */
         void onModelUnavailable(String model);
@@ -175,7 +175,7 @@
         } else {
             instances.remove(instance);
         }
-        List.copyOf(instance.loadListeners).forEach(told -> told.accept(succeeded));
+        List.copyOf(instance.loadListeners).forEach(loadListener -> loadListener.accept(succeeded));
         if (!succeeded && !hasCurrent(instance.model)) {
             listener.onModelUnavailable(instance.model);
         }
--- a/emulator/src/main/java/pearladder/emulator/LoadReporter.java
+++ b/emulator/src/main/java/pearladder/emulator/LoadReporter.java
@@ -5,7 +5,7 @@
 import java.util.function.DoubleFunction;
 import pearladder.kserve.LoadReport;
 
-/** A worker's load reports: measured seldom, with a little noise, and on demand told late. */
+/** A worker's load reports: measured seldom, with a little noise, and delayed on demand. */
 final class LoadReporter {
     private static final double NOISE_LOWEST = 0.95;
     private static final double NOISE_RANGE = 0.1;
@@ -47,21 +47,21 @@
             current = measure.apply(noise);
             history.add(new TimedReport(time.now(), current));
         }
-        LoadReport told = delayNanos > 0 ? delayedReport() : current;
+        LoadReport reported = delayNanos > 0 ? delayedReport() : current;
         while (history.size() > 1 && history.peek().at() < time.now() - delayNanos - intervalNanos) {
             history.poll();
         }
-        return told;
+        return reported;
     }
 
     /** The newest report that is old enough, otherwise the oldest that is kept. */
     private LoadReport delayedReport() {
-        LoadReport told = null;
+        LoadReport reported = null;
         for (TimedReport past : history) {
-            if (told == null || past.at() <= time.now() - delayNanos) {
-                told = past.report();
+            if (reported == null || past.at() <= time.now() - delayNanos) {
+                reported = past.report();
             }
         }
-        return told;
+        return reported;
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/LoadRequest.java
+++ b/emulator/src/main/java/pearladder/emulator/LoadRequest.java
@@ -17,7 +17,7 @@
     private int awaitedLoads;
     private boolean anyLoadFailed;
 
-    /** @param onEnded told once: OK, ERROR where a load failed, or FULL where there is not enough memory */
+    /** @param onEnded called once: OK, ERROR where a load failed, or FULL where there is not enough memory */
     LoadRequest(
             InstancePool instances, String model, ModelKind modelKind, int wanted, Consumer<WorkerOutcome> onEnded) {
         this.instances = instances;
--- a/emulator/src/main/java/pearladder/emulator/ModelInstance.java
+++ b/emulator/src/main/java/pearladder/emulator/ModelInstance.java
@@ -8,7 +8,7 @@
 final class ModelInstance {
     final String model;
     final ModelKind kind;
-    /** Told once whether the load succeeded. */
+    /** Called once with whether the load succeeded. */
     final List<Consumer<Boolean>> loadListeners = new ArrayList<>();
 
     boolean ready;
--- a/emulator/src/main/java/pearladder/emulator/ModelStore.java
+++ b/emulator/src/main/java/pearladder/emulator/ModelStore.java
@@ -67,7 +67,7 @@
      * Starts a fetch.
      *
      * @param fullSpeedNanos how long it takes at full speed
-     * @param onEnded told later whether it brought an image that can be started
+     * @param onEnded called later with whether it brought an image that can be started
      */
     public void fetch(long fullSpeedNanos, Consumer<Boolean> onEnded) {
         if (rejectingAll || active.size() >= fetchLimit) {
--- a/emulator/src/main/java/pearladder/emulator/WorkerFactory.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerFactory.java
@@ -42,7 +42,7 @@
         String group =
                 switch (worker.kind().idempotencyScope()) {
                     case ALL -> "";
-                    case HALL -> worker.hall();
+                    case HALL -> worker.zone();
                     case CELL -> Long.toString(worker.cell());
                 };
         return idempotencyCaches.computeIfAbsent(
@@ -52,6 +52,6 @@
     /** The worker that takes another's place in a rolling deployment: the same but for its id, which is new. */
     public FleetPlan.PlannedWorker successorOf(FleetPlan.PlannedWorker worker) {
         String id = worker.id().replaceFirst(SUCCESSOR_SUFFIX, "~" + created);
-        return new FleetPlan.PlannedWorker(id, worker.kind(), worker.hall(), worker.cell());
+        return new FleetPlan.PlannedWorker(id, worker.kind(), worker.zone(), worker.cell());
     }
 }
--- a/emulator/src/main/java/pearladder/emulator/WorkerKind.java
+++ b/emulator/src/main/java/pearladder/emulator/WorkerKind.java
@@ -3,7 +3,7 @@
 /**
  * The hardware and behaviour of a kind of worker. Spans are in nanoseconds.
  *
- * @param name as the endpoint list tells it
+ * @param name as in the endpoint list
  * @param cores how many requests run at full speed together
  * @param speed of a core, 1 for a standard one
  * @param memoryMb for model instances
@@ -43,7 +43,7 @@
     public enum IdempotencyScope {
         /** All workers of the fleet. */
         ALL,
-        /** Those of the same hall. */
+        /** Those of the same zone. */
         HALL,
         /** Those of the same cell. */
         CELL
--- a/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
+++ b/emulator/src/main/java/pearladder/emulator/net/FaultInjectionServer.java
@@ -74,7 +74,7 @@
         return value == null ? otherwise : value;
     }
 
-    /** The line of a worker: id, hall, "up" where it takes requests, and the number of requests that it holds. */
+    /** The line of a worker: id, zone, "up" where it takes requests, and the number of requests that it holds. */
     private String describe(String id) {
         WorkerModel worker = fleet.server(id).worker();
         String state = worker.isUp() && !worker.isDraining() ? "up" : "down";
--- a/emulator/src/main/java/pearladder/emulator/net/Fleet.java
+++ b/emulator/src/main/java/pearladder/emulator/net/Fleet.java
@@ -26,7 +26,7 @@
     private static final String LOOPBACK = "127.0.0.1";
     /** The registry learns of the first workers without lag; its own lag is set after so long. */
     private static final long START_WITHOUT_LAG_MILLIS = 20;
-    /** The start time told of a worker that was warm when the fleet started. */
+    /** The reported start time of a worker that was warm when the fleet started. */
     private static final long STARTED_BEFORE = 0;
 
     private final Vertx vertx;
@@ -121,9 +121,9 @@
         return servers.get(id);
     }
 
-    /** The hall where a worker stands. */
+    /** The zone of a worker. */
     public String hallOf(String id) {
-        return plannedWorkers.get(id).hall();
+        return plannedWorkers.get(id).zone();
     }
 
     private Future<Void> add(FleetPlan.PlannedWorker worker, boolean coldStart) {
@@ -142,7 +142,7 @@
                 id,
                 LOOPBACK,
                 servers.get(id).port(),
-                worker.hall(),
+                worker.zone(),
                 worker.kind().name(),
                 worker.cell(),
                 state,
--- a/simulation/src/main/java/pearladder/simulation/ClientExchange.java
+++ b/simulation/src/main/java/pearladder/simulation/ClientExchange.java
@@ -47,7 +47,7 @@
         return request.scheduled().work();
     }
 
-    /** The version that the router has chosen, told to the client with the response. */
+    /** The version that the router has chosen, sent to the client with the response. */
     void setVersion(String chosenVersion) {
         version = chosenVersion;
     }
--- a/simulation/src/main/java/pearladder/simulation/DiscoveryWatch.java
+++ b/simulation/src/main/java/pearladder/simulation/DiscoveryWatch.java
@@ -9,9 +9,9 @@
  * too long; the router decides when to connect again.
  */
 final class DiscoveryWatch {
-    /** What the watch tells its router. */
+    /** Events that the watch reports to its router. */
     interface Listener {
-        /** A change or the whole list came; heartbeats are not told. */
+        /** A change or the whole list came; heartbeats are not reported. */
         void onMessage(DiscoveryMessage message);
 
         /** The connection broke or fell silent. */
@@ -106,8 +106,8 @@
         listener.onDisconnected();
     }
 
-    /** The router dies: the connection closes and nobody is told. */
-    void abandon() {
+    /** The router dies: the connection closes without notifying the listener. */
+    void closeSilently() {
         removeWatcher();
     }
 
--- a/simulation/src/main/java/pearladder/simulation/FaultSearch.java
+++ b/simulation/src/main/java/pearladder/simulation/FaultSearch.java
@@ -28,9 +28,9 @@
      * What was found.
      *
      * @param script reduced as far as it could be
-     * @param rule the invariant that breaks, in words; empty where none does and only the credit is low
+     * @param brokenInvariant the invariant that breaks, in words; empty where none does and only the credit is low
      * @param credit that the clients got, 0 to 1
-     * @param rehearsed how many scenarios were run
+     * @param runs how many scenarios were run
      */
     public record Found(ObjectNode script, String brokenInvariant, double credit, int runs) {}
 
--- a/simulation/src/main/java/pearladder/simulation/ObservationRecorder.java
+++ b/simulation/src/main/java/pearladder/simulation/ObservationRecorder.java
@@ -11,7 +11,7 @@
 
 /** Keeps all observations of a run in memory, with a digest by which two runs can be compared. */
 final class ObservationRecorder implements Consumer<Observation> {
-    /** 16 of the 64 hexadecimal digits of SHA-256 are told. */
+    /** 16 of the 64 hexadecimal digits of SHA-256 are reported. */
     private static final int DIGEST_LENGTH = 16;
 
     private final List<Observation> observations = new ArrayList<>();
--- a/simulation/src/main/java/pearladder/simulation/SimulatedExchange.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedExchange.java
@@ -19,7 +19,7 @@
         PendingRequest start(Consumer<WorkerReply> replyTo);
     }
 
-    /** Told once how the exchange ended. */
+    /** Notified once of how the exchange ended. */
     interface Listener {
         /** The reply is null where none came. */
         void onEnded(Outcome outcome, WorkerReply reply);
@@ -145,8 +145,8 @@
         });
     }
 
-    /** The router has died: the connection closes and nobody is told. */
-    void abandon() {
+    /** The router has died: the connection closes without notifying the listener. */
+    void closeSilently() {
         if (sent) {
             over = true;
             path.unregister(this);
--- a/simulation/src/main/java/pearladder/simulation/SimulatedFleet.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedFleet.java
@@ -25,7 +25,7 @@
     private static final String HOST = "virtual";
 
     private static final int PORT = 1;
-    /** The start time told of a worker that was warm when the simulation began. */
+    /** The reported start time of a worker that was warm when the simulation began. */
     private static final long STARTED_BEFORE = 0;
 
     private final Timeline time;
@@ -74,7 +74,7 @@
 
     private void add(FleetPlan.PlannedWorker planned, boolean coldStart) {
         WorkerModel worker = workerFactory.create(planned, coldStart);
-        paths.put(planned.id(), new SimulatedNetworkPath(time, networkDelayNanos, worker, planned.hall()));
+        paths.put(planned.id(), new SimulatedNetworkPath(time, networkDelayNanos, worker, planned.zone()));
         plannedWorkers.put(planned.id(), planned);
         announce(planned.id(), WorkerState.IN_SERVICE, coldStart ? nowMillis() : STARTED_BEFORE);
     }
@@ -86,15 +86,15 @@
     private void announce(String id, WorkerState state, long startedMillis) {
         FleetPlan.PlannedWorker worker = plannedWorkers.get(id);
         registry.change(
-                new Entry(id, HOST, PORT, worker.hall(), worker.kind().name(), worker.cell(), state, startedMillis));
+                new Entry(id, HOST, PORT, worker.zone(), worker.kind().name(), worker.cell(), state, startedMillis));
     }
 
-    /** Workers that take requests, of a hall or of all where the hall is empty. */
-    List<String> inService(String hall) {
+    /** Workers that take requests, of a zone or of all where the zone is empty. */
+    List<String> inService(String zone) {
         List<String> ids = new ArrayList<>();
         paths.forEach((id, path) -> {
             boolean inService = path.worker.isUp() && !path.worker.isDraining();
-            if (inService && (hall.isEmpty() || path.hall.equals(hall))) {
+            if (inService && (zone.isEmpty() || path.zone.equals(zone))) {
                 ids.add(id);
             }
         });
--- a/simulation/src/main/java/pearladder/simulation/SimulatedHost.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedHost.java
@@ -19,7 +19,7 @@
     }
 
     final String name;
-    final String hall;
+    final String zone;
     private final Timeline time;
     private final Supplier<List<RolloutTarget>> peerTargets;
     private final RouterFactory routerFactory;
@@ -36,12 +36,12 @@
     /** @param peerTargets the rollout targets that the other routers know */
     SimulatedHost(
             String name,
-            String hall,
+            String zone,
             Timeline time,
             Supplier<List<RolloutTarget>> peerTargets,
             RouterFactory routerFactory) {
         this.name = name;
-        this.hall = hall;
+        this.zone = zone;
         this.time = time;
         this.peerTargets = peerTargets;
         this.routerFactory = routerFactory;
--- a/simulation/src/main/java/pearladder/simulation/SimulatedNetworkPath.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedNetworkPath.java
@@ -20,7 +20,7 @@
     }
 
     final WorkerModel worker;
-    final String hall;
+    final String zone;
     private final Timeline time;
     private final long delayNanos;
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
@@ -35,11 +35,11 @@
     private boolean truncating;
     private boolean misnaming;
 
-    SimulatedNetworkPath(Timeline time, long delayNanos, WorkerModel worker, String hall) {
+    SimulatedNetworkPath(Timeline time, long delayNanos, WorkerModel worker, String zone) {
         this.time = time;
         this.delayNanos = delayNanos;
         this.worker = worker;
-        this.hall = hall;
+        this.zone = zone;
     }
 
     /** Sends a message to the worker. */
@@ -126,7 +126,7 @@
         }
     }
 
-    /** The exchange is told of resets from now on. */
+    /** The exchange is notified of resets from now on. */
     void register(Exchange exchange) {
         exchanges.add(exchange);
     }
--- a/simulation/src/main/java/pearladder/simulation/SimulatedRouter.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedRouter.java
@@ -171,10 +171,10 @@
     /** Killed: its connections to clients and workers break, and no task of it runs any more. */
     void die() {
         dead = true;
-        workerClient.abandonAll();
+        workerClient.closeAll();
         List.copyOf(openExchanges).forEach(ClientExchange::breakOff);
         openExchanges.clear();
-        discovery.abandon();
+        discovery.closeSilently();
     }
 
     /** A client sends a request, which arrives after the network's delay. */
@@ -262,7 +262,7 @@
         discovery.reset();
     }
 
-    /** What the discovery service tells goes to the policy, and the list to the host's disk. */
+    /** Discovery messages go to the policy, and the list to the host's disk. */
     private final class EndpointListener implements DiscoveryWatch.Listener {
         @Override
         public void onMessage(DiscoveryMessage message) {
--- a/simulation/src/main/java/pearladder/simulation/SimulatedRouters.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedRouters.java
@@ -56,12 +56,12 @@
      */
     SimulatedHost addHost(int number) throws IOException {
         String name = "r" + (number + 1);
-        String hall = plan.zones().get(number % plan.zones().size());
-        RouterConfig config = configOf(name, hall, number);
+        String zone = plan.zones().get(number % plan.zones().size());
+        RouterConfig config = configOf(name, zone, number);
         RouterEnvironment environment =
                 new RouterEnvironment(time, fleet, plan.network().delay(), text -> logs.add(name, text));
         SimulatedHost host =
-                new SimulatedHost(name, hall, time, () -> targetsKnownBesides(name), (self, incarnation) -> {
+                new SimulatedHost(name, zone, time, () -> targetsKnownBesides(name), (self, incarnation) -> {
                     long seed = plan.seed() * SEED_PER_SCENARIO + number * SEED_PER_ROUTER + incarnation;
                     RoutingPolicy policy = policyFactory.create(seed, config.routingSettings());
                     return new SimulatedRouter(self, config, policy, environment);
@@ -71,12 +71,12 @@
     }
 
     /** A router's configuration file, checked as the router checks its own. */
-    private RouterConfig configOf(String name, String hall, int number) throws IOException {
+    private RouterConfig configOf(String name, String zone, int number) throws IOException {
         ObjectNode file = script.get("router").deepCopy();
         ObjectNode router = file.withObject("/router");
         router.put("name", name)
                 .put("listen", "127.0.0.1:0")
-                .put("hall", hall)
+                .put("hall", zone)
                 .put("number", number)
                 .put("data", "none");
         if (!router.has("peers")) {
@@ -104,10 +104,10 @@
         return hosts.values();
     }
 
-    /** The names of the routers of a hall, or of all where the hall is empty. */
-    List<String> namesIn(String hall) {
+    /** The names of the routers of a zone, or of all where the zone is empty. */
+    List<String> namesIn(String zone) {
         return hosts.values().stream()
-                .filter(host -> hall.isEmpty() || host.hall.equals(hall))
+                .filter(host -> zone.isEmpty() || host.zone.equals(zone))
                 .map(host -> host.name)
                 .toList();
     }
--- a/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulatedWorkerClient.java
@@ -18,7 +18,7 @@
 
 /**
  * One router's client of the workers over the virtual network. It behaves as the HTTP client does with sockets:
- * connections are kept or made, and an outcome is only told where it is certain.
+ * connections are kept or made, and an outcome is only reported where it is certain.
  */
 final class SimulatedWorkerClient implements WorkerClient {
     private final SimulatedRouter router;
@@ -29,7 +29,7 @@
     private final Map<String, SimulatedConnectionPool> poolsByWorker = new HashMap<>();
     private final Set<SimulatedExchange> exchanges = new LinkedHashSet<>();
 
-    /** @param onOverloadCrash told the id of a worker that a request made crash */
+    /** @param onOverloadCrash called with the id of a worker that a request made crash */
     SimulatedWorkerClient(
             SimulatedRouter router,
             String routerName,
@@ -81,8 +81,8 @@
     }
 
     /** The router dies: all its connections close. */
-    void abandonAll() {
-        List.copyOf(exchanges).forEach(SimulatedExchange::abandon);
+    void closeAll() {
+        List.copyOf(exchanges).forEach(SimulatedExchange::closeSilently);
     }
 
     private SimulatedExchange start(
--- a/simulation/src/main/java/pearladder/simulation/Simulation.java
+++ b/simulation/src/main/java/pearladder/simulation/Simulation.java
@@ -43,15 +43,15 @@
      *
      * @param digest of all observations in their order
      * @param credit share of the attainable credit that the clients got, 0 to 1
-     * @param worst the credit of the worst window
-     * @param calls requests that clients sent
+     * @param worstWindowCredit the credit of the worst window
+     * @param requests requests that clients sent
      * @param loads loads that ended
-     * @param p50 median latency in milliseconds
-     * @param p99 99th percentile of the latency in milliseconds
+     * @param p50Millis median latency in milliseconds
+     * @param p99Millis 99th percentile of the latency in milliseconds
      * @param events tasks that the virtual clock ran
      * @param decisions routing decisions of all routers
-     * @param decidedNanos time of this machine that the decisions took
-     * @param told entries of endpoint lists that routers were sent
+     * @param decisionNanos time of this machine that the decisions took
+     * @param endpointsSent entries of endpoint lists that routers were sent
      * @param wallSeconds time of this machine that the run took
      * @param table lines for people to read
      * @param verdict of the invariant checker
@@ -196,7 +196,7 @@
     private void startRouters() throws IOException {
         for (int number = 0; number < plan.routers(); number++) {
             SimulatedHost host = routers.addHost(number);
-            loadBalancer.add(host.name, host.hall, number);
+            loadBalancer.add(host.name, host.zone, number);
         }
         routers.hosts().forEach(SimulatedHost::start);
     }
@@ -251,13 +251,13 @@
         private final Map<String, Long> pausedSince = new HashMap<>();
 
         @Override
-        public List<String> runningWorkers(String hall) {
-            return fleet.inService(hall);
+        public List<String> runningWorkers(String zone) {
+            return fleet.inService(zone);
         }
 
         @Override
-        public List<String> routers(String hall) {
-            return routers.namesIn(hall);
+        public List<String> routers(String zone) {
+            return routers.namesIn(zone);
         }
 
         @Override
--- a/simulation/src/test/java/pearladder/simulation/SimulationTest.java
+++ b/simulation/src/test/java/pearladder/simulation/SimulationTest.java
@@ -65,7 +65,7 @@
 
     /** Regression test: an attempt abandoned during a cut reached its worker when the cut was over. */
     @Test
-    void attemptAbandonedDuringACutNeverArrives() throws IOException {
+    void attemptCancelledDuringACutNeverArrives() throws IOException {
         ObjectNode script = SmallScenario.script();
         script.remove("releases");
         script.withObject("/day").put("lasting", "20 s");
--- a/simulator-adapter/src/test/java/pearladder/simulator/SimulatorAdapterTest.java
+++ b/simulator-adapter/src/test/java/pearladder/simulator/SimulatorAdapterTest.java
@@ -62,8 +62,8 @@
 
     private String serve(String... lines) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        new SimulatorAdapter((seed, told) -> {
-                    facts.add(told);
+        new SimulatorAdapter((seed, settings) -> {
+                    facts.add(settings);
                     return (now, event) -> {
                         events.add(event);
                         return answer;
@@ -133,7 +133,7 @@
     void failureInsideThePolicyIsReportedOnce() throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         String lines = "[\"Frame\",5]\n" + BEGIN + "\n[\"Due\",3,\"x\"]\n[\"Due\",3,\"y\"]\n[\"Commit\"]";
-        new SimulatorAdapter((seed, told) -> (now, event) -> {
+        new SimulatorAdapter((seed, settings) -> (now, event) -> {
                     throw new IllegalStateException("broken");
                 })
                 .serve(new ByteArrayInputStream(lines.getBytes(StandardCharsets.UTF_8)), out);
--- a/testbed/src/main/java/pearladder/testbed/ColdStartCheck.java
+++ b/testbed/src/main/java/pearladder/testbed/ColdStartCheck.java
@@ -11,7 +11,7 @@
 
 /**
  * Checks that routers do not overload a worker that they know has just started: where one fell over, less than two
- * thirds of the attempts that reached it shortly before may come from routers that had been told of its start.
+ * thirds of the attempts that reached it shortly before may come from routers that had been informed of its start.
  */
 final class ColdStartCheck {
     private final InvariantSettings settings;
@@ -47,7 +47,7 @@
     }
 
     private void arrived(Observation seen) {
-        findings.looked(Invariant.COLD_WORKER_NOT_OVERLOADED);
+        findings.recordChecked(Invariant.COLD_WORKER_NOT_OVERLOADED);
         Deque<Observation> recent = recentArrivals.computeIfAbsent(seen.worker(), worker -> new ArrayDeque<>());
         recent.add(seen);
         while (seen.at() - recent.peek().at() > settings.overloadWindow()) {
@@ -61,7 +61,7 @@
         if (informed * 3 < recent.size() * 2L) {
             return;
         }
-        findings.breach(
+        findings.recordViolation(
                 Invariant.COLD_WORKER_NOT_OVERLOADED,
                 fell.at(),
                 fell.worker() + " fell over at " + String.format(Locale.ROOT, "%.1f", fell.value())
--- a/testbed/src/main/java/pearladder/testbed/ComparisonSection.java
+++ b/testbed/src/main/java/pearladder/testbed/ComparisonSection.java
@@ -125,7 +125,7 @@
         page.markup("<h2>What grows with the fleet</h2><table><tr><th>engines<th>routers<th>credit"
                 + "<th>loads for 1000 calls<th>a decision, us<th>decisions, share of a router's core"
                 + "<th>list entries a second and router<th>events a second<th>wall, s, for a minute</tr>");
-        bySize.forEach((engines, run) -> page.markup(growthRow(engines, run)));
+        bySize.forEach((workers, run) -> page.markup(growthRow(workers, run)));
         page.markup("</table>");
         appendCurve(bySize, "/credit", "Credit", "credit earned of credit asked for");
         appendCurve(bySize, "/growth/loads_per_1000", "Loads for each 1000 calls", "loads");
@@ -133,13 +133,13 @@
         appendCurve(bySize, "/growth/told_per_second", "List traffic to each router", "entries a second");
     }
 
-    private static String growthRow(int engines, JsonNode run) {
+    private static String growthRow(int workers, JsonNode run) {
         JsonNode growth = run.path("growth");
         double wallSeconds = growth.path("wall_s").asDouble();
         return String.format(
                 Locale.ROOT,
                 "<tr><td>%d<td>%d<td>%.3f<td>%.1f<td>%.1f<td>%.4f<td>%.1f<td>%.0f<td>%.1f</tr>",
-                engines,
+                workers,
                 run.path("routers").asInt(),
                 run.path("credit").asDouble(),
                 growth.path("loads_per_1000").asDouble(),
--- a/testbed/src/main/java/pearladder/testbed/DrainCheck.java
+++ b/testbed/src/main/java/pearladder/testbed/DrainCheck.java
@@ -6,7 +6,7 @@
 import pearladder.emulator.Observation;
 import pearladder.testbed.InvariantChecker.Invariant;
 
-/** Checks that a router sends nothing new to a worker that it was told is draining or gone, after a grace. */
+/** Checks that a router sends nothing new to a worker that was reported to it as draining or gone, after a grace. */
 final class DrainCheck {
     private static final String IN_SERVICE = "IN_SERVICE";
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -14,7 +14,7 @@
     private final InvariantSettings settings;
     private final long slack;
     private final CheckFindings findings;
-    /** What each router was told of each worker, from the moment of the last change on. */
+    /** The state of each worker that was last reported to each router, from the time of the last change on. */
     private final Map<RouterAndWorker, Observation> states = new HashMap<>();
 
     /**
@@ -54,15 +54,17 @@
     }
 
     private void checkSent(Observation seen, String what) {
-        findings.looked(Invariant.DRAIN_RESPECTED);
-        Observation told = states.get(RouterAndWorker.of(seen));
-        if (told == null || told.note().equals(IN_SERVICE) || seen.at() <= told.at() + settings.drainGrace() + slack) {
+        findings.recordChecked(Invariant.DRAIN_RESPECTED);
+        Observation lastState = states.get(RouterAndWorker.of(seen));
+        if (lastState == null
+                || lastState.note().equals(IN_SERVICE)
+                || seen.at() <= lastState.at() + settings.drainGrace() + slack) {
             return;
         }
-        findings.breach(
+        findings.recordViolation(
                 Invariant.DRAIN_RESPECTED,
                 seen.at(),
                 seen.router() + " sent " + what + " to " + seen.worker() + " "
-                        + (seen.at() - told.at()) / NANOS_PER_MILLI + " ms after it was told " + told.note());
+                        + (seen.at() - lastState.at()) / NANOS_PER_MILLI + " ms after it was told " + lastState.note());
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/Experiment.java
+++ b/testbed/src/main/java/pearladder/testbed/Experiment.java
@@ -59,7 +59,11 @@
         this.progress = progress;
     }
 
-    /** Only reads a file and its base; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake. */
+    /**
+     * Only reads a file and its base.
+     *
+     * @throws pearladder.config.ConfigErrors.ConfigException with every mistake
+     */
     public static void check(Path file) {
         ScenarioPlan.read(ExperimentPlan.read(file).base());
     }
@@ -152,7 +156,7 @@
     private ObjectNode script(ExperimentPlan.Run run) throws IOException {
         ObjectNode script = (ObjectNode) YAML.readTree(plan.base().toFile());
         script.withObject("/day").put("seed", run.seed()).put("name", run.label());
-        ScenarioScripts.resize(script, run.engines(), run.routers(), run.rate());
+        ScenarioScripts.resize(script, run.workers(), run.routers(), run.rate());
         if (run.faults() == ExperimentPlan.Faults.NONE) {
             script.remove("troubles");
         }
--- a/testbed/src/main/java/pearladder/testbed/ExperimentPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ExperimentPlan.java
@@ -23,19 +23,19 @@
 
     private static final String POLICY = "module";
     private static final String RANDOM_POLICY = "random";
-    private static final int MAX_ENGINES = 10_000;
+    private static final int MAX_WORKERS = 10_000;
     private static final int MAX_ROUTERS = 64;
 
     /** Numbers of workers and routers that are varied together. */
-    private record Size(int engines, int routers) {}
+    private record Size(int workers, int routers) {}
 
     /** One run; 0 or a NaN keeps what the script says. */
-    record Run(String policy, int engines, int routers, double rate, double speed, Faults faults, int seed) {
+    record Run(String policy, int workers, int routers, double rate, double speed, Faults faults, int seed) {
         /** A folder's name; runs that differ only in their seed differ only behind the last dot. */
         String label() {
             StringBuilder label = new StringBuilder(policy);
-            if (engines > 0) {
-                label.append("-e").append(engines);
+            if (workers > 0) {
+                label.append("-e").append(workers);
             }
             if (routers > 0) {
                 label.append("-r").append(routers);
@@ -102,7 +102,7 @@
             for (double speed : speeds) {
                 for (Faults faultChoice : faults) {
                     seeds.forEach(seed ->
-                            runs.add(new Run(policy, size.engines(), size.routers(), rate, speed, faultChoice, seed)));
+                            runs.add(new Run(policy, size.workers(), size.routers(), rate, speed, faultChoice, seed)));
                 }
             }
         }
@@ -113,13 +113,13 @@
     private static List<Size> sizes(ConfigValue vary) {
         List<Size> sizes = new ArrayList<>(vary.at("sizes")
                 .each(size -> new Size(
-                        size.at("engines").whole(1, 1, MAX_ENGINES),
+                        size.at("engines").whole(1, 1, MAX_WORKERS),
                         size.at("routers").whole(1, 1, MAX_ROUTERS))));
-        List<Integer> engines = orElse(vary.at("engines").each(value -> value.whole(1, MAX_ENGINES)), 0);
+        List<Integer> workers = orElse(vary.at("engines").each(value -> value.whole(1, MAX_WORKERS)), 0);
         List<Integer> routers = orElse(vary.at("routers").each(value -> value.whole(1, MAX_ROUTERS)), 0);
         if (sizes.isEmpty()) {
-            engines.forEach(count -> routers.forEach(number -> sizes.add(new Size(count, number))));
-        } else if (engines.get(0) > 0 || routers.get(0) > 0) {
+            workers.forEach(count -> routers.forEach(number -> sizes.add(new Size(count, number))));
+        } else if (workers.get(0) > 0 || routers.get(0) > 0) {
             vary.at("sizes")
                     .addMistake("sizes are listed, and engines or routers beside them", "keep one of the two ways");
         }
--- a/testbed/src/main/java/pearladder/testbed/FaultInjector.java
+++ b/testbed/src/main/java/pearladder/testbed/FaultInjector.java
@@ -9,7 +9,7 @@
 import pearladder.testbed.ScenarioPlan.Fault;
 
 /**
- * Turns the faults and rollout orders of a script into actions at moments. Which workers, routers or models a fault
+ * Turns the faults and rollout orders of a script into timed actions. Which workers, routers or models a fault
  * affects is drawn from the scenario's seed when it starts, among those that run then. Not thread-safe.
  */
 public final class FaultInjector {
@@ -28,7 +28,7 @@
          * @param model the models that it concerns, or empty
          * @param figure its meaning is the command's
          */
-        void commandWorkers(String what, List<String> engines, String model, double figure);
+        void commandWorkers(String what, List<String> workers, String model, double figure);
 
         /** Kills a router outright. */
         void killRouter(String router);
@@ -113,7 +113,7 @@
         world.giveRolloutOrder(order);
     }
 
-    /** Draws a share of some things, one at the least unless the share is 0. */
+    /** Draws a share of some items, one at the least unless the share is 0. */
     private <T> List<T> draw(List<T> from, double share) {
         List<T> left = new ArrayList<>(from);
         List<T> drawn = new ArrayList<>();
@@ -213,7 +213,7 @@
         at(endOf(fault), () -> routers.forEach(world::startRouter));
     }
 
-    /** Every second router is told that the workers are gone. */
+    /** Every second router gets an endpoint list without the workers. */
     private void splitRegistry(Fault fault, List<String> workers) {
         List<String> routers = world.routers("");
         List<String> misled = new ArrayList<>();
@@ -224,7 +224,7 @@
         at(endOf(fault), () -> world.commandWorkers(SPLIT_REGISTRY, workers, "", 0));
     }
 
-    /** Replaces workers in steps; each drains for half a step, which the command is told in milliseconds. */
+    /** Replaces workers in steps; each drains for half a step, which the command is given in milliseconds. */
     private void deploy(Fault fault, List<String> workers) {
         int atOnce = (int) Math.max(1, Math.floor(world.runningWorkers("").size() * DEPLOYMENT_STEP_SHARE));
         int steps = (workers.size() + atOnce - 1) / atOnce;
--- a/testbed/src/main/java/pearladder/testbed/FinalAnswerCheck.java
+++ b/testbed/src/main/java/pearladder/testbed/FinalAnswerCheck.java
@@ -53,21 +53,21 @@
                 || request.endedUnanswered(ObservedRequest.LEFT)) {
             return;
         }
-        findings.looked(Invariant.ONE_ANSWER);
+        findings.recordChecked(Invariant.ONE_ANSWER);
         String what = "call " + request.id() + " (" + request.requestClass() + ") at " + request.router();
         Observation end = request.end();
         long deadline = request.deadline();
         if (request.isUnanswered()) {
-            findings.breach(Invariant.ONE_ANSWER, deadline, what + " got no final answer: " + end.note());
+            findings.recordViolation(Invariant.ONE_ANSWER, deadline, what + " got no final answer: " + end.note());
         } else if (end.at() - clientPaused(deadline, end.at()) > deadline + settings.answerGrace() + slack) {
-            findings.breach(
+            findings.recordViolation(
                     Invariant.ONE_ANSWER,
                     end.at(),
                     what + " was " + end.note() + " " + (end.at() - deadline) / NANOS_PER_MILLI
                             + " ms after the client's time was up");
         }
         if (request.hasSeveralAnswers()) {
-            findings.breach(Invariant.ONE_ANSWER, end.at(), what + " got more than one final answer");
+            findings.recordViolation(Invariant.ONE_ANSWER, end.at(), what + " got more than one final answer");
         }
     }
 
@@ -78,7 +78,7 @@
                 .anyMatch(outage -> outage.at() + (long) outage.value() >= from && outage.at() <= until);
     }
 
-    /** For how long the client itself was paused between a deadline and the moment at which it saw the answer. */
+    /** For how long the client itself was paused between a deadline and the time at which it saw the answer. */
     private long clientPaused(long deadline, long seenAt) {
         long sum = 0;
         for (Observation pause : clientPauses.tailMap(deadline, true).values()) {
--- a/testbed/src/main/java/pearladder/testbed/InvariantChecker.java
+++ b/testbed/src/main/java/pearladder/testbed/InvariantChecker.java
@@ -42,27 +42,27 @@
         }
     }
 
-    /** Breaches listed one by one in a table; the others are only counted. */
-    private static final int BREACHES_LISTED = 20;
+    /** Violations listed one by one in a table; the others are only counted. */
+    private static final int VIOLATIONS_LISTED = 20;
 
     /**
-     * One breach.
+     * One violation.
      *
      * @param at nanoseconds of the observations' clock
-     * @param description happened
+     * @param description of what happened
      */
     public record Violation(Invariant rule, long at, String description) {}
 
     /**
      * The result of a check.
      *
-     * @param breaches in the order of time
-     * @param looked how many things each rule looked at, so that a check that saw nothing can't pass for one that found
-     *     nothing
+     * @param violations in the order of time
+     * @param checkedCounts how many items each rule examined, so that a check that saw nothing can't pass for one that
+     *     found nothing
      */
     public record Verdict(List<Violation> violations, Map<Invariant, Long> checkedCounts) {
         /**
-         * A line for each rule, and the first breaches.
+         * A line for each rule, and the first violations.
          *
          * @param startedAt start of the scenario on the observations' clock, in nanoseconds
          */
@@ -73,9 +73,9 @@
                 lines.add(String.format(
                         Locale.ROOT, "%-46s %s", rule.description(), unset ? "no ration is set" : result(rule)));
             }
-            for (Violation breach : violations.subList(0, Math.min(BREACHES_LISTED, violations.size()))) {
+            for (Violation violation : violations.subList(0, Math.min(VIOLATIONS_LISTED, violations.size()))) {
                 lines.add(String.format(
-                        Locale.ROOT, "  at %.3f s: %s", (breach.at() - startedAt) / 1e9, breach.description()));
+                        Locale.ROOT, "  at %.3f s: %s", (violation.at() - startedAt) / 1e9, violation.description()));
             }
             return lines;
         }
@@ -86,26 +86,28 @@
                     + " looked at";
         }
 
-        /** How many breaches of a rule were found. */
+        /** How many violations of a rule were found. */
         long broken(Invariant rule) {
-            return violations.stream().filter(breach -> breach.rule() == rule).count();
+            return violations.stream()
+                    .filter(violation -> violation.rule() == rule)
+                    .count();
         }
     }
 
     private final InvariantSettings rules;
     private final long slack;
-    private final Map<String, String> places;
+    private final Map<String, String> workerLocations;
 
     /**
      * Creates a checker.
      *
      * @param slack nanoseconds granted for sockets and pauses
-     * @param places zone and cell of each worker, "zone/cell"
+     * @param workerLocations zone and cell of each worker, "zone/cell"
      */
-    public InvariantChecker(InvariantSettings rules, long slack, Map<String, String> places) {
+    public InvariantChecker(InvariantSettings rules, long slack, Map<String, String> workerLocations) {
         this.rules = rules;
         this.slack = slack;
-        this.places = places;
+        this.workerLocations = workerLocations;
     }
 
     /** Checks a whole run; the observations may come in any order. */
@@ -116,7 +118,7 @@
         Map<String, ObservedRequest> requests = ObservedRequest.of(inOrder);
         CheckFindings findings = new CheckFindings();
         new FinalAnswerCheck(rules, slack, findings).check(inOrder, requests.values());
-        new SingleEffectCheck(rules, slack, places, findings).check(inOrder, requests);
+        new SingleEffectCheck(rules, slack, workerLocations, findings).check(inOrder, requests);
         new DrainCheck(rules, slack, findings).check(inOrder);
         new ColdStartCheck(rules, slack, findings).check(inOrder);
         new LoadQuotaCheck(rules, slack, findings).check(inOrder, requests);
--- a/testbed/src/main/java/pearladder/testbed/InvariantSettings.java
+++ b/testbed/src/main/java/pearladder/testbed/InvariantSettings.java
@@ -8,10 +8,10 @@
  *
  * @param requestClasses the request classes, by their names
  * @param answerGrace how long after its deadline a request may be answered
- * @param drainGrace how long after a router was told that a worker drains or is gone it may send something new there
+ * @param drainGrace how long after a router learned that a worker drains or is gone it may send something new there
  * @param warmUpTime how long after its start a worker warms up
  * @param overloadWindow the span over which a worker that warms up is overloaded
- * @param quotaFree loads within a window that each router may order in any case
+ * @param quotaFree loads within a window that each router may request in any case
  * @param quotaShare further loads for each request to the router within the window
  * @param quotaWindow 0 where there is no load quota
  */
--- a/testbed/src/main/java/pearladder/testbed/LoadGenerator.java
+++ b/testbed/src/main/java/pearladder/testbed/LoadGenerator.java
@@ -21,16 +21,16 @@
             void cancel();
         }
 
-        /** Sends a request; what comes of it is told to the listener once. */
+        /** Sends a request; the listener is notified of its end once. */
         SentRequest send(Request request, ResponseListener heard);
     }
 
     /**
      * One attempt of a client as its router gets it.
      *
-     * @param mark the idempotency key; empty where there is none
-     * @param repeat whether an earlier attempt of the same request was sent
-     * @param patience nanoseconds until its deadline
+     * @param idempotencyKey the idempotency key; empty where there is none
+     * @param isRetry whether an earlier attempt of the same request was sent
+     * @param timeToDeadline nanoseconds until its deadline
      */
     public record Request(
             ClientLoadBalancer.Target target,
--- a/testbed/src/main/java/pearladder/testbed/LoadGeneratorPool.java
+++ b/testbed/src/main/java/pearladder/testbed/LoadGeneratorPool.java
@@ -29,8 +29,9 @@
             ObservationLog observations) {
         this.observations = observations;
         this.finished = new CountDownLatch(plan.clients().lanes());
-        RequestFeed feed = new RequestFeed(source, plan.clients().lanes());
-        for (RequestFeed.Lane requests : feed.lanes()) {
+        RequestDistributor distributor =
+                new RequestDistributor(source, plan.clients().lanes());
+        for (RequestDistributor.Lane requests : distributor.lanes()) {
             Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
             HttpClientDriver driver = new HttpClientDriver(vertx);
             LoadGenerator generator = new LoadGenerator(
--- a/testbed/src/main/java/pearladder/testbed/LoadQuotaCheck.java
+++ b/testbed/src/main/java/pearladder/testbed/LoadQuotaCheck.java
@@ -10,7 +10,7 @@
 import pearladder.testbed.InvariantChecker.Invariant;
 
 /**
- * Checks that each router orders no more loads within a window than a free number and a share of the requests that
+ * Checks that each router requests no more loads within a window than a free number and a share of the requests that
  * clients sent to it. The slack narrows the window of the loads and widens that of the requests.
  */
 final class LoadQuotaCheck {
@@ -57,7 +57,7 @@
     }
 
     private void checkLoad(Observation ordered) {
-        findings.looked(Invariant.LOAD_QUOTA_KEPT);
+        findings.recordChecked(Invariant.LOAD_QUOTA_KEPT);
         Deque<Long> loads = times(loadTimes, ordered.router());
         Deque<Long> requests = times(requestTimes, ordered.router());
         loads.add(ordered.at());
@@ -69,7 +69,7 @@
         }
         double quota = settings.quotaFree() + settings.quotaShare() * requests.size();
         if (loads.size() > quota) {
-            findings.breach(
+            findings.recordViolation(
                     Invariant.LOAD_QUOTA_KEPT,
                     ordered.at(),
                     ordered.router() + " gave " + loads.size()
--- a/testbed/src/main/java/pearladder/testbed/QueueCost.java
+++ b/testbed/src/main/java/pearladder/testbed/QueueCost.java
@@ -19,8 +19,8 @@
     private static final int EVENTS_PER_STEP = 1000;
 
     /**
-     * Buckets ("days") of a fixed width in a ring; the width is set for a few events in each, from the mean span and
-     * the size.
+     * A calendar queue: buckets ("days") of a fixed width in a ring; the width is set for a few events in each, from
+     * the mean span and the size.
      */
     private static final class Calendar {
         private final List<List<long[]>> days;
--- a/testbed/src/main/java/pearladder/testbed/RequestFeed.java
+++ b/testbed/src/main/java/pearladder/testbed/RequestDistributor.java
@@ -10,8 +10,8 @@
  * modulo their number. The sequence is the source's whatever the number of lanes; only who sends a request depends on
  * it. Thread-safe.
  */
-final class RequestFeed {
-    /** What one event loop sends, in the order of the requests' moments. */
+final class RequestDistributor {
+    /** What one event loop sends, in the order of the requests' due times. */
     final class Lane implements RequestSource {
         private final Queue<ScheduledRequest> waiting = new ArrayDeque<>();
 
@@ -19,7 +19,7 @@
 
         @Override
         public ScheduledRequest next() {
-            synchronized (RequestFeed.this) {
+            synchronized (RequestDistributor.this) {
                 while (waiting.isEmpty() && !exhausted) {
                     distributeNext();
                 }
@@ -32,7 +32,7 @@
     private final List<Lane> lanes = new ArrayList<>();
     private boolean exhausted;
 
-    RequestFeed(RequestSource source, int lanes) {
+    RequestDistributor(RequestSource source, int lanes) {
         this.source = source;
         for (int i = 0; i < lanes; i++) {
             this.lanes.add(new Lane());
--- a/testbed/src/main/java/pearladder/testbed/RequestSource.java
+++ b/testbed/src/main/java/pearladder/testbed/RequestSource.java
@@ -1,6 +1,6 @@
 package pearladder.testbed;
 
-/** Where the requests of a scenario come from, in the order of their moments. */
+/** Where the requests of a scenario come from, in the order of their due times. */
 public interface RequestSource {
     /**
      * One request.
@@ -8,7 +8,7 @@
      * @param dueAfter nanoseconds after the start of the scenario
      * @param number from 0 on, in the order of the source
      * @param requestClass the request class
-     * @param account the tenant; empty for none
+     * @param tenant the tenant; empty for none
      * @param zone the zone of its client
      * @param work on a standard core, in nanoseconds
      * @param patience the share of the deadline that each attempt is given, 0 to 1
--- a/testbed/src/main/java/pearladder/testbed/Results.java
+++ b/testbed/src/main/java/pearladder/testbed/Results.java
@@ -59,9 +59,9 @@
         rejectionCauses(observations).forEach(causes::put);
         putFaults(results.putArray("troubles"), observations, startedAt);
         ArrayNode rules = results.putArray("rules");
-        verdict.checkedCounts().forEach((rule, looked) -> rules.addObject()
+        verdict.checkedCounts().forEach((rule, count) -> rules.addObject()
                 .put("rule", rule.description())
-                .put("looked", looked)
+                .put("looked", count)
                 .put("broken", verdict.broken(rule)));
         ArrayNode lines = results.putArray("table");
         table.forEach(lines::add);
--- a/testbed/src/main/java/pearladder/testbed/RolloutScript.java
+++ b/testbed/src/main/java/pearladder/testbed/RolloutScript.java
@@ -14,7 +14,7 @@
 import pearladder.config.ConfigValue;
 import pearladder.rollout.RolloutTarget;
 
-/** The operators of a scenario: orders on rollouts, given at their moments to every router at its admin port. */
+/** The operators of a scenario: orders on rollouts, given at their times to every router at its admin port. */
 public final class RolloutScript {
     /** Kinds of orders, by the words of scripts. */
     public enum OrderType {
@@ -131,7 +131,7 @@
         return rejections;
     }
 
-    /** The targets of an order, for routers that are told them without HTTP. */
+    /** The targets of an order, for routers that receive them without HTTP. */
     public List<RolloutTarget> nextTargets(Order order) {
         return order.models().stream()
                 .map(model -> JSON.convertValue(next(order, model), RolloutTarget.class))
--- a/testbed/src/main/java/pearladder/testbed/RouterProcesses.java
+++ b/testbed/src/main/java/pearladder/testbed/RouterProcesses.java
@@ -46,7 +46,7 @@
      *
      * @param folder for the routers' configuration and data
      * @param arguments further words of each router's command line
-     * @param observations is told when a router starts or is killed
+     * @param observations is notified when a router starts or is killed
      */
     RouterProcesses(
             ScenarioPlan plan,
--- a/testbed/src/main/java/pearladder/testbed/RunSection.java
+++ b/testbed/src/main/java/pearladder/testbed/RunSection.java
@@ -73,8 +73,8 @@
         int number = 0;
         for (JsonNode fault : run.path("troubles")) {
             double at = fault.path("at_s").asDouble();
-            XYSeries mark = chart.addSeries("trouble " + number++, List.of(at, at), List.of(0.0, TOP_OF_SHARES));
-            mark.setMarker(SeriesMarkers.NONE).setLineColor(FAULT_COLOR).setLineWidth(1);
+            XYSeries faultLine = chart.addSeries("trouble " + number++, List.of(at, at), List.of(0.0, TOP_OF_SHARES));
+            faultLine.setMarker(SeriesMarkers.NONE).setLineColor(FAULT_COLOR).setLineWidth(1);
         }
         return chart;
     }
--- a/testbed/src/main/java/pearladder/testbed/Scenario.java
+++ b/testbed/src/main/java/pearladder/testbed/Scenario.java
@@ -28,7 +28,7 @@
      *
      * @param credit share of the priority weight asked for that was earned, 0 to 1
      * @param worstWindow the least such share in any ten seconds
-     * @param calls requests that ended
+     * @param requests requests that ended
      * @param table lines for people
      * @param faults what went wrong beside the invariants
      */
@@ -192,12 +192,13 @@
     }
 
     private void printHowToTry() {
-        int engines = plan.fleet().workers().size();
-        progress.println("running: " + engines + " engines, " + plan.routers() + " routers; while it runs, try");
+        int workerCount = plan.fleet().workers().size();
+        progress.println("running: " + workerCount + " engines, " + plan.routers() + " routers; while it runs, try");
         ScenarioPlan.Flow flow = plan.flows().get(0);
-        String account = flow.tenant().isEmpty() ? "" : " -H 'pearladder-account: " + flow.tenant() + "'";
+        String tenantHeader = flow.tenant().isEmpty() ? "" : " -H 'pearladder-account: " + flow.tenant() + "'";
         progress.println("  curl -i http://127.0.0.1:" + routers.port("r1") + "/v2/models/" + flow.modelPrefix()
-                + "0/infer -H 'pearladder-category: " + flow.requestClass() + "'" + account + " -d '{\"inputs\":[]}'");
+                + "0/infer -H 'pearladder-category: " + flow.requestClass() + "'" + tenantHeader
+                + " -d '{\"inputs\":[]}'");
     }
 
     /** Sends the load while faults are injected; returns how many seconds it took. */
@@ -264,8 +265,8 @@
         }
 
         @Override
-        public void commandWorkers(String what, List<String> engines, String model, double figure) {
-            workers.inject(what, engines, model, figure);
+        public void commandWorkers(String what, List<String> workerIds, String model, double figure) {
+            workers.inject(what, workerIds, model, figure);
         }
 
         @Override
--- a/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
@@ -13,15 +13,15 @@
 /**
  * A scenario as its script describes it; all spans in nanoseconds.
  *
- * @param lasting length of the scenario
+ * @param duration length of the scenario
  * @param slack how late a response or an attempt may be seen before it counts, for sockets and pauses of the machine
- * @param halls the zones, in the order of the routers: router i is in zone i modulo their number
+ * @param zones the zones, in the order of the routers: router i is in zone i modulo their number
  * @param routers how many there are
  * @param rate mean requests a second
  * @param flows what is requested; one at least
  * @param faults the faults, in the order of their starts
- * @param releases orders on rollouts
- * @param rules what the invariant checks need of the routers' configuration
+ * @param rolloutOrders orders on rollouts
+ * @param invariantSettings what the invariant checks need of the routers' configuration
  * @param fleet the emulated workers
  * @param network used by simulations only
  * @param expected what must hold at the end
@@ -50,7 +50,7 @@
      * @param maxAttempts attempts of a request at the most
      * @param retryPause before a retry, where no Retry-After was given
      * @param leastPatience the least share of the deadline that an attempt is given; each draws one from there to 1
-     * @param frontLag for how long the load balancer goes on sending to a dead router
+     * @param loadBalancerLag for how long the load balancer goes on sending to a dead router
      * @param cancelShare share of attempts whose client cancels early, at a random moment
      * @param lanes event loops that send; one bears about a thousand requests a second
      */
@@ -228,8 +228,8 @@
 
     /** Zone and cell of each worker by its id, written "zone/cell". */
     public Map<String, String> workerLocations() {
-        Map<String, String> places = new LinkedHashMap<>();
-        fleet.workers().forEach(engine -> places.put(engine.id(), engine.hall() + "/" + engine.cell()));
-        return places;
+        Map<String, String> locations = new LinkedHashMap<>();
+        fleet.workers().forEach(worker -> locations.put(worker.id(), worker.zone() + "/" + worker.cell()));
+        return locations;
     }
 }
--- a/testbed/src/main/java/pearladder/testbed/ScenarioScripts.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioScripts.java
@@ -18,9 +18,9 @@
      * The same scenario for a larger or smaller fleet: requests, models and the model store are scaled with the number
      * of workers, so that only the size changes.
      */
-    public static void grow(ObjectNode script, int engines, int routers) {
-        double factor = (double) engines / workers(script.at("/fleet/engines"));
-        resize(script, engines, routers, script.at("/day/rate").asDouble() * factor);
+    public static void grow(ObjectNode script, int workerCount, int routers) {
+        double factor = (double) workerCount / workers(script.at("/fleet/engines"));
+        resize(script, workerCount, routers, script.at("/day/rate").asDouble() * factor);
         for (JsonNode flow : script.at("/traffic")) {
             scale((ObjectNode) flow, "count", factor);
         }
@@ -49,7 +49,7 @@
     }
 
     /** Replaces the sizes of a script; 0, or a rate that is NaN, keeps what it says. */
-    public static void resize(ObjectNode script, int engines, int routers, double rate) {
+    public static void resize(ObjectNode script, int workerCount, int routers, double rate) {
         ObjectNode day = script.withObject("/day");
         if (routers > 0) {
             day.put("routers", routers);
@@ -57,19 +57,19 @@
         if (rate > 0) {
             day.put("rate", rate);
         }
-        if (engines > 0) {
-            resizeGroups((ArrayNode) script.at("/fleet/engines"), engines);
+        if (workerCount > 0) {
+            resizeGroups((ArrayNode) script.at("/fleet/engines"), workerCount);
         }
     }
 
     /** Keeps the proportions of the groups; the last takes what rounding leaves. */
-    private static void resizeGroups(ArrayNode groups, int engines) {
+    private static void resizeGroups(ArrayNode groups, int workerCount) {
         int before = workers(groups);
-        int left = engines;
+        int left = workerCount;
         for (int i = 0; i < groups.size(); i++) {
             JsonNode group = groups.get(i);
             boolean last = i == groups.size() - 1;
-            int count = last ? left : Math.round((float) countOf(group) * engines / before);
+            int count = last ? left : Math.round((float) countOf(group) * workerCount / before);
             ((ObjectNode) group).put("count", Math.max(1, count));
             left -= count;
         }
--- a/testbed/src/main/java/pearladder/testbed/SingleEffectCheck.java
+++ b/testbed/src/main/java/pearladder/testbed/SingleEffectCheck.java
@@ -14,9 +14,9 @@
 final class SingleEffectCheck {
     private record Location(String zone, long cell) {
         /** Reads "zone/cell". */
-        static Location of(String place) {
-            int slash = place.lastIndexOf('/');
-            return new Location(place.substring(0, slash), Long.parseLong(place.substring(slash + 1)));
+        static Location of(String location) {
+            int slash = location.lastIndexOf('/');
+            return new Location(location.substring(0, slash), Long.parseLong(location.substring(slash + 1)));
         }
     }
 
@@ -29,13 +29,14 @@
      * Creates a check.
      *
      * @param slack in nanoseconds
-     * @param places zone and cell of each worker, "zone/cell"
+     * @param workerLocations zone and cell of each worker, "zone/cell"
      */
-    SingleEffectCheck(InvariantSettings settings, long slack, Map<String, String> places, CheckFindings findings) {
+    SingleEffectCheck(
+            InvariantSettings settings, long slack, Map<String, String> workerLocations, CheckFindings findings) {
         this.settings = settings;
         this.slack = slack;
         this.findings = findings;
-        places.forEach((worker, place) -> locations.put(worker, Location.of(place)));
+        workerLocations.forEach((worker, location) -> locations.put(worker, Location.of(location)));
     }
 
     void check(List<Observation> inOrder, Map<String, ObservedRequest> requests) {
@@ -55,7 +56,7 @@
         if (terms == null) {
             return;
         }
-        findings.looked(Invariant.NO_EFFECT_TWICE);
+        findings.recordChecked(Invariant.NO_EFFECT_TWICE);
         String what = "call " + request.id() + " (" + terms.name() + ")";
         Attempt first = null;
         for (Attempt attempt : request.attempts()) {
@@ -69,7 +70,7 @@
         boolean mayBeRejected = terms.idempotency() != RequestClassTerms.Idempotency.BINDING
                 && terms.deduplicationScope() == RequestClassTerms.DeduplicationScope.ALL;
         if (rejected && first != null && !mayBeRejected) {
-            findings.breach(
+            findings.recordViolation(
                     Invariant.NO_EFFECT_TWICE,
                     request.end().at(),
                     what + " was dismissed and may have run at " + first.worker());
@@ -78,20 +79,20 @@
 
     private void checkRetry(RequestClassTerms terms, String what, Attempt first, Attempt retry) {
         if (terms.idempotency() == RequestClassTerms.Idempotency.BINDING) {
-            findings.breach(
+            findings.recordViolation(
                     Invariant.NO_EFFECT_TWICE,
                     retry.arrivedAt(),
                     what + " reached " + retry.worker() + " after it may have run at " + first.worker());
             return;
         }
         if (retry.arrivedAt() - first.arrivedAt() > terms.keyRetention() + slack) {
-            findings.breach(
+            findings.recordViolation(
                     Invariant.NO_EFFECT_TWICE,
                     retry.arrivedAt(),
                     what + " was repeated after the time for which " + first.worker() + " remembers it");
         }
         if (!shareMemory(terms.deduplicationScope(), first.worker(), retry.worker())) {
-            findings.breach(
+            findings.recordViolation(
                     Invariant.NO_EFFECT_TWICE,
                     retry.arrivedAt(),
                     what + " left the group of " + first.worker() + " for " + retry.worker());
@@ -130,11 +131,11 @@
             if (!seen.event().equals(Observation.RAN) || terms == null) {
                 continue;
             }
-            boolean binding = terms.idempotency() == RequestClassTerms.Idempotency.BINDING;
-            String effect = binding ? "call " + seen.requestId() : "mark " + keyOf.get(seen.requestId());
+            boolean isNonIdempotent = terms.idempotency() == RequestClassTerms.Idempotency.BINDING;
+            String effect = isNonIdempotent ? "call " + seen.requestId() : "mark " + keyOf.get(seen.requestId());
             Observation before = effects.putIfAbsent(effect, seen);
-            if (before != null && (binding || !before.note().equals("failed"))) {
-                findings.breach(
+            if (before != null && (isNonIdempotent || !before.note().equals("failed"))) {
+                findings.recordViolation(
                         Invariant.NO_EFFECT_TWICE,
                         seen.at(),
                         effect + " ran at " + before.worker() + " and again at " + seen.worker());
--- a/testbed/src/main/java/pearladder/testbed/TraceWorkload.java
+++ b/testbed/src/main/java/pearladder/testbed/TraceWorkload.java
@@ -28,16 +28,16 @@
     /**
      * How a file is replayed.
      *
-     * @param layout null to tell it from the first line
+     * @param layout null to detect it by the first line
      * @param durations published beside the trace, or null
      * @param memory published beside the trace, or null
      * @param speed factor by which it is replayed faster
      * @param reorderWindow nanoseconds within which rows are put back in order
      * @param maxRequests requests at the most, 0 for all
      * @param maxDuration nanoseconds of the replay at the most, at its speed; 0 for all
-     * @param workScale factor for the work that the trace tells
+     * @param workScale factor for the work that the trace states
      * @param maxWork nanoseconds; longer work is cut to it and counted
-     * @param defaultWork nanoseconds, where the trace tells none
+     * @param defaultWork nanoseconds, where the trace states none
      * @param strict whether to stop at the first row that is no request
      */
     public record ReplaySettings(
@@ -133,9 +133,9 @@
         offer(END);
     }
 
-    private void offer(TraceRequest call) {
+    private void offer(TraceRequest request) {
         try {
-            queue.put(call);
+            queue.put(request);
         } catch (InterruptedException interrupted) {
             throw new IllegalStateException(interrupted);
         }
@@ -143,21 +143,21 @@
 
     @Override
     public ScheduledRequest next() {
-        TraceRequest call = take();
-        if (call == END) {
+        TraceRequest request = take();
+        if (request == END) {
             return null;
         }
-        firstAt = number == 0 ? call.at() : firstAt;
-        long due = Math.round((call.at() - firstAt) / terms.speed());
+        firstAt = number == 0 ? request.at() : firstAt;
+        long due = Math.round((request.at() - firstAt) / terms.speed());
         if (terms.maxDuration() > 0 && due > terms.maxDuration()) {
             return null;
         }
-        info.accept(call);
-        ScenarioPlan.Flow flow = flow(call);
+        info.accept(request);
+        ScenarioPlan.Flow flow = flow(request);
         double patience = plan.clients().patience(random.nextDouble());
         String zone = plan.zones().get(random.nextInt(plan.zones().size()));
         return new ScheduledRequest(
-                due, number++, flow.requestClass(), flow.tenant(), model(call), zone, work(call), patience);
+                due, number++, flow.requestClass(), flow.tenant(), model(request), zone, work(request), patience);
     }
 
     /** The next row; {@link #END} where there is none, or after as many as are asked for. */
@@ -173,28 +173,28 @@
         }
     }
 
-    private long work(TraceRequest call) {
-        long work = call.work() == 0 ? terms.defaultWork() : Math.round(call.work() * terms.workScale());
+    private long work(TraceRequest request) {
+        long work = request.work() == 0 ? terms.defaultWork() : Math.round(request.work() * terms.workScale());
         workCut += work > terms.maxWork() ? 1 : 0;
         return Math.max(LEAST_WORK_NANOS, Math.min(work, terms.maxWork()));
     }
 
     /** The flow that the row names, else one by a hash of the model's name in proportion to the flows' shares. */
-    private ScenarioPlan.Flow flow(TraceRequest call) {
+    private ScenarioPlan.Flow flow(TraceRequest request) {
         List<ScenarioPlan.Flow> flows = plan.flows().stream()
-                .filter(flow -> flow.requestClass().equals(call.category())
-                        && (call.account().isEmpty() || flow.tenant().equals(call.account())))
+                .filter(flow -> flow.requestClass().equals(request.requestClass())
+                        && (request.tenant().isEmpty() || flow.tenant().equals(request.tenant())))
                 .toList();
         List<ScenarioPlan.Flow> from = flows.isEmpty() ? plan.flows() : flows;
         CRC32 crc = new CRC32();
-        crc.update(call.model().getBytes(StandardCharsets.UTF_8));
+        crc.update(request.model().getBytes(StandardCharsets.UTF_8));
         return from.get(ScenarioPlan.Flow.choose(from, crc.getValue() / CRC_RANGE));
     }
 
-    private static String model(TraceRequest call) {
-        String name = call.model().replaceAll(NOT_ALLOWED_IN_NAMES, "_");
+    private static String model(TraceRequest request) {
+        String name = request.model().replaceAll(NOT_ALLOWED_IN_NAMES, "_");
         String shortened = name.substring(0, Math.min(name.length(), MAX_MODEL_NAME_LENGTH));
-        return "m" + sizeClassMb(call.memoryMb()) + "-" + shortened;
+        return "m" + sizeClassMb(request.memoryMb()) + "-" + shortened;
     }
 
     /** The smallest class that holds so much, else the largest. */
--- a/testbed/src/main/java/pearladder/traces/Layout.java
+++ b/testbed/src/main/java/pearladder/traces/Layout.java
@@ -54,7 +54,7 @@
         return null;
     }
 
-    /** The layout that a first line tells, or null: by its header, else by its number of columns and their kind. */
+    /** The layout that a first line shows, or null: by its header, else by its number of columns and their kind. */
     static Layout guess(List<String> first) {
         for (Layout layout : values()) {
             if (layout.hasHeader
--- a/testbed/src/main/java/pearladder/traces/MinuteCounts.java
+++ b/testbed/src/main/java/pearladder/traces/MinuteCounts.java
@@ -28,7 +28,7 @@
      */
     private record Function(
             String model,
-            String account,
+            String tenant,
             int[] minutes,
             int[] counts,
             double phase,
@@ -36,9 +36,9 @@
             double memoryMb,
             long line) {
         /** Request k of those of a minute. */
-        TraceRequest call(int minute, int count, int k) {
+        TraceRequest request(int minute, int count, int k) {
             long at = minute * MINUTE_NANOS + (long) (MINUTE_NANOS * ((k + phase) / count));
-            return new TraceRequest(at, model, work, memoryMb, "", account, line);
+            return new TraceRequest(at, model, work, memoryMb, "", tenant, line);
         }
     }
 
@@ -85,20 +85,20 @@
     /** Gives all requests in the order of time. */
     void give(Consumer<TraceRequest> out) {
         int[] next = new int[functions.size()];
-        List<TraceRequest> calls = new ArrayList<>();
+        List<TraceRequest> requests = new ArrayList<>();
         for (int minute = 0; minute <= lastMinute; minute++) {
-            calls.clear();
+            requests.clear();
             for (int i = 0; i < next.length; i++) {
                 Function function = functions.get(i);
                 if (next[i] < function.minutes().length && function.minutes()[next[i]] == minute) {
                     int count = function.counts()[next[i]++];
                     for (int k = 0; k < count; k++) {
-                        calls.add(function.call(minute, count, k));
+                        requests.add(function.request(minute, count, k));
                     }
                 }
             }
-            calls.sort(Comparator.comparingLong(TraceRequest::at));
-            calls.forEach(out);
+            requests.sort(Comparator.comparingLong(TraceRequest::at));
+            requests.forEach(out);
         }
     }
 }
--- a/testbed/src/main/java/pearladder/traces/ReorderBuffer.java
+++ b/testbed/src/main/java/pearladder/traces/ReorderBuffer.java
@@ -8,10 +8,10 @@
  * later than the window is left out and reported. Requests of the same moment keep the order of their lines.
  */
 final class ReorderBuffer implements Consumer<TraceRequest> {
-    private record Held(TraceRequest call, long number) implements Comparable<Held> {
+    private record Held(TraceRequest request, long number) implements Comparable<Held> {
         @Override
         public int compareTo(Held other) {
-            int byTime = Long.compare(call.at(), other.call.at());
+            int byTime = Long.compare(request.at(), other.request.at());
             return byTime != 0 ? byTime : Long.compare(number, other.number);
         }
     }
@@ -42,18 +42,18 @@
     }
 
     @Override
-    public void accept(TraceRequest call) {
-        if (call.at() < lastGiven) {
+    public void accept(TraceRequest request) {
+        if (request.at() < lastGiven) {
             skipped.add(
-                    call.line(),
+                    request.line(),
                     "",
                     "out of time order beyond the window",
-                    "by " + (lastGiven - call.at()) / NANOS_PER_MILLI + " ms");
+                    "by " + (lastGiven - request.at()) / NANOS_PER_MILLI + " ms");
             return;
         }
-        reordered += call.at() < newest ? 1 : 0;
-        newest = Math.max(newest, call.at());
-        held.add(new Held(call, added++));
+        reordered += request.at() < newest ? 1 : 0;
+        newest = Math.max(newest, request.at());
+        held.add(new Held(request, added++));
         while (held.size() > maxHeld || oldestIsBeyondWindow()) {
             give();
         }
@@ -62,13 +62,13 @@
     private boolean oldestIsBeyondWindow() {
         return !held.isEmpty()
                 && window != Long.MAX_VALUE
-                && newest - held.peek().call().at() > window;
+                && newest - held.peek().request().at() > window;
     }
 
     private void give() {
-        TraceRequest call = held.poll().call();
-        lastGiven = call.at();
-        out.accept(call);
+        TraceRequest request = held.poll().request();
+        lastGiven = request.at();
+        out.accept(request);
     }
 
     /** Gives all that is held; the file has ended. */
--- a/testbed/src/main/java/pearladder/traces/RowReader.java
+++ b/testbed/src/main/java/pearladder/traces/RowReader.java
@@ -17,7 +17,7 @@
     private static final int MINUTES_PER_DAY = 1440;
     /** Columns of Azure Functions 2019 before the minutes. */
     private static final int COLUMNS_BEFORE_MINUTES = 4;
-    /** Work of a token that is read, in nanoseconds, where a trace tells only tokens. */
+    /** Work of a token that is read, in nanoseconds, where a trace states only tokens. */
     private static final long READ_TOKEN_NANOS = 50_000;
     /** Work of a token that is written, in nanoseconds. */
     private static final long WRITTEN_TOKEN_NANOS = 2_000_000;
--- a/testbed/src/main/java/pearladder/traces/TraceFile.java
+++ b/testbed/src/main/java/pearladder/traces/TraceFile.java
@@ -21,7 +21,7 @@
      * What a whole file held.
      *
      * @param rows all but the header
-     * @param calls requests that were made of them
+     * @param requests requests that were made of them
      * @param reordered rows that came out of time order and were put right
      */
     public record Summary(Layout layout, long rows, long requests, long reordered) {}
@@ -45,7 +45,7 @@
     private final SkippedRows skipped;
     private final Consumer<TraceRequest> out;
     private long rows;
-    private long calls;
+    private long requestCount;
 
     private TraceFile(Layout layout, SkippedRows skipped, Consumer<TraceRequest> out) {
         this.layout = layout;
@@ -56,7 +56,7 @@
     /**
      * Reads a file from its beginning to its end; throws {@link InvalidTraceException} where it is none.
      *
-     * @param layout null to tell it from the first line
+     * @param layout null to detect it by the first line
      * @param companions beside counts by minute; {@link DurationTables#NONE} for other layouts
      * @param windowNanos how far out of order a row may be and still be put right
      */
@@ -91,7 +91,7 @@
         }
     }
 
-    /** The layout that was asked for, or that the first row tells; the header must be the layout's. */
+    /** The layout that was asked for, or that the first row shows; the header must be the layout's. */
     private static Layout layoutOf(Path file, Layout asked, CSVRecord first) throws InvalidTraceException {
         List<String> columns = first.toList().stream().map(String::trim).toList();
         Layout layout = asked != null ? asked : Layout.guess(columns);
@@ -137,11 +137,11 @@
         }
         order.end();
         minutes.give(this::count);
-        return new Summary(layout, rows, calls, order.moved());
+        return new Summary(layout, rows, requestCount, order.moved());
     }
 
-    private void count(TraceRequest call) {
-        calls++;
-        out.accept(call);
+    private void count(TraceRequest request) {
+        requestCount++;
+        out.accept(request);
     }
 }
--- a/testbed/src/main/java/pearladder/traces/TraceGenerator.java
+++ b/testbed/src/main/java/pearladder/traces/TraceGenerator.java
@@ -79,7 +79,7 @@
                 return;
             }
             int model = popularity.rank(random.nextDouble());
-            out.accept(call(at, "fn-" + model, model));
+            out.accept(request(at, "fn-" + model, model));
         }
     }
 
@@ -94,7 +94,7 @@
 
     private void fireTimers(double until, Consumer<TraceRequest> out) {
         while (timerPhases.length > 0 && nextTimerAt() <= until) {
-            out.accept(call(nextTimerAt(), "timer-" + nextTimer, nextTimer));
+            out.accept(request(nextTimerAt(), "timer-" + nextTimer, nextTimer));
             nextTimer = (nextTimer + 1) % timerPhases.length;
             timerPeriods += nextTimer == 0 ? 1 : 0;
         }
@@ -104,7 +104,7 @@
         return timerPhases[nextTimer] + timerPeriods * TIMER_PERIOD_SECONDS;
     }
 
-    private TraceRequest call(double atSeconds, String model, int number) {
+    private TraceRequest request(double atSeconds, String model, int number) {
         double workMillis = terms.workMillis() * (0.5 + random.nextDouble());
         return new TraceRequest(
                 Math.round(atSeconds * NANOS_PER_SECOND),
--- a/testbed/src/main/java/pearladder/traces/TraceInfo.java
+++ b/testbed/src/main/java/pearladder/traces/TraceInfo.java
@@ -28,7 +28,7 @@
     private final MessageDigest digest;
     private long first;
     private long last;
-    private long calls;
+    private long requests;
     private double work;
 
     /** Creates the information on an empty trace. */
@@ -41,15 +41,15 @@
     }
 
     @Override
-    public void accept(TraceRequest call) {
-        first = calls == 0 ? call.at() : first;
-        last = call.at();
-        calls++;
-        work += call.work() / NANOS_PER_MILLI;
-        models.computeIfAbsent(call.model(), m -> new long[1])[0]++;
-        seconds.merge((call.at() - first) / 1_000_000_000L, 1L, Long::sum);
-        digest.update((call.at() - first + "," + call.model() + "," + call.work() + "," + call.memoryMb() + ","
-                        + call.category() + "," + call.account() + "\n")
+    public void accept(TraceRequest request) {
+        first = requests == 0 ? request.at() : first;
+        last = request.at();
+        requests++;
+        work += request.work() / NANOS_PER_MILLI;
+        models.computeIfAbsent(request.model(), m -> new long[1])[0]++;
+        seconds.merge((request.at() - first) / 1_000_000_000L, 1L, Long::sum);
+        digest.update((request.at() - first + "," + request.model() + "," + request.work() + "," + request.memoryMb()
+                        + "," + request.requestClass() + "," + request.tenant() + "\n")
                 .getBytes(StandardCharsets.UTF_8));
     }
 
@@ -65,8 +65,8 @@
     }
 
     /** How many requests were accepted. */
-    public long calls() {
-        return calls;
+    public long requests() {
+        return requests;
     }
 
     /** The lines that "trace info" prints. */
@@ -78,9 +78,9 @@
                 "layout %s: %d rows, %d calls over %.1f s (%.2f a second), digest %s",
                 read.layout().word(),
                 read.rows(),
-                calls,
+                requests,
                 span,
-                span == 0 ? calls : calls / span,
+                span == 0 ? requests : requests / span,
                 digest()));
         lines.add(String.format(
                 Locale.ROOT, "%d put back in time order, %d left out", read.reordered(), skipped.count()));
@@ -96,7 +96,7 @@
                 top(counts, 1),
                 top(counts, 10),
                 top(counts, 100),
-                calls == 0 ? 0 : work / calls));
+                requests == 0 ? 0 : work / requests));
         bars(lines, Math.max(1, (long) Math.ceil((span + 1) / BARS)));
         return lines;
     }
@@ -107,7 +107,7 @@
         for (int i = sorted.length - 1; i >= Math.max(0, sorted.length - most); i--) {
             sum += sorted[i];
         }
-        return calls == 0 ? 0 : (double) sum / calls;
+        return requests == 0 ? 0 : (double) sum / requests;
     }
 
     /** Adds a line for each span of so many seconds, with its rate as a number and as a bar. */
--- a/testbed/src/main/java/pearladder/traces/TraceWriter.java
+++ b/testbed/src/main/java/pearladder/traces/TraceWriter.java
@@ -36,29 +36,29 @@
                 .get()
                 .print(out);
         this.from = fromNanos;
-        this.wanted = call -> call.at() - first >= fromNanos
-                && call.at() - first < toNanos
-                && (share >= 1 || Hashes.share(call.model(), seed) < share);
+        this.wanted = request -> request.at() - first >= fromNanos
+                && request.at() - first < toNanos
+                && (share >= 1 || Hashes.share(request.model(), seed) < share);
     }
 
     @Override
-    public void accept(TraceRequest call) {
+    public void accept(TraceRequest request) {
         if (!started) {
             started = true;
-            first = call.at();
+            first = request.at();
         }
-        if (!wanted.test(call)) {
+        if (!wanted.test(request)) {
             return;
         }
-        long at = call.at() - first - from;
+        long at = request.at() - first - from;
         try {
             printer.printRecord(
                     decimals(at, NANOS_PER_SECOND_DIGITS),
-                    call.model(),
-                    call.work() == 0 ? "" : decimals(call.work(), NANOS_PER_MILLI_DIGITS),
-                    Double.isNaN(call.memoryMb()) ? "" : String.format(Locale.ROOT, "%.1f", call.memoryMb()),
-                    call.category(),
-                    call.account());
+                    request.model(),
+                    request.work() == 0 ? "" : decimals(request.work(), NANOS_PER_MILLI_DIGITS),
+                    Double.isNaN(request.memoryMb()) ? "" : String.format(Locale.ROOT, "%.1f", request.memoryMb()),
+                    request.requestClass(),
+                    request.tenant());
             written++;
         } catch (IOException broken) {
             throw new UncheckedIOException(broken);
--- a/testbed/src/test/java/pearladder/testbed/FaultInjectorTest.java
+++ b/testbed/src/test/java/pearladder/testbed/FaultInjectorTest.java
@@ -23,8 +23,8 @@
         }
 
         @Override
-        public void commandWorkers(String what, List<String> engines, String model, double figure) {
-            injected.add(what + engines.size() + " " + figure);
+        public void commandWorkers(String what, List<String> workers, String model, double figure) {
+            injected.add(what + workers.size() + " " + figure);
         }
 
         @Override
--- a/testbed/src/test/java/pearladder/testbed/InvariantCheckerTest.java
+++ b/testbed/src/test/java/pearladder/testbed/InvariantCheckerTest.java
@@ -43,38 +43,39 @@
                 free + share > 0 ? 10_000 * MS : 0);
     }
 
-    private void add(long ms, String what, String call, int leg, String engine, String note, double figure) {
-        observations.add(new Observation(ms * MS, what, "r1", call, leg, engine, "m", note, figure));
+    private void add(long ms, String what, String requestId, int attempt, String worker, String note, double figure) {
+        observations.add(new Observation(ms * MS, what, "r1", requestId, attempt, worker, "m", note, figure));
     }
 
-    private void sent(long ms, String call, String category, long patience) {
-        add(ms, Observation.SENT, call, 0, "", category, patience * MS);
+    private void sent(long ms, String requestId, String requestClass, long patience) {
+        add(ms, Observation.SENT, requestId, 0, "", requestClass, patience * MS);
     }
 
-    private void ran(long ms, String call, int leg, String engine, String mark) {
-        add(ms, Observation.ARRIVED, call, leg, engine, mark, 0);
-        add(ms + 1, Observation.RAN, call, leg, engine, "", 0);
+    private void ran(long ms, String requestId, int attempt, String worker, String idempotencyKey) {
+        add(ms, Observation.ARRIVED, requestId, attempt, worker, idempotencyKey, 0);
+        add(ms + 1, Observation.RAN, requestId, attempt, worker, "", 0);
     }
 
-    private void refused(long ms, String call, int leg, String engine) {
-        add(ms, Observation.ARRIVED, call, leg, engine, "", 0);
-        add(ms, Observation.REJECTED, call, leg, engine, "FULL", 0);
+    private void refused(long ms, String requestId, int attempt, String worker) {
+        add(ms, Observation.ARRIVED, requestId, attempt, worker, "", 0);
+        add(ms, Observation.REJECTED, requestId, attempt, worker, "FULL", 0);
     }
 
-    private void answered(long ms, String call, String state) {
-        add(ms, Observation.ANSWERED, call, 0, "", state, 0);
+    private void answered(long ms, String requestId, String state) {
+        add(ms, Observation.ANSWERED, requestId, 0, "", state, 0);
     }
 
     private InvariantChecker.Verdict check() {
         return new InvariantChecker(settings(0, 0), 100 * MS, LOCATIONS).check(observations);
     }
 
-    private void assertOneBreach(Invariant rule, String words) {
-        List<InvariantChecker.Violation> breaches = check().violations();
-        assertEquals(1, breaches.size(), breaches.toString());
-        assertEquals(rule, breaches.get(0).rule());
+    private void assertOneViolation(Invariant rule, String words) {
+        List<InvariantChecker.Violation> violations = check().violations();
+        assertEquals(1, violations.size(), violations.toString());
+        assertEquals(rule, violations.get(0).rule());
         assertTrue(
-                breaches.get(0).description().contains(words), breaches.get(0).description());
+                violations.get(0).description().contains(words),
+                violations.get(0).description());
     }
 
     @Test
@@ -99,14 +100,14 @@
     void missingAnswerIsFound() {
         sent(0, "c1", "draft", 3000);
         add(3400, Observation.UNANSWERED, "c1", 0, "", "gave up", 0);
-        assertOneBreach(Invariant.ONE_ANSWER, "got no final answer");
+        assertOneViolation(Invariant.ONE_ANSWER, "got no final answer");
     }
 
     @Test
     void lateAnswerIsFound() {
         sent(0, "c1", "draft", 3000);
         answered(3200, "c1", "terminated");
-        assertOneBreach(Invariant.ONE_ANSWER, "200 ms after");
+        assertOneViolation(Invariant.ONE_ANSWER, "200 ms after");
     }
 
     @Test
@@ -118,7 +119,7 @@
         sent(5000, "c2", "draft", 3000);
         add(8100, Observation.CLIENT_PAUSED, "", 0, "", "", 50 * MS);
         answered(8400, "c2", "terminated");
-        assertOneBreach(Invariant.ONE_ANSWER, "400 ms after");
+        assertOneViolation(Invariant.ONE_ANSWER, "400 ms after");
     }
 
     @Test
@@ -126,7 +127,7 @@
         sent(0, "c1", "draft", 3000);
         answered(10, "c1", "dismissed");
         answered(20, "c1", "settled");
-        assertOneBreach(Invariant.ONE_ANSWER, "more than one");
+        assertOneViolation(Invariant.ONE_ANSWER, "more than one");
     }
 
     @Test
@@ -148,7 +149,7 @@
         add(5, Observation.ARRIVED, "c1", 0, "e1", "", 0);
         add(50, Observation.ARRIVED, "c1", 1, "e2", "", 0);
         answered(80, "c1", "terminated");
-        assertOneBreach(Invariant.NO_EFFECT_TWICE, "reached e2 after it may have run at e1");
+        assertOneViolation(Invariant.NO_EFFECT_TWICE, "reached e2 after it may have run at e1");
     }
 
     @Test
@@ -156,7 +157,7 @@
         sent(0, "c1", "post", 3000);
         ran(5, "c1", 0, "e1", "");
         answered(80, "c1", "dismissed");
-        assertOneBreach(Invariant.NO_EFFECT_TWICE, "was dismissed and may have run at e1");
+        assertOneViolation(Invariant.NO_EFFECT_TWICE, "was dismissed and may have run at e1");
     }
 
     @Test
@@ -165,7 +166,7 @@
         ran(5, "c1", 0, "e1", "k");
         add(8200, Observation.ARRIVED, "c1", 1, "e2", "k", 0);
         answered(8300, "c1", "settled");
-        assertOneBreach(Invariant.NO_EFFECT_TWICE, "after the time for which e1 remembers it");
+        assertOneViolation(Invariant.NO_EFFECT_TWICE, "after the time for which e1 remembers it");
     }
 
     @Test
@@ -174,7 +175,7 @@
         ran(5, "c1", 0, "e1~7", "k");
         add(100, Observation.ARRIVED, "c1", 1, "e3", "k", 0);
         answered(200, "c1", "settled");
-        assertOneBreach(Invariant.NO_EFFECT_TWICE, "left the group of e1~7 for e3");
+        assertOneViolation(Invariant.NO_EFFECT_TWICE, "left the group of e1~7 for e3");
     }
 
     @Test
@@ -185,7 +186,7 @@
         sent(1000, "c2", "commit", 1000);
         ran(1005, "c2", 0, "e2", "k");
         answered(1050, "c2", "settled");
-        assertOneBreach(Invariant.NO_EFFECT_TWICE, "mark k ran at e1 and again at e2");
+        assertOneViolation(Invariant.NO_EFFECT_TWICE, "mark k ran at e1 and again at e2");
     }
 
     @Test
@@ -196,7 +197,7 @@
         add(1500, Observation.LOAD_REQUESTED, "", 0, "e1", "", 0);
         assertEquals(List.of(), check().violations());
         add(1600, Observation.LOAD_REQUESTED, "", 0, "e1", "", 1);
-        assertOneBreach(Invariant.DRAIN_RESPECTED, "an order to e1 1500 ms after it was told DRAINING");
+        assertOneViolation(Invariant.DRAIN_RESPECTED, "an order to e1 1500 ms after it was told DRAINING");
         add(1700, Observation.KILLED, "", 0, "", "", 0);
         add(1800, Observation.ARRIVED, "c2", 0, "e1", "", 0);
         assertEquals(1, check().violations().size(), "a router begun anew was not told yet");
@@ -210,7 +211,7 @@
         add(1010, Observation.CRASHED_FROM_OVERLOAD, "", 0, "e1", "", 3);
         assertEquals(List.of(), check().violations());
         add(500, Observation.ENDPOINT_SENT, "", 0, "e1", "IN_SERVICE", 1);
-        assertOneBreach(Invariant.COLD_WORKER_NOT_OVERLOADED, "9 of 9 calls came from routers that knew");
+        assertOneViolation(Invariant.COLD_WORKER_NOT_OVERLOADED, "9 of 9 calls came from routers that knew");
     }
 
     @Test
@@ -228,13 +229,13 @@
                         .check(observations)
                         .violations());
         add(200, Observation.LOAD_REQUESTED, "", 0, "e1", "", 1);
-        List<InvariantChecker.Violation> breaches = new InvariantChecker(settings(3, 0.1), 100 * MS, LOCATIONS)
+        List<InvariantChecker.Violation> violations = new InvariantChecker(settings(3, 0.1), 100 * MS, LOCATIONS)
                 .check(observations)
                 .violations();
-        assertEquals(1, breaches.size());
+        assertEquals(1, violations.size());
         assertTrue(
-                breaches.get(0).description().contains("gave 5 orders"),
-                breaches.get(0).description());
+                violations.get(0).description().contains("gave 5 orders"),
+                violations.get(0).description());
         add(12_000, Observation.LOAD_REQUESTED, "", 0, "e1", "", 1);
         assertEquals(
                 1,
--- a/testbed/src/test/java/pearladder/testbed/RequestFeedTest.java
+++ b/testbed/src/test/java/pearladder/testbed/RequestDistributorTest.java
@@ -9,10 +9,10 @@
 import org.junit.jupiter.api.Test;
 
 /** How the requests of one source are distributed over lanes. */
-class RequestFeedTest {
-    private static RequestSource countingSource(int calls) {
+class RequestDistributorTest {
+    private static RequestSource countingSource(int count) {
         long[] made = {0};
-        return () -> made[0] == calls
+        return () -> made[0] == count
                 ? null
                 : new RequestSource.ScheduledRequest(made[0] * 10, made[0]++, "draft", "", "m", "", 1, 1);
     }
@@ -22,12 +22,13 @@
         for (int seed = 0; seed < 20; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
             int lanes = 1 + random.nextInt(5);
-            RequestFeed feed = new RequestFeed(countingSource(200), lanes);
+            RequestDistributor distributor = new RequestDistributor(countingSource(200), lanes);
             List<List<Long>> received = new ArrayList<>();
-            feed.lanes().forEach(lane -> received.add(new ArrayList<>()));
+            distributor.lanes().forEach(lane -> received.add(new ArrayList<>()));
             for (int i = 0; i < 3000; i++) {
                 int lane = random.nextInt(lanes);
-                RequestSource.ScheduledRequest drawn = feed.lanes().get(lane).next();
+                RequestSource.ScheduledRequest drawn =
+                        distributor.lanes().get(lane).next();
                 if (drawn != null) {
                     received.get(lane).add(drawn.number());
                 }
@@ -41,7 +42,7 @@
                         received.get(lane).stream()
                                 .filter(number -> number % lanes != at)
                                 .count());
-                assertNull(feed.lanes().get(lane).next());
+                assertNull(distributor.lanes().get(lane).next());
             }
         }
     }
--- a/testbed/src/test/java/pearladder/testbed/SyntheticWorkloadTest.java
+++ b/testbed/src/test/java/pearladder/testbed/SyntheticWorkloadTest.java
@@ -64,16 +64,18 @@
                   engines: [{name: e, count: 1, kind: std}]
                 """));
         List<RequestSource.ScheduledRequest> drawn = requests(plan);
-        long high =
-                drawn.stream().filter(call -> call.dueAfter() < 20_000_000_000L).count();
+        long high = drawn.stream()
+                .filter(request -> request.dueAfter() < 20_000_000_000L)
+                .count();
         assertTrue(high > 2.2 * (drawn.size() - high), high + " of " + drawn.size() + " in the first half");
         for (int i = 0; i < 4; i++) {
             String hot = "m-" + i;
             long from = i * 10_000_000_000L;
             List<RequestSource.ScheduledRequest> now = drawn.stream()
-                    .filter(call -> call.dueAfter() >= from && call.dueAfter() < from + 10_000_000_000L)
+                    .filter(request -> request.dueAfter() >= from && request.dueAfter() < from + 10_000_000_000L)
                     .toList();
-            assertTrue(now.stream().filter(call -> call.model().equals(hot)).count() > 0.8 * now.size(), hot);
+            assertTrue(
+                    now.stream().filter(request -> request.model().equals(hot)).count() > 0.8 * now.size(), hot);
         }
         assertEquals(700_000_000L, plan.fleet().modelOf("m-1").fetchNanos());
         assertEquals(300_000_000L, plan.fleet().modelOf("m-1").startNanos(), 1);
--- a/testbed/src/test/java/pearladder/testbed/TestResults.java
+++ b/testbed/src/test/java/pearladder/testbed/TestResults.java
@@ -30,8 +30,8 @@
         statistics.recordEnd(draft, "", 2 * SECOND, 2 * SECOND, LoadStatistics.End.LATE);
         statistics.recordEnd(draft, "", 12 * SECOND, 0, LoadStatistics.End.DISMISSED);
         statistics.recordEnd(draft, "", 13 * SECOND, SECOND / 5, LoadStatistics.End.SETTLED);
-        Map<InvariantChecker.Invariant, Long> looked = new EnumMap<>(InvariantChecker.Invariant.class);
-        looked.put(InvariantChecker.Invariant.ONE_ANSWER, 4L);
+        Map<InvariantChecker.Invariant, Long> checkedCounts = new EnumMap<>(InvariantChecker.Invariant.class);
+        checkedCounts.put(InvariantChecker.Invariant.ONE_ANSWER, 4L);
         List<Observation> observations = List.of(
                 new Observation(7 * SECOND, Observation.FAULT_INJECTED, "", "", 0, "", "", "slow e-0", 0),
                 new Observation(8 * SECOND, Observation.ARRIVED, "r", "c", 0, "e-0", "m", "", 0),
@@ -39,7 +39,7 @@
         return Results.of(
                 plan,
                 statistics,
-                new InvariantChecker.Verdict(List.of(), looked),
+                new InvariantChecker.Verdict(List.of(), checkedCounts),
                 List.of(),
                 observations,
                 5 * SECOND,
--- a/testbed/src/test/java/pearladder/traces/TraceCutTest.java
+++ b/testbed/src/test/java/pearladder/traces/TraceCutTest.java
@@ -33,8 +33,8 @@
             List<TraceRequest> trace = randomTrace(seed);
             long middle = trace.get(trace.size() - 1).at() / 2;
             List<TraceRequest> joined = new ArrayList<>(readBack(cut(trace, 0, middle, 1)));
-            for (TraceRequest call : readBack(cut(trace, middle, Long.MAX_VALUE, 1))) {
-                joined.add(later(call, middle));
+            for (TraceRequest request : readBack(cut(trace, middle, Long.MAX_VALUE, 1))) {
+                joined.add(later(request, middle));
             }
             assertEquals(digest(trace), digest(joined), "seed " + seed);
         }
@@ -47,8 +47,9 @@
             List<TraceRequest> half = readBack(cut(trace, 0, Long.MAX_VALUE, 0.5));
             List<String> models =
                     half.stream().map(TraceRequest::model).distinct().toList();
-            long ofThoseModels =
-                    trace.stream().filter(call -> models.contains(call.model())).count();
+            long ofThoseModels = trace.stream()
+                    .filter(request -> models.contains(request.model()))
+                    .count();
             assertEquals(ofThoseModels, half.size(), "a model's calls come all or none");
         }
     }
@@ -71,9 +72,15 @@
         return trace;
     }
 
-    private static TraceRequest later(TraceRequest call, long nanos) {
+    private static TraceRequest later(TraceRequest request, long nanos) {
         return new TraceRequest(
-                call.at() + nanos, call.model(), call.work(), call.memoryMb(), call.category(), call.account(), 0);
+                request.at() + nanos,
+                request.model(),
+                request.work(),
+                request.memoryMb(),
+                request.requestClass(),
+                request.tenant(),
+                0);
     }
 
     private static String cut(List<TraceRequest> trace, long from, long to, double share) throws IOException {
@@ -87,15 +94,15 @@
     private List<TraceRequest> readBack(String text) throws IOException {
         Path file = Files.writeString(folder.resolve("t.csv"), text);
         SkippedRows skipped = new SkippedRows(false, row -> {});
-        List<TraceRequest> calls = new ArrayList<>();
-        TraceFile.read(file, null, DurationTables.NONE, WINDOW_NANOS, skipped, calls::add);
+        List<TraceRequest> requests = new ArrayList<>();
+        TraceFile.read(file, null, DurationTables.NONE, WINDOW_NANOS, skipped, requests::add);
         assertEquals(0, skipped.count());
-        return calls;
+        return requests;
     }
 
-    private static String digest(List<TraceRequest> calls) {
+    private static String digest(List<TraceRequest> requests) {
         TraceInfo info = new TraceInfo();
-        calls.forEach(info);
+        requests.forEach(info);
         return info.digest();
     }
 }
--- a/testbed/src/test/java/pearladder/traces/TraceFileTest.java
+++ b/testbed/src/test/java/pearladder/traces/TraceFileTest.java
@@ -26,7 +26,7 @@
     @TempDir
     private Path folder;
 
-    private final List<TraceRequest> calls = new ArrayList<>();
+    private final List<TraceRequest> requests = new ArrayList<>();
     private final List<String> reportedRows = new ArrayList<>();
     private SkippedRows skipped = new SkippedRows(false, row -> reportedRows.add(row.toString()));
 
@@ -39,13 +39,13 @@
     }
 
     private TraceFile.Summary read(Path file) throws IOException {
-        calls.clear();
+        requests.clear();
         reportedRows.clear();
-        return TraceFile.read(file, null, DurationTables.NONE, WINDOW_NANOS, skipped, calls::add);
+        return TraceFile.read(file, null, DurationTables.NONE, WINDOW_NANOS, skipped, requests::add);
     }
 
     private List<Long> times() {
-        return calls.stream().map(TraceRequest::at).toList();
+        return requests.stream().map(TraceRequest::at).toList();
     }
 
     @Test
@@ -54,8 +54,8 @@
                 Layout.PLAIN,
                 read("arrival_s,model,work_ms,memory_mb,category,account\n0.5,a,20,400,draft,tender\n1,b,,,,\n")
                         .layout());
-        assertEquals(new TraceRequest(500 * MS, "a", 20 * MS, 400, "draft", "tender", 2), calls.get(0));
-        assertEquals(new TraceRequest(1000 * MS, "b", 0, Double.NaN, "", "", 3), calls.get(1));
+        assertEquals(new TraceRequest(500 * MS, "a", 20 * MS, 400, "draft", "tender", 2), requests.get(0));
+        assertEquals(new TraceRequest(1000 * MS, "b", 0, Double.NaN, "", "", 3), requests.get(1));
     }
 
     private static String minutes(String function, int... counts) {
@@ -76,28 +76,30 @@
         Path durations = file("HashOwner,HashApp,HashFunction,Average,Count\no1,app1,f1,120,3\no1,app1,f2,x,3\n");
         Path memory = file("HashOwner,HashApp,SampleCount,AverageAllocatedMb\no1,app1,9,171\n");
         DurationTables beside = DurationTables.read(durations, memory, skipped);
-        TraceFile.Summary read = TraceFile.read(invocations, null, beside, WINDOW_NANOS, skipped, calls::add);
+        TraceFile.Summary read = TraceFile.read(invocations, null, beside, WINDOW_NANOS, skipped, requests::add);
         assertEquals(Layout.AZURE_FUNCTIONS_2019, read.layout());
         assertEquals(6, read.requests());
         assertEquals(
                 List.of(2L, 3L, 1L),
                 IntStream.range(0, 3)
-                        .mapToObj(minute -> calls.stream()
-                                .filter(call -> call.at() / 60_000_000_000L == minute)
+                        .mapToObj(minute -> requests.stream()
+                                .filter(request -> request.at() / 60_000_000_000L == minute)
                                 .count())
                         .toList());
         assertEquals(times().stream().sorted().toList(), times());
         assertEquals(
-                30_000 * MS, calls.get(1).at() - calls.get(0).at(), "two calls a minute stand half a minute apart");
-        assertEquals(120 * MS, calls.get(0).work());
+                30_000 * MS,
+                requests.get(1).at() - requests.get(0).at(),
+                "two calls a minute stand half a minute apart");
+        assertEquals(120 * MS, requests.get(0).work());
         assertEquals(
                 0,
-                calls.stream()
-                        .filter(call -> call.model().equals("f2"))
+                requests.stream()
+                        .filter(request -> request.model().equals("f2"))
                         .findFirst()
                         .orElseThrow()
                         .work());
-        assertEquals(171, calls.get(0).memoryMb());
+        assertEquals(171, requests.get(0).memoryMb());
         assertEquals(1, skipped.count());
     }
 
@@ -107,7 +109,7 @@
         assertEquals(Layout.AZURE_FUNCTIONS_2021, read.layout());
         assertEquals(
                 List.of("f2", "f1", "f3"),
-                calls.stream().map(TraceRequest::model).toList());
+                requests.stream().map(TraceRequest::model).toList());
         assertEquals(List.of(8000 * MS, 9900 * MS, 11_000 * MS), times());
         assertEquals(1, read.reordered());
     }
@@ -119,12 +121,12 @@
                 read("TIMESTAMP,ContextTokens,GeneratedTokens\n2023-11-16 18:17:03.9799600,4808,10\n"
                                 + "2023-11-16 23:59:59.9,100,1\n2023-11-17 00:00:00.1,100,1\n")
                         .layout());
-        assertEquals(4808 * 50_000L + 10 * 2_000_000L, calls.get(0).work());
-        assertEquals(200 * MS, calls.get(2).at() - calls.get(1).at(), "time goes on over a day's end");
+        assertEquals(4808 * 50_000L + 10 * 2_000_000L, requests.get(0).work());
+        assertEquals(200 * MS, requests.get(2).at() - requests.get(1).at(), "time goes on over a day's end");
         read("TIMESTAMP,ContextTokens,GeneratedTokens\n2024-05-10 00:00:00.009930+00:00,2162,5\n"
                 + "2024-05-10T02:00:00+02:00,1,1\n");
-        assertEquals(2, calls.size());
-        assertEquals(-9930_000L, calls.get(0).at() - calls.get(1).at());
+        assertEquals(2, requests.size());
+        assertEquals(-9930_000L, requests.get(0).at() - requests.get(1).at());
     }
 
     @Test
@@ -133,11 +135,11 @@
                 + "600000500,,3418309,0,4155527081,1,user1,3,9,0.125,0.07446,0.0004,0\n"
                 + "600001000,,3418314,1,,0,user2,3,9,,,,\n");
         assertEquals(Layout.GOOGLE_2011, read.layout());
-        assertEquals(2, calls.size());
+        assertEquals(2, requests.size());
         assertEquals(0, skipped.count());
-        assertEquals("job-3418309", calls.get(0).model());
-        assertEquals(125 * MS, calls.get(0).work());
-        assertEquals(MS, calls.get(1).at() - calls.get(0).at());
+        assertEquals("job-3418309", requests.get(0).model());
+        assertEquals(125 * MS, requests.get(0).work());
+        assertEquals(MS, requests.get(1).at() - requests.get(0).at());
     }
 
     @Test
@@ -147,8 +149,8 @@
                 read("M1,1,j_1,1,Terminated,100,103,100.0,0.3\nM2,1,j_1,1,Terminated,104,101,100.0,0.3\n"
                                 + "M3,1,j_2,2,Waiting,0,0,50,\n")
                         .layout());
-        assertEquals("j_1-M1", calls.get(0).model());
-        assertEquals(3000 * MS, calls.get(0).work());
+        assertEquals("j_1-M1", requests.get(0).model());
+        assertEquals(3000 * MS, requests.get(0).work());
         assertEquals(
                 List.of("line 2, end_time: before its start \"101\"", "line 3, start_time: missing"), reportedRows);
     }
@@ -167,7 +169,7 @@
                         "line 8: wrong number of columns 9 where 2 to 6 belong",
                         "line 12, memory_mb: not a number \"many\""),
                 reportedRows);
-        assertEquals(3, calls.size());
+        assertEquals(3, requests.size());
         assertEquals(7, skipped.count());
         assertEquals(2, skipped.reasons().get("wrong number of columns"));
     }
@@ -189,7 +191,7 @@
                 read("arrival_s,model,work_ms,memory_mb,category,account\n20,a\n15,b\n40,c\n29,d\n31,e\n45,f\n");
         assertEquals(
                 List.of("b", "a", "e", "c", "f"),
-                calls.stream().map(TraceRequest::model).toList().stream()
+                requests.stream().map(TraceRequest::model).toList().stream()
                         .filter(model -> !model.equals("d"))
                         .toList());
         assertEquals(times().stream().sorted().toList(), times());
@@ -202,15 +204,15 @@
     void gzipByteOrderMarkAndCarriageReturnsMakeNoDifference() throws IOException {
         String text = "arrival_s,model,work_ms,memory_mb,category,account\n1,a,5,,,\n2,b,6,,,\n";
         read(text);
-        List<TraceRequest> plain = List.copyOf(calls);
+        List<TraceRequest> plain = List.copyOf(requests);
         read("\uFEFF" + text.replace("\n", "\r\n"));
-        assertEquals(plain, calls);
+        assertEquals(plain, requests);
         Path zipped = folder.resolve("t.csv.gz");
         try (OutputStream out = new GZIPOutputStream(Files.newOutputStream(zipped))) {
             out.write(text.getBytes(StandardCharsets.UTF_8));
         }
         read(zipped);
-        assertEquals(plain, calls);
+        assertEquals(plain, requests);
     }
 
     @Test
@@ -236,7 +238,8 @@
                 .contains("can't be read"));
         assertTrue(assertThrows(
                         TraceFile.InvalidTraceException.class,
-                        () -> TraceFile.read(file("1,2\n"), Layout.PLAIN, DurationTables.NONE, 0, skipped, calls::add))
+                        () -> TraceFile.read(
+                                file("1,2\n"), Layout.PLAIN, DurationTables.NONE, 0, skipped, requests::add))
                 .getMessage()
                 .contains("is not that of plain"));
     }
--- a/testbed/src/test/java/pearladder/traces/TraceMakerTest.java
+++ b/testbed/src/test/java/pearladder/traces/TraceMakerTest.java
@@ -17,17 +17,17 @@
         TraceInfo first = new TraceInfo();
         TraceGenerator.make(terms, first);
         TraceInfo second = new TraceInfo();
-        List<TraceRequest> calls = new ArrayList<>();
-        TraceGenerator.make(terms, call -> {
-            calls.add(call);
-            second.accept(call);
+        List<TraceRequest> requests = new ArrayList<>();
+        TraceGenerator.make(terms, request -> {
+            requests.add(request);
+            second.accept(request);
         });
         assertEquals(first.digest(), second.digest());
-        List<Long> times = calls.stream().map(TraceRequest::at).toList();
+        List<Long> times = requests.stream().map(TraceRequest::at).toList();
         assertEquals(times.stream().sorted().toList(), times);
-        assertTrue(calls.size() > 4000 && calls.size() < 8000, "6000 calls: " + calls.size());
-        Map<String, Long> pulses = calls.stream()
-                .filter(call -> call.model().startsWith("timer-"))
+        assertTrue(requests.size() > 4000 && requests.size() < 8000, "6000 calls: " + requests.size());
+        Map<String, Long> pulses = requests.stream()
+                .filter(request -> request.model().startsWith("timer-"))
                 .collect(Collectors.groupingBy(TraceRequest::model, Collectors.counting()));
         assertEquals(300, pulses.size());
         assertTrue(pulses.values().stream().allMatch(count -> count == 4), "each timer pulses every 30 s");
