Kinds of faults carry their word of scripts as an explicit code

Cause: four places made the word from the constant's name, so that the constants could not be renamed without changing what users read.

--- a/simulation/src/main/java/pearladder/simulation/FaultScenarioGenerator.java
+++ b/simulation/src/main/java/pearladder/simulation/FaultScenarioGenerator.java
@@ -6,7 +6,6 @@
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.SplittableRandom;
 import pearladder.testbed.ScenarioPlan;
 
@@ -60,7 +59,7 @@
         ObjectNode fault = YAML.createObjectNode()
                 .put("at", inMillis(atSeconds))
                 .put("lasting", inMillis(lastingSeconds))
-                .put("what", kind.name().toLowerCase(Locale.ROOT).replace('_', '-'))
+                .put("what", kind.code())
                 .put("share", Math.round(5 + random.nextInt(60)) / 100.0)
                 .put("part", Math.round(20 + random.nextInt(80)) / 100.0)
                 .put("times", 1 + random.nextInt(9));
--- a/simulation/src/test/java/pearladder/simulation/SimulationTest.java
+++ b/simulation/src/test/java/pearladder/simulation/SimulationTest.java
@@ -9,7 +9,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Locale;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import pearladder.baseline.RandomChoice;
@@ -55,7 +54,7 @@
                     .put("share", 0.4)
                     .put("hall", "west")
                     .put("times", 3)
-                    .put("what", kind.name().toLowerCase(Locale.ROOT).replace('_', '-'));
+                    .put("what", kind.code());
             Simulation.Result outcome = SmallScenario.run(script);
             assertEquals(List.of(), outcome.faults(), kind.name());
             assertTrue(outcome.requests() > 500, kind + ": " + outcome.requests());
--- a/testbed/src/main/java/pearladder/testbed/FaultInjector.java
+++ b/testbed/src/main/java/pearladder/testbed/FaultInjector.java
@@ -126,8 +126,7 @@
 
     private void begin(Fault fault) {
         List<String> workers = draw(world.runningWorkers(fault.zone()), fault.share());
-        String word = fault.kind().name().toLowerCase(Locale.ROOT).replace('_', '-');
-        world.report(word + details(fault, workers));
+        world.report(fault.kind().code() + details(fault, workers));
         TimedFault timed = TimedFault.of(fault.kind());
         if (timed != null) {
             injectTimed(timed, fault, workers);
--- a/testbed/src/main/java/pearladder/testbed/Scenario.java
+++ b/testbed/src/main/java/pearladder/testbed/Scenario.java
@@ -174,7 +174,7 @@
         for (ScenarioPlan.Fault fault : plan.faults()) {
             if (fault.kind().isSimulatedOnly()) {
                 throw new IOException(script + ": the trouble "
-                        + fault.kind().name().toLowerCase(Locale.ROOT).replace('_', '-')
+                        + fault.kind().code()
                         + " is only rehearsed; use pearladder rehearse, or take it out");
             }
         }
--- a/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
@@ -109,39 +109,50 @@
 
     /** Kinds of faults, by the words of scripts; docs/days.md says what each does. */
     public enum FaultKind {
-        BURST,
-        ONE_OFFS,
-        HEAVY,
-        ROLLING_DEPLOY,
-        RELEASE,
-        HALL_LOST,
-        ROUTERS_KILLED,
-        ENGINES_KILLED,
-        FAILING,
-        SLOW,
-        AGEING,
-        HANG,
-        GARBLE,
-        MASS_RESTART,
-        LATE_REPORTS,
-        SLOW_SHELF,
-        REFUSING_SHELF,
-        SLOW_HANDSHAKES,
-        CUT,
-        RESET,
-        LIST_SILENT,
-        LIST_CUT,
-        LIST_LAG,
-        LOST_LOADS,
-        LEAK,
-        DAMAGED_IMAGES,
-        SPLIT_LIST,
-        HEEDLESS,
-        WRONG_MODEL,
-        ENGINES_PAUSED,
-        ONE_WAY_CUT,
-        ROUTERS_PAUSED,
-        CLOCK_JUMP;
+        BURST("burst"),
+        ONE_OFFS("one-offs"),
+        HEAVY("heavy"),
+        ROLLING_DEPLOY("rolling-deploy"),
+        RELEASE("release"),
+        HALL_LOST("hall-lost"),
+        ROUTERS_KILLED("routers-killed"),
+        ENGINES_KILLED("engines-killed"),
+        FAILING("failing"),
+        SLOW("slow"),
+        AGEING("ageing"),
+        HANG("hang"),
+        GARBLE("garble"),
+        MASS_RESTART("mass-restart"),
+        LATE_REPORTS("late-reports"),
+        SLOW_SHELF("slow-shelf"),
+        REFUSING_SHELF("refusing-shelf"),
+        SLOW_HANDSHAKES("slow-handshakes"),
+        CUT("cut"),
+        RESET("reset"),
+        LIST_SILENT("list-silent"),
+        LIST_CUT("list-cut"),
+        LIST_LAG("list-lag"),
+        LOST_LOADS("lost-loads"),
+        LEAK("leak"),
+        DAMAGED_IMAGES("damaged-images"),
+        SPLIT_LIST("split-list"),
+        HEEDLESS("heedless"),
+        WRONG_MODEL("wrong-model"),
+        ENGINES_PAUSED("engines-paused"),
+        ONE_WAY_CUT("one-way-cut"),
+        ROUTERS_PAUSED("routers-paused"),
+        CLOCK_JUMP("clock-jump");
+
+        private final String code;
+
+        FaultKind(String code) {
+            this.code = code;
+        }
+
+        /** The word of scripts and reports. */
+        public String code() {
+            return code;
+        }
 
         /** Whether only a simulation can inject it: there is no means for it with processes on one machine. */
         public boolean isSimulatedOnly() {
