One summary for runs with processes and in virtual time

Cause: ScenarioEvaluation and SimulationReport each checked the invariants, put together the same lines of the table and wrote the same files.

Change: ScenarioSummary does so for both; the order of lines and faults of each stays as it was. VersionShares and Results.loadsLine are no longer public.

--- a/simulation/src/main/java/pearladder/simulation/SimulationReport.java
+++ b/simulation/src/main/java/pearladder/simulation/SimulationReport.java
@@ -5,16 +5,13 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import pearladder.emulator.Observation;
 import pearladder.testbed.InvariantChecker;
 import pearladder.testbed.LoadStatistics;
-import pearladder.testbed.Results;
 import pearladder.testbed.ScenarioPlan;
+import pearladder.testbed.ScenarioSummary;
 import pearladder.testbed.TraceWorkload;
-import pearladder.testbed.VersionShares;
 
 /**
  * Judges a run that has ended and writes its results.
@@ -43,27 +40,22 @@
 
     /** @param folder for the results, or null where none are to be written */
     Simulation.Result write(Path folder) throws IOException {
-        List<Observation> observations = recorder.observations();
-        InvariantChecker checker = new InvariantChecker(plan.invariantSettings(), plan.slack(), plan.workerLocations());
-        InvariantChecker.Verdict verdict = checker.check(observations);
+        ScenarioSummary summary = new ScenarioSummary(plan, statistics, recorder.observations(), startedAt);
         faults.addAll(plan.expected().missedRequirements(statistics));
         String digest = recorder.digest();
-        List<String> table = table(verdict, digest);
+        List<String> table = table(summary, digest);
         if (folder != null) {
             Files.createDirectories(folder);
-            Files.write(folder.resolve("table.txt"), table);
-            ObjectNode results = Results.of(plan, statistics, verdict, faults, observations, startedAt, table);
+            ObjectNode results = summary.results(table, faults);
             addRouterLogs(results);
             addGrowth(results);
-            Results.write(folder, results);
+            ScenarioSummary.write(folder, table, results);
         }
-        return outcome(verdict, digest, table);
+        return outcome(summary.verdict(), digest, table);
     }
 
-    private List<String> table(InvariantChecker.Verdict verdict, String digest) {
-        List<String> lines = new ArrayList<>(statistics.table());
-        lines.addAll(VersionShares.lines(recorder.observations(), startedAt, plan.rolloutOrders()));
-        lines.add(Results.loadsLine(plan, recorder.observations(), startedAt));
+    private List<String> table(ScenarioSummary summary, String digest) {
+        List<String> lines = summary.loadLines();
         if (trace != null) {
             lines.addAll(trace.lines());
             if (trace.failure() != null) {
@@ -80,9 +72,7 @@
                 statistics.attempts(),
                 recorder.loads(),
                 digest));
-        lines.add("");
-        lines.addAll(verdict.lines(startedAt, plan.invariantSettings()));
-        faults.forEach(fault -> lines.add("fault: " + fault));
+        lines.addAll(summary.verdictLines(faults));
         return lines;
     }
 
--- a/testbed/src/main/java/pearladder/testbed/Results.java
+++ b/testbed/src/main/java/pearladder/testbed/Results.java
@@ -102,7 +102,7 @@
      * A line on the loads that ended, what they fetched from the store, and the share of their time that the fetch
      * took.
      */
-    public static String loadsLine(ScenarioPlan plan, List<Observation> observations, long startedAt) {
+    static String loadsLine(ScenarioPlan plan, List<Observation> observations, long startedAt) {
         long loads = 0;
         long failed = 0;
         double gigabytes = 0;
--- a/testbed/src/main/java/pearladder/testbed/ScenarioEvaluation.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioEvaluation.java
@@ -1,7 +1,6 @@
 package pearladder.testbed;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,7 +13,6 @@
     static final String WORKER_LOG = "engines.tape";
     static final String CLIENT_LOG = "clients.tape";
 
-    private static final String TABLE_FILE = "table.txt";
     /** A run whose generator lagged more than this at p99 measured the generator. */
     private static final long GENERATOR_LAG_MILLIS = 50;
     /** The last line of a log may be torn where its process was killed. */
@@ -48,31 +46,23 @@
     }
 
     Scenario.Result evaluate(Run run) throws IOException {
-        List<Observation> observations = readLogs();
-        InvariantChecker.Verdict verdict = new InvariantChecker(
-                        plan.invariantSettings(), plan.slack(), plan.workerLocations())
-                .check(observations);
-        List<String> lines = new ArrayList<>(statistics.table());
-        lines.addAll(VersionShares.lines(observations, run.startedAt(), plan.rolloutOrders()));
-        lines.add(Results.loadsLine(plan, observations, run.startedAt()));
-        lines.add("");
-        lines.add(loadLine(run.seconds()));
-        lines.addAll(run.routerUsage());
+        ScenarioSummary summary = new ScenarioSummary(plan, statistics, readLogs(), run.startedAt());
+        List<String> table = summary.loadLines();
+        table.add("");
+        table.add(loadLine(run.seconds()));
+        table.addAll(run.routerUsage());
         if (run.trace() != null) {
-            lines.addAll(run.trace().lines());
+            table.addAll(run.trace().lines());
         }
         findFaults(run.trace());
-        lines.add("");
-        lines.addAll(verdict.lines(run.startedAt(), plan.invariantSettings()));
-        faults.forEach(fault -> lines.add("fault: " + fault));
-        Files.write(folder.resolve(TABLE_FILE), lines);
-        Results.write(folder, Results.of(plan, statistics, verdict, faults, observations, run.startedAt(), lines));
+        table.addAll(summary.verdictLines(faults));
+        ScenarioSummary.write(folder, table, summary.results(table, faults));
         return new Scenario.Result(
                 statistics.credit(),
                 statistics.leastWindowCredit(),
                 statistics.requests(),
-                lines,
-                verdict,
+                table,
+                summary.verdict(),
                 List.copyOf(faults));
     }
 
--- a/testbed/src/main/java/pearladder/testbed/VersionShares.java
+++ b/testbed/src/main/java/pearladder/testbed/VersionShares.java
@@ -11,7 +11,7 @@
 import pearladder.kserve.RequestOutcome;
 
 /** What clients saw of rollouts: the new version's share of the answers in each window, and how fast rollbacks were. */
-public final class VersionShares {
+final class VersionShares {
     /** A model as an answer names it, "model@version"; the version is empty where it names none. */
     record VersionedModel(String model, String version) {
         static VersionedModel of(Observation seen) {
@@ -51,7 +51,7 @@
      * @param observations in the order of time of each observer
      * @param startedAt start of the scenario on the observations' clock, in nanoseconds
      */
-    public static List<String> lines(List<Observation> observations, long startedAt, List<RolloutScript.Order> orders) {
+    static List<String> lines(List<Observation> observations, long startedAt, List<RolloutScript.Order> orders) {
         Map<String, Rollout> rollouts = new TreeMap<>();
         Map<String, Set<String>> models = new TreeMap<>();
         for (RolloutScript.Order order : orders) {
