--- a/testbed/src/test/java/pearladder/testbed/InvariantCheckerTest.java
+++ b/testbed/src/test/java/pearladder/testbed/InvariantCheckerTest.java
@@ -56,7 +56,7 @@
         add(ms + 1, Observation.RAN, requestId, attempt, worker, "", 0);
     }
 
-    private void refused(long ms, String requestId, int attempt, String worker) {
+    private void rejected(long ms, String requestId, int attempt, String worker) {
         add(ms, Observation.ARRIVED, requestId, attempt, worker, "", 0);
         add(ms, Observation.REJECTED, requestId, attempt, worker, "FULL", 0);
     }
@@ -81,7 +81,7 @@
     @Test
     void cleanRunPassesAndCountsWhatWasChecked() {
         sent(0, "c1", "post", 3000);
-        refused(5, "c1", 0, "e1");
+        rejected(5, "c1", 0, "e1");
         ran(10, "c1", 1, "e2", "");
         answered(40, "c1", "settled");
         sent(50, "c2", "commit", 3000);
