The rollout commands make their targets in one place

Cause: step, pause, resume and rollback each spelled out all six values of a target, three of them always empty.

Change: one private method makes the target from mode and step; a comment of a simulation test says cancelled.

--- a/cli/src/main/java/pearladder/cli/RolloutCommand.java
+++ b/cli/src/main/java/pearladder/cli/RolloutCommand.java
@@ -88,23 +88,17 @@
         return change(
                 routers,
                 models,
-                before -> new RolloutTarget(
-                        0,
-                        before.plan(),
+                before -> target(
+                        before,
                         RolloutTarget.Mode.RUNNING,
-                        Math.min(before.step() + 1, before.plan().steps().size() - 1),
-                        "",
-                        0));
+                        Math.min(before.step() + 1, before.plan().steps().size() - 1)));
     }
 
     @Command(name = "pause", mixinStandardHelpOptions = true, description = "Stay at the current share.")
     int pause(
             @CommandLine.Mixin Routers routers,
             @Parameters(paramLabel = "MODEL", description = "all if none is named") List<String> models) {
-        return change(
-                routers,
-                models,
-                before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.PAUSED, before.step(), "", 0));
+        return change(routers, models, before -> target(before, RolloutTarget.Mode.PAUSED, before.step()));
     }
 
     @Command(
@@ -114,10 +108,7 @@
     int resume(
             @CommandLine.Mixin Routers routers,
             @Parameters(paramLabel = "MODEL", description = "all if none is named") List<String> models) {
-        return change(
-                routers,
-                models,
-                before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.RUNNING, before.step(), "", 0));
+        return change(routers, models, before -> target(before, RolloutTarget.Mode.RUNNING, before.step()));
     }
 
     @Command(
@@ -127,10 +118,12 @@
     int rollback(
             @CommandLine.Mixin Routers routers,
             @Parameters(paramLabel = "MODEL", description = "all if none is named") List<String> models) {
-        return change(
-                routers,
-                models,
-                before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.ROLLED_BACK, 0, "", 0));
+        return change(routers, models, before -> target(before, RolloutTarget.Mode.ROLLED_BACK, 0));
+    }
+
+    /** The same plan in another mode or at another step; the client fills in epoch, operator and time. */
+    private static RolloutTarget target(RolloutTarget before, RolloutTarget.Mode mode, int step) {
+        return new RolloutTarget(0, before.plan(), mode, step, "", 0);
     }
 
     private int change(Routers routers, List<String> models, UnaryOperator<RolloutTarget> change) {
--- a/simulation/src/test/java/pearladder/simulation/SimulationTest.java
+++ b/simulation/src/test/java/pearladder/simulation/SimulationTest.java
@@ -62,7 +62,7 @@
         }
     }
 
-    /** Regression test: an attempt abandoned during a cut reached its worker when the cut was over. */
+    /** Regression test: an attempt cancelled during a cut reached its worker when the cut was over. */
     @Test
     void attemptCancelledDuringACutNeverArrives() throws IOException {
         ObjectNode script = SmallScenario.script();
