--- a/testbed/src/main/java/pearladder/testbed/Results.java
+++ b/testbed/src/main/java/pearladder/testbed/Results.java
@@ -59,9 +59,9 @@
         rejectionCauses(observations).forEach(causes::put);
         putFaults(results.putArray("troubles"), observations, startedAt);
         ArrayNode rules = results.putArray("rules");
-        verdict.checkedCounts().forEach((rule, looked) -> rules.addObject()
+        verdict.checkedCounts().forEach((rule, count) -> rules.addObject()
                 .put("rule", rule.description())
-                .put("looked", looked)
+                .put("looked", count)
                 .put("broken", verdict.broken(rule)));
         ArrayNode lines = results.putArray("table");
         table.forEach(lines::add);
@@ -102,7 +102,7 @@
      * A line on the loads that ended, what they fetched from the store, and the share of their time that the fetch
      * took.
      */
-    public static String loadsLine(ScenarioPlan plan, List<Observation> observations, long startedAt) {
+    static String loadsLine(ScenarioPlan plan, List<Observation> observations, long startedAt) {
         long loads = 0;
         long failed = 0;
         double gigabytes = 0;
