--- a/eventlog/src/test/java/pearladder/eventlog/metering/MeteringTest.java
+++ b/eventlog/src/test/java/pearladder/eventlog/metering/MeteringTest.java
@@ -16,45 +16,47 @@
 import pearladder.eventlog.RetentionSettings;
 import pearladder.metering.UsageShare;
 
+/** Usage by tenant, computed from the event logs of several routers. */
 class MeteringTest {
     /** A whole minute of the wall clock. */
     private static final long NOON = 1_796_126_400_000L;
 
     @TempDir
-    private Path folder;
+    private Path directory;
 
     private Path router(String name, LogEntry... entries) throws IOException {
-        Path records = folder.resolve(name);
-        try (EventLog kept = EventLog.open(records, RetentionSettings.DEFAULTS, text -> {})) {
-            kept.append(List.of(entry(0, LogEntryType.STARTED, "", "", "", name, 10_000)));
+        Path routerDirectory = directory.resolve(name);
+        try (EventLog log = EventLog.open(routerDirectory, RetentionSettings.DEFAULTS, text -> {})) {
+            log.append(List.of(entry(0, LogEntryType.STARTED, "", "", "", name, 10_000)));
             for (LogEntry entry : entries) {
-                kept.append(List.of(entry));
+                log.append(List.of(entry));
             }
         }
-        return records;
+        return routerDirectory;
     }
 
     private static LogEntry entry(
-            long seconds, LogEntryType kind, String model, String account, String engine, String note, long amount) {
-        return LogEntry.of(NOON + seconds * 1000, kind, model, account, engine, note, amount, 0);
+            long seconds, LogEntryType type, String function, String tenant, String worker, String note, long amount) {
+        return LogEntry.of(NOON + seconds * 1000, type, function, tenant, worker, note, amount, 0);
     }
 
-    private static Map<String, Long> byAccount(List<Path> folders) throws IOException {
+    private static Map<String, Long> megabyteMillisByTenant(List<Path> directories) throws IOException {
         Map<String, Long> sums = new TreeMap<>();
         assertEquals(
                 0,
-                Metering.read(folders, share -> sums.merge(share.tenant(), share.megabyteMillis(), Long::sum))
+                Metering.read(directories, share -> sums.merge(share.tenant(), share.megabyteMillis(), Long::sum))
                         .tooLate());
         sums.values().removeIf(amount -> amount == 0);
         return sums;
     }
 
     /**
-     * By hand: 400 MB from the load's beginning at 5 s to ten seconds after the last call of either router at 50 s, so 55 s and
-     * 22,000 MB seconds. All in one minute: 3 s of work of tender and 1 s of filing, so three quarters and one.
+     * By hand: 400 MB from the load's beginning at 5 s to ten seconds after the last request of either router at 50 s,
+     * so 55 s and 22,000 MB seconds. All in one minute: 3 s of work of tender and 1 s of filing, so three quarters and
+     * one.
      */
     @Test
-    void aModelThatServesTwoAccountsThroughTwoRoutersIsSplitAsByHand() throws IOException {
+    void aModelUsedByTwoTenantsThroughTwoRoutersIsSplitAsByHand() throws IOException {
         Path one = router(
                 "r1",
                 entry(0, LogEntryType.MODEL, "m", "", "", "", 400),
@@ -66,14 +68,14 @@
                 entry(2, LogEntryType.MODEL, "m", "", "", "", 400),
                 entry(40, LogEntryType.WORK, "m", "tender", "e1", "", 500_000),
                 entry(50, LogEntryType.WORK, "m", "filing", "e1", "", 1_000_000));
-        Map<String, Long> sums = byAccount(List.of(one, two));
+        Map<String, Long> sums = megabyteMillisByTenant(List.of(one, two));
         assertEquals(Map.of("filing", 5_500_000L, "tender", 16_500_000L), sums);
-        assertEquals(sums, byAccount(List.of(two, one)), "in any order");
-        assertEquals(sums, byAccount(List.of(one, two)), "and again");
+        assertEquals(sums, megabyteMillisByTenant(List.of(two, one)), "in any order");
+        assertEquals(sums, megabyteMillisByTenant(List.of(one, two)), "and again");
     }
 
     @Test
-    void aDeathThatTheListTellsAndARestartEndWhatStood() throws IOException {
+    void aRemovedWorkerAndARestartedOneEndTheirInstances() throws IOException {
         Path one = router(
                 "r1",
                 entry(0, LogEntryType.MODEL, "m", "", "", "", 100),
@@ -83,12 +85,12 @@
                 entry(2, LogEntryType.LOADING, "m", "a", "e2", "", 1),
                 entry(5, LogEntryType.ENGINE, "", "", "e1", "GONE", 0),
                 entry(7, LogEntryType.ENGINE, "", "", "e2", "IN_SERVICE", NOON + 6_000));
-        assertEquals(Map.of("a", 100L * 3_000 + 100L * 4_000), byAccount(List.of(one)));
+        assertEquals(Map.of("a", 100L * 3_000 + 100L * 4_000), megabyteMillisByTenant(List.of(one)));
     }
 
-    /** The clock steps back an hour: nothing is lost and nothing is counted twice; what came too late is told. */
+    /** The clock steps back an hour: nothing is lost or counted twice, and what came too late is reported. */
     @Test
-    void aClockThatStepsBackIsTold() throws IOException {
+    void aClockThatStepsBackIsReported() throws IOException {
         Path one = router(
                 "r1",
                 entry(0, LogEntryType.MODEL, "m", "", "", "", 100),
