--- a/kserve-router/src/test/java/pearladder/router/kserve/BackgroundWorkTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/BackgroundWorkTest.java
@@ -17,13 +17,14 @@
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.TimeSpan;
 
+/** Background jobs at the stop of a router. */
 class BackgroundWorkTest {
     /** A clock that goes on when it is told to. */
-    private static final class Steps implements Timers {
-        private record Waiting(long at, long number, Runnable what) {}
+    private static final class ManualTimers implements Timers {
+        private record ScheduledTask(long dueAt, long number, Runnable task) {}
 
-        private final PriorityQueue<Waiting> waiting = new PriorityQueue<>(
-                java.util.Comparator.comparingLong(Waiting::at).thenComparingLong(Waiting::number));
+        private final PriorityQueue<ScheduledTask> scheduled = new PriorityQueue<>(
+                java.util.Comparator.comparingLong(ScheduledTask::dueAt).thenComparingLong(ScheduledTask::number));
         private long now;
         private long number;
 
@@ -33,26 +34,26 @@
         }
 
         @Override
-        public Timer after(TimeSpan span, Runnable what) {
-            Waiting one = new Waiting(now + Timers.millis(span) * 1_000_000, number++, what);
-            waiting.add(one);
-            return () -> waiting.remove(one);
+        public Timer after(TimeSpan span, Runnable task) {
+            ScheduledTask scheduledTask = new ScheduledTask(now + Timers.millis(span) * 1_000_000, number++, task);
+            scheduled.add(scheduledTask);
+            return () -> scheduled.remove(scheduledTask);
         }
 
-        void on(long millis) {
+        void advance(long millis) {
             long until = now + millis * 1_000_000;
-            while (!waiting.isEmpty() && waiting.peek().at() <= until) {
-                Waiting next = waiting.poll();
-                now = next.at();
-                next.what().run();
+            while (!scheduled.isEmpty() && scheduled.peek().dueAt() <= until) {
+                ScheduledTask next = scheduled.poll();
+                now = next.dueAt();
+                next.task().run();
             }
             now = until;
         }
     }
 
-    private final Steps steps = new Steps();
+    private final ManualTimers timers = new ManualTimers();
     private final BackgroundWork work = new BackgroundWork(
-            steps,
+            timers,
             new BackgroundScheduler(
                     1,
                     List.of(
@@ -77,10 +78,10 @@
                                     TimeSpan.millis(500),
                                     false)),
                     TimeSpan.millis(50),
-                    steps.now()));
+                    timers.now()));
 
     @Test
-    void aJobThatThrowsHoldsUpNoStop() {
+    void aJobThatThrowsDoesNotDelayTheStop() {
         Future<Void> thrown = work.submit(JobClasses.SYNC, "", ResourceCost.NONE, null, () -> {
             throw new IllegalStateException("the client is closed");
         });
@@ -89,17 +90,17 @@
     }
 
     @Test
-    void aStopWaitsForWhatMustBeWrittenAndItsRetries() {
+    void aStopWaitsForDurableWritesAndTheirRetries() {
         Promise<ResourceCost> first = Promise.promise();
         Promise<ResourceCost> second = Promise.promise();
-        List<Promise<ResourceCost>> tries = new java.util.ArrayList<>(List.of(first, second));
-        Future<Void> flushed = work.submit(JobClasses.FLUSH, "", ResourceCost.NONE, null, () -> tries.remove(0)
+        List<Promise<ResourceCost>> attempts = new java.util.ArrayList<>(List.of(first, second));
+        Future<Void> flushed = work.submit(JobClasses.FLUSH, "", ResourceCost.NONE, null, () -> attempts.remove(0)
                 .future());
         Future<Void> stopped = work.stop();
         first.fail("no space");
         assertFalse(stopped.isComplete());
-        steps.on(1000);
-        assertEquals(List.of(), tries);
+        timers.advance(1000);
+        assertEquals(List.of(), attempts);
         assertFalse(stopped.isComplete());
         second.complete(ResourceCost.NONE);
         assertTrue(flushed.succeeded());
--- a/kserve-router/src/test/java/pearladder/router/kserve/RawEngine.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/RawWorker.java
@@ -13,46 +13,47 @@
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** An engine scripted byte by byte: what it does with each request is told by the test. */
-final class RawEngine implements AutoCloseable {
-    /** What is done with one request that has come in whole. */
+/** A worker whose bytes on the wire are written by a script of the test. */
+final class RawWorker implements AutoCloseable {
+    /** Responds to one request that was received whole; the first has number 1. */
     interface Script {
-        void answer(int number, String head, OutputStream out, Socket socket) throws IOException;
+        void respond(int number, String head, OutputStream out, Socket socket) throws IOException;
     }
 
-    final ServerSocket door;
-    /** Heads of the requests that came in whole, in order. */
-    final List<String> heads = new CopyOnWriteArrayList<>();
+    final ServerSocket serverSocket;
+    /** Heads of the requests that were received whole, in order. */
+    final List<String> requestHeads = new CopyOnWriteArrayList<>();
 
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final Script script;
 
-    RawEngine(Script script) {
+    RawWorker(Script script) {
         this.script = script;
         try {
-            door = new ServerSocket(0, 4096, InetAddress.getLoopbackAddress());
-        } catch (IOException broken) {
-            throw new UncheckedIOException(broken);
+            serverSocket = new ServerSocket(0, 4096, InetAddress.getLoopbackAddress());
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
         }
         start(this::accept);
     }
 
-    private static void start(Runnable run) {
-        Thread thread = new Thread(run, "raw engine");
+    private static void start(Runnable task) {
+        Thread thread = new Thread(task, "raw worker");
         thread.setDaemon(true);
         thread.start();
     }
 
-    static void plain(OutputStream out, int status, String headers, String body) throws IOException {
+    /** Writes a whole response. */
+    static void respond(OutputStream out, int status, String headers, String body) throws IOException {
         out.write(("HTTP/1.1 " + status + " X\r\ncontent-length: " + body.length() + "\r\n" + headers + "\r\n" + body)
                 .getBytes(StandardCharsets.US_ASCII));
         out.flush();
     }
 
     private void accept() {
-        while (!door.isClosed()) {
+        while (!serverSocket.isClosed()) {
             try {
-                Socket socket = door.accept();
+                Socket socket = serverSocket.accept();
                 sockets.add(socket);
                 start(() -> serve(socket));
             } catch (IOException closed) {
@@ -65,23 +66,27 @@
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
             String head;
-            while ((head = head(in)) != null) {
-                int length = 0;
-                for (String line : head.split("\r\n")) {
-                    if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
-                        length = Integer.parseInt(line.substring(15).trim());
-                    }
-                }
-                in.readNBytes(length);
-                heads.add(head);
-                script.answer(heads.size(), head, socket.getOutputStream(), socket);
+            while ((head = readHead(in)) != null) {
+                in.readNBytes(contentLength(head));
+                requestHeads.add(head);
+                script.respond(requestHeads.size(), head, socket.getOutputStream(), socket);
             }
-        } catch (IOException broken) {
+        } catch (IOException failure) {
             return;
         }
     }
 
-    private static String head(InputStream in) throws IOException {
+    private static int contentLength(String head) {
+        int length = 0;
+        for (String line : head.split("\r\n")) {
+            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+                length = Integer.parseInt(line.substring(15).trim());
+            }
+        }
+        return length;
+    }
+
+    private static String readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         int next;
         while ((next = in.read()) >= 0) {
@@ -94,19 +99,19 @@
     }
 
     /** Whether the other side has closed every connection. */
-    boolean allClosed() {
+    boolean areAllConnectionsClosed() {
         return sockets.stream().allMatch(Socket::isClosed);
     }
 
     @Override
     public void close() {
         try {
-            door.close();
+            serverSocket.close();
             for (Socket socket : sockets) {
                 socket.close();
             }
-        } catch (IOException broken) {
-            throw new UncheckedIOException(broken);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
         }
     }
 }
--- a/kserve-router/src/test/java/pearladder/router/kserve/OperatorTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/RolloutClientTest.java
@@ -11,69 +11,71 @@
 import pearladder.rollout.RolloutPlan;
 import pearladder.rollout.RolloutTarget;
 
-class OperatorTest {
+/** An operator's commands to several routers, and the reader of rollout plans. */
+class RolloutClientTest {
     private static List<RolloutPlan> plan(String from, String to) {
         return RolloutPlanParser.read(YamlParser.read(
                 "p.yaml",
                 "release: {model: pair-a, from: \"" + from + "\", to: \"" + to + "\", steps: [0.5, 1], hold: 10 s}"));
     }
 
-    /** Two routers; one is away while an order is given, and ends in the newest state all the same. */
+    /** Two routers; one is down while a target is set, and ends with the newest target all the same. */
     @Test
-    void ordersReachEveryRouterAndOneThatWasAwayCatchesUp() {
-        try (Stand stand = new Stand(2)) {
-            Router second = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.discoveryPort(), Stand.RULES);
-            String first = "127.0.0.1:" + stand.router.adminPort();
-            RolloutClient both = new RolloutClient(List.of(first, "127.0.0.1:" + second.adminPort()), "ann");
-            assertEquals(2, both.start(plan("", "2")).acceptedCount());
-            Stand.await(second.stop().toCompletionStage().toCompletableFuture());
-            RolloutClient.RolloutResult told = both.change(
+    void targetsReachEveryRouterAndAnUnavailableOneCatchesUp() {
+        try (RouterHarness harness = new RouterHarness(2)) {
+            Router second = harness.startRouter("r2", harness.discoveryAddress(), RouterHarness.CONFIG);
+            String first = "127.0.0.1:" + harness.router.adminPort();
+            RolloutClient client = new RolloutClient(List.of(first, "127.0.0.1:" + second.adminPort()), "ann");
+            assertEquals(2, client.start(plan("", "2")).acceptedCount());
+            RouterHarness.stop(second);
+            RolloutClient.RolloutResult result = client.change(
                     List.of(), before -> new RolloutTarget(0, before.plan(), RolloutTarget.Mode.PAUSED, 0, "", 0));
-            assertEquals(1, told.acceptedCount());
+            assertEquals(1, result.acceptedCount());
             assertTrue(
-                    told.lines().stream().anyMatch(line -> line.contains("no answer")),
-                    told.lines().toString());
-            second = stand.startRouter("r2", "127.0.0.1:" + stand.fleet.discoveryPort(), Stand.RULES);
-            both = new RolloutClient(List.of(first, "127.0.0.1:" + second.adminPort()), "ben");
+                    result.lines().stream().anyMatch(line -> line.contains("no answer")),
+                    result.lines().toString());
+            second = harness.startRouter("r2", harness.discoveryAddress(), RouterHarness.CONFIG);
+            client = new RolloutClient(List.of(first, "127.0.0.1:" + second.adminPort()), "ben");
             assertEquals(
                     2,
-                    both.status().stream()
+                    client.status().stream()
                             .filter(line -> line.contains("epoch 2, paused") || line.contains("epoch 1, running"))
                             .count(),
-                    both.status().toString());
+                    client.status().toString());
             assertEquals(
                     2,
-                    both.change(
+                    client.change(
                                     List.of("pair-a"),
                                     before -> new RolloutTarget(
                                             0, before.plan(), RolloutTarget.Mode.ROLLED_BACK, 0, "", 0))
                             .acceptedCount());
             assertEquals(
                     2,
-                    both.status().stream()
+                    client.status().stream()
                             .filter(line -> line.contains("epoch 3, rolled_back"))
                             .count());
-            assertTrue(both.history().stream().anyMatch(line -> line.contains("ben rolled_back pair-a to 2, epoch 3")));
-            Stand.await(second.stop().toCompletionStage().toCompletableFuture());
+            assertTrue(
+                    client.history().stream().anyMatch(line -> line.contains("ben rolled_back pair-a to 2, epoch 3")));
+            RouterHarness.stop(second);
         }
     }
 
     @Test
-    void aPlanFromAVersionThatDoesNotServeIsRefused() {
-        try (Stand stand = new Stand(1)) {
-            RolloutClient operator = new RolloutClient(List.of("127.0.0.1:" + stand.router.adminPort()), "ann");
-            assertEquals(1, operator.start(plan("", "2")).acceptedCount());
-            RolloutClient.RolloutResult wrong = operator.start(plan("1", "3"));
-            assertEquals(0, wrong.acceptedCount());
+    void aPlanFromAVersionNotInServiceIsRefused() {
+        try (RouterHarness harness = new RouterHarness(1)) {
+            RolloutClient client = new RolloutClient(List.of("127.0.0.1:" + harness.router.adminPort()), "ann");
+            assertEquals(1, client.start(plan("", "2")).acceptedCount());
+            RolloutClient.RolloutResult refused = client.start(plan("1", "3"));
+            assertEquals(0, refused.acceptedCount());
             assertTrue(
-                    wrong.lines().get(0).contains("its calls get version \"2\", not \"1\""),
-                    wrong.lines().toString());
-            assertEquals(1, operator.start(plan("2", "3")).acceptedCount());
+                    refused.lines().get(0).contains("its calls get version \"2\", not \"1\""),
+                    refused.lines().toString());
+            assertEquals(1, client.start(plan("2", "3")).acceptedCount());
         }
     }
 
     @Test
-    void aPlansMistakesAreNamedByLine() {
+    void mistakesInAPlanAreReportedWithTheirLines() {
         List<String> lines = assertThrows(
                         ConfigErrors.ConfigException.class,
                         () -> RolloutPlanParser.read(
--- a/kserve-router/src/test/java/pearladder/router/kserve/RouterTest.java
+++ b/kserve-router/src/test/java/pearladder/router/kserve/RouterTest.java
@@ -10,22 +10,23 @@
 import org.junit.jupiter.api.Test;
 import pearladder.emulator.Observation;
 
+/** Requests through a router to emulated workers. */
 class RouterTest {
     @Test
-    void aCallGoesThroughAndTheNextFindsItsCopy() {
-        try (Stand stand = new Stand(3)) {
-            HttpResponse<String> first = Stand.await(stand.send("pair-a", 5));
+    void aRequestSucceedsAndTheNextUsesTheLoadedInstance() {
+        try (RouterHarness harness = new RouterHarness(3)) {
+            HttpResponse<String> first = RouterHarness.await(harness.send("pair-a", 5));
             assertEquals(200, first.statusCode(), first.body());
-            assertEquals("settled", Stand.state(first));
+            assertEquals("settled", RouterHarness.outcome(first));
             assertEquals(
                     "load-begun", first.headers().firstValue("pearladder-copy").orElse(""));
-            HttpResponse<String> second = Stand.await(stand.send("pair-a", 5));
+            HttpResponse<String> second = RouterHarness.await(harness.send("pair-a", 5));
             assertEquals("stood", second.headers().firstValue("pearladder-copy").orElse(""));
             assertTrue(second.body().contains("\"model_name\":\"pair-a\""), second.body());
-            assertEquals(2, stand.seen(Observation.RAN).size());
+            assertEquals(2, harness.observations(Observation.RAN).size());
             assertEquals(
                     1,
-                    stand.seen(Observation.RAN).stream()
+                    harness.observations(Observation.RAN).stream()
                             .map(Observation::worker)
                             .distinct()
                             .count());
@@ -33,19 +34,20 @@
     }
 
     @Test
-    void manyCallsAtOnceGetOneAnswerEach() {
-        try (Stand stand = new Stand(3)) {
-            List<CompletableFuture<HttpResponse<String>>> all = new ArrayList<>();
+    void concurrentRequestsEachGetOneResponse() {
+        try (RouterHarness harness = new RouterHarness(3)) {
+            List<CompletableFuture<HttpResponse<String>>> responses = new ArrayList<>();
             for (int i = 0; i < 200; i++) {
-                all.add(stand.send("pair-" + i % 10, 2));
+                responses.add(harness.send("pair-" + i % 10, 2));
             }
-            long settled = all.stream()
-                    .map(Stand::await)
-                    .filter(r -> Stand.state(r).equals("settled"))
+            long succeeded = responses.stream()
+                    .map(RouterHarness::await)
+                    .filter(response -> RouterHarness.outcome(response).equals("settled"))
                     .count();
-            assertTrue(settled > 0);
-            assertTrue(all.stream().map(Stand::await).allMatch(r -> List.of("settled", "dismissed", "terminated")
-                    .contains(Stand.state(r))));
+            assertTrue(succeeded > 0);
+            assertTrue(responses.stream().map(RouterHarness::await).allMatch(response -> List.of(
+                            "settled", "dismissed", "terminated")
+                    .contains(RouterHarness.outcome(response))));
         }
     }
 }
