--- a/kserve/src/test/java/pearladder/kserve/KserveTest.java
+++ b/kserve/src/test/java/pearladder/kserve/KserveTest.java
@@ -14,9 +14,10 @@
 import pearladder.kserve.DiscoveryMessage.WorkerState;
 import pearladder.kserve.Route.Kind;
 
+/** Paths, bodies, load reports and discovery messages as they go over the wire. */
 class KserveTest {
     @Test
-    void theModelThatAnsweredIsReadFromTheHeadOfItsAnswerOnly() {
+    void theRespondingModelIsReadFromTheStartOfTheBodyOnly() {
         assertEquals(
                 "a",
                 JsonBodies.respondingModel(
@@ -34,7 +35,7 @@
     }
 
     @Test
-    void publishedPathsAreKnownAndNothingElse() {
+    void onlyPublishedPathsAreRouted() {
         assertEquals(new Route(Kind.SERVER, null, null), Route.of("/v2"));
         assertEquals(new Route(Kind.LIVE, null, null), Route.of("/v2/health/live"));
         assertEquals(new Route(Kind.READY, null, null), Route.of("/v2/health/ready"));
@@ -63,7 +64,7 @@
     }
 
     @Test
-    void aReportIsReadAsItIsWrittenAndWhatIsWrongInItIsNotANumber() {
+    void aLoadReportSurvivesARoundTripAndInvalidFieldsAreNaN() {
         LoadReport whole = new LoadReport(3, 1, 0.5, 2, 0.25);
         assertEquals(whole, LoadReport.parse(whole.text()));
         assertNull(LoadReport.parse(" "));
@@ -73,7 +74,7 @@
     }
 
     @Test
-    void anyListLineIsReadAsItIsWritten() throws IOException {
+    void discoveryMessagesSurviveARoundTrip() throws IOException {
         SplittableRandom random = new SplittableRandom(4);
         for (int round = 0; round < 300; round++) {
             List<Entry> entries = new ArrayList<>();
@@ -88,17 +89,17 @@
                         WorkerState.values()[random.nextInt(3)],
                         random.nextLong(1L << 42)));
             }
-            DiscoveryMessage line = new DiscoveryMessage(
+            DiscoveryMessage message = new DiscoveryMessage(
                     DiscoveryMessage.Kind.values()[random.nextInt(3)], random.nextLong(1L << 60), entries);
-            assertEquals(line, DiscoveryMessage.parse(line.toJson()));
-            String text = line.toJson();
-            String torn = text.substring(0, random.nextInt(text.length()));
-            assertThrows(IOException.class, () -> DiscoveryMessage.parse(torn), torn);
+            assertEquals(message, DiscoveryMessage.parse(message.toJson()));
+            String text = message.toJson();
+            String truncated = text.substring(0, random.nextInt(text.length()));
+            assertThrows(IOException.class, () -> DiscoveryMessage.parse(truncated), truncated);
         }
     }
 
     @Test
-    void aWrongListLineSaysWhatIsWrong() {
+    void anInvalidDiscoveryMessageIsRefusedWithAReason() {
         for (String[] wrong : new String[][] {
             {"[]", "a list line is a JSON object"},
             {"{\"kind\":\"half\"}", "unknown word half"},
@@ -120,7 +121,7 @@
     }
 
     @Test
-    void smallBodiesAreReadAsTheyAreWritten() throws IOException {
+    void smallBodiesSurviveARoundTrip() throws IOException {
         assertEquals(3, JsonBodies.requestedInstances(JsonBodies.load(3)));
         assertEquals(1, JsonBodies.requestedInstances("{}"));
         assertEquals(1, JsonBodies.requestedInstances(""));
