--- a/config/src/main/java/pearladder/config/ConfigValue.java
+++ b/config/src/main/java/pearladder/config/ConfigValue.java
@@ -294,7 +294,7 @@
         mistakes.raise();
     }
 
-    /** Ends the reading of a file: throws {@link ConfigErrors.RestartState} if anything was wrong. */
+    /** Ends the reading of a file: throws {@link ConfigErrors.ConfigException} if anything was wrong. */
     public void done() {
         close();
         mistakes.raise();
--- a/config/src/main/java/pearladder/config/YamlParser.java
+++ b/config/src/main/java/pearladder/config/YamlParser.java
@@ -22,7 +22,7 @@
         this.mistakes = mistakes;
     }
 
-    /** Parses a file; throws {@link ConfigErrors.RestartState} where it can't be read or is not YAML. */
+    /** Parses a file; throws {@link ConfigErrors.ConfigException} where it can't be read or is not YAML. */
     public static ConfigValue read(Path file) {
         String text;
         try {
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutPlanParser.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutPlanParser.java
@@ -12,7 +12,7 @@
 public final class RolloutPlanParser {
     private RolloutPlanParser() {}
 
-    /** Parses a file; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
+    /** Parses a file; throws {@link pearladder.config.ConfigErrors.ConfigException} with every mistake in it. */
     public static List<RolloutPlan> read(Path file) {
         return read(YamlParser.read(file));
     }
--- a/kserve-router/src/main/java/pearladder/router/kserve/RouterConfigParser.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RouterConfigParser.java
@@ -17,12 +17,12 @@
 
     private RouterConfigParser() {}
 
-    /** Parses a file; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
+    /** Parses a file; throws {@link pearladder.config.ConfigErrors.ConfigException} with every mistake in it. */
     public static RouterConfig read(Path file) {
         return read(YamlParser.read(file));
     }
 
-    /** Parses a YAML document; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
+    /** Parses a YAML document; throws {@link pearladder.config.ConfigErrors.ConfigException} with every mistake in it. */
     public static RouterConfig read(ConfigValue file) {
         ConfigValue router = file.at("router");
         String name = name(router.at("name"));
--- a/testbed/src/main/java/pearladder/testbed/ExperimentPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ExperimentPlan.java
@@ -57,7 +57,7 @@
         }
     }
 
-    /** Reads a file; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
+    /** Reads a file; throws {@link pearladder.config.ConfigErrors.ConfigException} with every mistake in it. */
     static ExperimentPlan read(Path file) {
         return read(YamlParser.read(file), file.toAbsolutePath().getParent());
     }
--- a/testbed/src/main/java/pearladder/testbed/Scenario.java
+++ b/testbed/src/main/java/pearladder/testbed/Scenario.java
@@ -102,7 +102,7 @@
         return new Observation(System.nanoTime(), what, router, "", 0, "", "", note, 0);
     }
 
-    /** Only reads a script; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
+    /** Only reads a script; throws {@link pearladder.config.ConfigErrors.ConfigException} with every mistake in it. */
     public static void check(Path script) {
         ScenarioPlan.read(script);
     }
--- a/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioPlan.java
@@ -227,7 +227,7 @@
             double probability,
             String zone) {}
 
-    /** Reads a script; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
+    /** Reads a script; throws {@link pearladder.config.ConfigErrors.ConfigException} with every mistake in it. */
     public static ScenarioPlan read(Path file) {
         return read(YamlParser.read(file));
     }
--- a/testbed/src/main/java/pearladder/testbed/ScenarioPlanParser.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioPlanParser.java
@@ -39,7 +39,7 @@
         this.day = file.at("day");
     }
 
-    /** The plan; throws {@link pearladder.config.ConfigErrors.RestartState} where there is any mistake. */
+    /** The plan; throws {@link pearladder.config.ConfigErrors.ConfigException} where there is any mistake. */
     ScenarioPlan parse() {
         InvariantSettings rules = InvariantSettings.read(file.at("router"));
         long lasting = day.at("lasting").span();
--- a/testbed/src/main/java/pearladder/testbed/ScenarioScripts.java
+++ b/testbed/src/main/java/pearladder/testbed/ScenarioScripts.java
@@ -9,7 +9,7 @@
 public final class ScenarioScripts {
     private ScenarioScripts() {}
 
-    /** Only reads a script; throws {@link pearladder.config.ConfigErrors.RestartState} with every mistake in it. */
+    /** Only reads a script; throws {@link pearladder.config.ConfigErrors.ConfigException} with every mistake in it. */
     public static void check(Path file) {
         ScenarioPlan.read(file);
     }
