Settings parser in parts with Javadoc; stale @param tags and links in decisions mended

Change: RoutingSettingsParser reads each record in a method of its own, with the keys, defaults and order of evaluation as before; JsonRowReader reads objects and arrays in methods of their own; Javadoc on every public item of settings. In decisions the @param tags name the components, {@link #on} replaces links to a method that isn't there, handlers are named after their events (onTargetPersisted, onJournalRestored), the negative-span check that stood twice is TimeSpan.isNegative. Error texts stay.

--- a/decisions/src/main/java/pearladder/background/BackgroundScheduler.java
+++ b/decisions/src/main/java/pearladder/background/BackgroundScheduler.java
@@ -11,14 +11,14 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * Decides when each background job is started. Its one entry point is {@link #setActions}: an event goes in, actions come out.
+ * Decides when each background job is started. Its one entry point is {@link #on}: an event goes in, actions come out.
  *
  * <p>Job classes go by rank; within a class tenants share fairly ({@link JobQueue}). A class spends no more than its
  * budget: what a job cost beyond what was expected is paid back before the next one starts. A job that can't start by
  * its deadline is dropped at once, not when the deadline has passed.
  */
 public final class BackgroundScheduler {
-    /** Time between two looks at the waiting jobs; short against back-offs and deadlines. */
+    /** Time between two evaluations of the waiting jobs; short against back-offs and deadlines. */
     private static final TimeSpan TICK = TimeSpan.millis(50);
     /** Back-off never grows beyond this many times the first one. */
     private static final double MAX_BACKOFF_FACTOR = 100;
@@ -41,7 +41,7 @@
     private long submittedCount;
     private long randomCount;
     private boolean isShuttingDown;
-    private boolean isWakeScheduled;
+    private boolean isTickScheduled;
 
     /** Time of the event that is being handled. */
     private MonotonicTime now;
@@ -87,10 +87,10 @@
         } else if (event instanceof JobEvent.ShutdownBegun) {
             onShutdown();
         } else if (event instanceof JobEvent.Tick) {
-            isWakeScheduled = false;
+            isTickScheduled = false;
         }
         startJobs();
-        scheduleWake();
+        scheduleTick();
         return actions;
     }
 
@@ -101,7 +101,7 @@
 
     private void onSubmitted(JobEvent.JobSubmitted submitted) {
         JobQueue queue = queues.get(submitted.jobClass());
-        String reason = whyRejected(submitted, queue);
+        String reason = rejectionReason(submitted, queue);
         if (reason != null) {
             actions.add(new JobAction.DropJob(submitted.id(), reason));
             return;
@@ -116,7 +116,7 @@
     }
 
     /** Why a job is not accepted; null where it is. */
-    private String whyRejected(JobEvent.JobSubmitted submitted, JobQueue queue) {
+    private String rejectionReason(JobEvent.JobSubmitted submitted, JobQueue queue) {
         if (queue == null) {
             return "no such class: " + submitted.jobClass();
         }
@@ -216,9 +216,9 @@
         }
     }
 
-    private void scheduleWake() {
-        if (!isWakeScheduled && jobs.values().stream().anyMatch(job -> !job.isRunning)) {
-            isWakeScheduled = true;
+    private void scheduleTick() {
+        if (!isTickScheduled && jobs.values().stream().anyMatch(job -> !job.isRunning)) {
+            isTickScheduled = true;
             actions.add(new JobAction.ScheduleTick(TICK));
         }
     }
--- a/decisions/src/main/java/pearladder/background/JobAction.java
+++ b/decisions/src/main/java/pearladder/background/JobAction.java
@@ -14,7 +14,7 @@
     /**
      * The job is dropped; nothing more is said about it.
      *
-     * @param why reason in a few words, for the log and for whoever submitted it
+     * @param reason why, in a few words, for the log and for whoever submitted it
      */
     record DropJob(String id, String reason) implements JobAction {}
 
--- a/decisions/src/main/java/pearladder/connections/ConnectionAction.java
+++ b/decisions/src/main/java/pearladder/connections/ConnectionAction.java
@@ -5,7 +5,7 @@
     /**
      * Close this client connection.
      *
-     * @param why reason in a few words, for the log
+     * @param reason why, in a few words, for the log
      */
     record CloseClientConnection(ClientConnectionState connection, String reason) implements ConnectionAction {}
 
--- a/decisions/src/main/java/pearladder/connections/GracefulShutdown.java
+++ b/decisions/src/main/java/pearladder/connections/GracefulShutdown.java
@@ -4,8 +4,8 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * Decides when a router that received a stop signal rejects new requests, abandons those still open, and exits. It
- * exits as soon as no response is owed to anyone, and always before the platform kills the process.
+ * Decides when a router that received a stop signal rejects new requests, fails those still open, and exits. It
+ * exits as soon as no response is outstanding, and always before the platform kills the process.
  */
 public final class GracefulShutdown {
     /** What the router does at a moment of the shutdown. */
@@ -59,13 +59,13 @@
      *
      * @param lastReceivedAt when a client last connected or sent something; null where none did
      */
-    public Step on(MonotonicTime now, MonotonicTime lastReceivedAt, OutstandingWork owed) {
+    public Step on(MonotonicTime now, MonotonicTime lastReceivedAt, OutstandingWork outstanding) {
         if (now.isBefore(signalledAt.plus(SERVING_TIME))) {
             return Step.SERVE;
         }
         boolean isQuiet = lastReceivedAt == null || !now.isBefore(lastReceivedAt.plus(SLACK));
         boolean isOutOfTime = !now.isBefore(killedAt.minus(SLACK));
-        if (isQuiet && owed.isNothing() || isOutOfTime) {
+        if (isQuiet && outstanding.isNothing() || isOutOfTime) {
             return Step.EXIT;
         }
         return now.isBefore(killedAt.minus(SLACK.times(2))) ? Step.REJECT : Step.ABANDON;
--- a/decisions/src/main/java/pearladder/metering/InstanceUsage.java
+++ b/decisions/src/main/java/pearladder/metering/InstanceUsage.java
@@ -20,10 +20,10 @@
     private long countedUntil;
     /** When the instances were last known to be there. */
     private long renewedAt;
-    /** Megabytes times milliseconds in the open interval. */
-    private long amount;
+    /** Memory of the open interval, in megabytes times milliseconds. */
+    private long megabyteMillis;
     /** Tenant that pays while no request has run; empty for none. */
-    private String loader = "";
+    private String loadingTenant = "";
     /** Microseconds by tenant for each interval, the open one last. */
     private final Deque<TreeMap<String, Long>> workByInterval = new ArrayDeque<>();
     /** Loads by tenant in the open interval. */
@@ -47,7 +47,8 @@
         long expiresAt = renewedAt + idleTimeout;
         long end = Math.min(time, expiresAt);
         if (instances > 0 && end > countedUntil) {
-            amount = Math.addExact(amount, Math.multiplyExact(instances * (end - countedUntil), memoryMb));
+            megabyteMillis =
+                    Math.addExact(megabyteMillis, Math.multiplyExact(instances * (end - countedUntil), memoryMb));
         }
         if (time >= expiresAt) {
             instances = 0;
@@ -79,13 +80,13 @@
 
     private void ensureInstance(long time, String tenant) {
         if (instances == 0) {
-            loader = tenant;
+            loadingTenant = tenant;
         }
         setInstances(time, Math.max(1, instances));
     }
 
     boolean hasOpenUsage() {
-        return instances > 0 || amount > 0;
+        return instances > 0 || megabyteMillis > 0;
     }
 
     /** Whether neither instances nor work of the last intervals are left. */
@@ -102,21 +103,21 @@
         }
     }
 
-    /** Divides the memory of the open interval among the tenants, and begins to count anew. */
+    /** Divides the memory of the open interval among the tenants, and restarts the count. */
     List<UsageShare> takeShares(long intervalStart) {
         TreeMap<String, Long> openWork = workByInterval.peekLast();
-        TreeMap<String, Long> amounts = LargestRemainder.divide(amount, weights());
-        openWork.keySet().forEach(tenant -> amounts.putIfAbsent(tenant, 0L));
-        loads.keySet().forEach(tenant -> amounts.putIfAbsent(tenant, 0L));
+        TreeMap<String, Long> megabyteMillisByTenant = LargestRemainder.divide(megabyteMillis, weights());
+        openWork.keySet().forEach(tenant -> megabyteMillisByTenant.putIfAbsent(tenant, 0L));
+        loads.keySet().forEach(tenant -> megabyteMillisByTenant.putIfAbsent(tenant, 0L));
         List<UsageShare> shares = new ArrayList<>();
-        amounts.forEach((tenant, tenantAmount) -> {
+        megabyteMillisByTenant.forEach((tenant, tenantMegabyteMillis) -> {
             int loadCount = loads.getOrDefault(tenant, 0);
             long work = openWork.getOrDefault(tenant, 0L);
-            if (tenantAmount > 0 || loadCount > 0 || work > 0) {
-                shares.add(new UsageShare(tenant, model, worker, intervalStart, tenantAmount, loadCount, work));
+            if (tenantMegabyteMillis > 0 || loadCount > 0 || work > 0) {
+                shares.add(new UsageShare(tenant, model, worker, intervalStart, tenantMegabyteMillis, loadCount, work));
             }
         });
-        amount = 0;
+        megabyteMillis = 0;
         loads.clear();
         return shares;
     }
@@ -126,7 +127,7 @@
         workByInterval.forEach(work -> work.forEach((tenant, micros) -> weights.merge(tenant, micros, Long::sum)));
         weights.values().removeIf(micros -> micros <= 0);
         if (weights.isEmpty()) {
-            weights.put(loader, 1L);
+            weights.put(loadingTenant, 1L);
         }
         return weights;
     }
--- a/decisions/src/main/java/pearladder/metering/UsageAccounting.java
+++ b/decisions/src/main/java/pearladder/metering/UsageAccounting.java
@@ -9,7 +9,7 @@
 import java.util.TreeMap;
 
 /**
- * Divides the memory that models hold among tenants. Observations go in through {@link #setActions}, in the order of time but
+ * Divides the memory that models hold among tenants. Observations go in through {@link #on}, in the order of time but
  * for a stated lateness; the shares of intervals that are over come out; {@link #finish} closes what is left. Times in
  * milliseconds.
  *
@@ -38,15 +38,15 @@
     private final TreeMap<String, InstanceUsage> usages = new TreeMap<>();
     /** Megabytes of an instance by model. */
     private final Map<String, Long> memoryMb = new HashMap<>();
-    /** Shares that the present call returns. */
+    /** Shares that the method being run returns. */
     private List<UsageShare> shares = new ArrayList<>();
 
     private long intervalStart = NOT_STARTED;
     private long newestMillis = Long.MIN_VALUE;
-    private long tooLateCount;
+    private long lateCount;
 
     /**
-     * Creates an account without usage.
+     * Creates an accounting without usage.
      *
      * @param interval length of the intervals that are divided, milliseconds
      * @param idleTimeout time for which idle instances are kept, milliseconds
@@ -87,7 +87,7 @@
 
     /** Number of observations that came later than the stated lateness; they count in the first open interval. */
     public long lateObservationCount() {
-        return tooLateCount;
+        return lateCount;
     }
 
     private boolean hasOpenUsage() {
@@ -113,7 +113,7 @@
             intervalStart = Math.floorDiv(observation.atMillis(), interval) * interval;
         }
         if (observation.atMillis() < intervalStart) {
-            tooLateCount++;
+            lateCount++;
         }
         long time = Math.max(intervalStart, observation.atMillis());
         while (time >= intervalStart + interval) {
--- a/decisions/src/main/java/pearladder/metering/UsageShare.java
+++ b/decisions/src/main/java/pearladder/metering/UsageShare.java
@@ -3,12 +3,13 @@
 /**
  * A tenant's share of the memory that a model held on a worker in an interval.
  *
- * @param account tenant; empty where no tenant's request ever asked for the instances
- * @param engine worker
- * @param from start of the interval by the wall clock, milliseconds since 1970
- * @param amount megabytes times milliseconds
+ * @param tenant the tenant; empty where no tenant's request ever asked for the instances
+ * @param model the model
+ * @param worker the worker that held the model
+ * @param intervalStartMillis start of the interval by the wall clock, milliseconds since 1970
+ * @param megabyteMillis megabytes times milliseconds
  * @param loads loads that were started for the tenant in the interval
- * @param work time that the tenant's requests ran there in the interval, microseconds
+ * @param workMicros time that the tenant's requests ran there in the interval, microseconds
  */
 public record UsageShare(
         String tenant,
--- a/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
+++ b/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
@@ -42,8 +42,8 @@
     /**
      * What the policy may start from.
      *
-     * @param known the part of the snapshot that still holds; without workers and functions where none of it does
-     * @param why one line for the log: how much was restored, or why nothing was
+     * @param snapshot the part of it that still holds; without workers and functions where none of it does
+     * @param reason one line for the log: how much was restored, or why nothing was
      */
     public record RecoveredState(PolicySnapshot snapshot, String reason) {}
 
@@ -78,16 +78,16 @@
     /** Decides what the policy may start from. */
     public RecoveredState recover(RestartState found) {
         List<TimeSpan> loadRequestAges = countedLoadRequests(found);
-        String reason = whyUnusable(found);
+        String reason = unusableReason(found);
         return reason == null ? restore(found, loadRequestAges) : restoreNothing(loadRequestAges, reason);
     }
 
     /** Why no part of the snapshot may be used; null where it may be. */
-    private String whyUnusable(RestartState found) {
+    private String unusableReason(RestartState found) {
         if (found.snapshot() == null) {
             return "no snapshot";
         }
-        if (isNegative(found.gap())) {
+        if (found.gap().isNegative()) {
             return "the clock stepped back by " + formatSeconds(found.gap().times(-1));
         }
         if (found.gap().isLongerThan(maxAge)) {
@@ -211,10 +211,6 @@
         return counted;
     }
 
-    private static boolean isNegative(TimeSpan span) {
-        return span.nanos() < 0;
-    }
-
     private static String formatSeconds(TimeSpan span) {
         return String.format(Locale.ROOT, "%.1f s", span.toSeconds());
     }
--- a/decisions/src/main/java/pearladder/recovery/SnapshotValidator.java
+++ b/decisions/src/main/java/pearladder/recovery/SnapshotValidator.java
@@ -22,7 +22,7 @@
     /** Names the first invalid part of a snapshot; null where all of it is valid. */
     static String findInvalidPart(PolicySnapshot snapshot) {
         boolean isValid =
-                !isNegative(snapshot.age()) && isFigure(snapshot.loadSeconds()) && isFigure(snapshot.loadCount());
+                !snapshot.age().isNegative() && isFigure(snapshot.loadSeconds()) && isFigure(snapshot.loadCount());
         if (!isValid) {
             return "figures that can't be";
         }
@@ -45,8 +45,8 @@
     }
 
     private static boolean isValid(PolicySnapshot.WorkerSnapshot worker) {
-        return !isNegative(worker.ejectedFor())
-                && (worker.uptime() == null || !isNegative(worker.uptime()))
+        return !worker.ejectedFor().isNegative()
+                && (worker.uptime() == null || !worker.uptime().isNegative())
                 && !worker.ejectedFor().isLongerThan(MAX_EJECTION);
     }
 
@@ -56,24 +56,21 @@
                 && isFigure(function.recentRequests())
                 && isFigure(function.warmResponses())
                 && isFigure(function.warmSeconds())
-                && (function.typicalLoadTime() == null || !isNegative(function.typicalLoadTime()));
+                && (function.typicalLoadTime() == null
+                        || !function.typicalLoadTime().isNegative());
     }
 
     private static boolean hasValidInstances(PolicySnapshot.FunctionSnapshot function) {
         Set<String> workers = new HashSet<>();
         for (PolicySnapshot.InstanceSnapshot instance : function.instances()) {
             boolean isValidCount = instance.instances() >= 1 && instance.instances() <= MAX_INSTANCES;
-            if (!isValidCount || isNegative(instance.sinceRenewed()) || !workers.add(instance.worker())) {
+            if (!isValidCount || instance.sinceRenewed().isNegative() || !workers.add(instance.worker())) {
                 return false;
             }
         }
         return true;
     }
 
-    private static boolean isNegative(TimeSpan span) {
-        return span.nanos() < 0;
-    }
-
     private static boolean isFigure(double figure) {
         return figure >= 0 && figure < FIGURE_BOUND;
     }
--- a/decisions/src/main/java/pearladder/rollout/RolloutAction.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutAction.java
@@ -10,7 +10,7 @@
     /**
      * Load instances of a version, with low priority.
      *
-     * @param like version whose instances carry the load that is measured against
+     * @param referenceVersion version whose instances carry the load that is measured against
      * @param share part of that load for which instances of the version have to be ready, 0 to 1
      */
     record LoadInstances(String model, String version, String referenceVersion, double share)
@@ -20,8 +20,8 @@
     record ReleaseInstances(String model, String version) implements RolloutAction {}
 
     /**
-     * Write the target to the journal, then report {@link RolloutEvent.TargetPersisted}; only then is the operator told that it
-     * was accepted.
+     * Write the target to the journal, then report {@link RolloutEvent.TargetPersisted}; only then is the operator told
+     * that it was accepted.
      */
     record PersistTarget(RolloutTarget target) implements RolloutAction {}
 
@@ -31,7 +31,7 @@
     /**
      * Tell the operator that the target is rejected, as another one came first or its plan is invalid.
      *
-     * @param why reason, and what the operator can do
+     * @param reason why, and what the operator can do
      */
     record RejectTarget(RolloutTarget target, String reason) implements RolloutAction {}
 
--- a/decisions/src/main/java/pearladder/rollout/RolloutController.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutController.java
@@ -10,7 +10,7 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * All rollouts of one router. Its one entry point is {@link #setActions}: an event goes in, actions come out.
+ * All rollouts of one router. Its one entry point is {@link #on}: an event goes in, actions come out.
  *
  * <p>A routing key has a position from 0 to 1, a hash of model and key and so the same at every router. At a share s
  * the keys below s get the new version: a step only adds keys and a rollback takes all of them back. A request keeps
@@ -31,7 +31,7 @@
     private final Map<String, ModelRollout> rollouts = new LinkedHashMap<>();
     private final Map<String, Assignment> openRequests = new HashMap<>();
     private final IdempotencyKeyVersions keyVersions;
-    private boolean isWakeScheduled;
+    private boolean isTickScheduled;
 
     /** Time of the event that is being handled. */
     private MonotonicTime now;
@@ -52,7 +52,7 @@
         now = eventTime;
         actions = new ArrayList<>();
         dispatch(event);
-        scheduleWake();
+        scheduleTick();
         return actions;
     }
 
@@ -65,12 +65,12 @@
             openRequests.remove(disconnected.requestId());
         } else if (event instanceof RolloutEvent.TargetOrdered ordered) {
             onTargetOrdered(ordered.target());
-        } else if (event instanceof RolloutEvent.TargetPersisted kept) {
-            onTargetKept(kept.target());
-        } else if (event instanceof RolloutEvent.TargetReceived heard) {
-            onTargetHeard(heard.target());
+        } else if (event instanceof RolloutEvent.TargetPersisted persisted) {
+            onTargetPersisted(persisted.target());
+        } else if (event instanceof RolloutEvent.TargetReceived received) {
+            onTargetReceived(received.target());
         } else if (event instanceof RolloutEvent.JournalRestored restored) {
-            onJournalRead(restored);
+            onJournalRestored(restored);
         } else if (event instanceof RolloutEvent.InstancesReady ready) {
             onInstancesReady(ready);
         } else if (event instanceof RolloutEvent.Tick) {
@@ -88,11 +88,11 @@
         return rollouts.values().stream().map(rollout -> rollout.target).toList();
     }
 
-    private void scheduleWake() {
-        boolean isWakeNeeded = !keyVersions.isEmpty()
+    private void scheduleTick() {
+        boolean isTickNeeded = !keyVersions.isEmpty()
                 || rollouts.values().stream().anyMatch(rollout -> rollout.canAdvance() || rollout.keepsInstances);
-        if (isWakeNeeded && !isWakeScheduled) {
-            isWakeScheduled = true;
+        if (isTickNeeded && !isTickScheduled) {
+            isTickScheduled = true;
             actions.add(new RolloutAction.ScheduleTick(TICK));
         }
     }
@@ -172,15 +172,15 @@
                         : new RolloutAction.RejectTarget(target, fault));
     }
 
-    private void onTargetHeard(RolloutTarget target) {
+    private void onTargetReceived(RolloutTarget target) {
         boolean isNewer = isNewer(target, rollouts.get(target.plan().model()));
         if (isNewer && findFault(target) == null) {
             actions.add(new RolloutAction.PersistTarget(target));
         }
     }
 
-    /** Two operators' targets may be on their way to the journal at once: the one that was kept first holds. */
-    private void onTargetKept(RolloutTarget target) {
+    /** Targets of two operators may be on their way to the journal at once: the one that was written first holds. */
+    private void onTargetPersisted(RolloutTarget target) {
         ModelRollout rollout = rollouts.get(target.plan().model());
         if (isNewer(target, rollout)) {
             follow(target, ModelRollout.BEFORE_FIRST_STEP, false);
@@ -215,11 +215,11 @@
     }
 
     /**
-     * Targets from the journal hold without being kept again; of two of a model the one with the higher epoch. A step
-     * that was reached is taken up again at once, since keys never move back, and a version found worse stays rolled
+     * Targets from the journal hold without being written again; of two of a model the one with the higher epoch. A
+     * step that was reached is resumed at once, since keys never move back, and a version found worse stays rolled
      * back.
      */
-    private void onJournalRead(RolloutEvent.JournalRestored restored) {
+    private void onJournalRestored(RolloutEvent.JournalRestored restored) {
         Map<String, RolloutTarget> newest = new LinkedHashMap<>();
         restored.targets().forEach(target -> newest.merge(target.plan().model(), target, RolloutTarget::newer));
         Map<String, RolloutProgress> furthest = new HashMap<>();
@@ -308,7 +308,7 @@
     }
 
     private void onTick() {
-        isWakeScheduled = false;
+        isTickScheduled = false;
         rollouts.values().forEach(this::advance);
         keyVersions.removeExpired(now);
     }
--- a/decisions/src/main/java/pearladder/rollout/RolloutEvent.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutEvent.java
@@ -7,7 +7,7 @@
     /** An operator sent a target. It is only checked, and followed once it is in the journal. */
     record TargetOrdered(RolloutTarget target) implements RolloutEvent {}
 
-    /** A target that was to be kept is in the journal and survives a crash. */
+    /** A target that was to be persisted is in the journal and survives a crash. */
     record TargetPersisted(RolloutTarget target) implements RolloutEvent {}
 
     /** Another router reported a target. It is followed if it is newer and ignored if it is not. */
--- a/decisions/src/main/java/pearladder/rollout/RolloutPlan.java
+++ b/decisions/src/main/java/pearladder/rollout/RolloutPlan.java
@@ -47,8 +47,8 @@
      * One fault of a plan.
      *
      * @param key component of the plan, with a dot before that of the gate
-     * @param what what is wrong
-     * @param mend how to correct it
+     * @param problem what is wrong
+     * @param remedy how to correct it
      */
     public record Fault(String key, String problem, String remedy) {}
 
--- a/decisions/src/main/java/pearladder/routing/AdaptiveConcurrencyLimit.java
+++ b/decisions/src/main/java/pearladder/routing/AdaptiveConcurrencyLimit.java
@@ -12,7 +12,7 @@
 
 /** How many requests of this router a worker takes at once, learnt from latencies and refusals. */
 final class AdaptiveConcurrencyLimit {
-    /** A worker that refused as full is passed over, and its limit not reduced again, for so long. */
+    /** How long a worker that refused as full is skipped and its limit not reduced again. */
     static final TimeSpan OVERLOAD_PAUSE = TimeSpan.millis(300);
 
     /** The initial limit, where routers are few. */
--- a/decisions/src/main/java/pearladder/routing/ModelLoadLimiter.java
+++ b/decisions/src/main/java/pearladder/routing/ModelLoadLimiter.java
@@ -21,7 +21,7 @@
     private static final double REFUSAL_DECREASE = 0.75;
     private static final TimeSpan DECREASE_PAUSE = TimeSpan.seconds(1);
     private static final double MIN_MEAN_LOADS = 0.5; // reported by a worker; below, nothing is decreased
-    private static final double FULL_REPORTED_LOADS = 2; // reported loads that fill a worker's waiting room
+    private static final double FULL_REPORTED_LOADS = 2; // reported loads that fill a worker's queue
     private static final double MAX_EXCESS_LOADS = 2; // reported loads of a worker over the mean
     private static final double MIN_FAILURES = 1.5; // recent failures that are tolerated,
     private static final double FAILURE_SHARE = 0.2; // or this share of recent loads
@@ -174,7 +174,7 @@
         }
     }
 
-    /** A refusal where loads fill the waiting room: further loads would only fill more rooms. */
+    /** A refusal where loads fill the worker's queue: further loads would only fill more queues. */
     void onRefused(Worker worker) {
         if (worker.reportedLoads >= FULL_REPORTED_LOADS) {
             decreaseWindow("refused", worker.reportedLoads, REFUSAL_DECREASE);
--- a/decisions/src/main/java/pearladder/routing/api/Action.java
+++ b/decisions/src/main/java/pearladder/routing/api/Action.java
@@ -8,13 +8,13 @@
     /** Cancel an attempt in flight; its number counts from 0. */
     record CancelAttempt(String requestId, int attempt) implements Action {}
 
-    /** Give the final answer that the client may try again, after a span that is zero where none is told. */
+    /** Give the final answer that the client may try again, after a span that is zero where none is stated. */
     record Reject(String requestId, TimeSpan retryAfter) implements Action {}
 
     /** Give the final answer that the request failed. */
     record Fail(String requestId) implements Action {}
 
-    /** Tell the policy when a time has come, with the tag. */
+    /** Report {@link Event.TimerFired} with the tag at that time. */
     record SetTimer(MonotonicTime dueAt, String tag) implements Action {}
 
     /** Probe a worker. */
@@ -26,7 +26,7 @@
     /** Ask a worker to have so many instances of a function loaded. */
     record LoadInstances(String worker, String function, int instances) implements Action {}
 
-    /** For what share of the wanted load the instances are ready; told at each tick while prewarming is wanted. */
+    /** The share of the requested load for which instances are ready; emitted at each tick during prewarming. */
     record PrewarmProgress(String function, double share) implements Action {}
 
     /** Ask a worker to unload a function. */
--- a/decisions/src/main/java/pearladder/routing/api/Event.java
+++ b/decisions/src/main/java/pearladder/routing/api/Event.java
@@ -51,7 +51,7 @@
     /** The first part of a streamed response has been passed on. */
     record StreamStarted(String requestId, int attempt, String worker, TimeSpan elapsed) implements Event {}
 
-    /** How the request found its instance, as a response tells it. */
+    /** How the request found its instance, as a response reports it. */
     enum InstanceStatus {
         UNTOLD,
         STOOD,
@@ -97,7 +97,7 @@
             TimeSpan typicalLoadTime)
             implements Event {}
 
-    /** What of an earlier process is still valid; told after the cached endpoint list, before the first request. */
+    /** What of an earlier process is still valid; reported after the cached endpoint list, before the first request. */
     record SnapshotRestored(PolicySnapshot snapshot) implements Event {}
 
     /** A timer that the policy set is due. */
--- a/decisions/src/main/java/pearladder/routing/api/RoutingSettings.java
+++ b/decisions/src/main/java/pearladder/routing/api/RoutingSettings.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 
-/** What a router is told once, at its start. Spans of zero and empty lists mean that nothing is set. */
+/** The settings that a router is given once, at its start. Spans of zero and empty lists mean that nothing is set. */
 public record RoutingSettings(
         int routerIndex,
         int routerCount,
--- a/decisions/src/main/java/pearladder/routing/api/package-info.java
+++ b/decisions/src/main/java/pearladder/routing/api/package-info.java
@@ -1,2 +1,2 @@
-/** What a router tells its policy and what the policy answers: events, actions and the settings stated at the start. */
+/** The interface of a routing policy: the events it handles, the actions it decides and its settings. */
 package pearladder.routing.api;
--- a/decisions/src/main/java/pearladder/routing/state/EndpointList.java
+++ b/decisions/src/main/java/pearladder/routing/state/EndpointList.java
@@ -103,7 +103,7 @@
         setMember(warmingUp, worker, false);
     }
 
-    /** Changes only what differs: with 5,000 workers a ring built anew at every change takes a tenth of a second. */
+    /** Changes only what differs: with 5,000 workers a rebuild of the ring takes a tenth of a second. */
     private void updateMembership(Worker worker) {
         boolean serves = worker.state == EndpointState.IN_SERVICE;
         if (serves == worker.onRing) {
--- a/decisions/src/main/java/pearladder/routing/state/EventDrivenPolicy.java
+++ b/decisions/src/main/java/pearladder/routing/state/EventDrivenPolicy.java
@@ -8,7 +8,7 @@
 
 /**
  * Passes each event to the method that decides on it, once the objects that it concerns are found. Events about unknown
- * objects, which may be late, are dropped, as are those that no method is for.
+ * objects, which may be late, are dropped, as are those that have no handler.
  */
 public abstract class EventDrivenPolicy implements RoutingPolicy {
     private final RouterState state;
--- a/decisions/src/main/java/pearladder/routing/state/HashRing.java
+++ b/decisions/src/main/java/pearladder/routing/state/HashRing.java
@@ -41,7 +41,7 @@
         }
     }
 
-    /** Makes every function compute its order anew when it is next asked for. */
+    /** Makes every function recompute its order when it is next asked for. */
     public void invalidateOrders() {
         version++;
     }
--- a/decisions/src/main/java/pearladder/routing/state/Placement.java
+++ b/decisions/src/main/java/pearladder/routing/state/Placement.java
@@ -21,7 +21,7 @@
     /** When an attempt was last sent. */
     public MonotonicTime sentAt;
 
-    /** The worker refused as full and is passed over for this function until then. */
+    /** The worker refused as overloaded and is skipped for this function until then. */
     public MonotonicTime overloadedUntil;
 
     /** When an instance was last asked for. */
--- a/decisions/src/main/java/pearladder/routing/state/TokenBucket.java
+++ b/decisions/src/main/java/pearladder/routing/state/TokenBucket.java
@@ -2,7 +2,7 @@
 
 import pearladder.routing.api.MonotonicTime;
 
-/** A token bucket whose rate and size are given anew at each refill. */
+/** A token bucket whose rate and size are given at each refill. */
 public final class TokenBucket {
     private double tokens;
     private MonotonicTime refilledAt;
@@ -34,7 +34,7 @@
         tokens -= 1;
     }
 
-    /** Starts anew: the next refill is the first. */
+    /** Resets it: the next refill is the first. */
     public void reset() {
         refilledAt = null;
     }
--- a/decisions/src/main/java/pearladder/routing/state/Worker.java
+++ b/decisions/src/main/java/pearladder/routing/state/Worker.java
@@ -7,7 +7,7 @@
 import pearladder.routing.api.Event.EndpointState;
 import pearladder.routing.api.MonotonicTime;
 
-/** A worker as this router knows it: what the endpoint list stated, and what was sent to it and heard of it. */
+/** A worker as this router knows it: what the endpoint list stated, and what was sent to it and received from it. */
 public final class Worker {
     public final String id;
     public final long[] virtualNodes;
@@ -17,7 +17,7 @@
     public String zone;
     public long cell;
     public EndpointState state = EndpointState.IN_SERVICE;
-    /** When its process started; null where no list told it. */
+    /** When its process started; null where no endpoint list states it. */
     public MonotonicTime startedAt;
 
     public final Set<Attempt> attemptsInFlight = new LinkedHashSet<>();
@@ -43,9 +43,9 @@
     public MonotonicTime lastHeardAt;
     /** When an attempt was last sent to it; null where none was. */
     public MonotonicTime sentAt;
-    /** It refused as full and is passed over until then. */
+    /** It refused as overloaded and is skipped until then. */
     public MonotonicTime overloadedUntil;
-    /** It was judged an outlier and is passed over until then. */
+    /** It was ejected as an outlier and is skipped until then. */
     public MonotonicTime ejectedUntil;
     /** Requests that it may get at once while it is warming up. */
     public final TokenBucket slowStartTokens = new TokenBucket();
@@ -63,7 +63,7 @@
         this.latencyRatio = new DecayingMean(decayTimes.latencyRatio(), 0, 0);
     }
 
-    /** Takes it from all cached lists. */
+    /** Removes it from all cached lists. */
     public void uncachePlacements() {
         for (Placement placement : placements) {
             placement.function.cachedPlacements.remove(placement);
@@ -82,14 +82,14 @@
         failures.add(now, weight);
     }
 
-    /** Forgets how the worker has been judged. */
+    /** Resets the worker's health. */
     public void clearHealth() {
         responses.clear();
         slowness.clear();
         failures.clear();
     }
 
-    /** The worker left or is another process: it has no instances, and nothing that was heard of it holds. */
+    /** The worker left or is another process: it has no instances, and nothing that it reported holds. */
     public void invalidatePlacements() {
         for (Placement placement : placements) {
             placement.instances = 0;
--- a/decisions/src/main/java/pearladder/writebuffer/WriteBuffer.java
+++ b/decisions/src/main/java/pearladder/writebuffer/WriteBuffer.java
@@ -8,7 +8,7 @@
 import pearladder.routing.api.TimeSpan;
 
 /**
- * Decides what becomes of entries on their way to the disk. Its main entry point is {@link #setActions}: an event goes in,
+ * Decides what becomes of entries on their way to the disk. Its main entry point is {@link #on}: an event goes in,
  * actions come out.
  *
  * <p>Entries are gathered for a short time and written in one batch, so that a crash loses at most what was gathered
@@ -40,7 +40,7 @@
     /** Entries dropped since they were last reported, and those among them that are no details. */
     private long droppedCount;
 
-    private long droppedFacts;
+    private long droppedNonDetails;
     /** Earliest time of the next write; null before the first entry. */
     private MonotonicTime nextWriteAt;
 
@@ -131,7 +131,7 @@
 
     private void drop(WriteBufferEvent.EntryReceived entry) {
         droppedCount++;
-        droppedFacts += entry.isDetail() ? 0 : 1;
+        droppedNonDetails += entry.isDetail() ? 0 : 1;
         actions.add(new WriteBufferAction.DropEntry());
         if (!entry.loadRequestId().isEmpty()) {
             withhold(entry.loadRequestId(), "more than " + capacity + " entries wait for the disk");
@@ -175,7 +175,9 @@
         retryDelay = FIRST_RETRY_DELAY;
         if (isFailing) {
             isFailing = false;
-            log("records are kept again: %d entries were left out, %d of them no details", droppedCount, droppedFacts);
+            log(
+                    "records are kept again: %d entries were left out, %d of them no details",
+                    droppedCount, droppedNonDetails);
         }
         if (delayMonitor.onWritten(now, written.took())) {
             log(
@@ -197,12 +199,12 @@
         }
     }
 
-    /** Waits until there is room for the entry that tells of it. */
+    /** Waits until the buffer has capacity for the entry that reports it. */
     private void reportDropped() {
         if (droppedCount > 0 && size() < capacity / 2) {
             actions.add(new WriteBufferAction.ReportDropped(droppedCount));
             droppedCount = 0;
-            droppedFacts = 0;
+            droppedNonDetails = 0;
         }
     }
 
--- a/decisions/src/main/java/pearladder/writebuffer/WriteBufferAction.java
+++ b/decisions/src/main/java/pearladder/writebuffer/WriteBufferAction.java
@@ -22,7 +22,7 @@
     /**
      * The load request must not be sent any more.
      *
-     * @param why reason in a few words, for the log
+     * @param reason why, in a few words, for the log
      */
     record WithholdLoadRequest(String loadRequestId, String reason) implements WriteBufferAction {}
 
--- a/settings/src/main/java/pearladder/settings/EndpointStates.java
+++ b/settings/src/main/java/pearladder/settings/EndpointStates.java
@@ -3,8 +3,9 @@
 import java.util.Map;
 import pearladder.routing.api.Event.EndpointState;
 
-/** How the operators word a worker's standing, in the simulator's lists and in the control feed. */
+/** The words for a worker's state in the simulator's endpoint lists and in the platform's watch events. */
 public final class EndpointStates {
+    /** The state that each word stands for. */
     public static final Map<String, EndpointState> WORDS = Map.of(
             "in_service",
             EndpointState.IN_SERVICE,
--- a/settings/src/main/java/pearladder/settings/InvalidInputException.java
+++ b/settings/src/main/java/pearladder/settings/InvalidInputException.java
@@ -1,9 +1,10 @@
 package pearladder.settings;
 
-/** A line that is not what the wire allows; the message names the line and the field. */
+/** An input line or document that the format doesn't allow; the message names the line or document and the field. */
 public final class InvalidInputException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
+    /** @param message where the input is invalid, and why */
     public InvalidInputException(String message) {
         super(message);
     }
--- a/settings/src/main/java/pearladder/settings/JsonRowReader.java
+++ b/settings/src/main/java/pearladder/settings/JsonRowReader.java
@@ -9,23 +9,32 @@
 import java.util.List;
 import java.util.Map;
 
-/** Reads one line, a JSON array, value by value; a value left out at the end reads as null. Or a whole document. */
+/**
+ * Reads one line, a JSON array, value by value; a value left out at the end reads as null. Or reads a whole document.
+ * What is not valid JSON or has another type than the one asked for is an {@link InvalidInputException}, which names
+ * the line or document and the field.
+ */
 public final class JsonRowReader {
     private final JsonParser parser;
-    private final String place;
+    private final String source;
     private boolean ended;
 
-    private JsonRowReader(JsonParser parser, String place) {
+    private JsonRowReader(JsonParser parser, String source) {
         this.parser = parser;
-        this.place = place;
+        this.source = source;
     }
 
-    /** A document of one value; mistakes are told with its name. */
+    /** Reads a document of one value; errors state its name. */
     public static JsonNodeReader document(JsonParser parser, String name) {
         JsonRowReader row = new JsonRowReader(parser, name);
         return new JsonNodeReader(row, "", row.tree("value"));
     }
 
+    /**
+     * Starts to read a line, which must be an array.
+     *
+     * @param line number of the line, for errors
+     */
     public JsonRowReader(JsonParser parser, long line) {
         this(parser, "line " + line);
         if (read(parser::nextToken) != JsonToken.START_ARRAY) {
@@ -33,22 +42,23 @@
         }
     }
 
-    private interface Reading<T> {
+    private interface JsonReadOperation<T> {
         T get() throws IOException;
     }
 
-    private <T> T read(Reading<T> reading) {
+    private <T> T read(JsonReadOperation<T> operation) {
         try {
-            return reading.get();
+            return operation.get();
         } catch (JsonProcessingException malformed) {
-            throw new InvalidInputException(place + ": not valid JSON: " + malformed.getOriginalMessage());
-        } catch (IOException broken) {
-            throw new InvalidInputException(place + ": " + broken.getMessage());
+            throw new InvalidInputException(source + ": not valid JSON: " + malformed.getOriginalMessage());
+        } catch (IOException unreadable) {
+            throw new InvalidInputException(source + ": " + unreadable.getMessage());
         }
     }
 
-    public InvalidInputException bad(String field, String what) {
-        return new InvalidInputException(place + ", " + field + ": " + what);
+    /** An error in a field of this line or document, for the caller to throw. */
+    public InvalidInputException bad(String field, String problem) {
+        return new InvalidInputException(source + ", " + field + ": " + problem);
     }
 
     private JsonToken next(String field) {
@@ -66,6 +76,7 @@
         return token;
     }
 
+    /** The next value as text, or null. */
     public String textOrNull(String field) {
         JsonToken token = next(field);
         if (token == JsonToken.VALUE_NULL) {
@@ -77,10 +88,12 @@
         return read(parser::getText);
     }
 
+    /** The next value as text, which must not be null. */
     public String text(String field) {
         return present(field, textOrNull(field));
     }
 
+    /** The next value as a whole number, or null. */
     public Long wholeOrNull(String field) {
         JsonToken token = next(field);
         if (token == JsonToken.VALUE_NULL) {
@@ -98,10 +111,12 @@
         throw bad(field, "a whole number was expected");
     }
 
+    /** The next value as a whole number, which must not be null. */
     public long whole(String field) {
         return present(field, wholeOrNull(field));
     }
 
+    /** The next value as a number, or null. */
     public Double numberOrNull(String field) {
         JsonToken token = next(field);
         if (token == JsonToken.VALUE_NULL) {
@@ -113,6 +128,7 @@
         return read(parser::getDoubleValue);
     }
 
+    /** The next value as a boolean; false where it is null. */
     public boolean flag(String field) {
         JsonToken token = next(field);
         if (token != JsonToken.VALUE_TRUE && token != JsonToken.VALUE_FALSE && token != JsonToken.VALUE_NULL) {
@@ -121,7 +137,7 @@
         return token == JsonToken.VALUE_TRUE;
     }
 
-    /** Any JSON value as maps, lists, texts, numbers and flags. */
+    /** The next value, of any type, as maps, lists, strings, numbers and booleans. */
     public Object tree(String field) {
         return tree(field, next(field));
     }
@@ -130,41 +146,38 @@
         if (token == null) {
             throw bad(field, "the line stops short");
         }
-        switch (token) {
-            case START_OBJECT -> {
-                Map<String, Object> map = new LinkedHashMap<>();
-                while (read(parser::nextToken) == JsonToken.FIELD_NAME) {
-                    String name = read(parser::currentName);
-                    map.put(name, tree(field + "." + name, read(parser::nextToken)));
-                }
-                return map;
-            }
-            case START_ARRAY -> {
-                List<Object> list = new ArrayList<>();
-                JsonToken inner;
-                while ((inner = read(parser::nextToken)) != JsonToken.END_ARRAY) {
-                    list.add(tree(field + "[" + list.size() + "]", inner));
-                }
-                return list;
-            }
-            case VALUE_STRING -> {
-                return read(parser::getText);
-            }
-            case VALUE_NUMBER_INT -> {
-                return read(parser::getLongValue);
-            }
-            case VALUE_NUMBER_FLOAT -> {
-                return read(parser::getDoubleValue);
-            }
-            case VALUE_TRUE, VALUE_FALSE -> {
-                return token == JsonToken.VALUE_TRUE;
-            }
-            default -> {
-                return null;
-            }
+        return switch (token) {
+            case START_OBJECT -> object(field);
+            case START_ARRAY -> array(field);
+            case VALUE_STRING -> read(parser::getText);
+            case VALUE_NUMBER_INT -> (Object) read(parser::getLongValue);
+            case VALUE_NUMBER_FLOAT -> (Object) read(parser::getDoubleValue);
+            case VALUE_TRUE -> true;
+            case VALUE_FALSE -> false;
+            default -> null;
+        };
+    }
+
+    private Map<String, Object> object(String field) {
+        Map<String, Object> object = new LinkedHashMap<>();
+        while (read(parser::nextToken) == JsonToken.FIELD_NAME) {
+            String name = read(parser::currentName);
+            object.put(name, tree(field + "." + name, read(parser::nextToken)));
+        }
+        return object;
+    }
+
+    private List<Object> array(String field) {
+        List<Object> array = new ArrayList<>();
+        JsonToken token = read(parser::nextToken);
+        while (token != JsonToken.END_ARRAY) {
+            array.add(tree(field + "[" + array.size() + "]", token));
+            token = read(parser::nextToken);
         }
+        return array;
     }
 
+    /** The value itself, which must not be null. */
     public <T> T present(String field, T value) {
         if (value == null) {
             throw bad(field, "a value is missing");
@@ -172,7 +185,7 @@
         return value;
     }
 
-    /** Reads to the end of the line; further values are passed over, a second message on the line is not. */
+    /** Reads to the end of the line; further values are ignored, a second message on the line is an error. */
     public void close() {
         while (!ended) {
             JsonToken token = read(parser::nextToken);
--- a/settings/src/main/java/pearladder/settings/RoutingSettingsParser.java
+++ b/settings/src/main/java/pearladder/settings/RoutingSettingsParser.java
@@ -15,91 +15,135 @@
 import pearladder.routing.api.RoutingSettings.SlowStartSettings;
 import pearladder.routing.api.RoutingSettings.Tenant;
 
-/** Turns the facts object, on the simulator's wire or in a platform's configuration, into the module's. */
+/**
+ * Reads the routing settings as the simulator and the platform's configuration state them. Keys that end in Ns hold
+ * nanoseconds.
+ */
 public final class RoutingSettingsParser {
-    private static final Map<String, Idempotency> EFFECTS = Map.of(
+    private static final Map<String, Idempotency> IDEMPOTENCY_WORDS = Map.of(
             "free", Idempotency.RETRIABLE, "guarded", Idempotency.FINGERPRINTED, "single_shot", Idempotency.BINDING);
-    private static final Map<String, DeduplicationScope> GROUPS =
+    private static final Map<String, DeduplicationScope> SCOPE_WORDS =
             Map.of("all", DeduplicationScope.ALL, "zone", DeduplicationScope.ZONE, "cell", DeduplicationScope.CELL);
 
     private RoutingSettingsParser() {}
 
-    public static RoutingSettings read(JsonNodeReader facts) {
-        JsonNodeReader caps = facts.at("Caps");
-        JsonNodeReader rules = facts.at("Rules");
-        JsonNodeReader family = facts.at("FamilyInfo");
-        JsonNodeReader penalties = facts.at("Penalties");
-        JsonNodeReader stats = facts.at("Stats");
+    /**
+     * Reads the settings from a JSON object. A missing setting has a default; only the names of request
+     * classes and tenants and the effect of a request class must not be missing.
+     *
+     * @throws InvalidInputException if a required setting is missing, or one has the wrong type or an unknown word
+     */
+    public static RoutingSettings read(JsonNodeReader settings) {
+        JsonNodeReader rules = settings.at("Rules");
+        JsonNodeReader family = settings.at("FamilyInfo");
         return new RoutingSettings(
-                facts.at("MyNumber").whole(0),
-                Math.max(1, facts.at("PeersTotal").whole(1)),
-                facts.at("Zone").textOr(""),
-                facts.at("QuantumNs").span(),
-                facts.at("Services").each(RoutingSettingsParser::terms),
-                facts.at("Accounts")
-                        .each(a -> new Tenant(
-                                a.at("Name").text(),
-                                a.at("Share").number(0),
-                                a.at("QuotaPerS").number(0))),
-                new AttemptLimits(
-                        caps.at("MaxAttempts").whole(1),
-                        caps.at("SecondCopies").flag(false),
-                        caps.at("MayCancel").flag(false),
-                        caps.at("Probes").flag(false),
-                        caps.at("Peers").flag(false),
-                        caps.at("RetryAfter").flag(false),
-                        caps.at("MaxRetryAfterNs").span(),
-                        facts.at("OverShareWorth").number(1),
-                        facts.at("WorthBy").textOr("request").equals("work"),
-                        caps.at("DialTimeoutNs").span()),
-                new ResponseGrace(
-                        rules.at("GraceToAnswerNs").span(),
-                        rules.at("StopSendingWithinNs").span()),
-                new SlowStartSettings(
-                        rules.at("StartCapacity").number(1),
-                        rules.at("ColdNs").span(),
-                        rules.at("OverloadFactor").number(1),
-                        rules.at("OverloadForNs").span()),
-                new LoadQuota(
-                        family.at("LoadFree").number(0),
-                        family.at("LoadRatio").number(0),
-                        family.at("LoadSpanNs").span()),
-                new InstanceSettings(
-                        family.at("LingerIdleNs").span(),
-                        family.at("LoadControl").flag(false),
-                        family.at("OnMiss").textOr("load").equals("load"),
-                        family.at("OrderTimeoutNs").span(),
-                        family.at("TellsWarm").flag(false),
-                        family.at("CountsAlike").flag(false),
-                        family.at("MachineMb").each(mb -> mb.number(0))),
-                new LoadReportSettings(
-                        stats.at("Fields").each(JsonNodeReader::text),
-                        stats.at("Via").textOr("none").equals("answers")),
-                new DiscoverySettings(
-                        facts.at("MembershipMode").textOr("push").equals("ask"),
-                        rules.at("MustAskInNs").span()),
-                new CostModel(
-                        penalties.at("CrossZone").number(0),
-                        penalties.at("Waste").number(0),
-                        penalties.at("Probe").number(0),
-                        penalties.at("Origin").number(0),
-                        penalties.at("LateFail").number(0),
-                        family.at("IdleMemoryCost").number(0)));
+                settings.at("MyNumber").whole(0),
+                Math.max(1, settings.at("PeersTotal").whole(1)),
+                settings.at("Zone").textOr(""),
+                settings.at("QuantumNs").span(),
+                settings.at("Services").each(RoutingSettingsParser::requestClass),
+                settings.at("Accounts").each(RoutingSettingsParser::tenant),
+                attemptLimits(settings),
+                responseGrace(rules),
+                slowStart(rules),
+                loadQuota(family),
+                instances(family),
+                loadReports(settings.at("Stats")),
+                discovery(settings),
+                costs(settings.at("Penalties"), family));
     }
 
-    private static RequestClass terms(JsonNodeReader service) {
+    private static RequestClass requestClass(JsonNodeReader service) {
         return new RequestClass(
                 service.at("Name").text(),
                 service.at("AimNs").span(),
                 service.at("GiveUpNs").span(),
                 service.at("Worth").number(1),
                 service.at("LateWorth").number(0),
-                service.at("Effect").oneOf(EFFECTS),
-                service.at("DedupScope").value() == null
-                        ? DeduplicationScope.ALL
-                        : service.at("DedupScope").oneOf(GROUPS),
+                service.at("Effect").oneOf(IDEMPOTENCY_WORDS),
+                deduplicationScope(service.at("DedupScope")),
                 service.at("KeyTtlNs").span(),
                 service.at("Streamed").flag(false),
                 service.at("AimStretch").number(0));
     }
+
+    private static DeduplicationScope deduplicationScope(JsonNodeReader scope) {
+        return scope.value() == null ? DeduplicationScope.ALL : scope.oneOf(SCOPE_WORDS);
+    }
+
+    private static Tenant tenant(JsonNodeReader account) {
+        return new Tenant(
+                account.at("Name").text(),
+                account.at("Share").number(0),
+                account.at("QuotaPerS").number(0));
+    }
+
+    private static AttemptLimits attemptLimits(JsonNodeReader settings) {
+        JsonNodeReader caps = settings.at("Caps");
+        return new AttemptLimits(
+                caps.at("MaxAttempts").whole(1),
+                caps.at("SecondCopies").flag(false),
+                caps.at("MayCancel").flag(false),
+                caps.at("Probes").flag(false),
+                caps.at("Peers").flag(false),
+                caps.at("RetryAfter").flag(false),
+                caps.at("MaxRetryAfterNs").span(),
+                settings.at("OverShareWorth").number(1),
+                settings.at("WorthBy").textOr("request").equals("work"),
+                caps.at("DialTimeoutNs").span());
+    }
+
+    private static ResponseGrace responseGrace(JsonNodeReader rules) {
+        return new ResponseGrace(
+                rules.at("GraceToAnswerNs").span(),
+                rules.at("StopSendingWithinNs").span());
+    }
+
+    private static SlowStartSettings slowStart(JsonNodeReader rules) {
+        return new SlowStartSettings(
+                rules.at("StartCapacity").number(1),
+                rules.at("ColdNs").span(),
+                rules.at("OverloadFactor").number(1),
+                rules.at("OverloadForNs").span());
+    }
+
+    private static LoadQuota loadQuota(JsonNodeReader family) {
+        return new LoadQuota(
+                family.at("LoadFree").number(0),
+                family.at("LoadRatio").number(0),
+                family.at("LoadSpanNs").span());
+    }
+
+    private static InstanceSettings instances(JsonNodeReader family) {
+        return new InstanceSettings(
+                family.at("LingerIdleNs").span(),
+                family.at("LoadControl").flag(false),
+                family.at("OnMiss").textOr("load").equals("load"),
+                family.at("OrderTimeoutNs").span(),
+                family.at("TellsWarm").flag(false),
+                family.at("CountsAlike").flag(false),
+                family.at("MachineMb").each(memoryMb -> memoryMb.number(0)));
+    }
+
+    private static LoadReportSettings loadReports(JsonNodeReader stats) {
+        return new LoadReportSettings(
+                stats.at("Fields").each(JsonNodeReader::text),
+                stats.at("Via").textOr("none").equals("answers"));
+    }
+
+    private static DiscoverySettings discovery(JsonNodeReader settings) {
+        return new DiscoverySettings(
+                settings.at("MembershipMode").textOr("push").equals("ask"),
+                settings.at("Rules").at("MustAskInNs").span());
+    }
+
+    private static CostModel costs(JsonNodeReader penalties, JsonNodeReader family) {
+        return new CostModel(
+                penalties.at("CrossZone").number(0),
+                penalties.at("Waste").number(0),
+                penalties.at("Probe").number(0),
+                penalties.at("Origin").number(0),
+                penalties.at("LateFail").number(0),
+                family.at("IdleMemoryCost").number(0));
+    }
 }
--- a/settings/src/main/java/pearladder/settings/package-info.java
+++ b/settings/src/main/java/pearladder/settings/package-info.java
@@ -1,2 +1,2 @@
-/** Reads the operators' facts object and what else both their simulator and their platform word alike. */
+/** Reads the routing settings, and whatever else the simulator and the platform state in the same JSON format. */
 package pearladder.settings;
