--- a/decisions/src/test/java/pearladder/connections/ConnectionManagerTest.java
+++ b/decisions/src/test/java/pearladder/connections/ConnectionManagerTest.java
@@ -144,7 +144,7 @@
             opening.established = false;
             opening.inFlight = 0;
         }
-        assertEquals(List.of(), request("e", List.of()), "none may be closed to make room");
+        assertEquals(List.of(), request("e", List.of()), "none may be closed for a new one");
         advance(TimeSpan.seconds(11));
         assertEquals(List.of(), tick(), "none is closed as idle");
     }
--- a/decisions/src/test/java/pearladder/connections/GracefulShutdownTest.java
+++ b/decisions/src/test/java/pearladder/connections/GracefulShutdownTest.java
@@ -13,9 +13,9 @@
     private static final MonotonicTime SIGNALLED_AT = new MonotonicTime(5_000_000_000L);
 
     private static Step stepAt(
-            TimeSpan longestDeadline, long millis, MonotonicTime lastReceivedAt, OutstandingWork owed) {
+            TimeSpan longestDeadline, long millis, MonotonicTime lastReceivedAt, OutstandingWork outstanding) {
         return new GracefulShutdown(SIGNALLED_AT, longestDeadline)
-                .on(SIGNALLED_AT.plus(TimeSpan.millis(millis)), lastReceivedAt, owed);
+                .on(SIGNALLED_AT.plus(TimeSpan.millis(millis)), lastReceivedAt, outstanding);
     }
 
     @Test
@@ -25,13 +25,13 @@
     }
 
     @Test
-    void exitsAfterTheServingTimeWhenNothingIsOwed() {
+    void exitsAfterTheServingTimeWhenNothingIsOutstanding() {
         assertEquals(Step.EXIT, stepAt(TimeSpan.seconds(4), 700, null, NOTHING));
         assertEquals(Step.EXIT, stepAt(TimeSpan.seconds(4), 700, SIGNALLED_AT.plus(TimeSpan.millis(650)), NOTHING));
     }
 
     @Test
-    void rejectsNewRequestsWhileSomethingIsOwed() {
+    void rejectsNewRequestsWhileSomethingIsOutstanding() {
         assertEquals(
                 Step.REJECT,
                 stepAt(TimeSpan.seconds(4), 4000, null, new OutstandingWork(1, 0, 0)),
@@ -47,12 +47,12 @@
     }
 
     @Test
-    void rejectsNewRequestsWhileAClientWasHeardWithinTheSlack() {
+    void rejectsNewRequestsWhileAClientSentSomethingWithinTheSlack() {
         assertEquals(Step.REJECT, stepAt(TimeSpan.seconds(4), 740, SIGNALLED_AT.plus(TimeSpan.millis(691)), NOTHING));
     }
 
     @Test
-    void abandonsOpenRequestsAndExitsBeforeTheProcessIsKilled() {
+    void failsOpenRequestsAndExitsBeforeTheProcessIsKilled() {
         OutstandingWork everything = new OutstandingWork(3, 100, 2);
         assertEquals(Step.REJECT, stepAt(TimeSpan.seconds(4), 4599, null, everything));
         assertEquals(Step.ABANDON, stepAt(TimeSpan.seconds(4), 4600, null, everything));
--- a/decisions/src/test/java/pearladder/rollout/RolloutTestBase.java
+++ b/decisions/src/test/java/pearladder/rollout/RolloutTestBase.java
@@ -46,11 +46,11 @@
         return order(controller, now, target(epoch, PLAN, mode, step));
     }
 
-    /** Orders the target and reports as kept what is to be kept. */
+    /** Orders the target, and reports as persisted what the controller asks to persist. */
     static List<RolloutAction> order(RolloutController controller, MonotonicTime now, RolloutTarget target) {
         List<RolloutAction> actions = new ArrayList<>(controller.on(now, new RolloutEvent.TargetOrdered(target)));
-        for (RolloutAction.PersistTarget keep : only(actions, RolloutAction.PersistTarget.class)) {
-            actions.addAll(controller.on(now, new RolloutEvent.TargetPersisted(keep.target())));
+        for (RolloutAction.PersistTarget persist : only(actions, RolloutAction.PersistTarget.class)) {
+            actions.addAll(controller.on(now, new RolloutEvent.TargetPersisted(persist.target())));
         }
         return actions;
     }
--- a/decisions/src/test/java/pearladder/routing/AdaptiveConcurrencyLimitTest.java
+++ b/decisions/src/test/java/pearladder/routing/AdaptiveConcurrencyLimitTest.java
@@ -12,7 +12,7 @@
 
 /** How many requests a worker takes. */
 class AdaptiveConcurrencyLimitTest {
-    /* Found on slope-maps-later big-2: each of many routers kept one call out at a hot function's home. */
+    /* Found on slope-maps-later big-2: each of many routers kept one attempt in flight at a hot function's home. */
     @Test
     void hotFunctionLeavesASlowWorkerThatManyRoutersShare() {
         assertEquals(1, workersReached("hot", TimeSpan.millis(50), 20).size());
@@ -25,43 +25,43 @@
         assertEquals(1, workersReached("light", TimeSpan.millis(600), 8).size());
     }
 
-    private static Set<String> workersReached(String function, TimeSpan took, int calls) {
-        Rig rig = Rig.withWorkers(Rig.among(60), 4);
+    private static Set<String> workersReached(String function, TimeSpan took, int requestCount) {
+        PolicyHarness harness = PolicyHarness.withWorkers(TestSettings.withRouterCount(60), 4);
         Set<String> used = new HashSet<>();
-        for (int i = 0; i < calls; i++) {
-            Rig.Taken call = rig.call(function, Rig.RETRIABLE);
-            rig.pass(took);
-            if (!call.over) {
-                rig.settle(call, took);
+        for (int i = 0; i < requestCount; i++) {
+            TrackedRequest request = harness.request(function, TestSettings.IDEMPOTENT);
+            harness.advance(took);
+            if (!request.completed) {
+                harness.succeed(request, took);
             }
-            used.addAll(call.workers);
+            used.addAll(request.workers);
         }
         return used;
     }
 
-    /* Found on slope-maps (i12d551, i63f7e7): with every worker holding too much, all answers came late. */
+    /* Found on slope-maps (i12d551, i63f7e7): with too many requests on every worker, all responses came late. */
     @Test
     void slowWorkerTakesFewerRequests() {
         assertTrue(requestsTaken(TimeSpan.millis(900)) < requestsTaken(TimeSpan.millis(100)));
     }
 
     private static int requestsTaken(TimeSpan took) {
-        Rig rig = Rig.withWorkers(Rig.plain(), 2);
+        PolicyHarness harness = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 2);
         for (int round = 0; round < 20; round++) {
-            List<Rig.Taken> calls = new ArrayList<>();
+            List<TrackedRequest> requests = new ArrayList<>();
             for (int i = 0; i < 8; i++) {
-                calls.add(rig.call("f" + i, Rig.RETRIABLE));
+                requests.add(harness.request("f" + i, TestSettings.IDEMPOTENT));
             }
-            rig.pass(took);
-            for (Rig.Taken call : calls) {
-                if (!call.over) {
-                    rig.settle(call, took);
+            harness.advance(took);
+            for (TrackedRequest request : requests) {
+                if (!request.completed) {
+                    harness.succeed(request, took);
                 }
             }
         }
         int taken = 0;
         for (int i = 0; i < 100; i++) {
-            taken += rig.call("f" + i % 8, Rig.RETRIABLE).over ? 0 : 1;
+            taken += harness.request("f" + i % 8, TestSettings.IDEMPOTENT).completed ? 0 : 1;
         }
         return taken;
     }
--- a/decisions/src/test/java/pearladder/routing/FleetTest.java
+++ b/decisions/src/test/java/pearladder/routing/FleetTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -22,197 +23,248 @@
 import pearladder.routing.api.MonotonicTime;
 import pearladder.routing.api.Outcome;
 import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.RoutingSettings.SlowStartSettings;
 import pearladder.routing.api.TimeSpan;
 
-/** Many routers against one fleet, each knowing its own traffic only: what they do together. */
+/** What many routers do together to one fleet of workers, each of them knowing only its own traffic. */
 class FleetTest {
     private static final int WORKERS = 40;
-    private static final double PER_WORKER = 8; // calls a second at a warm worker
+    /** Requests a second at a warm worker. */
+    private static final double RATE_PER_WORKER = 8;
+
     private static final int FUNCTIONS = 120;
-    private static final TimeSpan TAKES = TimeSpan.millis(120);
-    private static final TimeSpan LOADS = TimeSpan.millis(800);
-    private static final MonotonicTime BEGUN = new MonotonicTime(1_000_000_000_000L);
-    private static final String COLD = "w0";
+    private static final TimeSpan REQUEST_TIME = TimeSpan.millis(120);
+    private static final TimeSpan LOAD_TIME = TimeSpan.millis(800);
+    private static final MonotonicTime STARTED_AT = new MonotonicTime(1_000_000_000_000L);
+    /** The worker that is restarted. */
+    private static final String COLD_WORKER = "w0";
+
+    /** @param number of the task in the order in which they were scheduled, which decides at the same time */
+    private record ScheduledTask(MonotonicTime at, long number, Runnable task) {}
 
-    private record Due(MonotonicTime at, long number, Runnable what) {}
+    private final PriorityQueue<ScheduledTask> tasks =
+            new PriorityQueue<>(Comparator.comparing(ScheduledTask::at).thenComparingLong(ScheduledTask::number));
+    private final Map<String, Integer> attemptCounts = new HashMap<>();
+    private final Map<String, String> functionByRequest = new HashMap<>();
+    private final Map<String, Set<String>> loadedFunctions = new HashMap<>();
+    private final Set<String> lostWorkers = new HashSet<>();
+    private final List<MonotonicTime> sentToColdAt = new ArrayList<>();
+    private RoutingSettings settings;
+    private MonotonicTime now = STARTED_AT;
+    /** When the cold worker was restarted; null before that. */
+    private MonotonicTime coldSince;
+
+    private long numberCount;
 
     private final class Router {
-        final double share;
+        /** Traffic in relation to that of the other routers. */
+        final double trafficWeight;
+
         StickyFirstFitPolicy policy;
-        MonotonicTime told = BEGUN;
 
-        Router(double share) {
-            this.share = share;
+        Router(double trafficWeight) {
+            this.trafficWeight = trafficWeight;
         }
 
-        /** Knows nothing but the list. */
-        void begin(long seed) {
-            policy = new StickyFirstFitPolicy(seed, facts);
-            on(listed(EndpointUpdateKind.CACHED));
-            told = now;
+        /** Starts a process that knows nothing but the endpoint list. */
+        void start(long seed) {
+            policy = new StickyFirstFitPolicy(seed, settings);
+            on(endpointsUpdated(EndpointUpdateKind.CACHED));
         }
 
         void on(Event event) {
-            StickyFirstFitPolicy mine = policy;
             for (Action action : policy.handle(now, event)) {
-                if (action instanceof Action.SetTimer wake) {
-                    after(wake.dueAt().since(now), () -> {
-                        if (policy == mine) {
-                            on(new Event.TimerFired(wake.tag()));
-                        }
-                    });
+                if (action instanceof Action.SetTimer timer) {
+                    scheduleInProcess(timer.dueAt().since(now), () -> on(new Event.TimerFired(timer.tag())));
                 } else if (action instanceof Action.SendAttempt send) {
-                    int leg = legs.merge(send.requestId(), 1, Integer::sum) - 1;
-                    if (send.worker().equals(COLD) && cold != null) {
-                        reached.add(now);
-                    }
-                    boolean stood = !standing.computeIfAbsent(send.worker(), id -> new HashSet<>())
-                            .add(functions.get(send.requestId()));
-                    TimeSpan took = stood ? TAKES : TAKES.plus(LOADS);
-                    after(took, () -> {
-                        if (policy == mine) {
-                            boolean down = lost.contains(send.worker());
-                            on(new Event.AttemptEnded(
-                                    send.requestId(),
-                                    leg,
-                                    send.worker(),
-                                    down ? Outcome.UNREACHABLE : Outcome.SUCCESS,
-                                    took,
-                                    !down,
-                                    stood ? InstanceStatus.STOOD : InstanceStatus.LOAD_BEGUN,
-                                    0,
-                                    new Event.WorkerLoadReport(Double.NaN, 1, Double.NaN, 0.2, Double.NaN)));
-                        }
-                    });
+                    send(send);
+                }
+            }
+        }
+
+        /** Runs a task unless this router has been restarted by then. */
+        private void scheduleInProcess(TimeSpan delay, Runnable task) {
+            StickyFirstFitPolicy process = policy;
+            schedule(delay, () -> {
+                if (policy == process) {
+                    task.run();
                 }
+            });
+        }
+
+        private void send(Action.SendAttempt send) {
+            int attempt = attemptCounts.merge(send.requestId(), 1, Integer::sum) - 1;
+            if (send.worker().equals(COLD_WORKER) && coldSince != null) {
+                sentToColdAt.add(now);
             }
+            boolean wasLoaded = !loadedFunctions
+                    .computeIfAbsent(send.worker(), worker -> new HashSet<>())
+                    .add(functionByRequest.get(send.requestId()));
+            TimeSpan elapsed = wasLoaded ? REQUEST_TIME : REQUEST_TIME.plus(LOAD_TIME);
+            scheduleInProcess(elapsed, () -> on(attemptEnded(send, attempt, wasLoaded, elapsed)));
+        }
+
+        private Event attemptEnded(Action.SendAttempt send, int attempt, boolean wasLoaded, TimeSpan elapsed) {
+            boolean isLost = lostWorkers.contains(send.worker());
+            return new Event.AttemptEnded(
+                    send.requestId(),
+                    attempt,
+                    send.worker(),
+                    isLost ? Outcome.UNREACHABLE : Outcome.SUCCESS,
+                    elapsed,
+                    !isLost,
+                    wasLoaded ? InstanceStatus.STOOD : InstanceStatus.LOAD_BEGUN,
+                    0,
+                    new Event.WorkerLoadReport(Double.NaN, 1, Double.NaN, 0.2, Double.NaN));
         }
     }
 
-    private final PriorityQueue<Due> due = new PriorityQueue<>(
-            (a, b) -> a.at().equals(b.at()) ? Long.compare(a.number(), b.number()) : a.at().compareTo(b.at()));
-    private final Map<String, Integer> legs = new HashMap<>();
-    private final Map<String, String> functions = new HashMap<>();
-    private final Map<String, Set<String>> standing = new HashMap<>();
-    private final Set<String> lost = new HashSet<>();
-    private final List<MonotonicTime> reached = new ArrayList<>();
-    private RoutingSettings facts;
-    private MonotonicTime now = BEGUN;
-    private MonotonicTime cold;
-    private long numbered;
-
-    private void after(TimeSpan span, Runnable what) {
-        due.add(new Due(now.plus(span.atLeast(TimeSpan.ZERO)), numbered++, what));
+    private void schedule(TimeSpan delay, Runnable task) {
+        tasks.add(new ScheduledTask(now.plus(delay.atLeast(TimeSpan.ZERO)), numberCount++, task));
     }
 
-    private void until(MonotonicTime until) {
-        while (!due.isEmpty() && due.peek().at().isBefore(until)) {
-            Due next = due.poll();
+    private void runUntil(MonotonicTime until) {
+        while (!tasks.isEmpty() && tasks.peek().at().isBefore(until)) {
+            ScheduledTask next = tasks.poll();
             now = next.at();
-            next.what().run();
+            next.task().run();
         }
         now = until;
     }
 
-    private Event.EndpointsUpdated listed(EndpointUpdateKind kind) {
-        List<Endpoint> listings = new ArrayList<>();
+    private Event.EndpointsUpdated endpointsUpdated(EndpointUpdateKind kind) {
+        List<Endpoint> endpoints = new ArrayList<>();
         for (int i = 0; i < WORKERS; i++) {
-            String id = "w" + i;
-            listings.add(Rig.listing(
-                    id,
-                    "a",
-                    lost.contains(id) ? EndpointState.GONE : EndpointState.IN_SERVICE,
-                    id.equals(COLD) ? cold : null));
+            String worker = "w" + i;
+            EndpointState state = lostWorkers.contains(worker) ? EndpointState.GONE : EndpointState.IN_SERVICE;
+            MonotonicTime startedAt = worker.equals(COLD_WORKER) ? coldSince : null;
+            endpoints.add(PolicyHarness.endpoint(worker, "a", state, startedAt));
         }
-        return new Event.EndpointsUpdated(kind, listings);
+        return new Event.EndpointsUpdated(kind, endpoints);
     }
 
-    private void traffic(List<Router> routers, Random chance, double perSecond) {
-        after(TimeSpan.seconds(-Math.log(1 - chance.nextDouble()) / perSecond), () -> {
-            double at = chance.nextDouble()
-                    * routers.stream().mapToDouble(router -> router.share).sum();
-            int i = 0;
-            while (i < routers.size() - 1 && (at -= routers.get(i).share) > 0) {
-                i++;
-            }
-            String id = "call" + numbered;
-            // few functions have most of the calls
-            functions.put(id, "f" + (int) (FUNCTIONS * Math.pow(chance.nextDouble(), 3)));
-            routers.get(i)
-                    .on(new Event.RequestArrived(
-                            id,
-                            functions.get(id),
-                            Rig.RETRIABLE.name(),
-                            null,
-                            TimeSpan.seconds(4),
-                            2,
-                            100,
-                            LOADS,
-                            null,
-                            false,
-                            false));
-            traffic(routers, chance, perSecond);
+    /** Schedules the next request of a Poisson process, which schedules the one after it, and so on. */
+    private void scheduleTraffic(List<Router> routers, Random random, double requestsPerSecond) {
+        double secondsToNext = -Math.log(1 - random.nextDouble()) / requestsPerSecond;
+        schedule(TimeSpan.seconds(secondsToNext), () -> {
+            Router router = randomRouter(routers, random);
+            router.on(randomRequest(random));
+            scheduleTraffic(routers, random, requestsPerSecond);
         });
     }
 
+    private static Router randomRouter(List<Router> routers, Random random) {
+        double totalWeight =
+                routers.stream().mapToDouble(router -> router.trafficWeight).sum();
+        double position = random.nextDouble() * totalWeight;
+        int index = 0;
+        while (index < routers.size() - 1 && (position -= routers.get(index).trafficWeight) > 0) {
+            index++;
+        }
+        return routers.get(index);
+    }
+
+    /** A request of a function; few functions have most of the requests. */
+    private Event.RequestArrived randomRequest(Random random) {
+        String requestId = "call" + numberCount;
+        String function = "f" + (int) (FUNCTIONS * Math.pow(random.nextDouble(), 3));
+        functionByRequest.put(requestId, function);
+        return new Event.RequestArrived(
+                requestId,
+                function,
+                TestSettings.IDEMPOTENT.name(),
+                null,
+                TimeSpan.seconds(4),
+                2,
+                100,
+                LOAD_TIME,
+                null,
+                false,
+                false);
+    }
+
     /**
      * Guards against routers that each have a little left for a cold worker and spend it in the same moment, when the
-     * workers beside it go: in any span in which it may fall it gets what the settings allow it then, N, and beyond that no
-     * more than chance. Some routers have several times the mean traffic; some begin anew with it and know nothing.
+     * workers beside it go: in any span in which it may be overloaded it gets what the settings allow it then, and
+     * beyond that no more than chance explains. Some routers have several times the mean traffic; some restart with
+     * the worker and know nothing.
      */
     @ParameterizedTest
     @CsvSource({"3, 1, 4", "20, 2, 12", "30, 1, 4", "100, 1, 4", "100, 2, 8", "100, 3, 12", "100, 4, 13"})
-    void aColdWorkerBearsTheSumOfAllRouters(int count, long seed, int lostAfterSeconds) {
-        facts = Rig.among(count);
-        Random chance = new Random(seed);
+    void aColdWorkerBearsTheSumOfAllRouters(int routerCount, long seed, int lostAfterSeconds) {
+        settings = TestSettings.withRouterCount(routerCount);
+        Random random = new Random(seed);
+        List<Router> routers = startRouters(routerCount, random);
+        scheduleTraffic(routers, random, WORKERS * RATE_PER_WORKER);
+        runUntil(STARTED_AT.plus(TimeSpan.seconds(12)));
+        restartColdWorker(routers, random);
+        runUntil(coldSince.plus(TimeSpan.seconds(lostAfterSeconds)));
+        loseAThirdOfTheOtherWorkers(routers);
+        runUntil(coldSince.plus(settings.slowStart().warmUpTime()));
+        assertColdWorkerIsNeverOverloaded();
+        assertTrue(sentToColdAt.size() > RATE_PER_WORKER, "it gets work all the same: " + sentToColdAt.size());
+    }
+
+    private List<Router> startRouters(int routerCount, Random random) {
         List<Router> routers = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
+        for (int i = 0; i < routerCount; i++) {
             routers.add(new Router(i % 10 == 3 ? 4 : 1));
         }
-        routers.forEach(router -> router.begin(chance.nextLong()));
-        traffic(routers, chance, WORKERS * PER_WORKER);
-        until(BEGUN.plus(TimeSpan.seconds(12)));
-        cold = now;
-        standing.remove(COLD);
-        for (int i = 0; i < count; i++) {
+        routers.forEach(router -> router.start(random.nextLong()));
+        return routers;
+    }
+
+    private void restartColdWorker(List<Router> routers, Random random) {
+        coldSince = now;
+        loadedFunctions.remove(COLD_WORKER);
+        for (int i = 0; i < routers.size(); i++) {
             Router router = routers.get(i);
-            after(TimeSpan.millis(chance.nextInt(300)), () -> router.on(listed(EndpointUpdateKind.DELTA)));
+            TimeSpan delay = TimeSpan.millis(random.nextInt(300));
+            schedule(delay, () -> router.on(endpointsUpdated(EndpointUpdateKind.DELTA)));
             if (i % 7 == 2) {
-                after(TimeSpan.millis(500), () -> router.begin(chance.nextLong()));
+                schedule(TimeSpan.millis(500), () -> router.start(random.nextLong()));
             }
         }
-        until(cold.plus(TimeSpan.seconds(lostAfterSeconds)));
-        // a third of the others go at once, so that their calls look for room everywhere
+    }
+
+    /** All at once, so that their requests need capacity everywhere. */
+    private void loseAThirdOfTheOtherWorkers(List<Router> routers) {
         for (int i = 1; i <= WORKERS / 3; i++) {
-            lost.add("w" + i);
+            lostWorkers.add("w" + i);
         }
-        routers.forEach(router -> router.on(listed(EndpointUpdateKind.DELTA)));
-        until(cold.plus(facts.slowStart().warmUpTime()));
+        routers.forEach(router -> router.on(endpointsUpdated(EndpointUpdateKind.DELTA)));
+    }
 
-        RoutingSettings.SlowStartSettings rule = facts.slowStart();
-        double worst = 0;
-        String story = "";
+    private void assertColdWorkerIsNeverOverloaded() {
+        double worstRatio = 0;
+        String worstCase = "";
         ArrayDeque<MonotonicTime> window = new ArrayDeque<>();
-        for (MonotonicTime at : reached) {
-            window.add(at);
-            while (at.since(window.peek()).isLongerThan(rule.overloadTime())) {
+        for (MonotonicTime sentAt : sentToColdAt) {
+            window.add(sentAt);
+            while (sentAt.since(window.peek()).isLongerThan(settings.slowStart().overloadTime())) {
                 window.poll();
             }
-            double present = rule.initialCapacityShare()
-                    + (1 - rule.initialCapacityShare()) * at.since(cold).dividedBy(rule.warmUpTime());
-            double allowed = rule.overloadFactor()
-                    * present
-                    * PER_WORKER
-                    * rule.overloadTime().toSeconds();
+            double allowed = allowedRequests(sentAt);
             double bound = allowed + 2 * Math.sqrt(allowed) + 2;
-            if (window.size() / bound > worst) {
-                worst = window.size() / bound;
-                story = String.format(
-                        "%.1f s after its start: %d calls, %.1f are allowed, %.1f with chance; %d in all",
-                        at.since(cold).toSeconds(), window.size(), allowed, bound, reached.size());
+            if (window.size() / bound > worstRatio) {
+                worstRatio = window.size() / bound;
+                worstCase = String.format(
+                        "%.1f s after its start: %d requests, %.1f are allowed, %.1f with chance; %d in all",
+                        sentAt.since(coldSince).toSeconds(), window.size(), allowed, bound, sentToColdAt.size());
             }
         }
-        assertTrue(worst <= 1, story);
-        assertTrue(reached.size() > PER_WORKER, "it gets work all the same: " + reached.size());
+        assertTrue(worstRatio <= 1, worstCase);
+    }
+
+    /** Requests within the overload time that the cold worker can take at a moment of its warm-up. */
+    private double allowedRequests(MonotonicTime at) {
+        SlowStartSettings slowStart = settings.slowStart();
+        double progress = at.since(coldSince).dividedBy(slowStart.warmUpTime());
+        double initialShare = slowStart.initialCapacityShare();
+        double capacityShare = initialShare + (1 - initialShare) * progress;
+        return slowStart.overloadFactor()
+                * capacityShare
+                * RATE_PER_WORKER
+                * slowStart.overloadTime().toSeconds();
     }
 }
--- a/decisions/src/test/java/pearladder/routing/InstancePreloaderTest.java
+++ b/decisions/src/test/java/pearladder/routing/InstancePreloaderTest.java
@@ -15,40 +15,41 @@
 class InstancePreloaderTest {
     @Test
     void instanceInUseIsRenewedWithinTheQuota() {
-        RoutingSettings facts =
-                Rig.facts(true, true, new RoutingSettings.LoadQuota(2, 0.1, TimeSpan.seconds(5)), List.of());
-        Rig rig = Rig.withWorkers(facts, 4);
-        String home = Rig.home(rig, "f");
-        Rig.home(rig, "f");
-        rig.pass(TimeSpan.seconds(7));
-        assertTrue(rig.all.contains(new Action.LoadInstances(home, "f", 1)));
+        RoutingSettings settings =
+                TestSettings.withLoadRequests(new RoutingSettings.LoadQuota(2, 0.1, TimeSpan.seconds(5)));
+        PolicyHarness harness = PolicyHarness.withWorkers(settings, 4);
+        String home = harness.homeWorker("f");
+        harness.homeWorker("f");
+        harness.advance(TimeSpan.seconds(7));
+        assertTrue(harness.actions.contains(new Action.LoadInstances(home, "f", 1)));
     }
 
-    private static List<Action> tick(Rig rig) {
-        int from = rig.all.size();
-        rig.pass(TimeSpan.millis(100));
-        return List.copyOf(rig.all.subList(from, rig.all.size()));
+    private static List<Action> tick(PolicyHarness harness) {
+        int from = harness.actions.size();
+        harness.advance(TimeSpan.millis(100));
+        return List.copyOf(harness.actions.subList(from, harness.actions.size()));
     }
 
-    /** A new version's copies come up ahead of its calls, one at a time, and are told once they bear the share. */
+    /** A new version's instances are loaded before its requests, one at a time; progress is reported at each tick. */
     @Test
     void prewarmingRequestsOneLoadAtATimeAndReportsProgress() {
-        Rig rig = Rig.withWorkers(
-                Rig.facts(true, true, new RoutingSettings.LoadQuota(4, 0, TimeSpan.seconds(10)), List.of()), 4);
-        rig.now = rig.now.plus(TimeSpan.millis(100));
-        rig.on(new Event.PrewarmRequested("f@2", "f", 1, 2, 100, TimeSpan.millis(500)));
-        List<Action> first = tick(rig);
-        List<Action.LoadInstances> holds = first.stream()
+        PolicyHarness harness = PolicyHarness.withWorkers(
+                TestSettings.withLoadRequests(new RoutingSettings.LoadQuota(4, 0, TimeSpan.seconds(10))), 4);
+        harness.now = harness.now.plus(TimeSpan.millis(100));
+        harness.on(new Event.PrewarmRequested("f@2", "f", 1, 2, 100, TimeSpan.millis(500)));
+        List<Action> first = tick(harness);
+        List<Action.LoadInstances> loadRequests = first.stream()
                 .filter(Action.LoadInstances.class::isInstance)
                 .map(Action.LoadInstances.class::cast)
                 .toList();
-        assertEquals(1, holds.size());
+        assertEquals(1, loadRequests.size());
         assertTrue(first.contains(new Action.PrewarmProgress("f@2", 0)), first.toString());
-        assertTrue(tick(rig).stream().noneMatch(Action.LoadInstances.class::isInstance), "one at a time");
-        rig.on(new Event.LoadCompleted(holds.get(0).worker(), "f@2", Outcome.SUCCESS, 1, TimeSpan.millis(500)));
-        assertTrue(tick(rig).contains(new Action.PrewarmProgress("f@2", 1)));
-        rig.on(new Event.PrewarmRequested("f@2", "f", 0, 2, 100, TimeSpan.millis(500)));
-        assertTrue(tick(rig).stream()
+        assertTrue(tick(harness).stream().noneMatch(Action.LoadInstances.class::isInstance), "one at a time");
+        harness.on(
+                new Event.LoadCompleted(loadRequests.get(0).worker(), "f@2", Outcome.SUCCESS, 1, TimeSpan.millis(500)));
+        assertTrue(tick(harness).contains(new Action.PrewarmProgress("f@2", 1)));
+        harness.on(new Event.PrewarmRequested("f@2", "f", 0, 2, 100, TimeSpan.millis(500)));
+        assertTrue(tick(harness).stream()
                 .noneMatch(
                         action -> action instanceof Action.PrewarmProgress || action instanceof Action.LoadInstances));
     }
--- a/decisions/src/test/java/pearladder/routing/ModelLoadLimiterTest.java
+++ b/decisions/src/test/java/pearladder/routing/ModelLoadLimiterTest.java
@@ -13,42 +13,43 @@
 
 /** How many loads are started, and where. */
 class ModelLoadLimiterTest {
-    /* Found on wire-campus-main: refusals as full sent a function on to begin a load at every other worker. */
+    /* Found on wire-campus-main: refusals as full sent a function on to start a load at every other worker. */
     @Test
     void refusalsAsFullDoNotStartALoadOnEveryWorker() {
-        Rig rig = Rig.withWorkers(Rig.plain(), 10);
-        String home = Rig.home(rig, "f");
+        PolicyHarness harness = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 10);
+        String home = harness.homeWorker("f");
         Set<String> used = new HashSet<>();
         for (int i = 0; i < 40; i++) {
-            Rig.Taken call = rig.call("f", Rig.RETRIABLE);
-            if (!call.over && call.workers.get(0).equals(home)) {
-                rig.end(call, 0, Outcome.FULL, InstanceStatus.UNTOLD, TimeSpan.millis(1));
+            TrackedRequest request = harness.request("f", TestSettings.IDEMPOTENT);
+            if (!request.completed && request.workers.get(0).equals(home)) {
+                harness.endAttempt(request, 0, Outcome.FULL, InstanceStatus.UNTOLD, TimeSpan.millis(1));
             }
-            used.addAll(call.workers);
-            rig.pass(TimeSpan.millis(20));
+            used.addAll(request.workers);
+            harness.advance(TimeSpan.millis(20));
         }
-        assertTrue(used.size() <= 2, "loads begun at " + used);
+        assertTrue(used.size() <= 2, "loads started at " + used);
     }
 
     /* Found on slope-maps-later rough-1: each of many routers had a load under way whatever the store did. */
     @Test
     void manyRoutersStartFewerLoadsEach() {
         assertTrue(loadsStarted(60, 3) < loadsStarted(3, 3));
-        assertTrue(loadsStarted(3, 3) < loadsStarted(3, 0), "refusals narrow only where loads fill the rooms");
+        assertTrue(loadsStarted(3, 3) < loadsStarted(3, 0), "refusals narrow only where loads fill the queues");
     }
 
-    private static int loadsStarted(int peers, double loads) {
-        Rig rig = Rig.withWorkers(Rig.among(peers), 10);
-        int begun = 0;
+    private static int loadsStarted(int routerCount, double reportedLoads) {
+        PolicyHarness harness = PolicyHarness.withWorkers(TestSettings.withRouterCount(routerCount), 10);
+        int started = 0;
         for (int i = 0; i < 800; i++) {
-            Rig.Taken call = rig.call("f" + i % 40, Rig.RETRIABLE);
-            for (int leg = 0; leg < call.workers.size(); leg++) {
-                rig.end(call, leg, Outcome.FULL, InstanceStatus.UNTOLD, TimeSpan.millis(1), loads);
+            TrackedRequest request = harness.request("f" + i % 40, TestSettings.IDEMPOTENT);
+            for (int attempt = 0; attempt < request.workers.size(); attempt++) {
+                harness.endAttempt(
+                        request, attempt, Outcome.FULL, InstanceStatus.UNTOLD, TimeSpan.millis(1), reportedLoads);
             }
-            begun += call.workers.size();
-            rig.pass(TimeSpan.millis(20));
+            started += request.workers.size();
+            harness.advance(TimeSpan.millis(20));
         }
-        return begun;
+        return started;
     }
 
     /* Found on slope-maps (i5d4f4a): functions spread to all workers and pushed each other out of memory. */
@@ -59,17 +60,29 @@
     }
 
     private static int workersReached(double memoryMb) {
-        Rig rig = Rig.withWorkers(Rig.plain(), 4);
+        PolicyHarness harness = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 4);
         Set<String> used = new HashSet<>();
         for (int i = 0; i < 60; i++) {
             String id = "m" + i;
-            Rig.Taken call = new Rig.Taken(id, Rig.RETRIABLE, rig.now.plus(TimeSpan.seconds(4)));
-            rig.calls.put(id, call);
-            rig.on(new Event.RequestArrived(
-                    id, "f", "draw", null, TimeSpan.seconds(4), 2, memoryMb, Rig.QUICK, null, false, false));
-            used.addAll(call.workers);
+            TrackedRequest request =
+                    new TrackedRequest(id, TestSettings.IDEMPOTENT, harness.now.plus(TimeSpan.seconds(4)));
+            harness.request(
+                    request,
+                    new Event.RequestArrived(
+                            id,
+                            "f",
+                            "draw",
+                            null,
+                            TimeSpan.seconds(4),
+                            2,
+                            memoryMb,
+                            PolicyHarness.SHORT_TIME,
+                            null,
+                            false,
+                            false));
+            used.addAll(request.workers);
             if (i == 0) {
-                rig.settle(call, Rig.QUICK);
+                harness.succeed(request, PolicyHarness.SHORT_TIME);
             }
         }
         return used.size();
--- a/decisions/src/test/java/pearladder/routing/PolicySnapshotMapperTest.java
+++ b/decisions/src/test/java/pearladder/routing/PolicySnapshotMapperTest.java
@@ -12,47 +12,48 @@
 import pearladder.routing.api.TimeSpan;
 import pearladder.routing.state.PolicySnapshot;
 
-/** Snapshots written by one router process and restored by the next. */
+/** Snapshots written by one router process and restored by the after. */
 class PolicySnapshotMapperTest {
     @Test
     void restoredSnapshotEqualsTheWrittenOne() {
-        Rig one = Rig.withWorkers(
-                Rig.facts(true, true, new RoutingSettings.LoadQuota(3, 0, TimeSpan.seconds(30)), List.of()), 4);
+        PolicyHarness one = PolicyHarness.withWorkers(
+                TestSettings.withLoadRequests(new RoutingSettings.LoadQuota(3, 0, TimeSpan.seconds(30))), 4);
         for (int i = 0; i < 12; i++) {
-            one.settle(one.call("f" + i % 3, Rig.RETRIABLE), Rig.QUICK);
+            one.succeed(one.request("f" + i % 3, TestSettings.IDEMPOTENT), PolicyHarness.SHORT_TIME);
         }
-        one.pass(TimeSpan.seconds(7));
-        PolicySnapshot known = one.policy.snapshot(one.now);
-        assertEquals(3, known.functions().size());
-        assertTrue(known.functions().stream()
+        one.advance(TimeSpan.seconds(7));
+        PolicySnapshot snapshot = one.policy.snapshot(one.now);
+        assertEquals(3, snapshot.functions().size());
+        assertTrue(snapshot.functions().stream()
                 .allMatch(function -> function.instances().size() == 1));
-        assertEquals(3, known.loadRequestAges().size(), "copies in use were renewed, up to the ration");
-        Rig two = Rig.withWorkers(one.facts, 4);
+        assertEquals(3, snapshot.loadRequestAges().size(), "instances in use were renewed, up to the load quota");
+        PolicyHarness two = PolicyHarness.withWorkers(one.settings, 4);
         two.now = one.now;
-        two.on(new Event.SnapshotRestored(known));
-        assertEquals(known, two.policy.snapshot(two.now));
+        two.on(new Event.SnapshotRestored(snapshot));
+        assertEquals(snapshot, two.policy.snapshot(two.now));
         for (int i = 0; i < 12; i++) {
-            two.settle(two.call("f" + i % 3, Rig.RETRIABLE), Rig.QUICK);
+            two.succeed(two.request("f" + i % 3, TestSettings.IDEMPOTENT), PolicyHarness.SHORT_TIME);
         }
-        two.pass(TimeSpan.seconds(7));
+        two.advance(TimeSpan.seconds(7));
         assertTrue(
-                two.all.stream().noneMatch(Action.LoadInstances.class::isInstance), "the ration counts across lives");
+                two.actions.stream().noneMatch(Action.LoadInstances.class::isInstance),
+                "the load quota counts across restarts");
     }
 
     @Test
     void ejectedWorkerStaysEjectedAfterARestart() {
-        Rig rig = Rig.withWorkers(Rig.plain(), 4);
-        String home = Rig.home(rig, "f");
-        Rig next = Rig.withWorkers(Rig.plain(), 4);
-        next.on(new Event.SnapshotRestored(new PolicySnapshot(
+        PolicyHarness before = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 4);
+        String home = before.homeWorker("f");
+        PolicyHarness after = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 4);
+        after.on(new Event.SnapshotRestored(new PolicySnapshot(
                 TimeSpan.ZERO,
                 List.of(new PolicySnapshot.WorkerSnapshot(home, null, TimeSpan.seconds(2))),
                 List.of(),
                 List.of(),
                 0,
                 0)));
-        assertNotEquals(home, Rig.home(next, "f"));
-        next.pass(TimeSpan.seconds(12));
-        assertEquals(home, Rig.home(next, "f"));
+        assertNotEquals(home, after.homeWorker("f"));
+        after.advance(TimeSpan.seconds(12));
+        assertEquals(home, after.homeWorker("f"));
     }
 }
--- a/decisions/src/test/java/pearladder/routing/RulesTest.java
+++ b/decisions/src/test/java/pearladder/routing/RulesTest.java
@@ -1,9 +1,11 @@
 package pearladder.routing;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
-import org.junit.jupiter.api.Assertions;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import pearladder.routing.api.Action;
@@ -12,122 +14,163 @@
 import pearladder.routing.api.Event.InstanceStatus;
 import pearladder.routing.api.Outcome;
 import pearladder.routing.api.RoutingSettings;
+import pearladder.routing.api.RoutingSettings.LoadQuota;
 import pearladder.routing.api.RoutingSettings.RequestClass;
+import pearladder.routing.api.RoutingSettings.Tenant;
 import pearladder.routing.api.TimeSpan;
 
-/** Seeded random runs: calls, outcomes, lists and orders as they come; the rig checks the rules at each action. */
+/** Random sequences of events from a seed; the harness checks the rules at each action. */
 class RulesTest {
-    private static final List<RequestClass> CATEGORIES =
-            List.of(Rig.RETRIABLE, Rig.BINDING, Rig.MARKED, Rig.MARKED_IN_ZONE, Rig.MARKED_BRIEFLY);
-
-    private static RoutingSettings shape(SplittableRandom random) {
-        boolean orders = random.nextBoolean();
-        RoutingSettings.LoadQuota ration = random.nextBoolean()
-                ? new RoutingSettings.LoadQuota(2, 0.1, TimeSpan.seconds(5))
-                : new RoutingSettings.LoadQuota(0, 0, TimeSpan.ZERO);
-        List<RoutingSettings.Tenant> accounts = random.nextBoolean()
-                ? List.of()
-                : List.of(new RoutingSettings.Tenant("x", 0.7, 60), new RoutingSettings.Tenant("y", 0.3, 20));
-        return Rig.facts(orders, random.nextBoolean(), ration, accounts);
-    }
+    private static final int STEPS = 3000;
+    private static final int WORKERS = 6;
+    private static final int FUNCTIONS = 12;
+    /** Steps at the end, without new requests, in which all that are open end. */
+    private static final int FINAL_STEPS = 500;
 
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
     void rulesHoldWhateverHappens(long seed) {
-        List<Action> once = run(seed).all;
-        Assertions.assertTrue(once.stream().anyMatch(action -> action instanceof Action.SendAttempt));
-        Assertions.assertEquals(once, run(seed).all, "the same events give the same actions");
+        List<Action> once = new RandomRun(seed).run();
+        assertTrue(once.stream().anyMatch(action -> action instanceof Action.SendAttempt));
+        assertEquals(once, new RandomRun(seed).run(), "the same events give the same actions");
     }
 
-    private static Rig run(long seed) {
-        SplittableRandom random = new SplittableRandom(seed);
-        RoutingSettings facts = shape(random);
-        Rig rig = Rig.withWorkers(facts, 6);
-        List<Action.LoadInstances> held = new ArrayList<>();
-        int seen = 0;
-        double failing = random.nextDouble(0.6);
-        for (int step = 0; step < 3000; step++) {
-            rig.pass(TimeSpan.millis(random.nextInt(1, 12)));
-            endOverdue(rig);
-            if (random.nextInt(3) > 0) {
-                RequestClass terms = CATEGORIES.get(random.nextInt(CATEGORIES.size()));
-                String account = facts.tenants().isEmpty() ? null : random.nextBoolean() ? "x" : "y";
-                int function = (int) (12 * Math.pow(random.nextDouble(), 2));
-                rig.call("f" + function, terms, account, 1 << function % 3, TimeSpan.millis(random.nextInt(200, 4000)));
-            }
-            endSome(rig, random, failing);
-            if (random.nextInt(60) == 0) {
-                String worker = "w" + random.nextInt(6);
-                EndpointState standing = EndpointState.values()[random.nextInt(3)];
-                rig.stand(worker, standing, random.nextBoolean() ? rig.now : null);
-            }
-            for (; seen < rig.all.size(); seen++) {
-                if (rig.all.get(seen) instanceof Action.LoadInstances hold) {
-                    held.add(hold);
+    /** One sequence of events. The order of the random draws is part of what a seed stands for. */
+    private static final class RandomRun {
+        private final SplittableRandom random;
+        private final PolicyHarness harness;
+        private final double failureShare;
+        private final List<Action.LoadInstances> openLoadRequests = new ArrayList<>();
+        /** How many of the harness's actions were searched for load requests. */
+        private int searchedActions;
+
+        RandomRun(long seed) {
+            random = new SplittableRandom(seed);
+            harness = PolicyHarness.withWorkers(randomSettings(), WORKERS);
+            failureShare = random.nextDouble(0.6);
+        }
+
+        private RoutingSettings randomSettings() {
+            boolean acceptsLoadRequests = random.nextBoolean();
+            LoadQuota loadQuota =
+                    random.nextBoolean() ? new LoadQuota(2, 0.1, TimeSpan.seconds(5)) : TestSettings.NO_LOAD_QUOTA;
+            List<Tenant> tenants =
+                    random.nextBoolean() ? List.of() : List.of(new Tenant("x", 0.7, 60), new Tenant("y", 0.3, 20));
+            boolean hedging = random.nextBoolean();
+            return TestSettings.settings(acceptsLoadRequests, hedging, loadQuota, tenants);
+        }
+
+        /** Returns all actions of the policy. */
+        List<Action> run() {
+            for (int step = 0; step < STEPS; step++) {
+                harness.advance(TimeSpan.millis(random.nextInt(1, 12)));
+                endOverdueAttempts();
+                if (random.nextInt(3) > 0) {
+                    sendRequest();
+                }
+                endSomeAttempts();
+                if (random.nextInt(60) == 0) {
+                    changeEndpoint();
+                }
+                findLoadRequests();
+                if (!openLoadRequests.isEmpty() && random.nextInt(10) == 0) {
+                    completeLoad();
+                }
+                if (random.nextInt(40) == 0) {
+                    sendStrayEvents();
                 }
             }
-            if (!held.isEmpty() && random.nextInt(10) == 0) {
-                Action.LoadInstances hold = held.remove(random.nextInt(held.size()));
-                Outcome outcome = Outcome.values()[random.nextInt(6)];
-                rig.on(new Event.LoadCompleted(
-                        hold.worker(),
-                        hold.function(),
-                        outcome,
-                        outcome == Outcome.SUCCESS ? hold.instances() : 0,
-                        TimeSpan.millis(900)));
-            }
-            if (random.nextInt(40) == 0) {
-                strays(rig, random);
+            for (int step = 0; step < FINAL_STEPS; step++) {
+                harness.advance(TimeSpan.millis(10));
+                endOverdueAttempts();
             }
+            harness.assertAllAnswered();
+            return harness.actions;
         }
-        for (int i = 0; i < 500; i++) {
-            rig.pass(TimeSpan.millis(10));
-            endOverdue(rig);
+
+        private void sendRequest() {
+            List<RequestClass> requestClasses = TestSettings.REQUEST_CLASSES;
+            RequestClass requestClass = requestClasses.get(random.nextInt(requestClasses.size()));
+            String tenant = harness.settings.tenants().isEmpty() ? null : random.nextBoolean() ? "x" : "y";
+            int function = (int) (FUNCTIONS * Math.pow(random.nextDouble(), 2));
+            int concurrency = 1 << function % 3;
+            TimeSpan timeLeft = TimeSpan.millis(random.nextInt(200, 4000));
+            harness.request("f" + function, requestClass, tenant, concurrency, timeLeft);
         }
-        rig.assertAllAnswered();
-        return rig;
-    }
 
-    /** As on the wire, a leg still out at the client's abandon time ends as timed out. */
-    private static void endOverdue(Rig rig) {
-        for (Rig.Taken call : List.copyOf(rig.calls.values())) {
-            for (int leg = 0; leg < call.outcomes.size(); leg++) {
-                if (call.outcomes.get(leg) == null && !rig.now.isBefore(call.until)) {
-                    rig.end(call, leg, Outcome.TIMED_OUT, InstanceStatus.UNTOLD, rig.now.since(call.sent.get(leg)));
+        /** As with a real worker client, an attempt still in flight at the client's deadline ends as timed out. */
+        private void endOverdueAttempts() {
+            for (TrackedRequest request : List.copyOf(harness.requests.values())) {
+                for (int attempt = 0; attempt < request.outcomes.size(); attempt++) {
+                    if (request.outcomes.get(attempt) == null && !harness.now.isBefore(request.deadlineAt)) {
+                        end(request, attempt, Outcome.TIMED_OUT, InstanceStatus.UNTOLD);
+                    }
+                }
+                if (request.completed && request.attemptsInFlight() == 0) {
+                    harness.requests.remove(request.id);
                 }
             }
-            if (call.over && call.out() == 0) {
-                rig.calls.remove(call.id);
+        }
+
+        private void endSomeAttempts() {
+            for (TrackedRequest request : List.copyOf(harness.requests.values())) {
+                for (int attempt = 0; attempt < request.outcomes.size(); attempt++) {
+                    if (request.outcomes.get(attempt) == null && random.nextInt(12) == 0) {
+                        boolean failed = random.nextDouble() < failureShare;
+                        Outcome outcome = failed ? Outcome.values()[random.nextInt(1, 9)] : Outcome.SUCCESS;
+                        end(request, attempt, outcome, randomInstanceStatus(outcome));
+                    }
+                }
             }
         }
-    }
 
-    private static void endSome(Rig rig, SplittableRandom random, double failing) {
-        for (Rig.Taken call : List.copyOf(rig.calls.values())) {
-            for (int leg = 0; leg < call.outcomes.size(); leg++) {
-                if (call.outcomes.get(leg) == null && random.nextInt(12) == 0) {
-                    boolean bad = random.nextDouble() < failing;
-                    Outcome outcome = bad ? Outcome.values()[random.nextInt(1, 9)] : Outcome.SUCCESS;
-                    InstanceStatus copy = outcome == Outcome.SUCCESS
-                            ? InstanceStatus.values()[random.nextInt(1, 4)]
-                            : outcome == Outcome.ABSENT ? InstanceStatus.LOAD_FAILED : InstanceStatus.UNTOLD;
-                    rig.end(call, leg, outcome, copy, rig.now.since(call.sent.get(leg)));
+        private InstanceStatus randomInstanceStatus(Outcome outcome) {
+            return switch (outcome) {
+                case SUCCESS -> InstanceStatus.values()[random.nextInt(1, 4)];
+                case ABSENT -> InstanceStatus.LOAD_FAILED;
+                default -> InstanceStatus.UNTOLD;
+            };
+        }
+
+        private void end(TrackedRequest request, int attempt, Outcome outcome, InstanceStatus instanceStatus) {
+            TimeSpan elapsed = harness.now.since(request.sentAt.get(attempt));
+            harness.endAttempt(request, attempt, outcome, instanceStatus, elapsed);
+        }
+
+        private void changeEndpoint() {
+            String worker = "w" + random.nextInt(WORKERS);
+            EndpointState state = EndpointState.values()[random.nextInt(3)];
+            harness.setEndpointState(worker, state, random.nextBoolean() ? harness.now : null);
+        }
+
+        private void findLoadRequests() {
+            for (; searchedActions < harness.actions.size(); searchedActions++) {
+                if (harness.actions.get(searchedActions) instanceof Action.LoadInstances load) {
+                    openLoadRequests.add(load);
                 }
             }
         }
-    }
 
-    /** Events about calls that ended, workers that went and orders of another life do no harm. */
-    private static void strays(Rig rig, SplittableRandom random) {
-        rig.on(new Event.AttemptEnded(
-                "call0", 0, "w0", Outcome.SUCCESS, TimeSpan.millis(5), true, InstanceStatus.STOOD, 3, null));
-        rig.on(new Event.ClientDisconnected("call1"));
-        rig.on(new Event.LoadCompleted("w9", "f1", Outcome.SUCCESS, 1, TimeSpan.millis(5)));
-        rig.on(new Event.HealthCheckCompleted("w9", Outcome.TIMED_OUT, TimeSpan.millis(250), null));
-        for (Rig.Taken call : List.copyOf(rig.calls.values())) {
-            if (!call.over && random.nextInt(8) == 0) {
-                call.over = true;
-                rig.on(new Event.ClientDisconnected(call.id));
+        private void completeLoad() {
+            Action.LoadInstances load = openLoadRequests.remove(random.nextInt(openLoadRequests.size()));
+            Outcome outcome = Outcome.values()[random.nextInt(6)];
+            int instances = outcome == Outcome.SUCCESS ? load.instances() : 0;
+            harness.on(
+                    new Event.LoadCompleted(load.worker(), load.function(), outcome, instances, TimeSpan.millis(900)));
+        }
+
+        /** Events about ended requests, unknown workers and load requests of another process do no harm. */
+        private void sendStrayEvents() {
+            harness.on(new Event.AttemptEnded(
+                    "call0", 0, "w0", Outcome.SUCCESS, TimeSpan.millis(5), true, InstanceStatus.STOOD, 3, null));
+            harness.on(new Event.ClientDisconnected("call1"));
+            harness.on(new Event.LoadCompleted("w9", "f1", Outcome.SUCCESS, 1, TimeSpan.millis(5)));
+            harness.on(new Event.HealthCheckCompleted("w9", Outcome.TIMED_OUT, TimeSpan.millis(250), null));
+            for (TrackedRequest request : List.copyOf(harness.requests.values())) {
+                if (!request.completed && random.nextInt(8) == 0) {
+                    request.completed = true;
+                    harness.on(new Event.ClientDisconnected(request.id));
+                }
             }
         }
     }
--- a/decisions/src/test/java/pearladder/routing/SlowStartTest.java
+++ b/decisions/src/test/java/pearladder/routing/SlowStartTest.java
@@ -9,20 +9,20 @@
 class SlowStartTest {
     @Test
     void warmingWorkerGetsNoMoreThanOurPartOfItsCapacity() {
-        Rig rig = Rig.withWorkers(Rig.plain(), 4);
+        PolicyHarness harness = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 4);
         for (int i = 0; i < 400; i++) {
-            Rig.home(rig, "f" + i % 40);
+            harness.homeWorker("f" + i % 40);
         }
-        rig.stand("w1", EndpointState.IN_SERVICE, rig.now);
-        int toCold = 0;
+        harness.setEndpointState("w1", EndpointState.IN_SERVICE, harness.now);
+        int toWarming = 0;
         int warm = 0;
         for (int i = 0; i < 15; i++) {
-            if (Rig.home(rig, "f" + i % 40).equals("w1")) {
-                toCold++;
+            if (harness.homeWorker("f" + i % 40).equals("w1")) {
+                toWarming++;
             } else {
                 warm++;
             }
         }
-        assertTrue(toCold <= 1 + 0.5 * 1.1 * warm / 3, toCold + " to the cold worker, " + warm + " to three");
+        assertTrue(toWarming <= 1 + 0.5 * 1.1 * warm / 3, toWarming + " to the warming worker, " + warm + " to three");
     }
 }
--- a/decisions/src/test/java/pearladder/routing/StickyFirstFitPolicyTest.java
+++ b/decisions/src/test/java/pearladder/routing/StickyFirstFitPolicyTest.java
@@ -19,59 +19,60 @@
 class StickyFirstFitPolicyTest {
     @Test
     void requestsOfAFunctionGoToTheSameWorkerAtEveryRouter() {
-        Rig rig = Rig.withWorkers(Rig.plain(), 8);
-        Rig other = Rig.withWorkers(Rig.plain(), 8);
+        PolicyHarness harness = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 8);
+        PolicyHarness other = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 8);
         Set<String> used = new HashSet<>();
         for (int i = 0; i < 40; i++) {
-            String home = Rig.home(rig, "f" + i);
+            String home = harness.homeWorker("f" + i);
             used.add(home);
-            assertEquals(home, Rig.home(rig, "f" + i));
-            assertEquals(home, Rig.home(other, "f" + i));
+            assertEquals(home, harness.homeWorker("f" + i));
+            assertEquals(home, other.homeWorker("f" + i));
         }
         assertTrue(used.size() >= 6, "functions spread over the fleet, not over " + used);
     }
 
     @Test
     void hotFunctionSpreadsToMoreWorkersAndIsThenRejectedAtOnce() {
-        Rig rig = Rig.withWorkers(Rig.plain(), 3);
-        Rig.home(rig, "f");
+        PolicyHarness harness = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 3);
+        harness.homeWorker("f");
         Set<String> used = new HashSet<>();
-        Rig.Taken last = null;
-        for (int i = 0; i < 200 && (last == null || last.end == null); i++) {
-            last = rig.call("f", Rig.RETRIABLE);
+        TrackedRequest last = null;
+        for (int i = 0; i < 200 && (last == null || last.finalAction == null); i++) {
+            last = harness.request("f", TestSettings.IDEMPOTENT);
             used.addAll(last.workers);
         }
         assertTrue(used.size() > 1);
-        Action.Reject dismissed = assertInstanceOf(Action.Reject.class, last.end);
-        assertTrue(dismissed.retryAfter().nanos() > 0);
+        Action.Reject rejection = assertInstanceOf(Action.Reject.class, last.finalAction);
+        assertTrue(rejection.retryAfter().nanos() > 0);
         assertTrue(last.workers.isEmpty());
     }
 
     @Test
     void workerThatRefusesAsFullIsSkippedForAWhile() {
-        Rig rig = Rig.withWorkers(Rig.plain(), 4);
-        String home = Rig.home(rig, "f");
-        Rig.Taken call = rig.call("f", Rig.RETRIABLE);
-        rig.end(call, 0, Outcome.FULL, InstanceStatus.UNTOLD, TimeSpan.millis(2));
-        Rig.Taken next = rig.call("f", Rig.RETRIABLE);
-        assertTrue(!call.workers.subList(1, call.workers.size()).contains(home) && !next.workers.contains(home));
-        rig.pass(TimeSpan.seconds(1));
-        assertEquals(home, rig.call("f", Rig.RETRIABLE).workers.get(0));
+        PolicyHarness harness = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 4);
+        String home = harness.homeWorker("f");
+        TrackedRequest request = harness.request("f", TestSettings.IDEMPOTENT);
+        harness.endAttempt(request, 0, Outcome.FULL, InstanceStatus.UNTOLD, TimeSpan.millis(2));
+        TrackedRequest next = harness.request("f", TestSettings.IDEMPOTENT);
+        assertTrue(!request.workers.subList(1, request.workers.size()).contains(home) && !next.workers.contains(home));
+        harness.advance(TimeSpan.seconds(1));
+        assertEquals(home, harness.request("f", TestSettings.IDEMPOTENT).workers.get(0));
     }
 
     @Test
     void drainingWorkerGetsNoNewRequests() {
-        Rig rig = Rig.withWorkers(Rig.plain(), 3);
-        String home = Rig.home(rig, "f");
-        rig.stand(home, EndpointState.DRAINING, null);
-        assertNotEquals(home, rig.call("f", Rig.RETRIABLE).workers.get(0));
-        rig.stand(home, EndpointState.IN_SERVICE, null);
-        assertEquals(home, Rig.home(rig, "g" + functionWithHomeAt(rig, home)));
+        PolicyHarness harness = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 3);
+        String home = harness.homeWorker("f");
+        harness.setEndpointState(home, EndpointState.DRAINING, null);
+        assertNotEquals(
+                home, harness.request("f", TestSettings.IDEMPOTENT).workers.get(0));
+        harness.setEndpointState(home, EndpointState.IN_SERVICE, null);
+        assertEquals(home, harness.homeWorker("g" + functionWithHomeAt(harness, home)));
     }
 
-    private static int functionWithHomeAt(Rig rig, String worker) {
+    private static int functionWithHomeAt(PolicyHarness harness, String worker) {
         for (int i = 0; i < 200; i++) {
-            if (Rig.home(rig, "g" + i).equals(worker)) {
+            if (harness.homeWorker("g" + i).equals(worker)) {
                 return i;
             }
         }
@@ -80,23 +81,23 @@
 
     @Test
     void forgottenFunctionReturnsToItsHomeWorker() {
-        Rig rig = Rig.withWorkers(Rig.plain(), 8);
-        String home = Rig.home(rig, "f");
-        rig.pass(TimeSpan.seconds(200));
-        assertEquals(home, Rig.home(rig, "f"));
-        rig.on(new Event.LoadCompleted(home, "f", Outcome.SUCCESS, 1, Rig.QUICK));
-        rig.assertAllAnswered();
+        PolicyHarness harness = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 8);
+        String home = harness.homeWorker("f");
+        harness.advance(TimeSpan.seconds(200));
+        assertEquals(home, harness.homeWorker("f"));
+        harness.on(new Event.LoadCompleted(home, "f", Outcome.SUCCESS, 1, PolicyHarness.SHORT_TIME));
+        harness.assertAllAnswered();
     }
 
     @Test
     void attemptThatTimesOutAtTheDeadlineIsAnsweredAtOnce() {
-        Rig rig = Rig.withWorkers(Rig.plain(), 3);
-        Rig.Taken call = rig.call("f", Rig.BINDING);
-        rig.pass(TimeSpan.millis(3992));
-        rig.on(new Event.AttemptEnded(
-                "nobody", 0, "w0", Outcome.ERROR, Rig.QUICK, false, InstanceStatus.UNTOLD, 0, null));
-        rig.end(call, 0, Outcome.TIMED_OUT, InstanceStatus.UNTOLD, TimeSpan.millis(3992));
-        assertInstanceOf(Action.Fail.class, call.end);
-        rig.on(new Event.ClientDisconnected(call.id));
+        PolicyHarness harness = PolicyHarness.withWorkers(TestSettings.withoutLoadRequests(), 3);
+        TrackedRequest request = harness.request("f", TestSettings.NON_IDEMPOTENT);
+        harness.advance(TimeSpan.millis(3992));
+        harness.on(new Event.AttemptEnded(
+                "nobody", 0, "w0", Outcome.ERROR, PolicyHarness.SHORT_TIME, false, InstanceStatus.UNTOLD, 0, null));
+        harness.endAttempt(request, 0, Outcome.TIMED_OUT, InstanceStatus.UNTOLD, TimeSpan.millis(3992));
+        assertInstanceOf(Action.Fail.class, request.finalAction);
+        harness.on(new Event.ClientDisconnected(request.id));
     }
 }
