--- a/kserve-router/src/main/java/pearladder/router/kserve/RouterConfigParser.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RouterConfigParser.java
@@ -22,7 +22,9 @@
         return read(YamlParser.read(file));
     }
 
-    /** Parses a YAML document; throws {@link pearladder.config.ConfigErrors.ConfigException} with every mistake in it. */
+    /**
+     * Parses a YAML document; throws {@link pearladder.config.ConfigErrors.ConfigException} with every mistake in it.
+     */
     public static RouterConfig read(ConfigValue file) {
         ConfigValue router = file.at("router");
         String name = name(router.at("name"));
