--- a/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
+++ b/decisions/src/main/java/pearladder/recovery/SnapshotRecovery.java
@@ -87,7 +87,7 @@
         if (found.snapshot() == null) {
             return "no snapshot";
         }
-        if (found.gap().isNegative()) {
+        if (TimeSpan.ZERO.isLongerThan(found.gap())) {
             return "the clock stepped back by " + formatSeconds(found.gap().times(-1));
         }
         if (found.gap().isLongerThan(maxAge)) {
--- a/decisions/src/main/java/pearladder/recovery/SnapshotValidator.java
+++ b/decisions/src/main/java/pearladder/recovery/SnapshotValidator.java
@@ -21,8 +21,9 @@
 
     /** Names the first invalid part of a snapshot; null where all of it is valid. */
     static String findInvalidPart(PolicySnapshot snapshot) {
-        boolean isValid =
-                !snapshot.age().isNegative() && isFigure(snapshot.loadSeconds()) && isFigure(snapshot.loadCount());
+        boolean isValid = !TimeSpan.ZERO.isLongerThan(snapshot.age())
+                && isFigure(snapshot.loadSeconds())
+                && isFigure(snapshot.loadCount());
         if (!isValid) {
             return "figures that can't be";
         }
@@ -45,8 +46,8 @@
     }
 
     private static boolean isValid(PolicySnapshot.WorkerSnapshot worker) {
-        return !worker.ejectedFor().isNegative()
-                && (worker.uptime() == null || !worker.uptime().isNegative())
+        return !TimeSpan.ZERO.isLongerThan(worker.ejectedFor())
+                && (worker.uptime() == null || !TimeSpan.ZERO.isLongerThan(worker.uptime()))
                 && !worker.ejectedFor().isLongerThan(MAX_EJECTION);
     }
 
@@ -56,15 +57,16 @@
                 && isFigure(function.recentRequests())
                 && isFigure(function.warmResponses())
                 && isFigure(function.warmSeconds())
-                && (function.typicalLoadTime() == null
-                        || !function.typicalLoadTime().isNegative());
+                && (function.typicalLoadTime() == null || !TimeSpan.ZERO.isLongerThan(function.typicalLoadTime()));
     }
 
     private static boolean hasValidInstances(PolicySnapshot.FunctionSnapshot function) {
         Set<String> workers = new HashSet<>();
         for (PolicySnapshot.InstanceSnapshot instance : function.instances()) {
             boolean isValidCount = instance.instances() >= 1 && instance.instances() <= MAX_INSTANCES;
-            if (!isValidCount || instance.sinceRenewed().isNegative() || !workers.add(instance.worker())) {
+            if (!isValidCount
+                    || TimeSpan.ZERO.isLongerThan(instance.sinceRenewed())
+                    || !workers.add(instance.worker())) {
                 return false;
             }
         }
--- a/decisions/src/main/java/pearladder/routing/api/TimeSpan.java
+++ b/decisions/src/main/java/pearladder/routing/api/TimeSpan.java
@@ -45,11 +45,6 @@
         return (double) nanos / other.nanos;
     }
 
-    /** Whether it is below zero. */
-    public boolean isNegative() {
-        return nanos < 0;
-    }
-
     /** Whether it is strictly longer. */
     public boolean isLongerThan(TimeSpan other) {
         return nanos > other.nanos;
