Stalls and late requests are logged; a flood of requests breaks deadlines (failing test)

Change: the event loop logs stalls over 0.1 s with its activity; a request that ends after its deadline is logged with its client's id, attempts and their outcomes; -Dpearladder.trace=requests logs every end. PlatformFloodTest reproduces the incident on a real process and is known red.

--- a/cli/src/test/java/pearladder/cli/PlatformProcessFixture.java
+++ b/cli/src/test/java/pearladder/cli/PlatformProcessFixture.java
@@ -36,6 +36,7 @@
 @Timeout(120)
 abstract class PlatformProcessFixture {
     private static final String REQUEST_CLASS = "commit";
+    private static final long BUDGET_MILLIS = 3000;
 
     /** Answers each request with its own name and the request's body, once its latch is open. */
     static final class FakeWorker implements AutoCloseable {
@@ -274,13 +275,17 @@
     }
 
     byte[] request(String id, byte[] body) throws IOException {
+        return request(id, body, BUDGET_MILLIS);
+    }
+
+    byte[] request(String id, byte[] body, long budgetMillis) throws IOException {
         return message(
                 REQUEST_CLASS,
                 Map.of(
                         "rid",
                         id,
                         "budget",
-                        "3000",
+                        Long.toString(budgetMillis),
                         "acct",
                         "tender",
                         "token",
--- a/router-core/src/main/java/pearladder/router/core/ActiveAttempt.java
+++ b/router-core/src/main/java/pearladder/router/core/ActiveAttempt.java
@@ -1,6 +1,7 @@
 package pearladder.router.core;
 
 import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.Outcome;
 
 /** One attempt to have a request executed by a worker. */
 public final class ActiveAttempt {
@@ -14,6 +15,10 @@
     WorkerClient.PendingSend pendingSend;
 
     boolean ended;
+    /** Null until the attempt has ended. */
+    MonotonicTime endedAt;
+    /** Null until the attempt has ended. */
+    Outcome outcome;
 
     ActiveAttempt(ActiveRequest request, int number, String worker, MonotonicTime sentAt) {
         this.request = request;
@@ -22,6 +27,13 @@
         this.sentAt = sentAt;
     }
 
+    /** The attempt has ended; it does so once. */
+    void onEnded(Outcome outcome, MonotonicTime now) {
+        this.ended = true;
+        this.outcome = outcome;
+        this.endedAt = now;
+    }
+
     /** Stops waiting for the response; what the worker executes goes on or is cancelled there. */
     void cancel() {
         if (isPending()) {
--- a/router-core/src/main/java/pearladder/router/core/ActiveRequest.java
+++ b/router-core/src/main/java/pearladder/router/core/ActiveRequest.java
@@ -19,6 +19,8 @@
 
     public final ResponseHandler responseHandler;
     final MonotonicTime admittedAt;
+    /** The client waits no longer than this. */
+    final MonotonicTime deadlineAt;
     /** A response before this moment meets the latency objective. */
     final MonotonicTime objectiveAt;
 
@@ -40,6 +42,7 @@
         this.tenant = parsed.tenant() == null ? "" : parsed.tenant();
         this.responseHandler = responseHandler;
         this.admittedAt = parsed.receivedAt();
+        this.deadlineAt = parsed.receivedAt().plus(parsed.timeLeft());
         this.objectiveAt = parsed.receivedAt().plus(parsed.requestClass().latencyObjective());
     }
 
--- a/router-core/src/main/java/pearladder/router/core/EventLoopLag.java
+++ b/router-core/src/main/java/pearladder/router/core/EventLoopLag.java
@@ -1,41 +1,65 @@
 package pearladder.router.core;
 
 import io.vertx.core.Vertx;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Measures how late the event loop runs. A request that is read now may have waited that long in its socket,
  * unseen, and a response may leave that much later than decided; deadlines that ignored this would be too generous
- * on a busy router. Confined to the event loop.
+ * on a busy router. A stall is logged with what the loop did meanwhile. Confined to the event loop.
  */
 public final class EventLoopLag {
+    private static final Logger LOG = LoggerFactory.getLogger(EventLoopLag.class);
     private static final long TICK_MILLIS = 5;
     private static final long NANOS_PER_MILLI = 1_000_000;
     /** Timers run in whole milliseconds, so a tick that is up to this late is on time. */
     private static final long TIMER_RESOLUTION_NANOS = NANOS_PER_MILLI;
     /** What remains of an earlier lateness after each tick. */
     private static final double DECAY_PER_TICK = 0.9;
+    /** A tick that is later than this is logged as a stall; twice the slack that platforms allow a timer. */
+    private static final long STALL_NANOS = 100 * NANOS_PER_MILLI;
 
     private final Vertx vertx;
+    private final EventLoopActivity activity;
     private long nextTickAtNanos;
     private double recentLagNanos;
+    private double longestLagNanos;
+    private long stalls;
 
-    /** Creates a measurement that starts with {@link #start}. */
-    public EventLoopLag(Vertx vertx) {
+    /** Creates a measurement that starts with {@link #start}; its stalls are explained by the loop's activity. */
+    public EventLoopLag(Vertx vertx, EventLoopActivity activity) {
         this.vertx = vertx;
+        this.activity = activity;
     }
 
     /** Starts measuring; called on the event loop. */
     public void start() {
+        activity.reset();
         nextTickAtNanos = System.nanoTime() + TICK_MILLIS * NANOS_PER_MILLI;
         vertx.setTimer(TICK_MILLIS, timerId -> {
-            double lag = Math.max(0, System.nanoTime() - nextTickAtNanos - TIMER_RESOLUTION_NANOS);
-            recentLagNanos = Math.max(lag, recentLagNanos * DECAY_PER_TICK);
+            onTick(Math.max(0, System.nanoTime() - nextTickAtNanos - TIMER_RESOLUTION_NANOS));
             start();
         });
     }
 
+    private void onTick(double lagNanos) {
+        recentLagNanos = Math.max(lagNanos, recentLagNanos * DECAY_PER_TICK);
+        longestLagNanos = Math.max(longestLagNanos, lagNanos);
+        if (lagNanos > STALL_NANOS) {
+            stalls++;
+            LOG.warn(
+                    "the event loop stalled for {} ms: {}", Math.round(lagNanos / NANOS_PER_MILLI), activity.summary());
+        }
+    }
+
     /** Nanoseconds: the greater of the recent lag and the lateness of the tick that is overdue now. */
     public long lagNanos() {
         return Math.round(Math.max(recentLagNanos, System.nanoTime() - nextTickAtNanos - TIMER_RESOLUTION_NANOS));
     }
+
+    /** The number of stalls and the longest lag so far, for the log. */
+    public String summary() {
+        return stalls + " stalls, longest lag " + Math.round(longestLagNanos / NANOS_PER_MILLI) + " ms";
+    }
 }
--- a/router-core/src/main/java/pearladder/router/core/RequestManager.java
+++ b/router-core/src/main/java/pearladder/router/core/RequestManager.java
@@ -178,6 +178,7 @@
             return;
         }
         request.completed = true;
+        RequestLog.onEnded(request, EventListener.CLIENT_DISCONNECTED, timers.now());
         metrics.onClientDisconnected();
         eventListener.onRequestEnded(
                 request, EventListener.CLIENT_DISCONNECTED, timers.now().since(request.admittedAt));
@@ -216,6 +217,7 @@
         request.completed = true;
         MonotonicTime now = timers.now();
         TimeSpan duration = now.since(request.admittedAt);
+        RequestLog.onEnded(request, status.code(), now);
         metrics.onResponse(status, duration.nanos());
         eventListener.onRequestEnded(request, status.code(), duration);
         boolean successful =
@@ -246,7 +248,7 @@
 
     private void onAttemptEnded(ActiveAttempt attempt, Outcome outcome, WorkerResponse response) {
         ActiveRequest request = attempt.request;
-        attempt.ended = true;
+        attempt.onEnded(outcome, timers.now());
         request.attemptsInFlight--;
         metrics.onAttemptEnded(outcome);
         eventListener.onAttemptEnded(attempt, outcome, response, timers.now().since(attempt.sentAt));
--- a/router-core/src/main/java/pearladder/router/core/VertxTimers.java
+++ b/router-core/src/main/java/pearladder/router/core/VertxTimers.java
@@ -7,10 +7,12 @@
 /** Timers of a Vert.x event loop, and the machine's monotonic clock. */
 public final class VertxTimers implements Timers {
     private final Vertx vertx;
+    private final EventLoopActivity activity;
 
-    /** Creates timers that run on the event loop that sets them. */
-    public VertxTimers(Vertx vertx) {
+    /** Creates timers that run on the event loop that sets them, and are counted in its activity. */
+    public VertxTimers(Vertx vertx, EventLoopActivity activity) {
         this.vertx = vertx;
+        this.activity = activity;
     }
 
     /** The time by the machine's monotonic clock. */
@@ -25,7 +27,8 @@
 
     @Override
     public Timer after(TimeSpan delay, Runnable task) {
-        long timerId = vertx.setTimer(Timers.millis(delay), firedId -> task.run());
+        long timerId =
+                vertx.setTimer(Timers.millis(delay), firedId -> activity.run(EventLoopActivity.Activity.TIMERS, task));
         return () -> vertx.cancelTimer(timerId);
     }
 }
