--- a/cli/src/test/java/pearladder/architecture/Layer.java
+++ b/cli/src/test/java/pearladder/architecture/Layer.java
@@ -13,6 +13,7 @@
     DECISIONS(
             "pearladder.routing",
             "pearladder.connections",
+            "pearladder.delivery",
             "pearladder.rollout",
             "pearladder.recovery",
             "pearladder.writebuffer",
--- /dev/null
+++ b/decisions/src/test/java/pearladder/delivery/DeliveryRulesTest.java
@@ -0,0 +1,63 @@
+package pearladder.delivery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import pearladder.delivery.DeliveryRules.RequestState;
+import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.RoutingSettings.Idempotency;
+
+/** Each rule of delivery by its cases. */
+class DeliveryRulesTest {
+    private static final MonotonicTime DEADLINE = new MonotonicTime(1000);
+
+    private final DeliveryRules rules = new DeliveryRules(3);
+
+    private static RequestState request(boolean completed, int attempts, boolean executed, Idempotency idempotency) {
+        return new RequestState(completed, DEADLINE, attempts, executed, idempotency);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "false, 0, false, BINDING, 999, ALLOWED",
+        "false, 2, false, BINDING, 999, ALLOWED",
+        "false, 1, true, BINDING, 999, MAY_HAVE_BEEN_EXECUTED",
+        "false, 1, true, FINGERPRINTED, 999, ALLOWED",
+        "false, 2, true, RETRIABLE, 999, ALLOWED",
+        "false, 3, false, RETRIABLE, 999, TOO_MANY_ATTEMPTS",
+        "false, 0, false, RETRIABLE, 1000, DEADLINE_PASSED",
+        "true, 0, false, RETRIABLE, 1, REQUEST_COMPLETED"
+    })
+    void attemptIsAllowed(
+            boolean completed, int attempts, boolean executed, Idempotency idempotency, long now, Verdict expected) {
+        RequestState request = request(completed, attempts, executed, idempotency);
+        assertEquals(expected, rules.onAttempt(request, new MonotonicTime(now)));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"false, 999, ALLOWED", "false, 1000, DEADLINE_PASSED", "true, 999, REQUEST_COMPLETED"})
+    void firstByteIsWrittenOnlyForAnOpenRequestInItsTime(boolean completed, long now, Verdict expected) {
+        RequestState request = request(completed, 1, true, Idempotency.BINDING);
+        assertEquals(expected, rules.onWrite(request, new MonotonicTime(now)));
+    }
+
+    @Test
+    void requestIsAnsweredOnceAndAlsoAfterItsDeadline() {
+        assertEquals(Verdict.ALLOWED, rules.onAnswer(request(false, 1, true, Idempotency.BINDING)));
+        assertEquals(Verdict.REQUEST_COMPLETED, rules.onAnswer(request(true, 1, true, Idempotency.BINDING)));
+    }
+
+    @Test
+    void nothingIsClosedThatOwesAnAnswer() {
+        assertEquals(Verdict.ALLOWED, rules.onClose(0));
+        assertEquals(Verdict.UNANSWERED_REQUESTS, rules.onClose(1));
+    }
+
+    @Test
+    void loadRequestsGoToWorkersInServiceOnly() {
+        assertEquals(Verdict.ALLOWED, rules.onLoadRequest(true));
+        assertEquals(Verdict.WORKER_NOT_IN_SERVICE, rules.onLoadRequest(false));
+    }
+}
--- a/kserve-router/src/main/java/pearladder/router/kserve/HttpExchange.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpExchange.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import pearladder.router.core.Timers;
 import pearladder.router.core.WorkerClient;
@@ -42,14 +43,29 @@
                 Timers.millis(timeout), timerId -> end(isSent() ? Outcome.TIMED_OUT : Outcome.UNREACHABLE, null));
     }
 
-    /** @param headers sets the headers of the request */
-    void send(HttpMethod method, String uri, Consumer<HttpClientRequest> headers, Buffer body) {
+    /**
+     * Sends the request once a connection is there.
+     *
+     * @param headers sets the headers of the request
+     * @param permission asked just before the request is written; where it says no, the exchange ends unsent
+     */
+    void send(
+            HttpMethod method,
+            String uri,
+            Consumer<HttpClientRequest> headers,
+            Buffer body,
+            BooleanSupplier permission) {
         pool.request(method, uri)
                 .onComplete(
-                        connected -> onConnected(connected, headers, body), failure -> end(Outcome.UNREACHABLE, null));
+                        connected -> onConnected(connected, headers, body, permission),
+                        failure -> end(Outcome.UNREACHABLE, null));
     }
 
-    private void onConnected(HttpClientRequest connected, Consumer<HttpClientRequest> headers, Buffer body) {
+    private void onConnected(
+            HttpClientRequest connected, Consumer<HttpClientRequest> headers, Buffer body, BooleanSupplier permission) {
+        if (!ended && !permission.getAsBoolean()) {
+            end(Outcome.VOID, null);
+        }
         if (ended) {
             connected.reset();
             return;
--- a/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerClient.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/HttpWorkerClient.java
@@ -49,7 +49,8 @@
                 HttpMethod.POST,
                 handler.workerPath(),
                 request -> setAttemptHeaders(request, attempt, handler.contentType),
-                handler.body);
+                handler.body,
+                attempt::mayBeWritten);
         return exchange;
     }
 
@@ -137,7 +138,8 @@
                 method,
                 uri,
                 request -> request.putHeader(Headers.ROUTER, routerName).putHeader("content-type", JSON_TYPE),
-                Buffer.buffer(body));
+                Buffer.buffer(body),
+                () -> true);
     }
 
     @Override
--- a/kserve-router/src/main/java/pearladder/router/kserve/RolloutManager.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/RolloutManager.java
@@ -15,7 +15,7 @@
 import pearladder.rollout.RolloutEvent;
 import pearladder.rollout.RolloutProgress;
 import pearladder.rollout.RolloutTarget;
-import pearladder.router.core.RequestManager;
+import pearladder.router.core.CompletionListener;
 import pearladder.router.core.Timers;
 import pearladder.routing.api.Event;
 import pearladder.routing.api.TimeSpan;
@@ -75,8 +75,7 @@
      * @param function the function of model and version
      * @param completionListener told how the request ended
      */
-    public record ChosenVersion(
-            String version, String function, RequestManager.CompletionListener completionListener) {}
+    public record ChosenVersion(String version, String function, CompletionListener completionListener) {}
 
     private static final Logger LOG = LoggerFactory.getLogger("pearladder.releases");
     /** Separates model and version in a function's name. */
@@ -137,9 +136,7 @@
     public ChosenVersion choose(VersionRequest wish) {
         if (wish.version() != null) {
             return new ChosenVersion(
-                    wish.version(),
-                    Route.function(wish.model(), wish.version()),
-                    RequestManager.CompletionListener.NONE);
+                    wish.version(), Route.function(wish.model(), wish.version()), CompletionListener.NONE);
         }
         String requestId = Long.toString(++requestCount);
         String idempotencyKey = wish.idempotencyKey() == null ? "" : wish.idempotencyKey();
@@ -149,8 +146,8 @@
         return new ChosenVersion(chosenVersion, function, completionListener(requestId));
     }
 
-    private RequestManager.CompletionListener completionListener(String requestId) {
-        return new RequestManager.CompletionListener() {
+    private CompletionListener completionListener(String requestId) {
+        return new CompletionListener() {
             @Override
             public void onCompleted(boolean successful, List<String> workers) {
                 handle(new RolloutEvent.RequestCompleted(requestId, successful, workers));
--- a/router-core/src/main/java/pearladder/router/core/ActiveAttempt.java
+++ b/router-core/src/main/java/pearladder/router/core/ActiveAttempt.java
@@ -11,6 +11,7 @@
 
     public final String worker;
     final MonotonicTime sentAt;
+    private final DeliveryGate gate;
     /** Null until the worker client has taken the attempt. */
     WorkerClient.PendingSend pendingSend;
 
@@ -20,11 +21,12 @@
     /** Null until the attempt has ended. */
     Outcome outcome;
 
-    ActiveAttempt(ActiveRequest request, int number, String worker, MonotonicTime sentAt) {
+    ActiveAttempt(ActiveRequest request, int number, String worker, MonotonicTime sentAt, DeliveryGate gate) {
         this.request = request;
         this.number = number;
         this.worker = worker;
         this.sentAt = sentAt;
+        this.gate = gate;
     }
 
     /** The attempt has ended; it does so once. */
@@ -34,6 +36,16 @@
         this.endedAt = now;
     }
 
+    /** Asked just before its first byte is written: whether that may still happen. */
+    public boolean mayBeWritten() {
+        return gate.mayWrite(this);
+    }
+
+    /** Whether the worker may have executed the request, or still may. */
+    boolean mayHaveBeenExecuted() {
+        return !ended || !outcome.neverExecuted;
+    }
+
     /** Stops waiting for the response; what the worker executes goes on or is cancelled there. */
     void cancel() {
         if (isPending()) {
--- a/router-core/src/main/java/pearladder/router/core/ActiveRequest.java
+++ b/router-core/src/main/java/pearladder/router/core/ActiveRequest.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import pearladder.delivery.DeliveryRules;
 import pearladder.routing.api.MonotonicTime;
+import pearladder.routing.api.RoutingSettings;
 
 /** A request that this router has admitted: whose it is, who gets the response, and the attempts so far. */
 public final class ActiveRequest {
@@ -18,13 +20,14 @@
     public final String tenant;
 
     public final ResponseHandler responseHandler;
+    private final RoutingSettings.Idempotency idempotency;
     final MonotonicTime admittedAt;
     /** The client waits no longer than this. */
     final MonotonicTime deadlineAt;
     /** A response before this moment meets the latency objective. */
     final MonotonicTime objectiveAt;
 
-    final RequestManager.CompletionListener completionListener;
+    final CompletionListener completionListener;
     /** Whether an attempt ended with a worker's error. */
     boolean workerFailed;
 
@@ -33,7 +36,8 @@
     /** Whether the client has its final answer, or has disconnected. */
     boolean completed;
 
-    ActiveRequest(String id, RequestManager.ParsedRequest parsed, ResponseHandler responseHandler) {
+    /** @param now when the request is admitted, which may be some time after it was received */
+    ActiveRequest(String id, RequestManager.ParsedRequest parsed, ResponseHandler responseHandler, MonotonicTime now) {
         this.id = id;
         this.clientRequestId = parsed.clientRequestId();
         this.function = parsed.function();
@@ -41,11 +45,18 @@
         this.idempotencyKey = parsed.idempotencyKey();
         this.tenant = parsed.tenant() == null ? "" : parsed.tenant();
         this.responseHandler = responseHandler;
+        this.idempotency = parsed.requestClass().idempotency();
         this.admittedAt = parsed.receivedAt();
-        this.deadlineAt = parsed.receivedAt().plus(parsed.timeLeft());
+        this.deadlineAt = now.plus(parsed.timeLeft());
         this.objectiveAt = parsed.receivedAt().plus(parsed.requestClass().latencyObjective());
     }
 
+    /** What the rules of delivery ask of it. */
+    DeliveryRules.RequestState deliveryState() {
+        boolean possiblyExecuted = attempts.stream().anyMatch(ActiveAttempt::mayHaveBeenExecuted);
+        return new DeliveryRules.RequestState(completed, deadlineAt, attempts.size(), possiblyExecuted, idempotency);
+    }
+
     /** The workers that were sent an attempt, each once, in the order of the attempts. */
     List<String> workers() {
         return attempts.stream().map(attempt -> attempt.worker).distinct().toList();
--- a/router-core/src/main/java/pearladder/router/core/EventLoopLag.java
+++ b/router-core/src/main/java/pearladder/router/core/EventLoopLag.java
@@ -11,12 +11,14 @@
  */
 public final class EventLoopLag {
     private static final Logger LOG = LoggerFactory.getLogger(EventLoopLag.class);
-    private static final long TICK_MILLIS = 5;
+    /** Half of the 50 ms that platforms allow a timer: an idle router on a shared core should hardly wake for it. */
+    private static final long TICK_MILLIS = 25;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
     /** Timers run in whole milliseconds, so a tick that is up to this late is on time. */
     private static final long TIMER_RESOLUTION_NANOS = NANOS_PER_MILLI;
     /** What remains of an earlier lateness after each tick. */
-    private static final double DECAY_PER_TICK = 0.9;
+    private static final double DECAY_PER_TICK = 0.59;
     /** A tick that is later than this is logged as a stall; twice the slack that platforms allow a timer. */
     private static final long STALL_NANOS = 100 * NANOS_PER_MILLI;
 
--- a/router-core/src/main/java/pearladder/router/core/RequestManager.java
+++ b/router-core/src/main/java/pearladder/router/core/RequestManager.java
@@ -25,7 +25,7 @@
      * @param function that is to be executed
      * @param idempotencyKey against duplicates, or null
      * @param receivedAt when its first bytes were read
-     * @param timeLeft until its deadline
+     * @param timeLeft from its admission to its deadline
      * @param requestClass with its latency objective and idempotency
      * @param tenant null where tenants are not distinguished
      * @param concurrency requests that an instance of the function executes at once
@@ -50,33 +50,6 @@
             boolean clientRetry,
             CompletionListener completionListener) {}
 
-    /** Told how a request ended. One of the two methods is called, once. */
-    public interface CompletionListener {
-        /** Ignores the end. */
-        CompletionListener NONE = new CompletionListener() {
-            @Override
-            public void onCompleted(boolean successful, List<String> workers) {
-                // ignored
-            }
-
-            @Override
-            public void onClientDisconnected() {
-                // ignored
-            }
-        };
-
-        /**
-         * The request was answered.
-         *
-         * @param successful whether it succeeded within its latency objective and no attempt had a worker's error
-         * @param workers that were sent an attempt
-         */
-        void onCompleted(boolean successful, List<String> workers);
-
-        /** The client disconnected before its request was answered. */
-        void onClientDisconnected();
-    }
-
     /** Told how far the prewarming of a function is. */
     public interface PrewarmListener {
         /** @param share of the load that the loaded instances can take */
@@ -90,6 +63,7 @@
     private final WorkerClient workerClient;
     private final RouterMetrics metrics;
     private final EventListener eventListener;
+    private final DeliveryGate gate;
     private final PolicyDriver policyDriver;
     private final Map<String, ActiveRequest> activeRequests = new HashMap<>();
     private PrewarmListener prewarmListener = (function, share) -> {};
@@ -115,6 +89,7 @@
         this.workerClient = workerClient;
         this.metrics = metrics;
         this.eventListener = eventListener;
+        this.gate = new DeliveryGate(timers, settings.attemptLimits().maxAttempts());
         this.policyDriver = new PolicyDriver(timers, policy, metrics, this);
     }
 
@@ -123,6 +98,11 @@
         prewarmListener = listener;
     }
 
+    /** Asked before anything of a request is sent, and before what may owe answers is closed. */
+    public DeliveryGate gate() {
+        return gate;
+    }
+
     /** Reports an event to the policy. */
     public void dispatch(Event event) {
         policyDriver.dispatch(event);
@@ -155,7 +135,7 @@
     /** Admits a request; from here on it gets one final answer. */
     public ActiveRequest accept(ParsedRequest parsed, ResponseHandler responseHandler) {
         String id = Long.toString(++requestCount);
-        ActiveRequest request = new ActiveRequest(id, parsed, responseHandler);
+        ActiveRequest request = new ActiveRequest(id, parsed, responseHandler, timers.now());
         activeRequests.put(id, request);
         policyDriver.dispatch(new Event.RequestArrived(
                 id,
@@ -184,9 +164,26 @@
                 request, EventListener.CLIENT_DISCONNECTED, timers.now().since(request.admittedAt));
         request.completionListener.onClientDisconnected();
         policyDriver.dispatch(new Event.ClientDisconnected(request.id));
+        cancelAttempts(request);
+        removeIfFinished(request);
+    }
+
+    /**
+     * The router is about to close the client's connection: the request is answered as failed, and its attempts are
+     * cancelled as for a client that disconnects.
+     */
+    public void failBeforeClose(ActiveRequest request) {
+        if (complete(request, CompletionStatus.FAILED)) {
+            request.responseHandler.onFailure();
+            policyDriver.dispatch(new Event.ClientDisconnected(request.id));
+            cancelAttempts(request);
+            removeIfFinished(request);
+        }
+    }
+
+    private void cancelAttempts(ActiveRequest request) {
         boolean cancelsSent = settings.attemptLimits().cancel();
         request.attemptsSoFar().forEach(cancelsSent ? ActiveAttempt::cancel : ActiveAttempt::cancelUnsent);
-        removeIfFinished(request);
     }
 
     private void removeIfFinished(ActiveRequest request) {
@@ -211,7 +208,7 @@
      *     before
      */
     private boolean complete(ActiveRequest request, CompletionStatus status) {
-        if (request == null || request.completed) {
+        if (request == null || !gate.mayAnswer(request)) {
             return false;
         }
         request.completed = true;
@@ -235,10 +232,12 @@
             LOG.error("the policy sends an attempt of request {}, which is not in flight", action.requestId());
             return;
         }
-        ActiveAttempt attempt = new ActiveAttempt(request, request.attempts.size(), action.worker(), timers.now());
+        boolean allowed = gate.mayStartAttempt(request);
+        ActiveAttempt attempt =
+                new ActiveAttempt(request, request.attempts.size(), action.worker(), timers.now(), gate);
         request.attempts.add(attempt);
         request.attemptsInFlight++;
-        if (request.completed) {
+        if (!allowed) {
             onAttemptEnded(attempt, Outcome.VOID, null);
         } else {
             attempt.pendingSend = workerClient.send(
@@ -313,7 +312,7 @@
     @Override
     public void loadInstances(Action.LoadInstances action) {
         eventListener.beforeLoadRequest(action.worker(), action.function(), action.instances(), refusal -> {
-            if (refusal.isEmpty()) {
+            if (refusal.isEmpty() && gate.mayLoad(action.worker(), workerClient.isInService(action.worker()))) {
                 sendLoadRequest(action);
             } else {
                 policyDriver.dispatch(
--- a/router-core/src/main/java/pearladder/router/core/WorkerClient.java
+++ b/router-core/src/main/java/pearladder/router/core/WorkerClient.java
@@ -43,6 +43,11 @@
         void onEnded(Outcome outcome, int instances);
     }
 
+    /** Whether discovery lists a worker as in service; where it is not known, it counts as that. */
+    default boolean isInService(String worker) {
+        return true;
+    }
+
     /** Sends an attempt to its worker; to one that is not listed it ends unsent. */
     PendingSend send(ActiveAttempt attempt, TimeSpan timeout, AttemptListener listener);
 
