--- /dev/null
+++ b/cli/src/test/java/pearladder/cli/soak/SoakRequest.java
@@ -0,0 +1,109 @@
+package pearladder.cli.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One request of an ordinary client, with what its client and the workers saw of it. Times are {@code nanoTime}. */
+final class SoakRequest {
+    /** A request class of the settings, by what a repeat would do. */
+    enum RequestClass {
+        DRAFT("draft", false),
+        COMMIT("commit", false),
+        PAYMENT("payment", true);
+
+        final String method;
+        final boolean runsOnceOnly;
+
+        RequestClass(String method, boolean runsOnceOnly) {
+            this.method = method;
+            this.runsOnceOnly = runsOnceOnly;
+        }
+    }
+
+    /** An attempt as it came to a worker. */
+    record Attempt(SoakWorker worker, long arrivedAt, long limitMillis, String key, byte[] body, boolean executed) {}
+
+    final String id;
+    final RequestClass requestClass;
+    final long budgetMillis;
+    final byte[] body;
+    /** The router's process that it was sent to. */
+    final SoakRouter router;
+
+    final int routerIncarnation;
+    final long sentAt;
+    private final List<Attempt> attempts = new ArrayList<>();
+    private int answers;
+    private boolean successful;
+    private byte[] answerBody;
+    private long answeredAt;
+    private long leftAt;
+    private long connectionLostAt;
+
+    /** @param incarnation of the router when the connection was opened that the request is sent on */
+    SoakRequest(
+            String id, RequestClass requestClass, long budgetMillis, byte[] body, SoakRouter router, int incarnation) {
+        this.id = id;
+        this.requestClass = requestClass;
+        this.budgetMillis = budgetMillis;
+        this.body = body;
+        this.router = router;
+        this.routerIncarnation = incarnation;
+        this.sentAt = System.nanoTime();
+    }
+
+    synchronized void onAttempt(Attempt attempt) {
+        attempts.add(attempt);
+    }
+
+    synchronized void onAnswer(boolean success, byte[] responseBody) {
+        answers++;
+        successful = success;
+        answerBody = responseBody;
+        answeredAt = System.nanoTime();
+    }
+
+    /** The client has sent an interrupt, or closed its connection. */
+    synchronized void onLeft() {
+        leftAt = leftAt == 0 ? System.nanoTime() : leftAt;
+    }
+
+    synchronized void onConnectionLost() {
+        connectionLostAt = connectionLostAt == 0 ? System.nanoTime() : connectionLostAt;
+    }
+
+    synchronized boolean isOpen() {
+        return answers == 0 && leftAt == 0 && connectionLostAt == 0;
+    }
+
+    synchronized List<Attempt> attempts() {
+        return List.copyOf(attempts);
+    }
+
+    synchronized int answers() {
+        return answers;
+    }
+
+    synchronized boolean isSuccessful() {
+        return successful;
+    }
+
+    synchronized byte[] answerBody() {
+        return answerBody;
+    }
+
+    /** Zero where there is none. */
+    synchronized long answeredAt() {
+        return answeredAt;
+    }
+
+    /** Zero where the client stayed. */
+    synchronized long leftAt() {
+        return leftAt;
+    }
+
+    /** Zero where the connection stayed. */
+    synchronized long connectionLostAt() {
+        return connectionLostAt;
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/pearladder/cli/soak/SoakWorker.java
@@ -0,0 +1,180 @@
+package pearladder.cli.soak;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/** A worker that answers, refuses, stays silent, answers garbage or resets connections, at random. */
+final class SoakWorker implements AutoCloseable {
+    private static final int MAX_LATENCY_MILLIS = 120;
+    /** Percentages, each of all requests; the rest succeeds. */
+    private static final int FULL = 5;
+
+    private static final int FAILED = 4;
+    private static final int SILENT = 4;
+    private static final int GARBAGE = 2;
+    private static final int RESET = 3;
+
+    private static final ScheduledExecutorService LATER = Executors.newScheduledThreadPool(2, task -> {
+        Thread thread = new Thread(task);
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    final String name;
+    /** When discovery began to tell that it drains; zero while it is in service. */
+    volatile long drainingSince;
+
+    private final ServerSocket server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+    private final Map<String, SoakRequest> requests;
+    private final List<String> unknownIds;
+    private final Random random;
+
+    /**
+     * @param requests all requests of clients, by id
+     * @param unknownIds receives the ids of attempts for which no client sent a request
+     */
+    SoakWorker(String name, Map<String, SoakRequest> requests, List<String> unknownIds, long seed) throws IOException {
+        this.name = name;
+        this.requests = requests;
+        this.unknownIds = unknownIds;
+        this.random = new Random(seed);
+        Background.run(() -> {
+            while (true) {
+                Socket socket = server.accept();
+                Background.run(() -> serve(socket));
+            }
+        });
+    }
+
+    String member(String state) {
+        return "{\"id\":\"" + name + "\",\"addr\":\"127.0.0.1:" + server.getLocalPort()
+                + "\",\"zone\":\"hall\",\"kind\":\"kind\",\"cell\":1,\"state\":\"" + state
+                + "\",\"weight\":1,\"started_ms\":0}";
+    }
+
+    private void serve(Socket socket) throws IOException {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        while (true) {
+            List<byte[]> words = new ArrayList<>();
+            for (int left = Integer.parseInt(line(in).substring(1)); left > 0; left--) {
+                words.add(in.readNBytes(Integer.parseInt(line(in).substring(1))));
+                line(in);
+            }
+            String command = text(words.get(0));
+            if (command.equals("go")) {
+                onRequest(socket, text(words.get(1)), fields(text(words.get(2))), words.get(3));
+            } else if (command.equals("stage")) {
+                write(socket, response(text(words.get(1)), "ACK", "replicas=1", new byte[0]));
+            }
+        }
+    }
+
+    private void onRequest(Socket socket, String id, Map<String, String> fields, byte[] body) throws IOException {
+        long now = System.nanoTime();
+        SoakRequest request = requests.get(id);
+        if (request == null) {
+            if (!FloodClient.isFloodId(id)) {
+                unknownIds.add(id);
+            }
+            return;
+        }
+        int fate;
+        int latency;
+        synchronized (random) {
+            fate = random.nextInt(100);
+            latency = 1 + random.nextInt(MAX_LATENCY_MILLIS);
+        }
+        boolean executed = fate >= FULL;
+        request.onAttempt(new SoakRequest.Attempt(
+                this, now, Long.parseLong(fields.get("limit")), fields.getOrDefault("nonce", ""), body, executed));
+        if (fate < FULL) {
+            write(socket, response(id, "AGAIN", "-", new byte[0]));
+            return;
+        }
+        LATER.schedule(() -> answerQuietly(socket, id, body, fate - FULL), latency, TimeUnit.MILLISECONDS);
+    }
+
+    private void answerQuietly(Socket socket, String id, byte[] body, int fate) {
+        try {
+            answer(socket, id, body, fate);
+        } catch (IOException closed) {
+            // the router has closed the connection
+        }
+    }
+
+    private void answer(Socket socket, String id, byte[] body, int fate) throws IOException {
+        if (fate < FAILED) {
+            write(socket, response(id, "EIO", "-", new byte[0]));
+        } else if (fate < FAILED + SILENT) {
+            return;
+        } else if (fate < FAILED + SILENT + GARBAGE) {
+            write(socket, "*9\r\n?".getBytes(StandardCharsets.ISO_8859_1));
+        } else if (fate < FAILED + SILENT + GARBAGE + RESET) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } else {
+            write(socket, response(id, "ACK", "tell=up", body));
+        }
+    }
+
+    private static byte[] response(String id, String word, String fields, byte[] body) {
+        byte[] head = ("*4\r\n$" + id.length() + "\r\n" + id + "\r\n$" + word.length() + "\r\n" + word + "\r\n$"
+                        + fields.length() + "\r\n" + fields + "\r\n$" + body.length + "\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
+        byte[] all = new byte[head.length + body.length + 2];
+        System.arraycopy(head, 0, all, 0, head.length);
+        System.arraycopy(body, 0, all, head.length, body.length);
+        all[all.length - 2] = '\r';
+        all[all.length - 1] = '\n';
+        return all;
+    }
+
+    private static void write(Socket socket, byte[] bytes) throws IOException {
+        synchronized (socket) {
+            socket.getOutputStream().write(bytes);
+        }
+    }
+
+    private static Map<String, String> fields(String text) {
+        Map<String, String> fields = new ConcurrentHashMap<>();
+        for (String field : text.split(",")) {
+            int equals = field.indexOf('=');
+            fields.put(field.substring(0, equals), field.substring(equals + 1));
+        }
+        return fields;
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        int next;
+        while ((next = in.read()) != '\n') {
+            if (next < 0) {
+                throw new IOException("closed");
+            }
+            line.append(next == '\r' ? "" : Character.toString(next));
+        }
+        return line.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
--- a/kserve-router/src/main/java/pearladder/router/kserve/Router.java
+++ b/kserve-router/src/main/java/pearladder/router/kserve/Router.java
@@ -78,7 +78,7 @@
         VertxTimers timers = new VertxTimers(vertx, activity);
         this.backgroundWork = new BackgroundWork(timers, JobClasses.createScheduler(seed, timers.now()));
         this.registry = new WorkerRegistry(vertx, config, backgroundWork);
-        this.eventLoopLag = new EventLoopLag(vertx, activity);
+        this.eventLoopLag = new EventLoopLag(vertx, activity, stall -> {});
         this.metrics = new PrometheusMetrics(this::requestsInFlight, registry::size);
         this.endpointWatch = new EndpointWatch(vertx, config.discovery(), config.name(), this);
         this.policy = policyFactory.create(seed, config.routingSettings());
--- a/router-core/src/main/java/pearladder/router/core/EventLoopLag.java
+++ b/router-core/src/main/java/pearladder/router/core/EventLoopLag.java
@@ -1,8 +1,10 @@
 package pearladder.router.core;
 
 import io.vertx.core.Vertx;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import pearladder.routing.api.TimeSpan;
 
 /**
  * Measures how late the event loop runs. A request that is read now may have waited that long in its socket,
@@ -11,28 +13,34 @@
  */
 public final class EventLoopLag {
     private static final Logger LOG = LoggerFactory.getLogger(EventLoopLag.class);
-    /** Half of the 50 ms that platforms allow a timer: an idle router on a shared core should hardly wake for it. */
-    private static final long TICK_MILLIS = 25;
+    /** A tenth of the 50 ms by which platforms allow a timer to be late; longer ticks were tried and stalled for longer. */
+    private static final long TICK_MILLIS = 5;
 
     private static final long NANOS_PER_MILLI = 1_000_000;
     /** Timers run in whole milliseconds, so a tick that is up to this late is on time. */
     private static final long TIMER_RESOLUTION_NANOS = NANOS_PER_MILLI;
     /** What remains of an earlier lateness after each tick. */
-    private static final double DECAY_PER_TICK = 0.59;
+    private static final double DECAY_PER_TICK = 0.9;
     /** A tick that is later than this is logged as a stall; twice the slack that platforms allow a timer. */
     private static final long STALL_NANOS = 100 * NANOS_PER_MILLI;
 
     private final Vertx vertx;
     private final EventLoopActivity activity;
+    private final Consumer<TimeSpan> stallListener;
     private long nextTickAtNanos;
     private double recentLagNanos;
     private double longestLagNanos;
     private long stalls;
 
-    /** Creates a measurement that starts with {@link #start}; its stalls are explained by the loop's activity. */
-    public EventLoopLag(Vertx vertx, EventLoopActivity activity) {
+    /**
+     * Creates a measurement that starts with {@link #start}; its stalls are explained by the loop's activity.
+     *
+     * @param stallListener told how long each stall was
+     */
+    public EventLoopLag(Vertx vertx, EventLoopActivity activity, Consumer<TimeSpan> stallListener) {
         this.vertx = vertx;
         this.activity = activity;
+        this.stallListener = stallListener;
     }
 
     /** Starts measuring; called on the event loop. */
@@ -50,6 +58,7 @@
         longestLagNanos = Math.max(longestLagNanos, lagNanos);
         if (lagNanos > STALL_NANOS) {
             stalls++;
+            stallListener.accept(new TimeSpan(Math.round(lagNanos)));
             LOG.warn(
                     "the event loop stalled for {} ms: {}", Math.round(lagNanos / NANOS_PER_MILLI), activity.summary());
         }
