--- a/cli/src/test/java/pearladder/cli/soak/PlatformSoakTest.java
+++ b/cli/src/test/java/pearladder/cli/soak/PlatformSoakTest.java
@@ -132,7 +132,8 @@
                 .replaceFirst(
                         "\"Services\": \\[",
                         "\"Services\": [{\"AimNs\": 1000000000, \"DedupScope\": \"all\", \"Effect\": \"single_shot\","
-                                + " \"GiveUpNs\": 3000000000, \"KeyTtlNs\": 0, \"LateWorth\": 0.2, \"Name\": \"payment\","
+                                + " \"GiveUpNs\": 3000000000, \"KeyTtlNs\": 0, \"LateWorth\": 0.2,"
+                                + " \"Name\": \"payment\","
                                 + " \"Streamed\": false, \"Worth\": 5.0}, ");
     }
 
--- a/cli/src/test/java/pearladder/cli/soak/package-info.java
+++ b/cli/src/test/java/pearladder/cli/soak/package-info.java
@@ -1,2 +1,2 @@
-/** A soak test of real router processes under random, overlapping faults, judged from outside by the platform's rules. */
+/** A soak test of real router processes under random, overlapping faults, judged from outside. */
 package pearladder.cli.soak;
--- a/router-core/src/main/java/pearladder/router/core/EventLoopLag.java
+++ b/router-core/src/main/java/pearladder/router/core/EventLoopLag.java
@@ -13,7 +13,7 @@
  */
 public final class EventLoopLag {
     private static final Logger LOG = LoggerFactory.getLogger(EventLoopLag.class);
-    /** A tenth of the 50 ms by which platforms allow a timer to be late; longer ticks were tried and stalled for longer. */
+    /** A tenth of the 50 ms by which platforms allow a timer to be late. */
     private static final long TICK_MILLIS = 5;
 
     private static final long NANOS_PER_MILLI = 1_000_000;
--- a/router-core/src/main/java/pearladder/router/core/PolicyDriver.java
+++ b/router-core/src/main/java/pearladder/router/core/PolicyDriver.java
@@ -76,7 +76,7 @@
         dispatching = true;
         try {
             for (Event next = pendingEvents.poll(); next != null; next = pendingEvents.poll()) {
-                decide(next).forEach(this::execute);
+                decide(next).forEach(this::executeGuarded);
             }
         } finally {
             dispatching = false;
@@ -109,6 +109,15 @@
         }
     }
 
+    /** Guards the actions after one that failed: each of them may be the answer of a request. */
+    private void executeGuarded(Action action) {
+        try {
+            execute(action);
+        } catch (RuntimeException failure) {
+            LOG.error("an action of the policy failed: {}", action, failure);
+        }
+    }
+
     private void execute(Action action) {
         if (action instanceof Action.SendAttempt send) {
             actionHandler.send(send);
--- a/router-core/src/main/java/pearladder/router/core/RequestManager.java
+++ b/router-core/src/main/java/pearladder/router/core/RequestManager.java
@@ -235,13 +235,28 @@
         boolean allowed = gate.mayStartAttempt(request);
         ActiveAttempt attempt =
                 new ActiveAttempt(request, request.attempts.size(), action.worker(), timers.now(), gate);
+        if (attempt.number > 0) {
+            metrics.onRetry(request.attempts.get(attempt.number - 1).outcome);
+        }
         request.attempts.add(attempt);
         request.attemptsInFlight++;
         if (!allowed) {
             onAttemptEnded(attempt, Outcome.VOID, null);
         } else {
+            hand(attempt, action.timeout());
+        }
+    }
+
+    /** Hands an attempt to the worker client; one on which that fails may have been executed. */
+    private void hand(ActiveAttempt attempt, TimeSpan timeout) {
+        try {
             attempt.pendingSend = workerClient.send(
-                    attempt, action.timeout(), (outcome, response) -> onAttemptEnded(attempt, outcome, response));
+                    attempt, timeout, (outcome, response) -> onAttemptEnded(attempt, outcome, response));
+        } catch (RuntimeException defect) {
+            LOG.error("an attempt of request {} failed", attempt.request.clientRequestId, defect);
+            if (!attempt.ended) {
+                onAttemptEnded(attempt, Outcome.BROKEN, null);
+            }
         }
     }
 
--- a/router-core/src/main/java/pearladder/router/core/RouterMetrics.java
+++ b/router-core/src/main/java/pearladder/router/core/RouterMetrics.java
@@ -10,6 +10,11 @@
     /** An attempt ended. */
     void onAttemptEnded(Outcome outcome);
 
+    /** A further attempt of a request was started, since the one before ended so. */
+    default void onRetry(Outcome previous) {
+        // counted by those that can
+    }
+
     /** The routing policy took so many nanoseconds to handle one event. */
     void onDecision(long nanos);
 
--- a/router-core/src/test/java/pearladder/router/core/PolicyDriverTest.java
+++ b/router-core/src/test/java/pearladder/router/core/PolicyDriverTest.java
@@ -173,6 +173,16 @@
         assertEquals(List.of("fail open"), steps);
     }
 
+    @Test
+    void actionsAfterOneThatFailsAreExecuted() {
+        PolicyDriver driver = driver((now, event) ->
+                List.of(new Action.SetTimer(null, "a time that is missing"), new Action.Reject("r1", TimeSpan.ZERO)));
+        driver.dispatch(requestArrived("r1"));
+        assertEquals(List.of("reject r1"), steps);
+        driver.dispatch(requestArrived("r2"));
+        assertEquals(List.of("reject r1", "reject r1"), steps, "later events are handled");
+    }
+
     @Test
     void aTimerOnWhichThePolicyThrowsFiresAgain() {
         List<Event> received = new ArrayList<>();
