--- a/decisions/src/main/java/pearladder/connections/InputTurn.java
+++ b/decisions/src/main/java/pearladder/connections/InputTurn.java
@@ -11,7 +11,7 @@
 public final class InputTurn {
     /** A tenth of the 50 ms by which the platform allows a timer to be late. */
     private static final TimeSpan MAX_DURATION = TimeSpan.millis(5);
-    /** The next turn begins so long after the end of a turn: the shortest timer, so that timers that are due run. */
+    /** A turn is over so long after its begin, once the timers that are due have run: the shortest timer. */
     public static final TimeSpan PAUSE = TimeSpan.millis(1);
 
     private MonotonicTime startedAt;
@@ -26,7 +26,7 @@
         startedAt = now;
     }
 
-    /** Ends the turn, a {@link #PAUSE} or more after its begin. */
+    /** Ends the turn; another one may start. */
     public void end() {
         startedAt = null;
     }
