A walk of the hash ring examines 256 workers at most, and the ring is kept in arrays

Callers: nothing seen yet.

Cause: a request that no worker has capacity for examined every worker of the fleet, several times, and every function kept the whole order of the ring as lists and sets, 120 kB with 3,200 workers, in a heap of 25 to 50 MB.

Change: 256 workers in ring order are examined for a request and remembered for a function; a load request ahead of need walks on as before.

--- a/cli/src/main/java/pearladder/cli/MeasureCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeasureCommand.java
@@ -39,9 +39,20 @@
             description = "instead, what the event log costs a request: without, with, and with a disk that stalls")
     private boolean eventLog;
 
+    @Option(
+            names = "--workers",
+            split = ",",
+            paramLabel = "N",
+            description = "instead, what a decision costs with fleets of so many workers")
+    private int[] workers;
+
     @Override
     public Integer call() throws IOException {
         Logs.setUp(Logs.Form.TEXT);
+        if (workers != null) {
+            DecisionCost.run(PolicyChoice.MODULE.maker::create, rounds, workers).forEach(System.out::println);
+            return 0;
+        }
         if (queue) {
             QueueCost.run(rounds).forEach(System.out::println);
             return 0;
--- a/decisions/src/main/java/pearladder/routing/InstancePreloader.java
+++ b/decisions/src/main/java/pearladder/routing/InstancePreloader.java
@@ -105,7 +105,7 @@
         }
         if (!complete && !loading) {
             Predicate<Worker> requestLoad = worker -> requestFirstLoad(function.placementOn(worker));
-            state.endpoints().firstInRingOrder(function, null, requestLoad);
+            state.endpoints().firstInRingOrder(function, Integer.MAX_VALUE, null, requestLoad);
         }
     }
 
--- a/decisions/src/main/java/pearladder/routing/ModelLoadLimiter.java
+++ b/decisions/src/main/java/pearladder/routing/ModelLoadLimiter.java
@@ -102,7 +102,8 @@
     /** The worker that all routers choose first for the function while every worker has capacity. */
     private Worker homeWorker(Function function) {
         Predicate<Worker> admissible = worker -> state.isEligible(worker) && slowStart.admits(worker);
-        return state.endpoints().firstInRingOrder(function, null, admissible);
+        return state.endpoints()
+                .firstInRingOrder(function, StickyFirstFitPolicy.MAX_EXAMINED_WORKERS, null, admissible);
     }
 
     private boolean canJoinLoad(Function function) {
--- a/decisions/src/main/java/pearladder/routing/StickyFirstFitPolicy.java
+++ b/decisions/src/main/java/pearladder/routing/StickyFirstFitPolicy.java
@@ -44,6 +44,9 @@
             new TypicalTimes.Priors(INITIAL_REQUEST_SECONDS, FUNCTION_PRIOR_WEIGHT, INITIAL_LOAD_SECONDS);
     private static final int VIRTUAL_NODES = 64; // of each worker on the ring
     private static final int MAX_CACHED_WORKERS = 4; // of a function
+    /** In ring order, for a request: a fleet of which so many have no capacity is overloaded. */
+    static final int MAX_EXAMINED_WORKERS = 256;
+
     private static final double SPARE_ATTEMPTS = 1; // beside the mean in flight on a worker
     private static final TimeSpan HEARD_WITHIN = TimeSpan.seconds(5); // else a worker counts as the mean
     private static final double FORGOTTEN_REQUESTS = 0.01; // decayed, below which a function is dropped
@@ -272,7 +275,7 @@
     private Placement chooseInRingOrder(Request request, Worker avoided, CapacityCheck check) {
         Function function = request.function;
         Predicate<Worker> fits = worker -> hasCapacity(request, function.placementOrEmpty(worker), check);
-        Worker chosen = state.endpoints().firstInRingOrder(function, avoided, fits);
+        Worker chosen = state.endpoints().firstInRingOrder(function, MAX_EXAMINED_WORKERS, avoided, fits);
         return chosen == null ? null : function.placementOn(chosen);
     }
 
--- a/decisions/src/main/java/pearladder/routing/state/EndpointList.java
+++ b/decisions/src/main/java/pearladder/routing/state/EndpointList.java
@@ -52,10 +52,12 @@
     /**
      * The first worker in service, in the function's ring order, that matches; null where none does.
      *
+     * @param maxExamined so many workers are examined at the most
      * @param avoided a worker that isn't considered, or null
      */
-    public Worker firstInRingOrder(Function function, Worker avoided, Predicate<Worker> condition) {
-        for (int i = 0; i < inService.size(); i++) {
+    public Worker firstInRingOrder(Function function, int maxExamined, Worker avoided, Predicate<Worker> condition) {
+        int examined = Math.min(maxExamined, inService.size());
+        for (int i = 0; i < examined; i++) {
             Worker worker = ring.workerAt(function, i);
             if (worker != avoided && condition.test(worker)) {
                 return worker;
--- a/decisions/src/main/java/pearladder/routing/state/HashRing.java
+++ b/decisions/src/main/java/pearladder/routing/state/HashRing.java
@@ -2,87 +2,143 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Arrays;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.stream.IntStream;
 import java.util.zip.CRC32;
 
 /**
  * A consistent-hash ring of workers, each with several virtual nodes. Walked clockwise from the hash of a function it
  * gives the same order of workers at every router, and a worker that joins or leaves moves few functions.
  *
- * <p>The virtual nodes are a sorted list: with thousands of workers a tree takes more than twice the memory. A change
- * of membership takes effect with {@link #rebuild}, in time linear in the number of virtual nodes.
+ * <p>The virtual nodes are kept in sorted arrays: with thousands of workers a tree takes five times the memory. Changes
+ * of membership take effect with {@link #rebuild}, in time linear in the number of virtual nodes.
  */
 public final class HashRing {
     private static final long MULTIPLIER = 0x9E3779B97F4A7C15L;
 
-    /** One position of a worker on the ring. */
-    private record VirtualNode(long position, Worker worker) {}
+    /** A position on the ring that a worker wants. */
+    private record Claim(long position, Worker worker) {}
 
-    /** Workers that want the same position are ordered by id, so that every router gives it to the same one. */
-    private static final Comparator<VirtualNode> BY_POSITION =
-            Comparator.comparingLong(VirtualNode::position).thenComparing(node -> node.worker.id);
+    /** What is hashed behind a worker's id for each of its virtual nodes. */
+    private final List<byte[]> suffixes;
 
-    private final int virtualNodesPerWorker;
-    private final ArrayList<VirtualNode> nodes = new ArrayList<>();
+    private final CRC32 checksum = new CRC32();
     private final Set<Worker> added = new LinkedHashSet<>();
-    private boolean hasRemoved;
+    private final Set<Worker> removed = new LinkedHashSet<>();
+    private long[] positions = {};
+    /** The worker at each position. */
+    private Worker[] owners = {};
+
     private long version;
 
     /** @param virtualNodesPerWorker the number of positions of each worker on the ring */
     public HashRing(int virtualNodesPerWorker) {
-        this.virtualNodesPerWorker = virtualNodesPerWorker;
+        suffixes = IntStream.range(0, virtualNodesPerWorker)
+                .mapToObj(i -> ("#" + i).getBytes(StandardCharsets.US_ASCII))
+                .toList();
     }
 
     /** Adds a worker that is not on the ring, with the next {@link #rebuild}. */
     void add(Worker worker) {
-        added.add(worker);
+        if (!removed.remove(worker)) {
+            added.add(worker);
+        }
     }
 
     /** Removes a worker from the ring, with the next {@link #rebuild}. */
     void remove(Worker worker) {
-        hasRemoved |= !added.remove(worker);
+        if (!added.remove(worker)) {
+            removed.add(worker);
+        }
     }
 
     /** Applies the changes, and makes every function recompute its order when it is next asked for. */
     void rebuild() {
         version++;
-        if (hasRemoved) {
-            nodes.removeIf(node -> !node.worker.onRing || added.contains(node.worker));
-            hasRemoved = false;
+        if (!removed.isEmpty()) {
+            dropRemoved();
+            removed.clear();
         }
         if (!added.isEmpty()) {
-            nodes.ensureCapacity(nodes.size() + added.size() * virtualNodesPerWorker);
-            added.forEach(this::addVirtualNodes);
+            List<Claim> claims = new ArrayList<>(added.size() * suffixes.size());
+            added.forEach(worker -> addClaims(worker, claims));
             added.clear();
-            sortToDistinctPositions();
+            insert(claims);
+        }
+    }
+
+    private void dropRemoved() {
+        int kept = 0;
+        for (int i = 0; i < positions.length; i++) {
+            if (owners[i].onRing) {
+                positions[kept] = positions[i];
+                owners[kept] = owners[i];
+                kept++;
+            }
         }
+        positions = Arrays.copyOf(positions, kept);
+        owners = Arrays.copyOf(owners, kept);
     }
 
-    private void addVirtualNodes(Worker worker) {
-        for (int i = 0; i < virtualNodesPerWorker; i++) {
-            nodes.add(new VirtualNode(hash(worker.id + "#" + i), worker));
+    private void addClaims(Worker worker, List<Claim> claims) {
+        byte[] id = worker.id.getBytes(StandardCharsets.UTF_8);
+        for (byte[] suffix : suffixes) {
+            checksum.reset();
+            checksum.update(id, 0, id.length);
+            checksum.update(suffix, 0, suffix.length);
+            claims.add(new Claim(spread(checksum.getValue()), worker));
         }
     }
 
     /**
-     * Sorts the nodes. One whose position another holds moves on to a position derived from it: two ids with the same
-     * checksum want all positions of each other, and a worker without any would never be reached.
+     * Inserts virtual nodes. One whose position another holds moves on to a position derived from it: two ids with the
+     * same checksum claim the same positions, and a worker without any would never be reached.
      */
-    private void sortToDistinctPositions() {
-        boolean moved = true;
-        while (moved) {
-            nodes.sort(BY_POSITION);
-            moved = false;
-            for (int i = 1; i < nodes.size(); i++) {
-                VirtualNode node = nodes.get(i);
-                if (node.position == nodes.get(i - 1).position) {
-                    nodes.set(i, new VirtualNode(mix(node.position + MULTIPLIER), node.worker));
-                    moved = true;
-                }
+    private void insert(List<Claim> claims) {
+        long[] claimed =
+                claims.stream().mapToLong(Claim::position).sorted().distinct().toArray();
+        Worker[] claimants = new Worker[claimed.length];
+        List<Claim> displaced = new ArrayList<>();
+        for (Claim claim : claims) {
+            int index = Arrays.binarySearch(claimed, claim.position);
+            if (claimants[index] == null && Arrays.binarySearch(positions, claim.position) < 0) {
+                claimants[index] = claim.worker;
+            } else {
+                displaced.add(new Claim(mix(claim.position + MULTIPLIER), claim.worker));
             }
         }
+        merge(claimed, claimants);
+        if (!displaced.isEmpty()) {
+            insert(displaced);
+        }
+    }
+
+    /** Merges sorted positions; those without a worker are left out. */
+    private void merge(long[] newPositions, Worker[] newOwners) {
+        int length = positions.length + newPositions.length;
+        long[] mergedPositions = new long[length];
+        Worker[] mergedOwners = new Worker[length];
+        int merged = 0;
+        int old = 0;
+        for (int i = 0; i < newPositions.length; i++) {
+            if (newOwners[i] == null) {
+                continue;
+            }
+            while (old < positions.length && positions[old] < newPositions[i]) {
+                mergedPositions[merged] = positions[old];
+                mergedOwners[merged++] = owners[old++];
+            }
+            mergedPositions[merged] = newPositions[i];
+            mergedOwners[merged++] = newOwners[i];
+        }
+        int rest = positions.length - old;
+        System.arraycopy(positions, old, mergedPositions, merged, rest);
+        System.arraycopy(owners, old, mergedOwners, merged, rest);
+        positions = Arrays.copyOf(mergedPositions, merged + rest);
+        owners = Arrays.copyOf(mergedOwners, merged + rest);
     }
 
     /**
@@ -104,8 +160,8 @@
     }
 
     private void extendOrder(Function function) {
-        Worker worker = nodes.get(function.nextRingIndex).worker;
-        function.nextRingIndex = (function.nextRingIndex + 1) % nodes.size();
+        Worker worker = owners[function.nextRingIndex];
+        function.nextRingIndex = (function.nextRingIndex + 1) % owners.length;
         if (function.orderedWorkers.add(worker)) {
             function.ringOrder.add(worker);
         }
@@ -113,24 +169,21 @@
 
     /** The index of the first node at a position or after it; the ring's first where there is none. */
     private int firstIndexFrom(long position) {
-        int low = 0;
-        int high = nodes.size();
-        while (low < high) {
-            int middle = (low + high) >>> 1;
-            if (nodes.get(middle).position < position) {
-                low = middle + 1;
-            } else {
-                high = middle;
-            }
-        }
-        return low == nodes.size() ? 0 : low;
+        int found = Arrays.binarySearch(positions, position);
+        int index = found >= 0 ? found : -found - 1;
+        return index == positions.length ? 0 : index;
+    }
+
+    private long hash(String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        checksum.reset();
+        checksum.update(bytes, 0, bytes.length);
+        return spread(checksum.getValue());
     }
 
-    /** CRC32, spread over 64 bits by two rounds of multiplication and shift. */
-    private static long hash(String text) {
-        CRC32 crc = new CRC32();
-        crc.update(text.getBytes(StandardCharsets.UTF_8));
-        return mix(crc.getValue() * MULTIPLIER);
+    /** Spreads a checksum of 32 bits over 64, by two rounds of multiplication and shift. */
+    private static long spread(long checksum) {
+        return mix(checksum * MULTIPLIER);
     }
 
     private static long mix(long value) {
--- a/decisions/src/test/java/pearladder/routing/state/HashRingTest.java
+++ b/decisions/src/test/java/pearladder/routing/state/HashRingTest.java
@@ -39,7 +39,7 @@
     private List<String> order(String functionId) {
         Function function = new Function(functionId, DECAY, DECAY);
         List<String> order = new ArrayList<>();
-        Worker none = endpoints.firstInRingOrder(function, null, worker -> !order.add(worker.id));
+        Worker none = endpoints.firstInRingOrder(function, Integer.MAX_VALUE, null, worker -> !order.add(worker.id));
         assertNull(none);
         return order;
     }
@@ -91,4 +91,16 @@
         }
         assertEquals(atOnce, order("f"));
     }
+
+    @Test
+    void walkOfALargeFleetExaminesAndRemembersABoundedNumberOfWorkers() {
+        update(EndpointUpdateKind.SNAPSHOT, EndpointState.IN_SERVICE, ids(3200));
+        Function function = new Function("f", DECAY, DECAY);
+        List<String> examined = new ArrayList<>();
+        assertNull(endpoints.firstInRingOrder(function, 256, null, worker -> !examined.add(worker.id)));
+        assertEquals(256, Set.copyOf(examined).size());
+        assertEquals(256, examined.size());
+        assertEquals(256, function.ringOrder.size());
+        assertEquals(examined, order("f").subList(0, 256));
+    }
 }
