Fault tests start routers by run of the deploy file

Cause or need: the launcher that failed in the incident was started by no test; the fault tests had a command line of their own, with another heap and without the limits of the deployed JVM.

Change: the process fixture starts routers by run of the deploy file, with its JVM flags and the heap that follows from the memory of the configuration. Only the jar is replaced, by the classes under test.

--- a/cli/src/test/java/pearladder/cli/LargeFleetStartTest.java
+++ b/cli/src/test/java/pearladder/cli/LargeFleetStartTest.java
@@ -5,6 +5,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Assertions;
@@ -24,10 +25,7 @@
             int port = freePort();
             Path file = writeConfiguration(port, startDiscovery(null, new LinkedBlockingQueue<>()), worker.member());
             LargeFleetConfiguration.write(file, form, WORKERS, worker.server.getLocalPort());
-            process = DeployedRouter.command(file, "")
-                    .redirectErrorStream(true)
-                    .redirectOutput(folder.resolve("log").toFile())
-                    .start();
+            process = start(file, Map.of());
             Assertions.assertTimeoutPreemptively(READY_LIMIT, () -> awaitReady(port), this::log);
             sendRequest("00000000000000a1");
             assertEquals("one!", successBody(receive()));
--- a/cli/src/test/java/pearladder/cli/PlatformProcessFixture.java
+++ b/cli/src/test/java/pearladder/cli/PlatformProcessFixture.java
@@ -210,20 +210,7 @@
 
     /** @param before shell commands that run before the shell becomes the program */
     Process start(Path configuration, Map<String, String> more, String before) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(
-                "/bin/sh",
-                "-c",
-                before + "exec \"$@\"",
-                "sh",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx64m",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "pearladder.cli.Main",
-                "platform");
-        builder.environment().put("ROUTER_CONFIG", configuration.toString());
+        ProcessBuilder builder = DeployedRouter.command(configuration, before);
         builder.environment().putAll(more);
         return builder.redirectErrorStream(true)
                 .redirectOutput(folder.resolve("log").toFile())
