--- /dev/null
+++ b/cli/src/test/java/pearladder/cli/LargeFleetReloadTest.java
@@ -0,0 +1,98 @@
+package pearladder.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class LargeFleetReloadTest extends PlatformProcessFixture {
+    private static final int WORKERS = 3200;
+    /** Whole lists in the new configuration. */
+    private static final int LISTS = 8;
+
+    private static final int RELOADS = 3;
+    /** What the platform gives a router of this program. */
+    private static final int MEMORY_MB = 152;
+
+    private static final long RELOAD_PAUSE_MILLIS = 100;
+    private static final long WATCHED_NANOS = TimeUnit.SECONDS.toNanos(3);
+    private static final long BUDGET_MILLIS = 200;
+    /** By the platform's pages a request is lost that has no answer so long after its time. */
+    private static final long LOST_AFTER_MILLIS = 500;
+
+    /** Shares the router's core, of which the platform gives it half. */
+    private Process otherProgram;
+
+    @AfterEach
+    void endOtherProgram() {
+        if (otherProgram != null) {
+            otherProgram.destroyForcibly();
+        }
+    }
+
+    private static String lists(int workerPort) {
+        List<String> members = new ArrayList<>();
+        for (int i = 0; i < WORKERS; i++) {
+            members.add(LargeFleetConfiguration.member(i, "in_service", workerPort));
+        }
+        String list = String.join(",", members);
+        List<String> events = new ArrayList<>();
+        for (int number = 1; number <= LISTS; number++) {
+            events.add("{\"n\":" + number + ",\"members\":{\"full\":true,\"servers\":[" + list + "]}}");
+        }
+        return "\"known\": {\"n\":" + LISTS + ",\"events\":[" + String.join(",", events) + "]},";
+    }
+
+    /** Sends a request and returns the milliseconds until its answer. */
+    private long answerMillis(int index) throws Exception {
+        long sentAt = System.nanoTime();
+        client.getOutputStream().write(request(String.format("%016x", index), new byte[] {'!'}, BUDGET_MILLIS));
+        receive();
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAt);
+    }
+
+    private void reloadInQuickSuccession() throws Exception {
+        for (int reload = 0; reload < RELOADS; reload++) {
+            sendSignal("HUP");
+            Thread.sleep(RELOAD_PAUSE_MILLIS);
+        }
+    }
+
+    @Test
+    void noRequestIsLostWhileAConfigurationWithThousandsOfWorkersIsRead() throws Exception {
+        try (FakeWorker worker = new FakeWorker("one")) {
+            int port = freePort();
+            Path file = writeConfiguration(port, startDiscovery(null, new LinkedBlockingQueue<>()), worker.member());
+            Files.writeString(
+                    file, Files.readString(file).replaceFirst("\"memory_mb\": [0-9]+", "\"memory_mb\": " + MEMORY_MB));
+            process = start(file, Map.of(), "taskset -cp 0 $$ >/dev/null; ");
+            awaitReady(port);
+            otherProgram = new ProcessBuilder("taskset", "-c", "0", "sh", "-c", "while :; do :; done").start();
+            String text = Files.readString(file).replaceFirst("\"known\": .*", lists(worker.server.getLocalPort()));
+            Files.writeString(file, text);
+            List<Long> answers = new ArrayList<>();
+            startDaemon(this::reloadInQuickSuccession);
+            long until = System.nanoTime() + WATCHED_NANOS;
+            while (System.nanoTime() < until) {
+                answers.add(answerMillis(answers.size()));
+            }
+            List<Long> lost = answers.stream()
+                    .filter(millis -> millis > BUDGET_MILLIS + LOST_AFTER_MILLIS)
+                    .toList();
+            assertEquals(List.of(), lost, this::log);
+            while (!log().contains("event " + LISTS + ": the whole list of " + WORKERS)) {
+                assertTrue(process.isAlive(), this::log);
+                answerMillis(answers.size());
+                Thread.sleep(10);
+            }
+        }
+    }
+}
--- a/settings/src/main/java/pearladder/settings/JsonRowReader.java
+++ b/settings/src/main/java/pearladder/settings/JsonRowReader.java
@@ -8,6 +8,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 
 /**
  * Reads one line, a JSON array, value by value; a value left out at the end reads as null. Or reads a whole document.
@@ -42,6 +44,68 @@
         }
     }
 
+    /** Opens a document of one value, to be read with {@link #eachField}; errors state its name. */
+    public static JsonRowReader open(JsonParser parser, String name) {
+        JsonRowReader row = new JsonRowReader(parser, name);
+        if (row.read(parser::nextToken) == null) {
+            throw row.bad("value", "the line stops short");
+        }
+        return row;
+    }
+
+    /**
+     * Reads the current value, an object, field by field, so that a large document never stands in memory whole. None
+     * is read where the value is null.
+     *
+     * @param path of the value, for errors
+     * @param reader receives each name; it must read the current value or skip it
+     */
+    public void eachField(String path, Consumer<String> reader) {
+        if (parser.currentToken() == JsonToken.VALUE_NULL) {
+            return;
+        }
+        if (parser.currentToken() != JsonToken.START_OBJECT) {
+            throw bad(path, "an object was expected");
+        }
+        while (nextWithin(path) == JsonToken.FIELD_NAME) {
+            String name = read(parser::currentName);
+            nextWithin(path);
+            reader.accept(name);
+        }
+    }
+
+    /** Reads the current value, a list, like {@link #eachField}; the reader receives each element's index. */
+    public void eachElement(String path, IntConsumer reader) {
+        if (parser.currentToken() == JsonToken.VALUE_NULL) {
+            return;
+        }
+        if (parser.currentToken() != JsonToken.START_ARRAY) {
+            throw bad(path, "a list was expected");
+        }
+        int index = 0;
+        while (nextWithin(path) != JsonToken.END_ARRAY) {
+            reader.accept(index++);
+        }
+    }
+
+    private JsonToken nextWithin(String path) {
+        JsonToken token = read(parser::nextToken);
+        if (token == null) {
+            throw bad(path, "the line stops short");
+        }
+        return token;
+    }
+
+    /** The current value of a document that is read in parts. */
+    public JsonNodeReader node(String path) {
+        return new JsonNodeReader(this, path, tree(path, parser.currentToken()));
+    }
+
+    /** Passes over the current value. */
+    public void skip() {
+        read(parser::skipChildren);
+    }
+
     private interface JsonReadOperation<T> {
         T get() throws IOException;
     }
