The soak draws the size of the fleet, up to 3,200 workers, and starts routers as operators do

Cause or need: the soak had eight workers and a command line of its own; thousands of workers and the launcher were in no test.

Change: seeds take fleet sizes in turn, 8 to 3,200; one process listens at all their addresses. Workers change state by the hundred, told in one event, in ten in quick succession or as a whole list; discovery may answer late and in pieces; SIGHUP comes with all events or with one whole list. Routers start by run of the deploy file with 152 MB, 512 descriptors, two on a core.

--- a/cli/src/test/java/pearladder/cli/soak/ClientWire.java
+++ b/cli/src/test/java/pearladder/cli/soak/ClientWire.java
@@ -41,6 +41,11 @@
         }
     }
 
+    /** Whether clients send requests of the function. */
+    static boolean isFunction(String id) {
+        return id != null && id.matches("0{15}[0-" + (FUNCTIONS - 1) + "]");
+    }
+
     /** The idempotency key of a request, by its id. */
     static String key(String id) {
         return "k" + id;
--- a/cli/src/test/java/pearladder/cli/soak/PlatformSoakTest.java
+++ b/cli/src/test/java/pearladder/cli/soak/PlatformSoakTest.java
@@ -15,8 +15,8 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Real router processes under random, overlapping faults ({@link SoakFaults}), with deadlines drawn by the seed, judged
- * by {@link SoakInvariants}. {@code -Dsoak.seed}, {@code -Dsoak.seeds}, {@code -Dsoak.routers} and
+ * Real router processes, started as the operators start them, under random, overlapping faults ({@link SoakFaults}),
+ * with deadlines and a size of the fleet by the seed, judged by {@link SoakInvariants} and {@link RouterStarts}. {@code -Dsoak.seed}, {@code -Dsoak.seeds}, {@code -Dsoak.routers} and
  * {@code -Dsoak.seconds} make it longer; what the faults are follows from the seed, the timing from the machine.
  */
 @Timeout(7200)
@@ -49,8 +49,8 @@
     void rulesHoldUnderRandomOverlappingFaults(long seed) throws Exception {
         Random random = new Random(seed);
         lateness.start();
-        SoakSettings settings = new SoakSettings(random);
-        fleet = new SoakFleet(settings, folder, ROUTERS, seed);
+        SoakSettings settings = new SoakSettings(seed, random);
+        fleet = new SoakFleet(settings, folder, ROUTERS, lateness, seed);
         SoakInvariants.RouterEnds ends = new SoakInvariants.RouterEnds();
         SoakFaults faults = new SoakFaults(fleet, ends, random);
         long until = System.nanoTime() + SECONDS * 1_000_000_000L;
@@ -66,13 +66,22 @@
         SoakInvariants invariants = new SoakInvariants(fleet.clock, ends, lateness);
         List<String> breaks = new ArrayList<>(invariants.check(fleet.requests.values(), fleet.loadRequests));
         breaks.addAll(faults.failures());
+        breaks.addAll(fleet.starts.check());
         fleet.unknownIds.forEach(id -> breaks.add("no client sent " + id));
         long successes = fleet.successes();
         int count = fleet.requests.size();
         System.out.printf(
-                "soak seed %d: deadlines %s ms, %d requests, %d successful, %d breaks, %d by stopped routers;"
-                        + " this process up to %d ms late%n",
-                seed, settings, count, successes, breaks.size(), invariants.uncounted(), lateness.longestMillis());
+                "soak seed %d: %s, %d routers, %d requests, %d successful, %d breaks, %d by stopped routers;"
+                        + " ready after %d ms at the most; this process up to %d ms late%n",
+                seed,
+                settings,
+                ROUTERS,
+                count,
+                successes,
+                breaks.size(),
+                invariants.uncounted(),
+                fleet.starts.longestMillis(),
+                lateness.longestMillis());
         breaks.stream().limit(MAX_PRINTED_BREAKS).forEach(System.out::println);
         assertEquals(List.of(), breaks, () -> evidence(breaks));
         assertTrue(successes * 100 > count * MIN_SUCCESSES_PERCENT, successes + " of " + count);
--- a/cli/src/test/java/pearladder/cli/soak/SoakDiscovery.java
+++ b/cli/src/test/java/pearladder/cli/soak/SoakDiscovery.java
@@ -20,11 +20,15 @@
         /** Half of a response, then the connection is closed. */
         PARTIAL,
         /** Events that routers have already, and none of the new ones. */
-        OLD_EVENTS
+        OLD_EVENTS,
+        /** Responses come late and in pieces. */
+        SLOW
     }
 
     private static final long POLL_MILLIS = 20;
     private static final int OLD_EVENTS = 3;
+    private static final int PIECES = 8;
+    private static final long PIECE_PAUSE_MILLIS = 50;
 
     private final int port;
     private final List<String> events = new ArrayList<>();
@@ -66,6 +70,17 @@
         events.add(event(events.size() + 1, false, members));
     }
 
+    /** Tells the whole list once more. */
+    synchronized void tellAll(List<String> members) {
+        events.add(event(events.size() + 1, true, String.join(",", members)));
+    }
+
+    /** The whole list as one event, as a configuration holds it that was written now. */
+    synchronized String knownWhole(List<String> members) {
+        int last = events.size();
+        return "{\"n\":" + last + ",\"events\":[" + event(last, true, String.join(",", members)) + "]}";
+    }
+
     /** All that was told so far, as a configuration holds it. */
     synchronized String known() {
         return response(0, events.size());
@@ -131,16 +146,29 @@
             }
             case OLD_EVENTS -> {
                 int known = Math.min(from, lastNumber());
-                pause();
+                pause(5 * POLL_MILLIS);
                 write(exchange, 200, response(Math.max(0, known - OLD_EVENTS), known));
             }
+            case SLOW -> writeInPieces(exchange, response(from, lastNumber()));
             default -> write(exchange, 503, "{}");
         }
     }
 
-    private static void pause() {
+    private static void writeInPieces(HttpExchange exchange, String text) throws IOException {
+        byte[] body = text.getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(200, body.length);
+        int length = body.length / PIECES + 1;
+        for (int from = 0; from < body.length; from += length) {
+            pause(PIECE_PAUSE_MILLIS);
+            exchange.getResponseBody().write(body, from, Math.min(length, body.length - from));
+            exchange.getResponseBody().flush();
+        }
+        exchange.close();
+    }
+
+    private static void pause(long millis) {
         try {
-            Thread.sleep(5 * POLL_MILLIS);
+            Thread.sleep(millis);
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
         }
--- a/cli/src/test/java/pearladder/cli/soak/SoakFaults.java
+++ b/cli/src/test/java/pearladder/cli/soak/SoakFaults.java
@@ -18,6 +18,11 @@
     private static final int MAX_CROWD_STAY_MILLIS = 4000;
     private static final int MAX_RELOADS = 4;
     private static final int RELOAD_PAUSE_MILLIS = 250;
+    /** One in so many workers changes state at once, at the most. */
+    private static final int MAX_CHANGED_DIVISOR = 20;
+
+    private static final int WHOLE_LIST_PERCENT = 15;
+    private static final int PIECES = 10;
     private static final int MAX_START_MILLIS = 1500;
     /** A process that is told to stop while it starts needs this on top of the time for a stop. */
     private static final long START_MILLIS = 6000;
@@ -61,14 +66,13 @@
 
     void injectOne() throws IOException {
         SoakRouter router = fleet.routers.get(random.nextInt(fleet.routers.size()));
-        SoakWorker worker = fleet.workers.get(random.nextInt(fleet.workers.size()));
         int fault = random.nextInt(100);
         if (fault < 34) {
             FloodClient.start(router, random);
         } else if (fault < 50) {
             stopForAMoment(router);
         } else if (fault < 66) {
-            changeState(worker);
+            changeStates();
         } else if (fault < 76) {
             startOutage();
         } else if (fault < 82) {
@@ -113,30 +117,53 @@
         fleet.discovery.startOutage(kind, MIN_OUTAGE_MILLIS + random.nextInt(MAX_OUTAGE_MILLIS - MIN_OUTAGE_MILLIS));
     }
 
+    /** Some workers change state; discovery tells it in one event, in ten in quick succession, or as a whole list. */
+    private void changeStates() {
+        int count = Math.max(1, random.nextInt(Math.max(1, fleet.workers.size() / MAX_CHANGED_DIVISOR)));
+        List<String> changes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            changeState(fleet.workers.get(random.nextInt(fleet.workers.size())), changes);
+        }
+        if (changes.isEmpty()) {
+            return;
+        }
+        if (random.nextInt(100) < WHOLE_LIST_PERCENT) {
+            fleet.discovery.tellAll(fleet.members());
+            return;
+        }
+        int piece = random.nextBoolean() ? changes.size() : changes.size() / PIECES + 1;
+        for (int from = 0; from < changes.size(); from += piece) {
+            fleet.discovery.tell(String.join(",", changes.subList(from, Math.min(changes.size(), from + piece))));
+        }
+    }
+
     /** A worker drains, or one that drains comes back as a new process, under its id or another one. */
-    private void changeState(SoakWorker worker) {
+    private void changeState(SoakWorker worker, List<String> changes) {
         if (worker.drainingSince == 0) {
-            if (fleet.mayDrainOneMore()) {
+            if (fleet.drainable() > 0) {
                 worker.drain();
-                fleet.discovery.tell(worker.member("terminating"));
+                changes.add(worker.member("terminating"));
             }
             return;
         }
         String old = worker.name;
         if (random.nextBoolean()) {
             worker.restart(old);
-            fleet.discovery.tell(worker.member("in_service"));
         } else {
-            String gone = worker.member("terminated");
+            changes.add(worker.member("terminated"));
             worker.restart(old.replaceAll("r[0-9]+$", "") + "r" + ++replacements);
-            fleet.discovery.tell(gone + "," + worker.member("in_service"));
         }
+        changes.add(worker.member("in_service"));
     }
 
     private void reload(SoakRouter router, int times) {
+        boolean whole = random.nextBoolean();
         begin(() -> {
             for (int i = 0; i < times && router.isReloadable(); i++) {
-                router.reload(fleet.configuration(router));
+                router.reload(
+                        whole
+                                ? fleet.configuration(router, fleet.discovery.knownWhole(fleet.members()))
+                                : fleet.configuration(router));
                 Thread.sleep(RELOAD_PAUSE_MILLIS);
             }
         });
--- a/cli/src/test/java/pearladder/cli/soak/SoakFleet.java
+++ b/cli/src/test/java/pearladder/cli/soak/SoakFleet.java
@@ -11,8 +11,9 @@
 
 /** The parts of a run: router processes, workers, discovery, clients, and what they saw. */
 final class SoakFleet implements AutoCloseable {
-    private static final int WORKERS = 8;
     private static final int CLIENTS_OF_EACH_ROUTER = 2;
+    /** What the platform gives a router of this program. */
+    private static final int MEMORY_MB = 152;
 
     final Map<String, SoakRequest> requests = new ConcurrentHashMap<>();
     final List<SoakRequest.Arrival> loadRequests = Collections.synchronizedList(new ArrayList<>());
@@ -22,17 +23,21 @@
     final ToldClock clock = new ToldClock();
     final SoakSettings settings;
     final SoakDiscovery discovery;
+    final RouterStarts starts = new RouterStarts();
+    private final SoakAcceptor acceptor = new SoakAcceptor();
 
     /** Starts everything but the clients, and waits until all routers are ready. */
-    SoakFleet(SoakSettings settings, Path folder, int routerCount, long seed) throws IOException, InterruptedException {
+    SoakFleet(SoakSettings settings, Path folder, int routerCount, MachineLateness lateness, long seed)
+            throws IOException, InterruptedException {
         this.settings = settings;
-        for (int i = 0; i < WORKERS; i++) {
-            workers.add(new SoakWorker("worker-" + i, requests, unknownIds, loadRequests, settings, seed * 100 + i));
+        for (int i = 0; i < settings.workers; i++) {
+            workers.add(new SoakWorker(
+                    "worker-" + i, requests, unknownIds, loadRequests, settings, acceptor, seed * 10_000 + i));
         }
         discovery = new SoakDiscovery(
                 workers.stream().map(worker -> worker.member("in_service")).toList(), clock);
         for (int i = 0; i < routerCount; i++) {
-            SoakRouter router = new SoakRouter("router-" + i, folder.resolve("router-" + i));
+            SoakRouter router = new SoakRouter("router-" + i, i, folder.resolve("router-" + i), starts, lateness);
             routers.add(router);
             router.start(configuration(router));
         }
@@ -50,17 +55,32 @@
         return clients;
     }
 
+    /** With all events as {@code known}. */
     String configuration(SoakRouter router) throws IOException {
+        return configuration(router, discovery.known());
+    }
+
+    /** @param known events, as a configuration holds them */
+    String configuration(SoakRouter router, String known) throws IOException {
         return Files.readString(Path.of("..", "deploy", "practice.json"))
                 .replace("\"127.0.0.1:0\"", "\"127.0.0.1:" + router.port + "\"")
                 .replace("\"127.0.0.1:1\",", "\"127.0.0.1:" + discovery.port() + "\",")
-                .replaceAll("\"known\": .*", "\"known\": " + discovery.known() + ",")
+                .replaceAll("\"known\": .*", "\"known\": " + known + ",")
+                .replaceFirst("\"memory_mb\": [0-9]+", "\"memory_mb\": " + MEMORY_MB)
                 .replaceFirst("\"Services\": \\[.*\\],", "\"Services\": [" + settings.services() + "],");
     }
 
-    /** Whether one more worker may stop serving: half of them do at the most. */
-    boolean mayDrainOneMore() {
-        return workers.stream().filter(worker -> worker.drainingSince != 0).count() < WORKERS / 2;
+    /** How many more workers may stop serving: half of them do at the most. */
+    long drainable() {
+        return workers.size() / 2
+                - workers.stream().filter(worker -> worker.drainingSince != 0).count();
+    }
+
+    /** All workers as discovery tells them now. */
+    List<String> members() {
+        return workers.stream()
+                .map(worker -> worker.member(worker.drainingSince == 0 ? "in_service" : "terminating"))
+                .toList();
     }
 
     long successes() {
@@ -76,9 +96,7 @@
                 Thread.currentThread().interrupt();
             }
         }
-        for (SoakWorker worker : workers) {
-            worker.close();
-        }
+        acceptor.close();
         discovery.close();
     }
 }
--- a/cli/src/test/java/pearladder/cli/soak/SoakRouter.java
+++ b/cli/src/test/java/pearladder/cli/soak/SoakRouter.java
@@ -9,18 +9,27 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import org.msgpack.core.MessageUnpacker;
+import pearladder.cli.DeployedRouter;
 
 /** One router: its configuration, its process, and the signals sent to it. */
 final class SoakRouter {
     private static final long SECOND_TERM_MILLIS = 80;
     private static final long READY_POLL_MILLIS = 50;
     private static final long RELOADED_AFTER_READY_MILLIS = 1000;
+    /** The platform gives a router half a core. */
+    private static final int ROUTERS_ON_A_CORE = 2;
+    /** {@code sockets} of the configuration. */
+    private static final int DESCRIPTORS = 512;
+
     private static final long READY_TIMEOUT_SECONDS = 60;
     private static final long CONNECTIONS_AFTER_TERM_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     final String name;
     final int port;
+    private final int core;
     private final Path folder;
+    private final RouterStarts starts;
+    private final MachineLateness lateness;
     private volatile Process process;
     private volatile int incarnation;
     /** When SIGTERM was sent to the current process; zero before. */
@@ -29,8 +38,12 @@
     private volatile boolean stopping;
     private volatile int reloadableIncarnation;
 
-    SoakRouter(String name, Path folder) throws IOException {
+    /** @param number two routers of successive numbers share a core */
+    SoakRouter(String name, int number, Path folder, RouterStarts starts, MachineLateness lateness) throws IOException {
         this.name = name;
+        this.core = number / ROUTERS_ON_A_CORE % Runtime.getRuntime().availableProcessors();
+        this.starts = starts;
+        this.lateness = lateness;
         this.folder = Files.createDirectories(folder);
         try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             this.port = any.getLocalPort();
@@ -69,30 +82,38 @@
 
     void start(String configuration) throws IOException {
         Path file = Files.writeString(folder.resolve("config.json"), configuration);
-        ProcessBuilder builder = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx48m",
-                "-Xss256k",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "pearladder.cli.Main",
-                "platform");
-        builder.environment().put("ROUTER_CONFIG", file.toString());
+        ProcessBuilder builder =
+                DeployedRouter.command(file, "ulimit -n " + DESCRIPTORS + "; taskset -cp " + core + " $$ >/dev/null; ");
         terminatedAt = 0;
+        long startedAt = System.nanoTime();
         process = builder.redirectErrorStream(true)
                 .redirectOutput(
                         ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()))
                 .start();
         int started = ++incarnation;
-        Background.run(() -> {
-            while (incarnation == started && isAlive() && !isReady()) {
-                Thread.sleep(READY_POLL_MILLIS);
+        process.onExit().thenAccept(ended -> {
+            if (incarnation == started && !stopping) {
+                starts.onCrash(name, "ended by itself with status " + ended.exitValue());
             }
-            Thread.sleep(RELOADED_AFTER_READY_MILLIS);
-            reloadableIncarnation = started;
         });
+        Background.run(() -> watchStart(started, startedAt));
+    }
+
+    private void watchStart(int started, long startedAt) throws InterruptedException {
+        long deadline = startedAt + TimeUnit.SECONDS.toNanos(READY_TIMEOUT_SECONDS);
+        while (incarnation == started && isAlive() && !isReady()) {
+            if (System.nanoTime() > deadline) {
+                starts.onCrash(name, "is not ready after " + READY_TIMEOUT_SECONDS + " s");
+                return;
+            }
+            Thread.sleep(READY_POLL_MILLIS);
+        }
+        if (incarnation == started && isInService()) {
+            long now = System.nanoTime();
+            starts.onReady(name, TimeUnit.NANOSECONDS.toMillis(now - startedAt), lateness.millis(startedAt, now));
+        }
+        Thread.sleep(RELOADED_AFTER_READY_MILLIS);
+        reloadableIncarnation = started;
     }
 
     /** Whether SIGHUP may be sent: never before the router is ready, nor within its first second. */
@@ -164,6 +185,7 @@
     }
 
     void kill() throws InterruptedException {
+        stopping = true;
         Process current = process;
         if (current != null) {
             current.destroyForcibly().waitFor();
--- a/cli/src/test/java/pearladder/cli/soak/SoakSettings.java
+++ b/cli/src/test/java/pearladder/cli/soak/SoakSettings.java
@@ -12,10 +12,15 @@
     private static final long KILL_MARGIN_MILLIS = 700;
 
     private static final long NANOS_PER_MILLI = 1_000_000;
+    /** Sizes of fleets, by the seed in turn; the pages' largest comes second. */
+    private static final int[] WORKERS = {60, 8, 3200, 200, 8, 800, 20, 1600};
 
     private final long[] deadlinesMillis;
+    /** The number of workers. */
+    final int workers;
 
-    SoakSettings(Random random) {
+    SoakSettings(long seed, Random random) {
+        workers = Integer.getInteger("soak.workers", WORKERS[(int) (seed % WORKERS.length)]);
         deadlinesMillis = random.ints(SoakRequest.RequestClass.values().length, 0, DEADLINES_MILLIS.length)
                 .mapToLong(index -> DEADLINES_MILLIS[index])
                 .toArray();
@@ -52,6 +57,6 @@
 
     @Override
     public String toString() {
-        return Arrays.toString(deadlinesMillis);
+        return workers + " workers, deadlines " + Arrays.toString(deadlinesMillis) + " ms";
     }
 }
--- a/cli/src/test/java/pearladder/cli/soak/SoakWorker.java
+++ b/cli/src/test/java/pearladder/cli/soak/SoakWorker.java
@@ -3,8 +3,6 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -18,7 +16,7 @@
 import pearladder.cli.WorkerWire;
 
 /** A worker that answers, refuses, stays silent, answers garbage or resets connections, at random. */
-final class SoakWorker implements AutoCloseable {
+final class SoakWorker {
     private static final long MAX_LATENCY_MILLIS = 120;
     /** Of the shortest deadline: the longest latency. */
     private static final long MAX_LATENCY_DIVISOR = 3;
@@ -43,7 +41,7 @@
 
     private volatile long startedAtUnixMillis;
 
-    private final ServerSocket server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+    private final int port;
     private final Map<String, SoakRequest> requests;
     private final List<String> unknownIds;
     private final List<SoakRequest.Arrival> loadRequests;
@@ -55,6 +53,7 @@
      * @param requests all requests of clients, by id
      * @param unknownIds receives the ids of attempts for which no client sent a request
      * @param loadRequests receives the load requests that came, those that only ask left out
+     * @param acceptor opens the worker's address
      */
     SoakWorker(
             String name,
@@ -62,6 +61,7 @@
             List<String> unknownIds,
             List<SoakRequest.Arrival> loadRequests,
             SoakSettings settings,
+            SoakAcceptor acceptor,
             long seed)
             throws IOException {
         this.name = name;
@@ -71,17 +71,14 @@
         this.maxLatencyMillis =
                 (int) Math.min(MAX_LATENCY_MILLIS, settings.shortestDeadlineMillis() / MAX_LATENCY_DIVISOR);
         this.random = new Random(seed);
-        Background.run(() -> {
-            while (true) {
-                Socket socket = server.accept();
-                sockets.add(socket);
-                Background.run(() -> serve(socket));
-            }
+        this.port = acceptor.listen(socket -> {
+            sockets.add(socket);
+            Background.run(() -> serve(socket));
         });
     }
 
     String member(String state) {
-        return "{\"id\":\"" + name + "\",\"addr\":\"127.0.0.1:" + server.getLocalPort()
+        return "{\"id\":\"" + name + "\",\"addr\":\"127.0.0.1:" + port
                 + "\",\"zone\":\"hall\",\"kind\":\"kind\",\"cell\":1,\"state\":\"" + state
                 + "\",\"weight\":1,\"started_ms\":"
                 + startedAtUnixMillis + "}";
@@ -133,6 +130,9 @@
     }
 
     private void onLoadRequest(Socket socket, String id, String fields) throws IOException {
+        if (!ClientWire.isFunction(fields(fields).get("item"))) {
+            unknownIds.add("a load request of " + fields);
+        }
         if (!fields.endsWith("replicas=0")) {
             loadRequests.add(arrival());
         }
@@ -204,9 +204,4 @@
         }
         return fields;
     }
-
-    @Override
-    public void close() throws IOException {
-        server.close();
-    }
 }
