A worker that turns all work away is no longer tried again for each health check

Callers saw requests take an attempt more than they needed, and draining workers got work past told time and grace, while discovery was silent: the lease of a worker was renewed by a health check that it answered as ready, however often it then refused.

Cause: ReadinessLease dropped the lease at a refusal and gave a new one for the next READY.

Change: while the list is out of date, refusals since the worker last executed a request count. From the second on it is skipped for 1, 2, 4 s and so on up to 16; at once for 16 s where its own report shows capacity. A request that was sent after the last refusal and executed, or discovery's word, clears the count. Refused load requests count too.

--- a/decisions/src/main/java/pearladder/routing/ReadinessLease.java
+++ b/decisions/src/main/java/pearladder/routing/ReadinessLease.java
@@ -26,6 +26,11 @@
     /** Of the drain grace that may be kept for an attempt's way to its worker. */
     private static final double MAX_SEND_DELAY_SHARE = 0.5;
 
+    /** A worker that turned work away twice and executed none is skipped for this; twice as long after each further one. */
+    private static final TimeSpan FIRST_REFUSAL_PAUSE = TimeSpan.seconds(1);
+
+    private static final TimeSpan MAX_REFUSAL_PAUSE = TimeSpan.seconds(16);
+
     private record WaitingRequest(Request request, Worker worker, MonotonicTime waitsUntil) {}
 
     private final RouterState state;
@@ -196,12 +201,42 @@
     }
 
     /** A worker that executed a request was in service when that was sent; one that refused may drain. */
-    void onAttemptEnded(Attempt attempt, Outcome outcome) {
+    void onAttemptEnded(Attempt attempt, Event.AttemptEnded event) {
         Worker worker = attempt.placement.worker;
-        if (outcome == Outcome.SUCCESS) {
+        if (event.outcome() == Outcome.SUCCESS) {
             worker.provedReadyAt = later(worker.provedReadyAt, attempt.sentAt);
-        } else if (outcome == Outcome.FULL) {
-            worker.provedReadyAt = null;
+            if (worker.refusedAt != null && worker.refusedAt.isBefore(attempt.sentAt)) {
+                worker.clearRefusals();
+            }
+        } else if (event.outcome() == Outcome.FULL) {
+            onRefused(worker, AttemptOutcomeHandler.isNeedlessRefusal(event));
+        }
+    }
+
+    void onLoadCompleted(Worker worker, Outcome outcome) {
+        if (outcome == Outcome.FULL) {
+            onRefused(worker, false);
+        }
+    }
+
+    /**
+     * A worker that drains may answer health checks as ready and turn all work away. While nobody tells its state, a
+     * health check alone does not have it tried again and again.
+     *
+     * @param needless whether it has capacity by its own report
+     */
+    private void onRefused(Worker worker, boolean needless) {
+        worker.provedReadyAt = null;
+        if (isListCurrent()) {
+            return;
+        }
+        worker.refusedAt = state.now();
+        worker.refusalsInARow++;
+        if (needless) {
+            worker.refusedUntil = state.now().plus(MAX_REFUSAL_PAUSE);
+        } else if (worker.refusalsInARow > 1) {
+            TimeSpan pause = FIRST_REFUSAL_PAUSE.times(Math.pow(2, worker.refusalsInARow - 2));
+            worker.refusedUntil = state.now().plus(pause.atMost(MAX_REFUSAL_PAUSE));
         }
     }
 }
--- a/decisions/src/main/java/pearladder/routing/StickyFirstFitPolicy.java
+++ b/decisions/src/main/java/pearladder/routing/StickyFirstFitPolicy.java
@@ -189,6 +189,7 @@
     @Override
     protected void onLoadCompleted(Placement placement, Event.LoadCompleted event) {
         instancePreloader.onLoadCompleted(placement, event);
+        readinessLease.onLoadCompleted(placement.worker, event.outcome());
         if (event.instances() > 0 && state.isEligible(placement.worker)) {
             cache(placement);
         }
@@ -203,7 +204,7 @@
     @Override
     protected void onAttemptEnded(Attempt attempt, Event.AttemptEnded event) {
         outcomeHandler.onAttemptEnded(attempt, event);
-        readinessLease.onAttemptEnded(attempt, event.outcome());
+        readinessLease.onAttemptEnded(attempt, event);
         Request request = attempt.request;
         if (event.requestCompleted() || request.completed) {
             state.completeRequest(request);
--- a/decisions/src/main/java/pearladder/routing/state/RouterState.java
+++ b/decisions/src/main/java/pearladder/routing/state/RouterState.java
@@ -95,11 +95,12 @@
                 && !isPending(placement.worker.overloadedUntil);
     }
 
-    /** Whether the worker is in service, not ejected, and did not just fail to prove that it is ready. */
+    /** Whether the worker is in service, not ejected, and neither failed to prove that it is ready nor refused of late. */
     public boolean isEligible(Worker worker) {
         return worker.state == EndpointState.IN_SERVICE
                 && !isPending(worker.ejectedUntil)
-                && !isPending(worker.unreadyUntil);
+                && !isPending(worker.unreadyUntil)
+                && !isPending(worker.refusedUntil);
     }
 
     /** The settings stated at the start. */
--- a/decisions/src/main/java/pearladder/routing/state/Worker.java
+++ b/decisions/src/main/java/pearladder/routing/state/Worker.java
@@ -52,6 +52,12 @@
     public MonotonicTime checkSentAt;
     /** It did not prove to be ready when asked, and is skipped until then. */
     public MonotonicTime unreadyUntil;
+    /** When it last turned work away while the endpoint list was out of date; null where it did not. */
+    public MonotonicTime refusedAt;
+    /** How often it did so since it last executed a request. */
+    public int refusalsInARow;
+    /** It turned work away that often, and is skipped until then. */
+    public MonotonicTime refusedUntil;
     /** Whether it drained or was not there when last asked. */
     public boolean unready;
     /** Requests that it may get at once while it is warming up. */
@@ -73,6 +79,14 @@
     public void clearReadinessVerdict() {
         unreadyUntil = null;
         unready = false;
+        clearRefusals();
+    }
+
+    /** Forgets that it turned work away: it executed a request since, or the endpoint list tells its state again. */
+    public void clearRefusals() {
+        refusedAt = null;
+        refusalsInARow = 0;
+        refusedUntil = null;
     }
 
     /** Removes it from all cached lists. */
--- a/decisions/src/test/java/pearladder/routing/ReadinessLeaseTest.java
+++ b/decisions/src/test/java/pearladder/routing/ReadinessLeaseTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,6 +27,9 @@
     private final RoutingSettings settings = TestSettings.withoutLoadRequests();
     private final PolicyHarness harness = PolicyHarness.withWorkers(settings, WORKERS);
 
+    /** Of the checks so far, those completed by {@link #completeNewChecks}. */
+    private int completedChecks;
+
     private TrackedRequest request() {
         return harness.request("f", TestSettings.IDEMPOTENT);
     }
@@ -221,4 +225,63 @@
         harness.advance(TimeSpan.seconds(5));
         assertEquals(List.of(), request.workers);
     }
+
+    /** Sends requests of one function for a while; one worker refuses as it is told, all checks succeed at once. */
+    private int sendsTo(String refusing, TimeSpan span, Predicate<Integer> refuses) {
+        int sends = 0;
+        MonotonicTime until = harness.now.plus(span);
+        while (harness.now.isBefore(until)) {
+            TrackedRequest request = request();
+            completeNewChecks();
+            int attempts = request.workers.size();
+            if (attempts > 0 && request.workers.get(attempts - 1).equals(refusing) && refuses.test(sends++)) {
+                harness.endAttempt(request, attempts - 1, Outcome.FULL, Event.InstanceStatus.UNTOLD, PING_TIME);
+                completeNewChecks();
+            }
+            harness.advance(PolicyHarness.SHORT_TIME);
+            completeNewChecks();
+            if (!request.completed && !request.workers.isEmpty()) {
+                harness.succeed(request, PolicyHarness.SHORT_TIME);
+            }
+        }
+        return sends;
+    }
+
+    private void completeNewChecks() {
+        while (completedChecks < checkedWorkers().size()) {
+            completeCheck(checkedWorkers().get(completedChecks++), Outcome.SUCCESS);
+        }
+    }
+
+    @Test
+    void workerThatTurnsAllWorkAwayIsNotTriedAgainAndAgainForItsHealthChecks() {
+        String home = harness.homeWorker("f");
+        letTheListGetOutOfDate();
+        int soon = sendsTo(home, TimeSpan.seconds(8), sent -> true);
+        int later = sendsTo(home, TimeSpan.seconds(14), sent -> true);
+        assertTrue(soon >= 2 && soon <= 5, soon + " sends in 8 s");
+        assertTrue(later <= 2, later + " sends in the next 14 s");
+    }
+
+    @Test
+    void workerThatWasMerelyFullIsUsedAgainAsBefore() {
+        String home = harness.homeWorker("f");
+        letTheListGetOutOfDate();
+        sendsTo(home, TimeSpan.seconds(3), sent -> sent < 3);
+        int again = sendsTo(home, TimeSpan.seconds(5), sent -> false);
+        assertTrue(again >= 20, again + " sends in 5 s");
+        int oftenFull = sendsTo(home, TimeSpan.seconds(10), sent -> sent % 3 == 0);
+        assertTrue(oftenFull >= 20, oftenFull + " sends in 10 s");
+    }
+
+    @Test
+    void refusalsWhileTheListIsCurrentKeepNoWorkerAside() {
+        String home = harness.homeWorker("f");
+        harness.on(new Event.EndpointListConfirmed(harness.now));
+        TrackedRequest refused = request();
+        harness.endAttempt(refused, 0, Outcome.FULL, Event.InstanceStatus.UNTOLD, PING_TIME);
+        harness.advance(TimeSpan.seconds(1));
+        harness.on(new Event.EndpointListConfirmed(harness.now));
+        assertEquals(home, harness.homeWorker("f"));
+    }
 }
