--- a/cli/src/main/java/pearladder/cli/MeasureCommand.java
+++ b/cli/src/main/java/pearladder/cli/MeasureCommand.java
@@ -7,6 +7,8 @@
 import pearladder.testbed.DecisionCost;
 import pearladder.testbed.QueueCost;
 import pearladder.testbed.RolloutTrials;
+import pearladder.testbed.growth.FleetGrowth;
+import pearladder.testbed.growth.GrowthRow;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -43,14 +45,27 @@
             names = "--workers",
             split = ",",
             paramLabel = "N",
-            description = "instead, what a decision costs with fleets of so many workers")
+            description =
+                    "instead, what a deployed router needs with fleets of so many workers; from a built repository")
     private int[] workers;
 
+    private void printGrowth() throws IOException, InterruptedException {
+        FleetGrowth growth = new FleetGrowth(
+                Path.of("").toAbsolutePath(),
+                out,
+                seconds,
+                size -> DecisionCost.micros(PolicyChoice.MODULE.maker::create, rounds, size));
+        System.out.println(GrowthRow.heading());
+        for (int size : workers) {
+            System.out.println(growth.measure(size).line());
+        }
+    }
+
     @Override
-    public Integer call() throws IOException {
+    public Integer call() throws IOException, InterruptedException {
         Logs.setUp(Logs.Form.TEXT);
         if (workers != null) {
-            DecisionCost.run(PolicyChoice.MODULE.maker::create, rounds, workers).forEach(System.out::println);
+            printGrowth();
             return 0;
         }
         if (queue) {
--- a/cli/src/test/java/pearladder/cli/PlatformTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformTest.java
@@ -199,7 +199,8 @@
         "'{\"limits\": {\"cores\": 0.5, \"memory_mb\" : 152, \"sockets\": 9}}', 50",
         "'{\"limits\":{\"memory_mb\":96}}', 32",
         "'{\"limits\":{}}', 48",
-        "'{\"settings\":{\"limits\":{\"max\":3},\"Fields\":[\"memory_mb\"],\"memory_mb\":9},\"limits\" :\n{\n\"memory_mb\" :\t96}}', 32"
+        "'{\"settings\":{\"limits\":{\"max\":3},\"Fields\":[\"memory_mb\"],\"memory_mb\":9},"
+                + "\"limits\" :\n{\n\"memory_mb\" :\t96}}', 32"
     })
     void heapIsAThirdOfTheConfiguredMemory(String configuration, int heap) throws Exception {
         Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
--- a/cli/src/test/java/pearladder/cli/soak/PlatformSoakTest.java
+++ b/cli/src/test/java/pearladder/cli/soak/PlatformSoakTest.java
@@ -16,8 +16,9 @@
 
 /**
  * Real router processes, started as the operators start them, under random, overlapping faults ({@link SoakFaults}),
- * with deadlines and a size of the fleet by the seed, judged by {@link SoakInvariants} and {@link RouterStarts}. {@code -Dsoak.seed}, {@code -Dsoak.seeds}, {@code -Dsoak.routers} and
- * {@code -Dsoak.seconds} make it longer; what the faults are follows from the seed, the timing from the machine.
+ * with deadlines and a size of the fleet by the seed, judged by {@link SoakInvariants} and {@link RouterStarts}.
+ * {@code -Dsoak.seed}, {@code -Dsoak.seeds}, {@code -Dsoak.routers}, {@code -Dsoak.workers} and
+ * {@code -Dsoak.seconds} choose another run; what the faults are follows from the seed, the timing from the machine.
  */
 @Timeout(7200)
 class PlatformSoakTest {
--- a/decisions/src/main/java/pearladder/routing/ReadinessLease.java
+++ b/decisions/src/main/java/pearladder/routing/ReadinessLease.java
@@ -26,7 +26,7 @@
     /** Of the drain grace that may be kept for an attempt's way to its worker. */
     private static final double MAX_SEND_DELAY_SHARE = 0.5;
 
-    /** A worker that turned work away twice and executed none is skipped for this; twice as long after each further one. */
+    /** A worker that refused twice and executed nothing is skipped for this; twice as long next time. */
     private static final TimeSpan FIRST_REFUSAL_PAUSE = TimeSpan.seconds(1);
 
     private static final TimeSpan MAX_REFUSAL_PAUSE = TimeSpan.seconds(16);
@@ -220,8 +220,8 @@
     }
 
     /**
-     * A worker that drains may answer health checks as ready and turn all work away. While nobody tells its state, a
-     * health check alone does not have it tried again and again.
+     * A worker that drains may answer health checks as ready and turn all work away. While nobody tells its
+     * state, a health check alone does not have it tried again and again.
      *
      * @param needless whether it has capacity by its own report
      */
--- a/decisions/src/main/java/pearladder/routing/state/RouterState.java
+++ b/decisions/src/main/java/pearladder/routing/state/RouterState.java
@@ -95,7 +95,7 @@
                 && !isPending(placement.worker.overloadedUntil);
     }
 
-    /** Whether the worker is in service, not ejected, and neither failed to prove that it is ready nor refused of late. */
+    /** Whether the worker is in service, not ejected, and not skipped for being unready or refusing work. */
     public boolean isEligible(Worker worker) {
         return worker.state == EndpointState.IN_SERVICE
                 && !isPending(worker.ejectedUntil)
--- a/testbed/src/main/java/pearladder/testbed/DecisionCost.java
+++ b/testbed/src/main/java/pearladder/testbed/DecisionCost.java
@@ -80,6 +80,17 @@
         return rows;
     }
 
+    /** The median over the rounds of what a request costs with so many workers, in microseconds. */
+    public static double micros(PolicyFactory maker, int rounds, int size) {
+        measure(maker, size);
+        double[] micros = new double[rounds];
+        for (int i = 0; i < rounds; i++) {
+            micros[i] = measure(maker, size).micros();
+        }
+        Arrays.sort(micros);
+        return micros[rounds / 2];
+    }
+
     private static String row(PolicyFactory maker, int rounds, int size) {
         measure(maker, size);
         double[] micros = new double[rounds];
