--- a/decisions/src/main/java/pearladder/routing/state/HashRing.java
+++ b/decisions/src/main/java/pearladder/routing/state/HashRing.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 import java.util.stream.IntStream;
 import java.util.zip.CRC32;
@@ -118,7 +119,8 @@
 
     /** Merges sorted positions; those without a worker are left out. */
     private void merge(long[] newPositions, Worker[] newOwners) {
-        int length = positions.length + newPositions.length;
+        int length = positions.length
+                + (int) Arrays.stream(newOwners).filter(Objects::nonNull).count();
         long[] mergedPositions = new long[length];
         Worker[] mergedOwners = new Worker[length];
         int merged = 0;
@@ -137,8 +139,8 @@
         int rest = positions.length - old;
         System.arraycopy(positions, old, mergedPositions, merged, rest);
         System.arraycopy(owners, old, mergedOwners, merged, rest);
-        positions = Arrays.copyOf(mergedPositions, merged + rest);
-        owners = Arrays.copyOf(mergedOwners, merged + rest);
+        positions = mergedPositions;
+        owners = mergedOwners;
     }
 
     /**
