--- a/cli/src/test/java/pearladder/cli/LargeFleetConfiguration.java
+++ b/cli/src/test/java/pearladder/cli/LargeFleetConfiguration.java
@@ -67,7 +67,7 @@
     }
 
     /** Ids of the form that the operators use. */
-    static String id(int index) {
+    private static String id(int index) {
         return String.format("s-%08x", (int) (index * 2_654_435_761L));
     }
 }
