--- /dev/null
+++ b/cli/src/test/java/pearladder/cli/PlatformMemoryTest.java
@@ -0,0 +1,202 @@
+package pearladder.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against a router that exits or hangs for lack of memory: what it holds of input and output is bounded by the
+ * memory limit in its configuration. Real processes with different limits.
+ */
+class PlatformMemoryTest extends PlatformProcessFixture {
+    private static final int BYTES_PER_MB = 1 << 20;
+    /** The part of the memory limit that is heap; see {@code deploy/router}. */
+    private static final int HEAP_DIVISOR = 3;
+
+    private static final int SOCKETS = 1024;
+    private static final String REQUEST_CLASS = "draft";
+    private static final int WORKERS = 14;
+    private static final int FUNCTIONS = 30;
+    private static final int CLIENTS = 80;
+    private static final int MAX_OPEN_REQUESTS = 30;
+    private static final long REQUEST_INTERVAL_MILLIS = 1;
+    private static final long SEND_NANOS = 12_000_000_000L;
+
+    private static final long BUDGET_MILLIS = 3000;
+    /** The platform counts a request without a response this long after its budget as lost. */
+    private static final long LOST_AFTER_MILLIS = 500 + 50;
+
+    private final List<AutoCloseable> resources = new ArrayList<>();
+
+    @AfterEach
+    void closeResources() throws Exception {
+        for (AutoCloseable resource : resources) {
+            resource.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T register(T resource) {
+        resources.add(resource);
+        return resource;
+    }
+
+    private int startReady(int memoryMb, String members) throws Exception {
+        int port = freePort();
+        Path configuration = writeConfiguration(port, startDiscovery(null, new LinkedBlockingQueue<>()), members);
+        String text = Files.readString(configuration);
+        String limits = text.replaceFirst(
+                "\"memory_mb\": [0-9]+, \"sockets\": [0-9]+",
+                "\"memory_mb\": " + memoryMb + ", \"sockets\": " + SOCKETS);
+        Files.writeString(configuration, limits);
+        process = start(configuration, Map.of());
+        awaitReady(port);
+        return port;
+    }
+
+    private List<RecordingClient> connectClients(int port, int count) throws IOException {
+        List<RecordingClient> clients = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            clients.add(register(new RecordingClient(port)));
+        }
+        return clients;
+    }
+
+    private void sendRequest(RecordingClient client, byte[] body) throws IOException {
+        String id = String.format("%016x", lastMessageNumber + 1);
+        String function = String.format("%016x", lastMessageNumber % FUNCTIONS);
+        byte[] request = request(REQUEST_CLASS, id, function, body, BUDGET_MILLIS);
+        client.send(lastMessageNumber, request);
+    }
+
+    private void assertAllAnswered(List<RecordingClient> clients) throws InterruptedException {
+        Thread.sleep(BUDGET_MILLIS + LOST_AFTER_MILLIS);
+        assertTrue(process.isAlive(), this::log);
+        for (RecordingClient client : clients) {
+            assertEquals(0, client.openRequests(), this::log);
+            assertEquals(0, client.unexpectedResponses(), this::log);
+            assertTrue(client.longestWaitMillis() < BUDGET_MILLIS + LOST_AFTER_MILLIS, this::log);
+        }
+    }
+
+    /** Executes each request; every tenth response states a longer body than it sends, and stops short. */
+    private static final class UnfinishedResponsesWorker implements AutoCloseable {
+        static final int STATED_BYTES = 250_000;
+        private static final int FINISHED_RESPONSES = 9;
+        private static final long WORK_MILLIS = 20;
+
+        final ServerSocket server = new ServerSocket(0, 500, InetAddress.getLoopbackAddress());
+        final AtomicInteger unfinishedResponses = new AtomicInteger();
+        private final AtomicInteger requests = new AtomicInteger();
+        private final String name;
+
+        UnfinishedResponsesWorker(String name) throws IOException {
+            this.name = name;
+            startDaemon(() -> {
+                while (true) {
+                    Socket socket = server.accept();
+                    startDaemon(() -> serve(socket));
+                }
+            });
+        }
+
+        private void serve(Socket socket) throws IOException {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            while (true) {
+                List<byte[]> command = WorkerWire.readCommand(in);
+                String word = WorkerWire.text(command.get(0));
+                if (word.equals("go")) {
+                    byte[] response = response(WorkerWire.text(command.get(1)));
+                    startDaemon(() -> respond(socket, response));
+                } else if (word.equals("ping")) {
+                    write(socket, WorkerWire.response(WorkerWire.text(command.get(1)), "READY", "-", new byte[0]));
+                }
+            }
+        }
+
+        private static void respond(Socket socket, byte[] response) throws Exception {
+            Thread.sleep(WORK_MILLIS);
+            write(socket, response);
+        }
+
+        private static void write(Socket socket, byte[] response) throws IOException {
+            synchronized (socket) {
+                socket.getOutputStream().write(response);
+            }
+        }
+
+        private byte[] response(String id) {
+            if (requests.incrementAndGet() % (FINISHED_RESPONSES + 1) != 0) {
+                return WorkerWire.response(id, "ACK", "tell=up", new byte[0]);
+            }
+            unfinishedResponses.incrementAndGet();
+            ByteArrayOutputStream response = new ByteArrayOutputStream();
+            response.writeBytes(("*4\r\n$16\r\n" + id + "\r\n$3\r\nACK\r\n$7\r\ntell=up\r\n$" + STATED_BYTES + "\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1));
+            response.writeBytes(new byte[STATED_BYTES - 100]);
+            return response.toByteArray();
+        }
+
+        String member() {
+            return "{\"id\":\"" + name + "\",\"addr\":\"127.0.0.1:" + server.getLocalPort()
+                    + "\",\"zone\":\"hall\",\"kind\":\"kind\",\"cell\":1,\"state\":\"in_service\","
+                    + "\"weight\":1,\"started_ms\":0}";
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    /** Guards against an exit for lack of heap while workers send responses that never end. */
+    @ParameterizedTest
+    @ValueSource(ints = {64, 96, 192})
+    void unfinishedResponsesOfWorkersDoNotExhaustTheHeap(int memoryMb) throws Exception {
+        List<UnfinishedResponsesWorker> workers = new ArrayList<>();
+        for (int i = 0; i < WORKERS; i++) {
+            workers.add(register(new UnfinishedResponsesWorker("worker-" + i)));
+        }
+        int port = startReady(
+                memoryMb,
+                String.join(
+                        ",",
+                        workers.stream().map(UnfinishedResponsesWorker::member).toList()));
+        List<RecordingClient> clients = connectClients(port, CLIENTS);
+        long endAt = System.nanoTime() + SEND_NANOS;
+        for (int i = 0; process.isAlive() && System.nanoTime() < endAt; i++) {
+            RecordingClient client = clients.get(i % clients.size());
+            if (!client.isClosed() && client.openRequests() < MAX_OPEN_REQUESTS) {
+                sendRequest(client, new byte[] {1});
+            }
+            Thread.sleep(REQUEST_INTERVAL_MILLIS);
+        }
+        assertTrue(process.isAlive(), this::log);
+        int unfinishedBytes = countUnfinished(workers) * UnfinishedResponsesWorker.STATED_BYTES;
+        assertTrue(unfinishedBytes > memoryMb / HEAP_DIVISOR * BYTES_PER_MB, unfinishedBytes + " bytes\n" + log());
+        assertAllAnswered(clients);
+    }
+
+    private static int countUnfinished(List<UnfinishedResponsesWorker> workers) {
+        return workers.stream()
+                .mapToInt(worker -> worker.unfinishedResponses.get())
+                .sum();
+    }
+}
--- a/cli/src/test/java/pearladder/cli/PlatformProcessFixture.java
+++ b/cli/src/test/java/pearladder/cli/PlatformProcessFixture.java
@@ -258,8 +258,12 @@
     }
 
     byte[] request(String id, byte[] body, long budgetMillis) throws IOException {
+        return request(REQUEST_CLASS, id, "00000000000000aa", body, budgetMillis);
+    }
+
+    byte[] request(String requestClass, String id, String function, byte[] body, long budgetMillis) throws IOException {
         return message(
-                REQUEST_CLASS,
+                requestClass,
                 Map.of(
                         "rid",
                         id,
@@ -270,7 +274,7 @@
                         "token",
                         "t" + id,
                         "obj",
-                        "00000000000000aa",
+                        function,
                         "extras",
                         "memory_mb:100;lanes:2;load_ms:50"),
                 body);
