--- a/cli/src/test/java/pearladder/cli/PlatformMemoryTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformMemoryTest.java
@@ -1,6 +1,7 @@
 package pearladder.cli;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedInputStream;
@@ -19,6 +20,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -32,6 +34,9 @@
     private static final int HEAP_DIVISOR = 3;
 
     private static final int SOCKETS = 1024;
+    /** The platform's limit of a request's body. */
+    private static final int MAX_BODY_BYTES = 16 * 1024;
+
     private static final String REQUEST_CLASS = "draft";
     private static final int WORKERS = 14;
     private static final int FUNCTIONS = 30;
@@ -80,6 +85,7 @@
     }
 
     private void sendRequest(RecordingClient client, byte[] body) throws IOException {
+        assertFalse(client.isClosed(), () -> "the router has closed a connection that was in use\n" + log());
         String id = String.format("%016x", lastMessageNumber + 1);
         String function = String.format("%016x", lastMessageNumber % FUNCTIONS);
         byte[] request = request(REQUEST_CLASS, id, function, body, BUDGET_MILLIS);
@@ -183,7 +189,7 @@
         long endAt = System.nanoTime() + SEND_NANOS;
         for (int i = 0; process.isAlive() && System.nanoTime() < endAt; i++) {
             RecordingClient client = clients.get(i % clients.size());
-            if (!client.isClosed() && client.openRequests() < MAX_OPEN_REQUESTS) {
+            if (client.openRequests() < MAX_OPEN_REQUESTS) {
                 sendRequest(client, new byte[] {1});
             }
             Thread.sleep(REQUEST_INTERVAL_MILLIS);
@@ -199,4 +205,47 @@
                 .mapToInt(worker -> worker.unfinishedResponses.get())
                 .sum();
     }
+
+    /** Encodes requests with bodies of the largest size. */
+    private byte[] encodeLargeRequests(int count) throws IOException {
+        ByteArrayOutputStream requests = new ByteArrayOutputStream();
+        for (int i = 0; i < count; i++) {
+            String id = String.format("f%015x", lastMessageNumber + 1);
+            requests.writeBytes(
+                    request(REQUEST_CLASS, id, "f00000000000000f", new byte[MAX_BODY_BYTES], BUDGET_MILLIS));
+        }
+        return requests.toByteArray();
+    }
+
+    /** Sends small requests at a steady rate while other clients send theirs at once. */
+    private void assertServedBesideRequestsAtOnce(int memoryMb, int floodingClients, int requestsOfEach)
+            throws Exception {
+        List<byte[]> floods = new ArrayList<>();
+        for (int i = 0; i < floodingClients; i++) {
+            floods.add(encodeLargeRequests(requestsOfEach));
+        }
+        FakeWorker worker = register(new FakeWorker("one"));
+        int port = startReady(memoryMb, worker.member());
+        List<RecordingClient> usualClients = connectClients(port, 4);
+        List<RecordingClient> flooding = connectClients(port, floodingClients);
+        for (int i = 0; i < floodingClients; i++) {
+            RecordingClient client = flooding.get(i);
+            byte[] requests = floods.get(i);
+            startDaemon(() -> client.sendRaw(requests));
+        }
+        for (int i = 0; i < 60 && process.isAlive(); i++) {
+            sendRequest(usualClients.get(i % usualClients.size()), new byte[] {1});
+            Thread.sleep(100);
+            if (i == 30) {
+                flooding.forEach(RecordingClient::close);
+            }
+        }
+        assertAllAnswered(usualClients);
+    }
+
+    /** Guards against a router that hangs since what it reads of paused clients uses up the direct memory. */
+    @Test
+    void manyRequestsAtOnceDoNotExhaustDirectMemory() throws Exception {
+        assertServedBesideRequestsAtOnce(192, 30, 150);
+    }
 }
--- a/cli/src/test/java/pearladder/cli/RecordingClient.java
+++ b/cli/src/test/java/pearladder/cli/RecordingClient.java
@@ -86,7 +86,11 @@
     }
 
     @Override
-    public void close() throws IOException {
-        socket.close();
+    public void close() {
+        try {
+            socket.close();
+        } catch (IOException closedAlready) {
+            closed = true;
+        }
     }
 }
