Limit the memory of requests that wait to be admitted, over all clients together

Requests that were read and wait for the next turn were bounded by 32 a connection only, and paused clients were resumed each turn whether or not theirs were handled. Evidence: a heap dump at the exit, 3,272 ReceivedRequest with 54.2 of 60.4 MB. Change: waiting and incomplete input of all clients is limited to a 24th of the configured memory.

--- a/cli/src/test/java/pearladder/cli/PlatformMemoryTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformMemoryTest.java
@@ -206,24 +206,35 @@
                 .sum();
     }
 
-    /** Encodes requests with bodies of the largest size. */
-    private byte[] encodeLargeRequests(int count) throws IOException {
+    /** Encodes requests with bodies of the largest size. Their ids are unique for each client. */
+    private List<byte[]> encodeLargeRequests(int clients, int count) throws IOException {
         ByteArrayOutputStream requests = new ByteArrayOutputStream();
+        List<Integer> idPositions = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            String id = String.format("f%015x", lastMessageNumber + 1);
-            requests.writeBytes(
-                    request(REQUEST_CLASS, id, "f00000000000000f", new byte[MAX_BODY_BYTES], BUDGET_MILLIS));
+            byte[] request = request(
+                    REQUEST_CLASS,
+                    String.format("f%015x", i),
+                    "f00000000000000f",
+                    new byte[MAX_BODY_BYTES],
+                    BUDGET_MILLIS);
+            String text = new String(request, StandardCharsets.ISO_8859_1);
+            idPositions.add(requests.size() + text.indexOf(String.format("f%015x", i), text.indexOf("rid")));
+            requests.writeBytes(request);
         }
-        return requests.toByteArray();
+        List<byte[]> floods = new ArrayList<>();
+        for (int client = 0; client < clients; client++) {
+            byte[] flood = requests.toByteArray();
+            byte[] digits = String.format("%07x", client).getBytes(StandardCharsets.ISO_8859_1);
+            idPositions.forEach(position -> System.arraycopy(digits, 0, flood, position + 1, digits.length));
+            floods.add(flood);
+        }
+        return floods;
     }
 
     /** Sends small requests at a steady rate while other clients send theirs at once. */
     private void assertServedBesideRequestsAtOnce(int memoryMb, int floodingClients, int requestsOfEach)
             throws Exception {
-        List<byte[]> floods = new ArrayList<>();
-        for (int i = 0; i < floodingClients; i++) {
-            floods.add(encodeLargeRequests(requestsOfEach));
-        }
+        List<byte[]> floods = encodeLargeRequests(floodingClients, requestsOfEach);
         FakeWorker worker = register(new FakeWorker("one"));
         int port = startReady(memoryMb, worker.member());
         List<RecordingClient> usualClients = connectClients(port, 4);
@@ -248,4 +259,11 @@
     void manyRequestsAtOnceDoNotExhaustDirectMemory() throws Exception {
         assertServedBesideRequestsAtOnce(192, 30, 150);
     }
+
+    /** Guards against an exit for lack of heap while many requests wait to be admitted. */
+    @ParameterizedTest
+    @ValueSource(ints = {64, 96, 192})
+    void requestsThatWaitDoNotExhaustTheHeap(int memoryMb) throws Exception {
+        assertServedBesideRequestsAtOnce(memoryMb, 150, 30);
+    }
 }
--- a/decisions/src/main/java/pearladder/connections/MemoryLimits.java
+++ b/decisions/src/main/java/pearladder/connections/MemoryLimits.java
@@ -3,10 +3,12 @@
 /**
  * Shares of the process's memory limit for what a router holds of its peers' input and output.
  *
+ * @param clientInputBytes limit of the requests of all clients together that are incomplete or not admitted yet
  * @param unfinishedResponseBytes limit of the incomplete responses of all workers together
  */
-public record MemoryLimits(long unfinishedResponseBytes) {
+public record MemoryLimits(long clientInputBytes, long unfinishedResponseBytes) {
     private static final long BYTES_PER_MB = 1L << 20;
+    private static final int CLIENT_INPUT_DIVISOR = 24;
     private static final int UNFINISHED_RESPONSES_DIVISOR = 48;
 
     /**
@@ -16,6 +18,6 @@
      */
     public static MemoryLimits of(long memoryMb) {
         long memoryBytes = memoryMb * BYTES_PER_MB;
-        return new MemoryLimits(memoryBytes / UNFINISHED_RESPONSES_DIVISOR);
+        return new MemoryLimits(memoryBytes / CLIENT_INPUT_DIVISOR, memoryBytes / UNFINISHED_RESPONSES_DIVISOR);
     }
 }
--- a/decisions/src/test/java/pearladder/connections/MemoryBudgetTest.java
+++ b/decisions/src/test/java/pearladder/connections/MemoryBudgetTest.java
@@ -46,7 +46,8 @@
         for (int memoryMb : new int[] {32, 64, 96, 192}) {
             long memoryBytes = memoryMb * 1024L * 1024;
             MemoryLimits limits = MemoryLimits.of(memoryMb);
-            assertTrue(limits.unfinishedResponseBytes() < memoryBytes / 16);
+            assertTrue(limits.clientInputBytes() + limits.unfinishedResponseBytes() < memoryBytes / 12);
+            assertEquals(memoryBytes / 24, limits.clientInputBytes());
             assertEquals(memoryBytes / 48, limits.unfinishedResponseBytes());
         }
     }
