--- a/cli/src/test/java/pearladder/cli/PlatformTest.java
+++ b/cli/src/test/java/pearladder/cli/PlatformTest.java
@@ -193,16 +193,17 @@
         }
     }
 
-    /** Guards against a heap that fits the memory of one deployment only. */
+    /** Guards against a heap and direct memory that fit the memory of one deployment only. */
     @ParameterizedTest
     @CsvSource({
-        "'{\"limits\": {\"cores\": 0.5, \"memory_mb\" : 152, \"sockets\": 9}}', 50",
-        "'{\"limits\":{\"memory_mb\":96}}', 32",
-        "'{\"limits\":{}}', 48",
+        "'{\"limits\": {\"cores\": 0.5, \"memory_mb\" : 152, \"sockets\": 9}}', 50, 25",
+        "'{\"limits\":{\"memory_mb\":96}}', 32, 16",
+        "'{\"limits\":{}}', 48, 24",
         "'{\"settings\":{\"limits\":{\"max\":3},\"Fields\":[\"memory_mb\"],\"memory_mb\":9},"
-                + "\"limits\" :\n{\n\"memory_mb\" :\t96}}', 32"
+                + "\"limits\" :\n{\n\"memory_mb\" :\t96}}', 32, 16"
     })
-    void heapIsAThirdOfTheConfiguredMemory(String configuration, int heap) throws Exception {
+    void heapIsAThirdAndDirectMemoryASixthOfTheConfiguredMemory(String configuration, int heap, int direct)
+            throws Exception {
         Path java = Files.writeString(folder.resolve("java"), "#!/bin/sh\necho \"$@\"\n");
         assertTrue(java.toFile().setExecutable(true));
         ProcessBuilder router =
@@ -215,7 +216,7 @@
                                 .toString());
         Process started = router.start();
         assertEquals(
-                "-Xms" + heap + "m -Xmx" + heap + "m platform\n",
+                "-Xms" + heap + "m -Xmx" + heap + "m -XX:MaxDirectMemorySize=" + direct + "m platform\n",
                 new String(started.getInputStream().readAllBytes()));
         assertEquals(0, started.waitFor());
     }
