Remove an unmeasured figure from a comment

Cause: the comment of a constant stated the size of a function's state, which no run had shown. Change: the comment only.

--- a/decisions/src/main/java/pearladder/routing/StickyFirstFitPolicy.java
+++ b/decisions/src/main/java/pearladder/routing/StickyFirstFitPolicy.java
@@ -55,7 +55,7 @@
     private static final TimeSpan MAX_RESPONSE_AGE = TimeSpan.seconds(5);
 
     private static final double MAX_UNUSED_FUNCTION_REQUESTS = 0.01; // decayed count of recent requests
-    private static final int UNSERVED_FUNCTIONS_PER_MB = 4; // of the memory limit; each takes up to 20 kB
+    private static final int UNSERVED_FUNCTIONS_PER_MB = 4; // of the memory limit
     private static final double RESPONSE_RESERVE_QUANTA = 2; // of the time left, reserved for the response
     private static final TimeSpan MIN_TIMEOUT = new TimeSpan(1);
     private static final double RETRY_AFTER_REQUEST_TIMES = 2;
