--- a/cli/src/test/java/pearladder/cli/RecordingClient.java
+++ b/cli/src/test/java/pearladder/cli/RecordingClient.java
@@ -16,7 +16,6 @@
     /** The time in nanoseconds at which each open request was sent, by number. */
     private final Map<Integer, Long> openRequests = new ConcurrentHashMap<>();
 
-    private final AtomicInteger successes = new AtomicInteger();
     private final AtomicInteger unexpectedResponses = new AtomicInteger();
     private volatile long longestWaitNanos;
     private volatile boolean closed;
@@ -47,9 +46,6 @@
             return;
         }
         longestWaitNanos = Math.max(longestWaitNanos, System.nanoTime() - sentAtNanos);
-        if (response.get(2).isNilValue()) {
-            successes.incrementAndGet();
-        }
     }
 
     /** Sends the encoded request of a number. */
@@ -68,11 +64,6 @@
         return openRequests.size();
     }
 
-    /** Returns the number of successful responses. */
-    int successes() {
-        return successes.get();
-    }
-
     /** Returns the number of responses that no open request was waiting for. */
     int unexpectedResponses() {
         return unexpectedResponses.get();
--- a/decisions/src/main/java/pearladder/connections/MemoryLimits.java
+++ b/decisions/src/main/java/pearladder/connections/MemoryLimits.java
@@ -1,7 +1,7 @@
 package pearladder.connections;
 
 /**
- * Shares of the process's memory limit for what a router holds of its peers' input and output.
+ * Shares of the process's memory limit for what a router holds of its peers' input.
  *
  * @param clientInputBytes limit of the requests of all clients together that are incomplete or not admitted yet
  * @param unfinishedResponseBytes limit of the incomplete responses of all workers together
