--- a/review/src-2/Worker.java
+++ b/review/src-2/Worker.java
@@ -47,7 +47,7 @@
         });
     }
 
-    private void serve(Connection connection) throws Exception {
+    void serve(Connection connection) throws Exception {
         connections.add(connection);
         try (InputStream in = new BufferedInputStream(connection.socket.getInputStream(), 32 * 1024)) {
             while (true) {
@@ -96,6 +96,10 @@
     }
 
     String member(String state, long startedMillis, int port) {
+        return member(id, state, startedMillis, port);
+    }
+
+    static String member(String id, String state, long startedMillis, int port) {
         return "{\"id\":\"" + id + "\",\"addr\":\"127.0.0.1:" + port + "\",\"zone\":\"east\",\"kind\":\"std\",\"cell\":1,"
                 + "\"state\":\"" + state + "\",\"weight\":1,\"started_ms\":" + startedMillis + "}";
     }
