Remove what no case of the second review uses from its stand-ins

Cause: the stand-ins held methods and settings that only probes needed, and no script starts those.

Change: the unused methods, fields and settings are gone; cases and checks are the same.

--- a/review/src-2/Case6.java
+++ b/review/src-2/Case6.java
@@ -32,7 +32,7 @@
         Feed feed = new Feed(Feed.start(
                 workers.stream().map(worker -> worker.member("in_service", 0)).toList()));
         try (Cases.Router router =
-                new Cases.Router(Path.of(arguments[0]), new Settings().json(), 192, 1024, feed)) {
+                new Cases.Router(Path.of(arguments[0]), Settings.json(), 192, 1024, feed)) {
             router.awaitReady();
             verdict = play(router, commands);
         } catch (Exception failure) {
--- a/review/src-2/Case7.java
+++ b/review/src-2/Case7.java
@@ -28,7 +28,7 @@
         int verdict = 2;
         Feed feed = new Feed(events(new Fleet(WORKERS, new Worker("any"))));
         try (Cases.Router router =
-                new Cases.Router(Path.of(arguments[0]), new Settings().json(), MEMORY_MB, SOCKETS, feed)) {
+                new Cases.Router(Path.of(arguments[0]), Settings.json(), MEMORY_MB, SOCKETS, feed)) {
             router.awaitReady();
             verdict = play(router, feed);
         } catch (Exception failure) {
@@ -96,7 +96,7 @@
         Feed present = first;
         for (int i = 1; i <= RELOADS && router.process.isAlive(); i++) {
             Feed next = new Feed(present.events());
-            router.write(new Settings().json(), MEMORY_MB, SOCKETS, next);
+            router.write(Settings.json(), MEMORY_MB, SOCKETS, next);
             router.signal("HUP");
             Cases.note("SIGHUP " + i + ", discovery at port " + next.port());
             Feed old = present;
--- a/review/src-2/Cases.java
+++ b/review/src-2/Cases.java
@@ -4,7 +4,10 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -91,13 +94,13 @@
 
     /** Starts another main class of these stand-ins in a process of its own, which ends with this one. */
     static Process start(Class<?> main, String... arguments) throws IOException {
-        java.util.List<String> command = new java.util.ArrayList<>(java.util.List.of(
+        List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-Xmx512m",
                 "-cp",
                 System.getProperty("java.class.path"),
                 main.getName()));
-        command.addAll(java.util.List.of(arguments));
+        command.addAll(List.of(arguments));
         Process process = new ProcessBuilder(command)
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.DISCARD)
@@ -153,7 +156,7 @@
                             + "\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "},"
                             + "\"feed\":\"127.0.0.1:" + feed.port() + "\",\"known\":" + feed.known() + ",\"settings\":"
                             + settings + "}");
-            Files.move(next, config(), java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+            Files.move(next, config(), StandardCopyOption.ATOMIC_MOVE);
         }
 
         /** Waits until the router answers {@code check} with true. */
@@ -181,20 +184,6 @@
             return Files.readString(folder.resolve("log"));
         }
 
-        /** Returns a line of the process's status, such as VmHWM; empty where the system has none. */
-        String status(String key) {
-            try {
-                for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
-                    if (line.startsWith(key + ":")) {
-                        return line.replaceAll("\\s+", " ");
-                    }
-                }
-            } catch (IOException ended) {
-                // no such process
-            }
-            return "";
-        }
-
         @Override
         public void close() throws IOException {
             process.destroyForcibly();
--- a/review/src-2/Client.java
+++ b/review/src-2/Client.java
@@ -15,16 +15,13 @@
      * @param atNanos when it was read
      * @param served whether it is without an error
      * @param error the error's name, or null
-     * @param body the served body, or null
      */
-    record Answer(long atNanos, boolean served, String error, byte[] body) {}
+    record Answer(long atNanos, boolean served, String error) {}
 
     final Socket socket;
     final Map<Long, Answer> answers = new ConcurrentHashMap<>();
     final Map<Long, Long> sentAt = new ConcurrentHashMap<>();
-    volatile int secondAnswers;
     volatile boolean closed;
-    volatile String end = "";
     private long lastNumber;
 
     Client(int port) throws IOException {
@@ -38,8 +35,6 @@
             while (true) {
                 onAnswer((List<?>) Msgpack.read(in));
             }
-        } catch (IOException | RuntimeException ended) {
-            end = ended.toString();
         } finally {
             closed = true;
         }
@@ -49,13 +44,10 @@
         long number = (Long) message.get(1);
         Object error = message.get(2);
         Object result = message.get(3);
-        byte[] body = result instanceof List<?> list && list.get(0) instanceof byte[] bytes ? bytes : null;
         String name = error instanceof List<?> list ? String.valueOf(list.get(0)) : null;
         boolean served = error == null
                 && !(result instanceof List<?> list && Boolean.FALSE.equals(list.get(0)));
-        if (answers.putIfAbsent(number, new Answer(System.nanoTime(), served, name, body)) != null) {
-            secondAnswers++;
-        }
+        answers.putIfAbsent(number, new Answer(System.nanoTime(), served, name));
     }
 
     /** Sends a request and returns its number. */
@@ -74,10 +66,6 @@
         return number;
     }
 
-    synchronized void interrupt(long number) throws IOException {
-        socket.getOutputStream().write(Msgpack.interrupt(number));
-    }
-
     /** Waits for an answer; null if none came in time or the connection ended without it. */
     Answer await(long number, long millis) throws InterruptedException {
         long until = System.nanoTime() + millis * 1_000_000;
--- a/review/src-2/Msgpack.java
+++ b/review/src-2/Msgpack.java
@@ -44,17 +44,6 @@
         return out.toByteArray();
     }
 
-    /** Encodes the notification with which a client stops waiting. */
-    static byte[] interrupt(long number) {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        out.write(0x93);
-        out.write(2);
-        text(out, "interrupt");
-        out.write(0x91);
-        integer(out, number);
-        return out.toByteArray();
-    }
-
     private static void integer(ByteArrayOutputStream out, long value) {
         out.write(0xce);
         for (int shift = 24; shift >= 0; shift -= 8) {
--- a/review/src-2/Worker.java
+++ b/review/src-2/Worker.java
@@ -55,16 +55,16 @@
                 String word = text(parts.get(0));
                 switch (word) {
                     case "go" -> go(connection, text(parts.get(1)), text(parts.get(2)), parts.get(3));
-                    case "halt" -> halt(connection, text(parts.get(1)));
                     case "ping", "stat" -> ping(connection, text(parts.get(1)));
                     case "stage" -> stage(connection, text(parts.get(1)), text(parts.get(2)));
-                    default -> other(connection, word);
+                    default -> {
+                        // a cancellation or an unload gets no answer
+                    }
                 }
             }
         } finally {
             connections.remove(connection);
             connection.socket.close();
-            closed(connection);
         }
     }
 
@@ -72,11 +72,6 @@
         connection.answer(request, "ACK", "tell=up,meter=backlog:0;x1:0", body);
     }
 
-    /** Called when a connection has ended: what is open on it is given up. */
-    void closed(Connection connection) throws Exception {}
-
-    void halt(Connection connection, String request) throws Exception {}
-
     void ping(Connection connection, String tag) throws Exception {
         connection.answer(tag, "READY", "meter=backlog:0;x1:0", new byte[0]);
     }
@@ -85,18 +80,8 @@
         connection.answer(tag, "ACK", "replicas=1", new byte[0]);
     }
 
-    void other(Connection connection, String word) throws Exception {}
-
-    int port() {
-        return server.getLocalPort();
-    }
-
     String member(String state, long startedMillis) {
-        return member(state, startedMillis, port());
-    }
-
-    String member(String state, long startedMillis, int port) {
-        return member(id, state, startedMillis, port);
+        return member(id, state, startedMillis, server.getLocalPort());
     }
 
     static String member(String id, String state, long startedMillis, int port) {
@@ -112,15 +97,6 @@
         }
     }
 
-    static String field(String fields, String name) {
-        for (String field : fields.split(",")) {
-            if (field.startsWith(name + "=")) {
-                return field.substring(name.length() + 1);
-            }
-        }
-        return null;
-    }
-
     static byte[] encode(String id, String word, String fields, byte[] body) {
         ByteArrayOutputStream out = new ByteArrayOutputStream(64 + body.length);
         out.writeBytes("*4\r\n".getBytes(StandardCharsets.ISO_8859_1));
