Review cases 6 and 7: record what workers ran, each request sent and the bad clients' totals

Cause: record.txt has to tell what was sent, answered and run. It lacked what the workers ran, the sends of case 7, and all of the bad clients.

Change: a line for each request that a worker runs and for each that case 7 sends, and the bad clients' totals each second. Disruption, check and bounds are as they were.

--- a/review/src-2/BadClients.java
+++ b/review/src-2/BadClients.java
@@ -27,6 +27,12 @@
             int first = i;
             Cases.daemon("sender", () -> send(port, clients, first, open, body, requestClass, budget));
         }
+        Cases.daemon("counts", () -> {
+            while (true) {
+                Thread.sleep(1000);
+                System.out.println("bad clients: " + Client.SENT + " requests sent, " + Client.ANSWERED + " answers read");
+            }
+        });
         while (System.in.read() >= 0) {
             // until the parent closes it or ends
         }
--- a/review/src-2/Case6.java
+++ b/review/src-2/Case6.java
@@ -50,6 +50,7 @@
                 @Override
                 void go(Connection connection, String request, String fields, byte[] body) {
                     commands.incrementAndGet();
+                    Cases.note(id + " runs " + request);
                     pool.schedule(
                             () -> {
                                 connection.answer(request, "ACK", "tell=up,meter=backlog:0;x1:0", body);
--- a/review/src-2/Case7.java
+++ b/review/src-2/Case7.java
@@ -26,7 +26,7 @@
         Cases.limit(115);
         Cases.open(Path.of("record.txt"));
         int verdict = 2;
-        Feed feed = new Feed(events(new Fleet(WORKERS, new Worker("any"))));
+        Feed feed = new Feed(events(new Fleet(WORKERS, worker())));
         try (Cases.Router router =
                 new Cases.Router(Path.of(arguments[0]), Settings.json(), MEMORY_MB, SOCKETS, feed)) {
             router.awaitReady();
@@ -38,6 +38,16 @@
         System.exit(verdict);
     }
 
+    private static Worker worker() throws Exception {
+        return new Worker("any") {
+            @Override
+            void go(Connection connection, String request, String fields, byte[] body) throws Exception {
+                Cases.note("a worker runs " + request);
+                super.go(connection, request, fields, body);
+            }
+        };
+    }
+
     /** The whole list, then the changes by which six in ten workers are replaced at their addresses. */
     private static List<String> events(Fleet fleet) throws Exception {
         List<String> members = new ArrayList<>();
@@ -85,8 +95,11 @@
     private static void send(Client client, List<Long> numbers, boolean[] over) throws Exception {
         Random random = new Random(3);
         while (!over[0]) {
-            numbers.add(client.send(
-                    "draft", Requests.fields(random, Long.toString(BUDGET_MILLIS), random.nextInt(60)), new byte[50]));
+            Map<String, String> fields =
+                    Requests.fields(random, Long.toString(BUDGET_MILLIS), random.nextInt(60));
+            long number = client.send("draft", fields, new byte[50]);
+            numbers.add(number);
+            Cases.note("the client sends " + fields.get("rid") + " as " + number);
             Thread.sleep(10);
         }
     }
--- a/review/src-2/Cases.java
+++ b/review/src-2/Cases.java
@@ -103,9 +103,15 @@
         command.addAll(List.of(arguments));
         Process process = new ProcessBuilder(command)
                 .redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
                 .start();
         Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+        daemon("output", () -> {
+            try (var lines = process.inputReader()) {
+                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                    note(line);
+                }
+            }
+        });
         return process;
     }
 
--- a/review/src-2/Client.java
+++ b/review/src-2/Client.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** A client's connection to a router, which reads all that it is sent and keeps each answer. */
 final class Client implements AutoCloseable {
@@ -18,6 +19,11 @@
      */
     record Answer(long atNanos, boolean served, String error) {}
 
+    /** Requests sent and answers read on all connections of this process. */
+    static final AtomicLong SENT = new AtomicLong();
+
+    static final AtomicLong ANSWERED = new AtomicLong();
+
     final Socket socket;
     final Map<Long, Answer> answers = new ConcurrentHashMap<>();
     final Map<Long, Long> sentAt = new ConcurrentHashMap<>();
@@ -47,12 +53,14 @@
         String name = error instanceof List<?> list ? String.valueOf(list.get(0)) : null;
         boolean served = error == null
                 && !(result instanceof List<?> list && Boolean.FALSE.equals(list.get(0)));
+        ANSWERED.incrementAndGet();
         answers.putIfAbsent(number, new Answer(System.nanoTime(), served, name));
     }
 
     /** Sends a request and returns its number. */
     synchronized long send(String method, Map<String, String> fields, byte[] body) throws IOException {
         long number = ++lastNumber;
+        SENT.incrementAndGet();
         byte[] message = Msgpack.request(number, method, fields, body);
         sentAt.put(number, System.nanoTime());
         socket.getOutputStream().write(message);
